--- /dev/null
+++ b/internal/agree/medlarlist/change.go
@@ -0,0 +1,291 @@
+package medlarlist
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/binary"
+	"maps"
+	"slices"
+
+	"github.com/go-json-experiment/json"
+	"github.com/rotisserie/eris"
+
+	"medlarfield/internal/agree/medlarrecord"
+	"medlarfield/internal/base/medlarid"
+)
+
+// digestLanes is the number of 64-bit lanes of a digest.
+const digestLanes = sha256.Size / 8
+
+// Digest is the sum, lane by lane, of the SHA-256 digests of all entries (R4).
+type Digest [digestLanes]uint64
+
+// Bytes returns the digest in big-endian order.
+func (d Digest) Bytes() []byte {
+	b := make([]byte, 0, sha256.Size)
+	for _, lane := range d {
+		b = binary.BigEndian.AppendUint64(b, lane)
+	}
+	return b
+}
+
+// Name identifies an entry.
+type Name struct {
+	Table medlarrecord.Table
+	Name  string
+}
+
+// Entry is one entry with its value in JSON (R1).
+type Entry struct {
+	Name  Name
+	Value []byte
+}
+
+// Change turns one version of the lists into another (R3).
+type Change struct {
+	Put  []Entry
+	Drop []Name
+}
+
+// Empty reports whether the change changes nothing.
+func (c Change) Empty() bool { return len(c.Put) == 0 && len(c.Drop) == 0 }
+
+// Size returns the number of entries that the change touches.
+func (c Change) Size() int { return len(c.Put) + len(c.Drop) }
+
+// Entries returns all entries, ordered by kind and name.
+func (l *Lists) Entries() []Entry {
+	out := make([]Entry, 0, l.Size())
+	for name, v := range l.Accounts {
+		out = append(out, newEntry(medlarrecord.Table_TABLE_ACCOUNT, string(name), v))
+	}
+	for name, v := range l.Plans {
+		out = append(out, newEntry(medlarrecord.Table_TABLE_PLAN, string(name), v))
+	}
+	for name, v := range l.Models {
+		out = append(out, newEntry(medlarrecord.Table_TABLE_MODEL, string(name), v))
+	}
+	for name, v := range l.Services {
+		out = append(out, newEntry(medlarrecord.Table_TABLE_SERVICE, string(name), v))
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return compareNames(a.Name, b.Name) })
+	return out
+}
+
+// Diff returns the change that turns from into to.
+func Diff(from, to *Lists) Change {
+	var c Change
+	old := map[Name]string{}
+	for _, e := range from.Entries() {
+		old[e.Name] = string(e.Value)
+	}
+	for _, e := range to.Entries() {
+		if v, ok := old[e.Name]; !ok || v != string(e.Value) {
+			c.Put = append(c.Put, e)
+		}
+		delete(old, e.Name)
+	}
+	c.Drop = slices.SortedFunc(maps.Keys(old), compareNames)
+	return c
+}
+
+// Apply returns the lists after the change (R3). The error is of KindValue,
+// KindReference or KindAbsent.
+func (l *Lists) Apply(c Change) (*Lists, error) {
+	next := l.clone()
+	for _, n := range c.Drop {
+		if err := next.drop(n); err != nil {
+			return nil, err
+		}
+	}
+	for _, e := range c.Put {
+		if err := next.put(e); err != nil {
+			return nil, err
+		}
+	}
+	if err := next.checkReferences(); err != nil {
+		return nil, err
+	}
+	return next, nil
+}
+
+func (l *Lists) clone() *Lists {
+	return &Lists{
+		Accounts: maps.Clone(l.Accounts),
+		Plans:    maps.Clone(l.Plans),
+		Models:   maps.Clone(l.Models),
+		Services: maps.Clone(l.Services),
+		Digest:   l.Digest,
+		byKey:    maps.Clone(l.byKey),
+	}
+}
+
+// put stores one entry after checking its value (R2).
+func (l *Lists) put(e Entry) error {
+	if l.has(e.Name) {
+		if err := l.drop(e.Name); err != nil {
+			return err
+		}
+	}
+	var err error
+	switch e.Name.Table {
+	case medlarrecord.Table_TABLE_ACCOUNT:
+		err = l.putAccount(e)
+	case medlarrecord.Table_TABLE_PLAN:
+		var v Plan
+		if err = decodeValue(e, &v, func() error { return v.check() }); err == nil {
+			l.Plans[medlarid.PlanID(e.Name.Name)] = v
+		}
+	case medlarrecord.Table_TABLE_MODEL:
+		var v Model
+		if err = decodeValue(e, &v, func() error { return v.check() }); err == nil {
+			l.Models[medlarid.ModelID(e.Name.Name)] = v
+		}
+	case medlarrecord.Table_TABLE_SERVICE:
+		var v Service
+		if err = decodeValue(e, &v, func() error { return v.check() }); err == nil {
+			l.Services[medlarid.ServiceID(e.Name.Name)] = v
+		}
+	default:
+		err = &Error{Op: OpApply, Kind: KindValue, Err: eris.Errorf("entry %q is of an unknown kind %d", e.Name.Name, e.Name.Table)}
+	}
+	if err != nil {
+		return err
+	}
+	l.Digest.add(l.entry(e.Name))
+	return nil
+}
+
+func (l *Lists) putAccount(e Entry) error {
+	var v Account
+	if err := decodeValue(e, &v, func() error { return v.check() }); err != nil {
+		return err
+	}
+	id := medlarid.AccountID(e.Name.Name)
+	for _, k := range v.Keys {
+		if other, ok := l.byKey[k]; ok && other != id {
+			return &Error{Op: OpApply, Kind: KindReference, Err: eris.Errorf("accounts %q and %q have the same key", other, id)}
+		}
+		l.byKey[k] = id
+	}
+	l.Accounts[id] = v
+	return nil
+}
+
+// drop removes one entry, which must be there.
+func (l *Lists) drop(n Name) error {
+	if !l.has(n) {
+		return &Error{Op: OpApply, Kind: KindAbsent, Err: eris.Errorf("no %s %q to drop", TableName(n.Table), n.Name)}
+	}
+	l.Digest.subtract(l.entry(n))
+	switch n.Table {
+	case medlarrecord.Table_TABLE_ACCOUNT:
+		id := medlarid.AccountID(n.Name)
+		for _, k := range l.Accounts[id].Keys {
+			delete(l.byKey, k)
+		}
+		delete(l.Accounts, id)
+	case medlarrecord.Table_TABLE_PLAN:
+		delete(l.Plans, medlarid.PlanID(n.Name))
+	case medlarrecord.Table_TABLE_MODEL:
+		delete(l.Models, medlarid.ModelID(n.Name))
+	case medlarrecord.Table_TABLE_SERVICE:
+		delete(l.Services, medlarid.ServiceID(n.Name))
+	}
+	return nil
+}
+
+func (l *Lists) has(n Name) (ok bool) {
+	switch n.Table {
+	case medlarrecord.Table_TABLE_ACCOUNT:
+		_, ok = l.Accounts[medlarid.AccountID(n.Name)]
+	case medlarrecord.Table_TABLE_PLAN:
+		_, ok = l.Plans[medlarid.PlanID(n.Name)]
+	case medlarrecord.Table_TABLE_MODEL:
+		_, ok = l.Models[medlarid.ModelID(n.Name)]
+	case medlarrecord.Table_TABLE_SERVICE:
+		_, ok = l.Services[medlarid.ServiceID(n.Name)]
+	}
+	return ok
+}
+
+// entry returns the stored entry with its value in canonical form.
+func (l *Lists) entry(n Name) Entry {
+	switch n.Table {
+	case medlarrecord.Table_TABLE_ACCOUNT:
+		return newEntry(n.Table, n.Name, l.Accounts[medlarid.AccountID(n.Name)])
+	case medlarrecord.Table_TABLE_PLAN:
+		return newEntry(n.Table, n.Name, l.Plans[medlarid.PlanID(n.Name)])
+	case medlarrecord.Table_TABLE_MODEL:
+		return newEntry(n.Table, n.Name, l.Models[medlarid.ModelID(n.Name)])
+	default:
+		return newEntry(n.Table, n.Name, l.Services[medlarid.ServiceID(n.Name)])
+	}
+}
+
+func newEntry(table medlarrecord.Table, name string, value any) Entry {
+	b, err := json.Marshal(value, json.Deterministic(true))
+	if err != nil {
+		panic("medlarlist: an entry cannot be written as JSON: " + err.Error())
+	}
+	return Entry{Name: Name{Table: table, Name: name}, Value: b}
+}
+
+func decodeValue(e Entry, dst any, check func() error) error {
+	if err := json.Unmarshal(e.Value, dst, json.RejectUnknownMembers(true)); err != nil {
+		return &Error{Op: OpApply, Kind: KindValue, Err: eris.Wrapf(err, "%s %q", TableName(e.Name.Table), e.Name.Name)}
+	}
+	if err := checkName(e.Name.Name); err != nil {
+		return &Error{Op: OpApply, Kind: KindValue, Err: err}
+	}
+	if err := check(); err != nil {
+		return &Error{Op: OpApply, Kind: KindValue, Err: eris.Wrapf(err, "%s %q", TableName(e.Name.Table), e.Name.Name)}
+	}
+	return nil
+}
+
+func (d *Digest) add(e Entry) {
+	for i, lane := range entryLanes(e) {
+		d[i] += lane
+	}
+}
+
+func (d *Digest) subtract(e Entry) {
+	for i, lane := range entryLanes(e) {
+		d[i] -= lane
+	}
+}
+
+// entryLanes hashes kind, length of the name, name and value.
+func entryLanes(e Entry) (lanes [digestLanes]uint64) {
+	b := make([]byte, 0, 16+len(e.Name.Name)+len(e.Value))
+	b = binary.BigEndian.AppendUint32(b, uint32(e.Name.Table))
+	b = binary.BigEndian.AppendUint32(b, uint32(len(e.Name.Name)))
+	b = append(b, e.Name.Name...)
+	b = append(b, e.Value...)
+	sum := sha256.Sum256(b)
+	for i := range lanes {
+		lanes[i] = binary.BigEndian.Uint64(sum[8*i:])
+	}
+	return lanes
+}
+
+func compareNames(a, b Name) int {
+	return cmp.Or(cmp.Compare(a.Table, b.Table), cmp.Compare(a.Name, b.Name))
+}
+
+// TableName returns the word for a table of entry.
+func TableName(t medlarrecord.Table) string {
+	switch t {
+	case medlarrecord.Table_TABLE_ACCOUNT:
+		return "account"
+	case medlarrecord.Table_TABLE_PLAN:
+		return "plan"
+	case medlarrecord.Table_TABLE_MODEL:
+		return "model"
+	case medlarrecord.Table_TABLE_SERVICE:
+		return "service"
+	default:
+		return "entry"
+	}
+}
--- /dev/null
+++ b/internal/agree/medlarlist/parse.go
@@ -0,0 +1,124 @@
+package medlarlist
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"medlarfield/internal/agree/medlarrecord"
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/base/medlarjson"
+)
+
+// plansFile is the form of the plans list.
+type plansFile struct {
+	Accounts map[medlarid.AccountID]Account `json:"accounts"`
+}
+
+// usesFile is the form of the uses list.
+type usesFile struct {
+	Plans    map[medlarid.PlanID]Plan       `json:"plans"`
+	Models   map[medlarid.ModelID]Model     `json:"models"`
+	Services map[medlarid.ServiceID]Service `json:"services"`
+}
+
+// dangling is a reference to an entry that is not there.
+type dangling struct {
+	from  Name
+	field string // JSON pointer below the entry
+	want  string
+}
+
+// Parse reads both lists from documents and checks them (R2). Errors of the
+// files are of *medlarjson.Error with line and column.
+func Parse(plans, uses *medlarjson.Document) (*Lists, error) {
+	var pf plansFile
+	if err := plans.Decode(&pf); err != nil {
+		return nil, err
+	}
+	var uf usesFile
+	if err := uses.Decode(&uf); err != nil {
+		return nil, err
+	}
+	l := New()
+	for _, e := range fileEntries(pf, uf) {
+		if err := l.put(e); err != nil {
+			return nil, locate(plans, uses, e.Name, err)
+		}
+	}
+	for _, d := range l.dangling() {
+		doc, pointer := pointerTo(plans, uses, d.from)
+		return nil, doc.Errorf(pointer+d.field, "%s %q: no %s", TableName(d.from.Table), d.from.Name, d.want)
+	}
+	return l, nil
+}
+
+func fileEntries(pf plansFile, uf usesFile) []Entry {
+	l := &Lists{Accounts: pf.Accounts, Plans: uf.Plans, Models: uf.Models, Services: uf.Services}
+	return l.Entries()
+}
+
+// locate gives an entry's error the position of the entry in its file.
+func locate(plans, uses *medlarjson.Document, n Name, err error) error {
+	doc, pointer := pointerTo(plans, uses, n)
+	cause := err
+	var e *Error
+	if errors.As(err, &e) {
+		cause = e.Err
+	}
+	var f *fieldError
+	if errors.As(err, &f) {
+		pointer += "/" + f.field
+		cause = fmt.Errorf("%s %q: %w", TableName(n.Table), n.Name, f)
+	}
+	return doc.Errorf(pointer, "%v", cause)
+}
+
+func pointerTo(plans, uses *medlarjson.Document, n Name) (*medlarjson.Document, string) {
+	switch n.Table {
+	case medlarrecord.Table_TABLE_ACCOUNT:
+		return plans, "/accounts/" + n.Name
+	case medlarrecord.Table_TABLE_PLAN:
+		return uses, "/plans/" + n.Name
+	case medlarrecord.Table_TABLE_MODEL:
+		return uses, "/models/" + n.Name
+	default:
+		return uses, "/services/" + n.Name
+	}
+}
+
+// dangling lists all references to absent entries, in order of names.
+func (l *Lists) dangling() []dangling {
+	var out []dangling
+	for _, id := range slices.Sorted(maps.Keys(l.Accounts)) {
+		if plan := l.Accounts[id].Plan; !l.hasPlan(plan) {
+			out = append(out, dangling{Name{medlarrecord.Table_TABLE_ACCOUNT, string(id)}, "/plan", fmt.Sprintf("plan %q", plan)})
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(l.Plans)) {
+		out = append(out, l.danglingInPlan(id)...)
+	}
+	return out
+}
+
+func (l *Lists) danglingInPlan(id medlarid.PlanID) []dangling {
+	var out []dangling
+	from := Name{medlarrecord.Table_TABLE_PLAN, string(id)}
+	for i, m := range l.Plans[id].Models {
+		if _, ok := l.Models[m]; !ok {
+			out = append(out, dangling{from, fmt.Sprintf("/models/%d", i), fmt.Sprintf("model %q", m)})
+		}
+	}
+	for i, s := range l.Plans[id].Services {
+		if _, ok := l.Services[s]; !ok {
+			out = append(out, dangling{from, fmt.Sprintf("/services/%d", i), fmt.Sprintf("service %q", s)})
+		}
+	}
+	return out
+}
+
+func (l *Lists) hasPlan(id medlarid.PlanID) bool {
+	_, ok := l.Plans[id]
+	return ok
+}
--- /dev/null
+++ b/internal/agree/medlarstate/medlarstate.go
@@ -0,0 +1,297 @@
+// Package medlarstate is the state machine that every reader of the lists
+// stream runs: it turns records, in the order of their offsets, into the lists
+// in force and their history.
+//
+// Rules:
+//
+//	R1  Records are applied in the order of their offsets; a hole is reported
+//	    and never skipped over.
+//	R2  A publication is accepted if its base is the version in force, its change
+//	    applies and its digest fits; otherwise it is rejected, with a reason.
+//	    The verdict depends on the records alone, so all readers agree.
+//	R3  The version in force is the offset of the last accepted publication. It
+//	    only rises.
+//	R4  A record with an identifier that the history holds is a repeat and has
+//	    no effect.
+//	R5  A cold reader starts at offset 1, or from a whole snapshot followed by
+//	    every publication after the snapshot's version.
+//	R6  A reader that has lists ignores snapshots.
+package medlarstate
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"medlarfield/internal/agree/medlarlist"
+	"medlarfield/internal/agree/medlarrecord"
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/platform/medlarlog"
+)
+
+// maxHistory is the number of verdicts that the history holds.
+const maxHistory = 4096
+
+// Op names the operation that failed.
+type Op string
+
+// Operations.
+const (
+	OpApply    Op = "apply"
+	OpSnapshot Op = "snapshot"
+)
+
+// Kind classifies a failure.
+type Kind string
+
+// Kinds of failure.
+const (
+	KindGap  Kind = "gap"  // records are missing
+	KindCold Kind = "cold" // no lists yet
+)
+
+// Error is a record that cannot be applied.
+type Error struct {
+	Op   Op
+	Kind Kind
+	Err  error
+}
+
+// Error returns operation, kind and cause.
+func (e *Error) Error() string { return fmt.Sprintf("%s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Reject is the reason why a publication was rejected; it is empty for an
+// accepted one.
+type Reject string
+
+// Reasons of rejection.
+const (
+	RejectNone   Reject = ""
+	RejectBase   Reject = "base"   // made from a version that is not in force
+	RejectValue  Reject = "value"  // an entry or a reference is not valid
+	RejectDigest Reject = "digest" // the result is not what the author saw
+	RejectEmpty  Reject = "empty"  // changes nothing
+)
+
+// Verdict is the fate of one publication.
+type Verdict struct {
+	Offset  medlarid.Offset
+	Base    medlarid.Offset
+	ID      medlarid.RecordID
+	Time    time.Time // the log service's stamp
+	User    string
+	Note    string
+	Reject  Reject
+	Changes int
+}
+
+// View is the state at one offset. It is never changed once published.
+type View struct {
+	Lists   *medlarlist.Lists
+	Version medlarid.Offset // offset of the publication in force; 0 for none
+	Next    medlarid.Offset // offset of the next record to apply
+	Ready   bool            // false while the reader is cold
+	History []Verdict       // in the order of offsets
+	// Kept is the offset of the newest record that ends a snapshot; 0 for none.
+	Kept medlarid.Offset
+}
+
+// Counts are totals of what the state has met.
+type Counts struct {
+	Accepted  int
+	Rejected  int
+	Repeated  int
+	Malformed int
+	Skipped   int // records of another kind or of a newer format
+	Snapshots int
+}
+
+// State applies records. Apply and Restart are called by one goroutine; View
+// and Counts by any.
+type State struct {
+	view   atomic.Pointer[View]
+	mu     sync.Mutex
+	counts Counts
+	cold   *assembly
+}
+
+// New returns a state that has read nothing.
+func New() *State {
+	s := &State{}
+	s.view.Store(&View{Lists: medlarlist.New(), Next: 1, Ready: true})
+	return s
+}
+
+// View returns the current state.
+func (s *State) View() *View { return s.view.Load() }
+
+// Counts returns the totals.
+func (s *State) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// Restart makes the state cold at the oldest offset that the stream holds,
+// after a gap (R5). The lists in force stay until a snapshot replaces them, and
+// only a newer one does (R3).
+func (s *State) Restart(first medlarid.Offset) {
+	v := *s.View()
+	v.Next = first
+	v.Ready = false
+	s.cold = newAssembly(first)
+	s.view.Store(&v)
+}
+
+// Apply applies one record (R1).
+func (s *State) Apply(e medlarlog.Entry) error {
+	v := s.View()
+	if e.Offset != v.Next {
+		return &Error{Op: OpApply, Kind: KindGap, Err: eris.Errorf("record %d came while %d was due", e.Offset, v.Next)}
+	}
+	next := *v
+	next.Next = e.Offset + 1
+	r, id, err := medlarrecord.Decode(e.Data)
+	if err != nil {
+		s.count(func(c *Counts) { c.Malformed++ })
+		s.view.Store(&next)
+		return nil
+	}
+	switch body := r.GetBody().(type) {
+	case *medlarrecord.Record_Publication:
+		s.applyPublication(&next, publication{offset: e.Offset, id: id, time: e.Time(), body: body.Publication})
+	case *medlarrecord.Record_Snapshot:
+		s.applySnapshot(&next, e.Offset, r.GetAuthor(), body.Snapshot)
+	default:
+		s.count(func(c *Counts) { c.Skipped++ })
+	}
+	s.view.Store(&next)
+	return nil
+}
+
+// publication is a decoded publication with its place in the log.
+type publication struct {
+	offset medlarid.Offset
+	id     medlarid.RecordID
+	time   time.Time
+	body   *medlarrecord.Publication
+}
+
+func (s *State) applyPublication(v *View, p publication) {
+	if s.cold != nil {
+		s.cold.hold(p)
+		return
+	}
+	s.judge(v, p)
+}
+
+// judge accepts or rejects a publication (R2).
+func (s *State) judge(v *View, p publication) {
+	if v.holds(p.id) {
+		s.count(func(c *Counts) { c.Repeated++ })
+		return
+	}
+	lists, reject := decide(v, p)
+	v.History = appendVerdict(v.History, Verdict{
+		Offset:  p.offset,
+		Base:    medlarid.Offset(p.body.GetBase()),
+		ID:      p.id,
+		Time:    p.time,
+		User:    p.body.GetUser(),
+		Note:    p.body.GetNote(),
+		Reject:  reject,
+		Changes: len(p.body.GetPut()) + len(p.body.GetDrop()),
+	})
+	if reject != RejectNone {
+		s.count(func(c *Counts) { c.Rejected++ })
+		return
+	}
+	s.count(func(c *Counts) { c.Accepted++ })
+	v.Lists = lists
+	v.Version = p.offset
+}
+
+func decide(v *View, p publication) (*medlarlist.Lists, Reject) {
+	if medlarid.Offset(p.body.GetBase()) != v.Version {
+		return nil, RejectBase
+	}
+	change := ChangeOf(p.body)
+	if change.Empty() {
+		return nil, RejectEmpty
+	}
+	lists, err := v.Lists.Apply(change)
+	if err != nil {
+		return nil, RejectValue
+	}
+	if string(lists.Digest.Bytes()) != string(p.body.GetDigest()) {
+		return nil, RejectDigest
+	}
+	return lists, RejectNone
+}
+
+// holds reports whether the history has a record with this identifier (R4).
+func (v *View) holds(id medlarid.RecordID) bool {
+	_, ok := v.Find(id)
+	return ok
+}
+
+// Find returns the verdict on the publication with an identifier.
+func (v *View) Find(id medlarid.RecordID) (Verdict, bool) {
+	for i := len(v.History) - 1; i >= 0; i-- {
+		if v.History[i].ID == id {
+			return v.History[i], true
+		}
+	}
+	return Verdict{}, false
+}
+
+// At returns the verdict on the version that was in force at a time by the log
+// service's clock; ok is false when there was none, or the history is too short.
+func (v *View) At(t time.Time) (found Verdict, ok bool) {
+	for _, h := range v.History {
+		if h.Reject == RejectNone && !h.Time.After(t) {
+			found, ok = h, true
+		}
+	}
+	return found, ok
+}
+
+// appendVerdict returns a new slice; views that share the old one are not changed.
+func appendVerdict(old []Verdict, v Verdict) []Verdict {
+	if drop := len(old) + 1 - maxHistory; drop > 0 {
+		old = old[drop:]
+	}
+	return append(old[:len(old):len(old)], v)
+}
+
+func (s *State) count(f func(*Counts)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(&s.counts)
+}
+
+// ChangeOf returns the change that a publication carries.
+func ChangeOf(p *medlarrecord.Publication) medlarlist.Change {
+	var c medlarlist.Change
+	for _, e := range p.GetPut() {
+		c.Put = append(c.Put, entryOf(e))
+	}
+	for _, n := range p.GetDrop() {
+		c.Drop = append(c.Drop, nameOf(n))
+	}
+	return c
+}
+
+func entryOf(e *medlarrecord.Entry) medlarlist.Entry {
+	return medlarlist.Entry{Name: nameOf(e.GetName()), Value: e.GetValue()}
+}
+
+func nameOf(n *medlarrecord.Name) medlarlist.Name {
+	return medlarlist.Name{Table: n.GetTable(), Name: n.GetName()}
+}
--- /dev/null
+++ b/internal/core/medlaradmit/medlaradmit.go
@@ -0,0 +1,297 @@
+// Package medlaradmit decides which requests may wait for an upstream.
+//
+// Rules:
+//
+//	R1  A stopping instance, or one without lists, admits nothing.
+//	R2  Each account has a token bucket and a bound on open requests; the plan's
+//	    limits are divided by the number of live entry instances.
+//	R3  The queue is ordered by priority, then by weighted fair queueing, so an
+//	    account with many requests delays its own first.
+//	R4  When the queue is full, the request of the account with the largest
+//	    weighted share of the queue gives way.
+//	R5  A request that would wait past its deadline, or past the longest wait,
+//	    is refused at once and told when to come back.
+//	R6  A request whose caller has left, or whose deadline has passed while it
+//	    waits, leaves the queue.
+//	R7  Only accounts that have sent requests lately are in memory.
+package medlaradmit
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarworld"
+)
+
+// Queue parameters.
+const (
+	tokensPerCost = 1000.0 // prompt tokens that cost as much as one request
+	rateWindow    = time.Second
+	rateGain      = 0.3
+	minAfter      = time.Second
+	maxAfter      = 30 * time.Second
+
+	forgetInterval = 10 * time.Second
+)
+
+// System admits requests.
+type System struct {
+	started   int       // runs that left the queue in this window
+	windowEnd time.Time // end of the window
+	perSecond float64   // runs that leave the queue each second
+	wasFull   bool      // the queue was not empty throughout the window
+	forgetAt  time.Time // when idle accounts are dropped next
+}
+
+// New returns the system.
+func New() *System { return &System{} }
+
+// Run handles the events of one tick.
+func (s *System) Run(w *medlarworld.World) {
+	s.measure(w)
+	for _, e := range w.Events {
+		switch e := e.(type) {
+		case medlarworld.Submitted:
+			s.submit(w, e)
+		case medlarworld.Left:
+			leave(w, e)
+		}
+	}
+	expire(w)
+	s.forget(w)
+}
+
+// Started notes that a run left the queue for an upstream.
+func (s *System) Started() { s.started++ }
+
+// measure updates the rate at which runs leave the queue.
+func (s *System) measure(w *medlarworld.World) {
+	if len(w.Waiting) == 0 {
+		s.wasFull = false
+	}
+	if w.Now.Before(s.windowEnd) {
+		return
+	}
+	if s.wasFull {
+		s.perSecond += rateGain * (float64(s.started)/rateWindow.Seconds() - s.perSecond)
+	}
+	s.started = 0
+	s.wasFull = len(w.Waiting) > 0
+	s.windowEnd = w.Now.Add(rateWindow)
+}
+
+func (s *System) submit(w *medlarworld.World, e medlarworld.Submitted) {
+	r := e.Run
+	r.Phase = medlarworld.PhaseNew
+	w.Runs[r.ID] = r
+	a := account(w, e)
+	a.Open++
+	if reason, after := s.judge(w, a, r); reason != "" {
+		w.Refuse(r, reason, after)
+		return
+	}
+	stamp(w, a, r)
+}
+
+// account returns the account's entry with its limits of now.
+func account(w *medlarworld.World, e medlarworld.Submitted) *medlarworld.Account {
+	a := w.Accounts[e.Run.Account]
+	if a == nil {
+		a = &medlarworld.Account{ID: e.Run.Account}
+		w.Accounts[a.ID] = a
+	}
+	a.Limits = e.Limits
+	return a
+}
+
+// served reports whether any upstream serves what a run asks for.
+func served(w *medlarworld.World, r *medlarworld.Run) bool {
+	if r.Service != "" {
+		return len(w.Services[r.Service]) > 0
+	}
+	return len(w.Engines[r.Model]) > 0
+}
+
+// judge returns why a run is refused, or an empty reason.
+func (s *System) judge(w *medlarworld.World, a *medlarworld.Account, r *medlarworld.Run) (medlarreason.Reason, time.Duration) {
+	switch {
+	case w.Draining:
+		return medlarreason.Draining, minAfter // R1
+	case !w.Ready:
+		return medlarreason.Unready, minAfter // R1
+	case !served(w, r):
+		return medlarreason.Capacity, minAfter
+	}
+	if runs := a.Limits.Runs; runs > 0 && a.Open > perPeer(runs, w.Peers) {
+		return medlarreason.Concurrency, minAfter // R2
+	}
+	if after := take(w, a); after > 0 {
+		return medlarreason.Rate, after // R2
+	}
+	if wait := s.wait(w); w.Now.Add(wait).After(r.Deadline) || w.Config.Wait > 0 && wait > w.Config.Wait {
+		return medlarreason.Deadline, clampAfter(wait) // R5
+	}
+	if len(w.Waiting) >= w.Config.Queue && !makeRoom(w, a) {
+		return medlarreason.Overload, clampAfter(s.wait(w)) // R4
+	}
+	return "", 0
+}
+
+// wait estimates how long a new run waits in the queue.
+func (s *System) wait(w *medlarworld.World) time.Duration {
+	if len(w.Waiting) == 0 || s.perSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(len(w.Waiting)) / s.perSecond * float64(time.Second))
+}
+
+// perPeer returns one instance's part of a plan's bound.
+func perPeer(n, peers int) int { return (n + peers - 1) / peers }
+
+// take uses one token of the account's bucket; when it is empty it returns the
+// time until the next token.
+func take(w *medlarworld.World, a *medlarworld.Account) time.Duration {
+	if a.Limits.Rate <= 0 {
+		return 0
+	}
+	rate := a.Limits.Rate / float64(w.Peers)
+	burst := max(a.Limits.Burst/float64(w.Peers), 1)
+	if a.Limited {
+		a.Bucket = min(burst, a.Bucket+rate*w.Now.Sub(a.Filled).Seconds())
+	} else {
+		a.Bucket = burst
+		a.Limited = true
+	}
+	a.Filled = w.Now
+	if a.Bucket < 1 {
+		return time.Duration(math.Ceil((1-a.Bucket)/rate*1000)) * time.Millisecond
+	}
+	a.Bucket--
+	return 0
+}
+
+// stamp gives a run its place in the order of the queue (R3).
+func stamp(w *medlarworld.World, a *medlarworld.Account, r *medlarworld.Run) {
+	r.Virtual = max(w.Virtual, a.Finish)
+	cost := 1 + float64(r.Prompt)/tokensPerCost
+	a.Finish = r.Virtual + cost/weight(a)
+}
+
+// makeRoom refuses the last run of the account with the largest weighted share
+// of the queue, unless that is a itself (R4).
+func makeRoom(w *medlarworld.World, a *medlarworld.Account) bool {
+	shares := map[*medlarworld.Account]float64{}
+	for _, r := range w.Waiting {
+		if b := w.Accounts[r.Account]; b != nil {
+			shares[b] += 1 / weight(b)
+		}
+	}
+	heaviest, most := a, shares[a]+1/weight(a)
+	for b, share := range shares {
+		if share > most || share == most && b.ID < heaviest.ID && heaviest != a {
+			heaviest, most = b, share
+		}
+	}
+	if heaviest == a {
+		return false
+	}
+	for i := len(w.Waiting) - 1; i >= 0; i-- {
+		if r := w.Waiting[i]; r.Account == heaviest.ID && !r.Reached && !r.Claimed {
+			w.Waiting = slices.Delete(w.Waiting, i, i+1)
+			w.Refuse(r, medlarreason.Overload, minAfter)
+			return true
+		}
+	}
+	return false
+}
+
+// Enqueue puts a run in its place in the queue (R3).
+func Enqueue(w *medlarworld.World, r *medlarworld.Run) {
+	r.Phase = medlarworld.PhaseWaiting
+	i, _ := slices.BinarySearchFunc(w.Waiting, r, func(a, b *medlarworld.Run) int { return before(w, a, b) })
+	w.Waiting = slices.Insert(w.Waiting, i, r)
+}
+
+func before(w *medlarworld.World, a, b *medlarworld.Run) int {
+	return cmp.Or(
+		cmp.Compare(priority(w, b), priority(w, a)),
+		cmp.Compare(a.Virtual, b.Virtual),
+		a.Arrived.Compare(b.Arrived),
+		cmp.Compare(a.ID, b.ID),
+	)
+}
+
+func priority(w *medlarworld.World, r *medlarworld.Run) int {
+	if a := w.Accounts[r.Account]; a != nil {
+		return int(a.Limits.Priority)
+	}
+	return 0
+}
+
+// leave ends a run whose caller left (R6). The edge reports this only while it
+// carries out no attempt: a start that it has not taken up yet is void.
+func leave(w *medlarworld.World, e medlarworld.Left) {
+	r := w.Runs[e.Run]
+	if r == nil {
+		return
+	}
+	remove(w, r)
+	w.Release(r)
+	w.Refuse(r, medlarreason.Gone, 0)
+}
+
+// expire refuses the runs that have waited too long (R6).
+func expire(w *medlarworld.World) {
+	for i := 0; i < len(w.Waiting); i++ {
+		r := w.Waiting[i]
+		late := w.Now.After(r.Deadline)
+		tired := w.Config.Wait > 0 && r.Attempt == 0 && w.Now.Sub(r.Arrived) > w.Config.Wait
+		if !late && !tired {
+			continue
+		}
+		w.Waiting = slices.Delete(w.Waiting, i, i+1)
+		i--
+		reason := medlarreason.Deadline
+		if r.Reached {
+			reason = medlarreason.Failed
+		}
+		w.Refuse(r, reason, minAfter)
+	}
+}
+
+func remove(w *medlarworld.World, r *medlarworld.Run) {
+	if i := slices.Index(w.Waiting, r); i >= 0 {
+		w.Waiting = slices.Delete(w.Waiting, i, i+1)
+	}
+}
+
+func weight(a *medlarworld.Account) float64 { return max(a.Limits.Weight, 1) }
+
+// forget drops accounts without open requests whose bucket is full again and
+// whose place in the queue has passed (R7).
+func (s *System) forget(w *medlarworld.World) {
+	if w.Now.Before(s.forgetAt) {
+		return
+	}
+	s.forgetAt = w.Now.Add(forgetInterval)
+	for id, a := range w.Accounts {
+		if a.Open == 0 && a.Finish <= w.Virtual && full(w, a) {
+			delete(w.Accounts, id)
+		}
+	}
+}
+
+// full reports whether the account's bucket has filled up by now.
+func full(w *medlarworld.World, a *medlarworld.Account) bool {
+	if a.Limits.Rate <= 0 {
+		return true
+	}
+	peers := float64(w.Peers)
+	missing := max(a.Limits.Burst/peers, 1) - a.Bucket
+	return w.Now.Sub(a.Filled).Seconds()*a.Limits.Rate/peers >= missing
+}
+
+func clampAfter(d time.Duration) time.Duration { return min(max(d, minAfter), maxAfter) }
--- /dev/null
+++ b/internal/core/medlarcontext/medlarcontext.go
@@ -0,0 +1,197 @@
+// Package medlarcontext finds and keeps the context of prompts in store
+// instances.
+//
+// Rules:
+//
+//	R1  A chain of keys is cut into segments; the home of a segment is the live
+//	    store with the highest rendezvous rank for its first key. Placement is
+//	    computed and never looked up.
+//	R2  The stores are asked only when no free replica caches nearly all of the
+//	    prompt and enough of it is cold.
+//	R3  A run does not wait for the stores longer than findTimeout.
+//	R4  Only a gapless run of blocks from the first on is of use.
+//	R5  A finished run's blocks are exported once, in the background.
+package medlarcontext
+
+import (
+	"slices"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlaradmit"
+	"medlarfield/internal/core/medlarkey"
+	"medlarfield/internal/core/medlarworld"
+)
+
+// Parameters of kept context.
+const (
+	segmentBlocks = 16
+	minColdBlocks = 4
+	warmEnough    = 0.9
+	findTimeout   = 100 * time.Millisecond
+)
+
+// System finds and keeps context.
+type System struct{}
+
+// New returns the system.
+func New() *System { return &System{} }
+
+// Run handles the events of one tick.
+func (s *System) Run(w *medlarworld.World) {
+	for _, e := range w.Events {
+		switch e := e.(type) {
+		case medlarworld.Submitted:
+			if e.Run.Phase == medlarworld.PhaseNew { // not refused
+				Queue(w, e.Run)
+			}
+		case medlarworld.Found:
+			found(w, e)
+		}
+	}
+	expire(w)
+}
+
+// Queue puts a run in the queue, after asking the stores if that is worth while
+// (R2). It serves new runs and those whose attempt has failed.
+func Queue(w *medlarworld.World, r *medlarworld.Run) {
+	if !worthFinding(w, r) {
+		medlaradmit.Enqueue(w, r)
+		return
+	}
+	asks := Asks(w, r.Keys)
+	if len(asks) == 0 {
+		medlaradmit.Enqueue(w, r)
+		return
+	}
+	r.Phase = medlarworld.PhaseFinding
+	r.FindingTill = w.Now.Add(findTimeout)
+	w.Finding = append(w.Finding, r)
+	w.Emit(medlarworld.Find{Run: r.ID, Asks: asks})
+}
+
+func worthFinding(w *medlarworld.World, r *medlarworld.Run) bool {
+	if !w.Config.Contexts || len(w.StoreList) == 0 || len(r.Keys) < minColdBlocks || len(r.Found) > 0 {
+		return false
+	}
+	for _, u := range w.Engines[r.Model] {
+		if !u.Usable(w.Now) || u.Version != r.Version || slices.Contains(r.Tried, u) {
+			continue
+		}
+		if float64(w.Warm.Depth(r.Keys, u)) >= warmEnough*float64(len(r.Keys)) {
+			return false
+		}
+	}
+	return true
+}
+
+// Asks divides a chain of keys among the homes of its segments (R1).
+func Asks(w *medlarworld.World, keys []medlarkey.Key) []medlarworld.Ask {
+	var asks []medlarworld.Ask
+	for start := 0; start < len(keys); start += segmentBlocks {
+		home := home(w, keys[start])
+		if home == nil {
+			return nil
+		}
+		segment := keys[start:min(start+segmentBlocks, len(keys))]
+		asks = addAsk(asks, home, segment)
+	}
+	return asks
+}
+
+func addAsk(asks []medlarworld.Ask, s *medlarworld.Store, keys []medlarkey.Key) []medlarworld.Ask {
+	for i := range asks {
+		if asks[i].Store == s.ID {
+			asks[i].Keys = append(asks[i].Keys, keys...)
+			return asks
+		}
+	}
+	own := append([]medlarkey.Key(nil), keys...)
+	return append(asks, medlarworld.Ask{Store: s.ID, Address: s.Address, Keys: own})
+}
+
+// home returns the usable store with the highest rank, or nil.
+func home(w *medlarworld.World, k medlarkey.Key) *medlarworld.Store {
+	var best *medlarworld.Store
+	var most uint64
+	for _, s := range w.StoreList {
+		if !s.Usable(w.Now) {
+			continue
+		}
+		if rank := medlarkey.Rendezvous(k, s.ID); best == nil || rank > most {
+			best, most = s, rank
+		}
+	}
+	return best
+}
+
+// found takes the stores' answer and puts the run in the queue.
+func found(w *medlarworld.World, e medlarworld.Found) {
+	r := w.Runs[e.Run]
+	if r == nil || r.Phase != medlarworld.PhaseFinding {
+		return
+	}
+	r.Found = gapless(r.Keys, e.Handles)
+	medlaradmit.Enqueue(w, r)
+}
+
+// gapless orders handles by key and cuts them at the first one missing (R4).
+func gapless(keys []medlarkey.Key, handles []medlarworld.Handle) []medlarworld.Handle {
+	byKey := make(map[medlarkey.Key]medlarworld.Handle, len(handles))
+	for _, h := range handles {
+		byKey[h.Key] = h
+	}
+	var out []medlarworld.Handle
+	for _, k := range keys {
+		h, ok := byKey[k]
+		if !ok {
+			break
+		}
+		out = append(out, h)
+	}
+	return out
+}
+
+// expire puts runs in the queue whose stores do not answer (R3).
+func expire(w *medlarworld.World) {
+	n := 0
+	for _, r := range w.Finding {
+		switch {
+		case r.Phase != medlarworld.PhaseFinding:
+		case w.Now.After(r.FindingTill):
+			medlaradmit.Enqueue(w, r)
+		default:
+			w.Finding[n] = r
+			n++
+		}
+	}
+	clear(w.Finding[n:])
+	w.Finding = w.Finding[:n]
+}
+
+// Keep asks to export the context of a run that u has finished (R5).
+func Keep(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) {
+	if u.Version != r.Version {
+		return
+	}
+	for _, k := range r.Keys {
+		w.Warm.Add(k, u)
+	}
+	if !w.Config.Contexts || len(r.Keys) < minColdBlocks || len(r.Found) == len(r.Keys) {
+		return
+	}
+	asks := Asks(w, r.Keys)
+	if len(asks) == 0 {
+		return
+	}
+	w.Emit(medlarworld.Export{Upstream: u.ID, Address: u.Address, Account: r.Account, Asks: asks})
+}
+
+// Size returns the bytes of a list of handles.
+func Size(handles []medlarworld.Handle) medlarid.Bytes {
+	var n medlarid.Bytes
+	for _, h := range handles {
+		n += h.Length
+	}
+	return n
+}
--- /dev/null
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -0,0 +1,260 @@
+// Package medlarfleet keeps the tables of upstreams, stores and models current
+// from what the platform and the lists report.
+//
+// Rules:
+//
+//	R1  An instance that the list no longer names, or names as leaving, gets no
+//	    new work from the tick on in which that is read.
+//	R2  An engine's own report of leaving counts like the list's.
+//	R3  What an engine reports replaces what was assumed since the last report.
+//	R4  A cache event is a hint; a reset forgets all that was known.
+//	R5  A new version of the lists replaces the models at once; an older one has
+//	    no effect.
+package medlarfleet
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarworld"
+)
+
+// Parameters of links.
+const (
+	// A link that was not measured yet is taken for a fast one: an import over it
+	// is bounded in time, and teaches the rate.
+	defaultRate    = 10e9 // bytes a second
+	rateGain       = 0.3  // weight of a new measurement
+	storeDownTime  = 2 * time.Second
+	defaultPrefill = 8000 // prompt tokens a second
+)
+
+// Kinds of members in the instance list.
+const (
+	memberEntry   = "entry"
+	memberEngine  = "engine"
+	memberService = "service"
+	memberStore   = "store"
+)
+
+// System keeps the tables current.
+type System struct{}
+
+// New returns the system.
+func New() *System { return &System{} }
+
+// Run handles the events of one tick.
+func (s *System) Run(w *medlarworld.World) {
+	for _, e := range w.Events {
+		switch e := e.(type) {
+		case medlarworld.Applied:
+			apply(w, e)
+		case medlarworld.Listed:
+			list(w, e)
+		case medlarworld.Reported:
+			report(w, e)
+		case medlarworld.Cached:
+			cache(w, e)
+		case medlarworld.Moved:
+			move(w, e)
+		case medlarworld.StopAsked:
+			w.Draining = true
+		}
+	}
+}
+
+// apply replaces the models; an older version is ignored (R5).
+func apply(w *medlarworld.World, e medlarworld.Applied) {
+	if w.Ready && e.Version <= w.Version {
+		return
+	}
+	w.Version = e.Version
+	w.Ready = true
+	clear(w.Models)
+	for _, m := range e.Models {
+		w.Models[m.ID] = m
+	}
+}
+
+// list takes over the platform's instance list (R1).
+func list(w *medlarworld.World, e medlarworld.Listed) {
+	for _, u := range w.Upstreams {
+		u.Gone = true
+	}
+	for _, s := range w.Stores {
+		s.Gone = true
+	}
+	peers := 0
+	for _, m := range e.Members {
+		switch m.Kind {
+		case memberEntry:
+			if !m.Leaving {
+				peers++
+			}
+		case memberEngine, memberService:
+			listUpstream(w, m)
+		case memberStore:
+			listStore(w, m)
+		}
+	}
+	w.Peers = max(peers, 1)
+	forget(w)
+	index(w)
+}
+
+func listUpstream(w *medlarworld.World, m medlarworld.Member) {
+	u := w.Upstreams[m.ID]
+	if u == nil {
+		u = &medlarworld.Upstream{ID: m.ID, Model: m.Model, Prefill: defaultPrefill}
+		u.Kind = medlarworld.Kind(m.Kind)
+		w.Upstreams[m.ID] = u
+	}
+	u.Zone, u.Address, u.Service = m.Zone, m.Address, m.Service
+	u.Leaving = m.Leaving
+	u.Gone = false
+}
+
+func listStore(w *medlarworld.World, m medlarworld.Member) {
+	s := w.Stores[m.ID]
+	if s == nil {
+		s = &medlarworld.Store{ID: m.ID, Rate: defaultRate}
+		w.Stores[m.ID] = s
+	}
+	s.Zone, s.Address = m.Zone, m.Address
+	s.Leaving = m.Leaving
+	s.Gone = false
+}
+
+// forget drops what is gone and has no attempt in flight.
+func forget(w *medlarworld.World) {
+	for id, u := range w.Upstreams {
+		if u.Gone && u.Open == 0 {
+			w.Warm.RemoveAll(u)
+			delete(w.Upstreams, id)
+		}
+	}
+	for id, s := range w.Stores {
+		if s.Gone {
+			delete(w.Stores, id)
+		}
+	}
+}
+
+// index rebuilds the lists of upstreams by model and service, ordered by ID.
+func index(w *medlarworld.World) {
+	clear(w.Engines)
+	clear(w.Services)
+	for _, u := range w.Upstreams {
+		if u.Kind == medlarworld.KindService {
+			w.Services[u.Service] = append(w.Services[u.Service], u)
+			continue
+		}
+		w.Engines[u.Model] = append(w.Engines[u.Model], u)
+	}
+	for _, us := range w.Engines {
+		slices.SortFunc(us, compareUpstreams)
+	}
+	for _, us := range w.Services {
+		slices.SortFunc(us, compareUpstreams)
+	}
+	w.StoreList = w.StoreList[:0]
+	for _, s := range w.Stores {
+		w.StoreList = append(w.StoreList, s)
+	}
+	slices.SortFunc(w.StoreList, func(a, b *medlarworld.Store) int {
+		return strings.Compare(string(a.ID), string(b.ID))
+	})
+}
+
+func compareUpstreams(a, b *medlarworld.Upstream) int {
+	return strings.Compare(string(a.ID), string(b.ID))
+}
+
+// report takes over an engine's status (R2, R3).
+func report(w *medlarworld.World, e medlarworld.Reported) {
+	u := w.Upstreams[e.Upstream]
+	if u == nil {
+		return
+	}
+	if u.Version != e.Version {
+		w.Warm.RemoveAll(u)
+	}
+	moved := u.Model != e.Model
+	u.Model, u.Version = e.Model, e.Version
+	u.Load = e.Load
+	u.ReportedAt = w.Now
+	u.SentRuns, u.SentTokens = 0, 0
+	u.BlockBytes = e.BlockBytes
+	if e.Prefill > 0 {
+		u.Prefill = e.Prefill
+	}
+	if e.Leaving {
+		u.Leaving = true
+	}
+	if moved {
+		index(w)
+	}
+}
+
+// cache takes over an engine's cache events (R4).
+func cache(w *medlarworld.World, e medlarworld.Cached) {
+	u := w.Upstreams[e.Upstream]
+	if u == nil {
+		return
+	}
+	if e.Reset {
+		w.Warm.RemoveAll(u)
+	}
+	for _, k := range e.Stored {
+		w.Warm.Add(k, u)
+	}
+	for _, k := range e.Evicted {
+		w.Warm.Remove(k, u)
+	}
+}
+
+// move learns a link's rate from a transfer.
+func move(w *medlarworld.World, e medlarworld.Moved) {
+	s := w.Stores[e.Store]
+	if s == nil {
+		return
+	}
+	if e.Import {
+		s.Inflight = max(s.Inflight-e.Bytes, 0)
+	}
+	if e.Failed {
+		s.DownTill = w.Now.Add(storeDownTime)
+		return
+	}
+	if e.Bytes > 0 && e.Took > 0 {
+		rate := float64(e.Bytes) / e.Took.Seconds()
+		s.Rate += rateGain * (rate - s.Rate)
+	}
+}
+
+// Serving returns the weight version that new requests for a model are keyed
+// for: the wanted one if at least half of the usable replicas have it, else the
+// one that most have.
+func Serving(w *medlarworld.World, m medlarid.ModelID) medlarid.WeightVersion {
+	wanted := w.Models[m].Version
+	counts := map[medlarid.WeightVersion]int{}
+	total := 0
+	for _, u := range w.Engines[m] {
+		if u.Usable(w.Now) && u.Version != "" {
+			counts[u.Version]++
+			total++
+		}
+	}
+	if 2*counts[wanted] >= total {
+		return wanted
+	}
+	best := wanted
+	for v, n := range counts {
+		if n > counts[best] || n == counts[best] && v > best && best != wanted {
+			best = v
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/core/medlarkey/medlarkey.go
@@ -0,0 +1,111 @@
+// Package medlarkey computes the keys of KV blocks.
+//
+// Rules:
+//
+//	R1  A prompt is cut into blocks of BlockTokens tokens; only whole blocks
+//	    have keys.
+//	R2  The key of a block is a hash of the key before it and of its text. The
+//	    first one starts from a salt of client account, model, adapter and
+//	    weight version, so no block matches across any of them.
+package medlarkey
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"hash"
+
+	"github.com/zeebo/xxh3"
+
+	"medlarfield/internal/base/medlarid"
+)
+
+// BlockTokens is the number of tokens of one KV block.
+const BlockTokens medlarid.Tokens = 64
+
+// bytesPerToken is the length of a token of text, for prompts whose tokens the
+// system does not see.
+const bytesPerToken = 4
+
+// blockBytes is the length of the text of one block.
+const blockBytes = int(BlockTokens) * bytesPerToken
+
+// keyBytes is the length of a key.
+const keyBytes = 16
+
+// Key identifies the content of one KV block and all blocks before it.
+type Key [keyBytes]byte
+
+// String returns the key in hexadecimal.
+func (k Key) String() string { return hex.EncodeToString(k[:]) }
+
+// MarshalText writes the key in hexadecimal.
+func (k Key) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
+
+// UnmarshalText reads a key in hexadecimal.
+func (k *Key) UnmarshalText(b []byte) error {
+	if hex.DecodedLen(len(b)) != keyBytes {
+		return hex.ErrLength
+	}
+	_, err := hex.Decode(k[:], b)
+	return err
+}
+
+// Salt is the start of a chain of keys (R2).
+type Salt Key
+
+// NewSalt returns the salt of a client account's prompts to one weight version
+// of a model and adapter. Each field goes in with its length, so that no two
+// different sets of fields give the same input.
+func NewSalt(a medlarid.AccountID, m medlarid.ModelID, ad medlarid.AdapterID, v medlarid.WeightVersion) Salt {
+	h := sha256.New()
+	for _, field := range []string{string(a), string(m), string(ad), string(v)} {
+		var n [8]byte
+		binary.BigEndian.PutUint64(n[:], uint64(len(field)))
+		h.Write(n[:])
+		h.Write([]byte(field))
+	}
+	return Salt(first(h))
+}
+
+// String returns the salt in hexadecimal.
+func (s Salt) String() string { return Key(s).String() }
+
+// Chain returns the keys of the whole blocks of text (R1).
+func Chain(salt Salt, text string) []Key {
+	n := len(text) / blockBytes
+	if n == 0 {
+		return nil
+	}
+	keys := make([]Key, n)
+	h := sha256.New()
+	prev := Key(salt)
+	var buf [blockBytes]byte
+	for i := range keys {
+		h.Reset()
+		h.Write(prev[:])
+		copy(buf[:], text[i*blockBytes:])
+		h.Write(buf[:])
+		prev = first(h)
+		keys[i] = prev
+	}
+	return keys
+}
+
+// CountTokens returns the number of tokens of text.
+func CountTokens(text string) medlarid.Tokens {
+	return medlarid.Tokens((len(text) + bytesPerToken - 1) / bytesPerToken)
+}
+
+func first(h hash.Hash) (k Key) {
+	var sum [sha256.Size]byte
+	copy(k[:], h.Sum(sum[:0]))
+	return k
+}
+
+// Rendezvous returns the rank of a holder for a key: the holder with the highest
+// rank is the key's home, and losing a holder moves only its own keys.
+func Rendezvous(k Key, holder medlarid.InstanceID) uint64 {
+	seed := binary.BigEndian.Uint64(k[:8])
+	return xxh3.HashStringSeed(string(holder), seed)
+}
--- /dev/null
+++ b/internal/core/medlarretry/medlarretry.go
@@ -0,0 +1,169 @@
+// Package medlarretry decides what happens when an attempt has ended.
+//
+// Rules:
+//
+//	R1  An attempt is repeated only if the run may be repeated, or if the attempt
+//	    never reached an upstream.
+//	R2  It is repeated at most Attempts times, within the deadline, and within a
+//	    retry budget that is a share of all requests.
+//	R3  Another upstream comes first; a pause with jitter keeps retries of many
+//	    runs apart.
+//	R4  An upstream with several failures in a row is ejected for a time that
+//	    doubles, unless half of its kind is ejected already.
+//	R5  Lack of room is no failure of the upstream.
+package medlarretry
+
+import (
+	"slices"
+	"time"
+
+	"medlarfield/internal/core/medlarcontext"
+	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarworld"
+)
+
+// Parameters of retries and ejection.
+const (
+	budgetShare    = 0.1 // retries for each request
+	budgetMax      = 50.0
+	budgetStart    = 10.0
+	pauseMax       = 20 * time.Millisecond
+	ejectFailures  = 3
+	ejectTime      = 500 * time.Millisecond
+	ejectTimeMax   = 30 * time.Second
+	maxEjectedPart = 0.5
+	retryAfter     = time.Second
+)
+
+// System handles the ends of attempts.
+type System struct{ started bool }
+
+// New returns the system.
+func New() *System { return &System{} }
+
+// Run handles the events of one tick.
+func (s *System) Run(w *medlarworld.World) {
+	if !s.started {
+		w.RetryBudget = budgetStart
+		s.started = true
+	}
+	for _, e := range w.Events {
+		switch e := e.(type) {
+		case medlarworld.Submitted:
+			w.RetryBudget = min(w.RetryBudget+budgetShare, budgetMax)
+		case medlarworld.Ended:
+			end(w, e)
+		case medlarworld.Unclaimed:
+			unclaimed(w, e)
+		}
+	}
+}
+
+func end(w *medlarworld.World, e medlarworld.Ended) {
+	r := w.Runs[e.Run]
+	if r == nil || r.Phase != medlarworld.PhaseRunning || r.Attempt != e.Attempt {
+		return
+	}
+	u := r.Upstream
+	w.Release(r)
+	r.Reached = r.Reached || e.Reached
+	if e.Version != "" {
+		r.Pinned = e.Version
+	}
+	switch e.Cause {
+	case medlarworld.CauseDone:
+		succeed(w, u)
+		medlarcontext.Keep(w, r, u)
+		w.Finish(r)
+	case medlarworld.CauseAnswer:
+		succeed(w, u)
+		w.Finish(r)
+	case medlarworld.CauseLeft:
+		w.Finish(r)
+	case medlarworld.CauseUnknown:
+		fail(w, u)
+		w.Refuse(r, medlarreason.Unknown, 0)
+	case medlarworld.CauseRetry:
+		if e.Reason != medlarreason.Busy && e.Reason != medlarreason.Version { // R5
+			fail(w, u)
+		}
+		retry(w, r, e.Reason)
+	}
+}
+
+// retry lets a run wait for its next attempt, or refuses it (R1, R2).
+func retry(w *medlarworld.World, r *medlarworld.Run, reason medlarreason.Reason) {
+	r.Last = reason
+	if why := refusal(w, r); why != "" {
+		w.Refuse(r, why, retryAfter)
+		return
+	}
+	w.RetryBudget--
+	w.Emit(medlarworld.Retried{Reason: reason})
+	r.NotBefore = w.Now.Add(time.Duration(w.Rand.Int64N(int64(pauseMax)))) // R3
+	medlarcontext.Queue(w, r)
+}
+
+// refusal returns why a run is not repeated, or an empty reason.
+func refusal(w *medlarworld.World, r *medlarworld.Run) medlarreason.Reason {
+	switch {
+	case r.Once && r.Reached:
+		return medlarreason.Unknown // R1
+	case w.Now.After(r.Deadline):
+		return failure(r, medlarreason.Deadline)
+	case r.Attempt >= w.Config.Attempts, w.RetryBudget < 1:
+		return failure(r, medlarreason.Capacity)
+	}
+	return ""
+}
+
+// failure returns Failed for a run that reached an upstream, and otherwise the
+// reason that says that it did not run.
+func failure(r *medlarworld.Run, unreached medlarreason.Reason) medlarreason.Reason {
+	if r.Reached {
+		return medlarreason.Failed
+	}
+	return unreached
+}
+
+func unclaimed(w *medlarworld.World, e medlarworld.Unclaimed) {
+	r := w.Runs[e.Run]
+	if r == nil || r.Phase != medlarworld.PhaseClaiming {
+		return
+	}
+	w.Refuse(r, e.Reason, retryAfter)
+}
+
+func succeed(w *medlarworld.World, u *medlarworld.Upstream) {
+	u.Failures = 0
+	if u.Ejections > 0 && !w.Now.Before(u.EjectedTill) {
+		u.Ejections = 0
+		w.Emit(medlarworld.Ejected{Upstream: u.ID, Back: true})
+	}
+}
+
+// fail counts a failure and ejects the upstream after several (R4).
+func fail(w *medlarworld.World, u *medlarworld.Upstream) {
+	u.Failures++
+	if u.Failures < ejectFailures && u.Ejections == 0 || w.Now.Before(u.EjectedTill) || !mayEject(w, u) {
+		return
+	}
+	u.EjectedTill = w.Now.Add(min(ejectTime<<min(u.Ejections, 16), ejectTimeMax))
+	u.Ejections++
+	u.Failures = 0
+	w.Emit(medlarworld.Ejected{Upstream: u.ID})
+}
+
+func mayEject(w *medlarworld.World, u *medlarworld.Upstream) bool {
+	kin := w.Engines[u.Model]
+	if u.Kind == medlarworld.KindService {
+		kin = w.Services[u.Service]
+	}
+	ejected := 0
+	for _, k := range kin {
+		if w.Now.Before(k.EjectedTill) {
+			ejected++
+		}
+	}
+	return slices.Contains(kin, u) && float64(ejected+1) <= maxEjectedPart*float64(len(kin))
+}
--- /dev/null
+++ b/internal/core/medlarroute/medlarroute.go
@@ -0,0 +1,322 @@
+// Package medlarroute sends waiting runs to upstreams.
+//
+// Rules:
+//
+//	R1  A candidate is usable, serves the model under the wanted or the serving
+//	    weight version, has room, and was not tried by the run unless all were.
+//	    An answer that has begun goes on under its own version only.
+//	R2  The cost of a candidate is the expected time to first token: its backlog,
+//	    the computation of what it does not cache, and the distance. A deployment
+//	    that weighs the recomputed share adds the computation again.
+//	R3  Kept blocks are imported when that, with the queue on their link, costs
+//	    less than computing them. An import is given up when it takes several
+//	    times what was expected, or as long as the computation that it saves.
+//	R4  Among candidates of nearly the lowest cost the one with fewer own attempts
+//	    of two drawn at random gets the run, so instances do not all choose alike.
+//	R5  An unrepeatable run is claimed when there is a candidate, and sent only
+//	    once the claim is granted.
+//	R6  A run that finds no candidate does not keep those behind it waiting.
+package medlarroute
+
+import (
+	"slices"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarcontext"
+	"medlarfield/internal/core/medlarkey"
+	"medlarfield/internal/core/medlarworld"
+)
+
+// Parameters of the cost.
+const (
+	zoneCost       = 2e-3 // seconds for an upstream in another availability zone
+	shareWeight    = 4.0  // seconds for each second of computation, when share is weighed
+	importSetup    = 5e-3 // seconds
+	nearShare      = 0.05 // candidates within this share of the lowest cost are equal
+	nearSeconds    = 5e-3
+	slotSeconds    = 0.5  // seconds until a slot comes free
+	queueShare     = 0.25 // share of an engine's slots that may wait inside it
+	maxOpenNoSlot  = 256  // attempts in flight at an upstream that reports no slots
+	importPatience = 2    // an import is given up after this many times its cost
+	savedShare     = 0.5  // of the computation that an import saves
+)
+
+// System routes runs.
+type System struct {
+	started func() // called for each run that leaves the queue
+	choices []choice
+	full    []target // targets without a candidate in this tick
+}
+
+// target is what a run that has not been tried yet needs.
+type target struct {
+	model   medlarid.ModelID
+	service medlarid.ServiceID
+	version medlarid.WeightVersion
+}
+
+// choice is one way to serve a run.
+type choice struct {
+	upstream *medlarworld.Upstream
+	depth    int                  // blocks that the upstream caches
+	imports  []medlarworld.Handle // blocks to import after those
+	cost     float64              // seconds
+	transfer float64              // seconds of cost that are the import's
+	patience float64              // seconds after which the import is given up
+}
+
+// New returns the system; started is called for each run that leaves the queue.
+func New(started func()) *System { return &System{started: started} }
+
+// Run handles the events of one tick and sends what can be sent.
+func (s *System) Run(w *medlarworld.World) {
+	for _, e := range w.Events {
+		if e, ok := e.(medlarworld.Claimed); ok {
+			s.claimed(w, e)
+		}
+	}
+	s.drainQueue(w)
+}
+
+// drainQueue sends the waiting runs that have a candidate (R6).
+func (s *System) drainQueue(w *medlarworld.World) {
+	s.full = s.full[:0]
+	kept := w.Waiting[:0]
+	for _, r := range w.Waiting {
+		if w.Now.Before(r.NotBefore) || !s.try(w, r) {
+			kept = append(kept, r)
+		}
+	}
+	clear(w.Waiting[len(kept):])
+	w.Waiting = kept
+}
+
+// try sends or claims a run and reports whether it left the queue.
+func (s *System) try(w *medlarworld.World, r *medlarworld.Run) bool {
+	t := target{model: r.Model, service: r.Service, version: r.Version}
+	untried := len(r.Tried) == 0 && r.Pinned == ""
+	if untried && slices.Contains(s.full, t) {
+		return false
+	}
+	best, ok := s.choose(w, r)
+	if !ok {
+		if untried {
+			s.full = append(s.full, t)
+		}
+		return false
+	}
+	w.Virtual = max(w.Virtual, r.Virtual)
+	s.started()
+	if r.Once && !r.Claimed {
+		r.Phase = medlarworld.PhaseClaiming // R5
+		w.Emit(medlarworld.Claim{Run: r.ID})
+		return true
+	}
+	start(w, r, best)
+	return true
+}
+
+// claimed sends a run whose claim was granted, or lets it wait again.
+func (s *System) claimed(w *medlarworld.World, e medlarworld.Claimed) {
+	r := w.Runs[e.Run]
+	if r == nil || r.Phase != medlarworld.PhaseClaiming {
+		return
+	}
+	r.Claimed = true
+	r.Phase = medlarworld.PhaseWaiting
+	if best, ok := s.choose(w, r); ok {
+		start(w, r, best)
+		return
+	}
+	w.Waiting = slices.Insert(w.Waiting, 0, r)
+}
+
+func start(w *medlarworld.World, r *medlarworld.Run, c choice) {
+	u := c.upstream
+	r.Attempt++
+	r.Phase = medlarworld.PhaseRunning
+	r.Upstream = u
+	r.Begun = w.Now
+	if !slices.Contains(r.Tried, u) {
+		r.Tried = append(r.Tried, u)
+	}
+	u.Open++
+	u.SentRuns++
+	u.SentTokens += r.Prompt - medlarid.Tokens(c.depth)*medlarkey.BlockTokens
+	for _, h := range c.imports {
+		if s := w.Stores[h.Store]; s != nil {
+			s.Inflight += h.Length
+		}
+	}
+	w.Emit(medlarworld.Start{
+		Run:      r.ID,
+		Attempt:  r.Attempt,
+		Upstream: u.ID,
+		Address:  u.Address,
+		Version:  u.Version,
+		Priority: priorityOf(w, r),
+		Import:   c.imports,
+		Within:   importTime(c),
+	})
+}
+
+func importTime(c choice) time.Duration {
+	return time.Duration(c.patience * float64(time.Second))
+}
+
+func priorityOf(w *medlarworld.World, r *medlarworld.Run) medlarid.Priority {
+	if a := w.Accounts[r.Account]; a != nil {
+		return a.Limits.Priority
+	}
+	return 0
+}
+
+// choose returns the best way to serve a run now; ok is false when there is no
+// candidate.
+func (s *System) choose(w *medlarworld.World, r *medlarworld.Run) (best choice, ok bool) {
+	if s.collect(w, r, false); len(s.choices) == 0 && len(r.Tried) > 0 {
+		s.collect(w, r, true)
+	}
+	if len(s.choices) == 0 {
+		return choice{}, false
+	}
+	lowest := s.choices[0].cost
+	for i := range s.choices {
+		lowest = min(lowest, s.choices[i].cost)
+	}
+	return s.pick(w, lowest*(1+nearShare)+nearSeconds), true
+}
+
+// pick draws two of the choices up to a cost and takes the one whose upstream
+// has fewer own attempts (R4).
+func (s *System) pick(w *medlarworld.World, bound float64) choice {
+	n := 0
+	for _, c := range s.choices {
+		if c.cost <= bound {
+			s.choices[n] = c
+			n++
+		}
+	}
+	a, b := s.choices[w.Rand.IntN(n)], s.choices[w.Rand.IntN(n)]
+	if b.upstream.Open < a.upstream.Open {
+		return b
+	}
+	return a
+}
+
+// collect fills the candidates of a run (R1).
+func (s *System) collect(w *medlarworld.World, r *medlarworld.Run, again bool) {
+	s.choices = s.choices[:0]
+	upstreams := w.Engines[r.Model]
+	if r.Service != "" {
+		upstreams = w.Services[r.Service]
+	}
+	for _, u := range upstreams {
+		if !candidate(w, r, u) || !again && slices.Contains(r.Tried, u) {
+			continue
+		}
+		s.choices = append(s.choices, evaluate(w, r, u))
+	}
+}
+
+func candidate(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) bool {
+	if !u.Usable(w.Now) || !hasRoom(u) {
+		return false
+	}
+	if u.Kind == medlarworld.KindService {
+		return true
+	}
+	if r.Pinned != "" {
+		return u.Version == r.Pinned
+	}
+	return u.Version != "" && (u.Version == r.Version || u.Version == w.Models[r.Model].Version)
+}
+
+// hasRoom reports whether an upstream can take one more run by its last report
+// and what was sent since.
+func hasRoom(u *medlarworld.Upstream) bool {
+	if u.Load.Slots == 0 {
+		return u.Open < maxOpenNoSlot
+	}
+	load := max(u.Load.Running+u.Load.Queued+u.SentRuns, u.Open)
+	return float64(load) < float64(u.Load.Slots)*(1+queueShare)
+}
+
+// evaluate returns the cheaper of computing and importing what u lacks (R2, R3).
+func evaluate(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) choice {
+	c := choice{upstream: u, cost: distance(w, u) + backlog(u)}
+	if u.Kind == medlarworld.KindService {
+		c.cost += float64(u.Open) * slotSeconds
+		return c
+	}
+	if u.Version == r.Version {
+		c.depth = w.Warm.Depth(r.Keys, u)
+	}
+	cold := r.Prompt - medlarid.Tokens(c.depth)*medlarkey.BlockTokens
+	compute := computeCost(w, u, cold)
+	if u.Version == r.Version && len(r.Found) > c.depth {
+		imports := r.Found[c.depth:]
+		rest := computeCost(w, u, cold-medlarid.Tokens(len(imports))*medlarkey.BlockTokens)
+		transfer := transferTime(w, imports)
+		if transfer+rest < compute {
+			c.imports, c.transfer = imports, transfer
+			c.patience = patience(transfer, compute-rest)
+			compute = transfer + rest
+		}
+	}
+	c.cost += compute
+	return c
+}
+
+// patience returns the seconds after which an import is given up that is expected
+// to take transfer and saves saved.
+func patience(transfer, saved float64) float64 {
+	return min(max(importPatience*transfer, savedShare*saved), saved)
+}
+
+// computeCost returns the weighted seconds that computing n prompt tokens takes.
+func computeCost(w *medlarworld.World, u *medlarworld.Upstream, n medlarid.Tokens) float64 {
+	seconds := float64(max(n, 0)) / max(u.Prefill, 1)
+	if w.Config.Weighting == medlarworld.WeighShare {
+		return seconds * (1 + shareWeight)
+	}
+	return seconds
+}
+
+// transferTime returns the seconds until all handles have come: the links work
+// side by side, each behind what is in flight on it.
+func transferTime(w *medlarworld.World, handles []medlarworld.Handle) float64 {
+	slowest := 0.0
+	for _, s := range w.StoreList {
+		var n medlarid.Bytes
+		for _, h := range handles {
+			if h.Store == s.ID {
+				n += h.Length
+			}
+		}
+		if n > 0 {
+			slowest = max(slowest, float64(n+s.Inflight)/max(s.Rate, 1))
+		}
+	}
+	return importSetup + slowest
+}
+
+// backlog returns the seconds until an upstream turns to a new run.
+func backlog(u *medlarworld.Upstream) float64 {
+	wait := float64(u.Load.Pending+u.SentTokens) / max(u.Prefill, 1)
+	if full := u.Load.Running + u.Load.Queued + u.SentRuns - u.Load.Slots; u.Load.Slots > 0 && full >= 0 {
+		wait += slotSeconds * float64(full+1) / float64(u.Load.Slots)
+	}
+	return wait
+}
+
+func distance(w *medlarworld.World, u *medlarworld.Upstream) float64 {
+	if u.Zone == w.Config.Zone {
+		return 0
+	}
+	return zoneCost
+}
+
+// Imported returns the bytes that a choice moves, for tests and measurements.
+func (c choice) Imported() medlarid.Bytes { return medlarcontext.Size(c.imports) }
--- /dev/null
+++ b/internal/core/medlartick/medlartick.go
@@ -0,0 +1,70 @@
+// Package medlartick runs the systems of the core over its tables.
+package medlartick
+
+import (
+	"time"
+
+	"medlarfield/internal/core/medlaradmit"
+	"medlarfield/internal/core/medlarcontext"
+	"medlarfield/internal/core/medlarfleet"
+	"medlarfield/internal/core/medlarretry"
+	"medlarfield/internal/core/medlarroute"
+	"medlarfield/internal/core/medlarworld"
+)
+
+// Times between two ticks without events.
+const (
+	busyInterval = 10 * time.Millisecond // while runs wait
+	idleInterval = time.Second
+)
+
+// system is one step of a tick.
+type system interface {
+	Run(w *medlarworld.World)
+}
+
+// Core is the decision core of an instance. It does no I/O, and the same events
+// at the same times give the same commands. It is used by one goroutine.
+type Core struct {
+	world   *medlarworld.World
+	systems []system
+}
+
+// New returns a core with empty tables.
+func New(cfg medlarworld.Config) *Core {
+	admit := medlaradmit.New()
+	return &Core{
+		world: medlarworld.New(cfg),
+		systems: []system{ // in this order
+			medlarfleet.New(),
+			medlarretry.New(),
+			admit,
+			medlarcontext.New(),
+			medlarroute.New(admit.Started),
+		},
+	}
+}
+
+// World returns the tables, to be read between ticks.
+func (c *Core) World() *medlarworld.World { return c.world }
+
+// Tick handles events at a time and returns the commands that follow. The slice
+// is valid until the next tick.
+func (c *Core) Tick(now time.Time, events []medlarworld.Event) []medlarworld.Command {
+	w := c.world
+	w.Now = now
+	w.Events = events
+	w.Commands = w.Commands[:0]
+	for _, s := range c.systems {
+		s.Run(w)
+	}
+	return w.Commands
+}
+
+// Next returns the time until the next tick is due without events.
+func (c *Core) Next() time.Duration {
+	if len(c.world.Waiting) > 0 || len(c.world.Finding) > 0 {
+		return busyInterval
+	}
+	return idleInterval
+}
--- /dev/null
+++ b/internal/core/medlarworld/medlarworld.go
@@ -0,0 +1,282 @@
+// Package medlarworld holds the tables of entities that the systems of the core
+// run over, and the events and commands that connect them with the edges.
+//
+// Rules:
+//
+//	R1  Only the core's own goroutine touches a World.
+//	R2  What a table holds about other instances is a hint; whoever acts on it
+//	    verifies it.
+//	R3  A run is in the table from its submission until it was refused or has
+//	    ended.
+package medlarworld
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarkey"
+	"medlarfield/internal/core/medlarreason"
+)
+
+// Weighting says which measure a deployment weighs most.
+type Weighting string
+
+// Weightings.
+const (
+	WeighFirst Weighting = "first" // time to first token
+	WeighShare Weighting = "share" // share of context recomputed
+)
+
+// Config are the settings of the core.
+type Config struct {
+	Zone      medlarid.Zone
+	Weighting Weighting
+	// Queue is the number of runs that may wait for an upstream.
+	Queue int
+	// Attempts is the number of attempts of a repeatable run.
+	Attempts int
+	// Deadline bounds a run whose plan names none.
+	Deadline time.Duration
+	// Tokens is the largest answer of a plan that names none.
+	Tokens medlarid.Tokens
+	// Wait is the longest time that a run waits for an upstream.
+	Wait time.Duration
+	// Contexts tells whether context is kept in stores.
+	Contexts bool
+	// Seed starts the choice among upstreams of nearly equal cost.
+	Seed uint64
+}
+
+// Limits are what a plan allows each of its accounts, over all entry instances.
+type Limits struct {
+	Rate     float64 // requests a second; 0 is no limit
+	Burst    float64 // requests at once
+	Runs     int     // requests at the same time; 0 is no limit
+	Weight   float64 // share under contention
+	Priority medlarid.Priority
+}
+
+// Account is a client account that has sent requests to this instance lately.
+type Account struct {
+	ID     medlarid.AccountID
+	Limits Limits
+
+	Bucket  float64   // tokens left in the token bucket
+	Filled  time.Time // time of the last refill
+	Open    int       // requests submitted and not ended
+	Finish  float64   // virtual time of the last queued run
+	Limited bool      // the bucket has been filled once
+}
+
+// Model is what the lists want of a model.
+type Model struct {
+	ID      medlarid.ModelID
+	Version medlarid.WeightVersion
+}
+
+// Kind tells what an upstream is.
+type Kind string
+
+// Kinds of upstream.
+const (
+	KindEngine  Kind = "engine"
+	KindService Kind = "service"
+)
+
+// Load is what an upstream last reported.
+type Load struct {
+	Running int // runs being computed
+	Queued  int // runs waiting
+	Slots   int // runs computed at the same time; 0 is no limit
+	// Pending is the number of prompt tokens waiting for computation.
+	Pending medlarid.Tokens
+}
+
+// Upstream is a replica of a model engine or an instance of a plain service.
+type Upstream struct {
+	ID      medlarid.InstanceID
+	Kind    Kind
+	Zone    medlarid.Zone
+	Address medlarid.Address
+	Leaving bool
+	Gone    bool // no longer in the instance list
+
+	Model   medlarid.ModelID
+	Version medlarid.WeightVersion
+	Service medlarid.ServiceID
+
+	Load       Load
+	ReportedAt time.Time
+	// Prefill is the number of prompt tokens computed a second.
+	Prefill float64
+	// BlockBytes is the size of one KV block.
+	BlockBytes medlarid.Bytes
+
+	Open        int             // own attempts in flight
+	SentRuns    int             // own attempts since the report
+	SentTokens  medlarid.Tokens // own prompt tokens since the report
+	Failures    int             // consecutive failures
+	EjectedTill time.Time
+	Ejections   int
+}
+
+// Store is a store instance with the link to it.
+type Store struct {
+	ID      medlarid.InstanceID
+	Zone    medlarid.Zone
+	Address medlarid.Address
+	Leaving bool
+	Gone    bool
+
+	Rate     float64        // bytes a second
+	Inflight medlarid.Bytes // bytes of own imports in flight
+	DownTill time.Time
+}
+
+// Phase is the state of a run.
+type Phase string
+
+// Phases of a run.
+const (
+	PhaseNew      Phase = "new"
+	PhaseFinding  Phase = "finding"  // stores are asked for its context
+	PhaseWaiting  Phase = "waiting"  // waits for an upstream
+	PhaseClaiming Phase = "claiming" // its one attempt is being claimed
+	PhaseRunning  Phase = "running"
+	PhaseDone     Phase = "done"
+)
+
+// Run is one request of a caller.
+type Run struct {
+	ID      medlarid.RequestID
+	Account medlarid.AccountID
+	Model   medlarid.ModelID
+	Version medlarid.WeightVersion
+	Service medlarid.ServiceID
+	// Config is the version of the lists that decided about the run.
+	Config   medlarid.Offset
+	Once     bool // must not be repeated
+	Claimed  bool
+	Keys     []medlarkey.Key
+	Prompt   medlarid.Tokens
+	Arrived  time.Time
+	Deadline time.Time
+
+	Phase     Phase
+	Attempt   int
+	Upstream  *Upstream
+	Tried     []*Upstream
+	NotBefore time.Time // earliest time of the next attempt
+	Virtual   float64   // place in the queue
+	// FindingTill ends the wait for the stores.
+	FindingTill time.Time
+	Found       []Handle               // kept blocks, in the order of Keys, from the first on
+	Pinned      medlarid.WeightVersion // version of the answer's first part, once there is one
+	Reached     bool                   // an attempt may have run
+	Begun       time.Time              // start of the current attempt
+	Last        medlarreason.Reason
+}
+
+// Handle locates one kept KV block in a store.
+type Handle struct {
+	Key        medlarkey.Key
+	Store      medlarid.InstanceID
+	Slot       uint64
+	Generation uint64
+	Length     medlarid.Bytes
+	Sum        uint64
+}
+
+// World is all tables.
+type World struct {
+	Config Config
+	Now    time.Time
+	Rand   *rand.Rand
+
+	Version  medlarid.Offset
+	Ready    bool
+	Draining bool
+	Peers    int // live entry instances, this one included
+
+	Accounts  map[medlarid.AccountID]*Account
+	Models    map[medlarid.ModelID]Model
+	Upstreams map[medlarid.InstanceID]*Upstream
+	Engines   map[medlarid.ModelID][]*Upstream
+	Services  map[medlarid.ServiceID][]*Upstream
+	Stores    map[medlarid.InstanceID]*Store
+	StoreList []*Store // ordered by ID
+	Runs      map[medlarid.RequestID]*Run
+	Finding   []*Run // runs whose context the stores are asked for
+	Waiting   []*Run // ordered queue
+	Warm      *Warm
+
+	Virtual     float64 // virtual time of the queue
+	RetryBudget float64 // retries that may still be made
+
+	Events   []Event
+	Commands []Command
+}
+
+// New returns a world with empty tables.
+func New(cfg Config) *World {
+	return &World{
+		Config:    cfg,
+		Rand:      rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+		Peers:     1,
+		Accounts:  map[medlarid.AccountID]*Account{},
+		Models:    map[medlarid.ModelID]Model{},
+		Upstreams: map[medlarid.InstanceID]*Upstream{},
+		Engines:   map[medlarid.ModelID][]*Upstream{},
+		Services:  map[medlarid.ServiceID][]*Upstream{},
+		Stores:    map[medlarid.InstanceID]*Store{},
+		Runs:      map[medlarid.RequestID]*Run{},
+		Warm:      NewWarm(maxWarm),
+	}
+}
+
+// Emit adds a command for the edges.
+func (w *World) Emit(c Command) { w.Commands = append(w.Commands, c) }
+
+// Refuse ends a run that gets no answer and reports why. A run that reached an
+// upstream is not reported as not run.
+func (w *World) Refuse(r *Run, reason medlarreason.Reason, after time.Duration) {
+	row, _ := medlarreason.Of(reason)
+	ran := row.Ran
+	if r.Reached {
+		ran = medlarreason.RanUnknown
+	}
+	w.Emit(Refuse{Run: r.ID, Reason: reason, Ran: ran, After: after})
+	w.Finish(r)
+}
+
+// Finish takes a run out of the tables.
+func (w *World) Finish(r *Run) {
+	if r.Phase == PhaseDone {
+		return
+	}
+	r.Phase = PhaseDone
+	delete(w.Runs, r.ID)
+	if a := w.Accounts[r.Account]; a != nil && a.Open > 0 {
+		a.Open--
+	}
+}
+
+// Release takes the run's attempt off its upstream.
+func (w *World) Release(r *Run) {
+	if r.Upstream == nil {
+		return
+	}
+	r.Upstream.Open--
+	r.Upstream = nil
+}
+
+// Usable reports whether an upstream may get new work now.
+func (u *Upstream) Usable(now time.Time) bool {
+	return !u.Leaving && !u.Gone && !now.Before(u.EjectedTill)
+}
+
+// Usable reports whether a store may be asked now.
+func (s *Store) Usable(now time.Time) bool {
+	return !s.Leaving && !s.Gone && !now.Before(s.DownTill)
+}
--- /dev/null
+++ b/internal/core/medlarworld/message.go
@@ -0,0 +1,205 @@
+package medlarworld
+
+import (
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarkey"
+	"medlarfield/internal/core/medlarreason"
+)
+
+// Event is something that the edges report to the core.
+type Event interface{ event() }
+
+// Command is something that the core asks the edges to do.
+type Command interface{ command() }
+
+// Submitted reports a new request.
+type Submitted struct {
+	Run    *Run
+	Limits Limits // of the account, by the lists in force
+}
+
+// Cause tells how an attempt ended.
+type Cause string
+
+// Causes.
+const (
+	CauseDone    Cause = "done"    // the answer is whole
+	CauseRetry   Cause = "retry"   // failed; Reason says why
+	CauseAnswer  Cause = "answer"  // the upstream answered with an error of its own
+	CauseLeft    Cause = "left"    // the caller went away
+	CauseUnknown Cause = "unknown" // an unrepeatable attempt failed after it was sent
+)
+
+// Ended reports the end of an attempt.
+type Ended struct {
+	Run     medlarid.RequestID
+	Attempt int
+	Cause   Cause
+	Reason  medlarreason.Reason // with CauseRetry
+	// Reached tells whether the attempt may have run.
+	Reached bool
+	// Version is the weight version of the part that the caller has; empty when
+	// the caller has none.
+	Version medlarid.WeightVersion
+}
+
+// Found reports the kept blocks of a run.
+type Found struct {
+	Run     medlarid.RequestID
+	Handles []Handle
+}
+
+// Claimed reports that the run's one attempt belongs to this instance.
+type Claimed struct {
+	Run medlarid.RequestID
+}
+
+// Unclaimed reports that the run's attempt was not granted.
+type Unclaimed struct {
+	Run    medlarid.RequestID
+	Reason medlarreason.Reason
+}
+
+// Left reports that the caller of a run went away.
+type Left struct {
+	Run medlarid.RequestID
+}
+
+// Applied reports the lists in force.
+type Applied struct {
+	Version medlarid.Offset
+	Models  []Model
+}
+
+// Member is one instance of the platform's list.
+type Member struct {
+	ID      medlarid.InstanceID
+	Kind    string // "entry", "engine", "service" or "store"
+	Zone    medlarid.Zone
+	Address medlarid.Address
+	Leaving bool
+	Model   medlarid.ModelID
+	Service medlarid.ServiceID
+}
+
+// Listed reports the platform's instance list.
+type Listed struct {
+	Members []Member
+}
+
+// Reported is a status of an engine.
+type Reported struct {
+	Upstream   medlarid.InstanceID
+	Model      medlarid.ModelID
+	Version    medlarid.WeightVersion
+	Load       Load
+	Prefill    float64
+	BlockBytes medlarid.Bytes
+	Leaving    bool
+}
+
+// Cached reports changes of an engine's prefix cache. Reset forgets all before.
+type Cached struct {
+	Upstream medlarid.InstanceID
+	Reset    bool
+	Stored   []medlarkey.Key
+	Evicted  []medlarkey.Key
+}
+
+// Moved reports the end of a transfer over the link to a store.
+type Moved struct {
+	Store  medlarid.InstanceID
+	Bytes  medlarid.Bytes
+	Took   time.Duration
+	Failed bool
+	Import bool // an import that the core had counted as in flight
+}
+
+// StopAsked reports that the instance is to stop.
+type StopAsked struct{}
+
+// Tick reports that time has passed.
+type Tick struct{}
+
+func (Submitted) event() {}
+func (Ended) event()     {}
+func (Found) event()     {}
+func (Claimed) event()   {}
+func (Unclaimed) event() {}
+func (Left) event()      {}
+func (Applied) event()   {}
+func (Listed) event()    {}
+func (Reported) event()  {}
+func (Cached) event()    {}
+func (Moved) event()     {}
+func (StopAsked) event() {}
+func (Tick) event()      {}
+
+// Start asks for an attempt of a run.
+type Start struct {
+	Run      medlarid.RequestID
+	Attempt  int
+	Upstream medlarid.InstanceID
+	Address  medlarid.Address
+	Version  medlarid.WeightVersion
+	Priority medlarid.Priority
+	// Import lists kept blocks to import before the attempt.
+	Import []Handle
+	// Within is the time after which the attempt goes on without the import.
+	Within time.Duration
+}
+
+// Refuse asks to tell the caller that the run gets no answer.
+type Refuse struct {
+	Run    medlarid.RequestID
+	Reason medlarreason.Reason
+	Ran    medlarreason.Ran
+	After  time.Duration // when to come back; 0 is not said
+}
+
+// Find asks the stores for a run's kept blocks.
+type Find struct {
+	Run  medlarid.RequestID
+	Asks []Ask
+}
+
+// Ask is the part of a chain of keys that one store may hold.
+type Ask struct {
+	Store   medlarid.InstanceID
+	Address medlarid.Address
+	Keys    []medlarkey.Key
+}
+
+// Claim asks for the run's one attempt.
+type Claim struct {
+	Run medlarid.RequestID
+}
+
+// Export asks to keep the blocks of a finished run.
+type Export struct {
+	Upstream medlarid.InstanceID
+	Address  medlarid.Address
+	Account  medlarid.AccountID
+	Asks     []Ask
+}
+
+// Retried reports a retry, for the counters.
+type Retried struct {
+	Reason medlarreason.Reason
+}
+
+// Ejected reports that an upstream was ejected or came back.
+type Ejected struct {
+	Upstream medlarid.InstanceID
+	Back     bool
+}
+
+func (Start) command()   {}
+func (Refuse) command()  {}
+func (Find) command()    {}
+func (Claim) command()   {}
+func (Export) command()  {}
+func (Retried) command() {}
+func (Ejected) command() {}
--- /dev/null
+++ b/internal/edge/medlarcaller/service.go
@@ -0,0 +1,154 @@
+package medlarcaller
+
+import (
+	"errors"
+	"slices"
+	"strings"
+
+	"github.com/go-json-experiment/json/jsontext"
+	"github.com/valyala/fasthttp"
+
+	"medlarfield/internal/agree/medlarclaim"
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/edge/medlarprobe"
+	"medlarfield/internal/edge/medlarsession"
+	"medlarfield/internal/platform/medlarservice"
+)
+
+// servicePrefix is the part of a path before the name of a service.
+const servicePrefix = "/services/"
+
+// serveService passes a request on to a plain service.
+func (c *Caller) serveService(ctx *fasthttp.RequestCtx, q *request) {
+	name, path := servicePath(string(ctx.RequestURI()))
+	entry, ok := q.view.Lists.Services[name]
+	switch {
+	case !ok:
+		c.refuse(ctx, q, refusal(medlarreason.Absent, "service"))
+		return
+	case !slices.Contains(q.plan.Services, name):
+		c.refuse(ctx, q, refusal(medlarreason.Forbidden, "service"))
+		return
+	}
+	sr := &medlarservice.Request{
+		ID:      q.id,
+		Account: q.account,
+		Method:  string(ctx.Method()),
+		Path:    path,
+		Type:    string(ctx.Request.Header.ContentType()),
+		Body:    append([]byte(nil), ctx.PostBody()...),
+	}
+	sr.Once = markedOnce(ctx) || slices.Contains(entry.Once, sr.Method)
+	var claim *medlarclaim.Request
+	if sr.Once {
+		var bad *answer
+		if claim, bad = c.readClaim(ctx, q, ctx.RequestURI(), sr.Body); bad != nil {
+			c.refuse(ctx, q, *bad)
+			return
+		}
+	}
+	c.runService(ctx, q, name, sr, claim)
+}
+
+func (c *Caller) runService(ctx *fasthttp.RequestCtx, q *request, name medlarid.ServiceID, sr *medlarservice.Request, claim *medlarclaim.Request) {
+	if claim != nil && c.settledBefore(ctx, q, *claim) {
+		return
+	}
+	run := c.newRun(q)
+	run.Service = name
+	run.Once = claim != nil
+	params := medlarsession.Params{Run: run.ID, Service: sr, Claim: claim, Deadline: run.Deadline}
+	params.Mailbox = c.seams.Submit(run, limitsOf(q.plan))
+	defer c.seams.Done(run.ID)
+	s := medlarsession.New(c.seams.Session, params)
+	p := s.Next(func() bool { return medlarprobe.Gone(ctx.Conn()) })
+	for p.Idle {
+		p = s.Next(func() bool { return medlarprobe.Gone(ctx.Conn()) })
+	}
+	switch {
+	case p.Gone:
+		c.seams.Metrics.Refused(medlarreason.Gone)
+		ctx.SetConnectionClose()
+	case p.Refusal != nil:
+		c.refuse(ctx, q, answer{Refusal: *p.Refusal})
+	case p.Replay != nil:
+		c.replay(ctx, q, p.Replay)
+	case p.Service != nil:
+		s.Settle(p.Service.Status, p.Service.Type, p.Service.Body)
+		c.head(ctx, q)
+		ctx.SetStatusCode(p.Service.Status)
+		ctx.SetContentType(p.Service.Type)
+		ctx.SetBody(p.Service.Body)
+		c.seams.Metrics.Answered("service")
+	}
+}
+
+// settledBefore answers a request whose key was claimed before, without a new
+// place in the queue.
+func (c *Caller) settledBefore(ctx *fasthttp.RequestCtx, q *request, r medlarclaim.Request) bool {
+	var e *medlarclaim.Error
+	if err := c.seams.Session.Desk.Check(r); err == nil || !errors.As(err, &e) {
+		return false
+	}
+	refused, replay := medlarsession.Unclaimed(e)
+	if replay != nil {
+		c.replay(ctx, q, replay)
+		return true
+	}
+	c.refuse(ctx, q, answer{Refusal: refused})
+	return true
+}
+
+// replay answers with the recorded answer of an earlier attempt.
+func (c *Caller) replay(ctx *fasthttp.RequestCtx, q *request, o *medlarclaim.Outcome) {
+	c.head(ctx, q)
+	ctx.Response.Header.Set(headerReplay, "yes")
+	ctx.SetStatusCode(o.Status)
+	ctx.SetContentType(o.Type)
+	ctx.SetBody(o.Answer)
+	c.seams.Metrics.Replayed()
+}
+
+// servicePath splits a request's path into the service's name and the path that
+// the service gets, query included.
+func servicePath(uri string) (medlarid.ServiceID, string) {
+	rest := strings.TrimPrefix(uri, servicePrefix)
+	end := strings.IndexAny(rest, "/?")
+	if end < 0 {
+		return medlarid.ServiceID(rest), "/"
+	}
+	name, path := rest[:end], rest[end:]
+	if path[0] == '?' {
+		path = "/" + path
+	}
+	return medlarid.ServiceID(name), path
+}
+
+func markedOnce(ctx *fasthttp.RequestCtx) bool {
+	return strings.EqualFold(string(ctx.Request.Header.Peek(headerOnce)), "yes")
+}
+
+// readClaim reads the idempotency key of an unrepeatable request (R4).
+func (c *Caller) readClaim(ctx *fasthttp.RequestCtx, q *request, path, body []byte) (*medlarclaim.Request, *answer) {
+	key := string(ctx.Request.Header.Peek(headerKey))
+	r, err := medlarclaim.NewRequest(q.account, key, ctx.Method(), path, body)
+	if err == nil {
+		return &r, nil
+	}
+	a := refusal(medlarreason.Keyless, "")
+	var e *medlarclaim.Error
+	if errors.As(err, &e) {
+		a.detail = e.Err.Error()
+	}
+	return nil, &a
+}
+
+// appendQuoted appends a text as a JSON string.
+func appendQuoted(b []byte, s string) []byte {
+	out, err := jsontext.AppendQuote(b, s)
+	if err != nil { // not UTF-8: AppendQuote has replaced what is not
+		return out
+	}
+	return out
+}
--- /dev/null
+++ b/internal/edge/medlarmetric/medlarmetric.go
@@ -0,0 +1,178 @@
+// Package medlarmetric holds the metrics of an instance.
+package medlarmetric
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	dto "github.com/prometheus/client_model/go"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarreason"
+)
+
+const namespace = "medlar"
+
+// firstBuckets are the bounds of the histogram of time to first token in seconds.
+var firstBuckets = []float64{.005, .01, .025, .05, .1, .2, .3, .4, .5, .69, 1, 1.5, 2.5, 5, 10, 30}
+
+// Metrics are the counters and gauges of an instance.
+type Metrics struct {
+	registry *prometheus.Registry
+	refusals *prometheus.CounterVec
+	retries  *prometheus.CounterVec
+	answers  *prometheus.CounterVec
+	first    *prometheus.HistogramVec
+	tokens   *prometheus.CounterVec
+	moved    *prometheus.CounterVec
+	ejected  prometheus.Counter
+	dropped  prometheus.Counter
+	replays  prometheus.Counter
+	failures *prometheus.CounterVec
+	version  prometheus.Gauge
+	waiting  prometheus.Gauge
+	open     prometheus.Gauge
+	ticks    prometheus.Counter
+}
+
+// New returns metrics with every reason at zero.
+func New() *Metrics {
+	m := &Metrics{registry: prometheus.NewRegistry()}
+	m.refusals = m.counters("refusals_total", "Requests refused, by reason.", "reason")
+	m.retries = m.counters("retries_total", "Attempts repeated, by reason.", "reason")
+	m.answers = m.counters("answers_total", "Requests answered, by kind.", "kind")
+	m.tokens = m.counters("tokens_total", "Tokens, by kind: prompt, cached, completion.", "kind")
+	m.moved = m.counters("moved_bytes_total", "Bytes of kept context moved, by direction.", "direction")
+	m.failures = m.counters("platform_failures_total", "Failed calls to the platform, by part.", "part")
+	m.first = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: "first_token_seconds", Help: "Time to first token.", Buckets: firstBuckets,
+	}, []string{"model"})
+	m.ejected = m.counter("ejections_total", "Upstreams ejected.")
+	m.dropped = m.counter("exports_dropped_total", "Exports of context dropped because too many waited.")
+	m.replays = m.counter("replays_total", "Unrepeatable requests answered from their record.")
+	m.ticks = m.counter("ticks_total", "Ticks of the core.")
+	m.version = m.gauge("version", "Offset of the configuration in force.")
+	m.waiting = m.gauge("waiting", "Requests that wait for an upstream.")
+	m.open = m.gauge("open", "Requests that have not ended.")
+	m.registry.MustRegister(m.first, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	for _, r := range medlarreason.Refusals {
+		m.refusals.WithLabelValues(string(r.Reason))
+	}
+	for _, r := range medlarreason.Retries {
+		m.retries.WithLabelValues(string(r.Reason))
+	}
+	return m
+}
+
+func (m *Metrics) counters(name, help, label string) *prometheus.CounterVec {
+	c := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, []string{label})
+	m.registry.MustRegister(c)
+	return c
+}
+
+func (m *Metrics) counter(name, help string) prometheus.Counter {
+	c := prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help})
+	m.registry.MustRegister(c)
+	return c
+}
+
+func (m *Metrics) gauge(name, help string) prometheus.Gauge {
+	g := prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
+	m.registry.MustRegister(g)
+	return g
+}
+
+// Registry returns the registry, for tests.
+func (m *Metrics) Registry() *prometheus.Registry { return m.registry }
+
+// Handler serves the metrics.
+func (m *Metrics) Handler() fasthttp.RequestHandler {
+	return fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}))
+}
+
+// Refused counts a refusal.
+func (m *Metrics) Refused(r medlarreason.Reason) { m.refusals.WithLabelValues(string(r)).Inc() }
+
+// Retried counts a retry.
+func (m *Metrics) Retried(r medlarreason.Reason) { m.retries.WithLabelValues(string(r)).Inc() }
+
+// Answered counts an answer.
+func (m *Metrics) Answered(kind string) { m.answers.WithLabelValues(kind).Inc() }
+
+// Replayed counts an answer from the record of an earlier attempt.
+func (m *Metrics) Replayed() { m.replays.Inc() }
+
+// First notes a time to first token.
+func (m *Metrics) First(model medlarid.ModelID, d time.Duration) {
+	m.first.WithLabelValues(string(model)).Observe(d.Seconds())
+}
+
+// Tokens counts the tokens of a run.
+func (m *Metrics) Tokens(prompt, cached, completion medlarid.Tokens) {
+	m.tokens.WithLabelValues("prompt").Add(float64(prompt))
+	m.tokens.WithLabelValues("cached").Add(float64(cached))
+	m.tokens.WithLabelValues("completion").Add(float64(completion))
+}
+
+// Moved counts bytes of kept context; direction is "import" or "export".
+func (m *Metrics) Moved(direction string, n medlarid.Bytes) {
+	m.moved.WithLabelValues(direction).Add(float64(n))
+}
+
+// Failed counts a failed call to a part of the platform.
+func (m *Metrics) Failed(part string) { m.failures.WithLabelValues(part).Inc() }
+
+// ExportDropped counts an export that was dropped.
+func (m *Metrics) ExportDropped() { m.dropped.Inc() }
+
+// Ejected counts an ejection.
+func (m *Metrics) Ejected() { m.ejected.Inc() }
+
+// Ticked notes a tick and the sizes of the tables after it.
+func (m *Metrics) Ticked(waiting, open int) {
+	m.ticks.Inc()
+	m.waiting.Set(float64(waiting))
+	m.open.Set(float64(open))
+}
+
+// InForce notes the configuration in force.
+func (m *Metrics) InForce(v medlarid.Offset) { m.version.Set(float64(v)) }
+
+// Totals are the counters that an instance tells in its status.
+type Totals struct {
+	Refused map[medlarreason.Reason]int
+	Retried map[medlarreason.Reason]int
+	Prompt  int
+	Cached  int
+}
+
+// Totals returns the counters that are not zero.
+func (m *Metrics) Totals() Totals {
+	t := Totals{Refused: map[medlarreason.Reason]int{}, Retried: map[medlarreason.Reason]int{}}
+	for _, r := range medlarreason.Refusals {
+		if n := value(m.refusals.WithLabelValues(string(r.Reason))); n > 0 {
+			t.Refused[r.Reason] = n
+		}
+	}
+	for _, r := range medlarreason.Retries {
+		if n := value(m.retries.WithLabelValues(string(r.Reason))); n > 0 {
+			t.Retried[r.Reason] = n
+		}
+	}
+	t.Prompt = value(m.tokens.WithLabelValues("prompt"))
+	t.Cached = value(m.tokens.WithLabelValues("cached"))
+	return t
+}
+
+// value reads a counter.
+func value(c prometheus.Counter) int {
+	var out dto.Metric
+	if err := c.Write(&out); err != nil {
+		return 0
+	}
+	return int(out.GetCounter().GetValue())
+}
--- /dev/null
+++ b/internal/edge/medlarprobe/medlarprobe.go
@@ -0,0 +1,44 @@
+// Package medlarprobe finds out whether the peer of an idle connection has gone,
+// which a server otherwise notices at its next write only.
+package medlarprobe
+
+import (
+	"net"
+	"syscall"
+)
+
+// unwrapper is a connection around another one, such as a TLS connection.
+type unwrapper interface{ NetConn() net.Conn }
+
+// Gone reports whether the peer of a TCP connection has closed it. It looks
+// without reading. It returns false for connections that it cannot look into.
+func Gone(c net.Conn) bool {
+	for {
+		u, ok := c.(unwrapper)
+		if !ok {
+			break
+		}
+		c = u.NetConn()
+	}
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	return peek(raw)
+}
+
+// peek looks at the receive buffer: no byte and no error means end of stream.
+func peek(raw syscall.RawConn) bool {
+	gone := false
+	err := raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		gone = n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
+		return true
+	})
+	return gone || err != nil
+}
--- /dev/null
+++ b/internal/ops/medlarnode/status.go
@@ -0,0 +1,157 @@
+package medlarnode
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/go-json-experiment/json"
+	"github.com/valyala/fasthttp"
+
+	"medlarfield/internal/agree/medlarclaim"
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarreason"
+)
+
+// summaryTimeout bounds the wait for the core's summary.
+const summaryTimeout = time.Second
+
+// Status is what an instance tells about itself.
+type Status struct {
+	Name     medlarid.InstanceID         `json:"name"`
+	Zone     medlarid.Zone               `json:"zone"`
+	Ready    bool                        `json:"ready"`
+	Draining bool                        `json:"draining"`
+	Version  medlarid.Offset             `json:"version"`
+	Read     medlarid.Offset             `json:"read"` // next offset of the lists stream
+	End      medlarid.Offset             `json:"end"`  // end of the lists stream
+	Lag      float64                     `json:"lag"`  // seconds since the last read
+	Log      bool                        `json:"log"`  // the last read succeeded
+	Waiting  int                         `json:"waiting"`
+	Open     int                         `json:"open"`
+	Peers    int                         `json:"peers"`
+	Claims   medlarclaim.Stats           `json:"claims"`
+	Refused  map[medlarreason.Reason]int `json:"refused"`
+	Retried  map[medlarreason.Reason]int `json:"retried"`
+	Prompt   int                         `json:"prompt"` // prompt tokens answered
+	Cached   int                         `json:"cached"` // of them not computed anew
+	Upstream []UpstreamStatus            `json:"upstreams"`
+	Stores   []StoreStatus               `json:"stores"`
+}
+
+// UpstreamStatus is what an instance believes about an upstream.
+type UpstreamStatus struct {
+	Name    medlarid.InstanceID    `json:"name"`
+	Kind    string                 `json:"kind"`
+	Zone    medlarid.Zone          `json:"zone"`
+	Serves  string                 `json:"serves"`
+	Version medlarid.WeightVersion `json:"version,omitempty"`
+	State   string                 `json:"state"`
+	Open    int                    `json:"open"`
+	Running int                    `json:"running"`
+	Queued  int                    `json:"queued"`
+}
+
+// StoreStatus is what an instance believes about a store.
+type StoreStatus struct {
+	Name  medlarid.InstanceID `json:"name"`
+	Zone  medlarid.Zone       `json:"zone"`
+	State string              `json:"state"`
+	Rate  float64             `json:"rate"` // bytes a second
+}
+
+func (n *Node) statusHandler() fasthttp.RequestHandler {
+	r := router.New()
+	r.GET("/healthz", func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok\n") })
+	r.GET("/readyz", n.serveReady)
+	r.GET("/metrics", n.metrics.Handler())
+	r.GET("/status", n.serveStatus)
+	return r.Handler
+}
+
+func (n *Node) serveReady(ctx *fasthttp.RequestCtx) {
+	switch {
+	case n.draining.Load():
+		ctx.Error("draining\n", fasthttp.StatusServiceUnavailable)
+	case !n.Ready():
+		ctx.Error("no configuration or instance list yet\n", fasthttp.StatusServiceUnavailable)
+	default:
+		ctx.SetBodyString("ready\n")
+	}
+}
+
+func (n *Node) serveStatus(ctx *fasthttp.RequestCtx) {
+	b, err := json.Marshal(n.Status(), json.Deterministic(true))
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(b)
+}
+
+// Status returns the state of the instance.
+func (n *Node) Status() Status {
+	ctx, cancel := context.WithTimeout(context.Background(), summaryTimeout)
+	defer cancel()
+	sum := n.loop.Summary(ctx)
+	st := n.readers.Lists.Status()
+	totals := n.metrics.Totals()
+	out := Status{
+		Name:     n.cfg.Name,
+		Zone:     n.cfg.Zone,
+		Ready:    n.Ready() && !n.draining.Load(),
+		Draining: n.draining.Load(),
+		Version:  n.state.View().Version,
+		Read:     st.From,
+		End:      st.End,
+		Lag:      time.Since(st.Fresh).Seconds(),
+		Log:      st.Healthy,
+		Waiting:  sum.Waiting,
+		Open:     n.loop.Open(),
+		Peers:    sum.Peers,
+		Claims:   n.desk.Stats(),
+		Refused:  totals.Refused,
+		Retried:  totals.Retried,
+		Prompt:   totals.Prompt,
+		Cached:   totals.Cached,
+	}
+	now := time.Now()
+	for _, u := range sum.Upstreams {
+		serves := string(u.Model) + string(u.Service)
+		out.Upstream = append(out.Upstream, UpstreamStatus{
+			Name:    u.ID,
+			Kind:    string(u.Kind),
+			Zone:    u.Zone,
+			Serves:  serves,
+			Version: u.Version,
+			State:   stateOf(u.Leaving, u.Gone, now.Before(u.EjectedTill)),
+			Open:    u.Open,
+			Running: u.Load.Running,
+			Queued:  u.Load.Queued,
+		})
+	}
+	for _, s := range sum.Stores {
+		out.Stores = append(out.Stores, StoreStatus{
+			Name: s.ID, Zone: s.Zone, State: stateOf(s.Leaving, s.Gone, now.Before(s.DownTill)), Rate: s.Rate,
+		})
+	}
+	slices.SortFunc(out.Upstream, func(a, b UpstreamStatus) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(out.Stores, func(a, b StoreStatus) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+func stateOf(leaving, gone, out bool) string {
+	switch {
+	case gone:
+		return "gone"
+	case leaving:
+		return "leaving"
+	case out:
+		return "out"
+	default:
+		return "live"
+	}
+}
--- /dev/null
+++ b/internal/ops/medlaroperator/read.go
@@ -0,0 +1,247 @@
+package medlaroperator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/go-json-experiment/json/jsontext"
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"medlarfield/internal/agree/medlaraudit"
+	"medlarfield/internal/agree/medlarrecord"
+	"medlarfield/internal/agree/medlarstate"
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/edge/medlarauth"
+	"medlarfield/internal/platform/medlarhttp"
+	"medlarfield/internal/platform/medlarinstance"
+)
+
+// watchInterval is the time between two looks at the confirmations.
+const watchInterval = 100 * time.Millisecond
+
+// withReader runs a command on the lists read from the log.
+func (o *options) withReader(cmd *cobra.Command, f func(context.Context, *reader) error) error {
+	ctx, cancel := context.WithTimeout(cmd.Context(), o.timeout)
+	defer cancel()
+	r, err := o.open(ctx)
+	if err != nil {
+		return err
+	}
+	return f(ctx, r)
+}
+
+// shown is one list in the form of its file.
+type shown struct {
+	Version  medlarid.Offset           `json:"version"`
+	Accounts map[string]jsontext.Value `json:"accounts,omitempty"`
+	Plans    map[string]jsontext.Value `json:"plans,omitempty"`
+	Models   map[string]jsontext.Value `json:"models,omitempty"`
+	Services map[string]jsontext.Value `json:"services,omitempty"`
+
+	list string
+}
+
+func (s shown) text(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "// version %d\n{\n", s.Version)
+	if s.list == "plans" {
+		section(w, "accounts", s.Accounts, true)
+	} else {
+		section(w, "plans", s.Plans, false)
+		section(w, "models", s.Models, false)
+		section(w, "services", s.Services, true)
+	}
+	_, _ = fmt.Fprintln(w, "}")
+}
+
+// section writes one table of a list, an entry a line.
+func section(w io.Writer, name string, entries map[string]jsontext.Value, last bool) {
+	_, _ = fmt.Fprintf(w, "  %q: {\n", name)
+	for _, k := range slices.Sorted(maps.Keys(entries)) {
+		_, _ = fmt.Fprintf(w, "    %q: %s,\n", k, entries[k])
+	}
+	end := "  },"
+	if last {
+		end = "  }"
+	}
+	_, _ = fmt.Fprintln(w, end)
+}
+
+func showCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:       "show plans|uses",
+		Short:     "Print a list in force in the form of its file",
+		Args:      cobra.MatchAll(cobra.ExactArgs(1), cobra.OnlyValidArgs),
+		ValidArgs: []string{"plans", "uses"},
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return o.withReader(cmd, func(_ context.Context, r *reader) error {
+				return o.print(cmd, newShown(r.state.View(), args[0]))
+			})
+		},
+	}
+}
+
+func newShown(v *medlarstate.View, list string) shown {
+	s := shown{Version: v.Version, list: list}
+	tables := map[medlarrecord.Table]*map[string]jsontext.Value{
+		medlarrecord.Table_TABLE_PLAN:    &s.Plans,
+		medlarrecord.Table_TABLE_MODEL:   &s.Models,
+		medlarrecord.Table_TABLE_SERVICE: &s.Services,
+	}
+	if list == "plans" {
+		tables = map[medlarrecord.Table]*map[string]jsontext.Value{medlarrecord.Table_TABLE_ACCOUNT: &s.Accounts}
+	}
+	for _, t := range tables {
+		*t = map[string]jsontext.Value{}
+	}
+	for _, e := range v.Lists.Entries() {
+		if t, ok := tables[e.Name.Table]; ok {
+			(*t)[e.Name.Name] = jsontext.Value(e.Value)
+		}
+	}
+	return s
+}
+
+func historyCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "history",
+		Short: "List the publications, accepted and rejected",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return o.withReader(cmd, func(_ context.Context, r *reader) error {
+				v := r.state.View()
+				out := historyRows{Version: v.Version, Rows: []historyRow{}}
+				for _, h := range v.History {
+					out.Rows = append(out.Rows, historyRow{
+						h.Offset, h.Base, h.Time, h.User, h.Note, h.Changes, string(h.Reject), h.ID.String(),
+					})
+				}
+				return o.print(cmd, out)
+			})
+		},
+	}
+}
+
+func whenCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "when TIME",
+		Short: "Tell which version was in force at TIME (RFC 3339) and which instances had confirmed it",
+		Long: "Tell which version was in force at TIME, such as 2026-12-03T10:00:00Z, and which instances had confirmed\n" +
+			"it, when. Times are the log service's own; an instance had the version in force before it confirmed.",
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			t, err := time.Parse(time.RFC3339Nano, args[0])
+			if err != nil {
+				return &Error{Op: OpWhen, Kind: KindUsage, Err: eris.New("want a time such as 2026-12-03T10:00:00Z")}
+			}
+			return o.withReader(cmd, func(_ context.Context, r *reader) error {
+				v, ok := r.state.View().At(t)
+				if !ok {
+					return &Error{Op: OpWhen, Kind: KindUsage, Err: eris.New("no version was in force then, as far as the log goes back")}
+				}
+				audit, err := r.readAudit()
+				if err != nil {
+					return err
+				}
+				return o.print(cmd, newWhen(v, audit))
+			})
+		},
+	}
+}
+
+func newWhen(v medlarstate.Verdict, audit *medlaraudit.Table) whenRows {
+	out := whenRows{Version: v.Offset, Time: v.Time, User: v.User, Nodes: []whenRow{}}
+	for _, c := range audit.Of(v.Offset) {
+		out.Nodes = append(out.Nodes, whenRow{c.Node, c.Zone, c.Time})
+	}
+	return out
+}
+
+func watchCommand(o *options) *cobra.Command {
+	var instances string
+	cmd := &cobra.Command{
+		Use:   "watch",
+		Short: "Wait until the newest version is in force on every entry instance",
+		Long: "Wait until the newest version is in force on every entry instance of the platform's list, and print when\n" +
+			"each confirmed it. Exit code 6 after --timeout if instances lag; they are listed.",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return o.withReader(cmd, func(ctx context.Context, r *reader) error {
+				return o.watch(ctx, cmd, r, medlarid.Address(instances))
+			})
+		},
+	}
+	cmd.Flags().StringVar(&instances, "instances", envOr("MEDLAR_INSTANCES", "127.0.0.1:7002"),
+		"address of the instance list; MEDLAR_INSTANCES sets the default")
+	return cmd
+}
+
+func (o *options) watch(ctx context.Context, cmd *cobra.Command, r *reader, at medlarid.Address) error {
+	list := medlarinstance.New(medlarhttp.New(idleTimeout), at, callTimeout)
+	for {
+		out, err := lookOnce(r, list)
+		if err != nil {
+			return err
+		}
+		if len(out.Missing) == 0 {
+			return o.print(cmd, out)
+		}
+		select {
+		case <-time.After(watchInterval):
+		case <-ctx.Done():
+			if err := o.print(cmd, out); err != nil {
+				return err
+			}
+			return &Error{Op: OpWatch, Kind: KindLagging, Err: eris.Errorf("%d instances have not confirmed version %d", len(out.Missing), out.Version)}
+		}
+	}
+}
+
+func lookOnce(r *reader, list *medlarinstance.Client) (whenRows, error) {
+	l, err := list.List()
+	if err != nil {
+		return whenRows{}, &Error{Op: OpWatch, Kind: KindUnavailable, Err: err}
+	}
+	audit, err := r.readAudit()
+	if err != nil {
+		return whenRows{}, err
+	}
+	v := r.state.View()
+	verdict := medlarstate.Verdict{Offset: v.Version}
+	for _, h := range v.History {
+		if h.Offset == v.Version {
+			verdict = h
+		}
+	}
+	out := newWhen(verdict, audit)
+	confirmed := map[medlarid.InstanceID]bool{}
+	for _, n := range out.Nodes {
+		confirmed[n.Node] = true
+	}
+	for _, i := range l.Instances {
+		if i.Role == medlarinstance.RoleEntry && !i.Leaving && !confirmed[i.ID] {
+			out.Missing = append(out.Missing, string(i.ID))
+		}
+	}
+	return out, nil
+}
+
+func keyCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "key",
+		Short: "Read a bearer key from standard input and print its digest for the plans list",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var key string
+			if _, err := fmt.Fscanln(cmd.InOrStdin(), &key); err != nil {
+				return &Error{Op: OpRead, Kind: KindUsage, Err: eris.New("want a key on standard input")}
+			}
+			cmd.Println(medlarauth.Digest(key))
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/internal/ops/medlarsettings/medlarsettings.go
@@ -0,0 +1,188 @@
+// Package medlarsettings reads and checks the settings of an entry instance.
+package medlarsettings
+
+import (
+	"net/netip"
+	"regexp"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/base/medlarjson"
+	"medlarfield/internal/core/medlarworld"
+)
+
+// Settings are the settings of an entry instance.
+type Settings struct {
+	// Name is the instance's own name, as the instance list has it.
+	Name medlarid.InstanceID `json:"name"`
+	Zone medlarid.Zone       `json:"zone"`
+	// Listen is the address for callers, Status the one for metrics and health.
+	Listen   medlarid.Address `json:"listen"`
+	Status   medlarid.Address `json:"status"`
+	Platform Platform         `json:"platform"`
+	Limits   Limits           `json:"limits"`
+	Routing  Routing          `json:"routing"`
+	Once     Once             `json:"once"`
+	Log      Log              `json:"log"`
+}
+
+// Platform are the addresses of the platform's parts.
+type Platform struct {
+	Log       medlarid.Address `json:"log"`
+	Instances medlarid.Address `json:"instances"`
+	Weights   medlarid.Address `json:"weights"`
+	// Timeout bounds short calls to the platform and to upstreams.
+	Timeout medlarid.Duration `json:"timeout"`
+	// Poll is the time between two reads of the instance list and of the
+	// engines' status.
+	Poll medlarid.Duration `json:"poll"`
+}
+
+// Limits bound what callers may send and how long things take.
+type Limits struct {
+	Body     int               `json:"body"`     // bytes
+	Header   int               `json:"header"`   // bytes
+	Read     medlarid.Duration `json:"read"`     // time to send a request
+	Idle     medlarid.Duration `json:"idle"`     // between two requests of a connection
+	Stall    medlarid.Duration `json:"stall"`    // a caller that does not read
+	Deadline medlarid.Duration `json:"deadline"` // of requests whose plan names none
+	Tokens   medlarid.Tokens   `json:"tokens"`   // of answers whose plan names none
+	Queue    int               `json:"queue"`    // requests that wait for an upstream
+	Wait     medlarid.Duration `json:"wait"`     // longest wait for an upstream
+	Drain    medlarid.Duration `json:"drain"`    // longest graceful stop
+}
+
+// Routing are the settings of the choice of upstreams.
+type Routing struct {
+	Weighting medlarworld.Weighting `json:"weighting"`
+	Attempts  int                   `json:"attempts"`
+	Contexts  bool                  `json:"contexts"` // keep context in stores
+	Quiet     medlarid.Duration     `json:"quiet"`    // an upstream that sends nothing
+}
+
+// Once are the bounds of idempotency keys; they are the same on all instances.
+type Once struct {
+	Validity medlarid.Duration `json:"validity"`
+	Skew     medlarid.Duration `json:"skew"`
+}
+
+// Log are the settings of the instance's own log lines.
+type Log struct {
+	Level string `json:"level"`
+}
+
+// Default returns the settings that a file starts from.
+func Default() Settings {
+	return Settings{
+		Platform: Platform{Timeout: seconds(2), Poll: medlarid.Duration(250 * time.Millisecond)},
+		Limits: Limits{
+			Body:     4 << 20,
+			Header:   16 << 10,
+			Read:     seconds(10),
+			Idle:     seconds(60),
+			Stall:    seconds(15),
+			Deadline: seconds(120),
+			Tokens:   4096,
+			Queue:    1024,
+			Wait:     seconds(15),
+			Drain:    seconds(60),
+		},
+		Routing: Routing{Weighting: medlarworld.WeighFirst, Attempts: 3, Contexts: true, Quiet: seconds(30)},
+		Once:    Once{Validity: seconds(15 * 60), Skew: seconds(60)},
+		Log:     Log{Level: "info"},
+	}
+}
+
+func seconds(n int) medlarid.Duration { return medlarid.Duration(time.Duration(n) * time.Second) }
+
+// Read reads and checks a file. The error names file, line and column.
+func Read(file string) (Settings, error) {
+	doc, err := medlarjson.ReadFile(file)
+	if err != nil {
+		return Settings{}, err
+	}
+	return FromDocument(doc)
+}
+
+// FromDocument reads and checks a parsed document.
+func FromDocument(doc *medlarjson.Document) (Settings, error) {
+	s := Default()
+	if err := doc.Decode(&s); err != nil {
+		return Settings{}, err
+	}
+	for _, c := range s.checks() {
+		if !c.ok {
+			return Settings{}, doc.Errorf(c.pointer, "field %q: want %s", c.pointer[1:], c.want)
+		}
+	}
+	return s, nil
+}
+
+// check is a condition on one field.
+type check struct {
+	pointer string
+	ok      bool
+	want    string
+}
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+
+const wantName = "1 to 64 letters, digits, dots, dashes or underscores"
+
+func (s Settings) checks() []check {
+	checks := []check{
+		{"/name", namePattern.MatchString(string(s.Name)), wantName},
+		{"/zone", namePattern.MatchString(string(s.Zone)), wantName},
+		address("/listen", s.Listen),
+		address("/status", s.Status),
+		address("/platform/log", s.Platform.Log),
+		address("/platform/instances", s.Platform.Instances),
+		address("/platform/weights", s.Platform.Weights),
+		span("/platform/timeout", s.Platform.Timeout, 10*time.Millisecond, time.Minute),
+		span("/platform/poll", s.Platform.Poll, 10*time.Millisecond, 10*time.Second),
+		span("/once/validity", s.Once.Validity, time.Second, 24*time.Hour),
+		span("/once/skew", s.Once.Skew, time.Second, time.Hour),
+		{"/log/level", levels[s.Log.Level], "debug, info, warn or error"},
+	}
+	checks = append(checks, s.Limits.checks()...)
+	return append(checks, s.Routing.checks()...)
+}
+
+var levels = map[string]bool{"debug": true, "info": true, "warn": true, "error": true}
+
+func (l Limits) checks() []check {
+	return []check{
+		number("/limits/body", l.Body, 1<<10, 64<<20, "1024 to 67108864 bytes"),
+		number("/limits/header", l.Header, 1<<10, 1<<20, "1024 to 1048576 bytes"),
+		span("/limits/read", l.Read, 100*time.Millisecond, time.Hour),
+		span("/limits/idle", l.Idle, 100*time.Millisecond, time.Hour),
+		span("/limits/stall", l.Stall, 100*time.Millisecond, time.Hour),
+		span("/limits/deadline", l.Deadline, 100*time.Millisecond, 24*time.Hour),
+		number("/limits/tokens", int(l.Tokens), 1, 1<<20, "1 to 1048576 tokens"),
+		number("/limits/queue", l.Queue, 1, 1<<20, "1 to 1048576 requests"),
+		span("/limits/wait", l.Wait, 10*time.Millisecond, time.Hour),
+		span("/limits/drain", l.Drain, 0, time.Hour),
+	}
+}
+
+func (r Routing) checks() []check {
+	known := r.Weighting == medlarworld.WeighFirst || r.Weighting == medlarworld.WeighShare
+	return []check{
+		{"/routing/weighting", known, `"first" or "share"`},
+		number("/routing/attempts", r.Attempts, 1, 10, "1 to 10 attempts"),
+		span("/routing/quiet", r.Quiet, 100*time.Millisecond, time.Hour),
+	}
+}
+
+func address(pointer string, a medlarid.Address) check {
+	ap, err := netip.ParseAddrPort(string(a))
+	return check{pointer, err == nil && ap.IsValid(), `an IP number and port, such as "127.0.0.1:8080"`}
+}
+
+func span(pointer string, d medlarid.Duration, low, high time.Duration) check {
+	return check{pointer, d.Std() >= low && d.Std() <= high, "a time span from " + low.String() + " to " + high.String()}
+}
+
+func number(pointer string, n, low, high int, want string) check {
+	return check{pointer, n >= low && n <= high, want}
+}
--- /dev/null
+++ b/internal/platform/medlarinstance/medlarinstance.go
@@ -0,0 +1,118 @@
+// Package medlarinstance is the client of the platform's list of live and
+// leaving instances, which lags behind.
+//
+//	GET /instances
+package medlarinstance
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/platform/medlarhttp"
+)
+
+// Op names the operation that failed.
+type Op string
+
+// OpList reads the list.
+const OpList Op = "list"
+
+// Kind classifies a failure.
+type Kind string
+
+// Kinds of failure.
+const (
+	KindUnavailable Kind = "unavailable"
+	KindMalformed   Kind = "malformed"
+)
+
+// Error is a failed read of the list.
+type Error struct {
+	Op   Op
+	Kind Kind
+	Err  error
+}
+
+// Error returns operation, kind and cause.
+func (e *Error) Error() string { return fmt.Sprintf("instances %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Role tells what runs on an instance.
+type Role string
+
+// Roles.
+const (
+	RoleEntry   Role = "entry"
+	RoleEngine  Role = "engine"
+	RoleService Role = "service"
+	RoleStore   Role = "store"
+)
+
+// Instance is one entry of the list.
+type Instance struct {
+	ID      medlarid.InstanceID `json:"id"`
+	Role    Role                `json:"role"`
+	Zone    medlarid.Zone       `json:"zone"`
+	Address medlarid.Address    `json:"address"`
+	Leaving bool                `json:"leaving,omitempty"`
+	Model   medlarid.ModelID    `json:"model,omitempty"`   // of engines
+	Service medlarid.ServiceID  `json:"service,omitempty"` // of services
+	Fenced  bool                `json:"fenced,omitempty"`  // checks fencing numbers
+}
+
+// List is the whole list.
+type List struct {
+	Instances []Instance `json:"instances"`
+}
+
+// Client reads the list. It is safe for concurrent use.
+type Client struct {
+	http    *medlarhttp.Client
+	address medlarid.Address
+	timeout time.Duration
+}
+
+// New returns a client of the list at address. timeout bounds each read.
+func New(http *medlarhttp.Client, address medlarid.Address, timeout time.Duration) *Client {
+	return &Client{http: http, address: address, timeout: timeout}
+}
+
+// List reads the list. A list with an entry that is not usable is an error of
+// KindMalformed as a whole, since part of a list would look like lost instances.
+func (c *Client) List() (List, error) {
+	var l List
+	call := medlarhttp.Call{Method: "GET", Address: c.address, Path: "/instances", Timeout: c.timeout}
+	if err := c.http.JSON(call, nil, &l); err != nil {
+		return List{}, &Error{Op: OpList, Kind: KindUnavailable, Err: err}
+	}
+	seen := map[medlarid.InstanceID]bool{}
+	for _, i := range l.Instances {
+		if err := i.check(); err != nil {
+			return List{}, &Error{Op: OpList, Kind: KindMalformed, Err: err}
+		}
+		if seen[i.ID] {
+			return List{}, &Error{Op: OpList, Kind: KindMalformed, Err: fmt.Errorf("instance %q stands twice", i.ID)}
+		}
+		seen[i.ID] = true
+	}
+	return l, nil
+}
+
+func (i Instance) check() error {
+	if i.ID == "" {
+		return fmt.Errorf("an instance without an id")
+	}
+	if _, err := netip.ParseAddrPort(string(i.Address)); err != nil {
+		return fmt.Errorf("instance %q: address: %w", i.ID, err)
+	}
+	switch i.Role {
+	case RoleEntry, RoleEngine, RoleService, RoleStore:
+		return nil
+	default:
+		return fmt.Errorf("instance %q: unknown role %q", i.ID, i.Role)
+	}
+}
--- /dev/null
+++ b/internal/stand/medlarclient/medlarclient.go
@@ -0,0 +1,185 @@
+// Package medlarclient is a caller for trials, tests and measurements.
+package medlarclient
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/rotisserie/eris"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/platform/medlarengine"
+	"medlarfield/internal/platform/medlarhttp"
+)
+
+// lineBuffer is the size of the reading buffer in bytes.
+const lineBuffer = 64 << 10
+
+// Client sends requests as one client account. It is safe for concurrent use.
+type Client struct {
+	http *medlarhttp.Client
+	key  string
+}
+
+// New returns a client with a bearer key.
+func New(key string) *Client { return &Client{http: medlarhttp.New(time.Minute), key: key} }
+
+// Prompt is a text completion to ask for.
+type Prompt struct {
+	Model string `json:"model"`
+	Text  string `json:"prompt"`
+	Max   int    `json:"max_tokens"`
+	// Stream asks for the answer as it comes.
+	Stream bool `json:"stream"`
+}
+
+// Result is what a caller got.
+type Result struct {
+	Status  int
+	Request medlarid.RequestID
+	Version medlarid.Offset // of the configuration
+	Text    string
+	Parts   int // parts of a streamed answer
+	First   time.Duration
+	Total   time.Duration
+	Usage   medlarengine.Usage
+	Whole   bool // the answer ended as it should
+	Reason  medlarreason.Reason
+	Ran     medlarreason.Ran
+	After   time.Duration
+	Body    []byte // of an answer that is not streamed
+	Replay  bool
+}
+
+type errorBody struct {
+	Error struct {
+		Reason medlarreason.Reason `json:"reason"`
+		Ran    medlarreason.Ran    `json:"ran"`
+		After  float64             `json:"after"`
+	} `json:"error"`
+}
+
+type completionBody struct {
+	Choices []struct {
+		Text   string  `json:"text"`
+		Finish *string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage medlarengine.Usage `json:"usage"`
+}
+
+// Complete asks an entry instance for a completion. The error is that of the
+// connection; a refusal is a Result with a reason.
+func (c *Client) Complete(at medlarid.Address, p Prompt) (Result, error) {
+	body, err := json.Marshal(p)
+	if err != nil {
+		return Result{}, err
+	}
+	return c.Send(medlarhttp.Call{
+		Method: "POST", Address: at, Path: "/v1/completions", Type: "application/json", Body: body,
+	})
+}
+
+// Send makes any call and reads the answer.
+func (c *Client) Send(call medlarhttp.Call) (Result, error) {
+	if c.key != "" {
+		call.Headers = append(call.Headers, medlarhttp.Header{Name: "Authorization", Value: "Bearer " + c.key})
+	}
+	begin := time.Now()
+	s, err := c.http.Open(call)
+	if err != nil {
+		return Result{}, err
+	}
+	defer s.Close()
+	r := Result{Status: s.Status, Request: medlarid.RequestID(s.Header("X-Request-Id")), Replay: s.Header("Medlar-Replayed") == "yes"}
+	version, _ := strconv.ParseUint(s.Header("Medlar-Version"), 10, 64)
+	r.Version = medlarid.Offset(version)
+	if strings.HasPrefix(s.Header("Content-Type"), "text/event-stream") {
+		err = r.readStream(s.Body, begin)
+	} else {
+		err = r.readWhole(s.Body)
+	}
+	r.Total = time.Since(begin)
+	if r.First == 0 {
+		r.First = r.Total
+	}
+	return r, err
+}
+
+func (r *Result) readWhole(body io.Reader) error {
+	var err error
+	if r.Body, err = io.ReadAll(body); err != nil {
+		return err
+	}
+	if r.Status >= 300 {
+		r.refused(r.Body)
+		return nil
+	}
+	var c completionBody
+	if json.Unmarshal(r.Body, &c) == nil && len(c.Choices) == 1 {
+		r.Text, r.Usage = c.Choices[0].Text, c.Usage
+		r.Whole = c.Choices[0].Finish != nil
+	}
+	return nil
+}
+
+func (r *Result) refused(body []byte) {
+	var e errorBody
+	if json.Unmarshal(body, &e) == nil {
+		r.Reason, r.Ran = e.Error.Reason, e.Error.Ran
+		r.After = time.Duration(e.Error.After * float64(time.Second))
+	}
+}
+
+// readStream reads server-sent events up to the end mark.
+func (r *Result) readStream(body io.Reader, begin time.Time) error {
+	lines := bufio.NewReaderSize(body, lineBuffer)
+	var text strings.Builder
+	defer func() { r.Text = text.String() }()
+	failed := false
+	for {
+		line, err := lines.ReadSlice('\n')
+		if err != nil {
+			if r.Whole || failed || err == io.EOF {
+				return nil
+			}
+			return eris.Wrap(err, "stream")
+		}
+		line = bytes.TrimSpace(line)
+		if bytes.Equal(line, []byte("event: error")) {
+			failed = true
+			continue
+		}
+		data, ok := bytes.CutPrefix(line, []byte("data: "))
+		switch {
+		case !ok:
+		case failed:
+			r.refused(data)
+		case string(data) == "[DONE]":
+			r.Whole = true
+		default:
+			if r.First == 0 {
+				r.First = time.Since(begin)
+			}
+			r.readEvent(data, &text)
+		}
+	}
+}
+
+func (r *Result) readEvent(data []byte, text *strings.Builder) {
+	var c completionBody
+	if json.Unmarshal(data, &c) != nil || len(c.Choices) != 1 {
+		return
+	}
+	if c.Choices[0].Finish != nil {
+		r.Usage = c.Usage
+		return
+	}
+	r.Parts++
+	text.WriteString(c.Choices[0].Text)
+}
--- /dev/null
+++ b/internal/stand/medlarfakeengine/run.go
@@ -0,0 +1,315 @@
+package medlarfakeengine
+
+import (
+	"bufio"
+	"encoding/binary"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/valyala/fasthttp"
+	"github.com/zeebo/xxh3"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarkey"
+	"medlarfield/internal/platform/medlarengine"
+	"medlarfield/internal/stand/medlarfault"
+)
+
+// run is one prompt being worked on.
+type run struct {
+	prompt medlarengine.Prompt
+	quit   chan struct{} // closed when the run is canceled
+	ended  bool
+	seed   uint64 // determines the answer
+	cached medlarid.Tokens
+	total  medlarid.Tokens
+}
+
+// words are what answers are made of.
+var words = [...]string{"the ", "fund ", "pays ", "for ", "each ", "letter ", "read ", "and ", "kept ", "in ", "order ", "by ", "date ", "of ", "entry ", "now "}
+
+// word returns part i of an answer.
+func word(seed uint64, i int) string {
+	var b [16]byte
+	binary.BigEndian.PutUint64(b[:], seed)
+	binary.BigEndian.PutUint64(b[8:], uint64(i))
+	h := xxh3.Hash(b[:])
+	return words[h%uint64(len(words))]
+}
+
+// admit registers a run, or returns the status of the refusal.
+func (e *Engine) admit(p medlarengine.Prompt) (*run, int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case e.loading || p.Model != e.model || p.Version != e.version:
+		return nil, fasthttp.StatusConflict
+	case e.running+e.queued >= e.cfg.Slots+e.cfg.Queue:
+		return nil, fasthttp.StatusServiceUnavailable
+	}
+	r := &run{prompt: p, quit: make(chan struct{}), total: medlarkey.CountTokens(p.Text)}
+	e.runs[p.Run] = r
+	e.counts[p.Request]++
+	e.queued++
+	e.pending += r.total
+	e.totals.Runs++
+	return r, fasthttp.StatusOK
+}
+
+// cancel stops a run.
+func (e *Engine) cancel(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r := e.runs[id]; r != nil && !r.ended {
+		r.ended = true
+		close(r.quit)
+	}
+}
+
+// compute waits for a slot, looks the prompt's blocks up and computes the rest.
+// It returns false when the run was canceled. The slot is held on true.
+func (e *Engine) compute(r *run) bool {
+	select {
+	case e.slots <- struct{}{}:
+	case <-r.quit:
+		e.unqueue(r)
+		return false
+	}
+	if !e.prefill.enter(r.prompt.Priority, r.quit) {
+		<-e.slots
+		e.unqueue(r)
+		return false
+	}
+	cold := e.lookUp(r)
+	ok := sleep(time.Duration(float64(cold)/(e.cfg.Prefill*e.cfg.Speed)*float64(time.Second)), r.quit)
+	e.prefill.leave()
+	e.store(r, cold)
+	if !ok {
+		e.endRunning()
+		<-e.slots
+	}
+	return ok
+}
+
+func (e *Engine) unqueue(r *run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.queued--
+	e.pending -= r.total
+}
+
+func (e *Engine) endRunning() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running--
+}
+
+// lookUp adopts the run's staged blocks, follows the cache along the prompt and
+// returns the number of tokens to compute. It seeds the answer with the content
+// of every block.
+func (e *Engine) lookUp(r *run) medlarid.Tokens {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.queued--
+	e.running++
+	e.adopt(r.prompt.Ticket)
+	keys := medlarkey.Chain(saltOf(r.prompt), r.prompt.Text)
+	h := xxh3.HashString(string(e.model) + "/" + string(e.version) + "/" + r.prompt.Text)
+	hit := true
+	for _, k := range keys {
+		b, ok := e.cache.get(k)
+		hit = hit && ok
+		if !hit {
+			b = cachedBlock{key: k, content: content(k)}
+		} else {
+			r.cached += medlarkey.BlockTokens
+		}
+		h = h*31 + b.content
+	}
+	r.seed = h
+	return r.total - r.cached
+}
+
+// adopt moves staged blocks into the cache; the lock is held. Blocks that were
+// staged under another weight version are dropped.
+func (e *Engine) adopt(ticket string) {
+	s, ok := e.staged[ticket]
+	if !ok {
+		return
+	}
+	delete(e.staged, ticket)
+	if s.version != e.version {
+		return
+	}
+	ev := medlarengine.CacheEvent{}
+	for _, b := range s.blocks {
+		ev.Evicted = append(ev.Evicted, e.cache.put(b)...)
+		ev.Stored = append(ev.Stored, b.key)
+	}
+	e.addEvent(ev)
+}
+
+// store caches the computed blocks.
+func (e *Engine) store(r *run, computed medlarid.Tokens) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pending -= r.total
+	e.totals.Prompt += r.total
+	e.totals.Computed += computed
+	if r.prompt.Version != e.version {
+		return // a load came in between
+	}
+	ev := medlarengine.CacheEvent{}
+	keys := medlarkey.Chain(saltOf(r.prompt), r.prompt.Text)
+	for _, k := range slices.Backward(keys) { // the last block is to be evicted first
+		if _, ok := e.cache.get(k); ok {
+			continue
+		}
+		ev.Evicted = append(ev.Evicted, e.cache.put(cachedBlock{key: k, content: content(k)})...)
+		ev.Stored = append(ev.Stored, k)
+	}
+	e.addEvent(ev)
+}
+
+func saltOf(p medlarengine.Prompt) medlarkey.Salt {
+	var k medlarkey.Key
+	_ = k.UnmarshalText([]byte(p.Salt))
+	return medlarkey.Salt(k)
+}
+
+// serveRun answers POST /v1/completions.
+func (e *Engine) serveRun(ctx *fasthttp.RequestCtx) {
+	var p medlarengine.Prompt
+	if err := json.Unmarshal(ctx.PostBody(), &p); err != nil || p.Max <= 0 {
+		ctx.Error("malformed prompt", fasthttp.StatusBadRequest)
+		return
+	}
+	if e.board.Hit(e.cfg.Name, medlarfault.Version) {
+		ctx.Error("another weight version", fasthttp.StatusConflict)
+		return
+	}
+	r, status := e.admit(p)
+	if r == nil {
+		ctx.Error("not run", status)
+		return
+	}
+	ctx.SetContentType("text/event-stream")
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) { e.answer(w, r) })
+}
+
+// answer writes the run's events.
+func (e *Engine) answer(w *bufio.Writer, r *run) {
+	defer e.forget(r)
+	_ = w.Flush() // the header goes out before the computation
+	if !e.compute(r) {
+		return
+	}
+	defer func() { e.endRunning(); <-e.slots }()
+	out := &writer{w: w, e: e, r: r}
+	for i := r.prompt.Resume; i < int(r.prompt.Max); i++ {
+		if !sleep(e.scaled(e.cfg.Decode), r.quit) || !out.part(i) {
+			return
+		}
+	}
+	out.close(int(r.prompt.Max))
+}
+
+func (e *Engine) forget(r *run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.runs[r.prompt.Run] == r {
+		delete(e.runs, r.prompt.Run)
+	}
+}
+
+// writer writes events and lets the faults of streams strike.
+type writer struct {
+	w    *bufio.Writer
+	e    *Engine
+	r    *run
+	held []byte // an event that Shuffle holds back
+	buf  []byte
+}
+
+// part writes one event; it returns false when the stream is cut or the peer
+// has gone.
+func (o *writer) part(i int) bool {
+	name := o.e.cfg.Name
+	if o.e.board.Hit(name, medlarfault.Cut) {
+		return false
+	}
+	o.buf = o.event(o.buf[:0], i)
+	if o.held == nil && o.e.board.Hit(name, medlarfault.Shuffle) {
+		o.held = append([]byte(nil), o.buf...)
+		return true
+	}
+	if o.e.board.Hit(name, medlarfault.Gap) {
+		return true
+	}
+	_, _ = o.w.Write(o.buf)
+	if o.e.board.Hit(name, medlarfault.Double) {
+		_, _ = o.w.Write(o.buf)
+	}
+	if o.held != nil {
+		_, _ = o.w.Write(o.held)
+		o.held = nil
+	}
+	return o.w.Flush() == nil
+}
+
+func (o *writer) event(b []byte, i int) []byte {
+	b = append(b, `data: {"request":"`...)
+	b = append(b, o.r.prompt.Request...)
+	b = append(b, `","version":"`...)
+	b = append(b, o.r.prompt.Version...)
+	b = append(b, `","seq":`...)
+	b = strconv.AppendInt(b, int64(i), 10)
+	b = append(b, `,"choices":[{"text":"`...)
+	b = append(b, word(o.r.seed, i)...)
+	return append(b, "\"}]}\n\n"...)
+}
+
+func (o *writer) close(total int) {
+	if o.held != nil {
+		_, _ = o.w.Write(o.held)
+	}
+	last := medlarengine.Event{
+		Request: o.r.prompt.Request,
+		Version: o.r.prompt.Version,
+		Seq:     total,
+		Choices: []medlarengine.EventChoice{{Finish: "length"}},
+		Usage: &medlarengine.Usage{
+			Prompt:     o.r.total,
+			Cached:     o.r.cached,
+			Completion: medlarid.Tokens(total),
+		},
+	}
+	b, err := json.Marshal(last)
+	if err != nil {
+		return
+	}
+	_, _ = o.w.WriteString("data: " + string(b) + "\n\ndata: [DONE]\n\n")
+	_ = o.w.Flush()
+}
+
+// sleep waits for d; it returns false when quit closes first.
+func sleep(d time.Duration, quit <-chan struct{}) bool {
+	if d <= 0 {
+		select {
+		case <-quit:
+			return false
+		default:
+			return true
+		}
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-quit:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/stand/medlarfakeengine/serve.go
@@ -0,0 +1,211 @@
+package medlarfakeengine
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/platform/medlarengine"
+	"medlarfield/internal/platform/medlarhttp"
+	"medlarfield/internal/stand/medlarfault"
+	"medlarfield/internal/stand/medlarhost"
+)
+
+// transferTimeout bounds the transfer of one block.
+const transferTimeout = 30 * time.Second
+
+// transferStreams is the number of blocks that move at the same time.
+const transferStreams = 16
+
+// Headers of a block on its way between engine and store.
+const (
+	HeaderContent    = "X-Block-Content"
+	HeaderGeneration = "X-Block-Generation"
+	HeaderLength     = "X-Block-Length"
+)
+
+type blocksMessage struct {
+	Ticket string               `json:"ticket,omitempty"`
+	Blocks []medlarengine.Block `json:"blocks"`
+}
+
+// Handler serves the engine.
+func (e *Engine) Handler() fasthttp.RequestHandler {
+	r := router.New()
+	r.POST("/v1/completions", e.serveRun)
+	r.DELETE("/v1/runs/{run}", e.serveCancel)
+	r.GET("/status", e.serveStatus)
+	r.GET("/events", e.serveEvents)
+	r.POST("/kv/export", e.serveExport)
+	r.POST("/kv/import", e.serveImport)
+	r.DELETE("/kv/staged/{ticket}", e.serveDiscard)
+	r.POST("/orders", e.serveOrder)
+	return r.Handler
+}
+
+func (e *Engine) serveCancel(ctx *fasthttp.RequestCtx) {
+	e.cancel(medlarhost.Param(ctx, "run"))
+}
+
+func (e *Engine) serveStatus(ctx *fasthttp.RequestCtx) {
+	medlarhost.Reply(ctx, e.lagged(time.Now()))
+}
+
+func (e *Engine) serveEvents(ctx *fasthttp.RequestCtx) {
+	medlarhost.Reply(ctx, e.eventsFrom(ctx.QueryArgs().GetUintOrZero("from"), time.Now()))
+}
+
+func (e *Engine) serveDiscard(ctx *fasthttp.RequestCtx) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.staged, medlarhost.Param(ctx, "ticket"))
+}
+
+// serveExport writes cached blocks into store slots, up to the first one that is
+// no longer cached.
+func (e *Engine) serveExport(ctx *fasthttp.RequestCtx) {
+	var req blocksMessage
+	if !medlarhost.Read(ctx, &req) {
+		return
+	}
+	out := blocksMessage{Blocks: e.transferAll(req.Blocks, e.exportBlock)}
+	e.mu.Lock()
+	e.totals.Exported += len(out.Blocks)
+	e.totals.Moved += medlarid.Bytes(len(out.Blocks)) * e.cfg.BlockBytes
+	e.mu.Unlock()
+	medlarhost.Reply(ctx, out)
+}
+
+// transferAll moves blocks, several at a time, and returns those before the first
+// that could not be moved.
+func (e *Engine) transferAll(blocks []medlarengine.Block, move func(medlarengine.Block) (medlarengine.Block, error)) []medlarengine.Block {
+	done := make([]medlarengine.Block, len(blocks))
+	failed := make([]bool, len(blocks))
+	var g errgroup.Group
+	g.SetLimit(transferStreams)
+	for i, b := range blocks {
+		g.Go(func() error {
+			var err error
+			done[i], err = move(b)
+			failed[i] = err != nil
+			return nil
+		})
+	}
+	_ = g.Wait()
+	for i := range done {
+		if failed[i] {
+			return done[:i]
+		}
+	}
+	return done
+}
+
+// exportBlock writes one cached block into its slot.
+func (e *Engine) exportBlock(b medlarengine.Block) (medlarengine.Block, error) {
+	e.mu.Lock()
+	c, ok := e.cache.get(b.Key)
+	e.mu.Unlock()
+	if !ok {
+		return b, eris.New("the block is no longer cached")
+	}
+	b.Length, b.Sum = e.cfg.BlockBytes, c.content
+	return b, e.put(b, c)
+}
+
+func (e *Engine) put(b medlarengine.Block, c cachedBlock) error {
+	a, err := e.http.Do(medlarhttp.Call{
+		Method:  "PUT",
+		Address: b.Store,
+		Path:    slotPath(b),
+		Headers: []medlarhttp.Header{
+			{Name: HeaderContent, Value: strconv.FormatUint(c.content, 16)},
+			{Name: HeaderLength, Value: strconv.FormatInt(int64(e.cfg.BlockBytes), 10)},
+		},
+		Timeout: transferTimeout,
+	})
+	if err == nil && a.Status != fasthttp.StatusOK {
+		err = medlarhttp.StatusError(a.Status, a.Body)
+	}
+	return err
+}
+
+func slotPath(b medlarengine.Block) string {
+	return "/blocks/" + strconv.FormatUint(b.Slot, 10) + "?generation=" + strconv.FormatUint(b.Generation, 10)
+}
+
+// serveImport reads blocks from store slots and stages them. It answers with
+// what it read; the asker compares that with what it meant.
+func (e *Engine) serveImport(ctx *fasthttp.RequestCtx) {
+	var req blocksMessage
+	if !medlarhost.Read(ctx, &req) {
+		return
+	}
+	e.mu.Lock()
+	s := staged{version: e.version}
+	e.mu.Unlock()
+	out := blocksMessage{Blocks: e.transferAll(req.Blocks, e.get)}
+	for _, b := range out.Blocks {
+		s.blocks = append(s.blocks, cachedBlock{key: b.Key, content: b.Sum})
+	}
+	e.mu.Lock()
+	e.staged[req.Ticket] = s
+	e.totals.Imported += len(out.Blocks)
+	e.totals.Moved += medlarid.Bytes(len(out.Blocks)) * e.cfg.BlockBytes
+	e.mu.Unlock()
+	medlarhost.Reply(ctx, out)
+}
+
+// get reads one block; generation, length and sum are those of the data that came.
+func (e *Engine) get(b medlarengine.Block) (medlarengine.Block, error) {
+	s, err := e.http.Open(medlarhttp.Call{Method: "GET", Address: b.Store, Path: slotPath(b)})
+	if err != nil {
+		return b, err
+	}
+	defer s.Close()
+	if s.Status != fasthttp.StatusOK {
+		return b, medlarhttp.StatusError(s.Status, nil)
+	}
+	b.Generation, _ = strconv.ParseUint(s.Header(HeaderGeneration), 10, 64)
+	length, _ := strconv.ParseInt(s.Header(HeaderLength), 10, 64)
+	b.Length = medlarid.Bytes(length)
+	b.Sum, _ = strconv.ParseUint(s.Header(HeaderContent), 16, 64)
+	return b, nil
+}
+
+// serveOrder loads a model or version. The load goes on after the answer.
+func (e *Engine) serveOrder(ctx *fasthttp.RequestCtx) {
+	var o medlarengine.Order
+	if !medlarhost.Read(ctx, &o) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cfg.Fenced && o.Fence < e.fence {
+		ctx.Error("old fencing number", fasthttp.StatusConflict)
+		return
+	}
+	e.fence = max(e.fence, o.Fence)
+	if e.loading || o.Model == e.model && o.Version == e.version {
+		return
+	}
+	e.loading = true
+	time.AfterFunc(e.scaled(e.cfg.LoadTime), func() { e.loaded(o) })
+}
+
+// loaded ends a load: the cache of the old weights is gone.
+func (e *Engine) loaded(o medlarengine.Order) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loading = false
+	e.model, e.version = o.Model, o.Version
+	if e.board.Hit(e.cfg.Name, medlarfault.Version) {
+		e.version = "other"
+	}
+	e.addEvent(medlarengine.CacheEvent{Evicted: e.cache.clear()})
+	clear(e.staged)
+}
--- /dev/null
+++ b/internal/stand/medlarfakelog/medlarfakelog.go
@@ -0,0 +1,184 @@
+// Package medlarfakelog is the stand-in of the log service: streams of records
+// with offsets, limited retention, a limited rate of appends, and outages.
+package medlarfakelog
+
+import (
+	"sync"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/platform/medlarlog"
+	"medlarfield/internal/stand/medlarhost"
+)
+
+// Settings are the limits of the log.
+type Settings struct {
+	// Keep is the number of records that a stream retains; 0 is no limit.
+	Keep int
+	// Rate is the number of appends a second; 0 is no limit.
+	Rate float64
+}
+
+// stream is one list of records; records[0] has the offset first.
+type stream struct {
+	first   medlarid.Offset
+	records []medlarlog.Entry
+	news    chan struct{} // closed at the next append
+}
+
+// Log is the stand-in's state. It is safe for concurrent use.
+type Log struct {
+	cfg Settings
+
+	mu      sync.Mutex
+	streams map[string]*stream
+	nextAt  time.Time
+	appends int
+	bytes   int
+}
+
+// New returns an empty log.
+func New(cfg Settings) *Log {
+	return &Log{cfg: cfg, streams: map[string]*stream{}}
+}
+
+// Handler serves the log.
+func (l *Log) Handler() fasthttp.RequestHandler {
+	r := router.New()
+	r.POST("/streams/{name}", l.serveAppend)
+	r.GET("/streams/{name}", l.serveRead)
+	return r.Handler
+}
+
+// Append adds records as one append and returns the offset of the first. It
+// waits while the rate of appends is used up.
+func (l *Log) Append(name string, records ...[]byte) medlarid.Offset {
+	time.Sleep(l.reserve())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	first := s.next()
+	for _, r := range records {
+		e := medlarlog.Entry{Offset: s.next(), Millis: time.Now().UnixMilli(), Data: append([]byte(nil), r...)}
+		s.records = append(s.records, e)
+		l.bytes += len(r)
+	}
+	l.appends++
+	l.expire(s)
+	close(s.news)
+	s.news = make(chan struct{})
+	return first
+}
+
+// Read returns records from an offset on and waits for news.
+func (l *Log) Read(name string, from medlarid.Offset, limit int, wait time.Duration) medlarlog.Batch {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		b, news := l.look(name, from, limit)
+		if len(b.Records) > 0 {
+			return b
+		}
+		select {
+		case <-news:
+		case <-timer.C:
+			return b
+		}
+	}
+}
+
+// Expire drops all records of a stream below an offset, as retention does.
+func (l *Log) Expire(name string, below medlarid.Offset) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	s.drop(int(min(below, s.next()) - min(s.first, below)))
+}
+
+// Appends returns the number of appends and of bytes so far.
+func (l *Log) Appends() (appends, bytes int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends, l.bytes
+}
+
+func (l *Log) look(name string, from medlarid.Offset, limit int) (medlarlog.Batch, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	b := medlarlog.Batch{First: s.first, Next: s.next()}
+	start := max(from, s.first)
+	if start < s.next() {
+		rest := s.records[start-s.first:]
+		b.Records = append(b.Records, rest[:min(limit, len(rest))]...)
+	}
+	return b, s.news
+}
+
+func (l *Log) stream(name string) *stream {
+	s, ok := l.streams[name]
+	if !ok {
+		s = &stream{first: 1, news: make(chan struct{})}
+		l.streams[name] = s
+	}
+	return s
+}
+
+// reserve takes the next slot for an append and returns the wait until it.
+func (l *Log) reserve() time.Duration {
+	if l.cfg.Rate == 0 {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if l.nextAt.Before(now) {
+		l.nextAt = now
+	}
+	wait := l.nextAt.Sub(now)
+	l.nextAt = l.nextAt.Add(time.Duration(float64(time.Second) / l.cfg.Rate))
+	return wait
+}
+
+func (l *Log) expire(s *stream) {
+	if l.cfg.Keep > 0 {
+		s.drop(len(s.records) - l.cfg.Keep)
+	}
+}
+
+func (s *stream) next() medlarid.Offset { return s.first + medlarid.Offset(len(s.records)) }
+
+func (s *stream) drop(n int) {
+	if n <= 0 {
+		return
+	}
+	s.records = append([]medlarlog.Entry(nil), s.records[n:]...)
+	s.first += medlarid.Offset(n)
+}
+
+type appendRequest struct {
+	Records [][]byte `json:"records"`
+}
+
+type appendAnswer struct {
+	First medlarid.Offset `json:"first"`
+}
+
+func (l *Log) serveAppend(ctx *fasthttp.RequestCtx) {
+	var req appendRequest
+	if !medlarhost.Read(ctx, &req) {
+		return
+	}
+	medlarhost.Reply(ctx, appendAnswer{First: l.Append(medlarhost.Param(ctx, "name"), req.Records...)})
+}
+
+func (l *Log) serveRead(ctx *fasthttp.RequestCtx) {
+	args := ctx.QueryArgs()
+	from := medlarid.Offset(args.GetUintOrZero("from"))
+	limit := args.GetUintOrZero("max")
+	wait := time.Duration(args.GetUintOrZero("wait")) * time.Millisecond
+	medlarhost.Reply(ctx, l.Read(medlarhost.Param(ctx, "name"), from, max(limit, 1), wait))
+}
--- /dev/null
+++ b/internal/stand/medlarfakeplatform/medlarfakeplatform.go
@@ -0,0 +1,142 @@
+// Package medlarfakeplatform is the stand-in of the instance list and of the
+// weight store.
+package medlarfakeplatform
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/platform/medlarinstance"
+	"medlarfield/internal/platform/medlarweight"
+	"medlarfield/internal/stand/medlarhost"
+)
+
+// weightWindow is the time over which the weight store limits its calls.
+const weightWindow = time.Second
+
+// List is the instance list; it shows each change after a lag.
+type List struct {
+	lag time.Duration
+
+	mu        sync.Mutex
+	instances map[medlarid.InstanceID]medlarinstance.Instance
+	shown     map[medlarid.InstanceID]medlarinstance.Instance
+}
+
+// NewList returns an empty list.
+func NewList(lag time.Duration) *List {
+	return &List{
+		lag:       lag,
+		instances: map[medlarid.InstanceID]medlarinstance.Instance{},
+		shown:     map[medlarid.InstanceID]medlarinstance.Instance{},
+	}
+}
+
+// Put adds or changes an instance.
+func (l *List) Put(i medlarinstance.Instance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.instances[i.ID] = i
+	l.show(func() { l.shown[i.ID] = i })
+}
+
+// Leave marks an instance as leaving.
+func (l *List) Leave(id medlarid.InstanceID) {
+	l.mu.Lock()
+	i, ok := l.instances[id]
+	l.mu.Unlock()
+	if ok {
+		i.Leaving = true
+		l.Put(i)
+	}
+}
+
+// Remove takes an instance off the list.
+func (l *List) Remove(id medlarid.InstanceID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.instances, id)
+	l.show(func() { delete(l.shown, id) })
+}
+
+// show makes a change visible after the lag; the lock is held.
+func (l *List) show(change func()) {
+	if l.lag == 0 {
+		change()
+		return
+	}
+	time.AfterFunc(l.lag, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		change()
+	})
+}
+
+// Handler serves the list.
+func (l *List) Handler() fasthttp.RequestHandler {
+	r := router.New()
+	r.GET("/instances", func(ctx *fasthttp.RequestCtx) { medlarhost.Reply(ctx, l.list()) })
+	r.POST("/instances", l.servePut)
+	return r.Handler
+}
+
+// servePut lets a process that was started on its own join the list.
+func (l *List) servePut(ctx *fasthttp.RequestCtx) {
+	var i medlarinstance.Instance
+	if medlarhost.Read(ctx, &i) {
+		l.Put(i)
+	}
+}
+
+func (l *List) list() medlarinstance.List {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := medlarinstance.List{}
+	for _, i := range l.shown {
+		out.Instances = append(out.Instances, i)
+	}
+	sort.Slice(out.Instances, func(a, b int) bool { return out.Instances[a].ID < out.Instances[b].ID })
+	return out
+}
+
+// Weights is the weight store; it limits the calls in each second.
+type Weights struct {
+	perSecond int
+
+	mu      sync.Mutex
+	catalog medlarweight.Catalog
+	calls   int
+	window  time.Time
+}
+
+// NewWeights returns a store with a catalog.
+func NewWeights(perSecond int, weights ...medlarweight.Weights) *Weights {
+	return &Weights{perSecond: perSecond, catalog: medlarweight.Catalog{Weights: weights}}
+}
+
+// Handler serves the store.
+func (s *Weights) Handler() fasthttp.RequestHandler {
+	r := router.New()
+	r.GET("/weights", s.serveList)
+	return r.Handler
+}
+
+func (s *Weights) serveList(ctx *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now := time.Now(); now.Sub(s.window) > weightWindow {
+		s.window = now
+		s.calls = 0
+	}
+	s.calls++
+	if s.calls > s.perSecond {
+		ctx.Error("too many calls", fasthttp.StatusTooManyRequests)
+		return
+	}
+	medlarhost.Reply(ctx, s.catalog)
+}
--- /dev/null
+++ b/internal/stand/medlarfakeservice/medlarfakeservice.go
@@ -0,0 +1,85 @@
+// Package medlarfakeservice is the stand-in of a plain service. It carries out
+// each call that reaches it, however often it comes, and counts them by request.
+package medlarfakeservice
+
+import (
+	"sync"
+
+	"github.com/valyala/fasthttp"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/platform/medlarservice"
+	"medlarfield/internal/stand/medlarhost"
+)
+
+// Service counts calls. It is safe for concurrent use.
+type Service struct {
+	name string
+
+	mu       sync.Mutex
+	counts   map[medlarid.RequestID]int
+	bodies   map[string]int
+	accounts map[medlarid.AccountID]int
+}
+
+// New returns a service.
+func New(name string) *Service {
+	return &Service{
+		name:     name,
+		counts:   map[medlarid.RequestID]int{},
+		bodies:   map[string]int{},
+		accounts: map[medlarid.AccountID]int{},
+	}
+}
+
+// Counts returns how often each request was carried out.
+func (s *Service) Counts() map[medlarid.RequestID]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[medlarid.RequestID]int, len(s.counts))
+	for k, n := range s.counts {
+		out[k] = n
+	}
+	return out
+}
+
+// Bodies returns how often each body was carried out.
+func (s *Service) Bodies() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]int, len(s.bodies))
+	for k, n := range s.bodies {
+		out[k] = n
+	}
+	return out
+}
+
+// receipt is the service's answer.
+type receipt struct {
+	Service string             `json:"service"`
+	Account medlarid.AccountID `json:"account"`
+	Method  string             `json:"method"`
+	Path    string             `json:"path"`
+	Body    string             `json:"body"`
+}
+
+// Handler serves any method and path.
+func (s *Service) Handler() fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		id := medlarid.RequestID(ctx.Request.Header.Peek(medlarservice.HeaderRequest))
+		account := medlarid.AccountID(ctx.Request.Header.Peek(medlarservice.HeaderAccount))
+		body := string(ctx.PostBody())
+		s.mu.Lock()
+		s.counts[id]++
+		s.bodies[body]++
+		s.accounts[account]++
+		s.mu.Unlock()
+		medlarhost.Reply(ctx, receipt{
+			Service: s.name,
+			Account: account,
+			Method:  string(ctx.Method()),
+			Path:    string(ctx.RequestURI()),
+			Body:    body,
+		})
+	}
+}
--- /dev/null
+++ b/internal/stand/medlarfault/medlarfault.go
@@ -0,0 +1,171 @@
+// Package medlarfault switches the faults of the stand-ins on and off at run
+// time.
+//
+// Rules:
+//
+//	R1  A fault is a name from the table below, armed for one part of the
+//	    stand-ins, for a number of uses or until it is cleared.
+//	R2  Each part asks for its faults at the point where they strike, so that a
+//	    fault strikes at most once for each use.
+package medlarfault
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Name names a fault.
+type Name string
+
+// Faults that the stand-ins know (R1).
+const (
+	Down      Name = "down"      // refuses every call with 503
+	Lost      Name = "lost"      // acts, then closes the connection without an answer
+	Late      Name = "late"      // acts after the answer was given up
+	Slow      Name = "slow"      // waits Delay before it acts
+	Cut       Name = "cut"       // breaks the answer off in the middle
+	Double    Name = "double"    // acts or sends twice
+	Shuffle   Name = "shuffle"   // sends in another order
+	Refuse    Name = "refuse"    // refuses with 409, and did not act
+	Full      Name = "full"      // has no space
+	Corrupt   Name = "corrupt"   // changes bytes of what it returns
+	Stale     Name = "stale"     // answers with an old state
+	Gap       Name = "gap"       // leaves out events
+	Version   Name = "version"   // loads or reports another weight version
+	Forgetful Name = "forgetful" // reports kept blocks that it has dropped
+	Freeze    Name = "freeze"    // accepts calls and answers none
+	Malformed Name = "malformed" // answers with bytes that are no JSON
+)
+
+// Doc describes one fault.
+type Doc struct {
+	Name Name
+	Text string
+}
+
+// Table lists all faults with their descriptions.
+var Table = []Doc{
+	{Down, "refuses every call with 503; nothing is done"},
+	{Lost, "acts, then closes the connection without an answer"},
+	{Late, "closes the connection without an answer and acts after the delay"},
+	{Slow, "waits for the delay before it acts"},
+	{Cut, "breaks the answer off in the middle"},
+	{Double, "acts, or sends each part of the answer, twice"},
+	{Shuffle, "sends parts of the answer in another order"},
+	{Refuse, "refuses with 409 and does not act"},
+	{Full, "has no space left"},
+	{Corrupt, "changes bytes of what it returns"},
+	{Stale, "answers with an old state"},
+	{Gap, "leaves out events"},
+	{Version, "works under another weight version than it was asked for"},
+	{Forgetful, "reports blocks that it has dropped"},
+	{Freeze, "accepts calls and answers none until cleared"},
+	{Malformed, "answers with bytes that are no JSON"},
+}
+
+// Fault is one armed fault.
+type Fault struct {
+	Part  string        `json:"part"`  // part that it strikes, such as "log" or "engine-1"
+	Name  Name          `json:"name"`  // fault, of Table
+	Count int           `json:"count"` // number of uses; 0 is until cleared
+	Delay time.Duration `json:"-"`
+	Wait  string        `json:"delay,omitempty"` // Delay as text, such as "50ms"
+	Clear bool          `json:"clear,omitempty"` // clears the fault instead
+}
+
+type key struct {
+	part string
+	name Name
+}
+
+// Board holds the armed faults. It is safe for concurrent use.
+type Board struct {
+	mu    sync.Mutex
+	armed map[key]*Fault
+}
+
+// New returns a board without faults.
+func New() *Board { return &Board{armed: map[key]*Fault{}} }
+
+// Arm sets or clears a fault (R1). An unknown fault is an error.
+func (b *Board) Arm(f Fault) error {
+	if !known(f.Name) {
+		return eris.Errorf("unknown fault %q; known are %s", f.Name, names())
+	}
+	if f.Wait != "" {
+		d, err := time.ParseDuration(f.Wait)
+		if err != nil {
+			return eris.Wrap(err, "delay")
+		}
+		f.Delay = d
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := key{f.Part, f.Name}
+	if f.Clear {
+		delete(b.armed, k)
+		return nil
+	}
+	b.armed[k] = &f
+	return nil
+}
+
+// Strike reports whether a fault strikes now, and uses it once if it does (R2).
+func (b *Board) Strike(part string, name Name) (Fault, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := key{part, name}
+	f, ok := b.armed[k]
+	if !ok {
+		return Fault{}, false
+	}
+	if f.Count > 0 {
+		f.Count--
+		if f.Count == 0 {
+			delete(b.armed, k)
+		}
+	}
+	return *f, true
+}
+
+// Hit is Strike without the fault's details.
+func (b *Board) Hit(part string, name Name) bool {
+	_, ok := b.Strike(part, name)
+	return ok
+}
+
+// Armed lists the armed faults, ordered by part and name.
+func (b *Board) Armed() []Fault {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]Fault, 0, len(b.armed))
+	for _, f := range b.armed {
+		out = append(out, *f)
+	}
+	sort.Slice(out, func(i, j int) bool {
+		return fmt.Sprint(out[i].Part, out[i].Name) < fmt.Sprint(out[j].Part, out[j].Name)
+	})
+	return out
+}
+
+func known(n Name) bool {
+	for _, d := range Table {
+		if d.Name == n {
+			return true
+		}
+	}
+	return false
+}
+
+func names() string {
+	var s []string
+	for _, d := range Table {
+		s = append(s, string(d.Name))
+	}
+	return strings.Join(s, ", ")
+}
--- /dev/null
+++ b/internal/stand/medlarhost/medlarhost.go
@@ -0,0 +1,186 @@
+// Package medlarhost serves one stand-in on a loopback address and carries out
+// the faults that are the same for all of them.
+package medlarhost
+
+import (
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/stand/medlarfault"
+)
+
+// freezePoll is the time between two looks at whether a freeze is over.
+const freezePoll = 10 * time.Millisecond
+
+// maxBody is the largest request body in bytes.
+const maxBody = 64 << 20
+
+// Host is a running stand-in.
+type Host struct {
+	Part    string
+	Address medlarid.Address
+
+	srv  *fasthttp.Server
+	ln   net.Listener
+	mu   sync.Mutex
+	open map[net.Conn]bool
+}
+
+// New serves handler at address, an IP number with port 0 for a free one. The
+// faults of board that are armed for part strike its calls.
+func New(part, address string, board *medlarfault.Board, handler fasthttp.RequestHandler) (*Host, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen for %s", part)
+	}
+	h := &Host{Part: part, Address: medlarid.Address(ln.Addr().String()), ln: ln, open: map[net.Conn]bool{}}
+	h.srv = &fasthttp.Server{
+		Handler:               withFaults(part, board, handler),
+		MaxRequestBodySize:    maxBody,
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+		ConnState:             h.track,
+		Logger:                quiet{},
+	}
+	go func() { _ = h.srv.Serve(ln) }()
+	return h, nil
+}
+
+// quiet drops the server's own messages: broken connections are expected here.
+type quiet struct{}
+
+// Printf drops the message.
+func (quiet) Printf(string, ...any) {}
+
+func (h *Host) track(c net.Conn, s fasthttp.ConnState) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s == fasthttp.StateClosed {
+		delete(h.open, c)
+		return
+	}
+	h.open[c] = true
+}
+
+// Kill closes the listener and all connections at once.
+func (h *Host) Kill() {
+	_ = h.ln.Close()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for c := range h.open {
+		_ = c.Close()
+	}
+}
+
+// withFaults lets the faults of part strike before, around and after next.
+func withFaults(part string, board *medlarfault.Board, next fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if strikeBefore(part, board, ctx) {
+			return
+		}
+		if f, ok := board.Strike(part, medlarfault.Late); ok {
+			later(ctx, f.Delay, next)
+			hangUp(ctx)
+			return
+		}
+		if board.Hit(part, medlarfault.Double) {
+			next(copyOf(ctx))
+		}
+		next(ctx)
+		strikeAfter(part, board, ctx)
+	}
+}
+
+// strikeBefore reports whether a fault has answered the call.
+func strikeBefore(part string, board *medlarfault.Board, ctx *fasthttp.RequestCtx) bool {
+	for board.Hit(part, medlarfault.Freeze) {
+		time.Sleep(freezePoll)
+	}
+	if f, ok := board.Strike(part, medlarfault.Slow); ok {
+		time.Sleep(f.Delay)
+	}
+	switch {
+	case board.Hit(part, medlarfault.Down):
+		ctx.Error("down", fasthttp.StatusServiceUnavailable)
+	case board.Hit(part, medlarfault.Refuse):
+		ctx.Error("refused", fasthttp.StatusConflict)
+	case board.Hit(part, medlarfault.Malformed):
+		ctx.SetBodyString("{not json")
+	default:
+		return false
+	}
+	return true
+}
+
+func strikeAfter(part string, board *medlarfault.Board, ctx *fasthttp.RequestCtx) {
+	switch {
+	case board.Hit(part, medlarfault.Lost):
+		hangUp(ctx)
+	case !ctx.Response.IsBodyStream() && board.Hit(part, medlarfault.Cut):
+		cut(ctx)
+	}
+}
+
+// hangUp closes the connection without an answer.
+func hangUp(ctx *fasthttp.RequestCtx) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) { _ = c.Close() })
+}
+
+// cut sends the first half of the answer and closes the connection.
+func cut(ctx *fasthttp.RequestCtx) {
+	whole := ctx.Response.String()
+	body := strings.Index(whole, "\r\n\r\n")
+	half := body + (len(whole)-body)/2
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) {
+		_, _ = c.Write([]byte(whole[:half]))
+		_ = c.Close()
+	})
+}
+
+func later(ctx *fasthttp.RequestCtx, delay time.Duration, next fasthttp.RequestHandler) {
+	again := copyOf(ctx)
+	time.AfterFunc(delay, func() { next(again) })
+}
+
+func copyOf(ctx *fasthttp.RequestCtx) *fasthttp.RequestCtx {
+	again := &fasthttp.RequestCtx{}
+	again.Init(&fasthttp.Request{}, ctx.RemoteAddr(), quiet{})
+	ctx.Request.CopyTo(&again.Request)
+	return again
+}
+
+// Reply answers with v as JSON.
+func Reply(ctx *fasthttp.RequestCtx, v any) {
+	b, err := json.Marshal(v, json.Deterministic(true))
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(b)
+}
+
+// Read reads the JSON body into v; when it cannot, it answers 400 and returns
+// false.
+func Read(ctx *fasthttp.RequestCtx, v any) bool {
+	if err := json.Unmarshal(ctx.PostBody(), v); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+// Param returns a path parameter.
+func Param(ctx *fasthttp.RequestCtx, name string) string {
+	s, _ := ctx.UserValue(name).(string)
+	return s
+}
--- /dev/null
+++ b/internal/stand/medlarstage/medlarstage.go
@@ -0,0 +1,295 @@
+// Package medlarstage sets up the stand-ins of a whole platform in one process.
+package medlarstage
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/platform/medlarinstance"
+	"medlarfield/internal/platform/medlarweight"
+	"medlarfield/internal/stand/medlarfakeengine"
+	"medlarfield/internal/stand/medlarfakelog"
+	"medlarfield/internal/stand/medlarfakeplatform"
+	"medlarfield/internal/stand/medlarfakeservice"
+	"medlarfield/internal/stand/medlarfakestore"
+	"medlarfield/internal/stand/medlarfault"
+	"medlarfield/internal/stand/medlarhost"
+)
+
+// Settings are the size of the platform.
+type Settings struct {
+	IP       string // address of all parts
+	Base     int    // first port; 0 takes free ones
+	Zones    []medlarid.Zone
+	Engines  int
+	Stores   int
+	Services int
+	Service  medlarid.ServiceID
+	Speed    float64 // divides all times of engines and stores
+	Lag      time.Duration
+	Log      medlarfakelog.Settings
+	// Engine and Store change the settings of each part.
+	Engine func(*medlarfakeengine.Settings)
+	Store  func(*medlarfakestore.Settings)
+}
+
+// Default returns a small platform in three availability zones.
+func Default() Settings {
+	return Settings{
+		IP:       "127.0.0.1",
+		Zones:    []medlarid.Zone{"muc", "nue", "agb"},
+		Engines:  4,
+		Stores:   2,
+		Services: 2,
+		Service:  "ledger",
+		Speed:    1,
+		Lag:      200 * time.Millisecond,
+	}
+}
+
+// EnginePart is a running engine.
+type EnginePart struct {
+	*medlarfakeengine.Engine
+
+	Host *medlarhost.Host
+}
+
+// StorePart is a running store.
+type StorePart struct {
+	*medlarfakestore.Store
+
+	Host *medlarhost.Host
+}
+
+// ServicePart is a running plain service.
+type ServicePart struct {
+	*medlarfakeservice.Service
+
+	Host *medlarhost.Host
+}
+
+// Stage is a running platform.
+type Stage struct {
+	cfg   Settings
+	Board *medlarfault.Board
+	Log   *medlarfakelog.Log
+	List  *medlarfakeplatform.List
+
+	LogHost     *medlarhost.Host
+	ListHost    *medlarhost.Host
+	WeightsHost *medlarhost.Host
+	Control     *medlarhost.Host
+
+	mu       sync.Mutex
+	Engines  []EnginePart
+	Stores   []StorePart
+	Services []ServicePart
+	ports    int
+}
+
+// New starts a platform.
+func New(cfg Settings) (*Stage, error) {
+	s := &Stage{
+		cfg:   cfg,
+		Board: medlarfault.New(),
+		Log:   medlarfakelog.New(cfg.Log),
+		List:  medlarfakeplatform.NewList(cfg.Lag),
+	}
+	weights := medlarfakeplatform.NewWeights(50,
+		medlarweight.Weights{Model: "casework", Version: "v1", Bytes: 16 << 30},
+		medlarweight.Weights{Model: "casework", Version: "v2", Bytes: 16 << 30},
+	)
+	var err error
+	if s.LogHost, err = s.host("log", s.Log.Handler()); err != nil {
+		return nil, err
+	}
+	if s.ListHost, err = s.host("instances", s.List.Handler()); err != nil {
+		return nil, err
+	}
+	if s.WeightsHost, err = s.host("weights", weights.Handler()); err != nil {
+		return nil, err
+	}
+	if s.Control, err = s.host("control", s.controlHandler()); err != nil {
+		return nil, err
+	}
+	return s, s.addParts()
+}
+
+func (s *Stage) addParts() error {
+	for range s.cfg.Engines {
+		if _, err := s.AddEngine(); err != nil {
+			return err
+		}
+	}
+	for i := range s.cfg.Stores {
+		if err := s.addStore(i); err != nil {
+			return err
+		}
+	}
+	for i := range s.cfg.Services {
+		if err := s.addService(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// host starts a part at the next port.
+func (s *Stage) host(part string, h fasthttp.RequestHandler) (*medlarhost.Host, error) {
+	port := 0
+	if s.cfg.Base != 0 {
+		port = s.cfg.Base + s.ports
+	}
+	s.ports++
+	return medlarhost.New(part, fmt.Sprintf("%s:%d", s.cfg.IP, port), s.Board, h)
+}
+
+// AddEngine starts one more engine and lists it.
+func (s *Stage) AddEngine() (EnginePart, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := len(s.Engines)
+	name := fmt.Sprintf("engine-%d", n+1)
+	cfg := medlarfakeengine.Defaults(name)
+	cfg.Speed = s.cfg.Speed
+	if s.cfg.Engine != nil {
+		s.cfg.Engine(&cfg)
+	}
+	e := medlarfakeengine.New(cfg, s.Board)
+	h, err := s.host(name, e.Handler())
+	if err != nil {
+		return EnginePart{}, err
+	}
+	part := EnginePart{Engine: e, Host: h}
+	s.Engines = append(s.Engines, part)
+	s.List.Put(medlarinstance.Instance{
+		ID:      medlarid.InstanceID(name),
+		Role:    medlarinstance.RoleEngine,
+		Zone:    s.zone(n),
+		Address: h.Address,
+		Model:   cfg.Model,
+		Fenced:  cfg.Fenced,
+	})
+	return part, nil
+}
+
+func (s *Stage) addStore(n int) error {
+	name := fmt.Sprintf("store-%d", n+1)
+	cfg := medlarfakestore.Defaults(name)
+	cfg.Speed = s.cfg.Speed
+	if s.cfg.Store != nil {
+		s.cfg.Store(&cfg)
+	}
+	st := medlarfakestore.New(cfg, s.Board)
+	h, err := s.host(name, st.Handler())
+	if err != nil {
+		return err
+	}
+	s.Stores = append(s.Stores, StorePart{Store: st, Host: h})
+	s.List.Put(medlarinstance.Instance{
+		ID: medlarid.InstanceID(name), Role: medlarinstance.RoleStore, Zone: s.zone(n), Address: h.Address,
+	})
+	return nil
+}
+
+func (s *Stage) addService(n int) error {
+	name := fmt.Sprintf("%s-%d", s.cfg.Service, n+1)
+	sv := medlarfakeservice.New(name)
+	h, err := s.host(name, sv.Handler())
+	if err != nil {
+		return err
+	}
+	s.Services = append(s.Services, ServicePart{Service: sv, Host: h})
+	s.List.Put(medlarinstance.Instance{
+		ID:      medlarid.InstanceID(name),
+		Role:    medlarinstance.RoleService,
+		Zone:    s.zone(n),
+		Address: h.Address,
+		Service: s.cfg.Service,
+	})
+	return nil
+}
+
+func (s *Stage) zone(n int) medlarid.Zone { return s.cfg.Zones[n%len(s.cfg.Zones)] }
+
+// Evict empties the prefix cache of every engine.
+func (s *Stage) Evict() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.Engines {
+		e.Evict()
+	}
+}
+
+// Kill ends a part at once, as when its instance fails. The instance list keeps
+// naming it.
+func (s *Stage) Kill(part string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range s.hosts() {
+		if h.Part == part {
+			h.Kill()
+			return nil
+		}
+	}
+	return eris.Errorf("no part %q", part)
+}
+
+// Close ends all parts.
+func (s *Stage) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range s.hosts() {
+		h.Kill()
+	}
+}
+
+func (s *Stage) hosts() []*medlarhost.Host {
+	all := []*medlarhost.Host{s.LogHost, s.ListHost, s.WeightsHost, s.Control}
+	for _, e := range s.Engines {
+		all = append(all, e.Host)
+	}
+	for _, st := range s.Stores {
+		all = append(all, st.Host)
+	}
+	for _, sv := range s.Services {
+		all = append(all, sv.Host)
+	}
+	return all
+}
+
+// Runs returns how often upstreams ran each request, by request identifier.
+func (s *Stage) Runs() map[medlarid.RequestID]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[medlarid.RequestID]int{}
+	for _, e := range s.Engines {
+		for id, n := range e.Counts() {
+			out[id] += n
+		}
+	}
+	for _, sv := range s.Services {
+		for id, n := range sv.Counts() {
+			out[id] += n
+		}
+	}
+	return out
+}
+
+// Bodies returns how often services carried out each body.
+func (s *Stage) Bodies() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]int{}
+	for _, sv := range s.Services {
+		for body, n := range sv.Bodies() {
+			out[body] += n
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/stand/medlarstage/nodes.go
@@ -0,0 +1,155 @@
+package medlarstage
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"medlarfield/internal/agree/medlarlist"
+	"medlarfield/internal/agree/medlarpublish"
+	"medlarfield/internal/agree/medlarrecord"
+	"medlarfield/internal/agree/medlarstate"
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/base/medlarjson"
+	"medlarfield/internal/ops/medlarnode"
+	"medlarfield/internal/ops/medlarsettings"
+	"medlarfield/internal/platform/medlarinstance"
+	"medlarfield/internal/platform/medlarlog"
+)
+
+// Key is the bearer key of the account "parish" in the lists that Publish
+// publishes; OtherKey is that of the account "index".
+const (
+	Key      = "parish-key"
+	OtherKey = "index-key"
+)
+
+// readyTimeout bounds the wait for nodes to become ready.
+const readyTimeout = 5 * time.Second
+
+// plansText and usesText are the lists that a stage starts with. The digests are
+// those of Key and OtherKey.
+const (
+	plansText = `{
+  "accounts": {
+    "parish": {"plan": "standard", "keys": ["fac4c3d58ab339783ccdcfc8198339d52466ddc8ef503c1910f6ff3bc1e603df"]},
+    "index": {"plan": "standard", "keys": ["d828d4275acb141b3ab43e49e3f2478f71d1048b4c7442cc2e5cc13187981cd2"]},
+  },
+}`
+	usesText = `{
+  "plans": {"standard": {"models": ["casework"], "services": ["ledger"]}},
+  "models": {"casework": {"version": "v1"}},
+  "services": {"ledger": {"once": ["POST"]}},
+}`
+)
+
+// RunningNode is an entry instance in this process.
+type RunningNode struct {
+	*medlarnode.Node
+
+	stop func(context.Context) error
+}
+
+// Stop ends the instance gracefully within a limit.
+func (n *RunningNode) Stop(limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	return n.stop(ctx)
+}
+
+// Lists returns the lists that a stage starts with.
+func Lists() (*medlarlist.Lists, error) {
+	plans, err := medlarjson.Parse("plans", []byte(plansText))
+	if err != nil {
+		return nil, err
+	}
+	uses, err := medlarjson.Parse("uses", []byte(usesText))
+	if err != nil {
+		return nil, err
+	}
+	return medlarlist.Parse(plans, uses)
+}
+
+// Publish makes lists the version in force, on top of what the log holds.
+func (s *Stage) Publish(lists *medlarlist.Lists) (medlarid.Offset, error) {
+	state := medlarstate.New()
+	catchUp := func() *medlarstate.View {
+		b := s.Log.Read(medlarrecord.StreamLists, state.View().Next, 1<<20, 0)
+		for _, e := range b.Records {
+			_ = state.Apply(e)
+		}
+		return state.View()
+	}
+	v := catchUp()
+	appendLists := func(records ...[]byte) (medlarid.Offset, error) {
+		return s.Log.Append(medlarrecord.StreamLists, records...), nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancel()
+	res := medlarpublish.New("stage", appendLists, catchUp).Publish(ctx, medlarpublish.Request{
+		Base: v.Version, Change: medlarlist.Diff(v.Lists, lists), Digest: lists.Digest, User: "stage",
+	})
+	if res.Outcome != medlarpublish.OutcomeAccepted {
+		return 0, eris.Errorf("publish: %s %s", res.Outcome, res.Verdict.Reject)
+	}
+	return res.Verdict.Offset, nil
+}
+
+// NodeSettings returns the settings of an entry instance on this stage.
+func (s *Stage) NodeSettings(n int) medlarsettings.Settings {
+	cfg := medlarsettings.Default()
+	cfg.Name = medlarid.InstanceID(fmt.Sprintf("entry-%d", n+1))
+	cfg.Zone = s.zone(n)
+	cfg.Listen = medlarid.Address(s.cfg.IP + ":0")
+	cfg.Status = medlarid.Address(s.cfg.IP + ":0")
+	cfg.Platform.Log = s.LogHost.Address
+	cfg.Platform.Instances = s.ListHost.Address
+	cfg.Platform.Weights = s.WeightsHost.Address
+	cfg.Platform.Poll = medlarid.Duration(50 * time.Millisecond)
+	return cfg
+}
+
+// StartNode starts an entry instance, lists it, and waits until it is ready.
+func (s *Stage) StartNode(cfg medlarsettings.Settings, log io.Writer) (*RunningNode, error) {
+	node, err := medlarnode.New(cfg, log)
+	if err != nil {
+		return nil, err
+	}
+	stop, err := node.Start(context.Background())
+	if err != nil {
+		return nil, err
+	}
+	s.List.Put(medlarinstance.Instance{
+		ID: cfg.Name, Role: medlarinstance.RoleEntry, Zone: cfg.Zone, Address: node.Address(),
+	})
+	until := time.Now().Add(readyTimeout)
+	for !s.settled(node) {
+		if time.Now().After(until) {
+			return nil, eris.Errorf("%s is not ready after %v", cfg.Name, readyTimeout)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return &RunningNode{Node: node, stop: stop}, nil
+}
+
+// settled reports whether a node is ready and has heard of every engine.
+func (s *Stage) settled(node *medlarnode.Node) bool {
+	if !node.Ready() {
+		return false
+	}
+	heard := 0
+	for _, u := range node.Status().Upstream {
+		if u.Kind == "service" || u.Version != "" {
+			heard++
+		}
+	}
+	return heard >= s.cfg.Engines+s.cfg.Services
+}
+
+// Entries returns the records of a stream, for checks.
+func (s *Stage) Entries(stream string) []medlarlog.Entry {
+	return s.Log.Read(stream, 1, 1<<20, 0).Records
+}
