--- a/internal/agree/medlarclaim/medlarclaim.go
+++ b/internal/agree/medlarclaim/medlarclaim.go
@@ -198,24 +198,32 @@
 // it. On any error the attempt must not be made; it did not run on behalf of
 // this call. Claim gives up when ctx ends.
 func (d *Desk) Claim(ctx context.Context, r Request) (Grant, error) {
+	id, w, err := d.begin(r)
+	if err != nil {
+		return Grant{}, err
+	}
+	select {
+	case err := <-w.fate:
+		return Grant{ID: id, Request: r}, err
+	case <-ctx.Done():
+		return d.giveUp(id, w)
+	}
+}
+
+// begin queues a claim for the next append.
+func (d *Desk) begin(r Request) (ID, *waiter, error) {
 	id := medlarid.NewRecordID()
 	w := &waiter{request: r, fate: make(chan error, 1)}
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	if err := d.check(r); err != nil {
-		d.mu.Unlock()
-		return Grant{}, err
+		return id, nil, err
 	}
 	d.waiting[id] = w
 	d.claims = append(d.claims, claimRecord(id, r))
 	d.stats.Claims++
-	d.mu.Unlock()
 	d.signal()
-	select {
-	case err := <-w.fate:
-		return Grant{ID: id, Request: r}, err
-	case <-ctx.Done():
-		return d.giveUp(id, w)
-	}
+	return id, w, nil
 }
 
 // giveUp ends a wait, unless the claim was decided just before (R6).
--- a/internal/agree/medlarlist/medlarlist.go
+++ b/internal/agree/medlarlist/medlarlist.go
@@ -63,18 +63,18 @@
 	Models   []medlarid.ModelID   `json:"models,omitempty"`
 	Services []medlarid.ServiceID `json:"services,omitempty"`
 	// Rate is the number of requests a second for each account; 0 is no limit.
-	Rate float64 `json:"rate,omitempty"`
+	Rate float64 `json:"rate,omitzero"`
 	// Burst is the number of requests that may come at once; 0 means Rate.
-	Burst int `json:"burst,omitempty"`
+	Burst int `json:"burst,omitzero"`
 	// Runs is the number of requests at the same time; 0 is no limit.
-	Runs int `json:"runs,omitempty"`
+	Runs int `json:"runs,omitzero"`
 	// Tokens is the largest number of tokens that one request may generate; 0
 	// means the default.
-	Tokens medlarid.Tokens `json:"tokens,omitempty"`
+	Tokens medlarid.Tokens `json:"tokens,omitzero"`
 	// Weight is the account's share under contention; 0 means 1.
-	Weight int `json:"weight,omitempty"`
+	Weight int `json:"weight,omitzero"`
 	// Priority is passed to the engines; higher is served first.
-	Priority medlarid.Priority `json:"priority,omitempty"`
+	Priority medlarid.Priority `json:"priority,omitzero"`
 	// Deadline bounds a whole request; 0 means the default.
 	Deadline medlarid.Duration `json:"deadline,omitzero"`
 }
--- /dev/null
+++ b/internal/agree/medlarlist/medlarlist_test.go
@@ -0,0 +1,190 @@
+package medlarlist
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"pgregory.net/rapid"
+
+	"medlarfield/internal/agree/medlarrecord"
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/base/medlarjson"
+)
+
+const (
+	goodPlans = `{"accounts": {"a": {"plan": "p", "keys": []}}}`
+	goodUses  = `{"plans": {"p": {"models": ["m"], "services": ["s"]}}, "models": {"m": {"version": "v1"}}, "services": {"s": {}}}`
+	digestA   = "fac4c3d58ab339783ccdcfc8198339d52466ddc8ef503c1910f6ff3bc1e603df"
+)
+
+func parse(t testing.TB, plans, uses string) (*Lists, error) {
+	t.Helper()
+	p, err := medlarjson.Parse("plans.json", []byte(plans))
+	if err != nil {
+		return nil, err
+	}
+	u, err := medlarjson.Parse("uses.json", []byte(uses))
+	if err != nil {
+		return nil, err
+	}
+	return Parse(p, u)
+}
+
+func TestParseReportsWhatIsWrong(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		plans string
+		uses  string
+		want  string
+	}{
+		{
+			"unknown field", `{"accounts": {"a": {"plan": "p", "colour": 1}}}`, goodUses,
+			`plans.json:1:44: unknown field "colour"`,
+		},
+		{
+			"unknown plan", "{\"accounts\": {\n\"a\": {\"plan\": \"q\"}}}", goodUses,
+			`plans.json:2:15: account "a": no plan "q"`,
+		},
+		{
+			"unknown model", goodPlans, "{\"plans\": {\"p\": {\n\"models\": [\"x\"]}}}",
+			`uses.json:2:12: plan "p": no model "x"`,
+		},
+		{
+			"unknown service", goodPlans, "{\"plans\": {\"p\": {\"services\": [\n\"x\"]}}}",
+			`uses.json:2:1: plan "p": no service "x"`,
+		},
+		{
+			"rate out of range", goodPlans, "{\"plans\": {\"p\": {\n \"rate\": -1}}}",
+			`uses.json:2:10: plan "p": rate: want 0 to 1000000 requests a second, got -1`,
+		},
+		{
+			"no version", goodPlans, `{"plans": {"p": {}}, "models": {"m": {}}}`,
+			`uses.json:1:38: model "m": version: want a weight version`,
+		},
+		{
+			"bad name", `{"accounts": {"a b": {"plan": "p"}}}`, goodUses,
+			`plans.json:1:22: name "a b": want 1 to 64 letters, digits, dots, dashes or underscores, first a letter or digit`,
+		},
+		{
+			"bad key", `{"accounts": {"a": {"plan": "p", "keys": ["secret"]}}}`, goodUses,
+			`plans.json:1:42: account "a": keys: want SHA-256 digests of 64 hexadecimal digits`,
+		},
+		{
+			"same key twice", `{"accounts": {"a": {"plan": "p", "keys": ["` + digestA + `"]}, "b": {"plan": "p", "keys": ["` + digestA + `"]}}}`, goodUses,
+			`plans.json:1:118: accounts "a" and "b" have the same key`,
+		},
+		{
+			"method that may repeat", goodPlans, `{"plans": {"p": {}}, "services": {"s": {"once": ["GET"]}}}`,
+			`uses.json:1:49: service "s": once: want methods among [DELETE PATCH POST PUT], got "GET"`,
+		},
+		{
+			"account twice", `{"accounts": {"a": {"plan": "p"}, "a": {"plan": "p"}}}`, goodUses,
+			`plans.json:1:35: field "a" appears twice`,
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			_, err := parse(t, tc.plans, tc.uses)
+			assertMessage(t, err, tc.want)
+		})
+	}
+}
+
+func assertMessage(t *testing.T, err error, want string) {
+	t.Helper()
+	if err == nil {
+		t.Fatalf("no error, want %s", want)
+	}
+	if err.Error() != want {
+		t.Errorf("got  %s\nwant %s", err, want)
+	}
+}
+
+func TestApplyRejects(t *testing.T) {
+	account := func(name, value string) Entry {
+		return Entry{Name: Name{medlarrecord.Table_TABLE_ACCOUNT, name}, Value: []byte(value)}
+	}
+	for _, tc := range []struct {
+		name   string
+		change Change
+		want   Kind
+	}{
+		{"value that is not JSON", Change{Put: []Entry{account("x", "{")}}, KindValue},
+		{"value with an unknown field", Change{Put: []Entry{account("x", `{"plan":"p","z":1}`)}}, KindValue},
+		{"reference to an absent plan", Change{Put: []Entry{account("x", `{"plan":"z"}`)}}, KindReference},
+		{"drop of an absent entry", Change{Drop: []Name{{medlarrecord.Table_TABLE_ACCOUNT, "z"}}}, KindAbsent},
+		{"drop of a plan in use", Change{Drop: []Name{{medlarrecord.Table_TABLE_PLAN, "p"}}}, KindReference},
+		{"unknown table", Change{Put: []Entry{{Name: Name{99, "x"}, Value: []byte("{}")}}}, KindValue},
+	} {
+		t.Run(tc.name, func(t *testing.T) { assertApplyFails(t, tc.change, tc.want) })
+	}
+}
+
+func assertApplyFails(t *testing.T, c Change, want Kind) {
+	t.Helper()
+	l, err := parse(t, goodPlans, goodUses)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := l.Digest
+	_, err = l.Apply(c)
+	e, ok := err.(*Error)
+	if !ok || e.Kind != want {
+		t.Errorf("got %v, want kind %s", err, want)
+	}
+	if l.Digest != before || len(l.Accounts) != 1 {
+		t.Error("a failed change has changed the lists")
+	}
+}
+
+// drawLists draws valid lists.
+func drawLists(t *rapid.T, label string) *Lists {
+	l := New()
+	put := func(e Entry) {
+		if err := l.put(e); err != nil {
+			t.Fatal(err)
+		}
+	}
+	plans := rapid.IntRange(1, 4).Draw(t, label+" plans")
+	for i := range plans {
+		p := Plan{Rate: float64(rapid.IntRange(0, 9).Draw(t, label+" rate")), Runs: i}
+		put(newEntry(medlarrecord.Table_TABLE_PLAN, string(rune('p'+i)), p))
+	}
+	for i := range rapid.IntRange(0, 6).Draw(t, label+" accounts") {
+		plan := medlarid.PlanID(rune('p' + rapid.IntRange(0, plans-1).Draw(t, label+" plan")))
+		put(newEntry(medlarrecord.Table_TABLE_ACCOUNT, string(rune('a'+i)), Account{Plan: plan}))
+	}
+	return l
+}
+
+func TestDiffThenApplyGivesTheOther(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		from, to := drawLists(t, "from"), drawLists(t, "to")
+		got, err := from.Apply(Diff(from, to))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d := cmp.Diff(to, got, cmpopts.EquateEmpty(), cmp.AllowUnexported(Lists{})); d != "" {
+			t.Errorf("not the same lists:\n%s", d)
+		}
+		if (from.Digest == to.Digest) != Diff(from, to).Empty() {
+			t.Error("the digests tell other than the difference")
+		}
+	})
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(goodPlans, goodUses)
+	f.Add(`{"accounts": {"a": {"plan": "p", "keys": ["`+digestA+`"]}}}`, `{"plans": {"p": {"rate": 1.5, "deadline": "3s"}}}`)
+	f.Add("{ // c\n}", "{,}")
+	f.Fuzz(func(t *testing.T, plans, uses string) {
+		l, err := parse(t, plans, uses)
+		if err != nil {
+			return
+		}
+		again, err := New().Apply(Diff(New(), l))
+		if err != nil || again.Digest != l.Digest {
+			t.Errorf("lists that were read cannot be published: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/agree/medlarstate/history_test.go
@@ -0,0 +1,123 @@
+package medlarstate
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"medlarfield/internal/base/medlarid"
+)
+
+// histories is the number of seeded histories, historySeed where they start.
+const (
+	histories   = "3000"
+	historySeed = "20261203"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.checks": histories, "rapid.seed": historySeed} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// readerModel is one reader; high is the highest version that it had in force.
+type readerModel struct {
+	state *State
+	high  medlarid.Offset
+}
+
+// historyModel is a log with its readers.
+type historyModel struct {
+	t       *rapid.T
+	log     *log
+	readers []*readerModel
+	// agreed maps each offset to the version that the first reader came to there.
+	agreed map[medlarid.Offset]medlarid.Offset
+}
+
+func (m *historyModel) reader() *readerModel {
+	return m.readers[rapid.IntRange(0, len(m.readers)-1).Draw(m.t, "reader")]
+}
+
+// read lets a reader apply some records.
+func (m *historyModel) read(r *readerModel, count int) {
+	for ; count > 0 && r.state.View().Next < m.log.next(); count-- {
+		if r.state.View().Next < m.log.first {
+			r.state.Restart(m.log.first)
+		}
+		if err := r.state.Apply(m.log.records[r.state.View().Next-m.log.first]); err != nil {
+			m.t.Fatal(err)
+		}
+		m.check(r)
+	}
+}
+
+// check checks that a reader never goes back and agrees with all others.
+func (m *historyModel) check(r *readerModel) {
+	v := r.state.View()
+	if v.Version < r.high {
+		m.t.Fatalf("a reader went back from version %d to %d", r.high, v.Version)
+	}
+	r.high = v.Version
+	if !v.Ready {
+		return
+	}
+	if want, ok := m.agreed[v.Next]; ok && want != v.Version {
+		m.t.Fatalf("before offset %d one reader has version %d in force, another %d", v.Next, want, v.Version)
+	}
+	m.agreed[v.Next] = v.Version
+}
+
+func (m *historyModel) step() {
+	switch rapid.SampledFrom([]string{"publish", "publish", "read", "read", "read", "repeat", "snapshot", "expire", "new"}).Draw(m.t, "step") {
+	case "publish": // from whatever version the author knows
+		if v := m.reader().state.View(); v.Ready {
+			c := plan(rapid.SampledFrom([]string{"p", "q"}).Draw(m.t, "plan"), rapid.IntRange(1, 9).Draw(m.t, "rate"))
+			m.log.put(publicationOn(m.log.t, v.Version, v.Lists, c), medlarid.NewRecordID(), "a")
+		}
+	case "read":
+		m.read(m.reader(), rapid.IntRange(1, 6).Draw(m.t, "count"))
+	case "repeat":
+		if n := len(m.log.records); n > 0 {
+			m.log.add(m.log.records[rapid.IntRange(0, n-1).Draw(m.t, "record")].Data)
+		}
+	case "snapshot":
+		if v := m.reader().state.View(); v.Ready && v.Version > 0 {
+			m.log.snapshot(v, rapid.SampledFrom([]string{"a", "b"}).Draw(m.t, "author"))
+		}
+	case "expire":
+		if n := len(m.log.records); n > 8 {
+			m.log.expire(n - 8)
+		}
+	case "new":
+		m.readers[rapid.IntRange(0, len(m.readers)-1).Draw(m.t, "replaced")] = &readerModel{state: New()}
+	}
+}
+
+func TestHistories(t *testing.T) {
+	ready := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		m := &historyModel{t: rt, log: newLog(t), agreed: map[medlarid.Offset]medlarid.Offset{}}
+		for range 3 {
+			m.readers = append(m.readers, &readerModel{state: New()})
+		}
+		for range rapid.IntRange(10, 60).Draw(rt, "steps") {
+			m.step()
+		}
+		for _, r := range m.readers {
+			m.read(r, len(m.log.records)+1)
+			if v := r.state.View(); v.Ready && v.Version > 0 {
+				ready++
+			}
+		}
+	})
+	if ready < 100 {
+		t.Errorf("only %d readers had lists in the end", ready)
+	}
+}
--- /dev/null
+++ b/internal/agree/medlarstate/medlarstate_test.go
@@ -0,0 +1,332 @@
+package medlarstate
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"medlarfield/internal/agree/medlarlist"
+	"medlarfield/internal/agree/medlarrecord"
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/platform/medlarlog"
+)
+
+// log builds records in the order of their offsets.
+type log struct {
+	t       testing.TB
+	first   medlarid.Offset
+	records []medlarlog.Entry
+}
+
+func newLog(t testing.TB) *log {
+	t.Helper()
+	return &log{t: t, first: 1}
+}
+
+func (l *log) next() medlarid.Offset { return l.first + medlarid.Offset(len(l.records)) }
+
+func (l *log) add(data []byte) medlarlog.Entry {
+	e := medlarlog.Entry{Offset: l.next(), Millis: 1000 * int64(l.next()), Data: data}
+	l.records = append(l.records, e)
+	return e
+}
+
+func (l *log) put(r *medlarrecord.Record, id medlarid.RecordID, author string) medlarlog.Entry {
+	l.t.Helper()
+	b, err := medlarrecord.Encode(r, id, author)
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	return l.add(b)
+}
+
+// plan returns a change that sets the rate of one plan.
+func plan(name string, rate int) medlarlist.Change {
+	value := fmt.Sprintf(`{"rate":%d}`, rate)
+	return medlarlist.Change{Put: []medlarlist.Entry{{
+		Name: medlarlist.Name{Table: medlarrecord.Table_TABLE_PLAN, Name: name}, Value: []byte(value),
+	}}}
+}
+
+// publicationOn returns a publication of a change on top of lists.
+func publicationOn(t testing.TB, base medlarid.Offset, on *medlarlist.Lists, c medlarlist.Change) *medlarrecord.Record {
+	t.Helper()
+	after, err := on.Apply(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &medlarrecord.Publication{Base: uint64(base), User: "u", Digest: after.Digest.Bytes()}
+	for _, e := range c.Put {
+		p.Put = append(p.Put, EntryRecord(e))
+	}
+	for _, n := range c.Drop {
+		p.Drop = append(p.Drop, NameRecord(n))
+	}
+	return &medlarrecord.Record{Body: &medlarrecord.Record_Publication{Publication: p}}
+}
+
+// publish publishes a change on top of the state's lists.
+func (l *log) publish(s *State, c medlarlist.Change) medlarlog.Entry {
+	l.t.Helper()
+	v := s.View()
+	return l.put(publicationOn(l.t, v.Version, v.Lists, c), medlarid.NewRecordID(), "a")
+}
+
+// snapshot writes the parts of a snapshot of a view.
+func (l *log) snapshot(v *View, author string) {
+	l.t.Helper()
+	records, err := v.Snapshot()
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	for _, r := range records {
+		l.put(r, medlarid.NewRecordID(), author)
+	}
+}
+
+func apply(t testing.TB, s *State, e medlarlog.Entry) {
+	t.Helper()
+	if err := s.Apply(e); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// readAll reads the log from its first offset into a new state.
+func (l *log) readAll() *State {
+	l.t.Helper()
+	s := New()
+	if l.first > 1 {
+		s.Restart(l.first)
+	}
+	for _, e := range l.records {
+		apply(l.t, s, e)
+	}
+	return s
+}
+
+func (l *log) expire(n int) {
+	l.records = l.records[n:]
+	l.first += medlarid.Offset(n)
+}
+
+func TestVerdicts(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		record func(*testing.T, *State) *medlarrecord.Record
+		want   Reject
+	}{
+		{"good", func(t *testing.T, s *State) *medlarrecord.Record {
+			return publicationOn(t, 1, s.View().Lists, plan("p", 2))
+		}, RejectNone},
+		{"older base", func(t *testing.T, s *State) *medlarrecord.Record {
+			return publicationOn(t, 0, s.View().Lists, plan("p", 2))
+		}, RejectBase},
+		{"base ahead", func(t *testing.T, s *State) *medlarrecord.Record {
+			return publicationOn(t, 9, s.View().Lists, plan("p", 2))
+		}, RejectBase},
+		{"no change", func(t *testing.T, s *State) *medlarrecord.Record {
+			return publicationOn(t, 1, s.View().Lists, medlarlist.Change{})
+		}, RejectEmpty},
+		{"another digest", func(t *testing.T, _ *State) *medlarrecord.Record {
+			return publicationOn(t, 1, medlarlist.New(), plan("q", 2))
+		}, RejectDigest},
+		{"bad value", func(t *testing.T, s *State) *medlarrecord.Record {
+			r := publicationOn(t, 1, s.View().Lists, plan("p", 2))
+			r.GetPublication().Put[0].Value = []byte(`{"rate":-1}`)
+			return r
+		}, RejectValue},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l, s := newLog(t), New()
+			apply(t, s, l.publish(s, plan("p", 1)))
+			apply(t, s, l.put(tc.record(t, s), medlarid.NewRecordID(), "a"))
+			assertLast(t, s.View(), tc.want)
+		})
+	}
+}
+
+func assertLast(t *testing.T, v *View, want Reject) {
+	t.Helper()
+	last := v.History[len(v.History)-1]
+	if last.Reject != want {
+		t.Errorf("verdict %q, want %q", last.Reject, want)
+	}
+	wantVersion := medlarid.Offset(1)
+	if want == RejectNone {
+		wantVersion = 2
+	}
+	if v.Version != wantVersion {
+		t.Errorf("version %d is in force, want %d", v.Version, wantVersion)
+	}
+}
+
+func TestRacingOperators(t *testing.T) {
+	l, s := newLog(t), New()
+	apply(t, s, l.publish(s, plan("p", 1)))
+	one, two := l.publish(s, plan("p", 2)), l.publish(s, plan("p", 3))
+	apply(t, s, one)
+	apply(t, s, two)
+	v := s.View()
+	if v.Version != one.Offset || v.Lists.Plans["p"].Rate != 2 || v.History[2].Reject != RejectBase {
+		t.Errorf("version %d, history %+v", v.Version, v.History)
+	}
+}
+
+func TestRecordsWithoutEffect(t *testing.T) {
+	newer := func(l *log) {
+		r := &medlarrecord.Record{Format: medlarrecord.Format + 1, Id: make([]byte, 16)}
+		b, _ := medlarrecord.Encode(r, medlarid.NewRecordID(), "a")
+		l.add(append(b, 0x10, 0x63)) // format 99 after the one that Encode wrote
+	}
+	for _, tc := range []struct {
+		name string
+		add  func(*log, *State)
+		want Counts
+	}{
+		{"repeated publication", func(l *log, _ *State) { l.add(l.records[0].Data) }, Counts{Accepted: 1, Repeated: 1}},
+		{"bytes", func(l *log, _ *State) { l.add([]byte("\xff\xff")) }, Counts{Accepted: 1, Malformed: 1}},
+		{"newer format", func(l *log, _ *State) { newer(l) }, Counts{Accepted: 1, Malformed: 1}},
+		{"another body", func(l *log, _ *State) {
+			l.put(&medlarrecord.Record{Body: &medlarrecord.Record_Lease{Lease: &medlarrecord.Lease{}}}, medlarid.NewRecordID(), "a")
+		}, Counts{Accepted: 1, Skipped: 1}},
+		{"snapshot for a reader that has lists", func(l *log, s *State) { l.snapshot(s.View(), "a") }, Counts{Accepted: 1, Snapshots: 1}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l, s := newLog(t), New()
+			apply(t, s, l.publish(s, plan("p", 1)))
+			tc.add(l, s)
+			for _, e := range l.records[1:] {
+				apply(t, s, e)
+			}
+			if d := cmp.Diff(tc.want, s.Counts()); d != "" {
+				t.Error(d)
+			}
+			if s.View().Version != 1 || s.View().Next != l.next() {
+				t.Errorf("version %d, next %d", s.View().Version, s.View().Next)
+			}
+		})
+	}
+}
+
+func TestHoleIsAnError(t *testing.T) {
+	l, s := newLog(t), New()
+	l.publish(s, plan("p", 1))
+	err := s.Apply(l.publish(s, plan("p", 2)))
+	var e *Error
+	if !errors.As(err, &e) || e.Kind != KindGap {
+		t.Errorf("got %v, want a gap", err)
+	}
+}
+
+func TestColdStart(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		build  func(*log, *State)
+		expire int
+		ready  bool
+	}{
+		{"snapshot alone", func(l *log, s *State) { l.snapshot(s.View(), "a") }, 2, true},
+		{"publication after the snapshot", func(l *log, s *State) {
+			l.snapshot(s.View(), "a")
+			apply(l.t, s, l.records[2])
+			apply(l.t, s, l.publish(s, plan("p", 5)))
+		}, 2, true},
+		{"publication between version and snapshot", func(l *log, s *State) {
+			old := s.View()
+			apply(l.t, s, l.publish(s, plan("p", 5)))
+			l.snapshot(old, "a")
+		}, 2, true},
+		{"two snapshots", func(l *log, s *State) { l.snapshot(s.View(), "a"); l.snapshot(s.View(), "b") }, 2, true},
+		{"no snapshot", func(*log, *State) {}, 1, false},
+		{"publication after the snapshot's version has expired", func(l *log, s *State) {
+			old := s.View()
+			apply(l.t, s, l.publish(s, plan("p", 5)))
+			l.snapshot(old, "a")
+		}, 3, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l, s := newLog(t), New()
+			apply(t, s, l.publish(s, plan("p", 1)))
+			apply(t, s, l.publish(s, plan("q", 1)))
+			tc.build(l, s)
+			for int(s.View().Next) <= len(l.records) {
+				apply(t, s, l.records[s.View().Next-1])
+			}
+			l.expire(tc.expire)
+			assertSame(t, s, l.readAll(), tc.ready)
+		})
+	}
+}
+
+// assertSame checks that a cold reader came to the state of a warm one.
+func assertSame(t *testing.T, warm, cold *State, ready bool) {
+	t.Helper()
+	w, c := warm.View(), cold.View()
+	if c.Ready != ready {
+		t.Fatalf("ready is %v, want %v", c.Ready, ready)
+	}
+	if !ready {
+		return
+	}
+	if w.Version != c.Version || w.Lists.Digest != c.Lists.Digest || w.Next != c.Next {
+		t.Errorf("warm is at version %d, cold at %d", w.Version, c.Version)
+	}
+	if d := cmp.Diff(w.History, c.History); d != "" {
+		t.Errorf("histories differ:\n%s", d)
+	}
+}
+
+func TestSnapshotOfManyParts(t *testing.T) {
+	l, s := newLog(t), New()
+	c := medlarlist.Change{}
+	for i := range 6000 {
+		c.Put = append(c.Put, plan(fmt.Sprintf("plan-%059d", i), i).Put...)
+	}
+	apply(t, s, l.publish(s, c))
+	l.snapshot(s.View(), "a")
+	if len(l.records) < 3 {
+		t.Fatalf("the snapshot has %d parts", len(l.records)-1)
+	}
+	for _, e := range l.records[1:] {
+		apply(t, s, e)
+	}
+	last := l.records[len(l.records)-1]
+	l.records = l.records[:len(l.records)-1]
+	l.expire(1)
+	if l.readAll().View().Ready {
+		t.Error("a snapshot without its last part made a reader ready")
+	}
+	l.records = append(l.records, last)
+	assertSame(t, s, l.readAll(), true)
+}
+
+func TestRestartNeverGoesBack(t *testing.T) {
+	l, s := newLog(t), New()
+	apply(t, s, l.publish(s, plan("p", 1)))
+	old := s.View()
+	apply(t, s, l.publish(s, plan("p", 2)))
+	l.snapshot(old, "a")
+	s.Restart(3)
+	apply(t, s, l.records[2])
+	if v := s.View(); v.Version != 2 || v.Lists.Plans["p"].Rate != 2 {
+		t.Errorf("version %d came back", v.Version)
+	}
+}
+
+func TestAt(t *testing.T) {
+	l, s := newLog(t), New()
+	for i := range 3 {
+		apply(t, s, l.publish(s, plan("p", i+1)))
+	}
+	for millis, want := range map[int64]medlarid.Offset{1000: 1, 1999: 1, 2000: 2, 99000: 3} {
+		if v, ok := s.View().At(time.UnixMilli(millis)); !ok || v.Offset != want {
+			t.Errorf("at %d ms version %d was in force, want %d", millis, v.Offset, want)
+		}
+	}
+	if _, ok := s.View().At(time.UnixMilli(999)); ok {
+		t.Error("a version was in force before the first")
+	}
+}
--- a/internal/edge/medlarcaller/output.go
+++ b/internal/edge/medlarcaller/output.go
@@ -55,9 +55,9 @@
 
 type choice struct {
 	Index   int      `json:"index"`
-	Text    *string  `json:"text,omitempty"`
-	Message *chatOut `json:"message,omitempty"`
-	Delta   *chatOut `json:"delta,omitempty"`
+	Text    *string  `json:"text,omitzero"`
+	Message *chatOut `json:"message,omitzero"`
+	Delta   *chatOut `json:"delta,omitzero"`
 	Finish  *string  `json:"finish_reason"`
 }
 
--- a/internal/ops/medlaroperator/publish.go
+++ b/internal/ops/medlaroperator/publish.go
@@ -81,13 +81,13 @@
 		return err
 	}
 	v := r.state.View()
+	change := medlarlist.Diff(v.Lists, want)
+	if change.Empty() { // also after an earlier try whose result was lost
+		return o.print(cmd, published{Outcome: "unchanged", Version: v.Version})
+	}
 	if v.Version != base {
 		return o.lost(cmd, v, base, want)
 	}
-	change := medlarlist.Diff(v.Lists, want)
-	if change.Empty() {
-		return o.print(cmd, published{Outcome: "unchanged", Version: base})
-	}
 	appendLists := func(records ...[]byte) (medlarid.Offset, error) {
 		return r.log.Append(medlarrecord.StreamLists, records...)
 	}
--- /dev/null
+++ b/internal/platform/medlarhttp/medlarhttp_test.go
@@ -0,0 +1,136 @@
+package medlarhttp
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+)
+
+// behavior is what a server does with a connection after it has read a request.
+type behavior func(net.Conn)
+
+func closeAtOnce(net.Conn) {}
+
+func freeze(net.Conn) { time.Sleep(time.Second) }
+
+func cutBody(c net.Conn) {
+	_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"))
+}
+
+func answerNoJSON(c net.Conn) {
+	_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{"))
+}
+
+func refuse(c net.Conn) {
+	_, _ = c.Write([]byte("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"))
+}
+
+// serve starts a server and returns its address and the count of requests read.
+func serve(t *testing.T, b behavior) (medlarid.Address, *atomic.Int32) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	var requests atomic.Int32
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go serveConn(c, b, &requests)
+		}
+	}()
+	return medlarid.Address(ln.Addr().String()), &requests
+}
+
+func serveConn(c net.Conn, b behavior, requests *atomic.Int32) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return
+		}
+		if strings.TrimSpace(line) == "" {
+			requests.Add(1)
+			b(c)
+			return
+		}
+	}
+}
+
+func TestEachMethodIsSentOnce(t *testing.T) {
+	for _, method := range []string{"GET", "HEAD", "PUT", "DELETE", "OPTIONS", "POST", "PATCH"} {
+		for name, do := range map[string]func(*Client, Call) (Answer, error){"pooled": (*Client).Do, "single": (*Client).DoSingle} {
+			t.Run(method+" "+name, func(t *testing.T) { assertSentOnce(t, method, do) })
+		}
+	}
+}
+
+func assertSentOnce(t *testing.T, method string, do func(*Client, Call) (Answer, error)) {
+	t.Helper()
+	at, requests := serve(t, closeAtOnce)
+	_, err := do(New(time.Second), Call{Method: method, Address: at, Path: "/", Timeout: time.Second})
+	if err == nil || !Sent(err) {
+		t.Errorf("error %v, want one that says that the request was sent", err)
+	}
+	time.Sleep(20 * time.Millisecond) // a repeat would come at once
+	if n := requests.Load(); n != 1 {
+		t.Errorf("the request was sent %d times", n)
+	}
+}
+
+func TestFailureKinds(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		server behavior
+		want   Kind
+		sent   bool
+	}{
+		{"connection closed", closeAtOnce, KindBroken, true},
+		{"no answer", freeze, KindTimeout, true},
+		{"body cut", cutBody, KindBroken, true},
+		{"no JSON", answerNoJSON, KindMalformed, true},
+		{"refused", refuse, KindStatus, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			at, _ := serve(t, tc.server)
+			assertFailure(t, at, tc.want, tc.sent)
+		})
+	}
+	t.Run("nobody listens", func(t *testing.T) {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		at := medlarid.Address(ln.Addr().String())
+		_ = ln.Close()
+		assertFailure(t, at, KindUnreachable, false)
+	})
+}
+
+func assertFailure(t *testing.T, at medlarid.Address, want Kind, sent bool) {
+	t.Helper()
+	begin := time.Now()
+	var out struct{}
+	err := New(10*time.Second).JSON(Call{Method: "GET", Address: at, Path: "/", Timeout: 100 * time.Millisecond}, nil, &out)
+	var e *Error
+	if !errors.As(err, &e) || e.Kind != want {
+		t.Fatalf("got %v, want kind %s", err, want)
+	}
+	if Sent(err) != sent {
+		t.Errorf("Sent is %v, want %v", Sent(err), sent)
+	}
+	if took := time.Since(begin); took > 500*time.Millisecond {
+		t.Errorf("a call with a timeout of 100 ms took %v", took)
+	}
+}
--- /dev/null
+++ b/internal/platform/medlarinstance/medlarinstance_test.go
@@ -0,0 +1,108 @@
+package medlarinstance_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"medlarfield/internal/platform/medlarhttp"
+	"medlarfield/internal/platform/medlarinstance"
+	"medlarfield/internal/platform/medlarweight"
+	"medlarfield/internal/stand/medlarfakeplatform"
+	"medlarfield/internal/stand/medlarfault"
+	"medlarfield/internal/stand/medlarhost"
+)
+
+const timeout = 150 * time.Millisecond
+
+func client(t *testing.T, board *medlarfault.Board, h fasthttp.RequestHandler) *medlarinstance.Client {
+	t.Helper()
+	host, err := medlarhost.New("instances", "127.0.0.1:0", board, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(host.Kill)
+	return medlarinstance.New(medlarhttp.New(time.Second), host.Address, timeout)
+}
+
+func TestListFaults(t *testing.T) {
+	for _, name := range []medlarfault.Name{
+		medlarfault.Down, medlarfault.Refuse, medlarfault.Lost, medlarfault.Cut, medlarfault.Malformed, medlarfault.Freeze,
+	} {
+		t.Run(string(name), func(t *testing.T) {
+			board := medlarfault.New()
+			c := client(t, board, medlarfakeplatform.NewList(0).Handler())
+			if err := board.Arm(medlarfault.Fault{Part: "instances", Name: name}); err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = board.Arm(medlarfault.Fault{Part: "instances", Name: name, Clear: true}) })
+			_, err := c.List()
+			assertKind(t, err, medlarinstance.KindUnavailable)
+		})
+	}
+}
+
+func TestListIsRejectedAsAWhole(t *testing.T) {
+	const good = `{"id":"a","role":"engine","zone":"z","address":"127.0.0.1:1"}`
+	for _, tc := range []struct {
+		name string
+		more string
+	}{
+		{"no id", `{"id":"","role":"engine","zone":"z","address":"127.0.0.1:1"}`},
+		{"address is a name", `{"id":"b","role":"engine","zone":"z","address":"localhost:1"}`},
+		{"unknown role", `{"id":"b","role":"printer","zone":"z","address":"127.0.0.1:1"}`},
+		{"twice", good},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := client(t, medlarfault.New(), func(ctx *fasthttp.RequestCtx) {
+				ctx.SetBodyString(`{"instances":[` + good + `,` + tc.more + `]}`)
+			})
+			_, err := c.List()
+			assertKind(t, err, medlarinstance.KindMalformed)
+		})
+	}
+}
+
+func TestListLags(t *testing.T) {
+	list := medlarfakeplatform.NewList(50 * time.Millisecond)
+	c := client(t, medlarfault.New(), list.Handler())
+	list.Put(medlarinstance.Instance{ID: "a", Role: medlarinstance.RoleStore, Address: "127.0.0.1:1"})
+	if l, err := c.List(); err != nil || len(l.Instances) != 0 {
+		t.Fatalf("got %+v, %v before the lag", l, err)
+	}
+	time.Sleep(80 * time.Millisecond)
+	list.Leave("a")
+	if l, err := c.List(); err != nil || len(l.Instances) != 1 || l.Instances[0].Leaving {
+		t.Fatalf("got %+v, %v after the lag", l, err)
+	}
+}
+
+func assertKind(t *testing.T, err error, want medlarinstance.Kind) {
+	t.Helper()
+	var e *medlarinstance.Error
+	if !errors.As(err, &e) || e.Kind != want {
+		t.Errorf("got %v, want kind %s", err, want)
+	}
+}
+
+func TestWeights(t *testing.T) {
+	store := medlarfakeplatform.NewWeights(2, medlarweight.Weights{Model: "m", Version: "v1"})
+	host, err := medlarhost.New("weights", "127.0.0.1:0", medlarfault.New(), store.Handler())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(host.Kill)
+	c := medlarweight.New(medlarhttp.New(time.Second), host.Address, timeout)
+	for i := range 3 {
+		catalog, err := c.List()
+		var e *medlarweight.Error
+		switch {
+		case i < 2 && (err != nil || !catalog.Has("m", "v1") || catalog.Has("m", "v2")):
+			t.Errorf("call %d: got %+v, %v", i, catalog, err)
+		case i == 2 && (!errors.As(err, &e) || e.Kind != medlarweight.KindLimited):
+			t.Errorf("call %d: got %v, want the rate limit", i, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/medlarlog/medlarlog_test.go
@@ -0,0 +1,139 @@
+package medlarlog_test
+
+import (
+	"testing"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/platform/medlarhttp"
+	"medlarfield/internal/platform/medlarlog"
+	"medlarfield/internal/stand/medlarfakelog"
+	"medlarfield/internal/stand/medlarfault"
+	"medlarfield/internal/stand/medlarhost"
+)
+
+const (
+	stream  = "s"
+	timeout = 150 * time.Millisecond
+)
+
+func start(t *testing.T, faults ...medlarfault.Fault) (*medlarlog.Client, *medlarfakelog.Log) {
+	t.Helper()
+	board := medlarfault.New()
+	log := medlarfakelog.New(medlarfakelog.Settings{})
+	host, err := medlarhost.New("log", "127.0.0.1:0", board, log.Handler())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(host.Kill)
+	for _, f := range faults {
+		f.Part = "log"
+		if err := board.Arm(f); err != nil {
+			t.Fatal(err)
+		}
+	}
+	t.Cleanup(func() { _ = board.Arm(medlarfault.Fault{Part: "log", Name: medlarfault.Freeze, Clear: true}) })
+	return medlarlog.New(medlarhttp.New(time.Second), host.Address, timeout), log
+}
+
+func one(n medlarfault.Name) medlarfault.Fault { return medlarfault.Fault{Name: n, Count: 1} }
+
+func TestAppend(t *testing.T) {
+	late := medlarfault.Fault{Name: medlarfault.Late, Count: 1, Wait: "30ms"}
+	slow := medlarfault.Fault{Name: medlarfault.Slow, Count: 1, Wait: "20ms"}
+	for _, tc := range []struct {
+		name   string
+		faults []medlarfault.Fault
+		want   medlarlog.Kind // empty for success
+		kept   int            // records in the end
+	}{
+		{"no fault", nil, "", 1},
+		{"down", []medlarfault.Fault{one(medlarfault.Down)}, medlarlog.KindUnavailable, 0},
+		{"refused", []medlarfault.Fault{one(medlarfault.Refuse)}, medlarlog.KindRefused, 0},
+		{"answer lost after effect", []medlarfault.Fault{one(medlarfault.Lost)}, medlarlog.KindUnknown, 1},
+		{"late effect", []medlarfault.Fault{late}, medlarlog.KindUnknown, 1},
+		{"answer cut", []medlarfault.Fault{one(medlarfault.Cut)}, medlarlog.KindUnknown, 1},
+		{"answer not JSON", []medlarfault.Fault{one(medlarfault.Malformed)}, medlarlog.KindUnknown, 0},
+		{"twice", []medlarfault.Fault{one(medlarfault.Double)}, "", 2},
+		{"slow", []medlarfault.Fault{slow}, "", 1},
+		{"frozen", []medlarfault.Fault{{Name: medlarfault.Freeze}}, medlarlog.KindUnknown, 0},
+		{"slow and answer lost", []medlarfault.Fault{slow, one(medlarfault.Lost)}, medlarlog.KindUnknown, 1},
+		{"twice and answer lost", []medlarfault.Fault{one(medlarfault.Double), one(medlarfault.Lost)}, medlarlog.KindUnknown, 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c, log := start(t, tc.faults...)
+			_, err := c.Append(stream, []byte("x"))
+			assertKind(t, err, tc.want)
+			assertKept(t, log, tc.kept)
+		})
+	}
+}
+
+func assertKind(t *testing.T, err error, want medlarlog.Kind) {
+	t.Helper()
+	switch {
+	case want == "" && err != nil:
+		t.Fatalf("failed: %v", err)
+	case want != "" && (err == nil || medlarlog.KindOf(err) != want):
+		t.Fatalf("got %v, want kind %s", err, want)
+	}
+}
+
+func assertKept(t *testing.T, log *medlarfakelog.Log, want int) {
+	t.Helper()
+	time.Sleep(50 * time.Millisecond) // a late effect
+	if n := len(log.Read(stream, 1, 10, 0).Records); n != want {
+		t.Errorf("%d records, want %d", n, want)
+	}
+}
+
+func TestAppendToNobody(t *testing.T) {
+	c := medlarlog.New(medlarhttp.New(time.Second), "127.0.0.1:1", timeout)
+	_, err := c.Append(stream, []byte("x"))
+	assertKind(t, err, medlarlog.KindUnavailable)
+}
+
+func TestRead(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		fault medlarfault.Name
+		want  medlarlog.Kind
+	}{
+		{"down", medlarfault.Down, medlarlog.KindUnavailable},
+		{"refused", medlarfault.Refuse, medlarlog.KindRefused},
+		{"answer lost", medlarfault.Lost, medlarlog.KindUnavailable},
+		{"answer cut", medlarfault.Cut, medlarlog.KindUnavailable},
+		{"answer not JSON", medlarfault.Malformed, medlarlog.KindMalformed},
+		{"frozen", medlarfault.Freeze, medlarlog.KindUnavailable},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c, log := start(t, medlarfault.Fault{Name: tc.fault})
+			log.Append(stream, []byte("x"))
+			_, err := c.Read(stream, 1, 10, 0)
+			assertKind(t, err, tc.want)
+		})
+	}
+}
+
+func TestReadTellsExpiry(t *testing.T) {
+	c, log := start(t)
+	for range 5 {
+		log.Append(stream, []byte("x"))
+	}
+	log.Expire(stream, 4)
+	b, err := c.Read(stream, 1, 10, 0)
+	assertKind(t, err, "")
+	if b.First != 4 || b.Next != 6 || len(b.Records) != 2 || b.Records[0].Offset != 4 {
+		t.Errorf("got %+v", b)
+	}
+}
+
+func TestReadWaits(t *testing.T) {
+	c, log := start(t)
+	time.AfterFunc(30*time.Millisecond, func() { log.Append(stream, []byte("x")) })
+	b, err := c.Read(stream, 1, 10, time.Second)
+	assertKind(t, err, "")
+	if len(b.Records) != 1 || b.Records[0].Offset != medlarid.Offset(1) {
+		t.Errorf("got %+v", b)
+	}
+}
--- a/internal/stand/medlarfakeengine/run.go
+++ b/internal/stand/medlarfakeengine/run.go
@@ -245,11 +245,11 @@
 		o.held = append([]byte(nil), o.buf...)
 		return true
 	}
-	if o.e.board.Hit(name, medlarfault.Gap) {
+	if o.e.board.Hit(name, medlarfault.Skip) {
 		return true
 	}
 	_, _ = o.w.Write(o.buf)
-	if o.e.board.Hit(name, medlarfault.Double) {
+	if o.e.board.Hit(name, medlarfault.Repeat) {
 		_, _ = o.w.Write(o.buf)
 	}
 	if o.held != nil {
--- a/internal/stand/medlarfault/medlarfault.go
+++ b/internal/stand/medlarfault/medlarfault.go
@@ -29,13 +29,15 @@
 	Late      Name = "late"      // acts after the answer was given up
 	Slow      Name = "slow"      // waits Delay before it acts
 	Cut       Name = "cut"       // breaks the answer off in the middle
-	Double    Name = "double"    // acts or sends twice
-	Shuffle   Name = "shuffle"   // sends in another order
+	Double    Name = "double"    // acts twice
+	Repeat    Name = "repeat"    // sends each part of a stream twice
+	Shuffle   Name = "shuffle"   // sends parts of a stream in another order
+	Skip      Name = "skip"      // leaves out a part of a stream
 	Refuse    Name = "refuse"    // refuses with 409, and did not act
 	Full      Name = "full"      // has no space
 	Corrupt   Name = "corrupt"   // changes bytes of what it returns
 	Stale     Name = "stale"     // answers with an old state
-	Gap       Name = "gap"       // leaves out events
+	Gap       Name = "gap"       // leaves out cache events
 	Version   Name = "version"   // loads or reports another weight version
 	Forgetful Name = "forgetful" // reports kept blocks that it has dropped
 	Freeze    Name = "freeze"    // accepts calls and answers none
@@ -55,13 +57,15 @@
 	{Late, "closes the connection without an answer and acts after the delay"},
 	{Slow, "waits for the delay before it acts"},
 	{Cut, "breaks the answer off in the middle"},
-	{Double, "acts, or sends each part of the answer, twice"},
-	{Shuffle, "sends parts of the answer in another order"},
+	{Double, "acts twice"},
+	{Repeat, "sends each part of a stream twice"},
+	{Shuffle, "sends parts of a stream in another order"},
+	{Skip, "leaves out a part of a stream"},
 	{Refuse, "refuses with 409 and does not act"},
 	{Full, "has no space left"},
 	{Corrupt, "changes bytes of what it returns"},
 	{Stale, "answers with an old state"},
-	{Gap, "leaves out events"},
+	{Gap, "leaves out cache events"},
 	{Version, "works under another weight version than it was asked for"},
 	{Forgetful, "reports blocks that it has dropped"},
 	{Freeze, "accepts calls and answers none until cleared"},
