--- a/internal/agree/medlarfollow/medlarfollow.go
+++ b/internal/agree/medlarfollow/medlarfollow.go
@@ -95,8 +95,8 @@
 func (f *Follower) step() bool {
 	st := f.Status()
 	wait := pollWait
-	if st.Fresh.IsZero() {
-		wait = 0 // the first read tells whether there is anything to wait for
+	if !st.Healthy {
+		wait = 0 // the first read, or the first after an outage, tells at once how things are
 	}
 	b, err := f.seams.Read(st.From, batchRecords, wait)
 	if err == nil && b.Next < st.From {
--- /dev/null
+++ b/internal/agree/medlarrecord/medlarrecord_test.go
@@ -0,0 +1,112 @@
+package medlarrecord
+
+import (
+	"bufio"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"medlarfield/internal/base/medlarid"
+)
+
+var (
+	messageLine = regexp.MustCompile(`^message (\w+) \{`)
+	fieldLine   = regexp.MustCompile(`^\s+(?:repeated )?(\w+) (\w+) = (\d+);`)
+)
+
+// TestGeneratedCodeIsCurrent compares the descriptor in the generated code with
+// the fields of the source.
+func TestGeneratedCodeIsCurrent(t *testing.T) {
+	f, err := os.Open("record.proto")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = f.Close() }()
+	want := 0
+	var message protoreflect.MessageDescriptor
+	for s := bufio.NewScanner(f); s.Scan(); {
+		if m := messageLine.FindStringSubmatch(s.Text()); m != nil {
+			message = File_record_proto.Messages().ByName(protoreflect.Name(m[1]))
+		}
+		if strings.HasPrefix(s.Text(), "enum") {
+			message = nil
+		}
+		if m := fieldLine.FindStringSubmatch(s.Text()); m != nil && message != nil {
+			assertField(t, message, m[2], m[3])
+			want++
+		}
+	}
+	got := 0
+	for i := range File_record_proto.Messages().Len() {
+		got += File_record_proto.Messages().Get(i).Fields().Len()
+	}
+	if got != want {
+		t.Errorf("the generated code has %d fields, the source %d", got, want)
+	}
+}
+
+func assertField(t *testing.T, m protoreflect.MessageDescriptor, name, number string) {
+	t.Helper()
+	f := m.Fields().ByName(protoreflect.Name(name))
+	if f == nil || strconv.Itoa(int(f.Number())) != number {
+		t.Errorf("%s.%s is not number %s in the generated code", m.Name(), name, number)
+	}
+}
+
+func TestDecode(t *testing.T) {
+	id := medlarid.NewRecordID()
+	good, err := Encode(&Record{}, id, "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	newer, err := proto.Marshal(&Record{Id: id[:], Format: Format + 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, tc := range []struct {
+		name string
+		data []byte
+		want Kind
+	}{
+		{"good", good, ""},
+		{"no identifier", nil, KindMalformed},
+		{"bytes", []byte("\xff\xff\xff"), KindMalformed},
+		{"newer format", newer, KindNewer},
+	} {
+		t.Run(tc.name, func(t *testing.T) { assertDecode(t, tc.data, tc.want) })
+	}
+}
+
+func assertDecode(t *testing.T, data []byte, want Kind) {
+	t.Helper()
+	_, _, err := Decode(data)
+	e, _ := err.(*Error)
+	if (err == nil) != (want == "") || e != nil && e.Kind != want {
+		t.Errorf("got %v, want kind %q", err, want)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	id := medlarid.NewRecordID()
+	good, _ := Encode(&Record{Body: &Record_Claims{Claims: &Claims{Base: 7, Claims: []*Claim{{Key: []byte("k")}}}}}, id, "a")
+	f.Add(good)
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r, got, err := Decode(data)
+		if err != nil {
+			return
+		}
+		again, err := Encode(r, got, r.GetAuthor())
+		if err != nil {
+			t.Fatalf("a decoded record cannot be encoded: %v", err)
+		}
+		if _, second, err := Decode(again); err != nil || second != got {
+			t.Errorf("identifier %v became %v, %v", got, second, err)
+		}
+	})
+}
--- a/internal/edge/medlarprobe/medlarprobe.go
+++ b/internal/base/medlarprobe/medlarprobe.go
@@ -31,14 +31,14 @@
 	return peek(raw)
 }
 
-// peek looks at the receive buffer: no byte and no error means end of stream.
+// peek looks at the receive buffer: no byte and no error means end of stream. It
+// uses Control, since Read fails once a deadline of the connection has passed.
 func peek(raw syscall.RawConn) bool {
 	gone := false
-	err := raw.Read(func(fd uintptr) bool {
+	err := raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		gone = n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
-		return true
 	})
 	return gone || err != nil
 }
--- a/internal/edge/medlarprobe/medlarprobe_test.go
+++ b/internal/base/medlarprobe/medlarprobe_test.go
@@ -38,6 +38,9 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = c.Close() }()
+	if err := c.SetReadDeadline(time.Now().Add(-time.Second)); err != nil {
+		t.Fatal(err)
+	}
 	if Gone(c) {
 		t.Fatal("a fresh connection is gone")
 	}
--- a/internal/edge/medlarcaller/service.go
+++ b/internal/edge/medlarcaller/service.go
@@ -10,8 +10,8 @@
 
 	"medlarfield/internal/agree/medlarclaim"
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/base/medlarprobe"
 	"medlarfield/internal/core/medlarreason"
-	"medlarfield/internal/edge/medlarprobe"
 	"medlarfield/internal/edge/medlarsession"
 	"medlarfield/internal/platform/medlarservice"
 )
--- a/internal/ops/medlarnode/medlarnode.go
+++ b/internal/ops/medlarnode/medlarnode.go
@@ -3,8 +3,8 @@
 // Rules:
 //
 //	R1  An instance is ready when it has read the lists up to the end of the log
-//	    and has seen the instance list once. It stays ready in an outage of the
-//	    log, with the lists that it has.
+//	    and the instance list has named an upstream. It stays ready in an outage
+//	    of the log, with the lists that it has.
 //	R2  A graceful stop goes in this order: unready, no new runs, open requests
 //	    end, connections close, what the log is still owed is appended.
 //	R3  A second signal, or the limit of the settings, ends the stop; the log line
--- a/internal/ops/medlaroperator/read.go
+++ b/internal/ops/medlaroperator/read.go
@@ -222,11 +222,19 @@
 	for _, n := range out.Nodes {
 		confirmed[n.Node] = true
 	}
+	entries := 0
 	for _, i := range l.Instances {
-		if i.Role == medlarinstance.RoleEntry && !i.Leaving && !confirmed[i.ID] {
+		if i.Role != medlarinstance.RoleEntry || i.Leaving {
+			continue
+		}
+		entries++
+		if !confirmed[i.ID] {
 			out.Missing = append(out.Missing, string(i.ID))
 		}
 	}
+	if entries == 0 { // the list lags: an empty one proves nothing
+		out.Missing = []string{"(no entry instance is listed)"}
+	}
 	return out, nil
 }
 
--- a/internal/ops/medlarwatch/medlarwatch.go
+++ b/internal/ops/medlarwatch/medlarwatch.go
@@ -60,7 +60,7 @@
 	}
 }
 
-// Listed reports whether the instance list has been read once.
+// Listed reports whether the instance list has named an upstream once.
 func (w *Watch) Listed() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -137,11 +137,11 @@
 func (w *Watch) follow(ctx context.Context, l medlarinstance.List) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.listed = true
 	clear(w.stores)
 	w.entries = nil
 	seen := map[medlarid.InstanceID]bool{}
 	for _, i := range l.Instances {
+		w.listed = w.listed || i.Role == medlarinstance.RoleEngine || i.Role == medlarinstance.RoleService
 		switch i.Role {
 		case medlarinstance.RoleEntry:
 			if !i.Leaving {
--- a/internal/platform/medlarhttp/medlarhttp.go
+++ b/internal/platform/medlarhttp/medlarhttp.go
@@ -6,6 +6,8 @@
 //	R2  An error says whether a byte of the request can have reached the peer.
 //	R3  A call that must not be repeated uses a connection of its own, so that a
 //	    pooled connection closed by the peer cannot make its fate unknown.
+//	R4  A pooled connection that the peer has closed by the time of the write
+//	    counts as unreachable: nothing was sent.
 package medlarhttp
 
 import (
@@ -20,6 +22,7 @@
 	"github.com/valyala/fasthttp"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/base/medlarprobe"
 )
 
 // Limits of the client.
@@ -144,6 +147,7 @@
 	net.Conn
 	idle time.Duration
 	set  time.Time // deadline of the HTTP client; zero for none
+	sent bool      // part of a request was written since the last read
 }
 
 // SetDeadline sets the deadline of reads and writes.
@@ -158,6 +162,17 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// Write writes. The first part of a request is not written when the peer has
+// closed the connection (R4); once a part was, a failure leaves open what the
+// peer makes of it.
+func (c *idleConn) Write(b []byte) (int, error) {
+	if !c.sent && medlarprobe.Gone(c.Conn) {
+		return 0, &dialError{err: eris.New("the peer has closed the connection")}
+	}
+	c.sent = true
+	return c.Conn.Write(b)
+}
+
 // Read reads until the earlier of both deadlines.
 func (c *idleConn) Read(b []byte) (int, error) {
 	until := time.Now().Add(c.idle)
@@ -167,6 +182,7 @@
 	if err := c.Conn.SetReadDeadline(until); err != nil {
 		return 0, err
 	}
+	c.sent = false
 	return c.Conn.Read(b)
 }
 
--- a/internal/platform/medlarhttp/medlarhttp_test.go
+++ b/internal/platform/medlarhttp/medlarhttp_test.go
@@ -134,3 +134,44 @@
 		t.Errorf("a call with a timeout of 100 ms took %v", took)
 	}
 }
+
+func TestRequestCutWhileItIsWrittenWasSent(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	c, err := dial(ln.Addr().String(), time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	peer, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Write([]byte("POST / HTTP/1.1\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	_, _ = peer.Read(make([]byte, 1))
+	_ = peer.Close() // resets: not all was read
+	time.Sleep(20 * time.Millisecond)
+	if _, err := c.Write([]byte("\r\n")); err == nil || !Sent(callError(err)) {
+		t.Errorf("error %v, want one that says that the request was sent", err)
+	}
+}
+
+func TestPooledConnectionClosedByThePeerIsUnreachable(t *testing.T) {
+	at, requests := serve(t, func(c net.Conn) {
+		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+	}) // and closes, though it said nothing of it
+	c := New(time.Second)
+	call := Call{Method: "POST", Address: at, Path: "/", Timeout: time.Second}
+	if _, err := c.Do(call); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(20 * time.Millisecond)
+	_, err := c.Do(call)
+	if err == nil || Sent(err) || requests.Load() != 1 {
+		t.Errorf("error %v after %d requests, want one that says that nothing was sent", err, requests.Load())
+	}
+}
--- a/internal/stand/medlarfakeengine/run.go
+++ b/internal/stand/medlarfakeengine/run.go
@@ -237,7 +237,7 @@
 // has gone.
 func (o *writer) part(i int) bool {
 	name := o.e.cfg.Name
-	if o.e.board.Hit(name, medlarfault.Cut) {
+	if o.e.board.Hit(name, medlarfault.Break) {
 		return false
 	}
 	o.buf = o.event(o.buf[:0], i)
--- a/internal/stand/medlarfault/medlarfault.go
+++ b/internal/stand/medlarfault/medlarfault.go
@@ -28,7 +28,8 @@
 	Lost      Name = "lost"      // acts, then closes the connection without an answer
 	Late      Name = "late"      // acts after the answer was given up
 	Slow      Name = "slow"      // waits Delay before it acts
-	Cut       Name = "cut"       // breaks the answer off in the middle
+	Cut       Name = "cut"       // breaks a whole answer off in the middle
+	Break     Name = "break"     // breaks a stream off
 	Double    Name = "double"    // acts twice
 	Repeat    Name = "repeat"    // sends each part of a stream twice
 	Shuffle   Name = "shuffle"   // sends parts of a stream in another order
@@ -56,7 +57,8 @@
 	{Lost, "acts, then closes the connection without an answer"},
 	{Late, "closes the connection without an answer and acts after the delay"},
 	{Slow, "waits for the delay before it acts"},
-	{Cut, "breaks the answer off in the middle"},
+	{Cut, "breaks a whole answer off in the middle"},
+	{Break, "breaks a stream off"},
 	{Double, "acts twice"},
 	{Repeat, "sends each part of a stream twice"},
 	{Shuffle, "sends parts of a stream in another order"},
--- a/internal/stand/medlarstage/nodes.go
+++ b/internal/stand/medlarstage/nodes.go
@@ -135,18 +135,19 @@
 	return &RunningNode{Node: node, stop: stop}, nil
 }
 
-// settled reports whether a node is ready and has heard of every engine.
+// settled reports whether a node is ready and has heard of every upstream and store.
 func (s *Stage) settled(node *medlarnode.Node) bool {
 	if !node.Ready() {
 		return false
 	}
-	heard := 0
-	for _, u := range node.Status().Upstream {
+	status := node.Status()
+	heard := len(status.Stores)
+	for _, u := range status.Upstream {
 		if u.Kind == "service" || u.Version != "" {
 			heard++
 		}
 	}
-	return heard >= s.cfg.Engines+s.cfg.Services
+	return heard >= s.cfg.Engines+s.cfg.Services+s.cfg.Stores
 }
 
 // Entries returns the records of a stream, for checks.
