--- a/internal/core/medlarcontext/medlarcontext.go
+++ b/internal/core/medlarcontext/medlarcontext.go
@@ -85,7 +85,8 @@
 	return true
 }
 
-// Asks divides a chain of keys among the homes of its segments (R1).
+// Asks divides a chain of keys, which starts at the start of a segment, among the
+// homes of its segments (R1).
 func Asks(w *medlarworld.World, keys []medlarkey.Key) []medlarworld.Ask {
 	var asks []medlarworld.Ask
 	for start := 0; start < len(keys); start += segmentBlocks {
@@ -132,6 +133,9 @@
 		return
 	}
 	r.Found = gapless(r.Keys, e.Handles)
+	for _, k := range r.Keys[len(r.Found):] {
+		w.Kept.Remove(k) // the store does not have it, or no longer
+	}
 	medlaradmit.Enqueue(w, r)
 }
 
@@ -180,13 +184,28 @@
 	if !w.Config.Contexts || len(r.Keys) < minColdBlocks || len(r.Found) == len(r.Keys) {
 		return
 	}
-	asks := Asks(w, r.Keys)
+	asks := Asks(w, unkept(w, r.Keys))
 	if len(asks) == 0 {
 		return
 	}
 	w.Emit(medlarworld.Export{Upstream: u.ID, Address: u.Address, Account: r.Account, Asks: asks})
 }
 
+// unkept returns the keys of the segments that are not known to be in a store,
+// and remembers them as exported.
+func unkept(w *medlarworld.World, keys []medlarkey.Key) []medlarkey.Key {
+	var out []medlarkey.Key
+	for start := 0; start < len(keys); start += segmentBlocks {
+		segment := keys[start:min(start+segmentBlocks, len(keys))]
+		last := segment[len(segment)-1]
+		if !w.Kept.Has(last) {
+			w.Kept.Add(last)
+			out = append(out, segment...)
+		}
+	}
+	return out
+}
+
 // Size returns the bytes of a list of handles.
 func Size(handles []medlarworld.Handle) medlarid.Bytes {
 	var n medlarid.Bytes
--- a/internal/core/medlarkey/medlarkey.go
+++ b/internal/core/medlarkey/medlarkey.go
@@ -13,7 +13,6 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
-	"hash"
 
 	"github.com/zeebo/xxh3"
 
@@ -65,7 +64,9 @@
 		h.Write(n[:])
 		h.Write([]byte(field))
 	}
-	return Salt(first(h))
+	var s Salt
+	copy(s[:], h.Sum(nil))
+	return s
 }
 
 // String returns the salt in hexadecimal.
@@ -78,16 +79,13 @@
 		return nil
 	}
 	keys := make([]Key, n)
-	h := sha256.New()
-	prev := Key(salt)
-	var buf [blockBytes]byte
+	var buf [keyBytes + blockBytes]byte
+	copy(buf[:], salt[:])
 	for i := range keys {
-		h.Reset()
-		h.Write(prev[:])
-		copy(buf[:], text[i*blockBytes:])
-		h.Write(buf[:])
-		prev = first(h)
-		keys[i] = prev
+		copy(buf[keyBytes:], text[i*blockBytes:])
+		sum := sha256.Sum256(buf[:])
+		copy(keys[i][:], sum[:])
+		copy(buf[:], keys[i][:])
 	}
 	return keys
 }
@@ -97,12 +95,6 @@
 	return medlarid.Tokens((len(text) + bytesPerToken - 1) / bytesPerToken)
 }
 
-func first(h hash.Hash) (k Key) {
-	var sum [sha256.Size]byte
-	copy(k[:], h.Sum(sum[:0]))
-	return k
-}
-
 // Rendezvous returns the rank of a holder for a key: the holder with the highest
 // rank is the key's home, and losing a holder moves only its own keys.
 func Rendezvous(k Key, holder medlarid.InstanceID) uint64 {
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -210,6 +210,7 @@
 	Finding   []*Run // runs whose context the stores are asked for
 	Waiting   []*Run // ordered queue
 	Warm      *Warm
+	Kept      *KeySet // last keys of segments that were exported
 
 	Virtual     float64 // virtual time of the queue
 	RetryBudget float64 // retries that may still be made
@@ -232,6 +233,7 @@
 		Stores:    map[medlarid.InstanceID]*Store{},
 		Runs:      map[medlarid.RequestID]*Run{},
 		Warm:      NewWarm(maxWarm),
+		Kept:      NewKeySet(maxKept),
 	}
 }
 
--- a/internal/edge/medlarcaller/model.go
+++ b/internal/edge/medlarcaller/model.go
@@ -25,7 +25,7 @@
 // name are left to their defaults, as callers' libraries send many.
 type modelRequest struct {
 	Model       string         `json:"model"`
-	Prompt      jsontext.Value `json:"prompt"`
+	Prompt      string         `json:"prompt"`
 	Messages    []message      `json:"messages"`
 	Max         *int           `json:"max_tokens"`
 	Stream      bool           `json:"stream"`
@@ -174,11 +174,10 @@
 	if chat {
 		return renderChat(b.Messages)
 	}
-	var s string
-	if err := json.Unmarshal(b.Prompt, &s); err != nil || s == "" {
+	if b.Prompt == "" {
 		return "", eris.New("prompt: want a text")
 	}
-	return s, nil
+	return b.Prompt, nil
 }
 
 // renderChat writes a conversation as one text. A conversation that goes on
