--- a/internal/edge/medlarcaller/model.go
+++ b/internal/edge/medlarcaller/model.go
@@ -24,14 +24,14 @@
 // modelRequest is the body of both kinds of completion. Members that it does not
 // name are left to their defaults, as callers' libraries send many.
 type modelRequest struct {
-	Model       string         `json:"model"`
-	Prompt      string         `json:"prompt"`
-	Messages    []message      `json:"messages"`
-	Max         *int           `json:"max_tokens"`
-	Stream      bool           `json:"stream"`
-	Temperature *float64       `json:"temperature"`
-	TopP        *float64       `json:"top_p"`
-	Seed        *int64         `json:"seed"`
+	Model       string    `json:"model"`
+	Prompt      string    `json:"prompt"`
+	Messages    []message `json:"messages"`
+	Max         *int      `json:"max_tokens"`
+	Stream      bool      `json:"stream"`
+	Temperature *float64  `json:"temperature"`
+	TopP        *float64  `json:"top_p"`
+	Seed        *int64    `json:"seed"`
 }
 
 type message struct {
--- a/internal/ops/medlarnode/bench_test.go
+++ b/internal/ops/medlarnode/bench_test.go
@@ -255,4 +255,3 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapInuse + m.StackInuse)
 }
-
--- /dev/null
+++ b/internal/peer/medlarmember/prober.go
@@ -0,0 +1,181 @@
+package medlarmember
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/peer/medlarmessage"
+)
+
+// Times of probing.
+const (
+	probeInterval = time.Second
+	probeTimeout  = 400 * time.Millisecond
+	reachTimeout  = time.Second
+	reachPeers    = 3
+	deadEvery     = 5 // probes between two looks for a dead member
+)
+
+// CallFunc calls a peer.
+type CallFunc func(context.Context, medlarid.InstanceID, *medlarmessage.Frame) (*medlarmessage.Reply, error)
+
+// Prober probes neighbors and answers probes. It is safe for concurrent use.
+type Prober struct {
+	call    CallFunc
+	changed func() // called when a member's state may have changed
+
+	mu    sync.Mutex
+	table *Table
+}
+
+// NewProber returns a prober for an instance. changed may be nil.
+func NewProber(self medlarid.InstanceID, call CallFunc, changed func()) *Prober {
+	if changed == nil {
+		changed = func() {}
+	}
+	return &Prober{call: call, changed: changed, table: NewTable(self, uint64(time.Now().UnixNano()))}
+}
+
+// Run probes until ctx ends.
+func (p *Prober) Run(ctx context.Context) {
+	for round := 1; wait(ctx, probeInterval/2+rand.N(probeInterval)); round++ {
+		p.round(ctx, round%deadEvery == 0)
+	}
+}
+
+// round probes one neighbor, a suspected one beside it, and a dead member if
+// asked.
+func (p *Prober) round(ctx context.Context, dead bool) {
+	p.mu.Lock()
+	p.table.Expire(time.Now())
+	target, ok := p.table.Target()
+	suspect, suspectOK := p.table.SuspectTarget()
+	lost, lostOK := p.table.DeadTarget()
+	p.mu.Unlock()
+	var wg sync.WaitGroup
+	if ok {
+		wg.Go(func() { p.check(ctx, target) })
+	}
+	if suspectOK && suspect != target {
+		wg.Go(func() { p.check(ctx, suspect) })
+	}
+	if dead && lostOK {
+		wg.Go(func() { p.probe(ctx, lost) })
+	}
+	wg.Wait()
+	p.changed()
+}
+
+// check probes a member, and through others if it does not answer.
+func (p *Prober) check(ctx context.Context, id medlarid.InstanceID) {
+	if !p.probe(ctx, id) && !p.reach(ctx, id) && ctx.Err() == nil {
+		p.with(func(t *Table) { t.Missed(time.Now(), id) })
+	}
+}
+
+func (p *Prober) with(f func(*Table)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f(p.table)
+}
+
+// probe sends a heartbeat and reports whether it was answered.
+func (p *Prober) probe(ctx context.Context, id medlarid.InstanceID) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var rumors []*medlarmessage.Rumor
+	p.with(func(t *Table) { rumors = t.RumorsFor(id) })
+	frame := &medlarmessage.Frame{Body: &medlarmessage.Frame_Probe{Probe: &medlarmessage.Probe{Rumors: rumors}}}
+	r, err := p.call(ctx, id, frame)
+	if err != nil {
+		p.with(func(t *Table) { t.Untold(rumors) })
+		return false
+	}
+	p.with(func(t *Table) {
+		t.Answered(time.Now(), id)
+		t.Hear(time.Now(), r.GetProbe().GetRumors())
+	})
+	return true
+}
+
+// reach asks other neighbors to probe a member (R3).
+func (p *Prober) reach(ctx context.Context, id medlarid.InstanceID) bool {
+	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
+	defer cancel()
+	var others []medlarid.InstanceID
+	p.with(func(t *Table) {
+		for _, n := range t.Neighbors() {
+			if n != id && len(others) < reachPeers {
+				others = append(others, n)
+			}
+		}
+	})
+	answers := make(chan bool, len(others))
+	for _, o := range others {
+		go func() {
+			r, err := p.call(ctx, o, &medlarmessage.Frame{Body: &medlarmessage.Frame_Reach{Reach: &medlarmessage.Reach{Node: string(id)}}})
+			answers <- err == nil && r.GetReached().GetAlive()
+		}()
+	}
+	alive := false
+	for range others {
+		alive = <-answers || alive
+	}
+	return alive
+}
+
+// Handle answers a probe or a request to reach a member; ok is false for other
+// calls.
+func (p *Prober) Handle(ctx context.Context, from medlarid.InstanceID, f *medlarmessage.Frame) (r *medlarmessage.Reply, ok bool) {
+	switch body := f.GetBody().(type) {
+	case *medlarmessage.Frame_Probe:
+		var rumors []*medlarmessage.Rumor
+		p.with(func(t *Table) {
+			t.Answered(time.Now(), from)
+			t.Hear(time.Now(), body.Probe.GetRumors())
+			rumors = t.Rumors()
+		})
+		return &medlarmessage.Reply{Body: &medlarmessage.Reply_Probe{Probe: &medlarmessage.Probe{Rumors: rumors}}}, true
+	case *medlarmessage.Frame_Reach:
+		alive := p.probe(ctx, medlarid.InstanceID(body.Reach.GetNode()))
+		return &medlarmessage.Reply{Body: &medlarmessage.Reply_Reached{Reached: &medlarmessage.Reached{Alive: alive}}}, true
+	}
+	return nil, false
+}
+
+// SetList takes over the instance list.
+func (p *Prober) SetList(ids []medlarid.InstanceID) {
+	p.with(func(t *Table) { t.SetList(time.Now(), ids) })
+}
+
+// Live returns the members that are not dead, ordered by name.
+func (p *Prober) Live() (ids []medlarid.InstanceID) {
+	p.with(func(t *Table) { ids = t.Live() })
+	return ids
+}
+
+// Failed notes that a call to a member failed; the next probe finds out why.
+func (p *Prober) Failed(id medlarid.InstanceID) {
+	p.with(func(t *Table) { t.Missed(time.Now(), id) })
+}
+
+// Flaps returns how often a member was declared dead here.
+func (p *Prober) Flaps() (n int) {
+	p.with(func(t *Table) { n = t.Flaps })
+	return n
+}
+
+// wait waits for d; it returns false when ctx ends first.
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/peer/medlarmessage/medlarmessage.go
@@ -0,0 +1,7 @@
+// Package medlarmessage defines the messages between entry instances.
+package medlarmessage
+
+//go:generate protoc --go_out=. --go_opt=paths=source_relative message.proto
+
+// MaxFrame is the largest encoded message in bytes.
+const MaxFrame = 8 << 20
