Limits shared by demand and lists read through relays where instances have peers

Cause: an equal part of each limit leaves an account at one of 410 instances with a 410th of its rate, and 410 readers of the log are too many. Change: the home of an account grants shares for 2 s, never more than the limit together; two relays in each availability zone read the lists.

--- a/internal/core/medlaradmit/medlaradmit.go
+++ b/internal/core/medlaradmit/medlaradmit.go
@@ -3,8 +3,9 @@
 // Rules:
 //
 //	R1  A stopping instance, or one without lists, admits nothing.
-//	R2  Each account has a token bucket and a bound on open requests; the plan's
-//	    limits are divided by the number of live entry instances.
+//	R2  Each account has a token bucket and a bound on open requests. The plan's
+//	    limits hold for all instances together: each has a share of them by its
+//	    demand, and an equal part while it has none.
 //	R3  The queue is ordered by priority, then by weighted fair queueing, so an
 //	    account with many requests delays its own first.
 //	R4  When the queue is full, the request of the account with the largest
@@ -35,15 +36,19 @@
 	maxAfter      = 30 * time.Second
 
 	forgetInterval = 10 * time.Second
+	wantInterval   = time.Second
+	minRate        = 1e-3 // requests a second of a share of nearly nothing
 )
 
 // System admits requests.
 type System struct {
-	started   int       // runs that left the queue in this window
-	windowEnd time.Time // end of the window
-	perSecond float64   // runs that leave the queue each second
-	wasFull   bool      // the queue was not empty throughout the window
-	forgetAt  time.Time // when idle accounts are dropped next
+	started   int                    // runs that left the queue in this window
+	windowEnd time.Time              // end of the window
+	perSecond float64                // runs that leave the queue each second
+	wasFull   bool                   // the queue was not empty throughout the window
+	forgetAt  time.Time              // when idle accounts are dropped next
+	wantAt    time.Time              // when demands are told next
+	fresh     []*medlarworld.Account // came in this tick for the first time
 }
 
 // New returns the system.
@@ -58,9 +63,12 @@
 			s.submit(w, e)
 		case medlarworld.Left:
 			leave(w, e)
+		case medlarworld.Shared:
+			share(w, e)
 		}
 	}
 	expire(w)
+	s.want(w)
 	s.forget(w)
 }
 
@@ -85,10 +93,15 @@
 
 func (s *System) submit(w *medlarworld.World, e medlarworld.Submitted) {
 	r := e.Run
+	known := w.Accounts[r.Account] != nil
 	r.Phase = medlarworld.PhaseNew
 	w.Runs[r.ID] = r
 	a := account(w, e)
 	a.Open++
+	a.Came++
+	if !known {
+		s.fresh = append(s.fresh, a)
+	}
 	if reason, after := s.judge(w, a, r); reason != "" {
 		w.Refuse(r, reason, after)
 		return
@@ -107,6 +120,52 @@
 	return a
 }
 
+// want tells the demand of the accounts that have limits: of all that are in use
+// at intervals, and at once of one that has just come.
+func (s *System) want(w *medlarworld.World) {
+	due := !w.Now.Before(s.wantAt)
+	if w.Peers < 2 || !due && len(s.fresh) == 0 {
+		s.fresh = s.fresh[:0]
+		return
+	}
+	var demands []medlarworld.Demand
+	if due {
+		s.wantAt = w.Now.Add(wantInterval)
+		for _, a := range w.Accounts {
+			if a.Came > 0 || a.Open > 0 {
+				demands = appendDemand(demands, a)
+			}
+		}
+	} else {
+		for _, a := range s.fresh {
+			demands = appendDemand(demands, a)
+		}
+	}
+	s.fresh = s.fresh[:0]
+	slices.SortFunc(demands, func(a, b medlarworld.Demand) int { return cmp.Compare(a.Account, b.Account) })
+	if len(demands) > 0 {
+		w.Emit(medlarworld.Wanted{Demands: demands})
+	}
+}
+
+func appendDemand(to []medlarworld.Demand, a *medlarworld.Account) []medlarworld.Demand {
+	d := medlarworld.Demand{Account: a.ID, Rate: float64(a.Came) / wantInterval.Seconds(), Open: a.Open}
+	a.Came = 0
+	if a.Limits.Rate == 0 && a.Limits.Runs == 0 {
+		return to
+	}
+	return append(to, d)
+}
+
+// share takes over granted shares.
+func share(w *medlarworld.World, e medlarworld.Shared) {
+	for _, s := range e.Shares {
+		if a := w.Accounts[s.Account]; a != nil {
+			a.Share = s
+		}
+	}
+}
+
 // served reports whether any upstream serves what a run asks for.
 func served(w *medlarworld.World, r *medlarworld.Run) bool {
 	if r.Service != "" {
@@ -125,11 +184,11 @@
 	case !served(w, r):
 		return medlarreason.Capacity, minAfter
 	}
-	if runs := a.Limits.Runs; runs > 0 && a.Open > perPeer(runs, w.Peers) {
+	if runs := a.Limits.Runs; runs > 0 && float64(a.Open) > math.Ceil(float64(runs)*runShare(w, a)) {
 		return medlarreason.Concurrency, minAfter // R2
 	}
 	if after := take(w, a); after > 0 {
-		return medlarreason.Rate, after // R2
+		return medlarreason.Rate, min(after, maxAfter) // R2
 	}
 	if wait := s.wait(w); w.Now.Add(wait).After(r.Deadline) || w.Config.Wait > 0 && wait > w.Config.Wait {
 		return medlarreason.Deadline, clampAfter(wait) // R5
@@ -148,8 +207,21 @@
 	return time.Duration(float64(len(w.Waiting)) / s.perSecond * float64(time.Second))
 }
 
-// perPeer returns one instance's part of a plan's bound.
-func perPeer(n, peers int) int { return (n + peers - 1) / peers }
+// rateShare returns this instance's part of an account's rate.
+func rateShare(w *medlarworld.World, a *medlarworld.Account) float64 {
+	if w.Now.Before(a.Share.Until) {
+		return a.Share.Rate
+	}
+	return 1 / float64(w.Peers)
+}
+
+// runShare returns this instance's part of an account's bound on open requests.
+func runShare(w *medlarworld.World, a *medlarworld.Account) float64 {
+	if w.Now.Before(a.Share.Until) {
+		return a.Share.Runs
+	}
+	return 1 / float64(w.Peers)
+}
 
 // take uses one token of the account's bucket; when it is empty it returns the
 // time until the next token.
@@ -157,8 +229,9 @@
 	if a.Limits.Rate <= 0 {
 		return 0
 	}
-	rate := a.Limits.Rate / float64(w.Peers)
-	burst := max(a.Limits.Burst/float64(w.Peers), 1)
+	share := rateShare(w, a)
+	rate := max(a.Limits.Rate*share, minRate)
+	burst := max(a.Limits.Burst*share, 1)
 	if a.Limited {
 		a.Bucket = min(burst, a.Bucket+rate*w.Now.Sub(a.Filled).Seconds())
 	} else {
@@ -289,9 +362,9 @@
 	if a.Limits.Rate <= 0 {
 		return true
 	}
-	peers := float64(w.Peers)
-	missing := max(a.Limits.Burst/peers, 1) - a.Bucket
-	return w.Now.Sub(a.Filled).Seconds()*a.Limits.Rate/peers >= missing
+	share := rateShare(w, a)
+	missing := max(a.Limits.Burst*share, 1) - a.Bucket
+	return w.Now.Sub(a.Filled).Seconds()*max(a.Limits.Rate*share, minRate) >= missing
 }
 
 func clampAfter(d time.Duration) time.Duration { return min(max(d, minAfter), maxAfter) }
--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -99,6 +99,9 @@
 			listStore(w, m)
 		}
 	}
+	if e.Peers > 0 {
+		peers = e.Peers
+	}
 	w.Peers = max(peers, 1)
 	forget(w)
 	index(w)
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -67,6 +67,16 @@
 	Open    int       // requests submitted and not ended
 	Finish  float64   // virtual time of the last queued run
 	Limited bool      // the bucket has been filled once
+	Came    int       // requests since the last demand was told
+	Share   Share     // of the limits, for this instance
+}
+
+// Share is an instance's part of an account's limits, from 0 to 1.
+type Share struct {
+	Account medlarid.AccountID
+	Rate    float64
+	Runs    float64
+	Until   time.Time // an equal part holds from then on
 }
 
 // Model is what the lists want of a model.
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -62,6 +62,11 @@
 	Reason medlarreason.Reason
 }
 
+// Shared reports shares of accounts' limits.
+type Shared struct {
+	Shares []Share
+}
+
 // Left reports that the caller of a run went away.
 type Left struct {
 	Run medlarid.RequestID
@@ -87,6 +92,9 @@
 // Listed reports the platform's instance list.
 type Listed struct {
 	Members []Member
+	// Peers is the number of live entry instances where that is known better
+	// than from the list; 0 otherwise.
+	Peers int
 }
 
 // Reported is a status of an engine.
@@ -128,6 +136,7 @@
 func (Found) event()     {}
 func (Claimed) event()   {}
 func (Unclaimed) event() {}
+func (Shared) event()    {}
 func (Left) event()      {}
 func (Applied) event()   {}
 func (Listed) event()    {}
@@ -190,6 +199,18 @@
 	Reason medlarreason.Reason
 }
 
+// Demand is what this instance wants of an account's limits.
+type Demand struct {
+	Account medlarid.AccountID
+	Rate    float64 // requests a second that came
+	Open    int
+}
+
+// Wanted asks for shares of accounts' limits.
+type Wanted struct {
+	Demands []Demand
+}
+
 // Ejected reports that an upstream was ejected or came back.
 type Ejected struct {
 	Upstream medlarid.InstanceID
@@ -202,4 +223,5 @@
 func (Claim) command()   {}
 func (Export) command()  {}
 func (Retried) command() {}
+func (Wanted) command()  {}
 func (Ejected) command() {}
--- a/internal/edge/medlarmetric/medlarmetric.go
+++ b/internal/edge/medlarmetric/medlarmetric.go
@@ -33,6 +33,7 @@
 	dropped  prometheus.Counter
 	replays  prometheus.Counter
 	failures *prometheus.CounterVec
+	lists    *prometheus.CounterVec
 	version  prometheus.Gauge
 	waiting  prometheus.Gauge
 	open     prometheus.Gauge
@@ -48,6 +49,7 @@
 	m.tokens = m.counters("tokens_total", "Tokens, by kind: prompt, cached, completion.", "kind")
 	m.moved = m.counters("moved_bytes_total", "Bytes of kept context moved, by direction.", "direction")
 	m.failures = m.counters("platform_failures_total", "Failed calls to the platform, by part.", "part")
+	m.lists = m.counters("lists_reads_total", "Reads of the lists stream, by source: log, relay.", "source")
 	m.first = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Namespace: namespace, Name: "first_token_seconds", Help: "Time to first token.", Buckets: firstBuckets,
 	}, []string{"model"})
@@ -129,6 +131,9 @@
 // ExportDropped counts an export that was dropped.
 func (m *Metrics) ExportDropped() { m.dropped.Inc() }
 
+// ListsRead counts a read of the lists stream by its source.
+func (m *Metrics) ListsRead(source string) { m.lists.WithLabelValues(source).Inc() }
+
 // Ejected counts an ejection.
 func (m *Metrics) Ejected() { m.ejected.Inc() }
 
--- a/internal/ops/medlarloop/medlarloop.go
+++ b/internal/ops/medlarloop/medlarloop.go
@@ -35,6 +35,7 @@
 	Export  func(medlarworld.Export)
 	Retried func(medlarworld.Retried)
 	Ejected func(medlarworld.Ejected)
+	Wanted  func(medlarworld.Wanted)
 	Ticked  func(waiting, open int)
 }
 
@@ -207,6 +208,8 @@
 		l.seams.Retried(c)
 	case medlarworld.Ejected:
 		l.seams.Ejected(c)
+	case medlarworld.Wanted:
+		go l.seams.Wanted(c)
 	}
 }
 
--- a/internal/ops/medlarnode/build.go
+++ b/internal/ops/medlarnode/build.go
@@ -51,7 +51,7 @@
 		func() logOutput { return logOutput{w} },
 		newAuthor, newLogger, newHTTP, newLogClient, newInstances, newEngines, newStores, newServices,
 		medlarmetric.New, medlarstate.New,
-		newCore, newLinks, newReaders, newDesk, newNode,
+		newCore, newPeers, newLinks, newReaders, newDesk, newNode,
 	}
 	for _, p := range providers {
 		if err := c.Provide(p); err != nil {
@@ -121,12 +121,14 @@
 	instances *medlarinstance.Client,
 	engines *medlarengine.Client,
 	stores *medlarstore.Client,
+	p *peers,
 ) *links {
 	l := &links{}
 	post := func(e medlarworld.Event) { l.loop.Post(e) }
 	l.watch = medlarwatch.New(medlarwatch.Seams{
-		Post: post, Instances: instances, Engines: engines, Failed: m.Failed,
+		Post: post, Instances: instances, Engines: engines, Failed: m.Failed, Entries: p.listed,
 	}, cfg.Platform.Poll.Std())
+	p.shared = func(s medlarworld.Shared) { post(s) }
 	l.transfer = medlartransfer.New(medlartransfer.Seams{
 		Post:       post,
 		Engines:    engines,
@@ -141,6 +143,7 @@
 		Export:  l.transfer.Export,
 		Retried: func(r medlarworld.Retried) { m.Retried(r.Reason) },
 		Ejected: func(e medlarworld.Ejected) { ejected(log, m, e) },
+		Wanted:  p.want,
 		Ticked:  m.Ticked,
 	})
 	return l
@@ -164,10 +167,10 @@
 	Holder  *holder
 }
 
-func newReaders(lc *medlarlog.Client, state *medlarstate.State, m *medlarmetric.Metrics) readersOut {
+func newReaders(lc *medlarlog.Client, state *medlarstate.State, m *medlarmetric.Metrics, p *peers) readersOut {
 	h := &holder{}
 	lists := medlarfollow.New(medlarfollow.Seams{
-		Read: read(lc, medlarrecord.StreamLists),
+		Read: p.reader(read(lc, medlarrecord.StreamLists)),
 		Apply: func(e medlarlog.Entry) {
 			if err := state.Apply(e); err != nil {
 				state.Restart(e.Offset)
@@ -220,6 +223,7 @@
 	Readers  *Readers
 	Holder   *holder
 	Desk     *medlarclaim.Desk
+	Peers    *peers
 	LogC     *medlarlog.Client
 	Engines  *medlarengine.Client
 	Services *medlarservice.Client
@@ -238,6 +242,9 @@
 		readers:  in.Readers,
 	}
 	in.Holder.node = n
+	if in.Peers.link != nil {
+		n.peers = in.Peers
+	}
 	failed := func(err error) { n.log.Warn().Err(err).Msg("snapshot not written") }
 	n.keeper = medlarpublish.NewKeeper(string(in.Author), appendTo(in.LogC, medlarrecord.StreamLists),
 		n.state.View, n.readers.Lists.Status, n.rank, failed)
--- a/internal/ops/medlarnode/medlarnode.go
+++ b/internal/ops/medlarnode/medlarnode.go
@@ -54,6 +54,7 @@
 	readers  *Readers
 	keeper   *medlarpublish.Keeper
 	reporter *medlaraudit.Reporter
+	peers    *peers // nil for an instance without peers
 	caller   *medlarcaller.Caller
 
 	server   *fasthttp.Server
@@ -105,6 +106,9 @@
 	} {
 		go f(run) // may be waiting for the platform when the instance stops
 	}
+	if n.peers != nil {
+		n.peers.start(run)
+	}
 	go n.serve(n.server, n.listener)
 	go n.serve(n.status, n.statusLn)
 	n.log.Info().Str("listen", string(n.Address())).Str("status", string(n.StatusAddress())).Msg("started")
@@ -121,6 +125,14 @@
 		_ = n.listener.Close()
 		return eris.Wrap(err, "listen for status")
 	}
+	if n.peers == nil {
+		return nil
+	}
+	if err := n.peers.listen(n.cfg.Peers.Listen); err != nil {
+		_ = n.listener.Close()
+		_ = n.statusLn.Close()
+		return err
+	}
 	return nil
 }
 
@@ -146,6 +158,9 @@
 	err := n.server.ShutdownWithContext(closing)
 	cancel()
 	n.wg.Wait()
+	if n.peers != nil {
+		n.peers.close()
+	}
 	_ = n.status.ShutdownWithContext(closing)
 	n.log.Info().Int("cut", cut).Msg("stopped")
 	if cut > 0 {
@@ -179,8 +194,8 @@
 	}
 	own := medlarkey.Rendezvous(k, n.cfg.Name)
 	rank := 0
-	for _, id := range n.watch.Entries() {
-		if id != n.cfg.Name && medlarkey.Rendezvous(k, id) > own {
+	for _, e := range n.watch.Entries() {
+		if e.ID != n.cfg.Name && medlarkey.Rendezvous(k, e.ID) > own {
 			rank++
 		}
 	}
--- a/internal/ops/medlarnode/once_test.go
+++ b/internal/ops/medlarnode/once_test.go
@@ -33,6 +33,18 @@
 	return r
 }
 
+// settled sends a request until its answer is no longer "in progress": the outcome
+// is recorded after the caller has got its answer.
+func settled(send func() medlarclient.Result) medlarclient.Result {
+	for range 100 {
+		if r := send(); r.Reason != medlarreason.Pending {
+			return r
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return send()
+}
+
 func (w *world) assertRan(want int) {
 	w.t.Helper()
 	time.Sleep(150 * time.Millisecond) // a late effect
@@ -178,7 +190,8 @@
 func TestOnceCompletion(t *testing.T) {
 	w := start(t, change{nodes: 2})
 	key := newKey("a")
-	first, second := w.completeOnce(0, key), w.completeOnce(1, key)
+	first := w.completeOnce(0, key)
+	second := settled(func() medlarclient.Result { return w.completeOnce(1, key) })
 	if !first.Whole || !second.Replay || string(first.Body) != string(second.Body) {
 		t.Errorf("got %q, then %q", first.Body, second.Body)
 	}
--- /dev/null
+++ b/internal/ops/medlarnode/peers.go
@@ -0,0 +1,183 @@
+package medlarnode
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"medlarfield/internal/agree/medlarfollow"
+	"medlarfield/internal/agree/medlarrecord"
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/edge/medlarmetric"
+	"medlarfield/internal/ops/medlarsettings"
+	"medlarfield/internal/ops/medlarwatch"
+	"medlarfield/internal/peer/medlarlink"
+	"medlarfield/internal/peer/medlarmember"
+	"medlarfield/internal/peer/medlarmessage"
+	"medlarfield/internal/peer/medlarrelay"
+	"medlarfield/internal/peer/medlarshare"
+)
+
+// peers are an instance's sessions with other entry instances and what rests on
+// them. Without settings for them all its parts but the locks are nil.
+type peers struct {
+	self    medlarid.InstanceID
+	zone    medlarid.Zone
+	metrics *medlarmetric.Metrics
+
+	link   *medlarlink.Link
+	prober *medlarmember.Prober
+	relay  *medlarrelay.Relay
+	sharer *medlarshare.Sharer
+	shared func(medlarworld.Shared)
+	ln     net.Listener
+
+	mu      sync.Mutex
+	entries map[medlarid.InstanceID]medlarwatch.Entry
+}
+
+func newPeers(cfg medlarsettings.Settings, log zerolog.Logger, m *medlarmetric.Metrics) (*peers, error) {
+	p := &peers{self: cfg.Name, zone: cfg.Zone, metrics: m, entries: map[medlarid.InstanceID]medlarwatch.Entry{}}
+	if !cfg.Peers.Enabled() {
+		return p, nil
+	}
+	files := medlarlink.Files{Certificate: cfg.Peers.Certificate, Key: cfg.Peers.Key, Authority: cfg.Peers.Authority}
+	keys, err := medlarlink.NewKeys(files, func(err error) { log.Warn().Err(err).Msg("changed keys cannot be used") })
+	if err != nil {
+		return nil, err
+	}
+	p.link = medlarlink.New(keys, p.address, p.handle, func() { m.Failed("peer") })
+	p.prober = medlarmember.NewProber(cfg.Name, p.call, nil)
+	p.sharer = medlarshare.New(medlarshare.Seams{
+		Self:   cfg.Name,
+		Live:   p.prober.Live,
+		Call:   p.call,
+		Shares: p.takeShares,
+		Failed: func() { m.Failed("peer") },
+	})
+	return p, nil
+}
+
+// call calls a peer; a failure makes its state uncertain.
+func (p *peers) call(ctx context.Context, id medlarid.InstanceID, f *medlarmessage.Frame) (*medlarmessage.Reply, error) {
+	return p.link.Call(ctx, id, f)
+}
+
+// address returns the address of a peer.
+func (p *peers) address(id medlarid.InstanceID) medlarid.Address {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.entries[id].Peer
+}
+
+// listed takes over the entry instances of the instance list and returns how
+// many are known to live, or 0 without peers.
+func (p *peers) listed(entries []medlarwatch.Entry) int {
+	if p.link == nil {
+		return 0
+	}
+	ids := make([]medlarid.InstanceID, 0, len(entries))
+	p.mu.Lock()
+	clear(p.entries)
+	for _, e := range entries {
+		p.entries[e.ID] = e
+		ids = append(ids, e.ID)
+	}
+	p.mu.Unlock()
+	p.prober.SetList(ids)
+	return len(p.sharer.Look())
+}
+
+// zonePeers returns the live entry instances of the own availability zone.
+func (p *peers) zonePeers() []medlarid.InstanceID {
+	live := p.prober.Live()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := []medlarid.InstanceID{p.self}
+	for _, id := range live {
+		if e, ok := p.entries[id]; ok && e.Zone == p.zone && id != p.self && e.Peer != "" {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// reader returns the reader of the lists stream: through relays where there are
+// peers.
+func (p *peers) reader(direct medlarfollow.ReadFunc) medlarfollow.ReadFunc {
+	if p.link == nil {
+		return direct
+	}
+	p.relay = medlarrelay.New(medlarrecord.StreamLists, medlarrelay.Seams{
+		Self:    p.self,
+		Zone:    p.zonePeers,
+		Call:    p.call,
+		Read:    medlarrelay.ReadFunc(direct),
+		Through: p.metrics.ListsRead,
+	})
+	return p.relay.Read
+}
+
+// want asks for shares of limits.
+func (p *peers) want(c medlarworld.Wanted) {
+	if p.link == nil {
+		return
+	}
+	demands := make([]medlarshare.Demand, len(c.Demands))
+	for i, d := range c.Demands {
+		demands[i] = medlarshare.Demand{Account: d.Account, Rate: d.Rate, Open: d.Open}
+	}
+	p.sharer.Ask(demands)
+}
+
+func (p *peers) takeShares(shares []medlarshare.Share) {
+	out := medlarworld.Shared{}
+	for _, s := range shares {
+		out.Shares = append(out.Shares, medlarworld.Share{Account: s.Account, Rate: s.Rate, Runs: s.Runs, Until: s.Until})
+	}
+	p.shared(out)
+}
+
+// handle answers the calls of peers.
+func (p *peers) handle(ctx context.Context, from medlarid.InstanceID, f *medlarmessage.Frame) *medlarmessage.Reply {
+	if r, ok := p.prober.Handle(ctx, from, f); ok {
+		return r
+	}
+	if r, ok := p.relay.Handle(ctx, f); ok {
+		return r
+	}
+	if r, ok := p.sharer.Handle(from, f); ok {
+		return r
+	}
+	return &medlarmessage.Reply{Error: "unknown call"}
+}
+
+func (p *peers) listen(at medlarid.Address) error {
+	var err error
+	if p.ln, err = net.Listen("tcp", string(at)); err != nil {
+		return eris.Wrap(err, "listen for peers")
+	}
+	return nil
+}
+
+func (p *peers) start(ctx context.Context) {
+	go p.link.Serve(ctx, p.ln)
+	go p.prober.Run(ctx)
+}
+
+func (p *peers) close() {
+	_ = p.ln.Close()
+	p.link.Close()
+}
+
+// PeerAddress returns the address for peers, empty without them.
+func (n *Node) PeerAddress() medlarid.Address {
+	if n.peers == nil {
+		return ""
+	}
+	return medlarid.Address(n.peers.ln.Addr().String())
+}
--- /dev/null
+++ b/internal/ops/medlarnode/peers_test.go
@@ -0,0 +1,124 @@
+package medlarnode_test
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"medlarfield/internal/agree/medlarlist"
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/ops/medlarsettings"
+	"medlarfield/internal/stand/medlarclient"
+	"medlarfield/internal/stand/medlarkeys"
+	"medlarfield/internal/stand/medlarstage"
+)
+
+// withPeers gives each instance a certificate of one authority.
+func withPeers(t *testing.T) func(*medlarsettings.Settings) {
+	t.Helper()
+	a, err := medlarkeys.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	return func(s *medlarsettings.Settings) {
+		f, err := a.Write(dir, s.Name, time.Hour)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Peers = medlarsettings.Peers{
+			Listen: "127.0.0.1:0", Certificate: f.Certificate, Key: f.Key, Authority: f.Authority,
+		}
+	}
+}
+
+// withPlan returns the stage's lists with another plan.
+func withPlan(t *testing.T, change func(*medlarlist.Plan)) *medlarlist.Lists {
+	t.Helper()
+	l, err := medlarstage.Lists()
+	if err != nil {
+		t.Fatal(err)
+	}
+	plan := l.Plans["standard"]
+	change(&plan)
+	l.Plans = map[medlarid.PlanID]medlarlist.Plan{"standard": plan}
+	out, err := medlarlist.New().Apply(medlarlist.Diff(medlarlist.New(), l))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+func TestRateIsSharedByDemand(t *testing.T) {
+	w := start(t, change{nodes: 4, node: withPeers(t)})
+	w.awaitPeers(4)
+	w.awaitVersion(w.publish(withPlan(t, func(p *medlarlist.Plan) { p.Rate, p.Burst = 40, 10 })))
+	time.Sleep(2500 * time.Millisecond) // a term after the instances have found each other
+	var answered, refused atomic.Int32
+	var wg sync.WaitGroup
+	begin := time.Now()
+	for range 4 { // all at one instance, above the rate
+		wg.Go(func() {
+			for time.Since(begin) < 3*time.Second {
+				if r := w.ask(0, "x"); r.Whole {
+					answered.Add(1)
+				} else {
+					assertRefused(t, r, medlarreason.Rate, medlarreason.RanNo)
+					refused.Add(1)
+				}
+				time.Sleep(8 * time.Millisecond)
+			}
+		})
+	}
+	wg.Wait()
+	const allowed = 40*3 + 10
+	t.Logf("%d answered, %d refused; the rate and burst allow %d", answered.Load(), refused.Load(), allowed)
+	if n := answered.Load(); n < allowed*3/4 || n > allowed+allowed/10 {
+		t.Errorf("%d answered, want about %d", n, allowed)
+	}
+}
+
+// awaitPeers waits until every instance counts n live instances.
+func (w *world) awaitPeers(n int) {
+	w.t.Helper()
+	for until := time.Now().Add(5 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		ready := 0
+		for _, node := range w.nodes {
+			if node.Status().Peers == n {
+				ready++
+			}
+		}
+		if ready == len(w.nodes) {
+			return
+		}
+		if time.Now().After(until) {
+			w.t.Fatalf("%d of %d instances count %d peers", ready, len(w.nodes), n)
+		}
+	}
+}
+
+func TestListsReachInstancesThroughRelays(t *testing.T) {
+	w := start(t, change{nodes: 5, node: withPeers(t), stage: func(s *medlarstage.Settings) { s.Zones = []medlarid.Zone{"z"} }})
+	w.awaitPeers(5)
+	for i := range 3 {
+		v := w.publish(withPlan(t, func(p *medlarlist.Plan) { p.Runs = 100 + i }))
+		begin := time.Now()
+		w.awaitVersion(v)
+		t.Logf("in force on all after %v", time.Since(begin))
+	}
+	assertWhole(t, w.ask(4, "x"))
+}
+
+func TestOnceWithPeers(t *testing.T) {
+	w := start(t, change{nodes: 3, node: withPeers(t)})
+	key := newKey("a")
+	for i := range 3 {
+		r := settled(func() medlarclient.Result { return w.post(i, key, posting) })
+		if r.Status != 200 || r.Replay != (i > 0) {
+			t.Fatalf("status %d, reason %q, replayed %v", r.Status, r.Reason, r.Replay)
+		}
+	}
+	w.assertRan(1)
+}
--- a/internal/ops/medlarsettings/medlarsettings.go
+++ b/internal/ops/medlarsettings/medlarsettings.go
@@ -23,6 +23,7 @@
 	Limits   Limits           `json:"limits"`
 	Routing  Routing          `json:"routing"`
 	Once     Once             `json:"once"`
+	Peers    Peers            `json:"peers"`
 	Log      Log              `json:"log"`
 }
 
@@ -66,6 +67,32 @@
 	Skew     medlarid.Duration `json:"skew"`
 }
 
+// Peers are the settings of the sessions between entry instances. Without them an
+// instance reads the log by itself and uses an equal part of each limit. The
+// certificate's DNS name is the instance's name.
+type Peers struct {
+	Listen      medlarid.Address `json:"listen"`
+	Certificate string           `json:"certificate"` // file in PEM
+	Key         string           `json:"key"`         // file in PEM
+	Authority   string           `json:"authority"`   // file in PEM
+}
+
+// Enabled reports whether the instance has peers.
+func (p Peers) Enabled() bool { return p != Peers{} }
+
+func (p Peers) checks() []check {
+	if !p.Enabled() {
+		return nil
+	}
+	const want = "the name of a file in PEM"
+	return []check{
+		address("/peers/listen", p.Listen),
+		{"/peers/certificate", p.Certificate != "", want},
+		{"/peers/key", p.Key != "", want},
+		{"/peers/authority", p.Authority != "", want},
+	}
+}
+
 // Log are the settings of the instance's own log lines.
 type Log struct {
 	Level string `json:"level"`
@@ -145,6 +172,7 @@
 		{"/log/level", levels[s.Log.Level], "debug, info, warn or error"},
 	}
 	checks = append(checks, s.Limits.checks()...)
+	checks = append(checks, s.Peers.checks()...)
 	return append(checks, s.Routing.checks()...)
 }
 
--- a/internal/ops/medlarwatch/medlarwatch.go
+++ b/internal/ops/medlarwatch/medlarwatch.go
@@ -25,6 +25,16 @@
 	Instances *medlarinstance.Client
 	Engines   *medlarengine.Client
 	Failed    func(part string)
+	// Entries is called with the entry instances of each list; it returns the
+	// number that is known to live, or 0 when the list is to be believed.
+	Entries func([]Entry) int
+}
+
+// Entry is an entry instance of the list.
+type Entry struct {
+	ID   medlarid.InstanceID
+	Zone medlarid.Zone
+	Peer medlarid.Address
 }
 
 // Watch reads the platform. It is safe for concurrent use.
@@ -35,7 +45,7 @@
 	mu      sync.Mutex
 	engines map[medlarid.InstanceID]*engine
 	stores  map[medlarid.InstanceID]medlarid.Address
-	entries []medlarid.InstanceID
+	entries []Entry
 	listed  bool
 	wg      sync.WaitGroup
 }
@@ -74,8 +84,8 @@
 	return w.stores[id]
 }
 
-// Entries returns the live entry instances of the list.
-func (w *Watch) Entries() []medlarid.InstanceID {
+// Entries returns the entry instances of the list that are not leaving.
+func (w *Watch) Entries() []Entry {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.entries
@@ -118,7 +128,7 @@
 		members = append(members, member(i))
 	}
 	w.follow(ctx, l)
-	w.seams.Post(medlarworld.Listed{Members: members})
+	w.seams.Post(medlarworld.Listed{Members: members, Peers: w.seams.Entries(w.Entries())})
 }
 
 func member(i medlarinstance.Instance) medlarworld.Member {
@@ -145,7 +155,7 @@
 		switch i.Role {
 		case medlarinstance.RoleEntry:
 			if !i.Leaving {
-				w.entries = append(w.entries, i.ID)
+				w.entries = append(w.entries, Entry{i.ID, i.Zone, i.Peer})
 			}
 		case medlarinstance.RoleStore:
 			w.stores[i.ID] = i.Address
--- /dev/null
+++ b/internal/peer/medlarrelay/medlarrelay_test.go
@@ -0,0 +1,239 @@
+package medlarrelay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"medlarfield/internal/agree/medlarfollow"
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/peer/medlarmessage"
+	"medlarfield/internal/platform/medlarlog"
+	"medlarfield/internal/stand/medlarfakelog"
+)
+
+const stream = "lists"
+
+var errDown = errors.New("down")
+
+// fleet is one availability zone of followers over one log.
+type fleet struct {
+	log    *medlarfakelog.Log
+	ids    []medlarid.InstanceID
+	relays map[medlarid.InstanceID]*Relay
+
+	mu     sync.Mutex
+	down   map[medlarid.InstanceID]bool
+	frozen map[medlarid.InstanceID]bool
+	logOff bool
+	reads  map[string]int
+	got    map[medlarid.InstanceID][]medlarid.Offset
+}
+
+func newFleet(size int) *fleet {
+	f := &fleet{
+		log:    medlarfakelog.New(medlarfakelog.Settings{}),
+		relays: map[medlarid.InstanceID]*Relay{},
+		down:   map[medlarid.InstanceID]bool{},
+		frozen: map[medlarid.InstanceID]bool{},
+		reads:  map[string]int{},
+		got:    map[medlarid.InstanceID][]medlarid.Offset{},
+	}
+	for i := range size {
+		f.ids = append(f.ids, medlarid.InstanceID(fmt.Sprintf("entry-%03d", i)))
+	}
+	for _, id := range f.ids {
+		f.relays[id] = New(stream, Seams{
+			Self:    id,
+			Zone:    func() []medlarid.InstanceID { return f.ids },
+			Call:    f.call,
+			Read:    f.read,
+			Through: func(source string) { f.mu.Lock(); f.reads[source]++; f.mu.Unlock() },
+		})
+	}
+	return f
+}
+
+func (f *fleet) read(from medlarid.Offset, limit int, wait time.Duration) (medlarlog.Batch, error) {
+	f.mu.Lock()
+	off := f.logOff
+	f.mu.Unlock()
+	if off {
+		return medlarlog.Batch{}, errDown
+	}
+	return f.log.Read(stream, from, limit, wait), nil
+}
+
+func (f *fleet) call(ctx context.Context, to medlarid.InstanceID, q *medlarmessage.Frame) (*medlarmessage.Reply, error) {
+	f.mu.Lock()
+	down, frozen := f.down[to], f.frozen[to]
+	f.mu.Unlock()
+	if frozen {
+		<-ctx.Done()
+		return nil, errDown
+	}
+	if down {
+		return nil, errDown
+	}
+	time.Sleep(time.Millisecond)
+	r, _ := f.relays[to].Handle(ctx, q)
+	if r.GetError() != "" {
+		return nil, errDown
+	}
+	return r, nil
+}
+
+// follow runs a follower on every instance until ctx ends.
+func (f *fleet) follow(ctx context.Context, wg *sync.WaitGroup) {
+	for _, id := range f.ids {
+		fl := medlarfollow.New(medlarfollow.Seams{
+			Read: medlarfollow.ReadFunc(f.relays[id].Read),
+			Apply: func(e medlarlog.Entry) {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				f.got[id] = append(f.got[id], e.Offset)
+			},
+			Gap:    func(medlarid.Offset) {},
+			Caught: func(bool) {},
+			Failed: func(error) {},
+		}, 1)
+		wg.Go(func() { fl.Run(ctx) })
+	}
+}
+
+// assertAll checks that every instance has read records 1 to n in order.
+func (f *fleet) assertAll(t *testing.T, n int) {
+	t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range f.ids {
+		if len(f.got[id]) != n {
+			t.Fatalf("%s has read %d records, want %d", id, len(f.got[id]), n)
+		}
+		for i, o := range f.got[id] {
+			if o != medlarid.Offset(i+1) {
+				t.Fatalf("%s has read offset %d as number %d", id, o, i+1)
+			}
+		}
+	}
+}
+
+// inForce is the time in which a record has to be everywhere.
+const inForce = 4 * time.Second
+
+func run(t *testing.T, size int, test func(*fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(size)
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		f.follow(ctx, &wg)
+		defer wg.Wait()
+		defer cancel()
+		time.Sleep(15 * time.Second)
+		test(f)
+	})
+}
+
+func TestFewReadersOfTheLog(t *testing.T) {
+	run(t, 60, func(f *fleet) {
+		before := f.reads["log"]
+		for i := range 50 {
+			f.log.Append(stream, []byte("x"))
+			time.Sleep(inForce)
+			f.assertAll(t, i+1)
+		}
+		if n := f.reads["log"] - before; n > relaysPerZone*(50+50) {
+			t.Errorf("the log was read %d times for 50 records", n)
+		}
+		t.Logf("60 instances: %d reads of the log, %d through relays", f.reads["log"], f.reads["relay"])
+	})
+}
+
+func TestFaults(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		fault func(*fleet)
+	}{
+		{"a relay is down", func(f *fleet) { f.down[Relays(stream, f.ids)[0]] = true }},
+		{"a relay is frozen", func(f *fleet) { f.frozen[Relays(stream, f.ids)[0]] = true }},
+		{"one relay is frozen, the other down", func(f *fleet) {
+			f.frozen[Relays(stream, f.ids)[0]] = true
+			f.down[Relays(stream, f.ids)[1]] = true
+		}},
+		{"all relays are down", func(f *fleet) {
+			for _, id := range Relays(stream, f.ids) {
+				f.down[id] = true
+			}
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			run(t, 20, func(f *fleet) {
+				f.log.Append(stream, []byte("x"))
+				time.Sleep(inForce)
+				f.mu.Lock()
+				tc.fault(f)
+				f.mu.Unlock()
+				f.log.Append(stream, []byte("x"))
+				time.Sleep(inForce)
+				f.assertAll(t, 2)
+			})
+		})
+	}
+	t.Run("the log is away for a minute", func(t *testing.T) {
+		run(t, 20, func(f *fleet) {
+			f.mu.Lock()
+			f.logOff = true
+			f.mu.Unlock()
+			time.Sleep(time.Minute)
+			f.mu.Lock()
+			f.logOff = false
+			f.mu.Unlock()
+			f.log.Append(stream, []byte("x"))
+			time.Sleep(inForce)
+			f.assertAll(t, 1)
+		})
+	})
+}
+
+func TestColdReaderGetsOldRecords(t *testing.T) {
+	run(t, 5, func(f *fleet) {
+		for range cacheRecords * 2 {
+			f.log.Append(stream, []byte("x"))
+		}
+		time.Sleep(inForce)
+		f.assertAll(t, cacheRecords*2)
+		id := f.ids[0]
+		for _, other := range f.ids {
+			if other != Relays(stream, f.ids)[0] && other != Relays(stream, f.ids)[1] {
+				id = other
+			}
+		}
+		b, err := f.relays[id].Read(1, 10, 0)
+		if err != nil || len(b.Records) != 10 || b.Records[0].Offset != 1 {
+			t.Errorf("got %+v, %v", b, err)
+		}
+	})
+}
+
+func TestRelayBehindIsNotBelieved(t *testing.T) {
+	run(t, 3, func(f *fleet) {
+		f.log.Append(stream, []byte("x"))
+		time.Sleep(inForce)
+		var child medlarid.InstanceID
+		relays := Relays(stream, f.ids)
+		for _, id := range f.ids {
+			if id != relays[0] && id != relays[1] {
+				child = id
+			}
+		}
+		b, err := f.relays[child].Read(9, 10, 0) // the relays end at 2, and so does the log
+		if err != nil || b.Next != 2 {
+			t.Errorf("got %+v, %v", b, err)
+		}
+	})
+}
--- a/internal/platform/medlarinstance/medlarinstance.go
+++ b/internal/platform/medlarinstance/medlarinstance.go
@@ -59,6 +59,7 @@
 	Zone    medlarid.Zone       `json:"zone"`
 	Address medlarid.Address    `json:"address"`
 	Leaving bool                `json:"leaving,omitempty"`
+	Peer    medlarid.Address    `json:"peer,omitempty"`    // of entry instances, for their peers
 	Model   medlarid.ModelID    `json:"model,omitempty"`   // of engines
 	Service medlarid.ServiceID  `json:"service,omitempty"` // of services
 	Fenced  bool                `json:"fenced,omitempty"`  // checks fencing numbers
