Bounded reading of the platform: conditional instance list, near replicas, load with answers

Cause: at 760 replicas an instance that reads every engine four times a second and the whole instance list twice a second spends some 600 KB/s. Change: the list is read with If-None-Match; status and cache events are read from the near replicas within a budget of calls; engines tell their load with each answer; a conversation's home replica, the same for all instances, is cheaper by a tenth of its computation.

--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -10,13 +10,17 @@
 //	R4  A cache event is a hint; a reset forgets all that was known.
 //	R5  A new version of the lists replaces the models at once; an older one has
 //	    no effect.
+//	R6  At many replicas an instance works with a few of each model.
 package medlarfleet
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarworld"
 )
@@ -29,6 +33,9 @@
 	rateGain       = 0.3  // weight of a new measurement
 	storeDownTime  = 2 * time.Second
 	defaultPrefill = 8000 // prompt tokens a second
+
+	nearAll  = 16 // replicas of a model that an instance works with in full
+	nearSome = 4  // replicas of a model with more
 )
 
 // Kinds of members in the instance list.
@@ -145,6 +152,33 @@
 	}
 }
 
+// Near returns the replicas of one model that an instance works with: all of a
+// few, and else those of the highest rank for it, so that each instance hears of
+// a bounded number and each replica is worked with by several (R6).
+func Near(self medlarid.InstanceID, ids []medlarid.InstanceID) []medlarid.InstanceID {
+	if len(ids) <= nearAll {
+		return ids
+	}
+	ranked := slices.Clone(ids)
+	rank := func(id medlarid.InstanceID) uint64 { return xxh3.HashString(string(self) + "\x00" + string(id)) }
+	slices.SortFunc(ranked, func(a, b medlarid.InstanceID) int {
+		return cmp.Or(cmp.Compare(rank(b), rank(a)), cmp.Compare(a, b))
+	})
+	return ranked[:nearSome]
+}
+
+// markNear marks the near replicas of a model.
+func markNear(w *medlarworld.World, us []*medlarworld.Upstream) {
+	ids := make([]medlarid.InstanceID, len(us))
+	for i, u := range us {
+		ids[i] = u.ID
+		u.Near = false
+	}
+	for _, id := range Near(w.Config.Self, ids) {
+		w.Upstreams[id].Near = true
+	}
+}
+
 // index rebuilds the lists of upstreams by model and service, ordered by ID.
 func index(w *medlarworld.World) {
 	clear(w.Engines)
@@ -158,6 +192,7 @@
 	}
 	for _, us := range w.Engines {
 		slices.SortFunc(us, compareUpstreams)
+		markNear(w, us)
 	}
 	for _, us := range w.Services {
 		slices.SortFunc(us, compareUpstreams)
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -16,6 +16,10 @@
 //	R5  An unrepeatable run is claimed when there is a candidate, and sent only
 //	    once the claim is granted.
 //	R6  A run that finds no candidate does not keep those behind it waiting.
+//	R7  The home of a conversation is the replica of the highest rank for it, the
+//	    same for all instances. It is a candidate beside the near ones, even
+//	    unheard of, and its cost is a little lower, so that prompts which return
+//	    through any instance meet their context.
 package medlarroute
 
 import (
@@ -37,6 +41,8 @@
 	nearSeconds    = 5e-3
 	slotSeconds    = 0.5  // seconds until a slot comes free
 	queueShare     = 0.25 // share of an engine's slots that may wait inside it
+	homeShare      = 0.1  // of the computation, by which a home costs less
+	homeBlocks     = 16   // blocks that stand for a conversation
 	maxOpenNoSlot  = 256  // attempts in flight at an upstream that reports no slots
 	importPatience = 2    // an import is given up after this many times its cost
 	savedShare     = 0.5  // of the computation that an import saves
@@ -154,7 +160,7 @@
 		Attempt:  r.Attempt,
 		Upstream: u.ID,
 		Address:  u.Address,
-		Version:  u.Version,
+		Version:  versionOf(w, u),
 		Priority: priorityOf(w, r),
 		Import:   c.imports,
 		Within:   importTime(c),
@@ -175,8 +181,12 @@
 // choose returns the best way to serve a run now; ok is false when there is no
 // candidate.
 func (s *System) choose(w *medlarworld.World, r *medlarworld.Run) (best choice, ok bool) {
-	if s.collect(w, r, false); len(s.choices) == 0 && len(r.Tried) > 0 {
-		s.collect(w, r, true)
+	s.collect(w, r, scope{})
+	if len(s.choices) == 0 && len(w.Engines[r.Model]) > 0 {
+		s.collect(w, r, scope{far: true})
+	}
+	if len(s.choices) == 0 && len(r.Tried) > 0 {
+		s.collect(w, r, scope{far: true, tried: true})
 	}
 	if len(s.choices) == 0 {
 		return choice{}, false
@@ -205,19 +215,52 @@
 	return a
 }
 
+// scope says which upstreams are looked at.
+type scope struct {
+	far   bool // also replicas that are not near
+	tried bool // also upstreams that the run has tried
+}
+
 // collect fills the candidates of a run (R1).
-func (s *System) collect(w *medlarworld.World, r *medlarworld.Run, again bool) {
+func (s *System) collect(w *medlarworld.World, r *medlarworld.Run, in scope) {
 	s.choices = s.choices[:0]
 	upstreams := w.Engines[r.Model]
 	if r.Service != "" {
 		upstreams = w.Services[r.Service]
 	}
+	home := homeOf(r, upstreams)
 	for _, u := range upstreams {
-		if !candidate(w, r, u) || !again && slices.Contains(r.Tried, u) {
+		near := u.Near || in.far || u == home || r.Service != ""
+		fresh := in.tried || !slices.Contains(r.Tried, u)
+		if !near || !fresh || !candidate(w, r, u) {
+			continue
+		}
+		c := evaluate(w, r, u)
+		if u == home {
+			c.cost -= homeShare * computeCost(w, u, r.Prompt)
+		}
+		s.choices = append(s.choices, c)
+	}
+}
+
+// homeOf returns the replica of the highest rank for a run's conversation, which
+// its first segment of blocks stands for, or nil for a short prompt (R7).
+func homeOf(r *medlarworld.Run, us []*medlarworld.Upstream) *medlarworld.Upstream {
+	if len(r.Keys) == 0 {
+		return nil
+	}
+	k := r.Keys[min(homeBlocks, len(r.Keys))-1]
+	var best *medlarworld.Upstream
+	var most uint64
+	for _, u := range us {
+		if u.Leaving || u.Gone {
 			continue
 		}
-		s.choices = append(s.choices, evaluate(w, r, u))
+		if rank := medlarkey.Rendezvous(k, u.ID); best == nil || rank > most {
+			best, most = u, rank
+		}
 	}
+	return best
 }
 
 func candidate(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) bool {
@@ -227,10 +270,21 @@
 	if u.Kind == medlarworld.KindService {
 		return true
 	}
+	v := versionOf(w, u)
 	if r.Pinned != "" {
-		return u.Version == r.Pinned
+		return v == r.Pinned
+	}
+	return v != "" && (v == r.Version || v == w.Models[r.Model].Version)
+}
+
+// versionOf returns the weight version that a replica is taken to have: what it
+// told, or the wanted one for a replica that told nothing yet. A replica refuses
+// a run under another version, so that a wrong guess costs a retry.
+func versionOf(w *medlarworld.World, u *medlarworld.Upstream) medlarid.WeightVersion {
+	if u.ReportedAt.IsZero() && !u.Near {
+		return w.Models[u.Model].Version
 	}
-	return u.Version != "" && (u.Version == r.Version || u.Version == w.Models[r.Model].Version)
+	return u.Version
 }
 
 // hasRoom reports whether an upstream can take one more run by its last report
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -30,6 +30,7 @@
 
 // Config are the settings of the core.
 type Config struct {
+	Self      medlarid.InstanceID
 	Zone      medlarid.Zone
 	Weighting Weighting
 	// Queue is the number of runs that may wait for an upstream.
@@ -115,6 +116,7 @@
 	Model   medlarid.ModelID
 	Version medlarid.WeightVersion
 	Service medlarid.ServiceID
+	Near    bool // one of the replicas that this instance works with
 
 	Load       Load
 	ReportedAt time.Time
--- a/internal/edge/medlarsession/medlarsession.go
+++ b/internal/edge/medlarsession/medlarsession.go
@@ -228,6 +228,7 @@
 	case r.answer != nil:
 		return s.answered(*r.answer)
 	case r.chunk.Last:
+		s.reportLoad(r.chunk.Load)
 		s.done()
 		return Piece{Last: true, Finish: r.chunk.Finish, Usage: r.chunk.Usage, Version: r.chunk.Version}, true
 	}
@@ -239,6 +240,30 @@
 	return Piece{Texts: r.chunk.Texts, Version: r.chunk.Version}, true
 }
 
+// reportLoad passes on what the engine told of itself with its answer.
+func (s *Session) reportLoad(l *medlarengine.Load) {
+	if l != nil {
+		s.seams.Post(ReportOf(s.attempt.start.Upstream, *l))
+	}
+}
+
+// ReportOf translates an engine's report of itself.
+func ReportOf(id medlarid.InstanceID, l medlarengine.Load) medlarworld.Reported {
+	r := medlarworld.Reported{
+		Upstream:   id,
+		Model:      l.Model,
+		Version:    l.Version,
+		Load:       medlarworld.Load{Running: l.Running, Queued: l.Queued, Slots: l.Slots, Pending: l.Pending},
+		Prefill:    l.Prefill,
+		BlockBytes: l.BlockBytes,
+		Leaving:    l.Leaving,
+	}
+	if l.Loading {
+		r.Version = "" // serves nothing while it loads
+	}
+	return r
+}
+
 // done reports a whole answer.
 func (s *Session) done() {
 	a := s.attempt.start.Attempt
--- a/internal/ops/medlarnode/build.go
+++ b/internal/ops/medlarnode/build.go
@@ -95,6 +95,7 @@
 
 func newCore(cfg medlarsettings.Settings) *medlartick.Core {
 	return medlartick.New(medlarworld.Config{
+		Self:      cfg.Name,
 		Zone:      cfg.Zone,
 		Weighting: cfg.Routing.Weighting,
 		Queue:     cfg.Limits.Queue,
@@ -125,9 +126,9 @@
 ) *links {
 	l := &links{}
 	post := func(e medlarworld.Event) { l.loop.Post(e) }
-	l.watch = medlarwatch.New(medlarwatch.Seams{
+	l.watch = medlarwatch.New(cfg.Name, medlarwatch.Seams{
 		Post: post, Instances: instances, Engines: engines, Failed: m.Failed, Entries: p.listed,
-	}, cfg.Platform.Poll.Std())
+	}, cfg.Platform.Poll.Std(), cfg.Platform.Calls)
 	p.shared = func(s medlarworld.Shared) { post(s) }
 	l.transfer = medlartransfer.New(medlartransfer.Seams{
 		Post:       post,
--- a/internal/ops/medlarwatch/medlarwatch.go
+++ b/internal/ops/medlarwatch/medlarwatch.go
@@ -4,8 +4,11 @@
 // Rules:
 //
 //	R1  A read that fails changes nothing: the last list stays in use.
-//	R2  Each engine is read by a goroutine of its own, so that a frozen one holds
-//	    up no other.
+//	R2  Several workers read the engines, so that a frozen one does not hold up all
+//	    others.
+//	R3  Reads stay within a budget of calls a second: the more engines, the longer
+//	    the time between two reads of one. Only near engines are read; what others
+//	    tell with their answers is enough.
 package medlarwatch
 
 import (
@@ -14,11 +17,20 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarfleet"
 	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/edge/medlarsession"
 	"medlarfield/internal/platform/medlarengine"
 	"medlarfield/internal/platform/medlarinstance"
 )
 
+// Parameters of reading.
+const (
+	workers      = 8
+	callsPerRead = 2 // status and events
+	listInterval = 500 * time.Millisecond
+)
+
 // Seams are what a watch uses of its instance.
 type Seams struct {
 	Post      func(medlarworld.Event)
@@ -39,30 +51,36 @@
 
 // Watch reads the platform. It is safe for concurrent use.
 type Watch struct {
+	self  medlarid.InstanceID
 	seams Seams
 	poll  time.Duration
 
 	mu      sync.Mutex
-	engines map[medlarid.InstanceID]*engine
+	engines map[medlarid.InstanceID]*engine // only their own worker reads one
 	stores  map[medlarid.InstanceID]medlarid.Address
 	entries []Entry
 	listed  bool
-	wg      sync.WaitGroup
+	budget  float64 // calls a second
 }
 
 // engine is one engine being read.
 type engine struct {
 	id      medlarid.InstanceID
 	address medlarid.Address
-	cancel  context.CancelFunc
+	due     time.Time
+	near    bool
+	busy    bool // being read
 	block   medlarid.Bytes
 	epoch   string
 	next    int
 }
 
-// New returns a watch that reads every poll.
-func New(s Seams, poll time.Duration) *Watch {
+// New returns a watch that reads every poll, or less often to stay within budget
+// calls a second to engines.
+func New(self medlarid.InstanceID, s Seams, poll time.Duration, budget float64) *Watch {
 	return &Watch{
+		self:    self,
+		budget:  budget,
 		seams:   s,
 		poll:    poll,
 		engines: map[medlarid.InstanceID]*engine{},
@@ -103,13 +121,15 @@
 
 // Run reads until ctx ends.
 func (w *Watch) Run(ctx context.Context) {
-	tick := time.NewTicker(w.poll)
+	for range workers {
+		go w.work(ctx)
+	}
+	tick := time.NewTicker(max(w.poll, listInterval))
 	defer tick.Stop()
 	for {
-		w.readList(ctx)
+		w.readList()
 		select {
 		case <-ctx.Done():
-			w.wg.Wait()
 			return
 		case <-tick.C:
 		}
@@ -117,7 +137,7 @@
 }
 
 // readList reads the instance list (R1).
-func (w *Watch) readList(ctx context.Context) {
+func (w *Watch) readList() {
 	l, err := w.seams.Instances.List()
 	if err != nil {
 		w.seams.Failed("instances")
@@ -127,7 +147,7 @@
 	for _, i := range l.Instances {
 		members = append(members, member(i))
 	}
-	w.follow(ctx, l)
+	w.follow(l)
 	w.seams.Post(medlarworld.Listed{Members: members, Peers: w.seams.Entries(w.Entries())})
 }
 
@@ -143,8 +163,8 @@
 	}
 }
 
-// follow starts and ends the reading of engines as the list says.
-func (w *Watch) follow(ctx context.Context, l medlarinstance.List) {
+// follow takes over the list.
+func (w *Watch) follow(l medlarinstance.List) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	clear(w.stores)
@@ -161,46 +181,115 @@
 			w.stores[i.ID] = i.Address
 		case medlarinstance.RoleEngine:
 			seen[i.ID] = true
-			w.startEngine(ctx, i)
+			w.followEngine(i)
 		}
 	}
-	for id, e := range w.engines {
+	for id := range w.engines {
 		if !seen[id] {
-			e.cancel()
 			delete(w.engines, id)
 		}
 	}
+	w.markNear(l)
 }
 
-// startEngine begins to read an engine, anew if its address changed.
-func (w *Watch) startEngine(ctx context.Context, i medlarinstance.Instance) {
-	if e := w.engines[i.ID]; e != nil {
-		if e.address == i.Address {
-			return
+// markNear marks the engines that this instance reads; the lock is held.
+func (w *Watch) markNear(l medlarinstance.List) {
+	byModel := map[medlarid.ModelID][]medlarid.InstanceID{}
+	for _, i := range l.Instances {
+		if i.Role == medlarinstance.RoleEngine {
+			byModel[i.Model] = append(byModel[i.Model], i.ID)
+			w.engines[i.ID].near = false
+		}
+	}
+	for _, ids := range byModel {
+		for _, id := range medlarfleet.Near(w.self, ids) {
+			w.engines[id].near = true
 		}
-		e.cancel()
 	}
-	own, cancel := context.WithCancel(ctx)
-	e := &engine{id: i.ID, address: i.Address, cancel: cancel}
-	w.engines[i.ID] = e
-	w.wg.Go(func() { w.readEngine(own, e) })
 }
 
-// readEngine reads one engine until ctx ends (R2).
-func (w *Watch) readEngine(ctx context.Context, e *engine) {
-	tick := time.NewTicker(w.poll)
-	defer tick.Stop()
+// followEngine adds an engine, or takes over its new address; the lock is held.
+func (w *Watch) followEngine(i medlarinstance.Instance) {
+	e := w.engines[i.ID]
+	if e != nil && e.address == i.Address {
+		return
+	}
+	w.engines[i.ID] = &engine{id: i.ID, address: i.Address}
+}
+
+// work reads the engine that is due first, again and again, until ctx ends.
+func (w *Watch) work(ctx context.Context) {
 	for {
+		e, wait := w.next(time.Now())
+		if wait > 0 {
+			if !pause(ctx, min(wait, w.poll)) {
+				return
+			}
+			continue
+		}
 		w.readStatus(e)
 		w.readEvents(e)
-		select {
-		case <-ctx.Done():
+		w.done(e)
+		if ctx.Err() != nil {
 			return
-		case <-tick.C:
 		}
 	}
 }
 
+// next takes the engine that is due first, or returns the time to wait (R3).
+func (w *Watch) next(now time.Time) (*engine, time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var first *engine
+	for _, e := range w.engines {
+		if !e.near || e.busy {
+			continue
+		}
+		if first == nil || e.due.Before(first.due) {
+			first = e
+		}
+	}
+	if first == nil {
+		return nil, w.poll
+	}
+	if wait := first.due.Sub(now); wait > 0 {
+		return nil, wait
+	}
+	first.busy = true
+	return first, 0
+}
+
+// done makes an engine due again.
+func (w *Watch) done(e *engine) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e.busy = false
+	e.due = time.Now().Add(w.interval())
+}
+
+// interval returns the time between two reads of an engine; the lock is held.
+func (w *Watch) interval() time.Duration {
+	n := 0
+	for _, e := range w.engines {
+		if e.near {
+			n++
+		}
+	}
+	return max(w.poll, time.Duration(float64(n)*callsPerRead/w.budget*float64(time.Second)))
+}
+
+// pause waits for d; it returns false when ctx ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
 func (w *Watch) readStatus(e *engine) {
 	l, err := w.seams.Engines.Status(e.address)
 	if err != nil {
@@ -210,19 +299,7 @@
 	w.mu.Lock()
 	e.block = l.BlockBytes
 	w.mu.Unlock()
-	r := medlarworld.Reported{
-		Upstream:   e.id,
-		Model:      l.Model,
-		Version:    l.Version,
-		Load:       medlarworld.Load{Running: l.Running, Queued: l.Queued, Slots: l.Slots, Pending: l.Pending},
-		Prefill:    l.Prefill,
-		BlockBytes: l.BlockBytes,
-		Leaving:    l.Leaving,
-	}
-	if l.Loading {
-		r.Version = "" // serves nothing while it loads
-	}
-	w.seams.Post(r)
+	w.seams.Post(medlarsession.ReportOf(e.id, l))
 }
 
 // readEvents reads what is new in the engine's prefix cache. A new epoch, or
--- a/internal/platform/medlarengine/stream.go
+++ b/internal/platform/medlarengine/stream.go
@@ -42,6 +42,7 @@
 	Last    bool
 	Finish  string
 	Usage   Usage
+	Load    *Load // the engine's state at the end of the run, if it tells it
 	Version medlarid.WeightVersion
 }
 
@@ -53,6 +54,8 @@
 	Choices []EventChoice          `json:"choices"`
 	// Usage comes with the last event; Seq is then the number of parts.
 	Usage *Usage `json:"usage,omitempty"`
+	// Load may come with it.
+	Load *Load `json:"load,omitempty"`
 }
 
 // EventChoice is the text of an event.
@@ -115,7 +118,7 @@
 	if err := s.order.Whole(s.last.Seq); err != nil {
 		return Chunk{}, &Error{Op: OpRun, Kind: KindTruncated, Err: err}
 	}
-	c := Chunk{Last: true, Usage: *s.last.Usage, Version: s.last.Version}
+	c := Chunk{Last: true, Usage: *s.last.Usage, Load: s.last.Load, Version: s.last.Version}
 	if len(s.last.Choices) == 1 {
 		c.Finish = s.last.Choices[0].Finish
 	}
--- a/internal/platform/medlarhttp/medlarhttp.go
+++ b/internal/platform/medlarhttp/medlarhttp.go
@@ -92,6 +92,7 @@
 type Answer struct {
 	Status int
 	Type   string
+	Tag    string // entity tag
 	Body   []byte
 }
 
@@ -213,7 +214,12 @@
 	if err != nil {
 		return Answer{}, callError(err)
 	}
-	return Answer{Status: resp.StatusCode(), Type: string(resp.Header.ContentType()), Body: body}, nil
+	return Answer{
+		Status: resp.StatusCode(),
+		Type:   string(resp.Header.ContentType()),
+		Tag:    string(resp.Header.Peek("ETag")),
+		Body:   body,
+	}, nil
 }
 
 // readBody reads a streamed body to its end. A body that is shorter than its
--- a/internal/platform/medlarinstance/medlarinstance.go
+++ b/internal/platform/medlarinstance/medlarinstance.go
@@ -1,14 +1,17 @@
 // Package medlarinstance is the client of the platform's list of live and
 // leaving instances, which lags behind.
 //
-//	GET /instances
+//	GET /instances    with If-None-Match, 304 when nothing has changed
 package medlarinstance
 
 import (
 	"fmt"
 	"net/netip"
+	"sync"
 	"time"
 
+	"github.com/go-json-experiment/json"
+
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/platform/medlarhttp"
 )
@@ -16,6 +19,12 @@
 // Op names the operation that failed.
 type Op string
 
+// HTTP statuses of the list.
+const (
+	statusOK          = 200
+	statusNotModified = 304
+)
+
 // OpList reads the list.
 const OpList Op = "list"
 
@@ -75,6 +84,10 @@
 	http    *medlarhttp.Client
 	address medlarid.Address
 	timeout time.Duration
+
+	mu   sync.Mutex
+	tag  string // entity tag of last
+	last List
 }
 
 // New returns a client of the list at address. timeout bounds each read.
@@ -82,13 +95,37 @@
 	return &Client{http: http, address: address, timeout: timeout}
 }
 
-// List reads the list. A list with an entry that is not usable is an error of
+// List reads the list, or returns the last one when it has not changed. A list with an entry that is not usable is an error of
 // KindMalformed as a whole, since part of a list would look like lost instances.
 func (c *Client) List() (List, error) {
-	var l List
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	call := medlarhttp.Call{Method: "GET", Address: c.address, Path: "/instances", Timeout: c.timeout}
-	if err := c.http.JSON(call, nil, &l); err != nil {
+	if c.tag != "" {
+		call.Headers = []medlarhttp.Header{{Name: "If-None-Match", Value: c.tag}}
+	}
+	a, err := c.http.Do(call)
+	switch {
+	case err != nil:
 		return List{}, &Error{Op: OpList, Kind: KindUnavailable, Err: err}
+	case a.Status == statusNotModified && c.tag != "":
+		return c.last, nil
+	case a.Status != statusOK:
+		return List{}, &Error{Op: OpList, Kind: KindUnavailable, Err: medlarhttp.StatusError(a.Status, a.Body)}
+	}
+	l, err := parse(a.Body)
+	if err != nil {
+		return List{}, err
+	}
+	c.tag, c.last = a.Tag, l
+	return l, nil
+}
+
+// parse reads a list and checks it as a whole.
+func parse(body []byte) (List, error) {
+	var l List
+	if err := json.Unmarshal(body, &l); err != nil {
+		return List{}, &Error{Op: OpList, Kind: KindMalformed, Err: err}
 	}
 	seen := map[medlarid.InstanceID]bool{}
 	for _, i := range l.Instances {
--- a/internal/stand/medlarfakeengine/run.go
+++ b/internal/stand/medlarfakeengine/run.go
@@ -275,7 +275,9 @@
 	if o.held != nil {
 		_, _ = o.w.Write(o.held)
 	}
+	load := o.e.Load()
 	last := medlarengine.Event{
+		Load:    &load,
 		Request: o.r.prompt.Request,
 		Version: o.r.prompt.Version,
 		Seq:     total,
--- a/internal/stand/medlarfakeplatform/medlarfakeplatform.go
+++ b/internal/stand/medlarfakeplatform/medlarfakeplatform.go
@@ -3,12 +3,15 @@
 package medlarfakeplatform
 
 import (
+	"fmt"
 	"sort"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
+	"github.com/zeebo/xxh3"
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/platform/medlarinstance"
@@ -80,11 +83,22 @@
 // Handler serves the list.
 func (l *List) Handler() fasthttp.RequestHandler {
 	r := router.New()
-	r.GET("/instances", func(ctx *fasthttp.RequestCtx) { medlarhost.Reply(ctx, l.list()) })
+	r.GET("/instances", l.serveList)
 	r.POST("/instances", l.servePut)
 	return r.Handler
 }
 
+// serveList answers with the list, or with 304 when the caller has it.
+func (l *List) serveList(ctx *fasthttp.RequestCtx) {
+	medlarhost.Reply(ctx, l.list())
+	tag := fmt.Sprintf("%q", strconv.FormatUint(xxh3.Hash(ctx.Response.Body()), 16))
+	ctx.Response.Header.Set("ETag", tag)
+	if string(ctx.Request.Header.Peek("If-None-Match")) == tag {
+		ctx.Response.ResetBody()
+		ctx.SetStatusCode(fasthttp.StatusNotModified)
+	}
+}
+
 // servePut lets a process that was started on its own join the list.
 func (l *List) servePut(ctx *fasthttp.RequestCtx) {
 	var i medlarinstance.Instance
