--- /dev/null
+++ b/cmd/medlard/layers_test.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// layers are the areas under internal, in the order in which imports run
+// downward: an area imports itself and those before it.
+var layers = []string{"base", "core", "platform", "agree", "peer", "edge", "ops", "stand"}
+
+// impure are packages that the core does not import: it does no I/O.
+var impure = []string{"net", "os", "net/http", "github.com/valyala/fasthttp", "io/ioutil", "log"}
+
+const module = "medlarfield/internal/"
+
+func TestImportsRunDownward(t *testing.T) {
+	root := filepath.Join("..", "..", "internal")
+	files := 0
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		files++
+		f, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ImportsOnly)
+		if err != nil {
+			return err
+		}
+		rel, err := filepath.Rel(root, path)
+		if err != nil {
+			return err
+		}
+		area := strings.Split(filepath.ToSlash(rel), "/")[0]
+		for _, i := range f.Imports {
+			name, err := strconv.Unquote(i.Path.Value)
+			if err != nil {
+				return err
+			}
+			assertAllowed(t, path, area, name)
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if files < 50 {
+		t.Errorf("only %d files were looked at", files)
+	}
+}
+
+func assertAllowed(t *testing.T, path, area, name string) {
+	t.Helper()
+	own := slices.Index(layers, area)
+	if own < 0 {
+		t.Errorf("%s: unknown area %q", path, area)
+	}
+	if area == "core" && slices.Contains(impure, name) {
+		t.Errorf("%s: the core imports %s", path, name)
+	}
+	rest, ok := strings.CutPrefix(name, module)
+	if !ok {
+		return
+	}
+	if other := slices.Index(layers, strings.Split(rest, "/")[0]); other > own {
+		t.Errorf("%s: imports %s, which is above it", path, name)
+	}
+}
--- /dev/null
+++ b/internal/ops/medlaroperator/medlaroperator_test.go
@@ -0,0 +1,57 @@
+package medlaroperator
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/rotisserie/eris"
+
+	"medlarfield/internal/base/medlarjson"
+)
+
+// output runs a command and returns what it prints.
+func output(t *testing.T, args ...string) string {
+	t.Helper()
+	var b bytes.Buffer
+	cmd := New()
+	cmd.SetOut(&b)
+	cmd.SetArgs(args)
+	if err := cmd.Execute(); err != nil {
+		t.Fatal(err)
+	}
+	return b.String()
+}
+
+func TestReasonsPageIsCurrent(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("..", "..", "..", "docs", "operate", "reasons.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(page) != output(t, "reasons") {
+		t.Error("docs/operate/reasons.md is not what medlarctl reasons prints")
+	}
+}
+
+func TestExitCodes(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		err  error
+		want int
+	}{
+		{"done", nil, ExitOK},
+		{"file", &medlarjson.Error{Err: eris.New("x")}, ExitInvalid},
+		{"rejected", &Error{Kind: KindRejected, Err: eris.New("x")}, ExitRejected},
+		{"unknown", &Error{Kind: KindUnknown, Err: eris.New("x")}, ExitUnknown},
+		{"unavailable, wrapped", eris.Wrap(&Error{Kind: KindUnavailable, Err: eris.New("x")}, "y"), ExitUnavailable},
+		{"lagging", &Error{Kind: KindLagging, Err: eris.New("x")}, ExitLagging},
+		{"anything else", eris.New("x"), ExitUsage},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if got := ExitCode(tc.err); got != tc.want {
+				t.Errorf("got %d, want %d", got, tc.want)
+			}
+		})
+	}
+}
--- a/internal/ops/medlaroperator/status.go
+++ b/internal/ops/medlaroperator/status.go
@@ -113,3 +113,33 @@
 		},
 	}
 }
+
+// reasonRows are the reasons of refusals and retries.
+type reasonRows struct {
+	Refusals []medlarreason.Row `json:"refusals"`
+	Retries  []medlarreason.Row `json:"retries"`
+}
+
+func (r reasonRows) text(w io.Writer) {
+	_, _ = fmt.Fprint(w, "# Reasons\n\nPrinted by `medlarctl reasons` from the table that the code uses.\n\n"+
+		"## Refusals\n\n`medlar_refusals_total{reason=…}`; `ran` is what the answer says unless the run itself knows better.\n\n"+
+		"| reason | status | ran | again | what happened | what to do |\n| --- | --- | --- | --- | --- | --- |\n")
+	for _, row := range r.Refusals {
+		_, _ = fmt.Fprintf(w, "| `%s` | %d | %s | %v | %s | %s |\n", row.Reason, row.Status, row.Ran, row.Again, row.Text, row.Advice)
+	}
+	_, _ = fmt.Fprint(w, "\n## Retries\n\n`medlar_retries_total{reason=…}`\n\n| reason | what happened | what to do |\n| --- | --- | --- |\n")
+	for _, row := range r.Retries {
+		_, _ = fmt.Fprintf(w, "| `%s` | %s | %s |\n", row.Reason, row.Text, row.Advice)
+	}
+}
+
+func reasonsCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "reasons",
+		Short: "Print the reasons of refusals and retries, as docs/operate/reasons.md has them",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return o.print(cmd, reasonRows{Refusals: medlarreason.Refusals, Retries: medlarreason.Retries})
+		},
+	}
+}
