Slopes: a command that measures how each role grows; control traffic cut to them

Change: relays form a tree of two children each, the list is taken over only when it has changed, only accounts that use a twentieth of their limits or more ask, probes come every 1.5 s, cache hints are halved.

--- a/internal/core/medlaradmit/medlaradmit.go
+++ b/internal/core/medlaradmit/medlaradmit.go
@@ -5,7 +5,9 @@
 //	R1  A stopping instance, or one without lists, admits nothing.
 //	R2  Each account has a token bucket and a bound on open requests. The plan's
 //	    limits hold for all instances together: each has a share of them by its
-//	    demand, and an equal part while it has none.
+//	    demand. An account that uses little of its limits here needs no share: an
+//	    instance without one may use freeShare of the limits, or an equal part if
+//	    that is more, and asks for a share before that is used up.
 //	R3  The queue is ordered by priority, then by weighted fair queueing, so an
 //	    account with many requests delays its own first.
 //	R4  When the queue is full, the request of the account with the largest
@@ -38,6 +40,7 @@
 	forgetInterval = 10 * time.Second
 	wantInterval   = time.Second
 	minRate        = 1e-3 // requests a second of a share of nearly nothing
+	freeShare      = 0.1  // of the limits, that an instance may use without a share
 )
 
 // System admits requests.
@@ -48,7 +51,7 @@
 	wasFull   bool                   // the queue was not empty throughout the window
 	forgetAt  time.Time              // when idle accounts are dropped next
 	wantAt    time.Time              // when demands are told next
-	fresh     []*medlarworld.Account // came in this tick for the first time
+	fresh     []*medlarworld.Account // became busy in this tick
 }
 
 // New returns the system.
@@ -93,13 +96,12 @@
 
 func (s *System) submit(w *medlarworld.World, e medlarworld.Submitted) {
 	r := e.Run
-	known := w.Accounts[r.Account] != nil
 	r.Phase = medlarworld.PhaseNew
 	w.Runs[r.ID] = r
 	a := account(w, e)
 	a.Open++
 	a.Came++
-	if !known {
+	if !w.Now.Before(a.Share.Until) && busy(w, a) && !slices.Contains(s.fresh, a) {
 		s.fresh = append(s.fresh, a)
 	}
 	if reason, after := s.judge(w, a, r); reason != "" {
@@ -120,8 +122,8 @@
 	return a
 }
 
-// want tells the demand of the accounts that have limits: of all that are in use
-// at intervals, and at once of one that has just come.
+// want tells the demand of busy accounts: of all at intervals, and at once of one
+// that has just become busy.
 func (s *System) want(w *medlarworld.World) {
 	due := !w.Now.Before(s.wantAt)
 	if w.Peers < 2 || !due && len(s.fresh) == 0 {
@@ -132,9 +134,10 @@
 	if due {
 		s.wantAt = w.Now.Add(wantInterval)
 		for _, a := range w.Accounts {
-			if a.Came > 0 || a.Open > 0 {
+			if busy(w, a) {
 				demands = appendDemand(demands, a)
 			}
+			a.Came = 0
 		}
 	} else {
 		for _, a := range s.fresh {
@@ -150,10 +153,6 @@
 
 func appendDemand(to []medlarworld.Demand, a *medlarworld.Account) []medlarworld.Demand {
 	d := medlarworld.Demand{Account: a.ID, Rate: float64(a.Came) / wantInterval.Seconds(), Open: a.Open}
-	a.Came = 0
-	if a.Limits.Rate == 0 && a.Limits.Runs == 0 {
-		return to
-	}
 	return append(to, d)
 }
 
@@ -212,7 +211,7 @@
 	if w.Now.Before(a.Share.Until) {
 		return a.Share.Rate
 	}
-	return 1 / float64(w.Peers)
+	return max(1/float64(w.Peers), freeShare)
 }
 
 // runShare returns this instance's part of an account's bound on open requests.
@@ -220,7 +219,17 @@
 	if w.Now.Before(a.Share.Until) {
 		return a.Share.Runs
 	}
-	return 1 / float64(w.Peers)
+	return max(1/float64(w.Peers), freeShare)
+}
+
+// busy reports whether an account uses so much of its limits here that it needs
+// a share.
+func busy(w *medlarworld.World, a *medlarworld.Account) bool {
+	l := a.Limits
+	rate := float64(a.Came) / wantInterval.Seconds()
+	return w.Now.Before(a.Share.Until) && a.Came > 0 ||
+		l.Rate > 0 && rate >= freeShare*l.Rate/2 ||
+		l.Runs > 0 && float64(a.Open) >= freeShare*float64(l.Runs)/2
 }
 
 // take uses one token of the account's bucket; when it is empty it returns the
--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -122,7 +122,7 @@
 		w.Upstreams[m.ID] = u
 	}
 	u.Zone, u.Address, u.Service = m.Zone, m.Address, m.Service
-	u.Leaving = m.Leaving
+	u.Leaving = m.Leaving || u.ToldLeaving
 	u.Gone = false
 }
 
@@ -230,6 +230,7 @@
 	}
 	if e.Leaving {
 		u.Leaving = true
+		u.ToldLeaving = true
 	}
 	if moved {
 		index(w)
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -112,6 +112,8 @@
 	Address medlarid.Address
 	Leaving bool
 	Gone    bool // no longer in the instance list
+	// ToldLeaving tells that the upstream itself said that it leaves.
+	ToldLeaving bool
 
 	Model   medlarid.ModelID
 	Version medlarid.WeightVersion
--- a/internal/core/medlarworld/warm.go
+++ b/internal/core/medlarworld/warm.go
@@ -5,7 +5,7 @@
 )
 
 // maxWarm bounds the entries of the table of cached blocks.
-const maxWarm = 1 << 16
+const maxWarm = 1 << 15
 
 // holdersPerKey bounds the upstreams that are remembered for one block.
 const holdersPerKey = 3
--- a/internal/ops/medlarnode/stop_test.go
+++ b/internal/ops/medlarnode/stop_test.go
@@ -70,7 +70,8 @@
 	}
 }
 
-// leavingBound is the time after which a leaving upstream gets no new work.
+// leavingBound is the time after which a leaving upstream gets no new work, by a
+// list that lags a second behind.
 const leavingBound = 3 * time.Second
 
 func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
@@ -89,7 +90,7 @@
 			t.Parallel()
 			w := start(t, change{stage: func(s *medlarstage.Settings) { s.Lag = time.Second }})
 			tc.leave(w.stage)
-			time.Sleep(leavingBound / 2)
+			time.Sleep(leavingBound)
 			before := w.stage.Engines[0].Totals().Runs
 			for range 20 {
 				assertWhole(t, w.ask(0, "x"))
--- a/internal/ops/medlarwatch/medlarwatch.go
+++ b/internal/ops/medlarwatch/medlarwatch.go
@@ -28,7 +28,7 @@
 const (
 	workers      = 8
 	callsPerRead = 2 // status and events
-	listInterval = 500 * time.Millisecond
+	listInterval = time.Second
 )
 
 // Seams are what a watch uses of its instance.
@@ -61,6 +61,7 @@
 	entries []Entry
 	listed  bool
 	budget  float64 // calls a second
+	peers   int     // that the core was told last
 }
 
 // engine is one engine being read.
@@ -143,12 +144,19 @@
 		w.seams.Failed("instances")
 		return
 	}
+	if !l.Same {
+		w.follow(l)
+	}
+	peers := w.seams.Entries(w.Entries())
+	if l.Same && peers == w.peers {
+		return // the core knows it
+	}
+	w.peers = peers
 	members := make([]medlarworld.Member, 0, len(l.Instances))
 	for _, i := range l.Instances {
 		members = append(members, member(i))
 	}
-	w.follow(l)
-	w.seams.Post(medlarworld.Listed{Members: members, Peers: w.seams.Entries(w.Entries())})
+	w.seams.Post(medlarworld.Listed{Members: members, Peers: peers})
 }
 
 func member(i medlarinstance.Instance) medlarworld.Member {
--- a/internal/peer/medlarmember/prober.go
+++ b/internal/peer/medlarmember/prober.go
@@ -12,7 +12,7 @@
 
 // Times of probing.
 const (
-	probeInterval = time.Second
+	probeInterval = 1500 * time.Millisecond
 	probeTimeout  = 400 * time.Millisecond
 	reachTimeout  = time.Second
 	reachPeers    = 3
--- a/internal/peer/medlarrelay/medlarrelay.go
+++ b/internal/peer/medlarrelay/medlarrelay.go
@@ -4,10 +4,11 @@
 //
 // Rules:
 //
-//	R1  The relays of an availability zone are the live instances of the highest
-//	    rank; they read the log itself.
-//	R2  Any other instance reads through a relay of its zone, the next one when
-//	    that fails, and the log itself when none is left.
+//	R1  The live instances of an availability zone form a tree by rank. The first
+//	    ones, the relays, read the log itself.
+//	R2  Any other instance reads through its parent, through the relays when that
+//	    fails, and from the log itself when none is left. So an instance serves a
+//	    bounded number of others.
 //	R3  A relay passes on what it has read, with the log's offsets and stamps; it
 //	    reads the log for whoever asks for older records.
 //	R4  A reader that gets a batch which ends before what it has read already
@@ -32,10 +33,11 @@
 // Parameters of relays.
 const (
 	relaysPerZone = 2
+	fanOut        = 2 // instances that read through one
 	cacheRecords  = 256
 	cacheBytes    = 1 << 20
 	avoidTime     = 5 * time.Second         // after a failure
-	maxWait       = 1500 * time.Millisecond // of a read through a relay: a frozen one is left soon
+	maxWait       = 2500 * time.Millisecond // of a read through an instance: a frozen one is left soon
 	callSlack     = 500 * time.Millisecond  // beyond the time that a read waits
 )
 
@@ -74,12 +76,36 @@
 
 // Relays returns the instances among ids that read the stream from the log (R1).
 func Relays(stream string, ids []medlarid.InstanceID) []medlarid.InstanceID {
+	ranked := order(stream, ids)
+	return ranked[:min(relaysPerZone, len(ranked))]
+}
+
+// Sources returns the instances that self reads through, in the order in which
+// they are tried; none when it is a relay (R2).
+func Sources(stream string, self medlarid.InstanceID, ids []medlarid.InstanceID) []medlarid.InstanceID {
+	ranked := order(stream, ids)
+	i := slices.Index(ranked, self)
+	if i < relaysPerZone {
+		return nil
+	}
+	parent := ranked[(i-relaysPerZone)/fanOut]
+	sources := []medlarid.InstanceID{parent}
+	for _, r := range ranked[:relaysPerZone] {
+		if r != parent {
+			sources = append(sources, r)
+		}
+	}
+	return sources
+}
+
+// order sorts ids by rank, the highest first.
+func order(stream string, ids []medlarid.InstanceID) []medlarid.InstanceID {
 	ranked := slices.Clone(ids)
 	rank := func(id medlarid.InstanceID) uint64 { return xxh3.HashString(stream + "\x00" + string(id)) }
 	slices.SortFunc(ranked, func(a, b medlarid.InstanceID) int {
 		return cmp.Or(cmp.Compare(rank(b), rank(a)), cmp.Compare(a, b))
 	})
-	return ranked[:min(relaysPerZone, len(ranked))]
+	return ranked
 }
 
 // Read reads records from an offset on, from a relay or from the log (R2).
@@ -88,6 +114,7 @@
 		b, err := r.fetch(id, from, limit, wait)
 		if err == nil && b.Next >= from { // R4
 			r.seams.Through("relay")
+			r.add(from, b)
 			return b, nil
 		}
 		r.mu.Lock()
@@ -102,16 +129,13 @@
 	return b, err
 }
 
-// sources returns the relays to try; none when this instance is one.
+// sources returns the instances to try, but for those that failed lately.
 func (r *Relay) sources() []medlarid.InstanceID {
-	relays := Relays(r.stream, r.seams.Zone())
-	if slices.Contains(relays, r.seams.Self) {
-		return nil
-	}
+	sources := Sources(r.stream, r.seams.Self, r.seams.Zone())
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	return slices.DeleteFunc(relays, func(id medlarid.InstanceID) bool { return now.Before(r.avoid[id]) })
+	return slices.DeleteFunc(sources, func(id medlarid.InstanceID) bool { return now.Before(r.avoid[id]) })
 }
 
 func (r *Relay) fetch(id medlarid.InstanceID, from medlarid.Offset, limit int, wait time.Duration) (medlarlog.Batch, error) {
@@ -131,7 +155,7 @@
 	return batchOf(reply.GetFetched()), nil
 }
 
-// add keeps what was read from the log for others (R3).
+// add keeps what was read for others (R3).
 func (r *Relay) add(from medlarid.Offset, b medlarlog.Batch) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/peer/medlarrelay/medlarrelay_test.go
+++ b/internal/peer/medlarrelay/medlarrelay_test.go
@@ -200,6 +200,28 @@
 	})
 }
 
+func TestNobodyServesMany(t *testing.T) {
+	for _, size := range []int{3, 60, 400} {
+		f := newFleet(size)
+		served := map[medlarid.InstanceID]int{}
+		for _, id := range f.ids {
+			if s := Sources(stream, id, f.ids); len(s) > 0 {
+				served[s[0]]++
+			}
+		}
+		readers := 0
+		for id, n := range served {
+			readers += n
+			if n > fanOut {
+				t.Errorf("%s serves %d of %d instances", id, n, size)
+			}
+		}
+		if readers != size-relaysPerZone {
+			t.Errorf("%d of %d instances read through others", readers, size)
+		}
+	}
+}
+
 func TestColdReaderGetsOldRecords(t *testing.T) {
 	run(t, 5, func(f *fleet) {
 		for range cacheRecords * 2 {
--- a/internal/platform/medlarinstance/medlarinstance.go
+++ b/internal/platform/medlarinstance/medlarinstance.go
@@ -77,6 +77,8 @@
 // List is the whole list.
 type List struct {
 	Instances []Instance `json:"instances"`
+	// Same tells that the list is the one that was read before.
+	Same bool `json:"-"`
 }
 
 // Client reads the list. It is safe for concurrent use.
@@ -109,7 +111,9 @@
 	case err != nil:
 		return List{}, &Error{Op: OpList, Kind: KindUnavailable, Err: err}
 	case a.Status == statusNotModified && c.tag != "":
-		return c.last, nil
+		same := c.last
+		same.Same = true
+		return same, nil
 	case a.Status != statusOK:
 		return List{}, &Error{Op: OpList, Kind: KindUnavailable, Err: medlarhttp.StatusError(a.Status, a.Body)}
 	}
--- /dev/null
+++ b/internal/stand/medlarslope/agree.go
@@ -0,0 +1,301 @@
+package medlarslope
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"medlarfield/internal/agree/medlarclaim"
+	"medlarfield/internal/agree/medlarlist"
+	"medlarfield/internal/agree/medlarrecord"
+	"medlarfield/internal/agree/medlarstate"
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/platform/medlarlog"
+	"medlarfield/internal/stand/medlarfakelog"
+)
+
+// Parameters of the claims' measurements.
+const (
+	logRate   = 300 // appends a second that the log takes
+	claimTime = 2 * time.Second
+)
+
+func agreeMeasures() []measure {
+	accounts := []int{100, 1000, 6000, accountsToBe}
+	claims := []int{1000, 10000, 50000, 100000}
+	callers := []int{1, 16, 128, 512}
+	return []measure{
+		{"lists", "bytes of the lists in memory", "accounts", accounts, listBytes},
+		{"lists", "µs to apply a change of one account", "accounts", accounts, applyTime},
+		{"lists", "bytes of the record of a change of one account", "accounts", accounts, changeBytes},
+		{"lists", "bytes of a snapshot", "accounts", accounts, snapshotBytes},
+		{"lists", "ms for a cold reader to be ready", "accounts", accounts, coldTime},
+		{"claims", "bytes of the table", "claims that are valid", claims, claimBytes},
+		{"claims", "µs to apply a claim", "claims that are valid", claims, claimApplyTime},
+		{"claims", "claims a second, grouped, on a log of 300 appends/s", "callers at the same time", callers, func(n int) (float64, error) {
+			rate, _, err := claimRate(n, false)
+			return rate, err
+		}},
+		{"claims", "p95 ms of a claim, grouped", "callers at the same time", callers, func(n int) (float64, error) {
+			_, p95, err := claimRate(n, false)
+			return p95, err
+		}},
+		{"claims", "claims a second, one append each", "callers at the same time", callers, func(n int) (float64, error) {
+			rate, _, err := claimRate(n, true)
+			return rate, err
+		}},
+	}
+}
+
+// bigLists returns lists with n accounts of a hundred plans.
+func bigLists(n int) (*medlarlist.Lists, error) {
+	var c medlarlist.Change
+	put := func(t medlarrecord.Table, name, value string) {
+		c.Put = append(c.Put, medlarlist.Entry{Name: medlarlist.Name{Table: t, Name: name}, Value: []byte(value)})
+	}
+	for i := range models {
+		put(medlarrecord.Table_TABLE_MODEL, string(modelName(i)), `{"version":"v1"}`)
+	}
+	for i := range 100 {
+		put(medlarrecord.Table_TABLE_PLAN, fmt.Sprintf("plan-%d", i), fmt.Sprintf(`{"models":["model-%d"],"rate":10,"runs":8}`, i%models))
+	}
+	for i := range n {
+		put(medlarrecord.Table_TABLE_ACCOUNT, fmt.Sprintf("account-%d", i), fmt.Sprintf(`{"plan":"plan-%d","keys":["%064x"]}`, i%100, i))
+	}
+	return medlarlist.New().Apply(c)
+}
+
+// moveAccount is a change of one account.
+func moveAccount(i int) medlarlist.Change {
+	return medlarlist.Change{Put: []medlarlist.Entry{{
+		Name:  medlarlist.Name{Table: medlarrecord.Table_TABLE_ACCOUNT, Name: "account-1"},
+		Value: fmt.Appendf(nil, `{"plan":"plan-%d","keys":["%064x"]}`, i%100, 1),
+	}}}
+}
+
+func listBytes(n int) (float64, error) {
+	var err error
+	bytes := retained(func() any {
+		var l *medlarlist.Lists
+		l, err = bigLists(n)
+		return l
+	})
+	return bytes, err
+}
+
+func applyTime(n int) (float64, error) {
+	l, err := bigLists(n)
+	if err != nil {
+		return 0, err
+	}
+	return micros(timed(50, func(i int) {
+		if next, applyErr := l.Apply(moveAccount(i + 2)); applyErr == nil {
+			l = next
+		} else {
+			err = applyErr
+		}
+	})), err
+}
+
+func publicationOf(base medlarid.Offset, l *medlarlist.Lists, c medlarlist.Change) ([]byte, error) {
+	next, err := l.Apply(c)
+	if err != nil {
+		return nil, err
+	}
+	p := &medlarrecord.Publication{Base: uint64(base), User: "operator", Note: "measurement", Digest: next.Digest.Bytes()}
+	for _, e := range c.Put {
+		p.Put = append(p.Put, medlarstate.EntryRecord(e))
+	}
+	r := &medlarrecord.Record{Body: &medlarrecord.Record_Publication{Publication: p}}
+	return medlarrecord.Encode(r, medlarid.NewRecordID(), "measurement")
+}
+
+func changeBytes(n int) (float64, error) {
+	l, err := bigLists(n)
+	if err != nil {
+		return 0, err
+	}
+	b, err := publicationOf(1, l, moveAccount(2))
+	return float64(len(b)), err
+}
+
+// snapshotRecords returns the records of a snapshot of n accounts.
+func snapshotRecords(n int) ([][]byte, error) {
+	l, err := bigLists(n)
+	if err != nil {
+		return nil, err
+	}
+	v := &medlarstate.View{Lists: l, Version: 1, Ready: true}
+	records, err := v.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	var out [][]byte
+	for _, r := range records {
+		b, err := medlarrecord.Encode(r, medlarid.NewRecordID(), "measurement")
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, b)
+	}
+	return out, nil
+}
+
+func snapshotBytes(n int) (float64, error) {
+	records, err := snapshotRecords(n)
+	total := 0
+	for _, r := range records {
+		total += len(r)
+	}
+	return float64(total), err
+}
+
+// coldTime returns the time to read a snapshot and to be ready.
+func coldTime(n int) (float64, error) {
+	records, err := snapshotRecords(n)
+	if err != nil {
+		return 0, err
+	}
+	s := medlarstate.New()
+	begin := time.Now()
+	s.Restart(2)
+	for i, r := range records {
+		if err := s.Apply(medlarlog.Entry{Offset: medlarid.Offset(i + 2), Data: r}); err != nil {
+			return 0, err
+		}
+	}
+	if !s.View().Ready {
+		return 0, eris.New("the reader is not ready")
+	}
+	return time.Since(begin).Seconds() * 1e3, nil
+}
+
+var bounds = medlarclaim.Bounds{Validity: 15 * time.Minute, Skew: time.Minute}
+
+// claimEntries returns log records with n claims in groups of 50.
+func claimEntries(n int) ([]medlarlog.Entry, error) {
+	var out []medlarlog.Entry
+	now := time.Now()
+	for len(out)*50 < n {
+		var group []*medlarrecord.Claim
+		for i := range 50 {
+			r, err := medlarclaim.NewRequest("account", fmt.Sprintf("%d-%d-%d", now.Unix(), len(out), i), []byte("body"))
+			if err != nil {
+				return nil, err
+			}
+			id := medlarid.NewRecordID()
+			group = append(group, &medlarrecord.Claim{Id: id[:], Key: r.Key[:], Body: r.Body[:], Issued: now.UnixMilli()})
+		}
+		offset := medlarid.Offset(len(out) + 1)
+		body := &medlarrecord.Claims{Base: uint64(offset), Claims: group}
+		b, err := medlarrecord.Encode(&medlarrecord.Record{Body: &medlarrecord.Record_Claims{Claims: body}}, medlarid.NewRecordID(), "measurement")
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, medlarlog.Entry{Offset: offset, Millis: now.UnixMilli(), Data: b})
+	}
+	return out, nil
+}
+
+func claimBytes(n int) (float64, error) {
+	entries, err := claimEntries(n)
+	if err != nil {
+		return 0, err
+	}
+	bytes := retained(func() any {
+		t := medlarclaim.NewTable(bounds)
+		for _, e := range entries {
+			t.Apply(e)
+		}
+		if t.Len() != n {
+			err = eris.Errorf("the table has %d of %d claims", t.Len(), n)
+		}
+		return t
+	})
+	return bytes, err
+}
+
+func claimApplyTime(n int) (float64, error) {
+	entries, err := claimEntries(n)
+	if err != nil {
+		return 0, err
+	}
+	t := medlarclaim.NewTable(bounds)
+	begin := time.Now()
+	for _, e := range entries {
+		t.Apply(e)
+	}
+	return micros(time.Since(begin).Seconds() / float64(n)), nil
+}
+
+// claimRate lets callers claim at one instance as fast as they can; single makes
+// each claim an append of its own.
+func claimRate(callers int, single bool) (perSecond, p95 float64, err error) {
+	log := medlarfakelog.New(medlarfakelog.Settings{Rate: logRate})
+	ctx, cancel := context.WithTimeout(context.Background(), claimTime)
+	defer cancel()
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var took []time.Duration
+	var failed atomic.Int64
+	desks := 1
+	if single {
+		desks = callers
+	}
+	for d := range desks {
+		desk := newDesk(ctx, log, fmt.Sprintf("desk-%d", d))
+		for c := range callers / desks {
+			wg.Go(func() {
+				for i := 0; ctx.Err() == nil; i++ {
+					d, ok := claimOnce(ctx, desk, fmt.Sprintf("%p-%d-%d", desk, c, i))
+					if !ok {
+						failed.Add(1)
+						continue
+					}
+					mu.Lock()
+					took = append(took, d)
+					mu.Unlock()
+				}
+			})
+		}
+	}
+	wg.Wait()
+	if len(took) == 0 {
+		return 0, 0, eris.Errorf("no claim was granted, %d failed", failed.Load())
+	}
+	slices.Sort(took)
+	return float64(len(took)) / claimTime.Seconds(), took[len(took)*95/100].Seconds() * 1e3, nil
+}
+
+func claimOnce(ctx context.Context, desk *medlarclaim.Desk, name string) (time.Duration, bool) {
+	r, err := medlarclaim.NewRequest("account", fmt.Sprintf("%d-%s", time.Now().Unix(), name), []byte("body"))
+	if err != nil {
+		return 0, false
+	}
+	begin := time.Now()
+	_, err = desk.Claim(ctx, r)
+	return time.Since(begin), err == nil
+}
+
+// newDesk returns a desk that reads and appends to a log until ctx ends.
+func newDesk(ctx context.Context, log *medlarfakelog.Log, name string) *medlarclaim.Desk {
+	add := func(records ...[]byte) (medlarid.Offset, error) {
+		return log.Append(medlarrecord.StreamClaims, records...), nil
+	}
+	desk := medlarclaim.New(name, bounds, add, func() bool { return true })
+	go desk.Run(ctx)
+	go func() {
+		for from := medlarid.Offset(1); ctx.Err() == nil; {
+			for _, e := range log.Read(medlarrecord.StreamClaims, from, 512, 100*time.Millisecond).Records {
+				desk.Apply(e)
+				from = e.Offset + 1
+			}
+		}
+	}()
+	return desk
+}
--- /dev/null
+++ b/internal/stand/medlarslope/core.go
@@ -0,0 +1,163 @@
+package medlarslope
+
+import (
+	"encoding/binary"
+	"fmt"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarkey"
+	"medlarfield/internal/core/medlartick"
+	"medlarfield/internal/core/medlarworld"
+)
+
+// Sizes of the platform to come.
+const (
+	models        = 18
+	blocksOfRun   = 32 // of a prompt of some 2,000 tokens
+	requests      = 4000
+	accountsUsed  = 18000
+	replicasToBe  = 760
+	membersToBe   = 410
+	accountsToBe  = 18000
+	storesPerSize = 30 // replicas for each store
+)
+
+func coreMeasures() []measure {
+	replicas := []int{12, 50, 200, replicasToBe}
+	return []measure{
+		{"entry", "µs of the core for a request", "replicas", replicas, requestTime},
+		{"entry", "µs of a tick with an instance list", "replicas", replicas, listTime},
+		{"entry", "bytes of the core's tables", "replicas", replicas, func(n int) (float64, error) {
+			return retained(func() any { return newCore(n) }), nil
+		}},
+		{"entry", "bytes of the core's tables", "accounts in use on the instance", []int{100, 1000, 6000, accountsUsed}, accountBytes},
+		{"entry", "bytes of cache hints", "blocks remembered", []int{4096, 16384, 32768, 65536}, func(n int) (float64, error) {
+			return retained(func() any { return warmTable(n) }), nil
+		}},
+		{"transfer", "µs to compute the keys of a prompt", "prompt tokens", []int{500, 2000, 8000, 32000}, func(n int) (float64, error) {
+			text := string(make([]byte, 4*n))
+			return micros(timed(200, func(int) { medlarkey.Chain(medlarkey.Salt{}, text) })), nil
+		}},
+	}
+}
+
+// coreClock is the time of a core that is driven by hand.
+var coreClock = time.Unix(1_700_000_000, 0)
+
+// newCore returns a core that knows n replicas of up to 18 models, and stores.
+func newCore(n int) *medlartick.Core {
+	c := medlartick.New(medlarworld.Config{
+		Self: "entry-1", Zone: "z0", Weighting: medlarworld.WeighFirst, Queue: 1024, Attempts: 3, Contexts: true, Seed: 1,
+	})
+	kinds := modelCount(n)
+	applied := medlarworld.Applied{Version: 1}
+	for i := range kinds {
+		applied.Models = append(applied.Models, medlarworld.Model{ID: modelName(i), Version: "v1"})
+	}
+	c.Tick(coreClock, []medlarworld.Event{applied, listOf(n)})
+	var reports []medlarworld.Event
+	for i := range n {
+		reports = append(reports, medlarworld.Reported{
+			Upstream: replicaName(i), Model: modelName(i % kinds), Version: "v1", Prefill: 8000, BlockBytes: 4 << 20,
+			Load: medlarworld.Load{Slots: 1 << 20},
+		})
+	}
+	c.Tick(coreClock, reports)
+	return c
+}
+
+func modelCount(n int) int { return max(min(models, n/12), 1) }
+
+func modelName(i int) medlarid.ModelID { return medlarid.ModelID(fmt.Sprintf("model-%d", i)) }
+
+func replicaName(i int) medlarid.InstanceID {
+	return medlarid.InstanceID(fmt.Sprintf("replica-%d", i))
+}
+
+func listOf(n int) medlarworld.Listed {
+	l := medlarworld.Listed{Peers: membersToBe}
+	for i := range n {
+		l.Members = append(l.Members, medlarworld.Member{
+			ID: replicaName(i), Kind: "engine", Zone: medlarid.Zone(fmt.Sprintf("z%d", i%7)),
+			Address: "127.0.0.1:1", Model: modelName(i % modelCount(n)),
+		})
+	}
+	for i := range max(n/storesPerSize, 2) {
+		l.Members = append(l.Members, medlarworld.Member{
+			ID: medlarid.InstanceID(fmt.Sprintf("store-%d", i)), Kind: "store", Zone: "z0", Address: "127.0.0.1:2",
+		})
+	}
+	return l
+}
+
+func keys(seed uint64, n int) []medlarkey.Key {
+	out := make([]medlarkey.Key, n)
+	for i := range out {
+		binary.BigEndian.PutUint64(out[i][:8], seed*0x9e3779b97f4a7c15)
+		binary.BigEndian.PutUint64(out[i][8:], uint64(i))
+	}
+	return out
+}
+
+func runOf(i, kinds int) *medlarworld.Run {
+	return &medlarworld.Run{
+		ID:       medlarid.RequestID(fmt.Sprintf("r%d", i)),
+		Account:  medlarid.AccountID(fmt.Sprintf("account-%d", i%accountsUsed)),
+		Model:    modelName(i % kinds),
+		Version:  "v1",
+		Keys:     keys(uint64(i), blocksOfRun),
+		Prompt:   blocksOfRun * medlarkey.BlockTokens,
+		Arrived:  coreClock,
+		Deadline: coreClock.Add(time.Minute),
+	}
+}
+
+// requestTime returns the core's time for a request: submitted, found, started
+// and ended, each in a tick of its own.
+func requestTime(n int) (float64, error) {
+	c := newCore(n)
+	runs := make([]*medlarworld.Run, requests)
+	for i := range runs {
+		runs[i] = runOf(i, modelCount(n))
+	}
+	begin := time.Now()
+	for _, r := range runs {
+		c.Tick(coreClock, []medlarworld.Event{medlarworld.Submitted{Run: r}})
+		c.Tick(coreClock, []medlarworld.Event{medlarworld.Found{Run: r.ID}})
+		if r.Attempt != 1 {
+			return 0, fmt.Errorf("request %s is %s after %d attempts", r.ID, r.Phase, r.Attempt)
+		}
+		c.Tick(coreClock, []medlarworld.Event{medlarworld.Ended{Run: r.ID, Attempt: 1, Cause: medlarworld.CauseDone, Reached: true}})
+	}
+	return micros(time.Since(begin).Seconds() / requests), nil
+}
+
+func listTime(n int) (float64, error) {
+	c := newCore(n)
+	l := []medlarworld.Event{listOf(n)}
+	return micros(timed(50, func(int) { c.Tick(coreClock, l) })), nil
+}
+
+func accountBytes(n int) (float64, error) {
+	c := newCore(12)
+	return retained(func() any {
+		for i := range n {
+			r := runOf(i, 1)
+			r.Keys = nil
+			r.Account = medlarid.AccountID(fmt.Sprintf("account-%d", i))
+			c.Tick(coreClock, []medlarworld.Event{medlarworld.Submitted{Run: r, Limits: medlarworld.Limits{Rate: 10, Burst: 10}}})
+			c.Tick(coreClock, []medlarworld.Event{medlarworld.Ended{Run: r.ID, Attempt: 1, Cause: medlarworld.CauseDone, Reached: true}})
+		}
+		return c
+	}), nil
+}
+
+func warmTable(n int) *medlarworld.Warm {
+	t := medlarworld.NewWarm(n)
+	u := &medlarworld.Upstream{}
+	for i := range n {
+		t.Add(keys(uint64(i), 1)[0], u)
+	}
+	return t
+}
--- /dev/null
+++ b/internal/stand/medlarslope/peer.go
@@ -0,0 +1,289 @@
+package medlarslope
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"medlarfield/internal/agree/medlarfollow"
+	"medlarfield/internal/agree/medlarrecord"
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/peer/medlarlink"
+	"medlarfield/internal/peer/medlarmember"
+	"medlarfield/internal/peer/medlarmessage"
+	"medlarfield/internal/peer/medlarrelay"
+	"medlarfield/internal/peer/medlarshare"
+	"medlarfield/internal/platform/medlarlog"
+	"medlarfield/internal/stand/medlarfakelog"
+	"medlarfield/internal/stand/medlarkeys"
+)
+
+// Parameters of the peers' measurements.
+const (
+	memberTime   = 8 * time.Second
+	zones        = 7
+	publications = 5
+	// callOverhead is what one call costs on the wire beside its two messages, in
+	// bytes: yamux headers, TLS records, and IP and TCP headers of four packets.
+	callOverhead = 6*12 + 6*22 + 4*52
+)
+
+func peerMeasures() []measure {
+	members := []int{5, 50, 200, membersToBe}
+	accounts := []int{100, 1000, 6000, accountsToBe}
+	return []measure{
+		{"peer", "bytes a second for membership", "members", members, func(n int) (float64, error) {
+			bytes, _ := membership(n)
+			return bytes, nil
+		}},
+		{"peer", "‰ of a core for membership", "members", members, func(n int) (float64, error) {
+			_, share := membership(n)
+			return 1000 * share, nil
+		}},
+		{"peer", "bytes of memory for a view of the members", "members", members, viewBytes},
+		{"peer", "bytes of memory for sessions", "open sessions", []int{4, 8, 16, 32}, sessionBytes},
+		{"list fan-out", "ms from publication to in force on all", "readers in 7 zones", members, fanOut},
+		{"list fan-out", "reads of the log a second, idle", "readers in 7 zones", members, idleReads},
+		{"account home", "bytes of the book", "accounts of the home", accounts, bookBytes},
+		{"account home", "µs to grant a share", "accounts of the home", accounts, grantTime},
+	}
+}
+
+// network carries calls between instances in memory and counts their bytes.
+type network struct {
+	probers map[medlarid.InstanceID]*medlarmember.Prober
+	bytes   atomic.Int64
+}
+
+func (n *network) call(ctx context.Context, from, to medlarid.InstanceID, f *medlarmessage.Frame) (*medlarmessage.Reply, error) {
+	r, ok := n.probers[to].Handle(ctx, from, f)
+	if !ok {
+		return nil, eris.New("unknown call")
+	}
+	n.bytes.Add(int64(proto.Size(f) + proto.Size(r) + callOverhead))
+	return r, nil
+}
+
+func memberNames(n int) []medlarid.InstanceID {
+	out := make([]medlarid.InstanceID, n)
+	for i := range out {
+		out[i] = medlarid.InstanceID(fmt.Sprintf("entry-%d", i))
+	}
+	return out
+}
+
+// membership runs n members for a while and returns bytes a second and the share
+// of a core for each. A call's bytes count for both sides.
+func membership(n int) (bytesPerSecond, core float64) {
+	net := &network{probers: map[medlarid.InstanceID]*medlarmember.Prober{}}
+	ids := memberNames(n)
+	for _, id := range ids {
+		net.probers[id] = medlarmember.NewProber(id, func(ctx context.Context, to medlarid.InstanceID, f *medlarmessage.Frame) (*medlarmessage.Reply, error) {
+			return net.call(ctx, id, to, f)
+		}, nil)
+		net.probers[id].SetList(ids)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), memberTime)
+	defer cancel()
+	var wg sync.WaitGroup
+	begin := processorTime()
+	for _, p := range net.probers {
+		wg.Go(func() { p.Run(ctx) })
+	}
+	wg.Wait()
+	used := (processorTime() - begin).Seconds()
+	seconds := memberTime.Seconds()
+	return 2 * float64(net.bytes.Load()) / seconds / float64(n), used / seconds / float64(n)
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func viewBytes(n int) (float64, error) {
+	const copies = 20
+	ids := memberNames(n)
+	bytes := retained(func() any {
+		var all []*medlarmember.Prober
+		for i := range copies {
+			p := medlarmember.NewProber(ids[i%len(ids)], nil, nil)
+			p.SetList(ids)
+			all = append(all, p)
+		}
+		return all
+	})
+	return bytes / copies, nil
+}
+
+// sessionBytes opens sessions from one instance to n others over loopback. Both
+// ends are in this process: half of the growth is one end's.
+func sessionBytes(n int) (float64, error) {
+	dir, err := os.MkdirTemp("", "medlarslope")
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	authority, err := medlarkeys.New()
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	at := map[medlarid.InstanceID]medlarid.Address{}
+	var links []*medlarlink.Link
+	defer func() {
+		for _, l := range links {
+			l.Close()
+		}
+	}()
+	for _, id := range memberNames(n + 1) {
+		l, err := newLink(ctx, authority, dir, id, at)
+		if err != nil {
+			return 0, err
+		}
+		links = append(links, l)
+	}
+	before := heap()
+	for _, id := range memberNames(n + 1)[1:] {
+		if _, err := links[0].Call(ctx, id, &medlarmessage.Frame{Body: &medlarmessage.Frame_Probe{Probe: &medlarmessage.Probe{}}}); err != nil {
+			return 0, err
+		}
+	}
+	time.Sleep(50 * time.Millisecond)
+	return (heap() - before) / 2, nil
+}
+
+func newLink(ctx context.Context, a *medlarkeys.Authority, dir string, id medlarid.InstanceID, at map[medlarid.InstanceID]medlarid.Address) (*medlarlink.Link, error) {
+	files, err := a.Write(dir, id, time.Hour)
+	if err != nil {
+		return nil, err
+	}
+	keys, err := medlarlink.NewKeys(files, func(error) {})
+	if err != nil {
+		return nil, err
+	}
+	address := func(to medlarid.InstanceID) medlarid.Address { return at[to] }
+	handle := func(context.Context, medlarid.InstanceID, *medlarmessage.Frame) *medlarmessage.Reply {
+		return &medlarmessage.Reply{}
+	}
+	l := medlarlink.New(keys, address, handle, func() {})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	at[id] = medlarid.Address(ln.Addr().String())
+	go l.Serve(ctx, ln)
+	context.AfterFunc(ctx, func() { _ = ln.Close() })
+	return l, nil
+}
+
+// fleet is readers of the lists stream in several availability zones.
+type fleet struct {
+	log    *medlarfakelog.Log
+	relays map[medlarid.InstanceID]*medlarrelay.Relay
+	reads  atomic.Int64
+	behind sync.WaitGroup // readers that have not read the last publication
+}
+
+// newFleet starts n readers that run until ctx ends.
+func newFleet(ctx context.Context, n int) *fleet {
+	f := &fleet{log: medlarfakelog.New(medlarfakelog.Settings{}), relays: map[medlarid.InstanceID]*medlarrelay.Relay{}}
+	byZone := make([][]medlarid.InstanceID, zones)
+	for i, id := range memberNames(n) {
+		byZone[i%zones] = append(byZone[i%zones], id)
+	}
+	for i, id := range memberNames(n) {
+		f.relays[id] = medlarrelay.New(medlarrecord.StreamLists, medlarrelay.Seams{
+			Self:    id,
+			Zone:    func() []medlarid.InstanceID { return byZone[i%zones] },
+			Call:    f.call,
+			Read:    f.read,
+			Through: func(string) {},
+		})
+	}
+	for _, r := range f.relays {
+		fl := medlarfollow.New(medlarfollow.Seams{
+			Read:   medlarfollow.ReadFunc(r.Read),
+			Apply:  func(medlarlog.Entry) { f.behind.Done() },
+			Gap:    func(medlarid.Offset) {},
+			Caught: func(bool) {},
+			Failed: func(error) {},
+		}, 1)
+		go fl.Run(ctx)
+	}
+	return f
+}
+
+func (f *fleet) call(ctx context.Context, to medlarid.InstanceID, q *medlarmessage.Frame) (*medlarmessage.Reply, error) {
+	time.Sleep(time.Millisecond) // one way within a zone and back
+	r, _ := f.relays[to].Handle(ctx, q)
+	return r, nil
+}
+
+func (f *fleet) read(from medlarid.Offset, limit int, wait time.Duration) (medlarlog.Batch, error) {
+	f.reads.Add(1)
+	time.Sleep(time.Millisecond)
+	return f.log.Read(medlarrecord.StreamLists, from, limit, wait), nil
+}
+
+// fanOut returns the slowest of several publications to all readers.
+func fanOut(n int) (float64, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	f := newFleet(ctx, n)
+	time.Sleep(300 * time.Millisecond)
+	slowest := 0.0
+	for range publications {
+		f.behind.Add(n)
+		begin := time.Now()
+		f.log.Append(medlarrecord.StreamLists, make([]byte, 256))
+		f.behind.Wait()
+		slowest = max(slowest, time.Since(begin).Seconds()*1e3)
+	}
+	return slowest, nil
+}
+
+func idleReads(n int) (float64, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	f := newFleet(ctx, n)
+	time.Sleep(500 * time.Millisecond)
+	before := f.reads.Load()
+	time.Sleep(10500 * time.Millisecond)
+	return float64(f.reads.Load()-before) / 10.5, nil
+}
+
+func bookBytes(n int) (float64, error) {
+	return retained(func() any { return book(n) }), nil
+}
+
+// book returns the book of a home with n accounts that three instances ask about.
+func book(n int) *medlarshare.Book {
+	now := time.Now()
+	b := medlarshare.NewBook(now.Add(-time.Hour))
+	for i := range n {
+		demand := []medlarshare.Demand{{Account: medlarid.AccountID(fmt.Sprintf("account-%d", i)), Rate: 1, Open: 1}}
+		for _, id := range memberNames(3) {
+			b.Grant(now, id, demand, membersToBe)
+		}
+	}
+	return b
+}
+
+func grantTime(n int) (float64, error) {
+	b := book(n)
+	now := time.Now()
+	return micros(timed(20000, func(i int) {
+		b.Grant(now, "entry-1", []medlarshare.Demand{{Account: medlarid.AccountID(fmt.Sprintf("account-%d", i%n)), Rate: 1, Open: 1}}, membersToBe)
+	})), nil
+}
--- a/internal/stand/medlarstandcmd/medlarstandcmd.go
+++ b/internal/stand/medlarstandcmd/medlarstandcmd.go
@@ -3,10 +3,12 @@
 package medlarstandcmd
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"time"
@@ -17,6 +19,7 @@
 	"medlarfield/internal/ops/medlarversion"
 	"medlarfield/internal/platform/medlarinstance"
 	"medlarfield/internal/stand/medlarfault"
+	"medlarfield/internal/stand/medlarslope"
 	"medlarfield/internal/stand/medlarstage"
 	"medlarfield/internal/stand/medlartrial"
 )
@@ -30,7 +33,7 @@
 		SilenceErrors: true,
 	}
 	root.SetOut(os.Stdout)
-	root.AddCommand(upCommand(), trialCommand(), faultsCommand(), medlarversion.Command())
+	root.AddCommand(upCommand(), trialCommand(), slopesCommand(), faultsCommand(), medlarversion.Command())
 	return root
 }
 
@@ -43,6 +46,36 @@
 	}
 }
 
+func slopesCommand() *cobra.Command {
+	var out string
+	cmd := &cobra.Command{
+		Use:   "slopes",
+		Short: "Measure how state, messages, time and memory of each role grow; writes slopes.md and slopes.svg",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			series, err := medlarslope.Run(cmd.OutOrStdout())
+			if err != nil {
+				return err
+			}
+			return writeSlopes(out, series)
+		},
+	}
+	cmd.Flags().StringVar(&out, "out", "docs", "folder to write into")
+	return cmd
+}
+
+func writeSlopes(dir string, series []medlarslope.Series) error {
+	var page, sheet bytes.Buffer
+	medlarslope.WriteTable(&page, series)
+	if err := medlarslope.WritePlots(&sheet, series); err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(dir, "slopes.md"), page.Bytes(), 0o644); err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(dir, "slopes.svg"), sheet.Bytes(), 0o644)
+}
+
 func faultsCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "faults",
