--- a/internal/agree/medlarlist/check.go
+++ b/internal/agree/medlarlist/check.go
@@ -1,7 +1,6 @@
 package medlarlist
 
 import (
-	"encoding/hex"
 	"regexp"
 	"slices"
 
@@ -10,14 +9,13 @@
 
 // Bounds of the fields of the lists.
 const (
-	maxRate       = 1e6     // requests a second
-	maxBurst      = 1e6     // requests
-	maxRuns       = 100_000 // requests at the same time
-	maxTokens     = 1 << 20 // tokens a request
-	maxWeight     = 1000
-	maxPriority   = 100
-	maxDeadline   = 24 * 60 * 60 // seconds
-	keyDigestSize = 32           // bytes
+	maxRate     = 1e6     // requests a second
+	maxBurst    = 1e6     // requests
+	maxRuns     = 100_000 // requests at the same time
+	maxTokens   = 1 << 20 // tokens a request
+	maxWeight   = 1000
+	maxPriority = 100
+	maxDeadline = 24 * 60 * 60 // seconds
 )
 
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
@@ -50,11 +48,6 @@
 	if a.Plan == "" {
 		return fieldErrorf("plan", "want the name of a plan")
 	}
-	for _, k := range a.Keys {
-		if b, err := hex.DecodeString(k); err != nil || len(b) != keyDigestSize {
-			return fieldErrorf("keys", "want SHA-256 digests of 64 hexadecimal digits")
-		}
-	}
 	return nil
 }
 
--- a/internal/agree/medlarlist/medlarlist.go
+++ b/internal/agree/medlarlist/medlarlist.go
@@ -12,6 +12,9 @@
 package medlarlist
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
 	"fmt"
 
 	"medlarfield/internal/base/medlarid"
@@ -54,10 +57,29 @@
 // Account is an entry of the plans list.
 type Account struct {
 	Plan medlarid.PlanID `json:"plan"`
-	// Keys are the SHA-256 digests of the account's bearer keys, in hexadecimal.
-	Keys []string `json:"keys"`
+	Keys []KeyDigest     `json:"keys"`
 }
 
+// KeyDigest is the SHA-256 digest of a bearer key; it is written in hexadecimal.
+type KeyDigest [sha256.Size]byte
+
+// MarshalText writes the digest in hexadecimal.
+func (d KeyDigest) MarshalText() ([]byte, error) { return hex.AppendEncode(nil, d[:]), nil }
+
+// UnmarshalText reads a digest in hexadecimal.
+func (d *KeyDigest) UnmarshalText(b []byte) error {
+	if len(b) != hex.EncodedLen(len(d)) {
+		return errKeyDigest
+	}
+	if _, err := hex.Decode(d[:], b); err != nil {
+		return errKeyDigest
+	}
+	return nil
+}
+
+// errKeyDigest is a digest that cannot be read.
+var errKeyDigest = errors.New("want a SHA-256 digest of 64 hexadecimal digits")
+
 // Plan is an entry of the uses list: what the accounts of a plan may use.
 type Plan struct {
 	Models   []medlarid.ModelID   `json:"models,omitempty"`
@@ -99,7 +121,7 @@
 	Services map[medlarid.ServiceID]Service
 	Digest   Digest
 
-	byKey map[string]medlarid.AccountID
+	byKey map[KeyDigest]medlarid.AccountID
 }
 
 // New returns empty lists.
@@ -109,13 +131,12 @@
 		Plans:    map[medlarid.PlanID]Plan{},
 		Models:   map[medlarid.ModelID]Model{},
 		Services: map[medlarid.ServiceID]Service{},
-		byKey:    map[string]medlarid.AccountID{},
+		byKey:    map[KeyDigest]medlarid.AccountID{},
 	}
 }
 
-// AccountByKey returns the account that holds the bearer key with the given
-// SHA-256 digest in hexadecimal.
-func (l *Lists) AccountByKey(digest string) (medlarid.AccountID, bool) {
+// AccountByKey returns the account that holds the bearer key with a digest.
+func (l *Lists) AccountByKey(digest KeyDigest) (medlarid.AccountID, bool) {
 	id, ok := l.byKey[digest]
 	return id, ok
 }
--- a/internal/agree/medlarlist/medlarlist_test.go
+++ b/internal/agree/medlarlist/medlarlist_test.go
@@ -68,7 +68,7 @@
 		},
 		{
 			"bad key", `{"accounts": {"a": {"plan": "p", "keys": ["secret"]}}}`, goodUses,
-			`plans.json:1:42: account "a": keys: want SHA-256 digests of 64 hexadecimal digits`,
+			`plans.json:1:43: field "0": want a SHA-256 digest of 64 hexadecimal digits`,
 		},
 		{
 			"same key twice", `{"accounts": {"a": {"plan": "p", "keys": ["` + digestA + `"]}, "b": {"plan": "p", "keys": ["` + digestA + `"]}}}`, goodUses,
--- a/internal/edge/medlarauth/medlarauth.go
+++ b/internal/edge/medlarauth/medlarauth.go
@@ -4,7 +4,6 @@
 
 import (
 	"crypto/sha256"
-	"encoding/hex"
 	"strings"
 
 	"medlarfield/internal/agree/medlarlist"
@@ -14,10 +13,7 @@
 const bearer = "bearer "
 
 // Digest returns the digest of a key as the plans list has it.
-func Digest(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
+func Digest(key string) medlarlist.KeyDigest { return sha256.Sum256([]byte(key)) }
 
 // Account returns the account that the value of an Authorization header belongs
 // to; ok is false when the key is missing or belongs to none.
--- a/internal/ops/medlardaemon/medlardaemon.go
+++ b/internal/ops/medlardaemon/medlardaemon.go
@@ -5,6 +5,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/spf13/cobra"
@@ -54,7 +55,14 @@
 	}
 }
 
+// gcPercent trades processor time for memory: an instance's memory is small, and
+// so is what it allocates for each request.
+const gcPercent = 50
+
 func serve(cmd *cobra.Command, file string) error {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
 	cfg, err := medlarsettings.Read(file)
 	if err != nil {
 		return err
--- a/internal/ops/medlarnode/medlarnode.go
+++ b/internal/ops/medlarnode/medlarnode.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,6 +39,10 @@
 	"medlarfield/internal/ops/medlarwatch"
 )
 
+// largeChange is the number of entries of a change above which memory is given
+// back to the system.
+const largeChange = 1000
+
 // closeTimeout bounds the closing of connections after the last request.
 const closeTimeout = 5 * time.Second
 
@@ -184,6 +189,9 @@
 	n.metrics.InForce(v.Version)
 	n.reporter.Applied(v.Version)
 	n.log.Info().Uint64("version", uint64(v.Version)).Msg("configuration in force")
+	if last := v.History[len(v.History)-1]; last.Changes > largeChange {
+		debug.FreeOSMemory() // what reading a whole list took is not needed again
+	}
 }
 
 // rank returns the instance's turn to write the snapshot after an offset.
--- a/internal/ops/medlaroperator/read.go
+++ b/internal/ops/medlaroperator/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"fmt"
 	"io"
 	"maps"
@@ -248,7 +249,8 @@
 			if _, err := fmt.Fscanln(cmd.InOrStdin(), &key); err != nil {
 				return &Error{Op: OpRead, Kind: KindUsage, Err: eris.New("want a key on standard input")}
 			}
-			cmd.Println(medlarauth.Digest(key))
+			digest := medlarauth.Digest(key)
+			cmd.Println(hex.EncodeToString(digest[:]))
 			return nil
 		},
 	}
