--- /dev/null
+++ b/cmd/medlard/promises_test.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// promises are what must always hold, each with the word that its row starts with.
+var promises = []string{"blocks", "accounts", "versions", "answers", "refusals", "once", "leaving", "stopping", "configuration"}
+
+var testName = regexp.MustCompile("`(Test[A-Za-z0-9]+)`")
+
+// testsOf returns the names of all test functions of the project.
+func testsOf(t *testing.T, root string) map[string]bool {
+	t.Helper()
+	declared := regexp.MustCompile(`(?m)^func (Test[A-Za-z0-9]+)\(`)
+	out := map[string]bool{}
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		for _, m := range declared.FindAllSubmatch(text, -1) {
+			out[string(m[1])] = true
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+func TestPagesNameTestsThatExist(t *testing.T) {
+	root := filepath.Join("..", "..")
+	known := testsOf(t, root)
+	for _, page := range []string{"PROMISES.md", "THREATS.md"} {
+		text, err := os.ReadFile(filepath.Join(root, "docs", page))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range testName.FindAllStringSubmatch(string(text), -1) {
+			if !known[m[1]] {
+				t.Errorf("%s names %s, which is no test", page, m[1])
+			}
+		}
+	}
+}
+
+func TestEachPromiseHasARow(t *testing.T) {
+	text, err := os.ReadFile(filepath.Join("..", "..", "docs", "PROMISES.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	rows := map[string]string{}
+	for _, line := range strings.Split(string(text), "\n") {
+		if name, rest, ok := strings.Cut(strings.TrimPrefix(line, "| "), ": "); ok && strings.HasPrefix(line, "| ") {
+			rows[name] = rest
+		}
+	}
+	for _, p := range promises {
+		if !testName.MatchString(rows[p]) {
+			t.Errorf("the promise %q has no row that names a test", p)
+		}
+	}
+}
--- a/internal/ops/medlarnode/path_test.go
+++ b/internal/ops/medlarnode/path_test.go
@@ -365,3 +365,51 @@
 	}
 	return n
 }
+
+func TestResumeStaysOnItsVersion(t *testing.T) {
+	w := start(t, change{engine: func(e *medlarfakeengine.Settings) { e.Decode, e.LoadTime = 400*time.Millisecond, 0 }})
+	want := w.ask(0, "prompt")
+	done := make(chan medlarclient.Result)
+	go func() { done <- w.ask(0, "prompt") }()
+	w.awaitOpen(1)
+	time.Sleep(100 * time.Millisecond) // the answer has begun under v1
+	running := -1
+	for i, e := range w.stage.Engines {
+		if e.Load().Running > 0 {
+			running = i
+		}
+	}
+	other := (running + 1) % len(w.stage.Engines)
+	for i, e := range w.stage.Engines {
+		if i != running && i != other {
+			w.load(e.Host.Address, "v2")
+		}
+	}
+	w.publish(withVersion(t, w.nodes[0].View().Lists, "v2"))
+	if err := w.stage.Kill(w.stage.Engines[running].Host.Part); err != nil {
+		t.Fatal(err)
+	}
+	got := <-done
+	assertWhole(t, got)
+	if got.Text != want.Text {
+		t.Errorf("got %q, want all of it under v1: %q", got.Text, want.Text)
+	}
+}
+
+func TestStatusHoldsNoSecrets(t *testing.T) {
+	w := start(t, change{})
+	assertWhole(t, w.ask(0, "a secret prompt"))
+	for _, path := range []string{"/metrics", "/status", "/readyz"} {
+		a, err := medlarhttp.New(time.Second).Do(medlarhttp.Call{
+			Method: "GET", Address: w.nodes[0].StatusAddress(), Path: path, Timeout: time.Second,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, secret := range []string{medlarstage.Key, "parish", "secret"} {
+			if strings.Contains(string(a.Body), secret) {
+				t.Errorf("%s holds %q", path, secret)
+			}
+		}
+	}
+}
