Weight versions of the lists are loaded: lease, planner, reconciler

Cause: publishing a weight version did nothing; an operator has no other lever. Change: one instance holds a lease in the log and orders engines whose version differs, two loads at once, half of a model's replicas serving throughout.

--- /dev/null
+++ b/internal/core/medlarorder/medlarorder.go
@@ -0,0 +1,131 @@
+// Package medlarorder plans which replicas are to load which weight version.
+//
+// Rules:
+//
+//	R1  An order is absolute: model and version wanted. A replica that has them,
+//	    or is loading, gets none.
+//	R2  At most maxLoads replicas load at the same time.
+//	R3  A model's last serving replica is never taken, and at least half of its
+//	    replicas go on serving.
+//	R4  Models with more demand for each serving replica come first; of a model's
+//	    replicas those with the least load come first.
+//	R5  A replica that gets an order gets the next one only after a pause, so that
+//	    one which loads something else is not ordered about without end.
+package medlarorder
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+)
+
+// Parameters of orders.
+const (
+	maxLoads   = 2
+	orderPause = 5 * time.Second
+)
+
+// Replica is what is known of a replica.
+type Replica struct {
+	ID      medlarid.InstanceID
+	Model   medlarid.ModelID
+	Version medlarid.WeightVersion
+	Loading bool
+	Leaving bool
+	Load    int // runs computed and waiting
+}
+
+// Order tells a replica to load a version.
+type Order struct {
+	Replica medlarid.InstanceID
+	Model   medlarid.ModelID
+	Version medlarid.WeightVersion
+}
+
+// Planner plans orders. It is not safe for concurrent use.
+type Planner struct {
+	ordered map[medlarid.InstanceID]time.Time
+}
+
+// New returns a planner that has given no orders.
+func New() *Planner { return &Planner{ordered: map[medlarid.InstanceID]time.Time{}} }
+
+// group is the replicas of one model.
+type group struct {
+	model   medlarid.ModelID
+	wanted  medlarid.WeightVersion
+	total   int // serving and loading
+	serving int
+	load    int
+	stale   []Replica // not loading and under another version
+}
+
+// Plan returns the orders to give now.
+func (p *Planner) Plan(now time.Time, replicas []Replica, wanted map[medlarid.ModelID]medlarid.WeightVersion) []Order {
+	loading := 0
+	for _, r := range replicas {
+		if r.Loading || now.Sub(p.ordered[r.ID]) < orderPause { // just ordered: it may not tell yet
+			loading++
+		}
+	}
+	var out []Order
+	for _, g := range groups(replicas, wanted) {
+		for _, r := range g.stale {
+			if loading >= maxLoads || !g.mayTake() { // R2, R3
+				break
+			}
+			if now.Sub(p.ordered[r.ID]) < orderPause {
+				continue // R5
+			}
+			p.ordered[r.ID] = now
+			g.serving--
+			loading++
+			out = append(out, Order{Replica: r.ID, Model: g.model, Version: g.wanted})
+		}
+	}
+	return out
+}
+
+// mayTake reports whether a serving replica may stop to serve (R3).
+func (g *group) mayTake() bool {
+	left := g.serving - 1
+	return left >= 1 && 2*left >= g.total
+}
+
+// groups returns the models with stale replicas, in the order of rule R4.
+func groups(replicas []Replica, wanted map[medlarid.ModelID]medlarid.WeightVersion) []*group {
+	byModel := map[medlarid.ModelID]*group{}
+	for _, r := range replicas {
+		v, ok := wanted[r.Model]
+		if !ok || r.Leaving {
+			continue
+		}
+		g := byModel[r.Model]
+		if g == nil {
+			g = &group{model: r.Model, wanted: v}
+			byModel[r.Model] = g
+		}
+		g.total++
+		g.load += r.Load
+		if r.Loading {
+			continue
+		}
+		g.serving++
+		if r.Version != v {
+			g.stale = append(g.stale, r)
+		}
+	}
+	var out []*group
+	for _, g := range byModel {
+		if len(g.stale) > 0 {
+			slices.SortFunc(g.stale, func(a, b Replica) int { return cmp.Or(cmp.Compare(a.Load, b.Load), cmp.Compare(a.ID, b.ID)) })
+			out = append(out, g)
+		}
+	}
+	slices.SortFunc(out, func(a, b *group) int {
+		return cmp.Or(cmp.Compare(b.load*max(a.serving, 1), a.load*max(b.serving, 1)), cmp.Compare(a.model, b.model))
+	})
+	return out
+}
--- a/internal/edge/medlarmetric/medlarmetric.go
+++ b/internal/edge/medlarmetric/medlarmetric.go
@@ -34,6 +34,7 @@
 	replays  prometheus.Counter
 	failures *prometheus.CounterVec
 	lists    *prometheus.CounterVec
+	orders   *prometheus.CounterVec
 	version  prometheus.Gauge
 	waiting  prometheus.Gauge
 	open     prometheus.Gauge
@@ -50,6 +51,7 @@
 	m.moved = m.counters("moved_bytes_total", "Bytes of kept context moved, by direction.", "direction")
 	m.failures = m.counters("platform_failures_total", "Failed calls to the platform, by part.", "part")
 	m.lists = m.counters("lists_reads_total", "Reads of the lists stream, by source: log, relay.", "source")
+	m.orders = m.counters("orders_total", "Orders to engines, by result: given, failed.", "result")
 	m.first = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Namespace: namespace, Name: "first_token_seconds", Help: "Time to first token.", Buckets: firstBuckets,
 	}, []string{"model"})
@@ -134,6 +136,15 @@
 // ListsRead counts a read of the lists stream by its source.
 func (m *Metrics) ListsRead(source string) { m.lists.WithLabelValues(source).Inc() }
 
+// Ordered counts an order to an engine.
+func (m *Metrics) Ordered(given bool) {
+	result := "failed"
+	if given {
+		result = "given"
+	}
+	m.orders.WithLabelValues(result).Inc()
+}
+
 // Ejected counts an ejection.
 func (m *Metrics) Ejected() { m.ejected.Inc() }
 
--- a/internal/ops/medlarnode/build.go
+++ b/internal/ops/medlarnode/build.go
@@ -11,6 +11,7 @@
 	"medlarfield/internal/agree/medlaraudit"
 	"medlarfield/internal/agree/medlarclaim"
 	"medlarfield/internal/agree/medlarfollow"
+	"medlarfield/internal/agree/medlarlease"
 	"medlarfield/internal/agree/medlarpublish"
 	"medlarfield/internal/agree/medlarrecord"
 	"medlarfield/internal/agree/medlarstate"
@@ -21,6 +22,7 @@
 	"medlarfield/internal/edge/medlarmetric"
 	"medlarfield/internal/edge/medlarsession"
 	"medlarfield/internal/edge/medlartransfer"
+	"medlarfield/internal/ops/medlarduty"
 	"medlarfield/internal/ops/medlarlogger"
 	"medlarfield/internal/ops/medlarloop"
 	"medlarfield/internal/ops/medlarsettings"
@@ -31,6 +33,7 @@
 	"medlarfield/internal/platform/medlarlog"
 	"medlarfield/internal/platform/medlarservice"
 	"medlarfield/internal/platform/medlarstore"
+	"medlarfield/internal/platform/medlarweight"
 )
 
 // transferTimeout bounds one export or import.
@@ -49,7 +52,7 @@
 	providers := []any{
 		func() medlarsettings.Settings { return cfg },
 		func() logOutput { return logOutput{w} },
-		newAuthor, newLogger, newHTTP, newLogClient, newInstances, newEngines, newStores, newServices,
+		newAuthor, newLogger, newHTTP, newLogClient, newInstances, newEngines, newStores, newServices, newWeights,
 		medlarmetric.New, medlarstate.New,
 		newCore, newPeers, newLinks, newReaders, newDesk, newNode,
 	}
@@ -91,6 +94,10 @@
 	return medlarstore.New(h, cfg.Platform.Timeout.Std())
 }
 
+func newWeights(cfg medlarsettings.Settings, h *medlarhttp.Client) *medlarweight.Client {
+	return medlarweight.New(h, cfg.Platform.Weights, cfg.Platform.Timeout.Std())
+}
+
 func newServices(h *medlarhttp.Client) *medlarservice.Client { return medlarservice.New(h) }
 
 func newCore(cfg medlarsettings.Settings) *medlartick.Core {
@@ -228,6 +235,7 @@
 	LogC     *medlarlog.Client
 	Engines  *medlarengine.Client
 	Services *medlarservice.Client
+	Weights  *medlarweight.Client
 }
 
 func newNode(in nodeIn) *Node {
@@ -251,12 +259,40 @@
 		n.state.View, n.readers.Lists.Status, n.rank, failed)
 	n.reporter = medlaraudit.NewReporter(string(in.Author), in.Cfg.Name, in.Cfg.Zone,
 		appendTo(in.LogC, medlaraudit.Stream), func(error) { n.metrics.Failed("log") })
+	n.lease = medlarlease.NewClaimer(medlarduty.Duty, string(in.Author), appendTo(in.LogC, medlarlease.Stream),
+		func() int { return n.rank(0) }, func(error) { n.metrics.Failed("log") })
+	n.readers.Leases = newLeaseReader(in.LogC, n)
+	n.duty = newDuty(n, in)
 	n.caller = newCaller(n, in)
 	n.server = n.caller.Server()
 	n.status = n.statusServer()
 	return n
 }
 
+// newLeaseReader returns the reader of the leases stream. A gap needs no care: a
+// lease that has expired from the log has run out.
+func newLeaseReader(lc *medlarlog.Client, n *Node) *medlarfollow.Follower {
+	return medlarfollow.New(medlarfollow.Seams{
+		Read:   read(lc, medlarlease.Stream),
+		Apply:  n.lease.Apply,
+		Gap:    func(medlarid.Offset) {},
+		Caught: func(bool) {},
+		Failed: func(error) { n.metrics.Failed("log") },
+	}, 1)
+}
+
+func newDuty(n *Node, in nodeIn) *medlarduty.Reconciler {
+	return medlarduty.New(medlarduty.Seams{
+		Holds:   n.lease.Holds,
+		Wanted:  n.wanted,
+		Engines: n.watch.Engines,
+		Client:  in.Engines,
+		Weights: in.Weights,
+		Ordered: n.ordered,
+		Failed:  n.metrics.Failed,
+	})
+}
+
 func newCaller(n *Node, in nodeIn) *medlarcaller.Caller {
 	l := in.Cfg.Limits
 	limits := medlarcaller.Limits{
--- a/internal/ops/medlarnode/medlarnode.go
+++ b/internal/ops/medlarnode/medlarnode.go
@@ -26,14 +26,17 @@
 	"medlarfield/internal/agree/medlaraudit"
 	"medlarfield/internal/agree/medlarclaim"
 	"medlarfield/internal/agree/medlarfollow"
+	"medlarfield/internal/agree/medlarlease"
 	"medlarfield/internal/agree/medlarpublish"
 	"medlarfield/internal/agree/medlarstate"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
+	"medlarfield/internal/core/medlarorder"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarcaller"
 	"medlarfield/internal/edge/medlarmetric"
 	"medlarfield/internal/edge/medlartransfer"
+	"medlarfield/internal/ops/medlarduty"
 	"medlarfield/internal/ops/medlarloop"
 	"medlarfield/internal/ops/medlarsettings"
 	"medlarfield/internal/ops/medlarwatch"
@@ -59,6 +62,8 @@
 	readers  *Readers
 	keeper   *medlarpublish.Keeper
 	reporter *medlaraudit.Reporter
+	lease    *medlarlease.Claimer
+	duty     *medlarduty.Reconciler
 	peers    *peers // nil for an instance without peers
 	caller   *medlarcaller.Caller
 
@@ -75,6 +80,7 @@
 type Readers struct {
 	Lists  *medlarfollow.Follower
 	Claims *medlarfollow.Follower
+	Leases *medlarfollow.Follower
 }
 
 // Address returns the address that callers reach, once Start has returned.
@@ -105,9 +111,11 @@
 	}
 	run, cancel := context.WithCancel(ctx)
 	n.wg.Go(func() { n.loop.Run(run) })
-	n.wg.Go(func() { n.desk.Run(run) }) // appends what is left when it ends
+	n.wg.Go(func() { n.desk.Run(run) })  // appends what is left when it ends
+	n.wg.Go(func() { n.lease.Run(run) }) // releases the lease when it ends
 	for _, f := range []func(context.Context){
 		n.watch.Run, n.transfer.Run, n.readers.Lists.Run, n.readers.Claims.Run, n.keeper.Run, n.reporter.Run,
+		n.readers.Leases.Run, n.duty.Run,
 	} {
 		go f(run) // may be waiting for the platform when the instance stops
 	}
@@ -194,6 +202,25 @@
 	}
 }
 
+// wanted returns the weight versions that the lists in force want.
+func (n *Node) wanted() medlarduty.Wanted {
+	out := medlarduty.Wanted{}
+	for id, m := range n.state.View().Lists.Models {
+		out[id] = m.Version
+	}
+	return out
+}
+
+// ordered counts and logs an order to an engine.
+func (n *Node) ordered(o medlarorder.Order, err error) {
+	n.metrics.Ordered(err == nil)
+	line := n.log.Info()
+	if err != nil {
+		line = n.log.Warn().Err(err)
+	}
+	line.Str("upstream", string(o.Replica)).Str("model", string(o.Model)).Str("weights", string(o.Version)).Msg("load ordered")
+}
+
 // rank returns the instance's turn to write the snapshot after an offset.
 func (n *Node) rank(after medlarid.Offset) int {
 	var k medlarkey.Key
--- a/internal/ops/medlarwatch/medlarwatch.go
+++ b/internal/ops/medlarwatch/medlarwatch.go
@@ -110,6 +110,23 @@
 	return w.entries
 }
 
+// Engine is an engine of the list.
+type Engine struct {
+	ID      medlarid.InstanceID
+	Address medlarid.Address
+}
+
+// Engines returns the engines of the list.
+func (w *Watch) Engines() []Engine {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := make([]Engine, 0, len(w.engines))
+	for _, e := range w.engines {
+		out = append(out, Engine{e.id, e.address})
+	}
+	return out
+}
+
 // BlockBytes returns the size of a block of an engine, or 0 when not known.
 func (w *Watch) BlockBytes(id medlarid.InstanceID) medlarid.Bytes {
 	w.mu.Lock()
--- a/internal/stand/medlarfault/medlarfault.go
+++ b/internal/stand/medlarfault/medlarfault.go
@@ -39,8 +39,8 @@
 	Corrupt   Name = "corrupt"   // changes bytes of what it returns
 	Stale     Name = "stale"     // answers with an old state
 	Gap       Name = "gap"       // leaves out cache events
-	Version   Name = "version"   // loads or reports another weight version
-	Forgetful Name = "forgetful" // reports kept blocks that it has dropped
+	Version   Name = "version"   // refuses a run as under another weight version
+	Misload   Name = "misload"   // loads another weight version than it was told
 	Freeze    Name = "freeze"    // accepts calls and answers none
 	Malformed Name = "malformed" // answers with bytes that are no JSON
 )
@@ -68,8 +68,8 @@
 	{Corrupt, "changes bytes of what it returns"},
 	{Stale, "answers with an old state"},
 	{Gap, "leaves out cache events"},
-	{Version, "works under another weight version than it was asked for"},
-	{Forgetful, "reports blocks that it has dropped"},
+	{Version, "refuses a run as if another weight version were loaded"},
+	{Misload, "loads another weight version than it was told"},
 	{Freeze, "accepts calls and answers none until cleared"},
 	{Malformed, "answers with bytes that are no JSON"},
 }
