--- a/internal/core/medlaradmit/medlaradmit.go
+++ b/internal/core/medlaradmit/medlaradmit.go
@@ -353,14 +353,15 @@
 func weight(a *medlarworld.Account) float64 { return max(a.Limits.Weight, 1) }
 
 // forget drops accounts without open requests whose bucket is full again and
-// whose place in the queue has passed (R7).
+// whose place in the queue has passed, or matters no more since nobody waits (R7).
 func (s *System) forget(w *medlarworld.World) {
 	if w.Now.Before(s.forgetAt) {
 		return
 	}
 	s.forgetAt = w.Now.Add(forgetInterval)
 	for id, a := range w.Accounts {
-		if a.Open == 0 && a.Finish <= w.Virtual && full(w, a) {
+		passed := a.Finish <= w.Virtual || len(w.Waiting) == 0
+		if a.Open == 0 && passed && full(w, a) {
 			delete(w.Accounts, id)
 		}
 	}
