Policies compared on seeded work; a home that caches all no longer stops the core

Cause: the experiment crashed the core: a replica that is a conversation's home and caches all of a prompt has a cost below 0, and the bound of nearly equal costs then lay below the lowest cost, so nothing was left to draw from. Change: the bound is taken from the absolute cost; a test has the case.

--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -23,6 +23,7 @@
 package medlarroute
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -195,7 +196,8 @@
 	for i := range s.choices {
 		lowest = min(lowest, s.choices[i].cost)
 	}
-	return s.pick(w, lowest*(1+nearShare)+nearSeconds), true
+	// The cost of a home may be below 0.
+	return s.pick(w, lowest+nearShare*math.Abs(lowest)+nearSeconds), true
 }
 
 // pick draws two of the choices up to a cost and takes the one whose upstream
--- /dev/null
+++ b/internal/core/medlartick/experiment_test.go
@@ -0,0 +1,448 @@
+package medlartick
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarkey"
+	"medlarfield/internal/core/medlarworld"
+)
+
+// Size of the experiment: a dozen replicas, two stores, ten accounts; dossiers
+// that return after their context was pushed out of the replicas' caches.
+const (
+	expReplicas  = 12
+	expStores    = 2
+	expBlocks    = 600 // blocks of a replica's cache
+	expSlots     = 16
+	expPrefill   = 8000.0 // prompt tokens a second
+	expDecode    = 2 * time.Second
+	expBlockSize = 4 << 20
+	expLink      = 2.5e9 // bytes a second of a store's link
+	expDossiers  = 400
+	expPrompts   = 4000
+	expGap       = 55 * time.Millisecond // between prompts
+	expFind      = 2 * time.Millisecond
+)
+
+// policy is a way to choose a replica.
+type policy string
+
+const (
+	roundRobin  policy = "round robin"
+	leastLoaded policy = "least loaded"
+	affinity    policy = "prefix affinity, no stores"
+	oursFirst   policy = "ours, first token"
+	oursShare   policy = "ours, share"
+	bound       policy = "bound: unlimited memory and links"
+)
+
+// simReplica is a replica: prompts are computed one after the other, answers side
+// by side.
+type simReplica struct {
+	id     medlarid.InstanceID
+	free   time.Time // when the computation of prompts has caught up
+	active int
+	cache  map[medlarkey.Key]int // last use
+	clock  int
+}
+
+func (r *simReplica) depth(keys []medlarkey.Key) int {
+	n := 0
+	for _, k := range keys {
+		if _, ok := r.cache[k]; !ok {
+			break
+		}
+		n++
+	}
+	return n
+}
+
+// touch caches blocks and evicts those used least recently, the last of a chain
+// first.
+func (r *simReplica) touch(keys []medlarkey.Key, size int) (evicted []medlarkey.Key) {
+	for _, k := range slices.Backward(keys) {
+		r.clock++
+		r.cache[k] = r.clock
+	}
+	for len(r.cache) > size {
+		oldest, at := medlarkey.Key{}, r.clock+1
+		for k, c := range r.cache {
+			if c < at {
+				oldest, at = k, c
+			}
+		}
+		delete(r.cache, oldest)
+		evicted = append(evicted, oldest)
+	}
+	return evicted
+}
+
+// simStore keeps blocks behind a link.
+type simStore struct {
+	blocks map[medlarkey.Key]bool
+	free   time.Time
+	dead   bool
+}
+
+// simEvent is something that happens at a time.
+type simEvent struct {
+	at time.Time
+	n  int
+	do func()
+}
+
+type simQueue []simEvent
+
+func (q simQueue) Len() int { return len(q) }
+
+func (q simQueue) Less(i, j int) bool {
+	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].n < q[j].n
+}
+
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push is part of heap.Interface.
+func (q *simQueue) Push(x any) { *q = append(*q, x.(simEvent)) }
+
+// Pop is part of heap.Interface.
+func (q *simQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// experiment is one run of one policy over seeded work.
+type experiment struct {
+	policy   policy
+	core     *Core
+	rand     *rand.Rand
+	now      time.Time
+	queue    simQueue
+	events   int
+	replicas []*simReplica
+	stores   []*simStore
+	turn     int
+	prompts  map[medlarid.RequestID]*simPrompt
+
+	firsts   []time.Duration
+	computed int
+	total    int
+	moved    int64
+	refused  int
+}
+
+// simPrompt is one prompt on its way.
+type simPrompt struct {
+	keys    []medlarkey.Key
+	arrived time.Time
+}
+
+func newExperiment(p policy, seed uint64) *experiment {
+	x := &experiment{policy: p, rand: rand.New(rand.NewPCG(seed, 1)), now: epoch, prompts: map[medlarid.RequestID]*simPrompt{}}
+	weighting := medlarworld.WeighFirst
+	if p == oursShare {
+		weighting = medlarworld.WeighShare
+	}
+	x.core = New(medlarworld.Config{
+		Self: "entry-1", Zone: "z", Weighting: weighting, Queue: 4096, Attempts: 3, Wait: time.Minute,
+		Contexts: p != affinity, Seed: seed,
+	})
+	l := medlarworld.Listed{}
+	for i := range expReplicas {
+		r := &simReplica{id: engineName(i), cache: map[medlarkey.Key]int{}, free: epoch}
+		x.replicas = append(x.replicas, r)
+		l.Members = append(l.Members, medlarworld.Member{ID: r.id, Kind: "engine", Zone: "z", Address: "1", Model: "m"})
+	}
+	for i := range expStores {
+		x.stores = append(x.stores, &simStore{blocks: map[medlarkey.Key]bool{}, free: epoch})
+		l.Members = append(l.Members, medlarworld.Member{ID: storeName(i), Kind: "store", Zone: "z", Address: "1"})
+	}
+	x.tick(medlarworld.Applied{Version: 1, Models: []medlarworld.Model{{ID: "m", Version: "v1"}}}, l)
+	return x
+}
+
+func storeName(i int) medlarid.InstanceID { return medlarid.InstanceID(fmt.Sprint("store-", i)) }
+
+func (x *experiment) at(t time.Time, do func()) {
+	x.events++
+	heap.Push(&x.queue, simEvent{t, x.events, do})
+}
+
+// run plays all prompts; one store is lost halfway.
+func (x *experiment) run() {
+	lengths := make([]int, expDossiers)
+	for i := range lengths {
+		lengths[i] = 16 + x.rand.IntN(112) // blocks: 1,000 to 8,000 tokens
+	}
+	for i := range expPrompts {
+		d := x.rand.IntN(expDossiers)
+		lengths[d] += x.rand.IntN(3) // it has grown since
+		n := lengths[d]
+		x.at(epoch.Add(time.Duration(i)*expGap), func() { x.arrive(i, d, n) })
+	}
+	x.at(epoch.Add(expPrompts/2*expGap), x.loseStore)
+	for i := range expReplicas {
+		x.at(epoch.Add(time.Duration(i)*20*time.Millisecond), func() { x.report(i) })
+	}
+	end := epoch.Add(expPrompts*expGap + time.Minute)
+	for len(x.queue) > 0 {
+		e := heap.Pop(&x.queue).(simEvent)
+		if e.at.After(end) {
+			return
+		}
+		x.now = e.at
+		e.do()
+	}
+}
+
+func (x *experiment) loseStore() {
+	x.stores[0].dead = true
+	x.stores[0].blocks = nil
+}
+
+// report tells the core a replica's load, every 250 ms.
+func (x *experiment) report(i int) {
+	r := x.replicas[i]
+	pending := max(r.free.Sub(x.now).Seconds()*expPrefill, 0)
+	x.tick(medlarworld.Reported{
+		Upstream: r.id, Model: "m", Version: "v1", Prefill: expPrefill, BlockBytes: expBlockSize,
+		Load: medlarworld.Load{Running: r.active, Slots: expSlots, Pending: medlarid.Tokens(pending)},
+	})
+	x.at(x.now.Add(250*time.Millisecond), func() { x.report(i) })
+}
+
+func (x *experiment) arrive(i, dossier, blocks int) {
+	keys := make([]medlarkey.Key, blocks)
+	for b := range keys {
+		keys[b] = medlarkey.Key{byte(dossier), byte(dossier >> 8), byte(b), byte(b >> 8), 1}
+	}
+	id := medlarid.RequestID(fmt.Sprint(i))
+	p := &simPrompt{keys: keys, arrived: x.now}
+	x.prompts[id] = p
+	switch x.policy {
+	case roundRobin:
+		x.turn++
+		x.serve(id, x.replicas[x.turn%expReplicas], 0, x.now)
+	case leastLoaded, bound:
+		best := slices.MinFunc(x.replicas, func(a, b *simReplica) int { return a.free.Compare(b.free) })
+		if x.policy == bound {
+			best = x.boundChoice(keys)
+		}
+		x.serve(id, best, 0, x.now)
+	default:
+		r := &medlarworld.Run{
+			ID: id, Account: medlarid.AccountID(fmt.Sprint("a", dossier%10)), Model: "m", Version: "v1", Keys: keys,
+			Prompt: medlarid.Tokens(blocks) * medlarkey.BlockTokens, Arrived: x.now, Deadline: x.now.Add(time.Minute),
+		}
+		x.tick(medlarworld.Submitted{Run: r})
+	}
+}
+
+// boundChoice returns the replica that is free first: with unlimited memory and
+// links the context is everywhere once it was computed anywhere.
+func (x *experiment) boundChoice(keys []medlarkey.Key) *simReplica {
+	best := slices.MinFunc(x.replicas, func(a, b *simReplica) int { return a.free.Compare(b.free) })
+	for _, k := range keys {
+		if x.stores[1].blocks[k] {
+			best.cache[k] = 0
+		}
+		x.stores[1].blocks[k] = true
+	}
+	return best
+}
+
+// serve computes a prompt on a replica from ready on, with the first blocks
+// imported.
+func (x *experiment) serve(id medlarid.RequestID, r *simReplica, imported int, ready time.Time) {
+	p := x.prompts[id]
+	size := expBlocks
+	if x.policy == bound {
+		size = 1 << 30
+	}
+	depth := max(r.depth(p.keys), imported)
+	cold := len(p.keys) - depth
+	start := ready
+	if r.free.After(start) {
+		start = r.free
+	}
+	r.free = start.Add(time.Duration(float64(cold*int(medlarkey.BlockTokens)) / expPrefill * float64(time.Second)))
+	r.active++
+	x.firsts = append(x.firsts, r.free.Sub(p.arrived))
+	x.computed += cold
+	x.total += len(p.keys)
+	evicted := r.touch(p.keys, size)
+	x.at(x.now.Add(200*time.Millisecond), func() {
+		if x.usesCore() {
+			x.tick(medlarworld.Cached{Upstream: r.id, Evicted: evicted})
+		}
+	})
+	x.at(r.free.Add(expDecode), func() {
+		r.active--
+		if x.usesCore() {
+			run := x.core.World().Runs[id]
+			if run != nil {
+				x.tick(medlarworld.Ended{Run: id, Attempt: run.Attempt, Cause: medlarworld.CauseDone, Reached: true})
+			}
+		}
+	})
+}
+
+func (x *experiment) usesCore() bool {
+	return x.policy == affinity || x.policy == oursFirst || x.policy == oursShare
+}
+
+func (x *experiment) tick(events ...medlarworld.Event) {
+	for _, c := range append([]medlarworld.Command(nil), x.core.Tick(x.now, events)...) {
+		switch c := c.(type) {
+		case medlarworld.Find:
+			x.at(x.now.Add(expFind), func() { x.find(c) })
+		case medlarworld.Start:
+			x.start(c)
+		case medlarworld.Export:
+			x.export(c)
+		case medlarworld.Refuse:
+			x.refused++
+		}
+	}
+	if len(x.core.World().Waiting) > 0 {
+		x.at(x.now.Add(busyInterval), func() {
+			if len(x.core.World().Waiting) > 0 {
+				x.tick(medlarworld.Tick{})
+			}
+		})
+	}
+}
+
+func (x *experiment) store(id medlarid.InstanceID) *simStore {
+	for i, s := range x.stores {
+		if storeName(i) == id {
+			return s
+		}
+	}
+	return nil
+}
+
+func (x *experiment) find(c medlarworld.Find) {
+	found := medlarworld.Found{Run: c.Run}
+	for _, a := range c.Asks {
+		s := x.store(a.Store)
+		if s.dead {
+			x.tick(medlarworld.Moved{Store: a.Store, Failed: true})
+			continue
+		}
+		for _, k := range a.Keys {
+			if s.blocks[k] {
+				found.Handles = append(found.Handles, medlarworld.Handle{Key: k, Store: a.Store, Length: expBlockSize})
+			}
+		}
+	}
+	x.tick(found)
+}
+
+// transfer moves bytes over a store's link and returns when they have come.
+func (x *experiment) transfer(s *simStore, bytes int64) time.Time {
+	if s.free.Before(x.now) {
+		s.free = x.now
+	}
+	s.free = s.free.Add(time.Duration(float64(bytes) / expLink * float64(time.Second)))
+	x.moved += bytes
+	return s.free
+}
+
+func (x *experiment) start(c medlarworld.Start) {
+	var r *simReplica
+	for _, o := range x.replicas {
+		if o.id == c.Upstream {
+			r = o
+		}
+	}
+	ready := x.now
+	sizes := map[medlarid.InstanceID]int64{}
+	for _, h := range c.Import {
+		sizes[h.Store] += int64(h.Length)
+	}
+	imported := 0
+	if len(c.Import) > 0 {
+		imported = r.depth(x.prompts[c.Run].keys) + len(c.Import)
+	}
+	for id, n := range sizes {
+		s := x.store(id)
+		if s.dead {
+			imported = 0
+			continue
+		}
+		if done := x.transfer(s, n); done.After(ready) {
+			ready = done
+		}
+	}
+	if ready.Sub(x.now) > c.Within { // given up
+		ready = x.now.Add(c.Within)
+		imported = 0
+	}
+	x.at(ready, func() {
+		for id, n := range sizes {
+			x.tick(medlarworld.Moved{Store: id, Bytes: medlarid.Bytes(n), Took: max(ready.Sub(x.now), time.Duration(float64(n)/expLink*1e9)), Import: true})
+		}
+		x.serve(c.Run, r, imported, x.now)
+	})
+}
+
+func (x *experiment) export(c medlarworld.Export) {
+	for _, a := range c.Asks {
+		s := x.store(a.Store)
+		if s.dead {
+			x.tick(medlarworld.Moved{Store: a.Store, Failed: true})
+			continue
+		}
+		for _, k := range a.Keys {
+			if !s.blocks[k] {
+				s.blocks[k] = true
+				x.moved += expBlockSize // in the background, behind imports
+			}
+		}
+	}
+}
+
+// result is the outcome of a run.
+type result struct {
+	p50, p95 time.Duration
+	share    float64
+	moved    int64
+	refused  int
+}
+
+func play(p policy, seed uint64) result {
+	x := newExperiment(p, seed)
+	x.run()
+	slices.Sort(x.firsts)
+	return result{
+		p50:     x.firsts[len(x.firsts)/2],
+		p95:     x.firsts[len(x.firsts)*95/100],
+		share:   float64(x.computed) / float64(x.total),
+		moved:   x.moved,
+		refused: x.refused,
+	}
+}
+
+// BenchmarkPolicies compares the policies on the same seeded work.
+func BenchmarkPolicies(b *testing.B) {
+	for _, p := range []policy{roundRobin, leastLoaded, affinity, oursFirst, oursShare, bound} {
+		b.Run(string(p), func(b *testing.B) {
+			var r result
+			for i := range b.N {
+				r = play(p, uint64(i+1))
+			}
+			b.ReportMetric(float64(r.p50.Milliseconds()), "ms-p50")
+			b.ReportMetric(float64(r.p95.Milliseconds()), "ms-p95")
+			b.ReportMetric(100*r.share, "%-recomputed")
+			b.ReportMetric(float64(r.moved)/(1<<30), "GB-moved")
+			b.ReportMetric(float64(r.refused), "refused")
+		})
+	}
+}
--- a/internal/core/medlartick/medlartick_test.go
+++ b/internal/core/medlartick/medlartick_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
 )
@@ -400,6 +401,27 @@
 	}
 }
 
+// TestHomeThatCachesAll is the case in which a replica's cost falls below 0: it is
+// the conversation's home and has nothing to compute.
+func TestHomeThatCachesAll(t *testing.T) {
+	h := newHarness(t, 1, 1<<20, nil)
+	for i := range 4 {
+		r := h.run("a")
+		r.Keys = make([]medlarkey.Key, 200)
+		for b := range r.Keys {
+			r.Keys[b] = medlarkey.Key{byte(b), 1}
+		}
+		r.Prompt = 200 * medlarkey.BlockTokens
+		h.submit(r, medlarworld.Limits{})
+		h.assertStarted(r.ID)
+		h.tick(medlarworld.Ended{Run: r.ID, Attempt: 1, Cause: medlarworld.CauseDone, Reached: true})
+		if i > 0 && h.core.World().Warm.Depth(r.Keys, h.core.World().Upstreams[engineName(0)]) != 200 {
+			t.Fatal("the replica is not known to cache the prompt")
+		}
+		h.report(0, 1<<20)
+	}
+}
+
 func TestLeftBeforeTheStartWasTakenUp(t *testing.T) {
 	h := newHarness(t, 1, 4, nil)
 	r := h.run("a")
