A conversation's kept context lies in one store

Cause: a chain cut over two stores is of little use once one is lost, since only a gapless run of blocks from the first on counts. Ruled out: the links (the same at 6 GB/s), retries (none), stale hints.

--- a/internal/core/medlarcontext/medlarcontext.go
+++ b/internal/core/medlarcontext/medlarcontext.go
@@ -3,9 +3,10 @@
 //
 // Rules:
 //
-//	R1  A chain of keys is cut into segments; the home of a segment is the live
-//	    store with the highest rendezvous rank for its first key. Placement is
-//	    computed and never looked up.
+//	R1  The home of a conversation is the live store with the highest rendezvous
+//	    rank for the last key of its first segment. Placement is computed and
+//	    never looked up. A chain is kept whole: cut over several stores, the loss
+//	    of one would make what the others keep of it useless (R4).
 //	R2  The stores are asked only when no free replica caches nearly all of the
 //	    prompt and enough of it is cold.
 //	R3  A run does not wait for the stores longer than findTimeout.
@@ -25,7 +26,7 @@
 
 // Parameters of kept context.
 const (
-	segmentBlocks = 16
+	segmentBlocks = 16 // blocks that are exported or not as one
 	minColdBlocks = 4
 	warmEnough    = 0.9
 	findTimeout   = 100 * time.Millisecond
@@ -85,30 +86,23 @@
 	return true
 }
 
-// Asks divides a chain of keys, which starts at the start of a segment, among the
-// homes of its segments (R1).
+// Asks returns whom to ask for a chain of keys: its home (R1), or nobody.
 func Asks(w *medlarworld.World, keys []medlarkey.Key) []medlarworld.Ask {
-	var asks []medlarworld.Ask
-	for start := 0; start < len(keys); start += segmentBlocks {
-		home := home(w, keys[start])
-		if home == nil {
-			return nil
-		}
-		segment := keys[start:min(start+segmentBlocks, len(keys))]
-		asks = addAsk(asks, home, segment)
+	s := home(w, keys[min(segmentBlocks, len(keys))-1])
+	if s == nil {
+		return nil
 	}
-	return asks
+	return []medlarworld.Ask{{Store: s.ID, Address: s.Address, Keys: keys}}
 }
 
-func addAsk(asks []medlarworld.Ask, s *medlarworld.Store, keys []medlarkey.Key) []medlarworld.Ask {
-	for i := range asks {
-		if asks[i].Store == s.ID {
-			asks[i].Keys = append(asks[i].Keys, keys...)
-			return asks
-		}
+// asksFor returns the ask for part of a chain.
+func asksFor(w *medlarworld.World, chain, part []medlarkey.Key) []medlarworld.Ask {
+	asks := Asks(w, chain)
+	if len(asks) == 0 || len(part) == 0 {
+		return nil
 	}
-	own := append([]medlarkey.Key(nil), keys...)
-	return append(asks, medlarworld.Ask{Store: s.ID, Address: s.Address, Keys: own})
+	asks[0].Keys = part
+	return asks
 }
 
 // home returns the usable store with the highest rank, or nil.
@@ -184,7 +178,7 @@
 	if !w.Config.Contexts || len(r.Keys) < minColdBlocks || len(r.Found) == len(r.Keys) {
 		return
 	}
-	asks := Asks(w, unkept(w, r.Keys))
+	asks := asksFor(w, r.Keys, unkept(w, r.Keys))
 	if len(asks) == 0 {
 		return
 	}
