--- a/internal/agree/medlarlease/medlarlease.go
+++ b/internal/agree/medlarlease/medlarlease.go
@@ -109,6 +109,7 @@
 	asked time.Time // before the append of the newest claim
 	until time.Time // end of the own term
 	fence medlarid.Offset
+	ended bool // released for good
 }
 
 // NewClaimer returns a claimer of a duty. Run must be running.
@@ -127,7 +128,7 @@
 	switch {
 	case !ok, author != c.author:
 		c.fence = 0 // another instance has it
-	case fence != before && !c.asked.IsZero():
+	case fence != before && !c.asked.IsZero() && !c.ended:
 		c.fence = fence
 		c.until = c.asked.Add(Term - margin) // R3
 	}
@@ -150,7 +151,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			if _, ok := c.Holds(); ok {
+			if c.drop() {
 				c.append(true)
 			}
 			return
@@ -162,6 +163,18 @@
 	}
 }
 
+// drop ends the own hold of the duty before it is released, and reports whether
+// there was one.
+func (c *Claimer) drop() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	held := c.fence != 0
+	c.ended = true
+	c.fence = 0
+	c.until = time.Time{}
+	return held
+}
+
 // due reports whether a claim or renewal is to be made now (R4).
 func (c *Claimer) due(now time.Time) bool {
 	c.mu.Lock()
--- a/internal/edge/medlarcaller/medlarcaller.go
+++ b/internal/edge/medlarcaller/medlarcaller.go
@@ -28,6 +28,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/edge/medlaranswer"
 	"medlarfield/internal/edge/medlarauth"
 	"medlarfield/internal/edge/medlarmetric"
 	"medlarfield/internal/edge/medlarsession"
@@ -166,9 +167,9 @@
 
 // serveModels lists the models of the account's plan.
 func (c *Caller) serveModels(ctx *fasthttp.RequestCtx, q *request) {
-	out := modelList{Object: "list", Data: []modelEntry{}}
+	out := medlaranswer.ModelList{Object: "list", Data: []medlaranswer.ModelEntry{}}
 	for _, m := range q.plan.Models {
-		out.Data = append(out.Data, modelEntry{ID: string(m), Object: "model", Owner: "medlarfield"})
+		out.Data = append(out.Data, medlaranswer.ModelEntry{ID: string(m), Object: "model", Owner: "medlarfield"})
 	}
 	c.head(ctx, q)
 	reply(ctx, fasthttp.StatusOK, out)
--- a/internal/edge/medlarcaller/model.go
+++ b/internal/edge/medlarcaller/model.go
@@ -2,10 +2,7 @@
 
 import (
 	"slices"
-	"strings"
 
-	"github.com/go-json-experiment/json"
-	"github.com/go-json-experiment/json/jsontext"
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
@@ -14,36 +11,13 @@
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/edge/medlarprompt"
 	"medlarfield/internal/edge/medlarsession"
-	"medlarfield/internal/platform/medlarengine"
 )
 
 // defaultTokens is the length of an answer whose request names none.
 const defaultTokens medlarid.Tokens = 256
 
-// modelRequest is the body of both kinds of completion. Members that it does not
-// name are left to their defaults, as callers' libraries send many.
-type modelRequest struct {
-	Model       string    `json:"model"`
-	Prompt      string    `json:"prompt"`
-	Messages    []message `json:"messages"`
-	Max         *int      `json:"max_tokens"`
-	Stream      bool      `json:"stream"`
-	Temperature *float64  `json:"temperature"`
-	TopP        *float64  `json:"top_p"`
-	Seed        *int64    `json:"seed"`
-}
-
-type message struct {
-	Role    string         `json:"role"`
-	Content jsontext.Value `json:"content"`
-}
-
-type contentPart struct {
-	Type string `json:"type"`
-	Text string `json:"text"`
-}
-
 // modelRun is a checked request to a model.
 type modelRun struct {
 	chat   bool
@@ -93,30 +67,21 @@
 
 // readModel reads and checks the body of a request to a model.
 func (c *Caller) readModel(ctx *fasthttp.RequestCtx, q *request, chat bool) (*modelRun, *answer) {
-	var b modelRequest
-	if err := json.Unmarshal(ctx.PostBody(), &b); err != nil {
-		return nil, malformed(err)
-	}
-	text, err := b.text(chat)
+	b, err := medlarprompt.Parse(ctx.PostBody(), chat)
 	if err != nil {
 		return nil, malformed(err)
 	}
-	name, adapter, _ := strings.Cut(b.Model, "/")
-	m := &modelRun{chat: chat, stream: b.Stream, model: medlarid.ModelID(name)}
-	if bad := allowed(q, m.model, medlarid.AdapterID(adapter)); bad != nil {
+	m := &modelRun{chat: chat, stream: b.Stream, model: b.Model}
+	if bad := allowed(q, m.model, b.Adapter); bad != nil {
 		return nil, bad
 	}
-	maxTokens, err := c.answerLength(q, b.Max)
-	if err != nil {
-		return nil, malformed(err)
-	}
 	m.prompt = medlarsession.Prompt{
 		Account:  q.account,
 		Model:    m.model,
-		Adapter:  medlarid.AdapterID(adapter),
-		Text:     text,
-		Max:      maxTokens,
-		Sampling: medlarengine.Sampling{Temperature: b.Temperature, TopP: b.TopP, Seed: b.Seed},
+		Adapter:  b.Adapter,
+		Text:     b.Text,
+		Max:      c.answerLength(q, b.Max),
+		Sampling: b.Sampling,
 	}
 	return c.readOnce(ctx, q, m)
 }
@@ -154,64 +119,13 @@
 }
 
 // answerLength returns the number of tokens to generate.
-func (c *Caller) answerLength(q *request, asked *int) (medlarid.Tokens, error) {
+func (c *Caller) answerLength(q *request, asked medlarid.Tokens) medlarid.Tokens {
 	limit := q.plan.Tokens
 	if limit == 0 {
 		limit = c.limits.Tokens
 	}
-	switch {
-	case asked == nil:
-		return min(defaultTokens, limit), nil
-	case *asked < 1:
-		return 0, eris.Errorf("max_tokens: want 1 or more, got %d", *asked)
-	default:
-		return min(medlarid.Tokens(*asked), limit), nil
-	}
-}
-
-// text returns the prompt as one text.
-func (b *modelRequest) text(chat bool) (string, error) {
-	if chat {
-		return renderChat(b.Messages)
-	}
-	if b.Prompt == "" {
-		return "", eris.New("prompt: want a text")
-	}
-	return b.Prompt, nil
-}
-
-// renderChat writes a conversation as one text. A conversation that goes on
-// starts with the same text, so that its blocks match.
-func renderChat(messages []message) (string, error) {
-	if len(messages) == 0 {
-		return "", eris.New("messages: want at least one")
-	}
-	var b strings.Builder
-	for i, m := range messages {
-		content, err := m.text()
-		if err != nil || m.Role == "" {
-			return "", eris.Errorf("messages: number %d: want a role and a text", i+1)
-		}
-		b.WriteString("<|" + m.Role + "|>\n" + content + "\n")
-	}
-	return b.String() + "<|assistant|>\n", nil
-}
-
-// text returns the content, which is a text or a list of texts.
-func (m message) text() (string, error) {
-	var s string
-	if err := json.Unmarshal(m.Content, &s); err == nil {
-		return s, nil
-	}
-	var parts []contentPart
-	if err := json.Unmarshal(m.Content, &parts); err != nil {
-		return "", err
-	}
-	for _, p := range parts {
-		if p.Type != "text" {
-			return "", eris.Errorf("content of type %q", p.Type)
-		}
-		s += p.Text
+	if asked == 0 {
+		asked = defaultTokens
 	}
-	return s, nil
+	return min(asked, limit)
 }
--- a/internal/edge/medlarcaller/service.go
+++ b/internal/edge/medlarcaller/service.go
@@ -5,7 +5,6 @@
 	"slices"
 	"strings"
 
-	"github.com/go-json-experiment/json/jsontext"
 	"github.com/valyala/fasthttp"
 
 	"medlarfield/internal/agree/medlarclaim"
@@ -143,12 +142,3 @@
 	}
 	return nil, &a
 }
-
-// appendQuoted appends a text as a JSON string.
-func appendQuoted(b []byte, s string) []byte {
-	out, err := jsontext.AppendQuote(b, s)
-	if err != nil { // not UTF-8: AppendQuote has replaced what is not
-		return out
-	}
-	return out
-}
--- a/internal/ops/medlarnode/build.go
+++ b/internal/ops/medlarnode/build.go
@@ -25,6 +25,7 @@
 	"medlarfield/internal/ops/medlarduty"
 	"medlarfield/internal/ops/medlarlogger"
 	"medlarfield/internal/ops/medlarloop"
+	"medlarfield/internal/ops/medlarpeers"
 	"medlarfield/internal/ops/medlarsettings"
 	"medlarfield/internal/ops/medlarwatch"
 	"medlarfield/internal/platform/medlarengine"
@@ -54,7 +55,7 @@
 		func() logOutput { return logOutput{w} },
 		newAuthor, newLogger, newHTTP, newLogClient, newInstances, newEngines, newStores, newServices, newWeights,
 		medlarmetric.New, medlarstate.New,
-		newCore, newPeers, newLinks, newReaders, newDesk, newNode,
+		newCore, medlarpeers.New, newLinks, newReaders, newDesk, newNode,
 	}
 	for _, p := range providers {
 		if err := c.Provide(p); err != nil {
@@ -129,14 +130,14 @@
 	instances *medlarinstance.Client,
 	engines *medlarengine.Client,
 	stores *medlarstore.Client,
-	p *peers,
+	p *medlarpeers.Peers,
 ) *links {
 	l := &links{}
 	post := func(e medlarworld.Event) { l.loop.Post(e) }
 	l.watch = medlarwatch.New(cfg.Name, medlarwatch.Seams{
-		Post: post, Instances: instances, Engines: engines, Failed: m.Failed, Entries: p.listed,
+		Post: post, Instances: instances, Engines: engines, Failed: m.Failed, Entries: p.Listed,
 	}, cfg.Platform.Poll.Std(), cfg.Platform.Calls)
-	p.shared = func(s medlarworld.Shared) { post(s) }
+	p.SetShared(func(s medlarworld.Shared) { post(s) })
 	l.transfer = medlartransfer.New(medlartransfer.Seams{
 		Post:       post,
 		Engines:    engines,
@@ -151,7 +152,7 @@
 		Export:  l.transfer.Export,
 		Retried: func(r medlarworld.Retried) { m.Retried(r.Reason) },
 		Ejected: func(e medlarworld.Ejected) { ejected(log, m, e) },
-		Wanted:  p.want,
+		Wanted:  p.Want,
 		Ticked:  m.Ticked,
 	})
 	return l
@@ -175,10 +176,10 @@
 	Holder  *holder
 }
 
-func newReaders(lc *medlarlog.Client, state *medlarstate.State, m *medlarmetric.Metrics, p *peers) readersOut {
+func newReaders(lc *medlarlog.Client, state *medlarstate.State, m *medlarmetric.Metrics, p *medlarpeers.Peers) readersOut {
 	h := &holder{}
 	lists := medlarfollow.New(medlarfollow.Seams{
-		Read: p.reader(read(lc, medlarrecord.StreamLists)),
+		Read: p.Reader(read(lc, medlarrecord.StreamLists)),
 		Apply: func(e medlarlog.Entry) {
 			if err := state.Apply(e); err != nil {
 				state.Restart(e.Offset)
@@ -231,7 +232,7 @@
 	Readers  *Readers
 	Holder   *holder
 	Desk     *medlarclaim.Desk
-	Peers    *peers
+	Peers    *medlarpeers.Peers
 	LogC     *medlarlog.Client
 	Engines  *medlarengine.Client
 	Services *medlarservice.Client
@@ -251,7 +252,7 @@
 		readers:  in.Readers,
 	}
 	in.Holder.node = n
-	if in.Peers.link != nil {
+	if in.Peers.Enabled() {
 		n.peers = in.Peers
 	}
 	failed := func(err error) { n.log.Warn().Err(err).Msg("snapshot not written") }
--- a/internal/ops/medlarnode/medlarnode.go
+++ b/internal/ops/medlarnode/medlarnode.go
@@ -38,6 +38,7 @@
 	"medlarfield/internal/edge/medlartransfer"
 	"medlarfield/internal/ops/medlarduty"
 	"medlarfield/internal/ops/medlarloop"
+	"medlarfield/internal/ops/medlarpeers"
 	"medlarfield/internal/ops/medlarsettings"
 	"medlarfield/internal/ops/medlarwatch"
 )
@@ -64,7 +65,7 @@
 	reporter *medlaraudit.Reporter
 	lease    *medlarlease.Claimer
 	duty     *medlarduty.Reconciler
-	peers    *peers // nil for an instance without peers
+	peers    *medlarpeers.Peers // nil for an instance without peers
 	caller   *medlarcaller.Caller
 
 	server   *fasthttp.Server
@@ -91,6 +92,14 @@
 	return medlarid.Address(n.statusLn.Addr().String())
 }
 
+// PeerAddress returns the address for peers, empty without them.
+func (n *Node) PeerAddress() medlarid.Address {
+	if n.peers == nil {
+		return ""
+	}
+	return n.peers.Address()
+}
+
 // View returns the lists in force.
 func (n *Node) View() *medlarstate.View { return n.state.View() }
 
@@ -120,7 +129,7 @@
 		go f(run) // may be waiting for the platform when the instance stops
 	}
 	if n.peers != nil {
-		n.peers.start(run)
+		n.peers.Start(run)
 	}
 	go n.serve(n.server, n.listener)
 	go n.serve(n.status, n.statusLn)
@@ -141,7 +150,7 @@
 	if n.peers == nil {
 		return nil
 	}
-	if err := n.peers.listen(n.cfg.Peers.Listen); err != nil {
+	if err := n.peers.Listen(n.cfg.Peers.Listen); err != nil {
 		_ = n.listener.Close()
 		_ = n.statusLn.Close()
 		return err
@@ -172,7 +181,7 @@
 	cancel()
 	n.wg.Wait()
 	if n.peers != nil {
-		n.peers.close()
+		n.peers.Close()
 	}
 	_ = n.status.ShutdownWithContext(closing)
 	n.log.Info().Int("cut", cut).Msg("stopped")
--- a/internal/ops/medlaroperator/medlaroperator.go
+++ b/internal/ops/medlaroperator/medlaroperator.go
@@ -14,6 +14,7 @@
 	"medlarfield/internal/agree/medlarlist"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/base/medlarjson"
+	"medlarfield/internal/ops/medlarreport"
 	"medlarfield/internal/ops/medlarversion"
 )
 
@@ -162,7 +163,7 @@
 			if err != nil {
 				return err
 			}
-			return o.print(cmd, checked{Accounts: len(l.Accounts), Plans: len(l.Plans), Models: len(l.Models), Services: len(l.Services)})
+			return o.print(cmd, medlarreport.Checked{Accounts: len(l.Accounts), Plans: len(l.Plans), Models: len(l.Models), Services: len(l.Services)})
 		},
 	}
 	o.addFiles(cmd)
--- a/internal/ops/medlaroperator/publish.go
+++ b/internal/ops/medlaroperator/publish.go
@@ -13,6 +13,7 @@
 	"medlarfield/internal/agree/medlarrecord"
 	"medlarfield/internal/agree/medlarstate"
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/ops/medlarreport"
 )
 
 func diffCommand(o *options) *cobra.Command {
@@ -32,7 +33,7 @@
 				return err
 			}
 			v := r.state.View()
-			return o.print(cmd, newChanges(v.Version, medlarlist.Diff(v.Lists, want)))
+			return o.print(cmd, medlarreport.NewChanges(v.Version, medlarlist.Diff(v.Lists, want)))
 		},
 	}
 	o.addFiles(cmd)
@@ -83,7 +84,7 @@
 	v := r.state.View()
 	change := medlarlist.Diff(v.Lists, want)
 	if change.Empty() { // also after an earlier try whose result was lost
-		return o.print(cmd, published{Outcome: "unchanged", Version: v.Version})
+		return o.print(cmd, medlarreport.Published{Outcome: "unchanged", Version: v.Version})
 	}
 	if v.Version != base {
 		return o.lost(cmd, v, base, want)
@@ -99,7 +100,7 @@
 // report prints what became of a publication and returns the error for its exit
 // code.
 func (o *options) report(cmd *cobra.Command, r *reader, base medlarid.Offset, want *medlarlist.Lists, res medlarpublish.Result) error {
-	out := published{Outcome: string(res.Outcome), ID: res.ID.String(), Version: res.Verdict.Offset}
+	out := medlarreport.Published{Outcome: string(res.Outcome), ID: res.ID.String(), Version: res.Verdict.Offset}
 	switch res.Outcome {
 	case medlarpublish.OutcomeAccepted:
 		return o.print(cmd, out)
@@ -120,7 +121,7 @@
 
 // lost tells who won the race and what differs.
 func (o *options) lost(cmd *cobra.Command, v *medlarstate.View, base medlarid.Offset, want *medlarlist.Lists) error {
-	if err := o.print(cmd, newChanges(v.Version, medlarlist.Diff(v.Lists, want))); err != nil {
+	if err := o.print(cmd, medlarreport.NewChanges(v.Version, medlarlist.Diff(v.Lists, want))); err != nil {
 		return err
 	}
 	who, at := "", time.Time{}
--- a/internal/ops/medlaroperator/read.go
+++ b/internal/ops/medlaroperator/read.go
@@ -4,20 +4,15 @@
 	"context"
 	"encoding/hex"
 	"fmt"
-	"io"
-	"maps"
-	"slices"
 	"time"
 
-	"github.com/go-json-experiment/json/jsontext"
 	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 
-	"medlarfield/internal/agree/medlaraudit"
-	"medlarfield/internal/agree/medlarrecord"
 	"medlarfield/internal/agree/medlarstate"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/edge/medlarauth"
+	"medlarfield/internal/ops/medlarreport"
 	"medlarfield/internal/platform/medlarhttp"
 	"medlarfield/internal/platform/medlarinstance"
 )
@@ -36,42 +31,6 @@
 	return f(ctx, r)
 }
 
-// shown is one list in the form of its file.
-type shown struct {
-	Version  medlarid.Offset           `json:"version"`
-	Accounts map[string]jsontext.Value `json:"accounts,omitempty"`
-	Plans    map[string]jsontext.Value `json:"plans,omitempty"`
-	Models   map[string]jsontext.Value `json:"models,omitempty"`
-	Services map[string]jsontext.Value `json:"services,omitempty"`
-
-	list string
-}
-
-func (s shown) text(w io.Writer) {
-	_, _ = fmt.Fprintf(w, "// version %d\n{\n", s.Version)
-	if s.list == "plans" {
-		section(w, "accounts", s.Accounts, true)
-	} else {
-		section(w, "plans", s.Plans, false)
-		section(w, "models", s.Models, false)
-		section(w, "services", s.Services, true)
-	}
-	_, _ = fmt.Fprintln(w, "}")
-}
-
-// section writes one table of a list, an entry a line.
-func section(w io.Writer, name string, entries map[string]jsontext.Value, last bool) {
-	_, _ = fmt.Fprintf(w, "  %q: {\n", name)
-	for _, k := range slices.Sorted(maps.Keys(entries)) {
-		_, _ = fmt.Fprintf(w, "    %q: %s,\n", k, entries[k])
-	}
-	end := "  },"
-	if last {
-		end = "  }"
-	}
-	_, _ = fmt.Fprintln(w, end)
-}
-
 func showCommand(o *options) *cobra.Command {
 	return &cobra.Command{
 		Use:       "show plans|uses",
@@ -80,33 +39,12 @@
 		ValidArgs: []string{"plans", "uses"},
 		RunE: func(cmd *cobra.Command, args []string) error {
 			return o.withReader(cmd, func(_ context.Context, r *reader) error {
-				return o.print(cmd, newShown(r.state.View(), args[0]))
+				return o.print(cmd, medlarreport.NewShown(r.state.View(), args[0]))
 			})
 		},
 	}
 }
 
-func newShown(v *medlarstate.View, list string) shown {
-	s := shown{Version: v.Version, list: list}
-	tables := map[medlarrecord.Table]*map[string]jsontext.Value{
-		medlarrecord.Table_TABLE_PLAN:    &s.Plans,
-		medlarrecord.Table_TABLE_MODEL:   &s.Models,
-		medlarrecord.Table_TABLE_SERVICE: &s.Services,
-	}
-	if list == "plans" {
-		tables = map[medlarrecord.Table]*map[string]jsontext.Value{medlarrecord.Table_TABLE_ACCOUNT: &s.Accounts}
-	}
-	for _, t := range tables {
-		*t = map[string]jsontext.Value{}
-	}
-	for _, e := range v.Lists.Entries() {
-		if t, ok := tables[e.Name.Table]; ok {
-			(*t)[e.Name.Name] = jsontext.Value(e.Value)
-		}
-	}
-	return s
-}
-
 func historyCommand(o *options) *cobra.Command {
 	return &cobra.Command{
 		Use:   "history",
@@ -114,14 +52,7 @@
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			return o.withReader(cmd, func(_ context.Context, r *reader) error {
-				v := r.state.View()
-				out := historyRows{Version: v.Version, Rows: []historyRow{}}
-				for _, h := range v.History {
-					out.Rows = append(out.Rows, historyRow{
-						h.Offset, h.Base, h.Time, h.User, h.Note, h.Changes, string(h.Reject), h.ID.String(),
-					})
-				}
-				return o.print(cmd, out)
+				return o.print(cmd, medlarreport.NewHistory(r.state.View()))
 			})
 		},
 	}
@@ -148,20 +79,12 @@
 				if err != nil {
 					return err
 				}
-				return o.print(cmd, newWhen(v, audit))
+				return o.print(cmd, medlarreport.NewWhen(v, audit))
 			})
 		},
 	}
 }
 
-func newWhen(v medlarstate.Verdict, audit *medlaraudit.Table) whenRows {
-	out := whenRows{Version: v.Offset, Time: v.Time, User: v.User, Nodes: []whenRow{}}
-	for _, c := range audit.Of(v.Offset) {
-		out.Nodes = append(out.Nodes, whenRow{c.Node, c.Zone, c.Time})
-	}
-	return out
-}
-
 func watchCommand(o *options) *cobra.Command {
 	var instances string
 	cmd := &cobra.Command{
@@ -202,14 +125,14 @@
 	}
 }
 
-func lookOnce(r *reader, list *medlarinstance.Client) (whenRows, error) {
+func lookOnce(r *reader, list *medlarinstance.Client) (medlarreport.WhenRows, error) {
 	l, err := list.List()
 	if err != nil {
-		return whenRows{}, &Error{Op: OpWatch, Kind: KindUnavailable, Err: err}
+		return medlarreport.WhenRows{}, &Error{Op: OpWatch, Kind: KindUnavailable, Err: err}
 	}
 	audit, err := r.readAudit()
 	if err != nil {
-		return whenRows{}, err
+		return medlarreport.WhenRows{}, err
 	}
 	v := r.state.View()
 	verdict := medlarstate.Verdict{Offset: v.Version}
@@ -218,7 +141,7 @@
 			verdict = h
 		}
 	}
-	out := newWhen(verdict, audit)
+	out := medlarreport.NewWhen(verdict, audit)
 	confirmed := map[medlarid.InstanceID]bool{}
 	for _, n := range out.Nodes {
 		confirmed[n.Node] = true
--- a/internal/ops/medlarnode/peers.go
+++ b/internal/ops/medlarpeers/medlarpeers.go
@@ -1,4 +1,6 @@
-package medlarnode
+// Package medlarpeers joins what rests on the sessions between entry instances:
+// membership, relays of the lists, and shares of limits.
+package medlarpeers
 
 import (
 	"context"
@@ -22,9 +24,9 @@
 	"medlarfield/internal/peer/medlarshare"
 )
 
-// peers are an instance's sessions with other entry instances and what rests on
-// them. Without settings for them all its parts but the locks are nil.
-type peers struct {
+// Peers are an instance's sessions with other entry instances and what rests on
+// them. Without settings for them they do nothing.
+type Peers struct {
 	self    medlarid.InstanceID
 	zone    medlarid.Zone
 	metrics *medlarmetric.Metrics
@@ -40,8 +42,9 @@
 	entries map[medlarid.InstanceID]medlarwatch.Entry
 }
 
-func newPeers(cfg medlarsettings.Settings, log zerolog.Logger, m *medlarmetric.Metrics) (*peers, error) {
-	p := &peers{self: cfg.Name, zone: cfg.Zone, metrics: m, entries: map[medlarid.InstanceID]medlarwatch.Entry{}}
+// New returns the peers of an instance.
+func New(cfg medlarsettings.Settings, log zerolog.Logger, m *medlarmetric.Metrics) (*Peers, error) {
+	p := &Peers{self: cfg.Name, zone: cfg.Zone, metrics: m, entries: map[medlarid.InstanceID]medlarwatch.Entry{}}
 	if !cfg.Peers.Enabled() {
 		return p, nil
 	}
@@ -63,20 +66,29 @@
 }
 
 // call calls a peer; a failure makes its state uncertain.
-func (p *peers) call(ctx context.Context, id medlarid.InstanceID, f *medlarmessage.Frame) (*medlarmessage.Reply, error) {
+func (p *Peers) call(ctx context.Context, id medlarid.InstanceID, f *medlarmessage.Frame) (*medlarmessage.Reply, error) {
 	return p.link.Call(ctx, id, f)
 }
 
+// Enabled reports whether the instance has peers.
+func (p *Peers) Enabled() bool { return p.link != nil }
+
+// SetShared sets who takes over granted shares. It is to be called before Start.
+func (p *Peers) SetShared(f func(medlarworld.Shared)) { p.shared = f }
+
+// Address returns the address for peers, once Listen has returned.
+func (p *Peers) Address() medlarid.Address { return medlarid.Address(p.ln.Addr().String()) }
+
 // address returns the address of a peer.
-func (p *peers) address(id medlarid.InstanceID) medlarid.Address {
+func (p *Peers) address(id medlarid.InstanceID) medlarid.Address {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.entries[id].Peer
 }
 
-// listed takes over the entry instances of the instance list and returns how
+// Listed takes over the entry instances of the instance list and returns how
 // many are known to live, or 0 without peers.
-func (p *peers) listed(entries []medlarwatch.Entry) int {
+func (p *Peers) Listed(entries []medlarwatch.Entry) int {
 	if p.link == nil {
 		return 0
 	}
@@ -93,7 +105,7 @@
 }
 
 // zonePeers returns the live entry instances of the own availability zone.
-func (p *peers) zonePeers() []medlarid.InstanceID {
+func (p *Peers) zonePeers() []medlarid.InstanceID {
 	live := p.prober.Live()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -106,9 +118,9 @@
 	return out
 }
 
-// reader returns the reader of the lists stream: through relays where there are
+// Reader returns the reader of the lists stream: through relays where there are
 // peers.
-func (p *peers) reader(direct medlarfollow.ReadFunc) medlarfollow.ReadFunc {
+func (p *Peers) Reader(direct medlarfollow.ReadFunc) medlarfollow.ReadFunc {
 	if p.link == nil {
 		return direct
 	}
@@ -122,8 +134,8 @@
 	return p.relay.Read
 }
 
-// want asks for shares of limits.
-func (p *peers) want(c medlarworld.Wanted) {
+// Want asks for shares of limits.
+func (p *Peers) Want(c medlarworld.Wanted) {
 	if p.link == nil {
 		return
 	}
@@ -134,7 +146,7 @@
 	p.sharer.Ask(demands)
 }
 
-func (p *peers) takeShares(shares []medlarshare.Share) {
+func (p *Peers) takeShares(shares []medlarshare.Share) {
 	out := medlarworld.Shared{}
 	for _, s := range shares {
 		out.Shares = append(out.Shares, medlarworld.Share{Account: s.Account, Rate: s.Rate, Runs: s.Runs, Until: s.Until})
@@ -143,7 +155,7 @@
 }
 
 // handle answers the calls of peers.
-func (p *peers) handle(ctx context.Context, from medlarid.InstanceID, f *medlarmessage.Frame) *medlarmessage.Reply {
+func (p *Peers) handle(ctx context.Context, from medlarid.InstanceID, f *medlarmessage.Frame) *medlarmessage.Reply {
 	if r, ok := p.prober.Handle(ctx, from, f); ok {
 		return r
 	}
@@ -156,7 +168,8 @@
 	return &medlarmessage.Reply{Error: "unknown call"}
 }
 
-func (p *peers) listen(at medlarid.Address) error {
+// Listen opens the listener for peers.
+func (p *Peers) Listen(at medlarid.Address) error {
 	var err error
 	if p.ln, err = net.Listen("tcp", string(at)); err != nil {
 		return eris.Wrap(err, "listen for peers")
@@ -164,20 +177,14 @@
 	return nil
 }
 
-func (p *peers) start(ctx context.Context) {
+// Start serves and probes peers until ctx ends.
+func (p *Peers) Start(ctx context.Context) {
 	go p.link.Serve(ctx, p.ln)
 	go p.prober.Run(ctx)
 }
 
-func (p *peers) close() {
+// Close ends all sessions.
+func (p *Peers) Close() {
 	_ = p.ln.Close()
 	p.link.Close()
 }
-
-// PeerAddress returns the address for peers, empty without them.
-func (n *Node) PeerAddress() medlarid.Address {
-	if n.peers == nil {
-		return ""
-	}
-	return medlarid.Address(n.peers.ln.Addr().String())
-}
--- /dev/null
+++ b/internal/ops/medlarreport/medlarreport.go
@@ -0,0 +1,333 @@
+// Package medlarreport has the results of the operators' commands, each written as
+// JSON or as text for a person.
+package medlarreport
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/go-json-experiment/json/jsontext"
+
+	"medlarfield/internal/agree/medlaraudit"
+	"medlarfield/internal/agree/medlarlist"
+	"medlarfield/internal/agree/medlarrecord"
+	"medlarfield/internal/agree/medlarstate"
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/ops/medlarnode"
+)
+
+// table writes rows in columns.
+func table(w io.Writer, rows ...[]any) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		for i, cell := range row {
+			if i > 0 {
+				_, _ = fmt.Fprint(t, "\t")
+			}
+			_, _ = fmt.Fprint(t, cell)
+		}
+		_, _ = fmt.Fprintln(t)
+	}
+	_ = t.Flush()
+}
+
+// Checked is the size of lists that were checked.
+type Checked struct {
+	Accounts int `json:"accounts"`
+	Plans    int `json:"plans"`
+	Models   int `json:"models"`
+	Services int `json:"services"`
+}
+
+// Text writes it for a person.
+func (c Checked) Text(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "ok: %d accounts, %d plans, %d models, %d services\n", c.Accounts, c.Plans, c.Models, c.Services)
+}
+
+// Published is what became of a publication.
+type Published struct {
+	Outcome string          `json:"outcome"`
+	Version medlarid.Offset `json:"version"`
+	ID      string          `json:"id,omitempty"`
+}
+
+// Text writes it for a person.
+func (p Published) Text(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "%s: version %d\n", p.Outcome, p.Version)
+}
+
+// Changes is a change for printing. Keys are digests and are shown as they are.
+type Changes struct {
+	Version medlarid.Offset `json:"version"`
+	Put     []Changed       `json:"put"`
+	Drop    []Changed       `json:"drop"`
+}
+
+// Changed is one entry of a change.
+type Changed struct {
+	Table string         `json:"table"`
+	Name  string         `json:"name"`
+	Value jsontext.Value `json:"value,omitzero"`
+}
+
+// NewChanges returns a change against a version for printing.
+func NewChanges(v medlarid.Offset, c medlarlist.Change) Changes {
+	out := Changes{Version: v, Put: []Changed{}, Drop: []Changed{}}
+	for _, e := range c.Put {
+		out.Put = append(out.Put, Changed{medlarlist.TableName(e.Name.Table), e.Name.Name, jsontext.Value(e.Value)})
+	}
+	for _, n := range c.Drop {
+		out.Drop = append(out.Drop, Changed{Table: medlarlist.TableName(n.Table), Name: n.Name})
+	}
+	return out
+}
+
+// Text writes it for a person.
+func (c Changes) Text(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "against version %d: %d put, %d dropped\n", c.Version, len(c.Put), len(c.Drop))
+	for _, e := range c.Put {
+		_, _ = fmt.Fprintf(w, "+ %s %s %s\n", e.Table, e.Name, e.Value)
+	}
+	for _, e := range c.Drop {
+		_, _ = fmt.Fprintf(w, "- %s %s\n", e.Table, e.Name)
+	}
+}
+
+// HistoryRow is one publication.
+type HistoryRow struct {
+	Offset  medlarid.Offset `json:"offset"`
+	Base    medlarid.Offset `json:"base"`
+	Time    time.Time       `json:"time"`
+	User    string          `json:"user"`
+	Note    string          `json:"note"`
+	Changes int             `json:"changes"`
+	Reject  string          `json:"reject,omitempty"`
+	ID      string          `json:"id"`
+}
+
+// HistoryRows are publications in the order of the log.
+type HistoryRows struct {
+	Version medlarid.Offset `json:"version"`
+	Rows    []HistoryRow    `json:"rows"`
+}
+
+// Text writes it for a person.
+func (h HistoryRows) Text(w io.Writer) {
+	rows := [][]any{{"OFFSET", "BASE", "TIME", "USER", "CHANGES", "VERDICT", "NOTE"}}
+	for _, r := range h.Rows {
+		verdict := "accepted"
+		if r.Reject != "" {
+			verdict = "rejected: " + r.Reject
+		}
+		if r.Offset == h.Version {
+			verdict = "in force"
+		}
+		rows = append(rows, []any{r.Offset, r.Base, r.Time.UTC().Format(time.RFC3339), r.User, r.Changes, verdict, r.Note})
+	}
+	table(w, rows...)
+}
+
+// NewHistory returns the publications of a view.
+func NewHistory(v *medlarstate.View) HistoryRows {
+	out := HistoryRows{Version: v.Version, Rows: []HistoryRow{}}
+	for _, h := range v.History {
+		out.Rows = append(out.Rows, HistoryRow{
+			h.Offset, h.Base, h.Time, h.User, h.Note, h.Changes, string(h.Reject), h.ID.String(),
+		})
+	}
+	return out
+}
+
+// WhenRow is an instance that has confirmed a version.
+type WhenRow struct {
+	Node medlarid.InstanceID `json:"node"`
+	Zone medlarid.Zone       `json:"zone"`
+	Time time.Time           `json:"time"`
+}
+
+// WhenRows are the instances that have confirmed a version.
+type WhenRows struct {
+	Version medlarid.Offset `json:"version"`
+	Time    time.Time       `json:"time"`
+	User    string          `json:"user"`
+	Nodes   []WhenRow       `json:"nodes"`
+	Missing []string        `json:"missing,omitempty"`
+}
+
+// Text writes it for a person.
+func (v WhenRows) Text(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "version %d, published %s by %q\n", v.Version, v.Time.UTC().Format(time.RFC3339Nano), v.User)
+	rows := [][]any{{"NODE", "ZONE", "CONFIRMED"}}
+	for _, n := range v.Nodes {
+		rows = append(rows, []any{n.Node, n.Zone, n.Time.UTC().Format(time.RFC3339Nano)})
+	}
+	for _, m := range v.Missing {
+		rows = append(rows, []any{m, "", "not yet"})
+	}
+	table(w, rows...)
+}
+
+// Statuses are the states of several instances.
+type Statuses struct {
+	Nodes []medlarnode.Status `json:"nodes"`
+	Down  []string            `json:"down,omitempty"`
+}
+
+// Text writes it for a person.
+func (s Statuses) Text(w io.Writer) {
+	rows := [][]any{{"NODE", "ZONE", "STATE", "VERSION", "LOG", "OPEN", "WAITING", "UPSTREAMS", "CONTEXT HIT", "REFUSED"}}
+	for _, n := range s.Nodes {
+		rows = append(rows, []any{
+			n.Name, n.Zone, stateName(n), n.Version, logState(n), n.Open, n.Waiting, upstreamCount(n), hitRate(n), refusedText(n),
+		})
+	}
+	for _, d := range s.Down {
+		rows = append(rows, []any{d, "", "no answer"})
+	}
+	table(w, rows...)
+}
+
+func stateName(n medlarnode.Status) string {
+	switch {
+	case n.Draining:
+		return "draining"
+	case n.Ready:
+		return "ready"
+	default:
+		return "unready"
+	}
+}
+
+func logState(n medlarnode.Status) string {
+	if n.Log {
+		return "ok"
+	}
+	return fmt.Sprintf("down for %.0f s", n.Lag)
+}
+
+func upstreamCount(n medlarnode.Status) string {
+	live := 0
+	for _, u := range n.Upstream {
+		if u.State == "live" {
+			live++
+		}
+	}
+	return fmt.Sprintf("%d/%d", live, len(n.Upstream))
+}
+
+func hitRate(n medlarnode.Status) string {
+	if n.Prompt == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.0f%%", 100*float64(n.Cached)/float64(n.Prompt))
+}
+
+// refusedText lists the most frequent reasons first.
+func refusedText(n medlarnode.Status) string {
+	reasons := slices.SortedFunc(maps.Keys(n.Refused), func(a, b medlarreason.Reason) int {
+		return cmp.Or(cmp.Compare(n.Refused[b], n.Refused[a]), cmp.Compare(a, b))
+	})
+	var parts []string
+	for _, r := range reasons {
+		parts = append(parts, fmt.Sprintf("%s %d", r, n.Refused[r]))
+	}
+	if len(parts) == 0 {
+		return "none"
+	}
+	return strings.Join(parts, ", ")
+}
+
+// ReasonRows are the reasons of refusals and retries.
+type ReasonRows struct {
+	Refusals []medlarreason.Row `json:"refusals"`
+	Retries  []medlarreason.Row `json:"retries"`
+}
+
+// Text writes it for a person.
+func (r ReasonRows) Text(w io.Writer) {
+	_, _ = fmt.Fprint(w, "# Reasons\n\nPrinted by `medlarctl reasons` from the table that the code uses.\n\n"+
+		"## Refusals\n\n`medlar_refusals_total{reason=…}`; `ran` is what the answer says unless the run itself knows better.\n\n"+
+		"| reason | status | ran | again | what happened | what to do |\n| --- | --- | --- | --- | --- | --- |\n")
+	for _, row := range r.Refusals {
+		_, _ = fmt.Fprintf(w, "| `%s` | %d | %s | %v | %s | %s |\n", row.Reason, row.Status, row.Ran, row.Again, row.Text, row.Advice)
+	}
+	_, _ = fmt.Fprint(w, "\n## Retries\n\n`medlar_retries_total{reason=…}`\n\n| reason | what happened | what to do |\n| --- | --- | --- |\n")
+	for _, row := range r.Retries {
+		_, _ = fmt.Fprintf(w, "| `%s` | %s | %s |\n", row.Reason, row.Text, row.Advice)
+	}
+}
+
+// Shown is one list in the form of its file.
+type Shown struct {
+	Version  medlarid.Offset           `json:"version"`
+	Accounts map[string]jsontext.Value `json:"accounts,omitempty"`
+	Plans    map[string]jsontext.Value `json:"plans,omitempty"`
+	Models   map[string]jsontext.Value `json:"models,omitempty"`
+	Services map[string]jsontext.Value `json:"services,omitempty"`
+
+	list string
+}
+
+// Text writes it for a person.
+func (s Shown) Text(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "// version %d\n{\n", s.Version)
+	if s.list == "plans" {
+		section(w, "accounts", s.Accounts, true)
+	} else {
+		section(w, "plans", s.Plans, false)
+		section(w, "models", s.Models, false)
+		section(w, "services", s.Services, true)
+	}
+	_, _ = fmt.Fprintln(w, "}")
+}
+
+// section writes one table of a list, an entry a line.
+func section(w io.Writer, name string, entries map[string]jsontext.Value, last bool) {
+	_, _ = fmt.Fprintf(w, "  %q: {\n", name)
+	for _, k := range slices.Sorted(maps.Keys(entries)) {
+		_, _ = fmt.Fprintf(w, "    %q: %s,\n", k, entries[k])
+	}
+	end := "  },"
+	if last {
+		end = "  }"
+	}
+	_, _ = fmt.Fprintln(w, end)
+}
+
+// NewShown returns the list "plans" or "uses" of a view.
+func NewShown(v *medlarstate.View, list string) Shown {
+	s := Shown{Version: v.Version, list: list}
+	tables := map[medlarrecord.Table]*map[string]jsontext.Value{
+		medlarrecord.Table_TABLE_PLAN:    &s.Plans,
+		medlarrecord.Table_TABLE_MODEL:   &s.Models,
+		medlarrecord.Table_TABLE_SERVICE: &s.Services,
+	}
+	if list == "plans" {
+		tables = map[medlarrecord.Table]*map[string]jsontext.Value{medlarrecord.Table_TABLE_ACCOUNT: &s.Accounts}
+	}
+	for _, t := range tables {
+		*t = map[string]jsontext.Value{}
+	}
+	for _, e := range v.Lists.Entries() {
+		if t, ok := tables[e.Name.Table]; ok {
+			(*t)[e.Name.Name] = jsontext.Value(e.Value)
+		}
+	}
+	return s
+}
+
+// NewWhen returns who has confirmed a version.
+func NewWhen(v medlarstate.Verdict, audit *medlaraudit.Table) WhenRows {
+	out := WhenRows{Version: v.Offset, Time: v.Time, User: v.User, Nodes: []WhenRow{}}
+	for _, c := range audit.Of(v.Offset) {
+		out.Nodes = append(out.Nodes, WhenRow{c.Node, c.Zone, c.Time})
+	}
+	return out
+}
--- a/internal/peer/medlarmember/medlarmember_test.go
+++ b/internal/peer/medlarmember/medlarmember_test.go
@@ -55,20 +55,22 @@
 		net.ids = append(net.ids, medlarid.InstanceID(fmt.Sprintf("entry-%03d", i)))
 	}
 	for _, id := range net.ids {
-		net.start(id)
+		net.add(id)
+	}
+	for _, id := range net.ids {
+		ctx, cancel := context.WithCancel(context.Background())
+		net.cancels[id] = cancel
+		net.wg.Go(func() { net.nodes[id].Run(ctx) })
 	}
 	return net
 }
 
-func (n *network) start(id medlarid.InstanceID) {
-	ctx, cancel := context.WithCancel(context.Background())
+func (n *network) add(id medlarid.InstanceID) {
 	p := NewProber(id, func(ctx context.Context, to medlarid.InstanceID, f *medlarmessage.Frame) (*medlarmessage.Reply, error) {
 		return n.call(ctx, id, to, f)
 	}, nil)
 	p.SetList(n.ids)
 	n.nodes[id] = p
-	n.cancels[id] = cancel
-	n.wg.Go(func() { p.Run(ctx) })
 }
 
 func (n *network) stop() {
@@ -167,12 +169,16 @@
 		n := newNetwork(t, 50)
 		defer n.stop()
 		time.Sleep(10 * time.Second)
+		n.mu.Lock()
 		for i, id := range n.ids {
 			n.side[id] = i % 2
 		}
+		n.mu.Unlock()
 		t.Logf("each part counts itself alone after %v", n.agree(25, 2*time.Minute))
 		time.Sleep(5 * time.Minute)
+		n.mu.Lock()
 		clear(n.side)
+		n.mu.Unlock()
 		t.Logf("all were counted again after %v", n.agree(50, 2*time.Minute))
 	})
 }
@@ -181,7 +187,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork(t, 50)
 		defer n.stop()
+		n.mu.Lock()
 		n.loss = 0.1
+		n.mu.Unlock()
 		time.Sleep(10 * time.Minute)
 		for id, p := range n.nodes {
 			if p.Flaps() > 0 || len(p.Live()) != 50 {
--- a/internal/peer/medlarrelay/medlarrelay_test.go
+++ b/internal/peer/medlarrelay/medlarrelay_test.go
@@ -122,6 +122,12 @@
 	}
 }
 
+func (f *fleet) count(source string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reads[source]
+}
+
 // inForce is the time in which a record has to be everywhere.
 const inForce = 4 * time.Second
 
@@ -141,16 +147,16 @@
 
 func TestFewReadersOfTheLog(t *testing.T) {
 	run(t, 60, func(f *fleet) {
-		before := f.reads["log"]
+		before := f.count("log")
 		for i := range 50 {
 			f.log.Append(stream, []byte("x"))
 			time.Sleep(inForce)
 			f.assertAll(t, i+1)
 		}
-		if n := f.reads["log"] - before; n > relaysPerZone*(50+50) {
+		if n := f.count("log") - before; n > relaysPerZone*(50+50) {
 			t.Errorf("the log was read %d times for 50 records", n)
 		}
-		t.Logf("60 instances: %d reads of the log, %d through relays", f.reads["log"], f.reads["relay"])
+		t.Logf("60 instances: %d reads of the log, %d through relays", f.count("log"), f.count("relay"))
 	})
 }
 
--- a/internal/stand/medlarfakeengine/cache.go
+++ b/internal/stand/medlarcache/medlarcache.go
@@ -1,4 +1,6 @@
-package medlarfakeengine
+// Package medlarcache has the parts of the model engine's stand-in that are about
+// memory and turns: a prefix cache, and a turnstile that lets in by priority.
+package medlarcache
 
 import (
 	"container/heap"
@@ -9,43 +11,45 @@
 	"medlarfield/internal/core/medlarkey"
 )
 
-// cachedBlock is one KV block with its content.
-type cachedBlock struct {
-	key     medlarkey.Key
-	content uint64
+// Block is one KV block with its content.
+type Block struct {
+	Key     medlarkey.Key
+	Content uint64
 }
 
-// cache is a prefix cache that evicts the block used least recently.
-type cache struct {
+// Cache is a prefix cache that evicts the block used least recently. It is not
+// safe for concurrent use.
+type Cache struct {
 	size   int
-	order  *list.List // of cachedBlock; front is used most recently
+	order  *list.List // of Block; front is used most recently
 	blocks map[medlarkey.Key]*list.Element
 }
 
-func newCache(size int) *cache {
-	return &cache{size: size, order: list.New(), blocks: map[medlarkey.Key]*list.Element{}}
+// New returns an empty cache of size blocks.
+func New(size int) *Cache {
+	return &Cache{size: size, order: list.New(), blocks: map[medlarkey.Key]*list.Element{}}
 }
 
-// get returns a block and marks it as used.
-func (c *cache) get(k medlarkey.Key) (cachedBlock, bool) {
+// Get returns a block and marks it as used.
+func (c *Cache) Get(k medlarkey.Key) (Block, bool) {
 	el, ok := c.blocks[k]
 	if !ok {
-		return cachedBlock{}, false
+		return Block{}, false
 	}
 	c.order.MoveToFront(el)
-	return el.Value.(cachedBlock), true
+	return el.Value.(Block), true
 }
 
-// put stores a block and returns the keys that it pushed out.
-func (c *cache) put(b cachedBlock) (evicted []medlarkey.Key) {
-	if el, ok := c.blocks[b.key]; ok {
+// Put stores a block and returns the keys that it pushed out.
+func (c *Cache) Put(b Block) (evicted []medlarkey.Key) {
+	if el, ok := c.blocks[b.Key]; ok {
 		c.order.MoveToFront(el)
 		return nil
 	}
-	c.blocks[b.key] = c.order.PushFront(b)
+	c.blocks[b.Key] = c.order.PushFront(b)
 	for c.order.Len() > c.size {
 		last := c.order.Back()
-		k := last.Value.(cachedBlock).key
+		k := last.Value.(Block).Key
 		c.order.Remove(last)
 		delete(c.blocks, k)
 		evicted = append(evicted, k)
@@ -53,18 +57,19 @@
 	return evicted
 }
 
-// clear empties the cache and returns its keys.
-func (c *cache) clear() []medlarkey.Key {
+// Clear empties the cache and returns its keys.
+func (c *Cache) Clear() []medlarkey.Key {
 	keys := make([]medlarkey.Key, 0, len(c.blocks))
 	for k := range c.blocks {
 		keys = append(keys, k)
 	}
-	*c = *newCache(c.size)
+	*c = *New(c.size)
 	return keys
 }
 
-// turnstile lets one holder in at a time, by priority and then by arrival.
-type turnstile struct {
+// Turnstile lets one holder in at a time, by priority and then by arrival. It is
+// safe for concurrent use.
+type Turnstile struct {
 	mu      sync.Mutex
 	busy    bool
 	arrival int
@@ -100,10 +105,11 @@
 	return last
 }
 
-func newTurnstile() *turnstile { return &turnstile{} }
+// NewTurnstile returns a turnstile that is free.
+func NewTurnstile() *Turnstile { return &Turnstile{} }
 
-// enter waits for the turn; it returns false when quit closes first.
-func (t *turnstile) enter(p medlarid.Priority, quit <-chan struct{}) bool {
+// Enter waits for the turn; it returns false when quit closes first.
+func (t *Turnstile) Enter(p medlarid.Priority, quit <-chan struct{}) bool {
 	t.mu.Lock()
 	if !t.busy {
 		t.busy = true
@@ -124,7 +130,7 @@
 }
 
 // abandon takes a waiter out; if its turn came meanwhile, it is passed on.
-func (t *turnstile) abandon(w *waiter) {
+func (t *Turnstile) abandon(w *waiter) {
 	t.mu.Lock()
 	for i, other := range t.waiting {
 		if other == w {
@@ -134,11 +140,11 @@
 		}
 	}
 	t.mu.Unlock()
-	t.leave()
+	t.Leave()
 }
 
-// leave passes the turn on.
-func (t *turnstile) leave() {
+// Leave passes the turn on.
+func (t *Turnstile) Leave() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.waiting) == 0 {
--- a/internal/stand/medlarfakeengine/medlarfakeengine.go
+++ b/internal/stand/medlarfakeengine/medlarfakeengine.go
@@ -22,6 +22,7 @@
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/platform/medlarengine"
 	"medlarfield/internal/platform/medlarhttp"
+	"medlarfield/internal/stand/medlarcache"
 	"medlarfield/internal/stand/medlarfault"
 )
 
@@ -73,7 +74,7 @@
 	leaving bool
 	fence   uint64
 	epoch   string
-	cache   *cache
+	cache   *medlarcache.Cache
 	staged  map[string]staged
 	runs    map[string]*run
 	counts  map[medlarid.RequestID]int
@@ -85,7 +86,7 @@
 	reports []timedLoad
 
 	slots   chan struct{}
-	prefill *turnstile
+	prefill *medlarcache.Turnstile
 }
 
 // Totals count an engine's work.
@@ -101,7 +102,7 @@
 // staged are imported blocks that wait for their run.
 type staged struct {
 	version medlarid.WeightVersion
-	blocks  []cachedBlock
+	blocks  []medlarcache.Block
 }
 
 type timedEvent struct {
@@ -123,12 +124,12 @@
 		version: cfg.Version,
 		model:   cfg.Model,
 		epoch:   string(medlarid.NewRequestID()),
-		cache:   newCache(cfg.Blocks),
+		cache:   medlarcache.New(cfg.Blocks),
 		staged:  map[string]staged{},
 		runs:    map[string]*run{},
 		counts:  map[medlarid.RequestID]int{},
 		slots:   make(chan struct{}, cfg.Slots),
-		prefill: newTurnstile(),
+		prefill: medlarcache.NewTurnstile(),
 	}
 }
 
@@ -136,7 +137,7 @@
 func (e *Engine) Evict() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.addEvent(medlarengine.CacheEvent{Evicted: e.cache.clear()})
+	e.addEvent(medlarengine.CacheEvent{Evicted: e.cache.Clear()})
 }
 
 // Leave makes the engine report that it leaves.
--- a/internal/stand/medlarfakeengine/run.go
+++ b/internal/stand/medlarfakeengine/run.go
@@ -14,6 +14,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/platform/medlarengine"
+	"medlarfield/internal/stand/medlarcache"
 	"medlarfield/internal/stand/medlarfault"
 )
 
@@ -77,14 +78,14 @@
 		e.unqueue(r)
 		return false
 	}
-	if !e.prefill.enter(r.prompt.Priority, r.quit) {
+	if !e.prefill.Enter(r.prompt.Priority, r.quit) {
 		<-e.slots
 		e.unqueue(r)
 		return false
 	}
 	cold := e.lookUp(r)
 	ok := sleep(time.Duration(float64(cold)/(e.cfg.Prefill*e.cfg.Speed)*float64(time.Second)), r.quit)
-	e.prefill.leave()
+	e.prefill.Leave()
 	e.store(r, cold)
 	if !ok {
 		e.endRunning()
@@ -119,14 +120,14 @@
 	h := xxh3.HashString(string(e.model) + "/" + string(e.version) + "/" + r.prompt.Text)
 	hit := true
 	for _, k := range keys {
-		b, ok := e.cache.get(k)
+		b, ok := e.cache.Get(k)
 		hit = hit && ok
 		if !hit {
-			b = cachedBlock{key: k, content: content(k)}
+			b = medlarcache.Block{Key: k, Content: content(k)}
 		} else {
 			r.cached += medlarkey.BlockTokens
 		}
-		h = h*31 + b.content
+		h = h*31 + b.Content
 	}
 	r.seed = h
 	return r.total - r.cached
@@ -145,8 +146,8 @@
 	}
 	ev := medlarengine.CacheEvent{}
 	for _, b := range s.blocks {
-		ev.Evicted = append(ev.Evicted, e.cache.put(b)...)
-		ev.Stored = append(ev.Stored, b.key)
+		ev.Evicted = append(ev.Evicted, e.cache.Put(b)...)
+		ev.Stored = append(ev.Stored, b.Key)
 	}
 	e.addEvent(ev)
 }
@@ -164,10 +165,10 @@
 	ev := medlarengine.CacheEvent{}
 	keys := medlarkey.Chain(saltOf(r.prompt), r.prompt.Text)
 	for _, k := range slices.Backward(keys) { // the last block is to be evicted first
-		if _, ok := e.cache.get(k); ok {
+		if _, ok := e.cache.Get(k); ok {
 			continue
 		}
-		ev.Evicted = append(ev.Evicted, e.cache.put(cachedBlock{key: k, content: content(k)})...)
+		ev.Evicted = append(ev.Evicted, e.cache.Put(medlarcache.Block{Key: k, Content: content(k)})...)
 		ev.Stored = append(ev.Stored, k)
 	}
 	e.addEvent(ev)
--- a/internal/stand/medlarfakeengine/serve.go
+++ b/internal/stand/medlarfakeengine/serve.go
@@ -12,6 +12,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/platform/medlarengine"
 	"medlarfield/internal/platform/medlarhttp"
+	"medlarfield/internal/stand/medlarcache"
 	"medlarfield/internal/stand/medlarfault"
 	"medlarfield/internal/stand/medlarhost"
 )
@@ -108,22 +109,22 @@
 // exportBlock writes one cached block into its slot.
 func (e *Engine) exportBlock(b medlarengine.Block) (medlarengine.Block, error) {
 	e.mu.Lock()
-	c, ok := e.cache.get(b.Key)
+	c, ok := e.cache.Get(b.Key)
 	e.mu.Unlock()
 	if !ok {
 		return b, eris.New("the block is no longer cached")
 	}
-	b.Length, b.Sum = e.cfg.BlockBytes, c.content
+	b.Length, b.Sum = e.cfg.BlockBytes, c.Content
 	return b, e.put(b, c)
 }
 
-func (e *Engine) put(b medlarengine.Block, c cachedBlock) error {
+func (e *Engine) put(b medlarengine.Block, c medlarcache.Block) error {
 	a, err := e.http.Do(medlarhttp.Call{
 		Method:  "PUT",
 		Address: b.Store,
 		Path:    slotPath(b),
 		Headers: []medlarhttp.Header{
-			{Name: HeaderContent, Value: strconv.FormatUint(c.content, 16)},
+			{Name: HeaderContent, Value: strconv.FormatUint(c.Content, 16)},
 			{Name: HeaderLength, Value: strconv.FormatInt(int64(e.cfg.BlockBytes), 10)},
 		},
 		Timeout: transferTimeout,
@@ -150,7 +151,7 @@
 	e.mu.Unlock()
 	out := blocksMessage{Blocks: e.transferAll(req.Blocks, e.get)}
 	for _, b := range out.Blocks {
-		s.blocks = append(s.blocks, cachedBlock{key: b.Key, content: b.Sum})
+		s.blocks = append(s.blocks, medlarcache.Block{Key: b.Key, Content: b.Sum})
 	}
 	e.mu.Lock()
 	e.staged[req.Ticket] = s
@@ -206,6 +207,6 @@
 	if e.board.Hit(e.cfg.Name, medlarfault.Misload) {
 		e.version = "other"
 	}
-	e.addEvent(medlarengine.CacheEvent{Evicted: e.cache.clear()})
+	e.addEvent(medlarengine.CacheEvent{Evicted: e.cache.Clear()})
 	clear(e.staged)
 }
--- a/internal/stand/medlarslope/peer.go
+++ b/internal/stand/medlarpeerslope/medlarpeerslope.go
@@ -1,4 +1,5 @@
-package medlarslope
+// Package medlarpeerslope measures what entry instances cost each other.
+package medlarpeerslope
 
 import (
 	"context"
@@ -23,6 +24,7 @@
 	"medlarfield/internal/peer/medlarshare"
 	"medlarfield/internal/platform/medlarlog"
 	"medlarfield/internal/stand/medlarfakelog"
+	"medlarfield/internal/stand/medlargauge"
 	"medlarfield/internal/stand/medlarkeys"
 )
 
@@ -31,32 +33,12 @@
 	memberTime   = 8 * time.Second
 	zones        = 7
 	publications = 5
+	members      = 410 // of the fleet to come
 	// callOverhead is what one call costs on the wire beside its two messages, in
 	// bytes: yamux headers, TLS records, and IP and TCP headers of four packets.
 	callOverhead = 6*12 + 6*22 + 4*52
 )
 
-func peerMeasures() []measure {
-	members := []int{5, 50, 200, membersToBe}
-	accounts := []int{100, 1000, 6000, accountsToBe}
-	return []measure{
-		{"peer", "bytes a second for membership", "members", members, func(n int) (float64, error) {
-			bytes, _ := membership(n)
-			return bytes, nil
-		}},
-		{"peer", "‰ of a core for membership", "members", members, func(n int) (float64, error) {
-			_, share := membership(n)
-			return 1000 * share, nil
-		}},
-		{"peer", "bytes of memory for a view of the members", "members", members, viewBytes},
-		{"peer", "bytes of memory for sessions", "open sessions", []int{4, 8, 16, 32}, sessionBytes},
-		{"list fan-out", "ms from publication to in force on all", "readers in 7 zones", members, fanOut},
-		{"list fan-out", "reads of the log a second, idle", "readers in 7 zones", members, idleReads},
-		{"account home", "bytes of the book", "accounts of the home", accounts, bookBytes},
-		{"account home", "µs to grant a share", "accounts of the home", accounts, grantTime},
-	}
-}
-
 // network carries calls between instances in memory and counts their bytes.
 type network struct {
 	probers map[medlarid.InstanceID]*medlarmember.Prober
@@ -80,9 +62,9 @@
 	return out
 }
 
-// membership runs n members for a while and returns bytes a second and the share
+// Membership runs n members for a while and returns bytes a second and the share
 // of a core for each. A call's bytes count for both sides.
-func membership(n int) (bytesPerSecond, core float64) {
+func Membership(n int) (bytesPerSecond, core float64) {
 	net := &network{probers: map[medlarid.InstanceID]*medlarmember.Prober{}}
 	ids := memberNames(n)
 	for _, id := range ids {
@@ -110,10 +92,11 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-func viewBytes(n int) (float64, error) {
+// ViewBytes returns the bytes of one view of n members.
+func ViewBytes(n int) (float64, error) {
 	const copies = 20
 	ids := memberNames(n)
-	bytes := retained(func() any {
+	bytes := medlargauge.Retained(func() any {
 		var all []*medlarmember.Prober
 		for i := range copies {
 			p := medlarmember.NewProber(ids[i%len(ids)], nil, nil)
@@ -125,9 +108,9 @@
 	return bytes / copies, nil
 }
 
-// sessionBytes opens sessions from one instance to n others over loopback. Both
+// SessionBytes opens sessions from one instance to n others over loopback. Both
 // ends are in this process: half of the growth is one end's.
-func sessionBytes(n int) (float64, error) {
+func SessionBytes(n int) (float64, error) {
 	dir, err := os.MkdirTemp("", "medlarslope")
 	if err != nil {
 		return 0, err
@@ -153,14 +136,14 @@
 		}
 		links = append(links, l)
 	}
-	before := heap()
+	before := medlargauge.Heap()
 	for _, id := range memberNames(n + 1)[1:] {
 		if _, err := links[0].Call(ctx, id, &medlarmessage.Frame{Body: &medlarmessage.Frame_Probe{Probe: &medlarmessage.Probe{}}}); err != nil {
 			return 0, err
 		}
 	}
 	time.Sleep(50 * time.Millisecond)
-	return (heap() - before) / 2, nil
+	return (medlargauge.Heap() - before) / 2, nil
 }
 
 func newLink(ctx context.Context, a *medlarkeys.Authority, dir string, id medlarid.InstanceID, at map[medlarid.InstanceID]medlarid.Address) (*medlarlink.Link, error) {
@@ -236,8 +219,8 @@
 	return f.log.Read(medlarrecord.StreamLists, from, limit, wait), nil
 }
 
-// fanOut returns the slowest of several publications to all readers.
-func fanOut(n int) (float64, error) {
+// FanOut returns the slowest of several publications to all readers.
+func FanOut(n int) (float64, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	f := newFleet(ctx, n)
@@ -253,7 +236,8 @@
 	return slowest, nil
 }
 
-func idleReads(n int) (float64, error) {
+// IdleReads returns the reads of the log a second of n readers without news.
+func IdleReads(n int) (float64, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	f := newFleet(ctx, n)
@@ -263,8 +247,9 @@
 	return float64(f.reads.Load()-before) / 10.5, nil
 }
 
-func bookBytes(n int) (float64, error) {
-	return retained(func() any { return book(n) }), nil
+// BookBytes returns the bytes of a home's book of n accounts.
+func BookBytes(n int) (float64, error) {
+	return medlargauge.Retained(func() any { return book(n) }), nil
 }
 
 // book returns the book of a home with n accounts that three instances ask about.
@@ -274,16 +259,17 @@
 	for i := range n {
 		demand := []medlarshare.Demand{{Account: medlarid.AccountID(fmt.Sprintf("account-%d", i)), Rate: 1, Open: 1}}
 		for _, id := range memberNames(3) {
-			b.Grant(now, id, demand, membersToBe)
+			b.Grant(now, id, demand, members)
 		}
 	}
 	return b
 }
 
-func grantTime(n int) (float64, error) {
+// GrantTime returns the microseconds to grant a share among n accounts.
+func GrantTime(n int) (float64, error) {
 	b := book(n)
 	now := time.Now()
-	return micros(timed(20000, func(i int) {
-		b.Grant(now, "entry-1", []medlarshare.Demand{{Account: medlarid.AccountID(fmt.Sprintf("account-%d", i%n)), Rate: 1, Open: 1}}, membersToBe)
+	return medlargauge.Micros(medlargauge.Timed(20000, func(i int) {
+		b.Grant(now, "entry-1", []medlarshare.Demand{{Account: medlarid.AccountID(fmt.Sprintf("account-%d", i%n)), Rate: 1, Open: 1}}, members)
 	})), nil
 }
--- a/internal/stand/medlarslope/agree.go
+++ b/internal/stand/medlarslope/agree.go
@@ -17,6 +17,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/platform/medlarlog"
 	"medlarfield/internal/stand/medlarfakelog"
+	"medlarfield/internal/stand/medlargauge"
 )
 
 // Parameters of the claims' measurements.
@@ -80,7 +81,7 @@
 
 func listBytes(n int) (float64, error) {
 	var err error
-	bytes := retained(func() any {
+	bytes := medlargauge.Retained(func() any {
 		var l *medlarlist.Lists
 		l, err = bigLists(n)
 		return l
@@ -93,7 +94,7 @@
 	if err != nil {
 		return 0, err
 	}
-	return micros(timed(50, func(i int) {
+	return medlargauge.Micros(medlargauge.Timed(50, func(i int) {
 		if next, applyErr := l.Apply(moveAccount(i + 2)); applyErr == nil {
 			l = next
 		} else {
@@ -207,7 +208,7 @@
 	if err != nil {
 		return 0, err
 	}
-	bytes := retained(func() any {
+	bytes := medlargauge.Retained(func() any {
 		t := medlarclaim.NewTable(bounds)
 		for _, e := range entries {
 			t.Apply(e)
@@ -230,7 +231,7 @@
 	for _, e := range entries {
 		t.Apply(e)
 	}
-	return micros(time.Since(begin).Seconds() / float64(n)), nil
+	return medlargauge.Micros(time.Since(begin).Seconds() / float64(n)), nil
 }
 
 // claimRate lets callers claim at one instance as fast as they can; single makes
--- a/internal/stand/medlarslope/core.go
+++ b/internal/stand/medlarslope/core.go
@@ -9,6 +9,8 @@
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlartick"
 	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/stand/medlargauge"
+	"medlarfield/internal/stand/medlarpeerslope"
 )
 
 // Sizes of the platform to come.
@@ -29,15 +31,15 @@
 		{"entry", "µs of the core for a request", "replicas", replicas, requestTime},
 		{"entry", "µs of a tick with an instance list", "replicas", replicas, listTime},
 		{"entry", "bytes of the core's tables", "replicas", replicas, func(n int) (float64, error) {
-			return retained(func() any { return newCore(n) }), nil
+			return medlargauge.Retained(func() any { return newCore(n) }), nil
 		}},
 		{"entry", "bytes of the core's tables", "accounts in use on the instance", []int{100, 1000, 6000, accountsUsed}, accountBytes},
 		{"entry", "bytes of cache hints", "blocks remembered", []int{4096, 16384, 32768, 65536}, func(n int) (float64, error) {
-			return retained(func() any { return warmTable(n) }), nil
+			return medlargauge.Retained(func() any { return warmTable(n) }), nil
 		}},
 		{"transfer", "µs to compute the keys of a prompt", "prompt tokens", []int{500, 2000, 8000, 32000}, func(n int) (float64, error) {
 			text := string(make([]byte, 4*n))
-			return micros(timed(200, func(int) { medlarkey.Chain(medlarkey.Salt{}, text) })), nil
+			return medlargauge.Micros(medlargauge.Timed(200, func(int) { medlarkey.Chain(medlarkey.Salt{}, text) })), nil
 		}},
 	}
 }
@@ -130,18 +132,18 @@
 		}
 		c.Tick(coreClock, []medlarworld.Event{medlarworld.Ended{Run: r.ID, Attempt: 1, Cause: medlarworld.CauseDone, Reached: true}})
 	}
-	return micros(time.Since(begin).Seconds() / requests), nil
+	return medlargauge.Micros(time.Since(begin).Seconds() / requests), nil
 }
 
 func listTime(n int) (float64, error) {
 	c := newCore(n)
 	l := []medlarworld.Event{listOf(n)}
-	return micros(timed(50, func(int) { c.Tick(coreClock, l) })), nil
+	return medlargauge.Micros(medlargauge.Timed(50, func(int) { c.Tick(coreClock, l) })), nil
 }
 
 func accountBytes(n int) (float64, error) {
 	c := newCore(12)
-	return retained(func() any {
+	return medlargauge.Retained(func() any {
 		for i := range n {
 			r := runOf(i, 1)
 			r.Keys = nil
@@ -161,3 +163,24 @@
 	}
 	return t
 }
+
+func peerMeasures() []measure {
+	members := []int{5, 50, 200, membersToBe}
+	accounts := []int{100, 1000, 6000, accountsToBe}
+	return []measure{
+		{"peer", "bytes a second for medlarpeerslope.Membership", "members", members, func(n int) (float64, error) {
+			bytes, _ := medlarpeerslope.Membership(n)
+			return bytes, nil
+		}},
+		{"peer", "‰ of a core for medlarpeerslope.Membership", "members", members, func(n int) (float64, error) {
+			_, share := medlarpeerslope.Membership(n)
+			return 1000 * share, nil
+		}},
+		{"peer", "bytes of memory for a view of the members", "members", members, medlarpeerslope.ViewBytes},
+		{"peer", "bytes of memory for sessions", "open sessions", []int{4, 8, 16, 32}, medlarpeerslope.SessionBytes},
+		{"list fan-out", "ms from publication to in force on all", "readers in 7 zones", members, medlarpeerslope.FanOut},
+		{"list fan-out", "reads of the log a second, idle", "readers in 7 zones", members, medlarpeerslope.IdleReads},
+		{"account home", "bytes of the book", "accounts of the home", accounts, medlarpeerslope.BookBytes},
+		{"account home", "µs to grant a share", "accounts of the home", accounts, medlarpeerslope.GrantTime},
+	}
+}
--- a/internal/stand/medlarslope/medlarslope.go
+++ b/internal/stand/medlarslope/medlarslope.go
@@ -109,36 +109,3 @@
 		return fmt.Sprintf("%.3g", f)
 	}
 }
-
-// heap returns the bytes of live objects and stacks.
-func heap() float64 {
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return float64(m.HeapAlloc + m.StackInuse)
-}
-
-// retained returns the bytes that what build returns keeps alive.
-func retained(build func() any) float64 {
-	before := heap()
-	kept := build()
-	after := heap()
-	runtime.KeepAlive(kept)
-	return after - before
-}
-
-// timed returns the seconds of one of n calls of f, after a few to warm up.
-func timed(n int, f func(i int)) float64 {
-	for i := range min(n, 16) {
-		f(i)
-	}
-	begin := time.Now()
-	for i := range n {
-		f(i)
-	}
-	return time.Since(begin).Seconds() / float64(n)
-}
-
-// micros turns seconds into microseconds.
-func micros(seconds float64) float64 { return seconds * 1e6 }
