--- a/internal/agree/medlaraudit/medlaraudit.go
+++ b/internal/agree/medlaraudit/medlaraudit.go
@@ -15,6 +15,7 @@
 
 	"medlarfield/internal/agree/medlarrecord"
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/base/medlarpause"
 	"medlarfield/internal/platform/medlarlog"
 )
 
@@ -115,7 +116,7 @@
 		case <-ctx.Done():
 			return
 		case v := <-r.news:
-			if wait(ctx, gatherTime) {
+			if medlarpause.For(ctx, gatherTime) {
 				r.confirm(ctx, r.newest(v))
 			}
 		}
@@ -144,18 +145,6 @@
 			return
 		}
 		r.failed(appendErr)
-		wait(ctx, retryPause)
-	}
-}
-
-// wait waits for d; it returns false when ctx ends first.
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
+		medlarpause.For(ctx, retryPause)
 	}
 }
--- a/internal/agree/medlarclaim/batch.go
+++ b/internal/agree/medlarclaim/batch.go
@@ -6,6 +6,7 @@
 
 	"medlarfield/internal/agree/medlarrecord"
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/base/medlarpause"
 )
 
 // Parameters of grouped appends.
@@ -30,10 +31,10 @@
 			return
 		case <-d.wake:
 		}
-		pause(ctx, min(time.Duration(windowShare*float64(latency)), maxWindow))
+		medlarpause.For(ctx, min(time.Duration(windowShare*float64(latency)), maxWindow))
 		start := time.Now()
 		if !d.flush() {
-			pause(ctx, failurePause)
+			medlarpause.For(ctx, failurePause)
 			d.signal()
 			continue
 		}
@@ -130,15 +131,3 @@
 func outcomeRecord(g Grant, s medlarrecord.State) *medlarrecord.Outcome {
 	return &medlarrecord.Outcome{Claim: g.ID[:], Key: g.Request.Key[:], State: s}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/agree/medlarclaim/history_test.go
+++ b/internal/agree/medlarclaim/history_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -14,23 +13,13 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/platform/medlarlog"
+	"medlarfield/internal/stand/medlarseed"
 )
 
-// histories is the number of seeded histories, historySeed where they start.
-const (
-	histories   = "10000"
-	historySeed = "20261203"
-)
+// histories is the number of seeded histories.
+const histories = 10000
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.checks": histories, "rapid.seed": historySeed} {
-		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(medlarseed.Run(m, histories)) }
 
 var testBounds = Bounds{Validity: time.Minute, Skew: 10 * time.Second}
 
--- a/internal/agree/medlarfollow/medlarfollow.go
+++ b/internal/agree/medlarfollow/medlarfollow.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/base/medlarpause"
 	"medlarfield/internal/platform/medlarlog"
 )
 
@@ -86,7 +87,7 @@
 			backoff = minBackoff
 			continue
 		}
-		pause(ctx, jitter(backoff))
+		medlarpause.For(ctx, jitter(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
@@ -150,12 +151,3 @@
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d/2+1)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/agree/medlarstate/history_test.go
+++ b/internal/agree/medlarstate/history_test.go
@@ -1,30 +1,19 @@
 package medlarstate
 
 import (
-	"flag"
 	"os"
 	"testing"
 
 	"pgregory.net/rapid"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/stand/medlarseed"
 )
 
-// histories is the number of seeded histories, historySeed where they start.
-const (
-	histories   = "3000"
-	historySeed = "20261203"
-)
+// histories is the number of seeded histories.
+const histories = 3000
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.checks": histories, "rapid.seed": historySeed} {
-		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(medlarseed.Run(m, histories)) }
 
 // readerModel is one reader; high is the highest version that it had in force.
 type readerModel struct {
--- /dev/null
+++ b/internal/core/medlarorder/main_test.go
@@ -0,0 +1,13 @@
+package medlarorder
+
+import (
+	"os"
+	"testing"
+
+	"medlarfield/internal/stand/medlarseed"
+)
+
+// cases is the number of drawn cases of each random test.
+const cases = 200
+
+func TestMain(m *testing.M) { os.Exit(medlarseed.Run(m, cases)) }
--- a/internal/core/medlartick/history_test.go
+++ b/internal/core/medlartick/history_test.go
@@ -1,7 +1,6 @@
 package medlartick
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -13,23 +12,13 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/stand/medlarseed"
 )
 
-// histories is the number of seeded histories, historySeed where they start.
-const (
-	histories   = "3000"
-	historySeed = "20261203"
-)
+// histories is the number of seeded histories.
+const histories = 3000
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.checks": histories, "rapid.seed": historySeed} {
-		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(medlarseed.Run(m, histories)) }
 
 // watched is what a history knows about one run from outside.
 type watched struct {
--- a/internal/ops/medlarwatch/medlarwatch.go
+++ b/internal/ops/medlarwatch/medlarwatch.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/base/medlarpause"
 	"medlarfield/internal/core/medlarfleet"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarsession"
@@ -247,7 +248,7 @@
 	for {
 		e, wait := w.next(time.Now())
 		if wait > 0 {
-			if !pause(ctx, min(wait, w.poll)) {
+			if !medlarpause.For(ctx, min(wait, w.poll)) {
 				return
 			}
 			continue
@@ -303,18 +304,6 @@
 	return max(w.poll, time.Duration(float64(n)*callsPerRead/w.budget*float64(time.Second)))
 }
 
-// pause waits for d; it returns false when ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 func (w *Watch) readStatus(e *engine) {
 	l, err := w.seams.Engines.Status(e.address)
 	if err != nil {
--- a/internal/peer/medlarmember/prober.go
+++ b/internal/peer/medlarmember/prober.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/base/medlarpause"
 	"medlarfield/internal/peer/medlarmessage"
 )
 
@@ -41,7 +42,7 @@
 
 // Run probes until ctx ends.
 func (p *Prober) Run(ctx context.Context) {
-	for round := 1; wait(ctx, probeInterval/2+rand.N(probeInterval)); round++ {
+	for round := 1; medlarpause.For(ctx, probeInterval/2+rand.N(probeInterval)); round++ {
 		p.round(ctx, round%deadEvery == 0)
 	}
 }
@@ -167,15 +168,3 @@
 	p.with(func(t *Table) { n = t.Flaps })
 	return n
 }
-
-// wait waits for d; it returns false when ctx ends first.
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/stand/medlarstage/nodes.go
+++ b/internal/stand/medlarstage/nodes.go
@@ -17,7 +17,6 @@
 	"medlarfield/internal/ops/medlarnode"
 	"medlarfield/internal/ops/medlarsettings"
 	"medlarfield/internal/platform/medlarinstance"
-	"medlarfield/internal/platform/medlarlog"
 )
 
 // Key is the bearer key of the account "parish" in the lists that Publish
@@ -150,8 +149,3 @@
 	}
 	return heard >= s.cfg.Engines+s.cfg.Services+s.cfg.Stores
 }
-
-// Entries returns the records of a stream, for checks.
-func (s *Stage) Entries(stream string) []medlarlog.Entry {
-	return s.Log.Read(stream, 1, 1<<20, 0).Records
-}
