Goodput stays under overload; membership sees a split sooner and declares nobody dead by time alone

Cause: an experiment at four times the capacity gave a third of the peak's goodput: prompts waited up to 5 s inside replicas; and the wait was estimated from the whole queue, so that a flood by one account refused the others. Change: at most 0.5 s of computation waits inside a replica; the wait is that of a request's own place in the queue; a load command.

--- a/internal/core/medlaradmit/medlaradmit.go
+++ b/internal/core/medlaradmit/medlaradmit.go
@@ -104,11 +104,12 @@
 	if !w.Now.Before(a.Share.Until) && busy(w, a) && !slices.Contains(s.fresh, a) {
 		s.fresh = append(s.fresh, a)
 	}
+	r.Virtual = max(w.Virtual, a.Finish)
 	if reason, after := s.judge(w, a, r); reason != "" {
 		w.Refuse(r, reason, after)
 		return
 	}
-	stamp(w, a, r)
+	stamp(a, r)
 }
 
 // account returns the account's entry with its limits of now.
@@ -189,21 +190,28 @@
 	if after := take(w, a); after > 0 {
 		return medlarreason.Rate, min(after, maxAfter) // R2
 	}
-	if wait := s.wait(w); w.Now.Add(wait).After(r.Deadline) || w.Config.Wait > 0 && wait > w.Config.Wait {
+	if wait := s.wait(w, r); w.Now.Add(wait).After(r.Deadline) || w.Config.Wait > 0 && wait > w.Config.Wait {
 		return medlarreason.Deadline, clampAfter(wait) // R5
 	}
 	if len(w.Waiting) >= w.Config.Queue && !makeRoom(w, a) {
-		return medlarreason.Overload, clampAfter(s.wait(w)) // R4
+		return medlarreason.Overload, clampAfter(s.wait(w, r)) // R4
 	}
 	return "", 0
 }
 
-// wait estimates how long a new run waits in the queue.
-func (s *System) wait(w *medlarworld.World) time.Duration {
+// wait estimates how long a new run waits in the queue: for those before its place
+// in it, which for an account with few requests is far from the end (R3).
+func (s *System) wait(w *medlarworld.World, r *medlarworld.Run) time.Duration {
 	if len(w.Waiting) == 0 || s.perSecond <= 0 {
 		return 0
 	}
-	return time.Duration(float64(len(w.Waiting)) / s.perSecond * float64(time.Second))
+	return time.Duration(float64(place(w, r)) / s.perSecond * float64(time.Second))
+}
+
+// place returns the number of runs that wait before a run.
+func place(w *medlarworld.World, r *medlarworld.Run) int {
+	i, _ := slices.BinarySearchFunc(w.Waiting, r, func(a, b *medlarworld.Run) int { return before(w, a, b) })
+	return i
 }
 
 // rateShare returns this instance's part of an account's rate.
@@ -255,9 +263,8 @@
 	return 0
 }
 
-// stamp gives a run its place in the order of the queue (R3).
-func stamp(w *medlarworld.World, a *medlarworld.Account, r *medlarworld.Run) {
-	r.Virtual = max(w.Virtual, a.Finish)
+// stamp moves the account's place in the order of the queue behind a run (R3).
+func stamp(a *medlarworld.Account, r *medlarworld.Run) {
 	cost := 1 + float64(r.Prompt)/tokensPerCost
 	a.Finish = r.Virtual + cost/weight(a)
 }
@@ -293,8 +300,7 @@
 // Enqueue puts a run in its place in the queue (R3).
 func Enqueue(w *medlarworld.World, r *medlarworld.Run) {
 	r.Phase = medlarworld.PhaseWaiting
-	i, _ := slices.BinarySearchFunc(w.Waiting, r, func(a, b *medlarworld.Run) int { return before(w, a, b) })
-	w.Waiting = slices.Insert(w.Waiting, i, r)
+	w.Waiting = slices.Insert(w.Waiting, place(w, r), r)
 }
 
 func before(w *medlarworld.World, a, b *medlarworld.Run) int {
--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -223,11 +223,12 @@
 	u.Model, u.Version = e.Model, e.Version
 	u.Load = e.Load
 	u.ReportedAt = w.Now
-	u.SentRuns, u.SentTokens = 0, 0
+	u.SentRuns = 0
 	u.BlockBytes = e.BlockBytes
 	if e.Prefill > 0 {
 		u.Prefill = e.Prefill
 	}
+	u.BusyTill = w.Now.Add(u.Computing(e.Load.Pending))
 	if e.Leaving {
 		u.Leaving = true
 		u.ToldLeaving = true
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -44,6 +44,7 @@
 	queueShare     = 0.25 // share of an engine's slots that may wait inside it
 	homeShare      = 0.1  // of the computation, by which a home costs less
 	homeBlocks     = 16   // blocks that stand for a conversation
+	maxBacklog     = 0.5  // seconds of computation that may wait inside an engine
 	maxOpenNoSlot  = 256  // attempts in flight at an upstream that reports no slots
 	importPatience = 2    // an import is given up after this many times its cost
 	savedShare     = 0.5  // of the computation that an import saves
@@ -150,7 +151,11 @@
 	}
 	u.Open++
 	u.SentRuns++
-	u.SentTokens += r.Prompt - medlarid.Tokens(c.depth)*medlarkey.BlockTokens
+	if u.BusyTill.Before(w.Now) {
+		u.BusyTill = w.Now
+	}
+	known := c.depth + len(c.imports)
+	u.BusyTill = u.BusyTill.Add(u.Computing(max(r.Prompt-medlarid.Tokens(known)*medlarkey.BlockTokens, 0)))
 	for _, h := range c.imports {
 		if s := w.Stores[h.Store]; s != nil {
 			s.Inflight += h.Length
@@ -266,7 +271,7 @@
 }
 
 func candidate(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) bool {
-	if !u.Usable(w.Now) || !hasRoom(u) {
+	if !u.Usable(w.Now) || !hasRoom(w, u) {
 		return false
 	}
 	if u.Kind == medlarworld.KindService {
@@ -291,17 +296,20 @@
 
 // hasRoom reports whether an upstream can take one more run by its last report
 // and what was sent since.
-func hasRoom(u *medlarworld.Upstream) bool {
+func hasRoom(w *medlarworld.World, u *medlarworld.Upstream) bool {
 	if u.Load.Slots == 0 {
 		return u.Open < maxOpenNoSlot
 	}
+	if pendingTime(w, u) >= maxBacklog && u.Open > 0 {
+		return false // it waits here, where the queue is fair, and not inside the engine
+	}
 	load := max(u.Load.Running+u.Load.Queued+u.SentRuns, u.Open)
 	return float64(load) < float64(u.Load.Slots)*(1+queueShare)
 }
 
 // evaluate returns the cheaper of computing and importing what u lacks (R2, R3).
 func evaluate(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) choice {
-	c := choice{upstream: u, cost: distance(w, u) + backlog(u)}
+	c := choice{upstream: u, cost: distance(w, u) + backlog(w, u)}
 	if u.Kind == medlarworld.KindService {
 		c.cost += float64(u.Open) * slotSeconds
 		return c
@@ -358,9 +366,14 @@
 	return importSetup + slowest
 }
 
+// pendingTime returns the seconds that an engine needs for the prompts it has.
+func pendingTime(w *medlarworld.World, u *medlarworld.Upstream) float64 {
+	return max(u.BusyTill.Sub(w.Now).Seconds(), 0)
+}
+
 // backlog returns the seconds until an upstream turns to a new run.
-func backlog(u *medlarworld.Upstream) float64 {
-	wait := float64(u.Load.Pending+u.SentTokens) / max(u.Prefill, 1)
+func backlog(w *medlarworld.World, u *medlarworld.Upstream) float64 {
+	wait := pendingTime(w, u)
 	if full := u.Load.Running + u.Load.Queued + u.SentRuns - u.Load.Slots; u.Load.Slots > 0 && full >= 0 {
 		wait += slotSeconds * float64(full+1) / float64(u.Load.Slots)
 	}
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -127,10 +127,10 @@
 	// BlockBytes is the size of one KV block.
 	BlockBytes medlarid.Bytes
 
-	Open        int             // own attempts in flight
-	SentRuns    int             // own attempts since the report
-	SentTokens  medlarid.Tokens // own prompt tokens since the report
-	Failures    int             // consecutive failures
+	Open        int       // own attempts in flight
+	SentRuns    int       // own attempts since the report
+	BusyTill    time.Time // end of the prompts that wait, by the report and what was sent since
+	Failures    int       // consecutive failures
 	EjectedTill time.Time
 	Ejections   int
 }
@@ -287,6 +287,11 @@
 	r.Upstream = nil
 }
 
+// Computing returns the time that an upstream takes to compute n prompt tokens.
+func (u *Upstream) Computing(n medlarid.Tokens) time.Duration {
+	return time.Duration(float64(n) / max(u.Prefill, 1) * float64(time.Second))
+}
+
 // Usable reports whether an upstream may get new work now.
 func (u *Upstream) Usable(now time.Time) bool {
 	return !u.Leaving && !u.Gone && !now.Before(u.EjectedTill)
--- a/internal/peer/medlarmember/medlarmember.go
+++ b/internal/peer/medlarmember/medlarmember.go
@@ -12,7 +12,7 @@
 //	R3  A neighbor that does not answer is probed through others; only if they do
 //	    not reach it either is it suspected, and dead after suspectTime. Until then
 //	    it is probed in every round, and told that it is suspected. Only who
-//	    suspects by its own probes declares a member dead.
+//	    suspects by its own probes, several in a row, declares a member dead.
 //	R4  News travels with probes and replies, each item a bounded number of times.
 //	    Each message also repeats what is known of one member in turn, so that
 //	    who has missed news learns it in the end.
@@ -38,6 +38,8 @@
 const (
 	neighborCount = 6
 	ringCount     = 2 // of the neighbors
+	maxSuspects   = 4 // probed in one round
+	deadMisses    = 3 // own probes that failed, before a member is declared dead
 	suspectTime   = 6 * time.Second
 	maxRumors     = 6 // in one message
 	rumorFactor   = 3 // a rumor travels rumorFactor*log2(members) times
@@ -61,6 +63,7 @@
 	since       time.Time // of the state
 	listed      bool
 	probed      bool // suspected by own probes
+	misses      int  // own probes that failed in a row
 	told        int  // how often the news about it was passed on
 }
 
@@ -189,11 +192,14 @@
 		return "", false
 	}
 	t.turn++
-	return n[t.turn%len(n)], true
+	if t.turn%2 == 0 { // the ring, which alone watches some members, takes half
+		return n[t.turn/2%min(ringCount, len(n))], true
+	}
+	return n[t.turn/2%len(n)], true
 }
 
-// SuspectTarget returns a suspected member to probe, another one each time (R3).
-func (t *Table) SuspectTarget() (id medlarid.InstanceID, ok bool) {
+// SuspectTargets returns a few suspected members to probe, others each time (R3).
+func (t *Table) SuspectTargets() []medlarid.InstanceID {
 	var suspects []medlarid.InstanceID
 	neighbors := t.Neighbors()
 	for _, id := range t.order {
@@ -201,11 +207,11 @@
 			suspects = append(suspects, id)
 		}
 	}
-	if len(suspects) == 0 {
-		return "", false
+	if len(suspects) <= maxSuspects {
+		return suspects
 	}
-	t.again++
-	return suspects[t.again%len(suspects)], true
+	t.again += maxSuspects
+	return append(suspects, suspects...)[t.again%len(suspects):][:maxSuspects]
 }
 
 // RumorsFor returns the news for a message to a member, what is said of the
@@ -254,17 +260,20 @@
 // Missed notes that a member answered neither here nor to others (R3).
 func (t *Table) Missed(now time.Time, id medlarid.InstanceID) {
 	m := t.members[id]
-	if m == nil || m.state == Dead || m.probed {
+	if m == nil || m.state == Dead {
 		return
 	}
-	t.set(now, m, Suspect)
-	m.probed = true
+	if !m.probed {
+		t.set(now, m, Suspect)
+		m.probed = true
+	}
+	m.misses++
 }
 
 // Expire declares members dead that were suspected for long (R3).
 func (t *Table) Expire(now time.Time) {
 	for _, m := range t.members {
-		if m.state == Suspect && m.probed && now.Sub(m.since) >= suspectTime {
+		if m.state == Suspect && m.misses >= deadMisses && now.Sub(m.since) >= suspectTime {
 			t.set(now, m, Dead)
 		}
 	}
@@ -277,6 +286,7 @@
 	m.state = s
 	m.since = now
 	m.probed = false
+	m.misses = 0
 	t.spread(m)
 }
 
--- a/internal/peer/medlarmember/prober.go
+++ b/internal/peer/medlarmember/prober.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +15,7 @@
 // Times of probing.
 const (
 	probeInterval = 1500 * time.Millisecond
+	busyInterval  = probeInterval / 4 // while members are suspected
 	probeTimeout  = 400 * time.Millisecond
 	reachTimeout  = time.Second
 	reachPeers    = 3
@@ -42,32 +44,44 @@
 
 // Run probes until ctx ends.
 func (p *Prober) Run(ctx context.Context) {
-	for round := 1; medlarpause.For(ctx, probeInterval/2+rand.N(probeInterval)); round++ {
-		p.round(ctx, round%deadEvery == 0)
+	interval := probeInterval
+	for round := 1; medlarpause.For(ctx, interval/2+rand.N(interval)); round++ {
+		interval = probeInterval
+		if p.round(ctx, round%deadEvery == 0) {
+			interval = busyInterval
+		}
 	}
 }
 
-// round probes one neighbor, a suspected one beside it, and a dead member if
-// asked.
-func (p *Prober) round(ctx context.Context, dead bool) {
+// round probes one neighbor, or all and the suspected members while there are any,
+// and a dead member if asked. It reports whether members are suspected.
+func (p *Prober) round(ctx context.Context, dead bool) (busy bool) {
 	p.mu.Lock()
 	p.table.Expire(time.Now())
 	target, ok := p.table.Target()
-	suspect, suspectOK := p.table.SuspectTarget()
+	targets := p.table.SuspectTargets()
+	if len(targets) > 0 { // many may have been lost at once
+		targets = append(targets, p.table.Neighbors()...)
+	}
 	lost, lostOK := p.table.DeadTarget()
 	p.mu.Unlock()
 	var wg sync.WaitGroup
 	if ok {
 		wg.Go(func() { p.check(ctx, target) })
 	}
-	if suspectOK && suspect != target {
-		wg.Go(func() { p.check(ctx, suspect) })
+	slices.Sort(targets)
+	for _, id := range slices.Compact(targets) {
+		if id != target {
+			wg.Go(func() { p.check(ctx, id) })
+		}
 	}
 	if dead && lostOK {
 		wg.Go(func() { p.probe(ctx, lost) })
 	}
 	wg.Wait()
 	p.changed()
+	p.with(func(t *Table) { busy = len(t.SuspectTargets()) > 0 })
+	return busy
 }
 
 // check probes a member, and through others if it does not answer.
--- /dev/null
+++ b/internal/stand/medlarload/medlarload.go
@@ -0,0 +1,97 @@
+// Package medlarload sends prompts to entry instances and reports how they were
+// answered.
+package medlarload
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/stand/medlarclient"
+)
+
+// Settings are the load to make.
+type Settings struct {
+	At      []medlarid.Address // instances, in turn
+	Key     string
+	Model   string
+	Prompt  string
+	Max     int           // tokens of an answer
+	Streams int           // at the same time
+	Time    time.Duration // no prompt starts after it
+}
+
+// Report is how prompts were answered.
+type Report struct {
+	Whole   int                         `json:"whole"`
+	Cut     int                         `json:"cut"` // neither whole nor refused
+	Refused map[medlarreason.Reason]int `json:"refused"`
+	Parts   int                         `json:"parts"`
+	First   []time.Duration             `json:"-"` // in order of length
+	Took    time.Duration               `json:"-"`
+}
+
+// Run makes the load until its time is over and all answers have come.
+func Run(s Settings) Report {
+	r := Report{Refused: map[medlarreason.Reason]int{}}
+	client := medlarclient.New(s.Key)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	begin := time.Now()
+	for i := range s.Streams {
+		wg.Go(func() {
+			for n := i; time.Since(begin) < s.Time; n++ {
+				res, err := client.Complete(s.At[n%len(s.At)], medlarclient.Prompt{Model: s.Model, Text: s.Prompt, Max: s.Max, Stream: true})
+				mu.Lock()
+				r.add(res, err)
+				mu.Unlock()
+				if !res.Whole {
+					time.Sleep(max(res.After, 10*time.Millisecond))
+				}
+			}
+		})
+	}
+	wg.Wait()
+	r.Took = time.Since(begin)
+	slices.Sort(r.First)
+	return r
+}
+
+func (r *Report) add(res medlarclient.Result, err error) {
+	r.Parts += res.Parts
+	switch {
+	case err == nil && res.Whole:
+		r.Whole++
+		r.First = append(r.First, res.First)
+	case err == nil && res.Reason != "":
+		r.Refused[res.Reason]++
+	default:
+		r.Cut++
+	}
+}
+
+// quantile returns the time to first token below which a share of the prompts is.
+func (r *Report) quantile(q float64) time.Duration {
+	if len(r.First) == 0 {
+		return 0
+	}
+	return r.First[int(q*float64(len(r.First)-1))].Round(time.Millisecond)
+}
+
+// Print writes the report for a person.
+func (r *Report) Print(w io.Writer) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintf(t, "whole answers\t%d\t%.1f/s\n", r.Whole, float64(r.Whole)/r.Took.Seconds())
+	_, _ = fmt.Fprintf(t, "parts\t%d\t%.0f/s\n", r.Parts, float64(r.Parts)/r.Took.Seconds())
+	_, _ = fmt.Fprintf(t, "first token\tp50 %v\tp95 %v\n", r.quantile(0.5), r.quantile(0.95))
+	_, _ = fmt.Fprintf(t, "cut\t%d\n", r.Cut)
+	for reason, n := range r.Refused {
+		_, _ = fmt.Fprintf(t, "refused\t%d\t%s\n", n, reason)
+	}
+	_ = t.Flush()
+}
--- a/internal/stand/medlarstandcmd/medlarstandcmd.go
+++ b/internal/stand/medlarstandcmd/medlarstandcmd.go
@@ -19,6 +19,7 @@
 	"medlarfield/internal/ops/medlarversion"
 	"medlarfield/internal/platform/medlarinstance"
 	"medlarfield/internal/stand/medlarfault"
+	"medlarfield/internal/stand/medlarload"
 	"medlarfield/internal/stand/medlarslope"
 	"medlarfield/internal/stand/medlarstage"
 	"medlarfield/internal/stand/medlartrial"
@@ -33,7 +34,7 @@
 		SilenceErrors: true,
 	}
 	root.SetOut(os.Stdout)
-	root.AddCommand(upCommand(), trialCommand(), slopesCommand(), faultsCommand(), medlarversion.Command())
+	root.AddCommand(upCommand(), trialCommand(), slopesCommand(), loadCommand(), faultsCommand(), medlarversion.Command())
 	return root
 }
 
@@ -76,6 +77,35 @@
 	return os.WriteFile(filepath.Join(dir, "slopes.svg"), sheet.Bytes(), 0o644)
 }
 
+func loadCommand() *cobra.Command {
+	s := medlarload.Settings{Model: "casework", Prompt: "Dear parish,"}
+	var at []string
+	cmd := &cobra.Command{
+		Use:   "load",
+		Short: "Send prompts to entry instances and report how they were answered",
+		Long:  "Send prompts to entry instances and report how they were answered. Exit code 1 if an answer was cut.",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			for _, a := range at {
+				s.At = append(s.At, medlarid.Address(a))
+			}
+			r := medlarload.Run(s)
+			r.Print(cmd.OutOrStdout())
+			if r.Cut > 0 {
+				return fmt.Errorf("%d answers were cut", r.Cut)
+			}
+			return nil
+		},
+	}
+	flags := cmd.Flags()
+	flags.StringSliceVar(&at, "at", []string{"127.0.0.1:8081"}, "address of an entry instance; may be repeated")
+	flags.StringVar(&s.Key, "key", medlarstage.Key, "bearer key")
+	flags.IntVar(&s.Max, "tokens", 64, "tokens of an answer")
+	flags.IntVar(&s.Streams, "streams", 10, "prompts at the same time")
+	flags.DurationVar(&s.Time, "time", 5*time.Second, "no prompt starts after it")
+	return cmd
+}
+
 func faultsCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "faults",
