--- a/internal/platform/medlarinstance/medlarinstance_test.go
+++ b/internal/platform/medlarinstance/medlarinstance_test.go
@@ -121,6 +121,47 @@
 	}
 }
 
+func TestWeightFaults(t *testing.T) {
+	for name, want := range map[medlarfault.Name]medlarweight.Kind{
+		medlarfault.Down:      medlarweight.KindUnavailable,
+		medlarfault.Refuse:    medlarweight.KindUnavailable,
+		medlarfault.Lost:      medlarweight.KindUnavailable,
+		medlarfault.Late:      medlarweight.KindUnavailable,
+		medlarfault.Cut:       medlarweight.KindUnavailable,
+		medlarfault.Malformed: medlarweight.KindUnavailable,
+		medlarfault.Freeze:    medlarweight.KindUnavailable,
+		medlarfault.Slow:      "",
+		medlarfault.Double:    "",
+	} {
+		t.Run(string(name), func(t *testing.T) {
+			board := medlarfault.New()
+			store := medlarfakeplatform.NewWeights(10, medlarweight.Weights{Model: "m", Version: "v1"})
+			host, err := medlarhost.New("weights", "127.0.0.1:0", board, store.Handler())
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(host.Kill)
+			if err := board.Arm(medlarfault.Fault{Part: "weights", Name: name, Wait: "20ms"}); err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = board.Arm(medlarfault.Fault{Part: "weights", Name: name, Clear: true}) })
+			c, err := medlarweight.New(medlarhttp.New(time.Second), host.Address, timeout).List()
+			assertWeights(t, c, err, want)
+		})
+	}
+}
+
+func assertWeights(t *testing.T, c medlarweight.Catalog, err error, want medlarweight.Kind) {
+	t.Helper()
+	var e *medlarweight.Error
+	switch {
+	case want == "" && (err != nil || !c.Has("m", "v1")):
+		t.Errorf("got %+v, %v", c, err)
+	case want != "" && (!errors.As(err, &e) || e.Kind != want):
+		t.Errorf("got %v, want kind %s", err, want)
+	}
+}
+
 func TestWeights(t *testing.T) {
 	store := medlarfakeplatform.NewWeights(2, medlarweight.Weights{Model: "m", Version: "v1"})
 	host, err := medlarhost.New("weights", "127.0.0.1:0", medlarfault.New(), store.Handler())
--- a/internal/platform/medlarstore/medlarstore_test.go
+++ b/internal/platform/medlarstore/medlarstore_test.go
@@ -178,11 +178,15 @@
 		{"full", medlarfault.Full, medlarstore.KindFull},
 		{"answer lost", medlarfault.Lost, medlarstore.KindUnavailable},
 		{"answer cut", medlarfault.Cut, medlarstore.KindUnavailable},
+		{"late effect", medlarfault.Late, medlarstore.KindUnavailable},
+		{"refused", medlarfault.Refuse, medlarstore.KindStale},
+		{"slow", medlarfault.Slow, ""},
+		{"twice", medlarfault.Double, ""},
 		{"answer not JSON", medlarfault.Malformed, medlarstore.KindUnavailable},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			f := start(t)
-			if err := f.board.Arm(medlarfault.Fault{Part: "store", Name: tc.fault}); err != nil {
+			if err := f.board.Arm(medlarfault.Fault{Part: "store", Name: tc.fault, Wait: "20ms"}); err != nil {
 				t.Fatal(err)
 			}
 			_, err := f.client.Reserve(f.host.Address, "a", []medlarkey.Key{key(1)}, length)
@@ -193,6 +197,9 @@
 
 func assertKind(t *testing.T, err error, want medlarstore.Kind) {
 	t.Helper()
+	if want == "" && err == nil {
+		return
+	}
 	if err == nil || medlarstore.KindOf(err) != want {
 		t.Errorf("got %v, want kind %s", err, want)
 	}
