--- a/internal/core/medlarcontext/medlarcontext.go
+++ b/internal/core/medlarcontext/medlarcontext.go
@@ -18,7 +18,6 @@
 	"slices"
 	"time"
 
-	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlaradmit"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarworld"
@@ -199,12 +198,3 @@
 	}
 	return out
 }
-
-// Size returns the bytes of a list of handles.
-func Size(handles []medlarworld.Handle) medlarid.Bytes {
-	var n medlarid.Bytes
-	for _, h := range handles {
-		n += h.Length
-	}
-	return n
-}
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -28,7 +28,6 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/core/medlarcontext"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarworld"
 )
@@ -386,6 +385,3 @@
 	}
 	return zoneCost
 }
-
-// Imported returns the bytes that a choice moves, for tests and measurements.
-func (c choice) Imported() medlarid.Bytes { return medlarcontext.Size(c.imports) }
