One key stands for a conversation, for replicas and for stores

Cause: the router's home replica and the store's home computed the same key with a constant each; had one changed, a prompt's replica and its store would still have worked, but each by another idea of a conversation. Change: medlarkey.Conversation serves both. Behaviour as before.

--- a/internal/core/medlarcontext/medlarcontext.go
+++ b/internal/core/medlarcontext/medlarcontext.go
@@ -25,7 +25,6 @@
 
 // Parameters of kept context.
 const (
-	segmentBlocks = 16 // blocks that are exported or not as one
 	minColdBlocks = 4
 	warmEnough    = 0.9
 	findTimeout   = 100 * time.Millisecond
@@ -87,7 +86,7 @@
 
 // Asks returns whom to ask for a chain of keys: its home (R1), or nobody.
 func Asks(w *medlarworld.World, keys []medlarkey.Key) []medlarworld.Ask {
-	s := home(w, keys[min(segmentBlocks, len(keys))-1])
+	s := home(w, medlarkey.Conversation(keys))
 	if s == nil {
 		return nil
 	}
@@ -188,8 +187,8 @@
 // and remembers them as exported.
 func unkept(w *medlarworld.World, keys []medlarkey.Key) []medlarkey.Key {
 	var out []medlarkey.Key
-	for start := 0; start < len(keys); start += segmentBlocks {
-		segment := keys[start:min(start+segmentBlocks, len(keys))]
+	for start := 0; start < len(keys); start += medlarkey.SegmentBlocks {
+		segment := keys[start:min(start+medlarkey.SegmentBlocks, len(keys))]
 		last := segment[len(segment)-1]
 		if !w.Kept.Has(last) {
 			w.Kept.Add(last)
--- a/internal/core/medlarkey/medlarkey.go
+++ b/internal/core/medlarkey/medlarkey.go
@@ -95,6 +95,13 @@
 	return medlarid.Tokens((len(text) + bytesPerToken - 1) / bytesPerToken)
 }
 
+// SegmentBlocks is the number of blocks of a segment of a chain.
+const SegmentBlocks = 16
+
+// Conversation returns the key that stands for a chain's conversation: the last one
+// of its first segment, which stays as the conversation goes on. keys is not empty.
+func Conversation(keys []Key) Key { return keys[min(SegmentBlocks, len(keys))-1] }
+
 // Rendezvous returns the rank of a holder for a key: the holder with the highest
 // rank is the key's home, and losing a holder moves only its own keys.
 func Rendezvous(k Key, holder medlarid.InstanceID) uint64 {
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -42,7 +42,6 @@
 	slotSeconds    = 0.5  // seconds until a slot comes free
 	queueShare     = 0.25 // share of an engine's slots that may wait inside it
 	homeShare      = 0.1  // of the computation, by which a home costs less
-	homeBlocks     = 16   // blocks that stand for a conversation
 	maxBacklog     = 0.5  // seconds of computation that may wait inside an engine
 	maxOpenNoSlot  = 256  // attempts in flight at an upstream that reports no slots
 	importPatience = 2    // an import is given up after this many times its cost
@@ -255,7 +254,7 @@
 	if len(r.Keys) == 0 {
 		return nil
 	}
-	k := r.Keys[min(homeBlocks, len(r.Keys))-1]
+	k := medlarkey.Conversation(r.Keys)
 	var best *medlarworld.Upstream
 	var most uint64
 	for _, u := range us {
