--- a/cmd/medlard/layers_test.go
+++ b/cmd/medlard/layers_test.go
@@ -13,7 +13,7 @@
 
 // layers are the areas under internal, in the order in which imports run
 // downward: an area imports itself and those before it.
-var layers = []string{"base", "core", "platform", "agree", "peer", "edge", "ops", "stand"}
+var layers = []string{"base", "core", "upstream", "agree", "peer", "edge", "ops", "stand"}
 
 // impure are packages that the core does not import: it does no I/O.
 var impure = []string{"net", "os", "net/http", "github.com/valyala/fasthttp", "io/ioutil", "log"}
--- a/internal/agree/medlaraudit/medlaraudit.go
+++ b/internal/agree/medlaraudit/medlaraudit.go
@@ -16,7 +16,7 @@
 	"medlarfield/internal/agree/medlarrecord"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/base/medlarpause"
-	"medlarfield/internal/platform/medlarlog"
+	"medlarfield/internal/upstream/medlarlog"
 )
 
 // Stream is the stream of the log service that holds the record.
--- a/internal/agree/medlarclaim/history_test.go
+++ b/internal/agree/medlarclaim/history_test.go
@@ -12,7 +12,7 @@
 	"pgregory.net/rapid"
 
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/platform/medlarlog"
+	"medlarfield/internal/upstream/medlarlog"
 	"medlarfield/internal/stand/medlarseed"
 )
 
--- a/internal/agree/medlarclaim/medlarclaim.go
+++ b/internal/agree/medlarclaim/medlarclaim.go
@@ -31,7 +31,7 @@
 
 	"medlarfield/internal/agree/medlarrecord"
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/platform/medlarlog"
+	"medlarfield/internal/upstream/medlarlog"
 )
 
 // Op names the operation that failed.
--- a/internal/agree/medlarclaim/medlarclaim_test.go
+++ b/internal/agree/medlarclaim/medlarclaim_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/platform/medlarlog"
+	"medlarfield/internal/upstream/medlarlog"
 )
 
 // memoryLog is a log in memory that a desk reads by itself.
--- a/internal/agree/medlarclaim/table.go
+++ b/internal/agree/medlarclaim/table.go
@@ -6,7 +6,7 @@
 
 	"medlarfield/internal/agree/medlarrecord"
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/platform/medlarlog"
+	"medlarfield/internal/upstream/medlarlog"
 )
 
 // Span is the number of records after a claim's base within which the claim has
--- a/internal/agree/medlarfollow/medlarfollow.go
+++ b/internal/agree/medlarfollow/medlarfollow.go
@@ -20,7 +20,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/base/medlarpause"
-	"medlarfield/internal/platform/medlarlog"
+	"medlarfield/internal/upstream/medlarlog"
 )
 
 // Reading parameters.
--- a/internal/agree/medlarlease/medlarlease.go
+++ b/internal/agree/medlarlease/medlarlease.go
@@ -21,7 +21,7 @@
 
 	"medlarfield/internal/agree/medlarrecord"
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/platform/medlarlog"
+	"medlarfield/internal/upstream/medlarlog"
 )
 
 // Stream is the stream of the log service that holds the leases.
--- a/internal/agree/medlarlease/medlarlease_test.go
+++ b/internal/agree/medlarlease/medlarlease_test.go
@@ -10,7 +10,7 @@
 
 	"medlarfield/internal/agree/medlarrecord"
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/platform/medlarlog"
+	"medlarfield/internal/upstream/medlarlog"
 	"medlarfield/internal/stand/medlarfakelog"
 )
 
--- a/internal/agree/medlarpublish/keeper.go
+++ b/internal/agree/medlarpublish/keeper.go
@@ -8,7 +8,7 @@
 	"medlarfield/internal/agree/medlarrecord"
 	"medlarfield/internal/agree/medlarstate"
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/platform/medlarlog"
+	"medlarfield/internal/upstream/medlarlog"
 )
 
 // Parameters of snapshots.
--- a/internal/agree/medlarpublish/medlarpublish.go
+++ b/internal/agree/medlarpublish/medlarpublish.go
@@ -20,7 +20,7 @@
 	"medlarfield/internal/agree/medlarrecord"
 	"medlarfield/internal/agree/medlarstate"
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/platform/medlarlog"
+	"medlarfield/internal/upstream/medlarlog"
 )
 
 // Times of publishing.
--- a/internal/agree/medlarstate/medlarstate.go
+++ b/internal/agree/medlarstate/medlarstate.go
@@ -29,7 +29,7 @@
 	"medlarfield/internal/agree/medlarlist"
 	"medlarfield/internal/agree/medlarrecord"
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/platform/medlarlog"
+	"medlarfield/internal/upstream/medlarlog"
 )
 
 // maxHistory is the number of verdicts that the history holds.
--- a/internal/agree/medlarstate/medlarstate_test.go
+++ b/internal/agree/medlarstate/medlarstate_test.go
@@ -11,7 +11,7 @@
 	"medlarfield/internal/agree/medlarlist"
 	"medlarfield/internal/agree/medlarrecord"
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/platform/medlarlog"
+	"medlarfield/internal/upstream/medlarlog"
 )
 
 // log builds records in the order of their offsets.
--- a/internal/edge/medlaranswer/medlaranswer.go
+++ b/internal/edge/medlaranswer/medlaranswer.go
@@ -10,7 +10,7 @@
 	"github.com/go-json-experiment/json/jsontext"
 
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/platform/medlarengine"
+	"medlarfield/internal/upstream/medlarengine"
 )
 
 // ModelList is the answer to GET /v1/models.
--- a/internal/edge/medlarcaller/service.go
+++ b/internal/edge/medlarcaller/service.go
@@ -12,7 +12,7 @@
 	"medlarfield/internal/base/medlarprobe"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/edge/medlarsession"
-	"medlarfield/internal/platform/medlarservice"
+	"medlarfield/internal/upstream/medlarservice"
 )
 
 // servicePrefix is the part of a path before the name of a service.
--- a/internal/edge/medlarprompt/medlarprompt.go
+++ b/internal/edge/medlarprompt/medlarprompt.go
@@ -17,7 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/platform/medlarengine"
+	"medlarfield/internal/upstream/medlarengine"
 )
 
 // OpParse reads a body.
--- a/internal/edge/medlarsession/attempt.go
+++ b/internal/edge/medlarsession/attempt.go
@@ -7,8 +7,8 @@
 	"medlarfield/internal/agree/medlarclaim"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarworld"
-	"medlarfield/internal/platform/medlarengine"
-	"medlarfield/internal/platform/medlarservice"
+	"medlarfield/internal/upstream/medlarengine"
+	"medlarfield/internal/upstream/medlarservice"
 )
 
 // start begins an attempt in a goroutine of its own.
--- a/internal/edge/medlarsession/medlarsession.go
+++ b/internal/edge/medlarsession/medlarsession.go
@@ -25,8 +25,8 @@
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
-	"medlarfield/internal/platform/medlarengine"
-	"medlarfield/internal/platform/medlarservice"
+	"medlarfield/internal/upstream/medlarengine"
+	"medlarfield/internal/upstream/medlarservice"
 )
 
 // Times of a session.
--- a/internal/edge/medlartransfer/medlartransfer.go
+++ b/internal/edge/medlartransfer/medlartransfer.go
@@ -18,8 +18,8 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarworld"
-	"medlarfield/internal/platform/medlarengine"
-	"medlarfield/internal/platform/medlarstore"
+	"medlarfield/internal/upstream/medlarengine"
+	"medlarfield/internal/upstream/medlarstore"
 )
 
 // Parameters of transfers.
--- a/internal/ops/medlarduty/medlarduty.go
+++ b/internal/ops/medlarduty/medlarduty.go
@@ -24,8 +24,8 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarorder"
 	"medlarfield/internal/ops/medlarwatch"
-	"medlarfield/internal/platform/medlarengine"
-	"medlarfield/internal/platform/medlarweight"
+	"medlarfield/internal/upstream/medlarengine"
+	"medlarfield/internal/upstream/medlarweight"
 )
 
 // Duty is the name of the lease.
--- a/internal/ops/medlarnode/build.go
+++ b/internal/ops/medlarnode/build.go
@@ -28,13 +28,13 @@
 	"medlarfield/internal/ops/medlarpeers"
 	"medlarfield/internal/ops/medlarsettings"
 	"medlarfield/internal/ops/medlarwatch"
-	"medlarfield/internal/platform/medlarengine"
-	"medlarfield/internal/platform/medlarhttp"
-	"medlarfield/internal/platform/medlarinstance"
-	"medlarfield/internal/platform/medlarlog"
-	"medlarfield/internal/platform/medlarservice"
-	"medlarfield/internal/platform/medlarstore"
-	"medlarfield/internal/platform/medlarweight"
+	"medlarfield/internal/upstream/medlarengine"
+	"medlarfield/internal/upstream/medlarhttp"
+	"medlarfield/internal/upstream/medlarinstance"
+	"medlarfield/internal/upstream/medlarlog"
+	"medlarfield/internal/upstream/medlarservice"
+	"medlarfield/internal/upstream/medlarstore"
+	"medlarfield/internal/upstream/medlarweight"
 )
 
 // transferTimeout bounds one export or import.
--- a/internal/ops/medlarnode/once_test.go
+++ b/internal/ops/medlarnode/once_test.go
@@ -7,7 +7,7 @@
 
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/ops/medlarsettings"
-	"medlarfield/internal/platform/medlarhttp"
+	"medlarfield/internal/upstream/medlarhttp"
 	"medlarfield/internal/stand/medlarclient"
 	"medlarfield/internal/stand/medlarfault"
 )
--- a/internal/ops/medlarnode/path_test.go
+++ b/internal/ops/medlarnode/path_test.go
@@ -11,7 +11,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/ops/medlarsettings"
-	"medlarfield/internal/platform/medlarhttp"
+	"medlarfield/internal/upstream/medlarhttp"
 	"medlarfield/internal/stand/medlarclient"
 	"medlarfield/internal/stand/medlarfakeengine"
 	"medlarfield/internal/stand/medlarfault"
--- a/internal/ops/medlarnode/stop_test.go
+++ b/internal/ops/medlarnode/stop_test.go
@@ -8,7 +8,7 @@
 	"medlarfield/internal/agree/medlarlist"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarreason"
-	"medlarfield/internal/platform/medlarhttp"
+	"medlarfield/internal/upstream/medlarhttp"
 	"medlarfield/internal/stand/medlarclient"
 	"medlarfield/internal/stand/medlarfakeengine"
 	"medlarfield/internal/stand/medlarfault"
--- a/internal/ops/medlaroperator/read.go
+++ b/internal/ops/medlaroperator/read.go
@@ -13,8 +13,8 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/edge/medlarauth"
 	"medlarfield/internal/ops/medlarreport"
-	"medlarfield/internal/platform/medlarhttp"
-	"medlarfield/internal/platform/medlarinstance"
+	"medlarfield/internal/upstream/medlarhttp"
+	"medlarfield/internal/upstream/medlarinstance"
 )
 
 // watchInterval is the time between two looks at the confirmations.
--- a/internal/ops/medlaroperator/reader.go
+++ b/internal/ops/medlaroperator/reader.go
@@ -11,8 +11,8 @@
 	"medlarfield/internal/agree/medlarrecord"
 	"medlarfield/internal/agree/medlarstate"
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/platform/medlarhttp"
-	"medlarfield/internal/platform/medlarlog"
+	"medlarfield/internal/upstream/medlarhttp"
+	"medlarfield/internal/upstream/medlarlog"
 )
 
 // Times of reading.
--- a/internal/ops/medlaroperator/status.go
+++ b/internal/ops/medlaroperator/status.go
@@ -8,7 +8,7 @@
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/ops/medlarnode"
 	"medlarfield/internal/ops/medlarreport"
-	"medlarfield/internal/platform/medlarhttp"
+	"medlarfield/internal/upstream/medlarhttp"
 )
 
 func statusCommand(o *options) *cobra.Command {
--- a/internal/ops/medlarwatch/medlarwatch.go
+++ b/internal/ops/medlarwatch/medlarwatch.go
@@ -21,8 +21,8 @@
 	"medlarfield/internal/core/medlarfleet"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarsession"
-	"medlarfield/internal/platform/medlarengine"
-	"medlarfield/internal/platform/medlarinstance"
+	"medlarfield/internal/upstream/medlarengine"
+	"medlarfield/internal/upstream/medlarinstance"
 )
 
 // Parameters of reading.
--- a/internal/peer/medlarrelay/medlarrelay.go
+++ b/internal/peer/medlarrelay/medlarrelay.go
@@ -27,7 +27,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/peer/medlarmember"
 	"medlarfield/internal/peer/medlarmessage"
-	"medlarfield/internal/platform/medlarlog"
+	"medlarfield/internal/upstream/medlarlog"
 )
 
 // Parameters of relays.
--- a/internal/peer/medlarrelay/medlarrelay_test.go
+++ b/internal/peer/medlarrelay/medlarrelay_test.go
@@ -12,7 +12,7 @@
 	"medlarfield/internal/agree/medlarfollow"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/peer/medlarmessage"
-	"medlarfield/internal/platform/medlarlog"
+	"medlarfield/internal/upstream/medlarlog"
 	"medlarfield/internal/stand/medlarfakelog"
 )
 
--- a/internal/stand/medlarclient/medlarclient.go
+++ b/internal/stand/medlarclient/medlarclient.go
@@ -14,8 +14,8 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarreason"
-	"medlarfield/internal/platform/medlarengine"
-	"medlarfield/internal/platform/medlarhttp"
+	"medlarfield/internal/upstream/medlarengine"
+	"medlarfield/internal/upstream/medlarhttp"
 )
 
 // lineBuffer is the size of the reading buffer in bytes.
--- a/internal/stand/medlarfakeengine/medlarfakeengine.go
+++ b/internal/stand/medlarfakeengine/medlarfakeengine.go
@@ -20,8 +20,8 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
-	"medlarfield/internal/platform/medlarengine"
-	"medlarfield/internal/platform/medlarhttp"
+	"medlarfield/internal/upstream/medlarengine"
+	"medlarfield/internal/upstream/medlarhttp"
 	"medlarfield/internal/stand/medlarcache"
 	"medlarfield/internal/stand/medlarfault"
 )
--- a/internal/stand/medlarfakeengine/run.go
+++ b/internal/stand/medlarfakeengine/run.go
@@ -13,7 +13,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
-	"medlarfield/internal/platform/medlarengine"
+	"medlarfield/internal/upstream/medlarengine"
 	"medlarfield/internal/stand/medlarcache"
 	"medlarfield/internal/stand/medlarfault"
 )
--- a/internal/stand/medlarfakeengine/serve.go
+++ b/internal/stand/medlarfakeengine/serve.go
@@ -10,8 +10,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/platform/medlarengine"
-	"medlarfield/internal/platform/medlarhttp"
+	"medlarfield/internal/upstream/medlarengine"
+	"medlarfield/internal/upstream/medlarhttp"
 	"medlarfield/internal/stand/medlarcache"
 	"medlarfield/internal/stand/medlarfault"
 	"medlarfield/internal/stand/medlarhost"
--- a/internal/stand/medlarfakelog/medlarfakelog.go
+++ b/internal/stand/medlarfakelog/medlarfakelog.go
@@ -10,7 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/platform/medlarlog"
+	"medlarfield/internal/upstream/medlarlog"
 	"medlarfield/internal/stand/medlarhost"
 )
 
--- a/internal/stand/medlarfakeplatform/medlarfakeplatform.go
+++ b/internal/stand/medlarfakeplatform/medlarfakeplatform.go
@@ -14,8 +14,8 @@
 	"github.com/zeebo/xxh3"
 
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/platform/medlarinstance"
-	"medlarfield/internal/platform/medlarweight"
+	"medlarfield/internal/upstream/medlarinstance"
+	"medlarfield/internal/upstream/medlarweight"
 	"medlarfield/internal/stand/medlarhost"
 )
 
--- a/internal/stand/medlarfakeservice/medlarfakeservice.go
+++ b/internal/stand/medlarfakeservice/medlarfakeservice.go
@@ -8,7 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/platform/medlarservice"
+	"medlarfield/internal/upstream/medlarservice"
 	"medlarfield/internal/stand/medlarhost"
 )
 
--- a/internal/stand/medlarfakestore/medlarfakestore.go
+++ b/internal/stand/medlarfakestore/medlarfakestore.go
@@ -18,7 +18,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
-	"medlarfield/internal/platform/medlarstore"
+	"medlarfield/internal/upstream/medlarstore"
 	"medlarfield/internal/stand/medlarfakeengine"
 	"medlarfield/internal/stand/medlarfault"
 	"medlarfield/internal/stand/medlarhost"
--- a/internal/stand/medlarpeerslope/medlarpeerslope.go
+++ b/internal/stand/medlarpeerslope/medlarpeerslope.go
@@ -22,7 +22,7 @@
 	"medlarfield/internal/peer/medlarmessage"
 	"medlarfield/internal/peer/medlarrelay"
 	"medlarfield/internal/peer/medlarshare"
-	"medlarfield/internal/platform/medlarlog"
+	"medlarfield/internal/upstream/medlarlog"
 	"medlarfield/internal/stand/medlarfakelog"
 	"medlarfield/internal/stand/medlargauge"
 	"medlarfield/internal/stand/medlarkeys"
--- a/internal/stand/medlarslope/agree.go
+++ b/internal/stand/medlarslope/agree.go
@@ -15,7 +15,7 @@
 	"medlarfield/internal/agree/medlarrecord"
 	"medlarfield/internal/agree/medlarstate"
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/platform/medlarlog"
+	"medlarfield/internal/upstream/medlarlog"
 	"medlarfield/internal/stand/medlarfakelog"
 	"medlarfield/internal/stand/medlargauge"
 )
--- a/internal/stand/medlarstage/medlarstage.go
+++ b/internal/stand/medlarstage/medlarstage.go
@@ -10,8 +10,8 @@
 	"github.com/valyala/fasthttp"
 
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/platform/medlarinstance"
-	"medlarfield/internal/platform/medlarweight"
+	"medlarfield/internal/upstream/medlarinstance"
+	"medlarfield/internal/upstream/medlarweight"
 	"medlarfield/internal/stand/medlarfakeengine"
 	"medlarfield/internal/stand/medlarfakelog"
 	"medlarfield/internal/stand/medlarfakeplatform"
--- a/internal/stand/medlarstage/nodes.go
+++ b/internal/stand/medlarstage/nodes.go
@@ -16,7 +16,7 @@
 	"medlarfield/internal/base/medlarjson"
 	"medlarfield/internal/ops/medlarnode"
 	"medlarfield/internal/ops/medlarsettings"
-	"medlarfield/internal/platform/medlarinstance"
+	"medlarfield/internal/upstream/medlarinstance"
 )
 
 // Key is the bearer key of the account "parish" in the lists that Publish
--- a/internal/stand/medlarstandcmd/medlarstandcmd.go
+++ b/internal/stand/medlarstandcmd/medlarstandcmd.go
@@ -17,7 +17,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/ops/medlarversion"
-	"medlarfield/internal/platform/medlarinstance"
+	"medlarfield/internal/upstream/medlarinstance"
 	"medlarfield/internal/stand/medlarfault"
 	"medlarfield/internal/stand/medlarload"
 	"medlarfield/internal/stand/medlarslope"
--- a/internal/platform/medlarengine/medlarengine.go
+++ b/internal/upstream/medlarengine/medlarengine.go
@@ -21,8 +21,8 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
-	"medlarfield/internal/platform/medlarhttp"
-	"medlarfield/internal/platform/medlarsequence"
+	"medlarfield/internal/upstream/medlarhttp"
+	"medlarfield/internal/upstream/medlarsequence"
 )
 
 // Op names the operation that failed.
--- a/internal/platform/medlarengine/medlarengine_test.go
+++ b/internal/upstream/medlarengine/medlarengine_test.go
@@ -8,9 +8,9 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
-	"medlarfield/internal/platform/medlarengine"
-	"medlarfield/internal/platform/medlarhttp"
-	"medlarfield/internal/platform/medlarstore"
+	"medlarfield/internal/upstream/medlarengine"
+	"medlarfield/internal/upstream/medlarhttp"
+	"medlarfield/internal/upstream/medlarstore"
 	"medlarfield/internal/stand/medlarfakeengine"
 	"medlarfield/internal/stand/medlarfault"
 	"medlarfield/internal/stand/medlarstage"
--- a/internal/platform/medlarengine/stream.go
+++ b/internal/upstream/medlarengine/stream.go
@@ -11,8 +11,8 @@
 	"github.com/rotisserie/eris"
 
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/platform/medlarhttp"
-	"medlarfield/internal/platform/medlarsequence"
+	"medlarfield/internal/upstream/medlarhttp"
+	"medlarfield/internal/upstream/medlarsequence"
 )
 
 // HTTP statuses of engines.
--- a/internal/platform/medlarinstance/medlarinstance.go
+++ b/internal/upstream/medlarinstance/medlarinstance.go
@@ -13,7 +13,7 @@
 	"github.com/go-json-experiment/json"
 
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/platform/medlarhttp"
+	"medlarfield/internal/upstream/medlarhttp"
 )
 
 // Op names the operation that failed.
--- a/internal/platform/medlarinstance/medlarinstance_test.go
+++ b/internal/upstream/medlarinstance/medlarinstance_test.go
@@ -7,9 +7,9 @@
 
 	"github.com/valyala/fasthttp"
 
-	"medlarfield/internal/platform/medlarhttp"
-	"medlarfield/internal/platform/medlarinstance"
-	"medlarfield/internal/platform/medlarweight"
+	"medlarfield/internal/upstream/medlarhttp"
+	"medlarfield/internal/upstream/medlarinstance"
+	"medlarfield/internal/upstream/medlarweight"
 	"medlarfield/internal/stand/medlarfakeplatform"
 	"medlarfield/internal/stand/medlarfault"
 	"medlarfield/internal/stand/medlarhost"
--- a/internal/platform/medlarlog/medlarlog.go
+++ b/internal/upstream/medlarlog/medlarlog.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/platform/medlarhttp"
+	"medlarfield/internal/upstream/medlarhttp"
 )
 
 // Op names the operation that failed.
--- a/internal/platform/medlarlog/medlarlog_test.go
+++ b/internal/upstream/medlarlog/medlarlog_test.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/platform/medlarhttp"
-	"medlarfield/internal/platform/medlarlog"
+	"medlarfield/internal/upstream/medlarhttp"
+	"medlarfield/internal/upstream/medlarlog"
 	"medlarfield/internal/stand/medlarfakelog"
 	"medlarfield/internal/stand/medlarfault"
 	"medlarfield/internal/stand/medlarhost"
--- a/internal/platform/medlarservice/medlarservice.go
+++ b/internal/upstream/medlarservice/medlarservice.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/platform/medlarhttp"
+	"medlarfield/internal/upstream/medlarhttp"
 )
 
 // HTTP statuses of services.
--- a/internal/platform/medlarservice/medlarservice_test.go
+++ b/internal/upstream/medlarservice/medlarservice_test.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/platform/medlarhttp"
-	"medlarfield/internal/platform/medlarservice"
+	"medlarfield/internal/upstream/medlarhttp"
+	"medlarfield/internal/upstream/medlarservice"
 	"medlarfield/internal/stand/medlarfakeservice"
 	"medlarfield/internal/stand/medlarfault"
 	"medlarfield/internal/stand/medlarhost"
--- a/internal/platform/medlarstore/medlarstore.go
+++ b/internal/upstream/medlarstore/medlarstore.go
@@ -19,7 +19,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
-	"medlarfield/internal/platform/medlarhttp"
+	"medlarfield/internal/upstream/medlarhttp"
 )
 
 // statusFull is the HTTP status of a store without space.
--- a/internal/platform/medlarstore/medlarstore_test.go
+++ b/internal/upstream/medlarstore/medlarstore_test.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"medlarfield/internal/core/medlarkey"
-	"medlarfield/internal/platform/medlarhttp"
-	"medlarfield/internal/platform/medlarstore"
+	"medlarfield/internal/upstream/medlarhttp"
+	"medlarfield/internal/upstream/medlarstore"
 	"medlarfield/internal/stand/medlarfakeengine"
 	"medlarfield/internal/stand/medlarfakestore"
 	"medlarfield/internal/stand/medlarfault"
--- a/internal/platform/medlarweight/medlarweight.go
+++ b/internal/upstream/medlarweight/medlarweight.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/platform/medlarhttp"
+	"medlarfield/internal/upstream/medlarhttp"
 )
 
 // statusTooMany is the HTTP status of a call above the rate limit.
