--- /dev/null
+++ b/internal/agree/medlarfeed/medlarfeed_test.go
@@ -0,0 +1,134 @@
+package medlarfeed
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+)
+
+// fakeTopic is a topic in memory.
+type fakeTopic struct {
+	records []Record
+	first   medlarid.Offset // offsets below were dropped
+	down    bool
+}
+
+var errDown = errors.New("down")
+
+func (f *fakeTopic) put(key, value string) {
+	f.records = append(f.records, Record{Key: key, Value: []byte(value), Removed: value == "", Offset: medlarid.Offset(len(f.records))})
+}
+
+func (f *fakeTopic) newest(context.Context, string) (Page, error) {
+	if f.down {
+		return Page{}, errDown
+	}
+	last := map[string]Record{}
+	for _, r := range f.records {
+		last[r.Key] = r
+	}
+	p := Page{End: medlarid.Offset(len(f.records))}
+	for _, r := range last {
+		if !r.Removed {
+			p.Records = append(p.Records, r)
+		}
+	}
+	return p, nil
+}
+
+func (f *fakeTopic) read(_ context.Context, from medlarid.Offset) (Batch, error) {
+	switch {
+	case f.down:
+		return Batch{}, errDown
+	case from < f.first:
+		return Batch{Dropped: true}, nil
+	}
+	return Batch{Records: f.records[from:], Next: medlarid.Offset(len(f.records))}, nil
+}
+
+// follow runs a feed with a hold of two seconds through steps, each followed by
+// half a second.
+func follow(t *testing.T, steps ...func(*fakeTopic)) map[string]string {
+	t.Helper()
+	state := map[string]string{}
+	synctest.Test(t, func(t *testing.T) {
+		topic := &fakeTopic{}
+		feed := New(Seams{
+			Newest: topic.newest,
+			Read:   topic.read,
+			Apply: func(rs []Record, _ bool) {
+				for _, r := range rs {
+					state[r.Key] = string(r.Value)
+				}
+			},
+			Lost:     func(error) {},
+			Regained: func(time.Duration) {},
+		}, Options{Pace: 50 * time.Millisecond, Hold: 2 * time.Second})
+		ctx, cancel := context.WithCancel(t.Context())
+		go feed.Run(ctx)
+		for _, step := range steps {
+			step(topic)
+			time.Sleep(500 * time.Millisecond)
+		}
+		cancel()
+		synctest.Wait()
+	})
+	return state
+}
+
+func put(key, value string) func(*fakeTopic) { return func(f *fakeTopic) { f.put(key, value) } }
+
+func down(f *fakeTopic) { f.down = true }
+
+func up(f *fakeTopic) { f.down = false }
+
+func nothing(*fakeTopic) {}
+
+func dropAll(f *fakeTopic) { f.first = medlarid.Offset(len(f.records)) + 1; f.put("x", "later") }
+
+func TestFollow(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		steps []func(*fakeTopic)
+		want  string
+	}{
+		{"first records and later ones", []func(*fakeTopic){put("a", "1"), put("a", "2"), put("b", "1")}, "a=2 b=1"},
+		{"removed", []func(*fakeTopic){put("a", "1"), put("a", "")}, "a="},
+		{"nothing is removed by an outage", []func(*fakeTopic){put("a", "1"), down}, "a=1"},
+		{"changes during an outage", []func(*fakeTopic){put("a", "1"), down, put("a", "2"), up, nothing}, "a=2"},
+		{"removal in an outage is held", []func(*fakeTopic){put("a", "1"), down, put("a", ""), up, nothing}, "a=1"},
+		{"held removal is told at last", []func(*fakeTopic){put("a", "1"), down, put("a", ""), up, nothing, nothing, nothing, nothing, nothing, nothing}, "a="},
+		{"held removal ends with the owner's return", []func(*fakeTopic){put("a", "1"), down, put("a", ""), up, put("a", "2"), nothing, nothing, nothing, nothing, nothing}, "a=2"},
+		{"dropped history", []func(*fakeTopic){put("a", "1"), dropAll, put("b", "1")}, "a=1 b=1 x=later"},
+	} {
+		t.Run(tc.name, func(t *testing.T) { assertState(t, follow(t, tc.steps...), tc.want) })
+	}
+}
+
+func TestKeyMissingAfterHistoryWasDropped(t *testing.T) {
+	got := follow(t, put("a", "1"), func(f *fakeTopic) {
+		f.put("a", "")
+		f.first = medlarid.Offset(len(f.records)) + 1
+		f.put("b", "1")
+	}, nothing)
+	assertState(t, got, "a= b=1")
+}
+
+func assertState(t *testing.T, got map[string]string, want string) {
+	t.Helper()
+	var parts []string
+	for _, k := range []string{"a", "b", "x"} {
+		if v, ok := got[k]; ok {
+			parts = append(parts, fmt.Sprintf("%s=%s", k, v))
+		}
+	}
+	if s := strings.Join(parts, " "); s != want {
+		t.Errorf("state %q, want %q", s, want)
+	}
+}
