--- a/internal/agree/medlarclaim/history_test.go
+++ b/internal/agree/medlarclaim/history_test.go
@@ -12,8 +12,8 @@
 	"pgregory.net/rapid"
 
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/upstream/medlarlog"
 	"medlarfield/internal/stand/medlarseed"
+	"medlarfield/internal/upstream/medlarlog"
 )
 
 // histories is the number of seeded histories.
--- a/internal/agree/medlarlease/medlarlease_test.go
+++ b/internal/agree/medlarlease/medlarlease_test.go
@@ -10,8 +10,8 @@
 
 	"medlarfield/internal/agree/medlarrecord"
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/upstream/medlarlog"
 	"medlarfield/internal/stand/medlarfakelog"
+	"medlarfield/internal/upstream/medlarlog"
 )
 
 const duty = Duty("loads")
--- a/internal/agree/medlarterm/medlarterm.go
+++ b/internal/agree/medlarterm/medlarterm.go
@@ -56,12 +56,12 @@
 	settle time.Duration
 	seams  Seams
 
-	end     medlarid.Offset
-	last    medlarid.InstanceID // holder of the last record
-	seen    time.Time           // when the last record was read
-	until   time.Time           // end of the own term
-	pause   time.Duration       // suspended by then
-	fence   uint64
+	end   medlarid.Offset
+	last  medlarid.InstanceID // holder of the last record
+	seen  time.Time           // when the last record was read
+	until time.Time           // end of the own term
+	pause time.Duration       // suspended by then
+	fence uint64
 }
 
 // New returns a keeper; settle is the settling time between two holders.
--- a/internal/base/medlarhead/medlarhead.go
+++ b/internal/base/medlarhead/medlarhead.go
@@ -209,7 +209,7 @@
 
 // parse reads the fields of a head and finds how its body ends (R1, R2).
 func (h *Head) parse(text, version string, op Op) error {
-	if version != "HTTP/1.1" && version != "HTTP/1.0" {
+	if version != "HTTP/1.1" && (version != "HTTP/1.0" || op == OpRequest) {
 		return malformed(op, "version")
 	}
 	h.Close = version == "HTTP/1.0"
--- a/internal/core/medlaradmit/medlaradmit.go
+++ b/internal/core/medlaradmit/medlaradmit.go
@@ -168,10 +168,7 @@
 
 // served reports whether any upstream serves what a run asks for.
 func served(w *medlarworld.World, r *medlarworld.Run) bool {
-	if r.Service != "" {
-		return len(w.Services[r.Service]) > 0
-	}
-	return len(w.Engines[r.Model]) > 0
+	return len(w.Kin(r)) > 0
 }
 
 // judge returns why a run is refused, or an empty reason.
@@ -314,9 +311,9 @@
 
 func priority(w *medlarworld.World, r *medlarworld.Run) int {
 	if a := w.Accounts[r.Account]; a != nil {
-		return int(a.Limits.Priority)
+		return int(a.Limits.Priority + r.Priority)
 	}
-	return 0
+	return int(r.Priority)
 }
 
 // leave ends a run whose caller left (R6). The edge reports this only while it
--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -122,6 +122,16 @@
 		w.Upstreams[m.ID] = u
 	}
 	u.Zone, u.Address, u.Service = m.Zone, m.Address, m.Service
+	if m.Slots > 0 {
+		u.Load.Slots = m.Slots
+	}
+	if m.Prefill > 0 {
+		u.Prefill = m.Prefill
+	}
+	if m.Version != "" && m.Version != u.Version {
+		w.Warm.RemoveAll(u)
+		u.Version = m.Version
+	}
 	u.Leaving = m.Leaving || u.ToldLeaving
 	u.Gone = false
 }
@@ -184,11 +194,12 @@
 	clear(w.Engines)
 	clear(w.Services)
 	for _, u := range w.Upstreams {
-		if u.Kind == medlarworld.KindService {
+		if u.Service != "" {
 			w.Services[u.Service] = append(w.Services[u.Service], u)
-			continue
 		}
-		w.Engines[u.Model] = append(w.Engines[u.Model], u)
+		if u.Kind == medlarworld.KindEngine {
+			w.Engines[u.Model] = append(w.Engines[u.Model], u)
+		}
 	}
 	for _, us := range w.Engines {
 		slices.SortFunc(us, compareUpstreams)
--- a/internal/core/medlarkey/medlarkey.go
+++ b/internal/core/medlarkey/medlarkey.go
@@ -108,3 +108,9 @@
 	seed := binary.BigEndian.Uint64(k[:8])
 	return xxh3.HashStringSeed(string(holder), seed)
 }
+
+// Part returns the key of one part of a prompt that callers name, in the cache that
+// a salt text stands for.
+func Part(salt string, m medlarid.ModelID, id string) Key {
+	return Key(xxh3.HashString128(salt + "\x00" + string(m) + "\x00" + id).Bytes())
+}
--- a/internal/core/medlarorder/medlarorder.go
+++ b/internal/core/medlarorder/medlarorder.go
@@ -23,8 +23,10 @@
 
 // Parameters of orders.
 const (
-	maxLoads   = 2
-	orderPause = 5 * time.Second
+	maxLoads = 2
+
+	// DefaultPause is the pause of rule R5 where a load takes seconds.
+	DefaultPause = 5 * time.Second
 )
 
 // Replica is what is known of a replica.
@@ -46,11 +48,15 @@
 
 // Planner plans orders. It is not safe for concurrent use.
 type Planner struct {
+	pause   time.Duration
 	ordered map[medlarid.InstanceID]time.Time
 }
 
-// New returns a planner that has given no orders.
-func New() *Planner { return &Planner{ordered: map[medlarid.InstanceID]time.Time{}} }
+// New returns a planner that has given no orders. pause is the time between two
+// orders to a replica.
+func New(pause time.Duration) *Planner {
+	return &Planner{pause: pause, ordered: map[medlarid.InstanceID]time.Time{}}
+}
 
 // group is the replicas of one model.
 type group struct {
@@ -66,7 +72,7 @@
 func (p *Planner) Plan(now time.Time, replicas []Replica, wanted map[medlarid.ModelID]medlarid.WeightVersion) []Order {
 	loading := 0
 	for _, r := range replicas {
-		if r.Loading || now.Sub(p.ordered[r.ID]) < orderPause { // just ordered: it may not tell yet
+		if r.Loading || now.Sub(p.ordered[r.ID]) < p.pause { // just ordered: it may not tell yet
 			loading++
 		}
 	}
@@ -76,7 +82,7 @@
 			if loading >= maxLoads || !g.mayTake() { // R2, R3
 				break
 			}
-			if now.Sub(p.ordered[r.ID]) < orderPause {
+			if now.Sub(p.ordered[r.ID]) < p.pause {
 				continue // R5
 			}
 			p.ordered[r.ID] = now
--- a/internal/core/medlarreason/medlarreason.go
+++ b/internal/core/medlarreason/medlarreason.go
@@ -40,6 +40,8 @@
 	Busy        Reason = "busy"
 	Version     Reason = "version"
 	Truncated   Reason = "truncated"
+	Misdirected Reason = "misdirected"
+	Failure     Reason = "failure"
 )
 
 // Ran tells whether a refused request ran on an upstream.
@@ -101,6 +103,8 @@
 	{Reason: Busy, Text: "the upstream refused for lack of room", Advice: "add replicas"},
 	{Reason: Version, Text: "the upstream has another weight version than the lists want", Advice: "none while a version is being rolled out"},
 	{Reason: Truncated, Text: "the upstream's answer was not whole", Advice: "look at the upstream instance"},
+	{Reason: Misdirected, Text: "another replica has the address now", Advice: "none while replicas are replaced"},
+	{Reason: Failure, Text: "the upstream answered that it failed", Advice: "look at the upstream instance"},
 }
 
 // Of returns the row of a reason; ok is false when there is none.
--- a/internal/core/medlarretry/medlarretry.go
+++ b/internal/core/medlarretry/medlarretry.go
@@ -4,8 +4,9 @@
 //
 //	R1  An attempt is repeated only if the run may be repeated, or if the attempt
 //	    never reached an upstream.
-//	R2  It is repeated at most Attempts times, within the deadline, and within a
-//	    retry budget that is a share of all requests.
+//	R2  It is repeated within the bound on attempts, within the deadline, and within
+//	    a retry budget that is a share of the requests for the same target. Where a
+//	    run has a bound of its own, attempts that reached nobody do not count.
 //	R3  Another upstream comes first; a pause with jitter keeps retries of many
 //	    runs apart.
 //	R4  An upstream with several failures in a row is ejected for a time that
@@ -24,9 +25,7 @@
 
 // Parameters of retries and ejection.
 const (
-	budgetShare    = 0.1 // retries for each request
-	budgetMax      = 50.0
-	budgetStart    = 10.0
+	unreachedMax   = 3 // attempts that reached nobody, of a run with its own bound
 	pauseMax       = 20 * time.Millisecond
 	ejectFailures  = 3
 	ejectTime      = 500 * time.Millisecond
@@ -35,22 +34,23 @@
 	retryAfter     = time.Second
 )
 
+// defaultBudget holds for a deployment that sets none.
+var defaultBudget = medlarworld.Budget{Share: 0.1, Most: 50, Start: 10}
+
 // System handles the ends of attempts.
-type System struct{ started bool }
+type System struct{}
 
 // New returns the system.
 func New() *System { return &System{} }
 
 // Run handles the events of one tick.
 func (s *System) Run(w *medlarworld.World) {
-	if !s.started {
-		w.RetryBudget = budgetStart
-		s.started = true
-	}
 	for _, e := range w.Events {
 		switch e := e.(type) {
 		case medlarworld.Submitted:
-			w.RetryBudget = min(w.RetryBudget+budgetShare, budgetMax)
+			b := budgetOf(w)
+			t := e.Run.Target()
+			w.Retries[t] = min(left(w, t)+b.Share, b.Most)
 		case medlarworld.Ended:
 			end(w, e)
 		case medlarworld.Unclaimed:
@@ -59,6 +59,21 @@
 	}
 }
 
+func budgetOf(w *medlarworld.World) medlarworld.Budget {
+	if w.Config.Retries == (medlarworld.Budget{}) {
+		return defaultBudget
+	}
+	return w.Config.Retries
+}
+
+// left returns the repeated attempts that may still be made of a target.
+func left(w *medlarworld.World, t medlarworld.Target) float64 {
+	if n, ok := w.Retries[t]; ok {
+		return n
+	}
+	return budgetOf(w).Start
+}
+
 func end(w *medlarworld.World, e medlarworld.Ended) {
 	r := w.Runs[e.Run]
 	if r == nil || r.Phase != medlarworld.PhaseRunning || r.Attempt != e.Attempt {
@@ -67,6 +82,9 @@
 	u := r.Upstream
 	w.Release(r)
 	r.Reached = r.Reached || e.Reached
+	if e.Reached || e.Reason == medlarreason.Busy {
+		r.Sent++
+	}
 	if e.Version != "" {
 		r.Pinned = e.Version
 	}
@@ -84,13 +102,19 @@
 		fail(w, u)
 		w.Refuse(r, medlarreason.Unknown, 0)
 	case medlarworld.CauseRetry:
-		if e.Reason != medlarreason.Busy && e.Reason != medlarreason.Version { // R5
+		if countsAsFailure(e.Reason) {
 			fail(w, u)
 		}
 		retry(w, r, e.Reason)
 	}
 }
 
+// countsAsFailure reports whether the reason of a repeated attempt speaks against
+// its upstream (R5).
+func countsAsFailure(r medlarreason.Reason) bool {
+	return r != medlarreason.Busy && r != medlarreason.Version && r != medlarreason.Misdirected
+}
+
 // retry lets a run wait for its next attempt, or refuses it (R1, R2).
 func retry(w *medlarworld.World, r *medlarworld.Run, reason medlarreason.Reason) {
 	r.Last = reason
@@ -98,7 +122,7 @@
 		w.Refuse(r, why, retryAfter)
 		return
 	}
-	w.RetryBudget--
+	w.Retries[r.Target()] = left(w, r.Target()) - 1
 	w.Emit(medlarworld.Retried{Reason: reason})
 	r.NotBefore = w.Now.Add(time.Duration(w.Rand.Int64N(int64(pauseMax)))) // R3
 	medlarcontext.Queue(w, r)
@@ -111,12 +135,20 @@
 		return medlarreason.Unknown // R1
 	case w.Now.After(r.Deadline):
 		return failure(r, medlarreason.Deadline)
-	case r.Attempt >= w.Config.Attempts, w.RetryBudget < 1:
+	case spent(w, r), left(w, r.Target()) < 1:
 		return failure(r, medlarreason.Capacity)
 	}
 	return ""
 }
 
+// spent reports whether a run has used its attempts.
+func spent(w *medlarworld.World, r *medlarworld.Run) bool {
+	if r.Attempts == 0 {
+		return r.Attempt >= w.Config.Attempts
+	}
+	return r.Sent >= r.Attempts || r.Attempt-r.Sent >= unreachedMax
+}
+
 // failure returns Failed for a run that reached an upstream, and otherwise the
 // reason that says that it did not run.
 func failure(r *medlarworld.Run, unreached medlarreason.Reason) medlarreason.Reason {
@@ -156,7 +188,7 @@
 
 func mayEject(w *medlarworld.World, u *medlarworld.Upstream) bool {
 	kin := w.Engines[u.Model]
-	if u.Kind == medlarworld.KindService {
+	if u.Service != "" {
 		kin = w.Services[u.Service]
 	}
 	ejected := 0
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -148,12 +148,14 @@
 		r.Tried = append(r.Tried, u)
 	}
 	u.Open++
-	u.SentRuns++
+	if !u.ReportedAt.IsZero() { // a report replaces the count
+		u.SentRuns++
+	}
 	if u.BusyTill.Before(w.Now) {
 		u.BusyTill = w.Now
 	}
-	known := c.depth + len(c.imports)
-	u.BusyTill = u.BusyTill.Add(u.Computing(max(r.Prompt-medlarid.Tokens(known)*medlarkey.BlockTokens, 0)))
+	known := r.Known(c.depth + len(c.imports))
+	u.BusyTill = u.BusyTill.Add(u.Computing(max(r.Prompt-known, 0)))
 	for _, h := range c.imports {
 		if s := w.Stores[h.Store]; s != nil {
 			s.Inflight += h.Length
@@ -166,6 +168,7 @@
 		Address:  u.Address,
 		Version:  versionOf(w, u),
 		Priority: priorityOf(w, r),
+		Depth:    c.depth,
 		Import:   c.imports,
 		Within:   importTime(c),
 	})
@@ -177,9 +180,9 @@
 
 func priorityOf(w *medlarworld.World, r *medlarworld.Run) medlarid.Priority {
 	if a := w.Accounts[r.Account]; a != nil {
-		return a.Limits.Priority
+		return a.Limits.Priority + r.Priority
 	}
-	return 0
+	return r.Priority
 }
 
 // choose returns the best way to serve a run now; ok is false when there is no
@@ -229,10 +232,7 @@
 // collect fills the candidates of a run (R1).
 func (s *System) collect(w *medlarworld.World, r *medlarworld.Run, in scope) {
 	s.choices = s.choices[:0]
-	upstreams := w.Engines[r.Model]
-	if r.Service != "" {
-		upstreams = w.Services[r.Service]
-	}
+	upstreams := w.Kin(r)
 	home := homeOf(r, upstreams)
 	for _, u := range upstreams {
 		near := u.Near || in.far || u == home || r.Service != ""
@@ -254,7 +254,10 @@
 	if len(r.Keys) == 0 {
 		return nil
 	}
-	k := medlarkey.Conversation(r.Keys)
+	k := r.Home
+	if k == (medlarkey.Key{}) {
+		k = medlarkey.Conversation(r.Keys)
+	}
 	var best *medlarworld.Upstream
 	var most uint64
 	for _, u := range us {
@@ -275,6 +278,9 @@
 	if u.Kind == medlarworld.KindService {
 		return true
 	}
+	if u.Model != r.Model {
+		return false
+	}
 	v := versionOf(w, u)
 	if r.Pinned != "" {
 		return v == r.Pinned
@@ -315,11 +321,11 @@
 	if u.Version == r.Version {
 		c.depth = w.Warm.Depth(r.Keys, u)
 	}
-	cold := r.Prompt - medlarid.Tokens(c.depth)*medlarkey.BlockTokens
+	cold := r.Prompt - r.Known(c.depth)
 	compute := computeCost(w, u, cold)
 	if u.Version == r.Version && len(r.Found) > c.depth {
 		imports := r.Found[c.depth:]
-		rest := computeCost(w, u, cold-medlarid.Tokens(len(imports))*medlarkey.BlockTokens)
+		rest := computeCost(w, u, r.Prompt-r.Known(c.depth+len(imports)))
 		transfer := transferTime(w, imports)
 		if transfer+rest < compute {
 			c.imports, c.transfer = imports, transfer
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -37,6 +37,8 @@
 	Queue int
 	// Attempts is the number of attempts of a repeatable run.
 	Attempts int
+	// Retries bounds the repeated attempts of each target.
+	Retries Budget
 	// Deadline bounds a run whose plan names none.
 	Deadline time.Duration
 	// Tokens is the largest answer of a plan that names none.
@@ -49,6 +51,13 @@
 	Seed uint64
 }
 
+// Budget bounds repeated attempts to a share of requests.
+type Budget struct {
+	Share float64 // attempts that each request adds
+	Most  float64 // attempts that may be saved up
+	Start float64 // attempts at the start
+}
+
 // Limits are what a plan allows each of its accounts, over all entry instances.
 type Limits struct {
 	Rate     float64 // requests a second; 0 is no limit
@@ -169,16 +178,27 @@
 	Version medlarid.WeightVersion
 	Service medlarid.ServiceID
 	// Config is the version of the lists that decided about the run.
-	Config   medlarid.Offset
-	Once     bool // must not be repeated
-	Claimed  bool
-	Keys     []medlarkey.Key
-	Prompt   medlarid.Tokens
+	Config  medlarid.Offset
+	Once    bool // must not be repeated
+	Claimed bool
+	Keys    []medlarkey.Key
+	// Sizes are the tokens of each key's part; nil for blocks of equal size.
+	Sizes  []medlarid.Tokens
+	Prompt medlarid.Tokens
+	// Home stands for what the run shares with others; zero for the conversation
+	// that Keys begin with.
+	Home medlarkey.Key
+	// Attempts bounds the upstreams that the run may reach; 0 for the deployment's
+	// number of attempts.
+	Attempts int
+	// Priority is added to the account's.
+	Priority medlarid.Priority
 	Arrived  time.Time
 	Deadline time.Time
 
 	Phase     Phase
 	Attempt   int
+	Sent      int // attempts that reached an upstream, whether it ran them or not
 	Upstream  *Upstream
 	Tried     []*Upstream
 	NotBefore time.Time // earliest time of the next attempt
@@ -226,8 +246,8 @@
 	Warm      *Warm
 	Kept      *KeySet // last keys of segments that were exported
 
-	Virtual     float64 // virtual time of the queue
-	RetryBudget float64 // retries that may still be made
+	Virtual float64            // virtual time of the queue
+	Retries map[Target]float64 // repeated attempts that may still be made
 
 	Events   []Event
 	Commands []Command
@@ -246,6 +266,7 @@
 		Services:  map[medlarid.ServiceID][]*Upstream{},
 		Stores:    map[medlarid.InstanceID]*Store{},
 		Runs:      map[medlarid.RequestID]*Run{},
+		Retries:   map[Target]float64{},
 		Warm:      NewWarm(maxWarm),
 		Kept:      NewKeySet(maxKept),
 	}
@@ -287,6 +308,41 @@
 	r.Upstream = nil
 }
 
+// Target is what a run asks for: a model, or a service.
+type Target struct {
+	Model   medlarid.ModelID
+	Service medlarid.ServiceID
+}
+
+// Target returns what the run asks for. A run that names a service is for it,
+// whatever model it names.
+func (r *Run) Target() Target {
+	if r.Service != "" {
+		return Target{Service: r.Service}
+	}
+	return Target{Model: r.Model}
+}
+
+// Known returns the prompt tokens of the first n keys.
+func (r *Run) Known(n int) medlarid.Tokens {
+	if r.Sizes == nil {
+		return medlarid.Tokens(n) * medlarkey.BlockTokens
+	}
+	var sum medlarid.Tokens
+	for _, t := range r.Sizes[:n] {
+		sum += t
+	}
+	return sum
+}
+
+// Kin returns the upstreams that serve what a run asks for.
+func (w *World) Kin(r *Run) []*Upstream {
+	if r.Service != "" {
+		return w.Services[r.Service]
+	}
+	return w.Engines[r.Model]
+}
+
 // Computing returns the time that an upstream takes to compute n prompt tokens.
 func (u *Upstream) Computing(n medlarid.Tokens) time.Duration {
 	return time.Duration(float64(n) / max(u.Prefill, 1) * float64(time.Second))
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -87,6 +87,11 @@
 	Leaving bool
 	Model   medlarid.ModelID
 	Service medlarid.ServiceID
+	// Version, Slots and Prefill are what the list tells of an engine; empty where it
+	// tells nothing.
+	Version medlarid.WeightVersion
+	Slots   int
+	Prefill float64 // prompt tokens a second
 }
 
 // Listed reports the platform's instance list.
@@ -154,6 +159,8 @@
 	Address  medlarid.Address
 	Version  medlarid.WeightVersion
 	Priority medlarid.Priority
+	// Depth is the number of the run's keys that the upstream is believed to cache.
+	Depth int
 	// Import lists kept blocks to import before the attempt.
 	Import []Handle
 	// Within is the time after which the attempt goes on without the import.
--- /dev/null
+++ b/internal/edge/medlarevent/medlarevent_test.go
@@ -0,0 +1,33 @@
+package medlarevent
+
+import (
+	"strings"
+	"testing"
+)
+
+func TestCut(t *testing.T) {
+	const stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\nid: 4\ndata: d"
+	const whole = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\n"
+	for size := 1; size <= len(stream); size++ {
+		var c Cutter
+		var out []byte
+		for rest := stream; rest != ""; {
+			n := min(size, len(rest))
+			var err error
+			if out, err = c.Cut(out, []byte(rest[:n])); err != nil {
+				t.Fatal(err)
+			}
+			rest = rest[n:]
+		}
+		if string(out) != whole || c.ID() != "2" || !c.Partial() {
+			t.Errorf("pieces of %d bytes: %q, id %q, partial %v", size, out, c.ID(), c.Partial())
+		}
+	}
+}
+
+func TestEventWithoutEndIsBounded(t *testing.T) {
+	var c Cutter
+	if _, err := c.Cut(nil, []byte(strings.Repeat("x", maxEvent+1))); err != ErrLarge {
+		t.Errorf("error %v, want %v", err, ErrLarge)
+	}
+}
--- /dev/null
+++ b/internal/edge/medlarpass/exchange.go
@@ -0,0 +1,244 @@
+package medlarpass
+
+import (
+	"context"
+	"time"
+
+	"medlarfield/internal/agree/medlarcatalog"
+	"medlarfield/internal/base/medlarhead"
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarkey"
+	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/edge/medlarevent"
+)
+
+// exchange is one request with its answer.
+type exchange struct {
+	door *Door
+	conn *conn
+	head *medlarhead.Head
+	body []byte
+	call Call
+
+	route   *medlarcatalog.Route
+	account medlarcatalog.Account
+	run     *medlarworld.Run
+	sum     *Summary
+	arrived time.Time
+	ctx     context.Context // ends when the caller has left
+	leave   context.CancelFunc
+	endWait func()
+
+	begun  bool    // a part of the answer was sent
+	held   *answer // failure of an upstream's own, to be passed on if nothing better comes
+	events medlarevent.Cutter
+}
+
+func newExchange(d *Door, c *conn, h *medlarhead.Head, body []byte, arrived time.Time) *exchange {
+	x := &exchange{door: d, conn: c, head: h, body: body, arrived: arrived, sum: &Summary{}}
+	x.ctx, x.leave = context.WithCancel(context.Background())
+	return x
+}
+
+// release ends what was begun for the exchange.
+func (x *exchange) release() {
+	if x.endWait != nil {
+		x.endWait()
+	}
+	x.leave()
+	x.sum.Took = time.Since(x.arrived)
+	x.door.seams.Note.Ended(x.sum)
+}
+
+// serve answers the request and reports whether the connection can be used again.
+func (x *exchange) serve() bool {
+	call, err := x.door.seams.Decode(x.head)
+	x.call = call
+	x.sum.ID, x.sum.Model = call.ID, call.Model
+	if err != nil {
+		return x.refuse(medlarreason.Malformed, medlarreason.RanNo, 0)
+	}
+	if reason := x.find(); reason != "" {
+		return x.refuse(reason, medlarreason.RanNo, unreadyAfter)
+	}
+	x.plan()
+	x.endWait = x.conn.watch(x.leave)
+	box := x.door.seams.Submit(x.run, medlarworld.Limits{})
+	defer x.door.seams.Done(x.run.ID)
+	return x.follow(box)
+}
+
+// unreadyAfter is when a caller may come back that was refused before the core was
+// asked.
+const unreadyAfter = 500 * time.Millisecond
+
+// find finds route and account, or returns why the request is refused.
+func (x *exchange) find() medlarreason.Reason {
+	cat := x.door.seams.Catalog()
+	if cat == nil {
+		return medlarreason.Unready
+	}
+	x.sum.Config = cat.Version
+	host, _ := x.head.Get("Host")
+	x.route = cat.Route(host, x.head.Path())
+	if x.route == nil {
+		return medlarreason.Absent
+	}
+	x.sum.Route = x.route.Name
+	account, ok := cat.Account(x.route, x.call.Key)
+	if !ok {
+		return medlarreason.Unauthenticated
+	}
+	x.account = account
+	x.sum.Account = account.ID
+	return ""
+}
+
+// plan makes the run of the request (R4).
+func (x *exchange) plan() {
+	wait := x.call.Patience
+	if wait == 0 || x.route.Timeout > 0 && x.route.Timeout < wait {
+		wait = x.route.Timeout
+	}
+	rank := x.route.Rank
+	if x.account.Ranked {
+		rank = x.account.Rank
+	}
+	once := !x.route.Repeatable()
+	x.run = &medlarworld.Run{
+		ID:       x.door.runID(x.call.ID),
+		Account:  x.account.ID,
+		Service:  x.route.Pick(x.door.seams.Rand()),
+		Model:    x.call.Model,
+		Once:     once,
+		Claimed:  once, // the caller's attempt is this instance's alone
+		Prompt:   x.call.Prompt,
+		Attempts: x.route.Attempts,
+		Priority: medlarid.Priority(-rank),
+		Arrived:  x.arrived,
+		Deadline: x.arrived.Add(wait),
+	}
+	x.sum.Service = x.run.Service
+	if x.call.Model != "" {
+		x.planParts()
+	}
+}
+
+// planParts gives the run the keys of its prompt's parts. All but the last part may
+// be shared, so the one before the last stands for the run's home.
+func (x *exchange) planParts() {
+	x.run.Version = x.door.seams.Serving(x.call.Model)
+	salt := x.salt(x.run.Version)
+	for _, p := range x.call.Parts {
+		x.run.Keys = append(x.run.Keys, medlarkey.Part(salt, x.call.Model, p.ID))
+		x.run.Sizes = append(x.run.Sizes, p.Tokens)
+	}
+	if n := len(x.run.Keys); n > 0 {
+		x.run.Home = x.run.Keys[max(n-2, 0)]
+	}
+}
+
+// salt returns the text that keeps the cached parts of weight versions and isolated
+// accounts apart.
+func (x *exchange) salt(v medlarid.WeightVersion) string {
+	if x.account.Isolated {
+		return "v" + string(v) + "/" + string(x.account.ID)
+	}
+	return "v" + string(v)
+}
+
+// follow carries out the core's commands until the request has ended.
+func (x *exchange) follow(box <-chan medlarworld.Command) bool {
+	for {
+		select {
+		case <-x.ctx.Done():
+			x.door.seams.Post(medlarworld.Left{Run: x.run.ID})
+			x.sum.Reason = medlarreason.Gone
+			return false
+		case cmd := <-box:
+			switch cmd := cmd.(type) {
+			case medlarworld.Start:
+				if ended, keep := x.start(cmd); ended {
+					return keep
+				}
+			case medlarworld.Refuse:
+				return x.giveUp(cmd)
+			}
+		}
+	}
+}
+
+// start makes an attempt; it reports whether the request has ended with it, and
+// whether the connection can be used again.
+func (x *exchange) start(cmd medlarworld.Start) (ended, keep bool) {
+	if x.sum.Attempts == 0 {
+		x.sum.Waited = time.Since(x.arrived)
+	}
+	x.sum.Attempts++
+	x.sum.Upstream = cmd.Upstream
+	a := &attempt{exchange: x, cmd: cmd, begin: time.Now()}
+	e := a.make()
+	a.note(e)
+	x.door.seams.Post(e)
+	switch e.Cause {
+	case medlarworld.CauseDone, medlarworld.CauseAnswer:
+		return true, x.sum.Whole
+	case medlarworld.CauseLeft:
+		x.sum.Reason = medlarreason.Gone
+		return true, false
+	}
+	return false, false
+}
+
+// giveUp ends a request for which the core has no further attempt.
+func (x *exchange) giveUp(cmd medlarworld.Refuse) bool {
+	if x.begun {
+		x.sum.Reason, x.sum.Ran = cmd.Reason, cmd.Ran
+		return false // the answer stays without its end (R2)
+	}
+	if x.held != nil {
+		return x.sendWhole(x.held) == nil
+	}
+	return x.refuse(cmd.Reason, cmd.Ran, cmd.After)
+}
+
+// refuse answers with a refusal of the system's own (R1).
+func (x *exchange) refuse(reason medlarreason.Reason, ran medlarreason.Ran, after time.Duration) bool {
+	row, _ := medlarreason.Of(reason)
+	x.sum.Reason, x.sum.Ran, x.sum.Status = reason, ran, row.Status
+	if ran != medlarreason.RanNo && promises(row.Status) || row.Status == statusFailed {
+		x.sum.Status = statusFailed
+		if x.run != nil && !time.Now().Before(x.run.Deadline) {
+			x.sum.Status = statusTimeout
+		}
+	}
+	if promises(x.sum.Status) {
+		x.sum.After = after
+	}
+	x.sum.Whole = x.write(x.door.refusalText(x.sum, x.last())) == nil
+	return x.sum.Whole
+}
+
+// Statuses that tell nothing about whether a request ran.
+const (
+	statusFailed  = 502
+	statusTimeout = 504
+)
+
+// promises reports whether a status tells that the request did not run.
+func promises(status int) bool {
+	return status == 408 || status == 421 || status == 429 || status == 503
+}
+
+// last reports whether the answer is the last one of its connection.
+func (x *exchange) last() bool { return x.head.Close || x.door.draining.Load() }
+
+func (x *exchange) write(b []byte) error {
+	if x.sum.First == 0 {
+		x.sum.First = time.Since(x.arrived)
+	}
+	_ = x.conn.SetWriteDeadline(time.Now().Add(stallTimeout))
+	_, err := x.conn.Write(b)
+	return err
+}
--- /dev/null
+++ b/internal/ops/medlarattach/medlarattach.go
@@ -0,0 +1,303 @@
+// Package medlarattach builds and runs an instance that is attached to the users'
+// platform.
+//
+// Rules:
+//
+//	R1  The instance is ready while it has a catalog, has read the replicas once and
+//	    is not stopping. Losing the store does not make it unready.
+//	R2  A graceful stop goes in this order: unready; callers are served, each answer
+//	    the last one of its connection, until the platform has taken the instance
+//	    out; no new connections; open requests end; connections close.
+package medlarattach
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/dig"
+
+	"medlarfield/internal/agree/medlarfeed"
+	"medlarfield/internal/agree/medlarterm"
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlartick"
+	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/edge/medlarmetric"
+	"medlarfield/internal/edge/medlarpass"
+	"medlarfield/internal/edge/medlarpool"
+	"medlarfield/internal/ops/medlarlogger"
+	"medlarfield/internal/ops/medlarloop"
+	"medlarfield/internal/ops/medlarrollout"
+	"medlarfield/internal/ops/medlarsettings"
+	"medlarfield/internal/upstream/medlarhttp"
+	"medlarfield/platform"
+)
+
+// Times and sizes.
+const (
+	storeTimeout   = 1500 * time.Millisecond // of a call to the store
+	replicaTimeout = time.Second             // of a control call to a replica
+	operatorWait   = 2 * time.Second         // of a read for the operator's records
+	replicaWait    = time.Second             // of a read for replicas' entries
+	replicaPace    = 200 * time.Millisecond  // between two of those
+	returnMargin   = 300 * time.Millisecond  // beside the time in which entries come back
+	lineIdle       = 5 * time.Second         // of connections for control calls
+	outAfter       = 2500 * time.Millisecond // until the platform has taken an instance out
+	stopMargin     = 700 * time.Millisecond  // before the kill
+	stopPoll       = 20 * time.Millisecond
+	queueLength    = 4096 // requests that may wait for an upstream
+	retryShare     = 0.8  // of the bound on repeated attempts that is used
+	retryMost      = 6    // repeated attempts that may be saved up
+	retryStart     = 2
+)
+
+// Instance is an attached instance.
+type Instance struct {
+	cfg     medlarsettings.Attached
+	log     zerolog.Logger
+	lines   *medlarlogger.Writer
+	metrics *medlarmetric.Metrics
+	loop    *medlarloop.Loop
+	table   *Table
+	door    *medlarpass.Door
+	feeds   []*medlarfeed.Feed
+	rollout *medlarrollout.Rollout
+
+	stopping atomic.Bool
+	front    net.Listener
+	status   net.Listener
+}
+
+// output is where log lines go.
+type output struct{ io.Writer }
+
+// New builds an instance that logs to w.
+func New(cfg medlarsettings.Attached, w io.Writer) (*Instance, error) {
+	c := dig.New()
+	providers := []any{
+		func() medlarsettings.Attached { return cfg },
+		func() output { return output{w} },
+		func(o output) *medlarlogger.Writer { return medlarlogger.NewWriter(o) },
+		func(lines *medlarlogger.Writer) zerolog.Logger {
+			return medlarlogger.New(lines, cfg.Log.Level, cfg.Name, cfg.Zone)
+		},
+		func() *medlarhttp.Client { return medlarhttp.New(lineIdle) },
+		func(h *medlarhttp.Client) *medlarplatform.Store {
+			return medlarplatform.NewStore(h, cfg.Store, storeTimeout)
+		},
+		func(h *medlarhttp.Client) *medlarplatform.Replicas {
+			return medlarplatform.NewReplicas(h, replicaTimeout)
+		},
+		medlarmetric.New, medlarpool.New, newLoop, newTable, newDoor, newFeeds, newTerm, newRollout, newInstance,
+	}
+	for _, p := range providers {
+		if err := c.Provide(p); err != nil {
+			return nil, err
+		}
+	}
+	var instance *Instance
+	err := c.Invoke(func(i *Instance) { instance = i })
+	return instance, dig.RootCause(err)
+}
+
+func newInstance(cfg medlarsettings.Attached, log zerolog.Logger, lines *medlarlogger.Writer, m *medlarmetric.Metrics,
+	loop *medlarloop.Loop, table *Table, door *medlarpass.Door, feeds []*medlarfeed.Feed, rollout *medlarrollout.Rollout,
+) *Instance {
+	return &Instance{
+		cfg: cfg, log: log, lines: lines, metrics: m, loop: loop, table: table, door: door, feeds: feeds, rollout: rollout,
+	}
+}
+
+func newLoop(cfg medlarsettings.Attached, m *medlarmetric.Metrics, log zerolog.Logger) *medlarloop.Loop {
+	core := medlartick.New(medlarworld.Config{
+		Self:      cfg.Name,
+		Zone:      cfg.Zone,
+		Weighting: medlarworld.WeighShare,
+		Queue:     queueLength,
+		Attempts:  1,
+		Retries:   medlarworld.Budget{Share: retryShare * cfg.Bounds.Retries, Most: retryMost, Start: retryStart},
+		Seed:      rand.Uint64(),
+	})
+	return medlarloop.New(core, medlarloop.Seams{
+		Find:    func(medlarworld.Find) {},
+		Export:  func(medlarworld.Export) {},
+		Retried: func(r medlarworld.Retried) { m.Retried(r.Reason) },
+		Ejected: func(e medlarworld.Ejected) {
+			m.Ejected()
+			log.Info().Str("event", "ejection").Str("replica", string(e.Upstream)).Bool("back", e.Back).Msg("upstream ejected or back")
+		},
+		Wanted: func(medlarworld.Wanted) {},
+		Ticked: m.Ticked,
+	})
+}
+
+func newTable(log zerolog.Logger, pool *medlarpool.Pool, loop *medlarloop.Loop) *Table {
+	return NewTable(log, pool, loop.Post)
+}
+
+func newDoor(log zerolog.Logger, m *medlarmetric.Metrics, loop *medlarloop.Loop, table *Table, pool *medlarpool.Pool) *medlarpass.Door {
+	return medlarpass.New(medlarpass.Seams{
+		Catalog: table.Catalog,
+		Serving: loop.Serving,
+		Submit:  loop.Submit,
+		Done:    loop.Done,
+		Post:    loop.Post,
+		Told:    table.Told,
+		Pool:    pool,
+		Decode:  medlarplatform.DecodeCall,
+		Forward: medlarplatform.AppendForward,
+		Reply:   medlarplatform.DecodeReply,
+		Refusal: medlarplatform.AppendRefusal,
+		Note:    notes(log, m),
+		Rand:    rand.Float64,
+	})
+}
+
+func newFeeds(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, s *medlarplatform.Store, t *Table) []*medlarfeed.Feed {
+	feed := func(topic string, wait time.Duration, apply func([]medlarfeed.Record, bool), o medlarfeed.Options) *medlarfeed.Feed {
+		lost, regained := feedLog(log, topic, m.Failed)
+		return medlarfeed.New(medlarfeed.Seams{
+			Newest: func(ctx context.Context, after string) (medlarfeed.Page, error) { return s.Newest(ctx, topic, after) },
+			Read: func(ctx context.Context, from medlarid.Offset) (medlarfeed.Batch, error) {
+				return s.Follow(ctx, topic, from, wait)
+			},
+			Apply: apply, Lost: lost, Regained: regained,
+		}, o)
+	}
+	return []*medlarfeed.Feed{
+		feed(medlarplatform.TopicOperator, operatorWait, t.ApplyOperator, medlarfeed.Options{}),
+		feed(medlarplatform.TopicReplicas, replicaWait, t.ApplyReplicas, medlarfeed.Options{
+			Pace: replicaPace, Hold: cfg.Bounds.Return.Std() + returnMargin,
+		}),
+	}
+}
+
+// Start opens the listeners and begins to serve. The instance runs until stop is
+// called, which returns when it has ended.
+func (i *Instance) Start() (stop func(), err error) {
+	if i.front, err = net.Listen("tcp", string(i.cfg.Listen)); err != nil {
+		return nil, eris.Wrap(err, "listen for callers")
+	}
+	if i.status, err = net.Listen("tcp", string(i.cfg.Status)); err != nil {
+		_ = i.front.Close()
+		return nil, eris.Wrap(err, "listen for status")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	lines := make(chan struct{})
+	go func() {
+		defer close(lines)
+		i.lines.Run(ctx)
+	}()
+	go i.loop.Run(ctx)
+	for _, f := range i.feeds {
+		go f.Run(ctx)
+	}
+	go i.rollout.Run(ctx)
+	go i.serve("callers", func() error { return i.door.Serve(i.front) })
+	go i.serve("status", func() error { return i.statusServer().Serve(i.status) })
+	i.log.Info().Str("event", "start").Str("listen", string(i.cfg.Listen)).Str("store", string(i.cfg.Store)).Msg("started")
+	return func() {
+		i.stop()
+		cancel()
+		<-lines
+	}, nil
+}
+
+// Address returns the address that callers reach, once Start has returned.
+func (i *Instance) Address() medlarid.Address { return medlarid.Address(i.front.Addr().String()) }
+
+// StatusAddress returns the address of readiness and metrics.
+func (i *Instance) StatusAddress() medlarid.Address {
+	return medlarid.Address(i.status.Addr().String())
+}
+
+func (i *Instance) serve(what string, f func() error) {
+	if err := f(); err != nil && !i.stopping.Load() {
+		i.log.Error().Str("event", "listener").Str("listener", what).Err(err).Msg("listener failed")
+	}
+}
+
+// Ready reports whether callers are to be sent here (R1).
+func (i *Instance) Ready() bool { return !i.stopping.Load() && i.table.Ready() }
+
+func (i *Instance) statusServer() *fasthttp.Server {
+	metrics := i.metrics.Handler()
+	return &fasthttp.Server{Name: "medlarfield", NoDefaultServerHeader: true, Handler: func(ctx *fasthttp.RequestCtx) {
+		switch string(ctx.Path()) {
+		case medlarplatform.PathReady:
+			if !i.Ready() {
+				ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			}
+		case "/metrics":
+			metrics(ctx)
+		default:
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+		}
+	}}
+}
+
+// stop stops gracefully (R2).
+func (i *Instance) stop() {
+	begin := time.Now()
+	end := begin.Add(i.cfg.Bounds.Grace.Std() - stopMargin)
+	i.stopping.Store(true)
+	i.door.Drain()
+	i.log.Info().Str("event", "stop").Int("open", i.door.Busy()).Msg("stopping")
+	time.Sleep(outAfter)
+	_ = i.front.Close()
+	i.door.CloseIdle()
+	for i.door.Busy() > 0 && time.Now().Before(end) {
+		time.Sleep(stopPoll)
+	}
+	_ = i.status.Close()
+	i.log.Info().Str("event", "stopped").Int("cut", i.door.Busy()).Dur("took", time.Since(begin)).Msg("stopped")
+}
+
+// Reload checks the settings again. None of them changes while the instance runs;
+// what does, comes from the store.
+func (i *Instance) Reload(file string) {
+	cfg, err := medlarsettings.ReadAttached(file)
+	if err != nil {
+		i.log.Error().Str("event", "reload").Err(err).Msg("settings not read; the former ones hold")
+		return
+	}
+	i.log.Info().Str("event", "reload").Bool("changed", cfg != i.cfg).Msg("settings read")
+}
+
+func newTerm(cfg medlarsettings.Attached, s *medlarplatform.Store) *medlarterm.Keeper {
+	return medlarterm.New(cfg.Name, cfg.Bounds.Settle.Std(), medlarterm.Seams{
+		Append: func(ctx context.Context, at medlarid.Offset) error {
+			_, err := s.Append(ctx, medlarplatform.TopicTerm, at, medlarplatform.EncodeTerm(cfg.Name))
+			if medlarplatform.IsKind(err, medlarplatform.KindMoved) {
+				return medlarterm.ErrMoved
+			}
+			return err
+		},
+		Read: func(ctx context.Context, from medlarid.Offset) ([]medlarterm.Record, medlarid.Offset, error) {
+			return readTerms(ctx, s, from)
+		},
+	})
+}
+
+// readTerms returns the terms from an offset on, and where the topic ends.
+func readTerms(ctx context.Context, s *medlarplatform.Store, from medlarid.Offset) ([]medlarterm.Record, medlarid.Offset, error) {
+	raw, err := s.Read(ctx, medlarplatform.TopicTerm, from, 0)
+	if first, ok := medlarplatform.FirstLeft(err); ok {
+		from = first
+		raw, err = s.Read(ctx, medlarplatform.TopicTerm, from, 0)
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	out := make([]medlarterm.Record, 0, len(raw))
+	for _, r := range raw {
+		out = append(out, medlarterm.Record{Holder: medlarplatform.DecodeTerm(r.Data), Offset: r.Offset})
+	}
+	return out, from + medlarid.Offset(len(raw)), nil
+}
--- /dev/null
+++ b/internal/ops/medlarattach/notes.go
@@ -0,0 +1,93 @@
+package medlarattach
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/zeebo/xxh3"
+
+	"medlarfield/internal/agree/medlarterm"
+	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/edge/medlarmetric"
+	"medlarfield/internal/edge/medlarpass"
+	"medlarfield/internal/ops/medlarrollout"
+	"medlarfield/internal/ops/medlarsettings"
+	"medlarfield/platform"
+)
+
+// notes returns what writes the log lines of requests and counts them.
+func notes(log zerolog.Logger, m *medlarmetric.Metrics) medlarpass.Notes {
+	return medlarpass.Notes{
+		Attempt: func(a *medlarpass.Attempt) {
+			if a.Cause == medlarworld.CauseDone { // the request's own line tells it
+				return
+			}
+			log.Info().Str("event", "attempt").Str("id", string(a.ID)).Int("attempt", a.Number).
+				Str("replica", string(a.Upstream)).Str("version", string(a.Version)).Str("cause", string(a.Cause)).
+				Str("reason", string(a.Reason)).Bool("reached", a.Reached).Bool("reused", a.Reused).
+				Int("status", a.Status).Float64("took", ms(a.Took)).AnErr("error", a.Err).Send()
+		},
+		Ended: func(s *medlarpass.Summary) {
+			count(m, s)
+			l := log.Info().Str("event", "request").Str("id", string(s.ID)).Str("account", string(s.Account)).
+				Str("route", s.Route).Str("service", string(s.Service)).Uint64("config", s.Config).
+				Int("status", s.Status).Bool("whole", s.Whole).Int("attempts", s.Attempts).Str("replica", string(s.Upstream)).
+				Float64("waited", ms(s.Waited)).Float64("first", ms(s.First)).Float64("took", ms(s.Took))
+			if s.Reason != "" {
+				l = l.Str("reason", string(s.Reason)).Str("ran", string(s.Ran)).Float64("after", ms(s.After))
+			}
+			l.Send()
+		},
+	}
+}
+
+func count(m *medlarmetric.Metrics, s *medlarpass.Summary) {
+	switch {
+	case s.Reason != "" && s.Reason != medlarreason.Gone:
+		m.Refused(s.Reason)
+	case s.Whole:
+		m.Answered(s.Route)
+		m.First(s.Model, s.First)
+	}
+}
+
+func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+func newRollout(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, term *medlarterm.Keeper,
+	table *Table, replicas *medlarplatform.Replicas,
+) *medlarrollout.Rollout {
+	return medlarrollout.New(term, int(xxh3.HashString(string(cfg.Name))>>1), medlarrollout.Seams{
+		Replicas: table.Engines,
+		Wanted:   table.Wanted,
+		Ask: func(r medlarrollout.Replica) (medlarrollout.State, error) {
+			p, err := replicas.Report(r.Address)
+			return medlarrollout.State{
+				Model: p.Model, Version: p.Version, Loading: p.Loading, Orders: p.Orders, Load: p.Waiting + p.Running,
+			}, err
+		},
+		Give: func(o medlarrollout.Order) error {
+			return replicas.Give(o.Replica.Address, medlarplatform.Order{
+				Replica: o.Replica.ID, Model: o.Replica.Model, Version: o.Version,
+				Holder: cfg.Name, Fence: o.Fence, Orders: o.Orders,
+			})
+		},
+		Told: func(r medlarrollout.Replica, s medlarrollout.State) { table.Told(r.ID, s.Version) },
+		Ordered: func(o medlarrollout.Order, err error) {
+			m.Ordered(err == nil)
+			log.Info().Str("event", "order").Str("replica", string(o.Replica.ID)).Str("model", string(o.Replica.Model)).
+				Str("from", string(o.Replica.Version)).Str("version", string(o.Version)).Uint64("fence", o.Fence).
+				Uint64("orders", o.Orders).AnErr("error", err).Msg("weight version ordered")
+		},
+		Failed: func(r medlarrollout.Replica, err error) {
+			log.Info().Str("event", "report").Str("replica", string(r.ID)).AnErr("error", err).Msg("replica does not report")
+		},
+		Held: func(fence uint64, held bool) {
+			log.Info().Str("event", "term").Bool("held", held).Uint64("fence", fence).Msg("duty of orders")
+		},
+		Lost: func(err error) {
+			m.Failed(medlarplatform.TopicTerm)
+			log.Warn().Str("event", "term").Err(err).Msg("store does not answer")
+		},
+	})
+}
--- /dev/null
+++ b/internal/ops/medlarattach/table.go
@@ -0,0 +1,281 @@
+package medlarattach
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"medlarfield/internal/agree/medlarcatalog"
+	"medlarfield/internal/agree/medlarfeed"
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/edge/medlarpool"
+	"medlarfield/internal/ops/medlarrollout"
+	"medlarfield/platform"
+)
+
+// initialVersion is the weight version of a model for which none was named.
+const initialVersion medlarid.WeightVersion = "1"
+
+// Table holds what the instance believes of the platform: the catalog in force, the
+// weight versions wanted and the replicas. It tells the core of each change. It is
+// safe for concurrent use.
+type Table struct {
+	log  zerolog.Logger
+	post func(medlarworld.Event)
+	pool *medlarpool.Pool
+
+	mu       sync.Mutex
+	catalog  *medlarcatalog.Catalog
+	wanted   medlarrollout.Wanted
+	replicas map[medlarid.InstanceID]*replica
+	listed   bool // the replicas were read once
+	applied  medlarid.Offset
+}
+
+// replica is a replica's entry with what it told since.
+type replica struct {
+	medlarplatform.Replica
+	told medlarid.WeightVersion // newer than the entry's, or empty
+}
+
+// version returns the newest weight version that the replica is known to have.
+func (r *replica) version() medlarid.WeightVersion {
+	if newer(r.told, r.Member.Version) {
+		return r.told
+	}
+	return r.Member.Version
+}
+
+// newer reports whether a weight version is a later one than b.
+func newer(a, b medlarid.WeightVersion) bool { return number(a) > number(b) }
+
+// number returns the number of a weight version; 0 for none.
+func number(v medlarid.WeightVersion) uint64 {
+	n, err := strconv.ParseUint(string(v), 10, 64)
+	if err != nil {
+		return 0 // empty, or of another writer: the oldest of all
+	}
+	return n
+}
+
+// NewTable returns an empty table.
+func NewTable(log zerolog.Logger, pool *medlarpool.Pool, post func(medlarworld.Event)) *Table {
+	return &Table{
+		log: log, pool: pool, post: post,
+		wanted: medlarrollout.Wanted{}, replicas: map[medlarid.InstanceID]*replica{},
+	}
+}
+
+// Catalog returns the catalog in force, or nil.
+func (t *Table) Catalog() *medlarcatalog.Catalog {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.catalog
+}
+
+// Ready reports whether the instance can serve: it has a catalog and has read the
+// replicas once.
+func (t *Table) Ready() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.catalog != nil && t.listed
+}
+
+// Wanted returns the weight versions wanted.
+func (t *Table) Wanted() medlarrollout.Wanted {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(medlarrollout.Wanted, len(t.wanted))
+	for m, v := range t.wanted {
+		out[m] = v
+	}
+	return out
+}
+
+// Engines returns the replicas with models, ordered by id.
+func (t *Table) Engines() []medlarrollout.Replica {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []medlarrollout.Replica
+	for _, r := range t.replicas {
+		if m := r.Member; m.Model != "" {
+			out = append(out, medlarrollout.Replica{
+				ID: m.ID, Address: m.Address, Model: m.Model, Version: r.version(), Leaving: m.Leaving,
+			})
+		}
+	}
+	slices.SortFunc(out, func(a, b medlarrollout.Replica) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// ApplyOperator takes over records of the operator. What cannot be read, and an older
+// catalog or weight version, has no effect.
+func (t *Table) ApplyOperator(records []medlarfeed.Record, _ bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	changed := false
+	for _, rec := range records {
+		if rec.Removed {
+			continue
+		}
+		op, err := medlarplatform.DecodeOperator(rec.Key, rec.Value)
+		if err != nil {
+			t.log.Warn().Str("event", "operator").Str("key", rec.Key).Uint64("offset", uint64(rec.Offset)).Err(err).Msg("record not understood")
+			continue
+		}
+		if op == nil {
+			continue
+		}
+		if op.Catalog != nil {
+			changed = t.takeCatalog(op.Catalog, rec.Offset) || changed
+		} else {
+			changed = t.takeVersion(op.Model, rec.Offset) || changed
+		}
+	}
+	if changed {
+		t.tellCatalog()
+	}
+}
+
+func (t *Table) takeCatalog(c *medlarcatalog.Catalog, at medlarid.Offset) bool {
+	if t.catalog != nil && c.Version <= t.catalog.Version {
+		return false
+	}
+	t.catalog = c
+	t.log.Info().Str("event", "catalog").Uint64("version", c.Version).Uint64("offset", uint64(at)).Msg("configuration in force")
+	return true
+}
+
+func (t *Table) takeVersion(m medlarworld.Model, at medlarid.Offset) bool {
+	if !newer(m.Version, t.wanted[m.ID]) {
+		return false
+	}
+	t.wanted[m.ID] = m.Version
+	t.log.Info().Str("event", "weights").Str("model", string(m.ID)).Str("version", string(m.Version)).
+		Uint64("offset", uint64(at)).Msg("weight version wanted")
+	return true
+}
+
+// tellCatalog tells the core of models and weight versions; the lock is held.
+func (t *Table) tellCatalog() {
+	if t.catalog == nil {
+		return
+	}
+	for _, s := range t.catalog.Services {
+		if s.Engine == nil {
+			continue
+		}
+		for _, m := range s.Engine.Models {
+			if t.wanted[m] == "" {
+				t.wanted[m] = initialVersion
+			}
+		}
+	}
+	e := medlarworld.Applied{}
+	for m, v := range t.wanted {
+		e.Models = append(e.Models, medlarworld.Model{ID: m, Version: v})
+	}
+	t.applied++
+	e.Version = t.applied
+	t.post(e)
+}
+
+// ApplyReplicas takes over entries of replicas. An entry that names no replica to use
+// takes its replica out.
+func (t *Table) ApplyReplicas(records []medlarfeed.Record, first bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.listed = t.listed || first
+	changed := first
+	for _, rec := range records {
+		changed = t.takeEntry(medlarid.InstanceID(rec.Key), rec) || changed
+	}
+	if changed {
+		t.tellReplicas()
+	}
+}
+
+// takeEntry takes over one entry and reports whether anything changed.
+func (t *Table) takeEntry(id medlarid.InstanceID, rec medlarfeed.Record) bool {
+	old := t.replicas[id]
+	if rec.Removed {
+		return t.remove(id, old, rec.Offset, "entry removed")
+	}
+	next, err := medlarplatform.DecodeReplica(string(id), rec.Value)
+	if err != nil {
+		t.log.Warn().Str("event", "replica").Str("replica", string(id)).Uint64("offset", uint64(rec.Offset)).Err(err).Msg("entry not understood")
+		return t.remove(id, old, rec.Offset, "entry not understood")
+	}
+	if old != nil && old.Born == next.Born && old.Member == next.Member {
+		return false // a heartbeat
+	}
+	r := &replica{Replica: next}
+	if old != nil && old.Born == next.Born {
+		r.told = old.told
+	} else if old != nil {
+		t.pool.Forget(old.Member.Address)
+	}
+	t.replicas[id] = r
+	t.log.Info().Str("event", "replica").Str("replica", string(id)).Str("service", string(next.Member.Service)).
+		Str("address", string(next.Member.Address)).Bool("leaving", next.Member.Leaving).
+		Str("version", string(next.Member.Version)).Int64("born", next.Born).Uint64("offset", uint64(rec.Offset)).Msg("entry")
+	return true
+}
+
+func (t *Table) remove(id medlarid.InstanceID, old *replica, at medlarid.Offset, why string) bool {
+	if old == nil {
+		return false
+	}
+	delete(t.replicas, id)
+	t.pool.Forget(old.Member.Address)
+	t.log.Info().Str("event", "replica").Str("replica", string(id)).Uint64("offset", uint64(at)).Msg(why)
+	return true
+}
+
+// Told takes over the weight version that a replica answered under.
+func (t *Table) Told(id medlarid.InstanceID, v medlarid.WeightVersion) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.replicas[id]
+	if r == nil || !newer(v, r.version()) {
+		return
+	}
+	r.told = v
+	t.log.Info().Str("event", "replica").Str("replica", string(id)).Str("version", string(v)).Msg("weight version told")
+	t.tellReplicas()
+}
+
+// tellReplicas tells the core of all replicas; the lock is held.
+func (t *Table) tellReplicas() {
+	e := medlarworld.Listed{Members: make([]medlarworld.Member, 0, len(t.replicas))}
+	for _, r := range t.replicas {
+		m := r.Member
+		m.Version = r.version()
+		if m.Model != "" {
+			m.Prefill = prefill
+		}
+		e.Members = append(e.Members, m)
+	}
+	t.post(e)
+}
+
+// prefill is the number of prompt tokens a second that a replica is taken to
+// compute.
+const prefill = 80000
+
+// feedLog returns what tells of a lost and regained topic.
+func feedLog(log zerolog.Logger, topic string, failed func(string)) (lost func(error), regained func(time.Duration)) {
+	lost = func(err error) {
+		failed(topic)
+		log.Warn().Str("event", "lost").Str("dependency", topic).Err(err).Msg("store does not answer")
+	}
+	regained = func(after time.Duration) {
+		log.Info().Str("event", "regained").Str("dependency", topic).Dur("after", after).Msg("store answers again")
+	}
+	return lost, regained
+}
--- a/internal/ops/medlardaemon/medlardaemon.go
+++ b/internal/ops/medlardaemon/medlardaemon.go
@@ -24,7 +24,7 @@
 		SilenceErrors: true,
 	}
 	root.SetOut(os.Stdout)
-	root.AddCommand(serveCommand(), checkCommand(), medlarversion.Command())
+	root.AddCommand(serveCommand(), attachCommand(), checkCommand(), medlarversion.Command())
 	return root
 }
 
--- a/internal/ops/medlarduty/medlarduty.go
+++ b/internal/ops/medlarduty/medlarduty.go
@@ -62,7 +62,9 @@
 }
 
 // New returns a reconciler.
-func New(s Seams) *Reconciler { return &Reconciler{seams: s, planner: medlarorder.New()} }
+func New(s Seams) *Reconciler {
+	return &Reconciler{seams: s, planner: medlarorder.New(medlarorder.DefaultPause)}
+}
 
 // Run works until ctx ends.
 func (r *Reconciler) Run(ctx context.Context) {
--- a/internal/ops/medlarnode/bench_test.go
+++ b/internal/ops/medlarnode/bench_test.go
@@ -14,11 +14,11 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/ops/medlarnode"
-	"medlarfield/internal/upstream/medlarengine"
-	"medlarfield/internal/upstream/medlarhttp"
 	"medlarfield/internal/stand/medlarclient"
 	"medlarfield/internal/stand/medlarfakeengine"
 	"medlarfield/internal/stand/medlarstage"
+	"medlarfield/internal/upstream/medlarengine"
+	"medlarfield/internal/upstream/medlarhttp"
 )
 
 // benchStage is a stage whose engines answer at once, with one entry instance.
--- a/internal/ops/medlarnode/once_test.go
+++ b/internal/ops/medlarnode/once_test.go
@@ -7,9 +7,9 @@
 
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/ops/medlarsettings"
-	"medlarfield/internal/upstream/medlarhttp"
 	"medlarfield/internal/stand/medlarclient"
 	"medlarfield/internal/stand/medlarfault"
+	"medlarfield/internal/upstream/medlarhttp"
 )
 
 const posting = "amount=5"
--- a/internal/ops/medlarnode/path_test.go
+++ b/internal/ops/medlarnode/path_test.go
@@ -11,12 +11,12 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/ops/medlarsettings"
-	"medlarfield/internal/upstream/medlarhttp"
 	"medlarfield/internal/stand/medlarclient"
 	"medlarfield/internal/stand/medlarfakeengine"
 	"medlarfield/internal/stand/medlarfault"
 	"medlarfield/internal/stand/medlarstage"
 	"medlarfield/internal/stand/medlartrial"
+	"medlarfield/internal/upstream/medlarhttp"
 )
 
 const answer = 20
--- a/internal/ops/medlarnode/stop_test.go
+++ b/internal/ops/medlarnode/stop_test.go
@@ -8,12 +8,12 @@
 	"medlarfield/internal/agree/medlarlist"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarreason"
-	"medlarfield/internal/upstream/medlarhttp"
 	"medlarfield/internal/stand/medlarclient"
 	"medlarfield/internal/stand/medlarfakeengine"
 	"medlarfield/internal/stand/medlarfault"
 	"medlarfield/internal/stand/medlarstage"
 	"medlarfield/internal/stand/medlartrial"
+	"medlarfield/internal/upstream/medlarhttp"
 )
 
 func slowDecode(e *medlarfakeengine.Settings) { e.Decode = 400 * time.Millisecond } // 20 ms at the test's speed
--- /dev/null
+++ b/internal/ops/medlarrollout/medlarrollout.go
@@ -0,0 +1,229 @@
+// Package medlarrollout brings the replicas of an attached instance's platform to
+// the weight versions that the operators want.
+//
+// Rules:
+//
+//	R1  Orders are given only within the instance's own term, with its fencing
+//	    number, to a replica by its id, and with the number of orders that the
+//	    replica is known to have accepted. So an order that comes late, or that
+//	    another holder has overtaken, has no effect.
+//	R2  A replica is asked for its state before it is ordered, and again after an
+//	    order without an answer. A replica that does not answer is not ordered.
+//	R3  Each instance asks stale replicas for their state while there are any, so
+//	    that it knows soon under which version they run. The duty is wanted only by
+//	    who sees a stale replica.
+//	R4  Of the instances that see one the first by rank tries at once, the others
+//	    after a moment for each rank.
+package medlarrollout
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"medlarfield/internal/agree/medlarterm"
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarorder"
+)
+
+// Times of the rounds.
+const (
+	interval    = 150 * time.Millisecond
+	followEvery = 4 * time.Second // reads of the terms while there is nothing to order
+	rankDelay   = 300 * time.Millisecond
+	ranks       = 4 // instances that differ in rank
+	orderPause  = 600 * time.Millisecond
+)
+
+// Replica is a replica as the instance knows it.
+type Replica struct {
+	ID      medlarid.InstanceID
+	Address medlarid.Address
+	Model   medlarid.ModelID
+	Version medlarid.WeightVersion
+	Leaving bool
+}
+
+// State is what a replica says when it is asked.
+type State struct {
+	Model   medlarid.ModelID
+	Version medlarid.WeightVersion
+	Loading bool
+	Orders  uint64 // accepted since its start
+	Load    int    // requests
+}
+
+// Order is an order to a replica.
+type Order struct {
+	Replica Replica
+	Version medlarid.WeightVersion
+	Fence   uint64
+	Orders  uint64 // that the replica must have accepted so far
+}
+
+// Wanted maps each model to the weight version that the operators want.
+type Wanted map[medlarid.ModelID]medlarid.WeightVersion
+
+// Seams are what the rollout uses of its instance.
+type Seams struct {
+	Replicas func() []Replica
+	Wanted   func() Wanted
+	Ask      func(Replica) (State, error)
+	Give     func(Order) error
+	// Told is told of a replica's state, Ordered of an order and its failure, and Held
+	// of the begin and end of a duty.
+	Told    func(Replica, State)
+	Ordered func(Order, error)
+	Failed  func(Replica, error)
+	Held    func(fence uint64, held bool)
+	Lost    func(error)
+}
+
+// Rollout gives orders. One goroutine runs it.
+type Rollout struct {
+	seams   Seams
+	term    *medlarterm.Keeper
+	planner *medlarorder.Planner
+	rank    int
+
+	stale    time.Time // since when a stale replica is seen; zero for none
+	followed time.Time
+	held     bool
+}
+
+// New returns a rollout of the instance of a rank, from 0 on.
+func New(term *medlarterm.Keeper, rank int, s Seams) *Rollout {
+	return &Rollout{seams: s, term: term, planner: medlarorder.New(orderPause), rank: rank % ranks}
+}
+
+// Run works until ctx ends.
+func (r *Rollout) Run(ctx context.Context) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			r.round(ctx)
+		}
+	}
+}
+
+// round asks stale replicas for their state, and orders what is due (R3).
+func (r *Rollout) round(ctx context.Context) {
+	wanted := r.seams.Wanted()
+	stale := staleOf(r.seams.Replicas(), wanted)
+	now := time.Now()
+	if len(stale) == 0 {
+		r.stale = time.Time{}
+		r.note(0, false)
+		r.follow(ctx, now)
+		return
+	}
+	if r.stale.IsZero() {
+		r.stale = now
+	}
+	states := r.askAll(stale)
+	if now.Sub(r.stale) < time.Duration(r.rank)*rankDelay { // R4
+		return
+	}
+	ok, err := r.term.Take(ctx)
+	if err != nil {
+		r.seams.Lost(err)
+	}
+	fence, current := r.term.Fence()
+	r.note(fence, ok && current)
+	if ok && current {
+		r.order(states, wanted)
+	}
+}
+
+// follow keeps the age of the last term known while there is nothing to order.
+func (r *Rollout) follow(ctx context.Context, now time.Time) {
+	if now.Sub(r.followed) < followEvery {
+		return
+	}
+	r.followed = now
+	if err := r.term.Follow(ctx); err != nil {
+		r.seams.Lost(err)
+	}
+}
+
+func (r *Rollout) note(fence uint64, held bool) {
+	if held != r.held {
+		r.seams.Held(fence, held)
+		r.held = held
+	}
+}
+
+func staleOf(replicas []Replica, wanted Wanted) []Replica {
+	var out []Replica
+	for _, p := range replicas {
+		if v, ok := wanted[p.Model]; ok && p.Model != "" && p.Version != v && !p.Leaving {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// asked is a replica with its state.
+type asked struct {
+	Replica
+	State
+}
+
+// askAll asks replicas for their state; those that do not answer are left out (R2).
+func (r *Rollout) askAll(replicas []Replica) map[medlarid.InstanceID]asked {
+	out := make(map[medlarid.InstanceID]asked, len(replicas))
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, p := range replicas {
+		wg.Go(func() {
+			s, err := r.seams.Ask(p)
+			if err != nil {
+				r.seams.Failed(p, err)
+				return
+			}
+			r.seams.Told(p, s)
+			mu.Lock()
+			defer mu.Unlock()
+			out[p.ID] = asked{p, s}
+		})
+	}
+	wg.Wait()
+	return out
+}
+
+// order gives the orders that are due (R1).
+func (r *Rollout) order(states map[medlarid.InstanceID]asked, wanted Wanted) {
+	var wg sync.WaitGroup
+	for _, o := range r.planner.Plan(time.Now(), r.planned(states, wanted), wanted) {
+		fence, ok := r.term.Fence()
+		if !ok {
+			break
+		}
+		a := states[o.Replica]
+		out := Order{Replica: a.Replica, Version: o.Version, Fence: fence, Orders: a.Orders}
+		wg.Go(func() { r.seams.Ordered(out, r.seams.Give(out)) })
+	}
+	wg.Wait()
+}
+
+// planned returns the replicas for the planner: those that were asked by their
+// state, the current ones as they are known. A stale one that did not answer is left
+// out (R2).
+func (r *Rollout) planned(states map[medlarid.InstanceID]asked, wanted Wanted) []medlarorder.Replica {
+	var out []medlarorder.Replica
+	for _, p := range r.seams.Replicas() {
+		m := medlarorder.Replica{ID: p.ID, Model: p.Model, Version: p.Version, Leaving: p.Leaving}
+		a, ok := states[p.ID]
+		if ok {
+			m.Version, m.Loading, m.Load = a.State.Version, a.Loading, a.Load
+		} else if p.Version != wanted[p.Model] {
+			continue
+		}
+		out = append(out, m)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/ops/medlarsettings/attached.go
@@ -0,0 +1,64 @@
+package medlarsettings
+
+import (
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/base/medlarjson"
+)
+
+// Attached are the settings of an instance that is attached to a platform.
+type Attached struct {
+	Name medlarid.InstanceID `json:"name"`
+	Zone medlarid.Zone       `json:"zone"`
+	// Listen is the address for callers, Status the one for readiness and metrics.
+	Listen medlarid.Address `json:"listen"`
+	Status medlarid.Address `json:"status"`
+	// Store is the address of the platform's store.
+	Store  medlarid.Address `json:"store"`
+	Memory int              `json:"memory"` // MB that the process may use
+	Bounds Bounds           `json:"bounds"`
+	Log    Log              `json:"log"`
+}
+
+// Bounds are what the platform's operators ask of an attached instance.
+type Bounds struct {
+	Grace   medlarid.Duration `json:"grace"`   // from the signal to stop to the kill
+	Settle  medlarid.Duration `json:"settle"`  // between the orders of two holders
+	Retries float64           `json:"retries"` // repeated attempts for each request, over all instances
+	Return  medlarid.Duration `json:"return"`  // in which removed replicas come back after an outage of the store
+}
+
+// ReadAttached reads and checks a file. The error names file, line and column.
+func ReadAttached(file string) (Attached, error) {
+	doc, err := medlarjson.ReadFile(file)
+	if err != nil {
+		return Attached{}, err
+	}
+	s := Attached{Log: Log{Level: "info"}}
+	if err := doc.Decode(&s); err != nil {
+		return Attached{}, err
+	}
+	for _, c := range s.checks() {
+		if !c.ok {
+			return Attached{}, doc.Errorf(c.pointer, "field %q: want %s", c.pointer[1:], c.want)
+		}
+	}
+	return s, nil
+}
+
+func (s Attached) checks() []check {
+	return []check{
+		{"/name", namePattern.MatchString(string(s.Name)), wantName},
+		{"/zone", namePattern.MatchString(string(s.Zone)), wantName},
+		address("/listen", s.Listen),
+		address("/status", s.Status),
+		address("/store", s.Store),
+		number("/memory", s.Memory, 32, 1<<20, "32 to 1048576 MB"),
+		span("/bounds/grace", s.Bounds.Grace, time.Second, time.Hour),
+		span("/bounds/settle", s.Bounds.Settle, 100*time.Millisecond, time.Minute),
+		span("/bounds/return", s.Bounds.Return, 0, time.Minute),
+		{"/bounds/retries", s.Bounds.Retries >= 0 && s.Bounds.Retries <= 1, "0 to 1 attempts"},
+		{"/log/level", levels[s.Log.Level], "debug, info, warn or error"},
+	}
+}
--- a/internal/peer/medlarrelay/medlarrelay_test.go
+++ b/internal/peer/medlarrelay/medlarrelay_test.go
@@ -12,8 +12,8 @@
 	"medlarfield/internal/agree/medlarfollow"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/peer/medlarmessage"
-	"medlarfield/internal/upstream/medlarlog"
 	"medlarfield/internal/stand/medlarfakelog"
+	"medlarfield/internal/upstream/medlarlog"
 )
 
 const stream = "lists"
--- a/internal/stand/medlarfakeengine/medlarfakeengine.go
+++ b/internal/stand/medlarfakeengine/medlarfakeengine.go
@@ -20,10 +20,10 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
-	"medlarfield/internal/upstream/medlarengine"
-	"medlarfield/internal/upstream/medlarhttp"
 	"medlarfield/internal/stand/medlarcache"
 	"medlarfield/internal/stand/medlarfault"
+	"medlarfield/internal/upstream/medlarengine"
+	"medlarfield/internal/upstream/medlarhttp"
 )
 
 // Settings are the sizes and rates of an engine.
--- a/internal/stand/medlarfakeengine/run.go
+++ b/internal/stand/medlarfakeengine/run.go
@@ -13,9 +13,9 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
-	"medlarfield/internal/upstream/medlarengine"
 	"medlarfield/internal/stand/medlarcache"
 	"medlarfield/internal/stand/medlarfault"
+	"medlarfield/internal/upstream/medlarengine"
 )
 
 // run is one prompt being worked on.
--- a/internal/stand/medlarfakeengine/serve.go
+++ b/internal/stand/medlarfakeengine/serve.go
@@ -10,11 +10,11 @@
 	"golang.org/x/sync/errgroup"
 
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/upstream/medlarengine"
-	"medlarfield/internal/upstream/medlarhttp"
 	"medlarfield/internal/stand/medlarcache"
 	"medlarfield/internal/stand/medlarfault"
 	"medlarfield/internal/stand/medlarhost"
+	"medlarfield/internal/upstream/medlarengine"
+	"medlarfield/internal/upstream/medlarhttp"
 )
 
 // transferTimeout bounds the transfer of one block.
--- a/internal/stand/medlarfakelog/medlarfakelog.go
+++ b/internal/stand/medlarfakelog/medlarfakelog.go
@@ -10,8 +10,8 @@
 	"github.com/valyala/fasthttp"
 
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/upstream/medlarlog"
 	"medlarfield/internal/stand/medlarhost"
+	"medlarfield/internal/upstream/medlarlog"
 )
 
 // Settings are the limits of the log.
--- a/internal/stand/medlarfakeplatform/medlarfakeplatform.go
+++ b/internal/stand/medlarfakeplatform/medlarfakeplatform.go
@@ -14,9 +14,9 @@
 	"github.com/zeebo/xxh3"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/stand/medlarhost"
 	"medlarfield/internal/upstream/medlarinstance"
 	"medlarfield/internal/upstream/medlarweight"
-	"medlarfield/internal/stand/medlarhost"
 )
 
 // weightWindow is the time over which the weight store limits its calls.
--- a/internal/stand/medlarfakeservice/medlarfakeservice.go
+++ b/internal/stand/medlarfakeservice/medlarfakeservice.go
@@ -8,8 +8,8 @@
 	"github.com/valyala/fasthttp"
 
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/upstream/medlarservice"
 	"medlarfield/internal/stand/medlarhost"
+	"medlarfield/internal/upstream/medlarservice"
 )
 
 // Service counts calls. It is safe for concurrent use.
--- a/internal/stand/medlarfakestore/medlarfakestore.go
+++ b/internal/stand/medlarfakestore/medlarfakestore.go
@@ -18,10 +18,10 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
-	"medlarfield/internal/upstream/medlarstore"
 	"medlarfield/internal/stand/medlarfakeengine"
 	"medlarfield/internal/stand/medlarfault"
 	"medlarfield/internal/stand/medlarhost"
+	"medlarfield/internal/upstream/medlarstore"
 )
 
 // Settings are the sizes and rates of a store.
--- a/internal/stand/medlarpeerslope/medlarpeerslope.go
+++ b/internal/stand/medlarpeerslope/medlarpeerslope.go
@@ -22,10 +22,10 @@
 	"medlarfield/internal/peer/medlarmessage"
 	"medlarfield/internal/peer/medlarrelay"
 	"medlarfield/internal/peer/medlarshare"
-	"medlarfield/internal/upstream/medlarlog"
 	"medlarfield/internal/stand/medlarfakelog"
 	"medlarfield/internal/stand/medlargauge"
 	"medlarfield/internal/stand/medlarkeys"
+	"medlarfield/internal/upstream/medlarlog"
 )
 
 // Parameters of the peers' measurements.
--- a/internal/stand/medlarslope/agree.go
+++ b/internal/stand/medlarslope/agree.go
@@ -15,9 +15,9 @@
 	"medlarfield/internal/agree/medlarrecord"
 	"medlarfield/internal/agree/medlarstate"
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/upstream/medlarlog"
 	"medlarfield/internal/stand/medlarfakelog"
 	"medlarfield/internal/stand/medlargauge"
+	"medlarfield/internal/upstream/medlarlog"
 )
 
 // Parameters of the claims' measurements.
--- a/internal/stand/medlarstage/medlarstage.go
+++ b/internal/stand/medlarstage/medlarstage.go
@@ -10,8 +10,6 @@
 	"github.com/valyala/fasthttp"
 
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/upstream/medlarinstance"
-	"medlarfield/internal/upstream/medlarweight"
 	"medlarfield/internal/stand/medlarfakeengine"
 	"medlarfield/internal/stand/medlarfakelog"
 	"medlarfield/internal/stand/medlarfakeplatform"
@@ -19,6 +17,8 @@
 	"medlarfield/internal/stand/medlarfakestore"
 	"medlarfield/internal/stand/medlarfault"
 	"medlarfield/internal/stand/medlarhost"
+	"medlarfield/internal/upstream/medlarinstance"
+	"medlarfield/internal/upstream/medlarweight"
 )
 
 // Settings are the size of the platform.
--- a/internal/stand/medlarstandcmd/medlarstandcmd.go
+++ b/internal/stand/medlarstandcmd/medlarstandcmd.go
@@ -17,12 +17,12 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/ops/medlarversion"
-	"medlarfield/internal/upstream/medlarinstance"
 	"medlarfield/internal/stand/medlarfault"
 	"medlarfield/internal/stand/medlarload"
 	"medlarfield/internal/stand/medlarslope"
 	"medlarfield/internal/stand/medlarstage"
 	"medlarfield/internal/stand/medlartrial"
+	"medlarfield/internal/upstream/medlarinstance"
 )
 
 // New returns the command line.
--- a/internal/upstream/medlarengine/medlarengine_test.go
+++ b/internal/upstream/medlarengine/medlarengine_test.go
@@ -8,12 +8,12 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
-	"medlarfield/internal/upstream/medlarengine"
-	"medlarfield/internal/upstream/medlarhttp"
-	"medlarfield/internal/upstream/medlarstore"
 	"medlarfield/internal/stand/medlarfakeengine"
 	"medlarfield/internal/stand/medlarfault"
 	"medlarfield/internal/stand/medlarstage"
+	"medlarfield/internal/upstream/medlarengine"
+	"medlarfield/internal/upstream/medlarhttp"
+	"medlarfield/internal/upstream/medlarstore"
 )
 
 const (
--- a/internal/upstream/medlarinstance/medlarinstance_test.go
+++ b/internal/upstream/medlarinstance/medlarinstance_test.go
@@ -7,12 +7,12 @@
 
 	"github.com/valyala/fasthttp"
 
-	"medlarfield/internal/upstream/medlarhttp"
-	"medlarfield/internal/upstream/medlarinstance"
-	"medlarfield/internal/upstream/medlarweight"
 	"medlarfield/internal/stand/medlarfakeplatform"
 	"medlarfield/internal/stand/medlarfault"
 	"medlarfield/internal/stand/medlarhost"
+	"medlarfield/internal/upstream/medlarhttp"
+	"medlarfield/internal/upstream/medlarinstance"
+	"medlarfield/internal/upstream/medlarweight"
 )
 
 const timeout = 150 * time.Millisecond
--- a/internal/upstream/medlarlog/medlarlog_test.go
+++ b/internal/upstream/medlarlog/medlarlog_test.go
@@ -5,11 +5,11 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/upstream/medlarhttp"
-	"medlarfield/internal/upstream/medlarlog"
 	"medlarfield/internal/stand/medlarfakelog"
 	"medlarfield/internal/stand/medlarfault"
 	"medlarfield/internal/stand/medlarhost"
+	"medlarfield/internal/upstream/medlarhttp"
+	"medlarfield/internal/upstream/medlarlog"
 )
 
 const (
--- a/internal/upstream/medlarservice/medlarservice_test.go
+++ b/internal/upstream/medlarservice/medlarservice_test.go
@@ -6,11 +6,11 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/upstream/medlarhttp"
-	"medlarfield/internal/upstream/medlarservice"
 	"medlarfield/internal/stand/medlarfakeservice"
 	"medlarfield/internal/stand/medlarfault"
 	"medlarfield/internal/stand/medlarhost"
+	"medlarfield/internal/upstream/medlarhttp"
+	"medlarfield/internal/upstream/medlarservice"
 )
 
 const within = 150 * time.Millisecond
--- a/internal/upstream/medlarstore/medlarstore_test.go
+++ b/internal/upstream/medlarstore/medlarstore_test.go
@@ -5,12 +5,12 @@
 	"time"
 
 	"medlarfield/internal/core/medlarkey"
-	"medlarfield/internal/upstream/medlarhttp"
-	"medlarfield/internal/upstream/medlarstore"
 	"medlarfield/internal/stand/medlarfakeengine"
 	"medlarfield/internal/stand/medlarfakestore"
 	"medlarfield/internal/stand/medlarfault"
 	"medlarfield/internal/stand/medlarhost"
+	"medlarfield/internal/upstream/medlarhttp"
+	"medlarfield/internal/upstream/medlarstore"
 )
 
 const (
