--- a/internal/agree/medlarcatalog/medlarcatalog.go
+++ b/internal/agree/medlarcatalog/medlarcatalog.go
@@ -85,8 +85,10 @@
 	Address  medlarid.Address
 	Zone     medlarid.Zone
 	Capacity medlarid.Tokens
-	Managed  bool // drops nothing by itself
-	Watchers int  // readers of its events at the same time
+	Managed  bool          // drops nothing by itself
+	Watchers int           // readers of its events at the same time
+	Rate     float64       // of its link, in bytes a second
+	Setup    time.Duration // before each transfer
 }
 
 // Service is a set of replicas, or one store.
--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -128,6 +128,9 @@
 	if m.Prefill > 0 {
 		u.Prefill = m.Prefill
 	}
+	if m.TokenBytes > 0 {
+		u.TokenBytes = m.TokenBytes
+	}
 	if m.Version != "" && m.Version != u.Version {
 		w.Warm.RemoveAll(u)
 		u.Version = m.Version
@@ -139,9 +142,10 @@
 func listStore(w *medlarworld.World, m medlarworld.Member) {
 	s := w.Stores[m.ID]
 	if s == nil {
-		s = &medlarworld.Store{ID: m.ID, Rate: defaultRate}
+		s = &medlarworld.Store{ID: m.ID, Rate: cmp.Or(m.Rate, defaultRate)}
 		w.Stores[m.ID] = s
 	}
+	s.Stock.Capacity, s.Stock.Setup = m.Capacity, m.Setup
 	s.Zone, s.Address = m.Zone, m.Address
 	s.Leaving = m.Leaving
 	s.Gone = false
--- a/internal/core/medlarkey/medlarkey.go
+++ b/internal/core/medlarkey/medlarkey.go
@@ -13,6 +13,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"strings"
 
 	"github.com/zeebo/xxh3"
 
@@ -109,8 +110,31 @@
 	return xxh3.HashStringSeed(string(holder), seed)
 }
 
-// Part returns the key of one part of a prompt that callers name, in the cache that
-// a salt text stands for.
-func Part(salt string, m medlarid.ModelID, id string) Key {
-	return Key(xxh3.HashString128(salt + "\x00" + string(m) + "\x00" + id).Bytes())
+// CacheSalt is the text that keeps cached parts of prompts apart: those of weight
+// versions, and those of accounts that share nothing.
+type CacheSalt string
+
+// NewCacheSalt returns the salt of a weight version, for one account alone or, with
+// an empty account, for all that share.
+func NewCacheSalt(v medlarid.WeightVersion, alone medlarid.AccountID) CacheSalt {
+	if alone == "" {
+		return CacheSalt("v" + v)
+	}
+	return CacheSalt("v" + string(v) + "/" + string(alone))
+}
+
+// Version returns the weight version of the salt, or an empty one for a salt that is
+// not the system's.
+func (s CacheSalt) Version() medlarid.WeightVersion {
+	v, ok := strings.CutPrefix(string(s), "v")
+	if !ok {
+		return ""
+	}
+	v, _, _ = strings.Cut(v, "/")
+	return medlarid.WeightVersion(v)
+}
+
+// Part returns the key of one part of a prompt that callers name.
+func Part(salt CacheSalt, m medlarid.ModelID, id string) Key {
+	return Key(xxh3.HashString128(string(salt) + "\x00" + string(m) + "\x00" + id).Bytes())
 }
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -29,6 +29,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
+	"medlarfield/internal/core/medlarstock"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -67,6 +68,7 @@
 	upstream *medlarworld.Upstream
 	depth    int                  // blocks that the upstream caches
 	imports  []medlarworld.Handle // blocks to import after those
+	stocked  int                  // parts that the upstream caches or stores hold
 	cost     float64              // seconds
 	transfer float64              // seconds of cost that are the import's
 	patience float64              // seconds after which the import is given up
@@ -154,14 +156,14 @@
 	if u.BusyTill.Before(w.Now) {
 		u.BusyTill = w.Now
 	}
-	known := r.Known(c.depth + len(c.imports))
+	known := r.Known(max(c.depth+len(c.imports), c.stocked))
 	u.BusyTill = u.BusyTill.Add(u.Computing(max(r.Prompt-known, 0)))
 	for _, h := range c.imports {
 		if s := w.Stores[h.Store]; s != nil {
 			s.Inflight += h.Length
 		}
 	}
-	w.Emit(medlarworld.Start{
+	s := medlarworld.Start{
 		Run:      r.ID,
 		Attempt:  r.Attempt,
 		Upstream: u.ID,
@@ -171,7 +173,11 @@
 		Depth:    c.depth,
 		Import:   c.imports,
 		Within:   importTime(c),
-	})
+	}
+	if r.Sizes != nil && u.Kind == medlarworld.KindEngine {
+		medlarstock.Plan(w, r, u, &s)
+	}
+	w.Emit(s)
 }
 
 func importTime(c choice) time.Duration {
@@ -318,6 +324,10 @@
 		c.cost += float64(u.Open) * slotSeconds
 		return c
 	}
+	if r.Sizes != nil {
+		c.cost += partsCost(w, r, u, &c)
+		return c
+	}
 	if u.Version == r.Version {
 		c.depth = w.Warm.Depth(r.Keys, u)
 	}
@@ -337,6 +347,29 @@
 	return c
 }
 
+// partsCost returns the seconds until a prompt that is named by its parts is
+// computed: those that the upstream caches cost nothing, those that stores hold are
+// fetched, and from the first other one on all is computed.
+func partsCost(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream, c *choice) float64 {
+	transfer := 0.0
+	if u.Version == r.Version {
+		for c.stocked < len(r.Keys) {
+			k := r.Keys[c.stocked]
+			if !w.Warm.Has(k, u) {
+				s := medlarstock.Find(w, k)
+				if s == nil {
+					break
+				}
+				transfer += medlarstock.Seconds(s, u, r.Sizes[c.stocked])
+			} else if c.depth == c.stocked {
+				c.depth++
+			}
+			c.stocked++
+		}
+	}
+	return transfer + computeCost(w, u, r.Prompt-r.Known(c.stocked))
+}
+
 // patience returns the seconds after which an import is given up that is expected
 // to take transfer and saves saved.
 func patience(transfer, saved float64) float64 {
--- /dev/null
+++ b/internal/core/medlarstock/medlarstock.go
@@ -0,0 +1,172 @@
+// Package medlarstock keeps parts of prompts in stores that drop nothing by
+// themselves, and says where to fetch them from. It answers dossiers that return
+// when their replica has long given their memory to others.
+//
+// Rules:
+//
+//	R1  A part is fetched only from a store that told lately, since its last start,
+//	    that it holds the whole part. A belief that is older than freshTime is not
+//	    acted on, and a fetch that has not ended fetchTime later is given up.
+//	R2  After a store's start nothing is saved there until every instance has
+//	    noticed it: a part that is being saved again would be fetched half by those
+//	    who believe in the part of before.
+//	R3  The home of a part is the store of the highest weighted rank for its key, by
+//	    capacity; the next one takes it while the first has no room. No message is
+//	    needed: two instances that differ only save a part twice.
+//	R4  A part is saved once; while that is under way it is not asked for again.
+//	R5  The last part of a prompt is its own and is not saved.
+package medlarstock
+
+import (
+	"math"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarkey"
+	"medlarfield/internal/core/medlarworld"
+)
+
+// Parameters.
+const (
+	freshTime  = 1500 * time.Millisecond
+	fetchTime  = time.Second
+	settleTime = freshTime + fetchTime + 500*time.Millisecond // R2
+	savingTime = 4 * time.Second                              // R4
+	fullShare  = 0.97                                         // of the capacity that is filled
+	minTokens  = 64                                           // of a part that is worth a transfer
+)
+
+// System keeps what stores are believed to hold.
+type System struct{}
+
+// New returns the system.
+func New() *System { return &System{} }
+
+// Run handles the events of one tick.
+func (s *System) Run(w *medlarworld.World) {
+	for _, e := range w.Events {
+		if e, ok := e.(medlarworld.Stocked); ok {
+			take(w, e)
+		}
+	}
+}
+
+// take takes over what a store said (R1, R2).
+func take(w *medlarworld.World, e medlarworld.Stocked) {
+	s := w.Stores[e.Store]
+	if s == nil {
+		return
+	}
+	st := &s.Stock
+	if e.Reset || st.Parts == nil {
+		st.Parts = map[medlarkey.Key]medlarid.Tokens{}
+		st.Saving = map[medlarkey.Key]time.Time{}
+		st.Asked = map[medlarkey.Key]medlarid.Tokens{}
+		st.Held = 0
+	}
+	if st.Epoch != e.Epoch {
+		st.SaveFrom = e.At.Add(settleTime)
+		st.Epoch = e.Epoch
+	}
+	st.Fresh = e.At.Add(freshTime)
+	for _, k := range e.Removed {
+		st.Held -= st.Parts[k]
+		delete(st.Parts, k)
+	}
+	for _, p := range e.Added {
+		st.Held += p.Tokens - st.Parts[p.Key]
+		st.Parts[p.Key] = p.Tokens
+		delete(st.Saving, p.Key)
+		delete(st.Asked, p.Key)
+	}
+}
+
+// Find returns the store that a part can be fetched from, or nil (R1).
+func Find(w *medlarworld.World, k medlarkey.Key) *medlarworld.Store {
+	for _, s := range w.StoreList {
+		if _, ok := s.Stock.Parts[k]; ok && usable(w, s) {
+			return s
+		}
+	}
+	return nil
+}
+
+func usable(w *medlarworld.World, s *medlarworld.Store) bool {
+	return s.Usable(w.Now) && w.Now.Before(s.Stock.Fresh)
+}
+
+// Seconds returns the time that the transfer of a part takes from a store.
+func Seconds(s *medlarworld.Store, u *medlarworld.Upstream, n medlarid.Tokens) float64 {
+	return s.Stock.Setup.Seconds() + float64(n)*float64(u.TokenBytes)/max(s.Rate, 1)
+}
+
+// Plan says for each part of a run where the upstream fetches it from, and where it
+// saves it.
+func Plan(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream, cmd *medlarworld.Start) {
+	if u.Version != r.Version {
+		return // the keys are of other weights
+	}
+	last := len(r.Keys) - 1
+	cmd.Fetch = make([]medlarid.Address, len(r.Keys))
+	cmd.Save = make([]medlarid.Address, len(r.Keys))
+	cmd.FetchTill = w.Now.Add(fetchTime)
+	for i, k := range r.Keys[:max(last, 0)] { // R5
+		if r.Sizes[i] < minTokens {
+			continue
+		}
+		if s := Find(w, k); s != nil {
+			cmd.Fetch[i] = s.Address
+			continue
+		}
+		if s := target(w, k, r.Sizes[i]); s != nil {
+			cmd.Save[i] = s.Address
+		}
+	}
+}
+
+// target returns the store that a part is to be saved to, or nil (R2, R3, R4).
+func target(w *medlarworld.World, k medlarkey.Key, n medlarid.Tokens) *medlarworld.Store {
+	var best *medlarworld.Store
+	most := math.Inf(-1)
+	for _, s := range w.StoreList {
+		st := &s.Stock
+		if st.Capacity == 0 || !usable(w, s) {
+			continue
+		}
+		if _, held := st.Parts[k]; held || w.Now.Before(st.Saving[k]) {
+			return nil
+		}
+		if w.Now.Before(st.SaveFrom) || !hasRoom(w, st, n) {
+			continue
+		}
+		if rank := weightedRank(k, s); rank > most {
+			best, most = s, rank
+		}
+	}
+	if best != nil {
+		best.Stock.Saving[k] = w.Now.Add(savingTime)
+		best.Stock.Asked[k] = n
+	}
+	return best
+}
+
+// hasRoom reports whether a store has room for n tokens beside what it holds and
+// what was asked to be saved.
+func hasRoom(w *medlarworld.World, st *medlarworld.Stock, n medlarid.Tokens) bool {
+	sum := st.Held + n
+	for k, till := range st.Saving {
+		if !w.Now.Before(till) {
+			delete(st.Saving, k)
+			delete(st.Asked, k)
+			continue
+		}
+		sum += st.Asked[k]
+	}
+	return float64(sum) <= fullShare*float64(st.Capacity)
+}
+
+// weightedRank returns a store's rank for a key, by capacity.
+func weightedRank(k medlarkey.Key, s *medlarworld.Store) float64 {
+	u := (float64(medlarkey.Rendezvous(k, s.ID)>>11) + 0.5) / (1 << 53)
+	return float64(s.Stock.Capacity) / -math.Log(u)
+}
--- a/internal/core/medlartick/medlartick.go
+++ b/internal/core/medlartick/medlartick.go
@@ -9,6 +9,7 @@
 	"medlarfield/internal/core/medlarfleet"
 	"medlarfield/internal/core/medlarretry"
 	"medlarfield/internal/core/medlarroute"
+	"medlarfield/internal/core/medlarstock"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -37,6 +38,7 @@
 		world: medlarworld.New(cfg),
 		systems: []system{ // in this order
 			medlarfleet.New(),
+			medlarstock.New(),
 			medlarretry.New(),
 			admit,
 			medlarcontext.New(),
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -135,6 +135,8 @@
 	Prefill float64
 	// BlockBytes is the size of one KV block.
 	BlockBytes medlarid.Bytes
+	// TokenBytes is the size of one token's part of the KV cache.
+	TokenBytes medlarid.Bytes
 
 	Open        int       // own attempts in flight
 	SentRuns    int       // own attempts since the report
@@ -155,6 +157,20 @@
 	Rate     float64        // bytes a second
 	Inflight medlarid.Bytes // bytes of own imports in flight
 	DownTill time.Time
+	Stock    Stock // of a store that keeps parts of prompts
+}
+
+// Stock is what a store that keeps parts of prompts is believed to hold.
+type Stock struct {
+	Capacity medlarid.Tokens // 0 for a store that keeps no parts
+	Setup    time.Duration   // before each transfer
+	Epoch    uint64          // of the store's start
+	Fresh    time.Time       // until when the belief may be acted on
+	SaveFrom time.Time       // from when on parts may be saved
+	Parts    map[medlarkey.Key]medlarid.Tokens
+	Held     medlarid.Tokens                   // sum of Parts
+	Saving   map[medlarkey.Key]time.Time       // parts that were asked to be saved, until when that counts
+	Asked    map[medlarkey.Key]medlarid.Tokens // their sizes
 }
 
 // Phase is the state of a run.
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -89,9 +89,14 @@
 	Service medlarid.ServiceID
 	// Version, Slots and Prefill are what the list tells of an engine; empty where it
 	// tells nothing.
-	Version medlarid.WeightVersion
-	Slots   int
-	Prefill float64 // prompt tokens a second
+	Version    medlarid.WeightVersion
+	Slots      int
+	Prefill    float64        // prompt tokens a second
+	TokenBytes medlarid.Bytes // of one token in its memory
+	// Capacity, Rate and Setup are of a store that keeps parts of prompts.
+	Capacity medlarid.Tokens
+	Rate     float64 // bytes a second
+	Setup    time.Duration
 }
 
 // Listed reports the platform's instance list.
@@ -121,6 +126,23 @@
 	Evicted  []medlarkey.Key
 }
 
+// StockPart is a part that a store holds.
+type StockPart struct {
+	Key    medlarkey.Key
+	Tokens medlarid.Tokens
+}
+
+// Stocked reports what a store says of its parts, as of a time. Reset forgets all
+// that was known before.
+type Stocked struct {
+	Store   medlarid.InstanceID
+	Epoch   uint64
+	At      time.Time
+	Reset   bool
+	Added   []StockPart
+	Removed []medlarkey.Key
+}
+
 // Moved reports the end of a transfer over the link to a store.
 type Moved struct {
 	Store  medlarid.InstanceID
@@ -148,6 +170,7 @@
 func (Reported) event()  {}
 func (Cached) event()    {}
 func (Moved) event()     {}
+func (Stocked) event()   {}
 func (StopAsked) event() {}
 func (Tick) event()      {}
 
@@ -165,6 +188,11 @@
 	Import []Handle
 	// Within is the time after which the attempt goes on without the import.
 	Within time.Duration
+	// Fetch and Save name, for each of the run's keys, the store that its part is
+	// fetched from and saved to; empty for none. A fetch has to end by FetchTill.
+	Fetch     []medlarid.Address
+	Save      []medlarid.Address
+	FetchTill time.Time
 }
 
 // Refuse asks to tell the caller that the run gets no answer.
--- a/internal/core/medlarworld/warm.go
+++ b/internal/core/medlarworld/warm.go
@@ -82,6 +82,12 @@
 	return 0
 }
 
+// Has reports whether u caches the block or part k.
+func (t *Warm) Has(k medlarkey.Key, u *Upstream) bool {
+	e := t.entries[k]
+	return e != nil && e.has(u)
+}
+
 // push adds a key to the ring and drops the oldest when it is full.
 func (t *Warm) push(k medlarkey.Key) {
 	if len(t.ring) < cap(t.ring) {
--- a/internal/edge/medlarpass/exchange.go
+++ b/internal/edge/medlarpass/exchange.go
@@ -139,13 +139,12 @@
 	}
 }
 
-// salt returns the text that keeps the cached parts of weight versions and isolated
-// accounts apart.
-func (x *exchange) salt(v medlarid.WeightVersion) string {
+// salt returns the salt of the prompt's parts under a weight version.
+func (x *exchange) salt(v medlarid.WeightVersion) medlarkey.CacheSalt {
 	if x.account.Isolated {
-		return "v" + string(v) + "/" + string(x.account.ID)
+		return medlarkey.NewCacheSalt(v, x.account.ID)
 	}
-	return "v" + string(v)
+	return medlarkey.NewCacheSalt(v, "")
 }
 
 // follow carries out the core's commands until the request has ended.
--- a/internal/edge/medlarpass/medlarpass.go
+++ b/internal/edge/medlarpass/medlarpass.go
@@ -31,6 +31,7 @@
 	"medlarfield/internal/agree/medlarcatalog"
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarpool"
@@ -60,8 +61,13 @@
 	Left     time.Duration
 	Last     string                 // event after which a stream goes on
 	Version  medlarid.WeightVersion // that the replica must have; empty for any
-	Salt     string                 // of the cache that the prompt's parts belong to
+	Salt     medlarkey.CacheSalt    // of the prompt's parts
 	Priority medlarid.Priority
+	// Fetch and Save name, for each part, the store it is fetched from and saved to;
+	// empty for none. A fetch has to end by FetchTill.
+	Fetch     []medlarid.Address
+	Save      []medlarid.Address
+	FetchTill time.Time
 }
 
 // Reply is what an upstream's answer says of itself.
--- a/internal/ops/medlarattach/medlarattach.go
+++ b/internal/ops/medlarattach/medlarattach.go
@@ -35,6 +35,7 @@
 	"medlarfield/internal/ops/medlarloop"
 	"medlarfield/internal/ops/medlarrollout"
 	"medlarfield/internal/ops/medlarsettings"
+	"medlarfield/internal/ops/medlarstocker"
 	"medlarfield/internal/upstream/medlarhttp"
 	"medlarfield/platform"
 )
@@ -68,6 +69,7 @@
 	door    *medlarpass.Door
 	feeds   []*medlarfeed.Feed
 	rollout *medlarrollout.Rollout
+	stocker *medlarstocker.Stocker
 
 	stopping atomic.Bool
 	front    net.Listener
@@ -94,7 +96,11 @@
 		func(h *medlarhttp.Client) *medlarplatform.Replicas {
 			return medlarplatform.NewReplicas(h, replicaTimeout)
 		},
-		medlarmetric.New, medlarpool.New, newLoop, newTable, newDoor, newFeeds, newTerm, newRollout, newInstance,
+		func(h *medlarhttp.Client, c *medlarplatform.Clock) *medlarplatform.Stocks {
+			return medlarplatform.NewStocks(h, replicaTimeout, c)
+		},
+		medlarplatform.NewClock, medlarmetric.New, medlarpool.New,
+		newLoop, newTable, newDoor, newFeeds, newTerm, newRollout, newStocker, newInstance,
 	}
 	for _, p := range providers {
 		if err := c.Provide(p); err != nil {
@@ -108,9 +114,10 @@
 
 func newInstance(cfg medlarsettings.Attached, log zerolog.Logger, lines *medlarlogger.Writer, m *medlarmetric.Metrics,
 	loop *medlarloop.Loop, table *Table, door *medlarpass.Door, feeds []*medlarfeed.Feed, rollout *medlarrollout.Rollout,
+	stocker *medlarstocker.Stocker,
 ) *Instance {
 	return &Instance{
-		cfg: cfg, log: log, lines: lines, metrics: m, loop: loop, table: table, door: door, feeds: feeds, rollout: rollout,
+		cfg: cfg, log: log, lines: lines, metrics: m, loop: loop, table: table, door: door, feeds: feeds, rollout: rollout, stocker: stocker,
 	}
 }
 
@@ -141,7 +148,8 @@
 	return NewTable(log, pool, loop.Post)
 }
 
-func newDoor(log zerolog.Logger, m *medlarmetric.Metrics, loop *medlarloop.Loop, table *Table, pool *medlarpool.Pool) *medlarpass.Door {
+func newDoor(log zerolog.Logger, m *medlarmetric.Metrics, loop *medlarloop.Loop, table *Table, pool *medlarpool.Pool, clock *medlarplatform.Clock,
+) *medlarpass.Door {
 	return medlarpass.New(medlarpass.Seams{
 		Catalog: table.Catalog,
 		Serving: loop.Serving,
@@ -151,7 +159,7 @@
 		Told:    table.Told,
 		Pool:    pool,
 		Decode:  medlarplatform.DecodeCall,
-		Forward: medlarplatform.AppendForward,
+		Forward: clock.AppendForward,
 		Reply:   medlarplatform.DecodeReply,
 		Refusal: medlarplatform.AppendRefusal,
 		Note:    notes(log, m),
@@ -199,6 +207,7 @@
 		go f.Run(ctx)
 	}
 	go i.rollout.Run(ctx)
+	go i.stocker.Run(ctx)
 	go i.serve("callers", func() error { return i.door.Serve(i.front) })
 	go i.serve("status", func() error { return i.statusServer().Serve(i.status) })
 	i.log.Info().Str("event", "start").Str("listen", string(i.cfg.Listen)).Str("store", string(i.cfg.Store)).Msg("started")
--- a/internal/ops/medlarattach/notes.go
+++ b/internal/ops/medlarattach/notes.go
@@ -11,8 +11,10 @@
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarmetric"
 	"medlarfield/internal/edge/medlarpass"
+	"medlarfield/internal/ops/medlarloop"
 	"medlarfield/internal/ops/medlarrollout"
 	"medlarfield/internal/ops/medlarsettings"
+	"medlarfield/internal/ops/medlarstocker"
 	"medlarfield/platform"
 )
 
@@ -52,12 +54,42 @@
 	}
 }
 
+// rankOf returns a number by which instances take turns at what one of them is to do.
+func rankOf(cfg medlarsettings.Attached) int { return int(xxh3.HashString(string(cfg.Name)) >> 1) }
+
+func newStocker(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, loop *medlarloop.Loop,
+	table *Table, stocks *medlarplatform.Stocks,
+) *medlarstocker.Stocker {
+	line := func(r medlarstocker.Ref) *zerolog.Event {
+		return log.Info().Str("event", "stock").Str("store", string(r.ID)).Str("address", string(r.Address))
+	}
+	return medlarstocker.New(rankOf(cfg), medlarstocker.Seams{
+		Stores:  table.Stores,
+		List:    stocks.List,
+		Events:  stocks.Events,
+		Free:    stocks.Free,
+		Post:    loop.Post,
+		Settled: table.Settled,
+		Lost: func(r medlarstocker.Ref, err error) {
+			m.Failed("stock")
+			line(r).AnErr("error", err).Msg("store of context does not answer")
+		},
+		Regained: func(r medlarstocker.Ref) { line(r).Msg("store of context answers again") },
+		Reset: func(r medlarstocker.Ref, epoch uint64, parts int) {
+			line(r).Uint64("epoch", epoch).Int("parts", parts).Msg("parts listed")
+		},
+		Freed: func(r medlarstocker.Ref, parts int, err error) {
+			line(r).Int("parts", parts).AnErr("error", err).Msg("parts of older weights freed")
+		},
+	})
+}
+
 func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
 func newRollout(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, term *medlarterm.Keeper,
 	table *Table, replicas *medlarplatform.Replicas,
 ) *medlarrollout.Rollout {
-	return medlarrollout.New(term, int(xxh3.HashString(string(cfg.Name))>>1), medlarrollout.Seams{
+	return medlarrollout.New(term, rankOf(cfg), medlarrollout.Seams{
 		Replicas: table.Engines,
 		Wanted:   table.Wanted,
 		Ask: func(r medlarrollout.Replica) (medlarrollout.State, error) {
--- a/internal/ops/medlarattach/table.go
+++ b/internal/ops/medlarattach/table.go
@@ -15,6 +15,7 @@
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarpool"
 	"medlarfield/internal/ops/medlarrollout"
+	"medlarfield/internal/ops/medlarstocker"
 	"medlarfield/platform"
 )
 
@@ -34,9 +35,16 @@
 	wanted   medlarrollout.Wanted
 	replicas map[medlarid.InstanceID]*replica
 	listed   bool // the replicas were read once
+	settled  map[medlarid.ModelID]settled
 	applied  medlarid.Offset
 }
 
+// settled is the weight version that all replicas of a model have.
+type settled struct {
+	version medlarid.WeightVersion // empty while they differ
+	since   time.Time
+}
+
 // replica is a replica's entry with what it told since.
 type replica struct {
 	medlarplatform.Replica
@@ -68,6 +76,7 @@
 	return &Table{
 		log: log, pool: pool, post: post,
 		wanted: medlarrollout.Wanted{}, replicas: map[medlarid.InstanceID]*replica{},
+		settled: map[medlarid.ModelID]settled{},
 	}
 }
 
@@ -139,6 +148,7 @@
 	}
 	if changed {
 		t.tellCatalog()
+		t.tellReplicas() // with the stores of the catalog
 	}
 }
 
@@ -258,10 +268,79 @@
 		m.Version = r.version()
 		if m.Model != "" {
 			m.Prefill = prefill
+			m.TokenBytes = t.tokenBytes(m.Service)
 		}
 		e.Members = append(e.Members, m)
 	}
+	e.Members = append(e.Members, t.stores()...)
 	t.post(e)
+	t.settle(time.Now())
+}
+
+func (t *Table) tokenBytes(id medlarid.ServiceID) medlarid.Bytes {
+	if t.catalog == nil || t.catalog.Services[id].Engine == nil {
+		return 0
+	}
+	return t.catalog.Services[id].Engine.TokenBytes
+}
+
+// stores returns the stores of the catalog; the lock is held.
+func (t *Table) stores() []medlarworld.Member {
+	if t.catalog == nil {
+		return nil
+	}
+	var out []medlarworld.Member
+	for id, s := range t.catalog.Services {
+		if s.Store == nil || !s.Store.Managed {
+			continue
+		}
+		out = append(out, medlarworld.Member{
+			ID: medlarid.InstanceID(id), Kind: "store", Zone: s.Store.Zone, Address: s.Store.Address,
+			Capacity: s.Store.Capacity, Rate: s.Store.Rate, Setup: s.Store.Setup,
+		})
+	}
+	return out
+}
+
+// Stores returns the stores of the catalog.
+func (t *Table) Stores() []medlarstocker.Ref {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []medlarstocker.Ref
+	for _, m := range t.stores() {
+		out = append(out, medlarstocker.Ref{ID: m.ID, Address: m.Address})
+	}
+	return out
+}
+
+// settle notes which models' replicas all have one weight version; the lock is held.
+func (t *Table) settle(now time.Time) {
+	for m := range t.wanted {
+		var v medlarid.WeightVersion
+		same := true
+		for _, r := range t.replicas {
+			if r.Member.Model != m {
+				continue
+			}
+			same = same && (v == "" || v == r.version())
+			v = r.version()
+		}
+		if !same {
+			v = ""
+		}
+		if old, ok := t.settled[m]; !ok || old.version != v {
+			t.settled[m] = settled{version: v, since: now}
+		}
+	}
+}
+
+// Settled returns the weight version that all replicas of a model have had since a
+// time, if they have the same one.
+func (t *Table) Settled(m medlarid.ModelID) (v medlarid.WeightVersion, since time.Time, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.settled[m]
+	return s.version, s.since, s.version != ""
 }
 
 // prefill is the number of prompt tokens a second that a replica is taken to
--- /dev/null
+++ b/internal/ops/medlarstocker/medlarstocker.go
@@ -0,0 +1,233 @@
+// Package medlarstocker follows what the platform's stores of kept context hold, and
+// frees the parts of weight versions that no replica has any more.
+//
+// Rules:
+//
+//	R1  A store is listed once, and after a gap or a new start; else its changes are
+//	    followed. What is told to the core is as of the answer's arrival.
+//	R2  Parts of an older weight version are freed only when every replica of the
+//	    model has had the wanted one for longer than any fetch lasts.
+//	R3  Each instance waits longer by its rank before it frees, so that mostly one
+//	    does; freeing twice does no harm.
+package medlarstocker
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarkey"
+	"medlarfield/internal/core/medlarworld"
+)
+
+// Times.
+const (
+	scanEvery  = 500 * time.Millisecond // for stores that are new or gone
+	eventsWait = 800 * time.Millisecond
+	eventsPace = 250 * time.Millisecond // between two calls
+	failPause  = 150 * time.Millisecond
+	freeAfter  = 3 * time.Second // longer than a belief and a fetch last together
+	freeRank   = 2 * time.Second // for each rank
+	ranks      = 4
+	freeBatch  = 256 // parts of one call
+)
+
+// Part is a part of a prompt as a store names it.
+type Part struct {
+	Salt   medlarkey.CacheSalt
+	ID     string
+	Tokens medlarid.Tokens
+	Model  medlarid.ModelID
+}
+
+// key returns the part's key in the core.
+func (p Part) key() medlarkey.Key { return medlarkey.Part(p.Salt, p.Model, p.ID) }
+
+// Change is a part that came or went.
+type Change struct {
+	Part  Part
+	Added bool
+}
+
+// Changes is an answer of a store.
+type Changes struct {
+	Epoch uint64 // of the store's start
+	Next  uint64 // number to ask from next
+	Lost  bool   // changes are missing
+	Parts []Change
+}
+
+// Ref names a store.
+type Ref struct {
+	ID      medlarid.InstanceID
+	Address medlarid.Address
+}
+
+// Seams are what the stocker uses of its instance.
+type Seams struct {
+	Stores func() []Ref
+	List   func(medlarid.Address) (Changes, error)
+	Events func(at medlarid.Address, since uint64, wait time.Duration) (Changes, error)
+	Free   func(at medlarid.Address, epoch uint64, parts []Part) error
+	Post   func(medlarworld.Event)
+	// Settled returns the weight version that all replicas of a model have had since
+	// a time, if they have the same one.
+	Settled func(medlarid.ModelID) (v medlarid.WeightVersion, since time.Time, ok bool)
+	// Lost, Regained, Reset and Freed are told of what happens at a store.
+	Lost     func(Ref, error)
+	Regained func(Ref)
+	Reset    func(r Ref, epoch uint64, parts int)
+	Freed    func(r Ref, parts int, err error)
+}
+
+// Stocker follows all stores.
+type Stocker struct {
+	seams Seams
+	wait  time.Duration // before freeing (R3)
+}
+
+// New returns a stocker of the instance of a rank, from 0 on.
+func New(rank int, s Seams) *Stocker {
+	return &Stocker{seams: s, wait: freeAfter + time.Duration(rank%ranks)*freeRank}
+}
+
+// Run follows the stores until ctx ends.
+func (s *Stocker) Run(ctx context.Context) {
+	running := map[Ref]context.CancelFunc{}
+	for ctx.Err() == nil {
+		refs := s.seams.Stores()
+		for _, r := range refs {
+			if running[r] == nil {
+				one, cancel := context.WithCancel(ctx)
+				running[r] = cancel
+				go s.follow(one, r)
+			}
+		}
+		for r, cancel := range running {
+			if !slices.Contains(refs, r) {
+				cancel()
+				delete(running, r)
+			}
+		}
+		sleep(ctx, scanEvery)
+	}
+}
+
+// shelf is one store as it is followed.
+type shelf struct {
+	ref    Ref
+	epoch  uint64
+	next   uint64
+	listed bool
+	lost   bool
+	parts  map[medlarkey.Key]Part
+}
+
+// follow follows one store.
+func (s *Stocker) follow(ctx context.Context, r Ref) {
+	sh := &shelf{ref: r}
+	for ctx.Err() == nil {
+		begin := time.Now()
+		if err := s.read(sh); err != nil {
+			if !sh.lost {
+				s.seams.Lost(r, err)
+			}
+			sh.lost = true
+			sleep(ctx, failPause)
+			continue
+		}
+		if sh.lost {
+			s.seams.Regained(r)
+			sh.lost = false
+		}
+		s.free(sh)
+		sleep(ctx, eventsPace-time.Since(begin))
+	}
+}
+
+// read lists the store or reads its changes (R1).
+func (s *Stocker) read(sh *shelf) error {
+	if !sh.listed {
+		c, err := s.seams.List(sh.ref.Address)
+		if err != nil {
+			return err
+		}
+		sh.parts = map[medlarkey.Key]Part{}
+		sh.epoch, sh.next, sh.listed = c.Epoch, c.Next, true
+		s.seams.Reset(sh.ref, c.Epoch, len(c.Parts))
+		s.tell(sh, c, true)
+		return nil
+	}
+	c, err := s.seams.Events(sh.ref.Address, sh.next, eventsWait)
+	if err != nil {
+		return err
+	}
+	if c.Lost || c.Epoch != sh.epoch {
+		sh.listed = false
+		return nil
+	}
+	sh.next = c.Next
+	s.tell(sh, c, false)
+	return nil
+}
+
+// tell takes changes over and tells the core.
+func (s *Stocker) tell(sh *shelf, c Changes, reset bool) {
+	e := medlarworld.Stocked{Store: sh.ref.ID, Epoch: c.Epoch, At: time.Now(), Reset: reset}
+	for _, ch := range c.Parts {
+		k := ch.Part.key()
+		if ch.Added {
+			sh.parts[k] = ch.Part
+			e.Added = append(e.Added, medlarworld.StockPart{Key: k, Tokens: ch.Part.Tokens})
+			continue
+		}
+		delete(sh.parts, k)
+		e.Removed = append(e.Removed, k)
+	}
+	s.seams.Post(e)
+}
+
+// free frees parts of weight versions that have been replaced everywhere (R2, R3).
+func (s *Stocker) free(sh *shelf) {
+	var old []Part
+	for _, p := range sh.parts {
+		v, since, ok := s.seams.Settled(p.Model)
+		if ok && time.Since(since) > s.wait && older(p.Salt.Version(), v) {
+			old = append(old, p)
+		}
+		if len(old) == freeBatch {
+			break
+		}
+	}
+	if len(old) == 0 {
+		return
+	}
+	err := s.seams.Free(sh.ref.Address, sh.epoch, old)
+	s.seams.Freed(sh.ref, len(old), err)
+	if err != nil {
+		return
+	}
+	maps.DeleteFunc(sh.parts, func(_ medlarkey.Key, p Part) bool { return slices.Contains(old, p) })
+}
+
+// older reports whether a weight version is an earlier one than b.
+func older(a, b medlarid.WeightVersion) bool {
+	x, errA := strconv.ParseUint(string(a), 10, 64)
+	y, errB := strconv.ParseUint(string(b), 10, 64)
+	return errA == nil && errB == nil && x < y
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
