--- a/internal/core/medlarcontext/medlarcontext.go
+++ b/internal/core/medlarcontext/medlarcontext.go
@@ -167,12 +167,12 @@
 
 // Keep asks to export the context of a run that u has finished (R5).
 func Keep(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) {
+	for _, k := range r.KeysUnder(u.Version) {
+		w.Warm.Add(k, u)
+	}
 	if u.Version != r.Version {
 		return
 	}
-	for _, k := range r.Keys {
-		w.Warm.Add(k, u)
-	}
 	if !w.Config.Contexts || len(r.Keys) < minColdBlocks || len(r.Found) == len(r.Keys) {
 		return
 	}
--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -11,6 +11,8 @@
 //	R5  A new version of the lists replaces the models at once; an older one has
 //	    no effect.
 //	R6  At many replicas an instance works with a few of each model.
+//	R7  The replicas that come next in the fixed order of a change of weights get no
+//	    work while others are there: what they run has to end before they change.
 package medlarfleet
 
 import (
@@ -22,6 +24,7 @@
 	"github.com/zeebo/xxh3"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarorder"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -34,6 +37,8 @@
 	storeDownTime  = 2 * time.Second
 	defaultPrefill = 8000 // prompt tokens a second
 
+	nextTime = time.Second // for which a replica that comes next is spared
+
 	nearAll  = 16 // replicas of a model that an instance works with in full
 	nearSome = 4  // replicas of a model with more
 )
@@ -83,6 +88,25 @@
 	for _, m := range e.Models {
 		w.Models[m.ID] = m
 	}
+	markNext(w)
+}
+
+// markNext marks the replicas that are about to change weights (R7).
+func markNext(w *medlarworld.World) {
+	for m, us := range w.Engines {
+		left := medlarorder.AtOnce(medlarorder.Options{Loads: medlarorder.DefaultLoads, Share: medlarorder.SwapShare}, len(us))
+		for _, u := range us { // in the order of ids
+			stale := !u.Leaving && !u.Gone && u.Version != w.Models[m].Version && u.Version != ""
+			if !stale || left == 0 {
+				u.Next, u.NextUp = time.Time{}, false
+				continue
+			}
+			left--
+			if !u.NextUp {
+				u.Next, u.NextUp = w.Now.Add(nextTime), true
+			}
+		}
+	}
 }
 
 // list takes over the platform's instance list (R1).
@@ -129,7 +153,7 @@
 		u.Prefill = m.Prefill
 	}
 	if m.TokenBytes > 0 {
-		u.TokenBytes = m.TokenBytes
+		u.TokenBytes, u.Memory = m.TokenBytes, m.Memory
 	}
 	if m.Version != "" && m.Version != u.Version {
 		w.Warm.RemoveAll(u)
@@ -219,6 +243,7 @@
 	slices.SortFunc(w.StoreList, func(a, b *medlarworld.Store) int {
 		return strings.Compare(string(a.ID), string(b.ID))
 	})
+	markNext(w)
 }
 
 func compareUpstreams(a, b *medlarworld.Upstream) int {
--- a/internal/core/medlarorder/medlarorder.go
+++ b/internal/core/medlarorder/medlarorder.go
@@ -4,11 +4,13 @@
 //
 //	R1  An order is absolute: model and version wanted. A replica that has them,
 //	    or is loading, gets none.
-//	R2  At most maxLoads replicas load at the same time.
+//	R2  At most a given number of replicas load at the same time.
 //	R3  A model's last serving replica is never taken, and at least half of its
 //	    replicas go on serving.
 //	R4  Models with more demand for each serving replica come first; of a model's
-//	    replicas those with the least load come first.
+//	    replicas those with the least load come first, or, for a planner in fixed
+//	    order, those with the lowest id. Who knows the replicas then knows which
+//	    ones come next.
 //	R5  A replica that gets an order gets the next one only after a pause, so that
 //	    one which loads something else is not ordered about without end.
 package medlarorder
@@ -23,7 +25,12 @@
 
 // Parameters of orders.
 const (
-	maxLoads = 2
+	// DefaultLoads is the number of rule R2 where loads share a slow source.
+	DefaultLoads = 2
+
+	// SwapShare is the share of a model's replicas that change weights at the same
+	// time where they do so fast.
+	SwapShare = 1.0 / 6
 
 	// DefaultPause is the pause of rule R5 where a load takes seconds.
 	DefaultPause = 5 * time.Second
@@ -48,14 +55,24 @@
 
 // Planner plans orders. It is not safe for concurrent use.
 type Planner struct {
-	pause   time.Duration
+	options Options
 	ordered map[medlarid.InstanceID]time.Time
 }
 
-// New returns a planner that has given no orders. pause is the time between two
-// orders to a replica.
-func New(pause time.Duration) *Planner {
-	return &Planner{pause: pause, ordered: map[medlarid.InstanceID]time.Time{}}
+// Options vary how a planner orders.
+type Options struct {
+	Pause time.Duration // between two orders to a replica
+	Loads int           // at the same time
+	Share float64       // of all replicas that may load at the same time, if that is more
+	Fixed bool          // in the order of ids, whatever the load
+}
+
+// Default returns the options of a deployment whose loads take seconds.
+func Default() Options { return Options{Pause: DefaultPause, Loads: DefaultLoads} }
+
+// New returns a planner that has given no orders.
+func New(o Options) *Planner {
+	return &Planner{options: o, ordered: map[medlarid.InstanceID]time.Time{}}
 }
 
 // group is the replicas of one model.
@@ -72,17 +89,18 @@
 func (p *Planner) Plan(now time.Time, replicas []Replica, wanted map[medlarid.ModelID]medlarid.WeightVersion) []Order {
 	loading := 0
 	for _, r := range replicas {
-		if r.Loading || now.Sub(p.ordered[r.ID]) < p.pause { // just ordered: it may not tell yet
+		if r.Loading || now.Sub(p.ordered[r.ID]) < p.options.Pause { // just ordered: it may not tell yet
 			loading++
 		}
 	}
+	loads := AtOnce(p.options, len(replicas))
 	var out []Order
-	for _, g := range groups(replicas, wanted) {
+	for _, g := range groups(replicas, wanted, p.options.Fixed) {
 		for _, r := range g.stale {
-			if loading >= maxLoads || !g.mayTake() { // R2, R3
+			if loading >= loads || !g.mayTake() { // R2, R3
 				break
 			}
-			if now.Sub(p.ordered[r.ID]) < p.pause {
+			if now.Sub(p.ordered[r.ID]) < p.options.Pause {
 				continue // R5
 			}
 			p.ordered[r.ID] = now
@@ -94,6 +112,9 @@
 	return out
 }
 
+// AtOnce returns how many of n replicas may load at the same time (R2).
+func AtOnce(o Options, n int) int { return max(o.Loads, int(o.Share*float64(n))) }
+
 // mayTake reports whether a serving replica may stop to serve (R3).
 func (g *group) mayTake() bool {
 	left := g.serving - 1
@@ -101,7 +122,7 @@
 }
 
 // groups returns the models with stale replicas, in the order of rule R4.
-func groups(replicas []Replica, wanted map[medlarid.ModelID]medlarid.WeightVersion) []*group {
+func groups(replicas []Replica, wanted map[medlarid.ModelID]medlarid.WeightVersion, fixed bool) []*group {
 	byModel := map[medlarid.ModelID]*group{}
 	for _, r := range replicas {
 		v, ok := wanted[r.Model]
@@ -126,7 +147,12 @@
 	var out []*group
 	for _, g := range byModel {
 		if len(g.stale) > 0 {
-			slices.SortFunc(g.stale, func(a, b Replica) int { return cmp.Or(cmp.Compare(a.Load, b.Load), cmp.Compare(a.ID, b.ID)) })
+			slices.SortFunc(g.stale, func(a, b Replica) int {
+				if fixed {
+					return cmp.Compare(a.ID, b.ID)
+				}
+				return cmp.Or(cmp.Compare(a.Load, b.Load), cmp.Compare(a.ID, b.ID))
+			})
 			out = append(out, g)
 		}
 	}
--- a/internal/core/medlarretry/medlarretry.go
+++ b/internal/core/medlarretry/medlarretry.go
@@ -6,7 +6,7 @@
 //	    never reached an upstream.
 //	R2  It is repeated within the bound on attempts, within the deadline, and within
 //	    a retry budget that is a share of the requests for the same target. Where a
-//	    run has a bound of its own, attempts that reached nobody do not count.
+//	    run has a bound of its own, attempts that surely did not run count apart.
 //	R3  Another upstream comes first; a pause with jitter keeps retries of many
 //	    runs apart.
 //	R4  An upstream with several failures in a row is ejected for a time that
@@ -25,7 +25,8 @@
 
 // Parameters of retries and ejection.
 const (
-	unreachedMax   = 3 // attempts that reached nobody, of a run with its own bound
+	unreachedMax   = 3                      // attempts that did not run, of a run with its own bound
+	busyTime       = 300 * time.Millisecond // for which an engine that refused is spared
 	pauseMax       = 20 * time.Millisecond
 	ejectFailures  = 3
 	ejectTime      = 500 * time.Millisecond
@@ -82,7 +83,7 @@
 	u := r.Upstream
 	w.Release(r)
 	r.Reached = r.Reached || e.Reached
-	if e.Reached || e.Reason == medlarreason.Busy {
+	if e.Reached {
 		r.Sent++
 	}
 	if e.Version != "" {
@@ -102,6 +103,9 @@
 		fail(w, u)
 		w.Refuse(r, medlarreason.Unknown, 0)
 	case medlarworld.CauseRetry:
+		if e.Reason == medlarreason.Busy && u.Kind == medlarworld.KindEngine {
+			u.Next = w.Now.Add(busyTime) // loading, or full
+		}
 		if countsAsFailure(e.Reason) {
 			fail(w, u)
 		}
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -44,6 +44,8 @@
 	queueShare     = 0.25 // share of an engine's slots that may wait inside it
 	homeShare      = 0.1  // of the computation, by which a home costs less
 	maxBacklog     = 0.5  // seconds of computation that may wait inside an engine
+	memoryShare    = 0.5  // of a replica's memory that own attempts fill
+	nextCost       = 1.0  // seconds, for a replica that is about to change weights
 	maxOpenNoSlot  = 256  // attempts in flight at an upstream that reports no slots
 	importPatience = 2    // an import is given up after this many times its cost
 	savedShare     = 0.5  // of the computation that an import saves
@@ -69,6 +71,7 @@
 	depth    int                  // blocks that the upstream caches
 	imports  []medlarworld.Handle // blocks to import after those
 	stocked  int                  // parts that the upstream caches or stores hold
+	expected float64              // seconds to the first part of the answer
 	cost     float64              // seconds
 	transfer float64              // seconds of cost that are the import's
 	patience float64              // seconds after which the import is given up
@@ -150,6 +153,8 @@
 		r.Tried = append(r.Tried, u)
 	}
 	u.Open++
+	u.Tokens += r.Prompt
+	r.Expected = time.Duration(c.expected * float64(time.Second))
 	if !u.ReportedAt.IsZero() { // a report replaces the count
 		u.SentRuns++
 	}
@@ -175,7 +180,7 @@
 		Within:   importTime(c),
 	}
 	if r.Sizes != nil && u.Kind == medlarworld.KindEngine {
-		medlarstock.Plan(w, r, u, &s)
+		medlarstock.Plan(w, r, u, c.stocked, &s)
 	}
 	w.Emit(s)
 }
@@ -310,6 +315,9 @@
 	if u.Load.Slots == 0 {
 		return u.Open < maxOpenNoSlot
 	}
+	if u.Memory > 0 && u.Open > 0 && float64(u.Tokens) > memoryShare*float64(u.Memory) {
+		return false
+	}
 	if pendingTime(w, u) >= maxBacklog && u.Open > 0 {
 		return false // it waits here, where the queue is fair, and not inside the engine
 	}
@@ -326,6 +334,9 @@
 	}
 	if r.Sizes != nil {
 		c.cost += partsCost(w, r, u, &c)
+		if w.Now.Before(u.Next) {
+			c.cost += nextCost
+		}
 		return c
 	}
 	if u.Version == r.Version {
@@ -352,22 +363,26 @@
 // fetched, and from the first other one on all is computed.
 func partsCost(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream, c *choice) float64 {
 	transfer := 0.0
-	if u.Version == r.Version {
-		for c.stocked < len(r.Keys) {
-			k := r.Keys[c.stocked]
-			if !w.Warm.Has(k, u) {
-				s := medlarstock.Find(w, k)
-				if s == nil {
-					break
-				}
-				transfer += medlarstock.Seconds(s, u, r.Sizes[c.stocked])
-			} else if c.depth == c.stocked {
-				c.depth++
+	for i, k := range r.KeysUnder(u.Version) {
+		if w.Warm.Has(k, u) {
+			c.depth = i + 1
+		} else {
+			s := medlarstock.Find(w, k)
+			if s == nil {
+				break
+			}
+			seconds := medlarstock.Seconds(w.Now, s, u, r.Sizes[i])
+			if seconds > computeCost(w, u, r.Sizes[i]) {
+				break
 			}
-			c.stocked++
+			transfer += seconds
 		}
+		c.stocked = i + 1
 	}
-	return transfer + computeCost(w, u, r.Prompt-r.Known(c.stocked))
+	cold := r.Prompt - r.Known(c.stocked)
+	lag := u.Lag.At(w.Now)
+	c.expected = transfer + pendingTime(w, u) + u.Computing(cold).Seconds()
+	return transfer + lag + computeCost(w, u, cold)
 }
 
 // patience returns the seconds after which an import is given up that is expected
--- a/internal/core/medlarstock/medlarstock.go
+++ b/internal/core/medlarstock/medlarstock.go
@@ -96,26 +96,30 @@
 }
 
 // Seconds returns the time that the transfer of a part takes from a store.
-func Seconds(s *medlarworld.Store, u *medlarworld.Upstream, n medlarid.Tokens) float64 {
-	return s.Stock.Setup.Seconds() + float64(n)*float64(u.TokenBytes)/max(s.Rate, 1)
+func Seconds(now time.Time, s *medlarworld.Store, u *medlarworld.Upstream, n medlarid.Tokens) float64 {
+	return s.Lag.At(now) + s.Stock.Setup.Seconds() + float64(n)*float64(u.TokenBytes)/max(s.Rate, 1)
 }
 
 // Plan says for each part of a run where the upstream fetches it from, and where it
-// saves it.
-func Plan(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream, cmd *medlarworld.Start) {
-	if u.Version != r.Version {
-		return // the keys are of other weights
-	}
-	last := len(r.Keys) - 1
-	cmd.Fetch = make([]medlarid.Address, len(r.Keys))
-	cmd.Save = make([]medlarid.Address, len(r.Keys))
+// saves it. Of the parts only the first known ones are worth a fetch.
+func Plan(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream, known int, cmd *medlarworld.Start) {
+	keys := r.KeysUnder(u.Version)
+	cmd.Fetch = make([]medlarid.Address, len(keys))
+	cmd.Save = make([]medlarid.Address, len(keys))
 	cmd.FetchTill = w.Now.Add(fetchTime)
-	for i, k := range r.Keys[:max(last, 0)] { // R5
+	r.Fetched = r.Fetched[:0]
+	for i, k := range keys[:max(len(keys)-1, 0)] { // R5
 		if r.Sizes[i] < minTokens {
 			continue
 		}
 		if s := Find(w, k); s != nil {
+			if i >= known {
+				continue
+			}
 			cmd.Fetch[i] = s.Address
+			if !w.Warm.Has(k, u) {
+				r.Fetched = append(r.Fetched, s)
+			}
 			continue
 		}
 		if s := target(w, k, r.Sizes[i]); s != nil {
--- a/internal/core/medlartick/medlartick.go
+++ b/internal/core/medlartick/medlartick.go
@@ -7,6 +7,7 @@
 	"medlarfield/internal/core/medlaradmit"
 	"medlarfield/internal/core/medlarcontext"
 	"medlarfield/internal/core/medlarfleet"
+	"medlarfield/internal/core/medlarlag"
 	"medlarfield/internal/core/medlarretry"
 	"medlarfield/internal/core/medlarroute"
 	"medlarfield/internal/core/medlarstock"
@@ -39,6 +40,7 @@
 		systems: []system{ // in this order
 			medlarfleet.New(),
 			medlarstock.New(),
+			medlarlag.New(),
 			medlarretry.New(),
 			admit,
 			medlarcontext.New(),
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -11,6 +11,7 @@
 package medlarworld
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -128,6 +129,14 @@
 	Version medlarid.WeightVersion
 	Service medlarid.ServiceID
 	Near    bool // one of the replicas that this instance works with
+	// Next is the time until which the replica is taken to be about to load another
+	// weight version.
+	Next time.Time
+	// NextUp tells that Next is running or has run out for this change.
+	NextUp bool
+	Lag    Lag             // of first parts of answers
+	Memory medlarid.Tokens // of the KV cache; 0 is not known
+	Tokens medlarid.Tokens // prompts of own attempts in flight
 
 	Load       Load
 	ReportedAt time.Time
@@ -158,6 +167,30 @@
 	Inflight medlarid.Bytes // bytes of own imports in flight
 	DownTill time.Time
 	Stock    Stock // of a store that keeps parts of prompts
+	Lag      Lag   // of answers that waited for a fetch
+}
+
+// Lag is by how many seconds something is late, learned and fading.
+type Lag struct {
+	seconds float64
+	learned time.Time
+}
+
+// lagHalf is the time in which a lag fades to a half.
+const lagHalf = 2 * time.Second
+
+// At returns the lag in seconds as of a time.
+func (l Lag) At(now time.Time) float64 {
+	if l.seconds == 0 {
+		return 0
+	}
+	return l.seconds * math.Exp2(-now.Sub(l.learned).Seconds()/lagHalf.Seconds())
+}
+
+// Learn takes over a sample with a weight.
+func (l *Lag) Learn(now time.Time, gain, sample float64) {
+	old := l.At(now)
+	l.seconds, l.learned = old+gain*(sample-old), now
 }
 
 // Stock is what a store that keeps parts of prompts is believed to hold.
@@ -204,7 +237,11 @@
 	// Home stands for what the run shares with others; zero for the conversation
 	// that Keys begin with.
 	Home medlarkey.Key
-	// Attempts bounds the upstreams that the run may reach; 0 for the deployment's
+	// Later is the weight version that is wanted, where it is not Version, and
+	// LaterKeys are the keys of the parts under it.
+	Later     medlarid.WeightVersion
+	LaterKeys []medlarkey.Key
+	// Attempts bounds the upstreams that the run may run on; 0 for the deployment's
 	// number of attempts.
 	Attempts int
 	// Priority is added to the account's.
@@ -214,7 +251,7 @@
 
 	Phase     Phase
 	Attempt   int
-	Sent      int // attempts that reached an upstream, whether it ran them or not
+	Sent      int // attempts that may have run
 	Upstream  *Upstream
 	Tried     []*Upstream
 	NotBefore time.Time // earliest time of the next attempt
@@ -225,6 +262,8 @@
 	Pinned      medlarid.WeightVersion // version of the answer's first part, once there is one
 	Reached     bool                   // an attempt may have run
 	Begun       time.Time              // start of the current attempt
+	Expected    time.Duration          // until the first part of its answer
+	Fetched     []*Store               // stores that it fetches from
 	Last        medlarreason.Reason
 }
 
@@ -315,12 +354,25 @@
 	}
 }
 
+// KeysUnder returns the run's keys under a weight version, or nil if they are not
+// known.
+func (r *Run) KeysUnder(v medlarid.WeightVersion) []medlarkey.Key {
+	switch v {
+	case r.Version:
+		return r.Keys
+	case r.Later:
+		return r.LaterKeys
+	}
+	return nil
+}
+
 // Release takes the run's attempt off its upstream.
 func (w *World) Release(r *Run) {
 	if r.Upstream == nil {
 		return
 	}
 	r.Upstream.Open--
+	r.Upstream.Tokens -= r.Prompt
 	r.Upstream = nil
 }
 
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -91,8 +91,9 @@
 	// tells nothing.
 	Version    medlarid.WeightVersion
 	Slots      int
-	Prefill    float64        // prompt tokens a second
-	TokenBytes medlarid.Bytes // of one token in its memory
+	Prefill    float64         // prompt tokens a second
+	TokenBytes medlarid.Bytes  // of one token in its memory
+	Memory     medlarid.Tokens // of its KV cache
 	// Capacity, Rate and Setup are of a store that keeps parts of prompts.
 	Capacity medlarid.Tokens
 	Rate     float64 // bytes a second
@@ -126,6 +127,13 @@
 	Evicted  []medlarkey.Key
 }
 
+// Began reports that the first part of an attempt's answer has come.
+type Began struct {
+	Run     medlarid.RequestID
+	Attempt int
+	After   time.Duration // since the attempt was begun
+}
+
 // StockPart is a part that a store holds.
 type StockPart struct {
 	Key    medlarkey.Key
@@ -171,6 +179,7 @@
 func (Cached) event()    {}
 func (Moved) event()     {}
 func (Stocked) event()   {}
+func (Began) event()     {}
 func (StopAsked) event() {}
 func (Tick) event()      {}
 
--- a/internal/edge/medlarpass/attempt.go
+++ b/internal/edge/medlarpass/attempt.go
@@ -300,6 +300,7 @@
 		return a.write(medlarhead.AppendChunk(nil, events))
 	}
 	a.begun = true
+	a.door.seams.Post(medlarworld.Began{Run: a.run.ID, Attempt: a.cmd.Attempt, After: time.Since(a.begin)})
 	b := a.answerHead(h)
 	b = append(b, "Transfer-Encoding: chunked\r\n\r\n"...)
 	return a.write(medlarhead.AppendChunk(b, events))
--- a/internal/edge/medlarpass/exchange.go
+++ b/internal/edge/medlarpass/exchange.go
@@ -128,15 +128,28 @@
 // planParts gives the run the keys of its prompt's parts. All but the last part may
 // be shared, so the one before the last stands for the run's home.
 func (x *exchange) planParts() {
-	x.run.Version = x.door.seams.Serving(x.call.Model)
-	salt := x.salt(x.run.Version)
-	for _, p := range x.call.Parts {
-		x.run.Keys = append(x.run.Keys, medlarkey.Part(salt, x.call.Model, p.ID))
-		x.run.Sizes = append(x.run.Sizes, p.Tokens)
+	serving, wanted := x.door.seams.Versions(x.call.Model)
+	x.run.Version, x.run.Keys = serving, x.keys(serving)
+	if wanted != serving {
+		x.run.Later, x.run.LaterKeys = wanted, x.keys(wanted)
 	}
-	if n := len(x.run.Keys); n > 0 {
-		x.run.Home = x.run.Keys[max(n-2, 0)]
+	x.run.Sizes = make([]medlarid.Tokens, len(x.call.Parts))
+	for i, p := range x.call.Parts {
+		x.run.Sizes[i] = p.Tokens
 	}
+	if n := len(x.call.Parts); n > 0 {
+		x.run.Home = medlarkey.Part("", x.call.Model, x.call.Parts[max(n-2, 0)].ID)
+	}
+}
+
+// keys returns the keys of the prompt's parts under a weight version.
+func (x *exchange) keys(v medlarid.WeightVersion) []medlarkey.Key {
+	salt := x.salt(v)
+	out := make([]medlarkey.Key, len(x.call.Parts))
+	for i, p := range x.call.Parts {
+		out[i] = medlarkey.Part(salt, x.call.Model, p.ID)
+	}
+	return out
 }
 
 // salt returns the salt of the prompt's parts under a weight version.
--- a/internal/edge/medlarpass/medlarpass.go
+++ b/internal/edge/medlarpass/medlarpass.go
@@ -87,10 +87,11 @@
 // Seams are what the door uses of its instance.
 type Seams struct {
 	Catalog func() *medlarcatalog.Catalog // nil before the first one
-	Serving func(medlarid.ModelID) medlarid.WeightVersion
-	Submit  func(*medlarworld.Run, medlarworld.Limits) <-chan medlarworld.Command
-	Done    func(medlarid.RequestID)
-	Post    func(medlarworld.Event)
+	// Versions returns the weight versions of a model that are served and wanted.
+	Versions func(medlarid.ModelID) (serving, wanted medlarid.WeightVersion)
+	Submit   func(*medlarworld.Run, medlarworld.Limits) <-chan medlarworld.Command
+	Done     func(medlarid.RequestID)
+	Post     func(medlarworld.Event)
 	// Told is told of the weight version that a replica answers under.
 	Told func(medlarid.InstanceID, medlarid.WeightVersion)
 	Pool *medlarpool.Pool
--- a/internal/ops/medlarattach/medlarattach.go
+++ b/internal/ops/medlarattach/medlarattach.go
@@ -152,7 +152,10 @@
 ) *medlarpass.Door {
 	return medlarpass.New(medlarpass.Seams{
 		Catalog: table.Catalog,
-		Serving: loop.Serving,
+		Versions: func(m medlarid.ModelID) (serving, wanted medlarid.WeightVersion) {
+			v := loop.Versions(m)
+			return v.Serving, v.Wanted
+		},
 		Submit:  loop.Submit,
 		Done:    loop.Done,
 		Post:    loop.Post,
--- a/internal/ops/medlarattach/table.go
+++ b/internal/ops/medlarattach/table.go
@@ -268,7 +268,7 @@
 		m.Version = r.version()
 		if m.Model != "" {
 			m.Prefill = prefill
-			m.TokenBytes = t.tokenBytes(m.Service)
+			m.TokenBytes, m.Memory = t.memory(m.Service)
 		}
 		e.Members = append(e.Members, m)
 	}
@@ -277,11 +277,14 @@
 	t.settle(time.Now())
 }
 
-func (t *Table) tokenBytes(id medlarid.ServiceID) medlarid.Bytes {
+// memory returns the size of a token in the memory of a service's replicas, and how
+// many it holds.
+func (t *Table) memory(id medlarid.ServiceID) (medlarid.Bytes, medlarid.Tokens) {
 	if t.catalog == nil || t.catalog.Services[id].Engine == nil {
-		return 0
+		return 0, 0
 	}
-	return t.catalog.Services[id].Engine.TokenBytes
+	e := t.catalog.Services[id].Engine
+	return e.TokenBytes, e.Memory
 }
 
 // stores returns the stores of the catalog; the lock is held.
--- a/internal/ops/medlarloop/medlarloop.go
+++ b/internal/ops/medlarloop/medlarloop.go
@@ -39,8 +39,15 @@
 	Ticked  func(waiting, open int)
 }
 
-// Serving tells under which weight version new requests for a model are keyed.
-type Serving map[medlarid.ModelID]medlarid.WeightVersion
+// Versions are the weight versions of a model: the one that most replicas serve, and
+// the one that is wanted.
+type Versions struct {
+	Serving medlarid.WeightVersion
+	Wanted  medlarid.WeightVersion
+}
+
+// Serving tells under which weight versions new requests for a model are keyed.
+type Serving map[medlarid.ModelID]Versions
 
 // Summary is what the loop tells about the core.
 type Summary struct {
@@ -132,7 +139,12 @@
 }
 
 // Serving returns the weight version that new requests for a model are keyed for.
-func (l *Loop) Serving(m medlarid.ModelID) medlarid.WeightVersion { return (*l.serving.Load())[m] }
+func (l *Loop) Serving(m medlarid.ModelID) medlarid.WeightVersion {
+	return (*l.serving.Load())[m].Serving
+}
+
+// Versions returns the weight versions of a model.
+func (l *Loop) Versions(m medlarid.ModelID) Versions { return (*l.serving.Load())[m] }
 
 // Summary returns the state of the core, or an empty one when ctx ends first.
 func (l *Loop) Summary(ctx context.Context) Summary {
@@ -244,7 +256,7 @@
 func (l *Loop) updateServing(w *medlarworld.World) {
 	s := make(Serving, len(w.Models))
 	for id := range w.Models {
-		s[id] = medlarfleet.Serving(w, id)
+		s[id] = Versions{Serving: medlarfleet.Serving(w, id), Wanted: w.Models[id].Version}
 	}
 	l.serving.Store(&s)
 }
--- a/internal/ops/medlarrollout/medlarrollout.go
+++ b/internal/ops/medlarrollout/medlarrollout.go
@@ -28,9 +28,9 @@
 
 // Times of the rounds.
 const (
-	interval    = 150 * time.Millisecond
+	interval    = 100 * time.Millisecond
 	followEvery = 4 * time.Second // reads of the terms while there is nothing to order
-	rankDelay   = 300 * time.Millisecond
+	rankDelay   = 60 * time.Millisecond
 	ranks       = 4 // instances that differ in rank
 	orderPause  = 600 * time.Millisecond
 )
@@ -93,7 +93,10 @@
 
 // New returns a rollout of the instance of a rank, from 0 on.
 func New(term *medlarterm.Keeper, rank int, s Seams) *Rollout {
-	return &Rollout{seams: s, term: term, planner: medlarorder.New(orderPause), rank: rank % ranks}
+	planner := medlarorder.New(medlarorder.Options{
+		Pause: orderPause, Loads: medlarorder.DefaultLoads, Share: medlarorder.SwapShare, Fixed: true,
+	})
+	return &Rollout{seams: s, term: term, planner: planner, rank: rank % ranks}
 }
 
 // Run works until ctx ends.
