--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -359,30 +359,30 @@
 }
 
 // partsCost returns the seconds until a prompt that is named by its parts is
-// computed: those that the upstream caches cost nothing, those that stores hold are
-// fetched, and from the first other one on all is computed.
+// computed. Parts that the upstream caches cost nothing, parts that stores hold can
+// be fetched, and behind the last one of these all is computed. Of all lengths of
+// what is cached or fetched the cheapest counts.
 func partsCost(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream, c *choice) float64 {
-	transfer := 0.0
+	best := computeCost(w, u, r.Prompt)
+	transfer, chosen := 0.0, 0.0
 	for i, k := range r.KeysUnder(u.Version) {
-		if w.Warm.Has(k, u) {
-			c.depth = i + 1
-		} else {
+		warm := w.Warm.Has(k, u)
+		if !warm {
 			s := medlarstock.Find(w, k)
 			if s == nil {
 				break
 			}
-			seconds := medlarstock.Seconds(w.Now, s, u, r.Sizes[i])
-			if seconds > computeCost(w, u, r.Sizes[i]) {
-				break
+			transfer += medlarstock.Seconds(s, u, r.Sizes[i])
+		}
+		if cost := transfer + computeCost(w, u, r.Prompt-r.Known(i+1)); cost <= best {
+			best, chosen, c.stocked = cost, transfer, i+1
+			if warm {
+				c.depth = i + 1
 			}
-			transfer += seconds
 		}
-		c.stocked = i + 1
 	}
-	cold := r.Prompt - r.Known(c.stocked)
-	lag := u.Lag.At(w.Now)
-	c.expected = transfer + pendingTime(w, u) + u.Computing(cold).Seconds()
-	return transfer + lag + computeCost(w, u, cold)
+	c.expected = chosen + pendingTime(w, u) + u.Computing(r.Prompt-r.Known(c.stocked)).Seconds()
+	return best + u.Lag.At(w.Now)
 }
 
 // patience returns the seconds after which an import is given up that is expected
--- a/internal/core/medlarstock/medlarstock.go
+++ b/internal/core/medlarstock/medlarstock.go
@@ -15,10 +15,13 @@
 //	    needed: two instances that differ only save a part twice.
 //	R4  A part is saved once; while that is under way it is not asked for again.
 //	R5  The last part of a prompt is its own and is not saved.
+//	R6  A store that answers later than others is fetched from less. Where all do, it
+//	    is not the stores: reading the parts again would only add to the load.
 package medlarstock
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"medlarfield/internal/base/medlarid"
@@ -28,16 +31,19 @@
 
 // Parameters.
 const (
-	freshTime  = 1500 * time.Millisecond
-	fetchTime  = time.Second
-	settleTime = freshTime + fetchTime + 500*time.Millisecond // R2
-	savingTime = 4 * time.Second                              // R4
-	fullShare  = 0.97                                         // of the capacity that is filled
-	minTokens  = 64                                           // of a part that is worth a transfer
+	freshTime    = 1500 * time.Millisecond
+	fetchTime    = time.Second
+	settleTime   = freshTime + fetchTime + 500*time.Millisecond // R2
+	savingTime   = 4 * time.Second                              // R4
+	fullShare    = 0.97                                         // of the capacity that is filled
+	compareEvery = 100 * time.Millisecond
+	usualTimes   = 2.0  // a lag of up to this many times the usual one is no sign of a slow store (R6)
+	usualSeconds = 0.05 // nor is one that is this much more
+	minTokens    = 64   // of a part that is worth a transfer
 )
 
 // System keeps what stores are believed to hold.
-type System struct{}
+type System struct{ compareAt time.Time }
 
 // New returns the system.
 func New() *System { return &System{} }
@@ -49,6 +55,10 @@
 			take(w, e)
 		}
 	}
+	if !w.Now.Before(s.compareAt) {
+		s.compareAt = w.Now.Add(compareEvery)
+		compare(w)
+	}
 }
 
 // take takes over what a store said (R1, R2).
@@ -95,9 +105,23 @@
 	return s.Usable(w.Now) && w.Now.Before(s.Stock.Fresh)
 }
 
-// Seconds returns the time that the transfer of a part takes from a store.
-func Seconds(now time.Time, s *medlarworld.Store, u *medlarworld.Upstream, n medlarid.Tokens) float64 {
-	return s.Lag.At(now) + s.Stock.Setup.Seconds() + float64(n)*float64(u.TokenBytes)/max(s.Rate, 1)
+// Seconds returns the time that the transfer of a part takes from a store, with what
+// the store lags behind others (R6).
+func Seconds(s *medlarworld.Store, u *medlarworld.Upstream, n medlarid.Tokens) float64 {
+	return s.Stock.Behind + s.Stock.Setup.Seconds() + float64(n)*float64(u.TokenBytes)/max(s.Rate, 1)
+}
+
+// compare finds how far each store lags behind what is usual among them.
+func compare(w *medlarworld.World) {
+	lags := make([]float64, 0, len(w.StoreList))
+	for _, s := range w.StoreList {
+		lags = append(lags, s.Lag.At(w.Now))
+	}
+	slices.Sort(lags)
+	for _, s := range w.StoreList {
+		usual := lags[(len(lags)-1)/2]
+		s.Stock.Behind = max(s.Lag.At(w.Now)-usualTimes*usual-usualSeconds, 0)
+	}
 }
 
 // Plan says for each part of a run where the upstream fetches it from, and where it
@@ -106,26 +130,47 @@
 	keys := r.KeysUnder(u.Version)
 	cmd.Fetch = make([]medlarid.Address, len(keys))
 	cmd.Save = make([]medlarid.Address, len(keys))
+	cmd.Parts = make([]medlarworld.PartState, len(keys))
 	cmd.FetchTill = w.Now.Add(fetchTime)
 	r.Fetched = r.Fetched[:0]
-	for i, k := range keys[:max(len(keys)-1, 0)] { // R5
-		if r.Sizes[i] < minTokens {
-			continue
-		}
-		if s := Find(w, k); s != nil {
-			if i >= known {
-				continue
-			}
-			cmd.Fetch[i] = s.Address
-			if !w.Warm.Has(k, u) {
-				r.Fetched = append(r.Fetched, s)
-			}
-			continue
+	for i, k := range keys {
+		cmd.Parts[i] = planPart(w, r, u, cmd, i, k, i < known)
+	}
+	if n := len(keys); n > 0 {
+		cmd.Parts[n-1] = medlarworld.PartOwn
+	}
+}
+
+// planPart plans one part and returns what is believed of it. A part that the
+// upstream is believed to cache is fetched if it does not.
+func planPart(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream, cmd *medlarworld.Start, i int, k medlarkey.Key, known bool) medlarworld.PartState {
+	warm := w.Warm.Has(k, u)
+	if i == len(cmd.Parts)-1 || r.Sizes[i] < minTokens { // R5
+		return state(warm, medlarworld.PartCold)
+	}
+	if s := Find(w, k); s != nil {
+		if !known {
+			return medlarworld.PartLeft
 		}
-		if s := target(w, k, r.Sizes[i]); s != nil {
-			cmd.Save[i] = s.Address
+		cmd.Fetch[i] = s.Address
+		if !warm {
+			r.Fetched = append(r.Fetched, s)
 		}
+		return state(warm, medlarworld.PartFetched)
+	}
+	if s := target(w, k, r.Sizes[i]); s != nil {
+		cmd.Save[i] = s.Address
+		return state(warm, medlarworld.PartSaved)
+	}
+	return state(warm, medlarworld.PartCold)
+}
+
+// state returns PartWarm for a part that the upstream caches.
+func state(warm bool, otherwise medlarworld.PartState) medlarworld.PartState {
+	if warm {
+		return medlarworld.PartWarm
 	}
+	return otherwise
 }
 
 // target returns the store that a part is to be saved to, or nil (R2, R3, R4).
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -48,6 +48,9 @@
 	Wait time.Duration
 	// Contexts tells whether context is kept in stores.
 	Contexts bool
+	// Holders bounds the upstreams that are remembered to cache one block or part; 0
+	// for a few.
+	Holders int
 	// Seed starts the choice among upstreams of nearly equal cost.
 	Seed uint64
 }
@@ -204,6 +207,7 @@
 	Held     medlarid.Tokens                   // sum of Parts
 	Saving   map[medlarkey.Key]time.Time       // parts that were asked to be saved, until when that counts
 	Asked    map[medlarkey.Key]medlarid.Tokens // their sizes
+	Behind   float64                           // seconds by which it lags behind other stores
 }
 
 // Phase is the state of a run.
@@ -322,7 +326,7 @@
 		Stores:    map[medlarid.InstanceID]*Store{},
 		Runs:      map[medlarid.RequestID]*Run{},
 		Retries:   map[Target]float64{},
-		Warm:      NewWarm(maxWarm),
+		Warm:      NewWarm(maxWarm, cfg.Holders),
 		Kept:      NewKeySet(maxKept),
 	}
 }
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -202,8 +202,23 @@
 	Fetch     []medlarid.Address
 	Save      []medlarid.Address
 	FetchTill time.Time
+	// Parts tells what was believed of each part when this was decided.
+	Parts []PartState
 }
 
+// PartState is what is believed of a part of a prompt.
+type PartState byte
+
+// States of parts.
+const (
+	PartCold    PartState = 'c' // computed by the upstream
+	PartWarm    PartState = 'w' // cached by the upstream
+	PartFetched PartState = 'f' // fetched from a store
+	PartLeft    PartState = 'l' // held by a store, and cheaper to compute
+	PartSaved   PartState = 's' // computed, and saved to a store
+	PartOwn     PartState = 'o' // the request's own
+)
+
 // Refuse asks to tell the caller that the run gets no answer.
 type Refuse struct {
 	Run    medlarid.RequestID
--- a/internal/core/medlarworld/warm.go
+++ b/internal/core/medlarworld/warm.go
@@ -1,31 +1,38 @@
 package medlarworld
 
 import (
+	"cmp"
+	"slices"
+
 	"medlarfield/internal/core/medlarkey"
 )
 
 // maxWarm bounds the entries of the table of cached blocks.
 const maxWarm = 1 << 15
 
-// holdersPerKey bounds the upstreams that are remembered for one block.
-const holdersPerKey = 3
+// defaultHolders bounds the upstreams that are remembered for one block, where a
+// deployment sets no bound.
+const defaultHolders = 3
 
-// warmEntry names the upstreams that were last known to cache a block.
+// warmEntry names the upstreams that were last known to cache a block, the last one
+// first.
 type warmEntry struct {
-	holders [holdersPerKey]*Upstream
+	holders []*Upstream
 }
 
 // Warm remembers which upstreams cache which blocks. It is a hint of bounded
 // size: the oldest entries give way to new ones.
 type Warm struct {
+	most    int // holders of one block
 	entries map[medlarkey.Key]*warmEntry
 	ring    []medlarkey.Key // keys in the order of arrival
 	next    int
 }
 
-// NewWarm returns a table of at most size blocks.
-func NewWarm(size int) *Warm {
-	return &Warm{entries: map[medlarkey.Key]*warmEntry{}, ring: make([]medlarkey.Key, 0, size)}
+// NewWarm returns a table of at most size blocks with holders upstreams each; 0 for
+// the default.
+func NewWarm(size, holders int) *Warm {
+	return &Warm{most: cmp.Or(holders, defaultHolders), entries: map[medlarkey.Key]*warmEntry{}, ring: make([]medlarkey.Key, 0, size)}
 }
 
 // Len returns the number of blocks in the table.
@@ -42,8 +49,8 @@
 	if e.has(u) {
 		return
 	}
-	copy(e.holders[1:], e.holders[:holdersPerKey-1])
-	e.holders[0] = u
+	e.holders = slices.Insert(e.holders, 0, u)
+	e.holders = e.holders[:min(len(e.holders), t.most)]
 }
 
 // Remove notes that u no longer caches the block k.
@@ -52,15 +59,8 @@
 	if e == nil {
 		return
 	}
-	n := 0
-	for _, h := range e.holders {
-		if h != nil && h != u {
-			e.holders[n] = h
-			n++
-		}
-	}
-	for ; n < holdersPerKey; n++ {
-		e.holders[n] = nil
+	if i := slices.Index(e.holders, u); i >= 0 {
+		e.holders = slices.Delete(e.holders, i, i+1)
 	}
 }
 
@@ -99,11 +99,4 @@
 	t.next = (t.next + 1) % len(t.ring)
 }
 
-func (e *warmEntry) has(u *Upstream) bool {
-	for _, h := range e.holders {
-		if h == u {
-			return true
-		}
-	}
-	return false
-}
+func (e *warmEntry) has(u *Upstream) bool { return slices.Contains(e.holders, u) }
--- a/internal/edge/medlarpass/exchange.go
+++ b/internal/edge/medlarpass/exchange.go
@@ -189,6 +189,7 @@
 	}
 	x.sum.Attempts++
 	x.sum.Upstream = cmd.Upstream
+	x.sum.Parts = cmd.Parts
 	a := &attempt{exchange: x, cmd: cmd, begin: time.Now()}
 	e := a.make()
 	a.note(e)
--- a/internal/edge/medlarpass/medlarpass.go
+++ b/internal/edge/medlarpass/medlarpass.go
@@ -31,6 +31,7 @@
 	"medlarfield/internal/agree/medlarcatalog"
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/base/medlarprobe"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
@@ -143,10 +144,12 @@
 	After    time.Duration       // when the caller may come back
 	Attempts int
 	Upstream medlarid.InstanceID
-	Waited   time.Duration // until the first attempt
-	First    time.Duration // until the first byte of the answer
-	Took     time.Duration
-	Whole    bool // the answer is whole
+	// Parts tells what was believed of each part of the prompt at the last attempt.
+	Parts  []medlarworld.PartState
+	Waited time.Duration // until the first attempt
+	First  time.Duration // until the first byte of the answer
+	Took   time.Duration
+	Whole  bool // the answer is whole
 }
 
 // Times and sizes.
@@ -167,16 +170,19 @@
 	serial   atomic.Uint64
 
 	mu    sync.Mutex
-	conns map[*conn]bool // whether it has a request
+	conns map[*conn]struct{}
 }
 
 // New returns a door.
-func New(s Seams) *Door { return &Door{seams: s, conns: map[*conn]bool{}} }
+func New(s Seams) *Door { return &Door{seams: s, conns: map[*conn]struct{}{}} }
 
 // conn is a connection of a caller.
 type conn struct {
 	net.Conn
 	br *bufio.Reader
+
+	busy   bool // has a request; the door's lock is held
+	closed bool // by the door while it was idle; the door's lock is held
 }
 
 // Serve serves the connections of a listener until it is closed.
@@ -202,29 +208,42 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	n := 0
-	for _, busy := range d.conns {
-		if busy {
+	for c := range d.conns {
+		if c.busy {
 			n++
 		}
 	}
 	return n
 }
 
-// CloseIdle closes the connections without a request.
+// Open returns the number of connections.
+func (d *Door) Open() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.conns)
+}
+
+// CloseIdle closes the connections without a request. One on which a request has
+// come that was not read yet stays, and so does its request (R6).
 func (d *Door) CloseIdle() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for c, busy := range d.conns {
-		if !busy {
+	for c := range d.conns {
+		if !c.busy && medlarprobe.Quiet(c.Conn) {
+			c.closed = true
 			_ = c.Close()
 		}
 	}
 }
 
-func (d *Door) mark(c *conn, busy bool) {
+// mark notes whether a connection has a request; it returns false when the door has
+// closed the connection.
+func (d *Door) mark(c *conn, busy bool) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.conns[c] = busy
+	d.conns[c] = struct{}{}
+	c.busy = busy
+	return !c.closed
 }
 
 func (d *Door) forget(c *conn) {
@@ -243,9 +262,8 @@
 
 // serveConn serves the requests of a connection one after the other.
 func (d *Door) serveConn(c *conn) {
-	d.mark(c, false)
 	defer d.forget(c)
-	for {
+	for d.mark(c, false) {
 		limits := d.limits()
 		if c.SetReadDeadline(time.Now().Add(limits.Idle)) != nil {
 			return
@@ -253,11 +271,9 @@
 		if _, err := c.br.Peek(1); err != nil {
 			return
 		}
-		d.mark(c, true)
-		if !d.serveOne(c, limits) || d.draining.Load() {
+		if !d.mark(c, true) || !d.serveOne(c, limits) || d.draining.Load() {
 			return
 		}
-		d.mark(c, false)
 	}
 }
 
--- a/internal/ops/medlarattach/medlarattach.go
+++ b/internal/ops/medlarattach/medlarattach.go
@@ -52,6 +52,7 @@
 	outAfter       = 2500 * time.Millisecond // until the platform has taken an instance out
 	stopMargin     = 700 * time.Millisecond  // before the kill
 	stopPoll       = 20 * time.Millisecond
+	maxHolders     = 64   // replicas that are remembered to cache one part
 	queueLength    = 4096 // requests that may wait for an upstream
 	retryShare     = 0.8  // of the bound on repeated attempts that is used
 	retryMost      = 6    // repeated attempts that may be saved up
@@ -128,6 +129,7 @@
 		Weighting: medlarworld.WeighShare,
 		Queue:     queueLength,
 		Attempts:  1,
+		Holders:   maxHolders,
 		Retries:   medlarworld.Budget{Share: retryShare * cfg.Bounds.Retries, Most: retryMost, Start: retryStart},
 		Seed:      rand.Uint64(),
 	})
@@ -263,8 +265,7 @@
 	i.log.Info().Str("event", "stop").Int("open", i.door.Busy()).Msg("stopping")
 	time.Sleep(outAfter)
 	_ = i.front.Close()
-	i.door.CloseIdle()
-	for i.door.Busy() > 0 && time.Now().Before(end) {
+	for i.door.CloseIdle(); i.door.Open() > 0 && time.Now().Before(end); i.door.CloseIdle() {
 		time.Sleep(stopPoll)
 	}
 	_ = i.status.Close()
--- a/internal/ops/medlarattach/notes.go
+++ b/internal/ops/medlarattach/notes.go
@@ -36,6 +36,9 @@
 				Str("route", s.Route).Str("service", string(s.Service)).Uint64("config", s.Config).
 				Int("status", s.Status).Bool("whole", s.Whole).Int("attempts", s.Attempts).Str("replica", string(s.Upstream)).
 				Float64("waited", ms(s.Waited)).Float64("first", ms(s.First)).Float64("took", ms(s.Took))
+			if len(s.Parts) > 0 {
+				l = l.Str("parts", partText(s.Parts))
+			}
 			if s.Reason != "" {
 				l = l.Str("reason", string(s.Reason)).Str("ran", string(s.Ran)).Float64("after", ms(s.After))
 			}
@@ -44,6 +47,15 @@
 	}
 }
 
+// partText returns one letter for each part of a prompt.
+func partText(parts []medlarworld.PartState) string {
+	b := make([]byte, len(parts))
+	for i, p := range parts {
+		b[i] = byte(p)
+	}
+	return string(b)
+}
+
 func count(m *medlarmetric.Metrics, s *medlarpass.Summary) {
 	switch {
 	case s.Reason != "" && s.Reason != medlarreason.Gone:
--- a/internal/ops/medlarstocker/medlarstocker.go
+++ b/internal/ops/medlarstocker/medlarstocker.go
@@ -134,6 +134,7 @@
 		if err := s.read(sh); err != nil {
 			if !sh.lost {
 				s.seams.Lost(r, err)
+				s.seams.Post(medlarworld.Stocked{Store: r.ID, Epoch: sh.epoch}) // not fresh any more
 			}
 			sh.lost = true
 			sleep(ctx, failPause)
--- a/internal/stand/medlarslope/core.go
+++ b/internal/stand/medlarslope/core.go
@@ -156,7 +156,7 @@
 }
 
 func warmTable(n int) *medlarworld.Warm {
-	t := medlarworld.NewWarm(n)
+	t := medlarworld.NewWarm(n, 0)
 	u := &medlarworld.Upstream{}
 	for i := range n {
 		t.Add(keys(uint64(i), 1)[0], u)
