Work that waits inside a replica is bounded by a window that each answer adjusts; who can be in time goes first

Cause: prompts that wait inside a replica lose the parts fetched for them to others that wait, all is read again, and the state keeps itself up after its cause is gone.

--- a/internal/core/medlaradmit/medlaradmit.go
+++ b/internal/core/medlaradmit/medlaradmit.go
@@ -17,6 +17,8 @@
 //	R6  A request whose caller has left, or whose deadline has passed while it
 //	    waits, leaves the queue.
 //	R7  Only accounts that have sent requests lately are in memory.
+//	R8  Who can still be in time goes before who cannot: under overload a queue in the
+//	    order of arrival makes all late.
 package medlaradmit
 
 import (
@@ -71,6 +73,7 @@
 		}
 	}
 	expire(w)
+	demote(w)
 	s.want(w)
 	s.forget(w)
 }
@@ -187,7 +190,7 @@
 	if after := take(w, a); after > 0 {
 		return medlarreason.Rate, min(after, maxAfter) // R2
 	}
-	if wait := s.wait(w, r); w.Now.Add(wait).After(r.Deadline) || w.Config.Wait > 0 && wait > w.Config.Wait {
+	if wait := s.wait(w, r); w.Now.Add(wait).After(end(r)) || w.Config.Wait > 0 && wait > w.Config.Wait {
 		return medlarreason.Deadline, clampAfter(wait) // R5
 	}
 	if len(w.Waiting) >= w.Config.Queue && !makeRoom(w, a) {
@@ -196,6 +199,14 @@
 	return "", 0
 }
 
+// end returns when a run is of no use any more that has not begun.
+func end(r *medlarworld.Run) time.Time {
+	if !r.GiveUp.IsZero() && r.GiveUp.Before(r.Deadline) {
+		return r.GiveUp
+	}
+	return r.Deadline
+}
+
 // wait estimates how long a new run waits in the queue: for those before its place
 // in it, which for an account with few requests is far from the end (R3).
 func (s *System) wait(w *medlarworld.World, r *medlarworld.Run) time.Duration {
@@ -302,6 +313,7 @@
 
 func before(w *medlarworld.World, a, b *medlarworld.Run) int {
 	return cmp.Or(
+		compareLate(a, b),
 		cmp.Compare(priority(w, b), priority(w, a)),
 		cmp.Compare(a.Virtual, b.Virtual),
 		a.Arrived.Compare(b.Arrived),
@@ -309,6 +321,31 @@
 	)
 }
 
+// compareLate orders runs that can still be in time before those that cannot (R8).
+func compareLate(a, b *medlarworld.Run) int {
+	switch {
+	case a.Late == b.Late:
+		return 0
+	case b.Late:
+		return -1
+	}
+	return 1
+}
+
+// demote moves runs that can no longer be in time behind those that can (R8).
+func demote(w *medlarworld.World) {
+	for i := 0; i < len(w.Waiting); i++ {
+		r := w.Waiting[i]
+		if r.Late || r.StartBy.IsZero() || !w.Now.After(r.StartBy) {
+			continue
+		}
+		w.Waiting = slices.Delete(w.Waiting, i, i+1)
+		i--
+		r.Late = true
+		Enqueue(w, r)
+	}
+}
+
 func priority(w *medlarworld.World, r *medlarworld.Run) int {
 	if a := w.Accounts[r.Account]; a != nil {
 		return int(a.Limits.Priority + r.Priority)
@@ -332,7 +369,7 @@
 func expire(w *medlarworld.World) {
 	for i := 0; i < len(w.Waiting); i++ {
 		r := w.Waiting[i]
-		late := w.Now.After(r.Deadline)
+		late := w.Now.After(end(r))
 		tired := w.Config.Wait > 0 && r.Attempt == 0 && w.Now.Sub(r.Arrived) > w.Config.Wait
 		if !late && !tired {
 			continue
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -30,6 +30,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarstock"
+	"medlarfield/internal/core/medlarwindow"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -72,6 +73,7 @@
 	imports  []medlarworld.Handle // blocks to import after those
 	stocked  int                  // parts that the upstream caches or stores hold
 	expected float64              // seconds to the first part of the answer
+	service  float64              // the same on an idle upstream
 	cost     float64              // seconds
 	transfer float64              // seconds of cost that are the import's
 	patience float64              // seconds after which the import is given up
@@ -155,6 +157,9 @@
 	u.Open++
 	u.Tokens += r.Prompt
 	r.Expected = time.Duration(c.expected * float64(time.Second))
+	if r.Sizes != nil && u.Kind == medlarworld.KindEngine {
+		medlarwindow.Take(r, u, r.Known(c.stocked), time.Duration(c.service*float64(time.Second)))
+	}
 	if !u.ReportedAt.IsZero() { // a report replaces the count
 		u.SentRuns++
 	}
@@ -252,6 +257,9 @@
 			continue
 		}
 		c := evaluate(w, r, u)
+		if r.Sizes != nil && u.Kind == medlarworld.KindEngine && !medlarwindow.Fits(r, u, r.Known(c.stocked)) {
+			continue
+		}
 		if u == home {
 			c.cost -= homeShare * computeCost(w, u, r.Prompt)
 		}
@@ -381,7 +389,8 @@
 			}
 		}
 	}
-	c.expected = chosen + pendingTime(w, u) + u.Computing(r.Prompt-r.Known(c.stocked)).Seconds()
+	c.service = chosen + u.Computing(r.Prompt-r.Known(c.stocked)).Seconds()
+	c.expected = c.service + pendingTime(w, u)
 	return best + u.Lag.At(w.Now)
 }
 
--- a/internal/core/medlartick/medlartick.go
+++ b/internal/core/medlartick/medlartick.go
@@ -11,6 +11,7 @@
 	"medlarfield/internal/core/medlarretry"
 	"medlarfield/internal/core/medlarroute"
 	"medlarfield/internal/core/medlarstock"
+	"medlarfield/internal/core/medlarwindow"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -41,6 +42,7 @@
 			medlarfleet.New(),
 			medlarstock.New(),
 			medlarlag.New(),
+			medlarwindow.New(),
 			medlarretry.New(),
 			admit,
 			medlarcontext.New(),
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -140,6 +140,11 @@
 	Lag    Lag             // of first parts of answers
 	Memory medlarid.Tokens // of the KV cache; 0 is not known
 	Tokens medlarid.Tokens // prompts of own attempts in flight
+	// Window bounds Pending, the work of own attempts whose answer has not begun, both
+	// in tokens; 0 until something was learned.
+	Window   float64
+	Pending  float64
+	Narrowed time.Time // when the window was narrowed last
 
 	Load       Load
 	ReportedAt time.Time
@@ -268,7 +273,16 @@
 	Begun       time.Time              // start of the current attempt
 	Expected    time.Duration          // until the first part of its answer
 	Fetched     []*Store               // stores that it fetches from
-	Last        medlarreason.Reason
+	Work        float64                // tokens that wait for the answer's begin
+	Computed    medlarid.Tokens        // of the prompt, by the upstream
+	Idle        time.Duration          // until the first part, on an idle upstream
+	// StartBy is the time until which an attempt can still be in time, and GiveUp the
+	// one at which the caller leaves if no answer has begun; zero if they are not
+	// known.
+	StartBy time.Time
+	GiveUp  time.Time
+	Late    bool // StartBy has passed
+	Last    medlarreason.Reason
 }
 
 // Handle locates one kept KV block in a store.
@@ -377,6 +391,8 @@
 	}
 	r.Upstream.Open--
 	r.Upstream.Tokens -= r.Prompt
+	r.Upstream.Pending = max(r.Upstream.Pending-r.Work, 0)
+	r.Work = 0
 	r.Upstream = nil
 }
 
--- a/internal/edge/medlarpass/exchange.go
+++ b/internal/edge/medlarpass/exchange.go
@@ -119,12 +119,19 @@
 		Arrived:  x.arrived,
 		Deadline: x.arrived.Add(wait),
 	}
+	if x.route.Kind == medlarcatalog.KindStream {
+		x.run.StartBy = x.arrived.Add(x.route.Target - startMargin)
+		x.run.GiveUp = x.arrived.Add(x.route.Patience)
+	}
 	x.sum.Service = x.run.Service
 	if x.call.Model != "" {
 		x.planParts()
 	}
 }
 
+// startMargin is the time that is left for an attempt to begin its answer in time.
+const startMargin = 80 * time.Millisecond
+
 // planParts gives the run the keys of its prompt's parts. All but the last part may
 // be shared, so the one before the last stands for the run's home.
 func (x *exchange) planParts() {
