--- a/internal/core/medlaradmit/medlaradmit.go
+++ b/internal/core/medlaradmit/medlaradmit.go
@@ -47,13 +47,15 @@
 
 // System admits requests.
 type System struct {
-	started   int                    // runs that left the queue in this window
-	windowEnd time.Time              // end of the window
-	perSecond float64                // runs that leave the queue each second
-	wasFull   bool                   // the queue was not empty throughout the window
-	forgetAt  time.Time              // when idle accounts are dropped next
-	wantAt    time.Time              // when demands are told next
-	fresh     []*medlarworld.Account // became busy in this tick
+	started       int                    // runs that left the queue in this window
+	windowEnd     time.Time              // end of the window
+	perSecond     float64                // runs that leave the queue each second
+	startedLate   int                    // of started, those that could not be in time
+	latePerSecond float64                // of perSecond
+	wasFull       bool                   // the queue was not empty throughout the window
+	forgetAt      time.Time              // when idle accounts are dropped next
+	wantAt        time.Time              // when demands are told next
+	fresh         []*medlarworld.Account // became busy in this tick
 }
 
 // New returns the system.
@@ -73,13 +75,18 @@
 		}
 	}
 	expire(w)
-	demote(w)
+	s.demote(w)
 	s.want(w)
 	s.forget(w)
 }
 
 // Started notes that a run left the queue for an upstream.
-func (s *System) Started() { s.started++ }
+func (s *System) Started(r *medlarworld.Run) {
+	s.started++
+	if r.Late {
+		s.startedLate++
+	}
+}
 
 // measure updates the rate at which runs leave the queue.
 func (s *System) measure(w *medlarworld.World) {
@@ -91,8 +98,9 @@
 	}
 	if s.wasFull {
 		s.perSecond += rateGain * (float64(s.started)/rateWindow.Seconds() - s.perSecond)
+		s.latePerSecond += rateGain * (float64(s.startedLate)/rateWindow.Seconds() - s.latePerSecond)
 	}
-	s.started = 0
+	s.started, s.startedLate = 0, 0
 	s.wasFull = len(w.Waiting) > 0
 	s.windowEnd = w.Now.Add(rateWindow)
 }
@@ -333,7 +341,13 @@
 }
 
 // demote moves runs that can no longer be in time behind those that can (R8).
-func demote(w *medlarworld.World) {
+func (s *System) demote(w *medlarworld.World) {
+	ahead := 0 // late runs that wait
+	for _, r := range w.Waiting {
+		if r.Late {
+			ahead++
+		}
+	}
 	for i := 0; i < len(w.Waiting); i++ {
 		r := w.Waiting[i]
 		if r.Late || r.StartBy.IsZero() || !w.Now.After(r.StartBy) {
@@ -342,10 +356,24 @@
 		w.Waiting = slices.Delete(w.Waiting, i, i+1)
 		i--
 		r.Late = true
+		if wait := s.lateWait(ahead); w.Now.Add(wait).After(end(r)) {
+			w.Refuse(r, medlarreason.Deadline, clampAfter(wait))
+			continue
+		}
+		ahead++
 		Enqueue(w, r)
 	}
 }
 
+// lateWait estimates how long a run waits behind others that cannot be in time
+// (R5).
+func (s *System) lateWait(ahead int) time.Duration {
+	if ahead == 0 || s.perSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(ahead) / max(s.latePerSecond, minRate) * float64(time.Second))
+}
+
 func priority(w *medlarworld.World, r *medlarworld.Run) int {
 	if a := w.Accounts[r.Account]; a != nil {
 		return int(a.Limits.Priority + r.Priority)
--- a/internal/core/medlarretry/medlarretry.go
+++ b/internal/core/medlarretry/medlarretry.go
@@ -9,8 +9,9 @@
 //	    run has a bound of its own, attempts that surely did not run count apart.
 //	R3  Another upstream comes first; a pause with jitter keeps retries of many
 //	    runs apart.
-//	R4  An upstream with several failures in a row is ejected for a time that
-//	    doubles, unless half of its kind is ejected already.
+//	R4  An upstream with several failures in a row, or one to which there is no
+//	    connection, is ejected for a time that doubles, unless half of its kind is
+//	    ejected already.
 //	R5  Lack of room is no failure of the upstream.
 package medlarretry
 
@@ -106,6 +107,9 @@
 		if e.Reason == medlarreason.Busy && u.Kind == medlarworld.KindEngine {
 			u.Next = w.Now.Add(busyTime) // loading, or full
 		}
+		if e.Reason == medlarreason.Unreachable {
+			u.Failures = max(u.Failures, ejectFailures-1)
+		}
 		if countsAsFailure(e.Reason) {
 			fail(w, u)
 		}
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -54,7 +54,7 @@
 
 // System routes runs.
 type System struct {
-	started func() // called for each run that leaves the queue
+	started func(*medlarworld.Run) // called for each run that leaves the queue
 	choices []choice
 	full    []target // targets without a candidate in this tick
 }
@@ -80,7 +80,7 @@
 }
 
 // New returns the system; started is called for each run that leaves the queue.
-func New(started func()) *System { return &System{started: started} }
+func New(started func(*medlarworld.Run)) *System { return &System{started: started} }
 
 // Run handles the events of one tick and sends what can be sent.
 func (s *System) Run(w *medlarworld.World) {
@@ -120,7 +120,7 @@
 		return false
 	}
 	w.Virtual = max(w.Virtual, r.Virtual)
-	s.started()
+	s.started(r)
 	if r.Once && !r.Claimed {
 		r.Phase = medlarworld.PhaseClaiming // R5
 		w.Emit(medlarworld.Claim{Run: r.ID})
--- a/internal/core/medlarwindow/medlarwindow.go
+++ b/internal/core/medlarwindow/medlarwindow.go
@@ -12,6 +12,7 @@
 //	R3  An answer that begins about when it was expected widens the window by a share
 //	    of its work. One that begins late narrows it, at most once each settle time.
 //	    All instances do so by what they see, and share the replica without a message.
+//	R4  Less urgent attempts fill a part of the window only.
 package medlarwindow
 
 import (
@@ -27,10 +28,12 @@
 	first      = 16000 // window of a replica that nothing was learned of
 	least      = 3000
 	most       = 64000
-	inTime     = 0.10 // later than expected, and still widening
-	late       = 0.20 // later than expected, and narrowing
+	inTime     = 0.05 // later than expected, and still widening
+	late       = 0.12 // later than expected, and narrowing
 	widen      = 0.15 // of the work
 	narrow     = 0.75
+	rankShare  = 0.2 // of the window, that each rank leaves to those before it (R4)
+	leastPart  = 0.4
 	settle     = 150 * time.Millisecond
 )
 
@@ -70,7 +73,13 @@
 
 // Fits reports whether an attempt of a run may start at a replica (R2).
 func Fits(r *medlarworld.Run, u *medlarworld.Upstream, known medlarid.Tokens) bool {
-	return u.Pending <= 0 || u.Pending+work(r, known) <= window(u)
+	return u.Pending <= 0 || u.Pending+work(r, known) <= window(u)*part(r)
+}
+
+// part returns the part of a window that a run may fill: less urgent ones leave room
+// for more urgent ones (R4).
+func part(r *medlarworld.Run) float64 {
+	return max(1+rankShare*float64(r.Priority), leastPart)
 }
 
 // Take counts the work of an attempt (R1). service is the time to the first part of
--- a/internal/edge/medlarpool/medlarpool.go
+++ b/internal/edge/medlarpool/medlarpool.go
@@ -30,8 +30,8 @@
 
 // Times and sizes of connections.
 const (
-	dialTimeout  = time.Second
-	ackTimeout   = 1500 * time.Millisecond
+	dialTimeout  = 400 * time.Millisecond
+	ackTimeout   = 600 * time.Millisecond
 	probeIdle    = time.Second
 	probeEvery   = 500 * time.Millisecond
 	probeCount   = 3
