--- a/internal/core/medlarlag/medlarlag.go
+++ b/internal/core/medlarlag/medlarlag.go
@@ -15,8 +15,11 @@
 	"medlarfield/internal/core/medlarworld"
 )
 
-// gain is the weight of a new sample.
-const gain = 0.25
+// Weights of a new sample.
+const (
+	gain      = 0.25
+	storeGain = 0.4
+)
 
 // System learns lags.
 type System struct{}
@@ -47,6 +50,6 @@
 	ofUpstream := r.Upstream.Lag.At(w.Now)
 	r.Upstream.Lag.Learn(w.Now, gain, max(over-slowest, 0))
 	for _, s := range r.Fetched {
-		s.Lag.Learn(w.Now, gain, max(over-ofUpstream, 0))
+		s.Lag.Learn(w.Now, storeGain, max(over-ofUpstream, 0))
 	}
 }
--- a/internal/core/medlarstock/medlarstock.go
+++ b/internal/core/medlarstock/medlarstock.go
@@ -31,14 +31,17 @@
 
 // Parameters.
 const (
-	freshTime    = 1500 * time.Millisecond
-	fetchTime    = time.Second
-	settleTime   = freshTime + fetchTime + 500*time.Millisecond // R2
-	savingTime   = 4 * time.Second                              // R4
-	fullShare    = 0.97                                         // of the capacity that is filled
-	compareEvery = 100 * time.Millisecond
-	usualTimes   = 2.0  // a lag of up to this many times the usual one is no sign of a slow store (R6)
-	usualSeconds = 0.05 // nor is one that is this much more
+	freshTime  = 1500 * time.Millisecond
+	fetchTime  = time.Second
+	settleTime = freshTime + fetchTime + 500*time.Millisecond // R2
+	savingTime = 4 * time.Second                              // R4
+	fullShare  = 0.97                                         // of the capacity that is filled
+	// A transfer that waits for a slow store holds up those behind it on the replica's
+	// link, so its wait counts several times.
+	behindWeight = 4.0
+	compareEvery = 50 * time.Millisecond
+	usualTimes   = 1.5  // a lag of up to this many times the usual one is no sign of a slow store (R6)
+	usualSeconds = 0.03 // nor is one that is this much more
 	minTokens    = 64   // of a part that is worth a transfer
 )
 
@@ -108,7 +111,7 @@
 // Seconds returns the time that the transfer of a part takes from a store, with what
 // the store lags behind others (R6).
 func Seconds(s *medlarworld.Store, u *medlarworld.Upstream, n medlarid.Tokens) float64 {
-	return s.Stock.Behind + s.Stock.Setup.Seconds() + float64(n)*float64(u.TokenBytes)/max(s.Rate, 1)
+	return behindWeight*s.Stock.Behind + s.Stock.Setup.Seconds() + float64(n)*float64(u.TokenBytes)/max(s.Rate, 1)
 }
 
 // compare finds how far each store lags behind what is usual among them.
