--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -84,8 +84,13 @@
 	}
 	w.Version = e.Version
 	w.Ready = true
-	clear(w.Models)
+	old := w.Models
+	w.Models = make(map[medlarid.ModelID]medlarworld.Model, len(e.Models))
 	for _, m := range e.Models {
+		m.Since = w.Now
+		if o, ok := old[m.ID]; ok && o.Version == m.Version {
+			m.Since = o.Since
+		}
 		w.Models[m.ID] = m
 	}
 	markNext(w)
--- a/internal/core/medlarorder/medlarorder.go
+++ b/internal/core/medlarorder/medlarorder.go
@@ -30,7 +30,7 @@
 
 	// SwapShare is the share of a model's replicas that change weights at the same
 	// time where they do so fast.
-	SwapShare = 1.0 / 6
+	SwapShare = 1.0 / 3
 
 	// DefaultPause is the pause of rule R5 where a load takes seconds.
 	DefaultPause = 5 * time.Second
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -4,7 +4,8 @@
 //
 //	R1  A candidate is usable, serves the model under the wanted or the serving
 //	    weight version, has room, and was not tried by the run unless all were.
-//	    An answer that has begun goes on under its own version only.
+//	    An answer that has begun goes on under its own version only. After a bound a
+//	    version that is no longer wanted serves nothing.
 //	R2  The cost of a candidate is the expected time to first token: its backlog,
 //	    the computation of what it does not cache, and the distance. A deployment
 //	    that weighs the recomputed share adds the computation again.
@@ -304,7 +305,12 @@
 	if r.Pinned != "" {
 		return v == r.Pinned
 	}
-	return v != "" && (v == r.Version || v == w.Models[r.Model].Version)
+	m := w.Models[r.Model]
+	if v == m.Version {
+		return v != ""
+	}
+	outdated := w.Config.OldVersions > 0 && w.Now.Sub(m.Since) > w.Config.OldVersions
+	return v != "" && v == r.Version && !outdated
 }
 
 // versionOf returns the weight version that a replica is taken to have: what it
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -48,6 +48,9 @@
 	Wait time.Duration
 	// Contexts tells whether context is kept in stores.
 	Contexts bool
+	// OldVersions is the time after which a replica under another weight version than
+	// the wanted one gets no more work; 0 for no bound.
+	OldVersions time.Duration
 	// Holders bounds the upstreams that are remembered to cache one block or part; 0
 	// for a few.
 	Holders int
@@ -97,6 +100,7 @@
 type Model struct {
 	ID      medlarid.ModelID
 	Version medlarid.WeightVersion
+	Since   time.Time // when Version was first wanted, as the core saw it
 }
 
 // Kind tells what an upstream is.
--- a/internal/ops/medlarattach/medlarattach.go
+++ b/internal/ops/medlarattach/medlarattach.go
@@ -52,10 +52,11 @@
 	outAfter       = 2500 * time.Millisecond // until the platform has taken an instance out
 	stopMargin     = 700 * time.Millisecond  // before the kill
 	stopPoll       = 20 * time.Millisecond
-	maxHolders     = 64   // replicas that are remembered to cache one part
-	queueLength    = 4096 // requests that may wait for an upstream
-	retryShare     = 0.8  // of the bound on repeated attempts that is used
-	retryMost      = 6    // repeated attempts that may be saved up
+	maxHolders     = 64                     // replicas that are remembered to cache one part
+	versionMargin  = 800 * time.Millisecond // before the bound on old weight versions, for requests under way
+	queueLength    = 4096                   // requests that may wait for an upstream
+	retryShare     = 0.8                    // of the bound on repeated attempts that is used
+	retryMost      = 6                      // repeated attempts that may be saved up
 	retryStart     = 2
 )
 
@@ -124,14 +125,15 @@
 
 func newLoop(cfg medlarsettings.Attached, m *medlarmetric.Metrics, log zerolog.Logger) *medlarloop.Loop {
 	core := medlartick.New(medlarworld.Config{
-		Self:      cfg.Name,
-		Zone:      cfg.Zone,
-		Weighting: medlarworld.WeighShare,
-		Queue:     queueLength,
-		Attempts:  1,
-		Holders:   maxHolders,
-		Retries:   medlarworld.Budget{Share: retryShare * cfg.Bounds.Retries, Most: retryMost, Start: retryStart},
-		Seed:      rand.Uint64(),
+		Self:        cfg.Name,
+		Zone:        cfg.Zone,
+		Weighting:   medlarworld.WeighShare,
+		Queue:       queueLength,
+		Attempts:    1,
+		Holders:     maxHolders,
+		OldVersions: cfg.Bounds.Weights.Std() - versionMargin,
+		Retries:     medlarworld.Budget{Share: retryShare * cfg.Bounds.Retries, Most: retryMost, Start: retryStart},
+		Seed:        rand.Uint64(),
 	})
 	return medlarloop.New(core, medlarloop.Seams{
 		Find:    func(medlarworld.Find) {},
--- a/internal/ops/medlarrollout/medlarrollout.go
+++ b/internal/ops/medlarrollout/medlarrollout.go
@@ -29,7 +29,8 @@
 // Times of the rounds.
 const (
 	interval    = 100 * time.Millisecond
-	followEvery = 4 * time.Second // reads of the terms while there is nothing to order
+	askEvery    = 300 * time.Millisecond // for stale replicas' state, by who gives no orders
+	followEvery = 4 * time.Second        // reads of the terms while there is nothing to order
 	rankDelay   = 60 * time.Millisecond
 	ranks       = 4 // instances that differ in rank
 	orderPause  = 600 * time.Millisecond
@@ -88,6 +89,7 @@
 
 	stale    time.Time // since when a stale replica is seen; zero for none
 	followed time.Time
+	asked    time.Time // when stale replicas were asked last
 	held     bool
 }
 
@@ -127,6 +129,10 @@
 	if r.stale.IsZero() {
 		r.stale = now
 	}
+	if !r.held && now.Sub(r.asked) < askEvery {
+		return
+	}
+	r.asked = now
 	states := r.askAll(stale)
 	if now.Sub(r.stale) < time.Duration(r.rank)*rankDelay { // R4
 		return
--- a/internal/ops/medlarsettings/attached.go
+++ b/internal/ops/medlarsettings/attached.go
@@ -26,6 +26,7 @@
 	Grace   medlarid.Duration `json:"grace"`   // from the signal to stop to the kill
 	Settle  medlarid.Duration `json:"settle"`  // between the orders of two holders
 	Retries float64           `json:"retries"` // repeated attempts for each request, over all instances
+	Weights medlarid.Duration `json:"weights"` // from the wish for a weight version to the last start under an older one
 	Return  medlarid.Duration `json:"return"`  // in which removed replicas come back after an outage of the store
 }
 
@@ -57,6 +58,7 @@
 		number("/memory", s.Memory, 32, 1<<20, "32 to 1048576 MB"),
 		span("/bounds/grace", s.Bounds.Grace, time.Second, time.Hour),
 		span("/bounds/settle", s.Bounds.Settle, 100*time.Millisecond, time.Minute),
+		span("/bounds/weights", s.Bounds.Weights, time.Second, time.Hour),
 		span("/bounds/return", s.Bounds.Return, 0, time.Minute),
 		{"/bounds/retries", s.Bounds.Retries >= 0 && s.Bounds.Retries <= 1, "0 to 1 attempts"},
 		{"/log/level", levels[s.Log.Level], "debug, info, warn or error"},
