Emulator of the users' platform, tests of the whole path and of bad input on both doors

medlarsite runs the store with doors of their own faults, replicas of engines and plain services, and the operator on loopback. The own door refuses ambiguous heads with 400 and the end of the connection; load counts refused connections apart from cut answers.

--- a/internal/base/medlarhead/medlarhead.go
+++ b/internal/base/medlarhead/medlarhead.go
@@ -119,6 +119,17 @@
 	return value, count
 }
 
+// CheckFields reads the fields of a request's head, as they were sent, and returns an
+// error if they are malformed or ambiguous. It is for a door whose HTTP library
+// accepts more.
+func CheckFields(raw string) error {
+	raw = strings.TrimSuffix(raw, "\r\n")
+	if strings.Count(raw, "\n") != strings.Count(raw, "\r\n") {
+		return malformed(OpRequest, "line without CR LF")
+	}
+	return (&Head{}).parse(raw, "HTTP/1.1", OpRequest)
+}
+
 // lineLimit bounds a chunk's size line and all trailers of a body, in bytes (R4).
 const lineLimit = 4096
 
--- a/internal/edge/medlarcaller/medlarcaller.go
+++ b/internal/edge/medlarcaller/medlarcaller.go
@@ -15,6 +15,7 @@
 //	R4  A request that must not be repeated needs an Idempotency-Key. It is one
 //	    whose header Medlar-Once is "yes", or whose method the service's entry in
 //	    the uses list names under once.
+//	R5  A request that two programs could read in two ways is refused.
 package medlarcaller
 
 import (
@@ -25,6 +26,7 @@
 
 	"medlarfield/internal/agree/medlarlist"
 	"medlarfield/internal/agree/medlarstate"
+	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
@@ -110,7 +112,21 @@
 	r.ANY("/services/{name}/{path:*}", c.withAccount(c.serveService))
 	r.NotFound = func(ctx *fasthttp.RequestCtx) { c.refuse(ctx, nil, refusal(medlarreason.Absent, "no such path")) }
 	r.MethodNotAllowed = r.NotFound
-	return r.Handler
+	return c.strict(r.Handler)
+}
+
+// strict refuses requests whose head the HTTP library accepts though another program
+// may read it in another way (R5). Where the next request begins is not known, so the
+// connection ends.
+func (c *Caller) strict(next fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if medlarhead.CheckFields(string(ctx.Request.Header.RawHeaders())) == nil {
+			next(ctx)
+			return
+		}
+		ctx.Response.Header.SetConnectionClose()
+		c.refuse(ctx, nil, refusal(medlarreason.Malformed, "the head of the request is ambiguous"))
+	}
 }
 
 // request is one request of a known account.
--- a/internal/ops/medlarattach/medlarattach.go
+++ b/internal/ops/medlarattach/medlarattach.go
@@ -49,7 +49,6 @@
 	replicaPace    = 200 * time.Millisecond  // between two of those
 	returnMargin   = 300 * time.Millisecond  // beside the time in which entries come back
 	lineIdle       = 5 * time.Second         // of connections for control calls
-	outAfter       = 2500 * time.Millisecond // until the platform has taken an instance out
 	stopMargin     = 700 * time.Millisecond  // before the kill
 	stopPoll       = 20 * time.Millisecond
 	maxHolders     = 64                     // replicas that are remembered to cache one part
@@ -265,7 +264,7 @@
 	i.stopping.Store(true)
 	i.door.Drain()
 	i.log.Info().Str("event", "stop").Int("open", i.door.Busy()).Msg("stopping")
-	time.Sleep(outAfter)
+	time.Sleep(i.cfg.Bounds.Out.Std())
 	_ = i.front.Close()
 	for i.door.CloseIdle(); i.door.Open() > 0 && time.Now().Before(end); i.door.CloseIdle() {
 		time.Sleep(stopPoll)
--- /dev/null
+++ b/internal/ops/medlarattach/path_test.go
@@ -0,0 +1,557 @@
+package medlarattach_test
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"medlarfield/internal/base/medlarhead"
+	"medlarfield/internal/ops/medlarattach"
+	"medlarfield/internal/stand/medlarfakereplica"
+	"medlarfield/internal/stand/medlarfaketopic"
+	"medlarfield/internal/stand/medlarsite"
+)
+
+// world is a site with one attached instance.
+type world struct {
+	t        *testing.T
+	site     *medlarsite.Site
+	door     *medlarfaketopic.Door
+	instance *medlarattach.Instance
+	logs     *logs
+	stop     func()
+	stopped  sync.Once
+}
+
+// logs keeps what an instance logs.
+type logs struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write keeps a line.
+func (l *logs) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *logs) text() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func start(t *testing.T, change func(*medlarsite.Settings)) *world {
+	t.Helper()
+	cfg := medlarsite.Default()
+	if change != nil {
+		change(&cfg)
+	}
+	site, err := medlarsite.New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(site.Close)
+	w := &world{t: t, site: site, logs: &logs{}}
+	settings, door, err := site.Attached("entry-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.door = door
+	if w.instance, err = medlarattach.New(settings, w.logs); err != nil {
+		t.Fatal(err)
+	}
+	stop, err := w.instance.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.stop = func() { w.stopped.Do(stop) }
+	t.Cleanup(w.stop)
+	w.eventually("the instance is ready", w.instance.Ready)
+	return w
+}
+
+// eventually waits until a condition holds.
+func (w *world) eventually(what string, ok func() bool) {
+	w.t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	w.t.Fatalf("not in time: %s", what)
+}
+
+// request is what a caller sends.
+type request struct {
+	method, path, id, key, body string
+	fields                      string // more lines, with their ends
+	timeout                     time.Duration
+}
+
+func (q request) text() string {
+	if q.method == "" {
+		q.method = "GET"
+	}
+	if q.key == "" {
+		q.key = medlarsite.Key
+	}
+	if q.timeout == 0 {
+		q.timeout = 2 * time.Second
+	}
+	s := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nMedlarfield-Request-Id: %s\r\nMedlarfield-Timeout-Ms: %d\r\nApi-Key: %s\r\n%s",
+		q.method, q.path, medlarsite.Host, q.id, q.timeout.Milliseconds(), q.key, q.fields)
+	if q.body != "" {
+		s += fmt.Sprintf("Content-Length: %d\r\n", len(q.body))
+	}
+	return s + "\r\n" + q.body
+}
+
+// prompt returns the fields of a request with a prompt.
+func prompt(parts string) string {
+	return "Medlarfield-Model: " + medlarsite.Model + "\r\nMedlarfield-Token-Usage: 1000,50\r\nMedlarfield-Prompt-Prefix: " + parts + "\r\n"
+}
+
+// result is what a caller gets.
+type result struct {
+	status int
+	head   *medlarhead.Head
+	body   string
+	whole  bool
+}
+
+func (r result) get(name string) string {
+	if r.head == nil {
+		return ""
+	}
+	v, _ := r.head.Get(name)
+	return v
+}
+
+// ask sends a request on a connection of its own.
+func (w *world) ask(q request) result { return w.askRaw(q.text()) }
+
+func (w *world) askRaw(text string) result {
+	w.t.Helper()
+	c, err := net.Dial("tcp", string(w.instance.Address()))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	return w.askOn(c, bufio.NewReader(c), text)
+}
+
+func (w *world) askOn(c net.Conn, br *bufio.Reader, text string) result {
+	w.t.Helper()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	if _, err := io.WriteString(c, text); err != nil {
+		w.t.Fatal(err)
+	}
+	h, err := medlarhead.ReadResponse(br, 1<<14, "GET")
+	if err != nil {
+		return result{}
+	}
+	body, err := io.ReadAll(medlarhead.NewBody(br, h))
+	return result{status: h.Status, head: h, body: string(body), whole: err == nil}
+}
+
+// ran returns the runs with an id.
+func (w *world) ran(id string) []medlarfakereplica.Run {
+	var out []medlarfakereplica.Run
+	for _, r := range w.site.Replicas() {
+		for _, run := range r.Runs() {
+			if run.ID == id {
+				out = append(out, run)
+			}
+		}
+	}
+	return out
+}
+
+// arm makes the next request of each replica go wrong.
+func arm(rs []*medlarfakereplica.Replica, f medlarfakereplica.Fault) {
+	for _, r := range rs {
+		r.Arm(f, 1)
+	}
+}
+
+func assertResult(t *testing.T, got result, status int, body string) {
+	t.Helper()
+	if got.status != status || !got.whole || body != "" && got.body != body {
+		t.Errorf("status %d, whole %v, body %q; want %d, %q", got.status, got.whole, got.body, status, body)
+	}
+}
+
+func TestRequestsAreRoutedAndPassedOn(t *testing.T) {
+	w := start(t, nil)
+	t.Run("as they are", func(t *testing.T) {
+		got := w.ask(request{method: "POST", path: "/post/a?b=c", id: "r1", body: "pay", fields: "X-Own: 1\r\nMedlarfield-Tenant: forged\r\nMedlarfield-Hold: h\r\n"})
+		assertResult(t, got, 200, "answer to r1")
+		runs := w.ran("r1")
+		if len(runs) != 1 || runs[0].Method != "POST" || runs[0].Target != "/post/a?b=c" || runs[0].Body != "pay" || runs[0].Account != medlarsite.Account {
+			t.Errorf("ran as %+v", runs)
+		}
+		if got.get("Medlarfield-Server-Signature") == "" {
+			t.Error("the signature is missing")
+		}
+	})
+	t.Run("in chunks", func(t *testing.T) {
+		text := request{method: "POST", path: "/post/a", id: "r2", fields: "Transfer-Encoding: chunked\r\n"}.text()
+		assertResult(t, w.askRaw(text+"2\r\npa\r\n1\r\ny\r\n0\r\n\r\n"), 200, "answer to r2")
+		if runs := w.ran("r2"); len(runs) != 1 || runs[0].Body != "pay" {
+			t.Errorf("ran as %+v", runs)
+		}
+	})
+	t.Run("a stream under its weights", func(t *testing.T) {
+		got := w.ask(request{method: "POST", path: "/letter/x", id: "r3", body: "{}", fields: prompt("aa:100,bb:400,cc:500")})
+		if got.status != 200 || !got.whole || strings.Count(got.body, "id: ") != medlarsite.Default().Events {
+			t.Errorf("status %d, whole %v, body %q", got.status, got.whole, got.body)
+		}
+		if runs := w.ran("r3"); len(runs) != 1 || runs[0].Version != "1" || runs[0].Salt != "v1" || runs[0].Model != medlarsite.Model {
+			t.Errorf("ran as %+v", runs)
+		}
+	})
+	for _, tc := range []struct {
+		name string
+		q    request
+		want int
+	}{
+		{"unknown path", request{path: "/none/", id: "x1"}, 404},
+		{"unknown key", request{path: "/read/a", id: "x2", key: "other"}, 401},
+		{"no id", request{path: "/read/a"}, 400},
+		{"two ids", request{path: "/read/a", id: "x3", fields: "Medlarfield-Request-Id: x4\r\n"}, 400},
+		{"bad timeout", request{path: "/read/a", id: "x5", fields: "Medlarfield-Timeout-Ms: soon\r\n"}, 400},
+	} {
+		t.Run(tc.name, func(t *testing.T) { assertResult(t, w.ask(tc.q), tc.want, "") })
+	}
+}
+
+// TestBadAnswers plays what replicas do wrong: what the caller gets, and how often the
+// request ran.
+func TestBadAnswers(t *testing.T) {
+	const safe, once = "/read/a", "/post/a"
+	for _, tc := range []struct {
+		fault  medlarfakereplica.Fault
+		path   string
+		status int
+		runs   int
+	}{
+		{medlarfakereplica.FaultShed, safe, 503, 0},
+		{medlarfakereplica.FaultShed, once, 503, 0},
+		{medlarfakereplica.FaultMisplaced, safe, 503, 0},
+		{medlarfakereplica.FaultFail, safe, 500, 2},
+		{medlarfakereplica.FaultFail, once, 500, 1},
+		{medlarfakereplica.FaultLost, safe, 502, 2},
+		{medlarfakereplica.FaultLost, once, 502, 1},
+		{medlarfakereplica.FaultCut, safe, 502, 2},
+		{medlarfakereplica.FaultCut, once, 502, 1},
+		{medlarfakereplica.FaultGarbage, once, 502, 1},
+		{medlarfakereplica.FaultUnsigned, once, 502, 1},
+		{medlarfakereplica.FaultOther, once, 504, 1},
+		{medlarfakereplica.FaultCoded, once, 502, 1},
+		{medlarfakereplica.FaultForeign, once, 200, 1},
+		{medlarfakereplica.FaultExtra, once, 200, 1},
+		{medlarfakereplica.FaultUnframed, once, 200, 1},
+	} {
+		t.Run(string(tc.fault)+tc.path, func(t *testing.T) {
+			w := start(t, func(s *medlarsite.Settings) { s.Engines = 1 })
+			for range 3 {
+				arm(w.site.Plain, tc.fault)
+			}
+			got := w.ask(request{path: tc.path, id: "r"})
+			assertResult(t, got, tc.status, "")
+			if n := len(w.ran("r")); n != tc.runs {
+				t.Errorf("ran %d times, want %d", n, tc.runs)
+			}
+			if tc.status == 503 && got.get("Retry-After") == "" {
+				t.Error("a refusal without Retry-After")
+			}
+		})
+	}
+}
+
+func TestExtraBytesReachNobody(t *testing.T) {
+	w := start(t, func(s *medlarsite.Settings) { s.Plain = 1 })
+	arm(w.site.Plain, medlarfakereplica.FaultExtra)
+	assertResult(t, w.ask(request{path: "/read/a", id: "r1"}), 200, "answer to r1")
+	assertResult(t, w.ask(request{path: "/read/a", id: "r2"}), 200, "answer to r2")
+}
+
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	w := start(t, nil)
+	arm(w.site.Engines, medlarfakereplica.FaultCut)
+	q := request{method: "POST", path: "/letter/x", id: "r", body: "{}", fields: prompt("aa:100,bb:400,cc:500")}
+	got := w.ask(q)
+	events := medlarsite.Default().Events
+	if got.status != 200 || !got.whole {
+		// Each replica breaks its first stream off; the second attempt gets the rest or
+		// breaks off as well, and then the answer has no end.
+		if strings.Count(got.body, "id: ") == events {
+			t.Errorf("a whole stream without its end")
+		}
+	}
+	for n := 1; n <= strings.Count(got.body, "id: "); n++ {
+		if strings.Count(got.body, fmt.Sprintf("id: %d\n", n)) != 1 {
+			t.Errorf("event %d is missing or comes twice in %q", n, got.body)
+		}
+	}
+	if runs := w.ran("r"); len(runs) != 2 || runs[1].Last == "" && runs[0].Last == "" {
+		t.Errorf("ran as %+v, want two runs, the second from the last event on", runs)
+	}
+}
+
+func TestStreamThatMustNotRunTwiceEndsWithoutItsEnd(t *testing.T) {
+	w := start(t, nil)
+	arm(w.site.Engines, medlarfakereplica.FaultCut)
+	got := w.ask(request{method: "POST", path: "/query/x", id: "r", body: "{}", fields: prompt("aa:100,cc:500")})
+	if got.status != 200 || got.whole {
+		t.Errorf("status %d, whole %v; want an answer without its end", got.status, got.whole)
+	}
+	if runs := w.ran("r"); len(runs) != 1 {
+		t.Errorf("ran %d times", len(runs))
+	}
+}
+
+func TestCallerThatLeavesEndsTheWork(t *testing.T) {
+	w := start(t, func(s *medlarsite.Settings) { s.Events, s.Work = 1000, 10*time.Millisecond })
+	c, err := net.Dial("tcp", string(w.instance.Address()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	q := request{method: "POST", path: "/letter/x", id: "r", body: "{}", fields: prompt("aa:100,bb:400,cc:500")}
+	if _, err := io.WriteString(c, q.text()); err != nil {
+		t.Fatal(err)
+	}
+	active := func() int {
+		n := 0
+		for _, r := range w.site.Engines {
+			n += r.Active()
+		}
+		return n
+	}
+	w.eventually("the stream runs", func() bool { return active() == 1 })
+	_ = c.Close()
+	begin := time.Now()
+	w.eventually("the work ends", func() bool { return active() == 0 })
+	if took := time.Since(begin); took > 500*time.Millisecond {
+		t.Errorf("the work went on for %v", took)
+	}
+}
+
+func TestDeadlineEndsWithAnAnswer(t *testing.T) {
+	w := start(t, func(s *medlarsite.Settings) { s.Work = 5 * time.Second })
+	for _, tc := range []struct {
+		path string
+		want int
+	}{{"/read/a", 504}, {"/post/a", 504}} {
+		t.Run(tc.path, func(t *testing.T) {
+			begin := time.Now()
+			got := w.ask(request{path: tc.path, id: "r" + tc.path[1:2], timeout: 300 * time.Millisecond})
+			assertResult(t, got, tc.want, "")
+			if took := time.Since(begin); took > 500*time.Millisecond {
+				t.Errorf("answered after %v", took)
+			}
+		})
+	}
+}
+
+func TestCallerThatStallsIsCutOff(t *testing.T) {
+	w := start(t, nil)
+	assertResult(t, w.askRaw("GET /read/a HTTP/1.1\r\nHost: a\r\n"), 408, "")
+}
+
+func TestLargeRequestsAreRefused(t *testing.T) {
+	w := start(t, nil)
+	assertResult(t, w.ask(request{path: "/read/a", id: "r", fields: "X-Large: " + strings.Repeat("x", 9000) + "\r\n"}), 431, "")
+	text := fmt.Sprintf("POST /post/a HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", 2<<20)
+	assertResult(t, w.askRaw(text), 413, "")
+}
+
+func TestConfigurationIsFollowedThroughAnOutage(t *testing.T) {
+	for _, fault := range []medlarfaketopic.Fault{
+		medlarfaketopic.FaultRefuse, medlarfaketopic.FaultLimit, medlarfaketopic.FaultReset, medlarfaketopic.FaultSilent,
+	} {
+		t.Run(string(fault), func(t *testing.T) {
+			w := start(t, nil)
+			w.door.Set(fault)
+			if err := w.site.Change(func(c *medlarsite.Config) { c.Tenants[0].ApiKeys = []string{"key-two"} }); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(200 * time.Millisecond)
+			if !w.instance.Ready() {
+				t.Error("an instance without the store is unready")
+			}
+			w.door.Set(medlarfaketopic.FaultNone)
+			n := 0
+			w.eventually("the new key is in force", func() bool {
+				n++
+				return w.ask(request{path: "/read/a", id: fmt.Sprint("k", n), key: "key-two"}).status == 200
+			})
+			assertResult(t, w.ask(request{path: "/read/a", id: "old"}), 401, "")
+		})
+	}
+}
+
+func TestHistoryThatIsDropped(t *testing.T) {
+	w := start(t, nil)
+	w.door.Set(medlarfaketopic.FaultRefuse)
+	time.Sleep(100 * time.Millisecond)
+	if err := w.site.Change(func(c *medlarsite.Config) { c.Routes[3].PathPrefix = "/reads/" }); err != nil {
+		t.Fatal(err)
+	}
+	w.site.Store.Compact("keyed.op")
+	w.site.Store.Compact("keyed.servers")
+	w.door.Set(medlarfaketopic.FaultNone)
+	n := 0
+	w.eventually("the new route is in force", func() bool {
+		n++
+		return w.ask(request{path: "/reads/a", id: fmt.Sprint("k", n)}).status == 200
+	})
+}
+
+func TestEntriesThatNameNoReplica(t *testing.T) {
+	w := start(t, nil)
+	for i, value := range []string{
+		"not JSON", "{}", `{"Service":"ledger","Address":7}`, `{"Service":"ledger","Address":"127.0.0.1:1","MaxBatchSize":4,"Phase":"odd"}`,
+	} {
+		w.site.Store.Put("keyed.servers", fmt.Sprint("stranger-", i), []byte(value))
+	}
+	w.site.Store.Put("keyed.op", "config", []byte(`{"Version":"nine"}`))
+	time.Sleep(300 * time.Millisecond)
+	for i := range 20 {
+		assertResult(t, w.ask(request{path: "/read/a", id: fmt.Sprint("r", i)}), 200, "")
+	}
+}
+
+func TestLeavingReplicaGetsNothing(t *testing.T) {
+	w := start(t, nil)
+	gone := w.site.Plain[0]
+	gone.Leave()
+	time.Sleep(500 * time.Millisecond)
+	before := len(gone.Runs())
+	for i := range 30 {
+		assertResult(t, w.ask(request{path: "/read/a", id: fmt.Sprint("r", i)}), 200, "")
+	}
+	if n := len(gone.Runs()) - before; n != 0 {
+		t.Errorf("a leaving replica ran %d requests", n)
+	}
+}
+
+func TestWeightsAreBroughtToTheWantedVersion(t *testing.T) {
+	w := start(t, nil)
+	w.site.Want(2)
+	w.eventually("all replicas have the wanted weights", func() bool {
+		for _, r := range w.site.Engines {
+			if r.Version() != 2 {
+				return false
+			}
+		}
+		return true
+	})
+	got := w.ask(request{method: "POST", path: "/letter/x", id: "r", body: "{}", fields: prompt("aa:100,cc:500")})
+	if runs := w.ran("r"); got.status != 200 || len(runs) != 1 || runs[0].Salt != "v2" {
+		t.Errorf("status %d, ran as %+v", got.status, runs)
+	}
+}
+
+func TestGracefulStop(t *testing.T) {
+	w := start(t, func(s *medlarsite.Settings) {
+		s.Events, s.Work, s.Out = 40, 40*time.Millisecond, 500*time.Millisecond
+	})
+	idle, err := net.Dial("tcp", string(w.instance.Address()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = idle.Close() }()
+	br := bufio.NewReader(idle)
+	assertResult(t, w.askOn(idle, br, request{path: "/read/a", id: "r0"}.text()), 200, "")
+	stream := make(chan result, 1)
+	go func() {
+		stream <- w.ask(request{method: "POST", path: "/query/x", id: "r1", body: "{}", fields: prompt("aa:100,cc:500"), timeout: 9 * time.Second})
+	}()
+	w.eventually("the stream runs", func() bool { return len(w.ran("r1")) == 1 })
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.stop()
+	}()
+	w.eventually("the instance is unready", func() bool { return !w.instance.Ready() })
+	got := w.askOn(idle, br, request{path: "/read/a", id: "r2"}.text())
+	assertResult(t, got, 200, "answer to r2")
+	if !strings.EqualFold(got.get("Connection"), "close") {
+		t.Error("an answer of a stopping instance is not the last one of its connection")
+	}
+	if r := <-stream; r.status != 200 || !r.whole {
+		t.Errorf("stream: status %d, whole %v", r.status, r.whole)
+	}
+	<-done
+	if !strings.Contains(w.logs.text(), `"cut":0`) {
+		t.Error("the log does not say that nothing was cut")
+	}
+}
+
+// TestIdleConnectionThatGetsARequest is the history of a connection that was closed as
+// idle while its request was being read: a request on any kept connection is answered
+// whole, or not read at all.
+func TestIdleConnectionThatGetsARequest(t *testing.T) {
+	w := start(t, func(s *medlarsite.Settings) { s.Plain, s.Work = 1, time.Millisecond })
+	const callers = 24
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var lost []string
+	end := time.Now().Add(4 * time.Second)
+	for i := range callers {
+		wg.Go(func() {
+			for n := 0; time.Now().Before(end); n++ {
+				c, err := net.Dial("tcp", string(w.instance.Address()))
+				if err != nil {
+					return // the listener is closed
+				}
+				br := bufio.NewReader(c)
+				for m := range 3 {
+					id := fmt.Sprintf("r%d-%d-%d", i, n, m)
+					got := quietAsk(c, br, request{path: "/post/a", id: id}.text())
+					if got.status != 200 {
+						if len(w.ran(id)) > 0 {
+							mu.Lock()
+							lost = append(lost, id)
+							mu.Unlock()
+						}
+						break
+					}
+					time.Sleep(time.Duration(i) * time.Millisecond)
+				}
+				_ = c.Close()
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	w.stop()
+	wg.Wait()
+	if len(lost) > 0 {
+		t.Errorf("%d requests ran and got no answer, such as %s", len(lost), lost[0])
+	}
+}
+
+// quietAsk is ask for a connection that may be closed at any time.
+func quietAsk(c net.Conn, br *bufio.Reader, text string) result {
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	if _, err := io.WriteString(c, text); err != nil {
+		return result{}
+	}
+	h, err := medlarhead.ReadResponse(br, 1<<14, "GET")
+	if err != nil {
+		return result{}
+	}
+	if _, err := io.ReadAll(medlarhead.NewBody(br, h)); err != nil {
+		return result{}
+	}
+	return result{status: h.Status, head: h, whole: true}
+}
--- a/internal/ops/medlarsettings/attached.go
+++ b/internal/ops/medlarsettings/attached.go
@@ -24,6 +24,7 @@
 // Bounds are what the platform's operators ask of an attached instance.
 type Bounds struct {
 	Grace   medlarid.Duration `json:"grace"`   // from the signal to stop to the kill
+	Out     medlarid.Duration `json:"out"`     // from the signal to stop until no new callers come
 	Settle  medlarid.Duration `json:"settle"`  // between the orders of two holders
 	Retries float64           `json:"retries"` // repeated attempts for each request, over all instances
 	Weights medlarid.Duration `json:"weights"` // from the wish for a weight version to the last start under an older one
@@ -57,6 +58,7 @@
 		address("/store", s.Store),
 		number("/memory", s.Memory, 32, 1<<20, "32 to 1048576 MB"),
 		span("/bounds/grace", s.Bounds.Grace, time.Second, time.Hour),
+		span("/bounds/out", s.Bounds.Out, 0, s.Bounds.Grace.Std()),
 		span("/bounds/settle", s.Bounds.Settle, 100*time.Millisecond, time.Minute),
 		span("/bounds/weights", s.Bounds.Weights, time.Second, time.Hour),
 		span("/bounds/return", s.Bounds.Return, 0, time.Minute),
--- a/internal/stand/medlarload/medlarload.go
+++ b/internal/stand/medlarload/medlarload.go
@@ -13,6 +13,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/stand/medlarclient"
+	"medlarfield/internal/upstream/medlarhttp"
 )
 
 // Settings are the load to make.
@@ -28,12 +29,14 @@
 
 // Report is how prompts were answered.
 type Report struct {
-	Whole   int                         `json:"whole"`
-	Cut     int                         `json:"cut"` // neither whole nor refused
-	Refused map[medlarreason.Reason]int `json:"refused"`
-	Parts   int                         `json:"parts"`
-	First   []time.Duration             `json:"-"` // in order of length
-	Took    time.Duration               `json:"-"`
+	Whole int `json:"whole"`
+	Cut   int `json:"cut"` // neither whole nor refused
+	// Unreached counts prompts that no instance took: there was no connection.
+	Unreached int                         `json:"unreached"`
+	Refused   map[medlarreason.Reason]int `json:"refused"`
+	Parts     int                         `json:"parts"`
+	First     []time.Duration             `json:"-"` // in order of length
+	Took      time.Duration               `json:"-"`
 }
 
 // Run makes the load until its time is over and all answers have come.
@@ -68,6 +71,8 @@
 	case err == nil && res.Whole:
 		r.Whole++
 		r.First = append(r.First, res.First)
+	case err != nil && !medlarhttp.Sent(err):
+		r.Unreached++
 	case err == nil && res.Reason != "":
 		r.Refused[res.Reason]++
 	default:
@@ -90,6 +95,7 @@
 	_, _ = fmt.Fprintf(t, "parts\t%d\t%.0f/s\n", r.Parts, float64(r.Parts)/r.Took.Seconds())
 	_, _ = fmt.Fprintf(t, "first token\tp50 %v\tp95 %v\n", r.quantile(0.5), r.quantile(0.95))
 	_, _ = fmt.Fprintf(t, "cut\t%d\n", r.Cut)
+	_, _ = fmt.Fprintf(t, "no connection\t%d\n", r.Unreached)
 	for reason, n := range r.Refused {
 		_, _ = fmt.Fprintf(t, "refused\t%d\t%s\n", n, reason)
 	}
--- /dev/null
+++ b/internal/stand/medlarload/medlarload_test.go
@@ -0,0 +1,44 @@
+package medlarload
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+)
+
+func TestRefusedConnectionIsNoCutAnswer(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := medlarid.Address(ln.Addr().String())
+	_ = ln.Close()
+	r := Run(Settings{At: []medlarid.Address{at}, Streams: 1, Time: 50 * time.Millisecond})
+	if r.Cut != 0 || r.Unreached == 0 {
+		t.Errorf("cut %d, unreached %d; want none cut", r.Cut, r.Unreached)
+	}
+}
+
+func TestClosedConnectionIsACutAnswer(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Read(make([]byte, 4096))
+			_ = c.Close()
+		}
+	}()
+	r := Run(Settings{At: []medlarid.Address{medlarid.Address(ln.Addr().String())}, Streams: 1, Time: 50 * time.Millisecond})
+	if r.Cut == 0 {
+		t.Errorf("cut %d, unreached %d; want some cut", r.Cut, r.Unreached)
+	}
+}
