--- /dev/null
+++ b/internal/core/medlartick/load_test.go
@@ -0,0 +1,240 @@
+package medlartick
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarkey"
+	"medlarfield/internal/core/medlarworld"
+)
+
+// The load: dossiers that return through several instances, at replicas that compute
+// one prompt after the other and whose memory holds what waits. Parts that were
+// fetched for a prompt are lost once more prompts wait than the memory holds. For a
+// while a part of the replicas is gone.
+const (
+	loadInstances = 4
+	loadReplicas  = 12
+	loadGone      = 4
+	loadFrom      = 3 * time.Second
+	loadUntil     = 8 * time.Second
+	loadEnd       = 20 * time.Second
+	loadRate      = 225 // prompts a second
+	loadDossier   = 6000
+	loadOwn       = 2000
+	loadPrefill   = 80000.0
+	loadMemory    = 5 // prompts that may wait before fetched parts are lost
+	loadTarget    = 600 * time.Millisecond
+	loadPatience  = 2400 * time.Millisecond
+)
+
+// loadReplica computes prompts in the order of arrival.
+type loadReplica struct {
+	free    time.Time
+	waiting int
+}
+
+// loadEvent is something that happens at a time.
+type loadEvent struct {
+	at   time.Time
+	seq  int
+	what func()
+}
+
+type loadQueue []loadEvent
+
+func (q loadQueue) Len() int { return len(q) }
+func (q loadQueue) Less(i, j int) bool {
+	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].seq < q[j].seq
+}
+func (q loadQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *loadQueue) Push(x any)   { *q = append(*q, x.(loadEvent)) }
+func (q *loadQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// loadSim plays the load in virtual time.
+type loadSim struct {
+	now      time.Time
+	queue    loadQueue
+	seq      int
+	cores    []*Core
+	replicas map[medlarid.InstanceID]*loadReplica
+	bounded  bool // whether the cores learn when answers begin
+	open     map[medlarid.RequestID]bool
+	inTime   map[int]int // by second of arrival
+	asked    map[int]int
+	begin    time.Time
+}
+
+func (s *loadSim) at(t time.Time, f func()) {
+	s.seq++
+	heap.Push(&s.queue, loadEvent{t, s.seq, f})
+}
+
+// tick hands events to a core and carries out what it orders.
+func (s *loadSim) tick(c *Core, events ...medlarworld.Event) {
+	for _, cmd := range c.Tick(s.now, events) {
+		switch cmd := cmd.(type) {
+		case medlarworld.Start:
+			s.start(c, cmd)
+		case medlarworld.Refuse:
+			delete(s.open, cmd.Run)
+		}
+	}
+}
+
+func (s *loadSim) start(c *Core, cmd medlarworld.Start) {
+	r := c.World().Runs[cmd.Run]
+	u := s.replicas[cmd.Upstream]
+	arrived, begun := r.Arrived, s.now
+	cold := float64(loadOwn)
+	if u.waiting >= loadMemory {
+		cold += loadDossier // what was fetched is lost before it is used
+	}
+	u.waiting++
+	if u.free.Before(s.now) {
+		u.free = s.now
+	}
+	u.free = u.free.Add(time.Duration(cold / loadPrefill * float64(time.Second)))
+	s.at(u.free, func() {
+		u.waiting--
+		if s.open[cmd.Run] && s.now.Sub(arrived) <= loadTarget {
+			s.inTime[int(arrived.Sub(s.begin).Seconds())]++
+		}
+		delete(s.open, cmd.Run)
+		if s.bounded {
+			s.tick(c, medlarworld.Began{Run: cmd.Run, Attempt: cmd.Attempt, After: s.now.Sub(begun)})
+		}
+		s.at(s.now.Add(100*time.Millisecond), func() {
+			s.tick(c, medlarworld.Ended{Run: cmd.Run, Attempt: cmd.Attempt, Cause: medlarworld.CauseDone, Reached: true})
+		})
+	})
+}
+
+func (s *loadSim) list(from int) {
+	var members []medlarworld.Member
+	for i := from; i < loadReplicas; i++ {
+		m := engineMember(i, "1")
+		m.Slots, m.Memory = 64, 0
+		members = append(members, m)
+	}
+	members = append(members, medlarworld.Member{ID: "store", Kind: "store", Address: "at-store", Capacity: 1 << 30, Rate: 1e12})
+	for _, c := range s.cores {
+		s.tick(c, medlarworld.Listed{Members: members})
+	}
+}
+
+// playLoad plays the load and returns the share in time by second of arrival.
+func playLoad(seed uint64, bounded bool) map[int]float64 {
+	begin := time.Unix(1000, 0)
+	s := &loadSim{
+		now: begin, begin: begin, bounded: bounded, replicas: map[medlarid.InstanceID]*loadReplica{},
+		open: map[medlarid.RequestID]bool{}, inTime: map[int]int{}, asked: map[int]int{},
+	}
+	rnd := rand.New(rand.NewPCG(seed, seed))
+	for i := range loadReplicas {
+		s.replicas[engineMember(i, "1").ID] = &loadReplica{}
+	}
+	for i := range loadInstances {
+		s.cores = append(s.cores, New(medlarworld.Config{
+			Self: medlarid.InstanceID(fmt.Sprint("i", i)), Zone: "a", Weighting: medlarworld.WeighShare, Queue: 4096,
+			Attempts: 1, Seed: seed + uint64(i), Holders: 64,
+		}))
+		s.tick(s.cores[i], medlarworld.Applied{Version: 1, Models: []medlarworld.Model{{ID: partsModel, Version: "1"}}})
+	}
+	s.list(0)
+	s.at(begin.Add(loadFrom), func() { s.list(loadGone) })
+	s.at(begin.Add(loadUntil), func() { s.list(0) })
+	for at := begin; at.Before(begin.Add(loadEnd)); at = at.Add(time.Duration(rnd.ExpFloat64() / loadRate * float64(time.Second))) {
+		s.at(at, func() { s.ask(rnd) })
+	}
+	for at := begin; at.Before(begin.Add(loadEnd)); at = at.Add(10 * time.Millisecond) {
+		s.at(at, func() {
+			for _, c := range s.cores {
+				s.stock(c)
+				s.tick(c, medlarworld.Tick{})
+			}
+		})
+	}
+	for s.queue.Len() > 0 {
+		e := heap.Pop(&s.queue).(loadEvent)
+		s.now = e.at
+		e.what()
+	}
+	out := map[int]float64{}
+	for sec, n := range s.asked {
+		out[sec] = float64(s.inTime[sec]) / float64(n)
+	}
+	return out
+}
+
+// stock tells a core that the store holds all dossiers.
+func (s *loadSim) stock(c *Core) {
+	e := medlarworld.Stocked{Store: "store", Epoch: 1, At: s.now}
+	if s.now.Sub(s.begin) < 10*time.Millisecond {
+		e.Reset = true
+		for i := range loadDossiers {
+			e.Added = append(e.Added, medlarworld.StockPart{Key: dossier(i), Tokens: loadDossier})
+		}
+	}
+	s.tick(c, e)
+}
+
+const loadDossiers = 240
+
+func dossier(i int) medlarkey.Key {
+	return medlarkey.Part("v1", partsModel, fmt.Sprint("dossier-", i))
+}
+
+// ask submits a prompt to an instance; its caller leaves if no answer begins.
+func (s *loadSim) ask(rnd *rand.Rand) {
+	c := s.cores[rnd.IntN(len(s.cores))]
+	id := medlarid.RequestID(fmt.Sprint("q", len(s.open), "-", s.seq))
+	k := dossier(rnd.IntN(loadDossiers))
+	r := &medlarworld.Run{
+		ID: id, Service: partsService, Model: partsModel, Version: "1", Arrived: s.now, Attempts: 2,
+		Deadline: s.now.Add(12 * time.Second), StartBy: s.now.Add(loadTarget - 80*time.Millisecond), GiveUp: s.now.Add(loadPatience),
+		Keys: []medlarkey.Key{k, medlarkey.Part("v1", partsModel, string(id))}, Home: k,
+		Sizes: []medlarid.Tokens{loadDossier, loadOwn}, Prompt: loadDossier + loadOwn,
+	}
+	s.open[id] = true
+	s.asked[int(s.now.Sub(s.begin).Seconds())]++
+	s.tick(c, medlarworld.Submitted{Run: r})
+	s.at(s.now.Add(loadPatience), func() {
+		if s.open[id] {
+			delete(s.open, id)
+			s.tick(c, medlarworld.Left{Run: id})
+		}
+	})
+}
+
+// TestOverloadEndsWithItsCause asserts what callers get: from two seconds after the
+// replicas are back on, nearly all answers begin in time. Without windows the overload
+// keeps itself up, which shows that the load is one to withstand.
+func TestOverloadEndsWithItsCause(t *testing.T) {
+	const after, settled = 10, 19 // seconds
+	mean := func(share map[int]float64) float64 {
+		sum := 0.0
+		for sec := after; sec < settled; sec++ {
+			sum += share[sec]
+		}
+		return sum / (settled - after)
+	}
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			if got := mean(playLoad(seed, true)); got < 0.95 {
+				t.Errorf("after the overload %.2f of the answers begin in time, want 0.95", got)
+			}
+			if got := mean(playLoad(seed, false)); got > 0.8 {
+				t.Errorf("without windows %.2f begin in time: the load is too light to show anything", got)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/edge/medlarpass/close_test.go
@@ -0,0 +1,106 @@
+package medlarpass_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"medlarfield/internal/agree/medlarcatalog"
+	"medlarfield/internal/base/medlarhead"
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/edge/medlarpass"
+	"medlarfield/internal/edge/medlarpool"
+	"medlarfield/internal/stand/medlarfakereplica"
+	"medlarfield/platform"
+)
+
+// newDoor returns a door whose core sends each run to one replica at once.
+func newDoor(t *testing.T, r *medlarfakereplica.Replica) (*medlarpass.Door, string) {
+	t.Helper()
+	cat := medlarcatalog.New(1, []medlarcatalog.Route{{
+		Name: "r", Host: "a.example", Prefix: "/", Kind: medlarcatalog.KindOnce, Open: true, Attempts: 1,
+		Timeout: 5 * time.Second, Backends: []medlarcatalog.Backend{{Service: "s", Weight: 1}},
+	}}, nil, nil, false, medlarcatalog.Limits{Header: 8192, Body: 8192, Head: time.Second, Idle: 5 * time.Second})
+	door := medlarpass.New(medlarpass.Seams{
+		Catalog: func() *medlarcatalog.Catalog { return cat },
+		Submit: func(run *medlarworld.Run, _ medlarworld.Limits) <-chan medlarworld.Command {
+			box := make(chan medlarworld.Command, 1)
+			box <- medlarworld.Start{
+				Run: run.ID, Attempt: 1, Upstream: medlarid.InstanceID(r.Settings.ID), Address: medlarid.Address(r.Address()),
+			}
+			return box
+		},
+		Done:    func(medlarid.RequestID) {},
+		Post:    func(medlarworld.Event) {},
+		Told:    func(medlarid.InstanceID, medlarid.WeightVersion) {},
+		Pool:    medlarpool.New(),
+		Decode:  medlarplatform.DecodeCall,
+		Forward: medlarplatform.NewClock().AppendForward,
+		Reply:   medlarplatform.DecodeReply,
+		Refusal: medlarplatform.AppendRefusal,
+		Note:    medlarpass.Notes{Attempt: func(*medlarpass.Attempt) {}, Ended: func(*medlarpass.Summary) {}},
+		Rand:    func() float64 { return 0 },
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() { _ = door.Serve(ln) }()
+	return door, ln.Addr().String()
+}
+
+// TestCloseOfIdleConnections closes idle connections while requests come on them: a
+// request that ran has its answer.
+func TestCloseOfIdleConnections(t *testing.T) {
+	r, err := medlarfakereplica.New(medlarfakereplica.Settings{ID: "one", Service: "s", Slots: 64}, func() {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Kill)
+	door, at := newDoor(t, r)
+	lost := 0
+	for n := range 1500 {
+		c, err := net.Dial("tcp", at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		br := bufio.NewReader(c)
+		if !ask(c, br, fmt.Sprintf("warm-%d", n)) {
+			t.Fatal("no answer on a new connection")
+		}
+		var answered bool
+		var wg sync.WaitGroup
+		wg.Go(func() { answered = ask(c, br, fmt.Sprintf("race-%d", n)) })
+		time.Sleep(time.Duration(n%40) * 2 * time.Microsecond)
+		door.CloseIdle()
+		wg.Wait()
+		_ = c.Close()
+		runs := r.Runs()
+		if ran := runs[len(runs)-1].ID == fmt.Sprintf("race-%d", n); ran && !answered {
+			lost++
+		}
+	}
+	if lost > 0 {
+		t.Errorf("%d requests ran and got no answer", lost)
+	}
+}
+
+func ask(c net.Conn, br *bufio.Reader, id string) bool {
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	text := "GET / HTTP/1.1\r\nHost: a.example\r\nMedlarfield-Request-Id: " + id + "\r\nMedlarfield-Timeout-Ms: 4000\r\n\r\n"
+	if _, err := io.WriteString(c, text); err != nil {
+		return false
+	}
+	h, err := medlarhead.ReadResponse(br, 8192, "GET")
+	if err != nil {
+		return false
+	}
+	_, err = io.ReadAll(medlarhead.NewBody(br, h))
+	return err == nil && h.Status == 200
+}
