Packages split: door, calls, tables; a caller that leaves no longer closes a connection that is in use again

Cause of the fault: the connection to an upstream was given back before the watch for the caller's leaving ended, so a caller that left in that moment closed the connection of another request.

--- a/internal/agree/medlarfeed/medlarfeed.go
+++ b/internal/agree/medlarfeed/medlarfeed.go
@@ -66,8 +66,8 @@
 
 // Times of repeated calls (R5).
 const (
-	pauseMin = 100 * time.Millisecond
-	pauseMax = time.Second
+	pauseFirst = 100 * time.Millisecond
+	pauseLast  = time.Second
 )
 
 // Feed follows one topic. Only its own goroutine uses it, except for Fresh.
@@ -245,7 +245,7 @@
 
 // pause returns the time until the next call after a failure (R5).
 func (f *Feed) pause() time.Duration {
-	d := min(pauseMin<<min(f.failed-1, 10), pauseMax)
+	d := min(pauseFirst<<min(f.failed-1, 10), pauseLast)
 	return d/2 + time.Duration(rand.Int64N(int64(d/2)))
 }
 
--- a/internal/core/medlarcontext/medlarcontext.go
+++ b/internal/core/medlarcontext/medlarcontext.go
@@ -77,7 +77,7 @@
 		if !u.Usable(w.Now) || u.Version != r.Version || slices.Contains(r.Tried, u) {
 			continue
 		}
-		if float64(w.Warm.Depth(r.Keys, u)) >= warmEnough*float64(len(r.Keys)) {
+		if float64(w.Warm.Depth(r.Keys, u.ID)) >= warmEnough*float64(len(r.Keys)) {
 			return false
 		}
 	}
@@ -168,7 +168,7 @@
 // Keep asks to export the context of a run that u has finished (R5).
 func Keep(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) {
 	for _, k := range r.KeysUnder(u.Version) {
-		w.Warm.Add(k, u)
+		w.Warm.Add(k, u.ID)
 	}
 	if u.Version != r.Version {
 		return
--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -161,7 +161,7 @@
 		u.TokenBytes, u.Memory = m.TokenBytes, m.Memory
 	}
 	if m.Version != "" && m.Version != u.Version {
-		w.Warm.RemoveAll(u)
+		w.Warm.RemoveAll(u.ID)
 		u.Version = m.Version
 	}
 	u.Leaving = m.Leaving || u.ToldLeaving
@@ -184,7 +184,7 @@
 func forget(w *medlarworld.World) {
 	for id, u := range w.Upstreams {
 		if u.Gone && u.Open == 0 {
-			w.Warm.RemoveAll(u)
+			w.Warm.RemoveAll(u.ID)
 			delete(w.Upstreams, id)
 		}
 	}
@@ -262,7 +262,7 @@
 		return
 	}
 	if u.Version != e.Version {
-		w.Warm.RemoveAll(u)
+		w.Warm.RemoveAll(u.ID)
 	}
 	moved := u.Model != e.Model
 	u.Model, u.Version = e.Model, e.Version
@@ -290,13 +290,13 @@
 		return
 	}
 	if e.Reset {
-		w.Warm.RemoveAll(u)
+		w.Warm.RemoveAll(u.ID)
 	}
 	for _, k := range e.Stored {
-		w.Warm.Add(k, u)
+		w.Warm.Add(k, u.ID)
 	}
 	for _, k := range e.Evicted {
-		w.Warm.Remove(k, u)
+		w.Warm.Remove(k, u.ID)
 	}
 }
 
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -354,7 +354,7 @@
 		return c
 	}
 	if u.Version == r.Version {
-		c.depth = w.Warm.Depth(r.Keys, u)
+		c.depth = w.Warm.Depth(r.Keys, u.ID)
 	}
 	cold := r.Prompt - r.Known(c.depth)
 	compute := computeCost(w, u, cold)
@@ -380,7 +380,7 @@
 	best := computeCost(w, u, r.Prompt)
 	transfer, chosen := 0.0, 0.0
 	for i, k := range r.KeysUnder(u.Version) {
-		warm := w.Warm.Has(k, u)
+		warm := w.Warm.Has(k, u.ID)
 		if !warm {
 			s := medlarstock.Find(w, k)
 			if s == nil {
--- a/internal/core/medlarstock/medlarstock.go
+++ b/internal/core/medlarstock/medlarstock.go
@@ -147,7 +147,7 @@
 // planPart plans one part and returns what is believed of it. A part that the
 // upstream is believed to cache is fetched if it does not.
 func planPart(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream, cmd *medlarworld.Start, i int, k medlarkey.Key, known bool) medlarworld.PartState {
-	warm := w.Warm.Has(k, u)
+	warm := w.Warm.Has(k, u.ID)
 	if i == len(cmd.Parts)-1 || r.Sizes[i] < minTokens { // R5
 		return state(warm, medlarworld.PartCold)
 	}
--- a/internal/core/medlartick/medlartick_test.go
+++ b/internal/core/medlartick/medlartick_test.go
@@ -415,7 +415,7 @@
 		h.submit(r, medlarworld.Limits{})
 		h.assertStarted(r.ID)
 		h.tick(medlarworld.Ended{Run: r.ID, Attempt: 1, Cause: medlarworld.CauseDone, Reached: true})
-		if i > 0 && h.core.World().Warm.Depth(r.Keys, h.core.World().Upstreams[engineName(0)]) != 200 {
+		if i > 0 && h.core.World().Warm.Depth(r.Keys, engineName(0)) != 200 {
 			t.Fatal("the replica is not known to cache the prompt")
 		}
 		h.report(0, 1<<20)
--- a/internal/core/medlartick/parts_test.go
+++ b/internal/core/medlartick/parts_test.go
@@ -147,7 +147,7 @@
 			p.stock("near", 1, true, r.Keys[0], r.Keys[1])
 			p.stock("near", 2, true)
 		}, "cco"},
-		{"a store that is full takes nothing", func(p *partsWorld, r *medlarworld.Run) {
+		{"a store that is full takes nothing", func(p *partsWorld, _ *medlarworld.Run) {
 			var keys []medlarkey.Key
 			for i := range 13 {
 				keys = append(keys, medlarkey.Part("v1", partsModel, fmt.Sprint("other-", i)))
@@ -192,7 +192,7 @@
 		s := p.submit(r)
 		p.tick(medlarworld.Ended{Run: r.ID, Attempt: s.Attempt, Cause: medlarworld.CauseDone, Reached: true})
 		u := p.core.World().Upstreams[medlarid.InstanceID(fmt.Sprintf("e%02d", i))]
-		p.core.World().Warm.Add(first.Keys[0], u)
+		p.core.World().Warm.Add(first.Keys[0], u.ID)
 	}
 	r := p.run(500, 8000, 300)
 	p.stock("near", 1, true, r.Keys[1])
--- a/internal/core/medlarworld/warm.go
+++ b/internal/core/medlarwarm/medlarwarm.go
@@ -1,48 +1,47 @@
-package medlarworld
+// Package medlarwarm remembers which upstreams cache which blocks and parts of prompts.
+package medlarwarm
 
 import (
 	"cmp"
 	"slices"
 
+	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
 )
 
-// maxWarm bounds the entries of the table of cached blocks.
-const maxWarm = 1 << 15
-
 // defaultHolders bounds the upstreams that are remembered for one block, where a
 // deployment sets no bound.
 const defaultHolders = 3
 
-// warmEntry names the upstreams that were last known to cache a block, the last one
+// entry names the upstreams that were last known to cache a block, the last one
 // first.
-type warmEntry struct {
-	holders []*Upstream
+type entry struct {
+	holders []medlarid.InstanceID
 }
 
-// Warm remembers which upstreams cache which blocks. It is a hint of bounded
+// Table remembers which upstreams cache which blocks. It is a hint of bounded
 // size: the oldest entries give way to new ones.
-type Warm struct {
+type Table struct {
 	most    int // holders of one block
-	entries map[medlarkey.Key]*warmEntry
+	entries map[medlarkey.Key]*entry
 	ring    []medlarkey.Key // keys in the order of arrival
 	next    int
 }
 
-// NewWarm returns a table of at most size blocks with holders upstreams each; 0 for
+// New returns a table of at most size blocks with holders upstreams each; 0 for
 // the default.
-func NewWarm(size, holders int) *Warm {
-	return &Warm{most: cmp.Or(holders, defaultHolders), entries: map[medlarkey.Key]*warmEntry{}, ring: make([]medlarkey.Key, 0, size)}
+func New(size, holders int) *Table {
+	return &Table{most: cmp.Or(holders, defaultHolders), entries: map[medlarkey.Key]*entry{}, ring: make([]medlarkey.Key, 0, size)}
 }
 
 // Len returns the number of blocks in the table.
-func (t *Warm) Len() int { return len(t.entries) }
+func (t *Table) Len() int { return len(t.entries) }
 
 // Add notes that u caches the block k.
-func (t *Warm) Add(k medlarkey.Key, u *Upstream) {
+func (t *Table) Add(k medlarkey.Key, u medlarid.InstanceID) {
 	e := t.entries[k]
 	if e == nil {
-		e = &warmEntry{}
+		e = &entry{}
 		t.entries[k] = e
 		t.push(k)
 	}
@@ -54,7 +53,7 @@
 }
 
 // Remove notes that u no longer caches the block k.
-func (t *Warm) Remove(k medlarkey.Key, u *Upstream) {
+func (t *Table) Remove(k medlarkey.Key, u medlarid.InstanceID) {
 	e := t.entries[k]
 	if e == nil {
 		return
@@ -65,7 +64,7 @@
 }
 
 // RemoveAll forgets what u caches.
-func (t *Warm) RemoveAll(u *Upstream) {
+func (t *Table) RemoveAll(u medlarid.InstanceID) {
 	for k := range t.entries {
 		t.Remove(k, u)
 	}
@@ -73,7 +72,7 @@
 
 // Depth returns the number of leading blocks of keys that u caches. It looks
 // from the end: an engine that caches a block caches those before it.
-func (t *Warm) Depth(keys []medlarkey.Key, u *Upstream) int {
+func (t *Table) Depth(keys []medlarkey.Key, u medlarid.InstanceID) int {
 	for i := len(keys) - 1; i >= 0; i-- {
 		if e := t.entries[keys[i]]; e != nil && e.has(u) {
 			return i + 1
@@ -83,13 +82,13 @@
 }
 
 // Has reports whether u caches the block or part k.
-func (t *Warm) Has(k medlarkey.Key, u *Upstream) bool {
+func (t *Table) Has(k medlarkey.Key, u medlarid.InstanceID) bool {
 	e := t.entries[k]
 	return e != nil && e.has(u)
 }
 
 // push adds a key to the ring and drops the oldest when it is full.
-func (t *Warm) push(k medlarkey.Key) {
+func (t *Table) push(k medlarkey.Key) {
 	if len(t.ring) < cap(t.ring) {
 		t.ring = append(t.ring, k)
 		return
@@ -99,4 +98,4 @@
 	t.next = (t.next + 1) % len(t.ring)
 }
 
-func (e *warmEntry) has(u *Upstream) bool { return slices.Contains(e.holders, u) }
+func (e *entry) has(u medlarid.InstanceID) bool { return slices.Contains(e.holders, u) }
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -18,6 +18,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarwarm"
 )
 
 // Weighting says which measure a deployment weighs most.
@@ -320,8 +321,8 @@
 	Runs      map[medlarid.RequestID]*Run
 	Finding   []*Run // runs whose context the stores are asked for
 	Waiting   []*Run // ordered queue
-	Warm      *Warm
-	Kept      *KeySet // last keys of segments that were exported
+	Warm      *medlarwarm.Table
+	Kept      *medlarkey.Set // last keys of segments that were exported
 
 	Virtual float64            // virtual time of the queue
 	Retries map[Target]float64 // repeated attempts that may still be made
@@ -330,6 +331,12 @@
 	Commands []Command
 }
 
+// Sizes of tables of hints.
+const (
+	maxWarm = 1 << 15 // blocks and parts that upstreams cache
+	maxKept = 1 << 14 // segments that are remembered as kept in a store
+)
+
 // New returns a world with empty tables.
 func New(cfg Config) *World {
 	return &World{
@@ -344,8 +351,8 @@
 		Stores:    map[medlarid.InstanceID]*Store{},
 		Runs:      map[medlarid.RequestID]*Run{},
 		Retries:   map[Target]float64{},
-		Warm:      NewWarm(maxWarm, cfg.Holders),
-		Kept:      NewKeySet(maxKept),
+		Warm:      medlarwarm.New(maxWarm, cfg.Holders),
+		Kept:      medlarkey.NewSet(maxKept),
 	}
 }
 
--- a/internal/edge/medlarpass/attempt.go
+++ b/internal/edge/medlarpass/attempt.go
@@ -12,6 +12,7 @@
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/edge/medlarcall"
 	"medlarfield/internal/edge/medlarpool"
 )
 
@@ -30,6 +31,7 @@
 	cmd    medlarworld.Start
 	begin  time.Time
 	up     *medlarpool.Conn // to the upstream; nil before there is one
+	keep   func() bool      // ends that the caller's leaving closes up; false if it has
 	wrote  chan error       // end of a body that is written beside the answer; nil for none
 	status int
 	err    error
@@ -53,14 +55,14 @@
 func (a *attempt) make() medlarworld.Ended {
 	ctx, cancel := context.WithDeadline(a.ctx, a.run.Deadline)
 	defer cancel()
-	c, err := a.door.seams.Pool.Get(ctx, a.cmd.Address, a.run.Once)
+	c, err := a.pass.seams.Pool.Get(ctx, a.cmd.Address, a.run.Once)
 	if err != nil {
 		return a.failed(err, medlarreason.Unreachable, false)
 	}
 	a.up = c
 	_ = c.SetDeadline(a.run.Deadline)
-	stop := context.AfterFunc(a.ctx, func() { _ = c.Close() }) // R3
-	defer stop()
+	a.keep = context.AfterFunc(a.ctx, func() { _ = c.Close() }) // R3
+	defer a.keep()
 	if err := a.send(); err != nil {
 		_ = c.Close()
 		return a.failed(err, medlarreason.Broken, true)
@@ -72,7 +74,7 @@
 	}
 	a.status = h.Status
 	if reply.Version != "" && reply.Version != a.cmd.Version {
-		a.door.seams.Told(a.cmd.Upstream, reply.Version)
+		a.pass.seams.Told(a.cmd.Upstream, reply.Version)
 	}
 	return a.judge(h, reply)
 }
@@ -82,7 +84,7 @@
 func (a *attempt) send() error {
 	b := make([]byte, 0, 1024+min(len(a.body), inlineBody))
 	b = medlarhead.AppendRequest(b, a.head.Method, a.head.Target)
-	b = a.door.seams.Forward(b, a.head, Forward{
+	b = a.pass.seams.Forward(b, a.head, medlarcall.Forward{
 		Target:   a.cmd.Upstream,
 		Account:  a.account.ID,
 		Left:     time.Until(a.run.Deadline),
@@ -121,16 +123,16 @@
 
 // receive reads the head of the answer. Late answers to other requests are read
 // over.
-func (a *attempt) receive() (*medlarhead.Head, Reply, error) {
+func (a *attempt) receive() (*medlarhead.Head, medlarcall.Reply, error) {
 	for range maxSkipped + 1 {
 		h, err := medlarhead.ReadResponse(a.up.Reader, answerHead, a.head.Method)
 		if err != nil {
-			return nil, Reply{}, err
+			return nil, medlarcall.Reply{}, err
 		}
 		if h.Status < statusOK {
 			continue
 		}
-		reply := a.door.seams.Reply(h)
+		reply := a.pass.seams.Reply(h)
 		if reply.ID == "" || reply.ID == a.call.ID {
 			return h, reply, nil
 		}
@@ -138,14 +140,14 @@
 			break
 		}
 		if _, err := io.Copy(io.Discard, medlarhead.NewBody(a.up.Reader, h)); err != nil {
-			return nil, Reply{}, err
+			return nil, medlarcall.Reply{}, err
 		}
 	}
-	return nil, Reply{}, errForeign
+	return nil, medlarcall.Reply{}, errForeign
 }
 
 // judge decides what an answer is, and passes it on if it is the one (R2).
-func (a *attempt) judge(h *medlarhead.Head, reply Reply) medlarworld.Ended {
+func (a *attempt) judge(h *medlarhead.Head, reply medlarcall.Reply) medlarworld.Ended {
 	success := h.Status >= statusOK && h.Status < 300
 	switch {
 	case reply.Foreign:
@@ -171,7 +173,7 @@
 }
 
 // whole passes an answer on that is no stream.
-func (a *attempt) whole(h *medlarhead.Head, reply Reply) medlarworld.Ended {
+func (a *attempt) whole(h *medlarhead.Head, reply medlarcall.Reply) medlarworld.Ended {
 	if a.begun { // a stream cannot go on with this
 		_ = a.up.Close()
 		return a.failed(errNoStream, medlarreason.Broken, true)
@@ -214,7 +216,7 @@
 }
 
 // long passes an answer on while it comes.
-func (a *attempt) long(h *medlarhead.Head, first []byte, body *medlarhead.Body, reply Reply) medlarworld.Ended {
+func (a *attempt) long(h *medlarhead.Head, first []byte, body *medlarhead.Body, reply medlarcall.Reply) medlarworld.Ended {
 	b := a.answerHead(h)
 	b = append(b, "Transfer-Encoding: chunked\r\n\r\n"...)
 	a.begun = true
@@ -255,7 +257,7 @@
 
 // stream passes an event stream on. Its head goes out with the first event, so that
 // a stream that breaks before is repeated unseen.
-func (a *attempt) stream(h *medlarhead.Head, reply Reply) medlarworld.Ended {
+func (a *attempt) stream(h *medlarhead.Head, reply medlarcall.Reply) medlarworld.Ended {
 	body := medlarhead.NewBody(a.up.Reader, h)
 	a.events.Reset()
 	buf := make([]byte, readBuffer)
@@ -300,7 +302,7 @@
 		return a.write(medlarhead.AppendChunk(nil, events))
 	}
 	a.begun = true
-	a.door.seams.Post(medlarworld.Began{Run: a.run.ID, Attempt: a.cmd.Attempt, After: time.Since(a.begin)})
+	a.pass.seams.Post(medlarworld.Began{Run: a.run.ID, Attempt: a.cmd.Attempt, After: time.Since(a.begin)})
 	b := a.answerHead(h)
 	b = append(b, "Transfer-Encoding: chunked\r\n\r\n"...)
 	return a.write(medlarhead.AppendChunk(b, events))
@@ -331,13 +333,14 @@
 }
 
 // giveBack gives the connection back after a whole answer, unless the request's body
-// is still being written.
-func (a *attempt) giveBack(h *medlarhead.Head, reply Reply) {
-	if h.Close || !a.written() {
+// is still being written, or the caller's leaving has closed it: from here on another
+// request may use it.
+func (a *attempt) giveBack(h *medlarhead.Head, reply medlarcall.Reply) {
+	if !a.keep() || h.Close || !a.written() {
 		_ = a.up.Close()
 		return
 	}
-	a.door.seams.Pool.Put(a.up, reply.Life)
+	a.pass.seams.Pool.Put(a.up, reply.Life)
 }
 
 // written reports whether the whole request was written.
@@ -354,7 +357,7 @@
 }
 
 // drop reads an answer over that is not passed on.
-func (a *attempt) drop(h *medlarhead.Head, reply Reply) {
+func (a *attempt) drop(h *medlarhead.Head, reply medlarcall.Reply) {
 	body := medlarhead.NewBody(a.up.Reader, h)
 	if _, err := io.Copy(io.Discard, io.LimitReader(body, wholeLimit)); err != nil || !body.Done() {
 		_ = a.up.Close()
@@ -384,7 +387,7 @@
 
 // note tells of the attempt.
 func (a *attempt) note(e medlarworld.Ended) {
-	a.door.seams.Note.Attempt(&Attempt{
+	a.pass.seams.Note.Attempt(&medlarcall.Attempt{
 		ID:       a.call.ID,
 		Number:   e.Attempt,
 		Upstream: a.cmd.Upstream,
--- a/internal/edge/medlarpass/close_test.go
+++ b/internal/edge/medlarpass/close_test.go
@@ -13,6 +13,8 @@
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/edge/medlarcall"
+	"medlarfield/internal/edge/medlardoor"
 	"medlarfield/internal/edge/medlarpass"
 	"medlarfield/internal/edge/medlarpool"
 	"medlarfield/internal/stand/medlarfakereplica"
@@ -20,7 +22,7 @@
 )
 
 // newDoor returns a door whose core sends each run to one replica at once.
-func newDoor(t *testing.T, r *medlarfakereplica.Replica) (*medlarpass.Door, string) {
+func newDoor(t *testing.T, r *medlarfakereplica.Replica) (*medlardoor.Door, string) {
 	t.Helper()
 	cat := medlarcatalog.New(1, []medlarcatalog.Route{{
 		Name: "r", Host: "a.example", Prefix: "/", Kind: medlarcatalog.KindOnce, Open: true, Attempts: 1,
@@ -43,9 +45,9 @@
 		Forward: medlarplatform.NewClock().AppendForward,
 		Reply:   medlarplatform.DecodeReply,
 		Refusal: medlarplatform.AppendRefusal,
-		Note:    medlarpass.Notes{Attempt: func(*medlarpass.Attempt) {}, Ended: func(*medlarpass.Summary) {}},
+		Note:    medlarpass.Notes{Attempt: func(*medlarcall.Attempt) {}, Ended: func(*medlarcall.Summary) {}},
 		Rand:    func() float64 { return 0 },
-	})
+	}).Door()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/edge/medlarpass/exchange.go
+++ b/internal/edge/medlarpass/exchange.go
@@ -10,21 +10,23 @@
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/edge/medlarcall"
+	"medlarfield/internal/edge/medlardoor"
 	"medlarfield/internal/edge/medlarevent"
 )
 
 // exchange is one request with its answer.
 type exchange struct {
-	door *Door
-	conn *conn
+	pass *Pass
+	conn *medlardoor.Conn
 	head *medlarhead.Head
 	body []byte
-	call Call
+	call medlarcall.Call
 
 	route   *medlarcatalog.Route
 	account medlarcatalog.Account
 	run     *medlarworld.Run
-	sum     *Summary
+	sum     *medlarcall.Summary
 	arrived time.Time
 	ctx     context.Context // ends when the caller has left
 	leave   context.CancelFunc
@@ -35,8 +37,8 @@
 	events medlarevent.Cutter
 }
 
-func newExchange(d *Door, c *conn, h *medlarhead.Head, body []byte, arrived time.Time) *exchange {
-	x := &exchange{door: d, conn: c, head: h, body: body, arrived: arrived, sum: &Summary{}}
+func newExchange(p *Pass, r medlardoor.Request) *exchange {
+	x := &exchange{pass: p, conn: r.Conn, head: r.Head, body: r.Body, arrived: r.Arrived, sum: &medlarcall.Summary{}}
 	x.ctx, x.leave = context.WithCancel(context.Background())
 	return x
 }
@@ -48,12 +50,12 @@
 	}
 	x.leave()
 	x.sum.Took = time.Since(x.arrived)
-	x.door.seams.Note.Ended(x.sum)
+	x.pass.seams.Note.Ended(x.sum)
 }
 
 // serve answers the request and reports whether the connection can be used again.
 func (x *exchange) serve() bool {
-	call, err := x.door.seams.Decode(x.head)
+	call, err := x.pass.seams.Decode(x.head)
 	x.call = call
 	x.sum.ID, x.sum.Model = call.ID, call.Model
 	if err != nil {
@@ -63,9 +65,9 @@
 		return x.refuse(reason, medlarreason.RanNo, unreadyAfter)
 	}
 	x.plan()
-	x.endWait = x.conn.watch(x.leave)
-	box := x.door.seams.Submit(x.run, medlarworld.Limits{})
-	defer x.door.seams.Done(x.run.ID)
+	x.endWait = x.conn.Watch(x.leave)
+	box := x.pass.seams.Submit(x.run, medlarworld.Limits{})
+	defer x.pass.seams.Done(x.run.ID)
 	return x.follow(box)
 }
 
@@ -75,7 +77,7 @@
 
 // find finds route and account, or returns why the request is refused.
 func (x *exchange) find() medlarreason.Reason {
-	cat := x.door.seams.Catalog()
+	cat := x.pass.seams.Catalog()
 	if cat == nil {
 		return medlarreason.Unready
 	}
@@ -107,9 +109,9 @@
 	}
 	once := !x.route.Repeatable()
 	x.run = &medlarworld.Run{
-		ID:       x.door.runID(x.call.ID),
+		ID:       x.pass.runID(x.call.ID),
 		Account:  x.account.ID,
-		Service:  x.route.Pick(x.door.seams.Rand()),
+		Service:  x.route.Pick(x.pass.seams.Rand()),
 		Model:    x.call.Model,
 		Once:     once,
 		Claimed:  once, // the caller's attempt is this instance's alone
@@ -135,7 +137,7 @@
 // planParts gives the run the keys of its prompt's parts. All but the last part may
 // be shared, so the one before the last stands for the run's home.
 func (x *exchange) planParts() {
-	serving, wanted := x.door.seams.Versions(x.call.Model)
+	serving, wanted := x.pass.seams.Versions(x.call.Model)
 	x.run.Version, x.run.Keys = serving, x.keys(serving)
 	if wanted != serving {
 		x.run.Later, x.run.LaterKeys = wanted, x.keys(wanted)
@@ -172,7 +174,7 @@
 	for {
 		select {
 		case <-x.ctx.Done():
-			x.door.seams.Post(medlarworld.Left{Run: x.run.ID})
+			x.pass.seams.Post(medlarworld.Left{Run: x.run.ID})
 			x.sum.Reason = medlarreason.Gone
 			return false
 		case cmd := <-box:
@@ -200,7 +202,7 @@
 	a := &attempt{exchange: x, cmd: cmd, begin: time.Now()}
 	e := a.make()
 	a.note(e)
-	x.door.seams.Post(e)
+	x.pass.seams.Post(e)
 	switch e.Cause {
 	case medlarworld.CauseDone, medlarworld.CauseAnswer:
 		return true, x.sum.Whole
@@ -236,7 +238,7 @@
 	if promises(x.sum.Status) {
 		x.sum.After = after
 	}
-	x.sum.Whole = x.write(x.door.refusalText(x.sum, x.last())) == nil
+	x.sum.Whole = x.write(x.pass.refusalText(x.sum, x.last())) == nil
 	return x.sum.Whole
 }
 
@@ -252,13 +254,11 @@
 }
 
 // last reports whether the answer is the last one of its connection.
-func (x *exchange) last() bool { return x.head.Close || x.door.draining.Load() }
+func (x *exchange) last() bool { return x.head.Close || x.pass.door.Draining() }
 
 func (x *exchange) write(b []byte) error {
 	if x.sum.First == 0 {
 		x.sum.First = time.Since(x.arrived)
 	}
-	_ = x.conn.SetWriteDeadline(time.Now().Add(stallTimeout))
-	_, err := x.conn.Write(b)
-	return err
+	return x.conn.Send(b)
 }
--- /dev/null
+++ b/internal/ops/medlarattach/follow_test.go
@@ -0,0 +1,198 @@
+package medlarattach_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"medlarfield/internal/base/medlarhead"
+	"medlarfield/internal/stand/medlarfaketopic"
+	"medlarfield/internal/stand/medlarsite"
+)
+
+func TestConfigurationIsFollowedThroughAnOutage(t *testing.T) {
+	for _, fault := range []medlarfaketopic.Fault{
+		medlarfaketopic.FaultRefuse, medlarfaketopic.FaultLimit, medlarfaketopic.FaultReset, medlarfaketopic.FaultSilent,
+	} {
+		t.Run(string(fault), func(t *testing.T) {
+			w := start(t, nil)
+			w.door.Set(fault)
+			if err := w.site.Change(func(c *medlarsite.Config) { c.Tenants[0].ApiKeys = []string{"key-two"} }); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(200 * time.Millisecond)
+			if !w.instance.Ready() {
+				t.Error("an instance without the store is unready")
+			}
+			w.door.Set(medlarfaketopic.FaultNone)
+			n := 0
+			w.eventually("the new key is in force", func() bool {
+				n++
+				return w.ask(request{path: "/read/a", id: fmt.Sprint("k", n), key: "key-two"}).status == 200
+			})
+			assertResult(t, w.ask(request{path: "/read/a", id: "old"}), 401, "")
+		})
+	}
+}
+
+func TestHistoryThatIsDropped(t *testing.T) {
+	w := start(t, nil)
+	w.door.Set(medlarfaketopic.FaultRefuse)
+	time.Sleep(100 * time.Millisecond)
+	if err := w.site.Change(func(c *medlarsite.Config) { c.Routes[3].PathPrefix = "/reads/" }); err != nil {
+		t.Fatal(err)
+	}
+	w.site.Store.Compact("keyed.op")
+	w.site.Store.Compact("keyed.servers")
+	w.door.Set(medlarfaketopic.FaultNone)
+	n := 0
+	w.eventually("the new route is in force", func() bool {
+		n++
+		return w.ask(request{path: "/reads/a", id: fmt.Sprint("k", n)}).status == 200
+	})
+}
+
+func TestEntriesThatNameNoReplica(t *testing.T) {
+	w := start(t, nil)
+	for i, value := range []string{
+		"not JSON", "{}", `{"Service":"ledger","Address":7}`, `{"Service":"ledger","Address":"127.0.0.1:1","MaxBatchSize":4,"Phase":"odd"}`,
+	} {
+		w.site.Store.Put("keyed.servers", fmt.Sprint("stranger-", i), []byte(value))
+	}
+	w.site.Store.Put("keyed.op", "config", []byte(`{"Version":"nine"}`))
+	time.Sleep(300 * time.Millisecond)
+	for i := range 20 {
+		assertResult(t, w.ask(request{path: "/read/a", id: fmt.Sprint("r", i)}), 200, "")
+	}
+}
+
+func TestLeavingReplicaGetsNothing(t *testing.T) {
+	w := start(t, nil)
+	gone := w.site.Plain[0]
+	gone.Leave()
+	time.Sleep(500 * time.Millisecond)
+	before := len(gone.Runs())
+	for i := range 30 {
+		assertResult(t, w.ask(request{path: "/read/a", id: fmt.Sprint("r", i)}), 200, "")
+	}
+	if n := len(gone.Runs()) - before; n != 0 {
+		t.Errorf("a leaving replica ran %d requests", n)
+	}
+}
+
+func TestWeightsAreBroughtToTheWantedVersion(t *testing.T) {
+	w := start(t, nil)
+	w.site.Want(2)
+	w.eventually("all replicas have the wanted weights", func() bool {
+		for _, r := range w.site.Engines {
+			if r.Version() != 2 {
+				return false
+			}
+		}
+		return true
+	})
+	got := w.ask(request{method: "POST", path: "/letter/x", id: "r", body: "{}", fields: prompt("aa:100,cc:500")})
+	if runs := w.ran("r"); got.status != 200 || len(runs) != 1 || runs[0].Salt != "v2" {
+		t.Errorf("status %d, ran as %+v", got.status, runs)
+	}
+}
+
+func TestGracefulStop(t *testing.T) {
+	w := start(t, func(s *medlarsite.Settings) {
+		s.Events, s.Work, s.Out = 40, 40*time.Millisecond, 500*time.Millisecond
+	})
+	idle, err := net.Dial("tcp", string(w.instance.Address()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = idle.Close() }()
+	br := bufio.NewReader(idle)
+	assertResult(t, w.askOn(idle, br, request{path: "/read/a", id: "r0"}.text()), 200, "")
+	stream := make(chan result, 1)
+	go func() {
+		stream <- w.ask(request{method: "POST", path: "/query/x", id: "r1", body: "{}", fields: prompt("aa:100,cc:500"), timeout: 9 * time.Second})
+	}()
+	w.eventually("the stream runs", func() bool { return len(w.ran("r1")) == 1 })
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.stop()
+	}()
+	w.eventually("the instance is unready", func() bool { return !w.instance.Ready() })
+	got := w.askOn(idle, br, request{path: "/read/a", id: "r2"}.text())
+	assertResult(t, got, 200, "answer to r2")
+	if !strings.EqualFold(got.get("Connection"), "close") {
+		t.Error("an answer of a stopping instance is not the last one of its connection")
+	}
+	if r := <-stream; r.status != 200 || !r.whole {
+		t.Errorf("stream: status %d, whole %v", r.status, r.whole)
+	}
+	<-done
+	if !strings.Contains(w.logs.text(), `"cut":0`) {
+		t.Error("the log does not say that nothing was cut")
+	}
+}
+
+// TestIdleConnectionThatGetsARequest is the history of a connection that was closed as
+// idle while its request was being read: a request on any kept connection is answered
+// whole, or not read at all.
+func TestIdleConnectionThatGetsARequest(t *testing.T) {
+	w := start(t, func(s *medlarsite.Settings) { s.Plain, s.Work = 1, time.Millisecond })
+	const callers = 24
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var lost []string
+	end := time.Now().Add(4 * time.Second)
+	for i := range callers {
+		wg.Go(func() {
+			for n := 0; time.Now().Before(end); n++ {
+				c, err := net.Dial("tcp", string(w.instance.Address()))
+				if err != nil {
+					return // the listener is closed
+				}
+				br := bufio.NewReader(c)
+				for m := range 3 {
+					id := fmt.Sprintf("r%d-%d-%d", i, n, m)
+					got := quietAsk(c, br, request{path: "/post/a", id: id}.text())
+					if got.status != 200 {
+						if len(w.ran(id)) > 0 {
+							mu.Lock()
+							lost = append(lost, id)
+							mu.Unlock()
+						}
+						break
+					}
+					time.Sleep(time.Duration(i) * time.Millisecond)
+				}
+				_ = c.Close()
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	w.stop()
+	wg.Wait()
+	if len(lost) > 0 {
+		t.Errorf("%d requests ran and got no answer, such as %s", len(lost), lost[0])
+	}
+}
+
+// quietAsk is ask for a connection that may be closed at any time.
+func quietAsk(c net.Conn, br *bufio.Reader, text string) result {
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	if _, err := io.WriteString(c, text); err != nil {
+		return result{}
+	}
+	h, err := medlarhead.ReadResponse(br, 1<<14, "GET")
+	if err != nil {
+		return result{}
+	}
+	if _, err := io.ReadAll(medlarhead.NewBody(br, h)); err != nil {
+		return result{}
+	}
+	return result{status: h.Status, head: h, whole: true}
+}
--- a/internal/ops/medlarattach/medlarattach.go
+++ b/internal/ops/medlarattach/medlarattach.go
@@ -28,6 +28,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlartick"
 	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/edge/medlardoor"
 	"medlarfield/internal/edge/medlarmetric"
 	"medlarfield/internal/edge/medlarpass"
 	"medlarfield/internal/edge/medlarpool"
@@ -36,8 +37,10 @@
 	"medlarfield/internal/ops/medlarrollout"
 	"medlarfield/internal/ops/medlarsettings"
 	"medlarfield/internal/ops/medlarstocker"
+	"medlarfield/internal/ops/medlartable"
 	"medlarfield/internal/upstream/medlarhttp"
 	"medlarfield/platform"
+	"medlarfield/platform/medlarcalls"
 )
 
 // Times and sizes.
@@ -66,8 +69,8 @@
 	lines   *medlarlogger.Writer
 	metrics *medlarmetric.Metrics
 	loop    *medlarloop.Loop
-	table   *Table
-	door    *medlarpass.Door
+	table   *medlartable.Table
+	door    *medlardoor.Door
 	feeds   []*medlarfeed.Feed
 	rollout *medlarrollout.Rollout
 	stocker *medlarstocker.Stocker
@@ -91,17 +94,17 @@
 			return medlarlogger.New(lines, cfg.Log.Level, cfg.Name, cfg.Zone)
 		},
 		func() *medlarhttp.Client { return medlarhttp.New(lineIdle) },
-		func(h *medlarhttp.Client) *medlarplatform.Store {
-			return medlarplatform.NewStore(h, cfg.Store, storeTimeout)
+		func(h *medlarhttp.Client) *medlarcalls.Store {
+			return medlarcalls.NewStore(h, cfg.Store, storeTimeout)
 		},
-		func(h *medlarhttp.Client) *medlarplatform.Replicas {
-			return medlarplatform.NewReplicas(h, replicaTimeout)
+		func(h *medlarhttp.Client) *medlarcalls.Replicas {
+			return medlarcalls.NewReplicas(h, replicaTimeout)
 		},
-		func(h *medlarhttp.Client, c *medlarplatform.Clock) *medlarplatform.Stocks {
-			return medlarplatform.NewStocks(h, replicaTimeout, c)
+		func(h *medlarhttp.Client, c *medlarplatform.Clock) *medlarcalls.Stocks {
+			return medlarcalls.NewStocks(h, replicaTimeout, c)
 		},
 		medlarplatform.NewClock, medlarmetric.New, medlarpool.New,
-		newLoop, newTable, newDoor, newFeeds, newTerm, newRollout, newStocker, newInstance,
+		newLoop, newTable, newPass, newFeeds, newTerm, newRollout, newStocker, newInstance,
 	}
 	for _, p := range providers {
 		if err := c.Provide(p); err != nil {
@@ -114,11 +117,11 @@
 }
 
 func newInstance(cfg medlarsettings.Attached, log zerolog.Logger, lines *medlarlogger.Writer, m *medlarmetric.Metrics,
-	loop *medlarloop.Loop, table *Table, door *medlarpass.Door, feeds []*medlarfeed.Feed, rollout *medlarrollout.Rollout,
+	loop *medlarloop.Loop, table *medlartable.Table, pass *medlarpass.Pass, feeds []*medlarfeed.Feed, rollout *medlarrollout.Rollout,
 	stocker *medlarstocker.Stocker,
 ) *Instance {
 	return &Instance{
-		cfg: cfg, log: log, lines: lines, metrics: m, loop: loop, table: table, door: door, feeds: feeds, rollout: rollout, stocker: stocker,
+		cfg: cfg, log: log, lines: lines, metrics: m, loop: loop, table: table, door: pass.Door(), feeds: feeds, rollout: rollout, stocker: stocker,
 	}
 }
 
@@ -147,12 +150,12 @@
 	})
 }
 
-func newTable(log zerolog.Logger, pool *medlarpool.Pool, loop *medlarloop.Loop) *Table {
-	return NewTable(log, pool, loop.Post)
+func newTable(log zerolog.Logger, pool *medlarpool.Pool, loop *medlarloop.Loop) *medlartable.Table {
+	return medlartable.New(log, pool, loop.Post)
 }
 
-func newDoor(log zerolog.Logger, m *medlarmetric.Metrics, loop *medlarloop.Loop, table *Table, pool *medlarpool.Pool, clock *medlarplatform.Clock,
-) *medlarpass.Door {
+func newPass(log zerolog.Logger, m *medlarmetric.Metrics, loop *medlarloop.Loop, table *medlartable.Table, pool *medlarpool.Pool, clock *medlarplatform.Clock,
+) *medlarpass.Pass {
 	return medlarpass.New(medlarpass.Seams{
 		Catalog: table.Catalog,
 		Versions: func(m medlarid.ModelID) (serving, wanted medlarid.WeightVersion) {
@@ -173,7 +176,7 @@
 	})
 }
 
-func newFeeds(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, s *medlarplatform.Store, t *Table) []*medlarfeed.Feed {
+func newFeeds(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, s *medlarcalls.Store, t *medlartable.Table) []*medlarfeed.Feed {
 	feed := func(topic string, wait time.Duration, apply func([]medlarfeed.Record, bool), o medlarfeed.Options) *medlarfeed.Feed {
 		lost, regained := feedLog(log, topic, m.Failed)
 		return medlarfeed.New(medlarfeed.Seams{
@@ -284,11 +287,11 @@
 	i.log.Info().Str("event", "reload").Bool("changed", cfg != i.cfg).Msg("settings read")
 }
 
-func newTerm(cfg medlarsettings.Attached, s *medlarplatform.Store) *medlarterm.Keeper {
+func newTerm(cfg medlarsettings.Attached, s *medlarcalls.Store) *medlarterm.Keeper {
 	return medlarterm.New(cfg.Name, cfg.Bounds.Settle.Std(), medlarterm.Seams{
 		Append: func(ctx context.Context, at medlarid.Offset) error {
-			_, err := s.Append(ctx, medlarplatform.TopicTerm, at, medlarplatform.EncodeTerm(cfg.Name))
-			if medlarplatform.IsKind(err, medlarplatform.KindMoved) {
+			_, err := s.Append(ctx, medlarplatform.TopicTerm, at, medlarcalls.EncodeTerm(cfg.Name))
+			if medlarcalls.IsKind(err, medlarcalls.KindMoved) {
 				return medlarterm.ErrMoved
 			}
 			return err
@@ -300,9 +303,9 @@
 }
 
 // readTerms returns the terms from an offset on, and where the topic ends.
-func readTerms(ctx context.Context, s *medlarplatform.Store, from medlarid.Offset) ([]medlarterm.Record, medlarid.Offset, error) {
+func readTerms(ctx context.Context, s *medlarcalls.Store, from medlarid.Offset) ([]medlarterm.Record, medlarid.Offset, error) {
 	raw, err := s.Read(ctx, medlarplatform.TopicTerm, from, 0)
-	if first, ok := medlarplatform.FirstLeft(err); ok {
+	if first, ok := medlarcalls.FirstLeft(err); ok {
 		from = first
 		raw, err = s.Read(ctx, medlarplatform.TopicTerm, from, 0)
 	}
@@ -311,7 +314,7 @@
 	}
 	out := make([]medlarterm.Record, 0, len(raw))
 	for _, r := range raw {
-		out = append(out, medlarterm.Record{Holder: medlarplatform.DecodeTerm(r.Data), Offset: r.Offset})
+		out = append(out, medlarterm.Record{Holder: medlarcalls.DecodeTerm(r.Data), Offset: r.Offset})
 	}
 	return out, from + medlarid.Offset(len(raw)), nil
 }
--- a/internal/ops/medlarattach/notes.go
+++ b/internal/ops/medlarattach/notes.go
@@ -9,19 +9,22 @@
 	"medlarfield/internal/agree/medlarterm"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/edge/medlarcall"
 	"medlarfield/internal/edge/medlarmetric"
 	"medlarfield/internal/edge/medlarpass"
 	"medlarfield/internal/ops/medlarloop"
 	"medlarfield/internal/ops/medlarrollout"
 	"medlarfield/internal/ops/medlarsettings"
 	"medlarfield/internal/ops/medlarstocker"
+	"medlarfield/internal/ops/medlartable"
 	"medlarfield/platform"
+	"medlarfield/platform/medlarcalls"
 )
 
 // notes returns what writes the log lines of requests and counts them.
 func notes(log zerolog.Logger, m *medlarmetric.Metrics) medlarpass.Notes {
 	return medlarpass.Notes{
-		Attempt: func(a *medlarpass.Attempt) {
+		Attempt: func(a *medlarcall.Attempt) {
 			if a.Cause == medlarworld.CauseDone { // the request's own line tells it
 				return
 			}
@@ -30,7 +33,7 @@
 				Str("reason", string(a.Reason)).Bool("reached", a.Reached).Bool("reused", a.Reused).
 				Int("status", a.Status).Float64("took", ms(a.Took)).AnErr("error", a.Err).Send()
 		},
-		Ended: func(s *medlarpass.Summary) {
+		Ended: func(s *medlarcall.Summary) {
 			count(m, s)
 			l := log.Info().Str("event", "request").Str("id", string(s.ID)).Str("account", string(s.Account)).
 				Str("route", s.Route).Str("service", string(s.Service)).Uint64("config", s.Config).
@@ -56,7 +59,7 @@
 	return string(b)
 }
 
-func count(m *medlarmetric.Metrics, s *medlarpass.Summary) {
+func count(m *medlarmetric.Metrics, s *medlarcall.Summary) {
 	switch {
 	case s.Reason != "" && s.Reason != medlarreason.Gone:
 		m.Refused(s.Reason)
@@ -70,7 +73,7 @@
 func rankOf(cfg medlarsettings.Attached) int { return int(xxh3.HashString(string(cfg.Name)) >> 1) }
 
 func newStocker(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, loop *medlarloop.Loop,
-	table *Table, stocks *medlarplatform.Stocks,
+	table *medlartable.Table, stocks *medlarcalls.Stocks,
 ) *medlarstocker.Stocker {
 	line := func(r medlarstocker.Ref) *zerolog.Event {
 		return log.Info().Str("event", "stock").Str("store", string(r.ID)).Str("address", string(r.Address))
@@ -99,7 +102,7 @@
 func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
 func newRollout(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, term *medlarterm.Keeper,
-	table *Table, replicas *medlarplatform.Replicas,
+	table *medlartable.Table, replicas *medlarcalls.Replicas,
 ) *medlarrollout.Rollout {
 	return medlarrollout.New(term, rankOf(cfg), medlarrollout.Seams{
 		Replicas: table.Engines,
@@ -111,7 +114,7 @@
 			}, err
 		},
 		Give: func(o medlarrollout.Order) error {
-			return replicas.Give(o.Replica.Address, medlarplatform.Order{
+			return replicas.Give(o.Replica.Address, medlarcalls.Order{
 				Replica: o.Replica.ID, Model: o.Replica.Model, Version: o.Version,
 				Holder: cfg.Name, Fence: o.Fence, Orders: o.Orders,
 			})
@@ -135,3 +138,15 @@
 		},
 	})
 }
+
+// feedLog returns what tells of a lost and regained topic.
+func feedLog(log zerolog.Logger, topic string, failed func(string)) (lost func(error), regained func(time.Duration)) {
+	lost = func(err error) {
+		failed(topic)
+		log.Warn().Str("event", "lost").Str("dependency", topic).Err(err).Msg("store does not answer")
+	}
+	regained = func(after time.Duration) {
+		log.Info().Str("event", "regained").Str("dependency", topic).Dur("after", after).Msg("store answers again")
+	}
+	return lost, regained
+}
--- a/internal/ops/medlarattach/table.go
+++ b/internal/ops/medlartable/medlartable.go
@@ -1,4 +1,15 @@
-package medlarattach
+// Package medlartable holds what an attached instance believes of its platform: the
+// catalog in force, the weight versions wanted and the replicas. It tells the core of
+// each change.
+//
+// Rules:
+//
+//	R1  A catalog and a weight version only rise.
+//	R2  A record that cannot be read has no effect; an entry that names no replica to
+//	    use takes its replica out.
+//	R3  What a replica told itself goes before its entry, if it is newer and of the same
+//	    start.
+package medlartable
 
 import (
 	"cmp"
@@ -71,8 +82,8 @@
 	return n
 }
 
-// NewTable returns an empty table.
-func NewTable(log zerolog.Logger, pool *medlarpool.Pool, post func(medlarworld.Event)) *Table {
+// New returns an empty table.
+func New(log zerolog.Logger, pool *medlarpool.Pool, post func(medlarworld.Event)) *Table {
 	return &Table{
 		log: log, pool: pool, post: post,
 		wanted: medlarrollout.Wanted{}, replicas: map[medlarid.InstanceID]*replica{},
@@ -349,15 +360,3 @@
 // prefill is the number of prompt tokens a second that a replica is taken to
 // compute.
 const prefill = 80000
-
-// feedLog returns what tells of a lost and regained topic.
-func feedLog(log zerolog.Logger, topic string, failed func(string)) (lost func(error), regained func(time.Duration)) {
-	lost = func(err error) {
-		failed(topic)
-		log.Warn().Str("event", "lost").Str("dependency", topic).Err(err).Msg("store does not answer")
-	}
-	regained = func(after time.Duration) {
-		log.Info().Str("event", "regained").Str("dependency", topic).Dur("after", after).Msg("store answers again")
-	}
-	return lost, regained
-}
--- a/internal/stand/medlarslope/core.go
+++ b/internal/stand/medlarslope/core.go
@@ -8,6 +8,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlartick"
+	"medlarfield/internal/core/medlarwarm"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/stand/medlargauge"
 	"medlarfield/internal/stand/medlarpeerslope"
@@ -155,11 +156,10 @@
 	}), nil
 }
 
-func warmTable(n int) *medlarworld.Warm {
-	t := medlarworld.NewWarm(n, 0)
-	u := &medlarworld.Upstream{}
+func warmTable(n int) *medlarwarm.Table {
+	t := medlarwarm.New(n, 0)
 	for i := range n {
-		t.Add(keys(uint64(i), 1)[0], u)
+		t.Add(keys(uint64(i), 1)[0], "engine")
 	}
 	return t
 }
