--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -57,6 +57,7 @@
 type System struct {
 	started func(*medlarworld.Run) // called for each run that leaves the queue
 	choices []choice
+	count   int      // choices of the last run, before one was picked
 	full    []target // targets without a candidate in this tick
 }
 
@@ -127,7 +128,7 @@
 		w.Emit(medlarworld.Claim{Run: r.ID})
 		return true
 	}
-	start(w, r, best)
+	s.start(w, r, best)
 	return true
 }
 
@@ -140,13 +141,13 @@
 	r.Claimed = true
 	r.Phase = medlarworld.PhaseWaiting
 	if best, ok := s.choose(w, r); ok {
-		start(w, r, best)
+		s.start(w, r, best)
 		return
 	}
 	w.Waiting = slices.Insert(w.Waiting, 0, r)
 }
 
-func start(w *medlarworld.World, r *medlarworld.Run, c choice) {
+func (s *System) start(w *medlarworld.World, r *medlarworld.Run, c choice) {
 	u := c.upstream
 	r.Attempt++
 	r.Phase = medlarworld.PhaseRunning
@@ -170,11 +171,11 @@
 	known := r.Known(max(c.depth+len(c.imports), c.stocked))
 	u.BusyTill = u.BusyTill.Add(u.Computing(max(r.Prompt-known, 0)))
 	for _, h := range c.imports {
-		if s := w.Stores[h.Store]; s != nil {
-			s.Inflight += h.Length
+		if store := w.Stores[h.Store]; store != nil {
+			store.Inflight += h.Length
 		}
 	}
-	s := medlarworld.Start{
+	cmd := medlarworld.Start{
 		Run:      r.ID,
 		Attempt:  r.Attempt,
 		Upstream: u.ID,
@@ -184,11 +185,12 @@
 		Depth:    c.depth,
 		Import:   c.imports,
 		Within:   importTime(c),
+		Why:      medlarworld.Why{Choices: s.count, Pending: u.Pending, Window: u.Window, Lag: u.Lag.At(w.Now)},
 	}
 	if r.Sizes != nil && u.Kind == medlarworld.KindEngine {
-		medlarstock.Plan(w, r, u, c.stocked, &s)
+		medlarstock.Plan(w, r, u, c.stocked, &cmd)
 	}
-	w.Emit(s)
+	w.Emit(cmd)
 }
 
 func importTime(c choice) time.Duration {
@@ -215,6 +217,7 @@
 	if len(s.choices) == 0 {
 		return choice{}, false
 	}
+	s.count = len(s.choices)
 	lowest := s.choices[0].cost
 	for i := range s.choices {
 		lowest = min(lowest, s.choices[i].cost)
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -367,7 +367,10 @@
 	if r.Reached {
 		ran = medlarreason.RanUnknown
 	}
-	w.Emit(Refuse{Run: r.ID, Reason: reason, Ran: ran, After: after})
+	w.Emit(Refuse{
+		Run: r.ID, Reason: reason, Ran: ran, After: after,
+		Waiting: len(w.Waiting), Kin: len(w.Kin(r)), Budget: w.Retries[r.Target()],
+	})
 	w.Finish(r)
 }
 
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -204,6 +204,15 @@
 	FetchTill time.Time
 	// Parts tells what was believed of each part when this was decided.
 	Parts []PartState
+	Why   Why
+}
+
+// Why is what a choice of an upstream was made from, for the log.
+type Why struct {
+	Choices int     // upstreams that could take the run
+	Pending float64 // work that waits at the chosen one, of this instance, in tokens
+	Window  float64 // bound of Pending; 0 for none
+	Lag     float64 // seconds by which it answers later than expected
 }
 
 // PartState is what is believed of a part of a prompt.
@@ -225,6 +234,11 @@
 	Reason medlarreason.Reason
 	Ran    medlarreason.Ran
 	After  time.Duration // when to come back; 0 is not said
+	// Waiting is the number of runs that waited, Kin the number of upstreams, and Budget
+	// what was left for repeated attempts when this was decided.
+	Waiting int
+	Kin     int
+	Budget  float64
 }
 
 // Find asks the stores for a run's kept blocks.
--- a/internal/edge/medlarcall/medlarcall.go
+++ b/internal/edge/medlarcall/medlarcall.go
@@ -69,22 +69,29 @@
 	Reached  bool
 	Reused   bool // of the connection
 	Status   int
+	Why      medlarworld.Why // of the choice of the upstream
 	Took     time.Duration
 	Err      error
 }
 
 // Summary is a request that has ended.
 type Summary struct {
-	ID       medlarid.RequestID
-	Account  medlarid.AccountID
-	Route    string
-	Service  medlarid.ServiceID
-	Model    medlarid.ModelID
-	Config   uint64
-	Status   int                 // 0 if the connection ended without an answer
-	Reason   medlarreason.Reason // of a refusal
-	Ran      medlarreason.Ran    // of a refusal
-	After    time.Duration       // when the caller may come back
+	ID      medlarid.RequestID
+	Account medlarid.AccountID
+	Route   string
+	Service medlarid.ServiceID
+	Model   medlarid.ModelID
+	Config  uint64
+	Status  int                 // 0 if the connection ended without an answer
+	Reason  medlarreason.Reason // of a refusal
+	Ran     medlarreason.Ran    // of a refusal
+	After   time.Duration       // when the caller may come back
+	// Waiting, Kin and Budget are what a refusal was decided from: runs that waited,
+	// upstreams of the service, repeated attempts that were left.
+	Waiting  int
+	Kin      int
+	Budget   float64
+	Why      medlarworld.Why // of the last choice of an upstream
 	Attempts int
 	Upstream medlarid.InstanceID
 	// Parts tells what was believed of each part of the prompt at the last attempt.
--- a/internal/edge/medlarpass/attempt.go
+++ b/internal/edge/medlarpass/attempt.go
@@ -397,6 +397,7 @@
 		Reached:  e.Reached,
 		Reused:   a.up != nil && a.up.Used,
 		Status:   a.status,
+		Why:      a.cmd.Why,
 		Took:     time.Since(a.begin),
 		Err:      a.err,
 	})
--- a/internal/edge/medlarpass/exchange.go
+++ b/internal/edge/medlarpass/exchange.go
@@ -198,7 +198,7 @@
 	}
 	x.sum.Attempts++
 	x.sum.Upstream = cmd.Upstream
-	x.sum.Parts = cmd.Parts
+	x.sum.Parts, x.sum.Why = cmd.Parts, cmd.Why
 	a := &attempt{exchange: x, cmd: cmd, begin: time.Now()}
 	e := a.make()
 	a.note(e)
@@ -215,6 +215,7 @@
 
 // giveUp ends a request for which the core has no further attempt.
 func (x *exchange) giveUp(cmd medlarworld.Refuse) bool {
+	x.sum.Waiting, x.sum.Kin, x.sum.Budget = cmd.Waiting, cmd.Kin, cmd.Budget
 	if x.begun {
 		x.sum.Reason, x.sum.Ran = cmd.Reason, cmd.Ran
 		return false // the answer stays without its end (R2)
--- a/internal/ops/medlarattach/notes.go
+++ b/internal/ops/medlarattach/notes.go
@@ -1,6 +1,7 @@
 package medlarattach
 
 import (
+	"math"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -31,7 +32,7 @@
 			log.Info().Str("event", "attempt").Str("id", string(a.ID)).Int("attempt", a.Number).
 				Str("replica", string(a.Upstream)).Str("version", string(a.Version)).Str("cause", string(a.Cause)).
 				Str("reason", string(a.Reason)).Bool("reached", a.Reached).Bool("reused", a.Reused).
-				Int("status", a.Status).Float64("took", ms(a.Took)).AnErr("error", a.Err).Send()
+				Int("status", a.Status).Float64("took", ms(a.Took)).Dict("why", why(a.Why)).AnErr("error", a.Err).Send()
 		},
 		Ended: func(s *medlarcall.Summary) {
 			count(m, s)
@@ -42,14 +43,24 @@
 			if len(s.Parts) > 0 {
 				l = l.Str("parts", partText(s.Parts))
 			}
+			if s.Attempts > 0 {
+				l = l.Dict("why", why(s.Why))
+			}
 			if s.Reason != "" {
-				l = l.Str("reason", string(s.Reason)).Str("ran", string(s.Ran)).Float64("after", ms(s.After))
+				l = l.Str("reason", string(s.Reason)).Str("ran", string(s.Ran)).Float64("after", ms(s.After)).
+					Int("waiting", s.Waiting).Int("kin", s.Kin).Float64("budget", s.Budget)
 			}
 			l.Send()
 		},
 	}
 }
 
+// why returns what a choice of an upstream was made from.
+func why(y medlarworld.Why) *zerolog.Event {
+	return zerolog.Dict().Int("choices", y.Choices).Float64("pending", math.Round(y.Pending)).
+		Float64("window", math.Round(y.Window)).Float64("lag", math.Round(1000*y.Lag))
+}
+
 // partText returns one letter for each part of a prompt.
 func partText(parts []medlarworld.PartState) string {
 	b := make([]byte, len(parts))
--- a/internal/ops/medlardaemon/medlardaemon.go
+++ b/internal/ops/medlardaemon/medlardaemon.go
@@ -41,18 +41,30 @@
 }
 
 func checkCommand() *cobra.Command {
-	return &cobra.Command{
+	var attached bool
+	cmd := &cobra.Command{
 		Use:   "check FILE",
 		Short: "Check the settings of FILE and start nothing",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			if _, err := medlarsettings.Read(args[0]); err != nil {
+			if err := check(args[0], attached); err != nil {
 				return err
 			}
 			cmd.Println(args[0] + ": ok")
 			return nil
 		},
 	}
+	cmd.Flags().BoolVar(&attached, "attached", false, "the settings are those of an attached instance")
+	return cmd
+}
+
+func check(file string, attached bool) error {
+	if attached {
+		_, err := medlarsettings.ReadAttached(file)
+		return err
+	}
+	_, err := medlarsettings.Read(file)
+	return err
 }
 
 // gcPercent trades processor time for memory: an instance's memory is small, and
