--- a/internal/agree/medlarterm/medlarterm.go
+++ b/internal/agree/medlarterm/medlarterm.go
@@ -96,8 +96,11 @@
 
 // Take takes or renews the duty, and reports whether the instance holds it.
 func (k *Keeper) Take(ctx context.Context) (bool, error) {
-	if _, ok := k.Fence(); ok && time.Until(k.until) > Term-renewAt {
-		return true, nil
+	if _, ok := k.Fence(); ok {
+		if time.Until(k.until) > Term-renewAt {
+			return true, nil
+		}
+		return k.append(ctx) // nobody else can have appended
 	}
 	if err := k.Follow(ctx); err != nil { // R5
 		return false, err
@@ -110,6 +113,7 @@
 
 func (k *Keeper) append(ctx context.Context) (bool, error) {
 	begin, pause := time.Now(), k.seams.Suspended()
+	k.until = time.Time{} // until the answer: R5
 	err := k.seams.Append(ctx, k.end)
 	if errors.Is(err, ErrMoved) {
 		return false, nil
--- a/internal/base/medlarid/medlarid.go
+++ b/internal/base/medlarid/medlarid.go
@@ -6,6 +6,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
+	"strconv"
 	"time"
 )
 
@@ -24,6 +25,14 @@
 // WeightVersion names one version of a model's weights.
 type WeightVersion string
 
+// Before reports whether v is an earlier version than o, by number. Versions that are
+// no numbers have no order.
+func (v WeightVersion) Before(o WeightVersion) bool {
+	a, errA := strconv.ParseUint(string(v), 10, 64)
+	b, errB := strconv.ParseUint(string(o), 10, 64)
+	return errA == nil && errB == nil && a < b
+}
+
 // ServiceID names a plain service.
 type ServiceID string
 
--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -37,6 +37,7 @@
 	storeDownTime  = 2 * time.Second
 	defaultPrefill = 8000 // prompt tokens a second
 
+	maxNamed = 32          // versions of a model that are remembered
 	nextTime = time.Second // for which a replica that comes next is spared
 
 	nearAll  = 16 // replicas of a model that an instance works with in full
@@ -87,9 +88,9 @@
 	old := w.Models
 	w.Models = make(map[medlarid.ModelID]medlarworld.Model, len(e.Models))
 	for _, m := range e.Models {
-		m.Since = w.Now
-		if o, ok := old[m.ID]; ok && o.Version == m.Version {
-			m.Since = o.Since
+		m.Named = old[m.ID].Named
+		if n := len(m.Named); n == 0 || m.Named[n-1].Version != m.Version {
+			m.Named = append(m.Named[max(n-maxNamed, 0):], medlarworld.Named{Version: m.Version, At: w.Now})
 		}
 		w.Models[m.ID] = m
 	}
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -312,8 +312,13 @@
 	if v == m.Version {
 		return v != ""
 	}
-	outdated := w.Config.OldVersions > 0 && w.Now.Sub(m.Since) > w.Config.OldVersions
-	return v != "" && v == r.Version && !outdated
+	return v != "" && v == r.Version && !outdated(w, &m, v)
+}
+
+// outdated reports whether a weight version was replaced too long ago.
+func outdated(w *medlarworld.World, m *medlarworld.Model, v medlarid.WeightVersion) bool {
+	at, ok := m.Replaced(v)
+	return ok && w.Config.OldVersions > 0 && w.Now.Sub(at) > w.Config.OldVersions
 }
 
 // versionOf returns the weight version that a replica is taken to have: what it
--- a/internal/core/medlartick/parts_test.go
+++ b/internal/core/medlartick/parts_test.go
@@ -222,6 +222,15 @@
 			p.tick(medlarworld.Ended{Run: r.ID, Attempt: s.Attempt, Cause: medlarworld.CauseDone, Reached: true})
 		}
 	})
+	t.Run("a later version does not make an older one young again", func(t *testing.T) {
+		p := newParts(t, 6, nil)
+		p.want("2")
+		p.now = p.now.Add(6 * time.Second)
+		p.want("3")
+		if v := started(p); v != "" {
+			t.Errorf("started under version %s", v)
+		}
+	})
 	t.Run("old weights serve nothing after a bound", func(t *testing.T) {
 		p := newParts(t, 6, nil)
 		p.want("2")
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -101,7 +101,26 @@
 type Model struct {
 	ID      medlarid.ModelID
 	Version medlarid.WeightVersion
-	Since   time.Time // when Version was first wanted, as the core saw it
+	// Named are the versions that were wanted one after the other, Version the last, and
+	// when the core saw each first.
+	Named []Named
+}
+
+// Named is a weight version that was wanted from a time on.
+type Named struct {
+	Version medlarid.WeightVersion
+	At      time.Time
+}
+
+// Replaced returns when a version was first replaced by a later one; ok is false if it
+// was not.
+func (m *Model) Replaced(v medlarid.WeightVersion) (at time.Time, ok bool) {
+	for _, n := range m.Named {
+		if v.Before(n.Version) {
+			return n.At, true
+		}
+	}
+	return time.Time{}, false
 }
 
 // Kind tells what an upstream is.
--- a/internal/ops/medlarattach/medlarattach.go
+++ b/internal/ops/medlarattach/medlarattach.go
@@ -46,7 +46,7 @@
 // Times and sizes.
 const (
 	storeTimeout   = 1500 * time.Millisecond // of a call to the store
-	replicaTimeout = time.Second             // of a control call to a replica
+	replicaTimeout = 500 * time.Millisecond  // of a control call to a replica
 	operatorWait   = 2 * time.Second         // of a read for the operator's records
 	replicaWait    = time.Second             // of a read for replicas' entries
 	replicaPace    = 200 * time.Millisecond  // between two of those
@@ -287,7 +287,8 @@
 	i.log.Info().Str("event", "reload").Bool("changed", cfg != i.cfg).Msg("settings read")
 }
 
-func newTerm(cfg medlarsettings.Attached, s *medlarcalls.Store) *medlarterm.Keeper {
+func newTerm(cfg medlarsettings.Attached, h *medlarhttp.Client) *medlarterm.Keeper {
+	s := medlarcalls.NewStore(h, cfg.Store, medlarterm.Term) // a later answer is of no use
 	return medlarterm.New(cfg.Name, cfg.Bounds.Settle.Std(), medlarterm.Seams{
 		Append: func(ctx context.Context, at medlarid.Offset) error {
 			_, err := s.Append(ctx, medlarplatform.TopicTerm, at, medlarcalls.EncodeTerm(cfg.Name))
--- a/internal/ops/medlarrollout/medlarrollout.go
+++ b/internal/ops/medlarrollout/medlarrollout.go
@@ -30,6 +30,7 @@
 const (
 	interval    = 100 * time.Millisecond
 	askEvery    = 300 * time.Millisecond // for stale replicas' state, by who gives no orders
+	stateLife   = 500 * time.Millisecond // of what a replica said
 	followEvery = 4 * time.Second        // reads of the terms while there is nothing to order
 	rankDelay   = 60 * time.Millisecond
 	ranks       = 4 // instances that differ in rank
@@ -89,8 +90,11 @@
 
 	stale    time.Time // since when a stale replica is seen; zero for none
 	followed time.Time
-	asked    time.Time // when stale replicas were asked last
 	held     bool
+
+	mu     sync.Mutex
+	states map[medlarid.InstanceID]asked
+	asking map[medlarid.InstanceID]bool
 }
 
 // New returns a rollout of the instance of a rank, from 0 on.
@@ -98,7 +102,10 @@
 	planner := medlarorder.New(medlarorder.Options{
 		Pause: orderPause, Loads: medlarorder.DefaultLoads, Share: medlarorder.SwapShare, Fixed: true,
 	})
-	return &Rollout{seams: s, term: term, planner: planner, rank: rank % ranks}
+	return &Rollout{
+		seams: s, term: term, planner: planner, rank: rank % ranks,
+		states: map[medlarid.InstanceID]asked{}, asking: map[medlarid.InstanceID]bool{},
+	}
 }
 
 // Run works until ctx ends.
@@ -129,11 +136,7 @@
 	if r.stale.IsZero() {
 		r.stale = now
 	}
-	if !r.held && now.Sub(r.asked) < askEvery {
-		return
-	}
-	r.asked = now
-	states := r.askAll(stale)
+	r.ask(stale, now)
 	if now.Sub(r.stale) < time.Duration(r.rank)*rankDelay { // R4
 		return
 	}
@@ -144,7 +147,7 @@
 	fence, current := r.term.Fence()
 	r.note(fence, ok && current)
 	if ok && current {
-		r.order(states, wanted)
+		r.order(wanted)
 	}
 }
 
@@ -180,43 +183,70 @@
 type asked struct {
 	Replica
 	State
+	at time.Time // when it was asked
 }
 
-// askAll asks replicas for their state; those that do not answer are left out (R2).
-func (r *Rollout) askAll(replicas []Replica) map[medlarid.InstanceID]asked {
-	out := make(map[medlarid.InstanceID]asked, len(replicas))
-	var mu sync.Mutex
-	var wg sync.WaitGroup
+// ask asks replicas for their state, each when its last question has ended and some
+// time has passed. Who gives orders asks more often.
+func (r *Rollout) ask(replicas []Replica, now time.Time) {
+	every := askEvery
+	if r.held {
+		every = interval
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, p := range replicas {
-		wg.Go(func() {
-			s, err := r.seams.Ask(p)
-			if err != nil {
-				r.seams.Failed(p, err)
-				return
-			}
-			r.seams.Told(p, s)
-			mu.Lock()
-			defer mu.Unlock()
-			out[p.ID] = asked{p, s}
-		})
-	}
-	wg.Wait()
+		if r.asking[p.ID] || now.Sub(r.states[p.ID].at) < every {
+			continue
+		}
+		r.asking[p.ID] = true
+		go r.askOne(p, now)
+	}
+}
+
+func (r *Rollout) askOne(p Replica, now time.Time) {
+	s, err := r.seams.Ask(p)
+	if err != nil {
+		r.seams.Failed(p, err)
+	} else {
+		r.seams.Told(p, s)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.asking, p.ID)
+	if err != nil {
+		delete(r.states, p.ID) // R2
+		return
+	}
+	r.states[p.ID] = asked{Replica: p, State: s, at: now}
+}
+
+// known returns the states that are young enough to plan with.
+func (r *Rollout) known(now time.Time) map[medlarid.InstanceID]asked {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make(map[medlarid.InstanceID]asked, len(r.states))
+	for id, a := range r.states {
+		if now.Sub(a.at) < stateLife {
+			out[id] = a
+		}
+	}
 	return out
 }
 
-// order gives the orders that are due (R1).
-func (r *Rollout) order(states map[medlarid.InstanceID]asked, wanted Wanted) {
-	var wg sync.WaitGroup
-	for _, o := range r.planner.Plan(time.Now(), r.planned(states, wanted), wanted) {
+// order gives the orders that are due (R1). It does not wait for the answers.
+func (r *Rollout) order(wanted Wanted) {
+	now := time.Now()
+	states := r.known(now)
+	for _, o := range r.planner.Plan(now, r.planned(states, wanted), wanted) {
 		fence, ok := r.term.Fence()
 		if !ok {
-			break
+			return
 		}
 		a := states[o.Replica]
 		out := Order{Replica: a.Replica, Version: o.Version, Fence: fence, Orders: a.Orders}
-		wg.Go(func() { r.seams.Ordered(out, r.seams.Give(out)) })
+		go func() { r.seams.Ordered(out, r.seams.Give(out)) }()
 	}
-	wg.Wait()
 }
 
 // planned returns the replicas for the planner: those that were asked by their
--- a/internal/ops/medlarstocker/medlarstocker.go
+++ b/internal/ops/medlarstocker/medlarstocker.go
@@ -15,7 +15,6 @@
 	"context"
 	"maps"
 	"slices"
-	"strconv"
 	"time"
 
 	"medlarfield/internal/base/medlarid"
@@ -196,7 +195,7 @@
 	var old []Part
 	for _, p := range sh.parts {
 		v, since, ok := s.seams.Settled(p.Model)
-		if ok && time.Since(since) > s.wait && older(p.Salt.Version(), v) {
+		if ok && time.Since(since) > s.wait && p.Salt.Version().Before(v) {
 			old = append(old, p)
 		}
 		if len(old) == freeBatch {
@@ -214,13 +213,6 @@
 	maps.DeleteFunc(sh.parts, func(_ medlarkey.Key, p Part) bool { return slices.Contains(old, p) })
 }
 
-// older reports whether a weight version is an earlier one than b.
-func older(a, b medlarid.WeightVersion) bool {
-	x, errA := strconv.ParseUint(string(a), 10, 64)
-	y, errB := strconv.ParseUint(string(b), 10, 64)
-	return errA == nil && errB == nil && x < y
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
--- a/internal/ops/medlartable/medlartable.go
+++ b/internal/ops/medlartable/medlartable.go
@@ -14,7 +14,6 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -64,24 +63,12 @@
 
 // version returns the newest weight version that the replica is known to have.
 func (r *replica) version() medlarid.WeightVersion {
-	if newer(r.told, r.Member.Version) {
+	if r.Member.Version.Before(r.told) {
 		return r.told
 	}
 	return r.Member.Version
 }
 
-// newer reports whether a weight version is a later one than b.
-func newer(a, b medlarid.WeightVersion) bool { return number(a) > number(b) }
-
-// number returns the number of a weight version; 0 for none.
-func number(v medlarid.WeightVersion) uint64 {
-	n, err := strconv.ParseUint(string(v), 10, 64)
-	if err != nil {
-		return 0 // empty, or of another writer: the oldest of all
-	}
-	return n
-}
-
 // New returns an empty table.
 func New(log zerolog.Logger, pool *medlarpool.Pool, post func(medlarworld.Event)) *Table {
 	return &Table{
@@ -173,7 +160,7 @@
 }
 
 func (t *Table) takeVersion(m medlarworld.Model, at medlarid.Offset) bool {
-	if !newer(m.Version, t.wanted[m.ID]) {
+	if old := t.wanted[m.ID]; old != "" && !old.Before(m.Version) {
 		return false
 	}
 	t.wanted[m.ID] = m.Version
@@ -263,7 +250,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.replicas[id]
-	if r == nil || !newer(v, r.version()) {
+	if r == nil || !r.version().Before(v) {
 		return
 	}
 	r.told = v
