Waiting work and windows by class of urgency

Cause: after a change of weights windows were at their least, and a dossier that waited at a replica kept small urgent prompts waiting at the instance, though the replica would have served them first.

--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -46,7 +46,7 @@
 	queueShare     = 0.25 // share of an engine's slots that may wait inside it
 	homeShare      = 0.1  // of the computation, by which a home costs less
 	maxBacklog     = 0.5  // seconds of computation that may wait inside an engine
-	memoryShare    = 0.5  // of a replica's memory that own attempts fill
+	memoryShare    = 0.3  // of a replica's memory that own attempts fill
 	nextCost       = 1.0  // seconds, for a replica that is about to change weights
 	maxOpenNoSlot  = 256  // attempts in flight at an upstream that reports no slots
 	importPatience = 2    // an import is given up after this many times its cost
@@ -156,6 +156,7 @@
 	if !slices.Contains(r.Tried, u) {
 		r.Tried = append(r.Tried, u)
 	}
+	pending := medlarwindow.Pending(r, u)
 	u.Open++
 	u.Tokens += r.Prompt
 	r.Expected = time.Duration(c.expected * float64(time.Second))
@@ -185,7 +186,7 @@
 		Depth:    c.depth,
 		Import:   c.imports,
 		Within:   importTime(c),
-		Why:      medlarworld.Why{Choices: s.count, Pending: u.Pending, Window: u.Window, Lag: u.Lag.At(w.Now)},
+		Why:      medlarworld.Why{Choices: s.count, Pending: pending, Window: medlarwindow.Window(&u.Queues[r.Class()]), Lag: u.Lag.At(w.Now)},
 	}
 	if r.Sizes != nil && u.Kind == medlarworld.KindEngine {
 		medlarstock.Plan(w, r, u, c.stocked, &cmd)
--- a/internal/core/medlarwindow/medlarwindow.go
+++ b/internal/core/medlarwindow/medlarwindow.go
@@ -7,12 +7,14 @@
 //
 //	R1  The work of an attempt is the tokens that are computed, and a share of those
 //	    that are cached or fetched. It waits until the first part of the answer.
-//	R2  An attempt starts only if the replica's waiting work, of this instance, stays
-//	    within the window, or if none waits.
+//	R2  An attempt starts only if the replica's waiting work, of this instance and of
+//	    its class of urgency and more urgent ones, stays within the window of the
+//	    class, or if none waits. Less urgent work does not count: replicas serve it
+//	    later.
 //	R3  An answer that begins about when it was expected widens the window by a share
 //	    of its work. One that begins late narrows it, at most once each settle time.
-//	    All instances do so by what they see, and share the replica without a message.
-//	R4  Less urgent attempts fill a part of the window only.
+//	    What is late is a share of the time in which an answer is in time. All
+//	    instances do so by what they see, and share the replica without a message.
 package medlarwindow
 
 import (
@@ -22,19 +24,19 @@
 	"medlarfield/internal/core/medlarworld"
 )
 
-// Parameters, in tokens and seconds.
+// Parameters.
 const (
 	knownShare = 0.25  // of known tokens that count as work (R1)
-	first      = 16000 // window of a replica that nothing was learned of
-	least      = 3000
-	most       = 64000
-	inTime     = 0.05 // later than expected, and still widening
-	late       = 0.12 // later than expected, and narrowing
-	widen      = 0.15 // of the work
+	first      = 16000 // tokens, window of a replica that nothing was learned of
+	least      = 3000  // tokens
+	most       = 64000 // tokens
+	inTime     = 0.15  // of the target, later than expected, and still widening
+	late       = 0.35  // of the target, later than expected, and narrowing
+	widen      = 0.15  // of the work
 	narrow     = 0.75
-	rankShare  = 0.2 // of the window, that each rank leaves to those before it (R4)
-	leastPart  = 0.4
 	settle     = 150 * time.Millisecond
+
+	defaultTarget = 300 * time.Millisecond // of a run that has none
 )
 
 // System adjusts windows.
@@ -58,44 +60,52 @@
 	if r == nil || r.Attempt != e.Attempt || r.Upstream == nil || r.Work == 0 {
 		return
 	}
-	u := r.Upstream
-	u.Pending = max(u.Pending-r.Work, 0)
-	r.Work = 0
-	over := (e.After - r.Idle).Seconds()
+	r.Begin()
+	target := r.Goal
+	if target == 0 {
+		target = defaultTarget
+	}
+	q := &r.Upstream.Queues[r.Class()]
+	over := float64(e.After-r.Idle) / float64(target)
 	switch {
 	case over < inTime:
-		u.Window = min(window(u)+widen*float64(r.Computed), most)
-	case over > late && w.Now.Sub(u.Narrowed) > settle:
-		u.Window = max(window(u)*narrow, least)
-		u.Narrowed = w.Now
+		q.Window = min(Window(q)+widen*float64(r.Computed), most)
+	case over > late && w.Now.Sub(q.Narrowed) > settle:
+		q.Window = max(Window(q)*narrow, least)
+		q.Narrowed = w.Now
 	}
 }
 
-// Fits reports whether an attempt of a run may start at a replica (R2).
-func Fits(r *medlarworld.Run, u *medlarworld.Upstream, known medlarid.Tokens) bool {
-	return u.Pending <= 0 || u.Pending+work(r, known) <= window(u)*part(r)
+// Pending returns the work that waits at a replica before a run or beside it (R2).
+func Pending(r *medlarworld.Run, u *medlarworld.Upstream) float64 {
+	sum := 0.0
+	for i := range r.Class() + 1 {
+		sum += u.Queues[i].Pending
+	}
+	return sum
 }
 
-// part returns the part of a window that a run may fill: less urgent ones leave room
-// for more urgent ones (R4).
-func part(r *medlarworld.Run) float64 {
-	return max(1+rankShare*float64(r.Priority), leastPart)
+// Fits reports whether an attempt of a run may start at a replica (R2).
+func Fits(r *medlarworld.Run, u *medlarworld.Upstream, known medlarid.Tokens) bool {
+	waits := Pending(r, u)
+	return waits <= 0 || waits+work(r, known) <= Window(&u.Queues[r.Class()])
 }
 
-// Take counts the work of an attempt (R1). service is the time to the first part of
-// its answer on an idle replica.
-func Take(r *medlarworld.Run, u *medlarworld.Upstream, known medlarid.Tokens, service time.Duration) {
-	r.Work, r.Computed, r.Idle = work(r, known), r.Prompt-known, service
-	u.Pending += r.Work
+// Take counts the work of an attempt (R1). idle is the time to the first part of its
+// answer on an idle replica.
+func Take(r *medlarworld.Run, u *medlarworld.Upstream, known medlarid.Tokens, idle time.Duration) {
+	r.Work, r.Computed, r.Idle = work(r, known), r.Prompt-known, idle
+	u.Queues[r.Class()].Pending += r.Work
 }
 
 func work(r *medlarworld.Run, known medlarid.Tokens) float64 {
 	return float64(max(r.Prompt-known, 0)) + knownShare*float64(known) + 1
 }
 
-func window(u *medlarworld.Upstream) float64 {
-	if u.Window == 0 {
+// Window returns the window of a class at a replica, in tokens.
+func Window(q *medlarworld.Queue) float64 {
+	if q.Window == 0 {
 		return first
 	}
-	return u.Window
+	return q.Window
 }
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -164,11 +164,8 @@
 	Lag    Lag             // of first parts of answers
 	Memory medlarid.Tokens // of the KV cache; 0 is not known
 	Tokens medlarid.Tokens // prompts of own attempts in flight
-	// Window bounds Pending, the work of own attempts whose answer has not begun, both
-	// in tokens; 0 until something was learned.
-	Window   float64
-	Pending  float64
-	Narrowed time.Time // when the window was narrowed last
+	// Queues are the own attempts whose answer has not begun, by urgency.
+	Queues [Classes]Queue
 
 	Load       Load
 	ReportedAt time.Time
@@ -202,6 +199,22 @@
 	Lag      Lag   // of answers that waited for a fetch
 }
 
+// Classes is the number of classes of urgency that upstreams tell apart; the first is
+// the most urgent.
+const Classes = 4
+
+// Queue is what waits at an upstream in one class of urgency.
+type Queue struct {
+	// Window bounds Pending, the work of this class and more urgent ones, both in
+	// tokens; 0 until something was learned.
+	Window   float64
+	Pending  float64   // work of this class alone
+	Narrowed time.Time // when the window was narrowed last
+}
+
+// Class returns the run's class of urgency.
+func (r *Run) Class() int { return min(max(int(-r.Priority), 0), Classes-1) }
+
 // Lag is by how many seconds something is late, learned and fading.
 type Lag struct {
 	seconds float64
@@ -303,6 +316,7 @@
 	// StartBy is the time until which an attempt can still be in time, and GiveUp the
 	// one at which the caller leaves if no answer has begun; zero if they are not
 	// known.
+	Goal    time.Duration // until the first part of an answer in time; 0 is not known
 	StartBy time.Time
 	GiveUp  time.Time
 	Late    bool // StartBy has passed
@@ -417,6 +431,13 @@
 	return nil
 }
 
+// Begin takes the run's work off the queue of its upstream.
+func (r *Run) Begin() {
+	q := &r.Upstream.Queues[r.Class()]
+	q.Pending = max(q.Pending-r.Work, 0)
+	r.Work = 0
+}
+
 // Release takes the run's attempt off its upstream.
 func (w *World) Release(r *Run) {
 	if r.Upstream == nil {
@@ -424,8 +445,7 @@
 	}
 	r.Upstream.Open--
 	r.Upstream.Tokens -= r.Prompt
-	r.Upstream.Pending = max(r.Upstream.Pending-r.Work, 0)
-	r.Work = 0
+	r.Begin()
 	r.Upstream = nil
 }
 
