Parts of replaced weights are freed by time; replicas that load are spared

Cause: parts of old weights were freed only after all replicas had the new ones, so that for ten seconds nothing could be saved.

--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -37,8 +37,9 @@
 	storeDownTime  = 2 * time.Second
 	defaultPrefill = 8000 // prompt tokens a second
 
-	maxNamed = 32          // versions of a model that are remembered
-	nextTime = time.Second // for which a replica that comes next is spared
+	maxNamed = 32                     // versions of a model that are remembered
+	busyTime = 500 * time.Millisecond // for which a replica that loads weights is spared
+	nextTime = time.Second            // for which a replica that comes next is spared
 
 	nearAll  = 16 // replicas of a model that an instance works with in full
 	nearSome = 4  // replicas of a model with more
@@ -72,6 +73,12 @@
 			cache(w, e)
 		case medlarworld.Moved:
 			move(w, e)
+		case medlarworld.Heard:
+			w.Heard = e.At
+		case medlarworld.Busy:
+			if u := w.Upstreams[e.Upstream]; u != nil {
+				u.Next = w.Now.Add(busyTime)
+			}
 		case medlarworld.StopAsked:
 			w.Draining = true
 		}
--- a/internal/core/medlarstock/medlarstock.go
+++ b/internal/core/medlarstock/medlarstock.go
@@ -15,8 +15,17 @@
 //	    needed: two instances that differ only save a part twice.
 //	R4  A part is saved once; while that is under way it is not asked for again.
 //	R5  The last part of a prompt is its own and is not saved.
+//	R5  The last part of a prompt is its own and is not saved.
+//	R7  Parts of a weight version are fetched until GraceTime after it was replaced, and
+//	    only while the instance has heard within HeardTime which versions are wanted.
+//	    So they can be freed FreeTime after the replacement, whoever may not have heard
+//	    of it.
 //	R6  A store that answers later than others is fetched from less. Where all do, it
 //	    is not the stores: reading the parts again would only add to the load.
+//	R7  Parts of a weight version are fetched until GraceTime after it was replaced, and
+//	    only while the instance has heard within HeardTime which versions are wanted.
+//	    So they can be freed FreeTime after the replacement, whoever may not have heard
+//	    of it.
 package medlarstock
 
 import (
@@ -29,6 +38,13 @@
 	"medlarfield/internal/core/medlarworld"
 )
 
+// Times of rule R7.
+const (
+	HeardTime = 3 * time.Second
+	GraceTime = 1500 * time.Millisecond
+	FreeTime  = HeardTime + GraceTime + fetchTime + 500*time.Millisecond
+)
+
 // Parameters.
 const (
 	freshTime  = 1500 * time.Millisecond
@@ -94,6 +110,19 @@
 	}
 }
 
+// Fetchable reports whether parts of a weight version may be fetched for a run (R7).
+func Fetchable(w *medlarworld.World, r *medlarworld.Run, v medlarid.WeightVersion) bool {
+	if w.Heard.IsZero() {
+		return true // a deployment whose parts are not freed by version
+	}
+	if w.Now.Sub(w.Heard) > HeardTime {
+		return false
+	}
+	m := w.Models[r.Model]
+	at, replaced := m.Replaced(v)
+	return !replaced || w.Now.Sub(at) < GraceTime
+}
+
 // Find returns the store that a part can be fetched from, or nil (R1).
 func Find(w *medlarworld.World, k medlarkey.Key) *medlarworld.Store {
 	for _, s := range w.StoreList {
@@ -151,7 +180,7 @@
 	if i == len(cmd.Parts)-1 || r.Sizes[i] < minTokens { // R5
 		return state(warm, medlarworld.PartCold)
 	}
-	if s := Find(w, k); s != nil {
+	if s := Find(w, k); s != nil && Fetchable(w, r, u.Version) {
 		if !known {
 			return medlarworld.PartLeft
 		}
--- a/internal/core/medlartick/parts_test.go
+++ b/internal/core/medlartick/parts_test.go
@@ -143,6 +143,23 @@
 			p.stock("near", 1, true, r.Keys[0], r.Keys[1])
 			p.now = p.now.Add(2 * time.Second)
 		}, "cco"},
+		{"nothing is fetched by who has not heard lately which versions are wanted", func(p *partsWorld, r *medlarworld.Run) {
+			p.tick(medlarworld.Heard{At: p.now})
+			p.now = p.now.Add(3100 * time.Millisecond)
+			p.stock("near", 1, true, r.Keys[0], r.Keys[1])
+		}, "cco"},
+		{"parts of a version are fetched for a while after it was replaced", func(p *partsWorld, r *medlarworld.Run) {
+			p.want("2")
+			p.now = p.now.Add(1400 * time.Millisecond)
+			p.tick(medlarworld.Heard{At: p.now})
+			p.stock("near", 1, true, r.Keys[0], r.Keys[1])
+		}, "ffo"},
+		{"and then no more", func(p *partsWorld, r *medlarworld.Run) {
+			p.want("2")
+			p.now = p.now.Add(1600 * time.Millisecond)
+			p.tick(medlarworld.Heard{At: p.now})
+			p.stock("near", 1, true, r.Keys[0], r.Keys[1])
+		}, "cco"},
 		{"a store that started anew holds nothing", func(p *partsWorld, r *medlarworld.Run) {
 			p.stock("near", 1, true, r.Keys[0], r.Keys[1])
 			p.stock("near", 2, true)
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -340,6 +340,7 @@
 	Rand   *rand.Rand
 
 	Version  medlarid.Offset
+	Heard    time.Time // as of when the operators' records are known
 	Ready    bool
 	Draining bool
 	Peers    int // live entry instances, this one included
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -151,6 +151,12 @@
 	Removed []medlarkey.Key
 }
 
+// Heard reports that the operators' records are known as of a time.
+type Heard struct{ At time.Time }
+
+// Busy reports that an upstream is loading other weights.
+type Busy struct{ Upstream medlarid.InstanceID }
+
 // Moved reports the end of a transfer over the link to a store.
 type Moved struct {
 	Store  medlarid.InstanceID
@@ -179,6 +185,8 @@
 func (Cached) event()    {}
 func (Moved) event()     {}
 func (Stocked) event()   {}
+func (Heard) event()     {}
+func (Busy) event()      {}
 func (Began) event()     {}
 func (StopAsked) event() {}
 func (Tick) event()      {}
--- a/internal/ops/medlarattach/medlarattach.go
+++ b/internal/ops/medlarattach/medlarattach.go
@@ -176,13 +176,19 @@
 	})
 }
 
-func newFeeds(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, s *medlarcalls.Store, t *medlartable.Table) []*medlarfeed.Feed {
+func newFeeds(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, loop *medlarloop.Loop,
+	s *medlarcalls.Store, t *medlartable.Table,
+) []*medlarfeed.Feed {
 	feed := func(topic string, wait time.Duration, apply func([]medlarfeed.Record, bool), o medlarfeed.Options) *medlarfeed.Feed {
 		lost, regained := feedLog(log, topic, m.Failed)
 		return medlarfeed.New(medlarfeed.Seams{
 			Newest: func(ctx context.Context, after string) (medlarfeed.Page, error) { return s.Newest(ctx, topic, after) },
 			Read: func(ctx context.Context, from medlarid.Offset) (medlarfeed.Batch, error) {
-				return s.Follow(ctx, topic, from, wait)
+				b, err := s.Follow(ctx, topic, from, wait)
+				if err == nil && topic == medlarplatform.TopicOperator {
+					loop.Post(medlarworld.Heard{At: time.Now()})
+				}
+				return b, err
 			},
 			Apply: apply, Lost: lost, Regained: regained,
 		}, o)
--- a/internal/ops/medlarattach/notes.go
+++ b/internal/ops/medlarattach/notes.go
@@ -90,12 +90,12 @@
 		return log.Info().Str("event", "stock").Str("store", string(r.ID)).Str("address", string(r.Address))
 	}
 	return medlarstocker.New(rankOf(cfg), medlarstocker.Seams{
-		Stores:  table.Stores,
-		List:    stocks.List,
-		Events:  stocks.Events,
-		Free:    stocks.Free,
-		Post:    loop.Post,
-		Settled: table.Settled,
+		Stores:   table.Stores,
+		List:     stocks.List,
+		Events:   stocks.Events,
+		Free:     stocks.Free,
+		Post:     loop.Post,
+		Replaced: table.Replaced,
 		Lost: func(r medlarstocker.Ref, err error) {
 			m.Failed("stock")
 			line(r).AnErr("error", err).Msg("store of context does not answer")
@@ -112,7 +112,7 @@
 
 func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
-func newRollout(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, term *medlarterm.Keeper,
+func newRollout(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, loop *medlarloop.Loop, term *medlarterm.Keeper,
 	table *medlartable.Table, replicas *medlarcalls.Replicas,
 ) *medlarrollout.Rollout {
 	return medlarrollout.New(term, rankOf(cfg), medlarrollout.Seams{
@@ -130,7 +130,12 @@
 				Holder: cfg.Name, Fence: o.Fence, Orders: o.Orders,
 			})
 		},
-		Told: func(r medlarrollout.Replica, s medlarrollout.State) { table.Told(r.ID, s.Version) },
+		Told: func(r medlarrollout.Replica, s medlarrollout.State) {
+			table.Told(r.ID, s.Version)
+			if s.Loading {
+				loop.Post(medlarworld.Busy{Upstream: r.ID})
+			}
+		},
 		Ordered: func(o medlarrollout.Order, err error) {
 			m.Ordered(err == nil)
 			log.Info().Str("event", "order").Str("replica", string(o.Replica.ID)).Str("model", string(o.Replica.Model)).
--- a/internal/ops/medlarstocker/medlarstocker.go
+++ b/internal/ops/medlarstocker/medlarstocker.go
@@ -5,8 +5,8 @@
 //
 //	R1  A store is listed once, and after a gap or a new start; else its changes are
 //	    followed. What is told to the core is as of the answer's arrival.
-//	R2  Parts of an older weight version are freed only when every replica of the
-//	    model has had the wanted one for longer than any fetch lasts.
+//	R2  Parts of an older weight version are freed only when no instance fetches them
+//	    any more, whatever it has heard: a time after it was replaced.
 //	R3  Each instance waits longer by its rank before it frees, so that mostly one
 //	    does; freeing twice does no harm.
 package medlarstocker
@@ -19,6 +19,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
+	"medlarfield/internal/core/medlarstock"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -28,8 +29,7 @@
 	eventsWait = 800 * time.Millisecond
 	eventsPace = 250 * time.Millisecond // between two calls
 	failPause  = 150 * time.Millisecond
-	freeAfter  = 3 * time.Second // longer than a belief and a fetch last together
-	freeRank   = 2 * time.Second // for each rank
+	freeRank   = 600 * time.Millisecond // for each rank
 	ranks      = 4
 	freeBatch  = 256 // parts of one call
 )
@@ -72,9 +72,8 @@
 	Events func(at medlarid.Address, since uint64, wait time.Duration) (Changes, error)
 	Free   func(at medlarid.Address, epoch uint64, parts []Part) error
 	Post   func(medlarworld.Event)
-	// Settled returns the weight version that all replicas of a model have had since
-	// a time, if they have the same one.
-	Settled func(medlarid.ModelID) (v medlarid.WeightVersion, since time.Time, ok bool)
+	// Replaced returns when a weight version of a model was replaced, if it was.
+	Replaced func(medlarid.ModelID, medlarid.WeightVersion) (at time.Time, ok bool)
 	// Lost, Regained, Reset and Freed are told of what happens at a store.
 	Lost     func(Ref, error)
 	Regained func(Ref)
@@ -90,7 +89,7 @@
 
 // New returns a stocker of the instance of a rank, from 0 on.
 func New(rank int, s Seams) *Stocker {
-	return &Stocker{seams: s, wait: freeAfter + time.Duration(rank%ranks)*freeRank}
+	return &Stocker{seams: s, wait: medlarstock.FreeTime + time.Duration(rank%ranks)*freeRank}
 }
 
 // Run follows the stores until ctx ends.
@@ -194,8 +193,8 @@
 func (s *Stocker) free(sh *shelf) {
 	var old []Part
 	for _, p := range sh.parts {
-		v, since, ok := s.seams.Settled(p.Model)
-		if ok && time.Since(since) > s.wait && p.Salt.Version().Before(v) {
+		at, ok := s.seams.Replaced(p.Model, p.Salt.Version())
+		if ok && time.Since(at) > s.wait {
 			old = append(old, p)
 		}
 		if len(old) == freeBatch {
--- a/internal/ops/medlartable/medlartable.go
+++ b/internal/ops/medlartable/medlartable.go
@@ -44,17 +44,11 @@
 	catalog  *medlarcatalog.Catalog
 	wanted   medlarrollout.Wanted
 	replicas map[medlarid.InstanceID]*replica
-	listed   bool // the replicas were read once
-	settled  map[medlarid.ModelID]settled
+	listed   bool                                     // the replicas were read once
+	named    map[medlarid.ModelID][]medlarworld.Named // versions that were wanted one after the other
 	applied  medlarid.Offset
 }
 
-// settled is the weight version that all replicas of a model have.
-type settled struct {
-	version medlarid.WeightVersion // empty while they differ
-	since   time.Time
-}
-
 // replica is a replica's entry with what it told since.
 type replica struct {
 	medlarplatform.Replica
@@ -74,7 +68,7 @@
 	return &Table{
 		log: log, pool: pool, post: post,
 		wanted: medlarrollout.Wanted{}, replicas: map[medlarid.InstanceID]*replica{},
-		settled: map[medlarid.ModelID]settled{},
+		named: map[medlarid.ModelID][]medlarworld.Named{},
 	}
 }
 
@@ -164,6 +158,7 @@
 		return false
 	}
 	t.wanted[m.ID] = m.Version
+	t.named[m.ID] = append(t.named[m.ID], medlarworld.Named{Version: m.Version, At: time.Now()})
 	t.log.Info().Str("event", "weights").Str("model", string(m.ID)).Str("version", string(m.Version)).
 		Uint64("offset", uint64(at)).Msg("weight version wanted")
 	return true
@@ -272,7 +267,6 @@
 	}
 	e.Members = append(e.Members, t.stores()...)
 	t.post(e)
-	t.settle(time.Now())
 }
 
 // memory returns the size of a token in the memory of a service's replicas, and how
@@ -314,34 +308,17 @@
 	return out
 }
 
-// settle notes which models' replicas all have one weight version; the lock is held.
-func (t *Table) settle(now time.Time) {
-	for m := range t.wanted {
-		var v medlarid.WeightVersion
-		same := true
-		for _, r := range t.replicas {
-			if r.Member.Model != m {
-				continue
-			}
-			same = same && (v == "" || v == r.version())
-			v = r.version()
-		}
-		if !same {
-			v = ""
-		}
-		if old, ok := t.settled[m]; !ok || old.version != v {
-			t.settled[m] = settled{version: v, since: now}
-		}
-	}
-}
-
-// Settled returns the weight version that all replicas of a model have had since a
-// time, if they have the same one.
-func (t *Table) Settled(m medlarid.ModelID) (v medlarid.WeightVersion, since time.Time, ok bool) {
+// Replaced returns when a weight version of a model was first replaced by a later one,
+// as this process saw it; ok is false if it was not.
+func (t *Table) Replaced(m medlarid.ModelID, v medlarid.WeightVersion) (at time.Time, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.settled[m]
-	return s.version, s.since, s.version != ""
+	for _, n := range t.named[m] {
+		if v.Before(n.Version) {
+			return n.At, true
+		}
+	}
+	return time.Time{}, false
 }
 
 // prefill is the number of prompt tokens a second that a replica is taken to
