Replicas are spared for 0.4 s and then change weights under what still runs

Cause: orders that wait for the end of running streams took a third of the replicas away for over a second each, and replicas refused what others sent them meanwhile.

--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -37,9 +37,9 @@
 	storeDownTime  = 2 * time.Second
 	defaultPrefill = 8000 // prompt tokens a second
 
-	maxNamed = 32                     // versions of a model that are remembered
-	busyTime = 500 * time.Millisecond // for which a replica that loads weights is spared
-	nextTime = time.Second            // for which a replica that comes next is spared
+	maxNamed = 32                      // versions of a model that are remembered
+	busyTime = 500 * time.Millisecond  // for which a replica that loads weights is spared
+	nextTime = 1500 * time.Millisecond // for which a replica that comes next is spared
 
 	nearAll  = 16 // replicas of a model that an instance works with in full
 	nearSome = 4  // replicas of a model with more
--- a/internal/core/medlarorder/medlarorder.go
+++ b/internal/core/medlarorder/medlarorder.go
@@ -43,7 +43,8 @@
 	Version medlarid.WeightVersion
 	Loading bool
 	Leaving bool
-	Load    int // runs computed and waiting
+	Later   bool // serves on, and is not to be ordered yet
+	Load    int  // runs computed and waiting
 }
 
 // Order tells a replica to load a version.
@@ -140,7 +141,7 @@
 			continue
 		}
 		g.serving++
-		if r.Version != v {
+		if r.Version != v && !r.Later {
 			g.stale = append(g.stale, r)
 		}
 	}
--- a/internal/ops/medlarrollout/medlarrollout.go
+++ b/internal/ops/medlarrollout/medlarrollout.go
@@ -14,6 +14,10 @@
 //	    who sees a stale replica.
 //	R4  Of the instances that see one the first by rank tries at once, the others
 //	    after a moment for each rank.
+//	R5  A replica is ordered when it has had no new work for a while, since all
+//	    instances know which ones come next; what still runs goes on under the new
+//	    weights. To wait for its end would take a third of the replicas away for
+//	    seconds.
 package medlarrollout
 
 import (
@@ -33,10 +37,17 @@
 	stateLife   = 500 * time.Millisecond // of what a replica said
 	followEvery = 4 * time.Second        // reads of the terms while there is nothing to order
 	rankDelay   = 60 * time.Millisecond
-	ranks       = 4 // instances that differ in rank
+	ranks       = 4                      // instances that differ in rank
+	drainTime   = 400 * time.Millisecond // without new work, before an order
 	orderPause  = 600 * time.Millisecond
 )
 
+// orderOptions say how many replicas change weights at the same time, and in which
+// order.
+var orderOptions = medlarorder.Options{
+	Pause: orderPause, Loads: medlarorder.DefaultLoads, Share: medlarorder.SwapShare, Fixed: true,
+}
+
 // Replica is a replica as the instance knows it.
 type Replica struct {
 	ID      medlarid.InstanceID
@@ -92,6 +103,8 @@
 	followed time.Time
 	held     bool
 
+	next map[medlarid.InstanceID]time.Time // replicas that come next, since when
+
 	mu     sync.Mutex
 	states map[medlarid.InstanceID]asked
 	asking map[medlarid.InstanceID]bool
@@ -99,9 +112,7 @@
 
 // New returns a rollout of the instance of a rank, from 0 on.
 func New(term *medlarterm.Keeper, rank int, s Seams) *Rollout {
-	planner := medlarorder.New(medlarorder.Options{
-		Pause: orderPause, Loads: medlarorder.DefaultLoads, Share: medlarorder.SwapShare, Fixed: true,
-	})
+	planner := medlarorder.New(orderOptions)
 	return &Rollout{
 		seams: s, term: term, planner: planner, rank: rank % ranks,
 		states: map[medlarid.InstanceID]asked{}, asking: map[medlarid.InstanceID]bool{},
@@ -125,7 +136,8 @@
 // round asks stale replicas for their state, and orders what is due (R3).
 func (r *Rollout) round(ctx context.Context) {
 	wanted := r.seams.Wanted()
-	stale := staleOf(r.seams.Replicas(), wanted)
+	replicas := r.seams.Replicas()
+	stale := staleOf(replicas, wanted)
 	now := time.Now()
 	if len(stale) == 0 {
 		r.stale = time.Time{}
@@ -136,6 +148,7 @@
 	if r.stale.IsZero() {
 		r.stale = now
 	}
+	r.markNext(stale, len(replicas), now)
 	r.ask(stale, now)
 	if now.Sub(r.stale) < time.Duration(r.rank)*rankDelay { // R4
 		return
@@ -238,7 +251,7 @@
 func (r *Rollout) order(wanted Wanted) {
 	now := time.Now()
 	states := r.known(now)
-	for _, o := range r.planner.Plan(now, r.planned(states, wanted), wanted) {
+	for _, o := range r.planner.Plan(now, r.planned(states, wanted, now), wanted) {
 		fence, ok := r.term.Fence()
 		if !ok {
 			return
@@ -252,7 +265,7 @@
 // planned returns the replicas for the planner: those that were asked by their
 // state, the current ones as they are known. A stale one that did not answer is left
 // out (R2).
-func (r *Rollout) planned(states map[medlarid.InstanceID]asked, wanted Wanted) []medlarorder.Replica {
+func (r *Rollout) planned(states map[medlarid.InstanceID]asked, wanted Wanted, now time.Time) []medlarorder.Replica {
 	var out []medlarorder.Replica
 	for _, p := range r.seams.Replicas() {
 		m := medlarorder.Replica{ID: p.ID, Model: p.Model, Version: p.Version, Leaving: p.Leaving}
@@ -262,7 +275,29 @@
 		} else if p.Version != wanted[p.Model] {
 			continue
 		}
+		m.Later = m.Version != wanted[p.Model] && !r.drained(p.ID, now)
 		out = append(out, m)
 	}
 	return out
 }
+
+// drained reports whether a replica has been among those that come next for long
+// enough for most of its runs to have ended (R5).
+func (r *Rollout) drained(id medlarid.InstanceID, now time.Time) bool {
+	since, ok := r.next[id]
+	return ok && now.Sub(since) >= drainTime
+}
+
+// markNext notes since when replicas have been among those that come next: the first
+// stale ones by id, as many as change at the same time.
+func (r *Rollout) markNext(stale []Replica, total int, now time.Time) {
+	next := make(map[medlarid.InstanceID]time.Time, len(r.next))
+	for _, p := range stale[:min(len(stale), medlarorder.AtOnce(orderOptions, total))] {
+		since, ok := r.next[p.ID]
+		if !ok {
+			since = now
+		}
+		next[p.ID] = since
+	}
+	r.next = next
+}
