--- a/internal/ops/medlarrollout/medlarrollout.go
+++ b/internal/ops/medlarrollout/medlarrollout.go
@@ -38,7 +38,7 @@
 	followEvery = 4 * time.Second        // reads of the terms while there is nothing to order
 	rankDelay   = 60 * time.Millisecond
 	ranks       = 4                      // instances that differ in rank
-	drainTime   = 400 * time.Millisecond // without new work, before an order
+	drainTime   = 500 * time.Millisecond // without new work, before an order
 	orderPause  = 600 * time.Millisecond
 )
 
