--- a/internal/core/medlarretry/medlarretry.go
+++ b/internal/core/medlarretry/medlarretry.go
@@ -13,6 +13,8 @@
 //	    connection, is ejected for a time that doubles, unless half of its kind is
 //	    ejected already.
 //	R5  Lack of room is no failure of the upstream.
+//	R6  An upstream whose address has another one is ejected whatever is left of its
+//	    kind: nothing sent there reaches it.
 package medlarretry
 
 import (
@@ -26,14 +28,16 @@
 
 // Parameters of retries and ejection.
 const (
-	unreachedMax   = 3                      // attempts that did not run, of a run with its own bound
-	busyTime       = 300 * time.Millisecond // for which an engine that refused is spared
-	pauseMax       = 20 * time.Millisecond
-	ejectFailures  = 3
-	ejectTime      = 500 * time.Millisecond
-	ejectTimeMax   = 30 * time.Second
-	maxEjectedPart = 0.5
-	retryAfter     = time.Second
+	unreachedMax = 3 // attempts that did not run, of a run with its own bound
+	// misdirectedTime is longer than a list goes on to name a replica that is gone.
+	misdirectedTime = 5 * time.Second
+	busyTime        = 300 * time.Millisecond // for which an engine that refused is spared
+	pauseMax        = 20 * time.Millisecond
+	ejectFailures   = 3
+	ejectTime       = 500 * time.Millisecond
+	ejectTimeMax    = 30 * time.Second
+	maxEjectedPart  = 0.5
+	retryAfter      = time.Second
 )
 
 // defaultBudget holds for a deployment that sets none.
@@ -107,6 +111,10 @@
 		if e.Reason == medlarreason.Busy && u.Kind == medlarworld.KindEngine {
 			u.Next = w.Now.Add(busyTime) // loading, or full
 		}
+		if e.Reason == medlarreason.Misdirected {
+			u.EjectedTill = w.Now.Add(misdirectedTime)
+			w.Emit(medlarworld.Ejected{Upstream: u.ID})
+		}
 		if e.Reason == medlarreason.Unreachable {
 			u.Failures = max(u.Failures, ejectFailures-1)
 		}
--- a/internal/core/medlartick/parts_test.go
+++ b/internal/core/medlartick/parts_test.go
@@ -282,12 +282,19 @@
 	}
 }
 
-func TestNoConnectionEjectsAtOnce(t *testing.T) {
-	p := newParts(t, 6, nil)
-	r := p.run(500, 300)
-	s := p.submit(r)
-	p.tick(medlarworld.Ended{Run: r.ID, Attempt: s.Attempt, Cause: medlarworld.CauseRetry, Reason: medlarreason.Unreachable})
-	if u := p.core.World().Upstreams[s.Upstream]; u.Usable(p.now) {
-		t.Error("a replica without a connection is still used")
+// TestUselessReplicasAreEjectedAtOnce plays replicas to which there is no connection,
+// and replicas that crashed and whose address has another one: a list names them for
+// seconds.
+func TestUselessReplicasAreEjectedAtOnce(t *testing.T) {
+	for _, reason := range []medlarreason.Reason{medlarreason.Unreachable, medlarreason.Misdirected} {
+		t.Run(string(reason), func(t *testing.T) {
+			p := newParts(t, 6, nil)
+			r := p.run(500, 300)
+			s := p.submit(r)
+			p.tick(medlarworld.Ended{Run: r.ID, Attempt: s.Attempt, Cause: medlarworld.CauseRetry, Reason: reason})
+			if u := p.core.World().Upstreams[s.Upstream]; u.Usable(p.now) {
+				t.Error("the replica is still used")
+			}
+		})
 	}
 }
