--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -170,7 +170,7 @@
 	}
 	if m.Version != "" && m.Version != u.Version {
 		w.Warm.RemoveAll(u.ID)
-		u.Version = m.Version
+		u.Version, u.Answered = m.Version, time.Time{}
 	}
 	u.Leaving = m.Leaving || u.ToldLeaving
 	u.Gone = false
--- a/internal/core/medlarlag/medlarlag.go
+++ b/internal/core/medlarlag/medlarlag.go
@@ -9,6 +9,7 @@
 //	R2  What one of them is known to lag by is not put down to the other.
 //	R3  A lag fades while nothing new is learned, so that what was slow is tried
 //	    again.
+//	R4  An answer confirms the weight version that the upstream is believed to have.
 package medlarlag
 
 import (
@@ -42,6 +43,9 @@
 	if r == nil || r.Attempt != e.Attempt || r.Upstream == nil {
 		return
 	}
+	if e.Version == r.Upstream.Version {
+		r.Upstream.Answered = w.Now
+	}
 	over := max(e.After-r.Expected, 0).Seconds()
 	slowest := 0.0
 	for _, s := range r.Fetched {
--- a/internal/core/medlarstock/medlarstock.go
+++ b/internal/core/medlarstock/medlarstock.go
@@ -17,9 +17,11 @@
 //	R5  The last part of a prompt is its own and is not saved.
 //	R5  The last part of a prompt is its own and is not saved.
 //	R7  Parts of a weight version are fetched until GraceTime after it was replaced, and
-//	    only while the instance has heard within HeardTime which versions are wanted.
-//	    So they can be freed FreeTime after the replacement, whoever may not have heard
-//	    of it.
+//	    only by who knows that it was not: who has heard within HeardTime which versions
+//	    are wanted, or got answers under the version within AnswerTime from more than
+//	    half of the model's replicas. So they can be freed once FreeTime has passed and
+//	    half of the replicas have had a later version for SwapTime: of any two halves
+//	    one replica is in both, and it would have told.
 //	R6  A store that answers later than others is fetched from less. Where all do, it
 //	    is not the stores: reading the parts again would only add to the load.
 //	R7  Parts of a weight version are fetched until GraceTime after it was replaced, and
@@ -43,6 +45,9 @@
 	HeardTime = 3 * time.Second
 	GraceTime = 1500 * time.Millisecond
 	FreeTime  = HeardTime + GraceTime + fetchTime + 500*time.Millisecond
+
+	AnswerTime = 2 * time.Second
+	SwapTime   = AnswerTime + fetchTime + 500*time.Millisecond
 )
 
 // Parameters.
@@ -115,7 +120,7 @@
 	if w.Heard.IsZero() {
 		return true // a deployment whose parts are not freed by version
 	}
-	if w.Now.Sub(w.Heard) > HeardTime {
+	if w.Now.Sub(w.Heard) > HeardTime && !confirmed(w, r.Model, v) {
 		return false
 	}
 	m := w.Models[r.Model]
@@ -123,6 +128,18 @@
 	return !replaced || w.Now.Sub(at) < GraceTime
 }
 
+// confirmed reports whether more than half of a model's replicas answered lately under
+// a weight version (R7).
+func confirmed(w *medlarworld.World, m medlarid.ModelID, v medlarid.WeightVersion) bool {
+	n := 0
+	for _, u := range w.Engines[m] {
+		if u.Version == v && w.Now.Sub(u.Answered) < AnswerTime {
+			n++
+		}
+	}
+	return 2*n > len(w.Engines[m])
+}
+
 // Find returns the store that a part can be fetched from, or nil (R1).
 func Find(w *medlarworld.World, k medlarkey.Key) *medlarworld.Store {
 	for _, s := range w.StoreList {
--- a/internal/core/medlartick/parts_test.go
+++ b/internal/core/medlartick/parts_test.go
@@ -148,6 +148,15 @@
 			p.now = p.now.Add(3100 * time.Millisecond)
 			p.stock("near", 1, true, r.Keys[0], r.Keys[1])
 		}, "cco"},
+		{"but by who got answers under the version from most replicas", func(p *partsWorld, r *medlarworld.Run) {
+			p.tick(medlarworld.Heard{At: p.now})
+			p.now = p.now.Add(3100 * time.Millisecond)
+			p.stock("near", 1, true, r.Keys[0], r.Keys[1])
+			other := p.run(700)
+			s := p.submit(other)
+			p.tick(medlarworld.Began{Run: other.ID, Attempt: s.Attempt, Version: s.Version})
+			p.tick(medlarworld.Ended{Run: other.ID, Attempt: s.Attempt, Cause: medlarworld.CauseDone, Reached: true})
+		}, "ffo"},
 		{"parts of a version are fetched for a while after it was replaced", func(p *partsWorld, r *medlarworld.Run) {
 			p.want("2")
 			p.now = p.now.Add(1400 * time.Millisecond)
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -161,9 +161,12 @@
 	Next time.Time
 	// NextUp tells that Next is running or has run out for this change.
 	NextUp bool
-	Lag    Lag             // of first parts of answers
-	Memory medlarid.Tokens // of the KV cache; 0 is not known
-	Tokens medlarid.Tokens // prompts of own attempts in flight
+	Lag    Lag // of first parts of answers
+	// Answered is when the answer to an attempt under Version, begun since Version is
+	// known, came last.
+	Answered time.Time
+	Memory   medlarid.Tokens // of the KV cache; 0 is not known
+	Tokens   medlarid.Tokens // prompts of own attempts in flight
 	// Queues are the own attempts whose answer has not begun, by urgency.
 	Queues [Classes]Queue
 
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -132,6 +132,9 @@
 	Run     medlarid.RequestID
 	Attempt int
 	After   time.Duration // since the attempt was begun
+	// Version is the weight version under which the attempt was made; the answer shows
+	// that the upstream has it.
+	Version medlarid.WeightVersion
 }
 
 // StockPart is a part that a store holds.
--- a/internal/edge/medlarpass/attempt.go
+++ b/internal/edge/medlarpass/attempt.go
@@ -302,7 +302,7 @@
 		return a.write(medlarhead.AppendChunk(nil, events))
 	}
 	a.begun = true
-	a.pass.seams.Post(medlarworld.Began{Run: a.run.ID, Attempt: a.cmd.Attempt, After: time.Since(a.begin)})
+	a.pass.seams.Post(medlarworld.Began{Run: a.run.ID, Attempt: a.cmd.Attempt, After: time.Since(a.begin), Version: a.cmd.Version})
 	b := a.answerHead(h)
 	b = append(b, "Transfer-Encoding: chunked\r\n\r\n"...)
 	return a.write(medlarhead.AppendChunk(b, events))
--- a/internal/ops/medlarattach/notes.go
+++ b/internal/ops/medlarattach/notes.go
@@ -96,6 +96,7 @@
 		Free:     stocks.Free,
 		Post:     loop.Post,
 		Replaced: table.Replaced,
+		Changed:  table.Changed,
 		Lost: func(r medlarstocker.Ref, err error) {
 			m.Failed("stock")
 			line(r).AnErr("error", err).Msg("store of context does not answer")
--- a/internal/ops/medlarstocker/medlarstocker.go
+++ b/internal/ops/medlarstocker/medlarstocker.go
@@ -6,7 +6,8 @@
 //	R1  A store is listed once, and after a gap or a new start; else its changes are
 //	    followed. What is told to the core is as of the answer's arrival.
 //	R2  Parts of an older weight version are freed only when no instance fetches them
-//	    any more, whatever it has heard: a time after it was replaced.
+//	    any more, whatever it has heard: a time after it was replaced, and once half of
+//	    the replicas have a later one (medlarstock, R7).
 //	R3  Each instance waits longer by its rank before it frees, so that mostly one
 //	    does; freeing twice does no harm.
 package medlarstocker
@@ -74,6 +75,9 @@
 	Post   func(medlarworld.Event)
 	// Replaced returns when a weight version of a model was replaced, if it was.
 	Replaced func(medlarid.ModelID, medlarid.WeightVersion) (at time.Time, ok bool)
+	// Changed reports whether half of a model's replicas have had a later weight version
+	// for a time.
+	Changed func(m medlarid.ModelID, v medlarid.WeightVersion, lasting time.Duration) bool
 	// Lost, Regained, Reset and Freed are told of what happens at a store.
 	Lost     func(Ref, error)
 	Regained func(Ref)
@@ -194,7 +198,7 @@
 	var old []Part
 	for _, p := range sh.parts {
 		at, ok := s.seams.Replaced(p.Model, p.Salt.Version())
-		if ok && time.Since(at) > s.wait {
+		if ok && time.Since(at) > s.wait && s.seams.Changed(p.Model, p.Salt.Version(), medlarstock.SwapTime) {
 			old = append(old, p)
 		}
 		if len(old) == freeBatch {
--- a/internal/ops/medlartable/medlartable.go
+++ b/internal/ops/medlartable/medlartable.go
@@ -52,7 +52,8 @@
 // replica is a replica's entry with what it told since.
 type replica struct {
 	medlarplatform.Replica
-	told medlarid.WeightVersion // newer than the entry's, or empty
+	told  medlarid.WeightVersion // newer than the entry's, or empty
+	since time.Time              // when version was seen first
 }
 
 // version returns the newest weight version that the replica is known to have.
@@ -217,9 +218,12 @@
 	if old != nil && old.Born == next.Born && old.Member == next.Member {
 		return false // a heartbeat
 	}
-	r := &replica{Replica: next}
+	r := &replica{Replica: next, since: time.Now()}
 	if old != nil && old.Born == next.Born {
 		r.told = old.told
+		if r.version() == old.version() {
+			r.since = old.since
+		}
 	} else if old != nil {
 		t.pool.Forget(old.Member.Address)
 	}
@@ -248,11 +252,29 @@
 	if r == nil || !r.version().Before(v) {
 		return
 	}
-	r.told = v
+	r.told, r.since = v, time.Now()
 	t.log.Info().Str("event", "replica").Str("replica", string(id)).Str("version", string(v)).Msg("weight version told")
 	t.tellReplicas()
 }
 
+// Changed reports whether at least half of a model's replicas have had a later weight
+// version than v for a time.
+func (t *Table) Changed(m medlarid.ModelID, v medlarid.WeightVersion, lasting time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all, changed := 0, 0
+	for _, r := range t.replicas {
+		if r.Member.Model != m {
+			continue
+		}
+		all++
+		if v.Before(r.version()) && time.Since(r.since) > lasting {
+			changed++
+		}
+	}
+	return all > 0 && 2*changed >= all
+}
+
 // tellReplicas tells the core of all replicas; the lock is held.
 func (t *Table) tellReplicas() {
 	e := medlarworld.Listed{Members: make([]medlarworld.Member, 0, len(t.replicas))}
