--- a/internal/edge/medlarpass/close_test.go
+++ b/internal/edge/medlarpass/close_test.go
@@ -29,6 +29,7 @@
 		Timeout: 5 * time.Second, Backends: []medlarcatalog.Backend{{Service: "s", Weight: 1}},
 	}}, nil, nil, false, medlarcatalog.Limits{Header: 8192, Body: 8192, Head: time.Second, Idle: 5 * time.Second})
 	door := medlarpass.New(medlarpass.Seams{
+		ReadyIn: func() time.Duration { return time.Second },
 		Catalog: func() *medlarcatalog.Catalog { return cat },
 		Submit: func(run *medlarworld.Run, _ medlarworld.Limits) <-chan medlarworld.Command {
 			box := make(chan medlarworld.Command, 1)
--- a/internal/edge/medlarpass/exchange.go
+++ b/internal/edge/medlarpass/exchange.go
@@ -62,7 +62,7 @@
 		return x.refuse(medlarreason.Malformed, medlarreason.RanNo, 0)
 	}
 	if reason := x.find(); reason != "" {
-		return x.refuse(reason, medlarreason.RanNo, unreadyAfter)
+		return x.refuse(reason, medlarreason.RanNo, x.pass.seams.ReadyIn())
 	}
 	x.plan()
 	x.endWait = x.conn.Watch(x.leave)
@@ -71,10 +71,6 @@
 	return x.follow(box)
 }
 
-// unreadyAfter is when a caller may come back that was refused before the core was
-// asked.
-const unreadyAfter = 500 * time.Millisecond
-
 // find finds route and account, or returns why the request is refused.
 func (x *exchange) find() medlarreason.Reason {
 	cat := x.pass.seams.Catalog()
--- a/internal/ops/medlarattach/follow_test.go
+++ b/internal/ops/medlarattach/follow_test.go
@@ -40,6 +40,26 @@
 	}
 }
 
+// TestCallersBeforeTheFirstCatalog is the incident of all instances starting while the
+// store is away: callers are refused at once, and told to come back later than by an
+// instance that is about to read its first catalog.
+func TestCallersBeforeTheFirstCatalog(t *testing.T) {
+	w := startWith(t, nil, medlarfaketopic.FaultSilent)
+	w.eventually("the store is known to be away", func() bool { return strings.Contains(w.logs.text(), `"event":"lost","dependency":"keyed.op"`) })
+	begin := time.Now()
+	got := w.ask(request{path: "/read/a", id: "r"})
+	assertResult(t, got, 503, "")
+	if after := got.get("Retry-After"); after != "2.00" {
+		t.Errorf("Retry-After %q, want 2.00", after)
+	}
+	if took := time.Since(begin); took > 100*time.Millisecond {
+		t.Errorf("refused after %v", took)
+	}
+	w.door.Set(medlarfaketopic.FaultNone)
+	w.eventually("the instance is ready", w.instance.Ready)
+	assertResult(t, w.ask(request{path: "/read/a", id: "r2"}), 200, "")
+}
+
 func TestHistoryThatIsDropped(t *testing.T) {
 	w := start(t, nil)
 	w.door.Set(medlarfaketopic.FaultRefuse)
--- a/internal/ops/medlarattach/medlarattach.go
+++ b/internal/ops/medlarattach/medlarattach.go
@@ -45,14 +45,14 @@
 
 // Times and sizes.
 const (
-	storeTimeout   = 1500 * time.Millisecond // of a call to the store
-	replicaTimeout = 500 * time.Millisecond  // of a control call to a replica
-	operatorWait   = 2 * time.Second         // of a read for the operator's records
-	replicaWait    = time.Second             // of a read for replicas' entries
-	replicaPace    = 200 * time.Millisecond  // between two of those
-	returnMargin   = 300 * time.Millisecond  // beside the time in which entries come back
-	lineIdle       = 5 * time.Second         // of connections for control calls
-	stopMargin     = 700 * time.Millisecond  // before the kill
+	storeTimeout   = 800 * time.Millisecond // of a call to the store
+	replicaTimeout = 500 * time.Millisecond // of a control call to a replica
+	operatorWait   = 2 * time.Second        // of a read for the operator's records
+	replicaWait    = time.Second            // of a read for replicas' entries
+	replicaPace    = 200 * time.Millisecond // between two of those
+	returnMargin   = 300 * time.Millisecond // beside the time in which entries come back
+	lineIdle       = 5 * time.Second        // of connections for control calls
+	stopMargin     = 700 * time.Millisecond // before the kill
 	stopPoll       = 20 * time.Millisecond
 	maxHolders     = 64                     // replicas that are remembered to cache one part
 	versionMargin  = 800 * time.Millisecond // before the bound on old weight versions, for requests under way
@@ -158,6 +158,7 @@
 ) *medlarpass.Pass {
 	return medlarpass.New(medlarpass.Seams{
 		Catalog: table.Catalog,
+		ReadyIn: table.ReadyIn,
 		Versions: func(m medlarid.ModelID) (serving, wanted medlarid.WeightVersion) {
 			v := loop.Versions(m)
 			return v.Serving, v.Wanted
@@ -181,6 +182,9 @@
 ) []*medlarfeed.Feed {
 	feed := func(topic string, wait time.Duration, apply func([]medlarfeed.Record, bool), o medlarfeed.Options) *medlarfeed.Feed {
 		lost, regained := feedLog(log, topic, m.Failed)
+		if topic == medlarplatform.TopicOperator {
+			lost, regained = noteBehind(t, lost, regained)
+		}
 		return medlarfeed.New(medlarfeed.Seams{
 			Newest: func(ctx context.Context, after string) (medlarfeed.Page, error) { return s.Newest(ctx, topic, after) },
 			Read: func(ctx context.Context, from medlarid.Offset) (medlarfeed.Batch, error) {
--- a/internal/ops/medlarattach/notes.go
+++ b/internal/ops/medlarattach/notes.go
@@ -167,3 +167,15 @@
 	}
 	return lost, regained
 }
+
+// noteBehind tells the table beside the log whether the operators' records can be
+// read.
+func noteBehind(t *medlartable.Table, lost func(error), regained func(time.Duration)) (func(error), func(time.Duration)) {
+	return func(err error) {
+			t.Behind(true)
+			lost(err)
+		}, func(after time.Duration) {
+			t.Behind(false)
+			regained(after)
+		}
+}
--- a/internal/ops/medlarattach/path_test.go
+++ b/internal/ops/medlarattach/path_test.go
@@ -49,6 +49,14 @@
 }
 
 func start(t *testing.T, change func(*medlarsite.Settings)) *world {
+	t.Helper()
+	w := startWith(t, change, medlarfaketopic.FaultNone)
+	w.eventually("the instance is ready", w.instance.Ready)
+	return w
+}
+
+// startWith starts a world whose store does a fault from the start on.
+func startWith(t *testing.T, change func(*medlarsite.Settings), fault medlarfaketopic.Fault) *world {
 	t.Helper()
 	cfg := medlarsite.Default()
 	if change != nil {
@@ -65,6 +73,7 @@
 		t.Fatal(err)
 	}
 	w.door = door
+	door.Set(fault)
 	if w.instance, err = medlarattach.New(settings, w.logs); err != nil {
 		t.Fatal(err)
 	}
@@ -74,7 +83,6 @@
 	}
 	w.stop = func() { w.stopped.Do(stop) }
 	t.Cleanup(w.stop)
-	w.eventually("the instance is ready", w.instance.Ready)
 	return w
 }
 
--- a/internal/ops/medlartable/medlartable.go
+++ b/internal/ops/medlartable/medlartable.go
@@ -47,6 +47,7 @@
 	listed   bool                                     // the replicas were read once
 	named    map[medlarid.ModelID][]medlarworld.Named // versions that were wanted one after the other
 	applied  medlarid.Offset
+	behind   bool // the operators' records cannot be read
 }
 
 // replica is a replica's entry with what it told since.
@@ -88,6 +89,30 @@
 	return t.catalog != nil && t.listed
 }
 
+// Behind notes whether the operators' records cannot be read.
+func (t *Table) Behind(behind bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.behind = behind
+}
+
+// Times after which a caller may come back that came before the first catalog. A
+// process that starts reads it at once, unless the store does not answer.
+const (
+	readySoon  = 400 * time.Millisecond
+	readyLater = 2 * time.Second
+)
+
+// ReadyIn returns when a caller may come back that came before the first catalog.
+func (t *Table) ReadyIn() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.behind {
+		return readyLater
+	}
+	return readySoon
+}
+
 // Wanted returns the weight versions wanted.
 func (t *Table) Wanted() medlarrollout.Wanted {
 	t.mu.Lock()
