--- /dev/null
+++ b/internal/ops/medlarexplain/medlarexplain.go
@@ -0,0 +1,270 @@
+// Package medlarexplain tells from log lines of several instances what happened to a
+// request, and on which beliefs.
+//
+// Rules:
+//
+//	R1  Lines that are no JSON objects, and lines of other programs, are skipped.
+//	R2  Told are the lines of the request, and those lines of the same instance that
+//	    changed what it believed of the replicas and stores that the request met, or of
+//	    the catalog, in the time before.
+//	R3  Lines are put in the order of their time, and lines of one time in the order in
+//	    which they were read.
+package medlarexplain
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/rotisserie/eris"
+
+	"medlarfield/internal/core/medlarreason"
+)
+
+// before is the time before a request's end in which changed beliefs are told.
+const before = 10 * time.Second
+
+// maxLine bounds a log line in bytes.
+const maxLine = 1 << 20
+
+// Op names the operation that failed.
+type Op string
+
+// OpRead is the reading of log lines.
+const OpRead Op = "read log"
+
+// Kind classifies a failure.
+type Kind string
+
+// Kinds of failure.
+const (
+	KindInput  Kind = "input"
+	KindAbsent Kind = "absent" // no line has the id
+)
+
+// Error is a request that cannot be explained.
+type Error struct {
+	Op   Op
+	Kind Kind
+	Err  error
+}
+
+// Error returns operation, kind and cause.
+func (e *Error) Error() string { return fmt.Sprintf("%s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Why is what a replica was chosen from.
+type Why struct {
+	Choices int     `json:"choices"`
+	Pending float64 `json:"pending"`
+	Window  float64 `json:"window"`
+	Lag     float64 `json:"lag"` // ms
+}
+
+// Line is one log line of an attached instance, with the fields that are told.
+type Line struct {
+	Time       time.Time           `json:"time"`
+	Instance   string              `json:"instance"`
+	Event      string              `json:"event"`
+	Message    string              `json:"message"`
+	ID         string              `json:"id"`
+	Account    string              `json:"account"`
+	Route      string              `json:"route"`
+	Service    string              `json:"service"`
+	Config     uint64              `json:"config"`
+	Status     int                 `json:"status"`
+	Whole      bool                `json:"whole"`
+	Attempts   int                 `json:"attempts"`
+	Attempt    int                 `json:"attempt"`
+	Replica    string              `json:"replica"`
+	Store      string              `json:"store"`
+	Cause      string              `json:"cause"`
+	Reason     medlarreason.Reason `json:"reason"`
+	Ran        string              `json:"ran"`
+	Reached    bool                `json:"reached"`
+	After      float64             `json:"after"`
+	Waited     float64             `json:"waited"`
+	First      float64             `json:"first"`
+	Took       float64             `json:"took"`
+	Waiting    int                 `json:"waiting"`
+	Kin        int                 `json:"kin"`
+	Parts      any                 `json:"parts"` // letters of a request, or a count of a store
+	Why        *Why                `json:"why"`
+	Error      string              `json:"error"`
+	Back       bool                `json:"back"`
+	Leaving    bool                `json:"leaving"`
+	Version    any                 `json:"version"` // of weights, or of a catalog
+	Dependency string              `json:"dependency"`
+}
+
+// Read reads log lines (R1).
+func Read(in io.Reader) ([]Line, error) {
+	var out []Line
+	s := bufio.NewScanner(in)
+	s.Buffer(nil, maxLine)
+	for s.Scan() {
+		i := strings.IndexByte(s.Text(), '{')
+		if i < 0 {
+			continue
+		}
+		var l Line
+		if json.Unmarshal([]byte(s.Text()[i:]), &l) == nil && l.Event != "" {
+			out = append(out, l)
+		}
+	}
+	if err := s.Err(); err != nil {
+		return nil, &Error{Op: OpRead, Kind: KindInput, Err: err}
+	}
+	return out, nil
+}
+
+// Explain writes what happened to a request.
+func Explain(w io.Writer, lines []Line, id string) error {
+	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) }) // R3
+	var own []Line
+	for _, l := range lines {
+		if l.ID == id {
+			own = append(own, l)
+		}
+	}
+	if len(own) == 0 {
+		return &Error{Op: OpRead, Kind: KindAbsent, Err: eris.Errorf("no line has the id %q", id)}
+	}
+	for _, l := range lines {
+		if l.ID == id {
+			tell(w, l, sentence(l))
+		} else if concerns(l, own) {
+			tell(w, l, "  "+belief(l))
+		}
+	}
+	return nil
+}
+
+// concerns reports whether a line changed what an instance believed of what a request
+// met there (R2).
+func concerns(l Line, own []Line) bool {
+	end := own[len(own)-1].Time
+	if l.ID != "" || l.Time.After(end) || end.Sub(l.Time) > before {
+		return false
+	}
+	for _, o := range own {
+		if l.Instance != o.Instance {
+			continue
+		}
+		switch l.Event {
+		case "catalog", "weights", "lost", "regained", "stop", "start", "stock":
+			return true
+		case "replica", "ejection", "order":
+			if l.Replica == o.Replica {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func tell(w io.Writer, l Line, text string) {
+	_, _ = fmt.Fprintf(w, "%s %-16s %s\n", l.Time.UTC().Format("15:04:05.000"), l.Instance, text)
+}
+
+// sentence tells a line of the request itself.
+func sentence(l Line) string {
+	if l.Event == "attempt" {
+		return attempt(l)
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "request of account %q on route %q to service %q under configuration %d: ", l.Account, l.Route, l.Service, l.Config)
+	switch {
+	case l.Status == 0:
+		b.WriteString("the connection ended without an answer")
+	case l.Whole:
+		fmt.Fprintf(&b, "answered %d", l.Status)
+	default:
+		fmt.Fprintf(&b, "answer %d broke off", l.Status)
+	}
+	fmt.Fprintf(&b, " after %.0f ms, first byte at %.0f ms, %d attempts", l.Took, l.First, l.Attempts)
+	if l.Attempts > 0 {
+		fmt.Fprintf(&b, ", the last at %s, the first after waiting for %.0f ms", l.Replica, l.Waited)
+	}
+	if l.Reason != "" {
+		fmt.Fprintf(&b, "; %s, ran: %s, %d waited for %d replicas", reasonText(l.Reason), l.Ran, l.Waiting, l.Kin)
+	}
+	if s, ok := l.Parts.(string); ok && s != "" {
+		fmt.Fprintf(&b, "; parts of the prompt: %s", partsText(s))
+	}
+	return b.String()
+}
+
+func attempt(l Line) string {
+	ran := "it did not run there"
+	if l.Reached {
+		ran = "it may have run there"
+	}
+	s := fmt.Sprintf("attempt %d at %s ended after %.0f ms: %s; %s", l.Attempt, l.Replica, l.Took, reasonText(l.Reason), ran)
+	if l.Status > 0 {
+		s += fmt.Sprintf("; status %d", l.Status)
+	}
+	if l.Why != nil {
+		s += fmt.Sprintf("; chosen of %d, %.0f tokens waited there with room for %.0f, it lagged by %.0f ms",
+			l.Why.Choices, l.Why.Pending, l.Why.Window, l.Why.Lag)
+	}
+	if l.Error != "" {
+		s += "; " + l.Error
+	}
+	return s
+}
+
+// reasonText returns the text of a reason's row.
+func reasonText(r medlarreason.Reason) string {
+	if r == "" {
+		return "the caller left"
+	}
+	if row, ok := medlarreason.Of(r); ok {
+		return row.Text
+	}
+	return string(r)
+}
+
+// partTexts are the letters of parts (medlarworld.PartState) in words.
+var partTexts = map[rune]string{
+	'c': "computed", 'w': "cached by the replica", 'f': "fetched from a store", 'l': "held by a store, computed",
+	's': "computed and saved", 'o': "its own",
+}
+
+func partsText(letters string) string {
+	var out []string
+	for _, c := range letters {
+		out = append(out, partTexts[c])
+	}
+	return strings.Join(out, ", ")
+}
+
+// belief tells a line that changed what the instance believed.
+func belief(l Line) string {
+	switch l.Event {
+	case "catalog":
+		return fmt.Sprintf("configuration %v in force", l.Version)
+	case "weights":
+		return fmt.Sprintf("weight version %v wanted", l.Version)
+	case "lost":
+		return fmt.Sprintf("%s cannot be read: %s", l.Dependency, l.Error)
+	case "regained":
+		return fmt.Sprintf("%s can be read again after %.0f ms", l.Dependency, l.After)
+	case "ejection":
+		if l.Back {
+			return fmt.Sprintf("%s is used again", l.Replica)
+		}
+		return fmt.Sprintf("%s is not used for a time", l.Replica)
+	case "replica":
+		return fmt.Sprintf("%s: %s (leaving: %v, weights %v)", l.Replica, l.Message, l.Leaving, l.Version)
+	case "stock":
+		return strings.TrimSpace(fmt.Sprintf("store %s: %s %s", l.Store, l.Message, l.Error))
+	}
+	return strings.TrimSpace(l.Message + " " + l.Replica)
+}
