--- a/internal/agree/medlarterm/medlarterm_test.go
+++ b/internal/agree/medlarterm/medlarterm_test.go
@@ -134,7 +134,7 @@
 // TestHistories plays instances that take the duty, act, stall and lose answers.
 // Fences rise, none is used by two, and two holders act the settling time apart.
 func TestHistories(t *testing.T) {
-	for seed := range uint64(3000) {
+	for seed := range uint64(10000) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { assertHistory(t, seed) })
 		})
