--- a/internal/ops/medlarstocker/medlarstocker.go
+++ b/internal/ops/medlarstocker/medlarstocker.go
@@ -10,11 +10,14 @@
 //	    the replicas have a later one (medlarstock, R7).
 //	R3  Each instance waits longer by its rank before it frees, so that mostly one
 //	    does; freeing twice does no harm.
+//	R4  Where a store has too many readers, this one asks now and then without waiting,
+//	    so that many can share the places.
 package medlarstocker
 
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -29,6 +32,8 @@
 	scanEvery  = 500 * time.Millisecond // for stores that are new or gone
 	eventsWait = 800 * time.Millisecond
 	eventsPace = 250 * time.Millisecond // between two calls
+	sharedTime = 30 * time.Second       // for which a store is taken to have too many readers
+	sharedPace = 900 * time.Millisecond // at most, between two calls to it
 	failPause  = 150 * time.Millisecond
 	freeRank   = 600 * time.Millisecond // for each rank
 	ranks      = 4
@@ -57,6 +62,7 @@
 	Epoch uint64 // of the store's start
 	Next  uint64 // number to ask from next
 	Lost  bool   // changes are missing
+	Full  bool   // the store has too many readers; nothing else is set
 	Parts []Change
 }
 
@@ -125,6 +131,7 @@
 	next   uint64
 	listed bool
 	lost   bool
+	shared time.Time // until when the store has too many readers
 	parts  map[medlarkey.Key]Part
 }
 
@@ -147,10 +154,18 @@
 			sh.lost = false
 		}
 		s.free(sh)
-		sleep(ctx, eventsPace-time.Since(begin))
+		sleep(ctx, s.pace(sh)-time.Since(begin))
 	}
 }
 
+// pace returns the time between two calls to a store (R4).
+func (s *Stocker) pace(sh *shelf) time.Duration {
+	if time.Now().Before(sh.shared) {
+		return sharedPace/2 + time.Duration(rand.Int64N(int64(sharedPace/2)))
+	}
+	return eventsPace
+}
+
 // read lists the store or reads its changes (R1).
 func (s *Stocker) read(sh *shelf) error {
 	if !sh.listed {
@@ -164,10 +179,18 @@
 		s.tell(sh, c, true)
 		return nil
 	}
-	c, err := s.seams.Events(sh.ref.Address, sh.next, eventsWait)
+	wait := eventsWait
+	if time.Now().Before(sh.shared) {
+		wait = 0
+	}
+	c, err := s.seams.Events(sh.ref.Address, sh.next, wait)
 	if err != nil {
 		return err
 	}
+	if c.Full {
+		sh.shared = time.Now().Add(sharedTime)
+		return nil
+	}
 	if c.Lost || c.Epoch != sh.epoch {
 		sh.listed = false
 		return nil
--- /dev/null
+++ b/internal/ops/medlarstocker/medlarstocker_test.go
@@ -0,0 +1,211 @@
+package medlarstocker
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarkey"
+	"medlarfield/internal/core/medlarstock"
+	"medlarfield/internal/core/medlarworld"
+)
+
+// fakeStore is a store of parts in memory. All times are those of the test's bubble.
+type fakeStore struct {
+	mu       sync.Mutex
+	epoch    uint64
+	events   []Change
+	down     bool
+	full     bool
+	lists    int
+	calls    int
+	freed    []Part
+	posted   []medlarworld.Stocked
+	replaced time.Time // of version 1; zero for not
+	changed  bool
+}
+
+var errDown = errors.New("down")
+
+func part(v, id string) Part {
+	return Part{Salt: medlarkey.NewCacheSalt(medlarid.WeightVersion(v), ""), ID: id, Tokens: 100, Model: "m"}
+}
+
+func (f *fakeStore) put(v, id string) {
+	f.events = append(f.events, Change{Part: part(v, id), Added: true})
+}
+
+func (f *fakeStore) list(medlarid.Address) (Changes, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return Changes{}, errDown
+	}
+	f.lists++
+	return Changes{Epoch: f.epoch, Next: uint64(len(f.events)), Parts: append([]Change(nil), f.events...)}, nil
+}
+
+func (f *fakeStore) changes(_ medlarid.Address, since uint64, wait time.Duration) (Changes, error) {
+	time.Sleep(wait / 2)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	switch {
+	case f.down:
+		return Changes{}, errDown
+	case f.full && wait > 0:
+		return Changes{Full: true}, nil
+	case since > uint64(len(f.events)):
+		return Changes{Epoch: f.epoch, Lost: true}, nil
+	}
+	return Changes{Epoch: f.epoch, Next: uint64(len(f.events)), Parts: append([]Change(nil), f.events[since:]...)}, nil
+}
+
+func (f *fakeStore) free(_ medlarid.Address, _ uint64, parts []Part) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.freed = append(f.freed, parts...)
+	return nil
+}
+
+// follow runs a stocker over a store through steps, each followed by a time.
+func follow(t *testing.T, f *fakeStore, steps ...func(*fakeStore) time.Duration) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := New(0, Seams{
+			Stores: func() []Ref { return []Ref{{ID: "store", Address: "at"}} },
+			List:   f.list, Events: f.changes, Free: f.free,
+			Post: func(e medlarworld.Event) {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				if e, ok := e.(medlarworld.Stocked); ok {
+					f.posted = append(f.posted, e)
+				}
+			},
+			Replaced: func(_ medlarid.ModelID, v medlarid.WeightVersion) (time.Time, bool) {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				return f.replaced, v == "1" && !f.replaced.IsZero()
+			},
+			Changed: func(medlarid.ModelID, medlarid.WeightVersion, time.Duration) bool {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				return f.changed
+			},
+			Lost: func(Ref, error) {}, Regained: func(Ref) {}, Reset: func(Ref, uint64, int) {}, Freed: func(Ref, int, error) {},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		go s.Run(ctx)
+		for _, step := range steps {
+			f.mu.Lock()
+			d := step(f)
+			f.mu.Unlock()
+			time.Sleep(d)
+		}
+		cancel()
+		time.Sleep(5 * time.Second) // calls that are under way end
+	})
+}
+
+func TestFollow(t *testing.T) {
+	f := &fakeStore{epoch: 1}
+	f.put("1", "a")
+	follow(t, f,
+		func(*fakeStore) time.Duration { return time.Second },
+		func(f *fakeStore) time.Duration { f.put("1", "b"); return 2 * time.Second },
+	)
+	added := 0
+	for _, e := range f.posted {
+		added += len(e.Added)
+	}
+	if added != 2 || f.lists != 1 || !f.posted[0].Reset {
+		t.Errorf("%d parts told, %d lists, first %+v", added, f.lists, f.posted[0])
+	}
+}
+
+func TestNewStartIsListedAnew(t *testing.T) {
+	f := &fakeStore{epoch: 1}
+	f.put("1", "a")
+	follow(t, f,
+		func(*fakeStore) time.Duration { return time.Second },
+		func(f *fakeStore) time.Duration { f.epoch, f.events = 2, nil; return 3 * time.Second },
+	)
+	last := f.posted[len(f.posted)-1]
+	resets := 0
+	for _, e := range f.posted {
+		if e.Reset {
+			resets++
+		}
+	}
+	if resets != 2 || last.Epoch != 2 {
+		t.Errorf("%d resets, last epoch %d; want 2 and 2", resets, last.Epoch)
+	}
+}
+
+func TestStoreThatFailsIsNotBelieved(t *testing.T) {
+	f := &fakeStore{epoch: 1}
+	follow(t, f,
+		func(*fakeStore) time.Duration { return time.Second },
+		func(f *fakeStore) time.Duration { f.down = true; return 2 * time.Second },
+	)
+	if last := f.posted[len(f.posted)-1]; !last.At.IsZero() {
+		t.Errorf("the last belief is of %v, want one that is not fresh", last.At)
+	}
+}
+
+// TestFree asserts when parts of an older version are freed.
+func TestFree(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		replaced bool
+		changed  bool
+		after    time.Duration
+		want     int
+	}{
+		{"not replaced", false, true, time.Minute, 0},
+		{"just replaced", true, true, medlarstock.FreeTime - 2*time.Second, 0},
+		{"replaced long ago, replicas have not changed", true, false, time.Minute, 0},
+		{"replaced long ago, replicas have changed", true, true, medlarstock.FreeTime + 3*time.Second, 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := &fakeStore{epoch: 1, changed: tc.changed}
+			f.put("1", "a")
+			f.put("1", "b")
+			f.put("2", "c")
+			follow(t, f, func(f *fakeStore) time.Duration {
+				if tc.replaced {
+					f.replaced = time.Now()
+				}
+				return tc.after
+			})
+			if len(f.freed) != tc.want {
+				t.Errorf("freed %v, want %d parts", f.freed, tc.want)
+			}
+		})
+	}
+}
+
+// TestManyReaders asserts that a store with too many readers is asked now and then
+// without waiting, often enough to be believed.
+func TestManyReaders(t *testing.T) {
+	f := &fakeStore{epoch: 1, full: true}
+	const span = 20 * time.Second
+	follow(t, f, func(*fakeStore) time.Duration { return span })
+	if f.calls < 20 || f.calls > 60 {
+		t.Errorf("%d calls in %v", f.calls, span)
+	}
+	var last time.Time
+	for i, e := range f.posted {
+		if i > 2 && e.At.Sub(last) > 1500*time.Millisecond {
+			t.Errorf("nothing was told for %v", e.At.Sub(last))
+		}
+		last = e.At
+	}
+	if len(f.posted) < 10 {
+		t.Errorf("told %d times", len(f.posted))
+	}
+}
