--- a/internal/agree/medlarfeed/medlarfeed.go
+++ b/internal/agree/medlarfeed/medlarfeed.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/base/medlarpause"
 )
 
 // Record is the newest value of a key.
@@ -113,12 +114,12 @@
 		}
 		if err != nil {
 			f.fail(err)
-			sleep(ctx, f.pause())
+			medlarpause.For(ctx, f.pause())
 			continue
 		}
 		f.succeed()
 		f.flush(time.Now())
-		sleep(ctx, f.options.Pace-time.Since(begin))
+		medlarpause.For(ctx, f.options.Pace-time.Since(begin))
 	}
 }
 
@@ -248,15 +249,3 @@
 	d := min(pauseFirst<<min(f.failed-1, 10), pauseLast)
 	return d/2 + time.Duration(rand.Int64N(int64(d/2)))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/core/medlartick/load_test.go
+++ b/internal/core/medlartick/load_test.go
@@ -38,31 +38,10 @@
 	waiting int
 }
 
-// loadEvent is something that happens at a time.
-type loadEvent struct {
-	at   time.Time
-	seq  int
-	what func()
-}
-
-type loadQueue []loadEvent
-
-func (q loadQueue) Len() int { return len(q) }
-func (q loadQueue) Less(i, j int) bool {
-	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].seq < q[j].seq
-}
-func (q loadQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *loadQueue) Push(x any)   { *q = append(*q, x.(loadEvent)) }
-func (q *loadQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // loadSim plays the load in virtual time.
 type loadSim struct {
 	now      time.Time
-	queue    loadQueue
+	queue    simQueue
 	seq      int
 	cores    []*Core
 	replicas map[medlarid.InstanceID]*loadReplica
@@ -75,7 +54,7 @@
 
 func (s *loadSim) at(t time.Time, f func()) {
 	s.seq++
-	heap.Push(&s.queue, loadEvent{t, s.seq, f})
+	heap.Push(&s.queue, simEvent{t, s.seq, f})
 }
 
 // tick hands events to a core and carries out what it orders.
@@ -164,9 +143,9 @@
 		})
 	}
 	for s.queue.Len() > 0 {
-		e := heap.Pop(&s.queue).(loadEvent)
+		e := heap.Pop(&s.queue).(simEvent)
 		s.now = e.at
-		e.what()
+		e.do()
 	}
 	out := map[int]float64{}
 	for sec, n := range s.asked {
--- a/internal/edge/medlarpass/attempt.go
+++ b/internal/edge/medlarpass/attempt.go
@@ -155,6 +155,7 @@
 		reason := medlarreason.Misdirected
 		if reply.Instance == a.cmd.Upstream {
 			reason = medlarreason.Version
+			a.pass.seams.Denied(a.cmd.Upstream, a.cmd.Version)
 		}
 		return a.ended(medlarworld.CauseRetry, reason, false)
 	case reply.NotRun:
--- a/internal/edge/medlarpass/close_test.go
+++ b/internal/edge/medlarpass/close_test.go
@@ -41,6 +41,7 @@
 		Done:    func(medlarid.RequestID) {},
 		Post:    func(medlarworld.Event) {},
 		Told:    func(medlarid.InstanceID, medlarid.WeightVersion) {},
+		Denied:  func(medlarid.InstanceID, medlarid.WeightVersion) {},
 		Pool:    medlarpool.New(),
 		Decode:  medlarplatform.DecodeCall,
 		Forward: medlarplatform.NewClock().AppendForward,
--- a/internal/edge/medlarpass/medlarpass.go
+++ b/internal/edge/medlarpass/medlarpass.go
@@ -40,9 +40,11 @@
 	Submit   func(*medlarworld.Run, medlarworld.Limits) <-chan medlarworld.Command
 	Done     func(medlarid.RequestID)
 	Post     func(medlarworld.Event)
-	// Told is told of the weight version that a replica answers under.
-	Told func(medlarid.InstanceID, medlarid.WeightVersion)
-	Pool *medlarpool.Pool
+	// Told is told of the weight version that a replica answers under, and Denied of one
+	// that it does not have.
+	Told   func(medlarid.InstanceID, medlarid.WeightVersion)
+	Denied func(medlarid.InstanceID, medlarid.WeightVersion)
+	Pool   *medlarpool.Pool
 	// Decode reads what a request says of itself.
 	Decode func(*medlarhead.Head) (medlarcall.Call, error)
 	// Forward appends the fields of a request to an upstream.
--- a/internal/ops/medlarrollout/medlarrollout.go
+++ b/internal/ops/medlarrollout/medlarrollout.go
@@ -32,14 +32,17 @@
 
 // Times of the rounds.
 const (
-	interval    = 100 * time.Millisecond
-	askEvery    = 300 * time.Millisecond // for stale replicas' state, by who gives no orders
-	stateLife   = 500 * time.Millisecond // of what a replica said
-	followEvery = 4 * time.Second        // reads of the terms while there is nothing to order
-	rankDelay   = 60 * time.Millisecond
-	ranks       = 4                      // instances that differ in rank
-	drainTime   = 500 * time.Millisecond // without new work, before an order
-	orderPause  = 600 * time.Millisecond
+	interval = 100 * time.Millisecond
+	// askEvery is the time between questions to stale replicas by who gives no orders;
+	// with more than usualReplicas of them it is longer.
+	askEvery      = 300 * time.Millisecond
+	usualReplicas = 12
+	stateLife     = 500 * time.Millisecond // of what a replica said
+	followEvery   = 4 * time.Second        // reads of the terms while there is nothing to order
+	rankDelay     = 60 * time.Millisecond
+	ranks         = 4                      // instances that differ in rank
+	drainTime     = 500 * time.Millisecond // without new work, before an order
+	orderPause    = 600 * time.Millisecond
 )
 
 // orderOptions say how many replicas change weights at the same time, and in which
@@ -202,7 +205,7 @@
 // ask asks replicas for their state, each when its last question has ended and some
 // time has passed. Who gives orders asks more often.
 func (r *Rollout) ask(replicas []Replica, now time.Time) {
-	every := askEvery
+	every := askEvery * time.Duration(max(1, len(replicas)/usualReplicas))
 	if r.held {
 		every = interval
 	}
--- a/internal/ops/medlarstocker/medlarstocker.go
+++ b/internal/ops/medlarstocker/medlarstocker.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/base/medlarpause"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarstock"
 	"medlarfield/internal/core/medlarworld"
@@ -120,7 +121,7 @@
 				delete(running, r)
 			}
 		}
-		sleep(ctx, scanEvery)
+		medlarpause.For(ctx, scanEvery)
 	}
 }
 
@@ -146,7 +147,7 @@
 				s.seams.Post(medlarworld.Stocked{Store: r.ID, Epoch: sh.epoch}) // not fresh any more
 			}
 			sh.lost = true
-			sleep(ctx, failPause)
+			medlarpause.For(ctx, failPause)
 			continue
 		}
 		if sh.lost {
@@ -154,7 +155,7 @@
 			sh.lost = false
 		}
 		s.free(sh)
-		sleep(ctx, s.pace(sh)-time.Since(begin))
+		medlarpause.For(ctx, s.pace(sh)-time.Since(begin))
 	}
 }
 
@@ -238,15 +239,3 @@
 	}
 	maps.DeleteFunc(sh.parts, func(_ medlarkey.Key, p Part) bool { return slices.Contains(old, p) })
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/ops/medlartable/medlartable.go
+++ b/internal/ops/medlartable/medlartable.go
@@ -54,6 +54,7 @@
 type replica struct {
 	medlarplatform.Replica
 	told  medlarid.WeightVersion // newer than the entry's, or empty
+	guess medlarid.WeightVersion // that it is taken to have for requests, or empty
 	since time.Time              // when version was seen first
 }
 
@@ -65,6 +66,14 @@
 	return r.Member.Version
 }
 
+// served returns the weight version that requests to the replica are made under.
+func (r *replica) served() medlarid.WeightVersion {
+	if r.guess != "" {
+		return r.guess
+	}
+	return r.version()
+}
+
 // New returns an empty table.
 func New(log zerolog.Logger, pool *medlarpool.Pool, post func(medlarworld.Event)) *Table {
 	return &Table{
@@ -274,14 +283,42 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.replicas[id]
-	if r == nil || !r.version().Before(v) {
+	if r == nil || r.guess == "" && !r.version().Before(v) {
 		return
 	}
-	r.told, r.since = v, time.Now()
+	r.guess = ""
+	if r.version().Before(v) {
+		r.told, r.since = v, time.Now()
+	}
 	t.log.Info().Str("event", "replica").Str("replica", string(id)).Str("version", string(v)).Msg("weight version told")
 	t.tellReplicas()
 }
 
+// Denied takes over that a replica does not have a weight version. One that was
+// believed to have an older version than wanted is guessed to have the wanted one,
+// until it tells: a request names the version, so that a wrong guess shows at once. The
+// guess is for requests only: who gives orders goes by what replicas tell.
+func (t *Table) Denied(id medlarid.InstanceID, v medlarid.WeightVersion) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.replicas[id]
+	if r == nil || r.served() != v {
+		return
+	}
+	wanted := t.wanted[r.Member.Model]
+	switch {
+	case r.guess != "":
+		r.guess = ""
+	case v.Before(wanted):
+		r.guess = wanted
+	default:
+		return
+	}
+	t.log.Info().Str("event", "replica").Str("replica", string(id)).Str("denied", string(v)).Str("version", string(r.served())).
+		Msg("weight version guessed")
+	t.tellReplicas()
+}
+
 // Changed reports whether at least half of a model's replicas have had a later weight
 // version than v for a time.
 func (t *Table) Changed(m medlarid.ModelID, v medlarid.WeightVersion, lasting time.Duration) bool {
@@ -305,7 +342,7 @@
 	e := medlarworld.Listed{Members: make([]medlarworld.Member, 0, len(t.replicas))}
 	for _, r := range t.replicas {
 		m := r.Member
-		m.Version = r.version()
+		m.Version = r.served()
 		if m.Model != "" {
 			m.Prefill = prefill
 			m.TokenBytes, m.Memory = t.memory(m.Service)
--- /dev/null
+++ b/internal/ops/medlartable/medlartable_test.go
@@ -0,0 +1,97 @@
+package medlartable
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"medlarfield/internal/agree/medlarfeed"
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/edge/medlarpool"
+)
+
+// newTable returns a table with a replica under version 1, and what the core was told
+// last of the replica's version.
+func newTable(t *testing.T) (table *Table, told func() medlarid.WeightVersion) {
+	t.Helper()
+	var last medlarid.WeightVersion
+	table = New(zerolog.Nop(), medlarpool.New(), func(e medlarworld.Event) {
+		if e, ok := e.(medlarworld.Listed); ok {
+			for _, m := range e.Members {
+				last = m.Version
+			}
+		}
+	})
+	entry(table, 1, 7)
+	return table, func() medlarid.WeightVersion { return last }
+}
+
+func entry(t *Table, version, born int) {
+	value := fmt.Appendf(nil, `{"Service":"s","Address":"10.0.0.1:1","MaxBatchSize":4,"Phase":"ready","Models":[{"Name":"m","Version":%d}],"born":%d}`, version, born)
+	t.ApplyReplicas([]medlarfeed.Record{{Key: "r", Value: value}}, true)
+}
+
+func want(t *Table, version int) {
+	value := fmt.Appendf(nil, `{"Model":"m","Version":%d}`, version)
+	t.ApplyOperator([]medlarfeed.Record{{Key: "version/m", Value: value}}, false)
+}
+
+// TestVersions asserts under which version requests to a replica are made, and which
+// one is known for orders.
+func TestVersions(t *testing.T) {
+	for _, tc := range []struct {
+		name          string
+		steps         func(t *Table)
+		served, known medlarid.WeightVersion
+	}{
+		{"entry", func(*Table) {}, "1", "1"},
+		{"told is newer", func(t *Table) { t.Told("r", "2") }, "2", "2"},
+		{"told is older", func(t *Table) { t.Told("r", "3"); t.Told("r", "2") }, "3", "3"},
+		{"an older entry after it was told", func(t *Table) { t.Told("r", "2"); entry(t, 1, 7) }, "2", "2"},
+		{"another start", func(t *Table) { t.Told("r", "2"); entry(t, 1, 8) }, "1", "1"},
+		{"denied while it is wanted", func(t *Table) { t.Denied("r", "1") }, "1", "1"},
+		{"denied after another was wanted", func(t *Table) { want(t, 3); t.Denied("r", "1") }, "3", "1"},
+		{"and told", func(t *Table) { want(t, 3); t.Denied("r", "1"); t.Told("r", "2") }, "2", "2"},
+		{"and told the older one", func(t *Table) { want(t, 3); t.Denied("r", "1"); t.Told("r", "1") }, "1", "1"},
+		{"and denied again", func(t *Table) { want(t, 3); t.Denied("r", "1"); t.Denied("r", "3") }, "1", "1"},
+		{"denied what it was not asked for", func(t *Table) { want(t, 3); t.Denied("r", "2") }, "1", "1"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			table, told := newTable(t)
+			tc.steps(table)
+			if got := told(); got != tc.served {
+				t.Errorf("requests are made under %s, want %s", got, tc.served)
+			}
+			if got := table.Engines()[0].Version; got != tc.known {
+				t.Errorf("known is %s, want %s", got, tc.known)
+			}
+		})
+	}
+}
+
+func TestCatalogAndVersionsOnlyRise(t *testing.T) {
+	table, _ := newTable(t)
+	want(table, 3)
+	want(table, 2)
+	if v := table.Wanted()["m"]; v != "3" {
+		t.Errorf("wanted is %s, want 3", v)
+	}
+	config := func(version int) {
+		table.ApplyOperator([]medlarfeed.Record{{Key: "config", Value: fmt.Appendf(nil, `{"Version":%d}`, version)}}, false)
+	}
+	config(5)
+	config(4)
+	if c := table.Catalog(); c == nil || c.Version != 5 {
+		t.Errorf("catalog %+v, want version 5", c)
+	}
+}
+
+func TestEntryThatNamesNoReplicaTakesItOut(t *testing.T) {
+	table, _ := newTable(t)
+	table.ApplyReplicas([]medlarfeed.Record{{Key: "r", Value: []byte("{}")}}, false)
+	if e := table.Engines(); len(e) != 0 {
+		t.Errorf("still there: %+v", e)
+	}
+}
