--- a/internal/ops/medlarrollout/medlarrollout_test.go
+++ b/internal/ops/medlarrollout/medlarrollout_test.go
@@ -251,7 +251,8 @@
 		for i := range instances {
 			go h.rollout(i).Run(ctx)
 		}
-		for begin := time.Now(); time.Since(begin) < troubled; time.Sleep(h.disturb()) {
+		for begin := time.Now(); time.Since(begin) < troubled; {
+			time.Sleep(h.disturb())
 		}
 		h.locked(func() { h.faults = false })
 		time.Sleep(calm)
