Races in tests and one in the log of an attempt mended; what fades has a package of its own

Found by the tests under the race detector: whether a connection was used before was read after it had been given back, so that each line said yes; the log's time format was set at each start.

--- a/internal/agree/medlarfeed/medlarfeed_test.go
+++ b/internal/agree/medlarfeed/medlarfeed_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +16,7 @@
 
 // fakeTopic is a topic in memory.
 type fakeTopic struct {
+	mu      sync.Mutex
 	records []Record
 	first   medlarid.Offset // offsets below were dropped
 	down    bool
@@ -26,6 +29,8 @@
 }
 
 func (f *fakeTopic) newest(context.Context, string) (Page, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if f.down {
 		return Page{}, errDown
 	}
@@ -43,13 +48,15 @@
 }
 
 func (f *fakeTopic) read(_ context.Context, from medlarid.Offset) (Batch, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	switch {
 	case f.down:
 		return Batch{}, errDown
 	case from < f.first:
 		return Batch{Dropped: true}, nil
 	}
-	return Batch{Records: f.records[from:], Next: medlarid.Offset(len(f.records))}, nil
+	return Batch{Records: slices.Clone(f.records[from:]), Next: medlarid.Offset(len(f.records))}, nil
 }
 
 // follow runs a feed with a hold of two seconds through steps, each followed by
@@ -73,7 +80,9 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go feed.Run(ctx)
 		for _, step := range steps {
+			topic.mu.Lock()
 			step(topic)
+			topic.mu.Unlock()
 			time.Sleep(500 * time.Millisecond)
 		}
 		cancel()
--- /dev/null
+++ b/internal/core/medlarfade/medlarfade.go
@@ -0,0 +1,31 @@
+// Package medlarfade holds what is learned from samples and fades while none come, so
+// that what was bad is tried again.
+package medlarfade
+
+import (
+	"math"
+	"time"
+)
+
+// Fade is a number of seconds that was learned from samples and fades.
+type Fade struct {
+	seconds float64
+	learned time.Time
+}
+
+// half is the time in which it fades to a half.
+const half = 2 * time.Second
+
+// At returns the seconds as of a time.
+func (f Fade) At(now time.Time) float64 {
+	if f.seconds == 0 {
+		return 0
+	}
+	return f.seconds * math.Exp2(-now.Sub(f.learned).Seconds()/half.Seconds())
+}
+
+// Learn takes over a sample with a weight.
+func (f *Fade) Learn(now time.Time, gain, sample float64) {
+	old := f.At(now)
+	f.seconds, f.learned = old+gain*(sample-old), now
+}
--- /dev/null
+++ b/internal/core/medlarfade/medlarfade_test.go
@@ -0,0 +1,22 @@
+package medlarfade
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+func TestFade(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var f Fade
+	f.Learn(now, 0.5, 4)
+	f.Learn(now, 0.5, 4)
+	for _, tc := range []struct {
+		after time.Duration
+		want  float64
+	}{{0, 3}, {half, 1.5}, {2 * half, 0.75}} {
+		if got := f.At(now.Add(tc.after)); math.Abs(got-tc.want) > 1e-9 {
+			t.Errorf("after %v: %v, want %v", tc.after, got, tc.want)
+		}
+	}
+}
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -11,11 +11,11 @@
 package medlarworld
 
 import (
-	"math"
 	"math/rand/v2"
 	"time"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarfade"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarwarm"
@@ -161,7 +161,7 @@
 	Next time.Time
 	// NextUp tells that Next is running or has run out for this change.
 	NextUp bool
-	Lag    Lag // of first parts of answers
+	Lag    medlarfade.Fade // of first parts of answers
 	// Answered is when the answer to an attempt under Version, begun since Version is
 	// known, came last.
 	Answered time.Time
@@ -198,8 +198,8 @@
 	Rate     float64        // bytes a second
 	Inflight medlarid.Bytes // bytes of own imports in flight
 	DownTill time.Time
-	Stock    Stock // of a store that keeps parts of prompts
-	Lag      Lag   // of answers that waited for a fetch
+	Stock    Stock           // of a store that keeps parts of prompts
+	Lag      medlarfade.Fade // of answers that waited for a fetch
 }
 
 // Classes is the number of classes of urgency that upstreams tell apart; the first is
@@ -218,29 +218,6 @@
 // Class returns the run's class of urgency.
 func (r *Run) Class() int { return min(max(int(-r.Priority), 0), Classes-1) }
 
-// Lag is by how many seconds something is late, learned and fading.
-type Lag struct {
-	seconds float64
-	learned time.Time
-}
-
-// lagHalf is the time in which a lag fades to a half.
-const lagHalf = 2 * time.Second
-
-// At returns the lag in seconds as of a time.
-func (l Lag) At(now time.Time) float64 {
-	if l.seconds == 0 {
-		return 0
-	}
-	return l.seconds * math.Exp2(-now.Sub(l.learned).Seconds()/lagHalf.Seconds())
-}
-
-// Learn takes over a sample with a weight.
-func (l *Lag) Learn(now time.Time, gain, sample float64) {
-	old := l.At(now)
-	l.seconds, l.learned = old+gain*(sample-old), now
-}
-
 // Stock is what a store that keeps parts of prompts is believed to hold.
 type Stock struct {
 	Capacity medlarid.Tokens // 0 for a store that keeps no parts
--- a/internal/edge/medlarpass/attempt.go
+++ b/internal/edge/medlarpass/attempt.go
@@ -34,6 +34,7 @@
 	keep   func() bool      // ends that the caller's leaving closes up; false if it has
 	wrote  chan error       // end of a body that is written beside the answer; nil for none
 	status int
+	reused bool // the connection had served a request before
 	err    error
 }
 
@@ -59,7 +60,7 @@
 	if err != nil {
 		return a.failed(err, medlarreason.Unreachable, false)
 	}
-	a.up = c
+	a.up, a.reused = c, c.Used
 	_ = c.SetDeadline(a.run.Deadline)
 	a.keep = context.AfterFunc(a.ctx, func() { _ = c.Close() }) // R3
 	defer a.keep()
@@ -396,7 +397,7 @@
 		Cause:    e.Cause,
 		Reason:   e.Reason,
 		Reached:  e.Reached,
-		Reused:   a.up != nil && a.up.Used,
+		Reused:   a.reused,
 		Status:   a.status,
 		Why:      a.cmd.Why,
 		Took:     time.Since(a.begin),
--- a/internal/ops/medlarlogger/medlarlogger.go
+++ b/internal/ops/medlarlogger/medlarlogger.go
@@ -20,13 +20,15 @@
 	if err != nil || level == "" {
 		l = zerolog.InfoLevel
 	}
-	zerolog.TimeFieldFormat = timeFormat
 	return zerolog.New(w).Level(l).With().Timestamp().Str("instance", string(name)).Str("zone", string(zone)).Logger()
 }
 
 // timeFormat has milliseconds, so that lines of several instances can be put in order.
 const timeFormat = "2006-01-02T15:04:05.000Z07:00"
 
+// The library keeps the format in a variable that all loggers read.
+func init() { zerolog.TimeFieldFormat = timeFormat }
+
 // Sizes and times of a bounded writer.
 const (
 	bufferBytes   = 256 << 10
