--- a/internal/edge/medlarpass/attempt.go
+++ b/internal/edge/medlarpass/attempt.go
@@ -195,10 +195,15 @@
 		a.held = out
 		return a.ended(medlarworld.CauseRetry, medlarreason.Failure, true)
 	}
-	if a.sendWhole(out) != nil {
+	return a.deliver(out)
+}
+
+// deliver passes a whole answer on.
+func (a *attempt) deliver(out *answer) medlarworld.Ended {
+	switch {
+	case a.sendWhole(out) != nil:
 		return a.ended(medlarworld.CauseLeft, "", true)
-	}
-	if h.Status >= statusFailure {
+	case out.head.Status >= statusFailure:
 		return a.ended(medlarworld.CauseAnswer, "", true)
 	}
 	return a.ended(medlarworld.CauseDone, "", true)
@@ -285,19 +290,11 @@
 	}
 	a.giveBack(h, reply)
 	if !a.begun {
-		return a.emptyStream(h)
+		return a.deliver(&answer{head: h}) // a stream without events
 	}
 	return a.finish()
 }
 
-// emptyStream answers with a stream without events.
-func (a *attempt) emptyStream(h *medlarhead.Head) medlarworld.Ended {
-	if a.sendWhole(&answer{head: h}) != nil {
-		return a.ended(medlarworld.CauseLeft, "", true)
-	}
-	return a.ended(medlarworld.CauseDone, "", true)
-}
-
 // sendEvents writes whole events, the first ones behind the answer's head.
 func (a *attempt) sendEvents(h *medlarhead.Head, events []byte) error {
 	if a.begun {
