--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -326,7 +326,7 @@
 // told, or the wanted one for a replica that told nothing yet. A replica refuses
 // a run under another version, so that a wrong guess costs a retry.
 func versionOf(w *medlarworld.World, u *medlarworld.Upstream) medlarid.WeightVersion {
-	if u.ReportedAt.IsZero() && !u.Near {
+	if u.Version == "" && u.ReportedAt.IsZero() && !u.Near {
 		return w.Models[u.Model].Version
 	}
 	return u.Version
--- a/internal/core/medlartick/parts_test.go
+++ b/internal/core/medlartick/parts_test.go
@@ -248,6 +248,19 @@
 			p.tick(medlarworld.Ended{Run: r.ID, Attempt: s.Attempt, Cause: medlarworld.CauseDone, Reached: true})
 		}
 	})
+	t.Run("of many replicas, each is asked under the version it has", func(t *testing.T) {
+		p := newParts(t, 40, nil)
+		p.want("2")
+		for range 20 {
+			r := p.run(500, 300)
+			r.Later = "2"
+			s := p.submit(r)
+			if s == nil || s.Version != "1" {
+				t.Fatalf("started as %+v, want version 1", s)
+			}
+			p.tick(medlarworld.Ended{Run: r.ID, Attempt: s.Attempt, Cause: medlarworld.CauseDone, Reached: true})
+		}
+	})
 	t.Run("a later version does not make an older one young again", func(t *testing.T) {
 		p := newParts(t, 6, nil)
 		p.want("2")
