--- a/internal/core/medlarstock/medlarstock.go
+++ b/internal/core/medlarstock/medlarstock.go
@@ -15,19 +15,14 @@
 //	    needed: two instances that differ only save a part twice.
 //	R4  A part is saved once; while that is under way it is not asked for again.
 //	R5  The last part of a prompt is its own and is not saved.
-//	R5  The last part of a prompt is its own and is not saved.
+//	R6  A store that answers later than others is fetched from less. Where all do, it
+//	    is not the stores: reading the parts again would only add to the load.
 //	R7  Parts of a weight version are fetched until GraceTime after it was replaced, and
 //	    only by who knows that it was not: who has heard within HeardTime which versions
 //	    are wanted, or got answers under the version within AnswerTime from more than
 //	    half of the model's replicas. So they can be freed once FreeTime has passed and
 //	    half of the replicas have had a later version for SwapTime: of any two halves
 //	    one replica is in both, and it would have told.
-//	R6  A store that answers later than others is fetched from less. Where all do, it
-//	    is not the stores: reading the parts again would only add to the load.
-//	R7  Parts of a weight version are fetched until GraceTime after it was replaced, and
-//	    only while the instance has heard within HeardTime which versions are wanted.
-//	    So they can be freed FreeTime after the replacement, whoever may not have heard
-//	    of it.
 package medlarstock
 
 import (
