Settings of an attached instance have defaults for what a deployment does not tell

Cause: a deployment whose contracts lack a bound would have filled the template with a span without a number, and the program would not have started. Test fills the template without the optional values.

--- a/internal/ops/medlarsettings/attached.go
+++ b/internal/ops/medlarsettings/attached.go
@@ -31,13 +31,29 @@
 	Return  medlarid.Duration `json:"return"`  // in which removed replicas come back after an outage of the store
 }
 
+// DefaultAttached returns the settings that a file starts from.
+func DefaultAttached() Attached {
+	return Attached{
+		Memory: 256,
+		Bounds: Bounds{
+			Grace:   seconds(8),
+			Out:     medlarid.Duration(2500 * time.Millisecond),
+			Settle:  seconds(3),
+			Retries: 0.1,
+			Weights: seconds(6),
+			Return:  seconds(2),
+		},
+		Log: Log{Level: "info"},
+	}
+}
+
 // ReadAttached reads and checks a file. The error names file, line and column.
 func ReadAttached(file string) (Attached, error) {
 	doc, err := medlarjson.ReadFile(file)
 	if err != nil {
 		return Attached{}, err
 	}
-	s := Attached{Log: Log{Level: "info"}}
+	s := DefaultAttached()
 	if err := doc.Decode(&s); err != nil {
 		return Attached{}, err
 	}
--- /dev/null
+++ b/internal/ops/medlarsettings/attached_test.go
@@ -0,0 +1,79 @@
+package medlarsettings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const attachedFile = `// comment
+{
+  "name": "entry-1", "zone": "a",
+  "listen": "127.0.0.1:1", "status": "127.0.0.1:2", "store": "127.0.0.1:3",
+  %s
+}`
+
+func readAttached(t *testing.T, more string) (Attached, error) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "settings.json")
+	if err := os.WriteFile(file, []byte(strings.Replace(attachedFile, "%s", more, 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return ReadAttached(file)
+}
+
+// TestAttachedDefaults asserts that a deployment which tells no bounds has defaults.
+func TestAttachedDefaults(t *testing.T) {
+	s, err := readAttached(t, `"bounds": {"grace": "9s",},`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := DefaultAttached().Bounds
+	want.Grace = seconds(9)
+	if s.Bounds != want || s.Memory != DefaultAttached().Memory {
+		t.Errorf("bounds %+v, memory %d", s.Bounds, s.Memory)
+	}
+}
+
+func TestAttachedErrorsNameThePlace(t *testing.T) {
+	for _, tc := range []struct{ more, want string }{
+		{`"memory": "much"`, `settings.json:5:13: field "memory"`},
+		{`"memory": 1`, "settings.json:5:13: field \"memory\": want 32 to 1048576 MB"},
+		{`"bounds": {"settle": "ms"}`, `field "settle"`},
+		{`"bounds": {"retries": 2}`, `want 0 to 1 attempts`},
+		{`"odd": 1`, `unknown field "odd"`},
+	} {
+		t.Run(tc.more, func(t *testing.T) {
+			_, err := readAttached(t, tc.more)
+			if err == nil || !strings.Contains(err.Error(), tc.want) {
+				t.Errorf("error %v, want %q", err, tc.want)
+			}
+		})
+	}
+}
+
+// TestTemplateWithoutBounds fills the platform's template as for a deployment that
+// tells none of the optional values.
+func TestTemplateWithoutBounds(t *testing.T) {
+	text, err := os.ReadFile(filepath.Join("..", "..", "..", "deploy", "settings.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var lines []string
+	for _, line := range strings.Split(string(text), "\n") {
+		if !strings.Contains(line, "{{#") {
+			lines = append(lines, line)
+		}
+	}
+	filled := strings.NewReplacer("{{NodeName}}", "entry-1", "{{Zone}}", "a", "{{Listen.Front}}", "10.0.0.1:1",
+		"{{Listen.Ready}}", "10.0.0.1:2", "{{Platform.Address}}", "10.0.0.1:3").Replace(strings.Join(lines, "\n"))
+	file := filepath.Join(t.TempDir(), "settings.json")
+	if err := os.WriteFile(file, []byte(filled), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if s, err := ReadAttached(file); err != nil || s.Bounds.Settle.Std() != 3*time.Second {
+		t.Errorf("bounds %+v, error %v", s.Bounds, err)
+	}
+}
