A replica that hangs is left by a request that may be repeated; fewer repeats are saved up

Cause: a first attempt of a repeatable request waited for its whole deadline at a replica that answers nothing. With many instances the repeats that each may save up came near the bound over all of them. Test plays a replica that hangs, and fails without the change.

--- a/internal/base/medlarhead/body.go
+++ b/internal/base/medlarhead/body.go
@@ -147,3 +147,16 @@
 	}
 	return out, err
 }
+
+// ReadSome reads a body up to limit bytes; whether that is all, the body tells.
+func ReadSome(body *Body, limit int) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(body, int64(limit)))
+	if err != nil || body.Done() {
+		return b, err
+	}
+	var none [0]byte
+	if _, err := body.Read(none[:]); err != nil && err != io.EOF { // finds an end right behind the limit
+		return nil, err
+	}
+	return b, nil
+}
--- a/internal/edge/medlarpass/attempt.go
+++ b/internal/edge/medlarpass/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"os"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -21,6 +22,7 @@
 	answerHead    = 16 << 10 // bytes of an answer's head
 	maxSkipped    = 2        // answers to other requests that are read over
 	inlineBody    = 16 << 10 // bytes of a request's body that are written before the answer is read
+	hangTargets   = 4        // times the target after which a first attempt is left
 	statusOK      = 200
 	statusFailure = 500
 )
@@ -61,7 +63,7 @@
 		return a.failed(err, medlarreason.Unreachable, false)
 	}
 	a.up, a.reused = c, c.Used
-	_ = c.SetDeadline(a.run.Deadline)
+	_ = c.SetDeadline(a.deadline())
 	a.keep = context.AfterFunc(a.ctx, func() { _ = c.Close() }) // R3
 	defer a.keep()
 	if err := a.send(); err != nil {
@@ -80,6 +82,17 @@
 	return a.judge(h, reply)
 }
 
+// deadline returns the end of the attempt. The first attempt of a request that may be
+// repeated elsewhere ends earlier: a replica that hangs is left while another one can
+// still answer.
+func (a *attempt) deadline() time.Time {
+	again := a.route.Kind == medlarcatalog.KindSafe && a.route.Attempts > 1 && a.sum.Attempts == 1
+	if early := a.begin.Add(hangTargets * a.route.Target); again && a.route.Target > 0 && early.Before(a.run.Deadline) {
+		return early
+	}
+	return a.run.Deadline
+}
+
 // send writes the request. A long body is written beside the answer, which may come
 // before all of it was read.
 func (a *attempt) send() error {
@@ -181,7 +194,7 @@
 		return a.failed(errNoStream, medlarreason.Broken, true)
 	}
 	body := medlarhead.NewBody(a.up.Reader, h)
-	buf, err := readSome(body, wholeLimit)
+	buf, err := medlarhead.ReadSome(body, wholeLimit)
 	if err != nil {
 		_ = a.up.Close()
 		return a.failed(err, medlarreason.Truncated, true)
@@ -209,19 +222,6 @@
 	return a.ended(medlarworld.CauseDone, "", true)
 }
 
-// readSome reads a body up to limit bytes.
-func readSome(body *medlarhead.Body, limit int) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(body, int64(limit)))
-	if err != nil || body.Done() {
-		return b, err
-	}
-	var none [0]byte
-	if _, err := body.Read(none[:]); err != nil && err != io.EOF { // finds an end right behind the limit
-		return nil, err
-	}
-	return b, nil
-}
-
 // long passes an answer on while it comes.
 func (a *attempt) long(h *medlarhead.Head, first []byte, body *medlarhead.Body, reply medlarcall.Reply) medlarworld.Ended {
 	b := a.answerHead(h)
@@ -371,7 +371,7 @@
 	switch {
 	case a.ctx.Err() != nil:
 		return a.ended(medlarworld.CauseLeft, "", reached)
-	case !time.Now().Before(a.run.Deadline):
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		reason = medlarreason.Timeout
 	}
 	if reached && a.run.Once {
--- a/internal/ops/medlarattach/medlarattach.go
+++ b/internal/ops/medlarattach/medlarattach.go
@@ -58,7 +58,7 @@
 	versionMargin  = 800 * time.Millisecond // before the bound on old weight versions, for requests under way
 	queueLength    = 4096                   // requests that may wait for an upstream
 	retryShare     = 0.8                    // of the bound on repeated attempts that is used
-	retryMost      = 6                      // repeated attempts that may be saved up
+	retryMost      = 4                      // repeated attempts that may be saved up
 	retryStart     = 2
 )
 
--- a/internal/ops/medlarattach/path_test.go
+++ b/internal/ops/medlarattach/path_test.go
@@ -285,6 +285,39 @@
 	}
 }
 
+// TestHangingReplicaIsLeft plays a replica that takes a request and does not answer: one
+// that may be repeated is answered by another replica in time, one that must not be is
+// not sent again.
+func TestHangingReplicaIsLeft(t *testing.T) {
+	for _, tc := range []struct {
+		path         string
+		status, runs int
+	}{{"/read/a", 200, 2}, {"/post/a", 504, 1}} {
+		t.Run(tc.path, func(t *testing.T) {
+			w := start(t, nil)
+			got := w.askHanging(request{path: tc.path, id: "r", timeout: 2500 * time.Millisecond})
+			if n := len(w.ran("r")); got.status != tc.status || n != tc.runs {
+				t.Errorf("status %d after %d runs, want %d after %d", got.status, n, tc.status, tc.runs)
+			}
+		})
+	}
+}
+
+// askHanging sends a request that the first replica to run it does not answer.
+func (w *world) askHanging(q request) result {
+	w.t.Helper()
+	arm(w.site.Plain, medlarfakereplica.FaultHang)
+	go func() {
+		for len(w.ran(q.id)) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		for _, r := range w.site.Plain {
+			r.Disarm()
+		}
+	}()
+	return w.ask(q)
+}
+
 func TestExtraBytesReachNobody(t *testing.T) {
 	w := start(t, func(s *medlarsite.Settings) { s.Plain = 1 })
 	arm(w.site.Plain, medlarfakereplica.FaultExtra)
--- a/internal/stand/medlarfakereplica/exchange.go
+++ b/internal/stand/medlarfakereplica/exchange.go
@@ -81,6 +81,9 @@
 	return f + "Keep-Alive: timeout=5\r\n"
 }
 
+// hangTime is longer than a caller waits.
+const hangTime = 5 * time.Second
+
 func (x *exchange) plain() bool {
 	time.Sleep(x.replica.Settings.Work)
 	body := "answer to " + x.get(headerID)
@@ -89,6 +92,9 @@
 		return write(x.conn, 500, x.fields(), "failed")
 	case FaultLost:
 		return false
+	case FaultHang:
+		time.Sleep(hangTime)
+		return false
 	case FaultGarbage:
 		_, _ = x.conn.Write([]byte("\x16\x03\x01 this is no answer\r\n\r\n"))
 		return false
--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -38,6 +38,7 @@
 	FaultOther     Fault = "other"     // answers with another request's id only
 	FaultCoded     Fault = "coded"     // sends a coded body
 	FaultUnframed  Fault = "unframed"  // sends a body that ends with the connection
+	FaultHang      Fault = "hang"      // runs and does not answer for long
 	FaultMisplaced Fault = "misplaced" // is not the replica that was asked for
 )
 
@@ -98,6 +99,13 @@
 	}
 }
 
+// Disarm takes back what was armed and has not struck.
+func (r *Replica) Disarm() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = nil
+}
+
 // Runs returns what ran so far.
 func (r *Replica) Runs() []Run {
 	r.mu.Lock()
