--- a/internal/ops/medlarexplain/medlarexplain.go
+++ b/internal/ops/medlarexplain/medlarexplain.go
@@ -1,5 +1,5 @@
 // Package medlarexplain tells from log lines of several instances what happened to a
-// request, and on which beliefs.
+// request, an instance, a replica or a store, and on which beliefs.
 //
 // Rules:
 //
--- a/internal/ops/medlaroperator/explain.go
+++ b/internal/ops/medlaroperator/explain.go
@@ -27,6 +27,24 @@
 	}
 }
 
+func timelineCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "timeline NAME [FILE...]",
+		Short: "Tell from log lines of attached instances what happened at an instance, a replica or a store",
+		Long: "Tell from log lines of attached instances what happened at an instance, a replica or a store: what was believed of\n" +
+			"it, failed attempts, and counts of requests by second. Lines are read from the files, or from standard input\n" +
+			"without any.",
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			lines, err := readLines(cmd.InOrStdin(), args[1:])
+			if err != nil {
+				return err
+			}
+			return medlarexplain.Timeline(cmd.OutOrStdout(), lines, args[0])
+		},
+	}
+}
+
 // readLines reads log lines from files, or from in without any.
 func readLines(in io.Reader, files []string) ([]medlarexplain.Line, error) {
 	if len(files) == 0 {
--- a/internal/ops/medlaroperator/medlaroperator.go
+++ b/internal/ops/medlaroperator/medlaroperator.go
@@ -120,7 +120,7 @@
 	flags.DurationVar(&o.timeout, "timeout", 10*time.Second, "time for the whole command")
 	root.AddCommand(
 		checkCommand(o), diffCommand(o), publishCommand(o), showCommand(o), historyCommand(o),
-		whenCommand(o), watchCommand(o), statusCommand(o), reasonsCommand(o), explainCommand(), keyCommand(), medlarversion.Command(),
+		whenCommand(o), watchCommand(o), statusCommand(o), reasonsCommand(o), explainCommand(), timelineCommand(), keyCommand(), medlarversion.Command(),
 	)
 	return root
 }
