--- a/internal/edge/medlarcall/medlarcall.go
+++ b/internal/edge/medlarcall/medlarcall.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"medlarfield/internal/agree/medlarcatalog"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarreason"
@@ -79,6 +80,7 @@
 	ID      medlarid.RequestID
 	Account medlarid.AccountID
 	Route   string
+	Kind    medlarcatalog.Kind // of the route; empty before it is known
 	Service medlarid.ServiceID
 	Model   medlarid.ModelID
 	Config  uint64
--- a/internal/edge/medlarmetric/medlarmetric.go
+++ b/internal/edge/medlarmetric/medlarmetric.go
@@ -20,6 +20,20 @@
 // firstBuckets are the bounds of the histogram of time to first token in seconds.
 var firstBuckets = []float64{.005, .01, .025, .05, .1, .2, .3, .4, .5, .69, 1, 1.5, 2.5, 5, 10, 30}
 
+// stageBuckets are the bounds of the histogram of stages in seconds; waiting takes less
+// than a millisecond while there is room.
+var stageBuckets = []float64{.0002, .0005, .001, .003, .01, .03, .1, .2, .4, .69, 1, 2, 4, 10, 30}
+
+// Stage is a part of a request's time, from its arrival on.
+type Stage string
+
+// Stages.
+const (
+	StageWait  Stage = "wait"  // until the first attempt
+	StageFirst Stage = "first" // until the first byte of the answer
+	StageTotal Stage = "total"
+)
+
 // Metrics are the counters and gauges of an instance.
 type Metrics struct {
 	registry *prometheus.Registry
@@ -27,6 +41,7 @@
 	retries  *prometheus.CounterVec
 	answers  *prometheus.CounterVec
 	first    *prometheus.HistogramVec
+	stages   *prometheus.HistogramVec
 	tokens   *prometheus.CounterVec
 	moved    *prometheus.CounterVec
 	ejected  prometheus.Counter
@@ -55,14 +70,18 @@
 	m.first = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Namespace: namespace, Name: "first_token_seconds", Help: "Time to first token.", Buckets: firstBuckets,
 	}, []string{"model"})
+	m.stages = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: "stage_seconds", Help: "Time of whole answers until the end of a stage: wait, first, total.",
+		Buckets: stageBuckets,
+	}, []string{"kind", "stage"})
 	m.ejected = m.counter("ejections_total", "Upstreams ejected.")
 	m.dropped = m.counter("exports_dropped_total", "Exports of context dropped because too many waited.")
 	m.replays = m.counter("replays_total", "Unrepeatable requests answered from their record.")
 	m.ticks = m.counter("ticks_total", "Ticks of the core.")
-	m.version = m.gauge("version", "Offset of the configuration in force.")
+	m.version = m.gauge("version", "Configuration in force: its offset in the log, or the operators' number of it on the users' platform.")
 	m.waiting = m.gauge("waiting", "Requests that wait for an upstream.")
 	m.open = m.gauge("open", "Requests that have not ended.")
-	m.registry.MustRegister(m.first, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.registry.MustRegister(m.first, m.stages, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	for _, r := range medlarreason.Refusals {
 		m.refusals.WithLabelValues(string(r.Reason))
 	}
@@ -115,6 +134,26 @@
 	m.first.WithLabelValues(string(model)).Observe(d.Seconds())
 }
 
+// Stage notes the time until the end of a stage of a request of a kind.
+func (m *Metrics) Stage(kind string, s Stage, d time.Duration) {
+	m.stages.WithLabelValues(kind, string(s)).Observe(d.Seconds())
+}
+
+// Age registers a gauge of the time since a part of the platform last answered; at
+// returns that time, zero for none, for which the gauge is -1.
+func (m *Metrics) Age(part string, at func() time.Time) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "age_seconds", Help: "Time since a part of the platform answered; -1 before it did.",
+		ConstLabels: prometheus.Labels{"part": part},
+	}, func() float64 {
+		t := at()
+		if t.IsZero() {
+			return -1
+		}
+		return time.Since(t).Seconds()
+	}))
+}
+
 // Tokens counts the tokens of a run.
 func (m *Metrics) Tokens(prompt, cached, completion medlarid.Tokens) {
 	m.tokens.WithLabelValues("prompt").Add(float64(prompt))
--- a/internal/edge/medlarpass/exchange.go
+++ b/internal/edge/medlarpass/exchange.go
@@ -83,7 +83,7 @@
 	if x.route == nil {
 		return medlarreason.Absent
 	}
-	x.sum.Route = x.route.Name
+	x.sum.Route, x.sum.Kind = x.route.Name, x.route.Kind
 	account, ok := cat.Account(x.route, x.call.Key)
 	if !ok {
 		return medlarreason.Unauthenticated
--- a/internal/ops/medlarattach/medlarattach.go
+++ b/internal/ops/medlarattach/medlarattach.go
@@ -186,7 +186,7 @@
 		if topic == medlarplatform.TopicOperator {
 			lost, regained = noteBehind(t, lost, regained)
 		}
-		return medlarfeed.New(medlarfeed.Seams{
+		f := medlarfeed.New(medlarfeed.Seams{
 			Newest: func(ctx context.Context, after string) (medlarfeed.Page, error) { return s.Newest(ctx, topic, after) },
 			Read: func(ctx context.Context, from medlarid.Offset) (medlarfeed.Batch, error) {
 				b, err := s.Follow(ctx, topic, from, wait)
@@ -197,9 +197,17 @@
 			},
 			Apply: apply, Lost: lost, Regained: regained,
 		}, o)
+		m.Age(topic, f.Fresh)
+		return f
+	}
+	operator := func(records []medlarfeed.Record, first bool) {
+		t.ApplyOperator(records, first)
+		if c := t.Catalog(); c != nil {
+			m.InForce(medlarid.Offset(c.Version))
+		}
 	}
 	return []*medlarfeed.Feed{
-		feed(medlarplatform.TopicOperator, operatorWait, t.ApplyOperator, medlarfeed.Options{}),
+		feed(medlarplatform.TopicOperator, operatorWait, operator, medlarfeed.Options{}),
 		feed(medlarplatform.TopicReplicas, replicaWait, t.ApplyReplicas, medlarfeed.Options{
 			Pace: replicaPace, Hold: cfg.Bounds.Return.Std() + returnMargin,
 		}),
--- /dev/null
+++ b/internal/ops/medlarattach/metrics_test.go
@@ -0,0 +1,35 @@
+package medlarattach_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+)
+
+// metrics returns what the instance serves on its status address.
+func (w *world) metrics() string {
+	_, body, err := fasthttp.Get(nil, "http://"+string(w.instance.StatusAddress())+"/metrics")
+	if err != nil {
+		w.t.Errorf("metrics: %v", err)
+	}
+	return string(body)
+}
+
+func TestMetrics(t *testing.T) {
+	w := start(t, nil)
+	assertResult(t, w.ask(request{method: "POST", path: "/post/a", id: "r1"}), 200, "answer to r1")
+	assertResult(t, w.ask(request{path: "/post/a", id: "r2", key: "unknown"}), 401, "")
+	for _, want := range []string{
+		`medlar_stage_seconds_count{kind="once",stage="wait"} 1`,
+		`medlar_stage_seconds_count{kind="once",stage="first"} 1`,
+		`medlar_stage_seconds_count{kind="once",stage="total"} 1`,
+		`medlar_refusals_total{reason="unauthenticated"} 1`,
+		`medlar_age_seconds{part="keyed.op"} 0`,
+		`medlar_version 1`,
+	} {
+		t.Run(want, func(t *testing.T) {
+			w.eventually("the metrics have it", func() bool { return strings.Contains(w.metrics(), want) })
+		})
+	}
+}
--- a/internal/ops/medlarattach/notes.go
+++ b/internal/ops/medlarattach/notes.go
@@ -77,6 +77,9 @@
 	case s.Whole:
 		m.Answered(s.Route)
 		m.First(s.Model, s.First)
+		m.Stage(string(s.Kind), medlarmetric.StageWait, s.Waited)
+		m.Stage(string(s.Kind), medlarmetric.StageFirst, s.First)
+		m.Stage(string(s.Kind), medlarmetric.StageTotal, s.Took)
 	}
 }
 
