Twins that meant the same have one piece of code; what nothing used is gone

One ring of keys, one list of wanted versions with its question, one lookup of upstreams by target, one set of options for changes of weights (who orders and who routes must agree on them), one check of settings, one command over log lines. Parts being saved are in one table, not two. Freed parts are forgotten by key, not by comparing all with all. The age of a topic is taken from the monotonic clock, so that a step of the time of day does not change it. Behaviour of routing, orders and refusals is as before; tests keep their assertions.

--- a/internal/agree/medlarfeed/medlarfeed.go
+++ b/internal/agree/medlarfeed/medlarfeed.go
@@ -83,7 +83,7 @@
 	release time.Time                  // when they are
 	lost    time.Time                  // since when the store does not answer; zero if it does
 	failed  int                        // failures in a row
-	fresh   atomic.Int64               // time of the last answer, in Unix ms by the monotonic-based clock
+	fresh   atomic.Pointer[time.Time]  // of the last answer
 }
 
 // New returns a feed. Run must be running.
@@ -93,11 +93,10 @@
 
 // Fresh returns the time of the store's last answer; zero for none.
 func (f *Feed) Fresh() time.Time {
-	ms := f.fresh.Load()
-	if ms == 0 {
-		return time.Time{}
+	if at := f.fresh.Load(); at != nil {
+		return *at
 	}
-	return time.UnixMilli(ms)
+	return time.Time{}
 }
 
 // Run follows the topic until ctx ends.
@@ -234,7 +233,7 @@
 
 func (f *Feed) succeed() {
 	now := time.Now()
-	f.fresh.Store(now.UnixMilli())
+	f.fresh.Store(&now)
 	f.failed = 0
 	if f.lost.IsZero() {
 		return
--- a/internal/core/medlarkey/set.go
+++ b/internal/core/medlarkey/set.go
@@ -3,13 +3,12 @@
 // Set is a set of keys of bounded size: the oldest give way to new ones.
 type Set struct {
 	keys map[Key]bool
-	ring []Key // keys in the order of arrival
-	next int
+	ring *Ring
 }
 
 // NewSet returns a set of at most size keys.
 func NewSet(size int) *Set {
-	return &Set{keys: map[Key]bool{}, ring: make([]Key, 0, size)}
+	return &Set{keys: map[Key]bool{}, ring: NewRing(size)}
 }
 
 // Has reports whether k is in the set.
@@ -24,11 +23,7 @@
 		return
 	}
 	s.keys[k] = true
-	if len(s.ring) < cap(s.ring) {
-		s.ring = append(s.ring, k)
-		return
+	if oldest, full := s.ring.Push(k); full {
+		delete(s.keys, oldest)
 	}
-	delete(s.keys, s.ring[s.next])
-	s.ring[s.next] = k
-	s.next = (s.next + 1) % len(s.ring)
 }
--- a/internal/core/medlarorder/medlarorder.go
+++ b/internal/core/medlarorder/medlarorder.go
@@ -28,9 +28,10 @@
 	// DefaultLoads is the number of rule R2 where loads share a slow source.
 	DefaultLoads = 2
 
-	// SwapShare is the share of a model's replicas that change weights at the same
-	// time where they do so fast.
-	SwapShare = 1.0 / 3
+	// swapShare and swapPause are the share of a model's replicas that change weights at
+	// the same time, and the pause of rule R5, where they do so fast.
+	swapShare = 1.0 / 3
+	swapPause = 600 * time.Millisecond
 
 	// DefaultPause is the pause of rule R5 where a load takes seconds.
 	DefaultPause = 5 * time.Second
@@ -71,6 +72,12 @@
 // Default returns the options of a deployment whose loads take seconds.
 func Default() Options { return Options{Pause: DefaultPause, Loads: DefaultLoads} }
 
+// Swapping returns the options of a deployment whose replicas change weights fast. Who
+// gives orders and who routes requests both know by them which replicas come next.
+func Swapping() Options {
+	return Options{Pause: swapPause, Loads: DefaultLoads, Share: swapShare, Fixed: true}
+}
+
 // New returns a planner that has given no orders.
 func New(o Options) *Planner {
 	return &Planner{options: o, ordered: map[medlarid.InstanceID]time.Time{}}
--- a/internal/core/medlarretry/medlarretry.go
+++ b/internal/core/medlarretry/medlarretry.go
@@ -203,10 +203,7 @@
 }
 
 func mayEject(w *medlarworld.World, u *medlarworld.Upstream) bool {
-	kin := w.Engines[u.Model]
-	if u.Service != "" {
-		kin = w.Services[u.Service]
-	}
+	kin := w.Kin(u.Target())
 	ejected := 0
 	for _, k := range kin {
 		if w.Now.Before(k.EjectedTill) {
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -253,7 +253,7 @@
 // collect fills the candidates of a run (R1).
 func (s *System) collect(w *medlarworld.World, r *medlarworld.Run, in scope) {
 	s.choices = s.choices[:0]
-	upstreams := w.Kin(r)
+	upstreams := w.Kin(r.Target())
 	home := homeOf(r, upstreams)
 	for _, u := range upstreams {
 		near := u.Near || in.far || u == home || r.Service != ""
@@ -318,7 +318,7 @@
 
 // outdated reports whether a weight version was replaced too long ago.
 func outdated(w *medlarworld.World, m *medlarworld.Model, v medlarid.WeightVersion) bool {
-	at, ok := m.Replaced(v)
+	at, ok := m.Named.Replaced(v)
 	return ok && w.Config.OldVersions > 0 && w.Now.Sub(at) > w.Config.OldVersions
 }
 
--- a/internal/core/medlarstock/medlarstock.go
+++ b/internal/core/medlarstock/medlarstock.go
@@ -89,8 +89,7 @@
 	st := &s.Stock
 	if e.Reset || st.Parts == nil {
 		st.Parts = map[medlarkey.Key]medlarid.Tokens{}
-		st.Saving = map[medlarkey.Key]time.Time{}
-		st.Asked = map[medlarkey.Key]medlarid.Tokens{}
+		st.Saving = map[medlarkey.Key]medlarworld.Saving{}
 		st.Held = 0
 	}
 	if st.Epoch != e.Epoch {
@@ -106,7 +105,6 @@
 		st.Held += p.Tokens - st.Parts[p.Key]
 		st.Parts[p.Key] = p.Tokens
 		delete(st.Saving, p.Key)
-		delete(st.Asked, p.Key)
 	}
 }
 
@@ -119,7 +117,7 @@
 		return false
 	}
 	m := w.Models[r.Model]
-	at, replaced := m.Replaced(v)
+	at, replaced := m.Named.Replaced(v)
 	return !replaced || w.Now.Sub(at) < GraceTime
 }
 
@@ -226,7 +224,7 @@
 		if st.Capacity == 0 || !usable(w, s) {
 			continue
 		}
-		if _, held := st.Parts[k]; held || w.Now.Before(st.Saving[k]) {
+		if _, held := st.Parts[k]; held || w.Now.Before(st.Saving[k].Till) {
 			return nil
 		}
 		if w.Now.Before(st.SaveFrom) || !hasRoom(w, st, n) {
@@ -237,8 +235,7 @@
 		}
 	}
 	if best != nil {
-		best.Stock.Saving[k] = w.Now.Add(savingTime)
-		best.Stock.Asked[k] = n
+		best.Stock.Saving[k] = medlarworld.Saving{Tokens: n, Till: w.Now.Add(savingTime)}
 	}
 	return best
 }
@@ -247,13 +244,12 @@
 // what was asked to be saved.
 func hasRoom(w *medlarworld.World, st *medlarworld.Stock, n medlarid.Tokens) bool {
 	sum := st.Held + n
-	for k, till := range st.Saving {
-		if !w.Now.Before(till) {
+	for k, s := range st.Saving {
+		if !w.Now.Before(s.Till) {
 			delete(st.Saving, k)
-			delete(st.Asked, k)
 			continue
 		}
-		sum += st.Asked[k]
+		sum += s.Tokens
 	}
 	return float64(sum) <= fullShare*float64(st.Capacity)
 }
--- a/internal/core/medlarwarm/medlarwarm.go
+++ b/internal/core/medlarwarm/medlarwarm.go
@@ -24,14 +24,13 @@
 type Table struct {
 	most    int // holders of one block
 	entries map[medlarkey.Key]*entry
-	ring    []medlarkey.Key // keys in the order of arrival
-	next    int
+	ring    *medlarkey.Ring
 }
 
 // New returns a table of at most size blocks with holders upstreams each; 0 for
 // the default.
 func New(size, holders int) *Table {
-	return &Table{most: cmp.Or(holders, defaultHolders), entries: map[medlarkey.Key]*entry{}, ring: make([]medlarkey.Key, 0, size)}
+	return &Table{most: cmp.Or(holders, defaultHolders), entries: map[medlarkey.Key]*entry{}, ring: medlarkey.NewRing(size)}
 }
 
 // Len returns the number of blocks in the table.
@@ -43,7 +42,9 @@
 	if e == nil {
 		e = &entry{}
 		t.entries[k] = e
-		t.push(k)
+		if oldest, full := t.ring.Push(k); full {
+			delete(t.entries, oldest)
+		}
 	}
 	if e.has(u) {
 		return
@@ -87,15 +88,4 @@
 	return e != nil && e.has(u)
 }
 
-// push adds a key to the ring and drops the oldest when it is full.
-func (t *Table) push(k medlarkey.Key) {
-	if len(t.ring) < cap(t.ring) {
-		t.ring = append(t.ring, k)
-		return
-	}
-	delete(t.entries, t.ring[t.next])
-	t.ring[t.next] = k
-	t.next = (t.next + 1) % len(t.ring)
-}
-
 func (e *entry) has(u medlarid.InstanceID) bool { return slices.Contains(e.holders, u) }
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -103,7 +103,7 @@
 	Version medlarid.WeightVersion
 	// Named are the versions that were wanted one after the other, Version the last, and
 	// when the core saw each first.
-	Named []Named
+	Named History
 }
 
 // Named is a weight version that was wanted from a time on.
@@ -112,10 +112,13 @@
 	At      time.Time
 }
 
+// History is the versions that were wanted one after the other.
+type History []Named
+
 // Replaced returns when a version was first replaced by a later one; ok is false if it
 // was not.
-func (m *Model) Replaced(v medlarid.WeightVersion) (at time.Time, ok bool) {
-	for _, n := range m.Named {
+func (h History) Replaced(v medlarid.WeightVersion) (at time.Time, ok bool) {
+	for _, n := range h {
 		if v.Before(n.Version) {
 			return n.At, true
 		}
@@ -226,10 +229,15 @@
 	Fresh    time.Time       // until when the belief may be acted on
 	SaveFrom time.Time       // from when on parts may be saved
 	Parts    map[medlarkey.Key]medlarid.Tokens
-	Held     medlarid.Tokens                   // sum of Parts
-	Saving   map[medlarkey.Key]time.Time       // parts that were asked to be saved, until when that counts
-	Asked    map[medlarkey.Key]medlarid.Tokens // their sizes
-	Behind   float64                           // seconds by which it lags behind other stores
+	Held     medlarid.Tokens          // sum of Parts
+	Saving   map[medlarkey.Key]Saving // parts that were asked to be saved
+	Behind   float64                  // seconds by which it lags behind other stores
+}
+
+// Saving is a part that was asked to be saved.
+type Saving struct {
+	Tokens medlarid.Tokens
+	Till   time.Time // until when it counts
 }
 
 // Phase is the state of a run.
@@ -383,7 +391,7 @@
 	}
 	w.Emit(Refuse{
 		Run: r.ID, Reason: reason, Ran: ran, After: after,
-		Waiting: len(w.Waiting), Kin: len(w.Kin(r)), Budget: w.Retries[r.Target()],
+		Waiting: len(w.Waiting), Kin: len(w.Kin(r.Target())), Budget: w.Retries[r.Target()],
 	})
 	w.Finish(r)
 }
@@ -438,11 +446,13 @@
 
 // Target returns what the run asks for. A run that names a service is for it,
 // whatever model it names.
-func (r *Run) Target() Target {
-	if r.Service != "" {
-		return Target{Service: r.Service}
+func (r *Run) Target() Target { return targetOf(r.Model, r.Service) }
+
+func targetOf(m medlarid.ModelID, s medlarid.ServiceID) Target {
+	if s != "" {
+		return Target{Service: s}
 	}
-	return Target{Model: r.Model}
+	return Target{Model: m}
 }
 
 // Known returns the prompt tokens of the first n keys.
@@ -457,12 +467,15 @@
 	return sum
 }
 
-// Kin returns the upstreams that serve what a run asks for.
-func (w *World) Kin(r *Run) []*Upstream {
-	if r.Service != "" {
-		return w.Services[r.Service]
+// Target returns what the upstream serves.
+func (u *Upstream) Target() Target { return targetOf(u.Model, u.Service) }
+
+// Kin returns the upstreams that serve a target.
+func (w *World) Kin(t Target) []*Upstream {
+	if t.Service != "" {
+		return w.Services[t.Service]
 	}
-	return w.Engines[r.Model]
+	return w.Engines[t.Model]
 }
 
 // Computing returns the time that an upstream takes to compute n prompt tokens.
--- a/internal/ops/medlarattach/medlarattach.go
+++ b/internal/ops/medlarattach/medlarattach.go
@@ -187,9 +187,9 @@
 			lost, regained = noteBehind(t, lost, regained)
 		}
 		f := medlarfeed.New(medlarfeed.Seams{
-			Newest: func(ctx context.Context, after string) (medlarfeed.Page, error) { return s.Newest(ctx, topic, after) },
-			Read: func(ctx context.Context, from medlarid.Offset) (medlarfeed.Batch, error) {
-				b, err := s.Follow(ctx, topic, from, wait)
+			Newest: func(_ context.Context, after string) (medlarfeed.Page, error) { return s.Newest(topic, after) },
+			Read: func(_ context.Context, from medlarid.Offset) (medlarfeed.Batch, error) {
+				b, err := s.Follow(topic, from, wait)
 				if err == nil && topic == medlarplatform.TopicOperator {
 					loop.Post(medlarworld.Heard{At: time.Now()})
 				}
@@ -309,25 +309,25 @@
 func newTerm(cfg medlarsettings.Attached, h *medlarhttp.Client) *medlarterm.Keeper {
 	s := medlarcalls.NewStore(h, cfg.Store, medlarterm.Term) // a later answer is of no use
 	return medlarterm.New(cfg.Name, cfg.Bounds.Settle.Std(), medlarterm.Seams{
-		Append: func(ctx context.Context, at medlarid.Offset) error {
-			_, err := s.Append(ctx, medlarplatform.TopicTerm, at, medlarcalls.EncodeTerm(cfg.Name))
+		Append: func(_ context.Context, at medlarid.Offset) error {
+			_, err := s.Append(medlarplatform.TopicTerm, at, medlarcalls.EncodeTerm(cfg.Name))
 			if medlarcalls.IsKind(err, medlarcalls.KindMoved) {
 				return medlarterm.ErrMoved
 			}
 			return err
 		},
-		Read: func(ctx context.Context, from medlarid.Offset) ([]medlarterm.Record, medlarid.Offset, error) {
-			return readTerms(ctx, s, from)
+		Read: func(_ context.Context, from medlarid.Offset) ([]medlarterm.Record, medlarid.Offset, error) {
+			return readTerms(s, from)
 		},
 	})
 }
 
 // readTerms returns the terms from an offset on, and where the topic ends.
-func readTerms(ctx context.Context, s *medlarcalls.Store, from medlarid.Offset) ([]medlarterm.Record, medlarid.Offset, error) {
-	raw, err := s.Read(ctx, medlarplatform.TopicTerm, from, 0)
+func readTerms(s *medlarcalls.Store, from medlarid.Offset) ([]medlarterm.Record, medlarid.Offset, error) {
+	raw, err := s.Read(medlarplatform.TopicTerm, from, 0)
 	if first, ok := medlarcalls.FirstLeft(err); ok {
 		from = first
-		raw, err = s.Read(ctx, medlarplatform.TopicTerm, from, 0)
+		raw, err = s.Read(medlarplatform.TopicTerm, from, 0)
 	}
 	if err != nil {
 		return nil, 0, err
--- a/internal/ops/medlarexplain/timeline.go
+++ b/internal/ops/medlarexplain/timeline.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -73,22 +74,13 @@
 
 // tellTallies writes and forgets the tallies of a second, by the instances' names.
 func tellTallies(w io.Writer, tallies map[string]*tally) {
-	for _, name := range sortedNames(tallies) {
+	for _, name := range slices.Sorted(maps.Keys(tallies)) {
 		t := tallies[name]
 		tell(w, Line{Time: t.second, Instance: name}, t.text())
 	}
 	clear(tallies)
 }
 
-func sortedNames(tallies map[string]*tally) []string {
-	var out []string
-	for name := range tallies {
-		out = append(out, name)
-	}
-	slices.Sort(out)
-	return out
-}
-
 func (t *tally) text() string {
 	out := []string{fmt.Sprintf("in this second %d answered", t.whole)}
 	if t.failed > 0 {
@@ -97,12 +89,7 @@
 	if t.left > 0 {
 		out = append(out, fmt.Sprintf("%d ended without an answer", t.left))
 	}
-	var reasons []string
-	for reason := range t.refused {
-		reasons = append(reasons, reason)
-	}
-	slices.Sort(reasons)
-	for _, reason := range reasons {
+	for _, reason := range slices.Sorted(maps.Keys(t.refused)) {
 		out = append(out, fmt.Sprintf("%d refused as %q", t.refused[reason], reason))
 	}
 	return strings.Join(out, ", ")
--- a/internal/ops/medlaroperator/explain.go
+++ b/internal/ops/medlaroperator/explain.go
@@ -10,37 +10,30 @@
 )
 
 func explainCommand() *cobra.Command {
-	return &cobra.Command{
-		Use:   "explain ID [FILE...]",
-		Short: "Tell from log lines of attached instances what happened to a request, and on which beliefs",
-		Long: "Tell from log lines of attached instances what happened to a request, and on which beliefs. Lines are read from\n" +
-			"the files, or from standard input without any. Indented lines tell what the same instance came to believe in\n" +
-			"the ten seconds before.",
-		Args: cobra.MinimumNArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			lines, err := readLines(cmd.InOrStdin(), args[1:])
-			if err != nil {
-				return err
-			}
-			return medlarexplain.Explain(cmd.OutOrStdout(), lines, args[0])
-		},
-	}
+	return logCommand(medlarexplain.Explain, "explain ID",
+		"Tell from log lines of attached instances what happened to a request, and on which beliefs",
+		"Indented lines tell what the same instance came to believe in the ten seconds before.")
 }
 
 func timelineCommand() *cobra.Command {
+	return logCommand(medlarexplain.Timeline, "timeline NAME",
+		"Tell from log lines of attached instances what happened at an instance, a replica or a store",
+		"Told are what was believed of it, failed attempts, and counts of requests by second.")
+}
+
+// logCommand returns a command that tells what log lines say of its first argument.
+func logCommand(told func(w io.Writer, lines []medlarexplain.Line, of string) error, use, short, more string) *cobra.Command {
 	return &cobra.Command{
-		Use:   "timeline NAME [FILE...]",
-		Short: "Tell from log lines of attached instances what happened at an instance, a replica or a store",
-		Long: "Tell from log lines of attached instances what happened at an instance, a replica or a store: what was believed of\n" +
-			"it, failed attempts, and counts of requests by second. Lines are read from the files, or from standard input\n" +
-			"without any.",
-		Args: cobra.MinimumNArgs(1),
+		Use:   use + " [FILE...]",
+		Short: short,
+		Long:  short + ".\nLines are read from the files, or from standard input without any.\n" + more,
+		Args:  cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			lines, err := readLines(cmd.InOrStdin(), args[1:])
 			if err != nil {
 				return err
 			}
-			return medlarexplain.Timeline(cmd.OutOrStdout(), lines, args[0])
+			return told(cmd.OutOrStdout(), lines, args[0])
 		},
 	}
 }
--- a/internal/ops/medlarrollout/medlarrollout.go
+++ b/internal/ops/medlarrollout/medlarrollout.go
@@ -42,15 +42,8 @@
 	rankDelay     = 60 * time.Millisecond
 	ranks         = 4                      // instances that differ in rank
 	drainTime     = 500 * time.Millisecond // without new work, before an order
-	orderPause    = 600 * time.Millisecond
 )
 
-// orderOptions say how many replicas change weights at the same time, and in which
-// order.
-var orderOptions = medlarorder.Options{
-	Pause: orderPause, Loads: medlarorder.DefaultLoads, Share: medlarorder.SwapShare, Fixed: true,
-}
-
 // Replica is a replica as the instance knows it.
 type Replica struct {
 	ID      medlarid.InstanceID
@@ -115,7 +108,7 @@
 
 // New returns a rollout of the instance of a rank, from 0 on.
 func New(term *medlarterm.Keeper, rank int, s Seams) *Rollout {
-	planner := medlarorder.New(orderOptions)
+	planner := medlarorder.New(medlarorder.Swapping())
 	return &Rollout{
 		seams: s, term: term, planner: planner, rank: rank % ranks,
 		states: map[medlarid.InstanceID]asked{}, asking: map[medlarid.InstanceID]bool{},
@@ -295,7 +288,7 @@
 // stale ones by id, as many as change at the same time.
 func (r *Rollout) markNext(stale []Replica, total int, now time.Time) {
 	next := make(map[medlarid.InstanceID]time.Time, len(r.next))
-	for _, p := range stale[:min(len(stale), medlarorder.AtOnce(orderOptions, total))] {
+	for _, p := range stale[:min(len(stale), medlarorder.AtOnce(medlarorder.Swapping(), total))] {
 		since, ok := r.next[p.ID]
 		if !ok {
 			since = now
--- a/internal/ops/medlarsettings/attached.go
+++ b/internal/ops/medlarsettings/attached.go
@@ -57,10 +57,8 @@
 	if err := doc.Decode(&s); err != nil {
 		return Attached{}, err
 	}
-	for _, c := range s.checks() {
-		if !c.ok {
-			return Attached{}, doc.Errorf(c.pointer, "field %q: want %s", c.pointer[1:], c.want)
-		}
+	if err := verify(doc, s.checks()); err != nil {
+		return Attached{}, err
 	}
 	return s, nil
 }
--- a/internal/ops/medlarsettings/medlarsettings.go
+++ b/internal/ops/medlarsettings/medlarsettings.go
@@ -139,12 +139,20 @@
 	if err := doc.Decode(&s); err != nil {
 		return Settings{}, err
 	}
-	for _, c := range s.checks() {
+	if err := verify(doc, s.checks()); err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
+
+// verify returns the error of the first check that fails.
+func verify(doc *medlarjson.Document, checks []check) error {
+	for _, c := range checks {
 		if !c.ok {
-			return Settings{}, doc.Errorf(c.pointer, "field %q: want %s", c.pointer[1:], c.want)
+			return doc.Errorf(c.pointer, "field %q: want %s", c.pointer[1:], c.want)
 		}
 	}
-	return s, nil
+	return nil
 }
 
 // check is a condition on one field.
--- a/internal/ops/medlarstocker/medlarstocker.go
+++ b/internal/ops/medlarstocker/medlarstocker.go
@@ -16,7 +16,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -237,5 +236,7 @@
 	if err != nil {
 		return
 	}
-	maps.DeleteFunc(sh.parts, func(_ medlarkey.Key, p Part) bool { return slices.Contains(old, p) })
+	for _, p := range old {
+		delete(sh.parts, p.key())
+	}
 }
--- a/internal/ops/medlartable/medlartable.go
+++ b/internal/ops/medlartable/medlartable.go
@@ -13,6 +13,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -45,7 +46,7 @@
 	wanted   medlarrollout.Wanted
 	replicas map[medlarid.InstanceID]*replica
 	listed   bool                                     // the replicas were read once
-	named    map[medlarid.ModelID][]medlarworld.Named // versions that were wanted one after the other
+	named    map[medlarid.ModelID]medlarworld.History // versions that were wanted one after the other
 	applied  medlarid.Offset
 	behind   bool // the operators' records cannot be read
 }
@@ -79,7 +80,7 @@
 	return &Table{
 		log: log, pool: pool, post: post,
 		wanted: medlarrollout.Wanted{}, replicas: map[medlarid.InstanceID]*replica{},
-		named: map[medlarid.ModelID][]medlarworld.Named{},
+		named: map[medlarid.ModelID]medlarworld.History{},
 	}
 }
 
@@ -126,11 +127,7 @@
 func (t *Table) Wanted() medlarrollout.Wanted {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make(medlarrollout.Wanted, len(t.wanted))
-	for m, v := range t.wanted {
-		out[m] = v
-	}
-	return out
+	return maps.Clone(t.wanted)
 }
 
 // Engines returns the replicas with models, ordered by id.
@@ -397,12 +394,7 @@
 func (t *Table) Replaced(m medlarid.ModelID, v medlarid.WeightVersion) (at time.Time, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, n := range t.named[m] {
-		if v.Before(n.Version) {
-			return n.At, true
-		}
-	}
-	return time.Time{}, false
+	return t.named[m].Replaced(v)
 }
 
 // prefill is the number of prompt tokens a second that a replica is taken to
--- a/internal/peer/medlarlink/medlarlink.go
+++ b/internal/peer/medlarlink/medlarlink.go
@@ -45,10 +45,9 @@
 
 // Operations.
 const (
-	OpDial   Op = "dial"
-	OpCall   Op = "call"
-	OpListen Op = "listen"
-	OpKeys   Op = "keys"
+	OpDial Op = "dial"
+	OpCall Op = "call"
+	OpKeys Op = "keys"
 )
 
 // Kind classifies a failure.
