--- a/internal/base/medlarhead/medlarhead_write.go
+++ b/internal/base/medlarhead/medlarhead_write.go
@@ -40,6 +40,11 @@
 // AppendEnd appends the empty line that ends a head.
 func AppendEnd(b []byte) []byte { return append(b, "\r\n"...) }
 
+// AppendChunked appends the end of a head whose body is sent in chunks.
+func AppendChunked(b []byte) []byte {
+	return AppendEnd(AppendField(b, "Transfer-Encoding", "chunked"))
+}
+
 // AppendChunk appends one chunk; data is not empty.
 func AppendChunk(b, data []byte) []byte {
 	b = strconv.AppendInt(b, int64(len(data)), 16)
--- /dev/null
+++ b/internal/core/medlarhistory/medlarhistory.go
@@ -0,0 +1,29 @@
+// Package medlarhistory remembers which weight versions of a model were wanted one after
+// the other.
+package medlarhistory
+
+import (
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+)
+
+// Named is a weight version that was wanted from a time on.
+type Named struct {
+	Version medlarid.WeightVersion
+	At      time.Time
+}
+
+// History is the versions that were wanted, the last one at the end.
+type History []Named
+
+// Replaced returns when a version was first replaced by a later one; ok is false if it
+// was not.
+func (h History) Replaced(v medlarid.WeightVersion) (at time.Time, ok bool) {
+	for _, n := range h {
+		if v.Before(n.Version) {
+			return n.At, true
+		}
+	}
+	return time.Time{}, false
+}
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -16,6 +16,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarfade"
+	"medlarfield/internal/core/medlarhistory"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarwarm"
@@ -103,27 +104,7 @@
 	Version medlarid.WeightVersion
 	// Named are the versions that were wanted one after the other, Version the last, and
 	// when the core saw each first.
-	Named History
-}
-
-// Named is a weight version that was wanted from a time on.
-type Named struct {
-	Version medlarid.WeightVersion
-	At      time.Time
-}
-
-// History is the versions that were wanted one after the other.
-type History []Named
-
-// Replaced returns when a version was first replaced by a later one; ok is false if it
-// was not.
-func (h History) Replaced(v medlarid.WeightVersion) (at time.Time, ok bool) {
-	for _, n := range h {
-		if v.Before(n.Version) {
-			return n.At, true
-		}
-	}
-	return time.Time{}, false
+	Named medlarhistory.History
 }
 
 // Kind tells what an upstream is.
--- a/internal/edge/medlarpass/attempt.go
+++ b/internal/edge/medlarpass/attempt.go
@@ -224,7 +224,7 @@
 
 // long passes an answer on while it comes.
 func (a *attempt) long(h *medlarhead.Head, first []byte, body *medlarhead.Body, reply medlarcall.Reply) medlarworld.Ended {
-	b := a.chunkedHead(h)
+	b := medlarhead.AppendChunked(a.answerHead(h))
 	a.begun = true
 	if a.write(medlarhead.AppendChunk(b, first)) != nil {
 		_ = a.up.Close()
@@ -301,7 +301,7 @@
 	}
 	a.begun = true
 	a.pass.seams.Post(medlarworld.Began{Run: a.run.ID, Attempt: a.cmd.Attempt, After: time.Since(a.begin), Version: a.cmd.Version})
-	b := a.chunkedHead(h)
+	b := medlarhead.AppendChunked(a.answerHead(h))
 	return a.write(medlarhead.AppendChunk(b, events))
 }
 
@@ -316,11 +316,6 @@
 	return b
 }
 
-// chunkedHead returns the whole head of an answer whose length is not known.
-func (x *exchange) chunkedHead(h *medlarhead.Head) []byte {
-	return medlarhead.AppendEnd(medlarhead.AppendField(x.answerHead(h), "Transfer-Encoding", "chunked"))
-}
-
 // sendWhole writes a whole answer.
 func (x *exchange) sendWhole(out *answer) error {
 	b := x.answerHead(out.head)
--- a/internal/ops/medlartable/medlartable.go
+++ b/internal/ops/medlartable/medlartable.go
@@ -23,6 +23,7 @@
 	"medlarfield/internal/agree/medlarcatalog"
 	"medlarfield/internal/agree/medlarfeed"
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarhistory"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarpool"
 	"medlarfield/internal/ops/medlarrollout"
@@ -45,8 +46,8 @@
 	catalog  *medlarcatalog.Catalog
 	wanted   medlarrollout.Wanted
 	replicas map[medlarid.InstanceID]*replica
-	listed   bool                                     // the replicas were read once
-	named    map[medlarid.ModelID]medlarworld.History // versions that were wanted one after the other
+	listed   bool                                       // the replicas were read once
+	named    map[medlarid.ModelID]medlarhistory.History // versions that were wanted one after the other
 	applied  medlarid.Offset
 	behind   bool // the operators' records cannot be read
 }
@@ -80,7 +81,7 @@
 	return &Table{
 		log: log, pool: pool, post: post,
 		wanted: medlarrollout.Wanted{}, replicas: map[medlarid.InstanceID]*replica{},
-		named: map[medlarid.ModelID]medlarworld.History{},
+		named: map[medlarid.ModelID]medlarhistory.History{},
 	}
 }
 
@@ -190,7 +191,7 @@
 		return false
 	}
 	t.wanted[m.ID] = m.Version
-	t.named[m.ID] = append(t.named[m.ID], medlarworld.Named{Version: m.Version, At: time.Now()})
+	t.named[m.ID] = append(t.named[m.ID], medlarhistory.Named{Version: m.Version, At: time.Now()})
 	t.log.Info().Str("event", "weights").Str("model", string(m.ID)).Str("version", string(m.Version)).
 		Uint64("offset", uint64(at)).Msg("weight version wanted")
 	return true
