Log and count how the end of a replica's response was determined

The log could not tell whether a stream that the proxy took for whole had ended by its framing or with its connection, nor whether an event was incomplete there. Lines request and attempt now have framing and partial, medlarctl explain tells both, and medlar_responses_total{framing,end} counts them. The stand-in replica can send streams without a length, close or reset their connection, and end their chunks within an event. No decision of the proxy is changed.

--- a/internal/base/medlarhead/medlarhead.go
+++ b/internal/base/medlarhead/medlarhead.go
@@ -78,6 +78,12 @@
 	FramingClose                  // until the connection is closed; responses only
 )
 
+// framingNames are the names of the framings in logs and metrics.
+var framingNames = [...]string{FramingNone: "none", FramingLength: "length", FramingChunked: "chunked", FramingClose: "close"}
+
+// String returns the name of the framing.
+func (f Framing) String() string { return framingNames[f] }
+
 // Field is one header field, as it was sent.
 type Field struct {
 	Name  string
--- a/internal/edge/medlarcall/medlarcall.go
+++ b/internal/edge/medlarcall/medlarcall.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"medlarfield/internal/agree/medlarcatalog"
+	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarreason"
@@ -60,6 +61,15 @@
 	KeepAlive      time.Duration
 }
 
+// BodyEnd describes the end of the body of an upstream's response.
+type BodyEnd struct {
+	Received bool // a response head was received; otherwise the other fields are zero
+	Framing  medlarhead.Framing
+	Complete bool // the body ended as its framing requires
+	// PartialBytes is the length of the incomplete event at the end of a stream.
+	PartialBytes int
+}
+
 // Attempt is the result of an attempt.
 type Attempt struct {
 	ID       medlarid.RequestID
@@ -71,6 +81,7 @@
 	Reached  bool
 	Reused   bool // the connection had served a request before
 	Status   int
+	Body     BodyEnd
 	Decision medlarworld.Decision // by which the upstream was selected
 	Duration time.Duration
 	Err      error
@@ -97,6 +108,7 @@
 	Decision    medlarworld.Decision // by which the last upstream was selected
 	Attempts    int
 	Upstream    medlarid.InstanceID
+	Body        BodyEnd // of the response to the last attempt
 	// Parts holds the expected cache state of each part of the prompt at the last attempt.
 	Parts       []medlarworld.PartState
 	QueueTime   time.Duration // from the request's arrival until the first attempt
--- a/internal/edge/medlarevent/medlarevent.go
+++ b/internal/edge/medlarevent/medlarevent.go
@@ -29,8 +29,8 @@
 // ID returns the id of the last complete event, or an empty string.
 func (c *Splitter) ID() string { return c.id }
 
-// Partial reports whether the start of an incomplete event is buffered.
-func (c *Splitter) Partial() bool { return len(c.buf) > 0 }
+// PartialBytes returns the number of bytes of an incomplete event that are buffered.
+func (c *Splitter) PartialBytes() int { return len(c.buf) }
 
 // Reset discards an incomplete event, before the stream is resumed from a new response.
 func (c *Splitter) Reset() { c.buf = c.buf[:0] }
--- a/internal/edge/medlarevent/medlarevent_test.go
+++ b/internal/edge/medlarevent/medlarevent_test.go
@@ -19,8 +19,8 @@
 			}
 			rest = rest[n:]
 		}
-		if string(out) != whole || c.ID() != "2" || !c.Partial() {
-			t.Errorf("chunks of %d bytes: %q, id %q, partial %v", size, out, c.ID(), c.Partial())
+		if string(out) != whole || c.ID() != "2" || c.PartialBytes() != len(stream)-len(whole) {
+			t.Errorf("chunks of %d bytes: %q, id %q, %d bytes of an incomplete event", size, out, c.ID(), c.PartialBytes())
 		}
 	}
 }
--- a/internal/edge/medlarmetric/medlarmetric.go
+++ b/internal/edge/medlarmetric/medlarmetric.go
@@ -38,12 +38,23 @@
 	StageTotal      Stage = "total"
 )
 
+// ResponseEnd is how the body of an upstream's response ended.
+type ResponseEnd string
+
+// Ends of responses.
+const (
+	EndComplete ResponseEnd = "complete" // as its framing requires
+	EndPartial  ResponseEnd = "partial"  // as its framing requires, but within an event
+	EndBroken   ResponseEnd = "broken"   // the connection failed or the caller left before the end
+)
+
 // Metrics are the metrics of an instance.
 type Metrics struct {
 	registry       *prometheus.Registry
 	refusals       *prometheus.CounterVec
 	retries        *prometheus.CounterVec
 	answers        *prometheus.CounterVec
+	responses      *prometheus.CounterVec
 	ttft           *prometheus.HistogramVec
 	stages         *prometheus.HistogramVec
 	tokens         *prometheus.CounterVec
@@ -67,6 +78,7 @@
 	m.refusals = m.newCounterVec("refusals_total", "Requests refused, by reason.", "reason")
 	m.retries = m.newCounterVec("retries_total", "Attempts repeated, by reason.", "reason")
 	m.answers = m.newCounterVec("answers_total", "Requests answered, by kind.", "kind")
+	m.responses = m.newCounterVec("responses_total", "Responses of replicas, by framing of the body and by its end: complete, partial, broken.", "framing", "end")
 	m.tokens = m.newCounterVec("tokens_total", "Tokens, by kind: prompt, cached, completion.", "kind")
 	m.bytesMoved = m.newCounterVec("moved_bytes_total", "Bytes of kept context moved, by direction.", "direction")
 	m.callFailures = m.newCounterVec("platform_failures_total", "Failed calls to the platform, by part.", "part")
@@ -96,8 +108,8 @@
 	return m
 }
 
-func (m *Metrics) newCounterVec(name, help, label string) *prometheus.CounterVec {
-	c := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, []string{label})
+func (m *Metrics) newCounterVec(name, help string, labels ...string) *prometheus.CounterVec {
+	c := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
 	m.registry.MustRegister(c)
 	return c
 }
@@ -131,6 +143,11 @@
 // Answered counts an answer.
 func (m *Metrics) Answered(kind string) { m.answers.WithLabelValues(kind).Inc() }
 
+// ResponseEnded counts a response of a replica by the framing of its body and by its end.
+func (m *Metrics) ResponseEnded(framing string, end ResponseEnd) {
+	m.responses.WithLabelValues(framing, string(end)).Inc()
+}
+
 // Replayed counts an answer from the record of an earlier attempt.
 func (m *Metrics) Replayed() { m.replays.Inc() }
 
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -36,6 +36,7 @@
 	stopClose   func() bool      // stops the close of upstream on a client disconnect; false if it was closed
 	bodyWritten chan error       // result of a body write in the background; nil for none
 	status      int
+	bodyEnd     medlarcall.BodyEnd
 	reused      bool // the connection had served a request before
 	err         error
 }
@@ -77,6 +78,7 @@
 		return a.failed(err, medlarreason.Broken, true)
 	}
 	a.status = h.Status
+	a.bodyEnd.Received, a.bodyEnd.Framing = true, h.Framing
 	if reply.Version != "" && reply.Version != a.cmd.Version {
 		a.proxy.deps.OnVersionReported(a.cmd.Upstream, reply.Version)
 	}
@@ -203,6 +205,7 @@
 	if !body.Done() {
 		return a.relayChunked(h, buf, body, reply)
 	}
+	a.bodyEnd.Complete = true
 	a.returnConn(h, reply)
 	resp := &response{head: h, body: buf}
 	if h.Status >= statusFailure && !a.run.AtMostOnce {
@@ -249,6 +252,7 @@
 			return a.ended(medlarworld.CauseUnknown, medlarreason.Truncated, true)
 		}
 	}
+	a.bodyEnd.Complete = true
 	a.returnConn(h, reply)
 	return a.finishChunked()
 }
@@ -273,6 +277,7 @@
 		n, err := body.Read(buf)
 		var splitErr error
 		events, splitErr = a.events.Split(events[:0], buf[:n])
+		a.bodyEnd.PartialBytes = a.events.PartialBytes()
 		if err == io.EOF {
 			events = a.events.Flush(events)
 		}
@@ -288,6 +293,7 @@
 			return a.failed(err, medlarreason.Truncated, true)
 		}
 	}
+	a.bodyEnd.Complete = true
 	a.returnConn(h, reply)
 	if !a.responseStarted {
 		return a.complete(&response{head: h}) // the stream has no events
@@ -362,6 +368,7 @@
 		_ = a.upstream.Close()
 		return
 	}
+	a.bodyEnd.Complete = true
 	a.returnConn(h, reply)
 }
 
@@ -396,6 +403,7 @@
 		Reached:  e.Reached,
 		Reused:   a.reused,
 		Status:   a.status,
+		Body:     a.bodyEnd,
 		Decision: a.cmd.Decision,
 		Duration: time.Since(a.started),
 		Err:      a.err,
--- a/internal/edge/medlarproxy/exchange.go
+++ b/internal/edge/medlarproxy/exchange.go
@@ -200,6 +200,7 @@
 	x.summary.Parts, x.summary.Decision = cmd.Parts, cmd.Decision
 	a := &attempt{exchange: x, cmd: cmd, started: time.Now()}
 	e := a.do()
+	x.summary.Body = a.bodyEnd
 	a.report(e)
 	x.proxy.deps.Post(e)
 	switch e.Cause {
--- a/internal/ops/medlarattachednode/logging.go
+++ b/internal/ops/medlarattachednode/logging.go
@@ -27,13 +27,15 @@
 func requestLog(log zerolog.Logger, m *medlarmetric.Metrics) medlarproxy.Observer {
 	return medlarproxy.Observer{
 		AttemptEnded: func(a *medlarcall.Attempt) {
+			countResponse(m, a.Body)
 			if a.Cause == medlarworld.CauseDone { // logged with the request
 				return
 			}
-			log.Info().Str("event", "attempt").Str("id", string(a.ID)).Int("attempt", a.Number).
+			l := log.Info().Str("event", "attempt").Str("id", string(a.ID)).Int("attempt", a.Number).
 				Str("replica", string(a.Upstream)).Str("version", string(a.Version)).Str("cause", string(a.Cause)).
 				Str("reason", string(a.Reason)).Bool("reached", a.Reached).Bool("reused", a.Reused).
-				Int("status", a.Status).Float64("took", ms(a.Duration)).Dict("why", choiceFields(a.Decision)).AnErr("error", a.Err).Send()
+				Int("status", a.Status).Float64("took", ms(a.Duration)).Dict("why", choiceFields(a.Decision)).AnErr("error", a.Err)
+			addBodyEnd(l, a.Body).Send()
 		},
 		RequestEnded: func(s *medlarcall.Summary) {
 			countRequest(m, s)
@@ -52,11 +54,38 @@
 				l = l.Str("reason", string(s.Reason)).Str("ran", string(s.Ran)).Float64("after", ms(s.RetryAfter)).
 					Int("waiting", s.Waiting).Int("kin", s.Upstreams).Float64("budget", s.RetryTokens)
 			}
-			l.Send()
+			addBodyEnd(l, s.Body).Send()
 		},
 	}
 }
 
+// addBodyEnd adds the log fields of the end of an upstream's response.
+func addBodyEnd(l *zerolog.Event, end medlarcall.BodyEnd) *zerolog.Event {
+	if !end.Received {
+		return l
+	}
+	l = l.Stringer("framing", end.Framing)
+	if end.PartialBytes > 0 {
+		l = l.Int("partial", end.PartialBytes)
+	}
+	return l
+}
+
+// countResponse counts an upstream's response by its framing and its end.
+func countResponse(m *medlarmetric.Metrics, end medlarcall.BodyEnd) {
+	if !end.Received {
+		return
+	}
+	kind := medlarmetric.EndBroken
+	switch {
+	case end.Complete && end.PartialBytes > 0:
+		kind = medlarmetric.EndPartial
+	case end.Complete:
+		kind = medlarmetric.EndComplete
+	}
+	m.ResponseEnded(end.Framing.String(), kind)
+}
+
 // choiceFields returns the log fields of the figures that an upstream was chosen by.
 func choiceFields(y medlarworld.Decision) *zerolog.Event {
 	return zerolog.Dict().Int("choices", y.Candidates).Float64("pending", math.Round(y.Pending)).
--- a/internal/ops/medlarattachednode/metrics_test.go
+++ b/internal/ops/medlarattachednode/metrics_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/valyala/fasthttp"
+
+	"medlarfield/internal/stand/medlarfakereplica"
 )
 
 // metrics returns the metrics that the instance serves on its status address.
@@ -33,3 +35,30 @@
 		w.eventually("the metrics contain "+want, func() bool { return strings.Contains(w.metrics(), want) })
 	}
 }
+
+// TestEndOfResponseIsRecorded asserts that the log and the metrics tell how the end of a
+// replica's response was determined and whether an event was incomplete there.
+func TestEndOfResponseIsRecorded(t *testing.T) {
+	const partial = `,"partial":32` // an event of the fake replica without its empty line
+	for _, tc := range []struct {
+		fault       medlarfakereplica.Fault
+		path        string
+		log, metric string
+	}{
+		{"", "/query/x", `"framing":"chunked"`, `{end="complete",framing="chunked"} 1`},
+		{medlarfakereplica.FaultUnframed, "/query/x", `"framing":"close"`, `{end="complete",framing="close"} 1`},
+		{medlarfakereplica.FaultClosed, "/query/x", `"framing":"close"` + partial, `{end="partial",framing="close"} 1`},
+		{medlarfakereplica.FaultShort, "/query/x", `"framing":"chunked"` + partial, `{end="partial",framing="chunked"} 1`},
+		{medlarfakereplica.FaultReset, "/query/x", `"framing":"close"`, `{end="broken",framing="close"} 1`},
+		{medlarfakereplica.FaultCut, "/post/a", `"framing":"length"`, `{end="broken",framing="length"} 1`},
+	} {
+		t.Run(string(tc.fault)+tc.path, func(t *testing.T) {
+			w := start(t, nil)
+			arm(w.site.Replicas(), tc.fault)
+			w.send(request{method: "POST", path: tc.path, id: "r1", body: "{}", fields: prompt("aa:100,cc:500")})
+			w.eventually("the log has "+tc.log, func() bool { return strings.Contains(w.logs.text(), tc.log) })
+			want := "medlar_responses_total" + tc.metric
+			w.eventually("the metrics contain "+want, func() bool { return strings.Contains(w.metrics(), want) })
+		})
+	}
+}
--- a/internal/ops/medlarlogquery/medlarlogquery.go
+++ b/internal/ops/medlarlogquery/medlarlogquery.go
@@ -96,7 +96,9 @@
 	Took       float64             `json:"took"`
 	Waiting    int                 `json:"waiting"`
 	Replicas   int                 `json:"kin"`
-	Parts      any                 `json:"parts"` // part states as letters for a request, or a count for a store
+	Parts      any                 `json:"parts"`   // part states as letters for a request, or a count for a store
+	Framing    string              `json:"framing"` // of the replica's response
+	Partial    int                 `json:"partial"` // bytes of an incomplete event at the response's end
 	Decision   *Decision           `json:"why"`
 	Error      string              `json:"error"`
 	Readmitted bool                `json:"back"`
@@ -200,9 +202,22 @@
 	if s, ok := l.Parts.(string); ok && s != "" {
 		fmt.Fprintf(&b, "; prompt parts: %s", partsText(s))
 	}
+	b.WriteString(bodyEndText(l))
 	return b.String()
 }
 
+// bodyEndText describes the end of the replica's response; it is empty if none was received.
+func bodyEndText(l Line) string {
+	s := ""
+	if l.Framing != "" {
+		s = "; framing of the replica's response: " + l.Framing
+	}
+	if l.Partial > 0 {
+		s += fmt.Sprintf(", ended within an event after %d bytes of it", l.Partial)
+	}
+	return s
+}
+
 func describeAttempt(l Line) string {
 	ran := "it did not run there"
 	if l.Reached {
@@ -216,6 +231,7 @@
 		s += fmt.Sprintf("; chosen from %d replicas, %.0f tokens pending there (limit %.0f), %.0f at all replicas (limit %.0f), %.0f ms late",
 			l.Decision.Candidates, l.Decision.Pending, l.Decision.Window, l.Decision.TotalPending, l.Decision.TotalWindow, l.Decision.Lag)
 	}
+	s += bodyEndText(l)
 	if l.Error != "" {
 		s += "; " + l.Error
 	}
--- a/internal/stand/medlarfakereplica/exchange.go
+++ b/internal/stand/medlarfakereplica/exchange.go
@@ -108,11 +108,8 @@
 		if !writeResponse(x.conn, 200, headerID+": another\r\nMedlarfield-Server-Signature: sig\r\n", "not yours") {
 			return false
 		}
-	case FaultUnframed:
-		b := medlarhead.AppendStatus(nil, 200)
-		b = append(medlarhead.AppendEnd(append(b, x.responseFields()...)), body...)
-		_, _ = x.conn.Write(b)
-		return false
+	case FaultUnframed, FaultClosed, FaultReset, FaultEmpty:
+		return x.servePlainUnframed(body)
 	}
 	ok := writeResponse(x.conn, 200, x.responseFields(), body)
 	if x.fault == FaultExtra {
@@ -121,6 +118,50 @@
 	return ok
 }
 
+// servePlainUnframed sends a response whose body is delimited by the end of the
+// connection.
+func (x *exchange) servePlainUnframed(body string) bool {
+	switch x.fault {
+	case FaultClosed, FaultReset:
+		body = body[:len(body)/2]
+	case FaultEmpty:
+		body = ""
+	}
+	b := medlarhead.AppendStatus(nil, 200)
+	b = append(medlarhead.AppendEnd(append(b, x.responseFields()...)), body...)
+	_, _ = x.conn.Write(b)
+	x.endUnframed()
+	return false
+}
+
+// endUnframed makes the close of the connection a reset if the fault requires it.
+func (x *exchange) endUnframed() {
+	if c, ok := x.conn.(*net.TCPConn); ok && x.fault == FaultReset {
+		_ = c.SetLinger(0)
+	}
+}
+
+// unframed reports whether the body is delimited by the end of the connection.
+func (x *exchange) unframed() bool {
+	return x.fault == FaultUnframed || x.fault == FaultClosed || x.fault == FaultReset || x.fault == FaultEmpty
+}
+
+// breaksOff reports whether the stream breaks off within event n.
+func (x *exchange) breaksOff(n int) bool {
+	middle := n > x.replica.Settings.Events/2
+	return middle && (x.fault == FaultCut || x.fault == FaultClosed || x.fault == FaultReset || x.fault == FaultShort)
+}
+
+// writeEvents writes a part of the stream.
+func (x *exchange) writeEvents(text string) bool {
+	b := []byte(text)
+	if !x.unframed() {
+		b = medlarhead.AppendChunk(nil, b)
+	}
+	_, err := x.conn.Write(b)
+	return err == nil
+}
+
 // serveStream responds with an event stream that starts after the caller's
 // Last-Event-Id.
 func (x *exchange) serveStream(version string) bool {
@@ -133,24 +174,39 @@
 	}
 	b := medlarhead.AppendStatus(nil, 200)
 	b = append(b, x.responseFields()...)
-	b = append(b, "Content-Type: text/event-stream\r\nMedlarfield-Weight-Versions: "+version+"\r\nTransfer-Encoding: chunked\r\n\r\n"...)
-	if _, err := x.conn.Write(b); err != nil {
+	b = append(b, "Content-Type: text/event-stream\r\nMedlarfield-Weight-Versions: "+version+"\r\n"...)
+	if !x.unframed() {
+		b = append(b, "Transfer-Encoding: chunked\r\n"...)
+	}
+	if _, err := x.conn.Write(medlarhead.AppendEnd(b)); err != nil || x.fault == FaultEmpty {
+		return false
+	}
+	if !x.serveEvents(last + 1) {
+		x.endUnframed()
+		return false
+	}
+	if x.unframed() {
 		return false
 	}
-	for n := last + 1; n <= x.replica.Settings.Events; n++ {
+	_, err = x.conn.Write([]byte(medlarhead.LastChunk))
+	return err == nil
+}
+
+// serveEvents writes the events from number first on. It reports whether the response is
+// to be ended as its framing requires.
+func (x *exchange) serveEvents(first int) bool {
+	for n := first; n <= x.replica.Settings.Events; n++ {
 		time.Sleep(x.replica.Settings.WorkTime)
 		if medlarprobe.Gone(x.conn) {
 			return false
 		}
 		text := eventText(n)
-		if x.fault == FaultCut && n > x.replica.Settings.Events/2 {
-			_, _ = x.conn.Write(medlarhead.AppendChunk(nil, []byte(strings.TrimSuffix(text, "\n\n"))))
-			return false
+		if x.breaksOff(n) {
+			return x.writeEvents(strings.TrimSuffix(text, "\n\n")) && x.fault == FaultShort
 		}
-		if _, err := x.conn.Write(medlarhead.AppendChunk(nil, []byte(text))); err != nil {
+		if !x.writeEvents(text) {
 			return false
 		}
 	}
-	_, err = x.conn.Write([]byte(medlarhead.LastChunk))
-	return err == nil
+	return true
 }
--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -39,6 +39,10 @@
 	FaultWrongID     Fault = "other"     // responds with the id of another request only
 	FaultEncoded     Fault = "coded"     // declares a content coding of the body
 	FaultUnframed    Fault = "unframed"  // sends a body that is delimited by the end of the connection
+	FaultClosed      Fault = "closed"    // as FaultUnframed, and closes the connection in the middle of the body
+	FaultReset       Fault = "reset"     // as FaultUnframed, and resets the connection in the middle of the body
+	FaultEmpty       Fault = "empty"     // as FaultUnframed, and closes the connection before the first byte of the body
+	FaultShort       Fault = "short"     // ends the framing of a stream within an event
 	FaultHang        Fault = "hang"      // runs and does not respond for hangDelay
 	FaultMisdirected Fault = "misplaced" // responds with 421 as if it were another replica
 )
