--- /dev/null
+++ b/internal/ops/medlarattachednode/truncation_test.go
@@ -0,0 +1,89 @@
+package medlarattachednode_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"medlarfield/internal/stand/medlarfakereplica"
+	"medlarfield/internal/stand/medlarsite"
+)
+
+// streamFaults are the ways in which a replica's stream ends before its last event.
+var streamFaults = []medlarfakereplica.Fault{
+	medlarfakereplica.FaultCut, medlarfakereplica.FaultClosed, medlarfakereplica.FaultReset,
+	medlarfakereplica.FaultShort, medlarfakereplica.FaultEmpty,
+}
+
+// TestStreamEndingWithinEventIsNotComplete guards against a proper end for a stream whose
+// replica stopped within an event, or before the first one.
+func TestStreamEndingWithinEventIsNotComplete(t *testing.T) {
+	for _, fault := range streamFaults {
+		t.Run(string(fault), func(t *testing.T) {
+			w := start(t, nil)
+			arm(w.site.Engines, fault)
+			got := w.send(request{method: "POST", path: "/query/x", id: "r", body: "{}", fields: prompt("aa:100,cc:500")})
+			assertBrokenOff(t, got)
+			if runs := w.ran("r"); len(runs) != 1 {
+				t.Errorf("ran %d times, want once", len(runs))
+			}
+		})
+	}
+}
+
+// TestStreamEndingWithinEventIsResumed guards against a resumable stream that is ended, or
+// passed on with a partial event, where its replica stopped within an event.
+func TestStreamEndingWithinEventIsResumed(t *testing.T) {
+	for _, fault := range streamFaults {
+		t.Run(string(fault), func(t *testing.T) {
+			w := start(t, nil)
+			q := request{method: "POST", path: "/letter/x", id: "warm", body: "{}", fields: prompt("aa:100,bb:400,cc:500")}
+			assertAllEvents(t, w.send(q))
+			home := w.replicaOf("warm")
+			home.Arm(fault, 1)
+			q.id = "r"
+			assertAllEvents(t, w.send(q))
+			if first := home.Runs(); first[len(first)-1].ID != "r" || len(w.ran("r")) != 2 {
+				t.Errorf("ran %+v, want a first attempt at %s and one at another replica", w.ran("r"), home.Settings.ID)
+			}
+		})
+	}
+}
+
+// replicaOf returns the engine replica that ran a request.
+func (w *fixture) replicaOf(id string) *medlarfakereplica.Replica {
+	w.t.Helper()
+	for _, r := range w.site.Engines {
+		for _, run := range r.Runs() {
+			if run.ID == id {
+				return r
+			}
+		}
+	}
+	w.t.Fatalf("request %s ran on no replica", id)
+	return nil
+}
+
+// assertBrokenOff asserts that a caller can tell that its stream is incomplete, and that
+// it got complete events only.
+func assertBrokenOff(t *testing.T, got result) {
+	t.Helper()
+	if got.status == 200 && got.whole {
+		t.Errorf("got a complete response %q, want one without its proper end or an error", got.body)
+	}
+	if got.status == 200 && !strings.HasSuffix(got.body, "\n\n") {
+		t.Errorf("the response ends within an event: %q", got.body)
+	}
+}
+
+// assertAllEvents asserts that a caller got each event once and the proper end.
+func assertAllEvents(t *testing.T, got result) {
+	t.Helper()
+	var want strings.Builder
+	for n := 1; n <= medlarsite.Default().Events; n++ {
+		fmt.Fprintf(&want, "id: %d\ndata: %s\n\n", n, strings.Repeat("x", 20))
+	}
+	if got.status != 200 || !got.whole || got.body != want.String() {
+		t.Errorf("status %d, whole %v, body %q; want 200, true, %q", got.status, got.whole, got.body, want.String())
+	}
+}
