Treat a stream that ends within an event as interrupted

The proxy asked the framing of the replica's response alone whether a stream was whole. A response with neither length nor chunks ends with its connection, so a replica that crashed and closed it looked like one that had finished; a response that ends its chunks within an event did too. What was left of the event was then passed on, with a final chunk behind it.

Now the stream's own format decides as well: bytes of an unfinished event at the end mean an interrupted stream. It is resumed at another replica where its route allows that, and otherwise left without its final chunk. Blank lines and comments behind the last event belong to no event and are passed on as before.

--- a/internal/edge/medlarevent/medlarevent.go
+++ b/internal/edge/medlarevent/medlarevent.go
@@ -7,6 +7,9 @@
 //	    complete event.
 //	R2  Bytes are returned unmodified.
 //	R3  An event without an id inherits the id of the previous event.
+//	R4  A stream that ends within an event was interrupted, whatever the framing of
+//	    its response says. Blank lines and comments after the last event belong to
+//	    no event.
 package medlarevent
 
 import (
@@ -29,8 +32,18 @@
 // ID returns the id of the last complete event, or an empty string.
 func (c *Splitter) ID() string { return c.id }
 
-// PartialBytes returns the number of bytes of an incomplete event that are buffered.
-func (c *Splitter) PartialBytes() int { return len(c.buf) }
+// PartialBytes returns the number of buffered bytes if they contain the start of an
+// event, and 0 otherwise (R4).
+func (c *Splitter) PartialBytes() int {
+	for line := range bytes.Lines(c.buf) {
+		text, complete := bytes.CutSuffix(line, []byte("\n"))
+		blank := len(bytes.TrimSuffix(text, []byte("\r"))) == 0
+		if !complete || !blank && text[0] != ':' {
+			return len(c.buf)
+		}
+	}
+	return 0
+}
 
 // Reset discards an incomplete event, before the stream is resumed from a new response.
 func (c *Splitter) Reset() { c.buf = c.buf[:0] }
@@ -83,7 +96,7 @@
 }
 
 // Flush appends the bytes after the last complete event to out. It is called when the
-// stream has ended normally.
+// stream has ended normally, and not within an event.
 func (c *Splitter) Flush(out []byte) []byte {
 	out = append(out, c.buf...)
 	c.Reset()
--- a/internal/edge/medlarevent/medlarevent_test.go
+++ b/internal/edge/medlarevent/medlarevent_test.go
@@ -25,6 +25,36 @@
 	}
 }
 
+// TestPartialBytes asserts which bytes after the last complete event mean that the stream
+// was interrupted (R4).
+func TestPartialBytes(t *testing.T) {
+	for _, tc := range []struct {
+		name, rest string
+		want       int
+	}{
+		{"nothing", "", 0},
+		{"blank line", "\n", 0},
+		{"blank line with CR LF", "\r\n", 0},
+		{"comment", ":alive\n", 0},
+		{"comment without its line end", ":ali", 4},
+		{"half a line end", "\r", 1},
+		{"half a field", "da", 2},
+		{"field without its line end", "id: 2", 5},
+		{"event without its blank line", "id: 2\ndata: b\n", 14},
+		{"comment, then an event", ":\nid: 2\n", 8},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var c Splitter
+			if _, err := c.Split(nil, []byte("id: 1\ndata: a\n\n"+tc.rest)); err != nil {
+				t.Fatal(err)
+			}
+			if got := c.PartialBytes(); got != tc.want {
+				t.Errorf("%d bytes, want %d", got, tc.want)
+			}
+		})
+	}
+}
+
 func TestEventTooLarge(t *testing.T) {
 	var c Splitter
 	if _, err := c.Split(nil, []byte(strings.Repeat("x", maxEvent+1))); err != ErrEventTooLarge {
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -53,6 +53,7 @@
 	errOtherRequest   = eris.New("received only responses to other requests")
 	errContentEncoded = eris.New("response has a content coding that the client did not request")
 	errNotStream      = eris.New("response cannot continue the stream")
+	errPartialEvent   = eris.New("stream ended within an event")
 )
 
 // do makes the attempt and returns its result.
@@ -273,27 +274,24 @@
 	a.events.Reset()
 	buf := make([]byte, readBuffer)
 	var events []byte
-	for {
+	for !a.bodyEnd.Complete {
 		n, err := body.Read(buf)
+		a.bodyEnd.Complete = err == io.EOF
 		var splitErr error
 		events, splitErr = a.events.Split(events[:0], buf[:n])
-		a.bodyEnd.PartialBytes = a.events.PartialBytes()
-		if err == io.EOF {
-			events = a.events.Flush(events)
+		if a.bodyEnd.Complete {
+			events, err = a.finishEvents(events)
 		}
 		if len(events) > 0 && a.sendEvents(h, events) != nil {
 			_ = a.upstream.Close()
 			return a.ended(medlarworld.CauseCallerLeft, "", true)
 		}
-		if err == io.EOF {
-			break
-		}
 		if err = errors.Join(err, splitErr); err != nil {
+			a.bodyEnd.PartialBytes = a.events.PartialBytes()
 			_ = a.upstream.Close() // before the stream is resumed at another upstream (R5)
 			return a.failed(err, medlarreason.Truncated, true)
 		}
 	}
-	a.bodyEnd.Complete = true
 	a.returnConn(h, reply)
 	if !a.responseStarted {
 		return a.complete(&response{head: h}) // the stream has no events
@@ -301,6 +299,15 @@
 	return a.finishChunked()
 }
 
+// finishEvents appends to out what follows the last event of a stream whose body has
+// ended. It returns an error if the body ended within an event (R2).
+func (a *attempt) finishEvents(out []byte) ([]byte, error) {
+	if a.events.PartialBytes() > 0 {
+		return out, errPartialEvent
+	}
+	return a.events.Flush(out), nil
+}
+
 // sendEvents writes complete events, preceded by the response's head if it was not sent yet.
 func (a *attempt) sendEvents(h *medlarhead.Head, events []byte) error {
 	if a.responseStarted {
