Treat a stream whose connection ends before its first event as interrupted

Nothing vouches for the end of such a stream, so it now fails like any truncated one: it is retried where the route allows that, and answered 502 otherwise. A stream that is framed in chunks or by a length may still be empty.

--- a/internal/edge/medlarevent/medlarevent.go
+++ b/internal/edge/medlarevent/medlarevent.go
@@ -25,8 +25,9 @@
 
 // Splitter splits a stream. The zero value is ready for use.
 type Splitter struct {
-	buf []byte
-	id  string // of the last complete event
+	buf    []byte
+	id     string // of the last complete event
+	events int    // complete events since the last Reset
 }
 
 // ID returns the id of the last complete event, or an empty string.
@@ -45,8 +46,11 @@
 	return 0
 }
 
+// Events returns the number of complete events since the last Reset.
+func (c *Splitter) Events() int { return c.events }
+
 // Reset discards an incomplete event, before the stream is resumed from a new response.
-func (c *Splitter) Reset() { c.buf = c.buf[:0] }
+func (c *Splitter) Reset() { c.buf, c.events = c.buf[:0], 0 }
 
 // Split reads the next bytes of the stream and appends the complete events to out.
 func (c *Splitter) Split(out, data []byte) ([]byte, error) {
@@ -58,6 +62,7 @@
 			break
 		}
 		c.recordID(c.buf[complete : complete+n])
+		c.events++
 		complete += n
 	}
 	out = append(out, c.buf[:complete]...)
@@ -99,6 +104,6 @@
 // stream has ended normally, and not within an event.
 func (c *Splitter) Flush(out []byte) []byte {
 	out = append(out, c.buf...)
-	c.Reset()
+	c.buf = c.buf[:0]
 	return out
 }
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -54,6 +54,7 @@
 	errContentEncoded = eris.New("response has a content coding that the client did not request")
 	errNotStream      = eris.New("response cannot continue the stream")
 	errPartialEvent   = eris.New("stream ended within an event")
+	errNoEvent        = eris.New("connection ended before the first event")
 )
 
 // do makes the attempt and returns its result.
@@ -280,7 +281,7 @@
 		var splitErr error
 		events, splitErr = a.events.Split(events[:0], buf[:n])
 		if a.bodyEnd.Complete {
-			events, err = a.finishEvents(events)
+			events, err = a.finishEvents(events, h.Framing)
 		}
 		if len(events) > 0 && a.sendEvents(h, events) != nil {
 			_ = a.upstream.Close()
@@ -300,11 +301,14 @@
 }
 
 // finishEvents appends to out what follows the last event of a stream whose body has
-// ended. It returns an error if the body ended within an event (R2).
-func (a *attempt) finishEvents(out []byte) ([]byte, error) {
+// ended. It returns an error if the stream is incomplete (R2).
+func (a *attempt) finishEvents(out []byte, framing medlarhead.Framing) ([]byte, error) {
 	if a.events.PartialBytes() > 0 {
 		return out, errPartialEvent
 	}
+	if framing == medlarhead.FramingClose && a.events.Events() == 0 {
+		return out, errNoEvent
+	}
 	return a.events.Flush(out), nil
 }
 
