Relay a response on a stream route that is no event stream by its framing

A replica may answer a request on a streaming route with a document, such as a JSON object. Since an unfinished event at the end means an interrupted stream, such an answer would have become a 502.

--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -186,12 +187,21 @@
 	case reply.ContentEncoded:
 		_ = a.upstream.Close()
 		return a.failed(errContentEncoded, medlarreason.Broken, true)
-	case success && a.route.Kind == medlarcatalog.KindStream:
+	case success && a.route.Kind == medlarcatalog.KindStream && isEventStream(h):
 		return a.relayStream(h, reply)
 	}
 	return a.relayResponse(h, reply)
 }
 
+// isEventStream reports whether a response is an event stream. One that does not declare
+// its type is.
+func isEventStream(h *medlarhead.Head) bool {
+	value, _ := h.Get("Content-Type")
+	mediaType, _, _ := strings.Cut(value, ";")
+	mediaType = strings.TrimSpace(mediaType)
+	return mediaType == "" || strings.EqualFold(mediaType, "text/event-stream")
+}
+
 // relayResponse relays a response that is not a stream.
 func (a *attempt) relayResponse(h *medlarhead.Head, reply medlarcall.Reply) medlarworld.AttemptEnded {
 	if a.responseStarted { // the response cannot continue a stream
--- a/internal/ops/medlarattachednode/truncation_test.go
+++ b/internal/ops/medlarattachednode/truncation_test.go
@@ -50,6 +50,15 @@
 	}
 }
 
+// TestDocumentOnStreamRouteIsComplete guards against taking a response that is no event
+// stream for an interrupted one.
+func TestDocumentOnStreamRouteIsComplete(t *testing.T) {
+	w := start(t, nil)
+	arm(w.site.Engines, medlarfakereplica.FaultDocument)
+	got := w.send(request{method: "POST", path: "/query/x", id: "r", body: "{}", fields: prompt("aa:100,cc:500")})
+	assertResult(t, got, 200, `{"text":"whole"}`)
+}
+
 // replicaOf returns the engine replica that ran a request.
 func (w *fixture) replicaOf(id string) *medlarfakereplica.Replica {
 	w.t.Helper()
--- a/internal/stand/medlarfakereplica/exchange.go
+++ b/internal/stand/medlarfakereplica/exchange.go
@@ -169,8 +169,11 @@
 	if err != nil {
 		last = 0 // start with the first event
 	}
-	if x.fault == FaultFail {
+	switch x.fault {
+	case FaultFail:
 		return writeResponse(x.conn, 500, x.responseFields(), "failed")
+	case FaultDocument:
+		return writeResponse(x.conn, 200, x.responseFields()+"Content-Type: application/json\r\n", `{"text":"whole"}`)
 	}
 	b := medlarhead.AppendStatus(nil, 200)
 	b = append(b, x.responseFields()...)
--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -43,6 +43,7 @@
 	FaultReset       Fault = "reset"     // as FaultUnframed, and resets the connection in the middle of the body
 	FaultEmpty       Fault = "empty"     // as FaultUnframed, and closes the connection before the first byte of the body
 	FaultShort       Fault = "short"     // ends the framing of a stream within an event
+	FaultDocument    Fault = "document"  // responds to a streaming request with a document of another type
 	FaultHang        Fault = "hang"      // runs and does not respond for hangDelay
 	FaultMisdirected Fault = "misplaced" // responds with 421 as if it were another replica
 )
