Guard every other reader of a response against a truncated one

A plain response without a length whose connection is closed in an orderly way cannot be told from a complete one.

--- a/internal/ops/medlarattachednode/path_test.go
+++ b/internal/ops/medlarattachednode/path_test.go
@@ -267,6 +267,8 @@
 		{medlarfakereplica.FaultForeign, once, 200, 1},
 		{medlarfakereplica.FaultExtra, once, 200, 1},
 		{medlarfakereplica.FaultUnframed, once, 200, 1},
+		{medlarfakereplica.FaultReset, repeatable, 502, 2},
+		{medlarfakereplica.FaultReset, once, 502, 1},
 	} {
 		t.Run(string(tc.fault)+tc.path, func(t *testing.T) {
 			w := start(t, func(s *medlarsite.Settings) { s.Engines = 1 })
--- a/internal/upstream/medlarengine/medlarengine_test.go
+++ b/internal/upstream/medlarengine/medlarengine_test.go
@@ -1,11 +1,14 @@
 package medlarengine_test
 
 import (
+	"bufio"
 	"errors"
+	"net"
 	"strings"
 	"testing"
 	"time"
 
+	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/stand/medlarfakeengine"
@@ -139,6 +142,47 @@
 	}
 }
 
+// TestTruncatedStreamIsNotComplete guards against an answer that counts as complete although
+// the engine closed its connection before [DONE], wherever the stream was cut.
+func TestTruncatedStreamIsNotComplete(t *testing.T) {
+	const stream = `data: {"version":"v1","seq":0,"choices":[{"text":"a"}]}` + "\n\n" +
+		`data: {"version":"v1","seq":1,"choices":[{"finish_reason":"stop"}],"usage":{}}` + "\n\ndata: [DONE]\n"
+	client := medlarengine.New(medlarhttp.New(timeout), timeout, timeout)
+	for n := range len(stream) + 1 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go serveCut(ln, stream[:n])
+		s, err := client.Run(medlarid.Address(ln.Addr().String()), newRunRequest())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, final, err := collect(s)
+		if complete := n == len(stream); final.Last != complete || (err == nil) != complete {
+			t.Errorf("cut after %d of %d bytes: complete %v, error %v", n, len(stream), final.Last, err)
+		}
+	}
+}
+
+// serveCut serves one stream that is delimited by the end of its connection.
+func serveCut(ln net.Listener, stream string) {
+	defer func() { _ = ln.Close() }()
+	c, err := ln.Accept()
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	h, err := medlarhead.ReadRequest(br, 4096)
+	if err != nil {
+		return
+	}
+	if _, err := medlarhead.ReadBody(br, h, 1<<20); err == nil {
+		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + stream))
+	}
+}
+
 func TestRunErrors(t *testing.T) {
 	for _, tc := range []struct {
 		name       string
--- a/internal/upstream/medlarhttp/medlarhttp_test.go
+++ b/internal/upstream/medlarhttp/medlarhttp_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -119,6 +120,52 @@
 	})
 }
 
+// TestTruncatedResponseIsAnError guards against a response that counts as complete although
+// its connection was closed or reset before the end that its framing requires.
+func TestTruncatedResponseIsAnError(t *testing.T) {
+	const chunked, length, unframed = "Transfer-Encoding: chunked\r\n\r\n", "Content-Length: 10\r\n\r\n", "\r\n"
+	for _, tc := range []struct {
+		name, response string
+		reset          bool
+	}{
+		{"before the first chunk", chunked, false},
+		{"within a chunk size", chunked + "4\r\nhalf\r\n1", false},
+		{"within a chunk", chunked + "8\r\nhalf", false},
+		{"after the data of a chunk", chunked + "4\r\nhalf", false},
+		{"between two chunks", chunked + "4\r\nhalf\r\n", false},
+		{"within the final chunk", chunked + "4\r\nhalf\r\n0\r\n", false},
+		{"before the first byte", length, false},
+		{"within the body", length + "half", false},
+		{"reset between two chunks", chunked + "4\r\nhalf\r\n", true},
+		{"reset of a body without a length", unframed + "half", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			at, _ := startServer(t, func(c net.Conn) {
+				_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\n" + tc.response))
+				if tc.reset {
+					_ = c.(*net.TCPConn).SetLinger(0)
+				}
+			})
+			req := Request{Method: "GET", Address: at, Path: "/", Timeout: time.Second}
+			_, err := New(time.Second).Do(req)
+			assertBroken(t, err)
+			if s, err := New(time.Second).Open(req); err == nil {
+				defer s.Close()
+				_, err = io.ReadAll(s.Body)
+				assertBroken(t, callError(err))
+			}
+		})
+	}
+}
+
+func assertBroken(t *testing.T, err error) {
+	t.Helper()
+	var e *Error
+	if !errors.As(err, &e) || e.Kind != KindBroken || e.Err == nil {
+		t.Errorf("got %v, want kind %s", err, KindBroken)
+	}
+}
+
 func assertFailure(t *testing.T, at medlarid.Address, want Kind, sent bool) {
 	t.Helper()
 	start := time.Now()
