Measure two tests of medlarnode by counts instead of elapsed time

TestRateIsSharedByDemand compared the answered requests with what rate and burst allow in 3 s, although beside 20 busy processes its loops could not send that many. Bounds are unchanged.

--- a/internal/ops/medlarnode/once_test.go
+++ b/internal/ops/medlarnode/once_test.go
@@ -45,9 +45,16 @@
 	return send()
 }
 
+// assertRuns asserts how often the posting ran, after all delayed effects of faults and a
+// time in which an instance could send it again.
 func (h *harness) assertRuns(want int) {
 	h.t.Helper()
-	time.Sleep(150 * time.Millisecond) // time for a delayed second run
+	for until := time.Now().Add(10 * time.Second); h.stage.Injector.Pending() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			h.t.Fatal("delayed effects have not ended within 10 s")
+		}
+	}
+	time.Sleep(150 * time.Millisecond)
 	if n := h.stage.Bodies()[posting]; n != want {
 		h.t.Fatalf("posting ran %d times, want %d", n, want)
 	}
--- a/internal/ops/medlarnode/peers_test.go
+++ b/internal/ops/medlarnode/peers_test.go
@@ -52,35 +52,57 @@
 	return out
 }
 
+// TestRateIsSharedByDemand asserts that an instance that gets all requests of an account may
+// use the account's whole rate, not only an equal part of it, and no more than that.
 func TestRateIsSharedByDemand(t *testing.T) {
+	const rate, burst = 40, 10
 	h := start(t, options{nodes: 4, node: withPeers(t)})
 	h.awaitPeers(4)
-	h.awaitVersion(h.publish(withPlan(t, func(p *medlarlist.Plan) { p.Rate, p.Burst = 40, 10 })))
+	h.awaitVersion(h.publish(withPlan(t, func(p *medlarlist.Plan) { p.Rate, p.Burst = rate, burst })))
 	time.Sleep(2500 * time.Millisecond) // one term of the shares after the instances have discovered each other
-	var answered, refused atomic.Int32
+	var mu sync.Mutex
+	var sent []time.Time
+	var answered atomic.Int32
 	var wg sync.WaitGroup
 	begin := time.Now()
 	for range 4 { // all requests go to one instance, above the rate
 		wg.Go(func() {
 			for time.Since(begin) < 3*time.Second {
+				mu.Lock()
+				sent = append(sent, time.Now())
+				mu.Unlock()
 				if r := h.complete(0, "x"); r.Complete {
 					answered.Add(1)
 				} else {
 					assertRefused(t, r, medlarreason.Rate, medlarreason.RanNo)
-					refused.Add(1)
 				}
 				time.Sleep(8 * time.Millisecond)
 			}
 		})
 	}
 	wg.Wait()
-	const allowed = 40*3 + 10
-	t.Logf("%d answered, %d refused; rate and burst allow %d", answered.Load(), refused.Load(), allowed)
-	if n := answered.Load(); n < allowed*3/4 || n > allowed+allowed/10 {
+	allowed := countAllowed(sent, rate, burst)
+	t.Logf("%d of %d requests answered; rate and burst allow %d", answered.Load(), len(sent), allowed)
+	if n := int(answered.Load()); n < allowed*3/4 || n > allowed+allowed/10 {
 		t.Errorf("%d answered, want about %d", n, allowed)
 	}
 }
 
+// countAllowed returns how many of the requests sent at the given times, in order, a token
+// bucket of a rate per second and a burst allows.
+func countAllowed(sent []time.Time, rate, burst float64) int {
+	tokens, last, n := burst, sent[0], 0
+	for _, at := range sent {
+		tokens = min(tokens+rate*at.Sub(last).Seconds(), burst)
+		last = at
+		if tokens >= 1 {
+			tokens--
+			n++
+		}
+	}
+	return n
+}
+
 // awaitPeers waits until every instance sees n live instances.
 func (h *harness) awaitPeers(n int) {
 	h.t.Helper()
--- a/internal/stand/medlarfault/medlarfault.go
+++ b/internal/stand/medlarfault/medlarfault.go
@@ -90,8 +90,9 @@
 
 // Injector holds the armed faults. It is safe for concurrent use.
 type Injector struct {
-	mu    sync.Mutex
-	armed map[key]*Fault
+	mu      sync.Mutex
+	armed   map[key]*Fault
+	pending int // delayed effects that have not ended
 }
 
 // New returns an Injector without armed faults.
@@ -144,6 +145,28 @@
 	return ok
 }
 
+// RunLater calls f after a delay.
+func (inj *Injector) RunLater(delay time.Duration, f func()) {
+	inj.addPending(1)
+	time.AfterFunc(delay, func() {
+		defer inj.addPending(-1)
+		f()
+	})
+}
+
+func (inj *Injector) addPending(n int) {
+	inj.mu.Lock()
+	defer inj.mu.Unlock()
+	inj.pending += n
+}
+
+// Pending returns the number of delayed effects that have not ended.
+func (inj *Injector) Pending() int {
+	inj.mu.Lock()
+	defer inj.mu.Unlock()
+	return inj.pending
+}
+
 // Armed returns the armed faults, ordered by part and name.
 func (inj *Injector) Armed() []Fault {
 	inj.mu.Lock()
--- a/internal/stand/medlarhost/medlarhost.go
+++ b/internal/stand/medlarhost/medlarhost.go
@@ -145,7 +145,8 @@
 			return
 		}
 		if f, ok := injector.Trigger(part, medlarfault.Late); ok {
-			callLater(ctx, f.Delay, next)
+			copied := copyRequest(ctx)
+			injector.RunLater(f.Delay, func() { next(copied) })
 			closeWithoutResponse(ctx)
 			return
 		}
@@ -207,11 +208,6 @@
 	})
 }
 
-func callLater(ctx *fasthttp.RequestCtx, delay time.Duration, next fasthttp.RequestHandler) {
-	copied := copyRequest(ctx)
-	time.AfterFunc(delay, func() { next(copied) })
-}
-
 func copyRequest(ctx *fasthttp.RequestCtx) *fasthttp.RequestCtx {
 	copied := &fasthttp.RequestCtx{}
 	copied.Init(&fasthttp.Request{}, ctx.RemoteAddr(), discardLogger{})
