Don't take the fault of one connection to the store for an outage

Two faults of one class. (1) After any failed call, a feed delayed removals for the 2.3 s that are meant for outages, in which replicas can't renew their entries. A reset connection alone used up more than the bound on leaving replicas: requests reached a replica 2.0 to 3.0 s after its leaving was confirmed. (2) A call that began while the store was silent held the reader until it timed out, up to 2.8 s, although the store answered again; and after a failure the first read waited up to 2 s for a new record before the topic counted as regained (2.07 to 2.27 s for keyed.op, where records are rare; 0.1 s for keyed.servers, where heartbeats end the wait).

Now a time without a response counts as an outage only from three quarters of the heartbeat interval on: a record can't expire sooner. What can't be told apart still counts as an outage. A read waits 0.5 s at most, is repeated on a new connection 0.25 to 0.35 s after its wait if it has no response, and is made without a wait, on a new connection, after a failure.

--- /dev/null
+++ b/internal/agree/medlarfeed/call.go
@@ -0,0 +1,71 @@
+package medlarfeed
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// Repetition of calls without a response (R6).
+const (
+	repeatMargin = 250 * time.Millisecond // from the end of a call's wait until the call is repeated
+	repeatJitter = 100 * time.Millisecond // maximum added to repeatMargin, so that instances spread their calls
+	maxCalls     = 3                      // in flight for one read
+)
+
+// result is the result of a call: a page of the latest records or a batch of later ones.
+type result struct {
+	page  Page
+	batch Batch
+	err   error
+}
+
+// readLatest reads a page of the latest records.
+func (f *Feed) readLatest(ctx context.Context, after string) (Page, error) {
+	r := f.call(ctx, 0, func(newConn bool) result {
+		page, err := f.deps.ReadLatest(ctx, after, newConn)
+		return result{page: page, err: err}
+	})
+	return r.page, r.err
+}
+
+// readFrom reads the next records, without waiting for them after a failure (R5).
+func (f *Feed) readFrom(ctx context.Context) (Batch, error) {
+	from, wait := f.nextOffset, f.options.MaxWait
+	if f.failures > 0 {
+		wait = 0
+	}
+	r := f.call(ctx, wait, func(newConn bool) result {
+		batch, err := f.deps.ReadFrom(ctx, from, ReadOptions{Wait: wait, NewConn: newConn})
+		return result{batch: batch, err: err}
+	})
+	return r.batch, r.err
+}
+
+// call makes a call that waits for records at most for the given time, repeats it while
+// there is no response (R6), and returns the first result. The results of the other calls
+// are dropped.
+func (f *Feed) call(ctx context.Context, wait time.Duration, do func(newConn bool) result) result {
+	results := make(chan result, maxCalls)
+	newConn := f.failures > 0
+	for range maxCalls {
+		go func(newConn bool) { results <- do(newConn) }(newConn)
+		select {
+		case r := <-results:
+			return f.record(r)
+		case <-time.After(wait + repeatMargin + rand.N(repeatJitter)):
+			newConn, f.repeated = true, true
+		}
+	}
+	return f.record(<-results)
+}
+
+// record records whether the store has responded.
+func (f *Feed) record(r result) result {
+	if r.err != nil {
+		f.recordFailure(r.err)
+	} else {
+		f.recordResponse()
+	}
+	return r
+}
--- a/internal/agree/medlarfeed/history_test.go
+++ b/internal/agree/medlarfeed/history_test.go
@@ -47,7 +47,7 @@
 }
 
 // newest returns a page of the latest records; the topic may change between pages.
-func (h *topicHistory) newest(ctx context.Context, after string) (Page, error) {
+func (h *topicHistory) newest(ctx context.Context, after string, _ bool) (Page, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	p, err := h.topic.newest(ctx, "")
@@ -62,7 +62,7 @@
 	return p, nil
 }
 
-func (h *topicHistory) read(ctx context.Context, from medlarid.Offset) (Batch, error) {
+func (h *topicHistory) read(ctx context.Context, from medlarid.Offset, _ ReadOptions) (Batch, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.skipTruncated {
@@ -188,7 +188,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		feed := New(Deps{
 			ReadLatest: h.newest, ReadFrom: h.read, Apply: h.apply, OnUnavailable: func(error) {}, OnRecovered: func(time.Duration) {},
-		}, Options{PollInterval: 100 * time.Millisecond, RemovalDelay: removalDelay})
+		}, Options{PollInterval: 100 * time.Millisecond, RemovalDelay: removalDelay, MinOutage: historyExpiry})
 		ctx, cancel := context.WithCancel(t.Context())
 		go feed.Run(ctx)
 		for range historySteps {
--- a/internal/agree/medlarfeed/medlarfeed.go
+++ b/internal/agree/medlarfeed/medlarfeed.go
@@ -8,10 +8,18 @@
 //	R2  A store that fails or refuses a call changes nothing: the records read so
 //	    far stay in effect.
 //	R3  The offset of a key never decreases: older records are ignored.
-//	R4  Removals during an outage and for a time after it are delayed: the owners
-//	    of the keys may only have been unable to renew them. A newer record of the
-//	    key cancels the removal.
-//	R5  A failed call is retried with exponential backoff and jitter.
+//	R4  Removals are delayed for a time after an outage of the store: the owners of the
+//	    keys may only have been unable to renew them. A newer record of the key
+//	    cancels the removal. An outage is a time without a response in which a call
+//	    failed and which is long enough for a key to expire. A shorter one, such as
+//	    the reset of a connection, delays nothing. A longer one counts as an outage
+//	    even if only the connections of this instance failed, since that looks alike.
+//	    A failed call within the delay starts it anew.
+//	R5  A failed call is retried with exponential backoff and jitter, on a new
+//	    connection and without a wait for new records.
+//	R6  A call that has no response although its wait has ended is repeated on a new
+//	    connection, while the call in flight may still succeed. So a response that
+//	    was lost delays no record until its call times out.
 package medlarfeed
 
 import (
@@ -47,10 +55,18 @@
 	Truncated bool
 }
 
+// ReadOptions are the options of a call for the next records.
+type ReadOptions struct {
+	// Wait is the longest time for which the store may wait for the first record.
+	Wait time.Duration
+	// NewConn requests a new connection, as those in use may be dead.
+	NewConn bool
+}
+
 // Deps are the functions with which a feed reads a topic and reports its changes.
 type Deps struct {
-	ReadLatest func(ctx context.Context, after string) (Page, error)
-	ReadFrom   func(ctx context.Context, from medlarid.Offset) (Batch, error)
+	ReadLatest func(ctx context.Context, after string, newConn bool) (Page, error)
+	ReadFrom   func(ctx context.Context, from medlarid.Offset, o ReadOptions) (Batch, error)
 	// Apply receives changed records in order. first tells that they are the initial
 	// records, of all keys.
 	Apply func(records []Record, first bool)
@@ -62,6 +78,11 @@
 
 // Options configure a feed.
 type Options struct {
+	// MaxWait is the longest time for which a read waits for a record at the store.
+	MaxWait time.Duration
+	// MinOutage is the shortest time without a response of the store after which records
+	// can have expired because their owners could not renew them.
+	MinOutage time.Duration
 	// PollInterval is the minimum interval between two reads.
 	PollInterval time.Duration
 	// RemovalDelay is the time after an outage for which removals are delayed (R4);
@@ -72,7 +93,7 @@
 // Bounds of the backoff of failed calls (R5).
 const (
 	minBackoff = 100 * time.Millisecond
-	maxBackoff = time.Second
+	maxBackoff = 600 * time.Millisecond
 )
 
 // Feed follows one topic. Only the goroutine of Run uses it, except for LastResponse.
@@ -85,8 +106,9 @@
 	offsets      map[string]medlarid.Offset // offset of the latest record of each existing key
 	delayed      map[string]Record          // delayed removals
 	delayUntil   time.Time                  // time until which removals are delayed
-	outageStart  time.Time                  // start of the current outage; zero if there is none
+	failingSince time.Time                  // time of the first failure; zero if the last call succeeded
 	failures     int                        // consecutive failures
+	repeated     bool                       // a call was repeated since the last response (R6)
 	lastResponse atomic.Pointer[time.Time]  // time of the store's last response
 }
 
@@ -116,11 +138,9 @@
 			started = err == nil
 		}
 		if err != nil {
-			f.recordFailure(err)
 			medlarpause.For(ctx, f.backoff())
 			continue
 		}
-		f.recordSuccess()
 		f.flush(time.Now())
 		medlarpause.For(ctx, f.options.PollInterval-time.Since(begin))
 	}
@@ -128,13 +148,13 @@
 
 // start reads the latest record of each key (R1).
 func (f *Feed) start(ctx context.Context) error {
-	page, err := f.deps.ReadLatest(ctx, "")
+	page, err := f.readLatest(ctx, "")
 	if err != nil {
 		return err
 	}
 	all, end := page.Records, page.EndOffset // later pages may hold records past this offset
 	for page.More && len(page.Records) > 0 {
-		page, err = f.deps.ReadLatest(ctx, page.Records[len(page.Records)-1].Key)
+		page, err = f.readLatest(ctx, page.Records[len(page.Records)-1].Key)
 		if err != nil {
 			return err
 		}
@@ -166,7 +186,7 @@
 
 // read reads the next records; it returns false if the feed must call start again.
 func (f *Feed) read(ctx context.Context) (bool, error) {
-	b, err := f.deps.ReadFrom(ctx, f.nextOffset)
+	b, err := f.readFrom(ctx)
 	if err != nil {
 		return true, err
 	}
@@ -195,15 +215,15 @@
 	return out
 }
 
-// deliver passes changes to Apply; removals around an outage are delayed (R4).
+// deliver passes changes to Apply; removals after an outage are delayed (R4).
 func (f *Feed) deliver(records []Record, first bool) {
-	delaying := time.Now().Before(f.delayUntil) || !f.outageStart.IsZero()
+	delaying := time.Now().Before(f.delayUntil)
 	out := make([]Record, 0, len(records))
 	for _, r := range records {
 		switch {
 		case !r.Removed:
 			delete(f.delayed, r.Key)
-		case delaying && f.options.RemovalDelay > 0:
+		case delaying:
 			f.delayed[r.Key] = r
 			continue
 		}
@@ -228,23 +248,28 @@
 }
 
 func (f *Feed) recordFailure(err error) {
-	if f.outageStart.IsZero() {
-		f.outageStart = time.Now()
+	if f.failingSince.IsZero() {
+		f.failingSince = time.Now()
 		f.deps.OnUnavailable(err)
 	}
 	f.failures++
 }
 
-func (f *Feed) recordSuccess() {
-	now := time.Now()
+// recordResponse records a response of the store. It is called before the records of the
+// response are delivered, so that removals after an outage are delayed (R4).
+func (f *Feed) recordResponse() {
+	now, last := time.Now(), f.LastResponse()
 	f.lastResponse.Store(&now)
-	f.failures = 0
-	if f.outageStart.IsZero() {
-		return
+	disturbed := f.failures > 0 || f.repeated
+	outage := !last.IsZero() && now.Sub(last) >= f.options.MinOutage
+	if disturbed && (outage || last.Before(f.delayUntil)) {
+		f.delayUntil = now.Add(f.options.RemovalDelay)
+	}
+	f.failures, f.repeated = 0, false
+	if !f.failingSince.IsZero() {
+		f.deps.OnRecovered(now.Sub(f.failingSince))
+		f.failingSince = time.Time{}
 	}
-	f.delayUntil = now.Add(f.options.RemovalDelay)
-	f.deps.OnRecovered(now.Sub(f.outageStart))
-	f.outageStart = time.Time{}
 }
 
 // backoff returns the time to wait before the next call after a failure (R5).
--- a/internal/agree/medlarfeed/medlarfeed_test.go
+++ b/internal/agree/medlarfeed/medlarfeed_test.go
@@ -59,6 +59,14 @@
 	return Batch{Records: slices.Clone(f.records[from:]), NextOffset: medlarid.Offset(len(f.records))}, nil
 }
 
+func (f *fakeTopic) readLatest(ctx context.Context, after string, _ bool) (Page, error) {
+	return f.newest(ctx, after)
+}
+
+func (f *fakeTopic) readFrom(ctx context.Context, from medlarid.Offset, _ ReadOptions) (Batch, error) {
+	return f.read(ctx, from)
+}
+
 // follow runs a feed with a removal delay of two seconds through steps, each followed
 // by half a second, and returns the resulting value of each key.
 func follow(t *testing.T, steps ...func(*fakeTopic)) map[string]string {
@@ -67,8 +75,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		topic := &fakeTopic{}
 		feed := New(Deps{
-			ReadLatest: topic.newest,
-			ReadFrom:   topic.read,
+			ReadLatest: topic.readLatest,
+			ReadFrom:   topic.readFrom,
 			Apply: func(rs []Record, _ bool) {
 				for _, r := range rs {
 					state[r.Key] = string(r.Value)
--- a/internal/ops/medlarattachednode/follow_test.go
+++ b/internal/ops/medlarattachednode/follow_test.go
@@ -40,6 +40,55 @@
 	}
 }
 
+// storeReturnBound is the time after the store answers again within which its newest records
+// must be in force.
+const storeReturnBound = time.Second
+
+// TestConfigurationAppliesSoonAfterSilence guards against a call that began while the store was
+// silent and keeps a new configuration from being read although the store answers again.
+func TestConfigurationAppliesSoonAfterSilence(t *testing.T) {
+	for _, silence := range []time.Duration{300 * time.Millisecond, 900 * time.Millisecond, 2500 * time.Millisecond} {
+		t.Run(silence.String(), func(t *testing.T) {
+			w := start(t, nil)
+			w.endpoint.SetFault(medlarfaketopic.FaultSilent)
+			time.Sleep(silence)
+			w.endpoint.SetFault(medlarfaketopic.FaultNone)
+			begin := time.Now()
+			if err := w.site.Change(func(c *medlarsite.Config) { c.Tenants[0].ApiKeys = []string{"key-two"} }); err != nil {
+				t.Fatal(err)
+			}
+			n := 0
+			w.eventually("the new key is accepted", func() bool {
+				n++
+				return w.send(request{path: "/read/a", id: fmt.Sprint("k", n), key: "key-two"}).status == 200
+			})
+			if took := time.Since(begin); took > storeReturnBound {
+				t.Errorf("the new key is accepted after %v, want %v at most", took, storeReturnBound)
+			}
+		})
+	}
+}
+
+// TestRemovedReplicaGetsNoRequestsAfterReset guards against the delay of removals, which is meant
+// for outages of the store, after a reset of the connections to it.
+func TestRemovedReplicaGetsNoRequestsAfterReset(t *testing.T) {
+	w := start(t, func(s *medlarsite.Settings) { s.HeartbeatInterval, s.RemovalDelay = 1200*time.Millisecond, 10*time.Second })
+	calls := w.site.Store.Calls()
+	w.endpoint.SetFault(medlarfaketopic.FaultReset)
+	w.eventually("a call was reset", func() bool { return strings.Contains(w.logs.text(), `"event":"lost"`) })
+	w.endpoint.SetFault(medlarfaketopic.FaultNone)
+	gone := w.site.Plain[0]
+	w.site.Remove(gone)
+	time.Sleep(storeReturnBound)
+	before := len(gone.Runs())
+	for i := range 30 {
+		assertResult(t, w.send(request{path: "/read/a", id: fmt.Sprint("r", i)}), 200, "")
+	}
+	if n := len(gone.Runs()) - before; n != 0 {
+		t.Errorf("the removed replica ran %d requests, want none (%d calls to the store)", n, w.site.Store.Calls()-calls)
+	}
+}
+
 // TestRequestsBeforeFirstCatalog guards against a repeat of an incident in which all
 // instances started while the store was unavailable. Requests must be refused immediately,
 // with a longer Retry-After than from an instance that is about to read its first catalog.
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -48,8 +48,7 @@
 const (
 	storeTimeout       = 800 * time.Millisecond // of a call to the store
 	replicaTimeout     = 500 * time.Millisecond // of a control call to a replica
-	operatorWait       = 2 * time.Second        // maximum wait of a read of the operators' records
-	replicaWait        = 2 * time.Second        // maximum wait of a read of replicas' entries
+	readWait           = 500 * time.Millisecond // maximum wait of a read of a topic; a lost read is noticed soon after it
 	replicaInterval    = 400 * time.Millisecond // minimum between two reads of replicas' entries
 	returnMargin       = 300 * time.Millisecond // added to bounds.return, the time for removed entries to return after an outage
 	controlIdleTimeout = 5 * time.Second        // of connections for control calls
@@ -58,6 +57,7 @@
 	maxHolders         = 64                     // maximum number of replicas recorded as caching one part
 	versionMargin      = 800 * time.Millisecond // subtracted from the bound on old weight versions, for requests in progress
 	queueLength        = 4096                   // requests that may wait for an upstream
+	outageShare        = 0.75                   // fraction of the heartbeat interval from which on a time without responses counts as an outage
 	retryShare         = 0.8                    // fraction used of the configured bound on retries
 	retryBurst         = 4                      // maximum accumulated retry budget, in attempts
 	retryStart         = 2                      // initial retry budget, in attempts
@@ -182,15 +182,17 @@
 func newFeeds(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, loop *medlarloop.Loop,
 	s *medlarcalls.Store, registry *medlarregistry.Registry,
 ) []*medlarfeed.Feed {
-	feed := func(topic string, wait time.Duration, apply func([]medlarfeed.Record, bool), o medlarfeed.Options) *medlarfeed.Feed {
+	feed := func(topic string, apply func([]medlarfeed.Record, bool), o medlarfeed.Options) *medlarfeed.Feed {
 		onUnavailable, onRecovered := feedOutageFuncs(log, topic, m.CallFailed)
 		if topic == medlarplatform.TopicOperator {
 			onUnavailable, onRecovered = trackOperatorFeed(registry, onUnavailable, onRecovered)
 		}
 		f := medlarfeed.New(medlarfeed.Deps{
-			ReadLatest: func(_ context.Context, after string) (medlarfeed.Page, error) { return s.Newest(topic, after) },
-			ReadFrom: func(_ context.Context, from medlarid.Offset) (medlarfeed.Batch, error) {
-				b, err := s.Follow(topic, from, wait)
+			ReadLatest: func(_ context.Context, after string, newConn bool) (medlarfeed.Page, error) {
+				return s.Newest(topic, after, newConn)
+			},
+			ReadFrom: func(_ context.Context, from medlarid.Offset, o medlarfeed.ReadOptions) (medlarfeed.Batch, error) {
+				b, err := s.Follow(topic, from, o)
 				if err == nil && topic == medlarplatform.TopicOperator {
 					loop.Post(medlarworld.RecordsCurrent{At: time.Now()})
 				}
@@ -208,9 +210,10 @@
 		}
 	}
 	return []*medlarfeed.Feed{
-		feed(medlarplatform.TopicOperator, operatorWait, operator, medlarfeed.Options{}),
-		feed(medlarplatform.TopicReplicas, replicaWait, registry.ApplyReplicaEntries, medlarfeed.Options{
-			PollInterval: replicaInterval, RemovalDelay: cfg.Bounds.RemovalDelay.Std() + returnMargin,
+		feed(medlarplatform.TopicOperator, operator, medlarfeed.Options{MaxWait: readWait}),
+		feed(medlarplatform.TopicReplicas, registry.ApplyReplicaEntries, medlarfeed.Options{
+			MaxWait: readWait, PollInterval: replicaInterval, RemovalDelay: cfg.Bounds.RemovalDelay.Std() + returnMargin,
+			MinOutage: time.Duration(outageShare * float64(cfg.Bounds.HeartbeatInterval)),
 		}),
 	}
 }
@@ -328,10 +331,10 @@
 // readTerms returns the terms from an offset on, and the offset at which the topic ends. If
 // records from that offset on were dropped, it starts at the first one left.
 func readTerms(s *medlarcalls.Store, from medlarid.Offset) ([]medlarterm.Record, medlarid.Offset, error) {
-	raw, err := s.Read(medlarplatform.TopicTerm, from, 0)
+	raw, err := s.Read(medlarplatform.TopicTerm, from, medlarfeed.ReadOptions{})
 	if first, ok := medlarcalls.FirstRetained(err); ok {
 		from = first
-		raw, err = s.Read(medlarplatform.TopicTerm, from, 0)
+		raw, err = s.Read(medlarplatform.TopicTerm, from, medlarfeed.ReadOptions{})
 	}
 	if err != nil {
 		return nil, 0, err
--- a/internal/ops/medlarsettings/attached.go
+++ b/internal/ops/medlarsettings/attached.go
@@ -24,12 +24,13 @@
 
 // Bounds are the limits that the platform's operators set for an attached instance.
 type Bounds struct {
-	GracePeriod         medlarid.Duration `json:"grace"`   // from the stop signal to SIGKILL
-	DeregistrationDelay medlarid.Duration `json:"out"`     // from the stop signal until no new connections arrive
-	HandoverDelay       medlarid.Duration `json:"settle"`  // between the orders of two successive lease holders
-	RetryRatio          float64           `json:"retries"` // repeated attempts per request, over all instances
-	OldVersionGrace     medlarid.Duration `json:"weights"` // from the change of the desired weight version to the last start under an older one
-	RemovalDelay        medlarid.Duration `json:"return"`  // in which removed replicas are listed again after an outage of the store
+	GracePeriod         medlarid.Duration `json:"grace"`     // from the stop signal to SIGKILL
+	DeregistrationDelay medlarid.Duration `json:"out"`       // from the stop signal until no new connections arrive
+	HandoverDelay       medlarid.Duration `json:"settle"`    // between the orders of two successive lease holders
+	RetryRatio          float64           `json:"retries"`   // repeated attempts per request, over all instances
+	OldVersionGrace     medlarid.Duration `json:"weights"`   // from the change of the desired weight version to the last start under an older one
+	RemovalDelay        medlarid.Duration `json:"return"`    // in which removed replicas are listed again after an outage of the store
+	HeartbeatInterval   medlarid.Duration `json:"heartbeat"` // of the replicas' entries, which expire after several of them
 }
 
 // DefaultAttached returns the defaults that a settings file overrides.
@@ -43,6 +44,7 @@
 			RetryRatio:          0.1,
 			OldVersionGrace:     seconds(6),
 			RemovalDelay:        seconds(2),
+			HeartbeatInterval:   medlarid.Duration(1200 * time.Millisecond),
 		},
 		Log: Log{Level: "info"},
 	}
@@ -76,6 +78,7 @@
 		durationRange("/bounds/out", s.Bounds.DeregistrationDelay, 0, s.Bounds.GracePeriod.Std()),
 		durationRange("/bounds/settle", s.Bounds.HandoverDelay, 100*time.Millisecond, time.Minute),
 		durationRange("/bounds/weights", s.Bounds.OldVersionGrace, time.Second, time.Hour),
+		durationRange("/bounds/heartbeat", s.Bounds.HeartbeatInterval, 50*time.Millisecond, time.Minute),
 		durationRange("/bounds/return", s.Bounds.RemovalDelay, 0, time.Minute),
 		{"/bounds/retries", s.Bounds.RetryRatio >= 0 && s.Bounds.RetryRatio <= 1, "0 to 1 attempts"},
 		{"/log/level", levels[s.Log.Level], "debug, info, warn or error"},
--- a/internal/stand/medlarsite/medlarsite.go
+++ b/internal/stand/medlarsite/medlarsite.go
@@ -41,11 +41,12 @@
 	ServiceTime       time.Duration // service time of a plain request, and the interval between two events of a stream
 	HeartbeatInterval time.Duration // heartbeat interval of a replica
 	StopDelay         time.Duration // time for which an instance keeps serving after the signal to stop
+	RemovalDelay      time.Duration // in which removed replicas are listed again after an outage of the store
 }
 
 // Default returns the settings of a small site.
 func Default() Settings {
-	return Settings{Engines: 3, Plain: 2, Slots: 16, Events: 8, ServiceTime: 2 * time.Millisecond, HeartbeatInterval: 300 * time.Millisecond, StopDelay: 50 * time.Millisecond}
+	return Settings{Engines: 3, Plain: 2, Slots: 16, Events: 8, ServiceTime: 2 * time.Millisecond, HeartbeatInterval: 300 * time.Millisecond, StopDelay: 50 * time.Millisecond, RemovalDelay: 500 * time.Millisecond}
 }
 
 // Site is a running emulated platform.
@@ -264,7 +265,8 @@
 		MemoryMB: 256,
 		Bounds: medlarsettings.Bounds{
 			GracePeriod: duration(8 * time.Second), DeregistrationDelay: duration(s.settings.StopDelay), HandoverDelay: duration(time.Second), RetryRatio: 0.2,
-			OldVersionGrace: duration(6 * time.Second), RemovalDelay: duration(500 * time.Millisecond),
+			OldVersionGrace: duration(6 * time.Second), RemovalDelay: duration(s.settings.RemovalDelay),
+			HeartbeatInterval: duration(s.settings.HeartbeatInterval),
 		},
 		Log: medlarsettings.Log{Level: "info"},
 	}, endpoint, nil
