--- a/internal/agree/medlarfeed/call.go
+++ b/internal/agree/medlarfeed/call.go
@@ -8,8 +8,8 @@
 
 // Repetition of calls without a response (R6).
 const (
-	repeatMargin = 250 * time.Millisecond // from the end of a call's wait until the call is repeated
-	repeatJitter = 100 * time.Millisecond // maximum added to repeatMargin, so that instances spread their calls
+	repeatMargin = 200 * time.Millisecond // from the end of a call's wait until the call is repeated
+	repeatJitter = 80 * time.Millisecond // maximum added to repeatMargin, so that instances spread their calls
 	maxCalls     = 3                      // in flight for one read
 )
 
@@ -53,6 +53,8 @@
 		select {
 		case r := <-results:
 			return f.record(r)
+		case <-ctx.Done():
+			return result{err: ctx.Err()}
 		case <-time.After(wait + repeatMargin + rand.N(repeatJitter)):
 			newConn, f.repeated = true, true
 		}
--- a/internal/agree/medlarfeed/medlarfeed.go
+++ b/internal/agree/medlarfeed/medlarfeed.go
@@ -137,6 +137,9 @@
 			err = f.start(ctx)
 			started = err == nil
 		}
+		if ctx.Err() != nil {
+			return
+		}
 		if err != nil {
 			medlarpause.For(ctx, f.backoff())
 			continue
--- a/internal/ops/medlarattachednode/follow_test.go
+++ b/internal/ops/medlarattachednode/follow_test.go
@@ -72,7 +72,9 @@
 // TestRemovedReplicaGetsNoRequestsAfterReset guards against the delay of removals, which is meant
 // for outages of the store, after a reset of the connections to it.
 func TestRemovedReplicaGetsNoRequestsAfterReset(t *testing.T) {
-	w := start(t, func(s *medlarsite.Settings) { s.HeartbeatInterval, s.RemovalDelay = 1200*time.Millisecond, 10*time.Second })
+	w := start(t, func(s *medlarsite.Settings) {
+		s.HeartbeatInterval, s.RemovalDelay = 1200*time.Millisecond, 10*time.Second
+	})
 	calls := w.site.Store.Calls()
 	w.endpoint.SetFault(medlarfaketopic.FaultReset)
 	w.eventually("a call was reset", func() bool { return strings.Contains(w.logs.text(), `"event":"lost"`) })
