Read a store of KV cache with a short wait after a failed call

One failed call makes a store's contents stale, as the store may have lost them; its parts are then computed instead of fetched. The next call waited up to 0.8 s for changes before its answer made them current again, although the failure may have been that of one connection. After a failure the wait is 0.2 s now.

--- a/internal/ops/medlarcachetracker/medlarcachetracker.go
+++ b/internal/ops/medlarcachetracker/medlarcachetracker.go
@@ -16,6 +16,8 @@
 //	    many readers share the places. After that it uses long waits, and leaves its
 //	    place for a moment between two calls. A call that doesn't wait at all is as
 //	    expensive as a probe.
+//	R5  A failed call makes the contents stale, since the store may have lost them. The
+//	    next call waits only briefly for changes, as its answer makes them current.
 package medlarcachetracker
 
 import (
@@ -205,7 +207,7 @@
 		return nil
 	}
 	wait := eventsWait
-	if st.contended() {
+	if st.contended() || st.lost { // R5
 		wait = contendedWait
 	}
 	c, err := t.deps.Events(st.ref.Address, st.next, wait)
--- a/internal/ops/medlarcachetracker/medlarcachetracker_test.go
+++ b/internal/ops/medlarcachetracker/medlarcachetracker_test.go
@@ -21,6 +21,8 @@
 	epoch    uint64
 	events   []Change
 	down     bool
+	failNext bool      // the next call for changes fails
+	failedAt time.Time // when it did
 	lists    int
 	calls    int
 	freed    []Part
@@ -57,6 +59,9 @@
 	switch {
 	case f.down:
 		return ChangeBatch{}, errDown
+	case f.failNext:
+		f.failNext, f.failedAt = false, time.Now()
+		return ChangeBatch{}, errDown
 	case since > uint64(len(f.events)):
 		return ChangeBatch{Epoch: f.epoch, Gap: true}, nil
 	}
@@ -156,6 +161,26 @@
 	}
 }
 
+// TestContentsAreCurrentSoonAfterFailedCall guards against contents that stay stale for a long
+// wait for changes after one failed call, such as a reset connection.
+func TestContentsAreCurrentSoonAfterFailedCall(t *testing.T) {
+	const bound = failurePause + contendedWait
+	f := &fakeStore{epoch: 1}
+	runTracker(t, f,
+		func(*fakeStore) time.Duration { return 2 * contendedInitial },
+		func(f *fakeStore) time.Duration { f.failNext = true; return 2 * time.Second },
+	)
+	for _, p := range f.posted {
+		if took := p.At.Sub(f.failedAt); took > 0 {
+			if took > bound {
+				t.Errorf("contents are current again %v after the failed call, want %v at most", took, bound)
+			}
+			return
+		}
+	}
+	t.Error("contents are not current again")
+}
+
 // TestFreeReplacedVersions checks when parts of an older version are freed.
 func TestFreeReplacedVersions(t *testing.T) {
 	for _, tc := range []struct {
