Avoid a store for 0.25 s after one failed transfer, not for 2 s

On the own interface one failed transfer made a store count as down for 2 s, although it may have been one connection that failed. Now the time starts at 0.25 s and doubles with each failure in a row up to the same 2 s; a success ends the row.

--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -13,6 +13,9 @@
 //	R6  With many replicas of a model, an instance uses a subset of them.
 //	R7  The replicas that are next in the fixed order of a weight change get no work
 //	    while others are available: their runs have to end before they change.
+//	R8  A store is avoided for a short time after a failed transfer, which may only
+//	    be the failure of one connection, and for longer after each further failure in a
+//	    row.
 package medlarfleet
 
 import (
@@ -33,9 +36,10 @@
 const (
 	// A link without measurements is assumed to be fast: an import over it has a
 	// timeout, and measures the rate.
-	defaultLinkRate    = 10e9 // bytes per second
-	rateGain           = 0.3  // weight of a new measurement
-	storeBackoff       = 2 * time.Second
+	defaultLinkRate    = 10e9                   // bytes per second
+	rateGain           = 0.3                    // weight of a new measurement
+	minStoreBackoff    = 250 * time.Millisecond // after one failed transfer; doubles with each further one (R8)
+	maxStoreBackoff    = 2 * time.Second
 	defaultPrefillRate = 8000 // prompt tokens per second
 
 	maxVersions = 32                      // versions of a model that are kept
@@ -312,6 +316,13 @@
 	}
 }
 
+// storeBackoff returns the time for which a store is avoided after a number of failures in a
+// row (R8).
+func storeBackoff(failures int) time.Duration {
+	const maxDoublings = 3 // from minStoreBackoff to maxStoreBackoff
+	return min(minStoreBackoff<<min(failures-1, maxDoublings), maxStoreBackoff)
+}
+
 // recordTransfer updates a link's measured rate and availability from a transfer.
 func recordTransfer(w *medlarworld.World, e medlarworld.TransferEnded) {
 	s := w.Stores[e.Store]
@@ -322,9 +333,11 @@
 		s.InFlightBytes = max(s.InFlightBytes-e.Bytes, 0)
 	}
 	if e.Failed {
-		s.DownUntil = w.Now.Add(storeBackoff)
+		s.Failures++
+		s.DownUntil = w.Now.Add(storeBackoff(s.Failures))
 		return
 	}
+	s.Failures = 0
 	if e.Bytes > 0 && e.Took > 0 {
 		rate := float64(e.Bytes) / e.Took.Seconds()
 		s.Rate += rateGain * (rate - s.Rate)
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -185,6 +185,7 @@
 	Rate          float64        // bytes per second
 	InFlightBytes medlarid.Bytes // bytes of own imports in flight
 	DownUntil     time.Time
+	Failures      int       // consecutive failed transfers
 	Stock         Inventory // of a store that keeps parts of prompts
 }
 
