Heed replicas that say in a response that they leave or want a pause

Both were ignored: a replica got new work until its entry told of its leaving, and however often it had asked for a pause.

The proxy reports both to the core, with the incarnation of the replica that the request was sent to; a response of another instance at the same address says nothing. An upstream that leaves gets no new work until it starts again, one that is paused until then, at most 5 minutes. Both are logged (avoid), counted (medlar_hints_total) and told by medlarctl explain and timeline. The stand-in replica can say both.

--- a/internal/agree/medlarfeed/call.go
+++ b/internal/agree/medlarfeed/call.go
@@ -9,7 +9,7 @@
 // Repetition of calls without a response (R6).
 const (
 	repeatMargin = 200 * time.Millisecond // from the end of a call's wait until the call is repeated
-	repeatJitter = 80 * time.Millisecond // maximum added to repeatMargin, so that instances spread their calls
+	repeatJitter = 80 * time.Millisecond  // maximum added to repeatMargin, so that instances spread their calls
 	maxCalls     = 3                      // in flight for one read
 )
 
--- a/internal/base/medlarid/medlarid.go
+++ b/internal/base/medlarid/medlarid.go
@@ -39,6 +39,10 @@
 // InstanceID identifies an instance of the platform or of this system.
 type InstanceID string
 
+// Incarnation distinguishes the starts of an instance under the same ID; 0 if it is not
+// known.
+type Incarnation int64
+
 // Zone identifies an availability zone.
 type Zone string
 
--- /dev/null
+++ b/internal/core/medlarfleet/hint_test.go
@@ -0,0 +1,55 @@
+package medlarfleet
+
+import (
+	"testing"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarworld"
+)
+
+// listed returns the list of one upstream in an incarnation.
+func listed(n medlarid.Incarnation) medlarworld.InstancesListed {
+	return medlarworld.InstancesListed{Members: []medlarworld.Member{{ID: "u", Kind: memberService, Service: "s", Address: "at", Incarnation: n}}}
+}
+
+// TestUpstreamIsAvoidedAsItAsked asserts for how long an upstream gets no new work after what
+// it said in a response (R2, R9).
+func TestUpstreamIsAvoidedAsItAsked(t *testing.T) {
+	const forGood = 1000 * time.Hour
+	leaving := medlarworld.UpstreamLeaving{Upstream: "u", Incarnation: 1}
+	pause := func(d time.Duration) medlarworld.UpstreamPaused {
+		return medlarworld.UpstreamPaused{Upstream: "u", Incarnation: 1, For: d}
+	}
+	for _, tc := range []struct {
+		name    string
+		events  []medlarworld.Event
+		avoided time.Duration
+	}{
+		{"leaving", []medlarworld.Event{leaving}, forGood},
+		{"leaving, then listed again", []medlarworld.Event{leaving, listed(1)}, forGood},
+		{"leaving, then started again", []medlarworld.Event{leaving, listed(2)}, 0},
+		{"leaving, said by an earlier start", []medlarworld.Event{listed(2), leaving}, 0},
+		{"pause", []medlarworld.Event{pause(2 * time.Second)}, 2 * time.Second},
+		{"pause, then listed again", []medlarworld.Event{pause(2 * time.Second), listed(1)}, 2 * time.Second},
+		{"pause, then a shorter one", []medlarworld.Event{pause(2 * time.Second), pause(time.Second)}, 2 * time.Second},
+		{"pause, then a longer one", []medlarworld.Event{pause(2 * time.Second), pause(3 * time.Second)}, 3 * time.Second},
+		{"pause, then started again", []medlarworld.Event{pause(2 * time.Second), listed(2)}, 0},
+		{"huge pause", []medlarworld.Event{pause(forGood)}, maxPause},
+		{"unknown upstream", []medlarworld.Event{medlarworld.UpstreamLeaving{Upstream: "other"}}, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := medlarworld.New(medlarworld.Config{})
+			w.Now = time.Unix(1000, 0)
+			w.Events = append([]medlarworld.Event{listed(1)}, tc.events...)
+			New().Run(w)
+			u := w.Upstreams["u"]
+			if tc.avoided > 0 && u.Usable(w.Now.Add(tc.avoided-1)) {
+				t.Errorf("the upstream is used before %v", tc.avoided)
+			}
+			if tc.avoided < forGood && !u.Usable(w.Now.Add(tc.avoided)) {
+				t.Errorf("the upstream is not used after %v", tc.avoided)
+			}
+		})
+	}
+}
--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -5,7 +5,8 @@
 //
 //	R1  An instance that the instance list no longer names, or names as leaving, gets
 //	    no new work from the tick on in which the list is read.
-//	R2  An engine's own report that it leaves counts like the list's.
+//	R2  An upstream's own word that it leaves, in a report or a response, counts like the
+//	    list's until the upstream starts again.
 //	R3  What an engine reports replaces what was assumed since the last report.
 //	R4  A cache event is a hint; a reset discards all that was known.
 //	R5  A new version of the lists replaces the models at once; an older one has
@@ -16,6 +17,8 @@
 //	R8  A store is avoided for a short time after a failed transfer, which may only
 //	    be the failure of one connection, and for longer after each further failure in a
 //	    row.
+//	R9  An upstream that asks for a pause gets no new work in it. The pause is bounded, so
+//	    that a wrong value does not keep an upstream out for good.
 package medlarfleet
 
 import (
@@ -46,6 +49,8 @@
 	loadBackoff = 500 * time.Millisecond  // a replica that loads weights is avoided for this time
 	swapBackoff = 1500 * time.Millisecond // a replica that is next to load weights is avoided for this time
 
+	maxPause = 5 * time.Minute // longest pause that an upstream can ask for (R9)
+
 	maxFullSet = 16 // up to this many replicas of a model, an instance uses all
 	subsetSize = 4  // replicas that an instance uses of a model with more
 )
@@ -84,6 +89,10 @@
 			if u := w.Upstreams[e.Upstream]; u != nil {
 				u.SwapUntil = w.Now.Add(loadBackoff)
 			}
+		case medlarworld.UpstreamLeaving:
+			applyLeaving(w, e)
+		case medlarworld.UpstreamPaused:
+			applyPause(w, e)
 		case medlarworld.StopRequested:
 			w.Draining = true
 		}
@@ -163,6 +172,9 @@
 		u.Kind = medlarworld.Kind(m.Kind)
 		w.Upstreams[m.ID] = u
 	}
+	if m.Incarnation != u.Incarnation {
+		u.Incarnation, u.ReportedLeaving, u.PausedUntil = m.Incarnation, false, time.Time{}
+	}
 	u.Zone, u.Address, u.Service = m.Zone, m.Address, m.Service
 	if m.Slots > 0 {
 		u.Load.Slots = m.Slots
@@ -299,6 +311,32 @@
 	}
 }
 
+// applyLeaving stops new work to an upstream that said that it leaves (R2). The word of an
+// earlier incarnation has no effect.
+func applyLeaving(w *medlarworld.World, e medlarworld.UpstreamLeaving) {
+	u := w.Upstreams[e.Upstream]
+	if u == nil || u.Incarnation != e.Incarnation || u.Leaving {
+		return
+	}
+	u.Leaving, u.ReportedLeaving = true, true
+	w.Emit(medlarworld.Avoided{Upstream: u.ID, Leaving: true})
+}
+
+// applyPause stops new work to an upstream for the pause that it asked for (R9).
+func applyPause(w *medlarworld.World, e medlarworld.UpstreamPaused) {
+	u := w.Upstreams[e.Upstream]
+	if u == nil || u.Incarnation != e.Incarnation {
+		return
+	}
+	pause := min(e.For, maxPause)
+	until := w.Now.Add(pause)
+	if !until.After(u.PausedUntil) {
+		return
+	}
+	u.PausedUntil = until
+	w.Emit(medlarworld.Avoided{Upstream: u.ID, For: pause})
+}
+
 // applyCacheChange records an engine's cache events (R4).
 func applyCacheChange(w *medlarworld.World, e medlarworld.CacheChanged) {
 	u := w.Upstreams[e.Upstream]
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -186,6 +186,7 @@
 		Attempt:       r.Attempt,
 		Upstream:      u.ID,
 		Address:       u.Address,
+		Incarnation:   u.Incarnation,
 		Version:       assumedVersion(w, u),
 		Priority:      priorityOf(w, r),
 		CachedKeys:    c.cachedBlocks,
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -138,6 +138,9 @@
 	Delisted bool // no longer in the instance list
 	// ReportedLeaving is set once the upstream itself reported that it leaves.
 	ReportedLeaving bool
+	Incarnation     medlarid.Incarnation
+	// PausedUntil is the time until which the upstream asked for no requests.
+	PausedUntil time.Time
 
 	Model    medlarid.ModelID
 	Version  medlarid.WeightVersion
@@ -472,7 +475,7 @@
 
 // Usable reports whether an upstream may get new work now.
 func (u *Upstream) Usable(now time.Time) bool {
-	return !u.Leaving && !u.Delisted && !now.Before(u.EjectedUntil)
+	return !u.Leaving && !u.Delisted && !now.Before(u.EjectedUntil) && !now.Before(u.PausedUntil)
 }
 
 // Usable reports whether a store may be sent requests now.
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -83,13 +83,15 @@
 
 // Member is one instance of the platform's instance list.
 type Member struct {
-	ID      medlarid.InstanceID
-	Kind    string // "entry", "engine", "service" or "store"
-	Zone    medlarid.Zone
-	Address medlarid.Address
-	Leaving bool
-	Model   medlarid.ModelID
-	Service medlarid.ServiceID
+	ID medlarid.InstanceID
+	// Incarnation changes when the instance starts again.
+	Incarnation medlarid.Incarnation
+	Kind        string // "entry", "engine", "service" or "store"
+	Zone        medlarid.Zone
+	Address     medlarid.Address
+	Leaving     bool
+	Model       medlarid.ModelID
+	Service     medlarid.ServiceID
 	// Version, Slots and PrefillRate are what the list says about an engine; zero where
 	// it says nothing.
 	Version     medlarid.WeightVersion
@@ -164,6 +166,20 @@
 // WeightsLoading reports that an upstream is loading other weights.
 type WeightsLoading struct{ Upstream medlarid.InstanceID }
 
+// UpstreamLeaving reports that an upstream said in a response that it leaves.
+type UpstreamLeaving struct {
+	Upstream    medlarid.InstanceID
+	Incarnation medlarid.Incarnation
+}
+
+// UpstreamPaused reports that an upstream turned a request away and asked for no further ones
+// for some time.
+type UpstreamPaused struct {
+	Upstream    medlarid.InstanceID
+	Incarnation medlarid.Incarnation
+	For         time.Duration
+}
+
 // TransferEnded reports the end of a transfer over the link to a store.
 type TransferEnded struct {
 	Store  medlarid.InstanceID
@@ -191,6 +207,8 @@
 func (StatusReported) event()    {}
 func (CacheChanged) event()      {}
 func (TransferEnded) event()     {}
+func (UpstreamLeaving) event()   {}
+func (UpstreamPaused) event()    {}
 func (InventoryReported) event() {}
 func (RecordsCurrent) event()    {}
 func (WeightsLoading) event()    {}
@@ -204,8 +222,10 @@
 	Attempt  int
 	Upstream medlarid.InstanceID
 	Address  medlarid.Address
-	Version  medlarid.WeightVersion
-	Priority medlarid.Priority
+	// Incarnation of the upstream.
+	Incarnation medlarid.Incarnation
+	Version     medlarid.WeightVersion
+	Priority    medlarid.Priority
 	// CachedKeys is the number of the run's keys that the upstream is believed to cache.
 	CachedKeys int
 	// Import lists the blocks to import from stores before the attempt.
@@ -303,6 +323,13 @@
 	Demands []Demand
 }
 
+// Avoided reports that an upstream gets no new work because of what it said in a response.
+type Avoided struct {
+	Upstream medlarid.InstanceID
+	Leaving  bool          // for good; otherwise for a pause
+	For      time.Duration // the pause
+}
+
 // Ejected reports that an upstream was ejected or readmitted.
 type Ejected struct {
 	Upstream   medlarid.InstanceID
@@ -317,3 +344,4 @@
 func (Retried) command()       {}
 func (RequestShares) command() {}
 func (Ejected) command()       {}
+func (Avoided) command()       {}
--- a/internal/edge/medlarcall/medlarcall.go
+++ b/internal/edge/medlarcall/medlarcall.go
@@ -59,6 +59,9 @@
 	Version        medlarid.WeightVersion
 	ContentEncoded bool // the body has a coding that the client did not request
 	KeepAlive      time.Duration
+	Leaving        bool          // the replica says that it leaves
+	RetryAfter     time.Duration // for which the replica asks for no requests; 0 for none
+	MalformedHint  bool          // Leaving or RetryAfter was given with an invalid value
 }
 
 // BodyEnd describes the end of the body of an upstream's response.
--- a/internal/edge/medlarmetric/medlarmetric.go
+++ b/internal/edge/medlarmetric/medlarmetric.go
@@ -60,6 +60,7 @@
 	tokens         *prometheus.CounterVec
 	bytesMoved     *prometheus.CounterVec
 	ejections      prometheus.Counter
+	hints          *prometheus.CounterVec
 	exportsDropped prometheus.Counter
 	replays        prometheus.Counter
 	callFailures   *prometheus.CounterVec
@@ -79,6 +80,7 @@
 	m.retries = m.newCounterVec("retries_total", "Attempts repeated, by reason.", "reason")
 	m.answers = m.newCounterVec("answers_total", "Requests answered, by kind.", "kind")
 	m.responses = m.newCounterVec("responses_total", "Responses of replicas, by framing of the body and by its end: complete, partial, broken.", "framing", "end")
+	m.hints = m.newCounterVec("hints_total", "What replicas said in responses about further requests: leaving, pause, malformed.", "kind")
 	m.tokens = m.newCounterVec("tokens_total", "Tokens, by kind: prompt, cached, completion.", "kind")
 	m.bytesMoved = m.newCounterVec("moved_bytes_total", "Bytes of kept context moved, by direction.", "direction")
 	m.callFailures = m.newCounterVec("platform_failures_total", "Failed calls to the platform, by part.", "part")
@@ -206,6 +208,19 @@
 	m.orders.WithLabelValues(result).Inc()
 }
 
+// Hint is what a replica says in a response about further requests.
+type Hint string
+
+// Hints.
+const (
+	HintLeaving   Hint = "leaving"
+	HintPause     Hint = "pause"
+	HintMalformed Hint = "malformed"
+)
+
+// HintReceived counts a hint of a replica.
+func (m *Metrics) HintReceived(h Hint) { m.hints.WithLabelValues(string(h)).Inc() }
+
 // Ejected counts an ejection of an upstream.
 func (m *Metrics) Ejected() { m.ejections.Inc() }
 
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -85,9 +85,27 @@
 	if reply.Version != "" && reply.Version != a.cmd.Version {
 		a.proxy.deps.OnVersionReported(a.cmd.Upstream, reply.Version)
 	}
+	a.postHints(reply)
 	return a.handleResponse(h, reply)
 }
 
+// postHints reports what the upstream said about further requests. A response of another
+// instance at its address says nothing about it.
+func (a *attempt) postHints(reply medlarcall.Reply) {
+	if reply.Misdirected && reply.Instance != a.cmd.Upstream {
+		return
+	}
+	if reply.MalformedHint {
+		a.proxy.deps.OnMalformedHint(a.cmd.Upstream)
+	}
+	if reply.Leaving {
+		a.proxy.deps.Post(medlarworld.UpstreamLeaving{Upstream: a.cmd.Upstream, Incarnation: a.cmd.Incarnation})
+	}
+	if reply.RetryAfter > 0 {
+		a.proxy.deps.Post(medlarworld.UpstreamPaused{Upstream: a.cmd.Upstream, Incarnation: a.cmd.Incarnation, For: reply.RetryAfter})
+	}
+}
+
 // deadline returns the deadline of the attempt. The first attempt of a request that can
 // be retried ends earlier, so that a replica that hangs is abandoned while another one
 // can still respond in time.
--- a/internal/edge/medlarproxy/close_test.go
+++ b/internal/edge/medlarproxy/close_test.go
@@ -42,6 +42,7 @@
 		Post:              func(medlarworld.Event) {},
 		OnVersionReported: func(medlarid.InstanceID, medlarid.WeightVersion) {},
 		OnVersionDenied:   func(medlarid.InstanceID, medlarid.WeightVersion) {},
+		OnMalformedHint:   func(medlarid.InstanceID) {},
 		Pool:              medlarpool.New(),
 		Decode:            medlarplatform.DecodeCall,
 		Forward:           medlarplatform.NewClock().AppendForward,
--- a/internal/edge/medlarproxy/medlarproxy.go
+++ b/internal/edge/medlarproxy/medlarproxy.go
@@ -48,7 +48,10 @@
 	// the requested one, and OnVersionDenied when it does not have the requested one.
 	OnVersionReported func(medlarid.InstanceID, medlarid.WeightVersion)
 	OnVersionDenied   func(medlarid.InstanceID, medlarid.WeightVersion)
-	Pool              *medlarpool.Pool
+	// OnMalformedHint is called when a replica says with an invalid value that it leaves or
+	// wants a pause; the value is ignored.
+	OnMalformedHint func(medlarid.InstanceID)
+	Pool            *medlarpool.Pool
 	// Decode parses the metadata of a request.
 	Decode func(*medlarhead.Head) (medlarcall.Call, error)
 	// Forward appends the header fields of a request to an upstream.
--- a/internal/ops/medlarattachednode/follow_test.go
+++ b/internal/ops/medlarattachednode/follow_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"medlarfield/internal/base/medlarhead"
+	"medlarfield/internal/stand/medlarfakereplica"
 	"medlarfield/internal/stand/medlarfaketopic"
 	"medlarfield/internal/stand/medlarsite"
 )
@@ -156,6 +157,52 @@
 	}
 }
 
+// TestReplicaThatSaysItLeavesGetsNoRequests guards against new work for a replica that said in a
+// response that it leaves, before its entry does.
+func TestReplicaThatSaysItLeavesGetsNoRequests(t *testing.T) {
+	w := start(t, nil)
+	leaving := w.site.Plain[0]
+	leaving.AnnounceLeaving()
+	w.eventually("the replica has responded", func() bool {
+		assertResult(t, w.send(request{path: "/read/a", id: "warm"}), 200, "")
+		return len(leaving.Runs()) > 0
+	})
+	before := len(leaving.Runs())
+	for i := range 30 {
+		assertResult(t, w.send(request{path: "/read/a", id: fmt.Sprint("r", i)}), 200, "")
+	}
+	if n := len(leaving.Runs()) - before; n != 0 {
+		t.Errorf("the leaving replica ran %d requests, want none", n)
+	}
+	w.eventually("the log tells why", func() bool {
+		return strings.Contains(w.logs.text(), `"event":"avoid","replica":"ledger-1","leaving":true`)
+	})
+}
+
+// TestReplicaThatAsksForPauseGetsNoRequests guards against requests to a replica within the pause
+// that it asked for, and against a pause without an end.
+func TestReplicaThatAsksForPauseGetsNoRequests(t *testing.T) {
+	w := start(t, nil)
+	paused := w.site.Plain[0]
+	paused.Arm(medlarfakereplica.FaultPause, 1)
+	begin := time.Now()
+	w.eventually("the replica asked for a pause", func() bool {
+		assertResult(t, w.send(request{path: "/read/a", id: "warm"}), 200, "")
+		return strings.Contains(w.logs.text(), `"event":"avoid","replica":"ledger-1","leaving":false,"after":1500`)
+	})
+	before := len(paused.Runs())
+	for i := 0; time.Since(begin) < 1400*time.Millisecond; i++ {
+		assertResult(t, w.send(request{path: "/read/a", id: fmt.Sprint("r", i)}), 200, "")
+	}
+	if n := len(paused.Runs()) - before; n != 0 {
+		t.Errorf("the replica ran %d requests within its pause, want none", n)
+	}
+	w.eventually("the replica is used again", func() bool {
+		assertResult(t, w.send(request{path: "/read/a", id: "later"}), 200, "")
+		return len(paused.Runs()) > before
+	})
+}
+
 func TestWeightRollout(t *testing.T) {
 	w := start(t, nil)
 	w.site.SetWeightVersion(2)
--- a/internal/ops/medlarattachednode/logging.go
+++ b/internal/ops/medlarattachednode/logging.go
@@ -86,6 +86,16 @@
 	m.ResponseEnded(end.Framing.String(), kind)
 }
 
+// logAvoided logs and counts that a replica gets no new work because of what it said.
+func logAvoided(log zerolog.Logger, m *medlarmetric.Metrics, a medlarworld.Avoided) {
+	hint, text := medlarmetric.HintPause, "replica asked for a pause"
+	if a.Leaving {
+		hint, text = medlarmetric.HintLeaving, "replica said that it leaves"
+	}
+	m.HintReceived(hint)
+	log.Info().Str("event", "avoid").Str("replica", string(a.Upstream)).Bool("leaving", a.Leaving).Float64("after", ms(a.For)).Msg(text)
+}
+
 // choiceFields returns the log fields of the figures that an upstream was chosen by.
 func choiceFields(y medlarworld.Decision) *zerolog.Event {
 	return zerolog.Dict().Int("choices", y.Candidates).Float64("pending", math.Round(y.Pending)).
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -146,6 +146,7 @@
 			m.Ejected()
 			log.Info().Str("event", "ejection").Str("replica", string(e.Upstream)).Bool("back", e.Readmitted).Msg("upstream ejected or readmitted")
 		},
+		OnAvoided:     func(a medlarworld.Avoided) { logAvoided(log, m, a) },
 		RequestShares: func(medlarworld.RequestShares) {},
 		OnTick:        m.Ticked,
 	})
@@ -169,6 +170,7 @@
 		Post:              loop.Post,
 		OnVersionReported: registry.ObserveVersion,
 		OnVersionDenied:   registry.ObserveVersionMismatch,
+		OnMalformedHint:   func(medlarid.InstanceID) { m.HintReceived(medlarmetric.HintMalformed) },
 		Pool:              pool,
 		Decode:            medlarplatform.DecodeCall,
 		Forward:           clock.AppendForward,
--- a/internal/ops/medlarlogquery/medlarlogquery.go
+++ b/internal/ops/medlarlogquery/medlarlogquery.go
@@ -164,7 +164,7 @@
 		switch l.Event {
 		case "catalog", "weights", "lost", "regained", "stop", "start", "stock":
 			return true
-		case "replica", "ejection", "order":
+		case "replica", "ejection", "avoid", "order":
 			if l.Replica == o.Replica {
 				return true
 			}
@@ -279,6 +279,11 @@
 			return fmt.Sprintf("%s is readmitted", l.Replica)
 		}
 		return fmt.Sprintf("%s is ejected", l.Replica)
+	case "avoid":
+		if l.Leaving {
+			return fmt.Sprintf("%s said that it leaves; it gets no new work", l.Replica)
+		}
+		return fmt.Sprintf("%s asked for no requests for %.0f ms", l.Replica, l.After)
 	case "replica":
 		return fmt.Sprintf("%s: %s (leaving: %v, weights %v)", l.Replica, l.Message, l.Leaving, l.Version)
 	case "stock":
--- a/internal/ops/medlarlogquery/timeline_test.go
+++ b/internal/ops/medlarlogquery/timeline_test.go
@@ -19,13 +19,14 @@
 		want []string
 	}{
 		{"entry-1", []string{
-			"configuration 27 in force", "r-2 is ejected", "r-9 is ejected", "request a1: attempt 1 at r-2",
+			"configuration 27 in force", "r-2 is ejected", "r-9 is ejected", "r-2 asked for no requests for 1500 ms", "r-2 said that it leaves",
+			"request a1: attempt 1 at r-2",
 			`15:41:03.000 entry-1          in this second 0 answered, 1 refused as "failed"`,
 			`15:41:04.000 entry-1          in this second 1 answered, 1 failed or incomplete, 1 ended without a response, 1 refused as "deadline"`,
 			"store s-1: store does not answer timeout",
 		}},
 		{"r-2", []string{
-			"entry-1          r-2 is ejected", "entry-2          r-2 is ejected", "request a1: attempt 1",
+			"entry-1          r-2 is ejected", "r-2 asked for no requests for 1500 ms", "r-2 said that it leaves", "entry-2          r-2 is ejected", "request a1: attempt 1",
 			`entry-1          in this second 0 answered, 1 refused as "failed"`,
 		}},
 		{"s-1", []string{"store s-1"}},
--- a/internal/ops/medlarloop/medlarloop.go
+++ b/internal/ops/medlarloop/medlarloop.go
@@ -35,6 +35,7 @@
 	Export        func(medlarworld.Export)
 	OnRetry       func(medlarworld.Retried)
 	OnEjection    func(medlarworld.Ejected)
+	OnAvoided     func(medlarworld.Avoided)
 	RequestShares func(medlarworld.RequestShares)
 	OnTick        func(waiting, open int)
 }
@@ -224,6 +225,8 @@
 		l.deps.OnRetry(c)
 	case medlarworld.Ejected:
 		l.deps.OnEjection(c)
+	case medlarworld.Avoided:
+		l.deps.OnAvoided(c)
 	case medlarworld.RequestShares:
 		go l.deps.RequestShares(c)
 	}
--- a/internal/ops/medlarnode/build.go
+++ b/internal/ops/medlarnode/build.go
@@ -152,6 +152,7 @@
 		Export:        l.transfer.Export,
 		OnRetry:       func(r medlarworld.Retried) { m.Retried(r.Reason) },
 		OnEjection:    func(e medlarworld.Ejected) { onEjection(log, m, e) },
+		OnAvoided:     func(medlarworld.Avoided) {}, // engines report that they leave in their status
 		RequestShares: p.RequestShares,
 		OnTick:        m.Ticked,
 	})
--- a/internal/ops/medlarregistry/medlarregistry.go
+++ b/internal/ops/medlarregistry/medlarregistry.go
@@ -347,6 +347,7 @@
 	for _, r := range t.replicas {
 		m := r.Member
 		m.Version = r.requestVersion()
+		m.Incarnation = medlarid.Incarnation(r.StartedMs)
 		if m.Model != "" {
 			m.PrefillRate = prefill
 			m.TokenBytes, m.KVCapacity = t.memory(m.Service)
--- a/internal/stand/medlarfakereplica/exchange.go
+++ b/internal/stand/medlarfakereplica/exchange.go
@@ -43,8 +43,10 @@
 		return writeResponse(x.conn, 421, "Medlarfield-Instance-Id: other\r\n", "")
 	case target != "" && target != r.Settings.ID, expect != "" && expect != version:
 		return writeResponse(x.conn, 421, "Medlarfield-Instance-Id: "+r.Settings.ID+"\r\nMedlarfield-Weight-Versions: "+version+"\r\n", "")
+	case x.fault == FaultPause:
+		return writeResponse(x.conn, 503, x.requestIDField()+notExecuted+"Retry-After: "+PauseSeconds+"\r\n", "")
 	case x.fault == FaultShed || !r.acquireSlot():
-		return writeResponse(x.conn, 503, x.requestIDField()+notExecuted, "")
+		return writeResponse(x.conn, 503, x.requestIDField()+notExecuted+r.leavingField(), "")
 	}
 	defer r.releaseSlot()
 	r.recordRun(x.record())
@@ -78,7 +80,7 @@
 	if x.fault == FaultEncoded {
 		f += "Content-Encoding: gzip\r\n"
 	}
-	return f + "Keep-Alive: timeout=5\r\n"
+	return f + x.replica.leavingField() + "Keep-Alive: timeout=5\r\n"
 }
 
 // hangDelay is the delay of FaultHang. It is longer than a caller waits.
--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -44,10 +44,14 @@
 	FaultEmpty       Fault = "empty"     // as FaultUnframed, and closes the connection before the first byte of the body
 	FaultShort       Fault = "short"     // ends the framing of a stream within an event
 	FaultDocument    Fault = "document"  // responds to a streaming request with a document of another type
+	FaultPause       Fault = "pause"     // rejects the request as not executed and asks for a pause of PauseSeconds
 	FaultHang        Fault = "hang"      // runs and does not respond for hangDelay
 	FaultMisdirected Fault = "misplaced" // responds with 421 as if it were another replica
 )
 
+// PauseSeconds is the pause that FaultPause asks for, in seconds.
+const PauseSeconds = "1.5"
+
 // Settings holds the properties of a replica.
 type Settings struct {
 	ID, Service, Zone string
@@ -76,6 +80,7 @@
 	runs    []Run
 	active  int
 	leaving bool
+	notice  bool // responses say that the replica leaves
 	orders  uint64
 	loading bool
 	version uint64
@@ -142,6 +147,23 @@
 	r.changed()
 }
 
+// AnnounceLeaving makes all responses say that the replica leaves. Its entry does not.
+func (r *Replica) AnnounceLeaving() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.notice = true
+}
+
+// leavingField returns the header field by which a response says that the replica leaves.
+func (r *Replica) leavingField() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.notice {
+		return "Server-Leaving: 1\r\n"
+	}
+	return ""
+}
+
 // Kill closes the listener and all connections immediately.
 func (r *Replica) Kill() {
 	_ = r.ln.Close()
