Heed a replica's word that it leaves in the report of its state, too

Reports are answers of a replica like any other; a replica that had no request in flight was ordered to load weights and given new work although its reports said that it leaves. TestReportThatSaysReplicaLeavesCounts is new; the field was not read before.

--- a/internal/ops/medlarattachednode/follow_test.go
+++ b/internal/ops/medlarattachednode/follow_test.go
@@ -179,6 +179,17 @@
 	})
 }
 
+// TestReportThatSaysReplicaLeavesCounts guards against new work for a replica that said only in
+// the report of its state that it leaves.
+func TestReportThatSaysReplicaLeavesCounts(t *testing.T) {
+	w := start(t, nil)
+	w.site.Engines[0].AnnounceLeaving()
+	w.site.SetWeightVersion(2)
+	w.eventually("the replica is avoided", func() bool {
+		return strings.Contains(w.logs.text(), `"event":"avoid","replica":"engine-1","leaving":true`)
+	})
+}
+
 // TestReplicaThatAsksForPauseGetsNoRequests guards against requests to a replica within the pause
 // that it asked for, and against a pause without an end.
 func TestReplicaThatAsksForPauseGetsNoRequests(t *testing.T) {
--- a/internal/ops/medlarattachednode/logging.go
+++ b/internal/ops/medlarattachednode/logging.go
@@ -171,7 +171,7 @@
 		QueryState: func(r medlarrollout.Replica) (medlarrollout.State, error) {
 			p, err := replicas.Report(r.Address)
 			return medlarrollout.State{
-				Model: p.Model, Version: p.Version, Loading: p.Loading, AcceptedOrders: p.AcceptedOrders, Load: p.Waiting + p.Running,
+				Model: p.Model, Version: p.Version, Loading: p.Loading, AcceptedOrders: p.AcceptedOrders, Load: p.Waiting + p.Running, Leaving: p.Leaving,
 			}, err
 		},
 		SendOrder: func(o medlarrollout.Order) error {
@@ -185,6 +185,9 @@
 			if s.Loading {
 				loop.Post(medlarworld.WeightsLoading{Upstream: r.ID})
 			}
+			if s.Leaving {
+				loop.Post(medlarworld.UpstreamLeaving{Upstream: r.ID, Incarnation: r.Incarnation})
+			}
 		},
 		OnOrder: func(o medlarrollout.Order, err error) {
 			m.Ordered(err == nil)
--- a/internal/ops/medlarregistry/medlarregistry.go
+++ b/internal/ops/medlarregistry/medlarregistry.go
@@ -142,7 +142,7 @@
 	for _, r := range t.replicas {
 		if m := r.Member; m.Model != "" {
 			out = append(out, medlarrollout.Replica{
-				ID: m.ID, Address: m.Address, Model: m.Model, Version: r.version(), Leaving: m.Leaving,
+				ID: m.ID, Incarnation: medlarid.Incarnation(r.StartedMs), Address: m.Address, Model: m.Model, Version: r.version(), Leaving: m.Leaving,
 			})
 		}
 	}
--- a/internal/ops/medlarrollout/medlarrollout.go
+++ b/internal/ops/medlarrollout/medlarrollout.go
@@ -47,11 +47,12 @@
 
 // Replica is a replica in the instance's view.
 type Replica struct {
-	ID      medlarid.InstanceID
-	Address medlarid.Address
-	Model   medlarid.ModelID
-	Version medlarid.WeightVersion
-	Leaving bool
+	ID          medlarid.InstanceID
+	Incarnation medlarid.Incarnation
+	Address     medlarid.Address
+	Model       medlarid.ModelID
+	Version     medlarid.WeightVersion
+	Leaving     bool
 }
 
 // State is the state that a replica reports.
@@ -61,6 +62,7 @@
 	Loading        bool
 	AcceptedOrders uint64 // since its start
 	Load           int    // waiting and running requests
+	Leaving        bool   // the replica says that it leaves
 }
 
 // Order tells a replica to load a weight version.
--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -315,7 +315,7 @@
 	out := report{Stage: "colocated", Models: []model{{r.Settings.Model, r.version}}, Busy: r.loading, Sequence: r.orders, Running: r.active}
 	r.mu.Unlock()
 	b, err := json.Marshal(out)
-	return err == nil && writeResponse(c, 200, "", string(b))
+	return err == nil && writeResponse(c, 200, r.leavingField(), string(b))
 }
 
 // writeResponse writes a complete response and reports whether the write succeeded.
--- a/internal/upstream/medlarhttp/medlarhttp.go
+++ b/internal/upstream/medlarhttp/medlarhttp.go
@@ -88,6 +88,7 @@
 	ContentType string // content type of Body
 	Body        []byte
 	Timeout     time.Duration
+	WantField   string // name of a header field of the response to return, or empty
 }
 
 // Response is an HTTP response with its complete body.
@@ -95,6 +96,7 @@
 	Status      int
 	ContentType string
 	ETag        string // entity tag
+	Field       string // value of Request.WantField
 	Body        []byte
 }
 
@@ -221,6 +223,7 @@
 		Status:      resp.StatusCode(),
 		ContentType: string(resp.Header.ContentType()),
 		ETag:        string(resp.Header.Peek("ETag")),
+		Field:       string(resp.Header.Peek(r.WantField)),
 		Body:        body,
 	}, nil
 }
