Notice by its era a store that comes back from a copy

Three promises hung on offsets that only grow: a feed ignored records at offsets below those it had read, so that a new configuration was not applied; it skipped records once the offsets had passed its own; and fencing numbers, made of offsets, went back, so that replicas refuse all orders.

A feed reads all topics anew in a new era and keeps what is missing for as long as after an outage. The holder of the duty to order lets go, and all instances wait a term and the settling time. Fencing numbers contain the era. The fake store has the drill; responses of an earlier era are ignored.

--- a/internal/agree/medlarfeed/call.go
+++ b/internal/agree/medlarfeed/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 )
@@ -62,12 +63,22 @@
 	return f.record(<-results)
 }
 
-// record records whether the store has responded.
+// errEarlierEra reports a response of an earlier era of the store.
+var errEarlierEra = errors.New("medlarfeed: response of an earlier era of the store")
+
+// record records whether the store has responded, and in which era (R7).
 func (f *Feed) record(r result) result {
+	era := max(r.page.Era, r.batch.Era)
+	if r.err == nil && era != 0 && era < f.era {
+		r.err = errEarlierEra
+	}
 	if r.err != nil {
 		f.recordFailure(r.err)
-	} else {
-		f.recordResponse()
+		return r
+	}
+	f.recordResponse()
+	if era > f.era {
+		f.beginEra(era)
 	}
 	return r
 }
--- a/internal/agree/medlarfeed/history_test.go
+++ b/internal/agree/medlarfeed/history_test.go
@@ -187,7 +187,7 @@
 	}
 	synctest.Test(t, func(t *testing.T) {
 		feed := New(Deps{
-			ReadLatest: h.newest, ReadFrom: h.read, Apply: h.apply, OnUnavailable: func(error) {}, OnRecovered: func(time.Duration) {},
+			ReadLatest: h.newest, ReadFrom: h.read, Apply: h.apply, OnUnavailable: func(error) {}, OnRecovered: func(time.Duration) {}, OnEra: func(medlarid.Era) {},
 		}, Options{PollInterval: 100 * time.Millisecond, RemovalDelay: removalDelay, MinOutage: historyExpiry})
 		ctx, cancel := context.WithCancel(t.Context())
 		go feed.Run(ctx)
--- a/internal/agree/medlarfeed/medlarfeed.go
+++ b/internal/agree/medlarfeed/medlarfeed.go
@@ -20,6 +20,11 @@
 //	R6  A call that has no response although its wait has ended is repeated on a new
 //	    connection, while the call in flight may still succeed. So a response that
 //	    was lost delays no record until its call times out.
+//	R7  When the store's era rises, the records that were written since its copy are gone
+//	    and their offsets are given out again. The feed reads the latest records of
+//	    all keys anew, whatever their offsets. Keys that are then missing are removed
+//	    after the delay of R4, since their owners may write them again. A response of an
+//	    earlier era is ignored.
 package medlarfeed
 
 import (
@@ -45,6 +50,7 @@
 	Records   []Record
 	More      bool
 	EndOffset medlarid.Offset // offset of the next record written to the topic
+	Era       medlarid.Era    // of the store
 }
 
 // Batch holds the records from an offset on.
@@ -53,6 +59,7 @@
 	NextOffset medlarid.Offset
 	// Truncated tells that the store has truncated records at the requested offset.
 	Truncated bool
+	Era       medlarid.Era // of the store
 }
 
 // ReadOptions are the options of a call for the next records.
@@ -74,6 +81,8 @@
 	// and when they succeed again.
 	OnUnavailable func(err error)
 	OnRecovered   func(after time.Duration)
+	// OnEra is called when the era of the store has risen.
+	OnEra func(medlarid.Era)
 }
 
 // Options configure a feed.
@@ -104,6 +113,9 @@
 	nextOffset   medlarid.Offset
 	initialized  bool                       // the latest records of all keys were read once
 	offsets      map[string]medlarid.Offset // offset of the latest record of each existing key
+	era          medlarid.Era               // of the store
+	eraChanged   bool                       // the era has risen since the latest records were read
+	unconfirmed  map[string]bool            // existing keys that were read in an earlier era only
 	delayed      map[string]Record          // delayed removals
 	delayUntil   time.Time                  // time until which removals are delayed
 	failingSince time.Time                  // time of the first failure; zero if the last call succeeded
@@ -114,7 +126,7 @@
 
 // New returns a feed; Run makes it follow the topic.
 func New(deps Deps, o Options) *Feed {
-	return &Feed{deps: deps, options: o, offsets: map[string]medlarid.Offset{}, delayed: map[string]Record{}}
+	return &Feed{deps: deps, options: o, offsets: map[string]medlarid.Offset{}, unconfirmed: map[string]bool{}, delayed: map[string]Record{}}
 }
 
 // LastResponse returns the time of the store's last response; zero if there was none.
@@ -155,12 +167,16 @@
 	if err != nil {
 		return err
 	}
+	f.eraChanged = false
 	all, end := page.Records, page.EndOffset // later pages may hold records past this offset
 	for page.More && len(page.Records) > 0 {
 		page, err = f.readLatest(ctx, page.Records[len(page.Records)-1].Key)
 		if err != nil {
 			return err
 		}
+		if f.eraChanged {
+			return f.start(ctx) // the pages are of two eras
+		}
 		all = append(all, page.Records...)
 	}
 	f.nextOffset = end
@@ -184,16 +200,36 @@
 			delete(f.offsets, k)
 		}
 	}
+	for k := range f.unconfirmed {
+		if !present[k] {
+			out = append(out, Record{Key: k, Removed: true})
+		}
+	}
+	clear(f.unconfirmed)
 	return out
 }
 
+// beginEra makes the feed read all latest records anew (R7).
+func (f *Feed) beginEra(era medlarid.Era) {
+	f.era, f.eraChanged = era, true
+	if !f.initialized {
+		return
+	}
+	for k := range f.offsets {
+		f.unconfirmed[k] = true
+	}
+	clear(f.offsets)
+	f.delayUntil = time.Now().Add(f.options.RemovalDelay)
+	f.deps.OnEra(era)
+}
+
 // read reads the next records; it returns false if the feed must call start again.
 func (f *Feed) read(ctx context.Context) (bool, error) {
 	b, err := f.readFrom(ctx)
 	if err != nil {
 		return true, err
 	}
-	if b.Truncated {
+	if b.Truncated || f.eraChanged {
 		return false, nil
 	}
 	f.nextOffset = max(b.NextOffset, f.nextOffset)
--- a/internal/agree/medlarfeed/medlarfeed_test.go
+++ b/internal/agree/medlarfeed/medlarfeed_test.go
@@ -19,6 +19,7 @@
 	mu      sync.Mutex
 	records []Record
 	first   medlarid.Offset // records below this offset were truncated
+	era     medlarid.Era
 	down    bool
 }
 
@@ -38,7 +39,7 @@
 	for _, r := range f.records {
 		last[r.Key] = r
 	}
-	p := Page{EndOffset: medlarid.Offset(len(f.records))}
+	p := Page{EndOffset: medlarid.Offset(len(f.records)), Era: f.era}
 	for _, r := range last {
 		if !r.Removed {
 			p.Records = append(p.Records, r)
@@ -53,10 +54,10 @@
 	switch {
 	case f.down:
 		return Batch{}, errDown
-	case from < f.first:
-		return Batch{Truncated: true}, nil
+	case from < f.first, int(from) > len(f.records):
+		return Batch{Truncated: true, Era: f.era}, nil
 	}
-	return Batch{Records: slices.Clone(f.records[from:]), NextOffset: medlarid.Offset(len(f.records))}, nil
+	return Batch{Records: slices.Clone(f.records[from:]), NextOffset: medlarid.Offset(len(f.records)), Era: f.era}, nil
 }
 
 func (f *fakeTopic) readLatest(ctx context.Context, after string, _ bool) (Page, error) {
@@ -84,6 +85,7 @@
 			},
 			OnUnavailable: func(error) {},
 			OnRecovered:   func(time.Duration) {},
+			OnEra:         func(medlarid.Era) {},
 		}, Options{PollInterval: 50 * time.Millisecond, RemovalDelay: 2 * time.Second})
 		ctx, cancel := context.WithCancel(t.Context())
 		go feed.Run(ctx)
@@ -107,6 +109,24 @@
 
 func wait(*fakeTopic) {}
 
+// rewind makes the store come back from a copy that lacks its last n records.
+func rewind(n int) func(*fakeTopic) {
+	return func(f *fakeTopic) {
+		f.records = f.records[:max(len(f.records)-n, 0)]
+		f.first = min(f.first, medlarid.Offset(len(f.records)))
+		f.era++
+	}
+}
+
+// after runs several steps at once.
+func after(steps ...func(*fakeTopic)) func(*fakeTopic) {
+	return func(f *fakeTopic) {
+		for _, step := range steps {
+			step(f)
+		}
+	}
+}
+
 func truncate(f *fakeTopic) { f.first = medlarid.Offset(len(f.records)) + 1; f.put("x", "later") }
 
 func TestFollow(t *testing.T) {
@@ -122,6 +142,14 @@
 		{"removal in an outage is delayed", []func(*fakeTopic){put("a", "1"), stopStore, put("a", ""), startStore, wait}, "a=1"},
 		{"delayed removal is delivered after the delay", []func(*fakeTopic){put("a", "1"), stopStore, put("a", ""), startStore, wait, wait, wait, wait, wait, wait}, "a="},
 		{"newer record cancels a delayed removal", []func(*fakeTopic){put("a", "1"), stopStore, put("a", ""), startStore, put("a", "2"), wait, wait, wait, wait, wait}, "a=2"},
+		{"store from a copy, record written again", []func(*fakeTopic){put("a", "1"), put("a", "2"), after(rewind(1), put("a", "2"))}, "a=2"},
+		{"store from a copy, other record at the offset", []func(*fakeTopic){put("a", "1"), put("a", "2"), after(rewind(1), put("a", "3"))}, "a=3"},
+		{"store from a copy, offsets have passed", []func(*fakeTopic){put("a", "1"), put("b", "1"), after(rewind(1), put("a", "2"), put("a", "3"), put("a", "4"))}, "a=4 b=1"},
+		{"store from a copy, value of the copy", []func(*fakeTopic){put("a", "1"), put("b", "1"), put("a", "2"), rewind(1), wait}, "a=1 b=1"},
+		{"store from a copy, missing key is kept for a while", []func(*fakeTopic){put("a", "1"), put("b", "1"), rewind(1), wait}, "a=1 b=1"},
+		{"store from a copy, missing key is removed later", []func(*fakeTopic){put("a", "1"), put("b", "1"), rewind(1), wait, wait, wait, wait, wait, wait}, "a=1 b="},
+		{"store from a copy, removal is gone", []func(*fakeTopic){put("a", "1"), put("a", ""), rewind(1), wait}, "a=1"},
+		{"store from a copy twice", []func(*fakeTopic){put("a", "1"), put("a", "2"), after(rewind(1), rewind(1), put("a", "3"))}, "a=3"},
 		{"truncated history", []func(*fakeTopic){put("a", "1"), truncate, put("b", "1")}, "a=1 b=1 x=later"},
 	} {
 		t.Run(tc.name, func(t *testing.T) { assertState(t, follow(t, tc.steps...), tc.want) })
--- a/internal/agree/medlarfeed/outage_test.go
+++ b/internal/agree/medlarfeed/outage_test.go
@@ -91,6 +91,7 @@
 			},
 			OnUnavailable: func(error) {},
 			OnRecovered:   func(time.Duration) {},
+			OnEra:         func(medlarid.Era) {},
 		}, Options{MaxWait: maxWait, PollInterval: 400 * time.Millisecond, RemovalDelay: 2300 * time.Millisecond, MinOutage: 900 * time.Millisecond})
 		ctx, cancel := context.WithCancel(t.Context())
 		s.put("a", "1")
--- a/internal/agree/medlarterm/medlarterm.go
+++ b/internal/agree/medlarterm/medlarterm.go
@@ -18,6 +18,11 @@
 //	R6  During the term of another instance and the settling time after it, the
 //	    topic is read at most once per readInterval, because every instance that
 //	    sees work requests the duty many times a second.
+//	R7  When the store's era rises, the latest records are gone and their offsets are
+//	    given out again. The local term ends, and nothing is appended for a term and the
+//	    settling time from then on, since the record of another holder may be among
+//	    those that are gone. A fencing number consists of the era and the position
+//	    in the topic, so that it never decreases.
 package medlarterm
 
 import (
@@ -38,6 +43,12 @@
 	readInterval = 400 * time.Millisecond // while another instance holds the duty (R6)
 )
 
+// eraShift is the number of bits of a fencing number below the era (R7).
+const eraShift = 32
+
+// errEarlierEra reports a response of an earlier era of the store.
+var errEarlierEra = errors.New("medlarterm: response of an earlier era of the store")
+
 // ErrOffsetMismatch is the error of an append at an offset that is not the end of
 // the topic.
 var ErrOffsetMismatch = errors.New("medlarterm: append offset is not the end of the topic")
@@ -48,15 +59,22 @@
 	Offset medlarid.Offset
 }
 
+// Terms are the records of the topic from an offset on.
+type Terms struct {
+	Records []Record
+	End     medlarid.Offset // at which the topic ends
+	Era     medlarid.Era    // of the store
+}
+
 // Deps are the functions with which an Elector accesses the topic and
 // the clock.
 type Deps struct {
-	// Append appends a term of the instance at the given offset. It returns
-	// ErrOffsetMismatch if the topic does not end there.
-	Append func(ctx context.Context, at medlarid.Offset) error
-	// Read returns the records from the given offset on and the end of the topic,
-	// without waiting for new records.
-	Read func(ctx context.Context, from medlarid.Offset) ([]Record, medlarid.Offset, error)
+	// Append appends a term of the instance at the given offset and returns the store's
+	// era. It returns ErrOffsetMismatch if the topic does not end there.
+	Append func(ctx context.Context, at medlarid.Offset) (medlarid.Era, error)
+	// Read returns the terms from the given offset on, without waiting for new ones. If
+	// the topic does not have that offset, it starts at the first one that it has.
+	Read func(ctx context.Context, from medlarid.Offset) (Terms, error)
 	// Suspended returns the total time for which the instance has been suspended.
 	// If it is nil, New uses the measurement of medlarclock.
 	Suspended func() time.Duration
@@ -70,6 +88,8 @@
 	deps   Deps
 
 	end        medlarid.Offset
+	era        medlarid.Era        // of the store
+	quietUntil time.Time           // nothing is appended before (R7)
 	lastHolder medlarid.InstanceID // holder of the last record that was read
 	lastSeen   time.Time           // when the last record was read, or before it was appended here
 	readAt     time.Time           // start of the last read of the topic
@@ -99,17 +119,31 @@
 // known.
 func (el *Elector) Refresh(ctx context.Context) error {
 	el.readAt = time.Now()
-	records, end, err := el.deps.Read(ctx, el.end)
+	t, err := el.deps.Read(ctx, el.end)
 	if err != nil {
 		return err
 	}
-	if len(records) > 0 {
-		el.lastHolder, el.lastSeen = records[len(records)-1].Holder, time.Now()
+	el.observeEra(t.Era)
+	if t.Era < el.era {
+		return errEarlierEra
+	}
+	if n := len(t.Records); n > 0 {
+		el.lastHolder, el.lastSeen = t.Records[n-1].Holder, time.Now()
 	}
-	el.end = end
+	el.end = t.End
 	return nil
 }
 
+// observeEra ends the local term and begins the quiet time if the era has risen (R7).
+func (el *Elector) observeEra(era medlarid.Era) {
+	if era <= el.era {
+		return
+	}
+	el.era = era
+	el.validUntil = time.Time{}
+	el.quietUntil = time.Now().Add(Term + el.settle)
+}
+
 // AcquireOrRenew acquires or renews the duty, and reports whether the instance
 // holds it.
 func (el *Elector) AcquireOrRenew(ctx context.Context) (bool, error) {
@@ -125,7 +159,7 @@
 	if err := el.Refresh(ctx); err != nil { // R5
 		return false, err
 	}
-	if el.heldElsewhere() { // R3
+	if el.heldElsewhere() || time.Now().Before(el.quietUntil) { // R3, R7
 		return false, nil
 	}
 	return el.append(ctx)
@@ -140,14 +174,18 @@
 func (el *Elector) append(ctx context.Context) (bool, error) {
 	begin, suspended := time.Now(), el.deps.Suspended()
 	el.validUntil = time.Time{} // no term until the append has succeeded (R5)
-	err := el.deps.Append(ctx, el.end)
+	era, err := el.deps.Append(ctx, el.end)
 	if errors.Is(err, ErrOffsetMismatch) {
 		return false, nil
 	}
 	if err != nil {
 		return false, err
 	}
-	el.fence = uint64(el.end) + 1
+	if era != el.era { // the offset has another meaning in the era of the append
+		el.observeEra(era)
+		return false, nil
+	}
+	el.fence = uint64(el.era)<<eraShift | (uint64(el.end) + 1)
 	el.end++
 	el.lastHolder, el.lastSeen = el.self, begin
 	el.validUntil, el.suspended = begin.Add(Term), suspended
--- a/internal/agree/medlarterm/medlarterm_test.go
+++ b/internal/agree/medlarterm/medlarterm_test.go
@@ -17,6 +17,7 @@
 // topic is an in-memory topic of terms.
 type topic struct {
 	holders       []medlarid.InstanceID
+	era           medlarid.Era
 	loseResponses bool // appends take effect but return errLost
 	reads         int
 }
@@ -25,28 +26,34 @@
 
 func (tp *topic) elector(self medlarid.InstanceID, suspended func() time.Duration) *Elector {
 	return New(self, settle, Deps{
-		Append: func(_ context.Context, at medlarid.Offset) error {
+		Append: func(_ context.Context, at medlarid.Offset) (medlarid.Era, error) {
 			if int(at) != len(tp.holders) {
-				return ErrOffsetMismatch
+				return 0, ErrOffsetMismatch
 			}
 			tp.holders = append(tp.holders, self)
 			if tp.loseResponses {
-				return errLost
+				return 0, errLost
 			}
-			return nil
+			return tp.era, nil
 		},
-		Read: func(_ context.Context, from medlarid.Offset) ([]Record, medlarid.Offset, error) {
+		Read: func(_ context.Context, from medlarid.Offset) (Terms, error) {
 			tp.reads++
-			var out []Record
+			out := Terms{End: medlarid.Offset(len(tp.holders)), Era: tp.era}
 			for i := int(from); i < len(tp.holders); i++ {
-				out = append(out, Record{Holder: tp.holders[i], Offset: medlarid.Offset(i)})
+				out.Records = append(out.Records, Record{Holder: tp.holders[i], Offset: medlarid.Offset(i)})
 			}
-			return out, medlarid.Offset(len(tp.holders)), nil
+			return out, nil
 		},
 		Suspended: suspended,
 	})
 }
 
+// rewind makes the store come back from a copy that lacks the last n terms.
+func (tp *topic) rewind(n int) {
+	tp.holders = tp.holders[:max(len(tp.holders)-n, 0)]
+	tp.era++
+}
+
 func notSuspended() time.Duration { return 0 }
 
 func acquire(t *testing.T, el *Elector) bool {
@@ -97,6 +104,24 @@
 			assertAcquire(t, b, false)
 			assertAcquire(t, a, true)
 		}},
+		{"store from a copy without the last term", func(t *testing.T, tp *topic, a, b *Elector) {
+			assertAcquire(t, a, true)
+			tp.rewind(1)
+			assertAcquire(t, b, false) // the term of a is not in the topic any more
+			time.Sleep(Term + settle - time.Millisecond)
+			assertAcquire(t, b, false)
+			time.Sleep(time.Millisecond)
+			assertAcquire(t, b, true)
+			assertAcquire(t, a, false)
+		}},
+		{"store from a copy, append at an offset given out again", func(t *testing.T, tp *topic, a, b *Elector) {
+			assertAcquire(t, a, true)
+			tp.rewind(1)
+			tp.holders = append(tp.holders, "c")
+			time.Sleep(renewAfter)
+			assertAcquire(t, a, false) // its append follows the term of c
+			assertAcquire(t, b, false)
+		}},
 		{"renewal", func(t *testing.T, _ *topic, a, b *Elector) {
 			for range 20 {
 				assertAcquire(t, a, true)
@@ -147,7 +172,7 @@
 }
 
 // TestRandomHistories runs random histories of instances that acquire the duty, act,
-// stall, and lose responses of appends. It checks that fencing numbers never
+// stall, and lose responses of appends, while the store comes back from copies. It checks that fencing numbers never
 // decrease, that no two instances use the same one, and that the actions of two
 // holders are at least the settling time apart.
 func TestRandomHistories(t *testing.T) {
@@ -176,6 +201,9 @@
 			continue
 		}
 		tp.loseResponses = rng.IntN(5) == 0
+		if rng.IntN(30) == 0 {
+			tp.rewind(rng.IntN(4))
+		}
 		if rng.IntN(20) == 0 {
 			stalled[i] = time.Now().Add(6 * time.Second)
 		}
--- a/internal/base/medlarid/medlarid.go
+++ b/internal/base/medlarid/medlarid.go
@@ -43,6 +43,9 @@
 // known.
 type Incarnation int64
 
+// Era counts how often a store has come back from a copy that lacks its latest records.
+type Era uint64
+
 // Zone identifies an availability zone.
 type Zone string
 
--- a/internal/edge/medlarmetric/medlarmetric.go
+++ b/internal/edge/medlarmetric/medlarmetric.go
@@ -67,6 +67,7 @@
 	listReads      *prometheus.CounterVec
 	orders         *prometheus.CounterVec
 	version        prometheus.Gauge
+	era            prometheus.Gauge
 	waiting        prometheus.Gauge
 	open           prometheus.Gauge
 	ticks          prometheus.Counter
@@ -98,6 +99,7 @@
 	m.replays = m.newCounter("replays_total", "Unrepeatable requests answered from their record.")
 	m.ticks = m.newCounter("ticks_total", "Ticks of the core.")
 	m.version = m.newGauge("version", "Configuration in force: its offset in the log, or the operators' number of it on the users' platform.")
+	m.era = m.newGauge("era", "Era of the platform's store since it last came back from a copy; 0 if it has not.")
 	m.waiting = m.newGauge("waiting", "Requests that wait for an upstream.")
 	m.open = m.newGauge("open", "Requests that have not ended.")
 	m.registry.MustRegister(m.ttft, m.stages, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
@@ -235,6 +237,9 @@
 // SetVersion sets the version of the configuration in force.
 func (m *Metrics) SetVersion(v medlarid.Offset) { m.version.Set(float64(v)) }
 
+// SetEra sets the era of the platform's store.
+func (m *Metrics) SetEra(era medlarid.Era) { m.era.Set(float64(era)) }
+
 // Totals are the counters that the status of an instance contains.
 type Totals struct {
 	Refused      map[medlarreason.Reason]int
--- a/internal/ops/medlarattachednode/follow_test.go
+++ b/internal/ops/medlarattachednode/follow_test.go
@@ -129,6 +129,46 @@
 	})
 }
 
+// TestStoreFromCopyIsReadAnew guards against the loss of records that a store, back from a copy,
+// gives at offsets that were read before, and against a return to an older configuration.
+func TestStoreFromCopyIsReadAnew(t *testing.T) {
+	w := start(t, nil)
+	use := func(key string) {
+		if err := w.site.Change(func(c *medlarsite.Config) { c.Tenants[0].ApiKeys = []string{key} }); err != nil {
+			t.Fatal(err)
+		}
+	}
+	accepted := func(key string) bool {
+		return w.send(request{path: "/read/a", id: "r-" + key, key: key}).status == 200
+	}
+	use("key-two")
+	w.eventually("the second key is accepted", func() bool { return accepted("key-two") })
+	w.site.Store.Rewind(1)
+	time.Sleep(storeReturnBound)
+	if !accepted("key-two") || accepted(medlarsite.Key) {
+		t.Error("the instance went back to an older configuration")
+	}
+	use("key-three") // at the offset of the record that is gone
+	begin := time.Now()
+	w.eventually("the third key is accepted", func() bool { return accepted("key-three") })
+	if took := time.Since(begin); took > storeReturnBound {
+		t.Errorf("the third key is accepted after %v, want %v at most", took, storeReturnBound)
+	}
+	assertResult(t, w.send(request{method: "POST", path: "/letter/x", id: "s", key: "key-three", body: "{}", fields: prompt("aa:100,cc:500")}), 200, "")
+	w.site.SetWeightVersion(2)
+	w.eventually("orders are given in the new era", func() bool {
+		for _, r := range w.site.Engines {
+			if r.Version() != 2 {
+				return false
+			}
+		}
+		return true
+	})
+	if !strings.Contains(w.logs.text(), `"event":"era","dependency":"keyed.op","era":1`) {
+		t.Error("the log does not tell of the new era")
+	}
+}
+
 func TestInvalidReplicaEntries(t *testing.T) {
 	w := start(t, nil)
 	for i, value := range []string{
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -201,6 +201,10 @@
 				return b, err
 			},
 			Apply: apply, OnUnavailable: onUnavailable, OnRecovered: onRecovered,
+			OnEra: func(era medlarid.Era) {
+				m.SetEra(era)
+				log.Warn().Str("event", "era").Str("dependency", topic).Uint64("era", uint64(era)).Msg("store came back from a copy; reading the topic anew")
+			},
 		}, o)
 		m.RegisterAge(topic, f.LastResponse)
 		return f
@@ -317,33 +321,31 @@
 func newTerm(cfg medlarsettings.Attached, h *medlarhttp.Client) *medlarterm.Elector {
 	s := medlarcalls.NewStore(h, cfg.Store, medlarterm.Term) // an answer after the term is useless
 	return medlarterm.New(cfg.Name, cfg.Bounds.HandoverDelay.Std(), medlarterm.Deps{
-		Append: func(_ context.Context, at medlarid.Offset) error {
-			_, err := s.Append(medlarplatform.TopicTerm, at, medlarcalls.EncodeTerm(cfg.Name))
+		Append: func(_ context.Context, at medlarid.Offset) (medlarid.Era, error) {
+			a, err := s.Append(medlarplatform.TopicTerm, at, medlarcalls.EncodeTerm(cfg.Name))
 			if medlarcalls.IsKind(err, medlarcalls.KindOffsetMismatch) {
-				return medlarterm.ErrOffsetMismatch
+				return 0, medlarterm.ErrOffsetMismatch
 			}
-			return err
-		},
-		Read: func(_ context.Context, from medlarid.Offset) ([]medlarterm.Record, medlarid.Offset, error) {
-			return readTerms(s, from)
+			return a.Era, err
 		},
+		Read: func(_ context.Context, from medlarid.Offset) (medlarterm.Terms, error) { return readTerms(s, from) },
 	})
 }
 
-// readTerms returns the terms from an offset on, and the offset at which the topic ends. If
-// records from that offset on were dropped, it starts at the first one left.
-func readTerms(s *medlarcalls.Store, from medlarid.Offset) ([]medlarterm.Record, medlarid.Offset, error) {
+// readTerms returns the terms from an offset on. If the topic does not have that offset, it
+// starts at the first one that it has.
+func readTerms(s *medlarcalls.Store, from medlarid.Offset) (medlarterm.Terms, error) {
 	raw, err := s.Read(medlarplatform.TopicTerm, from, medlarfeed.ReadOptions{})
 	if first, ok := medlarcalls.FirstRetained(err); ok {
 		from = first
 		raw, err = s.Read(medlarplatform.TopicTerm, from, medlarfeed.ReadOptions{})
 	}
 	if err != nil {
-		return nil, 0, err
+		return medlarterm.Terms{}, err
 	}
-	out := make([]medlarterm.Record, 0, len(raw))
-	for _, r := range raw {
-		out = append(out, medlarterm.Record{Holder: medlarcalls.DecodeTerm(r.Data), Offset: r.Offset})
+	out := medlarterm.Terms{End: from + medlarid.Offset(len(raw.Records)), Era: raw.Era}
+	for _, r := range raw.Records {
+		out.Records = append(out.Records, medlarterm.Record{Holder: medlarcalls.DecodeTerm(r.Data), Offset: r.Offset})
 	}
-	return out, from + medlarid.Offset(len(raw)), nil
+	return out, nil
 }
--- a/internal/ops/medlarrollout/medlarrollout_test.go
+++ b/internal/ops/medlarrollout/medlarrollout_test.go
@@ -91,11 +91,11 @@
 
 func (h *history) term(i int) *medlarterm.Elector {
 	return medlarterm.New(h.name(i), h.guards.settle, medlarterm.Deps{
-		Append: func(_ context.Context, at medlarid.Offset) error {
+		Append: func(_ context.Context, at medlarid.Offset) (medlarid.Era, error) {
 			h.wait(i)
 			time.Sleep(4 * time.Millisecond)
 			if h.injectFault(0.1) {
-				return errFault
+				return 0, errFault
 			}
 			var err error
 			h.locked(func() {
@@ -106,23 +106,24 @@
 				h.holders = append(h.holders, h.name(i))
 			})
 			if h.injectFault(0.1) {
-				return errFault // the append took effect, but its answer is lost
+				return 0, errFault // the append took effect, but its answer is lost
 			}
-			return err
+			return 0, err
 		},
-		Read: func(_ context.Context, from medlarid.Offset) ([]medlarterm.Record, medlarid.Offset, error) {
+		Read: func(_ context.Context, from medlarid.Offset) (medlarterm.Terms, error) {
 			h.wait(i)
 			time.Sleep(4 * time.Millisecond)
 			if h.injectFault(0.1) {
-				return nil, 0, errFault
+				return medlarterm.Terms{}, errFault
 			}
-			var out []medlarterm.Record
+			var out medlarterm.Terms
 			h.locked(func() {
 				for at := int(from); at < len(h.holders); at++ {
-					out = append(out, medlarterm.Record{Holder: h.holders[at], Offset: medlarid.Offset(at)})
+					out.Records = append(out.Records, medlarterm.Record{Holder: h.holders[at], Offset: medlarid.Offset(at)})
 				}
 			})
-			return out, from + medlarid.Offset(len(out)), nil
+			out.End = from + medlarid.Offset(len(out.Records))
+			return out, nil
 		},
 		Suspended: func() time.Duration { return 0 },
 	})
--- a/internal/stand/medlarfaketopic/medlarfaketopic.go
+++ b/internal/stand/medlarfaketopic/medlarfaketopic.go
@@ -39,6 +39,7 @@
 	topics  map[string]*topic
 	changed chan struct{} // closed and replaced on each append
 	calls   int
+	era     int // number of rewinds
 }
 
 type topic struct {
@@ -105,6 +106,32 @@
 	t.first = len(t.records)
 }
 
+// Rewind makes the store come back from a copy that lacks the last n records of each topic.
+func (s *Store) Rewind(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	for _, t := range s.topics {
+		t.records = t.records[:max(len(t.records)-n, 0)]
+		t.first = min(t.first, len(t.records))
+		clear(t.newest)
+	}
+	for name, t := range s.topics {
+		if !strings.HasPrefix(name, "keyed.") {
+			continue
+		}
+		for at, rec := range t.records {
+			if key, value := splitRecord(rec); len(value) > 0 {
+				t.newest[key] = at
+			} else {
+				delete(t.newest, key)
+			}
+		}
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // Records returns all records ever appended to a topic, including dropped ones.
 func (s *Store) Records(name string) [][]byte {
 	s.mu.Lock()
@@ -176,6 +203,11 @@
 	}
 }
 
+// writeEra adds the header that every response has. The caller holds s.mu.
+func (s *Store) writeEra(ctx *fasthttp.RequestCtx) {
+	ctx.Response.Header.Set("Store-Era", strconv.Itoa(s.era))
+}
+
 type appendResponse struct {
 	Offset int
 	End    int
@@ -190,6 +222,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.writeEra(ctx)
 	end := len(s.topic(name).records)
 	if at, err := ctx.QueryArgs().GetUint("At"); err == nil && at != end {
 		ctx.SetStatusCode(fasthttp.StatusPreconditionFailed)
@@ -213,8 +246,9 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
+		s.writeEra(ctx)
 		t := s.topic(name)
-		if from < t.first {
+		if from < t.first || from > len(t.records) {
 			ctx.SetStatusCode(fasthttp.StatusGone)
 			writeJSON(ctx, goneResponse{First: t.first})
 			s.mu.Unlock()
@@ -264,6 +298,7 @@
 	after := string(ctx.QueryArgs().Peek("after"))
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.writeEra(ctx)
 	t := s.topic(string(ctx.QueryArgs().Peek("Topic")))
 	out := newestResponse{Items: []item{}, End: len(t.records)}
 	for key, at := range t.newest {
