Refuse at once a request whose upstreams all pause past its deadline

With all replicas of a service paused by their own Retry-After, a request waited in the queue until its deadline. It is refused at once now, with the time until the first pause ends as Retry-After. TestRequestsWhileUpstreamsPause, row 'both pause past the deadline', failed before (no refusal) and passes now.

--- a/internal/core/medlaradmission/medlaradmission.go
+++ b/internal/core/medlaradmission/medlaradmission.go
@@ -13,7 +13,8 @@
 //	R4  When the queue is full, a request of the account with the largest weighted
 //	    share of the queue is refused to make room.
 //	R5  A request that would wait past its deadline, or past the longest wait,
-//	    is refused at once and told when to retry.
+//	    is refused at once and told when to retry. So is one whose upstreams all pause
+//	    past its deadline.
 //	R6  A request whose caller has left, or whose deadline has passed while it
 //	    waits, is removed from the queue.
 //	R7  Only accounts that have recently sent requests are kept in memory.
@@ -182,6 +183,23 @@
 	return len(w.UpstreamsFor(r.Target())) > 0
 }
 
+// pause returns the time until the first upstream of a run's target ends its pause; 0 if one
+// does not pause, or if all are leaving, as others may be listed at any time.
+func pause(w *medlarworld.World, r *medlarworld.Run) time.Duration {
+	var first time.Duration
+	for _, u := range w.UpstreamsFor(r.Target()) {
+		left := u.PausedUntil.Sub(w.Now)
+		switch {
+		case u.Leaving || u.Delisted:
+		case left <= 0:
+			return 0
+		case first == 0 || left < first:
+			first = left
+		}
+	}
+	return first
+}
+
 // refusalReason returns why a run is refused, or an empty reason, and the delay after
 // which the caller may retry.
 func (s *System) refusalReason(w *medlarworld.World, a *medlarworld.Account, r *medlarworld.Run) (medlarreason.Reason, time.Duration) {
@@ -199,7 +217,7 @@
 	if after := takeToken(w, a); after > 0 {
 		return medlarreason.Rate, min(after, maxRetryAfter) // R2
 	}
-	if wait := s.queueWait(w, r); w.Now.Add(wait).After(latestStart(r)) || w.Config.MaxWait > 0 && wait > w.Config.MaxWait {
+	if wait := max(s.queueWait(w, r), pause(w, r)); w.Now.Add(wait).After(latestStart(r)) || w.Config.MaxWait > 0 && wait > w.Config.MaxWait {
 		return medlarreason.Deadline, clampRetryAfter(wait) // R5
 	}
 	if len(w.Waiting) >= w.Config.MaxQueued && !evictForRoom(w, a) {
