Random histories of feeds whose store comes back from copies

If responses do not name the era, the histories fail (TestHistoriesDetectMutants). Only tests are changed.

--- a/internal/agree/medlarfeed/history_test.go
+++ b/internal/agree/medlarfeed/history_test.go
@@ -35,6 +35,8 @@
 	rnd           *rand.Rand
 	outageStart   time.Time       // start of the current outage
 	expired       map[string]bool // keys that expired in an outage and will be written again
+	rewinds       bool            // the store comes back from copies
+	hideEra       bool            // mutation: responses do not name the era
 	skipTruncated bool            // mutation: truncated records are skipped without notice
 	delivered     map[string]Record
 	highest       map[string]medlarid.Offset // highest delivered offset of each key
@@ -54,6 +56,9 @@
 	if err != nil {
 		return p, err
 	}
+	if h.hideEra {
+		p.Era = 0
+	}
 	p.Records = slices.DeleteFunc(p.Records, func(r Record) bool { return r.Key <= after })
 	slices.SortFunc(p.Records, func(a, b Record) int { return strings.Compare(a.Key, b.Key) })
 	if len(p.Records) > historyPage {
@@ -68,7 +73,35 @@
 	if h.skipTruncated {
 		from = max(from, h.topic.first)
 	}
-	return h.topic.read(ctx, from)
+	b, err := h.topic.read(ctx, from)
+	if h.hideEra {
+		b.Era = 0
+	}
+	return b, err
+}
+
+// beginEra forgets the offsets of the era before.
+func (h *topicHistory) beginEra(medlarid.Era) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	clear(h.highest)
+}
+
+// rewind makes the store come back from a copy. Owners write keys that are lost by that again.
+func (h *topicHistory) rewind() {
+	var existing []string
+	for i := range historyKeys {
+		if key := fmt.Sprint("key-", i); h.exists(key) {
+			existing = append(existing, key)
+		}
+	}
+	rewind(1 + h.rnd.IntN(6))(&h.topic)
+	for _, key := range existing {
+		if !h.exists(key) {
+			h.expired[key] = true
+			time.AfterFunc(time.Duration(h.rnd.Int64N(int64(historyRewrite))), func() { h.rewrite(key) })
+		}
+	}
 }
 
 // apply records and checks the changes that the feed delivers.
@@ -97,6 +130,10 @@
 // step performs one random event of the topic.
 func (h *topicHistory) step() {
 	key := fmt.Sprint("key-", h.rnd.IntN(historyKeys))
+	if h.rewinds && h.rnd.IntN(6) == 0 {
+		h.rewind()
+		return
+	}
 	switch h.rnd.IntN(8) {
 	case 0, 1, 2:
 		if !h.topic.down {
@@ -178,17 +215,23 @@
 	}
 }
 
+// historyOptions are the options of a history.
+type historyOptions struct {
+	removalDelay                    time.Duration
+	rewinds, hideEra, skipTruncated bool
+}
+
 // runHistory runs one history and returns the violations that it found.
-func runHistory(t *testing.T, seed uint64, removalDelay time.Duration, skipTruncated bool) []string {
+func runHistory(t *testing.T, seed uint64, o historyOptions) []string {
 	t.Helper()
 	h := &topicHistory{
-		rnd: rand.New(rand.NewPCG(seed, seed)), skipTruncated: skipTruncated,
+		rnd: rand.New(rand.NewPCG(seed, seed)), skipTruncated: o.skipTruncated, rewinds: o.rewinds, hideEra: o.hideEra,
 		expired: map[string]bool{}, delivered: map[string]Record{}, highest: map[string]medlarid.Offset{},
 	}
 	synctest.Test(t, func(t *testing.T) {
 		feed := New(Deps{
-			ReadLatest: h.newest, ReadFrom: h.read, Apply: h.apply, OnUnavailable: func(error) {}, OnRecovered: func(time.Duration) {}, OnEra: func(medlarid.Era) {},
-		}, Options{PollInterval: 100 * time.Millisecond, RemovalDelay: removalDelay, MinOutage: historyExpiry})
+			ReadLatest: h.newest, ReadFrom: h.read, Apply: h.apply, OnUnavailable: func(error) {}, OnRecovered: func(time.Duration) {}, OnEra: h.beginEra,
+		}, Options{PollInterval: 100 * time.Millisecond, RemovalDelay: o.removalDelay, MinOutage: historyExpiry})
 		ctx, cancel := context.WithCancel(t.Context())
 		go feed.Run(ctx)
 		for range historySteps {
@@ -215,23 +258,39 @@
 		seeds /= 10
 	}
 	for seed := range seeds {
-		if violations := runHistory(t, seed, historyDelay+historyRewrite, false); len(violations) > 0 {
+		if violations := runHistory(t, seed, historyOptions{removalDelay: historyDelay + historyRewrite}); len(violations) > 0 {
+			t.Fatalf("seed %d: %v", seed, violations)
+		}
+	}
+}
+
+// TestRandomHistoriesWithRewinds runs such topics whose store also comes back from copies.
+func TestRandomHistoriesWithRewinds(t *testing.T) {
+	seeds := uint64(historySeeds)
+	if testing.Short() { // the run under the race detector
+		seeds /= 10
+	}
+	for seed := range seeds {
+		if violations := runHistory(t, seed, historyOptions{removalDelay: historyDelay + historyRewrite, rewinds: true}); len(violations) > 0 {
 			t.Fatalf("seed %d: %v", seed, violations)
 		}
 	}
 }
 
-// TestHistoriesDetectMutants checks that the histories fail when either safeguard is
+// TestHistoriesDetectMutants checks that the histories fail when one of the safeguards is
 // disabled.
 func TestHistoriesDetectMutants(t *testing.T) {
 	for _, tc := range []struct {
-		name          string
-		removalDelay  time.Duration
-		skipTruncated bool
-	}{{"removals are not delayed", 0, false}, {"truncated records are skipped", historyDelay + historyRewrite, true}} {
+		name    string
+		options historyOptions
+	}{
+		{"removals are not delayed", historyOptions{}},
+		{"truncated records are skipped", historyOptions{removalDelay: historyDelay + historyRewrite, skipTruncated: true}},
+		{"eras are not noticed", historyOptions{removalDelay: historyDelay + historyRewrite, rewinds: true, hideEra: true}},
+	} {
 		t.Run(tc.name, func(t *testing.T) {
 			for seed := range uint64(200) {
-				if len(runHistory(t, seed, tc.removalDelay, tc.skipTruncated)) > 0 {
+				if len(runHistory(t, seed, tc.options)) > 0 {
 					return
 				}
 			}
