--- a/internal/agree/medlarfeed/call.go
+++ b/internal/agree/medlarfeed/call.go
@@ -9,8 +9,9 @@
 
 // Repetition of calls without a response (R6).
 const (
-	repeatMargin = 200 * time.Millisecond // from the end of a call's wait until the call is repeated
-	repeatJitter = 80 * time.Millisecond  // maximum added to repeatMargin, so that instances spread their calls
+	repeatMargin = 150 * time.Millisecond // from the end of a call's wait until the call is repeated
+	minRepeat    = 250 * time.Millisecond // least time from one call to the next
+	repeatJitter = 40 * time.Millisecond  // maximum added to both, so that instances spread their calls
 	maxCalls     = 3                      // in flight for one read
 )
 
@@ -56,7 +57,7 @@
 			return f.record(r)
 		case <-ctx.Done():
 			return result{err: ctx.Err()}
-		case <-time.After(wait + repeatMargin + rand.N(repeatJitter)):
+		case <-time.After(max(wait+repeatMargin, minRepeat) + rand.N(repeatJitter)):
 			newConn, f.repeated = true, true
 		}
 	}
--- a/internal/agree/medlarfeed/outage_test.go
+++ b/internal/agree/medlarfeed/outage_test.go
@@ -12,7 +12,7 @@
 // Times of the faults in these tests.
 const (
 	callTimeout  = 800 * time.Millisecond // of a call that gets no response, after its wait
-	maxWait      = 650 * time.Millisecond
+	maxWait      = 750 * time.Millisecond
 	returnBound  = time.Second // from the store's return until its newest record is in force
 	removalBound = time.Second // from a removal until it is in force
 	storeLatency = 4 * time.Millisecond
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -48,7 +48,7 @@
 const (
 	storeTimeout       = 800 * time.Millisecond // of a call to the store
 	replicaTimeout     = 500 * time.Millisecond // of a control call to a replica
-	readWait           = 650 * time.Millisecond // maximum wait of a read of a topic; a lost read is noticed soon after it
+	readWait           = 750 * time.Millisecond // maximum wait of a read of a topic; a lost read is noticed soon after it
 	replicaInterval    = 400 * time.Millisecond // minimum between two reads of replicas' entries
 	returnMargin       = 300 * time.Millisecond // added to bounds.return, the time for removed entries to return after an outage
 	controlIdleTimeout = 5 * time.Second        // of connections for control calls
