Say what a response without an era means to feeds and to the term

The comment at the decoder said that such a response is neither earlier nor later, which holds for feeds only; the elector takes it for an earlier one and appends nothing. Only comments are changed.

--- a/internal/agree/medlarfeed/medlarfeed.go
+++ b/internal/agree/medlarfeed/medlarfeed.go
@@ -24,7 +24,7 @@
 //	    and their offsets are given out again. The feed reads the latest records of
 //	    all keys anew, whatever their offsets. Keys that are then missing are removed
 //	    after the delay of R4, since their owners may write them again. A response of an
-//	    earlier era is ignored.
+//	    earlier era is ignored; one that names no era counts as one of the current era.
 package medlarfeed
 
 import (
--- a/internal/agree/medlarterm/medlarterm.go
+++ b/internal/agree/medlarterm/medlarterm.go
@@ -124,7 +124,7 @@
 		return err
 	}
 	el.observeEra(t.Era)
-	if t.Era < el.era {
+	if t.Era < el.era { // also if the response names no era: to give no orders is the safe side
 		return errEarlierEra
 	}
 	if n := len(t.Records); n > 0 {
