--- a/internal/edge/medlarcall/medlarcall.go
+++ b/internal/edge/medlarcall/medlarcall.go
@@ -88,6 +88,13 @@
 	Decision medlarworld.Decision // by which the upstream was selected
 	Duration time.Duration
 	Err      error
+	// Lost is set if the upstream ended the connection before its response was complete.
+	Lost bool
+	// Began is the time from the first whole event of the response until the attempt ended;
+	// 0 if there was none.
+	Began time.Duration
+	// Parts are the parts of the prompt.
+	Parts []Part
 }
 
 // Summary is the result of a request.
--- a/internal/edge/medlarmetric/medlarmetric.go
+++ b/internal/edge/medlarmetric/medlarmetric.go
@@ -2,6 +2,7 @@
 package medlarmetric
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -61,6 +62,7 @@
 	bytesMoved     *prometheus.CounterVec
 	ejections      prometheus.Counter
 	hints          *prometheus.CounterVec
+	lost           *prometheus.CounterVec
 	exportsDropped prometheus.Counter
 	replays        prometheus.Counter
 	callFailures   *prometheus.CounterVec
@@ -81,6 +83,7 @@
 	m.retries = m.newCounterVec("retries_total", "Attempts repeated, by reason.", "reason")
 	m.answers = m.newCounterVec("answers_total", "Requests answered, by kind.", "kind")
 	m.responses = m.newCounterVec("responses_total", "Responses of replicas, by framing of the body and by its end: complete, partial, broken.", "framing", "end")
+	m.lost = m.newCounterVec("lost_total", "Attempts whose connection the replica ended before the response was complete, by whether an event had been received.", "began")
 	m.hints = m.newCounterVec("hints_total", "What replicas said in responses about further requests: leaving, pause, malformed.", "kind")
 	m.tokens = m.newCounterVec("tokens_total", "Tokens, by kind: prompt, cached, completion.", "kind")
 	m.bytesMoved = m.newCounterVec("moved_bytes_total", "Bytes of kept context moved, by direction.", "direction")
@@ -223,6 +226,10 @@
 // HintReceived counts a hint of a replica.
 func (m *Metrics) HintReceived(h Hint) { m.hints.WithLabelValues(string(h)).Inc() }
 
+// AttemptLost counts an attempt whose connection the upstream ended early; began tells whether
+// the answer had begun.
+func (m *Metrics) AttemptLost(began bool) { m.lost.WithLabelValues(strconv.FormatBool(began)).Inc() }
+
 // Ejected counts an ejection of an upstream.
 func (m *Metrics) Ejected() { m.ejections.Inc() }
 
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -40,6 +41,8 @@
 	bodyEnd     medlarcall.BodyEnd
 	reused      bool // the connection had served a request before
 	err         error
+	lost        bool      // the upstream ended the connection before its response was complete
+	began       time.Time // time of the first whole event of the response; zero for none
 }
 
 // response is a complete response of an upstream.
@@ -278,7 +281,7 @@
 		}
 		if err != nil {
 			_ = a.upstream.Close()
-			a.err = err
+			a.err, a.lost = err, connectionLost(err)
 			return a.ended(medlarworld.CauseUnknown, medlarreason.Truncated, true)
 		}
 	}
@@ -311,6 +314,9 @@
 		if a.bodyEnd.Complete {
 			events, err = a.finishEvents(events, h.Framing)
 		}
+		if len(events) > 0 && a.began.IsZero() {
+			a.began = time.Now()
+		}
 		if len(events) > 0 && a.sendEvents(h, events) != nil {
 			_ = a.upstream.Close()
 			return a.ended(medlarworld.CauseCallerLeft, "", true)
@@ -332,6 +338,7 @@
 // ended. It returns an error if the stream is incomplete (R2).
 func (a *attempt) finishEvents(out []byte, framing medlarhead.Framing) ([]byte, error) {
 	if a.events.PartialBytes() > 0 {
+		a.lost = framing == medlarhead.FramingClose
 		return out, errPartialEvent
 	}
 	if framing == medlarhead.FramingClose && a.events.Events() == 0 {
@@ -414,6 +421,7 @@
 // failed returns the result of an attempt without a valid response.
 func (a *attempt) failed(err error, reason medlarreason.Reason, reached bool) medlarworld.AttemptEnded {
 	a.err = err
+	a.lost = reached && a.ctx.Err() == nil && (a.lost || connectionLost(err))
 	switch {
 	case a.ctx.Err() != nil:
 		return a.ended(medlarworld.CauseCallerLeft, "", reached)
@@ -426,6 +434,17 @@
 	return a.ended(medlarworld.CauseRetry, reason, reached)
 }
 
+// connectionLost reports whether an error means that the upstream ended the connection before
+// its response was complete.
+func connectionLost(err error) bool {
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errNoEvent} {
+		if errors.Is(err, end) {
+			return true
+		}
+	}
+	return false
+}
+
 func (a *attempt) ended(cause medlarworld.Cause, reason medlarreason.Reason, reached bool) medlarworld.AttemptEnded {
 	return medlarworld.AttemptEnded{Run: a.run.ID, Attempt: a.cmd.Attempt, Cause: cause, Reason: reason, Reached: reached}
 }
@@ -446,5 +465,16 @@
 		Decision: a.cmd.Decision,
 		Duration: time.Since(a.started),
 		Err:      a.err,
+		Lost:     a.lost,
+		Began:    a.sinceFirstEvent(),
+		Parts:    a.call.Parts,
 	})
 }
+
+// sinceFirstEvent returns the time since the first whole event of the response; 0 for none.
+func (a *attempt) sinceFirstEvent() time.Duration {
+	if a.began.IsZero() {
+		return 0
+	}
+	return time.Since(a.began)
+}
--- a/internal/ops/medlarattachednode/logging.go
+++ b/internal/ops/medlarattachednode/logging.go
@@ -35,6 +35,10 @@
 				Str("replica", string(a.Upstream)).Str("version", string(a.Version)).Str("cause", string(a.Cause)).
 				Str("reason", string(a.Reason)).Bool("reached", a.Reached).Bool("reused", a.Reused).
 				Int("status", a.Status).Float64("took", ms(a.Duration)).Dict("why", choiceFields(a.Decision)).AnErr("error", a.Err)
+			if a.Lost {
+				m.AttemptLost(a.Began > 0)
+				l = l.Bool("lost", true).Float64("began", ms(a.Began)).Strs("prompt", loggedParts(a.Parts))
+			}
 			addBodyEnd(l, a.Body).Send()
 		},
 		RequestEnded: func(s *medlarcall.Summary) {
@@ -59,6 +63,18 @@
 	}
 }
 
+// maxLoggedParts is the number of parts of a prompt that a log line names.
+const maxLoggedParts = 12
+
+// loggedParts returns the first parts of a prompt but its last one, which no other prompt shares.
+func loggedParts(parts []medlarcall.Part) []string {
+	out := []string{}
+	for _, p := range parts[:min(max(len(parts)-1, 0), maxLoggedParts)] {
+		out = append(out, p.ID)
+	}
+	return out
+}
+
 // addBodyEnd adds the log fields of the end of an upstream's response.
 func addBodyEnd(l *zerolog.Event, end medlarcall.BodyEnd) *zerolog.Event {
 	if !end.Received {
--- a/internal/ops/medlarattachednode/truncation_test.go
+++ b/internal/ops/medlarattachednode/truncation_test.go
@@ -96,3 +96,40 @@
 		t.Errorf("status %d, whole %v, body %q; want 200, true, %q", got.status, got.whole, got.body, want.String())
 	}
 }
+
+// TestLogNamesPartsOfLostAttempt guards against a log that cannot tell which prompts a replica
+// that ended was answering, and which of them it had begun to answer.
+func TestLogNamesPartsOfLostAttempt(t *testing.T) {
+	for _, tc := range []struct {
+		fault medlarfakereplica.Fault
+		want  []string
+	}{
+		{medlarfakereplica.FaultEmpty, []string{`"lost":true,"began":0,"prompt":["aa","bb"]`, `"status":200`}},
+		{medlarfakereplica.FaultReset, []string{`"lost":true,"began":`, `"prompt":["aa","bb"]`, `"status":200`}},
+		{medlarfakereplica.FaultShort, []string{`"partial":`}},
+	} {
+		t.Run(string(tc.fault), func(t *testing.T) {
+			w := start(t, nil)
+			arm(w.site.Engines, tc.fault)
+			w.send(request{method: "POST", path: "/query/x", id: "r", body: "{}", fields: prompt("aa:100,bb:400,cc:500")})
+			w.eventually("the attempt is logged", func() bool { return strings.Contains(w.logs.text(), `"event":"attempt","id":"r"`) })
+			for line := range strings.Lines(w.logs.text()) {
+				if strings.Contains(line, `"event":"attempt","id":"r"`) {
+					assertContains(t, line, tc.want...)
+					if lost := strings.Contains(line, `"lost":true`); lost != (tc.fault != medlarfakereplica.FaultShort) {
+						t.Errorf("lost: %v: %s", lost, line)
+					}
+				}
+			}
+		})
+	}
+}
+
+func assertContains(t *testing.T, line string, want ...string) {
+	t.Helper()
+	for _, text := range want {
+		if !strings.Contains(line, text) {
+			t.Errorf("%s lacks %s", line, text)
+		}
+	}
+}
--- a/internal/ops/medlarlogquery/medlarlogquery.go
+++ b/internal/ops/medlarlogquery/medlarlogquery.go
@@ -99,6 +99,9 @@
 	Parts      any                 `json:"parts"`   // part states as letters for a request, or a count for a store
 	Framing    string              `json:"framing"` // of the replica's response
 	Partial    int                 `json:"partial"` // bytes of an incomplete event at the response's end
+	Lost       bool                `json:"lost"`    // the replica ended the connection before its response was complete
+	Began      float64             `json:"began"`   // ms from the first event of the response until the attempt ended
+	Prompt     []string            `json:"prompt"`  // parts of the prompt but the last
 	Decision   *Decision           `json:"why"`
 	Error      string              `json:"error"`
 	Readmitted bool                `json:"back"`
@@ -232,12 +235,27 @@
 			l.Decision.Candidates, l.Decision.Pending, l.Decision.Window, l.Decision.TotalPending, l.Decision.TotalWindow, l.Decision.Lag)
 	}
 	s += bodyEndText(l)
+	if l.Lost {
+		s += lostText(l)
+	}
 	if l.Error != "" {
 		s += "; " + l.Error
 	}
 	return s
 }
 
+// lostText describes an attempt whose connection the replica ended early.
+func lostText(l Line) string {
+	s := "; the replica ended the connection before the first event"
+	if l.Began > 0 {
+		s = fmt.Sprintf("; the replica ended the connection %.0f ms after the first event", l.Began)
+	}
+	if len(l.Prompt) > 0 {
+		s += ", prompt parts " + strings.Join(l.Prompt, " ")
+	}
+	return s
+}
+
 // reasonText returns the text that medlarreason has for r, or r itself.
 func reasonText(r medlarreason.Reason) string {
 	if r == "" {
--- a/internal/ops/medlarlogquery/medlarlogquery_test.go
+++ b/internal/ops/medlarlogquery/medlarlogquery_test.go
@@ -19,6 +19,21 @@
 {"broken
 `
 
+func TestExplainNamesPartsOfLostAttempt(t *testing.T) {
+	const log = `{"time":"2026-05-01T15:41:05Z","instance":"entry-1","event":"attempt","id":"a3","attempt":1,"replica":"r-2","cause":"unknown","reason":"truncated","reached":true,"status":200,"took":80,"framing":"chunked","lost":true,"began":0,"prompt":["aa","bb"],"error":"EOF"}`
+	lines, err := Read(strings.NewReader(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b strings.Builder
+	if err := Explain(&b, lines, "a3"); err != nil {
+		t.Fatal(err)
+	}
+	if want := "the replica ended the connection before the first event, prompt parts aa bb; EOF"; !strings.Contains(b.String(), want) {
+		t.Errorf("got %q, want %q in it", b.String(), want)
+	}
+}
+
 func TestExplain(t *testing.T) {
 	lines, err := Read(strings.NewReader(testLog))
 	if err != nil {
