--- a/internal/stand/medlarfakereplica/exchange.go
+++ b/internal/stand/medlarfakereplica/exchange.go
@@ -19,6 +19,7 @@
 	head    *medlarhead.Head
 	body    string
 	fault   Fault
+	crashes bool // the replica crashes as it begins to answer
 }
 
 // header returns the value of a request header, or an empty string.
@@ -53,6 +54,7 @@
 	if r.Settings.Model == "" {
 		return x.servePlain()
 	}
+	x.crashes = r.Settings.Crashes != nil && r.Settings.Crashes(x.parts())
 	return x.serveStream(version)
 }
 
@@ -183,9 +185,16 @@
 	if !x.unframed() {
 		b = append(b, "Transfer-Encoding: chunked\r\n"...)
 	}
+	if x.crashes {
+		time.Sleep(x.replica.Settings.WorkTime)
+	}
 	if _, err := x.conn.Write(medlarhead.AppendEnd(b)); err != nil || x.fault == FaultEmpty {
 		return false
 	}
+	if x.crashes {
+		x.replica.crash()
+		return false
+	}
 	if !x.serveEvents(last + 1) {
 		x.endUnframed()
 		return false
@@ -197,6 +206,16 @@
 	return err == nil
 }
 
+// parts returns the ids of the prompt's parts.
+func (x *exchange) parts() []string {
+	var out []string
+	for item := range strings.SplitSeq(x.header("Medlarfield-Prompt-Prefix"), ",") {
+		id, _, _ := strings.Cut(item, ":")
+		out = append(out, id)
+	}
+	return out
+}
+
 // serveEvents writes the events from number first on. It reports whether the response is
 // to be ended as its framing requires.
 func (x *exchange) serveEvents(first int) bool {
--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -60,6 +60,11 @@
 	Events            int           // number of events in a stream
 	Model             string        // empty for a plain service
 	Version           uint64        // initial weight version
+	Born              int64         // start of the replica; a later one with the same ID has a higher value
+	// Crashes reports whether the replica crashes as it begins to answer a prompt with these
+	// parts; nil for never. OnCrash is called after each crash.
+	Crashes func(parts []string) bool
+	OnCrash func(*Replica)
 }
 
 // Run is the record of a request that ran (R2).
@@ -81,6 +86,7 @@
 	active  int
 	leaving bool
 	notice  bool // responses say that the replica leaves
+	crashed bool
 	orders  uint64
 	loading bool
 	version uint64
@@ -95,6 +101,7 @@
 		return nil, err
 	}
 	r := &Replica{Settings: s, ln: ln, conns: map[net.Conn]bool{}, version: s.Version, changed: changed}
+	r.Settings.Born = max(s.Born, 1)
 	go r.accept()
 	return r, nil
 }
@@ -174,6 +181,18 @@
 	}
 }
 
+// crash kills the replica while it answers a request.
+func (r *Replica) crash() {
+	r.mu.Lock()
+	first := !r.crashed
+	r.crashed = true
+	r.mu.Unlock()
+	r.Kill()
+	if first && r.Settings.OnCrash != nil {
+		r.Settings.OnCrash(r)
+	}
+}
+
 // entry is the record that a replica publishes about itself.
 type entry struct {
 	Service, Address, Zone, Version string
@@ -196,7 +215,7 @@
 	defer r.mu.Unlock()
 	e := entry{
 		Service: r.Settings.Service, Address: r.Address(), Zone: r.Settings.Zone, Version: "v1",
-		MaxBatchSize: r.Settings.Slots, Phase: "ready", Sequence: seq, Born: 1,
+		MaxBatchSize: r.Settings.Slots, Phase: "ready", Sequence: seq, Born: r.Settings.Born,
 	}
 	if r.leaving {
 		e.Phase = "draining"
--- /dev/null
+++ b/internal/stand/medlarsite/crash.go
@@ -0,0 +1,113 @@
+package medlarsite
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"medlarfield/internal/stand/medlarfakereplica"
+)
+
+// missedHeartbeats is the number of heartbeats after which the entry of a replica expires.
+const missedHeartbeats = 3
+
+// Crash is the crash of a replica of the engine.
+type Crash struct {
+	At      time.Time
+	Replica string
+}
+
+// crasher decides which prompts crash replicas, and records what they did.
+type crasher struct {
+	mu       sync.Mutex
+	parts    []string    // parts that crash a replica
+	arrivals []time.Time // of requests with such a part
+	crashes  []Crash
+}
+
+// decide reports whether a prompt crashes a replica. It is called for each request that
+// arrives at a replica of the engine.
+func (c *crasher) decide(parts []string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	shared := parts[:max(len(parts)-1, 0)]
+	if !slices.ContainsFunc(shared, func(p string) bool { return slices.Contains(c.parts, p) }) {
+		return false
+	}
+	c.arrivals = append(c.arrivals, time.Now())
+	return true
+}
+
+// CrashOn makes the replicas of the engine crash as they begin to answer a prompt with one of
+// these parts, wherever it stands but at the end.
+func (s *Site) CrashOn(parts ...string) {
+	s.crasher.mu.Lock()
+	defer s.crasher.mu.Unlock()
+	s.crasher.parts = parts
+}
+
+// Crashes returns the crashes of replicas so far.
+func (s *Site) Crashes() []Crash {
+	s.crasher.mu.Lock()
+	defer s.crasher.mu.Unlock()
+	return slices.Clone(s.crasher.crashes)
+}
+
+// ArrivalsSince returns how many requests with a part that crashes replicas have reached
+// replicas since a time.
+func (s *Site) ArrivalsSince(since time.Time) int {
+	s.crasher.mu.Lock()
+	defer s.crasher.mu.Unlock()
+	n := 0
+	for _, at := range s.crasher.arrivals {
+		if !at.Before(since) {
+			n++
+		}
+	}
+	return n
+}
+
+// replace records the crash of a replica, lets its entry expire, and starts its successor, both
+// after a while.
+func (s *Site) replace(r *medlarfakereplica.Replica) {
+	s.crasher.mu.Lock()
+	s.crasher.crashes = append(s.crasher.crashes, Crash{At: time.Now(), Replica: r.Settings.ID})
+	number := len(s.crasher.crashes)
+	s.crasher.mu.Unlock()
+	s.mu.Lock()
+	s.Engines = slices.DeleteFunc(s.Engines, func(e *medlarfakereplica.Replica) bool { return e == r })
+	s.mu.Unlock()
+	s.after(missedHeartbeats*s.settings.HeartbeatInterval, func() {
+		if !s.listed(r.Settings.ID) {
+			s.Store.Put(topicRep, r.Settings.ID, nil)
+		}
+	})
+	if s.settings.RestartDelay == 0 {
+		return
+	}
+	s.after(s.settings.RestartDelay, func() {
+		next := r.Settings
+		next.Born++
+		if !s.settings.KeepID {
+			next.ID = fmt.Sprintf("engine-c%d", number)
+		}
+		_ = s.addReplica(&s.Engines, next) // without a port the site has one replica less
+	})
+}
+
+// listed reports whether a replica with an id runs.
+func (s *Site) listed(id string) bool {
+	return slices.ContainsFunc(s.Replicas(), func(r *medlarfakereplica.Replica) bool { return r.Settings.ID == id })
+}
+
+// after runs f after a delay, unless the site closes before.
+func (s *Site) after(d time.Duration, f func()) {
+	s.wg.Go(func() {
+		select {
+		case <-s.stop:
+		case <-time.After(d):
+			f()
+		}
+	})
+}
--- a/internal/stand/medlarsite/medlarsite.go
+++ b/internal/stand/medlarsite/medlarsite.go
@@ -42,6 +42,8 @@
 	HeartbeatInterval time.Duration // heartbeat interval of a replica
 	StopDelay         time.Duration // time for which an instance keeps serving after the signal to stop
 	RemovalDelay      time.Duration // in which removed replicas are listed again after an outage of the store
+	RestartDelay      time.Duration // from the crash of a replica until its successor starts; 0 for never
+	KeepID            bool          // a successor has the id of the replica that crashed
 }
 
 // Default returns the settings of a small site.
@@ -56,6 +58,7 @@
 	Plain   []*medlarfakereplica.Replica
 
 	settings Settings
+	crasher  crasher
 	servers  []*medlarhost.Server
 	stop     chan struct{}
 	wg       sync.WaitGroup
@@ -145,7 +148,7 @@
 	for i := range cfg.Engines {
 		if err := s.addReplica(&s.Engines, medlarfakereplica.Settings{
 			ID: fmt.Sprintf("engine-%d", i+1), Service: Engines, Zone: "a", Slots: cfg.Slots, WorkTime: cfg.ServiceTime,
-			Events: cfg.Events, Model: Model, Version: 1,
+			Events: cfg.Events, Model: Model, Version: 1, Crashes: s.crasher.decide, OnCrash: s.replace,
 		}); err != nil {
 			return nil, err
 		}
@@ -173,7 +176,9 @@
 	if err != nil {
 		return err
 	}
+	s.mu.Lock()
 	*to = append(*to, r)
+	s.mu.Unlock()
 	s.writeEntry(r)
 	return nil
 }
@@ -210,6 +215,8 @@
 
 // Replicas returns the replicas of the engine and of the plain service.
 func (s *Site) Replicas() []*medlarfakereplica.Replica {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return append(append([]*medlarfakereplica.Replica(nil), s.Engines...), s.Plain...)
 }
 
