--- /dev/null
+++ b/internal/agree/medlarnotice/crash.go
@@ -0,0 +1,108 @@
+package medlarnotice
+
+import (
+	"strings"
+
+	"github.com/go-json-experiment/json"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarsuspect"
+)
+
+// Prefixes of the keys of records.
+const (
+	crashPrefix = "crash/" // followed by the reporting instance and the number of a slot
+	blockPrefix = "block/" // followed by the part
+)
+
+// maxReportParts is the maximum number of parts in a record of a crash, which bounds its size
+// below the platform's limit.
+const maxReportParts = 2048
+
+// crashRecord is what one instance lost with a replica that crashed.
+type crashRecord struct {
+	Replica medlarid.InstanceID  `json:"replica"`
+	Born    medlarid.Incarnation `json:"born"`
+	Begun   []medlarsuspect.Part `json:"begun,omitempty"`
+	Waiting []medlarsuspect.Part `json:"waiting,omitempty"`
+}
+
+// blockRecord is the shared state of a part.
+type blockRecord struct {
+	Trials  int  `json:"trials"`
+	Cleared bool `json:"cleared"`
+}
+
+// CrashKey returns the key of an instance's record of a crash in one of its slots.
+func CrashKey(by medlarid.InstanceID, slot string) string {
+	return crashPrefix + string(by) + "/" + slot
+}
+
+// EncodeCrash returns the value of the record of a crash. Parts beyond the maximum are left out,
+// those of waiting prompts first.
+func EncodeCrash(r medlarsuspect.Report) ([]byte, error) {
+	begun := unique(r.Begun, maxReportParts)
+	waiting := unique(r.Waiting, maxReportParts-len(begun))
+	return json.Marshal(crashRecord{Replica: r.Crash.Replica, Born: r.Crash.Incarnation, Begun: begun, Waiting: waiting})
+}
+
+// unique returns the different parts of a list, at most n.
+func unique(parts []medlarsuspect.Part, n int) []medlarsuspect.Part {
+	seen := map[medlarsuspect.Part]bool{}
+	var out []medlarsuspect.Part
+	for _, p := range parts {
+		if !seen[p] && len(out) < n {
+			seen[p] = true
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// EncodeBlock returns the record of the shared state of a part.
+func EncodeBlock(r medlarsuspect.Record) (Record, error) {
+	key := blockPrefix + string(r.Part)
+	if r.Drop {
+		return Record{Key: key}, nil
+	}
+	b, err := json.Marshal(blockRecord(r.Block))
+	return Record{Key: key, Value: b}, err
+}
+
+// Message is what a record says: a Report, or the Block of a Part; neither for a record of
+// another kind.
+type Message struct {
+	Report *medlarsuspect.Report
+	Part   medlarsuspect.Part
+	Block  medlarsuspect.Block
+}
+
+// Decode decodes a record. One that was removed has no value.
+func Decode(r Record) (Message, error) {
+	if part, ok := strings.CutPrefix(r.Key, blockPrefix); ok {
+		var b blockRecord
+		err := decode(r, &b)
+		return Message{Part: medlarsuspect.Part(part), Block: medlarsuspect.Block(b)}, err
+	}
+	if !strings.HasPrefix(r.Key, crashPrefix) || len(r.Value) == 0 {
+		return Message{}, nil
+	}
+	var c crashRecord
+	if err := decode(r, &c); err != nil {
+		return Message{}, err
+	}
+	return Message{Report: &medlarsuspect.Report{
+		Crash: medlarsuspect.CrashID{Replica: c.Replica, Incarnation: c.Born},
+		Begun: c.Begun[:min(len(c.Begun), maxReportParts)], Waiting: c.Waiting[:min(len(c.Waiting), maxReportParts)],
+	}}, nil
+}
+
+func decode(r Record, to any) error {
+	if len(r.Value) == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(r.Value, to); err != nil {
+		return &Error{Op: OpDecode, Kind: KindMalformed, Err: err}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/agree/medlarnotice/medlarnotice_test.go
@@ -0,0 +1,166 @@
+package medlarnotice
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarsuspect"
+)
+
+var errDown = errors.New("store is down")
+
+// topic is an in-memory topic.
+type topic struct {
+	records []Record
+	down    bool
+	errs    []error
+}
+
+func (tp *topic) board() *Board {
+	return New(Deps{
+		Append: func(records []Record) error {
+			if tp.down {
+				return errDown
+			}
+			tp.records = append(tp.records, records...)
+			return nil
+		},
+		AppendAt: func(at medlarid.Offset, r Record) error {
+			if tp.down || int(at) != len(tp.records) {
+				return errDown
+			}
+			tp.records = append(tp.records, r)
+			return nil
+		},
+		OnError: func(err error) { tp.errs = append(tp.errs, err) },
+	})
+}
+
+func (tp *topic) assertRecords(t *testing.T, want ...Record) {
+	t.Helper()
+	if d := cmp.Diff(want, tp.records); d != "" {
+		t.Errorf("records:\n%s", d)
+	}
+}
+
+// TestPutDuringOutage guards against notices that are lost while the store is away, and against
+// older ones that are written after newer ones.
+func TestPutDuringOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tp := &topic{down: true}
+		b := tp.board()
+		go b.Run(t.Context())
+		b.Put(Record{Key: "a", Value: []byte("1")})
+		b.Put(Record{Key: "b", Value: []byte("1")})
+		time.Sleep(5 * time.Second)
+		b.Put(Record{Key: "a", Value: []byte("2")})
+		synctest.Wait()
+		tp.down = false
+		time.Sleep(maxBackoff)
+		synctest.Wait()
+		if len(tp.records) != 2 {
+			t.Fatalf("records %+v, want one for each key", tp.records)
+		}
+		for _, r := range tp.records {
+			if want := map[string]string{"a": "2", "b": "1"}[r.Key]; string(r.Value) != want {
+				t.Errorf("%s has %s, want %s", r.Key, r.Value, want)
+			}
+		}
+	})
+}
+
+func TestPutIsBounded(t *testing.T) {
+	tp := &topic{}
+	b := tp.board()
+	for i := range 2 * maxPending {
+		b.Put(Record{Key: fmt.Sprint(i), Value: []byte("1")})
+	}
+	if len(b.pending) != maxPending || len(tp.errs) != maxPending {
+		t.Errorf("%d records wait, %d were reported as dropped; want %d of both", len(b.pending), len(tp.errs), maxPending)
+	}
+}
+
+// TestClaim guards against two instances that both get the same trial.
+func TestClaim(t *testing.T) {
+	tp := &topic{}
+	a, b := tp.board(), tp.board()
+	if err := a.Claim(Record{Key: "x"}); err == nil {
+		t.Error("a claim before the topic was read succeeds")
+	}
+	a.SetEnd(0)
+	b.SetEnd(0)
+	if err := a.Claim(Record{Key: "x", Value: []byte("1")}); err != nil {
+		t.Error(err)
+	}
+	if err := b.Claim(Record{Key: "x", Value: []byte("1")}); err == nil {
+		t.Error("a claim by an instance that has not read the first one succeeds")
+	}
+	tp.assertRecords(t, Record{Key: "x", Value: []byte("1")})
+}
+
+func TestRecordsKeepTheirMeaning(t *testing.T) {
+	t.Run("crash", func(t *testing.T) {
+		want := medlarsuspect.Report{
+			Crash: medlarsuspect.CrashID{Replica: "r", Incarnation: 1774547982893},
+			Begun: []medlarsuspect.Part{"a/b", "\"x\""}, Waiting: []medlarsuspect.Part{"c"},
+		}
+		value, err := EncodeCrash(want)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m, err := Decode(Record{Key: CrashKey("entry-1", "3"), Value: value})
+		if err != nil || m.Report == nil {
+			t.Fatalf("decoded %+v, %v", m, err)
+		}
+		if d := cmp.Diff(want, *m.Report); d != "" {
+			t.Error(d)
+		}
+	})
+	t.Run("block", func(t *testing.T) {
+		for _, b := range []medlarsuspect.Block{{}, {Trials: 2}, {Cleared: true}} {
+			r, err := EncodeBlock(medlarsuspect.Record{Part: "a/b", Block: b})
+			if err != nil {
+				t.Fatal(err)
+			}
+			m, err := Decode(r)
+			if d := cmp.Diff(Message{Part: "a/b", Block: b}, m); d != "" || err != nil {
+				t.Error(d, err)
+			}
+		}
+	})
+	t.Run("malformed", func(t *testing.T) {
+		for _, r := range []Record{
+			{Key: "block/a", Value: []byte("{")}, {Key: "block/a", Value: []byte(`{"trials":"many"}`)}, {Key: "crash/e/1", Value: []byte(`[1]`)},
+		} {
+			if m, err := Decode(r); err == nil {
+				t.Errorf("decoded %s to %+v, want an error", r.Value, m)
+			}
+		}
+	})
+	t.Run("other keys", func(t *testing.T) {
+		if m, err := Decode(Record{Key: "other/a", Value: []byte("{")}); m.Report != nil || m.Part != "" || err != nil {
+			t.Errorf("decoded %+v, %v; want nothing", m, err)
+		}
+	})
+}
+
+// TestCrashRecordIsBounded guards against records that the store refuses, made from prompts of
+// very many parts.
+func TestCrashRecordIsBounded(t *testing.T) {
+	const recordLimit = 262144 // bytes, the platform's limit
+	var parts []medlarsuspect.Part
+	for i := range 50000 {
+		parts = append(parts, medlarsuspect.NewPart(fmt.Sprint(i, strings.Repeat("\"", 59))))
+	}
+	value, err := EncodeCrash(medlarsuspect.Report{Begun: parts, Waiting: parts})
+	if err != nil || len(value) > recordLimit {
+		t.Errorf("%d bytes, %v; want %d at most", len(value), err, recordLimit)
+	}
+}
--- a/internal/base/medlarhead/medlarhead.go
+++ b/internal/base/medlarhead/medlarhead.go
@@ -18,8 +18,10 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"io"
 	"strconv"
 	"strings"
+	"syscall"
 
 	"github.com/rotisserie/eris"
 )
@@ -58,6 +60,17 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// ConnectionEnded reports whether an error means that the peer ended the connection before the
+// message was complete.
+func ConnectionEnded(err error) bool {
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, end) {
+			return true
+		}
+	}
+	return false
+}
+
 // KindOf returns the kind of an error of this package, or "" for other errors.
 func KindOf(err error) Kind {
 	var e *Error
--- a/internal/core/medlaradmission/medlaradmission.go
+++ b/internal/core/medlaradmission/medlaradmission.go
@@ -20,6 +20,8 @@
 //	R7  Only accounts that have recently sent requests are kept in memory.
 //	R8  Requests that can still be answered in time go before those that cannot:
 //	    under overload, a queue in the order of arrival makes all of them late.
+//	R9  A request whose prompt has a part that crashes replicas is refused at once, unless
+//	    it is a trial of the part.
 package medlaradmission
 
 import (
@@ -28,6 +30,7 @@
 	"slices"
 	"time"
 
+	"medlarfield/internal/core/medlarcrash"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
 )
@@ -210,6 +213,8 @@
 		return medlarreason.Unready, minRetryAfter // R1
 	case !hasUpstreams(w, r):
 		return medlarreason.Capacity, minRetryAfter
+	case !admitParts(w, r):
+		return medlarreason.Crashing, medlarcrash.RetryAfter // R9
 	}
 	if runs := a.Limits.Runs; runs > 0 && float64(a.Open) > math.Ceil(float64(runs)*runShare(w, a)) {
 		return medlarreason.Concurrency, minRetryAfter // R2
@@ -226,6 +231,15 @@
 	return "", 0
 }
 
+// admitParts reports whether the parts of a run's prompt allow it to start (R9).
+func admitParts(w *medlarworld.World, r *medlarworld.Run) bool {
+	if _, blocked := w.Suspects.Blocked(r.Parts); !blocked {
+		return true
+	}
+	r.BlockedPart, r.Trial = w.Suspects.Admit(w.Now, r.Parts)
+	return r.Trial
+}
+
 // latestStart returns the time after which it is of no use to start a run.
 func latestStart(r *medlarworld.Run) time.Time {
 	if !r.AbandonAt.IsZero() && r.AbandonAt.Before(r.Deadline) {
--- /dev/null
+++ b/internal/core/medlarcore/crash_test.go
@@ -0,0 +1,190 @@
+package medlarcore
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarsuspect"
+	"medlarfield/internal/core/medlarworld"
+)
+
+// runWith returns a run whose prompt has these parts, and one of its own.
+func (p *partsHarness) runWith(parts ...medlarsuspect.Part) *medlarworld.Run {
+	sizes := make([]int, len(parts)+1)
+	for i := range sizes {
+		sizes[i] = 100
+	}
+	r := p.newRun(sizes...)
+	r.Parts = parts
+	return r
+}
+
+// loss is an attempt that an upstream ended.
+type loss struct {
+	began time.Duration // since the first event
+	head  bool
+}
+
+// lose ends a started attempt as lost and answers the probe; down tells what it finds. It returns
+// the commands of both ticks.
+func (p *partsHarness) lose(s *medlarworld.StartAttempt, l loss, down bool) []medlarworld.Command {
+	p.t.Helper()
+	e := medlarworld.AttemptEnded{
+		Run: s.Run, Attempt: s.Attempt, Cause: medlarworld.CauseRetry, Reason: medlarreason.Truncated, Reached: true,
+		Lost: true, Head: l.head, Began: l.began,
+	}
+	cs := p.tick(e)
+	return append(cs, p.tick(medlarworld.UpstreamProbed{Upstream: s.Upstream, Incarnation: s.Incarnation, Down: down})...)
+}
+
+func reportsOf(cs []medlarworld.Command) (out []medlarsuspect.Report) {
+	for _, c := range cs {
+		if r, ok := c.(medlarworld.ReportCrash); ok {
+			out = append(out, r.Report)
+		}
+	}
+	return out
+}
+
+// TestCrashReports guards against a report that blames a part for something else than a crash.
+func TestCrashReports(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		loss loss
+		down bool
+		want []medlarsuspect.Report
+	}{
+		{"begun", loss{head: true}, true, []medlarsuspect.Report{{Crash: medlarsuspect.CrashID{Replica: "e00"}, Begun: []medlarsuspect.Part{"x"}}}},
+		{"waiting", loss{}, true, []medlarsuspect.Report{{Crash: medlarsuspect.CrashID{Replica: "e00"}, Waiting: []medlarsuspect.Part{"x"}}}},
+		{"just after the first event", loss{head: true, began: 100 * time.Millisecond}, true, []medlarsuspect.Report{{Crash: medlarsuspect.CrashID{Replica: "e00"}, Begun: []medlarsuspect.Part{"x"}}}},
+		{"long after the first event", loss{head: true, began: time.Second}, true, nil},
+		{"a replica that still takes connections", loss{head: true}, false, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPartsHarness(t, 1, nil)
+			got := reportsOf(p.lose(p.submit(p.runWith("x")), tc.loss, tc.down))
+			if d := cmp.Diff(tc.want, got); d != "" {
+				t.Errorf("reports:\n%s", d)
+			}
+		})
+	}
+	t.Run("a replica that is listed again under a new incarnation", func(t *testing.T) {
+		p := newPartsHarness(t, 1, nil)
+		p.lose(p.submit(p.runWith("x")), loss{head: true}, false)
+		m := engineMember(0, "1")
+		m.Incarnation = 2
+		if got := reportsOf(p.tick(medlarworld.InstancesListed{Members: []medlarworld.Member{m}})); len(got) != 1 {
+			t.Errorf("reports %+v, want one", got)
+		}
+	})
+	t.Run("a replica that leaves", func(t *testing.T) {
+		p := newPartsHarness(t, 2, nil)
+		s := p.submit(p.runWith("x"))
+		p.tick(medlarworld.UpstreamLeaving{Upstream: s.Upstream})
+		if got := reportsOf(p.lose(s, loss{head: true}, true)); got != nil {
+			t.Errorf("reports %+v, want none", got)
+		}
+	})
+}
+
+// TestRunStopsAfterCrashes guards against retries that carry a prompt from one replica that it
+// crashes to the next, before its parts are known.
+func TestRunStopsAfterCrashes(t *testing.T) {
+	p := newPartsHarness(t, 6, nil)
+	r := p.runWith("x")
+	r.MaxAttempts = 6
+	s := p.submit(r)
+	attempts := 0
+	for ; s != nil && attempts < 6; attempts++ {
+		p.lose(s, loss{head: true}, true)
+		p.now = p.now.Add(30 * time.Millisecond)
+		s = startOf(p.tick(medlarworld.Tick{}))
+	}
+	if attempts != 2 || len(p.core.World().Runs) != 0 {
+		t.Errorf("%d attempts, %d runs are left; want 2 and none", attempts, len(p.core.World().Runs))
+	}
+}
+
+// TestBlockedPart guards against a blocked part that goes on to a replica by another way than a
+// new request, and against sound requests that are kept back with it.
+func TestBlockedPart(t *testing.T) {
+	block := func(p *partsHarness) {
+		p.tick(medlarworld.BlockRecorded{Part: "x"})
+		p.now = p.now.Add(150 * time.Millisecond)
+	}
+	refusals := func(cs []medlarworld.Command) (out []medlarworld.Refuse) {
+		for _, c := range cs {
+			if r, ok := c.(medlarworld.Refuse); ok {
+				out = append(out, r)
+			}
+		}
+		return out
+	}
+	assertRefused := func(t *testing.T, cs []medlarworld.Command, ran medlarreason.Ran) {
+		t.Helper()
+		got := refusals(cs)
+		if len(got) != 1 || got[0].Reason != medlarreason.Crashing && ran == medlarreason.RanNo || got[0].Ran != ran {
+			t.Errorf("refused %+v, want one that ran: %s", got, ran)
+		}
+		if s := startOf(cs); s != nil {
+			t.Errorf("started %+v", s)
+		}
+	}
+	t.Run("new request", func(t *testing.T) {
+		p := newPartsHarness(t, 2, nil)
+		block(p)
+		p.tick(medlarworld.Tick{})
+		assertRefused(t, p.tick(medlarworld.Submitted{Run: p.runWith("a", "x")}), medlarreason.RanNo)
+	})
+	t.Run("waiting request", func(t *testing.T) {
+		p := newPartsHarness(t, 1, nil)
+		p.tick(medlarworld.UpstreamPaused{Upstream: "e00", For: 5 * time.Second})
+		p.tick(medlarworld.Submitted{Run: p.runWith("a", "x")})
+		block(p)
+		assertRefused(t, p.tick(medlarworld.Tick{}), medlarreason.RanNo)
+	})
+	t.Run("stream to be resumed", func(t *testing.T) {
+		p := newPartsHarness(t, 2, nil)
+		s := p.submit(p.runWith("a", "x"))
+		block(p)
+		p.tick(medlarworld.Tick{})
+		assertRefused(t, p.lose(s, loss{head: true, began: time.Second}, true), medlarreason.RanUnknown)
+	})
+	t.Run("sound request with another part of it", func(t *testing.T) {
+		p := newPartsHarness(t, 2, nil)
+		block(p)
+		p.tick(medlarworld.Tick{})
+		for i := range 20 {
+			if s := p.submit(p.runWith("a", medlarsuspect.Part(fmt.Sprint("b", i)))); s == nil {
+				t.Fatal("a sound request does not start")
+			} else {
+				p.tick(medlarworld.AttemptEnded{Run: s.Run, Attempt: s.Attempt, Cause: medlarworld.CauseDone, Reached: true, Began: time.Millisecond})
+			}
+		}
+	})
+	t.Run("trial goes to one replica only", func(t *testing.T) {
+		p := newPartsHarness(t, 3, nil)
+		block(p)
+		p.tick(medlarworld.Tick{})
+		p.tick(medlarworld.TrialGranted{Part: "x", Trials: 1})
+		s := p.submit(p.runWith("a", "x"))
+		if s == nil {
+			t.Fatal("the trial does not start")
+		}
+		assertRefused(t, p.lose(s, loss{head: true}, true), medlarreason.RanUnknown)
+		assertRefused(t, p.tick(medlarworld.Submitted{Run: p.runWith("a", "x")}), medlarreason.RanNo)
+	})
+	t.Run("an upstream that is gone changes nothing", func(t *testing.T) {
+		p := newPartsHarness(t, 1, nil)
+		s := p.submit(p.runWith("x"))
+		p.tick(medlarworld.InstancesListed{Members: []medlarworld.Member{engineMember(7, "1")}})
+		if got := reportsOf(p.lose(s, loss{head: true}, true)); len(got) != 1 || got[0].Crash.Replica != medlarid.InstanceID("e00") {
+			t.Errorf("reports %+v, want one of e00", got)
+		}
+	})
+}
--- a/internal/core/medlarcore/medlarcore.go
+++ b/internal/core/medlarcore/medlarcore.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"medlarfield/internal/core/medlaradmission"
+	"medlarfield/internal/core/medlarcrash"
 	"medlarfield/internal/core/medlarfleet"
 	"medlarfield/internal/core/medlarlag"
 	"medlarfield/internal/core/medlaroffload"
@@ -18,7 +19,7 @@
 
 // Intervals between ticks when there are no events.
 const (
-	busyInterval = 10 * time.Millisecond // while runs wait
+	busyInterval = 10 * time.Millisecond // while runs wait, or parts of prompts are about to be blocked
 	idleInterval = time.Second
 )
 
@@ -45,6 +46,7 @@
 			medlarplacement.New(),
 			medlarlag.New(),
 			medlarwindow.New(),
+			medlarcrash.New(),
 			medlarretry.New(),
 			admit,
 			medlaroffload.New(),
@@ -71,7 +73,7 @@
 
 // Next returns the time until the next tick if no events arrive.
 func (c *Core) Next() time.Duration {
-	if len(c.world.Waiting) > 0 || len(c.world.LookingUp) > 0 {
+	if len(c.world.Waiting) > 0 || len(c.world.LookingUp) > 0 || c.world.Suspects.Pending() {
 		return busyInterval
 	}
 	return idleInterval
--- /dev/null
+++ b/internal/core/medlarcrash/medlarcrash.go
@@ -0,0 +1,226 @@
+// Package medlarcrash keeps prompts that crash replicas from further replicas.
+//
+// Rules:
+//
+//	R1  An attempt that was lost before its answer began, or shortly after, makes its prompt
+//	    suspect if the replica has crashed: it refuses new connections, or it is
+//	    listed under a new incarnation soon after. A replica that leaves is not suspected to
+//	    have crashed.
+//	R2  What was lost with a replica is reported to all instances, once more whenever
+//	    more is known.
+//	R3  A run whose prompt has a blocked part starts no attempt, be it new, waiting, or
+//	    to be resumed elsewhere. It is refused at once.
+//	R4  A run that was lost with maxRunCrashes replicas starts no further attempt: it
+//	    may be the cause, even if its parts are not known yet.
+package medlarcrash
+
+import (
+	"slices"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarsuspect"
+	"medlarfield/internal/core/medlarworld"
+)
+
+// Times and counts of the rules.
+const (
+	beginning     = 250 * time.Millisecond // an answer that began less than this ago may have crashed the replica (R1)
+	lossWindow    = 5 * time.Second        // in which a new incarnation shows that a replica has crashed (R1)
+	maxRunCrashes = 2                      // R4
+
+	// RetryAfter is the time after which a caller may try a prompt with a blocked part again.
+	RetryAfter = 30 * time.Second
+)
+
+// System finds crashes of replicas and refuses the runs that must not go on.
+type System struct {
+	losses []*loss
+}
+
+// loss is what this instance has lost with one incarnation of a replica.
+type loss struct {
+	id             medlarsuspect.CrashID
+	at             time.Time // of the last lost attempt
+	begun, waiting []medlarsuspect.Part
+	runs           []medlarid.RequestID // lost before their answer began, and not yet counted
+	probing        bool                 // a probe is in flight
+	crashed        bool
+}
+
+// New returns a System.
+func New() *System { return &System{} }
+
+// Run handles the events of one tick.
+func (s *System) Run(w *medlarworld.World) {
+	changed := false
+	for _, e := range w.Events {
+		switch e := e.(type) {
+		case medlarworld.AttemptEnded:
+			s.attemptEnded(w, e)
+			continue
+		case medlarworld.UpstreamProbed:
+			s.probed(w, e)
+		case medlarworld.InstancesListed:
+			s.findRestarts(w)
+		case medlarworld.CrashReported:
+			w.Suspects.AddReport(w.Now, e.Report, false)
+		case medlarworld.BlockRecorded:
+			applyRecord(w, e)
+		case medlarworld.TrialGranted:
+			w.Suspects.GrantTrial(w.Now, e.Part, e.Trials)
+		case medlarworld.RecordsRestored:
+			w.Suspects.Restore()
+		default:
+			continue
+		}
+		changed = true
+	}
+	w.Suspects.Update(w.Now)
+	s.forget(w)
+	for _, r := range w.Suspects.TakeRecords() {
+		w.Emit(medlarworld.RecordBlock{Record: r})
+	}
+	for _, c := range w.Suspects.TakeChanges() {
+		w.Emit(medlarworld.BlockChanged{Change: c})
+		changed = true
+	}
+	if changed {
+		refuseBlocked(w)
+	}
+}
+
+func applyRecord(w *medlarworld.World, e medlarworld.BlockRecorded) {
+	if e.Dropped {
+		w.Suspects.ApplyDrop(e.Part)
+		return
+	}
+	w.Suspects.ApplyBlock(w.Now, e.Part, e.Block)
+}
+
+// currentRun returns the run if the attempt is its current one, or nil.
+func currentRun(w *medlarworld.World, id medlarid.RequestID, attempt int) *medlarworld.Run {
+	r := w.Runs[id]
+	if r == nil || r.Attempt != attempt || r.Upstream == nil {
+		return nil
+	}
+	return r
+}
+
+func (s *System) attemptEnded(w *medlarworld.World, e medlarworld.AttemptEnded) {
+	r := currentRun(w, e.Run, e.Attempt)
+	if r == nil || len(r.Parts) == 0 {
+		return
+	}
+	switch {
+	case e.Cause == medlarworld.CauseDone:
+		w.Suspects.Answered(w.Now, w.Now.Add(-e.Began), r.Parts)
+	case e.Lost && !r.Upstream.Leaving && e.Began < beginning:
+		s.lost(w, r, e.Head)
+	}
+}
+
+// lost records a lost attempt and asks whether its upstream is down (R1).
+func (s *System) lost(w *medlarworld.World, r *medlarworld.Run, begun bool) {
+	r.Trial = false
+	u := r.Upstream
+	id := medlarsuspect.CrashID{Replica: u.ID, Incarnation: u.Incarnation}
+	l := s.find(id)
+	if l == nil {
+		l = &loss{id: id}
+		s.losses = append(s.losses, l)
+	}
+	l.at = w.Now
+	l.runs = append(l.runs, r.ID)
+	if begun {
+		l.begun = append(l.begun, r.Parts...)
+	} else {
+		l.waiting = append(l.waiting, r.Parts...)
+	}
+	if l.crashed {
+		s.report(w, l)
+		return
+	}
+	if l.probing {
+		return
+	}
+	l.probing = true
+	w.Emit(medlarworld.ProbeUpstream{Upstream: u.ID, Address: u.Address, Incarnation: u.Incarnation})
+}
+
+func (s *System) find(id medlarsuspect.CrashID) *loss {
+	if i := slices.IndexFunc(s.losses, func(l *loss) bool { return l.id == id }); i >= 0 {
+		return s.losses[i]
+	}
+	return nil
+}
+
+func (s *System) probed(w *medlarworld.World, e medlarworld.UpstreamProbed) {
+	l := s.find(medlarsuspect.CrashID{Replica: e.Upstream, Incarnation: e.Incarnation})
+	if l == nil {
+		return
+	}
+	l.probing = false
+	if !e.Down || l.crashed {
+		return
+	}
+	l.crashed = true
+	s.report(w, l)
+}
+
+// findRestarts finds replicas that have started again after attempts were lost with them (R1).
+func (s *System) findRestarts(w *medlarworld.World) {
+	for _, l := range s.losses {
+		if u := w.Upstreams[l.id.Replica]; u != nil && u.Incarnation != l.id.Incarnation && !l.crashed {
+			l.crashed = true
+			s.report(w, l)
+		}
+	}
+}
+
+// report reports what was lost with a replica that crashed (R2).
+func (s *System) report(w *medlarworld.World, l *loss) {
+	for _, id := range l.runs {
+		if r := w.Runs[id]; r != nil {
+			r.Crashes++
+		}
+	}
+	l.runs = nil
+	report := medlarsuspect.Report{Crash: l.id, Begun: l.begun, Waiting: l.waiting}
+	if w.Suspects.AddReport(w.Now, report, true) {
+		w.Emit(medlarworld.ReportCrash{Report: report})
+	}
+}
+
+// forget removes losses that can no longer become a crash, or were reported.
+func (s *System) forget(w *medlarworld.World) {
+	s.losses = slices.DeleteFunc(s.losses, func(l *loss) bool { return w.Now.Sub(l.at) > lossWindow })
+}
+
+// refuseBlocked refuses the waiting runs that must not start another attempt (R3, R4).
+func refuseBlocked(w *medlarworld.World) {
+	kept := w.Waiting[:0]
+	for _, r := range w.Waiting {
+		if MustStop(w, r) {
+			w.Refuse(r, medlarreason.Crashing, RetryAfter)
+			continue
+		}
+		kept = append(kept, r)
+	}
+	clear(w.Waiting[len(kept):])
+	w.Waiting = kept
+}
+
+// MustStop reports whether a run must not start another attempt (R3, R4).
+func MustStop(w *medlarworld.World, r *medlarworld.Run) bool {
+	if r.Crashes >= maxRunCrashes {
+		return true
+	}
+	part, blocked := w.Suspects.Blocked(r.Parts)
+	if !blocked || r.Trial {
+		return false
+	}
+	r.BlockedPart = part
+	return true
+}
--- a/internal/core/medlarretry/medlarretry.go
+++ b/internal/core/medlarretry/medlarretry.go
@@ -17,12 +17,14 @@
 //	R5  Lack of capacity is no failure of the upstream.
 //	R6  An upstream whose address belongs to another instance now is ejected however
 //	    many are left of its target: nothing sent to that address reaches it.
+//	R7  A run that may crash the next upstream, too, is not retried.
 package medlarretry
 
 import (
 	"slices"
 	"time"
 
+	"medlarfield/internal/core/medlarcrash"
 	"medlarfield/internal/core/medlaroffload"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
@@ -151,6 +153,8 @@
 	switch {
 	case r.AtMostOnce && r.Reached:
 		return medlarreason.Unknown // R1
+	case medlarcrash.MustStop(w, r):
+		return failedOr(r, medlarreason.Crashing) // R7
 	case w.Now.After(r.Deadline):
 		return failedOr(r, medlarreason.Deadline)
 	case attemptsExhausted(w, r), tokensLeft(w, r.Target()) < 1:
--- /dev/null
+++ b/internal/core/medlarsuspect/shared.go
@@ -0,0 +1,172 @@
+package medlarsuspect
+
+import (
+	"slices"
+	"time"
+)
+
+// Answered reports that a prompt with these parts was answered in full. began is when its answer
+// began. A block that the answer refutes is lifted, for all instances (R3, R6).
+func (t *Table) Answered(now, began time.Time, parts []Part) {
+	for _, p := range parts {
+		t.answered.set(p, began)
+		if b := t.blocks[p]; b != nil && t.refuted(p, b.evidenceAt) {
+			t.clear(now, p)
+		}
+	}
+}
+
+// refuted reports whether this instance has had an answer with a part that clears it of the last
+// crash with it. last is the time of that crash if it is not remembered.
+func (t *Table) refuted(p Part, last time.Time) bool {
+	for _, c := range slices.Backward(t.crashes) {
+		if c.suspects()[p] {
+			last = c.at
+			break
+		}
+	}
+	return !t.answered.get(p).Before(last.Add(-clearingLead))
+}
+
+// clear lifts the block of a part and tells the other instances.
+func (t *Table) clear(now time.Time, p Part) {
+	t.cleared.set(p, now)
+	if b := t.blocks[p]; b != nil {
+		t.unblock(p, b)
+	}
+	t.records = append(t.records, Record{Part: p, Block: Block{Cleared: true}})
+	t.evaluate(now) // the crashes that the part explained have another cause
+}
+
+// ApplyBlock applies the shared state of a part, as an instance recorded it.
+func (t *Table) ApplyBlock(now time.Time, p Part, s Block) {
+	if s.Cleared {
+		t.cleared.set(p, now)
+		if b := t.blocks[p]; b != nil {
+			t.unblock(p, b)
+			t.evaluate(now)
+		}
+		return
+	}
+	if t.refuted(p, now) || t.blocks[p] == nil && t.lessSuspect(p) {
+		t.clear(now, p) // the other instance has not had the answers that this one has (R5)
+		return
+	}
+	b := t.block(now, p)
+	b.recorded = true
+	switch {
+	case s.Trials > b.trials:
+		b.trials, b.evidenceAt = s.Trials, now
+	case s.Trials < b.trials:
+		t.record(p, b) // the other instance, or the store, has lost trials
+	}
+}
+
+// ApplyDrop handles that the shared state of a part is gone: it was forgotten by an instance, or
+// the store came back from a copy without it. An instance that still blocks the part records it
+// again.
+func (t *Table) ApplyDrop(p Part) {
+	if b := t.blocks[p]; b != nil {
+		b.recorded = false
+	}
+}
+
+// Restore records all blocks again, since the store came back from a copy.
+func (t *Table) Restore() {
+	for _, p := range t.parts() {
+		t.record(p, t.blocks[p])
+	}
+}
+
+// Admit decides on a new request with these parts. If it is kept from replicas, it returns the
+// part and false. It claims a trial if one is due, and lets one request go on for each trial that
+// was granted (R6).
+func (t *Table) Admit(now time.Time, parts []Part) (Part, bool) {
+	p, blocked := t.Blocked(parts)
+	if !blocked {
+		return "", true
+	}
+	b := t.blocks[p]
+	b.askedAt = now
+	if now.Before(b.grantUntil) && !t.othersBlocked(parts, p) {
+		b.grantUntil = time.Time{}
+		return "", true
+	}
+	if t.trialDue(now, b) && !t.othersBlocked(parts, p) && !now.Before(b.claimUntil) && !now.Before(b.grantUntil) {
+		b.claimUntil = now.Add(claimTimeout)
+		t.records = append(t.records, Record{Part: p, Block: Block{Trials: b.trials + 1}, Claim: true})
+	}
+	return p, false
+}
+
+func (t *Table) trialDue(now time.Time, b *block) bool {
+	if b.trials >= maxTrials {
+		return false
+	}
+	delay := trialDelays[b.trials]
+	if b.tied && b.trials == 0 {
+		delay = tiedTrialDelay
+	}
+	return now.Sub(b.evidenceAt) >= delay
+}
+
+// Blocked returns the first blocked part; ok is false if there is none.
+func (t *Table) Blocked(parts []Part) (p Part, ok bool) {
+	if len(t.blocks) == 0 {
+		return "", false
+	}
+	for _, p := range parts {
+		if b := t.blocks[p]; b != nil && b.active {
+			return p, true
+		}
+	}
+	return "", false
+}
+
+func (t *Table) othersBlocked(parts []Part, but Part) bool {
+	for _, p := range parts {
+		if b := t.blocks[p]; p != but && b != nil && b.active {
+			return true
+		}
+	}
+	return false
+}
+
+// GrantTrial grants the trial that was claimed.
+func (t *Table) GrantTrial(now time.Time, p Part, trials int) {
+	b := t.blocks[p]
+	if b == nil {
+		return
+	}
+	b.trials = max(b.trials, trials)
+	b.evidenceAt, b.claimUntil, b.grantUntil = now, time.Time{}, now.Add(trialTimeout)
+}
+
+// times remembers a time for each of the parts that were added last.
+type times struct {
+	at   map[Part]time.Time
+	ring []Part
+	next int // index of the oldest part, once the ring is full
+}
+
+func newTimes(size int) *times { return &times{at: map[Part]time.Time{}, ring: make([]Part, 0, size)} }
+
+func (s *times) get(p Part) time.Time { return s.at[p] }
+
+// set raises the time of a part.
+func (s *times) set(p Part, at time.Time) {
+	last, known := s.at[p]
+	if at.After(last) {
+		s.at[p] = at
+	}
+	if known {
+		return
+	}
+	if len(s.ring) < cap(s.ring) {
+		s.ring = append(s.ring, p)
+		return
+	}
+	delete(s.at, s.ring[s.next])
+	s.ring[s.next] = p
+	s.next = (s.next + 1) % len(s.ring)
+}
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -22,6 +22,7 @@
 	"medlarfield/internal/core/medlarhistory"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarsuspect"
 )
 
 // Weighting is the measure that a deployment optimizes routing for.
@@ -242,6 +243,9 @@
 	// equal size.
 	KeyTokens    []medlarid.Tokens
 	PromptTokens medlarid.Tokens
+	// Parts are the parts of the prompt that other prompts may share; nil if the prompt is not
+	// divided into parts.
+	Parts []medlarsuspect.Part
 	// HomeKey identifies the context that the run shares with others; zero for the
 	// conversation that Keys begin with.
 	HomeKey medlarkey.Key
@@ -283,6 +287,9 @@
 	AbandonAt   time.Time
 	Late        bool // StartBy has passed
 	LastFailure medlarreason.Reason
+	Crashes     int                // replicas that crashed before they sent a part of its answer
+	Trial       bool               // goes on although its prompt has a blocked part
+	BlockedPart medlarsuspect.Part // for which the run is refused
 }
 
 // Handle locates one KV block in a store.
@@ -321,6 +328,7 @@
 	Exported  *medlarkey.Set // last keys of exported segments
 
 	Backlogs map[Target]*medlarbacklog.Backlog // of all upstreams of a target together
+	Suspects *medlarsuspect.Table              // parts of prompts that crash replicas
 
 	VirtualTime float64            // virtual time of the queue
 	RetryTokens map[Target]float64 // tokens left in the retry budgets
@@ -349,6 +357,7 @@
 		Stores:      map[medlarid.InstanceID]*Store{},
 		Runs:        map[medlarid.RequestID]*Run{},
 		Backlogs:    map[Target]*medlarbacklog.Backlog{},
+		Suspects:    medlarsuspect.New(),
 		RetryTokens: map[Target]float64{},
 		Warm:        medlarcacheindex.New(maxCachedKeys, cfg.MaxHolders),
 		Exported:    medlarkey.NewSet(maxExportedSegments),
@@ -368,7 +377,7 @@
 	}
 	w.Emit(Refuse{
 		Run: r.ID, Reason: reason, Ran: ran, RetryAfter: after,
-		Waiting: len(w.Waiting), Upstreams: len(w.UpstreamsFor(r.Target())), RetryTokens: w.RetryTokens[r.Target()],
+		Waiting: len(w.Waiting), Upstreams: len(w.UpstreamsFor(r.Target())), RetryTokens: w.RetryTokens[r.Target()], Part: r.BlockedPart,
 	})
 	w.Finish(r)
 }
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -6,6 +6,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarsuspect"
 )
 
 // Event is an input of the core: something that the I/O layers report.
@@ -46,6 +47,12 @@
 	// Version is the weight version of the part of the answer that the caller has;
 	// empty when the caller has none.
 	Version medlarid.WeightVersion
+	// Lost is set if the upstream ended the connection before the answer was complete.
+	Lost bool
+	// Head is set if the head of a response was received.
+	Head bool
+	// Began is the time since the first event of the answer; 0 if there was none.
+	Began time.Duration
 }
 
 // LookedUp reports which of a run's blocks are held in stores.
@@ -180,6 +187,32 @@
 	For         time.Duration
 }
 
+// UpstreamProbed reports whether an upstream that ended connections is down: it refuses new ones.
+type UpstreamProbed struct {
+	Upstream    medlarid.InstanceID
+	Incarnation medlarid.Incarnation
+	Down        bool
+}
+
+// CrashReported carries what another instance lost with a replica that crashed.
+type CrashReported struct{ Report medlarsuspect.Report }
+
+// BlockRecorded carries the shared state of a part of prompts. Dropped is set if the state is gone.
+type BlockRecorded struct {
+	Part    medlarsuspect.Part
+	Block   medlarsuspect.Block
+	Dropped bool
+}
+
+// TrialGranted reports that a claimed trial of a blocked part is granted to this instance.
+type TrialGranted struct {
+	Part   medlarsuspect.Part
+	Trials int
+}
+
+// RecordsRestored reports that the store came back from a copy and may lack shared state.
+type RecordsRestored struct{}
+
 // TransferEnded reports the end of a transfer over the link to a store.
 type TransferEnded struct {
 	Store  medlarid.InstanceID
@@ -209,6 +242,11 @@
 func (TransferEnded) event()     {}
 func (UpstreamLeaving) event()   {}
 func (UpstreamPaused) event()    {}
+func (UpstreamProbed) event()    {}
+func (CrashReported) event()     {}
+func (BlockRecorded) event()     {}
+func (TrialGranted) event()      {}
+func (RecordsRestored) event()   {}
 func (InventoryReported) event() {}
 func (RecordsCurrent) event()    {}
 func (WeightsLoading) event()    {}
@@ -278,6 +316,9 @@
 	Waiting     int
 	Upstreams   int
 	RetryTokens float64
+	// Part is the blocked part of the prompt for which the run is refused; empty for another
+	// reason.
+	Part medlarsuspect.Part
 }
 
 // LookUp asks the stores for a run's blocks.
@@ -336,7 +377,27 @@
 	Readmitted bool
 }
 
+// ProbeUpstream asks whether an upstream that ended connections is down.
+type ProbeUpstream struct {
+	Upstream    medlarid.InstanceID
+	Address     medlarid.Address
+	Incarnation medlarid.Incarnation
+}
+
+// ReportCrash asks to report to all instances what this one lost with a replica that crashed.
+type ReportCrash struct{ Report medlarsuspect.Report }
+
+// RecordBlock asks to share the state of a part of prompts with all instances.
+type RecordBlock struct{ Record medlarsuspect.Record }
+
+// BlockChanged reports that a part of prompts is blocked or no longer blocked, for the log.
+type BlockChanged struct{ Change medlarsuspect.Change }
+
 func (StartAttempt) command()  {}
+func (ProbeUpstream) command() {}
+func (ReportCrash) command()   {}
+func (RecordBlock) command()   {}
+func (BlockChanged) command()  {}
 func (Refuse) command()        {}
 func (LookUp) command()        {}
 func (Claim) command()         {}
--- a/internal/edge/medlarcall/medlarcall.go
+++ b/internal/edge/medlarcall/medlarcall.go
@@ -11,6 +11,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarsuspect"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -115,6 +116,8 @@
 	Waiting     int
 	Upstreams   int
 	RetryTokens float64
+	// BlockedPart is the part of the prompt for which the request was refused.
+	BlockedPart medlarsuspect.Part
 	Decision    medlarworld.Decision // by which the last upstream was selected
 	Attempts    int
 	Upstream    medlarid.InstanceID
--- a/internal/edge/medlarevent/medlarevent.go
+++ b/internal/edge/medlarevent/medlarevent.go
@@ -15,11 +15,28 @@
 import (
 	"bytes"
 	"errors"
+	"strings"
 )
 
 // ErrEventTooLarge reports an event of more than maxEvent bytes.
 var ErrEventTooLarge = errors.New("medlarevent: event too large")
 
+// Errors of a stream whose body has ended although the stream is incomplete (R4). Both wrap
+// ErrConnectionEnded if only the end of the connection delimited the body.
+var (
+	ErrConnectionEnded = errors.New("medlarevent: connection ended")
+	errPartialEvent    = errors.New("medlarevent: stream ended within an event")
+	errNoEvent         = errors.New("medlarevent: stream ended before the first event")
+)
+
+// IsStream reports whether a response of a content type is an event stream. One that does not
+// declare its type is.
+func IsStream(contentType string) bool {
+	mediaType, _, _ := strings.Cut(contentType, ";")
+	mediaType = strings.TrimSpace(mediaType)
+	return mediaType == "" || strings.EqualFold(mediaType, "text/event-stream")
+}
+
 // maxEvent is the maximum size of an event in bytes.
 const maxEvent = 1 << 20
 
@@ -100,6 +117,24 @@
 	}
 }
 
+// Finish appends to out what follows the last event of a stream whose body has ended. toClose tells
+// that the end of the connection delimited the body: then the stream needs an event to be complete.
+func (c *Splitter) Finish(out []byte, toClose bool) ([]byte, error) {
+	var err error
+	switch {
+	case c.PartialBytes() > 0:
+		err = errPartialEvent
+	case toClose && c.events == 0:
+		err = errNoEvent
+	default:
+		return c.Flush(out), nil
+	}
+	if toClose {
+		err = errors.Join(err, ErrConnectionEnded)
+	}
+	return out, err
+}
+
 // Flush appends the bytes after the last complete event to out. It is called when the
 // stream has ended normally, and not within an event.
 func (c *Splitter) Flush(out []byte) []byte {
--- a/internal/edge/medlarmetric/medlarmetric.go
+++ b/internal/edge/medlarmetric/medlarmetric.go
@@ -63,6 +63,8 @@
 	ejections      prometheus.Counter
 	hints          *prometheus.CounterVec
 	lost           *prometheus.CounterVec
+	crashes        prometheus.Counter
+	blocked        prometheus.Gauge
 	exportsDropped prometheus.Counter
 	replays        prometheus.Counter
 	callFailures   *prometheus.CounterVec
@@ -97,6 +99,8 @@
 		Namespace: namespace, Name: "stage_seconds", Help: "Time of whole answers by stage: wait, connect, first, gap, total.",
 		Buckets: stageBuckets,
 	}, []string{"kind", "stage"})
+	m.crashes = m.newCounter("crashes_total", "Reports of this instance on replicas that crashed while it waited for answers.")
+	m.blocked = m.newGauge("blocked_parts", "Parts of prompts that are kept from replicas because they have crashed some.")
 	m.ejections = m.newCounter("ejections_total", "Upstreams ejected.")
 	m.exportsDropped = m.newCounter("exports_dropped_total", "Exports of context dropped because too many waited.")
 	m.replays = m.newCounter("replays_total", "Unrepeatable requests answered from their record.")
@@ -230,6 +234,18 @@
 // the answer had begun.
 func (m *Metrics) AttemptLost(began bool) { m.lost.WithLabelValues(strconv.FormatBool(began)).Inc() }
 
+// CrashSeen counts a report on a replica that crashed.
+func (m *Metrics) CrashSeen() { m.crashes.Inc() }
+
+// BlockChanged counts the parts of prompts that are blocked.
+func (m *Metrics) BlockChanged(blocked bool) {
+	if blocked {
+		m.blocked.Inc()
+		return
+	}
+	m.blocked.Dec()
+}
+
 // Ejected counts an ejection of an upstream.
 func (m *Metrics) Ejected() { m.ejections.Inc() }
 
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -5,8 +5,6 @@
 	"errors"
 	"io"
 	"os"
-	"strings"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -16,6 +14,7 @@
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarcall"
+	"medlarfield/internal/edge/medlarevent"
 	"medlarfield/internal/edge/medlarpool"
 )
 
@@ -57,8 +56,6 @@
 	errOtherRequest   = eris.New("received only responses to other requests")
 	errContentEncoded = eris.New("response has a content coding that the client did not request")
 	errNotStream      = eris.New("response cannot continue the stream")
-	errPartialEvent   = eris.New("stream ended within an event")
-	errNoEvent        = eris.New("connection ended before the first event")
 )
 
 // do makes the attempt and returns its result.
@@ -208,19 +205,15 @@
 	case reply.ContentEncoded:
 		_ = a.upstream.Close()
 		return a.failed(errContentEncoded, medlarreason.Broken, true)
-	case success && a.route.Kind == medlarcatalog.KindStream && isEventStream(h):
+	case success && a.route.Kind == medlarcatalog.KindStream && medlarevent.IsStream(contentType(h)):
 		return a.relayStream(h, reply)
 	}
 	return a.relayResponse(h, reply)
 }
 
-// isEventStream reports whether a response is an event stream. One that does not declare
-// its type is.
-func isEventStream(h *medlarhead.Head) bool {
+func contentType(h *medlarhead.Head) string {
 	value, _ := h.Get("Content-Type")
-	mediaType, _, _ := strings.Cut(value, ";")
-	mediaType = strings.TrimSpace(mediaType)
-	return mediaType == "" || strings.EqualFold(mediaType, "text/event-stream")
+	return value
 }
 
 // relayResponse relays a response that is not a stream.
@@ -281,7 +274,7 @@
 		}
 		if err != nil {
 			_ = a.upstream.Close()
-			a.err, a.lost = err, connectionLost(err)
+			a.err, a.lost = err, medlarhead.ConnectionEnded(err)
 			return a.ended(medlarworld.CauseUnknown, medlarreason.Truncated, true)
 		}
 	}
@@ -312,7 +305,7 @@
 		var splitErr error
 		events, splitErr = a.events.Split(events[:0], buf[:n])
 		if a.bodyEnd.Complete {
-			events, err = a.finishEvents(events, h.Framing)
+			events, err = a.events.Finish(events, h.Framing == medlarhead.FramingClose)
 		}
 		if len(events) > 0 && a.began.IsZero() {
 			a.began = time.Now()
@@ -334,19 +327,6 @@
 	return a.finishChunked()
 }
 
-// finishEvents appends to out what follows the last event of a stream whose body has
-// ended. It returns an error if the stream is incomplete (R2).
-func (a *attempt) finishEvents(out []byte, framing medlarhead.Framing) ([]byte, error) {
-	if a.events.PartialBytes() > 0 {
-		a.lost = framing == medlarhead.FramingClose
-		return out, errPartialEvent
-	}
-	if framing == medlarhead.FramingClose && a.events.Events() == 0 {
-		return out, errNoEvent
-	}
-	return a.events.Flush(out), nil
-}
-
 // sendEvents writes complete events, preceded by the response's head if it was not sent yet.
 func (a *attempt) sendEvents(h *medlarhead.Head, events []byte) error {
 	if a.responseStarted {
@@ -421,7 +401,7 @@
 // failed returns the result of an attempt without a valid response.
 func (a *attempt) failed(err error, reason medlarreason.Reason, reached bool) medlarworld.AttemptEnded {
 	a.err = err
-	a.lost = reached && a.ctx.Err() == nil && (a.lost || connectionLost(err))
+	a.lost = reached && a.ctx.Err() == nil && (medlarhead.ConnectionEnded(err) || errors.Is(err, medlarevent.ErrConnectionEnded))
 	switch {
 	case a.ctx.Err() != nil:
 		return a.ended(medlarworld.CauseCallerLeft, "", reached)
@@ -434,19 +414,8 @@
 	return a.ended(medlarworld.CauseRetry, reason, reached)
 }
 
-// connectionLost reports whether an error means that the upstream ended the connection before
-// its response was complete.
-func connectionLost(err error) bool {
-	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errNoEvent} {
-		if errors.Is(err, end) {
-			return true
-		}
-	}
-	return false
-}
-
 func (a *attempt) ended(cause medlarworld.Cause, reason medlarreason.Reason, reached bool) medlarworld.AttemptEnded {
-	return medlarworld.AttemptEnded{Run: a.run.ID, Attempt: a.cmd.Attempt, Cause: cause, Reason: reason, Reached: reached}
+	return medlarworld.AttemptEnded{Run: a.run.ID, Attempt: a.cmd.Attempt, Cause: cause, Reason: reason, Reached: reached, Lost: a.lost, Head: a.bodyEnd.Received, Began: a.sinceFirstEvent()}
 }
 
 // report reports the result of the attempt to the observer.
--- a/internal/edge/medlarproxy/exchange.go
+++ b/internal/edge/medlarproxy/exchange.go
@@ -9,6 +9,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarsuspect"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarcall"
 	"medlarfield/internal/edge/medlarevent"
@@ -147,6 +148,9 @@
 	if n := len(x.call.Parts); n > 0 {
 		x.run.HomeKey = medlarkey.Part("", x.call.Model, x.call.Parts[max(n-2, 0)].ID)
 	}
+	for _, p := range x.call.Parts[:max(len(x.call.Parts)-1, 0)] {
+		x.run.Parts = append(x.run.Parts, medlarsuspect.NewPart(p.ID))
+	}
 }
 
 // partKeys returns the keys of the prompt's parts for a weight version.
@@ -216,6 +220,7 @@
 // finishRefused ends a request for which the core starts no further attempt.
 func (x *exchange) finishRefused(cmd medlarworld.Refuse) bool {
 	x.summary.Waiting, x.summary.Upstreams, x.summary.RetryTokens = cmd.Waiting, cmd.Upstreams, cmd.RetryTokens
+	x.summary.BlockedPart = cmd.Part
 	if x.responseStarted {
 		x.summary.Reason, x.summary.Ran = cmd.Reason, cmd.Ran
 		return false // the response is left without its final chunk (R2)
--- a/internal/ops/medlarattachednode/crash_test.go
+++ b/internal/ops/medlarattachednode/crash_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -180,6 +181,7 @@
 	if n := f.site.ArrivalsSince(settled); n > maxTrials {
 		t.Errorf("%d requests with the part reached replicas after it had crashed five, want %d at most; %d crashes in all", n, maxTrials, len(crashes))
 	}
+	t.Logf("%d crashes, the last %v after the first; %d requests with the part sent", len(crashes), crashes[len(crashes)-1].At.Sub(crashes[0].At), len(bad))
 	refused, late := 0, 0
 	for _, o := range bad {
 		if o.sent.After(settled) {
@@ -214,3 +216,115 @@
 		t.Errorf("%d of %d sound requests were served after the crashes", served, sent)
 	}
 }
+
+// until waits until a condition holds for all members.
+func (f *fleet) until(what string, ok func(*fixture) bool) {
+	f.t.Helper()
+	for _, w := range f.members {
+		w.eventually(what, func() bool { return ok(w) })
+	}
+}
+
+func (w *fixture) blocks(part string) bool {
+	got := w.trySendNew(request{method: "POST", path: "/query/x", id: "probe", body: "{}", fields: prompt("aa:100," + part + ":400,own:500")}.text())
+	return got.status == 503
+}
+
+// crashWith makes a part crash as many replicas as block it, through the first instance.
+func (f *fleet) crashWith(part string) {
+	f.t.Helper()
+	f.site.CrashOn(part)
+	for i := range 3 {
+		q := request{method: "POST", path: "/query/x", id: fmt.Sprint("c", i), body: "{}", fields: prompt(fmt.Sprintf("aa:100,%s:400,%d:500", part, i))}
+		f.members[0].trySendNew(q.text())
+		time.Sleep(200 * time.Millisecond)
+	}
+	f.site.CrashOn()
+}
+
+// TestBlockedPartIsSharedThroughStore guards against instances that have to lose replicas of their own before
+// they refuse a part, also after a restart and with a store that comes back from a copy.
+func TestBlockedPartIsSharedThroughStore(t *testing.T) {
+	blocked := func(w *fixture) bool { return w.blocks("bad") }
+	t.Run("instances without crashes, and one that starts later", func(t *testing.T) {
+		f := startFleet(t, 3, nil)
+		f.crashWith("bad")
+		f.until("the part is blocked", blocked)
+		f.restart(0)
+		f.until("the part is blocked after a restart", blocked)
+		if n := len(f.site.Crashes()); n != 3 {
+			t.Errorf("%d crashes, want 3", n)
+		}
+	})
+	t.Run("another route", func(t *testing.T) {
+		f := startFleet(t, 2, nil)
+		assertAllEvents(t, f.members[1].send(request{method: "POST", path: "/letter/x", id: "before", body: "{}", fields: prompt("aa:100,cc:300,own:500")}))
+		f.crashWith("bad")
+		f.until("the part is blocked", blocked)
+		for _, w := range f.members {
+			got := w.send(request{method: "POST", path: "/letter/x", id: "other", body: "{}", fields: prompt("zz:100,yy:300,bad:400,own:500")})
+			assertResult(t, got, 503, "")
+			if got.get("Retry-After") == "" {
+				t.Error("the refusal has no Retry-After")
+			}
+			assertAllEvents(t, w.send(request{method: "POST", path: "/letter/x", id: "sound", body: "{}", fields: prompt("aa:100,bad:400")}))
+		}
+	})
+	t.Run("a store that comes back from a copy", func(t *testing.T) {
+		f := startFleet(t, 2, nil)
+		f.crashWith("bad")
+		f.until("the part is blocked", blocked)
+		f.site.Store.Rewind(20)
+		time.Sleep(time.Second)
+		f.restart(1)
+		f.until("the part is blocked after the store came back", blocked)
+	})
+	t.Run("an instance without the store", func(t *testing.T) {
+		f := startFleet(t, 2, nil)
+		f.members[0].endpoint.SetFault(medlarfaketopic.FaultSilent)
+		f.crashWith("bad")
+		f.members[0].eventually("the instance that lost the replicas blocks the part", func() bool { return blocked(f.members[0]) })
+		f.members[0].endpoint.SetFault(medlarfaketopic.FaultNone)
+		f.until("the part is blocked everywhere", func(w *fixture) bool { return strings.Contains(w.logs.text(), `"event":"block","part":"bad"`) })
+	})
+}
+
+// TestResumableStreamStopsCrashingReplicas guards against one request that crashes a replica for
+// each attempt that it has.
+func TestResumableStreamStopsCrashingReplicas(t *testing.T) {
+	f := startFleet(t, 1, nil)
+	if err := f.site.Change(func(c *medlarsite.Config) { c.Routes[0].MaxAttempts = 8 }); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(200 * time.Millisecond)
+	f.site.CrashOn("bad")
+	got := f.members[0].send(request{method: "POST", path: "/letter/x", id: "r", body: "{}", fields: prompt("aa:100,bad:400,own:500")})
+	if n := len(f.site.Crashes()); got.status != 502 || n != 2 {
+		t.Errorf("status %d after %d crashes, want 502 after 2", got.status, n)
+	}
+}
+
+// TestOtherCrashesBlockNothing guards against sound parts that are blocked because replicas end
+// for another reason while they answer them.
+func TestOtherCrashesBlockNothing(t *testing.T) {
+	f := startFleet(t, 3, func(s *medlarsite.Settings) { s.ServiceTime = 10 * time.Millisecond })
+	stop := make(chan struct{})
+	sound := f.load("s", "/query/x", 5*time.Millisecond, stop, func(n int) string { return fmt.Sprintf("aa:100,%s,%d:500", soundPart(n), n) })
+	for range 3 {
+		time.Sleep(400 * time.Millisecond)
+		for _, r := range f.site.Replicas()[:5] {
+			r.Crash()
+		}
+		time.Sleep(1600 * time.Millisecond)
+	}
+	close(stop)
+	sound()
+	for _, w := range f.members {
+		if strings.Contains(w.logs.text(), `"event":"block"`) {
+			t.Error("a part was blocked")
+		}
+	}
+	if n := len(f.site.Crashes()); n != 15 {
+		t.Errorf("%d crashes, want 15", n)
+	}
+}
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -25,6 +25,7 @@
 	"go.uber.org/dig"
 
 	"medlarfield/internal/agree/medlarfeed"
+	"medlarfield/internal/agree/medlarnotice"
 	"medlarfield/internal/agree/medlarterm"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarcore"
@@ -36,6 +37,7 @@
 	"medlarfield/internal/ops/medlarcachetracker"
 	"medlarfield/internal/ops/medlarlogger"
 	"medlarfield/internal/ops/medlarloop"
+	"medlarfield/internal/ops/medlarnotifier"
 	"medlarfield/internal/ops/medlarregistry"
 	"medlarfield/internal/ops/medlarrollout"
 	"medlarfield/internal/ops/medlarsettings"
@@ -49,6 +51,9 @@
 	storeTimeout       = 800 * time.Millisecond // of a call to the store
 	replicaTimeout     = 500 * time.Millisecond // of a control call to a replica
 	readWait           = 750 * time.Millisecond // maximum wait of a read of a topic; a lost read is noticed soon after it
+	noticeWait         = 2 * time.Second        // maximum wait of a read of notices: they are rare, and a lost read is noticed soon enough
+	noticeInterval     = 50 * time.Millisecond  // minimum between two reads of notices
+	restoreSpread      = 300 * time.Millisecond // over which instances write notices again after the store came back from a copy
 	replicaInterval    = 400 * time.Millisecond // minimum between two reads of replicas' entries
 	returnMargin       = 300 * time.Millisecond // added to bounds.return, the time for removed entries to return after an outage
 	controlIdleTimeout = 5 * time.Second        // of connections for control calls
@@ -75,6 +80,7 @@
 	feeds     []*medlarfeed.Feed
 	rollout   *medlarrollout.Rollout
 	tracker   *medlarcachetracker.Tracker
+	board     *medlarnotice.Board
 
 	stopping       atomic.Bool
 	listener       net.Listener
@@ -105,7 +111,7 @@
 			return medlarcalls.NewKVStores(h, replicaTimeout, c)
 		},
 		medlarplatform.NewClock, medlarmetric.New, medlarpool.New,
-		newLoop, newRegistry, newProxy, newFeeds, newTerm, newRollout, newTracker, newInstance,
+		newBoard, newNotifier, newLoop, newRegistry, newProxy, newFeeds, newTerm, newRollout, newTracker, newInstance,
 	}
 	for _, p := range providers {
 		if err := c.Provide(p); err != nil {
@@ -119,14 +125,14 @@
 
 func newInstance(cfg medlarsettings.Attached, log zerolog.Logger, logWriter *medlarlogger.Writer, m *medlarmetric.Metrics,
 	loop *medlarloop.Loop, registry *medlarregistry.Registry, proxy *medlarproxy.Proxy, feeds []*medlarfeed.Feed, rollout *medlarrollout.Rollout,
-	tracker *medlarcachetracker.Tracker,
+	tracker *medlarcachetracker.Tracker, board *medlarnotice.Board,
 ) *Instance {
 	return &Instance{
-		cfg: cfg, log: log, logWriter: logWriter, metrics: m, loop: loop, registry: registry, server: proxy.Server(), feeds: feeds, rollout: rollout, tracker: tracker,
+		cfg: cfg, log: log, logWriter: logWriter, metrics: m, loop: loop, registry: registry, server: proxy.Server(), feeds: feeds, rollout: rollout, tracker: tracker, board: board,
 	}
 }
 
-func newLoop(cfg medlarsettings.Attached, m *medlarmetric.Metrics, log zerolog.Logger) *medlarloop.Loop {
+func newLoop(cfg medlarsettings.Attached, m *medlarmetric.Metrics, log zerolog.Logger, n *medlarnotifier.Notifier) *medlarloop.Loop {
 	core := medlarcore.New(medlarworld.Config{
 		Self:            cfg.Name,
 		Zone:            cfg.Zone,
@@ -138,7 +144,7 @@
 		RetryBudget:     medlarworld.RetryBudget{Ratio: retryShare * cfg.Bounds.RetryRatio, Max: retryBurst, Initial: retryStart},
 		Seed:            rand.Uint64(),
 	})
-	return medlarloop.New(core, medlarloop.Deps{
+	deps := medlarloop.Deps{
 		LookUp:  func(medlarworld.LookUp) {},
 		Export:  func(medlarworld.Export) {},
 		OnRetry: func(r medlarworld.Retried) { m.Retried(r.Reason) },
@@ -149,7 +155,11 @@
 		OnAvoided:     func(a medlarworld.Avoided) { logAvoided(log, m, a) },
 		RequestShares: func(medlarworld.RequestShares) {},
 		OnTick:        m.Ticked,
-	})
+	}
+	n.AddTo(&deps)
+	loop := medlarloop.New(core, deps)
+	n.SetPost(loop.Post)
+	return loop
 }
 
 func newRegistry(log zerolog.Logger, pool *medlarpool.Pool, loop *medlarloop.Loop) *medlarregistry.Registry {
@@ -182,7 +192,7 @@
 }
 
 func newFeeds(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, loop *medlarloop.Loop,
-	s *medlarcalls.Store, registry *medlarregistry.Registry,
+	s *medlarcalls.Store, registry *medlarregistry.Registry, n *medlarnotifier.Notifier, board *medlarnotice.Board,
 ) []*medlarfeed.Feed {
 	feed := func(topic string, apply func([]medlarfeed.Record, bool), o medlarfeed.Options) *medlarfeed.Feed {
 		onUnavailable, onRecovered := feedOutageFuncs(log, topic, m.CallFailed)
@@ -191,18 +201,29 @@
 		}
 		f := medlarfeed.New(medlarfeed.Deps{
 			ReadLatest: func(_ context.Context, after string, newConn bool) (medlarfeed.Page, error) {
-				return s.Newest(topic, after, newConn)
+				page, err := s.Newest(topic, after, newConn)
+				if err == nil && topic == medlarplatform.TopicNotices {
+					board.SetEnd(page.EndOffset)
+				}
+				return page, err
 			},
 			ReadFrom: func(_ context.Context, from medlarid.Offset, o medlarfeed.ReadOptions) (medlarfeed.Batch, error) {
 				b, err := s.Follow(topic, from, o)
-				if err == nil && topic == medlarplatform.TopicOperator {
+				switch {
+				case err != nil:
+				case topic == medlarplatform.TopicOperator:
 					loop.Post(medlarworld.RecordsCurrent{At: time.Now()})
+				case topic == medlarplatform.TopicNotices && !b.Truncated:
+					board.SetEnd(b.NextOffset)
 				}
 				return b, err
 			},
 			Apply: apply, OnUnavailable: onUnavailable, OnRecovered: onRecovered,
 			OnEra: func(era medlarid.Era) {
 				m.SetEra(era)
+				if topic == medlarplatform.TopicNotices {
+					n.Restore()
+				}
 				log.Warn().Str("event", "era").Str("dependency", topic).Uint64("era", uint64(era)).Msg("store came back from a copy; reading the topic anew")
 			},
 		}, o)
@@ -221,9 +242,33 @@
 			MaxWait: readWait, PollInterval: replicaInterval, RemovalDelay: cfg.Bounds.RemovalDelay.Std() + returnMargin,
 			MinOutage: time.Duration(outageShare * float64(cfg.Bounds.HeartbeatInterval)),
 		}),
+		feed(medlarplatform.TopicNotices, n.Apply, medlarfeed.Options{MaxWait: noticeWait, PollInterval: noticeInterval}),
 	}
 }
 
+func newBoard(s *medlarcalls.Store, log zerolog.Logger, m *medlarmetric.Metrics) *medlarnotice.Board {
+	return medlarnotice.New(medlarnotice.Deps{
+		Append: func(records []medlarnotice.Record) error {
+			return s.AppendKeyed(medlarplatform.TopicNotices, records)
+		},
+		AppendAt: func(at medlarid.Offset, r medlarnotice.Record) error {
+			return s.AppendKeyedAt(medlarplatform.TopicNotices, at, r)
+		},
+		OnError: func(err error) {
+			m.CallFailed(medlarplatform.TopicNotices)
+			log.Warn().Str("event", "notice").Err(err).Msg("notice to the other instances cannot be written")
+		},
+	})
+}
+
+func newNotifier(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, board *medlarnotice.Board) *medlarnotifier.Notifier {
+	return medlarnotifier.New(medlarnotifier.Deps{
+		Self: cfg.Name, Log: log, Metrics: m, Board: board,
+		Spread:     time.Duration(rankOf(cfg) % int(restoreSpread)),
+		CallFailed: func() { m.CallFailed(medlarplatform.TopicNotices) },
+	})
+}
+
 // Start opens the listeners and starts serving. The instance runs until stop is called;
 // stop returns when the instance has ended.
 func (i *Instance) Start() (stop func(), err error) {
@@ -244,6 +289,7 @@
 	for _, f := range i.feeds {
 		go f.Run(ctx)
 	}
+	go i.board.Run(ctx)
 	go i.rollout.Run(ctx)
 	go i.tracker.Run(ctx)
 	go i.serve("callers", func() error { return i.server.Serve(i.listener) })
--- a/internal/ops/medlarlogquery/medlarlogquery.go
+++ b/internal/ops/medlarlogquery/medlarlogquery.go
@@ -102,6 +102,11 @@
 	Lost       bool                `json:"lost"`    // the replica ended the connection before its response was complete
 	Began      float64             `json:"began"`   // ms from the first event of the response until the attempt ended
 	Prompt     []string            `json:"prompt"`  // parts of the prompt but the last
+	Part       string              `json:"part"`    // a part of prompts that crashes replicas
+	Begun      []string            `json:"begun"`   // parts of prompts that a replica had begun to answer when it crashed
+	Queued     []string            `json:"queued"`  // parts of prompts that waited in it
+	Crashes    int                 `json:"crashes"` // of which a part is suspected
+	Trials     int                 `json:"trials"`  // of a blocked part
 	Decision   *Decision           `json:"why"`
 	Error      string              `json:"error"`
 	Readmitted bool                `json:"back"`
@@ -167,7 +172,11 @@
 		switch l.Event {
 		case "catalog", "weights", "lost", "regained", "stop", "start", "stock":
 			return true
-		case "replica", "ejection", "avoid", "order":
+		case "block", "trial":
+			if l.Part == o.Part {
+				return true
+			}
+		case "replica", "ejection", "avoid", "order", "crash":
 			if l.Replica == o.Replica {
 				return true
 			}
@@ -202,6 +211,9 @@
 	if l.Reason != "" {
 		fmt.Fprintf(&b, "; %s, ran: %s, %d requests waited for %d replicas", reasonText(l.Reason), l.Ran, l.Waiting, l.Replicas)
 	}
+	if l.Part != "" {
+		fmt.Fprintf(&b, "; blocked part: %s", l.Part)
+	}
 	if s, ok := l.Parts.(string); ok && s != "" {
 		fmt.Fprintf(&b, "; prompt parts: %s", partsText(s))
 	}
@@ -304,6 +316,10 @@
 		return fmt.Sprintf("%s asked for no requests for %.0f ms", l.Replica, l.After)
 	case "replica":
 		return fmt.Sprintf("%s: %s (leaving: %v, weights %v)", l.Replica, l.Message, l.Leaving, l.Version)
+	case "block", "trial":
+		return fmt.Sprintf("part %s: %s (crashes: %d, trials: %d)", l.Part, l.Message, l.Crashes, l.Trials)
+	case "crash":
+		return fmt.Sprintf("%s crashed; prompts that it had begun to answer had the parts %s, those that waited %s", l.Replica, strings.Join(l.Begun, " "), strings.Join(l.Queued, " "))
 	case "stock":
 		return strings.TrimSpace(fmt.Sprintf("store %s: %s %s", l.Store, l.Message, l.Error))
 	}
--- a/internal/ops/medlarloop/medlarloop.go
+++ b/internal/ops/medlarloop/medlarloop.go
@@ -37,6 +37,12 @@
 	OnEjection    func(medlarworld.Ejected)
 	OnAvoided     func(medlarworld.Avoided)
 	RequestShares func(medlarworld.RequestShares)
+	// ProbeUpstream, ReportCrash, RecordBlock and OnBlock are needed where prompts are divided
+	// into parts.
+	ProbeUpstream func(medlarworld.ProbeUpstream)
+	ReportCrash   func(medlarworld.ReportCrash)
+	RecordBlock   func(medlarworld.RecordBlock)
+	OnBlock       func(medlarworld.BlockChanged)
 	OnTick        func(waiting, open int)
 }
 
@@ -229,6 +235,14 @@
 		l.deps.OnAvoided(c)
 	case medlarworld.RequestShares:
 		go l.deps.RequestShares(c)
+	case medlarworld.ProbeUpstream:
+		go l.deps.ProbeUpstream(c)
+	case medlarworld.ReportCrash:
+		l.deps.ReportCrash(c)
+	case medlarworld.RecordBlock:
+		l.deps.RecordBlock(c)
+	case medlarworld.BlockChanged:
+		l.deps.OnBlock(c)
 	}
 }
 
--- /dev/null
+++ b/internal/ops/medlarnotifier/medlarnotifier.go
@@ -0,0 +1,196 @@
+// Package medlarnotifier carries out the core's commands about what all instances have to know,
+// through notices in the platform's store, and passes the notices of others to the core.
+package medlarnotifier
+
+import (
+	"errors"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"medlarfield/internal/agree/medlarfeed"
+	"medlarfield/internal/agree/medlarnotice"
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarsuspect"
+	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/edge/medlarmetric"
+	"medlarfield/internal/ops/medlarloop"
+)
+
+// Times and sizes of notices.
+const (
+	crashSlots       = 16                     // records of crashes that an instance keeps in the store
+	crashRecordLife  = time.Minute            // after which the record of a crash is removed
+	probeTimeout     = 300 * time.Millisecond // of a probe whether a replica accepts connections
+	probeRepeatDelay = 50 * time.Millisecond  // until a probe that succeeded is repeated: a process that ends may still accept for a moment
+)
+
+// Notifier writes and reads what instances tell one another.
+type Notifier struct {
+	deps Deps
+	post func(medlarworld.Event)
+
+	mu    sync.Mutex
+	slots [crashSlots]medlarsuspect.CrashID // crashes that this instance has a record of in the store
+	next  int                               // slot of the next crash
+}
+
+// Deps are what a Notifier depends on.
+type Deps struct {
+	Self    medlarid.InstanceID
+	Log     zerolog.Logger
+	Metrics *medlarmetric.Metrics
+	Board   *medlarnotice.Board
+	// Spread is the time after which this instance writes its notices again once the store
+	// came back from a copy; each instance has another one.
+	Spread time.Duration
+	// CallFailed counts a notice that cannot be decoded.
+	CallFailed func()
+}
+
+// New returns a Notifier. SetPost is called before it is used.
+func New(deps Deps) *Notifier { return &Notifier{deps: deps} }
+
+// SetPost sets the function that passes events to the core.
+func (n *Notifier) SetPost(post func(medlarworld.Event)) { n.post = post }
+
+// AddTo adds to d the functions that carry out the core's commands about crashes.
+func (n *Notifier) AddTo(d *medlarloop.Deps) {
+	d.ProbeUpstream = n.probe
+	d.ReportCrash = n.reportCrash
+	d.RecordBlock = n.recordBlock
+	d.OnBlock = n.logBlock
+}
+
+// probe finds out whether a replica is down: whether it refuses connections.
+func (n *Notifier) probe(c medlarworld.ProbeUpstream) {
+	down := refusesConnections(c.Address)
+	if !down {
+		time.Sleep(probeRepeatDelay)
+		down = refusesConnections(c.Address)
+	}
+	n.post(medlarworld.UpstreamProbed{Upstream: c.Upstream, Incarnation: c.Incarnation, Down: down})
+}
+
+func refusesConnections(addr medlarid.Address) bool {
+	conn, err := net.DialTimeout("tcp4", string(addr), probeTimeout)
+	if err == nil {
+		_ = conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+func (n *Notifier) reportCrash(c medlarworld.ReportCrash) {
+	r := c.Report
+	n.deps.Metrics.CrashSeen()
+	n.deps.Log.Warn().Str("event", "crash").Str("replica", string(r.Crash.Replica)).Int64("born", int64(r.Crash.Incarnation)).
+		Strs("begun", partNames(r.Begun)).Strs("queued", partNames(r.Waiting)).Msg("replica crashed; parts of the prompts that it had not answered")
+	value, err := medlarnotice.EncodeCrash(r)
+	if err != nil {
+		n.deps.Log.Error().Str("event", "notice").Err(err).Msg("report of a crash cannot be encoded")
+		return
+	}
+	slot, first := n.slot(r.Crash)
+	n.deps.Board.Put(medlarnotice.Record{Key: n.slotKey(slot), Value: value})
+	if first {
+		time.AfterFunc(crashRecordLife, func() { n.freeSlot(slot, r.Crash) })
+	}
+}
+
+// slot returns the slot of a crash; first tells that it has just got it, from the oldest one.
+func (n *Notifier) slot(id medlarsuspect.CrashID) (slot int, first bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if i := slices.Index(n.slots[:], id); i >= 0 {
+		return i, false
+	}
+	slot = n.next
+	n.slots[slot] = id
+	n.next = (n.next + 1) % crashSlots
+	return slot, true
+}
+
+// freeSlot removes the record of a crash unless another crash has its slot.
+func (n *Notifier) freeSlot(slot int, id medlarsuspect.CrashID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.slots[slot] == id {
+		n.slots[slot] = medlarsuspect.CrashID{}
+		n.deps.Board.Put(medlarnotice.Record{Key: n.slotKey(slot)})
+	}
+}
+
+func (n *Notifier) slotKey(slot int) string {
+	return medlarnotice.CrashKey(n.deps.Self, strconv.Itoa(slot))
+}
+
+// maxLoggedParts is the number of parts that a log line names.
+const maxLoggedParts = 12
+
+// partNames returns the first parts of a list, for the log.
+func partNames(parts []medlarsuspect.Part) []string {
+	out := []string{}
+	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
+		out = append(out, string(p))
+	}
+	return out
+}
+
+// recordBlock shares the state of a part; a claim of a trial is reported to the core if it is
+// granted.
+func (n *Notifier) recordBlock(c medlarworld.RecordBlock) {
+	r, err := medlarnotice.EncodeBlock(c.Record)
+	if err != nil {
+		n.deps.Log.Error().Str("event", "notice").Err(err).Msg("state of a part cannot be encoded")
+		return
+	}
+	if !c.Record.Claim {
+		n.deps.Board.Put(r)
+		return
+	}
+	go func() {
+		if err := n.deps.Board.Claim(r); err != nil {
+			n.deps.Log.Info().Str("event", "trial").Str("part", string(c.Record.Part)).Err(err).Msg("trial of a blocked part is not granted")
+			return
+		}
+		n.deps.Log.Info().Str("event", "trial").Str("part", string(c.Record.Part)).Int("trials", c.Record.Block.Trials).Msg("trial of a blocked part is granted")
+		n.post(medlarworld.TrialGranted{Part: c.Record.Part, Trials: c.Record.Block.Trials})
+	}()
+}
+
+func (n *Notifier) logBlock(c medlarworld.BlockChanged) {
+	n.deps.Metrics.BlockChanged(c.Change.Blocked)
+	text := "part of prompts is no longer blocked"
+	if c.Change.Blocked {
+		text = "part of prompts is blocked: it has crashed replicas"
+	}
+	n.deps.Log.Warn().Str("event", "block").Str("part", string(c.Change.Part)).Bool("blocked", c.Change.Blocked).
+		Int("crashes", c.Change.Crashes).Int("trials", c.Change.Trials).Msg(text)
+}
+
+// Apply passes the records of other instances to the core.
+func (n *Notifier) Apply(records []medlarfeed.Record, _ bool) {
+	for _, r := range records {
+		m, err := medlarnotice.Decode(medlarnotice.Record{Key: r.Key, Value: r.Value})
+		switch {
+		case err != nil:
+			n.deps.CallFailed()
+			n.deps.Log.Warn().Str("event", "notice").Str("key", r.Key).Err(err).Msg("notice is ignored")
+		case m.Report != nil:
+			n.post(medlarworld.CrashReported{Report: *m.Report})
+		case m.Part != "":
+			n.post(medlarworld.BlockRecorded{Part: m.Part, Block: m.Block, Dropped: r.Removed})
+		}
+	}
+}
+
+// Restore writes again what this instance has told the others, after the store came back from a
+// copy. Instances spread their writes.
+func (n *Notifier) Restore() {
+	time.AfterFunc(n.deps.Spread, func() { n.post(medlarworld.RecordsRestored{}) })
+}
--- a/internal/stand/medlarfakereplica/exchange.go
+++ b/internal/stand/medlarfakereplica/exchange.go
@@ -192,7 +192,7 @@
 		return false
 	}
 	if x.crashes {
-		x.replica.crash()
+		x.replica.Crash()
 		return false
 	}
 	if !x.serveEvents(last + 1) {
--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -181,8 +181,8 @@
 	}
 }
 
-// crash kills the replica while it answers a request.
-func (r *Replica) crash() {
+// Crash kills the replica and calls OnCrash.
+func (r *Replica) Crash() {
 	r.mu.Lock()
 	first := !r.crashed
 	r.crashed = true
--- a/internal/stand/medlarfaketopic/medlarfaketopic.go
+++ b/internal/stand/medlarfaketopic/medlarfaketopic.go
@@ -216,7 +216,12 @@
 func (s *Store) serveAppend(ctx *fasthttp.RequestCtx) {
 	name := string(ctx.QueryArgs().Peek("Topic"))
 	body := ctx.PostBody()
-	if len(body) < 4 || len(body) != 4+int(binary.BigEndian.Uint32(body)) || strings.HasPrefix(name, "keyed.") {
+	if name == "keyed.op" || name == "keyed.servers" { // the operator's and the replicas'
+		ctx.SetStatusCode(fasthttp.StatusForbidden)
+		return
+	}
+	records, ok := splitBody(body)
+	if !ok {
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
@@ -229,8 +234,23 @@
 		writeJSON(ctx, appendResponse{End: end})
 		return
 	}
-	at := s.append(name, slices.Clone(body[4:]))
-	writeJSON(ctx, appendResponse{Offset: at, End: at + 1})
+	for _, rec := range records {
+		s.append(name, rec)
+	}
+	writeJSON(ctx, appendResponse{Offset: end, End: end + len(records)})
+}
+
+// splitBody returns the records in the body of an append.
+func splitBody(body []byte) (records [][]byte, ok bool) {
+	for len(body) > 0 {
+		if len(body) < 4 || len(body) < 4+int(binary.BigEndian.Uint32(body)) {
+			return nil, false
+		}
+		n := 4 + int(binary.BigEndian.Uint32(body))
+		records = append(records, slices.Clone(body[4:n]))
+		body = body[n:]
+	}
+	return records, len(records) > 0
 }
 
 type goneResponse struct{ First int }
