--- a/internal/agree/medlarnotice/medlarnotice_test.go
+++ b/internal/agree/medlarnotice/medlarnotice_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,21 +20,21 @@
 // topic is an in-memory topic.
 type topic struct {
 	records []Record
-	down    bool
+	down    atomic.Bool
 	errs    []error
 }
 
 func (tp *topic) board() *Board {
 	return New(Deps{
 		Append: func(records []Record) error {
-			if tp.down {
+			if tp.down.Load() {
 				return errDown
 			}
 			tp.records = append(tp.records, records...)
 			return nil
 		},
 		AppendAt: func(at medlarid.Offset, r Record) error {
-			if tp.down || int(at) != len(tp.records) {
+			if tp.down.Load() || int(at) != len(tp.records) {
 				return errDown
 			}
 			tp.records = append(tp.records, r)
@@ -54,7 +55,8 @@
 // older ones that are written after newer ones.
 func TestPutDuringOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		tp := &topic{down: true}
+		tp := &topic{}
+		tp.down.Store(true)
 		b := tp.board()
 		go b.Run(t.Context())
 		b.Put(Record{Key: "a", Value: []byte("1")})
@@ -62,7 +64,7 @@
 		time.Sleep(5 * time.Second)
 		b.Put(Record{Key: "a", Value: []byte("2")})
 		synctest.Wait()
-		tp.down = false
+		tp.down.Store(false)
 		time.Sleep(maxBackoff)
 		synctest.Wait()
 		if len(tp.records) != 2 {
