Close connections on which a replica sends bytes without end

Heads and lines were bounded, but an instance read the body of a response to another request until the deadline (84 MB in 2 s), relayed a body without end and a stream of comments for as long (1.2 GB and 185 MB), and control calls returned a body that was cut at 64 MiB as if it were whole.

--- a/internal/base/medlarhead/body.go
+++ b/internal/base/medlarhead/body.go
@@ -20,8 +20,13 @@
 	remaining int64 // bytes of the body, or of the current chunk
 	chunkRead bool  // at least one chunk header was read
 	done      bool
+	limited   bool
+	left      int64 // bytes that may still be read, if limited
 }
 
+// Limit makes Read fail with KindOversized once it has returned n bytes and the body goes on.
+func (b *Body) Limit(n int64) { b.limited, b.left = true, n }
+
 // NewBody returns a reader for the body that follows h in br.
 func NewBody(br *bufio.Reader, h *Head) *Body {
 	return &Body{br: br, framing: h.Framing, remaining: max(h.Length, 0), done: h.Framing == FramingNone}
@@ -46,7 +51,14 @@
 	if b.framing != FramingClose && int64(len(p)) > b.remaining {
 		p = p[:b.remaining]
 	}
+	if b.limited && int64(len(p)) > b.left {
+		if b.left == 0 {
+			return 0, b.atLimit()
+		}
+		p = p[:b.left]
+	}
 	n, err := b.br.Read(p)
+	b.left -= int64(n)
 	if b.framing == FramingClose {
 		b.done = err == io.EOF
 	} else {
@@ -58,6 +70,17 @@
 	return n, err
 }
 
+// atLimit returns why nothing more is read at the limit: the body goes on, or it has ended.
+func (b *Body) atLimit() error {
+	if b.framing == FramingClose {
+		if _, err := b.br.Peek(1); err == io.EOF {
+			b.done = true
+			return io.EOF
+		}
+	}
+	return &Error{Op: OpBody, Kind: KindOversized, Err: eris.New("body exceeds the limit")}
+}
+
 // nextChunk reads the end of the current chunk and the size of the next one.
 func (b *Body) nextChunk() error {
 	if b.chunkRead {
--- a/internal/base/medlarhead/medlarhead_test.go
+++ b/internal/base/medlarhead/medlarhead_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"errors"
+	"io"
 	"strings"
 	"testing"
 )
@@ -153,3 +155,35 @@
 		}
 	})
 }
+
+// TestBodyLimit guards against a body that is read beyond a limit, and against one that just
+// reaches the limit and is refused.
+func TestBodyLimit(t *testing.T) {
+	const limit = 10
+	for _, tc := range []struct {
+		name, message string
+		whole         bool
+	}{
+		{"length at the limit", "Content-Length: 10\r\n\r\n0123456789", true},
+		{"length beyond", "Content-Length: 11\r\n\r\n0123456789x", false},
+		{"chunks at the limit", "Transfer-Encoding: chunked\r\n\r\n5\r\n01234\r\n5\r\n56789\r\n0\r\n\r\n", true},
+		{"chunks beyond", "Transfer-Encoding: chunked\r\n\r\n5\r\n01234\r\n6\r\n56789x\r\n0\r\n\r\n", false},
+		{"connection at the limit", "\r\n0123456789", true},
+		{"connection beyond", "\r\n0123456789x", false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			br := bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\n" + tc.message))
+			h, err := ReadResponse(br, 1000, "GET")
+			if err != nil {
+				t.Fatal(err)
+			}
+			b := NewBody(br, h)
+			b.Limit(limit)
+			got, err := io.ReadAll(b)
+			var e *Error
+			if tc.whole && err != nil || !tc.whole && (!errors.As(err, &e) || e.Kind != KindOversized) || len(got) != limit {
+				t.Errorf("read %q, %v; want %d bytes, whole: %v", got, err, limit, tc.whole)
+			}
+		})
+	}
+}
--- a/internal/core/medlarreason/medlarreason.go
+++ b/internal/core/medlarreason/medlarreason.go
@@ -109,6 +109,11 @@
 	{Reason: Failure, Text: "the upstream answered that it failed", Advice: "look at the upstream instance"},
 }
 
+// MeansNotRun reports whether an HTTP status states that the request did not run.
+func MeansNotRun(status int) bool {
+	return status == 408 || status == 421 || status == 429 || status == 503
+}
+
 // Lookup returns the row of a reason; ok is false if there is none.
 func Lookup(r Reason) (row Row, ok bool) {
 	for _, table := range [][]Row{Refusals, Retries} {
--- a/internal/edge/medlarcall/medlarcall.go
+++ b/internal/edge/medlarcall/medlarcall.go
@@ -32,6 +32,24 @@
 	LastEventID  string // id of the last event that the client has received
 }
 
+// PartKeys returns the keys of the prompt's parts under a salt.
+func (c *Call) PartKeys(salt medlarkey.CacheSalt) []medlarkey.Key {
+	out := make([]medlarkey.Key, len(c.Parts))
+	for i, p := range c.Parts {
+		out[i] = medlarkey.Part(salt, c.Model, p.ID)
+	}
+	return out
+}
+
+// SharedParts returns the parts of the prompt but the last one, which no other prompt shares.
+func (c *Call) SharedParts() []medlarsuspect.Part {
+	var out []medlarsuspect.Part
+	for _, p := range c.Parts[:max(len(c.Parts)-1, 0)] {
+		out = append(out, medlarsuspect.NewPart(p.ID))
+	}
+	return out
+}
+
 // Forward is the metadata that is added to a request to an upstream.
 type Forward struct {
 	Target      medlarid.InstanceID
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -22,6 +22,7 @@
 const (
 	maxResponseHead     = 16 << 10 // bytes of a response's head
 	maxStaleResponses   = 2        // responses to other requests that are skipped
+	maxResponseBody     = 32 << 20 // bytes of a response's body; a replica in trouble may send without end
 	maxInlineBody       = 16 << 10 // bytes; a longer request body is written while the response is read
 	firstAttemptTargets = 4        // target latencies after which a first attempt is abandoned
 	statusOK            = 200
@@ -177,7 +178,9 @@
 		if h.Framing == medlarhead.FramingClose {
 			break
 		}
-		if _, err := io.Copy(io.Discard, medlarhead.NewBody(a.upstream.Reader, h)); err != nil {
+		body := medlarhead.NewBody(a.upstream.Reader, h)
+		body.Limit(maxBufferedBody)
+		if _, err := io.Copy(io.Discard, body); err != nil {
 			return nil, medlarcall.Reply{}, err
 		}
 	}
@@ -216,13 +219,20 @@
 	return value
 }
 
+// newBody returns a reader for the body of a response that is relayed.
+func (a *attempt) newBody(h *medlarhead.Head) *medlarhead.Body {
+	body := medlarhead.NewBody(a.upstream.Reader, h)
+	body.Limit(maxResponseBody)
+	return body
+}
+
 // relayResponse relays a response that is not a stream.
 func (a *attempt) relayResponse(h *medlarhead.Head, reply medlarcall.Reply) medlarworld.AttemptEnded {
 	if a.responseStarted { // the response cannot continue a stream
 		_ = a.upstream.Close()
 		return a.failed(errNotStream, medlarreason.Broken, true)
 	}
-	body := medlarhead.NewBody(a.upstream.Reader, h)
+	body := a.newBody(h)
 	buf, err := medlarhead.ReadSome(body, maxBufferedBody)
 	if err != nil {
 		_ = a.upstream.Close()
@@ -295,7 +305,7 @@
 // relayStream relays an event stream. The head is sent with the first event, so that a stream
 // that fails before it is retried without the client noticing.
 func (a *attempt) relayStream(h *medlarhead.Head, reply medlarcall.Reply) medlarworld.AttemptEnded {
-	body := medlarhead.NewBody(a.upstream.Reader, h)
+	body := a.newBody(h)
 	a.events.Reset()
 	buf := make([]byte, readBuffer)
 	var events []byte
--- a/internal/edge/medlarproxy/exchange.go
+++ b/internal/edge/medlarproxy/exchange.go
@@ -9,7 +9,6 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarreason"
-	"medlarfield/internal/core/medlarsuspect"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarcall"
 	"medlarfield/internal/edge/medlarevent"
@@ -148,19 +147,12 @@
 	if n := len(x.call.Parts); n > 0 {
 		x.run.HomeKey = medlarkey.Part("", x.call.Model, x.call.Parts[max(n-2, 0)].ID)
 	}
-	for _, p := range x.call.Parts[:max(len(x.call.Parts)-1, 0)] {
-		x.run.Parts = append(x.run.Parts, medlarsuspect.NewPart(p.ID))
-	}
+	x.run.Parts = x.call.SharedParts()
 }
 
 // partKeys returns the keys of the prompt's parts for a weight version.
 func (x *exchange) partKeys(v medlarid.WeightVersion) []medlarkey.Key {
-	salt := x.cacheSalt(v)
-	out := make([]medlarkey.Key, len(x.call.Parts))
-	for i, p := range x.call.Parts {
-		out[i] = medlarkey.Part(salt, x.call.Model, p.ID)
-	}
-	return out
+	return x.call.PartKeys(x.cacheSalt(v))
 }
 
 // cacheSalt returns the salt of the prompt's parts for a weight version.
@@ -235,13 +227,13 @@
 func (x *exchange) refuse(reason medlarreason.Reason, ran medlarreason.Ran, after time.Duration) bool {
 	row, _ := medlarreason.Lookup(reason)
 	x.summary.Reason, x.summary.Ran, x.summary.Status = reason, ran, row.Status
-	if ran != medlarreason.RanNo && meansNotExecuted(row.Status) || row.Status == statusFailed {
+	if ran != medlarreason.RanNo && medlarreason.MeansNotRun(row.Status) || row.Status == statusFailed {
 		x.summary.Status = statusFailed
 		if x.run != nil && !time.Now().Before(x.run.Deadline) {
 			x.summary.Status = statusTimeout
 		}
 	}
-	if meansNotExecuted(x.summary.Status) {
+	if medlarreason.MeansNotRun(x.summary.Status) {
 		x.summary.RetryAfter = after
 	}
 	x.summary.Complete = x.write(x.proxy.refusalResponse(x.summary, x.closesConn())) == nil
@@ -254,11 +246,6 @@
 	statusTimeout = 504
 )
 
-// meansNotExecuted reports whether a status states that the request did not run.
-func meansNotExecuted(status int) bool {
-	return status == 408 || status == 421 || status == 429 || status == 503
-}
-
 // closesConn reports whether the client connection is closed after the response.
 func (x *exchange) closesConn() bool { return x.head.Close || x.proxy.server.Draining() }
 
--- /dev/null
+++ b/internal/ops/medlarattachednode/endless_test.go
@@ -0,0 +1,64 @@
+package medlarattachednode_test
+
+import (
+	"testing"
+	"time"
+
+	"medlarfield/internal/stand/medlarfakereplica"
+	"medlarfield/internal/stand/medlarsite"
+)
+
+// Bounds of what an instance takes from a replica that sends bytes without end: what it may read
+// before it closes the connection, including what buffers of the sockets hold, and the time.
+const (
+	maxEndlessBytes = 48 << 20
+	maxEndlessTime  = 1500 * time.Millisecond
+)
+
+// TestReplicaThatSendsBytesWithoutEnd guards against an instance that reads, holds or passes on what a
+// replica in trouble sends without end, instead of closing the connection.
+func TestReplicaThatSendsBytesWithoutEnd(t *testing.T) {
+	for _, tc := range []struct {
+		fault  medlarfakereplica.Fault
+		path   string
+		status int // 0: any end without a complete response
+	}{
+		{medlarfakereplica.FaultEndlessLine, "/post/a", 502},
+		{medlarfakereplica.FaultEndlessHead, "/post/a", 502},
+		{medlarfakereplica.FaultEndlessHeads, "/post/a", 502},
+		{medlarfakereplica.FaultEndlessForeign, "/post/a", 502},
+		{medlarfakereplica.FaultEndlessBusy, "/post/a", 200}, // it has not run, so another attempt is made
+		{medlarfakereplica.FaultEndlessUnsigned, "/post/a", 502},
+		{medlarfakereplica.FaultEndlessChunk, "/post/a", 0},
+		{medlarfakereplica.FaultEndlessBody, "/post/a", 0},
+		{medlarfakereplica.FaultEndlessLine, "/query/a", 502},
+		{medlarfakereplica.FaultEndlessHead, "/query/a", 502},
+		{medlarfakereplica.FaultEndlessEvent, "/query/a", 502},
+		{medlarfakereplica.FaultEndlessComment, "/query/a", 0},
+	} {
+		t.Run(string(tc.fault)+tc.path, func(t *testing.T) {
+			w := start(t, func(s *medlarsite.Settings) { s.Engines, s.Plain = 1, 1 })
+			r := w.site.Plain[0]
+			q := request{method: "POST", path: tc.path, id: "r", body: "{}"}
+			if tc.path == "/query/a" {
+				r = w.site.Engines[0]
+				q.fields = prompt("aa:100,own:500")
+			}
+			r.Arm(tc.fault, 1)
+			begin := time.Now()
+			got := w.send(q)
+			if tc.status != 0 && got.status != tc.status || tc.status != 200 && got.status == 200 && got.whole {
+				t.Errorf("status %d, whole %v; want %d", got.status, got.whole, tc.status)
+			}
+			if took := time.Since(begin); took > maxEndlessTime {
+				t.Errorf("ended after %v, want %v at most", took, maxEndlessTime)
+			}
+			w.eventually("the connection is closed", func() bool { return r.Active() == 0 })
+			if n := r.EndlessBytes(); n > maxEndlessBytes {
+				t.Errorf("%d bytes were taken from the replica, want %d at most", n, maxEndlessBytes)
+			}
+			q.id = "next"
+			assertResult(t, w.send(q), 200, "")
+		})
+	}
+}
--- a/internal/stand/medlarfakereplica/exchange.go
+++ b/internal/stand/medlarfakereplica/exchange.go
@@ -51,6 +51,9 @@
 	}
 	defer r.releaseSlot()
 	r.recordRun(x.record())
+	if start, repeat, ok := x.endless(); ok {
+		return x.sendEndlessly(start, repeat)
+	}
 	if r.Settings.Model == "" {
 		return x.servePlain()
 	}
--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -49,6 +49,20 @@
 	FaultMisdirected Fault = "misplaced" // responds with 421 as if it were another replica
 )
 
+// Faults of a replica that sends bytes without end, until the caller closes the connection.
+const (
+	FaultEndlessLine     Fault = "line"      // of a line that never ends
+	FaultEndlessHead     Fault = "fields"    // of the fields of a response
+	FaultEndlessHeads    Fault = "interim"   // of interim responses
+	FaultEndlessForeign  Fault = "foreigner" // of the body of a response to another request
+	FaultEndlessBusy     Fault = "reject"    // of the body of a rejection
+	FaultEndlessUnsigned Fault = "nameless"  // of the body of an unsigned response
+	FaultEndlessChunk    Fault = "chunk"     // of the size of a chunk of a response
+	FaultEndlessBody     Fault = "body"      // of the body of a response
+	FaultEndlessEvent    Fault = "event"     // of an event of a stream
+	FaultEndlessComment  Fault = "comment"   // of comments in a stream
+)
+
 // PauseSeconds is the pause that FaultPause asks for, in seconds.
 const PauseSeconds = "1.5"
 
@@ -87,6 +101,7 @@
 	leaving bool
 	notice  bool // responses say that the replica leaves
 	crashed bool
+	endless int // bytes that faults without end have sent
 	orders  uint64
 	loading bool
 	version uint64
@@ -139,6 +154,13 @@
 	return r.active
 }
 
+// EndlessBytes returns how many bytes the faults without end have sent.
+func (r *Replica) EndlessBytes() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.endless
+}
+
 // Version returns the current weight version.
 func (r *Replica) Version() uint64 {
 	r.mu.Lock()
--- a/internal/upstream/medlarhttp/medlarhttp.go
+++ b/internal/upstream/medlarhttp/medlarhttp.go
@@ -12,6 +12,7 @@
 package medlarhttp
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -89,6 +90,7 @@
 	Body        []byte
 	Timeout     time.Duration
 	WantField   string // name of a header field of the response to return, or empty
+	MaxBody     int    // bytes of the response's body; 0 for maxResponseBytes
 }
 
 // Response is an HTTP response with its complete body.
@@ -215,7 +217,7 @@
 	if err := hc.DoDeadline(req, resp, deadline); err != nil {
 		return Response{}, callError(err)
 	}
-	body, err := readBody(resp, deadline)
+	body, err := readBody(resp, deadline, cmp.Or(r.MaxBody, maxResponseBytes))
 	if err != nil {
 		return Response{}, callError(err)
 	}
@@ -230,15 +232,18 @@
 
 // readBody reads a streamed body to its end. A body that is shorter than its
 // Content-Length is an error.
-func readBody(resp *fasthttp.Response, deadline time.Time) ([]byte, error) {
+func readBody(resp *fasthttp.Response, deadline time.Time, limit int) ([]byte, error) {
 	r := resp.BodyStream()
 	if r == nil {
 		return append([]byte(nil), resp.Body()...), nil
 	}
-	body, err := io.ReadAll(io.LimitReader(r, maxResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
 	if err != nil {
 		return nil, err
 	}
+	if len(body) > limit {
+		return nil, errOversized
+	}
 	if n := resp.Header.ContentLength(); n >= 0 && len(body) < n {
 		return nil, io.ErrUnexpectedEOF
 	}
@@ -305,6 +310,9 @@
 	req.SetBodyRaw(r.Body)
 }
 
+// errOversized reports a response whose body is longer than the limit.
+var errOversized = eris.New("response body exceeds the limit")
+
 func callError(err error) error {
 	var d *unsentError
 	var n net.Error
@@ -313,6 +321,8 @@
 		return &Error{Op: OpCall, Kind: KindUnreachable, Err: eris.Wrap(d.err, "dial")}
 	case errors.Is(err, fasthttp.ErrNoFreeConns):
 		return &Error{Op: OpCall, Kind: KindUnreachable, Err: err}
+	case errors.Is(err, errOversized):
+		return &Error{Op: OpCall, Kind: KindMalformed, Err: err}
 	case errors.Is(err, fasthttp.ErrTimeout), errors.As(err, &n) && n.Timeout():
 		return &Error{Op: OpCall, Kind: KindTimeout, Err: err}
 	default:
--- a/internal/upstream/medlarhttp/medlarhttp_test.go
+++ b/internal/upstream/medlarhttp/medlarhttp_test.go
@@ -223,3 +223,58 @@
 		t.Errorf("got error %v after %d requests, want one for which Sent is false after 1", err, requests.Load())
 	}
 }
+
+// TestResponseWithoutEnd guards against a response of a peer in trouble that is read on and on, held in memory, or
+// cut and returned as if it were whole.
+func TestResponseWithoutEnd(t *testing.T) {
+	const maxBody, timeout = 1 << 16, 2 * time.Second
+	for _, tc := range []struct{ name, start, repeat string }{
+		{"line", "", "x"},
+		{"head", "HTTP/1.1 200 OK\r\n", "X-More: 1\r\n"},
+		{"interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+		{"body with a length", "HTTP/1.1 200 OK\r\nContent-Length: 9999999999\r\n\r\n", "x"},
+		{"body in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+		{"body to the end of the connection", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "x"},
+		{"size of a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = ln.Close() }()
+			sent := make(chan int, 1)
+			go func() { sent <- sendWithoutEnd(ln, tc.start, tc.repeat) }()
+			begin := time.Now()
+			resp, err := New(time.Second).DoUnpooled(Request{Method: "GET", Address: medlarid.Address(ln.Addr().String()), Path: "/", Timeout: timeout, MaxBody: maxBody})
+			if err == nil {
+				t.Errorf("got %d bytes as a whole response, want an error", len(resp.Body))
+			}
+			if took := time.Since(begin); took > timeout/2 {
+				t.Errorf("ended after %v, want %v at most", took, timeout/2)
+			}
+			if n := <-sent; n > 16<<20 {
+				t.Errorf("%d bytes were taken", n)
+			}
+		})
+	}
+}
+
+// sendWithoutEnd accepts one connection and sends until the peer closes it. It returns the number
+// of bytes that it sent.
+func sendWithoutEnd(ln net.Listener, start, repeat string) int {
+	c, err := ln.Accept()
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = c.Close() }()
+	sent, text, block := 0, start, strings.Repeat(repeat, 2048)
+	for {
+		n, err := c.Write([]byte(text))
+		sent += n
+		if err != nil {
+			return sent
+		}
+		text = block
+	}
+}
