--- a/internal/agree/medlarnotice/crash.go
+++ b/internal/agree/medlarnotice/crash.go
@@ -7,6 +7,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarsuspect"
+	"medlarfield/internal/core/medlarworld"
 )
 
 // Prefixes of the keys of records.
@@ -69,29 +70,32 @@
 	return Record{Key: key, Value: b}, err
 }
 
-// Message is what a record says: a Report, or the Block of a Part; neither for a record of
-// another kind.
-type Message struct {
-	Report *medlarsuspect.Report
-	Part   medlarsuspect.Part
-	Block  medlarsuspect.Block
-}
-
-// Decode decodes a record. One that was removed has no value.
-func Decode(r Record) (Message, error) {
+// Decode decodes a record into an event of the core; nil for a record of another kind. A record that
+// was removed has no value.
+func Decode(r Record) (medlarworld.Event, error) {
 	if part, ok := strings.CutPrefix(r.Key, blockPrefix); ok {
-		var b blockRecord
-		err := decode(r, &b)
-		return Message{Part: medlarsuspect.Part(part), Block: medlarsuspect.Block(b)}, err
+		return decodeBlock(r, medlarsuspect.Part(part))
 	}
-	if !strings.HasPrefix(r.Key, crashPrefix) || len(r.Value) == 0 {
-		return Message{}, nil
+	if strings.HasPrefix(r.Key, crashPrefix) {
+		return decodeCrash(r)
 	}
+	return nil, nil
+}
+
+func decodeBlock(r Record, p medlarsuspect.Part) (medlarworld.Event, error) {
+	var b blockRecord
+	if err := decode(r, &b); err != nil {
+		return nil, err
+	}
+	return medlarworld.BlockRecorded{Part: p, Block: medlarsuspect.Block(b), Dropped: len(r.Value) == 0}, nil
+}
+
+func decodeCrash(r Record) (medlarworld.Event, error) {
 	var c crashRecord
-	if err := decode(r, &c); err != nil {
-		return Message{}, err
+	if err := decode(r, &c); err != nil || len(r.Value) == 0 {
+		return nil, err
 	}
-	return Message{Report: &medlarsuspect.Report{
+	return medlarworld.CrashReported{Report: medlarsuspect.Report{
 		Crash: medlarsuspect.CrashID{Replica: c.Replica, Incarnation: c.Born},
 		Begun: c.Begun[:min(len(c.Begun), maxReportParts)], Waiting: c.Waiting[:min(len(c.Waiting), maxReportParts)],
 	}}, nil
--- a/internal/agree/medlarnotice/medlarnotice_test.go
+++ b/internal/agree/medlarnotice/medlarnotice_test.go
@@ -13,6 +13,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarsuspect"
+	"medlarfield/internal/core/medlarworld"
 )
 
 var errDown = errors.New("store is down")
@@ -117,12 +118,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		m, err := Decode(Record{Key: CrashKey("entry-1", "3"), Value: value})
-		if err != nil || m.Report == nil {
-			t.Fatalf("decoded %+v, %v", m, err)
-		}
-		if d := cmp.Diff(want, *m.Report); d != "" {
-			t.Error(d)
+		e, err := Decode(Record{Key: CrashKey("entry-1", "3"), Value: value})
+		if d := cmp.Diff(medlarworld.CrashReported{Report: want}, e); d != "" || err != nil {
+			t.Error(d, err)
 		}
 	})
 	t.Run("block", func(t *testing.T) {
@@ -131,8 +129,8 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			m, err := Decode(r)
-			if d := cmp.Diff(Message{Part: "a/b", Block: b}, m); d != "" || err != nil {
+			e, err := Decode(r)
+			if d := cmp.Diff(medlarworld.BlockRecorded{Part: "a/b", Block: b}, e); d != "" || err != nil {
 				t.Error(d, err)
 			}
 		}
@@ -141,14 +139,16 @@
 		for _, r := range []Record{
 			{Key: "block/a", Value: []byte("{")}, {Key: "block/a", Value: []byte(`{"trials":"many"}`)}, {Key: "crash/e/1", Value: []byte(`[1]`)},
 		} {
-			if m, err := Decode(r); err == nil {
-				t.Errorf("decoded %s to %+v, want an error", r.Value, m)
+			if e, err := Decode(r); err == nil {
+				t.Errorf("decoded %s to %+v, want an error", r.Value, e)
 			}
 		}
 	})
 	t.Run("other keys", func(t *testing.T) {
-		if m, err := Decode(Record{Key: "other/a", Value: []byte("{")}); m.Report != nil || m.Part != "" || err != nil {
-			t.Errorf("decoded %+v, %v; want nothing", m, err)
+		for _, r := range []Record{{Key: "other/a", Value: []byte("{")}, {Key: "block", Value: []byte("{")}, {Key: CrashKey("e", "1")}} {
+			if e, err := Decode(r); e != nil || err != nil {
+				t.Errorf("decoded %+v, %v; want nothing", e, err)
+			}
 		}
 	})
 }
--- a/internal/ops/medlarnotifier/medlarnotifier.go
+++ b/internal/ops/medlarnotifier/medlarnotifier.go
@@ -176,15 +176,13 @@
 // Apply passes the records of other instances to the core.
 func (n *Notifier) Apply(records []medlarfeed.Record, _ bool) {
 	for _, r := range records {
-		m, err := medlarnotice.Decode(medlarnotice.Record{Key: r.Key, Value: r.Value})
+		e, err := medlarnotice.Decode(medlarnotice.Record{Key: r.Key, Value: r.Value})
 		switch {
 		case err != nil:
 			n.deps.CallFailed()
 			n.deps.Log.Warn().Str("event", "notice").Str("key", r.Key).Err(err).Msg("notice is ignored")
-		case m.Report != nil:
-			n.post(medlarworld.CrashReported{Report: *m.Report})
-		case m.Part != "":
-			n.post(medlarworld.BlockRecorded{Part: m.Part, Block: m.Block, Dropped: r.Removed})
+		case e != nil:
+			n.post(e)
 		}
 	}
 }
