Read and log the limits of requests that replicas name

A change of it is logged (limit), counted (medlar_hints_total) and told by medlarctl explain now. Values that are no decimal number, or are named twice, are counted as malformed and ignored. Nothing is decided by a limit yet. The stand-in replica can name limits and tells when requests arrived.

--- a/internal/core/medlarcore/medlarcore.go
+++ b/internal/core/medlarcore/medlarcore.go
@@ -9,6 +9,7 @@
 	"medlarfield/internal/core/medlarcrash"
 	"medlarfield/internal/core/medlarfleet"
 	"medlarfield/internal/core/medlarlag"
+	"medlarfield/internal/core/medlarlimit"
 	"medlarfield/internal/core/medlaroffload"
 	"medlarfield/internal/core/medlarplacement"
 	"medlarfield/internal/core/medlarretry"
@@ -43,6 +44,7 @@
 		world: medlarworld.New(cfg),
 		systems: []system{ // run in this order
 			medlarfleet.New(),
+			medlarlimit.New(),
 			medlarplacement.New(),
 			medlarlag.New(),
 			medlarwindow.New(),
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -192,6 +192,7 @@
 		CachedKeys:    c.cachedBlocks,
 		Import:        c.imports,
 		ImportTimeout: importTimeout(c),
+		Limited:       u.Limited,
 		Decision:      decision,
 	}
 	if r.KeyTokens != nil && u.Kind == medlarworld.KindEngine {
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -142,6 +142,10 @@
 	Incarnation     medlarid.Incarnation
 	// PausedUntil is the time until which the upstream asked for no requests.
 	PausedUntil time.Time
+	// Limit is how many requests a second the upstream takes from all instances together, if
+	// Limited is set.
+	Limit   float64
+	Limited bool
 
 	Model    medlarid.ModelID
 	Version  medlarid.WeightVersion
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -213,6 +213,16 @@
 // RecordsRestored reports that the store came back from a copy and may lack shared state.
 type RecordsRestored struct{}
 
+// UpstreamLimited reports what an upstream said in an answer of its limit of requests.
+type UpstreamLimited struct {
+	Upstream    medlarid.InstanceID
+	Incarnation medlarid.Incarnation
+	Named       bool    // the answer named a limit
+	Limit       float64 // requests per second from all instances together
+	// AttemptStarted is when the attempt started that was answered so.
+	AttemptStarted time.Time
+}
+
 // TransferEnded reports the end of a transfer over the link to a store.
 type TransferEnded struct {
 	Store  medlarid.InstanceID
@@ -242,6 +252,7 @@
 func (TransferEnded) event()     {}
 func (UpstreamLeaving) event()   {}
 func (UpstreamPaused) event()    {}
+func (UpstreamLimited) event()   {}
 func (UpstreamProbed) event()    {}
 func (CrashReported) event()     {}
 func (BlockRecorded) event()     {}
@@ -276,6 +287,8 @@
 	Fetch         []medlarid.Address
 	Save          []medlarid.Address
 	FetchDeadline time.Time
+	// Limited is set if the upstream is known to have a limit of requests.
+	Limited bool
 	// Parts holds the state of each part that the decision assumed.
 	Parts    []PartState
 	Decision Decision
@@ -377,6 +390,13 @@
 	Readmitted bool
 }
 
+// LimitChanged reports that an upstream named another limit, or none any longer, for the log.
+type LimitChanged struct {
+	Upstream medlarid.InstanceID
+	Limited  bool
+	Limit    float64 // requests per second from all instances together
+}
+
 // ProbeUpstream asks whether an upstream that ended connections is down.
 type ProbeUpstream struct {
 	Upstream    medlarid.InstanceID
@@ -394,6 +414,7 @@
 type BlockChanged struct{ Change medlarsuspect.Change }
 
 func (StartAttempt) command()  {}
+func (LimitChanged) command()  {}
 func (ProbeUpstream) command() {}
 func (ReportCrash) command()   {}
 func (RecordBlock) command()   {}
--- a/internal/edge/medlarcall/medlarcall.go
+++ b/internal/edge/medlarcall/medlarcall.go
@@ -80,7 +80,12 @@
 	KeepAlive      time.Duration
 	Leaving        bool          // the replica says that it leaves
 	RetryAfter     time.Duration // for which the replica asks for no requests; 0 for none
-	MalformedHint  bool          // Leaving or RetryAfter was given with an invalid value
+	// Limit is how many requests a second the replica takes from all instances together, if
+	// LimitNamed is set. LimitMalformed is set if it names one that cannot be used.
+	Limit          float64
+	LimitNamed     bool
+	LimitMalformed bool
+	MalformedHint  bool // Leaving, RetryAfter or Limit was given with an invalid value
 }
 
 // BodyEnd describes the end of the body of an upstream's response.
--- a/internal/edge/medlarmetric/medlarmetric.go
+++ b/internal/edge/medlarmetric/medlarmetric.go
@@ -86,7 +86,7 @@
 	m.answers = m.newCounterVec("answers_total", "Requests answered, by kind.", "kind")
 	m.responses = m.newCounterVec("responses_total", "Responses of replicas, by framing of the body and by its end: complete, partial, broken.", "framing", "end")
 	m.lost = m.newCounterVec("lost_total", "Attempts whose connection the replica ended before the response was complete, by whether an event had been received.", "began")
-	m.hints = m.newCounterVec("hints_total", "What replicas said in responses about further requests: leaving, pause, malformed.", "kind")
+	m.hints = m.newCounterVec("hints_total", "What replicas said in responses about further requests: leaving, pause, limit, malformed.", "kind")
 	m.tokens = m.newCounterVec("tokens_total", "Tokens, by kind: prompt, cached, completion.", "kind")
 	m.bytesMoved = m.newCounterVec("moved_bytes_total", "Bytes of kept context moved, by direction.", "direction")
 	m.callFailures = m.newCounterVec("platform_failures_total", "Failed calls to the platform, by part.", "part")
@@ -224,6 +224,7 @@
 const (
 	HintLeaving   Hint = "leaving"
 	HintPause     Hint = "pause"
+	HintLimit     Hint = "limit"
 	HintMalformed Hint = "malformed"
 )
 
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -99,6 +99,12 @@
 	if reply.MalformedHint {
 		a.proxy.deps.OnMalformedHint(a.cmd.Upstream)
 	}
+	own := reply.ID == a.call.ID && (reply.Signed || reply.NotRun)
+	if reply.LimitNamed || a.cmd.Limited && own && !reply.LimitMalformed {
+		a.proxy.deps.Post(medlarworld.UpstreamLimited{
+			Upstream: a.cmd.Upstream, Incarnation: a.cmd.Incarnation, Named: reply.LimitNamed, Limit: reply.Limit, AttemptStarted: a.started,
+		})
+	}
 	if reply.Leaving {
 		a.proxy.deps.Post(medlarworld.UpstreamLeaving{Upstream: a.cmd.Upstream, Incarnation: a.cmd.Incarnation})
 	}
--- a/internal/ops/medlarattachednode/follow_test.go
+++ b/internal/ops/medlarattachednode/follow_test.go
@@ -367,3 +367,34 @@
 	}
 	return result{status: h.Status, head: h, whole: true}
 }
+
+// TestNamedLimitIsLogged guards against a log that does not say that a replica has named a limit of requests.
+func TestNamedLimitIsLogged(t *testing.T) {
+	w := start(t, func(s *medlarsite.Settings) { s.Engines = 1 })
+	for _, tc := range []struct {
+		name   string
+		values []string
+		want   string
+	}{
+		{"named", []string{"3.3"}, `"limited":true,"limit":3.3`},
+		{"changed", []string{"0.5"}, `"limited":true,"limit":0.5`},
+		{"ended", nil, `"limited":false,"limit":0`},
+		{"nonsense", []string{"many"}, ""},
+		{"two values", []string{"3", "4"}, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w.site.Engines[0].NameLimits(tc.values...)
+			before := strings.Count(w.logs.text(), `"event":"limit"`)
+			for i := range 2 {
+				w.send(request{method: "POST", path: "/query/x", id: fmt.Sprint(tc.name, i), body: "{}", fields: prompt("aa:10,own:50")})
+			}
+			if tc.want == "" {
+				if n := strings.Count(w.logs.text(), `"event":"limit"`); n != before {
+					t.Errorf("%d changes of the limit are logged, want none", n-before)
+				}
+				return
+			}
+			w.eventually("the change is logged", func() bool { return strings.Contains(w.logs.text(), tc.want) })
+		})
+	}
+}
--- a/internal/ops/medlarattachednode/logging.go
+++ b/internal/ops/medlarattachednode/logging.go
@@ -115,6 +115,16 @@
 	log.Info().Str("event", "avoid").Str("replica", string(a.Upstream)).Bool("leaving", a.Leaving).Float64("after", ms(a.For)).Msg(text)
 }
 
+// logLimit logs and counts that a replica named another limit of requests, or none any longer.
+func logLimit(log zerolog.Logger, m *medlarmetric.Metrics, c medlarworld.LimitChanged) {
+	text := "replica no longer names a limit of requests"
+	if c.Limited {
+		m.HintReceived(medlarmetric.HintLimit)
+		text = "replica named a limit of requests"
+	}
+	log.Info().Str("event", "limit").Str("replica", string(c.Upstream)).Bool("limited", c.Limited).Float64("limit", c.Limit).Msg(text)
+}
+
 // choiceFields returns the log fields of the figures that an upstream was chosen by.
 func choiceFields(y medlarworld.Decision) *zerolog.Event {
 	return zerolog.Dict().Int("choices", y.Candidates).Float64("pending", math.Round(y.Pending)).
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -153,6 +153,7 @@
 			log.Info().Str("event", "ejection").Str("replica", string(e.Upstream)).Bool("back", e.Readmitted).Msg("upstream ejected or readmitted")
 		},
 		OnAvoided:     func(a medlarworld.Avoided) { logAvoided(log, m, a) },
+		OnLimit:       func(c medlarworld.LimitChanged) { logLimit(log, m, c) },
 		RequestShares: func(medlarworld.RequestShares) {},
 		OnTick:        m.Ticked,
 	}
--- a/internal/ops/medlarlogquery/medlarlogquery.go
+++ b/internal/ops/medlarlogquery/medlarlogquery.go
@@ -111,6 +111,8 @@
 	Error      string              `json:"error"`
 	Readmitted bool                `json:"back"`
 	Leaving    bool                `json:"leaving"`
+	Limited    bool                `json:"limited"`
+	Limit      float64             `json:"limit"`   // requests per second
 	Version    any                 `json:"version"` // of the weights or of the catalog
 	Dependency string              `json:"dependency"`
 }
@@ -176,7 +178,7 @@
 			if l.Part == o.Part {
 				return true
 			}
-		case "replica", "ejection", "avoid", "order", "crash":
+		case "replica", "ejection", "avoid", "order", "crash", "limit":
 			if l.Replica == o.Replica {
 				return true
 			}
@@ -314,6 +316,11 @@
 			return fmt.Sprintf("%s said that it leaves; it gets no new work", l.Replica)
 		}
 		return fmt.Sprintf("%s asked for no requests for %.0f ms", l.Replica, l.After)
+	case "limit":
+		if !l.Limited {
+			return fmt.Sprintf("%s no longer names a limit of requests", l.Replica)
+		}
+		return fmt.Sprintf("%s named a limit of %g requests a second for all instances", l.Replica, l.Limit)
 	case "replica":
 		return fmt.Sprintf("%s: %s (leaving: %v, weights %v)", l.Replica, l.Message, l.Leaving, l.Version)
 	case "block", "trial":
--- a/internal/ops/medlarloop/medlarloop.go
+++ b/internal/ops/medlarloop/medlarloop.go
@@ -36,6 +36,7 @@
 	OnRetry       func(medlarworld.Retried)
 	OnEjection    func(medlarworld.Ejected)
 	OnAvoided     func(medlarworld.Avoided)
+	OnLimit       func(medlarworld.LimitChanged)
 	RequestShares func(medlarworld.RequestShares)
 	// ProbeUpstream, ReportCrash, RecordBlock and OnBlock are needed where prompts are divided
 	// into parts.
@@ -233,6 +234,8 @@
 		l.deps.OnEjection(c)
 	case medlarworld.Avoided:
 		l.deps.OnAvoided(c)
+	case medlarworld.LimitChanged:
+		l.deps.OnLimit(c)
 	case medlarworld.RequestShares:
 		go l.deps.RequestShares(c)
 	case medlarworld.ProbeUpstream:
--- a/internal/stand/medlarfakereplica/exchange.go
+++ b/internal/stand/medlarfakereplica/exchange.go
@@ -45,9 +45,9 @@
 	case target != "" && target != r.Settings.ID, expect != "" && expect != version:
 		return writeResponse(x.conn, 421, "Medlarfield-Instance-Id: "+r.Settings.ID+"\r\nMedlarfield-Weight-Versions: "+version+"\r\n", "")
 	case x.fault == FaultPause:
-		return writeResponse(x.conn, 503, x.requestIDField()+notExecuted+"Retry-After: "+PauseSeconds+"\r\n", "")
+		return writeResponse(x.conn, 503, x.requestIDField()+notExecuted+r.hintFields()+"Retry-After: "+PauseSeconds+"\r\n", "")
 	case x.fault == FaultShed || !r.acquireSlot():
-		return writeResponse(x.conn, 503, x.requestIDField()+notExecuted+r.leavingField(), "")
+		return writeResponse(x.conn, 503, x.requestIDField()+notExecuted+r.hintFields(), "")
 	}
 	defer r.releaseSlot()
 	r.recordRun(x.record())
@@ -85,7 +85,7 @@
 	if x.fault == FaultEncoded {
 		f += "Content-Encoding: gzip\r\n"
 	}
-	return f + x.replica.leavingField() + "Keep-Alive: timeout=5\r\n"
+	return f + x.replica.hintFields() + "Keep-Alive: timeout=5\r\n"
 }
 
 // hangDelay is the delay of FaultHang. It is longer than a caller waits.
--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -92,20 +92,22 @@
 type Replica struct {
 	Settings Settings
 
-	ln      net.Listener
-	mu      sync.Mutex
-	conns   map[net.Conn]bool
-	faults  []Fault
-	runs    []Run
-	active  int
-	leaving bool
-	notice  bool // responses say that the replica leaves
-	crashed bool
-	endless int // bytes that faults without end have sent
-	orders  uint64
-	loading bool
-	version uint64
-	changed func() // called when the replica's own entry changes
+	ln       net.Listener
+	mu       sync.Mutex
+	conns    map[net.Conn]bool
+	faults   []Fault
+	runs     []Run
+	active   int
+	leaving  bool
+	notice   bool     // responses say that the replica leaves
+	limits   []string // limits that responses name
+	arrivals []time.Time
+	crashed  bool
+	endless  int // bytes that faults without end have sent
+	orders   uint64
+	loading  bool
+	version  uint64
+	changed  func() // called when the replica's own entry changes
 }
 
 // New starts a replica on a free loopback port. It calls changed whenever the
@@ -183,14 +185,41 @@
 	r.notice = true
 }
 
-// leavingField returns the header field by which a response says that the replica leaves.
-func (r *Replica) leavingField() string {
+// NameLimits makes all responses name limits of requests a second, one in each value; none ends that.
+func (r *Replica) NameLimits(values ...string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.limits = values
+}
+
+// hintFields returns the header fields by which a response says that the replica leaves, and
+// what limit it has.
+func (r *Replica) hintFields() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f := ""
 	if r.notice {
-		return "Server-Leaving: 1\r\n"
+		f = "Server-Leaving: 1\r\n"
 	}
-	return ""
+	for _, v := range r.limits {
+		f += "Server-Limit: " + v + "\r\n"
+	}
+	return f
+}
+
+// Arrivals returns the times at which requests have reached the replica, other than control
+// calls.
+func (r *Replica) Arrivals() []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]time.Time(nil), r.arrivals...)
+}
+
+// recordArrival records that a request has reached the replica.
+func (r *Replica) recordArrival() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.arrivals = append(r.arrivals, time.Now())
 }
 
 // Kill closes the listener and all connections immediately.
@@ -296,6 +325,7 @@
 	case "/-/report":
 		return r.serveReport(c)
 	}
+	r.recordArrival()
 	x := &exchange{replica: r, conn: c, br: br, head: h, body: body, fault: r.nextFault()}
 	return x.serve()
 }
@@ -356,7 +386,7 @@
 	out := report{Stage: "colocated", Models: []model{{r.Settings.Model, r.version}}, Busy: r.loading, Sequence: r.orders, Running: r.active}
 	r.mu.Unlock()
 	b, err := json.Marshal(out)
-	return err == nil && writeResponse(c, 200, r.leavingField(), string(b))
+	return err == nil && writeResponse(c, 200, r.hintFields(), string(b))
 }
 
 // writeResponse writes a complete response and reports whether the write succeeded.
