--- a/internal/ops/medlarattachednode/crash_test.go
+++ b/internal/ops/medlarattachednode/crash_test.go
@@ -121,6 +121,7 @@
 // TestPartThatCrashesReplicasIsStopped guards against requests with a part that has crashed
 // replicas going on to further replicas, through whatever instance they come.
 func TestPartThatCrashesReplicasIsStopped(t *testing.T) {
+	t.Parallel()
 	for _, tc := range []struct {
 		name      string
 		instances int
@@ -307,6 +308,7 @@
 // TestOtherCrashesBlockNothing guards against sound parts that are blocked because replicas end
 // for another reason while they answer them.
 func TestOtherCrashesBlockNothing(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 3, func(s *medlarsite.Settings) { s.ServiceTime = 10 * time.Millisecond })
 	stop := make(chan struct{})
 	sound := f.load("s", "/query/x", 5*time.Millisecond, stop, func(n int) string { return fmt.Sprintf("aa:100,%s,%d:500", soundPart(n), n) })
