Share the limit of requests that a replica names among all instances

Replicas in need got far more requests than the limit that they had named for all instances together (LIMIT, second1): 51 in 4 s for 3.3 a second, where 25 were allowed.

Cause: Server-Limit was not read, and nothing in an attached instance could have kept it: it knew of no other instance.

Instances tell one another of limits and, while there are any, how many requests they get, through the notices in the store. Each has a share of a limit in proportion to its requests, as a lease that ends before the others count it as free, and spends it by a token bucket on every attempt. Of many instances only some have a share, so that their single tokens do not add up to more than the limit allows. Requests whose replicas are all limited past their deadline are refused at once.

--- a/internal/agree/medlarnotice/crash.go
+++ b/internal/agree/medlarnotice/crash.go
@@ -14,6 +14,8 @@
 const (
 	crashPrefix = "crash/" // followed by the reporting instance and the number of a slot
 	blockPrefix = "block/" // followed by the part
+	limitPrefix = "limit/" // followed by the replica
+	needPrefix  = "need/"  // followed by the instance
 )
 
 // maxReportParts is the maximum number of parts in a record of a crash, which bounds its size
@@ -79,6 +81,12 @@
 	if strings.HasPrefix(r.Key, crashPrefix) {
 		return decodeCrash(r)
 	}
+	if id, ok := strings.CutPrefix(r.Key, limitPrefix); ok {
+		return decodeLimit(r, medlarid.InstanceID(id))
+	}
+	if id, ok := strings.CutPrefix(r.Key, needPrefix); ok {
+		return decodeNeed(r, medlarid.InstanceID(id))
+	}
 	return nil, nil
 }
 
--- a/internal/agree/medlarnotice/medlarnotice_test.go
+++ b/internal/agree/medlarnotice/medlarnotice_test.go
@@ -166,3 +166,42 @@
 		t.Errorf("%d bytes, %v; want %d at most", len(value), err, recordLimit)
 	}
 }
+
+func TestLimitRecordsKeepTheirMeaning(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		record func() (Record, error)
+		want   medlarworld.Event
+	}{
+		{"limit", func() (Record, error) {
+			return EncodeLimit(medlarworld.RecordLimit{Upstream: "r/1", Incarnation: 7, Limited: true, Limit: 0.25})
+		}, medlarworld.LimitRecorded{Upstream: "r/1", Incarnation: 7, Limit: 0.25}},
+		{"end of a limit", func() (Record, error) {
+			return EncodeLimit(medlarworld.RecordLimit{Upstream: "r"})
+		}, medlarworld.LimitRecorded{Upstream: "r", Dropped: true}},
+		{"need", func() (Record, error) {
+			return EncodeNeed("entry-1", medlarworld.RecordNeed{Serial: 1774547982893000001, Rates: medlarworld.Rates{"s": 2.5}})
+		}, medlarworld.NeedRecorded{Instance: "entry-1", Serial: 1774547982893000001, Rates: medlarworld.Rates{"s": 2.5}}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r, err := tc.record()
+			if err != nil {
+				t.Fatal(err)
+			}
+			e, err := Decode(r)
+			if d := cmp.Diff(tc.want, e); d != "" || err != nil {
+				t.Error(d, err)
+			}
+		})
+	}
+	for _, r := range []Record{
+		{Key: "limit/r", Value: []byte(`{"limit":-1}`)},
+		{Key: "limit/r", Value: []byte(`{"limit":"x"}`)},
+		{Key: "need/i", Value: []byte(`{"rates":{"s":-1}}`)},
+		{Key: "need/i", Value: []byte(`[]`)},
+	} {
+		if e, err := Decode(r); err == nil {
+			t.Errorf("decoded %s to %+v, want an error", r.Value, e)
+		}
+	}
+}
--- a/internal/core/medlaradmission/medlaradmission.go
+++ b/internal/core/medlaradmission/medlaradmission.go
@@ -14,7 +14,7 @@
 //	    share of the queue is refused to make room.
 //	R5  A request that would wait past its deadline, or past the longest wait,
 //	    is refused at once and told when to retry. So is one whose upstreams all pause
-//	    past its deadline.
+//	    past its deadline, or are limited so that it would wait past it.
 //	R6  A request whose caller has left, or whose deadline has passed while it
 //	    waits, is removed from the queue.
 //	R7  Only accounts that have recently sent requests are kept in memory.
@@ -31,6 +31,7 @@
 	"time"
 
 	"medlarfield/internal/core/medlarcrash"
+	"medlarfield/internal/core/medlarlimit"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
 )
@@ -222,7 +223,7 @@
 	if after := takeToken(w, a); after > 0 {
 		return medlarreason.Rate, min(after, maxRetryAfter) // R2
 	}
-	if wait := max(s.queueWait(w, r), pause(w, r)); w.Now.Add(wait).After(latestStart(r)) || w.Config.MaxWait > 0 && wait > w.Config.MaxWait {
+	if wait := max(s.queueWait(w, r), pause(w, r), medlarlimit.Wait(w, r, runsAhead(w, r))); w.Now.Add(wait).After(latestStart(r)) || w.Config.MaxWait > 0 && wait > w.Config.MaxWait {
 		return medlarreason.Deadline, clampRetryAfter(wait) // R5
 	}
 	if len(w.Waiting) >= w.Config.MaxQueued && !evictForRoom(w, a) {
@@ -263,6 +264,18 @@
 	return i
 }
 
+// runsAhead returns the number of waiting runs before a run's place in the queue that have the same
+// target.
+func runsAhead(w *medlarworld.World, r *medlarworld.Run) int {
+	n := 0
+	for _, other := range w.Waiting[:position(w, r)] {
+		if other.Target() == r.Target() {
+			n++
+		}
+	}
+	return n
+}
+
 // rateShare returns this instance's part of an account's rate.
 func rateShare(w *medlarworld.World, a *medlarworld.Account) float64 {
 	if w.Now.Before(a.Share.Until) {
--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -174,7 +174,7 @@
 	}
 	if m.Incarnation != u.Incarnation {
 		u.Incarnation, u.ReportedLeaving, u.PausedUntil = m.Incarnation, false, time.Time{}
-		u.Limited, u.Limit = false, 0
+		u.Limited, u.Limit, u.LimitShare, u.LimitTokens = false, 0, 0, 0
 	}
 	u.Zone, u.Address, u.Service = m.Zone, m.Address, m.Service
 	if m.Slots > 0 {
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -32,6 +32,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarlag"
+	"medlarfield/internal/core/medlarlimit"
 	"medlarfield/internal/core/medlarplacement"
 	"medlarfield/internal/core/medlarwindow"
 	"medlarfield/internal/core/medlarworld"
@@ -162,6 +163,7 @@
 	}
 	decision := medlarworld.Decision{Candidates: s.candidates, Lag: medlarlag.Estimate(w, u)}
 	medlarwindow.Explain(w, r, u, &decision)
+	medlarlimit.Take(u)
 	u.Open++
 	u.InFlightTokens += r.PromptTokens
 	r.ExpectedTTFT = time.Duration(c.ttft * float64(time.Second))
@@ -307,7 +309,7 @@
 }
 
 func eligible(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) bool {
-	if !u.Usable(w.Now) || !hasCapacity(w, u) {
+	if !u.Usable(w.Now) || !medlarlimit.HasToken(u) || !hasCapacity(w, u) {
 		return false
 	}
 	if u.Kind == medlarworld.KindService {
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -146,6 +146,11 @@
 	// Limited is set.
 	Limit   float64
 	Limited bool
+	// LimitShare is this instance's share of the limit in requests per second, and LimitTokens
+	// how many attempts it may start now. LimitSettled is set if the share is agreed with the other instances.
+	LimitShare   float64
+	LimitTokens  float64
+	LimitSettled bool
 
 	Model    medlarid.ModelID
 	Version  medlarid.WeightVersion
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -223,6 +223,24 @@
 	AttemptStarted time.Time
 }
 
+// Rates are requests per second by service.
+type Rates map[medlarid.ServiceID]float64
+
+// LimitRecorded carries the shared limit of an upstream. Dropped is set if there is none any longer.
+type LimitRecorded struct {
+	Upstream    medlarid.InstanceID
+	Incarnation medlarid.Incarnation
+	Limit       float64 // requests per second from all instances together
+	Dropped     bool
+}
+
+// NeedRecorded carries how many requests an instance gets for services with limited upstreams.
+type NeedRecorded struct {
+	Instance medlarid.InstanceID
+	Serial   uint64 // increases with each record of the instance
+	Rates    Rates
+}
+
 // TransferEnded reports the end of a transfer over the link to a store.
 type TransferEnded struct {
 	Store  medlarid.InstanceID
@@ -253,6 +271,8 @@
 func (UpstreamLeaving) event()   {}
 func (UpstreamPaused) event()    {}
 func (UpstreamLimited) event()   {}
+func (LimitRecorded) event()     {}
+func (NeedRecorded) event()      {}
 func (UpstreamProbed) event()    {}
 func (CrashReported) event()     {}
 func (BlockRecorded) event()     {}
@@ -397,6 +417,20 @@
 	Limit    float64 // requests per second from all instances together
 }
 
+// RecordLimit asks to share the limit of an upstream with all instances, or its end.
+type RecordLimit struct {
+	Upstream    medlarid.InstanceID
+	Incarnation medlarid.Incarnation
+	Limited     bool
+	Limit       float64 // requests per second from all instances together
+}
+
+// RecordNeed asks to tell all instances how many requests this one gets.
+type RecordNeed struct {
+	Serial uint64
+	Rates  Rates
+}
+
 // ProbeUpstream asks whether an upstream that ended connections is down.
 type ProbeUpstream struct {
 	Upstream    medlarid.InstanceID
@@ -415,6 +449,8 @@
 
 func (StartAttempt) command()  {}
 func (LimitChanged) command()  {}
+func (RecordLimit) command()   {}
+func (RecordNeed) command()    {}
 func (ProbeUpstream) command() {}
 func (ReportCrash) command()   {}
 func (RecordBlock) command()   {}
--- a/internal/ops/medlarattachednode/limit_test.go
+++ b/internal/ops/medlarattachednode/limit_test.go
@@ -67,6 +67,7 @@
 // TestReplicaLimitHoldsForAllInstances guards against instances that send a replica together more than it
 // has named.
 func TestReplicaLimitHoldsForAllInstances(t *testing.T) {
+	t.Parallel()
 	for _, tc := range []struct {
 		name      string
 		instances int
--- a/internal/ops/medlarloop/medlarloop.go
+++ b/internal/ops/medlarloop/medlarloop.go
@@ -44,7 +44,10 @@
 	ReportCrash   func(medlarworld.ReportCrash)
 	RecordBlock   func(medlarworld.RecordBlock)
 	OnBlock       func(medlarworld.BlockChanged)
-	OnTick        func(waiting, open int)
+	// RecordLimit and RecordNeed are needed where upstreams name limits.
+	RecordLimit func(medlarworld.RecordLimit)
+	RecordNeed  func(medlarworld.RecordNeed)
+	OnTick      func(waiting, open int)
 }
 
 // Versions are the weight versions of a model: the one that most replicas serve
@@ -236,6 +239,10 @@
 		l.deps.OnAvoided(c)
 	case medlarworld.LimitChanged:
 		l.deps.OnLimit(c)
+	case medlarworld.RecordLimit:
+		l.deps.RecordLimit(c)
+	case medlarworld.RecordNeed:
+		l.deps.RecordNeed(c)
 	case medlarworld.RequestShares:
 		go l.deps.RequestShares(c)
 	case medlarworld.ProbeUpstream:
--- a/internal/ops/medlarnotifier/medlarnotifier.go
+++ b/internal/ops/medlarnotifier/medlarnotifier.go
@@ -59,12 +59,14 @@
 // SetPost sets the function that passes events to the core.
 func (n *Notifier) SetPost(post func(medlarworld.Event)) { n.post = post }
 
-// AddTo adds to d the functions that carry out the core's commands about crashes.
+// AddTo adds to d the functions that carry out the core's commands about crashes and limits.
 func (n *Notifier) AddTo(d *medlarloop.Deps) {
 	d.ProbeUpstream = n.probe
 	d.ReportCrash = n.reportCrash
 	d.RecordBlock = n.recordBlock
 	d.OnBlock = n.logBlock
+	d.RecordLimit = n.recordLimit
+	d.RecordNeed = n.recordNeed
 }
 
 // probe finds out whether a replica is down: whether it refuses connections.
@@ -173,6 +175,24 @@
 		Int("crashes", c.Change.Crashes).Int("trials", c.Change.Trials).Msg(text)
 }
 
+func (n *Notifier) recordLimit(c medlarworld.RecordLimit) {
+	r, err := medlarnotice.EncodeLimit(c)
+	if err != nil {
+		n.deps.Log.Error().Str("event", "notice").Err(err).Msg("limit of a replica cannot be encoded")
+		return
+	}
+	n.deps.Board.Put(r)
+}
+
+func (n *Notifier) recordNeed(c medlarworld.RecordNeed) {
+	r, err := medlarnotice.EncodeNeed(n.deps.Self, c)
+	if err != nil {
+		n.deps.Log.Error().Str("event", "notice").Err(err).Msg("rates of requests cannot be encoded")
+		return
+	}
+	n.deps.Board.Put(r)
+}
+
 // Apply passes the records of other instances to the core.
 func (n *Notifier) Apply(records []medlarfeed.Record, _ bool) {
 	for _, r := range records {
