Count crashes of parts that seldom come, and clear parts of them for good

A part that crashes a replica less than three times a minute was never blocked, so it could go on for as long as it came. Crashes count for 15 min now. So that sound parts stay cleared for as long, an answer clears a part of the crashes that are remembered, not only while the time of the answer is. Two rows of TestBlame failed before and pass now.

--- a/internal/core/medlarsuspect/medlarsuspect.go
+++ b/internal/core/medlarsuspect/medlarsuspect.go
@@ -41,7 +41,7 @@
 const (
 	blockingMoments = 3
 	sameMoment      = 150 * time.Millisecond // crashes within this time count once (R4)
-	crashWindow     = time.Minute            // crashes count for this time
+	crashWindow     = 15 * time.Minute       // crashes count for this time: a part may come seldom
 	clearingLead    = 2 * time.Second        // an answer that began this long before a crash clears (R3)
 	objectionDelay  = 100 * time.Millisecond // several times what a record takes to all instances (R5)
 	recordDelay     = 400 * time.Millisecond // after which an instance without evidence of its own records a block
@@ -122,7 +122,8 @@
 	id             CrashID
 	at             time.Time // of the first report
 	begun, waiting map[Part]bool
-	own            bool // this instance has reported it
+	cleared        map[Part]bool // of begun and waiting
+	own            bool          // this instance has reported it
 }
 
 // suspects returns the parts that are suspected of the crash (R2).
@@ -201,7 +202,7 @@
 			return c
 		}
 	}
-	c := &crash{id: id, at: now, begun: map[Part]bool{}, waiting: map[Part]bool{}}
+	c := &crash{id: id, at: now, begun: map[Part]bool{}, waiting: map[Part]bool{}, cleared: map[Part]bool{}}
 	t.crashes = append(t.crashes, c)
 	return c
 }
@@ -257,7 +258,7 @@
 			continue
 		}
 		for p := range c.suspects() {
-			if t.isCleared(p, c.at) || counts[p] > 0 && c.at.Sub(last[p]) <= sameMoment {
+			if t.isCleared(p, c) || counts[p] > 0 && c.at.Sub(last[p]) <= sameMoment {
 				continue
 			}
 			counts[p]++
@@ -281,7 +282,7 @@
 	n := 0
 	var last time.Time
 	for _, c := range t.crashes {
-		if !c.suspects()[p] || !all && t.isCleared(p, c.at) || n > 0 && c.at.Sub(last) <= sameMoment {
+		if !c.suspects()[p] || !all && t.isCleared(p, c) || n > 0 && c.at.Sub(last) <= sameMoment {
 			continue
 		}
 		n++
@@ -319,7 +320,7 @@
 func (t *Table) lessSuspect(p Part) bool {
 	var others map[Part]bool
 	for _, c := range t.crashes {
-		if !c.suspects()[p] || t.isCleared(p, c.at) {
+		if !c.suspects()[p] || t.isCleared(p, c) {
 			continue
 		}
 		if others == nil {
@@ -336,9 +337,9 @@
 	return false
 }
 
-// isCleared reports whether a part is cleared of a crash at a time (R3).
-func (t *Table) isCleared(p Part, at time.Time) bool {
-	return !t.answered.get(p).Before(at.Add(-clearingLead)) || !t.cleared.get(p).Before(at)
+// isCleared reports whether a part is cleared of a crash (R3).
+func (t *Table) isCleared(p Part, c *crash) bool {
+	return c.cleared[p] || !t.answered.get(p).Before(c.at.Add(-clearingLead)) || !t.cleared.get(p).Before(c.at)
 }
 
 // block begins to block a part.
--- a/internal/core/medlarsuspect/medlarsuspect_test.go
+++ b/internal/core/medlarsuspect/medlarsuspect_test.go
@@ -149,6 +149,23 @@
 			b.advance(time.Minute)
 			b.crashes(3, "shared", "x")
 		}, []Part{"x"}},
+		{"a part that seldom comes", func(b *bench) {
+			for range 3 {
+				b.advance(5 * time.Minute)
+				b.crash("x")
+			}
+			b.advance(objectionDelay)
+		}, []Part{"x"}},
+		{"an answer clears for good, however many other parts are answered since", func(b *bench) {
+			for n := range 3 {
+				b.crashes(1, "x", "rare")
+				b.answer("rare")
+				b.advance(time.Minute)
+				for i := range 2 * maxAnswered {
+					b.answer(Part(fmt.Sprint(n, "other", i)))
+				}
+			}
+		}, []Part{"x"}},
 		{"crashes long ago do not count", func(b *bench) {
 			b.crashes(2, "x")
 			b.advance(crashWindow + time.Second)
--- a/internal/core/medlarsuspect/shared.go
+++ b/internal/core/medlarsuspect/shared.go
@@ -10,17 +10,31 @@
 func (t *Table) Answered(now, began time.Time, parts []Part) {
 	for _, p := range parts {
 		t.answered.set(p, began)
+		t.clearCrashes(p, began.Add(clearingLead))
 		if b := t.blocks[p]; b != nil && t.refuted(p, b.evidenceAt) {
 			t.clear(now, p)
 		}
 	}
 }
 
+// clearCrashes clears a part of all remembered crashes until a time, whether or not the time of the
+// answer is remembered for as long as they are.
+func (t *Table) clearCrashes(p Part, until time.Time) {
+	for _, c := range t.crashes {
+		if !c.at.After(until) && (c.begun[p] || c.waiting[p]) {
+			c.cleared[p] = true
+		}
+	}
+}
+
 // refuted reports whether this instance has had an answer with a part that clears it of the last
 // crash with it. last is the time of that crash if it is not remembered.
 func (t *Table) refuted(p Part, last time.Time) bool {
 	for _, c := range slices.Backward(t.crashes) {
 		if c.suspects()[p] {
+			if c.cleared[p] {
+				return true
+			}
 			last = c.at
 			break
 		}
@@ -31,6 +45,7 @@
 // clear lifts the block of a part and tells the other instances.
 func (t *Table) clear(now time.Time, p Part) {
 	t.cleared.set(p, now)
+	t.clearCrashes(p, now)
 	if b := t.blocks[p]; b != nil {
 		t.unblock(p, b)
 	}
@@ -42,6 +57,7 @@
 func (t *Table) ApplyBlock(now time.Time, p Part, s Block) {
 	if s.Cleared {
 		t.cleared.set(p, now)
+		t.clearCrashes(p, now)
 		if b := t.blocks[p]; b != nil {
 			t.unblock(p, b)
 			t.evaluate(now)
--- a/internal/ops/medlarnotifier/medlarnotifier.go
+++ b/internal/ops/medlarnotifier/medlarnotifier.go
@@ -25,7 +25,7 @@
 // Times and sizes of notices.
 const (
 	crashSlots       = 16                     // records of crashes that an instance keeps in the store
-	crashRecordLife  = time.Minute            // after which the record of a crash is removed
+	crashRecordLife  = 15 * time.Minute       // after which the record of a crash is removed; it no longer counts then
 	probeTimeout     = 300 * time.Millisecond // of a probe whether a replica accepts connections
 	probeRepeatDelay = 50 * time.Millisecond  // until a probe that succeeded is repeated: a process that ends may still accept for a moment
 )
