--- a/internal/edge/medlarevent/medlarevent.go
+++ b/internal/edge/medlarevent/medlarevent.go
@@ -10,6 +10,7 @@
 //	R4  A stream that ends within an event was interrupted, whatever the framing of
 //	    its response says. Blank lines and comments after the last event belong to
 //	    no event.
+//	R5  An event, with the comments and blank lines before it, is at most maxEvent bytes.
 package medlarevent
 
 import (
@@ -45,6 +46,7 @@
 	buf    []byte
 	id     string // of the last complete event
 	events int    // complete events since the last Reset
+	idle   int    // bytes of comments and blank lines since the last event
 }
 
 // ID returns the id of the last complete event, or an empty string.
@@ -67,7 +69,7 @@
 func (c *Splitter) Events() int { return c.events }
 
 // Reset discards an incomplete event, before the stream is resumed from a new response.
-func (c *Splitter) Reset() { c.buf, c.events = c.buf[:0], 0 }
+func (c *Splitter) Reset() { c.buf, c.events, c.idle = c.buf[:0], 0, 0 }
 
 // Split reads the next bytes of the stream and appends the complete events to out.
 func (c *Splitter) Split(out, data []byte) ([]byte, error) {
@@ -79,17 +81,29 @@
 			break
 		}
 		c.recordID(c.buf[complete : complete+n])
+		c.countIdle(c.buf[complete : complete+n])
 		c.events++
 		complete += n
 	}
 	out = append(out, c.buf[:complete]...)
 	c.buf = append(c.buf[:0], c.buf[complete:]...)
-	if len(c.buf) > maxEvent {
+	if len(c.buf) > maxEvent || c.idle > maxEvent {
 		return out, ErrEventTooLarge
 	}
 	return out, nil
 }
 
+// countIdle counts the bytes of a block that has comments and blank lines only (R5).
+func (c *Splitter) countIdle(block []byte) {
+	for line := range bytes.Lines(block) {
+		if text := bytes.TrimRight(line, "\r\n"); len(text) > 0 && text[0] != ':' {
+			c.idle = 0
+			return
+		}
+	}
+	c.idle += len(block)
+}
+
 // eventEnd returns the length of the first event including its empty line, or 0 if it is
 // incomplete.
 func eventEnd(b []byte) int {
--- a/internal/edge/medlarevent/medlarevent_test.go
+++ b/internal/edge/medlarevent/medlarevent_test.go
@@ -1,6 +1,7 @@
 package medlarevent
 
 import (
+	"errors"
 	"strings"
 	"testing"
 )
@@ -61,3 +62,31 @@
 		t.Errorf("error %v, want %v", err, ErrEventTooLarge)
 	}
 }
+
+// TestCommentsWithoutEnd guards against comments that are passed on without end, and against a limit of a
+// stream whose events come between its comments.
+func TestCommentsWithoutEnd(t *testing.T) {
+	comment := []byte(": still here\n\n")
+	for _, tc := range []struct {
+		name  string
+		event []byte // after each thousand comments; nil for none
+		want  error
+	}{
+		{"comments only", nil, ErrEventTooLarge},
+		{"events between them", []byte("data: x\n\n"), nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var c Splitter
+			var err error
+			for n := 0; n < 2*maxEvent && err == nil; n += len(comment) {
+				_, err = c.Split(nil, comment)
+				if n/len(comment)%1000 == 0 && tc.event != nil && err == nil {
+					_, err = c.Split(nil, tc.event)
+				}
+			}
+			if !errors.Is(err, tc.want) {
+				t.Errorf("got %v, want %v", err, tc.want)
+			}
+		})
+	}
+}
