--- a/internal/core/medlaradmission/medlaradmission.go
+++ b/internal/core/medlaradmission/medlaradmission.go
@@ -238,6 +238,9 @@
 		return true
 	}
 	r.BlockedPart, r.Trial = w.Suspects.Admit(w.Now, r.Parts)
+	if r.Trial {
+		w.Trials = append(w.Trials, r)
+	}
 	return r.Trial
 }
 
--- a/internal/core/medlarcore/crash_test.go
+++ b/internal/core/medlarcore/crash_test.go
@@ -179,6 +179,22 @@
 		assertRefused(t, p.lose(s, loss{head: true}, true), medlarreason.RanUnknown)
 		assertRefused(t, p.tick(medlarworld.Submitted{Run: p.runWith("a", "x")}), medlarreason.RanNo)
 	})
+	t.Run("trial that reaches no replica is not used up", func(t *testing.T) {
+		p := newPartsHarness(t, 1, nil)
+		block(p)
+		p.tick(medlarworld.Tick{})
+		p.tick(medlarworld.TrialGranted{Part: "x", Trials: 1})
+		p.tick(medlarworld.UpstreamPaused{Upstream: "e00", For: time.Second})
+		if s := p.submit(p.runWith("a", "x")); s != nil {
+			t.Fatal("the trial starts although the replica pauses")
+		}
+		p.now = p.now.Add(11 * time.Second) // past its deadline
+		p.tick(medlarworld.Tick{})
+		p.tick(medlarworld.Tick{})
+		if s := p.submit(p.runWith("a", "x")); s == nil {
+			t.Error("the next request does not start")
+		}
+	})
 	t.Run("an upstream that is gone changes nothing", func(t *testing.T) {
 		p := newPartsHarness(t, 1, nil)
 		s := p.submit(p.runWith("x"))
--- a/internal/core/medlarcrash/medlarcrash.go
+++ b/internal/core/medlarcrash/medlarcrash.go
@@ -77,6 +77,7 @@
 		}
 		changed = true
 	}
+	returnTrials(w)
 	w.Suspects.Update(w.Now)
 	s.forget(w)
 	for _, r := range w.Suspects.TakeRecords() {
@@ -91,6 +92,17 @@
 	}
 }
 
+// returnTrials returns the trials of runs that have ended without reaching an upstream.
+func returnTrials(w *medlarworld.World) {
+	w.Trials = slices.DeleteFunc(w.Trials, func(r *medlarworld.Run) bool {
+		ended := r.Phase == medlarworld.PhaseDone
+		if ended && !r.Reached {
+			w.Suspects.ReturnTrial(w.Now, r.Parts)
+		}
+		return ended
+	})
+}
+
 func applyRecord(w *medlarworld.World, e medlarworld.BlockRecorded) {
 	if e.Dropped {
 		w.Suspects.ApplyDrop(e.Part)
--- a/internal/core/medlarsuspect/shared.go
+++ b/internal/core/medlarsuspect/shared.go
@@ -158,6 +158,16 @@
 	b.evidenceAt, b.claimUntil, b.grantUntil = now, time.Time{}, now.Add(trialTimeout)
 }
 
+// ReturnTrial returns the trial of a request with these parts that has reached no replica. Another
+// request may go on instead.
+func (t *Table) ReturnTrial(now time.Time, parts []Part) {
+	for _, p := range parts {
+		if b := t.blocks[p]; b != nil && b.active {
+			b.grantUntil = now.Add(trialTimeout)
+		}
+	}
+}
+
 // times remembers a time for each of the parts that were added last.
 type times struct {
 	at   map[Part]time.Time
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -338,6 +338,7 @@
 
 	Backlogs map[Target]*medlarbacklog.Backlog // of all upstreams of a target together
 	Suspects *medlarsuspect.Table              // parts of prompts that crash replicas
+	Trials   []*Run                            // runs that were admitted as trials of blocked parts
 
 	VirtualTime float64            // virtual time of the queue
 	RetryTokens map[Target]float64 // tokens left in the retry budgets
