Take a response of a plain service for whole only if its stream ends after an event

At the own interface a plain service that answered with an event stream and closed its connection, or ended its chunks or length, within an event was answered to the caller with 200 and a Content-Length, so that the caller took it for whole. The check was made for attached instances only.

medlarevent decides it for both interfaces now; it moves from edge to base, where the client of plain services can use it. One table of endings (medlarending) is played through both.

--- a/internal/edge/medlarevent/medlarevent.go
+++ b/internal/base/medlarevent/medlarevent.go
@@ -149,6 +149,17 @@
 	return out, err
 }
 
+// Check returns an error if the body of a stream is incomplete (R4). toClose tells that the end of
+// the connection delimited it.
+func Check(body []byte, toClose bool) error {
+	var c Splitter
+	if _, err := c.Split(nil, body); err != nil {
+		return err
+	}
+	_, err := c.Finish(nil, toClose)
+	return err
+}
+
 // Flush appends the bytes after the last complete event to out. It is called when the
 // stream has ended normally, and not within an event.
 func (c *Splitter) Flush(out []byte) []byte {
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -10,11 +10,11 @@
 	"github.com/rotisserie/eris"
 
 	"medlarfield/internal/agree/medlarcatalog"
+	"medlarfield/internal/base/medlarevent"
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarcall"
-	"medlarfield/internal/edge/medlarevent"
 	"medlarfield/internal/edge/medlarpool"
 )
 
--- a/internal/edge/medlarproxy/exchange.go
+++ b/internal/edge/medlarproxy/exchange.go
@@ -5,13 +5,13 @@
 	"time"
 
 	"medlarfield/internal/agree/medlarcatalog"
+	"medlarfield/internal/base/medlarevent"
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarcall"
-	"medlarfield/internal/edge/medlarevent"
 	"medlarfield/internal/edge/medlarserver"
 )
 
--- a/internal/ops/medlarattachednode/truncation_test.go
+++ b/internal/ops/medlarattachednode/truncation_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"medlarfield/internal/stand/medlarending"
 	"medlarfield/internal/stand/medlarfakereplica"
 	"medlarfield/internal/stand/medlarsite"
 )
@@ -133,3 +134,20 @@
 		}
 	}
 }
+
+// TestEndingsOfResponses guards against a response that a replica has broken off and that reaches the
+// caller as if it were complete.
+func TestEndingsOfResponses(t *testing.T) {
+	for _, e := range medlarending.All {
+		t.Run(e.Name, func(t *testing.T) {
+			w := start(t, func(s *medlarsite.Settings) { s.Engines = 1 })
+			w.site.Engines[0].ArmEnding(e)
+			got := w.send(request{method: "POST", path: "/query/x", id: "r", body: "{}", fields: prompt("aa:100,cc:500")})
+			if !e.Whole {
+				assertBrokenOff(t, got)
+				return
+			}
+			assertResult(t, got, 200, e.Body)
+		})
+	}
+}
--- a/internal/stand/medlarfakereplica/exchange.go
+++ b/internal/stand/medlarfakereplica/exchange.go
@@ -54,6 +54,10 @@
 	if start, repeat, ok := x.endless(); ok {
 		return x.sendEndlessly(start, repeat)
 	}
+	if e := r.nextEnding(); e != nil {
+		e.Write(x.conn, x.responseFields())
+		return false
+	}
 	if r.Settings.Model == "" {
 		return x.servePlain()
 	}
--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -21,6 +21,7 @@
 	"github.com/go-json-experiment/json"
 
 	"medlarfield/internal/base/medlarhead"
+	"medlarfield/internal/stand/medlarending"
 )
 
 // Fault is a fault in the response to a request.
@@ -103,6 +104,7 @@
 	limits   []string // limits that responses name
 	arrivals []time.Time
 	crashed  bool
+	endings  []medlarending.Ending
 	endless  int // bytes that faults without end have sent
 	orders   uint64
 	loading  bool
@@ -135,6 +137,25 @@
 	}
 }
 
+// ArmEnding makes the next request get a response that ends in a certain way.
+func (r *Replica) ArmEnding(e medlarending.Ending) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.endings = append(r.endings, e)
+}
+
+// nextEnding returns the ending that is armed for the next request; nil for none.
+func (r *Replica) nextEnding() *medlarending.Ending {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.endings) == 0 {
+		return nil
+	}
+	e := r.endings[0]
+	r.endings = r.endings[1:]
+	return &e
+}
+
 // Disarm removes the armed faults that have not been injected yet.
 func (r *Replica) Disarm() {
 	r.mu.Lock()
--- a/internal/upstream/medlarhttp/medlarhttp.go
+++ b/internal/upstream/medlarhttp/medlarhttp.go
@@ -100,6 +100,8 @@
 	ETag        string // entity tag
 	Field       string // value of Request.WantField
 	Body        []byte
+	// ToClose is set if the end of the connection delimited the body.
+	ToClose bool
 }
 
 // Client sends requests. It is safe for concurrent use.
@@ -227,9 +229,13 @@
 		ETag:        string(resp.Header.Peek("ETag")),
 		Field:       string(resp.Header.Peek(r.WantField)),
 		Body:        body,
+		ToClose:     resp.Header.ContentLength() == identityLength,
 	}, nil
 }
 
+// identityLength is the length that fasthttp gives for a body without a length or chunks.
+const identityLength = -2
+
 // readBody reads a streamed body to its end. A body that is shorter than its
 // Content-Length is an error.
 func readBody(resp *fasthttp.Response, deadline time.Time, limit int) ([]byte, error) {
--- a/internal/upstream/medlarservice/medlarservice.go
+++ b/internal/upstream/medlarservice/medlarservice.go
@@ -1,5 +1,6 @@
 // Package medlarservice is a client for HTTP services other than model engines. A
-// service can be any HTTP server.
+// service can be any HTTP server. A response that is an event stream is complete only if it
+// ends after an event, whatever its framing says.
 package medlarservice
 
 import (
@@ -7,6 +8,7 @@
 	"fmt"
 	"time"
 
+	"medlarfield/internal/base/medlarevent"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/upstream/medlarhttp"
 )
@@ -17,6 +19,9 @@
 	statusUnavailable = 503
 )
 
+// statusRedirect is the least status that is no success.
+const statusRedirect = 300
+
 // HeaderRequestID is the header field with the ID of the request.
 const HeaderRequestID = "X-Request-Id"
 
@@ -109,6 +114,11 @@
 	if err != nil {
 		return Response{}, wrap(err)
 	}
+	if resp.Status < statusRedirect && resp.ContentType != "" && medlarevent.IsStream(resp.ContentType) {
+		if err := medlarevent.Check(resp.Body, resp.ToClose); err != nil {
+			return Response{}, &Error{Op: OpCall, Kind: KindBroken, Err: err}
+		}
+	}
 	return Response{Status: resp.Status, ContentType: resp.ContentType, Body: resp.Body}, nil
 }
 
--- a/internal/upstream/medlarservice/medlarservice_test.go
+++ b/internal/upstream/medlarservice/medlarservice_test.go
@@ -1,11 +1,15 @@
 package medlarservice_test
 
 import (
+	"bufio"
 	"errors"
+	"net"
 	"testing"
 	"time"
 
+	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/stand/medlarending"
 	"medlarfield/internal/stand/medlarfakeservice"
 	"medlarfield/internal/stand/medlarfault"
 	"medlarfield/internal/stand/medlarhost"
@@ -111,3 +115,40 @@
 		t.Errorf("ran %d times, want %d", n, want)
 	}
 }
+
+// TestEndingsOfResponses guards against a response that a service has broken off and that is
+// returned as if it were complete.
+func TestEndingsOfResponses(t *testing.T) {
+	for _, e := range medlarending.All {
+		t.Run(e.Name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = ln.Close() }()
+			go serveEnding(ln, e)
+			client := medlarservice.New(medlarhttp.New(time.Second))
+			resp, err := client.Call(medlarid.Address(ln.Addr().String()), medlarservice.Request{ID: "r", Method: "POST", Path: "/post", Once: true}, timeout)
+			if (err == nil) != e.Whole || e.Whole && string(resp.Body) != e.Body {
+				t.Errorf("got %q, %v; want a complete response: %v", resp.Body, err, e.Whole)
+			}
+			var failed *medlarservice.Error
+			if err != nil && (!errors.As(err, &failed) || !failed.MayHaveRun()) {
+				t.Errorf("got %v, want an error of a request that may have run", err)
+			}
+		})
+	}
+}
+
+// serveEnding answers one request.
+func serveEnding(ln net.Listener, e medlarending.Ending) {
+	c, err := ln.Accept()
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := medlarhead.ReadRequest(bufio.NewReader(c), 1<<14); err != nil {
+		return
+	}
+	e.Write(c, "")
+}
