--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -22,7 +22,7 @@
 const (
 	maxResponseHead     = 16 << 10 // bytes of a response's head
 	maxStaleResponses   = 2        // responses to other requests that are skipped
-	maxResponseBody     = 32 << 20 // bytes of a response's body; a replica in trouble may send without end
+	maxResponseBody     = 16 << 20 // bytes of a response's body; a replica in trouble may send without end
 	maxInlineBody       = 16 << 10 // bytes; a longer request body is written while the response is read
 	firstAttemptTargets = 4        // target latencies after which a first attempt is abandoned
 	statusOK            = 200
