--- a/internal/core/medlarsuspect/medlarsuspect.go
+++ b/internal/core/medlarsuspect/medlarsuspect.go
@@ -296,14 +296,16 @@
 // always the same, among others that change. Of these, the least recently answered ones remain.
 func (t *Table) mostSuspected(counts map[Part]int, moments int) []Part {
 	var out []Part
+	totals := map[Part]int{}
 	for p, n := range counts {
 		if n == moments {
 			out = append(out, p)
+			totals[p] = t.moments(p, true)
 		}
 	}
 	slices.SortFunc(out, func(a, b Part) int {
 		return cmp.Or(
-			cmp.Compare(t.moments(b, true), t.moments(a, true)),
+			cmp.Compare(totals[b], totals[a]),
 			t.answered.get(a).Compare(t.answered.get(b)),
 			cmp.Compare(a, b),
 		)
--- a/internal/core/medlarsuspect/medlarsuspect_test.go
+++ b/internal/core/medlarsuspect/medlarsuspect_test.go
@@ -408,6 +408,25 @@
 	}
 }
 
+// TestHostilePromptsTakeLittleTime guards against a core that stands still while it looks for the
+// part among very many that are all suspected of the same crashes.
+func TestHostilePromptsTakeLittleTime(t *testing.T) {
+	const partsOfPrompt, bound = 4000, 2 * time.Second // a head of 16 KiB has no more parts
+	b := newBench(t)
+	prompt := []Part{"x"}
+	for i := range partsOfPrompt {
+		prompt = append(prompt, Part(fmt.Sprint("p", i)))
+	}
+	begin := time.Now()
+	b.crashes(8, prompt...)
+	if took := time.Since(begin); took > bound {
+		t.Errorf("8 reports took %v, want %v at most", took, bound)
+	}
+	if _, ok := b.table.Blocked(prompt); !ok {
+		t.Error("no part is blocked")
+	}
+}
+
 func TestPartHidesAmongPartsThatAreAlwaysTheSame(t *testing.T) {
 	b := newBench(t)
 	junk := func(round int) []Part {
