--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -77,7 +77,7 @@
 	Version           uint64        // initial weight version
 	Born              int64         // start of the replica; a later one with the same ID has a higher value
 	// Crashes reports whether the replica crashes as it begins to answer a prompt with these
-	// parts; nil for never. OnCrash is called after each crash.
+	// parts; nil for never. OnCrash is called at each crash.
 	Crashes func(parts []string) bool
 	OnCrash func(*Replica)
 }
@@ -253,16 +253,16 @@
 	}
 }
 
-// Crash kills the replica and calls OnCrash.
+// Crash calls OnCrash and kills the replica.
 func (r *Replica) Crash() {
 	r.mu.Lock()
 	first := !r.crashed
 	r.crashed = true
 	r.mu.Unlock()
-	r.Kill()
 	if first && r.Settings.OnCrash != nil {
-		r.Settings.OnCrash(r)
+		r.Settings.OnCrash(r) // before anybody can notice the crash
 	}
+	r.Kill()
 }
 
 // entry is the record that a replica publishes about itself.
