Log what makes two requests the same, for attempts that were lost

A line `attempt` now names two hashes, of the request without its id and timeout and of its path, account and body alone, and the length of the body.

--- a/internal/edge/medlarcall/medlarcall.go
+++ b/internal/edge/medlarcall/medlarcall.go
@@ -4,6 +4,8 @@
 package medlarcall
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"medlarfield/internal/agree/medlarcatalog"
@@ -50,6 +52,23 @@
 	return out
 }
 
+// Prompt returns the model and the parts of the prompt as one text; empty for a request that has
+// none.
+func (c *Call) Prompt() string {
+	if c.Model == "" && len(c.Parts) == 0 {
+		return ""
+	}
+	b := strings.Builder{}
+	b.WriteString(string(c.Model))
+	for _, p := range c.Parts {
+		b.WriteByte(',')
+		b.WriteString(p.ID)
+		b.WriteByte(':')
+		b.WriteString(strconv.Itoa(int(p.Tokens)))
+	}
+	return b.String()
+}
+
 // Forward is the metadata that is added to a request to an upstream.
 type Forward struct {
 	Target      medlarid.InstanceID
@@ -119,6 +138,9 @@
 	Began time.Duration
 	// Parts are the parts of the prompt.
 	Parts []Part
+	// Traits are those of the request as a whole, and BodyBytes is the length of its body.
+	Traits    []medlarsuspect.Trait
+	BodyBytes int
 }
 
 // Summary is the result of a request.
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -453,6 +453,7 @@
 		Lost:     a.lost,
 		Began:    a.sinceFirstEvent(),
 		Parts:    a.call.Parts,
+		Traits:   a.traits, BodyBytes: len(a.body),
 	})
 }
 
--- a/internal/edge/medlarproxy/exchange.go
+++ b/internal/edge/medlarproxy/exchange.go
@@ -10,6 +10,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarsuspect"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarcall"
 	"medlarfield/internal/edge/medlarserver"
@@ -25,6 +26,7 @@
 
 	route     *medlarcatalog.Route
 	account   medlarcatalog.Account
+	traits    []medlarsuspect.Trait // of the request as a whole
 	run       *medlarworld.Run
 	summary   *medlarcall.Summary
 	arrived   time.Time
@@ -123,11 +125,21 @@
 		x.run.AbandonAt = x.arrived.Add(x.route.ClientStallTimeout)
 	}
 	x.summary.Service = x.run.Service
+	x.traits = x.requestTraits()
 	if x.call.Model != "" {
 		x.setPartKeys()
 	}
 }
 
+// requestTraits returns the traits of the request as a whole.
+func (x *exchange) requestTraits() []medlarsuspect.Trait {
+	host, _ := x.head.Get("Host")
+	q := medlarsuspect.Request{
+		Method: x.head.Method, Host: host, Target: x.head.Target, Account: x.account.ID, Prompt: x.call.Prompt(), Body: x.body,
+	}
+	return q.Traits()
+}
+
 // startMargin is the time reserved for a started attempt to send its first event within
 // the target latency.
 const startMargin = 80 * time.Millisecond
--- a/internal/ops/medlarattachednode/logging.go
+++ b/internal/ops/medlarattachednode/logging.go
@@ -9,6 +9,7 @@
 
 	"medlarfield/internal/agree/medlarterm"
 	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarsuspect"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarcall"
 	"medlarfield/internal/edge/medlarmetric"
@@ -37,7 +38,8 @@
 				Int("status", a.Status).Float64("took", ms(a.Duration)).Dict("why", choiceFields(a.Decision)).AnErr("error", a.Err)
 			if a.Lost {
 				m.AttemptLost(a.Began > 0)
-				l = l.Bool("lost", true).Float64("began", ms(a.Began)).Strs("prompt", loggedParts(a.Parts))
+				l = l.Bool("lost", true).Float64("began", ms(a.Began)).Strs("prompt", loggedParts(a.Parts)).
+					Strs("print", traitNames(a.Traits)).Int("size", a.BodyBytes)
 			}
 			addBodyEnd(l, a.Body).Send()
 		},
@@ -78,6 +80,15 @@
 	return out
 }
 
+// traitNames returns traits as texts.
+func traitNames(traits []medlarsuspect.Trait) []string {
+	out := []string{}
+	for _, t := range traits {
+		out = append(out, string(t))
+	}
+	return out
+}
+
 // addBodyEnd adds the log fields of the end of an upstream's response.
 func addBodyEnd(l *zerolog.Event, end medlarcall.BodyEnd) *zerolog.Event {
 	if !end.Received {
--- a/internal/ops/medlarlogquery/medlarlogquery.go
+++ b/internal/ops/medlarlogquery/medlarlogquery.go
@@ -102,6 +102,8 @@
 	Lost       bool                `json:"lost"`    // the replica ended the connection before its response was complete
 	Began      float64             `json:"began"`   // ms from the first event of the response until the attempt ended
 	Prompt     []string            `json:"prompt"`  // parts of the prompt but the last
+	Prints     []string            `json:"print"`   // of the request as a whole, and of its path, account and body
+	Size       int                 `json:"size"`    // bytes of the request's body
 	Part       string              `json:"part"`    // a part of prompts that crashes replicas
 	Begun      []string            `json:"begun"`   // parts of prompts that a replica had begun to answer when it crashed
 	Queued     []string            `json:"queued"`  // parts of prompts that waited in it
@@ -267,6 +269,9 @@
 	if len(l.Prompt) > 0 {
 		s += ", prompt parts " + strings.Join(l.Prompt, " ")
 	}
+	if len(l.Prints) > 0 {
+		s += fmt.Sprintf(", request %s with a body of %d bytes", strings.Join(l.Prints, " "), l.Size)
+	}
 	return s
 }
 
