--- a/internal/ops/medlarattachednode/crash_test.go
+++ b/internal/ops/medlarattachednode/crash_test.go
@@ -78,9 +78,16 @@
 	result result
 }
 
-// load sends requests at an interval until stop is closed, and then returns their outcomes.
+// load sends prompts at an interval until stop is closed, and then returns their outcomes.
 // fields returns the prompt of the n-th request.
 func (f *fleet) load(name, path string, interval time.Duration, stop <-chan struct{}, fields func(n int) string) func() []outcome {
+	return f.loadRequests(interval, stop, func(n int) request {
+		return request{method: "POST", path: path, id: fmt.Sprintf("%s-%d", name, n), body: "{}", fields: prompt(fields(n))}
+	})
+}
+
+// loadRequests sends requests at an interval until stop is closed, and then returns their outcomes.
+func (f *fleet) loadRequests(interval time.Duration, stop <-chan struct{}, next func(n int) request) func() []outcome {
 	var mu sync.Mutex
 	var all []outcome
 	var wg sync.WaitGroup
@@ -93,7 +100,7 @@
 			case <-time.After(interval):
 			}
 			w := f.member(r)
-			q := request{method: "POST", path: path, id: fmt.Sprintf("%s-%d", name, n), body: "{}", fields: prompt(fields(n))}
+			q := next(n)
 			wg.Go(func() {
 				o := outcome{sent: time.Now(), result: w.trySendNew(q.text())}
 				mu.Lock()
--- a/internal/stand/medlarfakereplica/exchange.go
+++ b/internal/stand/medlarfakereplica/exchange.go
@@ -19,7 +19,6 @@
 	head    *medlarhead.Head
 	body    string
 	fault   Fault
-	crashes bool // the replica crashes as it begins to answer
 }
 
 // header returns the value of a request header, or an empty string.
@@ -50,7 +49,14 @@
 		return writeResponse(x.conn, 503, x.requestIDField()+notExecuted+r.hintFields(), "")
 	}
 	defer r.releaseSlot()
-	r.recordRun(x.record())
+	run := x.record()
+	r.recordRun(run)
+	if r.Settings.CrashPoint != nil {
+		if at := r.Settings.CrashPoint(run); at != CrashNowhere {
+			x.crash(at)
+			return false
+		}
+	}
 	if start, repeat, ok := x.endless(); ok {
 		return x.sendEndlessly(start, repeat)
 	}
@@ -61,7 +67,6 @@
 	if r.Settings.Model == "" {
 		return x.servePlain()
 	}
-	x.crashes = r.Settings.Crashes != nil && r.Settings.Crashes(x.parts())
 	return x.serveStream(version)
 }
 
@@ -72,6 +77,7 @@
 		Account: x.header("Medlarfield-Tenant"), Model: x.header("Medlarfield-Model"), Salt: x.header("Medlarfield-Cache-Salt"),
 		Version: x.header(headerExpect), LastEventID: x.header("Last-Event-Id"),
 		KVSource: x.header("Medlarfield-Kv-Source"), KVTarget: x.header("Medlarfield-Kv-Target"),
+		Parts: x.parts(),
 	}
 }
 
@@ -186,22 +192,10 @@
 	case FaultDocument:
 		return writeResponse(x.conn, 200, x.responseFields()+"Content-Type: application/json\r\n", `{"text":"whole"}`)
 	}
-	b := medlarhead.AppendStatus(nil, 200)
-	b = append(b, x.responseFields()...)
-	b = append(b, "Content-Type: text/event-stream\r\nMedlarfield-Weight-Versions: "+version+"\r\n"...)
-	if !x.unframed() {
-		b = append(b, "Transfer-Encoding: chunked\r\n"...)
-	}
-	if x.crashes {
-		time.Sleep(x.replica.Settings.WorkTime)
-	}
+	b := x.streamHead(version)
 	if _, err := x.conn.Write(medlarhead.AppendEnd(b)); err != nil || x.fault == FaultEmpty {
 		return false
 	}
-	if x.crashes {
-		x.replica.Crash()
-		return false
-	}
 	if !x.serveEvents(last + 1) {
 		x.endUnframed()
 		return false
@@ -213,6 +207,34 @@
 	return err == nil
 }
 
+// streamHead returns the head of an event stream without its end.
+func (x *exchange) streamHead(version string) []byte {
+	b := medlarhead.AppendStatus(nil, 200)
+	b = append(b, x.responseFields()...)
+	b = append(b, "Content-Type: text/event-stream\r\nMedlarfield-Weight-Versions: "+version+"\r\n"...)
+	if !x.unframed() {
+		b = append(b, "Transfer-Encoding: chunked\r\n"...)
+	}
+	return b
+}
+
+// crash sends what the response has before a crash point, and crashes the replica.
+func (x *exchange) crash(at CrashPoint) {
+	time.Sleep(x.replica.Settings.WorkTime)
+	status := medlarhead.AppendStatus(nil, 200)
+	var b []byte
+	switch at {
+	case CrashInHead:
+		b = append(status, x.requestIDField()+"Medlarfield-Ser"...)
+	case CrashUnsigned:
+		b = medlarhead.AppendEnd(append(status, x.requestIDField()+"Transfer-Encoding: chunked\r\n"...))
+	case CrashBegun:
+		b = medlarhead.AppendEnd(x.streamHead(strconv.FormatUint(x.replica.Version(), 10)))
+	}
+	_, _ = x.conn.Write(b) // the caller may have left
+	x.replica.Crash()
+}
+
 // parts returns the ids of the prompt's parts.
 func (x *exchange) parts() []string {
 	var out []string
--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -76,17 +76,30 @@
 	Model             string        // empty for a plain service
 	Version           uint64        // initial weight version
 	Born              int64         // start of the replica; a later one with the same ID has a higher value
-	// Crashes reports whether the replica crashes as it begins to answer a prompt with these
-	// parts; nil for never. OnCrash is called at each crash.
-	Crashes func(parts []string) bool
-	OnCrash func(*Replica)
+	// CrashPoint returns where the replica crashes as it answers a request; nil for never.
+	// OnCrash is called at each crash.
+	CrashPoint func(Run) CrashPoint
+	OnCrash    func(*Replica)
 }
 
+// CrashPoint is a point of an answer at which a replica crashes.
+type CrashPoint string
+
+// Crash points.
+const (
+	CrashNowhere  CrashPoint = ""
+	CrashRunning  CrashPoint = "running"  // before the first byte of the response
+	CrashInHead   CrashPoint = "head"     // within the head, before the signature
+	CrashUnsigned CrashPoint = "unsigned" // after a head without a signature
+	CrashBegun    CrashPoint = "begun"    // after the head, before the body
+)
+
 // Run is the record of a request that ran (R2).
 type Run struct {
 	ID, Method, Target, Body                   string
 	Account, Model, Salt, Version, LastEventID string
 	KVSource, KVTarget                         string
+	Parts                                      []string // ids of the prompt's parts
 }
 
 // Replica is a running fake replica.
--- a/internal/stand/medlarsite/crash.go
+++ b/internal/stand/medlarsite/crash.go
@@ -12,39 +12,52 @@
 // missedHeartbeats is the number of heartbeats after which the entry of a replica expires.
 const missedHeartbeats = 3
 
-// Crash is the crash of a replica of the engine.
+// Crash is the crash of a replica.
 type Crash struct {
 	At      time.Time
 	Replica string
 }
 
-// crasher decides which prompts crash replicas, and records what they did.
+// crasher decides which requests crash replicas, and records what they did.
 type crasher struct {
 	mu       sync.Mutex
-	parts    []string    // parts that crash a replica
-	arrivals []time.Time // of requests with such a part
+	decide   func(medlarfakereplica.Run) medlarfakereplica.CrashPoint // nil for no request
+	arrivals []time.Time                                              // of requests that crash a replica
 	crashes  []Crash
 }
 
-// decide reports whether a prompt crashes a replica. It is called for each request that
-// arrives at a replica of the engine.
-func (c *crasher) decide(parts []string) bool {
+// point returns where a request crashes a replica. It is called for each request that arrives at
+// a replica.
+func (c *crasher) point(r medlarfakereplica.Run) medlarfakereplica.CrashPoint {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	shared := parts[:max(len(parts)-1, 0)]
-	if !slices.ContainsFunc(shared, func(p string) bool { return slices.Contains(c.parts, p) }) {
-		return false
+	if c.decide == nil {
+		return medlarfakereplica.CrashNowhere
 	}
-	c.arrivals = append(c.arrivals, time.Now())
-	return true
+	at := c.decide(r)
+	if at != medlarfakereplica.CrashNowhere {
+		c.arrivals = append(c.arrivals, time.Now())
+	}
+	return at
 }
 
 // CrashOn makes the replicas of the engine crash as they begin to answer a prompt with one of
 // these parts, wherever it stands but at the end.
 func (s *Site) CrashOn(parts ...string) {
+	s.CrashOnRequest(func(r medlarfakereplica.Run) medlarfakereplica.CrashPoint {
+		shared := r.Parts[:max(len(r.Parts)-1, 0)]
+		if slices.ContainsFunc(shared, func(p string) bool { return slices.Contains(parts, p) }) {
+			return medlarfakereplica.CrashBegun
+		}
+		return medlarfakereplica.CrashNowhere
+	})
+}
+
+// CrashOnRequest makes replicas crash where decide says for a request that they run.
+func (s *Site) CrashOnRequest(decide func(medlarfakereplica.Run) medlarfakereplica.CrashPoint) {
 	s.crasher.mu.Lock()
 	defer s.crasher.mu.Unlock()
-	s.crasher.parts = parts
+	s.crasher.decide = decide
 }
 
 // Crashes returns the crashes of replicas so far.
@@ -54,8 +67,7 @@
 	return slices.Clone(s.crasher.crashes)
 }
 
-// ArrivalsSince returns how many requests with a part that crashes replicas have reached
-// replicas since a time.
+// ArrivalsSince returns how many requests that crash replicas have reached replicas since a time.
 func (s *Site) ArrivalsSince(since time.Time) int {
 	s.crasher.mu.Lock()
 	defer s.crasher.mu.Unlock()
@@ -75,8 +87,12 @@
 	s.crasher.crashes = append(s.crasher.crashes, Crash{At: time.Now(), Replica: r.Settings.ID})
 	number := len(s.crasher.crashes)
 	s.crasher.mu.Unlock()
+	list := &s.Engines
+	if r.Settings.Model == "" {
+		list = &s.Plain
+	}
 	s.mu.Lock()
-	s.Engines = slices.DeleteFunc(s.Engines, func(e *medlarfakereplica.Replica) bool { return e == r })
+	*list = slices.DeleteFunc(*list, func(e *medlarfakereplica.Replica) bool { return e == r })
 	s.mu.Unlock()
 	s.after(missedHeartbeats*s.settings.HeartbeatInterval, func() {
 		if !s.listed(r.Settings.ID) {
@@ -90,9 +106,9 @@
 		next := r.Settings
 		next.Born++
 		if !s.settings.KeepID {
-			next.ID = fmt.Sprintf("engine-c%d", number)
+			next.ID = fmt.Sprintf("%s-c%d", next.Service, number)
 		}
-		_ = s.addReplica(&s.Engines, next) // without a port the site has one replica less
+		_ = s.addReplica(list, next) // without a port the site has one replica less
 	})
 }
 
--- a/internal/stand/medlarsite/medlarsite.go
+++ b/internal/stand/medlarsite/medlarsite.go
@@ -148,7 +148,7 @@
 	for i := range cfg.Engines {
 		if err := s.addReplica(&s.Engines, medlarfakereplica.Settings{
 			ID: fmt.Sprintf("engine-%d", i+1), Service: Engines, Zone: "a", Slots: cfg.Slots, WorkTime: cfg.ServiceTime,
-			Events: cfg.Events, Model: Model, Version: 1, Crashes: s.crasher.decide, OnCrash: s.replace,
+			Events: cfg.Events, Model: Model, Version: 1, CrashPoint: s.crasher.point, OnCrash: s.replace,
 		}); err != nil {
 			return nil, err
 		}
@@ -156,6 +156,7 @@
 	for i := range cfg.Plain {
 		if err := s.addReplica(&s.Plain, medlarfakereplica.Settings{
 			ID: fmt.Sprintf("ledger-%d", i+1), Service: Ledger, Zone: "a", Slots: cfg.Slots, WorkTime: cfg.ServiceTime,
+			CrashPoint: s.crasher.point, OnCrash: s.replace,
 		}); err != nil {
 			return nil, err
 		}
