--- a/internal/agree/medlarnotice/crash.go
+++ b/internal/agree/medlarnotice/crash.go
@@ -13,24 +13,24 @@
 // Prefixes of the keys of records.
 const (
 	crashPrefix = "crash/" // followed by the reporting instance and the number of a slot
-	blockPrefix = "block/" // followed by the part
+	blockPrefix = "block/" // followed by the trait
 	limitPrefix = "limit/" // followed by the replica
 	needPrefix  = "need/"  // followed by the instance
 )
 
-// maxReportParts is the maximum number of parts in a record of a crash, which bounds its size
+// maxReportTraits is the maximum number of traits in a record of a crash, which bounds its size
 // below the platform's limit.
-const maxReportParts = 2048
+const maxReportTraits = 2048
 
 // crashRecord is what one instance lost with a replica that crashed.
 type crashRecord struct {
-	Replica medlarid.InstanceID  `json:"replica"`
-	Born    medlarid.Incarnation `json:"born"`
-	Begun   []medlarsuspect.Part `json:"begun,omitempty"`
-	Waiting []medlarsuspect.Part `json:"waiting,omitempty"`
+	Replica medlarid.InstanceID   `json:"replica"`
+	Born    medlarid.Incarnation  `json:"born"`
+	Begun   []medlarsuspect.Trait `json:"begun,omitempty"`
+	Waiting []medlarsuspect.Trait `json:"waiting,omitempty"`
 }
 
-// blockRecord is the shared state of a part.
+// blockRecord is the shared state of a trait.
 type blockRecord struct {
 	Trials  int  `json:"trials"`
 	Cleared bool `json:"cleared"`
@@ -41,19 +41,19 @@
 	return crashPrefix + string(by) + "/" + slot
 }
 
-// EncodeCrash returns the value of the record of a crash. Parts beyond the maximum are left out,
-// those of waiting prompts first.
+// EncodeCrash returns the value of the record of a crash. Traits beyond the maximum are left out,
+// those of waiting requests first.
 func EncodeCrash(r medlarsuspect.Report) ([]byte, error) {
-	begun := unique(r.Begun, maxReportParts)
-	waiting := unique(r.Waiting, maxReportParts-len(begun))
+	begun := unique(r.Begun, maxReportTraits)
+	waiting := unique(r.Waiting, maxReportTraits-len(begun))
 	return json.Marshal(crashRecord{Replica: r.Crash.Replica, Born: r.Crash.Incarnation, Begun: begun, Waiting: waiting})
 }
 
-// unique returns the different parts of a list, at most n.
-func unique(parts []medlarsuspect.Part, n int) []medlarsuspect.Part {
-	seen := map[medlarsuspect.Part]bool{}
-	var out []medlarsuspect.Part
-	for _, p := range parts {
+// unique returns the different traits of a list, at most n.
+func unique(traits []medlarsuspect.Trait, n int) []medlarsuspect.Trait {
+	seen := map[medlarsuspect.Trait]bool{}
+	var out []medlarsuspect.Trait
+	for _, p := range traits {
 		if !seen[p] && len(out) < n {
 			seen[p] = true
 			out = append(out, p)
@@ -62,9 +62,9 @@
 	return out
 }
 
-// EncodeBlock returns the record of the shared state of a part.
+// EncodeBlock returns the record of the shared state of a trait.
 func EncodeBlock(r medlarsuspect.Record) (Record, error) {
-	key := blockPrefix + string(r.Part)
+	key := blockPrefix + string(r.Trait)
 	if r.Drop {
 		return Record{Key: key}, nil
 	}
@@ -76,7 +76,7 @@
 // was removed has no value.
 func Decode(r Record) (medlarworld.Event, error) {
 	if part, ok := strings.CutPrefix(r.Key, blockPrefix); ok {
-		return decodeBlock(r, medlarsuspect.Part(part))
+		return decodeBlock(r, medlarsuspect.Trait(part))
 	}
 	if strings.HasPrefix(r.Key, crashPrefix) {
 		return decodeCrash(r)
@@ -90,12 +90,12 @@
 	return nil, nil
 }
 
-func decodeBlock(r Record, p medlarsuspect.Part) (medlarworld.Event, error) {
+func decodeBlock(r Record, p medlarsuspect.Trait) (medlarworld.Event, error) {
 	var b blockRecord
 	if err := decode(r, &b); err != nil {
 		return nil, err
 	}
-	return medlarworld.BlockRecorded{Part: p, Block: medlarsuspect.Block(b), Dropped: len(r.Value) == 0}, nil
+	return medlarworld.BlockRecorded{Trait: p, Block: medlarsuspect.Block(b), Dropped: len(r.Value) == 0}, nil
 }
 
 func decodeCrash(r Record) (medlarworld.Event, error) {
@@ -105,7 +105,7 @@
 	}
 	return medlarworld.CrashReported{Report: medlarsuspect.Report{
 		Crash: medlarsuspect.CrashID{Replica: c.Replica, Incarnation: c.Born},
-		Begun: c.Begun[:min(len(c.Begun), maxReportParts)], Waiting: c.Waiting[:min(len(c.Waiting), maxReportParts)],
+		Begun: c.Begun[:min(len(c.Begun), maxReportTraits)], Waiting: c.Waiting[:min(len(c.Waiting), maxReportTraits)],
 	}}, nil
 }
 
--- a/internal/agree/medlarnotice/medlarnotice_test.go
+++ b/internal/agree/medlarnotice/medlarnotice_test.go
@@ -112,7 +112,7 @@
 	t.Run("crash", func(t *testing.T) {
 		want := medlarsuspect.Report{
 			Crash: medlarsuspect.CrashID{Replica: "r", Incarnation: 1774547982893},
-			Begun: []medlarsuspect.Part{"a/b", "\"x\""}, Waiting: []medlarsuspect.Part{"c"},
+			Begun: []medlarsuspect.Trait{"a/b", "\"x\""}, Waiting: []medlarsuspect.Trait{"c"},
 		}
 		value, err := EncodeCrash(want)
 		if err != nil {
@@ -125,12 +125,12 @@
 	})
 	t.Run("block", func(t *testing.T) {
 		for _, b := range []medlarsuspect.Block{{}, {Trials: 2}, {Cleared: true}} {
-			r, err := EncodeBlock(medlarsuspect.Record{Part: "a/b", Block: b})
+			r, err := EncodeBlock(medlarsuspect.Record{Trait: "a/b", Block: b})
 			if err != nil {
 				t.Fatal(err)
 			}
 			e, err := Decode(r)
-			if d := cmp.Diff(medlarworld.BlockRecorded{Part: "a/b", Block: b}, e); d != "" || err != nil {
+			if d := cmp.Diff(medlarworld.BlockRecorded{Trait: "a/b", Block: b}, e); d != "" || err != nil {
 				t.Error(d, err)
 			}
 		}
@@ -157,9 +157,9 @@
 // very many parts.
 func TestCrashRecordIsBounded(t *testing.T) {
 	const recordLimit = 262144 // bytes, the platform's limit
-	var parts []medlarsuspect.Part
+	var parts []medlarsuspect.Trait
 	for i := range 50000 {
-		parts = append(parts, medlarsuspect.NewPart(fmt.Sprint(i, strings.Repeat("\"", 59))))
+		parts = append(parts, medlarsuspect.PartTrait(fmt.Sprint(i, strings.Repeat("\"", 59))))
 	}
 	value, err := EncodeCrash(medlarsuspect.Report{Begun: parts, Waiting: parts})
 	if err != nil || len(value) > recordLimit {
--- a/internal/core/medlaradmission/medlaradmission.go
+++ b/internal/core/medlaradmission/medlaradmission.go
@@ -20,8 +20,8 @@
 //	R7  Only accounts that have recently sent requests are kept in memory.
 //	R8  Requests that can still be answered in time go before those that cannot:
 //	    under overload, a queue in the order of arrival makes all of them late.
-//	R9  A request whose prompt has a part that crashes replicas is refused at once, unless
-//	    it is a trial of the part.
+//	R9  A request with a trait that crashes replicas is refused at once, unless it is a
+//	    trial of the trait.
 package medlaradmission
 
 import (
@@ -214,7 +214,7 @@
 		return medlarreason.Unready, minRetryAfter // R1
 	case !hasUpstreams(w, r):
 		return medlarreason.Capacity, minRetryAfter
-	case !admitParts(w, r):
+	case !admitTraits(w, r):
 		return medlarreason.Crashing, medlarcrash.RetryAfter // R9
 	}
 	if runs := a.Limits.Runs; runs > 0 && float64(a.Open) > math.Ceil(float64(runs)*runShare(w, a)) {
@@ -232,12 +232,12 @@
 	return "", 0
 }
 
-// admitParts reports whether the parts of a run's prompt allow it to start (R9).
-func admitParts(w *medlarworld.World, r *medlarworld.Run) bool {
-	if _, blocked := w.Suspects.Blocked(r.Parts); !blocked {
+// admitTraits reports whether the traits of a run allow it to start (R9).
+func admitTraits(w *medlarworld.World, r *medlarworld.Run) bool {
+	if _, blocked := w.Suspects.Blocked(r.Traits); !blocked {
 		return true
 	}
-	r.BlockedPart, r.Trial = w.Suspects.Admit(w.Now, r.Parts)
+	r.BlockedTrait, r.Trial = w.Suspects.Admit(w.Now, r.Traits)
 	if r.Trial {
 		w.Trials = append(w.Trials, r)
 	}
--- a/internal/core/medlarcore/crash_test.go
+++ b/internal/core/medlarcore/crash_test.go
@@ -14,13 +14,13 @@
 )
 
 // runWith returns a run whose prompt has these parts, and one of its own.
-func (p *partsHarness) runWith(parts ...medlarsuspect.Part) *medlarworld.Run {
+func (p *partsHarness) runWith(parts ...medlarsuspect.Trait) *medlarworld.Run {
 	sizes := make([]int, len(parts)+1)
 	for i := range sizes {
 		sizes[i] = 100
 	}
 	r := p.newRun(sizes...)
-	r.Parts = parts
+	r.Traits = parts
 	return r
 }
 
@@ -59,9 +59,9 @@
 		down bool
 		want []medlarsuspect.Report
 	}{
-		{"begun", loss{head: true}, true, []medlarsuspect.Report{{Crash: medlarsuspect.CrashID{Replica: "e00"}, Begun: []medlarsuspect.Part{"x"}}}},
-		{"waiting", loss{}, true, []medlarsuspect.Report{{Crash: medlarsuspect.CrashID{Replica: "e00"}, Waiting: []medlarsuspect.Part{"x"}}}},
-		{"just after the first event", loss{head: true, began: 100 * time.Millisecond}, true, []medlarsuspect.Report{{Crash: medlarsuspect.CrashID{Replica: "e00"}, Begun: []medlarsuspect.Part{"x"}}}},
+		{"begun", loss{head: true}, true, []medlarsuspect.Report{{Crash: medlarsuspect.CrashID{Replica: "e00"}, Begun: []medlarsuspect.Trait{"x"}}}},
+		{"waiting", loss{}, true, []medlarsuspect.Report{{Crash: medlarsuspect.CrashID{Replica: "e00"}, Waiting: []medlarsuspect.Trait{"x"}}}},
+		{"just after the first event", loss{head: true, began: 100 * time.Millisecond}, true, []medlarsuspect.Report{{Crash: medlarsuspect.CrashID{Replica: "e00"}, Begun: []medlarsuspect.Trait{"x"}}}},
 		{"long after the first event", loss{head: true, began: time.Second}, true, nil},
 		{"a replica that still takes connections", loss{head: true}, false, nil},
 	} {
@@ -110,11 +110,11 @@
 	}
 }
 
-// TestBlockedPart guards against a blocked part that goes on to a replica by another way than a
+// TestBlockedTrait guards against a blocked part that goes on to a replica by another way than a
 // new request, and against sound requests that are kept back with it.
-func TestBlockedPart(t *testing.T) {
+func TestBlockedTrait(t *testing.T) {
 	block := func(p *partsHarness) {
-		p.tick(medlarworld.BlockRecorded{Part: "x"})
+		p.tick(medlarworld.BlockRecorded{Trait: "x"})
 		p.now = p.now.Add(500 * time.Millisecond)
 	}
 	refusals := func(cs []medlarworld.Command) (out []medlarworld.Refuse) {
@@ -160,7 +160,7 @@
 		block(p)
 		p.tick(medlarworld.Tick{})
 		for i := range 20 {
-			if s := p.submit(p.runWith("a", medlarsuspect.Part(fmt.Sprint("b", i)))); s == nil {
+			if s := p.submit(p.runWith("a", medlarsuspect.Trait(fmt.Sprint("b", i)))); s == nil {
 				t.Fatal("a sound request does not start")
 			} else {
 				p.tick(medlarworld.AttemptEnded{Run: s.Run, Attempt: s.Attempt, Cause: medlarworld.CauseDone, Reached: true, Began: time.Millisecond})
@@ -171,7 +171,7 @@
 		p := newPartsHarness(t, 3, nil)
 		block(p)
 		p.tick(medlarworld.Tick{})
-		p.tick(medlarworld.TrialGranted{Part: "x", Trials: 1})
+		p.tick(medlarworld.TrialGranted{Trait: "x", Trials: 1})
 		s := p.submit(p.runWith("a", "x"))
 		if s == nil {
 			t.Fatal("the trial does not start")
@@ -183,7 +183,7 @@
 		p := newPartsHarness(t, 1, nil)
 		block(p)
 		p.tick(medlarworld.Tick{})
-		p.tick(medlarworld.TrialGranted{Part: "x", Trials: 1})
+		p.tick(medlarworld.TrialGranted{Trait: "x", Trials: 1})
 		p.tick(medlarworld.UpstreamPaused{Upstream: "e00", For: time.Second})
 		if s := p.submit(p.runWith("a", "x")); s != nil {
 			t.Fatal("the trial starts although the replica pauses")
--- a/internal/core/medlarcrash/medlarcrash.go
+++ b/internal/core/medlarcrash/medlarcrash.go
@@ -8,10 +8,10 @@
 //	    have crashed.
 //	R2  What was lost with a replica is reported to all instances, once more whenever
 //	    more is known.
-//	R3  A run whose prompt has a blocked part starts no attempt, be it new, waiting, or
+//	R3  A run with a blocked trait starts no attempt, be it new, waiting, or
 //	    to be resumed elsewhere. It is refused at once.
 //	R4  A run that was lost with maxRunCrashes replicas starts no further attempt: it
-//	    may be the cause, even if its parts are not known yet.
+//	    may be the cause, even if the trait is not known yet.
 package medlarcrash
 
 import (
@@ -30,7 +30,7 @@
 	lossWindow    = 5 * time.Second        // in which a new incarnation shows that a replica has crashed (R1)
 	maxRunCrashes = 2                      // R4
 
-	// RetryAfter is the time after which a caller may try a prompt with a blocked part again.
+	// RetryAfter is the time after which a caller may try a request with a blocked trait again.
 	RetryAfter = 30 * time.Second
 )
 
@@ -43,7 +43,7 @@
 type loss struct {
 	id             medlarsuspect.CrashID
 	at             time.Time // of the last lost attempt
-	begun, waiting []medlarsuspect.Part
+	begun, waiting []medlarsuspect.Trait
 	runs           []medlarid.RequestID // lost before their answer began, and not yet counted
 	probing        bool                 // a probe is in flight
 	crashed        bool
@@ -69,7 +69,7 @@
 		case medlarworld.BlockRecorded:
 			applyRecord(w, e)
 		case medlarworld.TrialGranted:
-			w.Suspects.GrantTrial(w.Now, e.Part, e.Trials)
+			w.Suspects.GrantTrial(w.Now, e.Trait, e.Trials)
 		case medlarworld.RecordsRestored:
 			w.Suspects.Restore()
 		default:
@@ -97,7 +97,7 @@
 	w.Trials = slices.DeleteFunc(w.Trials, func(r *medlarworld.Run) bool {
 		ended := r.Phase == medlarworld.PhaseDone
 		if ended && !r.Reached {
-			w.Suspects.ReturnTrial(w.Now, r.Parts)
+			w.Suspects.ReturnTrial(w.Now, r.Traits)
 		}
 		return ended
 	})
@@ -105,10 +105,10 @@
 
 func applyRecord(w *medlarworld.World, e medlarworld.BlockRecorded) {
 	if e.Dropped {
-		w.Suspects.ApplyDrop(e.Part)
+		w.Suspects.ApplyDrop(e.Trait)
 		return
 	}
-	w.Suspects.ApplyBlock(w.Now, e.Part, e.Block)
+	w.Suspects.ApplyBlock(w.Now, e.Trait, e.Block)
 }
 
 // currentRun returns the run if the attempt is its current one, or nil.
@@ -122,12 +122,12 @@
 
 func (s *System) attemptEnded(w *medlarworld.World, e medlarworld.AttemptEnded) {
 	r := currentRun(w, e.Run, e.Attempt)
-	if r == nil || len(r.Parts) == 0 {
+	if r == nil || len(r.Traits) == 0 {
 		return
 	}
 	switch {
 	case e.Cause == medlarworld.CauseDone:
-		w.Suspects.Answered(w.Now, w.Now.Add(-e.Began), r.Parts)
+		w.Suspects.Answered(w.Now, w.Now.Add(-e.Began), r.Traits)
 	case e.Lost && !r.Upstream.Leaving && e.Began < beginning:
 		s.lost(w, r, e.Head)
 	}
@@ -146,9 +146,9 @@
 	l.at = w.Now
 	l.runs = append(l.runs, r.ID)
 	if begun {
-		l.begun = append(l.begun, r.Parts...)
+		l.begun = append(l.begun, r.Traits...)
 	} else {
-		l.waiting = append(l.waiting, r.Parts...)
+		l.waiting = append(l.waiting, r.Traits...)
 	}
 	if l.crashed {
 		s.report(w, l)
@@ -229,10 +229,10 @@
 	if r.Crashes >= maxRunCrashes {
 		return true
 	}
-	part, blocked := w.Suspects.Blocked(r.Parts)
+	trait, blocked := w.Suspects.Blocked(r.Traits)
 	if !blocked || r.Trial {
 		return false
 	}
-	r.BlockedPart = part
+	r.BlockedTrait = trait
 	return true
 }
--- a/internal/core/medlarsuspect/history_test.go
+++ b/internal/core/medlarsuspect/history_test.go
@@ -26,8 +26,8 @@
 
 // prompt is one request in a history.
 type prompt struct {
-	parts    []Part
-	bad      Part // empty for a sound prompt
+	parts    []Trait
+	bad      Trait // empty for a sound prompt
 	instance int
 	crashes  int
 	begun    bool
@@ -52,12 +52,12 @@
 	tables  []*Table
 	away    []time.Time // until which an instance cannot reach the store
 	engines []*engine
-	claims  map[Part]int // trials that the store has granted
-	bads    []Part
+	claims  map[Trait]int // trials that the store has granted
+	bads    []Trait
 
-	arrivals, crashes map[Part][]time.Time // of requests with a bad part at replicas, and under them
-	trace             func(int, Change)    // called for each change of an instance's blocks; may be nil
-	sound, refused    int                  // sound requests since the parts are known, and those refused
+	arrivals, crashes map[Trait][]time.Time // of requests with a bad part at replicas, and under them
+	trace             func(int, Change)     // called for each change of an instance's blocks; may be nil
+	sound, refused    int                   // sound requests since the parts are known, and those refused
 }
 
 // step is something that happens at a time.
@@ -90,7 +90,7 @@
 }
 
 func newHistory(seed uint64) *history {
-	h := &history{r: rand.New(rand.NewPCG(seed, 7)), now: epoch, claims: map[Part]int{}, arrivals: map[Part][]time.Time{}, crashes: map[Part][]time.Time{}}
+	h := &history{r: rand.New(rand.NewPCG(seed, 7)), now: epoch, claims: map[Trait]int{}, arrivals: map[Trait][]time.Time{}, crashes: map[Trait][]time.Time{}}
 	for range []int{1, 3, 5, 27, 35}[h.r.IntN(5)] {
 		h.tables = append(h.tables, New())
 		h.away = append(h.away, epoch)
@@ -98,7 +98,7 @@
 	for i := range 4 + h.r.IntN(30) {
 		h.engines = append(h.engines, &engine{id: medlarid.InstanceID(fmt.Sprint("e", i))})
 	}
-	h.bads = []Part{"bad-1"}
+	h.bads = []Trait{"bad-1"}
 	if h.r.IntN(3) == 0 {
 		h.bads = append(h.bads, "bad-2")
 	}
@@ -126,7 +126,7 @@
 	h.after(h.between(every/2, 3*every/2), func() {
 		p := &prompt{instance: min(h.r.IntN(len(h.tables)), h.r.IntN(len(h.tables)))}
 		account := h.r.IntN(6)
-		p.parts = []Part{Part(fmt.Sprint("first", account)), Part(fmt.Sprint("subject", account, "-", h.r.IntN(40)))}
+		p.parts = []Trait{Trait(fmt.Sprint("first", account)), Trait(fmt.Sprint("subject", account, "-", h.r.IntN(40)))}
 		if bad {
 			at := h.r.IntN(len(p.parts) + 1)
 			p.bad = h.bads[h.r.IntN(len(h.bads))]
@@ -249,19 +249,19 @@
 		case r.Claim:
 			h.claim(i, r)
 		case !r.Drop:
-			h.deliver(i, func(t *Table) { t.ApplyBlock(h.now, r.Part, r.Block) })
+			h.deliver(i, func(t *Table) { t.ApplyBlock(h.now, r.Trait, r.Block) })
 		}
 	}
 }
 
 // claim grants a trial if no other instance has claimed it.
 func (h *history) claim(i int, r Record) {
-	if h.now.Before(h.away[i]) || h.claims[r.Part] >= r.Block.Trials {
+	if h.now.Before(h.away[i]) || h.claims[r.Trait] >= r.Block.Trials {
 		return
 	}
-	h.claims[r.Part] = r.Block.Trials
-	h.after(5*time.Millisecond, func() { h.tables[i].GrantTrial(h.now, r.Part, r.Block.Trials) })
-	h.deliver(i, func(t *Table) { t.ApplyBlock(h.now, r.Part, r.Block) })
+	h.claims[r.Trait] = r.Block.Trials
+	h.after(5*time.Millisecond, func() { h.tables[i].GrantTrial(h.now, r.Trait, r.Block.Trials) })
+	h.deliver(i, func(t *Table) { t.ApplyBlock(h.now, r.Trait, r.Block) })
 }
 
 // deliver passes a record of an instance to all that reach the store; later if it does not.
@@ -310,7 +310,7 @@
 }
 
 // late returns how many requests with a bad part reached replicas later than allowed.
-func (h *history) late(p Part) int {
+func (h *history) late(p Trait) int {
 	crashes := h.crashes[p]
 	if len(crashes) < settledCrashes {
 		return 0
--- a/internal/core/medlarsuspect/medlarsuspect_test.go
+++ b/internal/core/medlarsuspect/medlarsuspect_test.go
@@ -30,20 +30,20 @@
 }
 
 // crash reports a crash of another replica, with prompts that it had begun to answer.
-func (b *bench) crash(begun ...Part) {
+func (b *bench) crash(begun ...Trait) {
 	b.last++
 	b.report(b.last, true, begun, nil)
 }
 
-func (b *bench) report(n int, own bool, begun, waiting []Part) {
+func (b *bench) report(n int, own bool, begun, waiting []Trait) {
 	id := CrashID{Replica: medlarid.InstanceID(fmt.Sprint("r", n)), Incarnation: 1}
 	b.table.AddReport(b.now, Report{Crash: id, Begun: begun, Waiting: waiting}, own)
 }
 
-func (b *bench) answer(parts ...Part) { b.table.Answered(b.now, b.now, parts) }
+func (b *bench) answer(parts ...Trait) { b.table.Answered(b.now, b.now, parts) }
 
 // crashes reports crashes a second apart and lets the block take effect.
-func (b *bench) crashes(n int, begun ...Part) {
+func (b *bench) crashes(n int, begun ...Trait) {
 	for range n {
 		b.advance(time.Second)
 		b.crash(begun...)
@@ -51,10 +51,10 @@
 	b.advance(objectionDelay)
 }
 
-func (b *bench) assertBlocked(want ...Part) {
+func (b *bench) assertBlocked(want ...Trait) {
 	b.t.Helper()
-	var got []Part
-	for _, p := range b.table.parts() {
+	var got []Trait
+	for _, p := range b.table.traits() {
 		if b.table.blocks[p].active {
 			got = append(got, p)
 		}
@@ -69,20 +69,20 @@
 	for _, tc := range []struct {
 		name string
 		do   func(*bench)
-		want []Part
+		want []Trait
 	}{
 		{"two crashes block nothing", func(b *bench) { b.crashes(2, "x") }, nil},
-		{"three crashes block the part", func(b *bench) { b.crashes(3, "x") }, []Part{"x"}},
+		{"three crashes block the part", func(b *bench) { b.crashes(3, "x") }, []Trait{"x"}},
 		{"of several parts, those that are always there", func(b *bench) {
 			b.crashes(1, "x", "a", "b")
 			b.crashes(1, "x", "c")
 			b.crashes(1, "x", "a")
-		}, []Part{"x"}},
+		}, []Trait{"x"}},
 		{"an answer in between clears a part that others share", func(b *bench) {
 			b.crashes(2, "x", "shared")
 			b.answer("shared")
 			b.crashes(1, "x", "shared")
-		}, []Part{"x"}},
+		}, []Trait{"x"}},
 		{"an answer shortly before clears of a crash", func(b *bench) {
 			for range 4 {
 				b.answer("shared")
@@ -93,29 +93,29 @@
 			b.answer("x")
 			b.advance(clearingLead)
 			b.crashes(3, "x")
-		}, []Part{"x"}},
+		}, []Trait{"x"}},
 		{"reports by several instances of one crash are one", func(b *bench) {
 			b.crashes(2, "x")
 			for range 5 {
-				b.report(b.last, false, []Part{"x"}, nil)
+				b.report(b.last, false, []Trait{"x"}, nil)
 			}
 			b.advance(objectionDelay)
 		}, nil},
 		{"prompts that waited are suspected if none had begun", func(b *bench) {
 			for n := range 3 {
 				b.advance(time.Second)
-				b.report(n, true, nil, []Part{"x"})
+				b.report(n, true, nil, []Trait{"x"})
 			}
 			b.advance(objectionDelay)
-		}, []Part{"x"}},
+		}, []Trait{"x"}},
 		{"prompts that waited are not suspected beside one that had begun elsewhere", func(b *bench) {
 			for n := range 3 {
 				b.advance(time.Second)
-				b.report(n, true, nil, []Part{"waited"})
-				b.report(n, false, []Part{"x"}, nil)
+				b.report(n, true, nil, []Trait{"waited"})
+				b.report(n, false, []Trait{"x"}, nil)
 			}
 			b.advance(objectionDelay)
-		}, []Part{"x"}},
+		}, []Trait{"x"}},
 		{"many replicas that end at the same moment have another cause", func(b *bench) {
 			for range 3 {
 				for range 12 {
@@ -127,46 +127,46 @@
 		{"what a blocked part explains counts against no other", func(b *bench) {
 			b.crashes(3, "x")
 			b.crashes(4, "x", "a")
-		}, []Part{"x"}},
+		}, []Trait{"x"}},
 		{"two parts that crash replicas", func(b *bench) {
 			b.crashes(4, "x", "a")
 			b.crashes(3, "y", "a")
-		}, []Part{"a", "x"}}, // y is not told from a while a is not answered
+		}, []Trait{"a", "x"}}, // y is not told from a while a is not answered
 		{"two parts that crash replicas, and one that both share and others too", func(b *bench) {
-			for _, p := range []Part{"x", "y", "x", "y", "x", "y"} {
+			for _, p := range []Trait{"x", "y", "x", "y", "x", "y"} {
 				b.crashes(1, p, "a")
 				b.answer("a")
 			}
-		}, []Part{"x", "y"}},
+		}, []Trait{"x", "y"}},
 		{"of two that always come together, the one without an answer ever", func(b *bench) {
 			b.answer("shared")
 			b.advance(time.Minute)
 			b.crashes(3, "shared", "x")
-		}, []Part{"x"}},
+		}, []Trait{"x"}},
 		{"of two that were both answered, the one whose answer is longer ago", func(b *bench) {
 			b.answer("x", "shared")
 			b.advance(time.Minute)
 			b.answer("shared")
 			b.advance(time.Minute)
 			b.crashes(3, "shared", "x")
-		}, []Part{"x"}},
+		}, []Trait{"x"}},
 		{"a part that seldom comes", func(b *bench) {
 			for range 3 {
 				b.advance(5 * time.Minute)
 				b.crash("x")
 			}
 			b.advance(objectionDelay)
-		}, []Part{"x"}},
+		}, []Trait{"x"}},
 		{"an answer clears for good, however many other parts are answered since", func(b *bench) {
 			for n := range 3 {
 				b.crashes(1, "x", "rare")
 				b.answer("rare")
 				b.advance(time.Minute)
 				for i := range 2 * maxAnswered {
-					b.answer(Part(fmt.Sprint(n, "other", i)))
+					b.answer(Trait(fmt.Sprint(n, "other", i)))
 				}
 			}
-		}, []Part{"x"}},
+		}, []Trait{"x"}},
 		{"crashes long ago do not count", func(b *bench) {
 			b.crashes(2, "x")
 			b.advance(crashWindow + time.Second)
@@ -176,10 +176,10 @@
 			for n := range 3 {
 				b.advance(time.Second)
 				id := CrashID{Replica: "r", Incarnation: medlarid.Incarnation(n)}
-				b.table.AddReport(b.now, Report{Crash: id, Begun: []Part{"x"}}, true)
+				b.table.AddReport(b.now, Report{Crash: id, Begun: []Trait{"x"}}, true)
 			}
 			b.advance(objectionDelay)
-		}, []Part{"x"}},
+		}, []Trait{"x"}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			b := newBench(t)
@@ -206,7 +206,7 @@
 		b.table.ApplyBlock(b.now, "x", Block{})
 		b.advance(objectionDelay)
 		b.assertBlocked()
-		if d := cmp.Diff([]Record{{Part: "x", Block: Block{Cleared: true}}}, b.table.TakeRecords()); d != "" {
+		if d := cmp.Diff([]Record{{Trait: "x", Block: Block{Cleared: true}}}, b.table.TakeRecords()); d != "" {
 			t.Errorf("records:\n%s", d)
 		}
 	})
@@ -215,12 +215,12 @@
 		b.answer("shared")
 		b.advance(time.Minute)
 		b.crashes(2, "x", "shared")
-		for _, p := range []Part{"x", "shared"} {
+		for _, p := range []Trait{"x", "shared"} {
 			b.table.ApplyBlock(b.now, p, Block{})
 		}
 		b.advance(objectionDelay)
 		b.assertBlocked("x")
-		if d := cmp.Diff([]Record{{Part: "shared", Block: Block{Cleared: true}}}, b.table.TakeRecords()); d != "" {
+		if d := cmp.Diff([]Record{{Trait: "shared", Block: Block{Cleared: true}}}, b.table.TakeRecords()); d != "" {
 			t.Errorf("records:\n%s", d)
 		}
 	})
@@ -236,7 +236,7 @@
 		b := newBench(t)
 		for n := range 3 {
 			b.advance(time.Second)
-			b.report(n, false, []Part{"x"}, nil)
+			b.report(n, false, []Trait{"x"}, nil)
 		}
 		b.advance(objectionDelay)
 		b.assertBlocked("x")
@@ -253,7 +253,7 @@
 		b.crashes(3, "x")
 		b.table.TakeRecords()
 		b.table.Restore()
-		if d := cmp.Diff([]Record{{Part: "x"}}, b.table.TakeRecords()); d != "" {
+		if d := cmp.Diff([]Record{{Trait: "x"}}, b.table.TakeRecords()); d != "" {
 			t.Errorf("records:\n%s", d)
 		}
 		b.table.ApplyDrop("x")
@@ -276,7 +276,7 @@
 	}
 	// claim asks with a request and returns the claim that it leads to.
 	claim := func(b *bench) *Record {
-		if _, ok := b.table.Admit(b.now, []Part{"x"}); ok {
+		if _, ok := b.table.Admit(b.now, []Trait{"x"}); ok {
 			b.t.Error("a request goes on without a trial")
 		}
 		for _, r := range b.table.TakeRecords() {
@@ -293,7 +293,7 @@
 			b.advance(time.Second)
 			if r := claim(b); r != nil {
 				b.table.GrantTrial(b.now, "x", r.Block.Trials)
-				if _, ok := b.table.Admit(b.now, []Part{"x"}); ok {
+				if _, ok := b.table.Admit(b.now, []Trait{"x"}); ok {
 					trials++
 				}
 				b.crash("x")
@@ -316,7 +316,7 @@
 		b := blocked(t)
 		b.table.ApplyBlock(b.now, "x", Block{Trials: maxTrials})
 		b.table.ApplyBlock(b.now, "x", Block{Trials: 0})
-		if d := cmp.Diff([]Record{{Part: "x", Block: Block{Trials: maxTrials}}}, b.table.TakeRecords()); d != "" {
+		if d := cmp.Diff([]Record{{Trait: "x", Block: Block{Trials: maxTrials}}}, b.table.TakeRecords()); d != "" {
 			t.Errorf("records:\n%s", d)
 		}
 	})
@@ -324,7 +324,7 @@
 		b := blocked(t)
 		b.advance(trialDelays[0])
 		b.table.GrantTrial(b.now, "x", claim(b).Block.Trials)
-		if _, ok := b.table.Admit(b.now, []Part{"x"}); !ok {
+		if _, ok := b.table.Admit(b.now, []Trait{"x"}); !ok {
 			t.Fatal("the trial is refused")
 		}
 		b.advance(time.Second)
@@ -336,11 +336,11 @@
 		b.crashes(3, "x", "shared")
 		b.advance(tiedTrialDelay)
 		b.table.TakeRecords()
-		if _, ok := b.table.Admit(b.now, []Part{"shared", "x"}); ok || len(b.table.TakeRecords()) > 0 {
+		if _, ok := b.table.Admit(b.now, []Trait{"shared", "x"}); ok || len(b.table.TakeRecords()) > 0 {
 			t.Error("a request with both is a trial")
 		}
-		b.table.Admit(b.now, []Part{"shared", "y"})
-		if d := cmp.Diff([]Record{{Part: "shared", Block: Block{Trials: 1}, Claim: true}}, b.table.TakeRecords()); d != "" {
+		b.table.Admit(b.now, []Trait{"shared", "y"})
+		if d := cmp.Diff([]Record{{Trait: "shared", Block: Block{Trials: 1}, Claim: true}}, b.table.TakeRecords()); d != "" {
 			t.Errorf("records:\n%s", d)
 		}
 	})
@@ -349,20 +349,20 @@
 		b.crashes(3, "y")
 		b.advance(trialDelays[0])
 		b.table.GrantTrial(b.now, "x", 1)
-		if _, ok := b.table.Admit(b.now, []Part{"x", "y"}); ok {
+		if _, ok := b.table.Admit(b.now, []Trait{"x", "y"}); ok {
 			t.Error("the request goes on")
 		}
 	})
 	t.Run("an answer that began before the crashes clears nothing", func(t *testing.T) {
 		b := blocked(t)
-		b.table.Answered(b.now, epoch.Add(-time.Minute), []Part{"x"})
+		b.table.Answered(b.now, epoch.Add(-time.Minute), []Trait{"x"})
 		b.assertBlocked("x")
 	})
 	t.Run("a part that nobody asks for is forgotten", func(t *testing.T) {
 		b := blocked(t)
 		b.advance(forgetAfter + time.Second)
 		b.assertBlocked()
-		if d := cmp.Diff([]Record{{Part: "x", Drop: true}}, b.table.TakeRecords()); d != "" {
+		if d := cmp.Diff([]Record{{Trait: "x", Drop: true}}, b.table.TakeRecords()); d != "" {
 			t.Errorf("records:\n%s", d)
 		}
 	})
@@ -370,7 +370,7 @@
 		b := blocked(t)
 		for range 3 {
 			b.advance(forgetAfter - time.Second)
-			b.table.Admit(b.now, []Part{"x"})
+			b.table.Admit(b.now, []Trait{"x"})
 		}
 		b.assertBlocked("x")
 	})
@@ -382,10 +382,10 @@
 	b := newBench(t)
 	n := 0
 	for range 300 {
-		prompt := []Part{"x"}
+		prompt := []Trait{"x"}
 		for range 1000 {
 			n++
-			prompt = append(prompt, NewPart(fmt.Sprint("junk", n, strings.Repeat("j", n%200))))
+			prompt = append(prompt, PartTrait(fmt.Sprint("junk", n, strings.Repeat("j", n%200))))
 		}
 		b.advance(300 * time.Millisecond)
 		b.table.Answered(b.now, b.now, prompt[1:])
@@ -397,11 +397,11 @@
 	if n := len(b.table.answered.at); n > maxAnswered {
 		t.Errorf("%d answers are remembered, want %d at most", n, maxAnswered)
 	}
-	if _, ok := b.table.Blocked([]Part{"x"}); !ok {
+	if _, ok := b.table.Blocked([]Trait{"x"}); !ok {
 		t.Error("the part is not blocked")
 	}
 	for i := range 2 * maxBlocked {
-		b.table.ApplyBlock(b.now, Part(fmt.Sprint("b", i)), Block{})
+		b.table.ApplyBlock(b.now, Trait(fmt.Sprint("b", i)), Block{})
 	}
 	if n := len(b.table.blocks); n > maxBlocked {
 		t.Errorf("%d parts are blocked, want %d at most", n, maxBlocked)
@@ -413,9 +413,9 @@
 func TestHostilePromptsTakeLittleTime(t *testing.T) {
 	const partsOfPrompt, bound = 4000, 2 * time.Second // a head of 16 KiB has no more parts
 	b := newBench(t)
-	prompt := []Part{"x"}
+	prompt := []Trait{"x"}
 	for i := range partsOfPrompt {
-		prompt = append(prompt, Part(fmt.Sprint("p", i)))
+		prompt = append(prompt, Trait(fmt.Sprint("p", i)))
 	}
 	begin := time.Now()
 	b.crashes(8, prompt...)
@@ -429,23 +429,23 @@
 
 func TestPartHidesAmongPartsThatAreAlwaysTheSame(t *testing.T) {
 	b := newBench(t)
-	junk := func(round int) []Part {
-		out := []Part{"zz-bad"}
+	junk := func(round int) []Trait {
+		out := []Trait{"zz-bad"}
 		for i := range 2 * maxTied {
-			out = append(out, Part(fmt.Sprintf("j%d-%d", round, i)))
+			out = append(out, Trait(fmt.Sprintf("j%d-%d", round, i)))
 		}
 		return out
 	}
 	for round := range 2 {
 		b.crashes(3, junk(round)...)
 	}
-	if _, ok := b.table.Blocked([]Part{"zz-bad"}); !ok {
+	if _, ok := b.table.Blocked([]Trait{"zz-bad"}); !ok {
 		t.Error("the part that all prompts had is not blocked")
 	}
 }
 
 func TestNewPartBoundsItsLength(t *testing.T) {
-	a, b := NewPart(strings.Repeat("a", 5000)), NewPart(strings.Repeat("a", 5001))
+	a, b := PartTrait(strings.Repeat("a", 5000)), PartTrait(strings.Repeat("a", 5001))
 	if len(a) > maxPartLength || a == b {
 		t.Errorf("parts %q and %q, want different ones of %d bytes at most", a, b, maxPartLength)
 	}
@@ -465,9 +465,9 @@
 		table, now := New(), epoch
 		for n := range 100_000 {
 			now = now.Add(20 * time.Millisecond)
-			parts := make([]Part, 20)
+			parts := make([]Trait, 20)
 			for i := range parts {
-				parts[i] = NewPart(fmt.Sprintf("part-%d-%d-%s", n, i, strings.Repeat("x", 40)))
+				parts[i] = PartTrait(fmt.Sprintf("part-%d-%d-%s", n, i, strings.Repeat("x", 40)))
 			}
 			if n%100 == 0 {
 				table.AddReport(now, Report{Crash: CrashID{Replica: medlarid.InstanceID(fmt.Sprint(n))}, Begun: parts, Waiting: parts}, true)
--- a/internal/core/medlarsuspect/shared.go
+++ b/internal/core/medlarsuspect/shared.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// Answered reports that a prompt with these parts was answered in full. began is when its answer
+// Answered reports that a prompt with these traits was answered in full. began is when its answer
 // began. A block that the answer refutes is lifted, for all instances (R3, R6).
-func (t *Table) Answered(now, began time.Time, parts []Part) {
-	for _, p := range parts {
+func (t *Table) Answered(now, began time.Time, traits []Trait) {
+	for _, p := range traits {
 		t.answered.set(p, began)
 		t.clearCrashes(p, began.Add(clearingLead))
 		if b := t.blocks[p]; b != nil && t.refuted(p, b.evidenceAt) {
@@ -17,9 +17,9 @@
 	}
 }
 
-// clearCrashes clears a part of all remembered crashes until a time, whether or not the time of the
+// clearCrashes clears a trait of all remembered crashes until a time, whether or not the time of the
 // answer is remembered for as long as they are.
-func (t *Table) clearCrashes(p Part, until time.Time) {
+func (t *Table) clearCrashes(p Trait, until time.Time) {
 	for _, c := range t.crashes {
 		if !c.at.After(until) && (c.begun[p] || c.waiting[p]) {
 			c.cleared[p] = true
@@ -27,9 +27,9 @@
 	}
 }
 
-// refuted reports whether this instance has had an answer with a part that clears it of the last
+// refuted reports whether this instance has had an answer with a trait that clears it of the last
 // crash with it. last is the time of that crash if it is not remembered.
-func (t *Table) refuted(p Part, last time.Time) bool {
+func (t *Table) refuted(p Trait, last time.Time) bool {
 	for _, c := range slices.Backward(t.crashes) {
 		if c.suspects()[p] {
 			if c.cleared[p] {
@@ -42,19 +42,19 @@
 	return !t.answered.get(p).Before(last.Add(-clearingLead))
 }
 
-// clear lifts the block of a part and tells the other instances.
-func (t *Table) clear(now time.Time, p Part) {
+// clear lifts the block of a trait and tells the other instances.
+func (t *Table) clear(now time.Time, p Trait) {
 	t.cleared.set(p, now)
 	t.clearCrashes(p, now)
 	if b := t.blocks[p]; b != nil {
 		t.unblock(p, b)
 	}
-	t.records = append(t.records, Record{Part: p, Block: Block{Cleared: true}})
-	t.evaluate(now) // the crashes that the part explained have another cause
+	t.records = append(t.records, Record{Trait: p, Block: Block{Cleared: true}})
+	t.evaluate(now) // the crashes that the trait explained have another cause
 }
 
-// ApplyBlock applies the shared state of a part, as an instance recorded it.
-func (t *Table) ApplyBlock(now time.Time, p Part, s Block) {
+// ApplyBlock applies the shared state of a trait, as an instance recorded it.
+func (t *Table) ApplyBlock(now time.Time, p Trait, s Block) {
 	if s.Cleared {
 		t.cleared.set(p, now)
 		t.clearCrashes(p, now)
@@ -78,10 +78,10 @@
 	}
 }
 
-// ApplyDrop handles that the shared state of a part is gone: it was forgotten by an instance, or
-// the store came back from a copy without it. An instance that still blocks the part records it
+// ApplyDrop handles that the shared state of a trait is gone: it was forgotten by an instance, or
+// the store came back from a copy without it. An instance that still blocks the trait records it
 // again.
-func (t *Table) ApplyDrop(p Part) {
+func (t *Table) ApplyDrop(p Trait) {
 	if b := t.blocks[p]; b != nil {
 		b.recorded = false
 	}
@@ -89,28 +89,28 @@
 
 // Restore records all blocks again, since the store came back from a copy.
 func (t *Table) Restore() {
-	for _, p := range t.parts() {
+	for _, p := range t.traits() {
 		t.record(p, t.blocks[p])
 	}
 }
 
-// Admit decides on a new request with these parts. If it is kept from replicas, it returns the
-// part and false. It claims a trial if one is due, and lets one request go on for each trial that
+// Admit decides on a new request with these traits. If it is kept from replicas, it returns the
+// trait and false. It claims a trial if one is due, and lets one request go on for each trial that
 // was granted (R6).
-func (t *Table) Admit(now time.Time, parts []Part) (Part, bool) {
-	p, blocked := t.Blocked(parts)
+func (t *Table) Admit(now time.Time, traits []Trait) (Trait, bool) {
+	p, blocked := t.Blocked(traits)
 	if !blocked {
 		return "", true
 	}
 	b := t.blocks[p]
 	b.askedAt = now
-	if now.Before(b.grantUntil) && !t.othersBlocked(parts, p) {
+	if now.Before(b.grantUntil) && !t.othersBlocked(traits, p) {
 		b.grantUntil = time.Time{}
 		return "", true
 	}
-	if t.trialDue(now, b) && !t.othersBlocked(parts, p) && !now.Before(b.claimUntil) && !now.Before(b.grantUntil) {
+	if t.trialDue(now, b) && !t.othersBlocked(traits, p) && !now.Before(b.claimUntil) && !now.Before(b.grantUntil) {
 		b.claimUntil = now.Add(claimTimeout)
-		t.records = append(t.records, Record{Part: p, Block: Block{Trials: b.trials + 1}, Claim: true})
+		t.records = append(t.records, Record{Trait: p, Block: Block{Trials: b.trials + 1}, Claim: true})
 	}
 	return p, false
 }
@@ -126,12 +126,12 @@
 	return now.Sub(b.evidenceAt) >= delay
 }
 
-// Blocked returns the first blocked part; ok is false if there is none.
-func (t *Table) Blocked(parts []Part) (p Part, ok bool) {
+// Blocked returns the first blocked trait; ok is false if there is none.
+func (t *Table) Blocked(traits []Trait) (p Trait, ok bool) {
 	if len(t.blocks) == 0 {
 		return "", false
 	}
-	for _, p := range parts {
+	for _, p := range traits {
 		if b := t.blocks[p]; b != nil && b.active {
 			return p, true
 		}
@@ -139,8 +139,8 @@
 	return "", false
 }
 
-func (t *Table) othersBlocked(parts []Part, but Part) bool {
-	for _, p := range parts {
+func (t *Table) othersBlocked(traits []Trait, but Trait) bool {
+	for _, p := range traits {
 		if b := t.blocks[p]; p != but && b != nil && b.active {
 			return true
 		}
@@ -149,7 +149,7 @@
 }
 
 // GrantTrial grants the trial that was claimed.
-func (t *Table) GrantTrial(now time.Time, p Part, trials int) {
+func (t *Table) GrantTrial(now time.Time, p Trait, trials int) {
 	b := t.blocks[p]
 	if b == nil {
 		return
@@ -158,29 +158,31 @@
 	b.evidenceAt, b.claimUntil, b.grantUntil = now, time.Time{}, now.Add(trialTimeout)
 }
 
-// ReturnTrial returns the trial of a request with these parts that has reached no replica. Another
+// ReturnTrial returns the trial of a request with these traits that has reached no replica. Another
 // request may go on instead.
-func (t *Table) ReturnTrial(now time.Time, parts []Part) {
-	for _, p := range parts {
+func (t *Table) ReturnTrial(now time.Time, traits []Trait) {
+	for _, p := range traits {
 		if b := t.blocks[p]; b != nil && b.active {
 			b.grantUntil = now.Add(trialTimeout)
 		}
 	}
 }
 
-// times remembers a time for each of the parts that were added last.
+// times remembers a time for each of the traits that were added last.
 type times struct {
-	at   map[Part]time.Time
-	ring []Part
-	next int // index of the oldest part, once the ring is full
+	at   map[Trait]time.Time
+	ring []Trait
+	next int // index of the oldest trait, once the ring is full
 }
 
-func newTimes(size int) *times { return &times{at: map[Part]time.Time{}, ring: make([]Part, 0, size)} }
+func newTimes(size int) *times {
+	return &times{at: map[Trait]time.Time{}, ring: make([]Trait, 0, size)}
+}
 
-func (s *times) get(p Part) time.Time { return s.at[p] }
+func (s *times) get(p Trait) time.Time { return s.at[p] }
 
-// set raises the time of a part.
-func (s *times) set(p Part, at time.Time) {
+// set raises the time of a trait.
+func (s *times) set(p Trait, at time.Time) {
 	last, known := s.at[p]
 	if at.After(last) {
 		s.at[p] = at
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -252,9 +252,8 @@
 	// equal size.
 	KeyTokens    []medlarid.Tokens
 	PromptTokens medlarid.Tokens
-	// Parts are the parts of the prompt that other prompts may share; nil if the prompt is not
-	// divided into parts.
-	Parts []medlarsuspect.Part
+	// Traits are what other requests may have in common with this one.
+	Traits []medlarsuspect.Trait
 	// HomeKey identifies the context that the run shares with others; zero for the
 	// conversation that Keys begin with.
 	HomeKey medlarkey.Key
@@ -291,14 +290,14 @@
 	// StartBy is the latest time at which an attempt can still meet TargetTTFT, and
 	// AbandonAt the time at which the caller leaves if no answer has begun; zero if they
 	// are not known.
-	TargetTTFT  time.Duration // longest time to first token of an answer in time; 0 if not known
-	StartBy     time.Time
-	AbandonAt   time.Time
-	Late        bool // StartBy has passed
-	LastFailure medlarreason.Reason
-	Crashes     int                // replicas that crashed before they sent a part of its answer
-	Trial       bool               // goes on although its prompt has a blocked part
-	BlockedPart medlarsuspect.Part // for which the run is refused
+	TargetTTFT   time.Duration // longest time to first token of an answer in time; 0 if not known
+	StartBy      time.Time
+	AbandonAt    time.Time
+	Late         bool // StartBy has passed
+	LastFailure  medlarreason.Reason
+	Crashes      int                 // replicas that crashed before they sent a part of its answer
+	Trial        bool                // goes on although it has a blocked trait
+	BlockedTrait medlarsuspect.Trait // for which the run is refused
 }
 
 // Handle locates one KV block in a store.
@@ -337,8 +336,8 @@
 	Exported  *medlarkey.Set // last keys of exported segments
 
 	Backlogs map[Target]*medlarbacklog.Backlog // of all upstreams of a target together
-	Suspects *medlarsuspect.Table              // parts of prompts that crash replicas
-	Trials   []*Run                            // runs that were admitted as trials of blocked parts
+	Suspects *medlarsuspect.Table              // traits of requests that crash replicas
+	Trials   []*Run                            // runs that were admitted as trials of blocked traits
 
 	VirtualTime float64            // virtual time of the queue
 	RetryTokens map[Target]float64 // tokens left in the retry budgets
@@ -387,7 +386,7 @@
 	}
 	w.Emit(Refuse{
 		Run: r.ID, Reason: reason, Ran: ran, RetryAfter: after,
-		Waiting: len(w.Waiting), Upstreams: len(w.UpstreamsFor(r.Target())), RetryTokens: w.RetryTokens[r.Target()], Part: r.BlockedPart,
+		Waiting: len(w.Waiting), Upstreams: len(w.UpstreamsFor(r.Target())), RetryTokens: w.RetryTokens[r.Target()], Trait: r.BlockedTrait,
 	})
 	w.Finish(r)
 }
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -197,16 +197,16 @@
 // CrashReported carries what another instance lost with a replica that crashed.
 type CrashReported struct{ Report medlarsuspect.Report }
 
-// BlockRecorded carries the shared state of a part of prompts. Dropped is set if the state is gone.
+// BlockRecorded carries the shared state of a trait. Dropped is set if the state is gone.
 type BlockRecorded struct {
-	Part    medlarsuspect.Part
+	Trait   medlarsuspect.Trait
 	Block   medlarsuspect.Block
 	Dropped bool
 }
 
-// TrialGranted reports that a claimed trial of a blocked part is granted to this instance.
+// TrialGranted reports that a claimed trial of a blocked trait is granted to this instance.
 type TrialGranted struct {
-	Part   medlarsuspect.Part
+	Trait  medlarsuspect.Trait
 	Trials int
 }
 
@@ -349,9 +349,8 @@
 	Waiting     int
 	Upstreams   int
 	RetryTokens float64
-	// Part is the blocked part of the prompt for which the run is refused; empty for another
-	// reason.
-	Part medlarsuspect.Part
+	// Trait is the blocked trait for which the run is refused; empty for another reason.
+	Trait medlarsuspect.Trait
 }
 
 // LookUp asks the stores for a run's blocks.
@@ -441,10 +440,10 @@
 // ReportCrash asks to report to all instances what this one lost with a replica that crashed.
 type ReportCrash struct{ Report medlarsuspect.Report }
 
-// RecordBlock asks to share the state of a part of prompts with all instances.
+// RecordBlock asks to share the state of a trait with all instances.
 type RecordBlock struct{ Record medlarsuspect.Record }
 
-// BlockChanged reports that a part of prompts is blocked or no longer blocked, for the log.
+// BlockChanged reports that a trait is blocked or no longer blocked, for the log.
 type BlockChanged struct{ Change medlarsuspect.Change }
 
 func (StartAttempt) command()  {}
--- a/internal/edge/medlarcall/medlarcall.go
+++ b/internal/edge/medlarcall/medlarcall.go
@@ -44,10 +44,10 @@
 }
 
 // SharedParts returns the parts of the prompt but the last one, which no other prompt shares.
-func (c *Call) SharedParts() []medlarsuspect.Part {
-	var out []medlarsuspect.Part
+func (c *Call) SharedParts() []medlarsuspect.Trait {
+	var out []medlarsuspect.Trait
 	for _, p := range c.Parts[:max(len(c.Parts)-1, 0)] {
-		out = append(out, medlarsuspect.NewPart(p.ID))
+		out = append(out, medlarsuspect.PartTrait(p.ID))
 	}
 	return out
 }
@@ -161,12 +161,12 @@
 	Waiting     int
 	Upstreams   int
 	RetryTokens float64
-	// BlockedPart is the part of the prompt for which the request was refused.
-	BlockedPart medlarsuspect.Part
-	Decision    medlarworld.Decision // by which the last upstream was selected
-	Attempts    int
-	Upstream    medlarid.InstanceID
-	Body        BodyEnd // of the response to the last attempt
+	// BlockedTrait is the trait for which the request was refused.
+	BlockedTrait medlarsuspect.Trait
+	Decision     medlarworld.Decision // by which the last upstream was selected
+	Attempts     int
+	Upstream     medlarid.InstanceID
+	Body         BodyEnd // of the response to the last attempt
 	// Parts holds the expected cache state of each part of the prompt at the last attempt.
 	Parts       []medlarworld.PartState
 	QueueTime   time.Duration // from the request's arrival until the first attempt
--- a/internal/edge/medlarproxy/exchange.go
+++ b/internal/edge/medlarproxy/exchange.go
@@ -159,7 +159,7 @@
 	if n := len(x.call.Parts); n > 0 {
 		x.run.HomeKey = medlarkey.Part("", x.call.Model, x.call.Parts[max(n-2, 0)].ID)
 	}
-	x.run.Parts = x.call.SharedParts()
+	x.run.Traits = x.call.SharedParts()
 }
 
 // partKeys returns the keys of the prompt's parts for a weight version.
@@ -224,7 +224,7 @@
 // finishRefused ends a request for which the core starts no further attempt.
 func (x *exchange) finishRefused(cmd medlarworld.Refuse) bool {
 	x.summary.Waiting, x.summary.Upstreams, x.summary.RetryTokens = cmd.Waiting, cmd.Upstreams, cmd.RetryTokens
-	x.summary.BlockedPart = cmd.Part
+	x.summary.BlockedTrait = cmd.Trait
 	if x.responseStarted {
 		x.summary.Reason, x.summary.Ran = cmd.Reason, cmd.Ran
 		return false // the response is left without its final chunk (R2)
--- a/internal/ops/medlarattachednode/logging.go
+++ b/internal/ops/medlarattachednode/logging.go
@@ -60,8 +60,8 @@
 				l = l.Str("reason", string(s.Reason)).Str("ran", string(s.Ran)).Float64("after", ms(s.RetryAfter)).
 					Int("waiting", s.Waiting).Int("kin", s.Upstreams).Float64("budget", s.RetryTokens)
 			}
-			if s.BlockedPart != "" {
-				l = l.Str("part", string(s.BlockedPart))
+			if s.BlockedTrait != "" {
+				l = l.Str("part", string(s.BlockedTrait))
 			}
 			addBodyEnd(l, s.Body).Send()
 		},
--- a/internal/ops/medlarnotifier/medlarnotifier.go
+++ b/internal/ops/medlarnotifier/medlarnotifier.go
@@ -91,7 +91,7 @@
 	r := c.Report
 	n.deps.Metrics.CrashSeen()
 	n.deps.Log.Warn().Str("event", "crash").Str("replica", string(r.Crash.Replica)).Int64("born", int64(r.Crash.Incarnation)).
-		Strs("begun", partNames(r.Begun)).Strs("queued", partNames(r.Waiting)).Msg("replica crashed; parts of the prompts that it had not answered")
+		Strs("begun", traitNames(r.Begun)).Strs("queued", traitNames(r.Waiting)).Msg("replica crashed; parts of the prompts that it had not answered")
 	value, err := medlarnotice.EncodeCrash(r)
 	if err != nil {
 		n.deps.Log.Error().Str("event", "notice").Err(err).Msg("report of a crash cannot be encoded")
@@ -131,19 +131,19 @@
 	return medlarnotice.CrashKey(n.deps.Self, strconv.Itoa(slot))
 }
 
-// maxLoggedParts is the number of parts that a log line names.
-const maxLoggedParts = 12
+// maxLoggedTraits is the number of traits that a log line names.
+const maxLoggedTraits = 12
 
-// partNames returns the first parts of a list, for the log.
-func partNames(parts []medlarsuspect.Part) []string {
+// traitNames returns the first traits of a list, for the log.
+func traitNames(traits []medlarsuspect.Trait) []string {
 	out := []string{}
-	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
+	for _, p := range traits[:min(len(traits), maxLoggedTraits)] {
 		out = append(out, string(p))
 	}
 	return out
 }
 
-// recordBlock shares the state of a part; a claim of a trial is reported to the core if it is
+// recordBlock shares the state of a trait; a claim of a trial is reported to the core if it is
 // granted.
 func (n *Notifier) recordBlock(c medlarworld.RecordBlock) {
 	r, err := medlarnotice.EncodeBlock(c.Record)
@@ -157,11 +157,11 @@
 	}
 	go func() {
 		if err := n.deps.Board.Claim(r); err != nil {
-			n.deps.Log.Info().Str("event", "trial").Str("part", string(c.Record.Part)).Err(err).Msg("trial of a blocked part is not granted")
+			n.deps.Log.Info().Str("event", "trial").Str("part", string(c.Record.Trait)).Err(err).Msg("trial of a blocked part is not granted")
 			return
 		}
-		n.deps.Log.Info().Str("event", "trial").Str("part", string(c.Record.Part)).Int("trials", c.Record.Block.Trials).Msg("trial of a blocked part is granted")
-		n.post(medlarworld.TrialGranted{Part: c.Record.Part, Trials: c.Record.Block.Trials})
+		n.deps.Log.Info().Str("event", "trial").Str("part", string(c.Record.Trait)).Int("trials", c.Record.Block.Trials).Msg("trial of a blocked part is granted")
+		n.post(medlarworld.TrialGranted{Trait: c.Record.Trait, Trials: c.Record.Block.Trials})
 	}()
 }
 
@@ -171,7 +171,7 @@
 	if c.Change.Blocked {
 		text = "part of prompts is blocked: it has crashed replicas"
 	}
-	n.deps.Log.Warn().Str("event", "block").Str("part", string(c.Change.Part)).Bool("blocked", c.Change.Blocked).
+	n.deps.Log.Warn().Str("event", "block").Str("part", string(c.Change.Trait)).Bool("blocked", c.Change.Blocked).
 		Int("crashes", c.Change.Crashes).Int("trials", c.Change.Trials).Msg(text)
 }
 
