Keep a request that crashes replicas from further replicas

Callers of a plain service saw it go away every few seconds: one request, sent again and again with other ids, ended each replica that ran it. Cause: what instances remembered of crashes were parts of prompts. A request to a plain service has none, so nothing was suspected of its crashes; and a prompt whose parts are all answered in other requests was cleared each time. A replica that died within a head without a signature counted as a foreign response, not as lost.

Now a request as a whole is suspected like a part, by two hashes: of all that the client sent but for its id and its timeout, and of its path, account and body alone. The narrowest trait that explains the crashes is blocked; a wider one takes its place after one more crash that no instance explains. Crashes of whole requests within a moment count each, as a request is seldom at several replicas at once, while three replicas of a small service end within 170 ms. All requests that were lost with a replica are suspected as a whole, whether or not another one had begun to be answered. A trial reaches one replica only.

--- a/internal/core/medlarcore/crash_test.go
+++ b/internal/core/medlarcore/crash_test.go
@@ -110,9 +110,9 @@
 	}
 }
 
-// TestBlockedTrait guards against a blocked part that goes on to a replica by another way than a
+// TestBlockedPart guards against a blocked part that goes on to a replica by another way than a
 // new request, and against sound requests that are kept back with it.
-func TestBlockedTrait(t *testing.T) {
+func TestBlockedPart(t *testing.T) {
 	block := func(p *partsHarness) {
 		p.tick(medlarworld.BlockRecorded{Trait: "x"})
 		p.now = p.now.Add(500 * time.Millisecond)
@@ -204,3 +204,24 @@
 		}
 	})
 }
+
+// TestTrialReachesOneReplica guards against a trial of a blocked request that is retried, and so
+// reaches more replicas than all instances have agreed on.
+func TestTrialReachesOneReplica(t *testing.T) {
+	p := newPartsHarness(t, 6, nil)
+	p.tick(medlarworld.BlockRecorded{Trait: "request-x"})
+	p.now = p.now.Add(500 * time.Millisecond)
+	p.tick(medlarworld.TrialGranted{Trait: "request-x", Trials: 1})
+	r := p.newRun(100)
+	r.Traits, r.MaxAttempts = []medlarsuspect.Trait{"request-x"}, 6
+	s := p.submit(r)
+	if s == nil {
+		t.Fatal("the trial is not started")
+	}
+	e := medlarworld.AttemptEnded{Run: s.Run, Attempt: s.Attempt, Cause: medlarworld.CauseRetry, Reason: medlarreason.Failure, Reached: true}
+	p.tick(e)
+	p.now = p.now.Add(30 * time.Millisecond)
+	if again := startOf(p.tick(medlarworld.Tick{})); again != nil {
+		t.Errorf("the trial goes on at %s", again.Upstream)
+	}
+}
--- a/internal/core/medlarcrash/medlarcrash.go
+++ b/internal/core/medlarcrash/medlarcrash.go
@@ -1,8 +1,8 @@
-// Package medlarcrash keeps prompts that crash replicas from further replicas.
+// Package medlarcrash keeps requests that crash replicas from further replicas.
 //
 // Rules:
 //
-//	R1  An attempt that was lost before its answer began, or shortly after, makes its prompt
+//	R1  An attempt that was lost before its answer began, or shortly after, makes its request
 //	    suspect if the replica has crashed: it refuses new connections, or it is
 //	    listed under a new incarnation soon after. A replica that leaves is not suspected to
 //	    have crashed.
@@ -11,7 +11,8 @@
 //	R3  A run with a blocked trait starts no attempt, be it new, waiting, or
 //	    to be resumed elsewhere. It is refused at once.
 //	R4  A run that was lost with maxRunCrashes replicas starts no further attempt: it
-//	    may be the cause, even if the trait is not known yet.
+//	    may be the cause, even if the trait is not known yet. Neither does a trial that has
+//	    reached a replica.
 package medlarcrash
 
 import (
@@ -226,7 +227,7 @@
 
 // MustStop reports whether a run must not start another attempt (R3, R4).
 func MustStop(w *medlarworld.World, r *medlarworld.Run) bool {
-	if r.Crashes >= maxRunCrashes {
+	if r.Crashes >= maxRunCrashes || r.Trial && r.Reached {
 		return true
 	}
 	trait, blocked := w.Suspects.Blocked(r.Traits)
--- a/internal/core/medlarreason/medlarreason.go
+++ b/internal/core/medlarreason/medlarreason.go
@@ -93,7 +93,7 @@
 	{Unknown, 502, RanUnknown, false, "the one attempt was made and its outcome is not known", "look up the request in the service's own records"},
 	{Unclaimed, 503, RanNo, true, "the attempt could not be claimed in the log", "look at the log service: appends fail or are slow"},
 	{Recorded, 409, RanYes, false, "the one attempt was made; its answer is too large to be kept", "look up the request in the service's own records"},
-	{Crashing, 503, RanNo, false, "a part of the prompt has crashed replicas", "look for lines with the event block: they name the part; fix or withdraw the prompts that have it"},
+	{Crashing, 503, RanNo, false, "the request, or a part of its prompt, has crashed replicas", "look for lines with the event block: they name the part, or the hash of the request; fix or withdraw what has it"},
 	{Gone, 499, RanUnknown, true, "the caller went away", "none"},
 }
 
--- a/internal/core/medlarsuspect/history_test.go
+++ b/internal/core/medlarsuspect/history_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -54,6 +55,9 @@
 	engines []*engine
 	claims  map[Trait]int // trials that the store has granted
 	bads    []Trait
+	whole   bool // bad are requests as a whole, which come again, not parts of prompts
+	plain   bool // requests have no parts
+	serial  int  // of requests
 
 	arrivals, crashes map[Trait][]time.Time // of requests with a bad part at replicas, and under them
 	trace             func(int, Change)     // called for each change of an instance's blocks; may be nil
@@ -127,7 +131,10 @@
 		p := &prompt{instance: min(h.r.IntN(len(h.tables)), h.r.IntN(len(h.tables)))}
 		account := h.r.IntN(6)
 		p.parts = []Trait{Trait(fmt.Sprint("first", account)), Trait(fmt.Sprint("subject", account, "-", h.r.IntN(40)))}
-		if bad {
+		switch {
+		case h.whole:
+			h.makeWhole(p, bad)
+		case bad:
 			at := h.r.IntN(len(p.parts) + 1)
 			p.bad = h.bads[h.r.IntN(len(h.bads))]
 			p.parts = slices.Insert(p.parts, at, p.bad)
@@ -137,6 +144,21 @@
 	})
 }
 
+// makeWhole gives a request its traits as a whole. A bad one is the same each time.
+func (h *history) makeWhole(p *prompt, bad bool) {
+	h.serial++
+	name := fmt.Sprint(h.serial)
+	if bad {
+		p.bad = h.bads[h.r.IntN(len(h.bads))]
+		name = strings.TrimPrefix(string(p.bad), requestPrefix)
+		p.parts = []Trait{"first0", "subject0-1"}
+	}
+	if h.plain {
+		p.parts = nil
+	}
+	p.parts = append(p.parts, Trait(requestPrefix+name), Trait(contentPrefix+name))
+}
+
 // send forwards a request to a replica, if its instance allows it.
 func (h *history) send(p *prompt) {
 	counted := h.settled() && p.bad == ""
@@ -315,9 +337,14 @@
 	if len(crashes) < settledCrashes {
 		return 0
 	}
+	return h.arrivedAfter(p, crashes[settledCrashes-1].Add(settling))
+}
+
+// arrivedAfter returns how many requests with a bad trait reached replicas after a time.
+func (h *history) arrivedAfter(p Trait, after time.Time) int {
 	n := 0
 	for _, at := range h.arrivals[p] {
-		if at.After(crashes[settledCrashes-1].Add(settling)) {
+		if at.After(after) {
 			n++
 		}
 	}
@@ -343,3 +370,43 @@
 		})
 	}
 }
+
+// TestRandomRequestHistories guards against a request that goes on after it has crashed three
+// replicas, and against sound requests that are kept back, in histories drawn from seeds.
+func TestRandomRequestHistories(t *testing.T) {
+	for seed := *historySeed; seed < *historySeed+uint64(*historyCount); seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			h := newHistory(seed)
+			h.makeRequestHistory()
+			h.play(100 * time.Second)
+			for _, p := range h.bads {
+				crashes := h.crashes[p]
+				if len(crashes) < settledRequestCrashes {
+					continue
+				}
+				settled := crashes[settledRequestCrashes-1].Add(settling)
+				if n := h.arrivedAfter(p, settled); n > allowedLate {
+					t.Errorf("%s came %d times later than %v after its third crash, want %d at most; %d instances, plain %v, %d crashes", p, n, settling, allowedLate, len(h.tables), h.plain, len(crashes))
+				}
+			}
+			if h.refused*50 > h.sound {
+				t.Errorf("%d of %d sound requests were kept back; %d instances, plain %v, crashes %v", h.refused, h.sound, len(h.tables), h.plain, len(h.crashes))
+			}
+		})
+	}
+}
+
+const settledRequestCrashes = 3
+
+// makeRequestHistory makes requests as a whole crash replicas, of a prompt or of a plain service
+// with few replicas.
+func (h *history) makeRequestHistory() {
+	h.whole, h.plain = true, h.r.IntN(2) == 0
+	for i := range h.bads {
+		h.bads[i] = Trait(fmt.Sprint(requestPrefix, "bad-", i))
+	}
+	if h.plain {
+		h.engines = h.engines[:3]
+	}
+}
--- a/internal/core/medlarsuspect/medlarsuspect.go
+++ b/internal/core/medlarsuspect/medlarsuspect.go
@@ -5,16 +5,21 @@
 //
 //	R1  A crash is the end of one incarnation of a replica, however many attempts were lost
 //	    with it and whichever instances report it.
-//	R2  Suspected of a crash are the traits of the requests that the replica had begun to
-//	    answer. If no instance reports such a request, the traits of all others that were lost
-//	    with it are suspected. The last part of a prompt is no trait.
+//	R2  Suspected of a crash are all requests that were lost with it, as a whole. Suspected
+//	    are also the parts of the prompts that the replica had begun to answer; if no instance
+//	    reports such a prompt, the parts of all prompts that were lost with it. The last part of
+//	    a prompt is no trait.
 //	R3  A trait is cleared of a crash by an answer with it that began after the crash or
 //	    shortly before it.
-//	R4  A trait is blocked after crashes at blockingMoments different moments of which it is
-//	    not cleared and which no other blocked trait explains. Crashes at the same moment
-//	    count once, since a fault of many replicas has another cause. Of traits that are
-//	    equally suspected, those are blocked whose last answer is longest ago: a part of prompts that
-//	    always comes with another one has no later answer than that.
+//	R4  A trait is blocked after blockingMoments crashes of which it is not cleared. Crashes
+//	    that a blocked trait explains do not count, with one exception: a wider trait may take the
+//	    place of a blocked request as a whole as soon as there is one more crash, which no
+//	    instance has explained after a while. Crashes at
+//	    the same moment count once for parts of prompts, since a fault of many replicas has
+//	    another cause; a request as a whole is seldom at several replicas at once. Of traits that
+//	    are equally suspected, the narrowest is blocked, and of these the ones whose last answer
+//	    is longest ago: a part of prompts that always comes with another one has no later answer
+//	    than that.
 //	R5  A block takes effect after a delay, in which an instance that has had an answer with
 //	    the trait objects by clearing it.
 //	R6  A blocked trait gets maxTrials trials, of one request each, from all instances
@@ -27,6 +32,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"slices"
 	"time"
@@ -61,7 +67,7 @@
 	maxSuspects   = 1 << 15 // traits in all remembered crashes together
 	maxBlocked    = 512     // blocked traits
 	maxTied       = 64      // equally suspected traits that are blocked together
-	maxAnswered   = 4096    // traits whose last answer is remembered
+	maxAnswered   = 4096    // traits whose last answer is remembered: as many parts as whole requests
 )
 
 // CrashID identifies a crash (R1).
@@ -108,15 +114,29 @@
 	at             time.Time // of the first report
 	begun, waiting map[Trait]bool
 	cleared        map[Trait]bool // of begun and waiting
+	begunPrompt    bool           // a prompt with parts is in begun
 	own            bool           // this instance has reported it
 }
 
 // suspects returns the traits that are suspected of the crash (R2).
-func (c *crash) suspects() map[Trait]bool {
-	if len(c.begun) > 0 {
-		return c.begun
+func (c *crash) suspects() iter.Seq[Trait] {
+	return func(yield func(Trait) bool) {
+		for p := range c.begun {
+			if !yield(p) {
+				return
+			}
+		}
+		for p := range c.waiting {
+			if !c.begun[p] && c.suspected(p) && !yield(p) {
+				return
+			}
+		}
 	}
-	return c.waiting
+}
+
+// suspected reports whether a trait is suspected of the crash (R2).
+func (c *crash) suspected(p Trait) bool {
+	return c.begun[p] || c.waiting[p] && (p.scope() != scopePart || !c.begunPrompt)
 }
 
 // block is what the instance knows of a blocked trait, or of one about to be blocked.
@@ -138,15 +158,18 @@
 	crashes  []*crash // in order of their first report
 	suspects int      // traits in all crashes
 	blocks   map[Trait]*block
-	answered *times // when the last answer with a trait began
+	answered *times // when the last answer with a part began
+	whole    *times // when the last answer to a request as a whole began
 	cleared  *times // when another instance cleared a trait
-	records  []Record
-	changes  []Change
+	// evaluateAt is when the crashes are to be evaluated again; zero for not.
+	evaluateAt time.Time
+	records    []Record
+	changes    []Change
 }
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{blocks: map[Trait]*block{}, answered: newTimes(maxAnswered), cleared: newTimes(maxAnswered)}
+	return &Table{blocks: map[Trait]*block{}, answered: newTimes(maxAnswered), whole: newTimes(maxAnswered), cleared: newTimes(maxAnswered)}
 }
 
 // TakeRecords returns the records that are to be shared since the last call.
@@ -169,6 +192,7 @@
 	c := t.crash(now, r.Crash)
 	added := add(c.begun, r.Begun) + add(c.waiting, r.Waiting)
 	t.suspects += added
+	c.begunPrompt = c.begunPrompt || slices.ContainsFunc(r.Begun, func(p Trait) bool { return p.scope() == scopePart })
 	c.own = c.own || own
 	for p := range c.suspects() {
 		if b := t.blocks[p]; b != nil {
@@ -219,7 +243,7 @@
 // which they are suspected (R4).
 func (t *Table) evaluate(now time.Time) {
 	for {
-		counts := t.unexplained()
+		counts := t.counts(now)
 		most := 0
 		for _, n := range counts {
 			most = max(most, n)
@@ -234,32 +258,59 @@
 	}
 }
 
-// unexplained returns at how many moments each trait is suspected of a crash that no blocked
-// trait explains.
-func (t *Table) unexplained() map[Trait]int {
-	counts, last := map[Trait]int{}, map[Trait]time.Time{}
+// counts returns how many crashes count against each trait that may be blocked (R4).
+func (t *Table) counts(now time.Time) map[Trait]int {
+	all, unexplained := map[Trait]int{}, map[Trait]int{} // of crashes
+	last, replaces := map[Trait]time.Time{}, map[Trait]bool{}
 	for _, c := range t.crashes {
-		if t.explained(c) {
+		byRequest, byOther := t.explained(c)
+		if byOther {
 			continue
 		}
+		settled := now.Sub(c.at) >= objectionDelay
+		t.checkAgain(now, c, byRequest)
 		for p := range c.suspects() {
-			if t.isCleared(p, c) || counts[p] > 0 && c.at.Sub(last[p]) <= sameMoment {
+			if t.isCleared(p, c) || t.blocks[p] != nil || all[p] > 0 && sameCrash(p, last[p], c.at) {
 				continue
 			}
-			counts[p]++
+			all[p]++
 			last[p] = c.at
+			if !byRequest {
+				unexplained[p]++
+				replaces[p] = replaces[p] || settled
+			}
 		}
 	}
-	return counts
+	maps.DeleteFunc(all, func(p Trait, _ int) bool { return unexplained[p] < blockingMoments && !replaces[p] })
+	return all
+}
+
+// checkAgain makes Update evaluate a crash again that no blocked request explains, once all
+// instances have had the time to report it.
+func (t *Table) checkAgain(now time.Time, c *crash, explained bool) {
+	if at := c.at.Add(objectionDelay); !explained && now.Before(at) {
+		t.evaluateAt = at
+	}
+}
+
+// sameCrash reports whether two crashes count once against a trait (R4).
+func sameCrash(p Trait, a, b time.Time) bool {
+	return p.scope() == scopePart && b.Sub(a) <= sameMoment
 }
 
-func (t *Table) explained(c *crash) bool {
+// explained reports whether a blocked trait explains a crash: a request as a whole, or another one.
+func (t *Table) explained(c *crash) (byRequest, byOther bool) {
+	if len(t.blocks) == 0 {
+		return false, false
+	}
 	for p := range c.suspects() {
-		if t.blocks[p] != nil {
-			return true
+		if t.blocks[p] == nil {
+			continue
 		}
+		byRequest = byRequest || p.scope() == scopeRequest
+		byOther = byOther || p.scope() != scopeRequest
 	}
-	return false
+	return byRequest, byOther
 }
 
 // moments returns at how many moments a trait is suspected; cleared crashes count if all is set.
@@ -267,7 +318,7 @@
 	n := 0
 	var last time.Time
 	for _, c := range t.crashes {
-		if !c.suspects()[p] || !all && t.isCleared(p, c) || n > 0 && c.at.Sub(last) <= sameMoment {
+		if !c.suspected(p) || !all && t.isCleared(p, c) || n > 0 && sameCrash(p, last, c.at) {
 			continue
 		}
 		n++
@@ -276,9 +327,10 @@
 	return n
 }
 
-// mostSuspected returns the traits that are suspected at a number of moments, at most maxTied.
-// Those go first that are suspected of most crashes, explained ones included: a trait that is
-// always the same, among others that change. Of these, the least recently answered ones remain.
+// mostSuspected returns the traits against which a number of crashes count, at most maxTied. The
+// narrowest go first, and then those that are suspected of most crashes, explained ones included:
+// a trait that is always the same, among others that change. Of these, the least recently answered
+// ones remain.
 func (t *Table) mostSuspected(counts map[Trait]int, moments int) []Trait {
 	var out []Trait
 	totals := map[Trait]int{}
@@ -290,34 +342,37 @@
 	}
 	slices.SortFunc(out, func(a, b Trait) int {
 		return cmp.Or(
+			cmp.Compare(a.scope(), b.scope()),
 			cmp.Compare(totals[b], totals[a]),
-			t.answered.get(a).Compare(t.answered.get(b)),
+			t.lastAnswer(a).Compare(t.lastAnswer(b)),
 			cmp.Compare(a, b),
 		)
 	})
 	n := 1
-	for n < min(len(out), maxTied) && t.answered.get(out[n]).Equal(t.answered.get(out[0])) {
+	for n < min(len(out), maxTied) && out[n].scope() == out[0].scope() && t.lastAnswer(out[n]).Equal(t.lastAnswer(out[0])) {
 		n++
 	}
 	return out[:n]
 }
 
-// lessSuspect reports whether another trait is suspected of all crashes that a trait is suspected
-// of, and its last answer is longer ago (R4).
+// lessSuspect reports whether another trait that is no wider is suspected of all crashes that a
+// trait is suspected of, and its last answer is longer ago (R4).
 func (t *Table) lessSuspect(p Trait) bool {
 	var others map[Trait]bool
 	for _, c := range t.crashes {
-		if !c.suspects()[p] || t.isCleared(p, c) {
+		if !c.suspected(p) || t.isCleared(p, c) {
 			continue
 		}
 		if others == nil {
-			others = maps.Clone(c.suspects())
-			continue
+			others = map[Trait]bool{}
+			for q := range c.suspects() {
+				others[q] = q.scope() <= p.scope()
+			}
 		}
-		maps.DeleteFunc(others, func(q Trait, _ bool) bool { return !c.suspects()[q] })
+		maps.DeleteFunc(others, func(q Trait, narrow bool) bool { return !narrow || !c.suspected(q) })
 	}
 	for q := range others {
-		if t.answered.get(q).Before(t.answered.get(p)) {
+		if t.lastAnswer(q).Before(t.lastAnswer(p)) {
 			return true
 		}
 	}
@@ -326,9 +381,21 @@
 
 // isCleared reports whether a trait is cleared of a crash (R3).
 func (t *Table) isCleared(p Trait, c *crash) bool {
-	return c.cleared[p] || !t.answered.get(p).Before(c.at.Add(-clearingLead)) || !t.cleared.get(p).Before(c.at)
+	return c.cleared[p] || !t.lastAnswer(p).Before(c.at.Add(-clearingLead)) || !t.cleared.get(p).Before(c.at)
 }
 
+// answers returns the times of answers in which a trait's is remembered. Whole requests have their
+// own, as they are many and would displace the parts.
+func (t *Table) answers(p Trait) *times {
+	if p.scope() == scopePart {
+		return t.answered
+	}
+	return t.whole
+}
+
+// lastAnswer returns when the last answer with a trait began; zero if it is not known.
+func (t *Table) lastAnswer(p Trait) time.Time { return t.answers(p).get(p) }
+
 // block begins to block a trait.
 func (t *Table) block(now time.Time, p Trait) *block {
 	b := t.blocks[p]
@@ -346,7 +413,7 @@
 
 // reported reports whether this instance itself has reported a crash of which a trait is suspected.
 func (t *Table) reported(p Trait) bool {
-	return slices.ContainsFunc(t.crashes, func(c *crash) bool { return c.own && c.suspects()[p] })
+	return slices.ContainsFunc(t.crashes, func(c *crash) bool { return c.own && c.suspected(p) })
 }
 
 // makeRoom forgets the block whose trait was not asked for longest, if there are too many.
@@ -366,6 +433,10 @@
 	for len(t.crashes) > 0 && now.Sub(t.crashes[0].at) > crashWindow {
 		t.forgetCrash()
 	}
+	if !t.evaluateAt.IsZero() && !now.Before(t.evaluateAt) {
+		t.evaluateAt = time.Time{}
+		t.evaluate(now)
+	}
 	for _, p := range t.traits() {
 		b := t.blocks[p]
 		switch {
@@ -408,6 +479,9 @@
 
 // Pending reports whether an update is due soon.
 func (t *Table) Pending() bool {
+	if !t.evaluateAt.IsZero() {
+		return true
+	}
 	for _, b := range t.blocks {
 		if !b.active || !b.recorded {
 			return true
--- a/internal/core/medlarsuspect/shared.go
+++ b/internal/core/medlarsuspect/shared.go
@@ -9,7 +9,7 @@
 // began. A block that the answer refutes is lifted, for all instances (R3, R6).
 func (t *Table) Answered(now, began time.Time, traits []Trait) {
 	for _, p := range traits {
-		t.answered.set(p, began)
+		t.answers(p).set(p, began)
 		t.clearCrashes(p, began.Add(clearingLead))
 		if b := t.blocks[p]; b != nil && t.refuted(p, b.evidenceAt) {
 			t.clear(now, p)
@@ -31,7 +31,7 @@
 // crash with it. last is the time of that crash if it is not remembered.
 func (t *Table) refuted(p Trait, last time.Time) bool {
 	for _, c := range slices.Backward(t.crashes) {
-		if c.suspects()[p] {
+		if c.suspected(p) {
 			if c.cleared[p] {
 				return true
 			}
@@ -39,7 +39,7 @@
 			break
 		}
 	}
-	return !t.answered.get(p).Before(last.Add(-clearingLead))
+	return !t.lastAnswer(p).Before(last.Add(-clearingLead))
 }
 
 // clear lifts the block of a trait and tells the other instances.
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -49,9 +49,10 @@
 	Version medlarid.WeightVersion
 	// Lost is set if the upstream ended the connection before the answer was complete.
 	Lost bool
-	// Head is set if the head of a response was received.
+	// Head is set if a byte of a response was received.
 	Head bool
-	// Began is the time since the first event of the answer; 0 if there was none.
+	// Began is the time since the first event of a stream, or since another answer was known to be
+	// too long to be kept; 0 if there was neither.
 	Began time.Duration
 }
 
--- a/internal/edge/medlarmetric/medlarmetric.go
+++ b/internal/edge/medlarmetric/medlarmetric.go
@@ -100,7 +100,7 @@
 		Buckets: stageBuckets,
 	}, []string{"kind", "stage"})
 	m.crashes = m.newCounter("crashes_total", "Reports of this instance on replicas that crashed while it waited for answers.")
-	m.blocked = m.newGauge("blocked_parts", "Parts of prompts that are kept from replicas because they have crashed some.")
+	m.blocked = m.newGauge("blocked_parts", "Parts of prompts, and requests as a whole, that are kept from replicas because they have crashed some.")
 	m.ejections = m.newCounter("ejections_total", "Upstreams ejected.")
 	m.exportsDropped = m.newCounter("exports_dropped_total", "Exports of context dropped because too many waited.")
 	m.replays = m.newCounter("replays_total", "Unrepeatable requests answered from their record.")
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -24,7 +24,8 @@
 	maxStaleResponses   = 2        // responses to other requests that are skipped
 	maxResponseBody     = 16 << 20 // bytes of a response's body; a replica in trouble may send without end
 	maxInlineBody       = 16 << 10 // bytes; a longer request body is written while the response is read
-	firstAttemptTargets = 4        // target latencies after which a first attempt is abandoned
+	unsignedWait        = 50 * time.Millisecond
+	firstAttemptTargets = 4 // target latencies after which a first attempt is abandoned
 	statusOK            = 200
 	statusFailure       = 500
 )
@@ -42,7 +43,8 @@
 	reused      bool // the connection had served a request before
 	err         error
 	lost        bool      // the upstream ended the connection before its response was complete
-	began       time.Time // time of the first whole event of the response; zero for none
+	headBegan   bool      // a byte of a response was received
+	began       time.Time // time of the first whole event, or of the first part of another body, of the response; zero for none
 }
 
 // response is a complete response of an upstream.
@@ -77,6 +79,7 @@
 		return a.failed(err, medlarreason.Broken, true)
 	}
 	h, reply, err := a.readResponse()
+	a.headBegan = err == nil || medlarhead.KindOf(err) == medlarhead.KindBroken
 	if err != nil {
 		_ = c.Close()
 		return a.failed(err, medlarreason.Broken, true)
@@ -209,8 +212,7 @@
 		a.discard(h, reply)
 		return a.ended(medlarworld.CauseRetry, medlarreason.Busy, false)
 	case !reply.Signed || reply.ID == "":
-		_ = a.upstream.Close()
-		return a.failed(errUnsigned, medlarreason.Broken, true)
+		return a.failUnsigned(h)
 	case reply.ContentEncoded:
 		_ = a.upstream.Close()
 		return a.failed(errContentEncoded, medlarreason.Broken, true)
@@ -220,6 +222,29 @@
 	return a.relayResponse(h, reply)
 }
 
+// failUnsigned returns the result of an attempt whose response has no signature. The response may
+// have been cut off before it: what follows is read for a moment, to see whether the upstream ends
+// the connection.
+func (a *attempt) failUnsigned(h *medlarhead.Head) medlarworld.AttemptEnded {
+	_ = a.upstream.SetDeadline(earlier(time.Now().Add(unsignedWait), a.run.Deadline))
+	body := medlarhead.NewBody(a.upstream.Reader, h)
+	body.Limit(maxBufferedBody)
+	_, err := io.Copy(io.Discard, body)
+	_ = a.upstream.Close()
+	ended := a.failed(errUnsigned, medlarreason.Broken, true)
+	cut := err == nil && h.Framing == medlarhead.FramingClose || medlarhead.ConnectionEnded(err)
+	a.lost = cut && a.ctx.Err() == nil
+	ended.Lost = a.lost
+	return ended
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func contentType(h *medlarhead.Head) string {
 	value, _ := h.Get("Content-Type")
 	return value
@@ -271,7 +296,7 @@
 // relayChunked relays a long response as it arrives.
 func (a *attempt) relayChunked(h *medlarhead.Head, first []byte, body *medlarhead.Body, reply medlarcall.Reply) medlarworld.AttemptEnded {
 	b := medlarhead.AppendChunkedEnd(a.responseHead(h))
-	a.responseStarted = true
+	a.responseStarted, a.began = true, time.Now()
 	if a.write(medlarhead.AppendChunk(b, first)) != nil {
 		_ = a.upstream.Close()
 		return a.ended(medlarworld.CauseCallerLeft, "", true)
@@ -431,7 +456,7 @@
 }
 
 func (a *attempt) ended(cause medlarworld.Cause, reason medlarreason.Reason, reached bool) medlarworld.AttemptEnded {
-	return medlarworld.AttemptEnded{Run: a.run.ID, Attempt: a.cmd.Attempt, Cause: cause, Reason: reason, Reached: reached, Lost: a.lost, Head: a.bodyEnd.Received, Began: a.sinceFirstEvent()}
+	return medlarworld.AttemptEnded{Run: a.run.ID, Attempt: a.cmd.Attempt, Cause: cause, Reason: reason, Reached: reached, Lost: a.lost, Head: a.headBegan, Began: a.sinceBegan()}
 }
 
 // report reports the result of the attempt to the observer.
@@ -451,14 +476,14 @@
 		Duration: time.Since(a.started),
 		Err:      a.err,
 		Lost:     a.lost,
-		Began:    a.sinceFirstEvent(),
+		Began:    a.sinceBegan(),
 		Parts:    a.call.Parts,
 		Traits:   a.traits, BodyBytes: len(a.body),
 	})
 }
 
-// sinceFirstEvent returns the time since the first whole event of the response; 0 for none.
-func (a *attempt) sinceFirstEvent() time.Duration {
+// sinceBegan returns the time since the answer began; 0 if it has not.
+func (a *attempt) sinceBegan() time.Duration {
 	if a.began.IsZero() {
 		return 0
 	}
--- a/internal/edge/medlarproxy/exchange.go
+++ b/internal/edge/medlarproxy/exchange.go
@@ -126,6 +126,7 @@
 	}
 	x.summary.Service = x.run.Service
 	x.traits = x.requestTraits()
+	x.run.Traits = x.traits
 	if x.call.Model != "" {
 		x.setPartKeys()
 	}
@@ -159,7 +160,7 @@
 	if n := len(x.call.Parts); n > 0 {
 		x.run.HomeKey = medlarkey.Part("", x.call.Model, x.call.Parts[max(n-2, 0)].ID)
 	}
-	x.run.Traits = x.call.SharedParts()
+	x.run.Traits = append(x.call.SharedParts(), x.traits...)
 }
 
 // partKeys returns the keys of the prompt's parts for a weight version.
--- a/internal/ops/medlarattachednode/crash_test.go
+++ b/internal/ops/medlarattachednode/crash_test.go
@@ -254,9 +254,9 @@
 	}
 }
 
-// TestBlockedTraitIsSharedThroughStore guards against instances that have to lose replicas of their own before
+// TestBlockedPartIsSharedThroughStore guards against instances that have to lose replicas of their own before
 // they refuse a part, also after a restart and with a store that comes back from a copy.
-func TestBlockedTraitIsSharedThroughStore(t *testing.T) {
+func TestBlockedPartIsSharedThroughStore(t *testing.T) {
 	blocked := func(w *fixture) bool { return w.blocks("bad") }
 	t.Run("instances without crashes, and one that starts later", func(t *testing.T) {
 		f := startFleet(t, 3, nil)
--- a/internal/ops/medlarlogquery/medlarlogquery.go
+++ b/internal/ops/medlarlogquery/medlarlogquery.go
@@ -104,11 +104,11 @@
 	Prompt     []string            `json:"prompt"`  // parts of the prompt but the last
 	Prints     []string            `json:"print"`   // of the request as a whole, and of its path, account and body
 	Size       int                 `json:"size"`    // bytes of the request's body
-	Part       string              `json:"part"`    // a part of prompts that crashes replicas
-	Begun      []string            `json:"begun"`   // parts of prompts that a replica had begun to answer when it crashed
-	Queued     []string            `json:"queued"`  // parts of prompts that waited in it
-	Crashes    int                 `json:"crashes"` // of which a part is suspected
-	Trials     int                 `json:"trials"`  // of a blocked part
+	Part       string              `json:"part"`    // of prompts, or the hash of a request, that crashes replicas
+	Begun      []string            `json:"begun"`   // parts and hashes of requests that a replica had begun to answer when it crashed
+	Queued     []string            `json:"queued"`  // of all others that were lost with it
+	Crashes    int                 `json:"crashes"` // of which it is suspected
+	Trials     int                 `json:"trials"`  // of what is blocked
 	Decision   *Decision           `json:"why"`
 	Error      string              `json:"error"`
 	Readmitted bool                `json:"back"`
@@ -216,7 +216,7 @@
 		fmt.Fprintf(&b, "; %s, ran: %s, %d requests waited for %d replicas", reasonText(l.Reason), l.Ran, l.Waiting, l.Replicas)
 	}
 	if l.Part != "" {
-		fmt.Fprintf(&b, "; blocked part: %s", l.Part)
+		fmt.Fprintf(&b, "; blocked: %s", l.Part)
 	}
 	if s, ok := l.Parts.(string); ok && s != "" {
 		fmt.Fprintf(&b, "; prompt parts: %s", partsText(s))
@@ -329,9 +329,9 @@
 	case "replica":
 		return fmt.Sprintf("%s: %s (leaving: %v, weights %v)", l.Replica, l.Message, l.Leaving, l.Version)
 	case "block", "trial":
-		return fmt.Sprintf("part %s: %s (crashes: %d, trials: %d)", l.Part, l.Message, l.Crashes, l.Trials)
+		return fmt.Sprintf("%s: %s (crashes: %d, trials: %d)", l.Part, l.Message, l.Crashes, l.Trials)
 	case "crash":
-		return fmt.Sprintf("%s crashed; prompts that it had begun to answer had the parts %s, those that waited %s", l.Replica, strings.Join(l.Begun, " "), strings.Join(l.Queued, " "))
+		return fmt.Sprintf("%s crashed; requests that it had begun to answer had %s, the others %s", l.Replica, strings.Join(l.Begun, " "), strings.Join(l.Queued, " "))
 	case "stock":
 		return strings.TrimSpace(fmt.Sprintf("store %s: %s %s", l.Store, l.Message, l.Error))
 	}
--- a/internal/ops/medlarnotifier/medlarnotifier.go
+++ b/internal/ops/medlarnotifier/medlarnotifier.go
@@ -91,7 +91,7 @@
 	r := c.Report
 	n.deps.Metrics.CrashSeen()
 	n.deps.Log.Warn().Str("event", "crash").Str("replica", string(r.Crash.Replica)).Int64("born", int64(r.Crash.Incarnation)).
-		Strs("begun", traitNames(r.Begun)).Strs("queued", traitNames(r.Waiting)).Msg("replica crashed; parts of the prompts that it had not answered")
+		Strs("begun", traitNames(r.Begun)).Strs("queued", traitNames(r.Waiting)).Msg("replica crashed; parts and hashes of the requests that were lost with it")
 	value, err := medlarnotice.EncodeCrash(r)
 	if err != nil {
 		n.deps.Log.Error().Str("event", "notice").Err(err).Msg("report of a crash cannot be encoded")
@@ -148,7 +148,7 @@
 func (n *Notifier) recordBlock(c medlarworld.RecordBlock) {
 	r, err := medlarnotice.EncodeBlock(c.Record)
 	if err != nil {
-		n.deps.Log.Error().Str("event", "notice").Err(err).Msg("state of a part cannot be encoded")
+		n.deps.Log.Error().Str("event", "notice").Err(err).Msg("state of a trait cannot be encoded")
 		return
 	}
 	if !c.Record.Claim {
@@ -157,19 +157,19 @@
 	}
 	go func() {
 		if err := n.deps.Board.Claim(r); err != nil {
-			n.deps.Log.Info().Str("event", "trial").Str("part", string(c.Record.Trait)).Err(err).Msg("trial of a blocked part is not granted")
+			n.deps.Log.Info().Str("event", "trial").Str("part", string(c.Record.Trait)).Err(err).Msg("trial of a blocked part or request is not granted")
 			return
 		}
-		n.deps.Log.Info().Str("event", "trial").Str("part", string(c.Record.Trait)).Int("trials", c.Record.Block.Trials).Msg("trial of a blocked part is granted")
+		n.deps.Log.Info().Str("event", "trial").Str("part", string(c.Record.Trait)).Int("trials", c.Record.Block.Trials).Msg("trial of a blocked part or request is granted")
 		n.post(medlarworld.TrialGranted{Trait: c.Record.Trait, Trials: c.Record.Block.Trials})
 	}()
 }
 
 func (n *Notifier) logBlock(c medlarworld.BlockChanged) {
 	n.deps.Metrics.BlockChanged(c.Change.Blocked)
-	text := "part of prompts is no longer blocked"
+	text := "part of prompts, or request, is no longer blocked"
 	if c.Change.Blocked {
-		text = "part of prompts is blocked: it has crashed replicas"
+		text = "part of prompts, or request, is blocked: it has crashed replicas"
 	}
 	n.deps.Log.Warn().Str("event", "block").Str("part", string(c.Change.Trait)).Bool("blocked", c.Change.Blocked).
 		Int("crashes", c.Change.Crashes).Int("trials", c.Change.Trials).Msg(text)
