Make the core's run of a request in a package of its own

No change of what is decided; a line `attempt` names in `print` the hashes of the request as before.

--- a/internal/core/medlarsuspect/medlarsuspect.go
+++ b/internal/core/medlarsuspect/medlarsuspect.go
@@ -136,7 +136,7 @@
 
 // suspected reports whether a trait is suspected of the crash (R2).
 func (c *crash) suspected(p Trait) bool {
-	return c.begun[p] || c.waiting[p] && (p.scope() != scopePart || !c.begunPrompt)
+	return c.begun[p] || c.waiting[p] && (p.Whole() || !c.begunPrompt)
 }
 
 // block is what the instance knows of a blocked trait, or of one about to be blocked.
@@ -192,7 +192,7 @@
 	c := t.crash(now, r.Crash)
 	added := add(c.begun, r.Begun) + add(c.waiting, r.Waiting)
 	t.suspects += added
-	c.begunPrompt = c.begunPrompt || slices.ContainsFunc(r.Begun, func(p Trait) bool { return p.scope() == scopePart })
+	c.begunPrompt = c.begunPrompt || slices.ContainsFunc(r.Begun, func(p Trait) bool { return !p.Whole() })
 	c.own = c.own || own
 	for p := range c.suspects() {
 		if b := t.blocks[p]; b != nil {
@@ -295,7 +295,7 @@
 
 // sameCrash reports whether two crashes count once against a trait (R4).
 func sameCrash(p Trait, a, b time.Time) bool {
-	return p.scope() == scopePart && b.Sub(a) <= sameMoment
+	return !p.Whole() && b.Sub(a) <= sameMoment
 }
 
 // explained reports whether a blocked trait explains a crash: a request as a whole, or another one.
@@ -387,7 +387,7 @@
 // answers returns the times of answers in which a trait's is remembered. Whole requests have their
 // own, as they are many and would displace the parts.
 func (t *Table) answers(p Trait) *times {
-	if p.scope() == scopePart {
+	if !p.Whole() {
 		return t.answered
 	}
 	return t.whole
--- a/internal/core/medlarsuspect/trait.go
+++ b/internal/core/medlarsuspect/trait.go
@@ -71,6 +71,9 @@
 	scopeContent              // requests with the same path, account and body
 )
 
+// Whole reports whether the trait is one of a request as a whole.
+func (t Trait) Whole() bool { return t.scope() != scopePart }
+
 func (t Trait) scope() scope {
 	switch {
 	case strings.HasPrefix(string(t), requestPrefix):
--- a/internal/edge/medlarcall/medlarcall.go
+++ b/internal/edge/medlarcall/medlarcall.go
@@ -138,7 +138,8 @@
 	Began time.Duration
 	// Parts are the parts of the prompt.
 	Parts []Part
-	// Traits are those of the request as a whole, and BodyBytes is the length of its body.
+	// Traits are what other requests may have in common with this one, and BodyBytes is the length
+	// of its body.
 	Traits    []medlarsuspect.Trait
 	BodyBytes int
 }
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -16,6 +16,7 @@
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarcall"
 	"medlarfield/internal/edge/medlarpool"
+	"medlarfield/internal/edge/medlarrun"
 )
 
 // Limits of requests and responses.
@@ -138,7 +139,7 @@
 		Timeout:     time.Until(a.run.Deadline),
 		LastEventID: a.lastEventID(),
 		Version:     a.cmd.Version,
-		Salt:        a.cacheSalt(a.cmd.Version),
+		Salt:        medlarrun.CacheSalt(a.account, a.cmd.Version),
 		Priority:    a.cmd.Priority,
 		Fetch:       a.cmd.Fetch, Save: a.cmd.Save, FetchDeadline: a.cmd.FetchDeadline,
 	})
@@ -478,7 +479,7 @@
 		Lost:     a.lost,
 		Began:    a.sinceBegan(),
 		Parts:    a.call.Parts,
-		Traits:   a.traits, BodyBytes: len(a.body),
+		Traits:   a.run.Traits, BodyBytes: len(a.body),
 	})
 }
 
--- a/internal/edge/medlarproxy/exchange.go
+++ b/internal/edge/medlarproxy/exchange.go
@@ -7,12 +7,10 @@
 	"medlarfield/internal/agree/medlarcatalog"
 	"medlarfield/internal/base/medlarevent"
 	"medlarfield/internal/base/medlarhead"
-	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarreason"
-	"medlarfield/internal/core/medlarsuspect"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarcall"
+	"medlarfield/internal/edge/medlarrun"
 	"medlarfield/internal/edge/medlarserver"
 )
 
@@ -26,7 +24,6 @@
 
 	route     *medlarcatalog.Route
 	account   medlarcatalog.Account
-	traits    []medlarsuspect.Trait // of the request as a whole
 	run       *medlarworld.Run
 	summary   *medlarcall.Summary
 	arrived   time.Time
@@ -97,83 +94,12 @@
 
 // buildRun creates the run of the request, with its deadline (R4).
 func (x *exchange) buildRun() {
-	timeout := x.call.Timeout
-	if timeout == 0 || x.route.Timeout > 0 && x.route.Timeout < timeout {
-		timeout = x.route.Timeout
-	}
-	priority := x.route.PriorityLevel
-	if x.account.OverridesPriority {
-		priority = x.account.PriorityLevel
-	}
-	atMostOnce := !x.route.Repeatable()
-	x.run = &medlarworld.Run{
-		ID:           x.proxy.runID(x.call.ID),
-		Account:      x.account.ID,
-		Service:      x.route.PickService(x.proxy.deps.Rand()),
-		Model:        x.call.Model,
-		AtMostOnce:   atMostOnce,
-		Claimed:      atMostOnce, // no other instance can run the client's attempt
-		PromptTokens: x.call.PromptTokens,
-		MaxAttempts:  x.route.MaxAttempts,
-		Priority:     medlarid.Priority(-priority),
-		Arrived:      x.arrived,
-		Deadline:     x.arrived.Add(timeout),
-	}
-	if x.route.Kind == medlarcatalog.KindStream {
-		x.run.TargetTTFT = x.route.TargetLatency
-		x.run.StartBy = x.arrived.Add(x.route.TargetLatency - startMargin)
-		x.run.AbandonAt = x.arrived.Add(x.route.ClientStallTimeout)
-	}
-	x.summary.Service = x.run.Service
-	x.traits = x.requestTraits()
-	x.run.Traits = x.traits
+	q := &medlarrun.Request{Head: x.head, Body: x.body, Call: &x.call, Route: x.route, Account: x.account, Arrived: x.arrived}
 	if x.call.Model != "" {
-		x.setPartKeys()
+		q.Serving, q.Desired = x.proxy.deps.Versions(x.call.Model)
 	}
-}
-
-// requestTraits returns the traits of the request as a whole.
-func (x *exchange) requestTraits() []medlarsuspect.Trait {
-	host, _ := x.head.Get("Host")
-	q := medlarsuspect.Request{
-		Method: x.head.Method, Host: host, Target: x.head.Target, Account: x.account.ID, Prompt: x.call.Prompt(), Body: x.body,
-	}
-	return q.Traits()
-}
-
-// startMargin is the time reserved for a started attempt to send its first event within
-// the target latency.
-const startMargin = 80 * time.Millisecond
-
-// setPartKeys sets the keys of the prompt's parts on the run. All parts but the last may be
-// shared with other prompts, so the part before the last determines the home key.
-func (x *exchange) setPartKeys() {
-	serving, desired := x.proxy.deps.Versions(x.call.Model)
-	x.run.Version, x.run.Keys = serving, x.partKeys(serving)
-	if desired != serving {
-		x.run.DesiredVersion, x.run.DesiredKeys = desired, x.partKeys(desired)
-	}
-	x.run.KeyTokens = make([]medlarid.Tokens, len(x.call.Parts))
-	for i, p := range x.call.Parts {
-		x.run.KeyTokens[i] = p.Tokens
-	}
-	if n := len(x.call.Parts); n > 0 {
-		x.run.HomeKey = medlarkey.Part("", x.call.Model, x.call.Parts[max(n-2, 0)].ID)
-	}
-	x.run.Traits = append(x.call.SharedParts(), x.traits...)
-}
-
-// partKeys returns the keys of the prompt's parts for a weight version.
-func (x *exchange) partKeys(v medlarid.WeightVersion) []medlarkey.Key {
-	return x.call.PartKeys(x.cacheSalt(v))
-}
-
-// cacheSalt returns the salt of the prompt's parts for a weight version.
-func (x *exchange) cacheSalt(v medlarid.WeightVersion) medlarkey.CacheSalt {
-	if x.account.Isolated {
-		return medlarkey.NewCacheSalt(v, x.account.ID)
-	}
-	return medlarkey.NewCacheSalt(v, "")
+	x.run = medlarrun.New(q, x.proxy.runID(x.call.ID), x.route.PickService(x.proxy.deps.Rand()))
+	x.summary.Service = x.run.Service
 }
 
 // runCommands executes the core's commands until the request has ended. It reports whether the
--- /dev/null
+++ b/internal/edge/medlarrun/medlarrun.go
@@ -0,0 +1,113 @@
+// Package medlarrun makes the core's run of a client's request, from what the client sent and what
+// the operators' configuration says of its route and account.
+package medlarrun
+
+import (
+	"time"
+
+	"medlarfield/internal/agree/medlarcatalog"
+	"medlarfield/internal/base/medlarhead"
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarkey"
+	"medlarfield/internal/core/medlarsuspect"
+	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/edge/medlarcall"
+)
+
+// startMargin is the time reserved for a started attempt to send its first event within
+// the target latency.
+const startMargin = 80 * time.Millisecond
+
+// Request is a client's request with its route and account.
+type Request struct {
+	Head    *medlarhead.Head
+	Body    []byte
+	Call    *medlarcall.Call
+	Route   *medlarcatalog.Route
+	Account medlarcatalog.Account
+	Arrived time.Time
+	// Serving and Desired are the weight versions of the model that the request names.
+	Serving, Desired medlarid.WeightVersion
+}
+
+// New returns the run of a request with an id, at a service.
+func New(q *Request, id medlarid.RequestID, service medlarid.ServiceID) *medlarworld.Run {
+	atMostOnce := !q.Route.Repeatable()
+	r := &medlarworld.Run{
+		ID:           id,
+		Account:      q.Account.ID,
+		Service:      service,
+		Model:        q.Call.Model,
+		AtMostOnce:   atMostOnce,
+		Claimed:      atMostOnce, // no other instance can run the client's attempt
+		PromptTokens: q.Call.PromptTokens,
+		MaxAttempts:  q.Route.MaxAttempts,
+		Priority:     q.priority(),
+		Arrived:      q.Arrived,
+		Deadline:     q.Arrived.Add(q.timeout()),
+		Traits:       q.wholeTraits(),
+	}
+	if q.Route.Kind == medlarcatalog.KindStream {
+		r.TargetTTFT = q.Route.TargetLatency
+		r.StartBy = q.Arrived.Add(q.Route.TargetLatency - startMargin)
+		r.AbandonAt = q.Arrived.Add(q.Route.ClientStallTimeout)
+	}
+	if q.Call.Model != "" {
+		q.setParts(r)
+	}
+	return r
+}
+
+// timeout returns the time until the deadline, the earlier of the client's and the route's.
+func (q *Request) timeout() time.Duration {
+	if q.Call.Timeout == 0 || q.Route.Timeout > 0 && q.Route.Timeout < q.Call.Timeout {
+		return q.Route.Timeout
+	}
+	return q.Call.Timeout
+}
+
+func (q *Request) priority() medlarid.Priority {
+	if q.Account.OverridesPriority {
+		return medlarid.Priority(-q.Account.PriorityLevel)
+	}
+	return medlarid.Priority(-q.Route.PriorityLevel)
+}
+
+// wholeTraits returns the traits of the request as a whole.
+func (q *Request) wholeTraits() []medlarsuspect.Trait {
+	host, _ := q.Head.Get("Host")
+	whole := medlarsuspect.Request{
+		Method: q.Head.Method, Host: host, Target: q.Head.Target, Account: q.Account.ID, Prompt: q.Call.Prompt(), Body: q.Body,
+	}
+	return whole.Traits()
+}
+
+// setParts sets what the run has of the prompt's parts. All parts but the last may be shared with
+// other prompts, so the part before the last determines the home key.
+func (q *Request) setParts(r *medlarworld.Run) {
+	r.Version, r.Keys = q.Serving, q.partKeys(q.Serving)
+	if q.Desired != q.Serving {
+		r.DesiredVersion, r.DesiredKeys = q.Desired, q.partKeys(q.Desired)
+	}
+	r.KeyTokens = make([]medlarid.Tokens, len(q.Call.Parts))
+	for i, p := range q.Call.Parts {
+		r.KeyTokens[i] = p.Tokens
+	}
+	if n := len(q.Call.Parts); n > 0 {
+		r.HomeKey = medlarkey.Part("", q.Call.Model, q.Call.Parts[max(n-2, 0)].ID)
+	}
+	r.Traits = append(q.Call.SharedParts(), r.Traits...)
+}
+
+// partKeys returns the keys of the prompt's parts for a weight version.
+func (q *Request) partKeys(v medlarid.WeightVersion) []medlarkey.Key {
+	return q.Call.PartKeys(CacheSalt(q.Account, v))
+}
+
+// CacheSalt returns the salt of the parts of an account's prompts for a weight version.
+func CacheSalt(a medlarcatalog.Account, v medlarid.WeightVersion) medlarkey.CacheSalt {
+	if a.Isolated {
+		return medlarkey.NewCacheSalt(v, a.ID)
+	}
+	return medlarkey.NewCacheSalt(v, "")
+}
--- a/internal/ops/medlarattachednode/logging.go
+++ b/internal/ops/medlarattachednode/logging.go
@@ -39,7 +39,7 @@
 			if a.Lost {
 				m.AttemptLost(a.Began > 0)
 				l = l.Bool("lost", true).Float64("began", ms(a.Began)).Strs("prompt", loggedParts(a.Parts)).
-					Strs("print", traitNames(a.Traits)).Int("size", a.BodyBytes)
+					Strs("print", wholeTraits(a.Traits)).Int("size", a.BodyBytes)
 			}
 			addBodyEnd(l, a.Body).Send()
 		},
@@ -80,11 +80,13 @@
 	return out
 }
 
-// traitNames returns traits as texts.
-func traitNames(traits []medlarsuspect.Trait) []string {
+// wholeTraits returns the traits of a request as a whole.
+func wholeTraits(traits []medlarsuspect.Trait) []string {
 	out := []string{}
 	for _, t := range traits {
-		out = append(out, string(t))
+		if t.Whole() {
+			out = append(out, string(t))
+		}
 	}
 	return out
 }
