--- a/internal/base/medlarid/medlarid.go
+++ b/internal/base/medlarid/medlarid.go
@@ -46,6 +46,10 @@
 // Era counts how often a store has come back from a copy that lacks its latest records.
 type Era uint64
 
+// Build identifies the version of the software that an instance runs, unlike the version of its
+// weights; empty if it is not known.
+type Build string
+
 // Zone identifies an availability zone.
 type Zone string
 
--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -176,7 +176,7 @@
 		u.Incarnation, u.ReportedLeaving, u.PausedUntil = m.Incarnation, false, time.Time{}
 		u.Limited, u.Limit, u.LimitShare, u.LimitTokens = false, 0, 0, 0
 	}
-	u.Zone, u.Address, u.Service = m.Zone, m.Address, m.Service
+	u.Zone, u.Address, u.Service, u.Build = m.Zone, m.Address, m.Service, m.Build
 	if m.Slots > 0 {
 		u.Load.Slots = m.Slots
 	}
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -189,6 +189,7 @@
 		Upstream:      u.ID,
 		Address:       u.Address,
 		Incarnation:   u.Incarnation,
+		Build:         u.Build,
 		Version:       assumedVersion(w, u),
 		Priority:      priorityOf(w, r),
 		CachedKeys:    c.cachedBlocks,
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -140,6 +140,7 @@
 	// ReportedLeaving is set once the upstream itself reported that it leaves.
 	ReportedLeaving bool
 	Incarnation     medlarid.Incarnation
+	Build           medlarid.Build
 	// PausedUntil is the time until which the upstream asked for no requests.
 	PausedUntil time.Time
 	// Limit is how many requests a second the upstream takes from all instances together, if
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -104,6 +104,7 @@
 	// it says nothing.
 	Version     medlarid.WeightVersion
 	Slots       int
+	Build       medlarid.Build
 	PrefillRate float64         // prompt tokens per second
 	TokenBytes  medlarid.Bytes  // size of one token in the KV cache
 	KVCapacity  medlarid.Tokens // capacity of the KV cache
@@ -292,8 +293,9 @@
 	Attempt  int
 	Upstream medlarid.InstanceID
 	Address  medlarid.Address
-	// Incarnation of the upstream.
+	// Incarnation and Build of the upstream.
 	Incarnation medlarid.Incarnation
+	Build       medlarid.Build
 	Version     medlarid.WeightVersion
 	Priority    medlarid.Priority
 	// CachedKeys is the number of the run's keys that the upstream is believed to cache.
--- a/internal/edge/medlarcall/medlarcall.go
+++ b/internal/edge/medlarcall/medlarcall.go
@@ -32,6 +32,9 @@
 	PromptTokens medlarid.Tokens
 	Parts        []Part
 	LastEventID  string // id of the last event that the client has received
+	// Resumes is the id of the client's request that brought the first event of the stream that
+	// this one takes up; empty if the client names none.
+	Resumes medlarid.RequestID
 }
 
 // PartKeys returns the keys of the prompt's parts under a salt.
@@ -121,6 +124,7 @@
 	ID       medlarid.RequestID
 	Number   int
 	Upstream medlarid.InstanceID
+	Build    medlarid.Build
 	Version  medlarid.WeightVersion
 	Cause    medlarworld.Cause
 	Reason   medlarreason.Reason
@@ -167,7 +171,11 @@
 	Decision     medlarworld.Decision // by which the last upstream was selected
 	Attempts     int
 	Upstream     medlarid.InstanceID
-	Body         BodyEnd // of the response to the last attempt
+	Build        medlarid.Build // of Upstream
+	// LastEventID and Resumes are those of the client's request.
+	LastEventID string
+	Resumes     medlarid.RequestID
+	Body        BodyEnd // of the response to the last attempt
 	// Parts holds the expected cache state of each part of the prompt at the last attempt.
 	Parts       []medlarworld.PartState
 	QueueTime   time.Duration // from the request's arrival until the first attempt
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -466,6 +466,7 @@
 		ID:       a.call.ID,
 		Number:   e.Attempt,
 		Upstream: a.cmd.Upstream,
+		Build:    a.cmd.Build,
 		Version:  a.cmd.Version,
 		Cause:    e.Cause,
 		Reason:   e.Reason,
--- a/internal/edge/medlarproxy/exchange.go
+++ b/internal/edge/medlarproxy/exchange.go
@@ -57,6 +57,7 @@
 	call, err := x.proxy.deps.Decode(x.head)
 	x.call = call
 	x.summary.ID, x.summary.Model = call.ID, call.Model
+	x.summary.LastEventID, x.summary.Resumes = call.LastEventID, call.Resumes
 	if err != nil {
 		return x.refuse(medlarreason.Malformed, medlarreason.RanNo, 0)
 	}
@@ -131,7 +132,7 @@
 		x.summary.QueueTime = time.Since(x.arrived)
 	}
 	x.summary.Attempts++
-	x.summary.Upstream = cmd.Upstream
+	x.summary.Upstream, x.summary.Build = cmd.Upstream, cmd.Build
 	x.summary.Parts, x.summary.Decision = cmd.Parts, cmd.Decision
 	a := &attempt{exchange: x, cmd: cmd, started: time.Now()}
 	e := a.do()
--- a/internal/ops/medlarattachednode/logging.go
+++ b/internal/ops/medlarattachednode/logging.go
@@ -33,7 +33,7 @@
 				return
 			}
 			l := log.Info().Str("event", "attempt").Str("id", string(a.ID)).Int("attempt", a.Number).
-				Str("replica", string(a.Upstream)).Str("version", string(a.Version)).Str("cause", string(a.Cause)).
+				Str("replica", string(a.Upstream)).Str("build", string(a.Build)).Str("version", string(a.Version)).Str("cause", string(a.Cause)).
 				Str("reason", string(a.Reason)).Bool("reached", a.Reached).Bool("reused", a.Reused).
 				Int("status", a.Status).Float64("took", ms(a.Duration)).Dict("why", choiceFields(a.Decision)).AnErr("error", a.Err)
 			if a.Lost {
@@ -50,6 +50,12 @@
 				Int("status", s.Status).Bool("whole", s.Complete).Int("attempts", s.Attempts).Str("replica", string(s.Upstream)).
 				Float64("waited", ms(s.QueueTime)).Float64("connect", ms(s.ConnectTime)).Float64("first", ms(s.FirstByte)).
 				Float64("gap", ms(s.MaxWriteGap)).Float64("took", ms(s.Duration))
+			if s.Build != "" {
+				l = l.Str("build", string(s.Build))
+			}
+			if s.LastEventID != "" {
+				l = l.Str("last", s.LastEventID).Str("resumes", string(s.Resumes))
+			}
 			if len(s.Parts) > 0 {
 				l = l.Str("parts", partText(s.Parts))
 			}
--- a/internal/ops/medlarlogquery/medlarlogquery.go
+++ b/internal/ops/medlarlogquery/medlarlogquery.go
@@ -85,6 +85,9 @@
 	Attempts   int                 `json:"attempts"`
 	Attempt    int                 `json:"attempt"`
 	Replica    string              `json:"replica"`
+	Build      string              `json:"build"`   // software version of the replica
+	Last       string              `json:"last"`    // id of the event after which the client resumes a stream
+	Resumes    string              `json:"resumes"` // id of the request that began that stream
 	Store      string              `json:"store"`
 	Cause      string              `json:"cause"`
 	Reason     medlarreason.Reason `json:"reason"`
@@ -210,7 +213,10 @@
 	}
 	fmt.Fprintf(&b, " after %.0f ms, first byte at %.0f ms, %d attempts", l.Took, l.FirstByte, l.Attempts)
 	if l.Attempts > 0 {
-		fmt.Fprintf(&b, ", the last at %s, the first after %.0f ms in the queue", l.Replica, l.Waited)
+		fmt.Fprintf(&b, ", the last at %s%s, the first after %.0f ms in the queue", l.Replica, buildText(l), l.Waited)
+	}
+	if l.Last != "" {
+		fmt.Fprintf(&b, "; resumes the stream of %s after event %s", l.Resumes, l.Last)
 	}
 	if l.Reason != "" {
 		fmt.Fprintf(&b, "; %s, ran: %s, %d requests waited for %d replicas", reasonText(l.Reason), l.Ran, l.Waiting, l.Replicas)
@@ -242,7 +248,7 @@
 	if l.Reached {
 		ran = "it may have run there"
 	}
-	s := fmt.Sprintf("attempt %d at %s ended after %.0f ms: %s; %s", l.Attempt, l.Replica, l.Took, reasonText(l.Reason), ran)
+	s := fmt.Sprintf("attempt %d at %s%s ended after %.0f ms: %s; %s", l.Attempt, l.Replica, buildText(l), l.Took, reasonText(l.Reason), ran)
 	if l.Status > 0 {
 		s += fmt.Sprintf("; status %d", l.Status)
 	}
@@ -260,6 +266,14 @@
 	return s
 }
 
+// buildText returns the software version of the replica, for use after its id.
+func buildText(l Line) string {
+	if l.Build == "" {
+		return ""
+	}
+	return " (software " + l.Build + ")"
+}
+
 // lostText describes an attempt whose connection the replica ended early.
 func lostText(l Line) string {
 	s := "; the replica ended the connection before the first event"
--- a/internal/ops/medlarregistry/medlarregistry.go
+++ b/internal/ops/medlarregistry/medlarregistry.go
@@ -266,7 +266,7 @@
 	t.replicas[id] = r
 	t.log.Info().Str("event", "replica").Str("replica", string(id)).Str("service", string(next.Member.Service)).
 		Str("address", string(next.Member.Address)).Bool("leaving", next.Member.Leaving).
-		Str("version", string(next.Member.Version)).Int64("born", next.StartedMs).Uint64("offset", uint64(rec.Offset)).Msg("replica entry applied")
+		Str("build", string(next.Member.Build)).Str("version", string(next.Member.Version)).Int64("born", next.StartedMs).Uint64("offset", uint64(rec.Offset)).Msg("replica entry applied")
 	return true
 }
 
