--- a/internal/stand/medlarfakereplica/exchange.go
+++ b/internal/stand/medlarfakereplica/exchange.go
@@ -253,7 +253,7 @@
 		if medlarprobe.Gone(x.conn) {
 			return false
 		}
-		text := eventText(n)
+		text := x.replica.eventText(n)
 		if x.breaksOff(n) {
 			return x.writeEvents(strings.TrimSuffix(text, "\n\n")) && x.fault == FaultShort
 		}
--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -12,6 +12,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"net"
 	"strconv"
 	"strings"
@@ -75,6 +76,8 @@
 	Events            int           // number of events in a stream
 	Model             string        // empty for a plain service
 	Version           uint64        // initial weight version
+	Build             string        // version of the software; each event of a stream tells it unless it is empty
+	HideBuild         bool          // the entry does not tell Build
 	Born              int64         // start of the replica; a later one with the same ID has a higher value
 	// CrashPoint returns where the replica crashes as it answers a request; nil for never.
 	// OnCrash is called at each crash.
@@ -212,6 +215,13 @@
 	r.changed()
 }
 
+// Leaving reports whether the replica is marked as draining.
+func (r *Replica) Leaving() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leaving
+}
+
 // AnnounceLeaving makes all responses say that the replica leaves. Its entry does not.
 func (r *Replica) AnnounceLeaving() {
 	r.mu.Lock()
@@ -280,12 +290,13 @@
 
 // entry is the record that a replica publishes about itself.
 type entry struct {
-	Service, Address, Zone, Version string
-	MaxBatchSize                    int
-	Phase                           string
-	Models                          []model `json:",omitempty"`
-	Sequence                        uint64
-	Born                            int64 `json:"born"`
+	Service, Address, Zone string
+	Version                string `json:",omitempty"` // of the software
+	MaxBatchSize           int
+	Phase                  string
+	Models                 []model `json:",omitempty"`
+	Sequence               uint64
+	Born                   int64 `json:"born"`
 }
 
 type model struct {
@@ -299,9 +310,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := entry{
-		Service: r.Settings.Service, Address: r.Address(), Zone: r.Settings.Zone, Version: "v1",
+		Service: r.Settings.Service, Address: r.Address(), Zone: r.Settings.Zone, Version: cmp.Or(r.Settings.Build, "v1"),
 		MaxBatchSize: r.Settings.Slots, Phase: "ready", Sequence: seq, Born: r.Settings.Born,
 	}
+	if r.Settings.HideBuild {
+		e.Version = ""
+	}
 	if r.leaving {
 		e.Phase = "draining"
 	}
@@ -457,6 +471,6 @@
 	r.runs = append(r.runs, record)
 }
 
-func eventText(n int) string {
-	return "id: " + strconv.Itoa(n) + "\ndata: " + strings.Repeat("x", 20) + "\n\n"
+func (r *Replica) eventText(n int) string {
+	return "id: " + strconv.Itoa(n) + "\ndata: " + cmp.Or(r.Settings.Build, strings.Repeat("x", 20)) + "\n\n"
 }
--- a/internal/stand/medlarsite/crash.go
+++ b/internal/stand/medlarsite/crash.go
@@ -92,7 +92,7 @@
 		list = &s.Plain
 	}
 	s.mu.Lock()
-	*list = slices.DeleteFunc(*list, func(e *medlarfakereplica.Replica) bool { return e == r })
+	*list = without(*list, r)
 	s.mu.Unlock()
 	s.after(missedHeartbeats*s.settings.HeartbeatInterval, func() {
 		if !s.listed(r.Settings.ID) {
@@ -112,6 +112,11 @@
 	})
 }
 
+// without returns a list of replicas without one.
+func without(list []*medlarfakereplica.Replica, r *medlarfakereplica.Replica) []*medlarfakereplica.Replica {
+	return slices.DeleteFunc(list, func(e *medlarfakereplica.Replica) bool { return e == r })
+}
+
 // listed reports whether a replica with an id runs.
 func (s *Site) listed(id string) bool {
 	return slices.ContainsFunc(s.Replicas(), func(r *medlarfakereplica.Replica) bool { return r.Settings.ID == id })
--- a/internal/stand/medlarsite/medlarsite.go
+++ b/internal/stand/medlarsite/medlarsite.go
@@ -44,6 +44,8 @@
 	RemovalDelay      time.Duration // in which removed replicas are listed again after an outage of the store
 	RestartDelay      time.Duration // from the crash of a replica until its successor starts; 0 for never
 	KeepID            bool          // a successor has the id of the replica that crashed
+	HideBuilds        int           // replicas of the engine whose entries do not tell their software version
+	Builds            []string      // software versions of the engine's replicas in turn; empty for one that is not told in events
 }
 
 // Default returns the settings of a small site.
@@ -146,9 +148,13 @@
 func New(cfg Settings) (*Site, error) {
 	s := &Site{Store: medlarfaketopic.New(), settings: cfg, stop: make(chan struct{}), removed: map[string]bool{}}
 	for i := range cfg.Engines {
+		build := ""
+		if n := len(cfg.Builds); n > 0 {
+			build = cfg.Builds[i%n]
+		}
 		if err := s.addReplica(&s.Engines, medlarfakereplica.Settings{
 			ID: fmt.Sprintf("engine-%d", i+1), Service: Engines, Zone: "a", Slots: cfg.Slots, WorkTime: cfg.ServiceTime,
-			Events: cfg.Events, Model: Model, Version: 1, CrashPoint: s.crasher.point, OnCrash: s.replace,
+			Events: cfg.Events, Model: Model, Version: 1, Build: build, HideBuild: i < cfg.HideBuilds, CrashPoint: s.crasher.point, OnCrash: s.replace,
 		}); err != nil {
 			return nil, err
 		}
