Keep a stream at the software version that began it

Callers got streams that were put together from two software versions, complete and signed: a stream that was resumed, within an answer or by its caller, went to whatever replica load and cache contents suggested. Cause: the version in an entry was not read, nothing bound a stream to it, and an instance that had not begun a stream had no way to know it.

Now each instance derives the version of a stream from the id of the request that began it, which its caller repeats: a hash of account and id gives one of 64 buckets, and an assignment that all instances read from the topic of notices gives the version of a bucket. It follows the replicas: a change is claimed on the condition that the topic has not changed, streams begin by it 1 s after it is read, and it counts as settled after 2 s. Recorded are exceptions only, one record for each instance: streams in progress in a bucket that changes, streams that begin in one that is not settled, and those that begin elsewhere since their version has no usable replica. From its first event on a stream goes on at its version only. What is not certain is refused at once, 503 `unresumable`: without a named stream while several versions serve, in a bucket that may have changed elsewhere, and at an instance that has not read the topic for 3.5 s. A request of a stream is also sent to the service of a split route that began it.

--- a/internal/agree/medlarnotice/crash.go
+++ b/internal/agree/medlarnotice/crash.go
@@ -16,6 +16,9 @@
 	blockPrefix = "block/" // followed by the trait
 	limitPrefix = "limit/" // followed by the replica
 	needPrefix  = "need/"  // followed by the instance
+	// assignmentPrefix is followed by the service, and streamsPrefix by the instance and its start.
+	assignmentPrefix = "build/"
+	streamsPrefix    = "streams/"
 )
 
 // maxReportTraits is the maximum number of traits in a record of a crash, which bounds its size
@@ -87,6 +90,12 @@
 	if id, ok := strings.CutPrefix(r.Key, needPrefix); ok {
 		return decodeNeed(r, medlarid.InstanceID(id))
 	}
+	if id, ok := strings.CutPrefix(r.Key, assignmentPrefix); ok {
+		return decodeAssignment(r, medlarid.ServiceID(id))
+	}
+	if strings.HasPrefix(r.Key, streamsPrefix) {
+		return decodeStreams(r)
+	}
 	return nil, nil
 }
 
--- a/internal/core/medlaradmission/medlaradmission.go
+++ b/internal/core/medlaradmission/medlaradmission.go
@@ -22,6 +22,7 @@
 //	    under overload, a queue in the order of arrival makes all of them late.
 //	R9  A request with a trait that crashes replicas is refused at once, unless it is a
 //	    trial of the trait.
+//	R10 A request that resumes a stream is refused at once if it can go on nowhere.
 package medlaradmission
 
 import (
@@ -33,6 +34,7 @@
 	"medlarfield/internal/core/medlarcrash"
 	"medlarfield/internal/core/medlarlimit"
 	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarresume"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -214,6 +216,8 @@
 		return medlarreason.Unready, minRetryAfter // R1
 	case !hasUpstreams(w, r):
 		return medlarreason.Capacity, minRetryAfter
+	case !medlarresume.CanGoOn(w, r):
+		return medlarreason.Unresumable, medlarresume.RetryAfter // R10
 	case !admitTraits(w, r):
 		return medlarreason.Crashing, medlarcrash.RetryAfter // R9
 	}
--- /dev/null
+++ b/internal/core/medlarbuild/assignment.go
@@ -0,0 +1,295 @@
+package medlarbuild
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+)
+
+// NumBuckets is the number of buckets of an assignment.
+const NumBuckets = 64
+
+// Buckets holds the build of each bucket; empty for one that is not known.
+type Buckets [NumBuckets]medlarid.Build
+
+// Assignment says at which builds the streams of a service begin (R2).
+type Assignment struct {
+	Serial   uint64  // increases with each change
+	From, To Buckets // before and after the change
+}
+
+// Claim is a change of a service's assignment, to be recorded only if no other instance has changed it
+// meanwhile.
+type Claim struct {
+	Service    medlarid.ServiceID
+	Assignment Assignment
+}
+
+// When an assignment is changed.
+const (
+	needTime     = 300 * time.Millisecond // a change is claimed once it is needed for this time
+	lossTime     = 2 * time.Second        // or for this time if a build has lost upstreams, which may come back
+	claimTimeout = time.Second            // of a claim without an answer
+	settleSpread = 10                     // times the jitter of an instance, until it records that a change is settled
+	tolerance    = NumBuckets / 6         // buckets by which a build may have more or fewer than its upstreams are worth
+	minShare     = 1                      // buckets that a build with an upstream has at least
+	maxBuilds    = 32                     // builds that get streams; of more, those with most upstreams
+)
+
+// service is what is known of the builds of a service.
+type service struct {
+	counts     map[medlarid.Build]int // upstreams that do not leave
+	sole       medlarid.Build         // the only build until others were seen; empty if there were several from the start
+	assigned   bool
+	assignment Assignment
+	readAt     time.Time // of assignment
+	late       bool      // assignment may have been recorded long before
+	needSince  time.Time // a change has been needed since then; zero if none is
+	claimUntil time.Time // a claim is in flight until then
+}
+
+// SetUpstreams reports how many upstreams of a service there are that do not leave, by build; listed tells
+// all builds, also of upstreams that leave.
+func (t *Table) SetUpstreams(id medlarid.ServiceID, counts map[medlarid.Build]int, listed map[medlarid.Build]bool) {
+	s := t.services[id]
+	if s == nil {
+		s = &service{}
+		t.services[id] = s
+	}
+	s.counts = mostUsed(counts)
+	if s.sole != "" || s.assigned {
+		return
+	}
+	listed = maps.Clone(listed)
+	delete(listed, "")
+	if len(listed) == 1 {
+		for b := range listed {
+			s.sole = b
+		}
+	}
+}
+
+// mostUsed returns the known builds with their counts, at most maxBuilds.
+func mostUsed(counts map[medlarid.Build]int) map[medlarid.Build]int {
+	out := maps.Clone(counts)
+	delete(out, "")
+	if len(out) <= maxBuilds {
+		return out
+	}
+	builds := slices.Collect(maps.Keys(out))
+	slices.SortFunc(builds, func(a, b medlarid.Build) int {
+		return cmp.Or(cmp.Compare(out[b], out[a]), cmp.Compare(a, b))
+	})
+	for _, b := range builds[maxBuilds:] {
+		delete(out, b)
+	}
+	return out
+}
+
+// distinct reports whether the service's upstreams tell their builds.
+func (s *service) distinct() bool { return s.sole != "" || s.assigned || len(s.counts) > 0 }
+
+// only returns the build of all streams of the service, if there has been only one.
+func (s *service) only() (medlarid.Build, bool) {
+	if s.assigned || s.sole == "" || len(s.counts) > 1 || len(s.counts) == 1 && s.counts[s.sole] == 0 {
+		return "", false
+	}
+	return s.sole, true
+}
+
+// derive returns the build at which a stream begins now, whether each other instance has derived
+// the same one, and whether its bucket is not settled (R2, R3).
+func (s *service) derive(now time.Time, k Key) (build medlarid.Build, certain, unsettled bool) {
+	if !s.assigned {
+		return s.sole, s.sole != "", s.sole == ""
+	}
+	from, to := s.assignment.From[k.bucket()], s.assignment.To[k.bucket()]
+	age := now.Sub(s.readAt)
+	switch {
+	case from == to || age >= settleTime:
+		return to, true, false
+	case s.late || age >= changeDelay:
+		return to, false, true
+	}
+	return from, age < changeDelay-readSkew && from != "", true
+}
+
+// settled reports whether all buckets are settled.
+func (s *service) settled(now time.Time) bool {
+	return !s.assigned || s.assignment.From == s.assignment.To || now.Sub(s.readAt) >= settleTime
+}
+
+// ApplyAssignment applies a recorded assignment. It reports whether the record is older than
+// what this instance holds, which it has to record again then: the store has lost it.
+func (t *Table) ApplyAssignment(now time.Time, id medlarid.ServiceID, a Assignment) (older bool) {
+	s := t.services[id]
+	if s == nil {
+		s = &service{}
+		t.services[id] = s
+	}
+	if s.assigned && a.Serial <= s.assignment.Serial {
+		if a.Serial == s.assignment.Serial && a.From == a.To && a.To == s.assignment.To {
+			s.assignment = a // others have recorded that the change is settled
+		}
+		return a.Serial < s.assignment.Serial
+	}
+	skipped := s.assigned && a.Serial > s.assignment.Serial+1
+	s.late = t.late || skipped
+	s.assigned, s.assignment, s.readAt = true, a, now
+	s.needSince, s.claimUntil = time.Time{}, time.Time{}
+	t.exceptOpen(id, &a)
+	return false
+}
+
+// exceptOpen records the streams in progress that began at another build than is derived from now on
+// (R4). Those of a bucket that changes are among them even if they began at the new build,
+// as others cannot tell.
+func (t *Table) exceptOpen(id medlarid.ServiceID, a *Assignment) {
+	for k, o := range t.open {
+		if b := k.bucket(); o.service == id && (a.To[b] != o.build || a.From[b] != o.build) {
+			t.except(k, o.build)
+		}
+	}
+}
+
+// Assignments returns all assignments, to be recorded again after the store came back from a copy.
+func (t *Table) Assignments() []Claim {
+	var out []Claim
+	for _, id := range slices.Sorted(maps.Keys(t.services)) {
+		if s := t.services[id]; s.assigned {
+			out = append(out, Claim{Service: id, Assignment: s.assignment})
+		}
+	}
+	t.dirty = t.dirty || len(t.exceptions) > 0
+	return out
+}
+
+// Update claims the changes that are due. It is called at each tick.
+func (t *Table) Update(now time.Time) {
+	for _, id := range slices.Sorted(maps.Keys(t.services)) {
+		s := t.services[id]
+		if t.stale(now) || !s.settled(now) {
+			s.needSince = time.Time{}
+			continue
+		}
+		next, needed, loss := s.next()
+		if !needed {
+			s.needSince = time.Time{}
+			t.recordSettled(now, id, s)
+			continue
+		}
+		if s.needSince.IsZero() {
+			s.needSince = now
+		}
+		wait := needTime + t.jitter
+		if loss {
+			wait = lossTime + t.jitter
+		}
+		if now.Sub(s.needSince) < wait || now.Before(s.claimUntil) {
+			continue
+		}
+		t.claim(now, id, s, next)
+	}
+}
+
+func (t *Table) claim(now time.Time, id medlarid.ServiceID, s *service, a Assignment) {
+	s.claimUntil = now.Add(claimTimeout + t.jitter)
+	t.claims = append(t.claims, Claim{Service: id, Assignment: a})
+}
+
+// recordSettled claims to record that a change is settled, for instances that start later: they
+// cannot tell when a change was recorded.
+func (t *Table) recordSettled(now time.Time, id medlarid.ServiceID, s *service) {
+	a := s.assignment
+	if a.From == a.To || now.Sub(s.readAt) < settleTime+settleSpread*t.jitter || now.Before(s.claimUntil) {
+		return
+	}
+	a.From = a.To
+	t.claim(now, id, s, a)
+}
+
+// next returns the assignment that the upstreams ask for, whether it is needed (R3), and whether only
+// since a build has lost upstreams.
+func (s *service) next() (next Assignment, needed, loss bool) {
+	if len(s.counts) == 0 || !s.assigned && len(s.counts) == 1 && s.counts[s.sole] > 0 {
+		return next, false, false
+	}
+	current := s.current()
+	want := shares(s.counts)
+	have := map[medlarid.Build]int{}
+	for _, b := range current {
+		have[b]++
+	}
+	loss = true
+	for b, n := range want {
+		needed = needed || have[b] == 0 || abs(n-have[b]) > tolerance
+		loss = loss && have[b] > 0
+	}
+	for b := range have {
+		needed = needed || want[b] == 0
+		loss = loss && b != ""
+	}
+	next = Assignment{Serial: s.assignment.Serial + 1, From: current, To: move(current, want, have)}
+	return next, needed || !s.assigned, loss && s.assigned
+}
+
+// current returns the build of each bucket as it is now.
+func (s *service) current() Buckets {
+	if s.assigned {
+		return s.assignment.To
+	}
+	var out Buckets
+	for i := range out {
+		out[i] = s.sole
+	}
+	return out
+}
+
+// shares returns how many buckets each build is worth by its upstreams.
+func shares(counts map[medlarid.Build]int) map[medlarid.Build]int {
+	builds := slices.Sorted(maps.Keys(counts))
+	total := 0
+	for _, n := range counts {
+		total += n
+	}
+	out := map[medlarid.Build]int{}
+	left := NumBuckets
+	for _, b := range builds {
+		out[b] = max(NumBuckets*counts[b]/total, minShare)
+		left -= out[b]
+	}
+	slices.SortStableFunc(builds, func(a, b medlarid.Build) int { return cmp.Compare(counts[b], counts[a]) })
+	for i := 0; left != 0; i = (i + 1) % len(builds) {
+		step := max(min(left, 1), -1)
+		if out[builds[i]]+step < minShare {
+			continue
+		}
+		out[builds[i]] += step
+		left -= step
+	}
+	return out
+}
+
+// move returns the buckets with as few changes as give each build what it is worth.
+func move(current Buckets, want, have map[medlarid.Build]int) Buckets {
+	have = maps.Clone(have)
+	builds := slices.Sorted(maps.Keys(want))
+	for i, b := range current {
+		if have[b] <= want[b] {
+			continue
+		}
+		to := slices.IndexFunc(builds, func(c medlarid.Build) bool { return have[c] < want[c] })
+		if to < 0 {
+			break
+		}
+		current[i] = builds[to]
+		have[b]--
+		have[builds[to]]++
+	}
+	return current
+}
+
+func abs(n int) int { return max(n, -n) }
--- /dev/null
+++ b/internal/core/medlarbuild/medlarbuild.go
@@ -0,0 +1,279 @@
+// Package medlarbuild knows at which software version (build) of its service's upstreams a stream
+// has to go on, also if another instance began it.
+//
+// Rules:
+//
+//	R1  A stream is identified by its account and the id of the request that brought its
+//	    first event, which a caller names when it resumes the stream.
+//	R2  Streams are spread over buckets by a hash of that. The assignment of a service says at
+//	    which build the streams of a bucket begin. All instances read the same assignment, so
+//	    each derives the build of a stream from what the caller repeats.
+//	R3  The assignment follows the upstreams: a change is claimed through the store, so that of
+//	    several only one counts, and only once it is needed for a while. Instances begin streams by
+//	    it changeDelay after they have read it. A bucket that changes is settled after settleTime.
+//	R4  Exceptions are recorded for all instances: streams in progress in a bucket that
+//	    changes, streams that begin in one that is not settled, and streams that begin at
+//	    another build than the derived one, since that has no upstream that can take them.
+//	R5  A stream is resumed at the build that this instance knows, that is recorded, or that is
+//	    derived, in this order. It is not resumed if the derived one is not certain: in a bucket
+//	    that may have changed at another instance already, without a named stream, or if the instance has not read
+//	    the records for maxAge.
+//	R6  A service with one build so far needs no assignment. Upstreams whose build is not known
+//	    get streams that can be resumed only if there are no others, and these are
+//	    never resumed.
+//	R7  What is held in memory, and recorded, does not grow with the number of streams.
+package medlarbuild
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"maps"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+)
+
+// Times of the rules.
+const (
+	changeDelay = time.Second             // from the read of a change until streams begin by it (R3)
+	settleTime  = 2 * time.Second         // from the read of a change until each instance begins streams by it, and all records of others are read
+	readSkew    = 400 * time.Millisecond  // by which instances that reach the store read a record at different times
+	lateGap     = 2400 * time.Millisecond // between two reads; after a longer one a record may be old
+	maxAge      = 3500 * time.Millisecond // of the last read, beyond which nothing can be derived (R5)
+	keepEnded   = 20 * time.Second        // a stream may be resumed for this time after its end
+	keepKnown   = time.Minute             // a recorded stream is remembered for this time
+)
+
+// Bounds (R7).
+const (
+	maxKnown      = 1 << 15 // streams whose build is remembered
+	maxExceptions = 2048    // streams in this instance's record
+)
+
+// Unknown is the build of a stream that can go on at no upstream, since the upstream that began it
+// did not tell its build.
+const Unknown medlarid.Build = "?"
+
+// Key identifies a stream (R1); 0 is no stream.
+type Key uint64
+
+// KeyOf returns the key of the stream that a request of an account began.
+func KeyOf(account medlarid.AccountID, id medlarid.RequestID) Key {
+	b := binary.AppendUvarint(nil, uint64(len(account)))
+	b = append(append(b, account...), id...)
+	sum := sha256.Sum256(b)
+	return max(Key(binary.BigEndian.Uint64(sum[:])), 1)
+}
+
+// Fraction returns a number from 0 to 1 that is the same for each request of the stream.
+func (k Key) Fraction() float64 { return float64(k>>11) / (1 << 53) }
+
+func (k Key) bucket() int { return int(k % NumBuckets) }
+
+// Table holds assignments and streams. It is not safe for concurrent use.
+type Table struct {
+	jitter     time.Duration // this instance waits longer than others before it claims a change
+	services   map[medlarid.ServiceID]*service
+	readAt     time.Time // of the records; zero for never
+	late       bool      // the last read came after a long gap
+	open       map[Key]stream
+	known      *streams // served by this instance, or recorded by another one
+	exceptions map[Key]exception
+	dirty      bool // the exceptions are to be recorded
+	recordedAt time.Time
+	recorded   bool // a record of this instance exists
+	claims     []Claim
+}
+
+// stream is a stream in progress at this instance.
+type stream struct {
+	service medlarid.ServiceID
+	build   medlarid.Build
+}
+
+// exception is a stream of this instance's record; until is zero while it is in progress.
+type exception struct {
+	build medlarid.Build
+	until time.Time
+}
+
+// New returns an empty table. jitter differs among instances.
+func New(jitter time.Duration) *Table {
+	return &Table{jitter: jitter, services: map[medlarid.ServiceID]*service{}, open: map[Key]stream{}, known: newStreams(maxKnown), exceptions: map[Key]exception{}}
+}
+
+// SetRead reports that the records of all instances are known as of now.
+func (t *Table) SetRead(now time.Time) {
+	t.late = now.Sub(t.readAt) > lateGap
+	t.readAt = now
+}
+
+// stale reports whether the records have not been read for so long that nothing can be derived (R5).
+func (t *Table) stale(now time.Time) bool { return now.Sub(t.readAt) > maxAge }
+
+// Distinct reports whether the upstreams of a service tell their builds.
+func (t *Table) Distinct(id medlarid.ServiceID) bool {
+	s := t.services[id]
+	return s != nil && s.distinct()
+}
+
+// Begin returns the build at which a new stream begins; empty for any.
+func (t *Table) Begin(now time.Time, id medlarid.ServiceID, k Key) medlarid.Build {
+	s := t.services[id]
+	if s == nil || !s.distinct() {
+		return ""
+	}
+	build, _, _ := s.derive(now, k)
+	return build
+}
+
+// Resume returns the build at which a stream goes on; empty for any. ok is false if that is not
+// certain (R5).
+func (t *Table) Resume(now time.Time, id medlarid.ServiceID, k Key) (build medlarid.Build, ok bool) {
+	if b, known := t.known.get(now, k); known && k != 0 {
+		return b, true
+	}
+	s := t.services[id]
+	switch {
+	case s == nil || !s.distinct():
+		return "", true
+	case t.stale(now):
+		return "", false
+	case k == 0:
+		return s.only()
+	}
+	build, certain, _ := s.derive(now, k)
+	return build, certain && build != ""
+}
+
+// Start reports that an attempt with which a stream may begin starts at an upstream with a build (R4).
+func (t *Table) Start(now time.Time, id medlarid.ServiceID, k Key, build medlarid.Build) {
+	s := t.services[id]
+	if s == nil || !s.distinct() {
+		return
+	}
+	derived, certain, unsettled := s.derive(now, k)
+	_, before := t.exceptions[k]
+	if certain && !unsettled && derived == build && !before && !t.stale(now) {
+		return
+	}
+	t.except(k, build)
+}
+
+// Began reports that the first event of a stream has come, from an upstream with a build. The
+// stream is in progress until End.
+func (t *Table) Began(now time.Time, id medlarid.ServiceID, k Key, build medlarid.Build) {
+	t.Start(now, id, k, build) // the assignment may have changed since the attempt started
+	t.open[k] = stream{service: id, build: build}
+	t.known.set(now, k, build)
+}
+
+// End reports that a stream, or a request that would have begun one, has ended at this instance.
+func (t *Table) End(now time.Time, k Key) {
+	if o, ok := t.open[k]; ok {
+		t.known.set(now, k, o.build)
+		delete(t.open, k)
+	}
+	if e, ok := t.exceptions[k]; ok {
+		t.exceptions[k] = exception{build: e.build, until: now.Add(keepEnded)}
+	}
+}
+
+// except adds a stream to this instance's record (R4).
+func (t *Table) except(k Key, build medlarid.Build) {
+	if e, ok := t.exceptions[k]; ok && e.build == build && e.until.IsZero() {
+		return
+	}
+	if len(t.exceptions) >= maxExceptions {
+		t.dropException()
+	}
+	t.exceptions[k] = exception{build: build}
+	t.dirty = true
+}
+
+// dropException makes room for an exception: one that has ended first.
+func (t *Table) dropException() {
+	var oldest Key
+	for k, e := range t.exceptions {
+		o := t.exceptions[oldest]
+		if oldest == 0 || !e.until.IsZero() && (o.until.IsZero() || e.until.Before(o.until)) {
+			oldest = k
+		}
+	}
+	delete(t.exceptions, oldest)
+}
+
+// ApplyStreams applies the record of an instance: streams and their builds.
+func (t *Table) ApplyStreams(now time.Time, builds map[Key]medlarid.Build) {
+	for k, b := range builds {
+		if _, own := t.open[k]; !own {
+			t.known.set(now, k, b)
+		}
+	}
+}
+
+// recordInterval is the minimum interval between two records of this instance's exceptions.
+const recordInterval = 60 * time.Millisecond
+
+// TakeRecord returns this instance's exceptions if they are to be recorded: they have changed, or none is left.
+func (t *Table) TakeRecord(now time.Time) (builds map[Key]medlarid.Build, ok bool) {
+	if now.Sub(t.recordedAt) < recordInterval {
+		return nil, false
+	}
+	maps.DeleteFunc(t.exceptions, func(_ Key, e exception) bool { return !e.until.IsZero() && now.After(e.until) })
+	if !t.dirty && (len(t.exceptions) > 0 || !t.recorded) {
+		return nil, false
+	}
+	builds = map[Key]medlarid.Build{}
+	for k, e := range t.exceptions {
+		builds[k] = e.build
+	}
+	t.dirty, t.recordedAt, t.recorded = false, now, len(builds) > 0
+	return builds, true
+}
+
+// TakeClaims returns the changes of assignments to be claimed since the last call.
+func (t *Table) TakeClaims() []Claim {
+	out := t.claims
+	t.claims = nil
+	return out
+}
+
+// Pending reports whether an update is due soon.
+func (t *Table) Pending() bool { return t.dirty }
+
+// streams remembers the builds of the streams that were set last.
+type streams struct {
+	at   map[Key]knownStream
+	ring []Key
+	next int // index of the oldest key, once the ring is full
+}
+
+type knownStream struct {
+	build medlarid.Build
+	at    time.Time
+}
+
+func newStreams(size int) *streams {
+	return &streams{at: map[Key]knownStream{}, ring: make([]Key, 0, size)}
+}
+
+func (s *streams) get(now time.Time, k Key) (medlarid.Build, bool) {
+	b, ok := s.at[k]
+	return b.build, ok && now.Sub(b.at) <= keepKnown
+}
+
+func (s *streams) set(now time.Time, k Key, b medlarid.Build) {
+	_, known := s.at[k]
+	s.at[k] = knownStream{build: b, at: now}
+	switch {
+	case known:
+		return
+	case len(s.ring) < cap(s.ring):
+		s.ring = append(s.ring, k)
+		return
+	}
+	delete(s.at, s.ring[s.next])
+	s.ring[s.next] = k
+	s.next = (s.next + 1) % len(s.ring)
+}
--- a/internal/core/medlarcore/medlarcore.go
+++ b/internal/core/medlarcore/medlarcore.go
@@ -12,6 +12,7 @@
 	"medlarfield/internal/core/medlarlimit"
 	"medlarfield/internal/core/medlaroffload"
 	"medlarfield/internal/core/medlarplacement"
+	"medlarfield/internal/core/medlarresume"
 	"medlarfield/internal/core/medlarretry"
 	"medlarfield/internal/core/medlarroute"
 	"medlarfield/internal/core/medlarwindow"
@@ -49,6 +50,7 @@
 			medlarlag.New(),
 			medlarwindow.New(),
 			medlarcrash.New(),
+			medlarresume.New(),
 			medlarretry.New(),
 			admit,
 			medlaroffload.New(),
@@ -75,7 +77,7 @@
 
 // Next returns the time until the next tick if no events arrive.
 func (c *Core) Next() time.Duration {
-	if len(c.world.Waiting) > 0 || len(c.world.LookingUp) > 0 || c.world.Suspects.Pending() {
+	if len(c.world.Waiting) > 0 || len(c.world.LookingUp) > 0 || c.world.Suspects.Pending() || c.world.Builds.Pending() {
 		return busyInterval
 	}
 	return idleInterval
--- /dev/null
+++ b/internal/core/medlarresume/medlarresume.go
@@ -0,0 +1,210 @@
+// Package medlarresume keeps each stream at upstreams of the software version (build) that began it.
+//
+// Rules:
+//
+//	R1  A new stream that can be resumed is to begin at the build that all instances derive
+//	    for it. If no upstream of that build is usable, or none has room for
+//	    overflowDelay, it begins at another one, which is recorded.
+//	R2  From its first event on, a stream goes on at its build only, within one answer and
+//	    when its caller resumes it at any instance.
+//	R3  A stream whose build is not certain, or has no upstream that does not leave, is
+//	    refused at once.
+package medlarresume
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarbuild"
+	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarworld"
+)
+
+// RetryAfter is the time after which a caller may try again to resume a stream: replicas
+// that crashed are back, and what instances record of streams is read.
+const RetryAfter = time.Second
+
+// overflowDelay is the time that a stream waits for an upstream of its build before it may begin at
+// another one (R1).
+const overflowDelay = 40 * time.Millisecond
+
+// System decides where streams begin and go on.
+type System struct {
+	builds map[medlarid.InstanceID]medlarid.Build // of upstreams, when they were listed last
+}
+
+// New returns a System.
+func New() *System { return &System{} }
+
+// Run handles the events of one tick.
+func (s *System) Run(w *medlarworld.World) {
+	for _, e := range w.Events {
+		switch e := e.(type) {
+		case medlarworld.InstancesListed:
+			countUpstreams(w)
+			s.findChanges(w)
+		case medlarworld.Submitted:
+			prepare(w, e.Run)
+		case medlarworld.AnswerBegan:
+			fix(w, e)
+		case medlarworld.NoticesRead:
+			w.Builds.SetRead(w.Now)
+		case medlarworld.BuildsAssigned:
+			applyAssignment(w, e)
+		case medlarworld.StreamsRecorded:
+			w.Builds.ApplyStreams(w.Now, e.Builds)
+		case medlarworld.RecordsRestored:
+			restore(w)
+		}
+	}
+	endStreams(w)
+	refuseWaiting(w)
+	w.Builds.Update(w.Now)
+	emit(w)
+}
+
+// countUpstreams counts the upstreams of each service by their build.
+func countUpstreams(w *medlarworld.World) {
+	for id, upstreams := range w.Services {
+		counts, listed := map[medlarid.Build]int{}, map[medlarid.Build]bool{}
+		for _, u := range upstreams {
+			if u.Delisted || u.Kind != medlarworld.KindEngine {
+				continue
+			}
+			listed[u.Build] = true
+			if !u.Leaving {
+				counts[u.Build]++
+			}
+		}
+		if len(listed) > 0 {
+			w.Builds.SetUpstreams(id, counts, listed)
+		}
+	}
+}
+
+// findChanges finds upstreams that are listed with another build than before: they have started again
+// under their id. Streams in progress there are at the new build, since those of the earlier
+// start have ended with it.
+func (s *System) findChanges(w *medlarworld.World) {
+	old := s.builds
+	s.builds = make(map[medlarid.InstanceID]medlarid.Build, len(w.Upstreams))
+	for id, u := range w.Upstreams {
+		s.builds[id] = u.Build
+	}
+	for _, r := range w.Streams {
+		if u := r.Upstream; u != nil && r.BuildFixed && u.Build != r.Build && old[u.ID] == r.Build {
+			w.Builds.Began(w.Now, r.Service, r.Stream, told(u))
+			r.Build = told(u)
+		}
+	}
+}
+
+// prepare decides at which build a new run's stream begins or goes on.
+func prepare(w *medlarworld.World, r *medlarworld.Run) {
+	switch {
+	case r.Resumes:
+		build, ok := w.Builds.Resume(w.Now, r.Service, r.Stream)
+		if !ok {
+			build = medlarbuild.Unknown
+		}
+		r.Build, r.BuildFixed = build, build != ""
+	case r.Stream != 0:
+		r.Build = w.Builds.Begin(w.Now, r.Service, r.Stream)
+	}
+	if r.Stream != 0 {
+		w.Streams = append(w.Streams, r)
+	}
+}
+
+// Started reports that an attempt of a run starts at an upstream.
+func Started(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) {
+	if r.Stream != 0 {
+		w.Builds.Start(w.Now, r.Service, r.Stream, told(u))
+	}
+}
+
+// told returns the build that an upstream tells, or medlarbuild.Unknown.
+func told(u *medlarworld.Upstream) medlarid.Build { return cmp.Or(u.Build, medlarbuild.Unknown) }
+
+// fix makes a stream go on at the build that brought its first event (R2).
+func fix(w *medlarworld.World, e medlarworld.AnswerBegan) {
+	r := w.Runs[e.Run]
+	if r == nil || r.Attempt != e.Attempt || r.Upstream == nil || r.Stream == 0 && !r.Resumes {
+		return
+	}
+	if r.Stream != 0 {
+		w.Builds.Began(w.Now, r.Service, r.Stream, told(r.Upstream))
+	}
+	if !w.Builds.Distinct(r.Service) {
+		return
+	}
+	r.Build, r.BuildFixed = told(r.Upstream), true
+}
+
+func applyAssignment(w *medlarworld.World, e medlarworld.BuildsAssigned) {
+	if e.Dropped || w.Builds.ApplyAssignment(w.Now, e.Service, e.Assignment) {
+		restore(w)
+	}
+}
+
+// restore records again what the store has lost.
+func restore(w *medlarworld.World) {
+	for _, c := range w.Builds.Assignments() {
+		w.Emit(medlarworld.AssignBuilds{Service: c.Service, Assignment: c.Assignment})
+	}
+}
+
+// endStreams reports the streams of runs that have ended.
+func endStreams(w *medlarworld.World) {
+	w.Streams = slices.DeleteFunc(w.Streams, func(r *medlarworld.Run) bool {
+		ended := r.Phase == medlarworld.PhaseDone
+		if ended {
+			w.Builds.End(w.Now, r.Stream)
+		}
+		return ended
+	})
+}
+
+// refuseWaiting refuses the waiting runs whose stream can go on nowhere (R3).
+func refuseWaiting(w *medlarworld.World) {
+	kept := w.Waiting[:0]
+	for _, r := range w.Waiting {
+		if !CanGoOn(w, r) {
+			w.Refuse(r, medlarreason.Unresumable, RetryAfter)
+			continue
+		}
+		kept = append(kept, r)
+	}
+	clear(w.Waiting[len(kept):])
+	w.Waiting = kept
+}
+
+// CanGoOn reports whether the stream of a run has an upstream to go on at (R3).
+func CanGoOn(w *medlarworld.World, r *medlarworld.Run) bool {
+	return !r.BuildFixed || slices.ContainsFunc(w.UpstreamsFor(r.Target()), func(u *medlarworld.Upstream) bool {
+		return u.Build == r.Build && !u.Leaving && !u.Delisted
+	})
+}
+
+// MayOverflow reports whether a stream may begin at another build than the derived one (R1).
+func MayOverflow(w *medlarworld.World, r *medlarworld.Run) bool {
+	if r.BuildFixed || r.Build == "" {
+		return false
+	}
+	usable := slices.ContainsFunc(w.UpstreamsFor(r.Target()), func(u *medlarworld.Upstream) bool {
+		return u.Build == r.Build && u.Usable(w.Now)
+	})
+	return !usable || w.Now.Sub(r.Arrived) >= overflowDelay
+}
+
+// emit emits what is to be recorded.
+func emit(w *medlarworld.World) {
+	for _, c := range w.Builds.TakeClaims() {
+		w.Emit(medlarworld.AssignBuilds{Service: c.Service, Assignment: c.Assignment, Claim: true})
+	}
+	if builds, ok := w.Builds.TakeRecord(w.Now); ok {
+		w.Emit(medlarworld.RecordStreams{Builds: builds})
+	}
+}
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -4,7 +4,8 @@
 //
 //	R1  A candidate is usable, serves the model under the desired or the serving
 //	    weight version, has capacity, and was not tried by the run unless all were.
-//	    An answer that has begun continues under its own version only. A version that
+//	    An answer that has begun continues under its own version only, and a stream at
+//	    upstreams of its software version. A version that
 //	    is no longer desired serves nothing once its grace period has passed.
 //	R2  The cost of a candidate is the expected time to first token: its backlog,
 //	    the prefill of what it does not cache, and the zone cost. A deployment that
@@ -34,6 +35,7 @@
 	"medlarfield/internal/core/medlarlag"
 	"medlarfield/internal/core/medlarlimit"
 	"medlarfield/internal/core/medlarplacement"
+	"medlarfield/internal/core/medlarresume"
 	"medlarfield/internal/core/medlarwindow"
 	"medlarfield/internal/core/medlarworld"
 )
@@ -69,6 +71,8 @@
 	model   medlarid.ModelID
 	service medlarid.ServiceID
 	version medlarid.WeightVersion
+	build   medlarid.Build
+	fixed   bool // the build
 }
 
 // option is one way to serve a run.
@@ -113,7 +117,7 @@
 
 // dispatch starts or claims a run and reports whether it left the queue.
 func (s *System) dispatch(w *medlarworld.World, r *medlarworld.Run) bool {
-	need := requirements{model: r.Model, service: r.Service, version: r.Version}
+	need := requirements{model: r.Model, service: r.Service, version: r.Version, build: r.Build, fixed: r.BuildFixed}
 	untried := len(r.Tried) == 0 && r.PinnedVersion == ""
 	if untried && slices.Contains(s.exhausted, need) {
 		return false
@@ -164,6 +168,7 @@
 	decision := medlarworld.Decision{Candidates: s.candidates, Lag: medlarlag.Estimate(w, u)}
 	medlarwindow.Explain(w, r, u, &decision)
 	medlarlimit.Take(u)
+	medlarresume.Started(w, r, u)
 	u.Open++
 	u.InFlightTokens += r.PromptTokens
 	r.ExpectedTTFT = time.Duration(c.ttft * float64(time.Second))
@@ -218,12 +223,9 @@
 // choose returns the option to serve a run by now; ok is false when there is no
 // candidate.
 func (s *System) choose(w *medlarworld.World, r *medlarworld.Run) (best option, ok bool) {
-	s.collect(w, r, scope{})
-	if len(s.options) == 0 && len(w.Engines[r.Model]) > 0 {
-		s.collect(w, r, scope{wholeFleet: true})
-	}
-	if len(s.options) == 0 && len(r.Tried) > 0 {
-		s.collect(w, r, scope{wholeFleet: true, includeTried: true})
+	s.collectAll(w, r, r.Build)
+	if len(s.options) == 0 && medlarresume.MayOverflow(w, r) {
+		s.collectAll(w, r, "")
 	}
 	if len(s.options) == 0 {
 		return option{}, false
@@ -237,6 +239,18 @@
 	return s.pick(w, lowest+tieRatio*math.Abs(lowest)+tieSeconds), true
 }
 
+// collectAll fills s.options with the candidates of a run of a build, or of any if it is empty, in the
+// narrowest scope that has some.
+func (s *System) collectAll(w *medlarworld.World, r *medlarworld.Run, build medlarid.Build) {
+	s.collect(w, r, scope{build: build})
+	if len(s.options) == 0 && len(w.Engines[r.Model]) > 0 {
+		s.collect(w, r, scope{build: build, wholeFleet: true})
+	}
+	if len(s.options) == 0 && len(r.Tried) > 0 {
+		s.collect(w, r, scope{build: build, wholeFleet: true, includeTried: true})
+	}
+}
+
 // pick draws two of the options that cost at most bound and returns the one whose
 // upstream has fewer own attempts (R4).
 func (s *System) pick(w *medlarworld.World, bound float64) option {
@@ -256,22 +270,23 @@
 
 // scope selects the upstreams to consider.
 type scope struct {
-	wholeFleet   bool // also replicas outside the subset
-	includeTried bool // also upstreams that the run has tried
+	wholeFleet   bool           // also replicas outside the subset
+	includeTried bool           // also upstreams that the run has tried
+	build        medlarid.Build // of the upstreams; empty for any
 }
 
 // collect fills s.options with the candidates of a run (R1).
 func (s *System) collect(w *medlarworld.World, r *medlarworld.Run, sc scope) {
 	s.options = s.options[:0]
 	upstreams := w.UpstreamsFor(r.Target())
-	home := homeOf(r, upstreams)
+	home := homeOf(r, upstreams, sc.build)
 	if home != nil {
 		r.HomeZone = home.Zone
 	}
 	for _, u := range upstreams {
 		inScope := u.InSubset || sc.wholeFleet || u == home || r.Service != ""
 		mayTry := sc.includeTried || !slices.Contains(r.Tried, u)
-		if !inScope || !mayTry || !eligible(w, r, u) {
+		if !inScope || !mayTry || sc.build != "" && u.Build != sc.build || !eligible(w, r, u) {
 			continue
 		}
 		c := evaluate(w, r, u)
@@ -285,10 +300,10 @@
 	}
 }
 
-// homeOf returns the replica with the highest rank for a run's home key or, without
+// homeOf returns the replica of a build, or of any, with the highest rank for a run's home key or, without
 // one, for its conversation, which the first segment of blocks identifies. It returns
 // nil for a short prompt (R7).
-func homeOf(r *medlarworld.Run, upstreams []*medlarworld.Upstream) *medlarworld.Upstream {
+func homeOf(r *medlarworld.Run, upstreams []*medlarworld.Upstream, build medlarid.Build) *medlarworld.Upstream {
 	if len(r.Keys) == 0 {
 		return nil
 	}
@@ -299,7 +314,7 @@
 	var best *medlarworld.Upstream
 	var highest uint64
 	for _, u := range upstreams {
-		if u.Leaving || u.Delisted {
+		if u.Leaving || u.Delisted || build != "" && u.Build != build {
 			continue
 		}
 		if rank := medlarkey.Rendezvous(k, u.ID); best == nil || rank > highest {
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -15,8 +15,11 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarbacklog"
+	"medlarfield/internal/core/medlarbuild"
 	"medlarfield/internal/core/medlarcacheindex"
 	"medlarfield/internal/core/medlardecay"
 	"medlarfield/internal/core/medlarhistory"
@@ -291,11 +294,19 @@
 	// StartBy is the latest time at which an attempt can still meet TargetTTFT, and
 	// AbandonAt the time at which the caller leaves if no answer has begun; zero if they
 	// are not known.
-	TargetTTFT   time.Duration // longest time to first token of an answer in time; 0 if not known
-	StartBy      time.Time
-	AbandonAt    time.Time
-	Late         bool // StartBy has passed
-	LastFailure  medlarreason.Reason
+	TargetTTFT  time.Duration // longest time to first token of an answer in time; 0 if not known
+	StartBy     time.Time
+	AbandonAt   time.Time
+	Late        bool // StartBy has passed
+	LastFailure medlarreason.Reason
+	// Stream identifies the stream that the run begins or resumes; 0 for one that cannot be resumed
+	// elsewhere, or that the caller does not name.
+	Stream  medlarbuild.Key
+	Resumes bool // the run goes on with a stream that the caller has the beginning of
+	// Build is where the stream is to begin, if an upstream there can take it, or where it has
+	// to go on if BuildFixed is set; empty for any.
+	Build        medlarid.Build
+	BuildFixed   bool
 	Crashes      int                 // replicas that crashed before they sent a part of its answer
 	Trial        bool                // goes on although it has a blocked trait
 	BlockedTrait medlarsuspect.Trait // for which the run is refused
@@ -337,6 +348,8 @@
 	Exported  *medlarkey.Set // last keys of exported segments
 
 	Backlogs map[Target]*medlarbacklog.Backlog // of all upstreams of a target together
+	Builds   *medlarbuild.Table                // at which builds streams begin and go on
+	Streams  []*Run                            // runs with a stream
 	Suspects *medlarsuspect.Table              // traits of requests that crash replicas
 	Trials   []*Run                            // runs that were admitted as trials of blocked traits
 
@@ -353,6 +366,10 @@
 	maxExportedSegments = 1 << 14 // segments recorded as exported to a store
 )
 
+// maxJitter is the longest time by which an instance waits longer than others before it claims
+// what several may claim.
+const maxJitter = 200 * time.Millisecond
+
 // New returns a world with empty tables.
 func New(cfg Config) *World {
 	return &World{
@@ -368,6 +385,7 @@
 		Runs:        map[medlarid.RequestID]*Run{},
 		Backlogs:    map[Target]*medlarbacklog.Backlog{},
 		Suspects:    medlarsuspect.New(),
+		Builds:      medlarbuild.New(time.Duration(xxh3.HashString(string(cfg.Self)) % uint64(maxJitter))),
 		RetryTokens: map[Target]float64{},
 		Warm:        medlarcacheindex.New(maxCachedKeys, cfg.MaxHolders),
 		Exported:    medlarkey.NewSet(maxExportedSegments),
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarbuild"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarsuspect"
@@ -243,6 +244,22 @@
 	Rates    Rates
 }
 
+// NoticesRead reports that the records of all instances are known as of now.
+type NoticesRead struct{}
+
+// BuildsAssigned carries the assignment of a service's streams to builds. Dropped is set if it is
+// gone.
+type BuildsAssigned struct {
+	Service    medlarid.ServiceID
+	Assignment medlarbuild.Assignment
+	Dropped    bool
+}
+
+// StreamsRecorded carries streams of another instance and the builds at which they go on.
+type StreamsRecorded struct {
+	Builds map[medlarbuild.Key]medlarid.Build
+}
+
 // TransferEnded reports the end of a transfer over the link to a store.
 type TransferEnded struct {
 	Store  medlarid.InstanceID
@@ -280,6 +297,9 @@
 func (BlockRecorded) event()     {}
 func (TrialGranted) event()      {}
 func (RecordsRestored) event()   {}
+func (NoticesRead) event()       {}
+func (BuildsAssigned) event()    {}
+func (StreamsRecorded) event()   {}
 func (InventoryReported) event() {}
 func (RecordsCurrent) event()    {}
 func (WeightsLoading) event()    {}
@@ -433,6 +453,19 @@
 	Rates  Rates
 }
 
+// AssignBuilds asks to record the assignment of a service's streams to builds for all instances. With
+// Claim set it counts only if no other instance has recorded anything meanwhile.
+type AssignBuilds struct {
+	Service    medlarid.ServiceID
+	Assignment medlarbuild.Assignment
+	Claim      bool
+}
+
+// RecordStreams asks to record this instance's streams whose build no other one can derive.
+type RecordStreams struct {
+	Builds map[medlarbuild.Key]medlarid.Build
+}
+
 // ProbeUpstream asks whether an upstream that ended connections is down.
 type ProbeUpstream struct {
 	Upstream    medlarid.InstanceID
@@ -456,6 +489,8 @@
 func (ProbeUpstream) command() {}
 func (ReportCrash) command()   {}
 func (RecordBlock) command()   {}
+func (AssignBuilds) command()  {}
+func (RecordStreams) command() {}
 func (BlockChanged) command()  {}
 func (Refuse) command()        {}
 func (LookUp) command()        {}
--- a/internal/edge/medlarproxy/exchange.go
+++ b/internal/edge/medlarproxy/exchange.go
@@ -99,7 +99,11 @@
 	if x.call.Model != "" {
 		q.Serving, q.Desired = x.proxy.deps.Versions(x.call.Model)
 	}
-	x.run = medlarrun.New(q, x.proxy.runID(x.call.ID), x.route.PickService(x.proxy.deps.Rand()))
+	at := x.proxy.deps.Rand()
+	if stream, _ := q.Stream(); stream != 0 {
+		at = stream.Fraction() // a stream goes on at the service that began it
+	}
+	x.run = medlarrun.New(q, x.proxy.runID(x.call.ID), x.route.PickService(at))
 	x.summary.Service = x.run.Service
 }
 
--- a/internal/edge/medlarrun/medlarrun.go
+++ b/internal/edge/medlarrun/medlarrun.go
@@ -8,6 +8,7 @@
 	"medlarfield/internal/agree/medlarcatalog"
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarbuild"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarsuspect"
 	"medlarfield/internal/core/medlarworld"
@@ -47,6 +48,7 @@
 		Deadline:     q.Arrived.Add(q.timeout()),
 		Traits:       q.wholeTraits(),
 	}
+	r.Stream, r.Resumes = q.Stream()
 	if q.Route.Kind == medlarcatalog.KindStream {
 		r.TargetTTFT = q.Route.TargetLatency
 		r.StartBy = q.Arrived.Add(q.Route.TargetLatency - startMargin)
@@ -58,6 +60,23 @@
 	return r
 }
 
+// Stream returns what identifies the stream that the request begins or resumes; 0 for a stream that
+// cannot be resumed, or one that the client resumes without naming it. resumes reports whether
+// the client has the beginning of the stream.
+func (q *Request) Stream() (k medlarbuild.Key, resumes bool) {
+	if q.Route.Kind != medlarcatalog.KindStream || !q.Route.Resumable {
+		return 0, false
+	}
+	resumes = q.Call.LastEventID != ""
+	switch {
+	case !resumes:
+		return medlarbuild.KeyOf(q.Account.ID, q.Call.ID), false
+	case q.Call.Resumes == "":
+		return 0, true
+	}
+	return medlarbuild.KeyOf(q.Account.ID, q.Call.Resumes), true
+}
+
 // timeout returns the time until the deadline, the earlier of the client's and the route's.
 func (q *Request) timeout() time.Duration {
 	if q.Call.Timeout == 0 || q.Route.Timeout > 0 && q.Route.Timeout < q.Call.Timeout {
--- a/internal/ops/medlarattachednode/builds_test.go
+++ b/internal/ops/medlarattachednode/builds_test.go
@@ -266,6 +266,11 @@
 	}{
 		{name: "replicas that crash", instances: 1, during: func(f *buildFleet) { f.crashSome(6, 700*time.Millisecond) }},
 		{name: "replicas that crash under the same id", instances: 3, change: func(s *medlarsite.Settings) { s.KeepID = true }, during: func(f *buildFleet) { f.crashSome(6, 700*time.Millisecond) }},
+		{name: "replicas that start again as another version under the same id", instances: 3, change: func(s *medlarsite.Settings) { s.KeepID, s.NextBuild, s.RestartDelay = true, "v3", 100*time.Millisecond }, during: func(f *buildFleet) {
+			f.crashSome(2, 600*time.Millisecond)
+			f.kill(0, 300*time.Millisecond)
+			f.crashSome(1, 600*time.Millisecond)
+		}},
 		{name: "instances that are killed", instances: 5, during: func(f *buildFleet) {
 			for i := range 5 {
 				time.Sleep(700 * time.Millisecond)
@@ -323,6 +328,9 @@
 		{name: "a store that comes back from a copy", instances: 3, during: func(f *buildFleet) {
 			time.Sleep(time.Second)
 			f.site.Store.Rewind(20)
+			if err := f.site.Change(func(*medlarsite.Config) {}); err != nil { // the operator writes again
+				f.t.Error(err)
+			}
 			time.Sleep(time.Second)
 			f.kill(0, 300*time.Millisecond)
 			f.kill(1, 300*time.Millisecond)
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -205,6 +205,7 @@
 				page, err := s.Newest(topic, after, newConn)
 				if err == nil && topic == medlarplatform.TopicNotices {
 					board.SetEnd(page.EndOffset)
+					loop.Post(medlarworld.NoticesRead{})
 				}
 				return page, err
 			},
@@ -216,6 +217,7 @@
 					loop.Post(medlarworld.RecordsCurrent{At: time.Now()})
 				case topic == medlarplatform.TopicNotices && !b.Truncated:
 					board.SetEnd(b.NextOffset)
+					loop.Post(medlarworld.NoticesRead{})
 				}
 				return b, err
 			},
--- a/internal/ops/medlarloop/medlarloop.go
+++ b/internal/ops/medlarloop/medlarloop.go
@@ -47,7 +47,10 @@
 	// RecordLimit and RecordNeed are needed where upstreams name limits.
 	RecordLimit func(medlarworld.RecordLimit)
 	RecordNeed  func(medlarworld.RecordNeed)
-	OnTick      func(waiting, open int)
+	// AssignBuilds and RecordStreams are needed where upstreams tell their builds.
+	AssignBuilds  func(medlarworld.AssignBuilds)
+	RecordStreams func(medlarworld.RecordStreams)
+	OnTick        func(waiting, open int)
 }
 
 // Versions are the weight versions of a model: the one that most replicas serve
@@ -243,6 +246,10 @@
 		l.deps.RecordLimit(c)
 	case medlarworld.RecordNeed:
 		l.deps.RecordNeed(c)
+	case medlarworld.AssignBuilds:
+		l.deps.AssignBuilds(c)
+	case medlarworld.RecordStreams:
+		l.deps.RecordStreams(c)
 	case medlarworld.RequestShares:
 		go l.deps.RequestShares(c)
 	case medlarworld.ProbeUpstream:
--- a/internal/ops/medlarnotifier/medlarnotifier.go
+++ b/internal/ops/medlarnotifier/medlarnotifier.go
@@ -38,6 +38,7 @@
 	mu    sync.Mutex
 	slots [crashSlots]medlarsuspect.CrashID // crashes that this instance has a record of in the store
 	next  int                               // slot of the next crash
+	start string                            // distinguishes the starts of this instance
 }
 
 // Deps are what a Notifier depends on.
@@ -54,12 +55,15 @@
 }
 
 // New returns a Notifier. SetPost is called before it is used.
-func New(deps Deps) *Notifier { return &Notifier{deps: deps} }
+func New(deps Deps) *Notifier {
+	return &Notifier{deps: deps, start: strconv.FormatInt(time.Now().UnixMilli(), 36)}
+}
 
 // SetPost sets the function that passes events to the core.
 func (n *Notifier) SetPost(post func(medlarworld.Event)) { n.post = post }
 
-// AddTo adds to d the functions that carry out the core's commands about crashes and limits.
+// AddTo adds to d the functions that carry out the core's commands about what all instances have
+// to know.
 func (n *Notifier) AddTo(d *medlarloop.Deps) {
 	d.ProbeUpstream = n.probe
 	d.ReportCrash = n.reportCrash
@@ -67,6 +71,8 @@
 	d.OnBlock = n.logBlock
 	d.RecordLimit = n.recordLimit
 	d.RecordNeed = n.recordNeed
+	d.AssignBuilds = n.assignBuilds
+	d.RecordStreams = n.recordStreams
 }
 
 // probe finds out whether a replica is down: whether it refuses connections.
@@ -196,12 +202,16 @@
 // Apply passes the records of other instances to the core.
 func (n *Notifier) Apply(records []medlarfeed.Record, _ bool) {
 	for _, r := range records {
+		n.removeEarlier(r)
 		e, err := medlarnotice.Decode(medlarnotice.Record{Key: r.Key, Value: r.Value})
 		switch {
 		case err != nil:
 			n.deps.CallFailed()
 			n.deps.Log.Warn().Str("event", "notice").Str("key", r.Key).Err(err).Msg("notice is ignored")
 		case e != nil:
+			if a, ok := e.(medlarworld.BuildsAssigned); ok && !a.Dropped {
+				n.logAssignment(a)
+			}
 			n.post(e)
 		}
 	}
--- a/internal/stand/medlarsite/crash.go
+++ b/internal/stand/medlarsite/crash.go
@@ -1,6 +1,7 @@
 package medlarsite
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"sync"
@@ -105,6 +106,7 @@
 	s.after(s.settings.RestartDelay, func() {
 		next := r.Settings
 		next.Born++
+		next.Build = cmp.Or(s.settings.NextBuild, next.Build)
 		if !s.settings.KeepID {
 			next.ID = fmt.Sprintf("%s-c%d", next.Service, number)
 		}
