Begin streams by a changed assignment once all instances have read it

Now each instance records that it has read an assignment, and then that its streams begin by it. Streams begin by it once all have read it, or after 3.6 s, when one that has not read it knows that it is cut off and resumes nothing unknown any longer (records older than 2.6 s count for nothing). A bucket is settled a second after the streams of all begin by it; one that does not follow for 20 s counts as gone. That it is settled is recorded, so that new instances need not guess the age of a change. An instance whose records the store does not accept for 0.2 s begins streams elsewhere only if the derived version has no usable replica.

--- a/internal/agree/medlarnotice/build.go
+++ b/internal/agree/medlarnotice/build.go
@@ -106,6 +106,27 @@
 	return out, nil
 }
 
+// seenRecord is which assignments an instance has read, and by which its streams begin: the serial number
+// of each service's.
+type seenRecord struct {
+	Read map[medlarid.ServiceID]uint64 `json:"read,omitempty"`
+	Used map[medlarid.ServiceID]uint64 `json:"used,omitempty"`
+}
+
+// EncodeSeen returns the record of how far an instance follows the assignments.
+func EncodeSeen(by medlarid.InstanceID, c medlarworld.RecordSeen) (Record, error) {
+	b, err := json.Marshal(seenRecord(c.Seen))
+	return Record{Key: seenPrefix + string(by), Value: b}, err
+}
+
+func decodeSeen(r Record, by medlarid.InstanceID) (medlarworld.Event, error) {
+	var in seenRecord
+	if err := decode(r, &in); err != nil || len(r.Value) == 0 {
+		return nil, err
+	}
+	return medlarworld.AssignmentsSeen{Instance: by, Seen: medlarbuild.Seen(in)}, nil
+}
+
 // EncodeStreams returns the record with a key of streams whose software version no other instance can
 // derive.
 func EncodeStreams(key string, c medlarworld.RecordStreams) (Record, error) {
--- a/internal/agree/medlarnotice/crash.go
+++ b/internal/agree/medlarnotice/crash.go
@@ -19,6 +19,7 @@
 	// assignmentPrefix is followed by the service, and streamsPrefix by the instance and its start.
 	assignmentPrefix = "build/"
 	streamsPrefix    = "streams/"
+	seenPrefix       = "seen/" // followed by the instance
 )
 
 // maxReportTraits is the maximum number of traits in a record of a crash, which bounds its size
@@ -93,6 +94,9 @@
 	if id, ok := strings.CutPrefix(r.Key, assignmentPrefix); ok {
 		return decodeAssignment(r, medlarid.ServiceID(id))
 	}
+	if id, ok := strings.CutPrefix(r.Key, seenPrefix); ok {
+		return decodeSeen(r, medlarid.InstanceID(id))
+	}
 	if strings.HasPrefix(r.Key, streamsPrefix) {
 		return decodeStreams(r)
 	}
--- a/internal/agree/medlarnotice/medlarnotice.go
+++ b/internal/agree/medlarnotice/medlarnotice.go
@@ -85,8 +85,9 @@
 
 // Board writes records. It is safe for concurrent use.
 type Board struct {
-	deps Deps
-	wake chan struct{}
+	deps      Deps
+	wake      chan struct{}
+	onWritten func()
 
 	mu      sync.Mutex
 	pending map[string][]byte
@@ -97,9 +98,13 @@
 
 // New returns a board; Run makes it write.
 func New(deps Deps) *Board {
-	return &Board{deps: deps, wake: make(chan struct{}, 1), pending: map[string][]byte{}}
+	return &Board{deps: deps, wake: make(chan struct{}, 1), pending: map[string][]byte{}, onWritten: func() {}}
 }
 
+// SetOnWritten sets the function that is called after each call that has written queued records. It
+// is called before Run.
+func (b *Board) SetOnWritten(f func()) { b.onWritten = f }
+
 // Put queues a record (R1).
 func (b *Board) Put(r Record) {
 	b.mu.Lock()
@@ -161,6 +166,7 @@
 				continue
 			}
 			failures = 0
+			b.onWritten()
 		}
 	}
 }
--- a/internal/core/medlarbuild/assignment.go
+++ b/internal/core/medlarbuild/assignment.go
@@ -46,7 +46,8 @@
 	assigned   bool
 	assignment Assignment
 	readAt     time.Time // of assignment
-	late       bool      // assignment may have been recorded long before
+	used       bool      // streams of this instance begin by assignment
+	usedAt     time.Time // since when those of all instances are known to; zero if they do not
 	needSince  time.Time // a change has been needed since then; zero if none is
 	claimUntil time.Time // a claim is in flight until then
 }
@@ -100,26 +101,25 @@
 	return s.sole, true
 }
 
-// derive returns the build at which a stream begins now, whether each other instance has derived
-// the same one, and whether its bucket is not settled (R2, R3).
-func (s *service) derive(now time.Time, k Key) (build medlarid.Build, certain, unsettled bool) {
+// derive returns the build at which a stream begins now, and whether each other instance derives the
+// same one for all streams of its bucket that are not recorded (R2, R3).
+func (s *service) derive(now time.Time, k Key) (build medlarid.Build, certain bool) {
 	if !s.assigned {
-		return s.sole, s.sole != "", s.sole == ""
+		return s.sole, s.sole != ""
 	}
 	from, to := s.assignment.From[k.bucket()], s.assignment.To[k.bucket()]
-	age := now.Sub(s.readAt)
 	switch {
-	case from == to || age >= settleTime:
-		return to, true, false
-	case s.late || age >= changeDelay:
-		return to, false, true
+	case from == to || s.settled(now):
+		return to, true
+	case s.used:
+		return to, false
 	}
-	return from, age < changeDelay-readSkew && from != "", true
+	return from, false
 }
 
 // settled reports whether all buckets are settled.
 func (s *service) settled(now time.Time) bool {
-	return !s.assigned || s.assignment.From == s.assignment.To || now.Sub(s.readAt) >= settleTime
+	return !s.assigned || s.assignment.From == s.assignment.To || !s.usedAt.IsZero() && now.Sub(s.usedAt) >= settleTime
 }
 
 // ApplyAssignment applies a recorded assignment. It reports whether the record is older than
@@ -136,11 +136,11 @@
 		}
 		return a.Serial < s.assignment.Serial
 	}
-	skipped := s.assigned && a.Serial > s.assignment.Serial+1
-	s.late = t.late || skipped
 	s.assigned, s.assignment, s.readAt = true, a, now
+	s.used, s.usedAt = a.From == a.To, time.Time{}
 	s.needSince, s.claimUntil = time.Time{}, time.Time{}
 	t.exceptOpen(id, &a)
+	t.seenDirty = true
 	return false
 }
 
@@ -164,6 +164,7 @@
 		}
 	}
 	t.dirty = t.dirty || len(t.exceptions) > 0
+	t.seenDirty = true
 	return out
 }
 
@@ -171,6 +172,7 @@
 func (t *Table) Update(now time.Time) {
 	for _, id := range slices.Sorted(maps.Keys(t.services)) {
 		s := t.services[id]
+		t.updateSeen(now, id, s)
 		if t.stale(now) || !s.settled(now) {
 			s.needSince = time.Time{}
 			continue
@@ -204,7 +206,7 @@
 // cannot tell when a change was recorded.
 func (t *Table) recordSettled(now time.Time, id medlarid.ServiceID, s *service) {
 	a := s.assignment
-	if a.From == a.To || now.Sub(s.readAt) < settleTime+settleSpread*t.jitter || now.Before(s.claimUntil) {
+	if a.From == a.To || now.Sub(s.usedAt) < settleTime+settleSpread*t.jitter || now.Before(s.claimUntil) {
 		return
 	}
 	a.From = a.To
--- a/internal/core/medlarbuild/medlarbuild.go
+++ b/internal/core/medlarbuild/medlarbuild.go
@@ -9,15 +9,18 @@
 //	    which build the streams of a bucket begin. All instances read the same assignment, so
 //	    each derives the build of a stream from what the caller repeats.
 //	R3  The assignment follows the upstreams: a change is claimed through the store, so that of
-//	    several only one counts, and only once it is needed for a while. Instances begin streams by
-//	    it changeDelay after they have read it. A bucket that changes is settled after settleTime.
+//	    several only one counts, and only once it is needed for a while. Each instance records
+//	    that it has read it. Streams begin by it once all have, or after fenceTime, when an
+//	    instance that has not read it knows that it is cut off. Each records that, too, and a
+//	    bucket that changes is settled a while after all have. An instance that does not for
+//	    goneTime counts as gone.
 //	R4  Exceptions are recorded for all instances: streams in progress in a bucket that
 //	    changes, streams that begin in one that is not settled, and streams that begin at
 //	    another build than the derived one, since that has no upstream that can take them.
 //	R5  A stream is resumed at the build that this instance knows, that is recorded, or that is
 //	    derived, in this order. It is not resumed if the derived one is not certain: in a bucket
-//	    that may have changed at another instance already, without a named stream, or if the instance has not read
-//	    the records for maxAge.
+//	    that is not settled, without a named stream, or if the instance has not read the
+//	    records for maxAge.
 //	R6  A service with one build so far needs no assignment. Upstreams whose build is not known
 //	    get streams that can be resumed only if there are no others, and these are
 //	    never resumed.
@@ -35,18 +38,20 @@
 
 // Times of the rules.
 const (
-	changeDelay = time.Second             // from the read of a change until streams begin by it (R3)
-	settleTime  = 2 * time.Second         // from the read of a change until each instance begins streams by it, and all records of others are read
-	readSkew    = 400 * time.Millisecond  // by which instances that reach the store read a record at different times
-	lateGap     = 2400 * time.Millisecond // between two reads; after a longer one a record may be old
-	maxAge      = 3500 * time.Millisecond // of the last read, beyond which nothing can be derived (R5)
-	keepEnded   = 20 * time.Second        // a stream may be resumed for this time after its end
-	keepKnown   = time.Minute             // a recorded stream is remembered for this time
+	maxAge     = 2600 * time.Millisecond // of the last read, beyond which nothing can be derived (R5)
+	fenceTime  = maxAge + time.Second    // from the read of a change until streams begin by it at the latest (R3)
+	settleTime = time.Second             // in which all instances read what others have recorded before
+	goneTime   = 20 * time.Second        // from the read of a change until an instance that does not follow counts as gone
+	writeTime  = 200 * time.Millisecond  // longest time of a write to a store that can be reached
+	idleTime   = 2500 * time.Millisecond // longest time between two reads of an instance that reaches the store
+	keepEnded  = 20 * time.Second        // a stream may be resumed for this time after its end
+	keepKnown  = time.Minute             // a recorded stream is remembered for this time
 )
 
 // Bounds (R7).
 const (
 	maxKnown      = 1 << 15 // streams whose build is remembered
+	maxMembers    = 4096    // instances that are known
 	maxExceptions = 2048    // streams in this instance's record
 )
 
@@ -74,14 +79,16 @@
 type Table struct {
 	jitter     time.Duration // this instance waits longer than others before it claims a change
 	services   map[medlarid.ServiceID]*service
-	readAt     time.Time // of the records; zero for never
-	late       bool      // the last read came after a long gap
+	readAt     time.Time                    // of the records; zero for never
+	members    map[medlarid.InstanceID]Seen // how far instances follow, this one included
+	seenDirty  bool                         // how far this instance follows is to be recorded
 	open       map[Key]stream
 	known      *streams // served by this instance, or recorded by another one
 	exceptions map[Key]exception
 	dirty      bool // the exceptions are to be recorded
 	recordedAt time.Time
-	recorded   bool // a record of this instance exists
+	recorded   bool      // a record of this instance exists
+	unwritten  time.Time // of the first record that the store has not accepted yet; zero for none
 	claims     []Claim
 }
 
@@ -99,12 +106,12 @@
 
 // New returns an empty table. jitter differs among instances.
 func New(jitter time.Duration) *Table {
-	return &Table{jitter: jitter, services: map[medlarid.ServiceID]*service{}, open: map[Key]stream{}, known: newStreams(maxKnown), exceptions: map[Key]exception{}}
+	return &Table{jitter: jitter, services: map[medlarid.ServiceID]*service{}, members: map[medlarid.InstanceID]Seen{}, open: map[Key]stream{}, known: newStreams(maxKnown), exceptions: map[Key]exception{}}
 }
 
 // SetRead reports that the records of all instances are known as of now.
 func (t *Table) SetRead(now time.Time) {
-	t.late = now.Sub(t.readAt) > lateGap
+	t.seenDirty = t.seenDirty || t.readAt.IsZero()
 	t.readAt = now
 }
 
@@ -117,13 +124,23 @@
 	return s != nil && s.distinct()
 }
 
+// CanRecord reports whether this instance reaches the store, as far as it knows, so that what it records
+// is read.
+func (t *Table) CanRecord(now time.Time) bool {
+	written := t.unwritten.IsZero() || now.Sub(t.unwritten) <= writeTime
+	return written && now.Sub(t.readAt) <= idleTime
+}
+
+// SetWritten reports that the store has accepted records of this instance.
+func (t *Table) SetWritten() { t.unwritten = time.Time{} }
+
 // Begin returns the build at which a new stream begins; empty for any.
 func (t *Table) Begin(now time.Time, id medlarid.ServiceID, k Key) medlarid.Build {
 	s := t.services[id]
 	if s == nil || !s.distinct() {
 		return ""
 	}
-	build, _, _ := s.derive(now, k)
+	build, _ := s.derive(now, k)
 	return build
 }
 
@@ -142,7 +159,7 @@
 	case k == 0:
 		return s.only()
 	}
-	build, certain, _ := s.derive(now, k)
+	build, certain := s.derive(now, k)
 	return build, certain && build != ""
 }
 
@@ -152,9 +169,9 @@
 	if s == nil || !s.distinct() {
 		return
 	}
-	derived, certain, unsettled := s.derive(now, k)
+	derived, certain := s.derive(now, k)
 	_, before := t.exceptions[k]
-	if certain && !unsettled && derived == build && !before && !t.stale(now) {
+	if certain && derived == build && !before && !t.stale(now) {
 		return
 	}
 	t.except(k, build)
@@ -217,7 +234,7 @@
 
 // TakeRecord returns this instance's exceptions if they are to be recorded: they have changed, or none is left.
 func (t *Table) TakeRecord(now time.Time) (builds map[Key]medlarid.Build, ok bool) {
-	if now.Sub(t.recordedAt) < recordInterval {
+	if now.Sub(t.recordedAt) < recordInterval && !t.seenDirty {
 		return nil, false
 	}
 	maps.DeleteFunc(t.exceptions, func(_ Key, e exception) bool { return !e.until.IsZero() && now.After(e.until) })
@@ -229,6 +246,9 @@
 		builds[k] = e.build
 	}
 	t.dirty, t.recordedAt, t.recorded = false, now, len(builds) > 0
+	if t.unwritten.IsZero() {
+		t.unwritten = now
+	}
 	return builds, true
 }
 
@@ -240,7 +260,17 @@
 }
 
 // Pending reports whether an update is due soon.
-func (t *Table) Pending() bool { return t.dirty }
+func (t *Table) Pending() bool {
+	if t.dirty || t.seenDirty {
+		return true
+	}
+	for _, s := range t.services {
+		if s.assigned && s.assignment.From != s.assignment.To {
+			return true
+		}
+	}
+	return false
+}
 
 // streams remembers the builds of the streams that were set last.
 type streams struct {
--- a/internal/core/medlarbuild/medlarbuild_test.go
+++ b/internal/core/medlarbuild/medlarbuild_test.go
@@ -26,7 +26,6 @@
 func newBench(t *testing.T, upstreams builds) *bench {
 	b := &bench{t: t, table: New(0), now: epoch}
 	b.table.SetRead(b.now)
-	b.table.SetRead(b.now)
 	b.list(upstreams)
 	return b
 }
@@ -61,6 +60,11 @@
 	return claims[0].Assignment
 }
 
+// seen lets an instance have read an assignment, and use one.
+func (b *bench) seen(by medlarid.InstanceID, read, used uint64) {
+	b.table.ApplySeen(by, Seen{Read: map[medlarid.ServiceID]uint64{engines: read}, Used: map[medlarid.ServiceID]uint64{engines: used}})
+}
+
 func (b *bench) counts(buckets Buckets) builds {
 	out := builds{}
 	for _, v := range buckets {
@@ -190,7 +194,8 @@
 		b.list(two)
 		b.assign(b.advance(time.Second, true))
 		b.list(builds{"v1": 1, "v2": 11})
-		if got := b.advance(settleTime-100*time.Millisecond, true); len(got) > 0 {
+		b.seen("other", 0, 0)
+		if got := b.advance(fenceTime, true); len(got) > 0 {
 			t.Errorf("claims %v, want none", got)
 		}
 	})
@@ -227,42 +232,54 @@
 		}
 		return k, kept
 	}
-	t.Run("until a change takes effect", func(t *testing.T) {
-		b := change(t)
-		k, kept := moved(b)
-		if got := b.table.Begin(b.now, engines, k); got != "v1" {
-			t.Errorf("a stream begins at %s, want v1", got)
+	assertBegins := func(b *bench, k Key, want medlarid.Build) {
+		b.t.Helper()
+		if got := b.table.Begin(b.now, engines, k); got != want {
+			b.t.Errorf("a stream begins at %s, want %s", got, want)
 		}
-		b.assertResume(k, "v1", true)
-		b.assertResume(kept, "v1", true)
-	})
-	t.Run("while instances may differ", func(t *testing.T) {
+	}
+	t.Run("until all instances have read a change", func(t *testing.T) {
 		b := change(t)
 		k, kept := moved(b)
-		for _, d := range []time.Duration{changeDelay - readSkew, readSkew, settleTime - changeDelay - 100*time.Millisecond} {
-			b.advance(d, true)
-			b.assertResume(k, "", false)
-			b.assertResume(kept, "v1", true)
-		}
-		if got := b.table.Begin(b.now, engines, k); got != "v2" {
-			t.Errorf("a stream begins at %s, want v2", got)
-		}
+		b.seen("self", 1, 0)
+		b.seen("other", 0, 0)
+		b.advance(maxAge, true)
+		assertBegins(b, k, "v1")
+		b.assertResume(k, "", false)
+		b.assertResume(kept, "v1", true)
+		b.seen("other", 1, 0)
+		b.advance(10*settleTime, true)
+		assertBegins(b, k, "v2")
+		b.assertResume(k, "", false)
+		b.assertResume(kept, "v1", true)
+		b.seen("self", 1, 1)
+		b.seen("other", 1, 1)
+		b.advance(settleTime/2, true)
+		assertBegins(b, k, "v2")
+		b.assertResume(k, "", false)
+		b.assertResume(kept, "v1", true)
+		b.advance(settleTime, true)
+		assertBegins(b, k, "v2")
+		b.assertResume(k, "v2", true)
 	})
-	t.Run("while instances may differ, of a recorded stream", func(t *testing.T) {
+	t.Run("of a recorded stream meanwhile", func(t *testing.T) {
 		b := change(t)
 		k, _ := moved(b)
-		b.advance(changeDelay, true)
+		b.seen("other", 0, 0)
 		b.table.ApplyStreams(b.now, map[Key]medlarid.Build{k: "v1"})
 		b.assertResume(k, "v1", true)
 	})
-	t.Run("once settled", func(t *testing.T) {
+	t.Run("while an instance does not read a change", func(t *testing.T) {
 		b := change(t)
 		k, _ := moved(b)
-		b.advance(settleTime, true)
+		b.seen("cut off", 0, 0)
+		b.advance(fenceTime, true)
+		assertBegins(b, k, "v2")
+		b.assertResume(k, "", false)
+		b.advance(goneTime-fenceTime, true)
+		b.assertResume(k, "", false)
+		b.advance(settleTime+100*time.Millisecond, true)
 		b.assertResume(k, "v2", true)
-		if got := b.table.Begin(b.now, engines, k); got != "v2" {
-			t.Errorf("a stream begins at %s, want v2", got)
-		}
 	})
 	t.Run("at an instance that starts after a change", func(t *testing.T) {
 		b := change(t)
@@ -274,8 +291,15 @@
 		late.table.ApplyAssignment(late.now, engines, a)
 		late.assertResume(k, "", false)
 		late.assertResume(kept, "v1", true)
-		late.advance(settleTime, true)
+		late.seen("other", 1, 1)
+		late.advance(settleTime+100*time.Millisecond, true)
 		late.assertResume(k, "v2", true)
+		a.From = a.To // others have recorded that it is settled
+		later := &bench{t: t, table: New(0), now: b.now}
+		later.table.SetRead(later.now)
+		later.list(builds{"v1": 6, "v2": 6})
+		later.table.ApplyAssignment(later.now, engines, a)
+		later.assertResume(k, "v2", true)
 	})
 	t.Run("without a named stream", func(t *testing.T) {
 		b := newBench(t, builds{"v1": 12})
@@ -312,7 +336,7 @@
 		b := newBench(t, builds{"v1": 12})
 		b.list(builds{"v1": 6, "v2": 6})
 		b.assign(b.advance(time.Second, true))
-		b.advance(settleTime, true)
+		b.advance(settleTime+100*time.Millisecond, true)
 		return b
 	}
 	derived := func(b *bench, k Key) medlarid.Build { return b.table.Begin(b.now, engines, k) }
--- a/internal/core/medlarresume/medlarresume.go
+++ b/internal/core/medlarresume/medlarresume.go
@@ -3,8 +3,8 @@
 // Rules:
 //
 //	R1  A new stream that can be resumed is to begin at the build that all instances derive
-//	    for it. If no upstream of that build is usable, or none has room for
-//	    overflowDelay, it begins at another one, which is recorded.
+//	    for it. If no upstream of that build is usable, or none has room for overflowDelay,
+//	    it begins at another one, which is recorded; without the store only if none is usable.
 //	R2  From its first event on, a stream goes on at its build only, within one answer and
 //	    when its caller resumes it at any instance.
 //	R3  A stream whose build is not certain, or has no upstream that does not leave, is
@@ -51,8 +51,12 @@
 			fix(w, e)
 		case medlarworld.NoticesRead:
 			w.Builds.SetRead(w.Now)
+		case medlarworld.NoticesWritten:
+			w.Builds.SetWritten()
 		case medlarworld.BuildsAssigned:
 			applyAssignment(w, e)
+		case medlarworld.AssignmentsSeen:
+			w.Builds.ApplySeen(e.Instance, e.Seen)
 		case medlarworld.StreamsRecorded:
 			w.Builds.ApplyStreams(w.Now, e.Builds)
 		case medlarworld.RecordsRestored:
@@ -196,7 +200,7 @@
 	usable := slices.ContainsFunc(w.UpstreamsFor(r.Target()), func(u *medlarworld.Upstream) bool {
 		return u.Build == r.Build && u.Usable(w.Now)
 	})
-	return !usable || w.Now.Sub(r.Arrived) >= overflowDelay
+	return !usable || w.Now.Sub(r.Arrived) >= overflowDelay && w.Builds.CanRecord(w.Now)
 }
 
 // emit emits what is to be recorded.
@@ -207,4 +211,7 @@
 	if builds, ok := w.Builds.TakeRecord(w.Now); ok {
 		w.Emit(medlarworld.RecordStreams{Builds: builds})
 	}
+	if seen, ok := w.Builds.TakeSeen(); ok {
+		w.Emit(medlarworld.RecordSeen{Seen: seen})
+	}
 }
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -247,6 +247,9 @@
 // NoticesRead reports that the records of all instances are known as of now.
 type NoticesRead struct{}
 
+// NoticesWritten reports that the store has accepted records of this instance.
+type NoticesWritten struct{}
+
 // BuildsAssigned carries the assignment of a service's streams to builds. Dropped is set if it is
 // gone.
 type BuildsAssigned struct {
@@ -260,6 +263,12 @@
 	Builds map[medlarbuild.Key]medlarid.Build
 }
 
+// AssignmentsSeen carries which assignments an instance, which may be this one, has read.
+type AssignmentsSeen struct {
+	Instance medlarid.InstanceID
+	Seen     medlarbuild.Seen
+}
+
 // TransferEnded reports the end of a transfer over the link to a store.
 type TransferEnded struct {
 	Store  medlarid.InstanceID
@@ -298,8 +307,10 @@
 func (TrialGranted) event()      {}
 func (RecordsRestored) event()   {}
 func (NoticesRead) event()       {}
+func (NoticesWritten) event()    {}
 func (BuildsAssigned) event()    {}
 func (StreamsRecorded) event()   {}
+func (AssignmentsSeen) event()   {}
 func (InventoryReported) event() {}
 func (RecordsCurrent) event()    {}
 func (WeightsLoading) event()    {}
@@ -466,6 +477,9 @@
 	Builds map[medlarbuild.Key]medlarid.Build
 }
 
+// RecordSeen asks to record which assignments this instance has read.
+type RecordSeen struct{ Seen medlarbuild.Seen }
+
 // ProbeUpstream asks whether an upstream that ended connections is down.
 type ProbeUpstream struct {
 	Upstream    medlarid.InstanceID
@@ -491,6 +505,7 @@
 func (RecordBlock) command()   {}
 func (AssignBuilds) command()  {}
 func (RecordStreams) command() {}
+func (RecordSeen) command()    {}
 func (BlockChanged) command()  {}
 func (Refuse) command()        {}
 func (LookUp) command()        {}
--- a/internal/ops/medlarloop/medlarloop.go
+++ b/internal/ops/medlarloop/medlarloop.go
@@ -47,9 +47,10 @@
 	// RecordLimit and RecordNeed are needed where upstreams name limits.
 	RecordLimit func(medlarworld.RecordLimit)
 	RecordNeed  func(medlarworld.RecordNeed)
-	// AssignBuilds and RecordStreams are needed where upstreams tell their builds.
+	// AssignBuilds, RecordStreams and RecordSeen are needed where upstreams tell their builds.
 	AssignBuilds  func(medlarworld.AssignBuilds)
 	RecordStreams func(medlarworld.RecordStreams)
+	RecordSeen    func(medlarworld.RecordSeen)
 	OnTick        func(waiting, open int)
 }
 
@@ -250,6 +251,8 @@
 		l.deps.AssignBuilds(c)
 	case medlarworld.RecordStreams:
 		l.deps.RecordStreams(c)
+	case medlarworld.RecordSeen:
+		l.deps.RecordSeen(c)
 	case medlarworld.RequestShares:
 		go l.deps.RequestShares(c)
 	case medlarworld.ProbeUpstream:
--- a/internal/ops/medlarnotifier/build.go
+++ b/internal/ops/medlarnotifier/build.go
@@ -51,6 +51,16 @@
 	n.deps.Board.Put(r)
 }
 
+// recordSeen records which assignments this instance has read.
+func (n *Notifier) recordSeen(c medlarworld.RecordSeen) {
+	r, err := medlarnotice.EncodeSeen(n.deps.Self, c)
+	if err != nil {
+		n.deps.Log.Error().Str("event", "notice").Err(err).Msg("assignments that were read cannot be encoded")
+		return
+	}
+	n.deps.Board.Put(r)
+}
+
 // removeEarlier removes the record of streams of an earlier start of this instance after a while.
 func (n *Notifier) removeEarlier(r medlarfeed.Record) {
 	own := strings.HasPrefix(r.Key, medlarnotice.StreamsKey(n.deps.Self, "")) && r.Key != medlarnotice.StreamsKey(n.deps.Self, n.start)
--- a/internal/ops/medlarnotifier/medlarnotifier.go
+++ b/internal/ops/medlarnotifier/medlarnotifier.go
@@ -60,7 +60,10 @@
 }
 
 // SetPost sets the function that passes events to the core.
-func (n *Notifier) SetPost(post func(medlarworld.Event)) { n.post = post }
+func (n *Notifier) SetPost(post func(medlarworld.Event)) {
+	n.post = post
+	n.deps.Board.SetOnWritten(func() { post(medlarworld.NoticesWritten{}) })
+}
 
 // AddTo adds to d the functions that carry out the core's commands about what all instances have
 // to know.
@@ -73,6 +76,7 @@
 	d.RecordNeed = n.recordNeed
 	d.AssignBuilds = n.assignBuilds
 	d.RecordStreams = n.recordStreams
+	d.RecordSeen = n.recordSeen
 }
 
 // probe finds out whether a replica is down: whether it refuses connections.
