--- a/internal/core/medlarcore/parts_test.go
+++ b/internal/core/medlarcore/parts_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarchoice"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
@@ -226,7 +227,7 @@
 	p.reportStock("near", 1, false)
 	p.reportStock("far", 1, false)
 	assertParts(t, p.submit(p.newRun(500, 8000, 300)), "sso")
-	if s := p.submit(p.newRun(500, 8000, 300)); slices.Contains(s.Parts, medlarworld.PartSaved) {
+	if s := p.submit(p.newRun(500, 8000, 300)); slices.Contains(s.Parts, medlarchoice.PartSaved) {
 		t.Errorf("the part is saved again: %q", s.Parts)
 	}
 }
--- a/internal/core/medlarplacement/medlarplacement.go
+++ b/internal/core/medlarplacement/medlarplacement.go
@@ -38,6 +38,7 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarchoice"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarworld"
 )
@@ -174,42 +175,42 @@
 	keys := r.KeysUnder(u.Version)
 	cmd.Fetch = make([]medlarid.Address, len(keys))
 	cmd.Save = make([]medlarid.Address, len(keys))
-	cmd.Parts = make([]medlarworld.PartState, len(keys))
+	cmd.Parts = make([]medlarchoice.PartState, len(keys))
 	cmd.FetchDeadline = w.Now.Add(fetchTimeout)
 	for i, k := range keys {
 		cmd.Parts[i] = planPart(w, r, u, cmd, i, k, i < known)
 	}
 	if n := len(keys); n > 0 {
-		cmd.Parts[n-1] = medlarworld.PartUnshared
+		cmd.Parts[n-1] = medlarchoice.PartUnshared
 	}
 }
 
 // planPart plans one part and returns its believed state. For a part that the upstream
 // is believed to cache, a store is planned as well, in case it does not.
-func planPart(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream, cmd *medlarworld.StartAttempt, i int, k medlarkey.Key, known bool) medlarworld.PartState {
+func planPart(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream, cmd *medlarworld.StartAttempt, i int, k medlarkey.Key, known bool) medlarchoice.PartState {
 	warm := w.Warm.Has(k, u.ID)
 	if i == len(cmd.Parts)-1 || r.KeyTokens[i] < minTokens { // R5
-		return partState(warm, medlarworld.PartCold)
+		return partState(warm, medlarchoice.PartCold)
 	}
 	if s := FindStore(w, k); s != nil && Fetchable(w, r, u.Version) {
 		if !known {
-			return medlarworld.PartSkipped
+			return medlarchoice.PartSkipped
 		}
 		cmd.Fetch[i] = s.Address
-		return partState(warm, medlarworld.PartFetched)
+		return partState(warm, medlarchoice.PartFetched)
 	}
 	if s := saveTarget(w, r, u, i, k); s != nil {
 		cmd.Save[i] = s.Address
-		return partState(warm, medlarworld.PartSaved)
+		return partState(warm, medlarchoice.PartSaved)
 	}
-	return partState(warm, medlarworld.PartCold)
+	return partState(warm, medlarchoice.PartCold)
 }
 
 // partState returns PartWarm for a part that the upstream caches, and otherwise for any
 // other.
-func partState(warm bool, otherwise medlarworld.PartState) medlarworld.PartState {
+func partState(warm bool, otherwise medlarchoice.PartState) medlarchoice.PartState {
 	if warm {
-		return medlarworld.PartWarm
+		return medlarchoice.PartWarm
 	}
 	return otherwise
 }
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -31,6 +31,7 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarchoice"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarlag"
 	"medlarfield/internal/core/medlarlimit"
@@ -165,7 +166,7 @@
 	if !slices.Contains(r.Tried, u) {
 		r.Tried = append(r.Tried, u)
 	}
-	decision := medlarworld.Decision{Candidates: s.candidates, Lag: medlarlag.Estimate(w, u)}
+	decision := medlarchoice.Decision{Candidates: s.candidates, Lag: medlarlag.Estimate(w, u)}
 	medlarwindow.Explain(w, r, u, &decision)
 	medlarlimit.Take(u)
 	medlarresume.Started(w, r, u)
--- a/internal/core/medlarwindow/medlarwindow.go
+++ b/internal/core/medlarwindow/medlarwindow.go
@@ -29,6 +29,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarbacklog"
+	"medlarfield/internal/core/medlarchoice"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -135,7 +136,7 @@
 
 // Explain records in why the pending work and the windows that a run met at a replica,
 // and at all replicas of its target.
-func Explain(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream, why *medlarworld.Decision) {
+func Explain(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream, why *medlarchoice.Decision) {
 	c, all := r.Class(), w.Backlog(r.Target())
 	why.Pending, why.Window = u.Backlog.Pending(c), replicaLimits.window(&u.Backlog.Queues[c])
 	why.TotalPending, why.TotalWindow = all.Pending(c), targetLimits.window(&all.Queues[c])
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -5,6 +5,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarbuild"
+	"medlarfield/internal/core/medlarchoice"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarsuspect"
@@ -344,33 +345,10 @@
 	// Limited is set if the upstream is known to have a limit of requests.
 	Limited bool
 	// Parts holds the state of each part that the decision assumed.
-	Parts    []PartState
-	Decision Decision
+	Parts    []medlarchoice.PartState
+	Decision medlarchoice.Decision
 }
 
-// Decision holds the inputs of a choice of an upstream, for the log.
-type Decision struct {
-	Candidates int     // upstreams that could take the run
-	Pending    float64 // pending work of this instance at the chosen upstream, in tokens
-	Window     float64 // bound of Pending; 0 for none
-	// TotalPending and TotalWindow are the same over all upstreams of the target.
-	TotalPending, TotalWindow float64
-	Lag                       float64 // seconds by which the upstream answers later than expected
-}
-
-// PartState is the assumed state of a part of a prompt.
-type PartState byte
-
-// States of parts.
-const (
-	PartCold     PartState = 'c' // computed by the upstream
-	PartWarm     PartState = 'w' // cached by the upstream
-	PartFetched  PartState = 'f' // fetched from a store
-	PartSkipped  PartState = 'l' // held by a store, but cheaper to compute
-	PartSaved    PartState = 's' // computed, and saved to a store
-	PartUnshared PartState = 'o' // belongs to this request alone
-)
-
 // Refuse asks to tell the caller that the run gets no answer.
 type Refuse struct {
 	Run        medlarid.RequestID
--- a/internal/edge/medlarcall/medlarcall.go
+++ b/internal/edge/medlarcall/medlarcall.go
@@ -11,6 +11,7 @@
 	"medlarfield/internal/agree/medlarcatalog"
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarchoice"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarsuspect"
@@ -132,7 +133,7 @@
 	Reused   bool // the connection had served a request before
 	Status   int
 	Body     BodyEnd
-	Decision medlarworld.Decision // by which the upstream was selected
+	Decision medlarchoice.Decision // by which the upstream was selected
 	Duration time.Duration
 	Err      error
 	// Lost is set if the upstream ended the connection before its response was complete.
@@ -168,7 +169,7 @@
 	RetryTokens float64
 	// BlockedTrait is the trait for which the request was refused.
 	BlockedTrait medlarsuspect.Trait
-	Decision     medlarworld.Decision // by which the last upstream was selected
+	Decision     medlarchoice.Decision // by which the last upstream was selected
 	Attempts     int
 	Upstream     medlarid.InstanceID
 	Build        medlarid.Build // of Upstream
@@ -177,7 +178,7 @@
 	Resumes     medlarid.RequestID
 	Body        BodyEnd // of the response to the last attempt
 	// Parts holds the expected cache state of each part of the prompt at the last attempt.
-	Parts       []medlarworld.PartState
+	Parts       []medlarchoice.PartState
 	QueueTime   time.Duration // from the request's arrival until the first attempt
 	ConnectTime time.Duration // from the start of the last attempt until it had a connection
 	FirstByte   time.Duration // from the request's arrival until the first byte of the response
--- a/internal/ops/medlarattachednode/logging.go
+++ b/internal/ops/medlarattachednode/logging.go
@@ -8,6 +8,7 @@
 	"github.com/zeebo/xxh3"
 
 	"medlarfield/internal/agree/medlarterm"
+	"medlarfield/internal/core/medlarchoice"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarsuspect"
 	"medlarfield/internal/core/medlarworld"
@@ -145,14 +146,14 @@
 }
 
 // choiceFields returns the log fields of the figures that an upstream was chosen by.
-func choiceFields(y medlarworld.Decision) *zerolog.Event {
+func choiceFields(y medlarchoice.Decision) *zerolog.Event {
 	return zerolog.Dict().Int("choices", y.Candidates).Float64("pending", math.Round(y.Pending)).
 		Float64("window", math.Round(y.Window)).Float64("all", math.Round(y.TotalPending)).
 		Float64("bound", math.Round(y.TotalWindow)).Float64("lag", math.Round(1000*y.Lag))
 }
 
 // partText returns the states of a prompt's parts, one letter each.
-func partText(parts []medlarworld.PartState) string {
+func partText(parts []medlarchoice.PartState) string {
 	b := make([]byte, len(parts))
 	for i, p := range parts {
 		b[i] = byte(p)
--- a/internal/ops/medlarlogquery/medlarlogquery.go
+++ b/internal/ops/medlarlogquery/medlarlogquery.go
@@ -300,7 +300,7 @@
 	return string(r)
 }
 
-// partTexts describes the letters of medlarworld.PartState.
+// partTexts describes the letters of medlarchoice.PartState.
 var partTexts = map[rune]string{
 	'c': "computed", 'w': "cached by the replica", 'f': "fetched from a store", 'l': "held by a store, but computed",
 	's': "computed and saved", 'o': "unshared",
