--- a/internal/core/medlarbuild/assignment.go
+++ b/internal/core/medlarbuild/assignment.go
@@ -168,8 +168,15 @@
 	return out
 }
 
+// updateInterval is the minimum interval between two evaluations of all assignments.
+const updateInterval = 20 * time.Millisecond
+
 // Update claims the changes that are due. It is called at each tick.
 func (t *Table) Update(now time.Time) {
+	if now.Sub(t.updatedAt) < updateInterval {
+		return
+	}
+	t.updatedAt = now
 	for _, id := range slices.Sorted(maps.Keys(t.services)) {
 		s := t.services[id]
 		t.updateSeen(now, id, s)
--- a/internal/core/medlarbuild/medlarbuild.go
+++ b/internal/core/medlarbuild/medlarbuild.go
@@ -90,6 +90,7 @@
 	recorded   bool      // a record of this instance exists
 	unwritten  time.Time // of the first record that the store has not accepted yet; zero for none
 	claims     []Claim
+	updatedAt  time.Time
 }
 
 // stream is a stream in progress at this instance.
