--- a/internal/core/medlarsuspect/medlarsuspect.go
+++ b/internal/core/medlarsuspect/medlarsuspect.go
@@ -12,14 +12,13 @@
 //	R3  A trait is cleared of a crash by an answer with it that began after the crash or
 //	    shortly before it.
 //	R4  A trait is blocked after blockingMoments crashes of which it is not cleared. Crashes
-//	    that a blocked trait explains do not count, with one exception: a wider trait may take the
-//	    place of a blocked request as a whole as soon as there is one more crash, which no
-//	    instance has explained after a while. Crashes at
-//	    the same moment count once for parts of prompts, since a fault of many replicas has
-//	    another cause; a request as a whole is seldom at several replicas at once. Of traits that
-//	    are equally suspected, the narrowest is blocked, and of these the ones whose last answer
-//	    is longest ago: a part of prompts that always comes with another one has no later answer
-//	    than that.
+//	    that a blocked trait explains do not count, with one exception: a wider trait may take
+//	    the place of a blocked request as a whole after one more crash, which no instance
+//	    has explained by that request within objectionDelay. Crashes at the same moment count
+//	    once for parts of prompts, since a fault of many replicas has another cause; a request
+//	    as a whole is seldom at several replicas at once. Of traits that are equally suspected,
+//	    the narrowest is blocked, and of these the ones whose last answer is longest ago: a
+//	    part of prompts that always comes with another one has no later answer than that.
 //	R5  A block takes effect after a delay, in which an instance that has had an answer with
 //	    the trait objects by clearing it.
 //	R6  A blocked trait gets maxTrials trials, of one request each, from all instances
