--- a/internal/core/medlarbuild/medlarbuild_test.go
+++ b/internal/core/medlarbuild/medlarbuild_test.go
@@ -450,3 +450,10 @@
 		t.Error("the key does not follow the id")
 	}
 }
+
+// BenchmarkKeyOf measures what each stream that can be resumed costs.
+func BenchmarkKeyOf(b *testing.B) {
+	for b.Loop() {
+		_ = KeyOf("vowu342", "136f669353e3123f")
+	}
+}
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -5,8 +5,8 @@
 //	R1  A candidate is usable, serves the model under the desired or the serving
 //	    weight version, has capacity, and was not tried by the run unless all were.
 //	    An answer that has begun continues under its own version only, and a stream at
-//	    upstreams of its software version. A version that
-//	    is no longer desired serves nothing once its grace period has passed.
+//	    upstreams of its software version. A weight version that is no longer desired
+//	    serves nothing once its grace period has passed.
 //	R2  The cost of a candidate is the expected time to first token: its backlog,
 //	    the prefill of what it does not cache, and the zone cost. A deployment that
 //	    optimizes for the recomputed share adds a multiple of the prefill.
