Name the questions to the table of builds, and the reports, by what they are

Questions and reports read alike (Begin, Began, Start): NewStreamBuild and ResumeBuild ask, AttemptStarted, StreamBegan and StreamEnded report. An upstream reports its build.

--- a/internal/core/medlarbuild/assignment.go
+++ b/internal/core/medlarbuild/assignment.go
@@ -52,7 +52,7 @@
 	claimUntil time.Time // a claim is in flight until then
 }
 
-// SetUpstreams reports how many upstreams of a service there are that do not leave, by build; listed tells
+// SetUpstreams reports how many upstreams of a service there are that do not leave, by build; listed holds
 // all builds, also of upstreams that leave.
 func (t *Table) SetUpstreams(id medlarid.ServiceID, counts map[medlarid.Build]int, listed map[medlarid.Build]bool) {
 	s := t.services[id]
@@ -90,11 +90,11 @@
 	return out
 }
 
-// distinct reports whether the service's upstreams tell their builds.
-func (s *service) distinct() bool { return s.sole != "" || s.assigned || len(s.counts) > 0 }
+// reportsBuilds reports whether the service's upstreams report their builds.
+func (s *service) reportsBuilds() bool { return s.sole != "" || s.assigned || len(s.counts) > 0 }
 
-// only returns the build of all streams of the service, if there has been only one.
-func (s *service) only() (medlarid.Build, bool) {
+// onlyBuild returns the build of all streams of the service, if there has been only one.
+func (s *service) onlyBuild() (medlarid.Build, bool) {
 	if s.assigned || s.sole == "" || len(s.counts) > 1 || len(s.counts) == 1 && s.counts[s.sole] == 0 {
 		return "", false
 	}
@@ -139,18 +139,18 @@
 	s.assigned, s.assignment, s.readAt = true, a, now
 	s.used, s.usedAt = a.From == a.To, time.Time{}
 	s.needSince, s.claimUntil = time.Time{}, time.Time{}
-	t.exceptOpen(id, &a)
+	t.addOpenExceptions(id, &a)
 	t.seenDirty = true
 	return false
 }
 
-// exceptOpen records the streams in progress that began at another build than is derived from now on
+// addOpenExceptions records the streams in progress that began at another build than is derived from now on
 // (R4). Those of a bucket that changes are among them even if they began at the new build,
 // as others cannot tell.
-func (t *Table) exceptOpen(id medlarid.ServiceID, a *Assignment) {
+func (t *Table) addOpenExceptions(id medlarid.ServiceID, a *Assignment) {
 	for k, o := range t.open {
 		if b := k.bucket(); o.service == id && (a.To[b] != o.build || a.From[b] != o.build) {
-			t.except(k, o.build)
+			t.addException(k, o.build)
 		}
 	}
 }
--- a/internal/core/medlarbuild/history_test.go
+++ b/internal/core/medlarbuild/history_test.go
@@ -100,8 +100,8 @@
 	return a + time.Duration(h.r.Int64N(int64(b-a)))
 }
 
-// tell traces what happens.
-func (h *history) tell(format string, args ...any) {
+// log traces what happens.
+func (h *history) log(format string, args ...any) {
 	if h.trace != nil {
 		h.trace(fmt.Sprintf(format, args...))
 	}
@@ -164,7 +164,7 @@
 	})
 }
 
-// poll lets an instance hear from the store at least each 2 s.
+// poll lets an instance read the topic at least each 2 s.
 func (h *history) poll(i, start int) {
 	in := h.instances[i]
 	h.after(h.between(200*time.Millisecond, 2150*time.Millisecond), func() {
@@ -247,7 +247,7 @@
 			return
 		}
 		h.assignment = &a
-		h.tell("instance %d assigns, serial %d, settled %v: %v", i, a.Serial, a.From == a.To, shareOf(a.To))
+		h.log("instance %d assigns, serial %d, settled %v: %v", i, a.Serial, a.From == a.To, shareOf(a.To))
 		h.publish(func(t *Table) { t.ApplyAssignment(h.now, engines, a) })
 	})
 }
@@ -322,14 +322,14 @@
 		h.refusedNew++
 		return
 	}
-	build, ok := h.pick(p.server, in.table.Begin(h.now, engines, k), true)
+	build, ok := h.pick(p.server, in.table.NewStreamBuild(h.now, engines, k), true)
 	if !ok {
 		h.refusedNew++
 		return
 	}
-	in.table.Start(h.now, engines, k, build)
-	if want := in.table.Begin(h.now, engines, k); want != build {
-		h.tell("stream %x begins at %s instead of %q, instance %d, which can record: %v, %d replicas", k, build, want, p.server, in.table.CanRecord(h.now), h.count(want))
+	in.table.AttemptStarted(h.now, engines, k, build)
+	if want := in.table.NewStreamBuild(h.now, engines, k); want != build {
+		h.log("stream %x begins at %s instead of %q, instance %d, which can record: %v, %d replicas", k, build, want, p.server, in.table.CanRecord(h.now), h.count(want))
 	}
 	h.began++
 	h.after(h.between(20*time.Millisecond, 600*time.Millisecond), func() { h.serve(p, build) })
@@ -350,9 +350,9 @@
 	if p.build != build && !p.mixed {
 		p.mixed = true
 		h.mixed++
-		h.tell("stream %x in bucket %d, begun at %s, goes on at %s, instance %d", p.key, p.key.bucket(), p.build, build, p.server)
+		h.log("stream %x in bucket %d, begun at %s, goes on at %s, instance %d", p.key, p.key.bucket(), p.build, build, p.server)
 	}
-	in.table.Began(h.now, engines, p.key, build)
+	in.table.StreamBegan(h.now, engines, p.key, build)
 	p.over, p.end = false, h.now.Add(h.between(100*time.Millisecond, 3*time.Second))
 	h.serving = append(h.serving, p)
 	broken, start, server := h.r.IntN(4) == 0, p.start, p.server
@@ -361,7 +361,7 @@
 			return
 		}
 		p.over = true
-		in.table.End(h.now, p.key)
+		in.table.StreamEnded(h.now, p.key)
 		if broken {
 			h.resume(p)
 		}
@@ -379,14 +379,14 @@
 			return
 		}
 		touched := !h.now.Before(in.awayUntil)
-		build, ok := in.table.Resume(h.now, engines, p.key)
+		build, ok := in.table.ResumeBuild(h.now, engines, p.key)
 		got, there := h.pick(p.server, build, false)
 		if touched && h.count(p.build) >= 2 {
 			h.resumed++
 			h.went += btoi(ok && there)
 		}
 		if ok && there {
-			in.table.Start(h.now, engines, p.key, got)
+			in.table.AttemptStarted(h.now, engines, p.key, got)
 			h.after(h.between(5*time.Millisecond, 100*time.Millisecond), func() { h.serve(p, got) })
 		}
 	})
@@ -403,7 +403,7 @@
 
 // kill ends an instance with its streams, whose callers resume them.
 func (h *history) kill(i int) {
-	h.tell("instance %d is killed, away %v", i, h.now.Before(h.instances[i].awayUntil))
+	h.log("instance %d is killed, away %v", i, h.now.Before(h.instances[i].awayUntil))
 	in := h.instances[i]
 	start := in.start
 	in.start++ // what is under way has no effect
@@ -426,7 +426,7 @@
 		case 0, 1:
 			h.kill(i)
 		case 2:
-			h.tell("instance %d is away", i)
+			h.log("instance %d is away", i)
 			h.instances[i].behind, h.instances[i].awayUntil = true, h.now.Add(h.between(50*time.Millisecond, 10*time.Second))
 			h.readAll(i, h.instances[i].start)
 		case 3:
--- a/internal/core/medlarbuild/medlarbuild.go
+++ b/internal/core/medlarbuild/medlarbuild.go
@@ -56,7 +56,7 @@
 )
 
 // Unknown is the build of a stream that can go on at no upstream, since the upstream that began it
-// did not tell its build.
+// did not report its build.
 const Unknown medlarid.Build = "?"
 
 // Key identifies a stream (R1); 0 is no stream.
@@ -119,10 +119,10 @@
 // stale reports whether the records have not been read for so long that nothing can be derived (R5).
 func (t *Table) stale(now time.Time) bool { return now.Sub(t.readAt) > maxAge }
 
-// Distinct reports whether the upstreams of a service tell their builds.
-func (t *Table) Distinct(id medlarid.ServiceID) bool {
+// ReportsBuilds reports whether the upstreams of a service report their builds.
+func (t *Table) ReportsBuilds(id medlarid.ServiceID) bool {
 	s := t.services[id]
-	return s != nil && s.distinct()
+	return s != nil && s.reportsBuilds()
 }
 
 // CanRecord reports whether this instance reaches the store, as far as it knows, so that what it records
@@ -135,39 +135,39 @@
 // SetWritten reports that the store has accepted records of this instance.
 func (t *Table) SetWritten() { t.unwritten = time.Time{} }
 
-// Begin returns the build at which a new stream begins; empty for any.
-func (t *Table) Begin(now time.Time, id medlarid.ServiceID, k Key) medlarid.Build {
+// NewStreamBuild returns the build at which a new stream begins; empty for any.
+func (t *Table) NewStreamBuild(now time.Time, id medlarid.ServiceID, k Key) medlarid.Build {
 	s := t.services[id]
-	if s == nil || !s.distinct() {
+	if s == nil || !s.reportsBuilds() {
 		return ""
 	}
 	build, _ := s.derive(now, k)
 	return build
 }
 
-// Resume returns the build at which a stream goes on; empty for any. ok is false if that is not
+// ResumeBuild returns the build at which a stream goes on; empty for any. ok is false if that is not
 // certain (R5).
-func (t *Table) Resume(now time.Time, id medlarid.ServiceID, k Key) (build medlarid.Build, ok bool) {
+func (t *Table) ResumeBuild(now time.Time, id medlarid.ServiceID, k Key) (build medlarid.Build, ok bool) {
 	if b, known := t.known.get(now, k); known && k != 0 {
 		return b, true
 	}
 	s := t.services[id]
 	switch {
-	case s == nil || !s.distinct():
+	case s == nil || !s.reportsBuilds():
 		return "", true
 	case t.stale(now):
 		return "", false
 	case k == 0:
-		return s.only()
+		return s.onlyBuild()
 	}
 	build, certain := s.derive(now, k)
 	return build, certain && build != ""
 }
 
-// Start reports that an attempt with which a stream may begin starts at an upstream with a build (R4).
-func (t *Table) Start(now time.Time, id medlarid.ServiceID, k Key, build medlarid.Build) {
+// AttemptStarted reports that an attempt with which a stream may begin starts at an upstream with a build (R4).
+func (t *Table) AttemptStarted(now time.Time, id medlarid.ServiceID, k Key, build medlarid.Build) {
 	s := t.services[id]
-	if s == nil || !s.distinct() {
+	if s == nil || !s.reportsBuilds() {
 		return
 	}
 	derived, certain := s.derive(now, k)
@@ -175,19 +175,19 @@
 	if certain && derived == build && !before && !t.stale(now) {
 		return
 	}
-	t.except(k, build)
+	t.addException(k, build)
 }
 
-// Began reports that the first event of a stream has come, from an upstream with a build. The
-// stream is in progress until End.
-func (t *Table) Began(now time.Time, id medlarid.ServiceID, k Key, build medlarid.Build) {
-	t.Start(now, id, k, build) // the assignment may have changed since the attempt started
+// StreamBegan reports that the first event of a stream has come, from an upstream with a build. The
+// stream is in progress until StreamEnded.
+func (t *Table) StreamBegan(now time.Time, id medlarid.ServiceID, k Key, build medlarid.Build) {
+	t.AttemptStarted(now, id, k, build) // the assignment may have changed since the attempt started
 	t.open[k] = stream{service: id, build: build}
 	t.known.set(now, k, build)
 }
 
-// End reports that a stream, or a request that would have begun one, has ended at this instance.
-func (t *Table) End(now time.Time, k Key) {
+// StreamEnded reports that a stream, or a request that would have begun one, has ended at this instance.
+func (t *Table) StreamEnded(now time.Time, k Key) {
 	if o, ok := t.open[k]; ok {
 		t.known.set(now, k, o.build)
 		delete(t.open, k)
@@ -197,8 +197,8 @@
 	}
 }
 
-// except adds a stream to this instance's record (R4).
-func (t *Table) except(k Key, build medlarid.Build) {
+// addException adds a stream to this instance's record (R4).
+func (t *Table) addException(k Key, build medlarid.Build) {
 	if e, ok := t.exceptions[k]; ok && e.build == build && e.until.IsZero() {
 		return
 	}
--- a/internal/core/medlarbuild/medlarbuild_test.go
+++ b/internal/core/medlarbuild/medlarbuild_test.go
@@ -75,7 +75,7 @@
 
 func (b *bench) assertResume(k Key, want medlarid.Build, wantOK bool) {
 	b.t.Helper()
-	if got, ok := b.table.Resume(b.now, engines, k); ok != wantOK || ok && got != want {
+	if got, ok := b.table.ResumeBuild(b.now, engines, k); ok != wantOK || ok && got != want {
 		b.t.Errorf("a stream goes on at %q, %v; want %q, %v", got, ok, want, wantOK)
 	}
 }
@@ -234,7 +234,7 @@
 	}
 	assertBegins := func(b *bench, k Key, want medlarid.Build) {
 		b.t.Helper()
-		if got := b.table.Begin(b.now, engines, k); got != want {
+		if got := b.table.NewStreamBuild(b.now, engines, k); got != want {
 			b.t.Errorf("a stream begins at %s, want %s", got, want)
 		}
 	}
@@ -311,12 +311,12 @@
 	})
 	t.Run("at an instance that does not read the records any longer", func(t *testing.T) {
 		b := newBench(t, builds{"v1": 12})
-		b.table.Began(b.now, engines, 5, "v1")
+		b.table.StreamBegan(b.now, engines, 5, "v1")
 		b.advance(maxAge+10*time.Millisecond, false)
 		b.assertResume(5, "v1", true)
 		b.assertResume(6, "", false)
 	})
-	t.Run("where no upstream tells its build", func(t *testing.T) {
+	t.Run("where no upstream reports its build", func(t *testing.T) {
 		b := newBench(t, builds{"": 12})
 		b.advance(maxAge+10*time.Millisecond, false)
 		b.assertResume(6, "", true)
@@ -339,12 +339,12 @@
 		b.advance(settleTime+100*time.Millisecond, true)
 		return b
 	}
-	derived := func(b *bench, k Key) medlarid.Build { return b.table.Begin(b.now, engines, k) }
+	derived := func(b *bench, k Key) medlarid.Build { return b.table.NewStreamBuild(b.now, engines, k) }
 	t.Run("none for a derived build", func(t *testing.T) {
 		b := settled(t)
 		for k := range Key(200) {
-			b.table.Start(b.now, engines, k+1, derived(b, k+1))
-			b.table.Began(b.now, engines, k+1, derived(b, k+1))
+			b.table.AttemptStarted(b.now, engines, k+1, derived(b, k+1))
+			b.table.StreamBegan(b.now, engines, k+1, derived(b, k+1))
 		}
 		if got := record(b); len(got) > 0 {
 			t.Errorf("recorded %v, want nothing", got)
@@ -352,11 +352,11 @@
 	})
 	t.Run("another build", func(t *testing.T) {
 		b := settled(t)
-		b.table.Start(b.now, engines, 1, "v9")
+		b.table.AttemptStarted(b.now, engines, 1, "v9")
 		if d := cmp.Diff(map[Key]medlarid.Build{1: "v9"}, record(b)); d != "" {
 			t.Error(d)
 		}
-		b.table.Start(b.now, engines, 1, derived(b, 1)) // the first attempt has failed
+		b.table.AttemptStarted(b.now, engines, 1, derived(b, 1)) // the first attempt has failed
 		if d := cmp.Diff(map[Key]medlarid.Build{1: derived(b, 1)}, record(b)); d != "" {
 			t.Error(d)
 		}
@@ -364,7 +364,7 @@
 	t.Run("streams in progress when their bucket changes", func(t *testing.T) {
 		b := settled(t)
 		for k := range Key(NumBuckets) {
-			b.table.Began(b.now, engines, k+1, derived(b, k+1))
+			b.table.StreamBegan(b.now, engines, k+1, derived(b, k+1))
 		}
 		b.list(builds{"v2": 12})
 		a := b.assign(b.advance(5*time.Second, true)[:1])
@@ -378,19 +378,19 @@
 	})
 	t.Run("a stream whose bucket changes before its first event", func(t *testing.T) {
 		b := newBench(t, builds{"v1": 12})
-		b.table.Start(b.now, engines, 1, "v1")
+		b.table.AttemptStarted(b.now, engines, 1, "v1")
 		b.list(builds{"v2": 12})
 		b.assign(b.advance(5*time.Second, true)[:1])
-		b.table.Began(b.now, engines, 1, "v1")
+		b.table.StreamBegan(b.now, engines, 1, "v1")
 		if d := cmp.Diff(map[Key]medlarid.Build{1: "v1"}, record(b)); d != "" {
 			t.Error(d)
 		}
 	})
 	t.Run("removed after their end", func(t *testing.T) {
 		b := settled(t)
-		b.table.Start(b.now, engines, 1, "v9")
+		b.table.AttemptStarted(b.now, engines, 1, "v9")
 		record(b)
-		b.table.End(b.now, 1)
+		b.table.StreamEnded(b.now, 1)
 		b.advance(keepEnded-time.Second, true)
 		if got, ok := b.table.TakeRecord(b.now); ok {
 			t.Errorf("recorded %v, want no change yet", got)
@@ -407,9 +407,9 @@
 	t.Run("bounded", func(t *testing.T) {
 		b := settled(t)
 		for k := range Key(3 * maxExceptions) {
-			b.table.Start(b.now, engines, k+1, "v9")
-			b.table.Began(b.now, engines, k+1, "v9")
-			b.table.End(b.now, k+1)
+			b.table.AttemptStarted(b.now, engines, k+1, "v9")
+			b.table.StreamBegan(b.now, engines, k+1, "v9")
+			b.table.StreamEnded(b.now, k+1)
 		}
 		if got := record(b); len(got) > maxExceptions {
 			t.Errorf("%d streams are recorded, want %d at most", len(got), maxExceptions)
--- a/internal/core/medlarresume/medlarresume.go
+++ b/internal/core/medlarresume/medlarresume.go
@@ -99,8 +99,8 @@
 	}
 	for _, r := range w.Streams {
 		if u := r.Upstream; u != nil && r.BuildFixed && u.Build != r.Build && old[u.ID] == r.Build {
-			w.Builds.Began(w.Now, r.Service, r.Stream, told(u))
-			r.Build = told(u)
+			w.Builds.StreamBegan(w.Now, r.Service, r.Stream, reportedBuild(u))
+			r.Build = reportedBuild(u)
 		}
 	}
 }
@@ -109,13 +109,13 @@
 func prepare(w *medlarworld.World, r *medlarworld.Run) {
 	switch {
 	case r.Resumes:
-		build, ok := w.Builds.Resume(w.Now, r.Service, r.Stream)
+		build, ok := w.Builds.ResumeBuild(w.Now, r.Service, r.Stream)
 		if !ok {
 			build = medlarbuild.Unknown
 		}
 		r.Build, r.BuildFixed = build, build != ""
 	case r.Stream != 0:
-		r.Build = w.Builds.Begin(w.Now, r.Service, r.Stream)
+		r.Build = w.Builds.NewStreamBuild(w.Now, r.Service, r.Stream)
 	}
 	if r.Stream != 0 {
 		w.Streams = append(w.Streams, r)
@@ -125,12 +125,14 @@
 // Started reports that an attempt of a run starts at an upstream.
 func Started(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) {
 	if r.Stream != 0 {
-		w.Builds.Start(w.Now, r.Service, r.Stream, told(u))
+		w.Builds.AttemptStarted(w.Now, r.Service, r.Stream, reportedBuild(u))
 	}
 }
 
-// told returns the build that an upstream tells, or medlarbuild.Unknown.
-func told(u *medlarworld.Upstream) medlarid.Build { return cmp.Or(u.Build, medlarbuild.Unknown) }
+// reportedBuild returns the build that an upstream reports, or medlarbuild.Unknown.
+func reportedBuild(u *medlarworld.Upstream) medlarid.Build {
+	return cmp.Or(u.Build, medlarbuild.Unknown)
+}
 
 // fix makes a stream go on at the build that brought its first event (R2).
 func fix(w *medlarworld.World, e medlarworld.AnswerBegan) {
@@ -139,12 +141,12 @@
 		return
 	}
 	if r.Stream != 0 {
-		w.Builds.Began(w.Now, r.Service, r.Stream, told(r.Upstream))
+		w.Builds.StreamBegan(w.Now, r.Service, r.Stream, reportedBuild(r.Upstream))
 	}
-	if !w.Builds.Distinct(r.Service) {
+	if !w.Builds.ReportsBuilds(r.Service) {
 		return
 	}
-	r.Build, r.BuildFixed = told(r.Upstream), true
+	r.Build, r.BuildFixed = reportedBuild(r.Upstream), true
 }
 
 func applyAssignment(w *medlarworld.World, e medlarworld.BuildsAssigned) {
@@ -165,7 +167,7 @@
 	w.Streams = slices.DeleteFunc(w.Streams, func(r *medlarworld.Run) bool {
 		ended := r.Phase == medlarworld.PhaseDone
 		if ended {
-			w.Builds.End(w.Now, r.Stream)
+			w.Builds.StreamEnded(w.Now, r.Stream)
 		}
 		return ended
 	})
--- a/internal/ops/medlarloop/medlarloop.go
+++ b/internal/ops/medlarloop/medlarloop.go
@@ -47,7 +47,7 @@
 	// RecordLimit and RecordNeed are needed where upstreams name limits.
 	RecordLimit func(medlarworld.RecordLimit)
 	RecordNeed  func(medlarworld.RecordNeed)
-	// AssignBuilds, RecordStreams and RecordSeen are needed where upstreams tell their builds.
+	// AssignBuilds, RecordStreams and RecordSeen are needed where upstreams report their builds.
 	AssignBuilds  func(medlarworld.AssignBuilds)
 	RecordStreams func(medlarworld.RecordStreams)
 	RecordSeen    func(medlarworld.RecordSeen)
--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -76,8 +76,8 @@
 	Events            int           // number of events in a stream
 	Model             string        // empty for a plain service
 	Version           uint64        // initial weight version
-	Build             string        // version of the software; each event of a stream tells it unless it is empty
-	HideBuild         bool          // the entry does not tell Build
+	Build             string        // version of the software; each event of a stream names it unless it is empty
+	HideBuild         bool          // the entry does not name Build
 	Born              int64         // start of the replica; a later one with the same ID has a higher value
 	// CrashPoint returns where the replica crashes as it answers a request; nil for never.
 	// OnCrash is called at each crash.
--- a/internal/stand/medlarsite/medlarsite.go
+++ b/internal/stand/medlarsite/medlarsite.go
@@ -45,8 +45,8 @@
 	RestartDelay      time.Duration // from the crash of a replica until its successor starts; 0 for never
 	KeepID            bool          // a successor has the id of the replica that crashed
 	NextBuild         string        // software version of the successors of replicas that crash; empty for the same
-	HideBuilds        int           // replicas of the engine whose entries do not tell their software version
-	Builds            []string      // software versions of the engine's replicas in turn; empty for one that is not told in events
+	HideBuilds        int           // replicas of the engine whose entries do not name their software version
+	Builds            []string      // software versions of the engine's replicas in turn; empty for one that events do not name
 }
 
 // Default returns the settings of a small site.
