--- a/internal/ops/medlarlogquery/medlarlogquery.go
+++ b/internal/ops/medlarlogquery/medlarlogquery.go
@@ -111,6 +111,9 @@
 	Begun      []string            `json:"begun"`   // parts and hashes of requests that a replica had begun to answer when it crashed
 	Queued     []string            `json:"queued"`  // of all others that were lost with it
 	Crashes    int                 `json:"crashes"` // of which it is suspected
+	Serial     uint64              `json:"serial"`  // of an assignment of streams to software versions
+	From       string              `json:"from"`    // software versions with their buckets before the assignment
+	To         string              `json:"to"`      // and with it
 	Trials     int                 `json:"trials"`  // of what is blocked
 	Decision   *Decision           `json:"why"`
 	Error      string              `json:"error"`
@@ -179,6 +182,10 @@
 		switch l.Event {
 		case "catalog", "weights", "lost", "regained", "stop", "start", "stock":
 			return true
+		case "builds":
+			if l.Service == o.Service {
+				return true
+			}
 		case "block", "trial":
 			if l.Part == o.Part {
 				return true
@@ -346,6 +353,8 @@
 		return fmt.Sprintf("%s: %s (crashes: %d, trials: %d)", l.Part, l.Message, l.Crashes, l.Trials)
 	case "crash":
 		return fmt.Sprintf("%s crashed; requests that it had begun to answer had %s, the others %s", l.Replica, strings.Join(l.Begun, " "), strings.Join(l.Queued, " "))
+	case "builds":
+		return strings.TrimSpace(fmt.Sprintf("service %s, assignment %d: %s (%s to %s) %s", l.Service, l.Serial, l.Message, l.From, l.To, l.Error))
 	case "stock":
 		return strings.TrimSpace(fmt.Sprintf("store %s: %s %s", l.Store, l.Message, l.Error))
 	}
