--- a/internal/core/medlarcrash/medlarcrash.go
+++ b/internal/core/medlarcrash/medlarcrash.go
@@ -8,8 +8,8 @@
 //	    have crashed.
 //	R2  What was lost with a replica is reported to all instances, once more whenever
 //	    more is known.
-//	R3  A run with a blocked trait starts no attempt, be it new, waiting, or
-//	    to be resumed elsewhere. It is refused at once.
+//	R3  A run with a blocked trait starts no attempt, be it new, waiting, or to be resumed
+//	    elsewhere. It is refused at once.
 //	R4  A run that was lost with maxRunCrashes replicas starts no further attempt: it
 //	    may be the cause, even if the trait is not known yet. Neither does a trial that has
 //	    reached a replica.
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -21,12 +21,12 @@
 
 // Limits of requests and responses.
 const (
-	maxResponseHead     = 16 << 10 // bytes of a response's head
-	maxStaleResponses   = 2        // responses to other requests that are skipped
-	maxResponseBody     = 16 << 20 // bytes of a response's body; a replica in trouble may send without end
-	maxInlineBody       = 16 << 10 // bytes; a longer request body is written while the response is read
-	unsignedWait        = 50 * time.Millisecond
-	firstAttemptTargets = 4 // target latencies after which a first attempt is abandoned
+	maxResponseHead     = 16 << 10              // bytes of a response's head
+	maxStaleResponses   = 2                     // responses to other requests that are skipped
+	maxResponseBody     = 16 << 20              // bytes of a response's body; a replica in trouble may send without end
+	maxInlineBody       = 16 << 10              // bytes; a longer request body is written while the response is read
+	unsignedWait        = 50 * time.Millisecond // for the end of the connection after a head without a signature
+	firstAttemptTargets = 4                     // target latencies after which a first attempt is abandoned
 	statusOK            = 200
 	statusFailure       = 500
 )
