--- a/internal/ops/medlarattachednode/crash_request_test.go
+++ b/internal/ops/medlarattachednode/crash_request_test.go
@@ -52,6 +52,23 @@
 	}
 }
 
+// restartOne restarts the instance with the most callers while a load goes on.
+func restartOne(f *fleet) {
+	time.Sleep(2 * time.Second)
+	f.restart(0)
+}
+
+// storeAway keeps the store from all instances for a moment while a load goes on.
+func storeAway(f *fleet) {
+	for _, w := range f.members {
+		w.endpoint.SetFault(medlarfaketopic.FaultRefuse)
+	}
+	time.Sleep(700 * time.Millisecond)
+	for _, w := range f.members {
+		w.endpoint.SetFault(medlarfaketopic.FaultNone)
+	}
+}
+
 // TestRequestThatCrashesReplicasIsStopped guards against one request that is sent again and again
 // and crashes replica after replica, through whatever instance it comes.
 func TestRequestThatCrashesReplicasIsStopped(t *testing.T) {
@@ -80,19 +97,12 @@
 		{name: "prompt within the head", kind: promptKind("/query/x", false), instances: 5, at: medlarfakereplica.CrashInHead},
 		{name: "prompt that may be resumed", kind: promptKind("/letter/x", false), instances: 5, at: medlarfakereplica.CrashBegun},
 		{name: "prompt with another last part each time", kind: promptKind("/query/x", true), instances: 5, at: medlarfakereplica.CrashBegun},
-		{name: "an instance that restarts", kind: safe, instances: 5, at: medlarfakereplica.CrashRunning, during: func(f *fleet) {
-			time.Sleep(2 * time.Second)
-			f.restart(0)
-		}},
-		{name: "the store away for a moment", kind: safe, instances: 5, at: medlarfakereplica.CrashRunning, during: func(f *fleet) {
-			for _, w := range f.members {
-				w.endpoint.SetFault(medlarfaketopic.FaultRefuse)
-			}
-			time.Sleep(700 * time.Millisecond)
-			for _, w := range f.members {
-				w.endpoint.SetFault(medlarfaketopic.FaultNone)
-			}
-		}},
+		{name: "safe, an instance that restarts", kind: safe, instances: 5, at: medlarfakereplica.CrashRunning, during: restartOne},
+		{name: "unsafe, an instance that restarts", kind: unsafe, instances: 5, at: medlarfakereplica.CrashRunning, during: restartOne},
+		{name: "prompt, an instance that restarts", kind: promptKind("/query/x", false), instances: 5, at: medlarfakereplica.CrashBegun, during: restartOne},
+		{name: "safe, the store away for a moment", kind: safe, instances: 5, at: medlarfakereplica.CrashRunning, during: storeAway},
+		{name: "unsafe, the store away for a moment", kind: unsafe, instances: 5, at: medlarfakereplica.CrashRunning, during: storeAway},
+		{name: "prompt, the store away for a moment", kind: promptKind("/query/x", false), instances: 5, at: medlarfakereplica.CrashBegun, during: storeAway},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
