--- a/internal/ops/medlarattachednode/builds_test.go
+++ b/internal/ops/medlarattachednode/builds_test.go
@@ -304,6 +304,18 @@
 			time.Sleep(2 * time.Second)
 			f.kill(1, 300*time.Millisecond)
 		}, few: true},
+		{name: "a version that has gone", instances: 5, change: func(s *medlarsite.Settings) { s.RestartDelay = 0 }, during: func(f *buildFleet) {
+			time.Sleep(time.Second)
+			for _, r := range f.site.EngineReplicas() {
+				if r.Settings.Build == "v2" {
+					r.Crash()
+				}
+			}
+			for i := range 4 {
+				f.kill(i, 300*time.Millisecond)
+				time.Sleep(700 * time.Millisecond)
+			}
+		}, few: true},
 		{name: "the store away while instances are killed", instances: 5, during: func(f *buildFleet) {
 			for _, w := range f.members[1:] {
 				w.endpoint.SetFault(medlarfaketopic.FaultRefuse)
