Begin no stream elsewhere at an instance that cannot record it

Cause: an instance that was cut off from the store began streams at another software version than the derived one when that had no usable replica.

Change: such a stream is refused at once as not run, so that its caller tries another instance.

TestStreamsBeginElsewhereOnlyIfRecorded failed before in the row without the store.

--- a/internal/core/medlarresume/medlarresume.go
+++ b/internal/core/medlarresume/medlarresume.go
@@ -4,11 +4,11 @@
 //
 //	R1  A new stream that can be resumed is to begin at the build that all instances derive
 //	    for it. If no upstream of that build is usable, or none has room for overflowDelay,
-//	    it begins at another one, which is recorded; without the store only if none is usable.
+//	    it begins at another one, which is recorded. An instance that cannot record it, and may
+//	    be killed before it can, leaves the stream to others.
 //	R2  From its first event on, a stream goes on at its build only, within one answer and
 //	    when its caller resumes it at any instance.
-//	R3  A stream whose build is not certain, or has no upstream that does not leave, is
-//	    refused at once.
+//	R3  A stream that may neither begin nor go on at any upstream is refused at once.
 package medlarresume
 
 import (
@@ -187,22 +187,29 @@
 	w.Waiting = kept
 }
 
-// CanGoOn reports whether the stream of a run has an upstream to go on at (R3).
+// CanGoOn reports whether the stream of a run has an upstream to begin or to go on at (R3).
 func CanGoOn(w *medlarworld.World, r *medlarworld.Run) bool {
-	return !r.BuildFixed || slices.ContainsFunc(w.UpstreamsFor(r.Target()), func(u *medlarworld.Upstream) bool {
-		return u.Build == r.Build && !u.Leaving && !u.Delisted
-	})
+	if r.BuildFixed {
+		return slices.ContainsFunc(w.UpstreamsFor(r.Target()), func(u *medlarworld.Upstream) bool {
+			return u.Build == r.Build && !u.Leaving && !u.Delisted
+		})
+	}
+	return r.Build == "" || w.Builds.CanRecord(w.Now) || hasUsable(w, r)
 }
 
 // MayOverflow reports whether a stream may begin at another build than the derived one (R1).
 func MayOverflow(w *medlarworld.World, r *medlarworld.Run) bool {
-	if r.BuildFixed || r.Build == "" {
+	if r.BuildFixed || r.Build == "" || !w.Builds.CanRecord(w.Now) {
 		return false
 	}
-	usable := slices.ContainsFunc(w.UpstreamsFor(r.Target()), func(u *medlarworld.Upstream) bool {
+	return w.Now.Sub(r.Arrived) >= overflowDelay || !hasUsable(w, r)
+}
+
+// hasUsable reports whether an upstream of a run's build is usable.
+func hasUsable(w *medlarworld.World, r *medlarworld.Run) bool {
+	return slices.ContainsFunc(w.UpstreamsFor(r.Target()), func(u *medlarworld.Upstream) bool {
 		return u.Build == r.Build && u.Usable(w.Now)
 	})
-	return !usable || w.Now.Sub(r.Arrived) >= overflowDelay && w.Builds.CanRecord(w.Now)
 }
 
 // emit emits what is to be recorded.
