Read what other instances have recorded before a stream is resumed at a derived build

Cause: an instance learns of a record of another one after up to 0.2 s, and knows only after 2.6 s that it is cut off from the store.

Change: a run that resumes a stream which its instance does not know waits for one read of the topic that began after the request came; runs share reads. If that fails, or takes 0.5 s, the run is refused as not run. Fleets with one software version read nothing more.

TestResumedStreamsAwaitRecords is new.

--- a/internal/agree/medlarnotice/medlarnotice.go
+++ b/internal/agree/medlarnotice/medlarnotice.go
@@ -130,12 +130,17 @@
 	b.end, b.read = end, true
 }
 
+// End returns the offset up to which the instance has read the topic; ok is false if it has not read it.
+func (b *Board) End() (end medlarid.Offset, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.end, b.read
+}
+
 // Claim writes a record if the instance has read all others (R2).
 func (b *Board) Claim(r Record) error {
-	b.mu.Lock()
-	end, read := b.end, b.read
-	b.mu.Unlock()
-	if !read {
+	end, ok := b.End()
+	if !ok {
 		return &Error{Op: OpClaim, Kind: KindBehind, Err: eris.New("the topic has not been read")}
 	}
 	if err := b.deps.AppendAt(end, r); err != nil {
--- a/internal/core/medlarbuild/history_test.go
+++ b/internal/core/medlarbuild/history_test.go
@@ -146,24 +146,28 @@
 		poll := !in.ready
 		in.ready, in.behind = true, false
 		h.list(i)
-		in.table.SetRead(h.now)
-		if h.assignment != nil {
-			in.table.ApplyAssignment(h.now, engines, *h.assignment)
-		}
-		for _, other := range h.instances {
-			in.table.ApplyStreams(h.now, other.record)
-		}
-		for j, other := range h.instances {
-			if other.seen != nil {
-				in.table.ApplySeen(name(j), *other.seen)
-			}
-		}
+		h.apply(i)
 		if poll {
 			h.poll(i, start)
 		}
 	})
 }
 
+// apply lets an instance know what the store holds.
+func (h *history) apply(i int) {
+	table := h.instances[i].table
+	table.SetRead(h.now)
+	if h.assignment != nil {
+		table.ApplyAssignment(h.now, engines, *h.assignment)
+	}
+	for j, other := range h.instances {
+		table.ApplyStreams(h.now, other.record)
+		if other.seen != nil {
+			table.ApplySeen(name(j), *other.seen)
+		}
+	}
+}
+
 // poll lets an instance read the topic at least each 2 s.
 func (h *history) poll(i, start int) {
 	in := h.instances[i]
@@ -379,19 +383,45 @@
 			return
 		}
 		touched := !h.now.Before(in.awayUntil)
-		build, ok := in.table.ResumeBuild(h.now, engines, p.key)
-		got, there := h.pick(p.server, build, false)
-		if touched && h.count(p.build) >= 2 {
-			h.resumed++
-			h.went += btoi(ok && there)
-		}
-		if ok && there {
-			in.table.AttemptStarted(h.now, engines, p.key, got)
-			h.after(h.between(5*time.Millisecond, 100*time.Millisecond), func() { h.serve(p, got) })
+		if !in.table.NeedsRead(h.now, engines, p.key) {
+			h.goOn(p, touched)
+			return
 		}
+		h.after(h.between(5*time.Millisecond, 40*time.Millisecond), func() {
+			switch {
+			case !h.alive(p.server, p.start):
+				h.resume(p)
+			case h.now.Before(in.awayUntil):
+				h.countResumed(p, touched, false)
+			default:
+				h.apply(p.server)
+				h.goOn(p, touched)
+			}
+		})
 	})
 }
 
+// goOn sends a stream that is resumed, if its build is certain. touched tells whether its instance reached the
+// store when the caller came.
+func (h *history) goOn(p *played, touched bool) {
+	in := h.instances[p.server]
+	build, ok := in.table.ResumeBuild(h.now, engines, p.key)
+	got, there := h.pick(p.server, build, false)
+	h.countResumed(p, touched, ok && there)
+	if ok && there {
+		in.table.AttemptStarted(h.now, engines, p.key, got)
+		h.after(h.between(5*time.Millisecond, 100*time.Millisecond), func() { h.serve(p, got) })
+	}
+}
+
+// countResumed counts the resumptions that could go on, and those that do.
+func (h *history) countResumed(p *played, touched, goesOn bool) {
+	if touched && h.count(p.build) >= 2 {
+		h.resumed++
+		h.went += btoi(goesOn)
+	}
+}
+
 // count returns how many replicas of a build serve.
 func (h *history) count(b medlarid.Build) int {
 	n := 0
@@ -504,8 +534,8 @@
 }
 
 // failedSeeds failed once: streams begun elsewhere at instances that were cut off from the store, or resumed at
-// such an instance.
-var failedSeeds = []uint64{55, 97, 138, 382}
+// such an instance, or at one that had not read the record of a stream yet.
+var failedSeeds = []uint64{31, 55, 97, 138, 382}
 
 // shortHistories is the number of seeds in a short run.
 const shortHistories = 6
--- a/internal/core/medlarbuild/medlarbuild.go
+++ b/internal/core/medlarbuild/medlarbuild.go
@@ -18,9 +18,10 @@
 //	    changes, streams that begin in one that is not settled, and streams that begin at
 //	    another build than the derived one, since that has no upstream that can take them.
 //	R5  A stream is resumed at the build that this instance knows, that is recorded, or that is
-//	    derived, in this order. It is not resumed if the derived one is not certain: in a bucket
-//	    that is not settled, without a named stream, or if the instance has not read the
-//	    records for maxAge.
+//	    derived, in this order. It is derived only after a read of all records that began later
+//	    than the request came, since another instance may just have recorded an exception. It
+//	    is not resumed if the derived one is not certain: in a bucket that is not settled,
+//	    without a named stream, or if the instance has not read the records for maxAge.
 //	R6  A service with one build so far needs no assignment. Upstreams whose build is not known
 //	    get streams that can be resumed only if there are no others, and these are
 //	    never resumed.
@@ -145,6 +146,15 @@
 	return build
 }
 
+// NeedsRead reports whether the records have to be read before it is decided at which build a stream goes on (R5).
+func (t *Table) NeedsRead(now time.Time, id medlarid.ServiceID, k Key) bool {
+	if _, known := t.known.get(now, k); known && k != 0 {
+		return false
+	}
+	s := t.services[id]
+	return s != nil && k != 0 && (s.assigned || len(s.counts) > 1)
+}
+
 // ResumeBuild returns the build at which a stream goes on; empty for any. ok is false if that is not
 // certain (R5).
 func (t *Table) ResumeBuild(now time.Time, id medlarid.ServiceID, k Key) (build medlarid.Build, ok bool) {
--- a/internal/core/medlarcore/builds_test.go
+++ b/internal/core/medlarcore/builds_test.go
@@ -67,3 +67,83 @@
 	}
 	return nil
 }
+
+// TestResumedStreamsAwaitRecords guards against streams that go on at the derived build although another
+// instance has recorded a moment ago that they began at another one.
+func TestResumedStreamsAwaitRecords(t *testing.T) {
+	key := medlarbuild.KeyOf("acme", "first")
+	recorded := medlarworld.StreamsRecorded{Builds: map[medlarbuild.Key]medlarid.Build{key: "new"}}
+	for _, tc := range []struct {
+		name   string
+		before []medlarworld.Event // what the instance has read before the request comes
+		answer []medlarworld.Event // to its read; nil for none
+		want   medlarid.InstanceID
+	}{
+		{"recorded just now", nil, []medlarworld.Event{recorded, medlarworld.NoticesCurrent{}}, "e01"},
+		{"no record", nil, []medlarworld.Event{medlarworld.NoticesCurrent{}}, "e00"},
+		{"the store cannot be read", nil, []medlarworld.Event{medlarworld.NoticesCurrent{Failed: true}}, ""},
+		{"the store does not answer", nil, nil, ""},
+		{"known before", []medlarworld.Event{recorded}, nil, "e01"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPartsHarness(t, 0, nil)
+			first, second := engineMember(0, "1"), engineMember(1, "1")
+			first.Build, second.Build = "old", "new"
+			p.tick(medlarworld.InstancesListed{Members: []medlarworld.Member{first, second}})
+			p.tick(medlarworld.NoticesRead{}, medlarworld.BuildsAssigned{Service: partsService, Assignment: allBuckets("old")})
+			p.tick(tc.before...)
+			r := p.newRun(100, 100)
+			r.Stream, r.Resumes = key, true
+			cs := p.tick(medlarworld.Submitted{Run: r})
+			for _, e := range tc.answer {
+				if n, ok := e.(medlarworld.NoticesCurrent); ok {
+					n.AsOf = readOf(t, cs)
+					e = n
+				}
+				cs = append(cs, p.tick(e)...)
+			}
+			p.now = p.now.Add(time.Second)
+			assertBegins(t, append(cs, p.tick()...), tc.want)
+		})
+	}
+	t.Run("requests that come during a read wait for the next one", func(t *testing.T) {
+		p := newPartsHarness(t, 0, nil)
+		first, second := engineMember(0, "1"), engineMember(1, "1")
+		first.Build, second.Build = "old", "new"
+		p.tick(medlarworld.InstancesListed{Members: []medlarworld.Member{first, second}})
+		p.tick(medlarworld.NoticesRead{}, medlarworld.BuildsAssigned{Service: partsService, Assignment: allBuckets("old")})
+		resumed := func(id medlarid.RequestID) []medlarworld.Command {
+			r := p.newRun(100, 100)
+			r.Stream, r.Resumes = medlarbuild.KeyOf("acme", id), true
+			return p.tick(medlarworld.Submitted{Run: r})
+		}
+		at := readOf(t, resumed("a"))
+		p.now = p.now.Add(time.Millisecond)
+		assertNothing(t, resumed("b"))
+		cs := p.tick(medlarworld.NoticesCurrent{AsOf: at})
+		assertBegins(t, cs, "e00")
+		if n := len(cs); n != 2 {
+			t.Errorf("%d commands, want a start and a read: %+v", n, cs)
+		}
+		assertBegins(t, p.tick(medlarworld.NoticesCurrent{AsOf: readOf(t, cs)}), "e00")
+	})
+}
+
+// readOf returns since when a read of the notices counts.
+func readOf(t *testing.T, cs []medlarworld.Command) time.Time {
+	t.Helper()
+	for _, c := range cs {
+		if r, ok := c.(medlarworld.ReadNotices); ok {
+			return r.At
+		}
+	}
+	t.Fatalf("no read of the notices: %+v", cs)
+	return time.Time{}
+}
+
+func assertNothing(t *testing.T, cs []medlarworld.Command) {
+	t.Helper()
+	if len(cs) > 0 {
+		t.Errorf("commands %+v, want none", cs)
+	}
+}
--- a/internal/core/medlarresume/medlarresume.go
+++ b/internal/core/medlarresume/medlarresume.go
@@ -7,7 +7,8 @@
 //	    it begins at another one, which is recorded. An instance that cannot record it, and may
 //	    be killed before it can, leaves the stream to others.
 //	R2  From its first event on, a stream goes on at its build only, within one answer and
-//	    when its caller resumes it at any instance.
+//	    when its caller resumes it at any instance. An instance that does not know the build
+//	    reads first what the others have recorded.
 //	R3  A stream that may neither begin nor go on at any upstream is refused at once.
 package medlarresume
 
@@ -30,9 +31,14 @@
 // another one (R1).
 const overflowDelay = 40 * time.Millisecond
 
+// readTimeout is the longest time that a run waits for what other instances have recorded.
+const readTimeout = 500 * time.Millisecond
+
 // System decides where streams begin and go on.
 type System struct {
-	builds map[medlarid.InstanceID]medlarid.Build // of upstreams, when they were listed last
+	builds   map[medlarid.InstanceID]medlarid.Build // of upstreams, when they were listed last
+	awaiting []*medlarworld.Run                     // runs that wait for what other instances have recorded (R2)
+	readAt   time.Time                              // since when that is being read; zero if it is not
 }
 
 // New returns a System.
@@ -46,11 +52,13 @@
 			countUpstreams(w)
 			s.findChanges(w)
 		case medlarworld.Submitted:
-			prepare(w, e.Run)
+			s.prepare(w, e.Run)
 		case medlarworld.AnswerBegan:
 			fix(w, e)
 		case medlarworld.NoticesRead:
 			w.Builds.SetRead(w.Now)
+		case medlarworld.NoticesCurrent:
+			s.noticesCurrent(w, e)
 		case medlarworld.NoticesWritten:
 			w.Builds.SetWritten()
 		case medlarworld.BuildsAssigned:
@@ -64,6 +72,7 @@
 		}
 	}
 	endStreams(w)
+	s.readNotices(w)
 	refuseWaiting(w)
 	w.Builds.Update(w.Now)
 	emit(w)
@@ -106,14 +115,13 @@
 }
 
 // prepare decides at which build a new run's stream begins or goes on.
-func prepare(w *medlarworld.World, r *medlarworld.Run) {
+func (s *System) prepare(w *medlarworld.World, r *medlarworld.Run) {
 	switch {
+	case r.Resumes && w.Builds.NeedsRead(w.Now, r.Service, r.Stream):
+		r.AwaitsNotices, r.NotBefore = true, w.Now.Add(readTimeout)
+		s.awaiting = append(s.awaiting, r)
 	case r.Resumes:
-		build, ok := w.Builds.ResumeBuild(w.Now, r.Service, r.Stream)
-		if !ok {
-			build = medlarbuild.Unknown
-		}
-		r.Build, r.BuildFixed = build, build != ""
+		resume(w, r)
 	case r.Stream != 0:
 		r.Build = w.Builds.NewStreamBuild(w.Now, r.Service, r.Stream)
 	}
@@ -122,6 +130,52 @@
 	}
 }
 
+// resume decides at which build a stream goes on.
+func resume(w *medlarworld.World, r *medlarworld.Run) {
+	build, ok := w.Builds.ResumeBuild(w.Now, r.Service, r.Stream)
+	if !ok {
+		build = medlarbuild.Unknown
+	}
+	r.Build, r.BuildFixed = build, build != ""
+}
+
+// noticesCurrent decides on the runs that came before a read has begun.
+func (s *System) noticesCurrent(w *medlarworld.World, e medlarworld.NoticesCurrent) {
+	if e.AsOf.Equal(s.readAt) {
+		s.readAt = time.Time{}
+	}
+	if !e.Failed {
+		w.Builds.SetRead(w.Now)
+	}
+	s.decide(w, !e.Failed, func(r *medlarworld.Run) bool { return !r.Arrived.After(e.AsOf) })
+}
+
+// decide ends the wait of the runs for which due is true. Without what the others have recorded they can
+// go on nowhere.
+func (s *System) decide(w *medlarworld.World, read bool, due func(*medlarworld.Run) bool) {
+	s.awaiting = slices.DeleteFunc(s.awaiting, func(r *medlarworld.Run) bool {
+		if !due(r) {
+			return r.Phase == medlarworld.PhaseDone
+		}
+		r.AwaitsNotices, r.NotBefore = false, time.Time{}
+		r.Build, r.BuildFixed = medlarbuild.Unknown, true
+		if read {
+			resume(w, r)
+		}
+		return true
+	})
+}
+
+// readNotices asks for what the others have recorded, one read at a time, and ends waits that last too long.
+func (s *System) readNotices(w *medlarworld.World) {
+	s.decide(w, false, func(r *medlarworld.Run) bool { return !w.Now.Before(r.NotBefore) })
+	if len(s.awaiting) == 0 || !s.readAt.IsZero() && w.Now.Sub(s.readAt) < readTimeout {
+		return
+	}
+	s.readAt = w.Now
+	w.Emit(medlarworld.ReadNotices{At: w.Now})
+}
+
 // Started reports that an attempt of a run starts at an upstream.
 func Started(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) {
 	if r.Stream != 0 {
@@ -189,6 +243,9 @@
 
 // CanGoOn reports whether the stream of a run has an upstream to begin or to go on at (R3).
 func CanGoOn(w *medlarworld.World, r *medlarworld.Run) bool {
+	if r.AwaitsNotices {
+		return true
+	}
 	if r.BuildFixed {
 		return slices.ContainsFunc(w.UpstreamsFor(r.Target()), func(u *medlarworld.Upstream) bool {
 			return u.Build == r.Build && !u.Leaving && !u.Delisted
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -307,6 +307,8 @@
 	// to go on if BuildFixed is set; empty for any.
 	Build        medlarid.Build
 	BuildFixed   bool
+	// AwaitsNotices is set while the run waits for what other instances have recorded of its stream.
+	AwaitsNotices bool
 	Crashes      int                 // replicas that crashed before they sent a part of its answer
 	Trial        bool                // goes on although it has a blocked trait
 	BlockedTrait medlarsuspect.Trait // for which the run is refused
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -248,6 +248,13 @@
 // NoticesRead reports that the records of all instances are known as of now.
 type NoticesRead struct{}
 
+// NoticesCurrent answers ReadNotices: the core has got what all instances have recorded until AsOf, unless
+// the read has failed.
+type NoticesCurrent struct {
+	AsOf   time.Time
+	Failed bool
+}
+
 // NoticesWritten reports that the store has accepted records of this instance.
 type NoticesWritten struct{}
 
@@ -308,6 +315,7 @@
 func (TrialGranted) event()      {}
 func (RecordsRestored) event()   {}
 func (NoticesRead) event()       {}
+func (NoticesCurrent) event()    {}
 func (NoticesWritten) event()    {}
 func (BuildsAssigned) event()    {}
 func (StreamsRecorded) event()   {}
@@ -455,6 +463,9 @@
 	Builds map[medlarbuild.Key]medlarid.Build
 }
 
+// ReadNotices asks to read what all instances have recorded until now, which is At.
+type ReadNotices struct{ At time.Time }
+
 // RecordSeen asks to record which assignments this instance has read.
 type RecordSeen struct{ Seen medlarbuild.Seen }
 
@@ -484,6 +495,7 @@
 func (AssignBuilds) command()  {}
 func (RecordStreams) command() {}
 func (RecordSeen) command()    {}
+func (ReadNotices) command()   {}
 func (BlockChanged) command()  {}
 func (Refuse) command()        {}
 func (LookUp) command()        {}
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -264,14 +264,28 @@
 	})
 }
 
-func newNotifier(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, board *medlarnotice.Board) *medlarnotifier.Notifier {
+func newNotifier(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, s *medlarcalls.Store, board *medlarnotice.Board) *medlarnotifier.Notifier {
 	return medlarnotifier.New(medlarnotifier.Deps{
 		Self: cfg.Name, Log: log, Metrics: m, Board: board,
+		Read: func(newConn bool) ([]medlarfeed.Record, error) {
+			end, ok := board.End()
+			if !ok {
+				return nil, errUnread
+			}
+			b, err := s.Follow(medlarplatform.TopicNotices, end, medlarfeed.ReadOptions{NewConn: newConn})
+			if err == nil && b.Truncated {
+				err = errUnread
+			}
+			return b.Records, err
+		},
 		Spread:     time.Duration(rankOf(cfg) % int(restoreSpread)),
 		CallFailed: func() { m.CallFailed(medlarplatform.TopicNotices) },
 	})
 }
 
+// errUnread reports that the topic of notices has to be read anew first.
+var errUnread = eris.New("topic of notices is not read yet, or its records are truncated")
+
 // Start opens the listeners and starts serving. The instance runs until stop is called;
 // stop returns when the instance has ended.
 func (i *Instance) Start() (stop func(), err error) {
--- a/internal/ops/medlarloop/medlarloop.go
+++ b/internal/ops/medlarloop/medlarloop.go
@@ -47,10 +47,11 @@
 	// RecordLimit and RecordNeed are needed where upstreams name limits.
 	RecordLimit func(medlarworld.RecordLimit)
 	RecordNeed  func(medlarworld.RecordNeed)
-	// AssignBuilds, RecordStreams and RecordSeen are needed where upstreams report their builds.
+	// AssignBuilds, RecordStreams, RecordSeen and ReadNotices are needed where upstreams report their builds.
 	AssignBuilds  func(medlarworld.AssignBuilds)
 	RecordStreams func(medlarworld.RecordStreams)
 	RecordSeen    func(medlarworld.RecordSeen)
+	ReadNotices   func(medlarworld.ReadNotices)
 	OnTick        func(waiting, open int)
 }
 
@@ -253,6 +254,8 @@
 		l.deps.RecordStreams(c)
 	case medlarworld.RecordSeen:
 		l.deps.RecordSeen(c)
+	case medlarworld.ReadNotices:
+		go l.deps.ReadNotices(c)
 	case medlarworld.RequestShares:
 		go l.deps.RequestShares(c)
 	case medlarworld.ProbeUpstream:
--- a/internal/ops/medlarnotifier/medlarnotifier.go
+++ b/internal/ops/medlarnotifier/medlarnotifier.go
@@ -47,6 +47,9 @@
 	Log     zerolog.Logger
 	Metrics *medlarmetric.Metrics
 	Board   *medlarnotice.Board
+	// Read returns what was written to the topic of notices since this instance has read it last, on a
+	// new connection if newConn is set.
+	Read func(newConn bool) ([]medlarfeed.Record, error)
 	// Spread is the time after which this instance writes its notices again once the store
 	// came back from a copy; each instance has another one.
 	Spread time.Duration
@@ -77,6 +80,7 @@
 	d.AssignBuilds = n.assignBuilds
 	d.RecordStreams = n.recordStreams
 	d.RecordSeen = n.recordSeen
+	d.ReadNotices = n.read
 }
 
 // probe finds out whether a replica is down: whether it refuses connections.
@@ -203,6 +207,20 @@
 	n.deps.Board.Put(r)
 }
 
+// read passes what others have recorded until now to the core.
+func (n *Notifier) read(c medlarworld.ReadNotices) {
+	records, err := n.deps.Read(false)
+	if err != nil {
+		records, err = n.deps.Read(true) // the connection may be dead
+	}
+	if err != nil {
+		n.deps.CallFailed()
+		n.deps.Log.Warn().Str("event", "notice").Err(err).Msg("notices cannot be read; streams of other instances are not resumed")
+	}
+	n.Apply(records, false)
+	n.post(medlarworld.NoticesCurrent{AsOf: c.At, Failed: err != nil})
+}
+
 // Apply passes the records of other instances to the core.
 func (n *Notifier) Apply(records []medlarfeed.Record, _ bool) {
 	for _, r := range records {
