Count the ends of a replica whose entry does not tell of its new start

Cause: a crash was identified by the incarnation that the store's entry names. While the entry says the old start (store away, late report, start not named) several ends of one replica counted as one. With two replicas, a request that crashes them was never blocked: 10 to 12 crashes in 9 s.

Change: an attempt was lost with the first end after its connection was established; a later end under the same incarnation gets a number. Ends of one replica reported within 0.4 s are one, as instances may know its entry of different times. Other uses of the incarnation were looked at: limits and pauses end with the replica's own answers or by time; a replica that said it leaves and starts again under its id stays unused until its entry changes.

--- a/internal/agree/medlarnotice/crash.go
+++ b/internal/agree/medlarnotice/crash.go
@@ -30,6 +30,7 @@
 type crashRecord struct {
 	Replica medlarid.InstanceID   `json:"replica"`
 	Born    medlarid.Incarnation  `json:"born"`
+	End     int                   `json:"end,omitempty"`
 	Begun   []medlarsuspect.Trait `json:"begun,omitempty"`
 	Waiting []medlarsuspect.Trait `json:"waiting,omitempty"`
 }
@@ -50,7 +51,7 @@
 func EncodeCrash(r medlarsuspect.Report) ([]byte, error) {
 	begun := unique(r.Begun, maxReportTraits)
 	waiting := unique(r.Waiting, maxReportTraits-len(begun))
-	return json.Marshal(crashRecord{Replica: r.Crash.Replica, Born: r.Crash.Incarnation, Begun: begun, Waiting: waiting})
+	return json.Marshal(crashRecord{Replica: r.Crash.Replica, Born: r.Crash.Incarnation, End: r.Crash.End, Begun: begun, Waiting: waiting})
 }
 
 // unique returns the different traits of a list, at most n.
@@ -117,7 +118,7 @@
 		return nil, err
 	}
 	return medlarworld.CrashReported{Report: medlarsuspect.Report{
-		Crash: medlarsuspect.CrashID{Replica: c.Replica, Incarnation: c.Born},
+		Crash: medlarsuspect.CrashID{Replica: c.Replica, Incarnation: c.Born, End: c.End},
 		Begun: c.Begun[:min(len(c.Begun), maxReportTraits)], Waiting: c.Waiting[:min(len(c.Waiting), maxReportTraits)],
 	}}, nil
 }
--- a/internal/core/medlarcore/crash_test.go
+++ b/internal/core/medlarcore/crash_test.go
@@ -39,7 +39,18 @@
 		Lost: true, Head: l.head, Began: l.began,
 	}
 	cs := p.tick(e)
-	return append(cs, p.tick(medlarworld.UpstreamProbed{Upstream: s.Upstream, Incarnation: s.Incarnation, Down: down})...)
+	return append(cs, p.tick(medlarworld.UpstreamProbed{Crash: crashProbed(p.t, cs), Down: down})...)
+}
+
+// crashProbed returns the crash that an upstream is probed for; none if a probe was not asked for.
+func crashProbed(t *testing.T, cs []medlarworld.Command) (id medlarsuspect.CrashID) {
+	t.Helper()
+	for _, c := range cs {
+		if c, ok := c.(medlarworld.ProbeUpstream); ok {
+			id = c.Crash
+		}
+	}
+	return id
 }
 
 func reportsOf(cs []medlarworld.Command) (out []medlarsuspect.Report) {
--- a/internal/core/medlarcrash/medlarcrash.go
+++ b/internal/core/medlarcrash/medlarcrash.go
@@ -4,8 +4,8 @@
 //
 //	R1  An attempt that was lost before its answer began, or shortly after, makes its request
 //	    suspect if the replica has crashed: it refuses new connections, or it is
-//	    listed under a new incarnation soon after. A replica that leaves is not suspected to
-//	    have crashed.
+//	    listed under a new incarnation soon after, unless it was known to have crashed under the
+//	    one before. A replica that leaves is not suspected to have crashed.
 //	R2  What was lost with a replica is reported to all instances, once more whenever
 //	    more is known.
 //	R3  A run with a blocked trait starts no attempt, be it new, waiting, or to be resumed
@@ -40,7 +40,7 @@
 	losses []*loss
 }
 
-// loss is what this instance has lost with one incarnation of a replica.
+// loss is what this instance has lost with one end of a replica.
 type loss struct {
 	id             medlarsuspect.CrashID
 	at             time.Time // of the last lost attempt
@@ -130,15 +130,15 @@
 	case e.Cause == medlarworld.CauseDone:
 		w.Suspects.Answered(w.Now, w.Now.Add(-e.Began), r.Traits)
 	case e.Lost && !r.Upstream.Leaving && e.Began < beginning:
-		s.lost(w, r, e.Head)
+		s.lost(w, r, e)
 	}
 }
 
 // lost records a lost attempt and asks whether its upstream is down (R1).
-func (s *System) lost(w *medlarworld.World, r *medlarworld.Run, begun bool) {
+func (s *System) lost(w *medlarworld.World, r *medlarworld.Run, e medlarworld.AttemptEnded) {
 	r.Trial = false
 	u := r.Upstream
-	id := medlarsuspect.CrashID{Replica: u.ID, Incarnation: u.Incarnation}
+	id := w.Suspects.Identify(u.ID, u.Incarnation, e.Connected)
 	l := s.find(id)
 	if l == nil {
 		l = &loss{id: id}
@@ -146,7 +146,7 @@
 	}
 	l.at = w.Now
 	l.runs = append(l.runs, r.ID)
-	if begun {
+	if e.Head {
 		l.begun = append(l.begun, r.Traits...)
 	} else {
 		l.waiting = append(l.waiting, r.Traits...)
@@ -159,7 +159,7 @@
 		return
 	}
 	l.probing = true
-	w.Emit(medlarworld.ProbeUpstream{Upstream: u.ID, Address: u.Address, Incarnation: u.Incarnation})
+	w.Emit(medlarworld.ProbeUpstream{Crash: id, Address: u.Address})
 }
 
 func (s *System) find(id medlarsuspect.CrashID) *loss {
@@ -170,7 +170,7 @@
 }
 
 func (s *System) probed(w *medlarworld.World, e medlarworld.UpstreamProbed) {
-	l := s.find(medlarsuspect.CrashID{Replica: e.Upstream, Incarnation: e.Incarnation})
+	l := s.find(e.Crash)
 	if l == nil {
 		return
 	}
@@ -185,7 +185,7 @@
 // findRestarts finds replicas that have started again after attempts were lost with them (R1).
 func (s *System) findRestarts(w *medlarworld.World) {
 	for _, l := range s.losses {
-		if u := w.Upstreams[l.id.Replica]; u != nil && u.Incarnation != l.id.Incarnation && !l.crashed {
+		if u := w.Upstreams[l.id.Replica]; u != nil && u.Incarnation != l.id.Incarnation && l.id.End == 0 && !l.crashed {
 			l.crashed = true
 			s.report(w, l)
 		}
--- a/internal/core/medlarsuspect/history_test.go
+++ b/internal/core/medlarsuspect/history_test.go
@@ -33,6 +33,7 @@
 	crashes  int
 	begun    bool
 	over     bool
+	sentAt   time.Time
 	beganAt  time.Time
 }
 
@@ -40,6 +41,7 @@
 type engine struct {
 	id      medlarid.InstanceID
 	born    medlarid.Incarnation
+	listed  medlarid.Incarnation // that its entry names
 	running []*prompt
 	downFor time.Time // until which it is down
 }
@@ -57,6 +59,7 @@
 	bads    []Trait
 	whole   bool // bad are requests as a whole, which come again, not parts of prompts
 	plain   bool // requests have no parts
+	stale   bool // entries of replicas never tell of a new start
 	serial  int  // of requests
 
 	arrivals, crashes map[Trait][]time.Time // of requests with a bad part at replicas, and under them
@@ -183,6 +186,7 @@
 	if p.bad != "" {
 		h.arrivals[p.bad] = append(h.arrivals[p.bad], h.now)
 	}
+	p.sentAt = h.now
 	e.running = append(e.running, p)
 	born := e.born
 	h.after(h.between(10*time.Millisecond, 400*time.Millisecond), func() { h.begin(e, born, p) })
@@ -229,9 +233,11 @@
 
 // crash ends a replica; each instance reports what it has lost.
 func (h *history) crash(e *engine) {
-	id := CrashID{Replica: e.id, Incarnation: e.born}
-	lost := e.running
+	listed, lost := e.listed, e.running
 	e.running, e.born, e.downFor = nil, e.born+1, h.now.Add(h.between(2*time.Second, 5*time.Second))
+	if !h.stale {
+		e.listed = e.born
+	}
 	reports := map[int]*Report{}
 	for _, p := range lost {
 		p.over = true
@@ -240,7 +246,7 @@
 		}
 		r := reports[p.instance]
 		if r == nil {
-			r = &Report{Crash: id}
+			r = &Report{Crash: h.tables[p.instance].Identify(e.id, listed, p.sentAt)}
 			reports[p.instance] = r
 		}
 		if p.begun {
@@ -401,6 +407,47 @@
 	}
 }
 
+// TestRandomHistoriesOfStaleEntries guards against crashes that count once because the entries of replicas
+// do not tell of new starts: then a replica that has crashed once cannot be counted again.
+func TestRandomHistoriesOfStaleEntries(t *testing.T) {
+	count := uint64(*historyCount)
+	if testing.Short() {
+		count = min(count, shortHistories)
+	}
+	for seed := *historySeed; seed < *historySeed+count; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { playStaleHistory(t, seed) })
+	}
+}
+
+// TestHistoriesOfFewReplicas guards against sound parts and requests that are kept back for long because
+// all of a few replicas crash again and again while they are in progress.
+func TestHistoriesOfFewReplicas(t *testing.T) {
+	for _, seed := range []uint64{93, 162, 295} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { playStaleHistory(t, seed) })
+	}
+}
+
+// playStaleHistory plays a history of two to four replicas whose entries do not tell of new starts.
+func playStaleHistory(t *testing.T, seed uint64) {
+	t.Helper()
+	t.Parallel()
+	h := newHistory(seed)
+	h.stale = true
+	h.engines = h.engines[:2+seed%3]
+	if seed%2 == 0 {
+		h.makeRequestHistory()
+	}
+	h.play(100 * time.Second)
+	for _, p := range h.bads {
+		if n := h.late(p); n > allowedLate {
+			t.Errorf("%d requests with %s came later than %v after its fifth crash, want %d at most; %d instances, %d replicas, %d crashes", n, p, settling, allowedLate, len(h.tables), len(h.engines), len(h.crashes[p]))
+		}
+	}
+	if h.refused*50 > h.sound {
+		t.Errorf("%d of %d sound requests were kept back; %d instances, crashes %v", h.refused, h.sound, len(h.tables), len(h.crashes))
+	}
+}
+
 const settledRequestCrashes = 3
 
 // shortHistories is the number of seeds in a short run.
--- a/internal/core/medlarsuspect/medlarsuspect.go
+++ b/internal/core/medlarsuspect/medlarsuspect.go
@@ -3,8 +3,12 @@
 //
 // Rules:
 //
-//	R1  A crash is the end of one incarnation of a replica, however many attempts were lost
-//	    with it and whichever instances report it.
+//	R1  A crash is one end of a replica, however many attempts were lost with it and whichever
+//	    instances report it. A replica may end several times while its entry names the same
+//	    incarnation: the entry lags behind a new start, or does not tell of it. An attempt was
+//	    lost with the first end after its connection was established. Ends of one replica that
+//	    are reported within minLife are the same one, as instances may know its entry of
+//	    different times.
 //	R2  Suspected of a crash are all requests that were lost with it, as a whole. Suspected
 //	    are also the parts of the prompts that the replica had begun to answer; if no instance
 //	    reports such a prompt, the parts of all prompts that were lost with it. The last part of
@@ -42,6 +46,7 @@
 // Times and counts of the rules.
 const (
 	blockingMoments = 3
+	minLife         = 400 * time.Millisecond // from one end of a replica to the next one (R1)
 	sameMoment      = 150 * time.Millisecond // crashes within this time count once (R4)
 	crashWindow     = 15 * time.Minute       // crashes count for this time: a trait may come seldom
 	clearingLead    = 2 * time.Second        // an answer that began this long before a crash clears (R3)
@@ -72,7 +77,8 @@
 // CrashID identifies a crash (R1).
 type CrashID struct {
 	Replica     medlarid.InstanceID
-	Incarnation medlarid.Incarnation
+	Incarnation medlarid.Incarnation // that the entry of the replica names
+	End         int                  // number of earlier ends under that incarnation
 }
 
 // Report is what one instance lost with a replica that crashed.
@@ -203,10 +209,26 @@
 	return added > 0
 }
 
-// crash returns the remembered crash with an id, and remembers it if it is new.
+// Identify returns the id of the crash of a replica under an incarnation with which an attempt was lost whose
+// connection was established at a time (R1).
+func (t *Table) Identify(replica medlarid.InstanceID, i medlarid.Incarnation, connected time.Time) CrashID {
+	id := CrashID{Replica: replica, Incarnation: i}
+	for _, c := range t.crashes { // in order of their first report
+		if c.id.Replica != replica || c.id.Incarnation != i {
+			continue
+		}
+		if !connected.After(c.at) {
+			return c.id
+		}
+		id.End = max(id.End, c.id.End+1)
+	}
+	return id
+}
+
+// crash returns the remembered crash with an id, or of that time (R1), and remembers it if it is new.
 func (t *Table) crash(now time.Time, id CrashID) *crash {
 	for _, c := range t.crashes {
-		if c.id == id {
+		if c.id == id || c.id.Replica == id.Replica && now.Sub(c.at) < minLife {
 			return c
 		}
 	}
--- a/internal/core/medlarsuspect/medlarsuspect_test.go
+++ b/internal/core/medlarsuspect/medlarsuspect_test.go
@@ -482,3 +482,41 @@
 		runtime.KeepAlive(table)
 	}
 }
+
+// TestEndsUnderOneIncarnation guards against ends of a replica that are counted once, or more often than they
+// come, while its entry names the same start.
+func TestEndsUnderOneIncarnation(t *testing.T) {
+	at := func(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+	for _, tc := range []struct {
+		name      string
+		ends      []int // ms; each is reported as it is identified, by a connection of 10 ms before
+		connected int   // ms
+		want      int   // number of earlier ends
+	}{
+		{"no end known", nil, 0, 0},
+		{"connected before the only end", []int{1000}, 900, 0},
+		{"connected after the only end", []int{1000}, 3000, 1},
+		{"connected between two ends", []int{1000, 4000}, 3000, 1},
+		{"connected after two ends", []int{1000, 4000}, 5000, 2},
+		{"an end that is reported twice", []int{1000, 1200}, 3000, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			table := New()
+			for _, ms := range tc.ends {
+				table.AddReport(at(ms), Report{Crash: table.Identify("r", 1, at(ms-10)), Begun: []Trait{"x"}}, true)
+			}
+			want := CrashID{Replica: "r", Incarnation: 1, End: tc.want}
+			if got := table.Identify("r", 1, at(tc.connected)); got != want {
+				t.Errorf("got %+v, want %+v", got, want)
+			}
+		})
+	}
+	t.Run("one end under two incarnations, as instances know its entry of different times", func(t *testing.T) {
+		table := New()
+		table.AddReport(at(0), Report{Crash: CrashID{Replica: "r", Incarnation: 1, End: 1}, Begun: []Trait{"x"}}, true)
+		table.AddReport(at(100), Report{Crash: CrashID{Replica: "r", Incarnation: 2}, Begun: []Trait{"x"}}, false)
+		if n := table.moments("x", true); n != 1 || len(table.crashes) != 1 {
+			t.Errorf("%d moments, %d crashes; want one of each", n, len(table.crashes))
+		}
+	})
+}
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -305,13 +305,13 @@
 	Resumes bool // the run goes on with a stream that the caller has the beginning of
 	// Build is where the stream is to begin, if an upstream there can take it, or where it has
 	// to go on if BuildFixed is set; empty for any.
-	Build        medlarid.Build
-	BuildFixed   bool
+	Build      medlarid.Build
+	BuildFixed bool
 	// AwaitsNotices is set while the run waits for what other instances have recorded of its stream.
 	AwaitsNotices bool
-	Crashes      int                 // replicas that crashed before they sent a part of its answer
-	Trial        bool                // goes on although it has a blocked trait
-	BlockedTrait medlarsuspect.Trait // for which the run is refused
+	Crashes       int                 // replicas that crashed before they sent a part of its answer
+	Trial         bool                // goes on although it has a blocked trait
+	BlockedTrait  medlarsuspect.Trait // for which the run is refused
 }
 
 // Handle locates one KV block in a store.
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -51,6 +51,8 @@
 	Version medlarid.WeightVersion
 	// Lost is set if the upstream ended the connection before the answer was complete.
 	Lost bool
+	// Connected is when the connection of the attempt was established; zero if there was none.
+	Connected time.Time
 	// Head is set if a byte of a response was received.
 	Head bool
 	// Began is the time since the first event of a stream, or since another answer was known to be
@@ -193,9 +195,8 @@
 
 // UpstreamProbed reports whether an upstream that ended connections is down: it refuses new ones.
 type UpstreamProbed struct {
-	Upstream    medlarid.InstanceID
-	Incarnation medlarid.Incarnation
-	Down        bool
+	Crash medlarsuspect.CrashID // that the upstream is suspected of
+	Down  bool
 }
 
 // CrashReported carries what another instance lost with a replica that crashed.
@@ -471,9 +472,8 @@
 
 // ProbeUpstream asks whether an upstream that ended connections is down.
 type ProbeUpstream struct {
-	Upstream    medlarid.InstanceID
-	Address     medlarid.Address
-	Incarnation medlarid.Incarnation
+	Crash   medlarsuspect.CrashID // that the upstream is suspected of
+	Address medlarid.Address
 }
 
 // ReportCrash asks to report to all instances what this one lost with a replica that crashed.
--- a/internal/edge/medlarpool/medlarpool.go
+++ b/internal/edge/medlarpool/medlarpool.go
@@ -51,6 +51,9 @@
 	// Reused reports whether the connection has served a request before.
 	Reused bool
 
+	// Opened is when the connection was established.
+	Opened time.Time
+
 	addr      medlarid.Address
 	idleSince time.Time // start of the idle period
 	expires   time.Time // end of the idle timeout
@@ -97,7 +100,7 @@
 		return nil, err
 	}
 	p.OnDial()
-	return &Conn{Conn: c, Reader: bufio.NewReaderSize(c, readBuffer), addr: addr}, nil
+	return &Conn{Conn: c, Reader: bufio.NewReaderSize(c, readBuffer), Opened: time.Now(), addr: addr}, nil
 }
 
 // setUserTimeout limits the time for which sent bytes may stay unacknowledged (R4).
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -457,7 +457,11 @@
 }
 
 func (a *attempt) ended(cause medlarworld.Cause, reason medlarreason.Reason, reached bool) medlarworld.AttemptEnded {
-	return medlarworld.AttemptEnded{Run: a.run.ID, Attempt: a.cmd.Attempt, Cause: cause, Reason: reason, Reached: reached, Lost: a.lost, Head: a.headBegan, Began: a.sinceBegan()}
+	e := medlarworld.AttemptEnded{Run: a.run.ID, Attempt: a.cmd.Attempt, Cause: cause, Reason: reason, Reached: reached, Lost: a.lost, Head: a.headBegan, Began: a.sinceBegan()}
+	if a.upstream != nil {
+		e.Connected = a.upstream.Opened
+	}
+	return e
 }
 
 // report reports the result of the attempt to the observer.
--- a/internal/ops/medlarattachednode/crash_request_test.go
+++ b/internal/ops/medlarattachednode/crash_request_test.go
@@ -69,6 +69,10 @@
 	}
 }
 
+// staleEntries lets replicas start again at their address while their entry names the earlier start, and
+// leaves fewer of them than crashes are needed.
+func staleEntries(s *medlarsite.Settings) { s.StaleEntries, s.Plain, s.Engines = true, 2, 2 }
+
 // TestRequestThatCrashesReplicasIsStopped guards against one request that is sent again and again
 // and crashes replica after replica, through whatever instance it comes.
 func TestRequestThatCrashesReplicasIsStopped(t *testing.T) {
@@ -92,6 +96,9 @@
 		{name: "safe, within the head", kind: safe, instances: 5, at: medlarfakereplica.CrashInHead},
 		{name: "safe, after a head without a signature", kind: safe, instances: 5, at: medlarfakereplica.CrashUnsigned},
 		{name: "safe, replicas that start again under their id", kind: safe, instances: 5, at: medlarfakereplica.CrashRunning, change: func(s *medlarsite.Settings) { s.KeepID = true }},
+		{name: "safe, entries that do not tell of the new start", kind: safe, instances: 5, at: medlarfakereplica.CrashRunning, change: staleEntries},
+		{name: "unsafe, entries that do not tell of the new start", kind: unsafe, instances: 1, at: medlarfakereplica.CrashRunning, change: staleEntries},
+		{name: "prompt, entries that do not tell of the new start", kind: promptKind("/query/x", false), instances: 5, at: medlarfakereplica.CrashBegun, change: staleEntries},
 		{name: "unsafe", kind: unsafe, instances: 5, at: medlarfakereplica.CrashRunning},
 		{name: "prompt", kind: promptKind("/query/x", false), instances: 5, at: medlarfakereplica.CrashBegun},
 		{name: "prompt within the head", kind: promptKind("/query/x", false), instances: 5, at: medlarfakereplica.CrashInHead},
--- a/internal/ops/medlarnotifier/medlarnotifier.go
+++ b/internal/ops/medlarnotifier/medlarnotifier.go
@@ -90,7 +90,7 @@
 		time.Sleep(probeRepeatDelay)
 		down = refusesConnections(c.Address)
 	}
-	n.post(medlarworld.UpstreamProbed{Upstream: c.Upstream, Incarnation: c.Incarnation, Down: down})
+	n.post(medlarworld.UpstreamProbed{Crash: c.Crash, Down: down})
 }
 
 func refusesConnections(addr medlarid.Address) bool {
@@ -104,7 +104,7 @@
 func (n *Notifier) reportCrash(c medlarworld.ReportCrash) {
 	r := c.Report
 	n.deps.Metrics.CrashSeen()
-	n.deps.Log.Warn().Str("event", "crash").Str("replica", string(r.Crash.Replica)).Int64("born", int64(r.Crash.Incarnation)).
+	n.deps.Log.Warn().Str("event", "crash").Str("replica", string(r.Crash.Replica)).Int64("born", int64(r.Crash.Incarnation)).Int("end", r.Crash.End).
 		Strs("begun", traitNames(r.Begun)).Strs("queued", traitNames(r.Waiting)).Msg("replica crashed; parts and hashes of the requests that were lost with it")
 	value, err := medlarnotice.EncodeCrash(r)
 	if err != nil {
--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -79,6 +79,7 @@
 	Build             string        // version of the software; each event of a stream names it unless it is empty
 	HideBuild         bool          // the entry does not name Build
 	Born              int64         // start of the replica; a later one with the same ID has a higher value
+	Listen            string        // address to listen on; empty for a free loopback port
 	// CrashPoint returns where the replica crashes as it answers a request; nil for never.
 	// OnCrash is called at each crash.
 	CrashPoint func(Run) CrashPoint
@@ -128,10 +129,10 @@
 	changed  func() // called when the replica's own entry changes
 }
 
-// New starts a replica on a free loopback port. It calls changed whenever the
+// New starts a replica. It calls changed whenever the
 // replica's entry changes.
 func New(s Settings, changed func()) (*Replica, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", cmp.Or(s.Listen, "127.0.0.1:0"))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/stand/medlarsite/crash.go
+++ b/internal/stand/medlarsite/crash.go
@@ -96,7 +96,7 @@
 	*list = without(*list, r)
 	s.mu.Unlock()
 	s.after(missedHeartbeats*s.settings.HeartbeatInterval, func() {
-		if !s.listed(r.Settings.ID) {
+		if !s.listed(r.Settings.ID) && !s.settings.StaleEntries {
 			s.Store.Put(topicRep, r.Settings.ID, nil)
 		}
 	})
@@ -105,9 +105,14 @@
 	}
 	s.after(s.settings.RestartDelay, func() {
 		next := r.Settings
-		next.Born++
 		next.Build = cmp.Or(s.settings.NextBuild, next.Build)
-		if !s.settings.KeepID {
+		switch {
+		case s.settings.StaleEntries:
+			next.Listen = r.Address()
+		case s.settings.KeepID:
+			next.Born++
+		default:
+			next.Born++
 			next.ID = fmt.Sprintf("%s-c%d", next.Service, number)
 		}
 		_ = s.addReplica(list, next) // without a port the site has one replica less
--- a/internal/stand/medlarsite/medlarsite.go
+++ b/internal/stand/medlarsite/medlarsite.go
@@ -44,6 +44,7 @@
 	RemovalDelay      time.Duration // in which removed replicas are listed again after an outage of the store
 	RestartDelay      time.Duration // from the crash of a replica until its successor starts; 0 for never
 	KeepID            bool          // a successor has the id of the replica that crashed
+	StaleEntries      bool          // a successor also has its address, and the entry still names the earlier start
 	NextBuild         string        // software version of the successors of replicas that crash; empty for the same
 	HideBuilds        int           // replicas of the engine whose entries do not name their software version
 	Builds            []string      // software versions of the engine's replicas in turn; empty for one that events do not name
