Keep requests waiting that have a trait about to be blocked

Cause: a block of a part or request takes effect 0.4 s after it is suspected enough, so that instances with answers can object.

Change: such requests wait until the block takes effect or is dropped.

Result: two rows of TestBlockedPart failed before.

--- a/internal/core/medlarcore/crash_test.go
+++ b/internal/core/medlarcore/crash_test.go
@@ -152,6 +152,26 @@
 		p.tick(medlarworld.Tick{})
 		assertRefused(t, p.tick(medlarworld.Submitted{Run: p.runWith("a", "x")}), medlarreason.RanNo)
 	})
+	t.Run("request that comes before the block takes effect", func(t *testing.T) {
+		p := newPartsHarness(t, 2, nil)
+		p.tick(medlarworld.BlockRecorded{Trait: "x"})
+		if s := p.submit(p.runWith("a", "x")); s != nil {
+			t.Errorf("started %+v, want none before the block is decided on", s)
+		}
+		if s := p.submit(p.runWith("a", "b")); s == nil {
+			t.Error("a request without the part does not start")
+		}
+		p.now = p.now.Add(500 * time.Millisecond)
+		assertRefused(t, p.tick(medlarworld.Tick{}), medlarreason.RanNo)
+	})
+	t.Run("request that waits for a block that does not come", func(t *testing.T) {
+		p := newPartsHarness(t, 2, nil)
+		p.tick(medlarworld.BlockRecorded{Trait: "x"})
+		p.tick(medlarworld.Submitted{Run: p.runWith("a", "x")})
+		if s := startOf(p.tick(medlarworld.BlockRecorded{Trait: "x", Block: medlarsuspect.Block{Cleared: true}})); s == nil {
+			t.Error("the request does not start although the part is cleared")
+		}
+	})
 	t.Run("waiting request", func(t *testing.T) {
 		p := newPartsHarness(t, 1, nil)
 		p.tick(medlarworld.UpstreamPaused{Upstream: "e00", For: 5 * time.Second})
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -18,7 +18,8 @@
 //	    the same choice.
 //	R5  An unrepeatable run is claimed when there is a candidate, and sent only
 //	    once the claim is granted.
-//	R6  A run without a candidate does not block those behind it in the queue.
+//	R6  A run without a candidate does not block those behind it in the queue. Neither does
+//	    one that may be about to be refused since it crashes replicas: it waits.
 //	R7  The home of a conversation is the replica with the highest rendezvous rank
 //	    for it, the same for all instances. It is a candidate in addition to the
 //	    subset, even before it has reported, and its cost is discounted, so that a
@@ -108,7 +109,7 @@
 	s.exhausted = s.exhausted[:0]
 	remaining := w.Waiting[:0]
 	for _, r := range w.Waiting {
-		if w.Now.Before(r.NotBefore) || !s.dispatch(w, r) {
+		if w.Now.Before(r.NotBefore) || w.Suspects.Undecided(r.Traits) || !s.dispatch(w, r) {
 			remaining = append(remaining, r)
 		}
 	}
--- a/internal/core/medlarsuspect/medlarsuspect.go
+++ b/internal/core/medlarsuspect/medlarsuspect.go
@@ -24,7 +24,7 @@
 //	    the narrowest is blocked, and of these the ones whose last answer is longest ago: a
 //	    part of prompts that always comes with another one has no later answer than that.
 //	R5  A block takes effect after a delay, in which an instance that has had an answer with
-//	    the trait objects by clearing it.
+//	    the trait objects by clearing it. Requests with the trait wait so long.
 //	R6  A blocked trait gets maxTrials trials, of one request each, from all instances
 //	    together: each is claimed through the store first. A trial that is answered clears
 //	    the trait; otherwise the next one has to wait longer. Traits that were blocked together
--- a/internal/core/medlarsuspect/shared.go
+++ b/internal/core/medlarsuspect/shared.go
@@ -139,6 +139,17 @@
 	return "", false
 }
 
+// Undecided reports whether one of the traits is about to be blocked (R5).
+func (t *Table) Undecided(traits []Trait) bool {
+	if len(t.blocks) == 0 {
+		return false
+	}
+	return slices.ContainsFunc(traits, func(p Trait) bool {
+		b := t.blocks[p]
+		return b != nil && !b.active
+	})
+}
+
 func (t *Table) othersBlocked(traits []Trait, but Trait) bool {
 	for _, p := range traits {
 		if b := t.blocks[p]; p != but && b != nil && b.active {
