Free parts of replaced weights although the replicas have gone on to a further version

Cause: how long replicas have been past a version was counted from their newest one.

Change: a replica's successive versions are remembered, also over its restarts.

Result: two rows of TestSuccessiveVersions failed before.

--- a/internal/ops/medlarregistry/medlarregistry.go
+++ b/internal/ops/medlarregistry/medlarregistry.go
@@ -59,7 +59,28 @@
 	medlarplatform.Replica
 	reported medlarid.WeightVersion // reported by the replica and newer than the entry's, or empty
 	assumed  medlarid.WeightVersion // assumed for requests after a version mismatch, or empty
-	since    time.Time              // when version() was first seen
+	history  medlarhistory.History  // successive values of version()
+}
+
+// observe extends the history after a change. A replica that went back to an earlier version starts it anew.
+func (r *replica) observe() {
+	v := r.version()
+	if n := len(r.history); n > 0 {
+		last := r.history[n-1].Version
+		if v == last {
+			return
+		}
+		if v.Before(last) {
+			r.history = nil
+		}
+	}
+	r.history = append(r.history, medlarhistory.Change{Version: v, At: time.Now()})
+}
+
+// past reports whether the replica has run later versions than v for longer than a time.
+func (r *replica) past(v medlarid.WeightVersion, lasting time.Duration) bool {
+	at, ok := r.history.ReplacedAt(v)
+	return ok && time.Since(at) > lasting
 }
 
 // version returns the newest weight version that the replica is known to have.
@@ -254,15 +275,16 @@
 	if old != nil && old.StartedMs == next.StartedMs && old.Member == next.Member {
 		return false // heartbeat without changes
 	}
-	r := &replica{Replica: next, since: time.Now()}
+	r := &replica{Replica: next}
+	if old != nil {
+		r.history = slices.Clone(old.history) // a replica keeps its version when it starts again
+	}
 	if old != nil && old.StartedMs == next.StartedMs {
 		r.reported = old.reported
-		if r.version() == old.version() {
-			r.since = old.since
-		}
 	} else if old != nil {
 		t.pool.CloseIdle(old.Member.Address)
 	}
+	r.observe()
 	t.replicas[id] = r
 	t.log.Info().Str("event", "replica").Str("replica", string(id)).Str("service", string(next.Member.Service)).
 		Str("address", string(next.Member.Address)).Bool("leaving", next.Member.Leaving).
@@ -291,7 +313,8 @@
 	}
 	r.assumed = ""
 	if r.version().Before(v) {
-		r.reported, r.since = v, time.Now()
+		r.reported = v
+		r.observe()
 	}
 	t.log.Info().Str("event", "replica").Str("replica", string(id)).Str("version", string(v)).Msg("replica reported its weight version")
 	t.postReplicas()
@@ -324,7 +347,7 @@
 }
 
 // MostReplicasPast reports whether at least medlarplacement.SwappedShare of a model's replicas
-// have run a later weight version than v for longer than lasting.
+// have run later weight versions than v for longer than lasting.
 func (t *Registry) MostReplicasPast(m medlarid.ModelID, v medlarid.WeightVersion, lasting time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -334,7 +357,7 @@
 			continue
 		}
 		all++
-		if v.Before(r.version()) && time.Since(r.since) > lasting {
+		if r.past(v, lasting) {
 			changed++
 		}
 	}
--- a/internal/ops/medlarregistry/medlarregistry_test.go
+++ b/internal/ops/medlarregistry/medlarregistry_test.go
@@ -140,3 +140,32 @@
 		})
 	}
 }
+
+// TestSuccessiveVersions guards against parts of a replaced version that stay in full stores because the
+// replicas go on to a further version before they may be freed.
+func TestSuccessiveVersions(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		versions []int // one a second
+		born     func(second int) int
+		want     bool // past version 1 for longer than a second and a half
+	}{
+		{"two changes in quick succession", []int{1, 2, 3}, func(int) int { return 7 }, true},
+		{"a single change", []int{1, 1, 2}, func(int) int { return 7 }, false},
+		{"a restart after the change", []int{1, 2, 2}, func(second int) int { return 7 + second }, true},
+		{"back to the first version", []int{1, 2, 1, 2}, func(second int) int { return 7 + second }, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				registry := New(zerolog.Nop(), medlarpool.New(), func(medlarworld.Event) {})
+				for second, v := range tc.versions {
+					applyEntry(registry, v, tc.born(second))
+					time.Sleep(time.Second)
+				}
+				if got := registry.MostReplicasPast("m", "1", 1500*time.Millisecond); got != tc.want {
+					t.Errorf("past version 1: %v, want %v", got, tc.want)
+				}
+			})
+		})
+	}
+}
