Fetch parts of replaced weights while replicas answer under them

Cause: parts of a replaced version were fetched for 1.5 s only, although the replicas load the next version one after the other over 4 s and more (8 s when the instance that orders them freezes). Meanwhile they computed every prompt anew, and the stores held the parts.

Change: an instance that got answers under the version within 2 s from more than a fifth of the replicas goes on to fetch. That share and the one of replicas that must be past the version before parts are freed overlap, as without the store.

--- a/internal/core/medlarcore/parts_test.go
+++ b/internal/core/medlarcore/parts_test.go
@@ -219,6 +219,37 @@
 	}
 }
 
+// TestFetchOfReplacedVersion guards against prompts that are computed anew on replicas which have not loaded the
+// next version yet, although stores hold their parts, and against a fetch of parts that are being freed.
+func TestFetchOfReplacedVersion(t *testing.T) {
+	const replicas = 20
+	for _, tc := range []struct {
+		name    string
+		answers int // replicas that have answered under the replaced version
+		after   time.Duration
+		want    string
+	}{
+		{"soon after the change", 0, time.Second, "ffo"},
+		{"later, without answers", 0, 3 * time.Second, "cco"},
+		{"later, answers from a fifth of the replicas", replicas / 5, 3 * time.Second, "cco"},
+		{"later, answers from one replica more", replicas/5 + 1, 3 * time.Second, "ffo"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPartsHarness(t, replicas, func(cfg *medlarworld.Config) { cfg.MaxHolders = 0 })
+			r := p.newRun(500, 8000, 300)
+			p.tick(medlarworld.RecordsCurrent{At: p.now})
+			p.setVersion("2")
+			p.now = p.now.Add(tc.after)
+			p.tick(medlarworld.RecordsCurrent{At: p.now})
+			p.reportStock("near", 1, true, r.Keys[0], r.Keys[1])
+			for i := range tc.answers {
+				p.core.World().Upstreams[engineMember(i, "1").ID].ConfirmedAt = p.now
+			}
+			assertParts(t, p.submit(r), tc.want)
+		})
+	}
+}
+
 func TestPartIsSavedOnce(t *testing.T) {
 	p := newPartsHarness(t, 2, nil)
 	p.reportStock("near", 1, true)
--- a/internal/core/medlarplacement/medlarplacement.go
+++ b/internal/core/medlarplacement/medlarplacement.go
@@ -23,13 +23,14 @@
 //	R5  The last part of a prompt is specific to that prompt and is not saved.
 //	R6  A late answer is not attributed to the stores that its parts were fetched from:
 //	    the delay is mostly the replica's, and recomputing the parts would add to it.
-//	R7  Parts of a weight version are fetched until GracePeriod after the version was
-//	    replaced, and only by an instance that knows that it was not replaced earlier:
-//	    one that learned within DesiredVersionTTL which versions are desired, or that
-//	    got answers under the version within ConfirmationTTL from more than
-//	    ConfirmationShare of the model's replicas. Hence the parts can be freed once
-//	    FreeDelay has passed and all but less than ConfirmationShare of the replicas
-//	    have had a later version for SwapDelay: at least one of the replicas that
+//	R7  Parts of a weight version are fetched by an instance that got answers under the
+//	    version within ConfirmationTTL from more than ConfirmationShare of the model's
+//	    replicas, also after the version was replaced: until the replicas have loaded the
+//	    next one they would compute the parts anew. Without such answers, parts are fetched
+//	    until GracePeriod after the version was replaced, and only by an instance that
+//	    learned within DesiredVersionTTL which versions are desired. Hence the parts can be
+//	    freed once FreeDelay has passed and all but less than ConfirmationShare of the
+//	    replicas have had a later version for SwapDelay: at least one of the replicas that
 //	    answered would then have reported the later version.
 package medlarplacement
 
@@ -119,7 +120,10 @@
 	if w.RecordsAsOf.IsZero() {
 		return true // this deployment does not free parts by version
 	}
-	if w.Now.Sub(w.RecordsAsOf) > DesiredVersionTTL && !confirmed(w, r.Model, v) {
+	if confirmed(w, r.Model, v) {
+		return true
+	}
+	if w.Now.Sub(w.RecordsAsOf) > DesiredVersionTTL {
 		return false
 	}
 	m := w.Models[r.Model]
