Serve weight versions that an instance has not read of

Cause: an instance that is cut off from the store does not read that weights are replaced. An instance behind the latest record could also order replicas back.

Change: such a replica gets no requests until it reports which version it runs, which is asked at once; a later version than the desired one that was read is served; replicas that run a later one get no orders. The stand-in can refuse without naming its version, as the users' replicas do.

--- a/internal/core/medlarcore/parts_test.go
+++ b/internal/core/medlarcore/parts_test.go
@@ -338,6 +338,31 @@
 			p.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: s.Attempt, Cause: medlarworld.CauseDone, Reached: true})
 		}
 	})
+	t.Run("a later version than this instance has read of is served", func(t *testing.T) {
+		p := newPartsHarness(t, 2, func(cfg *medlarworld.Config) { cfg.VersionsIncrease = true })
+		p.tick(medlarworld.InstancesListed{Members: []medlarworld.Member{engineMember(0, "3"), engineMember(1, "3")}})
+		if v := started(p); v != "3" {
+			t.Errorf("started under version %q, want 3", v)
+		}
+	})
+	t.Run("a later version is not served where operators may go back", func(t *testing.T) {
+		p := newPartsHarness(t, 2, nil)
+		p.tick(medlarworld.InstancesListed{Members: []medlarworld.Member{engineMember(0, "3"), engineMember(1, "3")}})
+		if v := started(p); v != "" {
+			t.Errorf("started under version %s, want no start", v)
+		}
+	})
+	t.Run("a replica that has denied its version gets nothing", func(t *testing.T) {
+		p := newPartsHarness(t, 2, nil)
+		denied := engineMember(0, "1")
+		denied.VersionDenied = true
+		p.tick(medlarworld.InstancesListed{Members: []medlarworld.Member{denied, engineMember(1, "1")}})
+		for range 10 {
+			if s := p.submit(p.newRun(500, 300)); s == nil || s.Upstream != "e01" {
+				t.Fatalf("started %+v, want a start at e01", s)
+			}
+		}
+	})
 	t.Run("another change does not extend the time of an older version", func(t *testing.T) {
 		p := newPartsHarness(t, 6, nil)
 		p.setVersion("2")
--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -123,7 +123,8 @@
 	for m, upstreams := range w.Engines {
 		budget := medlarorder.MaxConcurrentLoads(medlarorder.FastSwapOptions(), len(upstreams))
 		for _, u := range upstreams { // ordered by ID
-			outdated := !u.Leaving && !u.Delisted && u.Version != w.Models[m].Version && u.Version != ""
+			desired := w.Models[m].Version
+			outdated := !u.Leaving && !u.Delisted && u.Version != desired && u.Version != "" && !w.IsLater(u.Version, desired)
 			if !outdated || budget == 0 {
 				u.SwapUntil, u.SwapExpected = time.Time{}, false
 				continue
@@ -177,6 +178,7 @@
 		u.Limited, u.Limit, u.LimitShare, u.LimitTokens = false, 0, 0, 0
 	}
 	u.Zone, u.Address, u.Service, u.Build = m.Zone, m.Address, m.Service, m.Build
+	u.VersionDenied = m.VersionDenied
 	if m.Slots > 0 {
 		u.Load.Slots = m.Slots
 	}
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -4,6 +4,8 @@
 //
 //	R1  A candidate is usable, serves the model under the desired or the serving
 //	    weight version, has capacity, and was not tried by the run unless all were.
+//	    Where versions only increase, a later one than this instance knows to be
+//	    desired will do: the operators have published it, and the instance is cut off.
 //	    An answer that has begun continues under its own version only, and a stream at
 //	    upstreams of its software version. A weight version that is no longer desired
 //	    serves nothing once its grace period has passed.
@@ -333,7 +335,7 @@
 	if u.Kind == medlarworld.KindService {
 		return true
 	}
-	if u.Model != r.Model {
+	if u.Model != r.Model || u.VersionDenied {
 		return false
 	}
 	v := assumedVersion(w, u)
@@ -341,7 +343,7 @@
 		return v == r.PinnedVersion
 	}
 	m := w.Models[r.Model]
-	if v == m.Version {
+	if v == m.Version || w.IsLater(v, m.Version) {
 		return v != ""
 	}
 	return v != "" && v == r.Version && !outdated(w, &m, v)
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -59,6 +59,8 @@
 	// OldVersionGrace is the time after which a replica with a weight version other
 	// than the desired one gets no more work; 0 for no bound.
 	OldVersionGrace time.Duration
+	// VersionsIncrease is set if the operators never return to an earlier weight version.
+	VersionsIncrease bool
 	// MaxHolders is the maximum number of upstreams that are recorded as caching one
 	// block or part; 0 for a small default.
 	MaxHolders int
@@ -156,10 +158,12 @@
 	LimitTokens  float64
 	LimitSettled bool
 
-	Model    medlarid.ModelID
-	Version  medlarid.WeightVersion
-	Service  medlarid.ServiceID
-	InSubset bool // in the subset of replicas that this instance uses
+	Model   medlarid.ModelID
+	Version medlarid.WeightVersion
+	// VersionDenied is set if the replica has denied that it runs Version.
+	VersionDenied bool
+	Service       medlarid.ServiceID
+	InSubset      bool // in the subset of replicas that this instance uses
 	// SwapUntil is the time until which the replica is assumed to be about to load
 	// another weight version.
 	SwapUntil time.Time
@@ -456,6 +460,11 @@
 // AwaitingAnswer reports whether the run has an attempt whose answer has not begun.
 func (r *Run) AwaitingAnswer() bool { return r.Upstream != nil && r.Upstream.Backlog.Has(r.ID) }
 
+// IsLater reports whether a weight version is known to be later than another one.
+func (w *World) IsLater(v, than medlarid.WeightVersion) bool {
+	return w.Config.VersionsIncrease && than.Before(v)
+}
+
 // Release removes the run's attempt from its upstream.
 func (w *World) Release(r *Run) {
 	if r.Upstream == nil {
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -106,12 +106,14 @@
 	Service     medlarid.ServiceID
 	// Version, Slots and PrefillRate are what the list says about an engine; zero where
 	// it says nothing.
-	Version     medlarid.WeightVersion
-	Slots       int
-	Build       medlarid.Build
-	PrefillRate float64         // prompt tokens per second
-	TokenBytes  medlarid.Bytes  // size of one token in the KV cache
-	KVCapacity  medlarid.Tokens // capacity of the KV cache
+	Version medlarid.WeightVersion
+	Slots   int
+	Build   medlarid.Build
+	// VersionDenied is set if the engine has denied that it runs Version, and which one it runs is not known.
+	VersionDenied bool
+	PrefillRate   float64         // prompt tokens per second
+	TokenBytes    medlarid.Bytes  // size of one token in the KV cache
+	KVCapacity    medlarid.Tokens // capacity of the KV cache
 	// Capacity, Rate and Setup describe a store that keeps parts of prompts.
 	Capacity medlarid.Tokens
 	Rate     float64 // bytes per second
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -140,9 +140,9 @@
 		MaxQueued:       queueLength,
 		MaxAttempts:     1,
 		MaxHolders:      maxHolders,
-		OldVersionGrace: cfg.Bounds.OldVersionGrace.Std() - versionMargin,
-		RetryBudget:     medlarworld.RetryBudget{Ratio: retryShare * cfg.Bounds.RetryRatio, Max: retryBurst, Initial: retryStart},
-		Seed:            rand.Uint64(),
+		OldVersionGrace: cfg.Bounds.OldVersionGrace.Std() - versionMargin, VersionsIncrease: true,
+		RetryBudget: medlarworld.RetryBudget{Ratio: retryShare * cfg.Bounds.RetryRatio, Max: retryBurst, Initial: retryStart},
+		Seed:        rand.Uint64(),
 	})
 	deps := medlarloop.Deps{
 		LookUp:  func(medlarworld.LookUp) {},
--- a/internal/ops/medlarregistry/medlarregistry.go
+++ b/internal/ops/medlarregistry/medlarregistry.go
@@ -60,6 +60,7 @@
 	reported medlarid.WeightVersion // reported by the replica and newer than the entry's, or empty
 	assumed  medlarid.WeightVersion // assumed for requests after a version mismatch, or empty
 	history  medlarhistory.History  // successive values of version()
+	deniedAt time.Time              // when the replica denied to run any version that requests could name; zero if it did not
 }
 
 // observe extends the history after a change. A replica that went back to an earlier version starts it anew.
@@ -91,6 +92,12 @@
 	return r.Member.Version
 }
 
+// maxReportLag is the longest time by which the version that a replica reports may be out of date.
+const maxReportLag = 500 * time.Millisecond
+
+// denied reports whether it is not known which version the replica runs.
+func (r *replica) denied() bool { return !r.deniedAt.IsZero() }
+
 // requestVersion returns the weight version to name in requests to the replica.
 func (r *replica) requestVersion() medlarid.WeightVersion {
 	if r.assumed != "" {
@@ -163,7 +170,8 @@
 	for _, r := range t.replicas {
 		if m := r.Member; m.Model != "" {
 			out = append(out, medlarrollout.Replica{
-				ID: m.ID, Incarnation: medlarid.Incarnation(r.StartedMs), Address: m.Address, Model: m.Model, Version: r.version(), Leaving: m.Leaving,
+				ID: m.ID, Incarnation: medlarid.Incarnation(r.StartedMs), Address: m.Address, Model: m.Model,
+				Version: r.version(), Denied: r.denied(), Leaving: m.Leaving,
 			})
 		}
 	}
@@ -281,6 +289,9 @@
 	}
 	if old != nil && old.StartedMs == next.StartedMs {
 		r.reported = old.reported
+		if r.version() == old.version() {
+			r.deniedAt = old.deniedAt
+		}
 	} else if old != nil {
 		t.pool.CloseIdle(old.Member.Address)
 	}
@@ -303,16 +314,24 @@
 }
 
 // ObserveVersion records the weight version that a replica reported or answered under.
-// It clears an assumed version (see ObserveVersionMismatch).
+// It clears an assumed version, and the denial of all known ones (see ObserveVersionMismatch).
 func (t *Registry) ObserveVersion(id medlarid.InstanceID, v medlarid.WeightVersion) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.replicas[id]
-	if r == nil || r.assumed == "" && !r.version().Before(v) {
+	if r == nil {
+		return
+	}
+	newer := r.version().Before(v)
+	resolved := r.denied() && (newer || time.Since(r.deniedAt) > maxReportLag)
+	if r.assumed == "" && !newer && !resolved {
 		return
 	}
 	r.assumed = ""
-	if r.version().Before(v) {
+	if resolved {
+		r.deniedAt = time.Time{}
+	}
+	if newer {
 		r.reported = v
 		r.observe()
 	}
@@ -324,7 +343,9 @@
 // run weight version v. If v is older than the desired version, requests assume the
 // desired one until the replica reports its version. Requests name the version, so that
 // a wrong assumption is rejected at once and then dropped. The assumption applies to
-// requests only: the rollout uses the versions that replicas report.
+// requests only: the rollout uses the versions that replicas report. A replica that denies
+// the desired version too, or a later one, gets no requests until it reports which one it
+// runs: it may have loaded one that this instance has not read of.
 func (t *Registry) ObserveVersionMismatch(id medlarid.InstanceID, v medlarid.WeightVersion) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -335,13 +356,13 @@
 	desired := t.desired[r.Member.Model]
 	switch {
 	case r.assumed != "":
-		r.assumed = ""
+		r.assumed, r.deniedAt = "", time.Now()
 	case v.Before(desired):
 		r.assumed = desired
 	default:
-		return
+		r.deniedAt = time.Now()
 	}
-	t.log.Info().Str("event", "replica").Str("replica", string(id)).Str("denied", string(v)).Str("version", string(r.requestVersion())).
+	t.log.Info().Str("event", "replica").Str("replica", string(id)).Str("denied", string(v)).Str("version", string(r.requestVersion())).Bool("known", !r.denied()).
 		Msg("replica rejected the weight version; assumed version changed")
 	t.postReplicas()
 }
@@ -369,7 +390,7 @@
 	e := medlarworld.InstancesListed{Members: make([]medlarworld.Member, 0, len(t.replicas))}
 	for _, r := range t.replicas {
 		m := r.Member
-		m.Version = r.requestVersion()
+		m.Version, m.VersionDenied = r.requestVersion(), r.denied()
 		m.Incarnation = medlarid.Incarnation(r.StartedMs)
 		if m.Model != "" {
 			m.PrefillRate = prefill
--- a/internal/ops/medlarregistry/medlarregistry_test.go
+++ b/internal/ops/medlarregistry/medlarregistry_test.go
@@ -169,3 +169,52 @@
 		})
 	}
 }
+
+// TestDeniedVersions guards against a replica that refuses each request because it runs a version that this
+// instance has not read of, and gets all of them as it looks idle.
+func TestDeniedVersions(t *testing.T) {
+	const v2, v3 = medlarid.WeightVersion("2"), medlarid.WeightVersion("3")
+	for _, tc := range []struct {
+		name   string
+		steps  func(t *Registry)
+		denied bool
+		want   medlarid.WeightVersion
+	}{
+		{"the desired version", func(t *Registry) { t.ObserveVersionMismatch("r", v2) }, true, v2},
+		{"then a report of the same, which may be out of date", func(t *Registry) {
+			t.ObserveVersionMismatch("r", v2)
+			time.Sleep(maxReportLag)
+			t.ObserveVersion("r", v2)
+		}, true, v2},
+		{"then a later report of the same", func(t *Registry) {
+			t.ObserveVersionMismatch("r", v2)
+			time.Sleep(maxReportLag + time.Millisecond)
+			t.ObserveVersion("r", v2)
+		}, false, v2},
+		{"then a report of a newer one", func(t *Registry) { t.ObserveVersionMismatch("r", v2); t.ObserveVersion("r", v3) }, false, v3},
+		{"then its entry", func(t *Registry) { t.ObserveVersionMismatch("r", v2); applyEntry(t, 3, 7) }, false, v3},
+		{"then its entry without news", func(t *Registry) { t.ObserveVersionMismatch("r", v2); applyEntry(t, 2, 7) }, true, v2},
+		{"then it starts again", func(t *Registry) { t.ObserveVersionMismatch("r", v2); applyEntry(t, 2, 8) }, false, v2},
+		{"of a request sent before a report", func(t *Registry) { t.ObserveVersion("r", v3); t.ObserveVersionMismatch("r", v2) }, false, v3},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var last medlarworld.Member
+				registry := New(zerolog.Nop(), medlarpool.New(), func(e medlarworld.Event) {
+					if e, ok := e.(medlarworld.InstancesListed); ok {
+						last = e.Members[0]
+					}
+				})
+				applyEntry(registry, 2, 7)
+				setDesired(registry, 2)
+				tc.steps(registry)
+				if last.VersionDenied != tc.denied || last.Version != tc.want {
+					t.Errorf("version %s, denied %v; want %s, %v", last.Version, last.VersionDenied, tc.want, tc.denied)
+				}
+				if got := registry.ModelReplicas()[0].Denied; got != tc.denied {
+					t.Errorf("the rollout is told denied %v, want %v", got, tc.denied)
+				}
+			})
+		})
+	}
+}
--- a/internal/ops/medlarrollout/medlarrollout.go
+++ b/internal/ops/medlarrollout/medlarrollout.go
@@ -11,7 +11,10 @@
 //	    without an answer. A replica that does not answer gets no order.
 //	R3  Each instance queries the state of stale replicas while there are any, so that
 //	    it soon learns which version they run. Only an instance that sees a stale
-//	    replica tries to acquire the term.
+//	    replica tries to acquire the term. A replica is stale if it runs an earlier version
+//	    than the desired one. One that runs a later version gets no order: this instance
+//	    has not read the latest record. The state of a replica that has denied to run the
+//	    version that is known of it is queried too.
 //	R4  Of the instances that see a stale replica, the one with rank 0 tries to acquire
 //	    the term immediately, the others after a delay proportional to their rank.
 //	R5  A replica gets its order after it has had no new requests for a fixed time: all
@@ -52,6 +55,7 @@
 	Address     medlarid.Address
 	Model       medlarid.ModelID
 	Version     medlarid.WeightVersion
+	Denied      bool // the replica has denied that it runs Version
 	Leaving     bool
 }
 
@@ -138,6 +142,7 @@
 	replicas := r.deps.Replicas()
 	stale := staleReplicas(replicas, desired)
 	now := time.Now()
+	r.query(append(deniedReplicas(replicas), stale...), now)
 	if len(stale) == 0 {
 		r.staleSince = time.Time{}
 		r.noteTerm(0, false)
@@ -148,7 +153,6 @@
 		r.staleSince = now
 	}
 	r.markNext(replicas, stale, now)
-	r.query(stale, now)
 	if now.Sub(r.staleSince) < time.Duration(r.rank)*rankDelay { // R4
 		return
 	}
@@ -185,7 +189,18 @@
 func staleReplicas(replicas []Replica, desired DesiredVersions) []Replica {
 	var out []Replica
 	for _, p := range replicas {
-		if v, ok := desired[p.Model]; ok && p.Model != "" && p.Version != v && !p.Leaving {
+		if v, ok := desired[p.Model]; ok && p.Model != "" && p.Version.Before(v) && !p.Leaving {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// deniedReplicas returns the replicas that have denied to run the version that is known of them.
+func deniedReplicas(replicas []Replica) []Replica {
+	var out []Replica
+	for _, p := range replicas {
+		if p.Denied && !p.Leaving {
 			out = append(out, p)
 		}
 	}
@@ -272,7 +287,10 @@
 		a, ok := states[p.ID]
 		if ok {
 			m.Version, m.Loading, m.Load = a.State.Version, a.Loading, a.Load
-		} else if p.Version != desired[p.Model] {
+		} else if p.Version != desired[p.Model] || p.Denied {
+			continue
+		}
+		if desired[p.Model].Before(m.Version) {
 			continue
 		}
 		m.Deferred = m.Version != desired[p.Model] && !r.drained(p.ID, now)
--- a/internal/ops/medlarrollout/medlarrollout_test.go
+++ b/internal/ops/medlarrollout/medlarrollout_test.go
@@ -11,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"medlarfield/internal/agree/medlarterm"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarorder"
@@ -331,3 +333,40 @@
 		}
 	}
 }
+
+// TestNoOrderBack guards against an instance that has not read the latest desired version and orders
+// replicas which run it back to an earlier one, and against replicas whose version is not known and
+// nobody asks.
+func TestNoOrderBack(t *testing.T) {
+	replicas := []Replica{
+		{ID: "behind", Model: model, Version: "1"},
+		{ID: "later", Model: model, Version: "3"},
+		{ID: "denied", Model: model, Version: "2", Denied: true},
+		{ID: "current", Model: model, Version: "2"},
+	}
+	desired := DesiredVersions{model: "2"}
+	assertIDs(t, staleReplicas(replicas, desired), "behind")
+	assertIDs(t, deniedReplicas(replicas), "denied")
+	r := New(nil, 0, Deps{Replicas: func() []Replica { return replicas }})
+	now := time.Now()
+	planned := r.planned(map[medlarid.InstanceID]queriedState{
+		"behind": {Replica: replicas[0], State: State{Model: model, Version: "1"}, at: now},
+		"denied": {Replica: replicas[2], State: State{Model: model, Version: "3"}, at: now},
+	}, desired, now)
+	got := make([]Replica, len(planned))
+	for i, p := range planned {
+		got[i] = Replica{ID: p.ID}
+	}
+	assertIDs(t, got, "behind", "current")
+}
+
+func assertIDs(t *testing.T, got []Replica, want ...medlarid.InstanceID) {
+	t.Helper()
+	ids := make([]medlarid.InstanceID, len(got))
+	for i, r := range got {
+		ids[i] = r.ID
+	}
+	if d := cmp.Diff(want, ids); d != "" {
+		t.Errorf("replicas:\n%s", d)
+	}
+}
--- a/internal/stand/medlarfakereplica/exchange.go
+++ b/internal/stand/medlarfakereplica/exchange.go
@@ -42,7 +42,11 @@
 	case x.fault == FaultMisdirected:
 		return writeResponse(x.conn, 421, "Medlarfield-Instance-Id: other\r\n", "")
 	case target != "" && target != r.Settings.ID, expect != "" && expect != version:
-		return writeResponse(x.conn, 421, "Medlarfield-Instance-Id: "+r.Settings.ID+"\r\nMedlarfield-Weight-Versions: "+version+"\r\n", "")
+		fields := "Medlarfield-Instance-Id: " + r.Settings.ID + "\r\n"
+		if !r.Settings.HideVersion {
+			fields += "Medlarfield-Weight-Versions: " + version + "\r\n"
+		}
+		return writeResponse(x.conn, 421, fields, "")
 	case x.fault == FaultPause:
 		return writeResponse(x.conn, 503, x.requestIDField()+notExecuted+r.hintFields()+"Retry-After: "+PauseSeconds+"\r\n", "")
 	case x.fault == FaultShed || !r.acquireSlot():
--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -78,6 +78,7 @@
 	Version           uint64        // initial weight version
 	Build             string        // version of the software; each event of a stream names it unless it is empty
 	HideBuild         bool          // the entry does not name Build
+	HideVersion       bool          // a refusal for the weight version does not name the one that runs
 	Born              int64         // start of the replica; a later one with the same ID has a higher value
 	Listen            string        // address to listen on; empty for a free loopback port
 	// CrashPoint returns where the replica crashes as it answers a request; nil for never.
--- a/internal/stand/medlarsite/medlarsite.go
+++ b/internal/stand/medlarsite/medlarsite.go
@@ -47,6 +47,7 @@
 	StaleEntries      bool          // a successor also has its address, and the entry still names the earlier start
 	NextBuild         string        // software version of the successors of replicas that crash; empty for the same
 	HideBuilds        int           // replicas of the engine whose entries do not name their software version
+	HideVersions      bool          // a refusal for the weight version does not name the one that runs
 	Builds            []string      // software versions of the engine's replicas in turn; empty for one that events do not name
 }
 
@@ -156,7 +157,7 @@
 		}
 		if err := s.addReplica(&s.Engines, medlarfakereplica.Settings{
 			ID: fmt.Sprintf("engine-%d", i+1), Service: Engines, Zone: "a", Slots: cfg.Slots, WorkTime: cfg.ServiceTime,
-			Events: cfg.Events, Model: Model, Version: 1, Build: build, HideBuild: i < cfg.HideBuilds, CrashPoint: s.crasher.point, OnCrash: s.replace,
+			Events: cfg.Events, Model: Model, Version: 1, Build: build, HideBuild: i < cfg.HideBuilds, HideVersion: cfg.HideVersions, CrashPoint: s.crasher.point, OnCrash: s.replace,
 		}); err != nil {
 			return nil, err
 		}
