Estimate waits for each target alone

Cause: how long a request would wait was estimated from all waiting requests and one rate of all starts. What late runs would wait was taken for 1,000 s each unless one had started within a second in which the queue was never empty: at 38 instances hardly ever.

Change: medlarthroughput keeps a rate for each target, over the time in which runs waited for it. Late runs for which there is no hope any longer are refused at once, not at their deadline.

Result: TestServicesDoNotWaitForOneAnother failed before.

--- a/internal/core/medlaradmission/medlaradmission.go
+++ b/internal/core/medlaradmission/medlaradmission.go
@@ -14,7 +14,8 @@
 //	    share of the queue is refused to make room.
 //	R5  A request that would wait past its deadline, or past the longest wait,
 //	    is refused at once and told when to retry. So is one whose upstreams all pause
-//	    past its deadline, or are limited so that it would wait past it.
+//	    past its deadline, or are limited so that it would wait past it. Only runs of the
+//	    same target count as ahead of it (medlarthroughput).
 //	R6  A request whose caller has left, or whose deadline has passed while it
 //	    waits, is removed from the queue.
 //	R7  Only accounts that have recently sent requests are kept in memory.
@@ -35,14 +36,14 @@
 	"medlarfield/internal/core/medlarlimit"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarresume"
+	"medlarfield/internal/core/medlarthroughput"
 	"medlarfield/internal/core/medlarworld"
 )
 
 // Queue parameters.
 const (
-	promptTokensPerRequest = 1000.0 // prompt tokens that add the cost of one request in fair queueing
-	rateWindow             = time.Second
-	rateGain               = 0.3
+	promptTokensPerRequest = 1000.0                 // prompt tokens that add the cost of one request in fair queueing
+	lateInterval           = 100 * time.Millisecond // between two estimates for all late runs
 	minRetryAfter          = time.Second
 	maxRetryAfter          = 30 * time.Second
 
@@ -54,23 +55,19 @@
 
 // System decides on the admission of requests and keeps the queue in order.
 type System struct {
-	started         int                    // runs dequeued in this window
-	windowEnd       time.Time              // end of the window
-	dequeueRate     float64                // runs dequeued per second
-	lateStarted     int                    // those of started that could no longer be in time
-	lateDequeueRate float64                // the part of dequeueRate for late runs
-	wasBusy         bool                   // the queue was not empty throughout the window
-	forgetAt        time.Time              // next removal of idle accounts
-	demandAt        time.Time              // next report of all demands
-	newlyBusy       []*medlarworld.Account // accounts that became busy in this tick
+	throughput *medlarthroughput.Estimator
+	lateAt     time.Time              // next estimate for all late runs
+	forgetAt   time.Time              // next removal of idle accounts
+	demandAt   time.Time              // next report of all demands
+	newlyBusy  []*medlarworld.Account // accounts that became busy in this tick
 }
 
 // New returns a System.
-func New() *System { return &System{} }
+func New() *System { return &System{throughput: medlarthroughput.New()} }
 
 // Run handles the events of one tick.
 func (s *System) Run(w *medlarworld.World) {
-	s.measure(w)
+	s.throughput.Measure(w.Now, w.Waiting)
 	for _, e := range w.Events {
 		switch e := e.(type) {
 		case medlarworld.Submitted:
@@ -88,29 +85,7 @@
 }
 
 // Started records that a run left the queue for an upstream.
-func (s *System) Started(r *medlarworld.Run) {
-	s.started++
-	if r.Late {
-		s.lateStarted++
-	}
-}
-
-// measure updates the rate at which runs are dequeued.
-func (s *System) measure(w *medlarworld.World) {
-	if len(w.Waiting) == 0 {
-		s.wasBusy = false
-	}
-	if w.Now.Before(s.windowEnd) {
-		return
-	}
-	if s.wasBusy {
-		s.dequeueRate += rateGain * (float64(s.started)/rateWindow.Seconds() - s.dequeueRate)
-		s.lateDequeueRate += rateGain * (float64(s.lateStarted)/rateWindow.Seconds() - s.lateDequeueRate)
-	}
-	s.started, s.lateStarted = 0, 0
-	s.wasBusy = len(w.Waiting) > 0
-	s.windowEnd = w.Now.Add(rateWindow)
-}
+func (s *System) Started(r *medlarworld.Run) { s.throughput.Started(r) }
 
 func (s *System) submit(w *medlarworld.World, e medlarworld.Submitted) {
 	r := e.Run
@@ -256,13 +231,10 @@
 	return r.Deadline
 }
 
-// queueWait estimates how long a new run waits in the queue. It counts the runs before
+// queueWait estimates how long a new run waits in the queue. It counts the runs of its target before
 // its position, which for an account with few requests is far from the end (R3).
 func (s *System) queueWait(w *medlarworld.World, r *medlarworld.Run) time.Duration {
-	if len(w.Waiting) == 0 || s.dequeueRate <= 0 {
-		return 0
-	}
-	return time.Duration(float64(position(w, r)) / s.dequeueRate * float64(time.Second))
+	return s.throughput.Wait(r.Target(), runsAhead(w, r))
 }
 
 // position returns the number of waiting runs before a run's place in the queue.
@@ -393,14 +365,9 @@
 	return 1
 }
 
-// demoteLate moves runs that can no longer be in time behind those that can (R8).
+// demoteLate moves runs that can no longer be in time behind those that can (R8), and refuses those that
+// would wait past their deadline there (R5).
 func (s *System) demoteLate(w *medlarworld.World) {
-	lateRuns := 0 // late runs in the queue
-	for _, r := range w.Waiting {
-		if r.Late {
-			lateRuns++
-		}
-	}
 	for i := 0; i < len(w.Waiting); i++ {
 		r := w.Waiting[i]
 		if r.Late || r.StartBy.IsZero() || !w.Now.After(r.StartBy) {
@@ -409,21 +376,53 @@
 		w.Waiting = slices.Delete(w.Waiting, i, i+1)
 		i--
 		r.Late = true
-		if wait := s.lateWait(lateRuns); w.Now.Add(wait).After(latestStart(r)) {
-			w.Refuse(r, medlarreason.Deadline, clampRetryAfter(wait))
-			continue
+		if !s.refuseLate(w, r, lateAhead(w, r)) {
+			Enqueue(w, r)
 		}
-		lateRuns++
-		Enqueue(w, r)
 	}
+	s.refuseLateRuns(w)
 }
 
-// lateWait estimates how long a run waits behind other late runs (R5).
-func (s *System) lateWait(lateRuns int) time.Duration {
-	if lateRuns == 0 || s.dequeueRate <= 0 {
-		return 0
+// lateAhead returns the number of late runs of a late run's target that are before its place in the queue.
+func lateAhead(w *medlarworld.World, r *medlarworld.Run) int {
+	n := 0
+	for _, other := range w.Waiting[:position(w, r)] {
+		if other.Late && other.Target() == r.Target() {
+			n++
+		}
+	}
+	return n
+}
+
+// refuseLate refuses a late run if it would wait past its deadline behind others.
+func (s *System) refuseLate(w *medlarworld.World, r *medlarworld.Run, ahead int) bool {
+	wait := s.throughput.LateWait(r.Target(), ahead)
+	if !w.Now.Add(wait).After(latestStart(r)) {
+		return false
+	}
+	w.Refuse(r, medlarreason.Deadline, clampRetryAfter(wait))
+	return true
+}
+
+// refuseLateRuns refuses the late runs in the queue for which there is no hope any longer.
+func (s *System) refuseLateRuns(w *medlarworld.World) {
+	if w.Now.Before(s.lateAt) {
+		return
+	}
+	s.lateAt = w.Now.Add(lateInterval)
+	ahead := map[medlarworld.Target]int{}
+	kept := w.Waiting[:0]
+	for _, r := range w.Waiting {
+		if r.Late && !r.Reached && s.refuseLate(w, r, ahead[r.Target()]) {
+			continue
+		}
+		if r.Late {
+			ahead[r.Target()]++
+		}
+		kept = append(kept, r)
 	}
-	return time.Duration(float64(lateRuns) / max(s.lateDequeueRate, minRate) * float64(time.Second))
+	clear(w.Waiting[len(kept):])
+	w.Waiting = kept
 }
 
 func priorityOf(w *medlarworld.World, r *medlarworld.Run) int {
--- /dev/null
+++ b/internal/core/medlarcore/admission_test.go
@@ -0,0 +1,43 @@
+package medlarcore
+
+import (
+	"testing"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarworld"
+)
+
+// TestServicesDoNotWaitForOneAnother guards against requests to a service with room that are refused, or told to
+// come back late, because prompts wait for another service.
+func TestServicesDoNotWaitForOneAnother(t *testing.T) {
+	p := newPartsHarness(t, 1, func(cfg *medlarworld.Config) { cfg.MaxQueued = 1000 })
+	engine := engineMember(0, "1")
+	engine.Slots = 1
+	ledger := medlarworld.Member{ID: "l0", Kind: "service", Address: "at-l0", Service: "ledger", Zone: "a"}
+	p.tick(medlarworld.InstancesListed{Members: []medlarworld.Member{engine, ledger}})
+	var running *medlarworld.StartAttempt
+	for i := range 400 { // the engine answers a prompt each 200 ms, and gets five times as many
+		r := p.newRun(100, 100)
+		r.Deadline = p.now.Add(time.Minute)
+		events := []medlarworld.Event{medlarworld.Submitted{Run: r}}
+		if i%5 == 0 && running != nil {
+			events = append(events, medlarworld.AttemptEnded{Run: running.Run, Attempt: running.Attempt, Cause: medlarworld.CauseDone, Reached: true})
+			running = nil
+		}
+		if s := startOf(p.tick(events...)); s != nil {
+			running = s
+		}
+		p.now = p.now.Add(40 * time.Millisecond)
+	}
+	if n := len(p.core.World().Waiting); n < 30 {
+		t.Fatalf("%d prompts wait; the test shows nothing", n)
+	}
+	for i := range 20 {
+		r := &medlarworld.Run{ID: medlarid.RequestID("post-" + string(rune('a'+i))), Service: "ledger", Arrived: p.now, Deadline: p.now.Add(time.Second), MaxAttempts: 1}
+		if cs := p.tick(medlarworld.Submitted{Run: r}); startOf(cs) == nil {
+			t.Fatalf("request %d to a service with room does not start: %+v", i, cs)
+		}
+		p.now = p.now.Add(10 * time.Millisecond)
+	}
+}
