Tell other instances of the load on replicas

Cause: each of 38 instances knows its own attempts only, a fortieth of what a replica has.

Change: instances send one another datagrams with their attempts at each replica and the tokens still to be computed, each 0.1 s while they have any. Routing goes by the slots that all have taken; costs within 12 ms count as equal, so that old reports make no herd. Addresses are announced in the topic of notices. The setting peers is new.

--- a/internal/agree/medlarnotice/crash.go
+++ b/internal/agree/medlarnotice/crash.go
@@ -20,6 +20,7 @@
 	assignmentPrefix = "build/"
 	streamsPrefix    = "streams/"
 	seenPrefix       = "seen/" // followed by the instance
+	peerPrefix       = "peer/" // followed by the instance
 )
 
 // maxReportTraits is the maximum number of traits in a record of a crash, which bounds its size
--- a/internal/base/medlarid/medlarid.go
+++ b/internal/base/medlarid/medlarid.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"strconv"
 	"time"
+
+	"github.com/zeebo/xxh3"
 )
 
 // AccountID identifies a client account.
@@ -36,6 +38,12 @@
 // ServiceID identifies a plain service, one without a model.
 type ServiceID string
 
+// Hash is a short hash of an InstanceID, for messages that name many. Two ids may have the same one.
+type Hash uint32
+
+// HashOf returns the hash of an id.
+func HashOf(id InstanceID) Hash { return Hash(xxh3.HashString(string(id))) }
+
 // InstanceID identifies an instance of the platform or of this system.
 type InstanceID string
 
--- a/internal/core/medlarchoice/medlarchoice.go
+++ b/internal/core/medlarchoice/medlarchoice.go
@@ -9,6 +9,7 @@
 	// TotalPending and TotalWindow are the same over all upstreams of the target.
 	TotalPending, TotalWindow float64
 	Lag                       float64 // seconds by which the upstream answers later than expected
+	Others                    int     // attempts of other instances at the chosen upstream, as they told last
 }
 
 // PartState is the assumed state of a part of a prompt.
--- a/internal/core/medlarcore/medlarcore.go
+++ b/internal/core/medlarcore/medlarcore.go
@@ -11,6 +11,7 @@
 	"medlarfield/internal/core/medlarlag"
 	"medlarfield/internal/core/medlarlimit"
 	"medlarfield/internal/core/medlaroffload"
+	"medlarfield/internal/core/medlarpeerload"
 	"medlarfield/internal/core/medlarplacement"
 	"medlarfield/internal/core/medlarresume"
 	"medlarfield/internal/core/medlarretry"
@@ -21,7 +22,8 @@
 
 // Intervals between ticks when there are no events.
 const (
-	busyInterval = 10 * time.Millisecond // while runs wait, or parts of prompts are about to be blocked
+	busyInterval = 10 * time.Millisecond  // while runs wait, or parts of prompts are about to be blocked
+	openInterval = 100 * time.Millisecond // while attempts are in flight, if other instances are told of them
 	idleInterval = time.Second
 )
 
@@ -45,6 +47,7 @@
 		world: medlarworld.New(cfg),
 		systems: []system{ // run in this order
 			medlarfleet.New(),
+			medlarpeerload.New(),
 			medlarlimit.New(),
 			medlarplacement.New(),
 			medlarlag.New(),
@@ -80,5 +83,8 @@
 	if len(c.world.Waiting) > 0 || len(c.world.LookingUp) > 0 || c.world.Suspects.Pending() || c.world.Builds.Pending() {
 		return busyInterval
 	}
+	if c.world.Config.TellLoad && len(c.world.Runs) > 0 {
+		return openInterval
+	}
 	return idleInterval
 }
--- /dev/null
+++ b/internal/core/medlarpeerload/medlarpeerload.go
@@ -0,0 +1,146 @@
+// Package medlarpeerload keeps what other instances tell of the load that they put on
+// upstreams, and tells them of this instance's. Of many instances each sees only its own
+// attempts, and without this each would fill the same upstreams while others have free slots.
+//
+// Rules:
+//
+//	R1  An instance reports the attempts that it has in flight at each upstream, and their
+//	    tokens that are still to be computed. A report replaces the earlier one of its sender.
+//	R2  Reports are hints: they get lost, and each expires after reportTTL. Without any, an
+//	    instance goes by its own attempts alone.
+//	R3  A report is sent each tellInterval while the instance has attempts in flight, and once
+//	    more when it has none left.
+//	R4  A report has a bounded size: beyond maxLoads it names the upstreams with most attempts.
+package medlarpeerload
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarworld"
+)
+
+// Times and bounds of the rules.
+const (
+	tellInterval = 100 * time.Millisecond // R3
+	reportTTL    = 600 * time.Millisecond // R2
+	maxLoads     = 120                    // R4
+	maxPeers     = 1024                   // reports that are kept
+)
+
+// report is the latest report of a peer.
+type report struct {
+	at    time.Time
+	loads []medlarworld.PeerLoad
+}
+
+// System keeps the reports of peers.
+type System struct {
+	reports  map[medlarid.InstanceID]report
+	byHash   map[medlarid.Hash]*medlarworld.Upstream
+	tellAt   time.Time // next report of this instance
+	told     bool      // the last report named an upstream
+	expireAt time.Time // next check for expired reports
+}
+
+// New returns a System without reports.
+func New() *System {
+	return &System{reports: map[medlarid.InstanceID]report{}, byHash: map[medlarid.Hash]*medlarworld.Upstream{}}
+}
+
+// Run handles the events of one tick.
+func (s *System) Run(w *medlarworld.World) {
+	for _, e := range w.Events {
+		switch e := e.(type) {
+		case medlarworld.InstancesListed:
+			s.index(w)
+		case medlarworld.PeerLoadReported:
+			s.apply(w, e)
+		}
+	}
+	s.expire(w)
+	if w.Config.TellLoad {
+		s.tell(w)
+	}
+}
+
+// index finds the upstreams by hash, and sums all reports anew.
+func (s *System) index(w *medlarworld.World) {
+	clear(s.byHash)
+	for id, u := range w.Upstreams {
+		u.PeerOpen, u.PeerPending = 0, 0
+		s.byHash[medlarid.HashOf(id)] = u
+	}
+	for _, r := range s.reports {
+		s.add(r, 1)
+	}
+}
+
+// add adds a report to its upstreams, or takes it away if sign is -1.
+func (s *System) add(r report, sign int) {
+	for _, l := range r.loads {
+		if u := s.byHash[l.Upstream]; u != nil {
+			u.PeerOpen += sign * l.Open
+			u.PeerPending += medlarid.Tokens(sign) * l.Pending
+		}
+	}
+}
+
+// apply replaces the report of a peer (R1).
+func (s *System) apply(w *medlarworld.World, e medlarworld.PeerLoadReported) {
+	old, known := s.reports[e.Peer]
+	if e.Peer == w.Config.Self || !known && len(s.reports) >= maxPeers {
+		return
+	}
+	s.add(old, -1)
+	next := report{at: w.Now, loads: e.Loads}
+	s.add(next, 1)
+	s.reports[e.Peer] = next
+}
+
+// expire removes the reports that are too old (R2).
+func (s *System) expire(w *medlarworld.World) {
+	if w.Now.Before(s.expireAt) {
+		return
+	}
+	s.expireAt = w.Now.Add(tellInterval)
+	maps.DeleteFunc(s.reports, func(_ medlarid.InstanceID, r report) bool {
+		expired := w.Now.Sub(r.at) > reportTTL
+		if expired {
+			s.add(r, -1)
+		}
+		return expired
+	})
+}
+
+// tell sends this instance's report if it is due (R3).
+func (s *System) tell(w *medlarworld.World) {
+	if w.Now.Before(s.tellAt) {
+		return
+	}
+	s.tellAt = w.Now.Add(tellInterval)
+	loads := ownLoads(w)
+	if len(loads) == 0 && !s.told {
+		return
+	}
+	s.told = len(loads) > 0
+	w.Emit(medlarworld.TellLoad{Loads: loads})
+}
+
+// ownLoads returns the load that this instance puts on upstreams (R1, R4).
+func ownLoads(w *medlarworld.World) []medlarworld.PeerLoad {
+	var out []medlarworld.PeerLoad
+	for id, u := range w.Upstreams {
+		if u.Open > 0 {
+			pending := medlarid.Tokens(u.Backlog.Pending(len(u.Backlog.Queues) - 1))
+			out = append(out, medlarworld.PeerLoad{Upstream: medlarid.HashOf(id), Open: u.Open, Pending: pending})
+		}
+	}
+	slices.SortFunc(out, func(a, b medlarworld.PeerLoad) int {
+		return cmp.Or(cmp.Compare(b.Open, a.Open), cmp.Compare(a.Upstream, b.Upstream))
+	})
+	return out[:min(len(out), maxLoads)]
+}
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -16,8 +16,8 @@
 //	    links, costs less than computing them. An import times out when it takes
 //	    several times the expected time, or as long as the computation that it saves.
 //	R4  Among candidates of nearly the lowest cost two are drawn at random and the
-//	    one with fewer own attempts gets the run, so that instances do not all make
-//	    the same choice.
+//	    one with fewer attempts gets the run, so that instances do not all make the same
+//	    choice. What other instances have in flight counts as far as they have told of it.
 //	R5  An unrepeatable run is claimed when there is a candidate, and sent only
 //	    once the claim is granted.
 //	R6  A run without a candidate does not block those behind it in the queue. Neither does
@@ -50,7 +50,7 @@
 	recomputeWeight     = 4.0  // additional seconds per second of prefill, with WeightingRecompute
 	importSetupSeconds  = 5e-3 // seconds
 	tieRatio            = 0.05 // costs within this ratio of the lowest one, plus tieSeconds, are equal
-	tieSeconds          = 5e-3
+	tieSeconds          = 12e-3
 	slotWaitSeconds     = 0.5  // estimated seconds until a slot becomes free
 	engineQueueRatio    = 0.25 // runs that may queue inside an engine, as a share of its slots
 	homeDiscount        = 0.1  // share of the prefill cost deducted for the home
@@ -169,7 +169,7 @@
 	if !slices.Contains(r.Tried, u) {
 		r.Tried = append(r.Tried, u)
 	}
-	decision := medlarchoice.Decision{Candidates: s.candidates, Lag: medlarlag.Estimate(w, u)}
+	decision := medlarchoice.Decision{Candidates: s.candidates, Lag: medlarlag.Estimate(w, u), Others: u.PeerOpen}
 	medlarwindow.Explain(w, r, u, &decision)
 	medlarlimit.Take(u)
 	medlarresume.Started(w, r, u)
@@ -266,7 +266,7 @@
 		}
 	}
 	a, b := s.options[w.Rand.IntN(n)], s.options[w.Rand.IntN(n)]
-	if b.upstream.Open < a.upstream.Open {
+	if b.upstream.TotalOpen() < a.upstream.TotalOpen() {
 		return b
 	}
 	return a
@@ -375,125 +375,8 @@
 	if u.KVCapacity > 0 && u.Open > 0 && float64(u.InFlightTokens) > maxKVShare*float64(u.KVCapacity) {
 		return false
 	}
-	if pendingSeconds(w, u) >= maxPendingSeconds && u.Open > 0 {
+	if pendingSeconds(w, u) >= maxPendingSeconds && u.TotalOpen() > 0 {
 		return false // queue here, where queueing is fair, and not inside the engine
 	}
-	load := max(u.Load.Running+u.Load.Queued+u.SentSinceReport, u.Open)
-	return float64(load) < float64(u.Load.Slots)*(1+engineQueueRatio)
-}
-
-// evaluate returns the cheaper of computing and importing what u does not cache
-// (R2, R3).
-func evaluate(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) option {
-	c := option{upstream: u, cost: zoneCost(w, u) + queueSeconds(w, u)}
-	if u.Kind == medlarworld.KindService {
-		c.cost += float64(u.Open) * slotWaitSeconds
-		return c
-	}
-	if r.KeyTokens != nil {
-		c.cost += partsCost(w, r, u, &c)
-		if w.Now.Before(u.SwapUntil) {
-			c.cost += swapCost
-		}
-		return c
-	}
-	if u.Version == r.Version {
-		c.cachedBlocks = w.Warm.Depth(r.Keys, u.ID)
-	}
-	uncached := r.PromptTokens - r.PrefixTokens(c.cachedBlocks)
-	compute := prefillCost(w, u, uncached)
-	if u.Version == r.Version && len(r.StoredBlocks) > c.cachedBlocks {
-		imports := r.StoredBlocks[c.cachedBlocks:]
-		remainingCost := prefillCost(w, u, r.PromptTokens-r.PrefixTokens(c.cachedBlocks+len(imports)))
-		importSeconds := transferSeconds(w, imports)
-		if importSeconds+remainingCost < compute {
-			c.imports, c.importSeconds = imports, importSeconds
-			c.importTimeout = importTimeoutSeconds(importSeconds, compute-remainingCost)
-			compute = importSeconds + remainingCost
-		}
-	}
-	c.cost += compute
-	return c
-}
-
-// partsCost returns the cost in seconds of the prefill of a prompt that is divided
-// into parts. Parts that the upstream caches cost nothing, parts that stores hold can
-// be fetched, and everything after the last of these is computed. The cheapest
-// length of the cached or fetched prefix counts.
-func partsCost(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream, c *option) float64 {
-	best := prefillCost(w, u, r.PromptTokens)
-	fetchSeconds, bestFetchSeconds := 0.0, 0.0
-	for i, k := range r.KeysUnder(u.Version) {
-		warm := w.Warm.Has(k, u.ID)
-		if !warm {
-			s := medlarplacement.FindStore(w, k)
-			if s == nil {
-				break
-			}
-			fetchSeconds += medlarplacement.TransferSeconds(s, u, r.KeyTokens[i])
-		}
-		if cost := fetchSeconds + prefillCost(w, u, r.PromptTokens-r.PrefixTokens(i+1)); cost <= best {
-			best, bestFetchSeconds, c.availableParts = cost, fetchSeconds, i+1
-			if warm {
-				c.cachedBlocks = i + 1
-			}
-		}
-	}
-	c.idleTTFT = bestFetchSeconds + u.PrefillTime(r.PromptTokens-r.PrefixTokens(c.availableParts)).Seconds()
-	c.ttft = c.idleTTFT + pendingSeconds(w, u)
-	return best + medlarlag.Estimate(w, u)
-}
-
-// importTimeoutSeconds returns the seconds after which an import times out that is
-// expected to take importSeconds and to save savedSeconds of computation.
-func importTimeoutSeconds(importSeconds, savedSeconds float64) float64 {
-	return min(max(importTimeoutFactor*importSeconds, importSavedShare*savedSeconds), savedSeconds)
-}
-
-// prefillCost returns the weighted seconds that computing n prompt tokens takes.
-func prefillCost(w *medlarworld.World, u *medlarworld.Upstream, n medlarid.Tokens) float64 {
-	seconds := float64(max(n, 0)) / max(u.PrefillRate, 1)
-	if w.Config.Weighting == medlarworld.WeightingRecompute {
-		return seconds * (1 + recomputeWeight)
-	}
-	return seconds
-}
-
-// transferSeconds returns the seconds until all blocks are imported: the links work in
-// parallel, each after what is already in flight on it.
-func transferSeconds(w *medlarworld.World, handles []medlarworld.Handle) float64 {
-	longest := 0.0
-	for _, s := range w.StoreList {
-		var n medlarid.Bytes
-		for _, h := range handles {
-			if h.Store == s.ID {
-				n += h.Length
-			}
-		}
-		if n > 0 {
-			longest = max(longest, float64(n+s.InFlightBytes)/max(s.Rate, 1))
-		}
-	}
-	return importSetupSeconds + longest
-}
-
-// pendingSeconds returns the seconds that an engine needs for its pending prompts.
-func pendingSeconds(w *medlarworld.World, u *medlarworld.Upstream) float64 {
-	return max(u.BusyUntil.Sub(w.Now).Seconds(), 0)
-}
-
-// queueSeconds returns the seconds until an upstream begins with a new run.
-func queueSeconds(w *medlarworld.World, u *medlarworld.Upstream) float64 {
-	wait := pendingSeconds(w, u)
-	if excess := u.Load.Running + u.Load.Queued + u.SentSinceReport - u.Load.Slots; u.Load.Slots > 0 && excess >= 0 {
-		wait += slotWaitSeconds * float64(excess+1) / float64(u.Load.Slots)
-	}
-	return wait
-}
-
-func zoneCost(w *medlarworld.World, u *medlarworld.Upstream) float64 {
-	if u.Zone == w.Config.Zone {
-		return 0
-	}
-	return crossZoneCost
+	return float64(load(u)) < float64(u.Load.Slots)*(1+engineQueueRatio)
 }
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -59,6 +59,8 @@
 	// OldVersionGrace is the time after which a replica with a weight version other
 	// than the desired one gets no more work; 0 for no bound.
 	OldVersionGrace time.Duration
+	// TellLoad is set if instances tell one another of the load that they put on upstreams.
+	TellLoad bool
 	// VersionsIncrease is set if the operators never return to an earlier weight version.
 	VersionsIncrease bool
 	// MaxHolders is the maximum number of upstreams that are recorded as caching one
@@ -187,10 +189,12 @@
 	// TokenBytes is the size of one token in the KV cache.
 	TokenBytes medlarid.Bytes
 
-	Open            int       // own attempts in flight
-	SentSinceReport int       // own attempts started since the last report
-	BusyUntil       time.Time // estimated end of the pending prompts: those reported and those sent since
-	Failures        int       // consecutive failures
+	Open            int             // own attempts in flight
+	PeerOpen        int             // attempts of other instances in flight, as they told last
+	PeerPending     medlarid.Tokens // of these, still to be computed before answers begin
+	SentSinceReport int             // own attempts started since the last report
+	BusyUntil       time.Time       // estimated end of the pending prompts: those reported and those sent since
+	Failures        int             // consecutive failures
 	EjectedUntil    time.Time
 	Ejections       int
 }
@@ -521,6 +525,9 @@
 	return time.Duration(float64(n) / max(u.PrefillRate, 1) * float64(time.Second))
 }
 
+// TotalOpen returns the number of attempts in flight, of all instances.
+func (u *Upstream) TotalOpen() int { return u.Open + u.PeerOpen }
+
 // Usable reports whether an upstream may get new work now.
 func (u *Upstream) Usable(now time.Time) bool {
 	return !u.Leaving && !u.Delisted && !now.Before(u.EjectedUntil) && !now.Before(u.PausedUntil)
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -233,6 +233,19 @@
 // Rates are requests per second by service.
 type Rates map[medlarid.ServiceID]float64
 
+// PeerLoad is the load that one instance puts on an upstream.
+type PeerLoad struct {
+	Upstream medlarid.Hash
+	Open     int             // attempts in flight
+	Pending  medlarid.Tokens // of attempts whose answer has not begun, still to be computed
+}
+
+// PeerLoadReported carries the load that another instance puts on upstreams.
+type PeerLoadReported struct {
+	Peer  medlarid.InstanceID
+	Loads []PeerLoad
+}
+
 // LimitRecorded carries the shared limit of an upstream. Dropped is set if there is none any longer.
 type LimitRecorded struct {
 	Upstream    medlarid.InstanceID
@@ -318,6 +331,7 @@
 func (TrialGranted) event()      {}
 func (RecordsRestored) event()   {}
 func (NoticesRead) event()       {}
+func (PeerLoadReported) event()  {}
 func (NoticesCurrent) event()    {}
 func (NoticesWritten) event()    {}
 func (BuildsAssigned) event()    {}
@@ -453,6 +467,9 @@
 	Rates  Rates
 }
 
+// TellLoad asks to tell other instances of the load that this one puts on upstreams.
+type TellLoad struct{ Loads []PeerLoad }
+
 // AssignBuilds asks to record the assignment of a service's streams to builds for all instances. With
 // Claim set it counts only if no other instance has recorded anything meanwhile.
 type AssignBuilds struct {
@@ -498,6 +515,7 @@
 func (RecordStreams) command() {}
 func (RecordSeen) command()    {}
 func (ReadNotices) command()   {}
+func (TellLoad) command()      {}
 func (BlockChanged) command()  {}
 func (Refuse) command()        {}
 func (LookUp) command()        {}
--- a/internal/ops/medlarattachednode/logging.go
+++ b/internal/ops/medlarattachednode/logging.go
@@ -149,7 +149,7 @@
 func choiceFields(y medlarchoice.Decision) *zerolog.Event {
 	return zerolog.Dict().Int("choices", y.Candidates).Float64("pending", math.Round(y.Pending)).
 		Float64("window", math.Round(y.Window)).Float64("all", math.Round(y.TotalPending)).
-		Float64("bound", math.Round(y.TotalWindow)).Float64("lag", math.Round(1000*y.Lag))
+		Float64("bound", math.Round(y.TotalWindow)).Float64("lag", math.Round(1000*y.Lag)).Int("others", y.Others)
 }
 
 // partText returns the states of a prompt's parts, one letter each.
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -41,6 +41,7 @@
 	"medlarfield/internal/ops/medlarregistry"
 	"medlarfield/internal/ops/medlarrollout"
 	"medlarfield/internal/ops/medlarsettings"
+	"medlarfield/internal/peer/medlardatagram"
 	"medlarfield/internal/upstream/medlarhttp"
 	"medlarfield/platform"
 	"medlarfield/platform/medlarcalls"
@@ -81,6 +82,8 @@
 	rollout   *medlarrollout.Rollout
 	tracker   *medlarcachetracker.Tracker
 	board     *medlarnotice.Board
+	notifier  *medlarnotifier.Notifier
+	socket    *medlardatagram.Socket
 
 	stopping       atomic.Bool
 	listener       net.Listener
@@ -111,7 +114,7 @@
 			return medlarcalls.NewKVStores(h, replicaTimeout, c)
 		},
 		medlarplatform.NewClock, medlarmetric.New, medlarpool.New,
-		newBoard, newNotifier, newLoop, newRegistry, newProxy, newFeeds, newTerm, newRollout, newTracker, newInstance,
+		newSocket, newBoard, newNotifier, newLoop, newRegistry, newProxy, newFeeds, newTerm, newRollout, newTracker, newInstance,
 	}
 	for _, p := range providers {
 		if err := c.Provide(p); err != nil {
@@ -125,14 +128,15 @@
 
 func newInstance(cfg medlarsettings.Attached, log zerolog.Logger, logWriter *medlarlogger.Writer, m *medlarmetric.Metrics,
 	loop *medlarloop.Loop, registry *medlarregistry.Registry, proxy *medlarproxy.Proxy, feeds []*medlarfeed.Feed, rollout *medlarrollout.Rollout,
-	tracker *medlarcachetracker.Tracker, board *medlarnotice.Board,
+	tracker *medlarcachetracker.Tracker, board *medlarnotice.Board, notifier *medlarnotifier.Notifier, socket *medlardatagram.Socket,
 ) *Instance {
 	return &Instance{
 		cfg: cfg, log: log, logWriter: logWriter, metrics: m, loop: loop, registry: registry, server: proxy.Server(), feeds: feeds, rollout: rollout, tracker: tracker, board: board,
+		notifier: notifier, socket: socket,
 	}
 }
 
-func newLoop(cfg medlarsettings.Attached, m *medlarmetric.Metrics, log zerolog.Logger, n *medlarnotifier.Notifier) *medlarloop.Loop {
+func newLoop(cfg medlarsettings.Attached, m *medlarmetric.Metrics, log zerolog.Logger, n *medlarnotifier.Notifier, socket *medlardatagram.Socket) *medlarloop.Loop {
 	core := medlarcore.New(medlarworld.Config{
 		Self:            cfg.Name,
 		Zone:            cfg.Zone,
@@ -141,6 +145,7 @@
 		MaxAttempts:     1,
 		MaxHolders:      maxHolders,
 		OldVersionGrace: cfg.Bounds.OldVersionGrace.Std() - versionMargin, VersionsIncrease: true,
+		TellLoad:    cfg.HasPeers(),
 		RetryBudget: medlarworld.RetryBudget{Ratio: retryShare * cfg.Bounds.RetryRatio, Max: retryBurst, Initial: retryStart},
 		Seed:        rand.Uint64(),
 	})
@@ -160,6 +165,7 @@
 	n.AddTo(&deps)
 	loop := medlarloop.New(core, deps)
 	n.SetPost(loop.Post)
+	socket.SetOnLoad(func(e medlarworld.PeerLoadReported) { loop.Post(e) })
 	return loop
 }
 
@@ -249,43 +255,6 @@
 	}
 }
 
-func newBoard(s *medlarcalls.Store, log zerolog.Logger, m *medlarmetric.Metrics) *medlarnotice.Board {
-	return medlarnotice.New(medlarnotice.Deps{
-		Append: func(records []medlarnotice.Record) error {
-			return s.AppendKeyed(medlarplatform.TopicNotices, records)
-		},
-		AppendAt: func(at medlarid.Offset, r medlarnotice.Record) error {
-			return s.AppendKeyedAt(medlarplatform.TopicNotices, at, r)
-		},
-		OnError: func(err error) {
-			m.CallFailed(medlarplatform.TopicNotices)
-			log.Warn().Str("event", "notice").Err(err).Msg("notice to the other instances cannot be written")
-		},
-	})
-}
-
-func newNotifier(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, s *medlarcalls.Store, board *medlarnotice.Board) *medlarnotifier.Notifier {
-	return medlarnotifier.New(medlarnotifier.Deps{
-		Self: cfg.Name, Log: log, Metrics: m, Board: board,
-		Read: func(newConn bool) ([]medlarfeed.Record, error) {
-			end, ok := board.End()
-			if !ok {
-				return nil, errUnread
-			}
-			b, err := s.Follow(medlarplatform.TopicNotices, end, medlarfeed.ReadOptions{NewConn: newConn})
-			if err == nil && b.Truncated {
-				err = errUnread
-			}
-			return b.Records, err
-		},
-		Spread:     time.Duration(rankOf(cfg) % int(restoreSpread)),
-		CallFailed: func() { m.CallFailed(medlarplatform.TopicNotices) },
-	})
-}
-
-// errUnread reports that the topic of notices has to be read anew first.
-var errUnread = eris.New("topic of notices is not read yet, or its records are truncated")
-
 // Start opens the listeners and starts serving. The instance runs until stop is called;
 // stop returns when the instance has ended.
 func (i *Instance) Start() (stop func(), err error) {
@@ -307,6 +276,7 @@
 		go f.Run(ctx)
 	}
 	go i.board.Run(ctx)
+	i.openSocket()
 	go i.rollout.Run(ctx)
 	go i.tracker.Run(ctx)
 	go i.serve("callers", func() error { return i.server.Serve(i.listener) })
@@ -319,6 +289,19 @@
 	}, nil
 }
 
+// openSocket opens the socket for datagrams of other instances. Without it the instance goes by what it
+// sees itself.
+func (i *Instance) openSocket() {
+	if !i.cfg.HasPeers() {
+		return
+	}
+	if err := i.socket.Listen(i.cfg.Peers); err != nil {
+		i.log.Error().Str("event", "listener").Str("listener", "peers").Err(err).Msg("socket for datagrams cannot be opened; going on without")
+		return
+	}
+	i.notifier.Announce(&medlarnotice.Peer{Address: i.socket.Address(), Key: uint64(i.socket.Key())})
+}
+
 // Address returns the address of the listener for callers. It is valid once Start has
 // returned.
 func (i *Instance) Address() medlarid.Address { return medlarid.Address(i.listener.Addr().String()) }
@@ -360,6 +343,7 @@
 	end := begin.Add(i.cfg.Bounds.GracePeriod.Std() - stopMargin)
 	i.stopping.Store(true)
 	i.server.Drain()
+	i.notifier.Announce(nil)
 	i.log.Info().Str("event", "stop").Int("open", i.server.ActiveConns()).Msg("stopping")
 	time.Sleep(i.cfg.Bounds.DeregistrationDelay.Std())
 	_ = i.listener.Close()
@@ -367,6 +351,7 @@
 		time.Sleep(stopPoll)
 	}
 	_ = i.statusListener.Close()
+	i.socket.Close()
 	i.log.Info().Str("event", "stopped").Int("cut", i.server.ActiveConns()).Dur("took", time.Since(begin)).Msg("stopped")
 }
 
--- /dev/null
+++ b/internal/ops/medlarattachednode/notices.go
@@ -0,0 +1,66 @@
+package medlarattachednode
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"medlarfield/internal/agree/medlarfeed"
+	"medlarfield/internal/agree/medlarnotice"
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/edge/medlarmetric"
+	"medlarfield/internal/ops/medlarnotifier"
+	"medlarfield/internal/ops/medlarsettings"
+	"medlarfield/internal/peer/medlardatagram"
+	"medlarfield/platform"
+	"medlarfield/platform/medlarcalls"
+)
+
+func newBoard(s *medlarcalls.Store, log zerolog.Logger, m *medlarmetric.Metrics) *medlarnotice.Board {
+	return medlarnotice.New(medlarnotice.Deps{
+		Append: func(records []medlarnotice.Record) error {
+			return s.AppendKeyed(medlarplatform.TopicNotices, records)
+		},
+		AppendAt: func(at medlarid.Offset, r medlarnotice.Record) error {
+			return s.AppendKeyedAt(medlarplatform.TopicNotices, at, r)
+		},
+		OnError: func(err error) {
+			m.CallFailed(medlarplatform.TopicNotices)
+			log.Warn().Str("event", "notice").Err(err).Msg("notice to the other instances cannot be written")
+		},
+	})
+}
+
+// callPeers is the name of datagrams in the metric of failed calls.
+const callPeers = "peers"
+
+func newSocket(cfg medlarsettings.Attached, m *medlarmetric.Metrics) *medlardatagram.Socket {
+	return medlardatagram.New(medlardatagram.Deps{
+		Self: cfg.Name, Key: medlardatagram.Key(rand.Uint64()),
+		OnIgnored: func(error) { m.CallFailed(callPeers) },
+	})
+}
+
+func newNotifier(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, s *medlarcalls.Store, board *medlarnotice.Board, socket *medlardatagram.Socket) *medlarnotifier.Notifier {
+	return medlarnotifier.New(medlarnotifier.Deps{
+		Self: cfg.Name, Log: log, Metrics: m, Board: board, Socket: socket,
+		Read: func(newConn bool) ([]medlarfeed.Record, error) {
+			end, ok := board.End()
+			if !ok {
+				return nil, errUnread
+			}
+			b, err := s.Follow(medlarplatform.TopicNotices, end, medlarfeed.ReadOptions{NewConn: newConn})
+			if err == nil && b.Truncated {
+				err = errUnread
+			}
+			return b.Records, err
+		},
+		Spread:     time.Duration(rankOf(cfg) % int(restoreSpread)),
+		CallFailed: func() { m.CallFailed(medlarplatform.TopicNotices) },
+	})
+}
+
+// errUnread reports that the topic of notices has to be read anew first.
+var errUnread = eris.New("topic of notices is not read yet, or its records are truncated")
--- a/internal/ops/medlarattachednode/path_test.go
+++ b/internal/ops/medlarattachednode/path_test.go
@@ -48,6 +48,13 @@
 	return l.b.String()
 }
 
+// reset forgets what was logged so far.
+func (l *logs) reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.b.Reset()
+}
+
 func start(t *testing.T, change func(*medlarsite.Settings)) *fixture {
 	t.Helper()
 	w := startWith(t, change, medlarfaketopic.FaultNone)
--- a/internal/ops/medlarloop/medlarloop.go
+++ b/internal/ops/medlarloop/medlarloop.go
@@ -52,7 +52,9 @@
 	RecordStreams func(medlarworld.RecordStreams)
 	RecordSeen    func(medlarworld.RecordSeen)
 	ReadNotices   func(medlarworld.ReadNotices)
-	OnTick        func(waiting, open int)
+	// TellLoad is needed where instances tell one another of the load on upstreams.
+	TellLoad func(medlarworld.TellLoad)
+	OnTick   func(waiting, open int)
 }
 
 // Versions are the weight versions of a model: the one that most replicas serve
@@ -256,6 +258,8 @@
 		l.deps.RecordSeen(c)
 	case medlarworld.ReadNotices:
 		go l.deps.ReadNotices(c)
+	case medlarworld.TellLoad:
+		l.deps.TellLoad(c)
 	case medlarworld.RequestShares:
 		go l.deps.RequestShares(c)
 	case medlarworld.ProbeUpstream:
--- a/internal/ops/medlarnotifier/medlarnotifier.go
+++ b/internal/ops/medlarnotifier/medlarnotifier.go
@@ -20,6 +20,7 @@
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarmetric"
 	"medlarfield/internal/ops/medlarloop"
+	"medlarfield/internal/peer/medlardatagram"
 )
 
 // Times and sizes of notices.
@@ -38,6 +39,7 @@
 	mu    sync.Mutex
 	slots [crashSlots]medlarsuspect.CrashID // crashes that this instance has a record of in the store
 	next  int                               // slot of the next crash
+	self  *medlarnotice.Peer                // where this instance receives datagrams; nil for nowhere
 	start string                            // distinguishes the starts of this instance
 }
 
@@ -50,6 +52,8 @@
 	// Read returns what was written to the topic of notices since this instance has read it last, on a
 	// new connection if newConn is set.
 	Read func(newConn bool) ([]medlarfeed.Record, error)
+	// Socket tells other instances of the load on replicas.
+	Socket *medlardatagram.Socket
 	// Spread is the time after which this instance writes its notices again once the store
 	// came back from a copy; each instance has another one.
 	Spread time.Duration
@@ -81,6 +85,7 @@
 	d.RecordStreams = n.recordStreams
 	d.RecordSeen = n.recordSeen
 	d.ReadNotices = n.read
+	d.TellLoad = func(c medlarworld.TellLoad) { n.deps.Socket.Tell(c.Loads) }
 }
 
 // probe finds out whether a replica is down: whether it refuses connections.
@@ -225,6 +230,7 @@
 func (n *Notifier) Apply(records []medlarfeed.Record, _ bool) {
 	for _, r := range records {
 		n.removeEarlier(r)
+		n.setPeer(r)
 		e, err := medlarnotice.Decode(medlarnotice.Record{Key: r.Key, Value: r.Value})
 		switch {
 		case err != nil:
@@ -242,5 +248,8 @@
 // Restore writes again what this instance has told the others, after the store came back from a
 // copy. Instances spread their writes.
 func (n *Notifier) Restore() {
-	time.AfterFunc(n.deps.Spread, func() { n.post(medlarworld.RecordsRestored{}) })
+	time.AfterFunc(n.deps.Spread, func() {
+		n.post(medlarworld.RecordsRestored{})
+		n.announce()
+	})
 }
--- /dev/null
+++ b/internal/ops/medlarnotifier/peer.go
@@ -0,0 +1,42 @@
+package medlarnotifier
+
+import (
+	"medlarfield/internal/agree/medlarfeed"
+	"medlarfield/internal/agree/medlarnotice"
+	"medlarfield/internal/peer/medlardatagram"
+)
+
+// Announce tells all instances where this one receives datagrams; nil that it stops.
+func (n *Notifier) Announce(p *medlarnotice.Peer) {
+	n.mu.Lock()
+	n.self = p
+	n.mu.Unlock()
+	n.announce()
+}
+
+// announce records where this instance receives datagrams.
+func (n *Notifier) announce() {
+	n.mu.Lock()
+	p := n.self
+	n.mu.Unlock()
+	r, err := medlarnotice.EncodePeer(n.deps.Self, p)
+	if err != nil {
+		n.deps.Log.Error().Str("event", "notice").Err(err).Msg("address of this instance cannot be encoded")
+		return
+	}
+	n.deps.Board.Put(r)
+}
+
+// setPeer passes the address of another instance to the socket.
+func (n *Notifier) setPeer(r medlarfeed.Record) {
+	id, p, ok, err := medlarnotice.DecodePeer(medlarnotice.Record{Key: r.Key, Value: r.Value})
+	if !ok {
+		return
+	}
+	if err != nil {
+		n.deps.CallFailed()
+		n.deps.Log.Warn().Str("event", "notice").Str("key", r.Key).Err(err).Msg("address of an instance is ignored")
+		return
+	}
+	n.deps.Socket.SetPeer(id, medlardatagram.Peer{Address: p.Address, Key: medlardatagram.Key(p.Key)})
+}
--- a/internal/ops/medlarsettings/attached.go
+++ b/internal/ops/medlarsettings/attached.go
@@ -1,6 +1,7 @@
 package medlarsettings
 
 import (
+	"strings"
 	"time"
 
 	"medlarfield/internal/base/medlarid"
@@ -15,6 +16,9 @@
 	// Listen is the address that serves callers; Status serves readiness and metrics.
 	Listen medlarid.Address `json:"listen"`
 	Status medlarid.Address `json:"status"`
+	// Peers is the address that receives datagrams of other instances; empty, or without a port
+	// since the platform has none free, for none.
+	Peers medlarid.Address `json:"peers"`
 	// Store is the address of the platform's store of topics.
 	Store    medlarid.Address `json:"store"`
 	MemoryMB int              `json:"memory"` // that the process may use
@@ -66,8 +70,14 @@
 	return s, nil
 }
 
+// HasPeers reports whether the instance receives datagrams of other instances.
+func (s Attached) HasPeers() bool { return s.Peers != "" && !strings.HasSuffix(string(s.Peers), ":") }
+
 func (s Attached) checks() []check {
+	peers := address("/peers", s.Peers)
+	peers.ok = peers.ok || !s.HasPeers()
 	return []check{
+		peers,
 		{"/name", namePattern.MatchString(string(s.Name)), wantName},
 		{"/zone", namePattern.MatchString(string(s.Zone)), wantName},
 		address("/listen", s.Listen),
--- a/internal/ops/medlarsettings/attached_test.go
+++ b/internal/ops/medlarsettings/attached_test.go
@@ -68,7 +68,7 @@
 		}
 	}
 	filled := strings.NewReplacer("{{NodeName}}", "entry-1", "{{Zone}}", "a", "{{Listen.Front}}", "10.0.0.1:1",
-		"{{Listen.Ready}}", "10.0.0.1:2", "{{Platform.Address}}", "10.0.0.1:3").Replace(strings.Join(lines, "\n"))
+		"{{Listen.Ready}}", "10.0.0.1:2", "{{Ip}}", "10.0.0.1", "{{PortRange.0}}", "", "{{Platform.Address}}", "10.0.0.1:3").Replace(strings.Join(lines, "\n"))
 	file := filepath.Join(t.TempDir(), "settings.json")
 	if err := os.WriteFile(file, []byte(filled), 0o600); err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/internal/peer/medlardatagram/medlardatagram.go
@@ -0,0 +1,219 @@
+// Package medlardatagram tells other instances of the load that this one puts on upstreams,
+// in datagrams.
+//
+// Rules:
+//
+//	R1  A datagram is sent to each peer, to at most maxTargets of them at a time. It may get lost,
+//	    come late or twice: one that is not newer than the last one of its sender is ignored.
+//	R2  A datagram carries its sender's id and key. A peer's address and key are read from
+//	    the platform's store, and datagrams with another key are ignored.
+//	R3  Peers that were not heard of for silence are tried only now and then.
+package medlardatagram
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarworld"
+)
+
+// Times and bounds of the rules.
+const (
+	maxTargets    = 64               // peers that one report is sent to (R1)
+	maxPeers      = 2048             // peers that are known
+	silence       = 10 * time.Second // R3
+	retryInterval = 5 * time.Second  // between two datagrams to a peer that is not heard of (R3)
+	maxDatagram   = 1400             // bytes
+)
+
+// Op names the operation that failed.
+type Op string
+
+// Operations.
+const (
+	OpListen Op = "listen"
+	OpDecode Op = "decode"
+)
+
+// Kind classifies a failure.
+type Kind string
+
+// Kinds of failure.
+const (
+	KindNetwork   Kind = "network"
+	KindMalformed Kind = "malformed"
+)
+
+// Error is a failed operation.
+type Error struct {
+	Op   Op
+	Kind Kind
+	Err  error
+}
+
+// Error returns operation, kind and cause.
+func (e *Error) Error() string { return fmt.Sprintf("datagram: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Key authenticates the datagrams of one start of an instance (R2).
+type Key uint64
+
+// Peer is where an instance receives datagrams.
+type Peer struct {
+	Address medlarid.Address
+	Key     Key
+}
+
+// peer is a known peer.
+type peer struct {
+	Peer
+	address  netip.AddrPort
+	serial   uint64    // of its last datagram
+	heardAt  time.Time // of its last datagram
+	triedAt  time.Time // when a datagram was sent to it
+	knownFor time.Time // since when its address is known
+}
+
+// Deps are what a Socket depends on.
+type Deps struct {
+	Self medlarid.InstanceID
+	Key  Key
+	// OnIgnored is called for each datagram that is not a valid one of a known peer.
+	OnIgnored func(error)
+}
+
+// Socket sends and receives datagrams. It is safe for concurrent use.
+type Socket struct {
+	deps   Deps
+	onLoad func(medlarworld.PeerLoadReported)
+	conn   *net.UDPConn
+
+	mu     sync.Mutex
+	peers  map[medlarid.InstanceID]*peer
+	serial uint64
+}
+
+// New returns a Socket that knows no peers. Listen opens it.
+func New(deps Deps) *Socket {
+	return &Socket{deps: deps, onLoad: func(medlarworld.PeerLoadReported) {}, peers: map[medlarid.InstanceID]*peer{}, serial: uint64(time.Now().UnixNano())}
+}
+
+// SetOnLoad sets the function that receives the load that a peer tells of. It is called before Listen.
+func (s *Socket) SetOnLoad(f func(medlarworld.PeerLoadReported)) { s.onLoad = f }
+
+// Listen opens the socket at an address and receives datagrams until Close.
+func (s *Socket) Listen(at medlarid.Address) error {
+	addr, err := netip.ParseAddrPort(string(at))
+	if err != nil {
+		return &Error{Op: OpListen, Kind: KindMalformed, Err: err}
+	}
+	s.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return &Error{Op: OpListen, Kind: KindNetwork, Err: err}
+	}
+	go s.receive()
+	return nil
+}
+
+// Address returns where the socket receives. It is valid once Listen has returned.
+func (s *Socket) Address() medlarid.Address { return medlarid.Address(s.conn.LocalAddr().String()) }
+
+// Key returns the key of this instance's datagrams.
+func (s *Socket) Key() Key { return s.deps.Key }
+
+// Close closes the socket.
+func (s *Socket) Close() {
+	if s.conn != nil {
+		_ = s.conn.Close()
+	}
+}
+
+// SetPeer records where a peer receives datagrams; an empty address forgets it.
+func (s *Socket) SetPeer(id medlarid.InstanceID, p Peer) {
+	if id == s.deps.Self {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	addr, err := netip.ParseAddrPort(string(p.Address))
+	if err != nil || len(s.peers) >= maxPeers && s.peers[id] == nil {
+		delete(s.peers, id)
+		return
+	}
+	s.peers[id] = &peer{Peer: p, address: addr, knownFor: time.Now()}
+}
+
+// Tell sends a report to the peers (R1). Failures are of no interest: the next report follows soon.
+func (s *Socket) Tell(loads []medlarworld.PeerLoad) {
+	if s.conn == nil {
+		return
+	}
+	s.mu.Lock()
+	s.serial++
+	b := encode(message{Sender: s.deps.Self, Key: s.deps.Key, Serial: s.serial, Loads: loads})
+	targets := s.targets(time.Now())
+	s.mu.Unlock()
+	for _, at := range targets {
+		_, _ = s.conn.WriteToUDPAddrPort(b, at)
+	}
+}
+
+// targets returns the addresses that a report is sent to. The caller holds the lock.
+func (s *Socket) targets(now time.Time) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, p := range s.peers {
+		heard := now.Sub(p.heardAt) < silence || now.Sub(p.knownFor) < silence
+		if !heard && now.Sub(p.triedAt) < retryInterval {
+			continue
+		}
+		p.triedAt = now
+		out = append(out, p.address)
+	}
+	if len(out) > maxTargets {
+		rand.Shuffle(len(out), func(a, b int) { out[a], out[b] = out[b], out[a] })
+		out = out[:maxTargets]
+	}
+	return out
+}
+
+// receive receives datagrams until the socket is closed.
+func (s *Socket) receive() {
+	b := make([]byte, maxDatagram+1)
+	for {
+		n, _, err := s.conn.ReadFromUDPAddrPort(b)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		m, err := decode(b[:n])
+		if err != nil {
+			s.deps.OnIgnored(err)
+			continue
+		}
+		if s.accept(m) {
+			s.onLoad(medlarworld.PeerLoadReported{Peer: m.Sender, Loads: m.Loads})
+		}
+	}
+}
+
+// accept reports whether a datagram is a new one of a known peer (R1, R2).
+func (s *Socket) accept(m message) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.peers[m.Sender]
+	if p == nil || p.Key != m.Key || m.Serial <= p.serial {
+		return false
+	}
+	p.serial, p.heardAt = m.Serial, time.Now()
+	return true
+}
--- a/internal/stand/medlarsite/medlarsite.go
+++ b/internal/stand/medlarsite/medlarsite.go
@@ -278,7 +278,7 @@
 	}
 	s.servers = append(s.servers, server)
 	return medlarsettings.Attached{
-		Name: medlarid.InstanceID(name), Zone: "a", Listen: "127.0.0.1:0", Status: "127.0.0.1:0", Store: server.Address,
+		Name: medlarid.InstanceID(name), Zone: "a", Listen: "127.0.0.1:0", Status: "127.0.0.1:0", Peers: "127.0.0.1:0", Store: server.Address,
 		MemoryMB: 256,
 		Bounds: medlarsettings.Bounds{
 			GracePeriod: duration(8 * time.Second), DeregistrationDelay: duration(s.settings.StopDelay), HandoverDelay: duration(time.Second), RetryRatio: 0.2,
