--- a/internal/core/medlarcore/experiment_test.go
+++ b/internal/core/medlarcore/experiment_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarinventory"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarworld"
 )
@@ -351,7 +352,7 @@
 		}
 		for _, k := range a.Keys {
 			if s.blocks[k] {
-				found.Handles = append(found.Handles, medlarworld.Handle{Key: k, Store: a.Store, Length: expBlockSize})
+				found.Handles = append(found.Handles, medlarinventory.Handle{Key: k, Store: a.Store, Length: expBlockSize})
 			}
 		}
 	}
--- a/internal/core/medlarcore/load_test.go
+++ b/internal/core/medlarcore/load_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarinventory"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarworld"
 )
@@ -200,7 +201,7 @@
 	if s.now.Sub(s.startTime) < 10*time.Millisecond {
 		e.Reset = true
 		for i := range s.size.documents {
-			e.Added = append(e.Added, medlarworld.StoredPart{Key: document(i), Tokens: documentTokens})
+			e.Added = append(e.Added, medlarinventory.StoredPart{Key: document(i), Tokens: documentTokens})
 		}
 	}
 	s.tick(c, e)
--- a/internal/core/medlarcore/parts_test.go
+++ b/internal/core/medlarcore/parts_test.go
@@ -8,6 +8,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarchoice"
+	"medlarfield/internal/core/medlarinventory"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
@@ -105,7 +106,7 @@
 func (p *partsHarness) reportStock(store medlarid.InstanceID, epoch uint64, reset bool, keys ...medlarkey.Key) {
 	e := medlarworld.InventoryReported{Store: store, Epoch: epoch, At: p.now, Reset: reset}
 	for _, k := range keys {
-		e.Added = append(e.Added, medlarworld.StoredPart{Key: k, Tokens: 8000})
+		e.Added = append(e.Added, medlarinventory.StoredPart{Key: k, Tokens: 8000})
 	}
 	p.tick(e)
 }
--- a/internal/core/medlaroffload/medlaroffload.go
+++ b/internal/core/medlaroffload/medlaroffload.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"medlarfield/internal/core/medlaradmission"
+	"medlarfield/internal/core/medlarinventory"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarworld"
 )
@@ -133,12 +134,12 @@
 
 // contiguousPrefix orders handles by key and drops those after the first missing one
 // (R4).
-func contiguousPrefix(keys []medlarkey.Key, handles []medlarworld.Handle) []medlarworld.Handle {
-	byKey := make(map[medlarkey.Key]medlarworld.Handle, len(handles))
+func contiguousPrefix(keys []medlarkey.Key, handles []medlarinventory.Handle) []medlarinventory.Handle {
+	byKey := make(map[medlarkey.Key]medlarinventory.Handle, len(handles))
 	for _, h := range handles {
 		byKey[h.Key] = h
 	}
-	var out []medlarworld.Handle
+	var out []medlarinventory.Handle
 	for _, k := range keys {
 		h, ok := byKey[k]
 		if !ok {
--- a/internal/core/medlarplacement/medlarplacement.go
+++ b/internal/core/medlarplacement/medlarplacement.go
@@ -40,6 +40,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarchoice"
+	"medlarfield/internal/core/medlarinventory"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarworld"
 )
@@ -96,7 +97,7 @@
 	st := &s.Stock
 	if e.Reset || st.Parts == nil {
 		st.Parts = map[medlarkey.Key]medlarid.Tokens{}
-		st.PendingSaves = map[medlarkey.Key]medlarworld.PendingSave{}
+		st.PendingSaves = map[medlarkey.Key]medlarinventory.PendingSave{}
 		st.HeldTokens = 0
 	}
 	if st.Epoch != e.Epoch {
@@ -241,7 +242,7 @@
 		}
 	}
 	if best != nil {
-		best.Stock.PendingSaves[k] = medlarworld.PendingSave{Tokens: n, Until: w.Now.Add(saveTimeout)}
+		best.Stock.PendingSaves[k] = medlarinventory.PendingSave{Tokens: n, Until: w.Now.Add(saveTimeout)}
 	}
 	return best
 }
@@ -278,7 +279,7 @@
 
 // hasRoom reports whether a store has room for n more tokens, besides those that it
 // holds and those that are being saved.
-func hasRoom(w *medlarworld.World, st *medlarworld.Inventory, n medlarid.Tokens) bool {
+func hasRoom(w *medlarworld.World, st *medlarinventory.Inventory, n medlarid.Tokens) bool {
 	sum := st.HeldTokens + n
 	for k, s := range st.PendingSaves {
 		if !w.Now.Before(s.Until) {
--- a/internal/core/medlarroute/cost.go
+++ b/internal/core/medlarroute/cost.go
@@ -2,6 +2,7 @@
 
 import (
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarinventory"
 	"medlarfield/internal/core/medlarlag"
 	"medlarfield/internal/core/medlarplacement"
 	"medlarfield/internal/core/medlarworld"
@@ -96,7 +97,7 @@
 
 // transferSeconds returns the seconds until all blocks are imported: the links work in
 // parallel, each after what is already in flight on it.
-func transferSeconds(w *medlarworld.World, handles []medlarworld.Handle) float64 {
+func transferSeconds(w *medlarworld.World, handles []medlarinventory.Handle) float64 {
 	longest := 0.0
 	for _, s := range w.StoreList {
 		var n medlarid.Bytes
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -35,6 +35,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarchoice"
+	"medlarfield/internal/core/medlarinventory"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarlag"
 	"medlarfield/internal/core/medlarlimit"
@@ -50,7 +51,7 @@
 	recomputeWeight     = 4.0  // additional seconds per second of prefill, with WeightingRecompute
 	importSetupSeconds  = 5e-3 // seconds
 	tieRatio            = 0.05 // costs within this ratio of the lowest one, plus tieSeconds, are equal
-	tieSeconds          = 12e-3
+	tieSeconds          = 8e-3
 	slotWaitSeconds     = 0.5  // estimated seconds until a slot becomes free
 	engineQueueRatio    = 0.25 // runs that may queue inside an engine, as a share of its slots
 	homeDiscount        = 0.1  // share of the prefill cost deducted for the home
@@ -82,14 +83,14 @@
 // option is one way to serve a run.
 type option struct {
 	upstream       *medlarworld.Upstream
-	cachedBlocks   int                  // leading blocks that the upstream caches
-	imports        []medlarworld.Handle // blocks to import after those
-	availableParts int                  // leading parts that the upstream caches or that are fetched from stores
-	ttft           float64              // expected seconds to the first part of the answer
-	idleTTFT       float64              // the same on an idle upstream
-	cost           float64              // seconds
-	importSeconds  float64              // seconds of the cost that the import takes
-	importTimeout  float64              // seconds after which the import times out
+	cachedBlocks   int                      // leading blocks that the upstream caches
+	imports        []medlarinventory.Handle // blocks to import after those
+	availableParts int                      // leading parts that the upstream caches or that are fetched from stores
+	ttft           float64                  // expected seconds to the first part of the answer
+	idleTTFT       float64                  // the same on an idle upstream
+	cost           float64                  // seconds
+	importSeconds  float64                  // seconds of the cost that the import takes
+	importTimeout  float64                  // seconds after which the import times out
 }
 
 // New returns a System that calls onDequeue for each run that leaves the queue.
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -23,6 +23,7 @@
 	"medlarfield/internal/core/medlarcacheindex"
 	"medlarfield/internal/core/medlardecay"
 	"medlarfield/internal/core/medlarhistory"
+	"medlarfield/internal/core/medlarinventory"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarsuspect"
@@ -210,31 +211,13 @@
 	Rate          float64        // bytes per second
 	InFlightBytes medlarid.Bytes // bytes of own imports in flight
 	DownUntil     time.Time
-	Failures      int       // consecutive failed transfers
-	Stock         Inventory // of a store that keeps parts of prompts
+	Failures      int                       // consecutive failed transfers
+	Stock         medlarinventory.Inventory // of a store that keeps parts of prompts
 }
 
 // Class returns the run's priority class.
 func (r *Run) Class() int { return min(max(int(-r.Priority), 0), medlarbacklog.NumClasses-1) }
 
-// Inventory is what a store that keeps parts of prompts is believed to hold.
-type Inventory struct {
-	Capacity     medlarid.Tokens // 0 for a store that keeps no parts
-	Setup        time.Duration   // setup time of each transfer
-	Epoch        uint64          // of the store's start
-	FreshUntil   time.Time       // the inventory is not used after this time
-	SaveFrom     time.Time       // no part is saved before this time
-	Parts        map[medlarkey.Key]medlarid.Tokens
-	HeldTokens   medlarid.Tokens               // sum of Parts
-	PendingSaves map[medlarkey.Key]PendingSave // parts whose save was requested
-}
-
-// PendingSave is a part whose save was requested.
-type PendingSave struct {
-	Tokens medlarid.Tokens
-	Until  time.Time // the save counts as pending until this time
-}
-
 // Phase is the state of a run.
 type Phase string
 
@@ -292,13 +275,13 @@
 	VirtualStart    float64   // virtual start time, which orders the queue
 	// LookupDeadline ends the wait for the stores.
 	LookupDeadline time.Time
-	StoredBlocks   []Handle               // blocks that stores hold: a prefix of Keys, in their order
-	PinnedVersion  medlarid.WeightVersion // version of the answer's first part, once there is one
-	Reached        bool                   // an attempt may have run
-	AttemptStarted time.Time              // start of the current attempt
-	ExpectedTTFT   time.Duration          // expected time to first token of the current attempt
-	ComputedTokens medlarid.Tokens        // prompt tokens computed by the upstream
-	IdleTTFT       time.Duration          // expected time to first token on an idle upstream
+	StoredBlocks   []medlarinventory.Handle // blocks that stores hold: a prefix of Keys, in their order
+	PinnedVersion  medlarid.WeightVersion   // version of the answer's first part, once there is one
+	Reached        bool                     // an attempt may have run
+	AttemptStarted time.Time                // start of the current attempt
+	ExpectedTTFT   time.Duration            // expected time to first token of the current attempt
+	ComputedTokens medlarid.Tokens          // prompt tokens computed by the upstream
+	IdleTTFT       time.Duration            // expected time to first token on an idle upstream
 	// StartBy is the latest time at which an attempt can still meet TargetTTFT, and
 	// AbandonAt the time at which the caller leaves if no answer has begun; zero if they
 	// are not known.
@@ -322,16 +305,6 @@
 	BlockedTrait  medlarsuspect.Trait // for which the run is refused
 }
 
-// Handle locates one KV block in a store.
-type Handle struct {
-	Key        medlarkey.Key
-	Store      medlarid.InstanceID
-	Slot       uint64
-	Generation uint64
-	Length     medlarid.Bytes
-	Checksum   uint64
-}
-
 // World holds all tables.
 type World struct {
 	Config Config
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -6,6 +6,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarbuild"
 	"medlarfield/internal/core/medlarchoice"
+	"medlarfield/internal/core/medlarinventory"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarsuspect"
@@ -63,7 +64,7 @@
 // LookedUp reports which of a run's blocks are held in stores.
 type LookedUp struct {
 	Run     medlarid.RequestID
-	Handles []Handle
+	Handles []medlarinventory.Handle
 }
 
 // ClaimGranted reports that the run's only attempt is granted to this instance.
@@ -158,12 +159,6 @@
 	Version medlarid.WeightVersion
 }
 
-// StoredPart is a part that a store holds.
-type StoredPart struct {
-	Key    medlarkey.Key
-	Tokens medlarid.Tokens
-}
-
 // InventoryReported carries what a store reports about its parts, as of a time.
 // Reset discards all that was known before.
 type InventoryReported struct {
@@ -171,7 +166,7 @@
 	Epoch   uint64
 	At      time.Time
 	Reset   bool
-	Added   []StoredPart
+	Added   []medlarinventory.StoredPart
 	Removed []medlarkey.Key
 }
 
@@ -358,7 +353,7 @@
 	// CachedKeys is the number of the run's keys that the upstream is believed to cache.
 	CachedKeys int
 	// Import lists the blocks to import from stores before the attempt.
-	Import []Handle
+	Import []medlarinventory.Handle
 	// ImportTimeout is the time after which the attempt goes on without the import.
 	ImportTimeout time.Duration
 	// Fetch and Save hold, for each of the run's keys, the address of the store that its
--- a/internal/edge/medlartransfer/medlartransfer.go
+++ b/internal/edge/medlartransfer/medlartransfer.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarinventory"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/upstream/medlarengine"
@@ -54,11 +55,11 @@
 // LookUp looks up the blocks of a run in the stores and reports to the core which
 // of them the stores have.
 func (t *Transfer) LookUp(c medlarworld.LookUp) {
-	found := make(chan []medlarworld.Handle, len(c.Stores))
+	found := make(chan []medlarinventory.Handle, len(c.Stores))
 	for _, sk := range c.Stores {
 		go func() { found <- t.lookUpIn(sk) }()
 	}
-	var handles []medlarworld.Handle
+	var handles []medlarinventory.Handle
 	for range c.Stores {
 		handles = append(handles, <-found...)
 	}
@@ -66,16 +67,16 @@
 }
 
 // lookUpIn returns the blocks that one store has of the keys.
-func (t *Transfer) lookUpIn(sk medlarworld.StoreKeys) []medlarworld.Handle {
+func (t *Transfer) lookUpIn(sk medlarworld.StoreKeys) []medlarinventory.Handle {
 	blocks, err := t.deps.Stores.Find(sk.Address, sk.Keys, lookUpTimeout)
 	if err != nil {
 		t.deps.CallFailed("store")
 		t.deps.Post(medlarworld.TransferEnded{Store: sk.Store, Failed: true})
 		return nil
 	}
-	out := make([]medlarworld.Handle, 0, len(blocks))
+	out := make([]medlarinventory.Handle, 0, len(blocks))
 	for _, b := range blocks {
-		out = append(out, medlarworld.Handle{
+		out = append(out, medlarinventory.Handle{
 			Key:        b.Key,
 			Store:      sk.Store,
 			Slot:       b.Slot,
--- a/internal/ops/medlarattachednode/load_test.go
+++ b/internal/ops/medlarattachednode/load_test.go
@@ -16,7 +16,9 @@
 func TestInstancesTellOneAnotherOfLoad(t *testing.T) {
 	t.Parallel()
 	const streams = 12
-	f := startFleet(t, 2, func(s *medlarsite.Settings) { s.Engines, s.Slots, s.Events, s.ServiceTime = 2, 16, 30, 50*time.Millisecond })
+	f := startFleet(t, 2, func(s *medlarsite.Settings) {
+		s.Engines, s.Slots, s.Events, s.ServiceTime = 2, 16, 30, 50*time.Millisecond
+	})
 	busy, idle := f.members[0], f.members[1]
 	learns := func(what string) {
 		done := make(chan struct{})
--- a/internal/ops/medlarcachetracker/medlarcachetracker.go
+++ b/internal/ops/medlarcachetracker/medlarcachetracker.go
@@ -28,6 +28,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/base/medlarpause"
+	"medlarfield/internal/core/medlarinventory"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarplacement"
 	"medlarfield/internal/core/medlarworld"
@@ -236,7 +237,7 @@
 		k := ch.Part.key()
 		if ch.Added {
 			st.parts[k] = ch.Part
-			e.Added = append(e.Added, medlarworld.StoredPart{Key: k, Tokens: ch.Part.Tokens})
+			e.Added = append(e.Added, medlarinventory.StoredPart{Key: k, Tokens: ch.Part.Tokens})
 			continue
 		}
 		delete(st.parts, k)
