--- /dev/null
+++ b/internal/core/medlaradmission/queue.go
@@ -0,0 +1,166 @@
+package medlaradmission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarworld"
+)
+
+func (s *System) queueWait(w *medlarworld.World, r *medlarworld.Run) time.Duration {
+	return s.throughput.Wait(r.Target(), runsAhead(w, r))
+}
+
+func position(w *medlarworld.World, r *medlarworld.Run) int {
+	i, _ := slices.BinarySearchFunc(w.Waiting, r, func(a, b *medlarworld.Run) int { return compareRuns(w, a, b) })
+	return i
+}
+
+func runsAhead(w *medlarworld.World, r *medlarworld.Run) int {
+	n := 0
+	for _, other := range w.Waiting[:position(w, r)] {
+		if other.Target() == r.Target() {
+			n++
+		}
+	}
+	return n
+}
+
+func evictForRoom(w *medlarworld.World, a *medlarworld.Account) bool {
+	shares := map[*medlarworld.Account]float64{}
+	for _, r := range w.Waiting {
+		if b := w.Accounts[r.Account]; b != nil {
+			shares[b] += 1 / weightOf(b)
+		}
+	}
+	heaviest, largest := a, shares[a]+1/weightOf(a)
+	for b, share := range shares {
+		if share > largest || share == largest && b.ID < heaviest.ID && heaviest != a {
+			heaviest, largest = b, share
+		}
+	}
+	if heaviest == a {
+		return false
+	}
+	for i := len(w.Waiting) - 1; i >= 0; i-- {
+		if r := w.Waiting[i]; r.Account == heaviest.ID && !r.Reached && !r.Claimed {
+			w.Waiting = slices.Delete(w.Waiting, i, i+1)
+			w.Refuse(r, medlarreason.Overload, minRetryAfter)
+			return true
+		}
+	}
+	return false
+}
+
+func Enqueue(w *medlarworld.World, r *medlarworld.Run) {
+	r.Phase = medlarworld.PhaseWaiting
+	w.Waiting = slices.Insert(w.Waiting, position(w, r), r)
+}
+
+func compareRuns(w *medlarworld.World, a, b *medlarworld.Run) int {
+	return cmp.Or(
+		compareLate(a, b),
+		cmp.Compare(priorityOf(w, b), priorityOf(w, a)),
+		cmp.Compare(a.VirtualStart, b.VirtualStart),
+		a.Arrived.Compare(b.Arrived),
+		cmp.Compare(a.ID, b.ID),
+	)
+}
+
+func compareLate(a, b *medlarworld.Run) int {
+	switch {
+	case a.Late == b.Late:
+		return 0
+	case b.Late:
+		return -1
+	}
+	return 1
+}
+
+func (s *System) demoteLate(w *medlarworld.World) {
+	for i := 0; i < len(w.Waiting); i++ {
+		r := w.Waiting[i]
+		if r.Late || r.StartBy.IsZero() || !w.Now.After(r.StartBy) {
+			continue
+		}
+		w.Waiting = slices.Delete(w.Waiting, i, i+1)
+		i--
+		r.Late = true
+		if !s.refuseLate(w, r, lateAhead(w, r)) {
+			Enqueue(w, r)
+		}
+	}
+	s.refuseLateRuns(w)
+}
+
+func lateAhead(w *medlarworld.World, r *medlarworld.Run) int {
+	n := 0
+	for _, other := range w.Waiting[:position(w, r)] {
+		if other.Late && other.Target() == r.Target() {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *System) refuseLate(w *medlarworld.World, r *medlarworld.Run, ahead int) bool {
+	wait := s.throughput.LateWait(r.Target(), ahead)
+	if !w.Now.Add(wait).After(latestStart(r)) {
+		return false
+	}
+	w.Refuse(r, medlarreason.Deadline, clampRetryAfter(wait))
+	return true
+}
+
+func (s *System) refuseLateRuns(w *medlarworld.World) {
+	if w.Now.Before(s.lateAt) {
+		return
+	}
+	s.lateAt = w.Now.Add(lateInterval)
+	ahead := map[medlarworld.Target]int{}
+	kept := w.Waiting[:0]
+	for _, r := range w.Waiting {
+		if r.Late && !r.Reached && s.refuseLate(w, r, ahead[r.Target()]) {
+			continue
+		}
+		if r.Late {
+			ahead[r.Target()]++
+		}
+		kept = append(kept, r)
+	}
+	clear(w.Waiting[len(kept):])
+	w.Waiting = kept
+}
+
+func priorityOf(w *medlarworld.World, r *medlarworld.Run) int {
+	if a := w.Accounts[r.Account]; a != nil {
+		return int(a.Limits.Priority + r.Priority)
+	}
+	return int(r.Priority)
+}
+
+func expire(w *medlarworld.World) {
+	for i := 0; i < len(w.Waiting); i++ {
+		r := w.Waiting[i]
+		late := w.Now.After(latestStart(r))
+		waitedTooLong := w.Config.MaxWait > 0 && r.Attempt == 0 && w.Now.Sub(r.Arrived) > w.Config.MaxWait
+		if !late && !waitedTooLong {
+			continue
+		}
+		w.Waiting = slices.Delete(w.Waiting, i, i+1)
+		i--
+		reason := medlarreason.Deadline
+		if r.Reached {
+			reason = medlarreason.Failed
+		}
+		w.Refuse(r, reason, minRetryAfter)
+	}
+}
+
+func remove(w *medlarworld.World, r *medlarworld.Run) {
+	if i := slices.Index(w.Waiting, r); i >= 0 {
+		w.Waiting = slices.Delete(w.Waiting, i, i+1)
+	}
+}
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -246,200 +246,22 @@
 	return b
 }
 
-func contentType(h *medlarhead.Head) string {
-	value, _ := h.Get("Content-Type")
-	return value
-}
-
 // newBody returns a reader for the body of a response that is relayed.
-func (a *attempt) newBody(h *medlarhead.Head) *medlarhead.Body {
-	body := medlarhead.NewBody(a.upstream.Reader, h)
-	body.Limit(maxResponseBody)
-	return body
-}
-
 // relayResponse relays a response that is not a stream.
-func (a *attempt) relayResponse(h *medlarhead.Head, reply medlarcall.Reply) medlarworld.AttemptEnded {
-	if a.responseStarted { // the response cannot continue a stream
-		_ = a.upstream.Close()
-		return a.failed(errNotStream, medlarreason.Broken, true)
-	}
-	body := a.newBody(h)
-	buf, err := medlarhead.ReadSome(body, maxBufferedBody)
-	if err != nil {
-		_ = a.upstream.Close()
-		return a.failed(err, medlarreason.Truncated, true)
-	}
-	if !body.Done() {
-		return a.relayChunked(h, buf, body, reply)
-	}
-	a.bodyEnd.Complete = true
-	a.returnConn(h, reply)
-	resp := &response{head: h, body: buf}
-	if h.Status >= statusFailure && !a.run.AtMostOnce {
-		a.fallback = resp
-		return a.ended(medlarworld.CauseRetry, medlarreason.Failure, true)
-	}
-	return a.complete(resp)
-}
-
 // complete sends a complete response and returns the result of the attempt.
-func (a *attempt) complete(resp *response) medlarworld.AttemptEnded {
-	switch {
-	case a.sendResponse(resp) != nil:
-		return a.ended(medlarworld.CauseCallerLeft, "", true)
-	case resp.head.Status >= statusFailure:
-		return a.ended(medlarworld.CauseAnswered, "", true)
-	}
-	return a.ended(medlarworld.CauseDone, "", true)
-}
-
 // relayChunked relays a long response as it arrives.
-func (a *attempt) relayChunked(h *medlarhead.Head, first []byte, body *medlarhead.Body, reply medlarcall.Reply) medlarworld.AttemptEnded {
-	b := medlarhead.AppendChunkedEnd(a.responseHead(h))
-	a.responseStarted, a.began = true, time.Now()
-	if a.write(medlarhead.AppendChunk(b, first)) != nil {
-		_ = a.upstream.Close()
-		return a.ended(medlarworld.CauseCallerLeft, "", true)
-	}
-	buf := make([]byte, maxBufferedBody)
-	for {
-		n, err := body.Read(buf)
-		if n > 0 {
-			if a.write(medlarhead.AppendChunk(nil, buf[:n])) != nil {
-				_ = a.upstream.Close()
-				return a.ended(medlarworld.CauseCallerLeft, "", true)
-			}
-		}
-		if err == io.EOF {
-			break
-		}
-		if err != nil {
-			_ = a.upstream.Close()
-			a.err, a.lost = err, medlarhead.ConnectionEnded(err)
-			return a.ended(medlarworld.CauseUnknown, medlarreason.Truncated, true)
-		}
-	}
-	a.bodyEnd.Complete = true
-	a.returnConn(h, reply)
-	return a.finishChunked()
-}
-
 // finishChunked writes the final chunk of a response.
-func (a *attempt) finishChunked() medlarworld.AttemptEnded {
-	if a.write([]byte(medlarhead.LastChunk)) != nil {
-		return a.ended(medlarworld.CauseCallerLeft, "", true)
-	}
-	a.summary.Complete = true
-	return a.ended(medlarworld.CauseDone, "", true)
-}
-
 // relayStream relays an event stream. The head is sent with the first event, so that a stream
 // that fails before it is retried without the client noticing.
-func (a *attempt) relayStream(h *medlarhead.Head, reply medlarcall.Reply) medlarworld.AttemptEnded {
-	body := a.newBody(h)
-	a.events.Reset()
-	buf := make([]byte, readBuffer)
-	var events []byte
-	for !a.bodyEnd.Complete {
-		n, err := body.Read(buf)
-		a.bodyEnd.Complete = err == io.EOF
-		var splitErr error
-		events, splitErr = a.events.Split(events[:0], buf[:n])
-		if a.bodyEnd.Complete {
-			events, err = a.events.Finish(events, h.Framing == medlarhead.FramingClose)
-		}
-		if len(events) > 0 && a.began.IsZero() {
-			a.began = time.Now()
-		}
-		if len(events) > 0 && a.sendEvents(h, events) != nil {
-			_ = a.upstream.Close()
-			return a.ended(medlarworld.CauseCallerLeft, "", true)
-		}
-		if err = errors.Join(err, splitErr); err != nil {
-			a.bodyEnd.PartialBytes = a.events.PartialBytes()
-			_ = a.upstream.Close() // before the stream is resumed at another upstream (R5)
-			return a.failed(err, medlarreason.Truncated, true)
-		}
-	}
-	a.returnConn(h, reply)
-	if !a.responseStarted {
-		return a.complete(&response{head: h}) // the stream has no events
-	}
-	return a.finishChunked()
-}
-
 // sendEvents writes complete events, preceded by the response's head if it was not sent yet.
-func (a *attempt) sendEvents(h *medlarhead.Head, events []byte) error {
-	if a.responseStarted {
-		return a.write(medlarhead.AppendChunk(nil, events))
-	}
-	a.responseStarted = true
-	a.proxy.deps.Post(medlarworld.AnswerBegan{Run: a.run.ID, Attempt: a.cmd.Attempt, After: time.Since(a.started), Version: a.cmd.Version})
-	b := medlarhead.AppendChunkedEnd(a.responseHead(h))
-	return a.write(medlarhead.AppendChunk(b, events))
-}
-
 // responseHead returns the head of a response without its framing, and records its status.
-func (x *exchange) responseHead(h *medlarhead.Head) []byte {
-	x.summary.Status = h.Status
-	b := medlarhead.AppendStatus(make([]byte, 0, 1024), h.Status)
-	h.EndToEnd(func(f medlarhead.Field) { b = medlarhead.AppendField(b, f.Name, f.Value) })
-	if x.closesConn() {
-		b = medlarhead.AppendField(b, "Connection", "close")
-	}
-	return b
-}
-
 // sendResponse writes a complete response.
-func (x *exchange) sendResponse(resp *response) error {
-	b := x.responseHead(resp.head)
-	if resp.head.Framing != medlarhead.FramingNone {
-		b = medlarhead.AppendLength(b, len(resp.body))
-	}
-	b = append(medlarhead.AppendEnd(b), resp.body...)
-	x.responseStarted = true
-	err := x.write(b)
-	x.summary.Complete = err == nil
-	return err
-}
-
 // returnConn returns the connection to the pool after a complete response, where another
 // request may use it. It closes the connection instead if the upstream asks for that, if
 // the request's body is still being written or its write failed, or if the connection was
 // closed because the client disconnected.
-func (a *attempt) returnConn(h *medlarhead.Head, reply medlarcall.Reply) {
-	if !a.stopClose() || h.Close || !a.requestWritten() {
-		_ = a.upstream.Close()
-		return
-	}
-	a.proxy.deps.Pool.Put(a.upstream, reply.KeepAlive)
-}
-
 // requestWritten reports whether the request was written in full.
-func (a *attempt) requestWritten() bool {
-	if a.bodyWritten == nil {
-		return true
-	}
-	select {
-	case err := <-a.bodyWritten:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // discard reads a response that is not relayed, so that the connection can be reused.
-func (a *attempt) discard(h *medlarhead.Head, reply medlarcall.Reply) {
-	body := medlarhead.NewBody(a.upstream.Reader, h)
-	if _, err := io.Copy(io.Discard, io.LimitReader(body, maxBufferedBody)); err != nil || !body.Done() {
-		_ = a.upstream.Close()
-		return
-	}
-	a.bodyEnd.Complete = true
-	a.returnConn(h, reply)
-}
-
 // failed returns the result of an attempt without a valid response.
 func (a *attempt) failed(err error, reason medlarreason.Reason, reached bool) medlarworld.AttemptEnded {
 	a.err = err
--- /dev/null
+++ b/internal/edge/medlarproxy/relay.go
@@ -0,0 +1,190 @@
+package medlarproxy
+
+import (
+	"errors"
+	"io"
+	"time"
+
+	"medlarfield/internal/base/medlarhead"
+	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/edge/medlarcall"
+)
+
+func contentType(h *medlarhead.Head) string {
+	value, _ := h.Get("Content-Type")
+	return value
+}
+
+func (a *attempt) newBody(h *medlarhead.Head) *medlarhead.Body {
+	body := medlarhead.NewBody(a.upstream.Reader, h)
+	body.Limit(maxResponseBody)
+	return body
+}
+
+func (a *attempt) relayResponse(h *medlarhead.Head, reply medlarcall.Reply) medlarworld.AttemptEnded {
+	if a.responseStarted { // the response cannot continue a stream
+		_ = a.upstream.Close()
+		return a.failed(errNotStream, medlarreason.Broken, true)
+	}
+	body := a.newBody(h)
+	buf, err := medlarhead.ReadSome(body, maxBufferedBody)
+	if err != nil {
+		_ = a.upstream.Close()
+		return a.failed(err, medlarreason.Truncated, true)
+	}
+	if !body.Done() {
+		return a.relayChunked(h, buf, body, reply)
+	}
+	a.bodyEnd.Complete = true
+	a.returnConn(h, reply)
+	resp := &response{head: h, body: buf}
+	if h.Status >= statusFailure && !a.run.AtMostOnce {
+		a.fallback = resp
+		return a.ended(medlarworld.CauseRetry, medlarreason.Failure, true)
+	}
+	return a.complete(resp)
+}
+
+func (a *attempt) complete(resp *response) medlarworld.AttemptEnded {
+	switch {
+	case a.sendResponse(resp) != nil:
+		return a.ended(medlarworld.CauseCallerLeft, "", true)
+	case resp.head.Status >= statusFailure:
+		return a.ended(medlarworld.CauseAnswered, "", true)
+	}
+	return a.ended(medlarworld.CauseDone, "", true)
+}
+
+func (a *attempt) relayChunked(h *medlarhead.Head, first []byte, body *medlarhead.Body, reply medlarcall.Reply) medlarworld.AttemptEnded {
+	b := medlarhead.AppendChunkedEnd(a.responseHead(h))
+	a.responseStarted, a.began = true, time.Now()
+	if a.write(medlarhead.AppendChunk(b, first)) != nil {
+		_ = a.upstream.Close()
+		return a.ended(medlarworld.CauseCallerLeft, "", true)
+	}
+	buf := make([]byte, maxBufferedBody)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			if a.write(medlarhead.AppendChunk(nil, buf[:n])) != nil {
+				_ = a.upstream.Close()
+				return a.ended(medlarworld.CauseCallerLeft, "", true)
+			}
+		}
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			_ = a.upstream.Close()
+			a.err, a.lost = err, medlarhead.ConnectionEnded(err)
+			return a.ended(medlarworld.CauseUnknown, medlarreason.Truncated, true)
+		}
+	}
+	a.bodyEnd.Complete = true
+	a.returnConn(h, reply)
+	return a.finishChunked()
+}
+
+func (a *attempt) finishChunked() medlarworld.AttemptEnded {
+	if a.write([]byte(medlarhead.LastChunk)) != nil {
+		return a.ended(medlarworld.CauseCallerLeft, "", true)
+	}
+	a.summary.Complete = true
+	return a.ended(medlarworld.CauseDone, "", true)
+}
+
+func (a *attempt) relayStream(h *medlarhead.Head, reply medlarcall.Reply) medlarworld.AttemptEnded {
+	body := a.newBody(h)
+	a.events.Reset()
+	buf := make([]byte, readBuffer)
+	var events []byte
+	for !a.bodyEnd.Complete {
+		n, err := body.Read(buf)
+		a.bodyEnd.Complete = err == io.EOF
+		var splitErr error
+		events, splitErr = a.events.Split(events[:0], buf[:n])
+		if a.bodyEnd.Complete {
+			events, err = a.events.Finish(events, h.Framing == medlarhead.FramingClose)
+		}
+		if len(events) > 0 && a.began.IsZero() {
+			a.began = time.Now()
+		}
+		if len(events) > 0 && a.sendEvents(h, events) != nil {
+			_ = a.upstream.Close()
+			return a.ended(medlarworld.CauseCallerLeft, "", true)
+		}
+		if err = errors.Join(err, splitErr); err != nil {
+			a.bodyEnd.PartialBytes = a.events.PartialBytes()
+			_ = a.upstream.Close() // before the stream is resumed at another upstream (R5)
+			return a.failed(err, medlarreason.Truncated, true)
+		}
+	}
+	a.returnConn(h, reply)
+	if !a.responseStarted {
+		return a.complete(&response{head: h}) // the stream has no events
+	}
+	return a.finishChunked()
+}
+
+func (a *attempt) sendEvents(h *medlarhead.Head, events []byte) error {
+	if a.responseStarted {
+		return a.write(medlarhead.AppendChunk(nil, events))
+	}
+	a.responseStarted = true
+	a.proxy.deps.Post(medlarworld.AnswerBegan{Run: a.run.ID, Attempt: a.cmd.Attempt, After: time.Since(a.started), Version: a.cmd.Version})
+	b := medlarhead.AppendChunkedEnd(a.responseHead(h))
+	return a.write(medlarhead.AppendChunk(b, events))
+}
+
+func (x *exchange) responseHead(h *medlarhead.Head) []byte {
+	x.summary.Status = h.Status
+	b := medlarhead.AppendStatus(make([]byte, 0, 1024), h.Status)
+	h.EndToEnd(func(f medlarhead.Field) { b = medlarhead.AppendField(b, f.Name, f.Value) })
+	if x.closesConn() {
+		b = medlarhead.AppendField(b, "Connection", "close")
+	}
+	return b
+}
+
+func (x *exchange) sendResponse(resp *response) error {
+	b := x.responseHead(resp.head)
+	if resp.head.Framing != medlarhead.FramingNone {
+		b = medlarhead.AppendLength(b, len(resp.body))
+	}
+	b = append(medlarhead.AppendEnd(b), resp.body...)
+	x.responseStarted = true
+	err := x.write(b)
+	x.summary.Complete = err == nil
+	return err
+}
+
+func (a *attempt) returnConn(h *medlarhead.Head, reply medlarcall.Reply) {
+	if !a.stopClose() || h.Close || !a.requestWritten() {
+		_ = a.upstream.Close()
+		return
+	}
+	a.proxy.deps.Pool.Put(a.upstream, reply.KeepAlive)
+}
+
+func (a *attempt) requestWritten() bool {
+	if a.bodyWritten == nil {
+		return true
+	}
+	select {
+	case err := <-a.bodyWritten:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+func (a *attempt) discard(h *medlarhead.Head, reply medlarcall.Reply) {
+	body := medlarhead.NewBody(a.upstream.Reader, h)
+	if _, err := io.Copy(io.Discard, io.LimitReader(body, maxBufferedBody)); err != nil || !body.Done() {
+		_ = a.upstream.Close()
+		return
+	}
+	a.bodyEnd.Complete = true
+	a.returnConn(h, reply)
+}
