Keep the count of peers in large fleets, and forget those that are gone

Cause: with more than 64 peers nothing was sent, so that after ten seconds no peer had been heard of and all were tried again. Records of instances that were replaced under other names would have stayed for ever, and filled the table of peers.

Change: empty reports to eight random peers a second; a peer that was not heard of for an hour is forgotten and its record removed; an instance whose record was removed announces itself again.

Result: TestTargets, TestAddressIsAnnouncedAgain.

--- a/internal/agree/medlarnotice/medlarnotice_test.go
+++ b/internal/agree/medlarnotice/medlarnotice_test.go
@@ -209,7 +209,7 @@
 // TestPeerRecord guards against an address of an instance that is lost or read otherwise.
 func TestPeerRecord(t *testing.T) {
 	want := Peer{Address: "10.0.0.1:7700", Key: 1<<63 + 1}
-	r, err := EncodePeer("entry-1", &want)
+	r, err := EncodePeer("entry-1", want)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -217,10 +217,7 @@
 	if id != "entry-1" || got != want || !ok || err != nil {
 		t.Errorf("got %q, %+v, %v, %v; want %+v", id, got, ok, err, want)
 	}
-	if r, err = EncodePeer("entry-1", nil); err != nil {
-		t.Fatal(err)
-	}
-	if id, got, ok, err = DecodePeer(r); id != "entry-1" || got != (Peer{}) || !ok || err != nil {
+	if id, got, ok, err = DecodePeer(RemovePeer("entry-1")); id != "entry-1" || got != (Peer{}) || !ok || err != nil {
 		t.Errorf("got %q, %+v, %v, %v; want no address", id, got, ok, err)
 	}
 	if _, _, ok, _ = DecodePeer(Record{Key: "seen/entry-1", Value: []byte("{}")}); ok {
--- a/internal/agree/medlarnotice/peer.go
+++ b/internal/agree/medlarnotice/peer.go
@@ -14,17 +14,15 @@
 	Key     uint64           `json:"key,string"` // differs with each start of the instance
 }
 
-// EncodePeer returns the record of an instance's address; nil removes it.
-func EncodePeer(id medlarid.InstanceID, p *Peer) (Record, error) {
-	r := Record{Key: peerPrefix + string(id)}
-	if p == nil {
-		return r, nil
-	}
+// EncodePeer returns the record of an instance's address.
+func EncodePeer(id medlarid.InstanceID, p Peer) (Record, error) {
 	b, err := json.Marshal(p)
-	r.Value = b
-	return r, err
+	return Record{Key: peerPrefix + string(id), Value: b}, err
 }
 
+// RemovePeer returns the record that removes an instance's address.
+func RemovePeer(id medlarid.InstanceID) Record { return Record{Key: peerPrefix + string(id)} }
+
 // DecodePeer decodes the record of an instance's address; ok is false for a record of another kind. A
 // record that was removed has no address.
 func DecodePeer(r Record) (id medlarid.InstanceID, p Peer, ok bool, err error) {
--- a/internal/core/medlarcrash/medlarcrash.go
+++ b/internal/core/medlarcrash/medlarcrash.go
@@ -185,6 +185,7 @@
 // findRestarts finds replicas that have started again after attempts were lost with them (R1).
 func (s *System) findRestarts(w *medlarworld.World) {
 	for _, l := range s.losses {
+		// After an earlier end the new incarnation may be the start that followed that one.
 		if u := w.Upstreams[l.id.Replica]; u != nil && u.Incarnation != l.id.Incarnation && l.id.End == 0 && !l.crashed {
 			l.crashed = true
 			s.report(w, l)
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -51,7 +51,7 @@
 	recomputeWeight     = 4.0  // additional seconds per second of prefill, with WeightingRecompute
 	importSetupSeconds  = 5e-3 // seconds
 	tieRatio            = 0.05 // costs within this ratio of the lowest one, plus tieSeconds, are equal
-	tieSeconds          = 8e-3
+	tieSeconds          = 8e-3 // with less, instances that know the same make the same choice
 	slotWaitSeconds     = 0.5  // estimated seconds until a slot becomes free
 	engineQueueRatio    = 0.25 // runs that may queue inside an engine, as a share of its slots
 	homeDiscount        = 0.1  // share of the prefill cost deducted for the home
--- a/internal/ops/medlarattachednode/load_test.go
+++ b/internal/ops/medlarattachednode/load_test.go
@@ -1,6 +1,7 @@
 package medlarattachednode_test
 
 import (
+	"bytes"
 	"regexp"
 	"strconv"
 	"testing"
@@ -48,3 +49,23 @@
 	busy.eventually("the instance is ready again", busy.instance.Ready)
 	learns("after")
 }
+
+// TestAddressIsAnnouncedAgain guards against an instance that others have forgotten while it was cut off, and that
+// is never told of their load again.
+func TestAddressIsAnnouncedAgain(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, 1, nil)
+	announced := func() int {
+		n := 0
+		for _, r := range f.site.Store.Records("keyed.medlar") {
+			if bytes.Contains(r, []byte(`peer/entry-1{`)) {
+				n++
+			}
+		}
+		return n
+	}
+	w := f.members[0]
+	w.eventually("the instance announces its address", func() bool { return announced() == 1 })
+	f.site.Store.Put("keyed.medlar", "peer/entry-1", nil)
+	w.eventually("it announces it again", func() bool { return announced() == 2 })
+}
--- a/internal/ops/medlarattachednode/notices.go
+++ b/internal/ops/medlarattachednode/notices.go
@@ -36,10 +36,11 @@
 // callPeers is the name of datagrams in the metric of failed calls.
 const callPeers = "peers"
 
-func newSocket(cfg medlarsettings.Attached, m *medlarmetric.Metrics) *medlardatagram.Socket {
+func newSocket(cfg medlarsettings.Attached, m *medlarmetric.Metrics, board *medlarnotice.Board) *medlardatagram.Socket {
 	return medlardatagram.New(medlardatagram.Deps{
 		Self: cfg.Name, Key: medlardatagram.Key(rand.Uint64()),
-		OnIgnored: func(error) { m.CallFailed(callPeers) },
+		OnForgotten: func(id medlarid.InstanceID) { board.Put(medlarnotice.RemovePeer(id)) },
+		OnIgnored:   func(error) { m.CallFailed(callPeers) },
 	})
 }
 
--- a/internal/ops/medlarnotifier/peer.go
+++ b/internal/ops/medlarnotifier/peer.go
@@ -19,7 +19,11 @@
 	n.mu.Lock()
 	p := n.self
 	n.mu.Unlock()
-	r, err := medlarnotice.EncodePeer(n.deps.Self, p)
+	if p == nil {
+		n.deps.Board.Put(medlarnotice.RemovePeer(n.deps.Self))
+		return
+	}
+	r, err := medlarnotice.EncodePeer(n.deps.Self, *p)
 	if err != nil {
 		n.deps.Log.Error().Str("event", "notice").Err(err).Msg("address of this instance cannot be encoded")
 		return
@@ -27,12 +31,26 @@
 	n.deps.Board.Put(r)
 }
 
+// keepAnnounced announces this instance again if its address was removed: others have not heard of it for long.
+func (n *Notifier) keepAnnounced(removed bool) {
+	n.mu.Lock()
+	announced := n.self != nil
+	n.mu.Unlock()
+	if removed && announced {
+		n.announce()
+	}
+}
+
 // setPeer passes the address of another instance to the socket.
 func (n *Notifier) setPeer(r medlarfeed.Record) {
 	id, p, ok, err := medlarnotice.DecodePeer(medlarnotice.Record{Key: r.Key, Value: r.Value})
 	if !ok {
 		return
 	}
+	if id == n.deps.Self {
+		n.keepAnnounced(len(r.Value) == 0)
+		return
+	}
 	if err != nil {
 		n.deps.CallFailed()
 		n.deps.Log.Warn().Str("event", "notice").Str("key", r.Key).Err(err).Msg("address of an instance is ignored")
--- a/internal/peer/medlardatagram/medlardatagram.go
+++ b/internal/peer/medlardatagram/medlardatagram.go
@@ -8,13 +8,16 @@
 //	R2  A datagram carries its sender's id and key. A peer's address and key are read from
 //	    the platform's store, and datagrams with another key are ignored.
 //	R3  Peers that were not heard of for silence are tried only now and then.
-//	R4  Beyond maxTargets peers nothing is sent: to tell all of them often enough would cost
-//	    each instance more than it gains, and sums of some of the reports mislead.
+//	R4  Beyond maxTargets peers no load is told: to tell all of them often enough would cost
+//	    each instance more than it gains, and sums of some of the reports mislead. Only
+//	    a few random ones get an empty report now and then, which keeps the count of peers.
+//	R5  A peer that was not heard of for forgetAfter is forgotten.
 package medlardatagram
 
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -26,11 +29,14 @@
 
 // Times and bounds of the rules.
 const (
-	maxTargets    = 64               // peers that a report is sent to (R4)
-	maxPeers      = 2048             // peers that are known
-	silence       = 10 * time.Second // R3
-	retryInterval = 5 * time.Second  // between two datagrams to a peer that is not heard of (R3)
-	maxDatagram   = 1400             // bytes
+	maxTargets        = 64              // peers that a report is sent to (R4)
+	maxPeers          = 2048            // peers that are known
+	silence           = time.Minute     // R3
+	retryInterval     = 5 * time.Second // between two datagrams to a peer that is not heard of (R3)
+	keepAliveInterval = time.Second     // between two empty reports (R4)
+	keepAliveTargets  = 8               // peers that an empty report is sent to (R4)
+	forgetAfter       = time.Hour       // R5
+	maxDatagram       = 1400            // bytes
 )
 
 // Op names the operation that failed.
@@ -87,6 +93,8 @@
 type Deps struct {
 	Self medlarid.InstanceID
 	Key  Key
+	// OnForgotten is called for each peer that is forgotten (R5).
+	OnForgotten func(medlarid.InstanceID)
 	// OnIgnored is called for each datagram that is not a valid one of a known peer.
 	OnIgnored func(error)
 }
@@ -97,9 +105,10 @@
 	onLoad func(medlarworld.PeerLoadReported)
 	conn   *net.UDPConn
 
-	mu     sync.Mutex
-	peers  map[medlarid.InstanceID]*peer
-	serial uint64
+	mu          sync.Mutex
+	peers       map[medlarid.InstanceID]*peer
+	serial      uint64
+	keptAliveAt time.Time // of the last empty report
 }
 
 // New returns a Socket that knows no peers. Listen opens it.
@@ -157,22 +166,47 @@
 	if s.conn == nil {
 		return
 	}
+	now := time.Now()
 	s.mu.Lock()
 	s.serial++
+	targets, few := s.targets(now)
+	if few {
+		loads = nil
+	}
 	b := encode(message{Sender: s.deps.Self, Key: s.deps.Key, Serial: s.serial, Loads: loads})
-	targets := s.targets(time.Now())
+	forgotten := s.forget(now)
 	s.mu.Unlock()
 	for _, at := range targets {
 		_, _ = s.conn.WriteToUDPAddrPort(b, at)
 	}
+	for _, id := range forgotten {
+		s.deps.OnForgotten(id)
+	}
 }
 
-// targets returns the addresses that a report is sent to (R3, R4). The caller holds the lock.
-func (s *Socket) targets(now time.Time) []netip.AddrPort {
-	var out []netip.AddrPort
+// forget forgets the peers that were not heard of for long (R5). The caller holds the lock.
+func (s *Socket) forget(now time.Time) []medlarid.InstanceID {
+	var out []medlarid.InstanceID
+	for id, p := range s.peers {
+		if p.silentFor(now) > forgetAfter {
+			delete(s.peers, id)
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// silentFor returns the time since a peer was heard of, or since its address is known.
+func (p *peer) silentFor(now time.Time) time.Duration {
+	return min(now.Sub(p.heardAt), now.Sub(p.knownFor))
+}
+
+// targets returns the addresses that a report is sent to (R3, R4). few is set if there are too many peers to
+// tell them of load. The caller holds the lock.
+func (s *Socket) targets(now time.Time) (out []netip.AddrPort, few bool) {
 	live := 0
 	for _, p := range s.peers {
-		heard := now.Sub(p.heardAt) < silence || now.Sub(p.knownFor) < silence
+		heard := p.silentFor(now) < silence
 		if heard {
 			live++
 		}
@@ -182,10 +216,15 @@
 		p.triedAt = now
 		out = append(out, p.address)
 	}
-	if live > maxTargets {
-		return nil
+	if live <= maxTargets {
+		return out, false
 	}
-	return out
+	if now.Sub(s.keptAliveAt) < keepAliveInterval {
+		return nil, true
+	}
+	s.keptAliveAt = now
+	rand.Shuffle(len(out), func(a, b int) { out[a], out[b] = out[b], out[a] })
+	return out[:keepAliveTargets], true
 }
 
 // receive receives datagrams until the socket is closed.
--- a/internal/peer/medlardatagram/medlardatagram_test.go
+++ b/internal/peer/medlardatagram/medlardatagram_test.go
@@ -59,7 +59,7 @@
 func newNode(t *testing.T, id medlarid.InstanceID, key Key) *node {
 	t.Helper()
 	n := &node{got: make(chan medlarworld.PeerLoadReported, 8), ignored: make(chan error, 8)}
-	n.Socket = New(Deps{Self: id, Key: key, OnIgnored: func(err error) { n.ignored <- err }})
+	n.Socket = New(Deps{Self: id, Key: key, OnForgotten: func(medlarid.InstanceID) {}, OnIgnored: func(err error) { n.ignored <- err }})
 	n.SetOnLoad(func(e medlarworld.PeerLoadReported) { n.got <- e })
 	if err := n.Listen("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
@@ -141,20 +141,26 @@
 		s.SetPeer(medlarid.InstanceID(rune('a'+i)), Peer{Address: "127.0.0.1:9"})
 	}
 	now := time.Now()
-	if n := len(s.targets(now)); n != maxTargets {
-		t.Errorf("%d targets of as many peers, want %d", n, maxTargets)
+	assertTargets := func(what string, at time.Time, want int, wantFew bool) {
+		t.Helper()
+		if out, few := s.targets(at); len(out) != want || few != wantFew {
+			t.Errorf("%s: %d targets, few %v; want %d, %v", what, len(out), few, want, wantFew)
+		}
 	}
+	assertTargets("as many peers as are told", now, maxTargets, false)
 	s.SetPeer("one more", Peer{Address: "127.0.0.1:9"})
-	if n := len(s.targets(now)); n != 0 {
-		t.Errorf("%d targets of more peers than are told, want none", n)
-	}
+	assertTargets("more peers than are told", now, keepAliveTargets, true)
+	assertTargets("a moment later", now.Add(keepAliveInterval/2), 0, true)
+	assertTargets("an interval later", now.Add(keepAliveInterval), keepAliveTargets, true)
 	s.SetPeer("one more", Peer{})
 	later := now.Add(silence + time.Second)
-	s.targets(later)
-	if n := len(s.targets(later.Add(time.Second))); n != 0 {
-		t.Errorf("%d targets, want none a second after silent peers were tried", n)
+	assertTargets("silent peers are tried", later, maxTargets, false)
+	assertTargets("but not each time", later.Add(time.Second), 0, false)
+	assertTargets("and again", later.Add(retryInterval), maxTargets, false)
+	if out := s.forget(now.Add(forgetAfter - time.Second)); len(out) != 0 {
+		t.Errorf("%d peers are forgotten too soon", len(out))
 	}
-	if n := len(s.targets(later.Add(retryInterval))); n == 0 {
-		t.Error("silent peers are never tried again")
+	if out := s.forget(now.Add(forgetAfter + time.Second)); len(out) != maxTargets || len(s.peers) != 0 {
+		t.Errorf("%d peers are forgotten, %d are left; want all gone", len(out), len(s.peers))
 	}
 }
