Keep doc comments with the functions that were moved

Cause: the split of the queue and of relaying left doc comments behind in the files they came from.

Change: both splits made again; functions and comments are as they were.

--- a/internal/core/medlaradmission/medlaradmission.go
+++ b/internal/core/medlaradmission/medlaradmission.go
@@ -231,11 +231,6 @@
 	return r.Deadline
 }
 
-// queueWait estimates how long a new run waits in the queue. It counts the runs of its target before
-// its position, which for an account with few requests is far from the end (R3).
-// position returns the number of waiting runs before a run's place in the queue.
-// runsAhead returns the number of waiting runs before a run's place in the queue that have the same
-// target.
 // rateShare returns this instance's part of an account's rate.
 func rateShare(w *medlarworld.World, a *medlarworld.Account) float64 {
 	if w.Now.Before(a.Share.Until) {
@@ -290,16 +285,6 @@
 	a.VirtualFinish = r.VirtualStart + cost/weightOf(a)
 }
 
-// evictForRoom refuses the last run of the account with the largest weighted share
-// of the queue, unless that account is a itself (R4). A run that reached an upstream or
-// was claimed is never refused for this.
-// Enqueue inserts a run at its position in the queue (R3).
-// compareLate orders runs that can still be in time before late ones (R8).
-// demoteLate moves runs that can no longer be in time behind those that can (R8), and refuses those that
-// would wait past their deadline there (R5).
-// lateAhead returns the number of late runs of a late run's target that are before its place in the queue.
-// refuseLate refuses a late run if it would wait past its deadline behind others.
-// refuseLateRuns refuses the late runs in the queue for which there is no hope any longer.
 // handleCallerLeft ends a run whose caller left (R6). The edge reports this only while
 // it executes no attempt: a StartAttempt that it has not processed yet is void.
 func handleCallerLeft(w *medlarworld.World, e medlarworld.CallerLeft) {
@@ -312,7 +297,6 @@
 	w.Refuse(r, medlarreason.Gone, 0)
 }
 
-// expire refuses the runs that have waited too long (R6).
 func weightOf(a *medlarworld.Account) float64 { return max(a.Limits.Weight, 1) }
 
 // forget removes accounts without open requests whose bucket is full again and whose
--- a/internal/core/medlaradmission/queue.go
+++ b/internal/core/medlaradmission/queue.go
@@ -9,15 +9,20 @@
 	"medlarfield/internal/core/medlarworld"
 )
 
+// queueWait estimates how long a new run waits in the queue. It counts the runs of its target before
+// its position, which for an account with few requests is far from the end (R3).
 func (s *System) queueWait(w *medlarworld.World, r *medlarworld.Run) time.Duration {
 	return s.throughput.Wait(r.Target(), runsAhead(w, r))
 }
 
+// position returns the number of waiting runs before a run's place in the queue.
 func position(w *medlarworld.World, r *medlarworld.Run) int {
 	i, _ := slices.BinarySearchFunc(w.Waiting, r, func(a, b *medlarworld.Run) int { return compareRuns(w, a, b) })
 	return i
 }
 
+// runsAhead returns the number of waiting runs before a run's place in the queue that have the same
+// target.
 func runsAhead(w *medlarworld.World, r *medlarworld.Run) int {
 	n := 0
 	for _, other := range w.Waiting[:position(w, r)] {
@@ -28,6 +33,9 @@
 	return n
 }
 
+// evictForRoom refuses the last run of the account with the largest weighted share
+// of the queue, unless that account is a itself (R4). A run that reached an upstream or
+// was claimed is never refused for this.
 func evictForRoom(w *medlarworld.World, a *medlarworld.Account) bool {
 	shares := map[*medlarworld.Account]float64{}
 	for _, r := range w.Waiting {
@@ -54,6 +62,7 @@
 	return false
 }
 
+// Enqueue inserts a run at its position in the queue (R3).
 func Enqueue(w *medlarworld.World, r *medlarworld.Run) {
 	r.Phase = medlarworld.PhaseWaiting
 	w.Waiting = slices.Insert(w.Waiting, position(w, r), r)
@@ -69,6 +78,7 @@
 	)
 }
 
+// compareLate orders runs that can still be in time before late ones (R8).
 func compareLate(a, b *medlarworld.Run) int {
 	switch {
 	case a.Late == b.Late:
@@ -79,6 +89,8 @@
 	return 1
 }
 
+// demoteLate moves runs that can no longer be in time behind those that can (R8), and refuses those that
+// would wait past their deadline there (R5).
 func (s *System) demoteLate(w *medlarworld.World) {
 	for i := 0; i < len(w.Waiting); i++ {
 		r := w.Waiting[i]
@@ -95,6 +107,7 @@
 	s.refuseLateRuns(w)
 }
 
+// lateAhead returns the number of late runs of a late run's target that are before its place in the queue.
 func lateAhead(w *medlarworld.World, r *medlarworld.Run) int {
 	n := 0
 	for _, other := range w.Waiting[:position(w, r)] {
@@ -105,6 +118,7 @@
 	return n
 }
 
+// refuseLate refuses a late run if it would wait past its deadline behind others.
 func (s *System) refuseLate(w *medlarworld.World, r *medlarworld.Run, ahead int) bool {
 	wait := s.throughput.LateWait(r.Target(), ahead)
 	if !w.Now.Add(wait).After(latestStart(r)) {
@@ -114,6 +128,7 @@
 	return true
 }
 
+// refuseLateRuns refuses the late runs in the queue for which there is no hope any longer.
 func (s *System) refuseLateRuns(w *medlarworld.World) {
 	if w.Now.Before(s.lateAt) {
 		return
@@ -141,6 +156,7 @@
 	return int(r.Priority)
 }
 
+// expire refuses the runs that have waited too long (R6).
 func expire(w *medlarworld.World) {
 	for i := 0; i < len(w.Waiting); i++ {
 		r := w.Waiting[i]
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -246,22 +246,6 @@
 	return b
 }
 
-// newBody returns a reader for the body of a response that is relayed.
-// relayResponse relays a response that is not a stream.
-// complete sends a complete response and returns the result of the attempt.
-// relayChunked relays a long response as it arrives.
-// finishChunked writes the final chunk of a response.
-// relayStream relays an event stream. The head is sent with the first event, so that a stream
-// that fails before it is retried without the client noticing.
-// sendEvents writes complete events, preceded by the response's head if it was not sent yet.
-// responseHead returns the head of a response without its framing, and records its status.
-// sendResponse writes a complete response.
-// returnConn returns the connection to the pool after a complete response, where another
-// request may use it. It closes the connection instead if the upstream asks for that, if
-// the request's body is still being written or its write failed, or if the connection was
-// closed because the client disconnected.
-// requestWritten reports whether the request was written in full.
-// discard reads a response that is not relayed, so that the connection can be reused.
 // failed returns the result of an attempt without a valid response.
 func (a *attempt) failed(err error, reason medlarreason.Reason, reached bool) medlarworld.AttemptEnded {
 	a.err = err
--- a/internal/edge/medlarproxy/relay.go
+++ b/internal/edge/medlarproxy/relay.go
@@ -16,12 +16,14 @@
 	return value
 }
 
+// newBody returns a reader for the body of a response that is relayed.
 func (a *attempt) newBody(h *medlarhead.Head) *medlarhead.Body {
 	body := medlarhead.NewBody(a.upstream.Reader, h)
 	body.Limit(maxResponseBody)
 	return body
 }
 
+// relayResponse relays a response that is not a stream.
 func (a *attempt) relayResponse(h *medlarhead.Head, reply medlarcall.Reply) medlarworld.AttemptEnded {
 	if a.responseStarted { // the response cannot continue a stream
 		_ = a.upstream.Close()
@@ -46,6 +48,7 @@
 	return a.complete(resp)
 }
 
+// complete sends a complete response and returns the result of the attempt.
 func (a *attempt) complete(resp *response) medlarworld.AttemptEnded {
 	switch {
 	case a.sendResponse(resp) != nil:
@@ -56,6 +59,7 @@
 	return a.ended(medlarworld.CauseDone, "", true)
 }
 
+// relayChunked relays a long response as it arrives.
 func (a *attempt) relayChunked(h *medlarhead.Head, first []byte, body *medlarhead.Body, reply medlarcall.Reply) medlarworld.AttemptEnded {
 	b := medlarhead.AppendChunkedEnd(a.responseHead(h))
 	a.responseStarted, a.began = true, time.Now()
@@ -86,6 +90,7 @@
 	return a.finishChunked()
 }
 
+// finishChunked writes the final chunk of a response.
 func (a *attempt) finishChunked() medlarworld.AttemptEnded {
 	if a.write([]byte(medlarhead.LastChunk)) != nil {
 		return a.ended(medlarworld.CauseCallerLeft, "", true)
@@ -94,6 +99,8 @@
 	return a.ended(medlarworld.CauseDone, "", true)
 }
 
+// relayStream relays an event stream. The head is sent with the first event, so that a stream
+// that fails before it is retried without the client noticing.
 func (a *attempt) relayStream(h *medlarhead.Head, reply medlarcall.Reply) medlarworld.AttemptEnded {
 	body := a.newBody(h)
 	a.events.Reset()
@@ -127,6 +134,7 @@
 	return a.finishChunked()
 }
 
+// sendEvents writes complete events, preceded by the response's head if it was not sent yet.
 func (a *attempt) sendEvents(h *medlarhead.Head, events []byte) error {
 	if a.responseStarted {
 		return a.write(medlarhead.AppendChunk(nil, events))
@@ -137,6 +145,7 @@
 	return a.write(medlarhead.AppendChunk(b, events))
 }
 
+// responseHead returns the head of a response without its framing, and records its status.
 func (x *exchange) responseHead(h *medlarhead.Head) []byte {
 	x.summary.Status = h.Status
 	b := medlarhead.AppendStatus(make([]byte, 0, 1024), h.Status)
@@ -147,6 +156,7 @@
 	return b
 }
 
+// sendResponse writes a complete response.
 func (x *exchange) sendResponse(resp *response) error {
 	b := x.responseHead(resp.head)
 	if resp.head.Framing != medlarhead.FramingNone {
@@ -159,6 +169,10 @@
 	return err
 }
 
+// returnConn returns the connection to the pool after a complete response, where another
+// request may use it. It closes the connection instead if the upstream asks for that, if
+// the request's body is still being written or its write failed, or if the connection was
+// closed because the client disconnected.
 func (a *attempt) returnConn(h *medlarhead.Head, reply medlarcall.Reply) {
 	if !a.stopClose() || h.Close || !a.requestWritten() {
 		_ = a.upstream.Close()
@@ -167,6 +181,7 @@
 	a.proxy.deps.Pool.Put(a.upstream, reply.KeepAlive)
 }
 
+// requestWritten reports whether the request was written in full.
 func (a *attempt) requestWritten() bool {
 	if a.bodyWritten == nil {
 		return true
@@ -179,6 +194,7 @@
 	}
 }
 
+// discard reads a response that is not relayed, so that the connection can be reused.
 func (a *attempt) discard(h *medlarhead.Head, reply medlarcall.Reply) {
 	body := medlarhead.NewBody(a.upstream.Reader, h)
 	if _, err := io.Copy(io.Discard, io.LimitReader(body, maxBufferedBody)); err != nil || !body.Done() {
