Count connections to replicas by result, and log whether a request's was in use before

The log of a cut instance has lines for failed attempts only: whether any new connection to a replica succeeds, and whether the requests that it does serve go over old ones, could not be told. Both can be now, for the incident of instances without a way to the replicas. No decision changes.

--- a/internal/edge/medlarcall/medlarcall.go
+++ b/internal/edge/medlarcall/medlarcall.go
@@ -181,6 +181,7 @@
 	Parts       []medlarchoice.PartState
 	QueueTime   time.Duration // from the request's arrival until the first attempt
 	ConnectTime time.Duration // from the start of the last attempt until it had a connection
+	Reused      bool          // the connection of the last attempt had served a request before
 	FirstByte   time.Duration // from the request's arrival until the first byte of the response
 	MaxWriteGap time.Duration // longest time between two writes of the response
 	Duration    time.Duration
--- a/internal/edge/medlarmetric/medlarmetric.go
+++ b/internal/edge/medlarmetric/medlarmetric.go
@@ -60,6 +60,7 @@
 	stages         *prometheus.HistogramVec
 	tokens         *prometheus.CounterVec
 	bytesMoved     *prometheus.CounterVec
+	connects       *prometheus.CounterVec
 	ejections      prometheus.Counter
 	hints          *prometheus.CounterVec
 	lost           *prometheus.CounterVec
@@ -86,6 +87,7 @@
 	m.answers = m.newCounterVec("answers_total", "Requests answered, by kind.", "kind")
 	m.responses = m.newCounterVec("responses_total", "Responses of replicas, by framing of the body and by its end: complete, partial, broken.", "framing", "end")
 	m.lost = m.newCounterVec("lost_total", "Attempts whose connection the replica ended before the response was complete, by whether an event had been received.", "began")
+	m.connects = m.newCounterVec("connects_total", "Attempts to open connections to replicas, by result: opened, refused, timeout, failed.", "result")
 	m.hints = m.newCounterVec("hints_total", "What replicas said in responses about further requests: leaving, pause, limit, malformed.", "kind")
 	m.tokens = m.newCounterVec("tokens_total", "Tokens, by kind: prompt, cached, completion.", "kind")
 	m.bytesMoved = m.newCounterVec("moved_bytes_total", "Bytes of kept context moved, by direction.", "direction")
@@ -247,6 +249,20 @@
 	m.blocked.Dec()
 }
 
+// ConnectResult is how an attempt to open a connection to a replica ended.
+type ConnectResult string
+
+// Results of attempts to open connections.
+const (
+	ConnectOpened  ConnectResult = "opened"
+	ConnectRefused ConnectResult = "refused"
+	ConnectTimeout ConnectResult = "timeout"
+	ConnectFailed  ConnectResult = "failed" // for another reason
+)
+
+// Connected counts an attempt to open a connection to a replica.
+func (m *Metrics) Connected(r ConnectResult) { m.connects.WithLabelValues(string(r)).Inc() }
+
 // Ejected counts an ejection of an upstream.
 func (m *Metrics) Ejected() { m.ejections.Inc() }
 
--- a/internal/edge/medlarpool/medlarpool.go
+++ b/internal/edge/medlarpool/medlarpool.go
@@ -61,8 +61,8 @@
 
 // Pool holds idle connections. It is safe for concurrent use.
 type Pool struct {
-	// OnDial is called for each new connection.
-	OnDial func()
+	// OnDial is called with the result of each attempt to open a connection.
+	OnDial func(error)
 
 	mu      sync.Mutex
 	idle    map[medlarid.Address][]*Conn // in order of last use, the most recent one last
@@ -72,7 +72,7 @@
 
 // New returns an empty pool.
 func New() *Pool {
-	return &Pool{OnDial: func() {}, idle: map[medlarid.Address][]*Conn{}}
+	return &Pool{OnDial: func(error) {}, idle: map[medlarid.Address][]*Conn{}}
 }
 
 // Get returns an idle or new connection to addr. If recent is set, an idle connection is
@@ -96,10 +96,10 @@
 		Control:         setUserTimeout,
 	}
 	c, err := d.DialContext(ctx, "tcp4", string(addr))
+	p.OnDial(err)
 	if err != nil {
 		return nil, err
 	}
-	p.OnDial()
 	return &Conn{Conn: c, Reader: bufio.NewReaderSize(c, readBuffer), Opened: time.Now(), addr: addr}, nil
 }
 
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -71,7 +71,7 @@
 		return a.failed(err, medlarreason.Unreachable, false)
 	}
 	a.upstream, a.reused = c, c.Reused
-	a.summary.ConnectTime = time.Since(a.started)
+	a.summary.ConnectTime, a.summary.Reused = time.Since(a.started), c.Reused
 	_ = c.SetDeadline(a.deadline())
 	a.stopClose = context.AfterFunc(a.ctx, func() { _ = c.Close() }) // R3
 	defer a.stopClose()
--- a/internal/ops/medlarattachednode/logging.go
+++ b/internal/ops/medlarattachednode/logging.go
@@ -1,7 +1,10 @@
 package medlarattachednode
 
 import (
+	"errors"
 	"math"
+	"os"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -49,7 +52,7 @@
 			l := log.Info().Str("event", "request").Str("id", string(s.ID)).Str("account", string(s.Account)).
 				Str("route", s.Route).Str("service", string(s.Service)).Uint64("config", s.ConfigVersion).
 				Int("status", s.Status).Bool("whole", s.Complete).Int("attempts", s.Attempts).Str("replica", string(s.Upstream)).
-				Float64("waited", ms(s.QueueTime)).Float64("connect", ms(s.ConnectTime)).Float64("first", ms(s.FirstByte)).
+				Float64("waited", ms(s.QueueTime)).Float64("connect", ms(s.ConnectTime)).Bool("reused", s.Reused).Float64("first", ms(s.FirstByte)).
 				Float64("gap", ms(s.MaxWriteGap)).Float64("took", ms(s.Duration))
 			if s.Build != "" {
 				l = l.Str("build", string(s.Build))
@@ -110,6 +113,19 @@
 	return l
 }
 
+// connectResult returns the result that an attempt to open a connection is counted with.
+func connectResult(err error) medlarmetric.ConnectResult {
+	switch {
+	case err == nil:
+		return medlarmetric.ConnectOpened
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return medlarmetric.ConnectRefused
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return medlarmetric.ConnectTimeout
+	}
+	return medlarmetric.ConnectFailed
+}
+
 // countResponse counts an upstream's response by its framing and its end.
 func countResponse(m *medlarmetric.Metrics, end medlarcall.BodyEnd) {
 	if !end.Received {
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -113,7 +113,7 @@
 		func(h *medlarhttp.Client, c *medlarplatform.Clock) *medlarcalls.KVStores {
 			return medlarcalls.NewKVStores(h, replicaTimeout, c)
 		},
-		medlarplatform.NewClock, medlarmetric.New, medlarpool.New,
+		medlarplatform.NewClock, medlarmetric.New, newPool,
 		newSocket, newBoard, newNotifier, newLoop, newRegistry, newProxy, newFeeds, newTerm, newRollout, newTracker, newInstance,
 	}
 	for _, p := range providers {
@@ -169,6 +169,12 @@
 	return loop
 }
 
+func newPool(m *medlarmetric.Metrics) *medlarpool.Pool {
+	pool := medlarpool.New()
+	pool.OnDial = func(err error) { m.Connected(connectResult(err)) }
+	return pool
+}
+
 func newRegistry(log zerolog.Logger, pool *medlarpool.Pool, loop *medlarloop.Loop) *medlarregistry.Registry {
 	return medlarregistry.New(log, pool, loop.Post)
 }
--- a/internal/ops/medlarattachednode/metrics_test.go
+++ b/internal/ops/medlarattachednode/metrics_test.go
@@ -31,6 +31,7 @@
 		`medlar_refusals_total{reason="unauthenticated"} 1`,
 		`medlar_age_seconds{part="keyed.op"} 0`,
 		`medlar_version 1`,
+		`medlar_connects_total{result="opened"} 1`,
 	} {
 		w.eventually("the metrics contain "+want, func() bool { return strings.Contains(w.metrics(), want) })
 	}
