--- a/internal/ops/medlarattachednode/logging.go
+++ b/internal/ops/medlarattachednode/logging.go
@@ -120,7 +120,7 @@
 		return medlarmetric.ConnectOpened
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return medlarmetric.ConnectRefused
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case os.IsTimeout(err):
 		return medlarmetric.ConnectTimeout
 	}
 	return medlarmetric.ConnectFailed
--- a/internal/stand/medlarfaketopic/medlarfaketopic.go
+++ b/internal/stand/medlarfaketopic/medlarfaketopic.go
@@ -144,10 +144,20 @@
 	store *Store
 	mu    sync.Mutex
 	fault Fault
+	view  View
 }
 
+// View returns the value of a record of a keyed topic as readers at an endpoint get it.
+type View func(topic, key string, value []byte) []byte
+
 // NewEndpoint returns an endpoint without a fault.
-func (s *Store) NewEndpoint() *Endpoint { return &Endpoint{store: s} }
+func (s *Store) NewEndpoint() *Endpoint {
+	return &Endpoint{store: s, view: func(_, _ string, value []byte) []byte { return value }}
+}
+
+// SetView sets how readers at the endpoint see the records of keyed topics. It is called before the
+// endpoint serves.
+func (e *Endpoint) SetView(v View) { e.view = v }
 
 // SetFault sets the fault of the endpoint. FaultNone makes it serve again.
 func (e *Endpoint) SetFault(f Fault) {
@@ -176,7 +186,7 @@
 		closeConn(ctx)
 		return
 	}
-	e.store.handle(ctx)
+	e.store.handle(ctx, e.view)
 	if fault == FaultLose {
 		closeConn(ctx)
 	}
@@ -187,7 +197,7 @@
 	_ = ctx.Conn().Close()
 }
 
-func (s *Store) handle(ctx *fasthttp.RequestCtx) {
+func (s *Store) handle(ctx *fasthttp.RequestCtx, view View) {
 	s.mu.Lock()
 	s.calls++
 	s.mu.Unlock()
@@ -195,9 +205,9 @@
 	case "/-/log-append":
 		s.serveAppend(ctx)
 	case "/-/log-read":
-		s.serveRead(ctx)
+		s.serveRead(ctx, view)
 	case "/-/log-newest":
-		s.serveNewest(ctx)
+		s.serveNewest(ctx, view)
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
@@ -255,7 +265,7 @@
 
 type goneResponse struct{ First int }
 
-func (s *Store) serveRead(ctx *fasthttp.RequestCtx) {
+func (s *Store) serveRead(ctx *fasthttp.RequestCtx, view View) {
 	name := string(ctx.QueryArgs().Peek("Topic"))
 	from, err := ctx.QueryArgs().GetUint("From")
 	if err != nil {
@@ -275,7 +285,7 @@
 			return
 		}
 		if from < len(t.records) || wait == 0 {
-			writeRecords(ctx, t, from)
+			writeRecords(ctx, t, from, func(rec []byte) []byte { return viewRecord(name, rec, view) })
 			s.mu.Unlock()
 			return
 		}
@@ -289,10 +299,23 @@
 	}
 }
 
-func writeRecords(ctx *fasthttp.RequestCtx, t *topic, from int) {
+// viewRecord returns a record as a reader gets it.
+func viewRecord(topic string, rec []byte, view View) []byte {
+	if !strings.HasPrefix(topic, "keyed.") {
+		return rec
+	}
+	key, value := splitRecord(rec)
+	if len(value) == 0 {
+		return rec
+	}
+	return append(append([]byte{byte(len(key))}, key...), view(topic, key, value)...)
+}
+
+func writeRecords(ctx *fasthttp.RequestCtx, t *topic, from int, seen func([]byte) []byte) {
 	b := binary.BigEndian.AppendUint64(nil, uint64(len(t.records)))
 	b = binary.BigEndian.AppendUint64(b, uint64(t.first))
 	for _, rec := range t.records[min(from, len(t.records)):] {
+		rec = seen(rec)
 		b = binary.BigEndian.AppendUint32(b, uint32(len(rec)))
 		b = append(b, rec...)
 	}
@@ -314,16 +337,17 @@
 // maxPageKeys is the maximum number of keys per page.
 const maxPageKeys = 500
 
-func (s *Store) serveNewest(ctx *fasthttp.RequestCtx) {
-	after := string(ctx.QueryArgs().Peek("after"))
+func (s *Store) serveNewest(ctx *fasthttp.RequestCtx, view View) {
+	name, after := string(ctx.QueryArgs().Peek("Topic")), string(ctx.QueryArgs().Peek("after"))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.writeEra(ctx)
-	t := s.topic(string(ctx.QueryArgs().Peek("Topic")))
+	t := s.topic(name)
 	out := newestResponse{Items: []item{}, End: len(t.records)}
 	for key, at := range t.newest {
 		if key > after {
 			_, value := splitRecord(t.records[at])
+			value = view(name, key, value)
 			out.Items = append(out.Items, item{Key: key, Value: base64.StdEncoding.EncodeToString(value), Offset: at})
 		}
 	}
--- /dev/null
+++ b/internal/stand/medlarlink/medlarlink.go
@@ -0,0 +1,299 @@
+// Package medlarlink puts a link between one instance and the replicas, which can be cut while all
+// others still reach them.
+//
+// Rules:
+//
+//	R1  Each replica has an address of its own on the link. What the instance sends there
+//	    reaches the replica, and the other way round, while the link is up.
+//	R2  A silent link holds all bytes back and lets new connections hang. Held bytes are
+//	    delivered once the link is up again, unless their connection was closed.
+package medlarlink
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// State is the state of a link.
+type State string
+
+// States.
+const (
+	Up      State = "up"
+	Silent  State = "silent"  // open connections fall silent, new ones hang (R2)
+	Reset   State = "reset"   // open connections are reset, new ones refused
+	Refused State = "refused" // open connections live on, new ones are refused
+)
+
+// Sizes and times.
+const (
+	backlog      = 128 // connections that wait to be accepted while a link is up
+	copyBuffer   = 4096
+	fillers      = 3                     // connections that fill the queue of a silent link
+	fillTimeout  = 20 * time.Millisecond // a filler that hangs shows that the queue is full
+	listenTries  = 50
+	listenPeriod = 20 * time.Millisecond // between two tries to listen on an address again
+)
+
+// Link connects one instance with the replicas. It is safe for concurrent use.
+type Link struct {
+	mu      sync.Mutex
+	state   State
+	resumed chan struct{} // closed when a silent link is no longer silent
+	ports   map[string]*port
+	pairs   map[*pair]bool
+	closed  bool
+}
+
+// port is the link's address of one replica.
+type port struct {
+	target   string
+	address  string
+	listener *net.TCPListener // nil while new connections are refused
+	stopped  chan struct{}    // closed when the port no longer accepts
+	fillers  []net.Conn
+}
+
+// pair is an open connection over the link.
+type pair struct{ near, far net.Conn }
+
+// New returns a link that is up and knows no replicas.
+func New() *Link { return &Link{state: Up, resumed: make(chan struct{}), ports: map[string]*port{}, pairs: map[*pair]bool{}} }
+
+// Address returns the address on the link of a replica (R1).
+func (l *Link) Address(target string) (string, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p := l.ports[target]; p != nil {
+		return p.address, nil
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	p := &port{target: target, address: ln.Addr().String(), listener: ln.(*net.TCPListener)}
+	l.ports[target] = p
+	l.accept(p)
+	if l.state == Up {
+		return p.address, nil
+	}
+	return p.address, l.apply(p, l.state)
+}
+
+// Set puts the link into a state.
+func (l *Link) Set(state State) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || state == l.state {
+		return nil
+	}
+	if l.state == Silent {
+		close(l.resumed)
+		l.resumed = make(chan struct{})
+	}
+	l.state = state
+	var errs []error
+	for _, p := range l.ports {
+		errs = append(errs, l.apply(p, Up))
+		if state != Up {
+			errs = append(errs, l.apply(p, state))
+		}
+	}
+	if state == Reset {
+		for p := range l.pairs {
+			p.reset()
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// Close closes the link and all its connections.
+func (l *Link) Close() {
+	_ = l.Set(Up)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	for _, p := range l.ports {
+		_ = p.listener.Close()
+	}
+	for p := range l.pairs {
+		p.close()
+	}
+}
+
+// apply puts a port into a state. It is up before it is put into another one. The caller holds the lock.
+func (l *Link) apply(p *port, state State) error {
+	switch state {
+	case Silent:
+		p.pause()
+		return p.fill()
+	case Reset, Refused:
+		_ = p.listener.Close()
+		<-p.stopped
+		p.listener = nil
+		return nil
+	}
+	return l.resume(p)
+}
+
+// accept accepts connections of a port until it is paused or closed.
+func (l *Link) accept(p *port) {
+	p.stopped = make(chan struct{})
+	go func(ln *net.TCPListener, stopped chan struct{}) {
+		defer close(stopped)
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go l.connect(p.target, c)
+		}
+	}(p.listener, p.stopped)
+}
+
+// pause stops the port from accepting connections.
+func (p *port) pause() {
+	_ = p.listener.SetDeadline(time.Unix(1, 0))
+	<-p.stopped
+}
+
+// fill shortens the queue of connections that wait to be accepted and fills it, so that new ones hang.
+func (p *port) fill() error {
+	if err := p.setBacklog(0); err != nil {
+		return err
+	}
+	for range fillers {
+		c, err := net.DialTimeout("tcp", p.address, fillTimeout)
+		if os.IsTimeout(err) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		p.fillers = append(p.fillers, c)
+	}
+	return fmt.Errorf("link: %s still takes connections", p.address)
+}
+
+func (p *port) setBacklog(n int) error {
+	raw, err := p.listener.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var listenErr error
+	err = raw.Control(func(fd uintptr) { listenErr = unix.Listen(int(fd), n) })
+	return errors.Join(err, listenErr)
+}
+
+// resume makes a port accept connections again.
+func (l *Link) resume(p *port) error {
+	switch {
+	case p.listener == nil:
+		ln, err := listenAgain(p.address)
+		if err != nil {
+			return err
+		}
+		p.listener = ln
+	case len(p.fillers) > 0:
+		for _, c := range p.fillers {
+			_ = c.Close()
+		}
+		p.fillers = nil
+		if err := p.setBacklog(backlog); err != nil {
+			return err
+		}
+		_ = p.listener.SetDeadline(time.Time{})
+	default:
+		return nil
+	}
+	l.accept(p)
+	return nil
+}
+
+// listenAgain listens on an address that was in use before.
+func listenAgain(address string) (*net.TCPListener, error) {
+	var err error
+	for range listenTries {
+		var ln net.Listener
+		if ln, err = net.Listen("tcp", address); err == nil {
+			return ln.(*net.TCPListener), nil
+		}
+		time.Sleep(listenPeriod)
+	}
+	return nil, err
+}
+
+// connect connects a new connection of the instance with a replica.
+func (l *Link) connect(target string, near net.Conn) {
+	far, err := net.Dial("tcp", target)
+	if err != nil {
+		resetConn(near)
+		return
+	}
+	p := &pair{near: near, far: far}
+	l.mu.Lock()
+	l.pairs[p] = true
+	l.mu.Unlock()
+	var wg sync.WaitGroup
+	wg.Go(func() { l.copy(far, near, p) })
+	wg.Go(func() { l.copy(near, far, p) })
+	wg.Wait()
+	p.close()
+	l.mu.Lock()
+	delete(l.pairs, p)
+	l.mu.Unlock()
+}
+
+// copy copies what comes from one side to the other while the link is not silent.
+func (l *Link) copy(to, from net.Conn, p *pair) {
+	b := make([]byte, copyBuffer)
+	for {
+		n, err := from.Read(b)
+		l.awaitNotSilent()
+		if n > 0 {
+			if _, err := to.Write(b[:n]); err != nil {
+				p.reset()
+				return
+			}
+		}
+		if errors.Is(err, unix.ECONNRESET) {
+			p.reset()
+			return
+		}
+		if err != nil {
+			_ = to.(*net.TCPConn).CloseWrite()
+			return
+		}
+	}
+}
+
+// awaitNotSilent waits while the link is silent.
+func (l *Link) awaitNotSilent() {
+	l.mu.Lock()
+	resumed, silent := l.resumed, l.state == Silent
+	l.mu.Unlock()
+	if silent {
+		<-resumed
+	}
+}
+
+func (p *pair) close() {
+	_ = p.near.Close()
+	_ = p.far.Close()
+}
+
+func (p *pair) reset() {
+	resetConn(p.near)
+	resetConn(p.far)
+}
+
+func resetConn(c net.Conn) {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
--- /dev/null
+++ b/internal/stand/medlarsite/link.go
@@ -0,0 +1,38 @@
+package medlarsite
+
+import (
+	"bytes"
+
+	"github.com/go-json-experiment/json"
+
+	"medlarfield/internal/stand/medlarfaketopic"
+	"medlarfield/internal/stand/medlarlink"
+)
+
+// Link returns the link over which an instance reaches the replicas. It outlasts restarts of the instance.
+func (s *Site) Link(name string) *medlarlink.Link {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.links[name]
+	if l == nil {
+		l = medlarlink.New()
+		s.links[name] = l
+	}
+	return l
+}
+
+// linkTo returns the view of an instance to which entries of replicas name their addresses on its link.
+func (s *Site) linkTo(name string) medlarfaketopic.View {
+	l := s.Link(name)
+	return func(topic, _ string, value []byte) []byte {
+		var e struct{ Address string }
+		if topic != topicRep || json.Unmarshal(value, &e) != nil {
+			return value
+		}
+		address, err := l.Address(e.Address)
+		if err != nil {
+			return value
+		}
+		return bytes.Replace(value, []byte(e.Address), []byte(address), 1)
+	}
+}
--- a/internal/stand/medlarsite/medlarsite.go
+++ b/internal/stand/medlarsite/medlarsite.go
@@ -17,6 +17,7 @@
 	"medlarfield/internal/stand/medlarfaketopic"
 	"medlarfield/internal/stand/medlarfault"
 	"medlarfield/internal/stand/medlarhost"
+	"medlarfield/internal/stand/medlarlink"
 )
 
 // Names in the emulated deployment: the routes' host, an API key and its account, the
@@ -48,6 +49,7 @@
 	NextBuild         string        // software version of the successors of replicas that crash; empty for the same
 	HideBuilds        int           // replicas of the engine whose entries do not name their software version
 	HideVersions      bool          // a refusal for the weight version does not name the one that runs
+	Links             bool          // each instance reaches the replicas over a link of its own, which can be cut
 	Builds            []string      // software versions of the engine's replicas in turn; empty for one that events do not name
 }
 
@@ -69,6 +71,7 @@
 	wg       sync.WaitGroup
 
 	mu      sync.Mutex
+	links   map[string]*medlarlink.Link // by the name of the instance
 	config  Config
 	removed map[string]bool // identifiers of replicas whose entries are no longer written
 	entries uint64          // number of entries written so far
@@ -149,7 +152,7 @@
 
 // New starts a site with DefaultConfig as the operator's configuration.
 func New(cfg Settings) (*Site, error) {
-	s := &Site{Store: medlarfaketopic.New(), settings: cfg, stop: make(chan struct{}), removed: map[string]bool{}}
+	s := &Site{Store: medlarfaketopic.New(), settings: cfg, stop: make(chan struct{}), links: map[string]*medlarlink.Link{}, removed: map[string]bool{}}
 	for i := range cfg.Engines {
 		build := ""
 		if n := len(cfg.Builds); n > 0 {
@@ -272,6 +275,9 @@
 // no other instance.
 func (s *Site) InstanceSettings(name string) (medlarsettings.Attached, *medlarfaketopic.Endpoint, error) {
 	endpoint := s.Store.NewEndpoint()
+	if s.settings.Links {
+		endpoint.SetView(s.linkTo(name))
+	}
 	server, err := medlarhost.New("store for "+name, "127.0.0.1:0", medlarfault.New(), endpoint.Handle)
 	if err != nil {
 		return medlarsettings.Attached{}, nil, err
@@ -301,6 +307,9 @@
 	for _, server := range s.servers {
 		server.Close()
 	}
+	for _, l := range s.links {
+		l.Close()
+	}
 }
 
 // CurlCommand returns a shell command that sends a prompt to the instance at an address.
