--- a/internal/stand/medlarlink/medlarlink.go
+++ b/internal/stand/medlarlink/medlarlink.go
@@ -64,7 +64,9 @@
 type pair struct{ near, far net.Conn }
 
 // New returns a link that is up and knows no replicas.
-func New() *Link { return &Link{state: Up, resumed: make(chan struct{}), ports: map[string]*port{}, pairs: map[*pair]bool{}} }
+func New() *Link {
+	return &Link{state: Up, resumed: make(chan struct{}), ports: map[string]*port{}, pairs: map[*pair]bool{}}
+}
 
 // Address returns the address on the link of a replica (R1).
 func (l *Link) Address(target string) (string, error) {
