--- a/internal/agree/medlarnotice/peer.go
+++ b/internal/agree/medlarnotice/peer.go
@@ -12,6 +12,9 @@
 type Peer struct {
 	Address medlarid.Address `json:"at"`
 	Key     uint64           `json:"key,string"` // differs with each start of the instance
+	// Relay is where the instance takes requests to relay connections to replicas; empty if it takes none.
+	Relay medlarid.Address `json:"relay,omitempty"`
+	Zone  medlarid.Zone    `json:"zone,omitempty"`
 }
 
 // EncodePeer returns the record of an instance's address.
--- a/internal/base/medlarprobe/medlarprobe.go
+++ b/internal/base/medlarprobe/medlarprobe.go
@@ -11,6 +11,9 @@
 // unwrapper is a connection that wraps another one, such as a TLS connection.
 type unwrapper interface{ NetConn() net.Conn }
 
+// buffer is a connection that reads ahead of what is asked for.
+type buffer interface{ Buffered() int }
+
 // Gone reports whether the peer of a TCP connection has closed or reset it. It
 // consumes no data. It returns false for connections that it cannot inspect.
 func Gone(c net.Conn) bool { return inspect(c) == stateGone }
@@ -30,6 +33,9 @@
 
 func inspect(c net.Conn) state {
 	for {
+		if b, ok := c.(buffer); ok && b.Buffered() > 0 {
+			return stateReadable
+		}
 		u, ok := c.(unwrapper)
 		if !ok {
 			break
--- /dev/null
+++ b/internal/core/medlarreach/medlarreach.go
@@ -0,0 +1,385 @@
+// Package medlarreach decides by which way an instance opens connections to replicas: directly,
+// or through another instance that reaches them. A connection that fails says as little about the
+// replica as about the instance's own way to it; only what another instance sees tells them apart.
+//
+// Rules:
+//
+//	R1  A connection is opened directly, and another instance is asked once that has failed
+//	    or takes longer than HedgeDelay. If the other instance reaches the replica, the own way
+//	    to it is broken, and its connections are relayed from then on.
+//	R2  If minWitnesses other instances don't reach the replica either, it is down, and none is
+//	    asked about it again for downTTL.
+//	R3  If the ways to minBroken replicas are broken and no direct connection was opened since
+//	    the first of them broke, the instance is cut off: connections to all replicas are relayed.
+//	R4  A broken way is tried again with connections that serve no request, a few at a time. The
+//	    first one that opens ends the cut. A way that breaks again soon is tried later each time.
+//	R5  A way on which connections hang holds back what is sent on connections that are
+//	    already open, too; they are not used for further requests. Where new connections are refused,
+//	    open ones may work and are used.
+//	R6  Up to maxHelpful other instances share what is relayed, so that none gets all of it. Until there are so many
+//	    one more is asked first each time, of the own availability zone if possible. One that could not
+//	    help is asked last for a while.
+package medlarreach
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+)
+
+// Times and counts of the rules.
+const (
+	// HedgeDelay is the time after which another instance is asked while a direct connection is
+	// being opened (R1).
+	HedgeDelay = 120 * time.Millisecond
+	// MaxAsked is the number of other instances that are asked for one connection.
+	MaxAsked = 4
+
+	minWitnesses  = 2                      // R2
+	downTTL       = 500 * time.Millisecond // R2
+	minBroken     = 3                      // R3
+	minRetryDelay = time.Second            // until a broken way is tried again; doubles if it breaks again soon (R4)
+	maxRetryDelay = 8 * time.Second        // R4
+	breaksSoon    = 10 * time.Second       // R4
+	retriesAtOnce = 3                      // broken ways that are tried at once (R4)
+	maxHelpful    = 4                      // instances that share what one relays (R6)
+	helpfulTTL    = 10 * time.Second       // R6
+	unhelpfulTTL  = 3 * time.Second        // R6
+)
+
+// Outcome is how an attempt to open a connection ended.
+type Outcome string
+
+// Outcomes.
+const (
+	Opened  Outcome = "opened"
+	Refused Outcome = "refused" // by the replica, or by what answers at its address
+	Silent  Outcome = "silent"  // nothing answers
+	// Unhelpful is the outcome at another instance that could not try: it does not know the replica, sends it
+	// nothing at present, is cut off itself, or does not answer.
+	Unhelpful Outcome = "unhelpful"
+)
+
+// Plan says how to open a connection to a replica.
+type Plan struct {
+	// Relay is set if another instance may be asked, and RelayFirst if a direct connection is opened only
+	// if none of them helps.
+	Relay, RelayFirst bool
+}
+
+// Peer is another instance that may relay.
+type Peer struct {
+	ID   medlarid.InstanceID
+	Zone medlarid.Zone
+}
+
+// peer is what is known of another instance.
+type peer struct {
+	Peer
+	helpedAt   time.Time // when it relayed last
+	unhelpedAt time.Time // when it could not help last
+}
+
+// way is the state of the own way to one replica.
+type way struct {
+	broken     bool
+	hangs      bool      // connections hang rather than being refused (R5)
+	brokenAt   time.Time // when it broke last
+	mendedAt   time.Time // when it was found to work again
+	retryAt    time.Time // R4
+	retryDelay time.Duration
+	retrying   bool
+	downUntil  time.Time // R2
+}
+
+// Change is a change of a way, or of the instance's state, for the log.
+type Change struct {
+	Replica medlarid.InstanceID // empty for a change of the instance's state
+	Broken  bool                // the way is broken, or the instance is cut off
+	Hangs   bool
+	Ways    int           // broken ways at that time
+	For     time.Duration // how long it was broken, if it is no longer
+}
+
+// Table holds the state of the own ways to replicas. It is not safe for concurrent use.
+type Table struct {
+	zone    medlarid.Zone
+	rand    *rand.Rand
+	ways    map[medlarid.InstanceID]*way
+	peers   map[medlarid.InstanceID]*peer
+	broken  int       // broken ways
+	openAt  time.Time // when a direct connection was opened last
+	firstAt time.Time // when the first of the broken ways broke
+	cut     bool
+	cutAt   time.Time
+	changes []Change
+}
+
+// New returns a Table of an instance in a zone that knows no replicas and no other instances.
+func New(zone medlarid.Zone, r *rand.Rand) *Table {
+	return &Table{zone: zone, rand: r, ways: map[medlarid.InstanceID]*way{}, peers: map[medlarid.InstanceID]*peer{}}
+}
+
+// SetPeer records another instance that may relay.
+func (t *Table) SetPeer(p Peer) { t.peers[p.ID] = &peer{Peer: p} }
+
+// RemovePeer removes another instance.
+func (t *Table) RemovePeer(id medlarid.InstanceID) { delete(t.peers, id) }
+
+// Cut reports whether the instance is cut off from the replicas (R3).
+func (t *Table) Cut() bool { return t.cut }
+
+// Broken returns the number of replicas to which the own way is broken.
+func (t *Table) Broken() int { return t.broken }
+
+// Works reports whether the own way to a replica is believed to work.
+func (t *Table) Works(id medlarid.InstanceID) bool {
+	w := t.ways[id]
+	return !t.cut && (w == nil || !w.broken)
+}
+
+// KeepsOpen reports whether direct connections to a replica that are already open may be used (R5).
+func (t *Table) KeepsOpen(id medlarid.InstanceID) bool {
+	w := t.ways[id]
+	if w != nil && w.broken {
+		return !w.hangs
+	}
+	return !t.cut || !t.allHang()
+}
+
+// allHang reports whether connections hang on all broken ways.
+func (t *Table) allHang() bool {
+	for _, w := range t.ways {
+		if w.broken && !w.hangs {
+			return false
+		}
+	}
+	return true
+}
+
+// Plan returns how to open a connection to a replica (R1 to R3).
+func (t *Table) Plan(now time.Time, id medlarid.InstanceID) Plan {
+	if len(t.peers) == 0 {
+		return Plan{}
+	}
+	if !t.Works(id) {
+		return Plan{Relay: true, RelayFirst: true}
+	}
+	w := t.ways[id]
+	return Plan{Relay: w == nil || !now.Before(w.downUntil)}
+}
+
+// Peers returns the other instances to ask, in order (R6).
+func (t *Table) Peers(now time.Time) []medlarid.InstanceID {
+	var helpful, others []*peer
+	for _, p := range t.peers {
+		if p.helps(now) {
+			helpful = append(helpful, p)
+		} else {
+			others = append(others, p)
+		}
+	}
+	t.shuffle(helpful)
+	t.shuffle(others)
+	slices.SortStableFunc(others, func(a, b *peer) int { return cmp.Compare(t.rank(now, a), t.rank(now, b)) })
+	if n := min(len(others), 1); len(helpful) < maxHelpful && n > 0 && !others[0].unhelpful(now) {
+		helpful, others = append(others[:n:n], helpful...), others[n:]
+	}
+	var out []medlarid.InstanceID
+	for _, p := range append(helpful, others...) {
+		out = append(out, p.ID)
+	}
+	return out[:min(len(out), MaxAsked)]
+}
+
+// shuffle puts peers in an order that depends on the seed alone.
+func (t *Table) shuffle(peers []*peer) {
+	slices.SortFunc(peers, func(a, b *peer) int { return cmp.Compare(a.ID, b.ID) })
+	t.rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+}
+
+// helps reports whether another instance has relayed lately.
+func (p *peer) helps(now time.Time) bool {
+	return !p.helpedAt.IsZero() && now.Sub(p.helpedAt) < helpfulTTL && !p.unhelpful(now)
+}
+
+// unhelpful reports whether another instance could not help lately.
+func (p *peer) unhelpful(now time.Time) bool {
+	return !p.unhelpedAt.IsZero() && now.Sub(p.unhelpedAt) < unhelpfulTTL
+}
+
+// rank returns the place in the order of another instance that has not relayed lately.
+func (t *Table) rank(now time.Time, p *peer) int {
+	rank := 0
+	if p.Zone != t.zone {
+		rank++
+	}
+	if p.unhelpful(now) {
+		rank += 2
+	}
+	return rank
+}
+
+// Ended records how an attempt to open a direct connection ended. What is not opened breaks the way only once
+// another instance has reached the replica.
+func (t *Table) Ended(now time.Time, id medlarid.InstanceID, o Outcome) {
+	if o != Opened {
+		return
+	}
+	t.openAt = now
+	t.mend(now, id)
+	t.endCut(now)
+}
+
+// Asked records what another instance has said about a replica; direct is how opening a direct connection has ended,
+// Silent if it has not ended yet, or empty if it was not tried.
+func (t *Table) Asked(now time.Time, id, asked medlarid.InstanceID, direct, o Outcome) {
+	if p := t.peers[asked]; p != nil {
+		switch o {
+		case Opened:
+			p.helpedAt, p.unhelpedAt = now, time.Time{}
+		case Unhelpful:
+			p.unhelpedAt = now
+		}
+	}
+	if o == Opened && (direct == Refused || direct == Silent) {
+		t.breakWay(now, id, direct == Silent)
+	}
+}
+
+// Unreached records that the replica is down if enough other instances did not reach it either (R2).
+func (t *Table) Unreached(now time.Time, id medlarid.InstanceID, witnesses int) {
+	if witnesses < min(minWitnesses, len(t.peers)) || witnesses == 0 {
+		return
+	}
+	t.way(id).downUntil = now.Add(downTTL)
+}
+
+// Witnessed reports whether enough other instances have said that they don't reach a replica (R2).
+func Witnessed(n int) bool { return n >= minWitnesses }
+
+func (t *Table) way(id medlarid.InstanceID) *way {
+	w := t.ways[id]
+	if w == nil {
+		w = &way{}
+		t.ways[id] = w
+	}
+	return w
+}
+
+// breakWay records that the own way to a replica is broken (R1), and finds out whether the instance is cut off (R3).
+func (t *Table) breakWay(now time.Time, id medlarid.InstanceID, hangs bool) {
+	w := t.way(id)
+	if w.broken {
+		w.hangs = hangs
+		return
+	}
+	soon := !w.mendedAt.IsZero() && now.Sub(w.mendedAt) < breaksSoon
+	w.retryDelay = min(2*w.retryDelay, maxRetryDelay)
+	if !soon || w.retryDelay == 0 {
+		w.retryDelay = minRetryDelay
+	}
+	w.broken, w.hangs, w.brokenAt, w.retryAt = true, hangs, now, now.Add(w.retryDelay)
+	t.broken++
+	if t.broken == 1 {
+		t.firstAt = now
+	}
+	t.changes = append(t.changes, Change{Replica: id, Broken: true, Hangs: hangs, Ways: t.broken})
+	if !t.cut && t.broken >= minBroken && t.openAt.Before(t.firstAt) {
+		t.cut, t.cutAt = true, now
+		t.changes = append(t.changes, Change{Broken: true, Hangs: t.allHang(), Ways: t.broken})
+	}
+}
+
+// mend records that the own way to a replica works.
+func (t *Table) mend(now time.Time, id medlarid.InstanceID) {
+	w := t.ways[id]
+	if w == nil {
+		return
+	}
+	w.downUntil = time.Time{}
+	if !w.broken {
+		return
+	}
+	w.broken, w.mendedAt = false, now
+	t.broken--
+	t.changes = append(t.changes, Change{Replica: id, Ways: t.broken, For: now.Sub(w.brokenAt)})
+}
+
+// endCut ends the cut: all other broken ways are tried again soon (R4).
+func (t *Table) endCut(now time.Time) {
+	if !t.cut {
+		return
+	}
+	t.cut = false
+	t.changes = append(t.changes, Change{Ways: t.broken, For: now.Sub(t.cutAt)})
+	for _, w := range t.ways {
+		if w.broken {
+			w.retryAt = now
+		}
+	}
+}
+
+// Retries returns the replicas to which a direct connection is to be tried now (R4), and the time until the
+// next ones; 0 if no way is broken.
+func (t *Table) Retries(now time.Time) (due []medlarid.InstanceID, next time.Duration) {
+	retrying := 0
+	for id, w := range t.ways {
+		switch {
+		case !w.broken:
+		case w.retrying:
+			retrying++
+		case !now.Before(w.retryAt):
+			due = append(due, id)
+		}
+	}
+	slices.Sort(due)
+	t.rand.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	due = due[:min(len(due), max(retriesAtOnce-retrying, 0))]
+	for _, id := range due {
+		t.ways[id].retrying = true
+	}
+	if t.broken == 0 {
+		return nil, 0
+	}
+	return due, retryPoll
+}
+
+// retryPoll is the time between two looks for broken ways that are due.
+const retryPoll = 100 * time.Millisecond
+
+// Retried records how a try of a broken way ended (R4).
+func (t *Table) Retried(now time.Time, id medlarid.InstanceID, o Outcome) {
+	w := t.ways[id]
+	if w == nil {
+		return
+	}
+	w.retrying, w.retryAt = false, now.Add(w.retryDelay)
+	t.Ended(now, id, o)
+}
+
+// Keep forgets the ways to replicas that are gone.
+func (t *Table) Keep(exists func(medlarid.InstanceID) bool) {
+	for id, w := range t.ways {
+		if exists(id) {
+			continue
+		}
+		if w.broken {
+			t.broken--
+		}
+		delete(t.ways, id)
+	}
+	if t.broken == 0 {
+		t.cut = false
+	}
+}
+
+// TakeChanges returns the changes since the last call.
+func (t *Table) TakeChanges() []Change {
+	out := t.changes
+	t.changes = nil
+	return out
+}
--- a/internal/edge/medlarcall/medlarcall.go
+++ b/internal/edge/medlarcall/medlarcall.go
@@ -130,7 +130,8 @@
 	Cause    medlarworld.Cause
 	Reason   medlarreason.Reason
 	Reached  bool
-	Reused   bool // the connection had served a request before
+	Reused   bool                // the connection had served a request before
+	Via      medlarid.InstanceID // that relayed it; empty for none
 	Status   int
 	Body     BodyEnd
 	Decision medlarchoice.Decision // by which the upstream was selected
@@ -179,11 +180,12 @@
 	Body        BodyEnd // of the response to the last attempt
 	// Parts holds the expected cache state of each part of the prompt at the last attempt.
 	Parts       []medlarchoice.PartState
-	QueueTime   time.Duration // from the request's arrival until the first attempt
-	ConnectTime time.Duration // from the start of the last attempt until it had a connection
-	Reused      bool          // the connection of the last attempt had served a request before
-	FirstByte   time.Duration // from the request's arrival until the first byte of the response
-	MaxWriteGap time.Duration // longest time between two writes of the response
+	QueueTime   time.Duration       // from the request's arrival until the first attempt
+	ConnectTime time.Duration       // from the start of the last attempt until it had a connection
+	Reused      bool                // the connection of the last attempt had served a request before
+	Via         medlarid.InstanceID // that relayed it; empty for none
+	FirstByte   time.Duration       // from the request's arrival until the first byte of the response
+	MaxWriteGap time.Duration       // longest time between two writes of the response
 	Duration    time.Duration
 	Complete    bool          // the response was written in full
 	wrote       time.Duration // from the request's arrival until the last write
--- a/internal/edge/medlarmetric/medlarmetric.go
+++ b/internal/edge/medlarmetric/medlarmetric.go
@@ -61,6 +61,10 @@
 	tokens         *prometheus.CounterVec
 	bytesMoved     *prometheus.CounterVec
 	connects       *prometheus.CounterVec
+	asked          *prometheus.CounterVec
+	relayed        *prometheus.CounterVec
+	cut            prometheus.Gauge
+	brokenWays     prometheus.Gauge
 	ejections      prometheus.Counter
 	hints          *prometheus.CounterVec
 	lost           *prometheus.CounterVec
@@ -87,7 +91,11 @@
 	m.answers = m.newCounterVec("answers_total", "Requests answered, by kind.", "kind")
 	m.responses = m.newCounterVec("responses_total", "Responses of replicas, by framing of the body and by its end: complete, partial, broken.", "framing", "end")
 	m.lost = m.newCounterVec("lost_total", "Attempts whose connection the replica ended before the response was complete, by whether an event had been received.", "began")
-	m.connects = m.newCounterVec("connects_total", "Attempts to open connections to replicas, by result: opened, refused, timeout, failed.", "result")
+	m.connects = m.newCounterVec("connects_total", "Attempts to open direct connections to replicas, by result: opened, refused, silent, failed.", "result")
+	m.asked = m.newCounterVec("asked_total", "Answers of other instances that were asked to relay a connection to a replica: opened, refused, silent, unhelpful.", "result")
+	m.relayed = m.newCounterVec("relayed_total", "Requests of other instances to relay a connection to a replica, by whether it was opened.", "opened")
+	m.cut = m.newGauge("cut", "1 while this instance reaches no replica directly although others do.")
+	m.brokenWays = m.newGauge("broken_ways", "Replicas that this instance does not reach directly although others do.")
 	m.hints = m.newCounterVec("hints_total", "What replicas said in responses about further requests: leaving, pause, limit, malformed.", "kind")
 	m.tokens = m.newCounterVec("tokens_total", "Tokens, by kind: prompt, cached, completion.", "kind")
 	m.bytesMoved = m.newCounterVec("moved_bytes_total", "Bytes of kept context moved, by direction.", "direction")
@@ -249,19 +257,25 @@
 	m.blocked.Dec()
 }
 
-// ConnectResult is how an attempt to open a connection to a replica ended.
-type ConnectResult string
+// Connected counts an attempt to open a direct connection to a replica.
+func (m *Metrics) Connected(result string) { m.connects.WithLabelValues(result).Inc() }
 
-// Results of attempts to open connections.
-const (
-	ConnectOpened  ConnectResult = "opened"
-	ConnectRefused ConnectResult = "refused"
-	ConnectTimeout ConnectResult = "timeout"
-	ConnectFailed  ConnectResult = "failed" // for another reason
-)
+// Asked counts what another instance said that was asked for a connection to a replica.
+func (m *Metrics) Asked(result string) { m.asked.WithLabelValues(result).Inc() }
+
+// Relayed counts a request of another instance for a connection to a replica.
+func (m *Metrics) Relayed(opened bool) { m.relayed.WithLabelValues(strconv.FormatBool(opened)).Inc() }
+
+// SetCut sets whether this instance is cut off from the replicas.
+func (m *Metrics) SetCut(cut bool) {
+	m.cut.Set(0)
+	if cut {
+		m.cut.Set(1)
+	}
+}
 
-// Connected counts an attempt to open a connection to a replica.
-func (m *Metrics) Connected(r ConnectResult) { m.connects.WithLabelValues(string(r)).Inc() }
+// SetBrokenWays sets the number of replicas that this instance does not reach while others do.
+func (m *Metrics) SetBrokenWays(n int) { m.brokenWays.Set(float64(n)) }
 
 // Ejected counts an ejection of an upstream.
 func (m *Metrics) Ejected() { m.ejections.Inc() }
--- a/internal/edge/medlarpool/medlarpool.go
+++ b/internal/edge/medlarpool/medlarpool.go
@@ -53,16 +53,32 @@
 
 	// Opened is when the connection was established.
 	Opened time.Time
+	// Target is the upstream, and Via the instance that relays the connection; empty for a direct one.
+	Target Target
+	Via    medlarid.InstanceID
 
-	addr      medlarid.Address
 	idleSince time.Time // start of the idle period
 	expires   time.Time // end of the idle timeout
 }
 
+// Target is an upstream.
+type Target struct {
+	ID          medlarid.InstanceID
+	Incarnation medlarid.Incarnation
+	Address     medlarid.Address
+}
+
+// Deps are the functions that a Pool depends on.
+type Deps struct {
+	// Dial opens a connection, and returns the instance that relays it; empty for none.
+	Dial func(context.Context, Target) (net.Conn, medlarid.InstanceID, error)
+	// Usable reports whether an idle connection may be used.
+	Usable func(*Conn) bool
+}
+
 // Pool holds idle connections. It is safe for concurrent use.
 type Pool struct {
-	// OnDial is called with the result of each attempt to open a connection.
-	OnDial func(error)
+	deps Deps
 
 	mu      sync.Mutex
 	idle    map[medlarid.Address][]*Conn // in order of last use, the most recent one last
@@ -71,40 +87,54 @@
 }
 
 // New returns an empty pool.
-func New() *Pool {
-	return &Pool{OnDial: func(error) {}, idle: map[medlarid.Address][]*Conn{}}
+func New(deps Deps) *Pool { return &Pool{deps: deps, idle: map[medlarid.Address][]*Conn{}} }
+
+// NewDirect returns an empty pool that opens direct connections.
+func NewDirect() *Pool {
+	return New(Deps{
+		Dial: func(ctx context.Context, t Target) (net.Conn, medlarid.InstanceID, error) {
+			c, err := Dial(ctx, t.Address)
+			return c, "", err
+		},
+		Usable: func(*Conn) bool { return true },
+	})
 }
 
-// Get returns an idle or new connection to addr. If recent is set, an idle connection is
+// Get returns an idle or new connection to an upstream. If recent is set, an idle connection is
 // used only if it was in use within maxRecentIdle (R3).
-func (p *Pool) Get(ctx context.Context, addr medlarid.Address, recent bool) (*Conn, error) {
-	for c := p.take(addr); c != nil; c = p.take(addr) {
+func (p *Pool) Get(ctx context.Context, t Target, recent bool) (*Conn, error) {
+	for c := p.take(t.Address); c != nil; c = p.take(t.Address) {
 		now := time.Now()
 		usable := now.Before(c.expires) && !(recent && now.Sub(c.idleSince) > maxRecentIdle)
-		if usable && medlarprobe.Idle(c.Conn) {
+		if usable && p.deps.Usable(c) && medlarprobe.Idle(c.Conn) {
 			return c, nil
 		}
 		_ = c.Close()
 	}
-	return p.dial(ctx, addr)
+	c, via, err := p.deps.Dial(ctx, t)
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{Conn: c, Reader: bufio.NewReaderSize(c, readBuffer), Opened: time.Now(), Target: t, Via: via}, nil
 }
 
-func (p *Pool) dial(ctx context.Context, addr medlarid.Address) (*Conn, error) {
+// Dial opens a direct connection to an upstream.
+func Dial(ctx context.Context, addr medlarid.Address) (net.Conn, error) {
 	d := net.Dialer{
 		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
-		Control:         setUserTimeout,
-	}
-	c, err := d.DialContext(ctx, "tcp4", string(addr))
-	p.OnDial(err)
-	if err != nil {
-		return nil, err
+		KeepAliveConfig: KeepAlive(),
+		Control:         SetUserTimeout,
 	}
-	return &Conn{Conn: c, Reader: bufio.NewReaderSize(c, readBuffer), Opened: time.Now(), addr: addr}, nil
+	return d.DialContext(ctx, "tcp4", string(addr))
 }
 
-// setUserTimeout limits the time for which sent bytes may stay unacknowledged (R4).
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+// KeepAlive returns how idle connections to upstreams are probed (R4).
+func KeepAlive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
+}
+
+// SetUserTimeout limits the time for which bytes that are sent on a new socket may stay unacknowledged (R4).
+func SetUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var sockErr error
 	err := raw.Control(func(fd uintptr) {
 		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
@@ -134,11 +164,11 @@
 	if now.Sub(p.sweptAt) > sweepInterval {
 		p.sweep(now)
 	}
-	if len(p.idle[c.addr]) >= maxIdle || p.total >= maxIdleTotal {
+	if len(p.idle[c.Target.Address]) >= maxIdle || p.total >= maxIdleTotal {
 		_ = c.Close()
 		return
 	}
-	p.idle[c.addr] = append(p.idle[c.addr], c)
+	p.idle[c.Target.Address] = append(p.idle[c.Target.Address], c)
 	p.total++
 }
 
@@ -161,20 +191,28 @@
 func (p *Pool) CloseIdle(addr medlarid.Address) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range p.idle[addr] {
-		_ = c.Close()
-	}
-	p.total -= len(p.idle[addr])
-	delete(p.idle, addr)
+	p.closeIf(func(c *Conn) bool { return c.Target.Address == addr })
+}
+
+// CloseVia closes the idle connections that an instance relays.
+func (p *Pool) CloseVia(id medlarid.InstanceID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeIf(func(c *Conn) bool { return c.Via == id })
 }
 
 // sweep closes the connections whose idle timeout has expired. The caller holds the lock.
 func (p *Pool) sweep(now time.Time) {
 	p.sweptAt = now
+	p.closeIf(func(c *Conn) bool { return !now.Before(c.expires) })
+}
+
+// closeIf closes the idle connections that match. The caller holds the lock.
+func (p *Pool) closeIf(match func(*Conn) bool) {
 	for addr, cs := range p.idle {
 		kept := cs[:0]
 		for _, c := range cs {
-			if now.Before(c.expires) {
+			if !match(c) {
 				kept = append(kept, c)
 				continue
 			}
--- a/internal/edge/medlarpool/medlarpool_test.go
+++ b/internal/edge/medlarpool/medlarpool_test.go
@@ -50,8 +50,8 @@
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			addr, peers := listen(t)
-			p := New()
-			c, err := p.Get(t.Context(), addr, false)
+			p := NewDirect()
+			c, err := p.Get(t.Context(), Target{Address: addr}, false)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -62,7 +62,7 @@
 				time.Sleep(20 * time.Millisecond)
 			}
 			time.Sleep(tc.wait)
-			got, err := p.Get(t.Context(), addr, tc.recent)
+			got, err := p.Get(t.Context(), Target{Address: addr}, tc.recent)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -75,8 +75,8 @@
 
 func TestCloseIdle(t *testing.T) {
 	addr, peers := listen(t)
-	p := New()
-	c, err := p.Get(t.Context(), addr, false)
+	p := NewDirect()
+	c, err := p.Get(t.Context(), Target{Address: addr}, false)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -12,6 +12,7 @@
 	"medlarfield/internal/agree/medlarcatalog"
 	"medlarfield/internal/base/medlarevent"
 	"medlarfield/internal/base/medlarhead"
+	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarcall"
@@ -41,7 +42,8 @@
 	bodyWritten chan error       // result of a body write in the background; nil for none
 	status      int
 	bodyEnd     medlarcall.BodyEnd
-	reused      bool // the connection had served a request before
+	reused      bool                // the connection had served a request before
+	via         medlarid.InstanceID // that relays the connection; empty for none
 	err         error
 	lost        bool      // the upstream ended the connection before its response was complete
 	headBegan   bool      // a byte of a response was received
@@ -66,12 +68,12 @@
 func (a *attempt) do() medlarworld.AttemptEnded {
 	ctx, cancel := context.WithDeadline(a.ctx, a.run.Deadline)
 	defer cancel()
-	c, err := a.proxy.deps.Pool.Get(ctx, a.cmd.Address, a.run.AtMostOnce)
+	c, err := a.proxy.deps.Pool.Get(ctx, medlarpool.Target{ID: a.cmd.Upstream, Incarnation: a.cmd.Incarnation, Address: a.cmd.Address}, a.run.AtMostOnce)
 	if err != nil {
 		return a.failed(err, medlarreason.Unreachable, false)
 	}
-	a.upstream, a.reused = c, c.Reused
-	a.summary.ConnectTime, a.summary.Reused = time.Since(a.started), c.Reused
+	a.upstream, a.reused, a.via = c, c.Reused, c.Via
+	a.summary.ConnectTime, a.summary.Reused, a.summary.Via = time.Since(a.started), c.Reused, c.Via
 	_ = c.SetDeadline(a.deadline())
 	a.stopClose = context.AfterFunc(a.ctx, func() { _ = c.Close() }) // R3
 	defer a.stopClose()
@@ -282,6 +284,7 @@
 		Reason:   e.Reason,
 		Reached:  e.Reached,
 		Reused:   a.reused,
+		Via:      a.via,
 		Status:   a.status,
 		Body:     a.bodyEnd,
 		Decision: a.cmd.Decision,
--- a/internal/edge/medlarproxy/close_test.go
+++ b/internal/edge/medlarproxy/close_test.go
@@ -43,7 +43,7 @@
 		OnVersionReported: func(medlarid.InstanceID, medlarid.WeightVersion) {},
 		OnVersionDenied:   func(medlarid.InstanceID, medlarid.WeightVersion) {},
 		OnMalformedHint:   func(medlarid.InstanceID) {},
-		Pool:              medlarpool.New(),
+		Pool:              medlarpool.NewDirect(),
 		Decode:            medlarplatform.DecodeCall,
 		Forward:           medlarplatform.NewClock().AppendForward,
 		Reply:             medlarplatform.DecodeReply,
--- a/internal/ops/medlarattachednode/logging.go
+++ b/internal/ops/medlarattachednode/logging.go
@@ -1,10 +1,7 @@
 package medlarattachednode
 
 import (
-	"errors"
 	"math"
-	"os"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -40,6 +37,9 @@
 				Str("replica", string(a.Upstream)).Str("build", string(a.Build)).Str("version", string(a.Version)).Str("cause", string(a.Cause)).
 				Str("reason", string(a.Reason)).Bool("reached", a.Reached).Bool("reused", a.Reused).
 				Int("status", a.Status).Float64("took", ms(a.Duration)).Dict("why", choiceFields(a.Decision)).AnErr("error", a.Err)
+			if a.Via != "" {
+				l = l.Str("via", string(a.Via))
+			}
 			if a.Lost {
 				m.AttemptLost(a.Began > 0)
 				l = l.Bool("lost", true).Float64("began", ms(a.Began)).Strs("prompt", loggedParts(a.Parts)).
@@ -54,6 +54,9 @@
 				Int("status", s.Status).Bool("whole", s.Complete).Int("attempts", s.Attempts).Str("replica", string(s.Upstream)).
 				Float64("waited", ms(s.QueueTime)).Float64("connect", ms(s.ConnectTime)).Bool("reused", s.Reused).Float64("first", ms(s.FirstByte)).
 				Float64("gap", ms(s.MaxWriteGap)).Float64("took", ms(s.Duration))
+			if s.Via != "" {
+				l = l.Str("via", string(s.Via))
+			}
 			if s.Build != "" {
 				l = l.Str("build", string(s.Build))
 			}
@@ -113,19 +116,6 @@
 	return l
 }
 
-// connectResult returns the result that an attempt to open a connection is counted with.
-func connectResult(err error) medlarmetric.ConnectResult {
-	switch {
-	case err == nil:
-		return medlarmetric.ConnectOpened
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return medlarmetric.ConnectRefused
-	case os.IsTimeout(err):
-		return medlarmetric.ConnectTimeout
-	}
-	return medlarmetric.ConnectFailed
-}
-
 // countResponse counts an upstream's response by its framing and its end.
 func countResponse(m *medlarmetric.Metrics, end medlarcall.BodyEnd) {
 	if !end.Received {
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -8,7 +8,7 @@
 //	R2  A graceful stop takes these steps in order: the instance reports unready; it
 //	    serves requests, each as the last one on its connection, until the platform
 //	    has taken the instance out of rotation; it accepts no new connections; open
-//	    requests end; connections close.
+//	    requests, and connections that it relays, end; connections close.
 package medlarattachednode
 
 import (
@@ -35,6 +35,7 @@
 	"medlarfield/internal/edge/medlarproxy"
 	"medlarfield/internal/edge/medlarserver"
 	"medlarfield/internal/ops/medlarcachetracker"
+	"medlarfield/internal/ops/medlardialer"
 	"medlarfield/internal/ops/medlarlogger"
 	"medlarfield/internal/ops/medlarloop"
 	"medlarfield/internal/ops/medlarnotifier"
@@ -84,6 +85,7 @@
 	board     *medlarnotice.Board
 	notifier  *medlarnotifier.Notifier
 	socket    *medlardatagram.Socket
+	dialer    *medlardialer.Dialer
 
 	stopping       atomic.Bool
 	listener       net.Listener
@@ -114,7 +116,7 @@
 			return medlarcalls.NewKVStores(h, replicaTimeout, c)
 		},
 		medlarplatform.NewClock, medlarmetric.New, newPool,
-		newSocket, newBoard, newNotifier, newLoop, newRegistry, newProxy, newFeeds, newTerm, newRollout, newTracker, newInstance,
+		newPeerKey, newDialer, newSocket, newBoard, newNotifier, newLoop, newRegistry, newProxy, newFeeds, newTerm, newRollout, newTracker, newInstance,
 	}
 	for _, p := range providers {
 		if err := c.Provide(p); err != nil {
@@ -129,14 +131,17 @@
 func newInstance(cfg medlarsettings.Attached, log zerolog.Logger, logWriter *medlarlogger.Writer, m *medlarmetric.Metrics,
 	loop *medlarloop.Loop, registry *medlarregistry.Registry, proxy *medlarproxy.Proxy, feeds []*medlarfeed.Feed, rollout *medlarrollout.Rollout,
 	tracker *medlarcachetracker.Tracker, board *medlarnotice.Board, notifier *medlarnotifier.Notifier, socket *medlardatagram.Socket,
+	dialer *medlardialer.Dialer,
 ) *Instance {
 	return &Instance{
 		cfg: cfg, log: log, logWriter: logWriter, metrics: m, loop: loop, registry: registry, server: proxy.Server(), feeds: feeds, rollout: rollout, tracker: tracker, board: board,
-		notifier: notifier, socket: socket,
+		notifier: notifier, socket: socket, dialer: dialer,
 	}
 }
 
-func newLoop(cfg medlarsettings.Attached, m *medlarmetric.Metrics, log zerolog.Logger, n *medlarnotifier.Notifier, socket *medlardatagram.Socket) *medlarloop.Loop {
+func newLoop(cfg medlarsettings.Attached, m *medlarmetric.Metrics, log zerolog.Logger, n *medlarnotifier.Notifier, socket *medlardatagram.Socket,
+	d *medlardialer.Dialer,
+) *medlarloop.Loop {
 	core := medlarcore.New(medlarworld.Config{
 		Self:            cfg.Name,
 		Zone:            cfg.Zone,
@@ -157,7 +162,10 @@
 			m.Ejected()
 			log.Info().Str("event", "ejection").Str("replica", string(e.Upstream)).Bool("back", e.Readmitted).Msg("upstream ejected or readmitted")
 		},
-		OnAvoided:     func(a medlarworld.Avoided) { logAvoided(log, m, a) },
+		OnAvoided: func(a medlarworld.Avoided) {
+			logAvoided(log, m, a)
+			go d.Avoid(a) // the registry may wait for the loop
+		},
 		OnLimit:       func(c medlarworld.LimitChanged) { logLimit(log, m, c) },
 		RequestShares: func(medlarworld.RequestShares) {},
 		OnTick:        m.Ticked,
@@ -169,16 +177,6 @@
 	return loop
 }
 
-func newPool(m *medlarmetric.Metrics) *medlarpool.Pool {
-	pool := medlarpool.New()
-	pool.OnDial = func(err error) { m.Connected(connectResult(err)) }
-	return pool
-}
-
-func newRegistry(log zerolog.Logger, pool *medlarpool.Pool, loop *medlarloop.Loop) *medlarregistry.Registry {
-	return medlarregistry.New(log, pool, loop.Post)
-}
-
 func newProxy(log zerolog.Logger, m *medlarmetric.Metrics, loop *medlarloop.Loop, registry *medlarregistry.Registry, pool *medlarpool.Pool, clock *medlarplatform.Clock,
 ) *medlarproxy.Proxy {
 	return medlarproxy.New(medlarproxy.Deps{
@@ -282,7 +280,8 @@
 		go f.Run(ctx)
 	}
 	go i.board.Run(ctx)
-	i.openSocket()
+	i.openPeers()
+	go i.dialer.Run(ctx)
 	go i.rollout.Run(ctx)
 	go i.tracker.Run(ctx)
 	go i.serve("callers", func() error { return i.server.Serve(i.listener) })
@@ -295,19 +294,6 @@
 	}, nil
 }
 
-// openSocket opens the socket for datagrams of other instances. Without it the instance goes by what it
-// sees itself.
-func (i *Instance) openSocket() {
-	if !i.cfg.HasPeers() {
-		return
-	}
-	if err := i.socket.Listen(i.cfg.Peers); err != nil {
-		i.log.Error().Str("event", "listener").Str("listener", "peers").Err(err).Msg("socket for datagrams cannot be opened; going on without")
-		return
-	}
-	i.notifier.Announce(&medlarnotice.Peer{Address: i.socket.Address(), Key: uint64(i.socket.Key())})
-}
-
 // Address returns the address of the listener for callers. It is valid once Start has
 // returned.
 func (i *Instance) Address() medlarid.Address { return medlarid.Address(i.listener.Addr().String()) }
@@ -353,11 +339,13 @@
 	i.log.Info().Str("event", "stop").Int("open", i.server.ActiveConns()).Msg("stopping")
 	time.Sleep(i.cfg.Bounds.DeregistrationDelay.Std())
 	_ = i.listener.Close()
-	for i.server.CloseIdle(); i.server.OpenConns() > 0 && time.Now().Before(end); i.server.CloseIdle() {
+	i.dialer.Server().Stop()
+	for i.server.CloseIdle(); i.server.OpenConns()+i.dialer.Server().Open() > 0 && time.Now().Before(end); i.server.CloseIdle() {
 		time.Sleep(stopPoll)
 	}
 	_ = i.statusListener.Close()
 	i.socket.Close()
+	i.dialer.Server().Close()
 	i.log.Info().Str("event", "stopped").Int("cut", i.server.ActiveConns()).Dur("took", time.Since(begin)).Msg("stopped")
 }
 
--- a/internal/ops/medlarattachednode/notices.go
+++ b/internal/ops/medlarattachednode/notices.go
@@ -1,7 +1,6 @@
 package medlarattachednode
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -11,6 +10,7 @@
 	"medlarfield/internal/agree/medlarnotice"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/edge/medlarmetric"
+	"medlarfield/internal/ops/medlardialer"
 	"medlarfield/internal/ops/medlarnotifier"
 	"medlarfield/internal/ops/medlarsettings"
 	"medlarfield/internal/peer/medlardatagram"
@@ -36,17 +36,19 @@
 // callPeers is the name of datagrams in the metric of failed calls.
 const callPeers = "peers"
 
-func newSocket(cfg medlarsettings.Attached, m *medlarmetric.Metrics, board *medlarnotice.Board) *medlardatagram.Socket {
+func newSocket(cfg medlarsettings.Attached, m *medlarmetric.Metrics, board *medlarnotice.Board, key peerKey) *medlardatagram.Socket {
 	return medlardatagram.New(medlardatagram.Deps{
-		Self: cfg.Name, Key: medlardatagram.Key(rand.Uint64()),
+		Self: cfg.Name, Key: key.socketKey(),
 		OnForgotten: func(id medlarid.InstanceID) { board.Put(medlarnotice.RemovePeer(id)) },
 		OnIgnored:   func(error) { m.CallFailed(callPeers) },
 	})
 }
 
-func newNotifier(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, s *medlarcalls.Store, board *medlarnotice.Board, socket *medlardatagram.Socket) *medlarnotifier.Notifier {
+func newNotifier(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, s *medlarcalls.Store, board *medlarnotice.Board, socket *medlardatagram.Socket,
+	d *medlardialer.Dialer,
+) *medlarnotifier.Notifier {
 	return medlarnotifier.New(medlarnotifier.Deps{
-		Self: cfg.Name, Log: log, Metrics: m, Board: board, Socket: socket,
+		Self: cfg.Name, Log: log, Metrics: m, Board: board, Socket: socket, Dialer: d,
 		Read: func(newConn bool) ([]medlarfeed.Record, error) {
 			end, ok := board.End()
 			if !ok {
--- /dev/null
+++ b/internal/ops/medlardialer/medlardialer.go
@@ -0,0 +1,279 @@
+// Package medlardialer opens connections to replicas, directly or through other instances, and relays those of
+// other instances.
+//
+// Rules:
+//
+//	R1  medlarreach decides by which way; what comes of each try is reported to it.
+//	R2  A direct connection that is late goes on to its end although another instance was faster, so that it is known
+//	    how it ended.
+//	R3  What a replica says about further requests is passed to the instances that relay to it, or for which this one
+//	    does. What came from another instance is not passed on.
+package medlardialer
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"medlarfield/internal/agree/medlarnotice"
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarreach"
+	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/edge/medlarpool"
+	"medlarfield/internal/peer/medlartunnel"
+)
+
+// Times.
+const (
+	relayTimeout   = 700 * time.Millisecond // to find another instance that reaches a replica
+	forPeerTimeout = 250 * time.Millisecond // to open a connection for another instance, which waits a little longer
+	retryTimeout   = 300 * time.Millisecond // to open a connection on a way that is broken
+	hintTimeout    = time.Second            // to pass on what a replica has said
+	hintMemory     = time.Second            // what came from another instance is not passed on for so long (R3)
+)
+
+// Replica is what the registry knows of a replica.
+type Replica struct {
+	Incarnation medlarid.Incarnation
+	Address     medlarid.Address
+	Leaving     bool
+}
+
+// Deps are what a Dialer depends on.
+type Deps struct {
+	Self   medlarid.InstanceID
+	Zone   medlarid.Zone
+	Key    medlartunnel.Key
+	Client *medlartunnel.Client
+	// Dial opens a direct connection.
+	Dial func(context.Context, medlarid.Address) (net.Conn, error)
+	// OnDial is called with how each attempt to open a direct connection ended, OnAsked with what each instance that
+	// was asked for one has said, and OnRequest with what this one has said to another.
+	OnDial    func(medlarreach.Outcome)
+	OnAsked   func(medlarreach.Outcome)
+	OnRequest func(medlartunnel.Result)
+	OnChange  func(medlarreach.Change)
+}
+
+// Dialer opens connections to replicas. It is safe for concurrent use.
+type Dialer struct {
+	deps   Deps
+	server *medlartunnel.Server
+
+	// These are set by Connect.
+	lookup func(medlarid.InstanceID) (Replica, bool)
+	post   func(medlarworld.Event)
+	pool   *medlarpool.Pool
+
+	mu      sync.Mutex
+	table   *medlarreach.Table
+	peers   map[medlarid.InstanceID]medlartunnel.Peer
+	relayed map[medlarid.InstanceID]map[medlarid.InstanceID]bool // instances that relay to each replica
+	avoided map[medlarid.InstanceID]avoidance
+	wake    chan struct{} // has an element if a way may be broken
+}
+
+// avoidance is why this instance sends nothing to a replica.
+type avoidance struct {
+	incarnation medlarid.Incarnation
+	leaving     bool
+	until       time.Time // of a pause
+	hintedAt    time.Time // when another instance told of it last
+}
+
+// New returns a Dialer that knows no other instances. Connect is called before it is used.
+func New(deps Deps) *Dialer {
+	d := &Dialer{
+		deps:    deps,
+		table:   medlarreach.New(deps.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		peers:   map[medlarid.InstanceID]medlartunnel.Peer{},
+		relayed: map[medlarid.InstanceID]map[medlarid.InstanceID]bool{},
+		avoided: map[medlarid.InstanceID]avoidance{},
+		wake:    make(chan struct{}, 1),
+	}
+	d.server = medlartunnel.NewServer(medlartunnel.Deps{
+		Key: deps.Key, Dial: d.dialForPeer, OnHint: d.takeHint,
+		OnRequest: func(_, _ medlarid.InstanceID, r medlartunnel.Result) { deps.OnRequest(r) },
+	})
+	return d
+}
+
+// Connect sets where replicas are looked up, where events go, and the pool that uses the dialer.
+func (d *Dialer) Connect(lookup func(medlarid.InstanceID) (Replica, bool), post func(medlarworld.Event), pool *medlarpool.Pool) {
+	d.lookup, d.post, d.pool = lookup, post, pool
+}
+
+// Server returns the server that relays for other instances.
+func (d *Dialer) Server() *medlartunnel.Server { return d.server }
+
+// SetPeer records another instance that may relay; one without an address for that is removed.
+func (d *Dialer) SetPeer(id medlarid.InstanceID, p medlarnotice.Peer) {
+	if id == d.deps.Self {
+		return
+	}
+	d.mu.Lock()
+	old := d.peers[id]
+	next := medlartunnel.Peer{Address: p.Relay, Key: medlartunnel.Key(p.Key)}
+	if p.Relay == "" {
+		delete(d.peers, id)
+		d.table.RemovePeer(id)
+	} else if old != next {
+		d.peers[id] = next
+		d.table.SetPeer(medlarreach.Peer{ID: id, Zone: p.Zone})
+	}
+	d.mu.Unlock()
+	if old != (medlartunnel.Peer{}) && old != next {
+		d.pool.CloseVia(id) // it stops, or has started again
+	}
+}
+
+// Cut reports whether the instance is cut off from the replicas.
+func (d *Dialer) Cut() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table.Cut()
+}
+
+// Broken returns the number of replicas that this instance does not reach while others do.
+func (d *Dialer) Broken() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table.Broken()
+}
+
+// Usable reports whether an idle connection may be used.
+func (d *Dialer) Usable(c *medlarpool.Conn) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c.Via == "" {
+		return d.table.KeepsOpen(c.Target.ID)
+	}
+	_, known := d.peers[c.Via]
+	return known
+}
+
+// Run tries broken ways again until ctx is done.
+func (d *Dialer) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.wake:
+		}
+		for next := d.retry(ctx); next > 0; next = d.retry(ctx) {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(next):
+			}
+		}
+	}
+}
+
+// retry tries the broken ways that are due and returns the time until the next look; 0 if no way is broken.
+func (d *Dialer) retry(ctx context.Context) time.Duration {
+	d.mu.Lock()
+	d.table.Keep(d.exists)
+	due, next := d.table.Retries(time.Now())
+	d.unlock()
+	for _, id := range due {
+		go d.retryWay(ctx, id)
+	}
+	return next
+}
+
+// retryWay tries to open a direct connection to a replica, for no request.
+func (d *Dialer) retryWay(ctx context.Context, id medlarid.InstanceID) {
+	outcome := medlarreach.Silent
+	if r, ok := d.lookup(id); ok {
+		ctx, cancel := context.WithTimeout(ctx, retryTimeout)
+		defer cancel()
+		c, err := d.deps.Dial(ctx, r.Address)
+		if err == nil {
+			_ = c.Close()
+		}
+		outcome = outcomeOf(err)
+		d.deps.OnDial(outcome)
+	}
+	d.mu.Lock()
+	defer d.unlock()
+	d.table.Retried(time.Now(), id, outcome)
+}
+
+// unlock releases the lock and reports the changes.
+func (d *Dialer) unlock() {
+	changes := d.table.TakeChanges()
+	d.mu.Unlock()
+	for _, c := range changes {
+		d.deps.OnChange(c)
+		select {
+		case d.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Failures of this instance alone, which say nothing about the way to a replica.
+const failedHere medlarreach.Outcome = "failed"
+
+// outcomeOf returns the outcome of an attempt to open a connection.
+func outcomeOf(err error) medlarreach.Outcome {
+	var timeout interface{ Timeout() bool }
+	switch {
+	case err == nil:
+		return medlarreach.Opened
+	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
+		return medlarreach.Refused
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout(),
+		errors.Is(err, syscall.EHOSTUNREACH), errors.Is(err, syscall.ENETUNREACH):
+		return medlarreach.Silent
+	}
+	return failedHere
+}
+
+// errUnreached is the error of a connection that no instance has opened.
+var errUnreached = eris.New("neither this instance nor another one reaches the replica")
+
+// Dial opens a connection to a replica, and returns the instance that relays it; empty for a direct one.
+func (d *Dialer) Dial(ctx context.Context, t medlarpool.Target) (net.Conn, medlarid.InstanceID, error) {
+	d.mu.Lock()
+	plan := d.table.Plan(time.Now(), t.ID)
+	d.mu.Unlock()
+	o := &opening{dialer: d, ctx: ctx, target: t, results: make(chan result, 2)}
+	r := o.open(plan)
+	return r.conn, r.via, r.err
+}
+
+// Down reports whether a replica is down: it refuses connections, and other instances do not reach it either.
+func (d *Dialer) Down(t medlarpool.Target) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
+	defer cancel()
+	d.mu.Lock()
+	plan := d.table.Plan(time.Now(), t.ID)
+	d.mu.Unlock()
+	o := &opening{dialer: d, ctx: ctx, target: t, results: make(chan result, 2)}
+	direct := o.dialDirect(ctx)
+	if direct.err == nil {
+		_ = direct.conn.Close()
+		return false
+	}
+	if outcomeOf(direct.err) != medlarreach.Refused {
+		return false
+	}
+	if !plan.Relay {
+		return true
+	}
+	relayed := o.askPeers(ctx)
+	if relayed.err == nil {
+		_ = relayed.conn.Close()
+		return false
+	}
+	return relayed.witnesses > 0 || !plan.RelayFirst
+}
--- /dev/null
+++ b/internal/ops/medlardialer/opening.go
@@ -0,0 +1,216 @@
+package medlardialer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarreach"
+	"medlarfield/internal/edge/medlarpool"
+	"medlarfield/internal/peer/medlartunnel"
+)
+
+// opening is one call of Dial.
+type opening struct {
+	dialer  *Dialer
+	ctx     context.Context
+	target  medlarpool.Target
+	results chan result
+	pending int // results to come
+
+	directStarted, relayStarted bool
+
+	mu     sync.Mutex
+	direct medlarreach.Outcome // of the direct connection, Silent while it is being opened, empty before
+}
+
+// result is what came of one way.
+type result struct {
+	conn      net.Conn
+	via       medlarid.InstanceID
+	err       error
+	witnesses int // other instances that don't reach the replica
+}
+
+// open opens a connection by the ways of a plan, the second one when the first has failed or is late.
+func (o *opening) open(plan medlarreach.Plan) result {
+	var hedge <-chan time.Time
+	if plan.RelayFirst {
+		o.startRelay()
+	} else {
+		o.startDirect()
+		if plan.Relay {
+			hedge = time.After(medlarreach.HedgeDelay)
+		}
+	}
+	failed := result{err: errUnreached}
+	for o.pending > 0 {
+		select {
+		case r := <-o.results:
+			o.pending--
+			if r.err == nil {
+				go o.discard(o.pending)
+				return r
+			}
+			failed = r
+			if plan.Relay && !o.relayStarted && o.directOutcome() != failedHere {
+				o.startRelay()
+			}
+			if !o.directStarted {
+				o.startDirect()
+			}
+		case <-hedge:
+			if !o.relayStarted {
+				o.startRelay()
+			}
+		case <-o.ctx.Done():
+			go o.discard(o.pending)
+			return result{err: o.ctx.Err()}
+		}
+	}
+	return failed
+}
+
+// discard closes the connections that come too late.
+func (o *opening) discard(pending int) {
+	for range pending {
+		if r := <-o.results; r.err == nil {
+			_ = r.conn.Close()
+		}
+	}
+}
+
+func (o *opening) startDirect() {
+	o.directStarted = true
+	o.pending++
+	ctx := context.WithoutCancel(o.ctx) // R2
+	go func() { o.results <- o.dialDirect(ctx) }()
+}
+
+func (o *opening) startRelay() {
+	o.relayStarted = true
+	o.pending++
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(o.ctx), relayTimeout)
+	go func() {
+		defer cancel()
+		o.results <- o.askPeers(ctx)
+	}()
+}
+
+// dialDirect opens a direct connection.
+func (o *opening) dialDirect(ctx context.Context) result {
+	o.setDirect(medlarreach.Silent)
+	c, err := o.dialer.deps.Dial(ctx, o.target.Address)
+	outcome := outcomeOf(err)
+	o.setDirect(outcome)
+	o.dialer.ended(o.target.ID, outcome)
+	return result{conn: c, err: err}
+}
+
+func (o *opening) setDirect(outcome medlarreach.Outcome) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.direct = outcome
+}
+
+// directOutcome returns how opening the direct connection has ended.
+func (o *opening) directOutcome() medlarreach.Outcome {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.direct
+}
+
+// askPeers asks other instances, one after the other, until one opens a connection or enough say that they don't
+// reach the replica either.
+func (o *opening) askPeers(ctx context.Context) result {
+	witnesses := 0
+	for _, p := range o.dialer.peersToAsk() {
+		c, outcome := o.dialer.ask(ctx, p, o.target)
+		o.dialer.asked(o.target.ID, p.id, o.directOutcome(), outcome)
+		switch outcome {
+		case medlarreach.Opened:
+			return result{conn: c, via: p.id}
+		case medlarreach.Refused, medlarreach.Silent:
+			witnesses++
+		}
+		if medlarreach.Witnessed(witnesses) || ctx.Err() != nil {
+			break
+		}
+	}
+	o.dialer.unreached(o.target.ID, witnesses)
+	return result{err: errUnreached, witnesses: witnesses}
+}
+
+// peer is another instance to ask.
+type peer struct {
+	id medlarid.InstanceID
+	at medlartunnel.Peer
+}
+
+// peersToAsk returns the other instances to ask, in order.
+func (d *Dialer) peersToAsk() []peer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []peer
+	for _, id := range d.table.Peers(time.Now()) {
+		out = append(out, peer{id: id, at: d.peers[id]})
+	}
+	return out
+}
+
+// ask asks one other instance for a connection.
+func (d *Dialer) ask(ctx context.Context, p peer, t medlarpool.Target) (net.Conn, medlarreach.Outcome) {
+	c, err := d.deps.Client.Open(ctx, p.at, t.ID, t.Incarnation)
+	outcome := askedOutcome(err)
+	d.deps.OnAsked(outcome)
+	if err != nil {
+		return nil, outcome
+	}
+	return c, outcome
+}
+
+// askedOutcome returns what another instance has said.
+func askedOutcome(err error) medlarreach.Outcome {
+	var e *medlartunnel.Error
+	switch {
+	case err == nil:
+		return medlarreach.Opened
+	case errors.As(err, &e) && e.Result == medlartunnel.ResultRefused:
+		return medlarreach.Refused
+	case errors.As(err, &e) && e.Result == medlartunnel.ResultSilent:
+		return medlarreach.Silent
+	}
+	return medlarreach.Unhelpful
+}
+
+// ended records how an attempt to open a direct connection ended.
+func (d *Dialer) ended(id medlarid.InstanceID, outcome medlarreach.Outcome) {
+	d.deps.OnDial(outcome)
+	d.mu.Lock()
+	defer d.unlock()
+	d.table.Ended(time.Now(), id, outcome)
+}
+
+// asked records what another instance has said.
+func (d *Dialer) asked(replica, by medlarid.InstanceID, direct, outcome medlarreach.Outcome) {
+	d.mu.Lock()
+	defer d.unlock()
+	d.table.Asked(time.Now(), replica, by, direct, outcome)
+	if outcome != medlarreach.Opened {
+		return
+	}
+	if d.relayed[replica] == nil {
+		d.relayed[replica] = map[medlarid.InstanceID]bool{}
+	}
+	d.relayed[replica][by] = true
+}
+
+// unreached records how many other instances don't reach a replica.
+func (d *Dialer) unreached(id medlarid.InstanceID, witnesses int) {
+	d.mu.Lock()
+	defer d.unlock()
+	d.table.Unreached(time.Now(), id, witnesses)
+}
--- /dev/null
+++ b/internal/ops/medlardialer/peer.go
@@ -0,0 +1,132 @@
+package medlardialer
+
+import (
+	"context"
+	"maps"
+	"net"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarreach"
+	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/peer/medlartunnel"
+)
+
+// dialForPeer opens a direct connection to a replica for another instance, unless this one would send it no
+// request itself.
+func (d *Dialer) dialForPeer(ctx context.Context, id medlarid.InstanceID, incarnation medlarid.Incarnation) (net.Conn, medlartunnel.Result) {
+	r, ok := d.lookup(id)
+	if !ok || r.Incarnation != incarnation || r.Leaving || d.avoids(id, incarnation) {
+		return nil, medlartunnel.ResultUnused
+	}
+	d.mu.Lock()
+	works := d.table.Works(id)
+	d.mu.Unlock()
+	if !works {
+		return nil, medlartunnel.ResultCut
+	}
+	ctx, cancel := context.WithTimeout(ctx, forPeerTimeout)
+	defer cancel()
+	c, err := d.deps.Dial(ctx, r.Address)
+	outcome := outcomeOf(err)
+	d.ended(id, outcome)
+	switch outcome {
+	case medlarreach.Opened:
+		return c, medlartunnel.ResultOpened
+	case medlarreach.Refused:
+		return nil, medlartunnel.ResultRefused
+	case medlarreach.Silent:
+		return nil, medlartunnel.ResultSilent
+	}
+	return nil, medlartunnel.ResultDenied
+}
+
+// avoids reports whether this instance sends nothing to a replica because of what that said.
+func (d *Dialer) avoids(id medlarid.InstanceID, incarnation medlarid.Incarnation) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	a, ok := d.avoided[id]
+	if !ok || a.incarnation != incarnation {
+		return false
+	}
+	return a.leaving || time.Now().Before(a.until)
+}
+
+// Avoid records that this instance sends nothing more to a replica because of what that said, and passes it
+// on (R3).
+func (d *Dialer) Avoid(c medlarworld.Avoided) {
+	r, ok := d.lookup(c.Upstream)
+	if !ok {
+		return
+	}
+	d.mu.Lock()
+	d.forgetGone()
+	a := d.avoided[c.Upstream]
+	if a.incarnation != r.Incarnation {
+		a = avoidance{incarnation: r.Incarnation}
+	}
+	a.leaving = a.leaving || c.Leaving
+	if c.For > 0 {
+		a.until = time.Now().Add(c.For)
+	}
+	d.avoided[c.Upstream] = a
+	hinted := time.Since(a.hintedAt) < hintMemory
+	tell := map[medlarid.InstanceID]medlartunnel.Peer{}
+	for id := range d.relayed[c.Upstream] {
+		tell[id] = d.peers[id]
+	}
+	for _, id := range d.server.Users(c.Upstream) {
+		tell[id] = d.peers[id]
+	}
+	delete(d.relayed, c.Upstream)
+	d.mu.Unlock()
+	if hinted {
+		return
+	}
+	h := medlartunnel.Hint{Replica: c.Upstream, Incarnation: r.Incarnation, Leaving: c.Leaving, Pause: c.For}
+	for _, p := range tell {
+		if p.Address != "" {
+			go d.tell(p, h)
+		}
+	}
+}
+
+// forgetGone forgets what replicas that are gone have said. The caller holds the lock.
+func (d *Dialer) forgetGone() {
+	maps.DeleteFunc(d.avoided, func(id medlarid.InstanceID, _ avoidance) bool { return !d.exists(id) })
+	maps.DeleteFunc(d.relayed, func(id medlarid.InstanceID, _ map[medlarid.InstanceID]bool) bool { return !d.exists(id) })
+}
+
+// exists reports whether a replica is known.
+func (d *Dialer) exists(id medlarid.InstanceID) bool {
+	_, ok := d.lookup(id)
+	return ok
+}
+
+// tell passes on what a replica has said. One that does not get it learns it from the replica.
+func (d *Dialer) tell(p medlartunnel.Peer, h medlartunnel.Hint) {
+	ctx, cancel := context.WithTimeout(context.Background(), hintTimeout)
+	defer cancel()
+	_ = d.deps.Client.Tell(ctx, p, h)
+}
+
+// takeHint takes what a replica has said to another instance.
+func (d *Dialer) takeHint(h medlartunnel.Hint) {
+	if r, ok := d.lookup(h.Replica); !ok || r.Incarnation != h.Incarnation {
+		return
+	}
+	d.mu.Lock()
+	a := d.avoided[h.Replica]
+	if a.incarnation != h.Incarnation {
+		a = avoidance{incarnation: h.Incarnation}
+	}
+	a.hintedAt = time.Now()
+	d.avoided[h.Replica] = a
+	d.mu.Unlock()
+	if h.Leaving {
+		d.post(medlarworld.UpstreamLeaving{Upstream: h.Replica, Incarnation: h.Incarnation})
+	}
+	if h.Pause > 0 {
+		d.post(medlarworld.UpstreamPaused{Upstream: h.Replica, Incarnation: h.Incarnation, For: h.Pause})
+	}
+}
--- a/internal/ops/medlarnotifier/medlarnotifier.go
+++ b/internal/ops/medlarnotifier/medlarnotifier.go
@@ -3,12 +3,9 @@
 package medlarnotifier
 
 import (
-	"errors"
-	"net"
 	"slices"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -19,16 +16,17 @@
 	"medlarfield/internal/core/medlarsuspect"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarmetric"
+	"medlarfield/internal/edge/medlarpool"
+	"medlarfield/internal/ops/medlardialer"
 	"medlarfield/internal/ops/medlarloop"
 	"medlarfield/internal/peer/medlardatagram"
 )
 
 // Times and sizes of notices.
 const (
-	crashSlots       = 16                     // records of crashes that an instance keeps in the store
-	crashRecordLife  = 15 * time.Minute       // after which the record of a crash is removed; it no longer counts then
-	probeTimeout     = 300 * time.Millisecond // of a probe whether a replica accepts connections
-	probeRepeatDelay = 50 * time.Millisecond  // until a probe that succeeded is repeated: a process that ends may still accept for a moment
+	crashSlots       = 16                    // records of crashes that an instance keeps in the store
+	crashRecordLife  = 15 * time.Minute      // after which the record of a crash is removed; it no longer counts then
+	probeRepeatDelay = 50 * time.Millisecond // until a probe that succeeded is repeated: a process that ends may still accept for a moment
 )
 
 // Notifier writes and reads what instances tell one another.
@@ -54,6 +52,8 @@
 	Read func(newConn bool) ([]medlarfeed.Record, error)
 	// Socket tells other instances of the load on replicas.
 	Socket *medlardatagram.Socket
+	// Dialer opens connections to replicas.
+	Dialer *medlardialer.Dialer
 	// Spread is the time after which this instance writes its notices again once the store
 	// came back from a copy; each instance has another one.
 	Spread time.Duration
@@ -88,24 +88,17 @@
 	d.TellLoad = func(c medlarworld.TellLoad) { n.deps.Socket.Tell(c.Loads) }
 }
 
-// probe finds out whether a replica is down: whether it refuses connections.
+// probe finds out whether a replica is down.
 func (n *Notifier) probe(c medlarworld.ProbeUpstream) {
-	down := refusesConnections(c.Address)
+	t := medlarpool.Target{ID: c.Crash.Replica, Incarnation: c.Crash.Incarnation, Address: c.Address}
+	down := n.deps.Dialer.Down(t)
 	if !down {
 		time.Sleep(probeRepeatDelay)
-		down = refusesConnections(c.Address)
+		down = n.deps.Dialer.Down(t)
 	}
 	n.post(medlarworld.UpstreamProbed{Crash: c.Crash, Down: down})
 }
 
-func refusesConnections(addr medlarid.Address) bool {
-	conn, err := net.DialTimeout("tcp4", string(addr), probeTimeout)
-	if err == nil {
-		_ = conn.Close()
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
-
 func (n *Notifier) reportCrash(c medlarworld.ReportCrash) {
 	r := c.Report
 	n.deps.Metrics.CrashSeen()
--- a/internal/ops/medlarnotifier/peer.go
+++ b/internal/ops/medlarnotifier/peer.go
@@ -57,4 +57,5 @@
 		return
 	}
 	n.deps.Socket.SetPeer(id, medlardatagram.Peer{Address: p.Address, Key: medlardatagram.Key(p.Key)})
+	n.deps.Dialer.SetPeer(id, p)
 }
--- a/internal/ops/medlarregistry/medlarregistry.go
+++ b/internal/ops/medlarregistry/medlarregistry.go
@@ -28,6 +28,7 @@
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarpool"
 	"medlarfield/internal/ops/medlarcachetracker"
+	"medlarfield/internal/ops/medlardialer"
 	"medlarfield/internal/ops/medlarrollout"
 	"medlarfield/platform"
 )
@@ -430,6 +431,17 @@
 	return out
 }
 
+// Replica returns what is known of a replica; ok is false if it is not listed.
+func (t *Registry) Replica(id medlarid.InstanceID) (r medlardialer.Replica, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.replicas[id]
+	if e == nil {
+		return r, false
+	}
+	return medlardialer.Replica{Incarnation: medlarid.Incarnation(e.StartedMs), Address: e.Member.Address, Leaving: e.Member.Leaving}, true
+}
+
 // Stores returns the managed stores of the catalog.
 func (t *Registry) Stores() []medlarcachetracker.StoreRef {
 	t.mu.Lock()
--- a/internal/ops/medlarregistry/medlarregistry_test.go
+++ b/internal/ops/medlarregistry/medlarregistry_test.go
@@ -20,7 +20,7 @@
 func newRegistry(t *testing.T) (registry *Registry, posted func() medlarid.WeightVersion) {
 	t.Helper()
 	var last medlarid.WeightVersion
-	registry = New(zerolog.Nop(), medlarpool.New(), func(e medlarworld.Event) {
+	registry = New(zerolog.Nop(), medlarpool.NewDirect(), func(e medlarworld.Event) {
 		if e, ok := e.(medlarworld.InstancesListed); ok {
 			for _, m := range e.Members {
 				last = m.Version
@@ -123,7 +123,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				registry := New(zerolog.Nop(), medlarpool.New(), func(medlarworld.Event) {})
+				registry := New(zerolog.Nop(), medlarpool.NewDirect(), func(medlarworld.Event) {})
 				for i := range replicas {
 					version := 1
 					if i < tc.changed {
@@ -157,7 +157,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				registry := New(zerolog.Nop(), medlarpool.New(), func(medlarworld.Event) {})
+				registry := New(zerolog.Nop(), medlarpool.NewDirect(), func(medlarworld.Event) {})
 				for second, v := range tc.versions {
 					applyEntry(registry, v, tc.born(second))
 					time.Sleep(time.Second)
@@ -200,7 +200,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				var last medlarworld.Member
-				registry := New(zerolog.Nop(), medlarpool.New(), func(e medlarworld.Event) {
+				registry := New(zerolog.Nop(), medlarpool.NewDirect(), func(e medlarworld.Event) {
 					if e, ok := e.(medlarworld.InstancesListed); ok {
 						last = e.Members[0]
 					}
--- /dev/null
+++ b/internal/peer/medlartunnel/server.go
@@ -0,0 +1,195 @@
+package medlartunnel
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+)
+
+// maxOpen is the number of connections that a server relays at once.
+const maxOpen = 1024
+
+// Deps are what a Server depends on.
+type Deps struct {
+	Key Key
+	// Dial opens a direct connection to a replica, or returns why it does not (R1).
+	Dial func(ctx context.Context, replica medlarid.InstanceID, incarnation medlarid.Incarnation) (net.Conn, Result)
+	// OnHint is called with what a replica has said to another instance (R5).
+	OnHint func(Hint)
+	// OnRequest is called with the result of each request for a connection.
+	OnRequest func(sender, replica medlarid.InstanceID, r Result)
+}
+
+// Server relays connections of other instances. It is safe for concurrent use.
+type Server struct {
+	deps Deps
+	ln   net.Listener
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool                                   // all that are open
+	users map[medlarid.InstanceID]map[medlarid.InstanceID]int // senders with connections to each replica
+}
+
+// NewServer returns a Server that does not listen yet.
+func NewServer(deps Deps) *Server {
+	return &Server{deps: deps, conns: map[net.Conn]bool{}, users: map[medlarid.InstanceID]map[medlarid.InstanceID]int{}}
+}
+
+// Listen takes requests at an address until Close.
+func (s *Server) Listen(at medlarid.Address) error {
+	ln, err := net.Listen("tcp4", string(at))
+	if err != nil {
+		return &Error{Op: OpListen, Kind: KindUnreachable, Err: err}
+	}
+	s.ln = ln
+	go s.accept()
+	return nil
+}
+
+// Address returns where the server takes requests. It is valid once Listen has returned.
+func (s *Server) Address() medlarid.Address { return medlarid.Address(s.ln.Addr().String()) }
+
+// Stop takes no more requests; open connections stay.
+func (s *Server) Stop() {
+	if s.ln != nil {
+		_ = s.ln.Close()
+	}
+}
+
+// Open returns the number of open connections.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Close closes the listener and all connections.
+func (s *Server) Close() {
+	s.Stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.Close()
+	}
+}
+
+// Users returns the instances that have connections to a replica through this one (R5).
+func (s *Server) Users(replica medlarid.InstanceID) []medlarid.InstanceID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []medlarid.InstanceID
+	for id := range s.users[replica] {
+		out = append(out, id)
+	}
+	return out
+}
+
+func (s *Server) accept() {
+	for {
+		c, err := s.ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(10 * time.Millisecond) // out of file descriptors, or the connection was aborted
+			continue
+		}
+		go s.serve(c)
+	}
+}
+
+// serve serves one connection of another instance.
+func (s *Server) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	if !s.add(c) {
+		_, _ = c.Write([]byte{byte(ResultDenied)})
+		return
+	}
+	defer s.remove(c)
+	_ = c.SetDeadline(time.Now().Add(helloTimeout))
+	q, err := readRequest(c)
+	if err != nil {
+		return
+	}
+	if q.key != s.deps.Key {
+		_, _ = c.Write([]byte{byte(ResultDenied)})
+		return
+	}
+	if q.isHint() {
+		s.deps.OnHint(q.hint)
+		_, _ = c.Write([]byte{byte(ResultTaken)})
+		return
+	}
+	far, result := s.deps.Dial(context.Background(), q.hint.Replica, q.hint.Incarnation)
+	s.deps.OnRequest(q.sender, q.hint.Replica, result)
+	if far == nil {
+		_, _ = c.Write([]byte{byte(result)})
+		return
+	}
+	defer func() { _ = far.Close() }()
+	s.use(q.hint.Replica, q.sender, 1)
+	defer s.use(q.hint.Replica, q.sender, -1)
+	_ = c.SetDeadline(time.Time{})
+	if _, err := c.Write([]byte{byte(ResultOpened)}); err == nil {
+		relay(c, far)
+	}
+}
+
+// relay copies the bytes of both sides until one of them ends (R2 to R4).
+func relay(near, far net.Conn) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = copyFrames(near, far)
+		_ = near.Close()
+	}()
+	_, _ = io.Copy(onlyWriter{far}, onlyReader{near}) // ends when the other instance closes the connection (R4)
+	_ = far.Close()
+	<-done
+}
+
+// onlyWriter and onlyReader hide how a connection copies in the kernel, which not every platform offers.
+type (
+	onlyWriter struct{ io.Writer }
+	onlyReader struct{ io.Reader }
+)
+
+// add counts a connection, unless there are too many.
+func (s *Server) add(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.conns) >= maxOpen {
+		return false
+	}
+	s.conns[c] = true
+	return true
+}
+
+func (s *Server) remove(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+// use changes the number of connections that a sender has to a replica.
+func (s *Server) use(replica, sender medlarid.InstanceID, by int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	senders := s.users[replica]
+	if senders == nil {
+		senders = map[medlarid.InstanceID]int{}
+		s.users[replica] = senders
+	}
+	senders[sender] += by
+	if senders[sender] == 0 {
+		delete(senders, sender)
+	}
+	if len(senders) == 0 {
+		delete(s.users, replica)
+	}
+}
