--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -40,6 +40,7 @@
 	"medlarfield/internal/ops/medlarloop"
 	"medlarfield/internal/ops/medlarnotifier"
 	"medlarfield/internal/ops/medlarregistry"
+	"medlarfield/internal/ops/medlarrequestlog"
 	"medlarfield/internal/ops/medlarrollout"
 	"medlarfield/internal/ops/medlarsettings"
 	"medlarfield/internal/peer/medlardatagram"
@@ -197,7 +198,7 @@
 		Forward:           clock.AppendForward,
 		Reply:             medlarplatform.DecodeReply,
 		Refusal:           medlarplatform.AppendRefusal,
-		Observer:          requestLog(log, m),
+		Observer:          medlarrequestlog.New(log, m),
 		Rand:              rand.Float64,
 	})
 }
