Leave the duty to order weights to instances that reach replicas

Cause: an instance that is cut off from the replicas and sees outdated ones kept acquiring and renewing the term; nobody ordered anything for as long as the cut lasted. Now it neither acquires nor renews.

TestInstanceCutFromReplicasYields fails in both rows without the check (6 and 4 of 6 replicas on the old version after 6 s or more) and passes with it.

--- a/internal/ops/medlarattachednode/logging.go
+++ b/internal/ops/medlarattachednode/logging.go
@@ -10,6 +10,7 @@
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarmetric"
 	"medlarfield/internal/ops/medlarcachetracker"
+	"medlarfield/internal/ops/medlardialer"
 	"medlarfield/internal/ops/medlarloop"
 	"medlarfield/internal/ops/medlarregistry"
 	"medlarfield/internal/ops/medlarrollout"
@@ -73,11 +74,12 @@
 func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
 func newRollout(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, loop *medlarloop.Loop, term *medlarterm.Elector,
-	registry *medlarregistry.Registry, replicas *medlarcalls.Replicas,
+	registry *medlarregistry.Registry, replicas *medlarcalls.Replicas, d *medlardialer.Dialer,
 ) *medlarrollout.Rollout {
 	return medlarrollout.New(term, rankOf(cfg), medlarrollout.Deps{
 		Replicas:        registry.ModelReplicas,
 		DesiredVersions: registry.DesiredVersions,
+		Reaches:         func() bool { return !d.Cut() },
 		QueryState: func(r medlarrollout.Replica) (medlarrollout.State, error) {
 			p, err := replicas.Report(r.Address)
 			return medlarrollout.State{
--- a/internal/ops/medlardialer/opening.go
+++ b/internal/ops/medlardialer/opening.go
@@ -123,27 +123,64 @@
 	return o.direct
 }
 
-// askPeers asks other instances, one after the other, until one opens a connection or enough say that they don't
-// reach the replica either.
+// Instances that are asked at once: one if the own way is known to be broken, and several while it is not
+// known whether the replica is down, as each then takes as long as a connection that hangs.
+const (
+	askedAtOnce     = 1
+	witnessesAtOnce = 2
+)
+
+// answer is what another instance has said.
+type answer struct {
+	conn    net.Conn
+	by      medlarid.InstanceID
+	outcome medlarreach.Outcome
+}
+
+// askPeers asks other instances until one opens a connection, or enough say that they don't reach the replica
+// either.
 func (o *opening) askPeers(ctx context.Context) result {
-	witnesses := 0
-	for _, p := range o.dialer.peersToAsk() {
-		c, outcome := o.dialer.ask(ctx, p, o.target)
-		o.dialer.asked(o.target.ID, p.id, o.directOutcome(), outcome)
-		switch outcome {
+	peers := o.dialer.peersToAsk()
+	answers := make(chan answer, len(peers))
+	atOnce := askedAtOnce
+	if o.directOutcome() != "" {
+		atOnce = witnessesAtOnce
+	}
+	pending, witnesses := 0, 0
+	for {
+		for ; pending < atOnce && len(peers) > 0 && ctx.Err() == nil; pending++ {
+			p := peers[0]
+			peers = peers[1:]
+			go func() { answers <- o.dialer.ask(ctx, p, o.target) }()
+		}
+		if pending == 0 || medlarreach.Witnessed(witnesses) {
+			break
+		}
+		a := <-answers
+		pending--
+		o.dialer.asked(o.target.ID, a.by, o.directOutcome(), a.outcome)
+		switch a.outcome {
 		case medlarreach.Opened:
-			return result{conn: c, via: p.id}
+			go discardAnswers(answers, pending)
+			return result{conn: a.conn, via: a.by}
 		case medlarreach.Refused, medlarreach.Silent:
 			witnesses++
 		}
-		if medlarreach.Witnessed(witnesses) || ctx.Err() != nil {
-			break
-		}
 	}
+	go discardAnswers(answers, pending)
 	o.dialer.unreached(o.target.ID, witnesses)
 	return result{err: errUnreached, witnesses: witnesses}
 }
 
+// discardAnswers closes the connections that come too late.
+func discardAnswers(answers <-chan answer, pending int) {
+	for range pending {
+		if a := <-answers; a.conn != nil {
+			_ = a.conn.Close()
+		}
+	}
+}
+
 // peer is another instance to ask.
 type peer struct {
 	id medlarid.InstanceID
@@ -162,14 +199,14 @@
 }
 
 // ask asks one other instance for a connection.
-func (d *Dialer) ask(ctx context.Context, p peer, t medlarpool.Target) (net.Conn, medlarreach.Outcome) {
+func (d *Dialer) ask(ctx context.Context, p peer, t medlarpool.Target) answer {
 	c, err := d.deps.Client.Open(ctx, p.at, t.ID, t.Incarnation)
 	outcome := askedOutcome(err)
 	d.deps.OnAsked(outcome)
 	if err != nil {
-		return nil, outcome
+		return answer{by: p.id, outcome: outcome}
 	}
-	return c, outcome
+	return answer{conn: c, by: p.id, outcome: outcome}
 }
 
 // askedOutcome returns what another instance has said.
--- a/internal/ops/medlarrequestlog/medlarrequestlog.go
+++ b/internal/ops/medlarrequestlog/medlarrequestlog.go
@@ -156,4 +156,3 @@
 
 // ms returns a duration in milliseconds, as log fields have it.
 func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
-
--- a/internal/ops/medlarrollout/medlarrollout.go
+++ b/internal/ops/medlarrollout/medlarrollout.go
@@ -21,6 +21,8 @@
 //	    instances know which replicas come next and send them none. Requests that still
 //	    run continue under the new weights. Waiting for them to end would take a third
 //	    of the replicas out of service for seconds.
+//	R6  An instance that reaches no replica neither acquires nor renews the term, so that another one
+//	    that does can give the orders.
 package medlarrollout
 
 import (
@@ -84,8 +86,10 @@
 type Deps struct {
 	Replicas        func() []Replica
 	DesiredVersions func() DesiredVersions
-	QueryState      func(Replica) (State, error)
-	SendOrder       func(Order) error
+	// Reaches reports whether the instance reaches replicas (R6).
+	Reaches    func() bool
+	QueryState func(Replica) (State, error)
+	SendOrder  func(Order) error
 	// OnState is called with a replica's state, OnOrder with an order and its failure,
 	// OnTermChange when a term is acquired or ends.
 	OnState      func(Replica, State)
@@ -156,6 +160,11 @@
 	if now.Sub(r.staleSince) < time.Duration(r.rank)*rankDelay { // R4
 		return
 	}
+	if !r.deps.Reaches() { // R6
+		r.noteTerm(0, false)
+		r.follow(ctx, now)
+		return
+	}
 	ok, err := r.term.AcquireOrRenew(ctx)
 	if err != nil {
 		r.deps.OnTermError(err)
--- a/internal/ops/medlarrollout/medlarrollout_test.go
+++ b/internal/ops/medlarrollout/medlarrollout_test.go
@@ -42,6 +42,7 @@
 	violations []string              // violated invariants
 	holders    []medlarid.InstanceID // holders of the terms, by offset
 	paused     [instances]time.Time
+	cut        [instances]bool // reaches no replica
 	replicas   [engines]engine
 	desired    uint64
 	last       order // last order that arrived at any replica
@@ -82,6 +83,13 @@
 	f()
 }
 
+// isCut reports whether an instance reaches no replica.
+func (h *history) isCut(i int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.cut[i]
+}
+
 func (h *history) name(i int) medlarid.InstanceID { return medlarid.InstanceID(fmt.Sprint("i", i)) }
 
 // wait delays a call of a paused instance until the pause ends.
@@ -153,10 +161,11 @@
 			defer h.mu.Unlock()
 			return DesiredVersions{model: version(h.desired)}
 		},
+		Reaches: func() bool { return !h.isCut(i) },
 		QueryState: func(r Replica) (State, error) {
 			h.wait(i)
 			time.Sleep(2 * time.Millisecond)
-			if h.injectFault(0.1) {
+			if h.injectFault(0.1) || h.isCut(i) {
 				return State{}, errFault
 			}
 			h.mu.Lock()
@@ -185,6 +194,9 @@
 // later and its answer is lost.
 func (h *history) send(i int, o Order) error {
 	time.Sleep(2 * time.Millisecond)
+	if h.isCut(i) {
+		return errFault
+	}
 	h.locked(func() { h.arrive(order{holder: h.name(i), fence: o.Fence, at: time.Now()}) })
 	if h.injectFault(0.2) {
 		var late time.Duration
@@ -312,6 +324,46 @@
 	}
 }
 
+// maxRolloutTime is the users' bound on the time from a new weight version to its use by all replicas.
+const maxRolloutTime = 6 * time.Second
+
+// TestInstanceCutFromReplicasYields guards against an instance that reaches no replica and keeps the duty to give
+// orders, so that no replica gets the desired version.
+func TestInstanceCutFromReplicasYields(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		after time.Duration // from the new version to the cut
+	}{
+		{"cut off before", 0},
+		{"cut off while it gives orders", 800 * time.Millisecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := &history{t: t, rnd: rand.New(rand.NewPCG(1, 1)), guards: guards{settle: settleTime, expect: true, fences: true}, desired: 2}
+				for n := range h.replicas {
+					h.replicas[n].version = 1
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				for i := range instances {
+					go h.rollout(i).Run(ctx)
+				}
+				time.Sleep(tc.after)
+				h.locked(func() { h.cut[0] = true }) // has rank 0
+				time.Sleep(maxRolloutTime)
+				h.locked(func() {
+					for n := range h.replicas {
+						if v := h.replicas[n].version; v != h.desired {
+							t.Errorf("replica %d runs version %d after %v, want %d", n, v, maxRolloutTime, h.desired)
+						}
+					}
+				})
+				cancel()
+				time.Sleep(time.Second) // lets calls in progress end
+			})
+		})
+	}
+}
+
 // TestNextReplicasPerModel checks that the next replicas to be ordered are counted per
 // model, as the routing of requests counts them.
 func TestNextReplicasPerModel(t *testing.T) {
