--- /dev/null
+++ b/internal/peer/medlartunnel/medlartunnel_test.go
@@ -0,0 +1,273 @@
+package medlartunnel
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/base/medlarprobe"
+)
+
+const soon = 2 * time.Second
+
+// fixture is a server with one replica, whose connections it passes on.
+type fixture struct {
+	t        *testing.T
+	server   *Server
+	peer     Peer
+	client   *Client
+	accepted chan net.Conn
+	hints    chan Hint
+	result   Result // of opening a connection to the replica
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fixture{t: t, accepted: make(chan net.Conn, 8), hints: make(chan Hint, 8), client: NewClient("c", nil), result: ResultOpened}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			f.accepted <- c
+		}
+	}()
+	f.server = NewServer(Deps{
+		Key: 7,
+		Dial: func(context.Context, medlarid.InstanceID, medlarid.Incarnation) (net.Conn, Result) {
+			if f.result != ResultOpened {
+				return nil, f.result
+			}
+			c, err := net.Dial("tcp", ln.Addr().String())
+			if err != nil {
+				return nil, ResultRefused
+			}
+			return c, ResultOpened
+		},
+		OnHint:    func(h Hint) { f.hints <- h },
+		OnRequest: func(medlarid.InstanceID, medlarid.InstanceID, Result) {},
+	})
+	if err := f.server.Listen("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	f.peer = Peer{Address: f.server.Address(), Key: 7}
+	t.Cleanup(func() { f.server.Close(); _ = ln.Close() })
+	return f
+}
+
+// open opens a connection and returns both ends of it.
+func (f *fixture) open() (near *Conn, far net.Conn) {
+	f.t.Helper()
+	near, err := f.client.Open(f.t.Context(), f.peer, "r", 1)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	far = <-f.accepted
+	f.t.Cleanup(func() { _ = near.Close(); _ = far.Close() })
+	_ = near.SetDeadline(time.Now().Add(soon))
+	_ = far.SetDeadline(time.Now().Add(soon))
+	return near, far
+}
+
+func send(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func assertReads(t *testing.T, c io.Reader, want string) {
+	t.Helper()
+	b := make([]byte, len(want))
+	if _, err := io.ReadFull(c, b); err != nil || string(b) != want {
+		t.Errorf("read %q, %v; want %q", b, err, want)
+	}
+}
+
+// TestBytesPassUnchanged guards against bytes that are lost, changed or put in another order.
+func TestBytesPassUnchanged(t *testing.T) {
+	f := newFixture(t)
+	near, far := f.open()
+	send(t, near, "request")
+	assertReads(t, far, "request")
+	long := strings.Repeat("0123456789", 20_000)
+	go send(t, far, long)
+	assertReads(t, near, long)
+	send(t, far, "more")
+	assertReads(t, near, "more")
+}
+
+// TestEnds guards against an answer that was broken off on the way and looks complete, and against one that is
+// complete and does not.
+func TestEnds(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		end  func(f *fixture, far net.Conn)
+		want error
+	}{
+		{"by the replica", func(_ *fixture, far net.Conn) { _ = far.Close() }, io.EOF},
+		{"reset by the replica", func(_ *fixture, far net.Conn) {
+			_ = far.(*net.TCPConn).SetLinger(0)
+			_ = far.Close()
+		}, io.ErrUnexpectedEOF},
+		{"with the instance between", func(f *fixture, _ net.Conn) { f.server.Close() }, io.ErrUnexpectedEOF},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			near, far := f.open()
+			send(t, far, "half")
+			assertReads(t, near, "half")
+			tc.end(f, far)
+			if n, err := near.Read(make([]byte, 8)); n != 0 || !errors.Is(err, tc.want) && !(tc.want != io.EOF && errors.Is(err, syscall.ECONNRESET)) {
+				t.Errorf("read %d bytes, %v; want %v", n, err, tc.want)
+			}
+		})
+	}
+}
+
+// TestEndedConnectionIsNotIdle guards against a connection that is used again although the replica has ended it.
+func TestEndedConnectionIsNotIdle(t *testing.T) {
+	f := newFixture(t)
+	near, far := f.open()
+	send(t, far, "answer")
+	assertReads(t, near, "answer")
+	if !medlarprobe.Idle(near) {
+		t.Error("an open connection without unread bytes is not idle")
+	}
+	send(t, far, "rest")
+	_ = far.Close()
+	assertReads(t, near, "r") // what follows was received with it
+	if medlarprobe.Idle(near) {
+		t.Error("a connection with unread bytes is idle")
+	}
+	assertReads(t, near, "est")
+	for end := time.Now().Add(soon); medlarprobe.Idle(near); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("a connection that the replica has ended is idle")
+		}
+	}
+}
+
+// TestCloseReachesReplica guards against a replica that works on for a caller that has left.
+func TestCloseReachesReplica(t *testing.T) {
+	f := newFixture(t)
+	near, far := f.open()
+	if got := f.server.Users("r"); len(got) != 1 || got[0] != "c" {
+		t.Errorf("users %v, want the client", got)
+	}
+	_ = near.Close()
+	if _, err := far.Read(make([]byte, 1)); !errors.Is(err, io.EOF) && !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the replica reads %v, want the end of the connection", err)
+	}
+	for end := time.Now().Add(soon); f.server.Open() > 0 || len(f.server.Users("r")) > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d connections are open, users %v", f.server.Open(), f.server.Users("r"))
+		}
+	}
+}
+
+func assertAnswer(t *testing.T, err error, want Result) {
+	t.Helper()
+	var e *Error
+	if !errors.As(err, &e) || e.Kind != KindAnswered || e.Result != want {
+		t.Errorf("error %v, want the answer %d", err, want)
+	}
+}
+
+// TestAnswers guards against connections for strangers, and against an answer that is taken for another one.
+func TestAnswers(t *testing.T) {
+	for _, want := range []Result{ResultRefused, ResultSilent, ResultCut, ResultUnused, ResultDenied} {
+		f := newFixture(t)
+		f.result = want
+		_, err := f.client.Open(t.Context(), f.peer, "r", 1)
+		assertAnswer(t, err, want)
+	}
+	f := newFixture(t)
+	_, err := f.client.Open(t.Context(), Peer{Address: f.peer.Address, Key: 8}, "r", 1)
+	assertAnswer(t, err, ResultDenied)
+	assertAnswer(t, f.client.Tell(t.Context(), Peer{Address: f.peer.Address, Key: 8}, Hint{Replica: "r", Leaving: true}), ResultDenied)
+	if len(f.accepted) > 0 || len(f.hints) > 0 {
+		t.Error("a stranger has got a connection, or a hint of it was taken")
+	}
+	f.server.Close()
+	var e *Error
+	if _, err := f.client.Open(t.Context(), f.peer, "r", 1); !errors.As(err, &e) || e.Kind != KindUnreachable {
+		t.Errorf("error %v, want unreachable", err)
+	}
+}
+
+// TestSilentPeer guards against a request that waits for an instance that does not answer.
+func TestSilentPeer(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	begin := time.Now()
+	_, err = NewClient("c", nil).Open(t.Context(), Peer{Address: medlarid.Address(ln.Addr().String())}, "r", 1)
+	if took := time.Since(begin); err == nil || took > 2*answerTimeout {
+		t.Errorf("error %v after %v, want one within %v", err, took, 2*answerTimeout)
+	}
+}
+
+// TestHint guards against what a replica has said that does not reach the other side, or reaches it changed.
+func TestHint(t *testing.T) {
+	for _, want := range []Hint{
+		{Replica: "r", Incarnation: 1 << 40, Leaving: true},
+		{Replica: "r", Incarnation: 3, Pause: 1500 * time.Millisecond},
+	} {
+		f := newFixture(t)
+		if err := f.client.Tell(t.Context(), f.peer, want); err != nil {
+			t.Fatal(err)
+		}
+		if d := cmp.Diff(want, <-f.hints); d != "" {
+			t.Errorf("hint:\n%s", d)
+		}
+	}
+}
+
+// TestMalformedRequest guards against a connection that is kept open by bytes that are no request.
+func TestMalformedRequest(t *testing.T) {
+	for _, b := range [][]byte{{0xff, 0xff, 0xff}, {5, 0xff, 0xff, 0xff, 0xff, 0xff}, bytes.Repeat([]byte{0x80}, 20), {3}} {
+		f := newFixture(t)
+		c, err := net.Dial("tcp", string(f.peer.Address))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = c.Write(b)
+		_ = c.SetDeadline(time.Now().Add(2 * helloTimeout))
+		if n, err := c.Read(make([]byte, 1)); n != 0 || errors.Is(err, context.DeadlineExceeded) || err == nil {
+			t.Errorf("%x: read %d bytes, %v; want the end of the connection", b, n, err)
+		}
+		_ = c.Close()
+	}
+}
+
+func FuzzDecodeRequest(f *testing.F) {
+	q := request{sender: "entry-1", key: 5, hint: Hint{Replica: "r", Incarnation: 9, Leaving: true, Pause: time.Second}}
+	f.Add(q.encode()[1:])
+	f.Fuzz(func(t *testing.T, b []byte) {
+		q, err := decodeRequest(b)
+		if err != nil {
+			return
+		}
+		again, err := readRequest(bytes.NewReader(q.encode()))
+		if len(q.encode()) <= maxRequest && (err != nil || again.hint.Pause != q.hint.Pause || again.sender != q.sender) {
+			t.Errorf("%+v is read as %+v, %v", q, again, err)
+		}
+	})
+}
