--- a/internal/ops/medlardialer/medlardialer.go
+++ b/internal/ops/medlardialer/medlardialer.go
@@ -148,7 +148,7 @@
 	return d.table.Broken()
 }
 
-// Usable reports whether an idle connection may be used.
+// Usable reports whether an idle connection may be used. One that is relayed is not once the own way works again.
 func (d *Dialer) Usable(c *medlarpool.Conn) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -156,7 +156,7 @@
 		return d.table.KeepsOpen(c.Target.ID)
 	}
 	_, known := d.peers[c.Via]
-	return known
+	return known && !d.table.Works(c.Target.ID)
 }
 
 // Run tries broken ways again until ctx is done.
