--- a/internal/core/medlarbuild/history_test.go
+++ b/internal/core/medlarbuild/history_test.go
@@ -31,6 +31,7 @@
 	ready     bool // it has read the newest records since its start
 	behind    bool // it has to read what it missed while it was away
 	awayUntil time.Time
+	deadUntil time.Time
 	record    map[Key]medlarid.Build // its exceptions in the store
 	seen      *Seen                  // how far it follows, in the store; nil for no record
 }
@@ -51,6 +52,7 @@
 	start  int // of that instance
 	end    time.Time
 	over   bool
+	tries  int // in which the caller was refused
 }
 
 // history plays several tables that share a store, while streams are broken off and resumed, replicas
@@ -65,6 +67,7 @@
 	topic      int         // number of records in the store
 	version    int         // of the newest release
 	serving    []*played
+	patience   int // how often a caller that was refused tries again
 
 	trace                            func(string) // called for what happens; may be nil
 	began, resumed, went, refusedNew int
@@ -135,7 +138,7 @@
 // readAll lets an instance read the newest records.
 func (h *history) readAll(i, start int) {
 	in := h.instances[i]
-	h.after(max(in.awayUntil.Sub(h.now), 0)+h.between(5*time.Millisecond, 100*time.Millisecond), func() {
+	h.after(max(in.awayUntil.Sub(h.now), in.deadUntil.Sub(h.now), 0)+h.between(5*time.Millisecond, 100*time.Millisecond), func() {
 		if !h.alive(i, start) {
 			return
 		}
@@ -411,6 +414,10 @@
 	if ok && there {
 		in.table.AttemptStarted(h.now, engines, p.key, got)
 		h.after(h.between(5*time.Millisecond, 100*time.Millisecond), func() { h.serve(p, got) })
+		return
+	}
+	if p.tries++; p.tries <= h.patience {
+		h.after(h.between(800*time.Millisecond, 3*time.Second), func() { h.resume(p) })
 	}
 }
 
@@ -448,6 +455,42 @@
 	h.serving = slices.DeleteFunc(h.serving, func(p *played) bool { return p.over })
 }
 
+// killAll ends all instances at once; they are back after a while.
+func (h *history) killAll() {
+	back := h.now.Add(h.between(100*time.Millisecond, 3*time.Second))
+	for i, in := range h.instances {
+		in.deadUntil = back.Add(h.between(0, 200*time.Millisecond))
+		h.kill(i)
+	}
+}
+
+// replaceAll replaces some or all replicas at once by ones of a new version; the others leave at once.
+func (h *history) replaceAll() {
+	h.version++
+	build := medlarid.Build(fmt.Sprint("v", h.version))
+	old := slices.Clone(h.upstreams)
+	if h.r.IntN(3) == 0 {
+		old = old[:1+h.r.IntN(len(old))]
+	}
+	for range old {
+		h.upstreams = append(h.upstreams, &upstream{build: build})
+	}
+	h.listAll()
+	h.after(h.between(50*time.Millisecond, time.Second), func() {
+		for _, u := range old {
+			u.leaving = true
+		}
+		h.listAll()
+	})
+}
+
+// disturbAll lets replicas be replaced and all instances be killed around it.
+func (h *history) disturbAll() {
+	h.replaceAll()
+	h.after(h.between(0, 5*time.Second), h.killAll)
+	h.after(h.between(7*time.Second, 14*time.Second), h.disturbAll)
+}
+
 // disturb lets things happen to replicas and instances.
 func (h *history) disturb() {
 	h.after(h.between(200*time.Millisecond, 4*time.Second), func() {
@@ -510,10 +553,10 @@
 	return 0
 }
 
-// play runs the history for a time.
-func (h *history) play(d time.Duration) {
+// play runs the history for a time, with what disturbs it.
+func (h *history) play(d time.Duration, disturb func()) {
 	h.tick()
-	h.after(2*time.Second, h.disturb)
+	h.after(2*time.Second, disturb)
 	every := h.between(5*time.Millisecond, 30*time.Millisecond)
 	var k Key
 	var arrive func()
@@ -550,19 +593,36 @@
 	for seed := *historySeed; seed < *historySeed+count; seed++ {
 		seeds = append(seeds, seed)
 	}
-	playHistories(t, seeds)
+	playHistories(t, seeds, 0, (*history).disturb)
 }
 
 // TestBuildHistoriesWithoutUpstreams guards against streams with events of two software versions that
 // begin at an instance which is cut off from the store, while their version has no upstream.
-func TestBuildHistoriesWithoutUpstreams(t *testing.T) { playHistories(t, []uint64{307, 398}) }
+func TestBuildHistoriesWithoutUpstreams(t *testing.T) {
+	playHistories(t, []uint64{307, 398}, 0, (*history).disturb)
+}
+
+// TestBuildHistoriesOfAllKilled guards against streams with events of two software versions after all instances
+// were killed while replicas of two versions were in service, or shortly after those of the old one had left.
+func TestBuildHistoriesOfAllKilled(t *testing.T) {
+	const retries = 3
+	var seeds []uint64
+	for seed := range uint64(30) {
+		seeds = append(seeds, *historySeed+seed)
+	}
+	if testing.Short() {
+		seeds = seeds[:shortHistories]
+	}
+	playHistories(t, seeds, retries, (*history).disturbAll)
+}
 
-func playHistories(t *testing.T, seeds []uint64) {
+func playHistories(t *testing.T, seeds []uint64, patience int, disturb func(*history)) {
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			h := newHistory(seed)
-			h.play(60 * time.Second)
+			h.patience = patience
+			h.play(60*time.Second, func() { disturb(h) })
 			t.Logf("%d instances, %d versions, %d streams began, %d refused, %d mixed, %d of %d resumptions went on", len(h.instances), h.version, h.began, h.refusedNew, h.mixed, h.went, h.resumed)
 			if h.mixed > maxMixed {
 				t.Errorf("%d streams have events of two software versions, want %d at most", h.mixed, maxMixed)
