Take the records of other instances for read only once they are applied

Cause: a read of the notices was reported to the core before the records that it brought, for the first of several pages too. A stream that was resumed in between, above all at an instance that has just started, went on at the build that the instance would derive without them.

Change: a feed reports that it is current after it has delivered what it read. TestCurrentFollowsRecords holds the order; the instant between the two events cannot be hit from outside, so no test at an instance shows it.

--- a/internal/agree/medlarfeed/medlarfeed.go
+++ b/internal/agree/medlarfeed/medlarfeed.go
@@ -77,6 +77,8 @@
 	// Apply receives changed records in order. first tells that they are the initial
 	// records, of all keys.
 	Apply func(records []Record, first bool)
+	// OnCurrent is called after each read, once Apply has received all records before an offset.
+	OnCurrent func(end medlarid.Offset)
 	// OnUnavailable and OnRecovered are called when calls to the store begin to fail
 	// and when they succeed again.
 	OnUnavailable func(err error)
@@ -184,6 +186,7 @@
 	changed = append(changed, f.missing(all)...)
 	f.deliver(changed, !f.initialized)
 	f.initialized = true
+	f.deps.OnCurrent(f.nextOffset)
 	return nil
 }
 
@@ -234,6 +237,7 @@
 	}
 	f.nextOffset = max(b.NextOffset, f.nextOffset)
 	f.deliver(f.newer(b.Records), false)
+	f.deps.OnCurrent(f.nextOffset)
 	return true, nil
 }
 
--- a/internal/agree/medlarfeed/medlarfeed_test.go
+++ b/internal/agree/medlarfeed/medlarfeed_test.go
@@ -83,6 +83,7 @@
 					state[r.Key] = string(r.Value)
 				}
 			},
+			OnCurrent:     func(medlarid.Offset) {},
 			OnUnavailable: func(error) {},
 			OnRecovered:   func(time.Duration) {},
 			OnEra:         func(medlarid.Era) {},
@@ -177,3 +178,47 @@
 		t.Errorf("state %q, want %q", s, want)
 	}
 }
+
+// TestCurrentFollowsRecords guards against a reader that takes its records for complete before it has got them, in
+// pages or one by one.
+func TestCurrentFollowsRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pages := []Page{
+			{Records: []Record{{Key: "a", Offset: 1}}, EndOffset: 3, More: true},
+			{Records: []Record{{Key: "b", Offset: 2}}, EndOffset: 4},
+		}
+		batches := []Batch{{Records: []Record{{Key: "c", Offset: 3}}, NextOffset: 4}, {NextOffset: 4}}
+		var got []string
+		read, cancel := context.WithCancel(t.Context())
+		feed := New(Deps{
+			ReadLatest: func(context.Context, string, bool) (Page, error) {
+				p := pages[0]
+				pages = pages[1:]
+				return p, nil
+			},
+			ReadFrom: func(context.Context, medlarid.Offset, ReadOptions) (Batch, error) {
+				if len(batches) == 0 {
+					cancel()
+					return Batch{}, errDown
+				}
+				b := batches[0]
+				batches = batches[1:]
+				return b, nil
+			},
+			Apply: func(rs []Record, _ bool) {
+				for _, r := range rs {
+					got = append(got, r.Key)
+				}
+			},
+			OnCurrent:     func(end medlarid.Offset) { got = append(got, fmt.Sprint("current ", end)) },
+			OnUnavailable: func(error) {},
+			OnRecovered:   func(time.Duration) {},
+			OnEra:         func(medlarid.Era) {},
+		}, Options{PollInterval: 50 * time.Millisecond})
+		feed.Run(read)
+		want := []string{"a", "b", "current 3", "c", "current 4", "current 4"}
+		if !slices.Equal(got, want) {
+			t.Errorf("%q, want %q", got, want)
+		}
+	})
+}
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -213,25 +213,21 @@
 		}
 		f := medlarfeed.New(medlarfeed.Deps{
 			ReadLatest: func(_ context.Context, after string, newConn bool) (medlarfeed.Page, error) {
-				page, err := s.Newest(topic, after, newConn)
-				if err == nil && topic == medlarplatform.TopicNotices {
-					board.SetEnd(page.EndOffset)
-					loop.Post(medlarworld.NoticesRead{})
-				}
-				return page, err
+				return s.Newest(topic, after, newConn)
 			},
 			ReadFrom: func(_ context.Context, from medlarid.Offset, o medlarfeed.ReadOptions) (medlarfeed.Batch, error) {
 				b, err := s.Follow(topic, from, o)
-				switch {
-				case err != nil:
-				case topic == medlarplatform.TopicOperator:
+				if err == nil && topic == medlarplatform.TopicOperator {
 					loop.Post(medlarworld.RecordsCurrent{At: time.Now()})
-				case topic == medlarplatform.TopicNotices && !b.Truncated:
-					board.SetEnd(b.NextOffset)
-					loop.Post(medlarworld.NoticesRead{})
 				}
 				return b, err
 			},
+			OnCurrent: func(end medlarid.Offset) {
+				if topic == medlarplatform.TopicNotices {
+					board.SetEnd(end)
+					loop.Post(medlarworld.NoticesRead{})
+				}
+			},
 			Apply: apply, OnUnavailable: onUnavailable, OnRecovered: onRecovered,
 			OnEra: func(era medlarid.Era) {
 				m.SetEra(era)
