Failing test: brittle replicas fall over, one after the other

Replicas may say that they are brittle: some time later they have less room, and crash when they have to turn away more requests in a second than they named.

--- a/internal/stand/medlarfakereplica/exchange.go
+++ b/internal/stand/medlarfakereplica/exchange.go
@@ -50,6 +50,7 @@
 	case x.fault == FaultPause:
 		return writeResponse(x.conn, 503, x.requestIDField()+notExecuted+r.hintFields()+"Retry-After: "+PauseSeconds+"\r\n", "")
 	case x.fault == FaultShed || !r.acquireSlot():
+		r.turnAway()
 		return writeResponse(x.conn, 503, x.requestIDField()+notExecuted+r.hintFields(), "")
 	}
 	defer r.releaseSlot()
--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -122,6 +122,7 @@
 	limits   []string // limits that responses name
 	arrivals []time.Time
 	crashed  bool
+	brittle  brittleness
 	endings  []medlarending.Ending
 	endless  int // bytes that faults without end have sent
 	orders   uint64
@@ -243,7 +244,7 @@
 func (r *Replica) hintFields() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	f := ""
+	f := r.brittleField()
 	if r.notice {
 		f = "Server-Leaving: 1\r\n"
 	}
@@ -454,7 +455,7 @@
 func (r *Replica) acquireSlot() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.active >= r.Settings.Slots || r.loading {
+	if r.active >= r.slots() || r.loading {
 		return false
 	}
 	r.active++
--- a/internal/stand/medlarsite/crash.go
+++ b/internal/stand/medlarsite/crash.go
@@ -81,6 +81,16 @@
 	return n
 }
 
+// BeBrittle makes all replicas brittle, those that start later too: see medlarfakereplica.Replica.BeBrittle.
+func (s *Site) BeBrittle(most, slots int) {
+	s.mu.Lock()
+	s.brittleMost, s.brittleSlots = most, slots
+	s.mu.Unlock()
+	for _, r := range s.Replicas() {
+		r.BeBrittle(most, slots)
+	}
+}
+
 // replace records the crash of a replica, lets its entry expire, and starts its successor, both
 // after a while.
 func (s *Site) replace(r *medlarfakereplica.Replica) {
--- a/internal/stand/medlarsite/medlarsite.go
+++ b/internal/stand/medlarsite/medlarsite.go
@@ -70,9 +70,11 @@
 	stop     chan struct{}
 	wg       sync.WaitGroup
 
-	mu      sync.Mutex
-	links   map[string]*medlarlink.Link // by the name of the instance
-	config  Config
+	mu                        sync.Mutex
+	links                     map[string]*medlarlink.Link // by the name of the instance
+	config                    Config
+	brittleMost, brittleSlots int // of all replicas; 0 if they are not brittle
+
 	removed map[string]bool // identifiers of replicas whose entries are no longer written
 	entries uint64          // number of entries written so far
 }
@@ -191,7 +193,11 @@
 	}
 	s.mu.Lock()
 	*to = append(*to, r)
+	most, slots := s.brittleMost, s.brittleSlots
 	s.mu.Unlock()
+	if most > 0 {
+		r.BeBrittle(most, slots)
+	}
 	s.writeEntry(r)
 	return nil
 }
