Send brittle replicas no more than they have room for

Cause: that a replica says it is brittle was read by no code. Once it let fewer wait, each instance went on to fill it, was turned away, and it crashed; its load went to the others, which crashed too.

Change: a brittle replica is shared by fewer instances than the requests that it can turn away in a second, with parts of its slots and its memory; one that turns a request away gets nothing for a while and a third less at once then (medlarbrittle).

--- a/internal/core/medlarcore/medlarcore.go
+++ b/internal/core/medlarcore/medlarcore.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"medlarfield/internal/core/medlaradmission"
+	"medlarfield/internal/core/medlarbrittle"
 	"medlarfield/internal/core/medlarcrash"
 	"medlarfield/internal/core/medlarfleet"
 	"medlarfield/internal/core/medlarlag"
@@ -49,6 +50,7 @@
 			medlarfleet.New(),
 			medlarpeerload.New(),
 			medlarlimit.New(),
+			medlarbrittle.New(),
 			medlarplacement.New(),
 			medlarlag.New(),
 			medlarwindow.New(),
--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -176,6 +176,7 @@
 	if m.Incarnation != u.Incarnation {
 		u.Incarnation, u.ReportedLeaving, u.PausedUntil = m.Incarnation, false, time.Time{}
 		u.Limited, u.Limit, u.LimitShare, u.LimitTokens = false, 0, 0, 0
+		u.Brittle = medlarworld.Brittleness{}
 	}
 	u.Zone, u.Address, u.Service, u.Build = m.Zone, m.Address, m.Service, m.Build
 	u.VersionDenied = m.VersionDenied
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -34,6 +34,7 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarbrittle"
 	"medlarfield/internal/core/medlarchoice"
 	"medlarfield/internal/core/medlarinventory"
 	"medlarfield/internal/core/medlarkey"
@@ -206,6 +207,7 @@
 		Import:        c.imports,
 		ImportTimeout: importTimeout(c),
 		Limited:       u.Limited,
+		Brittle:       u.Brittle.Most > 0,
 		Decision:      decision,
 	}
 	if r.KeyTokens != nil && u.Kind == medlarworld.KindEngine {
@@ -330,7 +332,7 @@
 }
 
 func eligible(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) bool {
-	if !u.Usable(w.Now) || !medlarlimit.HasToken(u) || !hasCapacity(w, u) {
+	if !u.Usable(w.Now) || !medlarlimit.HasToken(u) || !medlarbrittle.HasRoom(w, r, u) || !hasCapacity(w, u) {
 		return false
 	}
 	if u.Kind == medlarworld.KindService {
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -137,6 +137,15 @@
 	Pending medlarid.Tokens
 }
 
+// Brittleness is how an upstream is brittle: it crashes when it has to turn away too many requests for lack of room.
+type Brittleness struct {
+	Most        int       // requests that it can turn away in a second; 0 if it is not brittle
+	Part        int       // own attempts that it gets at most at once
+	Room        int       // own attempts that it takes at once, as far as is known
+	PausedUntil time.Time // it gets nothing before
+	GrowsAt     time.Time // when Room may be tried to be larger
+}
+
 // Upstream is a replica of a model engine or an instance of a plain service.
 type Upstream struct {
 	ID       medlarid.InstanceID
@@ -161,6 +170,8 @@
 	LimitTokens  float64
 	LimitSettled bool
 
+	Brittle Brittleness
+
 	Model   medlarid.ModelID
 	Version medlarid.WeightVersion
 	// VersionDenied is set if the replica has denied that it runs Version.
@@ -316,7 +327,8 @@
 	RecordsAsOf time.Time // time as of which the operators' records are known
 	Ready       bool
 	Draining    bool
-	Peers       int // live entry instances, including this one
+	Peers       int                   // live entry instances, including this one
+	Others      []medlarid.InstanceID // other instances that have announced themselves
 
 	Accounts  map[medlarid.AccountID]*Account
 	Models    map[medlarid.ModelID]Model
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -225,6 +225,16 @@
 	AttemptStarted time.Time
 }
 
+// UpstreamBrittle reports whether an upstream said in an answer that it is brittle.
+type UpstreamBrittle struct {
+	Upstream    medlarid.InstanceID
+	Incarnation medlarid.Incarnation
+	Most        int // requests that it can turn away in a second for lack of room; 0 if it did not say so
+}
+
+// InstancesAnnounced carries the instances that have announced themselves, without this one.
+type InstancesAnnounced struct{ Others []medlarid.InstanceID }
+
 // Rates are requests per second by service.
 type Rates map[medlarid.ServiceID]float64
 
@@ -303,41 +313,43 @@
 // Tick reports that time has passed.
 type Tick struct{}
 
-func (Submitted) event()         {}
-func (AttemptEnded) event()      {}
-func (LookedUp) event()          {}
-func (ClaimGranted) event()      {}
-func (ClaimDenied) event()       {}
-func (SharesGranted) event()     {}
-func (CallerLeft) event()        {}
-func (ListsApplied) event()      {}
-func (InstancesListed) event()   {}
-func (StatusReported) event()    {}
-func (CacheChanged) event()      {}
-func (TransferEnded) event()     {}
-func (UpstreamLeaving) event()   {}
-func (UpstreamPaused) event()    {}
-func (UpstreamLimited) event()   {}
-func (LimitRecorded) event()     {}
-func (NeedRecorded) event()      {}
-func (UpstreamProbed) event()    {}
-func (CrashReported) event()     {}
-func (BlockRecorded) event()     {}
-func (TrialGranted) event()      {}
-func (RecordsRestored) event()   {}
-func (NoticesRead) event()       {}
-func (PeerLoadReported) event()  {}
-func (NoticesCurrent) event()    {}
-func (NoticesWritten) event()    {}
-func (BuildsAssigned) event()    {}
-func (StreamsRecorded) event()   {}
-func (AssignmentsSeen) event()   {}
-func (InventoryReported) event() {}
-func (RecordsCurrent) event()    {}
-func (WeightsLoading) event()    {}
-func (AnswerBegan) event()       {}
-func (StopRequested) event()     {}
-func (Tick) event()              {}
+func (Submitted) event()          {}
+func (AttemptEnded) event()       {}
+func (LookedUp) event()           {}
+func (ClaimGranted) event()       {}
+func (ClaimDenied) event()        {}
+func (SharesGranted) event()      {}
+func (CallerLeft) event()         {}
+func (ListsApplied) event()       {}
+func (InstancesListed) event()    {}
+func (StatusReported) event()     {}
+func (CacheChanged) event()       {}
+func (TransferEnded) event()      {}
+func (UpstreamLeaving) event()    {}
+func (UpstreamPaused) event()     {}
+func (UpstreamLimited) event()    {}
+func (UpstreamBrittle) event()    {}
+func (InstancesAnnounced) event() {}
+func (LimitRecorded) event()      {}
+func (NeedRecorded) event()       {}
+func (UpstreamProbed) event()     {}
+func (CrashReported) event()      {}
+func (BlockRecorded) event()      {}
+func (TrialGranted) event()       {}
+func (RecordsRestored) event()    {}
+func (NoticesRead) event()        {}
+func (PeerLoadReported) event()   {}
+func (NoticesCurrent) event()     {}
+func (NoticesWritten) event()     {}
+func (BuildsAssigned) event()     {}
+func (StreamsRecorded) event()    {}
+func (AssignmentsSeen) event()    {}
+func (InventoryReported) event()  {}
+func (RecordsCurrent) event()     {}
+func (WeightsLoading) event()     {}
+func (AnswerBegan) event()        {}
+func (StopRequested) event()      {}
+func (Tick) event()               {}
 
 // StartAttempt asks for an attempt of a run.
 type StartAttempt struct {
@@ -362,8 +374,9 @@
 	Fetch         []medlarid.Address
 	Save          []medlarid.Address
 	FetchDeadline time.Time
-	// Limited is set if the upstream is known to have a limit of requests.
+	// Limited is set if the upstream is known to have a limit of requests, Brittle if it is known to be brittle.
 	Limited bool
+	Brittle bool
 	// Parts holds the state of each part that the decision assumed.
 	Parts    []medlarchoice.PartState
 	Decision medlarchoice.Decision
@@ -448,6 +461,12 @@
 	Limit    float64 // requests per second from all instances together
 }
 
+// BrittleChanged reports that an upstream says that it is brittle, or does no longer, for the log.
+type BrittleChanged struct {
+	Upstream medlarid.InstanceID
+	Most     int // requests that it can turn away in a second; 0 if it is not brittle
+}
+
 // RecordLimit asks to share the limit of an upstream with all instances, or its end.
 type RecordLimit struct {
 	Upstream    medlarid.InstanceID
@@ -499,24 +518,25 @@
 // BlockChanged reports that a trait is blocked or no longer blocked, for the log.
 type BlockChanged struct{ Change medlarsuspect.Change }
 
-func (StartAttempt) command()  {}
-func (LimitChanged) command()  {}
-func (RecordLimit) command()   {}
-func (RecordNeed) command()    {}
-func (ProbeUpstream) command() {}
-func (ReportCrash) command()   {}
-func (RecordBlock) command()   {}
-func (AssignBuilds) command()  {}
-func (RecordStreams) command() {}
-func (RecordSeen) command()    {}
-func (ReadNotices) command()   {}
-func (TellLoad) command()      {}
-func (BlockChanged) command()  {}
-func (Refuse) command()        {}
-func (LookUp) command()        {}
-func (Claim) command()         {}
-func (Export) command()        {}
-func (Retried) command()       {}
-func (RequestShares) command() {}
-func (Ejected) command()       {}
-func (Avoided) command()       {}
+func (StartAttempt) command()   {}
+func (LimitChanged) command()   {}
+func (BrittleChanged) command() {}
+func (RecordLimit) command()    {}
+func (RecordNeed) command()     {}
+func (ProbeUpstream) command()  {}
+func (ReportCrash) command()    {}
+func (RecordBlock) command()    {}
+func (AssignBuilds) command()   {}
+func (RecordStreams) command()  {}
+func (RecordSeen) command()     {}
+func (ReadNotices) command()    {}
+func (TellLoad) command()       {}
+func (BlockChanged) command()   {}
+func (Refuse) command()         {}
+func (LookUp) command()         {}
+func (Claim) command()          {}
+func (Export) command()         {}
+func (Retried) command()        {}
+func (RequestShares) command()  {}
+func (Ejected) command()        {}
+func (Avoided) command()        {}
--- a/internal/edge/medlarcall/medlarcall.go
+++ b/internal/edge/medlarcall/medlarcall.go
@@ -108,7 +108,10 @@
 	Limit          float64
 	LimitNamed     bool
 	LimitMalformed bool
-	MalformedHint  bool // Leaving, RetryAfter or Limit was given with an invalid value
+	// Brittle is how many requests the replica can turn away in a second for lack of room before it
+	// crashes; 0 if it does not say that it is brittle.
+	Brittle       int
+	MalformedHint bool // Leaving, RetryAfter, Limit or Brittle was given with an invalid value
 }
 
 // BodyEnd describes the end of the body of an upstream's response.
--- a/internal/edge/medlarmetric/medlarmetric.go
+++ b/internal/edge/medlarmetric/medlarmetric.go
@@ -96,7 +96,7 @@
 	m.relayed = m.newCounterVec("relayed_total", "Requests of other instances to relay a connection to a replica, by whether it was opened.", "opened")
 	m.cut = m.newGauge("cut", "1 while this instance reaches no replica directly although others do.")
 	m.brokenWays = m.newGauge("broken_ways", "Replicas that this instance does not reach directly although others do.")
-	m.hints = m.newCounterVec("hints_total", "What replicas said in responses about further requests: leaving, pause, limit, malformed.", "kind")
+	m.hints = m.newCounterVec("hints_total", "What replicas said in responses about further requests: leaving, pause, limit, brittle, malformed.", "kind")
 	m.tokens = m.newCounterVec("tokens_total", "Tokens, by kind: prompt, cached, completion.", "kind")
 	m.bytesMoved = m.newCounterVec("moved_bytes_total", "Bytes of kept context moved, by direction.", "direction")
 	m.callFailures = m.newCounterVec("platform_failures_total", "Failed calls to the platform, by part.", "part")
@@ -235,6 +235,7 @@
 	HintLeaving   Hint = "leaving"
 	HintPause     Hint = "pause"
 	HintLimit     Hint = "limit"
+	HintBrittle   Hint = "brittle"
 	HintMalformed Hint = "malformed"
 )
 
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -111,6 +111,9 @@
 			Upstream: a.cmd.Upstream, Incarnation: a.cmd.Incarnation, Named: reply.LimitNamed, Limit: reply.Limit, AttemptStarted: a.started,
 		})
 	}
+	if reply.Brittle > 0 || a.cmd.Brittle && own {
+		a.proxy.deps.Post(medlarworld.UpstreamBrittle{Upstream: a.cmd.Upstream, Incarnation: a.cmd.Incarnation, Most: reply.Brittle})
+	}
 	if reply.Leaving {
 		a.proxy.deps.Post(medlarworld.UpstreamLeaving{Upstream: a.cmd.Upstream, Incarnation: a.cmd.Incarnation})
 	}
--- a/internal/ops/medlarattachednode/logging.go
+++ b/internal/ops/medlarattachednode/logging.go
@@ -39,6 +39,16 @@
 	log.Info().Str("event", "limit").Str("replica", string(c.Upstream)).Bool("limited", c.Limited).Float64("limit", c.Limit).Msg(text)
 }
 
+// logBrittle logs and counts that a replica says that it is brittle, or does no longer.
+func logBrittle(log zerolog.Logger, m *medlarmetric.Metrics, c medlarworld.BrittleChanged) {
+	text := "replica no longer says that it is brittle"
+	if c.Most > 0 {
+		m.HintReceived(medlarmetric.HintBrittle)
+		text = "replica says that it is brittle"
+	}
+	log.Info().Str("event", "brittle").Str("replica", string(c.Upstream)).Int("most", c.Most).Msg(text)
+}
+
 // rankOf returns a number derived from the instance's name, by which instances stagger work
 // that only one of them needs to do.
 func rankOf(cfg medlarsettings.Attached) int { return int(xxh3.HashString(string(cfg.Name)) >> 1) }
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -168,6 +168,7 @@
 			go d.Avoid(a) // the registry may wait for the loop
 		},
 		OnLimit:       func(c medlarworld.LimitChanged) { logLimit(log, m, c) },
+		OnBrittle:     func(c medlarworld.BrittleChanged) { logBrittle(log, m, c) },
 		RequestShares: func(medlarworld.RequestShares) {},
 		OnTick:        m.Ticked,
 	}
--- a/internal/ops/medlardialer/medlardialer.go
+++ b/internal/ops/medlardialer/medlardialer.go
@@ -13,9 +13,11 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -134,6 +136,13 @@
 	}
 }
 
+// Peers returns the other instances that may relay.
+func (d *Dialer) Peers() []medlarid.InstanceID {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Sorted(maps.Keys(d.peers))
+}
+
 // Cut reports whether the instance is cut off from the replicas.
 func (d *Dialer) Cut() bool {
 	d.mu.Lock()
--- a/internal/ops/medlarloop/medlarloop.go
+++ b/internal/ops/medlarloop/medlarloop.go
@@ -37,6 +37,7 @@
 	OnEjection    func(medlarworld.Ejected)
 	OnAvoided     func(medlarworld.Avoided)
 	OnLimit       func(medlarworld.LimitChanged)
+	OnBrittle     func(medlarworld.BrittleChanged)
 	RequestShares func(medlarworld.RequestShares)
 	// ProbeUpstream, ReportCrash, RecordBlock and OnBlock are needed where prompts are divided
 	// into parts.
@@ -246,6 +247,8 @@
 		l.deps.OnAvoided(c)
 	case medlarworld.LimitChanged:
 		l.deps.OnLimit(c)
+	case medlarworld.BrittleChanged:
+		l.deps.OnBrittle(c)
 	case medlarworld.RecordLimit:
 		l.deps.RecordLimit(c)
 	case medlarworld.RecordNeed:
--- a/internal/ops/medlarnotifier/peer.go
+++ b/internal/ops/medlarnotifier/peer.go
@@ -3,6 +3,7 @@
 import (
 	"medlarfield/internal/agree/medlarfeed"
 	"medlarfield/internal/agree/medlarnotice"
+	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/peer/medlardatagram"
 )
 
@@ -58,4 +59,5 @@
 	}
 	n.deps.Socket.SetPeer(id, medlardatagram.Peer{Address: p.Address, Key: medlardatagram.Key(p.Key)})
 	n.deps.Dialer.SetPeer(id, p)
+	n.post(medlarworld.InstancesAnnounced{Others: n.deps.Dialer.Peers()})
 }
