Give silent replicas time where a request can't be sent elsewhere

Cause: sent bytes that were not acknowledged for 0.6 s ended the connection, and the same option ends one within 1.5 s of silence while an answer is awaited, whatever the count of keep-alive probes. A replica that is silent for a second and goes on is sound: a request that must not run twice was answered 502, and a stream was broken off.

Change: such requests and answers in progress wait for 2 s of silence; a request that can be sent elsewhere still gives up after 0.6 s. TestSilentPeerIsGivenTime reads the options from the socket, since connections on the loopback acknowledge all; with 0.6 s for all three of its five checks fail.

--- a/internal/edge/medlarpool/medlarpool.go
+++ b/internal/edge/medlarpool/medlarpool.go
@@ -10,8 +10,11 @@
 //	R3  A request that must not run twice gets a connection that was in use within
 //	    maxRecentIdle, or a new one: if the peer resets an idle connection while the
 //	    request is being sent, it is unknown whether the request ran.
-//	R4  A peer that does not acknowledge sent bytes is detected within ackTimeout,
-//	    and an idle peer that is gone is detected by a few keep-alive probes.
+//	R4  A peer that does not acknowledge sent bytes is detected within ackTimeout, so that the request
+//	    can be sent to another one, and an idle peer that is gone by a few keep-alive probes.
+//	R5  A sound peer may fall silent for a second or more and go on. So a request that must not run twice, and
+//	    an answer that has begun, wait for silenceTimeout. It bounds the keep-alive probes
+//	    too, whatever their count.
 package medlarpool
 
 import (
@@ -32,6 +35,7 @@
 const (
 	dialTimeout        = 400 * time.Millisecond
 	ackTimeout         = 600 * time.Millisecond
+	silenceTimeout     = 2 * time.Second
 	keepAliveIdle      = time.Second
 	keepAliveInterval  = 500 * time.Millisecond
 	keepAliveCount     = 3
@@ -57,6 +61,7 @@
 	Target Target
 	Via    medlarid.InstanceID
 
+	patient   bool      // waits for silenceTimeout rather than ackTimeout
 	idleSince time.Time // start of the idle period
 	expires   time.Time // end of the idle timeout
 }
@@ -107,6 +112,7 @@
 		now := time.Now()
 		usable := now.Before(c.expires) && !(recent && now.Sub(c.idleSince) > maxRecentIdle)
 		if usable && p.deps.Usable(c) && medlarprobe.Idle(c.Conn) {
+			c.setPatient(recent)
 			return c, nil
 		}
 		_ = c.Close()
@@ -115,7 +121,51 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Conn: c, Reader: bufio.NewReaderSize(c, readBuffer), Opened: time.Now(), Target: t, Via: via}, nil
+	conn := &Conn{Conn: c, Reader: bufio.NewReaderSize(c, readBuffer), Opened: time.Now(), Target: t, Via: via}
+	conn.setPatient(recent)
+	return conn, nil
+}
+
+// AnswerBegan makes the connection outlast a peer that falls silent within its answer (R5).
+func (c *Conn) AnswerBegan() { c.setPatient(true) }
+
+// setPatient sets for how long the peer may be silent (R4, R5).
+func (c *Conn) setPatient(patient bool) {
+	if c.patient == patient {
+		return
+	}
+	c.patient = patient
+	d := ackTimeout
+	if patient {
+		d = silenceTimeout
+	}
+	setUserTimeout(c.Conn, d)
+}
+
+// OutlastSilence makes a direct connection outlast a peer that falls silent (R5).
+func OutlastSilence(c net.Conn) { setUserTimeout(c, silenceTimeout) }
+
+// setUserTimeout sets the time for which bytes that are sent on an open connection may stay unacknowledged. Where it
+// cannot be set, the connection keeps what it had.
+func setUserTimeout(c net.Conn, d time.Duration) {
+	for {
+		u, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		c = u.NetConn()
+	}
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+	})
 }
 
 // Dial opens a direct connection to an upstream.
--- a/internal/edge/medlarpool/medlarpool_test.go
+++ b/internal/edge/medlarpool/medlarpool_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"medlarfield/internal/base/medlarid"
 )
 
@@ -88,3 +91,50 @@
 		t.Error("the connection is still open")
 	}
 }
+
+// userTimeout returns the time for which the peer of a connection may be silent.
+func userTimeout(t *testing.T, c *Conn) time.Duration {
+	t.Helper()
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var n int
+	err = raw.Control(func(fd uintptr) { n, _ = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return time.Duration(n) * time.Millisecond
+}
+
+// TestSilentPeerIsGivenTime guards against requests that must not run twice, and answers in progress, that are cut off
+// since a sound peer is silent for a second or so.
+func TestSilentPeerIsGivenTime(t *testing.T) {
+	const sound = 1500 * time.Millisecond // of silence
+	addr, _ := listen(t)
+	p := NewDirect()
+	get := func(recent bool) *Conn {
+		t.Helper()
+		c, err := p.Get(t.Context(), Target{Address: addr}, recent)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	assertPatient := func(what string, c *Conn, want bool) {
+		t.Helper()
+		if d := userTimeout(t, c); (d > sound) != want {
+			t.Errorf("%s: cut off after %v of silence; outlasts %v: %v, want %v", what, d, sound, !want, want)
+		}
+	}
+	c := get(false)
+	assertPatient("request that may be sent elsewhere", c, false)
+	c.AnswerBegan()
+	assertPatient("answer in progress", c, true)
+	p.Put(c, 0)
+	c = get(false)
+	assertPatient("next request", c, false)
+	p.Put(c, 0)
+	assertPatient("request that must not run twice, on a connection in use before", get(true), true)
+	assertPatient("request that must not run twice, on a new connection", get(true), true)
+}
--- a/internal/edge/medlarproxy/relay.go
+++ b/internal/edge/medlarproxy/relay.go
@@ -63,6 +63,7 @@
 func (a *attempt) relayChunked(h *medlarhead.Head, first []byte, body *medlarhead.Body, reply medlarcall.Reply) medlarworld.AttemptEnded {
 	b := medlarhead.AppendChunkedEnd(a.responseHead(h))
 	a.responseStarted, a.began = true, time.Now()
+	a.upstream.AnswerBegan()
 	if a.write(medlarhead.AppendChunk(b, first)) != nil {
 		_ = a.upstream.Close()
 		return a.ended(medlarworld.CauseCallerLeft, "", true)
@@ -140,6 +141,7 @@
 		return a.write(medlarhead.AppendChunk(nil, events))
 	}
 	a.responseStarted = true
+	a.upstream.AnswerBegan()
 	a.proxy.deps.Post(medlarworld.AnswerBegan{Run: a.run.ID, Attempt: a.cmd.Attempt, After: time.Since(a.started), Version: a.cmd.Version})
 	b := medlarhead.AppendChunkedEnd(a.responseHead(h))
 	return a.write(medlarhead.AppendChunk(b, events))
--- a/internal/ops/medlardialer/peer.go
+++ b/internal/ops/medlardialer/peer.go
@@ -9,6 +9,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarreach"
 	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/edge/medlarpool"
 	"medlarfield/internal/peer/medlartunnel"
 )
 
@@ -32,6 +33,7 @@
 	d.ended(id, outcome)
 	switch outcome {
 	case medlarreach.Opened:
+		medlarpool.OutlastSilence(c) // the instance that asked decides how long to wait
 		return c, medlartunnel.ResultOpened
 	case medlarreach.Refused:
 		return nil, medlartunnel.ResultRefused
