Pass the first event of a stream on once other instances can tell where it goes on

Cause: a stream that begins at another build than the derived one is recorded up to 0.1 s after it began. An instance that is killed in that time leaves streams of which the caller has the beginning and nobody knows the build.

Change: the caller gets the first event once the record is accepted by the store, or after 0.4 s.

--- a/internal/agree/medlarnotice/medlarnotice.go
+++ b/internal/agree/medlarnotice/medlarnotice.go
@@ -71,6 +71,8 @@
 type Record struct {
 	Key   string
 	Value []byte
+	// Serial tells the writer which of its records of the key this is; it is not written.
+	Serial uint64
 }
 
 // Deps are the functions with which a board writes.
@@ -87,10 +89,10 @@
 type Board struct {
 	deps      Deps
 	wake      chan struct{}
-	onWritten func()
+	onWritten func([]Record)
 
 	mu      sync.Mutex
-	pending map[string][]byte
+	pending map[string]Record
 	order   []string // keys of pending, the oldest first
 	end     medlarid.Offset
 	read    bool // the topic has been read once
@@ -98,12 +100,12 @@
 
 // New returns a board; Run makes it write.
 func New(deps Deps) *Board {
-	return &Board{deps: deps, wake: make(chan struct{}, 1), pending: map[string][]byte{}, onWritten: func() {}}
+	return &Board{deps: deps, wake: make(chan struct{}, 1), pending: map[string]Record{}, onWritten: func([]Record) {}}
 }
 
-// SetOnWritten sets the function that is called after each call that has written queued records. It
+// SetOnWritten sets the function that is called with the queued records that each call has written. It
 // is called before Run.
-func (b *Board) SetOnWritten(f func()) { b.onWritten = f }
+func (b *Board) SetOnWritten(f func([]Record)) { b.onWritten = f }
 
 // Put queues a record (R1).
 func (b *Board) Put(r Record) {
@@ -116,7 +118,7 @@
 		}
 		b.order = append(b.order, r.Key)
 	}
-	b.pending[r.Key] = r.Value
+	b.pending[r.Key] = r
 	select {
 	case b.wake <- struct{}{}:
 	default:
@@ -171,7 +173,7 @@
 				continue
 			}
 			failures = 0
-			b.onWritten()
+			b.onWritten(batch)
 		}
 	}
 }
@@ -183,7 +185,7 @@
 	n := min(len(b.order), maxBatch)
 	out := make([]Record, n)
 	for i, key := range b.order[:n] {
-		out[i] = Record{Key: key, Value: b.pending[key]}
+		out[i] = b.pending[key]
 		delete(b.pending, key)
 	}
 	b.order = append([]string(nil), b.order[n:]...)
@@ -197,7 +199,7 @@
 	var keys []string
 	for _, r := range batch {
 		if _, ok := b.pending[r.Key]; !ok {
-			b.pending[r.Key] = r.Value
+			b.pending[r.Key] = r
 			keys = append(keys, r.Key)
 		}
 	}
--- a/internal/core/medlarbuild/assignment.go
+++ b/internal/core/medlarbuild/assignment.go
@@ -182,7 +182,9 @@
 	for k, o := range t.broken {
 		if now.Before(o.until) && excepted(k, o.stream) {
 			t.addException(k, o.build)
-			t.exceptions[k] = exception{build: o.build, until: now.Add(keepEnded)}
+			e := t.exceptions[k]
+			e.until = now.Add(keepEnded)
+			t.exceptions[k] = e
 		}
 	}
 }
--- a/internal/core/medlarbuild/history_test.go
+++ b/internal/core/medlarbuild/history_test.go
@@ -234,8 +234,8 @@
 			for _, c := range in.table.TakeClaims() {
 				h.claim(i, c.Assignment)
 			}
-			if builds, ok := in.table.TakeRecord(h.now); ok {
-				h.record(i, in.start, builds)
+			if builds, serial, ok := in.table.TakeRecord(h.now); ok {
+				h.record(i, in.start, builds, serial)
 			}
 			if seen, ok := in.table.TakeSeen(h.now); ok {
 				h.recordSeen(i, in.start, seen)
@@ -260,14 +260,14 @@
 }
 
 // record writes an instance's exceptions once it reaches the store.
-func (h *history) record(i, start int, builds map[Key]medlarid.Build) {
+func (h *history) record(i, start int, builds map[Key]medlarid.Build, serial uint64) {
 	in := h.instances[i]
 	h.after(max(in.awayUntil.Sub(h.now), 0)+h.between(3*time.Millisecond, 30*time.Millisecond), func() {
 		if !h.alive(i, start) {
 			return
 		}
 		if h.now.Before(in.awayUntil) {
-			h.record(i, start, builds)
+			h.record(i, start, builds, serial)
 			return
 		}
 		in.record = maps.Clone(in.record)
@@ -275,7 +275,7 @@
 			in.record = map[Key]medlarid.Build{}
 		}
 		maps.Copy(in.record, builds)
-		in.table.SetWritten()
+		in.table.SetWritten(serial)
 		h.publish(func(t *Table) { t.ApplyStreams(h.now, builds) })
 	})
 }
@@ -343,7 +343,18 @@
 }
 
 // serve delivers the first event of a try, and lets it last for a while.
-func (h *history) serve(p *played, build medlarid.Build) {
+func (h *history) serve(p *played, build medlarid.Build) { h.serveOnceRecorded(p, build, h.now) }
+
+// maxHold is the longest time for which an instance holds the first event of a stream back.
+const maxHold = 400 * time.Millisecond
+
+// serveOnceRecorded delivers the first event of a try that has been ready since a time, once others can tell at which
+// build the stream goes on.
+func (h *history) serveOnceRecorded(p *played, build medlarid.Build, since time.Time) {
+	if h.alive(p.server, p.start) && !h.instances[p.server].table.Recorded(p.key) && h.now.Sub(since) < maxHold {
+		h.after(5*time.Millisecond, func() { h.serveOnceRecorded(p, build, since) })
+		return
+	}
 	if !h.alive(p.server, p.start) {
 		if p.build != "" {
 			h.resume(p)
--- a/internal/core/medlarbuild/medlarbuild.go
+++ b/internal/core/medlarbuild/medlarbuild.go
@@ -16,7 +16,8 @@
 //	    goneTime counts as gone.
 //	R4  Exceptions are recorded for all instances: streams in progress, or broken off lately, in a bucket
 //	    that changes, streams that begin in one that is not settled, and streams that begin at
-//	    another build than the derived one, since that has no upstream that can take them.
+//	    another build than the derived one, since that has no upstream that can take them. The
+//	    caller gets the first event of such a stream once it is recorded, if the store accepts that.
 //	R5  A stream is resumed at the build that this instance knows, that is recorded, or that is
 //	    derived, in this order. It is derived only after a read of all records that began later
 //	    than the request came, since another instance may just have recorded an exception. It
@@ -100,6 +101,8 @@
 	exceptions map[Key]exception
 	dirty      bool // the exceptions are to be recorded
 	recordedAt time.Time
+	serial     uint64    // of the last record of exceptions
+	written    uint64    // of the last one that the store has accepted
 	recorded   bool      // a record of this instance exists
 	unwritten  time.Time // of the first record that the store has not accepted yet; zero for none
 	claims     []Claim
@@ -120,8 +123,9 @@
 
 // exception is a stream of this instance's record; until is zero while it is in progress.
 type exception struct {
-	build medlarid.Build
-	until time.Time
+	build  medlarid.Build
+	until  time.Time
+	serial uint64 // of the first record that has it
 }
 
 // New returns an empty table of an instance. jitter differs among instances.
@@ -153,8 +157,19 @@
 	return written && now.Sub(t.readAt) <= idleTime
 }
 
-// SetWritten reports that the store has accepted records of this instance.
-func (t *Table) SetWritten() { t.unwritten = time.Time{} }
+// SetWritten reports that the store has accepted records of this instance, and the record of exceptions with a
+// serial number; 0 for none.
+func (t *Table) SetWritten(serial uint64) {
+	t.unwritten = time.Time{}
+	t.written = max(t.written, serial)
+}
+
+// Recorded reports whether other instances can tell at which build a stream that begins here goes on: they derive it,
+// or it is recorded.
+func (t *Table) Recorded(k Key) bool {
+	e, ok := t.exceptions[k]
+	return !ok || e.serial <= t.written
+}
 
 // NewStreamBuild returns the build at which a new stream begins; empty for any.
 func (t *Table) NewStreamBuild(now time.Time, id medlarid.ServiceID, k Key) medlarid.Build {
@@ -228,7 +243,7 @@
 		}
 	}
 	if e, ok := t.exceptions[k]; ok {
-		t.exceptions[k] = exception{build: e.build, until: now.Add(keepEnded)}
+		t.exceptions[k] = exception{build: e.build, until: now.Add(keepEnded), serial: e.serial}
 	}
 }
 
@@ -250,7 +265,7 @@
 	if len(t.exceptions) >= maxExceptions {
 		t.dropException()
 	}
-	t.exceptions[k] = exception{build: build}
+	t.exceptions[k] = exception{build: build, serial: t.serial + 1}
 	t.dirty = true
 }
 
@@ -279,13 +294,13 @@
 const recordInterval = 60 * time.Millisecond
 
 // TakeRecord returns this instance's exceptions if they are to be recorded: they have changed, or none is left.
-func (t *Table) TakeRecord(now time.Time) (builds map[Key]medlarid.Build, ok bool) {
+func (t *Table) TakeRecord(now time.Time) (builds map[Key]medlarid.Build, serial uint64, ok bool) {
 	if now.Sub(t.recordedAt) < recordInterval && !t.seenDirty {
-		return nil, false
+		return nil, 0, false
 	}
 	maps.DeleteFunc(t.exceptions, func(_ Key, e exception) bool { return !e.until.IsZero() && now.After(e.until) })
 	if !t.dirty && (len(t.exceptions) > 0 || !t.recorded) {
-		return nil, false
+		return nil, 0, false
 	}
 	builds = map[Key]medlarid.Build{}
 	for k, e := range t.exceptions {
@@ -295,7 +310,8 @@
 	if t.unwritten.IsZero() {
 		t.unwritten = now
 	}
-	return builds, true
+	t.serial++
+	return builds, t.serial, true
 }
 
 // TakeClaims returns the changes of assignments to be claimed since the last call.
--- a/internal/core/medlarbuild/medlarbuild_test.go
+++ b/internal/core/medlarbuild/medlarbuild_test.go
@@ -333,7 +333,7 @@
 func TestExceptions(t *testing.T) {
 	record := func(b *bench) map[Key]medlarid.Build {
 		b.advance(recordInterval, true)
-		got, _ := b.table.TakeRecord(b.now)
+		got, _, _ := b.table.TakeRecord(b.now)
 		return got
 	}
 	settled := func(t *testing.T) *bench {
@@ -396,15 +396,15 @@
 		record(b)
 		b.table.StreamEnded(b.now, 1, false)
 		b.advance(keepEnded-time.Second, true)
-		if got, ok := b.table.TakeRecord(b.now); ok {
+		if got, _, ok := b.table.TakeRecord(b.now); ok {
 			t.Errorf("recorded %v, want no change yet", got)
 		}
 		b.advance(2*time.Second, true)
-		if got, ok := b.table.TakeRecord(b.now); !ok || len(got) > 0 {
+		if got, _, ok := b.table.TakeRecord(b.now); !ok || len(got) > 0 {
 			t.Errorf("recorded %v, %v; want the removal", got, ok)
 		}
 		b.advance(time.Second, true)
-		if _, ok := b.table.TakeRecord(b.now); ok {
+		if _, _, ok := b.table.TakeRecord(b.now); ok {
 			t.Error("recorded once more")
 		}
 	})
--- a/internal/core/medlarcore/builds_test.go
+++ b/internal/core/medlarcore/builds_test.go
@@ -1,6 +1,7 @@
 package medlarcore
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -39,6 +40,58 @@
 	}
 }
 
+// TestEventsAwaitRecord guards against a caller that has the beginning of a stream which no other instance knows: if
+// this one is killed, it cannot go on.
+func TestEventsAwaitRecord(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		leaving bool // the only upstream of the derived build
+		want    bool // the caller waits
+	}{{"derived build", false, false}, {"another build", true, true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPartsHarness(t, 0, nil)
+			first, second := engineMember(0, "1"), engineMember(1, "1")
+			first.Build, second.Build, first.Leaving = "old", "new", tc.leaving
+			p.tick(medlarworld.InstancesListed{Members: []medlarworld.Member{first, second}})
+			p.tick(medlarworld.NoticesRead{}, medlarworld.BuildsAssigned{Service: partsService, Assignment: allBuckets("old")})
+			r := p.newRun(100, 100)
+			r.Stream = medlarbuild.KeyOf("acme", r.ID)
+			cs := p.tick(medlarworld.Submitted{Run: r})
+			s := startOf(cs)
+			if s == nil || s.AwaitRecord != tc.want {
+				t.Fatalf("started %+v; want one that waits: %v", s, tc.want)
+			}
+			if !tc.want {
+				return
+			}
+			p.now = p.now.Add(100 * time.Millisecond)
+			serial := recordOf(t, append(cs, p.tick()...))
+			assertTold := func(e medlarworld.Event, want bool) {
+				t.Helper()
+				told := slices.Contains(p.tick(e), medlarworld.Command(medlarworld.StreamRecorded{Run: r.ID, Attempt: s.Attempt}))
+				if told != want {
+					t.Errorf("after %+v the run is told that its stream is recorded: %v, want %v", e, told, want)
+				}
+			}
+			assertTold(medlarworld.NoticesWritten{}, false)
+			assertTold(medlarworld.NoticesWritten{Streams: serial}, true)
+			assertTold(medlarworld.NoticesWritten{Streams: serial}, false)
+		})
+	}
+}
+
+// recordOf returns the serial number of the record of streams among commands.
+func recordOf(t *testing.T, cs []medlarworld.Command) uint64 {
+	t.Helper()
+	for _, c := range cs {
+		if r, ok := c.(medlarworld.RecordStreams); ok {
+			return r.Serial
+		}
+	}
+	t.Fatalf("no record of streams: %+v", cs)
+	return 0
+}
+
 func allBuckets(b medlarid.Build) medlarbuild.Assignment {
 	a := medlarbuild.Assignment{Serial: 1}
 	for i := range a.To {
--- a/internal/core/medlarresume/medlarresume.go
+++ b/internal/core/medlarresume/medlarresume.go
@@ -10,6 +10,7 @@
 //	    when its caller resumes it at any instance. An instance that does not know the build
 //	    reads first what the others have recorded.
 //	R3  A stream that may neither begin nor go on at any upstream is refused at once.
+//	R4  The caller gets the first event of a stream that others cannot derive once it is recorded.
 package medlarresume
 
 import (
@@ -60,7 +61,7 @@
 		case medlarworld.NoticesCurrent:
 			s.noticesCurrent(w, e)
 		case medlarworld.NoticesWritten:
-			w.Builds.SetWritten()
+			w.Builds.SetWritten(e.Streams)
 		case medlarworld.BuildsAssigned:
 			applyAssignment(w, e)
 		case medlarworld.AssignmentsSeen:
@@ -73,6 +74,7 @@
 	}
 	endStreams(w)
 	s.readNotices(w)
+	tellRecorded(w)
 	refuseWaiting(w)
 	w.Builds.Update(w.Now)
 	emit(w)
@@ -176,10 +178,24 @@
 	w.Emit(medlarworld.ReadNotices{At: w.Now})
 }
 
-// Started reports that an attempt of a run starts at an upstream.
-func Started(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) {
-	if r.Stream != 0 {
-		w.Builds.AttemptStarted(w.Now, r.Service, r.Stream, reportedBuild(u))
+// Started reports that an attempt of a run starts at an upstream. It returns whether the caller must get no event before
+// the stream is recorded (R4).
+func Started(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) (awaitRecord bool) {
+	if r.Stream == 0 {
+		return false
+	}
+	w.Builds.AttemptStarted(w.Now, r.Service, r.Stream, reportedBuild(u))
+	r.AwaitsRecord = !w.Builds.Recorded(r.Stream)
+	return r.AwaitsRecord
+}
+
+// tellRecorded tells the runs that wait for it that their streams are recorded (R4).
+func tellRecorded(w *medlarworld.World) {
+	for _, r := range w.Streams {
+		if r.AwaitsRecord && w.Builds.Recorded(r.Stream) {
+			r.AwaitsRecord = false
+			w.Emit(medlarworld.StreamRecorded{Run: r.ID, Attempt: r.Attempt})
+		}
 	}
 }
 
@@ -274,8 +290,8 @@
 	for _, c := range w.Builds.TakeClaims() {
 		w.Emit(medlarworld.AssignBuilds{Service: c.Service, Assignment: c.Assignment, Claim: true})
 	}
-	if builds, ok := w.Builds.TakeRecord(w.Now); ok {
-		w.Emit(medlarworld.RecordStreams{Builds: builds})
+	if builds, serial, ok := w.Builds.TakeRecord(w.Now); ok {
+		w.Emit(medlarworld.RecordStreams{Builds: builds, Serial: serial})
 	}
 	if seen, ok := w.Builds.TakeSeen(w.Now); ok {
 		w.Emit(medlarworld.RecordSeen{Seen: seen})
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -174,7 +174,7 @@
 	decision := medlarchoice.Decision{Candidates: s.candidates, Lag: medlarlag.Estimate(w, u), Others: u.PeerOpen}
 	medlarwindow.Explain(w, r, u, &decision)
 	medlarlimit.Take(u)
-	medlarresume.Started(w, r, u)
+	awaitRecord := medlarresume.Started(w, r, u)
 	u.Open++
 	u.InFlightTokens += r.PromptTokens
 	r.ExpectedTTFT = time.Duration(c.ttft * float64(time.Second))
@@ -208,6 +208,7 @@
 		ImportTimeout: importTimeout(c),
 		Limited:       u.Limited,
 		Brittle:       u.Brittle.Most > 0,
+		AwaitRecord:   awaitRecord,
 		Decision:      decision,
 	}
 	if r.KeyTokens != nil && u.Kind == medlarworld.KindEngine {
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -310,6 +310,8 @@
 	// to go on if BuildFixed is set; empty for any.
 	Build      medlarid.Build
 	BuildFixed bool
+	// AwaitsRecord is set while the caller must get no event, since the stream is not recorded yet.
+	AwaitsRecord bool
 	// AwaitsNotices is set while the run waits for what other instances have recorded of its stream.
 	AwaitsNotices bool
 	Crashes       int                 // replicas that crashed before they sent a part of its answer
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -276,8 +276,9 @@
 	Failed bool
 }
 
-// NoticesWritten reports that the store has accepted records of this instance.
-type NoticesWritten struct{}
+// NoticesWritten reports that the store has accepted records of this instance. Streams is the serial number of
+// the latest record of its streams among them; 0 for none.
+type NoticesWritten struct{ Streams uint64 }
 
 // BuildsAssigned carries the assignment of a service's streams to builds. Dropped is set if it is
 // gone.
@@ -377,6 +378,9 @@
 	// Limited is set if the upstream is known to have a limit of requests, Brittle if it is known to be brittle.
 	Limited bool
 	Brittle bool
+	// AwaitRecord is set if the first event of the stream must not be passed on before StreamRecorded: no
+	// other instance could tell at which build it goes on.
+	AwaitRecord bool
 	// Parts holds the state of each part that the decision assumed.
 	Parts    []medlarchoice.PartState
 	Decision medlarchoice.Decision
@@ -495,6 +499,13 @@
 // RecordStreams asks to record this instance's streams whose build no other one can derive.
 type RecordStreams struct {
 	Builds map[medlarbuild.Key]medlarid.Build
+	Serial uint64 // increases with each record of this instance
+}
+
+// StreamRecorded tells a run whose attempt was started with AwaitRecord that its stream is recorded.
+type StreamRecorded struct {
+	Run     medlarid.RequestID
+	Attempt int
 }
 
 // ReadNotices asks to read what all instances have recorded until now, which is At.
@@ -528,6 +539,7 @@
 func (RecordBlock) command()    {}
 func (AssignBuilds) command()   {}
 func (RecordStreams) command()  {}
+func (StreamRecorded) command() {}
 func (RecordSeen) command()     {}
 func (ReadNotices) command()    {}
 func (TellLoad) command()       {}
--- a/internal/edge/medlarproxy/exchange.go
+++ b/internal/edge/medlarproxy/exchange.go
@@ -25,6 +25,7 @@
 	route     *medlarcatalog.Route
 	account   medlarcatalog.Account
 	run       *medlarworld.Run
+	commands  <-chan medlarworld.Command // of the core, about the run
 	summary   *medlarcall.Summary
 	arrived   time.Time
 	ctx       context.Context // canceled when the client disconnects
@@ -66,9 +67,9 @@
 	}
 	x.buildRun()
 	x.stopWatch = x.conn.WatchDisconnect(x.cancel)
-	commands := x.proxy.deps.Submit(x.run, medlarworld.Limits{})
+	x.commands = x.proxy.deps.Submit(x.run, medlarworld.Limits{})
 	defer x.proxy.deps.Done(x.run.ID)
-	return x.runCommands(commands)
+	return x.runCommands()
 }
 
 // resolve determines the route and the account, or returns why the request is refused.
@@ -109,14 +110,14 @@
 
 // runCommands executes the core's commands until the request has ended. It reports whether the
 // client connection can be reused.
-func (x *exchange) runCommands(commands <-chan medlarworld.Command) bool {
+func (x *exchange) runCommands() bool {
 	for {
 		select {
 		case <-x.ctx.Done():
 			x.proxy.deps.Post(medlarworld.CallerLeft{Run: x.run.ID})
 			x.summary.Reason = medlarreason.Gone
 			return false
-		case cmd := <-commands:
+		case cmd := <-x.commands:
 			switch cmd := cmd.(type) {
 			case medlarworld.StartAttempt:
 				if ended, reusable := x.startAttempt(cmd); ended {
--- a/internal/edge/medlarproxy/relay.go
+++ b/internal/edge/medlarproxy/relay.go
@@ -141,12 +141,37 @@
 		return a.write(medlarhead.AppendChunk(nil, events))
 	}
 	a.responseStarted = true
+	a.awaitRecord()
 	a.upstream.AnswerBegan()
 	a.proxy.deps.Post(medlarworld.AnswerBegan{Run: a.run.ID, Attempt: a.cmd.Attempt, After: time.Since(a.started), Version: a.cmd.Version})
 	b := medlarhead.AppendChunkedEnd(a.responseHead(h))
 	return a.write(medlarhead.AppendChunk(b, events))
 }
 
+// recordTimeout is the longest time for which the first event of a stream is held back until the stream is recorded.
+const recordTimeout = 400 * time.Millisecond
+
+// awaitRecord waits until the stream is recorded, if other instances could not tell otherwise where it goes on.
+func (a *attempt) awaitRecord() {
+	if !a.cmd.AwaitRecord {
+		return
+	}
+	timeout := time.NewTimer(recordTimeout)
+	defer timeout.Stop()
+	for {
+		select {
+		case cmd := <-a.commands:
+			if r, ok := cmd.(medlarworld.StreamRecorded); ok && r.Attempt == a.cmd.Attempt {
+				return
+			}
+		case <-timeout.C:
+			return
+		case <-a.ctx.Done():
+			return
+		}
+	}
+}
+
 // responseHead returns the head of a response without its framing, and records its status.
 func (x *exchange) responseHead(h *medlarhead.Head) []byte {
 	x.summary.Status = h.Status
--- a/internal/ops/medlarloop/medlarloop.go
+++ b/internal/ops/medlarloop/medlarloop.go
@@ -233,6 +233,8 @@
 		l.deliver(c.Run, c)
 	case medlarworld.Refuse:
 		l.deliver(c.Run, c)
+	case medlarworld.StreamRecorded:
+		l.deliver(c.Run, c)
 	case medlarworld.Claim:
 		l.deliver(c.Run, c)
 	case medlarworld.LookUp:
--- a/internal/ops/medlarnotifier/build.go
+++ b/internal/ops/medlarnotifier/build.go
@@ -48,6 +48,7 @@
 		n.deps.Log.Error().Str("event", "notice").Err(err).Msg("streams cannot be encoded")
 		return
 	}
+	r.Serial = c.Serial
 	n.deps.Board.Put(r)
 }
 
--- a/internal/ops/medlarnotifier/medlarnotifier.go
+++ b/internal/ops/medlarnotifier/medlarnotifier.go
@@ -69,7 +69,13 @@
 // SetPost sets the function that passes events to the core.
 func (n *Notifier) SetPost(post func(medlarworld.Event)) {
 	n.post = post
-	n.deps.Board.SetOnWritten(func() { post(medlarworld.NoticesWritten{}) })
+	n.deps.Board.SetOnWritten(func(written []medlarnotice.Record) {
+		e := medlarworld.NoticesWritten{}
+		for _, r := range written {
+			e.Streams = max(e.Streams, r.Serial)
+		}
+		post(e)
+	})
 }
 
 // AddTo adds to d the functions that carry out the core's commands about what all instances have
