--- a/internal/core/medlarbuild/assignment.go
+++ b/internal/core/medlarbuild/assignment.go
@@ -33,7 +33,7 @@
 	needTime     = 300 * time.Millisecond // a change is claimed once it is needed for this time
 	lossTime     = 2 * time.Second        // or for this time if a build has lost upstreams, which may come back
 	claimTimeout = time.Second            // of a claim without an answer
-	settleSpread = 10                     // times the jitter of an instance, until it records that a change is settled
+	settleSpread = 10                     // times the jitter of an instance, until it records what changes nothing
 	tolerance    = NumBuckets / 6         // buckets by which a build may have more or fewer than its upstreams are worth
 	minShare     = 1                      // buckets that a build with an upstream has at least
 	maxBuilds    = 32                     // builds that get streams; of more, those with most upstreams
@@ -228,8 +228,11 @@
 			s.needSince = now
 		}
 		wait := needTime + t.jitter
-		if loss {
+		switch {
+		case loss:
 			wait = lossTime + t.jitter
+		case next.From == next.To:
+			wait = needTime + settleSpread*t.jitter // all instances may have started at once
 		}
 		if now.Sub(s.needSince) < wait || now.Before(s.claimUntil) {
 			continue
