--- a/internal/core/medlarbrittle/medlarbrittle_test.go
+++ b/internal/core/medlarbrittle/medlarbrittle_test.go
@@ -41,15 +41,15 @@
 		t.Run(fmt.Sprint(tc), func(t *testing.T) {
 			sharing, slots := map[medlarid.InstanceID]int{}, map[medlarid.InstanceID]int{}
 			for i := range tc.instances {
-				w, any := newWorld(i, tc.instances, tc.upstreams, tc.slots, tc.most), false
+				w, shares := newWorld(i, tc.instances, tc.upstreams, tc.slots, tc.most), false
 				for id, u := range w.Upstreams {
 					if u.Brittle.Part > 0 {
 						sharing[id]++
 						slots[id] += u.Brittle.Part
-						any = true
+						shares = true
 					}
 				}
-				if !any {
+				if !shares {
 					t.Errorf("instance %d may use no upstream", i)
 				}
 			}
