--- a/internal/core/medlaradmission/medlaradmission.go
+++ b/internal/core/medlaradmission/medlaradmission.go
@@ -33,6 +33,7 @@
 	"time"
 
 	"medlarfield/internal/core/medlarcrash"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarlimit"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarresume"
@@ -89,7 +90,7 @@
 
 func (s *System) submit(w *medlarworld.World, e medlarworld.Submitted) {
 	r := e.Run
-	r.Phase = medlarworld.PhaseNew
+	r.Phase = medlarkind.PhaseNew
 	w.Runs[r.ID] = r
 	a := updateAccount(w, e)
 	a.Open++
--- a/internal/core/medlaradmission/queue.go
+++ b/internal/core/medlaradmission/queue.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
 )
@@ -64,7 +65,7 @@
 
 // Enqueue inserts a run at its position in the queue (R3).
 func Enqueue(w *medlarworld.World, r *medlarworld.Run) {
-	r.Phase = medlarworld.PhaseWaiting
+	r.Phase = medlarkind.PhaseWaiting
 	w.Waiting = slices.Insert(w.Waiting, position(w, r), r)
 }
 
--- a/internal/core/medlarcore/admission_test.go
+++ b/internal/core/medlarcore/admission_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -22,7 +23,7 @@
 		r.Deadline = p.now.Add(time.Minute)
 		events := []medlarworld.Event{medlarworld.Submitted{Run: r}}
 		if i%5 == 0 && running != nil {
-			events = append(events, medlarworld.AttemptEnded{Run: running.Run, Attempt: running.Attempt, Cause: medlarworld.CauseDone, Reached: true})
+			events = append(events, medlarworld.AttemptEnded{Run: running.Run, Attempt: running.Attempt, Cause: medlarkind.CauseDone, Reached: true})
 			running = nil
 		}
 		if s := startOf(p.tick(events...)); s != nil {
--- a/internal/core/medlarcore/crash_test.go
+++ b/internal/core/medlarcore/crash_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarsuspect"
 	"medlarfield/internal/core/medlarworld"
@@ -35,7 +36,7 @@
 func (p *partsHarness) lose(s *medlarworld.StartAttempt, l loss, down bool) []medlarworld.Command {
 	p.t.Helper()
 	e := medlarworld.AttemptEnded{
-		Run: s.Run, Attempt: s.Attempt, Cause: medlarworld.CauseRetry, Reason: medlarreason.Truncated, Reached: true,
+		Run: s.Run, Attempt: s.Attempt, Cause: medlarkind.CauseRetry, Reason: medlarreason.Truncated, Reached: true,
 		Lost: true, Head: l.head, Began: l.began,
 	}
 	cs := p.tick(e)
@@ -194,7 +195,7 @@
 			if s := p.submit(p.runWith("a", medlarsuspect.Trait(fmt.Sprint("b", i)))); s == nil {
 				t.Fatal("a sound request does not start")
 			} else {
-				p.tick(medlarworld.AttemptEnded{Run: s.Run, Attempt: s.Attempt, Cause: medlarworld.CauseDone, Reached: true, Began: time.Millisecond})
+				p.tick(medlarworld.AttemptEnded{Run: s.Run, Attempt: s.Attempt, Cause: medlarkind.CauseDone, Reached: true, Began: time.Millisecond})
 			}
 		}
 	})
@@ -249,7 +250,7 @@
 	if s == nil {
 		t.Fatal("the trial is not started")
 	}
-	e := medlarworld.AttemptEnded{Run: s.Run, Attempt: s.Attempt, Cause: medlarworld.CauseRetry, Reason: medlarreason.Failure, Reached: true}
+	e := medlarworld.AttemptEnded{Run: s.Run, Attempt: s.Attempt, Cause: medlarkind.CauseRetry, Reason: medlarreason.Failure, Reached: true}
 	p.tick(e)
 	p.now = p.now.Add(30 * time.Millisecond)
 	if again := startOf(p.tick(medlarworld.Tick{})); again != nil {
--- a/internal/core/medlarcore/experiment_test.go
+++ b/internal/core/medlarcore/experiment_test.go
@@ -11,6 +11,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarinventory"
 	"medlarfield/internal/core/medlarkey"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -150,9 +151,9 @@
 
 func newExperiment(p policy, seed uint64) *experiment {
 	x := &experiment{policy: p, rand: rand.New(rand.NewPCG(seed, 1)), now: epoch, prompts: map[medlarid.RequestID]*simPrompt{}, seen: map[int]bool{}}
-	weighting := medlarworld.WeightingTTFT
+	weighting := medlarkind.WeightingTTFT
 	if p == weighShare {
-		weighting = medlarworld.WeightingRecompute
+		weighting = medlarkind.WeightingRecompute
 	}
 	x.core = New(medlarworld.Config{
 		Self: "entry-1", Zone: "z", Weighting: weighting, MaxQueued: 4096, MaxAttempts: 3, MaxWait: time.Minute,
@@ -301,7 +302,7 @@
 		if x.usesCore() {
 			run := x.core.World().Runs[id]
 			if run != nil {
-				x.tick(medlarworld.AttemptEnded{Run: id, Attempt: run.Attempt, Cause: medlarworld.CauseDone, Reached: true})
+				x.tick(medlarworld.AttemptEnded{Run: id, Attempt: run.Attempt, Cause: medlarkind.CauseDone, Reached: true})
 			}
 		}
 	})
--- a/internal/core/medlarcore/history_test.go
+++ b/internal/core/medlarcore/history_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/stand/medlarseed"
@@ -120,7 +121,7 @@
 		if len(y.runs) > 0 {
 			w := y.runs[rapid.IntRange(0, len(y.runs)-1).Draw(y.t, "old")]
 			if w.ended || w.open > 1 {
-				y.apply(medlarworld.AttemptEnded{Run: w.run.ID, Attempt: 1, Cause: medlarworld.CauseRetry, Reason: medlarreason.Broken, Reached: true},
+				y.apply(medlarworld.AttemptEnded{Run: w.run.ID, Attempt: 1, Cause: medlarkind.CauseRetry, Reason: medlarreason.Broken, Reached: true},
 					medlarworld.ClaimGranted{Run: w.run.ID}, medlarworld.LookedUp{Run: w.run.ID})
 			}
 		}
@@ -145,21 +146,21 @@
 		return
 	}
 	e := medlarworld.AttemptEnded{Run: w.run.ID, Attempt: w.open, Reached: true}
-	e.Cause = rapid.SampledFrom([]medlarworld.Cause{
-		medlarworld.CauseDone, medlarworld.CauseRetry, medlarworld.CauseRetry, medlarworld.CauseAnswered,
+	e.Cause = rapid.SampledFrom([]medlarkind.Cause{
+		medlarkind.CauseDone, medlarkind.CauseRetry, medlarkind.CauseRetry, medlarkind.CauseAnswered,
 	}).Draw(y.t, "cause")
-	if e.Cause == medlarworld.CauseRetry {
+	if e.Cause == medlarkind.CauseRetry {
 		e.Reached = rapid.Bool().Draw(y.t, "reached")
 		e.Reason = medlarreason.Broken
 	}
 	w.open = 0
 	w.reached = w.reached || e.Reached
-	w.ended = e.Cause != medlarworld.CauseRetry
+	w.ended = e.Cause != medlarkind.CauseRetry
 	y.apply(e)
 }
 
 func (y *history) claim() {
-	w := y.pick(func(w *trackedRun) bool { return w.once && !w.claimed && w.run.Phase == medlarworld.PhaseClaiming })
+	w := y.pick(func(w *trackedRun) bool { return w.once && !w.claimed && w.run.Phase == medlarkind.PhaseClaiming })
 	if w == nil {
 		return
 	}
@@ -180,9 +181,9 @@
 		for _, w := range y.runs {
 			if w.open != 0 && !w.ended {
 				w.open, w.ended = 0, true
-				y.apply(medlarworld.AttemptEnded{Run: w.run.ID, Attempt: w.run.Attempt, Cause: medlarworld.CauseDone, Reached: true})
+				y.apply(medlarworld.AttemptEnded{Run: w.run.ID, Attempt: w.run.Attempt, Cause: medlarkind.CauseDone, Reached: true})
 			}
-			if !w.ended && w.run.Phase == medlarworld.PhaseClaiming {
+			if !w.ended && w.run.Phase == medlarkind.PhaseClaiming {
 				y.apply(medlarworld.ClaimDenied{Run: w.run.ID, Reason: medlarreason.Unclaimed})
 			}
 		}
@@ -233,7 +234,7 @@
 			}
 			if i%3 == 0 {
 				for _, s := range h.started() {
-					h.tick(medlarworld.AttemptEnded{Run: s.Run, Attempt: s.Attempt, Cause: medlarworld.CauseDone, Reached: true})
+					h.tick(medlarworld.AttemptEnded{Run: s.Run, Attempt: s.Attempt, Cause: medlarkind.CauseDone, Reached: true})
 				}
 			}
 			h.advance(time.Duration(i%5) * 10 * time.Millisecond)
--- a/internal/core/medlarcore/limit_test.go
+++ b/internal/core/medlarcore/limit_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
 )
@@ -50,7 +51,7 @@
 // add starts an instance, or restarts it.
 func (f *limitFleet) add(id medlarid.InstanceID) {
 	c := New(medlarworld.Config{
-		Self: id, Zone: "a", MaxQueued: 100, MaxAttempts: 1, Seed: uint64(len(f.order) + 1), Weighting: medlarworld.WeightingRecompute,
+		Self: id, Zone: "a", MaxQueued: 100, MaxAttempts: 1, Seed: uint64(len(f.order) + 1), Weighting: medlarkind.WeightingRecompute,
 		RetryBudget: medlarworld.RetryBudget{Ratio: 0.1, Max: 5, Initial: 2},
 	})
 	members := []medlarworld.Member{}
@@ -97,7 +98,7 @@
 	for _, c := range slices.Clone(f.cores[id].Tick(f.now, events)) {
 		switch c := c.(type) {
 		case medlarworld.StartAttempt:
-			answer := []medlarworld.Event{medlarworld.AttemptEnded{Run: c.Run, Attempt: c.Attempt, Cause: medlarworld.CauseDone, Reached: true}}
+			answer := []medlarworld.Event{medlarworld.AttemptEnded{Run: c.Run, Attempt: c.Attempt, Cause: medlarkind.CauseDone, Reached: true}}
 			if c.Upstream == "u0" {
 				f.arrived = append(f.arrived, f.now)
 				if f.limit != "" || c.Limited {
@@ -357,7 +358,7 @@
 		if s == nil || s.Upstream != "e01" {
 			t.Fatalf("started %+v, want an attempt at the upstream without a limit", s)
 		}
-		p.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: s.Attempt, Cause: medlarworld.CauseRetry, Reason: medlarreason.Version})
+		p.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: s.Attempt, Cause: medlarkind.CauseRetry, Reason: medlarreason.Version})
 		p.now = p.now.Add(30 * time.Millisecond)
 		if s := startOf(p.tick(medlarworld.Tick{})); s != nil && s.Upstream == "e00" {
 			t.Fatal("the retry goes to the limited upstream without a token")
--- a/internal/core/medlarcore/load_test.go
+++ b/internal/core/medlarcore/load_test.go
@@ -10,6 +10,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarinventory"
 	"medlarfield/internal/core/medlarkey"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -133,7 +134,7 @@
 		s.tick(p.core, medlarworld.AnswerBegan{Run: p.start.Run, Attempt: p.start.Attempt, After: s.now.Sub(p.begun)})
 	}
 	s.at(s.now.Add(100*time.Millisecond), func() {
-		s.tick(p.core, medlarworld.AttemptEnded{Run: p.start.Run, Attempt: p.start.Attempt, Cause: medlarworld.CauseDone, Reached: true})
+		s.tick(p.core, medlarworld.AttemptEnded{Run: p.start.Run, Attempt: p.start.Attempt, Cause: medlarkind.CauseDone, Reached: true})
 	})
 }
 
@@ -164,7 +165,7 @@
 	}
 	for i := range size.instances {
 		s.cores = append(s.cores, New(medlarworld.Config{
-			Self: medlarid.InstanceID(fmt.Sprint("i", i)), Zone: "a", Weighting: medlarworld.WeightingRecompute, MaxQueued: 4096,
+			Self: medlarid.InstanceID(fmt.Sprint("i", i)), Zone: "a", Weighting: medlarkind.WeightingRecompute, MaxQueued: 4096,
 			MaxAttempts: 1, Seed: seed + uint64(i), MaxHolders: 64,
 		}))
 		s.tick(s.cores[i], medlarworld.ListsApplied{Version: 1, Models: []medlarworld.Model{{ID: partsModel, Version: "1"}}})
--- a/internal/core/medlarcore/medlarcore_test.go
+++ b/internal/core/medlarcore/medlarcore_test.go
@@ -9,6 +9,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
 )
@@ -29,7 +30,7 @@
 // number of slots, and a service.
 func newHarness(t testing.TB, engines, slots int, change func(*medlarworld.Config)) *harness {
 	t.Helper()
-	cfg := medlarworld.Config{Self: "entry-1", Zone: "z", Weighting: medlarworld.WeightingTTFT, MaxQueued: 20, MaxAttempts: 3, MaxWait: time.Minute, Seed: 1}
+	cfg := medlarworld.Config{Self: "entry-1", Zone: "z", Weighting: medlarkind.WeightingTTFT, MaxQueued: 20, MaxAttempts: 3, MaxWait: time.Minute, Seed: 1}
 	if change != nil {
 		change(&cfg)
 	}
@@ -211,7 +212,7 @@
 
 func (h *harness) end(id medlarid.RequestID) {
 	r := h.core.World().Runs[id]
-	h.tick(medlarworld.AttemptEnded{Run: id, Attempt: r.Attempt, Cause: medlarworld.CauseDone, Reached: true})
+	h.tick(medlarworld.AttemptEnded{Run: id, Attempt: r.Attempt, Cause: medlarkind.CauseDone, Reached: true})
 	h.report(0, 4)
 }
 
@@ -230,7 +231,7 @@
 	var order []medlarid.RequestID
 	for _, id := range running {
 		r := h.core.World().Runs[id]
-		h.tick(medlarworld.AttemptEnded{Run: id, Attempt: r.Attempt, Cause: medlarworld.CauseDone, Reached: true})
+		h.tick(medlarworld.AttemptEnded{Run: id, Attempt: r.Attempt, Cause: medlarkind.CauseDone, Reached: true})
 		for _, s := range h.started() {
 			order = append(order, s.Run)
 		}
@@ -259,7 +260,7 @@
 	urgent := h.newRun("phone")
 	h.submit(urgent, medlarworld.Limits{Priority: 10})
 	r := h.core.World().Runs[running[0]]
-	h.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: 1, Cause: medlarworld.CauseDone, Reached: true})
+	h.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: 1, Cause: medlarkind.CauseDone, Reached: true})
 	h.tick(medlarworld.StatusReported{Upstream: engineName(0), Model: "m", Version: "v1", PrefillRate: 8000, Load: medlarworld.Load{Slots: 4, Running: 4}})
 	h.assertStarted(urgent.ID)
 }
@@ -316,7 +317,7 @@
 				h.tick(medlarworld.ClaimGranted{Run: r.ID})
 			}
 			first := h.started()[0]
-			h.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: 1, Cause: medlarworld.CauseRetry, Reason: tc.reason, Reached: tc.reached})
+			h.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: 1, Cause: medlarkind.CauseRetry, Reason: tc.reason, Reached: tc.reached})
 			if tc.want != "" {
 				h.assertRefused(tc.want, tc.ran)
 				return
@@ -335,10 +336,10 @@
 	r := h.newRun("a")
 	h.submit(r, medlarworld.Limits{})
 	for i := 1; i <= 2; i++ {
-		h.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: i, Cause: medlarworld.CauseRetry, Reason: medlarreason.Unreachable})
+		h.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: i, Cause: medlarkind.CauseRetry, Reason: medlarreason.Unreachable})
 		h.advance(50 * time.Millisecond)
 	}
-	h.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: 3, Cause: medlarworld.CauseRetry, Reason: medlarreason.Unreachable})
+	h.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: 3, Cause: medlarkind.CauseRetry, Reason: medlarreason.Unreachable})
 	h.assertRefused(medlarreason.Capacity, medlarreason.RanNo)
 }
 
@@ -349,7 +350,7 @@
 		r := h.newRun("a")
 		h.submit(r, medlarworld.Limits{})
 		for attempt := 1; h.core.World().Runs[r.ID] != nil; attempt++ {
-			h.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: attempt, Cause: medlarworld.CauseRetry, Reason: medlarreason.Busy})
+			h.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: attempt, Cause: medlarkind.CauseRetry, Reason: medlarreason.Busy})
 			for _, c := range h.commands {
 				if _, ok := c.(medlarworld.Retried); ok {
 					retries++
@@ -369,9 +370,9 @@
 	for i := range 200 {
 		r := h.newRun("a")
 		h.submit(r, medlarworld.Limits{})
-		cause, reason := medlarworld.CauseDone, medlarreason.Reason("")
+		cause, reason := medlarkind.CauseDone, medlarreason.Reason("")
 		if h.started()[0].Upstream == failing {
-			cause, reason = medlarworld.CauseRetry, medlarreason.Broken
+			cause, reason = medlarkind.CauseRetry, medlarreason.Broken
 		}
 		h.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: 1, Cause: cause, Reason: reason, Reached: true})
 		h.advance(time.Millisecond)
@@ -390,11 +391,11 @@
 	for range 400 { // everything fails
 		r := h.newRun("a")
 		h.submit(r, medlarworld.Limits{})
-		h.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: 1, Cause: medlarworld.CauseRetry, Reason: medlarreason.Broken, Reached: true})
+		h.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: 1, Cause: medlarkind.CauseRetry, Reason: medlarreason.Broken, Reached: true})
 	}
 	ejected := 0
 	for _, u := range h.core.World().Upstreams {
-		if u.Kind == medlarworld.KindEngine && !u.Usable(h.now) {
+		if u.Kind == medlarkind.KindEngine && !u.Usable(h.now) {
 			ejected++
 		}
 	}
@@ -416,7 +417,7 @@
 		r.PromptTokens = 200 * medlarkey.BlockTokens
 		h.submit(r, medlarworld.Limits{})
 		h.assertStarted(r.ID)
-		h.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: 1, Cause: medlarworld.CauseDone, Reached: true})
+		h.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: 1, Cause: medlarkind.CauseDone, Reached: true})
 		if i > 0 && h.core.World().Warm.Depth(r.Keys, engineName(0)) != 200 {
 			t.Fatal("the replica is not recorded to cache the whole prompt")
 		}
@@ -440,7 +441,7 @@
 	for i := range 1000 {
 		r := h.newRun(medlarid.AccountID(fmt.Sprint("account-", i)))
 		h.submit(r, medlarworld.Limits{Rate: 1, Burst: 2})
-		h.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: 1, Cause: medlarworld.CauseDone, Reached: true})
+		h.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: 1, Cause: medlarkind.CauseDone, Reached: true})
 	}
 	h.advance(time.Minute)
 	h.advance(time.Minute)
--- a/internal/core/medlarcore/parts_test.go
+++ b/internal/core/medlarcore/parts_test.go
@@ -10,6 +10,7 @@
 	"medlarfield/internal/core/medlarchoice"
 	"medlarfield/internal/core/medlarinventory"
 	"medlarfield/internal/core/medlarkey"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
 )
@@ -28,7 +29,7 @@
 func newPartsHarness(t *testing.T, engines int, change func(*medlarworld.Config)) *partsHarness {
 	t.Helper()
 	cfg := medlarworld.Config{
-		Self: "self", Zone: "a", Weighting: medlarworld.WeightingRecompute, MaxQueued: 100, MaxAttempts: 1, Seed: 1, MaxHolders: 16,
+		Self: "self", Zone: "a", Weighting: medlarkind.WeightingRecompute, MaxQueued: 100, MaxAttempts: 1, Seed: 1, MaxHolders: 16,
 		RetryBudget: medlarworld.RetryBudget{Ratio: 0.1, Max: 5, Initial: 2}, OldVersionGrace: 5 * time.Second,
 	}
 	if change != nil {
@@ -159,7 +160,7 @@
 			other := p.newRun(700)
 			s := p.submit(other)
 			p.tick(medlarworld.AnswerBegan{Run: other.ID, Attempt: s.Attempt, Version: s.Version})
-			p.tick(medlarworld.AttemptEnded{Run: other.ID, Attempt: s.Attempt, Cause: medlarworld.CauseDone, Reached: true})
+			p.tick(medlarworld.AttemptEnded{Run: other.ID, Attempt: s.Attempt, Cause: medlarkind.CauseDone, Reached: true})
 		}, "ffo"},
 		{"parts of a replaced version are fetched during the grace period", func(p *partsHarness, r *medlarworld.Run) {
 			p.setVersion("2")
@@ -276,7 +277,7 @@
 	assertParts(t, s, "ffo")
 	p.now = p.now.Add(time.Second)
 	p.tick(medlarworld.AnswerBegan{Run: r.ID, Attempt: s.Attempt, After: time.Second, Version: s.Version})
-	p.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: s.Attempt, Cause: medlarworld.CauseDone, Reached: true})
+	p.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: s.Attempt, Cause: medlarkind.CauseDone, Reached: true})
 	p.core.World().Upstreams[s.Upstream].EjectedUntil = p.now.Add(time.Minute) // the other replica caches nothing
 	p.now = p.now.Add(100 * time.Millisecond)
 	p.reportStock("near", 1, false)
@@ -294,7 +295,7 @@
 			first = r
 		}
 		s := p.submit(r)
-		p.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: s.Attempt, Cause: medlarworld.CauseDone, Reached: true})
+		p.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: s.Attempt, Cause: medlarkind.CauseDone, Reached: true})
 		u := p.core.World().Upstreams[medlarid.InstanceID(fmt.Sprintf("e%02d", i))]
 		p.core.World().Warm.Add(first.Keys[0], u.ID)
 	}
@@ -311,7 +312,7 @@
 		if s == nil {
 			return ""
 		}
-		p.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: s.Attempt, Cause: medlarworld.CauseDone, Reached: true})
+		p.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: s.Attempt, Cause: medlarkind.CauseDone, Reached: true})
 		return s.Version
 	}
 	t.Run("replicas that swap weights next are avoided", func(t *testing.T) {
@@ -323,7 +324,7 @@
 			if s == nil || s.Upstream < "e02" {
 				t.Fatalf("started at %v", s)
 			}
-			p.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: s.Attempt, Cause: medlarworld.CauseDone, Reached: true})
+			p.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: s.Attempt, Cause: medlarkind.CauseDone, Reached: true})
 		}
 	})
 	t.Run("each of many replicas gets requests for the version it has", func(t *testing.T) {
@@ -336,7 +337,7 @@
 			if s == nil || s.Version != "1" {
 				t.Fatalf("started as %+v, want version 1", s)
 			}
-			p.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: s.Attempt, Cause: medlarworld.CauseDone, Reached: true})
+			p.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: s.Attempt, Cause: medlarkind.CauseDone, Reached: true})
 		}
 	})
 	t.Run("a later version than this instance has read of is served", func(t *testing.T) {
@@ -396,13 +397,13 @@
 	r.MaxAttempts = 1
 	s := p.submit(r)
 	p.now = p.now.Add(30 * time.Millisecond)
-	p.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: s.Attempt, Cause: medlarworld.CauseRetry, Reason: medlarreason.Busy})
+	p.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: s.Attempt, Cause: medlarkind.CauseRetry, Reason: medlarreason.Busy})
 	p.now = p.now.Add(30 * time.Millisecond)
 	s2 := startOf(p.tick(medlarworld.Tick{}))
 	if s2 == nil || s2.Upstream == s.Upstream {
 		t.Fatalf("second attempt %v after %v", s2, s)
 	}
-	cs := p.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: s2.Attempt, Cause: medlarworld.CauseRetry, Reason: medlarreason.Truncated, Reached: true})
+	cs := p.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: s2.Attempt, Cause: medlarkind.CauseRetry, Reason: medlarreason.Truncated, Reached: true})
 	if !slices.ContainsFunc(cs, func(c medlarworld.Command) bool { _, ok := c.(medlarworld.Refuse); return ok }) {
 		t.Errorf("an attempt that may have run is retried beyond the maximum: %v", cs)
 	}
@@ -417,7 +418,7 @@
 			p := newPartsHarness(t, 6, nil)
 			r := p.newRun(500, 300)
 			s := p.submit(r)
-			p.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: s.Attempt, Cause: medlarworld.CauseRetry, Reason: reason})
+			p.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: s.Attempt, Cause: medlarkind.CauseRetry, Reason: reason})
 			if u := p.core.World().Upstreams[s.Upstream]; u.Usable(p.now) {
 				t.Error("the replica is still usable")
 			}
--- a/internal/core/medlarcore/slots_test.go
+++ b/internal/core/medlarcore/slots_test.go
@@ -9,6 +9,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -86,7 +87,7 @@
 		})
 		s.after(slotPrefill+time.Duration(s.rnd.ExpFloat64()*float64(slotHold)), func() {
 			s.release(u)
-			s.tick(c, medlarworld.AttemptEnded{Run: cmd.Run, Attempt: cmd.Attempt, Cause: medlarworld.CauseDone, Reached: true})
+			s.tick(c, medlarworld.AttemptEnded{Run: cmd.Run, Attempt: cmd.Attempt, Cause: medlarkind.CauseDone, Reached: true})
 		})
 	}
 	if u.running < slotsOfReplica {
@@ -144,7 +145,7 @@
 	}
 	for i := range slotInstances {
 		s.cores = append(s.cores, New(medlarworld.Config{
-			Self: medlarid.InstanceID(fmt.Sprint("i", i)), Zone: "a", Weighting: medlarworld.WeightingRecompute, MaxQueued: 4096,
+			Self: medlarid.InstanceID(fmt.Sprint("i", i)), Zone: "a", Weighting: medlarkind.WeightingRecompute, MaxQueued: 4096,
 			MaxAttempts: 1, Seed: seed + uint64(i), MaxHolders: 64, TellLoad: tell,
 		}))
 		s.tick(s.cores[i], medlarworld.ListsApplied{Version: 1, Models: []medlarworld.Model{{ID: partsModel, Version: "1"}}})
--- a/internal/core/medlarcrash/medlarcrash.go
+++ b/internal/core/medlarcrash/medlarcrash.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarsuspect"
 	"medlarfield/internal/core/medlarworld"
@@ -96,7 +97,7 @@
 // returnTrials returns the trials of runs that have ended without reaching an upstream.
 func returnTrials(w *medlarworld.World) {
 	w.Trials = slices.DeleteFunc(w.Trials, func(r *medlarworld.Run) bool {
-		ended := r.Phase == medlarworld.PhaseDone
+		ended := r.Phase == medlarkind.PhaseDone
 		if ended && !r.Reached {
 			w.Suspects.ReturnTrial(w.Now, r.Traits)
 		}
@@ -127,7 +128,7 @@
 		return
 	}
 	switch {
-	case e.Cause == medlarworld.CauseDone:
+	case e.Cause == medlarkind.CauseDone:
 		w.Suspects.Answered(w.Now, w.Now.Add(-e.Began), r.Traits)
 	case e.Lost && !r.Upstream.Leaving && e.Began < beginning:
 		s.lost(w, r, e)
--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -31,6 +31,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarhistory"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarorder"
 	"medlarfield/internal/core/medlarworld"
 )
@@ -170,7 +171,7 @@
 	u := w.Upstreams[m.ID]
 	if u == nil {
 		u = &medlarworld.Upstream{ID: m.ID, Model: m.Model, PrefillRate: defaultPrefillRate}
-		u.Kind = medlarworld.Kind(m.Kind)
+		u.Kind = medlarkind.Kind(m.Kind)
 		w.Upstreams[m.ID] = u
 	}
 	if m.Incarnation != u.Incarnation {
@@ -262,7 +263,7 @@
 		if u.Service != "" {
 			w.Services[u.Service] = append(w.Services[u.Service], u)
 		}
-		if u.Kind == medlarworld.KindEngine {
+		if u.Kind == medlarkind.KindEngine {
 			w.Engines[u.Model] = append(w.Engines[u.Model], u)
 		}
 	}
--- a/internal/core/medlarlag/medlarlag_test.go
+++ b/internal/core/medlarlag/medlarlag_test.go
@@ -7,6 +7,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarbacklog"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -17,7 +18,7 @@
 	began := func(after time.Duration) medlarworld.Event {
 		return medlarworld.AnswerBegan{Run: "r", Attempt: 1, After: after}
 	}
-	ended := medlarworld.AttemptEnded{Run: "r", Attempt: 1, Cause: medlarworld.CauseCallerLeft}
+	ended := medlarworld.AttemptEnded{Run: "r", Attempt: 1, Cause: medlarkind.CauseCallerLeft}
 	for _, tc := range []struct {
 		name   string
 		before float64 // seconds
--- a/internal/core/medlaroffload/medlaroffload.go
+++ b/internal/core/medlaroffload/medlaroffload.go
@@ -21,6 +21,7 @@
 	"medlarfield/internal/core/medlaradmission"
 	"medlarfield/internal/core/medlarinventory"
 	"medlarfield/internal/core/medlarkey"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -42,7 +43,7 @@
 	for _, e := range w.Events {
 		switch e := e.(type) {
 		case medlarworld.Submitted:
-			if e.Run.Phase == medlarworld.PhaseNew { // not refused
+			if e.Run.Phase == medlarkind.PhaseNew { // not refused
 				Enqueue(w, e.Run)
 			}
 		case medlarworld.LookedUp:
@@ -64,7 +65,7 @@
 		medlaradmission.Enqueue(w, r)
 		return
 	}
-	r.Phase = medlarworld.PhaseLookup
+	r.Phase = medlarkind.PhaseLookup
 	r.LookupDeadline = w.Now.Add(lookupTimeout)
 	w.LookingUp = append(w.LookingUp, r)
 	w.Emit(medlarworld.LookUp{Run: r.ID, Stores: stores})
@@ -122,7 +123,7 @@
 // applyLookup records the stores' answer and enqueues the run.
 func applyLookup(w *medlarworld.World, e medlarworld.LookedUp) {
 	r := w.Runs[e.Run]
-	if r == nil || r.Phase != medlarworld.PhaseLookup {
+	if r == nil || r.Phase != medlarkind.PhaseLookup {
 		return
 	}
 	r.StoredBlocks = contiguousPrefix(r.Keys, e.Handles)
@@ -155,7 +156,7 @@
 	n := 0
 	for _, r := range w.LookingUp {
 		switch {
-		case r.Phase != medlarworld.PhaseLookup:
+		case r.Phase != medlarkind.PhaseLookup:
 		case w.Now.After(r.LookupDeadline):
 			medlaradmission.Enqueue(w, r)
 		default:
--- a/internal/core/medlarresume/medlarresume.go
+++ b/internal/core/medlarresume/medlarresume.go
@@ -20,6 +20,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarbuild"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
 )
@@ -85,7 +86,7 @@
 	for id, upstreams := range w.Services {
 		counts, listed := map[medlarid.Build]int{}, map[medlarid.Build]bool{}
 		for _, u := range upstreams {
-			if u.Delisted || u.Kind != medlarworld.KindEngine {
+			if u.Delisted || u.Kind != medlarkind.KindEngine {
 				continue
 			}
 			listed[u.Build] = true
@@ -157,7 +158,7 @@
 func (s *System) decide(w *medlarworld.World, read bool, due func(*medlarworld.Run) bool) {
 	s.awaiting = slices.DeleteFunc(s.awaiting, func(r *medlarworld.Run) bool {
 		if !due(r) {
-			return r.Phase == medlarworld.PhaseDone
+			return r.Phase == medlarkind.PhaseDone
 		}
 		r.AwaitsNotices, r.NotBefore = false, time.Time{}
 		r.Build, r.BuildFixed = medlarbuild.Unknown, true
@@ -235,7 +236,7 @@
 // endStreams reports the streams of runs that have ended.
 func endStreams(w *medlarworld.World) {
 	w.Streams = slices.DeleteFunc(w.Streams, func(r *medlarworld.Run) bool {
-		ended := r.Phase == medlarworld.PhaseDone
+		ended := r.Phase == medlarkind.PhaseDone
 		if ended {
 			w.Builds.StreamEnded(w.Now, r.Stream, r.Complete)
 		}
--- a/internal/core/medlarretry/medlarretry.go
+++ b/internal/core/medlarretry/medlarretry.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"medlarfield/internal/core/medlarcrash"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlaroffload"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
@@ -86,7 +87,7 @@
 
 func attemptEnded(w *medlarworld.World, e medlarworld.AttemptEnded) {
 	r := w.Runs[e.Run]
-	if r == nil || r.Phase != medlarworld.PhaseRunning || r.Attempt != e.Attempt {
+	if r == nil || r.Phase != medlarkind.PhaseRunning || r.Attempt != e.Attempt {
 		return
 	}
 	u := r.Upstream
@@ -99,21 +100,21 @@
 		r.PinnedVersion = e.Version
 	}
 	switch e.Cause {
-	case medlarworld.CauseDone:
+	case medlarkind.CauseDone:
 		r.Complete = true
 		recordSuccess(w, u)
 		medlaroffload.Export(w, r, u)
 		w.Finish(r)
-	case medlarworld.CauseAnswered:
+	case medlarkind.CauseAnswered:
 		recordSuccess(w, u)
 		w.Finish(r)
-	case medlarworld.CauseCallerLeft:
+	case medlarkind.CauseCallerLeft:
 		w.Finish(r)
-	case medlarworld.CauseUnknown:
+	case medlarkind.CauseUnknown:
 		recordFailure(w, u)
 		w.Refuse(r, medlarreason.Unknown, 0)
-	case medlarworld.CauseRetry:
-		if e.Reason == medlarreason.Busy && u.Kind == medlarworld.KindEngine {
+	case medlarkind.CauseRetry:
+		if e.Reason == medlarreason.Busy && u.Kind == medlarkind.KindEngine {
 			u.SwapUntil = w.Now.Add(busyBackoff) // loading weights, or full
 		}
 		if e.Reason == medlarreason.Misdirected {
@@ -183,7 +184,7 @@
 
 func claimDenied(w *medlarworld.World, e medlarworld.ClaimDenied) {
 	r := w.Runs[e.Run]
-	if r == nil || r.Phase != medlarworld.PhaseClaiming {
+	if r == nil || r.Phase != medlarkind.PhaseClaiming {
 		return
 	}
 	w.Refuse(r, e.Reason, retryAfter)
--- a/internal/core/medlarroute/cost.go
+++ b/internal/core/medlarroute/cost.go
@@ -3,6 +3,7 @@
 import (
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarinventory"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarlag"
 	"medlarfield/internal/core/medlarplacement"
 	"medlarfield/internal/core/medlarworld"
@@ -12,7 +13,7 @@
 // service queues requests itself, so that those of other instances do not count there.
 func load(u *medlarworld.Upstream) int {
 	reported := u.Load.Running + u.Load.Queued + u.SentSinceReport
-	if u.Kind == medlarworld.KindService {
+	if u.Kind == medlarkind.KindService {
 		return max(reported, u.Open)
 	}
 	return max(reported, u.TotalOpen())
@@ -22,7 +23,7 @@
 // (R2, R3).
 func evaluate(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) option {
 	c := option{upstream: u, cost: zoneCost(w, u) + queueSeconds(w, u)}
-	if u.Kind == medlarworld.KindService {
+	if u.Kind == medlarkind.KindService {
 		c.cost += float64(u.TotalOpen()) * slotWaitSeconds
 		return c
 	}
@@ -89,7 +90,7 @@
 // prefillCost returns the weighted seconds that computing n prompt tokens takes.
 func prefillCost(w *medlarworld.World, u *medlarworld.Upstream, n medlarid.Tokens) float64 {
 	seconds := float64(max(n, 0)) / max(u.PrefillRate, 1)
-	if w.Config.Weighting == medlarworld.WeightingRecompute {
+	if w.Config.Weighting == medlarkind.WeightingRecompute {
 		return seconds * (1 + recomputeWeight)
 	}
 	return seconds
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -38,6 +38,7 @@
 	"medlarfield/internal/core/medlarchoice"
 	"medlarfield/internal/core/medlarinventory"
 	"medlarfield/internal/core/medlarkey"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarlag"
 	"medlarfield/internal/core/medlarlimit"
 	"medlarfield/internal/core/medlarplacement"
@@ -138,7 +139,7 @@
 	w.VirtualTime = max(w.VirtualTime, r.VirtualStart)
 	s.onDequeue(r)
 	if r.AtMostOnce && !r.Claimed {
-		r.Phase = medlarworld.PhaseClaiming // R5
+		r.Phase = medlarkind.PhaseClaiming // R5
 		w.Emit(medlarworld.Claim{Run: r.ID})
 		return true
 	}
@@ -150,11 +151,11 @@
 // front of the queue if it has no candidate.
 func (s *System) claimGranted(w *medlarworld.World, e medlarworld.ClaimGranted) {
 	r := w.Runs[e.Run]
-	if r == nil || r.Phase != medlarworld.PhaseClaiming {
+	if r == nil || r.Phase != medlarkind.PhaseClaiming {
 		return
 	}
 	r.Claimed = true
-	r.Phase = medlarworld.PhaseWaiting
+	r.Phase = medlarkind.PhaseWaiting
 	if best, ok := s.choose(w, r); ok {
 		s.startAttempt(w, r, best)
 		return
@@ -165,7 +166,7 @@
 func (s *System) startAttempt(w *medlarworld.World, r *medlarworld.Run, c option) {
 	u := c.upstream
 	r.Attempt++
-	r.Phase = medlarworld.PhaseRunning
+	r.Phase = medlarkind.PhaseRunning
 	r.Upstream = u
 	r.AttemptStarted = w.Now
 	if !slices.Contains(r.Tried, u) {
@@ -178,7 +179,7 @@
 	u.Open++
 	u.InFlightTokens += r.PromptTokens
 	r.ExpectedTTFT = time.Duration(c.ttft * float64(time.Second))
-	if r.KeyTokens != nil && u.Kind == medlarworld.KindEngine {
+	if r.KeyTokens != nil && u.Kind == medlarkind.KindEngine {
 		medlarwindow.AddAttempt(w, r, u, r.PrefixTokens(c.availableParts), time.Duration(c.idleTTFT*float64(time.Second)))
 	}
 	if !u.ReportedAt.IsZero() { // the next report replaces the count
@@ -211,7 +212,7 @@
 		AwaitRecord:   awaitRecord,
 		Decision:      decision,
 	}
-	if r.KeyTokens != nil && u.Kind == medlarworld.KindEngine {
+	if r.KeyTokens != nil && u.Kind == medlarkind.KindEngine {
 		medlarplacement.Plan(w, r, u, c.availableParts, &cmd)
 	}
 	w.Emit(cmd)
@@ -298,7 +299,7 @@
 			continue
 		}
 		c := evaluate(w, r, u)
-		if r.KeyTokens != nil && u.Kind == medlarworld.KindEngine && !medlarwindow.Fits(w, r, u, r.PrefixTokens(c.availableParts)) {
+		if r.KeyTokens != nil && u.Kind == medlarkind.KindEngine && !medlarwindow.Fits(w, r, u, r.PrefixTokens(c.availableParts)) {
 			continue
 		}
 		if u == home {
@@ -336,7 +337,7 @@
 	if !u.Usable(w.Now) || !medlarlimit.HasToken(u) || !medlarbrittle.HasRoom(w, r, u) || !hasCapacity(w, u) {
 		return false
 	}
-	if u.Kind == medlarworld.KindService {
+	if u.Kind == medlarkind.KindService {
 		return true
 	}
 	if u.Model != r.Model || u.VersionDenied {
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -25,24 +25,16 @@
 	"medlarfield/internal/core/medlarhistory"
 	"medlarfield/internal/core/medlarinventory"
 	"medlarfield/internal/core/medlarkey"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarsuspect"
 )
 
-// Weighting is the measure that a deployment optimizes routing for.
-type Weighting string
-
-// Weightings.
-const (
-	WeightingTTFT      Weighting = "first" // time to first token
-	WeightingRecompute Weighting = "share" // share of the context that is recomputed
-)
-
 // Config holds the settings of the core.
 type Config struct {
 	Self      medlarid.InstanceID
 	Zone      medlarid.Zone
-	Weighting Weighting
+	Weighting medlarkind.Weighting
 	// MaxQueued is the maximum number of runs that wait for an upstream.
 	MaxQueued int
 	// MaxAttempts is the maximum number of attempts of a run that may be repeated.
@@ -119,15 +111,6 @@
 	Versions medlarhistory.History
 }
 
-// Kind is the kind of an upstream.
-type Kind string
-
-// Kinds of upstream.
-const (
-	KindEngine  Kind = "engine"
-	KindService Kind = "service"
-)
-
 // Load is the load that an upstream last reported.
 type Load struct {
 	Running int // runs being computed
@@ -139,17 +122,17 @@
 
 // Brittleness is how an upstream is brittle: it crashes when it has to turn away too many requests for lack of room.
 type Brittleness struct {
-	Most        int       // requests that it can turn away in a second; 0 if it is not brittle
-	Part        int       // own attempts that it gets at most at once
-	Room        int       // own attempts that it takes at once, as far as is known
-	PausedUntil time.Time // it gets nothing before
-	GrowsAt     time.Time // when Room may be tried to be larger
+	Most int // requests that it can turn away in a second; 0 if it is not brittle
+	Part int // own attempts that it gets at most at once
+	Room int // own attempts that it takes at once, as far as is known
+	// It gets nothing before PausedUntil, and Room may be tried to be larger from GrowsAt on.
+	PausedUntil, GrowsAt time.Time
 }
 
 // Upstream is a replica of a model engine or an instance of a plain service.
 type Upstream struct {
 	ID       medlarid.InstanceID
-	Kind     Kind
+	Kind     medlarkind.Kind
 	Zone     medlarid.Zone
 	Address  medlarid.Address
 	Leaving  bool
@@ -229,19 +212,6 @@
 // Class returns the run's priority class.
 func (r *Run) Class() int { return min(max(int(-r.Priority), 0), medlarbacklog.NumClasses-1) }
 
-// Phase is the state of a run.
-type Phase string
-
-// Phases of a run.
-const (
-	PhaseNew      Phase = "new"
-	PhaseLookup   Phase = "finding"  // stores are asked for its context
-	PhaseWaiting  Phase = "waiting"  // queued for an upstream
-	PhaseClaiming Phase = "claiming" // its only attempt is being claimed
-	PhaseRunning  Phase = "running"
-	PhaseDone     Phase = "done"
-)
-
 // Run is one request of a caller.
 type Run struct {
 	ID      medlarid.RequestID
@@ -277,7 +247,7 @@
 	Arrived  time.Time
 	Deadline time.Time
 
-	Phase           Phase
+	Phase           medlarkind.Phase
 	Attempt         int // number of the current attempt
 	AttemptsReached int // attempts that may have run
 	Upstream        *Upstream
@@ -310,13 +280,12 @@
 	// to go on if BuildFixed is set; empty for any.
 	Build      medlarid.Build
 	BuildFixed bool
-	// AwaitsRecord is set while the caller must get no event, since the stream is not recorded yet.
-	AwaitsRecord bool
-	// AwaitsNotices is set while the run waits for what other instances have recorded of its stream.
-	AwaitsNotices bool
-	Crashes       int                 // replicas that crashed before they sent a part of its answer
-	Trial         bool                // goes on although it has a blocked trait
-	BlockedTrait  medlarsuspect.Trait // for which the run is refused
+	// AwaitsNotices is set while the run waits for what other instances have recorded of its stream, AwaitsRecord while
+	// the caller must get no event, since the stream is not recorded yet.
+	AwaitsNotices, AwaitsRecord bool
+	Crashes                     int                 // replicas that crashed before they sent a part of its answer
+	Trial                       bool                // goes on although it has a blocked trait
+	BlockedTrait                medlarsuspect.Trait // for which the run is refused
 }
 
 // World holds all tables.
@@ -410,10 +379,10 @@
 
 // Finish removes a run from the tables.
 func (w *World) Finish(r *Run) {
-	if r.Phase == PhaseDone {
+	if r.Phase == medlarkind.PhaseDone {
 		return
 	}
-	r.Phase = PhaseDone
+	r.Phase = medlarkind.PhaseDone
 	delete(w.Runs, r.ID)
 	if a := w.Accounts[r.Account]; a != nil && a.Open > 0 {
 		a.Open--
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -8,6 +8,7 @@
 	"medlarfield/internal/core/medlarchoice"
 	"medlarfield/internal/core/medlarinventory"
 	"medlarfield/internal/core/medlarkey"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarsuspect"
 )
@@ -24,26 +25,11 @@
 	Limits Limits // of the account, by the lists in force
 }
 
-// Cause says how an attempt ended.
-type Cause string
-
-// Causes.
-const (
-	CauseDone  Cause = "done"  // the answer is complete
-	CauseRetry Cause = "retry" // failed; Reason says why
-	// CauseAnswered ends the run with an answer of the upstream that is passed on to
-	// the caller: any answer of a plain service, or an error response that is not
-	// retried. Unlike CauseDone, it exports no KV blocks.
-	CauseAnswered   Cause = "answer"
-	CauseCallerLeft Cause = "left"    // the caller went away
-	CauseUnknown    Cause = "unknown" // an unrepeatable attempt failed after it was sent
-)
-
 // AttemptEnded reports the end of an attempt.
 type AttemptEnded struct {
 	Run     medlarid.RequestID
 	Attempt int
-	Cause   Cause
+	Cause   medlarkind.Cause
 	Reason  medlarreason.Reason // set with CauseRetry
 	// Reached is set if the attempt may have run.
 	Reached bool
@@ -376,8 +362,7 @@
 	Save          []medlarid.Address
 	FetchDeadline time.Time
 	// Limited is set if the upstream is known to have a limit of requests, Brittle if it is known to be brittle.
-	Limited bool
-	Brittle bool
+	Limited, Brittle bool
 	// AwaitRecord is set if the first event of the stream must not be passed on before StreamRecorded: no
 	// other instance could tell at which build it goes on.
 	AwaitRecord bool
--- a/internal/edge/medlarcall/medlarcall.go
+++ b/internal/edge/medlarcall/medlarcall.go
@@ -13,6 +13,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarchoice"
 	"medlarfield/internal/core/medlarkey"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarsuspect"
 	"medlarfield/internal/core/medlarworld"
@@ -114,6 +115,28 @@
 	MalformedHint bool // Leaving, RetryAfter, Limit or Brittle was given with an invalid value
 }
 
+// Hints returns what the response to an attempt at an upstream says about further requests. Only a response to the
+// request itself can say that a hint no longer holds.
+func (r *Reply) Hints(id medlarid.RequestID, cmd *medlarworld.StartAttempt, started time.Time) []medlarworld.Event {
+	var out []medlarworld.Event
+	own := r.ID == id && (r.Signed || r.NotRun)
+	if r.LimitNamed || cmd.Limited && own && !r.LimitMalformed {
+		out = append(out, medlarworld.UpstreamLimited{
+			Upstream: cmd.Upstream, Incarnation: cmd.Incarnation, Named: r.LimitNamed, Limit: r.Limit, AttemptStarted: started,
+		})
+	}
+	if r.Brittle > 0 || cmd.Brittle && own {
+		out = append(out, medlarworld.UpstreamBrittle{Upstream: cmd.Upstream, Incarnation: cmd.Incarnation, Most: r.Brittle})
+	}
+	if r.Leaving {
+		out = append(out, medlarworld.UpstreamLeaving{Upstream: cmd.Upstream, Incarnation: cmd.Incarnation})
+	}
+	if r.RetryAfter > 0 {
+		out = append(out, medlarworld.UpstreamPaused{Upstream: cmd.Upstream, Incarnation: cmd.Incarnation, For: r.RetryAfter})
+	}
+	return out
+}
+
 // BodyEnd describes the end of the body of an upstream's response.
 type BodyEnd struct {
 	Received bool // a response head was received; otherwise the other fields are zero
@@ -130,7 +153,7 @@
 	Upstream medlarid.InstanceID
 	Build    medlarid.Build
 	Version  medlarid.WeightVersion
-	Cause    medlarworld.Cause
+	Cause    medlarkind.Cause
 	Reason   medlarreason.Reason
 	Reached  bool
 	Reused   bool                // the connection had served a request before
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -13,6 +13,7 @@
 	"medlarfield/internal/base/medlarevent"
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarcall"
@@ -105,20 +106,8 @@
 	if reply.MalformedHint {
 		a.proxy.deps.OnMalformedHint(a.cmd.Upstream)
 	}
-	own := reply.ID == a.call.ID && (reply.Signed || reply.NotRun)
-	if reply.LimitNamed || a.cmd.Limited && own && !reply.LimitMalformed {
-		a.proxy.deps.Post(medlarworld.UpstreamLimited{
-			Upstream: a.cmd.Upstream, Incarnation: a.cmd.Incarnation, Named: reply.LimitNamed, Limit: reply.Limit, AttemptStarted: a.started,
-		})
-	}
-	if reply.Brittle > 0 || a.cmd.Brittle && own {
-		a.proxy.deps.Post(medlarworld.UpstreamBrittle{Upstream: a.cmd.Upstream, Incarnation: a.cmd.Incarnation, Most: reply.Brittle})
-	}
-	if reply.Leaving {
-		a.proxy.deps.Post(medlarworld.UpstreamLeaving{Upstream: a.cmd.Upstream, Incarnation: a.cmd.Incarnation})
-	}
-	if reply.RetryAfter > 0 {
-		a.proxy.deps.Post(medlarworld.UpstreamPaused{Upstream: a.cmd.Upstream, Incarnation: a.cmd.Incarnation, For: reply.RetryAfter})
+	for _, e := range reply.Hints(a.call.ID, &a.cmd, a.started) {
+		a.proxy.deps.Post(e)
 	}
 }
 
@@ -213,10 +202,10 @@
 			reason = medlarreason.Version
 			a.proxy.deps.OnVersionDenied(a.cmd.Upstream, a.cmd.Version)
 		}
-		return a.ended(medlarworld.CauseRetry, reason, false)
+		return a.ended(medlarkind.CauseRetry, reason, false)
 	case reply.NotRun:
 		a.discard(h, reply)
-		return a.ended(medlarworld.CauseRetry, medlarreason.Busy, false)
+		return a.ended(medlarkind.CauseRetry, medlarreason.Busy, false)
 	case !reply.Signed || reply.ID == "":
 		return a.failUnsigned(h)
 	case reply.ContentEncoded:
@@ -257,17 +246,17 @@
 	a.lost = reached && a.ctx.Err() == nil && (medlarhead.ConnectionEnded(err) || errors.Is(err, medlarevent.ErrConnectionEnded))
 	switch {
 	case a.ctx.Err() != nil:
-		return a.ended(medlarworld.CauseCallerLeft, "", reached)
+		return a.ended(medlarkind.CauseCallerLeft, "", reached)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		reason = medlarreason.Timeout
 	}
 	if reached && a.run.AtMostOnce {
-		return a.ended(medlarworld.CauseUnknown, reason, true)
+		return a.ended(medlarkind.CauseUnknown, reason, true)
 	}
-	return a.ended(medlarworld.CauseRetry, reason, reached)
+	return a.ended(medlarkind.CauseRetry, reason, reached)
 }
 
-func (a *attempt) ended(cause medlarworld.Cause, reason medlarreason.Reason, reached bool) medlarworld.AttemptEnded {
+func (a *attempt) ended(cause medlarkind.Cause, reason medlarreason.Reason, reached bool) medlarworld.AttemptEnded {
 	e := medlarworld.AttemptEnded{Run: a.run.ID, Attempt: a.cmd.Attempt, Cause: cause, Reason: reason, Reached: reached, Lost: a.lost, Head: a.headBegan, Began: a.sinceBegan()}
 	if a.upstream != nil {
 		e.Connected = a.upstream.Opened
--- a/internal/edge/medlarproxy/exchange.go
+++ b/internal/edge/medlarproxy/exchange.go
@@ -7,6 +7,7 @@
 	"medlarfield/internal/agree/medlarcatalog"
 	"medlarfield/internal/base/medlarevent"
 	"medlarfield/internal/base/medlarhead"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarcall"
@@ -145,9 +146,9 @@
 	a.report(e)
 	x.proxy.deps.Post(e)
 	switch e.Cause {
-	case medlarworld.CauseDone, medlarworld.CauseAnswered:
+	case medlarkind.CauseDone, medlarkind.CauseAnswered:
 		return true, x.summary.Complete
-	case medlarworld.CauseCallerLeft:
+	case medlarkind.CauseCallerLeft:
 		x.summary.Reason = medlarreason.Gone
 		return true, false
 	}
--- a/internal/edge/medlarproxy/relay.go
+++ b/internal/edge/medlarproxy/relay.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"medlarfield/internal/base/medlarhead"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarcall"
+	"medlarfield/internal/edge/medlarrun"
 )
 
 func contentType(h *medlarhead.Head) string {
@@ -43,7 +45,7 @@
 	resp := &response{head: h, body: buf}
 	if h.Status >= statusFailure && !a.run.AtMostOnce {
 		a.fallback = resp
-		return a.ended(medlarworld.CauseRetry, medlarreason.Failure, true)
+		return a.ended(medlarkind.CauseRetry, medlarreason.Failure, true)
 	}
 	return a.complete(resp)
 }
@@ -52,11 +54,11 @@
 func (a *attempt) complete(resp *response) medlarworld.AttemptEnded {
 	switch {
 	case a.sendResponse(resp) != nil:
-		return a.ended(medlarworld.CauseCallerLeft, "", true)
+		return a.ended(medlarkind.CauseCallerLeft, "", true)
 	case resp.head.Status >= statusFailure:
-		return a.ended(medlarworld.CauseAnswered, "", true)
+		return a.ended(medlarkind.CauseAnswered, "", true)
 	}
-	return a.ended(medlarworld.CauseDone, "", true)
+	return a.ended(medlarkind.CauseDone, "", true)
 }
 
 // relayChunked relays a long response as it arrives.
@@ -66,7 +68,7 @@
 	a.upstream.AnswerBegan()
 	if a.write(medlarhead.AppendChunk(b, first)) != nil {
 		_ = a.upstream.Close()
-		return a.ended(medlarworld.CauseCallerLeft, "", true)
+		return a.ended(medlarkind.CauseCallerLeft, "", true)
 	}
 	buf := make([]byte, maxBufferedBody)
 	for {
@@ -74,7 +76,7 @@
 		if n > 0 {
 			if a.write(medlarhead.AppendChunk(nil, buf[:n])) != nil {
 				_ = a.upstream.Close()
-				return a.ended(medlarworld.CauseCallerLeft, "", true)
+				return a.ended(medlarkind.CauseCallerLeft, "", true)
 			}
 		}
 		if err == io.EOF {
@@ -83,7 +85,7 @@
 		if err != nil {
 			_ = a.upstream.Close()
 			a.err, a.lost = err, medlarhead.ConnectionEnded(err)
-			return a.ended(medlarworld.CauseUnknown, medlarreason.Truncated, true)
+			return a.ended(medlarkind.CauseUnknown, medlarreason.Truncated, true)
 		}
 	}
 	a.bodyEnd.Complete = true
@@ -94,10 +96,10 @@
 // finishChunked writes the final chunk of a response.
 func (a *attempt) finishChunked() medlarworld.AttemptEnded {
 	if a.write([]byte(medlarhead.LastChunk)) != nil {
-		return a.ended(medlarworld.CauseCallerLeft, "", true)
+		return a.ended(medlarkind.CauseCallerLeft, "", true)
 	}
 	a.summary.Complete = true
-	return a.ended(medlarworld.CauseDone, "", true)
+	return a.ended(medlarkind.CauseDone, "", true)
 }
 
 // relayStream relays an event stream. The head is sent with the first event, so that a stream
@@ -120,7 +122,7 @@
 		}
 		if len(events) > 0 && a.sendEvents(h, events) != nil {
 			_ = a.upstream.Close()
-			return a.ended(medlarworld.CauseCallerLeft, "", true)
+			return a.ended(medlarkind.CauseCallerLeft, "", true)
 		}
 		if err = errors.Join(err, splitErr); err != nil {
 			a.bodyEnd.PartialBytes = a.events.PartialBytes()
@@ -141,37 +143,15 @@
 		return a.write(medlarhead.AppendChunk(nil, events))
 	}
 	a.responseStarted = true
-	a.awaitRecord()
+	if a.cmd.AwaitRecord {
+		medlarrun.AwaitRecord(a.ctx, a.commands, a.cmd.Attempt)
+	}
 	a.upstream.AnswerBegan()
 	a.proxy.deps.Post(medlarworld.AnswerBegan{Run: a.run.ID, Attempt: a.cmd.Attempt, After: time.Since(a.started), Version: a.cmd.Version})
 	b := medlarhead.AppendChunkedEnd(a.responseHead(h))
 	return a.write(medlarhead.AppendChunk(b, events))
 }
 
-// recordTimeout is the longest time for which the first event of a stream is held back until the stream is recorded.
-const recordTimeout = 400 * time.Millisecond
-
-// awaitRecord waits until the stream is recorded, if other instances could not tell otherwise where it goes on.
-func (a *attempt) awaitRecord() {
-	if !a.cmd.AwaitRecord {
-		return
-	}
-	timeout := time.NewTimer(recordTimeout)
-	defer timeout.Stop()
-	for {
-		select {
-		case cmd := <-a.commands:
-			if r, ok := cmd.(medlarworld.StreamRecorded); ok && r.Attempt == a.cmd.Attempt {
-				return
-			}
-		case <-timeout.C:
-			return
-		case <-a.ctx.Done():
-			return
-		}
-	}
-}
-
 // responseHead returns the head of a response without its framing, and records its status.
 func (x *exchange) responseHead(h *medlarhead.Head) []byte {
 	x.summary.Status = h.Status
--- a/internal/edge/medlarsession/attempt.go
+++ b/internal/edge/medlarsession/attempt.go
@@ -6,6 +6,7 @@
 
 	"medlarfield/internal/agree/medlarclaim"
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/upstream/medlarengine"
 	"medlarfield/internal/upstream/medlarservice"
@@ -57,7 +58,7 @@
 func (s *Session) reportAnswer(answer medlarservice.Response) (Update, bool) {
 	a := s.attempt.start.Attempt
 	s.stop()
-	s.deps.Post(medlarworld.AttemptEnded{Run: s.run, Attempt: a, Cause: medlarworld.CauseAnswered, Reached: true})
+	s.deps.Post(medlarworld.AttemptEnded{Run: s.run, Attempt: a, Cause: medlarkind.CauseAnswered, Reached: true})
 	return Update{Complete: true, Service: &answer}, true
 }
 
--- a/internal/edge/medlarsession/medlarsession.go
+++ b/internal/edge/medlarsession/medlarsession.go
@@ -24,6 +24,7 @@
 	"medlarfield/internal/agree/medlarclaim"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/upstream/medlarengine"
@@ -176,7 +177,7 @@
 	a := s.attempt
 	s.stop()
 	go s.cancel(a.start)
-	s.deps.Post(medlarworld.AttemptEnded{Run: s.run, Attempt: a.start.Attempt, Cause: medlarworld.CauseCallerLeft, Reached: true})
+	s.deps.Post(medlarworld.AttemptEnded{Run: s.run, Attempt: a.start.Attempt, Cause: medlarkind.CauseCallerLeft, Reached: true})
 }
 
 // stop detaches the goroutine of the attempt, which then ends by itself.
@@ -270,7 +271,7 @@
 func (s *Session) reportDone() {
 	a := s.attempt.start.Attempt
 	s.stop()
-	s.deps.Post(medlarworld.AttemptEnded{Run: s.run, Attempt: a, Cause: medlarworld.CauseDone, Reached: true})
+	s.deps.Post(medlarworld.AttemptEnded{Run: s.run, Attempt: a, Cause: medlarkind.CauseDone, Reached: true})
 }
 
 // Text returns the text of the answer received so far.
@@ -293,7 +294,7 @@
 	e := medlarworld.AttemptEnded{
 		Run:     s.run,
 		Attempt: a,
-		Cause:   medlarworld.CauseRetry,
+		Cause:   medlarkind.CauseRetry,
 		Reason:  failureReason(r.err),
 		Reached: r.reached,
 		Version: s.version,
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -29,6 +29,7 @@
 	"medlarfield/internal/agree/medlarterm"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarcore"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarmetric"
 	"medlarfield/internal/edge/medlarpool"
@@ -146,7 +147,7 @@
 	core := medlarcore.New(medlarworld.Config{
 		Self:            cfg.Name,
 		Zone:            cfg.Zone,
-		Weighting:       medlarworld.WeightingRecompute,
+		Weighting:       medlarkind.WeightingRecompute,
 		MaxQueued:       queueLength,
 		MaxAttempts:     1,
 		MaxHolders:      maxHolders,
--- a/internal/ops/medlarloop/medlarloop.go
+++ b/internal/ops/medlarloop/medlarloop.go
@@ -19,6 +19,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarcore"
 	"medlarfield/internal/core/medlarfleet"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -293,7 +294,7 @@
 		}
 	}
 	if s, ok := c.(medlarworld.StartAttempt); ok {
-		go l.Post(medlarworld.AttemptEnded{Run: id, Attempt: s.Attempt, Cause: medlarworld.CauseCallerLeft})
+		go l.Post(medlarworld.AttemptEnded{Run: id, Attempt: s.Attempt, Cause: medlarkind.CauseCallerLeft})
 	}
 }
 
--- a/internal/ops/medlarrequestlog/medlarrequestlog.go
+++ b/internal/ops/medlarrequestlog/medlarrequestlog.go
@@ -8,9 +8,9 @@
 	"github.com/rs/zerolog"
 
 	"medlarfield/internal/core/medlarchoice"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarsuspect"
-	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarcall"
 	"medlarfield/internal/edge/medlarmetric"
 	"medlarfield/internal/edge/medlarproxy"
@@ -21,7 +21,7 @@
 	return medlarproxy.Observer{
 		AttemptEnded: func(a *medlarcall.Attempt) {
 			countResponse(m, a.Body)
-			if a.Cause == medlarworld.CauseDone { // logged with the request
+			if a.Cause == medlarkind.CauseDone { // logged with the request
 				return
 			}
 			l := log.Info().Str("event", "attempt").Str("id", string(a.ID)).Int("attempt", a.Number).
--- a/internal/ops/medlarsettings/medlarsettings.go
+++ b/internal/ops/medlarsettings/medlarsettings.go
@@ -8,7 +8,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/base/medlarjson"
-	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/core/medlarkind"
 )
 
 // Settings are the settings of an entry instance that medlard serve runs.
@@ -57,10 +57,10 @@
 
 // Routing has the settings for the choice of upstreams.
 type Routing struct {
-	Weighting           medlarworld.Weighting `json:"weighting"`
-	MaxAttempts         int                   `json:"attempts"`
-	Contexts            bool                  `json:"contexts"` // offload context to KV stores
-	UpstreamIdleTimeout medlarid.Duration     `json:"quiet"`    // for an upstream that sends nothing
+	Weighting           medlarkind.Weighting `json:"weighting"`
+	MaxAttempts         int                  `json:"attempts"`
+	Contexts            bool                 `json:"contexts"` // offload context to KV stores
+	UpstreamIdleTimeout medlarid.Duration    `json:"quiet"`    // for an upstream that sends nothing
 }
 
 // Idempotency has the bounds of idempotency keys. They must be equal on all instances.
@@ -116,7 +116,7 @@
 			MaxWait:          seconds(15),
 			DrainTimeout:     seconds(60),
 		},
-		Routing:     Routing{Weighting: medlarworld.WeightingTTFT, MaxAttempts: 3, Contexts: true, UpstreamIdleTimeout: seconds(30)},
+		Routing:     Routing{Weighting: medlarkind.WeightingTTFT, MaxAttempts: 3, Contexts: true, UpstreamIdleTimeout: seconds(30)},
 		Idempotency: Idempotency{Validity: seconds(15 * 60), ClockSkew: seconds(60)},
 		Log:         Log{Level: "info"},
 	}
@@ -205,7 +205,7 @@
 }
 
 func (r Routing) checks() []check {
-	known := r.Weighting == medlarworld.WeightingTTFT || r.Weighting == medlarworld.WeightingRecompute
+	known := r.Weighting == medlarkind.WeightingTTFT || r.Weighting == medlarkind.WeightingRecompute
 	return []check{
 		{"/routing/weighting", known, `"first" or "share"`},
 		intRange("/routing/attempts", r.MaxAttempts, 1, 10, "1 to 10 attempts"),
--- a/internal/stand/medlarfakereplica/brittle.go
+++ b/internal/stand/medlarfakereplica/brittle.go
@@ -1,6 +1,7 @@
 package medlarfakereplica
 
 import (
+	"slices"
 	"strconv"
 	"time"
 )
@@ -13,10 +14,10 @@
 
 // brittleness is how a replica is brittle.
 type brittleness struct {
-	most     int // requests that it can turn away in brittleWindow; 0 if it is not brittle
-	slots    int // concurrent requests, from brittleDelay on
-	from     time.Time
-	rejected []time.Time
+	// It can turn most requests away in brittleWindow, 0 if it is not brittle, and serves slots at once from brittleDelay on.
+	most, slots int
+	from        time.Time
+	rejected    []time.Time
 }
 
 // BeBrittle makes the replica say that it is brittle: brittleDelay later it serves slots requests at once and crashes
@@ -49,14 +50,11 @@
 	now := time.Now()
 	r.mu.Lock()
 	b := &r.brittle
-	falls := false
 	if b.most > 0 && now.After(b.from) {
 		b.rejected = append(b.rejected, now)
-		for now.Sub(b.rejected[0]) >= brittleWindow {
-			b.rejected = b.rejected[1:]
-		}
-		falls = len(b.rejected) > b.most
 	}
+	b.rejected = slices.DeleteFunc(b.rejected, func(at time.Time) bool { return now.Sub(at) >= brittleWindow })
+	falls := len(b.rejected) > b.most
 	r.mu.Unlock()
 	if falls {
 		r.Crash()
--- a/internal/stand/medlarslope/core.go
+++ b/internal/stand/medlarslope/core.go
@@ -9,6 +9,7 @@
 	"medlarfield/internal/core/medlarcacheindex"
 	"medlarfield/internal/core/medlarcore"
 	"medlarfield/internal/core/medlarkey"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/stand/medlarmeasure"
 	"medlarfield/internal/stand/medlarpeerslope"
@@ -52,7 +53,7 @@
 // 18 models, and a status report from each replica.
 func newCore(n int) *medlarcore.Core {
 	c := medlarcore.New(medlarworld.Config{
-		Self: "entry-1", Zone: "z0", Weighting: medlarworld.WeightingTTFT, MaxQueued: 1024, MaxAttempts: 3, OffloadKV: true, Seed: 1,
+		Self: "entry-1", Zone: "z0", Weighting: medlarkind.WeightingTTFT, MaxQueued: 1024, MaxAttempts: 3, OffloadKV: true, Seed: 1,
 	})
 	modelTotal := modelCount(n)
 	applied := medlarworld.ListsApplied{Version: 1}
@@ -138,7 +139,7 @@
 		if r.Attempt != 1 {
 			return 0, fmt.Errorf("request %s is in phase %s after %d attempts; want one attempt", r.ID, r.Phase, r.Attempt)
 		}
-		c.Tick(coreClock, []medlarworld.Event{medlarworld.AttemptEnded{Run: r.ID, Attempt: 1, Cause: medlarworld.CauseDone, Reached: true}})
+		c.Tick(coreClock, []medlarworld.Event{medlarworld.AttemptEnded{Run: r.ID, Attempt: 1, Cause: medlarkind.CauseDone, Reached: true}})
 	}
 	return medlarmeasure.Micros(time.Since(begin).Seconds() / requests), nil
 }
@@ -157,7 +158,7 @@
 			r.Keys = nil
 			r.Account = medlarid.AccountID(fmt.Sprintf("account-%d", i))
 			c.Tick(coreClock, []medlarworld.Event{medlarworld.Submitted{Run: r, Limits: medlarworld.Limits{Rate: 10, Burst: 10}}})
-			c.Tick(coreClock, []medlarworld.Event{medlarworld.AttemptEnded{Run: r.ID, Attempt: 1, Cause: medlarworld.CauseDone, Reached: true}})
+			c.Tick(coreClock, []medlarworld.Event{medlarworld.AttemptEnded{Run: r.ID, Attempt: 1, Cause: medlarkind.CauseDone, Reached: true}})
 		}
 		return c
 	}), nil
