--- a/internal/ops/medlarattachednode/reach_test.go
+++ b/internal/ops/medlarattachednode/reach_test.go
@@ -1,7 +1,9 @@
 package medlarattachednode_test
 
 import (
+	"bytes"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -22,6 +24,18 @@
 	})
 }
 
+// awaitAcquaintance waits until the instances know one another: all have announced themselves, and have read that.
+func (f *fleet) awaitAcquaintance() {
+	f.t.Helper()
+	for i := range f.members {
+		own := []byte(fmt.Sprintf("peer/entry-%d{", i+1))
+		f.members[i].eventually("the instance has announced itself", func() bool {
+			return slices.ContainsFunc(f.site.Store.Records("keyed.medlar"), func(r []byte) bool { return bytes.Contains(r, own) })
+		})
+	}
+	time.Sleep(time.Second)
+}
+
 // logged reports whether an instance has logged a text.
 func (w *fixture) logged(text string) bool { return strings.Contains(w.logs.text(), text) }
 
@@ -164,6 +178,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			f := startLinked(t, 2, func(s *medlarsite.Settings) { s.Plain = 1 })
+			f.awaitAcquaintance()
 			f.set(medlarlink.Refused, 0)
 			n := 0
 			post := func(w *fixture) result {
--- a/internal/stand/medlarlink/medlarlink.go
+++ b/internal/stand/medlarlink/medlarlink.go
@@ -12,6 +12,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"sync"
@@ -33,12 +34,10 @@
 
 // Sizes and times.
 const (
-	backlog      = 128 // connections that wait to be accepted while a link is up
-	copyBuffer   = 4096
-	fillers      = 3                     // connections that fill the queue of a silent link
-	fillTimeout  = 20 * time.Millisecond // a filler that hangs shows that the queue is full
-	listenTries  = 50
-	listenPeriod = 20 * time.Millisecond // between two tries to listen on an address again
+	backlog     = 128                   // connections that wait to be accepted while a link is up
+	copyBuffer  = 4096                  // bytes
+	fillers     = 3                     // connections that fill the queue of a silent link
+	fillTimeout = 20 * time.Millisecond // a filler that hangs shows that the queue is full
 )
 
 // Link connects one instance with the replicas. It is safe for concurrent use.
@@ -55,8 +54,8 @@
 type port struct {
 	target   string
 	address  string
-	listener *net.TCPListener // nil while new connections are refused
-	stopped  chan struct{}    // closed when the port no longer accepts
+	listener *net.TCPListener
+	stopped  chan struct{} // closed when the port no longer accepts
 	fillers  []net.Conn
 }
 
@@ -75,7 +74,7 @@
 	if p := l.ports[target]; p != nil {
 		return p.address, nil
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := listen()
 	if err != nil {
 		return "", err
 	}
@@ -88,6 +87,24 @@
 	return p.address, l.apply(p, l.state)
 }
 
+// Ports of links. They are none of those that the system gives out, so that nobody else takes one while it refuses
+// connections.
+const (
+	firstPort = 18000
+	ports     = 10000
+	tries     = 100
+)
+
+// listen listens on a free port.
+func listen() (ln net.Listener, err error) {
+	for range tries {
+		if ln, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))); err == nil {
+			return ln, nil
+		}
+	}
+	return nil, err
+}
+
 // Set puts the link into a state.
 func (l *Link) Set(state State) error {
 	l.mu.Lock()
@@ -197,11 +214,11 @@
 func (l *Link) resume(p *port) error {
 	switch {
 	case p.listener == nil:
-		ln, err := listenAgain(p.address)
+		ln, err := net.Listen("tcp", p.address)
 		if err != nil {
 			return err
 		}
-		p.listener = ln
+		p.listener = ln.(*net.TCPListener)
 	case len(p.fillers) > 0:
 		for _, c := range p.fillers {
 			_ = c.Close()
@@ -218,19 +235,6 @@
 	return nil
 }
 
-// listenAgain listens on an address that was in use before.
-func listenAgain(address string) (*net.TCPListener, error) {
-	var err error
-	for range listenTries {
-		var ln net.Listener
-		if ln, err = net.Listen("tcp", address); err == nil {
-			return ln.(*net.TCPListener), nil
-		}
-		time.Sleep(listenPeriod)
-	}
-	return nil, err
-}
-
 // connect connects a new connection of the instance with a replica.
 func (l *Link) connect(target string, near net.Conn) {
 	far, err := net.Dial("tcp", target)
