Let instances send brittle replicas more while none has turned them away

Traced: an instance begins with one more at once than it has at a brittle replica and tried one more each 4.8 s, also while nothing was turned away, so that an instance which had few requests there when the replica said it went on with few. Now it tries one more each 0.3 s until the first refusal.

--- a/internal/core/medlarbrittle/medlarbrittle.go
+++ b/internal/core/medlarbrittle/medlarbrittle.go
@@ -11,8 +11,8 @@
 //	R2  An upstream that turns a request away has less room than was assumed: this instance sends it nothing for a while,
 //	    and then a third less at once than before. The pause is such that all instances together are turned away
 //	    less often than the upstream can bear.
-//	R3  An instance begins with one more at once than it has there when the upstream says that it is brittle. After
-//	    several pauses without a refusal it sends one more at once, up to its part.
+//	R3  An instance begins with one more at once than it has there when the upstream says that it is brittle. It tries one
+//	    more soon after, up to its part, as long as none was turned away, and after several pauses once one was.
 //	R4  Prompts fill the memory of an upstream before they fill its slots: that is divided in the same way.
 package medlarbrittle
 
@@ -28,12 +28,13 @@
 
 // Parameters of the rules.
 const (
-	sharersPart  = 67              // instances that share an upstream, in percent of the requests that it can turn away (R1)
-	growthPauses = 4               // R3
-	minPause     = time.Second     // R2
-	maxPause     = 8 * time.Second // R2
-	margin       = 1.2             // R2
-	memoryPart   = 0.8             // of an upstream's memory that prompts may fill (R4)
+	sharersPart  = 67                     // instances that share an upstream, in percent of the requests that it can turn away (R1)
+	growthPauses = 4                      // R3
+	firstGrowth  = 300 * time.Millisecond // before the first refusal (R3)
+	minPause     = time.Second            // R2
+	maxPause     = 8 * time.Second        // R2
+	margin       = 1.2                    // R2
+	memoryPart   = 0.8                    // of an upstream's memory that prompts may fill (R4)
 )
 
 // System follows which upstreams are brittle.
@@ -70,7 +71,7 @@
 	}
 	if u.Brittle.Most == 0 {
 		u.Brittle.Room = u.Open + 1
-		u.Brittle.GrowsAt = w.Now.Add(minPause)
+		u.Brittle.GrowsAt = w.Now.Add(firstGrowth)
 	}
 	u.Brittle.Most = e.Most
 	w.Emit(medlarworld.BrittleChanged{Upstream: u.ID, Most: e.Most})
@@ -163,11 +164,19 @@
 	}
 	if b.Room < b.Part && !w.Now.Before(b.GrowsAt) {
 		b.Room++ // R3
-		b.GrowsAt = w.Now.Add(growthPauses * pause(w, u))
+		b.GrowsAt = w.Now.Add(growthDelay(w, u))
 	}
 	return u.Open < min(b.Room, b.Part) && fits(w, r, u)
 }
 
+// growthDelay returns the time without a refusal after which one more is tried (R3).
+func growthDelay(w *medlarworld.World, u *medlarworld.Upstream) time.Duration {
+	if u.Brittle.PausedUntil.IsZero() {
+		return firstGrowth
+	}
+	return growthPauses * pause(w, u)
+}
+
 // fits reports whether a prompt fits in this instance's part of an upstream's memory, or is the only one (R4).
 func fits(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) bool {
 	if u.KVCapacity == 0 || u.Open == 0 {
