--- a/internal/core/medlarreach/medlarreach.go
+++ b/internal/core/medlarreach/medlarreach.go
@@ -1,19 +1,19 @@
-// Package medlarreach decides by which way an instance opens connections to replicas: directly,
+// Package medlarreach decides by which path an instance opens connections to replicas: directly,
 // or through another instance that reaches them. A connection that fails says as little about the
-// replica as about the instance's own way to it; only what another instance sees tells them apart.
+// replica as about the instance's direct path to it; only what another instance sees tells them apart.
 //
 // Rules:
 //
 //	R1  A connection is opened directly, and another instance is asked once that has failed
-//	    or takes longer than HedgeDelay. If the other instance reaches the replica, the own way
+//	    or takes longer than HedgeDelay. If the other instance reaches the replica, the direct path
 //	    to it is broken, and its connections are relayed from then on.
 //	R2  If minWitnesses other instances don't reach the replica either, it is down, and none is
 //	    asked about it again for downTTL.
-//	R3  If the ways to minBroken replicas are broken and no direct connection was opened since
+//	R3  If the paths to minBroken replicas are broken and no direct connection was opened since
 //	    the first of them broke, the instance is cut off: connections to all replicas are relayed.
-//	R4  A broken way is tried again with connections that serve no request, a few at a time. The
-//	    first one that opens ends the cut. A way that breaks again soon is tried later each time.
-//	R5  A way on which connections hang holds back what is sent on connections that are
+//	R4  A broken path is tried again with connections that serve no request, a few at a time. The
+//	    first one that opens ends the cut. A path that breaks again soon is tried later each time.
+//	R5  A path on which connections hang holds back what is sent on connections that are
 //	    already open, too; they are not used for further requests. Where new connections are refused,
 //	    open ones may work and are used.
 //	R6  Up to maxHelpful other instances share what is relayed, so that none gets all of it. Until there are so many
@@ -41,10 +41,10 @@
 	minWitnesses  = 2                      // R2
 	downTTL       = 500 * time.Millisecond // R2
 	minBroken     = 3                      // R3
-	minRetryDelay = time.Second            // until a broken way is tried again; doubles if it breaks again soon (R4)
+	minRetryDelay = time.Second            // until a broken path is tried again; doubles if it breaks again soon (R4)
 	maxRetryDelay = 8 * time.Second        // R4
 	breaksSoon    = 10 * time.Second       // R4
-	retriesAtOnce = 3                      // broken ways that are tried at once (R4)
+	retriesAtOnce = 3                      // broken paths that are tried at once (R4)
 	maxHelpful    = 4                      // instances that share what one relays (R6)
 	helpfulTTL    = 10 * time.Second       // R6
 	unhelpfulTTL  = 3 * time.Second        // R6
@@ -83,8 +83,8 @@
 	unhelpedAt time.Time // when it could not help last
 }
 
-// way is the state of the own way to one replica.
-type way struct {
+// path is the state of the direct path to one replica.
+type path struct {
 	broken     bool
 	hangs      bool      // connections hang rather than being refused (R5)
 	brokenAt   time.Time // when it broke last
@@ -95,24 +95,24 @@
 	downUntil  time.Time // R2
 }
 
-// Change is a change of a way, or of the instance's state, for the log.
+// Change is a change of a path, or of the instance's state, for the log.
 type Change struct {
 	Replica medlarid.InstanceID // empty for a change of the instance's state
-	Broken  bool                // the way is broken, or the instance is cut off
+	Broken  bool                // the path is broken, or the instance is cut off
 	Hangs   bool
-	Ways    int           // broken ways at that time
+	Paths   int           // broken paths at that time
 	For     time.Duration // how long it was broken, if it is no longer
 }
 
-// Table holds the state of the own ways to replicas. It is not safe for concurrent use.
+// Table holds the state of the direct paths to replicas. It is not safe for concurrent use.
 type Table struct {
 	zone    medlarid.Zone
 	rand    *rand.Rand
-	ways    map[medlarid.InstanceID]*way
+	paths   map[medlarid.InstanceID]*path
 	peers   map[medlarid.InstanceID]*peer
-	broken  int       // broken ways
+	broken  int       // broken paths
 	openAt  time.Time // when a direct connection was opened last
-	firstAt time.Time // when the first of the broken ways broke
+	firstAt time.Time // when the first of the broken paths broke
 	cut     bool
 	cutAt   time.Time
 	changes []Change
@@ -120,7 +120,7 @@
 
 // New returns a Table of an instance in a zone that knows no replicas and no other instances.
 func New(zone medlarid.Zone, r *rand.Rand) *Table {
-	return &Table{zone: zone, rand: r, ways: map[medlarid.InstanceID]*way{}, peers: map[medlarid.InstanceID]*peer{}}
+	return &Table{zone: zone, rand: r, paths: map[medlarid.InstanceID]*path{}, peers: map[medlarid.InstanceID]*peer{}}
 }
 
 // SetPeer records another instance that may relay.
@@ -132,28 +132,28 @@
 // Cut reports whether the instance is cut off from the replicas (R3).
 func (t *Table) Cut() bool { return t.cut }
 
-// Broken returns the number of replicas to which the own way is broken.
+// Broken returns the number of replicas to which the direct path is broken.
 func (t *Table) Broken() int { return t.broken }
 
-// Works reports whether the own way to a replica is believed to work.
+// Works reports whether the direct path to a replica is believed to work.
 func (t *Table) Works(id medlarid.InstanceID) bool {
-	w := t.ways[id]
-	return !t.cut && (w == nil || !w.broken)
+	p := t.paths[id]
+	return !t.cut && (p == nil || !p.broken)
 }
 
 // KeepsOpen reports whether direct connections to a replica that are already open may be used (R5).
 func (t *Table) KeepsOpen(id medlarid.InstanceID) bool {
-	w := t.ways[id]
-	if w != nil && w.broken {
-		return !w.hangs
+	p := t.paths[id]
+	if p != nil && p.broken {
+		return !p.hangs
 	}
 	return !t.cut || !t.allHang()
 }
 
-// allHang reports whether connections hang on all broken ways.
+// allHang reports whether connections hang on all broken paths.
 func (t *Table) allHang() bool {
-	for _, w := range t.ways {
-		if w.broken && !w.hangs {
+	for _, p := range t.paths {
+		if p.broken && !p.hangs {
 			return false
 		}
 	}
@@ -168,8 +168,8 @@
 	if !t.Works(id) {
 		return Plan{Relay: true, RelayFirst: true}
 	}
-	w := t.ways[id]
-	return Plan{Relay: w == nil || !now.Before(w.downUntil)}
+	p := t.paths[id]
+	return Plan{Relay: p == nil || !now.Before(p.downUntil)}
 }
 
 // Peers returns the other instances to ask, in order (R6).
@@ -223,7 +223,7 @@
 	return rank
 }
 
-// Ended records how an attempt to open a direct connection ended. What is not opened breaks the way only once
+// Ended records how an attempt to open a direct connection ended. What is not opened breaks the path only once
 // another instance has reached the replica.
 func (t *Table) Ended(now time.Time, id medlarid.InstanceID, o Outcome) {
 	if o != Opened {
@@ -246,7 +246,7 @@
 		}
 	}
 	if o == Opened && (direct == Refused || direct == Silent) {
-		t.breakWay(now, id, direct == Silent)
+		t.breakPath(now, id, direct == Silent)
 	}
 }
 
@@ -255,84 +255,84 @@
 	if witnesses < min(minWitnesses, len(t.peers)) || witnesses == 0 {
 		return
 	}
-	t.way(id).downUntil = now.Add(downTTL)
+	t.path(id).downUntil = now.Add(downTTL)
 }
 
 // Witnessed reports whether enough other instances have said that they don't reach a replica (R2).
 func Witnessed(n int) bool { return n >= minWitnesses }
 
-func (t *Table) way(id medlarid.InstanceID) *way {
-	w := t.ways[id]
-	if w == nil {
-		w = &way{}
-		t.ways[id] = w
+func (t *Table) path(id medlarid.InstanceID) *path {
+	p := t.paths[id]
+	if p == nil {
+		p = &path{}
+		t.paths[id] = p
 	}
-	return w
+	return p
 }
 
-// breakWay records that the own way to a replica is broken (R1), and finds out whether the instance is cut off (R3).
-func (t *Table) breakWay(now time.Time, id medlarid.InstanceID, hangs bool) {
-	w := t.way(id)
-	if w.broken {
-		w.hangs = hangs
+// breakPath records that the direct path to a replica is broken (R1), and finds out whether the instance is cut off (R3).
+func (t *Table) breakPath(now time.Time, id medlarid.InstanceID, hangs bool) {
+	p := t.path(id)
+	if p.broken {
+		p.hangs = hangs
 		return
 	}
-	soon := !w.mendedAt.IsZero() && now.Sub(w.mendedAt) < breaksSoon
-	w.retryDelay = min(2*w.retryDelay, maxRetryDelay)
-	if !soon || w.retryDelay == 0 {
-		w.retryDelay = minRetryDelay
+	soon := !p.mendedAt.IsZero() && now.Sub(p.mendedAt) < breaksSoon
+	p.retryDelay = min(2*p.retryDelay, maxRetryDelay)
+	if !soon || p.retryDelay == 0 {
+		p.retryDelay = minRetryDelay
 	}
-	w.broken, w.hangs, w.brokenAt, w.retryAt = true, hangs, now, now.Add(w.retryDelay)
+	p.broken, p.hangs, p.brokenAt, p.retryAt = true, hangs, now, now.Add(p.retryDelay)
 	t.broken++
 	if t.broken == 1 {
 		t.firstAt = now
 	}
-	t.changes = append(t.changes, Change{Replica: id, Broken: true, Hangs: hangs, Ways: t.broken})
+	t.changes = append(t.changes, Change{Replica: id, Broken: true, Hangs: hangs, Paths: t.broken})
 	if !t.cut && t.broken >= minBroken && t.openAt.Before(t.firstAt) {
 		t.cut, t.cutAt = true, now
-		t.changes = append(t.changes, Change{Broken: true, Hangs: t.allHang(), Ways: t.broken})
+		t.changes = append(t.changes, Change{Broken: true, Hangs: t.allHang(), Paths: t.broken})
 	}
 }
 
-// mend records that the own way to a replica works.
+// mend records that the direct path to a replica works.
 func (t *Table) mend(now time.Time, id medlarid.InstanceID) {
-	w := t.ways[id]
-	if w == nil {
+	p := t.paths[id]
+	if p == nil {
 		return
 	}
-	w.downUntil = time.Time{}
-	if !w.broken {
+	p.downUntil = time.Time{}
+	if !p.broken {
 		return
 	}
-	w.broken, w.mendedAt = false, now
+	p.broken, p.mendedAt = false, now
 	t.broken--
-	t.changes = append(t.changes, Change{Replica: id, Ways: t.broken, For: now.Sub(w.brokenAt)})
+	t.changes = append(t.changes, Change{Replica: id, Paths: t.broken, For: now.Sub(p.brokenAt)})
 }
 
-// endCut ends the cut: all other broken ways are tried again soon (R4).
+// endCut ends the cut: all other broken paths are tried again soon (R4).
 func (t *Table) endCut(now time.Time) {
 	if !t.cut {
 		return
 	}
 	t.cut = false
-	t.changes = append(t.changes, Change{Ways: t.broken, For: now.Sub(t.cutAt)})
-	for _, w := range t.ways {
-		if w.broken {
-			w.retryAt = now
+	t.changes = append(t.changes, Change{Paths: t.broken, For: now.Sub(t.cutAt)})
+	for _, p := range t.paths {
+		if p.broken {
+			p.retryAt = now
 		}
 	}
 }
 
 // Retries returns the replicas to which a direct connection is to be tried now (R4), and the time until the
-// next ones; 0 if no way is broken.
+// next ones; 0 if no path is broken.
 func (t *Table) Retries(now time.Time) (due []medlarid.InstanceID, next time.Duration) {
 	retrying := 0
-	for id, w := range t.ways {
+	for id, p := range t.paths {
 		switch {
-		case !w.broken:
-		case w.retrying:
+		case !p.broken:
+		case p.retrying:
 			retrying++
-		case !now.Before(w.retryAt):
+		case !now.Before(p.retryAt):
 			due = append(due, id)
 		}
 	}
@@ -340,7 +340,7 @@
 	t.rand.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
 	due = due[:min(len(due), max(retriesAtOnce-retrying, 0))]
 	for _, id := range due {
-		t.ways[id].retrying = true
+		t.paths[id].retrying = true
 	}
 	if t.broken == 0 {
 		return nil, 0
@@ -348,29 +348,29 @@
 	return due, retryPoll
 }
 
-// retryPoll is the time between two looks for broken ways that are due.
+// retryPoll is the time between two looks for broken paths that are due.
 const retryPoll = 100 * time.Millisecond
 
-// Retried records how a try of a broken way ended (R4).
+// Retried records how a try of a broken path ended (R4).
 func (t *Table) Retried(now time.Time, id medlarid.InstanceID, o Outcome) {
-	w := t.ways[id]
-	if w == nil {
+	p := t.paths[id]
+	if p == nil {
 		return
 	}
-	w.retrying, w.retryAt = false, now.Add(w.retryDelay)
+	p.retrying, p.retryAt = false, now.Add(p.retryDelay)
 	t.Ended(now, id, o)
 }
 
-// Keep forgets the ways to replicas that are gone.
+// Keep forgets the paths to replicas that are gone.
 func (t *Table) Keep(exists func(medlarid.InstanceID) bool) {
-	for id, w := range t.ways {
+	for id, p := range t.paths {
 		if exists(id) {
 			continue
 		}
-		if w.broken {
+		if p.broken {
 			t.broken--
 		}
-		delete(t.ways, id)
+		delete(t.paths, id)
 	}
 	if t.broken == 0 {
 		t.cut = false
--- a/internal/core/medlarreach/medlarreach_test.go
+++ b/internal/core/medlarreach/medlarreach_test.go
@@ -69,9 +69,9 @@
 		{"another instance could not help", []event{{"r1", Refused, Unhelpful}}, direct, direct, false},
 		{"another instance does not reach it either", []event{{"r1", Refused, Refused}}, direct, direct, false},
 		{"no connection failed", []event{{"r1", "", Opened}}, direct, direct, false},
-		{"two broken ways", broken("r1", "r2"), relay, direct, false},
-		{"three broken ways", broken("r1", "r2", "r3"), relay, relay, true},
-		{"three broken ways and one that works", append(broken("r1", "r2"), append([]event{{"r4", Opened, ""}}, broken("r3")...)...), relay, direct, false},
+		{"two broken paths", broken("r1", "r2"), relay, direct, false},
+		{"three broken paths", broken("r1", "r2", "r3"), relay, relay, true},
+		{"three broken paths and one that works", append(broken("r1", "r2"), append([]event{{"r4", Opened, ""}}, broken("r3")...)...), relay, direct, false},
 		{"one of them works again", append(broken("r1", "r2", "r3"), event{"r3", Opened, ""}), relay, direct, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -133,7 +133,7 @@
 	}
 }
 
-// TestRetries guards against a cut that is never found to have ended, against a herd of tries, and against a way
+// TestRetries guards against a cut that is never found to have ended, against a herd of tries, and against a path
 // that breaks again and again and is used each time.
 func TestRetries(t *testing.T) {
 	table := newTable(peers...)
@@ -148,7 +148,7 @@
 		t.Helper()
 		due, next := table.Retries(now)
 		if len(due) != want || next == 0 {
-			t.Fatalf("%d ways are due, next look after %v; want %d", len(due), next, want)
+			t.Fatalf("%d paths are due, next look after %v; want %d", len(due), next, want)
 		}
 		return due
 	}
@@ -162,7 +162,7 @@
 	due = assertDue(now, len(ids)-retriesAtOnce)
 	table.Retried(now, due[0], Opened)
 	if table.Cut() || table.Broken() != len(ids)-1 {
-		t.Errorf("cut %v with %d broken ways; want no cut and %d", table.Cut(), table.Broken(), len(ids)-1)
+		t.Errorf("cut %v with %d broken paths; want no cut and %d", table.Cut(), table.Broken(), len(ids)-1)
 	}
 	table.Retried(now, due[1], Silent)
 	for _, id := range assertDue(now, retriesAtOnce) { // the others are tried soon
@@ -229,18 +229,18 @@
 	apply(table, start, event{"r1", Refused, Opened}, event{"r2", Refused, Opened}, event{"r3", Refused, Opened})
 	table.Ended(start.Add(2*time.Second), "r2", Opened)
 	want := []Change{
-		{Replica: "r1", Broken: true, Ways: 1},
-		{Replica: "r2", Broken: true, Ways: 2},
-		{Replica: "r3", Broken: true, Ways: 3},
-		{Broken: true, Ways: 3},
-		{Replica: "r2", Ways: 2, For: 2 * time.Second},
-		{Ways: 2, For: 2 * time.Second},
+		{Replica: "r1", Broken: true, Paths: 1},
+		{Replica: "r2", Broken: true, Paths: 2},
+		{Replica: "r3", Broken: true, Paths: 3},
+		{Broken: true, Paths: 3},
+		{Replica: "r2", Paths: 2, For: 2 * time.Second},
+		{Paths: 2, For: 2 * time.Second},
 	}
 	if d := cmp.Diff(want, table.TakeChanges()); d != "" {
 		t.Errorf("changes:\n%s", d)
 	}
 	table.Keep(func(medlarid.InstanceID) bool { return false })
 	if table.Broken() != 0 || len(table.TakeChanges()) != 0 {
-		t.Error("ways to replicas that are gone are kept, or changes are told twice")
+		t.Error("paths to replicas that are gone are kept, or changes are told twice")
 	}
 }
--- a/internal/edge/medlarmetric/medlarmetric.go
+++ b/internal/edge/medlarmetric/medlarmetric.go
@@ -64,7 +64,7 @@
 	asked          *prometheus.CounterVec
 	relayed        *prometheus.CounterVec
 	cut            prometheus.Gauge
-	brokenWays     prometheus.Gauge
+	brokenPaths    prometheus.Gauge
 	ejections      prometheus.Counter
 	hints          *prometheus.CounterVec
 	lost           *prometheus.CounterVec
@@ -95,7 +95,7 @@
 	m.asked = m.newCounterVec("asked_total", "Answers of other instances that were asked to relay a connection to a replica: opened, refused, silent, unhelpful.", "result")
 	m.relayed = m.newCounterVec("relayed_total", "Requests of other instances to relay a connection to a replica, by whether it was opened.", "opened")
 	m.cut = m.newGauge("cut", "1 while this instance reaches no replica directly although others do.")
-	m.brokenWays = m.newGauge("broken_ways", "Replicas that this instance does not reach directly although others do.")
+	m.brokenPaths = m.newGauge("broken_paths", "Replicas that this instance does not reach directly although others do.")
 	m.hints = m.newCounterVec("hints_total", "What replicas said in responses about further requests: leaving, pause, limit, brittle, malformed.", "kind")
 	m.tokens = m.newCounterVec("tokens_total", "Tokens, by kind: prompt, cached, completion.", "kind")
 	m.bytesMoved = m.newCounterVec("moved_bytes_total", "Bytes of kept context moved, by direction.", "direction")
@@ -275,8 +275,8 @@
 	}
 }
 
-// SetBrokenWays sets the number of replicas that this instance does not reach while others do.
-func (m *Metrics) SetBrokenWays(n int) { m.brokenWays.Set(float64(n)) }
+// SetBrokenPaths sets the number of replicas that this instance does not reach while others do.
+func (m *Metrics) SetBrokenPaths(n int) { m.brokenPaths.Set(float64(n)) }
 
 // Ejected counts an ejection of an upstream.
 func (m *Metrics) Ejected() { m.ejections.Inc() }
--- a/internal/ops/medlarattachednode/cut_test.go
+++ b/internal/ops/medlarattachednode/cut_test.go
@@ -200,7 +200,7 @@
 }
 
 // TestInstancesCutFromReplicasServe guards against instances that refuse what other instances could serve, since
-// they have no way of their own to the replicas.
+// they have no path of their own to the replicas.
 func TestInstancesCutFromReplicasServe(t *testing.T) {
 	t.Parallel()
 	const counted = 4 * time.Second
--- a/internal/ops/medlarattachednode/reach.go
+++ b/internal/ops/medlarattachednode/reach.go
@@ -46,14 +46,14 @@
 
 // logReach logs and counts that this instance no longer reaches a replica, or any, that others reach, or does again.
 func logReach(log zerolog.Logger, m *medlarmetric.Metrics, c medlarreach.Change) {
-	m.SetBrokenWays(c.Ways)
+	m.SetBrokenPaths(c.Paths)
 	if c.Replica != "" {
 		text := "replica is reached directly again"
 		if c.Broken {
 			text = "replica is not reached directly, while another instance reaches it; relaying its connections"
 		}
 		log.Info().Str("event", "reach").Str("replica", string(c.Replica)).Bool("broken", c.Broken).Bool("hangs", c.Hangs).
-			Int("ways", c.Ways).Float64("for", ms(c.For)).Msg(text)
+			Int("paths", c.Paths).Float64("for", ms(c.For)).Msg(text)
 		return
 	}
 	m.SetCut(c.Broken)
@@ -61,11 +61,11 @@
 	if c.Broken {
 		text = "no replica is reached directly, while other instances reach them; relaying all connections"
 	}
-	log.Warn().Str("event", "cut").Bool("cut", c.Broken).Bool("hangs", c.Hangs).Int("ways", c.Ways).Float64("for", ms(c.For)).Msg(text)
+	log.Warn().Str("event", "cut").Bool("cut", c.Broken).Bool("hangs", c.Hangs).Int("paths", c.Paths).Float64("for", ms(c.For)).Msg(text)
 }
 
 // openPeers opens the listeners for other instances and announces them. Without them the instance goes by what it
-// sees itself, and reaches replicas by its own way only.
+// sees itself, and reaches replicas by its direct path only.
 func (i *Instance) openPeers() {
 	if !i.cfg.HasPeers() {
 		return
--- a/internal/ops/medlarattachednode/reach_test.go
+++ b/internal/ops/medlarattachednode/reach_test.go
@@ -40,7 +40,7 @@
 func (w *fixture) logged(text string) bool { return strings.Contains(w.logs.text(), text) }
 
 // TestReplicasThatAreDownAreNoCut guards against instances that take replicas which are down for all for a fault of
-// their own way.
+// their direct path.
 func TestReplicasThatAreDownAreNoCut(t *testing.T) {
 	t.Parallel()
 	for _, tc := range []struct {
@@ -71,7 +71,7 @@
 			wait()
 			for i, w := range f.members {
 				if w.logged(`"event":"cut"`) || w.logged(`"event":"reach"`) {
-					t.Errorf("instance %d takes replicas that are down for a fault of its own way", i+1)
+					t.Errorf("instance %d takes replicas that are down for a fault of its direct path", i+1)
 				}
 			}
 			if sent, served := y.served(begin.Add(3*time.Second), time.Now(), func(int) bool { return true }); served < sent*9/10 {
@@ -161,7 +161,7 @@
 }
 
 // TestHintsReachTheRelay guards against an instance that goes on sending requests to a replica which has told it, for
-// a request of another instance, that it leaves or wants a pause; and the other way round.
+// a request of another instance, that it leaves or wants a pause; and the other path round.
 func TestHintsReachTheRelay(t *testing.T) {
 	t.Parallel()
 	const told = `"event":"avoid","replica":"ledger-1"`
@@ -199,7 +199,7 @@
 	}
 }
 
-// TestCutEnds guards against an instance that goes on relaying once its own way works again.
+// TestCutEnds guards against an instance that goes on relaying once its direct path works again.
 func TestCutEnds(t *testing.T) {
 	t.Parallel()
 	f := startLinked(t, 3, nil)
@@ -212,7 +212,7 @@
 		w.eventually("the instance is cut off", func() bool { return w.logged(`"event":"cut","cut":true`) })
 		f.set(medlarlink.Up, 0)
 		w.eventually("the cut has ended", func() bool { return w.logged(`"event":"cut","cut":false`) })
-		w.eventually("no way is broken", func() bool { return strings.Contains(w.metrics(), "medlar_broken_ways 0") })
+		w.eventually("no path is broken", func() bool { return strings.Contains(w.metrics(), "medlar_broken_paths 0") })
 	}
 	w.logs.reset()
 	time.Sleep(500 * time.Millisecond)
--- a/internal/ops/medlardialer/medlardialer.go
+++ b/internal/ops/medlardialer/medlardialer.go
@@ -3,7 +3,7 @@
 //
 // Rules:
 //
-//	R1  medlarreach decides by which way; what comes of each try is reported to it.
+//	R1  medlarreach decides by which path; what comes of each try is reported to it.
 //	R2  A direct connection that is late goes on to its end although another instance was faster, so that it is known
 //	    how it ended.
 //	R3  What a replica says about further requests is passed to the instances that relay to it, or for which this one
@@ -36,7 +36,7 @@
 const (
 	relayTimeout   = 700 * time.Millisecond // to find another instance that reaches a replica
 	forPeerTimeout = 250 * time.Millisecond // to open a connection for another instance, which waits a little longer
-	retryTimeout   = 300 * time.Millisecond // to open a connection on a way that is broken
+	retryTimeout   = 300 * time.Millisecond // to open a connection on a path that is broken
 	hintTimeout    = time.Second            // to pass on what a replica has said
 	hintMemory     = time.Second            // what came from another instance is not passed on for so long (R3)
 )
@@ -79,7 +79,7 @@
 	peers   map[medlarid.InstanceID]medlartunnel.Peer
 	relayed map[medlarid.InstanceID]map[medlarid.InstanceID]bool // instances that relay to each replica
 	avoided map[medlarid.InstanceID]avoidance
-	wake    chan struct{} // has an element if a way may be broken
+	wake    chan struct{} // has an element if a path may be broken
 }
 
 // avoidance is why this instance sends nothing to a replica.
@@ -157,7 +157,7 @@
 	return d.table.Broken()
 }
 
-// Usable reports whether an idle connection may be used. One that is relayed is not once the own way works again.
+// Usable reports whether an idle connection may be used. One that is relayed is not once the direct path works again.
 func (d *Dialer) Usable(c *medlarpool.Conn) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -168,7 +168,7 @@
 	return known && !d.table.Works(c.Target.ID)
 }
 
-// Run tries broken ways again until ctx is done.
+// Run tries broken paths again until ctx is done.
 func (d *Dialer) Run(ctx context.Context) {
 	for {
 		select {
@@ -186,20 +186,20 @@
 	}
 }
 
-// retry tries the broken ways that are due and returns the time until the next look; 0 if no way is broken.
+// retry tries the broken paths that are due and returns the time until the next look; 0 if no path is broken.
 func (d *Dialer) retry(ctx context.Context) time.Duration {
 	d.mu.Lock()
 	d.table.Keep(d.exists)
 	due, next := d.table.Retries(time.Now())
 	d.unlock()
 	for _, id := range due {
-		go d.retryWay(ctx, id)
+		go d.retryPath(ctx, id)
 	}
 	return next
 }
 
-// retryWay tries to open a direct connection to a replica, for no request.
-func (d *Dialer) retryWay(ctx context.Context, id medlarid.InstanceID) {
+// retryPath tries to open a direct connection to a replica, for no request.
+func (d *Dialer) retryPath(ctx context.Context, id medlarid.InstanceID) {
 	outcome := medlarreach.Silent
 	if r, ok := d.lookup(id); ok {
 		ctx, cancel := context.WithTimeout(ctx, retryTimeout)
@@ -229,7 +229,7 @@
 	}
 }
 
-// Failures of this instance alone, which say nothing about the way to a replica.
+// Failures of this instance alone, which say nothing about the path to a replica.
 const failedHere medlarreach.Outcome = "failed"
 
 // outcomeOf returns the outcome of an attempt to open a connection.
--- a/internal/ops/medlardialer/opening.go
+++ b/internal/ops/medlardialer/opening.go
@@ -27,7 +27,7 @@
 	direct medlarreach.Outcome // of the direct connection, Silent while it is being opened, empty before
 }
 
-// result is what came of one way.
+// result is what came of one path.
 type result struct {
 	conn      net.Conn
 	via       medlarid.InstanceID
@@ -35,7 +35,7 @@
 	witnesses int // other instances that don't reach the replica
 }
 
-// open opens a connection by the ways of a plan, the second one when the first has failed or is late.
+// open opens a connection by the paths of a plan, the second one when the first has failed or is late.
 func (o *opening) open(plan medlarreach.Plan) result {
 	var hedge <-chan time.Time
 	if plan.RelayFirst {
@@ -123,7 +123,7 @@
 	return o.direct
 }
 
-// Instances that are asked at once: one if the own way is known to be broken, and several while it is not
+// Instances that are asked at once: one if the direct path is known to be broken, and several while it is not
 // known whether the replica is down, as each then takes as long as a connection that hangs.
 const (
 	askedAtOnce     = 1
