Tell what shows that a rejection belongs to its attempt, in logs and metrics

For the incident of refused requests that ran: neither logs nor metrics told whether a rejection names its request, or whether the connection had carried an earlier attempt of it. The line attempt has proof and rejected now, and medlar_rejections_total counts rejections by proof. The reading of responses moves to medlarproof; what is done with them does not change.

--- a/internal/edge/medlarcall/medlarcall.go
+++ b/internal/edge/medlarcall/medlarcall.go
@@ -90,9 +90,21 @@
 	FetchDeadline time.Time
 }
 
+// Proof is what shows that a response belongs to an attempt.
+type Proof string
+
+// Proofs.
+const (
+	ProofID       Proof = "id"       // it names the request, of which no earlier attempt used the connection
+	ProofConn     Proof = "conn"     // it names none, and the connection has carried no other request
+	ProofRepeated Proof = "repeated" // it names the request, of which an earlier attempt used the connection
+	ProofNone     Proof = "none"     // it names none, and the connection has carried other requests
+)
+
 // Reply is the metadata in an upstream's response.
 type Reply struct {
 	ID          medlarid.RequestID
+	Proof       Proof // that the response belongs to the attempt
 	Signed      bool
 	NotRun      bool // the upstream did not run the request
 	Misdirected bool // status 421: not the requested replica or weight version
@@ -165,6 +177,10 @@
 	Err      error
 	// Lost is set if the upstream ended the connection before its response was complete.
 	Lost bool
+	// Proof shows that the response belongs to the attempt; empty if none was received. Rejected is set if
+	// the response says that the request did not run.
+	Proof    Proof
+	Rejected bool
 	// Began is the time from the first whole event of the response until the attempt ended;
 	// 0 if there was none.
 	Began time.Duration
--- a/internal/edge/medlarmetric/medlarmetric.go
+++ b/internal/edge/medlarmetric/medlarmetric.go
@@ -68,6 +68,7 @@
 	ejections      prometheus.Counter
 	hints          *prometheus.CounterVec
 	lost           *prometheus.CounterVec
+	rejections     *prometheus.CounterVec
 	crashes        prometheus.Counter
 	blocked        prometheus.Gauge
 	exportsDropped prometheus.Counter
@@ -91,6 +92,7 @@
 	m.answers = m.newCounterVec("answers_total", "Requests answered, by kind.", "kind")
 	m.responses = m.newCounterVec("responses_total", "Responses of replicas, by framing of the body and by its end: complete, partial, broken.", "framing", "end")
 	m.lost = m.newCounterVec("lost_total", "Attempts whose connection the replica ended before the response was complete, by whether an event had been received.", "began")
+	m.rejections = m.newCounterVec("rejections_total", "Rejections of attempts, by what shows that they belong to the attempt: id, conn, repeated, none.", "proof")
 	m.connects = m.newCounterVec("connects_total", "Attempts to open direct connections to replicas, by result: opened, refused, silent, failed.", "result")
 	m.asked = m.newCounterVec("asked_total", "Answers of other instances that were asked to relay a connection to a replica: opened, refused, silent, unhelpful.", "result")
 	m.relayed = m.newCounterVec("relayed_total", "Requests of other instances to relay a connection to a replica, by whether it was opened.", "opened")
@@ -246,6 +248,9 @@
 // the answer had begun.
 func (m *Metrics) AttemptLost(began bool) { m.lost.WithLabelValues(strconv.FormatBool(began)).Inc() }
 
+// AttemptRejected counts a rejection by what shows that it belongs to the attempt.
+func (m *Metrics) AttemptRejected(proof string) { m.rejections.WithLabelValues(proof).Inc() }
+
 // CrashSeen counts a report on a replica that crashed.
 func (m *Metrics) CrashSeen() { m.crashes.Inc() }
 
--- /dev/null
+++ b/internal/edge/medlarproof/medlarproof.go
@@ -0,0 +1,105 @@
+// Package medlarproof reads the response to an attempt from a connection to an upstream, and finds out what
+// shows that it belongs to the attempt. A faulty upstream may write an earlier response once more, when the next
+// request has been sent on the connection.
+//
+// Rules:
+//
+//	R1  A response that names another request is read over. One whose end is that of the connection leaves no
+//	    response for the attempt.
+package medlarproof
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+
+	"github.com/rotisserie/eris"
+
+	"medlarfield/internal/base/medlarhead"
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/edge/medlarcall"
+)
+
+// Limits of responses.
+const (
+	maxHead         = 16 << 10 // bytes of a head
+	maxForeign      = 2        // responses to other requests that are read over
+	maxForeignBody  = 64 << 10 // bytes of the body of a response to another request
+	statusFinalFrom = 200      // lower ones are interim responses
+)
+
+// Op names the operation that failed.
+type Op string
+
+// OpRead is the reading of a response.
+const OpRead Op = "read"
+
+// Kind classifies a failure.
+type Kind string
+
+// KindForeign is the failure of an attempt that gets responses to other requests only.
+const KindForeign Kind = "foreign"
+
+// Error is a failed operation.
+type Error struct {
+	Op   Op
+	Kind Kind
+	Err  error
+}
+
+// Error returns operation, kind and cause.
+func (e *Error) Error() string { return fmt.Sprintf("response: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Attempt is an attempt whose response is read.
+type Attempt struct {
+	ID     medlarid.RequestID
+	Method string
+	// Reused is set if the connection has carried another request before, and Repeated if that was an earlier
+	// attempt of the same one.
+	Reused   bool
+	Repeated bool
+	Decode   func(*medlarhead.Head) medlarcall.Reply
+}
+
+// Read reads the response to an attempt up to the end of its head.
+func (a Attempt) Read(br *bufio.Reader) (*medlarhead.Head, medlarcall.Reply, error) {
+	for range maxForeign + 1 {
+		h, err := medlarhead.ReadResponse(br, maxHead, a.Method)
+		if err != nil {
+			return nil, medlarcall.Reply{}, err
+		}
+		if h.Status < statusFinalFrom {
+			continue
+		}
+		reply := a.Decode(h)
+		if reply.ID == "" || reply.ID == a.ID {
+			reply.Proof = a.proof(reply)
+			return h, reply, nil
+		}
+		if h.Framing == medlarhead.FramingClose {
+			break
+		}
+		body := medlarhead.NewBody(br, h)
+		body.Limit(maxForeignBody)
+		if _, err := io.Copy(io.Discard, body); err != nil {
+			return nil, medlarcall.Reply{}, err
+		}
+	}
+	return nil, medlarcall.Reply{}, &Error{Op: OpRead, Kind: KindForeign, Err: eris.New("received only responses to other requests")}
+}
+
+// proof returns what shows that a response belongs to the attempt.
+func (a Attempt) proof(reply medlarcall.Reply) medlarcall.Proof {
+	switch {
+	case reply.ID == a.ID && !a.Repeated:
+		return medlarcall.ProofID
+	case reply.ID == "" && !a.Reused:
+		return medlarcall.ProofConn
+	case reply.ID == "":
+		return medlarcall.ProofNone
+	}
+	return medlarcall.ProofRepeated
+}
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -18,13 +19,12 @@
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarcall"
 	"medlarfield/internal/edge/medlarpool"
+	"medlarfield/internal/edge/medlarproof"
 	"medlarfield/internal/edge/medlarrun"
 )
 
 // Limits of requests and responses.
 const (
-	maxResponseHead     = 16 << 10              // bytes of a response's head
-	maxStaleResponses   = 2                     // responses to other requests that are skipped
 	maxResponseBody     = 16 << 20              // bytes of a response's body; a replica in trouble may send without end
 	maxInlineBody       = 16 << 10              // bytes; a longer request body is written while the response is read
 	unsignedWait        = 50 * time.Millisecond // for the end of the connection after a head without a signature
@@ -44,6 +44,9 @@
 	status      int
 	bodyEnd     medlarcall.BodyEnd
 	reused      bool                // the connection had served a request before
+	repeated    bool                // it had served an earlier attempt of the same request
+	proof       medlarcall.Proof    // that the response belongs to the attempt
+	rejected    bool                // the response says that the upstream did not run the request
 	via         medlarid.InstanceID // that relays the connection; empty for none
 	err         error
 	lost        bool      // the upstream ended the connection before its response was complete
@@ -60,7 +63,6 @@
 // Reasons why a response is not relayed.
 var (
 	errUnsigned       = eris.New("response has no signature")
-	errOtherRequest   = eris.New("received only responses to other requests")
 	errContentEncoded = eris.New("response has a content coding that the client did not request")
 	errNotStream      = eris.New("response cannot continue the stream")
 )
@@ -74,6 +76,8 @@
 		return a.failed(err, medlarreason.Unreachable, false)
 	}
 	a.upstream, a.reused, a.via = c, c.Reused, c.Via
+	a.repeated = slices.Contains(a.conns, c)
+	a.conns = append(a.conns, c)
 	a.summary.ConnectTime, a.summary.Reused, a.summary.Via = time.Since(a.started), c.Reused, c.Via
 	_ = c.SetDeadline(a.deadline())
 	a.stopClose = context.AfterFunc(a.ctx, func() { _ = c.Close() }) // R3
@@ -164,31 +168,13 @@
 	return a.call.LastEventID
 }
 
-// readResponse reads the head of the response. Late responses to other requests are
-// skipped.
+// readResponse reads the head of the response.
 func (a *attempt) readResponse() (*medlarhead.Head, medlarcall.Reply, error) {
-	for range maxStaleResponses + 1 {
-		h, err := medlarhead.ReadResponse(a.upstream.Reader, maxResponseHead, a.head.Method)
-		if err != nil {
-			return nil, medlarcall.Reply{}, err
-		}
-		if h.Status < statusOK {
-			continue
-		}
-		reply := a.proxy.deps.Reply(h)
-		if reply.ID == "" || reply.ID == a.call.ID {
-			return h, reply, nil
-		}
-		if h.Framing == medlarhead.FramingClose {
-			break
-		}
-		body := medlarhead.NewBody(a.upstream.Reader, h)
-		body.Limit(maxBufferedBody)
-		if _, err := io.Copy(io.Discard, body); err != nil {
-			return nil, medlarcall.Reply{}, err
-		}
-	}
-	return nil, medlarcall.Reply{}, errOtherRequest
+	h, reply, err := medlarproof.Attempt{
+		ID: a.call.ID, Method: a.head.Method, Reused: a.reused, Repeated: a.repeated, Decode: a.proxy.deps.Reply,
+	}.Read(a.upstream.Reader)
+	a.proof, a.rejected = reply.Proof, reply.NotRun || reply.Misdirected
+	return h, reply, err
 }
 
 // handleResponse classifies a response and relays it if it is valid (R2).
@@ -283,6 +269,8 @@
 		Duration: time.Since(a.started),
 		Err:      a.err,
 		Lost:     a.lost,
+		Proof:    a.proof,
+		Rejected: a.rejected,
 		Began:    a.sinceBegan(),
 		Parts:    a.call.Parts,
 		Traits:   a.run.Traits, BodyBytes: len(a.body),
--- a/internal/edge/medlarproxy/exchange.go
+++ b/internal/edge/medlarproxy/exchange.go
@@ -11,6 +11,7 @@
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarcall"
+	"medlarfield/internal/edge/medlarpool"
 	"medlarfield/internal/edge/medlarrun"
 	"medlarfield/internal/edge/medlarserver"
 )
@@ -33,8 +34,9 @@
 	cancel    context.CancelFunc
 	stopWatch func()
 
-	responseStarted bool      // a part of the response was sent
-	fallback        *response // an upstream's error response, sent if no attempt gets a better one
+	conns           []*medlarpool.Conn // that attempts of the request have used
+	responseStarted bool               // a part of the response was sent
+	fallback        *response          // an upstream's error response, sent if no attempt gets a better one
 	events          medlarevent.Splitter
 }
 
--- a/internal/ops/medlarrequestlog/medlarrequestlog.go
+++ b/internal/ops/medlarrequestlog/medlarrequestlog.go
@@ -21,6 +21,9 @@
 	return medlarproxy.Observer{
 		AttemptEnded: func(a *medlarcall.Attempt) {
 			countResponse(m, a.Body)
+			if a.Rejected {
+				m.AttemptRejected(string(a.Proof))
+			}
 			if a.Cause == medlarkind.CauseDone { // logged with the request
 				return
 			}
@@ -31,6 +34,9 @@
 			if a.Via != "" {
 				l = l.Str("via", string(a.Via))
 			}
+			if a.Proof != "" {
+				l = l.Str("proof", string(a.Proof)).Bool("rejected", a.Rejected)
+			}
 			if a.Lost {
 				m.AttemptLost(a.Began > 0)
 				l = l.Bool("lost", true).Float64("began", ms(a.Began)).Strs("prompt", loggedParts(a.Parts)).
