--- a/internal/stand/medlarfakereplica/endless.go
+++ b/internal/stand/medlarfakereplica/endless.go
@@ -42,16 +42,10 @@
 	block := strings.Repeat(repeat, endlessBlock/len(repeat)+1)
 	for {
 		n, err := x.conn.Write([]byte(text))
-		x.replica.countEndless(n)
+		x.replica.endless.Add(int64(n))
 		if err != nil {
 			return false
 		}
 		text = block
 	}
 }
-
-func (r *Replica) countEndless(n int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.endless += n
-}
--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -14,9 +14,11 @@
 	"bufio"
 	"cmp"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-json-experiment/json"
@@ -72,21 +74,30 @@
 type Settings struct {
 	ID, Service, Zone string
 	Slots             int
-	WorkTime          time.Duration // duration of a plain request, or interval between the events of a stream
-	Events            int           // number of events in a stream
-	Model             string        // empty for a plain service
-	Version           uint64        // initial weight version
-	Build             string        // version of the software; each event of a stream names it unless it is empty
-	HideBuild         bool          // the entry does not name Build
-	HideVersion       bool          // a refusal for the weight version does not name the one that runs
-	Born              int64         // start of the replica; a later one with the same ID has a higher value
-	Listen            string        // address to listen on; empty for a free loopback port
+	WorkTime          time.Duration           // duration of a plain request, or interval between the events of a stream
+	Events            int                     // number of events in a stream
+	Model             string                  // empty for a plain service
+	Version           uint64                  // initial weight version
+	Build             string                  // version of the software; each event of a stream names it unless it is empty
+	HideBuild         bool                    // the entry does not name Build
+	HideVersion       bool                    // a refusal for the weight version does not name the one that runs
+	Born              int64                   // start of the replica; a later one with the same ID has a higher value
+	Listen            string                  // address to listen on; empty for a free loopback port
+	Wrap              func(net.Conn) net.Conn // of the connections that are accepted; nil for none
 	// CrashPoint returns where the replica crashes as it answers a request; nil for never.
 	// OnCrash is called at each crash.
 	CrashPoint func(Run) CrashPoint
 	OnCrash    func(*Replica)
 }
 
+// wrap returns a connection as Wrap does.
+func (s *Settings) wrap(c net.Conn) net.Conn {
+	if s.Wrap == nil {
+		return c
+	}
+	return s.Wrap(c)
+}
+
 // CrashPoint is a point of an answer at which a replica crashes.
 type CrashPoint string
 
@@ -121,10 +132,10 @@
 	notice   bool     // responses say that the replica leaves
 	limits   []string // limits that responses name
 	arrivals []time.Time
-	crashed  bool
+	crashed  atomic.Bool
 	brittle  brittleness
 	endings  []medlarending.Ending
-	endless  int // bytes that faults without end have sent
+	endless  atomic.Int64 // bytes that faults without end have sent
 	orders   uint64
 	loading  bool
 	version  uint64
@@ -151,9 +162,7 @@
 func (r *Replica) Arm(f Fault, n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for range n {
-		r.faults = append(r.faults, f)
-	}
+	r.faults = append(r.faults, slices.Repeat([]Fault{f}, n)...)
 }
 
 // ArmEnding makes the next request get a response that ends in a certain way.
@@ -186,7 +195,7 @@
 func (r *Replica) Runs() []Run {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return append([]Run(nil), r.runs...)
+	return slices.Clone(r.runs)
 }
 
 // Active returns the number of requests in progress.
@@ -197,11 +206,7 @@
 }
 
 // EndlessBytes returns how many bytes the faults without end have sent.
-func (r *Replica) EndlessBytes() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.endless
-}
+func (r *Replica) EndlessBytes() int { return int(r.endless.Load()) }
 
 // Version returns the current weight version.
 func (r *Replica) Version() uint64 {
@@ -259,7 +264,7 @@
 func (r *Replica) Arrivals() []time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return append([]time.Time(nil), r.arrivals...)
+	return slices.Clone(r.arrivals)
 }
 
 // recordArrival records that a request has reached the replica.
@@ -281,11 +286,7 @@
 
 // Crash calls OnCrash and kills the replica.
 func (r *Replica) Crash() {
-	r.mu.Lock()
-	first := !r.crashed
-	r.crashed = true
-	r.mu.Unlock()
-	if first && r.Settings.OnCrash != nil {
+	if r.crashed.CompareAndSwap(false, true) && r.Settings.OnCrash != nil {
 		r.Settings.OnCrash(r) // before anybody can notice the crash
 	}
 	r.Kill()
@@ -337,7 +338,13 @@
 		r.mu.Lock()
 		r.conns[c] = true
 		r.mu.Unlock()
-		go r.serve(c)
+		go func() {
+			r.serve(r.Settings.wrap(c))
+			_ = c.Close()
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			delete(r.conns, c)
+		}()
 	}
 }
 
@@ -349,12 +356,6 @@
 )
 
 func (r *Replica) serve(c net.Conn) {
-	defer func() {
-		_ = c.Close()
-		r.mu.Lock()
-		delete(r.conns, c)
-		r.mu.Unlock()
-	}()
 	br := bufio.NewReader(c)
 	for {
 		h, err := medlarhead.ReadRequest(br, headLimit)
