Give each attempt of a request a connection that no earlier one has used

What callers saw: a request that may run once ran twice, or was refused as not run although it ran; a safe one got the failure of its earlier attempt. Cause: all attempts of a request have its id. A replica that rejects one, and writes the rejection once more when the next attempt comes on the same connection, was believed again, while it ran the request. Class: a response is taken for the answer to this attempt without proof. Why it works: the id of a request stands for one attempt on each connection, so that a copy that names it can only be of the response to this attempt. It costs a connection for each attempt at an address that had one before.

--- a/internal/edge/medlarcall/medlarcall.go
+++ b/internal/edge/medlarcall/medlarcall.go
@@ -95,10 +95,9 @@
 
 // Proofs.
 const (
-	ProofID       Proof = "id"       // it names the request, of which no earlier attempt used the connection
-	ProofConn     Proof = "conn"     // it names none, and the connection has carried no other request
-	ProofRepeated Proof = "repeated" // it names the request, of which an earlier attempt used the connection
-	ProofNone     Proof = "none"     // it names none, and the connection has carried other requests
+	ProofID   Proof = "id"   // it names the request
+	ProofConn Proof = "conn" // it names none, and the connection has carried no other request
+	ProofNone Proof = "none" // it names none, and the connection has carried other requests
 )
 
 // Reply is the metadata in an upstream's response.
--- a/internal/edge/medlarmetric/medlarmetric.go
+++ b/internal/edge/medlarmetric/medlarmetric.go
@@ -92,7 +92,7 @@
 	m.answers = m.newCounterVec("answers_total", "Requests answered, by kind.", "kind")
 	m.responses = m.newCounterVec("responses_total", "Responses of replicas, by framing of the body and by its end: complete, partial, broken.", "framing", "end")
 	m.lost = m.newCounterVec("lost_total", "Attempts whose connection the replica ended before the response was complete, by whether an event had been received.", "began")
-	m.rejections = m.newCounterVec("rejections_total", "Rejections of attempts, by what shows that they belong to the attempt: id, conn, repeated, none.", "proof")
+	m.rejections = m.newCounterVec("rejections_total", "Rejections of attempts, by what shows that they belong to the attempt: id, conn, none.", "proof")
 	m.connects = m.newCounterVec("connects_total", "Attempts to open direct connections to replicas, by result: opened, refused, silent, failed.", "result")
 	m.asked = m.newCounterVec("asked_total", "Answers of other instances that were asked to relay a connection to a replica: opened, refused, silent, unhelpful.", "result")
 	m.relayed = m.newCounterVec("relayed_total", "Requests of other instances to relay a connection to a replica, by whether it was opened.", "opened")
--- a/internal/edge/medlarpool/medlarpool.go
+++ b/internal/edge/medlarpool/medlarpool.go
@@ -105,27 +105,42 @@
 	})
 }
 
-// Get returns an idle or new connection to an upstream. If recent is set, an idle connection is
-// used only if it was in use within maxRecentIdle (R3).
-func (p *Pool) Get(ctx context.Context, t Target, recent bool) (*Conn, error) {
-	for c := p.take(t.Address); c != nil; c = p.take(t.Address) {
-		now := time.Now()
-		usable := now.Before(c.expires) && !(recent && now.Sub(c.idleSince) > maxRecentIdle)
-		if usable && p.deps.Usable(c) && medlarprobe.Idle(c.Conn) {
-			c.setPatient(recent)
+// Need is what a request needs of a connection.
+type Need struct {
+	Recent bool // one that was in use within maxRecentIdle, or a new one (R3)
+	New    bool // one that has carried no request
+}
+
+// Get returns an idle or new connection to an upstream.
+func (p *Pool) Get(ctx context.Context, t Target, need Need) (*Conn, error) {
+	if !need.New {
+		if c := p.reuse(t, need.Recent); c != nil {
 			return c, nil
 		}
-		_ = c.Close()
 	}
 	c, via, err := p.deps.Dial(ctx, t)
 	if err != nil {
 		return nil, err
 	}
 	conn := &Conn{Conn: c, Reader: bufio.NewReaderSize(c, readBuffer), Opened: time.Now(), Target: t, Via: via}
-	conn.setPatient(recent)
+	conn.setPatient(need.Recent)
 	return conn, nil
 }
 
+// reuse returns an idle connection that may be used, or nil.
+func (p *Pool) reuse(t Target, recent bool) *Conn {
+	for c := p.take(t.Address); c != nil; c = p.take(t.Address) {
+		now := time.Now()
+		usable := now.Before(c.expires) && !(recent && now.Sub(c.idleSince) > maxRecentIdle)
+		if usable && p.deps.Usable(c) && medlarprobe.Idle(c.Conn) {
+			c.setPatient(recent)
+			return c
+		}
+		_ = c.Close()
+	}
+	return nil
+}
+
 // AnswerBegan makes the connection outlast a peer that falls silent within its answer (R5).
 func (c *Conn) AnswerBegan() { c.setPatient(true) }
 
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -44,7 +44,6 @@
 	status      int
 	bodyEnd     medlarcall.BodyEnd
 	reused      bool                // the connection had served a request before
-	repeated    bool                // it had served an earlier attempt of the same request
 	proof       medlarcall.Proof    // that the response belongs to the attempt
 	rejected    bool                // the response says that the upstream did not run the request
 	via         medlarid.InstanceID // that relays the connection; empty for none
@@ -71,13 +70,13 @@
 func (a *attempt) do() medlarworld.AttemptEnded {
 	ctx, cancel := context.WithDeadline(a.ctx, a.run.Deadline)
 	defer cancel()
-	c, err := a.proxy.deps.Pool.Get(ctx, medlarpool.Target{ID: a.cmd.Upstream, Incarnation: a.cmd.Incarnation, Address: a.cmd.Address}, a.run.AtMostOnce)
+	need := medlarpool.Need{Recent: a.run.AtMostOnce, New: slices.Contains(a.tried, a.cmd.Address)} // R6
+	c, err := a.proxy.deps.Pool.Get(ctx, medlarpool.Target{ID: a.cmd.Upstream, Incarnation: a.cmd.Incarnation, Address: a.cmd.Address}, need)
 	if err != nil {
 		return a.failed(err, medlarreason.Unreachable, false)
 	}
 	a.upstream, a.reused, a.via = c, c.Reused, c.Via
-	a.repeated = slices.Contains(a.conns, c)
-	a.conns = append(a.conns, c)
+	a.tried = append(a.tried, a.cmd.Address)
 	a.summary.ConnectTime, a.summary.Reused, a.summary.Via = time.Since(a.started), c.Reused, c.Via
 	_ = c.SetDeadline(a.deadline())
 	a.stopClose = context.AfterFunc(a.ctx, func() { _ = c.Close() }) // R3
@@ -171,7 +170,7 @@
 // readResponse reads the head of the response.
 func (a *attempt) readResponse() (*medlarhead.Head, medlarcall.Reply, error) {
 	h, reply, err := medlarproof.Attempt{
-		ID: a.call.ID, Method: a.head.Method, Reused: a.reused, Repeated: a.repeated, Decode: a.proxy.deps.Reply,
+		ID: a.call.ID, Method: a.head.Method, Reused: a.reused, Decode: a.proxy.deps.Reply,
 	}.Read(a.upstream.Reader)
 	a.proof, a.rejected = reply.Proof, reply.NotRun || reply.Misdirected
 	return h, reply, err
--- a/internal/edge/medlarproxy/exchange.go
+++ b/internal/edge/medlarproxy/exchange.go
@@ -7,11 +7,11 @@
 	"medlarfield/internal/agree/medlarcatalog"
 	"medlarfield/internal/base/medlarevent"
 	"medlarfield/internal/base/medlarhead"
+	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarcall"
-	"medlarfield/internal/edge/medlarpool"
 	"medlarfield/internal/edge/medlarrun"
 	"medlarfield/internal/edge/medlarserver"
 )
@@ -34,7 +34,7 @@
 	cancel    context.CancelFunc
 	stopWatch func()
 
-	conns           []*medlarpool.Conn // that attempts of the request have used
+	tried           []medlarid.Address // of the upstreams that attempts had a connection to
 	responseStarted bool               // a part of the response was sent
 	fallback        *response          // an upstream's error response, sent if no attempt gets a better one
 	events          medlarevent.Splitter
