Take a rejection for the attempt's own only if it names the request

What callers saw: 'not run, try again' for a request that ran, or a request that ran twice. Cause: a rejection that names no request was taken for the one of the attempt that waits on the connection. A late copy of an earlier one fits each. Class: a response is taken for the answer to this attempt without proof. Why it works: on a connection that has carried other requests such a rejection is read over, and the response to the attempt, which names it, is awaited until the attempt's deadline. On one that has carried nothing else it can only be of this attempt and still counts. An upstream that sends one gets one request on each connection for a minute, so that requests to it are not held up; its hints still count. Stand-ins name the request in a 421 now, as replicas do.

--- a/internal/edge/medlarcall/medlarcall.go
+++ b/internal/edge/medlarcall/medlarcall.go
@@ -126,6 +126,9 @@
 	MalformedHint bool // Leaving, RetryAfter, Limit or Brittle was given with an invalid value
 }
 
+// Rejected reports whether the response says that the request did not run.
+func (r *Reply) Rejected() bool { return r.NotRun || r.Misdirected }
+
 // Hints returns what the response to an attempt at an upstream says about further requests. Only a response to the
 // request itself can say that a hint no longer holds.
 func (r *Reply) Hints(id medlarid.RequestID, cmd *medlarworld.StartAttempt, started time.Time) []medlarworld.Event {
@@ -180,6 +183,8 @@
 	// the response says that the request did not run.
 	Proof    Proof
 	Rejected bool
+	// Unnamed is set if a rejection that names no request was read over.
+	Unnamed bool
 	// Began is the time from the first whole event of the response until the attempt ended;
 	// 0 if there was none.
 	Began time.Duration
--- a/internal/edge/medlarpool/medlarpool.go
+++ b/internal/edge/medlarpool/medlarpool.go
@@ -15,11 +15,14 @@
 //	R5  A sound peer may fall silent for a second or more and go on. So a request that must not run twice, and
 //	    an answer that has begun, wait for silenceTimeout. It bounds the keep-alive probes
 //	    too, whatever their count.
+//	R6  An upstream whose rejections do not name their requests gets one request on each connection for
+//	    isolationTime, so that it is known which request a rejection belongs to.
 package medlarpool
 
 import (
 	"bufio"
 	"context"
+	"maps"
 	"net"
 	"sync"
 	"syscall"
@@ -45,6 +48,7 @@
 	readBuffer         = 4096                   // bytes
 	maxIdle            = 48                     // per address
 	sweepInterval      = time.Second
+	isolationTime      = time.Minute
 	maxIdleTotal       = 1024
 )
 
@@ -85,14 +89,17 @@
 type Pool struct {
 	deps Deps
 
-	mu      sync.Mutex
-	idle    map[medlarid.Address][]*Conn // in order of last use, the most recent one last
-	total   int
-	sweptAt time.Time
+	mu       sync.Mutex
+	idle     map[medlarid.Address][]*Conn   // in order of last use, the most recent one last
+	isolated map[medlarid.Address]time.Time // until when connections are not kept (R6)
+	total    int
+	sweptAt  time.Time
 }
 
 // New returns an empty pool.
-func New(deps Deps) *Pool { return &Pool{deps: deps, idle: map[medlarid.Address][]*Conn{}} }
+func New(deps Deps) *Pool {
+	return &Pool{deps: deps, idle: map[medlarid.Address][]*Conn{}, isolated: map[medlarid.Address]time.Time{}}
+}
 
 // NewDirect returns an empty pool that opens direct connections.
 func NewDirect() *Pool {
@@ -229,7 +236,7 @@
 	if now.Sub(p.sweptAt) > sweepInterval {
 		p.sweep(now)
 	}
-	if len(p.idle[c.Target.Address]) >= maxIdle || p.total >= maxIdleTotal {
+	if now.Before(p.isolated[c.Target.Address]) || len(p.idle[c.Target.Address]) >= maxIdle || p.total >= maxIdleTotal {
 		_ = c.Close()
 		return
 	}
@@ -252,6 +259,14 @@
 	return c
 }
 
+// Isolate makes each further request to an address use a connection of its own for a time (R6).
+func (p *Pool) Isolate(addr medlarid.Address) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.isolated[addr] = time.Now().Add(isolationTime)
+	p.closeIf(func(c *Conn) bool { return c.Target.Address == addr })
+}
+
 // CloseIdle closes the idle connections to an address.
 func (p *Pool) CloseIdle(addr medlarid.Address) {
 	p.mu.Lock()
@@ -269,6 +284,7 @@
 // sweep closes the connections whose idle timeout has expired. The caller holds the lock.
 func (p *Pool) sweep(now time.Time) {
 	p.sweptAt = now
+	maps.DeleteFunc(p.isolated, func(_ medlarid.Address, until time.Time) bool { return !now.Before(until) })
 	p.closeIf(func(c *Conn) bool { return !now.Before(c.expires) })
 }
 
--- a/internal/edge/medlarpool/medlarpool_test.go
+++ b/internal/edge/medlarpool/medlarpool_test.go
@@ -76,6 +76,28 @@
 	}
 }
 
+// TestIsolatedAddressGetsNewConnections guards against a connection that carries several requests to an upstream
+// whose rejections do not name them.
+func TestIsolatedAddressGetsNewConnections(t *testing.T) {
+	addr, _ := listen(t)
+	p := NewDirect()
+	get := func() *Conn {
+		t.Helper()
+		c, err := p.Get(t.Context(), Target{Address: addr}, Need{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	idle, open := get(), get()
+	p.Put(idle, 0)
+	p.Isolate(addr)
+	p.Put(open, 0)
+	if c := get(); c.Reused {
+		t.Error("the connection has carried a request before")
+	}
+}
+
 func TestCloseIdle(t *testing.T) {
 	addr, peers := listen(t)
 	p := NewDirect()
--- a/internal/edge/medlarproof/medlarproof.go
+++ b/internal/edge/medlarproof/medlarproof.go
@@ -1,12 +1,15 @@
-// Package medlarproof reads the response to an attempt from a connection to an upstream, and finds out what
-// shows that it belongs to the attempt. A faulty upstream may write an earlier response once more, when the next
-// request has been sent on the connection.
+// Package medlarproof reads the response to an attempt from a connection to an upstream, and decides whether it
+// belongs to the attempt. A faulty upstream may write an earlier response once more, when the next request has
+// been sent on the connection.
 //
 // Rules:
 //
-//	R1  A response that names another request is read over. One whose end is that of the connection leaves no
-//	    response for the attempt.
+//	R1  A response belongs to the attempt if it names the request. A rejection that names none does if the
+//	    connection has carried no other request.
 //	R2  The id of a request stands for one attempt on each connection: no two attempts of a request share one.
+//	R3  Only a rejection that belongs to the attempt proves that the attempt did not run.
+//	R4  A response that names another request, and a rejection that belongs to no attempt (R1), are read over.
+//	    One whose end is that of the connection leaves no response for the attempt.
 package medlarproof
 
 import (
@@ -24,8 +27,8 @@
 // Limits of responses.
 const (
 	maxHead         = 16 << 10 // bytes of a head
-	maxForeign      = 2        // responses to other requests that are read over
-	maxForeignBody  = 64 << 10 // bytes of the body of a response to another request
+	maxForeign      = 2        // responses that are read over
+	maxForeignBody  = 64 << 10 // bytes of the body of a response that is read over
 	statusFinalFrom = 200      // lower ones are interim responses
 )
 
@@ -38,7 +41,7 @@
 // Kind classifies a failure.
 type Kind string
 
-// KindForeign is the failure of an attempt that gets responses to other requests only.
+// KindForeign is the failure of an attempt that gets only responses that do not belong to it.
 const KindForeign Kind = "foreign"
 
 // Error is a failed operation.
@@ -60,6 +63,8 @@
 	Method string
 	Reused bool // the connection has carried another request before
 	Decode func(*medlarhead.Head) medlarcall.Reply
+	// OnUnnamed is called with a rejection that is read over since it names no request.
+	OnUnnamed func(medlarcall.Reply)
 }
 
 // Read reads the response to an attempt up to the end of its head.
@@ -73,10 +78,13 @@
 			continue
 		}
 		reply := a.Decode(h)
-		if reply.ID == "" || reply.ID == a.ID {
-			reply.Proof = a.proof(reply)
+		reply.Proof = a.proof(reply)
+		if a.accepts(reply) {
 			return h, reply, nil
 		}
+		if reply.ID == "" {
+			a.OnUnnamed(reply)
+		}
 		if h.Framing == medlarhead.FramingClose {
 			break
 		}
@@ -86,13 +94,22 @@
 			return nil, medlarcall.Reply{}, err
 		}
 	}
-	return nil, medlarcall.Reply{}, &Error{Op: OpRead, Kind: KindForeign, Err: eris.New("received only responses to other requests")}
+	return nil, medlarcall.Reply{}, &Error{Op: OpRead, Kind: KindForeign, Err: eris.New("received no response that belongs to the attempt")}
+}
+
+// accepts reports whether a response is the one to the attempt. One that is no rejection and names no request is
+// too, though no success without an id is passed on.
+func (a Attempt) accepts(reply medlarcall.Reply) bool {
+	if reply.ID == "" {
+		return reply.Proof == medlarcall.ProofConn || !reply.Rejected()
+	}
+	return reply.ID == a.ID
 }
 
 // proof returns what shows that a response belongs to the attempt.
 func (a Attempt) proof(reply medlarcall.Reply) medlarcall.Proof {
 	switch {
-	case reply.ID == a.ID:
+	case reply.ID != "":
 		return medlarcall.ProofID
 	case !a.Reused:
 		return medlarcall.ProofConn
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -45,6 +45,7 @@
 	bodyEnd     medlarcall.BodyEnd
 	reused      bool                // the connection had served a request before
 	proof       medlarcall.Proof    // that the response belongs to the attempt
+	unnamed     bool                // a rejection that names no request was read over
 	rejected    bool                // the response says that the upstream did not run the request
 	via         medlarid.InstanceID // that relays the connection; empty for none
 	err         error
@@ -170,12 +171,23 @@
 // readResponse reads the head of the response.
 func (a *attempt) readResponse() (*medlarhead.Head, medlarcall.Reply, error) {
 	h, reply, err := medlarproof.Attempt{
-		ID: a.call.ID, Method: a.head.Method, Reused: a.reused, Decode: a.proxy.deps.Reply,
+		ID: a.call.ID, Method: a.head.Method, Reused: a.reused, Decode: a.proxy.deps.Reply, OnUnnamed: a.unnamedRejection,
 	}.Read(a.upstream.Reader)
-	a.proof, a.rejected = reply.Proof, reply.NotRun || reply.Misdirected
+	a.proof, a.rejected = reply.Proof, reply.Rejected()
+	if a.rejected && reply.Proof != medlarcall.ProofID {
+		a.proxy.deps.Pool.Isolate(a.cmd.Address)
+	}
 	return h, reply, err
 }
 
+// unnamedRejection takes note of a rejection that names no request. It may still be the one of this attempt, so that its
+// hints count.
+func (a *attempt) unnamedRejection(reply medlarcall.Reply) {
+	a.unnamed = true
+	a.proxy.deps.Pool.Isolate(a.cmd.Address)
+	a.postHints(reply)
+}
+
 // handleResponse classifies a response and relays it if it is valid (R2).
 func (a *attempt) handleResponse(h *medlarhead.Head, reply medlarcall.Reply) medlarworld.AttemptEnded {
 	success := h.Status >= statusOK && h.Status < 300
@@ -270,6 +282,7 @@
 		Lost:     a.lost,
 		Proof:    a.proof,
 		Rejected: a.rejected,
+		Unnamed:  a.unnamed,
 		Began:    a.sinceBegan(),
 		Parts:    a.call.Parts,
 		Traits:   a.run.Traits, BodyBytes: len(a.body),
--- a/internal/ops/medlarrequestlog/medlarrequestlog.go
+++ b/internal/ops/medlarrequestlog/medlarrequestlog.go
@@ -24,6 +24,9 @@
 			if a.Rejected {
 				m.AttemptRejected(string(a.Proof))
 			}
+			if a.Unnamed {
+				m.AttemptRejected(string(medlarcall.ProofNone))
+			}
 			if a.Cause == medlarkind.CauseDone { // logged with the request
 				return
 			}
@@ -35,7 +38,7 @@
 				l = l.Str("via", string(a.Via))
 			}
 			if a.Proof != "" {
-				l = l.Str("proof", string(a.Proof)).Bool("rejected", a.Rejected)
+				l = l.Str("proof", string(a.Proof)).Bool("rejected", a.Rejected).Bool("unnamed", a.Unnamed)
 			}
 			if a.Lost {
 				m.AttemptLost(a.Began > 0)
--- a/internal/stand/medlarfakereplica/exchange.go
+++ b/internal/stand/medlarfakereplica/exchange.go
@@ -40,9 +40,9 @@
 	version := strconv.FormatUint(r.Version(), 10)
 	switch {
 	case x.fault == FaultMisdirected:
-		return writeResponse(x.conn, 421, "Medlarfield-Instance-Id: other\r\n", "")
+		return writeResponse(x.conn, 421, x.requestIDField()+"Medlarfield-Instance-Id: other\r\n", "")
 	case target != "" && target != r.Settings.ID, expect != "" && expect != version:
-		fields := "Medlarfield-Instance-Id: " + r.Settings.ID + "\r\n"
+		fields := x.requestIDField() + "Medlarfield-Instance-Id: " + r.Settings.ID + "\r\n"
 		if !r.Settings.HideVersion {
 			fields += "Medlarfield-Weight-Versions: " + version + "\r\n"
 		}
