--- /dev/null
+++ b/internal/core/medlarsuspect/crash.go
@@ -0,0 +1,128 @@
+package medlarsuspect
+
+import (
+	"iter"
+	"slices"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+)
+
+// CrashID identifies a crash (R1).
+type CrashID struct {
+	Replica     medlarid.InstanceID
+	Incarnation medlarid.Incarnation // that the entry of the replica names
+	End         int                  // number of earlier ends under that incarnation
+}
+
+// Report is what one instance lost with a replica that crashed.
+type Report struct {
+	Crash   CrashID
+	Begun   []Trait // of requests that the replica had begun to answer
+	Waiting []Trait // of all others that were lost with it
+}
+
+// crash is a remembered crash.
+type crash struct {
+	id             CrashID
+	at             time.Time // of the first report
+	begun, waiting map[Trait]bool
+	cleared        map[Trait]bool // of begun and waiting
+	begunPrompt    bool           // a prompt with parts is in begun
+	own            bool           // this instance has reported it
+}
+
+// suspects returns the traits that are suspected of the crash (R2).
+func (c *crash) suspects() iter.Seq[Trait] {
+	return func(yield func(Trait) bool) {
+		for p := range c.begun {
+			if !yield(p) {
+				return
+			}
+		}
+		for p := range c.waiting {
+			if !c.begun[p] && c.suspected(p) && !yield(p) {
+				return
+			}
+		}
+	}
+}
+
+// suspected reports whether a trait is suspected of the crash (R2).
+func (c *crash) suspected(p Trait) bool {
+	return c.begun[p] || c.waiting[p] && (p.Whole() || !c.begunPrompt)
+}
+
+// AddReport adds what an instance reports of a crash; own tells that it is this one. It reports
+// whether anything was new.
+func (t *Table) AddReport(now time.Time, r Report, own bool) bool {
+	c := t.crash(now, r.Crash)
+	added := add(c.begun, r.Begun) + add(c.waiting, r.Waiting)
+	t.suspects += added
+	c.begunPrompt = c.begunPrompt || slices.ContainsFunc(r.Begun, func(p Trait) bool { return !p.Whole() })
+	c.own = c.own || own
+	for p := range c.suspects() {
+		if b := t.blocks[p]; b != nil {
+			b.evidenceAt = now
+		}
+	}
+	t.trim()
+	t.evaluate(now)
+	return added > 0
+}
+
+// Identify returns the id of the crash of a replica under an incarnation with which an attempt was lost whose
+// connection was established at a time (R1).
+func (t *Table) Identify(replica medlarid.InstanceID, i medlarid.Incarnation, connected time.Time) CrashID {
+	id := CrashID{Replica: replica, Incarnation: i}
+	for _, c := range t.crashes { // in order of their first report
+		if c.id.Replica != replica || c.id.Incarnation != i {
+			continue
+		}
+		if !connected.After(c.at) {
+			return c.id
+		}
+		id.End = max(id.End, c.id.End+1)
+	}
+	return id
+}
+
+// crash returns the remembered crash with an id, or of that time (R1), and remembers it if it is new.
+func (t *Table) crash(now time.Time, id CrashID) *crash {
+	for _, c := range t.crashes {
+		if c.id == id || c.id.Replica == id.Replica && now.Sub(c.at) < minLife {
+			return c
+		}
+	}
+	c := &crash{id: id, at: now, begun: map[Trait]bool{}, waiting: map[Trait]bool{}, cleared: map[Trait]bool{}}
+	t.crashes = append(t.crashes, c)
+	return c
+}
+
+// add adds traits to a set and returns how many were new.
+func add(set map[Trait]bool, traits []Trait) int {
+	n := len(set)
+	for _, p := range traits {
+		set[p] = true
+	}
+	return len(set) - n
+}
+
+// trim forgets the oldest crashes beyond the bounds (R7).
+func (t *Table) trim() {
+	for len(t.crashes) > 1 && (len(t.crashes) > maxCrashes || t.suspects > maxSuspects) {
+		t.forgetCrash()
+	}
+}
+
+// forgetCrash forgets the oldest crash.
+func (t *Table) forgetCrash() {
+	c := t.crashes[0]
+	t.suspects -= len(c.begun) + len(c.waiting)
+	t.crashes = slices.Delete(t.crashes, 0, 1)
+}
+
+// sameCrash reports whether two crashes count once against a trait (R4).
+func sameCrash(p Trait, a, b time.Time) bool {
+	return !p.Whole() && b.Sub(a) <= sameMoment
+}
--- a/internal/core/medlarsuspect/medlarsuspect.go
+++ b/internal/core/medlarsuspect/medlarsuspect.go
@@ -34,13 +34,9 @@
 package medlarsuspect
 
 import (
-	"cmp"
-	"iter"
 	"maps"
 	"slices"
 	"time"
-
-	"medlarfield/internal/base/medlarid"
 )
 
 // Times and counts of the rules.
@@ -74,20 +70,6 @@
 	maxAnswered   = 4096    // traits whose last answer is remembered: as many parts as whole requests
 )
 
-// CrashID identifies a crash (R1).
-type CrashID struct {
-	Replica     medlarid.InstanceID
-	Incarnation medlarid.Incarnation // that the entry of the replica names
-	End         int                  // number of earlier ends under that incarnation
-}
-
-// Report is what one instance lost with a replica that crashed.
-type Report struct {
-	Crash   CrashID
-	Begun   []Trait // of requests that the replica had begun to answer
-	Waiting []Trait // of all others that were lost with it
-}
-
 // Block is the state of a trait that instances share.
 type Block struct {
 	Trials  int  // trials claimed so far
@@ -113,37 +95,6 @@
 	Trials  int
 }
 
-// crash is a remembered crash.
-type crash struct {
-	id             CrashID
-	at             time.Time // of the first report
-	begun, waiting map[Trait]bool
-	cleared        map[Trait]bool // of begun and waiting
-	begunPrompt    bool           // a prompt with parts is in begun
-	own            bool           // this instance has reported it
-}
-
-// suspects returns the traits that are suspected of the crash (R2).
-func (c *crash) suspects() iter.Seq[Trait] {
-	return func(yield func(Trait) bool) {
-		for p := range c.begun {
-			if !yield(p) {
-				return
-			}
-		}
-		for p := range c.waiting {
-			if !c.begun[p] && c.suspected(p) && !yield(p) {
-				return
-			}
-		}
-	}
-}
-
-// suspected reports whether a trait is suspected of the crash (R2).
-func (c *crash) suspected(p Trait) bool {
-	return c.begun[p] || c.waiting[p] && (p.Whole() || !c.begunPrompt)
-}
-
 // block is what the instance knows of a blocked trait, or of one about to be blocked.
 type block struct {
 	active     bool
@@ -191,232 +142,6 @@
 	return out
 }
 
-// AddReport adds what an instance reports of a crash; own tells that it is this one. It reports
-// whether anything was new.
-func (t *Table) AddReport(now time.Time, r Report, own bool) bool {
-	c := t.crash(now, r.Crash)
-	added := add(c.begun, r.Begun) + add(c.waiting, r.Waiting)
-	t.suspects += added
-	c.begunPrompt = c.begunPrompt || slices.ContainsFunc(r.Begun, func(p Trait) bool { return !p.Whole() })
-	c.own = c.own || own
-	for p := range c.suspects() {
-		if b := t.blocks[p]; b != nil {
-			b.evidenceAt = now
-		}
-	}
-	t.trim()
-	t.evaluate(now)
-	return added > 0
-}
-
-// Identify returns the id of the crash of a replica under an incarnation with which an attempt was lost whose
-// connection was established at a time (R1).
-func (t *Table) Identify(replica medlarid.InstanceID, i medlarid.Incarnation, connected time.Time) CrashID {
-	id := CrashID{Replica: replica, Incarnation: i}
-	for _, c := range t.crashes { // in order of their first report
-		if c.id.Replica != replica || c.id.Incarnation != i {
-			continue
-		}
-		if !connected.After(c.at) {
-			return c.id
-		}
-		id.End = max(id.End, c.id.End+1)
-	}
-	return id
-}
-
-// crash returns the remembered crash with an id, or of that time (R1), and remembers it if it is new.
-func (t *Table) crash(now time.Time, id CrashID) *crash {
-	for _, c := range t.crashes {
-		if c.id == id || c.id.Replica == id.Replica && now.Sub(c.at) < minLife {
-			return c
-		}
-	}
-	c := &crash{id: id, at: now, begun: map[Trait]bool{}, waiting: map[Trait]bool{}, cleared: map[Trait]bool{}}
-	t.crashes = append(t.crashes, c)
-	return c
-}
-
-// add adds traits to a set and returns how many were new.
-func add(set map[Trait]bool, traits []Trait) int {
-	n := len(set)
-	for _, p := range traits {
-		set[p] = true
-	}
-	return len(set) - n
-}
-
-// trim forgets the oldest crashes beyond the bounds (R7).
-func (t *Table) trim() {
-	for len(t.crashes) > 1 && (len(t.crashes) > maxCrashes || t.suspects > maxSuspects) {
-		t.forgetCrash()
-	}
-}
-
-// forgetCrash forgets the oldest crash.
-func (t *Table) forgetCrash() {
-	c := t.crashes[0]
-	t.suspects -= len(c.begun) + len(c.waiting)
-	t.crashes = slices.Delete(t.crashes, 0, 1)
-}
-
-// evaluate blocks the traits that are suspected most, as long as there are enough moments of
-// which they are suspected (R4).
-func (t *Table) evaluate(now time.Time) {
-	for {
-		counts := t.counts(now)
-		most := 0
-		for _, n := range counts {
-			most = max(most, n)
-		}
-		if most < blockingMoments {
-			return
-		}
-		traits := t.mostSuspected(counts, most)
-		for _, p := range traits {
-			t.block(now, p).tied = len(traits) > 1
-		}
-	}
-}
-
-// counts returns how many crashes count against each trait that may be blocked (R4).
-func (t *Table) counts(now time.Time) map[Trait]int {
-	all, unexplained := map[Trait]int{}, map[Trait]int{} // of crashes
-	last, replaces := map[Trait]time.Time{}, map[Trait]bool{}
-	for _, c := range t.crashes {
-		byRequest, byOther := t.explained(c)
-		if byOther {
-			continue
-		}
-		settled := now.Sub(c.at) >= objectionDelay
-		t.checkAgain(now, c, byRequest)
-		for p := range c.suspects() {
-			if t.isCleared(p, c) || t.blocks[p] != nil || all[p] > 0 && sameCrash(p, last[p], c.at) {
-				continue
-			}
-			all[p]++
-			last[p] = c.at
-			if !byRequest {
-				unexplained[p]++
-				replaces[p] = replaces[p] || settled
-			}
-		}
-	}
-	maps.DeleteFunc(all, func(p Trait, _ int) bool { return unexplained[p] < blockingMoments && !replaces[p] })
-	return all
-}
-
-// checkAgain makes Update evaluate a crash again that no blocked request explains, once all
-// instances have had the time to report it.
-func (t *Table) checkAgain(now time.Time, c *crash, explained bool) {
-	if at := c.at.Add(objectionDelay); !explained && now.Before(at) {
-		t.evaluateAt = at
-	}
-}
-
-// sameCrash reports whether two crashes count once against a trait (R4).
-func sameCrash(p Trait, a, b time.Time) bool {
-	return !p.Whole() && b.Sub(a) <= sameMoment
-}
-
-// explained reports whether a blocked trait explains a crash: a request as a whole, or another one.
-func (t *Table) explained(c *crash) (byRequest, byOther bool) {
-	if len(t.blocks) == 0 {
-		return false, false
-	}
-	for p := range c.suspects() {
-		if t.blocks[p] == nil {
-			continue
-		}
-		byRequest = byRequest || p.scope() == scopeRequest
-		byOther = byOther || p.scope() != scopeRequest
-	}
-	return byRequest, byOther
-}
-
-// moments returns at how many moments a trait is suspected; cleared crashes count if all is set.
-func (t *Table) moments(p Trait, all bool) int {
-	n := 0
-	var last time.Time
-	for _, c := range t.crashes {
-		if !c.suspected(p) || !all && t.isCleared(p, c) || n > 0 && sameCrash(p, last, c.at) {
-			continue
-		}
-		n++
-		last = c.at
-	}
-	return n
-}
-
-// mostSuspected returns the traits against which a number of crashes count, at most maxTied. The
-// narrowest go first, and then those that are suspected of most crashes, explained ones included:
-// a trait that is always the same, among others that change. Of these, the least recently answered
-// ones remain.
-func (t *Table) mostSuspected(counts map[Trait]int, moments int) []Trait {
-	var out []Trait
-	totals := map[Trait]int{}
-	for p, n := range counts {
-		if n == moments {
-			out = append(out, p)
-			totals[p] = t.moments(p, true)
-		}
-	}
-	slices.SortFunc(out, func(a, b Trait) int {
-		return cmp.Or(
-			cmp.Compare(a.scope(), b.scope()),
-			cmp.Compare(totals[b], totals[a]),
-			t.lastAnswer(a).Compare(t.lastAnswer(b)),
-			cmp.Compare(a, b),
-		)
-	})
-	n := 1
-	for n < min(len(out), maxTied) && out[n].scope() == out[0].scope() && t.lastAnswer(out[n]).Equal(t.lastAnswer(out[0])) {
-		n++
-	}
-	return out[:n]
-}
-
-// lessSuspect reports whether another trait that is no wider is suspected of all crashes that a
-// trait is suspected of, and its last answer is longer ago (R4).
-func (t *Table) lessSuspect(p Trait) bool {
-	var others map[Trait]bool
-	for _, c := range t.crashes {
-		if !c.suspected(p) || t.isCleared(p, c) {
-			continue
-		}
-		if others == nil {
-			others = map[Trait]bool{}
-			for q := range c.suspects() {
-				others[q] = q.scope() <= p.scope()
-			}
-		}
-		maps.DeleteFunc(others, func(q Trait, narrow bool) bool { return !narrow || !c.suspected(q) })
-	}
-	for q := range others {
-		if t.lastAnswer(q).Before(t.lastAnswer(p)) {
-			return true
-		}
-	}
-	return false
-}
-
-// isCleared reports whether a trait is cleared of a crash (R3).
-func (t *Table) isCleared(p Trait, c *crash) bool {
-	return c.cleared[p] || !t.lastAnswer(p).Before(c.at.Add(-clearingLead)) || !t.cleared.get(p).Before(c.at)
-}
-
-// answers returns the times of answers in which a trait's is remembered. Whole requests have their
-// own, as they are many and would displace the parts.
-func (t *Table) answers(p Trait) *times {
-	if !p.Whole() {
-		return t.answered
-	}
-	return t.whole
-}
-
-// lastAnswer returns when the last answer with a trait began; zero if it is not known.
-func (t *Table) lastAnswer(p Trait) time.Time { return t.answers(p).get(p) }
-
 // block begins to block a trait.
 func (t *Table) block(now time.Time, p Trait) *block {
 	b := t.blocks[p]
