Reject a response head with a status line within a line

What callers could see: a request that ran is refused as not run, or runs twice; a failure arrives as a success. Cause: a replica that writes the beginning of an earlier response before the one that is due, cut within its status line or a field, makes one head of both: the status of the first, id and signature of the second. Class: a response is taken for the answer to this attempt without proof. Evidence: TestBeginningOfEarlierResponse, 8 of 10 rows failed before (two that end in an error held), 10 of 10 pass now. Why it works: the joined head has the second status line within a line of the first one. Such a head is malformed, so that the outcome counts as unknown.

--- a/internal/base/medlarhead/medlarhead.go
+++ b/internal/base/medlarhead/medlarhead.go
@@ -5,7 +5,8 @@
 // Rules:
 //
 //	R1  Lines end with CR LF. Folded lines, whitespace before the colon, and control
-//	    characters are rejected.
+//	    characters are rejected. So is a response head with a status line within a line: another
+//	    response began before it ended.
 //	R2  A message has at most one length: a second Content-Length, a Content-Length
 //	    together with a Transfer-Encoding, and any coding but chunked are rejected.
 //	R3  A body is complete only if its framing says so. A body that is delimited by
@@ -176,6 +177,9 @@
 	return h, nil
 }
 
+// versionPrefix begins each status line.
+const versionPrefix = "HTTP/1."
+
 // ReadResponse reads a response head of at most limit bytes; method is the method of
 // the request.
 func ReadResponse(br *bufio.Reader, limit int, method string) (*Head, error) {
@@ -183,6 +187,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if strings.LastIndex(text, versionPrefix) > 0 { // R1
+		return nil, malformed(OpResponse, "status line within a line")
+	}
 	line, rest, _ := strings.Cut(text, "\r\n")
 	version, line, _ := strings.Cut(line, " ")
 	code, _, _ := strings.Cut(line, " ")
--- a/internal/ops/medlarattachednode/stutter_test.go
+++ b/internal/ops/medlarattachednode/stutter_test.go
@@ -19,39 +19,63 @@
 	without string                  // header field that the copy lacks
 	path    string
 	status  int
-	closed  int // status if the copy ends the connection
+	closed  int                     // status if the copy ends the connection
+	instead string                  // written in place of a copy
+	fault   medlarfakereplica.Fault // of the request itself
 }
 
 // TestCopyOfOtherResponse guards against a response that a replica writes once more and that reaches the next caller.
 func TestCopyOfOtherResponse(t *testing.T) {
 	playStutter(t, []stutterCase{
-		{"rejection", medlarfakereplica.FaultShed, false, "", "/post/a", 200, 502},
-		{"rejection of a stream", medlarfakereplica.FaultShed, false, "", "/query/a", 200, 502},
-		{"answer", "", false, "", "/post/a", 200, 502},
-		{"answer that names no request", "", false, requestID, "/post/a", 502, 502},
-		{"answer that names no request, safe", "", false, requestID, "/read/a", 200, 200},
+		{name: "rejection", before: medlarfakereplica.FaultShed, path: "/post/a", status: 200, closed: 502},
+		{name: "rejection of a stream", before: medlarfakereplica.FaultShed, path: "/query/a", status: 200, closed: 502},
+		{name: "answer", path: "/post/a", status: 200, closed: 502},
+		{name: "answer that names no request", without: requestID, path: "/post/a", status: 502, closed: 502},
+		{name: "answer that names no request, safe", without: requestID, path: "/read/a", status: 200, closed: 200},
 	})
 }
 
 // TestRejectionThatNamesNoRequest guards against a rejection of another request that names none and is taken for the one of this.
 func TestRejectionThatNamesNoRequest(t *testing.T) {
 	playStutter(t, []stutterCase{
-		{"once", medlarfakereplica.FaultShed, false, requestID, "/post/a", 200, 502},
-		{"stream", medlarfakereplica.FaultShed, false, requestID, "/query/a", 200, 502},
-		{"safe", medlarfakereplica.FaultShed, false, requestID, "/read/a", 200, 502},
+		{name: "once", before: medlarfakereplica.FaultShed, without: requestID, path: "/post/a", status: 200, closed: 502},
+		{name: "stream", before: medlarfakereplica.FaultShed, without: requestID, path: "/query/a", status: 200, closed: 502},
+		{name: "safe", before: medlarfakereplica.FaultShed, without: requestID, path: "/read/a", status: 200, closed: 502},
 	})
 }
 
 // TestCopyOfEarlierAttempt guards against a response to an earlier attempt of a request that is taken for the one to this attempt.
 func TestCopyOfEarlierAttempt(t *testing.T) {
 	playStutter(t, []stutterCase{
-		{"rejection", medlarfakereplica.FaultShed, true, "", "/post/a", 200, 200},
-		{"rejection of a stream", medlarfakereplica.FaultShed, true, "", "/query/a", 200, 200},
-		{"rejection that names no request", medlarfakereplica.FaultShed, true, requestID, "/post/a", 200, 200},
-		{"failure", medlarfakereplica.FaultFail, true, "", "/read/a", 200, 200},
+		{name: "rejection", before: medlarfakereplica.FaultShed, own: true, path: "/post/a", status: 200, closed: 200},
+		{name: "rejection of a stream", before: medlarfakereplica.FaultShed, own: true, path: "/query/a", status: 200, closed: 200},
+		{name: "rejection that names no request", before: medlarfakereplica.FaultShed, own: true, without: requestID, path: "/post/a", status: 200, closed: 200},
+		{name: "failure", before: medlarfakereplica.FaultFail, own: true, path: "/read/a", status: 200, closed: 200},
 	})
 }
 
+// TestBeginningOfEarlierResponse guards against the beginning of an earlier response that is joined with the response to the attempt.
+func TestBeginningOfEarlierResponse(t *testing.T) {
+	const rejection = "HTTP/1.1 503 Service Unavailable\r\n"
+	for _, tc := range []stutterCase{
+		{name: "rejection", path: "/post/a", instead: rejection + requestID + ": before\r\nMedlarfield-Not-Executed: 1"},
+		{name: "rejection of a stream", path: "/query/a", instead: rejection + requestID + ": before\r\nMedlarfield-Not-Executed: 1"},
+		{name: "rejection without an id", path: "/post/a", instead: rejection + "Medlarfield-Not-Executed: 1"},
+		{name: "misdirected", path: "/post/a", instead: "HTTP/1.1 421 Misdirected Request\r\n" + requestID + ": before"},
+		{name: "answer before a failure", path: "/post/a", instead: "HTTP/1.1 200 OK\r\n" + requestID + ": before\r\nMedlarfield-Server-Signature: sig", fault: medlarfakereplica.FaultFail},
+		{name: "status line 503", path: "/post/a", instead: "HTTP/1.1 503 Service "},
+		{name: "status line 421", path: "/post/a", instead: "HTTP/1.1 421 Mis"},
+		{name: "status line 200 before a failure", path: "/post/a", instead: "HTTP/1.1 200 ", fault: medlarfakereplica.FaultFail},
+		{name: "one byte", path: "/post/a", instead: "H"},
+		{name: "a whole line", path: "/post/a", instead: rejection},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			assertStutter(t, tc, medlarstutter.FormWhole, 502)
+		})
+	}
+}
+
 func playStutter(t *testing.T, cases []stutterCase) {
 	for _, tc := range cases {
 		for _, form := range []medlarstutter.Form{medlarstutter.FormWhole, medlarstutter.FormParts, medlarstutter.FormChunked, medlarstutter.FormClosed} {
@@ -87,7 +111,10 @@
 	} else {
 		arm(replicas, tc.before)
 	}
-	stutter.Arm(medlarstutter.Copy{Form: form, Without: tc.without})
+	if tc.fault != "" {
+		arm(replicas, tc.fault)
+	}
+	stutter.Arm(medlarstutter.Copy{Form: form, Without: tc.without, Instead: tc.instead})
 	q.id = "r"
 	got := w.send(q)
 	if got.status != want {
--- a/internal/stand/medlarstutter/medlarstutter.go
+++ b/internal/stand/medlarstutter/medlarstutter.go
@@ -36,6 +36,8 @@
 	Form Form
 	// Without names a header field that copies lack; empty for none.
 	Without string
+	// Instead is written in place of a copy, unless it is empty.
+	Instead string
 }
 
 // Stutter makes the connections of a server stutter while it is armed. It is safe for concurrent use.
@@ -114,6 +116,10 @@
 
 // writeCopy writes the earlier response once more.
 func (c *conn) writeCopy(how Copy) {
+	if how.Instead != "" {
+		_, _ = io.WriteString(c.Conn, how.Instead)
+		return
+	}
 	head, body, _ := bytes.Cut(c.earlier, []byte("\r\n\r\n"))
 	if len(body) == 0 {
 		body = []byte(minBody)
@@ -122,7 +128,8 @@
 	var b []byte
 	for lines.Scan() {
 		name, _, _ := strings.Cut(lines.Text(), ":")
-		if !strings.EqualFold(name, "Content-Length") && (how.Without == "" || !strings.EqualFold(name, how.Without)) {
+		framing := strings.EqualFold(name, "Content-Length") || strings.EqualFold(name, "Transfer-Encoding")
+		if !framing && (how.Without == "" || !strings.EqualFold(name, how.Without)) {
 			b = append(append(b, lines.Text()...), "\r\n"...)
 		}
 	}
