Answer 502 where a replica fails with a status that states 'not run'

What callers could see: 408, 429 or 503 for a request that may run once and ran: the failure of the replica itself was passed on with its status. Cause: a status of that kind was kept from callers only where this instance refuses, not where a replica answers with it and names no rejection. Class: a statement about the request is passed on without proof. Why it works: only a rejection states that a replica did not run a request. A request that may be repeated still gets the replica's own status.

--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -64,6 +64,7 @@
 var (
 	errUnsigned       = eris.New("response has no signature")
 	errContentEncoded = eris.New("response has a content coding that the client did not request")
+	errPromise        = eris.New("status of the response states that the request did not run, but the response is no rejection")
 	errNotStream      = eris.New("response cannot continue the stream")
 )
 
--- a/internal/edge/medlarproxy/medlarproxy.go
+++ b/internal/edge/medlarproxy/medlarproxy.go
@@ -3,8 +3,8 @@
 //
 // Rules:
 //
-//	R1  A status that states that a request did not run (408, 429, 503) is sent only
-//	    if no upstream can have run the request.
+//	R1  A status that states that a request did not run (408, 421, 429, 503) is sent only
+//	    if no upstream can have run the request, or if the request may be repeated.
 //	R2  A successful response is relayed only with the id of its request, the
 //	    upstream's signature and its complete body. An incomplete response is never
 //	    terminated as if it were complete: its final chunk is not sent. A stream is
--- a/internal/edge/medlarproxy/relay.go
+++ b/internal/edge/medlarproxy/relay.go
@@ -31,6 +31,10 @@
 		_ = a.upstream.Close()
 		return a.failed(errNotStream, medlarreason.Broken, true)
 	}
+	if a.run.AtMostOnce && medlarreason.MeansNotRun(h.Status) { // R1
+		_ = a.upstream.Close()
+		return a.failed(errPromise, medlarreason.Failure, true)
+	}
 	body := a.newBody(h)
 	buf, err := medlarhead.ReadSome(body, maxBufferedBody)
 	if err != nil {
--- a/internal/ops/medlarattachednode/stutter_test.go
+++ b/internal/ops/medlarattachednode/stutter_test.go
@@ -1,7 +1,9 @@
 package medlarattachednode_test
 
 import (
+	"bytes"
 	"fmt"
+	"net"
 	"testing"
 
 	"medlarfield/internal/stand/medlarfakereplica"
@@ -139,3 +141,34 @@
 	}
 	assertResult(t, got, 200, "answer to r")
 }
+
+// TestFailureWithStatusOfRejection guards against a caller who is told that a request did not run, by a replica that ran it.
+func TestFailureWithStatusOfRejection(t *testing.T) {
+	for _, status := range []string{"408 Timeout", "429 Many", "503 Unavailable"} {
+		for _, path := range []string{"/post/a", "/query/a"} {
+			t.Run(status+path, func(t *testing.T) {
+				t.Parallel()
+				w := start(t, func(s *medlarsite.Settings) {
+					s.Plain, s.Engines = 1, 1
+					s.Wrap = func(c net.Conn) net.Conn { return &statusConn{Conn: c, status: status} }
+				})
+				arm(w.site.Replicas(), medlarfakereplica.FaultFail)
+				got := w.send(request{method: "POST", path: path, id: "r", body: "{}", fields: prompt("aa:100,cc:500")})
+				if runs := len(w.ran("r")); got.status != 502 || runs != 1 {
+					t.Errorf("status %d after %d runs, want 502 after one", got.status, runs)
+				}
+			})
+		}
+	}
+}
+
+// statusConn replaces the status of failures.
+type statusConn struct {
+	net.Conn
+	status string
+}
+
+func (c *statusConn) Write(b []byte) (int, error) {
+	_, err := c.Conn.Write(bytes.Replace(b, []byte("HTTP/1.1 500 "), []byte("HTTP/1.1 "+c.status+" "), 1))
+	return len(b), err
+}
