Let no connection carry two attempts with one id

What callers could see: a request whose id an earlier request of the caller had is refused as not run, and ran; and, since attempts of one request get new connections, an attempt that fails at a replica that accepts no further one. Cause: only the attempts of one exchange were kept from sharing a connection, and the new connection was opened beside idle ones. Why it works: each connection knows the ids that it has carried, up to 128 requests. An attempt takes an idle one without its id; if there is none, a new one takes the place of an idle one. In TestGet the requests have ids now.

--- a/internal/edge/medlarpool/medlarpool.go
+++ b/internal/edge/medlarpool/medlarpool.go
@@ -17,6 +17,9 @@
 //	    too, whatever their count.
 //	R6  An upstream whose rejections do not name their requests gets one request on each connection for
 //	    isolationTime, so that it is known which request a rejection belongs to.
+//	R7  A connection carries no two requests, or attempts of one, with the same id, so that a response that
+//	    names it belongs to one of them. A new connection takes the place of an idle one that has carried it, as
+//	    the upstream may accept no further one.
 package medlarpool
 
 import (
@@ -24,10 +27,12 @@
 	"context"
 	"maps"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/zeebo/xxh3"
 	"golang.org/x/sys/unix"
 
 	"medlarfield/internal/base/medlarid"
@@ -49,6 +54,7 @@
 	maxIdle            = 48                     // per address
 	sweepInterval      = time.Second
 	isolationTime      = time.Minute
+	maxCarried         = 128 // requests that one connection carries (R7)
 	maxIdleTotal       = 1024
 )
 
@@ -65,6 +71,7 @@
 	Target Target
 	Via    medlarid.InstanceID
 
+	carried   []uint64  // hashes of the ids of the requests that it has carried (R7)
 	patient   bool      // waits for silenceTimeout rather than ackTimeout
 	idleSince time.Time // start of the idle period
 	expires   time.Time // end of the idle timeout
@@ -114,29 +121,33 @@
 
 // Need is what a request needs of a connection.
 type Need struct {
-	Recent bool // one that was in use within maxRecentIdle, or a new one (R3)
-	New    bool // one that has carried no request
+	ID     medlarid.RequestID // of the request; the connection has carried none of that id (R7)
+	Recent bool               // it was in use within maxRecentIdle, or is new (R3)
 }
 
 // Get returns an idle or new connection to an upstream.
 func (p *Pool) Get(ctx context.Context, t Target, need Need) (*Conn, error) {
-	if !need.New {
-		if c := p.reuse(t, need.Recent); c != nil {
-			return c, nil
-		}
+	id := xxh3.HashString(string(need.ID))
+	if c := p.reuse(t, id, need.Recent); c != nil {
+		c.carried = append(c.carried, id)
+		return c, nil
+	}
+	if c := p.take(t.Address, func(*Conn) bool { return true }); c != nil { // R7
+		_ = c.Close()
 	}
 	c, via, err := p.deps.Dial(ctx, t)
 	if err != nil {
 		return nil, err
 	}
-	conn := &Conn{Conn: c, Reader: bufio.NewReaderSize(c, readBuffer), Opened: time.Now(), Target: t, Via: via}
+	conn := &Conn{Conn: c, Reader: bufio.NewReaderSize(c, readBuffer), Opened: time.Now(), Target: t, Via: via, carried: []uint64{id}}
 	conn.setPatient(need.Recent)
 	return conn, nil
 }
 
-// reuse returns an idle connection that may be used, or nil.
-func (p *Pool) reuse(t Target, recent bool) *Conn {
-	for c := p.take(t.Address); c != nil; c = p.take(t.Address) {
+// reuse returns an idle connection that may be used for a request, or nil.
+func (p *Pool) reuse(t Target, id uint64, recent bool) *Conn {
+	unused := func(c *Conn) bool { return !slices.Contains(c.carried, id) }
+	for c := p.take(t.Address, unused); c != nil; c = p.take(t.Address, unused) {
 		now := time.Now()
 		usable := now.Before(c.expires) && !(recent && now.Sub(c.idleSince) > maxRecentIdle)
 		if usable && p.deps.Usable(c) && medlarprobe.Idle(c.Conn) {
@@ -236,7 +247,7 @@
 	if now.Sub(p.sweptAt) > sweepInterval {
 		p.sweep(now)
 	}
-	if now.Before(p.isolated[c.Target.Address]) || len(p.idle[c.Target.Address]) >= maxIdle || p.total >= maxIdleTotal {
+	if now.Before(p.isolated[c.Target.Address]) || len(c.carried) >= maxCarried || len(p.idle[c.Target.Address]) >= maxIdle || p.total >= maxIdleTotal {
 		_ = c.Close()
 		return
 	}
@@ -244,19 +255,19 @@
 	p.total++
 }
 
-// take removes and returns the most recently used idle connection, or nil (R2).
-func (p *Pool) take(addr medlarid.Address) *Conn {
+// take removes and returns the most recently used idle connection that matches, or nil (R2).
+func (p *Pool) take(addr medlarid.Address, match func(*Conn) bool) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	cs := p.idle[addr]
-	if len(cs) == 0 {
-		return nil
+	for i := len(cs) - 1; i >= 0; i-- {
+		if c := cs[i]; match(c) {
+			p.idle[addr] = slices.Delete(cs, i, i+1)
+			p.total--
+			return c
+		}
 	}
-	c := cs[len(cs)-1]
-	cs[len(cs)-1] = nil
-	p.idle[addr] = cs[:len(cs)-1]
-	p.total--
-	return c
+	return nil
 }
 
 // Isolate makes each further request to an address use a connection of its own for a time (R6).
--- a/internal/edge/medlarpool/medlarpool_test.go
+++ b/internal/edge/medlarpool/medlarpool_test.go
@@ -1,6 +1,9 @@
 package medlarpool
 
 import (
+	"crypto/rand"
+	"errors"
+	"io"
 	"net"
 	"syscall"
 	"testing"
@@ -11,6 +14,9 @@
 	"medlarfield/internal/base/medlarid"
 )
 
+// nextID returns an id that no other request has.
+func nextID() medlarid.RequestID { return medlarid.RequestID(rand.Text()) }
+
 // listen starts a listener and returns its address and its accepted connections.
 func listen(t *testing.T) (medlarid.Address, <-chan net.Conn) {
 	t.Helper()
@@ -65,7 +71,7 @@
 				time.Sleep(20 * time.Millisecond)
 			}
 			time.Sleep(tc.wait)
-			got, err := p.Get(t.Context(), Target{Address: addr}, Need{Recent: tc.recent})
+			got, err := p.Get(t.Context(), Target{Address: addr}, Need{ID: "next", Recent: tc.recent})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -76,6 +82,42 @@
 	}
 }
 
+// TestConnectionCarriesIDOnce guards against two requests with one id on one connection, and against a further connection
+// where an idle one can make room.
+func TestConnectionCarriesIDOnce(t *testing.T) {
+	addr, peers := listen(t)
+	p := NewDirect()
+	get := func(id medlarid.RequestID) *Conn {
+		t.Helper()
+		c, err := p.Get(t.Context(), Target{Address: addr}, Need{ID: id})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	one, two := get("a"), get("b")
+	first, second := <-peers, <-peers
+	p.Put(one, 0)
+	p.Put(two, 0)
+	if c := get("b"); c != one {
+		t.Error("b did not get the connection that has carried a only")
+	}
+	p.Put(one, 0)
+	if c := get("b"); c.Reused {
+		t.Error("b got a connection that has carried it")
+	}
+	closed := 0
+	for _, peer := range []net.Conn{first, second} {
+		_ = peer.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+		if _, err := peer.Read(make([]byte, 1)); errors.Is(err, io.EOF) {
+			closed++
+		}
+	}
+	if closed != 1 {
+		t.Errorf("%d idle connections were closed for the new one, want 1", closed)
+	}
+}
+
 // TestIsolatedAddressGetsNewConnections guards against a connection that carries several requests to an upstream
 // whose rejections do not name them.
 func TestIsolatedAddressGetsNewConnections(t *testing.T) {
@@ -83,7 +125,7 @@
 	p := NewDirect()
 	get := func() *Conn {
 		t.Helper()
-		c, err := p.Get(t.Context(), Target{Address: addr}, Need{})
+		c, err := p.Get(t.Context(), Target{Address: addr}, Need{ID: nextID()})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -137,7 +179,7 @@
 	p := NewDirect()
 	get := func(recent bool) *Conn {
 		t.Helper()
-		c, err := p.Get(t.Context(), Target{Address: addr}, Need{Recent: recent})
+		c, err := p.Get(t.Context(), Target{Address: addr}, Need{ID: nextID(), Recent: recent})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/edge/medlarproof/medlarproof.go
+++ b/internal/edge/medlarproof/medlarproof.go
@@ -6,7 +6,7 @@
 //
 //	R1  A response belongs to the attempt if it names the request. A rejection that names none does if the
 //	    connection has carried no other request.
-//	R2  The id of a request stands for one attempt on each connection: no two attempts of a request share one.
+//	R2  An id stands for one attempt on each connection (medlarpool, R7).
 //	R3  Only a rejection that belongs to the attempt proves that the attempt did not run.
 //	R4  A response that names another request, and a rejection that belongs to no attempt (R1), are read over.
 //	    One whose end is that of the connection leaves no response for the attempt.
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"os"
-	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -72,13 +71,12 @@
 func (a *attempt) do() medlarworld.AttemptEnded {
 	ctx, cancel := context.WithDeadline(a.ctx, a.run.Deadline)
 	defer cancel()
-	need := medlarpool.Need{Recent: a.run.AtMostOnce, New: slices.Contains(a.tried, a.cmd.Address)} // R6
+	need := medlarpool.Need{ID: a.call.ID, Recent: a.run.AtMostOnce}
 	c, err := a.proxy.deps.Pool.Get(ctx, medlarpool.Target{ID: a.cmd.Upstream, Incarnation: a.cmd.Incarnation, Address: a.cmd.Address}, need)
 	if err != nil {
 		return a.failed(err, medlarreason.Unreachable, false)
 	}
 	a.upstream, a.reused, a.via = c, c.Reused, c.Via
-	a.tried = append(a.tried, a.cmd.Address)
 	a.summary.ConnectTime, a.summary.Reused, a.summary.Via = time.Since(a.started), c.Reused, c.Via
 	_ = c.SetDeadline(a.deadline())
 	a.stopClose = context.AfterFunc(a.ctx, func() { _ = c.Close() }) // R3
--- a/internal/edge/medlarproxy/exchange.go
+++ b/internal/edge/medlarproxy/exchange.go
@@ -7,7 +7,6 @@
 	"medlarfield/internal/agree/medlarcatalog"
 	"medlarfield/internal/base/medlarevent"
 	"medlarfield/internal/base/medlarhead"
-	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
@@ -34,9 +33,8 @@
 	cancel    context.CancelFunc
 	stopWatch func()
 
-	tried           []medlarid.Address // of the upstreams that attempts had a connection to
-	responseStarted bool               // a part of the response was sent
-	fallback        *response          // an upstream's error response, sent if no attempt gets a better one
+	responseStarted bool      // a part of the response was sent
+	fallback        *response // an upstream's error response, sent if no attempt gets a better one
 	events          medlarevent.Splitter
 }
 
--- a/internal/edge/medlarproxy/medlarproxy.go
+++ b/internal/edge/medlarproxy/medlarproxy.go
@@ -16,8 +16,6 @@
 //	R5  A resumable stream is resumed at another upstream after its last complete
 //	    event, within the same response and only after the first upstream connection
 //	    is closed.
-//	R6  An attempt gets a new connection where an earlier one of its request had one to the
-//	    same address (medlarproof, R2).
 package medlarproxy
 
 import (
--- a/internal/ops/medlarattachednode/stutter_test.go
+++ b/internal/ops/medlarattachednode/stutter_test.go
@@ -3,8 +3,12 @@
 import (
 	"bytes"
 	"fmt"
+	"math"
 	"net"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"medlarfield/internal/stand/medlarfakereplica"
 	"medlarfield/internal/stand/medlarsite"
@@ -172,3 +176,62 @@
 	_, err := c.Conn.Write(bytes.Replace(b, []byte("HTTP/1.1 500 "), []byte("HTTP/1.1 "+c.status+" "), 1))
 	return len(b), err
 }
+
+// TestIDOfEarlierRequest guards against the rejection of an earlier request that is taken for the one of a later request with the same id.
+func TestIDOfEarlierRequest(t *testing.T) {
+	for _, path := range []string{"/post/a", "/query/a"} {
+		for _, form := range []medlarstutter.Form{medlarstutter.FormWhole, medlarstutter.FormParts, medlarstutter.FormChunked, medlarstutter.FormClosed} {
+			t.Run(path+string(form), func(t *testing.T) {
+				t.Parallel()
+				var stutter medlarstutter.Stutter
+				w := start(t, func(s *medlarsite.Settings) { s.Plain, s.Engines, s.Wrap = 1, 1, stutter.Wrap })
+				q := request{method: "POST", path: path, id: "r", body: "{}", fields: prompt("aa:100,cc:500")}
+				for range 3 {
+					arm(w.site.Replicas(), medlarfakereplica.FaultShed)
+				}
+				assertResult(t, w.send(q), 503, "")
+				for _, r := range w.site.Replicas() {
+					r.Disarm()
+				}
+				stutter.Arm(medlarstutter.Copy{Form: form})
+				if got := w.send(q); got.status != 200 || len(w.ran("r")) != 1 {
+					t.Errorf("status %d after %d runs, want 200 after one", got.status, len(w.ran("r")))
+				}
+			})
+		}
+	}
+}
+
+// TestRepeatAtFullReplica guards against a further connection for the next attempt at a replica that accepts none, where an open one will do.
+func TestRepeatAtFullReplica(t *testing.T) {
+	for _, path := range []string{"/post/a", "/query/a"} {
+		t.Run(path, func(t *testing.T) {
+			var most atomic.Int64
+			most.Store(math.MaxInt64)
+			var open atomic.Int64
+			w := start(t, func(s *medlarsite.Settings) {
+				s.Plain, s.Engines, s.ServiceTime = 1, 1, 20*time.Millisecond
+				s.Wrap = func(c net.Conn) net.Conn {
+					if open.Add(1) > most.Load() {
+						_ = c.Close()
+					}
+					return c
+				}
+			})
+			q := request{method: "POST", path: path, body: "{}", fields: prompt("aa:100,cc:500")}
+			var wg sync.WaitGroup
+			for i := range 4 {
+				p := q
+				p.id = fmt.Sprint("warm", i)
+				wg.Go(func() { w.send(p) })
+			}
+			wg.Wait()
+			most.Store(open.Load())
+			arm(w.site.Replicas(), medlarfakereplica.FaultShed)
+			q.id = "r"
+			if got := w.send(q); got.status != 200 {
+				t.Errorf("status %d, want 200", got.status)
+			}
+		})
+	}
+}
