Hold no caller up for rejections that name no request

What callers could see: while the rejections of a replica name no request, a request on a kept connection is held until its deadline, since its own response is awaited. Cause: the rejection was read over whatever the request was, and for any time. Evidence: TestReplicaThatNamesNoRejections held requests that may run once for 2.5 s of their 2.5 s; the bound of the test is 1.5 s, and it passes now. Why it works: a request that may be repeated needs no proof and is repeated at once; one that may run once waits for four target latencies, as first attempts of others do, and then ends as unknown.

--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -27,7 +27,7 @@
 	maxResponseBody     = 16 << 20              // bytes of a response's body; a replica in trouble may send without end
 	maxInlineBody       = 16 << 10              // bytes; a longer request body is written while the response is read
 	unsignedWait        = 50 * time.Millisecond // for the end of the connection after a head without a signature
-	firstAttemptTargets = 4                     // target latencies after which a first attempt is abandoned
+	firstAttemptTargets = 4                     // target latencies after which an attempt is abandoned whose answer may not come
 	statusOK            = 200
 	statusFailure       = 500
 )
@@ -93,7 +93,8 @@
 	}
 	a.status = h.Status
 	a.bodyEnd.Received, a.bodyEnd.Framing = true, h.Framing
-	if reply.Version != "" && reply.Version != a.cmd.Version {
+	other := reply.Misdirected && reply.Instance != a.cmd.Upstream
+	if reply.Version != "" && reply.Version != a.cmd.Version && reply.Proof != medlarcall.ProofNone && !other {
 		a.proxy.deps.OnVersionReported(a.cmd.Upstream, reply.Version)
 	}
 	a.postHints(reply)
@@ -118,13 +119,20 @@
 // be retried ends earlier, so that a replica that hangs is abandoned while another one
 // can still respond in time.
 func (a *attempt) deadline() time.Time {
-	retryable := a.route.Kind == medlarcatalog.KindIdempotent && a.route.MaxAttempts > 1 && a.summary.Attempts == 1
-	if limit := a.started.Add(firstAttemptTargets * a.route.TargetLatency); retryable && a.route.TargetLatency > 0 && limit.Before(a.run.Deadline) {
-		return limit
+	if a.route.Kind == medlarcatalog.KindIdempotent && a.route.MaxAttempts > 1 && a.summary.Attempts == 1 {
+		return a.patience()
 	}
 	return a.run.Deadline
 }
 
+// patience returns when an attempt is abandoned whose answer may not come.
+func (a *attempt) patience() time.Time {
+	if a.route.TargetLatency <= 0 {
+		return a.run.Deadline
+	}
+	return earlier(a.started.Add(firstAttemptTargets*a.route.TargetLatency), a.run.Deadline)
+}
+
 // send writes the request. A long body is written in the background while the response is
 // read, as the upstream may respond before it has read all of the body.
 func (a *attempt) send() error {
@@ -170,7 +178,7 @@
 // readResponse reads the head of the response.
 func (a *attempt) readResponse() (*medlarhead.Head, medlarcall.Reply, error) {
 	h, reply, err := medlarproof.Attempt{
-		ID: a.call.ID, Method: a.head.Method, Reused: a.reused, Decode: a.proxy.deps.Reply, OnUnnamed: a.unnamedRejection,
+		ID: a.call.ID, Method: a.head.Method, Reused: a.reused, Once: a.run.AtMostOnce, Decode: a.proxy.deps.Reply, OnUnnamed: a.unnamedRejection,
 	}.Read(a.upstream.Reader)
 	a.proof, a.rejected = reply.Proof, reply.Rejected()
 	if a.rejected && reply.Proof != medlarcall.ProofID {
@@ -183,6 +191,7 @@
 // hints count.
 func (a *attempt) unnamedRejection(reply medlarcall.Reply) {
 	a.unnamed = true
+	_ = a.upstream.SetDeadline(a.patience())
 	a.proxy.deps.Pool.Isolate(a.cmd.Address)
 	a.postHints(reply)
 }
@@ -191,6 +200,9 @@
 func (a *attempt) handleResponse(h *medlarhead.Head, reply medlarcall.Reply) medlarworld.AttemptEnded {
 	success := h.Status >= statusOK && h.Status < 300
 	switch {
+	case reply.Rejected() && reply.Proof == medlarcall.ProofNone: // the request may run, and may be repeated
+		_ = a.upstream.Close()
+		return a.ended(medlarkind.CauseRetry, medlarreason.Busy, true)
 	case reply.Misdirected:
 		a.discard(h, reply)
 		reason := medlarreason.Misdirected
