--- a/internal/stand/medlarending/medlarending.go
+++ b/internal/stand/medlarending/medlarending.go
@@ -3,8 +3,10 @@
 package medlarending
 
 import (
+	"io"
 	"net"
 	"strconv"
+	"sync"
 
 	"medlarfield/internal/base/medlarhead"
 )
@@ -18,6 +20,52 @@
 	Unfinished  bool // the framing promises more than Body
 	Reset       bool // the connection is reset, not closed in an orderly way
 	Whole       bool // the response is complete
+	Keep        bool // the connection is left open
+	// Text returns all bytes of the response, in place of what the fields above say; nil for none.
+	Text func(Request) string
+}
+
+// Request is what a response says of its request.
+type Request struct {
+	ID          string
+	LastEventID string // empty for none
+	Fields      string // header lines of a signed response, each with its line break
+}
+
+// Queue holds the endings of the next responses, of one replica or of several. The zero value is empty.
+type Queue struct {
+	mu     sync.Mutex
+	next   []Ending
+	always *Ending // after those in next; nil for none
+}
+
+// Arm adds the ending of one response.
+func (q *Queue) Arm(e Ending) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.next = append(q.next, e)
+}
+
+// ArmAlways sets the ending of all responses after those that Arm added.
+func (q *Queue) ArmAlways(e Ending) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.always = &e
+}
+
+// Next takes the ending of the next response. It returns false if there is none.
+func (q *Queue) Next() (Ending, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	switch {
+	case len(q.next) > 0:
+		e := q.next[0]
+		q.next = q.next[1:]
+		return e, true
+	case q.always != nil:
+		return *q.always, true
+	}
+	return Ending{}, false
 }
 
 // Content types of the endings.
@@ -43,6 +91,7 @@
 	{Name: "last chunk within an event", ContentType: stream, Framing: medlarhead.FramingChunked, Body: events + "id: 3\nda"},
 	{Name: "last chunk within an event, type in capitals", ContentType: capitals, Framing: medlarhead.FramingChunked, Body: events + "id: 3\nda"},
 	{Name: "no last chunk", ContentType: stream, Framing: medlarhead.FramingChunked, Body: events, Unfinished: true},
+	{Name: "reset before the last chunk", ContentType: stream, Framing: medlarhead.FramingChunked, Body: events, Unfinished: true, Reset: true},
 	{Name: "length to the end", ContentType: stream, Framing: medlarhead.FramingLength, Body: events, Whole: true},
 	{Name: "length that ends within an event", ContentType: stream, Framing: medlarhead.FramingLength, Body: events + "id: 3\n"},
 	{Name: "close before the length", ContentType: stream, Framing: medlarhead.FramingLength, Body: events, Unfinished: true},
@@ -53,11 +102,22 @@
 // missingBytes are the bytes that an unfinished response of a length lacks.
 const missingBytes = 7
 
-// Write writes the response with further header lines, each with its line break. The caller closes the
-// connection.
-func (e Ending) Write(c net.Conn, fields string) {
+// Write writes the response to a request. The caller closes the connection.
+func (e Ending) Write(c net.Conn, r Request) {
+	text := e.Text
+	if text == nil {
+		text = e.text
+	}
+	_, _ = io.WriteString(c, text(r))
+	if tcp, ok := c.(*net.TCPConn); ok && e.Reset {
+		_ = tcp.SetLinger(0)
+	}
+}
+
+// text returns the response that the fields of the ending describe.
+func (e Ending) text(r Request) string {
 	b := medlarhead.AppendStatus(nil, 200)
-	b = append(b, fields...)
+	b = append(b, r.Fields...)
 	b = medlarhead.AppendField(b, "Content-Type", e.ContentType)
 	switch e.Framing {
 	case medlarhead.FramingLength:
@@ -76,8 +136,5 @@
 	default:
 		b = append(medlarhead.AppendEnd(b), e.Body...)
 	}
-	_, _ = c.Write(b)
-	if tcp, ok := c.(*net.TCPConn); ok && e.Reset {
-		_ = tcp.SetLinger(0)
-	}
+	return string(b)
 }
--- a/internal/stand/medlarfakereplica/exchange.go
+++ b/internal/stand/medlarfakereplica/exchange.go
@@ -9,6 +9,7 @@
 
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/base/medlarprobe"
+	"medlarfield/internal/stand/medlarending"
 )
 
 // exchange is the handling of one request by a replica.
@@ -65,9 +66,9 @@
 	if start, repeat, ok := x.endless(); ok {
 		return x.sendEndlessly(start, repeat)
 	}
-	if e := r.nextEnding(); e != nil {
-		e.Write(x.conn, x.responseFields())
-		return false
+	if e, ok := r.endings.Load().Next(); ok {
+		e.Write(x.conn, medlarending.Request{ID: run.ID, LastEventID: run.LastEventID, Fields: x.responseFields()})
+		return e.Keep
 	}
 	if r.Settings.Model == "" {
 		return x.servePlain()
--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -17,6 +17,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-json-experiment/json"
@@ -123,7 +124,7 @@
 	arrivals []time.Time
 	crashed  bool
 	brittle  brittleness
-	endings  []medlarending.Ending
+	endings  atomic.Pointer[medlarending.Queue]
 	endless  int // bytes that faults without end have sent
 	orders   uint64
 	loading  bool
@@ -140,6 +141,7 @@
 	}
 	r := &Replica{Settings: s, ln: ln, conns: map[net.Conn]bool{}, version: s.Version, changed: changed}
 	r.Settings.Born = max(s.Born, 1)
+	r.ShareEndings(&medlarending.Queue{})
 	go r.accept()
 	return r, nil
 }
@@ -157,23 +159,10 @@
 }
 
 // ArmEnding makes the next request get a response that ends in a certain way.
-func (r *Replica) ArmEnding(e medlarending.Ending) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.endings = append(r.endings, e)
-}
+func (r *Replica) ArmEnding(e medlarending.Ending) { r.endings.Load().Arm(e) }
 
-// nextEnding returns the ending that is armed for the next request; nil for none.
-func (r *Replica) nextEnding() *medlarending.Ending {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if len(r.endings) == 0 {
-		return nil
-	}
-	e := r.endings[0]
-	r.endings = r.endings[1:]
-	return &e
-}
+// ShareEndings makes the replica take the endings of its responses from a queue that other replicas may share.
+func (r *Replica) ShareEndings(q *medlarending.Queue) { r.endings.Store(q) }
 
 // Disarm removes the armed faults that have not been injected yet.
 func (r *Replica) Disarm() {
--- a/internal/upstream/medlarservice/medlarservice_test.go
+++ b/internal/upstream/medlarservice/medlarservice_test.go
@@ -150,5 +150,5 @@
 	if _, err := medlarhead.ReadRequest(bufio.NewReader(c), 1<<14); err != nil {
 		return
 	}
-	e.Write(c, "")
+	e.Write(c, medlarending.Request{})
 }
