Event streams: pass on only blocks that are events

Callers could find the text of a failure, or the head of a response, in the middle of their stream: where the next replica answered 200 as an event stream and its body was an error's head and text, or where a replica wrote an earlier response once more within a stream. The stream then ended as if it were whole.

The splitter took any lines up to an empty one for an event. The head of a response ends with an empty line too.

Example: "id: 2\ndata: b\n\nHTTP/1.1 500 Internal Server Error\r\nMedlarfield-Request-Id: r\r\n\r\nfailed: out of memory\n\n", with its proper end.

A block is now an event only if each line is a field with a name, a comment or blank, and one of the fields is data, id, event or retry; anything else ends the stream as broken off, so that it is resumed elsewhere or left without its end. A status line is no field: its name would have a slash and a space. A first line of another field, as that of a change of weights, is still passed on. Text of a failure that has the form of an event can't be told from one.

An error of the splitter no longer counts as the end of the replica's connection, which counts towards the crashes of a replica (by reading: both had to fall together).

--- /dev/null
+++ b/internal/base/medlarevent/block.go
@@ -0,0 +1,57 @@
+package medlarevent
+
+import "bytes"
+
+// byteOrderMark may stand before the first line of a stream.
+var byteOrderMark = []byte("\xef\xbb\xbf")
+
+// block is what the lines up to an empty one are.
+type block struct {
+	empty     bool   // comments and blank lines only
+	malformed bool   // neither that nor an event (R6)
+	id        string // empty for none
+}
+
+// parseBlock parses the lines up to an empty one.
+func parseBlock(text []byte) block {
+	b := block{empty: true}
+	event := false
+	for line := range bytes.Lines(bytes.TrimPrefix(text, byteOrderMark)) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 || line[0] == ':' {
+			continue
+		}
+		name, value, isField := bytes.Cut(line, []byte(":"))
+		known := isKnown(name)
+		if !known && !(isField && isName(name)) {
+			return block{malformed: true}
+		}
+		b.empty, event = false, event || known
+		if string(name) == "id" && isField {
+			b.id = string(bytes.TrimSpace(value))
+		}
+	}
+	b.malformed = !b.empty && !event
+	return b
+}
+
+// isKnown reports whether a field is one of those that make an event.
+func isKnown(name []byte) bool {
+	switch string(name) {
+	case "data", "id", "event", "retry":
+		return true
+	}
+	return false
+}
+
+// isName reports whether a field may have a name.
+func isName(name []byte) bool {
+	for _, c := range name {
+		switch {
+		case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9', c == '-', c == '_':
+		default:
+			return false
+		}
+	}
+	return len(name) > 0
+}
--- a/internal/base/medlarevent/medlarevent.go
+++ b/internal/base/medlarevent/medlarevent.go
@@ -11,6 +11,9 @@
 //	    its response says. Blank lines and comments after the last event belong to
 //	    no event.
 //	R5  An event, with the comments and blank lines before it, is at most maxEvent bytes.
+//	R6  An event has a line of data, id, event or retry, and its other lines are fields or
+//	    comments. A block of other lines ends the stream as interrupted: it is text of a
+//	    failure or the head of another response.
 package medlarevent
 
 import (
@@ -27,6 +30,7 @@
 var (
 	ErrConnectionEnded = errors.New("medlarevent: connection ended")
 	errPartialEvent    = errors.New("medlarevent: stream ended within an event")
+	errNotEvent        = errors.New("medlarevent: block is not an event")
 	errNoEvent         = errors.New("medlarevent: stream ended before the first event")
 )
 
@@ -75,33 +79,41 @@
 func (c *Splitter) Split(out, data []byte) ([]byte, error) {
 	c.buf = append(c.buf, data...)
 	complete := 0
-	for {
+	var err error
+	for err == nil {
 		n := eventEnd(c.buf[complete:])
 		if n == 0 {
 			break
 		}
-		c.recordID(c.buf[complete : complete+n])
-		c.countIdle(c.buf[complete : complete+n])
-		c.events++
-		complete += n
+		if err = c.add(c.buf[complete : complete+n]); err == nil {
+			complete += n
+		}
 	}
 	out = append(out, c.buf[:complete]...)
 	c.buf = append(c.buf[:0], c.buf[complete:]...)
-	if len(c.buf) > maxEvent || c.idle > maxEvent {
-		return out, ErrEventTooLarge
+	if err == nil && (len(c.buf) > maxEvent || c.idle > maxEvent) {
+		err = ErrEventTooLarge
 	}
-	return out, nil
+	return out, err
 }
 
-// countIdle counts the bytes of a block that has comments and blank lines only (R5).
-func (c *Splitter) countIdle(block []byte) {
-	for line := range bytes.Lines(block) {
-		if text := bytes.TrimRight(line, "\r\n"); len(text) > 0 && text[0] != ':' {
-			c.idle = 0
-			return
-		}
+// add counts a block of lines up to an empty one and records its id. It returns an error if the block is
+// neither an event nor only comments (R6).
+func (c *Splitter) add(text []byte) error {
+	b := parseBlock(text)
+	switch {
+	case b.malformed:
+		return errNotEvent
+	case b.empty:
+		c.idle += len(text) // R5
+	default:
+		c.idle = 0
 	}
-	c.idle += len(block)
+	if b.id != "" {
+		c.id = b.id // R3
+	}
+	c.events++
+	return nil
 }
 
 // eventEnd returns the length of the first event including its empty line, or 0 if it is
@@ -122,15 +134,6 @@
 	}
 }
 
-// recordID records the id of an event that has one (R3).
-func (c *Splitter) recordID(event []byte) {
-	for line := range bytes.Lines(event) {
-		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			c.id = string(bytes.TrimSpace(v))
-		}
-	}
-}
-
 // Finish appends to out what follows the last event of a stream whose body has ended. toClose tells
 // that the end of the connection delimited the body: then the stream needs an event to be complete.
 func (c *Splitter) Finish(out []byte, toClose bool) ([]byte, error) {
--- a/internal/base/medlarevent/medlarevent_test.go
+++ b/internal/base/medlarevent/medlarevent_test.go
@@ -90,3 +90,42 @@
 		})
 	}
 }
+
+// TestBlocksThatAreNoEvent guards against text of a failure, or a head, that is returned as an event (R6).
+func TestBlocksThatAreNoEvent(t *testing.T) {
+	const first = "id: 1\ndata: a\n\n"
+	for _, tc := range []struct {
+		name, block string
+		ok          bool
+	}{
+		{"event", "id: 2\ndata: b\n\n", true},
+		{"event without data", "id: 2\n\n", true},
+		{"field without a value", "data\n\n", true},
+		{"further field before the event", "medlarfield-weight-versions: 2\nid: 2\ndata: b\n\n", true},
+		{"status line in data", "data: HTTP/1.1 500 Internal Server Error\n\n", true},
+		{"byte order mark", "\xef\xbb\xbfid: 2\n\n", true},
+		{"comment", ": HTTP/1.1 500\n\n", true},
+		{"head", "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\n", false},
+		{"head without a reason", "HTTP/1.1 500\r\nid: 2\r\n\r\n", false},
+		{"status line behind an event", "id: 2\ndata: b\nHTTP/1.0 500 Failed: id\n\n", false},
+		{"fields of a head", "Content-Length: 5\r\nX-Id: 2\r\n\r\n", false},
+		{"field of another name", "error: out of memory\n\n", false},
+		{"words", "out of memory\n\n", false},
+		{"word", "failed\n\n", false},
+		{"document", "{\"error\":\"data\"}\n\n", false},
+		{"page", "<html>\n<body>\n\n", false},
+		{"binary", "\x16\x03\x01\n\n", false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var c Splitter
+			want := first
+			if tc.ok {
+				want += tc.block
+			}
+			out, err := c.Split(nil, []byte(first+tc.block))
+			if string(out) != want || (err == nil) != tc.ok || !tc.ok && c.ID() != "1" {
+				t.Errorf("got %q, id %q, %v; want %q", out, c.ID(), err, want)
+			}
+		})
+	}
+}
--- a/internal/edge/medlarproxy/medlarproxy.go
+++ b/internal/edge/medlarproxy/medlarproxy.go
@@ -8,8 +8,9 @@
 //	R2  A successful response is relayed only with the id of its request, the
 //	    upstream's signature and its complete body. An incomplete response is never
 //	    terminated as if it were complete: its final chunk is not sent. A stream is
-//	    incomplete if it ends within an event, whatever its framing says, or if its
-//	    connection ends before the first event.
+//	    incomplete if it ends within an event, whatever its framing says, if its
+//	    connection ends before the first event, or from the first block on that is
+//	    not an event.
 //	R3  A client that disconnects cancels the work for its request.
 //	R4  A request is answered by its deadline, the earlier of the client's and the
 //	    route's.
--- a/internal/edge/medlarproxy/relay.go
+++ b/internal/edge/medlarproxy/relay.go
@@ -1,7 +1,6 @@
 package medlarproxy
 
 import (
-	"errors"
 	"io"
 	"time"
 
@@ -114,7 +113,10 @@
 		a.bodyEnd.Complete = err == io.EOF
 		var splitErr error
 		events, splitErr = a.events.Split(events[:0], buf[:n])
-		if a.bodyEnd.Complete {
+		switch {
+		case splitErr != nil:
+			err = splitErr
+		case a.bodyEnd.Complete:
 			events, err = a.events.Finish(events, h.Framing == medlarhead.FramingClose)
 		}
 		if len(events) > 0 && a.began.IsZero() {
@@ -124,7 +126,7 @@
 			_ = a.upstream.Close()
 			return a.ended(medlarkind.CauseCallerLeft, "", true)
 		}
-		if err = errors.Join(err, splitErr); err != nil {
+		if err != nil {
 			a.bodyEnd.PartialBytes = a.events.PartialBytes()
 			_ = a.upstream.Close() // before the stream is resumed at another upstream (R5)
 			return a.failed(err, medlarreason.Truncated, true)
--- a/internal/stand/medlarending/instead.go
+++ b/internal/stand/medlarending/instead.go
@@ -36,6 +36,13 @@
 		return "HTTP/1.1 100 Continue\r\n\r\n" + statusFailed + r.Fields + withLength(failure)
 	}},
 	{Name: "empty stream to the close", Text: func(r Request) string { return statusOK + r.Fields + closedStream }},
+	{Name: "head and text of a failure in chunks of a stream", Text: func(r Request) string {
+		return statusOK + r.Fields + chunkedStream + chunks(statusFailed+r.id()+"\r\n"+failure+"\n")
+	}},
+	{Name: "head and text of a failure in a stream to the close", Text: func(r Request) string {
+		return statusOK + r.Fields + closedStream + statusFailed + r.id() + "\r\n" + failure + "\n"
+	}},
+	{Name: "text of a failure in a stream", Text: func(r Request) string { return statusOK + r.Fields + chunkedStream + chunks(failure+"\n") }},
 }
 
 // FollowedByAnother lists whole responses behind which the replica writes an earlier one once more.
