Event streams: pass on only events that follow the last one

Callers could get events of a stream twice, in two versions, or with one missing: where the next replica ignored the id after which it was to go on and began with event 1, repeated the last event, left one out or sent events without ids; or where a replica sent an event twice. The same held for callers that resume themselves.

The proxy passed on the id at which a stream goes on, and believed the replica.

Decimal ids now increase strictly within a response, and a response that resumes a stream begins after the last event: with the next id where the ids before have counted by one, else with a larger one, as replicas may number tokens. After an event without an id nobody can tell where the stream goes on. Anything else ends the attempt before the event is passed on; another replica may go on. Ids that are no numbers are not compared.

Not covered: a caller that resumes and gets a stream that leaves an event out; how its ids count is not known here, and the caller has the ids to see it.

--- a/internal/base/medlarevent/medlarevent.go
+++ b/internal/base/medlarevent/medlarevent.go
@@ -14,6 +14,10 @@
 //	R6  An event has a line of data, id, event or retry, and its other lines are fields or
 //	    comments. A block of other lines ends the stream as interrupted: it is text of a
 //	    failure or the head of another response.
+//	R7  After Resume, decimal ids increase from event to event. A response that resumes a
+//	    stream begins after the last event, with the next id if the ids have counted by
+//	    one so far, and not at all after an event without an id. A stream ends as
+//	    interrupted before an event that is out of order.
 package medlarevent
 
 import (
@@ -31,6 +35,7 @@
 	ErrConnectionEnded = errors.New("medlarevent: connection ended")
 	errPartialEvent    = errors.New("medlarevent: stream ended within an event")
 	errNotEvent        = errors.New("medlarevent: block is not an event")
+	errOrder           = errors.New("medlarevent: event is out of order")
 	errNoEvent         = errors.New("medlarevent: stream ended before the first event")
 )
 
@@ -49,8 +54,9 @@
 type Splitter struct {
 	buf    []byte
 	id     string // of the last complete event
-	events int    // complete events since the last Reset
+	events int    // complete events since the last Resume
 	idle   int    // bytes of comments and blank lines since the last event
+	order  order
 }
 
 // ID returns the id of the last complete event, or an empty string.
@@ -69,11 +75,15 @@
 	return 0
 }
 
-// Events returns the number of complete events since the last Reset.
+// Events returns the number of complete events since the last Resume.
 func (c *Splitter) Events() int { return c.events }
 
-// Reset discards an incomplete event, before the stream is resumed from a new response.
-func (c *Splitter) Reset() { c.buf, c.events, c.idle = c.buf[:0], 0, 0 }
+// Resume prepares for a response that goes on after the event with an id; empty for one that begins the
+// stream. It discards an incomplete event (R7).
+func (c *Splitter) Resume(last string) {
+	c.buf, c.events, c.idle = c.buf[:0], 0, 0
+	c.order.resume(last)
+}
 
 // Split reads the next bytes of the stream and appends the complete events to out.
 func (c *Splitter) Split(out, data []byte) ([]byte, error) {
@@ -98,7 +108,7 @@
 }
 
 // add counts a block of lines up to an empty one and records its id. It returns an error if the block is
-// neither an event nor only comments (R6).
+// neither an event nor only comments (R6), or out of order (R7).
 func (c *Splitter) add(text []byte) error {
 	b := parseBlock(text)
 	switch {
@@ -106,6 +116,8 @@
 		return errNotEvent
 	case b.empty:
 		c.idle += len(text) // R5
+	case !c.order.add(b.id):
+		return errOrder
 	default:
 		c.idle = 0
 	}
--- a/internal/base/medlarevent/medlarevent_test.go
+++ b/internal/base/medlarevent/medlarevent_test.go
@@ -129,3 +129,66 @@
 		})
 	}
 }
+
+// TestEventsOutOfOrder guards against events of a response that does not go on where the stream stood (R7).
+func TestEventsOutOfOrder(t *testing.T) {
+	const two, steps, nameless = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "id: 10\n\nid: 20\n\n", "data: a\n\n"
+	for _, tc := range []struct {
+		name, before, last, event string
+		ok                        bool
+	}{
+		{"first event", "", "", "id: 5\n\n", true},
+		{"next event", two, "2", "id: 3\n\n", true},
+		{"first one again", two, "2", "id: 1\n\n", false},
+		{"last one again", two, "2", "id: 2\n\n", false},
+		{"one left out", two, "2", "id: 4\n\n", false},
+		{"no id", two, "2", "data: c\n\n", false},
+		{"another kind of id", two, "2", "id: c\n\n", false},
+		{"comment before the next event", two, "2", ": wait\n\nid: 3\n\n", true},
+		{"steps of ten", steps, "20", "id: 30\n\n", true},
+		{"steps of ten, another step", steps, "20", "id: 35\n\n", true},
+		{"steps of ten, back", steps, "20", "id: 20\n\n", false},
+		{"after one event", "id: 1\n\n", "1", "id: 4\n\n", true},
+		{"client's event", "", "7", "id: 8\n\n", true},
+		{"client's event again", "", "7", "id: 7\n\n", false},
+		{"client's id is no number", "", "x7", "id: 1\n\n", true},
+		{"ids are no numbers", "id: a\n\n", "a", "id: b\n\n", true},
+		{"after events without an id", nameless, "", nameless, false},
+		{"after an id and an event without", two + nameless, "2", "id: 3\n\n", false},
+		{"larger than a number holds", "", "7", "id: 99999999999999999999\n\n", false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var c Splitter
+			c.Resume("")
+			if _, err := c.Split(nil, []byte(tc.before)); err != nil {
+				t.Fatal(err)
+			}
+			c.Resume(tc.last)
+			out, err := c.Split(nil, []byte(tc.event))
+			if (err == nil) != tc.ok || strings.Contains(string(out), "id") && !tc.ok {
+				t.Errorf("got %q, %v; want it passed on: %v", out, err, tc.ok)
+			}
+		})
+	}
+}
+
+// TestIDsWithinResponse guards against an id that comes twice in one response (R7).
+func TestIDsWithinResponse(t *testing.T) {
+	for _, tc := range []struct {
+		name, stream, want string
+	}{
+		{"increasing", "id: 1\n\nid: 2\n\nid: 9\n\n", "id: 1\n\nid: 2\n\nid: 9\n\n"},
+		{"some without an id", "id: 1\n\ndata: x\n\nid: 2\n\n", "id: 1\n\ndata: x\n\nid: 2\n\n"},
+		{"twice", "id: 1\n\nid: 2\n\nid: 2\n\nid: 3\n\n", "id: 1\n\nid: 2\n\n"},
+		{"begun anew", "id: 1\n\nid: 2\n\nid: 1\n\n", "id: 1\n\nid: 2\n\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var c Splitter
+			c.Resume("")
+			out, err := c.Split(nil, []byte(tc.stream))
+			if string(out) != tc.want || (err == nil) != (tc.want == tc.stream) {
+				t.Errorf("got %q, %v; want %q", out, err, tc.want)
+			}
+		})
+	}
+}
--- a/internal/edge/medlarproxy/medlarproxy.go
+++ b/internal/edge/medlarproxy/medlarproxy.go
@@ -16,7 +16,8 @@
 //	    route's.
 //	R5  A resumable stream is resumed at another upstream after its last complete
 //	    event, within the same response and only after the first upstream connection
-//	    is closed.
+//	    is closed. A response that does not begin after that event is not relayed;
+//	    neither is one to a client that resumes its stream.
 package medlarproxy
 
 import (
--- a/internal/edge/medlarproxy/relay.go
+++ b/internal/edge/medlarproxy/relay.go
@@ -105,7 +105,11 @@
 // that fails before it is retried without the client noticing.
 func (a *attempt) relayStream(h *medlarhead.Head, reply medlarcall.Reply) medlarworld.AttemptEnded {
 	body := a.newBody(h)
-	a.events.Reset()
+	last := ""
+	if !a.run.AtMostOnce { // otherwise the stream begins anew, whatever event the client names
+		last = a.lastEventID()
+	}
+	a.events.Resume(last)
 	buf := make([]byte, readBuffer)
 	var events []byte
 	for !a.bodyEnd.Complete {
--- a/internal/ops/medlarattachednode/resume_test.go
+++ b/internal/ops/medlarattachednode/resume_test.go
@@ -40,7 +40,7 @@
 
 // breakOffs returns the endings of a stream that breaks off after its second event.
 func breakOffs() []medlarending.Ending {
-	var out []medlarending.Ending
+	out := []medlarending.Ending{medlarending.Repeating}
 	for _, e := range medlarending.All {
 		if !e.Whole && strings.Contains(e.Body, "id: 2\n") {
 			out = append(out, e)
@@ -59,7 +59,7 @@
 func TestResumedStreamHasNoForeignBytes(t *testing.T) {
 	t.Parallel()
 	for i, cut := range breakOffs() {
-		for j, instead := range medlarending.Instead {
+		for j, instead := range append(medlarending.Instead, medlarending.Skipping) {
 			if testing.Short() && (i+j)%len(breakOffs()) != 0 {
 				continue // each way to break off and each response once
 			}
@@ -102,6 +102,28 @@
 	}
 }
 
+// TestStreamThatCannotBeResumedBeginsAnew guards against a failure of a request that names an event on a route
+// whose streams cannot be resumed.
+func TestStreamThatCannotBeResumedBeginsAnew(t *testing.T) {
+	w, q := resumeFixture(t)
+	q.Arm(startingOver(t))
+	got := w.send(request{method: "POST", path: "/query/x", id: "r", body: "{}", fields: prompt("aa:100,cc:500") + "Last-Event-Id: 2\r\n"})
+	assertEventsInOrder(t, got, 1)
+	assertWentOn(t, got)
+}
+
+// startingOver returns the response that begins with the first event.
+func startingOver(t *testing.T) medlarending.Ending {
+	t.Helper()
+	for _, e := range medlarending.Instead {
+		if e.Name == "stream from the first event on" {
+			return e
+		}
+	}
+	t.Fatal("no such response")
+	return medlarending.Ending{}
+}
+
 func armInstead(q *medlarending.Queue, instead medlarending.Ending, always bool) {
 	if always {
 		q.ArmAlways(instead)
--- a/internal/stand/medlarending/instead.go
+++ b/internal/stand/medlarending/instead.go
@@ -43,8 +43,17 @@
 		return statusOK + r.Fields + closedStream + statusFailed + r.id() + "\r\n" + failure + "\n"
 	}},
 	{Name: "text of a failure in a stream", Text: func(r Request) string { return statusOK + r.Fields + chunkedStream + chunks(failure+"\n") }},
+	{Name: "stream from the first event on", Text: func(r Request) string {
+		return statusOK + r.Fields + chunkedStream + chunks(eventsFrom(1))
+	}},
+	{Name: "stream that repeats the last event", Text: func(r Request) string { return statusOK + r.Fields + chunkedStream + chunks(r.events(0)) }},
+	{Name: "events without ids", Text: func(r Request) string { return statusOK + r.Fields + chunkedStream + chunks("data: z\n\n") }},
 }
 
+// Skipping is a response that leaves out the event after the last one. Only a caller that has events of the
+// stream can tell.
+var Skipping = Ending{Name: "stream that skips an event", Text: func(r Request) string { return statusOK + r.Fields + chunkedStream + chunks(r.events(2)) }}
+
 // FollowedByAnother lists whole responses behind which the replica writes an earlier one once more.
 var FollowedByAnother = []Ending{
 	{Name: "stream in chunks", Keep: true, Text: func(r Request) string { return statusOK + r.Fields + chunkedStream + chunks(r.events(1)) + earlier }},
--- a/internal/stand/medlarending/medlarending.go
+++ b/internal/stand/medlarending/medlarending.go
@@ -103,6 +103,9 @@
 	{Name: "document of a length", ContentType: document, Framing: medlarhead.FramingLength, Body: `{"whole":true}`, Whole: true},
 }
 
+// Repeating is the ending of a numbered stream that sends an event twice.
+var Repeating = Ending{Name: "event that comes twice", ContentType: stream, Framing: medlarhead.FramingChunked, Body: events + "id: 2\ndata: b\n\n"}
+
 // missingBytes are the bytes that an unfinished response of a length lacks.
 const missingBytes = 7
 
