Event streams: a resumed stream needs an event to be complete

A stream that broke off ended as if it were whole where the next replica answered with an empty stream (length 0, or a last chunk only). A caller that resumed got the empty stream as a whole answer.

An empty stream was taken for whole if its framing said so; the proxy then sent the last chunk of the response that an earlier replica had begun.

A response that resumes a stream and has no event is now taken for broken off, so that another replica may go on. A stream that begins empty is passed on as before.

The price: a stream that broke off between its last event and its end can't be told from this, and stays without its end. A response that ends too early as complete is worse: its caller doesn't come back.

--- a/internal/base/medlarevent/medlarevent.go
+++ b/internal/base/medlarevent/medlarevent.go
@@ -9,7 +9,7 @@
 //	R3  An event without an id inherits the id of the previous event.
 //	R4  A stream that ends within an event was interrupted, whatever the framing of
 //	    its response says. Blank lines and comments after the last event belong to
-//	    no event.
+//	    no event. A response that resumes a stream needs an event to be complete.
 //	R5  An event, with the comments and blank lines before it, is at most maxEvent bytes.
 //	R6  An event has a line of data, id, event or retry, and its other lines are fields or
 //	    comments. A block of other lines ends the stream as interrupted: it is text of a
@@ -147,13 +147,13 @@
 }
 
 // Finish appends to out what follows the last event of a stream whose body has ended. toClose tells
-// that the end of the connection delimited the body: then the stream needs an event to be complete.
+// that the end of the connection delimited the body: then the stream needs an event to be complete (R4).
 func (c *Splitter) Finish(out []byte, toClose bool) ([]byte, error) {
 	var err error
 	switch {
 	case c.PartialBytes() > 0:
 		err = errPartialEvent
-	case toClose && c.events == 0:
+	case c.order.resumes || toClose && c.events == 0:
 		err = errNoEvent
 	default:
 		return c.Flush(out), nil
--- a/internal/base/medlarevent/medlarevent_test.go
+++ b/internal/base/medlarevent/medlarevent_test.go
@@ -192,3 +192,30 @@
 		})
 	}
 }
+
+// TestResumedStreamWithoutEvents guards against the end of a stream as complete after a response without an
+// event that was to resume it (R4).
+func TestResumedStreamWithoutEvents(t *testing.T) {
+	for _, tc := range []struct {
+		name, last, body string
+		ok               bool
+	}{
+		{"empty stream", "", "", true},
+		{"resumed, empty", "2", "", false},
+		{"resumed, comment only", "2", ": wait\n\n", false},
+		{"resumed, comment without a blank line", "2", ": wait\n", false},
+		{"resumed, event", "2", "id: 3\n\n", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var c Splitter
+			c.Resume(tc.last)
+			out, err := c.Split(nil, []byte(tc.body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if out, err = c.Finish(out, false); (err == nil) != tc.ok || errors.Is(err, ErrConnectionEnded) {
+				t.Errorf("got %q, %v; want it complete: %v", out, err, tc.ok)
+			}
+		})
+	}
+}
--- a/internal/stand/medlarending/instead.go
+++ b/internal/stand/medlarending/instead.go
@@ -48,6 +48,10 @@
 	}},
 	{Name: "stream that repeats the last event", Text: func(r Request) string { return statusOK + r.Fields + chunkedStream + chunks(r.events(0)) }},
 	{Name: "events without ids", Text: func(r Request) string { return statusOK + r.Fields + chunkedStream + chunks("data: z\n\n") }},
+	{Name: "empty stream of a length", Text: func(r Request) string {
+		return statusOK + r.Fields + "Content-Type: text/event-stream\r\n" + withLength("")
+	}},
+	{Name: "empty stream in chunks", Text: func(r Request) string { return statusOK + r.Fields + chunkedStream + medlarhead.LastChunk }},
 }
 
 // Skipping is a response that leaves out the event after the last one. Only a caller that has events of the
