Event streams: a comment is no event

A stream with neither a length nor chunks whose replica ended its connection after a comment, before the first event, reached its caller as a whole stream.

Such a stream needs an event to be whole, and a block of comments counted as one.

Only events are counted now.

--- a/internal/base/medlarevent/medlarevent.go
+++ b/internal/base/medlarevent/medlarevent.go
@@ -119,12 +119,11 @@
 	case !c.order.add(b.id):
 		return errOrder
 	default:
-		c.idle = 0
+		c.idle, c.events = 0, c.events+1
 	}
 	if b.id != "" {
 		c.id = b.id // R3
 	}
-	c.events++
 	return nil
 }
 
--- a/internal/stand/medlarending/instead.go
+++ b/internal/stand/medlarending/instead.go
@@ -52,6 +52,7 @@
 		return statusOK + r.Fields + "Content-Type: text/event-stream\r\n" + withLength("")
 	}},
 	{Name: "empty stream in chunks", Text: func(r Request) string { return statusOK + r.Fields + chunkedStream + medlarhead.LastChunk }},
+	{Name: "comment only, to the close", Text: func(r Request) string { return statusOK + r.Fields + closedStream + ": wait\n\n" }},
 }
 
 // Skipping is a response that leaves out the event after the last one. Only a caller that has events of the
--- a/internal/stand/medlarending/medlarending.go
+++ b/internal/stand/medlarending/medlarending.go
@@ -86,6 +86,7 @@
 	{Name: "close between two lines", ContentType: stream, Framing: medlarhead.FramingClose, Body: events + "id: 3\ndata: c\n"},
 	{Name: "close within a line, type in capitals", ContentType: capitals, Framing: medlarhead.FramingClose, Body: events + "id: 3\nda"},
 	{Name: "close before the first event", ContentType: stream, Framing: medlarhead.FramingClose},
+	{Name: "close after a comment, before the first event", ContentType: stream, Framing: medlarhead.FramingClose, Body: ": wait\n\n"},
 	{Name: "reset after an event", ContentType: stream, Framing: medlarhead.FramingClose, Body: events, Reset: true},
 	{Name: "chunks to the end", ContentType: stream, Framing: medlarhead.FramingChunked, Body: events, Whole: true},
 	{Name: "last chunk within an event", ContentType: stream, Framing: medlarhead.FramingChunked, Body: events + "id: 3\nda"},
