Streams: a document does not continue the stream that a caller resumes

A caller that resumed its stream after event 2 could get a document of another type as the whole answer. Within a response a document was already refused.

Whether the response can continue a stream was asked only if the proxy itself had sent a part of it.

On the code before, both new rows of TestStreamThatCallerResumesHasNoForeignBytes fail: "{\"whole\":true}" stands where event 3 is due, status 200, whole. The rows within a response hold on both.

A success without events is now no answer to a request that resumes a stream on a resumable route: another replica is tried, else the caller gets 502. Failures of replicas are passed on as before, and so is a document to a caller that begins.

--- a/internal/edge/medlarproxy/relay.go
+++ b/internal/edge/medlarproxy/relay.go
@@ -26,7 +26,7 @@
 
 // relayResponse relays a response that is not a stream.
 func (a *attempt) relayResponse(h *medlarhead.Head, reply medlarcall.Reply) medlarworld.AttemptEnded {
-	if a.responseStarted { // the response cannot continue a stream
+	if a.responseStarted || a.run.Resumes && h.Status < 300 { // the response cannot continue a stream
 		_ = a.upstream.Close()
 		return a.failed(errNotStream, medlarreason.Broken, true)
 	}
--- a/internal/stand/medlarending/instead.go
+++ b/internal/stand/medlarending/instead.go
@@ -53,6 +53,9 @@
 	}},
 	{Name: "empty stream in chunks", Text: func(r Request) string { return statusOK + r.Fields + chunkedStream + medlarhead.LastChunk }},
 	{Name: "comment only, to the close", Text: func(r Request) string { return statusOK + r.Fields + closedStream + ": wait\n\n" }},
+	{Name: "document", Text: func(r Request) string {
+		return statusOK + r.Fields + "Content-Type: application/json\r\n" + withLength(`{"whole":true}`)
+	}},
 }
 
 // Skipping is a response that leaves out the event after the last one. Only a caller that has events of the
