Responses to the close: a head within the body means that it isn't whole

A replica that writes an earlier response once more behind or within one that has neither a length nor chunks: callers got head and body of the second as a part of their own, as a success (MIXED), or as a part of a failure.

Whatever came before the end of the connection was the body.

Such a body is now broken off where a status line begins that ends with CR LF and is followed by the name of a field, or by the end of the body; the bytes are withheld until that is known. A safe request is tried elsewhere, one that may run once ends as 502, a long body that has begun is left without its end.

The rule looks for any head, not only for one with the platform's fields, and within lines, as a body need not end with a line break. It errs for a body that quotes a head with CR LF and has neither a length nor chunks: that request then fails though its answer was right. Text with plain line ends, status lines before other text and the beginnings of status lines are passed on. A foreign response passed on as a success is worse, and a service can avoid the error by a length or chunks, where nothing is looked for. Half a status line at the end of a body, and text of a response without its head, can't be told from a body.

--- a/internal/base/medlarhead/body.go
+++ b/internal/base/medlarhead/body.go
@@ -21,7 +21,8 @@
 	chunkRead bool  // at least one chunk header was read
 	done      bool
 	limited   bool
-	left      int64 // bytes that may still be read, if limited
+	left      int64       // bytes that may still be read, if limited
+	heads     *headFilter // nil for none
 }
 
 // Limit makes Read fail with KindOversized once it has returned n bytes and the body goes on.
@@ -33,10 +34,20 @@
 }
 
 // Done reports whether the complete body has been read.
-func (b *Body) Done() bool { return b.done }
+func (b *Body) Done() bool {
+	return b.done && (b.heads == nil || b.heads.safe == 0 && b.heads.err == io.EOF)
+}
 
 // Read implements io.Reader.
 func (b *Body) Read(p []byte) (int, error) {
+	if b.heads != nil {
+		return b.heads.read(p, b.read)
+	}
+	return b.read(p)
+}
+
+// read reads the bytes that the framing says belong to the body.
+func (b *Body) read(p []byte) (int, error) {
 	if b.framing == FramingChunked && b.remaining == 0 && !b.done {
 		if err := b.nextChunk(); err != nil {
 			return 0, err
--- /dev/null
+++ b/internal/base/medlarhead/further.go
@@ -0,0 +1,140 @@
+package medlarhead
+
+import (
+	"bytes"
+	"io"
+)
+
+// RejectHeads makes Read fail with KindMalformed where a body that only the end of the connection delimits holds
+// the head of a further response (R5).
+func (b *Body) RejectHeads() {
+	if b.framing == FramingClose {
+		b.heads = &headFilter{}
+	}
+}
+
+// headFilter withholds the bytes of a body that may be the head of a further response.
+type headFilter struct {
+	buf  []byte
+	safe int // bytes of buf that are no part of a head
+	err  error
+}
+
+// filterBlock is the size of one read of a headFilter in bytes.
+const filterBlock = 4096
+
+// read reads from a source up to a head.
+func (f *headFilter) read(p []byte, source func([]byte) (int, error)) (int, error) {
+	for len(p) > 0 && f.safe == 0 && f.err == nil {
+		f.fill(source)
+	}
+	if f.safe == 0 {
+		return 0, f.err
+	}
+	n := copy(p, f.buf[:f.safe])
+	f.buf, f.safe = f.buf[n:], f.safe-n
+	return n, nil
+}
+
+// fill reads once from a source.
+func (f *headFilter) fill(source func([]byte) (int, error)) {
+	block := make([]byte, filterBlock)
+	n, err := source(block)
+	f.buf, f.err = append(f.buf, block[:n]...), err
+	found := false
+	if f.safe, found = findHead(f.buf, err == io.EOF); found {
+		f.err = malformed(OpBody, "head of a further response")
+	}
+}
+
+// statusStart begins each status line.
+var statusStart = []byte("HTTP/1.")
+
+// findHead returns where the first head, or what may become one, begins in b, and whether it is a head. ended tells
+// that nothing follows b.
+func findHead(b []byte, ended bool) (at int, found bool) {
+	for {
+		i := bytes.Index(b[at:], statusStart)
+		if i < 0 {
+			break
+		}
+		at += i
+		switch m := matchHead(b[at:]); {
+		case m == headWhole, ended && m == headLine:
+			return at, true
+		case m != headNone && !ended:
+			return at, false
+		}
+		at++
+	}
+	if ended {
+		return len(b), false
+	}
+	for n := min(len(statusStart)-1, len(b)); n > 0; n-- {
+		if bytes.HasSuffix(b, statusStart[:n]) {
+			return len(b) - n, false
+		}
+	}
+	return len(b), false
+}
+
+// headMatch is how much of a head some bytes are.
+type headMatch int
+
+const (
+	headNone  headMatch = iota
+	headStart           // the beginning of a status line
+	headLine            // a status line and perhaps the beginning of a field
+	headWhole           // a status line and a field
+)
+
+// matchHead returns how much of a head b is, which begins with statusStart.
+func matchHead(b []byte) headMatch {
+	line, rest, ended := bytes.Cut(b, []byte("\r\n"))
+	switch {
+	case !isStatusLine(line, ended):
+		return headNone
+	case !ended:
+		return headStart
+	}
+	name, _, isField := bytes.Cut(rest, []byte(":"))
+	switch {
+	case len(rest) == 0:
+		return headLine
+	case len(name) > maxLineBytes || !isToken(string(name)):
+		return headNone
+	case isField:
+		return headWhole
+	}
+	return headLine
+}
+
+// statusLineStart is the length of a version, a space and a status.
+const statusLineStart = len("HTTP/1.1 200")
+
+// isStatusLine reports whether a line, which begins with statusStart, is a status line, or can become one if it has
+// not ended.
+func isStatusLine(line []byte, ended bool) bool {
+	if !ended {
+		line = bytes.TrimSuffix(line, []byte("\r"))
+	}
+	if len(line) > maxLineBytes || ended && len(line) < statusLineStart || !isValue(string(line)) {
+		return false
+	}
+	for i, c := range line[:min(len(line), statusLineStart+1)] {
+		switch {
+		case i < len(statusStart):
+		case i == len(statusStart):
+			if c != '0' && c != '1' {
+				return false
+			}
+		case i == len(statusStart)+1, i == statusLineStart:
+			if c != ' ' {
+				return false
+			}
+		case c < '0' || c > '9':
+			return false
+		}
+	}
+	return true
+}
--- a/internal/edge/medlarproxy/medlarproxy.go
+++ b/internal/edge/medlarproxy/medlarproxy.go
@@ -10,7 +10,8 @@
 //	    terminated as if it were complete: its final chunk is not sent. A stream is
 //	    incomplete if it ends within an event, whatever its framing says, if its
 //	    connection ends before the first event, or from the first block on that is
-//	    not an event.
+//	    not an event. Any other body that the end of its connection delimits is
+//	    incomplete if it holds the head of a further response.
 //	R3  A client that disconnects cancels the work for its request.
 //	R4  A request is answered by its deadline, the earlier of the client's and the
 //	    route's.
--- a/internal/edge/medlarproxy/relay.go
+++ b/internal/edge/medlarproxy/relay.go
@@ -31,6 +31,7 @@
 		return a.failed(errNotStream, medlarreason.Broken, true)
 	}
 	body := a.newBody(h)
+	body.RejectHeads()
 	buf, err := medlarhead.ReadSome(body, maxBufferedBody)
 	if err != nil {
 		_ = a.upstream.Close()
--- a/internal/stand/medlarending/instead.go
+++ b/internal/stand/medlarending/instead.go
@@ -73,6 +73,25 @@
 	}},
 }
 
+// WithAnother lists responses that only the end of the connection delimits and within which the replica writes an
+// earlier one once more.
+var WithAnother = []Ending{
+	{Name: "behind the body", Text: func(r Request) string { return statusOK + r.Fields + "\r\n" + ownBody + earlier }},
+	{Name: "before the body", Text: func(r Request) string { return statusOK + r.Fields + "\r\n" + earlier + ownBody }},
+	{Name: "within the body", Text: func(r Request) string { return statusOK + r.Fields + "\r\n" + ownBody + earlier + ownBody }},
+	{Name: "cut off in its head", Text: func(r Request) string { return statusOK + r.Fields + "\r\n" + ownBody + earlier[:50] }},
+	{Name: "without an id", Text: func(r Request) string { return statusOK + r.Fields + "\r\n" + ownBody + statusOK + withLength("extra") }},
+	{Name: "behind a failure", Text: func(r Request) string { return statusFailed + r.Fields + "\r\n" + failure + earlier }},
+	{Name: "behind a long body", Text: func(r Request) string {
+		return statusOK + r.Fields + "\r\n" + strings.Repeat(ownBody, longBody) + earlier
+	}},
+}
+
+const (
+	ownBody  = "the answer.\n"
+	longBody = 20000 // times ownBody; longer than what an instance buffers
+)
+
 // earlier is a response to another request.
 const earlier = statusFailed + "Medlarfield-Request-Id: earlier\r\nMedlarfield-Server-Signature: sig\r\nContent-Length: 7\r\n\r\nearlier"
 
