Event streams: an event in whose lines a head begins is none

A replica that writes an earlier response once more in the middle of a line: the rest of that line and the fields of the second head were passed on as one event.

The rule of blocks that are no events looks at lines, and a status line behind "data: c" or "id: 3" is a part of a line of an event.

A block now also is no event if a status line that ends with CR LF stands anywhere in it and a field follows that is not data, id, event or retry. An event that quotes a status line passes: its next line is a line of the event, whatever its line ends. A stream with CR LF whose event quotes a status line and goes on with a field of another name would be broken off; such a field stands first, if at all.

--- a/internal/base/medlarevent/block.go
+++ b/internal/base/medlarevent/block.go
@@ -1,6 +1,10 @@
 package medlarevent
 
-import "bytes"
+import (
+	"bytes"
+
+	"medlarfield/internal/base/medlarhead"
+)
 
 // byteOrderMark may stand before the first line of a stream.
 var byteOrderMark = []byte("\xef\xbb\xbf")
@@ -14,6 +18,9 @@
 
 // parseBlock parses the lines up to an empty one.
 func parseBlock(text []byte) block {
+	if name, found := medlarhead.HeadField(text); found && !isKnown([]byte(name)) {
+		return block{malformed: true} // an event that quotes a status line goes on with a field of its own
+	}
 	b := block{empty: true}
 	event := false
 	for line := range bytes.Lines(bytes.TrimPrefix(text, byteOrderMark)) {
--- a/internal/base/medlarevent/medlarevent.go
+++ b/internal/base/medlarevent/medlarevent.go
@@ -13,7 +13,8 @@
 //	R5  An event, with the comments and blank lines before it, is at most maxEvent bytes.
 //	R6  An event has a line of data, id, event or retry, and its other lines are fields or
 //	    comments. A block of other lines ends the stream as interrupted: it is text of a
-//	    failure or the head of another response.
+//	    failure or the head of another response. So does an event within whose lines such a
+//	    head begins.
 //	R7  After Resume, decimal ids increase from event to event. A response that resumes a
 //	    stream begins after the last event, with the next id if the ids have counted by
 //	    one so far, and not at all after an event without an id. A stream ends as
--- a/internal/base/medlarhead/further.go
+++ b/internal/base/medlarhead/further.go
@@ -78,6 +78,15 @@
 	return len(b), false
 }
 
+// HeadField returns the name of the first field of the first head of a response within b. It returns false if b holds
+// none.
+func HeadField(b []byte) (string, bool) {
+	at, found := findHead(b, true)
+	_, fields, _ := bytes.Cut(b[at:], []byte("\r\n"))
+	name, _, _ := bytes.Cut(fields, []byte(":"))
+	return string(name), found
+}
+
 // headMatch is how much of a head some bytes are.
 type headMatch int
 
--- a/internal/stand/medlarending/medlarending.go
+++ b/internal/stand/medlarending/medlarending.go
@@ -99,6 +99,8 @@
 	{Name: "another response in a stream to the close", ContentType: stream, Framing: medlarhead.FramingClose, Body: events + earlier + "\n\nid: 3\ndata: c\n\n"},
 	{Name: "another response in a chunk", ContentType: stream, Framing: medlarhead.FramingChunked, Body: events + earlier + "\n\n"},
 	{Name: "another response within a line of a stream", ContentType: stream, Framing: medlarhead.FramingClose, Body: events + "id: 3\nda" + earlier + "\n\n"},
+	{Name: "another response behind half a line of data", ContentType: stream, Framing: medlarhead.FramingClose, Body: events + "id: 3\ndata: c" + earlier + "\n\n"},
+	{Name: "another response behind an id", ContentType: stream, Framing: medlarhead.FramingChunked, Body: events + "id: 3" + earlier + "\n\n"},
 	{Name: "text of a failure in a stream", ContentType: stream, Framing: medlarhead.FramingLength, Body: events + failure + "\n"},
 	{Name: "document to the close", ContentType: document, Framing: medlarhead.FramingClose, Body: `{"whole":true}`, Whole: true},
 	{Name: "document of a length", ContentType: document, Framing: medlarhead.FramingLength, Body: `{"whole":true}`, Whole: true},
