Engines: refuse events that name another request

At the own interface, an engine that writes events of another request, as where it answers an earlier one once more, could add their text to the answer of a caller: they have the numbers that are due, and the answer ended as whole.

Each event names its request; the reader did not compare it with its own.

TestResponsesThatAreNoContinuation has 18 responses of the next engine to a run that goes on after two parts. On the code before, 16 hold (failures in each form, heads and text within a stream, documents, empty streams, a part left out, a stream from the first part on, whose parts are dropped as duplicates) and two fail: "got [\"other\"]", complete.

An event that names another request now makes the run fail as malformed, so that it goes on at another engine. Events that name none are read as before.

--- a/internal/upstream/medlarengine/medlarengine.go
+++ b/internal/upstream/medlarengine/medlarengine.go
@@ -217,7 +217,7 @@
 		defer resp.Close()
 		return nil, wrap(OpRun, responseError(resp))
 	}
-	return &Stream{http: resp, reader: newLineReader(resp.Body), buffer: medlarsequence.New(p.ResumeParts)}, nil
+	return &Stream{http: resp, request: p.RequestID, reader: newLineReader(resp.Body), buffer: medlarsequence.New(p.ResumeParts)}, nil
 }
 
 // Cancel cancels the attempt identified by run.
--- a/internal/upstream/medlarengine/stream.go
+++ b/internal/upstream/medlarengine/stream.go
@@ -66,11 +66,12 @@
 
 // Stream reads the streamed answer of one run.
 type Stream struct {
-	http   *medlarhttp.Stream
-	reader *bufio.Reader
-	buffer *medlarsequence.Buffer
-	texts  []string
-	final  *Event // the final event, kept until [DONE] arrives
+	http    *medlarhttp.Stream
+	request medlarid.RequestID
+	reader  *bufio.Reader
+	buffer  *medlarsequence.Buffer
+	texts   []string
+	final   *Event // the final event, kept until [DONE] arrives
 }
 
 func newLineReader(r io.Reader) *bufio.Reader { return bufio.NewReaderSize(r, lineBufferSize) }
@@ -79,7 +80,8 @@
 func (s *Stream) Buffered() bool { return s.reader.Buffered() > 0 }
 
 // Next returns the next parts of the answer in order. A stream that ends without
-// its final event, or with a part missing, is an error of KindTruncated.
+// its final event, or with a part missing, is an error of KindTruncated. An event that names another
+// request is one of KindMalformed.
 func (s *Stream) Next() (Chunk, error) {
 	for {
 		data, err := s.nextData()
@@ -93,6 +95,9 @@
 		if err := json.Unmarshal(data, &e); err != nil {
 			return Chunk{}, &Error{Op: OpRun, Kind: KindMalformed, Err: eris.Wrap(err, "event")}
 		}
+		if e.RequestID != "" && e.RequestID != s.request {
+			return Chunk{}, &Error{Op: OpRun, Kind: KindMalformed, Err: eris.New("event of another request")}
+		}
 		if e.Usage != nil {
 			s.final = &e
 			continue
