--- a/internal/base/medlarevent/medlarevent.go
+++ b/internal/base/medlarevent/medlarevent.go
@@ -9,8 +9,16 @@
 //	R3  An event without an id inherits the id of the previous event.
 //	R4  A stream that ends within an event was interrupted, whatever the framing of
 //	    its response says. Blank lines and comments after the last event belong to
-//	    no event.
+//	    no event. A response that resumes a stream needs an event to be complete.
 //	R5  An event, with the comments and blank lines before it, is at most maxEvent bytes.
+//	R6  An event has a line of data, id, event or retry, and its other lines are fields or
+//	    comments. A block of other lines ends the stream as interrupted: it is text of a
+//	    failure or the head of another response. So does an event within whose lines such a
+//	    head begins.
+//	R7  After Resume, decimal ids increase from event to event. A response that resumes a
+//	    stream begins after the last event, with the next id if the ids have counted by
+//	    one so far, and not at all after an event without an id. A stream ends as
+//	    interrupted before an event that is out of order.
 package medlarevent
 
 import (
@@ -27,6 +35,8 @@
 var (
 	ErrConnectionEnded = errors.New("medlarevent: connection ended")
 	errPartialEvent    = errors.New("medlarevent: stream ended within an event")
+	errNotEvent        = errors.New("medlarevent: block is not an event")
+	errOrder           = errors.New("medlarevent: event is out of order")
 	errNoEvent         = errors.New("medlarevent: stream ended before the first event")
 )
 
@@ -45,8 +55,9 @@
 type Splitter struct {
 	buf    []byte
 	id     string // of the last complete event
-	events int    // complete events since the last Reset
+	events int    // complete events since the last Resume
 	idle   int    // bytes of comments and blank lines since the last event
+	order  order
 }
 
 // ID returns the id of the last complete event, or an empty string.
@@ -65,43 +76,56 @@
 	return 0
 }
 
-// Events returns the number of complete events since the last Reset.
+// Events returns the number of complete events since the last Resume.
 func (c *Splitter) Events() int { return c.events }
 
-// Reset discards an incomplete event, before the stream is resumed from a new response.
-func (c *Splitter) Reset() { c.buf, c.events, c.idle = c.buf[:0], 0, 0 }
+// Resume prepares for a response that goes on after the event with an id; empty for one that begins the
+// stream. It discards an incomplete event (R7).
+func (c *Splitter) Resume(last string) {
+	c.buf, c.events, c.idle = c.buf[:0], 0, 0
+	c.order.resume(last)
+}
 
 // Split reads the next bytes of the stream and appends the complete events to out.
 func (c *Splitter) Split(out, data []byte) ([]byte, error) {
 	c.buf = append(c.buf, data...)
 	complete := 0
-	for {
+	var err error
+	for err == nil {
 		n := eventEnd(c.buf[complete:])
 		if n == 0 {
 			break
 		}
-		c.recordID(c.buf[complete : complete+n])
-		c.countIdle(c.buf[complete : complete+n])
-		c.events++
-		complete += n
+		if err = c.add(c.buf[complete : complete+n]); err == nil {
+			complete += n
+		}
 	}
 	out = append(out, c.buf[:complete]...)
 	c.buf = append(c.buf[:0], c.buf[complete:]...)
-	if len(c.buf) > maxEvent || c.idle > maxEvent {
-		return out, ErrEventTooLarge
+	if err == nil && (len(c.buf) > maxEvent || c.idle > maxEvent) {
+		err = ErrEventTooLarge
 	}
-	return out, nil
+	return out, err
 }
 
-// countIdle counts the bytes of a block that has comments and blank lines only (R5).
-func (c *Splitter) countIdle(block []byte) {
-	for line := range bytes.Lines(block) {
-		if text := bytes.TrimRight(line, "\r\n"); len(text) > 0 && text[0] != ':' {
-			c.idle = 0
-			return
-		}
+// add counts a block of lines up to an empty one and records its id. It returns an error if the block is
+// neither an event nor only comments (R6), or out of order (R7).
+func (c *Splitter) add(text []byte) error {
+	b := parseBlock(text)
+	switch {
+	case b.malformed:
+		return errNotEvent
+	case b.empty:
+		c.idle += len(text) // R5
+	case !c.order.add(b.id):
+		return errOrder
+	default:
+		c.idle, c.events = 0, c.events+1
+	}
+	if b.id != "" {
+		c.id = b.id // R3
 	}
-	c.idle += len(block)
+	return nil
 }
 
 // eventEnd returns the length of the first event including its empty line, or 0 if it is
@@ -122,23 +146,14 @@
 	}
 }
 
-// recordID records the id of an event that has one (R3).
-func (c *Splitter) recordID(event []byte) {
-	for line := range bytes.Lines(event) {
-		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			c.id = string(bytes.TrimSpace(v))
-		}
-	}
-}
-
 // Finish appends to out what follows the last event of a stream whose body has ended. toClose tells
-// that the end of the connection delimited the body: then the stream needs an event to be complete.
+// that the end of the connection delimited the body: then the stream needs an event to be complete (R4).
 func (c *Splitter) Finish(out []byte, toClose bool) ([]byte, error) {
 	var err error
 	switch {
 	case c.PartialBytes() > 0:
 		err = errPartialEvent
-	case toClose && c.events == 0:
+	case c.order.resumes || toClose && c.events == 0:
 		err = errNoEvent
 	default:
 		return c.Flush(out), nil
--- a/internal/edge/medlarproxy/relay.go
+++ b/internal/edge/medlarproxy/relay.go
@@ -1,7 +1,6 @@
 package medlarproxy
 
 import (
-	"errors"
 	"io"
 	"time"
 
@@ -27,7 +26,7 @@
 
 // relayResponse relays a response that is not a stream.
 func (a *attempt) relayResponse(h *medlarhead.Head, reply medlarcall.Reply) medlarworld.AttemptEnded {
-	if a.responseStarted { // the response cannot continue a stream
+	if a.responseStarted || a.run.Resumes && h.Status < 300 { // the response cannot continue a stream
 		_ = a.upstream.Close()
 		return a.failed(errNotStream, medlarreason.Broken, true)
 	}
@@ -36,6 +35,7 @@
 		return a.failed(errPromise, medlarreason.Failure, true)
 	}
 	body := a.newBody(h)
+	body.RejectHeads()
 	buf, err := medlarhead.ReadSome(body, maxBufferedBody)
 	if err != nil {
 		_ = a.upstream.Close()
@@ -110,7 +110,11 @@
 // that fails before it is retried without the client noticing.
 func (a *attempt) relayStream(h *medlarhead.Head, reply medlarcall.Reply) medlarworld.AttemptEnded {
 	body := a.newBody(h)
-	a.events.Reset()
+	last := ""
+	if !a.run.AtMostOnce { // otherwise the stream begins anew, whatever event the client names
+		last = a.lastEventID()
+	}
+	a.events.Resume(last)
 	buf := make([]byte, readBuffer)
 	var events []byte
 	for !a.bodyEnd.Complete {
@@ -118,7 +122,10 @@
 		a.bodyEnd.Complete = err == io.EOF
 		var splitErr error
 		events, splitErr = a.events.Split(events[:0], buf[:n])
-		if a.bodyEnd.Complete {
+		switch {
+		case splitErr != nil:
+			err = splitErr
+		case a.bodyEnd.Complete:
 			events, err = a.events.Finish(events, h.Framing == medlarhead.FramingClose)
 		}
 		if len(events) > 0 && a.began.IsZero() {
@@ -128,7 +135,7 @@
 			_ = a.upstream.Close()
 			return a.ended(medlarkind.CauseCallerLeft, "", true)
 		}
-		if err = errors.Join(err, splitErr); err != nil {
+		if err != nil {
 			a.bodyEnd.PartialBytes = a.events.PartialBytes()
 			_ = a.upstream.Close() // before the stream is resumed at another upstream (R5)
 			return a.failed(err, medlarreason.Truncated, true)
