Send no body in the refusal of a HEAD request

What callers could see: a refusal of a HEAD request had a body of 40 bytes, which a client reads as its next response. The patience of attempts moves to medlarrun.

--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -24,12 +24,11 @@
 
 // Limits of requests and responses.
 const (
-	maxResponseBody     = 16 << 20              // bytes of a response's body; a replica in trouble may send without end
-	maxInlineBody       = 16 << 10              // bytes; a longer request body is written while the response is read
-	unsignedWait        = 50 * time.Millisecond // for the end of the connection after a head without a signature
-	firstAttemptTargets = 4                     // target latencies after which an attempt is abandoned whose answer may not come
-	statusOK            = 200
-	statusFailure       = 500
+	maxResponseBody = 16 << 20              // bytes of a response's body; a replica in trouble may send without end
+	maxInlineBody   = 16 << 10              // bytes; a longer request body is written while the response is read
+	unsignedWait    = 50 * time.Millisecond // for the end of the connection after a head without a signature
+	statusOK        = 200
+	statusFailure   = 500
 )
 
 // attempt is one attempt of a request at an upstream.
@@ -120,19 +119,11 @@
 // can still respond in time.
 func (a *attempt) deadline() time.Time {
 	if a.route.Kind == medlarcatalog.KindIdempotent && a.route.MaxAttempts > 1 && a.summary.Attempts == 1 {
-		return a.patience()
+		return medlarrun.Patience(a.route, a.started, a.run.Deadline)
 	}
 	return a.run.Deadline
 }
 
-// patience returns when an attempt is abandoned whose answer may not come.
-func (a *attempt) patience() time.Time {
-	if a.route.TargetLatency <= 0 {
-		return a.run.Deadline
-	}
-	return earlier(a.started.Add(firstAttemptTargets*a.route.TargetLatency), a.run.Deadline)
-}
-
 // send writes the request. A long body is written in the background while the response is
 // read, as the upstream may respond before it has read all of the body.
 func (a *attempt) send() error {
@@ -191,7 +182,7 @@
 // hints count.
 func (a *attempt) unnamedRejection(reply medlarcall.Reply) {
 	a.unnamed = true
-	_ = a.upstream.SetDeadline(a.patience())
+	_ = a.upstream.SetDeadline(medlarrun.Patience(a.route, a.started, a.run.Deadline))
 	a.proxy.deps.Pool.Isolate(a.cmd.Address)
 	a.postHints(reply)
 }
@@ -229,7 +220,7 @@
 // have been cut off before it: what follows is read for a moment, to see whether the upstream ends
 // the connection.
 func (a *attempt) failUnsigned(h *medlarhead.Head) medlarworld.AttemptEnded {
-	_ = a.upstream.SetDeadline(earlier(time.Now().Add(unsignedWait), a.run.Deadline))
+	_ = a.upstream.SetDeadline(medlarrun.Earlier(time.Now().Add(unsignedWait), a.run.Deadline))
 	body := medlarhead.NewBody(a.upstream.Reader, h)
 	body.Limit(maxBufferedBody)
 	_, err := io.Copy(io.Discard, body)
@@ -241,13 +232,6 @@
 	return ended
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // failed returns the result of an attempt without a valid response.
 func (a *attempt) failed(err error, reason medlarreason.Reason, reached bool) medlarworld.AttemptEnded {
 	a.err = err
--- a/internal/edge/medlarproxy/exchange.go
+++ b/internal/edge/medlarproxy/exchange.go
@@ -11,6 +11,7 @@
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarcall"
+	"medlarfield/internal/edge/medlarrefusal"
 	"medlarfield/internal/edge/medlarrun"
 	"medlarfield/internal/edge/medlarserver"
 )
@@ -182,7 +183,8 @@
 	if medlarreason.MeansNotRun(x.summary.Status) {
 		x.summary.RetryAfter = after
 	}
-	x.summary.Complete = x.write(x.proxy.refusalResponse(x.summary, x.closesConn())) == nil
+	format := medlarrefusal.Format{Last: x.closesConn(), Head: x.head.Method == "HEAD"}
+	x.summary.Complete = x.write(format.Append(nil, x.summary, x.proxy.deps.Refusal)) == nil
 	return x.summary.Complete
 }
 
--- a/internal/edge/medlarproxy/medlarproxy.go
+++ b/internal/edge/medlarproxy/medlarproxy.go
@@ -33,6 +33,7 @@
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarcall"
 	"medlarfield/internal/edge/medlarpool"
+	"medlarfield/internal/edge/medlarrefusal"
 	"medlarfield/internal/edge/medlarserver"
 )
 
@@ -62,7 +63,7 @@
 	// Reply parses the metadata of a response.
 	Reply func(*medlarhead.Head) medlarcall.Reply
 	// Refusal appends the header fields of a response that the proxy generates.
-	Refusal func(b []byte, id medlarid.RequestID, after time.Duration) []byte
+	Refusal medlarrefusal.Fields
 	// Observer receives the result of each attempt and each request.
 	Observer Observer
 	Rand     func() float64
@@ -117,25 +118,10 @@
 // reject responds to a request that cannot be read.
 func (p *Proxy) reject(c *medlarserver.Conn, status int, reason medlarreason.Reason) {
 	summary := &medlarcall.Summary{Status: status, Reason: reason, Ran: medlarreason.RanNo}
-	summary.Complete = c.Send(p.refusalResponse(summary, true)) == nil
+	summary.Complete = c.Send(medlarrefusal.Format{Last: true}.Append(nil, summary, p.deps.Refusal)) == nil
 	p.deps.Observer.RequestEnded(summary)
 }
 
-// refusalResponse returns a response that the proxy generates.
-func (p *Proxy) refusalResponse(summary *medlarcall.Summary, last bool) []byte {
-	row, _ := medlarreason.Lookup(summary.Reason)
-	b := medlarhead.AppendStatus(make([]byte, 0, 256), summary.Status)
-	b = medlarhead.AppendField(b, "Content-Type", "text/plain")
-	if last {
-		b = medlarhead.AppendField(b, "Connection", "close")
-	}
-	b = p.deps.Refusal(b, summary.ID, summary.RetryAfter)
-	b = medlarhead.AppendLength(b, len(row.Text)+1)
-	b = medlarhead.AppendEnd(b)
-	b = append(b, row.Text...)
-	return append(b, '\n')
-}
-
 // runID returns a run id that is unique in the process, even if clients send the same
 // request id.
 func (p *Proxy) runID(id medlarid.RequestID) medlarid.RequestID {
--- a/internal/edge/medlarrun/medlarrun.go
+++ b/internal/edge/medlarrun/medlarrun.go
@@ -130,3 +130,23 @@
 	}
 	return medlarkey.NewCacheSalt(v, "")
 }
+
+// patienceTargets is the number of target latencies after which an attempt is abandoned whose answer may not come.
+const patienceTargets = 4
+
+// Patience returns when an attempt is abandoned whose answer may not come; started is its start, and deadline that of
+// its request.
+func Patience(r *medlarcatalog.Route, started, deadline time.Time) time.Time {
+	if r.TargetLatency <= 0 {
+		return deadline
+	}
+	return Earlier(started.Add(patienceTargets*r.TargetLatency), deadline)
+}
+
+// Earlier returns the earlier of two times.
+func Earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
