A model that isn't UTF-8 ends no process

Seen: one request of a caller, on any route, with a model header that is not UTF-8 ends the process once it is answered, with all requests that it serves then. The same request ends each instance that it comes to.

Cause: the time to first token is counted under the model that the caller names, and the metrics panic on a label that is not UTF-8:

panic: label value "\xff\xfe" is not valid UTF-8 medlarmetric.(*Metrics).ObserveTTFT, medlarrequestlog.countRequest, medlarproxy.(*exchange).close

By the same cause each name that callers think of had a histogram of its own, which is never freed.

The summary of a request names its model only if the operators have it, so that the label is one of a bounded set of names that were decoded as UTF-8.

--- a/internal/edge/medlarcall/medlarcall.go
+++ b/internal/edge/medlarcall/medlarcall.go
@@ -183,7 +183,7 @@
 	Route         string
 	Kind          medlarcatalog.RouteKind // of the route; empty if no route was found
 	Service       medlarid.ServiceID
-	Model         medlarid.ModelID
+	Model         medlarid.ModelID // of the request, if the operators have it; callers may name anything
 	ConfigVersion uint64
 	Status        int                 // 0 if the connection was closed without a response
 	Reason        medlarreason.Reason // why the request was refused
--- a/internal/edge/medlarproxy/exchange.go
+++ b/internal/edge/medlarproxy/exchange.go
@@ -58,7 +58,7 @@
 func (x *exchange) serve() bool {
 	call, err := x.proxy.deps.Decode(x.head)
 	x.call = call
-	x.summary.ID, x.summary.Model = call.ID, call.Model
+	x.summary.ID = call.ID
 	x.summary.LastEventID, x.summary.Resumes = call.LastEventID, call.Resumes
 	if err != nil {
 		return x.refuse(medlarreason.Malformed, medlarreason.RanNo, 0)
@@ -101,6 +101,9 @@
 	if x.call.Model != "" {
 		q.Serving, q.Desired = x.proxy.deps.Versions(x.call.Model)
 	}
+	if q.Desired != "" {
+		x.summary.Model = x.call.Model
+	}
 	at := x.proxy.deps.Rand()
 	if stream, _ := q.Stream(); stream != 0 {
 		at = stream.Fraction() // a stream goes on at the service that began it
