Count entries that can't be decoded, and log the first of a series

Seen: another writer that writes an odd entry again and again, as replicas do at each heartbeat, gets a line of the log each time, and no metric tells of it.

medlar_malformed_total counts records that can't be decoded by source. The registry keeps the ids whose latest entry is odd and logs the first; a good entry or a removal ends the series.

--- a/internal/edge/medlarmetric/medlarmetric.go
+++ b/internal/edge/medlarmetric/medlarmetric.go
@@ -73,6 +73,7 @@
 	exportsDropped prometheus.Counter
 	replays        prometheus.Counter
 	callFailures   *prometheus.CounterVec
+	malformed      *prometheus.CounterVec
 	listReads      *prometheus.CounterVec
 	orders         *prometheus.CounterVec
 	version        prometheus.Gauge
@@ -100,6 +101,7 @@
 	m.tokens = m.newCounterVec("tokens_total", "Tokens, by kind: prompt, cached, completion.", "kind")
 	m.bytesMoved = m.newCounterVec("moved_bytes_total", "Bytes of kept context moved, by direction.", "direction")
 	m.callFailures = m.newCounterVec("platform_failures_total", "Failed calls to the platform, by part.", "part")
+	m.malformed = m.newCounterVec("malformed_total", "Records of others that are ignored since they cannot be decoded, by source: replicas, operators, stores.", "source")
 	m.listReads = m.newCounterVec("lists_reads_total", "Reads of the lists stream, by source: log, relay.", "source")
 	m.orders = m.newCounterVec("orders_total", "Orders to engines, by result: given, failed.", "result")
 	m.ttft = prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -212,6 +214,21 @@
 // CallFailed counts a failed call to a part of the platform.
 func (m *Metrics) CallFailed(part string) { m.callFailures.WithLabelValues(part).Inc() }
 
+// Source is where records of others come from.
+type Source string
+
+// Sources.
+const (
+	SourceReplicas  Source = "replicas"
+	SourceOperators Source = "operators"
+	SourceStores    Source = "stores" // the contents of KV stores
+)
+
+// Malformed counts records of others that cannot be decoded.
+func (m *Metrics) Malformed(s Source, n int) {
+	m.malformed.WithLabelValues(string(s)).Add(float64(n))
+}
+
 // ExportDropped counts a dropped export.
 func (m *Metrics) ExportDropped() { m.exportsDropped.Inc() }
 
--- a/internal/ops/medlarattachednode/reach.go
+++ b/internal/ops/medlarattachednode/reach.go
@@ -38,8 +38,8 @@
 	return medlarpool.New(medlarpool.Deps{Dial: d.Dial, Usable: d.Usable})
 }
 
-func newRegistry(log zerolog.Logger, pool *medlarpool.Pool, loop *medlarloop.Loop, d *medlardialer.Dialer) *medlarregistry.Registry {
-	registry := medlarregistry.New(log, pool, loop.Post)
+func newRegistry(log zerolog.Logger, m *medlarmetric.Metrics, pool *medlarpool.Pool, loop *medlarloop.Loop, d *medlardialer.Dialer) *medlarregistry.Registry {
+	registry := medlarregistry.New(log, pool, loop.Post, func(s medlarmetric.Source) { m.Malformed(s, 1) })
 	d.Connect(registry.Replica, loop.Post, pool)
 	return registry
 }
--- a/internal/ops/medlarregistry/medlarregistry.go
+++ b/internal/ops/medlarregistry/medlarregistry.go
@@ -6,7 +6,8 @@
 //
 //	R1  Catalog and desired weight versions are monotonic: an older one is ignored.
 //	R2  A record that cannot be decoded is ignored; an entry that does not describe a
-//	    usable replica removes its replica.
+//	    usable replica removes its replica. Both are counted; the first of a series of
+//	    such entries under one id is logged.
 //	R3  A weight version that a replica itself reported overrides the one in its entry,
 //	    if it is newer and belongs to the same start of the replica.
 package medlarregistry
@@ -26,6 +27,7 @@
 	"medlarfield/internal/core/medlarhistory"
 	"medlarfield/internal/core/medlarplacement"
 	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/edge/medlarmetric"
 	"medlarfield/internal/edge/medlarpool"
 	"medlarfield/internal/ops/medlarcachetracker"
 	"medlarfield/internal/ops/medlardialer"
@@ -41,14 +43,16 @@
 // weight versions and the replicas. It posts each change to the core. It is safe for
 // concurrent use.
 type Registry struct {
-	log  zerolog.Logger
-	post func(medlarworld.Event)
-	pool *medlarpool.Pool
+	log         zerolog.Logger
+	post        func(medlarworld.Event)
+	pool        *medlarpool.Pool
+	onMalformed func(medlarmetric.Source)
 
 	mu                  sync.Mutex
 	catalog             *medlarcatalog.Catalog
 	desired             medlarrollout.DesiredVersions
 	replicas            map[medlarid.InstanceID]*replica
+	malformed           map[medlarid.InstanceID]bool               // ids whose latest entry cannot be decoded
 	replicasRead        bool                                       // whether the replicas have been read once
 	versionHistory      map[medlarid.ModelID]medlarhistory.History // successive desired versions
 	revision            medlarid.Offset                            // number of catalog changes posted to the core
@@ -107,11 +111,12 @@
 	return r.version()
 }
 
-// New returns an empty registry that posts its changes to the core with post.
-func New(log zerolog.Logger, pool *medlarpool.Pool, post func(medlarworld.Event)) *Registry {
+// New returns an empty registry that posts its changes to the core with post. onMalformed is
+// called for each record that cannot be decoded.
+func New(log zerolog.Logger, pool *medlarpool.Pool, post func(medlarworld.Event), onMalformed func(medlarmetric.Source)) *Registry {
 	return &Registry{
-		log: log, pool: pool, post: post,
-		desired: medlarrollout.DesiredVersions{}, replicas: map[medlarid.InstanceID]*replica{},
+		log: log, pool: pool, post: post, onMalformed: onMalformed,
+		desired: medlarrollout.DesiredVersions{}, replicas: map[medlarid.InstanceID]*replica{}, malformed: map[medlarid.InstanceID]bool{},
 		versionHistory: map[medlarid.ModelID]medlarhistory.History{},
 	}
 }
@@ -192,6 +197,7 @@
 		}
 		op, err := medlarplatform.DecodeOperatorRecord(rec.Key, rec.Value)
 		if err != nil {
+			t.onMalformed(medlarmetric.SourceOperators)
 			t.log.Warn().Str("event", "operator").Str("key", rec.Key).Uint64("offset", uint64(rec.Offset)).Err(err).Msg("operator record cannot be decoded; ignoring it")
 			continue
 		}
@@ -274,13 +280,19 @@
 func (t *Registry) applyEntry(id medlarid.InstanceID, rec medlarfeed.Record) bool {
 	old := t.replicas[id]
 	if rec.Removed {
+		delete(t.malformed, id)
 		return t.remove(id, old, rec.Offset, "replica removed: entry deleted")
 	}
 	next, err := medlarplatform.DecodeReplica(string(id), rec.Value)
 	if err != nil {
-		t.log.Warn().Str("event", "replica").Str("replica", string(id)).Uint64("offset", uint64(rec.Offset)).Err(err).Msg("replica entry cannot be decoded")
+		t.onMalformed(medlarmetric.SourceReplicas)
+		if !t.malformed[id] {
+			t.malformed[id] = true
+			t.log.Warn().Str("event", "replica").Str("replica", string(id)).Uint64("offset", uint64(rec.Offset)).Err(err).Msg("replica entry cannot be decoded")
+		}
 		return t.remove(id, old, rec.Offset, "replica removed: entry cannot be decoded")
 	}
+	delete(t.malformed, id)
 	if old != nil && old.StartedMs == next.StartedMs && old.Member == next.Member {
 		return false // heartbeat without changes
 	}
--- a/internal/ops/medlarregistry/medlarregistry_test.go
+++ b/internal/ops/medlarregistry/medlarregistry_test.go
@@ -12,9 +12,12 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarplacement"
 	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/edge/medlarmetric"
 	"medlarfield/internal/edge/medlarpool"
 )
 
+func ignoreMalformed(medlarmetric.Source) {}
+
 // newRegistry returns a registry with one replica that runs version 1, and a function
 // that returns the replica's version last posted to the core.
 func newRegistry(t *testing.T) (registry *Registry, posted func() medlarid.WeightVersion) {
@@ -26,7 +29,7 @@
 				last = m.Version
 			}
 		}
-	})
+	}, ignoreMalformed)
 	applyEntry(registry, 1, 7)
 	return registry, func() medlarid.WeightVersion { return last }
 }
@@ -123,7 +126,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				registry := New(zerolog.Nop(), medlarpool.NewDirect(), func(medlarworld.Event) {})
+				registry := New(zerolog.Nop(), medlarpool.NewDirect(), func(medlarworld.Event) {}, ignoreMalformed)
 				for i := range replicas {
 					version := 1
 					if i < tc.changed {
@@ -157,7 +160,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				registry := New(zerolog.Nop(), medlarpool.NewDirect(), func(medlarworld.Event) {})
+				registry := New(zerolog.Nop(), medlarpool.NewDirect(), func(medlarworld.Event) {}, ignoreMalformed)
 				for second, v := range tc.versions {
 					applyEntry(registry, v, tc.born(second))
 					time.Sleep(time.Second)
@@ -204,7 +207,7 @@
 					if e, ok := e.(medlarworld.InstancesListed); ok {
 						last = e.Members[0]
 					}
-				})
+				}, ignoreMalformed)
 				applyEntry(registry, 2, 7)
 				setDesired(registry, 2)
 				tc.steps(registry)
