A read of all keys ends where a page comes again

A page continues after the last key of the one before. Where that key is no text, it is changed on its way to the instance, and what comes after the changed one may be the same page. The read then went on without an end or a pause, and kept each page: memory grew until the process ended.

The read now ends when the last key is the one that it asked from. TestSamePageAgainEndsRead failed before: 15 calls and no delivery within the second, and the calls stop only since the test refuses them after the tenth. Found by reading; no run of a whole instance shows it.

--- a/internal/agree/medlarfeed/medlarfeed.go
+++ b/internal/agree/medlarfeed/medlarfeed.go
@@ -171,8 +171,14 @@
 	}
 	f.eraChanged = false
 	all, end := page.Records, page.EndOffset // later pages may hold records past this offset
+	after := ""
 	for page.More && len(page.Records) > 0 {
-		page, err = f.readLatest(ctx, page.Records[len(page.Records)-1].Key)
+		last := page.Records[len(page.Records)-1].Key
+		if last == after {
+			break // a key that is no text comes changed, and the same page again after it
+		}
+		after = last
+		page, err = f.readLatest(ctx, after)
 		if err != nil {
 			return err
 		}
--- a/internal/agree/medlarfeed/medlarfeed_test.go
+++ b/internal/agree/medlarfeed/medlarfeed_test.go
@@ -222,3 +222,29 @@
 		}
 	})
 }
+
+// TestSamePageAgainEndsRead guards against a read of all keys without an end, where a page's last key is changed on its way.
+func TestSamePageAgainEndsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls, applied := 0, 0
+		feed := New(Deps{
+			ReadLatest: func(context.Context, string, bool) (Page, error) {
+				if calls++; calls > 10 {
+					return Page{}, errDown
+				}
+				return Page{Records: []Record{{Key: "\ufffd", Value: []byte("x")}}, More: true, EndOffset: 1}, nil
+			},
+			ReadFrom: func(_ context.Context, from medlarid.Offset, _ ReadOptions) (Batch, error) {
+				return Batch{NextOffset: from}, nil
+			},
+			Apply: func([]Record, bool) { applied++ }, OnCurrent: func(medlarid.Offset) {}, OnUnavailable: func(error) {}, OnRecovered: func(time.Duration) {},
+			OnEra: func(medlarid.Era) {},
+		}, Options{PollInterval: time.Second})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		feed.Run(ctx)
+		if calls != 2 || applied == 0 {
+			t.Errorf("%d calls, %d deliveries; want 2 and one", calls, applied)
+		}
+	})
+}
