--- a/internal/ops/medlarattachednode/logging.go
+++ b/internal/ops/medlarattachednode/logging.go
@@ -78,6 +78,12 @@
 		OnFreed: func(r medlarcachetracker.StoreRef, parts int, err error) {
 			event(r).Int("parts", parts).AnErr("error", err).Msg("freeing parts of replaced weight versions")
 		},
+		OnMalformed: func(r medlarcachetracker.StoreRef, rows int, first bool) {
+			m.Malformed(medlarmetric.SourceStores, rows)
+			if first {
+				event(r).Int("rows", rows).Msg("KV cache store reports rows that describe no part; ignoring them")
+			}
+		},
 	})
 }
 
--- a/internal/ops/medlarcachetracker/medlarcachetracker.go
+++ b/internal/ops/medlarcachetracker/medlarcachetracker.go
@@ -74,6 +74,7 @@
 	Epoch     uint64 // identifies the store's start
 	Next      uint64 // sequence number to request changes from next
 	Gap       bool   // whether changes before these are missing
+	Malformed int    // rows that describe no part and are left out
 	Throttled bool   // whether the store refused the call for too many readers; nothing else is set then
 	Changes   []Change
 }
@@ -104,6 +105,9 @@
 	OnRecovered   func(StoreRef)
 	OnListed      func(r StoreRef, epoch uint64, parts int)
 	OnFreed       func(r StoreRef, parts int, err error)
+	// OnMalformed is called when rows of a store's answer describe no part; first tells that they are
+	// the first ones of the store.
+	OnMalformed func(r StoreRef, rows int, first bool)
 }
 
 // Tracker tracks the contents of all stores.
@@ -146,6 +150,7 @@
 	next           uint64 // sequence number to request changes from
 	listed         bool
 	lost           bool      // whether the last call failed
+	malformed      bool      // whether rows of the store have described no part
 	contendedUntil time.Time // until when the store counts as contended (R4)
 	refused        bool      // whether the last call was refused for lack of a place
 	parts          map[medlarkey.Key]Part
@@ -201,6 +206,7 @@
 		if err != nil {
 			return err
 		}
+		t.reportMalformed(st, c)
 		st.parts = map[medlarkey.Key]Part{}
 		st.epoch, st.next, st.listed = c.Epoch, c.Next, true
 		t.deps.OnListed(st.ref, c.Epoch, len(c.Changes))
@@ -220,6 +226,7 @@
 		st.contendedUntil = time.Now().Add(contendedTime)
 		return nil
 	}
+	t.reportMalformed(st, c)
 	if c.Gap || c.Epoch != st.epoch {
 		st.listed = false
 		return nil
@@ -229,6 +236,14 @@
 	return nil
 }
 
+// reportMalformed reports rows that describe no part.
+func (t *Tracker) reportMalformed(st *trackedStore, c ChangeBatch) {
+	if c.Malformed > 0 {
+		t.deps.OnMalformed(st.ref, c.Malformed, !st.malformed)
+		st.malformed = true
+	}
+}
+
 // apply records changes and posts them to the core. With reset, they are the store's
 // whole contents.
 func (t *Tracker) apply(st *trackedStore, c ChangeBatch, reset bool) {
--- a/internal/ops/medlarcachetracker/medlarcachetracker_test.go
+++ b/internal/ops/medlarcachetracker/medlarcachetracker_test.go
@@ -100,7 +100,7 @@
 				defer f.mu.Unlock()
 				return f.changed
 			},
-			OnUnavailable: func(StoreRef, error) {}, OnRecovered: func(StoreRef) {}, OnListed: func(StoreRef, uint64, int) {}, OnFreed: func(StoreRef, int, error) {},
+			OnUnavailable: func(StoreRef, error) {}, OnRecovered: func(StoreRef) {}, OnListed: func(StoreRef, uint64, int) {}, OnFreed: func(StoreRef, int, error) {}, OnMalformed: func(StoreRef, int, bool) {},
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		go s.Run(ctx)
@@ -270,7 +270,7 @@
 				Stores: func() []StoreRef { return []StoreRef{{ID: "store", Address: "at"}} },
 				List:   func(medlarid.Address) (ChangeBatch, error) { return ChangeBatch{Epoch: 1}, nil }, Events: f.readChanges,
 				Post:          func(medlarworld.Event) { posted[i] = append(posted[i], time.Now()) },
-				OnUnavailable: func(StoreRef, error) {}, OnRecovered: func(StoreRef) {}, OnListed: func(StoreRef, uint64, int) {}, OnFreed: func(StoreRef, int, error) {},
+				OnUnavailable: func(StoreRef, error) {}, OnRecovered: func(StoreRef) {}, OnListed: func(StoreRef, uint64, int) {}, OnFreed: func(StoreRef, int, error) {}, OnMalformed: func(StoreRef, int, bool) {},
 			})
 			go s.Run(ctx)
 		}
