A part that is no text hides no other from the report of a crash

Seen: a replica crashes while it runs a request, or one waits for it, with a part whose name is not UTF-8. The report of that crash is never written ("report of a crash cannot be encoded"), so that no other instance learns of it: a part that crashes replicas goes on to crash them, as each instance sees too few of the crashes.

Cause: callers name the parts, and the encoder rejects the whole report for one name that is no text. Such bytes are now replaced in the report; the other parts are told.

TestOddTraitHidesNoOther failed before: 'jsontext: invalid UTF-8 within "/begun/0"'.

--- a/internal/agree/medlarnotice/crash.go
+++ b/internal/agree/medlarnotice/crash.go
@@ -4,6 +4,7 @@
 	"strings"
 
 	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarsuspect"
@@ -52,7 +53,8 @@
 func EncodeCrash(r medlarsuspect.Report) ([]byte, error) {
 	begun := unique(r.Begun, maxReportTraits)
 	waiting := unique(r.Waiting, maxReportTraits-len(begun))
-	return json.Marshal(crashRecord{Replica: r.Crash.Replica, Born: r.Crash.Incarnation, End: r.Crash.End, Begun: begun, Waiting: waiting})
+	out := crashRecord{Replica: r.Crash.Replica, Born: r.Crash.Incarnation, End: r.Crash.End, Begun: begun, Waiting: waiting}
+	return json.Marshal(out, jsontext.AllowInvalidUTF8(true)) // callers name the parts, which may be any bytes
 }
 
 // unique returns the different traits of a list, at most n.
