A limit beyond the range of whole numbers ends no process

What a replica says in a header is bounded to 1e6, so that it takes another writer of the shared topic.

Cause: the number of instances that share a limit is computed as a whole number from a rate without an upper bound. Rates of requests of 1e308 also add up to infinity, which gives all instances a share of 0.

The number of sharers is now bounded before it becomes a whole number, and the decoder rejects limits and rates above 1e9.

--- a/internal/agree/medlarnotice/limit.go
+++ b/internal/agree/medlarnotice/limit.go
@@ -39,15 +39,18 @@
 	return Record{Key: needPrefix + string(by), Value: b}, err
 }
 
+// maxRate bounds a rate or limit, in requests per second, so that sums over instances stay finite.
+const maxRate = 1e9
+
 // errRate reports rates of requests that cannot be used.
-var errRate = eris.New("rates are negative or too many")
+var errRate = eris.New("rates are out of range or too many")
 
 func decodeLimit(r Record, id medlarid.InstanceID) (medlarworld.Event, error) {
 	var l limitRecord
 	if err := decode(r, &l); err != nil {
 		return nil, err
 	}
-	if !(l.Limit >= 0) {
+	if !(l.Limit >= 0 && l.Limit <= maxRate) {
 		return nil, &Error{Op: OpDecode, Kind: KindMalformed, Err: errRate}
 	}
 	return medlarworld.LimitRecorded{Upstream: id, Incarnation: l.Born, Limit: l.Limit, Dropped: len(r.Value) == 0}, nil
@@ -60,7 +63,7 @@
 	}
 	bad := len(n.Rates) > maxRates
 	for _, rate := range n.Rates {
-		bad = bad || !(rate >= 0)
+		bad = bad || !(rate >= 0 && rate <= maxRate)
 	}
 	if bad {
 		return nil, &Error{Op: OpDecode, Kind: KindMalformed, Err: errRate}
--- a/internal/agree/medlarnotice/odd_test.go
+++ b/internal/agree/medlarnotice/odd_test.go
@@ -1,6 +1,7 @@
 package medlarnotice
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -24,3 +25,32 @@
 		t.Error(diff)
 	}
 }
+
+// TestOddNoticesAreRejected guards against notices of other writers or other versions of this software that are used or end the reader.
+func TestOddNoticesAreRejected(t *testing.T) {
+	outOfRange := map[string][]string{limitPrefix: {`{"limit":1e308}`, `{"limit":-1}`}, needPrefix: {`{"rates":{"s":1e308}}`, `{"rates":{"s":-1}}`}}
+	deep := strings.Repeat("[", 100000) + strings.Repeat("]", 100000)
+	for prefix, fields := range map[string][]string{
+		crashPrefix: {"born", "end"}, blockPrefix: {"trials"}, limitPrefix: {"born", "limit"}, needPrefix: {"serial"}, assignmentPrefix: {"serial"}, seenPrefix: {"read"}, streamsPrefix: {"builds"}, peerPrefix: {"key"},
+	} {
+		values := []string{"x", "[]", deep, "{", "{}x", "\xff", "{\"a\":1,\"a\":2}"}
+		values = append(values, outOfRange[prefix]...)
+		for _, f := range fields {
+			for _, odd := range []string{"1e400", "18446744073709551616", "{", "\"x\"", deep} {
+				values = append(values, "{\""+f+"\":"+odd+"}")
+			}
+		}
+		for _, v := range values {
+			t.Run(prefix+v[:min(len(v), 30)], func(t *testing.T) {
+				r := Record{Key: prefix + "i", Value: []byte(v)}
+				e, err := Decode(r)
+				if prefix == peerPrefix {
+					_, _, _, err = DecodePeer(r)
+				}
+				if e != nil || err == nil {
+					t.Errorf("decoded %+v, error %v; want an error only", e, err)
+				}
+			})
+		}
+	}
+}
--- a/internal/core/medlarlimit/medlarlimit.go
+++ b/internal/core/medlarlimit/medlarlimit.go
@@ -310,7 +310,8 @@
 	slices.SortFunc(out, func(a, b medlarid.InstanceID) int {
 		return cmp.Or(cmp.Compare(rank(b), rank(a)), cmp.Compare(a, b))
 	})
-	return out[:min(len(out), minSharers+int(sharersPerLimit*rate))]
+	n := min(float64(len(out)), minSharers+sharersPerLimit*rate) // a large rate is beyond the range of whole numbers
+	return out[:int(n)]
 }
 
 // tellNeed tells all other instances how many requests this one gets for targets with limited
