An entry of a service that no configuration names gets no orders

Seen: an entry that another writer left with a model of ours and a service that isn't in the configuration gets orders to load weights as long as it stays, takes one of the loads that may run at once, and counts among the replicas of the model. No request goes to it.

Cause: requests go by service, but orders and counts go by model, and nothing checked the service of an entry.

The registry posts and offers for orders only replicas of services that some catalog has named since the start; an entry is kept and used once a catalog names its service. A service that a later catalog leaves out stays known, so that its replicas go on as before.

TestEntryOfUnknownServiceIsNotUsed failed before in the row 'unknown' (1 replica for orders, 0 wanted); the others held already.

--- a/internal/ops/medlarregistry/medlarregistry.go
+++ b/internal/ops/medlarregistry/medlarregistry.go
@@ -10,6 +10,8 @@
 //	    such entries under one id is logged.
 //	R3  A weight version that a replica itself reported overrides the one in its entry,
 //	    if it is newer and belongs to the same start of the replica.
+//	R4  An entry of a service that no catalog has named is another writer's: it gets
+//	    neither requests nor orders until a catalog names the service.
 package medlarregistry
 
 import (
@@ -52,6 +54,7 @@
 	catalog             *medlarcatalog.Catalog
 	desired             medlarrollout.DesiredVersions
 	replicas            map[medlarid.InstanceID]*replica
+	services            map[medlarid.ServiceID]bool                // services that a catalog has named; empty before the first one
 	malformed           map[medlarid.InstanceID]bool               // ids whose latest entry cannot be decoded
 	replicasRead        bool                                       // whether the replicas have been read once
 	versionHistory      map[medlarid.ModelID]medlarhistory.History // successive desired versions
@@ -116,7 +119,7 @@
 func New(log zerolog.Logger, pool *medlarpool.Pool, post func(medlarworld.Event), onMalformed func(medlarmetric.Source)) *Registry {
 	return &Registry{
 		log: log, pool: pool, post: post, onMalformed: onMalformed,
-		desired: medlarrollout.DesiredVersions{}, replicas: map[medlarid.InstanceID]*replica{}, malformed: map[medlarid.InstanceID]bool{},
+		desired: medlarrollout.DesiredVersions{}, replicas: map[medlarid.InstanceID]*replica{}, services: map[medlarid.ServiceID]bool{}, malformed: map[medlarid.InstanceID]bool{},
 		versionHistory: map[medlarid.ModelID]medlarhistory.History{},
 	}
 }
@@ -174,7 +177,7 @@
 	defer t.mu.Unlock()
 	var out []medlarrollout.Replica
 	for _, r := range t.replicas {
-		if m := r.Member; m.Model != "" {
+		if m := r.Member; m.Model != "" && t.serves(r) {
 			out = append(out, medlarrollout.Replica{
 				ID: m.ID, Incarnation: medlarid.Incarnation(r.StartedMs), Address: m.Address, Model: m.Model,
 				Version: r.version(), Denied: r.denied(), Leaving: m.Leaving,
@@ -221,6 +224,9 @@
 		return false
 	}
 	t.catalog = c
+	for id := range c.Services {
+		t.services[id] = true
+	}
 	t.log.Info().Str("event", "catalog").Uint64("version", c.Version).Uint64("offset", uint64(at)).Msg("configuration in force")
 	return true
 }
@@ -387,7 +393,7 @@
 	defer t.mu.Unlock()
 	all, changed := 0, 0
 	for _, r := range t.replicas {
-		if r.Member.Model != m {
+		if r.Member.Model != m || !t.serves(r) {
 			continue
 		}
 		all++
@@ -398,10 +404,18 @@
 	return all > 0 && float64(changed) >= medlarplacement.SwappedShare*float64(all)
 }
 
+// serves reports whether a replica is of a service that a catalog has named (R4). The caller holds t.mu.
+func (t *Registry) serves(r *replica) bool {
+	return len(t.services) == 0 || t.services[r.Member.Service]
+}
+
 // postReplicas posts all replicas and stores to the core. The caller holds t.mu.
 func (t *Registry) postReplicas() {
 	e := medlarworld.InstancesListed{Members: make([]medlarworld.Member, 0, len(t.replicas))}
 	for _, r := range t.replicas {
+		if !t.serves(r) {
+			continue
+		}
 		m := r.Member
 		m.Version, m.VersionDenied = r.requestVersion(), r.denied()
 		m.Incarnation = medlarid.Incarnation(r.StartedMs)
--- a/internal/ops/medlarregistry/medlarregistry_test.go
+++ b/internal/ops/medlarregistry/medlarregistry_test.go
@@ -221,3 +221,40 @@
 		})
 	}
 }
+
+// TestEntryOfUnknownServiceIsNotUsed guards against orders to, and the counting of, a replica of a service that no catalog names.
+func TestEntryOfUnknownServiceIsNotUsed(t *testing.T) {
+	catalog := func(version int, service string) func(*Registry) {
+		value := fmt.Appendf(nil, `{"Version":%d,"Routes":[],"Services":[{"Name":%q,"Engine":{"MaxBatchSize":4,"Models":[{"Name":"m"}]}}]}`, version, service)
+		return func(t *Registry) {
+			t.ApplyOperatorRecords([]medlarfeed.Record{{Key: "config", Value: value}}, false)
+		}
+	}
+	for _, tc := range []struct {
+		name  string
+		steps []func(*Registry)
+		want  int
+	}{
+		{"before the first catalog", nil, 1},
+		{"named", []func(*Registry){catalog(1, "s")}, 1},
+		{"unknown", []func(*Registry){catalog(1, "other")}, 0},
+		{"named later", []func(*Registry){catalog(1, "other"), catalog(2, "s")}, 1},
+		{"named before", []func(*Registry){catalog(1, "s"), catalog(2, "other")}, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			posted := 0
+			registry := New(zerolog.Nop(), medlarpool.NewDirect(), func(e medlarworld.Event) {
+				if e, ok := e.(medlarworld.InstancesListed); ok {
+					posted = len(e.Members)
+				}
+			}, ignoreMalformed)
+			applyEntry(registry, 1, 7)
+			for _, step := range tc.steps {
+				step(registry)
+			}
+			if n := len(registry.ModelReplicas()); n != tc.want || posted != tc.want {
+				t.Errorf("%d replicas for orders and %d for requests, want %d", n, posted, tc.want)
+			}
+		})
+	}
+}
