--- a/internal/ops/medlarattachednode/odd_test.go
+++ b/internal/ops/medlarattachednode/odd_test.go
@@ -95,3 +95,22 @@
 		w.eventually("the metrics contain "+want, func() bool { return strings.Contains(w.metrics(), want) })
 	}
 }
+
+// TestHugePromptsEndNothing guards against token counts of callers whose sums leave the range of their type.
+func TestHugePromptsEndNothing(t *testing.T) {
+	const most = "9223372036854775807"
+	w := start(t, nil)
+	for i, fields := range []string{
+		"Medlarfield-Model: " + medlarsite.Model + "\r\nMedlarfield-Token-Usage: " + most + ",50\r\nMedlarfield-Prompt-Prefix: aa:" + most + ",bb:" + most + "\r\n",
+		"Medlarfield-Model: " + medlarsite.Model + "\r\nMedlarfield-Token-Usage: 1,1\r\nMedlarfield-Prompt-Prefix: aa:" + most + ",bb:1,\xff:5\r\n",
+		"Medlarfield-Token-Usage: " + most + ",50\r\n",
+	} {
+		got := w.send(request{method: "POST", path: "/letter/x", id: fmt.Sprint("h", i), body: "{}", fields: fields})
+		if got.status != 200 && got.status != 503 {
+			t.Errorf("request %d: status %d, want 200 or 503", i, got.status)
+		}
+	}
+	for i := range 5 {
+		assertResult(t, w.send(request{method: "POST", path: "/letter/x", id: fmt.Sprint("r", i), body: "{}", fields: prompt("aa:100,cc:500")}), 200, "")
+	}
+}
