--- a/internal/ops/medlarregistry/medlarregistry.go
+++ b/internal/ops/medlarregistry/medlarregistry.go
@@ -6,9 +6,12 @@
 //
 //	R1  Catalog and desired weight versions are monotonic: an older one is ignored.
 //	R2  A record that cannot be decoded is ignored; an entry that does not describe a
-//	    usable replica removes its replica.
+//	    usable replica removes its replica. Both are counted; the first of a series of
+//	    such entries under one id is logged.
 //	R3  A weight version that a replica itself reported overrides the one in its entry,
 //	    if it is newer and belongs to the same start of the replica.
+//	R4  An entry of a service that no catalog has named is another writer's: it gets
+//	    neither requests nor orders until a catalog names the service.
 package medlarregistry
 
 import (
@@ -26,6 +29,7 @@
 	"medlarfield/internal/core/medlarhistory"
 	"medlarfield/internal/core/medlarplacement"
 	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/edge/medlarmetric"
 	"medlarfield/internal/edge/medlarpool"
 	"medlarfield/internal/ops/medlarcachetracker"
 	"medlarfield/internal/ops/medlardialer"
@@ -41,14 +45,17 @@
 // weight versions and the replicas. It posts each change to the core. It is safe for
 // concurrent use.
 type Registry struct {
-	log  zerolog.Logger
-	post func(medlarworld.Event)
-	pool *medlarpool.Pool
+	log         zerolog.Logger
+	post        func(medlarworld.Event)
+	pool        *medlarpool.Pool
+	onMalformed func(medlarmetric.Source)
 
 	mu                  sync.Mutex
 	catalog             *medlarcatalog.Catalog
 	desired             medlarrollout.DesiredVersions
 	replicas            map[medlarid.InstanceID]*replica
+	services            map[medlarid.ServiceID]bool                // services that a catalog has named; empty before the first one
+	malformed           map[medlarid.InstanceID]bool               // ids whose latest entry cannot be decoded
 	replicasRead        bool                                       // whether the replicas have been read once
 	versionHistory      map[medlarid.ModelID]medlarhistory.History // successive desired versions
 	revision            medlarid.Offset                            // number of catalog changes posted to the core
@@ -107,11 +114,12 @@
 	return r.version()
 }
 
-// New returns an empty registry that posts its changes to the core with post.
-func New(log zerolog.Logger, pool *medlarpool.Pool, post func(medlarworld.Event)) *Registry {
+// New returns an empty registry that posts its changes to the core with post. onMalformed is
+// called for each record that cannot be decoded.
+func New(log zerolog.Logger, pool *medlarpool.Pool, post func(medlarworld.Event), onMalformed func(medlarmetric.Source)) *Registry {
 	return &Registry{
-		log: log, pool: pool, post: post,
-		desired: medlarrollout.DesiredVersions{}, replicas: map[medlarid.InstanceID]*replica{},
+		log: log, pool: pool, post: post, onMalformed: onMalformed,
+		desired: medlarrollout.DesiredVersions{}, replicas: map[medlarid.InstanceID]*replica{}, services: map[medlarid.ServiceID]bool{}, malformed: map[medlarid.InstanceID]bool{},
 		versionHistory: map[medlarid.ModelID]medlarhistory.History{},
 	}
 }
@@ -169,7 +177,7 @@
 	defer t.mu.Unlock()
 	var out []medlarrollout.Replica
 	for _, r := range t.replicas {
-		if m := r.Member; m.Model != "" {
+		if m := r.Member; m.Model != "" && t.serves(r) {
 			out = append(out, medlarrollout.Replica{
 				ID: m.ID, Incarnation: medlarid.Incarnation(r.StartedMs), Address: m.Address, Model: m.Model,
 				Version: r.version(), Denied: r.denied(), Leaving: m.Leaving,
@@ -192,6 +200,7 @@
 		}
 		op, err := medlarplatform.DecodeOperatorRecord(rec.Key, rec.Value)
 		if err != nil {
+			t.onMalformed(medlarmetric.SourceOperators)
 			t.log.Warn().Str("event", "operator").Str("key", rec.Key).Uint64("offset", uint64(rec.Offset)).Err(err).Msg("operator record cannot be decoded; ignoring it")
 			continue
 		}
@@ -215,6 +224,9 @@
 		return false
 	}
 	t.catalog = c
+	for id := range c.Services {
+		t.services[id] = true
+	}
 	t.log.Info().Str("event", "catalog").Uint64("version", c.Version).Uint64("offset", uint64(at)).Msg("configuration in force")
 	return true
 }
@@ -274,13 +286,19 @@
 func (t *Registry) applyEntry(id medlarid.InstanceID, rec medlarfeed.Record) bool {
 	old := t.replicas[id]
 	if rec.Removed {
+		delete(t.malformed, id)
 		return t.remove(id, old, rec.Offset, "replica removed: entry deleted")
 	}
 	next, err := medlarplatform.DecodeReplica(string(id), rec.Value)
 	if err != nil {
-		t.log.Warn().Str("event", "replica").Str("replica", string(id)).Uint64("offset", uint64(rec.Offset)).Err(err).Msg("replica entry cannot be decoded")
+		t.onMalformed(medlarmetric.SourceReplicas)
+		if !t.malformed[id] {
+			t.malformed[id] = true
+			t.log.Warn().Str("event", "replica").Str("replica", string(id)).Uint64("offset", uint64(rec.Offset)).Err(err).Msg("replica entry cannot be decoded")
+		}
 		return t.remove(id, old, rec.Offset, "replica removed: entry cannot be decoded")
 	}
+	delete(t.malformed, id)
 	if old != nil && old.StartedMs == next.StartedMs && old.Member == next.Member {
 		return false // heartbeat without changes
 	}
@@ -375,7 +393,7 @@
 	defer t.mu.Unlock()
 	all, changed := 0, 0
 	for _, r := range t.replicas {
-		if r.Member.Model != m {
+		if r.Member.Model != m || !t.serves(r) {
 			continue
 		}
 		all++
@@ -386,10 +404,18 @@
 	return all > 0 && float64(changed) >= medlarplacement.SwappedShare*float64(all)
 }
 
+// serves reports whether a replica is of a service that a catalog has named (R4). The caller holds t.mu.
+func (t *Registry) serves(r *replica) bool {
+	return len(t.services) == 0 || t.services[r.Member.Service]
+}
+
 // postReplicas posts all replicas and stores to the core. The caller holds t.mu.
 func (t *Registry) postReplicas() {
 	e := medlarworld.InstancesListed{Members: make([]medlarworld.Member, 0, len(t.replicas))}
 	for _, r := range t.replicas {
+		if !t.serves(r) {
+			continue
+		}
 		m := r.Member
 		m.Version, m.VersionDenied = r.requestVersion(), r.denied()
 		m.Incarnation = medlarid.Incarnation(r.StartedMs)
