--- a/internal/stand/medlarfaketopic/medlarfaketopic.go
+++ b/internal/stand/medlarfaketopic/medlarfaketopic.go
@@ -39,6 +39,7 @@
 	topics  map[string]*topic
 	changed chan struct{} // closed and replaced on each append
 	calls   int
+	conns   int
 	era     int // number of rewinds
 }
 
@@ -51,6 +52,13 @@
 // New returns an empty store.
 func New() *Store { return &Store{topics: map[string]*topic{}, changed: make(chan struct{})} }
 
+// Conns returns the number of connections on which calls were received.
+func (s *Store) Conns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conns
+}
+
 // Calls returns the number of calls received.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -200,6 +208,9 @@
 func (s *Store) handle(ctx *fasthttp.RequestCtx, view View) {
 	s.mu.Lock()
 	s.calls++
+	if ctx.ConnRequestNum() == 1 {
+		s.conns++
+	}
 	s.mu.Unlock()
 	switch string(ctx.Path()) {
 	case "/-/log-append":
--- a/internal/stand/medlarrepeater/medlarrepeater.go
+++ b/internal/stand/medlarrepeater/medlarrepeater.go
@@ -4,7 +4,8 @@
 // Rules:
 //
 //	R1  Each request gets its own response, in the order of the requests of all connections.
-//	R2  A response that is not the first of its connection is preceded by a copy of the one before it.
+//	R2  A response that is not the first of its connection is preceded by a copy of the one before it, unless the
+//	    form is None.
 package medlarrepeater
 
 import (
@@ -37,9 +38,10 @@
 	Parts   Form = "parts"   // in several writes, after the next request has been read
 	Chunked Form = "chunked" // as Whole, all responses in chunks
 	Early   Form = "early"   // at once, before the next request is written
+	None    Form = "none"    // there is no copy
 )
 
-// Forms are all forms.
+// Forms are all forms of a copy.
 var Forms = []Form{Whole, Parts, Chunked, Early}
 
 // Response is a response of the server.
@@ -111,7 +113,7 @@
 			return
 		}
 		next := s.encode(s.respond())
-		if s.form != Early {
+		if s.form != Early && s.form != None {
 			s.writeCopy(c, previous)
 		}
 		if _, err := c.Write([]byte(next)); err != nil {
