Give each call a connection of its own

What callers could see: a request sent to fetch a part from a KV store that no longer holds it, or is still writing it; an order given or withheld on an old state of a replica; a manifest skipped, as records of one topic of the platform's store were taken for those of another; on the own interface the text of another run, or a refusal as "not run" of a run that was at work.

Cause: answers to control calls and on the own interface name no call, and were read from kept connections. A copy of an earlier answer, written after the next request, was taken for the answer to that request, and each later answer for that to the request after its own.

Why it works: Do, DoJSON and Open of medlarhttp send each request on a connection of its own (R3), on which no earlier answer exists. The other ways are gone: DoUnpooled, OpenUnpooled and RunUnpooled, and the wish of feeds for a new connection. Only the clients of the stand-ins keep connections, by OpenPooled. A connection on which the peer has sent anything before the request is not used (R4).

The platform's store keeps no connections for long reads either. A batch states the end of its topic but neither the topic nor where it begins: with one connection for several topics a copy passes the check that its end and its records agree (case "records of another topic"), and an empty batch passes for the next one.

TestClosedPooledConnectionIsUnreachable and TestEachMethodSentOnce use OpenPooled for what Do did; the first one has two cases more.

--- a/internal/agree/medlarfeed/call.go
+++ b/internal/agree/medlarfeed/call.go
@@ -24,8 +24,8 @@
 
 // readLatest reads a page of the latest records.
 func (f *Feed) readLatest(ctx context.Context, after string) (Page, error) {
-	r := f.call(ctx, 0, func(newConn bool) result {
-		page, err := f.deps.ReadLatest(ctx, after, newConn)
+	r := f.call(ctx, 0, func() result {
+		page, err := f.deps.ReadLatest(ctx, after)
 		return result{page: page, err: err}
 	})
 	return r.page, r.err
@@ -37,8 +37,8 @@
 	if f.failures > 0 {
 		wait = 0
 	}
-	r := f.call(ctx, wait, func(newConn bool) result {
-		batch, err := f.deps.ReadFrom(ctx, from, ReadOptions{Wait: wait, NewConn: newConn})
+	r := f.call(ctx, wait, func() result {
+		batch, err := f.deps.ReadFrom(ctx, from, ReadOptions{Wait: wait})
 		return result{batch: batch, err: err}
 	})
 	return r.batch, r.err
@@ -47,18 +47,17 @@
 // call makes a call that waits for records at most for the given time, repeats it while
 // there is no response (R6), and returns the first result. The results of the other calls
 // are dropped.
-func (f *Feed) call(ctx context.Context, wait time.Duration, do func(newConn bool) result) result {
+func (f *Feed) call(ctx context.Context, wait time.Duration, do func() result) result {
 	results := make(chan result, maxCalls)
-	newConn := f.failures > 0
 	for range maxCalls {
-		go func(newConn bool) { results <- do(newConn) }(newConn)
+		go func() { results <- do() }()
 		select {
 		case r := <-results:
 			return f.record(r)
 		case <-ctx.Done():
 			return result{err: ctx.Err()}
 		case <-time.After(max(wait+repeatMargin, minRepeat) + rand.N(repeatJitter)):
-			newConn, f.repeated = true, true
+			f.repeated = true
 		}
 	}
 	return f.record(<-results)
--- a/internal/agree/medlarfeed/history_test.go
+++ b/internal/agree/medlarfeed/history_test.go
@@ -49,7 +49,7 @@
 }
 
 // newest returns a page of the latest records; the topic may change between pages.
-func (h *topicHistory) newest(ctx context.Context, after string, _ bool) (Page, error) {
+func (h *topicHistory) newest(ctx context.Context, after string) (Page, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	p, err := h.topic.newest(ctx, "")
--- a/internal/agree/medlarfeed/medlarfeed.go
+++ b/internal/agree/medlarfeed/medlarfeed.go
@@ -15,11 +15,11 @@
 //	    the reset of a connection, delays nothing. A longer one counts as an outage
 //	    even if only the connections of this instance failed, since that looks alike.
 //	    A failed call within the delay starts it anew.
-//	R5  A failed call is retried with exponential backoff and jitter, on a new
-//	    connection and without a wait for new records.
-//	R6  A call that has no response although its wait has ended is repeated on a new
-//	    connection, while the call in flight may still succeed. So a response that
-//	    was lost delays no record until its call times out.
+//	R5  A failed call is retried with exponential backoff and jitter, and without a
+//	    wait for new records.
+//	R6  A call that has no response although its wait has ended is repeated, while the
+//	    call in flight may still succeed. So a response that was lost delays no record
+//	    until its call times out.
 //	R7  When the store's era rises, the records that were written since its copy are gone
 //	    and their offsets are given out again. The feed reads the latest records of
 //	    all keys anew, whatever their offsets. Keys that are then missing are removed
@@ -66,13 +66,11 @@
 type ReadOptions struct {
 	// Wait is the longest time for which the store may wait for the first record.
 	Wait time.Duration
-	// NewConn requests a new connection, as those in use may be dead.
-	NewConn bool
 }
 
 // Deps are the functions with which a feed reads a topic and reports its changes.
 type Deps struct {
-	ReadLatest func(ctx context.Context, after string, newConn bool) (Page, error)
+	ReadLatest func(ctx context.Context, after string) (Page, error)
 	ReadFrom   func(ctx context.Context, from medlarid.Offset, o ReadOptions) (Batch, error)
 	// Apply receives changed records in order. first tells that they are the initial
 	// records, of all keys.
--- a/internal/agree/medlarfeed/medlarfeed_test.go
+++ b/internal/agree/medlarfeed/medlarfeed_test.go
@@ -60,7 +60,7 @@
 	return Batch{Records: slices.Clone(f.records[from:]), NextOffset: medlarid.Offset(len(f.records)), Era: f.era}, nil
 }
 
-func (f *fakeTopic) readLatest(ctx context.Context, after string, _ bool) (Page, error) {
+func (f *fakeTopic) readLatest(ctx context.Context, after string) (Page, error) {
 	return f.newest(ctx, after)
 }
 
@@ -191,7 +191,7 @@
 		var got []string
 		read, cancel := context.WithCancel(t.Context())
 		feed := New(Deps{
-			ReadLatest: func(context.Context, string, bool) (Page, error) {
+			ReadLatest: func(context.Context, string) (Page, error) {
 				p := pages[0]
 				pages = pages[1:]
 				return p, nil
--- a/internal/agree/medlarfeed/outage_test.go
+++ b/internal/agree/medlarfeed/outage_test.go
@@ -75,7 +75,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		feed := New(Deps{
-			ReadLatest: func(ctx context.Context, after string, _ bool) (Page, error) {
+			ReadLatest: func(ctx context.Context, after string) (Page, error) {
 				if err := s.respond(ctx, 0); err != nil {
 					return Page{}, err
 				}
--- a/internal/edge/medlarsession/attempt.go
+++ b/internal/edge/medlarsession/attempt.go
@@ -80,11 +80,7 @@
 		Sampling:    s.prompt.Sampling,
 		Ticket:      s.importBlocks(a.start),
 	}
-	open := s.deps.Engines.Run
-	if s.claim != nil {
-		open = s.deps.Engines.RunUnpooled
-	}
-	stream, err := open(a.start.Address, p)
+	stream, err := s.deps.Engines.Run(a.start.Address, p)
 	if err != nil {
 		a.send(result{err: err, reached: engineReached(err)})
 		return
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -214,8 +214,8 @@
 			onUnavailable, onRecovered = trackOperatorFeed(registry, onUnavailable, onRecovered)
 		}
 		f := medlarfeed.New(medlarfeed.Deps{
-			ReadLatest: func(_ context.Context, after string, newConn bool) (medlarfeed.Page, error) {
-				return s.Newest(topic, after, newConn)
+			ReadLatest: func(_ context.Context, after string) (medlarfeed.Page, error) {
+				return s.Newest(topic, after)
 			},
 			ReadFrom: func(_ context.Context, from medlarid.Offset, o medlarfeed.ReadOptions) (medlarfeed.Batch, error) {
 				b, err := s.Follow(topic, from, o)
--- a/internal/ops/medlarattachednode/notices.go
+++ b/internal/ops/medlarattachednode/notices.go
@@ -49,12 +49,12 @@
 ) *medlarnotifier.Notifier {
 	return medlarnotifier.New(medlarnotifier.Deps{
 		Self: cfg.Name, Log: log, Metrics: m, Board: board, Socket: socket, Dialer: d,
-		Read: func(newConn bool) ([]medlarfeed.Record, error) {
+		Read: func() ([]medlarfeed.Record, error) {
 			end, ok := board.End()
 			if !ok {
 				return nil, errUnread
 			}
-			b, err := s.Follow(medlarplatform.TopicNotices, end, medlarfeed.ReadOptions{NewConn: newConn})
+			b, err := s.Follow(medlarplatform.TopicNotices, end, medlarfeed.ReadOptions{})
 			if err == nil && b.Truncated {
 				err = errUnread
 			}
--- a/internal/ops/medlarnotifier/medlarnotifier.go
+++ b/internal/ops/medlarnotifier/medlarnotifier.go
@@ -47,9 +47,8 @@
 	Log     zerolog.Logger
 	Metrics *medlarmetric.Metrics
 	Board   *medlarnotice.Board
-	// Read returns what was written to the topic of notices since this instance has read it last, on a
-	// new connection if newConn is set.
-	Read func(newConn bool) ([]medlarfeed.Record, error)
+	// Read returns what was written to the topic of notices since this instance has read it last.
+	Read func() ([]medlarfeed.Record, error)
 	// Socket tells other instances of the load on replicas.
 	Socket *medlardatagram.Socket
 	// Dialer opens connections to replicas.
@@ -213,9 +212,9 @@
 
 // read passes what others have recorded until now to the core.
 func (n *Notifier) read(c medlarworld.ReadNotices) {
-	records, err := n.deps.Read(false)
+	records, err := n.deps.Read()
 	if err != nil {
-		records, err = n.deps.Read(true) // the connection may be dead
+		records, err = n.deps.Read() // it may have been reset
 	}
 	if err != nil {
 		n.deps.CallFailed()
--- a/internal/stand/medlarclient/medlarclient.go
+++ b/internal/stand/medlarclient/medlarclient.go
@@ -94,7 +94,7 @@
 		call.Headers = append(call.Headers, medlarhttp.Header{Name: "Authorization", Value: "Bearer " + c.key})
 	}
 	begin := time.Now()
-	s, err := c.http.Open(call)
+	s, err := c.http.OpenPooled(call)
 	if err != nil {
 		return Result{}, err
 	}
--- a/internal/upstream/medlarengine/medlarengine.go
+++ b/internal/upstream/medlarengine/medlarengine.go
@@ -194,22 +194,12 @@
 // Run starts a run. The caller must close the stream. On an error,
 // Error.MayHaveRun tells whether the prompt may have run.
 func (c *Client) Run(at medlarid.Address, p RunRequest) (*Stream, error) {
-	return c.run(at, p, c.http.Open)
-}
-
-// RunUnpooled is like Run but uses a new connection. It is for prompts that must
-// not be repeated, as the engine may have closed a pooled connection.
-func (c *Client) RunUnpooled(at medlarid.Address, p RunRequest) (*Stream, error) {
-	return c.run(at, p, c.http.OpenUnpooled)
-}
-
-func (c *Client) run(at medlarid.Address, p RunRequest, open func(medlarhttp.Request) (*medlarhttp.Stream, error)) (*Stream, error) {
 	p.Stream = true
 	req, err := jsonRequest("POST", at, "/v1/completions", p)
 	if err != nil {
 		return nil, &Error{Op: OpRun, Kind: KindRefused, Err: err}
 	}
-	resp, err := open(req)
+	resp, err := c.http.Open(req)
 	if err != nil {
 		return nil, wrap(OpRun, err)
 	}
--- a/internal/upstream/medlarhttp/medlarhttp.go
+++ b/internal/upstream/medlarhttp/medlarhttp.go
@@ -5,10 +5,17 @@
 //	R1  A request is sent at most once; retries are left to the retry layer.
 //	R2  An error tells whether any byte of the request may have reached the
 //	    peer.
-//	R3  A request that must not be repeated uses a new connection. On a pooled
-//	    connection that the peer closes, its outcome could be unknown.
-//	R4  If the peer has closed a pooled connection before the write, the peer
-//	    counts as unreachable: nothing was sent.
+//	R3  Each request has a connection of its own, and the first response on that
+//	    connection is the response to it. Most responses do not name their request. On
+//	    a connection that carried an earlier request, a faulty peer may write the
+//	    response to that one once more; it would count as the response to the present
+//	    request, and each later response as that to the request after its own. On a
+//	    kept connection that the peer closes, the outcome of a request could also be
+//	    unknown.
+//	R4  If the peer has closed the connection before the request is written, or has
+//	    sent anything on it, the peer counts as unreachable: nothing was sent.
+//	R5  Only OpenPooled keeps connections, for callers that rely on the server to
+//	    respond once to each request, in order.
 package medlarhttp
 
 import (
@@ -79,8 +86,7 @@
 	Value string
 }
 
-// Request is an HTTP request. Timeout bounds Do, DoUnpooled and DoJSON, but not
-// Open and OpenUnpooled.
+// Request is an HTTP request. Timeout bounds Do and DoJSON, but not Open and OpenPooled.
 type Request struct {
 	Method      string
 	Address     medlarid.Address
@@ -106,14 +112,14 @@
 
 // Client sends requests. It is safe for concurrent use.
 type Client struct {
-	pooled   *fasthttp.Client
 	unpooled *fasthttp.Client
+	pooled   *fasthttp.Client
 }
 
 // New returns a client. idle bounds how long each read of a response waits for
 // data.
 func New(idle time.Duration) *Client {
-	return &Client{pooled: newClient(idle), unpooled: newClient(idle)}
+	return &Client{unpooled: newClient(idle), pooled: newClient(idle)}
 }
 
 func newClient(idle time.Duration) *fasthttp.Client {
@@ -172,11 +178,11 @@
 }
 
 // Write writes b. It does not write the first bytes of a request if the peer has
-// closed the connection (R4). If a later write fails, it is unknown whether the
+// closed the connection or sent data (R4). If a later write fails, it is unknown whether the
 // peer has processed the request.
 func (c *idleConn) Write(b []byte) (int, error) {
-	if !c.written && medlarprobe.Gone(c.Conn) {
-		return 0, &unsentError{err: eris.New("connection closed by peer before the request was written")}
+	if !c.written && !medlarprobe.Idle(c.Conn) {
+		return 0, &unsentError{err: eris.New("the peer closed the connection, or sent data, before the request was written")}
 	}
 	c.written = true
 	return c.Conn.Write(b)
@@ -196,27 +202,17 @@
 	return c.Conn.Read(b)
 }
 
-// Do sends a request and reads the complete response, whatever its status.
+// Do sends a request on a connection of its own (R3) and reads the complete response,
+// whatever its status.
 func (c *Client) Do(r Request) (Response, error) {
-	return c.do(c.pooled, r, false)
-}
-
-// DoUnpooled is like Do but uses a new connection (R3).
-func (c *Client) DoUnpooled(r Request) (Response, error) {
-	return c.do(c.unpooled, r, true)
-}
-
-func (c *Client) do(hc *fasthttp.Client, r Request, closeConn bool) (Response, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	fillRequest(req, r)
-	if closeConn {
-		req.SetConnectionClose()
-	}
+	req.SetConnectionClose()
 	deadline := time.Now().Add(r.Timeout)
-	if err := hc.DoDeadline(req, resp, deadline); err != nil {
+	if err := c.unpooled.DoDeadline(req, resp, deadline); err != nil {
 		return Response{}, callError(err)
 	}
 	body, err := readBody(resp, deadline, cmp.Or(r.MaxBody, maxResponseBytes))
@@ -268,18 +264,18 @@
 	resp *fasthttp.Response
 }
 
-// Open sends a request and returns once the response header has arrived. The
-// caller must close the stream.
+// Open sends a request on a connection of its own (R3) and returns once the response
+// header has arrived. The caller must close the stream.
 func (c *Client) Open(r Request) (*Stream, error) {
-	return c.open(c.pooled, r, false)
+	return open(c.unpooled, r, true)
 }
 
-// OpenUnpooled is like Open but uses a new connection (R3).
-func (c *Client) OpenUnpooled(r Request) (*Stream, error) {
-	return c.open(c.unpooled, r, true)
+// OpenPooled is like Open but uses a kept connection if there is one (R5).
+func (c *Client) OpenPooled(r Request) (*Stream, error) {
+	return open(c.pooled, r, false)
 }
 
-func (c *Client) open(hc *fasthttp.Client, r Request, closeConn bool) (*Stream, error) {
+func open(hc *fasthttp.Client, r Request, closeConn bool) (*Stream, error) {
 	req := fasthttp.AcquireRequest()
 	resp := fasthttp.AcquireResponse()
 	fillRequest(req, r)
--- a/internal/upstream/medlarhttp/medlarhttp_test.go
+++ b/internal/upstream/medlarhttp/medlarhttp_test.go
@@ -72,12 +72,23 @@
 
 func TestEachMethodSentOnce(t *testing.T) {
 	for _, method := range []string{"GET", "HEAD", "PUT", "DELETE", "OPTIONS", "POST", "PATCH"} {
-		for name, do := range map[string]func(*Client, Request) (Response, error){"pooled": (*Client).Do, "single": (*Client).DoUnpooled} {
+		for name, do := range map[string]func(*Client, Request) (Response, error){"pooled": doPooled, "single": (*Client).Do} {
 			t.Run(method+" "+name, func(t *testing.T) { assertSentOnce(t, method, do) })
 		}
 	}
 }
 
+// doPooled sends a request on a pooled connection and reads the complete response.
+func doPooled(c *Client, r Request) (Response, error) {
+	s, err := c.OpenPooled(r)
+	if err != nil {
+		return Response{}, err
+	}
+	defer s.Close()
+	body, err := io.ReadAll(s.Body)
+	return Response{Status: s.Status, Body: body}, err
+}
+
 func assertSentOnce(t *testing.T, method string, do func(*Client, Request) (Response, error)) {
 	t.Helper()
 	at, requests := startServer(t, closeImmediately)
@@ -208,19 +219,68 @@
 	}
 }
 
+// TestClosedPooledConnectionIsUnreachable guards against a request on a kept connection that the peer has closed, or
+// on which it has sent what belongs to no request.
 func TestClosedPooledConnectionIsUnreachable(t *testing.T) {
-	at, requests := startServer(t, func(c net.Conn) {
-		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
-	}) // the server then closes the connection without a Connection: close header
+	const empty = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	for _, tc := range []struct {
+		name  string
+		after behavior
+	}{
+		{"closed without a Connection: close header", func(c net.Conn) { _ = c.Close() }},
+		{"a response more", func(c net.Conn) { _, _ = c.Write([]byte(empty)) }},
+		{"part of a response", func(c net.Conn) { _, _ = c.Write([]byte("H")) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			read, used := make(chan struct{}), make(chan struct{})
+			at, requests := startServer(t, func(c net.Conn) {
+				_, _ = c.Write([]byte(empty))
+				<-read
+				tc.after(c)
+				close(used)
+				time.Sleep(time.Second)
+			})
+			c := New(time.Second)
+			req := Request{Method: "POST", Address: at, Path: "/", Timeout: time.Second}
+			if _, err := doPooled(c, req); err != nil {
+				t.Fatal(err)
+			}
+			close(read)
+			<-used
+			time.Sleep(20 * time.Millisecond)
+			_, err := doPooled(c, req)
+			if err == nil || Sent(err) || requests.Load() != 1 {
+				t.Errorf("got error %v after %d requests, want one for which Sent is false after 1", err, requests.Load())
+			}
+		})
+	}
+}
+
+// TestEachRequestHasOwnConnection guards against a request on a connection that carried another one, by whatever
+// call and whatever the server says of keeping it.
+func TestEachRequestHasOwnConnection(t *testing.T) {
+	const requests = 3
+	conns := make(chan net.Conn, 2*requests)
+	at, _ := startServer(t, func(c net.Conn) {
+		conns <- c
+		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nConnection: keep-alive\r\nContent-Length: 2\r\n\r\n{}"))
+		time.Sleep(time.Second)
+	})
 	c := New(time.Second)
-	req := Request{Method: "POST", Address: at, Path: "/", Timeout: time.Second}
-	if _, err := c.Do(req); err != nil {
-		t.Fatal(err)
+	req := Request{Method: "GET", Address: at, Path: "/", Timeout: time.Second}
+	for range requests {
+		if err := c.DoJSON(req, nil, &struct{}{}); err != nil {
+			t.Error(err)
+		}
+		if s, err := c.Open(req); err != nil {
+			t.Error(err)
+		} else {
+			s.Close()
+		}
 	}
-	time.Sleep(20 * time.Millisecond)
-	_, err := c.Do(req)
-	if err == nil || Sent(err) || requests.Load() != 1 {
-		t.Errorf("got error %v after %d requests, want one for which Sent is false after 1", err, requests.Load())
+	if n := len(conns); n != 2*requests {
+		t.Errorf("%d requests used %d connections", 2*requests, n)
 	}
 }
 
@@ -246,7 +306,7 @@
 			sent := make(chan int, 1)
 			go func() { sent <- sendWithoutEnd(ln, tc.start, tc.repeat) }()
 			begin := time.Now()
-			resp, err := New(time.Second).DoUnpooled(Request{Method: "GET", Address: medlarid.Address(ln.Addr().String()), Path: "/", Timeout: timeout, MaxBody: maxBody})
+			resp, err := New(time.Second).Do(Request{Method: "GET", Address: medlarid.Address(ln.Addr().String()), Path: "/", Timeout: timeout, MaxBody: maxBody})
 			if err == nil {
 				t.Errorf("got %d bytes as a whole response, want an error", len(resp.Body))
 			}
--- a/internal/upstream/medlarservice/medlarservice.go
+++ b/internal/upstream/medlarservice/medlarservice.go
@@ -106,11 +106,7 @@
 		Body:        r.Body,
 		Timeout:     timeout,
 	}
-	do := c.http.Do
-	if r.Once {
-		do = c.http.DoUnpooled
-	}
-	resp, err := do(httpReq)
+	resp, err := c.http.Do(httpReq)
 	if err != nil {
 		return Response{}, wrap(err)
 	}
