--- a/internal/upstream/medlarhttp/medlarhttp.go
+++ b/internal/upstream/medlarhttp/medlarhttp.go
@@ -132,8 +132,8 @@
 		MaxResponseBodySize:       maxResponseBytes,
 		StreamResponseBody:        true,
 		NoDefaultUserAgentHeader:  true,
-		Dial: func(addr string) (net.Conn, error) {
-			return dial(addr, idle)
+		DialTimeout: func(addr string, timeout time.Duration) (net.Conn, error) {
+			return dial(addr, timeout, idle)
 		},
 	}
 }
@@ -148,8 +148,13 @@
 
 func (e *unsentError) Unwrap() error { return e.err }
 
-func dial(addr string, idle time.Duration) (net.Conn, error) {
-	c, err := net.DialTimeout("tcp", addr, dialTimeout)
+// dial opens a connection within the timeout of a request, if it is less than dialTimeout; 0
+// for a request without a timeout.
+func dial(addr string, timeout, idle time.Duration) (net.Conn, error) {
+	if timeout <= 0 || timeout > dialTimeout {
+		timeout = dialTimeout
+	}
+	c, err := net.DialTimeout("tcp", addr, timeout)
 	if err != nil {
 		return nil, &unsentError{err: err}
 	}
--- a/internal/upstream/medlarhttp/medlarhttp_test.go
+++ b/internal/upstream/medlarhttp/medlarhttp_test.go
@@ -200,7 +200,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = ln.Close() }()
-	c, err := dial(ln.Addr().String(), time.Second)
+	c, err := dial(ln.Addr().String(), 0, time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
