Date what a KV store reports with the time at which it can have answered

Contents were dated with the arrival of the answer, though it may have been given at the start of the call, and was then held up on its way, or read late by a suspended process. R2 of medlarplacement allows 0.5 s for that: contents count for 1.5 s, a fetch lasts 1 s, and saves to a store that has started begin 3 s after another instance noticed it. But a call for changes may last 0.8 s + 0.5 s. So an instance could fetch a part that the restarted store was already writing again.

An answer without changes is dated with the end of its wait, as the store waits for them, any other one with the start of its call (medlarclock.AnsweredFrom). Nothing is rejected. The delay of saves (R2) runs from when the start was noticed, as before. If a store has a change late in a wait, the next wait is shorter, so that contents stay current in calm.

TestHeldUpAnswerIsNotDatedLater failed before: each answer that was held up for 0.9 s was dated 0.9 s after its state. The new case of TestPartPlan for the delay of saves fails if that runs from the date of the report. TestContentsStayCurrentInCalm guards the length of the waits.

--- a/internal/base/medlarclock/medlarclock.go
+++ b/internal/base/medlarclock/medlarclock.go
@@ -1,6 +1,6 @@
-// Package medlarclock measures how long the instance has been suspended. The
-// runtime's monotonic clock does not count that time, so data that was recent before
-// a suspension still appears recent after it.
+// Package medlarclock measures how long the instance has been suspended, and dates the
+// answers to calls that wait for changes. The runtime's monotonic clock does not count a
+// suspension, so data that was recent before it still appears recent after it.
 package medlarclock
 
 import (
@@ -19,3 +19,14 @@
 	}
 	return time.Duration(boot.Nano() - mono.Nano())
 }
+
+// AnsweredFrom returns the earliest time at which a peer can have answered a call that began
+// at a time and has just returned. The peer waits for a first change, so that an answer without
+// one was given after the wait. An answer with changes may have been held up on its way since
+// the call began.
+func AnsweredFrom(begin time.Time, wait time.Duration, changed bool) time.Time {
+	if changed || time.Since(begin) < wait {
+		return begin
+	}
+	return begin.Add(wait)
+}
--- a/internal/core/medlarcore/parts_test.go
+++ b/internal/core/medlarcore/parts_test.go
@@ -105,7 +105,11 @@
 }
 
 func (p *partsHarness) reportStock(store medlarid.InstanceID, epoch uint64, reset bool, keys ...medlarkey.Key) {
-	e := medlarworld.InventoryReported{Store: store, Epoch: epoch, At: p.now, Reset: reset}
+	p.reportStockAsOf(p.now, store, epoch, reset, keys...)
+}
+
+func (p *partsHarness) reportStockAsOf(at time.Time, store medlarid.InstanceID, epoch uint64, reset bool, keys ...medlarkey.Key) {
+	e := medlarworld.InventoryReported{Store: store, Epoch: epoch, At: at, Reset: reset}
 	for _, k := range keys {
 		e.Added = append(e.Added, medlarinventory.StoredPart{Key: k, Tokens: 8000})
 	}
@@ -142,6 +146,15 @@
 			p.now = p.now.Add(settled)
 			p.reportStock("near", 1, false)
 		}, "sso"},
+		{"the settle delay runs from the arrival of a report of an earlier time", func(p *partsHarness, _ *medlarworld.Run) {
+			p.reportStockAsOf(p.now.Add(-1400*time.Millisecond), "near", 1, true)
+			p.now = p.now.Add(2 * time.Second)
+			p.reportStock("near", 1, false)
+		}, "cco"},
+		{"a report is used until its time, not its arrival, is too old", func(p *partsHarness, r *medlarworld.Run) {
+			p.reportStockAsOf(p.now.Add(-1400*time.Millisecond), "near", 1, true, r.Keys[0], r.Keys[1])
+			p.now = p.now.Add(200 * time.Millisecond)
+		}, "cco"},
 		{"parts that a store holds are fetched", func(p *partsHarness, r *medlarworld.Run) { p.reportStock("near", 1, true, r.Keys[0], r.Keys[1]) }, "ffo"},
 		{"parts after a missing one are not fetched", func(p *partsHarness, r *medlarworld.Run) { p.reportStock("near", 1, true, r.Keys[1]) }, "clo"},
 		{"an old report is not used", func(p *partsHarness, r *medlarworld.Run) {
--- a/internal/core/medlarplacement/medlarplacement.go
+++ b/internal/core/medlarplacement/medlarplacement.go
@@ -6,7 +6,7 @@
 // Rules:
 //
 //	R1  A part is fetched only from a store that recently reported, since its last
-//	    start, that it holds the whole part. A report older than reportTTL is not used,
+//	    start, that it holds the whole part. A report older than ReportTTL is not used,
 //	    and a fetch that has not ended after fetchTimeout is abandoned.
 //	R2  After a store has started, nothing is saved there until every instance has
 //	    noticed the start: instances that still rely on the earlier copy of a part
@@ -45,6 +45,9 @@
 	"medlarfield/internal/core/medlarworld"
 )
 
+// ReportTTL is the time for which a store's report counts as current (R1).
+const ReportTTL = 1500 * time.Millisecond
+
 // Times of R7.
 const (
 	DesiredVersionTTL = 3 * time.Second
@@ -63,9 +66,8 @@
 )
 
 const (
-	reportTTL       = 1500 * time.Millisecond                         // R1
 	fetchTimeout    = time.Second                                     // R1
-	settleDelay     = reportTTL + fetchTimeout + 500*time.Millisecond // R2
+	settleDelay     = ReportTTL + fetchTimeout + 500*time.Millisecond // R2
 	saveTimeout     = 4 * time.Second                                 // R4
 	maxFill         = 0.97                                            // share of the capacity that is filled
 	minTokens       = 64                                              // smallest part that is worth a transfer
@@ -101,10 +103,10 @@
 		st.HeldTokens = 0
 	}
 	if st.Epoch != e.Epoch {
-		st.SaveFrom = e.At.Add(settleDelay)
+		st.SaveFrom = w.Now.Add(settleDelay) // the store may have started long after e.At
 		st.Epoch = e.Epoch
 	}
-	st.FreshUntil = e.At.Add(reportTTL)
+	st.FreshUntil = e.At.Add(ReportTTL)
 	for _, k := range e.Removed {
 		st.HeldTokens -= st.Parts[k]
 		delete(st.Parts, k)
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -145,12 +145,12 @@
 	Version medlarid.WeightVersion
 }
 
-// InventoryReported carries what a store reports about its parts, as of a time.
+// InventoryReported carries what a store reports about its parts.
 // Reset discards all that was known before.
 type InventoryReported struct {
 	Store   medlarid.InstanceID
 	Epoch   uint64
-	At      time.Time
+	At      time.Time // the contents are at least as recent; zero if they are stale
 	Reset   bool
 	Added   []medlarinventory.StoredPart
 	Removed []medlarkey.Key
--- a/internal/ops/medlarcachetracker/medlarcachetracker.go
+++ b/internal/ops/medlarcachetracker/medlarcachetracker.go
@@ -5,7 +5,9 @@
 //
 //	R1  A store is listed once at first, and again after a gap in its changes or a new
 //	    start of the store; otherwise its changes are polled. Contents posted to the core
-//	    are dated with the arrival of the answer.
+//	    are dated with the earliest time at which the store can have answered: the start
+//	    of the call, or the end of its wait if no change came in it. An answer that is
+//	    held up on its way, or read late, is no newer for that.
 //	R2  Parts of an older weight version are freed only when no instance can fetch them
 //	    any more, whatever it knows of the desired versions: a fixed time after the
 //	    version was replaced, and once most replicas run a later one (medlarplacement, R7).
@@ -26,6 +28,7 @@
 	"slices"
 	"time"
 
+	"medlarfield/internal/base/medlarclock"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/base/medlarpause"
 	"medlarfield/internal/core/medlarinventory"
@@ -40,6 +43,7 @@
 	scanInterval      = 500 * time.Millisecond  // between checks for new and removed stores
 	eventsWait        = 800 * time.Millisecond  // maximum wait of a call for changes
 	eventsInterval    = 250 * time.Millisecond  // minimum from the start of a call to the start of the next one
+	answerMargin      = 100 * time.Millisecond  // for the answer to a call whose wait is shortened so that contents stay current
 	eventsPause       = 60 * time.Millisecond   // maximum of the random pause that two calls are at least apart
 	contendedTime     = 2 * time.Minute         // for which a store counts as contended after a refused call
 	contendedInitial  = 5 * time.Second         // for which a store counts as contended when tracking starts
@@ -147,6 +151,7 @@
 	listed         bool
 	lost           bool      // whether the last call failed
 	contendedUntil time.Time // until when the store counts as contended (R4)
+	freshUntil     time.Time // until when the contents posted last count as current
 	refused        bool      // whether the last call was refused for lack of a place
 	parts          map[medlarkey.Key]Part
 }
@@ -196,6 +201,7 @@
 
 // read lists the store's contents or reads its changes (R1).
 func (t *Tracker) read(st *trackedStore) error {
+	begin := time.Now()
 	if !st.listed {
 		c, err := t.deps.List(st.ref.Address)
 		if err != nil {
@@ -204,13 +210,10 @@
 		st.parts = map[medlarkey.Key]Part{}
 		st.epoch, st.next, st.listed = c.Epoch, c.Next, true
 		t.deps.OnListed(st.ref, c.Epoch, len(c.Changes))
-		t.apply(st, c, true)
+		t.apply(st, c, begin, true)
 		return nil
 	}
-	wait := eventsWait
-	if st.contended() || st.lost { // R5
-		wait = contendedWait
-	}
+	wait := st.wait()
 	c, err := t.deps.Events(st.ref.Address, st.next, wait)
 	if err != nil {
 		return err
@@ -225,14 +228,25 @@
 		return nil
 	}
 	st.next = c.Next
-	t.apply(st, c, false)
+	t.apply(st, c, medlarclock.AnsweredFrom(begin, wait, len(c.Changes) > 0), false)
 	return nil
 }
 
-// apply records changes and posts them to the core. With reset, they are the store's
-// whole contents.
-func (t *Tracker) apply(st *trackedStore, c ChangeBatch, reset bool) {
-	e := medlarworld.InventoryReported{Store: st.ref.ID, Epoch: c.Epoch, At: time.Now(), Reset: reset}
+// wait returns the maximum wait of the next call for changes (R4, R5). If the store has a
+// change late in a wait, its answer is dated well before its arrival (R1); the next wait is
+// shorter then, so that the contents don't become stale in it.
+func (st *trackedStore) wait() time.Duration {
+	if st.contended() || st.lost {
+		return contendedWait
+	}
+	return max(min(eventsWait, time.Until(st.freshUntil)-answerMargin), contendedWait)
+}
+
+// apply records changes, known as of a time, and posts them to the core. With reset, they
+// are the store's whole contents.
+func (t *Tracker) apply(st *trackedStore, c ChangeBatch, asOf time.Time, reset bool) {
+	st.freshUntil = asOf.Add(medlarplacement.ReportTTL)
+	e := medlarworld.InventoryReported{Store: st.ref.ID, Epoch: c.Epoch, At: asOf, Reset: reset}
 	for _, ch := range c.Changes {
 		k := ch.Part.key()
 		if ch.Added {
--- a/internal/ops/medlarcachetracker/medlarcachetracker_test.go
+++ b/internal/ops/medlarcachetracker/medlarcachetracker_test.go
@@ -78,11 +78,19 @@
 // runTracker runs a tracker of a store through steps, each of which returns the time until
 // the next one.
 func runTracker(t *testing.T, f *fakeStore, steps ...func(*fakeStore) time.Duration) {
+	t.Helper()
+	runTrackerOf(t, f, f.list, f.readChanges, steps...)
+}
+
+// runTrackerOf runs a tracker through steps as runTracker does, with the given functions to read the store.
+func runTrackerOf(t *testing.T, f *fakeStore, list func(medlarid.Address) (ChangeBatch, error),
+	changes func(medlarid.Address, uint64, time.Duration) (ChangeBatch, error), steps ...func(*fakeStore) time.Duration,
+) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		s := New(0, Deps{
 			Stores: func() []StoreRef { return []StoreRef{{ID: "store", Address: "at"}} },
-			List:   f.list, Events: f.readChanges, Free: f.free,
+			List:   list, Events: changes, Free: f.free,
 			Post: func(e medlarworld.Event) {
 				f.mu.Lock()
 				defer f.mu.Unlock()
