Date the operator's records with the time at which they can have been read

As with KV stores: a read of the operator's records was dated with its arrival, up to 0.75 s + 0.8 s after the store can have answered. R7 of medlarplacement has a margin of 0.5 s between the last fetch of a part of a replaced weight version, by an instance that counts its records as 3 s old at most, and the freeing of that part. The date is now that of medlarclock.AnsweredFrom, and an answer that was overtaken by a later one takes nothing back: that case of TestPartPlan fails without the change in medlarfleet. That the feed passes on this date is asserted by no test.

--- a/internal/core/medlarcore/parts_test.go
+++ b/internal/core/medlarcore/parts_test.go
@@ -166,6 +166,11 @@
 			p.now = p.now.Add(3100 * time.Millisecond)
 			p.reportStock("near", 1, true, r.Keys[0], r.Keys[1])
 		}, "cco"},
+		{"an answer that was overtaken takes nothing back", func(p *partsHarness, r *medlarworld.Run) {
+			p.tick(medlarworld.RecordsCurrent{At: p.now})
+			p.tick(medlarworld.RecordsCurrent{At: p.now.Add(-3100 * time.Millisecond)})
+			p.reportStock("near", 1, true, r.Keys[0], r.Keys[1])
+		}, "ffo"},
 		{"unless enough replicas answered under the version", func(p *partsHarness, r *medlarworld.Run) {
 			p.tick(medlarworld.RecordsCurrent{At: p.now})
 			p.now = p.now.Add(3100 * time.Millisecond)
--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -85,7 +85,9 @@
 		case medlarworld.TransferEnded:
 			recordTransfer(w, e)
 		case medlarworld.RecordsCurrent:
-			w.RecordsAsOf = e.At
+			if e.At.After(w.RecordsAsOf) { // answers overtake one another
+				w.RecordsAsOf = e.At
+			}
 		case medlarworld.WeightsLoading:
 			if u := w.Upstreams[e.Upstream]; u != nil {
 				u.SwapUntil = w.Now.Add(loadBackoff)
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -27,6 +27,7 @@
 	"medlarfield/internal/agree/medlarfeed"
 	"medlarfield/internal/agree/medlarnotice"
 	"medlarfield/internal/agree/medlarterm"
+	"medlarfield/internal/base/medlarclock"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarcore"
 	"medlarfield/internal/core/medlarkind"
@@ -218,9 +219,10 @@
 				return s.Newest(topic, after)
 			},
 			ReadFrom: func(_ context.Context, from medlarid.Offset, o medlarfeed.ReadOptions) (medlarfeed.Batch, error) {
+				begin := time.Now()
 				b, err := s.Follow(topic, from, o)
 				if err == nil && topic == medlarplatform.TopicOperator {
-					loop.Post(medlarworld.RecordsCurrent{At: time.Now()})
+					loop.Post(medlarworld.RecordsCurrent{At: medlarclock.AnsweredFrom(begin, o.Wait, b.NextOffset != from)})
 				}
 				return b, err
 			},
