--- a/internal/stand/medlarfaketopic/medlarfaketopic.go
+++ b/internal/stand/medlarfaketopic/medlarfaketopic.go
@@ -40,6 +40,7 @@
 	changed chan struct{} // closed and replaced on each append
 	calls   int
 	era     int // number of rewinds
+	limiter limiter
 }
 
 type topic struct {
@@ -186,6 +187,9 @@
 		closeConn(ctx)
 		return
 	}
+	if !e.store.admit(ctx) {
+		return
+	}
 	e.store.handle(ctx, e.view)
 	if fault == FaultLose {
 		closeConn(ctx)
--- a/internal/stand/medlarsite/medlarsite.go
+++ b/internal/stand/medlarsite/medlarsite.go
@@ -64,11 +64,12 @@
 	Engines []*medlarfakereplica.Replica
 	Plain   []*medlarfakereplica.Replica
 
-	settings Settings
-	crasher  crasher
-	servers  []*medlarhost.Server
-	stop     chan struct{}
-	wg       sync.WaitGroup
+	settings  Settings
+	crasher   crasher
+	servers   []*medlarhost.Server
+	endpoints []*medlarfaketopic.Endpoint
+	stop      chan struct{}
+	wg        sync.WaitGroup
 
 	mu                        sync.Mutex
 	links                     map[string]*medlarlink.Link // by the name of the instance
@@ -281,6 +282,7 @@
 // no other instance.
 func (s *Site) InstanceSettings(name string) (medlarsettings.Attached, *medlarfaketopic.Endpoint, error) {
 	endpoint := s.Store.NewEndpoint()
+	s.endpoints = append(s.endpoints, endpoint)
 	if s.settings.Links {
 		endpoint.SetView(s.linkTo(name))
 	}
--- a/internal/stand/medlarstandcmd/platform.go
+++ b/internal/stand/medlarstandcmd/platform.go
@@ -15,12 +15,14 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/ops/medlarattachednode"
+	"medlarfield/internal/stand/medlarfault"
+	"medlarfield/internal/stand/medlarhost"
 	"medlarfield/internal/stand/medlarsite"
 )
 
 func platformCommand() *cobra.Command {
 	var nodes int
-	var dir string
+	var dir, control string
 	cfg := medlarsite.Default()
 	cmd := &cobra.Command{
 		Use:   "platform",
@@ -31,9 +33,9 @@
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if dir != "" {
-				return runPlatform(cfg, func(s *medlarsite.Site) (func(), error) { return writeSettings(cmd.OutOrStdout(), s, dir, nodes) })
+				return runPlatform(cfg, control, func(s *medlarsite.Site) (func(), error) { return writeSettings(cmd.OutOrStdout(), s, dir, nodes) })
 			}
-			return runPlatform(cfg, func(s *medlarsite.Site) (func(), error) { return startAttached(cmd.OutOrStdout(), s, nodes) })
+			return runPlatform(cfg, control, func(s *medlarsite.Site) (func(), error) { return startAttached(cmd.OutOrStdout(), s, nodes) })
 		},
 	}
 	flags := cmd.Flags()
@@ -42,12 +44,16 @@
 	flags.IntVar(&cfg.Engines, "engines", cfg.Engines, "number of replicas of the model engine")
 	flags.IntVar(&cfg.Plain, "plain", cfg.Plain, "number of replicas of the plain service")
 	flags.DurationVar(&cfg.ServiceTime, "work", cfg.ServiceTime, "service time of a plain request, and interval between two events of a stream")
+	flags.IntVar(&cfg.Slots, "slots", cfg.Slots, "concurrent requests of each replica")
+	flags.DurationVar(&cfg.RestartDelay, "restart", cfg.RestartDelay, "time from the crash of a replica until its successor starts; 0 for never")
+	flags.BoolVar(&cfg.KeepID, "keep-id", false, "a successor has the id of the replica that crashed")
+	flags.StringVar(&control, "control", "", "address on which to take commands that disturb the platform; empty for none")
 	return cmd
 }
 
 // runPlatform starts a site, calls use with it, and waits for a signal. It then calls
 // the stop function that use returned and closes the site.
-func runPlatform(cfg medlarsite.Settings, use func(*medlarsite.Site) (stop func(), err error)) error {
+func runPlatform(cfg medlarsite.Settings, control string, use func(*medlarsite.Site) (stop func(), err error)) error {
 	site, err := medlarsite.New(cfg)
 	if err != nil {
 		return err
@@ -58,6 +64,13 @@
 		return err
 	}
 	defer stop()
+	if control != "" {
+		server, err := medlarhost.New("control", control, medlarfault.New(), site.ControlHandler())
+		if err != nil {
+			return err
+		}
+		defer server.Close()
+	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	<-signals
