Evaluate reports of crashes once a tick

When all replicas and then all instances lose power, each instance that starts reads up to 16 records of crashes of each earlier instance. Each had all remembered crashes evaluated anew, in the goroutine that decides on requests: callers got no answer for as long as that took.

A report now only marks the crashes as changed, and Update, which the core calls once a tick after all its events, evaluates them. A tick takes up to 256 events, so 560 records take three or four evaluations. Nothing is decided between a report and the Update of its tick, so blocks begin as before.

The tests of the table call Update after a report, as the core does; what they assert is unchanged.

--- a/internal/core/medlarsuspect/history_test.go
+++ b/internal/core/medlarsuspect/history_test.go
@@ -263,8 +263,12 @@
 		if r := reports[i]; r != nil {
 			h.after(h.between(2*time.Millisecond, 60*time.Millisecond), func() {
 				h.tables[i].AddReport(h.now, *r, true)
+				h.tables[i].Update(h.now)
 				h.share(i)
-				h.deliver(i, func(t *Table) { t.AddReport(h.now, *r, false) })
+				h.deliver(i, func(t *Table) {
+					t.AddReport(h.now, *r, false)
+					t.Update(h.now)
+				})
 			})
 		}
 	}
--- a/internal/core/medlarsuspect/medlarsuspect.go
+++ b/internal/core/medlarsuspect/medlarsuspect.go
@@ -192,7 +192,8 @@
 }
 
 // AddReport adds what an instance reports of a crash; own tells that it is this one. It reports
-// whether anything was new.
+// whether anything was new. The next Update evaluates it: reports come in large numbers when many replicas
+// crash at once, and an evaluation takes all crashes into account.
 func (t *Table) AddReport(now time.Time, r Report, own bool) bool {
 	c := t.crash(now, r.Crash)
 	added := add(c.begun, r.Begun) + add(c.waiting, r.Waiting)
@@ -205,7 +206,7 @@
 		}
 	}
 	t.trim()
-	t.evaluate(now)
+	t.evaluateAt = now
 	return added > 0
 }
 
--- a/internal/core/medlarsuspect/medlarsuspect_test.go
+++ b/internal/core/medlarsuspect/medlarsuspect_test.go
@@ -38,6 +38,7 @@
 func (b *bench) report(n int, own bool, begun, waiting []Trait) {
 	id := CrashID{Replica: medlarid.InstanceID(fmt.Sprint("r", n)), Incarnation: 1}
 	b.table.AddReport(b.now, Report{Crash: id, Begun: begun, Waiting: waiting}, own)
+	b.table.Update(b.now)
 }
 
 func (b *bench) answer(parts ...Trait) { b.table.Answered(b.now, b.now, parts) }
@@ -177,6 +178,7 @@
 				b.advance(time.Second)
 				id := CrashID{Replica: "r", Incarnation: medlarid.Incarnation(n)}
 				b.table.AddReport(b.now, Report{Crash: id, Begun: []Trait{"x"}}, true)
+				b.table.Update(b.now)
 			}
 			b.advance(objectionDelay)
 		}, []Trait{"x"}},
