Count crashes from before the start of an instance once

Callers whose requests have the same path, account and body as others were refused with 503 for 30 s after all replicas and all instances had lost power at once. An instance that starts read the records of the crashes as if they were of now, and nobody was left that knew that such requests had been answered. Records of processes that were killed are never removed, so old ones do it as well.

Crashes that an instance reads when it starts now count once together, against requests as a whole too: it knows neither when they were nor what was answered since. Two more crashes block as before, so a request that does crash replicas is blocked after two more at most if it was not blocked yet; blocks that were recorded hold at once, as before.

--- a/internal/core/medlarsuspect/medlarsuspect.go
+++ b/internal/core/medlarsuspect/medlarsuspect.go
@@ -20,7 +20,9 @@
 //	    the place of a blocked request as a whole after one more crash, which no instance
 //	    has explained by that request within objectionDelay. Crashes at the same moment count
 //	    once for parts of prompts, since a fault of many replicas has another cause; a request
-//	    as a whole is seldom at several replicas at once. Of traits that are equally suspected,
+//	    as a whole is seldom at several replicas at once. Crashes that the instance has read of
+//	    when it started count once for all traits: it knows neither when they were nor what
+//	    was answered since. Of traits that are equally suspected,
 //	    the narrowest is blocked, and of these the ones whose last answer is longest ago: a
 //	    part of prompts that always comes with another one has no later answer than that.
 //	R5  A block takes effect after a delay, in which an instance that has had an answer with
@@ -86,6 +88,7 @@
 	Crash   CrashID
 	Begun   []Trait // of requests that the replica had begun to answer
 	Waiting []Trait // of all others that were lost with it
+	Earlier bool    // read when this instance started; the crash was at an unknown time before (R4)
 }
 
 // Block is the state of a trait that instances share.
@@ -121,6 +124,7 @@
 	cleared        map[Trait]bool // of begun and waiting
 	begunPrompt    bool           // a prompt with parts is in begun
 	own            bool           // this instance has reported it
+	earlier        bool           // it was before the start of this instance
 }
 
 // suspects returns the traits that are suspected of the crash (R2).
@@ -195,7 +199,7 @@
 // whether anything was new. The next Update evaluates it: reports come in large numbers when many replicas
 // crash at once, and an evaluation takes all crashes into account.
 func (t *Table) AddReport(now time.Time, r Report, own bool) bool {
-	c := t.crash(now, r.Crash)
+	c := t.crash(now, r)
 	added := add(c.begun, r.Begun) + add(c.waiting, r.Waiting)
 	t.suspects += added
 	c.begunPrompt = c.begunPrompt || slices.ContainsFunc(r.Begun, func(p Trait) bool { return !p.Whole() })
@@ -226,14 +230,15 @@
 	return id
 }
 
-// crash returns the remembered crash with an id, or of that time (R1), and remembers it if it is new.
-func (t *Table) crash(now time.Time, id CrashID) *crash {
+// crash returns the remembered crash of a report, or one of that time (R1), and remembers it if it is new.
+func (t *Table) crash(now time.Time, r Report) *crash {
+	id := r.Crash
 	for _, c := range t.crashes {
 		if c.id == id || c.id.Replica == id.Replica && now.Sub(c.at) < minLife {
 			return c
 		}
 	}
-	c := &crash{id: id, at: now, begun: map[Trait]bool{}, waiting: map[Trait]bool{}, cleared: map[Trait]bool{}}
+	c := &crash{id: id, at: now, earlier: r.Earlier, begun: map[Trait]bool{}, waiting: map[Trait]bool{}, cleared: map[Trait]bool{}}
 	t.crashes = append(t.crashes, c)
 	return c
 }
@@ -292,7 +297,7 @@
 		settled := now.Sub(c.at) >= objectionDelay
 		t.checkAgain(now, c, byRequest)
 		for p := range c.suspects() {
-			if t.isCleared(p, c) || t.blocks[p] != nil || all[p] > 0 && sameCrash(p, last[p], c.at) {
+			if t.isCleared(p, c) || t.blocks[p] != nil || all[p] > 0 && sameCrash(p, last[p], c) {
 				continue
 			}
 			all[p]++
@@ -315,9 +320,9 @@
 	}
 }
 
-// sameCrash reports whether two crashes count once against a trait (R4).
-func sameCrash(p Trait, a, b time.Time) bool {
-	return !p.Whole() && b.Sub(a) <= sameMoment
+// sameCrash reports whether a crash counts once against a trait with one at an earlier time (R4).
+func sameCrash(p Trait, before time.Time, c *crash) bool {
+	return c.earlier || !p.Whole() && c.at.Sub(before) <= sameMoment
 }
 
 // explained reports whether a blocked trait explains a crash: a request as a whole, or another one.
@@ -340,7 +345,7 @@
 	n := 0
 	var last time.Time
 	for _, c := range t.crashes {
-		if !c.suspected(p) || !all && t.isCleared(p, c) || n > 0 && sameCrash(p, last, c.at) {
+		if !c.suspected(p) || !all && t.isCleared(p, c) || n > 0 && sameCrash(p, last, c) {
 			continue
 		}
 		n++
--- a/internal/ops/medlarnotifier/medlarnotifier.go
+++ b/internal/ops/medlarnotifier/medlarnotifier.go
@@ -225,8 +225,9 @@
 	n.post(medlarworld.NoticesCurrent{AsOf: c.At, Failed: err != nil})
 }
 
-// Apply passes the records of other instances to the core.
-func (n *Notifier) Apply(records []medlarfeed.Record, _ bool) {
+// Apply passes the records of other instances to the core; first is set if they are those that the store held
+// when this instance started.
+func (n *Notifier) Apply(records []medlarfeed.Record, first bool) {
 	for _, r := range records {
 		n.removeEarlier(r)
 		n.setPeer(r)
@@ -239,6 +240,10 @@
 			if a, ok := e.(medlarworld.BuildsAssigned); ok && !a.Dropped {
 				n.logAssignment(a)
 			}
+			if c, ok := e.(medlarworld.CrashReported); ok {
+				c.Report.Earlier = first
+				e = c
+			}
 			n.post(e)
 		}
 	}
