Wait for an address that is in use at the start

An instance whose address was in use when it started ended at once and was away for good, though its earlier process or another connection often holds the address for a moment only.

--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -19,7 +19,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/dig"
@@ -258,22 +257,28 @@
 	}
 }
 
-// Start opens the listeners and starts serving. The instance runs until stop is called;
-// stop returns when the instance has ended.
+// Start opens the listeners and starts serving. It waits for an address that is in use, for bounds.grace at
+// most. The instance runs until stop is called; stop returns when the instance has ended.
 func (i *Instance) Start() (stop func(), err error) {
-	if i.listener, err = net.Listen("tcp", string(i.cfg.Listen)); err != nil {
-		return nil, eris.Wrap(err, "listen for callers")
-	}
-	if i.statusListener, err = net.Listen("tcp", string(i.cfg.Status)); err != nil {
-		_ = i.listener.Close()
-		return nil, eris.Wrap(err, "listen for status requests")
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	logDone := make(chan struct{})
 	go func() {
 		defer close(logDone)
 		i.logWriter.Run(ctx)
 	}()
+	end := func() {
+		cancel()
+		<-logDone
+	}
+	if i.listener, err = i.listen("callers", i.cfg.Listen); err != nil {
+		end()
+		return nil, err
+	}
+	if i.statusListener, err = i.listen("status requests", i.cfg.Status); err != nil {
+		_ = i.listener.Close()
+		end()
+		return nil, err
+	}
 	go i.loop.Run(ctx)
 	for _, f := range i.feeds {
 		go f.Run(ctx)
@@ -288,8 +293,7 @@
 	i.log.Info().Str("event", "start").Str("listen", string(i.cfg.Listen)).Str("store", string(i.cfg.Store)).Msg("started")
 	return func() {
 		i.stop()
-		cancel()
-		<-logDone
+		end()
 	}, nil
 }
 
