--- a/internal/stand/medlarsite/control.go
+++ b/internal/stand/medlarsite/control.go
@@ -29,7 +29,7 @@
 //	POST /release?build=B&n=N&ms=MS  replaces N replicas of the engine, one each MS
 //	POST /weights?version=V       names a weight version
 //	POST /change                  writes a configuration with a higher version
-//	POST /history?n=N             writes records as of N earlier instances that are gone
+//	POST /history?n=N&prompts=N   writes records as of N earlier instances that are gone, each crash with N prompts
 //	GET  /calls                   returns the number of calls to the store so far
 func (s *Site) ControlHandler() fasthttp.RequestHandler {
 	r := router.New()
@@ -62,20 +62,25 @@
 			ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
 		}
 	})
-	r.POST("/history", func(ctx *fasthttp.RequestCtx) { s.writeHistory(query(ctx, "n")) })
+	r.POST("/history", func(ctx *fasthttp.RequestCtx) { s.writeHistory(query(ctx, "n"), query(ctx, "prompts")) })
 	r.GET("/calls", func(ctx *fasthttp.RequestCtx) { _, _ = fmt.Fprintln(ctx, s.Store.Calls()) })
 	return r.Handler
 }
 
-// writeHistory writes the records that n earlier instances have left: their addresses, and crashes of replicas.
-func (s *Site) writeHistory(n int) {
+// writeHistory writes the records that n earlier instances have left: their addresses, and crashes of replicas with
+// which each has lost a number of prompts.
+func (s *Site) writeHistory(n, prompts int) {
 	for i := range n {
 		name := fmt.Sprintf("gone-%d", i)
 		s.Store.Put(topicNotices, "peer/"+name, fmt.Appendf(nil, `{"at":"127.0.0.1:%d","key":"%d","relay":"127.0.0.1:%d","zone":"a"}`, 20000+i, i+1, 20000+i))
 		for slot := range historySlots {
 			at := i*historySlots + slot
+			traits := fmt.Appendf(nil, `"aa"`)
+			for k := range max(prompts, 1) {
+				traits = fmt.Appendf(traits, `,"b%x","request-%016x%016x","content-%016x%016x"`, (at+k)%historyParts, at, k, at, k)
+			}
 			s.Store.Put(topicNotices, fmt.Sprintf("crash/%s/%d", name, slot),
-				fmt.Appendf(nil, `{"replica":"old-%d","born":1,"begun":["aa","b%x","request-%032x","content-%032x"]}`, at%historyReplicas, at%historyParts, at, at))
+				fmt.Appendf(nil, `{"replica":"old-%d","born":1,"begun":[%s]}`, at%historyReplicas, traits))
 		}
 	}
 }
