--- a/internal/core/medlarsuspect/blame.go
+++ b/internal/core/medlarsuspect/blame.go
@@ -38,7 +38,7 @@
 		settled := now.Sub(c.at) >= objectionDelay
 		t.checkAgain(now, c, byRequest)
 		for p := range c.suspects() {
-			if t.isCleared(p, c) || t.blocks[p] != nil || all[p] > 0 && sameCrash(p, last[p], c.at) {
+			if t.isCleared(p, c) || t.blocks[p] != nil || all[p] > 0 && sameCrash(p, last[p], c) {
 				continue
 			}
 			all[p]++
@@ -81,7 +81,7 @@
 	n := 0
 	var last time.Time
 	for _, c := range t.crashes {
-		if !c.suspected(p) || !all && t.isCleared(p, c) || n > 0 && sameCrash(p, last, c.at) {
+		if !c.suspected(p) || !all && t.isCleared(p, c) || n > 0 && sameCrash(p, last, c) {
 			continue
 		}
 		n++
--- a/internal/core/medlarsuspect/crash.go
+++ b/internal/core/medlarsuspect/crash.go
@@ -20,6 +20,7 @@
 	Crash   CrashID
 	Begun   []Trait // of requests that the replica had begun to answer
 	Waiting []Trait // of all others that were lost with it
+	Earlier bool    // read when this instance started; the crash was at an unknown time before (R4)
 }
 
 // crash is a remembered crash.
@@ -30,6 +31,7 @@
 	cleared        map[Trait]bool // of begun and waiting
 	begunPrompt    bool           // a prompt with parts is in begun
 	own            bool           // this instance has reported it
+	earlier        bool           // it was before the start of this instance
 }
 
 // suspects returns the traits that are suspected of the crash (R2).
@@ -54,9 +56,10 @@
 }
 
 // AddReport adds what an instance reports of a crash; own tells that it is this one. It reports
-// whether anything was new.
+// whether anything was new. The next Update evaluates it: reports come in large numbers when many replicas
+// crash at once, and an evaluation takes all crashes into account.
 func (t *Table) AddReport(now time.Time, r Report, own bool) bool {
-	c := t.crash(now, r.Crash)
+	c := t.crash(now, r)
 	added := add(c.begun, r.Begun) + add(c.waiting, r.Waiting)
 	t.suspects += added
 	c.begunPrompt = c.begunPrompt || slices.ContainsFunc(r.Begun, func(p Trait) bool { return !p.Whole() })
@@ -67,7 +70,7 @@
 		}
 	}
 	t.trim()
-	t.evaluate(now)
+	t.evaluateAt = now
 	return added > 0
 }
 
@@ -87,14 +90,15 @@
 	return id
 }
 
-// crash returns the remembered crash with an id, or of that time (R1), and remembers it if it is new.
-func (t *Table) crash(now time.Time, id CrashID) *crash {
+// crash returns the remembered crash of a report, or one of that time (R1), and remembers it if it is new.
+func (t *Table) crash(now time.Time, r Report) *crash {
+	id := r.Crash
 	for _, c := range t.crashes {
 		if c.id == id || c.id.Replica == id.Replica && now.Sub(c.at) < minLife {
 			return c
 		}
 	}
-	c := &crash{id: id, at: now, begun: map[Trait]bool{}, waiting: map[Trait]bool{}, cleared: map[Trait]bool{}}
+	c := &crash{id: id, at: now, earlier: r.Earlier, begun: map[Trait]bool{}, waiting: map[Trait]bool{}, cleared: map[Trait]bool{}}
 	t.crashes = append(t.crashes, c)
 	return c
 }
@@ -122,7 +126,7 @@
 	t.crashes = slices.Delete(t.crashes, 0, 1)
 }
 
-// sameCrash reports whether two crashes count once against a trait (R4).
-func sameCrash(p Trait, a, b time.Time) bool {
-	return !p.Whole() && b.Sub(a) <= sameMoment
+// sameCrash reports whether a crash counts once against a trait with one at an earlier time (R4).
+func sameCrash(p Trait, before time.Time, c *crash) bool {
+	return c.earlier || !p.Whole() && c.at.Sub(before) <= sameMoment
 }
--- a/internal/stand/medlarfaketopic/medlarfaketopic.go
+++ b/internal/stand/medlarfaketopic/medlarfaketopic.go
@@ -41,6 +41,7 @@
 	calls   int
 	conns   int
 	era     int // number of rewinds
+	limiter limiter
 }
 
 type topic struct {
@@ -194,6 +195,9 @@
 		closeConn(ctx)
 		return
 	}
+	if !e.store.admit(ctx) {
+		return
+	}
 	e.store.handle(ctx, e.view)
 	if fault == FaultLose {
 		closeConn(ctx)
