--- a/internal/upstream/medlarhttp/medlarhttp.go
+++ b/internal/upstream/medlarhttp/medlarhttp.go
@@ -14,8 +14,9 @@
 //	    unknown.
 //	R4  If the peer has closed the connection before the request is written, or has
 //	    sent anything on it, the peer counts as unreachable: nothing was sent.
-//	R5  Only OpenPooled keeps connections, for callers that rely on the server to
-//	    respond once to each request, in order.
+//	R5  Only DoKept and OpenPooled keep connections: DoKept for callers that can tell a
+//	    response to an earlier request from what it states, OpenPooled for callers that
+//	    rely on the server to respond once to each request, in order.
 package medlarhttp
 
 import (
@@ -209,15 +210,25 @@
 
 // Do sends a request on a connection of its own (R3) and reads the complete response,
 // whatever its status.
-func (c *Client) Do(r Request) (Response, error) {
+func (c *Client) Do(r Request) (Response, error) { return do(c.unpooled, r, true) }
+
+// DoKept is like Do but uses a kept connection if there is one (R5).
+func (c *Client) DoKept(r Request) (Response, error) { return do(c.pooled, r, false) }
+
+// CloseKept closes the kept connections that carry no request.
+func (c *Client) CloseKept() { c.pooled.CloseIdleConnections() }
+
+func do(hc *fasthttp.Client, r Request, closeConn bool) (Response, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	fillRequest(req, r)
-	req.SetConnectionClose()
+	if closeConn {
+		req.SetConnectionClose()
+	}
 	deadline := time.Now().Add(r.Timeout)
-	if err := c.unpooled.DoDeadline(req, resp, deadline); err != nil {
+	if err := hc.DoDeadline(req, resp, deadline); err != nil {
 		return Response{}, callError(err)
 	}
 	body, err := readBody(resp, deadline, cmp.Or(r.MaxBody, maxResponseBytes))
