Word comments in the field's terms outside the parts under change

95 comment lines that used 'told', 'says', 'gone', 'goes on' and the like for what a message states, a flag reports or an entry lacks. Comments only.

--- a/internal/agree/medlarcatalog/medlarcatalog.go
+++ b/internal/agree/medlarcatalog/medlarcatalog.go
@@ -47,7 +47,7 @@
 	MaxAttempts        int           // maximum number of replicas that one request is sent to
 	PriorityLevel      int           // 0 is the most urgent
 	AllowAnonymous     bool          // requests need no key
-	// Resumable tells that a stream may be resumed on another replica.
+	// Resumable reports that a stream may be resumed on another replica.
 	Resumable bool
 }
 
@@ -132,7 +132,7 @@
 	Keys    []string
 }
 
-// New returns a catalog. keyRequired tells whether accounts are in use: all routes but
+// New returns a catalog. keyRequired reports whether accounts are in use: all routes but
 // those that allow anonymous requests then need a key.
 func New(version uint64, routes []Route, services []Service, accountKeys []AccountKeys, keyRequired bool, limits Limits) *Catalog {
 	c := &Catalog{
--- a/internal/agree/medlarfeed/medlarfeed.go
+++ b/internal/agree/medlarfeed/medlarfeed.go
@@ -20,7 +20,7 @@
 //	R6  A call that has no response although its wait has ended is repeated, while the
 //	    call in flight may still succeed. So a response that was lost delays no record
 //	    until its call times out.
-//	R7  When the store's era rises, the records that were written since its copy are gone
+//	R7  When the store's era rises, the records that were written since its copy are lost
 //	    and their offsets are given out again. The feed reads the latest records of
 //	    all keys anew, whatever their offsets. Keys that are then missing are removed
 //	    after the delay of R4, since their owners may write them again. A response of an
@@ -57,7 +57,7 @@
 type Batch struct {
 	Records    []Record
 	NextOffset medlarid.Offset
-	// Truncated tells that the store has truncated records at the requested offset.
+	// Truncated reports that the store has truncated records at the requested offset.
 	Truncated bool
 	Era       medlarid.Era // of the store
 }
@@ -72,7 +72,7 @@
 type Deps struct {
 	ReadLatest func(ctx context.Context, after string) (Page, error)
 	ReadFrom   func(ctx context.Context, from medlarid.Offset, o ReadOptions) (Batch, error)
-	// Apply receives changed records in order. first tells that they are the initial
+	// Apply receives changed records in order. first reports that they are the initial
 	// records, of all keys.
 	Apply func(records []Record, first bool)
 	// OnCurrent is called after each read, once Apply has received all records before an offset.
--- a/internal/agree/medlarfollower/medlarfollower.go
+++ b/internal/agree/medlarfollower/medlarfollower.go
@@ -39,7 +39,7 @@
 	Read  ReadFunc
 	Apply func(medlarlog.Entry)       // one record, in order (R1)
 	OnGap func(first medlarid.Offset) // the first offset after the missing records (R2)
-	// OnRead is called after each successful read; caughtUp tells whether the end of
+	// OnRead is called after each successful read; caughtUp reports whether the end of
 	// the stream was reached.
 	OnRead func(caughtUp bool)
 	// OnReadError is called with the error of each failed read.
--- a/internal/agree/medlarlease/medlarlease.go
+++ b/internal/agree/medlarlease/medlarlease.go
@@ -7,7 +7,7 @@
 //	    from lease to lease.
 //	R2  A record takes effect if the duty was free at the record's timestamp: never
 //	    held, released, expired by the timestamps of the log, or held by the same
-//	    author. Every reader comes to the same decision.
+//	    author. Every reader makes the same decision.
 //	R3  The holder measures its term by its own monotonic clock from before the
 //	    append, less a margin, and acts only within the term.
 //	R4  A candidate waits for a full term and a margin after it read the last
--- a/internal/agree/medlarnotice/medlarnotice.go
+++ b/internal/agree/medlarnotice/medlarnotice.go
@@ -1,4 +1,4 @@
-// Package medlarnotice writes what one instance tells all others, as records in a keyed topic
+// Package medlarnotice writes what one instance reports to all others, as records in a keyed topic
 // of the platform's store. All instances follow the topic.
 //
 // Rules:
@@ -71,7 +71,7 @@
 type Record struct {
 	Key   string
 	Value []byte
-	// Serial tells the writer which of its records of the key this is; it is not written.
+	// Serial numbers the writer's records of the key; it is not written.
 	Serial uint64
 }
 
--- a/internal/agree/medlarterm/medlarterm.go
+++ b/internal/agree/medlarterm/medlarterm.go
@@ -18,10 +18,10 @@
 //	R6  During the term of another instance and the settling time after it, the
 //	    topic is read at most once per readInterval, because every instance that
 //	    sees work requests the duty many times a second.
-//	R7  When the store's era rises, the latest records are gone and their offsets are
+//	R7  When the store's era rises, the latest records are lost and their offsets are
 //	    given out again. The local term ends, and nothing is appended for a term and the
 //	    settling time from then on, since the record of another holder may be among
-//	    those that are gone. A fencing number consists of the era and the position
+//	    those that are lost. A fencing number consists of the era and the position
 //	    in the topic, so that it never decreases.
 package medlarterm
 
--- a/internal/base/medlarevent/medlarevent.go
+++ b/internal/base/medlarevent/medlarevent.go
@@ -8,7 +8,7 @@
 //	R2  Bytes are returned unmodified.
 //	R3  An event without an id inherits the id of the previous event.
 //	R4  A stream that ends within an event was interrupted, whatever the framing of
-//	    its response says. Blank lines and comments after the last event belong to
+//	    its response states. Blank lines and comments after the last event belong to
 //	    no event. A response that resumes a stream needs an event to be complete.
 //	R5  An event, with the comments and blank lines before it, is at most maxEvent bytes.
 //	R6  An event has a line of data, id, event or retry, and its other lines are fields or
@@ -79,7 +79,7 @@
 // Events returns the number of complete events since the last Resume.
 func (c *Splitter) Events() int { return c.events }
 
-// Resume prepares for a response that goes on after the event with an id; empty for one that begins the
+// Resume prepares for a response that continues after the event with an id; empty for one that begins the
 // stream. It discards an incomplete event (R7).
 func (c *Splitter) Resume(last string) {
 	c.buf, c.events, c.idle = c.buf[:0], 0, 0
@@ -146,7 +146,7 @@
 	}
 }
 
-// Finish appends to out what follows the last event of a stream whose body has ended. toClose tells
+// Finish appends to out what follows the last event of a stream whose body has ended. toClose reports
 // that the end of the connection delimited the body: then the stream needs an event to be complete (R4).
 func (c *Splitter) Finish(out []byte, toClose bool) ([]byte, error) {
 	var err error
@@ -164,7 +164,7 @@
 	return out, err
 }
 
-// Check returns an error if the body of a stream is incomplete (R4). toClose tells that the end of
+// Check returns an error if the body of a stream is incomplete (R4). toClose reports that the end of
 // the connection delimited it.
 func Check(body []byte, toClose bool) error {
 	var c Splitter
--- a/internal/base/medlarevent/order.go
+++ b/internal/base/medlarevent/order.go
@@ -13,7 +13,7 @@
 	uneven   bool   // some step was not 1
 }
 
-// resume prepares for a response that goes on after the event with an id.
+// resume prepares for a response that continues after the event with an id.
 func (o *order) resume(last string) {
 	o.checks, o.resumes = true, last != "" || o.nameless
 	n, err := strconv.ParseUint(last, 10, 64)
--- a/internal/base/medlarhead/body.go
+++ b/internal/base/medlarhead/body.go
@@ -25,7 +25,7 @@
 	heads     *headFilter // nil for none
 }
 
-// Limit makes Read fail with KindOversized once it has returned n bytes and the body goes on.
+// Limit makes Read fail with KindOversized once it has returned n bytes and the body continues.
 func (b *Body) Limit(n int64) { b.limited, b.left = true, n }
 
 // NewBody returns a reader for the body that follows h in br.
@@ -46,7 +46,7 @@
 	return b.read(p)
 }
 
-// read reads the bytes that the framing says belong to the body.
+// read reads the bytes that the framing assigns to the body.
 func (b *Body) read(p []byte) (int, error) {
 	if b.framing == FramingChunked && b.remaining == 0 && !b.done {
 		if err := b.nextChunk(); err != nil {
@@ -81,7 +81,7 @@
 	return n, err
 }
 
-// atLimit returns why nothing more is read at the limit: the body goes on, or it has ended.
+// atLimit returns why nothing more is read at the limit: the body continues, or it has ended.
 func (b *Body) atLimit() error {
 	if b.framing == FramingClose {
 		if _, err := b.br.Peek(1); err == io.EOF {
--- a/internal/base/medlarhead/further.go
+++ b/internal/base/medlarhead/further.go
@@ -50,7 +50,7 @@
 // statusStart begins each status line.
 var statusStart = []byte("HTTP/1.")
 
-// findHead returns where the first head, or what may become one, begins in b, and whether it is a head. ended tells
+// findHead returns where the first head, or what may become one, begins in b, and whether it is a head. ended reports
 // that nothing follows b.
 func findHead(b []byte, ended bool) (at int, found bool) {
 	for {
--- a/internal/base/medlarhead/medlarhead.go
+++ b/internal/base/medlarhead/medlarhead.go
@@ -9,7 +9,7 @@
 //	    response began before it ended.
 //	R2  A message has at most one length: a second Content-Length, a Content-Length
 //	    together with a Transfer-Encoding, and any coding but chunked are rejected.
-//	R3  A body is complete only if its framing says so. A body that is delimited by
+//	R3  A body is complete only with the end of its framing. A body that is delimited by
 //	    the end of its connection is complete only if the connection was closed
 //	    cleanly.
 //	R4  The size of a head, of a chunk size line and of the trailers is limited.
--- a/internal/base/medlarid/medlarid.go
+++ b/internal/base/medlarid/medlarid.go
@@ -51,7 +51,7 @@
 // known.
 type Incarnation int64
 
-// Era counts how often a store has come back from a copy that lacks its latest records.
+// Era counts how often a store was restored from a copy that lacks its latest records.
 type Era uint64
 
 // Build identifies the version of the software that an instance runs, unlike the version of its
--- a/internal/core/medlarlimit/medlarlimit.go
+++ b/internal/core/medlarlimit/medlarlimit.go
@@ -6,20 +6,20 @@
 //	R1  The limit of an upstream is what an answer named last. It holds for one incarnation, and
 //	    until an answer without it. An answer to an attempt that started before the last change
 //	    is too old to change it.
-//	R2  An instance that learns of a change tells all others, so that those that get no answers
+//	R2  An instance that learns of a change reports it to all others, so that those that get no answers
 //	    of the upstream know it, too.
 //	R3  While an upstream of a target is limited, each instance that gets requests for the target
-//	    tells all others how many.
-//	R4  A limit is shared by the instances that told so recently, in proportion to their
+//	    reports to all others how many.
+//	R4  A limit is shared by the instances that reported such requests recently, in proportion to their
 //	    requests. Only some of them get a share, those with the most requests first: each
 //	    share may send one request at once, and these must not add up to more than a
 //	    small limit allows.
 //	R5  A share is a lease. It ends before the others count it as free: an instance that cannot
-//	    tell its requests any longer goes on with a fraction, and a new one has no share
+//	    report its requests any longer continues with a fraction, and a new one has no share
 //	    before it has read its own record.
 //	R6  Each attempt takes a token from a bucket that fills at the rate of the share, whatever
 //	    the attempt is for.
-//	R7  A limit of almost nothing counts as minLimit, since only an answer can tell that it has
+//	R7  A limit of almost nothing counts as minLimit, since only an answer can show that it has
 //	    ended.
 //	R8  A request whose upstreams are all limited past its deadline is refused at once.
 package medlarlimit
@@ -80,7 +80,7 @@
 	filled time.Time // of the last refill
 }
 
-// need is what an instance told of its requests.
+// need is what an instance reported of its requests.
 type need struct {
 	rates  medlarworld.Rates
 	readAt time.Time
@@ -135,7 +135,7 @@
 	}
 }
 
-// answered applies what an upstream said in an answer (R1).
+// answered applies what an answer of an upstream states (R1).
 func (s *System) answered(w *medlarworld.World, e medlarworld.UpstreamLimited) {
 	l := s.limits[e.Upstream]
 	if l != nil && l.incarnation == e.Incarnation && !e.AttemptStarted.After(l.at) {
@@ -144,7 +144,7 @@
 	s.change(w, e.Upstream, e.Incarnation, e.Named, e.Limit, false)
 }
 
-// recorded applies what another instance, or this one, told of an upstream (R2).
+// recorded applies what another instance, or this one, reported of an upstream (R2).
 func (s *System) recorded(w *medlarworld.World, e medlarworld.LimitRecorded) {
 	l := s.limits[e.Upstream]
 	if e.Dropped {
@@ -158,7 +158,7 @@
 	}
 }
 
-// change sets the limit of an upstream; told tells that all instances know it.
+// change sets the limit of an upstream; told reports that all instances know it.
 func (s *System) change(w *medlarworld.World, id medlarid.InstanceID, i medlarid.Incarnation, limited bool, rate float64, told bool) {
 	l := s.limits[id]
 	if l != nil && l.incarnation == i && l.limited == limited && l.rate == rate {
@@ -217,7 +217,7 @@
 }
 
 // forget removes what no longer counts: needs that are too old, and limits that have ended or whose
-// upstream is gone.
+// upstream has been removed.
 func (s *System) forget(w *medlarworld.World) {
 	maps.DeleteFunc(s.needs, func(_ medlarid.InstanceID, n need) bool { return w.Now.Sub(n.readAt) > memberTime })
 	for _, id := range slices.Sorted(maps.Keys(s.limits)) {
@@ -232,7 +232,7 @@
 	}
 }
 
-// tell tells all other instances of changes that this one has learned from answers (R2).
+// tell reports to all other instances changes that this one has learned from answers (R2).
 func (s *System) tell(w *medlarworld.World) {
 	for _, id := range slices.Sorted(maps.Keys(s.limits)) {
 		l := s.limits[id]
@@ -314,7 +314,7 @@
 	return out[:int(n)]
 }
 
-// tellNeed tells all other instances how many requests this one gets for targets with limited
+// tellNeed reports to all other instances how many requests this one gets for targets with limited
 // upstreams (R3).
 func (s *System) tellNeed(w *medlarworld.World) {
 	age := w.Now.Sub(s.writtenAt)
--- a/internal/core/medlarorder/medlarorder.go
+++ b/internal/core/medlarorder/medlarorder.go
@@ -7,8 +7,8 @@
 //	R2  At most a given number of replicas load at the same time.
 //	R3  A model's last serving replica is never taken out of service, and at least half
 //	    of the model's replicas keep serving.
-//	R4  Models with more load per serving replica come first. Among a model's replicas,
-//	    those with the least load come first, or those with the lowest ID if the
+//	R4  Models with more load per serving replica are first. Among a model's replicas,
+//	    those with the least load are first, or those with the lowest ID if the
 //	    planner sorts by ID: then everyone that knows the replicas also knows which
 //	    ones are next.
 //	R5  A replica that got an order gets another one only after a minimum interval, so
@@ -47,7 +47,7 @@
 	Load     int  // runs computed and waiting
 }
 
-// Order tells a replica to load a weight version.
+// Order makes a replica load a weight version.
 type Order struct {
 	Replica medlarid.InstanceID
 	Model   medlarid.ModelID
--- a/internal/core/medlarpeerload/medlarpeerload.go
+++ b/internal/core/medlarpeerload/medlarpeerload.go
@@ -1,5 +1,5 @@
-// Package medlarpeerload keeps what other instances tell of the load that they put on
-// upstreams, and tells them of this instance's. Of many instances each sees only its own
+// Package medlarpeerload keeps what other instances report of the load that they put on
+// upstreams, and reports this instance's to them. Of many instances each sees only its own
 // attempts, and without this each would fill the same upstreams while others have free slots.
 //
 // Rules:
@@ -7,7 +7,7 @@
 //	R1  An instance reports the attempts that it has in flight at each upstream, and their
 //	    tokens that are still to be computed. A report replaces the earlier one of its sender.
 //	R2  Reports are hints: they get lost, and each expires after reportTTL. Without any, an
-//	    instance goes by its own attempts alone.
+//	    instance counts its own attempts alone.
 //	R3  A report is sent each tellInterval while the instance has attempts in flight, and once
 //	    more when it has none left.
 //	R4  A report has a bounded size: beyond maxLoads it names the upstreams with most attempts.
--- a/internal/core/medlarreason/medlarreason.go
+++ b/internal/core/medlarreason/medlarreason.go
@@ -46,7 +46,7 @@
 	Failure     Reason = "failure"
 )
 
-// Ran says whether a refused request ran on an upstream.
+// Ran states whether a refused request ran on an upstream.
 type Ran string
 
 // Values of Ran.
@@ -65,9 +65,9 @@
 	Ran Ran
 	// Retryable is set if the caller may send the same request again.
 	Retryable bool `json:"Again"`
-	// Text says what happened, in one sentence for the caller.
+	// Text states what happened, in one sentence for the caller.
 	Text string
-	// Advice says what an operator can publish or inspect.
+	// Advice states what an operator can publish or inspect.
 	Advice string
 }
 
--- a/internal/core/medlarretry/medlarretry.go
+++ b/internal/core/medlarretry/medlarretry.go
@@ -34,7 +34,7 @@
 // Parameters of retries and ejection.
 const (
 	maxUnreachedAttempts = 3 // attempts that did not run, for a run with a limit of its own
-	// misdirectedEjection is longer than the instance list goes on naming a replica that is gone.
+	// misdirectedEjection is longer than the instance list still names a replica that was removed.
 	misdirectedEjection = 5 * time.Second
 	busyBackoff         = 300 * time.Millisecond // an engine that refused a run is avoided for this time
 	maxPause            = 20 * time.Millisecond
@@ -174,7 +174,7 @@
 }
 
 // failedOr returns Failed for a run that reached an upstream, and otherwise the given
-// reason, which says that it did not run.
+// reason, which states that it did not run.
 func failedOr(r *medlarworld.Run, unreached medlarreason.Reason) medlarreason.Reason {
 	if r.Reached {
 		return medlarreason.Failed
--- a/internal/edge/medlarapi/output.go
+++ b/internal/edge/medlarapi/output.go
@@ -38,7 +38,7 @@
 	}
 }
 
-// done tells the core that no further commands for the request are needed.
+// done informs the core that no further commands for the request are needed.
 func (resp *responder) done() { resp.api.deps.Done(resp.q.id) }
 
 // formatter returns a formatter for the response.
@@ -116,7 +116,7 @@
 }
 
 // writeStream writes updates until the answer is complete, the request is refused
-// or the caller has gone.
+// or the caller has disconnected.
 func (resp *responder) writeStream(w *bufio.Writer, u medlarsession.Update) {
 	defer resp.done()
 	formatter := resp.formatter()
--- a/internal/edge/medlarcall/medlarcall.go
+++ b/internal/edge/medlarcall/medlarcall.go
@@ -121,16 +121,16 @@
 	LimitNamed     bool
 	LimitMalformed bool
 	// Brittle is how many requests the replica can turn away in a second for lack of room before it
-	// crashes; 0 if it does not say that it is brittle.
+	// crashes; 0 if it does not state that it is brittle.
 	Brittle       int
 	MalformedHint bool // Leaving, RetryAfter, Limit or Brittle was given with an invalid value
 }
 
-// Rejected reports whether the response says that the request did not run.
+// Rejected reports whether the response states that the request did not run.
 func (r *Reply) Rejected() bool { return r.NotRun || r.Misdirected }
 
-// Hints returns what the response to an attempt at an upstream says about further requests. Only a response to the
-// request itself can say that a hint no longer holds.
+// Hints returns what the response to an attempt at an upstream states about further requests. Only a response to the
+// request itself can state that a hint no longer holds.
 func (r *Reply) Hints(id medlarid.RequestID, cmd *medlarworld.StartAttempt, started time.Time) []medlarworld.Event {
 	var out []medlarworld.Event
 	own := r.ID == id && (r.Signed || r.NotRun)
@@ -180,7 +180,7 @@
 	// Lost is set if the upstream ended the connection before its response was complete.
 	Lost bool
 	// Proof shows that the response belongs to the attempt; empty if none was received. Rejected is set if
-	// the response says that the request did not run.
+	// the response states that the request did not run.
 	Proof    Proof
 	Rejected bool
 	// Unnamed is set if a rejection that names no request was read over.
--- a/internal/edge/medlarmetric/medlarmetric.go
+++ b/internal/edge/medlarmetric/medlarmetric.go
@@ -216,7 +216,7 @@
 // CallFailed counts a failed call to a part of the platform.
 func (m *Metrics) CallFailed(part string) { m.callFailures.WithLabelValues(part).Inc() }
 
-// Source is where records of others come from.
+// Source is where records of others were read.
 type Source string
 
 // Sources.
@@ -246,7 +246,7 @@
 	m.orders.WithLabelValues(result).Inc()
 }
 
-// Hint is what a replica says in a response about further requests.
+// Hint is what a response of a replica states about further requests.
 type Hint string
 
 // Hints.
@@ -261,7 +261,7 @@
 // HintReceived counts a hint of a replica.
 func (m *Metrics) HintReceived(h Hint) { m.hints.WithLabelValues(string(h)).Inc() }
 
-// AttemptLost counts an attempt whose connection the upstream ended early; began tells whether
+// AttemptLost counts an attempt whose connection the upstream ended early; began reports whether
 // the answer had begun.
 func (m *Metrics) AttemptLost(began bool) { m.lost.WithLabelValues(strconv.FormatBool(began)).Inc() }
 
@@ -283,7 +283,7 @@
 // Connected counts an attempt to open a direct connection to a replica.
 func (m *Metrics) Connected(result string) { m.connects.WithLabelValues(result).Inc() }
 
-// Asked counts what another instance said that was asked for a connection to a replica.
+// Asked counts the answer of another instance that was asked for a connection to a replica.
 func (m *Metrics) Asked(result string) { m.asked.WithLabelValues(result).Inc() }
 
 // Relayed counts a request of another instance for a connection to a replica.
--- a/internal/edge/medlarrun/medlarrun.go
+++ b/internal/edge/medlarrun/medlarrun.go
@@ -1,5 +1,5 @@
 // Package medlarrun makes the core's run of a client's request, from what the client sent and what
-// the operators' configuration says of its route and account.
+// the operators' configuration states of its route and account.
 package medlarrun
 
 import (
@@ -131,10 +131,10 @@
 	return medlarkey.NewCacheSalt(v, "")
 }
 
-// patienceTargets is the number of target latencies after which an attempt is abandoned whose answer may not come.
+// patienceTargets is the number of target latencies after which an attempt is abandoned that may get no answer.
 const patienceTargets = 4
 
-// Patience returns when an attempt is abandoned whose answer may not come; started is its start, and deadline that of
+// Patience returns when an attempt is abandoned that may get no answer; started is its start, and deadline that of
 // its request.
 func Patience(r *medlarcatalog.Route, started, deadline time.Time) time.Time {
 	if r.TargetLatency <= 0 {
--- a/internal/ops/medlarcachetracker/medlarcachetracker.go
+++ b/internal/ops/medlarcachetracker/medlarcachetracker.go
@@ -6,7 +6,7 @@
 //	R1  A store is listed once at first, and again after a gap in its changes or a new
 //	    start of the store; otherwise its changes are polled. Contents posted to the core
 //	    are dated with the earliest time at which the store can have answered: the start
-//	    of the call, or the end of its wait if no change came in it. An answer that is
+//	    of the call, or the end of its wait if it saw no change. An answer that is
 //	    held up on its way, or read late, is no newer for that.
 //	R2  Parts of an older weight version are freed only when no instance can fetch them
 //	    any more, whatever it knows of the desired versions: a fixed time after the
@@ -109,7 +109,7 @@
 	OnRecovered   func(StoreRef)
 	OnListed      func(r StoreRef, epoch uint64, parts int)
 	OnFreed       func(r StoreRef, parts int, err error)
-	// OnMalformed is called when rows of a store's answer describe no part; first tells that they are
+	// OnMalformed is called when rows of a store's answer describe no part; first reports that they are
 	// the first ones of the store.
 	OnMalformed func(r StoreRef, rows int, first bool)
 }
--- a/internal/ops/medlarrollout/medlarrollout.go
+++ b/internal/ops/medlarrollout/medlarrollout.go
@@ -18,7 +18,7 @@
 //	R4  Of the instances that see a stale replica, the one with rank 0 tries to acquire
 //	    the term immediately, the others after a delay proportional to their rank.
 //	R5  A replica gets its order after it has had no new requests for a fixed time: all
-//	    instances know which replicas come next and send them none. Requests that still
+//	    instances know which replicas are next and send them none. Requests that still
 //	    run continue under the new weights. Waiting for them to end would take a third
 //	    of the replicas out of service for seconds.
 //	R6  An instance that reaches no replica neither acquires nor renews the term, so that another one
@@ -71,7 +71,7 @@
 	Leaving        bool   // the replica says that it leaves
 }
 
-// Order tells a replica to load a weight version.
+// Order makes a replica load a weight version.
 type Order struct {
 	Replica        Replica
 	Version        medlarid.WeightVersion
--- a/internal/peer/medlardatagram/medlardatagram.go
+++ b/internal/peer/medlardatagram/medlardatagram.go
@@ -1,17 +1,17 @@
-// Package medlardatagram tells other instances of the load that this one puts on upstreams,
+// Package medlardatagram reports to other instances the load that this one puts on upstreams,
 // in datagrams.
 //
 // Rules:
 //
-//	R1  A datagram is sent to each peer. It may get lost, come late or twice: one that is not
+//	R1  A datagram is sent to each peer. It may get lost, arrive late or twice: one that is not
 //	    newer than the last one of its sender is ignored.
 //	R2  A datagram carries its sender's id and key. A peer's address and key are read from
 //	    the platform's store, and datagrams with another key are ignored.
-//	R3  Peers that were not heard of for silence are tried only now and then.
-//	R4  Beyond maxTargets peers no load is told: to tell all of them often enough would cost
+//	R3  Peers from which no datagram arrived for silence are tried only now and then.
+//	R4  Beyond maxTargets peers no load is sent: to send it to all of them often enough would cost
 //	    each instance more than it gains, and sums of some of the reports mislead. Only
 //	    a few random ones get an empty report now and then, which keeps the count of peers.
-//	R5  A peer that was not heard of for forgetAfter is forgotten.
+//	R5  A peer from which no datagram arrived for forgetAfter is forgotten.
 package medlardatagram
 
 import (
@@ -116,7 +116,7 @@
 	return &Socket{deps: deps, onLoad: func(medlarworld.PeerLoadReported) {}, peers: map[medlarid.InstanceID]*peer{}, serial: uint64(time.Now().UnixNano())}
 }
 
-// SetOnLoad sets the function that receives the load that a peer tells of. It is called before Listen.
+// SetOnLoad sets the function that receives the load that a peer reports. It is called before Listen.
 func (s *Socket) SetOnLoad(f func(medlarworld.PeerLoadReported)) { s.onLoad = f }
 
 // Listen opens the socket at an address and receives datagrams until Close.
@@ -184,7 +184,7 @@
 	}
 }
 
-// forget forgets the peers that were not heard of for long (R5). The caller holds the lock.
+// forget forgets the peers from which no datagram arrived for long (R5). The caller holds the lock.
 func (s *Socket) forget(now time.Time) []medlarid.InstanceID {
 	var out []medlarid.InstanceID
 	for id, p := range s.peers {
@@ -196,7 +196,7 @@
 	return out
 }
 
-// silentFor returns the time since a peer was heard of, or since its address is known.
+// silentFor returns the time since the last datagram of a peer, or since its address is known.
 func (p *peer) silentFor(now time.Time) time.Duration {
 	return min(now.Sub(p.heardAt), now.Sub(p.knownFor))
 }
--- a/internal/peer/medlardatagram/message.go
+++ b/internal/peer/medlardatagram/message.go
@@ -20,7 +20,7 @@
 // tokenUnit is the unit of pending tokens in a datagram.
 const tokenUnit = 64
 
-// maxOpen and maxPending bound what a datagram can say of an upstream.
+// maxOpen and maxPending bound what a datagram can state of an upstream.
 const (
 	maxOpen    = 1 << 16
 	maxPending = 1 << 24 // tokens
--- a/internal/peer/medlarmember/medlarmember.go
+++ b/internal/peer/medlarmember/medlarmember.go
@@ -5,20 +5,20 @@
 // Rules:
 //
 //	R1  The platform's instance list determines the members. A member that calls
-//	    this instance is alive, whatever the list says.
+//	    this instance is alive, whatever the list states.
 //	R2  Each instance probes a bounded number of neighbors, so that its cost does
 //	    not grow with the number of members: its next live successors in a ring of
 //	    all members, so that each member is probed by some instance, and others
 //	    chosen by rank, so that rumors spread fast.
 //	R3  A neighbor that does not answer is probed indirectly, through others. Only
 //	    if they do not reach it either is it suspected, and declared dead after
-//	    suspectTimeout. Until then it is probed in every round and told that it is
+//	    suspectTimeout. Until then it is probed in every round and informed that it is
 //	    suspected. Only an instance whose own probes failed several times in a row
 //	    declares a member dead.
 //	R4  Rumors are piggybacked on probes and replies, each a bounded number of
 //	    times. Each message also carries the state of one member in rotation, so
 //	    that an instance that missed a rumor learns of it eventually.
-//	R5  An instance that hears that it is suspected or dead raises its incarnation
+//	R5  An instance that learns that it is suspected or dead raises its incarnation
 //	    and refutes the rumor. A higher incarnation overrides a lower one.
 //	R6  Dead members are probed occasionally, so that the sides of a network
 //	    partition find each other again after it heals.
--- a/internal/stand/medlarending/instead.go
+++ b/internal/stand/medlarending/instead.go
@@ -59,7 +59,7 @@
 }
 
 // Skipping is a response that leaves out the event after the last one. Only a caller that has events of the
-// stream can tell.
+// stream can show.
 var Skipping = Ending{Name: "stream that skips an event", Text: func(r Request) string { return statusOK + r.Fields + chunkedStream + chunks(r.events(2)) }}
 
 // FollowedByAnother lists whole responses behind which the replica writes an earlier one once more.
--- a/internal/stand/medlarending/medlarending.go
+++ b/internal/stand/medlarending/medlarending.go
@@ -21,11 +21,11 @@
 	Reset       bool // the connection is reset, not closed in an orderly way
 	Whole       bool // the response is complete
 	Keep        bool // the connection is left open
-	// Text returns all bytes of the response, in place of what the fields above say; nil for none.
+	// Text returns all bytes of the response, in place of what the fields above state; nil for none.
 	Text func(Request) string
 }
 
-// Request is what a response says of its request.
+// Request is what a response states of its request.
 type Request struct {
 	ID          string
 	LastEventID string // empty for none
--- a/internal/stand/medlarfakereplica/brittle.go
+++ b/internal/stand/medlarfakereplica/brittle.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// brittleDelay is the time from when a replica first says that it is brittle until it takes fewer requests.
+// brittleDelay is the time from when a replica first states that it is brittle until it takes fewer requests.
 const brittleDelay = 3 * time.Second
 
 // brittleWindow is the time in which the requests that are turned away for lack of room are counted.
@@ -20,7 +20,7 @@
 	rejected    []time.Time
 }
 
-// BeBrittle makes the replica say that it is brittle: brittleDelay later it serves slots requests at once and crashes
+// BeBrittle makes the replica state that it is brittle: brittleDelay later it serves slots requests at once and crashes
 // when it has to turn away more than most in brittleWindow. With most 0 it is no longer brittle.
 func (r *Replica) BeBrittle(most, slots int) {
 	r.mu.Lock()
@@ -36,7 +36,7 @@
 	return r.Settings.Slots
 }
 
-// brittleField returns the header field by which a response says that the replica is brittle. The caller holds
+// brittleField returns the header field by which a response states that the replica is brittle. The caller holds
 // the lock.
 func (r *Replica) brittleField() string {
 	if r.brittle.most == 0 {
--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -218,7 +218,7 @@
 	return r.leaving
 }
 
-// AnnounceLeaving makes all responses say that the replica leaves. Its entry does not.
+// AnnounceLeaving makes all responses state that the replica leaves. Its entry does not.
 func (r *Replica) AnnounceLeaving() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -232,7 +232,7 @@
 	r.limits = values
 }
 
-// hintFields returns the header fields by which a response says that the replica leaves, and
+// hintFields returns the header fields by which a response states that the replica leaves, and
 // what limit it has.
 func (r *Replica) hintFields() string {
 	r.mu.Lock()
--- a/internal/stand/medlarfaketopic/medlarfaketopic.go
+++ b/internal/stand/medlarfaketopic/medlarfaketopic.go
@@ -115,7 +115,7 @@
 	t.first = len(t.records)
 }
 
-// Rewind makes the store come back from a copy that lacks the last n records of each topic.
+// Rewind restores the store from a copy that lacks the last n records of each topic.
 func (s *Store) Rewind(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/stand/medlarsite/control.go
+++ b/internal/stand/medlarsite/control.go
@@ -10,7 +10,7 @@
 	"medlarfield/internal/stand/medlarfaketopic"
 )
 
-// topicNotices is the topic in which instances tell one another what they know.
+// topicNotices is the topic in which instances report to one another what they know.
 const topicNotices = "keyed.medlar"
 
 // Sizes of the history that writeHistory writes.
--- a/internal/stand/medlarsite/crash.go
+++ b/internal/stand/medlarsite/crash.go
@@ -54,7 +54,7 @@
 	})
 }
 
-// CrashOnRequest makes replicas crash where decide says for a request that they run.
+// CrashOnRequest makes replicas crash where decide returns so for a request that they run.
 func (s *Site) CrashOnRequest(decide func(medlarfakereplica.Run) medlarfakereplica.CrashPoint) {
 	s.crasher.mu.Lock()
 	defer s.crasher.mu.Unlock()
--- a/internal/stand/medlarstutter/medlarstutter.go
+++ b/internal/stand/medlarstutter/medlarstutter.go
@@ -31,7 +31,7 @@
 // minBody is the body of a copy whose original has none.
 const minBody = "once more"
 
-// Copy says which responses are written once more, and how.
+// Copy states which responses are written once more, and how.
 type Copy struct {
 	Form Form
 	// Without names a header field that copies lack; empty for none.
--- a/internal/upstream/medlarengine/medlarengine.go
+++ b/internal/upstream/medlarengine/medlarengine.go
@@ -192,7 +192,7 @@
 }
 
 // Run starts a run. The caller must close the stream. On an error,
-// Error.MayHaveRun tells whether the prompt may have run.
+// Error.MayHaveRun reports whether the prompt may have run.
 func (c *Client) Run(at medlarid.Address, p RunRequest) (*Stream, error) {
 	p.Stream = true
 	req, err := jsonRequest("POST", at, "/v1/completions", p)
--- a/internal/upstream/medlarhttp/medlarhttp.go
+++ b/internal/upstream/medlarhttp/medlarhttp.go
@@ -3,7 +3,7 @@
 // Rules:
 //
 //	R1  A request is sent at most once; retries are left to the retry layer.
-//	R2  An error tells whether any byte of the request may have reached the
+//	R2  An error states whether any byte of the request may have reached the
 //	    peer.
 //	R3  Each request has a connection of its own, and the first response on that
 //	    connection is the response to it. Most responses do not name their request. On
@@ -14,7 +14,7 @@
 //	    unknown.
 //	R4  If the peer has closed the connection before the request is written, or has
 //	    sent anything on it, the peer counts as unreachable: nothing was sent.
-//	R5  Only DoKept and OpenPooled keep connections: DoKept for callers that can tell a
+//	R5  Only DoKept and OpenPooled keep connections: DoKept for callers that can recognize a
 //	    response to an earlier request from what it states, OpenPooled for callers that
 //	    rely on the server to respond once to each request, in order.
 package medlarhttp
--- a/internal/upstream/medlarservice/medlarservice.go
+++ b/internal/upstream/medlarservice/medlarservice.go
@@ -1,6 +1,6 @@
 // Package medlarservice is a client for HTTP services other than model engines. A
 // service can be any HTTP server. A response that is an event stream is complete only if it
-// ends after an event, whatever its framing says.
+// ends after an event, whatever its framing states.
 package medlarservice
 
 import (
