--- a/internal/agree/medlarcatalog/medlarcatalog.go
+++ b/internal/agree/medlarcatalog/medlarcatalog.go
@@ -115,6 +115,18 @@
 	IdleTimeout    time.Duration // maximum time between two requests of a connection
 }
 
+// DefaultLimits apply before the first catalog, and in place of those that a catalog does not state.
+var DefaultLimits = Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+
+// orDefault returns the limits with DefaultLimits in place of zeros.
+func (l Limits) orDefault() Limits {
+	l.MaxHeaderBytes = cmp.Or(l.MaxHeaderBytes, DefaultLimits.MaxHeaderBytes)
+	l.MaxBodyBytes = cmp.Or(l.MaxBodyBytes, DefaultLimits.MaxBodyBytes)
+	l.HeaderTimeout = cmp.Or(l.HeaderTimeout, DefaultLimits.HeaderTimeout)
+	l.IdleTimeout = cmp.Or(l.IdleTimeout, DefaultLimits.IdleTimeout)
+	return l
+}
+
 // Catalog is one version of the configuration (R2).
 type Catalog struct {
 	Version  uint64
@@ -138,7 +150,7 @@
 	c := &Catalog{
 		Version:     version,
 		Services:    make(map[medlarid.ServiceID]Service, len(services)),
-		Limits:      limits,
+		Limits:      limits.orDefault(),
 		keyRequired: keyRequired,
 		routes:      map[string][]Route{},
 		accounts:    map[string]Account{},
--- a/internal/edge/medlarproxy/medlarproxy.go
+++ b/internal/edge/medlarproxy/medlarproxy.go
@@ -81,9 +81,6 @@
 	maxBufferedBody = 64 << 10 // bytes; a longer response body is relayed in chunks as it arrives
 )
 
-// defaultLimits apply before the first catalog is loaded.
-var defaultLimits = medlarcatalog.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
-
 // Proxy serves the requests of clients.
 type Proxy struct {
 	deps   Deps
@@ -105,7 +102,7 @@
 	if cat := p.deps.Catalog(); cat != nil {
 		return cat.Limits
 	}
-	return defaultLimits
+	return medlarcatalog.DefaultLimits
 }
 
 // serve handles one request and reports whether its connection can be reused.
