Refuse notices whose serial number or count leaves no greater one

A record of another writer with a serial number near 2^64 under the key of a service's assignment of streams, or of an instance's requests, was taken as the newest for good: the numbers of all later records begin at 0 again, and no instance can assign streams to builds any more. A block with 2^63-1 trials was never tried again. Such records are malformed now and are counted; 2^62 is the bound, as serial numbers are times in ns.

Four rows of TestOddNoticesAreRejected failed before.

--- a/internal/agree/medlarnotice/build.go
+++ b/internal/agree/medlarnotice/build.go
@@ -99,6 +99,9 @@
 	if err := decode(r, &in); err != nil {
 		return nil, err
 	}
+	if in.Serial > maxNumber {
+		return nil, &Error{Op: OpDecode, Kind: KindMalformed, Err: errNumber}
+	}
 	out := medlarworld.BuildsAssigned{Service: id, Assignment: medlarbuild.Assignment{Serial: in.Serial}}
 	if !in.decode(in.From, &out.Assignment.From) || !in.decode(in.To, &out.Assignment.To) {
 		return nil, &Error{Op: OpDecode, Kind: KindMalformed, Err: errAssignment}
--- a/internal/agree/medlarnotice/crash.go
+++ b/internal/agree/medlarnotice/crash.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-json-experiment/json"
 	"github.com/go-json-experiment/json/jsontext"
+	"github.com/rotisserie/eris"
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarsuspect"
@@ -28,6 +29,11 @@
 // below the platform's limit.
 const maxReportTraits = 2048
 
+// maxNumber bounds serial numbers and counts in records, so that an instance can write a greater one.
+const maxNumber = 1 << 62
+
+var errNumber = eris.New("serial number or count is out of range")
+
 // crashRecord is what one instance lost with a replica that crashed.
 type crashRecord struct {
 	Replica medlarid.InstanceID   `json:"replica"`
@@ -112,6 +118,9 @@
 	if err := decode(r, &b); err != nil {
 		return nil, err
 	}
+	if b.Trials < 0 || b.Trials > maxNumber {
+		return nil, &Error{Op: OpDecode, Kind: KindMalformed, Err: errNumber}
+	}
 	return medlarworld.BlockRecorded{Trait: p, Block: medlarsuspect.Block(b), Dropped: len(r.Value) == 0}, nil
 }
 
--- a/internal/agree/medlarnotice/limit.go
+++ b/internal/agree/medlarnotice/limit.go
@@ -61,6 +61,9 @@
 	if err := decode(r, &n); err != nil {
 		return nil, err
 	}
+	if n.Serial > maxNumber {
+		return nil, &Error{Op: OpDecode, Kind: KindMalformed, Err: errNumber}
+	}
 	bad := len(n.Rates) > maxRates
 	for _, rate := range n.Rates {
 		bad = bad || !(rate >= 0 && rate <= maxRate)
--- a/internal/agree/medlarnotice/odd_test.go
+++ b/internal/agree/medlarnotice/odd_test.go
@@ -1,11 +1,13 @@
 package medlarnotice
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
 
+	"medlarfield/internal/core/medlarbuild"
 	"medlarfield/internal/core/medlarsuspect"
 	"medlarfield/internal/core/medlarworld"
 )
@@ -28,7 +30,13 @@
 
 // TestOddNoticesAreRejected guards against notices of other writers or other versions of this software that are used or end the reader.
 func TestOddNoticesAreRejected(t *testing.T) {
-	outOfRange := map[string][]string{limitPrefix: {`{"limit":1e308}`, `{"limit":-1}`}, needPrefix: {`{"rates":{"s":1e308}}`, `{"rates":{"s":-1}}`}}
+	buckets := strings.Repeat("-", len(medlarbuild.Buckets{}))
+	outOfRange := map[string][]string{
+		limitPrefix:      {`{"limit":1e308}`, `{"limit":-1}`},
+		needPrefix:       {`{"rates":{"s":1e308}}`, `{"rates":{"s":-1}}`, `{"serial":18446744073709551615}`},
+		blockPrefix:      {`{"trials":-1}`, `{"trials":9223372036854775807}`},
+		assignmentPrefix: {fmt.Sprintf(`{"serial":18446744073709551615,"from":%q,"to":%q}`, buckets, buckets)},
+	}
 	deep := strings.Repeat("[", 100000) + strings.Repeat("]", 100000)
 	for prefix, fields := range map[string][]string{
 		crashPrefix: {"born", "end"}, blockPrefix: {"trials"}, limitPrefix: {"born", "limit"}, needPrefix: {"serial"}, assignmentPrefix: {"serial"}, seenPrefix: {"read"}, streamsPrefix: {"builds"}, peerPrefix: {"key"},
