Announce an instance again whose address was removed before it has read it

Cause: an instance announced itself again only when it read that its record was removed. A record that was written and removed before the first read of the topic is not among the latest records, so nothing is read of it, and the instance stayed unknown to the others until its next start: they told it of no load, and asked it for no connections. An earlier process that stops while the next one starts removes the record that way, and so does a store that comes back from a copy.

Change: an instance knows at which offset the store has accepted its record. When a read has gone past it, or a second read has ended since, and the topic lacks the record, it announces itself again. It writes no more than before: a removal before its own record, which it reads as well, is no longer answered. Other records that an instance writes about itself (requests it gets, assignments it has read, streams, crashes) are removed by nobody else.

TestAddressIsAnnouncedAgain gets two rows that keep the instance from reading until its record is gone: both failed each time, the third one needs the second read. The stand-in of the store can refuse reads alone.

--- a/internal/agree/medlarnotice/medlarnotice.go
+++ b/internal/agree/medlarnotice/medlarnotice.go
@@ -77,8 +77,8 @@
 
 // Deps are the functions with which a board writes.
 type Deps struct {
-	// Append appends records to the topic, all or none.
-	Append func(records []Record) error
+	// Append appends records to the topic, all or none, and returns the offset of the first.
+	Append func(records []Record) (medlarid.Offset, error)
 	// AppendAt appends a record if the topic ends at an offset.
 	AppendAt func(at medlarid.Offset, r Record) error
 	// OnError is called for each call that failed and each record that was dropped.
@@ -89,7 +89,7 @@
 type Board struct {
 	deps      Deps
 	wake      chan struct{}
-	onWritten func([]Record)
+	onWritten func([]Record, medlarid.Offset)
 
 	mu      sync.Mutex
 	pending map[string]Record
@@ -100,12 +100,12 @@
 
 // New returns a board; Run makes it write.
 func New(deps Deps) *Board {
-	return &Board{deps: deps, wake: make(chan struct{}, 1), pending: map[string]Record{}, onWritten: func([]Record) {}}
+	return &Board{deps: deps, wake: make(chan struct{}, 1), pending: map[string]Record{}, onWritten: func([]Record, medlarid.Offset) {}}
 }
 
-// SetOnWritten sets the function that is called with the queued records that each call has written. It
-// is called before Run.
-func (b *Board) SetOnWritten(f func([]Record)) { b.onWritten = f }
+// SetOnWritten sets the function that is called with the queued records that each call has written, and the offset
+// of the first. It is called before Run.
+func (b *Board) SetOnWritten(f func([]Record, medlarid.Offset)) { b.onWritten = f }
 
 // Put queues a record (R1).
 func (b *Board) Put(r Record) {
@@ -165,7 +165,8 @@
 			if len(batch) == 0 {
 				break
 			}
-			if err := b.deps.Append(batch); err != nil {
+			first, err := b.deps.Append(batch)
+			if err != nil {
 				b.deps.OnError(&Error{Op: OpPut, Kind: KindStore, Err: err})
 				b.putBack(batch)
 				failures++
@@ -173,7 +174,7 @@
 				continue
 			}
 			failures = 0
-			b.onWritten(batch)
+			b.onWritten(batch, first)
 		}
 	}
 }
--- a/internal/agree/medlarnotice/medlarnotice_test.go
+++ b/internal/agree/medlarnotice/medlarnotice_test.go
@@ -27,12 +27,12 @@
 
 func (tp *topic) board() *Board {
 	return New(Deps{
-		Append: func(records []Record) error {
+		Append: func(records []Record) (medlarid.Offset, error) {
 			if tp.down.Load() {
-				return errDown
+				return 0, errDown
 			}
 			tp.records = append(tp.records, records...)
-			return nil
+			return medlarid.Offset(len(tp.records) - len(records)), nil
 		},
 		AppendAt: func(at medlarid.Offset, r Record) error {
 			if tp.down.Load() || int(at) != len(tp.records) {
--- a/internal/ops/medlarattachednode/load_test.go
+++ b/internal/ops/medlarattachednode/load_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"medlarfield/internal/stand/medlarfaketopic"
 	"medlarfield/internal/stand/medlarsite"
 )
 
@@ -54,18 +55,45 @@
 // is never told of their load again.
 func TestAddressIsAnnouncedAgain(t *testing.T) {
 	t.Parallel()
-	f := startFleet(t, 1, nil)
-	announced := func() int {
-		n := 0
-		for _, r := range f.site.Store.Records("keyed.medlar") {
-			if bytes.Contains(r, []byte(`peer/entry-1{`)) {
-				n++
+	const own, earlier = "peer/entry-1", 10
+	remove := func(s *medlarfaketopic.Store) { s.Put("keyed.medlar", own, nil) }
+	for _, tc := range []struct {
+		name  string
+		fault medlarfaketopic.Fault // until the address was removed
+		lost  func(*medlarfaketopic.Store)
+	}{
+		{"removed", medlarfaketopic.FaultNone, remove},
+		{"removed before the instance has read anything", medlarfaketopic.FaultUnread, remove},
+		{"lost with the store before the instance has read anything", medlarfaketopic.FaultUnread, func(s *medlarfaketopic.Store) { s.Rewind(earlier + 1) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			site, err := medlarsite.New(medlarsite.Default())
+			if err != nil {
+				t.Fatal(err)
 			}
-		}
-		return n
+			t.Cleanup(site.Close)
+			for range earlier {
+				site.Store.Put("keyed.medlar", "peer/gone", nil)
+			}
+			w := attach(t, site, "entry-1", tc.fault)
+			announced := func() (n int) {
+				for _, r := range site.Store.Records("keyed.medlar") {
+					if bytes.Contains(r, []byte(own+"{")) {
+						n++
+					}
+				}
+				return n
+			}
+			w.eventually("the instance announces its address", func() bool { return announced() == 1 })
+			tc.lost(site.Store)
+			remaining := announced()
+			w.endpoint.SetFault(medlarfaketopic.FaultNone)
+			w.eventually("it announces it again", func() bool { return announced() > remaining })
+			time.Sleep(2 * time.Second) // what is read meanwhile must not make it write more
+			if n := announced() - remaining; n != 1 {
+				t.Errorf("announced %d times, want once", n)
+			}
+		})
 	}
-	w := f.members[0]
-	w.eventually("the instance announces its address", func() bool { return announced() == 1 })
-	f.site.Store.Put("keyed.medlar", "peer/entry-1", nil)
-	w.eventually("it announces it again", func() bool { return announced() == 2 })
 }
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -228,6 +228,7 @@
 			OnCurrent: func(end medlarid.Offset) {
 				if topic == medlarplatform.TopicNotices {
 					board.SetEnd(end)
+					n.KeepAnnounced(end)
 					loop.Post(medlarworld.NoticesRead{})
 				}
 			},
--- a/internal/ops/medlarattachednode/notices.go
+++ b/internal/ops/medlarattachednode/notices.go
@@ -20,7 +20,7 @@
 
 func newBoard(s *medlarcalls.Store, log zerolog.Logger, m *medlarmetric.Metrics) *medlarnotice.Board {
 	return medlarnotice.New(medlarnotice.Deps{
-		Append: func(records []medlarnotice.Record) error {
+		Append: func(records []medlarnotice.Record) (medlarid.Offset, error) {
 			return s.AppendKeyed(medlarplatform.TopicNotices, records)
 		},
 		AppendAt: func(at medlarid.Offset, r medlarnotice.Record) error {
--- a/internal/ops/medlarnotifier/medlarnotifier.go
+++ b/internal/ops/medlarnotifier/medlarnotifier.go
@@ -37,8 +37,8 @@
 	mu    sync.Mutex
 	slots [crashSlots]medlarsuspect.CrashID // crashes that this instance has a record of in the store
 	next  int                               // slot of the next crash
-	self  *medlarnotice.Peer                // where this instance receives datagrams; nil for nowhere
-	start string                            // distinguishes the starts of this instance
+	own   announcement
+	start string // distinguishes the starts of this instance
 }
 
 // Deps are what a Notifier depends on.
@@ -68,10 +68,11 @@
 // SetPost sets the function that passes events to the core.
 func (n *Notifier) SetPost(post func(medlarworld.Event)) {
 	n.post = post
-	n.deps.Board.SetOnWritten(func(written []medlarnotice.Record) {
+	n.deps.Board.SetOnWritten(func(written []medlarnotice.Record, first medlarid.Offset) {
 		e := medlarworld.NoticesWritten{}
-		for _, r := range written {
+		for i, r := range written {
 			e.Streams = max(e.Streams, r.Serial)
+			n.setWritten(r, first+medlarid.Offset(i))
 		}
 		post(e)
 	})
--- a/internal/stand/medlarfaketopic/medlarfaketopic.go
+++ b/internal/stand/medlarfaketopic/medlarfaketopic.go
@@ -30,6 +30,7 @@
 	FaultSilent Fault = "silent" // sends no response in time: closes the connection after silentDelay
 	FaultReset  Fault = "reset"  // closes the connection
 	FaultLose   Fault = "lose"   // serves the call, then closes the connection without a response
+	FaultUnread Fault = "unread" // responds to reads with 503
 	silentDelay       = 3 * time.Second
 )
 
@@ -180,6 +181,9 @@
 	e.mu.Lock()
 	fault := e.fault
 	e.mu.Unlock()
+	if fault == FaultUnread && ctx.IsGet() {
+		fault = FaultRefuse
+	}
 	switch fault {
 	case FaultRefuse:
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
