An instance is ready once it has read the claims, too

Cause: readiness awaited the lists and the instance list, not the claims stream. An instance that had not read it refused each unrepeatable request as 'unclaimed', 503, though it was ready and listed. TestAtMostOnceConcurrentRequests and TestIdempotencyKeyWithOtherBody send such requests as soon as the instances are ready, and met this now and then. Change: readiness awaits the first read of the claims up to their end. A later outage of the log changes nothing.

--- a/internal/ops/medlarnode/build.go
+++ b/internal/ops/medlarnode/build.go
@@ -192,10 +192,14 @@
 		OnReadError: func(error) { m.CallFailed("log") },
 	}, 1)
 	claims := medlarfollower.New(medlarfollower.Deps{
-		Read:        readStream(lc, medlarrecord.StreamClaims),
-		Apply:       func(e medlarlog.Entry) { h.node.claimer.Apply(e) },
-		OnGap:       func(first medlarid.Offset) { h.node.claimer.Reset(first) },
-		OnRead:      func(bool) {},
+		Read:  readStream(lc, medlarrecord.StreamClaims),
+		Apply: func(e medlarlog.Entry) { h.node.claimer.Apply(e) },
+		OnGap: func(first medlarid.Offset) { h.node.claimer.Reset(first) },
+		OnRead: func(caughtUp bool) {
+			if caughtUp {
+				h.node.claimsRead.Store(true)
+			}
+		},
 		OnReadError: func(error) { m.CallFailed("log") },
 	}, 1)
 	return followersOut{Followers: &StreamFollowers{Lists: lists, Claims: claims}, NodeRef: h}
--- a/internal/ops/medlarnode/medlarnode.go
+++ b/internal/ops/medlarnode/medlarnode.go
@@ -2,9 +2,9 @@
 //
 // Rules:
 //
-//	R1  An instance is ready when it has read the lists up to the end of the log
-//	    and the instance list has named an upstream. During an outage of the log it
-//	    stays ready, with the lists that it has.
+//	R1  An instance is ready when it has read the lists and the claims up to the end
+//	    of the log and the instance list has named an upstream. During an outage of
+//	    the log it stays ready, with the lists that it has.
 //	R2  A graceful stop has these steps in order: the instance becomes unready,
 //	    refuses new runs, waits for open requests, closes connections, and appends
 //	    pending records to the log.
@@ -74,6 +74,7 @@
 	listener       net.Listener
 	statusListener net.Listener
 	draining       atomic.Bool
+	claimsRead     atomic.Bool     // the claims have been read to their end once
 	appliedVersion medlarid.Offset // lists version last reported to the core
 	wg             sync.WaitGroup
 }
@@ -112,7 +113,7 @@
 func (n *Node) Ready() bool {
 	status := n.followers.Lists.Status()
 	v := n.state.View()
-	return !status.LastRead.IsZero() && v.Ready && v.Version > 0 && n.poller.HasListedUpstream()
+	return !status.LastRead.IsZero() && n.claimsRead.Load() && v.Ready && v.Version > 0 && n.poller.HasListedUpstream()
 }
 
 // Start opens the listeners and begins to serve. The instance runs until stop is
--- a/internal/ops/medlarnode/once_test.go
+++ b/internal/ops/medlarnode/once_test.go
@@ -2,13 +2,19 @@
 
 import (
 	"fmt"
+	"io"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
+	"medlarfield/internal/agree/medlarrecord"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/ops/medlarsettings"
 	"medlarfield/internal/stand/medlarclient"
 	"medlarfield/internal/stand/medlarfault"
+	"medlarfield/internal/stand/medlarhost"
 	"medlarfield/internal/upstream/medlarhttp"
 )
 
@@ -167,6 +173,37 @@
 	assertOutcome(t, h.post(0, old, posting), medlarreason.Expired, medlarreason.RanNo)
 }
 
+// claimsDelay is the delay of the first read of claims.
+const claimsDelay = 500 * time.Millisecond
+
+// TestReadyOnceClaimsAreRead guards against an instance that is ready and refuses requests that must
+// not be repeated, since it has not read the claims yet.
+func TestReadyOnceClaimsAreRead(t *testing.T) {
+	t.Parallel()
+	h := start(t, options{})
+	serve := h.stage.Log.Handler()
+	var first sync.Once
+	log, err := medlarhost.New("slow log", "127.0.0.1:0", h.stage.Injector, func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) == "/streams/"+medlarrecord.StreamClaims {
+			first.Do(func() { time.Sleep(claimsDelay) })
+		}
+		serve(ctx)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(log.Close)
+	settings := h.stage.NodeSettings(1)
+	settings.Platform.Log = log.Address
+	n, err := h.stage.StartNode(settings, io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = n.Stop(time.Second) })
+	h.nodes = append(h.nodes, n)
+	assertOutcome(t, h.post(1, newKey("a"), posting), "", "")
+}
+
 func TestAtMostOnceConcurrentRequests(t *testing.T) {
 	h := start(t, options{nodes: 3})
 	key := newKey("a")
--- a/internal/ops/medlarnode/status.go
+++ b/internal/ops/medlarnode/status.go
@@ -76,7 +76,7 @@
 	case n.draining.Load():
 		ctx.Error("draining\n", fasthttp.StatusServiceUnavailable)
 	case !n.Ready():
-		ctx.Error("no configuration or instance list yet\n", fasthttp.StatusServiceUnavailable)
+		ctx.Error("no configuration, claims or instance list yet\n", fasthttp.StatusServiceUnavailable)
 	default:
 		ctx.SetBodyString("ready\n")
 	}
