The test of a graceful stop awaits its requests

Cause: TestGracefulStopCutsNothing stopped the instance 100 ms after it had started the goroutines of 30 requests. On a machine under load some of them had not been sent by then, and were refused as 'draining', as they should be. Change: the test awaits that the engines have begun all 30 requests, and checks that some are still open. It is at least as strict: all requests were accepted before the stop, and each must be answered in full; no bound was changed.

--- a/internal/ops/medlarnode/stop_test.go
+++ b/internal/ops/medlarnode/stop_test.go
@@ -25,7 +25,10 @@
 	for i := range results {
 		wg.Go(func() { results[i] = h.complete(0, "prompt") })
 	}
-	time.Sleep(100 * time.Millisecond)
+	h.awaitRuns(len(results))
+	if h.nodes[0].Status().OpenRequests == 0 {
+		t.Fatal("no request is open")
+	}
 	if err := h.nodes[0].Stop(5 * time.Second); err != nil {
 		t.Fatal(err)
 	}
@@ -35,6 +38,16 @@
 	}
 }
 
+// awaitRuns waits until the engines have begun n requests.
+func (h *harness) awaitRuns(n int) {
+	h.t.Helper()
+	for until := time.Now().Add(10 * time.Second); len(h.stage.Runs()) < n; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			h.t.Fatalf("%d requests ran, want %d", len(h.stage.Runs()), n)
+		}
+	}
+}
+
 func TestStopRefusesNewWork(t *testing.T) {
 	h := start(t, options{engine: slowDecode})
 	open := make(chan medlarclient.Result, 1)
