A silent link comes up again if a connection was waiting to be accepted

Cause: a link that falls silent stops accepting and fills the queue of waiting connections; when it comes up it resumed only ports that hold fillers. If a connection of the instance waited in the queue at that moment, it filled the queue itself, no filler was held, and the port never accepted again: the link stayed silent for good, and held bytes were lost. The same with a filler that hung since the machine was busy. TestHeldBytes cuts a link right after it has connected. Change: a port remembers that it is paused, and is resumed for that. Measured: TestHeldConnection, which keeps a connection in the queue while the link falls silent, failed (i/o timeout after the link was up) and passes; all tests of the package passed ten times under the race detector.

--- a/internal/stand/medlarlink/medlarlink.go
+++ b/internal/stand/medlarlink/medlarlink.go
@@ -56,6 +56,7 @@
 	address  string
 	listener *net.TCPListener
 	stopped  chan struct{} // closed when the port no longer accepts
+	paused   bool          // the listener is open, and nothing is accepted
 	fillers  []net.Conn
 }
 
@@ -180,6 +181,7 @@
 func (p *port) pause() {
 	_ = p.listener.SetDeadline(time.Unix(1, 0))
 	<-p.stopped
+	p.paused = true
 }
 
 // fill shortens the queue of connections that wait to be accepted and fills it, so that new ones hang.
@@ -219,7 +221,7 @@
 			return err
 		}
 		p.listener = ln.(*net.TCPListener)
-	case len(p.fillers) > 0:
+	case p.paused: // without fillers, if a connection that waited to be accepted filled the queue
 		for _, c := range p.fillers {
 			_ = c.Close()
 		}
@@ -228,6 +230,7 @@
 			return err
 		}
 		_ = p.listener.SetDeadline(time.Time{})
+		p.paused = false
 	default:
 		return nil
 	}
--- a/internal/stand/medlarlink/medlarlink_test.go
+++ b/internal/stand/medlarlink/medlarlink_test.go
@@ -111,3 +111,27 @@
 		t.Errorf("got %q, %v; want the line that was held back", line, err)
 	}
 }
+
+// TestHeldConnection guards against a link that stays silent because a connection was waiting to be accepted
+// when it fell silent.
+func TestHeldConnection(t *testing.T) {
+	l := New()
+	t.Cleanup(l.Close)
+	target := echo(t)
+	address, err := l.Address(target)
+	assertError(t, "address", err, nil)
+	p := l.ports[target]
+	p.pause() // nothing is accepted from here on
+	c, err := dial(t, address)
+	assertError(t, "connect", err, nil)
+	l.mu.Lock()
+	l.state = Silent
+	assertError(t, "cut", l.apply(p, Silent), nil)
+	l.mu.Unlock()
+	assertError(t, "exchange", exchange(c), os.ErrDeadlineExceeded)
+	assertError(t, "heal", l.Set(Up), nil)
+	_ = c.SetDeadline(time.Now().Add(soon))
+	if line, err := bufio.NewReader(c).ReadString('\n'); line != "x\n" || err != nil {
+		t.Errorf("got %q, %v; want the line that was held back", line, err)
+	}
+}
