Keep the place of requests that resume a stream

Where an instance gets more prompts than it has room for, a stream that a caller takes up again passed its time to first token after 0.3 s, was put behind all that can still be in time, and was refused, again and again, while new streams began. Its caller has the beginning of the answer; that time no longer counts. Such a request now keeps its place in the fair order of the queue.

TestResumedStreamsGoOnUnderOverload failed before: 17 of 17 streams were refused; all go on now.

--- a/internal/core/medlaradmission/medlaradmission.go
+++ b/internal/core/medlaradmission/medlaradmission.go
@@ -20,7 +20,9 @@
 //	    waits, is removed from the queue.
 //	R7  Only accounts that have recently sent requests are kept in memory.
 //	R8  Requests that can still be answered in time go before those that cannot:
-//	    under overload, a queue in the order of arrival makes all of them late.
+//	    under overload, a queue in the order of arrival makes all of them late. One that
+//	    resumes a stream keeps its place: its caller has the beginning of the answer, which is
+//	    lost if it cannot go on, and there are no more of them than streams that broke off.
 //	R9  A request with a trait that crashes replicas is refused at once, unless it is a
 //	    trial of the trait.
 //	R10 A request that resumes a stream is refused at once if it can go on nowhere.
--- a/internal/core/medlarcore/admission_test.go
+++ b/internal/core/medlarcore/admission_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarbuild"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarworld"
 )
@@ -42,3 +43,44 @@
 		p.now = p.now.Add(10 * time.Millisecond)
 	}
 }
+
+// TestResumedStreamsGoOnUnderOverload guards against streams that callers cannot resume at an instance that gets five times as many
+// prompts as its upstream answers: that they wait longer than a new one may is no reason to refuse them.
+func TestResumedStreamsGoOnUnderOverload(t *testing.T) {
+	p := newPartsHarness(t, 1, func(cfg *medlarworld.Config) { cfg.MaxQueued = 1000 })
+	engine := engineMember(0, "1")
+	engine.Slots = 1
+	p.tick(medlarworld.InstancesListed{Members: []medlarworld.Member{engine}})
+	var running *medlarworld.StartAttempt
+	resumed, began := map[medlarid.RequestID]bool{}, 0
+	for i := range 400 { // the engine answers a prompt each 200 ms
+		r := p.newRun(100, 100)
+		r.StartBy = p.now.Add(280 * time.Millisecond)
+		r.Stream = medlarbuild.KeyOf("acme", r.ID)
+		if i%20 == 19 && i < 350 {
+			r.Resumes, resumed[r.ID] = true, false
+		}
+		events := []medlarworld.Event{medlarworld.Submitted{Run: r}}
+		if i%5 == 0 && running != nil {
+			events = append(events, medlarworld.AttemptEnded{Run: running.Run, Attempt: running.Attempt, Cause: medlarkind.CauseDone, Reached: true})
+			running = nil
+		}
+		if s := startOf(p.tick(events...)); s != nil {
+			running = s
+			if _, ok := resumed[s.Run]; ok {
+				resumed[s.Run] = true
+			} else {
+				began++
+			}
+		}
+		p.now = p.now.Add(40 * time.Millisecond)
+	}
+	for id, ok := range resumed {
+		if !ok {
+			t.Errorf("stream %s does not go on", id)
+		}
+	}
+	if began < 40 {
+		t.Errorf("%d new streams began, want 40 at least", began)
+	}
+}
