A connection that is not yet connected with its replica is reset with its link

Cause: the stand-in's link resets the pairs of connections that it knows when it is cut. A connection that it had accepted, and was about to connect with the replica, was added afterwards and lived on during the cut, so that an instance that is cut off kept a path. Change: such a pair is reset when it is added. Measured: TestResetWhileConnecting failed (the exchange got its answer) and passes, 200 times.

--- a/internal/stand/medlarlink/medlarlink.go
+++ b/internal/stand/medlarlink/medlarlink.go
@@ -248,6 +248,9 @@
 	p := &pair{near: near, far: far}
 	l.mu.Lock()
 	l.pairs[p] = true
+	if l.state == Reset {
+		p.reset()
+	}
 	l.mu.Unlock()
 	var wg sync.WaitGroup
 	wg.Go(func() { l.copy(far, near, p) })
--- a/internal/stand/medlarlink/medlarlink_test.go
+++ b/internal/stand/medlarlink/medlarlink_test.go
@@ -135,3 +135,20 @@
 		t.Errorf("got %q, %v; want the line that was held back", line, err)
 	}
 }
+
+// TestResetWhileConnecting guards against a connection that outlives the reset of its link because it was not yet
+// connected with the replica.
+func TestResetWhileConnecting(t *testing.T) {
+	l := New()
+	t.Cleanup(l.Close)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assertError(t, "listen", err, nil)
+	t.Cleanup(func() { _ = ln.Close() })
+	c, err := dial(t, ln.Addr().String())
+	assertError(t, "connect", err, nil)
+	near, err := ln.Accept()
+	assertError(t, "accept", err, nil)
+	assertError(t, "cut", l.Set(Reset), nil)
+	go l.connect(echo(t), near)
+	assertError(t, "exchange", exchange(c), syscall.ECONNRESET)
+}
