--- a/internal/stand/medlarfakereplica/exchange.go
+++ b/internal/stand/medlarfakereplica/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"net"
 	"strconv"
 	"strings"
@@ -259,7 +260,7 @@
 		if medlarprobe.Gone(x.conn) {
 			return false
 		}
-		text := x.replica.eventText(n)
+		text := x.eventText(n)
 		if x.breaksOff(n) {
 			return x.writeEvents(strings.TrimSuffix(text, "\n\n")) && x.fault == FaultShort
 		}
@@ -269,3 +270,12 @@
 	}
 	return true
 }
+
+// eventText returns event n of the stream.
+func (x *exchange) eventText(n int) string {
+	data := cmp.Or(x.replica.Settings.Build, strings.Repeat("x", 20))
+	if x.replica.Settings.NameRequests {
+		data = x.header(headerID)
+	}
+	return "id: " + strconv.Itoa(n) + "\ndata: " + data + "\n\n"
+}
--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -15,8 +15,6 @@
 	"cmp"
 	"net"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -80,6 +78,7 @@
 	Version           uint64                  // initial weight version
 	Build             string                  // version of the software; each event of a stream names it unless it is empty
 	HideBuild         bool                    // the entry does not name Build
+	NameRequests      bool                    // each event of a stream names its request
 	HideVersion       bool                    // a refusal for the weight version does not name the one that runs
 	Born              int64                   // start of the replica; a later one with the same ID has a higher value
 	Listen            string                  // address to listen on; empty for a free loopback port
@@ -462,7 +461,3 @@
 	defer r.mu.Unlock()
 	r.runs = append(r.runs, record)
 }
-
-func (r *Replica) eventText(n int) string {
-	return "id: " + strconv.Itoa(n) + "\ndata: " + cmp.Or(r.Settings.Build, strings.Repeat("x", 20)) + "\n\n"
-}
--- a/internal/stand/medlarsite/link.go
+++ b/internal/stand/medlarsite/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net"
 
 	"github.com/go-json-experiment/json"
 
@@ -29,6 +30,9 @@
 		if topic != topicRep || json.Unmarshal(value, &e) != nil {
 			return value
 		}
+		if _, err := net.ResolveTCPAddr("tcp", e.Address); err != nil {
+			return value // an odd entry, which readers get as it is
+		}
 		address, err := l.Address(e.Address)
 		if err != nil {
 			return value
--- a/internal/stand/medlarsite/medlarsite.go
+++ b/internal/stand/medlarsite/medlarsite.go
@@ -49,6 +49,7 @@
 	StaleEntries      bool                    // a successor also has its address, and the entry still names the earlier start
 	NextBuild         string                  // software version of the successors of replicas that crash; empty for the same
 	HideBuilds        int                     // replicas of the engine whose entries do not name their software version
+	NameRequests      bool                    // each event of a stream names its request
 	HideVersions      bool                    // a refusal for the weight version does not name the one that runs
 	Links             bool                    // each instance reaches the replicas over a link of its own, which can be cut
 	Wrap              func(net.Conn) net.Conn // of the connections to replicas; nil for none
@@ -165,7 +166,7 @@
 		}
 		if err := s.addReplica(&s.Engines, medlarfakereplica.Settings{
 			ID: fmt.Sprintf("engine-%d", i+1), Service: Engines, Zone: "a", Slots: cfg.Slots, WorkTime: cfg.ServiceTime,
-			Events: cfg.Events, Model: Model, Version: 1, Build: build, HideBuild: i < cfg.HideBuilds, HideVersion: cfg.HideVersions, CrashPoint: s.crasher.point, OnCrash: s.replace,
+			Events: cfg.Events, Model: Model, Version: 1, Build: build, HideBuild: i < cfg.HideBuilds, HideVersion: cfg.HideVersions, NameRequests: cfg.NameRequests, CrashPoint: s.crasher.point, OnCrash: s.replace,
 		}); err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/internal/stand/medlarsoak/check.go
@@ -0,0 +1,243 @@
+// Package medlarsoak plays faults that are drawn from a seed on real processes, and checks what callers and replicas
+// saw. A script carries out the schedule of Plan.
+//
+// Rules:
+//
+//	R1  A request that was refused as not run has not run, and does not run later.
+//	R2  A request that may run once runs at most once.
+//	R3  An answer names its own request, holds nothing of another, and a replica ran the request.
+//	R4  An answer that ends as its framing requires is whole.
+//	R5  The events of a stream come in order, each once.
+//	R6  No process ends by itself, and one that gets SIGTERM ends with code 0.
+//	R7  Nine tenths of first tries are served at most RecoverBound after all instances have returned, and after the
+//	    last fault.
+package medlarsoak
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Rule is what a record is checked for.
+type Rule string
+
+// Rules.
+const (
+	RuleRefused Rule = "refused" // R1
+	RuleOnce    Rule = "once"    // R2
+	RuleOwn     Rule = "own"     // R3
+	RuleWhole   Rule = "whole"   // R4
+	RuleOrder   Rule = "order"   // R5
+	RuleAlive   Rule = "alive"   // R6
+	RuleRecover Rule = "recover" // R7
+)
+
+// Violation is a case in which a rule is broken.
+type Violation struct {
+	Rule   Rule
+	ID     string // of the request; empty if it is about none
+	Detail string
+}
+
+// Return is a time from which the service had to recover.
+type Return struct {
+	What Happening
+	At   int64         // Unix ms
+	Took time.Duration // until nine tenths were served; negative for never
+}
+
+// Result is the judgement of a record.
+type Result struct {
+	Violations             []Violation
+	Calls, Served, Refused int
+	Runs                   int
+	Returns                []Return
+}
+
+// Check judges records.
+func Check(r Records) Result {
+	res := Result{Calls: len(r.Calls), Runs: len(r.Runs)}
+	runs, resumptions := countRuns(r.Runs)
+	for i := range r.Calls {
+		c := &r.Calls[i]
+		if c.Served() {
+			res.Served++
+		}
+		if c.refused() {
+			res.Refused++
+		}
+		res.checkCall(c, runs[c.ID], runs[c.ID]+resumptions[c.ID])
+	}
+	res.checkProcesses(r.Processes)
+	res.checkReturns(r)
+	return res
+}
+
+// countRuns counts runs by request: those from the beginning, and those that resume a stream.
+func countRuns(all []Run) (runs, resumptions map[string]int) {
+	runs, resumptions = map[string]int{}, map[string]int{}
+	for _, r := range all {
+		if r.Resumed {
+			resumptions[r.ID]++
+		} else {
+			runs[r.ID]++
+		}
+	}
+	return runs, resumptions
+}
+
+func (res *Result) broken(rule Rule, id, format string, args ...any) {
+	res.Violations = append(res.Violations, Violation{rule, id, fmt.Sprintf(format, args...)})
+}
+
+// checkCall checks what a caller saw; all counts resumptions too.
+func (res *Result) checkCall(c *Call, runs, all int) {
+	if c.refused() && all > 0 {
+		res.broken(RuleRefused, c.ID, "%s was refused with %d as not run, and ran %d times", c.Path, c.Status, all)
+	}
+	if runsOnce(c.Path) && all > 1 {
+		res.broken(RuleOnce, c.ID, "%s ran %d times; the caller got %d", c.Path, all, c.Status)
+	}
+	if c.Status != 0 && c.Answers != "" && c.Answers != c.ID {
+		res.broken(RuleOwn, c.ID, "%s: the response with %d names %q", c.Path, c.Status, c.Answers)
+	}
+	if c.Status != 200 {
+		res.checkFailure(c)
+		return
+	}
+	if runs == 0 {
+		res.broken(RuleOwn, c.ID, "%s was answered, and no replica ran it", c.Path)
+	}
+	res.checkBody(c)
+}
+
+// checkFailure checks that a response other than 200 holds no answer.
+func (res *Result) checkFailure(c *Call) {
+	if strings.Contains(c.Body, "answer to ") || strings.Contains(c.Body, "data: ") {
+		res.broken(RuleOwn, c.ID, "%s: the response with %d holds %q", c.Path, c.Status, c.Body)
+	}
+}
+
+// checkBody checks the body of a response with 200, as far as it came.
+func (res *Result) checkBody(c *Call) {
+	want := whole(c.Path, c.ID)
+	switch {
+	case c.Body == want:
+	case strings.HasPrefix(want, c.Body):
+		if c.Ended {
+			res.broken(RuleWhole, c.ID, "%s ended as if it were whole after %d of %d bytes", c.Path, len(c.Body), len(want))
+		}
+	case streams(c.Path) && ownEvents(c):
+		res.broken(RuleOrder, c.ID, "%s: events are missing, repeated or not in order: %q", c.Path, c.Body)
+	default:
+		res.broken(RuleOwn, c.ID, "%s: the body holds what is not of the request: %q", c.Path, c.Body)
+	}
+}
+
+// ownEvents reports whether a body consists of events of its own stream and the beginning of another one, in any order.
+func ownEvents(c *Call) bool {
+	events := strings.SplitAfter(c.Body, "\n\n")
+	for i, e := range events {
+		own := func(n int) bool {
+			return e == event(n, c.ID) || i == len(events)-1 && strings.HasPrefix(event(n, c.ID), e)
+		}
+		if !slices.ContainsFunc([]int{1, 2, 3, 4, 5, 6, 7, 8}, own) {
+			return false
+		}
+	}
+	return true
+}
+
+func (res *Result) checkProcesses(all []Process) {
+	for _, p := range all {
+		switch {
+		case p.What == Died:
+			res.broken(RuleAlive, "", "instance %s ended by itself at %d", strings.Join(p.Args, " "), p.At)
+		case p.What == Exit && !slices.Equal(p.Args[1:], []string{"0"}):
+			res.broken(RuleAlive, "", "instance %s ended with code %s after SIGTERM at %d", p.Args[0], strings.Join(p.Args[1:], " "), p.At)
+		}
+	}
+}
+
+// binWidth is the time in which the served share is determined, and settledBins the number of successive ones in
+// which it has to be high.
+const (
+	binWidth    = 250 * time.Millisecond
+	settledBins = 3
+)
+
+// checkReturns determines how long the service took to recover.
+func (res *Result) checkReturns(r Records) {
+	calm := false
+	for _, p := range r.Processes {
+		if p.What != Back && p.What != Calm {
+			continue
+		}
+		took := untilRecovered(r.Calls, time.UnixMilli(p.At))
+		res.Returns = append(res.Returns, Return{p.What, p.At, took})
+		if took > RecoverBound || p.What == Calm && took < 0 {
+			res.broken(RuleRecover, "", "after %s at %d nine tenths of first tries were served after %v", p.What, p.At, took)
+		}
+		calm = calm || p.What == Calm
+	}
+	if !calm {
+		res.broken(RuleRecover, "", "the schedule did not come to its end")
+	}
+}
+
+// untilRecovered returns the time from begin until nine tenths of the requests are served in settledBins successive bins;
+// negative if they never are.
+func untilRecovered(calls []Call, begin time.Time) time.Duration {
+	var sent, served []int
+	for i := range calls {
+		since := calls[i].time().Sub(begin)
+		if since < 0 {
+			continue
+		}
+		n := int(since / binWidth)
+		for len(sent) <= n {
+			sent, served = append(sent, 0), append(served, 0)
+		}
+		sent[n]++
+		if calls[i].Served() {
+			served[n]++
+		}
+	}
+	good := 0
+	for n := range sent {
+		if sent[n] == 0 || float64(served[n]) < recovered*float64(sent[n]) {
+			good = 0
+			continue
+		}
+		if good++; good == settledBins {
+			return time.Duration(n-settledBins+1) * binWidth
+		}
+	}
+	return -1
+}
+
+// shown is the number of violations of one rule that are written.
+const shown = 5
+
+// Print writes a result.
+func (res *Result) Print(w io.Writer) {
+	share := float64(res.Served) / float64(max(res.Calls, 1))
+	_, _ = fmt.Fprintf(w, "calls %d, served %.2f, refused as not run %d, runs %d\n", res.Calls, share, res.Refused, res.Runs)
+	for _, r := range res.Returns {
+		_, _ = fmt.Fprintf(w, "%s: nine tenths served after %v\n", r.What, r.Took)
+	}
+	seen := map[Rule]int{}
+	for _, v := range res.Violations {
+		if seen[v.Rule]++; seen[v.Rule] <= shown {
+			_, _ = fmt.Fprintf(w, "BROKEN %s %s: %s\n", v.Rule, v.ID, v.Detail)
+		}
+	}
+	for rule, n := range seen {
+		if n > shown {
+			_, _ = fmt.Fprintf(w, "BROKEN %s: %d times in all\n", rule, n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/stand/medlarsoak/check_test.go
@@ -0,0 +1,171 @@
+package medlarsoak_test
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"medlarfield/internal/stand/medlarsoak"
+)
+
+// begin is the time of the first request, and calmAt that at which all faults have ended, in Unix ms.
+const (
+	begin  = 1_000_000
+	calmAt = begin + 2000
+)
+
+// sound returns records of a schedule in which no rule is broken: 100 requests, one each 50 ms.
+func sound() medlarsoak.Records {
+	var r medlarsoak.Records
+	for n := range 100 {
+		c := medlarsoak.Call{At: int64(begin + 50*n), ID: fmt.Sprint("r", n), Path: "/post/one", Status: 200, Ended: true}
+		c.Answers, c.Body = c.ID, "answer to "+c.ID
+		if n%2 == 1 {
+			c.Path, c.Body = "/query/one", events(c.ID, 1, 2, 3, 4, 5, 6, 7, 8)
+		}
+		r.Calls = append(r.Calls, c)
+		r.Runs = append(r.Runs, medlarsoak.Run{At: c.At, ID: c.ID, Path: c.Path})
+	}
+	r.Processes = []medlarsoak.Process{
+		{At: begin, What: "start", Args: []string{"1", "77"}},
+		{At: begin + 100, What: medlarsoak.Back},
+		{At: begin + 200, What: medlarsoak.Exit, Args: []string{"1", "0"}},
+		{At: calmAt, What: medlarsoak.Calm},
+	}
+	return r
+}
+
+func events(id string, numbers ...int) string {
+	var b strings.Builder
+	for _, n := range numbers {
+		fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", n, id)
+	}
+	return b.String()
+}
+
+// post and query are the calls and runs that the rows change.
+const (
+	post  = 10
+	query = 11
+)
+
+// TestEachRuleCanBeBroken guards against a check that never fails.
+func TestEachRuleCanBeBroken(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		rule   medlarsoak.Rule
+		change func(*medlarsoak.Records)
+	}{
+		{"refused and ran", medlarsoak.RuleRefused, func(r *medlarsoak.Records) { r.Calls[post].Status, r.Calls[post].Body = 503, "full" }},
+		{"refused and ran later", medlarsoak.RuleRefused, func(r *medlarsoak.Records) {
+			r.Calls[query].Status, r.Calls[query].Body, r.Runs[query].At = 429, "", calmAt
+		}},
+		{"a refused stream was resumed", medlarsoak.RuleRefused, func(r *medlarsoak.Records) {
+			r.Calls[query].Status, r.Calls[query].Body, r.Runs[query].Resumed = 503, "", true
+		}},
+		{"ran twice", medlarsoak.RuleOnce, func(r *medlarsoak.Records) { r.Runs = append(r.Runs, r.Runs[post]) }},
+		{"ran twice, no answer", medlarsoak.RuleOnce, func(r *medlarsoak.Records) {
+			r.Calls[query].Status, r.Calls[query].Body, r.Runs = 0, "", append(r.Runs, r.Runs[query])
+		}},
+		{"names another request", medlarsoak.RuleOwn, func(r *medlarsoak.Records) { r.Calls[post].Answers = "other" }},
+		{"answer to another", medlarsoak.RuleOwn, func(r *medlarsoak.Records) { r.Calls[post].Body = "answer to r12" }},
+		{"bytes behind the answer", medlarsoak.RuleOwn, func(r *medlarsoak.Records) { r.Calls[post].Body += "HTTP/1.1 200 OK" }},
+		{"answered, not run", medlarsoak.RuleOwn, func(r *medlarsoak.Records) { r.Runs = slices.Delete(r.Runs, post, post+1) }},
+		{"failure that holds an answer", medlarsoak.RuleOwn, func(r *medlarsoak.Records) { r.Calls[post].Status = 502 }},
+		{"event of another stream", medlarsoak.RuleOwn, func(r *medlarsoak.Records) {
+			r.Calls[query].Body = events("r11", 1, 2, 3) + events("r12", 4)
+		}},
+		{"text of a failure, broken off", medlarsoak.RuleOwn, func(r *medlarsoak.Records) {
+			r.Calls[query].Body, r.Calls[query].Ended = events("r11", 1, 2)+"failed: out of memory\n", false
+		}},
+		{"half an answer as a whole", medlarsoak.RuleWhole, func(r *medlarsoak.Records) { r.Calls[post].Body = "answer to" }},
+		{"half a stream as a whole", medlarsoak.RuleWhole, func(r *medlarsoak.Records) { r.Calls[query].Body = events("r11", 1, 2) }},
+		{"half an event as a whole", medlarsoak.RuleWhole, func(r *medlarsoak.Records) { r.Calls[query].Body = events("r11", 1) + "id: 2\nda" }},
+		{"event twice", medlarsoak.RuleOrder, func(r *medlarsoak.Records) { r.Calls[query].Body = events("r11", 1, 2, 2, 3) }},
+		{"event missing, broken off", medlarsoak.RuleOrder, func(r *medlarsoak.Records) {
+			r.Calls[query].Body, r.Calls[query].Ended = events("r11", 1, 2, 4)+"id: 5\nda", false
+		}},
+		{"a process ended", medlarsoak.RuleAlive, func(r *medlarsoak.Records) {
+			r.Processes = append(r.Processes, medlarsoak.Process{At: calmAt, What: medlarsoak.Died, Args: []string{"1"}})
+		}},
+		{"exit code", medlarsoak.RuleAlive, func(r *medlarsoak.Records) { r.Processes[2].Args = []string{"1", "2"} }},
+		{"never recovers", medlarsoak.RuleRecover, func(r *medlarsoak.Records) { unserved(r, 40, 100) }},
+		{"recovers too late", medlarsoak.RuleRecover, func(r *medlarsoak.Records) {
+			unserved(r, 0, 60)
+			r.Processes[1].At -= medlarsoak.RecoverBound.Milliseconds()
+		}},
+		{"no end", medlarsoak.RuleRecover, func(r *medlarsoak.Records) { r.Processes = r.Processes[:3] }},
+		{"no calls", medlarsoak.RuleRecover, func(r *medlarsoak.Records) { r.Calls = nil }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := sound()
+			tc.change(&r)
+			assertBroken(t, medlarsoak.Check(r), tc.rule)
+		})
+	}
+	t.Run("sound", func(t *testing.T) { assertBroken(t, medlarsoak.Check(sound())) })
+	t.Run("broken off visibly", func(t *testing.T) {
+		r := sound()
+		r.Calls[query].Body, r.Calls[query].Ended = events("r11", 1, 2)+"id: 3\n", false
+		assertBroken(t, medlarsoak.Check(r))
+	})
+}
+
+// unserved makes calls fail by a connection that is refused.
+func unserved(r *medlarsoak.Records, from, to int) {
+	for i := from; i < to; i++ {
+		r.Calls[i] = medlarsoak.Call{At: r.Calls[i].At, ID: r.Calls[i].ID, Path: r.Calls[i].Path, Error: "refused"}
+	}
+}
+
+// assertBroken asserts that these rules are broken, and no others.
+func assertBroken(t *testing.T, res medlarsoak.Result, want ...medlarsoak.Rule) {
+	t.Helper()
+	var got []medlarsoak.Rule
+	for _, v := range res.Violations {
+		got = append(got, v.Rule)
+	}
+	slices.Sort(got)
+	if got = slices.Compact(got); !slices.Equal(got, want) {
+		t.Errorf("broken: %v, want %v", got, want)
+	}
+}
+
+// TestSchedule guards against a schedule that differs between two draws, leaves a fault in force or a kind out.
+func TestSchedule(t *testing.T) {
+	kinds := map[string]bool{}
+	for seed := range uint64(100) {
+		s := medlarsoak.Settings{Seed: seed, Nodes: 3, Upgrade: seed%4 == 0}
+		steps, err := medlarsoak.Plan(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, _ := medlarsoak.Plan(s)
+		if text(steps) != text(again) {
+			t.Fatalf("seed %d: two schedules", seed)
+		}
+		if end := steps[len(steps)-1]; end.Verb != medlarsoak.VerbCalm || end.At > 30*time.Second {
+			t.Errorf("seed %d ends with %v after %v", seed, end.Verb, end.At)
+		}
+		for _, s := range steps {
+			if s.Verb == medlarsoak.VerbFault {
+				kinds[s.Args[0]] = true
+			}
+		}
+	}
+	if len(kinds) != len(medlarsoak.Kinds) {
+		t.Errorf("%d kinds were drawn, want %d", len(kinds), len(medlarsoak.Kinds))
+	}
+	if _, err := medlarsoak.Plan(medlarsoak.Settings{Nodes: 3, Only: "none"}); err == nil {
+		t.Error("a kind that does not exist was drawn")
+	}
+}
+
+func text(steps []medlarsoak.Step) string {
+	var b bytes.Buffer
+	medlarsoak.Print(&b, steps)
+	return b.String()
+}
--- /dev/null
+++ b/internal/stand/medlarsoak/faults.go
@@ -0,0 +1,170 @@
+package medlarsoak
+
+import (
+	"io"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"medlarfield/internal/base/medlarhead"
+	"medlarfield/internal/stand/medlarending"
+	"medlarfield/internal/stand/medlarfakereplica"
+	"medlarfield/internal/stand/medlarlink"
+	"medlarfield/internal/stand/medlarsite"
+	"medlarfield/internal/stand/medlarstutter"
+)
+
+const (
+	headerID     = "Medlarfield-Request-Id"
+	topicServers = "keyed.servers"
+)
+
+// nested is the depth of an odd entry.
+const nested = 5000
+
+// oddEntries are values that are no entries of replicas.
+var oddEntries = []string{
+	strings.Repeat("[", nested) + strings.Repeat("]", nested),
+	`{"Service":"ledger","Address":"127.0.0.1:1","MaxBatchSize":1e400,"Phase":"ready","born":1}`,
+	`{"Service":"ledger","Address":"127.0.0.1:99999","MaxBatchSize":4,"Phase":"ready","born":1}`,
+	`{"Service":"ledger","Address":"127.0.0.1:-1","MaxBatchSize":4,"Phase":"ready","born":1}`,
+	`{"Service":["ledger"],"Address":7,"MaxBatchSize":"4","Phase":{},"Models":"none","born":"1"}`,
+	"\xff\x00\xfe",
+	"null",
+}
+
+// instead is the number of responses with which a resumption can be answered in brokenStream.
+var instead = len(medlarending.Instead)
+
+// Platform is an emulated platform whose faults commands control and whose replicas' runs are recorded.
+type Platform struct {
+	site    *medlarsite.Site
+	stutter medlarstutter.Stutter
+
+	mu sync.Mutex
+	w  io.Writer // for the records of runs
+}
+
+// NewPlatform starts a platform in which each instance has a link of its own. The runs of its replicas are
+// written to w.
+func NewPlatform(cfg medlarsite.Settings, w io.Writer) (*Platform, error) {
+	p := &Platform{w: w}
+	cfg.Links, cfg.NameRequests, cfg.Wrap = true, true, p.stutter.Wrap
+	site, err := medlarsite.New(cfg)
+	if err != nil {
+		return nil, err
+	}
+	p.site = site
+	site.CrashOnRequest(p.record) // is called for each run
+	return p, nil
+}
+
+// Site returns the emulated platform.
+func (p *Platform) Site() *medlarsite.Site { return p.site }
+
+// record records a run, which crashes no replica.
+func (p *Platform) record(r medlarfakereplica.Run) medlarfakereplica.CrashPoint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = write(p.w, Run{At: time.Now().UnixMilli(), ID: r.ID, Path: r.Target, Resumed: r.LastEventID != ""})
+	return medlarfakereplica.CrashNowhere
+}
+
+// Handler returns the handler of the control address. It takes the commands of medlarsite.ControlHandler, and:
+//
+//	POST /attempts?n=N                              sets the largest number of attempts of all routes
+//	POST /link?name=I&state=S                       puts the link of an instance into a state
+//	POST /copies?status=S&without=H&form=F&n=N      repeats the next N responses with a status, without a header field
+//	POST /arm?fault=F&n=N                           injects a fault into the next N requests at each replica
+//	POST /broken?with=I&n=N                         breaks N streams of each replica off; resumptions get response I
+//	POST /disarm                                    takes the faults of the last three back
+//	POST /odd?entry=I                               writes odd entry I of replicas; removes all for -1
+func (p *Platform) Handler() fasthttp.RequestHandler {
+	other := p.site.ControlHandler()
+	return func(ctx *fasthttp.RequestCtx) {
+		q := ctx.QueryArgs()
+		text := func(name string) string { return string(q.Peek(name)) }
+		switch string(ctx.Path()) {
+		case "/attempts":
+			err := p.site.Change(func(c *medlarsite.Config) {
+				for i := range c.Routes {
+					c.Routes[i].MaxAttempts = q.GetUintOrZero("n")
+				}
+			})
+			if err != nil {
+				ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+			}
+		case "/link":
+			if err := p.site.Link(text("name")).Set(medlarlink.State(text("state"))); err != nil {
+				ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+			}
+		case "/copies":
+			p.stutter.ArmTimes(medlarstutter.Copy{
+				Status: q.GetUintOrZero("status"), Without: text("without"), Form: medlarstutter.Form(text("form")),
+			}, q.GetUintOrZero("n"))
+		case "/arm":
+			for _, r := range p.site.Replicas() {
+				r.Arm(medlarfakereplica.Fault(text("fault")), q.GetUintOrZero("n"))
+			}
+		case "/broken":
+			p.breakStreams(q.GetUintOrZero("with"), q.GetUintOrZero("n"))
+		case "/disarm":
+			p.disarm()
+		case "/odd":
+			p.putOdd(text("entry"), q.GetUintOrZero("entry"))
+		default:
+			other(ctx)
+		}
+	}
+}
+
+// breakStreams makes the next n responses of each replica of the engine break off after the second event; a request
+// that resumes a stream gets another response.
+func (p *Platform) breakStreams(with, n int) {
+	e := medlarending.Ending{Text: func(r medlarending.Request) string {
+		if r.LastEventID != "" {
+			return medlarending.Instead[with].Text(r)
+		}
+		return breakOff(r)
+	}}
+	for _, r := range p.site.EngineReplicas() {
+		for range n {
+			r.ArmEnding(e)
+		}
+	}
+}
+
+// breakOff returns the first two events of a stream.
+func breakOff(r medlarending.Request) string {
+	b := append(medlarhead.AppendStatus(nil, fasthttp.StatusOK), r.Fields...)
+	b = append(b, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"...)
+	b = medlarhead.AppendEnd(b)
+	for n := range 2 {
+		b = medlarhead.AppendChunk(b, []byte(event(n+1, r.ID)))
+	}
+	return string(b)
+}
+
+// disarm takes back the faults of replicas that have not happened yet.
+func (p *Platform) disarm() {
+	p.stutter.ArmTimes(medlarstutter.Copy{}, 0)
+	for _, r := range p.site.Replicas() {
+		r.Disarm()
+		r.ShareEndings(&medlarending.Queue{})
+	}
+}
+
+// putOdd writes an odd entry before, behind and in place of those of the replicas, or removes it for "-1".
+func (p *Platform) putOdd(number string, i int) {
+	keys := []string{"!first", "engine-1", "ledger-1x", "~last"}
+	for _, key := range keys {
+		switch {
+		case number != "-1":
+			p.site.Store.Put(topicServers, key, []byte(oddEntries[i]))
+		case key != "engine-1": // its replica writes its entry again, if it still runs
+			p.site.Store.Put(topicServers, key, nil)
+		}
+	}
+}
--- /dev/null
+++ b/internal/stand/medlarsoak/load.go
@@ -0,0 +1,161 @@
+package medlarsoak
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"medlarfield/internal/stand/medlaravailability"
+	"medlarfield/internal/stand/medlarsite"
+)
+
+// Times of the load.
+const (
+	requestTimeout = 3 * time.Second
+	calmLeast      = 2500 * time.Millisecond // of load after the last fault
+	settled        = 500 * time.Millisecond  // by when most requests have been answered
+	settledSpan    = time.Second             // in which nine tenths have to be served before the load ends
+)
+
+// RecoverBound is the longest time from the return of all instances until nine tenths of requests are served.
+const RecoverBound = 15 * time.Second
+
+const recovered = 0.9 // share of requests
+
+// maxConns is the number of connections to one instance.
+const maxConns = 4096
+
+// Load are callers that send requests at a constant rate, each once and on connections that are kept.
+type Load struct {
+	Instances []medlaravailability.Instance
+	Rate      float64       // requests a second
+	Calm      time.Duration // from the begin until all faults have ended
+	Seed      uint64
+	Same      bool // all requests of a route have the same path and body
+
+	client *fasthttp.Client
+	mu     sync.Mutex
+	w      io.Writer
+	calls  []*Call
+}
+
+// Run sends requests until nine tenths are served in calm, at most for RecoverBound, and writes their records to w.
+func (l *Load) Run(w io.Writer) {
+	l.w = w
+	l.client = &fasthttp.Client{
+		MaxConnsPerHost: maxConns, MaxIdemponentCallAttempts: 1, StreamResponseBody: true, ReadTimeout: requestTimeout,
+		RetryIfErr: func(*fasthttp.Request, int, error) (reset, retry bool) { return false, false },
+	}
+	r := rand.New(rand.NewPCG(l.Seed, 2))
+	begin := time.Now()
+	interval := time.Duration(float64(time.Second) / l.Rate)
+	var wg sync.WaitGroup
+	for n := 0; !l.done(time.Since(begin)); n++ {
+		time.Sleep(time.Until(begin.Add(time.Duration(n) * interval)))
+		to := l.Instances[r.IntN(len(l.Instances))]
+		c := &Call{At: time.Now().UnixMilli(), ID: fmt.Sprintf("s%x-%d", begin.UnixMilli(), n), Instance: string(to.Name), Path: l.path(n)}
+		l.mu.Lock()
+		l.calls = append(l.calls, c)
+		l.mu.Unlock()
+		req := l.request(c, "http://"+string(to.Address), r.IntN(16), n)
+		wg.Go(func() { l.send(c, req) })
+	}
+	wg.Wait()
+}
+
+// path returns the path of request n: two of three are prompts.
+func (l *Load) path(n int) string {
+	prefix := []string{prefixRead, prefixPost, prefixLetter, prefixQuery, prefixLetter, prefixQuery}[n%6]
+	if l.Same {
+		return prefix + "one"
+	}
+	return prefix + strconv.Itoa(n)
+}
+
+// request returns the request of a call, which the caller releases.
+func (l *Load) request(c *Call, base string, part, n int) *fasthttp.Request {
+	r := fasthttp.AcquireRequest()
+	r.UseHostHeader = true
+	r.Header.SetHost(medlarsite.Host)
+	r.Header.Set("Api-Key", medlarsite.Key)
+	r.Header.Set(headerID, c.ID)
+	r.Header.Set("Medlarfield-Timeout-Ms", strconv.FormatInt(requestTimeout.Milliseconds(), 10))
+	if !strings.HasPrefix(c.Path, prefixRead) {
+		r.Header.SetMethod(fasthttp.MethodPost)
+		r.SetBodyString("{}")
+	}
+	if streams(c.Path) {
+		r.Header.Set("Medlarfield-Model", medlarsite.Model)
+		r.Header.Set("Medlarfield-Token-Usage", "1000,50")
+		r.Header.Set("Medlarfield-Prompt-Prefix", fmt.Sprintf("aa:100,b%x:400,c%x:500", part, n))
+	}
+	r.SetRequestURI(base + c.Path)
+	return r
+}
+
+// send sends a request and records its response, as far as it came.
+func (l *Load) send(c *Call, req *fasthttp.Request) {
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	begin := time.Now()
+	err := l.client.Do(req, resp)
+	seen := Call{}
+	if err == nil {
+		seen.Status = resp.StatusCode()
+		seen.Answers = string(resp.Header.Peek(headerID))
+		var body []byte
+		body, err = readBody(resp)
+		seen.Body, seen.Ended = string(body), err == nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.Took = time.Since(begin).Milliseconds()
+	c.Status, c.Answers, c.Body, c.Ended = seen.Status, seen.Answers, seen.Body, seen.Ended
+	if err != nil {
+		c.Error = err.Error()
+	}
+	_ = write(l.w, c)
+}
+
+// readBody returns what comes of a body, and the error that ended it.
+func readBody(resp *fasthttp.Response) ([]byte, error) {
+	stream := resp.BodyStream()
+	if stream == nil {
+		return resp.Body(), nil
+	}
+	body, err := io.ReadAll(stream)
+	if closeErr := resp.CloseBodyStream(); err == nil {
+		err = closeErr
+	}
+	return body, err
+}
+
+// done reports whether the load ends: nine tenths of the requests of the last settledSpan are served.
+func (l *Load) done(elapsed time.Duration) bool {
+	if elapsed < l.Calm+calmLeast {
+		return false
+	}
+	if elapsed > l.Calm+RecoverBound+settledSpan {
+		return true
+	}
+	until := time.Now().Add(-settled)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sent, served := 0, 0
+	for i := len(l.calls) - 1; i >= 0 && l.calls[i].time().After(until.Add(-settledSpan)); i-- {
+		if c := l.calls[i]; c.time().Before(until) {
+			sent++
+			if c.Served() {
+				served++
+			}
+		}
+	}
+	return float64(served) >= recovered*float64(sent)
+}
--- /dev/null
+++ b/internal/stand/medlarsoak/plan.go
@@ -0,0 +1,322 @@
+package medlarsoak
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"medlarfield/internal/stand/medlarfakereplica"
+	"medlarfield/internal/stand/medlarfaketopic"
+	"medlarfield/internal/stand/medlarlink"
+	"medlarfield/internal/stand/medlarstutter"
+)
+
+// Verb is what a step does.
+type Verb string
+
+// Verbs. The arguments of all but VerbPost, VerbFault and VerbCalm are numbers of instances, from 1 on.
+const (
+	VerbPost  Verb = "post"  // sends a command to the control address of the platform
+	VerbKill  Verb = "kill"  // SIGKILL
+	VerbTerm  Verb = "term"  // SIGTERM
+	VerbStop  Verb = "stop"  // SIGSTOP
+	VerbCont  Verb = "cont"  // SIGCONT
+	VerbStart Verb = "start" // starts the instances that do not run
+	VerbNew   Verb = "new"   // as VerbStart; from now on the instances are of the new build
+	VerbFault Verb = "fault" // names the fault that begins
+	VerbCalm  Verb = "calm"  // all faults have ended
+)
+
+// Step is one line of a schedule.
+type Step struct {
+	At   time.Duration // since the begin of the schedule
+	Verb Verb
+	Args []string
+}
+
+// Settings say what a schedule is drawn for.
+type Settings struct {
+	Seed    uint64
+	Nodes   int
+	Upgrade bool   // the instances begin with an old build and are upgraded
+	Only    string // name of the one kind of fault to play; empty for all
+}
+
+// Times of a schedule.
+const (
+	firstFault = 2 * time.Second
+	lastFault  = 9 * time.Second // begin of the last fault of an overlapping schedule
+	maxGap     = 500 * time.Millisecond
+	aloneEvery = 3 * time.Second
+)
+
+// Numbers of faults in a schedule.
+const (
+	aloneFaults   = 3
+	seriesFaults  = 5
+	overlapFaults = 7
+)
+
+// Kind is a kind of fault.
+type Kind struct {
+	Name  string
+	steps func(*draw) []Step
+}
+
+// Kinds lists all kinds of faults.
+var Kinds = []Kind{
+	{"rejection-again", func(d *draw) []Step { return d.rejectionAgain("") }},
+	{"rejection-again-without-id", func(d *draw) []Step { return d.rejectionAgain(headerID) }},
+	{"rejection-of-all-again", (*draw).rejectionOfAllAgain},
+	{"answer-again", (*draw).answerAgain},
+	{"broken-stream", (*draw).brokenStream},
+	{"broken-answer", (*draw).brokenAnswer},
+	{"odd-entry", (*draw).oddEntry},
+	{"cut-one", func(d *draw) []Step { return d.cut(1) }},
+	{"cut-two", func(d *draw) []Step { return d.cut(2) }},
+	{"kill-all", (*draw).killAll},
+	{"kill-one", func(d *draw) []Step { return d.restart(VerbKill, d.pick(1)) }},
+	{"term-one", func(d *draw) []Step { return d.restart(VerbTerm, d.pick(1)) }},
+	{"pause-one", (*draw).pause},
+	{"crash-replicas", (*draw).crash},
+	{"store-slow", (*draw).storeSlow},
+	{"store-away", (*draw).storeAway},
+	{kindUpgrade, (*draw).upgrade},
+	{"release", (*draw).release},
+	{"weights", (*draw).weights},
+}
+
+const kindUpgrade = "upgrade"
+
+// usualStore is the speed of the store while it has no fault.
+const usualStore = "store-speed?delay=4&reads=6000&writes=1200"
+
+// draw draws the faults of a schedule.
+type draw struct {
+	*rand.Rand
+	nodes    int
+	weight   int // last weight version that was named
+	releases int // releases so far
+}
+
+// Plan returns the schedule of a seed: one kind of fault again and again, several one after the other, or several that
+// overlap. The same settings give the same schedule, whose last step is VerbCalm.
+func Plan(s Settings) ([]Step, error) {
+	if s.Nodes < 1 || s.Only != "" && !slices.ContainsFunc(Kinds, func(k Kind) bool { return k.Name == s.Only }) {
+		return nil, fmt.Errorf("no schedule for %d instances and kind %q", s.Nodes, s.Only)
+	}
+	d := &draw{Rand: rand.New(rand.NewPCG(s.Seed, 1)), nodes: s.Nodes, weight: 1}
+	steps := []Step{post(0, usualStore), post(0, "attempts?n=%d", 1+2*d.IntN(2))}
+	var end time.Duration
+	add := func(k Kind, at time.Duration) {
+		steps = append(steps, Step{at, VerbFault, []string{k.Name}})
+		for _, step := range k.steps(d) {
+			step.At += at
+			end = max(end, step.At)
+			steps = append(steps, step)
+		}
+	}
+	alone := d.kind(s.Only)
+	if s.Upgrade {
+		add(kindNamed(kindUpgrade), firstFault+d.within(maxGap))
+	}
+	switch {
+	case s.Only != "" || s.Seed%3 == 1:
+		for i := range aloneFaults {
+			add(alone, firstFault+time.Duration(i)*aloneEvery+d.within(maxGap))
+		}
+	case s.Seed%3 == 2:
+		for range seriesFaults {
+			add(d.kind(""), max(end, firstFault)+d.within(maxGap))
+		}
+	default:
+		for range overlapFaults {
+			add(d.kind(""), firstFault+d.within(lastFault-firstFault))
+		}
+	}
+	steps = append(steps, d.calm(end)...)
+	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return steps, nil
+}
+
+// Print writes a schedule, one step a line: the time in ms, the verb, and its arguments.
+func Print(w io.Writer, steps []Step) {
+	for _, s := range steps {
+		_, _ = fmt.Fprintf(w, "%d %s %s\n", s.At.Milliseconds(), s.Verb, strings.Join(s.Args, " "))
+	}
+}
+
+// kind returns the kind with a name, or any if the name is empty.
+func (d *draw) kind(name string) Kind {
+	if name != "" {
+		return kindNamed(name)
+	}
+	return Kinds[d.IntN(len(Kinds))]
+}
+
+func kindNamed(name string) Kind {
+	i := slices.IndexFunc(Kinds, func(k Kind) bool { return k.Name == name })
+	return Kinds[i]
+}
+
+func (d *draw) within(most time.Duration) time.Duration { return time.Duration(d.Int64N(int64(most))) }
+
+// pick returns the numbers of n instances, at most of all.
+func (d *draw) pick(n int) []string {
+	var out []string
+	for _, i := range d.Perm(d.nodes)[:min(n, d.nodes)] {
+		out = append(out, fmt.Sprint(i+1))
+	}
+	return out
+}
+
+func (d *draw) all() []string {
+	var out []string
+	for i := range d.nodes {
+		out = append(out, fmt.Sprint(i+1))
+	}
+	return out
+}
+
+func post(at time.Duration, format string, args ...any) Step {
+	return Step{at, VerbPost, []string{fmt.Sprintf(format, args...)}}
+}
+
+// Times of faults of replicas.
+const (
+	armInterval = 150 * time.Millisecond
+	armTimes    = 8
+	copiesArmed = 100
+)
+
+// repeat arms a fault in the replicas again and again.
+func repeat(format string, args ...any) []Step {
+	var out []Step
+	for i := range armTimes {
+		out = append(out, post(time.Duration(i)*armInterval, format, args...))
+	}
+	return append(out, post(armTimes*armInterval, "disarm"))
+}
+
+var forms = []medlarstutter.Form{medlarstutter.FormWhole, medlarstutter.FormParts, medlarstutter.FormChunked, medlarstutter.FormClosed}
+
+// copies makes replicas write responses with a status once more.
+func (d *draw) copies(status int, without string) Step {
+	return post(0, "copies?status=%d&without=%s&form=%s&n=%d", status, without, forms[d.IntN(len(forms))], copiesArmed)
+}
+
+// rejectionAgain lets replicas reject requests and write these rejections once more.
+func (d *draw) rejectionAgain(without string) []Step {
+	return append(repeat("arm?fault=%s&n=1", medlarfakereplica.FaultShed), d.copies(503, without))
+}
+
+// rejectionOfAllAgain lets all replicas reject so many requests that later attempts come to the same replica.
+func (d *draw) rejectionOfAllAgain() []Step {
+	without := []string{"", headerID}[d.IntN(2)]
+	return append(repeat("arm?fault=%s&n=6", medlarfakereplica.FaultShed), d.copies(503, without))
+}
+
+func (d *draw) answerAgain() []Step {
+	return []Step{d.copies(200, ""), post(time.Second, "disarm")}
+}
+
+// brokenStream breaks streams off after their second event and lets resumptions get an error.
+func (d *draw) brokenStream() []Step { return repeat("broken?with=%d&n=2", d.IntN(instead)) }
+
+func (d *draw) brokenAnswer() []Step {
+	faults := []medlarfakereplica.Fault{
+		medlarfakereplica.FaultLost, medlarfakereplica.FaultCut, medlarfakereplica.FaultFail, medlarfakereplica.FaultExtra,
+		medlarfakereplica.FaultForeign, medlarfakereplica.FaultGarbage, medlarfakereplica.FaultShort, medlarfakereplica.FaultWrongID,
+	}
+	return repeat("arm?fault=%s&n=1", faults[d.IntN(len(faults))])
+}
+
+// oddEntry writes odd entries beside those of the replicas and in their place.
+func (d *draw) oddEntry() []Step {
+	i := d.IntN(len(oddEntries))
+	return []Step{post(0, "odd?entry=%d", i), post(400*time.Millisecond, "odd?entry=%d", i), post(time.Second, "odd?entry=-1")}
+}
+
+func (d *draw) cut(n int) []Step {
+	state := []medlarlink.State{medlarlink.Silent, medlarlink.Reset, medlarlink.Refused}[d.IntN(3)]
+	length := time.Second + d.within(2*time.Second)
+	var out []Step
+	for _, i := range d.pick(n) {
+		out = append(out, post(0, "link?name=entry-%s&state=%s", i, state), post(length, "link?name=entry-%s&state=%s", i, medlarlink.Up))
+	}
+	return out
+}
+
+func (d *draw) killAll() []Step {
+	out := []Step{{0, VerbKill, d.all()}, {200*time.Millisecond + d.within(time.Second), VerbStart, d.all()}}
+	if d.IntN(2) == 0 {
+		out = append(out, post(0, "crash"))
+	}
+	return out
+}
+
+// restart ends instances with a signal and starts them again.
+func (d *draw) restart(signal Verb, nodes []string) []Step {
+	return []Step{{0, signal, nodes}, {time.Second + d.within(time.Second), VerbStart, nodes}}
+}
+
+func (d *draw) pause() []Step {
+	nodes := d.pick(1)
+	return []Step{{0, VerbStop, nodes}, {700*time.Millisecond + d.within(600*time.Millisecond), VerbCont, nodes}}
+}
+
+func (d *draw) crash() []Step { return []Step{post(0, "crash")} }
+
+func (d *draw) storeSlow() []Step {
+	return []Step{
+		post(0, "store-speed?delay=%d&reads=%d&writes=%d", 50+d.IntN(400), 50+d.IntN(200), 10+d.IntN(40)),
+		post(time.Second+d.within(2*time.Second), usualStore),
+	}
+}
+
+func (d *draw) storeAway() []Step {
+	faults := []medlarfaketopic.Fault{
+		medlarfaketopic.FaultRefuse, medlarfaketopic.FaultLimit, medlarfaketopic.FaultSilent, medlarfaketopic.FaultReset, medlarfaketopic.FaultLose,
+	}
+	out := []Step{post(0, "store?fault=%s", faults[d.IntN(len(faults))]), post(time.Second+d.within(2*time.Second), "store?fault=")}
+	if d.IntN(3) == 0 {
+		out = append(out, post(100*time.Millisecond, "compact"))
+	}
+	return out
+}
+
+// upgrade replaces the instances by ones of the new build, one after the other.
+func (d *draw) upgrade() []Step {
+	var out []Step
+	signal := []Verb{VerbTerm, VerbKill}[d.IntN(2)]
+	pause := 500*time.Millisecond + d.within(time.Second)
+	for i, n := range d.all() {
+		at := time.Duration(i) * (pause + time.Second)
+		out = append(out, Step{at, signal, []string{n}}, Step{at + time.Second, VerbNew, []string{n}})
+	}
+	return out
+}
+
+// release replaces two replicas of the engine by ones of another software version.
+func (d *draw) release() []Step {
+	d.releases++
+	return []Step{post(0, "release?build=r%d&n=2&ms=%d", d.releases, 200+d.IntN(600))}
+}
+
+func (d *draw) weights() []Step {
+	d.weight++
+	return []Step{post(0, "weights?version=%d", d.weight), post(time.Second, "change")}
+}
+
+// calm ends all faults.
+func (d *draw) calm(at time.Duration) []Step {
+	out := []Step{post(at, "disarm"), post(at, "store?fault="), post(at, usualStore), post(at, "odd?entry=-1")}
+	for _, i := range d.all() {
+		out = append(out, post(at, "link?name=entry-%s&state=%s", i, medlarlink.Up))
+	}
+	return append(out, Step{at, VerbCont, d.all()}, Step{at, VerbStart, d.all()}, Step{at, VerbCalm, nil})
+}
--- /dev/null
+++ b/internal/stand/medlarsoak/record.go
@@ -0,0 +1,151 @@
+package medlarsoak
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-json-experiment/json"
+)
+
+// Call is what a caller saw of a request. Times are in Unix ms.
+type Call struct {
+	At       int64  `json:"at"`
+	Took     int64  `json:"took"` // ms
+	ID       string `json:"id"`
+	Instance string `json:"instance"`
+	Path     string `json:"path"`
+	Status   int    `json:"status"` // 0 if there was no response
+	Answers  string `json:"answers"`
+	Body     string `json:"body"`
+	Ended    bool   `json:"ended"` // the response ended as its framing requires
+	Error    string `json:"error"`
+}
+
+// Run is a request that a replica began to run.
+type Run struct {
+	At      int64  `json:"at"` // Unix ms
+	ID      string `json:"id"`
+	Path    string `json:"path"`
+	Resumed bool   `json:"resumed"` // the request resumes a stream
+}
+
+// Happening is what was seen of a process in the course of a schedule.
+type Happening string
+
+// Happenings.
+const (
+	Died Happening = "died" // ended without a signal; the node follows
+	Exit Happening = "exit" // ended after SIGTERM; the node and the exit code follow
+	Back Happening = "back" // all instances were started after all had been killed
+	Calm Happening = "calm" // all faults have ended
+)
+
+// Process is a line of the record of processes: the time in Unix ms, what happened, and arguments.
+type Process struct {
+	At   int64
+	What Happening
+	Args []string
+}
+
+// Records are all records of a schedule that was played.
+type Records struct {
+	Calls     []Call
+	Runs      []Run
+	Processes []Process
+}
+
+// Events is the number of events in each stream.
+const Events = 8
+
+// event returns event n of the stream that answers a request.
+func event(n int, id string) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", n, id) }
+
+// Prefixes of the paths of requests, one of each route of medlarsite.DefaultConfig.
+const (
+	prefixRead   = "/read/"   // may run again
+	prefixPost   = "/post/"   // may run once
+	prefixLetter = "/letter/" // a stream that may be resumed
+	prefixQuery  = "/query/"  // a stream that may run once
+)
+
+func streams(path string) bool {
+	return strings.HasPrefix(path, prefixLetter) || strings.HasPrefix(path, prefixQuery)
+}
+
+func runsOnce(path string) bool {
+	return strings.HasPrefix(path, prefixPost) || strings.HasPrefix(path, prefixQuery)
+}
+
+// whole returns the whole body of the answer to a request.
+func whole(path, id string) string {
+	if !streams(path) {
+		return "answer to " + id
+	}
+	var b strings.Builder
+	for n := range Events {
+		b.WriteString(event(n+1, id))
+	}
+	return b.String()
+}
+
+// Served reports whether the caller got a whole answer.
+func (c *Call) Served() bool { return c.Status == 200 && c.Ended && c.Body == whole(c.Path, c.ID) }
+
+// refused reports whether the response says that the request did not and will not run.
+func (c *Call) refused() bool { return slices.Contains([]int{408, 421, 429, 503}, c.Status) }
+
+func (c *Call) time() time.Time { return time.UnixMilli(c.At) }
+
+// write writes a record as a line.
+func write(w io.Writer, record any) error {
+	b, err := json.Marshal(record)
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(append(b, '\n'))
+	return err
+}
+
+// Read reads the records of callers, replicas and processes.
+func Read(calls, runs, processes io.Reader) (Records, error) {
+	var r Records
+	err := eachLine(calls, func(line []byte) error {
+		r.Calls = append(r.Calls, Call{})
+		return json.Unmarshal(line, &r.Calls[len(r.Calls)-1])
+	})
+	if err != nil {
+		return r, err
+	}
+	err = eachLine(runs, func(line []byte) error {
+		r.Runs = append(r.Runs, Run{})
+		return json.Unmarshal(line, &r.Runs[len(r.Runs)-1])
+	})
+	if err != nil {
+		return r, err
+	}
+	return r, eachLine(processes, func(line []byte) error {
+		f := strings.Fields(string(line))
+		if len(f) < 2 {
+			return fmt.Errorf("record of processes: line %q has no time or no event", line)
+		}
+		at, err := strconv.ParseInt(f[0], 10, 64)
+		r.Processes = append(r.Processes, Process{at, Happening(f[1]), f[2:]})
+		return err
+	})
+}
+
+func eachLine(r io.Reader, use func([]byte) error) error {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		if err := use(lines.Bytes()); err != nil {
+			return err
+		}
+	}
+	return lines.Err()
+}
--- a/internal/stand/medlarstandcmd/availability.go
+++ b/internal/stand/medlarstandcmd/availability.go
@@ -18,17 +18,10 @@
 		Short: "Send requests at a constant rate to attached instances and print over time which are served",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			files, err := filepath.Glob(filepath.Join(dir, "*.json"))
-			if err != nil {
+			var err error
+			if s.Instances, err = readInstances(dir); err != nil {
 				return err
 			}
-			for _, file := range files {
-				cfg, err := medlarsettings.ReadAttached(file)
-				if err != nil {
-					return err
-				}
-				s.Instances = append(s.Instances, medlaravailability.Instance{Name: cfg.Name, Address: cfg.Listen, Status: cfg.Status})
-			}
 			medlaravailability.Run(s, cmd.OutOrStdout())
 			return nil
 		},
@@ -42,3 +35,20 @@
 	flags.Uint64Var(&s.Seed, "seed", 1, "seed of the choice of instances and parts")
 	return cmd
 }
+
+// readInstances reads the instances from the settings files in a directory.
+func readInstances(dir string) ([]medlaravailability.Instance, error) {
+	files, err := filepath.Glob(filepath.Join(dir, "*.json"))
+	if err != nil {
+		return nil, err
+	}
+	var out []medlaravailability.Instance
+	for _, file := range files {
+		cfg, err := medlarsettings.ReadAttached(file)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, medlaravailability.Instance{Name: cfg.Name, Address: cfg.Listen, Status: cfg.Status})
+	}
+	return out, nil
+}
--- a/internal/stand/medlarstandcmd/platform.go
+++ b/internal/stand/medlarstandcmd/platform.go
@@ -12,6 +12,7 @@
 	"github.com/go-json-experiment/json"
 	"github.com/go-json-experiment/json/jsontext"
 	"github.com/spf13/cobra"
+	"github.com/valyala/fasthttp"
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/ops/medlarattachednode"
@@ -33,7 +34,9 @@
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if dir != "" {
-				return runPlatform(cfg, control, func(s *medlarsite.Site) (func(), error) { return writeSettings(cmd.OutOrStdout(), s, dir, nodes) })
+				return runPlatform(cfg, control, func(s *medlarsite.Site) (func(), error) {
+					return writeSettings(cmd.OutOrStdout(), s, dir, nodes, freeAddress)
+				})
 			}
 			return runPlatform(cfg, control, func(s *medlarsite.Site) (func(), error) { return startAttached(cmd.OutOrStdout(), s, nodes) })
 		},
@@ -58,6 +61,11 @@
 	if err != nil {
 		return err
 	}
+	return runSite(site, control, site.ControlHandler(), use)
+}
+
+// runSite is runPlatform with a site that runs and the handler of its control address.
+func runSite(site *medlarsite.Site, control string, handler fasthttp.RequestHandler, use func(*medlarsite.Site) (stop func(), err error)) error {
 	defer site.Close()
 	stop, err := use(site)
 	if err != nil {
@@ -65,7 +73,7 @@
 	}
 	defer stop()
 	if control != "" {
-		server, err := medlarhost.New("control", control, medlarfault.New(), site.ControlHandler())
+		server, err := medlarhost.New("control", control, medlarfault.New(), handler)
 		if err != nil {
 			return err
 		}
@@ -103,9 +111,9 @@
 	}, nil
 }
 
-// writeSettings writes settings files for instances of other processes and prints
-// their paths, status addresses and example requests.
-func writeSettings(w io.Writer, site *medlarsite.Site, dir string, nodes int) (func(), error) {
+// writeSettings writes settings files for instances of other processes, which listen on
+// what address returns, and prints their paths, status addresses and example requests.
+func writeSettings(w io.Writer, site *medlarsite.Site, dir string, nodes int, address func() (medlarid.Address, error)) (func(), error) {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, err
 	}
@@ -115,7 +123,7 @@
 			return nil, err
 		}
 		for _, at := range []*medlarid.Address{&settings.Listen, &settings.Status} {
-			if *at, err = freeAddress(); err != nil {
+			if *at, err = address(); err != nil {
 				return nil, err
 			}
 		}
--- /dev/null
+++ b/internal/stand/medlarstandcmd/soak.go
@@ -0,0 +1,149 @@
+package medlarstandcmd
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/stand/medlarsite"
+	"medlarfield/internal/stand/medlarsoak"
+)
+
+// Files in the directory of a soak.
+const (
+	soakSettings  = "settings"
+	soakCalls     = "calls.log"
+	soakRuns      = "runs.log"
+	soakProcesses = "processes.log"
+)
+
+func soakCommand() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "soak",
+		Short: "Draw faults from a seed, play them on attached instances of other processes, and check what was seen; see .ci/soak",
+	}
+	cmd.AddCommand(soakPlanCommand(), soakPlatformCommand(), soakLoadCommand(), soakCheckCommand())
+	return cmd
+}
+
+// soakFlags adds the flags that a schedule is drawn for.
+func soakFlags(cmd *cobra.Command) *medlarsoak.Settings {
+	s := &medlarsoak.Settings{}
+	flags := cmd.Flags()
+	flags.Uint64Var(&s.Seed, "seed", 1, "seed of the schedule")
+	flags.IntVar(&s.Nodes, "nodes", 3, "number of instances")
+	flags.BoolVar(&s.Upgrade, "upgrade", false, "upgrade the instances, which run another build first")
+	flags.StringVar(&s.Only, "only", "", "name of the only kind of fault; empty for all")
+	return s
+}
+
+func soakPlanCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "plan", Short: "Print the schedule of a seed", Args: cobra.NoArgs}
+	s := soakFlags(cmd)
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		steps, err := medlarsoak.Plan(*s)
+		if err == nil {
+			medlarsoak.Print(cmd.OutOrStdout(), steps)
+		}
+		return err
+	}
+	return cmd
+}
+
+func soakPlatformCommand() *cobra.Command {
+	var nodes, port int
+	cfg := medlarsite.Default()
+	cfg.Events = medlarsoak.Events
+	cfg.ServiceTime, cfg.RestartDelay = 10*time.Millisecond, time.Second
+	cmd := &cobra.Command{
+		Use:   "platform DIR",
+		Short: "Run the emulated platform until a signal; DIR gets the settings files and the record of runs",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			runs, err := os.Create(filepath.Join(args[0], soakRuns))
+			if err != nil {
+				return err
+			}
+			defer func() { _ = runs.Close() }()
+			platform, err := medlarsoak.NewPlatform(cfg, runs)
+			if err != nil {
+				return err
+			}
+			next := port
+			address := func() (medlarid.Address, error) {
+				next++
+				return medlarid.Address(fmt.Sprintf("127.0.0.1:%d", next)), nil
+			}
+			return runSite(platform.Site(), fmt.Sprintf("127.0.0.1:%d", port), platform.Handler(), func(s *medlarsite.Site) (func(), error) {
+				return writeSettings(cmd.OutOrStdout(), s, filepath.Join(args[0], soakSettings), nodes, address)
+			})
+		},
+	}
+	flags := cmd.Flags()
+	flags.IntVar(&nodes, "nodes", 3, "number of settings files")
+	flags.IntVar(&port, "port", 10000, "port of the control address; the next ones are those of the instances")
+	flags.IntVar(&cfg.Engines, "engines", 4, "number of replicas of the model engine")
+	flags.IntVar(&cfg.Plain, "plain", 2, "number of replicas of the plain service")
+	return cmd
+}
+
+func soakLoadCommand() *cobra.Command {
+	var rate float64
+	var same bool
+	cmd := &cobra.Command{Use: "load DIR", Short: "Send requests to the instances in the course of a schedule", Args: cobra.ExactArgs(1)}
+	cmd.Flags().Float64Var(&rate, "rate", 90, "requests a second")
+	cmd.Flags().BoolVar(&same, "same", false, "give all requests of a route the same path and body")
+	s := soakFlags(cmd)
+	cmd.RunE = func(_ *cobra.Command, args []string) error {
+		steps, err := medlarsoak.Plan(*s)
+		if err != nil {
+			return err
+		}
+		instances, err := readInstances(filepath.Join(args[0], soakSettings))
+		if err != nil {
+			return err
+		}
+		calls, err := os.Create(filepath.Join(args[0], soakCalls))
+		if err != nil {
+			return err
+		}
+		l := medlarsoak.Load{Instances: instances, Rate: rate, Calm: steps[len(steps)-1].At, Seed: s.Seed, Same: same}
+		l.Run(calls)
+		return calls.Close()
+	}
+	return cmd
+}
+
+func soakCheckCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check DIR",
+		Short: "Check the records of a soak",
+		Long:  "Check the records of a soak. The exit code is 1 if a rule is broken.",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var files []*os.File
+			for _, name := range []string{soakCalls, soakRuns, soakProcesses} {
+				f, err := os.Open(filepath.Join(args[0], name))
+				if err != nil {
+					return err
+				}
+				defer func() { _ = f.Close() }()
+				files = append(files, f)
+			}
+			records, err := medlarsoak.Read(files[0], files[1], files[2])
+			if err != nil {
+				return err
+			}
+			res := medlarsoak.Check(records)
+			res.Print(cmd.OutOrStdout())
+			if n := len(res.Violations); n > 0 {
+				return fmt.Errorf("%d violations", n)
+			}
+			return nil
+		},
+	}
+}
--- a/internal/stand/medlarstutter/medlarstutter.go
+++ b/internal/stand/medlarstutter/medlarstutter.go
@@ -36,6 +36,8 @@
 	Form Form
 	// Without names a header field that copies lack; empty for none.
 	Without string
+	// Status is the status of the responses that are copied; 0 for any.
+	Status int
 	// Instead is written in place of a copy, unless it is empty.
 	Instead string
 }
@@ -44,15 +46,18 @@
 type Stutter struct {
 	mu     sync.Mutex
 	copy   Copy
-	armed  bool
+	left   int // copies that are still to be written
 	copies int
 }
 
 // Arm makes the next response on a connection that has had one follow a copy of that.
-func (s *Stutter) Arm(c Copy) {
+func (s *Stutter) Arm(c Copy) { s.ArmTimes(c, 1) }
+
+// ArmTimes is Arm for the next n such responses.
+func (s *Stutter) ArmTimes(c Copy, n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.copy, s.armed = c, true
+	s.copy, s.left = c, n
 }
 
 // Copies returns how many copies have been written.
@@ -62,14 +67,15 @@
 	return s.copies
 }
 
-// next returns the copy to write, if one is to be written.
-func (s *Stutter) next() (Copy, bool) {
+// next returns the copy of a response to write, if one is to be written.
+func (s *Stutter) next(response []byte) (Copy, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.armed {
+	other := s.copy.Status != 0 && !bytes.HasPrefix(response, medlarhead.AppendStatus(nil, s.copy.Status))
+	if s.left == 0 || other {
 		return Copy{}, false
 	}
-	s.armed = false
+	s.left--
 	s.copies++
 	return s.copy, true
 }
@@ -102,7 +108,7 @@
 // Write writes a part of a response, after the copy of the earlier one if there is to be one.
 func (c *conn) Write(b []byte) (int, error) {
 	if c.reading && len(c.earlier) > 0 {
-		if how, ok := c.stutter.next(); ok {
+		if how, ok := c.stutter.next(c.earlier); ok {
 			c.writeCopy(how)
 		}
 	}
