Soak: comments of a stream are of no request; name the instance in a violation

A comment is no event and names no request, so the check leaves out whole comment blocks, and still judges a block that goes on as an event.

--- a/internal/stand/medlarsoak/check.go
+++ b/internal/stand/medlarsoak/check.go
@@ -93,23 +93,28 @@
 	res.Violations = append(res.Violations, Violation{rule, id, fmt.Sprintf(format, args...)})
 }
 
+// brokenBy adds a violation by the response to a call.
+func (res *Result) brokenBy(rule Rule, c *Call, format string, args ...any) {
+	res.broken(rule, c.ID, "%s at %s %s", c.Path, c.Instance, fmt.Sprintf(format, args...))
+}
+
 // checkCall checks what a caller saw; all counts resumptions too.
 func (res *Result) checkCall(c *Call, runs, all int) {
 	if c.refused() && all > 0 {
-		res.broken(RuleRefused, c.ID, "%s was refused with %d as not run, and ran %d times", c.Path, c.Status, all)
+		res.brokenBy(RuleRefused, c, "was refused with %d as not run, and ran %d times", c.Status, all)
 	}
 	if runsOnce(c.Path) && all > 1 {
-		res.broken(RuleOnce, c.ID, "%s ran %d times; the caller got %d", c.Path, all, c.Status)
+		res.brokenBy(RuleOnce, c, "ran %d times; the caller got %d", all, c.Status)
 	}
 	if c.Status != 0 && c.Answers != "" && c.Answers != c.ID {
-		res.broken(RuleOwn, c.ID, "%s: the response with %d names %q", c.Path, c.Status, c.Answers)
+		res.brokenBy(RuleOwn, c, "names (status %d) %q", c.Status, c.Answers)
 	}
 	if c.Status != 200 {
 		res.checkFailure(c)
 		return
 	}
 	if runs == 0 {
-		res.broken(RuleOwn, c.ID, "%s was answered, and no replica ran it", c.Path)
+		res.brokenBy(RuleOwn, c, "was answered, and no replica ran it")
 	}
 	res.checkBody(c)
 }
@@ -117,32 +122,32 @@
 // checkFailure checks that a response other than 200 holds no answer.
 func (res *Result) checkFailure(c *Call) {
 	if strings.Contains(c.Body, "answer to ") || strings.Contains(c.Body, "data: ") {
-		res.broken(RuleOwn, c.ID, "%s: the response with %d holds %q", c.Path, c.Status, c.Body)
+		res.brokenBy(RuleOwn, c, "holds (status %d) %q", c.Status, c.Body)
 	}
 }
 
 // checkBody checks the body of a response with 200, as far as it came.
 func (res *Result) checkBody(c *Call) {
-	want := whole(c.Path, c.ID)
+	got, want := c.content(), whole(c.Path, c.ID)
 	switch {
-	case c.Body == want:
-	case strings.HasPrefix(want, c.Body):
+	case got == want:
+	case strings.HasPrefix(want, got):
 		if c.Ended {
-			res.broken(RuleWhole, c.ID, "%s ended as if it were whole after %d of %d bytes", c.Path, len(c.Body), len(want))
+			res.brokenBy(RuleWhole, c, "ended as if it were whole after %d of %d bytes", len(got), len(want))
 		}
-	case streams(c.Path) && ownEvents(c):
-		res.broken(RuleOrder, c.ID, "%s: events are missing, repeated or not in order: %q", c.Path, c.Body)
+	case streams(c.Path) && ownEvents(got, c.ID):
+		res.brokenBy(RuleOrder, c, "has events that are missing, repeated or not in order: %q", c.Body)
 	default:
-		res.broken(RuleOwn, c.ID, "%s: the body holds what is not of the request: %q", c.Path, c.Body)
+		res.brokenBy(RuleOwn, c, "holds what is not of the request: %q", c.Body)
 	}
 }
 
 // ownEvents reports whether a body consists of events of its own stream and the beginning of another one, in any order.
-func ownEvents(c *Call) bool {
-	events := strings.SplitAfter(c.Body, "\n\n")
+func ownEvents(body, id string) bool {
+	events := strings.SplitAfter(body, "\n\n")
 	for i, e := range events {
 		own := func(n int) bool {
-			return e == event(n, c.ID) || i == len(events)-1 && strings.HasPrefix(event(n, c.ID), e)
+			return e == event(n, id) || i == len(events)-1 && strings.HasPrefix(event(n, id), e)
 		}
 		if !slices.ContainsFunc([]int{1, 2, 3, 4, 5, 6, 7, 8}, own) {
 			return false
--- a/internal/stand/medlarsoak/check_test.go
+++ b/internal/stand/medlarsoak/check_test.go
@@ -81,6 +81,9 @@
 		{"text of a failure, broken off", medlarsoak.RuleOwn, func(r *medlarsoak.Records) {
 			r.Calls[query].Body, r.Calls[query].Ended = events("r11", 1, 2)+"failed: out of memory\n", false
 		}},
+		{"comment that goes on as an event", medlarsoak.RuleOwn, func(r *medlarsoak.Records) {
+			r.Calls[query].Body = events("r11", 1) + ": wait\ndata: r12\n\n" + events("r11", 2, 3, 4, 5, 6, 7, 8)
+		}},
 		{"half an answer as a whole", medlarsoak.RuleWhole, func(r *medlarsoak.Records) { r.Calls[post].Body = "answer to" }},
 		{"half a stream as a whole", medlarsoak.RuleWhole, func(r *medlarsoak.Records) { r.Calls[query].Body = events("r11", 1, 2) }},
 		{"half an event as a whole", medlarsoak.RuleWhole, func(r *medlarsoak.Records) { r.Calls[query].Body = events("r11", 1) + "id: 2\nda" }},
@@ -107,6 +110,11 @@
 		})
 	}
 	t.Run("sound", func(t *testing.T) { assertBroken(t, medlarsoak.Check(sound())) })
+	t.Run("comment", func(t *testing.T) {
+		r := sound()
+		r.Calls[query].Body = ": wait\n\n" + r.Calls[query].Body + ": end\n\n"
+		assertBroken(t, medlarsoak.Check(r))
+	})
 	t.Run("broken off visibly", func(t *testing.T) {
 		r := sound()
 		r.Calls[query].Body, r.Calls[query].Ended = events("r11", 1, 2)+"id: 3\n", false
--- a/internal/stand/medlarsoak/record.go
+++ b/internal/stand/medlarsoak/record.go
@@ -94,7 +94,18 @@
 }
 
 // Served reports whether the caller got a whole answer.
-func (c *Call) Served() bool { return c.Status == 200 && c.Ended && c.Body == whole(c.Path, c.ID) }
+func (c *Call) Served() bool { return c.Status == 200 && c.Ended && c.content() == whole(c.Path, c.ID) }
+
+// content returns the body of a response, and of a stream all but comments, which are of no request.
+func (c *Call) content() string {
+	if !streams(c.Path) {
+		return c.Body
+	}
+	blocks := strings.SplitAfter(c.Body, "\n\n")
+	return strings.Join(slices.DeleteFunc(blocks, func(b string) bool {
+		return strings.HasPrefix(b, ":") && strings.Index(b, "\n\n") == strings.Index(b, "\n") && strings.HasSuffix(b, "\n\n")
+	}), "")
+}
 
 // refused reports whether the response says that the request did not and will not run.
 func (c *Call) refused() bool { return slices.Contains([]int{408, 421, 429, 503}, c.Status) }
