Soak: the schedule in a package of its own; more kinds of faults

The store comes back from an older copy, all instances are killed once more while they start, and broken answers have more forms: without end, too late, misdirected, with a pause. The load ends by the same measure as the check.

--- a/internal/stand/medlarsoak/plan.go
+++ b/internal/stand/medlarschedule/medlarschedule.go
@@ -1,4 +1,5 @@
-package medlarsoak
+// Package medlarschedule draws the schedule of a soak from a seed: which faults begin when, and what carries them out.
+package medlarschedule
 
 import (
 	"cmp"
@@ -9,6 +10,7 @@
 	"strings"
 	"time"
 
+	"medlarfield/internal/stand/medlarending"
 	"medlarfield/internal/stand/medlarfakereplica"
 	"medlarfield/internal/stand/medlarfaketopic"
 	"medlarfield/internal/stand/medlarlink"
@@ -69,11 +71,11 @@
 
 // Kinds lists all kinds of faults.
 var Kinds = []Kind{
-	{"rejection-again", func(d *draw) []Step { return d.rejectionAgain("") }},
-	{"rejection-again-without-id", func(d *draw) []Step { return d.rejectionAgain(headerID) }},
-	{"rejection-of-all-again", (*draw).rejectionOfAllAgain},
-	{"answer-again", (*draw).answerAgain},
-	{"broken-stream", (*draw).brokenStream},
+	{"rejection-again", func(d *draw) []Step { return d.rejectionAgain("", 1) }},
+	{"rejection-again-without-id", func(d *draw) []Step { return d.rejectionAgain(requestID, 1) }},
+	{"rejection-of-all-again", func(d *draw) []Step { return d.rejectionAgain([]string{"", requestID}[d.IntN(2)], 6) }},
+	{"answer-again", func(d *draw) []Step { return []Step{d.copies(200, ""), post(time.Second, "disarm")} }},
+	{"broken-stream", func(d *draw) []Step { return repeat("broken?with=%d&n=2", d.IntN(len(medlarending.Instead))) }},
 	{"broken-answer", (*draw).brokenAnswer},
 	{"odd-entry", (*draw).oddEntry},
 	{"cut-one", func(d *draw) []Step { return d.cut(1) }},
@@ -82,9 +84,10 @@
 	{"kill-one", func(d *draw) []Step { return d.restart(VerbKill, d.pick(1)) }},
 	{"term-one", func(d *draw) []Step { return d.restart(VerbTerm, d.pick(1)) }},
 	{"pause-one", (*draw).pause},
-	{"crash-replicas", (*draw).crash},
+	{"crash-replicas", func(*draw) []Step { return []Step{post(0, "crash")} }},
 	{"store-slow", (*draw).storeSlow},
 	{"store-away", (*draw).storeAway},
+	{"store-copy", func(d *draw) []Step { return []Step{post(0, "rewind?n=%d", 1+d.IntN(40))} }},
 	{kindUpgrade, (*draw).upgrade},
 	{"release", (*draw).release},
 	{"weights", (*draw).weights},
@@ -92,6 +95,23 @@
 
 const kindUpgrade = "upgrade"
 
+// requestID is the header field that names the request of a response.
+const requestID = "Medlarfield-Request-Id"
+
+// nested is the depth of an odd entry.
+const nested = 5000
+
+// OddEntries are values that are no entries of replicas.
+var OddEntries = []string{
+	strings.Repeat("[", nested) + strings.Repeat("]", nested),
+	`{"Service":"ledger","Address":"127.0.0.1:1","MaxBatchSize":1e400,"Phase":"ready","born":1}`,
+	`{"Service":"ledger","Address":"127.0.0.1:99999","MaxBatchSize":4,"Phase":"ready","born":1}`,
+	`{"Service":"ledger","Address":"127.0.0.1:-1","MaxBatchSize":4,"Phase":"ready","born":1}`,
+	`{"Service":["ledger"],"Address":7,"MaxBatchSize":"4","Phase":{},"Models":"none","born":"1"}`,
+	"\xff\x00\xfe",
+	"null",
+}
+
 // usualStore is the speed of the store while it has no fault.
 const usualStore = "store-speed?delay=4&reads=6000&writes=1200"
 
@@ -103,9 +123,9 @@
 	releases int // releases so far
 }
 
-// Plan returns the schedule of a seed: one kind of fault again and again, several one after the other, or several that
+// New returns the schedule of a seed: one kind of fault again and again, several one after the other, or several that
 // overlap. The same settings give the same schedule, whose last step is VerbCalm.
-func Plan(s Settings) ([]Step, error) {
+func New(s Settings) ([]Step, error) {
 	if s.Nodes < 1 || s.Only != "" && !slices.ContainsFunc(Kinds, func(k Kind) bool { return k.Name == s.Only }) {
 		return nil, fmt.Errorf("no schedule for %d instances and kind %q", s.Nodes, s.Only)
 	}
@@ -209,35 +229,25 @@
 	return post(0, "copies?status=%d&without=%s&form=%s&n=%d", status, without, forms[d.IntN(len(forms))], copiesArmed)
 }
 
-// rejectionAgain lets replicas reject requests and write these rejections once more.
-func (d *draw) rejectionAgain(without string) []Step {
-	return append(repeat("arm?fault=%s&n=1", medlarfakereplica.FaultShed), d.copies(503, without))
+// rejectionAgain lets replicas reject n requests in each armInterval and write these rejections once more. If n is
+// high, later attempts come to a replica that has rejected the same request.
+func (d *draw) rejectionAgain(without string, n int) []Step {
+	return append(repeat("arm?fault=%s&n=%d", medlarfakereplica.FaultShed, n), d.copies(503, without))
 }
 
-// rejectionOfAllAgain lets all replicas reject so many requests that later attempts come to the same replica.
-func (d *draw) rejectionOfAllAgain() []Step {
-	without := []string{"", headerID}[d.IntN(2)]
-	return append(repeat("arm?fault=%s&n=6", medlarfakereplica.FaultShed), d.copies(503, without))
-}
-
-func (d *draw) answerAgain() []Step {
-	return []Step{d.copies(200, ""), post(time.Second, "disarm")}
-}
-
-// brokenStream breaks streams off after their second event and lets resumptions get an error.
-func (d *draw) brokenStream() []Step { return repeat("broken?with=%d&n=2", d.IntN(instead)) }
-
 func (d *draw) brokenAnswer() []Step {
 	faults := []medlarfakereplica.Fault{
 		medlarfakereplica.FaultLost, medlarfakereplica.FaultCut, medlarfakereplica.FaultFail, medlarfakereplica.FaultExtra,
 		medlarfakereplica.FaultForeign, medlarfakereplica.FaultGarbage, medlarfakereplica.FaultShort, medlarfakereplica.FaultWrongID,
+		medlarfakereplica.FaultHang, medlarfakereplica.FaultPause, medlarfakereplica.FaultMisdirected,
+		medlarfakereplica.FaultEndlessHead, medlarfakereplica.FaultEndlessChunk, medlarfakereplica.FaultEndlessEvent,
 	}
 	return repeat("arm?fault=%s&n=1", faults[d.IntN(len(faults))])
 }
 
 // oddEntry writes odd entries beside those of the replicas and in their place.
 func (d *draw) oddEntry() []Step {
-	i := d.IntN(len(oddEntries))
+	i := d.IntN(len(OddEntries))
 	return []Step{post(0, "odd?entry=%d", i), post(400*time.Millisecond, "odd?entry=%d", i), post(time.Second, "odd?entry=-1")}
 }
 
@@ -252,10 +262,15 @@
 }
 
 func (d *draw) killAll() []Step {
-	out := []Step{{0, VerbKill, d.all()}, {200*time.Millisecond + d.within(time.Second), VerbStart, d.all()}}
+	back := 200*time.Millisecond + d.within(time.Second)
+	out := []Step{{0, VerbKill, d.all()}, {back, VerbStart, d.all()}}
 	if d.IntN(2) == 0 {
 		out = append(out, post(0, "crash"))
 	}
+	if d.IntN(3) == 0 { // again while they start
+		again := back + d.within(maxGap)
+		out = append(out, Step{again, VerbKill, d.all()}, Step{again + maxGap, VerbStart, d.all()})
+	}
 	return out
 }
 
@@ -269,8 +284,6 @@
 	return []Step{{0, VerbStop, nodes}, {700*time.Millisecond + d.within(600*time.Millisecond), VerbCont, nodes}}
 }
 
-func (d *draw) crash() []Step { return []Step{post(0, "crash")} }
-
 func (d *draw) storeSlow() []Step {
 	return []Step{
 		post(0, "store-speed?delay=%d&reads=%d&writes=%d", 50+d.IntN(400), 50+d.IntN(200), 10+d.IntN(40)),
--- a/internal/stand/medlarsoak/faults.go
+++ b/internal/stand/medlarsoak/faults.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"strings"
 	"sync"
 	"time"
 
@@ -12,6 +11,7 @@
 	"medlarfield/internal/stand/medlarending"
 	"medlarfield/internal/stand/medlarfakereplica"
 	"medlarfield/internal/stand/medlarlink"
+	"medlarfield/internal/stand/medlarschedule"
 	"medlarfield/internal/stand/medlarsite"
 	"medlarfield/internal/stand/medlarstutter"
 )
@@ -21,23 +21,6 @@
 	topicServers = "keyed.servers"
 )
 
-// nested is the depth of an odd entry.
-const nested = 5000
-
-// oddEntries are values that are no entries of replicas.
-var oddEntries = []string{
-	strings.Repeat("[", nested) + strings.Repeat("]", nested),
-	`{"Service":"ledger","Address":"127.0.0.1:1","MaxBatchSize":1e400,"Phase":"ready","born":1}`,
-	`{"Service":"ledger","Address":"127.0.0.1:99999","MaxBatchSize":4,"Phase":"ready","born":1}`,
-	`{"Service":"ledger","Address":"127.0.0.1:-1","MaxBatchSize":4,"Phase":"ready","born":1}`,
-	`{"Service":["ledger"],"Address":7,"MaxBatchSize":"4","Phase":{},"Models":"none","born":"1"}`,
-	"\xff\x00\xfe",
-	"null",
-}
-
-// instead is the number of responses with which a resumption can be answered in brokenStream.
-var instead = len(medlarending.Instead)
-
 // Platform is an emulated platform whose faults commands control and whose replicas' runs are recorded.
 type Platform struct {
 	site    *medlarsite.Site
@@ -80,6 +63,7 @@
 //	POST /arm?fault=F&n=N                           injects a fault into the next N requests at each replica
 //	POST /broken?with=I&n=N                         breaks N streams of each replica off; resumptions get response I
 //	POST /disarm                                    takes the faults of the last three back
+//	POST /rewind?n=N                                lets the store come back without the last N records of each topic
 //	POST /odd?entry=I                               writes odd entry I of replicas; removes all for -1
 func (p *Platform) Handler() fasthttp.RequestHandler {
 	other := p.site.ControlHandler()
@@ -88,14 +72,11 @@
 		text := func(name string) string { return string(q.Peek(name)) }
 		switch string(ctx.Path()) {
 		case "/attempts":
-			err := p.site.Change(func(c *medlarsite.Config) {
+			p.change(ctx, func(c *medlarsite.Config) {
 				for i := range c.Routes {
 					c.Routes[i].MaxAttempts = q.GetUintOrZero("n")
 				}
 			})
-			if err != nil {
-				ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-			}
 		case "/link":
 			if err := p.site.Link(text("name")).Set(medlarlink.State(text("state"))); err != nil {
 				ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
@@ -112,6 +93,9 @@
 			p.breakStreams(q.GetUintOrZero("with"), q.GetUintOrZero("n"))
 		case "/disarm":
 			p.disarm()
+		case "/rewind":
+			p.site.Store.Rewind(q.GetUintOrZero("n"))
+			p.change(ctx, func(*medlarsite.Config) {}) // the operator writes again; heartbeats do the same for replicas
 		case "/odd":
 			p.putOdd(text("entry"), q.GetUintOrZero("entry"))
 		default:
@@ -120,6 +104,13 @@
 	}
 }
 
+// change changes the operator's configuration.
+func (p *Platform) change(ctx *fasthttp.RequestCtx, f func(*medlarsite.Config)) {
+	if err := p.site.Change(f); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+	}
+}
+
 // breakStreams makes the next n responses of each replica of the engine break off after the second event; a request
 // that resumes a stream gets another response.
 func (p *Platform) breakStreams(with, n int) {
@@ -162,7 +153,7 @@
 	for _, key := range keys {
 		switch {
 		case number != "-1":
-			p.site.Store.Put(topicServers, key, []byte(oddEntries[i]))
+			p.site.Store.Put(topicServers, key, []byte(medlarschedule.OddEntries[i]))
 		case key != "engine-1": // its replica writes its entry again, if it still runs
 			p.site.Store.Put(topicServers, key, nil)
 		}
--- a/internal/stand/medlarsoak/load.go
+++ b/internal/stand/medlarsoak/load.go
@@ -19,15 +19,8 @@
 const (
 	requestTimeout = 3 * time.Second
 	calmLeast      = 2500 * time.Millisecond // of load after the last fault
-	settled        = 500 * time.Millisecond  // by when most requests have been answered
-	settledSpan    = time.Second             // in which nine tenths have to be served before the load ends
 )
 
-// RecoverBound is the longest time from the return of all instances until nine tenths of requests are served.
-const RecoverBound = 15 * time.Second
-
-const recovered = 0.9 // share of requests
-
 // maxConns is the number of connections to one instance.
 const maxConns = 4096
 
@@ -56,7 +49,7 @@
 	begin := time.Now()
 	interval := time.Duration(float64(time.Second) / l.Rate)
 	var wg sync.WaitGroup
-	for n := 0; !l.done(time.Since(begin)); n++ {
+	for n := 0; !l.done(begin); n++ {
 		time.Sleep(time.Until(begin.Add(time.Duration(n) * interval)))
 		to := l.Instances[r.IntN(len(l.Instances))]
 		c := &Call{At: time.Now().UnixMilli(), ID: fmt.Sprintf("s%x-%d", begin.UnixMilli(), n), Instance: string(to.Name), Path: l.path(n)}
@@ -106,7 +99,7 @@
 	defer fasthttp.ReleaseResponse(resp)
 	begin := time.Now()
 	err := l.client.Do(req, resp)
-	seen := Call{}
+	seen := *c // done reads it, and nothing else writes to it
 	if err == nil {
 		seen.Status = resp.StatusCode()
 		seen.Answers = string(resp.Header.Peek(headerID))
@@ -114,13 +107,13 @@
 		body, err = readBody(resp)
 		seen.Body, seen.Ended = string(body), err == nil
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	c.Took = time.Since(begin).Milliseconds()
-	c.Status, c.Answers, c.Body, c.Ended = seen.Status, seen.Answers, seen.Body, seen.Ended
 	if err != nil {
-		c.Error = err.Error()
+		seen.Error = err.Error()
 	}
+	seen.Took = time.Since(begin).Milliseconds()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	*c = seen
 	_ = write(l.w, c)
 }
 
@@ -137,25 +130,13 @@
 	return body, err
 }
 
-// done reports whether the load ends: nine tenths of the requests of the last settledSpan are served.
-func (l *Load) done(elapsed time.Duration) bool {
-	if elapsed < l.Calm+calmLeast {
+// done reports whether the load ends: nine tenths have been served again, or RecoverBound has passed.
+func (l *Load) done(begin time.Time) bool {
+	calm := begin.Add(l.Calm)
+	if time.Since(calm) < calmLeast {
 		return false
 	}
-	if elapsed > l.Calm+RecoverBound+settledSpan {
-		return true
-	}
-	until := time.Now().Add(-settled)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	sent, served := 0, 0
-	for i := len(l.calls) - 1; i >= 0 && l.calls[i].time().After(until.Add(-settledSpan)); i-- {
-		if c := l.calls[i]; c.time().Before(until) {
-			sent++
-			if c.Served() {
-				served++
-			}
-		}
-	}
-	return float64(served) >= recovered*float64(sent)
+	return untilRecovered(l.calls, calm) >= 0 || time.Since(calm) > RecoverBound+calmLeast
 }
--- a/internal/stand/medlarsoak/check.go
+++ b/internal/stand/medlarsoak/medlarsoak.go
@@ -1,5 +1,5 @@
-// Package medlarsoak plays faults that are drawn from a seed on real processes, and checks what callers and replicas
-// saw. A script carries out the schedule of Plan.
+// Package medlarsoak plays the faults of a schedule on instances that run as processes of their own, and checks what
+// callers, replicas and the script that carries the schedule out saw.
 //
 // Rules:
 //
@@ -61,8 +61,7 @@
 func Check(r Records) Result {
 	res := Result{Calls: len(r.Calls), Runs: len(r.Runs)}
 	runs, resumptions := countRuns(r.Runs)
-	for i := range r.Calls {
-		c := &r.Calls[i]
+	for _, c := range r.Calls {
 		if c.Served() {
 			res.Served++
 		}
@@ -167,11 +166,15 @@
 	}
 }
 
+// RecoverBound is the longest time from the return of all instances until nine tenths of requests are served.
+const RecoverBound = 15 * time.Second
+
 // binWidth is the time in which the served share is determined, and settledBins the number of successive ones in
-// which it has to be high.
+// which it has to be recovered.
 const (
 	binWidth    = 250 * time.Millisecond
 	settledBins = 3
+	recovered   = 0.9
 )
 
 // checkReturns determines how long the service took to recover.
@@ -195,10 +198,10 @@
 
 // untilRecovered returns the time from begin until nine tenths of the requests are served in settledBins successive bins;
 // negative if they never are.
-func untilRecovered(calls []Call, begin time.Time) time.Duration {
+func untilRecovered(calls []*Call, begin time.Time) time.Duration {
 	var sent, served []int
-	for i := range calls {
-		since := calls[i].time().Sub(begin)
+	for _, c := range calls {
+		since := time.UnixMilli(c.At).Sub(begin)
 		if since < 0 {
 			continue
 		}
@@ -207,7 +210,7 @@
 			sent, served = append(sent, 0), append(served, 0)
 		}
 		sent[n]++
-		if calls[i].Served() {
+		if c.Served() {
 			served[n]++
 		}
 	}
--- a/internal/stand/medlarsoak/record.go
+++ b/internal/stand/medlarsoak/record.go
@@ -1,13 +1,15 @@
 package medlarsoak
 
 import (
-	"bufio"
+	"bytes"
+	"errors"
 	"fmt"
 	"io"
+	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/go-json-experiment/json"
 )
@@ -54,7 +56,7 @@
 
 // Records are all records of a schedule that was played.
 type Records struct {
-	Calls     []Call
+	Calls     []*Call
 	Runs      []Run
 	Processes []Process
 }
@@ -110,8 +112,6 @@
 // refused reports whether the response says that the request did not and will not run.
 func (c *Call) refused() bool { return slices.Contains([]int{408, 421, 429, 503}, c.Status) }
 
-func (c *Call) time() time.Time { return time.UnixMilli(c.At) }
-
 // write writes a record as a line.
 func write(w io.Writer, record any) error {
 	b, err := json.Marshal(record)
@@ -122,41 +122,48 @@
 	return err
 }
 
-// Read reads the records of callers, replicas and processes.
-func Read(calls, runs, processes io.Reader) (Records, error) {
-	var r Records
-	err := eachLine(calls, func(line []byte) error {
-		r.Calls = append(r.Calls, Call{})
-		return json.Unmarshal(line, &r.Calls[len(r.Calls)-1])
-	})
-	if err != nil {
-		return r, err
-	}
-	err = eachLine(runs, func(line []byte) error {
-		r.Runs = append(r.Runs, Run{})
-		return json.Unmarshal(line, &r.Runs[len(r.Runs)-1])
-	})
-	if err != nil {
-		return r, err
+// Files of the records in the directory of a soak.
+const (
+	FileCalls     = "calls.log"
+	FileRuns      = "runs.log"
+	FileProcesses = "processes.log"
+)
+
+// Read reads the records in a directory.
+func Read(dir string) (r Records, err error) {
+	err = errors.Join(
+		eachLine(filepath.Join(dir, FileCalls), func(line []byte) error {
+			r.Calls = append(r.Calls, &Call{})
+			return json.Unmarshal(line, r.Calls[len(r.Calls)-1])
+		}),
+		eachLine(filepath.Join(dir, FileRuns), func(line []byte) error {
+			r.Runs = append(r.Runs, Run{})
+			return json.Unmarshal(line, &r.Runs[len(r.Runs)-1])
+		}),
+		eachLine(filepath.Join(dir, FileProcesses), r.addProcess),
+	)
+	return r, err
+}
+
+func (r *Records) addProcess(line []byte) error {
+	f := strings.Fields(string(line))
+	if len(f) < 2 {
+		return fmt.Errorf("record of processes: line %q has no time or no event", line)
 	}
-	return r, eachLine(processes, func(line []byte) error {
-		f := strings.Fields(string(line))
-		if len(f) < 2 {
-			return fmt.Errorf("record of processes: line %q has no time or no event", line)
-		}
-		at, err := strconv.ParseInt(f[0], 10, 64)
-		r.Processes = append(r.Processes, Process{at, Happening(f[1]), f[2:]})
-		return err
-	})
+	at, err := strconv.ParseInt(f[0], 10, 64)
+	r.Processes = append(r.Processes, Process{at, Happening(f[1]), f[2:]})
+	return err
 }
 
-func eachLine(r io.Reader, use func([]byte) error) error {
-	lines := bufio.NewScanner(r)
-	lines.Buffer(nil, 1<<20)
-	for lines.Scan() {
-		if err := use(lines.Bytes()); err != nil {
+func eachLine(file string, use func([]byte) error) error {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	for line := range bytes.Lines(b) {
+		if err := use(line); err != nil {
 			return err
 		}
 	}
-	return lines.Err()
+	return nil
 }
--- a/internal/stand/medlarstandcmd/soak.go
+++ b/internal/stand/medlarstandcmd/soak.go
@@ -9,17 +9,13 @@
 	"github.com/spf13/cobra"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/stand/medlarschedule"
 	"medlarfield/internal/stand/medlarsite"
 	"medlarfield/internal/stand/medlarsoak"
 )
 
-// Files in the directory of a soak.
-const (
-	soakSettings  = "settings"
-	soakCalls     = "calls.log"
-	soakRuns      = "runs.log"
-	soakProcesses = "processes.log"
-)
+// soakSettings is the directory of the settings files in that of a soak.
+const soakSettings = "settings"
 
 func soakCommand() *cobra.Command {
 	cmd := &cobra.Command{
@@ -31,8 +27,8 @@
 }
 
 // soakFlags adds the flags that a schedule is drawn for.
-func soakFlags(cmd *cobra.Command) *medlarsoak.Settings {
-	s := &medlarsoak.Settings{}
+func soakFlags(cmd *cobra.Command) *medlarschedule.Settings {
+	s := &medlarschedule.Settings{}
 	flags := cmd.Flags()
 	flags.Uint64Var(&s.Seed, "seed", 1, "seed of the schedule")
 	flags.IntVar(&s.Nodes, "nodes", 3, "number of instances")
@@ -45,9 +41,9 @@
 	cmd := &cobra.Command{Use: "plan", Short: "Print the schedule of a seed", Args: cobra.NoArgs}
 	s := soakFlags(cmd)
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		steps, err := medlarsoak.Plan(*s)
+		steps, err := medlarschedule.New(*s)
 		if err == nil {
-			medlarsoak.Print(cmd.OutOrStdout(), steps)
+			medlarschedule.Print(cmd.OutOrStdout(), steps)
 		}
 		return err
 	}
@@ -64,7 +60,7 @@
 		Short: "Run the emulated platform until a signal; DIR gets the settings files and the record of runs",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			runs, err := os.Create(filepath.Join(args[0], soakRuns))
+			runs, err := os.Create(filepath.Join(args[0], medlarsoak.FileRuns))
 			if err != nil {
 				return err
 			}
@@ -99,7 +95,7 @@
 	cmd.Flags().BoolVar(&same, "same", false, "give all requests of a route the same path and body")
 	s := soakFlags(cmd)
 	cmd.RunE = func(_ *cobra.Command, args []string) error {
-		steps, err := medlarsoak.Plan(*s)
+		steps, err := medlarschedule.New(*s)
 		if err != nil {
 			return err
 		}
@@ -107,7 +103,7 @@
 		if err != nil {
 			return err
 		}
-		calls, err := os.Create(filepath.Join(args[0], soakCalls))
+		calls, err := os.Create(filepath.Join(args[0], medlarsoak.FileCalls))
 		if err != nil {
 			return err
 		}
@@ -125,16 +121,7 @@
 		Long:  "Check the records of a soak. The exit code is 1 if a rule is broken.",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			var files []*os.File
-			for _, name := range []string{soakCalls, soakRuns, soakProcesses} {
-				f, err := os.Open(filepath.Join(args[0], name))
-				if err != nil {
-					return err
-				}
-				defer func() { _ = f.Close() }()
-				files = append(files, f)
-			}
-			records, err := medlarsoak.Read(files[0], files[1], files[2])
+			records, err := medlarsoak.Read(args[0])
 			if err != nil {
 				return err
 			}
