--- a/internal/stand/medlarschedule/medlarschedule.go
+++ b/internal/stand/medlarschedule/medlarschedule.go
@@ -240,7 +240,7 @@
 		medlarfakereplica.FaultLost, medlarfakereplica.FaultCut, medlarfakereplica.FaultFail, medlarfakereplica.FaultExtra,
 		medlarfakereplica.FaultForeign, medlarfakereplica.FaultGarbage, medlarfakereplica.FaultShort, medlarfakereplica.FaultWrongID,
 		medlarfakereplica.FaultHang, medlarfakereplica.FaultPause, medlarfakereplica.FaultMisdirected,
-		medlarfakereplica.FaultEndlessHead, medlarfakereplica.FaultEndlessChunk, medlarfakereplica.FaultEndlessEvent,
+		medlarfakereplica.FaultEndlessLine, medlarfakereplica.FaultEndlessHead, medlarfakereplica.FaultEndlessHeads,
 	}
 	return repeat("arm?fault=%s&n=1", faults[d.IntN(len(faults))])
 }
--- a/internal/stand/medlarsoak/faults.go
+++ b/internal/stand/medlarsoak/faults.go
@@ -30,11 +30,10 @@
 	w  io.Writer // for the records of runs
 }
 
-// NewPlatform starts a platform in which each instance has a link of its own. The runs of its replicas are
-// written to w.
+// NewPlatform starts a platform. The runs of its replicas are written to w.
 func NewPlatform(cfg medlarsite.Settings, w io.Writer) (*Platform, error) {
 	p := &Platform{w: w}
-	cfg.Links, cfg.NameRequests, cfg.Wrap = true, true, p.stutter.Wrap
+	cfg.NameRequests, cfg.Wrap = true, p.stutter.Wrap
 	site, err := medlarsite.New(cfg)
 	if err != nil {
 		return nil, err
--- a/internal/stand/medlarsoak/medlarsoak.go
+++ b/internal/stand/medlarsoak/medlarsoak.go
@@ -11,6 +11,7 @@
 //	R6  No process ends by itself, and one that gets SIGTERM ends with code 0.
 //	R7  Nine tenths of first tries are served at most RecoverBound after all instances have returned, and after the
 //	    last fault.
+//	R8  The schedule was played whole; else the record proves nothing.
 package medlarsoak
 
 import (
@@ -33,6 +34,7 @@
 	RuleOrder   Rule = "order"   // R5
 	RuleAlive   Rule = "alive"   // R6
 	RuleRecover Rule = "recover" // R7
+	RulePlayed  Rule = "played"  // R8
 )
 
 // Violation is a case in which a rule is broken.
@@ -121,7 +123,7 @@
 // checkFailure checks that a response other than 200 holds no answer.
 func (res *Result) checkFailure(c *Call) {
 	if strings.Contains(c.Body, "answer to ") || strings.Contains(c.Body, "data: ") {
-		res.brokenBy(RuleOwn, c, "holds (status %d) %q", c.Status, c.Body)
+		res.brokenBy(RuleOwn, c, "holds (status %d) %.300q", c.Status, c.Body)
 	}
 }
 
@@ -135,9 +137,9 @@
 			res.brokenBy(RuleWhole, c, "ended as if it were whole after %d of %d bytes", len(got), len(want))
 		}
 	case streams(c.Path) && ownEvents(got, c.ID):
-		res.brokenBy(RuleOrder, c, "has events that are missing, repeated or not in order: %q", c.Body)
+		res.brokenBy(RuleOrder, c, "has events that are missing, repeated or not in order: %.300q", c.Body)
 	default:
-		res.brokenBy(RuleOwn, c, "holds what is not of the request: %q", c.Body)
+		res.brokenBy(RuleOwn, c, "holds what is not of the request: %.300q", c.Body)
 	}
 }
 
@@ -160,6 +162,8 @@
 		switch {
 		case p.What == Died:
 			res.broken(RuleAlive, "", "instance %s ended by itself at %d", strings.Join(p.Args, " "), p.At)
+		case p.What == Failed:
+			res.broken(RulePlayed, "", "a step failed at %d: %s", p.At, strings.Join(p.Args, " "))
 		case p.What == Exit && !slices.Equal(p.Args[1:], []string{"0"}):
 			res.broken(RuleAlive, "", "instance %s ended with code %s after SIGTERM at %d", p.Args[0], strings.Join(p.Args[1:], " "), p.At)
 		}
@@ -192,7 +196,7 @@
 		calm = calm || p.What == Calm
 	}
 	if !calm {
-		res.broken(RuleRecover, "", "the schedule did not come to its end")
+		res.broken(RulePlayed, "", "the schedule did not come to its end")
 	}
 }
 
--- a/internal/stand/medlarsoak/record.go
+++ b/internal/stand/medlarsoak/record.go
@@ -41,10 +41,11 @@
 
 // Happenings.
 const (
-	Died Happening = "died" // ended without a signal; the node follows
-	Exit Happening = "exit" // ended after SIGTERM; the node and the exit code follow
-	Back Happening = "back" // all instances were started after all had been killed
-	Calm Happening = "calm" // all faults have ended
+	Died   Happening = "died"   // ended without a signal; the node follows
+	Exit   Happening = "exit"   // ended after SIGTERM; the node and the exit code follow
+	Back   Happening = "back"   // all instances were started after all had been killed
+	Failed Happening = "failed" // a step could not be carried out; what it was follows
+	Calm   Happening = "calm"   // all faults have ended
 )
 
 // Process is a line of the record of processes: the time in Unix ms, what happened, and arguments.
