--- a/internal/stand/medlarschedule/medlarschedule.go
+++ b/internal/stand/medlarschedule/medlarschedule.go
@@ -142,7 +142,7 @@
 	}
 	alone := d.kind(s.Only)
 	if s.Upgrade {
-		add(kindNamed(kindUpgrade), firstFault+d.within(maxGap))
+		add(d.kind(kindUpgrade), firstFault+d.within(maxGap))
 	}
 	switch {
 	case s.Only != "" || s.Seed%3 == 1:
@@ -172,17 +172,12 @@
 
 // kind returns the kind with a name, or any if the name is empty.
 func (d *draw) kind(name string) Kind {
-	if name != "" {
-		return kindNamed(name)
+	if i := slices.IndexFunc(Kinds, func(k Kind) bool { return k.Name == name }); i >= 0 {
+		return Kinds[i]
 	}
 	return Kinds[d.IntN(len(Kinds))]
 }
 
-func kindNamed(name string) Kind {
-	i := slices.IndexFunc(Kinds, func(k Kind) bool { return k.Name == name })
-	return Kinds[i]
-}
-
 func (d *draw) within(most time.Duration) time.Duration { return time.Duration(d.Int64N(int64(most))) }
 
 // pick returns the numbers of n instances, at most of all.
--- a/internal/stand/medlarsoak/faults.go
+++ b/internal/stand/medlarsoak/faults.go
@@ -146,15 +146,14 @@
 	}
 }
 
-// putOdd writes an odd entry before, behind and in place of those of the replicas, or removes it for "-1".
+// putOdd writes an odd entry before, behind and in place of those of the replicas, or removes it for "-1". A replica
+// whose entry is replaced or removed writes it again with its next heartbeat.
 func (p *Platform) putOdd(number string, i int) {
-	keys := []string{"!first", "engine-1", "ledger-1x", "~last"}
-	for _, key := range keys {
-		switch {
-		case number != "-1":
-			p.site.Store.Put(topicServers, key, []byte(medlarschedule.OddEntries[i]))
-		case key != "engine-1": // its replica writes its entry again, if it still runs
-			p.site.Store.Put(topicServers, key, nil)
-		}
+	var value []byte
+	if number != "-1" {
+		value = []byte(medlarschedule.OddEntries[i])
+	}
+	for _, key := range []string{"!first", "engine-1", "ledger-1x", "~last"} {
+		p.site.Store.Put(topicServers, key, value)
 	}
 }
--- a/internal/stand/medlarsoak/medlarsoak.go
+++ b/internal/stand/medlarsoak/medlarsoak.go
@@ -62,7 +62,10 @@
 // Check judges records.
 func Check(r Records) Result {
 	res := Result{Calls: len(r.Calls), Runs: len(r.Runs)}
-	runs, resumptions := countRuns(r.Runs)
+	runs := map[string]int{} // by request; those that resume a stream too
+	for _, run := range r.Runs {
+		runs[run.ID]++
+	}
 	for _, c := range r.Calls {
 		if c.Served() {
 			res.Served++
@@ -70,26 +73,13 @@
 		if c.refused() {
 			res.Refused++
 		}
-		res.checkCall(c, runs[c.ID], runs[c.ID]+resumptions[c.ID])
+		res.checkCall(c, runs[c.ID])
 	}
 	res.checkProcesses(r.Processes)
 	res.checkReturns(r)
 	return res
 }
 
-// countRuns counts runs by request: those from the beginning, and those that resume a stream.
-func countRuns(all []Run) (runs, resumptions map[string]int) {
-	runs, resumptions = map[string]int{}, map[string]int{}
-	for _, r := range all {
-		if r.Resumed {
-			resumptions[r.ID]++
-		} else {
-			runs[r.ID]++
-		}
-	}
-	return runs, resumptions
-}
-
 func (res *Result) broken(rule Rule, id, format string, args ...any) {
 	res.Violations = append(res.Violations, Violation{rule, id, fmt.Sprintf(format, args...)})
 }
@@ -99,19 +89,21 @@
 	res.broken(rule, c.ID, "%s at %s %s", c.Path, c.Instance, fmt.Sprintf(format, args...))
 }
 
-// checkCall checks what a caller saw; all counts resumptions too.
-func (res *Result) checkCall(c *Call, runs, all int) {
-	if c.refused() && all > 0 {
-		res.brokenBy(RuleRefused, c, "was refused with %d as not run, and ran %d times", c.Status, all)
+// checkCall checks what a caller saw of a request that ran a number of times.
+func (res *Result) checkCall(c *Call, runs int) {
+	if c.refused() && runs > 0 {
+		res.brokenBy(RuleRefused, c, "was refused with %d as not run, and ran %d times", c.Status, runs)
 	}
-	if runsOnce(c.Path) && all > 1 {
-		res.brokenBy(RuleOnce, c, "ran %d times; the caller got %d", all, c.Status)
+	if runsOnce(c.Path) && runs > 1 {
+		res.brokenBy(RuleOnce, c, "ran %d times; the caller got %d", runs, c.Status)
 	}
 	if c.Status != 0 && c.Answers != "" && c.Answers != c.ID {
 		res.brokenBy(RuleOwn, c, "names (status %d) %q", c.Status, c.Answers)
 	}
 	if c.Status != 200 {
-		res.checkFailure(c)
+		if strings.Contains(c.Body, "answer to ") || strings.Contains(c.Body, "data: ") {
+			res.brokenBy(RuleOwn, c, "holds (status %d) %.300q", c.Status, c.Body)
+		}
 		return
 	}
 	if runs == 0 {
@@ -120,13 +112,6 @@
 	res.checkBody(c)
 }
 
-// checkFailure checks that a response other than 200 holds no answer.
-func (res *Result) checkFailure(c *Call) {
-	if strings.Contains(c.Body, "answer to ") || strings.Contains(c.Body, "data: ") {
-		res.brokenBy(RuleOwn, c, "holds (status %d) %.300q", c.Status, c.Body)
-	}
-}
-
 // checkBody checks the body of a response with 200, as far as it came.
 func (res *Result) checkBody(c *Call) {
 	got, want := c.content(), whole(c.Path, c.ID)
@@ -231,8 +216,8 @@
 	return -1
 }
 
-// shown is the number of violations of one rule that are written.
-const shown = 5
+// shown is the number of violations that are written.
+const shown = 10
 
 // Print writes a result.
 func (res *Result) Print(w io.Writer) {
@@ -241,15 +226,7 @@
 	for _, r := range res.Returns {
 		_, _ = fmt.Fprintf(w, "%s: nine tenths served after %v\n", r.What, r.Took)
 	}
-	seen := map[Rule]int{}
-	for _, v := range res.Violations {
-		if seen[v.Rule]++; seen[v.Rule] <= shown {
-			_, _ = fmt.Fprintf(w, "BROKEN %s %s: %s\n", v.Rule, v.ID, v.Detail)
-		}
-	}
-	for rule, n := range seen {
-		if n > shown {
-			_, _ = fmt.Fprintf(w, "BROKEN %s: %d times in all\n", rule, n)
-		}
+	for _, v := range res.Violations[:min(len(res.Violations), shown)] {
+		_, _ = fmt.Fprintf(w, "BROKEN %s %s: %s\n", v.Rule, v.ID, v.Detail)
 	}
 }
