--- a/internal/stand/medlarsoak/load.go
+++ b/internal/stand/medlarsoak/load.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -27,8 +28,8 @@
 // Load are callers that send requests at a constant rate, each once and on connections that are kept.
 type Load struct {
 	Instances []medlaravailability.Instance
-	Rate      float64       // requests a second
-	Calm      time.Duration // from the begin until all faults have ended
+	Rate      float64 // requests a second
+	CalmFile  string  // is written when all faults have ended
 	Seed      uint64
 	Same      bool // all requests of a route have the same path and body
 
@@ -49,7 +50,7 @@
 	begin := time.Now()
 	interval := time.Duration(float64(time.Second) / l.Rate)
 	var wg sync.WaitGroup
-	for n := 0; !l.done(begin); n++ {
+	for n := 0; !l.done(); n++ {
 		time.Sleep(time.Until(begin.Add(time.Duration(n) * interval)))
 		to := l.Instances[r.IntN(len(l.Instances))]
 		c := &Call{At: time.Now().UnixMilli(), ID: fmt.Sprintf("s%x-%d", begin.UnixMilli(), n), Instance: string(to.Name), Path: l.path(n)}
@@ -131,11 +132,12 @@
 }
 
 // done reports whether the load ends: nine tenths have been served again, or RecoverBound has passed.
-func (l *Load) done(begin time.Time) bool {
-	calm := begin.Add(l.Calm)
-	if time.Since(calm) < calmLeast {
+func (l *Load) done() bool {
+	file, err := os.Stat(l.CalmFile)
+	if err != nil || time.Since(file.ModTime()) < calmLeast {
 		return false
 	}
+	calm := file.ModTime()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return untilRecovered(l.calls, calm) >= 0 || time.Since(calm) > RecoverBound+calmLeast
--- a/internal/stand/medlarsoak/record.go
+++ b/internal/stand/medlarsoak/record.go
@@ -128,6 +128,7 @@
 	FileCalls     = "calls.log"
 	FileRuns      = "runs.log"
 	FileProcesses = "processes.log"
+	FileCalm      = "calm" // is written when all faults have ended
 )
 
 // Read reads the records in a directory.
--- a/internal/stand/medlarstandcmd/soak.go
+++ b/internal/stand/medlarstandcmd/soak.go
@@ -26,22 +26,16 @@
 	return cmd
 }
 
-// soakFlags adds the flags that a schedule is drawn for.
-func soakFlags(cmd *cobra.Command) *medlarschedule.Settings {
-	s := &medlarschedule.Settings{}
+func soakPlanCommand() *cobra.Command {
+	var s medlarschedule.Settings
+	cmd := &cobra.Command{Use: "plan", Short: "Print the schedule of a seed", Args: cobra.NoArgs}
 	flags := cmd.Flags()
 	flags.Uint64Var(&s.Seed, "seed", 1, "seed of the schedule")
 	flags.IntVar(&s.Nodes, "nodes", 3, "number of instances")
 	flags.BoolVar(&s.Upgrade, "upgrade", false, "upgrade the instances, which run another build first")
 	flags.StringVar(&s.Only, "only", "", "name of the only kind of fault; empty for all")
-	return s
-}
-
-func soakPlanCommand() *cobra.Command {
-	cmd := &cobra.Command{Use: "plan", Short: "Print the schedule of a seed", Args: cobra.NoArgs}
-	s := soakFlags(cmd)
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		steps, err := medlarschedule.New(*s)
+		steps, err := medlarschedule.New(s)
 		if err == nil {
 			medlarschedule.Print(cmd.OutOrStdout(), steps)
 		}
@@ -89,26 +83,21 @@
 }
 
 func soakLoadCommand() *cobra.Command {
-	var rate float64
-	var same bool
-	cmd := &cobra.Command{Use: "load DIR", Short: "Send requests to the instances in the course of a schedule", Args: cobra.ExactArgs(1)}
-	cmd.Flags().Float64Var(&rate, "rate", 90, "requests a second")
-	cmd.Flags().BoolVar(&same, "same", false, "give all requests of a route the same path and body")
-	s := soakFlags(cmd)
+	var l medlarsoak.Load
+	cmd := &cobra.Command{Use: "load DIR", Short: "Send requests to the instances until DIR has the file calm and they are served", Args: cobra.ExactArgs(1)}
+	cmd.Flags().Float64Var(&l.Rate, "rate", 90, "requests a second")
+	cmd.Flags().BoolVar(&l.Same, "same", false, "give all requests of a route the same path and body")
+	cmd.Flags().Uint64Var(&l.Seed, "seed", 1, "seed of the choice of instances and parts")
 	cmd.RunE = func(_ *cobra.Command, args []string) error {
-		steps, err := medlarschedule.New(*s)
-		if err != nil {
-			return err
-		}
-		instances, err := readInstances(filepath.Join(args[0], soakSettings))
-		if err != nil {
+		var err error
+		if l.Instances, err = readInstances(filepath.Join(args[0], soakSettings)); err != nil {
 			return err
 		}
+		l.CalmFile = filepath.Join(args[0], medlarsoak.FileCalm)
 		calls, err := os.Create(filepath.Join(args[0], medlarsoak.FileCalls))
 		if err != nil {
 			return err
 		}
-		l := medlarsoak.Load{Instances: instances, Rate: rate, Calm: steps[len(steps)-1].At, Seed: s.Seed, Same: same}
 		l.Run(calls)
 		return calls.Close()
 	}
