--- /dev/null
+++ b/internal/stand/medlarsoak/faults.go
@@ -0,0 +1,159 @@
+package medlarsoak
+
+import (
+	"io"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"medlarfield/internal/base/medlarhead"
+	"medlarfield/internal/stand/medlarending"
+	"medlarfield/internal/stand/medlarfakereplica"
+	"medlarfield/internal/stand/medlarlink"
+	"medlarfield/internal/stand/medlarschedule"
+	"medlarfield/internal/stand/medlarsite"
+	"medlarfield/internal/stand/medlarstutter"
+)
+
+const (
+	headerID     = "Medlarfield-Request-Id"
+	topicServers = "keyed.servers"
+)
+
+// Platform is an emulated platform whose faults commands control and whose replicas' runs are recorded.
+type Platform struct {
+	site    *medlarsite.Site
+	stutter medlarstutter.Stutter
+
+	mu sync.Mutex
+	w  io.Writer // for the records of runs
+}
+
+// NewPlatform starts a platform. The runs of its replicas are written to w.
+func NewPlatform(cfg medlarsite.Settings, w io.Writer) (*Platform, error) {
+	p := &Platform{w: w}
+	cfg.NameRequests, cfg.Wrap = true, p.stutter.Wrap
+	site, err := medlarsite.New(cfg)
+	if err != nil {
+		return nil, err
+	}
+	p.site = site
+	site.CrashOnRequest(p.record) // is called for each run
+	return p, nil
+}
+
+// Site returns the emulated platform.
+func (p *Platform) Site() *medlarsite.Site { return p.site }
+
+// record records a run, which crashes no replica.
+func (p *Platform) record(r medlarfakereplica.Run) medlarfakereplica.CrashPoint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = write(p.w, Run{At: time.Now().UnixMilli(), ID: r.ID, Path: r.Target, Resumed: r.LastEventID != ""})
+	return medlarfakereplica.CrashNowhere
+}
+
+// Handler returns the handler of the control address. It takes the commands of medlarsite.ControlHandler, and:
+//
+//	POST /attempts?n=N                              sets the largest number of attempts of all routes
+//	POST /link?name=I&state=S                       puts the link of an instance into a state
+//	POST /copies?status=S&without=H&form=F&n=N      repeats the next N responses with a status, without a header field
+//	POST /arm?fault=F&n=N                           injects a fault into the next N requests at each replica
+//	POST /broken?with=I&n=N                         breaks N streams of each replica off; resumptions get response I
+//	POST /disarm                                    takes the faults of the last three back
+//	POST /rewind?n=N                                lets the store come back without the last N records of each topic
+//	POST /odd?entry=I                               writes odd entry I of replicas; removes all for -1
+func (p *Platform) Handler() fasthttp.RequestHandler {
+	other := p.site.ControlHandler()
+	return func(ctx *fasthttp.RequestCtx) {
+		q := ctx.QueryArgs()
+		text := func(name string) string { return string(q.Peek(name)) }
+		switch string(ctx.Path()) {
+		case "/attempts":
+			p.change(ctx, func(c *medlarsite.Config) {
+				for i := range c.Routes {
+					c.Routes[i].MaxAttempts = q.GetUintOrZero("n")
+				}
+			})
+		case "/link":
+			if err := p.site.Link(text("name")).Set(medlarlink.State(text("state"))); err != nil {
+				ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+			}
+		case "/copies":
+			p.stutter.ArmTimes(medlarstutter.Copy{
+				Status: q.GetUintOrZero("status"), Without: text("without"), Form: medlarstutter.Form(text("form")),
+			}, q.GetUintOrZero("n"))
+		case "/arm":
+			for _, r := range p.site.Replicas() {
+				r.Arm(medlarfakereplica.Fault(text("fault")), q.GetUintOrZero("n"))
+			}
+		case "/broken":
+			p.breakStreams(q.GetUintOrZero("with"), q.GetUintOrZero("n"))
+		case "/disarm":
+			p.disarm()
+		case "/rewind":
+			p.site.Store.Rewind(q.GetUintOrZero("n"))
+			p.change(ctx, func(*medlarsite.Config) {}) // the operator writes again; heartbeats do the same for replicas
+		case "/odd":
+			p.putOdd(text("entry"), q.GetUintOrZero("entry"))
+		default:
+			other(ctx)
+		}
+	}
+}
+
+// change changes the operator's configuration.
+func (p *Platform) change(ctx *fasthttp.RequestCtx, f func(*medlarsite.Config)) {
+	if err := p.site.Change(f); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+	}
+}
+
+// breakStreams makes the next n responses of each replica of the engine break off after the second event; a request
+// that resumes a stream gets another response.
+func (p *Platform) breakStreams(with, n int) {
+	e := medlarending.Ending{Text: func(r medlarending.Request) string {
+		if r.LastEventID != "" {
+			return medlarending.Instead[with].Text(r)
+		}
+		return breakOff(r)
+	}}
+	for _, r := range p.site.EngineReplicas() {
+		for range n {
+			r.ArmEnding(e)
+		}
+	}
+}
+
+// breakOff returns the first two events of a stream.
+func breakOff(r medlarending.Request) string {
+	b := append(medlarhead.AppendStatus(nil, fasthttp.StatusOK), r.Fields...)
+	b = append(b, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"...)
+	b = medlarhead.AppendEnd(b)
+	for n := range 2 {
+		b = medlarhead.AppendChunk(b, []byte(event(n+1, r.ID)))
+	}
+	return string(b)
+}
+
+// disarm takes back the faults of replicas that have not happened yet.
+func (p *Platform) disarm() {
+	p.stutter.ArmTimes(medlarstutter.Copy{}, 0)
+	for _, r := range p.site.Replicas() {
+		r.Disarm()
+		r.ShareEndings(&medlarending.Queue{})
+	}
+}
+
+// putOdd writes an odd entry before, behind and in place of those of the replicas, or removes it for "-1". A replica
+// whose entry is replaced or removed writes it again with its next heartbeat.
+func (p *Platform) putOdd(number string, i int) {
+	var value []byte
+	if number != "-1" {
+		value = []byte(medlarschedule.OddEntries[i])
+	}
+	for _, key := range []string{"!first", "engine-1", "ledger-1x", "~last"} {
+		p.site.Store.Put(topicServers, key, value)
+	}
+}
--- /dev/null
+++ b/internal/stand/medlarsoak/medlarsoak.go
@@ -0,0 +1,232 @@
+// Package medlarsoak plays the faults of a schedule on instances that run as processes of their own, and checks what
+// callers, replicas and the script that carries the schedule out saw.
+//
+// Rules:
+//
+//	R1  A request that was refused as not run has not run, and does not run later.
+//	R2  A request that may run once runs at most once.
+//	R3  An answer names its own request, holds nothing of another, and a replica ran the request.
+//	R4  An answer that ends as its framing requires is whole.
+//	R5  The events of a stream come in order, each once.
+//	R6  No process ends by itself, and one that gets SIGTERM ends with code 0.
+//	R7  Nine tenths of first tries are served at most RecoverBound after all instances have returned, and after the
+//	    last fault.
+//	R8  The schedule was played whole; else the record proves nothing.
+package medlarsoak
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Rule is what a record is checked for.
+type Rule string
+
+// Rules.
+const (
+	RuleRefused Rule = "refused" // R1
+	RuleOnce    Rule = "once"    // R2
+	RuleOwn     Rule = "own"     // R3
+	RuleWhole   Rule = "whole"   // R4
+	RuleOrder   Rule = "order"   // R5
+	RuleAlive   Rule = "alive"   // R6
+	RuleRecover Rule = "recover" // R7
+	RulePlayed  Rule = "played"  // R8
+)
+
+// Violation is a case in which a rule is broken.
+type Violation struct {
+	Rule   Rule
+	ID     string // of the request; empty if it is about none
+	Detail string
+}
+
+// Return is a time from which the service had to recover.
+type Return struct {
+	What Happening
+	At   int64         // Unix ms
+	Took time.Duration // until nine tenths were served; negative for never
+}
+
+// Result is the judgement of a record.
+type Result struct {
+	Violations             []Violation
+	Calls, Served, Refused int
+	Runs                   int
+	Returns                []Return
+}
+
+// Check judges records.
+func Check(r Records) Result {
+	res := Result{Calls: len(r.Calls), Runs: len(r.Runs)}
+	runs := map[string]int{} // by request; those that resume a stream too
+	for _, run := range r.Runs {
+		runs[run.ID]++
+	}
+	for _, c := range r.Calls {
+		if c.Served() {
+			res.Served++
+		}
+		if c.refused() {
+			res.Refused++
+		}
+		res.checkCall(c, runs[c.ID])
+	}
+	res.checkProcesses(r.Processes)
+	res.checkReturns(r)
+	return res
+}
+
+func (res *Result) broken(rule Rule, id, format string, args ...any) {
+	res.Violations = append(res.Violations, Violation{rule, id, fmt.Sprintf(format, args...)})
+}
+
+// brokenBy adds a violation by the response to a call.
+func (res *Result) brokenBy(rule Rule, c *Call, format string, args ...any) {
+	res.broken(rule, c.ID, "%s at %s %s", c.Path, c.Instance, fmt.Sprintf(format, args...))
+}
+
+// checkCall checks what a caller saw of a request that ran a number of times.
+func (res *Result) checkCall(c *Call, runs int) {
+	if c.refused() && runs > 0 {
+		res.brokenBy(RuleRefused, c, "was refused with %d as not run, and ran %d times", c.Status, runs)
+	}
+	if runsOnce(c.Path) && runs > 1 {
+		res.brokenBy(RuleOnce, c, "ran %d times; the caller got %d", runs, c.Status)
+	}
+	if c.Status != 0 && c.Answers != "" && c.Answers != c.ID {
+		res.brokenBy(RuleOwn, c, "names (status %d) %q", c.Status, c.Answers)
+	}
+	if c.Status != 200 {
+		if strings.Contains(c.Body, "answer to ") || strings.Contains(c.Body, "data: ") {
+			res.brokenBy(RuleOwn, c, "holds (status %d) %.300q", c.Status, c.Body)
+		}
+		return
+	}
+	if runs == 0 {
+		res.brokenBy(RuleOwn, c, "was answered, and no replica ran it")
+	}
+	res.checkBody(c)
+}
+
+// checkBody checks the body of a response with 200, as far as it came.
+func (res *Result) checkBody(c *Call) {
+	got, want := c.content(), whole(c.Path, c.ID)
+	switch {
+	case got == want:
+	case strings.HasPrefix(want, got):
+		if c.Ended {
+			res.brokenBy(RuleWhole, c, "ended as if it were whole after %d of %d bytes", len(got), len(want))
+		}
+	case streams(c.Path) && ownEvents(got, c.ID):
+		res.brokenBy(RuleOrder, c, "has events that are missing, repeated or not in order: %.300q", c.Body)
+	default:
+		res.brokenBy(RuleOwn, c, "holds what is not of the request: %.300q", c.Body)
+	}
+}
+
+// ownEvents reports whether a body consists of events of its own stream and the beginning of another one, in any order.
+func ownEvents(body, id string) bool {
+	events := strings.SplitAfter(body, "\n\n")
+	for i, e := range events {
+		own := func(n int) bool {
+			return e == event(n, id) || i == len(events)-1 && strings.HasPrefix(event(n, id), e)
+		}
+		if !slices.ContainsFunc([]int{1, 2, 3, 4, 5, 6, 7, 8}, own) {
+			return false
+		}
+	}
+	return true
+}
+
+func (res *Result) checkProcesses(all []Process) {
+	for _, p := range all {
+		switch {
+		case p.What == Died:
+			res.broken(RuleAlive, "", "instance %s ended by itself at %d", strings.Join(p.Args, " "), p.At)
+		case p.What == Failed:
+			res.broken(RulePlayed, "", "a step failed at %d: %s", p.At, strings.Join(p.Args, " "))
+		case p.What == Exit && !slices.Equal(p.Args[1:], []string{"0"}):
+			res.broken(RuleAlive, "", "instance %s ended with code %s after SIGTERM at %d", p.Args[0], strings.Join(p.Args[1:], " "), p.At)
+		}
+	}
+}
+
+// RecoverBound is the longest time from the return of all instances until nine tenths of requests are served.
+const RecoverBound = 15 * time.Second
+
+// binWidth is the time in which the served share is determined, and settledBins the number of successive ones in
+// which it has to be recovered.
+const (
+	binWidth    = 250 * time.Millisecond
+	settledBins = 3
+	recovered   = 0.9
+)
+
+// checkReturns determines how long the service took to recover.
+func (res *Result) checkReturns(r Records) {
+	calm := false
+	for _, p := range r.Processes {
+		if p.What != Back && p.What != Calm {
+			continue
+		}
+		took := untilRecovered(r.Calls, time.UnixMilli(p.At))
+		res.Returns = append(res.Returns, Return{p.What, p.At, took})
+		if took > RecoverBound || p.What == Calm && took < 0 {
+			res.broken(RuleRecover, "", "after %s at %d nine tenths of first tries were served after %v", p.What, p.At, took)
+		}
+		calm = calm || p.What == Calm
+	}
+	if !calm {
+		res.broken(RulePlayed, "", "the schedule did not come to its end")
+	}
+}
+
+// untilRecovered returns the time from begin until nine tenths of the requests are served in settledBins successive bins;
+// negative if they never are.
+func untilRecovered(calls []*Call, begin time.Time) time.Duration {
+	var sent, served []int
+	for _, c := range calls {
+		since := time.UnixMilli(c.At).Sub(begin)
+		if since < 0 {
+			continue
+		}
+		n := int(since / binWidth)
+		for len(sent) <= n {
+			sent, served = append(sent, 0), append(served, 0)
+		}
+		sent[n]++
+		if c.Served() {
+			served[n]++
+		}
+	}
+	good := 0
+	for n := range sent {
+		if sent[n] == 0 || float64(served[n]) < recovered*float64(sent[n]) {
+			good = 0
+			continue
+		}
+		if good++; good == settledBins {
+			return time.Duration(n-settledBins+1) * binWidth
+		}
+	}
+	return -1
+}
+
+// shown is the number of violations that are written.
+const shown = 10
+
+// Print writes a result.
+func (res *Result) Print(w io.Writer) {
+	share := float64(res.Served) / float64(max(res.Calls, 1))
+	_, _ = fmt.Fprintf(w, "calls %d, served %.2f, refused as not run %d, runs %d\n", res.Calls, share, res.Refused, res.Runs)
+	for _, r := range res.Returns {
+		_, _ = fmt.Fprintf(w, "%s: nine tenths served after %v\n", r.What, r.Took)
+	}
+	for _, v := range res.Violations[:min(len(res.Violations), shown)] {
+		_, _ = fmt.Fprintf(w, "BROKEN %s %s: %s\n", v.Rule, v.ID, v.Detail)
+	}
+}
--- /dev/null
+++ b/internal/stand/medlarsoak/record.go
@@ -0,0 +1,171 @@
+package medlarsoak
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/go-json-experiment/json"
+)
+
+// Call is what a caller saw of a request. Times are in Unix ms.
+type Call struct {
+	At       int64  `json:"at"`
+	Took     int64  `json:"took"` // ms
+	ID       string `json:"id"`
+	Instance string `json:"instance"`
+	Path     string `json:"path"`
+	Status   int    `json:"status"` // 0 if there was no response
+	Answers  string `json:"answers"`
+	Body     string `json:"body"`
+	Ended    bool   `json:"ended"` // the response ended as its framing requires
+	Error    string `json:"error"`
+}
+
+// Run is a request that a replica began to run.
+type Run struct {
+	At      int64  `json:"at"` // Unix ms
+	ID      string `json:"id"`
+	Path    string `json:"path"`
+	Resumed bool   `json:"resumed"` // the request resumes a stream
+}
+
+// Happening is what was seen of a process in the course of a schedule.
+type Happening string
+
+// Happenings.
+const (
+	Died   Happening = "died"   // ended without a signal; the node follows
+	Exit   Happening = "exit"   // ended after SIGTERM; the node and the exit code follow
+	Back   Happening = "back"   // all instances were started after all had been killed
+	Failed Happening = "failed" // a step could not be carried out; what it was follows
+	Calm   Happening = "calm"   // all faults have ended
+)
+
+// Process is a line of the record of processes: the time in Unix ms, what happened, and arguments.
+type Process struct {
+	At   int64
+	What Happening
+	Args []string
+}
+
+// Records are all records of a schedule that was played.
+type Records struct {
+	Calls     []*Call
+	Runs      []Run
+	Processes []Process
+}
+
+// Events is the number of events in each stream.
+const Events = 8
+
+// event returns event n of the stream that answers a request.
+func event(n int, id string) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", n, id) }
+
+// Prefixes of the paths of requests, one of each route of medlarsite.DefaultConfig.
+const (
+	prefixRead   = "/read/"   // may run again
+	prefixPost   = "/post/"   // may run once
+	prefixLetter = "/letter/" // a stream that may be resumed
+	prefixQuery  = "/query/"  // a stream that may run once
+)
+
+func streams(path string) bool {
+	return strings.HasPrefix(path, prefixLetter) || strings.HasPrefix(path, prefixQuery)
+}
+
+func runsOnce(path string) bool {
+	return strings.HasPrefix(path, prefixPost) || strings.HasPrefix(path, prefixQuery)
+}
+
+// whole returns the whole body of the answer to a request.
+func whole(path, id string) string {
+	if !streams(path) {
+		return "answer to " + id
+	}
+	var b strings.Builder
+	for n := range Events {
+		b.WriteString(event(n+1, id))
+	}
+	return b.String()
+}
+
+// Served reports whether the caller got a whole answer.
+func (c *Call) Served() bool { return c.Status == 200 && c.Ended && c.content() == whole(c.Path, c.ID) }
+
+// content returns the body of a response, and of a stream all but comments, which are of no request.
+func (c *Call) content() string {
+	if !streams(c.Path) {
+		return c.Body
+	}
+	blocks := strings.SplitAfter(c.Body, "\n\n")
+	return strings.Join(slices.DeleteFunc(blocks, func(b string) bool {
+		return strings.HasPrefix(b, ":") && strings.Index(b, "\n\n") == strings.Index(b, "\n") && strings.HasSuffix(b, "\n\n")
+	}), "")
+}
+
+// refused reports whether the response says that the request did not and will not run.
+func (c *Call) refused() bool { return slices.Contains([]int{408, 421, 429, 503}, c.Status) }
+
+// write writes a record as a line.
+func write(w io.Writer, record any) error {
+	b, err := json.Marshal(record)
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(append(b, '\n'))
+	return err
+}
+
+// Files of the records in the directory of a soak.
+const (
+	FileCalls     = "calls.log"
+	FileRuns      = "runs.log"
+	FileProcesses = "processes.log"
+	FileCalm      = "calm" // is written when all faults have ended
+)
+
+// Read reads the records in a directory.
+func Read(dir string) (r Records, err error) {
+	err = errors.Join(
+		eachLine(filepath.Join(dir, FileCalls), func(line []byte) error {
+			r.Calls = append(r.Calls, &Call{})
+			return json.Unmarshal(line, r.Calls[len(r.Calls)-1])
+		}),
+		eachLine(filepath.Join(dir, FileRuns), func(line []byte) error {
+			r.Runs = append(r.Runs, Run{})
+			return json.Unmarshal(line, &r.Runs[len(r.Runs)-1])
+		}),
+		eachLine(filepath.Join(dir, FileProcesses), r.addProcess),
+	)
+	return r, err
+}
+
+func (r *Records) addProcess(line []byte) error {
+	f := strings.Fields(string(line))
+	if len(f) < 2 {
+		return fmt.Errorf("record of processes: line %q has no time or no event", line)
+	}
+	at, err := strconv.ParseInt(f[0], 10, 64)
+	r.Processes = append(r.Processes, Process{at, Happening(f[1]), f[2:]})
+	return err
+}
+
+func eachLine(file string, use func([]byte) error) error {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	for line := range bytes.Lines(b) {
+		if err := use(line); err != nil {
+			return err
+		}
+	}
+	return nil
+}
