Test instances whose connections to replicas open and stay without an answer

Links can open new connections and then hold all bytes back, or reset them after the first bytes, as behind a proxy or a balancer.

--- a/internal/ops/medlarattachednode/cut_test.go
+++ b/internal/ops/medlarattachednode/cut_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"medlarfield/internal/stand/medlarlink"
-	"medlarfield/internal/stand/medlarsite"
 )
 
 // The users' bounds on instances that are cut off from all replicas.
@@ -199,17 +198,21 @@
 	}
 }
 
+// counted is how long tries are counted during a cut.
+const counted = 4 * time.Second
+
+// steady returns a cut that keeps links in a state.
+func steady(state medlarlink.State) func(*fleet, []int) {
+	return func(f *fleet, cut []int) {
+		f.set(state, cut...)
+		time.Sleep(cutSettling + counted)
+	}
+}
+
 // TestInstancesCutFromReplicasServe guards against instances that refuse what other instances could serve, since
 // they have no path of their own to the replicas.
 func TestInstancesCutFromReplicasServe(t *testing.T) {
 	t.Parallel()
-	const counted = 4 * time.Second
-	steady := func(state medlarlink.State) func(*fleet, []int) {
-		return func(f *fleet, cut []int) {
-			f.set(state, cut...)
-			time.Sleep(cutSettling + counted)
-		}
-	}
 	rows := []struct {
 		name      string
 		instances int
@@ -243,21 +246,26 @@
 	for _, tc := range rows {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			f := startFleet(t, tc.instances, func(s *medlarsite.Settings) { s.Engines, s.Plain, s.Links = 4, 3, true })
-			stop := make(chan struct{})
-			y, wait := f.firstTries(stop)
-			time.Sleep(time.Second)
-			begin := time.Now()
-			tc.during(f, tc.cut)
-			end := time.Now()
-			close(stop)
-			wait()
-			isCut := func(i int) bool { return i < len(tc.cut) } // the first ones are cut
-			assertServedAlike(t, y, begin.Add(cutSettling), end, isCut)
+			assertCutServes(t, tc.instances, tc.cut, tc.during)
 		})
 	}
 }
 
+// assertCutServes cuts instances, the first ones, from the replicas and asserts that they serve.
+func assertCutServes(t *testing.T, instances int, cut []int, during func(f *fleet, cut []int)) {
+	t.Helper()
+	f := startLinked(t, instances, nil)
+	stop := make(chan struct{})
+	y, wait := f.firstTries(stop)
+	time.Sleep(time.Second)
+	begin := time.Now()
+	during(f, cut)
+	end := time.Now()
+	close(stop)
+	wait()
+	assertServedAlike(t, y, begin.Add(cutSettling), end, func(i int) bool { return i < len(cut) })
+}
+
 // assertServedAlike asserts that first tries at cut instances are served nearly as often as at the others.
 func assertServedAlike(t *testing.T, y *tries, from, to time.Time, isCut func(int) bool) {
 	t.Helper()
--- a/internal/stand/medlarlink/medlarlink.go
+++ b/internal/stand/medlarlink/medlarlink.go
@@ -7,6 +7,8 @@
 //	    reaches the replica, and the other way round, while the link is up.
 //	R2  A silent link holds all bytes back and lets new connections hang. Held bytes are
 //	    delivered once the link is up again, unless their connection was closed.
+//	R3  Behind a proxy or a balancer new connections open while no byte passes: bytes are held back as on a silent link,
+//	    or connections are reset after the first bytes.
 package medlarlink
 
 import (
@@ -30,8 +32,14 @@
 	Silent  State = "silent"  // open connections fall silent, new ones hang (R2)
 	Reset   State = "reset"   // open connections are reset, new ones refused
 	Refused State = "refused" // open connections live on, new ones are refused
+
+	OpensSilent State = "opens, silent" // connections open, and all are silent (R3)
+	OpensReset  State = "opens, reset"  // open connections are reset, new ones open and are reset after the first bytes (R3)
 )
 
+// holds reports whether a link in this state holds bytes back.
+func (s State) holds() bool { return s == Silent || s == OpensSilent }
+
 // Sizes and times.
 const (
 	backlog     = 128                   // connections that wait to be accepted while a link is up
@@ -112,7 +120,7 @@
 	if l.closed || state == l.state {
 		return nil
 	}
-	if l.state == Silent {
+	if l.state.holds() {
 		close(l.resumed)
 		l.resumed = make(chan struct{})
 	}
@@ -124,7 +132,7 @@
 			errs = append(errs, l.apply(p, state))
 		}
 	}
-	if state == Reset {
+	if state == Reset || state == OpensReset {
 		for p := range l.pairs {
 			p.reset()
 		}
@@ -237,6 +245,11 @@
 
 // connect connects a new connection of the instance with a replica.
 func (l *Link) connect(target string, near net.Conn) {
+	if l.resets() {
+		_, _ = near.Read(make([]byte, copyBuffer))
+		resetConn(near)
+		return
+	}
 	far, err := net.Dial("tcp", target)
 	if err != nil {
 		resetConn(near)
@@ -256,6 +269,13 @@
 	l.mu.Unlock()
 }
 
+// resets reports whether new connections are reset after the first bytes.
+func (l *Link) resets() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state == OpensReset
+}
+
 // copy copies what comes from one side to the other while the link is not silent.
 func (l *Link) copy(to, from net.Conn, p *pair) {
 	b := make([]byte, copyBuffer)
@@ -282,7 +302,7 @@
 // awaitNotSilent waits while the link is silent.
 func (l *Link) awaitNotSilent() {
 	l.mu.Lock()
-	resumed, silent := l.resumed, l.state == Silent
+	resumed, silent := l.resumed, l.state.holds()
 	l.mu.Unlock()
 	if silent {
 		<-resumed
--- a/internal/stand/medlarlink/medlarlink_test.go
+++ b/internal/stand/medlarlink/medlarlink_test.go
@@ -71,6 +71,8 @@
 		{Silent, os.ErrDeadlineExceeded, os.ErrDeadlineExceeded},
 		{Reset, syscall.ECONNRESET, syscall.ECONNREFUSED},
 		{Refused, nil, syscall.ECONNREFUSED},
+		{OpensSilent, os.ErrDeadlineExceeded, nil},
+		{OpensReset, syscall.ECONNRESET, nil},
 	} {
 		t.Run(string(tc.state), func(t *testing.T) {
 			l := New()
@@ -85,8 +87,11 @@
 				assertError(t, "exchange while up", exchange(c), nil)
 				assertError(t, "cut", l.Set(tc.state), nil)
 				assertError(t, "open connection", exchange(c), tc.open)
-				_, err = dial(t, address)
+				fresh, err := dial(t, address)
 				assertError(t, "new connection", err, tc.new)
+				if err == nil {
+					assertError(t, "exchange on a new connection", exchange(fresh), tc.open)
+				}
 				assertError(t, "heal", l.Set(Up), nil)
 			}
 		})
