Take a path to a replica for one that works once an answer has come over it

Cause: a path worked when a connection opened. Behind a proxy or a balancer connections open while nothing passes, so a cut instance went on sending there, and the instances that it asked said that they reached the replica as theirs opened as well.

Change: each direct connection reports when an answer is awaited and when a byte comes (medlarpath). A path that is silent for unusually long, or on which a new connection ends without a byte, is examined by GET /-/report on a connection of its own; if that brings nothing either, other instances make the same call, and the path is broken if one of them is answered (medlarreach R7, R8). Lines reach and cut have opens, medlar_proofs_total counts the calls.

TestCutEnds ends cuts of the new states, too.

Tests changed: TestPlan, TestDownReplicaIsNotAskedAbout, TestRetries and TestChanges took an opened connection for the proof; they use an answer now, and two new rows of TestPlan ask that an opened connection alone ends no cut.

--- a/internal/core/medlarreach/medlarreach.go
+++ b/internal/core/medlarreach/medlarreach.go
@@ -1,6 +1,7 @@
 // Package medlarreach decides by which path an instance opens connections to replicas: directly,
 // or through another instance that reaches them. A connection that fails says as little about the
 // replica as about the instance's direct path to it; only what another instance sees tells them apart.
+// One that opens says nothing about the path either: a proxy or a balancer may accept it.
 //
 // Rules:
 //
@@ -9,16 +10,21 @@
 //	    to it is broken, and its connections are relayed from then on.
 //	R2  If minWitnesses other instances don't reach the replica either, it is down, and none is
 //	    asked about it again for downTTL.
-//	R3  If the paths to minBroken replicas are broken and no direct connection was opened since
-//	    the first of them broke, the instance is cut off: connections to all replicas are relayed.
+//	R3  If the paths to minBroken replicas are broken and no direct connection opened since
+//	    the first of them broke has brought an answer, the instance is cut off: connections to all replicas are relayed.
+//	    Where new connections open, an answer on an older one counts as well.
 //	R4  A broken path is tried again with connections that serve no request, a few at a time. The
-//	    first one that opens ends the cut. A path that breaks again soon is tried later each time.
+//	    first one that brings an answer ends the cut. A path that breaks again soon is tried later each time.
 //	R5  A path on which connections hang holds back what is sent on connections that are
 //	    already open, too; they are not used for further requests. Where new connections are refused,
 //	    open ones may work and are used.
 //	R6  Up to maxHelpful other instances share what is relayed, so that none gets all of it. Until there are so many
 //	    one more is asked first each time, of the own availability zone if possible. One that could not
 //	    help is asked last for a while.
+//	R7  A path works when a byte of an answer has come over it. It is suspected when an answer is awaited and the replica
+//	    has sent nothing for longer than it usually takes, when no replica has, or when a new connection has ended without a byte.
+//	R8  A suspected path is examined by a call that serves no request. If no answer to that comes either, while the
+//	    replica answers another instance, the path is broken.
 package medlarreach
 
 import (
@@ -58,6 +64,11 @@
 	Opened  Outcome = "opened"
 	Refused Outcome = "refused" // by the replica, or by what answers at its address
 	Silent  Outcome = "silent"  // nothing answers
+	// Answered is the outcome if a byte of an answer came, Unanswered if the connection was opened and none came, and Ended if
+	// it was opened and ended before one did (R8).
+	Answered   Outcome = "answered"
+	Unanswered Outcome = "unanswered"
+	Ended      Outcome = "ended"
 	// Unhelpful is the outcome at another instance that could not try: it does not know the replica, sends it
 	// nothing at present, is cut off itself, or does not answer.
 	Unhelpful Outcome = "unhelpful"
@@ -93,6 +104,14 @@
 	retryDelay time.Duration
 	retrying   bool
 	downUntil  time.Time // R2
+	retriedNow bool      // it is tried again at once, as a connection has opened since it broke
+
+	quiet      quiet     // while an answer of the replica is awaited (R7)
+	waiting    int       // direct connections on which one is
+	gotAt      time.Time // when the last byte was received
+	failed     bool      // a connection brought no answer since then
+	examining  bool      // R8
+	examinedAt time.Time // R8
 }
 
 // Change is a change of a path, or of the instance's state, for the log.
@@ -100,6 +119,7 @@
 	Replica medlarid.InstanceID // empty for a change of the instance's state
 	Broken  bool                // the path is broken, or the instance is cut off
 	Hangs   bool
+	Opens   bool          // connections open, and no answer comes
 	Paths   int           // broken paths at that time
 	For     time.Duration // how long it was broken, if it is no longer
 }
@@ -111,11 +131,16 @@
 	paths   map[medlarid.InstanceID]*path
 	peers   map[medlarid.InstanceID]*peer
 	broken  int       // broken paths
-	openAt  time.Time // when a direct connection was opened last
+	gotAt   time.Time // when a byte was received directly last
+	openAt  time.Time // when the direct connection was opened that brought an answer and was opened last
 	firstAt time.Time // when the first of the broken paths broke
 	cut     bool
 	cutAt   time.Time
 	changes []Change
+
+	quiet        quiet // of all replicas (R7)
+	waitingPaths int   // replicas of which an answer is awaited
+	examining    int   // paths
 }
 
 // New returns a Table of an instance in a zone that knows no replicas and no other instances.
@@ -224,14 +249,17 @@
 }
 
 // Ended records how an attempt to open a direct connection ended. What is not opened breaks the path only once
-// another instance has reached the replica.
+// another instance has reached the replica. What is opened does not mend it: a broken path is tried again at once, but
+// only once.
 func (t *Table) Ended(now time.Time, id medlarid.InstanceID, o Outcome) {
-	if o != Opened {
+	p := t.paths[id]
+	if o != Opened || p == nil {
 		return
 	}
-	t.openAt = now
-	t.mend(now, id)
-	t.endCut(now)
+	p.downUntil = time.Time{}
+	if p.broken && !p.retriedNow {
+		p.retryAt, p.retriedNow = now, true
+	}
 }
 
 // Asked records what another instance has said about a replica; direct is how opening a direct connection has ended,
@@ -245,8 +273,11 @@
 			p.unhelpedAt = now
 		}
 	}
-	if o == Opened && (direct == Refused || direct == Silent) {
-		t.breakPath(now, id, direct == Silent)
+	switch direct {
+	case Refused, Silent, Unanswered, Ended:
+		if o == Opened {
+			t.breakPath(now, id, direct)
+		}
 	}
 }
 
@@ -271,8 +302,9 @@
 }
 
 // breakPath records that the direct path to a replica is broken (R1), and finds out whether the instance is cut off (R3).
-func (t *Table) breakPath(now time.Time, id medlarid.InstanceID, hangs bool) {
+func (t *Table) breakPath(now time.Time, id medlarid.InstanceID, direct Outcome) {
 	p := t.path(id)
+	hangs, opens := direct == Silent || direct == Unanswered, direct == Unanswered || direct == Ended
 	if p.broken {
 		p.hangs = hangs
 		return
@@ -282,15 +314,16 @@
 	if !soon || p.retryDelay == 0 {
 		p.retryDelay = minRetryDelay
 	}
-	p.broken, p.hangs, p.brokenAt, p.retryAt = true, hangs, now, now.Add(p.retryDelay)
+	p.broken, p.hangs, p.brokenAt, p.retryAt, p.retriedNow = true, hangs, now, now.Add(p.retryDelay), false
 	t.broken++
 	if t.broken == 1 {
 		t.firstAt = now
 	}
-	t.changes = append(t.changes, Change{Replica: id, Broken: true, Hangs: hangs, Paths: t.broken})
-	if !t.cut && t.broken >= minBroken && t.openAt.Before(t.firstAt) {
+	t.changes = append(t.changes, Change{Replica: id, Broken: true, Hangs: hangs, Opens: opens, Paths: t.broken})
+	answered := !t.openAt.Before(t.firstAt) || opens && t.gotAt.After(t.firstAt)
+	if !t.cut && t.broken >= minBroken && !answered {
 		t.cut, t.cutAt = true, now
-		t.changes = append(t.changes, Change{Broken: true, Hangs: t.allHang(), Paths: t.broken})
+		t.changes = append(t.changes, Change{Broken: true, Hangs: t.allHang(), Opens: opens, Paths: t.broken})
 	}
 }
 
@@ -304,7 +337,7 @@
 	if !p.broken {
 		return
 	}
-	p.broken, p.mendedAt = false, now
+	p.broken, p.mendedAt, p.quiet.since = false, now, now
 	t.broken--
 	t.changes = append(t.changes, Change{Replica: id, Paths: t.broken, For: now.Sub(p.brokenAt)})
 }
@@ -314,7 +347,7 @@
 	if !t.cut {
 		return
 	}
-	t.cut = false
+	t.cut, t.quiet.since = false, now
 	t.changes = append(t.changes, Change{Paths: t.broken, For: now.Sub(t.cutAt)})
 	for _, p := range t.paths {
 		if p.broken {
@@ -351,14 +384,11 @@
 // retryPoll is the time between two looks for broken paths that are due.
 const retryPoll = 100 * time.Millisecond
 
-// Retried records how a try of a broken path ended (R4).
-func (t *Table) Retried(now time.Time, id medlarid.InstanceID, o Outcome) {
-	p := t.paths[id]
-	if p == nil {
-		return
+// Retried records how a try of a broken path ended (R4). An answer to it is recorded by Got before.
+func (t *Table) Retried(now time.Time, id medlarid.InstanceID) {
+	if p := t.paths[id]; p != nil {
+		p.retrying, p.retryAt = false, now.Add(p.retryDelay)
 	}
-	p.retrying, p.retryAt = false, now.Add(p.retryDelay)
-	t.Ended(now, id, o)
 }
 
 // Keep forgets the paths to replicas that are gone.
@@ -370,6 +400,12 @@
 		if p.broken {
 			t.broken--
 		}
+		if p.waiting > 0 {
+			t.waitingPaths--
+		}
+		if p.examining {
+			t.examining--
+		}
 		delete(t.paths, id)
 	}
 	if t.broken == 0 {
--- a/internal/core/medlarreach/medlarreach_test.go
+++ b/internal/core/medlarreach/medlarreach_test.go
@@ -33,6 +33,9 @@
 
 func apply(t *Table, now time.Time, events ...event) {
 	for _, e := range events {
+		if e.direct == Answered {
+			t.Got(now, now, e.replica, false)
+		}
 		t.Ended(now, e.replica, e.direct)
 		if e.asked != "" {
 			t.Asked(now, e.replica, "p1", e.direct, e.asked)
@@ -71,8 +74,10 @@
 		{"no connection failed", []event{{"r1", "", Opened}}, direct, direct, false},
 		{"two broken paths", broken("r1", "r2"), relay, direct, false},
 		{"three broken paths", broken("r1", "r2", "r3"), relay, relay, true},
-		{"three broken paths and one that works", append(broken("r1", "r2"), append([]event{{"r4", Opened, ""}}, broken("r3")...)...), relay, direct, false},
-		{"one of them works again", append(broken("r1", "r2", "r3"), event{"r3", Opened, ""}), relay, direct, false},
+		{"three broken paths and one that works", append(broken("r1", "r2"), append([]event{{"r4", Answered, ""}}, broken("r3")...)...), relay, direct, false},
+		{"one of them works again", append(broken("r1", "r2", "r3"), event{"r3", Answered, ""}), relay, direct, false},
+		{"one of them opens a connection", append(broken("r1", "r2", "r3"), event{"r3", Opened, ""}), relay, relay, true},
+		{"three broken paths and one that opens a connection", append(broken("r1", "r2"), append([]event{{"r4", Opened, ""}}, broken("r3")...)...), relay, relay, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			table := newTable(peers...)
@@ -143,6 +148,10 @@
 			apply(table, now, event{id, Silent, Opened})
 		}
 	}
+	answer := func(now time.Time, id medlarid.InstanceID) {
+		table.Got(now, now, id, false)
+		table.Retried(now, id)
+	}
 	breakAll(start)
 	assertDue := func(now time.Time, want int) []medlarid.InstanceID {
 		t.Helper()
@@ -157,22 +166,22 @@
 	due := assertDue(now, retriesAtOnce)
 	assertDue(now, 0) // as many as may be tried are
 	for _, id := range due {
-		table.Retried(now, id, Silent)
+		table.Retried(now, id)
 	}
 	due = assertDue(now, len(ids)-retriesAtOnce)
-	table.Retried(now, due[0], Opened)
+	answer(now, due[0])
 	if table.Cut() || table.Broken() != len(ids)-1 {
 		t.Errorf("cut %v with %d broken paths; want no cut and %d", table.Cut(), table.Broken(), len(ids)-1)
 	}
-	table.Retried(now, due[1], Silent)
+	table.Retried(now, due[1])
 	for _, id := range assertDue(now, retriesAtOnce) { // the others are tried soon
-		table.Retried(now, id, Opened)
+		answer(now, id)
 	}
 	for table.Broken() > 0 {
 		now = now.Add(minRetryDelay)
 		due, _ := table.Retries(now)
 		for _, id := range due {
-			table.Retried(now, id, Opened)
+			answer(now, id)
 		}
 	}
 	if _, next := table.Retries(now); next != 0 {
@@ -227,7 +236,8 @@
 func TestChanges(t *testing.T) {
 	table := newTable(peers...)
 	apply(table, start, event{"r1", Refused, Opened}, event{"r2", Refused, Opened}, event{"r3", Refused, Opened})
-	table.Ended(start.Add(2*time.Second), "r2", Opened)
+	later := start.Add(2 * time.Second)
+	table.Got(later, later, "r2", false)
 	want := []Change{
 		{Replica: "r1", Broken: true, Paths: 1},
 		{Replica: "r2", Broken: true, Paths: 2},
--- a/internal/edge/medlarmetric/medlarmetric.go
+++ b/internal/edge/medlarmetric/medlarmetric.go
@@ -62,6 +62,7 @@
 	bytesMoved     *prometheus.CounterVec
 	connects       *prometheus.CounterVec
 	asked          *prometheus.CounterVec
+	proofs         *prometheus.CounterVec
 	relayed        *prometheus.CounterVec
 	cut            prometheus.Gauge
 	brokenPaths    prometheus.Gauge
@@ -95,6 +96,7 @@
 	m.lost = m.newCounterVec("lost_total", "Attempts whose connection the replica ended before the response was complete, by whether an event had been received.", "began")
 	m.rejections = m.newCounterVec("rejections_total", "Rejections of attempts, by what shows that they belong to the attempt: id, conn, none.", "proof")
 	m.connects = m.newCounterVec("connects_total", "Attempts to open direct connections to replicas, by result: opened, refused, silent, failed.", "result")
+	m.proofs = m.newCounterVec("proofs_total", "Calls to replicas that find out whether the direct path works, by result: answered, unanswered, ended, refused, silent, failed.", "result")
 	m.asked = m.newCounterVec("asked_total", "Answers of other instances that were asked to relay a connection to a replica: opened, refused, silent, unhelpful.", "result")
 	m.relayed = m.newCounterVec("relayed_total", "Requests of other instances to relay a connection to a replica, by whether it was opened.", "opened")
 	m.cut = m.newGauge("cut", "1 while this instance reaches no replica directly although others do.")
@@ -286,6 +288,9 @@
 // Asked counts what another instance said that was asked for a connection to a replica.
 func (m *Metrics) Asked(result string) { m.asked.WithLabelValues(result).Inc() }
 
+// Proved counts a call to a replica that finds out whether the direct path to it works.
+func (m *Metrics) Proved(result string) { m.proofs.WithLabelValues(result).Inc() }
+
 // Relayed counts a request of another instance for a connection to a replica.
 func (m *Metrics) Relayed(opened bool) { m.relayed.WithLabelValues(strconv.FormatBool(opened)).Inc() }
 
--- a/internal/ops/medlarattachednode/cut_test.go
+++ b/internal/ops/medlarattachednode/cut_test.go
@@ -252,7 +252,7 @@
 }
 
 // assertCutServes cuts instances, the first ones, from the replicas and asserts that they serve.
-func assertCutServes(t *testing.T, instances int, cut []int, during func(f *fleet, cut []int)) {
+func assertCutServes(t *testing.T, instances int, cut []int, during func(f *fleet, cut []int)) *fleet {
 	t.Helper()
 	f := startLinked(t, instances, nil)
 	stop := make(chan struct{})
@@ -264,6 +264,7 @@
 	close(stop)
 	wait()
 	assertServedAlike(t, y, begin.Add(cutSettling), end, func(i int) bool { return i < len(cut) })
+	return f
 }
 
 // assertServedAlike asserts that first tries at cut instances are served nearly as often as at the others.
--- a/internal/ops/medlarattachednode/reach.go
+++ b/internal/ops/medlarattachednode/reach.go
@@ -15,6 +15,7 @@
 	"medlarfield/internal/ops/medlarsettings"
 	"medlarfield/internal/peer/medlardatagram"
 	"medlarfield/internal/peer/medlartunnel"
+	"medlarfield/platform/medlarcalls"
 )
 
 // peerKey is the key that other instances need to talk to this start of the instance.
@@ -27,7 +28,9 @@
 		Self: cfg.Name, Zone: cfg.Zone, Key: medlartunnel.Key(key),
 		Client:    medlartunnel.NewClient(cfg.Name, medlarpool.SetUserTimeout),
 		Dial:      medlarpool.Dial,
+		Prove:     medlarcalls.Prove,
 		OnDial:    func(o medlarreach.Outcome) { m.Connected(string(o)) },
+		OnProof:   func(o medlarreach.Outcome) { m.Proved(string(o)) },
 		OnAsked:   func(o medlarreach.Outcome) { m.Asked(string(o)) },
 		OnRequest: func(r medlartunnel.Result) { m.Relayed(r == medlartunnel.ResultOpened) },
 		OnChange:  func(c medlarreach.Change) { logReach(log, m, c) },
@@ -52,7 +55,7 @@
 		if c.Broken {
 			text = "replica is not reached directly, while another instance reaches it; relaying its connections"
 		}
-		log.Info().Str("event", "reach").Str("replica", string(c.Replica)).Bool("broken", c.Broken).Bool("hangs", c.Hangs).
+		log.Info().Str("event", "reach").Str("replica", string(c.Replica)).Bool("broken", c.Broken).Bool("hangs", c.Hangs).Bool("opens", c.Opens).
 			Int("paths", c.Paths).Float64("for", ms(c.For)).Msg(text)
 		return
 	}
@@ -61,7 +64,7 @@
 	if c.Broken {
 		text = "no replica is reached directly, while other instances reach them; relaying all connections"
 	}
-	log.Warn().Str("event", "cut").Bool("cut", c.Broken).Bool("hangs", c.Hangs).Int("paths", c.Paths).Float64("for", ms(c.For)).Msg(text)
+	log.Warn().Str("event", "cut").Bool("cut", c.Broken).Bool("hangs", c.Hangs).Bool("opens", c.Opens).Int("paths", c.Paths).Float64("for", ms(c.For)).Msg(text)
 }
 
 // openPeers opens the listeners for other instances and announces them. Without them the instance goes by what it
--- a/internal/ops/medlarattachednode/reach_test.go
+++ b/internal/ops/medlarattachednode/reach_test.go
@@ -206,7 +206,7 @@
 	stop := make(chan struct{})
 	_, wait := f.firstTries(stop)
 	w := f.members[0]
-	for _, state := range []medlarlink.State{medlarlink.Refused, medlarlink.Silent} {
+	for _, state := range []medlarlink.State{medlarlink.Refused, medlarlink.Silent, medlarlink.OpensSilent, medlarlink.OpensReset} {
 		w.logs.reset()
 		f.set(state, 0)
 		w.eventually("the instance is cut off", func() bool { return w.logged(`"event":"cut","cut":true`) })
--- a/internal/ops/medlardialer/medlardialer.go
+++ b/internal/ops/medlardialer/medlardialer.go
@@ -12,14 +12,11 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"math/rand/v2"
 	"net"
-	"os"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -28,17 +25,24 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarreach"
 	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/edge/medlarpath"
 	"medlarfield/internal/edge/medlarpool"
 	"medlarfield/internal/peer/medlartunnel"
 )
 
 // Times.
 const (
-	relayTimeout   = 700 * time.Millisecond // to find another instance that reaches a replica
-	forPeerTimeout = 250 * time.Millisecond // to open a connection for another instance, which waits a little longer
-	retryTimeout   = 300 * time.Millisecond // to open a connection on a path that is broken
-	hintTimeout    = time.Second            // to pass on what a replica has said
-	hintMemory     = time.Second            // what came from another instance is not passed on for so long (R3)
+	keepInterval     = time.Second            // between two looks for replicas that are gone
+	relayTimeout     = 700 * time.Millisecond // to find another instance that reaches a replica
+	forPeerTimeout   = 250 * time.Millisecond // to open a connection for another instance, which waits a little longer
+	retryTimeout     = 500 * time.Millisecond // to get an answer on a path that is broken
+	hintTimeout      = time.Second            // to pass on what a replica has said
+	hintMemory       = time.Second            // what came from another instance is not passed on for so long (R3)
+	ownProofTimeout  = time.Second            // of a call that examines a path
+	proofPatience    = 250 * time.Millisecond // after which other instances are asked meanwhile
+	proofGrace       = 150 * time.Millisecond // for the answer to this instance, once another one has got its own
+	peerProofTimeout = 300 * time.Millisecond // of a call for another instance, which waits a little longer
+	provenTTL        = time.Second            // for which an answer proves a path on which connections are opened for others
 )
 
 // Replica is what the registry knows of a replica.
@@ -56,18 +60,23 @@
 	Client *medlartunnel.Client
 	// Dial opens a direct connection.
 	Dial func(context.Context, medlarid.Address) (net.Conn, error)
+	// Prove makes a call to a replica on a new connection, and returns nil once a byte of the answer has come.
+	Prove func(net.Conn) error
 	// OnDial is called with how each attempt to open a direct connection ended, OnAsked with what each instance that
 	// was asked for one has said, and OnRequest with what this one has said to another.
 	OnDial    func(medlarreach.Outcome)
 	OnAsked   func(medlarreach.Outcome)
 	OnRequest func(medlartunnel.Result)
-	OnChange  func(medlarreach.Change)
+	// OnProof is called with how each call that proves a path has ended.
+	OnProof  func(medlarreach.Outcome)
+	OnChange func(medlarreach.Change)
 }
 
 // Dialer opens connections to replicas. It is safe for concurrent use.
 type Dialer struct {
 	deps   Deps
 	server *medlartunnel.Server
+	paths  *medlarpath.Paths
 
 	// These are set by Connect.
 	lookup func(medlarid.InstanceID) (Replica, bool)
@@ -79,7 +88,9 @@
 	peers   map[medlarid.InstanceID]medlartunnel.Peer
 	relayed map[medlarid.InstanceID]map[medlarid.InstanceID]bool // instances that relay to each replica
 	avoided map[medlarid.InstanceID]avoidance
-	wake    chan struct{} // has an element if a path may be broken
+	wake    chan struct{} // has an element if a path may be broken or suspected
+	polling bool          // Run looks for such paths
+	keptAt  time.Time     // when the paths to replicas that are gone were forgotten last
 }
 
 // avoidance is why this instance sends nothing to a replica.
@@ -101,9 +112,12 @@
 		wake:    make(chan struct{}, 1),
 	}
 	d.server = medlartunnel.NewServer(medlartunnel.Deps{
-		Key: deps.Key, Dial: d.dialForPeer, OnHint: d.takeHint,
+		Key: deps.Key, Dial: d.dialForPeer, Prove: d.proveForPeer, OnHint: d.takeHint,
 		OnRequest: func(_, _ medlarid.InstanceID, r medlartunnel.Result) { deps.OnRequest(r) },
 	})
+	d.paths = medlarpath.New(medlarpath.Deps{
+		Dial: deps.Dial, Prove: deps.Prove, OnDial: deps.OnDial, OnProof: deps.OnProof, Sent: d.sent, Got: d.got, Left: d.left,
+	})
 	return d
 }
 
@@ -159,6 +173,7 @@
 
 // Usable reports whether an idle connection may be used. One that is relayed is not once the direct path works again.
 func (d *Dialer) Usable(c *medlarpool.Conn) bool {
+	medlarpath.Reuse(c.Conn)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if c.Via == "" {
@@ -168,7 +183,7 @@
 	return known && !d.table.Works(c.Target.ID)
 }
 
-// Run tries broken paths again until ctx is done.
+// Run examines suspected paths and tries broken ones again until ctx is done.
 func (d *Dialer) Run(ctx context.Context) {
 	for {
 		select {
@@ -176,7 +191,7 @@
 			return
 		case <-d.wake:
 		}
-		for next := d.retry(ctx); next > 0; next = d.retry(ctx) {
+		for next := d.look(ctx); next > 0; next = d.look(ctx) {
 			select {
 			case <-ctx.Done():
 				return
@@ -186,34 +201,39 @@
 	}
 }
 
-// retry tries the broken paths that are due and returns the time until the next look; 0 if no path is broken.
-func (d *Dialer) retry(ctx context.Context) time.Duration {
+// look starts what is due on suspected and broken paths, and returns the time until the next look; 0 if there is
+// nothing to look for.
+func (d *Dialer) look(ctx context.Context) time.Duration {
+	now := time.Now()
 	d.mu.Lock()
-	d.table.Keep(d.exists)
-	due, next := d.table.Retries(time.Now())
+	if now.Sub(d.keptAt) > keepInterval {
+		d.keptAt = now
+		d.table.Keep(d.exists)
+	}
+	suspects, soon := d.table.Suspects(now)
+	due, next := d.table.Retries(now)
+	if next == 0 || soon > 0 && soon < next {
+		next = soon
+	}
+	d.polling = next > 0
 	d.unlock()
+	for _, id := range suspects {
+		go d.examine(ctx, id)
+	}
 	for _, id := range due {
 		go d.retryPath(ctx, id)
 	}
 	return next
 }
 
-// retryPath tries to open a direct connection to a replica, for no request.
+// retryPath tries a path that is broken, for no request.
 func (d *Dialer) retryPath(ctx context.Context, id medlarid.InstanceID) {
-	outcome := medlarreach.Silent
 	if r, ok := d.lookup(id); ok {
-		ctx, cancel := context.WithTimeout(ctx, retryTimeout)
-		defer cancel()
-		c, err := d.deps.Dial(ctx, r.Address)
-		if err == nil {
-			_ = c.Close()
-		}
-		outcome = outcomeOf(err)
-		d.deps.OnDial(outcome)
+		d.paths.Prove(ctx, id, r.Address, retryTimeout)
 	}
 	d.mu.Lock()
 	defer d.unlock()
-	d.table.Retried(time.Now(), id, outcome)
+	d.table.Retried(time.Now(), id)
 }
 
 // unlock releases the lock and reports the changes.
@@ -222,29 +242,18 @@
 	d.mu.Unlock()
 	for _, c := range changes {
 		d.deps.OnChange(c)
-		select {
-		case d.wake <- struct{}{}:
-		default:
-		}
+	}
+	if len(changes) > 0 {
+		d.signal()
 	}
 }
 
-// Failures of this instance alone, which say nothing about the path to a replica.
-const failedHere medlarreach.Outcome = "failed"
-
-// outcomeOf returns the outcome of an attempt to open a connection.
-func outcomeOf(err error) medlarreach.Outcome {
-	var timeout interface{ Timeout() bool }
-	switch {
-	case err == nil:
-		return medlarreach.Opened
-	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
-		return medlarreach.Refused
-	case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout(),
-		errors.Is(err, syscall.EHOSTUNREACH), errors.Is(err, syscall.ENETUNREACH):
-		return medlarreach.Silent
+// signal makes Run look for paths that are suspected or broken.
+func (d *Dialer) signal() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
 	}
-	return failedHere
 }
 
 // errUnreached is the error of a connection that no instance has opened.
@@ -273,7 +282,7 @@
 		_ = direct.conn.Close()
 		return false
 	}
-	if outcomeOf(direct.err) != medlarreach.Refused {
+	if o.directOutcome() != medlarreach.Refused {
 		return false
 	}
 	if !plan.Relay {
--- a/internal/ops/medlardialer/opening.go
+++ b/internal/ops/medlardialer/opening.go
@@ -9,6 +9,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarreach"
+	"medlarfield/internal/edge/medlarpath"
 	"medlarfield/internal/edge/medlarpool"
 	"medlarfield/internal/peer/medlartunnel"
 )
@@ -56,7 +57,7 @@
 				return r
 			}
 			failed = r
-			if plan.Relay && !o.relayStarted && o.directOutcome() != failedHere {
+			if plan.Relay && !o.relayStarted && o.directOutcome() != medlarpath.FailedHere {
 				o.startRelay()
 			}
 			if !o.directStarted {
@@ -103,8 +104,7 @@
 // dialDirect opens a direct connection.
 func (o *opening) dialDirect(ctx context.Context) result {
 	o.setDirect(medlarreach.Silent)
-	c, err := o.dialer.deps.Dial(ctx, o.target.Address)
-	outcome := outcomeOf(err)
+	c, outcome, err := o.dialer.paths.Dial(ctx, o.target.ID, o.target.Address)
 	o.setDirect(outcome)
 	o.dialer.ended(o.target.ID, outcome)
 	return result{conn: c, err: err}
@@ -225,7 +225,6 @@
 
 // ended records how an attempt to open a direct connection ended.
 func (d *Dialer) ended(id medlarid.InstanceID, outcome medlarreach.Outcome) {
-	d.deps.OnDial(outcome)
 	d.mu.Lock()
 	defer d.unlock()
 	d.table.Ended(time.Now(), id, outcome)
--- a/internal/ops/medlardialer/peer.go
+++ b/internal/ops/medlardialer/peer.go
@@ -13,23 +13,33 @@
 	"medlarfield/internal/peer/medlartunnel"
 )
 
-// dialForPeer opens a direct connection to a replica for another instance, unless this one would send it no
-// request itself.
-func (d *Dialer) dialForPeer(ctx context.Context, id medlarid.InstanceID, incarnation medlarid.Incarnation) (net.Conn, medlartunnel.Result) {
+// forPeer returns a replica to which this instance may connect for another one, or why it does not.
+func (d *Dialer) forPeer(id medlarid.InstanceID, incarnation medlarid.Incarnation) (Replica, medlartunnel.Result) {
 	r, ok := d.lookup(id)
 	if !ok || r.Incarnation != incarnation || r.Leaving || d.avoids(id, incarnation) {
-		return nil, medlartunnel.ResultUnused
+		return r, medlartunnel.ResultUnused
 	}
 	d.mu.Lock()
-	works := d.table.Works(id)
-	d.mu.Unlock()
-	if !works {
-		return nil, medlartunnel.ResultCut
+	defer d.mu.Unlock()
+	if !d.table.Works(id) {
+		return r, medlartunnel.ResultCut
+	}
+	return r, 0
+}
+
+// dialForPeer opens a direct connection to a replica for another instance, unless this one would send it no
+// request itself.
+func (d *Dialer) dialForPeer(ctx context.Context, id medlarid.InstanceID, incarnation medlarid.Incarnation) (net.Conn, medlartunnel.Result) {
+	r, refusal := d.forPeer(id, incarnation)
+	if refusal != 0 {
+		return nil, refusal
 	}
 	ctx, cancel := context.WithTimeout(ctx, forPeerTimeout)
 	defer cancel()
-	c, err := d.deps.Dial(ctx, r.Address)
-	outcome := outcomeOf(err)
+	if result := d.provenFor(ctx, id, r); result != medlartunnel.ResultAnswers {
+		return nil, result
+	}
+	c, outcome, _ := d.paths.Dial(ctx, id, r.Address)
 	d.ended(id, outcome)
 	switch outcome {
 	case medlarreach.Opened:
--- a/internal/peer/medlartunnel/medlartunnel.go
+++ b/internal/peer/medlartunnel/medlartunnel.go
@@ -12,7 +12,8 @@
 //	    in an orderly way. Without it they are broken off, be it by the replica or by the
 //	    instance between.
 //	R4  When the instance that asked closes the connection, the one to the replica is closed too.
-//	R5  What a replica has said to one side about further requests is passed to the other one, since the replica
+//	R5  An instance can also be asked whether a replica answers it now. A connection that opens does not prove that.
+//	R6  What a replica has said to one side about further requests is passed to the other one, since the replica
 //	    says it to the instance between and does not know who has asked.
 package medlartunnel
 
@@ -58,6 +59,7 @@
 	ResultUnused  Result = 5 // the instance does not know the replica, or sends it nothing at present
 	ResultDenied  Result = 6 // wrong key, or too many connections
 	ResultTaken   Result = 7 // a hint was taken
+	ResultAnswers Result = 8 // the replica has answered the instance just now
 )
 
 // Op names the operation that failed.
@@ -68,6 +70,7 @@
 	OpListen Op = "listen"
 	OpOpen   Op = "open"
 	OpTell   Op = "tell"
+	OpProve  Op = "prove"
 )
 
 // Kind classifies a failure.
@@ -120,7 +123,21 @@
 	return &Conn{Conn: conn, frames: frameReader{r: bufio.NewReaderSize(conn, readBuffer)}}, nil
 }
 
-// Tell passes on what a replica has said to this instance (R5).
+// Prove asks another instance whether a replica answers it now, and returns nil if it does (R5).
+func (c *Client) Prove(ctx context.Context, p Peer, replica medlarid.InstanceID, incarnation medlarid.Incarnation) error {
+	q := request{sender: c.self, key: p.Key, prove: true, hint: Hint{Replica: replica, Incarnation: incarnation}}
+	conn, result, err := c.ask(ctx, OpProve, p, &q)
+	if err != nil {
+		return err
+	}
+	_ = conn.Close()
+	if result != ResultAnswers {
+		return &Error{Op: OpProve, Kind: KindAnswered, Result: result, Err: eris.New("replica does not answer there")}
+	}
+	return nil
+}
+
+// Tell passes on what a replica has said to this instance (R6).
 func (c *Client) Tell(ctx context.Context, p Peer, h Hint) error {
 	conn, result, err := c.ask(ctx, OpTell, p, &request{sender: c.self, key: p.Key, hint: h})
 	if err != nil {
--- a/internal/peer/medlartunnel/medlartunnel_test.go
+++ b/internal/peer/medlartunnel/medlartunnel_test.go
@@ -28,6 +28,7 @@
 	accepted chan net.Conn
 	hints    chan Hint
 	result   Result // of opening a connection to the replica
+	proof    Result // of asking whether it answers
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -36,7 +37,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &fixture{t: t, accepted: make(chan net.Conn, 8), hints: make(chan Hint, 8), client: NewClient("c", nil), result: ResultOpened}
+	f := &fixture{t: t, accepted: make(chan net.Conn, 8), hints: make(chan Hint, 8), client: NewClient("c", nil), result: ResultOpened, proof: ResultAnswers}
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -58,6 +59,7 @@
 			}
 			return c, ResultOpened
 		},
+		Prove:     func(context.Context, medlarid.InstanceID, medlarid.Incarnation) Result { return f.proof },
 		OnHint:    func(h Hint) { f.hints <- h },
 		OnRequest: func(medlarid.InstanceID, medlarid.InstanceID, Result) {},
 	})
@@ -98,6 +100,25 @@
 	}
 }
 
+// TestProve guards against an instance that takes another one's open connection to a replica for an answer of it.
+func TestProve(t *testing.T) {
+	for proof, want := range map[Result]bool{
+		ResultAnswers: true, ResultSilent: false, ResultCut: false,
+		ResultOpened: false, // of an instance that does not know the question
+	} {
+		f := newFixture(t)
+		f.proof = proof
+		err := f.client.Prove(t.Context(), f.peer, "r", 1)
+		var e *Error
+		if got := err == nil; got != want || !got && (!errors.As(err, &e) || e.Result != proof) {
+			t.Errorf("answer %d: %v, want success %v", proof, err, want)
+		}
+		if len(f.accepted) > 0 {
+			t.Error("a connection to the replica was opened")
+		}
+	}
+}
+
 // TestBytesPassUnchanged guards against bytes that are lost, changed or put in another order.
 func TestBytesPassUnchanged(t *testing.T) {
 	f := newFixture(t)
--- a/internal/peer/medlartunnel/message.go
+++ b/internal/peer/medlartunnel/message.go
@@ -19,6 +19,7 @@
 	fieldIncarnation protowire.Number = 4 // varint
 	fieldLeaving     protowire.Number = 5 // varint, 1 if the replica leaves
 	fieldPause       protowire.Number = 6 // varint, milliseconds
+	fieldProve       protowire.Number = 7 // varint, 1 if the instance is asked whether the replica answers it
 )
 
 // maxRequest bounds the length of a request, in bytes.
@@ -32,10 +33,12 @@
 	Pause       time.Duration // for which the replica asks for no requests; 0 for none
 }
 
-// request is the first message on a connection: it asks for a connection to a replica, or passes on a hint.
+// request is the first message on a connection: it asks for a connection to a replica or whether that answers, or
+// passes on a hint.
 type request struct {
 	sender medlarid.InstanceID
 	key    Key
+	prove  bool
 	hint   Hint
 }
 
@@ -56,6 +59,9 @@
 	if q.hint.Pause > 0 {
 		b = appendVarint(b, fieldPause, uint64(max(q.hint.Pause.Milliseconds(), 1)))
 	}
+	if q.prove {
+		b = appendVarint(b, fieldProve, 1)
+	}
 	return append(protowire.AppendVarint(nil, uint64(len(b))), b...)
 }
 
@@ -142,6 +148,8 @@
 			q.hint.Incarnation = medlarid.Incarnation(v)
 		case fieldLeaving:
 			q.hint.Leaving = v != 0
+		case fieldProve:
+			q.prove = v != 0
 		case fieldPause:
 			q.hint.Pause = time.Duration(min(v, maxPauseMs)) * time.Millisecond
 		}
--- a/internal/peer/medlartunnel/server.go
+++ b/internal/peer/medlartunnel/server.go
@@ -19,7 +19,9 @@
 	Key Key
 	// Dial opens a direct connection to a replica, or returns why it does not (R1).
 	Dial func(ctx context.Context, replica medlarid.InstanceID, incarnation medlarid.Incarnation) (net.Conn, Result)
-	// OnHint is called with what a replica has said to another instance (R5).
+	// Prove returns ResultAnswers if a replica answers this instance now, or why it cannot say so (R5).
+	Prove func(ctx context.Context, replica medlarid.InstanceID, incarnation medlarid.Incarnation) Result
+	// OnHint is called with what a replica has said to another instance (R6).
 	OnHint func(Hint)
 	// OnRequest is called with the result of each request for a connection.
 	OnRequest func(sender, replica medlarid.InstanceID, r Result)
@@ -78,7 +80,7 @@
 	}
 }
 
-// Users returns the instances that have connections to a replica through this one (R5).
+// Users returns the instances that have connections to a replica through this one (R6).
 func (s *Server) Users(replica medlarid.InstanceID) []medlarid.InstanceID {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -125,6 +127,10 @@
 		_, _ = c.Write([]byte{byte(ResultTaken)})
 		return
 	}
+	if q.prove {
+		_, _ = c.Write([]byte{byte(s.deps.Prove(context.Background(), q.hint.Replica, q.hint.Incarnation))})
+		return
+	}
 	far, result := s.deps.Dial(context.Background(), q.hint.Replica, q.hint.Incarnation)
 	s.deps.OnRequest(q.sender, q.hint.Replica, result)
 	if far == nil {
