Send no run to a replica that has crashed, as this instance or another one has found

Cause: an instance that had lost a replica, and found by a probe that it was down, or had read another instance's report of the crash, still took it for usable until its own connections were refused, while the instance list named it for seconds. So a sound prompt went to three crashed replicas in turn and was refused with 'capacity', with nine sound ones left.

A further attempt of a run goes to a replica that has not answered since it was ejected only if there is no other.

TestCrashedReplicaGetsNoRun: the rows of a report, of a probe and of the second attempt failed before.

--- a/internal/core/medlarcore/crash_test.go
+++ b/internal/core/medlarcore/crash_test.go
@@ -104,6 +104,78 @@
 	})
 }
 
+// TestCrashedReplicaGetsNoRun guards against runs that an instance sends to replicas which have crashed, as it knows, one
+// after the other until none of its attempts is left.
+func TestCrashedReplicaGetsNoRun(t *testing.T) {
+	const engines, crashed = 12, 3
+	report := func(i int, change func(*medlarsuspect.Report)) medlarworld.CrashReported {
+		r := medlarsuspect.Report{Crash: medlarsuspect.CrashID{Replica: engineMember(i, "").ID}, Begun: []medlarsuspect.Trait{"x"}}
+		change(&r)
+		return medlarworld.CrashReported{Report: r}
+	}
+	same := func(*medlarsuspect.Report) {}
+	for _, tc := range []struct {
+		name  string
+		learn func(p *partsHarness, i int)
+		want  int // replicas that get no run
+	}{
+		{"reported by another instance", func(p *partsHarness, i int) { p.tick(report(i, same)) }, crashed},
+		{"found by a probe", func(p *partsHarness, i int) {
+			p.tick(medlarworld.UpstreamProbed{Crash: report(i, same).Report.Crash, Down: true})
+		}, crashed},
+		{"that took the probe", func(p *partsHarness, i int) {
+			p.tick(medlarworld.UpstreamProbed{Crash: report(i, same).Report.Crash})
+		}, 0},
+		{"of an earlier start", func(p *partsHarness, i int) {
+			p.tick(report(i, func(r *medlarsuspect.Report) { r.Crash.Incarnation-- }))
+		}, 0},
+		{"before this instance started", func(p *partsHarness, i int) {
+			p.tick(report(i, func(r *medlarsuspect.Report) { r.Earlier = true }))
+		}, 0},
+		{"reported once more after it is back", func(p *partsHarness, i int) {
+			p.tick(report(i, same))
+			p.now = p.now.Add(time.Second)
+			p.tick(report(i, func(r *medlarsuspect.Report) { r.Begun = append(r.Begun, "y") }))
+		}, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPartsHarness(t, engines, nil)
+			for i := range crashed {
+				tc.learn(p, i)
+			}
+			got := 0
+			for i := range crashed {
+				if !p.core.World().Upstreams[engineMember(i, "").ID].Usable(p.now) {
+					got++
+				}
+			}
+			if got != tc.want {
+				t.Errorf("%d of %d replicas get no run, want %d", got, crashed, tc.want)
+			}
+		})
+	}
+	t.Run("a second attempt goes to one that has not crashed", func(t *testing.T) {
+		for i := range 50 {
+			p := newPartsHarness(t, engines, func(c *medlarworld.Config) { c.Seed = uint64(i) })
+			for i := range crashed {
+				p.tick(report(i, same))
+			}
+			p.now = p.now.Add(time.Second) // still listed
+			down := func(s *medlarworld.StartAttempt) bool { return s.Upstream < engineMember(crashed, "").ID }
+			r := p.runWith()
+			s := p.submit(r)
+			if !down(s) {
+				continue
+			}
+			p.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: s.Attempt, Cause: medlarkind.CauseRetry, Reason: medlarreason.Unreachable})
+			p.now = p.now.Add(30 * time.Millisecond)
+			if s = startOf(p.tick(medlarworld.Tick{})); s == nil || down(s) {
+				t.Fatalf("second attempt %+v", s)
+			}
+		}
+	})
+}
+
 // TestRunStopsAfterCrashes guards against retries that carry a prompt from one replica that it
 // crashes to the next, before its parts are known.
 func TestRunStopsAfterCrashes(t *testing.T) {
--- a/internal/core/medlarretry/medlarretry.go
+++ b/internal/core/medlarretry/medlarretry.go
@@ -11,9 +11,10 @@
 //	    separately.
 //	R3  An untried upstream is preferred; a random pause spreads the retries of many
 //	    runs.
-//	R4  An upstream with several consecutive failures, or one that cannot be connected
-//	    to, is ejected for a time that doubles, unless half of the upstreams of its
-//	    target are already ejected.
+//	R4  An upstream with several consecutive failures, one that cannot be connected
+//	    to, or one that has crashed, as this instance finds or another one reports, is
+//	    ejected for a time that doubles, unless half of the upstreams of its target
+//	    are already ejected.
 //	R5  Lack of capacity is no failure of the upstream.
 //	R6  An upstream whose address belongs to another instance now is ejected however
 //	    many are left of its target: nothing sent to that address reaches it.
@@ -28,6 +29,7 @@
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlaroffload"
 	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarsuspect"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -66,10 +68,28 @@
 			attemptEnded(w, e)
 		case medlarworld.ClaimDenied:
 			claimDenied(w, e)
+		case medlarworld.UpstreamProbed:
+			if e.Down {
+				crashed(w, e.Crash)
+			}
+		case medlarworld.CrashReported:
+			// Of a crash that was reported before, the replica may be back.
+			if id := e.Report.Crash; !e.Report.Earlier && w.Suspects.Identify(id.Replica, id.Incarnation, w.Now) == id {
+				crashed(w, id)
+			}
 		}
 	}
 }
 
+// crashed ejects an upstream that has crashed, unless it has started anew since (R4). The instance list goes on naming
+// it for a while.
+func crashed(w *medlarworld.World, id medlarsuspect.CrashID) {
+	if u := w.Upstreams[id.Replica]; u != nil && u.Incarnation == id.Incarnation {
+		u.Failures = max(u.Failures, failuresToEject-1)
+		recordFailure(w, u)
+	}
+}
+
 func budgetOf(w *medlarworld.World) medlarworld.RetryBudget {
 	if w.Config.RetryBudget == (medlarworld.RetryBudget{}) {
 		return defaultBudget
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -3,7 +3,9 @@
 // Rules:
 //
 //	R1  A candidate is usable, serves the model under the desired or the serving
-//	    weight version, has capacity, and was not tried by the run unless all were.
+//	    weight version, has capacity, and was not tried by the run unless all were. A
+//	    further attempt does not go to one that has not answered since it was ejected
+//	    unless there is no other.
 //	    Where versions only increase, a later one than this instance knows to be
 //	    desired will do: the operators have published it, and the instance is cut off.
 //	    An answer that has begun continues under its own version only, and a stream at
@@ -280,7 +282,7 @@
 // scope selects the upstreams to consider.
 type scope struct {
 	wholeFleet   bool           // also replicas outside the subset
-	includeTried bool           // also upstreams that the run has tried
+	includeTried bool           // also upstreams that the run has tried, or that have not answered since they were ejected
 	build        medlarid.Build // of the upstreams; empty for any
 }
 
@@ -294,7 +296,7 @@
 	}
 	for _, u := range upstreams {
 		inScope := u.InSubset || sc.wholeFleet || u == home || r.Service != ""
-		mayTry := sc.includeTried || !slices.Contains(r.Tried, u)
+		mayTry := sc.includeTried || !slices.Contains(r.Tried, u) && (len(r.Tried) == 0 || u.Ejections == 0)
 		if !inScope || !mayTry || sc.build != "" && u.Build != sc.build || !eligible(w, r, u) {
 			continue
 		}
--- a/internal/ops/medlarattachednode/crash_test.go
+++ b/internal/ops/medlarattachednode/crash_test.go
@@ -288,13 +288,19 @@
 }
 
 // TestBlockedPartOnAnotherRoute guards against a blocked part that goes on through another route, and against
-// sound prompts that are refused with it.
+// sound prompts that are refused with it, or because their instance sends them to the crashed replicas, whose entries
+// remain, in turn.
 func TestBlockedPartOnAnotherRoute(t *testing.T) {
 	blocked := func(w *fixture) bool { return w.blocks("bad") }
-	f := startFleet(t, 2, nil)
+	f := startFleet(t, 2, func(s *medlarsite.Settings) { s.HeartbeatInterval = 5 * time.Second })
 	assertAllEvents(t, f.members[1].send(request{method: "POST", path: "/letter/x", id: "before", body: "{}", fields: prompt("aa:100,cc:300,own:500")}))
 	f.crashWith("bad")
 	f.until("the part is blocked", blocked)
+	for _, c := range f.site.Crashes() {
+		f.until("the crashed replica is ejected", func(w *fixture) bool {
+			return w.logged(fmt.Sprintf(`"event":"ejection","replica":%q,"back":false`, c.Replica))
+		})
+	}
 	for _, w := range f.members {
 		got := w.send(request{method: "POST", path: "/letter/x", id: "other", body: "{}", fields: prompt("zz:100,yy:300,bad:400,own:500")})
 		assertResult(t, got, 503, "")
