Apply no record of a read that the instance was ahead of when it arrived

Cause: to resume a stream, an instance reads the topic of notices once more beside following it. A response that arrived late was applied whole, after later records for the same keys: the address of another instance, a limit, or a block went back to what it was, for good if no further record of the key came. Found by reading.

Change: of such a read only what was not applied yet is applied. One that a store's return from a copy has overtaken is repeated.

--- a/internal/ops/medlarnotifier/medlarnotifier.go
+++ b/internal/ops/medlarnotifier/medlarnotifier.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"medlarfield/internal/agree/medlarfeed"
@@ -39,6 +40,10 @@
 	next  int                               // slot of the next crash
 	own   announcement
 	start string // distinguishes the starts of this instance
+
+	applying  sync.Mutex
+	appliedTo medlarid.Offset // of the topic; all records before it have been applied
+	restores  int             // of the store from a copy, which gives out offsets again
 }
 
 // Deps are what a Notifier depends on.
@@ -213,22 +218,50 @@
 
 // read passes what others have recorded until now to the core.
 func (n *Notifier) read(c medlarworld.ReadNotices) {
-	records, err := n.deps.Read()
+	err := n.applyRead()
 	if err != nil {
-		records, err = n.deps.Read() // it may have been reset
+		err = n.applyRead() // it may have been reset
 	}
 	if err != nil {
 		n.deps.CallFailed()
 		n.deps.Log.Warn().Str("event", "notice").Err(err).Msg("notices cannot be read; streams of other instances are not resumed")
 	}
-	n.Apply(records, false)
 	n.post(medlarworld.NoticesCurrent{AsOf: c.At, Failed: err != nil})
 }
 
+// errRestored reports that the store came back from a copy during a read.
+var errRestored = eris.New("the store came back from a copy during the read")
+
+// applyRead reads and applies what was not followed meanwhile: applied again, it would put later records back.
+func (n *Notifier) applyRead() error {
+	n.applying.Lock()
+	restores := n.restores
+	n.applying.Unlock()
+	records, err := n.deps.Read()
+	if err != nil {
+		return err
+	}
+	n.applying.Lock()
+	defer n.applying.Unlock()
+	if n.restores != restores {
+		return errRestored
+	}
+	n.apply(slices.DeleteFunc(records, func(r medlarfeed.Record) bool { return r.Offset < n.appliedTo }), false)
+	return nil
+}
+
 // Apply passes the records of other instances to the core; first is set if they are those that the store held
 // when this instance started.
 func (n *Notifier) Apply(records []medlarfeed.Record, first bool) {
+	n.applying.Lock()
+	defer n.applying.Unlock()
+	n.apply(records, first)
+}
+
+// apply carries out Apply. The caller holds the lock.
+func (n *Notifier) apply(records []medlarfeed.Record, first bool) {
 	for _, r := range records {
+		n.appliedTo = max(n.appliedTo, r.Offset+1)
 		n.removeEarlier(r)
 		n.setPeer(r)
 		e, err := medlarnotice.Decode(medlarnotice.Record{Key: r.Key, Value: r.Value})
@@ -252,6 +285,10 @@
 // Restore writes again what this instance has told the others, after the store came back from a
 // copy. Instances spread their writes.
 func (n *Notifier) Restore() {
+	n.applying.Lock()
+	n.appliedTo = 0
+	n.restores++
+	n.applying.Unlock()
 	time.AfterFunc(n.deps.Spread, func() {
 		n.post(medlarworld.RecordsRestored{})
 		n.announce()
