--- a/internal/ops/medlarattachednode/crash_test.go
+++ b/internal/ops/medlarattachednode/crash_test.go
@@ -19,7 +19,8 @@
 	crashSettling  = 3 * time.Second // after the fifth crash, until trials are counted
 	crashesSettled = 5
 	maxTrials      = 3
-	minSoundShare  = 0.5 // of sound requests that begin at the first attempt, against their share without crashes
+	soundPeriod    = 500 * time.Millisecond // for which sound requests are counted at least
+	minSoundShare  = 0.5                    // of sound requests that begin at the first attempt, against their share without crashes
 )
 
 // fleet is several instances at one site.
@@ -167,6 +168,9 @@
 				tc.during(f)
 			}
 			time.Sleep(8 * time.Second)
+			for !time.Now().After(f.soundFrom().Add(soundPeriod)) {
+				time.Sleep(100 * time.Millisecond)
+			}
 			close(stop)
 			assertStopped(t, f, bad())
 			assertSoundServed(t, f, sound())
@@ -204,12 +208,20 @@
 	}
 }
 
+// soundFrom returns the time from which sound requests are counted.
+func (f *fleet) soundFrom() time.Time {
+	crashes := f.site.Crashes()
+	if len(crashes) == 0 {
+		return time.Time{}
+	}
+	return crashes[min(len(crashes), crashesSettled)-1].At.Add(2 * crashSettling)
+}
+
 // assertSoundServed asserts that requests which share the account and other parts with those
 // that crash replicas are served.
 func assertSoundServed(t *testing.T, f *fleet, sound []outcome) {
 	t.Helper()
-	crashes := f.site.Crashes()
-	from := crashes[min(len(crashes), crashesSettled)-1].At.Add(2 * crashSettling)
+	from := f.soundFrom()
 	sent, served := 0, 0
 	for _, o := range sound {
 		if o.sent.Before(from) {
@@ -288,13 +300,19 @@
 }
 
 // TestBlockedPartOnAnotherRoute guards against a blocked part that goes on through another route, and against
-// sound prompts that are refused with it.
+// sound prompts that are refused with it, or because their instance sends them to the crashed replicas, whose entries
+// remain, in turn.
 func TestBlockedPartOnAnotherRoute(t *testing.T) {
 	blocked := func(w *fixture) bool { return w.blocks("bad") }
-	f := startFleet(t, 2, nil)
+	f := startFleet(t, 2, func(s *medlarsite.Settings) { s.HeartbeatInterval = 5 * time.Second })
 	assertAllEvents(t, f.members[1].send(request{method: "POST", path: "/letter/x", id: "before", body: "{}", fields: prompt("aa:100,cc:300,own:500")}))
 	f.crashWith("bad")
 	f.until("the part is blocked", blocked)
+	for _, c := range f.site.Crashes() {
+		f.until("the crashed replica is ejected", func(w *fixture) bool {
+			return w.logged(fmt.Sprintf(`"event":"ejection","replica":%q,"back":false`, c.Replica))
+		})
+	}
 	for _, w := range f.members {
 		got := w.send(request{method: "POST", path: "/letter/x", id: "other", body: "{}", fields: prompt("zz:100,yy:300,bad:400,own:500")})
 		assertResult(t, got, 503, "")
