Claim an assignment again when only other records came meanwhile

A change of the assignment of streams to software versions is claimed at the end of the topic that the instance has read.

An instance whose claim is refused now reads the records that came, and claims again at their end unless one of them is of the same key. Claims of trials of blocked parts stay as they were: they depend on records of other keys.

TestClaimWhileOthersWrite fails with one try, in its row 'other keys'. TestStreamsKeepTheirBuild passes.

--- a/internal/agree/medlarnotice/medlarnotice.go
+++ b/internal/agree/medlarnotice/medlarnotice.go
@@ -8,6 +8,8 @@
 //	R2  A claim is written once, and only if the topic still ends where the instance has read
 //	    to. So of several instances that claim the same thing one succeeds, and an
 //	    instance that has not read all records fails.
+//	    A claim that depends on no other key is written at a later end if the records up to there
+//	    have other keys: else none succeeds while others write all the time.
 //	R3  At most maxPending records wait to be written; further keys are dropped and
 //	    reported.
 package medlarnotice
@@ -16,6 +18,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +34,7 @@
 	maxBatch   = 64 // records in one call
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 600 * time.Millisecond
+	claimTries = 6
 )
 
 // Op names the operation that failed.
@@ -81,6 +85,8 @@
 	Append func(records []Record) error
 	// AppendAt appends a record if the topic ends at an offset.
 	AppendAt func(at medlarid.Offset, r Record) error
+	// Read returns the records from an offset on, and the offset after them.
+	Read func(from medlarid.Offset) (records []Record, end medlarid.Offset, err error)
 	// OnError is called for each call that failed and each record that was dropped.
 	OnError func(error)
 }
@@ -151,6 +157,29 @@
 	return nil
 }
 
+// ClaimKey writes a record if the instance has read all others of its key (R2).
+func (b *Board) ClaimKey(r Record) error {
+	end, ok := b.End()
+	if !ok {
+		return &Error{Op: OpClaim, Kind: KindBehind, Err: eris.New("the topic has not been read")}
+	}
+	var err error
+	for range claimTries {
+		if err = b.deps.AppendAt(end, r); err == nil {
+			return nil
+		}
+		records, next, failed := b.deps.Read(end)
+		switch {
+		case failed != nil || next <= end:
+			return &Error{Op: OpClaim, Kind: KindStore, Err: err}
+		case slices.ContainsFunc(records, func(o Record) bool { return o.Key == r.Key }):
+			return &Error{Op: OpClaim, Kind: KindBehind, Err: eris.New("the record has changed")}
+		}
+		end = next
+	}
+	return &Error{Op: OpClaim, Kind: KindStore, Err: err}
+}
+
 // Run writes queued records until ctx ends.
 func (b *Board) Run(ctx context.Context) {
 	failures := 0
--- a/internal/agree/medlarnotice/medlarnotice_test.go
+++ b/internal/agree/medlarnotice/medlarnotice_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -23,6 +24,7 @@
 	records []Record
 	down    atomic.Bool
 	errs    []error
+	others  []Record // that other instances write before the next claims, one before each
 }
 
 func (tp *topic) board() *Board {
@@ -35,12 +37,21 @@
 			return nil
 		},
 		AppendAt: func(at medlarid.Offset, r Record) error {
+			if len(tp.others) > 0 {
+				tp.records, tp.others = append(tp.records, tp.others[0]), tp.others[1:]
+			}
 			if tp.down.Load() || int(at) != len(tp.records) {
 				return errDown
 			}
 			tp.records = append(tp.records, r)
 			return nil
 		},
+		Read: func(from medlarid.Offset) (records []Record, end medlarid.Offset, err error) {
+			if tp.down.Load() {
+				return nil, 0, errDown
+			}
+			return tp.records[from:], medlarid.Offset(len(tp.records)), nil
+		},
 		OnError: func(err error) { tp.errs = append(tp.errs, err) },
 	})
 }
@@ -108,6 +119,44 @@
 	tp.assertRecords(t, Record{Key: "x", Value: []byte("1")})
 }
 
+// TestClaimWhileOthersWrite guards against a claim that no instance is granted while others write records of other keys all the time, and
+// against one by an instance that has not read the last one of its key.
+func TestClaimWhileOthersWrite(t *testing.T) {
+	other, same := Record{Key: "y", Value: []byte("1")}, Record{Key: "x", Value: []byte("2")}
+	for _, tc := range []struct {
+		name   string
+		others []Record
+		down   bool
+		want   bool
+	}{
+		{"none", nil, false, true},
+		{"other keys", []Record{other, other, other}, false, true},
+		{"its key", []Record{same}, false, false},
+		{"its key later", []Record{other, same}, false, false},
+		{"its key is removed", []Record{other, {Key: "x"}}, false, false},
+		{"without end", slices.Repeat([]Record{other}, 100), false, false},
+		{"without the store", nil, true, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			tp := &topic{others: tc.others}
+			tp.down.Store(tc.down)
+			b := tp.board()
+			if err := b.ClaimKey(Record{Key: "x"}); err == nil {
+				t.Error("a claim before the topic was read succeeds")
+			}
+			b.SetEnd(0)
+			claim := Record{Key: "x", Value: []byte("1")}
+			err := b.ClaimKey(claim)
+			if (err == nil) != tc.want {
+				t.Errorf("claim: %v, want one that succeeds: %v", err, tc.want)
+			}
+			if written := slices.ContainsFunc(tp.records, func(r Record) bool { return cmp.Equal(r, claim) }); written != tc.want {
+				t.Errorf("claim is written: %v, want %v", written, tc.want)
+			}
+		})
+	}
+}
+
 func TestRecordsKeepTheirMeaning(t *testing.T) {
 	t.Run("crash", func(t *testing.T) {
 		want := medlarsuspect.Report{
--- a/internal/ops/medlarattachednode/notices.go
+++ b/internal/ops/medlarattachednode/notices.go
@@ -26,6 +26,13 @@
 		AppendAt: func(at medlarid.Offset, r medlarnotice.Record) error {
 			return s.AppendKeyedAt(medlarplatform.TopicNotices, at, r)
 		},
+		Read: func(from medlarid.Offset) (records []medlarnotice.Record, end medlarid.Offset, err error) {
+			b, err := readNotices(s, from)
+			for _, r := range b.Records {
+				records = append(records, medlarnotice.Record{Key: r.Key, Value: r.Value})
+			}
+			return records, b.NextOffset, err
+		},
 		OnError: func(err error) {
 			m.CallFailed(medlarplatform.TopicNotices)
 			log.Warn().Str("event", "notice").Err(err).Msg("notice to the other instances cannot be written")
@@ -54,10 +61,7 @@
 			if !ok {
 				return nil, errUnread
 			}
-			b, err := s.Follow(medlarplatform.TopicNotices, end, medlarfeed.ReadOptions{})
-			if err == nil && b.Truncated {
-				err = errUnread
-			}
+			b, err := readNotices(s, end)
 			return b.Records, err
 		},
 		Spread:     time.Duration(rankOf(cfg) % int(restoreSpread)),
@@ -65,5 +69,14 @@
 	})
 }
 
+// readNotices returns the notices from an offset on.
+func readNotices(s *medlarcalls.Store, from medlarid.Offset) (medlarfeed.Batch, error) {
+	b, err := s.Follow(medlarplatform.TopicNotices, from, medlarfeed.ReadOptions{})
+	if err == nil && b.Truncated {
+		err = errUnread
+	}
+	return b, err
+}
+
 // errUnread reports that the topic of notices has to be read anew first.
 var errUnread = eris.New("topic of notices is not read yet, or its records are truncated")
--- a/internal/ops/medlarnotifier/build.go
+++ b/internal/ops/medlarnotifier/build.go
@@ -32,7 +32,7 @@
 	}
 	go func() {
 		event := n.deps.Log.Info().Str("event", "builds").Str("service", string(c.Service)).Uint64("serial", c.Assignment.Serial)
-		if err := n.deps.Board.Claim(r); err != nil {
+		if err := n.deps.Board.ClaimKey(r); err != nil {
 			event.Err(err).Msg("change of the assignment of streams to software versions is not granted")
 			return
 		}
