Count no crash anew of a replica that nobody knows to have been up since the one before

Cause: behind a proxy or a balancer a connection to a replica that is down opens, and ends within a few ms. An instance that had just started took that for an attempt that was lost with a replica, and the next start of the replica for the proof that the attempt had crashed it. Three replicas contacted for the first time at different moments made three crashes, and the part that all prompts share was blocked. The class: a connection that opens is taken for a sign that its peer works.

Change: an instance knows when it received something from each replica last. Where only a new start shows a crash, its report states for how long nothing had been received before, and a crash does not count anew if its replica is not known to have been up after the one counted before. A crash that a refused connection shows counts as before, as do reports of earlier builds, which lack the field.

TestReplicasThatWereDownBlameNoPart: its first row failed before; the two others, replicas that answer and then crash, hold before and after. With equal requests (SAME=1) it is still broken: not mended by this.

--- a/internal/agree/medlarnotice/crash.go
+++ b/internal/agree/medlarnotice/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/go-json-experiment/json"
 	"github.com/go-json-experiment/json/jsontext"
@@ -41,8 +42,12 @@
 	End     int                   `json:"end,omitempty"`
 	Begun   []medlarsuspect.Trait `json:"begun,omitempty"`
 	Waiting []medlarsuspect.Trait `json:"waiting,omitempty"`
+	Unseen  int64                 `json:"unseen,omitzero"` // ms
 }
 
+// maxUnseenMs bounds a time in ms, so that it cannot overflow.
+const maxUnseenMs = 3_600_000
+
 // blockRecord is the shared state of a trait.
 type blockRecord struct {
 	Trials  int  `json:"trials"`
@@ -59,7 +64,7 @@
 func EncodeCrash(r medlarsuspect.Report) ([]byte, error) {
 	begun := unique(r.Begun, maxReportTraits)
 	waiting := unique(r.Waiting, maxReportTraits-len(begun))
-	out := crashRecord{Replica: r.Crash.Replica, Born: r.Crash.Incarnation, End: r.Crash.End, Begun: begun, Waiting: waiting}
+	out := crashRecord{Replica: r.Crash.Replica, Born: r.Crash.Incarnation, End: r.Crash.End, Begun: begun, Waiting: waiting, Unseen: r.Unseen.Milliseconds()}
 	return json.Marshal(out, jsontext.AllowInvalidUTF8(true)) // callers name the parts, which may be any bytes
 }
 
@@ -130,8 +135,9 @@
 		return nil, err
 	}
 	return medlarworld.CrashReported{Report: medlarsuspect.Report{
-		Crash: medlarsuspect.CrashID{Replica: c.Replica, Incarnation: c.Born, End: c.End},
-		Begun: c.Begun[:min(len(c.Begun), maxReportTraits)], Waiting: c.Waiting[:min(len(c.Waiting), maxReportTraits)],
+		Crash:  medlarsuspect.CrashID{Replica: c.Replica, Incarnation: c.Born, End: c.End},
+		Unseen: time.Duration(min(max(c.Unseen, 0), maxUnseenMs)) * time.Millisecond,
+		Begun:  c.Begun[:min(len(c.Begun), maxReportTraits)], Waiting: c.Waiting[:min(len(c.Waiting), maxReportTraits)],
 	}}, nil
 }
 
--- /dev/null
+++ b/internal/core/medlarcore/unseen_test.go
@@ -0,0 +1,70 @@
+package medlarcore
+
+import (
+	"testing"
+	"time"
+
+	"medlarfield/internal/core/medlarkind"
+	"medlarfield/internal/core/medlarsuspect"
+	"medlarfield/internal/core/medlarworld"
+)
+
+// TestReplicasThatWereDownBlameNoPart guards against a part of all prompts that is blocked as replicas were down before they
+// were sent anything: behind a proxy connections to them open, and end.
+func TestReplicasThatWereDownBlameNoPart(t *testing.T) {
+	const engines = 5
+	for _, tc := range []struct {
+		name    string
+		answer  bool // each replica answers the instance before it is down
+		head    bool // of the response to the request that is lost
+		blocked bool
+	}{
+		{"nothing was received from them", false, false, false},
+		{"they answer, and crash on a request", true, false, true},
+		{"they begin to answer, and crash", false, true, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPartsHarness(t, engines, nil)
+			var members []medlarworld.Member
+			for i := range engines {
+				members = append(members, engineMember(i, "1"))
+			}
+			for i := range engines {
+				if tc.answer {
+					p.endAt(i, medlarworld.AttemptEnded{Cause: medlarkind.CauseDone, Reached: true, Head: true})
+				}
+				p.now = p.now.Add(100 * time.Millisecond)
+				cs := p.endAt(i, medlarworld.AttemptEnded{
+					Cause: medlarkind.CauseUnknown, Reached: true, Lost: true, Head: tc.head, Connected: p.now,
+				}, "aa")
+				p.tick(medlarworld.UpstreamProbed{Crash: crashProbed(t, cs)})
+				members[i].Incarnation++
+				p.tick(medlarworld.InstancesListed{Members: members})
+				p.now = p.now.Add(400 * time.Millisecond)
+			}
+			p.now = p.now.Add(time.Second)
+			p.tick(medlarworld.Tick{})
+			p.tick(medlarworld.Tick{})
+			if _, blocked := p.core.World().Suspects.Blocked([]medlarsuspect.Trait{"aa"}); blocked != tc.blocked {
+				t.Errorf("the part is blocked: %v, want %v", blocked, tc.blocked)
+			}
+		})
+	}
+}
+
+// endAt makes engine i the only usable one, starts a run with parts there and ends its attempt. It returns nothing if the run is refused.
+func (p *partsHarness) endAt(i int, e medlarworld.AttemptEnded, parts ...medlarsuspect.Trait) []medlarworld.Command {
+	p.t.Helper()
+	for id, u := range p.core.World().Upstreams {
+		u.EjectedUntil = p.now.Add(time.Hour)
+		if id == engineMember(i, "").ID {
+			u.EjectedUntil = time.Time{}
+		}
+	}
+	s := p.submit(p.runWith(parts...))
+	if s == nil {
+		return nil
+	}
+	e.Run, e.Attempt = s.Run, s.Attempt
+	return p.tick(e)
+}
--- a/internal/core/medlarcrash/medlarcrash.go
+++ b/internal/core/medlarcrash/medlarcrash.go
@@ -6,6 +6,9 @@
 //	    suspect if the replica has crashed: it refuses new connections, or it is
 //	    listed under a new incarnation soon after, unless it was known to have crashed under the
 //	    one before. A replica that leaves is not suspected to have crashed.
+//	    Where only a new incarnation shows the crash, the replica may have been down before the attempt: behind a
+//	    proxy or a balancer connections to it open nevertheless. Its report states how long before the
+//	    loss this instance last received anything from it.
 //	R2  What was lost with a replica is reported to all instances, once more whenever
 //	    more is known.
 //	R3  A run with a blocked trait starts no attempt, be it new, waiting, or to be resumed
@@ -16,6 +19,7 @@
 package medlarcrash
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -29,6 +33,7 @@
 // Times and counts of the rules.
 const (
 	beginning     = 250 * time.Millisecond // an answer that began less than this ago may have crashed the replica (R1)
+	neverSeen     = time.Hour              // stated for a replica from which nothing was received
 	lossWindow    = 5 * time.Second        // in which a new incarnation shows that a replica has crashed (R1)
 	maxRunCrashes = 2                      // R4
 
@@ -39,12 +44,21 @@
 // System finds crashes of replicas and refuses the runs that must not go on.
 type System struct {
 	losses []*loss
+	seen   map[medlarid.InstanceID]seen
+}
+
+// seen is when something was received from a replica last, under an incarnation.
+type seen struct {
+	incarnation medlarid.Incarnation
+	at          time.Time
 }
 
 // loss is what this instance has lost with one end of a replica.
 type loss struct {
 	id             medlarsuspect.CrashID
 	at             time.Time // of the last lost attempt
+	proven         bool      // the replica was up until the loss
+	seenAt         time.Time // when something was received from the replica last; zero for never
 	begun, waiting []medlarsuspect.Trait
 	runs           []medlarid.RequestID // lost before their answer began, and not yet counted
 	probing        bool                 // a probe is in flight
@@ -52,13 +66,16 @@
 }
 
 // New returns a System.
-func New() *System { return &System{} }
+func New() *System { return &System{seen: map[medlarid.InstanceID]seen{}} }
 
 // Run handles the events of one tick.
 func (s *System) Run(w *medlarworld.World) {
 	changed := false
 	for _, e := range w.Events {
 		switch e := e.(type) {
+		case medlarworld.AnswerBegan:
+			s.received(w, currentRun(w, e.Run, e.Attempt))
+			continue
 		case medlarworld.AttemptEnded:
 			s.attemptEnded(w, e)
 			continue
@@ -124,6 +141,9 @@
 
 func (s *System) attemptEnded(w *medlarworld.World, e medlarworld.AttemptEnded) {
 	r := currentRun(w, e.Run, e.Attempt)
+	if e.Head || e.Cause == medlarkind.CauseDone || e.Cause == medlarkind.CauseAnswered {
+		s.received(w, r)
+	}
 	if r == nil || len(r.Traits) == 0 {
 		return
 	}
@@ -135,6 +155,32 @@
 	}
 }
 
+// received records that something was received from the upstream of a run.
+func (s *System) received(w *medlarworld.World, r *medlarworld.Run) {
+	if r != nil {
+		s.seen[r.Upstream.ID] = seen{r.Upstream.Incarnation, w.Now}
+	}
+}
+
+// seenAt returns when something was received from an upstream last; zero for never.
+func (s *System) seenAt(u *medlarworld.Upstream) time.Time {
+	if b := s.seen[u.ID]; b.incarnation == u.Incarnation {
+		return b.at
+	}
+	return time.Time{}
+}
+
+// unseen returns for how long nothing had been received from the replica of a loss; 0 if it was up until then.
+func (l *loss) unseen(now time.Time) time.Duration {
+	switch {
+	case l.proven:
+		return 0
+	case l.seenAt.IsZero():
+		return neverSeen
+	}
+	return min(max(now.Sub(l.seenAt), time.Millisecond), neverSeen)
+}
+
 // lost records a lost attempt and asks whether its upstream is down (R1).
 func (s *System) lost(w *medlarworld.World, r *medlarworld.Run, e medlarworld.AttemptEnded) {
 	r.Trial = false
@@ -145,7 +191,7 @@
 		l = &loss{id: id}
 		s.losses = append(s.losses, l)
 	}
-	l.at = w.Now
+	l.at, l.seenAt = w.Now, s.seenAt(u)
 	l.runs = append(l.runs, r.ID)
 	if e.Head {
 		l.begun = append(l.begun, r.Traits...)
@@ -179,12 +225,13 @@
 	if !e.Down || l.crashed {
 		return
 	}
-	l.crashed = true
+	l.crashed, l.proven = true, true
 	s.report(w, l)
 }
 
 // findRestarts finds replicas that have started again after attempts were lost with them (R1).
 func (s *System) findRestarts(w *medlarworld.World) {
+	maps.DeleteFunc(s.seen, func(id medlarid.InstanceID, _ seen) bool { return w.Upstreams[id] == nil })
 	for _, l := range s.losses {
 		// After an earlier end the new incarnation may be the start that followed that one.
 		if u := w.Upstreams[l.id.Replica]; u != nil && u.Incarnation != l.id.Incarnation && l.id.End == 0 && !l.crashed {
@@ -202,7 +249,7 @@
 		}
 	}
 	l.runs = nil
-	report := medlarsuspect.Report{Crash: l.id, Begun: l.begun, Waiting: l.waiting}
+	report := medlarsuspect.Report{Crash: l.id, Begun: l.begun, Waiting: l.waiting, Unseen: l.unseen(w.Now)}
 	if w.Suspects.AddReport(w.Now, report, true) {
 		w.Emit(medlarworld.ReportCrash{Report: report})
 	}
--- a/internal/core/medlarsuspect/crash.go
+++ b/internal/core/medlarsuspect/crash.go
@@ -21,12 +21,16 @@
 	Begun   []Trait // of requests that the replica had begun to answer
 	Waiting []Trait // of all others that were lost with it
 	Earlier bool    // read when this instance started; the crash was at an unknown time before (R4)
+	// Unseen is the time before the loss for which the instance had received nothing from the replica, if only a later start
+	// of it shows that it has crashed; 0 if it was up until the loss (R4).
+	Unseen time.Duration
 }
 
 // crash is a remembered crash.
 type crash struct {
 	id             CrashID
 	at             time.Time // of the first report
+	upAt           time.Time // when the replica was up last, as far as is known
 	begun, waiting map[Trait]bool
 	cleared        map[Trait]bool // of begun and waiting
 	begunPrompt    bool           // a prompt with parts is in begun
@@ -95,14 +99,26 @@
 	id := r.Crash
 	for _, c := range t.crashes {
 		if c.id == id || c.id.Replica == id.Replica && now.Sub(c.at) < minLife {
+			c.seen(now, r)
 			return c
 		}
 	}
-	c := &crash{id: id, at: now, earlier: r.Earlier, begun: map[Trait]bool{}, waiting: map[Trait]bool{}, cleared: map[Trait]bool{}}
+	c := &crash{id: id, at: now, upAt: now.Add(-r.Unseen), earlier: r.Earlier, begun: map[Trait]bool{}, waiting: map[Trait]bool{}, cleared: map[Trait]bool{}}
 	t.crashes = append(t.crashes, c)
 	return c
 }
 
+// seen applies what a further report of a crash states of when the replica was up last.
+func (c *crash) seen(now time.Time, r Report) {
+	upAt := c.at
+	if r.Unseen > 0 {
+		upAt = now.Add(-r.Unseen)
+	}
+	if upAt.After(c.upAt) {
+		c.upAt = upAt
+	}
+}
+
 // add adds traits to a set and returns how many were new.
 func add(set map[Trait]bool, traits []Trait) int {
 	n := len(set)
@@ -128,5 +144,6 @@
 
 // sameCrash reports whether a crash counts once against a trait with one at an earlier time (R4).
 func sameCrash(p Trait, before time.Time, c *crash) bool {
-	return c.earlier || !p.Whole() && c.at.Sub(before) <= sameMoment
+	unseen := c.upAt.Before(c.at) && !c.upAt.After(before)
+	return c.earlier || unseen || !p.Whole() && c.at.Sub(before) <= sameMoment
 }
--- a/internal/core/medlarsuspect/medlarsuspect.go
+++ b/internal/core/medlarsuspect/medlarsuspect.go
@@ -22,7 +22,8 @@
 //	    once for parts of prompts, since a fault of many replicas has another cause; a request
 //	    as a whole is seldom at several replicas at once. Crashes that the instance has read of
 //	    when it started count once for all traits: it knows neither when they were nor what
-//	    was answered since. Of traits that are equally suspected,
+//	    was answered since. Neither does a crash count anew of which nobody knows that the replica was
+//	    still up after the one before. Of traits that are equally suspected,
 //	    the narrowest is blocked, and of these the ones whose last answer is longest ago: a
 //	    part of prompts that always comes with another one has no later answer than that.
 //	R5  A block takes effect after a delay, in which an instance that has had an answer with
