Take a replica that has started anew for usable

Cause: a replica was ejected for a time that doubles until it answered this instance, also over new starts under its id. As crashes that others report eject replicas, too, one that had started anew could be left out for many seconds without a failure of that start.

Change: a new start of a replica ends its ejection, and what was counted of the earlier one.

TestCrashedReplicaGetsNoRun/and_has_started_anew failed before. The tests of medlarcore and medlarfleet pass.

--- a/internal/core/medlarcore/crash_test.go
+++ b/internal/core/medlarcore/crash_test.go
@@ -129,6 +129,26 @@
 		{"of an earlier start", func(p *partsHarness, i int) {
 			p.tick(report(i, func(r *medlarsuspect.Report) { r.Crash.Incarnation-- }))
 		}, 0},
+		{"and has started anew", func(p *partsHarness, i int) {
+			for range 3 { // without an answer to this instance in between
+				p.tick(report(i, func(r *medlarsuspect.Report) {
+					r.Crash.Incarnation = p.core.World().Upstreams[r.Crash.Replica].Incarnation
+				}))
+				p.now = p.now.Add(5 * time.Second)
+				var members []medlarworld.Member
+				for k := range engines {
+					m := engineMember(k, "1")
+					m.Incarnation = p.core.World().Upstreams[m.ID].Incarnation
+					if k == i {
+						m.Incarnation++
+					}
+					members = append(members, m)
+				}
+				p.tick(medlarworld.InstancesListed{Members: members})
+			}
+			p.tick(report(i, func(r *medlarsuspect.Report) { r.Crash.Incarnation = 3 }))
+			p.now = p.now.Add(600 * time.Millisecond)
+		}, 0},
 		{"before this instance started", func(p *partsHarness, i int) {
 			p.tick(report(i, func(r *medlarsuspect.Report) { r.Earlier = true }))
 		}, 0},
--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -19,6 +19,7 @@
 //	    row.
 //	R9  An upstream that asks for a pause gets no new work in it. The pause is bounded, so
 //	    that a wrong value does not keep an upstream out for good.
+//	R10 Failures and crashes of an upstream's earlier start do not keep a later one out.
 package medlarfleet
 
 import (
@@ -180,6 +181,7 @@
 		u.Incarnation, u.ReportedLeaving, u.PausedUntil = m.Incarnation, false, time.Time{}
 		u.Limited, u.Limit, u.LimitShare, u.LimitTokens = false, 0, 0, 0
 		u.Brittle = medlarworld.Brittleness{}
+		readmit(w, u)
 	}
 	u.Zone, u.Address, u.Service, u.Build = m.Zone, m.Address, m.Service, m.Build
 	u.VersionDenied = m.VersionDenied
@@ -200,6 +202,14 @@
 	u.Delisted = false
 }
 
+// readmit ends the ejection of an upstream that has started anew (R10).
+func readmit(w *medlarworld.World, u *medlarworld.Upstream) {
+	if u.Ejections > 0 {
+		w.Emit(medlarworld.Ejected{Upstream: u.ID, Readmitted: true})
+	}
+	u.Failures, u.Ejections, u.EjectedUntil = 0, 0, time.Time{}
+}
+
 func updateStore(w *medlarworld.World, m medlarworld.Member) {
 	s := w.Stores[m.ID]
 	if s == nil {
