Await that an instance learns of the other one's streams while some are in flight

TestInstancesTellOneAnotherOfLoad sent twelve streams that last 1.5 s, once. An instance that reads the new address of the other one later, as with the store away for a moment or on a loaded machine, learned of none of them, since they had ended. What it guards against is an instance that never learns: the streams are now sent again until it has, for at most 10 s as before, and the bound on their number stays.

--- a/internal/ops/medlarattachednode/load_test.go
+++ b/internal/ops/medlarattachednode/load_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"fmt"
 	"regexp"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,10 +25,13 @@
 	})
 	busy, idle := f.members[0], f.members[1]
 	learns := func(what string) {
+		var learned atomic.Bool
 		done := make(chan struct{})
 		for i := range streams {
 			go func() {
-				busy.trySendNew(request{method: "POST", path: "/query/x", id: what + strconv.Itoa(i), body: "{}", fields: prompt("aa:100,own:500")}.text())
+				for n := 0; !learned.Load() && !t.Failed(); n++ { // streams in flight until it is known
+					busy.trySendNew(request{method: "POST", path: "/query/x", id: fmt.Sprint(what, i, "-", n), body: "{}", fields: prompt("aa:100,own:500")}.text())
+				}
 				done <- struct{}{}
 			}()
 		}
@@ -39,6 +44,7 @@
 			}
 			return most > 0 && most <= streams
 		})
+		learned.Store(true)
 		for range streams {
 			<-done
 		}
