--- a/internal/core/medlarsuspect/history_test.go
+++ b/internal/core/medlarsuspect/history_test.go
@@ -426,7 +426,7 @@
 // TestHistoriesOfFewReplicas guards against sound parts and requests that are kept back for long because
 // all of a few replicas crash again and again while they are in progress.
 func TestHistoriesOfFewReplicas(t *testing.T) {
-	for _, seed := range []uint64{93, 162, 295} {
+	for _, seed := range []uint64{93, 162, 243, 295} {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { playStaleHistory(t, seed) })
 	}
 }
