--- a/internal/agree/medlarcatalog/medlarcatalog.go
+++ b/internal/agree/medlarcatalog/medlarcatalog.go
@@ -47,7 +47,7 @@
 	MaxAttempts        int           // maximum number of replicas that one request is sent to
 	PriorityLevel      int           // 0 is the most urgent
 	AllowAnonymous     bool          // requests need no key
-	// Resumable tells that a stream may be resumed on another replica.
+	// Resumable reports that a stream may be resumed on another replica.
 	Resumable bool
 }
 
@@ -115,6 +115,18 @@
 	IdleTimeout    time.Duration // maximum time between two requests of a connection
 }
 
+// DefaultLimits apply before the first catalog, and in place of those that a catalog does not state.
+var DefaultLimits = Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+
+// orDefault returns the limits with DefaultLimits in place of zeros.
+func (l Limits) orDefault() Limits {
+	l.MaxHeaderBytes = cmp.Or(l.MaxHeaderBytes, DefaultLimits.MaxHeaderBytes)
+	l.MaxBodyBytes = cmp.Or(l.MaxBodyBytes, DefaultLimits.MaxBodyBytes)
+	l.HeaderTimeout = cmp.Or(l.HeaderTimeout, DefaultLimits.HeaderTimeout)
+	l.IdleTimeout = cmp.Or(l.IdleTimeout, DefaultLimits.IdleTimeout)
+	return l
+}
+
 // Catalog is one version of the configuration (R2).
 type Catalog struct {
 	Version  uint64
@@ -132,13 +144,13 @@
 	Keys    []string
 }
 
-// New returns a catalog. keyRequired tells whether accounts are in use: all routes but
+// New returns a catalog. keyRequired reports whether accounts are in use: all routes but
 // those that allow anonymous requests then need a key.
 func New(version uint64, routes []Route, services []Service, accountKeys []AccountKeys, keyRequired bool, limits Limits) *Catalog {
 	c := &Catalog{
 		Version:     version,
 		Services:    make(map[medlarid.ServiceID]Service, len(services)),
-		Limits:      limits,
+		Limits:      limits.orDefault(),
 		keyRequired: keyRequired,
 		routes:      map[string][]Route{},
 		accounts:    map[string]Account{},
--- a/internal/agree/medlarnotice/medlarnotice.go
+++ b/internal/agree/medlarnotice/medlarnotice.go
@@ -1,4 +1,4 @@
-// Package medlarnotice writes what one instance tells all others, as records in a keyed topic
+// Package medlarnotice writes what one instance reports to all others, as records in a keyed topic
 // of the platform's store. All instances follow the topic.
 //
 // Rules:
@@ -8,6 +8,8 @@
 //	R2  A claim is written once, and only if the topic still ends where the instance has read
 //	    to. So of several instances that claim the same thing one succeeds, and an
 //	    instance that has not read all records fails.
+//	    A claim that depends on no other key is written at a later end if the records up to there
+//	    have other keys: else none succeeds while others write all the time.
 //	R3  At most maxPending records wait to be written; further keys are dropped and
 //	    reported.
 package medlarnotice
@@ -16,6 +18,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +34,7 @@
 	maxBatch   = 64 // records in one call
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 600 * time.Millisecond
+	claimTries = 6
 )
 
 // Op names the operation that failed.
@@ -71,16 +75,18 @@
 type Record struct {
 	Key   string
 	Value []byte
-	// Serial tells the writer which of its records of the key this is; it is not written.
+	// Serial numbers the writer's records of the key; it is not written.
 	Serial uint64
 }
 
 // Deps are the functions with which a board writes.
 type Deps struct {
-	// Append appends records to the topic, all or none.
-	Append func(records []Record) error
+	// Append appends records to the topic, all or none, and returns the offset of the first.
+	Append func(records []Record) (medlarid.Offset, error)
 	// AppendAt appends a record if the topic ends at an offset.
 	AppendAt func(at medlarid.Offset, r Record) error
+	// Read returns the records from an offset on, and the offset after them.
+	Read func(from medlarid.Offset) (records []Record, end medlarid.Offset, err error)
 	// OnError is called for each call that failed and each record that was dropped.
 	OnError func(error)
 }
@@ -89,7 +95,7 @@
 type Board struct {
 	deps      Deps
 	wake      chan struct{}
-	onWritten func([]Record)
+	onWritten func([]Record, medlarid.Offset)
 
 	mu      sync.Mutex
 	pending map[string]Record
@@ -100,12 +106,12 @@
 
 // New returns a board; Run makes it write.
 func New(deps Deps) *Board {
-	return &Board{deps: deps, wake: make(chan struct{}, 1), pending: map[string]Record{}, onWritten: func([]Record) {}}
+	return &Board{deps: deps, wake: make(chan struct{}, 1), pending: map[string]Record{}, onWritten: func([]Record, medlarid.Offset) {}}
 }
 
-// SetOnWritten sets the function that is called with the queued records that each call has written. It
-// is called before Run.
-func (b *Board) SetOnWritten(f func([]Record)) { b.onWritten = f }
+// SetOnWritten sets the function that is called with the queued records that each call has written, and the offset
+// of the first. It is called before Run.
+func (b *Board) SetOnWritten(f func([]Record, medlarid.Offset)) { b.onWritten = f }
 
 // Put queues a record (R1).
 func (b *Board) Put(r Record) {
@@ -151,6 +157,29 @@
 	return nil
 }
 
+// ClaimKey writes a record if the instance has read all others of its key (R2).
+func (b *Board) ClaimKey(r Record) error {
+	end, ok := b.End()
+	if !ok {
+		return &Error{Op: OpClaim, Kind: KindBehind, Err: eris.New("the topic has not been read")}
+	}
+	var err error
+	for range claimTries {
+		if err = b.deps.AppendAt(end, r); err == nil {
+			return nil
+		}
+		records, next, failed := b.deps.Read(end)
+		switch {
+		case failed != nil || next <= end:
+			return &Error{Op: OpClaim, Kind: KindStore, Err: err}
+		case slices.ContainsFunc(records, func(o Record) bool { return o.Key == r.Key }):
+			return &Error{Op: OpClaim, Kind: KindBehind, Err: eris.New("the record has changed")}
+		}
+		end = next
+	}
+	return &Error{Op: OpClaim, Kind: KindStore, Err: err}
+}
+
 // Run writes queued records until ctx ends.
 func (b *Board) Run(ctx context.Context) {
 	failures := 0
@@ -165,7 +194,8 @@
 			if len(batch) == 0 {
 				break
 			}
-			if err := b.deps.Append(batch); err != nil {
+			first, err := b.deps.Append(batch)
+			if err != nil {
 				b.deps.OnError(&Error{Op: OpPut, Kind: KindStore, Err: err})
 				b.putBack(batch)
 				failures++
@@ -173,7 +203,7 @@
 				continue
 			}
 			failures = 0
-			b.onWritten(batch)
+			b.onWritten(batch, first)
 		}
 	}
 }
--- a/internal/core/medlarretry/medlarretry.go
+++ b/internal/core/medlarretry/medlarretry.go
@@ -11,9 +11,10 @@
 //	    separately.
 //	R3  An untried upstream is preferred; a random pause spreads the retries of many
 //	    runs.
-//	R4  An upstream with several consecutive failures, or one that cannot be connected
-//	    to, is ejected for a time that doubles, unless half of the upstreams of its
-//	    target are already ejected.
+//	R4  An upstream with several consecutive failures, one that cannot be connected
+//	    to, or one that has crashed, as this instance finds or another one reports, is
+//	    ejected for a time that doubles, unless half of the upstreams of its target
+//	    are already ejected.
 //	R5  Lack of capacity is no failure of the upstream.
 //	R6  An upstream whose address belongs to another instance now is ejected however
 //	    many are left of its target: nothing sent to that address reaches it.
@@ -28,13 +29,14 @@
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlaroffload"
 	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarsuspect"
 	"medlarfield/internal/core/medlarworld"
 )
 
 // Parameters of retries and ejection.
 const (
 	maxUnreachedAttempts = 3 // attempts that did not run, for a run with a limit of its own
-	// misdirectedEjection is longer than the instance list goes on naming a replica that is gone.
+	// misdirectedEjection is longer than the instance list still names a replica that was removed.
 	misdirectedEjection = 5 * time.Second
 	busyBackoff         = 300 * time.Millisecond // an engine that refused a run is avoided for this time
 	maxPause            = 20 * time.Millisecond
@@ -66,10 +68,28 @@
 			attemptEnded(w, e)
 		case medlarworld.ClaimDenied:
 			claimDenied(w, e)
+		case medlarworld.UpstreamProbed:
+			if e.Down {
+				crashed(w, e.Crash)
+			}
+		case medlarworld.CrashReported:
+			// Of a crash that was reported before, the replica may be back.
+			if id := e.Report.Crash; !e.Report.Earlier && w.Suspects.Identify(id.Replica, id.Incarnation, w.Now) == id {
+				crashed(w, id)
+			}
 		}
 	}
 }
 
+// crashed ejects an upstream that has crashed, unless it has started anew since (R4). The instance list goes on naming
+// it for a while.
+func crashed(w *medlarworld.World, id medlarsuspect.CrashID) {
+	if u := w.Upstreams[id.Replica]; u != nil && u.Incarnation == id.Incarnation {
+		u.Failures = max(u.Failures, failuresToEject-1)
+		recordFailure(w, u)
+	}
+}
+
 func budgetOf(w *medlarworld.World) medlarworld.RetryBudget {
 	if w.Config.RetryBudget == (medlarworld.RetryBudget{}) {
 		return defaultBudget
@@ -174,7 +194,7 @@
 }
 
 // failedOr returns Failed for a run that reached an upstream, and otherwise the given
-// reason, which says that it did not run.
+// reason, which states that it did not run.
 func failedOr(r *medlarworld.Run, unreached medlarreason.Reason) medlarreason.Reason {
 	if r.Reached {
 		return medlarreason.Failed
--- a/internal/stand/medlarfaketopic/medlarfaketopic.go
+++ b/internal/stand/medlarfaketopic/medlarfaketopic.go
@@ -30,6 +30,7 @@
 	FaultSilent Fault = "silent" // sends no response in time: closes the connection after silentDelay
 	FaultReset  Fault = "reset"  // closes the connection
 	FaultLose   Fault = "lose"   // serves the call, then closes the connection without a response
+	FaultUnread Fault = "unread" // responds to reads with 503
 	silentDelay       = 3 * time.Second
 )
 
@@ -115,7 +116,7 @@
 	t.first = len(t.records)
 }
 
-// Rewind makes the store come back from a copy that lacks the last n records of each topic.
+// Rewind restores the store from a copy that lacks the last n records of each topic.
 func (s *Store) Rewind(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -180,6 +181,9 @@
 	e.mu.Lock()
 	fault := e.fault
 	e.mu.Unlock()
+	if fault == FaultUnread && ctx.IsGet() {
+		fault = FaultRefuse
+	}
 	switch fault {
 	case FaultRefuse:
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
--- a/internal/stand/medlarlink/medlarlink_test.go
+++ b/internal/stand/medlarlink/medlarlink_test.go
@@ -71,6 +71,8 @@
 		{Silent, os.ErrDeadlineExceeded, os.ErrDeadlineExceeded},
 		{Reset, syscall.ECONNRESET, syscall.ECONNREFUSED},
 		{Refused, nil, syscall.ECONNREFUSED},
+		{OpensSilent, os.ErrDeadlineExceeded, nil},
+		{OpensReset, syscall.ECONNRESET, nil},
 	} {
 		t.Run(string(tc.state), func(t *testing.T) {
 			l := New()
@@ -85,8 +87,11 @@
 				assertError(t, "exchange while up", exchange(c), nil)
 				assertError(t, "cut", l.Set(tc.state), nil)
 				assertError(t, "open connection", exchange(c), tc.open)
-				_, err = dial(t, address)
+				fresh, err := dial(t, address)
 				assertError(t, "new connection", err, tc.new)
+				if err == nil {
+					assertError(t, "exchange on a new connection", exchange(fresh), tc.open)
+				}
 				assertError(t, "heal", l.Set(Up), nil)
 			}
 		})
@@ -111,3 +116,44 @@
 		t.Errorf("got %q, %v; want the line that was held back", line, err)
 	}
 }
+
+// TestHeldConnection guards against a link that stays silent because a connection was waiting to be accepted
+// when it fell silent.
+func TestHeldConnection(t *testing.T) {
+	l := New()
+	t.Cleanup(l.Close)
+	target := echo(t)
+	address, err := l.Address(target)
+	assertError(t, "address", err, nil)
+	p := l.ports[target]
+	p.pause() // nothing is accepted from here on
+	c, err := dial(t, address)
+	assertError(t, "connect", err, nil)
+	l.mu.Lock()
+	l.state = Silent
+	assertError(t, "cut", l.apply(p, Silent), nil)
+	l.mu.Unlock()
+	assertError(t, "exchange", exchange(c), os.ErrDeadlineExceeded)
+	assertError(t, "heal", l.Set(Up), nil)
+	_ = c.SetDeadline(time.Now().Add(soon))
+	if line, err := bufio.NewReader(c).ReadString('\n'); line != "x\n" || err != nil {
+		t.Errorf("got %q, %v; want the line that was held back", line, err)
+	}
+}
+
+// TestResetWhileConnecting guards against a connection that outlives the reset of its link because it was not yet
+// connected with the replica.
+func TestResetWhileConnecting(t *testing.T) {
+	l := New()
+	t.Cleanup(l.Close)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assertError(t, "listen", err, nil)
+	t.Cleanup(func() { _ = ln.Close() })
+	c, err := dial(t, ln.Addr().String())
+	assertError(t, "connect", err, nil)
+	near, err := ln.Accept()
+	assertError(t, "accept", err, nil)
+	assertError(t, "cut", l.Set(Reset), nil)
+	go l.connect(echo(t), near)
+	assertError(t, "exchange", exchange(c), syscall.ECONNRESET)
+}
