Go on with an answer that broke off after its caller would have left without one

The time after which a caller leaves if no answer begins, and the one by which an answer begins in time, also bounded the wait of a run whose answer had begun: broken off later, it was refused in the same tick instead of going on at another replica. Both are dropped once an answer has begun, or when a caller takes a stream up again (only the second).

TestStreamBrokenOffGoesOn failed before in the row of a stream that broke off 3 s after its arrival.

--- a/internal/core/medlaradmission/medlaradmission.go
+++ b/internal/core/medlaradmission/medlaradmission.go
@@ -20,9 +20,9 @@
 //	    waits, is removed from the queue.
 //	R7  Only accounts that have recently sent requests are kept in memory.
 //	R8  Requests that can still be answered in time go before those that cannot:
-//	    under overload, a queue in the order of arrival makes all of them late. One that
-//	    resumes a stream keeps its place: its caller has the beginning of the answer, which is
-//	    lost if it cannot go on, and there are no more of them than streams that broke off.
+//	    under overload, a queue in the order of arrival makes all of them late. One whose caller has the
+//	    beginning of the answer keeps its place: it resumes a stream, or its answer broke off here. The
+//	    times by which an answer has to begin say nothing about it any longer.
 //	R9  A request with a trait that crashes replicas is refused at once, unless it is a
 //	    trial of the trait.
 //	R10 A request that resumes a stream is refused at once if it can go on nowhere.
@@ -77,6 +77,10 @@
 			s.submit(w, e)
 		case medlarworld.CallerLeft:
 			handleCallerLeft(w, e)
+		case medlarworld.AnswerBegan:
+			if r := w.Runs[e.Run]; r != nil && r.Attempt == e.Attempt {
+				r.StartBy, r.AbandonAt, r.Late = time.Time{}, time.Time{}, false // R8
+			}
 		case medlarworld.SharesGranted:
 			applyShares(w, e)
 		}
@@ -100,6 +104,9 @@
 	if !w.Now.Before(a.Share.Until) && busy(w, a) && !slices.Contains(s.newlyBusy, a) {
 		s.newlyBusy = append(s.newlyBusy, a)
 	}
+	if r.Resumes {
+		r.StartBy = time.Time{} // R8
+	}
 	r.VirtualStart = max(w.VirtualTime, a.VirtualFinish)
 	if reason, after := s.refusalReason(w, a, r); reason != "" {
 		w.Refuse(r, reason, after)
--- a/internal/core/medlaradmission/queue.go
+++ b/internal/core/medlaradmission/queue.go
@@ -95,7 +95,7 @@
 func (s *System) demoteLate(w *medlarworld.World) {
 	for i := 0; i < len(w.Waiting); i++ {
 		r := w.Waiting[i]
-		if r.Late || r.Resumes || r.StartBy.IsZero() || !w.Now.After(r.StartBy) {
+		if r.Late || r.StartBy.IsZero() || !w.Now.After(r.StartBy) {
 			continue
 		}
 		w.Waiting = slices.Delete(w.Waiting, i, i+1)
--- a/internal/core/medlarcore/admission_test.go
+++ b/internal/core/medlarcore/admission_test.go
@@ -7,6 +7,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarbuild"
 	"medlarfield/internal/core/medlarkind"
+	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -84,3 +85,40 @@
 		t.Errorf("%d new streams began, want 40 at least", began)
 	}
 }
+
+// TestStreamBrokenOffGoesOn guards against an answer that began in time, broke off later, and is not gone on with: the times by which it had to
+// begin have passed, but its caller has the beginning.
+func TestStreamBrokenOffGoesOn(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		broken time.Duration // after its arrival
+		began  bool
+		want   bool
+	}{
+		{"soon", 100 * time.Millisecond, true, true},
+		{"after the time to begin in time", time.Second, true, true},
+		{"after the time at which a caller leaves without an answer", 3 * time.Second, true, true},
+		{"no answer has begun when the caller leaves", 3 * time.Second, false, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPartsHarness(t, 2, nil)
+			r := p.newRun(100, 100)
+			r.Stream = medlarbuild.KeyOf("acme", r.ID)
+			r.TargetTTFT, r.StartBy, r.AbandonAt = 300*time.Millisecond, p.now.Add(280*time.Millisecond), p.now.Add(2400*time.Millisecond)
+			s := p.submit(r)
+			p.now = p.now.Add(50 * time.Millisecond)
+			if tc.began {
+				p.tick(medlarworld.AnswerBegan{Run: r.ID, Attempt: s.Attempt, After: 50 * time.Millisecond, Version: "1"})
+			}
+			p.now = r.Arrived.Add(tc.broken)
+			cs := p.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: s.Attempt, Cause: medlarkind.CauseRetry, Reason: medlarreason.Truncated, Reached: true, Version: "1"})
+			for range 20 {
+				p.now = p.now.Add(10 * time.Millisecond)
+				cs = append(cs, p.tick()...)
+			}
+			if next := startOf(cs); (next != nil) != tc.want {
+				t.Errorf("next attempt %+v, refused %+v; want one: %v", next, refusalOf(cs), tc.want)
+			}
+		})
+	}
+}
