Take no connection that is reset for one that a replica refuses

Cause: after a lost attempt an instance asks whether its replica is down, by opening a connection. Behind a proxy that opens and is reset; where the reset comes at once, connecting itself fails with 'connection reset'. That was taken for a refusal, and so for the proof that the replica had been up until the loss.

Change: a reset of the connection that asks shows no crash. A refused one does, as before. The log line of a crash states 'unseen'.

TestResetIsNoRefusal failed before.

--- a/internal/ops/medlardialer/medlardialer.go
+++ b/internal/ops/medlardialer/medlardialer.go
@@ -12,11 +12,13 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -282,7 +284,8 @@
 		_ = direct.conn.Close()
 		return false
 	}
-	if o.directOutcome() != medlarreach.Refused {
+	// A connection that is reset was opened, by a proxy or a balancer as it may be.
+	if o.directOutcome() != medlarreach.Refused || errors.Is(direct.err, syscall.ECONNRESET) {
 		return false
 	}
 	if !plan.Relay {
--- a/internal/ops/medlardialer/proof_test.go
+++ b/internal/ops/medlardialer/proof_test.go
@@ -5,11 +5,14 @@
 	"io"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarreach"
+	"medlarfield/internal/edge/medlarpath"
+	"medlarfield/internal/edge/medlarpool"
 	"medlarfield/internal/peer/medlartunnel"
 )
 
@@ -60,3 +63,22 @@
 		})
 	}
 }
+
+// TestResetIsNoRefusal guards against a replica that is taken to have crashed with a request, as a connection to it was reset:
+// a proxy or a balancer opens and resets it where the replica was down before.
+func TestResetIsNoRefusal(t *testing.T) {
+	for err, want := range map[error]bool{nil: false, syscall.ECONNRESET: false, syscall.ECONNREFUSED: true} {
+		d := newDialer(nil)
+		open := d.deps.Dial
+		d.deps.Dial = func(ctx context.Context, at medlarid.Address) (net.Conn, error) {
+			if err != nil {
+				return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", err)}
+			}
+			return open(ctx, at)
+		}
+		d.paths = medlarpath.New(medlarpath.Deps{Dial: d.deps.Dial, OnDial: d.deps.OnDial, Sent: d.sent, Got: d.got, Left: d.left})
+		if got := d.Down(medlarpool.Target{ID: "r"}); got != want {
+			t.Errorf("%v: down %v, want %v", err, got, want)
+		}
+	}
+}
--- a/internal/ops/medlarnotifier/medlarnotifier.go
+++ b/internal/ops/medlarnotifier/medlarnotifier.go
@@ -113,7 +113,7 @@
 func (n *Notifier) reportCrash(c medlarworld.ReportCrash) {
 	r := c.Report
 	n.deps.Metrics.CrashSeen()
-	n.deps.Log.Warn().Str("event", "crash").Str("replica", string(r.Crash.Replica)).Int64("born", int64(r.Crash.Incarnation)).Int("end", r.Crash.End).
+	n.deps.Log.Warn().Str("event", "crash").Str("replica", string(r.Crash.Replica)).Int64("born", int64(r.Crash.Incarnation)).Int("end", r.Crash.End).Float64("unseen", float64(r.Unseen.Milliseconds())).
 		Strs("begun", traitNames(r.Begun)).Strs("queued", traitNames(r.Waiting)).Msg("replica crashed; parts and hashes of the requests that were lost with it")
 	value, err := medlarnotice.EncodeCrash(r)
 	if err != nil {
