Compare when replicas were up with when others were lost, not with when that was reported

Replicas that crash one after the other, faster than their new starts are listed, counted once, so that a deadly part was blocked seconds later than before.

A report now states how long ago the first loss was, and how long before that the replica was last known to be up; both are compared with the loss counted before. An attempt that got a byte of a response shows that the replica was up. Copies of a report that arrive later change nothing.

Two rows of TestReplicasThatWereDownBlameNoPart ('listed late') failed before. Records of crashes have the field 'lost' too; earlier builds ignore it, and a record without it counts as of the time at which it is read, as before.

--- a/internal/agree/medlarnotice/crash.go
+++ b/internal/agree/medlarnotice/crash.go
@@ -42,11 +42,12 @@
 	End     int                   `json:"end,omitempty"`
 	Begun   []medlarsuspect.Trait `json:"begun,omitempty"`
 	Waiting []medlarsuspect.Trait `json:"waiting,omitempty"`
+	Lost    int64                 `json:"lost,omitzero"`   // ms since the first loss
 	Unseen  int64                 `json:"unseen,omitzero"` // ms
 }
 
-// maxUnseenMs bounds a time in ms, so that it cannot overflow.
-const maxUnseenMs = 3_600_000
+// maxLossMs bounds the times of a loss in ms, so that they cannot overflow.
+const maxLossMs = 3_600_000
 
 // blockRecord is the shared state of a trait.
 type blockRecord struct {
@@ -64,7 +65,7 @@
 func EncodeCrash(r medlarsuspect.Report) ([]byte, error) {
 	begun := unique(r.Begun, maxReportTraits)
 	waiting := unique(r.Waiting, maxReportTraits-len(begun))
-	out := crashRecord{Replica: r.Crash.Replica, Born: r.Crash.Incarnation, End: r.Crash.End, Begun: begun, Waiting: waiting, Unseen: r.Unseen.Milliseconds()}
+	out := crashRecord{Replica: r.Crash.Replica, Born: r.Crash.Incarnation, End: r.Crash.End, Begun: begun, Waiting: waiting, Lost: r.LostFor.Milliseconds(), Unseen: r.Unseen.Milliseconds()}
 	return json.Marshal(out, jsontext.AllowInvalidUTF8(true)) // callers name the parts, which may be any bytes
 }
 
@@ -135,12 +136,17 @@
 		return nil, err
 	}
 	return medlarworld.CrashReported{Report: medlarsuspect.Report{
-		Crash:  medlarsuspect.CrashID{Replica: c.Replica, Incarnation: c.Born, End: c.End},
-		Unseen: time.Duration(min(max(c.Unseen, 0), maxUnseenMs)) * time.Millisecond,
-		Begun:  c.Begun[:min(len(c.Begun), maxReportTraits)], Waiting: c.Waiting[:min(len(c.Waiting), maxReportTraits)],
+		Crash:   medlarsuspect.CrashID{Replica: c.Replica, Incarnation: c.Born, End: c.End},
+		LostFor: milliseconds(c.Lost), Unseen: milliseconds(c.Unseen),
+		Begun: c.Begun[:min(len(c.Begun), maxReportTraits)], Waiting: c.Waiting[:min(len(c.Waiting), maxReportTraits)],
 	}}, nil
 }
 
+// milliseconds returns a time of n ms, maxLossMs at most.
+func milliseconds(n int64) time.Duration {
+	return time.Duration(min(max(n, 0), maxLossMs)) * time.Millisecond
+}
+
 func decode(r Record, to any) error {
 	if len(r.Value) == 0 {
 		return nil
--- a/internal/core/medlarcore/unseen_test.go
+++ b/internal/core/medlarcore/unseen_test.go
@@ -17,11 +17,15 @@
 		name    string
 		answer  bool // each replica answers the instance before it is down
 		head    bool // of the response to the request that is lost
+		late    bool // each new start is listed after the next two losses
 		blocked bool
 	}{
-		{"nothing was received from them", false, false, false},
-		{"they answer, and crash on a request", true, false, true},
-		{"they begin to answer, and crash", false, true, true},
+		{"nothing was received from them", false, false, false, false},
+		{"nothing was received from them, listed late", false, false, true, false},
+		{"they answer, and crash on a request", true, false, false, true},
+		{"they answer, and crash on a request, listed late", true, false, true, true},
+		{"they begin to answer, and crash", false, true, false, true},
+		{"they begin to answer, and crash, listed late", false, true, true, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			p := newPartsHarness(t, engines, nil)
@@ -38,9 +42,15 @@
 					Cause: medlarkind.CauseUnknown, Reached: true, Lost: true, Head: tc.head, Connected: p.now,
 				}, "aa")
 				p.tick(medlarworld.UpstreamProbed{Crash: crashProbed(t, cs)})
-				members[i].Incarnation++
-				p.tick(medlarworld.InstancesListed{Members: members})
-				p.now = p.now.Add(400 * time.Millisecond)
+				listed := i
+				if tc.late {
+					listed = i - 2
+				}
+				if listed >= 0 {
+					members[listed].Incarnation++
+					p.tick(medlarworld.InstancesListed{Members: members})
+				}
+				p.now = p.now.Add(200 * time.Millisecond)
 			}
 			p.now = p.now.Add(time.Second)
 			p.tick(medlarworld.Tick{})
--- a/internal/core/medlarcrash/medlarcrash.go
+++ b/internal/core/medlarcrash/medlarcrash.go
@@ -56,9 +56,9 @@
 // loss is what this instance has lost with one end of a replica.
 type loss struct {
 	id             medlarsuspect.CrashID
-	at             time.Time // of the last lost attempt
+	at, firstAt    time.Time // of the last and the first lost attempt
 	proven         bool      // the replica was up until the loss
-	seenAt         time.Time // when something was received from the replica last; zero for never
+	seenAt         time.Time // when something was received from the replica last before the first loss; zero for never
 	begun, waiting []medlarsuspect.Trait
 	runs           []medlarid.RequestID // lost before their answer began, and not yet counted
 	probing        bool                 // a probe is in flight
@@ -170,15 +170,15 @@
 	return time.Time{}
 }
 
-// unseen returns for how long nothing had been received from the replica of a loss; 0 if it was up until then.
-func (l *loss) unseen(now time.Time) time.Duration {
+// unseen returns for how long nothing had been received from the replica before the first loss; 0 if it was up until then.
+func (l *loss) unseen() time.Duration {
 	switch {
 	case l.proven:
 		return 0
 	case l.seenAt.IsZero():
 		return neverSeen
 	}
-	return min(max(now.Sub(l.seenAt), time.Millisecond), neverSeen)
+	return min(l.firstAt.Sub(l.seenAt), neverSeen)
 }
 
 // lost records a lost attempt and asks whether its upstream is down (R1).
@@ -188,10 +188,10 @@
 	id := w.Suspects.Identify(u.ID, u.Incarnation, e.Connected)
 	l := s.find(id)
 	if l == nil {
-		l = &loss{id: id}
+		l = &loss{id: id, firstAt: w.Now, seenAt: s.seenAt(u)}
 		s.losses = append(s.losses, l)
 	}
-	l.at, l.seenAt = w.Now, s.seenAt(u)
+	l.at, l.proven = w.Now, l.proven || e.Head
 	l.runs = append(l.runs, r.ID)
 	if e.Head {
 		l.begun = append(l.begun, r.Traits...)
@@ -249,7 +249,7 @@
 		}
 	}
 	l.runs = nil
-	report := medlarsuspect.Report{Crash: l.id, Begun: l.begun, Waiting: l.waiting, Unseen: l.unseen(w.Now)}
+	report := medlarsuspect.Report{Crash: l.id, Begun: l.begun, Waiting: l.waiting, LostFor: w.Now.Sub(l.firstAt), Unseen: l.unseen()}
 	if w.Suspects.AddReport(w.Now, report, true) {
 		w.Emit(medlarworld.ReportCrash{Report: report})
 	}
--- a/internal/core/medlarsuspect/blame.go
+++ b/internal/core/medlarsuspect/blame.go
@@ -29,7 +29,7 @@
 // counts returns how many crashes count against each trait that may be blocked (R4).
 func (t *Table) counts(now time.Time) map[Trait]int {
 	all, unexplained := map[Trait]int{}, map[Trait]int{} // of crashes
-	last, replaces := map[Trait]time.Time{}, map[Trait]bool{}
+	last, replaces := map[Trait]*crash{}, map[Trait]bool{}
 	for _, c := range t.crashes {
 		byRequest, byOther := t.explained(c)
 		if byOther {
@@ -42,7 +42,7 @@
 				continue
 			}
 			all[p]++
-			last[p] = c.at
+			last[p] = c
 			if !byRequest {
 				unexplained[p]++
 				replaces[p] = replaces[p] || settled
@@ -79,13 +79,13 @@
 // moments returns at how many moments a trait is suspected; cleared crashes count if all is set.
 func (t *Table) moments(p Trait, all bool) int {
 	n := 0
-	var last time.Time
+	var last *crash
 	for _, c := range t.crashes {
 		if !c.suspected(p) || !all && t.isCleared(p, c) || n > 0 && sameCrash(p, last, c) {
 			continue
 		}
 		n++
-		last = c.at
+		last = c
 	}
 	return n
 }
--- a/internal/core/medlarsuspect/crash.go
+++ b/internal/core/medlarsuspect/crash.go
@@ -21,16 +21,17 @@
 	Begun   []Trait // of requests that the replica had begun to answer
 	Waiting []Trait // of all others that were lost with it
 	Earlier bool    // read when this instance started; the crash was at an unknown time before (R4)
-	// Unseen is the time before the loss for which the instance had received nothing from the replica, if only a later start
-	// of it shows that it has crashed; 0 if it was up until the loss (R4).
-	Unseen time.Duration
+	// LostFor is the time since the first loss. Unseen is the time before it for which the instance had received nothing
+	// from the replica, if only a later start of it shows that it has crashed; 0 if it was up until the loss (R4).
+	LostFor, Unseen time.Duration
 }
 
 // crash is a remembered crash.
 type crash struct {
 	id             CrashID
 	at             time.Time // of the first report
-	upAt           time.Time // when the replica was up last, as far as is known
+	lostAt         time.Time // of the first loss, as the first report states
+	upAt           time.Time // when the replica was up last before that, as far as is known
 	begun, waiting map[Trait]bool
 	cleared        map[Trait]bool // of begun and waiting
 	begunPrompt    bool           // a prompt with parts is in begun
@@ -99,22 +100,19 @@
 	id := r.Crash
 	for _, c := range t.crashes {
 		if c.id == id || c.id.Replica == id.Replica && now.Sub(c.at) < minLife {
-			c.seen(now, r)
+			c.observeUp(r)
 			return c
 		}
 	}
-	c := &crash{id: id, at: now, upAt: now.Add(-r.Unseen), earlier: r.Earlier, begun: map[Trait]bool{}, waiting: map[Trait]bool{}, cleared: map[Trait]bool{}}
+	lostAt := now.Add(-r.LostFor)
+	c := &crash{id: id, at: now, lostAt: lostAt, upAt: lostAt.Add(-r.Unseen), earlier: r.Earlier, begun: map[Trait]bool{}, waiting: map[Trait]bool{}, cleared: map[Trait]bool{}}
 	t.crashes = append(t.crashes, c)
 	return c
 }
 
-// seen applies what a further report of a crash states of when the replica was up last.
-func (c *crash) seen(now time.Time, r Report) {
-	upAt := c.at
-	if r.Unseen > 0 {
-		upAt = now.Add(-r.Unseen)
-	}
-	if upAt.After(c.upAt) {
+// observeUp applies what a further report of a crash states of when the replica was up last.
+func (c *crash) observeUp(r Report) {
+	if upAt := c.lostAt.Add(-r.Unseen); upAt.After(c.upAt) {
 		c.upAt = upAt
 	}
 }
@@ -142,8 +140,8 @@
 	t.crashes = slices.Delete(t.crashes, 0, 1)
 }
 
-// sameCrash reports whether a crash counts once against a trait with one at an earlier time (R4).
-func sameCrash(p Trait, before time.Time, c *crash) bool {
-	unseen := c.upAt.Before(c.at) && !c.upAt.After(before)
-	return c.earlier || unseen || !p.Whole() && c.at.Sub(before) <= sameMoment
+// sameCrash reports whether a crash counts once against a trait with the one that was counted before (R4).
+func sameCrash(p Trait, before, c *crash) bool {
+	unseen := c.upAt.Before(c.lostAt) && !c.upAt.After(before.lostAt)
+	return c.earlier || unseen || !p.Whole() && c.at.Sub(before.at) <= sameMoment
 }
