--- a/internal/ops/medlardialer/opening.go
+++ b/internal/ops/medlardialer/opening.go
@@ -135,6 +135,7 @@
 	conn    net.Conn
 	by      medlarid.InstanceID
 	outcome medlarreach.Outcome
+	older   bool // the other instance does not know the question
 }
 
 // askPeers asks other instances until one opens a connection, or enough say that they don't reach the replica
--- a/internal/ops/medlardialer/proof.go
+++ b/internal/ops/medlardialer/proof.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"medlarfield/internal/base/medlarid"
@@ -72,7 +73,7 @@
 		for _, p := range asked {
 			go func() {
 				err := d.deps.Client.Prove(ctx, p.at, id, incarnation)
-				answers <- answer{by: p.id, outcome: askedOutcome(err)}
+				answers <- answer{by: p.id, outcome: askedOutcome(err), older: isOlder(err)}
 			}()
 		}
 		for range asked {
@@ -81,6 +82,9 @@
 			if a.outcome == medlarreach.Opened {
 				return a.by
 			}
+			if a.older {
+				continue // it may relay nevertheless
+			}
 			d.mu.Lock()
 			d.table.Asked(time.Now(), id, a.by, "", a.outcome)
 			d.mu.Unlock()
@@ -89,6 +93,13 @@
 	return ""
 }
 
+// isOlder reports whether another instance has opened a connection as it was asked whether a replica answers it: its build
+// does not know the question.
+func isOlder(err error) bool {
+	var e *medlartunnel.Error
+	return errors.As(err, &e) && e.Result == medlartunnel.ResultOpened
+}
+
 // proveForPeer tells another instance whether a replica answers this one now.
 func (d *Dialer) proveForPeer(ctx context.Context, id medlarid.InstanceID, incarnation medlarid.Incarnation) medlartunnel.Result {
 	r, refusal := d.forPeer(id, incarnation)
--- a/internal/ops/medlardialer/proof_test.go
+++ b/internal/ops/medlardialer/proof_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"medlarfield/internal/agree/medlarnotice"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarreach"
 	"medlarfield/internal/edge/medlarpath"
@@ -82,3 +83,29 @@
 		}
 	}
 }
+
+// TestOlderRelayIsAskedOn guards against an instance of an earlier build that is asked last for a connection, as it does not
+// know the question whether a replica answers it.
+func TestOlderRelayIsAskedOn(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for c, err := ln.Accept(); err == nil; c, err = ln.Accept() {
+			_, _ = c.Write([]byte{byte(medlartunnel.ResultOpened)})
+			t.Cleanup(func() { _ = c.Close() })
+		}
+	}()
+	d := New(Deps{Zone: "z", Client: medlartunnel.NewClient("self", nil), OnAsked: func(medlarreach.Outcome) {}})
+	d.Connect(func(medlarid.InstanceID) (Replica, bool) { return Replica{Incarnation: 1}, true }, nil, nil)
+	d.SetPeer("older", medlarnotice.Peer{Relay: medlarid.Address(ln.Addr().String()), Zone: "far"})
+	d.SetPeer("unreached", medlarnotice.Peer{Relay: "127.0.0.1:1", Zone: "z"})
+	if by := d.answersPeer(t.Context(), "r", 1); by != "" {
+		t.Errorf("the replica answers %s", by)
+	}
+	if peers := d.peersToAsk(); len(peers) != 2 || peers[0].id != "older" {
+		t.Errorf("asked next: %+v, want the one that relays first", peers)
+	}
+}
