Send a further attempt to an untried replica rather than to the one just tried

Now untried ones go first, whatever became of them before.

TestFurtherAttemptPrefersUntriedReplica failed before.

--- a/internal/core/medlarcore/unseen_test.go
+++ b/internal/core/medlarcore/unseen_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"medlarfield/internal/core/medlarkind"
+	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarsuspect"
 	"medlarfield/internal/core/medlarworld"
 )
@@ -78,3 +79,44 @@
 	e.Run, e.Attempt = s.Run, s.Attempt
 	return p.tick(e)
 }
+
+// TestFurtherAttemptPrefersUntriedReplica guards against a further attempt at the replica that was just tried, as the other
+// one has not answered since it was ejected.
+func TestFurtherAttemptPrefersUntriedReplica(t *testing.T) {
+	for seed := range uint64(20) {
+		p := newPartsHarness(t, 2, func(c *medlarworld.Config) { c.Seed = seed })
+		p.core.World().Upstreams[engineMember(1, "").ID].Ejections = 1
+		s := p.submit(p.runWith())
+		first := s.Upstream
+		other := engineMember(1, "").ID
+		if first == other {
+			other = engineMember(0, "").ID
+			p.core.World().Upstreams[other].Ejections = 1
+		}
+		cs := p.tick(medlarworld.AttemptEnded{Run: s.Run, Attempt: s.Attempt, Cause: medlarkind.CauseRetry, Reason: medlarreason.Truncated})
+		for range 20 {
+			p.now = p.now.Add(10 * time.Millisecond)
+			cs = append(cs, p.tick(medlarworld.Tick{})...)
+		}
+		if next := startOf(cs); next == nil || next.Upstream != other {
+			t.Fatalf("seed %d: first at %s, then %+v; want %s", seed, first, next, other)
+		}
+	}
+}
+
+// TestAnswerThatBreaksOffAtOnceKeepsTheQueueInOrder guards against a run whose place in the queue no longer fits what it is
+// sorted by, as its answer has begun and broken off within a tick.
+func TestAnswerThatBreaksOffAtOnceKeepsTheQueueInOrder(t *testing.T) {
+	p := newPartsHarness(t, 1, nil)
+	r := p.runWith()
+	s := p.submit(r)
+	r.Late = true
+	p.core.World().Upstreams[s.Upstream].EjectedUntil = p.now.Add(time.Hour)
+	p.tick(
+		medlarworld.AnswerBegan{Run: r.ID, Attempt: s.Attempt, After: time.Millisecond, Version: "1"},
+		medlarworld.AttemptEnded{Run: r.ID, Attempt: s.Attempt, Cause: medlarkind.CauseRetry, Reason: medlarreason.Truncated, Reached: true, Version: "1"},
+	)
+	if r.Phase != medlarkind.PhaseWaiting || !r.Late {
+		t.Errorf("phase %s, late %v; want a run that waits where it was put", r.Phase, r.Late)
+	}
+}
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -258,7 +258,10 @@
 		s.collect(w, r, scope{build: build, wholeFleet: true})
 	}
 	if len(s.options) == 0 && len(r.Tried) > 0 {
-		s.collect(w, r, scope{build: build, wholeFleet: true, includeTried: true})
+		s.collect(w, r, scope{build: build, wholeFleet: true, includeEjected: true})
+	}
+	if len(s.options) == 0 && len(r.Tried) > 0 {
+		s.collect(w, r, scope{build: build, wholeFleet: true, includeEjected: true, includeTried: true})
 	}
 }
 
@@ -281,9 +284,11 @@
 
 // scope selects the upstreams to consider.
 type scope struct {
-	wholeFleet   bool           // also replicas outside the subset
-	includeTried bool           // also upstreams that the run has tried, or that have not answered since they were ejected
-	build        medlarid.Build // of the upstreams; empty for any
+	wholeFleet   bool // also replicas outside the subset
+	includeTried bool // also upstreams that the run has tried
+	// includeEjected is set for a further attempt: also upstreams that have not answered since they were ejected.
+	includeEjected bool
+	build          medlarid.Build // of the upstreams; empty for any
 }
 
 // collect fills s.options with the candidates of a run (R1).
@@ -296,7 +301,7 @@
 	}
 	for _, u := range upstreams {
 		inScope := u.InSubset || sc.wholeFleet || u == home || r.Service != ""
-		mayTry := sc.includeTried || !slices.Contains(r.Tried, u) && (len(r.Tried) == 0 || u.Ejections == 0)
+		mayTry := (sc.includeTried || !slices.Contains(r.Tried, u)) && (sc.includeEjected || len(r.Tried) == 0 || u.Ejections == 0)
 		if !inScope || !mayTry || sc.build != "" && u.Build != sc.build || !eligible(w, r, u) {
 			continue
 		}
