Keep the queue sorted when an answer begins and breaks off within a tick

Found by the same reader: a run that was late, whose answer began and broke off in one tick, was put back into the queue as late and then marked as not late in place; later runs were put at wrong places until it left.

TestAnswerThatBreaksOffAtOnceKeepsTheQueueInOrder failed before.

--- a/internal/core/medlaradmission/medlaradmission.go
+++ b/internal/core/medlaradmission/medlaradmission.go
@@ -79,7 +79,8 @@
 			handleCallerLeft(w, e)
 		case medlarworld.AnswerBegan:
 			if r := w.Runs[e.Run]; r != nil && r.Attempt == e.Attempt {
-				r.StartBy, r.AbandonAt, r.Late = time.Time{}, time.Time{}, false // R8
+				r.StartBy, r.AbandonAt = time.Time{}, time.Time{}     // R8
+				r.Late = r.Late && r.Phase == medlarkind.PhaseWaiting // the place in the queue depends on it
 			}
 		case medlarworld.SharesGranted:
 			applyShares(w, e)
