--- a/internal/core/medlaradmission/medlaradmission.go
+++ b/internal/core/medlaradmission/medlaradmission.go
@@ -22,7 +22,7 @@
 //	R8  Requests that can still be answered in time go before those that cannot:
 //	    under overload, a queue in the order of arrival makes all of them late. One whose caller has the
 //	    beginning of the answer keeps its place: it resumes a stream, or its answer broke off here. The
-//	    times by which an answer has to begin say nothing about it any longer.
+//	    times by which an answer has to begin show nothing about it any longer.
 //	R9  A request with a trait that crashes replicas is refused at once, unless it is a
 //	    trial of the trait.
 //	R10 A request that resumes a stream is refused at once if it can go on nowhere.
--- a/internal/core/medlarreach/medlarreach.go
+++ b/internal/core/medlarreach/medlarreach.go
@@ -1,7 +1,7 @@
 // Package medlarreach decides by which path an instance opens connections to replicas: directly,
-// or through another instance that reaches them. A connection that fails says as little about the
+// or through another instance that reaches them. A connection that fails shows as little about the
 // replica as about the instance's direct path to it; only what another instance sees tells them apart.
-// One that opens says nothing about the path either: a proxy or a balancer may accept it.
+// One that opens shows nothing about the path either: a proxy or a balancer may accept it.
 //
 // Rules:
 //
@@ -21,10 +21,10 @@
 //	R6  Up to maxHelpful other instances share what is relayed, so that none gets all of it. Until there are so many
 //	    one more is asked first each time, of the own availability zone if possible. One that could not
 //	    help is asked last for a while.
-//	R7  A path works when a byte of an answer has come over it. It is suspected when an answer is awaited and the replica
+//	R7  A path works when a byte of an answer has arrived over it. It is suspected when an answer is awaited and the replica
 //	    has sent nothing for far longer than any replica usually takes, when none has for longer than they do together, when
-//	    answers have not come in time one after the other, or when a new connection has ended without a byte.
-//	R8  A suspected path is examined by a call that serves no request. If no answer to that comes either, while the
+//	    answers have not arrived in time one after the other, or when a new connection has ended without a byte.
+//	R8  A suspected path is examined by a call that serves no request. If no answer to that arrives either, while the
 //	    replica answers another instance, the path is broken.
 package medlarreach
 
@@ -65,7 +65,7 @@
 	Opened  Outcome = "opened"
 	Refused Outcome = "refused" // by the replica, or by what answers at its address
 	Silent  Outcome = "silent"  // nothing answers
-	// Answered is the outcome if a byte of an answer came, Unanswered if the connection was opened and none came, and Ended if
+	// Answered is the outcome if a byte of an answer arrived, Unanswered if the connection was opened and none arrived, and Ended if
 	// it was opened and ended before one did (R8).
 	Answered   Outcome = "answered"
 	Unanswered Outcome = "unanswered"
@@ -75,7 +75,7 @@
 	Unhelpful Outcome = "unhelpful"
 )
 
-// Plan says how to open a connection to a replica.
+// Plan states how to open a connection to a replica.
 type Plan struct {
 	// Relay is set if another instance may be asked, and RelayFirst if a direct connection is opened only
 	// if none of them helps.
@@ -265,7 +265,7 @@
 	}
 }
 
-// Asked records what another instance has said about a replica; direct is how opening a direct connection has ended,
+// Asked records what another instance has stated about a replica; direct is how opening a direct connection has ended,
 // Silent if it has not ended yet, or empty if it was not tried.
 func (t *Table) Asked(now time.Time, id, asked medlarid.InstanceID, direct, o Outcome) {
 	if p := t.peers[asked]; p != nil {
@@ -292,7 +292,7 @@
 	t.path(id).downUntil = now.Add(downTTL)
 }
 
-// Witnessed reports whether enough other instances have said that they don't reach a replica (R2).
+// Witnessed reports whether enough other instances have stated that they don't reach a replica (R2).
 func Witnessed(n int) bool { return n >= minWitnesses }
 
 func (t *Table) path(id medlarid.InstanceID) *path {
--- a/internal/core/medlarreach/silence.go
+++ b/internal/core/medlarreach/silence.go
@@ -65,8 +65,8 @@
 	p.waiting++
 }
 
-// Left records that no answer is awaited any longer on a direct connection: Unanswered if none has come in time, Ended if the
-// connection was new and has ended before one came, or empty.
+// Left records that no answer is awaited any longer on a direct connection: Unanswered if none has arrived in time, Ended if the
+// connection was new and has ended before one arrived, or empty.
 func (t *Table) Left(id medlarid.InstanceID, o Outcome) {
 	p := t.paths[id]
 	if p == nil {
@@ -123,7 +123,7 @@
 	return p != nil && p.gotAt.After(since)
 }
 
-// open reports whether an answer is awaited, or has not come since the last byte.
+// open reports whether an answer is awaited, or has not arrived since the last byte.
 func (p *path) open() bool { return p.waiting > 0 || p.late > 0 || p.ended }
 
 // suspected reports whether a path is suspected for what was seen of the replica alone (R7); usual is how long
@@ -143,7 +143,7 @@
 }
 
 // Suspects returns the replicas to which the path is to be examined now (R8), and the time until the next look; 0 if
-// no answer is awaited or has failed to come.
+// no answer is awaited or has failed to arrive.
 func (t *Table) Suspects(now time.Time) (due []medlarid.InstanceID, next time.Duration) {
 	if len(t.peers) == 0 || t.cut {
 		return nil, 0
--- a/internal/core/medlarreach/silence_test.go
+++ b/internal/core/medlarreach/silence_test.go
@@ -109,7 +109,7 @@
 	})
 }
 
-// TestExamined guards against a path that is taken for broken though an answer has come over it, or though no other
+// TestExamined guards against a path that is taken for broken though an answer has arrived over it, or though no other
 // instance gets one.
 func TestExamined(t *testing.T) {
 	for _, tc := range []struct {
--- a/internal/edge/medlarpath/medlarpath.go
+++ b/internal/edge/medlarpath/medlarpath.go
@@ -1,8 +1,8 @@
-// Package medlarpath opens direct connections to replicas, and reports what comes over them.
+// Package medlarpath opens direct connections to replicas, and reports what arrives over them.
 //
 // Rules:
 //
-//	R1  Of each connection it is reported when an answer is awaited on it, when a byte comes, and whether it ends before.
+//	R1  Of each connection it is reported when an answer is awaited on it, when a byte arrives, and whether it ends before.
 //	R2  A path is proved by a call that serves no request, on a connection of its own. That a connection opens does not
 //	    prove it.
 package medlarpath
@@ -19,19 +19,19 @@
 	"medlarfield/internal/core/medlarreach"
 )
 
-// FailedHere is the outcome of failures of this instance alone, which say nothing about the path to a replica.
+// FailedHere is the outcome of failures of this instance alone, which show nothing about the path to a replica.
 const FailedHere medlarreach.Outcome = "failed"
 
 // Deps are what Paths depend on.
 type Deps struct {
 	// Dial opens a connection.
 	Dial func(context.Context, medlarid.Address) (net.Conn, error)
-	// Prove makes a call on a new connection to a replica, and returns nil once a byte of the answer has come.
+	// Prove makes a call on a new connection to a replica, and returns nil once a byte of the answer has arrived.
 	Prove func(net.Conn) error
 	// OnDial and OnProof are called with how each attempt to open a connection, and each call of Prove, has ended.
 	OnDial, OnProof func(medlarreach.Outcome)
 	// Sent is called when an answer is awaited on one more connection. Left is called when it is no longer, without a
-	// byte: Unanswered if none has come in time, Ended if the connection was new and has ended, or empty.
+	// byte: Unanswered if none has arrived in time, Ended if the connection was new and has ended, or empty.
 	Sent func(replica medlarid.InstanceID)
 	Left func(replica medlarid.InstanceID, o medlarreach.Outcome)
 	// Got is called with each part that is received on a connection that was opened at a time; answers reports whether an
--- a/internal/ops/medlardialer/medlardialer.go
+++ b/internal/ops/medlardialer/medlardialer.go
@@ -3,11 +3,11 @@
 //
 // Rules:
 //
-//	R1  medlarreach decides by which path; what comes of each try is reported to it.
-//	R2  A direct connection that is late goes on to its end although another instance was faster, so that it is known
+//	R1  medlarreach decides by which path; how each try ended is reported to it.
+//	R2  A direct connection that is late continues to its end although another instance was faster, so that it is known
 //	    how it ended.
-//	R3  What a replica says about further requests is passed to the instances that relay to it, or for which this one
-//	    does. What came from another instance is not passed on.
+//	R3  What a replica states about further requests is passed to the instances that relay to it, or for which this one
+//	    does. What arrived from another instance is not passed on.
 package medlardialer
 
 import (
@@ -62,10 +62,10 @@
 	Client *medlartunnel.Client
 	// Dial opens a direct connection.
 	Dial func(context.Context, medlarid.Address) (net.Conn, error)
-	// Prove makes a call to a replica on a new connection, and returns nil once a byte of the answer has come.
+	// Prove makes a call to a replica on a new connection, and returns nil once a byte of the answer has arrived.
 	Prove func(net.Conn) error
 	// OnDial is called with how each attempt to open a direct connection ended, OnAsked with what each instance that
-	// was asked for one has said, and OnRequest with what this one has said to another.
+	// was asked for one has stated, and OnRequest with what this one has stated to another.
 	OnDial    func(medlarreach.Outcome)
 	OnAsked   func(medlarreach.Outcome)
 	OnRequest func(medlartunnel.Result)
--- a/internal/ops/medlardialer/opening.go
+++ b/internal/ops/medlardialer/opening.go
@@ -28,7 +28,7 @@
 	direct medlarreach.Outcome // of the direct connection, Silent while it is being opened, empty before
 }
 
-// result is what came of one path.
+// result is how one path was tried, and with which outcome.
 type result struct {
 	conn      net.Conn
 	via       medlarid.InstanceID
@@ -130,7 +130,7 @@
 	witnessesAtOnce = 2
 )
 
-// answer is what another instance has said.
+// answer is what another instance has stated.
 type answer struct {
 	conn    net.Conn
 	by      medlarid.InstanceID
@@ -138,7 +138,7 @@
 	older   bool // the other instance does not know the question
 }
 
-// askPeers asks other instances until one opens a connection, or enough say that they don't reach the replica
+// askPeers asks other instances until one opens a connection, or enough state that they don't reach the replica
 // either.
 func (o *opening) askPeers(ctx context.Context) result {
 	peers := o.dialer.peersToAsk()
@@ -210,7 +210,7 @@
 	return answer{conn: c, by: p.id, outcome: outcome}
 }
 
-// askedOutcome returns what another instance has said.
+// askedOutcome returns what another instance has stated.
 func askedOutcome(err error) medlarreach.Outcome {
 	var e *medlartunnel.Error
 	switch {
@@ -231,7 +231,7 @@
 	d.table.Ended(time.Now(), id, outcome)
 }
 
-// asked records what another instance has said.
+// asked records what another instance has stated.
 func (d *Dialer) asked(replica, by medlarid.InstanceID, direct, outcome medlarreach.Outcome) {
 	d.mu.Lock()
 	defer d.unlock()
--- a/internal/ops/medlardialer/peer.go
+++ b/internal/ops/medlardialer/peer.go
@@ -53,7 +53,7 @@
 	return nil, medlartunnel.ResultDenied
 }
 
-// avoids reports whether this instance sends nothing to a replica because of what that said.
+// avoids reports whether this instance sends nothing to a replica because of what that stated.
 func (d *Dialer) avoids(id medlarid.InstanceID, incarnation medlarid.Incarnation) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -64,7 +64,7 @@
 	return a.leaving || time.Now().Before(a.until)
 }
 
-// Avoid records that this instance sends nothing more to a replica because of what that said, and passes it
+// Avoid records that this instance sends nothing more to a replica because of what that stated, and passes it
 // on (R3).
 func (d *Dialer) Avoid(c medlarworld.Avoided) {
 	r, ok := d.lookup(c.Upstream)
@@ -103,7 +103,7 @@
 	}
 }
 
-// forgetGone forgets what replicas that are gone have said. The caller holds the lock.
+// forgetGone forgets what replicas that are no longer listed have stated. The caller holds the lock.
 func (d *Dialer) forgetGone() {
 	maps.DeleteFunc(d.avoided, func(id medlarid.InstanceID, _ avoidance) bool { return !d.exists(id) })
 	maps.DeleteFunc(d.relayed, func(id medlarid.InstanceID, _ map[medlarid.InstanceID]bool) bool { return !d.exists(id) })
@@ -115,14 +115,14 @@
 	return ok
 }
 
-// tell passes on what a replica has said. One that does not get it learns it from the replica.
+// tell passes on what a replica has stated. One that does not get it learns it from the replica.
 func (d *Dialer) tell(p medlartunnel.Peer, h medlartunnel.Hint) {
 	ctx, cancel := context.WithTimeout(context.Background(), hintTimeout)
 	defer cancel()
 	_ = d.deps.Client.Tell(ctx, p, h)
 }
 
-// takeHint takes what a replica has said to another instance.
+// takeHint takes what a replica has stated to another instance.
 func (d *Dialer) takeHint(h medlartunnel.Hint) {
 	if r, ok := d.lookup(h.Replica); !ok || r.Incarnation != h.Incarnation {
 		return
--- a/internal/ops/medlardialer/proof.go
+++ b/internal/ops/medlardialer/proof.go
@@ -11,7 +11,7 @@
 	"medlarfield/internal/peer/medlartunnel"
 )
 
-// examine finds out whether the path to a replica is broken (R8 of medlarreach). The own call goes on while others
+// examine finds out whether the path to a replica is broken (R8 of medlarreach). The own call continues while others
 // are asked: a replica that was silent for a while then answers both.
 func (d *Dialer) examine(ctx context.Context, id medlarid.InstanceID) {
 	r, ok := d.lookup(id)
@@ -100,7 +100,7 @@
 	return errors.As(err, &e) && e.Result == medlartunnel.ResultOpened
 }
 
-// proveForPeer tells another instance whether a replica answers this one now.
+// proveForPeer informs another instance whether a replica answers this one now.
 func (d *Dialer) proveForPeer(ctx context.Context, id medlarid.InstanceID, incarnation medlarid.Incarnation) medlartunnel.Result {
 	r, refusal := d.forPeer(id, incarnation)
 	if refusal != 0 {
@@ -120,7 +120,7 @@
 	return proofResult(d.paths.Prove(ctx, id, r.Address, forPeerTimeout))
 }
 
-// proofResult returns what another instance is told about a call.
+// proofResult returns the answer to another instance for a call that has ended.
 func proofResult(o medlarreach.Outcome) medlartunnel.Result {
 	switch o {
 	case medlarreach.Answered:
--- a/internal/ops/medlardialer/proof_test.go
+++ b/internal/ops/medlardialer/proof_test.go
@@ -32,7 +32,7 @@
 }
 
 // TestRelayProvesItsPath guards against an instance that relays over a path on which connections open and no answer
-// comes, and against a call for each connection that it relays.
+// arrives, and against a call for each connection that it relays.
 func TestRelayProvesItsPath(t *testing.T) {
 	for _, tc := range []struct {
 		name  string
--- a/internal/peer/medlartunnel/medlartunnel.go
+++ b/internal/peer/medlartunnel/medlartunnel.go
@@ -13,8 +13,8 @@
 //	    instance between.
 //	R4  When the instance that asked closes the connection, the one to the replica is closed too.
 //	R5  An instance can also be asked whether a replica answers it now. A connection that opens does not prove that.
-//	R6  What a replica has said to one side about further requests is passed to the other one, since the replica
-//	    says it to the instance between and does not know who has asked.
+//	R6  What a replica has stated to one side about further requests is passed to the other one, since the replica
+//	    states it to the instance between and does not know who has asked.
 package medlartunnel
 
 import (
@@ -137,7 +137,7 @@
 	return nil
 }
 
-// Tell passes on what a replica has said to this instance (R6).
+// Tell passes on what a replica has stated to this instance (R6).
 func (c *Client) Tell(ctx context.Context, p Peer, h Hint) error {
 	conn, result, err := c.ask(ctx, OpTell, p, &request{sender: c.self, key: p.Key, hint: h})
 	if err != nil {
--- a/internal/peer/medlartunnel/medlartunnel_test.go
+++ b/internal/peer/medlartunnel/medlartunnel_test.go
@@ -245,7 +245,7 @@
 	}
 }
 
-// TestHint guards against what a replica has said that does not reach the other side, or reaches it changed.
+// TestHint guards against what a replica has stated that does not reach the other side, or reaches it changed.
 func TestHint(t *testing.T) {
 	for _, want := range []Hint{
 		{Replica: "r", Incarnation: 1 << 40, Leaving: true},
--- a/internal/peer/medlartunnel/message.go
+++ b/internal/peer/medlartunnel/message.go
@@ -25,7 +25,7 @@
 // maxRequest bounds the length of a request, in bytes.
 const maxRequest = 1024
 
-// Hint is what a replica has said in a response about further requests.
+// Hint is what a replica has stated in a response about further requests.
 type Hint struct {
 	Replica     medlarid.InstanceID
 	Incarnation medlarid.Incarnation
@@ -190,7 +190,7 @@
 }
 
 // frameReader reads the bytes in frames. It fails with io.ErrUnexpectedEOF unless an end frame ends them: the
-// instance between may be gone while the replica goes on.
+// instance between may be gone while the replica continues.
 type frameReader struct {
 	r    *bufio.Reader
 	left int  // bytes of the current frame
--- a/internal/peer/medlartunnel/server.go
+++ b/internal/peer/medlartunnel/server.go
@@ -19,9 +19,9 @@
 	Key Key
 	// Dial opens a direct connection to a replica, or returns why it does not (R1).
 	Dial func(ctx context.Context, replica medlarid.InstanceID, incarnation medlarid.Incarnation) (net.Conn, Result)
-	// Prove returns ResultAnswers if a replica answers this instance now, or why it cannot say so (R5).
+	// Prove returns ResultAnswers if a replica answers this instance now, or why it cannot state so (R5).
 	Prove func(ctx context.Context, replica medlarid.InstanceID, incarnation medlarid.Incarnation) Result
-	// OnHint is called with what a replica has said to another instance (R6).
+	// OnHint is called with what a replica has stated to another instance (R6).
 	OnHint func(Hint)
 	// OnRequest is called with the result of each request for a connection.
 	OnRequest func(sender, replica medlarid.InstanceID, r Result)
--- a/internal/stand/medlarsoak/load.go
+++ b/internal/stand/medlarsoak/load.go
@@ -93,7 +93,7 @@
 	return r
 }
 
-// send sends a request and records its response, as far as it came.
+// send sends a request and records its response, as far as it arrived.
 func (l *Load) send(c *Call, req *fasthttp.Request) {
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
@@ -118,7 +118,7 @@
 	_ = write(l.w, c)
 }
 
-// readBody returns what comes of a body, and the error that ended it.
+// readBody returns what arrives of a body, and the error that ended it.
 func readBody(resp *fasthttp.Response) ([]byte, error) {
 	stream := resp.BodyStream()
 	if stream == nil {
--- a/internal/stand/medlarsoak/medlarsoak.go
+++ b/internal/stand/medlarsoak/medlarsoak.go
@@ -7,7 +7,7 @@
 //	R2  A request that may run once runs at most once.
 //	R3  An answer names its own request, holds nothing of another, and a replica ran the request.
 //	R4  An answer that ends as its framing requires is whole.
-//	R5  The events of a stream come in order, each once.
+//	R5  The events of a stream arrive in order, each once.
 //	R6  No process ends by itself, and one that gets SIGTERM ends with code 0.
 //	R7  Nine tenths of first tries are served at most RecoverBound after all instances have returned, and after the
 //	    last fault.
@@ -112,7 +112,7 @@
 	res.checkBody(c)
 }
 
-// checkBody checks the body of a response with 200, as far as it came.
+// checkBody checks the body of a response with 200, as far as it arrived.
 func (res *Result) checkBody(c *Call) {
 	got, want := c.content(), whole(c.Path, c.ID)
 	switch {
--- a/internal/stand/medlarsoak/record.go
+++ b/internal/stand/medlarsoak/record.go
@@ -110,7 +110,7 @@
 	}), "")
 }
 
-// refused reports whether the response says that the request did not and will not run.
+// refused reports whether the response states that the request did not and will not run.
 func (c *Call) refused() bool { return slices.Contains([]int{408, 421, 429, 503}, c.Status) }
 
 // write writes a record as a line.
