Give accounts that share cached parts another salt when one of them is isolated

Cause: the salt of all accounts that are not isolated was the weight version alone, so that what the account left under it stayed in use by all others. The class: a name that is shared outlives the set of those who may share it.

Change: the accounts that share are a group, named by a hash of the isolated ones, and the group is part of the salt. What is kept under a salt was made and is used only while the same accounts are isolated. All instances derive the name from the configuration, without agreement. Without isolated accounts the salt stays as it was. A request that waited or is tried again is sent with the salt of the configuration in force then; if that is another one than at its arrival, nothing is fetched or saved.

--- a/internal/agree/medlarcatalog/medlarcatalog.go
+++ b/internal/agree/medlarcatalog/medlarcatalog.go
@@ -6,15 +6,19 @@
 //	R1  Of the routes of a host, the one with the longest prefix of the request's
 //	    path is used.
 //	R2  A catalog is immutable; a new version is a new catalog.
+//	R3  An isolated account shares cached context with no other one. The others share it
+//	    among themselves for as long as the same accounts are isolated.
 package medlarcatalog
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarkey"
 )
 
 // RouteKind determines whether requests of a route may be repeated.
@@ -136,6 +140,8 @@
 	keyRequired bool // accounts are in use: requests need a key
 	routes      map[string][]Route
 	accounts    map[string]Account
+	isolated    map[medlarid.AccountID]bool
+	shared      medlarkey.CacheGroup // of the accounts that are not isolated (R3)
 }
 
 // AccountKeys is a client account with its keys.
@@ -154,6 +160,7 @@
 		keyRequired: keyRequired,
 		routes:      map[string][]Route{},
 		accounts:    map[string]Account{},
+		isolated:    map[medlarid.AccountID]bool{},
 	}
 	for _, r := range routes {
 		host := hostOf(r.Host)
@@ -169,10 +176,23 @@
 		for _, k := range a.Keys {
 			c.accounts[k] = a.Account
 		}
+		if a.Account.Isolated {
+			c.isolated[a.Account.ID] = true
+		}
 	}
+	c.shared = medlarkey.SharedGroup(slices.Collect(maps.Keys(c.isolated)))
 	return c
 }
 
+// CacheGroup returns the accounts with which an account shares cached context (R3). An account that an earlier
+// catalog isolated stays so.
+func (c *Catalog) CacheGroup(a Account) medlarkey.CacheGroup {
+	if a.Isolated || c.isolated[a.ID] {
+		return medlarkey.OwnGroup(a.ID)
+	}
+	return c.shared
+}
+
 // Route returns the route of a host and path, or nil (R1).
 func (c *Catalog) Route(host, path string) *Route {
 	rs := c.routes[hostOf(host)]
--- a/internal/core/medlarkey/formats_test.go
+++ b/internal/core/medlarkey/formats_test.go
@@ -25,3 +25,30 @@
 		}
 	}
 }
+
+// TestSharedGroup guards against instances that name the accounts that share cached parts differently, and against one
+// name for two sets of isolated accounts.
+func TestSharedGroup(t *testing.T) {
+	type ids = []medlarid.AccountID
+	for _, tc := range []struct {
+		name string
+		a, b ids
+		same bool
+	}{
+		{"another order", ids{"x", "y"}, ids{"y", "x"}, true},
+		{"an account twice", ids{"x", "y", "x"}, ids{"x", "y"}, true},
+		{"one more", ids{"x"}, ids{"x", "y"}, false},
+		{"none", nil, ids{"x"}, false},
+		{"names that join to the same text", ids{"ab", "c"}, ids{"a", "bc"}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			a, b := SharedGroup(tc.a), SharedGroup(tc.b)
+			if (a == b) != tc.same {
+				t.Errorf("groups %q and %q, want the same: %v", a, b, tc.same)
+			}
+		})
+	}
+	if got := NewCacheSalt("4", SharedGroup(ids{"x"})).Version(); got != "4" {
+		t.Errorf("weight version %q of the salt, want 4", got)
+	}
+}
--- a/internal/core/medlarkey/medlarkey.go
+++ b/internal/core/medlarkey/medlarkey.go
@@ -13,6 +13,8 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"hash"
+	"slices"
 	"strings"
 
 	"github.com/zeebo/xxh3"
@@ -33,6 +35,9 @@
 // keyBytes is the length of a key, in bytes.
 const keyBytes = 16
 
+// groupBytes is the length of the hash that names a group of accounts, in bytes.
+const groupBytes = 8
+
 // Key identifies the content of one KV block and all blocks before it.
 type Key [keyBytes]byte
 
@@ -60,16 +65,21 @@
 func NewSalt(a medlarid.AccountID, m medlarid.ModelID, ad medlarid.AdapterID, v medlarid.WeightVersion) Salt {
 	h := sha256.New()
 	for _, field := range []string{string(a), string(m), string(ad), string(v)} {
-		var n [8]byte
-		binary.BigEndian.PutUint64(n[:], uint64(len(field)))
-		h.Write(n[:])
-		h.Write([]byte(field))
+		writeField(h, field)
 	}
 	var s Salt
 	copy(s[:], h.Sum(nil))
 	return s
 }
 
+// writeField adds a field with its length to a hash.
+func writeField(h hash.Hash, field string) {
+	var n [8]byte
+	binary.BigEndian.PutUint64(n[:], uint64(len(field)))
+	h.Write(n[:])
+	h.Write([]byte(field))
+}
+
 // String returns the salt in hexadecimal.
 func (s Salt) String() string { return Key(s).String() }
 
@@ -112,17 +122,37 @@
 	return xxh3.HashStringSeed(string(holder), seed)
 }
 
+// CacheGroup names client accounts that share cached parts of prompts. It is empty for all accounts
+// where none is isolated.
+type CacheGroup string
+
+// OwnGroup returns the group of one isolated account.
+func OwnGroup(a medlarid.AccountID) CacheGroup { return CacheGroup(a) }
+
+// SharedGroup returns the group of all accounts but the isolated ones. Another set of isolated accounts makes
+// another group: what an account leaves in the group before it is isolated is of no use to the others afterwards.
+// All instances name a group alike, in whatever order they are given the accounts.
+func SharedGroup(isolated []medlarid.AccountID) CacheGroup {
+	if len(isolated) == 0 {
+		return ""
+	}
+	h := sha256.New()
+	for _, a := range slices.Compact(slices.Sorted(slices.Values(isolated))) {
+		writeField(h, string(a))
+	}
+	return CacheGroup("/" + hex.EncodeToString(h.Sum(nil)[:groupBytes]))
+}
+
 // CacheSalt separates the cached parts of prompts of different weight versions, and
 // those of accounts that share no cache.
 type CacheSalt string
 
-// NewCacheSalt returns the salt of a weight version, for one account or, if account is
-// empty, for all accounts that share the cache.
-func NewCacheSalt(v medlarid.WeightVersion, account medlarid.AccountID) CacheSalt {
-	if account == "" {
+// NewCacheSalt returns the salt of a weight version for a group of accounts.
+func NewCacheSalt(v medlarid.WeightVersion, g CacheGroup) CacheSalt {
+	if g == "" {
 		return CacheSalt("v" + v)
 	}
-	return CacheSalt("v" + string(v) + "/" + string(account))
+	return CacheSalt("v" + string(v) + "/" + string(g))
 }
 
 // Version returns the weight version of the salt; empty for a salt that NewCacheSalt did
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -13,6 +13,7 @@
 	"medlarfield/internal/base/medlarevent"
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
@@ -129,16 +130,7 @@
 func (a *attempt) send() error {
 	b := make([]byte, 0, 1024+min(len(a.body), maxInlineBody))
 	b = medlarhead.AppendRequest(b, a.head.Method, a.head.Target)
-	b = a.proxy.deps.Forward(b, a.head, medlarcall.Forward{
-		Target:      a.cmd.Upstream,
-		Account:     a.account.ID,
-		Timeout:     time.Until(a.run.Deadline),
-		LastEventID: a.lastEventID(),
-		Version:     a.cmd.Version,
-		Salt:        medlarrun.CacheSalt(a.account, a.cmd.Version),
-		Priority:    a.cmd.Priority,
-		Fetch:       a.cmd.Fetch, Save: a.cmd.Save, FetchDeadline: a.cmd.FetchDeadline,
-	})
+	b = a.proxy.deps.Forward(b, a.head, a.forward())
 	if a.head.Framing != medlarhead.FramingNone || len(a.body) > 0 {
 		b = medlarhead.AppendLength(b, len(a.body))
 	}
@@ -158,6 +150,25 @@
 	return nil
 }
 
+// forward returns what is added to the request. The salt is that of the accounts that share cached context now, which
+// may be others than when the request arrived: what was planned to be fetched and saved then has another salt.
+func (a *attempt) forward() medlarcall.Forward {
+	group := a.proxy.deps.Catalog().CacheGroup(a.account)
+	f := medlarcall.Forward{
+		Target:      a.cmd.Upstream,
+		Account:     a.account.ID,
+		Timeout:     time.Until(a.run.Deadline),
+		LastEventID: a.lastEventID(),
+		Version:     a.cmd.Version,
+		Salt:        medlarkey.NewCacheSalt(a.cmd.Version, group),
+		Priority:    a.cmd.Priority,
+	}
+	if group == a.group {
+		f.Fetch, f.Save, f.FetchDeadline = a.cmd.Fetch, a.cmd.Save, a.cmd.FetchDeadline
+	}
+	return f
+}
+
 // lastEventID returns the id of the last event that the client has received.
 func (a *attempt) lastEventID() string {
 	if id := a.events.ID(); id != "" {
--- a/internal/edge/medlarproxy/exchange.go
+++ b/internal/edge/medlarproxy/exchange.go
@@ -7,6 +7,7 @@
 	"medlarfield/internal/agree/medlarcatalog"
 	"medlarfield/internal/base/medlarevent"
 	"medlarfield/internal/base/medlarhead"
+	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
@@ -26,6 +27,7 @@
 
 	route     *medlarcatalog.Route
 	account   medlarcatalog.Account
+	group     medlarkey.CacheGroup // with which the account shared cached context when the request arrived
 	run       *medlarworld.Run
 	commands  <-chan medlarworld.Command // of the core, about the run
 	summary   *medlarcall.Summary
@@ -91,14 +93,14 @@
 	if !ok {
 		return medlarreason.Unauthenticated
 	}
-	x.account = account
+	x.account, x.group = account, cat.CacheGroup(account)
 	x.summary.Account = account.ID
 	return ""
 }
 
 // buildRun creates the run of the request, with its deadline (R4).
 func (x *exchange) buildRun() {
-	q := &medlarrun.Request{Head: x.head, Body: x.body, Call: &x.call, Route: x.route, Account: x.account, Arrived: x.arrived}
+	q := &medlarrun.Request{Head: x.head, Body: x.body, Call: &x.call, Route: x.route, Account: x.account, Group: x.group, Arrived: x.arrived}
 	if x.call.Model != "" {
 		q.Serving, q.Desired = x.proxy.deps.Versions(x.call.Model)
 	}
--- a/internal/edge/medlarrun/medlarrun.go
+++ b/internal/edge/medlarrun/medlarrun.go
@@ -26,6 +26,7 @@
 	Call    *medlarcall.Call
 	Route   *medlarcatalog.Route
 	Account medlarcatalog.Account
+	Group   medlarkey.CacheGroup // of the account
 	Arrived time.Time
 	// Serving and Desired are the weight versions of the model that the request names.
 	Serving, Desired medlarid.WeightVersion
@@ -120,15 +121,7 @@
 
 // partKeys returns the keys of the prompt's parts for a weight version.
 func (q *Request) partKeys(v medlarid.WeightVersion) []medlarkey.Key {
-	return q.Call.PartKeys(CacheSalt(q.Account, v))
-}
-
-// CacheSalt returns the salt of the parts of an account's prompts for a weight version.
-func CacheSalt(a medlarcatalog.Account, v medlarid.WeightVersion) medlarkey.CacheSalt {
-	if a.Isolated {
-		return medlarkey.NewCacheSalt(v, a.ID)
-	}
-	return medlarkey.NewCacheSalt(v, "")
+	return q.Call.PartKeys(medlarkey.NewCacheSalt(v, q.Group))
 }
 
 // patienceTargets is the number of target latencies after which an attempt is abandoned that may get no answer.
--- a/internal/ops/medlarattachednode/path_test.go
+++ b/internal/ops/medlarattachednode/path_test.go
@@ -203,7 +203,7 @@
 	}
 }
 
-func assertResult(t *testing.T, got result, status int, body string) {
+func assertResult(t testing.TB, got result, status int, body string) {
 	t.Helper()
 	if got.status != status || !got.whole || body != "" && got.body != body {
 		t.Errorf("status %d, whole %v, body %q; want %d, %q", got.status, got.whole, got.body, status, body)
--- a/internal/stand/medlarsite/medlarsite.go
+++ b/internal/stand/medlarsite/medlarsite.go
@@ -126,6 +126,8 @@
 type Tenant struct {
 	Name    string
 	ApiKeys []string //revive:disable-line:var-naming the JSON name that the platform uses
+	// Isolated keeps the account's cached context apart from that of all others.
+	Isolated bool
 }
 
 // DefaultConfig returns a configuration with a route of each kind: a resumable and a
@@ -152,7 +154,7 @@
 			{Name: Ledger, HealthPath: "/healthz", MaxConnections: 100},
 		},
 		Limits:  Limits{MaxHeaderBytes: 8192, MaxBodyBytes: 1 << 20, HeaderTimeoutMs: 500, IdleTimeoutMs: 5000},
-		Tenants: []Tenant{{Account, []string{Key}}},
+		Tenants: []Tenant{{Name: Account, ApiKeys: []string{Key}}},
 	}
 }
 
