Count the time of replaced weights from their replacement, at all instances alike

Cause: each instance counted the time for which older weights may serve from the moment at which it had read itself that they were replaced. One that starts t seconds later allowed them for t seconds longer. Records of the store carry no time. The class: the time at which an instance learns of something is taken for the time at which it happened.

Change: medlardesired dates changes. Instances tell one another their ages, in the datagrams of load, while replicas run an older version; the earliest time counts. A change that is read late, at the start or after a gap, gets an estimate that leaves older weights bounds.stable (3 s) and gives way to what others tell. RecordsCurrent is also posted for the first read.

--- a/internal/core/medlarcore/medlarcore.go
+++ b/internal/core/medlarcore/medlarcore.go
@@ -8,6 +8,7 @@
 	"medlarfield/internal/core/medlaradmission"
 	"medlarfield/internal/core/medlarbrittle"
 	"medlarfield/internal/core/medlarcrash"
+	"medlarfield/internal/core/medlardesired"
 	"medlarfield/internal/core/medlarfleet"
 	"medlarfield/internal/core/medlarlag"
 	"medlarfield/internal/core/medlarlimit"
@@ -47,6 +48,7 @@
 	return &Core{
 		world: medlarworld.New(cfg),
 		systems: []system{ // run in this order
+			medlardesired.New(),
 			medlarfleet.New(),
 			medlarpeerload.New(),
 			medlarlimit.New(),
--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -9,8 +9,6 @@
 //	    list's until the upstream starts again.
 //	R3  What an engine reports replaces what was assumed since the last report.
 //	R4  A cache event is a hint; a reset discards all that was known.
-//	R5  A new version of the lists replaces the models at once; an older one has
-//	    no effect.
 //	R6  With many replicas of a model, an instance uses a subset of them.
 //	R7  The replicas that are next in the fixed order of a weight change get no work
 //	    while others are available: their runs have to end before they change.
@@ -31,7 +29,6 @@
 	"github.com/zeebo/xxh3"
 
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/core/medlarhistory"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarorder"
 	"medlarfield/internal/core/medlarworld"
@@ -47,7 +44,6 @@
 	maxStoreBackoff    = 2 * time.Second
 	defaultPrefillRate = 8000 // prompt tokens per second
 
-	maxVersions = 32                      // versions of a model that are kept
 	loadBackoff = 500 * time.Millisecond  // a replica that loads weights is avoided for this time
 	swapBackoff = 1500 * time.Millisecond // a replica that is next to load weights is avoided for this time
 
@@ -76,7 +72,7 @@
 	for _, e := range w.Events {
 		switch e := e.(type) {
 		case medlarworld.ListsApplied:
-			applyLists(w, e)
+			markSwaps(w)
 		case medlarworld.InstancesListed:
 			applyInstances(w, e)
 		case medlarworld.StatusReported:
@@ -85,10 +81,6 @@
 			applyCacheChange(w, e)
 		case medlarworld.TransferEnded:
 			recordTransfer(w, e)
-		case medlarworld.RecordsCurrent:
-			if e.At.After(w.RecordsAsOf) { // answers overtake one another
-				w.RecordsAsOf = e.At
-			}
 		case medlarworld.WeightsLoading:
 			if u := w.Upstreams[e.Upstream]; u != nil {
 				u.SwapUntil = w.Now.Add(loadBackoff)
@@ -103,25 +95,6 @@
 	}
 }
 
-// applyLists replaces the models; an older version of the lists is ignored (R5).
-func applyLists(w *medlarworld.World, e medlarworld.ListsApplied) {
-	if w.Ready && e.Version <= w.Version {
-		return
-	}
-	w.Version = e.Version
-	w.Ready = true
-	old := w.Models
-	w.Models = make(map[medlarid.ModelID]medlarworld.Model, len(e.Models))
-	for _, m := range e.Models {
-		m.Versions = old[m.ID].Versions
-		if n := len(m.Versions); n == 0 || m.Versions[n-1].Version != m.Version {
-			m.Versions = append(m.Versions[max(n-maxVersions, 0):], medlarhistory.Change{Version: m.Version, At: w.Now})
-		}
-		w.Models[m.ID] = m
-	}
-	markSwaps(w)
-}
-
 // markSwaps marks the replicas that are about to load other weights (R7).
 func markSwaps(w *medlarworld.World) {
 	for m, upstreams := range w.Engines {
--- a/internal/core/medlarhistory/medlarhistory.go
+++ b/internal/core/medlarhistory/medlarhistory.go
@@ -2,6 +2,7 @@
 package medlarhistory
 
 import (
+	"slices"
 	"time"
 
 	"medlarfield/internal/base/medlarid"
@@ -9,20 +10,52 @@
 
 // Change is a change of the desired weight version, at the time from which it was desired.
 type Change struct {
+	Version   medlarid.WeightVersion
+	At        time.Time
+	Estimated bool // At is an estimate
+}
+
+// ChangeAge states how long ago the desired weight version of a model was changed.
+type ChangeAge struct {
+	Model   medlarid.ModelID
 	Version medlarid.WeightVersion
-	At      time.Time
+	Age     time.Duration
 }
 
 // History is the changes of the desired version, oldest first.
 type History []Change
 
+// ReplacedBy returns the change with which a version was first replaced by a later one; ok is false if it
+// has not been replaced.
+func (h History) ReplacedBy(v medlarid.WeightVersion) (c Change, ok bool) {
+	for _, c := range h {
+		if v.Before(c.Version) {
+			return c, true
+		}
+	}
+	return Change{}, false
+}
+
 // ReplacedAt returns when a version was first replaced by a later one; ok is false if it
 // has not been replaced.
 func (h History) ReplacedAt(v medlarid.WeightVersion) (at time.Time, ok bool) {
-	for _, n := range h {
-		if v.Before(n.Version) {
-			return n.At, true
-		}
+	c, ok := h.ReplacedBy(v)
+	return c.At, ok
+}
+
+// Dated returns the history of increasing versions with a change whose time is known. It replaces an estimate and a
+// later time; a change to a version after the last one has no effect. The history itself is not modified.
+func (h History) Dated(c Change) History {
+	i := slices.IndexFunc(h, func(o Change) bool { return !o.Version.Before(c.Version) })
+	if i < 0 {
+		return h
+	}
+	switch o := h[i]; {
+	case o.Version != c.Version:
+		return slices.Insert(slices.Clone(h), i, c)
+	case o.Estimated || c.At.Before(o.At):
+		h = slices.Clone(h)
+		h[i] = c
 	}
-	return time.Time{}, false
+	return h
 }
--- a/internal/core/medlarpeerload/medlarpeerload.go
+++ b/internal/core/medlarpeerload/medlarpeerload.go
@@ -9,7 +9,8 @@
 //	R2  Reports are hints: they get lost, and each expires after reportTTL. Without any, an
 //	    instance counts its own attempts alone.
 //	R3  A report is sent each tellInterval while the instance has attempts in flight, and once
-//	    more when it has none left.
+//	    more when it has none left. It also carries the ages of changes of desired weight
+//	    versions (medlardesired R3), and is sent while there are such.
 //	R4  A report has a bounded size: beyond maxLoads it names the upstreams with most attempts.
 package medlarpeerload
 
@@ -20,6 +21,7 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlardesired"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -29,6 +31,10 @@
 	reportTTL    = 600 * time.Millisecond // R2
 	maxLoads     = 120                    // R4
 	maxPeers     = 1024                   // reports that are kept
+
+	// loadsPerChange is the number of upstreams that take as much room in a report as a change of a desired
+	// weight version.
+	loadsPerChange = 6
 )
 
 // report is the latest report of a peer.
@@ -122,15 +128,17 @@
 		return
 	}
 	s.tellAt = w.Now.Add(tellInterval)
+	changes := medlardesired.Ages(w)
 	loads := ownLoads(w)
-	if len(loads) == 0 && !s.told {
+	if len(loads) == 0 && len(changes) == 0 && !s.told {
 		return
 	}
+	loads = loads[:min(len(loads), maxLoads-loadsPerChange*len(changes))]
 	s.told = len(loads) > 0
-	w.Emit(medlarworld.TellLoad{Loads: loads})
+	w.Emit(medlarworld.TellLoad{Loads: loads, Changes: changes})
 }
 
-// ownLoads returns the load that this instance puts on upstreams (R1, R4).
+// ownLoads returns the load that this instance puts on upstreams, the largest first (R1, R4).
 func ownLoads(w *medlarworld.World) []medlarworld.PeerLoad {
 	var out []medlarworld.PeerLoad
 	for id, u := range w.Upstreams {
@@ -142,5 +150,5 @@
 	slices.SortFunc(out, func(a, b medlarworld.PeerLoad) int {
 		return cmp.Or(cmp.Compare(b.Open, a.Open), cmp.Compare(a.Upstream, b.Upstream))
 	})
-	return out[:min(len(out), maxLoads)]
+	return out
 }
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -52,6 +52,9 @@
 	// OldVersionGrace is the time after which a replica with a weight version other
 	// than the desired one gets no more work; 0 for no bound.
 	OldVersionGrace time.Duration
+	// SettlingTime is the time for which older weight versions serve at least after an instance has read, late
+	// or at its start, that they are replaced.
+	SettlingTime time.Duration
 	// TellLoad is set if instances tell one another of the load that they put on upstreams.
 	TellLoad bool
 	// VersionsIncrease is set if the operators never return to an earlier weight version.
@@ -294,12 +297,13 @@
 	Now    time.Time
 	Rand   *rand.Rand
 
-	Version     medlarid.Offset
-	RecordsAsOf time.Time // time as of which the operators' records are known
-	Ready       bool
-	Draining    bool
-	Peers       int                   // live entry instances, including this one
-	Others      []medlarid.InstanceID // other instances that have announced themselves
+	Version       medlarid.Offset
+	RecordsAsOf   time.Time // time as of which the operators' records are known
+	RecordsBefore time.Time // RecordsAsOf of the read before
+	Ready         bool
+	Draining      bool
+	Peers         int                   // live entry instances, including this one
+	Others        []medlarid.InstanceID // other instances that have announced themselves
 
 	Accounts  map[medlarid.AccountID]*Account
 	Models    map[medlarid.ModelID]Model
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -6,6 +6,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarbuild"
 	"medlarfield/internal/core/medlarchoice"
+	"medlarfield/internal/core/medlarhistory"
 	"medlarfield/internal/core/medlarinventory"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarkind"
@@ -231,10 +232,12 @@
 	Pending  medlarid.Tokens // of attempts whose answer has not begun, still to be computed
 }
 
-// PeerLoadReported carries the load that another instance puts on upstreams.
+// PeerLoadReported carries the load that another instance puts on upstreams, and the ages of changes of
+// desired weight versions that it knows.
 type PeerLoadReported struct {
-	Peer  medlarid.InstanceID
-	Loads []PeerLoad
+	Peer    medlarid.InstanceID
+	Loads   []PeerLoad
+	Changes []medlarhistory.ChangeAge
 }
 
 // LimitRecorded carries the shared limit of an upstream. Dropped is set if there is none any longer.
@@ -470,8 +473,12 @@
 	Rates  Rates
 }
 
-// TellLoad asks to tell other instances of the load that this one puts on upstreams.
-type TellLoad struct{ Loads []PeerLoad }
+// TellLoad asks to tell other instances of the load that this one puts on upstreams, and of the ages of changes of
+// desired weight versions.
+type TellLoad struct {
+	Loads   []PeerLoad
+	Changes []medlarhistory.ChangeAge
+}
 
 // AssignBuilds asks to record the assignment of a service's streams to builds for all instances. With
 // Claim set it counts only if no other instance has recorded anything meanwhile.
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -152,9 +152,10 @@
 		MaxAttempts:     1,
 		MaxHolders:      maxHolders,
 		OldVersionGrace: cfg.Bounds.OldVersionGrace.Std() - versionMargin, VersionsIncrease: true,
-		TellLoad:    cfg.HasPeers(),
-		RetryBudget: medlarworld.RetryBudget{Ratio: retryShare * cfg.Bounds.RetryRatio, Max: retryBurst, Initial: retryStart},
-		Seed:        rand.Uint64(),
+		SettlingTime: max(cfg.Bounds.SettlingTime.Std()-versionMargin, 0),
+		TellLoad:     cfg.HasPeers(),
+		RetryBudget:  medlarworld.RetryBudget{Ratio: retryShare * cfg.Bounds.RetryRatio, Max: retryBurst, Initial: retryStart},
+		Seed:         rand.Uint64(),
 	})
 	deps := medlarloop.Deps{
 		LookUp:  func(medlarworld.LookUp) {},
@@ -215,7 +216,12 @@
 		}
 		f := medlarfeed.New(medlarfeed.Deps{
 			ReadLatest: func(_ context.Context, after string) (medlarfeed.Page, error) {
-				return s.Newest(topic, after)
+				begin := time.Now()
+				p, err := s.Newest(topic, after)
+				if err == nil && topic == medlarplatform.TopicOperator && after == "" {
+					loop.Post(medlarworld.RecordsCurrent{At: begin})
+				}
+				return p, err
 			},
 			ReadFrom: func(_ context.Context, from medlarid.Offset, o medlarfeed.ReadOptions) (medlarfeed.Batch, error) {
 				begin := time.Now()
--- a/internal/ops/medlarattachednode/weights_test.go
+++ b/internal/ops/medlarattachednode/weights_test.go
@@ -52,3 +52,37 @@
 		t.Errorf("%d of %d prompts served, %d refused; want a share of %v", served, len(all), refused, minServedApart)
 	}
 }
+
+// oldWeights is the time for which replaced weights may serve, as the site's settings state it.
+const oldWeights = 6 * time.Second
+
+// TestOlderWeightsEndAfterRestart guards against an instance that starts after weights were replaced, and sends requests to
+// replicas with the older ones for as long as if they had been replaced at its start.
+func TestOlderWeightsEndAfterRestart(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, 2, func(s *medlarsite.Settings) { s.Engines = 3 })
+	for _, r := range f.site.EngineReplicas() {
+		r.IgnoreOrders()
+	}
+	f.site.SetWeightVersion(2)
+	replaced := time.Now()
+	time.Sleep(oldWeights / 2)
+	f.restart(1)
+	w := f.members[1]
+	w.eventually("the instance is ready", w.instance.Ready)
+	served := 0
+	for n := 0; time.Since(replaced) < oldWeights+time.Second; n++ {
+		sent := time.Now()
+		got := w.send(request{path: "/letter/a", id: fmt.Sprint("w", n), fields: prompt(fmt.Sprintf("aa:100,bb:400,c%d:500", n))})
+		if got.status == 200 {
+			served++
+			if age := sent.Sub(replaced); age > oldWeights {
+				t.Errorf("a prompt was served on older weights %v after they were replaced", age)
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if served == 0 {
+		t.Error("no prompt was served on older weights in the time in which they may serve")
+	}
+}
--- a/internal/ops/medlarnotifier/medlarnotifier.go
+++ b/internal/ops/medlarnotifier/medlarnotifier.go
@@ -96,7 +96,7 @@
 	d.RecordStreams = n.recordStreams
 	d.RecordSeen = n.recordSeen
 	d.ReadNotices = n.read
-	d.TellLoad = func(c medlarworld.TellLoad) { n.deps.Socket.Tell(c.Loads) }
+	d.TellLoad = n.deps.Socket.Tell
 }
 
 // probe finds out whether a replica is down.
--- a/internal/ops/medlarsettings/attached.go
+++ b/internal/ops/medlarsettings/attached.go
@@ -33,6 +33,7 @@
 	HandoverDelay       medlarid.Duration `json:"settle"`    // between the orders of two successive lease holders
 	RetryRatio          float64           `json:"retries"`   // repeated attempts per request, over all instances
 	OldVersionGrace     medlarid.Duration `json:"weights"`   // from the change of the desired weight version to the last start under an older one
+	SettlingTime        medlarid.Duration `json:"stable"`    // after a start or an outage, until bounds in time hold for the instance as for others
 	RemovalDelay        medlarid.Duration `json:"return"`    // in which removed replicas are listed again after an outage of the store
 	HeartbeatInterval   medlarid.Duration `json:"heartbeat"` // of the replicas' entries, which expire after several of them
 }
@@ -47,6 +48,7 @@
 			HandoverDelay:       seconds(3),
 			RetryRatio:          0.1,
 			OldVersionGrace:     seconds(6),
+			SettlingTime:        seconds(3),
 			RemovalDelay:        seconds(2),
 			HeartbeatInterval:   medlarid.Duration(1200 * time.Millisecond),
 		},
@@ -88,6 +90,7 @@
 		durationRange("/bounds/out", s.Bounds.DeregistrationDelay, 0, s.Bounds.GracePeriod.Std()),
 		durationRange("/bounds/settle", s.Bounds.HandoverDelay, 100*time.Millisecond, time.Minute),
 		durationRange("/bounds/weights", s.Bounds.OldVersionGrace, time.Second, time.Hour),
+		durationRange("/bounds/stable", s.Bounds.SettlingTime, 100*time.Millisecond, time.Minute),
 		durationRange("/bounds/heartbeat", s.Bounds.HeartbeatInterval, 50*time.Millisecond, time.Minute),
 		durationRange("/bounds/return", s.Bounds.RemovalDelay, 0, time.Minute),
 		{"/bounds/retries", s.Bounds.RetryRatio >= 0 && s.Bounds.RetryRatio <= 1, "0 to 1 attempts"},
--- a/internal/peer/medlardatagram/medlardatagram.go
+++ b/internal/peer/medlardatagram/medlardatagram.go
@@ -10,7 +10,8 @@
 //	R3  Peers from which no datagram arrived for silence are tried only now and then.
 //	R4  Beyond maxTargets peers no load is sent: to send it to all of them often enough would cost
 //	    each instance more than it gains, and sums of some of the reports mislead. Only
-//	    a few random ones get an empty report now and then, which keeps the count of peers.
+//	    a few random ones get a report without load now and then, which keeps the count of peers
+//	    and tells of changes of desired weight versions.
 //	R5  A peer from which no datagram arrived for forgetAfter is forgotten.
 package medlardatagram
 
@@ -162,7 +163,7 @@
 }
 
 // Tell sends a report to the peers (R1). Failures are of no interest: the next report follows soon.
-func (s *Socket) Tell(loads []medlarworld.PeerLoad) {
+func (s *Socket) Tell(c medlarworld.TellLoad) {
 	if s.conn == nil {
 		return
 	}
@@ -170,10 +171,11 @@
 	s.mu.Lock()
 	s.serial++
 	targets, few := s.targets(now)
+	m := message{Sender: s.deps.Self, Key: s.deps.Key, Serial: s.serial, Loads: c.Loads, Changes: c.Changes}
 	if few {
-		loads = nil
+		m.Loads = nil
 	}
-	b := encode(message{Sender: s.deps.Self, Key: s.deps.Key, Serial: s.serial, Loads: loads})
+	b := encode(m)
 	forgotten := s.forget(now)
 	s.mu.Unlock()
 	for _, at := range targets {
@@ -244,7 +246,7 @@
 			continue
 		}
 		if s.accept(m) {
-			s.onLoad(medlarworld.PeerLoadReported{Peer: m.Sender, Loads: m.Loads})
+			s.onLoad(medlarworld.PeerLoadReported{Peer: m.Sender, Loads: m.Loads, Changes: m.Changes})
 		}
 	}
 }
--- a/internal/peer/medlardatagram/medlardatagram_test.go
+++ b/internal/peer/medlardatagram/medlardatagram_test.go
@@ -1,17 +1,24 @@
 package medlardatagram
 
 import (
+	"math"
 	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarhistory"
 	"medlarfield/internal/core/medlarworld"
 )
 
-var loads = []medlarworld.PeerLoad{{Upstream: 7, Open: 3, Pending: 1280}, {Upstream: 1 << 31, Open: 1}}
+var (
+	loads   = []medlarworld.PeerLoad{{Upstream: 7, Open: 3, Pending: 1280}, {Upstream: 1 << 31, Open: 1}}
+	changes = []medlarhistory.ChangeAge{{Model: "m", Version: "12", Age: 3300 * time.Millisecond}, {Model: "n", Version: "2"}}
+	report  = medlarworld.TellLoad{Loads: loads, Changes: changes}
+)
 
 // TestMessage guards against a datagram that is read otherwise than it was written, or not refused.
 func TestMessage(t *testing.T) {
@@ -35,8 +42,29 @@
 	}
 }
 
+// TestMessageWithChanges guards against ages of changes that are read otherwise than they were written, or in part.
+func TestMessageWithChanges(t *testing.T) {
+	want := message{Sender: "entry-1", Key: 5, Serial: 42, Loads: loads, Changes: changes}
+	b := encode(want)
+	got, err := decode(b)
+	if d := cmp.Diff(want, got); d != "" || err != nil {
+		t.Errorf("error %v, message:\n%s", err, d)
+	}
+	for n := range b {
+		m, err := decode(b[:n])
+		if kept := len(m.Changes); err == nil && (kept == len(changes) || cmp.Diff(changes[:kept], m.Changes, cmpopts.EquateEmpty()) != "") {
+			t.Errorf("the first %d of %d bytes are read as %+v", n, len(b), m)
+		}
+	}
+	huge := encode(message{Sender: "x", Changes: []medlarhistory.ChangeAge{{Model: "m", Version: "2", Age: math.MaxInt64}}})
+	if m, err := decode(huge); err != nil || m.Changes[0].Age <= 0 {
+		t.Errorf("changes %+v, error %v; want a bounded age", m.Changes, err)
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add(encode(message{Sender: "entry-1", Key: 5, Serial: 42, Loads: loads}))
+	f.Add(encode(message{Sender: "entry-1", Key: 5, Serial: 42, Loads: loads, Changes: changes}))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		m, err := decode(b)
 		if err != nil {
@@ -101,27 +129,27 @@
 	a, b := newNode(t, "a", 1), newNode(t, "b", 2)
 	a.SetPeer("b", b.peer())
 	a.SetPeer("a", a.peer())
-	a.Tell(loads)
+	a.Tell(report)
 	b.assertNothing(t) // b does not know a yet
 	b.SetPeer("a", a.peer())
-	a.Tell(loads)
-	b.assertGot(t, medlarworld.PeerLoadReported{Peer: "a", Loads: loads})
+	a.Tell(report)
+	b.assertGot(t, medlarworld.PeerLoadReported{Peer: "a", Loads: loads, Changes: changes})
 	a.assertNothing(t)
 
 	a.serial -= 2
-	a.Tell(loads)
+	a.Tell(report)
 	b.assertNothing(t) // an earlier datagram
 	a.serial += 2
-	a.Tell(nil)
+	a.Tell(medlarworld.TellLoad{})
 	b.assertGot(t, medlarworld.PeerLoadReported{Peer: "a"})
 
 	b.SetPeer("a", Peer{Address: a.Address(), Key: 9}) // a has started again
-	a.Tell(loads)
+	a.Tell(report)
 	b.assertNothing(t)
 
 	a.SetPeer("b", Peer{})
 	b.SetPeer("a", a.peer())
-	a.Tell(loads)
+	a.Tell(report)
 	b.assertNothing(t) // b has stopped
 	if _, err := a.conn.WriteToUDPAddrPort([]byte{255}, netip.MustParseAddrPort(string(a.Address()))); err != nil {
 		t.Fatal(err)
--- a/internal/peer/medlardatagram/message.go
+++ b/internal/peer/medlardatagram/message.go
@@ -1,10 +1,13 @@
 package medlardatagram
 
 import (
+	"time"
+
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarhistory"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -15,13 +18,22 @@
 	fieldKey    protowire.Number = 2 // fixed64
 	fieldSerial protowire.Number = 3 // varint
 	fieldLoads  protowire.Number = 4 // bytes, of all loads
+	fieldChange protowire.Number = 5 // message, for each change of a desired weight version
+)
+
+// Fields of a change.
+const (
+	fieldModel   protowire.Number = 1 // string
+	fieldVersion protowire.Number = 2 // string
+	fieldAge     protowire.Number = 3 // varint, in ms
 )
 
 // tokenUnit is the unit of pending tokens in a datagram.
 const tokenUnit = 64
 
-// maxOpen and maxPending bound what a datagram can state of an upstream.
+// Bounds of what a datagram can state.
 const (
+	maxAge     = 1 << 40 // ms
 	maxOpen    = 1 << 16
 	maxPending = 1 << 24 // tokens
 )
@@ -32,6 +44,8 @@
 	Key    Key
 	Serial uint64 // increases with each datagram of the sender
 	Loads  []medlarworld.PeerLoad
+	// Changes are the ages of changes of desired weight versions, at the time of the datagram.
+	Changes []medlarhistory.ChangeAge
 }
 
 func encode(m message) []byte {
@@ -48,7 +62,21 @@
 		loads = protowire.AppendVarint(loads, uint64((l.Pending+tokenUnit/2)/tokenUnit))
 	}
 	b = protowire.AppendTag(b, fieldLoads, protowire.BytesType)
-	return protowire.AppendBytes(b, loads)
+	b = protowire.AppendBytes(b, loads)
+	for _, c := range m.Changes {
+		b = protowire.AppendTag(b, fieldChange, protowire.BytesType)
+		b = protowire.AppendBytes(b, encodeChange(c))
+	}
+	return b
+}
+
+func encodeChange(c medlarhistory.ChangeAge) []byte {
+	b := protowire.AppendTag(nil, fieldModel, protowire.BytesType)
+	b = protowire.AppendString(b, string(c.Model))
+	b = protowire.AppendTag(b, fieldVersion, protowire.BytesType)
+	b = protowire.AppendString(b, string(c.Version))
+	b = protowire.AppendTag(b, fieldAge, protowire.VarintType)
+	return protowire.AppendVarint(b, uint64(max(c.Age, 0).Milliseconds()))
 }
 
 // decode decodes a datagram. Unknown fields are skipped.
@@ -96,6 +124,16 @@
 			}
 			m.Loads = loads
 		}
+	case num == fieldChange && typ == protowire.BytesType:
+		var v []byte
+		v, n = protowire.ConsumeBytes(b)
+		if n >= 0 {
+			c, err := decodeChange(v)
+			if err != nil {
+				return 0, err
+			}
+			m.Changes = append(m.Changes, c)
+		}
 	default:
 		n = protowire.ConsumeFieldValue(num, typ, b)
 	}
@@ -105,6 +143,38 @@
 	return n, nil
 }
 
+func decodeChange(b []byte) (medlarhistory.ChangeAge, error) {
+	var c medlarhistory.ChangeAge
+	for len(b) > 0 {
+		num, typ, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			return c, malformed(n)
+		}
+		b = b[n:]
+		switch {
+		case num == fieldModel && typ == protowire.BytesType:
+			var v string
+			v, n = protowire.ConsumeString(b)
+			c.Model = medlarid.ModelID(v)
+		case num == fieldVersion && typ == protowire.BytesType:
+			var v string
+			v, n = protowire.ConsumeString(b)
+			c.Version = medlarid.WeightVersion(v)
+		case num == fieldAge && typ == protowire.VarintType:
+			var v uint64
+			v, n = protowire.ConsumeVarint(b)
+			c.Age = time.Duration(min(v, maxAge)) * time.Millisecond
+		default:
+			n = protowire.ConsumeFieldValue(num, typ, b)
+		}
+		if n < 0 {
+			return c, malformed(n)
+		}
+		b = b[n:]
+	}
+	return c, nil
+}
+
 func decodeLoads(b []byte) ([]medlarworld.PeerLoad, error) {
 	var out []medlarworld.PeerLoad
 	for len(b) > 0 {
--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -137,6 +137,7 @@
 	endless  atomic.Int64 // bytes that faults without end have sent
 	orders   uint64
 	loading  bool
+	idle     bool // orders are accepted and not carried out
 	version  uint64
 	changed  func() // called when the replica's own entry changes
 }
@@ -171,6 +172,13 @@
 // ShareEndings makes the replica take the endings of its responses from a queue that other replicas may share.
 func (r *Replica) ShareEndings(q *medlarending.Queue) { r.endings.Store(q) }
 
+// IgnoreOrders makes the replica accept orders and not carry them out.
+func (r *Replica) IgnoreOrders() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.idle = true
+}
+
 // Disarm removes the armed faults that have not been injected yet.
 func (r *Replica) Disarm() {
 	r.mu.Lock()
@@ -399,8 +407,11 @@
 	if r.loading || in.Expect != nil && *in.Expect != r.orders {
 		return writeResponse(c, 409, "", "")
 	}
-	r.loading = true
 	r.orders++
+	if r.idle {
+		return writeResponse(c, 202, "", "")
+	}
+	r.loading = true
 	go func() {
 		time.Sleep(loadTime)
 		r.mu.Lock()
--- a/internal/stand/medlarsite/medlarsite.go
+++ b/internal/stand/medlarsite/medlarsite.go
@@ -302,7 +302,7 @@
 		MemoryMB: 256,
 		Bounds: medlarsettings.Bounds{
 			GracePeriod: duration(8 * time.Second), DeregistrationDelay: duration(s.settings.StopDelay), HandoverDelay: duration(time.Second), RetryRatio: 0.2,
-			OldVersionGrace: duration(6 * time.Second), RemovalDelay: duration(s.settings.RemovalDelay),
+			OldVersionGrace: duration(6 * time.Second), SettlingTime: duration(3 * time.Second), RemovalDelay: duration(s.settings.RemovalDelay),
 			HeartbeatInterval: duration(s.settings.HeartbeatInterval),
 		},
 		Log: medlarsettings.Log{Level: "info"},
