--- a/internal/ops/medlarregistry/medlarregistry.go
+++ b/internal/ops/medlarregistry/medlarregistry.go
@@ -27,7 +27,6 @@
 	"medlarfield/internal/agree/medlarfeed"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarhistory"
-	"medlarfield/internal/core/medlarplacement"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarmetric"
 	"medlarfield/internal/edge/medlarpool"
@@ -62,58 +61,6 @@
 	operatorUnavailable bool                                       // whether the operators' records cannot be read
 }
 
-// replica is a replica's entry together with what was learned from its answers since.
-type replica struct {
-	medlarplatform.Replica
-	reported medlarid.WeightVersion // reported by the replica and newer than the entry's, or empty
-	assumed  medlarid.WeightVersion // assumed for requests after a version mismatch, or empty
-	history  medlarhistory.History  // successive values of version()
-	deniedAt time.Time              // when the replica denied to run any version that requests could name; zero if it did not
-}
-
-// observe extends the history after a change. A replica that went back to an earlier version starts it anew.
-func (r *replica) observe() {
-	v := r.version()
-	if n := len(r.history); n > 0 {
-		last := r.history[n-1].Version
-		if v == last {
-			return
-		}
-		if v.Before(last) {
-			r.history = nil
-		}
-	}
-	r.history = append(r.history, medlarhistory.Change{Version: v, At: time.Now()})
-}
-
-// past reports whether the replica has run later versions than v for longer than a time.
-func (r *replica) past(v medlarid.WeightVersion, lasting time.Duration) bool {
-	at, ok := r.history.ReplacedAt(v)
-	return ok && time.Since(at) > lasting
-}
-
-// version returns the newest weight version that the replica is known to have.
-func (r *replica) version() medlarid.WeightVersion {
-	if r.Member.Version.Before(r.reported) {
-		return r.reported
-	}
-	return r.Member.Version
-}
-
-// maxReportLag is the longest time by which the version that a replica reports may be out of date.
-const maxReportLag = 500 * time.Millisecond
-
-// denied reports whether it is not known which version the replica runs.
-func (r *replica) denied() bool { return !r.deniedAt.IsZero() }
-
-// requestVersion returns the weight version to name in requests to the replica.
-func (r *replica) requestVersion() medlarid.WeightVersion {
-	if r.assumed != "" {
-		return r.assumed
-	}
-	return r.version()
-}
-
 // New returns an empty registry that posts its changes to the core with post. onMalformed is
 // called for each record that cannot be decoded.
 func New(log zerolog.Logger, pool *medlarpool.Pool, post func(medlarworld.Event), onMalformed func(medlarmetric.Source)) *Registry {
@@ -332,78 +279,6 @@
 	return true
 }
 
-// ObserveVersion records the weight version that a replica reported or answered under.
-// It clears an assumed version, and the denial of all known ones (see ObserveVersionMismatch).
-func (t *Registry) ObserveVersion(id medlarid.InstanceID, v medlarid.WeightVersion) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	r := t.replicas[id]
-	if r == nil {
-		return
-	}
-	newer := r.version().Before(v)
-	resolved := r.denied() && (newer || time.Since(r.deniedAt) > maxReportLag)
-	if r.assumed == "" && !newer && !resolved {
-		return
-	}
-	r.assumed = ""
-	if resolved {
-		r.deniedAt = time.Time{}
-	}
-	if newer {
-		r.reported = v
-		r.observe()
-	}
-	t.log.Info().Str("event", "replica").Str("replica", string(id)).Str("version", string(v)).Msg("replica reported its weight version")
-	t.postReplicas()
-}
-
-// ObserveVersionMismatch records that a replica rejected a request because it does not
-// run weight version v. If v is older than the desired version, requests assume the
-// desired one until the replica reports its version. Requests name the version, so that
-// a wrong assumption is rejected at once and then dropped. The assumption applies to
-// requests only: the rollout uses the versions that replicas report. A replica that denies
-// the desired version too, or a later one, gets no requests until it reports which one it
-// runs: it may have loaded one that this instance has not read of.
-func (t *Registry) ObserveVersionMismatch(id medlarid.InstanceID, v medlarid.WeightVersion) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	r := t.replicas[id]
-	if r == nil || r.requestVersion() != v {
-		return
-	}
-	desired := t.desired[r.Member.Model]
-	switch {
-	case r.assumed != "":
-		r.assumed, r.deniedAt = "", time.Now()
-	case v.Before(desired):
-		r.assumed = desired
-	default:
-		r.deniedAt = time.Now()
-	}
-	t.log.Info().Str("event", "replica").Str("replica", string(id)).Str("denied", string(v)).Str("version", string(r.requestVersion())).Bool("known", !r.denied()).
-		Msg("replica rejected the weight version; assumed version changed")
-	t.postReplicas()
-}
-
-// MostReplicasPast reports whether at least medlarplacement.SwappedShare of a model's replicas
-// have run later weight versions than v for longer than lasting.
-func (t *Registry) MostReplicasPast(m medlarid.ModelID, v medlarid.WeightVersion, lasting time.Duration) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	all, changed := 0, 0
-	for _, r := range t.replicas {
-		if r.Member.Model != m || !t.serves(r) {
-			continue
-		}
-		all++
-		if r.past(v, lasting) {
-			changed++
-		}
-	}
-	return all > 0 && float64(changed) >= medlarplacement.SwappedShare*float64(all)
-}
-
 // serves reports whether a replica is of a service that a catalog has named (R4). The caller holds t.mu.
 func (t *Registry) serves(r *replica) bool {
 	return len(t.services) == 0 || t.services[r.Member.Service]
@@ -479,13 +354,5 @@
 	return out
 }
 
-// ReplacedAt returns when this process first saw a later desired version of a model
-// replace v; ok is false if none has.
-func (t *Registry) ReplacedAt(m medlarid.ModelID, v medlarid.WeightVersion) (at time.Time, ok bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.versionHistory[m].ReplacedAt(v)
-}
-
 // prefill is the assumed prefill throughput of a replica, in prompt tokens per second.
 const prefill = 80000
