Count replicas that have lapsed from the list before parts of replaced weights are freed

Cause: an instance frees parts of replaced weights once five sixths of the replicas in its list run later ones; another fetches them while more than a fifth of those in its own list answer under the older ones. The two have a replica in common only if the lists are the same. Replicas that cannot reach the platform's store lapse from the lists of instances that read it, get no orders, and serve an instance that cannot read it either. The class: two instances rely on each other by counts of something that each knows differently.

Ruled out as its cause, by the instances' logs: nobody stood still, and freed parts were freed again only while the older weights were in use.

Change: answers count only while the list is known as of 10 s ago, and only of replicas listed for 1.5 s; an instance frees only if it knows the list as of 1.5 s ago, has followed it for 11.5 s, and counts replicas removed within that time as they were. The feed dates what it has delivered. RecordsCurrent is posted after the records of its read, no longer before.

--- a/internal/agree/medlarfeed/call.go
+++ b/internal/agree/medlarfeed/call.go
@@ -5,6 +5,8 @@
 	"errors"
 	"math/rand/v2"
 	"time"
+
+	"medlarfield/internal/base/medlarclock"
 )
 
 // Repetition of calls without a response (R6).
@@ -19,29 +21,33 @@
 type result struct {
 	page  Page
 	batch Batch
+	asOf  time.Time // earliest time at which the store can have answered
 	err   error
 }
 
-// readLatest reads a page of the latest records.
-func (f *Feed) readLatest(ctx context.Context, after string) (Page, error) {
+// readLatest reads a page of the latest records, and returns a time as of which they are the latest.
+func (f *Feed) readLatest(ctx context.Context, after string) (Page, time.Time, error) {
 	r := f.call(ctx, 0, func() result {
+		begin := time.Now()
 		page, err := f.deps.ReadLatest(ctx, after)
-		return result{page: page, err: err}
+		return result{page: page, asOf: begin, err: err}
 	})
-	return r.page, r.err
+	return r.page, r.asOf, r.err
 }
 
-// readFrom reads the next records, without waiting for them after a failure (R5).
-func (f *Feed) readFrom(ctx context.Context) (Batch, error) {
+// readFrom reads the next records, without waiting for them after a failure (R5). It returns a time as of which
+// there are no others.
+func (f *Feed) readFrom(ctx context.Context) (Batch, time.Time, error) {
 	from, wait := f.nextOffset, f.options.MaxWait
 	if f.failures > 0 {
 		wait = 0
 	}
 	r := f.call(ctx, wait, func() result {
+		begin := time.Now()
 		batch, err := f.deps.ReadFrom(ctx, from, ReadOptions{Wait: wait})
-		return result{batch: batch, err: err}
+		return result{batch: batch, asOf: medlarclock.AnsweredFrom(begin, wait, batch.NextOffset != from), err: err}
 	})
-	return r.batch, r.err
+	return r.batch, r.asOf, r.err
 }
 
 // call makes a call that waits for records at most for the given time, repeats it while
--- a/internal/agree/medlarfeed/history_test.go
+++ b/internal/agree/medlarfeed/history_test.go
@@ -230,7 +230,7 @@
 	}
 	synctest.Test(t, func(t *testing.T) {
 		feed := New(Deps{
-			ReadLatest: h.newest, ReadFrom: h.read, Apply: h.apply, OnCurrent: func(medlarid.Offset) {}, OnUnavailable: func(error) {}, OnRecovered: func(time.Duration) {}, OnEra: h.beginEra,
+			ReadLatest: h.newest, ReadFrom: h.read, Apply: h.apply, OnCurrent: func(Progress) {}, OnUnavailable: func(error) {}, OnRecovered: func(time.Duration) {}, OnEra: h.beginEra,
 		}, Options{PollInterval: 100 * time.Millisecond, RemovalDelay: o.removalDelay, MinOutage: historyExpiry})
 		ctx, cancel := context.WithCancel(t.Context())
 		go feed.Run(ctx)
--- a/internal/agree/medlarfeed/medlarfeed.go
+++ b/internal/agree/medlarfeed/medlarfeed.go
@@ -68,6 +68,13 @@
 	Wait time.Duration
 }
 
+// Progress is how far a feed has read its topic.
+type Progress struct {
+	End medlarid.Offset // Apply has received all records before it
+	// AsOf is a time as of which what Apply has received is the state of the topic; zero while removals are delayed.
+	AsOf time.Time
+}
+
 // Deps are the functions with which a feed reads a topic and reports its changes.
 type Deps struct {
 	ReadLatest func(ctx context.Context, after string) (Page, error)
@@ -75,8 +82,8 @@
 	// Apply receives changed records in order. first reports that they are the initial
 	// records, of all keys.
 	Apply func(records []Record, first bool)
-	// OnCurrent is called after each read, once Apply has received all records before an offset.
-	OnCurrent func(end medlarid.Offset)
+	// OnCurrent is called after each read, once Apply has received its records.
+	OnCurrent func(Progress)
 	// OnUnavailable and OnRecovered are called when calls to the store begin to fail
 	// and when they succeed again.
 	OnUnavailable func(err error)
@@ -163,7 +170,7 @@
 
 // start reads the latest record of each key (R1).
 func (f *Feed) start(ctx context.Context) error {
-	page, err := f.readLatest(ctx, "")
+	page, asOf, err := f.readLatest(ctx, "")
 	if err != nil {
 		return err
 	}
@@ -176,7 +183,7 @@
 			break // a key that is no text comes changed, and the same page again after it
 		}
 		after = last
-		page, err = f.readLatest(ctx, after)
+		page, _, err = f.readLatest(ctx, after)
 		if err != nil {
 			return err
 		}
@@ -190,7 +197,7 @@
 	changed = append(changed, f.missing(all)...)
 	f.deliver(changed, !f.initialized)
 	f.initialized = true
-	f.deps.OnCurrent(f.nextOffset)
+	f.reportProgress(asOf)
 	return nil
 }
 
@@ -232,7 +239,7 @@
 
 // read reads the next records; it returns false if the feed must call start again.
 func (f *Feed) read(ctx context.Context) (bool, error) {
-	b, err := f.readFrom(ctx)
+	b, asOf, err := f.readFrom(ctx)
 	if err != nil {
 		return true, err
 	}
@@ -241,10 +248,18 @@
 	}
 	f.nextOffset = max(b.NextOffset, f.nextOffset)
 	f.deliver(f.newer(b.Records), false)
-	f.deps.OnCurrent(f.nextOffset)
+	f.reportProgress(asOf)
 	return true, nil
 }
 
+// reportProgress reports a read that showed the topic as of a time.
+func (f *Feed) reportProgress(asOf time.Time) {
+	if len(f.delayed) > 0 {
+		asOf = time.Time{}
+	}
+	f.deps.OnCurrent(Progress{End: f.nextOffset, AsOf: asOf})
+}
+
 // newer returns the records that are newer than the known records of their keys (R3).
 func (f *Feed) newer(records []Record) []Record {
 	var out []Record
--- a/internal/agree/medlarfeed/medlarfeed_test.go
+++ b/internal/agree/medlarfeed/medlarfeed_test.go
@@ -83,7 +83,7 @@
 					state[r.Key] = string(r.Value)
 				}
 			},
-			OnCurrent:     func(medlarid.Offset) {},
+			OnCurrent:     func(Progress) {},
 			OnUnavailable: func(error) {},
 			OnRecovered:   func(time.Duration) {},
 			OnEra:         func(medlarid.Era) {},
@@ -210,7 +210,7 @@
 					got = append(got, r.Key)
 				}
 			},
-			OnCurrent:     func(end medlarid.Offset) { got = append(got, fmt.Sprint("current ", end)) },
+			OnCurrent:     func(p Progress) { got = append(got, fmt.Sprint("current ", p.End)) },
 			OnUnavailable: func(error) {},
 			OnRecovered:   func(time.Duration) {},
 			OnEra:         func(medlarid.Era) {},
@@ -237,7 +237,7 @@
 			ReadFrom: func(_ context.Context, from medlarid.Offset, _ ReadOptions) (Batch, error) {
 				return Batch{NextOffset: from}, nil
 			},
-			Apply: func([]Record, bool) { applied++ }, OnCurrent: func(medlarid.Offset) {}, OnUnavailable: func(error) {}, OnRecovered: func(time.Duration) {},
+			Apply: func([]Record, bool) { applied++ }, OnCurrent: func(Progress) {}, OnUnavailable: func(error) {}, OnRecovered: func(time.Duration) {},
 			OnEra: func(medlarid.Era) {},
 		}, Options{PollInterval: time.Second})
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
--- a/internal/agree/medlarfeed/outage_test.go
+++ b/internal/agree/medlarfeed/outage_test.go
@@ -89,7 +89,7 @@
 					}
 				}
 			},
-			OnCurrent:     func(medlarid.Offset) {},
+			OnCurrent:     func(Progress) {},
 			OnUnavailable: func(error) {},
 			OnRecovered:   func(time.Duration) {},
 			OnEra:         func(medlarid.Era) {},
--- a/internal/core/medlarcore/parts_test.go
+++ b/internal/core/medlarcore/parts_test.go
@@ -11,6 +11,7 @@
 	"medlarfield/internal/core/medlarinventory"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarkind"
+	"medlarfield/internal/core/medlarplacement"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
 )
@@ -522,3 +523,33 @@
 		})
 	}
 }
+
+// TestFetchNeedsKnownReplicas guards against a fetch of parts that are being freed, by an instance that counts answers of replicas
+// which those that free them do not know: it has not read the list for long, or they have just joined.
+func TestFetchNeedsKnownReplicas(t *testing.T) {
+	const replicas = 20
+	for _, tc := range []struct {
+		name      string
+		list, new time.Duration // ages of the list and of the replicas
+		want      string
+	}{
+		{"known", time.Second, 5 * time.Second, "ffo"},
+		{"list is old", medlarplacement.ListTTL + time.Millisecond, time.Minute, "cco"},
+		{"list is not too old", medlarplacement.ListTTL, time.Minute, "ffo"},
+		{"replicas have just joined", 0, medlarplacement.MaxListAge, "cco"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPartsHarness(t, replicas, func(cfg *medlarworld.Config) { cfg.MaxHolders = 0 })
+			r := p.newRun(500, 8000, 300)
+			p.tick(medlarworld.RecordsCurrent{At: p.now})
+			p.setVersion("2")
+			p.now = p.now.Add(3 * time.Second)
+			p.tick(medlarworld.RecordsCurrent{At: p.now}, medlarworld.ReplicasCurrent{At: p.now.Add(-tc.list)})
+			p.reportStock("near", 1, true, r.Keys[0], r.Keys[1])
+			for _, u := range p.core.World().Engines[partsModel] {
+				u.ConfirmedAt, u.ListedAt = p.now, p.now.Add(-tc.new)
+			}
+			assertParts(t, p.submit(r), tc.want)
+		})
+	}
+}
--- a/internal/core/medlardesired/medlardesired.go
+++ b/internal/core/medlardesired/medlardesired.go
@@ -41,7 +41,7 @@
 		switch e := e.(type) {
 		case medlarworld.RecordsCurrent:
 			if e.At.After(w.RecordsAsOf) { // answers overtake one another
-				w.RecordsBefore, w.RecordsAsOf = w.RecordsAsOf, e.At
+				w.RecordsAsOf = e.At
 			}
 		case medlarworld.ListsApplied:
 			applyLists(w, e)
@@ -72,7 +72,8 @@
 	}
 }
 
-// changedAt returns the time of a change that has just been read (R1, R2). It is called before the lists are applied.
+// changedAt returns the time of a change that has just been read (R1, R2). It is called before the lists are applied;
+// RecordsAsOf is of the read before.
 func changedAt(w *medlarworld.World) (at time.Time, estimated bool) {
 	if w.Config.OldVersionGrace == 0 {
 		return w.Now, false // nothing depends on it
@@ -81,12 +82,12 @@
 	switch {
 	case !w.Ready:
 		return earliest, true
-	case w.RecordsBefore.IsZero() || w.Now.Sub(w.RecordsBefore) <= maxReadGap: // zero where reads are not dated
+	case w.RecordsAsOf.IsZero() || w.Now.Sub(w.RecordsAsOf) <= maxReadGap: // zero where reads are not dated
 		return w.Now, false
-	case w.RecordsBefore.Before(earliest):
+	case w.RecordsAsOf.Before(earliest):
 		return earliest, true
 	}
-	return w.RecordsBefore, true
+	return w.RecordsAsOf, true
 }
 
 // applyAge dates a change by what another instance tells of it (R3).
--- a/internal/core/medlardesired/medlardesired_test.go
+++ b/internal/core/medlardesired/medlardesired_test.go
@@ -36,7 +36,7 @@
 
 // read reads the operators' records, which name a version.
 func (h *harness) read(v medlarid.WeightVersion) {
-	h.run(medlarworld.RecordsCurrent{At: h.world.Now}, medlarworld.ListsApplied{Version: h.world.Version + 1, Models: []medlarworld.Model{{ID: model, Version: v}}})
+	h.run(medlarworld.ListsApplied{Version: h.world.Version + 1, Models: []medlarworld.Model{{ID: model, Version: v}}}, medlarworld.RecordsCurrent{At: h.world.Now})
 }
 
 // follow reads the operators' records for a time, in which they name a version.
--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -75,6 +75,10 @@
 			markSwaps(w)
 		case medlarworld.InstancesListed:
 			applyInstances(w, e)
+		case medlarworld.ReplicasCurrent:
+			if e.At.After(w.ReplicasAsOf) {
+				w.ReplicasAsOf = e.At
+			}
 		case medlarworld.StatusReported:
 			applyStatus(w, e)
 		case medlarworld.CacheChanged:
@@ -146,12 +150,12 @@
 func updateUpstream(w *medlarworld.World, m medlarworld.Member) {
 	u := w.Upstreams[m.ID]
 	if u == nil {
-		u = &medlarworld.Upstream{ID: m.ID, Model: m.Model, PrefillRate: defaultPrefillRate}
+		u = &medlarworld.Upstream{ID: m.ID, Model: m.Model, PrefillRate: defaultPrefillRate, ListedAt: w.Now}
 		u.Kind = medlarkind.Kind(m.Kind)
 		w.Upstreams[m.ID] = u
 	}
 	if m.Incarnation != u.Incarnation {
-		u.Incarnation, u.ReportedLeaving, u.PausedUntil = m.Incarnation, false, time.Time{}
+		u.Incarnation, u.ReportedLeaving, u.PausedUntil, u.ListedAt = m.Incarnation, false, time.Time{}, w.Now
 		u.Limited, u.Limit, u.LimitShare, u.LimitTokens = false, 0, 0, 0
 		u.Brittle = medlarworld.Brittleness{}
 		readmit(w, u)
--- a/internal/core/medlarplacement/medlarplacement.go
+++ b/internal/core/medlarplacement/medlarplacement.go
@@ -32,6 +32,11 @@
 //	    freed once FreeDelay has passed and all but less than ConfirmationShare of the
 //	    replicas have had a later version for SwapDelay: at least one of the replicas that
 //	    answered would then have reported the later version.
+//	R8  The shares of R7 have a replica in common only if they are of the same replicas. An
+//	    instance counts answers only while it knows the replicas as of ListTTL ago, and only
+//	    those of replicas that are listed for longer than MaxListAge. So parts can be freed by
+//	    an instance that knows the replicas as of MaxListAge ago, and all that were listed
+//	    within DepartedTTL: another one may still use a replica that is no longer listed.
 package medlarplacement
 
 import (
@@ -58,6 +63,13 @@
 	SwapDelay       = ConfirmationTTL + fetchTimeout + 500*time.Millisecond
 )
 
+// Ages of what instances know of the replicas (R8).
+const (
+	ListTTL     = 10 * time.Second
+	MaxListAge  = 1500 * time.Millisecond
+	DepartedTTL = ListTTL + fetchTimeout + 500*time.Millisecond
+)
+
 // Shares of a model's replicas (R7). Together they exceed 1; the excess allows for
 // replicas that one instance knows of and another does not.
 const (
@@ -135,11 +147,14 @@
 }
 
 // confirmed reports whether enough of a model's replicas recently answered under a
-// weight version (R7).
+// weight version (R7, R8).
 func confirmed(w *medlarworld.World, m medlarid.ModelID, v medlarid.WeightVersion) bool {
+	if !w.ReplicasAsOf.IsZero() && w.Now.Sub(w.ReplicasAsOf) > ListTTL {
+		return false
+	}
 	n := 0
 	for _, u := range w.Engines[m] {
-		if u.Version == v && w.Now.Sub(u.ConfirmedAt) < ConfirmationTTL {
+		if u.Version == v && w.Now.Sub(u.ConfirmedAt) < ConfirmationTTL && w.Now.Sub(u.ListedAt) > MaxListAge {
 			n++
 		}
 	}
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -174,6 +174,7 @@
 	// ConfirmedAt is the time of the latest answer to an attempt under Version that
 	// started after Version became known.
 	ConfirmedAt    time.Time
+	ListedAt       time.Time             // when it was first listed in its present start
 	KVCapacity     medlarid.Tokens       // capacity of the KV cache; 0 if not known
 	InFlightTokens medlarid.Tokens       // prompt tokens of own attempts in flight
 	Backlog        medlarbacklog.Backlog // own attempts whose answer has not begun
@@ -297,13 +298,13 @@
 	Now    time.Time
 	Rand   *rand.Rand
 
-	Version       medlarid.Offset
-	RecordsAsOf   time.Time // time as of which the operators' records are known
-	RecordsBefore time.Time // RecordsAsOf of the read before
-	Ready         bool
-	Draining      bool
-	Peers         int                   // live entry instances, including this one
-	Others        []medlarid.InstanceID // other instances that have announced themselves
+	Version      medlarid.Offset
+	RecordsAsOf  time.Time // time as of which the operators' records are known
+	ReplicasAsOf time.Time // time as of which the replicas' entries are known
+	Ready        bool
+	Draining     bool
+	Peers        int                   // live entry instances, including this one
+	Others       []medlarid.InstanceID // other instances that have announced themselves
 
 	Accounts  map[medlarid.AccountID]*Account
 	Models    map[medlarid.ModelID]Model
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -157,9 +157,13 @@
 	Removed []medlarkey.Key
 }
 
-// RecordsCurrent reports that the operators' records are known as of a time.
+// RecordsCurrent reports that the operators' records are known as of a time. What was read until then was
+// reported before.
 type RecordsCurrent struct{ At time.Time }
 
+// ReplicasCurrent reports the same of the replicas' entries.
+type ReplicasCurrent struct{ At time.Time }
+
 // WeightsLoading reports that an upstream is loading other weights.
 type WeightsLoading struct{ Upstream medlarid.InstanceID }
 
@@ -336,6 +340,7 @@
 func (AssignmentsSeen) event()    {}
 func (InventoryReported) event()  {}
 func (RecordsCurrent) event()     {}
+func (ReplicasCurrent) event()    {}
 func (WeightsLoading) event()     {}
 func (AnswerBegan) event()        {}
 func (StopRequested) event()      {}
--- a/internal/ops/medlarattachednode/logging.go
+++ b/internal/ops/medlarattachednode/logging.go
@@ -60,13 +60,13 @@
 		return log.Info().Str("event", "stock").Str("store", string(r.ID)).Str("address", string(r.Address))
 	}
 	return medlarcachetracker.New(rankOf(cfg), medlarcachetracker.Deps{
-		Stores:           registry.Stores,
-		List:             kvStores.List,
-		Events:           kvStores.Events,
-		Free:             kvStores.Free,
-		Post:             loop.Post,
-		ReplacedAt:       registry.ReplacedAt,
-		MostReplicasPast: registry.MostReplicasPast,
+		Stores:      registry.Stores,
+		List:        kvStores.List,
+		Events:      kvStores.Events,
+		Free:        kvStores.Free,
+		Post:        loop.Post,
+		ReplacedAt:  registry.ReplacedAt,
+		PartsUnused: registry.PartsUnused,
 		OnUnavailable: func(r medlarcachetracker.StoreRef, err error) {
 			m.CallFailed("stock")
 			event(r).AnErr("error", err).Msg("KV cache store is unavailable")
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -26,7 +26,6 @@
 	"medlarfield/internal/agree/medlarfeed"
 	"medlarfield/internal/agree/medlarnotice"
 	"medlarfield/internal/agree/medlarterm"
-	"medlarfield/internal/base/medlarclock"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarcore"
 	"medlarfield/internal/core/medlarkind"
@@ -216,25 +215,20 @@
 		}
 		f := medlarfeed.New(medlarfeed.Deps{
 			ReadLatest: func(_ context.Context, after string) (medlarfeed.Page, error) {
-				begin := time.Now()
-				p, err := s.Newest(topic, after)
-				if err == nil && topic == medlarplatform.TopicOperator && after == "" {
-					loop.Post(medlarworld.RecordsCurrent{At: begin})
-				}
-				return p, err
+				return s.Newest(topic, after)
 			},
 			ReadFrom: func(_ context.Context, from medlarid.Offset, o medlarfeed.ReadOptions) (medlarfeed.Batch, error) {
-				begin := time.Now()
-				b, err := s.Follow(topic, from, o)
-				if err == nil && topic == medlarplatform.TopicOperator {
-					loop.Post(medlarworld.RecordsCurrent{At: medlarclock.AnsweredFrom(begin, o.Wait, b.NextOffset != from)})
-				}
-				return b, err
+				return s.Follow(topic, from, o)
 			},
-			OnCurrent: func(end medlarid.Offset) {
-				if topic == medlarplatform.TopicNotices {
-					board.SetEnd(end)
-					n.KeepAnnounced(end)
+			OnCurrent: func(p medlarfeed.Progress) {
+				switch topic {
+				case medlarplatform.TopicOperator:
+					loop.Post(medlarworld.RecordsCurrent{At: p.AsOf})
+				case medlarplatform.TopicReplicas:
+					registry.ReplicasCurrent(p.AsOf)
+				case medlarplatform.TopicNotices:
+					board.SetEnd(p.End)
+					n.KeepAnnounced(p.End)
 					loop.Post(medlarworld.NoticesRead{})
 				}
 			},
--- a/internal/ops/medlarcachetracker/medlarcachetracker.go
+++ b/internal/ops/medlarcachetracker/medlarcachetracker.go
@@ -10,7 +10,7 @@
 //	    held up on its way, or read late, is no newer for that.
 //	R2  Parts of an older weight version are freed only when no instance can fetch them
 //	    any more, whatever it knows of the desired versions: a fixed time after the
-//	    version was replaced, and once most replicas run a later one (medlarplacement, R7).
+//	    version was replaced, and once most replicas run a later one (medlarplacement, R7, R8).
 //	R3  The delay before freeing grows with the instance's rank, so that usually one
 //	    instance frees; freeing twice is harmless.
 //	R4  A store lets only a few readers wait at the same time. Until no call has been
@@ -99,9 +99,9 @@
 	// ReplacedAt returns when a model's weight version was replaced; ok is false if it was
 	// not.
 	ReplacedAt func(medlarid.ModelID, medlarid.WeightVersion) (at time.Time, ok bool)
-	// MostReplicasPast reports whether most of a model's replicas have run a later weight
-	// version than v for longer than lasting.
-	MostReplicasPast func(m medlarid.ModelID, v medlarid.WeightVersion, lasting time.Duration) bool
+	// PartsUnused reports whether no instance fetches parts of an older weight version any more, as far as that
+	// depends on the replicas.
+	PartsUnused func(medlarid.ModelID, medlarid.WeightVersion) bool
 	// OnUnavailable and OnRecovered are called when calls to a store start to fail and when
 	// they succeed again, OnListed after a store was listed, OnFreed after a call to free
 	// parts.
@@ -281,7 +281,7 @@
 	var old []Part
 	for _, p := range st.parts {
 		at, ok := t.deps.ReplacedAt(p.Model, p.Salt.Version())
-		if ok && time.Since(at) > t.freeDelay && t.deps.MostReplicasPast(p.Model, p.Salt.Version(), medlarplacement.SwapDelay) {
+		if ok && time.Since(at) > t.freeDelay && t.deps.PartsUnused(p.Model, p.Salt.Version()) {
 			old = append(old, p)
 		}
 		if len(old) == freeBatch {
--- a/internal/ops/medlarcachetracker/medlarcachetracker_test.go
+++ b/internal/ops/medlarcachetracker/medlarcachetracker_test.go
@@ -28,7 +28,7 @@
 	freed    []Part
 	posted   []medlarworld.InventoryReported
 	replaced time.Time // when version 1 was replaced; zero if it was not
-	changed  bool      // result of MostReplicasPast
+	changed  bool      // result of PartsUnused
 }
 
 var errDown = errors.New("down")
@@ -103,7 +103,7 @@
 				defer f.mu.Unlock()
 				return f.replaced, v == "1" && !f.replaced.IsZero()
 			},
-			MostReplicasPast: func(medlarid.ModelID, medlarid.WeightVersion, time.Duration) bool {
+			PartsUnused: func(medlarid.ModelID, medlarid.WeightVersion) bool {
 				f.mu.Lock()
 				defer f.mu.Unlock()
 				return f.changed
--- a/internal/ops/medlarregistry/medlarregistry.go
+++ b/internal/ops/medlarregistry/medlarregistry.go
@@ -12,6 +12,9 @@
 //	    if it is newer and belongs to the same start of the replica.
 //	R4  An entry of a service that no catalog has named is another writer's: it gets
 //	    neither requests nor orders until a catalog names the service.
+//	R5  A replica whose entry is removed may still run, and serve other instances that know
+//	    it. For some time it counts as it did among those that have to run a later
+//	    weight version before parts of an older one are freed.
 package medlarregistry
 
 import (
@@ -57,6 +60,9 @@
 	malformed           map[medlarid.InstanceID]bool               // ids whose latest entry cannot be decoded
 	replicasRead        bool                                       // whether the replicas have been read once
 	versionHistory      map[medlarid.ModelID]medlarhistory.History // successive desired versions
+	departed            map[medlarid.InstanceID]departure          // replicas of models that were removed (R5)
+	followedSince       time.Time                                  // when the replicas were read first
+	replicasAsOf        time.Time                                  // time as of which the replicas are known
 	revision            medlarid.Offset                            // number of catalog changes posted to the core
 	operatorUnavailable bool                                       // whether the operators' records cannot be read
 }
@@ -67,7 +73,7 @@
 	return &Registry{
 		log: log, pool: pool, post: post, onMalformed: onMalformed,
 		desired: medlarrollout.DesiredVersions{}, replicas: map[medlarid.InstanceID]*replica{}, services: map[medlarid.ServiceID]bool{}, malformed: map[medlarid.InstanceID]bool{},
-		versionHistory: map[medlarid.ModelID]medlarhistory.History{},
+		versionHistory: map[medlarid.ModelID]medlarhistory.History{}, departed: map[medlarid.InstanceID]departure{},
 	}
 }
 
@@ -219,7 +225,9 @@
 func (t *Registry) ApplyReplicaEntries(records []medlarfeed.Record, first bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.replicasRead = t.replicasRead || first
+	if !t.replicasRead && first {
+		t.replicasRead, t.followedSince = true, time.Now()
+	}
 	changed := first
 	for _, rec := range records {
 		changed = t.applyEntry(medlarid.InstanceID(rec.Key), rec) || changed
@@ -263,6 +271,7 @@
 	}
 	r.observe()
 	t.replicas[id] = r
+	delete(t.departed, id)
 	t.log.Info().Str("event", "replica").Str("replica", string(id)).Str("service", string(next.Member.Service)).
 		Str("address", string(next.Member.Address)).Bool("leaving", next.Member.Leaving).
 		Str("build", string(next.Member.Build)).Str("version", string(next.Member.Version)).Int64("born", next.StartedMs).Uint64("offset", uint64(rec.Offset)).Msg("replica entry applied")
@@ -274,6 +283,7 @@
 		return false
 	}
 	delete(t.replicas, id)
+	t.depart(id, old)
 	t.pool.CloseIdle(old.Member.Address)
 	t.log.Info().Str("event", "replica").Str("replica", string(id)).Uint64("offset", uint64(at)).Msg(why)
 	return true
--- a/internal/ops/medlarregistry/versions.go
+++ b/internal/ops/medlarregistry/versions.go
@@ -1,11 +1,13 @@
 package medlarregistry
 
 import (
+	"maps"
 	"time"
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarhistory"
 	"medlarfield/internal/core/medlarplacement"
+	"medlarfield/internal/core/medlarworld"
 	"medlarfield/platform"
 )
 
@@ -116,23 +118,65 @@
 }
 
 // MostReplicasPast reports whether at least medlarplacement.SwappedShare of a model's replicas
-// have run later weight versions than v for longer than lasting.
+// have run later weight versions than v for longer than lasting. Replicas that were removed recently
+// count as well (R5).
 func (t *Registry) MostReplicasPast(m medlarid.ModelID, v medlarid.WeightVersion, lasting time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	all, changed := 0, 0
-	for _, r := range t.replicas {
+	count := func(r *replica) {
 		if r.Member.Model != m || !t.serves(r) {
-			continue
+			return
 		}
 		all++
 		if r.past(v, lasting) {
 			changed++
 		}
 	}
+	for _, r := range t.replicas {
+		count(r)
+	}
+	for _, d := range t.departed {
+		if time.Since(d.at) < medlarplacement.DepartedTTL {
+			count(d.replica)
+		}
+	}
 	return all > 0 && float64(changed) >= medlarplacement.SwappedShare*float64(all)
 }
 
+// departure is a replica that was removed.
+type departure struct {
+	*replica
+	at time.Time
+}
+
+// depart records the removal of a replica (R5). The caller holds t.mu.
+func (t *Registry) depart(id medlarid.InstanceID, r *replica) {
+	maps.DeleteFunc(t.departed, func(_ medlarid.InstanceID, d departure) bool { return time.Since(d.at) >= medlarplacement.DepartedTTL })
+	if r.Member.Model != "" {
+		t.departed[id] = departure{replica: r, at: time.Now()}
+	}
+}
+
+// ReplicasCurrent records that the replicas are known as of a time, which may be zero.
+func (t *Registry) ReplicasCurrent(asOf time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if asOf.After(t.replicasAsOf) {
+		t.replicasAsOf = asOf
+		t.post(medlarworld.ReplicasCurrent{At: asOf})
+	}
+}
+
+// PartsUnused reports whether no instance fetches parts of an older weight version any more, as far as that depends
+// on the replicas (medlarplacement R7, R8): this instance knows all that others may use, and most run a later version.
+func (t *Registry) PartsUnused(m medlarid.ModelID, v medlarid.WeightVersion) bool {
+	t.mu.Lock()
+	known := time.Since(t.replicasAsOf) <= medlarplacement.MaxListAge && time.Since(t.followedSince) >= medlarplacement.DepartedTTL
+	t.mu.Unlock()
+	return known && t.MostReplicasPast(m, v, medlarplacement.SwapDelay)
+}
+
 // ReplacedAt returns when this process first saw a later desired version of a model
 // replace v; ok is false if none has.
 func (t *Registry) ReplacedAt(m medlarid.ModelID, v medlarid.WeightVersion) (at time.Time, ok bool) {
