Confirm a replica's weights as of the start of the attempt that it answers

One that is held up on its way, or read by an instance that stood still, confirmed weights that its replica may have replaced since, so that parts could be fetched while they are freed (MIXED).

TestLateAnswerConfirmsNoVersion failed before ("late": parts fetched).

--- a/internal/core/medlarcore/parts_test.go
+++ b/internal/core/medlarcore/parts_test.go
@@ -524,6 +524,33 @@
 	}
 }
 
+// TestLateAnswerConfirmsNoVersion guards against a fetch of parts that are being freed, by an instance that takes an answer which it
+// reads late, as it was held up or the instance stood still, for the version that the replica runs then.
+func TestLateAnswerConfirmsNoVersion(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		late time.Duration // from the attempt to its answer
+		want string
+	}{
+		{"at once", 100 * time.Millisecond, "ffo"},
+		{"late", medlarplacement.ConfirmationTTL, "cco"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPartsHarness(t, 1, nil)
+			other, r := p.newRun(700), p.newRun(500, 8000, 300)
+			p.now = p.now.Add(2 * medlarplacement.MaxListAge)
+			s := p.submit(other)
+			p.setVersion("2")
+			p.now = p.now.Add(tc.late)
+			p.tick(medlarworld.AnswerBegan{Run: other.ID, Attempt: s.Attempt, After: tc.late, Version: s.Version})
+			p.tick(medlarworld.AttemptEnded{Run: other.ID, Attempt: s.Attempt, Cause: medlarkind.CauseDone, Reached: true})
+			p.tick(medlarworld.RecordsCurrent{At: p.now.Add(-2 * medlarplacement.DesiredVersionTTL)}) // the instance reads no records
+			p.reportStock("near", 1, true, r.Keys[0], r.Keys[1])
+			assertParts(t, p.submit(r), tc.want)
+		})
+	}
+}
+
 // TestFetchNeedsKnownReplicas guards against a fetch of parts that are being freed, by an instance that counts answers of replicas
 // which those that free them do not know: it has not read the list for long, or they have just joined.
 func TestFetchNeedsKnownReplicas(t *testing.T) {
--- a/internal/core/medlarlag/medlarlag.go
+++ b/internal/core/medlarlag/medlarlag.go
@@ -58,8 +58,8 @@
 
 // onBegan handles the first part of an answer (R1, R4).
 func onBegan(w *medlarworld.World, r *medlarworld.Run, e medlarworld.AnswerBegan) {
-	if e.Version == r.Upstream.Version {
-		r.Upstream.ConfirmedAt = w.Now
+	if u := r.Upstream; e.Version == u.Version && r.AttemptStarted.After(u.ConfirmedAt) {
+		u.ConfirmedAt = r.AttemptStarted // the answer may have been held up since
 	}
 	r.Upstream.Lag.Observe(w.Now, gain, excess(r, e.After))
 }
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -171,7 +171,7 @@
 	// after that time has passed.
 	SwapExpected bool
 	Lag          medlardecay.Value // lag of the first part of answers
-	// ConfirmedAt is the time of the latest answer to an attempt under Version that
+	// ConfirmedAt is the start of the latest attempt under Version that was answered. It
 	// started after Version became known.
 	ConfirmedAt    time.Time
 	ListedAt       time.Time             // when it was first listed in its present start
