Check in the soak that repeats do not pile up

The users saw BUDGET broken on real processes; the soak of real processes did not look at repeats.

TestEachRuleCanBeBroken has a row for it.

--- a/internal/stand/medlarsoak/medlarsoak.go
+++ b/internal/stand/medlarsoak/medlarsoak.go
@@ -12,6 +12,9 @@
 //	R7  Nine tenths of first tries are served at most RecoverBound after all instances have returned, and after the
 //	    last fault.
 //	R8  The schedule was played whole; else the record proves nothing.
+//	R9  Within any BudgetWindow, the replicas of a service get no more runs beyond the first of each request than
+//	    BudgetRatio of the requests for it, and BudgetSlack. The requests are those sent within the window, the one
+//	    before it or the one half a window before it, whichever are most.
 package medlarsoak
 
 import (
@@ -35,6 +38,7 @@
 	RuleAlive   Rule = "alive"   // R6
 	RuleRecover Rule = "recover" // R7
 	RulePlayed  Rule = "played"  // R8
+	RuleBudget  Rule = "budget"  // R9
 )
 
 // Violation is a case in which a rule is broken.
@@ -56,6 +60,7 @@
 	Violations             []Violation
 	Calls, Served, Refused int
 	Runs                   int
+	Repeats                int // runs beyond the first of each request
 	Returns                []Return
 }
 
@@ -77,6 +82,8 @@
 	}
 	res.checkProcesses(r.Processes)
 	res.checkReturns(r)
+	res.checkBudget(r, prefixRead, prefixPost)
+	res.checkBudget(r, prefixLetter, prefixQuery)
 	return res
 }
 
@@ -222,7 +229,7 @@
 // Print writes a result.
 func (res *Result) Print(w io.Writer) {
 	share := float64(res.Served) / float64(max(res.Calls, 1))
-	_, _ = fmt.Fprintf(w, "calls %d, served %.2f, refused as not run %d, runs %d\n", res.Calls, share, res.Refused, res.Runs)
+	_, _ = fmt.Fprintf(w, "calls %d, served %.2f, refused as not run %d, runs %d, repeats %d\n", res.Calls, share, res.Refused, res.Runs, res.Repeats)
 	for _, r := range res.Returns {
 		_, _ = fmt.Fprintf(w, "%s: nine tenths served after %v\n", r.What, r.Took)
 	}
--- a/internal/stand/medlarsoak/medlarsoak_test.go
+++ b/internal/stand/medlarsoak/medlarsoak_test.go
@@ -50,6 +50,13 @@
 	query = 11
 )
 
+// repeatRuns adds n runs of requests that may be repeated.
+func repeatRuns(r *medlarsoak.Records, n int) {
+	for i := range n {
+		r.Runs = append(r.Runs, medlarsoak.Run{At: calmAt + int64(i), ID: fmt.Sprint("repeated-", i/2), Path: "/read/a"})
+	}
+}
+
 // TestEachRuleCanBeBroken guards against a check that never fails.
 func TestEachRuleCanBeBroken(t *testing.T) {
 	for _, tc := range []struct {
@@ -100,6 +107,7 @@
 		}},
 		{"no end", medlarsoak.RulePlayed, func(r *medlarsoak.Records) { r.Processes = r.Processes[:3] }},
 		{"a step failed", medlarsoak.RulePlayed, func(r *medlarsoak.Records) { r.Processes[0].What = medlarsoak.Failed }},
+		{"repeats that pile up", medlarsoak.RuleBudget, func(r *medlarsoak.Records) { repeatRuns(r, medlarsoak.BudgetSlack+len(r.Calls)) }},
 		{"no calls", medlarsoak.RuleRecover, func(r *medlarsoak.Records) { r.Calls = nil }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -108,6 +116,11 @@
 			assertBroken(t, medlarsoak.Check(r), tc.rule)
 		})
 	}
+	t.Run("repeats within the budget", func(t *testing.T) {
+		r := sound()
+		repeatRuns(&r, medlarsoak.BudgetSlack)
+		assertBroken(t, medlarsoak.Check(r))
+	})
 	t.Run("sound", func(t *testing.T) { assertBroken(t, medlarsoak.Check(sound())) })
 	t.Run("comment", func(t *testing.T) {
 		r := sound()
