Read one large body of a control call at a time

Report of another operator: a faulty replica sent bytes without end, and the machine that had called it ran out of memory.

Here heads, lines, events and each single body are bounded, with tests.

--- a/internal/upstream/medlarhttp/medlarhttp.go
+++ b/internal/upstream/medlarhttp/medlarhttp.go
@@ -17,6 +17,9 @@
 //	R5  Only DoKept and OpenPooled keep connections: DoKept for callers that can recognize a
 //	    response to an earlier request from what it states, OpenPooled for callers that
 //	    rely on the server to respond once to each request, in order.
+//	R6  Do and DoKept hold at most one body beyond a small size at a time, so that several
+//	    peers which send without end do not exhaust the memory together. A longer body waits until
+//	    the others are read.
 package medlarhttp
 
 import (
@@ -115,12 +118,13 @@
 type Client struct {
 	unpooled *fasthttp.Client
 	pooled   *fasthttp.Client
+	bodies   *bodyReader
 }
 
 // New returns a client. idle bounds how long each read of a response waits for
 // data.
 func New(idle time.Duration) *Client {
-	return &Client{unpooled: newClient(idle), pooled: newClient(idle)}
+	return &Client{unpooled: newClient(idle), pooled: newClient(idle), bodies: newBodyReader()}
 }
 
 func newClient(idle time.Duration) *fasthttp.Client {
@@ -210,15 +214,15 @@
 
 // Do sends a request on a connection of its own (R3) and reads the complete response,
 // whatever its status.
-func (c *Client) Do(r Request) (Response, error) { return do(c.unpooled, r, true) }
+func (c *Client) Do(r Request) (Response, error) { return c.do(c.unpooled, r, true) }
 
 // DoKept is like Do but uses a kept connection if there is one (R5).
-func (c *Client) DoKept(r Request) (Response, error) { return do(c.pooled, r, false) }
+func (c *Client) DoKept(r Request) (Response, error) { return c.do(c.pooled, r, false) }
 
 // CloseKept closes the kept connections that carry no request.
 func (c *Client) CloseKept() { c.pooled.CloseIdleConnections() }
 
-func do(hc *fasthttp.Client, r Request, closeConn bool) (Response, error) {
+func (c *Client) do(hc *fasthttp.Client, r Request, closeConn bool) (Response, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
@@ -231,7 +235,7 @@
 	if err := hc.DoDeadline(req, resp, deadline); err != nil {
 		return Response{}, callError(err)
 	}
-	body, err := readBody(resp, deadline, cmp.Or(r.MaxBody, maxResponseBytes))
+	body, err := c.bodies.read(resp, deadline, cmp.Or(r.MaxBody, maxResponseBytes))
 	if err != nil {
 		return Response{}, callError(err)
 	}
@@ -248,29 +252,6 @@
 // identityLength is the length that fasthttp gives for a body without a length or chunks.
 const identityLength = -2
 
-// readBody reads a streamed body to its end. A body that is shorter than its
-// Content-Length is an error.
-func readBody(resp *fasthttp.Response, deadline time.Time, limit int) ([]byte, error) {
-	r := resp.BodyStream()
-	if r == nil {
-		return append([]byte(nil), resp.Body()...), nil
-	}
-	body, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(body) > limit {
-		return nil, errOversized
-	}
-	if n := resp.Header.ContentLength(); n >= 0 && len(body) < n {
-		return nil, io.ErrUnexpectedEOF
-	}
-	if time.Now().After(deadline) {
-		return nil, fasthttp.ErrTimeout
-	}
-	return body, nil
-}
-
 // Stream is a response whose body is read as it arrives.
 type Stream struct {
 	Status int
@@ -328,9 +309,6 @@
 	req.SetBodyRaw(r.Body)
 }
 
-// errOversized reports a response whose body is longer than the limit.
-var errOversized = eris.New("response body exceeds the limit")
-
 func callError(err error) error {
 	var d *unsentError
 	var n net.Error
