Answer or refuse in time what a stopping instance cannot serve

Report of another operator: in a planned stop requests that came late in the grace were passed on and cut at its end without an answer (LOST).

Here as well: a request whose body was complete 5.5 to 7 s into a stop of 8 s was passed on and was at its replica when the process ended; so were requests that their replica did not answer in time.

Cause: the end of the process was a deadline neither for taking a request nor for its attempts.

Change: half a second after the listener is closed, requests that are read are refused as not run. From 1 s before the end on no attempt begins, and what waits is refused. 0.25 s before the end attempts fail as if their time were up, so that their requests get an answer that promises nothing.

TestRequestsLateInGrace and TestRequestsInProgressAtEndOfGrace failed before (last answers 1.6 and 8.7 s after the end of the process).

--- a/internal/core/medlaradmission/queue.go
+++ b/internal/core/medlaradmission/queue.go
@@ -157,20 +157,23 @@
 	return int(r.Priority)
 }
 
-// expire refuses the runs that have waited too long (R6).
+// expire refuses the runs that have waited too long (R6), and all when the instance ends (R1).
 func expire(w *medlarworld.World) {
 	for i := 0; i < len(w.Waiting); i++ {
 		r := w.Waiting[i]
 		late := w.Now.After(latestStart(r))
 		waitedTooLong := w.Config.MaxWait > 0 && r.Attempt == 0 && w.Now.Sub(r.Arrived) > w.Config.MaxWait
-		if !late && !waitedTooLong {
+		if !late && !waitedTooLong && !w.Ending {
 			continue
 		}
 		w.Waiting = slices.Delete(w.Waiting, i, i+1)
 		i--
 		reason := medlarreason.Deadline
-		if r.Reached {
+		switch {
+		case r.Reached:
 			reason = medlarreason.Failed
+		case w.Ending:
+			reason = medlarreason.Draining
 		}
 		w.Refuse(r, reason, minRetryAfter)
 	}
--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -95,6 +95,8 @@
 			applyPause(w, e)
 		case medlarworld.StopRequested:
 			w.Draining = true
+		case medlarworld.StopNear:
+			w.Draining, w.Ending = true, true
 		}
 	}
 }
--- a/internal/core/medlarretry/medlarretry.go
+++ b/internal/core/medlarretry/medlarretry.go
@@ -19,6 +19,7 @@
 //	R6  An upstream whose address belongs to another instance now is ejected however
 //	    many are left of its target: nothing sent to that address reaches it.
 //	R7  A run that may crash the next upstream, too, is not retried.
+//	R8  An instance that is about to end retries nothing.
 package medlarretry
 
 import (
@@ -177,6 +178,8 @@
 		return medlarreason.Unknown // R1
 	case medlarcrash.MustStop(w, r):
 		return failedOr(r, medlarreason.Crashing) // R7
+	case w.Ending:
+		return failedOr(r, medlarreason.Draining) // R8
 	case w.Now.After(r.Deadline):
 		return failedOr(r, medlarreason.Deadline)
 	case attemptsExhausted(w, r), tokensLeft(w, r.Target()) < 1:
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -303,6 +303,7 @@
 	ReplicasAsOf time.Time // time as of which the replicas' entries are known
 	Ready        bool
 	Draining     bool
+	Ending       bool                  // no attempt begins any more
 	Peers        int                   // live entry instances, including this one
 	Others       []medlarid.InstanceID // other instances that have announced themselves
 
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -301,9 +301,12 @@
 	Import bool // an import that the core had counted as in flight
 }
 
-// StopRequested reports that the instance is to stop.
+// StopRequested reports that the instance is to stop, and takes no further runs.
 type StopRequested struct{}
 
+// StopNear reports that the instance is about to stop. An attempt that begins would not end before.
+type StopNear struct{}
+
 // Tick reports that time has passed.
 type Tick struct{}
 
@@ -344,6 +347,7 @@
 func (WeightsLoading) event()     {}
 func (AnswerBegan) event()        {}
 func (StopRequested) event()      {}
+func (StopNear) event()           {}
 func (Tick) event()               {}
 
 // StartAttempt asks for an attempt of a run.
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -65,6 +65,7 @@
 	errContentEncoded = eris.New("response has a content coding that the client did not request")
 	errPromise        = eris.New("status of the response states that the request did not run, but the response is no rejection")
 	errNotStream      = eris.New("response cannot continue the stream")
+	errEnded          = eris.New("the instance is about to end")
 )
 
 // do makes the attempt and returns its result.
@@ -79,6 +80,11 @@
 	a.upstream, a.reused, a.via = c, c.Reused, c.Via
 	a.summary.ConnectTime, a.summary.Reused, a.summary.Via = time.Since(a.started), c.Reused, c.Via
 	_ = c.SetDeadline(a.deadline())
+	if !a.proxy.open.add(a, c) {
+		_ = c.Close()
+		return a.failed(errEnded, medlarreason.Draining, false)
+	}
+	defer a.proxy.open.remove(a)
 	a.stopClose = context.AfterFunc(a.ctx, func() { _ = c.Close() }) // R3
 	defer a.stopClose()
 	if err := a.send(); err != nil {
--- a/internal/edge/medlarproxy/medlarproxy.go
+++ b/internal/edge/medlarproxy/medlarproxy.go
@@ -86,15 +86,19 @@
 	deps   Deps
 	server *medlarserver.Server
 	serial atomic.Uint64
+	open   openAttempts
 }
 
 // New returns a proxy. The caller passes listeners to its Server.
 func New(deps Deps) *Proxy {
-	p := &Proxy{deps: deps}
+	p := &Proxy{deps: deps, open: openAttempts{conns: map[*attempt]*medlarpool.Conn{}}}
 	p.server = medlarserver.New(medlarserver.Deps{Limits: p.limits, Serve: p.serve, Reject: p.reject})
 	return p
 }
 
+// EndAttempts makes the attempts in progress, and those that begin later, fail as if their time were up.
+func (p *Proxy) EndAttempts() { p.open.end() }
+
 // Server returns the server that accepts client connections.
 func (p *Proxy) Server() *medlarserver.Server { return p.server }
 
--- a/internal/ops/medlarattachednode/follow_test.go
+++ b/internal/ops/medlarattachednode/follow_test.go
@@ -354,7 +354,12 @@
 // trySend sends a request on a connection that the instance may close at any time. It
 // returns an empty result unless it gets a whole answer.
 func trySend(c net.Conn, br *bufio.Reader, text string) result {
-	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	return trySendWithin(c, br, text, 5*time.Second)
+}
+
+// trySendWithin is trySend with another time for the response.
+func trySendWithin(c net.Conn, br *bufio.Reader, text string, timeout time.Duration) result {
+	_ = c.SetDeadline(time.Now().Add(timeout))
 	if _, err := io.WriteString(c, text); err != nil {
 		return result{}
 	}
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -9,6 +9,9 @@
 //	    serves requests, each as the last one on its connection, until the platform
 //	    has taken the instance out of rotation; it accepts no new connections; open
 //	    requests, and connections that it relays, end; connections close.
+//	R3  A request that is read after the listener was closed is refused. Before the end of the grace period
+//	    requests that still wait are refused, and those that are in progress get an answer that promises nothing,
+//	    so that none ends without an answer.
 package medlarattachednode
 
 import (
@@ -60,8 +63,6 @@
 	replicaInterval    = 400 * time.Millisecond // minimum between two reads of replicas' entries
 	returnMargin       = 300 * time.Millisecond // added to bounds.return, the time for removed entries to return after an outage
 	controlIdleTimeout = 5 * time.Second        // of connections for control calls
-	stopMargin         = 700 * time.Millisecond // between the end of a graceful stop and the kill
-	stopPoll           = 20 * time.Millisecond  // between checks for open connections during a stop
 	maxHolders         = 64                     // maximum number of replicas recorded as caching one part
 	versionMargin      = 800 * time.Millisecond // subtracted from the bound on old weight versions, for requests in progress
 	queueLength        = 4096                   // requests that may wait for an upstream
@@ -79,6 +80,7 @@
 	metrics   *medlarmetric.Metrics
 	loop      *medlarloop.Loop
 	registry  *medlarregistry.Registry
+	proxy     *medlarproxy.Proxy
 	server    *medlarserver.Server
 	feeds     []*medlarfeed.Feed
 	rollout   *medlarrollout.Rollout
@@ -135,7 +137,7 @@
 	dialer *medlardialer.Dialer,
 ) *Instance {
 	return &Instance{
-		cfg: cfg, log: log, logWriter: logWriter, metrics: m, loop: loop, registry: registry, server: proxy.Server(), feeds: feeds, rollout: rollout, tracker: tracker, board: board,
+		cfg: cfg, log: log, logWriter: logWriter, metrics: m, loop: loop, registry: registry, proxy: proxy, server: proxy.Server(), feeds: feeds, rollout: rollout, tracker: tracker, board: board,
 		notifier: notifier, socket: socket, dialer: dialer,
 	}
 }
@@ -335,26 +337,6 @@
 	}}
 }
 
-// stop stops the instance gracefully (R2).
-func (i *Instance) stop() {
-	begin := time.Now()
-	end := begin.Add(i.cfg.Bounds.GracePeriod.Std() - stopMargin)
-	i.stopping.Store(true)
-	i.server.Drain()
-	i.notifier.Announce(nil)
-	i.log.Info().Str("event", "stop").Int("open", i.server.ActiveConns()).Msg("stopping")
-	time.Sleep(i.cfg.Bounds.DeregistrationDelay.Std())
-	_ = i.listener.Close()
-	i.dialer.Server().Stop()
-	for i.server.CloseIdle(); i.server.OpenConns()+i.dialer.Server().Open() > 0 && time.Now().Before(end); i.server.CloseIdle() {
-		time.Sleep(stopPoll)
-	}
-	_ = i.statusListener.Close()
-	i.socket.Close()
-	i.dialer.Server().Close()
-	i.log.Info().Str("event", "stopped").Int("cut", i.server.ActiveConns()).Dur("took", time.Since(begin)).Msg("stopped")
-}
-
 // Reload reads and checks the settings file again, without applying it: settings are fixed
 // while the instance runs. Configuration that can change comes from the store.
 func (i *Instance) Reload(file string) {
