Test streams at an instance that is out of step during a release

Report of another operator: streams that had begun on replicas of a new software version broke, were taken up at an instance that was out of step, and went on at a replica of another version (ORDER).

An instance that stands still as a process was not played.

--- a/internal/ops/medlarattachednode/builds_test.go
+++ b/internal/ops/medlarattachednode/builds_test.go
@@ -247,6 +247,29 @@
 	}
 }
 
+// outOfStep keeps the store from the first instance for some seconds, in which replicas of a new version join and then what
+// breaks streams is done.
+func (f *buildFleet) outOfStep(fault medlarfaketopic.Fault, breakStreams func()) {
+	f.members[0].endpoint.SetFault(fault)
+	f.site.Release("v2", 6, 150*time.Millisecond)
+	time.Sleep(1500 * time.Millisecond)
+	breakStreams()
+	time.Sleep(time.Second)
+	f.members[0].endpoint.SetFault(medlarfaketopic.FaultNone)
+	time.Sleep(500 * time.Millisecond)
+	breakStreams()
+}
+
+// crashBuild crashes the replicas of a software version, one after the other.
+func (f *buildFleet) crashBuild(build string) {
+	for _, r := range f.site.EngineReplicas() {
+		if r.Settings.Build == build {
+			r.Crash()
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+}
+
 // TestStreamsKeepTheirBuild guards against streams with events of two software versions, within one
 // answer or over a caller's tries, and against resumption that is refused where it could go on.
 func TestStreamsKeepTheirBuild(t *testing.T) {
@@ -337,6 +360,12 @@
 			f.kill(2, 300*time.Millisecond)
 			f.members[0].endpoint.SetFault(medlarfaketopic.FaultNone)
 		}, few: true},
+		{name: "an instance that gets no answers of the store during a release", instances: 3, change: func(s *medlarsite.Settings) { s.Builds = []string{"v1"} }, during: func(f *buildFleet) {
+			f.outOfStep(medlarfaketopic.FaultSilent, func() { f.kill(1, 300*time.Millisecond); f.kill(2, 300*time.Millisecond) })
+		}, few: true},
+		{name: "an instance whose store connections are reset while replicas of a release crash", instances: 3, change: func(s *medlarsite.Settings) { s.Builds = []string{"v1"} }, during: func(f *buildFleet) {
+			f.outOfStep(medlarfaketopic.FaultReset, func() { f.crashBuild("v2") })
+		}, few: true},
 		{name: "a store that comes back from a copy", instances: 3, during: func(f *buildFleet) {
 			time.Sleep(time.Second)
 			f.site.Store.Rewind(20)
