--- a/internal/core/medlarcore/limit_test.go
+++ b/internal/core/medlarcore/limit_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarbudget"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
@@ -52,7 +53,7 @@
 func (f *limitFleet) add(id medlarid.InstanceID) {
 	c := New(medlarworld.Config{
 		Self: id, Zone: "a", MaxQueued: 100, MaxAttempts: 1, Seed: uint64(len(f.order) + 1), Weighting: medlarkind.WeightingRecompute,
-		RetryBudget: medlarworld.RetryBudget{Ratio: 0.1, Max: 5, Initial: 2},
+		RetryBudget: medlarbudget.Retries{Ratio: 0.1, Max: 5, Initial: 2},
 	})
 	members := []medlarworld.Member{}
 	for _, u := range []medlarid.InstanceID{"u0", "u1", "u2"} {
--- a/internal/core/medlarcore/medlarcore_test.go
+++ b/internal/core/medlarcore/medlarcore_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarbudget"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
@@ -187,7 +188,7 @@
 	h.tick(medlarworld.InstancesListed{Members: h.instanceList(2, "").Members, Peers: 4})
 	limits := medlarworld.Limits{Rate: 100, Burst: 10}
 	h.submit(h.newRun("a"), limits)
-	h.tick(medlarworld.SharesGranted{Shares: []medlarworld.Share{{Account: "a", Rate: 0.5, Runs: 0.5, Until: h.now.Add(time.Hour)}}})
+	h.tick(medlarworld.SharesGranted{Shares: []medlarbudget.Share{{Account: "a", Rate: 0.5, Runs: 0.5, Until: h.now.Add(time.Hour)}}})
 	started := 0
 	for range 1000 {
 		h.submit(h.newRun("a"), limits)
--- a/internal/core/medlarcore/parts_test.go
+++ b/internal/core/medlarcore/parts_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarbudget"
 	"medlarfield/internal/core/medlarchoice"
 	"medlarfield/internal/core/medlarinventory"
 	"medlarfield/internal/core/medlarkey"
@@ -31,7 +32,7 @@
 	t.Helper()
 	cfg := medlarworld.Config{
 		Self: "self", Zone: "a", Weighting: medlarkind.WeightingRecompute, MaxQueued: 100, MaxAttempts: 1, Seed: 1, MaxHolders: 16,
-		RetryBudget: medlarworld.RetryBudget{Ratio: 0.1, Max: 5, Initial: 2}, OldVersionGrace: 5 * time.Second,
+		RetryBudget: medlarbudget.Retries{Ratio: 0.1, Max: 5, Initial: 2}, OldVersionGrace: 5 * time.Second,
 	}
 	if change != nil {
 		change(&cfg)
--- a/internal/core/medlarcore/slots_test.go
+++ b/internal/core/medlarcore/slots_test.go
@@ -10,6 +10,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarkind"
+	"medlarfield/internal/core/medlarload"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -65,7 +66,7 @@
 }
 
 // tell passes a report to the other instances.
-func (s *slotSim) tell(from *Core, loads []medlarworld.PeerLoad) {
+func (s *slotSim) tell(from *Core, loads []medlarload.Load) {
 	e := medlarworld.PeerLoadReported{Peer: from.World().Config.Self, Loads: loads}
 	for _, c := range s.cores {
 		if c != from {
--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -94,9 +94,7 @@
 		case medlarworld.UpstreamPaused:
 			applyPause(w, e)
 		case medlarworld.StopRequested:
-			w.Draining = true
-		case medlarworld.StopNear:
-			w.Draining, w.Ending = true, true
+			w.Draining, w.Ending = true, w.Ending || e.Near
 		}
 	}
 }
--- a/internal/core/medlarpeerload/medlarpeerload.go
+++ b/internal/core/medlarpeerload/medlarpeerload.go
@@ -22,6 +22,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlardesired"
+	"medlarfield/internal/core/medlarload"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -40,7 +41,7 @@
 // report is the latest report of a peer.
 type report struct {
 	at    time.Time
-	loads []medlarworld.PeerLoad
+	loads []medlarload.Load
 }
 
 // System keeps the reports of peers.
@@ -139,15 +140,15 @@
 }
 
 // ownLoads returns the load that this instance puts on upstreams, the largest first (R1, R4).
-func ownLoads(w *medlarworld.World) []medlarworld.PeerLoad {
-	var out []medlarworld.PeerLoad
+func ownLoads(w *medlarworld.World) []medlarload.Load {
+	var out []medlarload.Load
 	for id, u := range w.Upstreams {
 		if u.Open > 0 {
 			pending := medlarid.Tokens(u.Backlog.Pending(len(u.Backlog.Queues) - 1))
-			out = append(out, medlarworld.PeerLoad{Upstream: medlarid.HashOf(id), Open: u.Open, Pending: pending})
+			out = append(out, medlarload.Load{Upstream: medlarid.HashOf(id), Open: u.Open, Pending: pending})
 		}
 	}
-	slices.SortFunc(out, func(a, b medlarworld.PeerLoad) int {
+	slices.SortFunc(out, func(a, b medlarload.Load) int {
 		return cmp.Or(cmp.Compare(b.Open, a.Open), cmp.Compare(a.Upstream, b.Upstream))
 	})
 	return out
--- a/internal/core/medlarpeerload/medlarpeerload_test.go
+++ b/internal/core/medlarpeerload/medlarpeerload_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarload"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -39,12 +40,12 @@
 	return h.world.Commands
 }
 
-func (h *harness) report(peer medlarid.InstanceID, loads ...medlarworld.PeerLoad) {
+func (h *harness) report(peer medlarid.InstanceID, loads ...medlarload.Load) {
 	h.run(medlarworld.PeerLoadReported{Peer: peer, Loads: loads})
 }
 
-func load(id medlarid.InstanceID, open int, pending medlarid.Tokens) medlarworld.PeerLoad {
-	return medlarworld.PeerLoad{Upstream: medlarid.HashOf(id), Open: open, Pending: pending}
+func load(id medlarid.InstanceID, open int, pending medlarid.Tokens) medlarload.Load {
+	return medlarload.Load{Upstream: medlarid.HashOf(id), Open: open, Pending: pending}
 }
 
 func (h *harness) assert(id medlarid.InstanceID, open int, pending medlarid.Tokens) {
@@ -122,7 +123,7 @@
 	assertTold(t, h.run())
 	h.world.Now = h.world.Now.Add(tellInterval)
 	h.world.Upstreams["a"].Open = 2
-	assertTold(t, h.run(), medlarworld.TellLoad{Loads: []medlarworld.PeerLoad{load("a", 2, 0)}})
+	assertTold(t, h.run(), medlarworld.TellLoad{Loads: []medlarload.Load{load("a", 2, 0)}})
 	assertTold(t, h.run()) // not due yet
 	h.world.Now = h.world.Now.Add(tellInterval)
 	h.world.Upstreams["a"].Open = 0
--- a/internal/core/medlarretry/medlarretry.go
+++ b/internal/core/medlarretry/medlarretry.go
@@ -26,6 +26,7 @@
 	"slices"
 	"time"
 
+	"medlarfield/internal/core/medlarbudget"
 	"medlarfield/internal/core/medlarcrash"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlaroffload"
@@ -49,7 +50,7 @@
 )
 
 // defaultBudget applies to a deployment that sets none.
-var defaultBudget = medlarworld.RetryBudget{Ratio: 0.1, Max: 50, Initial: 10}
+var defaultBudget = medlarbudget.Retries{Ratio: 0.1, Max: 50, Initial: 10}
 
 // System handles the ends of attempts.
 type System struct{}
@@ -91,8 +92,8 @@
 	}
 }
 
-func budgetOf(w *medlarworld.World) medlarworld.RetryBudget {
-	if w.Config.RetryBudget == (medlarworld.RetryBudget{}) {
+func budgetOf(w *medlarworld.World) medlarbudget.Retries {
+	if w.Config.RetryBudget == (medlarbudget.Retries{}) {
 		return defaultBudget
 	}
 	return w.Config.RetryBudget
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -19,6 +19,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarbacklog"
+	"medlarfield/internal/core/medlarbudget"
 	"medlarfield/internal/core/medlarbuild"
 	"medlarfield/internal/core/medlarcacheindex"
 	"medlarfield/internal/core/medlardecay"
@@ -40,7 +41,7 @@
 	// MaxAttempts is the maximum number of attempts of a run that may be repeated.
 	MaxAttempts int
 	// RetryBudget bounds the retries for each target.
-	RetryBudget RetryBudget
+	RetryBudget medlarbudget.Retries
 	// DefaultDeadline is the deadline of a run whose plan sets none.
 	DefaultDeadline time.Duration
 	// DefaultMaxTokens is the maximum length of an answer under a plan that sets none.
@@ -66,13 +67,6 @@
 	Seed uint64
 }
 
-// RetryBudget is a token bucket that limits retries to a ratio of requests.
-type RetryBudget struct {
-	Ratio   float64 // tokens added by each request; a retry takes one
-	Max     float64 // capacity of the bucket
-	Initial float64 // tokens in a new bucket
-}
-
 // Limits are the limits that a plan sets for each of its accounts, over all entry
 // instances together.
 type Limits struct {
@@ -88,21 +82,13 @@
 	ID     medlarid.AccountID
 	Limits Limits
 
-	Bucket        float64   // tokens left in the token bucket
-	RefilledAt    time.Time // time of the last refill
-	Open          int       // requests submitted and not ended
-	VirtualFinish float64   // virtual finish time of the last queued run
-	BucketFilled  bool      // the bucket has been filled once
-	Arrivals      int       // requests since demands were last reported
-	Share         Share     // of the limits, for this instance
-}
-
-// Share is an instance's part of an account's limits, from 0 to 1.
-type Share struct {
-	Account medlarid.AccountID
-	Rate    float64
-	Runs    float64
-	Until   time.Time // an equal part applies from then on
+	Bucket        float64            // tokens left in the token bucket
+	RefilledAt    time.Time          // time of the last refill
+	Open          int                // requests submitted and not ended
+	VirtualFinish float64            // virtual finish time of the last queued run
+	BucketFilled  bool               // the bucket has been filled once
+	Arrivals      int                // requests since demands were last reported
+	Share         medlarbudget.Share // of the limits, for this instance
 }
 
 // Model is a model as the lists configure it.
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -4,12 +4,14 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarbudget"
 	"medlarfield/internal/core/medlarbuild"
 	"medlarfield/internal/core/medlarchoice"
 	"medlarfield/internal/core/medlarhistory"
 	"medlarfield/internal/core/medlarinventory"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarkind"
+	"medlarfield/internal/core/medlarload"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarsuspect"
 )
@@ -67,7 +69,7 @@
 
 // SharesGranted reports the granted shares of accounts' limits.
 type SharesGranted struct {
-	Shares []Share
+	Shares []medlarbudget.Share
 }
 
 // CallerLeft reports that the caller of a run went away.
@@ -229,18 +231,11 @@
 // Rates are requests per second by service.
 type Rates map[medlarid.ServiceID]float64
 
-// PeerLoad is the load that one instance puts on an upstream.
-type PeerLoad struct {
-	Upstream medlarid.Hash
-	Open     int             // attempts in flight
-	Pending  medlarid.Tokens // of attempts whose answer has not begun, still to be computed
-}
-
 // PeerLoadReported carries the load that another instance puts on upstreams, and the ages of changes of
 // desired weight versions that it knows.
 type PeerLoadReported struct {
 	Peer    medlarid.InstanceID
-	Loads   []PeerLoad
+	Loads   []medlarload.Load
 	Changes []medlarhistory.ChangeAge
 }
 
@@ -301,11 +296,9 @@
 	Import bool // an import that the core had counted as in flight
 }
 
-// StopRequested reports that the instance is to stop, and takes no further runs.
-type StopRequested struct{}
-
-// StopNear reports that the instance is about to stop. An attempt that begins would not end before.
-type StopNear struct{}
+// StopRequested reports that the instance is to stop, and takes no further runs. Near is set if it is about to
+// stop: an attempt that begins would not end before.
+type StopRequested struct{ Near bool }
 
 // Tick reports that time has passed.
 type Tick struct{}
@@ -347,7 +340,6 @@
 func (WeightsLoading) event()     {}
 func (AnswerBegan) event()        {}
 func (StopRequested) event()      {}
-func (StopNear) event()           {}
 func (Tick) event()               {}
 
 // StartAttempt asks for an attempt of a run.
@@ -485,7 +477,7 @@
 // TellLoad asks to tell other instances of the load that this one puts on upstreams, and of the ages of changes of
 // desired weight versions.
 type TellLoad struct {
-	Loads   []PeerLoad
+	Loads   []medlarload.Load
 	Changes []medlarhistory.ChangeAge
 }
 
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -80,11 +80,12 @@
 	a.upstream, a.reused, a.via = c, c.Reused, c.Via
 	a.summary.ConnectTime, a.summary.Reused, a.summary.Via = time.Since(a.started), c.Reused, c.Via
 	_ = c.SetDeadline(a.deadline())
-	if !a.proxy.open.add(a, c) {
+	remove, ok := a.proxy.open.Add(c)
+	if !ok {
 		_ = c.Close()
 		return a.failed(errEnded, medlarreason.Draining, false)
 	}
-	defer a.proxy.open.remove(a)
+	defer remove()
 	a.stopClose = context.AfterFunc(a.ctx, func() { _ = c.Close() }) // R3
 	defer a.stopClose()
 	if err := a.send(); err != nil {
--- a/internal/edge/medlarproxy/exchange.go
+++ b/internal/edge/medlarproxy/exchange.go
@@ -177,14 +177,8 @@
 
 // refuse sends a refusal (R1).
 func (x *exchange) refuse(reason medlarreason.Reason, ran medlarreason.Ran, after time.Duration) bool {
-	row, _ := medlarreason.Lookup(reason)
-	x.summary.Reason, x.summary.Ran, x.summary.Status = reason, ran, row.Status
-	if ran != medlarreason.RanNo && medlarreason.MeansNotRun(row.Status) || row.Status == statusFailed {
-		x.summary.Status = statusFailed
-		if x.run != nil && !time.Now().Before(x.run.Deadline) {
-			x.summary.Status = statusTimeout
-		}
-	}
+	late := x.run != nil && !time.Now().Before(x.run.Deadline)
+	x.summary.Reason, x.summary.Ran, x.summary.Status = reason, ran, medlarrefusal.Status(reason, ran, late)
 	if medlarreason.MeansNotRun(x.summary.Status) {
 		x.summary.RetryAfter = after
 	}
@@ -193,12 +187,6 @@
 	return x.summary.Complete
 }
 
-// Statuses that do not state whether a request ran.
-const (
-	statusFailed  = 502
-	statusTimeout = 504
-)
-
 // closesConn reports whether the client connection is closed after the response.
 func (x *exchange) closesConn() bool { return x.head.Close || x.proxy.server.Draining() }
 
--- a/internal/edge/medlarproxy/medlarproxy.go
+++ b/internal/edge/medlarproxy/medlarproxy.go
@@ -32,6 +32,7 @@
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarcall"
+	"medlarfield/internal/edge/medlardeadline"
 	"medlarfield/internal/edge/medlarpool"
 	"medlarfield/internal/edge/medlarrefusal"
 	"medlarfield/internal/edge/medlarserver"
@@ -86,18 +87,18 @@
 	deps   Deps
 	server *medlarserver.Server
 	serial atomic.Uint64
-	open   openAttempts
+	open   *medlardeadline.Group // connections of attempts in progress
 }
 
 // New returns a proxy. The caller passes listeners to its Server.
 func New(deps Deps) *Proxy {
-	p := &Proxy{deps: deps, open: openAttempts{conns: map[*attempt]*medlarpool.Conn{}}}
+	p := &Proxy{deps: deps, open: medlardeadline.New()}
 	p.server = medlarserver.New(medlarserver.Deps{Limits: p.limits, Serve: p.serve, Reject: p.reject})
 	return p
 }
 
 // EndAttempts makes the attempts in progress, and those that begin later, fail as if their time were up.
-func (p *Proxy) EndAttempts() { p.open.end() }
+func (p *Proxy) EndAttempts() { p.open.End() }
 
 // Server returns the server that accepts client connections.
 func (p *Proxy) Server() *medlarserver.Server { return p.server }
--- a/internal/edge/medlarrefusal/medlarrefusal.go
+++ b/internal/edge/medlarrefusal/medlarrefusal.go
@@ -13,6 +13,26 @@
 // Fields appends the header fields of the platform: the request's id, and the delay after which the client may retry.
 type Fields func(b []byte, id medlarid.RequestID, after time.Duration) []byte
 
+// Statuses that do not state whether a request ran.
+const (
+	statusFailed  = 502
+	statusTimeout = 504
+)
+
+// Status returns the status of the response to a request that is refused for a reason: one that states that the
+// request did not run only if that is certain. late reports that the request's deadline has passed.
+func Status(reason medlarreason.Reason, ran medlarreason.Ran, late bool) int {
+	row, _ := medlarreason.Lookup(reason)
+	uncertain := ran != medlarreason.RanNo && medlarreason.MeansNotRun(row.Status)
+	switch {
+	case !uncertain && row.Status != statusFailed:
+		return row.Status
+	case late:
+		return statusTimeout
+	}
+	return statusFailed
+}
+
 // Format says how a response is written.
 type Format struct {
 	Last bool // the connection is closed after the response
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -30,6 +30,7 @@
 	"medlarfield/internal/agree/medlarnotice"
 	"medlarfield/internal/agree/medlarterm"
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarbudget"
 	"medlarfield/internal/core/medlarcore"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarworld"
@@ -155,7 +156,7 @@
 		OldVersionGrace: cfg.Bounds.OldVersionGrace.Std() - versionMargin, VersionsIncrease: true,
 		SettlingTime: max(cfg.Bounds.SettlingTime.Std()-versionMargin, 0),
 		TellLoad:     cfg.HasPeers(),
-		RetryBudget:  medlarworld.RetryBudget{Ratio: retryShare * cfg.Bounds.RetryRatio, Max: retryBurst, Initial: retryStart},
+		RetryBudget:  medlarbudget.Retries{Ratio: retryShare * cfg.Bounds.RetryRatio, Max: retryBurst, Initial: retryStart},
 		Seed:         rand.Uint64(),
 	})
 	deps := medlarloop.Deps{
--- a/internal/ops/medlarattachednode/stop.go
+++ b/internal/ops/medlarattachednode/stop.go
@@ -42,7 +42,7 @@
 	refuse := begin.Add(i.cfg.Bounds.DeregistrationDelay.Std() + readMargin)
 	timers := []*time.Timer{
 		time.AfterFunc(time.Until(refuse), func() { i.loop.Post(medlarworld.StopRequested{}) }),
-		time.AfterFunc(time.Until(end.Add(-startMargin)), func() { i.loop.Post(medlarworld.StopNear{}) }),
+		time.AfterFunc(time.Until(end.Add(-startMargin)), func() { i.loop.Post(medlarworld.StopRequested{Near: true}) }),
 		time.AfterFunc(time.Until(end.Add(-answerMargin)), i.proxy.EndAttempts),
 	}
 	return func() {
--- a/internal/ops/medlarpeers/medlarpeers.go
+++ b/internal/ops/medlarpeers/medlarpeers.go
@@ -13,6 +13,7 @@
 	"medlarfield/internal/agree/medlarfollower"
 	"medlarfield/internal/agree/medlarrecord"
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarbudget"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarmetric"
 	"medlarfield/internal/ops/medlarpoller"
@@ -155,7 +156,7 @@
 func (p *Peers) reportShares(shares []medlarshare.Share) {
 	granted := medlarworld.SharesGranted{}
 	for _, s := range shares {
-		granted.Shares = append(granted.Shares, medlarworld.Share{Account: s.Account, Rate: s.Rate, Runs: s.Runs, Until: s.Until})
+		granted.Shares = append(granted.Shares, medlarbudget.Share{Account: s.Account, Rate: s.Rate, Runs: s.Runs, Until: s.Until})
 	}
 	p.onSharesGranted(granted)
 }
--- a/internal/peer/medlardatagram/formats_test.go
+++ b/internal/peer/medlardatagram/formats_test.go
@@ -5,14 +5,14 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/core/medlarload"
 )
 
 // TestDatagramsOfOtherBuilds guards against datagrams that an older instance beside this one cannot read, or this one not of
 // an older. The bytes were written by fb7fab7.
 func TestDatagramsOfOtherBuilds(t *testing.T) {
 	const written = "\n\aentry-1\x11\x05\x00\x00\x00\x00\x00\x00\x80\x18\xac\x02\"\n\x83\x80\x80\x80\b\x04\n\t\x01\x00"
-	want := message{Sender: "entry-1", Key: 1<<63 + 5, Serial: 300, Loads: []medlarworld.PeerLoad{{Upstream: 1<<31 + 3, Open: 4, Pending: 640}, {Upstream: 9, Open: 1}}}
+	want := message{Sender: "entry-1", Key: 1<<63 + 5, Serial: 300, Loads: []medlarload.Load{{Upstream: 1<<31 + 3, Open: 4, Pending: 640}, {Upstream: 9, Open: 1}}}
 	if b := string(encode(want)); b != written {
 		t.Errorf("encoded %q, want %q", b, written)
 	}
--- a/internal/peer/medlardatagram/medlardatagram_test.go
+++ b/internal/peer/medlardatagram/medlardatagram_test.go
@@ -11,11 +11,12 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarhistory"
+	"medlarfield/internal/core/medlarload"
 	"medlarfield/internal/core/medlarworld"
 )
 
 var (
-	loads   = []medlarworld.PeerLoad{{Upstream: 7, Open: 3, Pending: 1280}, {Upstream: 1 << 31, Open: 1}}
+	loads   = []medlarload.Load{{Upstream: 7, Open: 3, Pending: 1280}, {Upstream: 1 << 31, Open: 1}}
 	changes = []medlarhistory.ChangeAge{{Model: "m", Version: "12", Age: 3300 * time.Millisecond}, {Model: "n", Version: "2"}}
 	report  = medlarworld.TellLoad{Loads: loads, Changes: changes}
 )
@@ -36,7 +37,7 @@
 	if _, err := decode(nil); err == nil {
 		t.Error("an empty datagram is read")
 	}
-	huge := encode(message{Sender: "x", Loads: []medlarworld.PeerLoad{{Upstream: 1, Open: 1 << 40, Pending: 1 << 50}}})
+	huge := encode(message{Sender: "x", Loads: []medlarload.Load{{Upstream: 1, Open: 1 << 40, Pending: 1 << 50}}})
 	if m, err := decode(huge); err != nil || m.Loads[0].Open != maxOpen || m.Loads[0].Pending != maxPending {
 		t.Errorf("loads %+v, error %v; want them bounded", m.Loads, err)
 	}
--- a/internal/peer/medlardatagram/message.go
+++ b/internal/peer/medlardatagram/message.go
@@ -8,7 +8,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarhistory"
-	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/core/medlarload"
 )
 
 // Fields of a datagram, which is a protobuf message. Each load is three varints: the hash of
@@ -43,7 +43,7 @@
 	Sender medlarid.InstanceID
 	Key    Key
 	Serial uint64 // increases with each datagram of the sender
-	Loads  []medlarworld.PeerLoad
+	Loads  []medlarload.Load
 	// Changes are the ages of changes of desired weight versions, at the time of the datagram.
 	Changes []medlarhistory.ChangeAge
 }
@@ -175,8 +175,8 @@
 	return c, nil
 }
 
-func decodeLoads(b []byte) ([]medlarworld.PeerLoad, error) {
-	var out []medlarworld.PeerLoad
+func decodeLoads(b []byte) ([]medlarload.Load, error) {
+	var out []medlarload.Load
 	for len(b) > 0 {
 		var v [3]uint64
 		for i := range v {
@@ -186,7 +186,7 @@
 			}
 			v[i], b = value, b[n:]
 		}
-		out = append(out, medlarworld.PeerLoad{
+		out = append(out, medlarload.Load{
 			Upstream: medlarid.Hash(v[0]), Open: int(min(v[1], maxOpen)), Pending: medlarid.Tokens(min(v[2], maxPending/tokenUnit) * tokenUnit),
 		})
 	}
