--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -9,6 +9,8 @@
 //	    list's until the upstream starts again.
 //	R3  What an engine reports replaces what was assumed since the last report.
 //	R4  A cache event is a hint; a reset discards all that was known.
+//	R5  With a new version of the lists the replicas that are next to change their weights
+//	    are found anew.
 //	R6  With many replicas of a model, an instance uses a subset of them.
 //	R7  The replicas that are next in the fixed order of a weight change get no work
 //	    while others are available: their runs have to end before they change.
