Links that refuse connections keep their addresses

Cause: a link that refuses connections closes its listener, and nothing held its address meanwhile. Links pick theirs at random among 10,000 ports; those of the tests that run at the same time do so in the same range, and could pick one that had just been given up. The range is none of the system's, so that connections could not have taken it.

Change: a reservation (a socket that is bound and does not listen) lives as long as the link's address; while the link refuses, no listener may take it. medlarhost had the same for killed fakes; both use medlarreservation now. A link that is closed while it refuses no longer closes a listener that it does not have ("invalid argument" in the same output).

--- a/internal/stand/medlarhost/medlarhost.go
+++ b/internal/stand/medlarhost/medlarhost.go
@@ -4,7 +4,6 @@
 
 import (
 	"net"
-	"net/netip"
 	"strings"
 	"sync"
 	"time"
@@ -12,10 +11,10 @@
 	"github.com/go-json-experiment/json"
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sys/unix"
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/stand/medlarfault"
+	"medlarfield/internal/stand/medlarreservation"
 )
 
 // freezePoll is the interval at which a frozen call checks whether the fault is
@@ -30,11 +29,11 @@
 	Part    string
 	Address medlarid.Address
 
-	srv        *fasthttp.Server
-	ln         net.Listener
-	mu         sync.Mutex
-	conns      map[net.Conn]bool
-	reservedFD int // socket that keeps the address of a killed server reserved; 0 for none
+	srv      *fasthttp.Server
+	ln       net.Listener
+	mu       sync.Mutex
+	conns    map[net.Conn]bool
+	reserved *medlarreservation.Reservation // of the address of a killed server; nil for none
 }
 
 // New serves handler at address, an IP address and a port, where port 0 selects a free
@@ -81,14 +80,14 @@
 	s.closeAll()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.reservedFD != 0 {
+	if s.reserved != nil {
 		return nil
 	}
-	fd, err := reserveAddress(s.Address)
+	reserved, err := medlarreservation.New(s.Address)
 	if err != nil {
 		return eris.Wrapf(err, "reserve the address of %s", s.Part)
 	}
-	s.reservedFD = fd
+	s.reserved = reserved
 	return nil
 }
 
@@ -97,9 +96,9 @@
 	s.closeAll()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.reservedFD != 0 {
-		_ = unix.Close(s.reservedFD)
-		s.reservedFD = 0
+	if s.reserved != nil {
+		s.reserved.Close()
+		s.reserved = nil
 	}
 }
 
@@ -113,31 +112,6 @@
 	}
 }
 
-// reserveAddress returns a socket that is bound to an address but does not listen.
-func reserveAddress(at medlarid.Address) (int, error) {
-	addr, err := netip.ParseAddrPort(string(at))
-	if err != nil {
-		return 0, err
-	}
-	family, socket := unix.AF_INET6, unix.Sockaddr(&unix.SockaddrInet6{Port: int(addr.Port()), Addr: addr.Addr().As16()})
-	if addr.Addr().Is4() {
-		family, socket = unix.AF_INET, &unix.SockaddrInet4{Port: int(addr.Port()), Addr: addr.Addr().As4()}
-	}
-	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
-	if err != nil {
-		return 0, err
-	}
-	// Connections of the server that was just stopped still use the address.
-	err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
-	if err == nil {
-		err = unix.Bind(fd, socket)
-	}
-	if err != nil {
-		_ = unix.Close(fd)
-	}
-	return fd, err
-}
-
 // withFaults wraps next with a handler that injects the faults armed for part. A delayed
 // read has no effect and is not carried out.
 func withFaults(part string, injector *medlarfault.Injector, next fasthttp.RequestHandler) fasthttp.RequestHandler {
--- a/internal/stand/medlarlink/medlarlink.go
+++ b/internal/stand/medlarlink/medlarlink.go
@@ -21,6 +21,9 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/stand/medlarreservation"
 )
 
 // State is the state of a link.
@@ -62,6 +65,7 @@
 type port struct {
 	target   string
 	address  string
+	reserved *medlarreservation.Reservation // of the address, while the link refuses connections
 	listener *net.TCPListener
 	stopped  chan struct{} // closed when the port no longer accepts
 	paused   bool          // the listener is open, and nothing is accepted
@@ -83,11 +87,10 @@
 	if p := l.ports[target]; p != nil {
 		return p.address, nil
 	}
-	ln, err := listen()
+	p, err := newPort(target)
 	if err != nil {
 		return "", err
 	}
-	p := &port{target: target, address: ln.Addr().String(), listener: ln.(*net.TCPListener)}
 	l.ports[target] = p
 	l.accept(p)
 	if l.state == Up {
@@ -104,16 +107,43 @@
 	tries     = 100
 )
 
-// listen listens on a free port.
-func listen() (ln net.Listener, err error) {
+// newPort returns a port that listens on a free address.
+func newPort(target string) (p *port, err error) {
 	for range tries {
-		if ln, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))); err == nil {
-			return ln, nil
+		p = &port{target: target, address: fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))}
+		if p.reserved, err = medlarreservation.New(medlarid.Address(p.address)); err != nil {
+			continue
+		}
+		if err = p.listen(); err == nil {
+			return p, nil
 		}
+		p.reserved.Close()
 	}
 	return nil, err
 }
 
+// listen opens the listener.
+func (p *port) listen() error {
+	if err := p.reserved.Share(true); err != nil {
+		return err
+	}
+	ln, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return err
+	}
+	p.listener = ln.(*net.TCPListener)
+	return nil
+}
+
+// refuse closes the listener, and keeps its address from others.
+func (p *port) refuse() error {
+	err := p.reserved.Share(false)
+	_ = p.listener.Close()
+	<-p.stopped
+	p.listener = nil
+	return err
+}
+
 // Set puts the link into a state.
 func (l *Link) Set(state State) error {
 	l.mu.Lock()
@@ -148,7 +178,10 @@
 	defer l.mu.Unlock()
 	l.closed = true
 	for _, p := range l.ports {
-		_ = p.listener.Close()
+		p.reserved.Close()
+		if p.listener != nil {
+			_ = p.listener.Close()
+		}
 	}
 	for p := range l.pairs {
 		p.close()
@@ -162,10 +195,7 @@
 		p.pause()
 		return p.fill()
 	case Reset, Refused:
-		_ = p.listener.Close()
-		<-p.stopped
-		p.listener = nil
-		return nil
+		return p.refuse()
 	}
 	return l.resume(p)
 }
@@ -224,11 +254,9 @@
 func (l *Link) resume(p *port) error {
 	switch {
 	case p.listener == nil:
-		ln, err := net.Listen("tcp", p.address)
-		if err != nil {
+		if err := p.listen(); err != nil {
 			return err
 		}
-		p.listener = ln.(*net.TCPListener)
 	case p.paused: // without fillers, if a connection that waited to be accepted filled the queue
 		for _, c := range p.fillers {
 			_ = c.Close()
--- a/internal/stand/medlarlink/medlarlink_test.go
+++ b/internal/stand/medlarlink/medlarlink_test.go
@@ -157,3 +157,38 @@
 	go l.connect(echo(t), near)
 	assertError(t, "exchange", exchange(c), syscall.ECONNRESET)
 }
+
+// TestRefusingLinkKeepsItsAddress guards against a link that cannot come back since another one, or another process,
+// has taken its address meanwhile.
+func TestRefusingLinkKeepsItsAddress(t *testing.T) {
+	for _, state := range []State{Reset, Refused} {
+		t.Run(string(state), func(t *testing.T) {
+			l := New()
+			t.Cleanup(l.Close)
+			at, err := l.Address(echo(t))
+			if err != nil {
+				t.Fatal(err)
+			}
+			for range 2 {
+				if err := l.Set(state); err != nil {
+					t.Fatal(err)
+				}
+				other, err := net.Listen("tcp", at)
+				if err == nil {
+					_ = other.Close()
+				}
+				assertError(t, "another listener", err, syscall.EADDRINUSE)
+				if err := l.Set(Up); err != nil {
+					t.Fatal(err)
+				}
+				c, err := dial(t, at)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if err := exchange(c); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+}
