Soak: arrivals, attempts and the time that is left

Three rules of the users' pages are named BUDGET; the soak checked one of them, and only with requests that ran. Arrivals that a replica rejects count for the users, and so they do now (R9). New are R10, requests that run on more replicas than their routes have attempts, and R11, plain requests whose replicas are told more time than is left. Replicas of the stand-in report each request that arrives, with the time that it states, before they run or reject it; the platform notes the number of attempts that is in force.

R10 is stricter than the pages: replicas that ended or were cut off meanwhile count as well, as the product counts them.

Four records break R10 and R11, one each; records within the bounds break nothing.

--- a/internal/stand/medlarfakereplica/exchange.go
+++ b/internal/stand/medlarfakereplica/exchange.go
@@ -40,6 +40,10 @@
 	r := x.replica
 	target, expect := x.header(headerTarget), x.header(headerExpect)
 	version := strconv.FormatUint(r.Version(), 10)
+	run := x.record()
+	if r.Settings.Arrived != nil {
+		r.Settings.Arrived(run)
+	}
 	switch {
 	case x.fault == FaultMisdirected:
 		return writeResponse(x.conn, 421, x.requestIDField()+"Medlarfield-Instance-Id: other\r\n", "")
@@ -56,7 +60,6 @@
 		return writeResponse(x.conn, 503, x.requestIDField()+notExecuted+r.hintFields(), "")
 	}
 	defer r.releaseSlot()
-	run := x.record()
 	r.recordRun(run)
 	if r.Settings.CrashPoint != nil {
 		if at := r.Settings.CrashPoint(run); at != CrashNowhere {
@@ -84,7 +87,7 @@
 		Account: x.header("Medlarfield-Tenant"), Model: x.header("Medlarfield-Model"), Salt: x.header("Medlarfield-Cache-Salt"),
 		Version: x.header(headerExpect), LastEventID: x.header("Last-Event-Id"),
 		KVSource: x.header("Medlarfield-Kv-Source"), KVTarget: x.header("Medlarfield-Kv-Target"),
-		Parts: x.parts(),
+		Parts: x.parts(), Replica: x.replica.Settings.ID, Timeout: x.header("Medlarfield-Timeout-Ms"),
 	}
 }
 
--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -83,6 +83,7 @@
 	Born              int64                   // start of the replica; a later one with the same ID has a higher value
 	Listen            string                  // address to listen on; empty for a free loopback port
 	Wrap              func(net.Conn) net.Conn // of the connections that are accepted; nil for none
+	Arrived           func(Run)               // is called for each request, run or rejected; nil for none
 	// CrashPoint returns where the replica crashes as it answers a request; nil for never.
 	// OnCrash is called at each crash.
 	CrashPoint func(Run) CrashPoint
@@ -109,11 +110,11 @@
 	CrashBegun    CrashPoint = "begun"    // after the head, before the body
 )
 
-// Run is the record of a request that ran (R2).
+// Run is the record of a request that ran (R2). Timeout is the time that it has left, as its header field states it.
 type Run struct {
 	ID, Method, Target, Body                   string
 	Account, Model, Salt, Version, LastEventID string
-	KVSource, KVTarget                         string
+	KVSource, KVTarget, Replica, Timeout       string
 	Parts                                      []string // ids of the prompt's parts
 }
 
--- a/internal/stand/medlarsite/medlarsite.go
+++ b/internal/stand/medlarsite/medlarsite.go
@@ -36,24 +36,25 @@
 
 // Settings set the size and timing of a site.
 type Settings struct {
-	Engines           int                     // replicas of the model engine
-	Plain             int                     // replicas of the plain service
-	Slots             int                     // concurrent requests of each replica
-	Events            int                     // events in each stream
-	ServiceTime       time.Duration           // service time of a plain request, and the interval between two events of a stream
-	HeartbeatInterval time.Duration           // heartbeat interval of a replica
-	StopDelay         time.Duration           // time for which an instance keeps serving after the signal to stop
-	RemovalDelay      time.Duration           // in which removed replicas are listed again after an outage of the store
-	RestartDelay      time.Duration           // from the crash of a replica until its successor starts; 0 for never
-	KeepID            bool                    // a successor has the id of the replica that crashed
-	StaleEntries      bool                    // a successor also has its address, and the entry still names the earlier start
-	NextBuild         string                  // software version of the successors of replicas that crash; empty for the same
-	HideBuilds        int                     // replicas of the engine whose entries do not name their software version
-	NameRequests      bool                    // each event of a stream names its request
-	HideVersions      bool                    // a refusal for the weight version does not name the one that runs
-	Links             bool                    // each instance reaches the replicas over a link of its own, which can be cut
-	Wrap              func(net.Conn) net.Conn // of the connections to replicas; nil for none
-	Builds            []string                // software versions of the engine's replicas in turn; empty for one that events do not name
+	Engines           int                         // replicas of the model engine
+	Plain             int                         // replicas of the plain service
+	Slots             int                         // concurrent requests of each replica
+	Events            int                         // events in each stream
+	ServiceTime       time.Duration               // service time of a plain request, and the interval between two events of a stream
+	HeartbeatInterval time.Duration               // heartbeat interval of a replica
+	StopDelay         time.Duration               // time for which an instance keeps serving after the signal to stop
+	RemovalDelay      time.Duration               // in which removed replicas are listed again after an outage of the store
+	RestartDelay      time.Duration               // from the crash of a replica until its successor starts; 0 for never
+	KeepID            bool                        // a successor has the id of the replica that crashed
+	StaleEntries      bool                        // a successor also has its address, and the entry still names the earlier start
+	NextBuild         string                      // software version of the successors of replicas that crash; empty for the same
+	HideBuilds        int                         // replicas of the engine whose entries do not name their software version
+	NameRequests      bool                        // each event of a stream names its request
+	HideVersions      bool                        // a refusal for the weight version does not name the one that runs
+	Links             bool                        // each instance reaches the replicas over a link of its own, which can be cut
+	Wrap              func(net.Conn) net.Conn     // of the connections to replicas; nil for none
+	Arrived           func(medlarfakereplica.Run) // is called for each request at a replica; nil for none
+	Builds            []string                    // software versions of the engine's replicas in turn; empty for one that events do not name
 }
 
 // Default returns the settings of a small site.
@@ -190,7 +191,7 @@
 
 // addReplica starts a replica, appends it to a list of replicas, and writes its entry.
 func (s *Site) addReplica(to *[]*medlarfakereplica.Replica, cfg medlarfakereplica.Settings) error {
-	cfg.Wrap = s.settings.Wrap
+	cfg.Wrap, cfg.Arrived = s.settings.Wrap, s.settings.Arrived
 	var r *medlarfakereplica.Replica
 	ready := make(chan struct{})
 	r, err := medlarfakereplica.New(cfg, func() { <-ready; s.writeEntry(r) })
--- a/internal/stand/medlarsoak/budget.go
+++ b/internal/stand/medlarsoak/budget.go
@@ -6,14 +6,21 @@
 	"time"
 )
 
-// Bounds of R9, as the users' pages state them for a deployment of this size.
+// Bounds of R9 to R11, as the users' pages state them for a deployment of this size.
 const (
 	BudgetWindow = 10 * time.Second
 	BudgetRatio  = 0.2
-	BudgetSlack  = 52 // runs
+	BudgetSlack  = 52 // arrivals
+	OverAttempts = 3  // requests
+	OverTime     = 20 // arrivals
 )
 
-// checkBudget checks the runs beyond the first of each request for a service, whose routes have the given prefixes (R9).
+const (
+	overTimeShare = 0.2
+	timeSlackMs   = 500
+)
+
+// checkBudget checks the arrivals beyond the first of each request for a service, whose routes have the given prefixes (R9).
 func (res *Result) checkBudget(r Records, prefixes ...string) {
 	ofService := func(path string) bool {
 		return slices.ContainsFunc(prefixes, func(p string) bool { return strings.HasPrefix(path, p) })
@@ -25,33 +32,84 @@
 		}
 	}
 	slices.Sort(sent)
-	repeats := repeatTimes(r.Runs, ofService)
+	repeats := repeatTimes(r.Arrivals, ofService)
 	res.Repeats += len(repeats)
 	const window = int64(BudgetWindow / time.Millisecond)
 	for i, end := range repeats {
 		n := i + 1 - countBefore(repeats, end-window)
 		requests := max(between(sent, end-window, end), between(sent, end-window*3/2, end-window/2), between(sent, end-2*window, end-window))
 		if float64(n) > BudgetRatio*float64(requests)+BudgetSlack {
-			res.broken(RuleBudget, "", "%v: %d runs beyond the first of each request in the %v before %d, for %d requests", prefixes, n, BudgetWindow, end, requests)
+			res.broken(RuleBudget, "", "%v: %d arrivals beyond the first of each request in the %v before %d, for %d requests", prefixes, n, BudgetWindow, end, requests)
 			return
 		}
 	}
 }
 
-// repeatTimes returns when runs beyond the first of each request began, the earliest first.
-func repeatTimes(runs []Run, ofService func(path string) bool) []int64 {
-	sorted := slices.SortedFunc(slices.Values(runs), func(a, b Run) int { return int(a.At - b.At) })
-	ran := map[string]bool{}
+// repeatTimes returns the times of the arrivals beyond the first of each request, the earliest first.
+func repeatTimes(arrivals []Run, ofService func(path string) bool) []int64 {
+	arrived := map[string]bool{}
 	var out []int64
-	for _, run := range sorted {
-		if ran[run.ID] && ofService(run.Path) {
-			out = append(out, run.At)
+	for _, a := range byTime(arrivals) {
+		if arrived[a.ID] && ofService(a.Path) {
+			out = append(out, a.At)
 		}
-		ran[run.ID] = true
+		arrived[a.ID] = true
 	}
 	return out
 }
 
+func byTime(runs []Run) []Run {
+	return slices.SortedStableFunc(slices.Values(runs), func(a, b Run) int { return int(a.At - b.At) })
+}
+
+// checkTries checks on how many replicas requests ran (R10). Replicas that ended meanwhile count as well.
+func (res *Result) checkTries(runs []Run) {
+	replicas := map[string][]string{} // by request
+	var over []string
+	for _, run := range byTime(runs) {
+		if run.Most == 0 || slices.Contains(replicas[run.ID], run.Replica) {
+			continue
+		}
+		replicas[run.ID] = append(replicas[run.ID], run.Replica)
+		if len(replicas[run.ID]) > run.Most && !slices.Contains(over, run.ID) {
+			over = append(over, run.ID)
+		}
+	}
+	if len(over) > OverAttempts {
+		res.broken(RuleTries, over[0], "%d requests ran on more replicas than their routes have attempts", len(over))
+	}
+}
+
+// checkTimes checks what replicas were told of the time that plain requests have left (R11).
+func (res *Result) checkTimes(r Records) {
+	ends := map[string]int64{} // of the callers' patience, in Unix ms
+	for _, c := range r.Calls {
+		ends[c.ID] = c.At + requestTimeout.Milliseconds()
+	}
+	first := map[string]Run{}
+	late, tooLong := 0, 0 // arrivals over timeSlackMs after the first, and those that were told too much
+	for _, a := range byTime(r.Arrivals) {
+		end, known := ends[a.ID]
+		if streams(a.Path) || !known {
+			continue
+		}
+		f, again := first[a.ID]
+		if !again {
+			first[a.ID] = a
+		}
+		again = again && a.At > f.At+timeSlackMs
+		if again {
+			late++
+		}
+		if a.Left <= 0 || a.Left > requestTimeout.Milliseconds()+timeSlackMs || again && a.At+a.Left > max(end, f.At+f.Left)+timeSlackMs {
+			tooLong++
+		}
+	}
+	if tooLong > OverTime && float64(tooLong) > overTimeShare*float64(late+tooLong) {
+		res.broken(RuleTime, "", "%d arrivals were told more time than was left; %d requests arrived again late", tooLong, late)
+	}
+}
+
 // between returns how many of the sorted times are after from and not after to.
 func between(times []int64, from, to int64) int {
 	return countBefore(times, to+1) - countBefore(times, from+1)
--- a/internal/stand/medlarsoak/faults.go
+++ b/internal/stand/medlarsoak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strconv"
 	"sync"
 	"time"
 
@@ -26,32 +27,52 @@
 	site    *medlarsite.Site
 	stutter medlarstutter.Stutter
 
-	mu sync.Mutex
-	w  io.Writer // for the records of runs
+	mu   sync.Mutex
+	w    io.Writer // for the records of arrivals and runs
+	most int       // largest number of attempts of all routes; 0 while each has its own
 }
 
 // NewPlatform starts a platform. The runs of its replicas are written to w.
 func NewPlatform(cfg medlarsite.Settings, w io.Writer) (*Platform, error) {
 	p := &Platform{w: w}
 	cfg.NameRequests, cfg.Wrap = true, p.stutter.Wrap
+	cfg.Arrived = func(r medlarfakereplica.Run) { p.record(r, false) }
 	site, err := medlarsite.New(cfg)
 	if err != nil {
 		return nil, err
 	}
 	p.site = site
-	site.CrashOnRequest(p.record) // is called for each run
+	site.CrashOnRequest(func(r medlarfakereplica.Run) medlarfakereplica.CrashPoint { // is called for each run
+		p.record(r, true)
+		return medlarfakereplica.CrashNowhere
+	})
 	return p, nil
 }
 
 // Site returns the emulated platform.
 func (p *Platform) Site() *medlarsite.Site { return p.site }
 
-// record records a run, which crashes no replica.
-func (p *Platform) record(r medlarfakereplica.Run) medlarfakereplica.CrashPoint {
+// record records a request that arrived at a replica, or that it began to run.
+func (p *Platform) record(r medlarfakereplica.Run, ran bool) {
+	left, _ := strconv.ParseInt(r.Timeout, 10, 64) // 0 for one that is missing or no number
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_ = write(p.w, Run{At: time.Now().UnixMilli(), ID: r.ID, Path: r.Target, Resumed: r.LastEventID != ""})
-	return medlarfakereplica.CrashNowhere
+	_ = write(p.w, Run{
+		At: time.Now().UnixMilli(), ID: r.ID, Path: r.Target, Resumed: r.LastEventID != "", Replica: r.Replica, Left: left, Most: p.most, Ran: ran,
+	})
+}
+
+// setAttempts sets the largest number of attempts of all routes. Requests that are under way may have begun with
+// another one.
+func (p *Platform) setAttempts(ctx *fasthttp.RequestCtx, n int) {
+	p.mu.Lock()
+	p.most = n
+	p.mu.Unlock()
+	p.change(ctx, func(c *medlarsite.Config) {
+		for i := range c.Routes {
+			c.Routes[i].MaxAttempts = n
+		}
+	})
 }
 
 // Handler returns the handler of the control address. It takes the commands of medlarsite.ControlHandler, and:
@@ -71,11 +92,7 @@
 		text := func(name string) string { return string(q.Peek(name)) }
 		switch string(ctx.Path()) {
 		case "/attempts":
-			p.change(ctx, func(c *medlarsite.Config) {
-				for i := range c.Routes {
-					c.Routes[i].MaxAttempts = q.GetUintOrZero("n")
-				}
-			})
+			p.setAttempts(ctx, q.GetUintOrZero("n"))
 		case "/link":
 			if err := p.site.Link(text("name")).Set(medlarlink.State(text("state"))); err != nil {
 				ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
--- a/internal/stand/medlarsoak/medlarsoak.go
+++ b/internal/stand/medlarsoak/medlarsoak.go
@@ -12,9 +12,11 @@
 //	R7  Nine tenths of first tries are served at most RecoverBound after all instances have returned, and after the
 //	    last fault.
 //	R8  The schedule was played whole; else the record proves nothing.
-//	R9  Within any BudgetWindow, the replicas of a service get no more runs beyond the first of each request than
+//	R9  Within any BudgetWindow, at the replicas of a service no more requests arrive once more, rejected or not, than
 //	    BudgetRatio of the requests for it, and BudgetSlack. The requests are those sent within the window, the one
 //	    before it or the one half a window before it, whichever are most.
+//	R10 At most OverAttempts requests run on more replicas than their routes have attempts.
+//	R11 Replicas are told no more time than a plain request has left.
 package medlarsoak
 
 import (
@@ -39,6 +41,8 @@
 	RuleRecover Rule = "recover" // R7
 	RulePlayed  Rule = "played"  // R8
 	RuleBudget  Rule = "budget"  // R9
+	RuleTries   Rule = "tries"   // R10
+	RuleTime    Rule = "time"    // R11
 )
 
 // Violation is a case in which a rule is broken.
@@ -60,7 +64,7 @@
 	Violations             []Violation
 	Calls, Served, Refused int
 	Runs                   int
-	Repeats                int // runs beyond the first of each request
+	Repeats                int // arrivals beyond the first of each request
 	Returns                []Return
 }
 
@@ -84,6 +88,8 @@
 	res.checkReturns(r)
 	res.checkBudget(r, prefixRead, prefixPost)
 	res.checkBudget(r, prefixLetter, prefixQuery)
+	res.checkTries(r.Runs)
+	res.checkTimes(r)
 	return res
 }
 
--- a/internal/stand/medlarsoak/medlarsoak_test.go
+++ b/internal/stand/medlarsoak/medlarsoak_test.go
@@ -25,7 +25,8 @@
 			c.Path, c.Body = "/query/one", events(c.ID, 1, 2, 3, 4, 5, 6, 7, 8)
 		}
 		r.Calls = append(r.Calls, c)
-		r.Runs = append(r.Runs, medlarsoak.Run{At: c.At, ID: c.ID, Path: c.Path})
+		run := medlarsoak.Run{At: c.At, ID: c.ID, Path: c.Path, Replica: "a", Left: 3000, Most: 1}
+		r.Arrivals, r.Runs = append(r.Arrivals, run), append(r.Runs, run)
 	}
 	r.Processes = []medlarsoak.Process{
 		{At: begin, What: "start", Args: []string{"1", "77"}},
@@ -50,10 +51,37 @@
 	query = 11
 )
 
-// repeatRuns adds n runs of requests that may be repeated.
-func repeatRuns(r *medlarsoak.Records, n int) {
+// repeatArrivals adds n arrivals of requests that may be repeated.
+func repeatArrivals(r *medlarsoak.Records, n int) {
 	for i := range n {
-		r.Runs = append(r.Runs, medlarsoak.Run{At: calmAt + int64(i), ID: fmt.Sprint("repeated-", i/2), Path: "/read/a"})
+		r.Arrivals = append(r.Arrivals, medlarsoak.Run{At: calmAt + int64(i), ID: fmt.Sprint("repeated-", i/2), Path: "/read/a"})
+	}
+}
+
+// runElsewhere lets the first n streams, which may run again, run on another replica, too, with a largest number of
+// attempts.
+func runElsewhere(r *medlarsoak.Records, n, most int) {
+	for i := query; i < query+2*n; i += 2 {
+		r.Calls[i].Path = "/letter/one"
+		run := r.Runs[i]
+		run.Path, run.Replica, run.Most = r.Calls[i].Path, "b", most
+		r.Runs = append(r.Runs, run)
+	}
+}
+
+// tellLeft sets the time that the first n arrivals are told, in ms.
+func tellLeft(r *medlarsoak.Records, n int, left int64) {
+	for i := range r.Arrivals[:2*n] {
+		r.Arrivals[i].Left = left
+	}
+}
+
+// arriveAgain lets the first n plain requests arrive again after a time, and be told some, in ms.
+func arriveAgain(r *medlarsoak.Records, n int, after, left int64) {
+	for _, a := range slices.Clone(r.Arrivals)[:2*n] {
+		a.At += after
+		a.Left = left
+		r.Arrivals = append(r.Arrivals, a)
 	}
 }
 
@@ -107,7 +135,11 @@
 		}},
 		{"no end", medlarsoak.RulePlayed, func(r *medlarsoak.Records) { r.Processes = r.Processes[:3] }},
 		{"a step failed", medlarsoak.RulePlayed, func(r *medlarsoak.Records) { r.Processes[0].What = medlarsoak.Failed }},
-		{"repeats that pile up", medlarsoak.RuleBudget, func(r *medlarsoak.Records) { repeatRuns(r, medlarsoak.BudgetSlack+len(r.Calls)) }},
+		{"repeats that pile up", medlarsoak.RuleBudget, func(r *medlarsoak.Records) { repeatArrivals(r, medlarsoak.BudgetSlack+len(r.Calls)) }},
+		{"more replicas than attempts", medlarsoak.RuleTries, func(r *medlarsoak.Records) { runElsewhere(r, medlarsoak.OverAttempts+1, 1) }},
+		{"no time", medlarsoak.RuleTime, func(r *medlarsoak.Records) { tellLeft(r, medlarsoak.OverTime+1, 0) }},
+		{"too much time", medlarsoak.RuleTime, func(r *medlarsoak.Records) { tellLeft(r, medlarsoak.OverTime+1, 3501) }},
+		{"time that starts anew", medlarsoak.RuleTime, func(r *medlarsoak.Records) { arriveAgain(r, medlarsoak.OverTime+1, 600, 3000) }},
 		{"no calls", medlarsoak.RuleRecover, func(r *medlarsoak.Records) { r.Calls = nil }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -118,7 +150,17 @@
 	}
 	t.Run("repeats within the budget", func(t *testing.T) {
 		r := sound()
-		repeatRuns(&r, medlarsoak.BudgetSlack)
+		repeatArrivals(&r, medlarsoak.BudgetSlack)
+		assertBroken(t, medlarsoak.Check(r))
+	})
+	t.Run("as many replicas as attempts", func(t *testing.T) {
+		r := sound()
+		runElsewhere(&r, 2*medlarsoak.OverAttempts, 2)
+		assertBroken(t, medlarsoak.Check(r))
+	})
+	t.Run("time that goes on", func(t *testing.T) {
+		r := sound()
+		arriveAgain(&r, medlarsoak.OverTime+1, 600, 2900)
 		assertBroken(t, medlarsoak.Check(r))
 	})
 	t.Run("sound", func(t *testing.T) { assertBroken(t, medlarsoak.Check(sound())) })
--- a/internal/stand/medlarsoak/record.go
+++ b/internal/stand/medlarsoak/record.go
@@ -28,12 +28,16 @@
 	Error    string `json:"error"`
 }
 
-// Run is a request that a replica began to run.
+// Run is a request that arrived at a replica.
 type Run struct {
 	At      int64  `json:"at"` // Unix ms
 	ID      string `json:"id"`
 	Path    string `json:"path"`
 	Resumed bool   `json:"resumed"` // the request resumes a stream
+	Replica string `json:"replica"`
+	Left    int64  `json:"left"` // time for the answer that the replica was told, in ms; 0 for none
+	Most    int    `json:"most"` // largest number of attempts of the request's route; 0 if it is as at first
+	Ran     bool   `json:"ran"`  // the replica began to run the request
 }
 
 // Happening is what was seen of a process in the course of a schedule.
@@ -58,7 +62,8 @@
 // Records are all records of a schedule that was played.
 type Records struct {
 	Calls     []*Call
-	Runs      []Run
+	Arrivals  []Run // of all requests, whether they ran or not
+	Runs      []Run // of those that ran
 	Processes []Process
 }
 
@@ -139,8 +144,14 @@
 			return json.Unmarshal(line, r.Calls[len(r.Calls)-1])
 		}),
 		eachLine(filepath.Join(dir, FileRuns), func(line []byte) error {
-			r.Runs = append(r.Runs, Run{})
-			return json.Unmarshal(line, &r.Runs[len(r.Runs)-1])
+			var run Run
+			err := json.Unmarshal(line, &run)
+			if run.Ran {
+				r.Runs = append(r.Runs, run)
+			} else {
+				r.Arrivals = append(r.Arrivals, run)
+			}
+			return err
 		}),
 		eachLine(filepath.Join(dir, FileProcesses), r.addProcess),
 	)
