--- a/internal/stand/medlarsoak/faults.go
+++ b/internal/stand/medlarsoak/faults.go
@@ -149,7 +149,7 @@
 	b = append(b, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"...)
 	b = medlarhead.AppendEnd(b)
 	for n := range 2 {
-		b = medlarhead.AppendChunk(b, []byte(event(n+1, r.ID)))
+		b = medlarhead.AppendChunk(b, []byte(Event(n+1, r.ID)))
 	}
 	return string(b)
 }
--- a/internal/stand/medlarsoak/load.go
+++ b/internal/stand/medlarsoak/load.go
@@ -18,7 +18,7 @@
 
 // Times of the load.
 const (
-	requestTimeout = 3 * time.Second
+	RequestTimeout = 3 * time.Second
 	calmLeast      = 2500 * time.Millisecond // of load after the last fault
 )
 
@@ -43,7 +43,7 @@
 func (l *Load) Run(w io.Writer) {
 	l.w = w
 	l.client = &fasthttp.Client{
-		MaxConnsPerHost: maxConns, MaxIdemponentCallAttempts: 1, StreamResponseBody: true, ReadTimeout: requestTimeout,
+		MaxConnsPerHost: maxConns, MaxIdemponentCallAttempts: 1, StreamResponseBody: true, ReadTimeout: RequestTimeout,
 		RetryIfErr: func(*fasthttp.Request, int, error) (reset, retry bool) { return false, false },
 	}
 	r := rand.New(rand.NewPCG(l.Seed, 2))
@@ -65,7 +65,7 @@
 
 // path returns the path of request n: two of three are prompts.
 func (l *Load) path(n int) string {
-	prefix := []string{prefixRead, prefixPost, prefixLetter, prefixQuery, prefixLetter, prefixQuery}[n%6]
+	prefix := []string{PrefixRead, PrefixPost, PrefixLetter, PrefixQuery, PrefixLetter, PrefixQuery}[n%6]
 	if l.Same {
 		return prefix + "one"
 	}
@@ -79,12 +79,12 @@
 	r.Header.SetHost(medlarsite.Host)
 	r.Header.Set("Api-Key", medlarsite.Key)
 	r.Header.Set(headerID, c.ID)
-	r.Header.Set("Medlarfield-Timeout-Ms", strconv.FormatInt(requestTimeout.Milliseconds(), 10))
-	if !strings.HasPrefix(c.Path, prefixRead) {
+	r.Header.Set("Medlarfield-Timeout-Ms", strconv.FormatInt(RequestTimeout.Milliseconds(), 10))
+	if !strings.HasPrefix(c.Path, PrefixRead) {
 		r.Header.SetMethod(fasthttp.MethodPost)
 		r.SetBodyString("{}")
 	}
-	if streams(c.Path) {
+	if Streams(c.Path) {
 		r.Header.Set("Medlarfield-Model", medlarsite.Model)
 		r.Header.Set("Medlarfield-Token-Usage", "1000,50")
 		r.Header.Set("Medlarfield-Prompt-Prefix", fmt.Sprintf("aa:100,b%x:400,c%x:500", part, n))
@@ -140,5 +140,5 @@
 	calm := file.ModTime()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return untilRecovered(l.calls, calm) >= 0 || time.Since(calm) > RecoverBound+calmLeast
+	return UntilRecovered(l.calls, calm) >= 0 || time.Since(calm) > RecoverBound+calmLeast
 }
--- a/internal/stand/medlarsoak/record.go
+++ b/internal/stand/medlarsoak/record.go
@@ -1,3 +1,5 @@
+// Package medlarsoak plays a soak: callers and an emulated platform with faults, around instances that run as processes
+// of their own. It records what callers, replicas and the script that carries the schedule out saw.
 package medlarsoak
 
 import (
@@ -70,43 +72,45 @@
 // Events is the number of events in each stream.
 const Events = 8
 
-// event returns event n of the stream that answers a request.
-func event(n int, id string) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", n, id) }
+// Event returns event n of the stream that answers a request.
+func Event(n int, id string) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", n, id) }
 
 // Prefixes of the paths of requests, one of each route of medlarsite.DefaultConfig.
 const (
-	prefixRead   = "/read/"   // may run again
-	prefixPost   = "/post/"   // may run once
-	prefixLetter = "/letter/" // a stream that may be resumed
-	prefixQuery  = "/query/"  // a stream that may run once
+	PrefixRead   = "/read/"   // may run again
+	PrefixPost   = "/post/"   // may run once
+	PrefixLetter = "/letter/" // a stream that may be resumed
+	PrefixQuery  = "/query/"  // a stream that may run once
 )
 
-func streams(path string) bool {
-	return strings.HasPrefix(path, prefixLetter) || strings.HasPrefix(path, prefixQuery)
+// Streams reports whether the answer to a request is a stream.
+func Streams(path string) bool {
+	return strings.HasPrefix(path, PrefixLetter) || strings.HasPrefix(path, PrefixQuery)
 }
 
-func runsOnce(path string) bool {
-	return strings.HasPrefix(path, prefixPost) || strings.HasPrefix(path, prefixQuery)
+// RunsOnce reports whether a request may run once only.
+func RunsOnce(path string) bool {
+	return strings.HasPrefix(path, PrefixPost) || strings.HasPrefix(path, PrefixQuery)
 }
 
-// whole returns the whole body of the answer to a request.
-func whole(path, id string) string {
-	if !streams(path) {
-		return "answer to " + id
+// Whole returns the whole content of the answer to a request.
+func (c *Call) Whole() string {
+	if !Streams(c.Path) {
+		return "answer to " + c.ID
 	}
 	var b strings.Builder
 	for n := range Events {
-		b.WriteString(event(n+1, id))
+		b.WriteString(Event(n+1, c.ID))
 	}
 	return b.String()
 }
 
 // Served reports whether the caller got a whole answer.
-func (c *Call) Served() bool { return c.Status == 200 && c.Ended && c.content() == whole(c.Path, c.ID) }
+func (c *Call) Served() bool { return c.Status == 200 && c.Ended && c.Content() == c.Whole() }
 
-// content returns the body of a response, and of a stream all but comments, which are of no request.
-func (c *Call) content() string {
-	if !streams(c.Path) {
+// Content returns the body of a response, and of a stream all but comments, which are of no request.
+func (c *Call) Content() string {
+	if !Streams(c.Path) {
 		return c.Body
 	}
 	blocks := strings.SplitAfter(c.Body, "\n\n")
@@ -115,8 +119,8 @@
 	}), "")
 }
 
-// refused reports whether the response states that the request did not and will not run.
-func (c *Call) refused() bool { return slices.Contains([]int{408, 421, 429, 503}, c.Status) }
+// Refused reports whether the response states that the request did not and will not run.
+func (c *Call) Refused() bool { return slices.Contains([]int{408, 421, 429, 503}, c.Status) }
 
 // write writes a record as a line.
 func write(w io.Writer, record any) error {
--- a/internal/stand/medlarstandcmd/soak.go
+++ b/internal/stand/medlarstandcmd/soak.go
@@ -12,6 +12,7 @@
 	"medlarfield/internal/stand/medlarschedule"
 	"medlarfield/internal/stand/medlarsite"
 	"medlarfield/internal/stand/medlarsoak"
+	"medlarfield/internal/stand/medlarverdict"
 )
 
 // soakSettings is the directory of the settings files in that of a soak.
@@ -115,7 +116,7 @@
 			if err != nil {
 				return err
 			}
-			res := medlarsoak.Check(records)
+			res := medlarverdict.Check(records)
 			res.Print(cmd.OutOrStdout())
 			if n := len(res.Violations); n > 0 {
 				return fmt.Errorf("%d violations", n)
--- a/internal/stand/medlarsoak/budget.go
+++ b/internal/stand/medlarverdict/budget.go
@@ -1,9 +1,11 @@
-package medlarsoak
+package medlarverdict
 
 import (
 	"slices"
 	"strings"
 	"time"
+
+	"medlarfield/internal/stand/medlarsoak"
 )
 
 // Bounds of R9 to R11, as the users' pages state them for a deployment of this size.
@@ -21,7 +23,7 @@
 )
 
 // checkBudget checks the arrivals beyond the first of each request for a service, whose routes have the given prefixes (R9).
-func (res *Result) checkBudget(r Records, prefixes ...string) {
+func (res *Result) checkBudget(r medlarsoak.Records, prefixes ...string) {
 	ofService := func(path string) bool {
 		return slices.ContainsFunc(prefixes, func(p string) bool { return strings.HasPrefix(path, p) })
 	}
@@ -46,7 +48,7 @@
 }
 
 // repeatTimes returns the times of the arrivals beyond the first of each request, the earliest first.
-func repeatTimes(arrivals []Run, ofService func(path string) bool) []int64 {
+func repeatTimes(arrivals []medlarsoak.Run, ofService func(path string) bool) []int64 {
 	arrived := map[string]bool{}
 	var out []int64
 	for _, a := range byTime(arrivals) {
@@ -58,12 +60,12 @@
 	return out
 }
 
-func byTime(runs []Run) []Run {
-	return slices.SortedStableFunc(slices.Values(runs), func(a, b Run) int { return int(a.At - b.At) })
+func byTime(runs []medlarsoak.Run) []medlarsoak.Run {
+	return slices.SortedStableFunc(slices.Values(runs), func(a, b medlarsoak.Run) int { return int(a.At - b.At) })
 }
 
 // checkTries checks on how many replicas requests ran (R10). Replicas that ended meanwhile count as well.
-func (res *Result) checkTries(runs []Run) {
+func (res *Result) checkTries(runs []medlarsoak.Run) {
 	replicas := map[string][]string{} // by request
 	var over []string
 	for _, run := range byTime(runs) {
@@ -81,16 +83,16 @@
 }
 
 // checkTimes checks what replicas were told of the time that plain requests have left (R11).
-func (res *Result) checkTimes(r Records) {
+func (res *Result) checkTimes(r medlarsoak.Records) {
 	ends := map[string]int64{} // of the callers' patience, in Unix ms
 	for _, c := range r.Calls {
-		ends[c.ID] = c.At + requestTimeout.Milliseconds()
+		ends[c.ID] = c.At + medlarsoak.RequestTimeout.Milliseconds()
 	}
-	first := map[string]Run{}
+	first := map[string]medlarsoak.Run{}
 	late, tooLong := 0, 0 // arrivals over timeSlackMs after the first, and those that were told too much
 	for _, a := range byTime(r.Arrivals) {
 		end, known := ends[a.ID]
-		if streams(a.Path) || !known {
+		if medlarsoak.Streams(a.Path) || !known {
 			continue
 		}
 		f, again := first[a.ID]
@@ -101,7 +103,7 @@
 		if again {
 			late++
 		}
-		if a.Left <= 0 || a.Left > requestTimeout.Milliseconds()+timeSlackMs || again && a.At+a.Left > max(end, f.At+f.Left)+timeSlackMs {
+		if a.Left <= 0 || a.Left > medlarsoak.RequestTimeout.Milliseconds()+timeSlackMs || again && a.At+a.Left > max(end, f.At+f.Left)+timeSlackMs {
 			tooLong++
 		}
 	}
--- a/internal/stand/medlarsoak/medlarsoak.go
+++ b/internal/stand/medlarverdict/medlarverdict.go
@@ -1,5 +1,4 @@
-// Package medlarsoak plays the faults of a schedule on instances that run as processes of their own, and checks what
-// callers, replicas and the script that carries the schedule out saw.
+// Package medlarverdict judges what callers, replicas and the script that carries a schedule out saw in a soak.
 //
 // Rules:
 //
@@ -9,7 +8,7 @@
 //	R4  An answer that ends as its framing requires is whole.
 //	R5  The events of a stream arrive in order, each once.
 //	R6  No process ends by itself, and one that gets SIGTERM ends with code 0.
-//	R7  Nine tenths of first tries are served at most RecoverBound after all instances have returned, and after the
+//	R7  Nine tenths of first tries are served at most medlarsoak.RecoverBound after all instances have returned, and after the
 //	    last fault.
 //	R8  The schedule was played whole; else the record proves nothing.
 //	R9  Within any BudgetWindow, at the replicas of a service no more requests arrive once more, rejected or not, than
@@ -17,7 +16,7 @@
 //	    before it or the one half a window before it, whichever are most.
 //	R10 At most OverAttempts requests run on more replicas than their routes have attempts.
 //	R11 Replicas are told no more time than a plain request has left.
-package medlarsoak
+package medlarverdict
 
 import (
 	"fmt"
@@ -25,6 +24,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"medlarfield/internal/stand/medlarsoak"
 )
 
 // Rule is what a record is checked for.
@@ -54,7 +55,7 @@
 
 // Return is a time from which the service had to recover.
 type Return struct {
-	What Happening
+	What medlarsoak.Happening
 	At   int64         // Unix ms
 	Took time.Duration // until nine tenths were served; negative for never
 }
@@ -69,7 +70,7 @@
 }
 
 // Check judges records.
-func Check(r Records) Result {
+func Check(r medlarsoak.Records) Result {
 	res := Result{Calls: len(r.Calls), Runs: len(r.Runs)}
 	runs := map[string]int{} // by request; those that resume a stream too
 	for _, run := range r.Runs {
@@ -79,15 +80,15 @@
 		if c.Served() {
 			res.Served++
 		}
-		if c.refused() {
+		if c.Refused() {
 			res.Refused++
 		}
 		res.checkCall(c, runs[c.ID])
 	}
 	res.checkProcesses(r.Processes)
 	res.checkReturns(r)
-	res.checkBudget(r, prefixRead, prefixPost)
-	res.checkBudget(r, prefixLetter, prefixQuery)
+	res.checkBudget(r, medlarsoak.PrefixRead, medlarsoak.PrefixPost)
+	res.checkBudget(r, medlarsoak.PrefixLetter, medlarsoak.PrefixQuery)
 	res.checkTries(r.Runs)
 	res.checkTimes(r)
 	return res
@@ -98,16 +99,16 @@
 }
 
 // brokenBy adds a violation by the response to a call.
-func (res *Result) brokenBy(rule Rule, c *Call, format string, args ...any) {
+func (res *Result) brokenBy(rule Rule, c *medlarsoak.Call, format string, args ...any) {
 	res.broken(rule, c.ID, "%s at %s %s", c.Path, c.Instance, fmt.Sprintf(format, args...))
 }
 
 // checkCall checks what a caller saw of a request that ran a number of times.
-func (res *Result) checkCall(c *Call, runs int) {
-	if c.refused() && runs > 0 {
+func (res *Result) checkCall(c *medlarsoak.Call, runs int) {
+	if c.Refused() && runs > 0 {
 		res.brokenBy(RuleRefused, c, "was refused with %d as not run, and ran %d times", c.Status, runs)
 	}
-	if runsOnce(c.Path) && runs > 1 {
+	if medlarsoak.RunsOnce(c.Path) && runs > 1 {
 		res.brokenBy(RuleOnce, c, "ran %d times; the caller got %d", runs, c.Status)
 	}
 	if c.Status != 0 && c.Answers != "" && c.Answers != c.ID {
@@ -126,15 +127,15 @@
 }
 
 // checkBody checks the body of a response with 200, as far as it arrived.
-func (res *Result) checkBody(c *Call) {
-	got, want := c.content(), whole(c.Path, c.ID)
+func (res *Result) checkBody(c *medlarsoak.Call) {
+	got, want := c.Content(), c.Whole()
 	switch {
 	case got == want:
 	case strings.HasPrefix(want, got):
 		if c.Ended {
 			res.brokenBy(RuleWhole, c, "ended as if it were whole after %d of %d bytes", len(got), len(want))
 		}
-	case streams(c.Path) && ownEvents(got, c.ID):
+	case medlarsoak.Streams(c.Path) && ownEvents(got, c.ID):
 		res.brokenBy(RuleOrder, c, "has events that are missing, repeated or not in order: %.300q", c.Body)
 	default:
 		res.brokenBy(RuleOwn, c, "holds what is not of the request: %.300q", c.Body)
@@ -146,7 +147,7 @@
 	events := strings.SplitAfter(body, "\n\n")
 	for i, e := range events {
 		own := func(n int) bool {
-			return e == event(n, id) || i == len(events)-1 && strings.HasPrefix(event(n, id), e)
+			return e == medlarsoak.Event(n, id) || i == len(events)-1 && strings.HasPrefix(medlarsoak.Event(n, id), e)
 		}
 		if !slices.ContainsFunc([]int{1, 2, 3, 4, 5, 6, 7, 8}, own) {
 			return false
@@ -155,80 +156,38 @@
 	return true
 }
 
-func (res *Result) checkProcesses(all []Process) {
+func (res *Result) checkProcesses(all []medlarsoak.Process) {
 	for _, p := range all {
 		switch {
-		case p.What == Died:
+		case p.What == medlarsoak.Died:
 			res.broken(RuleAlive, "", "instance %s ended by itself at %d", strings.Join(p.Args, " "), p.At)
-		case p.What == Failed:
+		case p.What == medlarsoak.Failed:
 			res.broken(RulePlayed, "", "a step failed at %d: %s", p.At, strings.Join(p.Args, " "))
-		case p.What == Exit && !slices.Equal(p.Args[1:], []string{"0"}):
+		case p.What == medlarsoak.Exit && !slices.Equal(p.Args[1:], []string{"0"}):
 			res.broken(RuleAlive, "", "instance %s ended with code %s after SIGTERM at %d", p.Args[0], strings.Join(p.Args[1:], " "), p.At)
 		}
 	}
 }
 
-// RecoverBound is the longest time from the return of all instances until nine tenths of requests are served.
-const RecoverBound = 15 * time.Second
-
-// binWidth is the time in which the served share is determined, and settledBins the number of successive ones in
-// which it has to be recovered.
-const (
-	binWidth    = 250 * time.Millisecond
-	settledBins = 3
-	recovered   = 0.9
-)
-
 // checkReturns determines how long the service took to recover.
-func (res *Result) checkReturns(r Records) {
+func (res *Result) checkReturns(r medlarsoak.Records) {
 	calm := false
 	for _, p := range r.Processes {
-		if p.What != Back && p.What != Calm {
+		if p.What != medlarsoak.Back && p.What != medlarsoak.Calm {
 			continue
 		}
-		took := untilRecovered(r.Calls, time.UnixMilli(p.At))
+		took := medlarsoak.UntilRecovered(r.Calls, time.UnixMilli(p.At))
 		res.Returns = append(res.Returns, Return{p.What, p.At, took})
-		if took > RecoverBound || p.What == Calm && took < 0 {
+		if took > medlarsoak.RecoverBound || p.What == medlarsoak.Calm && took < 0 {
 			res.broken(RuleRecover, "", "after %s at %d nine tenths of first tries were served after %v", p.What, p.At, took)
 		}
-		calm = calm || p.What == Calm
+		calm = calm || p.What == medlarsoak.Calm
 	}
 	if !calm {
 		res.broken(RulePlayed, "", "the schedule did not come to its end")
 	}
 }
 
-// untilRecovered returns the time from begin until nine tenths of the requests are served in settledBins successive bins;
-// negative if they never are.
-func untilRecovered(calls []*Call, begin time.Time) time.Duration {
-	var sent, served []int
-	for _, c := range calls {
-		since := time.UnixMilli(c.At).Sub(begin)
-		if since < 0 {
-			continue
-		}
-		n := int(since / binWidth)
-		for len(sent) <= n {
-			sent, served = append(sent, 0), append(served, 0)
-		}
-		sent[n]++
-		if c.Served() {
-			served[n]++
-		}
-	}
-	good := 0
-	for n := range sent {
-		if sent[n] == 0 || float64(served[n]) < recovered*float64(sent[n]) {
-			good = 0
-			continue
-		}
-		if good++; good == settledBins {
-			return time.Duration(n-settledBins+1) * binWidth
-		}
-	}
-	return -1
-}
-
 // shown is the number of violations that are written.
 const shown = 10
 
--- a/internal/stand/medlarsoak/medlarsoak_test.go
+++ b/internal/stand/medlarverdict/medlarverdict_test.go
@@ -1,4 +1,4 @@
-package medlarsoak_test
+package medlarverdict_test
 
 import (
 	"fmt"
@@ -7,6 +7,7 @@
 	"testing"
 
 	"medlarfield/internal/stand/medlarsoak"
+	"medlarfield/internal/stand/medlarverdict"
 )
 
 // begin is the time of the first request, and calmAt that at which all faults have ended, in Unix ms.
@@ -89,90 +90,90 @@
 func TestEachRuleCanBeBroken(t *testing.T) {
 	for _, tc := range []struct {
 		name   string
-		rule   medlarsoak.Rule
+		rule   medlarverdict.Rule
 		change func(*medlarsoak.Records)
 	}{
-		{"refused and ran", medlarsoak.RuleRefused, func(r *medlarsoak.Records) { r.Calls[post].Status, r.Calls[post].Body = 503, "full" }},
-		{"refused and ran later", medlarsoak.RuleRefused, func(r *medlarsoak.Records) {
+		{"refused and ran", medlarverdict.RuleRefused, func(r *medlarsoak.Records) { r.Calls[post].Status, r.Calls[post].Body = 503, "full" }},
+		{"refused and ran later", medlarverdict.RuleRefused, func(r *medlarsoak.Records) {
 			r.Calls[query].Status, r.Calls[query].Body, r.Runs[query].At = 429, "", calmAt
 		}},
-		{"a refused stream was resumed", medlarsoak.RuleRefused, func(r *medlarsoak.Records) {
+		{"a refused stream was resumed", medlarverdict.RuleRefused, func(r *medlarsoak.Records) {
 			r.Calls[query].Status, r.Calls[query].Body, r.Runs[query].Resumed = 503, "", true
 		}},
-		{"ran twice", medlarsoak.RuleOnce, func(r *medlarsoak.Records) { r.Runs = append(r.Runs, r.Runs[post]) }},
-		{"ran twice, no answer", medlarsoak.RuleOnce, func(r *medlarsoak.Records) {
+		{"ran twice", medlarverdict.RuleOnce, func(r *medlarsoak.Records) { r.Runs = append(r.Runs, r.Runs[post]) }},
+		{"ran twice, no answer", medlarverdict.RuleOnce, func(r *medlarsoak.Records) {
 			r.Calls[query].Status, r.Calls[query].Body, r.Runs = 0, "", append(r.Runs, r.Runs[query])
 		}},
-		{"names another request", medlarsoak.RuleOwn, func(r *medlarsoak.Records) { r.Calls[post].Answers = "other" }},
-		{"answer to another", medlarsoak.RuleOwn, func(r *medlarsoak.Records) { r.Calls[post].Body = "answer to r12" }},
-		{"bytes behind the answer", medlarsoak.RuleOwn, func(r *medlarsoak.Records) { r.Calls[post].Body += "HTTP/1.1 200 OK" }},
-		{"answered, not run", medlarsoak.RuleOwn, func(r *medlarsoak.Records) { r.Runs = slices.Delete(r.Runs, post, post+1) }},
-		{"failure that holds an answer", medlarsoak.RuleOwn, func(r *medlarsoak.Records) { r.Calls[post].Status = 502 }},
-		{"event of another stream", medlarsoak.RuleOwn, func(r *medlarsoak.Records) {
+		{"names another request", medlarverdict.RuleOwn, func(r *medlarsoak.Records) { r.Calls[post].Answers = "other" }},
+		{"answer to another", medlarverdict.RuleOwn, func(r *medlarsoak.Records) { r.Calls[post].Body = "answer to r12" }},
+		{"bytes behind the answer", medlarverdict.RuleOwn, func(r *medlarsoak.Records) { r.Calls[post].Body += "HTTP/1.1 200 OK" }},
+		{"answered, not run", medlarverdict.RuleOwn, func(r *medlarsoak.Records) { r.Runs = slices.Delete(r.Runs, post, post+1) }},
+		{"failure that holds an answer", medlarverdict.RuleOwn, func(r *medlarsoak.Records) { r.Calls[post].Status = 502 }},
+		{"event of another stream", medlarverdict.RuleOwn, func(r *medlarsoak.Records) {
 			r.Calls[query].Body = events("r11", 1, 2, 3) + events("r12", 4)
 		}},
-		{"text of a failure, broken off", medlarsoak.RuleOwn, func(r *medlarsoak.Records) {
+		{"text of a failure, broken off", medlarverdict.RuleOwn, func(r *medlarsoak.Records) {
 			r.Calls[query].Body, r.Calls[query].Ended = events("r11", 1, 2)+"failed: out of memory\n", false
 		}},
-		{"comment that goes on as an event", medlarsoak.RuleOwn, func(r *medlarsoak.Records) {
+		{"comment that goes on as an event", medlarverdict.RuleOwn, func(r *medlarsoak.Records) {
 			r.Calls[query].Body = events("r11", 1) + ": wait\ndata: r12\n\n" + events("r11", 2, 3, 4, 5, 6, 7, 8)
 		}},
-		{"half an answer as a whole", medlarsoak.RuleWhole, func(r *medlarsoak.Records) { r.Calls[post].Body = "answer to" }},
-		{"half a stream as a whole", medlarsoak.RuleWhole, func(r *medlarsoak.Records) { r.Calls[query].Body = events("r11", 1, 2) }},
-		{"half an event as a whole", medlarsoak.RuleWhole, func(r *medlarsoak.Records) { r.Calls[query].Body = events("r11", 1) + "id: 2\nda" }},
-		{"event twice", medlarsoak.RuleOrder, func(r *medlarsoak.Records) { r.Calls[query].Body = events("r11", 1, 2, 2, 3) }},
-		{"event missing, broken off", medlarsoak.RuleOrder, func(r *medlarsoak.Records) {
+		{"half an answer as a whole", medlarverdict.RuleWhole, func(r *medlarsoak.Records) { r.Calls[post].Body = "answer to" }},
+		{"half a stream as a whole", medlarverdict.RuleWhole, func(r *medlarsoak.Records) { r.Calls[query].Body = events("r11", 1, 2) }},
+		{"half an event as a whole", medlarverdict.RuleWhole, func(r *medlarsoak.Records) { r.Calls[query].Body = events("r11", 1) + "id: 2\nda" }},
+		{"event twice", medlarverdict.RuleOrder, func(r *medlarsoak.Records) { r.Calls[query].Body = events("r11", 1, 2, 2, 3) }},
+		{"event missing, broken off", medlarverdict.RuleOrder, func(r *medlarsoak.Records) {
 			r.Calls[query].Body, r.Calls[query].Ended = events("r11", 1, 2, 4)+"id: 5\nda", false
 		}},
-		{"a process ended", medlarsoak.RuleAlive, func(r *medlarsoak.Records) {
+		{"a process ended", medlarverdict.RuleAlive, func(r *medlarsoak.Records) {
 			r.Processes = append(r.Processes, medlarsoak.Process{At: calmAt, What: medlarsoak.Died, Args: []string{"1"}})
 		}},
-		{"exit code", medlarsoak.RuleAlive, func(r *medlarsoak.Records) { r.Processes[2].Args = []string{"1", "2"} }},
-		{"never recovers", medlarsoak.RuleRecover, func(r *medlarsoak.Records) { unserved(r, 40, 100) }},
-		{"recovers too late", medlarsoak.RuleRecover, func(r *medlarsoak.Records) {
+		{"exit code", medlarverdict.RuleAlive, func(r *medlarsoak.Records) { r.Processes[2].Args = []string{"1", "2"} }},
+		{"never recovers", medlarverdict.RuleRecover, func(r *medlarsoak.Records) { unserved(r, 40, 100) }},
+		{"recovers too late", medlarverdict.RuleRecover, func(r *medlarsoak.Records) {
 			unserved(r, 0, 60)
 			r.Processes[1].At -= medlarsoak.RecoverBound.Milliseconds()
 		}},
-		{"no end", medlarsoak.RulePlayed, func(r *medlarsoak.Records) { r.Processes = r.Processes[:3] }},
-		{"a step failed", medlarsoak.RulePlayed, func(r *medlarsoak.Records) { r.Processes[0].What = medlarsoak.Failed }},
-		{"repeats that pile up", medlarsoak.RuleBudget, func(r *medlarsoak.Records) { repeatArrivals(r, medlarsoak.BudgetSlack+len(r.Calls)) }},
-		{"more replicas than attempts", medlarsoak.RuleTries, func(r *medlarsoak.Records) { runElsewhere(r, medlarsoak.OverAttempts+1, 1) }},
-		{"no time", medlarsoak.RuleTime, func(r *medlarsoak.Records) { tellLeft(r, medlarsoak.OverTime+1, 0) }},
-		{"too much time", medlarsoak.RuleTime, func(r *medlarsoak.Records) { tellLeft(r, medlarsoak.OverTime+1, 3501) }},
-		{"time that starts anew", medlarsoak.RuleTime, func(r *medlarsoak.Records) { arriveAgain(r, medlarsoak.OverTime+1, 600, 3000) }},
-		{"no calls", medlarsoak.RuleRecover, func(r *medlarsoak.Records) { r.Calls = nil }},
+		{"no end", medlarverdict.RulePlayed, func(r *medlarsoak.Records) { r.Processes = r.Processes[:3] }},
+		{"a step failed", medlarverdict.RulePlayed, func(r *medlarsoak.Records) { r.Processes[0].What = medlarsoak.Failed }},
+		{"repeats that pile up", medlarverdict.RuleBudget, func(r *medlarsoak.Records) { repeatArrivals(r, medlarverdict.BudgetSlack+len(r.Calls)) }},
+		{"more replicas than attempts", medlarverdict.RuleTries, func(r *medlarsoak.Records) { runElsewhere(r, medlarverdict.OverAttempts+1, 1) }},
+		{"no time", medlarverdict.RuleTime, func(r *medlarsoak.Records) { tellLeft(r, medlarverdict.OverTime+1, 0) }},
+		{"too much time", medlarverdict.RuleTime, func(r *medlarsoak.Records) { tellLeft(r, medlarverdict.OverTime+1, 3501) }},
+		{"time that starts anew", medlarverdict.RuleTime, func(r *medlarsoak.Records) { arriveAgain(r, medlarverdict.OverTime+1, 600, 3000) }},
+		{"no calls", medlarverdict.RuleRecover, func(r *medlarsoak.Records) { r.Calls = nil }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			r := sound()
 			tc.change(&r)
-			assertBroken(t, medlarsoak.Check(r), tc.rule)
+			assertBroken(t, medlarverdict.Check(r), tc.rule)
 		})
 	}
 	t.Run("repeats within the budget", func(t *testing.T) {
 		r := sound()
-		repeatArrivals(&r, medlarsoak.BudgetSlack)
-		assertBroken(t, medlarsoak.Check(r))
+		repeatArrivals(&r, medlarverdict.BudgetSlack)
+		assertBroken(t, medlarverdict.Check(r))
 	})
 	t.Run("as many replicas as attempts", func(t *testing.T) {
 		r := sound()
-		runElsewhere(&r, 2*medlarsoak.OverAttempts, 2)
-		assertBroken(t, medlarsoak.Check(r))
+		runElsewhere(&r, 2*medlarverdict.OverAttempts, 2)
+		assertBroken(t, medlarverdict.Check(r))
 	})
 	t.Run("time that goes on", func(t *testing.T) {
 		r := sound()
-		arriveAgain(&r, medlarsoak.OverTime+1, 600, 2900)
-		assertBroken(t, medlarsoak.Check(r))
+		arriveAgain(&r, medlarverdict.OverTime+1, 600, 2900)
+		assertBroken(t, medlarverdict.Check(r))
 	})
-	t.Run("sound", func(t *testing.T) { assertBroken(t, medlarsoak.Check(sound())) })
+	t.Run("sound", func(t *testing.T) { assertBroken(t, medlarverdict.Check(sound())) })
 	t.Run("comment", func(t *testing.T) {
 		r := sound()
 		r.Calls[query].Body = ": wait\n\n" + r.Calls[query].Body + ": end\n\n"
-		assertBroken(t, medlarsoak.Check(r))
+		assertBroken(t, medlarverdict.Check(r))
 	})
 	t.Run("broken off visibly", func(t *testing.T) {
 		r := sound()
 		r.Calls[query].Body, r.Calls[query].Ended = events("r11", 1, 2)+"id: 3\n", false
-		assertBroken(t, medlarsoak.Check(r))
+		assertBroken(t, medlarverdict.Check(r))
 	})
 }
 
@@ -184,9 +185,9 @@
 }
 
 // assertBroken asserts that these rules are broken, and no others.
-func assertBroken(t *testing.T, res medlarsoak.Result, want ...medlarsoak.Rule) {
+func assertBroken(t *testing.T, res medlarverdict.Result, want ...medlarverdict.Rule) {
 	t.Helper()
-	var got []medlarsoak.Rule
+	var got []medlarverdict.Rule
 	for _, v := range res.Violations {
 		got = append(got, v.Rule)
 	}
