Soak: callers that take streams up, and releases beside an instance that stands still

TestStreamsKeepTheirBuild plays one that is cut off from the store; a process that stands still could not be played there, and the soak had no streams over several requests.

Now callers take streams that break off up at any instance, up to three times. The kind release-out-of-step lets replicas of another version join while one instance is stopped for 1 to 2.2 s, and streams break off before and after it goes on. It is played by name only: seeds keep the schedules that they had. TestSchedule asks this, and that it is never drawn, beside what it asked of all kinds before.

--- a/internal/stand/medlarfakereplica/exchange.go
+++ b/internal/stand/medlarfakereplica/exchange.go
@@ -278,7 +278,7 @@
 func (x *exchange) eventText(n int) string {
 	data := cmp.Or(x.replica.Settings.Build, strings.Repeat("x", 20))
 	if x.replica.Settings.NameRequests {
-		data = x.header(headerID)
+		data = strings.TrimSpace(x.header(headerID) + " " + x.replica.Settings.Build)
 	}
 	return "id: " + strconv.Itoa(n) + "\ndata: " + data + "\n\n"
 }
--- a/internal/stand/medlarschedule/medlarschedule.go
+++ b/internal/stand/medlarschedule/medlarschedule.go
@@ -91,9 +91,14 @@
 	{kindUpgrade, (*draw).upgrade},
 	{"release", (*draw).release},
 	{"weights", (*draw).weights},
+	// This one and those behind it are played by name only, so that seeds keep their schedules.
+	{kindReleaseOutOfStep, (*draw).releaseOutOfStep},
 }
 
-const kindUpgrade = "upgrade"
+const (
+	kindUpgrade          = "upgrade"
+	kindReleaseOutOfStep = "release-out-of-step"
+)
 
 // requestID is the header field that names the request of a response.
 const requestID = "Medlarfield-Request-Id"
@@ -126,7 +131,7 @@
 // New returns the schedule of a seed: one kind of fault again and again, several one after the other, or several that
 // overlap. The same settings give the same schedule, whose last step is VerbCalm.
 func New(s Settings) ([]Step, error) {
-	if s.Nodes < 1 || s.Only != "" && !slices.ContainsFunc(Kinds, func(k Kind) bool { return k.Name == s.Only }) {
+	if s.Nodes < 1 || s.Only != "" && indexOf(s.Only) < 0 {
 		return nil, fmt.Errorf("no schedule for %d instances and kind %q", s.Nodes, s.Only)
 	}
 	d := &draw{Rand: rand.New(rand.NewPCG(s.Seed, 1)), nodes: s.Nodes, weight: 1}
@@ -140,9 +145,9 @@
 			steps = append(steps, step)
 		}
 	}
-	alone := d.kind(s.Only)
+	alone := d.named(s.Only)
 	if s.Upgrade {
-		add(d.kind(kindUpgrade), firstFault+d.within(maxGap))
+		add(d.named(kindUpgrade), firstFault+d.within(maxGap))
 	}
 	switch {
 	case s.Only != "" || s.Seed%3 == 1:
@@ -151,11 +156,11 @@
 		}
 	case s.Seed%3 == 2:
 		for range seriesFaults {
-			add(d.kind(""), max(end, firstFault)+d.within(maxGap))
+			add(d.any(), max(end, firstFault)+d.within(maxGap))
 		}
 	default:
 		for range overlapFaults {
-			add(d.kind(""), firstFault+d.within(lastFault-firstFault))
+			add(d.any(), firstFault+d.within(lastFault-firstFault))
 		}
 	}
 	steps = append(steps, d.calm(end)...)
@@ -170,12 +175,20 @@
 	}
 }
 
-// kind returns the kind with a name, or any if the name is empty.
-func (d *draw) kind(name string) Kind {
-	if i := slices.IndexFunc(Kinds, func(k Kind) bool { return k.Name == name }); i >= 0 {
+// named returns the kind with a name, or any if the name is empty.
+func (d *draw) named(name string) Kind {
+	if i := indexOf(name); i >= 0 {
 		return Kinds[i]
 	}
-	return Kinds[d.IntN(len(Kinds))]
+	return d.any()
+}
+
+// any returns any kind but those that are played by name only.
+func (d *draw) any() Kind { return Kinds[d.IntN(indexOf(kindReleaseOutOfStep))] }
+
+// indexOf returns the index of the kind with a name; negative if there is none.
+func indexOf(name string) int {
+	return slices.IndexFunc(Kinds, func(k Kind) bool { return k.Name == name })
 }
 
 func (d *draw) within(most time.Duration) time.Duration { return time.Duration(d.Int64N(int64(most))) }
@@ -315,6 +328,20 @@
 	return []Step{post(0, "release?build=r%d&n=2&ms=%d", d.releases, 200+d.IntN(600))}
 }
 
+// releaseOutOfStep lets replicas of another software version join while an instance stands still; before and after it
+// goes on, streams break off.
+func (d *draw) releaseOutOfStep() []Step {
+	const begins, breaks, after = 300 * time.Millisecond, 200 * time.Millisecond, time.Second
+	one := d.pick(1)
+	ends := begins + time.Second + d.within(1200*time.Millisecond)
+	d.releases++
+	out := []Step{post(0, "release?build=r%d&n=3&ms=300", d.releases), {begins, VerbStop, one}, {ends, VerbCont, one}}
+	for at := 2 * begins; at < ends+after; at += breaks {
+		out = append(out, post(at, "arm?fault=%s&n=2", medlarfakereplica.FaultCut))
+	}
+	return append(out, post(ends+after, "disarm"))
+}
+
 func (d *draw) weights() []Step {
 	d.weight++
 	return []Step{post(0, "weights?version=%d", d.weight), post(time.Second, "change")}
--- a/internal/stand/medlarschedule/medlarschedule_test.go
+++ b/internal/stand/medlarschedule/medlarschedule_test.go
@@ -10,9 +10,17 @@
 
 // TestSchedule guards against a schedule that differs between two draws, leaves a fault in force or a kind out.
 func TestSchedule(t *testing.T) {
+	byName := map[string]bool{"release-out-of-step": true} // kinds that are not drawn
 	kinds := map[string]bool{}
+	all := []medlarschedule.Settings{}
 	for seed := range uint64(100) {
-		s := medlarschedule.Settings{Seed: seed, Nodes: 3, Upgrade: seed%4 == 0}
+		all = append(all, medlarschedule.Settings{Seed: seed, Nodes: 3, Upgrade: seed%4 == 0})
+	}
+	for name := range byName {
+		all = append(all, medlarschedule.Settings{Seed: 1, Nodes: 3, Only: name})
+	}
+	for _, s := range all {
+		seed := s.Seed
 		steps, err := medlarschedule.New(s)
 		if err != nil {
 			t.Fatal(err)
@@ -24,9 +32,13 @@
 		if end := steps[len(steps)-1]; end.Verb != medlarschedule.VerbCalm || end.At > 30*time.Second {
 			t.Errorf("seed %d ends with %v after %v", seed, end.Verb, end.At)
 		}
-		for _, s := range steps {
-			if s.Verb == medlarschedule.VerbFault {
-				kinds[s.Args[0]] = true
+		for _, step := range steps {
+			if step.Verb != medlarschedule.VerbFault {
+				continue
+			}
+			kinds[step.Args[0]] = true
+			if byName[step.Args[0]] && s.Only == "" {
+				t.Errorf("seed %d: %s was drawn", seed, step.Args[0])
 			}
 		}
 	}
--- a/internal/stand/medlarsoak/faults.go
+++ b/internal/stand/medlarsoak/faults.go
@@ -35,7 +35,7 @@
 // NewPlatform starts a platform. The runs of its replicas are written to w.
 func NewPlatform(cfg medlarsite.Settings, w io.Writer) (*Platform, error) {
 	p := &Platform{w: w}
-	cfg.NameRequests, cfg.Wrap = true, p.stutter.Wrap
+	cfg.NameRequests, cfg.Wrap, cfg.Builds = true, p.stutter.Wrap, []string{"r0"}
 	cfg.Arrived = func(r medlarfakereplica.Run) { p.record(r, false) }
 	site, err := medlarsite.New(cfg)
 	if err != nil {
--- a/internal/stand/medlarsoak/load.go
+++ b/internal/stand/medlarsoak/load.go
@@ -20,12 +20,17 @@
 const (
 	RequestTimeout = 3 * time.Second
 	calmLeast      = 2500 * time.Millisecond // of load after the last fault
+	resumePause    = 50 * time.Millisecond   // from the end of a stream that broke off until its caller takes it up
 )
 
+// maxResumes is how often a caller takes a stream up.
+const maxResumes = 3
+
 // maxConns is the number of connections to one instance.
 const maxConns = 4096
 
-// Load are callers that send requests at a constant rate, each once and on connections that are kept.
+// Load are callers that send requests at a constant rate, each once and on connections that are kept. They take streams
+// that break off up at any instance.
 type Load struct {
 	Instances []medlaravailability.Instance
 	Rate      float64 // requests a second
@@ -53,16 +58,38 @@
 	for n := 0; !l.done(); n++ {
 		time.Sleep(time.Until(begin.Add(time.Duration(n) * interval)))
 		to := l.Instances[r.IntN(len(l.Instances))]
-		c := &Call{At: time.Now().UnixMilli(), ID: fmt.Sprintf("s%x-%d", begin.UnixMilli(), n), Instance: string(to.Name), Path: l.path(n)}
-		l.mu.Lock()
-		l.calls = append(l.calls, c)
-		l.mu.Unlock()
-		req := l.request(c, "http://"+string(to.Address), r.IntN(16), n)
-		wg.Go(func() { l.send(c, req) })
+		c := l.add(Call{ID: fmt.Sprintf("s%x-%d", begin.UnixMilli(), n), Path: l.path(n)}, to)
+		part := r.IntN(16)
+		wg.Go(func() { l.follow(c, to, part, n) })
 	}
 	wg.Wait()
 }
 
+// add adds a call to an instance that is about to be made.
+func (l *Load) add(c Call, to medlaravailability.Instance) *Call {
+	c.At, c.Instance = time.Now().UnixMilli(), string(to.Name)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls = append(l.calls, &c)
+	return &c
+}
+
+// follow makes a call, and takes its stream up at other instances while it breaks off.
+func (l *Load) follow(c *Call, to medlaravailability.Instance, part, n int) {
+	r := rand.New(rand.NewPCG(l.Seed, uint64(n)))
+	first := c.ID
+	for try := 1; ; try++ {
+		l.send(c, l.request(c, "http://"+string(to.Address), part, n))
+		last := c.Last()
+		if !strings.HasPrefix(c.Path, PrefixLetter) || c.Served() || last == 0 || last == Events || try > maxResumes {
+			return
+		}
+		time.Sleep(resumePause)
+		to = l.Instances[r.IntN(len(l.Instances))]
+		c = l.add(Call{ID: fmt.Sprintf("%s-%d", first, try), Path: c.Path, Began: first, After: last}, to)
+	}
+}
+
 // path returns the path of request n: two of three are prompts.
 func (l *Load) path(n int) string {
 	prefix := []string{PrefixRead, PrefixPost, PrefixLetter, PrefixQuery, PrefixLetter, PrefixQuery}[n%6]
@@ -80,6 +107,10 @@
 	r.Header.Set("Api-Key", medlarsite.Key)
 	r.Header.Set(headerID, c.ID)
 	r.Header.Set("Medlarfield-Timeout-Ms", strconv.FormatInt(RequestTimeout.Milliseconds(), 10))
+	if c.Began != "" {
+		r.Header.Set("Last-Event-Id", strconv.Itoa(c.After))
+		r.Header.Set("Resumes", c.Began)
+	}
 	if !strings.HasPrefix(c.Path, PrefixRead) {
 		r.Header.SetMethod(fasthttp.MethodPost)
 		r.SetBodyString("{}")
--- a/internal/stand/medlarsoak/record.go
+++ b/internal/stand/medlarsoak/record.go
@@ -21,6 +21,8 @@
 	At       int64  `json:"at"`
 	Took     int64  `json:"took"` // ms
 	ID       string `json:"id"`
+	Began    string `json:"began"` // request with which the stream began that this one resumes; empty if it resumes none
+	After    int    `json:"after"` // last event of the stream that the caller had
 	Instance string `json:"instance"`
 	Path     string `json:"path"`
 	Status   int    `json:"status"` // 0 if there was no response
@@ -99,7 +101,7 @@
 		return "answer to " + c.ID
 	}
 	var b strings.Builder
-	for n := range Events {
+	for n := c.After; n < Events; n++ {
 		b.WriteString(Event(n+1, c.ID))
 	}
 	return b.String()
@@ -108,15 +110,55 @@
 // Served reports whether the caller got a whole answer.
 func (c *Call) Served() bool { return c.Status == 200 && c.Ended && c.Content() == c.Whole() }
 
-// Content returns the body of a response, and of a stream all but comments, which are of no request.
+// Content returns the body of a response, and of a stream its events without comments, which are of no request, and
+// without the software versions that they name.
 func (c *Call) Content() string {
 	if !Streams(c.Path) {
 		return c.Body
 	}
-	blocks := strings.SplitAfter(c.Body, "\n\n")
-	return strings.Join(slices.DeleteFunc(blocks, func(b string) bool {
-		return strings.HasPrefix(b, ":") && strings.Index(b, "\n\n") == strings.Index(b, "\n") && strings.HasSuffix(b, "\n\n")
-	}), "")
+	var out strings.Builder
+	for b := range strings.SplitAfterSeq(c.Body, "\n\n") {
+		comment := strings.HasPrefix(b, ":") && strings.Index(b, "\n\n") == strings.Index(b, "\n") && strings.HasSuffix(b, "\n\n")
+		if !comment {
+			event, _ := c.cutBuild(b)
+			out.WriteString(event)
+		}
+	}
+	return out.String()
+}
+
+// cutBuild cuts the software version out of an event of the call, or of its beginning.
+func (c *Call) cutBuild(event string) (without, build string) {
+	own := "data: " + c.ID + " "
+	text := strings.TrimRight(event, "\n")
+	i := strings.Index(text, own)
+	if i < 0 || strings.ContainsAny(text[i+len(own):], " \n") {
+		return event, ""
+	}
+	return text[:i+len(own)-1] + event[len(text):], text[i+len(own):]
+}
+
+// Builds returns the software versions that the whole events of a stream name, each once.
+func (c *Call) Builds() (out []string) {
+	for event := range strings.SplitAfterSeq(c.Body, "\n\n") {
+		_, build := c.cutBuild(event)
+		if build != "" && strings.HasSuffix(event, "\n\n") && !slices.Contains(out, build) {
+			out = append(out, build)
+		}
+	}
+	return out
+}
+
+// Last returns the last event of a stream that the caller has after the call, if all before it have arrived.
+func (c *Call) Last() int {
+	rest := c.Content()
+	for n := c.After; ; n++ {
+		after, ok := strings.CutPrefix(rest, Event(n+1, c.ID))
+		if !ok {
+			return n
+		}
+		rest = after
+	}
 }
 
 // Refused reports whether the response states that the request did not and will not run.
--- a/internal/stand/medlarsoak/recovery.go
+++ b/internal/stand/medlarsoak/recovery.go
@@ -13,13 +13,13 @@
 	recovered   = 0.9
 )
 
-// UntilRecovered returns the time from begin until nine tenths of the requests are served in settledBins successive bins;
-// negative if they never are.
+// UntilRecovered returns the time from begin until nine tenths of the first tries are served in settledBins successive
+// bins; negative if they never are.
 func UntilRecovered(calls []*Call, begin time.Time) time.Duration {
 	var sent, served []int
 	for _, c := range calls {
 		since := time.UnixMilli(c.At).Sub(begin)
-		if since < 0 {
+		if since < 0 || c.After > 0 {
 			continue
 		}
 		n := int(since / binWidth)
--- a/internal/stand/medlarstandcmd/soak.go
+++ b/internal/stand/medlarstandcmd/soak.go
@@ -79,6 +79,7 @@
 	flags.IntVar(&port, "port", 10000, "port of the control address; the next ones are those of the instances")
 	flags.BoolVar(&cfg.Links, "links", true, "put a link of its own before the replicas for each instance; without, none is cut")
 	flags.IntVar(&cfg.Engines, "engines", 4, "number of replicas of the model engine")
+	flags.DurationVar(&cfg.ServiceTime, "work", cfg.ServiceTime, "duration of a plain request, and interval between the events of a stream")
 	flags.IntVar(&cfg.Plain, "plain", 2, "number of replicas of the plain service")
 	return cmd
 }
--- a/internal/stand/medlarverdict/medlarverdict.go
+++ b/internal/stand/medlarverdict/medlarverdict.go
@@ -16,6 +16,7 @@
 //	    before it or the one half a window before it, whichever are most.
 //	R10 At most OverAttempts requests run on more replicas than their routes have attempts.
 //	R11 Replicas are told no more time than a plain request has left.
+//	R12 Hardly any stream has events of two software versions, over all requests with which its caller took it up.
 package medlarverdict
 
 import (
@@ -44,6 +45,7 @@
 	RuleBudget  Rule = "budget"  // R9
 	RuleTries   Rule = "tries"   // R10
 	RuleTime    Rule = "time"    // R11
+	RuleBuild   Rule = "build"   // R12
 )
 
 // Violation is a case in which a rule is broken.
@@ -66,6 +68,7 @@
 	Calls, Served, Refused int
 	Runs                   int
 	Repeats                int // arrivals beyond the first of each request
+	Resumed, WentOn        int // requests that take a stream up, and those of them that brought an event
 	Returns                []Return
 }
 
@@ -91,6 +94,7 @@
 	res.checkBudget(r, medlarsoak.PrefixLetter, medlarsoak.PrefixQuery)
 	res.checkTries(r.Runs)
 	res.checkTimes(r)
+	res.checkBuilds(r.Calls)
 	return res
 }
 
@@ -194,7 +198,7 @@
 // Print writes a result.
 func (res *Result) Print(w io.Writer) {
 	share := float64(res.Served) / float64(max(res.Calls, 1))
-	_, _ = fmt.Fprintf(w, "calls %d, served %.2f, refused as not run %d, runs %d, repeats %d\n", res.Calls, share, res.Refused, res.Runs, res.Repeats)
+	_, _ = fmt.Fprintf(w, "calls %d, served %.2f, refused as not run %d, runs %d, repeats %d, streams taken up %d, of these went on %d\n", res.Calls, share, res.Refused, res.Runs, res.Repeats, res.Resumed, res.WentOn)
 	for _, r := range res.Returns {
 		_, _ = fmt.Fprintf(w, "%s: nine tenths served after %v\n", r.What, r.Took)
 	}
--- a/internal/stand/medlarverdict/medlarverdict_test.go
+++ b/internal/stand/medlarverdict/medlarverdict_test.go
@@ -38,10 +38,13 @@
 	return r
 }
 
-func events(id string, numbers ...int) string {
+func events(id string, numbers ...int) string { return eventsOf(id, "", numbers...) }
+
+// eventsOf returns events that name a software version.
+func eventsOf(id, build string, numbers ...int) string {
 	var b strings.Builder
 	for _, n := range numbers {
-		fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", n, id)
+		fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", n, strings.TrimSpace(id+" "+build))
 	}
 	return b.String()
 }
@@ -70,6 +73,19 @@
 	}
 }
 
+// takeUp lets a stream break off after three events of a software version, and its caller take it up at another one.
+func takeUp(r *medlarsoak.Records, i int, before, after string) *medlarsoak.Call {
+	first := r.Calls[i]
+	first.Body, first.Ended = eventsOf(first.ID, before, 1, 2, 3)+"id: 4\nda", false
+	c := *first
+	c.ID, c.Began, c.After, c.Ended = first.ID+"-1", first.ID, 3, true
+	c.Answers, c.Body = c.ID, eventsOf(c.ID, after, 4, 5, 6, 7, 8)
+	run := r.Runs[i]
+	run.ID, run.Resumed = c.ID, true
+	r.Calls, r.Runs = append(r.Calls, &c), append(r.Runs, run)
+	return &c
+}
+
 // tellLeft sets the time that the first n arrivals are told, in ms.
 func tellLeft(r *medlarsoak.Records, n int, left int64) {
 	for i := range r.Arrivals[:2*n] {
@@ -141,6 +157,15 @@
 		{"no time", medlarverdict.RuleTime, func(r *medlarsoak.Records) { tellLeft(r, medlarverdict.OverTime+1, 0) }},
 		{"too much time", medlarverdict.RuleTime, func(r *medlarsoak.Records) { tellLeft(r, medlarverdict.OverTime+1, 3501) }},
 		{"time that starts anew", medlarverdict.RuleTime, func(r *medlarsoak.Records) { arriveAgain(r, medlarverdict.OverTime+1, 600, 3000) }},
+		{"two software versions", medlarverdict.RuleBuild, func(r *medlarsoak.Records) {
+			for i := range medlarverdict.MixedStreams + 1 {
+				takeUp(r, query+2*i, "r0", "r1")
+			}
+		}},
+		{"a stream taken up begins anew", medlarverdict.RuleOrder, func(r *medlarsoak.Records) {
+			c := takeUp(r, query, "r0", "r0")
+			c.Body = eventsOf(c.ID, "r0", 1, 2, 3, 4, 5, 6, 7, 8)
+		}},
 		{"no calls", medlarverdict.RuleRecover, func(r *medlarsoak.Records) { r.Calls = nil }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -164,6 +189,15 @@
 		arriveAgain(&r, medlarverdict.OverTime+1, 600, 2900)
 		assertBroken(t, medlarverdict.Check(r))
 	})
+	t.Run("streams taken up at one software version", func(t *testing.T) {
+		r := sound()
+		takeUp(&r, query, "r0", "r0")
+		res := medlarverdict.Check(r)
+		assertBroken(t, res)
+		if res.Resumed != 1 || res.WentOn != 1 {
+			t.Errorf("%d streams taken up, %d went on; want one", res.Resumed, res.WentOn)
+		}
+	})
 	t.Run("sound", func(t *testing.T) { assertBroken(t, medlarverdict.Check(sound())) })
 	t.Run("comment", func(t *testing.T) {
 		r := sound()
