--- a/internal/ops/medlarattachednode/stutter_test.go
+++ b/internal/ops/medlarattachednode/stutter_test.go
@@ -334,3 +334,49 @@
 		t.Errorf("%d requests reached the replica in the pause", got-n)
 	}
 }
+
+// TestRejectionsAgainGiveNoFurtherAttempts guards against requests that run on more replicas than their routes have
+// attempts (BUDGET), since a rejection of another request, written once more, is taken for their own.
+func TestRejectionsAgainGiveNoFurtherAttempts(t *testing.T) {
+	const requests = 40
+	for _, path := range []string{"/read/a", "/letter/a"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			var stutter medlarstutter.Stutter
+			w := start(t, func(s *medlarsite.Settings) { s.Plain, s.Engines, s.Wrap = 2, 2, stutter.Wrap })
+			if err := w.site.Change(func(c *medlarsite.Config) {
+				for i := range c.Routes {
+					c.Routes[i].MaxAttempts = 1
+				}
+			}); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(200 * time.Millisecond) // the instance follows the change
+			q := request{method: "POST", path: path, body: "{}", fields: prompt("aa:100,cc:500")}
+			over := 0
+			for i := range requests {
+				for range 3 { // attempts that a rejection may leave
+					arm(w.site.Replicas(), medlarfakereplica.FaultShed)
+				}
+				q.id = fmt.Sprint("before", i)
+				w.send(q)
+				for _, r := range w.site.Replicas() {
+					r.Disarm()
+				}
+				stutter.Arm(medlarstutter.Copy{Form: medlarstutter.FormWhole, Without: requestID, Status: 503})
+				q.id = fmt.Sprint("r", i)
+				w.send(q)
+				stutter.ArmTimes(medlarstutter.Copy{}, 0)
+				if len(w.ran(q.id)) > 1 {
+					over++
+				}
+			}
+			if over > 0 {
+				t.Errorf("%d of %d requests ran more than once, one attempt is allowed", over, requests)
+			}
+			if stutter.Copies() == 0 {
+				t.Error("no rejection was written once more")
+			}
+		})
+	}
+}
--- a/internal/stand/medlarverdict/medlarverdict.go
+++ b/internal/stand/medlarverdict/medlarverdict.go
@@ -192,8 +192,8 @@
 	}
 }
 
-// shown is the number of violations that are written.
-const shown = 10
+// shown is the number of violations of each rule that are written.
+const shown = 5
 
 // Print writes a result.
 func (res *Result) Print(w io.Writer) {
@@ -202,7 +202,10 @@
 	for _, r := range res.Returns {
 		_, _ = fmt.Fprintf(w, "%s: nine tenths served after %v\n", r.What, r.Took)
 	}
-	for _, v := range res.Violations[:min(len(res.Violations), shown)] {
-		_, _ = fmt.Fprintf(w, "BROKEN %s %s: %s\n", v.Rule, v.ID, v.Detail)
+	written := map[Rule]int{}
+	for _, v := range res.Violations {
+		if written[v.Rule]++; written[v.Rule] <= shown {
+			_, _ = fmt.Fprintf(w, "BROKEN %s %s: %s\n", v.Rule, v.ID, v.Detail)
+		}
 	}
 }
