Remember what a replica has said while the list does not name it

Cause: medlarfleet kept a replica's own word with its entry and deleted it with that. A store that came back from a copy named the replica again, with the same start, and the word was gone; a pause that it had asked for and its brittleness, too. The word of a replica that the list already named as leaving was not kept at all.

--- a/internal/core/medlarfleet/hint_test.go
+++ b/internal/core/medlarfleet/hint_test.go
@@ -21,6 +21,8 @@
 	pause := func(d time.Duration) medlarworld.UpstreamPaused {
 		return medlarworld.UpstreamPaused{Upstream: "u", Incarnation: 1, For: d}
 	}
+	removed, draining := medlarworld.InstancesListed{}, listed(1)
+	draining.Members[0].Leaving = true
 	for _, tc := range []struct {
 		name    string
 		events  []medlarworld.Event
@@ -30,6 +32,10 @@
 		{"leaving, then listed again", []medlarworld.Event{leaving, listed(1)}, forGood},
 		{"leaving, then started again", []medlarworld.Event{leaving, listed(2)}, 0},
 		{"leaving, said by an earlier start", []medlarworld.Event{listed(2), leaving}, 0},
+		{"leaving, then removed and listed again", []medlarworld.Event{leaving, removed, listed(1)}, forGood},
+		{"leaving, then removed and started again", []medlarworld.Event{leaving, removed, listed(2)}, 0},
+		{"leaving, as the list says too, then removed and listed as ready", []medlarworld.Event{draining, leaving, removed, listed(1)}, forGood},
+		{"pause, then removed and listed again", []medlarworld.Event{pause(2 * time.Second), removed, listed(1)}, 2 * time.Second},
 		{"pause", []medlarworld.Event{pause(2 * time.Second)}, 2 * time.Second},
 		{"pause, then listed again", []medlarworld.Event{pause(2 * time.Second), listed(1)}, 2 * time.Second},
 		{"pause, then a shorter one", []medlarworld.Event{pause(2 * time.Second), pause(time.Second)}, 2 * time.Second},
--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -6,7 +6,8 @@
 //	R1  An instance that the instance list no longer names, or names as leaving, gets
 //	    no new work from the tick on in which the list is read.
 //	R2  An upstream's own word that it leaves, in a report or a response, counts like the
-//	    list's until the upstream starts again.
+//	    list's until the upstream starts again. So it does where the list no longer names
+//	    the upstream for a while: a store that comes back from a copy names it again.
 //	R3  What an engine reports replaces what was assumed since the last report.
 //	R4  A cache event is a hint; a reset discards all that was known.
 //	R5  With a new version of the lists the replicas that are next to change their weights
@@ -64,10 +65,12 @@
 )
 
 // System updates the tables.
-type System struct{}
+type System struct {
+	former map[medlarid.InstanceID]former // upstreams that the list no longer names (R2)
+}
 
 // New returns a System.
-func New() *System { return &System{} }
+func New() *System { return &System{former: map[medlarid.InstanceID]former{}} }
 
 // Run handles the events of one tick.
 func (s *System) Run(w *medlarworld.World) {
@@ -76,7 +79,7 @@
 		case medlarworld.ListsApplied:
 			markSwaps(w)
 		case medlarworld.InstancesListed:
-			applyInstances(w, e)
+			s.applyInstances(w, e)
 		case medlarworld.ReplicasCurrent:
 			if e.At.After(w.ReplicasAsOf) {
 				w.ReplicasAsOf = e.At
@@ -121,12 +124,12 @@
 }
 
 // applyInstances updates the tables from the platform's instance list (R1).
-func applyInstances(w *medlarworld.World, e medlarworld.InstancesListed) {
+func (s *System) applyInstances(w *medlarworld.World, e medlarworld.InstancesListed) {
 	for _, u := range w.Upstreams {
 		u.Delisted = true
 	}
-	for _, s := range w.Stores {
-		s.Delisted = true
+	for _, store := range w.Stores {
+		store.Delisted = true
 	}
 	peers := 0
 	for _, m := range e.Members {
@@ -136,7 +139,7 @@
 				peers++
 			}
 		case memberEngine, memberService:
-			updateUpstream(w, m)
+			s.updateUpstream(w, m)
 		case memberStore:
 			updateStore(w, m)
 		}
@@ -145,16 +148,17 @@
 		peers = e.Peers
 	}
 	w.Peers = max(peers, 1)
-	removeDelisted(w)
+	s.removeDelisted(w)
 	rebuildIndex(w)
 }
 
-func updateUpstream(w *medlarworld.World, m medlarworld.Member) {
+func (s *System) updateUpstream(w *medlarworld.World, m medlarworld.Member) {
 	u := w.Upstreams[m.ID]
 	if u == nil {
 		u = &medlarworld.Upstream{ID: m.ID, Model: m.Model, PrefillRate: defaultPrefillRate, ListedAt: w.Now}
 		u.Kind = medlarkind.Kind(m.Kind)
 		w.Upstreams[m.ID] = u
+		s.recall(u)
 	}
 	if m.Incarnation != u.Incarnation {
 		u.Incarnation, u.ReportedLeaving, u.PausedUntil, u.ListedAt = m.Incarnation, false, time.Time{}, w.Now
@@ -203,9 +207,10 @@
 
 // removeDelisted removes delisted stores, and delisted upstreams without an attempt in
 // flight.
-func removeDelisted(w *medlarworld.World) {
+func (s *System) removeDelisted(w *medlarworld.World) {
 	for id, u := range w.Upstreams {
 		if u.Delisted && u.Open == 0 {
+			s.remember(w.Now, u)
 			w.Warm.RemoveUpstream(u.ID)
 			delete(w.Upstreams, id)
 		}
@@ -311,10 +316,14 @@
 // earlier incarnation has no effect.
 func applyLeaving(w *medlarworld.World, e medlarworld.UpstreamLeaving) {
 	u := w.Upstreams[e.Upstream]
-	if u == nil || u.Incarnation != e.Incarnation || u.Leaving {
+	if u == nil || u.Incarnation != e.Incarnation {
+		return
+	}
+	known := u.Leaving
+	u.Leaving, u.ReportedLeaving = true, true // its entry may be lost
+	if known {
 		return
 	}
-	u.Leaving, u.ReportedLeaving = true, true
 	w.Emit(medlarworld.Avoided{Upstream: u.ID, Leaving: true})
 }
 
