Use no entry that names no model where the service has an engine

Cause: an entry without models was taken for one of a plain service, whatever the configuration says of its service. After a record that could not be read had removed the replica, the core made it anew as a plain upstream, whose requests name neither salt nor weight version.

Change: such an entry removes its replica, as one that cannot be decoded does, and counts and is logged like that; one that was read before the configuration is not passed to the core.

--- a/internal/ops/medlarregistry/medlarregistry.go
+++ b/internal/ops/medlarregistry/medlarregistry.go
@@ -11,7 +11,8 @@
 //	R3  A weight version that a replica itself reported overrides the one in its entry,
 //	    if it is newer and belongs to the same start of the replica.
 //	R4  An entry of a service that no catalog has named is another writer's: it gets
-//	    neither requests nor orders until a catalog names the service.
+//	    neither requests nor orders until a catalog names the service. An entry that names
+//	    no model where the service has an engine describes no usable replica (R2).
 //	R5  A replica whose entry is removed may still run, and serve other instances that know
 //	    it. For some time it counts as it did among those that have to run a later
 //	    weight version before parts of an older one are freed.
@@ -24,6 +25,7 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"medlarfield/internal/agree/medlarcatalog"
@@ -56,7 +58,7 @@
 	catalog             *medlarcatalog.Catalog
 	desired             medlarrollout.DesiredVersions
 	replicas            map[medlarid.InstanceID]*replica
-	services            map[medlarid.ServiceID]bool                // services that a catalog has named; empty before the first one
+	services            map[medlarid.ServiceID]bool                // services that a catalog has named, and whether they have an engine; empty before the first one
 	malformed           map[medlarid.InstanceID]bool               // ids whose latest entry cannot be decoded
 	replicasRead        bool                                       // whether the replicas have been read once
 	versionHistory      map[medlarid.ModelID]medlarhistory.History // successive desired versions
@@ -177,8 +179,8 @@
 		return false
 	}
 	t.catalog = c
-	for id := range c.Services {
-		t.services[id] = true
+	for id, s := range c.Services {
+		t.services[id] = s.Engine != nil
 	}
 	t.log.Info().Str("event", "catalog").Uint64("version", c.Version).Uint64("offset", uint64(at)).Msg("configuration in force")
 	return true
@@ -245,6 +247,9 @@
 		return t.remove(id, old, rec.Offset, "replica removed: entry deleted")
 	}
 	next, err := medlarplatform.DecodeReplica(string(id), rec.Value)
+	if err == nil && t.lacksModel(next.Member) {
+		err = errNoModel
+	}
 	if err != nil {
 		t.onMalformed(medlarmetric.SourceReplicas)
 		if !t.malformed[id] {
@@ -289,9 +294,19 @@
 	return true
 }
 
-// serves reports whether a replica is of a service that a catalog has named (R4). The caller holds t.mu.
+// errNoModel says why an entry is not used.
+var errNoModel = eris.New("entry names no model, and its service has an engine")
+
+// lacksModel reports whether a replica names no model though its service has an engine (R4). The caller holds t.mu.
+func (t *Registry) lacksModel(m medlarworld.Member) bool {
+	return m.Model == "" && t.services[m.Service]
+}
+
+// serves reports whether a replica is of a service that a catalog has named, and has what that needs (R4). The caller
+// holds t.mu.
 func (t *Registry) serves(r *replica) bool {
-	return len(t.services) == 0 || t.services[r.Member.Service]
+	_, named := t.services[r.Member.Service]
+	return len(t.services) == 0 || named && !t.lacksModel(r.Member)
 }
 
 // postReplicas posts all replicas and stores to the core. The caller holds t.mu.
