Let no read hold up a removal whose delay has ended

Cause: after an outage removals are delayed by 2.3 s from the first answer on. When that time was over they waited on, until the pause between two reads and the next read, which may wait 750 ms for a record, had ended. With what it takes until the store answers again, that was more than the 3 s after which the instance counts as in touch.

Change: a read waits no longer than removals are delayed, and the pause after it is interrupted for them. The delay is as it was.

Tried and set aside: not to delay the removal of a key that has been written twice since the outage.

--- a/internal/agree/medlarfeed/call.go
+++ b/internal/agree/medlarfeed/call.go
@@ -35,10 +35,13 @@
 	return r.page, r.asOf, r.err
 }
 
-// readFrom reads the next records, without waiting for them after a failure (R5). It returns a time as of which
-// there are no others.
+// readFrom reads the next records, without waiting for them after a failure (R5), or longer than removals are delayed
+// (R4). It returns a time as of which there are no others.
 func (f *Feed) readFrom(ctx context.Context) (Batch, time.Time, error) {
 	from, wait := f.nextOffset, f.options.MaxWait
+	if len(f.delayed) > 0 {
+		wait = min(wait, max(time.Until(f.delayUntil), 0))
+	}
 	if f.failures > 0 {
 		wait = 0
 	}
--- a/internal/agree/medlarfeed/medlarfeed.go
+++ b/internal/agree/medlarfeed/medlarfeed.go
@@ -14,7 +14,8 @@
 //	    failed and which is long enough for a key to expire. A shorter one, such as
 //	    the reset of a connection, delays nothing. A longer one counts as an outage
 //	    even if only the connections of this instance failed, since that looks alike.
-//	    A failed call within the delay starts it anew.
+//	    A failed call within the delay starts it anew. No read holds a removal up whose
+//	    delay has ended.
 //	R5  A failed call is retried with exponential backoff and jitter, and without a
 //	    wait for new records.
 //	R6  A call that has no response although its wait has ended is repeated, while the
@@ -163,9 +164,17 @@
 			medlarpause.For(ctx, f.backoff())
 			continue
 		}
+		f.rest(ctx, begin.Add(f.options.PollInterval))
+	}
+}
+
+// rest waits for the time of the next read, and delivers the delayed removals when their delay ends.
+func (f *Feed) rest(ctx context.Context, until time.Time) {
+	if len(f.delayed) > 0 && f.delayUntil.Before(until) {
+		medlarpause.For(ctx, time.Until(f.delayUntil))
 		f.flush(time.Now())
-		medlarpause.For(ctx, f.options.PollInterval-time.Since(begin))
 	}
+	medlarpause.For(ctx, time.Until(until))
 }
 
 // start reads the latest record of each key (R1).
--- a/internal/agree/medlarfeed/outage_test.go
+++ b/internal/agree/medlarfeed/outage_test.go
@@ -14,6 +14,7 @@
 	callTimeout  = 800 * time.Millisecond // of a call that gets no response, after its wait
 	maxWait      = 750 * time.Millisecond
 	returnBound  = time.Second // from the store's return until its newest record is in force
+	removalDelay = 2300 * time.Millisecond
 	removalBound = time.Second // from a removal until it is in force
 	storeLatency = 4 * time.Millisecond
 )
@@ -22,10 +23,10 @@
 // the synctest bubble.
 type faultyStore struct {
 	fakeTopic
-	silent   bool // calls that arrive get no response
-	resets   int  // number of next calls that fail at once
-	calls    int
-	appliedA time.Time // when the latest record of key a was applied
+	silent  bool // calls that arrive get no response
+	resets  int  // number of next calls that fail at once
+	calls   int
+	applied map[string]time.Time // when the latest record of each key was applied
 }
 
 // respond waits for a response of the store. A call that arrived while the store was silent
@@ -64,15 +65,18 @@
 }
 
 // lastApplied returns when the latest record of key a was applied.
-func (s *faultyStore) lastApplied() time.Time {
+func (s *faultyStore) lastApplied() time.Time { return s.lastAppliedOf("a") }
+
+func (s *faultyStore) lastAppliedOf(key string) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.appliedA
+	return s.applied[key]
 }
 
 // runFeed runs a feed of s while f runs.
 func runFeed(t *testing.T, s *faultyStore, f func()) {
 	t.Helper()
+	s.applied = map[string]time.Time{}
 	synctest.Test(t, func(t *testing.T) {
 		feed := New(Deps{
 			ReadLatest: func(ctx context.Context, after string) (Page, error) {
@@ -84,16 +88,14 @@
 			ReadFrom: s.follow,
 			Apply: func(rs []Record, _ bool) {
 				for _, r := range rs {
-					if r.Key == "a" {
-						s.set(func() { s.appliedA = time.Now() })
-					}
+					s.set(func() { s.applied[r.Key] = time.Now() })
 				}
 			},
 			OnCurrent:     func(Progress) {},
 			OnUnavailable: func(error) {},
 			OnRecovered:   func(time.Duration) {},
 			OnEra:         func(medlarid.Era) {},
-		}, Options{MaxWait: maxWait, PollInterval: 400 * time.Millisecond, RemovalDelay: 2300 * time.Millisecond, MinOutage: 900 * time.Millisecond})
+		}, Options{MaxWait: maxWait, PollInterval: 400 * time.Millisecond, RemovalDelay: removalDelay, MinOutage: 900 * time.Millisecond})
 		ctx, cancel := context.WithCancel(t.Context())
 		s.put("a", "1")
 		go feed.Run(ctx)
@@ -149,6 +151,27 @@
 	})
 }
 
+// TestDelayedRemovalIsAppliedInTime guards against a removal that is delayed longer than it has to be, until a read that
+// waits for records has returned.
+func TestDelayedRemovalIsAppliedInTime(t *testing.T) {
+	for silence := 1500 * time.Millisecond; silence < 3*time.Second; silence += 110 * time.Millisecond {
+		s := &faultyStore{}
+		runFeed(t, s, func() {
+			s.set(func() { s.silent = true })
+			time.Sleep(silence)
+			s.set(func() { s.silent = false; s.put("b", "1") })
+			begin := time.Now()
+			for s.lastAppliedOf("b").Before(begin) {
+				time.Sleep(storeLatency)
+			}
+			returned := s.lastAppliedOf("b")
+			s.set(func() { s.put("a", "") })
+			time.Sleep(4 * time.Second)
+			assertAppliedWithin(t, s.lastApplied(), returned, removalDelay+50*time.Millisecond)
+		})
+	}
+}
+
 // TestNewestRecordIsAppliedSoonAfterSilence guards against a call that began while the store was
 // silent and holds up the reader until it times out, although the store answers again.
 func TestNewestRecordIsAppliedSoonAfterSilence(t *testing.T) {
