--- a/internal/stand/medlarlink/medlarlink.go
+++ b/internal/stand/medlarlink/medlarlink.go
@@ -65,7 +65,7 @@
 type port struct {
 	target   string
 	address  string
-	reserved *medlarreservation.Reservation // of the address, while the link refuses connections
+	reserved *medlarreservation.Reservation // keeps the address while the port refuses connections
 	listener *net.TCPListener
 	stopped  chan struct{} // closed when the port no longer accepts
 	paused   bool          // the listener is open, and nothing is accepted
--- a/internal/stand/medlarverdict/budget.go
+++ b/internal/stand/medlarverdict/budget.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	overTimeShare = 0.2
-	timeSlackMs   = 500
+	overTimeShare = 0.2 // of the arrivals that are told too much time or come again late
+	timeSlackMs   = 500 // between what replicas are told and what is left
 )
 
 // checkBudget checks the arrivals beyond the first of each request for a service, whose routes have the given prefixes (R9).
@@ -89,7 +89,7 @@
 		ends[c.ID] = c.At + medlarsoak.RequestTimeout.Milliseconds()
 	}
 	first := map[string]medlarsoak.Run{}
-	late, tooLong := 0, 0 // arrivals over timeSlackMs after the first, and those that were told too much
+	counted, tooLong := 0, 0 // arrivals that were told too much, with those over timeSlackMs after the first and without
 	for _, a := range byTime(r.Arrivals) {
 		end, known := ends[a.ID]
 		if medlarsoak.Streams(a.Path) || !known {
@@ -99,16 +99,17 @@
 		if !again {
 			first[a.ID] = a
 		}
-		again = again && a.At > f.At+timeSlackMs
-		if again {
-			late++
-		}
-		if a.Left <= 0 || a.Left > medlarsoak.RequestTimeout.Milliseconds()+timeSlackMs || again && a.At+a.Left > max(end, f.At+f.Left)+timeSlackMs {
+		late := again && a.At > f.At+timeSlackMs
+		over := a.Left <= 0 || a.Left > medlarsoak.RequestTimeout.Milliseconds()+timeSlackMs || late && a.At+a.Left > max(end, f.At+f.Left)+timeSlackMs
+		if over {
 			tooLong++
 		}
+		if over || late {
+			counted++
+		}
 	}
-	if tooLong > OverTime && float64(tooLong) > overTimeShare*float64(late+tooLong) {
-		res.broken(RuleTime, "", "%d arrivals were told more time than was left; %d requests arrived again late", tooLong, late)
+	if tooLong > OverTime && float64(tooLong) > overTimeShare*float64(counted) {
+		res.broken(RuleTime, "", "%d arrivals were told more time than was left, %d were so or came again late", tooLong, counted)
 	}
 }
 
