Remember nothing of upstreams whose starts are not told apart

One that had said that it leaves, was no longer listed, started again and was listed again would have counted as leaving for good, since what it had said was remembered for the start 0. Without a start nothing is remembered, as before.

A row of TestUpstreamIsAvoidedAsItAsked failed before and passes now.

--- a/internal/core/medlarfleet/former.go
+++ b/internal/core/medlarfleet/former.go
@@ -20,13 +20,17 @@
 	until           time.Time // remembered
 }
 
-// remember keeps what an upstream has said that is about to be removed, and forgets those removed long ago.
+// remember keeps what an upstream has said that is about to be removed, and forgets those removed long ago. Where starts
+// are not told apart, an upstream that is listed again may have started anew.
 func (s *System) remember(now time.Time, u *medlarworld.Upstream) {
 	for id, f := range s.former {
 		if now.After(f.until) {
 			delete(s.former, id)
 		}
 	}
+	if u.Incarnation == 0 {
+		return
+	}
 	s.former[u.ID] = former{
 		incarnation: u.Incarnation, reportedLeaving: u.ReportedLeaving, pausedUntil: u.PausedUntil, brittle: u.Brittle, until: now.Add(formerTTL),
 	}
--- a/internal/core/medlarfleet/hint_test.go
+++ b/internal/core/medlarfleet/hint_test.go
@@ -35,6 +35,7 @@
 		{"leaving, then removed and listed again", []medlarworld.Event{leaving, removed, listed(1)}, forGood},
 		{"leaving, then removed and started again", []medlarworld.Event{leaving, removed, listed(2)}, 0},
 		{"leaving, as the list says too, then removed and listed as ready", []medlarworld.Event{draining, leaving, removed, listed(1)}, forGood},
+		{"leaving, then removed and listed again, starts are not told apart", []medlarworld.Event{listed(0), medlarworld.UpstreamLeaving{Upstream: "u"}, removed, listed(0)}, 0},
 		{"pause, then removed and listed again", []medlarworld.Event{pause(2 * time.Second), removed, listed(1)}, 2 * time.Second},
 		{"pause", []medlarworld.Event{pause(2 * time.Second)}, 2 * time.Second},
 		{"pause, then listed again", []medlarworld.Event{pause(2 * time.Second), listed(1)}, 2 * time.Second},
