Call again at once after calls that had no response for long

Cause: removals are delayed from the first answer after a cut on. In a cut calls get no response for 0.8 s; the feed then paused for up to 0.6 s more, though the calls had taken longer than that, so that the first call that could be answered came late.

Change: the backoff counts from the call on. Calls that are refused at once pause as before; in silence there are at most 4 calls a second, as TestCallRateIsBounded asks.

--- a/internal/agree/medlarfeed/medlarfeed.go
+++ b/internal/agree/medlarfeed/medlarfeed.go
@@ -17,7 +17,8 @@
 //	    A failed call within the delay starts it anew. No read holds a removal up whose
 //	    delay has ended.
 //	R5  A failed call is retried with exponential backoff and jitter, and without a
-//	    wait for new records.
+//	    wait for new records. The backoff counts from the call on: one that had no
+//	    response for longer is repeated at once.
 //	R6  A call that has no response although its wait has ended is repeated, while the
 //	    call in flight may still succeed. So a response that was lost delays no record
 //	    until its call times out.
@@ -161,7 +162,7 @@
 			return
 		}
 		if err != nil {
-			medlarpause.For(ctx, f.backoff())
+			medlarpause.For(ctx, f.backoff()-time.Since(begin))
 			continue
 		}
 		f.rest(ctx, begin.Add(f.options.PollInterval))
--- a/internal/agree/medlarfeed/outage_test.go
+++ b/internal/agree/medlarfeed/outage_test.go
@@ -188,6 +188,23 @@
 	}
 }
 
+// TestFirstAnswerSoonAfterSilence guards against removals that are delayed from so late on, after a cut has healed, that
+// the delay ends after the time in which an instance has to know what the store knows (DRAIN).
+func TestFirstAnswerSoonAfterSilence(t *testing.T) {
+	const stableWindow = 3 * time.Second // the users' bound
+	for silence := 2 * time.Second; silence < 6*time.Second; silence += 10 * time.Millisecond {
+		s := &faultyStore{}
+		runFeed(t, s, func() {
+			s.set(func() { s.silent = true })
+			time.Sleep(silence)
+			s.set(func() { s.silent = false; s.put("a", "") })
+			begin := time.Now()
+			time.Sleep(5 * time.Second)
+			assertAppliedWithin(t, s.lastApplied(), begin, stableWindow)
+		})
+	}
+}
+
 // TestCallRateIsBounded bounds the calls of one reader, of which the store's rates and the number
 // of instances in the largest deployment allow 4 a second.
 func TestCallRateIsBounded(t *testing.T) {
