Soak: take a run back that its replica denies

Traced: the fault broken-stream lets replicas answer a resumption with one of several responses, 421 and a rejection among them, after the stand-in has recorded the run. The instance believed them, as it must; only callers that take streams up, new in the soak, could be told so. The platform records now that the replica denied the run, and the verdict does not count it. A product that calls a request not run without a replica's word is judged as before.

--- a/internal/stand/medlarsoak/faults.go
+++ b/internal/stand/medlarsoak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -130,19 +131,35 @@
 // breakStreams makes the next n responses of each replica of the engine break off after the second event; a request
 // that resumes a stream gets another response.
 func (p *Platform) breakStreams(with, n int) {
-	e := medlarending.Ending{Text: func(r medlarending.Request) string {
-		if r.LastEventID != "" {
-			return medlarending.Instead[with].Text(r)
-		}
-		return breakOff(r)
-	}}
-	for _, r := range p.site.EngineReplicas() {
+	for _, replica := range p.site.EngineReplicas() {
+		e := medlarending.Ending{Text: func(r medlarending.Request) string {
+			if r.LastEventID == "" {
+				return breakOff(r)
+			}
+			response := medlarending.Instead[with].Text(r)
+			if rejects(response) {
+				p.deny(r.ID, replica.Settings.ID)
+			}
+			return response
+		}}
 		for range n {
-			r.ArmEnding(e)
+			replica.ArmEnding(e)
 		}
 	}
 }
 
+// rejects reports whether a response states that the request did not run.
+func rejects(response string) bool {
+	return strings.HasPrefix(response, "HTTP/1.1 421 ") || strings.Contains(response, "Medlarfield-Not-Executed: 1\r\n")
+}
+
+// deny records that a replica has answered that it did not run a request, which had been recorded before.
+func (p *Platform) deny(id, replica string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = write(p.w, Run{At: time.Now().UnixMilli(), ID: id, Replica: replica, Denied: true})
+}
+
 // breakOff returns the first two events of a stream.
 func breakOff(r medlarending.Request) string {
 	b := append(medlarhead.AppendStatus(nil, fasthttp.StatusOK), r.Fields...)
--- a/internal/stand/medlarsoak/record.go
+++ b/internal/stand/medlarsoak/record.go
@@ -39,9 +39,10 @@
 	Path    string `json:"path"`
 	Resumed bool   `json:"resumed"` // the request resumes a stream
 	Replica string `json:"replica"`
-	Left    int64  `json:"left"` // time for the answer that the replica was told, in ms; 0 for none
-	Most    int    `json:"most"` // largest number of attempts of the request's route; 0 if it is as at first
-	Ran     bool   `json:"ran"`  // the replica began to run the request
+	Left    int64  `json:"left"`   // time for the answer that the replica was told, in ms; 0 for none
+	Most    int    `json:"most"`   // largest number of attempts of the request's route; 0 if it is as at first
+	Ran     bool   `json:"ran"`    // the replica began to run the request
+	Denied  bool   `json:"denied"` // the replica says that it did not run what is recorded as its run of the request
 }
 
 // Happening is what was seen of a process in the course of a schedule.
@@ -192,11 +193,7 @@
 		eachLine(filepath.Join(dir, FileRuns), func(line []byte) error {
 			var run Run
 			err := json.Unmarshal(line, &run)
-			if run.Ran {
-				r.Runs = append(r.Runs, run)
-			} else {
-				r.Arrivals = append(r.Arrivals, run)
-			}
+			r.addRun(run)
 			return err
 		}),
 		eachLine(filepath.Join(dir, FileProcesses), r.addProcess),
@@ -204,6 +201,21 @@
 	return r, err
 }
 
+// addRun adds an arrival or a run, or takes the run back that a replica denies.
+func (r *Records) addRun(run Run) {
+	switch {
+	case run.Denied:
+		ofReplica := func(other Run) bool { return other.ID == run.ID && other.Replica == run.Replica }
+		if i := slices.IndexFunc(r.Runs, ofReplica); i >= 0 {
+			r.Runs = slices.Delete(r.Runs, i, i+1)
+		}
+	case run.Ran:
+		r.Runs = append(r.Runs, run)
+	default:
+		r.Arrivals = append(r.Arrivals, run)
+	}
+}
+
 func (r *Records) addProcess(line []byte) error {
 	f := strings.Fields(string(line))
 	if len(f) < 2 {
