--- a/internal/stand/medlarending/medlarending.go
+++ b/internal/stand/medlarending/medlarending.go
@@ -7,6 +7,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"time"
 
 	"medlarfield/internal/base/medlarhead"
 )
@@ -23,6 +24,9 @@
 	Keep        bool // the connection is left open
 	// Text returns all bytes of the response, in place of what the fields above state; nil for none.
 	Text func(Request) string
+	// Again returns what is written After the response on the same connection; nil for none.
+	Again func(Request) string
+	After time.Duration
 }
 
 // Request is what a response states of its request.
@@ -119,6 +123,10 @@
 		text = e.text
 	}
 	_, _ = io.WriteString(c, text(r))
+	if e.Again != nil {
+		time.Sleep(e.After)
+		_, _ = io.WriteString(c, e.Again(r))
+	}
 	if tcp, ok := c.(*net.TCPConn); ok && e.Reset {
 		_ = tcp.SetLinger(0)
 	}
--- a/internal/stand/medlarschedule/medlarschedule.go
+++ b/internal/stand/medlarschedule/medlarschedule.go
@@ -93,11 +93,13 @@
 	{"weights", (*draw).weights},
 	// This one and those behind it are played by name only, so that seeds keep their schedules.
 	{kindReleaseOutOfStep, (*draw).releaseOutOfStep},
+	{kindBegunAgain, func(*draw) []Step { return begunAgain() }},
 }
 
 const (
 	kindUpgrade          = "upgrade"
 	kindReleaseOutOfStep = "release-out-of-step"
+	kindBegunAgain       = "answer-begun-again"
 )
 
 // requestID is the header field that names the request of a response.
@@ -342,6 +344,15 @@
 	return append(out, post(ends+after, "disarm"))
 }
 
+// begunAgain makes plain replicas write a response, or begin it, once more on its connection, in all ways in turn.
+func begunAgain() []Step {
+	var out []Step
+	for i := range medlarending.Again {
+		out = append(out, post(time.Duration(i)*armInterval, "again?with=%d&n=2", i))
+	}
+	return append(out, post(time.Duration(len(medlarending.Again))*armInterval, "disarm"))
+}
+
 func (d *draw) weights() []Step {
 	d.weight++
 	return []Step{post(0, "weights?version=%d", d.weight), post(time.Second, "change")}
--- a/internal/stand/medlarsoak/faults.go
+++ b/internal/stand/medlarsoak/faults.go
@@ -83,7 +83,8 @@
 //	POST /copies?status=S&without=H&form=F&n=N      repeats the next N responses with a status, without a header field
 //	POST /arm?fault=F&n=N                           injects a fault into the next N requests at each replica
 //	POST /broken?with=I&n=N                         breaks N streams of each replica off; resumptions get response I
-//	POST /disarm                                    takes the faults of the last three back
+//	POST /again?with=I&n=N                          makes N responses of each plain replica like ending I of medlarending.Again
+//	POST /disarm                                    takes the faults of the last four back
 //	POST /rewind?n=N                                lets the store come back without the last N records of each topic
 //	POST /odd?entry=I                               writes odd entry I of replicas; removes all for -1
 func (p *Platform) Handler() fasthttp.RequestHandler {
@@ -108,6 +109,8 @@
 			}
 		case "/broken":
 			p.breakStreams(q.GetUintOrZero("with"), q.GetUintOrZero("n"))
+		case "/again":
+			p.beginAgain(q.GetUintOrZero("with"), q.GetUintOrZero("n"))
 		case "/disarm":
 			p.disarm()
 		case "/rewind":
@@ -148,6 +151,15 @@
 	}
 }
 
+// beginAgain makes the next n responses of each plain replica be written, or begun, once more on their connections.
+func (p *Platform) beginAgain(with, n int) {
+	for _, replica := range p.site.Plain {
+		for range n {
+			replica.ArmEnding(medlarending.Again[with])
+		}
+	}
+}
+
 // rejects reports whether a response states that the request did not run.
 func rejects(response string) bool {
 	return strings.HasPrefix(response, "HTTP/1.1 421 ") || strings.Contains(response, "Medlarfield-Not-Executed: 1\r\n")
