Tell whether bytes came behind the body of a replica's response

Nothing in the logs told an answer with a part of a further one in it from a sound one. Lines request and attempt have followed, explain says so, and medlar_followed_responses_total counts it.

--- a/internal/edge/medlarcall/medlarcall.go
+++ b/internal/edge/medlarcall/medlarcall.go
@@ -158,6 +158,8 @@
 	Complete bool // the body ended as its framing requires
 	// PartialBytes is the length of the incomplete event at the end of a stream.
 	PartialBytes int
+	// Followed is set if further bytes had arrived on the connection when the body ended.
+	Followed bool
 }
 
 // Attempt is the result of an attempt.
--- a/internal/edge/medlarmetric/medlarmetric.go
+++ b/internal/edge/medlarmetric/medlarmetric.go
@@ -56,6 +56,7 @@
 	retries        *prometheus.CounterVec
 	answers        *prometheus.CounterVec
 	responses      *prometheus.CounterVec
+	followed       *prometheus.CounterVec
 	ttft           *prometheus.HistogramVec
 	stages         *prometheus.HistogramVec
 	tokens         *prometheus.CounterVec
@@ -93,6 +94,7 @@
 	m.retries = m.newCounterVec("retries_total", "Attempts repeated, by reason.", "reason")
 	m.answers = m.newCounterVec("answers_total", "Requests answered, by kind.", "kind")
 	m.responses = m.newCounterVec("responses_total", "Responses of replicas, by framing of the body and by its end: complete, partial, broken.", "framing", "end")
+	m.followed = m.newCounterVec("followed_responses_total", "Responses of replicas behind whose body further bytes came, by framing of the body.", "framing")
 	m.lost = m.newCounterVec("lost_total", "Attempts whose connection the replica ended before the response was complete, by whether an event had been received.", "began")
 	m.rejections = m.newCounterVec("rejections_total", "Rejections of attempts, by what shows that they belong to the attempt: id, conn, none.", "proof")
 	m.connects = m.newCounterVec("connects_total", "Attempts to open direct connections to replicas, by result: opened, refused, silent, failed.", "result")
@@ -175,6 +177,9 @@
 	m.responses.WithLabelValues(framing, string(end)).Inc()
 }
 
+// ResponseFollowed counts a response of a replica behind whose body further bytes came, by the framing of its body.
+func (m *Metrics) ResponseFollowed(framing string) { m.followed.WithLabelValues(framing).Inc() }
+
 // Replayed counts an answer from the record of an earlier attempt.
 func (m *Metrics) Replayed() { m.replays.Inc() }
 
--- a/internal/edge/medlarproxy/relay.go
+++ b/internal/edge/medlarproxy/relay.go
@@ -192,6 +192,7 @@
 // the request's body is still being written or its write failed, or if the connection was
 // closed because the client disconnected.
 func (a *attempt) returnConn(h *medlarhead.Head, reply medlarcall.Reply) {
+	a.bodyEnd.Followed = a.upstream.Reader.Buffered() > 0
 	if !a.stopClose() || h.Close || !a.requestWritten() {
 		_ = a.upstream.Close()
 		return
--- a/internal/ops/medlarlogquery/medlarlogquery.go
+++ b/internal/ops/medlarlogquery/medlarlogquery.go
@@ -99,22 +99,23 @@
 	Took       float64             `json:"took"`
 	Waiting    int                 `json:"waiting"`
 	Replicas   int                 `json:"kin"`
-	Parts      any                 `json:"parts"`   // part states as letters for a request, or a count for a store
-	Framing    string              `json:"framing"` // of the replica's response
-	Partial    int                 `json:"partial"` // bytes of an incomplete event at the response's end
-	Lost       bool                `json:"lost"`    // the replica ended the connection before its response was complete
-	Began      float64             `json:"began"`   // ms from the first event of the response until the attempt ended
-	Prompt     []string            `json:"prompt"`  // parts of the prompt but the last
-	Prints     []string            `json:"print"`   // of the request as a whole, and of its path, account and body
-	Size       int                 `json:"size"`    // bytes of the request's body
-	Part       string              `json:"part"`    // of prompts, or the hash of a request, that crashes replicas
-	Begun      []string            `json:"begun"`   // parts and hashes of requests that a replica had begun to answer when it crashed
-	Queued     []string            `json:"queued"`  // of all others that were lost with it
-	Crashes    int                 `json:"crashes"` // of which it is suspected
-	Serial     uint64              `json:"serial"`  // of an assignment of streams to software versions
-	From       string              `json:"from"`    // software versions with their buckets before the assignment
-	To         string              `json:"to"`      // and with it
-	Trials     int                 `json:"trials"`  // of what is blocked
+	Parts      any                 `json:"parts"`    // part states as letters for a request, or a count for a store
+	Framing    string              `json:"framing"`  // of the replica's response
+	Partial    int                 `json:"partial"`  // bytes of an incomplete event at the response's end
+	Followed   bool                `json:"followed"` // further bytes came behind the body
+	Lost       bool                `json:"lost"`     // the replica ended the connection before its response was complete
+	Began      float64             `json:"began"`    // ms from the first event of the response until the attempt ended
+	Prompt     []string            `json:"prompt"`   // parts of the prompt but the last
+	Prints     []string            `json:"print"`    // of the request as a whole, and of its path, account and body
+	Size       int                 `json:"size"`     // bytes of the request's body
+	Part       string              `json:"part"`     // of prompts, or the hash of a request, that crashes replicas
+	Begun      []string            `json:"begun"`    // parts and hashes of requests that a replica had begun to answer when it crashed
+	Queued     []string            `json:"queued"`   // of all others that were lost with it
+	Crashes    int                 `json:"crashes"`  // of which it is suspected
+	Serial     uint64              `json:"serial"`   // of an assignment of streams to software versions
+	From       string              `json:"from"`     // software versions with their buckets before the assignment
+	To         string              `json:"to"`       // and with it
+	Trials     int                 `json:"trials"`   // of what is blocked
 	Decision   *Decision           `json:"why"`
 	Error      string              `json:"error"`
 	Readmitted bool                `json:"back"`
@@ -247,6 +248,9 @@
 	if l.Partial > 0 {
 		s += fmt.Sprintf(", ended within an event after %d bytes of it", l.Partial)
 	}
+	if l.Followed {
+		s += ", further bytes came behind its body"
+	}
 	return s
 }
 
--- a/internal/ops/medlarrequestlog/medlarrequestlog.go
+++ b/internal/ops/medlarrequestlog/medlarrequestlog.go
@@ -113,6 +113,9 @@
 	if end.PartialBytes > 0 {
 		l = l.Int("partial", end.PartialBytes)
 	}
+	if end.Followed {
+		l = l.Bool("followed", true)
+	}
 	return l
 }
 
@@ -129,6 +132,9 @@
 		kind = medlarmetric.EndComplete
 	}
 	m.ResponseEnded(end.Framing.String(), kind)
+	if end.Followed {
+		m.ResponseFollowed(end.Framing.String())
+	}
 }
 
 // choiceFields returns the log fields of the figures that an upstream was chosen by.
