Take no body for whole that ends with what may begin a further response

Callers got 200 and a whole-looking body with H, HTTP/1.1 20 or HTTP/1.1 200 OK behind it. A replica answers with neither length nor chunks, begins its answer again behind that, and stops within the status line. Such a body is searched for heads of further responses, but a head counted only once its status line had ended. Class: what follows an answer on its connection is taken for part of it.

Now what has begun counts where the body ends, from the first byte on. Such an answer is tried again elsewhere, or fails; it is no longer passed on.

The price: a service whose bodies end with the first letter of a status line has to send a length or chunks, as one that quotes heads.

--- a/internal/base/medlarhead/further.go
+++ b/internal/base/medlarhead/further.go
@@ -6,7 +6,7 @@
 )
 
 // RejectHeads makes Read fail with KindMalformed where a body that only the end of the connection delimits holds
-// the head of a further response (R5).
+// the head of a further response, or ends with its beginning (R5).
 func (b *Body) RejectHeads() {
 	if b.framing == FramingClose {
 		b.heads = &headFilter{}
@@ -50,8 +50,8 @@
 // statusStart begins each status line.
 var statusStart = []byte("HTTP/1.")
 
-// findHead returns where the first head, or what may become one, begins in b, and whether it is a head. ended reports
-// that nothing follows b.
+// findHead returns where the first head, or what may become one, begins in b, and whether it counts as a head. ended
+// reports that nothing follows b, so that what has begun counts.
 func findHead(b []byte, ended bool) (at int, found bool) {
 	for {
 		i := bytes.Index(b[at:], statusStart)
@@ -59,20 +59,14 @@
 			break
 		}
 		at += i
-		switch m := matchHead(b[at:]); {
-		case m == headWhole, ended && m == headLine:
-			return at, true
-		case m != headNone && !ended:
-			return at, false
+		if m := matchHead(b[at:]); m != headNone {
+			return at, ended || m == headWhole
 		}
 		at++
 	}
-	if ended {
-		return len(b), false
-	}
 	for n := min(len(statusStart)-1, len(b)); n > 0; n-- {
 		if bytes.HasSuffix(b, statusStart[:n]) {
-			return len(b) - n, false
+			return len(b) - n, ended
 		}
 	}
 	return len(b), false
--- a/internal/base/medlarhead/medlarhead.go
+++ b/internal/base/medlarhead/medlarhead.go
@@ -14,10 +14,11 @@
 //	    cleanly.
 //	R4  The size of a head, of a chunk size line and of the trailers is limited.
 //	R5  If asked, a body that is delimited by the end of its connection is not complete
-//	    if it holds the head of a further response anywhere: a status line that ends
-//	    with CR LF and the name of a field behind it, or the end of the body there.
+//	    if it holds the head of a further response anywhere, a status line that ends
+//	    with CR LF and the name of a field behind it, or ends with what may be the
+//	    beginning of one, from the first byte of a status line on.
 //	    Bytes that may be such a head are withheld until that is known. A service whose
-//	    bodies quote heads sends a length or chunks.
+//	    bodies quote heads, or end with the first letter of one, sends a length or chunks.
 package medlarhead
 
 import (
--- a/internal/ops/medlarattachednode/further_test.go
+++ b/internal/ops/medlarattachednode/further_test.go
@@ -54,3 +54,38 @@
 		t.Errorf("%s: status %d, want 502 or a response without its end", path, got.status)
 	}
 }
+
+// TestAnswerBegunAgain guards against an answer that counts as whole with the beginning of a further one in it.
+func TestAnswerBegunAgain(t *testing.T) {
+	t.Parallel()
+	for _, e := range medlarending.BegunAgain {
+		t.Run(e.Name, func(t *testing.T) {
+			t.Parallel()
+			w := start(t, nil)
+			for _, path := range []string{"/read/a", "/post/a"} {
+				armEach(w, e)
+				id := "r" + path[1:2]
+				got := w.send(request{method: "POST", path: path, id: id, body: "{}"})
+				if got.whole && got.status == 200 && got.body != "answer to "+id {
+					t.Errorf("%s: the body ends with %q", path, got.body[max(0, len(got.body)-100):])
+				}
+				if n := len(w.ran(id)); path == "/post/a" && n != 1 {
+					t.Errorf("%s: ran %d times, want once", path, n)
+				}
+			}
+		})
+	}
+}
+
+// TestAnswerBegunAgainIsRetried guards against a failure of a request that another replica can answer.
+func TestAnswerBegunAgainIsRetried(t *testing.T) {
+	for _, e := range []medlarending.Ending{medlarending.BegunAgain[0]} {
+		t.Run(e.Name, func(t *testing.T) {
+			w := start(t, nil)
+			w.site.Plain[0].ArmEnding(e)
+			for _, id := range []string{"r1", "r2", "r3", "r4"} {
+				assertResult(t, w.send(request{path: "/read/a", id: id}), 200, "answer to "+id)
+			}
+		})
+	}
+}
