Take no body for whole whose end is that of a further response

Callers got 200 and 'answer to HTT', framed as whole: a replica answers with a length, stops within the body and writes the whole answer again on the same connection, at once or later. The head of the second one fills up the first body, and the rest stays on the connection. Class: what follows an answer on its connection is taken for part of it.

Bodies of a length and in chunks are looked at for heads now (medlarhead R6). One that names a request is no quotation. If a body holds another one, or ends with what may begin one, what follows on the connection decides: the rest of that head or body shows that it was none of this answer's. Nothing, or a further response, leaves the body whole, so that services may quote heads as before.

--- a/internal/base/medlarhead/body.go
+++ b/internal/base/medlarhead/body.go
@@ -23,6 +23,7 @@
 	limited   bool
 	left      int64       // bytes that may still be read, if limited
 	heads     *headFilter // nil for none
+	scan      *headScan   // nil for none
 }
 
 // Limit makes Read fail with KindOversized once it has returned n bytes and the body continues.
@@ -43,7 +44,13 @@
 	if b.heads != nil {
 		return b.heads.read(p, b.read)
 	}
-	return b.read(p)
+	n, err := b.read(p)
+	if b.scan != nil && n > 0 {
+		if scanErr := b.scan.scan(p[:n]); scanErr != nil {
+			return 0, scanErr
+		}
+	}
+	return n, err
 }
 
 // read reads the bytes that the framing assigns to the body.
--- a/internal/base/medlarhead/further.go
+++ b/internal/base/medlarhead/further.go
@@ -5,12 +5,14 @@
 	"io"
 )
 
-// RejectHeads makes Read fail with KindMalformed where a body that only the end of the connection delimits holds
-// the head of a further response, or ends with its beginning (R5).
-func (b *Body) RejectHeads() {
+// RejectHeads makes Read fail with KindMalformed where the body holds the head of a further response (R5, R6). named
+// reports whether a head names a request.
+func (b *Body) RejectHeads(named func(*Head) bool) {
 	if b.framing == FramingClose {
 		b.heads = &headFilter{}
+		return
 	}
+	b.scan = &headScan{named: named}
 }
 
 // headFilter withholds the bytes of a body that may be the head of a further response.
--- a/internal/base/medlarhead/further_test.go
+++ b/internal/base/medlarhead/further_test.go
@@ -52,7 +52,7 @@
 			}
 			for _, r := range []io.Reader{strings.NewReader(tc.body), iotest.OneByteReader(strings.NewReader(tc.body)), iotest.DataErrReader(strings.NewReader(tc.body))} {
 				body := NewBody(bufio.NewReader(r), &Head{Framing: FramingClose})
-				body.RejectHeads()
+				body.RejectHeads(func(*Head) bool { return false })
 				got, err := io.ReadAll(body)
 				if string(got) != tc.want || (err == nil) != tc.whole || err != nil && KindOf(err) != KindMalformed || body.Done() != tc.whole {
 					t.Errorf("got %q, %v, done %v; want %q, whole: %v", got, err, body.Done(), tc.want, tc.whole)
@@ -75,7 +75,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			body := NewBody(bufio.NewReader(strings.NewReader(tc.text)), &tc.head)
-			body.RejectHeads()
+			body.RejectHeads(func(*Head) bool { return false })
 			if got, err := io.ReadAll(body); string(got) != quoted || err != nil {
 				t.Errorf("got %q, %v", got, err)
 			}
@@ -87,7 +87,7 @@
 func TestResetBehindStatusLine(t *testing.T) {
 	r := io.MultiReader(strings.NewReader("aHTTP/1.1 200 OK\r\nReq"), iotest.ErrReader(io.ErrUnexpectedEOF))
 	body := NewBody(bufio.NewReader(r), &Head{Framing: FramingClose})
-	body.RejectHeads()
+	body.RejectHeads(func(*Head) bool { return false })
 	if got, err := io.ReadAll(body); string(got) != "a" || KindOf(err) != KindBroken {
 		t.Errorf("got %q, %v", got, err)
 	}
--- a/internal/base/medlarhead/medlarhead.go
+++ b/internal/base/medlarhead/medlarhead.go
@@ -19,6 +19,10 @@
 //	    beginning of one, from the first byte of a status line on.
 //	    Bytes that may be such a head are withheld until that is known. A service whose
 //	    bodies quote heads, or end with the first letter of one, sends a length or chunks.
+//	R6  If asked, a body of a length or in chunks is not complete if it holds a head, or the
+//	    beginning of one, that names a request; nor is a body of a length that holds any other
+//	    head, or ends with the beginning of one, if what follows on the connection begins no
+//	    response: the body stopped, and a further response took the rest of its length.
 package medlarhead
 
 import (
--- /dev/null
+++ b/internal/base/medlarhead/within.go
@@ -0,0 +1,66 @@
+package medlarhead
+
+import "bytes"
+
+// headScan looks for heads of further responses in a body of a length or in chunks (R6). It withholds nothing.
+type headScan struct {
+	named func(*Head) bool
+	tail  []byte // of the body: what may be a head that has not ended
+	seen  bool   // the body holds a head that names no request
+}
+
+// scan looks at the next bytes of the body. It fails once they hold a head that names a request.
+func (s *headScan) scan(p []byte) error {
+	s.tail = append(s.tail, p...)
+	for len(s.tail) > 0 {
+		at, _ := findHead(s.tail, false)
+		s.tail = s.tail[at:]
+		h, length, ended := partOfHead(s.tail)
+		if s.named(h) {
+			return malformed(OpBody, "head of a further response")
+		}
+		if !ended {
+			break
+		}
+		s.seen, s.tail = true, s.tail[length:]
+	}
+	s.tail = bytes.Clone(s.tail) // what was scanned can be released
+	return nil
+}
+
+// maxScannedHead is the length from which on a head is taken for ended, in bytes.
+const maxScannedHead = 16 << 10
+
+// partOfHead returns the whole fields of the head that b begins with, the length of the head, and whether it ends within b.
+func partOfHead(b []byte) (h *Head, length int, ended bool) {
+	h = &Head{}
+	_, rest, _ := bytes.Cut(b, []byte("\r\n"))
+	for {
+		line, after, whole := bytes.Cut(rest, []byte("\r\n"))
+		if !whole {
+			return h, len(b), len(b) > maxScannedHead
+		}
+		rest = after
+		name, value, isField := bytes.Cut(line, []byte(":"))
+		if !isField || !isToken(string(name)) {
+			return h, len(b) - len(rest), true
+		}
+		h.Fields = append(h.Fields, Field{Name: string(name), Value: string(bytes.Trim(value, " \t"))})
+	}
+}
+
+// MayHoldHead reports whether a body of a length that has been read holds a head that names no request, or ends with
+// what may be the beginning of a head. It is then for CheckEnd to tell whether the body is whole.
+func (b *Body) MayHoldHead() bool {
+	return b.framing == FramingLength && b.scan != nil && (b.scan.seen || len(b.scan.tail) > 0)
+}
+
+// CheckEnd reads ahead and returns an error of KindMalformed if the bytes behind the body begin no response: those
+// of the head that the body may hold go on there (R6). It waits for these bytes as long as the connection lets it.
+func (b *Body) CheckEnd() error {
+	next, _ := b.br.Peek(len(statusStart)) // nothing may follow
+	if len(next) == 0 || bytes.HasPrefix(statusStart, next) {
+		return nil
+	}
+	return malformed(OpBody, "further response that begins within the body")
+}
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -27,7 +27,7 @@
 const (
 	maxResponseBody = 16 << 20              // bytes of a response's body; a replica in trouble may send without end
 	maxInlineBody   = 16 << 10              // bytes; a longer request body is written while the response is read
-	unsignedWait    = 50 * time.Millisecond // for the end of the connection after a head without a signature
+	endWait         = 50 * time.Millisecond // for what shows whether a response was cut off
 	statusOK        = 200
 	statusFailure   = 500
 )
@@ -238,7 +238,7 @@
 // have been cut off before it: what follows is read for a moment, to see whether the upstream ends
 // the connection.
 func (a *attempt) failUnsigned(h *medlarhead.Head) medlarworld.AttemptEnded {
-	_ = a.upstream.SetDeadline(medlarrun.Earlier(time.Now().Add(unsignedWait), a.run.Deadline))
+	_ = a.upstream.SetDeadline(medlarrun.Earlier(time.Now().Add(endWait), a.run.Deadline))
 	body := medlarhead.NewBody(a.upstream.Reader, h)
 	body.Limit(maxBufferedBody)
 	_, err := io.Copy(io.Discard, body)
--- a/internal/edge/medlarproxy/relay.go
+++ b/internal/edge/medlarproxy/relay.go
@@ -35,8 +35,11 @@
 		return a.failed(errPromise, medlarreason.Failure, true)
 	}
 	body := a.newBody(h)
-	body.RejectHeads()
+	body.RejectHeads(a.namesRequest)
 	buf, err := medlarhead.ReadSome(body, maxBufferedBody)
+	if err == nil && body.Done() {
+		err = a.checkEnd(body)
+	}
 	if err != nil {
 		_ = a.upstream.Close()
 		return a.failed(err, medlarreason.Truncated, true)
@@ -54,6 +57,19 @@
 	return a.complete(resp)
 }
 
+// namesRequest reports whether the head of a response names a request.
+func (a *attempt) namesRequest(h *medlarhead.Head) bool { return a.proxy.deps.Reply(h).ID != "" }
+
+// checkEnd returns an error if a further response has taken the place of the end of a body that was read.
+func (a *attempt) checkEnd(body *medlarhead.Body) error {
+	if !body.MayHoldHead() {
+		return nil
+	}
+	_ = a.upstream.SetReadDeadline(medlarrun.Earlier(time.Now().Add(endWait), a.run.Deadline))
+	defer func() { _ = a.upstream.SetDeadline(a.deadline()) }()
+	return body.CheckEnd()
+}
+
 // complete sends a complete response and returns the result of the attempt.
 func (a *attempt) complete(resp *response) medlarworld.AttemptEnded {
 	switch {
@@ -84,7 +100,9 @@
 			}
 		}
 		if err == io.EOF {
-			break
+			if err = a.checkEnd(body); err == nil {
+				break
+			}
 		}
 		if err != nil {
 			_ = a.upstream.Close()
--- a/internal/ops/medlarattachednode/further_test.go
+++ b/internal/ops/medlarattachednode/further_test.go
@@ -1,6 +1,7 @@
 package medlarattachednode_test
 
 import (
+	"slices"
 	"strings"
 	"testing"
 
@@ -58,7 +59,7 @@
 // TestAnswerBegunAgain guards against an answer that counts as whole with the beginning of a further one in it.
 func TestAnswerBegunAgain(t *testing.T) {
 	t.Parallel()
-	for _, e := range medlarending.BegunAgain {
+	for _, e := range append(slices.Clone(medlarending.BegunAgain), medlarending.StoppedAndAgain...) {
 		t.Run(e.Name, func(t *testing.T) {
 			t.Parallel()
 			w := start(t, nil)
@@ -79,7 +80,7 @@
 
 // TestAnswerBegunAgainIsRetried guards against a failure of a request that another replica can answer.
 func TestAnswerBegunAgainIsRetried(t *testing.T) {
-	for _, e := range []medlarending.Ending{medlarending.BegunAgain[0]} {
+	for _, e := range []medlarending.Ending{medlarending.BegunAgain[0], medlarending.StoppedAndAgain[0]} {
 		t.Run(e.Name, func(t *testing.T) {
 			w := start(t, nil)
 			w.site.Plain[0].ArmEnding(e)
