--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"os"
 	"time"
 
@@ -17,6 +16,7 @@
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/edge/medlarbody"
 	"medlarfield/internal/edge/medlarcall"
 	"medlarfield/internal/edge/medlarpool"
 	"medlarfield/internal/edge/medlarproof"
@@ -25,11 +25,9 @@
 
 // Limits of requests and responses.
 const (
-	maxResponseBody = 16 << 20              // bytes of a response's body; a replica in trouble may send without end
-	maxInlineBody   = 16 << 10              // bytes; a longer request body is written while the response is read
-	endWait         = 50 * time.Millisecond // for what shows whether a response was cut off
-	statusOK        = 200
-	statusFailure   = 500
+	maxInlineBody = 16 << 10 // bytes; a longer request body is written while the response is read
+	statusOK      = 200
+	statusFailure = 500
 )
 
 // attempt is one attempt of a request at an upstream.
@@ -238,13 +236,9 @@
 // have been cut off before it: what follows is read for a moment, to see whether the upstream ends
 // the connection.
 func (a *attempt) failUnsigned(h *medlarhead.Head) medlarworld.AttemptEnded {
-	_ = a.upstream.SetDeadline(medlarrun.Earlier(time.Now().Add(endWait), a.run.Deadline))
-	body := medlarhead.NewBody(a.upstream.Reader, h)
-	body.Limit(maxBufferedBody)
-	_, err := io.Copy(io.Discard, body)
+	cut := medlarbody.CutOff(a.source(), h, maxBufferedBody)
 	_ = a.upstream.Close()
 	ended := a.failed(errUnsigned, medlarreason.Broken, true)
-	cut := err == nil && h.Framing == medlarhead.FramingClose || medlarhead.ConnectionEnded(err)
 	a.lost = cut && a.ctx.Err() == nil
 	ended.Lost = a.lost
 	return ended
--- a/internal/edge/medlarproxy/relay.go
+++ b/internal/edge/medlarproxy/relay.go
@@ -8,6 +8,7 @@
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/edge/medlarbody"
 	"medlarfield/internal/edge/medlarcall"
 	"medlarfield/internal/edge/medlarrun"
 )
@@ -17,13 +18,14 @@
 	return value
 }
 
-// newBody returns a reader for the body of a response that is relayed.
-func (a *attempt) newBody(h *medlarhead.Head) *medlarhead.Body {
-	body := medlarhead.NewBody(a.upstream.Reader, h)
-	body.Limit(maxResponseBody)
-	return body
+// source returns what the body of the response is read from.
+func (a *attempt) source() medlarbody.Source {
+	return medlarbody.Source{Conn: a.upstream, Buffer: a.upstream.Reader, Deadline: a.deadline()}
 }
 
+// namesRequest reports whether the head of a response names a request.
+func (a *attempt) namesRequest(h *medlarhead.Head) bool { return a.proxy.deps.Reply(h).ID != "" }
+
 // relayResponse relays a response that is not a stream.
 func (a *attempt) relayResponse(h *medlarhead.Head, reply medlarcall.Reply) medlarworld.AttemptEnded {
 	if a.responseStarted || a.run.Resumes && h.Status < 300 { // the response cannot continue a stream
@@ -34,17 +36,14 @@
 		_ = a.upstream.Close()
 		return a.failed(errPromise, medlarreason.Failure, true)
 	}
-	body := a.newBody(h)
+	body := medlarbody.New(a.source(), h)
 	body.RejectHeads(a.namesRequest)
-	buf, err := medlarhead.ReadSome(body, maxBufferedBody)
-	if err == nil && body.Done() {
-		err = a.checkEnd(body)
-	}
+	buf, whole, err := body.ReadSome(maxBufferedBody)
 	if err != nil {
 		_ = a.upstream.Close()
 		return a.failed(err, medlarreason.Truncated, true)
 	}
-	if !body.Done() {
+	if !whole {
 		return a.relayChunked(h, buf, body, reply)
 	}
 	a.bodyEnd.Complete = true
@@ -57,19 +56,6 @@
 	return a.complete(resp)
 }
 
-// namesRequest reports whether the head of a response names a request.
-func (a *attempt) namesRequest(h *medlarhead.Head) bool { return a.proxy.deps.Reply(h).ID != "" }
-
-// checkEnd returns an error if a further response has taken the place of the end of a body that was read.
-func (a *attempt) checkEnd(body *medlarhead.Body) error {
-	if !body.MayHoldHead() {
-		return nil
-	}
-	_ = a.upstream.SetReadDeadline(medlarrun.Earlier(time.Now().Add(endWait), a.run.Deadline))
-	defer func() { _ = a.upstream.SetDeadline(a.deadline()) }()
-	return body.CheckEnd()
-}
-
 // complete sends a complete response and returns the result of the attempt.
 func (a *attempt) complete(resp *response) medlarworld.AttemptEnded {
 	switch {
@@ -82,7 +68,7 @@
 }
 
 // relayChunked relays a long response as it arrives.
-func (a *attempt) relayChunked(h *medlarhead.Head, first []byte, body *medlarhead.Body, reply medlarcall.Reply) medlarworld.AttemptEnded {
+func (a *attempt) relayChunked(h *medlarhead.Head, first []byte, body *medlarbody.Reader, reply medlarcall.Reply) medlarworld.AttemptEnded {
 	b := medlarhead.AppendChunkedEnd(a.responseHead(h))
 	a.responseStarted, a.began = true, time.Now()
 	a.upstream.AnswerBegan()
@@ -100,9 +86,7 @@
 			}
 		}
 		if err == io.EOF {
-			if err = a.checkEnd(body); err == nil {
-				break
-			}
+			break
 		}
 		if err != nil {
 			_ = a.upstream.Close()
@@ -127,7 +111,7 @@
 // relayStream relays an event stream. The head is sent with the first event, so that a stream
 // that fails before it is retried without the client noticing.
 func (a *attempt) relayStream(h *medlarhead.Head, reply medlarcall.Reply) medlarworld.AttemptEnded {
-	body := a.newBody(h)
+	body := medlarbody.New(a.source(), h)
 	last := ""
 	if !a.run.AtMostOnce { // otherwise the stream begins anew, whatever event the client names
 		last = a.lastEventID()
@@ -233,8 +217,7 @@
 
 // discard reads a response that is not relayed, so that the connection can be reused.
 func (a *attempt) discard(h *medlarhead.Head, reply medlarcall.Reply) {
-	body := medlarhead.NewBody(a.upstream.Reader, h)
-	if _, err := io.Copy(io.Discard, io.LimitReader(body, maxBufferedBody)); err != nil || !body.Done() {
+	if !medlarbody.Discard(a.source(), h, maxBufferedBody) {
 		_ = a.upstream.Close()
 		return
 	}
--- a/internal/edge/medlarrun/medlarrun.go
+++ b/internal/edge/medlarrun/medlarrun.go
@@ -133,11 +133,11 @@
 	if r.TargetLatency <= 0 {
 		return deadline
 	}
-	return Earlier(started.Add(patienceTargets*r.TargetLatency), deadline)
+	return earlier(started.Add(patienceTargets*r.TargetLatency), deadline)
 }
 
-// Earlier returns the earlier of two times.
-func Earlier(a, b time.Time) time.Time {
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
 	}
