Look for heads in bodies without a copy of them

A body without a head in it was copied once while it was looked at: 64 KB for each 64 KB of a long one. Now only what may begin a head is kept.

--- a/internal/base/medlarhead/within.go
+++ b/internal/base/medlarhead/within.go
@@ -11,20 +11,26 @@
 
 // scan looks at the next bytes of the body. It fails once they hold a head that names a request.
 func (s *headScan) scan(p []byte) error {
-	s.tail = append(s.tail, p...)
-	for len(s.tail) > 0 {
-		at, _ := findHead(s.tail, false)
-		s.tail = s.tail[at:]
-		h, length, ended := partOfHead(s.tail)
+	b := p
+	if len(s.tail) > 0 {
+		b = append(s.tail, p...)
+	}
+	for {
+		at, _ := findHead(b, false)
+		b = b[at:]
+		if len(b) == 0 {
+			break
+		}
+		h, length, ended := partOfHead(b)
 		if s.named(h) {
 			return malformed(OpBody, "head of a further response")
 		}
 		if !ended {
 			break
 		}
-		s.seen, s.tail = true, s.tail[length:]
+		s.seen, b = true, b[length:]
 	}
-	s.tail = bytes.Clone(s.tail) // what was scanned can be released
+	s.tail = bytes.Clone(b)
 	return nil
 }
 
