Join no two heads of responses into one (own interface)

Callers of a service got 200 with the text of a failure. The service stops in the head of its answer, within the reason or within the value of a field, and writes a failure on the same connection: the status is that of the first head, the length and the body are those of the second. Likewise for engines, stores and the calls to the platform. Class: what follows an answer on its connection is taken for part of it.

fasthttp reads heads leniently: a status line within a line, folded lines, a space before the colon, a length beside chunks and chunks of HTTP/1.0 all pass. Responses are now read by medlarhead, as those to the attached instance are, so that one set of rules holds for both. fasthttp still dials, keeps connections and writes requests.

--- /dev/null
+++ b/internal/stand/medlarending/cut.go
@@ -0,0 +1,42 @@
+package medlarending
+
+import "strconv"
+
+// HeadEnds lists the ends of heads, each with the body of its framing.
+var HeadEnds = []HeadEnd{
+	{"length", func(body string) (string, string) {
+		return "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n", body
+	}},
+	{"length and further fields", func(body string) (string, string) {
+		return "Content-Length: " + strconv.Itoa(len(body)) + "\r\nContent-Type: text/plain\r\n\r\n", body
+	}},
+	{"chunks", func(body string) (string, string) { return "Transfer-Encoding: chunked\r\n\r\n", chunks(body) }},
+	{"close", func(body string) (string, string) { return "Content-Type: text/plain\r\n\r\n", body }},
+}
+
+// HeadEnd is how a head states the framing of a body.
+type HeadEnd struct {
+	Name  string
+	frame func(body string) (head, framed string)
+}
+
+// CutHead returns a response that stops in its head, before the last bytes of it. It lacks all of the head if it is no
+// longer than that.
+func (e HeadEnd) CutHead(missing int, reset bool) Ending {
+	return Ending{Name: e.Name, Reset: reset, Text: func(r Request) string {
+		end, _ := e.frame(r.Answer())
+		head := statusOK + r.Fields + end
+		return head[:max(len(head)-missing, 0)]
+	}}
+}
+
+// CutHeadAndAgain returns a response that stops in its head, as that of CutHead, and behind which a failure of the same
+// framing is written on the same connection.
+func (e HeadEnd) CutHeadAndAgain(missing int) Ending {
+	out := e.CutHead(missing, false)
+	out.Again = func(r Request) string {
+		end, body := e.frame(failure)
+		return statusFailed + r.Fields + end + body
+	}
+	return out
+}
--- a/internal/upstream/medlarhttp/body.go
+++ b/internal/upstream/medlarhttp/body.go
@@ -22,25 +22,17 @@
 
 func newBodyReader() *bodyReader { return &bodyReader{large: make(chan struct{}, 1)} }
 
-// read reads a streamed body to its end. A body that is shorter than its Content-Length is an error, and so is
-// one that is longer than limit.
-func (b *bodyReader) read(resp *fasthttp.Response, deadline time.Time, limit int) ([]byte, error) {
-	length := resp.Header.ContentLength()
-	if length > limit {
+// read reads a body to its end. A body that is longer than limit is an error.
+func (b *bodyReader) read(a *answer, deadline time.Time, limit int) ([]byte, error) {
+	if a.length() > int64(limit) {
 		return nil, errOversized
 	}
-	r := resp.BodyStream()
-	if r == nil {
-		return append([]byte(nil), resp.Body()...), nil
-	}
-	body, err := b.readAll(io.LimitReader(r, int64(limit)+1), deadline)
+	body, err := b.readAll(io.LimitReader(a, int64(limit)+1), deadline)
 	switch {
 	case err != nil:
 		return nil, err
 	case len(body) > limit:
 		return nil, errOversized
-	case length >= 0 && len(body) < length:
-		return nil, io.ErrUnexpectedEOF
 	case time.Now().After(deadline):
 		return nil, fasthttp.ErrTimeout
 	}
--- a/internal/upstream/medlarhttp/medlarhttp.go
+++ b/internal/upstream/medlarhttp/medlarhttp.go
@@ -20,6 +20,8 @@
 //	R6  Do and DoKept hold at most one body beyond a small size at a time, so that several
 //	    peers which send without end do not exhaust the memory together. A longer body waits until
 //	    the others are read.
+//	R7  Responses are read by the rules of medlarhead, whatever their status: a head that stops, or
+//	    within which another one begins, is an error, and so is a body that is not whole.
 package medlarhttp
 
 import (
@@ -34,6 +36,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/base/medlarprobe"
 )
@@ -134,9 +137,11 @@
 		MaxIdleConnDuration:       maxIdleConn,
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                neverRetry,
-		MaxResponseBodySize:       maxResponseBytes,
-		StreamResponseBody:        true,
 		NoDefaultUserAgentHeader:  true,
+		ConfigureClient: func(hc *fasthttp.HostClient) error {
+			hc.Transport = transport{}
+			return nil
+		},
 		DialTimeout: func(addr string, timeout time.Duration) (net.Conn, error) {
 			return dial(addr, timeout, idle)
 		},
@@ -235,30 +240,32 @@
 	if err := hc.DoDeadline(req, resp, deadline); err != nil {
 		return Response{}, callError(err)
 	}
-	body, err := c.bodies.read(resp, deadline, cmp.Or(r.MaxBody, maxResponseBytes))
+	a := answerOf(resp)
+	body, err := c.bodies.read(a, deadline, cmp.Or(r.MaxBody, maxResponseBytes))
 	if err != nil {
 		return Response{}, callError(err)
 	}
 	return Response{
-		Status:      resp.StatusCode(),
-		ContentType: string(resp.Header.ContentType()),
-		ETag:        string(resp.Header.Peek("ETag")),
-		Field:       string(resp.Header.Peek(r.WantField)),
+		Status:      a.head.Status,
+		ContentType: a.field("Content-Type"),
+		ETag:        a.field("ETag"),
+		Field:       a.field(r.WantField),
 		Body:        body,
-		ToClose:     resp.Header.ContentLength() == identityLength,
+		ToClose:     a.head.Framing == medlarhead.FramingClose,
 	}, nil
 }
 
-// identityLength is the length that fasthttp gives for a body without a length or chunks.
-const identityLength = -2
+// answerOf returns what the transport has read.
+func answerOf(resp *fasthttp.Response) *answer { return resp.BodyStream().(*answer) }
 
 // Stream is a response whose body is read as it arrives.
 type Stream struct {
 	Status int
 	Body   io.Reader
 
-	req  *fasthttp.Request
-	resp *fasthttp.Response
+	answer *answer
+	req    *fasthttp.Request
+	resp   *fasthttp.Response
 }
 
 // Open sends a request on a connection of its own (R3) and returns once the response
@@ -284,11 +291,12 @@
 		fasthttp.ReleaseResponse(resp)
 		return nil, callError(err)
 	}
-	return &Stream{Status: resp.StatusCode(), Body: resp.BodyStream(), req: req, resp: resp}, nil
+	a := answerOf(resp)
+	return &Stream{Status: a.head.Status, Body: a, answer: a, req: req, resp: resp}, nil
 }
 
 // Header returns the value of a response header field.
-func (s *Stream) Header(name string) string { return string(s.resp.Header.Peek(name)) }
+func (s *Stream) Header(name string) string { return s.answer.field(name) }
 
 // Close releases the connection. Body must not be read afterwards.
 func (s *Stream) Close() {
