--- a/internal/upstream/medlarhttp/cut_test.go
+++ b/internal/upstream/medlarhttp/cut_test.go
@@ -68,6 +68,19 @@
 	}
 }
 
+// TestFurtherHeadsInBodies guards against a body that counts as whole with the head of a further response, or the
+// beginning of one, in it.
+func TestFurtherHeadsInBodies(t *testing.T) {
+	for name, call := range calls {
+		for _, e := range append(medlarending.WithAnother, medlarending.BegunAgain...) {
+			t.Run(name+"/"+e.Name, func(t *testing.T) {
+				t.Parallel()
+				assertNoReply(t, call, e)
+			})
+		}
+	}
+}
+
 func assertNoReply(t *testing.T, call func(*medlarhttp.Client, medlarhttp.Request) reply, e medlarending.Ending) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
