Test that no head which stops counts as whole, at the attached instance

Another operator saw 200 with an empty or short body where a replica stopped in the head of its answer and closed.

The tests pass on the present code; the logic is not changed.

--- a/internal/edge/medlarproxy/close_test.go
+++ b/internal/edge/medlarproxy/close_test.go
@@ -12,6 +12,7 @@
 	"medlarfield/internal/agree/medlarcatalog"
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarcall"
 	"medlarfield/internal/edge/medlarpool"
@@ -32,10 +33,11 @@
 		UnreadyRetryAfter: func() time.Duration { return time.Second },
 		Catalog:           func() *medlarcatalog.Catalog { return cat },
 		Submit: func(run *medlarworld.Run, _ medlarworld.Limits) <-chan medlarworld.Command {
-			commands := make(chan medlarworld.Command, 1)
+			commands := make(chan medlarworld.Command, 2)
 			commands <- medlarworld.StartAttempt{
 				Run: run.ID, Attempt: 1, Upstream: medlarid.InstanceID(r.Settings.ID), Address: medlarid.Address(r.Address()),
 			}
+			commands <- medlarworld.Refuse{Run: run.ID, Reason: medlarreason.Failed, Ran: medlarreason.RanUnknown} // after a failed attempt
 			return commands
 		},
 		Done:              func(medlarid.RequestID) {},
--- a/internal/stand/medlarending/cut.go
+++ b/internal/stand/medlarending/cut.go
@@ -31,10 +31,14 @@
 }
 
 // CutHeadAndAgain returns a response that stops in its head, as that of CutHead, and behind which a failure of the same
-// framing is written on the same connection.
+// framing is written on the same connection. Nothing is written if all of the head is missing.
 func (e HeadEnd) CutHeadAndAgain(missing int) Ending {
 	out := e.CutHead(missing, false)
+	begin := out.Text
 	out.Again = func(r Request) string {
+		if begin(r) == "" {
+			return ""
+		}
 		end, body := e.frame(failure)
 		return statusFailed + r.Fields + end + body
 	}
--- a/internal/upstream/medlarhttp/cut_test.go
+++ b/internal/upstream/medlarhttp/cut_test.go
@@ -57,10 +57,7 @@
 			t.Run(fmt.Sprintf("%s/%s", name, end.Name), func(t *testing.T) {
 				t.Parallel()
 				for missing := 1; missing < longestHead; missing++ {
-					for _, reset := range []bool{false, true} {
-						assertNoReply(t, call, end.CutHead(missing, reset))
-					}
-					if e := end.CutHeadAndAgain(missing); e.Text(medlarending.Request{Fields: cutFields}) != "" {
+					for _, e := range []medlarending.Ending{end.CutHead(missing, false), end.CutHead(missing, true), end.CutHeadAndAgain(missing)} {
 						assertNoReply(t, call, e)
 					}
 				}
