Soak: a kind in which replicas write a whole answer again, at once or up to 2 s late

One way is a replica that answers with neither length nor chunks and then writes the whole answer again: no kind of the soak played it. answer-twice does, played by name only: plain answers and streams, such that end with their connections and such that name their length or come in chunks on kept connections, written again after 0 to 2 s. The verdict also prints how often each rule is broken.

--- a/internal/stand/medlarending/again.go
+++ b/internal/stand/medlarending/again.go
@@ -35,7 +35,7 @@
 var StoppedAndAgain = []Ending{
 	stoppedAndAgain("short, of a length", 3, 0, withLength),
 	stoppedAndAgain("short, of a length, later", 3, againAfter, withLength),
-	stoppedAndAgain("short, in chunks", 3, 0, func(body string) string { return "Transfer-Encoding: chunked\r\n\r\n" + chunks(body) }),
+	stoppedAndAgain("short, in chunks", 3, 0, inChunks),
 	stoppedAndAgain("short, to the close", 3, 0, func(body string) string { return "\r\n" + body }),
 	stoppedAndAgain("long, of a length", longMissing, 0, withLength),
 	stoppedAndAgain("long, of a length, later", longMissing, againAfter, withLength),
--- a/internal/stand/medlarschedule/medlarschedule.go
+++ b/internal/stand/medlarschedule/medlarschedule.go
@@ -94,12 +94,14 @@
 	// This one and those behind it are played by name only, so that seeds keep their schedules.
 	{kindReleaseOutOfStep, (*draw).releaseOutOfStep},
 	{kindBegunAgain, func(*draw) []Step { return begunAgain() }},
+	{kindTwice, (*draw).twice},
 }
 
 const (
 	kindUpgrade          = "upgrade"
 	kindReleaseOutOfStep = "release-out-of-step"
 	kindBegunAgain       = "answer-begun-again"
+	kindTwice            = "answer-twice"
 )
 
 // requestID is the header field that names the request of a response.
@@ -220,7 +222,9 @@
 const (
 	armInterval = 150 * time.Millisecond
 	armTimes    = 8
-	copiesArmed = 100
+
+	twiceInterval = 100 * time.Millisecond
+	copiesArmed   = 100
 )
 
 // repeat arms a fault in the replicas again and again.
@@ -353,6 +357,16 @@
 	return append(out, post(time.Duration(len(medlarending.Again))*armInterval, "disarm"))
 }
 
+// twice makes all replicas write whole responses, such that end with their connections and others, once more on them, in
+// all ways in an order that is drawn.
+func (d *draw) twice() []Step {
+	var out []Step
+	for i, with := range d.Perm(len(medlarending.Twice())) {
+		out = append(out, post(time.Duration(i)*twiceInterval, "twice?with=%d&n=2", with))
+	}
+	return append(out, post(time.Duration(len(out))*twiceInterval, "disarm"))
+}
+
 func (d *draw) weights() []Step {
 	d.weight++
 	return []Step{post(0, "weights?version=%d", d.weight), post(time.Second, "change")}
--- a/internal/stand/medlarschedule/medlarschedule_test.go
+++ b/internal/stand/medlarschedule/medlarschedule_test.go
@@ -10,7 +10,7 @@
 
 // TestSchedule guards against a schedule that differs between two draws, leaves a fault in force or a kind out.
 func TestSchedule(t *testing.T) {
-	byName := map[string]bool{"release-out-of-step": true, "answer-begun-again": true} // kinds that are not drawn
+	byName := map[string]bool{"release-out-of-step": true, "answer-begun-again": true, "answer-twice": true} // kinds that are not drawn
 	kinds := map[string]bool{}
 	all := []medlarschedule.Settings{}
 	for seed := range uint64(100) {
--- a/internal/stand/medlarsoak/faults.go
+++ b/internal/stand/medlarsoak/faults.go
@@ -84,7 +84,8 @@
 //	POST /arm?fault=F&n=N                           injects a fault into the next N requests at each replica
 //	POST /broken?with=I&n=N                         breaks N streams of each replica off; resumptions get response I
 //	POST /again?with=I&n=N                          makes N responses of each plain replica like ending I of medlarending.Again
-//	POST /disarm                                    takes the faults of the last four back
+//	POST /twice?with=I&n=N                          makes N responses of each replica like ending I of medlarending.Twice
+//	POST /disarm                                    takes the faults of the last five back
 //	POST /rewind?n=N                                lets the store come back without the last N records of each topic
 //	POST /odd?entry=I                               writes odd entry I of replicas; removes all for -1
 func (p *Platform) Handler() fasthttp.RequestHandler {
@@ -111,6 +112,8 @@
 			p.breakStreams(q.GetUintOrZero("with"), q.GetUintOrZero("n"))
 		case "/again":
 			p.beginAgain(q.GetUintOrZero("with"), q.GetUintOrZero("n"))
+		case "/twice":
+			p.answerTwice(q.GetUintOrZero("with"), q.GetUintOrZero("n"))
 		case "/disarm":
 			p.disarm()
 		case "/rewind":
@@ -160,6 +163,26 @@
 	}
 }
 
+// answerTwice makes the next n responses of each replica be written twice on their connections.
+func (p *Platform) answerTwice(with, n int) {
+	stream := medlarending.TwiceStream(func(r medlarending.Request) string {
+		last, _ := strconv.Atoi(r.LastEventID) // 0 for a stream that begins
+		var b strings.Builder
+		for i := last; i < Events; i++ {
+			b.WriteString(Event(i+1, r.ID))
+		}
+		return b.String()
+	})
+	for range n {
+		for _, replica := range p.site.Plain {
+			replica.ArmEnding(medlarending.Twice()[with])
+		}
+		for _, replica := range p.site.EngineReplicas() {
+			replica.ArmEnding(stream[with])
+		}
+	}
+}
+
 // rejects reports whether a response states that the request did not run.
 func rejects(response string) bool {
 	return strings.HasPrefix(response, "HTTP/1.1 421 ") || strings.Contains(response, "Medlarfield-Not-Executed: 1\r\n")
--- a/internal/stand/medlarverdict/medlarverdict.go
+++ b/internal/stand/medlarverdict/medlarverdict.go
@@ -22,6 +22,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -202,10 +203,13 @@
 	for _, r := range res.Returns {
 		_, _ = fmt.Fprintf(w, "%s: nine tenths served after %v\n", r.What, r.Took)
 	}
-	written := map[Rule]int{}
+	broken := map[Rule]int{}
 	for _, v := range res.Violations {
-		if written[v.Rule]++; written[v.Rule] <= shown {
+		if broken[v.Rule]++; broken[v.Rule] <= shown {
 			_, _ = fmt.Fprintf(w, "BROKEN %s %s: %s\n", v.Rule, v.ID, v.Detail)
 		}
 	}
+	for _, rule := range slices.Sorted(maps.Keys(broken)) {
+		_, _ = fmt.Fprintf(w, "%s: broken %d times\n", rule, broken[rule])
+	}
 }
