Free parts only by the share of replicas that all lists have

Cause: the instance that frees counted, as changed to later weights, replicas that have just joined, which the list of one that is cut off lacks, and replicas that have left, which later lists lack. Its sixth of replicas that may still run the older weights could so be more than the fifth whose answers let another one fetch: 3 of 12 beside 6 that joined, 2 of 9 beside 3 that left.

The share is now of the replicas that were listed for all of DepartedTTL, which are in each list that another instance may use, and any other replica that runs older weights counts against it. TestPartsAreNotFreedWhereListsDiffer failed in its five rows before. The setup of TestMostReplicasPast lists its replicas first and changes them then, as a platform does; what it asks for is the same.

--- a/internal/core/medlarplacement/medlarplacement.go
+++ b/internal/core/medlarplacement/medlarplacement.go
@@ -36,7 +36,9 @@
 //	    instance counts answers only while it knows the replicas as of ListTTL ago, and only
 //	    those of replicas that are listed for longer than MaxListAge. So parts can be freed by
 //	    an instance that knows the replicas as of MaxListAge ago, and all that were listed
-//	    within DepartedTTL: another one may still use a replica that is no longer listed.
+//	    within DepartedTTL: another one may still use a replica that is no longer listed, and
+//	    its list may lack one that has joined or left. So the share that may run an older
+//	    version is that of the replicas that were listed all the time.
 package medlarplacement
 
 import (
--- a/internal/ops/medlarregistry/lapse_test.go
+++ b/internal/ops/medlarregistry/lapse_test.go
@@ -184,3 +184,58 @@
 		assert("after a read", true)
 	})
 }
+
+// TestPartsAreNotFreedWhereListsDiffer guards against parts that one instance frees while another one fetches them, as replicas
+// with the later version have joined or left and the two count shares of different lists (MIXED).
+func TestPartsAreNotFreedWhereListsDiffer(t *testing.T) {
+	for _, tc := range []struct {
+		name         string
+		older        int // replicas that still run version 1
+		joined, left int // replicas that run version 2
+		cut          bool
+	}{
+		{"many have joined that the cut instance does not know", 3, 6, 0, true},
+		{"twice as many have joined", 6, 24, 0, true},
+		{"some have left", 2, 0, 3, false},
+		{"most have left", 1, 0, 8, false},
+		{"some have left, and as many have joined that the cut instance does not know", 2, 6, 6, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newLapse(t)
+				l.follow(2*medlarplacement.DepartedTTL, false, func() {})
+				setDesired(l.freeing, 2)
+				for i := tc.older; i < lapseReplicas; i++ {
+					l.entry(i, 2)
+				}
+				l.follow(time.Second, tc.cut, func() {})
+				for i := range tc.joined {
+					l.entry(lapseReplicas+i, 2)
+				}
+				for i := range tc.left {
+					l.remove(lapseReplicas - 1 - i)
+				}
+				l.fetcher.Engines["m"] = l.fetcher.Engines["m"][:lapseReplicas-tc.left]
+				var fetched time.Time
+				fetches := 0
+				l.follow(2*medlarplacement.DepartedTTL, tc.cut, func() {
+					for i, u := range l.fetcher.Engines["m"] {
+						if u.Version = "2"; i < tc.older {
+							u.Version, u.ConfirmedAt = "1", time.Now()
+						}
+					}
+					if medlarplacement.Fetchable(l.fetcher, l.run, "1") {
+						fetched = time.Now()
+						fetches++
+					}
+					if d := time.Since(fetched); d < time.Second && l.freeing.PartsUnused("m", "1") && !t.Failed() {
+						t.Errorf("parts are freed %v after a fetch began, want a second at least", d)
+					}
+				})
+				if fetches == 0 {
+					t.Error("parts are not fetched for the replicas with the older version")
+				}
+			})
+		})
+	}
+}
--- a/internal/ops/medlarregistry/medlarregistry.go
+++ b/internal/ops/medlarregistry/medlarregistry.go
@@ -14,8 +14,9 @@
 //	    neither requests nor orders until a catalog names the service. An entry that names
 //	    no model where the service has an engine describes no usable replica (R2).
 //	R5  A replica whose entry is removed may still run, and serve other instances that know
-//	    it. For some time it counts as it did among those that have to run a later
-//	    weight version before parts of an older one are freed.
+//	    it: for some time it counts among those that have to run a later weight version before
+//	    parts of an older one are freed. One that does run it, and has left or joined, makes up
+//	    for no other: lists of other instances may lack it.
 package medlarregistry
 
 import (
@@ -262,8 +263,9 @@
 	if old != nil && old.StartedMs == next.StartedMs && old.Member == next.Member {
 		return false // heartbeat without changes
 	}
-	r := &replica{Replica: next}
+	r := &replica{Replica: next, listedAt: time.Now()}
 	if old != nil {
+		r.listedAt = old.listedAt
 		r.history = slices.Clone(old.history) // a replica keeps its version when it starts again
 	}
 	if old != nil && old.StartedMs == next.StartedMs {
--- a/internal/ops/medlarregistry/medlarregistry_test.go
+++ b/internal/ops/medlarregistry/medlarregistry_test.go
@@ -127,14 +127,17 @@
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				registry := New(zerolog.Nop(), medlarpool.NewDirect(), func(medlarworld.Event) {}, ignoreMalformed)
-				for i := range replicas {
-					version := 1
-					if i < tc.changed {
-						version = 2
-					}
+				entry := func(i, version int) {
 					value := fmt.Appendf(nil, `{"Service":"s","Address":"10.0.0.%d:1","MaxBatchSize":4,"Phase":"ready","Models":[{"Name":"m","Version":%d}],"born":7}`, i, version)
 					registry.ApplyReplicaEntries([]medlarfeed.Record{{Key: fmt.Sprint("r-", i), Value: value}}, true)
 				}
+				for i := range replicas {
+					entry(i, 1)
+				}
+				time.Sleep(medlarplacement.DepartedTTL)
+				for i := range tc.changed {
+					entry(i, 2)
+				}
 				time.Sleep(tc.after)
 				if got := registry.MostReplicasPast("m", "1", time.Second-time.Millisecond); got != tc.want {
 					t.Errorf("most replicas past version 1: %v, want %v", got, tc.want)
--- a/internal/ops/medlarregistry/versions.go
+++ b/internal/ops/medlarregistry/versions.go
@@ -17,6 +17,7 @@
 	reported medlarid.WeightVersion // reported by the replica and newer than the entry's, or empty
 	assumed  medlarid.WeightVersion // assumed for requests after a version mismatch, or empty
 	history  medlarhistory.History  // successive values of version()
+	listedAt time.Time              // since when the replica has been listed, whichever start of it
 	deniedAt time.Time              // when the replica denied to run any version that requests could name; zero if it did not
 }
 
@@ -118,30 +119,31 @@
 }
 
 // MostReplicasPast reports whether at least medlarplacement.SwappedShare of a model's replicas
-// have run later weight versions than v for longer than lasting. Replicas that were removed recently
-// count as well (R5).
+// have run later weight versions than v for longer than lasting. It holds for each list of the replicas within
+// DepartedTTL: those that were listed all the time are in all of them, and any other that runs an older version may be (R5).
 func (t *Registry) MostReplicasPast(m medlarid.ModelID, v medlarid.WeightVersion, lasting time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	all, changed := 0, 0
-	count := func(r *replica) {
-		if r.Member.Model != m || !t.serves(r) {
-			return
+	counts := func(r *replica) bool { return r.Member.Model == m && t.serves(r) }
+	listed, always, older := false, 0, 0
+	for _, r := range t.replicas {
+		if !counts(r) {
+			continue
 		}
-		all++
-		if r.past(v, lasting) {
-			changed++
+		listed = true
+		if time.Since(r.listedAt) >= medlarplacement.DepartedTTL {
+			always++
+		}
+		if !r.past(v, lasting) {
+			older++
 		}
-	}
-	for _, r := range t.replicas {
-		count(r)
 	}
 	for _, d := range t.departed {
-		if time.Since(d.at) < medlarplacement.DepartedTTL {
-			count(d.replica)
+		if time.Since(d.at) < medlarplacement.DepartedTTL && counts(d.replica) && !d.past(v, lasting) {
+			older++
 		}
 	}
-	return all > 0 && float64(changed) >= medlarplacement.SwappedShare*float64(all)
+	return listed && float64(always-older) >= medlarplacement.SwappedShare*float64(always)
 }
 
 // departure is a replica that was removed.
