Free parts soon after the decision, or not

The platform takes a bound on its own clock for such calls (until_ms), which was not used. The call now bears one, 400 ms after the begin of the decision, within the margin of half a second that each of FreeDelay and SwapDelay has; a call that comes late is refused, and decided anew.

--- a/internal/ops/medlarcachetracker/medlarcachetracker.go
+++ b/internal/ops/medlarcachetracker/medlarcachetracker.go
@@ -20,6 +20,8 @@
 //	    expensive as a probe.
 //	R5  A failed call makes the contents stale, since the store may have lost them. The
 //	    next call waits only briefly for changes, as its answer makes them current.
+//	R6  A store frees parts soon after the decision, or not: the instance may stand still and the
+//	    call be held up, while replicas leave and others may fetch the parts again.
 package medlarcachetracker
 
 import (
@@ -54,6 +56,7 @@
 	freeRankDelay     = 600 * time.Millisecond  // additional delay before freeing, for each rank (R3)
 	ranks             = 4                       // number of distinct ranks
 	freeBatch         = 256                     // maximum number of parts freed by one call
+	freeTimeout       = 400 * time.Millisecond  // from the begin of the decision to free until the store does; within the margins of medlarplacement R7 (R6)
 )
 
 // Part identifies a cached part of a prompt in a store.
@@ -94,8 +97,9 @@
 	Stores func() []StoreRef
 	List   func(medlarid.Address) (ChangeBatch, error)
 	Events func(at medlarid.Address, since uint64, wait time.Duration) (ChangeBatch, error)
-	Free   func(at medlarid.Address, epoch uint64, parts []Part) error
-	Post   func(medlarworld.Event)
+	// Free frees parts, unless the store has started since epoch or the call reaches it after until.
+	Free func(at medlarid.Address, epoch uint64, parts []Part, until time.Time) error
+	Post func(medlarworld.Event)
 	// ReplacedAt returns when a model's weight version was replaced; ok is false if it was
 	// not.
 	ReplacedAt func(medlarid.ModelID, medlarid.WeightVersion) (at time.Time, ok bool)
@@ -276,8 +280,9 @@
 }
 
 // free frees a batch of parts whose weight version has been replaced for long enough and
-// on most replicas (R2, R3).
+// on most replicas (R2, R3, R6).
 func (t *Tracker) free(st *trackedStore) {
+	until := time.Now().Add(freeTimeout)
 	var old []Part
 	for _, p := range st.parts {
 		at, ok := t.deps.ReplacedAt(p.Model, p.Salt.Version())
@@ -291,7 +296,7 @@
 	if len(old) == 0 {
 		return
 	}
-	err := t.deps.Free(st.ref.Address, st.epoch, old)
+	err := t.deps.Free(st.ref.Address, st.epoch, old, until)
 	t.deps.OnFreed(st.ref, len(old), err)
 	if err != nil {
 		return
--- a/internal/ops/medlarcachetracker/medlarcachetracker_test.go
+++ b/internal/ops/medlarcachetracker/medlarcachetracker_test.go
@@ -26,12 +26,17 @@
 	lists    int
 	calls    int
 	freed    []Part
+	refused  int // calls to free that came late
 	posted   []medlarworld.InventoryReported
-	replaced time.Time // when version 1 was replaced; zero if it was not
-	changed  bool      // result of PartsUnused
+	replaced time.Time     // when version 1 was replaced; zero if it was not
+	changed  bool          // result of PartsUnused
+	stands   time.Duration // for which the instance stands still while it decides to free
 }
 
-var errDown = errors.New("down")
+var (
+	errDown = errors.New("down")
+	errLate = errors.New("late")
+)
 
 func part(v, id string) Part {
 	return Part{Salt: medlarkey.NewCacheSalt(medlarid.WeightVersion(v), ""), ID: id, Tokens: 100, Model: "m"}
@@ -68,9 +73,13 @@
 	return ChangeBatch{Epoch: f.epoch, Next: uint64(len(f.events)), Changes: append([]Change(nil), f.events[since:]...)}, nil
 }
 
-func (f *fakeStore) free(_ medlarid.Address, _ uint64, parts []Part) error {
+func (f *fakeStore) free(_ medlarid.Address, _ uint64, parts []Part, until time.Time) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !time.Now().Before(until) {
+		f.refused++
+		return errLate
+	}
 	f.freed = append(f.freed, parts...)
 	return nil
 }
@@ -105,8 +114,10 @@
 			},
 			PartsUnused: func(medlarid.ModelID, medlarid.WeightVersion) bool {
 				f.mu.Lock()
-				defer f.mu.Unlock()
-				return f.changed
+				changed, stands := f.changed, f.stands
+				f.mu.Unlock()
+				time.Sleep(stands)
+				return changed
 			},
 			OnUnavailable: func(StoreRef, error) {}, OnRecovered: func(StoreRef) {}, OnListed: func(StoreRef, uint64, int) {}, OnFreed: func(StoreRef, int, error) {}, OnMalformed: func(StoreRef, int, bool) {},
 		})
@@ -221,6 +232,28 @@
 	}
 }
 
+// TestPartsAreNotFreedLate guards against parts that are freed long after the decision, as the instance stood still, when
+// others may fetch them again (MIXED).
+func TestPartsAreNotFreedLate(t *testing.T) {
+	f := &fakeStore{epoch: 1, changed: true, stands: time.Second}
+	f.add("1", "a")
+	runTracker(t, f,
+		func(f *fakeStore) time.Duration {
+			f.replaced = time.Now().Add(-time.Hour)
+			return 5 * time.Second
+		},
+		func(f *fakeStore) time.Duration {
+			if len(f.freed) > 0 || f.refused == 0 {
+				t.Errorf("parts are freed late: %v; calls that came late: %d", f.freed, f.refused)
+			}
+			f.stands = 0
+			return 5 * time.Second
+		})
+	if len(f.freed) != 1 {
+		t.Errorf("freed %v after a decision in time, want 1 part", f.freed)
+	}
+}
+
 // places is the number of calls that may wait at a store at the same time.
 const places = 12
 
