Fetch no parts of weights whose replacement was read late

An instance that was cut off while weights were replaced does not know since when, and medlardesired then takes the earliest time that leaves the older ones bounds.stable. Parts were fetched for 1.5 s from that time: with bounds for older weights of at most 1.5 s more than for settling, long after others may free them (MIXED). With the usual 6 s and 3 s the time is 3 s back, and nothing is fetched, so this is not what the users saw. An estimate now allows no fetch.

TestReplacementReadLateEndsFetches failed in its last two rows before.

--- a/internal/core/medlarcore/parts_test.go
+++ b/internal/core/medlarcore/parts_test.go
@@ -581,3 +581,31 @@
 		})
 	}
 }
+
+// TestReplacementReadLateEndsFetches guards against a fetch of parts that are being freed, by an instance that was cut off while
+// their weights were replaced and takes the time at which it reads so for that of the change (MIXED).
+func TestReplacementReadLateEndsFetches(t *testing.T) {
+	const grace = 5 * time.Second
+	for _, tc := range []struct {
+		name     string
+		cut      time.Duration
+		settling time.Duration // that older versions are left after the cut
+		want     string
+	}{
+		{"not cut off", 500 * time.Millisecond, grace - 500*time.Millisecond, "ffo"},
+		{"cut off, a short time left", 20 * time.Second, 2 * time.Second, "cco"},
+		{"cut off, nearly all of the time left", 20 * time.Second, grace - 500*time.Millisecond, "cco"},
+		{"cut off, all of the time left", 20 * time.Second, grace, "cco"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPartsHarness(t, 1, func(cfg *medlarworld.Config) { cfg.OldVersionGrace, cfg.SettlingTime = grace, tc.settling })
+			p.tick(medlarworld.RecordsCurrent{At: p.now})
+			p.now = p.now.Add(tc.cut)
+			r := p.newRun(500, 8000, 300)
+			p.setVersion("2")
+			p.tick(medlarworld.RecordsCurrent{At: p.now})
+			p.reportStock("near", 1, true, r.Keys[0], r.Keys[1])
+			assertParts(t, p.submit(r), tc.want)
+		})
+	}
+}
--- a/internal/core/medlarplacement/medlarplacement.go
+++ b/internal/core/medlarplacement/medlarplacement.go
@@ -28,7 +28,8 @@
 //	    replicas, also after the version was replaced: until the replicas have loaded the
 //	    next one they would compute the parts anew. Without such answers, parts are fetched
 //	    until GracePeriod after the version was replaced, and only by an instance that
-//	    learned within DesiredVersionTTL which versions are desired. Hence the parts can be
+//	    learned within DesiredVersionTTL which versions are desired, and followed them when
+//	    it was replaced. Hence the parts can be
 //	    freed once FreeDelay has passed and all but less than ConfirmationShare of the
 //	    replicas have had a later version for SwapDelay: at least one of the replicas that
 //	    answered would then have reported the later version.
@@ -143,9 +144,8 @@
 	if w.Now.Sub(w.RecordsAsOf) > DesiredVersionTTL {
 		return false
 	}
-	m := w.Models[r.Model]
-	at, replaced := m.Versions.ReplacedAt(v)
-	return !replaced || w.Now.Sub(at) < GracePeriod
+	c, replaced := w.Models[r.Model].Versions.ReplacedBy(v)
+	return !replaced || !c.Estimated && w.Now.Sub(c.At) < GracePeriod // an estimate may be long after the change
 }
 
 // confirmed reports whether enough of a model's replicas recently answered under a
