Use no report of a store from before a start, or that is overdue

An instance that had been told of the new start by the answer to its call for changes went on fetching by what the store held before, for up to 1.1 s, until it listed the store; and one whose call was not answered in its time, until the call failed, up to half a second later.

A new start, and a gap, now make the contents stale at once, and the store is listed without a pause; an answer that is 200 ms late makes them stale too. TestNewStartVoidsContentsAtOnce (966 ms late) and TestOverdueAnswerMakesContentsStale failed before. TestHeldUpAnswerIsNotDatedLater leaves reports without a date out, which are none of an answer, and asks for at least ten that have one.

What remains: a store that is away for less than the instance can see, between two calls.

--- a/internal/ops/medlarcachetracker/medlarcachetracker.go
+++ b/internal/ops/medlarcachetracker/medlarcachetracker.go
@@ -7,7 +7,8 @@
 //	    start of the store; otherwise its changes are polled. Contents posted to the core
 //	    are dated with the earliest time at which the store can have answered: the start
 //	    of the call, or the end of its wait if it saw no change. An answer that is
-//	    held up on its way, or read late, is no newer for that.
+//	    held up on its way, or read late, is no newer for that. A gap or a new start makes
+//	    the contents stale until the store is listed, which is done at once.
 //	R2  Parts of an older weight version are freed only when no instance can fetch them
 //	    any more, whatever it knows of the desired versions: a fixed time after the
 //	    version was replaced, and once most replicas run a later one (medlarplacement, R7, R8).
@@ -18,7 +19,8 @@
 //	    many readers share the places. After that it uses long waits, and leaves its
 //	    place for a moment between two calls. A call that doesn't wait at all is as
 //	    expensive as a probe.
-//	R5  A failed call makes the contents stale, since the store may have lost them. The
+//	R5  A failed call makes the contents stale, since the store may have lost them, and so does
+//	    one that is overdue: a store that is back soon may be written again before the call fails. The
 //	    next call waits only briefly for changes, as its answer makes them current.
 //	R6  A store frees parts soon after the decision, or not: the instance may stand still and the
 //	    call be held up, while replicas leave and others may fetch the parts again.
@@ -51,6 +53,7 @@
 	contendedInitial  = 5 * time.Second         // for which a store counts as contended when tracking starts
 	contendedInterval = 1100 * time.Millisecond // maximum from the start of a call to a contended store to the start of the next one
 	contendedWait     = 205 * time.Millisecond  // maximum wait of a call to a contended store
+	overdueAfter      = 200 * time.Millisecond  // from the end of a call's wait until its answer is overdue (R5)
 	refusedPause      = 500 * time.Millisecond  // maximum pause after a refused call
 	failurePause      = 150 * time.Millisecond  // after a failed call
 	freeRankDelay     = 600 * time.Millisecond  // additional delay before freeing, for each rank (R3)
@@ -173,7 +176,7 @@
 		if err := t.read(st); err != nil {
 			if !st.lost {
 				t.deps.OnUnavailable(r, err)
-				t.deps.Post(medlarworld.InventoryReported{Store: r.ID, Epoch: st.epoch}) // without a time, which makes the contents stale
+				t.void(st, st.epoch)
 			}
 			st.lost = true
 			medlarpause.For(ctx, failurePause)
@@ -224,7 +227,10 @@
 		return nil
 	}
 	wait := st.wait()
+	epoch := st.epoch
+	overdue := time.AfterFunc(wait+overdueAfter, func() { t.void(st, epoch) })
 	c, err := t.deps.Events(st.ref.Address, st.next, wait)
+	overdue.Stop()
 	if err != nil {
 		return err
 	}
@@ -236,13 +242,19 @@
 	t.reportMalformed(st, c)
 	if c.Gap || c.Epoch != st.epoch {
 		st.listed = false
-		return nil
+		t.void(st, c.Epoch)
+		return t.read(st)
 	}
 	st.next = c.Next
 	t.apply(st, c, medlarclock.AnsweredFrom(begin, wait, len(c.Changes) > 0), false)
 	return nil
 }
 
+// void makes the contents posted for a store stale, in a start of the store (R1, R5).
+func (t *Tracker) void(st *trackedStore, epoch uint64) {
+	t.deps.Post(medlarworld.InventoryReported{Store: st.ref.ID, Epoch: epoch}) // without a time
+}
+
 // reportMalformed reports rows that describe no part.
 func (t *Tracker) reportMalformed(st *trackedStore, c ChangeBatch) {
 	if c.Malformed > 0 {
