--- a/internal/core/medlarplacement/medlarplacement.go
+++ b/internal/core/medlarplacement/medlarplacement.go
@@ -28,7 +28,8 @@
 //	    replicas, also after the version was replaced: until the replicas have loaded the
 //	    next one they would compute the parts anew. Without such answers, parts are fetched
 //	    until GracePeriod after the version was replaced, and only by an instance that
-//	    learned within DesiredVersionTTL which versions are desired. Hence the parts can be
+//	    learned within DesiredVersionTTL which versions are desired, and followed them when
+//	    it was replaced. Hence the parts can be
 //	    freed once FreeDelay has passed and all but less than ConfirmationShare of the
 //	    replicas have had a later version for SwapDelay: at least one of the replicas that
 //	    answered would then have reported the later version.
@@ -36,7 +37,9 @@
 //	    instance counts answers only while it knows the replicas as of ListTTL ago, and only
 //	    those of replicas that are listed for longer than MaxListAge. So parts can be freed by
 //	    an instance that knows the replicas as of MaxListAge ago, and all that were listed
-//	    within DepartedTTL: another one may still use a replica that is no longer listed.
+//	    within DepartedTTL: another one may still use a replica that is no longer listed, and
+//	    its list may lack one that has joined or left. So the share that may run an older
+//	    version is that of the replicas that were listed all the time.
 package medlarplacement
 
 import (
@@ -141,9 +144,8 @@
 	if w.Now.Sub(w.RecordsAsOf) > DesiredVersionTTL {
 		return false
 	}
-	m := w.Models[r.Model]
-	at, replaced := m.Versions.ReplacedAt(v)
-	return !replaced || w.Now.Sub(at) < GracePeriod
+	c, replaced := w.Models[r.Model].Versions.ReplacedBy(v)
+	return !replaced || !c.Estimated && w.Now.Sub(c.At) < GracePeriod // an estimate may be long after the change
 }
 
 // confirmed reports whether enough of a model's replicas recently answered under a
--- a/internal/ops/medlarcachetracker/medlarcachetracker.go
+++ b/internal/ops/medlarcachetracker/medlarcachetracker.go
@@ -7,7 +7,8 @@
 //	    start of the store; otherwise its changes are polled. Contents posted to the core
 //	    are dated with the earliest time at which the store can have answered: the start
 //	    of the call, or the end of its wait if it saw no change. An answer that is
-//	    held up on its way, or read late, is no newer for that.
+//	    held up on its way, or read late, is no newer for that. A gap or a new start makes
+//	    the contents stale until the store is listed, which is done at once.
 //	R2  Parts of an older weight version are freed only when no instance can fetch them
 //	    any more, whatever it knows of the desired versions: a fixed time after the
 //	    version was replaced, and once most replicas run a later one (medlarplacement, R7, R8).
@@ -18,8 +19,11 @@
 //	    many readers share the places. After that it uses long waits, and leaves its
 //	    place for a moment between two calls. A call that doesn't wait at all is as
 //	    expensive as a probe.
-//	R5  A failed call makes the contents stale, since the store may have lost them. The
+//	R5  A failed call makes the contents stale, since the store may have lost them, and so does
+//	    one that is overdue: a store that is back soon may be written again before the call fails. The
 //	    next call waits only briefly for changes, as its answer makes them current.
+//	R6  A store frees parts soon after the decision, or not: the instance may stand still and the
+//	    call be held up, while replicas leave and others may fetch the parts again.
 package medlarcachetracker
 
 import (
@@ -49,11 +53,13 @@
 	contendedInitial  = 5 * time.Second         // for which a store counts as contended when tracking starts
 	contendedInterval = 1100 * time.Millisecond // maximum from the start of a call to a contended store to the start of the next one
 	contendedWait     = 205 * time.Millisecond  // maximum wait of a call to a contended store
+	overdueAfter      = 200 * time.Millisecond  // from the end of a call's wait until its answer is overdue (R5)
 	refusedPause      = 500 * time.Millisecond  // maximum pause after a refused call
 	failurePause      = 150 * time.Millisecond  // after a failed call
 	freeRankDelay     = 600 * time.Millisecond  // additional delay before freeing, for each rank (R3)
 	ranks             = 4                       // number of distinct ranks
 	freeBatch         = 256                     // maximum number of parts freed by one call
+	freeTimeout       = 400 * time.Millisecond  // from the begin of the decision to free until the store does; within the margins of medlarplacement R7 (R6)
 )
 
 // Part identifies a cached part of a prompt in a store.
@@ -94,8 +100,9 @@
 	Stores func() []StoreRef
 	List   func(medlarid.Address) (ChangeBatch, error)
 	Events func(at medlarid.Address, since uint64, wait time.Duration) (ChangeBatch, error)
-	Free   func(at medlarid.Address, epoch uint64, parts []Part) error
-	Post   func(medlarworld.Event)
+	// Free frees parts, unless the store has started since epoch or the call reaches it after until.
+	Free func(at medlarid.Address, epoch uint64, parts []Part, until time.Time) error
+	Post func(medlarworld.Event)
 	// ReplacedAt returns when a model's weight version was replaced; ok is false if it was
 	// not.
 	ReplacedAt func(medlarid.ModelID, medlarid.WeightVersion) (at time.Time, ok bool)
@@ -169,7 +176,7 @@
 		if err := t.read(st); err != nil {
 			if !st.lost {
 				t.deps.OnUnavailable(r, err)
-				t.deps.Post(medlarworld.InventoryReported{Store: r.ID, Epoch: st.epoch}) // without a time, which makes the contents stale
+				t.void(st, st.epoch)
 			}
 			st.lost = true
 			medlarpause.For(ctx, failurePause)
@@ -220,7 +227,10 @@
 		return nil
 	}
 	wait := st.wait()
+	epoch := st.epoch
+	overdue := time.AfterFunc(wait+overdueAfter, func() { t.void(st, epoch) })
 	c, err := t.deps.Events(st.ref.Address, st.next, wait)
+	overdue.Stop()
 	if err != nil {
 		return err
 	}
@@ -232,13 +242,19 @@
 	t.reportMalformed(st, c)
 	if c.Gap || c.Epoch != st.epoch {
 		st.listed = false
-		return nil
+		t.void(st, c.Epoch)
+		return t.read(st)
 	}
 	st.next = c.Next
 	t.apply(st, c, medlarclock.AnsweredFrom(begin, wait, len(c.Changes) > 0), false)
 	return nil
 }
 
+// void makes the contents posted for a store stale, in a start of the store (R1, R5).
+func (t *Tracker) void(st *trackedStore, epoch uint64) {
+	t.deps.Post(medlarworld.InventoryReported{Store: st.ref.ID, Epoch: epoch}) // without a time
+}
+
 // reportMalformed reports rows that describe no part.
 func (t *Tracker) reportMalformed(st *trackedStore, c ChangeBatch) {
 	if c.Malformed > 0 {
@@ -276,8 +292,9 @@
 }
 
 // free frees a batch of parts whose weight version has been replaced for long enough and
-// on most replicas (R2, R3).
+// on most replicas (R2, R3, R6).
 func (t *Tracker) free(st *trackedStore) {
+	until := time.Now().Add(freeTimeout)
 	var old []Part
 	for _, p := range st.parts {
 		at, ok := t.deps.ReplacedAt(p.Model, p.Salt.Version())
@@ -291,7 +308,7 @@
 	if len(old) == 0 {
 		return
 	}
-	err := t.deps.Free(st.ref.Address, st.epoch, old)
+	err := t.deps.Free(st.ref.Address, st.epoch, old, until)
 	t.deps.OnFreed(st.ref, len(old), err)
 	if err != nil {
 		return
--- a/internal/ops/medlarcachetracker/medlarcachetracker_test.go
+++ b/internal/ops/medlarcachetracker/medlarcachetracker_test.go
@@ -26,12 +26,20 @@
 	lists    int
 	calls    int
 	freed    []Part
+	refused  int // calls to free that came late
 	posted   []medlarworld.InventoryReported
-	replaced time.Time // when version 1 was replaced; zero if it was not
-	changed  bool      // result of PartsUnused
+	postedAt []time.Time   // when they were
+	toldAt   time.Time     // when a call for changes was first answered with a start later than 1
+	silent   time.Duration // for which the next call for changes is not answered
+	replaced time.Time     // when version 1 was replaced; zero if it was not
+	changed  bool          // result of PartsUnused
+	stands   time.Duration // for which the instance stands still while it decides to free
 }
 
-var errDown = errors.New("down")
+var (
+	errDown = errors.New("down")
+	errLate = errors.New("late")
+)
 
 func part(v, id string) Part {
 	return Part{Salt: medlarkey.NewCacheSalt(medlarid.WeightVersion(v), ""), ID: id, Tokens: 100, Model: "m"}
@@ -52,10 +60,17 @@
 }
 
 func (f *fakeStore) readChanges(_ medlarid.Address, since uint64, wait time.Duration) (ChangeBatch, error) {
-	time.Sleep(wait / 2)
+	f.mu.Lock()
+	silent := f.silent
+	f.silent = 0
+	f.mu.Unlock()
+	time.Sleep(wait/2 + silent)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls++
+	if f.epoch > 1 && f.toldAt.IsZero() {
+		f.toldAt = time.Now()
+	}
 	switch {
 	case f.down:
 		return ChangeBatch{}, errDown
@@ -68,9 +83,13 @@
 	return ChangeBatch{Epoch: f.epoch, Next: uint64(len(f.events)), Changes: append([]Change(nil), f.events[since:]...)}, nil
 }
 
-func (f *fakeStore) free(_ medlarid.Address, _ uint64, parts []Part) error {
+func (f *fakeStore) free(_ medlarid.Address, _ uint64, parts []Part, until time.Time) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !time.Now().Before(until) {
+		f.refused++
+		return errLate
+	}
 	f.freed = append(f.freed, parts...)
 	return nil
 }
@@ -95,7 +114,7 @@
 				f.mu.Lock()
 				defer f.mu.Unlock()
 				if e, ok := e.(medlarworld.InventoryReported); ok {
-					f.posted = append(f.posted, e)
+					f.posted, f.postedAt = append(f.posted, e), append(f.postedAt, time.Now())
 				}
 			},
 			ReplacedAt: func(_ medlarid.ModelID, v medlarid.WeightVersion) (time.Time, bool) {
@@ -105,8 +124,10 @@
 			},
 			PartsUnused: func(medlarid.ModelID, medlarid.WeightVersion) bool {
 				f.mu.Lock()
-				defer f.mu.Unlock()
-				return f.changed
+				changed, stands := f.changed, f.stands
+				f.mu.Unlock()
+				time.Sleep(stands)
+				return changed
 			},
 			OnUnavailable: func(StoreRef, error) {}, OnRecovered: func(StoreRef) {}, OnListed: func(StoreRef, uint64, int) {}, OnFreed: func(StoreRef, int, error) {}, OnMalformed: func(StoreRef, int, bool) {},
 		})
@@ -158,6 +179,50 @@
 	}
 }
 
+// TestNewStartVoidsContentsAtOnce guards against fetches by what a store held before a start that the instance knows of: others
+// may be writing the parts again (MIXED).
+func TestNewStartVoidsContentsAtOnce(t *testing.T) {
+	f := &fakeStore{epoch: 1}
+	f.add("1", "a")
+	runTracker(t, f,
+		func(*fakeStore) time.Duration { return time.Second },
+		func(f *fakeStore) time.Duration { f.epoch = 2; return 3 * time.Second },
+	)
+	for i, e := range f.posted {
+		if e.Epoch == 2 {
+			if late := f.postedAt[i].Sub(f.toldAt); late > 0 {
+				t.Errorf("contents of the earlier start are void %v after the store told of the new one, want at once", late)
+			}
+			return
+		}
+	}
+	t.Error("the new start is not noticed")
+}
+
+// TestOverdueAnswerMakesContentsStale guards against fetches by what a store held that has fallen silent: it may have started
+// anew, and others may be writing the parts again (MIXED).
+func TestOverdueAnswerMakesContentsStale(t *testing.T) {
+	const silent = 1300 * time.Millisecond
+	f := &fakeStore{epoch: 1}
+	var since time.Time
+	runTracker(t, f,
+		func(*fakeStore) time.Duration { return time.Second },
+		func(f *fakeStore) time.Duration { f.silent, since = silent, time.Now(); return 3 * time.Second },
+	)
+	for i, e := range f.posted {
+		if e.At.IsZero() {
+			if took := f.postedAt[i].Sub(since); took > contendedInterval+contendedWait+overdueAfter {
+				t.Errorf("contents are stale %v after the store fell silent", took)
+			}
+			if last := f.posted[len(f.posted)-1]; last.At.IsZero() {
+				t.Error("contents are not current again")
+			}
+			return
+		}
+	}
+	t.Error("contents stay current")
+}
+
 func TestUnavailableStoreIsStale(t *testing.T) {
 	f := &fakeStore{epoch: 1}
 	runTracker(t, f,
@@ -221,6 +286,28 @@
 	}
 }
 
+// TestPartsAreNotFreedLate guards against parts that are freed long after the decision, as the instance stood still, when
+// others may fetch them again (MIXED).
+func TestPartsAreNotFreedLate(t *testing.T) {
+	f := &fakeStore{epoch: 1, changed: true, stands: time.Second}
+	f.add("1", "a")
+	runTracker(t, f,
+		func(f *fakeStore) time.Duration {
+			f.replaced = time.Now().Add(-time.Hour)
+			return 5 * time.Second
+		},
+		func(f *fakeStore) time.Duration {
+			if len(f.freed) > 0 || f.refused == 0 {
+				t.Errorf("parts are freed late: %v; calls that came late: %d", f.freed, f.refused)
+			}
+			f.stands = 0
+			return 5 * time.Second
+		})
+	if len(f.freed) != 1 {
+		t.Errorf("freed %v after a decision in time, want 1 part", f.freed)
+	}
+}
+
 // places is the number of calls that may wait at a store at the same time.
 const places = 12
 
