Pass on what a replica has said to all for which an instance relays

What replicas saw: while several instances were cut off from them and connected through the same one, a replica that asked for a pause, or said that it leaves, in its answer to one of them went on getting the others' requests from the instance between. It counts these as that one's: BUDGET (pauses) and DRAIN.

Cause: a hint that came from another instance was not passed on, and neither was what the instance between heard itself within a second of one. That was to keep two instances from telling each other again and again.

The event and the command now name who passed the hint on. A relay tells all for which it relays to that replica but the one it has it from; an instance that is told by its relay tells nobody but those for which it relays itself.

TestHintsReachAllThatARelayServes, both rows, failed before (the third instance was told 0 times) and passes now, twice; so does TestHintsReachTheRelay.

--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -173,6 +173,7 @@
 type UpstreamLeaving struct {
 	Upstream    medlarid.InstanceID
 	Incarnation medlarid.Incarnation
+	From        medlarid.InstanceID // that passed it on; empty for a response to this instance
 }
 
 // UpstreamPaused reports that an upstream turned a request away and asked for no further ones
@@ -181,6 +182,7 @@
 	Upstream    medlarid.InstanceID
 	Incarnation medlarid.Incarnation
 	For         time.Duration
+	From        medlarid.InstanceID // as in UpstreamLeaving
 }
 
 // UpstreamProbed reports whether an upstream that ended connections is down: it refuses new ones.
@@ -437,8 +439,9 @@
 // Avoided reports that an upstream gets no new work because of what it said in a response.
 type Avoided struct {
 	Upstream medlarid.InstanceID
-	Leaving  bool          // for good; otherwise for a pause
-	For      time.Duration // the pause
+	Leaving  bool                // for good; otherwise for a pause
+	For      time.Duration       // the pause
+	From     medlarid.InstanceID // that passed it on; empty for a response to this instance
 }
 
 // Ejected reports that an upstream was ejected or readmitted.
--- a/internal/ops/medlarattachednode/reach_test.go
+++ b/internal/ops/medlarattachednode/reach_test.go
@@ -199,6 +199,44 @@
 	}
 }
 
+// TestHintsReachAllThatARelayServes guards against requests that a relay carries to a replica which has told it, for a
+// request of one instance that it relays for, that it leaves or wants a pause.
+func TestHintsReachAllThatARelayServes(t *testing.T) {
+	t.Parallel()
+	const told = `"event":"avoid","replica":"ledger-1"`
+	for _, tc := range []struct {
+		name string
+		hint func(*medlarfakereplica.Replica)
+	}{
+		{"leaving", func(r *medlarfakereplica.Replica) { r.AnnounceLeaving() }},
+		{"pause", func(r *medlarfakereplica.Replica) { r.Arm(medlarfakereplica.FaultPause, 1) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			f := startLinked(t, 3, func(s *medlarsite.Settings) { s.Plain = 1 })
+			f.awaitAcquaintance()
+			f.set(medlarlink.Refused, 0, 1)
+			n := 0
+			post := func(w *fixture) result {
+				n++
+				return w.send(request{method: "POST", path: "/post/a", id: fmt.Sprint("h", n), body: "{}"})
+			}
+			for _, w := range f.members[:2] {
+				w.eventually("a connection is relayed", func() bool { return post(w).status == 200 })
+			}
+			tc.hint(f.site.Plain[0])
+			post(f.members[0])
+			f.members[0].eventually("the instance knows", func() bool { return f.members[0].logged(told) })
+			time.Sleep(400 * time.Millisecond)
+			for i, w := range f.members {
+				if n := strings.Count(w.logs.text(), told); n != 1 {
+					t.Errorf("instance %d was told %d times, want once", i+1, n)
+				}
+			}
+		})
+	}
+}
+
 // TestCutEnds guards against an instance that goes on relaying once its direct path works again.
 func TestCutEnds(t *testing.T) {
 	t.Parallel()
--- a/internal/ops/medlardialer/medlardialer.go
+++ b/internal/ops/medlardialer/medlardialer.go
@@ -6,8 +6,9 @@
 //	R1  medlarreach decides by which path; how each try ended is reported to it.
 //	R2  A direct connection that is late continues to its end although another instance was faster, so that it is known
 //	    how it ended.
-//	R3  What a replica states about further requests is passed to the instances that relay to it, or for which this one
-//	    does. What arrived from another instance is not passed on.
+//	R3  What a replica states about further requests is passed to the instances that relay to it, and to those for which
+//	    this one does: the replica counts their requests as this one's. What arrived from another instance is passed to
+//	    the latter only, and not back.
 package medlardialer
 
 import (
@@ -39,7 +40,6 @@
 	forPeerTimeout   = 250 * time.Millisecond // to open a connection for another instance, which waits a little longer
 	retryTimeout     = 500 * time.Millisecond // to get an answer on a path that is broken
 	hintTimeout      = time.Second            // to pass on what a replica has said
-	hintMemory       = time.Second            // what came from another instance is not passed on for so long (R3)
 	ownProofTimeout  = time.Second            // of a call that examines a path
 	proofPatience    = 250 * time.Millisecond // after which other instances are asked meanwhile
 	proofGrace       = 150 * time.Millisecond // for the answer to this instance, once another one has got its own
@@ -100,7 +100,6 @@
 	incarnation medlarid.Incarnation
 	leaving     bool
 	until       time.Time // of a pause
-	hintedAt    time.Time // when another instance told of it last
 }
 
 // New returns a Dialer that knows no other instances. Connect is called before it is used.
--- a/internal/ops/medlardialer/peer.go
+++ b/internal/ops/medlardialer/peer.go
@@ -82,19 +82,8 @@
 		a.until = time.Now().Add(c.For)
 	}
 	d.avoided[c.Upstream] = a
-	hinted := time.Since(a.hintedAt) < hintMemory
-	tell := map[medlarid.InstanceID]medlartunnel.Peer{}
-	for id := range d.relayed[c.Upstream] {
-		tell[id] = d.peers[id]
-	}
-	for _, id := range d.server.Users(c.Upstream) {
-		tell[id] = d.peers[id]
-	}
-	delete(d.relayed, c.Upstream)
+	tell := d.concerned(c)
 	d.mu.Unlock()
-	if hinted {
-		return
-	}
 	h := medlartunnel.Hint{Replica: c.Upstream, Incarnation: r.Incarnation, Leaving: c.Leaving, Pause: c.For}
 	for _, p := range tell {
 		if p.Address != "" {
@@ -103,6 +92,24 @@
 	}
 }
 
+// concerned returns the instances to which is passed on what a replica has stated (R3). The caller holds the lock.
+func (d *Dialer) concerned(c medlarworld.Avoided) map[medlarid.InstanceID]medlartunnel.Peer {
+	out := map[medlarid.InstanceID]medlartunnel.Peer{}
+	for _, id := range d.server.Users(c.Upstream) {
+		if id != c.From {
+			out[id] = d.peers[id]
+		}
+	}
+	if c.From != "" {
+		return out
+	}
+	for id := range d.relayed[c.Upstream] {
+		out[id] = d.peers[id]
+	}
+	delete(d.relayed, c.Upstream)
+	return out
+}
+
 // forgetGone forgets what replicas that are no longer listed have stated. The caller holds the lock.
 func (d *Dialer) forgetGone() {
 	maps.DeleteFunc(d.avoided, func(id medlarid.InstanceID, _ avoidance) bool { return !d.exists(id) })
@@ -123,22 +130,14 @@
 }
 
 // takeHint takes what a replica has stated to another instance.
-func (d *Dialer) takeHint(h medlartunnel.Hint) {
+func (d *Dialer) takeHint(sender medlarid.InstanceID, h medlartunnel.Hint) {
 	if r, ok := d.lookup(h.Replica); !ok || r.Incarnation != h.Incarnation {
 		return
 	}
-	d.mu.Lock()
-	a := d.avoided[h.Replica]
-	if a.incarnation != h.Incarnation {
-		a = avoidance{incarnation: h.Incarnation}
-	}
-	a.hintedAt = time.Now()
-	d.avoided[h.Replica] = a
-	d.mu.Unlock()
 	if h.Leaving {
-		d.post(medlarworld.UpstreamLeaving{Upstream: h.Replica, Incarnation: h.Incarnation})
+		d.post(medlarworld.UpstreamLeaving{Upstream: h.Replica, Incarnation: h.Incarnation, From: sender})
 	}
 	if h.Pause > 0 {
-		d.post(medlarworld.UpstreamPaused{Upstream: h.Replica, Incarnation: h.Incarnation, For: h.Pause})
+		d.post(medlarworld.UpstreamPaused{Upstream: h.Replica, Incarnation: h.Incarnation, For: h.Pause, From: sender})
 	}
 }
--- a/internal/peer/medlartunnel/medlartunnel.go
+++ b/internal/peer/medlartunnel/medlartunnel.go
@@ -13,8 +13,9 @@
 //	    instance between.
 //	R4  When the instance that asked closes the connection, the one to the replica is closed too.
 //	R5  An instance can also be asked whether a replica answers it now. A connection that opens does not prove that.
-//	R6  What a replica has stated to one side about further requests is passed to the other one, since the replica
-//	    states it to the instance between and does not know who has asked.
+//	R6  What a replica has stated to one side about further requests is passed to the other one, and by the instance
+//	    between to all for which it relays, since the replica states it to the instance between and does not know who has
+//	    asked.
 package medlartunnel
 
 import (
--- a/internal/peer/medlartunnel/medlartunnel_test.go
+++ b/internal/peer/medlartunnel/medlartunnel_test.go
@@ -60,7 +60,7 @@
 			return c, ResultOpened
 		},
 		Prove:     func(context.Context, medlarid.InstanceID, medlarid.Incarnation) Result { return f.proof },
-		OnHint:    func(h Hint) { f.hints <- h },
+		OnHint:    func(_ medlarid.InstanceID, h Hint) { f.hints <- h },
 		OnRequest: func(medlarid.InstanceID, medlarid.InstanceID, Result) {},
 	})
 	if err := f.server.Listen("127.0.0.1:0"); err != nil {
--- a/internal/peer/medlartunnel/server.go
+++ b/internal/peer/medlartunnel/server.go
@@ -21,8 +21,8 @@
 	Dial func(ctx context.Context, replica medlarid.InstanceID, incarnation medlarid.Incarnation) (net.Conn, Result)
 	// Prove returns ResultAnswers if a replica answers this instance now, or why it cannot state so (R5).
 	Prove func(ctx context.Context, replica medlarid.InstanceID, incarnation medlarid.Incarnation) Result
-	// OnHint is called with what a replica has stated to another instance (R6).
-	OnHint func(Hint)
+	// OnHint is called with what a replica has stated to another instance, which has passed it on (R6).
+	OnHint func(sender medlarid.InstanceID, h Hint)
 	// OnRequest is called with the result of each request for a connection.
 	OnRequest func(sender, replica medlarid.InstanceID, r Result)
 }
@@ -123,7 +123,7 @@
 		return
 	}
 	if q.isHint() {
-		s.deps.OnHint(q.hint)
+		s.deps.OnHint(q.sender, q.hint)
 		_, _ = c.Write([]byte{byte(ResultTaken)})
 		return
 	}
