Send nothing to a replica that asked for a pause while the connection opened

Cause: a pause keeps the core from choosing a replica. An attempt for which it had been chosen before was sent when its connection had opened, whatever the replica had said meanwhile. Opening takes up to 0.4 s, and 0.7 s more through another instance, longer beside a starved processor, and as many attempts as have come since wait for it.

The proxy asks once more when it has the connection, and gives the attempt up as one that reached nothing: the request goes elsewhere, or is refused as not run.

--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -66,6 +66,7 @@
 	errPromise        = eris.New("status of the response states that the request did not run, but the response is no rejection")
 	errNotStream      = eris.New("response cannot continue the stream")
 	errEnded          = eris.New("the instance is about to end")
+	errPaused         = eris.New("upstream asked for a pause while the connection was being opened")
 )
 
 // do makes the attempt and returns its result.
@@ -79,6 +80,10 @@
 	}
 	a.upstream, a.reused, a.via = c, c.Reused, c.Via
 	a.summary.ConnectTime, a.summary.Reused, a.summary.Via = time.Since(a.started), c.Reused, c.Via
+	if a.proxy.deps.Paused(a.cmd.Upstream, a.cmd.Incarnation) { // R6
+		_ = c.Close()
+		return a.failed(errPaused, medlarreason.Busy, false)
+	}
 	_ = c.SetDeadline(a.deadline())
 	remove, ok := a.proxy.open.Add(c)
 	if !ok {
--- a/internal/edge/medlarproxy/close_test.go
+++ b/internal/edge/medlarproxy/close_test.go
@@ -21,14 +21,15 @@
 	"medlarfield/platform"
 )
 
-// newServer returns a server, and its address, whose core starts each run at one replica at once.
-func newServer(t *testing.T, r *medlarfakereplica.Replica) (*medlarserver.Server, string) {
+// newServer returns a server, and its address, whose core starts each run at one replica at once. change changes what it
+// depends on, and may be nil.
+func newServer(t *testing.T, r *medlarfakereplica.Replica, change func(*medlarproxy.Deps)) (*medlarserver.Server, string) {
 	t.Helper()
 	cat := medlarcatalog.New(1, []medlarcatalog.Route{{
 		Name: "r", Host: "a.example", Prefix: "/", Kind: medlarcatalog.KindAtMostOnce, AllowAnonymous: true, MaxAttempts: 1,
 		Timeout: 5 * time.Second, Backends: []medlarcatalog.Backend{{Service: "s", Weight: 1}},
 	}}, nil, nil, false, medlarcatalog.Limits{MaxHeaderBytes: 8192, MaxBodyBytes: 8192, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second})
-	server := medlarproxy.New(medlarproxy.Deps{
+	deps := medlarproxy.Deps{
 		UnreadyRetryAfter: func() time.Duration { return time.Second },
 		Catalog:           func() *medlarcatalog.Catalog { return cat },
 		Submit: func(run *medlarworld.Run, _ medlarworld.Limits) <-chan medlarworld.Command {
@@ -43,6 +44,7 @@
 		OnVersionReported: func(medlarid.InstanceID, medlarid.WeightVersion) {},
 		OnVersionDenied:   func(medlarid.InstanceID, medlarid.WeightVersion) {},
 		OnMalformedHint:   func(medlarid.InstanceID) {},
+		Paused:            func(medlarid.InstanceID, medlarid.Incarnation) bool { return false },
 		Pool:              medlarpool.NewDirect(),
 		Decode:            medlarplatform.DecodeCall,
 		Forward:           medlarplatform.NewClock().AppendForward,
@@ -50,7 +52,11 @@
 		Refusal:           medlarplatform.AppendRefusal,
 		Observer:          medlarproxy.Observer{AttemptEnded: func(*medlarcall.Attempt) {}, RequestEnded: func(*medlarcall.Summary) {}},
 		Rand:              func() float64 { return 0 },
-	}).Server()
+	}
+	if change != nil {
+		change(&deps)
+	}
+	server := medlarproxy.New(deps).Server()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -69,7 +75,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(r.Kill)
-	server, addr := newServer(t, r)
+	server, addr := newServer(t, r, nil)
 	unanswered := 0
 	for n := range 1500 {
 		c, err := net.Dial("tcp", addr)
--- a/internal/edge/medlarproxy/medlarproxy.go
+++ b/internal/edge/medlarproxy/medlarproxy.go
@@ -19,6 +19,7 @@
 //	    event, within the same response and only after the first upstream connection
 //	    is closed. A response that does not begin after that event is not relayed;
 //	    neither is one to a client that resumes its stream.
+//	R6  A request is not sent to an upstream that has asked for a pause since it was selected.
 package medlarproxy
 
 import (
@@ -56,7 +57,9 @@
 	// OnMalformedHint is called when a replica says with an invalid value that it leaves or
 	// wants a pause; the value is ignored.
 	OnMalformedHint func(medlarid.InstanceID)
-	Pool            *medlarpool.Pool
+	// Paused reports whether an upstream wants no requests at present, as it has said under its incarnation.
+	Paused func(medlarid.InstanceID, medlarid.Incarnation) bool
+	Pool   *medlarpool.Pool
 	// Decode parses the metadata of a request.
 	Decode func(*medlarhead.Head) (medlarcall.Call, error)
 	// Forward appends the header fields of a request to an upstream.
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -184,6 +184,7 @@
 }
 
 func newProxy(log zerolog.Logger, m *medlarmetric.Metrics, loop *medlarloop.Loop, registry *medlarregistry.Registry, pool *medlarpool.Pool, clock *medlarplatform.Clock,
+	d *medlardialer.Dialer,
 ) *medlarproxy.Proxy {
 	return medlarproxy.New(medlarproxy.Deps{
 		Catalog:           registry.Catalog,
@@ -198,6 +199,7 @@
 		OnVersionReported: registry.ObserveVersion,
 		OnVersionDenied:   registry.ObserveVersionMismatch,
 		OnMalformedHint:   func(medlarid.InstanceID) { m.HintReceived(medlarmetric.HintMalformed) },
+		Paused:            d.Paused,
 		Pool:              pool,
 		Decode:            medlarplatform.DecodeCall,
 		Forward:           clock.AppendForward,
--- a/internal/ops/medlardialer/peer.go
+++ b/internal/ops/medlardialer/peer.go
@@ -64,6 +64,14 @@
 	return a.leaving || time.Now().Before(a.until)
 }
 
+// Paused reports whether a replica wants no requests from this instance at present, as it has stated under its incarnation.
+func (d *Dialer) Paused(id medlarid.InstanceID, incarnation medlarid.Incarnation) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	a := d.avoided[id]
+	return a.incarnation == incarnation && time.Now().Before(a.until)
+}
+
 // Avoid records that this instance sends nothing more to a replica because of what that stated, and passes it
 // on (R3).
 func (d *Dialer) Avoid(c medlarworld.Avoided) {
