Soak: pauses, and requests and parts that crash replicas

The records now name the instance over whose link a request came (of a relayed request the one between), the pauses that replicas ask for, the states of links and the store, and what of a request crashes replicas; medlarverdict R13 to R15 judge them, and TestEachRuleCanBeBroken has records for each. The kinds of faults (pauses, pauses-beside-cuts, deadly-request, deadly-part) are played by name only, so that seeds keep their schedules.

--- a/internal/stand/medlarfakereplica/exchange.go
+++ b/internal/stand/medlarfakereplica/exchange.go
@@ -45,6 +45,8 @@
 		r.Settings.Arrived(run)
 	}
 	switch {
+	case x.fault == FaultPause:
+		return writeResponse(x.conn, 503, x.requestIDField()+notExecuted+r.hintFields()+"Retry-After: "+PauseSeconds+"\r\n", "")
 	case x.fault == FaultMisdirected:
 		return writeResponse(x.conn, 421, x.requestIDField()+"Medlarfield-Instance-Id: other\r\n", "")
 	case target != "" && target != r.Settings.ID, expect != "" && expect != version:
@@ -53,8 +55,6 @@
 			fields += "Medlarfield-Weight-Versions: " + version + "\r\n"
 		}
 		return writeResponse(x.conn, 421, fields, "")
-	case x.fault == FaultPause:
-		return writeResponse(x.conn, 503, x.requestIDField()+notExecuted+r.hintFields()+"Retry-After: "+PauseSeconds+"\r\n", "")
 	case x.fault == FaultShed || !r.acquireSlot():
 		r.turnAway()
 		return writeResponse(x.conn, 503, x.requestIDField()+notExecuted+r.hintFields(), "")
@@ -87,7 +87,7 @@
 		Account: x.header("Medlarfield-Tenant"), Model: x.header("Medlarfield-Model"), Salt: x.header("Medlarfield-Cache-Salt"),
 		Version: x.header(headerExpect), LastEventID: x.header("Last-Event-Id"),
 		KVSource: x.header("Medlarfield-Kv-Source"), KVTarget: x.header("Medlarfield-Kv-Target"),
-		Parts: x.parts(), Replica: x.replica.Settings.ID, Timeout: x.header("Medlarfield-Timeout-Ms"),
+		Parts: x.parts(), Replica: x.replica.Settings.ID, Timeout: x.header("Medlarfield-Timeout-Ms"), Remote: x.conn.RemoteAddr().String(), Fault: string(x.fault),
 	}
 }
 
--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -110,9 +110,10 @@
 	CrashBegun    CrashPoint = "begun"    // after the head, before the body
 )
 
-// Run is the record of a request that ran (R2). Timeout is the time that it has left, as its header field states it.
+// Run is the record of a request that ran (R2). Timeout is the time that it has left, as its header field states it, Remote the
+// address from which it came, and Fault the Fault of its response.
 type Run struct {
-	ID, Method, Target, Body                   string
+	ID, Method, Target, Body, Remote, Fault    string
 	Account, Model, Salt, Version, LastEventID string
 	KVSource, KVTarget, Replica, Timeout       string
 	Parts                                      []string // ids of the prompt's parts
--- a/internal/stand/medlarlink/medlarlink.go
+++ b/internal/stand/medlarlink/medlarlink.go
@@ -144,6 +144,18 @@
 	return err
 }
 
+// Carries reports whether a connection over the link comes to its replica from an address.
+func (l *Link) Carries(address string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p := range l.pairs {
+		if p.far.LocalAddr().String() == address {
+			return true
+		}
+	}
+	return false
+}
+
 // Set puts the link into a state.
 func (l *Link) Set(state State) error {
 	l.mu.Lock()
--- a/internal/stand/medlarschedule/medlarschedule.go
+++ b/internal/stand/medlarschedule/medlarschedule.go
@@ -93,6 +93,10 @@
 	{"weights", (*draw).weights},
 	// This one and those behind it are played by name only, so that seeds keep their schedules.
 	{kindReleaseOutOfStep, (*draw).releaseOutOfStep},
+	{"pauses", (*draw).pauses},
+	{"pauses-beside-cuts", func(d *draw) []Step { return append(d.cut(d.nodes-1), d.pauses()...) }},
+	{"deadly-request", func(d *draw) []Step { return d.deadly("request") }},
+	{"deadly-part", func(d *draw) []Step { return d.deadly("part") }},
 }
 
 const (
@@ -342,6 +346,28 @@
 	return append(out, post(ends+after, "disarm"))
 }
 
+// pauses lets each replica reject a request with a pause, again and again.
+func (d *draw) pauses() []Step {
+	const first, interval = 500 * time.Millisecond, 700 * time.Millisecond
+	var out []Step
+	for i := range 3 {
+		out = append(out, post(first+time.Duration(i)*interval, "arm?fault=%s&n=1", medlarfakereplica.FaultPause))
+	}
+	return out
+}
+
+// deadly lets replicas crash under requests of a kind until all faults end; instances are disturbed beside it.
+func (d *draw) deadly(kind string) []Step {
+	out := []Step{post(0, "deadly?kind=%s", kind)}
+	beside := [][]Step{d.restart(VerbKill, d.pick(1)), d.cut(2), d.pause(), d.cut(d.nodes - 1), nil}[d.IntN(5)]
+	delay := d.within(2 * time.Second)
+	for _, s := range beside {
+		s.At += delay
+		out = append(out, s)
+	}
+	return out
+}
+
 func (d *draw) weights() []Step {
 	d.weight++
 	return []Step{post(0, "weights?version=%d", d.weight), post(time.Second, "change")}
@@ -349,7 +375,7 @@
 
 // calm ends all faults.
 func (d *draw) calm(at time.Duration) []Step {
-	out := []Step{post(at, "disarm"), post(at, "store?fault="), post(at, usualStore), post(at, "odd?entry=-1")}
+	out := []Step{post(at, "disarm"), post(at, "store?fault="), post(at, usualStore), post(at, "odd?entry=-1"), post(at, "deadly")}
 	for _, i := range d.all() {
 		out = append(out, post(at, "link?name=entry-%s&state=%s", i, medlarlink.Up))
 	}
--- a/internal/stand/medlarsite/link.go
+++ b/internal/stand/medlarsite/link.go
@@ -22,6 +22,18 @@
 	return l
 }
 
+// LinkFrom returns the name of the instance over whose link a connection comes from an address; empty for none.
+func (s *Site) LinkFrom(address string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, l := range s.links {
+		if l.Carries(address) {
+			return name
+		}
+	}
+	return ""
+}
+
 // linkTo returns the view of an instance to which entries of replicas name their addresses on its link.
 func (s *Site) linkTo(name string) medlarfaketopic.View {
 	l := s.Link(name)
--- a/internal/stand/medlarsoak/faults.go
+++ b/internal/stand/medlarsoak/faults.go
@@ -1,6 +1,7 @@
 package medlarsoak
 
 import (
+	"cmp"
 	"io"
 	"strconv"
 	"strings"
@@ -28,24 +29,24 @@
 	site    *medlarsite.Site
 	stutter medlarstutter.Stutter
 
-	mu   sync.Mutex
-	w    io.Writer // for the records of arrivals and runs
-	most int       // largest number of attempts of all routes; 0 while each has its own
+	mu     sync.Mutex
+	w      io.Writer // for the records of arrivals and runs
+	most   int       // largest number of attempts of all routes; 0 while each has its own
+	deadly map[Deadly]bool
 }
 
 // NewPlatform starts a platform. The runs of its replicas are written to w.
 func NewPlatform(cfg medlarsite.Settings, w io.Writer) (*Platform, error) {
-	p := &Platform{w: w}
+	p := &Platform{w: w, deadly: map[Deadly]bool{}}
 	cfg.NameRequests, cfg.Wrap, cfg.Builds = true, p.stutter.Wrap, []string{"r0"}
-	cfg.Arrived = func(r medlarfakereplica.Run) { p.record(r, false) }
+	cfg.Arrived = p.arrived
 	site, err := medlarsite.New(cfg)
 	if err != nil {
 		return nil, err
 	}
 	p.site = site
 	site.CrashOnRequest(func(r medlarfakereplica.Run) medlarfakereplica.CrashPoint { // is called for each run
-		p.record(r, true)
-		return medlarfakereplica.CrashNowhere
+		return crashPoints[p.record(r, Run{Ran: true})]
 	})
 	return p, nil
 }
@@ -53,14 +54,53 @@
 // Site returns the emulated platform.
 func (p *Platform) Site() *medlarsite.Site { return p.site }
 
-// record records a request that arrived at a replica, or that it began to run.
-func (p *Platform) record(r medlarfakereplica.Run, ran bool) {
-	left, _ := strconv.ParseInt(r.Timeout, 10, 64) // 0 for one that is missing or no number
+// crashPoints are the points of an answer at which replicas crash.
+var crashPoints = map[Deadly]medlarfakereplica.CrashPoint{
+	DeadlyNone:    medlarfakereplica.CrashNowhere,
+	DeadlyRequest: medlarfakereplica.CrashRunning,
+	DeadlyPart:    medlarfakereplica.CrashBegun,
+}
+
+// arrived records a request that arrived at a replica, and the pause that the replica asks for in its response.
+func (p *Platform) arrived(r medlarfakereplica.Run) {
+	p.record(r, Run{})
+	if r.Fault == string(medlarfakereplica.FaultPause) {
+		pause, _ := time.ParseDuration(medlarfakereplica.PauseSeconds + "s")
+		p.record(r, Run{Pause: pause.Milliseconds()})
+	}
+}
+
+// record completes and writes the record of a request that arrived at a replica, and returns what of it crashes replicas.
+func (p *Platform) record(r medlarfakereplica.Run, out Run) Deadly {
+	out.Left, _ = strconv.ParseInt(r.Timeout, 10, 64) // 0 for one that is missing or no number
+	out.ID, out.Path, out.Resumed, out.Replica = r.ID, r.Target, r.LastEventID != "", r.Replica
+	out.Instance = p.site.LinkFrom(r.Remote)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_ = write(p.w, Run{
-		At: time.Now().UnixMilli(), ID: r.ID, Path: r.Target, Resumed: r.LastEventID != "", Replica: r.Replica, Left: left, Most: p.most, Ran: ran,
-	})
+	if kind := deadlyPaths[r.Target]; p.deadly[kind] {
+		out.Deadly = kind
+	}
+	out.At, out.Most = time.Now().UnixMilli(), p.most
+	_ = write(p.w, out)
+	return out.Deadly
+}
+
+// setState puts a link, or the store for an empty instance, into a state.
+func (p *Platform) setState(instance, state string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = write(p.w, Run{At: time.Now().UnixMilli(), Instance: instance, State: cmp.Or(state, StateUp)})
+}
+
+// setDeadly makes replicas crash under the requests of a kind; none ends that.
+func (p *Platform) setDeadly(kind Deadly) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if kind == DeadlyNone {
+		clear(p.deadly)
+		return
+	}
+	p.deadly[kind] = true
 }
 
 // setAttempts sets the largest number of attempts of all routes. Requests that are under way may have begun with
@@ -84,6 +124,7 @@
 //	POST /arm?fault=F&n=N                           injects a fault into the next N requests at each replica
 //	POST /broken?with=I&n=N                         breaks N streams of each replica off; resumptions get response I
 //	POST /disarm                                    takes the faults of the last three back
+//	POST /deadly?kind=K                             makes replicas crash under the requests of a kind; under none without one
 //	POST /rewind?n=N                                lets the store come back without the last N records of each topic
 //	POST /odd?entry=I                               writes odd entry I of replicas; removes all for -1
 func (p *Platform) Handler() fasthttp.RequestHandler {
@@ -95,9 +136,15 @@
 		case "/attempts":
 			p.setAttempts(ctx, q.GetUintOrZero("n"))
 		case "/link":
+			p.setState(text("name"), text("state"))
 			if err := p.site.Link(text("name")).Set(medlarlink.State(text("state"))); err != nil {
 				ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
 			}
+		case "/store":
+			p.setState("", text("fault"))
+			other(ctx)
+		case "/deadly":
+			p.setDeadly(Deadly(text("kind")))
 		case "/copies":
 			p.stutter.ArmTimes(medlarstutter.Copy{
 				Status: q.GetUintOrZero("status"), Without: text("without"), Form: medlarstutter.Form(text("form")),
--- a/internal/stand/medlarsoak/load.go
+++ b/internal/stand/medlarsoak/load.go
@@ -37,6 +37,7 @@
 	CalmFile  string  // is written when all faults have ended
 	Seed      uint64
 	Same      bool // all requests of a route have the same path and body
+	Deadly    bool // requests under which replicas may crash come, too
 
 	client *fasthttp.Client
 	mu     sync.Mutex
@@ -55,6 +56,9 @@
 	begin := time.Now()
 	interval := time.Duration(float64(time.Second) / l.Rate)
 	var wg sync.WaitGroup
+	if l.Deadly {
+		wg.Go(l.sendDeadly)
+	}
 	for n := 0; !l.done(); n++ {
 		time.Sleep(time.Until(begin.Add(time.Duration(n) * interval)))
 		to := l.Instances[r.IntN(len(l.Instances))]
--- a/internal/stand/medlarsoak/record.go
+++ b/internal/stand/medlarsoak/record.go
@@ -32,6 +32,16 @@
 	Error    string `json:"error"`
 }
 
+// Deadly is what of a request crashes the replicas that run it.
+type Deadly string
+
+// What crashes replicas.
+const (
+	DeadlyNone    Deadly = ""        // nothing
+	DeadlyRequest Deadly = "request" // the request, which comes again and again
+	DeadlyPart    Deadly = "part"    // a part of its prompt, no two of which are alike
+)
+
 // Run is a request that arrived at a replica.
 type Run struct {
 	At      int64  `json:"at"` // Unix ms
@@ -43,13 +53,29 @@
 	Most    int    `json:"most"`   // largest number of attempts of the request's route; 0 if it is as at first
 	Ran     bool   `json:"ran"`    // the replica began to run the request
 	Denied  bool   `json:"denied"` // the replica says that it did not run what is recorded as its run of the request
+	// Instance is the one over whose link the request came: of a relayed request the one between.
+	Instance string `json:"instance"`
+	Deadly   Deadly `json:"deadly"`
+	Pause    int64  `json:"pause"` // in ms: for so long the replica, which rejects the request, wants none from the instance; 0 if it does not say so
+	// State is the one into which the link of Instance was put, or the store if Instance is empty. Such a record is of no
+	// request.
+	State string `json:"state"`
 }
 
+// StateUp is the state of a link or a store without a fault.
+const StateUp = "up"
+
 // Happening is what was seen of a process in the course of a schedule.
 type Happening string
 
-// Happenings.
+// Happenings. The node follows each of the first five.
 const (
+	Started Happening = "start"
+	Killed  Happening = "kill"
+	Ended   Happening = "term" // got SIGTERM
+	Stopped Happening = "stop"
+	GoesOn  Happening = "cont"
+
 	Died   Happening = "died"   // ended without a signal; the node follows
 	Exit   Happening = "exit"   // ended after SIGTERM; the node and the exit code follow
 	Back   Happening = "back"   // all instances were started after all had been killed
@@ -69,6 +95,8 @@
 	Calls     []*Call
 	Arrivals  []Run // of all requests, whether they ran or not
 	Runs      []Run // of those that ran
+	Pauses    []Run // of those that were rejected with a pause
+	States    []Run // of links and the store
 	Processes []Process
 }
 
@@ -209,6 +237,10 @@
 		if i := slices.IndexFunc(r.Runs, ofReplica); i >= 0 {
 			r.Runs = slices.Delete(r.Runs, i, i+1)
 		}
+	case run.State != "":
+		r.States = append(r.States, run)
+	case run.Pause > 0:
+		r.Pauses = append(r.Pauses, run)
 	case run.Ran:
 		r.Runs = append(r.Runs, run)
 	default:
--- a/internal/stand/medlarstandcmd/soak.go
+++ b/internal/stand/medlarstandcmd/soak.go
@@ -89,6 +89,7 @@
 	cmd := &cobra.Command{Use: "load DIR", Short: "Send requests to the instances until DIR has the file calm and they are served", Args: cobra.ExactArgs(1)}
 	cmd.Flags().Float64Var(&l.Rate, "rate", 90, "requests a second")
 	cmd.Flags().BoolVar(&l.Same, "same", false, "give all requests of a route the same path and body")
+	cmd.Flags().BoolVar(&l.Deadly, "deadly", false, "send requests under which replicas may crash, too")
 	cmd.Flags().Uint64Var(&l.Seed, "seed", 1, "seed of the choice of instances and parts")
 	cmd.RunE = func(_ *cobra.Command, args []string) error {
 		var err error
--- a/internal/stand/medlarverdict/medlarverdict.go
+++ b/internal/stand/medlarverdict/medlarverdict.go
@@ -17,6 +17,11 @@
 //	R10 At most OverAttempts requests run on more replicas than their routes have attempts.
 //	R11 Replicas are told no more time than a plain request has left.
 //	R12 Hardly any stream has events of two software versions, over all requests with which its caller took it up.
+//	R13 At most OverPause requests reach a replica from an instance between half a second after it has answered that
+//	    instance with a pause and the end of that pause, unless the instance was disturbed or cut off meanwhile.
+//	R14 At most OverDeadly arrivals of a request under which replicas crash come by instances in touch later than 3 s after
+//	    crash RequestCrashes.
+//	R15 The same of requests with a part under which replicas crash, and crash PartCrashes.
 package medlarverdict
 
 import (
@@ -46,6 +51,9 @@
 	RuleTries   Rule = "tries"   // R10
 	RuleTime    Rule = "time"    // R11
 	RuleBuild   Rule = "build"   // R12
+	RulePause   Rule = "pause"   // R13
+	RuleRequest Rule = "request" // R14
+	RulePart    Rule = "part"    // R15
 )
 
 // Violation is a case in which a rule is broken.
@@ -70,6 +78,9 @@
 	Repeats                int // arrivals beyond the first of each request
 	Resumed, WentOn        int // requests that take a stream up, and those of them that brought an event
 	Returns                []Return
+	Pauses, Excused        int // pauses that replicas asked for, and those of them whose instance was disturbed
+	InPauses               int // arrivals that R13 counts
+	Crashes, LateDeadly    int // of replicas under requests, and arrivals that R14 and R15 count
 }
 
 // Check judges records.
@@ -95,6 +106,9 @@
 	res.checkTries(r.Runs)
 	res.checkTimes(r)
 	res.checkBuilds(r.Calls)
+	res.checkPauses(r)
+	res.checkDeadly(r, RuleRequest, medlarsoak.DeadlyRequest, RequestCrashes)
+	res.checkDeadly(r, RulePart, medlarsoak.DeadlyPart, PartCrashes)
 	return res
 }
 
@@ -199,6 +213,9 @@
 func (res *Result) Print(w io.Writer) {
 	share := float64(res.Served) / float64(max(res.Calls, 1))
 	_, _ = fmt.Fprintf(w, "calls %d, served %.2f, refused as not run %d, runs %d, repeats %d, streams taken up %d, of these went on %d\n", res.Calls, share, res.Refused, res.Runs, res.Repeats, res.Resumed, res.WentOn)
+	if res.Pauses > 0 || res.Crashes > 0 {
+		_, _ = fmt.Fprintf(w, "pauses %d, excused %d, arrivals in the others %d, crashes under requests %d, late arrivals of these %d\n", res.Pauses, res.Excused, res.InPauses, res.Crashes, res.LateDeadly)
+	}
 	for _, r := range res.Returns {
 		_, _ = fmt.Fprintf(w, "%s: nine tenths served after %v\n", r.What, r.Took)
 	}
--- a/internal/stand/medlarverdict/medlarverdict_test.go
+++ b/internal/stand/medlarverdict/medlarverdict_test.go
@@ -102,6 +102,29 @@
 	}
 }
 
+// arriveInPause lets n requests reach a replica a time after it has asked an instance for a pause of 1.5 s, in ms.
+func arriveInPause(r *medlarsoak.Records, n int, after int64) {
+	r.Pauses = append(r.Pauses, medlarsoak.Run{At: begin, ID: "p", Path: "/read/a", Replica: "a", Instance: "entry-7", Pause: 1500})
+	for i := range n {
+		r.Arrivals = append(r.Arrivals, medlarsoak.Run{At: begin + after + int64(i), ID: fmt.Sprint("q", i), Path: "/read/a", Replica: "a", Instance: "entry-7", Left: 3000})
+	}
+}
+
+// arriveDeadly lets a number of replicas crash under requests of a kind, and n more of these arrive 3.1 s after the last
+// crash.
+func arriveDeadly(r *medlarsoak.Records, kind medlarsoak.Deadly, crashes, n int) {
+	run := medlarsoak.Run{At: begin, Path: "/read/deadly", Instance: "entry-7", Deadly: kind, Left: 3000}
+	for i := range crashes {
+		run.ID, run.Replica = fmt.Sprint("d", i), fmt.Sprint("c", i)
+		r.Runs = append(r.Runs, run)
+	}
+	run.At += 3100
+	for i := range n {
+		run.ID = fmt.Sprint("e", i)
+		r.Arrivals = append(r.Arrivals, run)
+	}
+}
+
 // TestEachRuleCanBeBroken guards against a check that never fails.
 func TestEachRuleCanBeBroken(t *testing.T) {
 	for _, tc := range []struct {
@@ -166,6 +189,13 @@
 			c := takeUp(r, query, "r0", "r0")
 			c.Body = eventsOf(c.ID, "r0", 1, 2, 3, 4, 5, 6, 7, 8)
 		}},
+		{"requests in a pause", medlarverdict.RulePause, func(r *medlarsoak.Records) { arriveInPause(r, medlarverdict.OverPause+1, 600) }},
+		{"a request that goes on crashing replicas", medlarverdict.RuleRequest, func(r *medlarsoak.Records) {
+			arriveDeadly(r, medlarsoak.DeadlyRequest, medlarverdict.RequestCrashes, medlarverdict.OverDeadly+1)
+		}},
+		{"a part that goes on crashing replicas", medlarverdict.RulePart, func(r *medlarsoak.Records) {
+			arriveDeadly(r, medlarsoak.DeadlyPart, medlarverdict.PartCrashes, medlarverdict.OverDeadly+1)
+		}},
 		{"no calls", medlarverdict.RuleRecover, func(r *medlarsoak.Records) { r.Calls = nil }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -198,6 +228,38 @@
 			t.Errorf("%d streams taken up, %d went on; want one", res.Resumed, res.WentOn)
 		}
 	})
+	for _, tc := range []struct {
+		name   string
+		change func(*medlarsoak.Records)
+	}{
+		{"few requests in a pause", func(r *medlarsoak.Records) { arriveInPause(r, medlarverdict.OverPause, 600) }},
+		{"requests right after the begin of a pause", func(r *medlarsoak.Records) { arriveInPause(r, medlarverdict.OverPause+1, 490) }},
+		{"requests after a pause", func(r *medlarsoak.Records) { arriveInPause(r, medlarverdict.OverPause+1, 1500) }},
+		{"requests in a pause by an instance that starts", func(r *medlarsoak.Records) {
+			arriveInPause(r, medlarverdict.OverPause+1, 600)
+			r.Processes = append(r.Processes, medlarsoak.Process{At: begin + 400, What: medlarsoak.Started, Args: []string{"7", "78"}})
+		}},
+		{"requests in a pause by an instance that is cut off", func(r *medlarsoak.Records) {
+			arriveInPause(r, medlarverdict.OverPause+1, 600)
+			r.States = append(r.States, medlarsoak.Run{At: begin - 1, Instance: "entry-7", State: "reset"})
+		}},
+		{"few arrivals of a deadly request", func(r *medlarsoak.Records) {
+			arriveDeadly(r, medlarsoak.DeadlyRequest, medlarverdict.RequestCrashes, medlarverdict.OverDeadly)
+		}},
+		{"arrivals after too few crashes", func(r *medlarsoak.Records) {
+			arriveDeadly(r, medlarsoak.DeadlyPart, medlarverdict.PartCrashes-1, medlarverdict.OverDeadly+1)
+		}},
+		{"deadly requests without the store", func(r *medlarsoak.Records) {
+			arriveDeadly(r, medlarsoak.DeadlyRequest, medlarverdict.RequestCrashes, medlarverdict.OverDeadly+1)
+			r.States = append(r.States, medlarsoak.Run{At: calmAt, State: "refuse"})
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := sound()
+			tc.change(&r)
+			assertBroken(t, medlarverdict.Check(r))
+		})
+	}
 	t.Run("sound", func(t *testing.T) { assertBroken(t, medlarverdict.Check(sound())) })
 	t.Run("comment", func(t *testing.T) {
 		r := sound()
