--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -1,6 +1,7 @@
 package medlarproxy
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -84,7 +85,7 @@
 		_ = c.Close()
 		return a.failed(errPaused, medlarreason.Busy, false)
 	}
-	_ = c.SetDeadline(a.deadline())
+	_ = c.SetDeadline(medlarrun.AttemptDeadline(a.route, a.summary.Attempts, a.started, a.run.Deadline))
 	remove, ok := a.proxy.open.Add(c)
 	if !ok {
 		_ = c.Close()
@@ -127,16 +128,6 @@
 	}
 }
 
-// deadline returns the deadline of the attempt. The first attempt of a request that can
-// be retried ends earlier, so that a replica that hangs is abandoned while another one
-// can still respond in time.
-func (a *attempt) deadline() time.Time {
-	if a.route.Kind == medlarcatalog.KindIdempotent && a.route.MaxAttempts > 1 && a.summary.Attempts == 1 {
-		return medlarrun.Patience(a.route, a.started, a.run.Deadline)
-	}
-	return a.run.Deadline
-}
-
 // send writes the request. A long body is written in the background while the response is
 // read, as the upstream may respond before it has read all of the body.
 func (a *attempt) send() error {
@@ -183,10 +174,7 @@
 
 // lastEventID returns the id of the last event that the client has received.
 func (a *attempt) lastEventID() string {
-	if id := a.events.ID(); id != "" {
-		return id
-	}
-	return a.call.LastEventID
+	return cmp.Or(a.events.ID(), a.call.LastEventID)
 }
 
 // readResponse reads the head of the response.
--- a/internal/edge/medlarrun/medlarrun.go
+++ b/internal/edge/medlarrun/medlarrun.go
@@ -136,6 +136,15 @@
 	return Earlier(started.Add(patienceTargets*r.TargetLatency), deadline)
 }
 
+// AttemptDeadline returns the deadline of an attempt; attempts is its number. The first attempt of a request that can be
+// retried ends earlier, so that a replica that hangs is abandoned while another one can still respond in time.
+func AttemptDeadline(r *medlarcatalog.Route, attempts int, started, deadline time.Time) time.Time {
+	if r.Kind == medlarcatalog.KindIdempotent && r.MaxAttempts > 1 && attempts == 1 {
+		return Patience(r, started, deadline)
+	}
+	return deadline
+}
+
 // Earlier returns the earlier of two times.
 func Earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
