A relay remembers a pause that outlasts the replica's entry

What replicas saw, by reading and by a test: a replica that had asked the instance between for a pause, or said that it leaves, got connections from it for other instances again if its entry had been gone for a moment. The core remembers such a word without an entry (medlarfleet, former); the dialer took its start from the entry, kept nothing without one, and forgot all with it.

The command now names the start that the word is about, and the dialer keeps it for ten minutes after the entry has gone, longer than any pause.

TestPauseOutlastsEntry failed before in both its cases and passes now.

--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -324,7 +324,7 @@
 	if known {
 		return
 	}
-	w.Emit(medlarworld.Avoided{Upstream: u.ID, Leaving: true, From: e.From})
+	w.Emit(medlarworld.Avoided{Upstream: u.ID, Incarnation: u.Incarnation, Leaving: true, From: e.From})
 }
 
 // applyPause stops new work to an upstream for the pause that it asked for (R9).
@@ -339,7 +339,7 @@
 		return
 	}
 	u.PausedUntil = until
-	w.Emit(medlarworld.Avoided{Upstream: u.ID, For: pause, From: e.From})
+	w.Emit(medlarworld.Avoided{Upstream: u.ID, Incarnation: u.Incarnation, For: pause, From: e.From})
 }
 
 // applyCacheChange records an engine's cache events (R4).
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -420,9 +420,7 @@
 }
 
 // Retried reports a retry, for the metrics.
-type Retried struct {
-	Reason medlarreason.Reason
-}
+type Retried struct{ Reason medlarreason.Reason }
 
 // Demand is this instance's use of an account's limits.
 type Demand struct {
@@ -432,16 +430,15 @@
 }
 
 // RequestShares asks for shares of accounts' limits.
-type RequestShares struct {
-	Demands []Demand
-}
+type RequestShares struct{ Demands []Demand }
 
 // Avoided reports that an upstream gets no new work because of what it said in a response.
 type Avoided struct {
-	Upstream medlarid.InstanceID
-	Leaving  bool                // for good; otherwise for a pause
-	For      time.Duration       // the pause
-	From     medlarid.InstanceID // that passed it on; empty for a response to this instance
+	Upstream    medlarid.InstanceID
+	Incarnation medlarid.Incarnation
+	Leaving     bool                // for good; otherwise for a pause
+	For         time.Duration       // the pause
+	From        medlarid.InstanceID // that passed it on; empty for a response to this instance
 }
 
 // Ejected reports that an upstream was ejected or readmitted.
--- /dev/null
+++ b/internal/ops/medlardialer/avoid_test.go
@@ -0,0 +1,32 @@
+package medlardialer
+
+import (
+	"testing"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarworld"
+)
+
+// TestPauseOutlastsEntry guards against a relay that opens connections for others to a replica which has asked for a pause,
+// once its entry has been gone for a moment.
+func TestPauseOutlastsEntry(t *testing.T) {
+	for _, listed := range []bool{true, false} { // when the replica asks
+		d := New(Deps{Self: "a"})
+		entries := map[medlarid.InstanceID]Replica{"r": {Incarnation: 3}, "other": {Incarnation: 1}}
+		d.Connect(func(id medlarid.InstanceID) (Replica, bool) {
+			r, ok := entries[id]
+			return r, ok && (id != "r" || listed)
+		}, func(medlarworld.Event) {}, nil)
+		d.Avoid(medlarworld.Avoided{Upstream: "r", Incarnation: 3, For: time.Minute})
+		listed = false
+		d.Avoid(medlarworld.Avoided{Upstream: "other", Incarnation: 1, For: time.Minute})
+		listed = true
+		if !d.avoids("r", 3) || !d.Paused("r", 3) {
+			t.Error("the pause is forgotten")
+		}
+		if d.Paused("r", 4) {
+			t.Error("the pause of an earlier start holds")
+		}
+	}
+}
--- a/internal/ops/medlardialer/medlardialer.go
+++ b/internal/ops/medlardialer/medlardialer.go
@@ -40,6 +40,7 @@
 	forPeerTimeout   = 250 * time.Millisecond // to open a connection for another instance, which waits a little longer
 	retryTimeout     = 500 * time.Millisecond // to get an answer on a path that is broken
 	hintTimeout      = time.Second            // to pass on what a replica has said
+	avoidanceMemory  = 10 * time.Minute       // longer than any pause, and than a replica that leaves runs on
 	ownProofTimeout  = time.Second            // of a call that examines a path
 	proofPatience    = 250 * time.Millisecond // after which other instances are asked meanwhile
 	proofGrace       = 150 * time.Millisecond // for the answer to this instance, once another one has got its own
@@ -100,6 +101,7 @@
 	incarnation medlarid.Incarnation
 	leaving     bool
 	until       time.Time // of a pause
+	at          time.Time // when the replica stated it last
 }
 
 // New returns a Dialer that knows no other instances. Connect is called before it is used.
--- a/internal/ops/medlardialer/peer.go
+++ b/internal/ops/medlardialer/peer.go
@@ -57,11 +57,8 @@
 func (d *Dialer) avoids(id medlarid.InstanceID, incarnation medlarid.Incarnation) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	a, ok := d.avoided[id]
-	if !ok || a.incarnation != incarnation {
-		return false
-	}
-	return a.leaving || time.Now().Before(a.until)
+	a := d.avoided[id]
+	return a.incarnation == incarnation && (a.leaving || time.Now().Before(a.until))
 }
 
 // Paused reports whether a replica wants no requests from this instance at present, as it has stated under its incarnation.
@@ -75,24 +72,20 @@
 // Avoid records that this instance sends nothing more to a replica because of what that stated, and passes it
 // on (R3).
 func (d *Dialer) Avoid(c medlarworld.Avoided) {
-	r, ok := d.lookup(c.Upstream)
-	if !ok {
-		return
-	}
 	d.mu.Lock()
 	d.forgetGone()
 	a := d.avoided[c.Upstream]
-	if a.incarnation != r.Incarnation {
-		a = avoidance{incarnation: r.Incarnation}
+	if a.incarnation != c.Incarnation {
+		a = avoidance{incarnation: c.Incarnation}
 	}
-	a.leaving = a.leaving || c.Leaving
+	a.leaving, a.at = a.leaving || c.Leaving, time.Now()
 	if c.For > 0 {
 		a.until = time.Now().Add(c.For)
 	}
 	d.avoided[c.Upstream] = a
 	tell := d.concerned(c)
 	d.mu.Unlock()
-	h := medlartunnel.Hint{Replica: c.Upstream, Incarnation: r.Incarnation, Leaving: c.Leaving, Pause: c.For}
+	h := medlartunnel.Hint{Replica: c.Upstream, Incarnation: c.Incarnation, Leaving: c.Leaving, Pause: c.For}
 	for _, p := range tell {
 		if p.Address != "" {
 			go d.tell(p, h)
@@ -118,9 +111,12 @@
 	return out
 }
 
-// forgetGone forgets what replicas that are no longer listed have stated. The caller holds the lock.
+// forgetGone forgets what replicas have stated that are no longer listed: at once who relays to them, and after a while that
+// they want no requests, since an entry may come back. The caller holds the lock.
 func (d *Dialer) forgetGone() {
-	maps.DeleteFunc(d.avoided, func(id medlarid.InstanceID, _ avoidance) bool { return !d.exists(id) })
+	maps.DeleteFunc(d.avoided, func(id medlarid.InstanceID, a avoidance) bool {
+		return time.Since(a.at) > avoidanceMemory && !d.exists(id)
+	})
 	maps.DeleteFunc(d.relayed, func(id medlarid.InstanceID, _ map[medlarid.InstanceID]bool) bool { return !d.exists(id) })
 }
 
