--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -1,6 +1,7 @@
 package medlarproxy
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"os"
@@ -35,6 +36,7 @@
 	*exchange
 	cmd         medlarworld.StartAttempt
 	started     time.Time
+	deadline    time.Time        // of its reads and writes
 	upstream    *medlarpool.Conn // nil before the attempt has a connection
 	stopClose   func() bool      // stops the close of upstream on a client disconnect; false if it was closed
 	bodyWritten chan error       // result of a body write in the background; nil for none
@@ -64,6 +66,7 @@
 	errPromise        = eris.New("status of the response states that the request did not run, but the response is no rejection")
 	errNotStream      = eris.New("response cannot continue the stream")
 	errEnded          = eris.New("the instance is about to end")
+	errPaused         = eris.New("upstream asked for a pause while the connection was being opened")
 )
 
 // do makes the attempt and returns its result.
@@ -77,7 +80,12 @@
 	}
 	a.upstream, a.reused, a.via = c, c.Reused, c.Via
 	a.summary.ConnectTime, a.summary.Reused, a.summary.Via = time.Since(a.started), c.Reused, c.Via
-	_ = c.SetDeadline(a.deadline())
+	if a.proxy.deps.Paused(a.cmd.Upstream, a.cmd.Incarnation) { // R6
+		_ = c.Close()
+		return a.failed(errPaused, medlarreason.Busy, false)
+	}
+	a.deadline = medlarrun.AttemptDeadline(a.route, a.summary.Attempts, a.started, a.run.Deadline)
+	_ = c.SetDeadline(a.deadline)
 	remove, ok := a.proxy.open.Add(c)
 	if !ok {
 		_ = c.Close()
@@ -120,16 +128,6 @@
 	}
 }
 
-// deadline returns the deadline of the attempt. The first attempt of a request that can
-// be retried ends earlier, so that a replica that hangs is abandoned while another one
-// can still respond in time.
-func (a *attempt) deadline() time.Time {
-	if a.route.Kind == medlarcatalog.KindIdempotent && a.route.MaxAttempts > 1 && a.summary.Attempts == 1 {
-		return medlarrun.Patience(a.route, a.started, a.run.Deadline)
-	}
-	return a.run.Deadline
-}
-
 // send writes the request. A long body is written in the background while the response is
 // read, as the upstream may respond before it has read all of the body.
 func (a *attempt) send() error {
@@ -176,10 +174,7 @@
 
 // lastEventID returns the id of the last event that the client has received.
 func (a *attempt) lastEventID() string {
-	if id := a.events.ID(); id != "" {
-		return id
-	}
-	return a.call.LastEventID
+	return cmp.Or(a.events.ID(), a.call.LastEventID)
 }
 
 // readResponse reads the head of the response.
--- a/internal/edge/medlarproxy/cut_test.go
+++ b/internal/edge/medlarproxy/cut_test.go
@@ -28,7 +28,7 @@
 					t.Fatal(err)
 				}
 				t.Cleanup(r.Kill)
-				_, addr := newServer(t, r)
+				_, addr := newServer(t, r, nil)
 				for missing := 1; missing < longestHead; missing++ {
 					for n, e := range []medlarending.Ending{end.CutHead(missing, false), end.CutHead(missing, true), end.CutHeadAndAgain(missing)} {
 						id := fmt.Sprintf("cut-%d-%d", missing, n)
--- a/internal/edge/medlarproxy/relay.go
+++ b/internal/edge/medlarproxy/relay.go
@@ -20,7 +20,7 @@
 
 // source returns what the body of the response is read from.
 func (a *attempt) source() medlarbody.Source {
-	return medlarbody.Source{Conn: a.upstream, Buffer: a.upstream.Reader, Deadline: a.deadline()}
+	return medlarbody.Source{Conn: a.upstream, Buffer: a.upstream.Reader, Deadline: a.deadline}
 }
 
 // namesRequest reports whether the head of a response names a request.
--- a/internal/ops/medlardialer/peer.go
+++ b/internal/ops/medlardialer/peer.go
@@ -57,45 +57,35 @@
 func (d *Dialer) avoids(id medlarid.InstanceID, incarnation medlarid.Incarnation) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	a, ok := d.avoided[id]
-	if !ok || a.incarnation != incarnation {
-		return false
-	}
-	return a.leaving || time.Now().Before(a.until)
+	a := d.avoided[id]
+	return a.incarnation == incarnation && (a.leaving || time.Now().Before(a.until))
+}
+
+// Paused reports whether a replica wants no requests from this instance at present, as it has stated under its incarnation.
+func (d *Dialer) Paused(id medlarid.InstanceID, incarnation medlarid.Incarnation) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	a := d.avoided[id]
+	return a.incarnation == incarnation && time.Now().Before(a.until)
 }
 
 // Avoid records that this instance sends nothing more to a replica because of what that stated, and passes it
 // on (R3).
 func (d *Dialer) Avoid(c medlarworld.Avoided) {
-	r, ok := d.lookup(c.Upstream)
-	if !ok {
-		return
-	}
 	d.mu.Lock()
 	d.forgetGone()
 	a := d.avoided[c.Upstream]
-	if a.incarnation != r.Incarnation {
-		a = avoidance{incarnation: r.Incarnation}
+	if a.incarnation != c.Incarnation {
+		a = avoidance{incarnation: c.Incarnation}
 	}
-	a.leaving = a.leaving || c.Leaving
+	a.leaving, a.at = a.leaving || c.Leaving, time.Now()
 	if c.For > 0 {
 		a.until = time.Now().Add(c.For)
 	}
 	d.avoided[c.Upstream] = a
-	hinted := time.Since(a.hintedAt) < hintMemory
-	tell := map[medlarid.InstanceID]medlartunnel.Peer{}
-	for id := range d.relayed[c.Upstream] {
-		tell[id] = d.peers[id]
-	}
-	for _, id := range d.server.Users(c.Upstream) {
-		tell[id] = d.peers[id]
-	}
-	delete(d.relayed, c.Upstream)
+	tell := d.concerned(c)
 	d.mu.Unlock()
-	if hinted {
-		return
-	}
-	h := medlartunnel.Hint{Replica: c.Upstream, Incarnation: r.Incarnation, Leaving: c.Leaving, Pause: c.For}
+	h := medlartunnel.Hint{Replica: c.Upstream, Incarnation: c.Incarnation, Leaving: c.Leaving, Pause: c.For}
 	for _, p := range tell {
 		if p.Address != "" {
 			go d.tell(p, h)
@@ -103,9 +93,30 @@
 	}
 }
 
-// forgetGone forgets what replicas that are no longer listed have stated. The caller holds the lock.
+// concerned returns the instances to which is passed on what a replica has stated (R3). The caller holds the lock.
+func (d *Dialer) concerned(c medlarworld.Avoided) map[medlarid.InstanceID]medlartunnel.Peer {
+	out := map[medlarid.InstanceID]medlartunnel.Peer{}
+	for _, id := range d.server.Users(c.Upstream) {
+		if id != c.From {
+			out[id] = d.peers[id]
+		}
+	}
+	if c.From != "" {
+		return out
+	}
+	for id := range d.relayed[c.Upstream] {
+		out[id] = d.peers[id]
+	}
+	delete(d.relayed, c.Upstream)
+	return out
+}
+
+// forgetGone forgets what replicas have stated that are no longer listed: at once who relays to them, and after a while that
+// they want no requests, since an entry may come back. The caller holds the lock.
 func (d *Dialer) forgetGone() {
-	maps.DeleteFunc(d.avoided, func(id medlarid.InstanceID, _ avoidance) bool { return !d.exists(id) })
+	maps.DeleteFunc(d.avoided, func(id medlarid.InstanceID, a avoidance) bool {
+		return time.Since(a.at) > avoidanceMemory && !d.exists(id)
+	})
 	maps.DeleteFunc(d.relayed, func(id medlarid.InstanceID, _ map[medlarid.InstanceID]bool) bool { return !d.exists(id) })
 }
 
@@ -123,22 +134,14 @@
 }
 
 // takeHint takes what a replica has stated to another instance.
-func (d *Dialer) takeHint(h medlartunnel.Hint) {
+func (d *Dialer) takeHint(sender medlarid.InstanceID, h medlartunnel.Hint) {
 	if r, ok := d.lookup(h.Replica); !ok || r.Incarnation != h.Incarnation {
 		return
 	}
-	d.mu.Lock()
-	a := d.avoided[h.Replica]
-	if a.incarnation != h.Incarnation {
-		a = avoidance{incarnation: h.Incarnation}
-	}
-	a.hintedAt = time.Now()
-	d.avoided[h.Replica] = a
-	d.mu.Unlock()
 	if h.Leaving {
-		d.post(medlarworld.UpstreamLeaving{Upstream: h.Replica, Incarnation: h.Incarnation})
+		d.post(medlarworld.UpstreamLeaving{Upstream: h.Replica, Incarnation: h.Incarnation, From: sender})
 	}
 	if h.Pause > 0 {
-		d.post(medlarworld.UpstreamPaused{Upstream: h.Replica, Incarnation: h.Incarnation, For: h.Pause})
+		d.post(medlarworld.UpstreamPaused{Upstream: h.Replica, Incarnation: h.Incarnation, For: h.Pause, From: sender})
 	}
 }
