Test requests that are sent early, and answers that come before a request is read

Neither was tested: a client that sends its next requests before it has the response, and a replica that answers before it has read a long body and reads on later on the same connection. No logic is changed.

--- a/internal/edge/medlarproxy/close_test.go
+++ b/internal/edge/medlarproxy/close_test.go
@@ -24,18 +24,27 @@
 
 // newServer returns a server, and its address, whose core starts each run at one replica at once.
 func newServer(t *testing.T, r *medlarfakereplica.Replica) (*medlarserver.Server, string) {
+	t.Helper()
+	return newServerOf(t, r.Settings.ID, r.Address())
+}
+
+// maxBody is the longest body of a request that the server takes, in bytes.
+const maxBody = 8 << 20
+
+// newServerOf is newServer for the replica with an id at an address.
+func newServerOf(t *testing.T, replica, address string) (*medlarserver.Server, string) {
 	t.Helper()
 	cat := medlarcatalog.New(1, []medlarcatalog.Route{{
 		Name: "r", Host: "a.example", Prefix: "/", Kind: medlarcatalog.KindAtMostOnce, AllowAnonymous: true, MaxAttempts: 1,
 		Timeout: 5 * time.Second, Backends: []medlarcatalog.Backend{{Service: "s", Weight: 1}},
-	}}, nil, nil, false, medlarcatalog.Limits{MaxHeaderBytes: 8192, MaxBodyBytes: 8192, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second})
+	}}, nil, nil, false, medlarcatalog.Limits{MaxHeaderBytes: 8192, MaxBodyBytes: maxBody, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second})
 	server := medlarproxy.New(medlarproxy.Deps{
 		UnreadyRetryAfter: func() time.Duration { return time.Second },
 		Catalog:           func() *medlarcatalog.Catalog { return cat },
 		Submit: func(run *medlarworld.Run, _ medlarworld.Limits) <-chan medlarworld.Command {
 			commands := make(chan medlarworld.Command, 2)
 			commands <- medlarworld.StartAttempt{
-				Run: run.ID, Attempt: 1, Upstream: medlarid.InstanceID(r.Settings.ID), Address: medlarid.Address(r.Address()),
+				Run: run.ID, Attempt: 1, Upstream: medlarid.InstanceID(replica), Address: medlarid.Address(address),
 			}
 			commands <- medlarworld.Refuse{Run: run.ID, Reason: medlarreason.Failed, Ran: medlarreason.RanUnknown} // after a failed attempt
 			return commands
