Test that failures keep the status of their replica, and that broken-off answers show through a tunnel

Neither was tested: a failure that bears a signature after attempts at several replicas that fail in different ways, and an answer that is cut or reset in its body on the way through another instance. No logic is changed.

--- a/internal/stand/medlarending/cut.go
+++ b/internal/stand/medlarending/cut.go
@@ -1,6 +1,10 @@
 package medlarending
 
-import "strconv"
+import (
+	"strconv"
+
+	"medlarfield/internal/base/medlarhead"
+)
 
 // HeadEnds lists the ends of heads, each with the body of its framing.
 var HeadEnds = []HeadEnd{
@@ -44,3 +48,21 @@
 	}
 	return out
 }
+
+// Failure returns a whole failure of a status.
+func (e HeadEnd) Failure(status int) Ending {
+	return Ending{Name: e.Name, Whole: true, Text: func(r Request) string {
+		end, body := e.frame(failure)
+		return string(medlarhead.AppendStatus(nil, status)) + r.Fields + end + body
+	}}
+}
+
+// CutBody returns a response that ends before the last bytes of what follows its head, at least one of these comes first. It
+// returns false if nothing shows that the response is not whole.
+func (e HeadEnd) CutBody(missing int, reset bool) (Ending, bool) {
+	toClose := e.Name == "close"
+	return Ending{Name: e.Name, Reset: reset, Text: func(r Request) string {
+		end, body := e.frame(r.Answer())
+		return statusOK + r.Fields + end + body[:max(len(body)-missing, 1)]
+	}}, toClose && reset || !toClose && missing > 0
+}
