Join no two runs of an engine in one answer

A caller could get an answer whose beginning is of one run and whose rest is of another run of the same request. An engine states a length, stops behind an event and writes its whole answer again on the same connection. The lines of the second head were passed over as unknown lines of a stream, parts that had come before were dropped as repeats, and the rest of the second run went on with the first. What is generated differs from run to run. Class: what follows an answer on its connection is taken for part of it.

A line that cannot stand in a stream ends the answer now; it is resumed elsewhere, as after any break. The rule is that of the streams of the attached instance (medlarevent).

Of the two new rows of TestResponsesThatAreNoContinuation the one of a length failed before with "own", "again" as a whole answer; the other one holds since bodies without a length are searched for heads.

--- a/internal/base/medlarevent/block.go
+++ b/internal/base/medlarevent/block.go
@@ -28,12 +28,11 @@
 		if len(line) == 0 || line[0] == ':' {
 			continue
 		}
-		name, value, isField := bytes.Cut(line, []byte(":"))
-		known := isKnown(name)
-		if !known && !(isField && isName(name)) {
+		if !IsLine(line) {
 			return block{malformed: true}
 		}
-		b.empty, event = false, event || known
+		name, value, isField := bytes.Cut(line, []byte(":"))
+		b.empty, event = false, event || isKnown(name)
 		if string(name) == "id" && isField {
 			b.id = string(bytes.TrimSpace(value))
 		}
@@ -42,6 +41,12 @@
 	return b
 }
 
+// IsLine reports whether a line, without its end, can stand in a stream: it is blank, a comment or a field.
+func IsLine(line []byte) bool {
+	name, _, isField := bytes.Cut(line, []byte(":"))
+	return len(line) == 0 || line[0] == ':' || isKnown(name) || isField && isName(name)
+}
+
 // isKnown reports whether a field is one of those that make an event.
 func isKnown(name []byte) bool {
 	switch string(name) {
--- a/internal/upstream/medlarengine/foreign_test.go
+++ b/internal/upstream/medlarengine/foreign_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 
 	"medlarfield/internal/base/medlarhead"
@@ -25,12 +26,20 @@
 	return fmt.Sprintf(`data: {"request":%q,"version":"v1","seq":%d,"choices":[{"text":%q}]}`+"\n\n", id, seq, text)
 }
 
+// ofLength returns a response of the length of its whole body, which stops in it, and behind which the whole response is
+// written again.
+func ofLength(begun, again string) string {
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n", len(again)+200)
+	return head + begun + head + again + strings.Repeat(": wait\n\n", 25)
+}
+
 // TestResponsesThatAreNoContinuation guards against text of a failure, or parts of another run, in an answer that
 // broke off and goes on at the next engine, and against its end as if it were complete.
 func TestResponsesThatAreNoContinuation(t *testing.T) {
 	p := newRunRequest()
 	p.ResumeParts = 2
 	own := part(p.RequestID, 2, "own")
+	longer := part(p.RequestID, 3, "again") + strings.Replace(finalEvent, `"seq":3`, `"seq":4`, 1)
 	for _, tc := range []struct {
 		name, response string
 		whole          bool
@@ -52,6 +61,8 @@
 		{"a part left out", streamHead + part(p.RequestID, 3, "late") + finalEvent, false},
 		{"no HTTP", "\x16\x03\x01 this is no answer\r\n\r\n", false},
 		{"part of another request", streamHead + part("other", 2, "other") + finalEvent, false},
+		{"the run begun again, to the close", streamHead + own + streamHead + part(p.RequestID, 2, "again") + longer, false},
+		{"the run begun again, of a length", ofLength(own, part(p.RequestID, 2, "again")+longer), false},
 		{"another response within it", streamHead + failureHead + "\r\n" + part("other", 2, "other") + own + finalEvent, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/upstream/medlarengine/stream.go
+++ b/internal/upstream/medlarengine/stream.go
@@ -10,6 +10,7 @@
 	"github.com/go-json-experiment/json"
 	"github.com/rotisserie/eris"
 
+	"medlarfield/internal/base/medlarevent"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/upstream/medlarhttp"
 	"medlarfield/internal/upstream/medlarsequence"
@@ -81,7 +82,7 @@
 
 // Next returns the next parts of the answer in order. A stream that ends without
 // its final event, or with a part missing, is an error of KindTruncated. An event that names another
-// request is one of KindMalformed.
+// request, or a line that is none of a stream, such as the head of a further response, is one of KindMalformed.
 func (s *Stream) Next() (Chunk, error) {
 	for {
 		data, err := s.nextData()
@@ -139,9 +140,13 @@
 		if err != nil {
 			return nil, err
 		}
-		if data, ok := bytes.CutPrefix(bytes.TrimSpace(line), dataPrefix); ok {
+		line = bytes.TrimSpace(line)
+		if data, ok := bytes.CutPrefix(line, dataPrefix); ok {
 			return bytes.TrimSpace(data), nil
 		}
+		if !medlarevent.IsLine(line) {
+			return nil, &Error{Op: OpRun, Kind: KindMalformed, Err: eris.New("line of no event")}
+		}
 	}
 }
 
@@ -161,6 +166,10 @@
 func (s *Stream) Close() { s.http.Close() }
 
 func streamError(err error) error {
+	var own *Error
+	if errors.As(err, &own) {
+		return own
+	}
 	var n net.Error
 	if errors.As(err, &n) && n.Timeout() {
 		return &Error{Op: OpRun, Kind: KindTimeout, Err: err}
