Send no body behind the refusal of a request with the method HEAD

A client that sent HEAD with a body beyond the limit, or one that cannot be read, got the text of the refusal behind its head: bytes on a connection with no request waiting. Only refusals after the body was read knew the method.

A request whose head cannot be read is still refused with a body, as its method is not known; its connection is closed.

--- a/internal/edge/medlarproxy/early_test.go
+++ b/internal/edge/medlarproxy/early_test.go
@@ -208,3 +208,36 @@
 		t.Errorf("%q, %v behind the last response", rest, err)
 	}
 }
+
+// TestRejectionOfHeadHasNoBody guards against a body in the response to a request with the method HEAD whose own body
+// cannot be read: its client waits for no such bytes.
+func TestRejectionOfHeadHasNoBody(t *testing.T) {
+	for _, tc := range []struct {
+		name, rest string
+		status     int
+	}{
+		{"too long", fmt.Sprintf("Content-Length: %d\r\n\r\n", maxBody+1), 413},
+		{"no chunks", "Transfer-Encoding: chunked\r\n\r\nbody\r\n", 400},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			_, addr := newServerOf(t, "one", "127.0.0.1:1")
+			c, err := net.Dial("tcp", addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+			if _, err := io.WriteString(c, "HEAD / HTTP/1.1\r\nHost: a.example\r\n"+tc.rest); err != nil {
+				t.Fatal(err)
+			}
+			br := bufio.NewReader(c)
+			h, err := medlarhead.ReadResponse(br, 8192, "HEAD")
+			if err != nil || h.Status != tc.status {
+				t.Fatalf("got %v, %v; want status %d", h, err, tc.status)
+			}
+			if rest, err := io.ReadAll(br); err != nil || len(rest) > 0 {
+				t.Errorf("%q, %v behind the head", rest, err)
+			}
+		})
+	}
+}
--- a/internal/edge/medlarproxy/medlarproxy.go
+++ b/internal/edge/medlarproxy/medlarproxy.go
@@ -118,9 +118,9 @@
 }
 
 // reject responds to a request that cannot be read.
-func (p *Proxy) reject(c *medlarserver.Conn, status int, reason medlarreason.Reason) {
+func (p *Proxy) reject(c *medlarserver.Conn, method string, status int, reason medlarreason.Reason) {
 	summary := &medlarcall.Summary{Status: status, Reason: reason, Ran: medlarreason.RanNo}
-	summary.Complete = c.Send(medlarrefusal.Format{Last: true}.Append(nil, summary, p.deps.Refusal)) == nil
+	summary.Complete = c.Send(medlarrefusal.Format{Last: true, Head: method == "HEAD"}.Append(nil, summary, p.deps.Refusal)) == nil
 	p.deps.Observer.RequestEnded(summary)
 }
 
--- a/internal/edge/medlarserver/medlarserver.go
+++ b/internal/edge/medlarserver/medlarserver.go
@@ -46,8 +46,8 @@
 	Limits func() medlarcatalog.Limits
 	// Serve responds to a request and reports whether its connection can be reused.
 	Serve func(Request) bool
-	// Reject responds to a request that cannot be read (R1).
-	Reject func(c *Conn, status int, reason medlarreason.Reason)
+	// Reject responds to a request that cannot be read (R1); method is empty if that cannot be read either.
+	Reject func(c *Conn, method string, status int, reason medlarreason.Reason)
 }
 
 // Server serves the connections of clients.
@@ -173,7 +173,7 @@
 	_ = c.SetReadDeadline(arrived.Add(limits.HeaderTimeout))
 	h, err := medlarhead.ReadRequest(c.br, limits.MaxHeaderBytes)
 	if err != nil {
-		s.reject(c, err)
+		s.reject(c, "", err)
 		return false
 	}
 	_ = c.SetReadDeadline(time.Now().Add(bodyTimeout))
@@ -184,7 +184,7 @@
 	}
 	body, err := medlarhead.ReadBody(c.br, h, int64(limits.MaxBodyBytes))
 	if err != nil {
-		s.reject(c, err)
+		s.reject(c, h.Method, err)
 		return false
 	}
 	_ = c.SetReadDeadline(time.Time{})
@@ -192,7 +192,7 @@
 }
 
 // reject responds to a request that cannot be read (R1).
-func (s *Server) reject(c *Conn, err error) {
+func (s *Server) reject(c *Conn, method string, err error) {
 	reason := medlarreason.Malformed
 	switch kind := medlarhead.KindOf(err); {
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -208,7 +208,7 @@
 	if reason == medlarreason.Oversized && errors.As(err, &e) && e.Op == medlarhead.OpRequest {
 		status = statusHeaderFieldsTooLarge
 	}
-	s.deps.Reject(c, status, reason)
+	s.deps.Reject(c, method, status, reason)
 }
 
 // statusHeaderFieldsTooLarge is the status for headers, not a body, that are too large.
