Take a replica for down whose connections open and bring no answer to anybody

An instance that has lost an attempt now calls the replica when connections to it open, and asks others when the call ends without an answer. If nobody gets one the replica has crashed; how long before the loss it was up last is stated as for a start that is listed, so that replicas that were down still blame no part. TestResetIsNoRefusal told two states apart and has six rows now: one that is refused proves that the replica was up, one that ends does not.

--- a/internal/core/medlarcore/crash_test.go
+++ b/internal/core/medlarcore/crash_test.go
@@ -40,7 +40,7 @@
 		Lost: true, Head: l.head, Began: l.began,
 	}
 	cs := p.tick(e)
-	return append(cs, p.tick(medlarworld.UpstreamProbed{Crash: crashProbed(p.t, cs), Down: down})...)
+	return append(cs, p.tick(medlarworld.UpstreamProbed{Crash: crashProbed(p.t, cs), Down: down, Refused: down})...)
 }
 
 // crashProbed returns the crash that an upstream is probed for; none if a probe was not asked for.
@@ -121,7 +121,7 @@
 	}{
 		{"reported by another instance", func(p *partsHarness, i int) { p.tick(report(i, same)) }, crashed},
 		{"found by a probe", func(p *partsHarness, i int) {
-			p.tick(medlarworld.UpstreamProbed{Crash: report(i, same).Report.Crash, Down: true})
+			p.tick(medlarworld.UpstreamProbed{Crash: report(i, same).Report.Crash, Down: true, Refused: true})
 		}, crashed},
 		{"that took the probe", func(p *partsHarness, i int) {
 			p.tick(medlarworld.UpstreamProbed{Crash: report(i, same).Report.Crash})
--- a/internal/core/medlarcore/unseen_test.go
+++ b/internal/core/medlarcore/unseen_test.go
@@ -19,14 +19,18 @@
 		answer  bool // each replica answers the instance before it is down
 		head    bool // of the response to the request that is lost
 		late    bool // each new start is listed after the next two losses
+		ends    bool // a probe shows at once that connections end
 		blocked bool
 	}{
-		{"nothing was received from them", false, false, false, false},
-		{"nothing was received from them, listed late", false, false, true, false},
-		{"they answer, and crash on a request", true, false, false, true},
-		{"they answer, and crash on a request, listed late", true, false, true, true},
-		{"they begin to answer, and crash", false, true, false, true},
-		{"they begin to answer, and crash, listed late", false, true, true, true},
+		{"nothing was received from them", false, false, false, false, false},
+		{"nothing was received from them, listed late", false, false, true, false, false},
+		{"they answer, and crash on a request", true, false, false, false, true},
+		{"they answer, and crash on a request, listed late", true, false, true, false, true},
+		{"they begin to answer, and crash", false, true, false, false, true},
+		{"they begin to answer, and crash, listed late", false, true, true, false, true},
+		{"nothing was received from them, connections end", false, false, true, true, false},
+		{"they answer, and crash on a request, connections end", true, false, true, true, true},
+		{"they begin to answer, and crash, connections end", false, true, true, true, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			p := newPartsHarness(t, engines, nil)
@@ -42,7 +46,7 @@
 				cs := p.endAt(i, medlarworld.AttemptEnded{
 					Cause: medlarkind.CauseUnknown, Reached: true, Lost: true, Head: tc.head, Connected: p.now,
 				}, "aa")
-				p.tick(medlarworld.UpstreamProbed{Crash: crashProbed(t, cs)})
+				p.tick(medlarworld.UpstreamProbed{Crash: crashProbed(t, cs), Down: tc.ends})
 				listed := i
 				if tc.late {
 					listed = i - 2
--- a/internal/core/medlarcrash/medlarcrash.go
+++ b/internal/core/medlarcrash/medlarcrash.go
@@ -3,10 +3,10 @@
 // Rules:
 //
 //	R1  An attempt that was lost before its answer began, or shortly after, makes its request
-//	    suspect if the replica has crashed: it refuses new connections, or it is
-//	    listed under a new incarnation soon after, unless it was known to have crashed under the
+//	    suspect if the replica has crashed: it refuses new connections, answers neither this instance nor
+//	    another one, or is listed under a new incarnation soon after, unless it was known to have crashed under the
 //	    one before. A replica that leaves is not suspected to have crashed.
-//	    Where only a new incarnation shows the crash, the replica may have been down before the attempt: behind a
+//	    Unless it refuses connections, the replica may have been down before the attempt: behind a
 //	    proxy or a balancer connections to it open nevertheless. Its report states how long before the
 //	    loss this instance last received anything from it.
 //	R2  What was lost with a replica is reported to all instances, once more whenever
@@ -225,7 +225,7 @@
 	if !e.Down || l.crashed {
 		return
 	}
-	l.crashed, l.proven = true, true
+	l.crashed, l.proven = true, l.proven || e.Refused
 	s.report(w, l)
 }
 
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -185,10 +185,12 @@
 	From        medlarid.InstanceID // as in UpstreamLeaving
 }
 
-// UpstreamProbed reports whether an upstream that ended connections is down: it refuses new ones.
+// UpstreamProbed reports whether an upstream that ended connections is down: it refuses new ones, or they end without an
+// answer behind a proxy or a balancer.
 type UpstreamProbed struct {
-	Crash medlarsuspect.CrashID // that the upstream is suspected of
-	Down  bool
+	Crash   medlarsuspect.CrashID // that the upstream is suspected of
+	Down    bool
+	Refused bool // it refuses new connections, so that it was up when it accepted those that it ended
 }
 
 // CrashReported carries what another instance lost with a replica that crashed.
--- a/internal/ops/medlardialer/medlardialer.go
+++ b/internal/ops/medlardialer/medlardialer.go
@@ -13,13 +13,11 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -271,31 +269,3 @@
 	r := o.open(plan)
 	return r.conn, r.via, r.err
 }
-
-// Down reports whether a replica is down: it refuses connections, and other instances do not reach it either.
-func (d *Dialer) Down(t medlarpool.Target) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
-	defer cancel()
-	d.mu.Lock()
-	plan := d.table.Plan(time.Now(), t.ID)
-	d.mu.Unlock()
-	o := &opening{dialer: d, ctx: ctx, target: t, results: make(chan result, 2)}
-	direct := o.dialDirect(ctx)
-	if direct.err == nil {
-		_ = direct.conn.Close()
-		return false
-	}
-	// A connection that is reset was opened, by a proxy or a balancer as it may be.
-	if o.directOutcome() != medlarreach.Refused || errors.Is(direct.err, syscall.ECONNRESET) {
-		return false
-	}
-	if !plan.Relay {
-		return true
-	}
-	relayed := o.askPeers(ctx)
-	if relayed.err == nil {
-		_ = relayed.conn.Close()
-		return false
-	}
-	return relayed.witnesses > 0 || !plan.RelayFirst
-}
--- a/internal/ops/medlardialer/proof.go
+++ b/internal/ops/medlardialer/proof.go
@@ -26,7 +26,7 @@
 		d.examined(id, "", outcome)
 		return
 	}
-	by := d.answersPeer(ctx, id, r.Incarnation)
+	by, _ := d.answersPeer(ctx, id, r.Incarnation)
 	if by != "" {
 		outcome = d.proveAgain(ctx, id, r, own, outcome)
 	}
@@ -61,8 +61,9 @@
 	d.table.Examined(time.Now(), id, by, outcome)
 }
 
-// answersPeer asks other instances whether a replica answers them now, and returns one that it does; empty for none.
-func (d *Dialer) answersPeer(ctx context.Context, id medlarid.InstanceID, incarnation medlarid.Incarnation) medlarid.InstanceID {
+// answersPeer asks other instances whether a replica answers them now, and returns one that it does; empty for none. ends
+// reports whether connections of one of them were refused, or ended.
+func (d *Dialer) answersPeer(ctx context.Context, id medlarid.InstanceID, incarnation medlarid.Incarnation) (by medlarid.InstanceID, ends bool) {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	peers := d.peersToAsk()
@@ -80,8 +81,9 @@
 			a := <-answers
 			d.deps.OnAsked(a.outcome)
 			if a.outcome == medlarreach.Opened {
-				return a.by
+				return a.by, ends
 			}
+			ends = ends || a.outcome == medlarreach.Refused
 			if a.older {
 				continue // it may relay nevertheless
 			}
@@ -90,7 +92,7 @@
 			d.mu.Unlock()
 		}
 	}
-	return ""
+	return "", ends
 }
 
 // isOlder reports whether another instance has opened a connection as it was asked whether a replica answers it: its build
--- a/internal/ops/medlardialer/proof_test.go
+++ b/internal/ops/medlardialer/proof_test.go
@@ -68,18 +68,31 @@
 // TestResetIsNoRefusal guards against a replica that is taken to have crashed with a request, as a connection to it was reset:
 // a proxy or a balancer opens and resets it where the replica was down before.
 func TestResetIsNoRefusal(t *testing.T) {
-	for err, want := range map[error]bool{nil: false, syscall.ECONNRESET: false, syscall.ECONNREFUSED: true} {
-		d := newDialer(nil)
+	for _, tc := range []struct {
+		name        string
+		open, prove error
+		want        State
+	}{
+		{"answers", nil, nil, StateUp},
+		{"does not answer in time", nil, os.ErrDeadlineExceeded, StateUp},
+		{"opens, and ends", nil, io.EOF, StateEnds},
+		{"opens, and is reset", nil, syscall.ECONNRESET, StateEnds},
+		{"is reset", syscall.ECONNRESET, nil, StateUp},
+		{"is refused", syscall.ECONNREFUSED, nil, StateRefuses},
+	} {
+		d := newDialer(func(net.Conn) error { return tc.prove })
 		open := d.deps.Dial
 		d.deps.Dial = func(ctx context.Context, at medlarid.Address) (net.Conn, error) {
-			if err != nil {
-				return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", err)}
+			if tc.open != nil {
+				return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", tc.open)}
 			}
 			return open(ctx, at)
 		}
-		d.paths = medlarpath.New(medlarpath.Deps{Dial: d.deps.Dial, OnDial: d.deps.OnDial, Sent: d.sent, Got: d.got, Left: d.left})
-		if got := d.Down(medlarpool.Target{ID: "r"}); got != want {
-			t.Errorf("%v: down %v, want %v", err, got, want)
+		d.paths = medlarpath.New(medlarpath.Deps{
+			Dial: d.deps.Dial, Prove: d.deps.Prove, OnDial: d.deps.OnDial, OnProof: d.deps.OnProof, Sent: d.sent, Got: d.got, Left: d.left,
+		})
+		if got := d.Examine(medlarpool.Target{ID: "r"}); got != tc.want {
+			t.Errorf("%s: %s, want %s", tc.name, got, tc.want)
 		}
 	}
 }
@@ -102,7 +115,7 @@
 	d.Connect(func(medlarid.InstanceID) (Replica, bool) { return Replica{Incarnation: 1}, true }, nil, nil)
 	d.SetPeer("older", medlarnotice.Peer{Relay: medlarid.Address(ln.Addr().String()), Zone: "far"})
 	d.SetPeer("unreached", medlarnotice.Peer{Relay: "127.0.0.1:1", Zone: "z"})
-	if by := d.answersPeer(t.Context(), "r", 1); by != "" {
+	if by, _ := d.answersPeer(t.Context(), "r", 1); by != "" {
 		t.Errorf("the replica answers %s", by)
 	}
 	if peers := d.peersToAsk(); len(peers) != 2 || peers[0].id != "older" {
--- /dev/null
+++ b/internal/ops/medlardialer/state.go
@@ -0,0 +1,70 @@
+package medlardialer
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"medlarfield/internal/core/medlarreach"
+	"medlarfield/internal/edge/medlarpool"
+)
+
+// State is whether a replica is down, as far as this instance and those that it asks can tell.
+type State string
+
+// States.
+const (
+	StateUp      State = "up"      // or it cannot be told
+	StateRefuses State = "refuses" // it refuses connections
+	StateEnds    State = "ends"    // connections open, and end without an answer, as behind a proxy or a balancer
+)
+
+// Examine finds out whether a replica that has ended connections is down.
+func (d *Dialer) Examine(t medlarpool.Target) State {
+	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
+	defer cancel()
+	d.mu.Lock()
+	plan := d.table.Plan(time.Now(), t.ID)
+	d.mu.Unlock()
+	o := &opening{dialer: d, ctx: ctx, target: t, results: make(chan result, 2)}
+	direct := o.dialDirect(ctx)
+	switch {
+	case direct.err == nil:
+		_ = direct.conn.Close()
+		return d.examineOpen(ctx, t, plan)
+	case o.directOutcome() != medlarreach.Refused:
+		return StateUp
+	case errors.Is(direct.err, syscall.ECONNRESET): // the connection was opened, by a proxy or a balancer as it may be
+		return d.examineOpen(ctx, t, plan)
+	case !plan.Relay:
+		return StateRefuses
+	}
+	relayed := o.askPeers(ctx)
+	switch {
+	case relayed.err == nil:
+		_ = relayed.conn.Close()
+		by, ends := d.answersPeer(ctx, t.ID, t.Incarnation)
+		return endsIf(by == "" && ends)
+	case relayed.witnesses > 0 || !plan.RelayFirst:
+		return StateRefuses
+	}
+	return StateUp
+}
+
+// examineOpen finds out whether a replica is down to which connections open.
+func (d *Dialer) examineOpen(ctx context.Context, t medlarpool.Target, plan medlarreach.Plan) State {
+	if plan.RelayFirst || d.paths.Prove(ctx, t.ID, t.Address, proofPatience) != medlarreach.Ended {
+		return StateUp
+	}
+	by, _ := d.answersPeer(ctx, t.ID, t.Incarnation)
+	return endsIf(by == "")
+}
+
+// endsIf returns StateEnds if connections end, and else StateUp.
+func endsIf(ends bool) State {
+	if ends {
+		return StateEnds
+	}
+	return StateUp
+}
--- a/internal/ops/medlarnotifier/medlarnotifier.go
+++ b/internal/ops/medlarnotifier/medlarnotifier.go
@@ -102,12 +102,12 @@
 // probe finds out whether a replica is down.
 func (n *Notifier) probe(c medlarworld.ProbeUpstream) {
 	t := medlarpool.Target{ID: c.Crash.Replica, Incarnation: c.Crash.Incarnation, Address: c.Address}
-	down := n.deps.Dialer.Down(t)
-	if !down {
+	state := n.deps.Dialer.Examine(t)
+	if state == medlardialer.StateUp {
 		time.Sleep(probeRepeatDelay)
-		down = n.deps.Dialer.Down(t)
+		state = n.deps.Dialer.Examine(t)
 	}
-	n.post(medlarworld.UpstreamProbed{Crash: c.Crash, Down: down})
+	n.post(medlarworld.UpstreamProbed{Crash: c.Crash, Down: state != medlardialer.StateUp, Refused: state == medlardialer.StateRefuses})
 }
 
 func (n *Notifier) reportCrash(c medlarworld.ReportCrash) {
