Count a start that has just been listed as a sign that a replica is up

What replicas saw: behind a proxy one request went on crashing replicas that had just started (BUDGET), since their crashes counted once, all together.

Cause: behind a proxy a crash counts anew only if the replica was up after the one before, and only what an instance had received from it showed that. Of a replica that crashes with the first request after its start nobody has received anything.

Its entry shows it: a start that is listed while the entries are read without delay was up then. One that an instance reads when it starts, or late, or that a store names again after it came back from a copy, shows nothing.

The new row of TestReplicasThatWereDownBlameNoPart fails without the change. The five rows of TestRequestThatCrashesReplicasIsStopped behind a proxy pass with it, one at a time; without it "safe, behind a proxy" failed (a fourth crash 5.6 s after the first).

--- a/internal/core/medlarcore/unseen_test.go
+++ b/internal/core/medlarcore/unseen_test.go
@@ -20,17 +20,19 @@
 		head    bool // of the response to the request that is lost
 		late    bool // each new start is listed after the next two losses
 		ends    bool // a probe shows at once that connections end
+		starts  bool // each replica is listed anew right before the loss
 		blocked bool
 	}{
-		{"nothing was received from them", false, false, false, false, false},
-		{"nothing was received from them, listed late", false, false, true, false, false},
-		{"they answer, and crash on a request", true, false, false, false, true},
-		{"they answer, and crash on a request, listed late", true, false, true, false, true},
-		{"they begin to answer, and crash", false, true, false, false, true},
-		{"they begin to answer, and crash, listed late", false, true, true, false, true},
-		{"nothing was received from them, connections end", false, false, true, true, false},
-		{"they answer, and crash on a request, connections end", true, false, true, true, true},
-		{"they begin to answer, and crash, connections end", false, true, true, true, true},
+		{"nothing was received from them", false, false, false, false, false, false},
+		{"nothing was received from them, listed late", false, false, true, false, false, false},
+		{"they answer, and crash on a request", true, false, false, false, false, true},
+		{"they answer, and crash on a request, listed late", true, false, true, false, false, true},
+		{"they begin to answer, and crash", false, true, false, false, false, true},
+		{"they begin to answer, and crash, listed late", false, true, true, false, false, true},
+		{"nothing was received from them, connections end", false, false, true, true, false, false},
+		{"they answer, and crash on a request, connections end", true, false, true, true, false, true},
+		{"they begin to answer, and crash, connections end", false, true, true, true, false, true},
+		{"they start, and crash on a request, connections end", false, false, true, true, true, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			p := newPartsHarness(t, engines, nil)
@@ -42,6 +44,11 @@
 				if tc.answer {
 					p.endAt(i, medlarworld.AttemptEnded{Cause: medlarkind.CauseDone, Reached: true, Head: true})
 				}
+				if tc.starts {
+					members[i].Incarnation++
+					p.tick(medlarworld.ReplicasCurrent{At: p.now})
+					p.tick(medlarworld.InstancesListed{Members: members})
+				}
 				p.now = p.now.Add(100 * time.Millisecond)
 				cs := p.endAt(i, medlarworld.AttemptEnded{
 					Cause: medlarkind.CauseUnknown, Reached: true, Lost: true, Head: tc.head, Connected: p.now,
--- a/internal/core/medlarcrash/medlarcrash.go
+++ b/internal/core/medlarcrash/medlarcrash.go
@@ -8,7 +8,7 @@
 //	    one before. A replica that leaves is not suspected to have crashed.
 //	    Unless it refuses connections, the replica may have been down before the attempt: behind a
 //	    proxy or a balancer connections to it open nevertheless. Its report states how long before the
-//	    loss this instance last received anything from it.
+//	    loss this instance last received anything from it, or read that it has started.
 //	R2  What was lost with a replica is reported to all instances, once more whenever
 //	    more is known.
 //	R3  A run with a blocked trait starts no attempt, be it new, waiting, or to be resumed
@@ -36,6 +36,8 @@
 	neverSeen     = time.Hour              // stated for a replica from which nothing was received
 	lossWindow    = 5 * time.Second        // in which a new incarnation shows that a replica has crashed (R1)
 	maxRunCrashes = 2                      // R4
+	listAge       = 2 * time.Second        // of entries that tell of a start just now (R1)
+	startMemory   = 15 * time.Minute       // of starts whose entries are gone: a store that comes back from a copy names them again
 
 	// RetryAfter is the time after which a caller may try a request with a blocked trait again.
 	RetryAfter = 30 * time.Second
@@ -43,11 +45,13 @@
 
 // System finds crashes of replicas and refuses the runs that must not go on.
 type System struct {
-	losses []*loss
-	seen   map[medlarid.InstanceID]seen
+	losses    []*loss
+	seen      map[medlarid.InstanceID]seen
+	starts    map[medlarid.InstanceID]seen // the latest start of each replica, and when it was listed last
+	currentAt time.Time                    // when the replicas' entries were known last
 }
 
-// seen is when something was received from a replica last, under an incarnation.
+// seen is when a replica was up last, under an incarnation.
 type seen struct {
 	incarnation medlarid.Incarnation
 	at          time.Time
@@ -66,7 +70,9 @@
 }
 
 // New returns a System.
-func New() *System { return &System{seen: map[medlarid.InstanceID]seen{}} }
+func New() *System {
+	return &System{seen: map[medlarid.InstanceID]seen{}, starts: map[medlarid.InstanceID]seen{}}
+}
 
 // Run handles the events of one tick.
 func (s *System) Run(w *medlarworld.World) {
@@ -81,8 +87,12 @@
 			continue
 		case medlarworld.UpstreamProbed:
 			s.probed(w, e)
+		case medlarworld.ReplicasCurrent:
+			s.currentAt = w.Now
+			continue
 		case medlarworld.InstancesListed:
 			s.findRestarts(w)
+			s.findStarts(w)
 		case medlarworld.CrashReported:
 			w.Suspects.AddReport(w.Now, e.Report, false)
 		case medlarworld.BlockRecorded:
@@ -241,6 +251,23 @@
 	}
 }
 
+// findStarts takes note of replicas that have just started, which were up then. Of those whose entries this instance reads
+// late, or when it starts, that is not known.
+func (s *System) findStarts(w *medlarworld.World) {
+	recent := !s.currentAt.IsZero() && w.Now.Sub(s.currentAt) <= listAge
+	for id, u := range w.Upstreams {
+		last, known := s.starts[id]
+		if u.Delisted || known && u.Incarnation < last.incarnation {
+			continue
+		}
+		s.starts[id] = seen{u.Incarnation, w.Now}
+		if recent && (!known || u.Incarnation > last.incarnation) {
+			s.seen[id] = s.starts[id]
+		}
+	}
+	maps.DeleteFunc(s.starts, func(_ medlarid.InstanceID, b seen) bool { return w.Now.Sub(b.at) > startMemory })
+}
+
 // report reports what was lost with a replica that crashed (R2).
 func (s *System) report(w *medlarworld.World, l *loss) {
 	for _, id := range l.runs {
--- a/internal/ops/medlarattachednode/crash_request_test.go
+++ b/internal/ops/medlarattachednode/crash_request_test.go
@@ -7,6 +7,7 @@
 
 	"medlarfield/internal/stand/medlarfakereplica"
 	"medlarfield/internal/stand/medlarfaketopic"
+	"medlarfield/internal/stand/medlarlink"
 	"medlarfield/internal/stand/medlarsite"
 )
 
@@ -69,6 +70,12 @@
 	}
 }
 
+// behindProxy lets connections to replicas that are down open, and be reset.
+func behindProxy(s *medlarsite.Settings) { s.Links = true }
+
+// cutTwo cuts two instances off from all replicas.
+func cutTwo(f *fleet) { f.set(medlarlink.Refused, 0, 1) }
+
 // staleEntries lets replicas start again at their address while their entry names the earlier start, and
 // leaves fewer of them than crashes are needed.
 func staleEntries(s *medlarsite.Settings) { s.StaleEntries, s.Plain, s.Engines = true, 2, 2 }
@@ -104,6 +111,11 @@
 		{name: "prompt within the head", kind: promptKind("/query/x", false), instances: 5, at: medlarfakereplica.CrashInHead},
 		{name: "prompt that may be resumed", kind: promptKind("/letter/x", false), instances: 5, at: medlarfakereplica.CrashBegun},
 		{name: "prompt with another last part each time", kind: promptKind("/query/x", true), instances: 5, at: medlarfakereplica.CrashBegun},
+		{name: "safe, behind a proxy", kind: safe, instances: 5, at: medlarfakereplica.CrashRunning, change: behindProxy},
+		{name: "unsafe, behind a proxy", kind: unsafe, instances: 5, at: medlarfakereplica.CrashRunning, change: behindProxy},
+		{name: "prompt, behind a proxy", kind: promptKind("/query/x", false), instances: 5, at: medlarfakereplica.CrashBegun, change: behindProxy},
+		{name: "unsafe, behind a proxy, instances cut off", kind: unsafe, instances: 5, at: medlarfakereplica.CrashRunning, change: behindProxy, during: cutTwo},
+		{name: "prompt, behind a proxy, instances cut off", kind: promptKind("/query/x", false), instances: 5, at: medlarfakereplica.CrashBegun, change: behindProxy, during: cutTwo},
 		{name: "safe, an instance that restarts", kind: safe, instances: 5, at: medlarfakereplica.CrashRunning, during: restartOne},
 		{name: "unsafe, an instance that restarts", kind: unsafe, instances: 5, at: medlarfakereplica.CrashRunning, during: restartOne},
 		{name: "prompt, an instance that restarts", kind: promptKind("/query/x", false), instances: 5, at: medlarfakereplica.CrashBegun, during: restartOne},
