--- a/internal/stand/medlarsoak/deadly.go
+++ b/internal/stand/medlarsoak/deadly.go
@@ -32,7 +32,7 @@
 	for n := 0; !l.done(); n++ {
 		for _, path := range []string{pathDeadlyRequest, pathDeadlyPart} {
 			to := l.Instances[r.IntN(len(l.Instances))]
-			c := &Call{ID: fmt.Sprintf("d%x-%d", time.Now().UnixMilli(), n), Path: path}
+			c := &Call{ID: fmt.Sprintf("%s-%x-%d", deadlyPaths[path], time.Now().UnixMilli(), n), Path: path}
 			req := l.request(c, "http://"+string(to.Address), deadlyPart, n)
 			wg.Go(func() {
 				defer fasthttp.ReleaseRequest(req)
