--- /dev/null
+++ b/internal/ops/medlaravoidance/medlaravoidance_test.go
@@ -0,0 +1,27 @@
+package medlaravoidance
+
+import (
+	"testing"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarworld"
+)
+
+// TestPauseOutlastsEntry guards against a relay that opens connections for others to a replica which has asked for a pause,
+// once its entry has been gone for a moment.
+func TestPauseOutlastsEntry(t *testing.T) {
+	for _, listed := range []bool{true, false} { // when the replica asks
+		table := New(func(id medlarid.InstanceID) bool { return id != "r" || listed })
+		table.Add(medlarworld.Avoided{Upstream: "r", Incarnation: 3, For: time.Minute})
+		listed = false
+		table.Add(medlarworld.Avoided{Upstream: "other", Incarnation: 1, For: time.Minute})
+		listed = true
+		if !table.Avoids("r", 3) || !table.Paused("r", 3) {
+			t.Error("the pause is forgotten")
+		}
+		if table.Paused("r", 4) {
+			t.Error("the pause of an earlier start holds")
+		}
+	}
+}
--- a/internal/ops/medlardialer/medlardialer.go
+++ b/internal/ops/medlardialer/medlardialer.go
@@ -28,6 +28,7 @@
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarpath"
 	"medlarfield/internal/edge/medlarpool"
+	"medlarfield/internal/ops/medlaravoidance"
 	"medlarfield/internal/peer/medlartunnel"
 )
 
@@ -38,7 +39,6 @@
 	forPeerTimeout   = 250 * time.Millisecond // to open a connection for another instance, which waits a little longer
 	retryTimeout     = 500 * time.Millisecond // to get an answer on a path that is broken
 	hintTimeout      = time.Second            // to pass on what a replica has said
-	avoidanceMemory  = 10 * time.Minute       // longer than any pause, and than a replica that leaves runs on
 	ownProofTimeout  = time.Second            // of a call that examines a path
 	proofPatience    = 250 * time.Millisecond // after which other instances are asked meanwhile
 	proofGrace       = 150 * time.Millisecond // for the answer to this instance, once another one has got its own
@@ -75,9 +75,10 @@
 
 // Dialer opens connections to replicas. It is safe for concurrent use.
 type Dialer struct {
-	deps   Deps
-	server *medlartunnel.Server
-	paths  *medlarpath.Paths
+	deps    Deps
+	server  *medlartunnel.Server
+	avoided *medlaravoidance.Table
+	paths   *medlarpath.Paths
 
 	// These are set by Connect.
 	lookup func(medlarid.InstanceID) (Replica, bool)
@@ -88,18 +89,9 @@
 	table   *medlarreach.Table
 	peers   map[medlarid.InstanceID]medlartunnel.Peer
 	relayed map[medlarid.InstanceID]map[medlarid.InstanceID]bool // instances that relay to each replica
-	avoided map[medlarid.InstanceID]avoidance
-	wake    chan struct{} // has an element if a path may be broken or suspected
-	polling bool          // Run looks for such paths
-	keptAt  time.Time     // when the paths to replicas that are gone were forgotten last
-}
-
-// avoidance is why this instance sends nothing to a replica.
-type avoidance struct {
-	incarnation medlarid.Incarnation
-	leaving     bool
-	until       time.Time // of a pause
-	at          time.Time // when the replica stated it last
+	wake    chan struct{}                                        // has an element if a path may be broken or suspected
+	polling bool                                                 // Run looks for such paths
+	keptAt  time.Time                                            // when the paths to replicas that are gone were forgotten last
 }
 
 // New returns a Dialer that knows no other instances. Connect is called before it is used.
@@ -109,9 +101,9 @@
 		table:   medlarreach.New(deps.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		peers:   map[medlarid.InstanceID]medlartunnel.Peer{},
 		relayed: map[medlarid.InstanceID]map[medlarid.InstanceID]bool{},
-		avoided: map[medlarid.InstanceID]avoidance{},
 		wake:    make(chan struct{}, 1),
 	}
+	d.avoided = medlaravoidance.New(d.exists)
 	d.server = medlartunnel.NewServer(medlartunnel.Deps{
 		Key: deps.Key, Dial: d.dialForPeer, Prove: d.proveForPeer, OnHint: d.takeHint,
 		OnRequest: func(_, _ medlarid.InstanceID, r medlartunnel.Result) { deps.OnRequest(r) },
--- a/internal/ops/medlardialer/peer.go
+++ b/internal/ops/medlardialer/peer.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"net"
-	"time"
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarreach"
@@ -16,7 +15,7 @@
 // forPeer returns a replica to which this instance may connect for another one, or why it does not.
 func (d *Dialer) forPeer(id medlarid.InstanceID, incarnation medlarid.Incarnation) (Replica, medlartunnel.Result) {
 	r, ok := d.lookup(id)
-	if !ok || r.Incarnation != incarnation || r.Leaving || d.avoids(id, incarnation) {
+	if !ok || r.Incarnation != incarnation || r.Leaving || d.avoided.Avoids(id, incarnation) {
 		return r, medlartunnel.ResultUnused
 	}
 	d.mu.Lock()
@@ -53,36 +52,17 @@
 	return nil, medlartunnel.ResultDenied
 }
 
-// avoids reports whether this instance sends nothing to a replica because of what that stated.
-func (d *Dialer) avoids(id medlarid.InstanceID, incarnation medlarid.Incarnation) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	a := d.avoided[id]
-	return a.incarnation == incarnation && (a.leaving || time.Now().Before(a.until))
-}
-
 // Paused reports whether a replica wants no requests from this instance at present, as it has stated under its incarnation.
 func (d *Dialer) Paused(id medlarid.InstanceID, incarnation medlarid.Incarnation) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	a := d.avoided[id]
-	return a.incarnation == incarnation && time.Now().Before(a.until)
+	return d.avoided.Paused(id, incarnation)
 }
 
 // Avoid records that this instance sends nothing more to a replica because of what that stated, and passes it
 // on (R3).
 func (d *Dialer) Avoid(c medlarworld.Avoided) {
+	d.avoided.Add(c)
 	d.mu.Lock()
-	d.forgetGone()
-	a := d.avoided[c.Upstream]
-	if a.incarnation != c.Incarnation {
-		a = avoidance{incarnation: c.Incarnation}
-	}
-	a.leaving, a.at = a.leaving || c.Leaving, time.Now()
-	if c.For > 0 {
-		a.until = time.Now().Add(c.For)
-	}
-	d.avoided[c.Upstream] = a
+	maps.DeleteFunc(d.relayed, func(id medlarid.InstanceID, _ map[medlarid.InstanceID]bool) bool { return !d.exists(id) })
 	tell := d.concerned(c)
 	d.mu.Unlock()
 	h := medlartunnel.Hint{Replica: c.Upstream, Incarnation: c.Incarnation, Leaving: c.Leaving, Pause: c.For}
@@ -111,15 +91,6 @@
 	return out
 }
 
-// forgetGone forgets what replicas have stated that are no longer listed: at once who relays to them, and after a while that
-// they want no requests, since an entry may come back. The caller holds the lock.
-func (d *Dialer) forgetGone() {
-	maps.DeleteFunc(d.avoided, func(id medlarid.InstanceID, a avoidance) bool {
-		return time.Since(a.at) > avoidanceMemory && !d.exists(id)
-	})
-	maps.DeleteFunc(d.relayed, func(id medlarid.InstanceID, _ map[medlarid.InstanceID]bool) bool { return !d.exists(id) })
-}
-
 // exists reports whether a replica is known.
 func (d *Dialer) exists(id medlarid.InstanceID) bool {
 	_, ok := d.lookup(id)
