Soak: replicas that are slow, stand still or fail half of all requests, restarts beside, callers that press

The kinds play rules R9 to R11 and are played by name only. The verdict prints how close each run came: the window with most arrivals beyond the first, and the arrivals that came again late.

--- a/internal/stand/medlarfakereplica/exchange.go
+++ b/internal/stand/medlarfakereplica/exchange.go
@@ -112,7 +112,7 @@
 const hangDelay = 5 * time.Second
 
 func (x *exchange) servePlain() bool {
-	time.Sleep(x.replica.Settings.WorkTime)
+	x.replica.Pace.Work(x.replica.Settings.WorkTime)
 	body := "answer to " + x.header(headerID)
 	switch x.fault {
 	case FaultFail:
@@ -230,7 +230,7 @@
 
 // crash sends what the response has before a crash point, and crashes the replica.
 func (x *exchange) crash(at CrashPoint) {
-	time.Sleep(x.replica.Settings.WorkTime)
+	x.replica.Pace.Work(x.replica.Settings.WorkTime)
 	status := medlarhead.AppendStatus(nil, 200)
 	var b []byte
 	switch at {
@@ -259,7 +259,7 @@
 // to be ended as its framing requires.
 func (x *exchange) serveEvents(first int) bool {
 	for n := first; n <= x.replica.Settings.Events; n++ {
-		time.Sleep(x.replica.Settings.WorkTime)
+		x.replica.Pace.Work(x.replica.Settings.WorkTime)
 		if medlarprobe.Gone(x.conn) {
 			return false
 		}
--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -23,6 +23,7 @@
 
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/stand/medlarending"
+	"medlarfield/internal/stand/medlarpace"
 )
 
 // Fault is a fault in the response to a request.
@@ -121,11 +122,11 @@
 // Replica is a running fake replica.
 type Replica struct {
 	Settings Settings
+	Pace     medlarpace.Pace // has the faults that are armed, too
 
 	ln       net.Listener
 	mu       sync.Mutex
 	conns    map[net.Conn]bool
-	faults   []Fault
 	runs     []Run
 	active   int
 	leaving  bool
@@ -161,11 +162,7 @@
 func (r *Replica) Address() string { return r.ln.Addr().String() }
 
 // Arm injects a fault into the next n requests (R3).
-func (r *Replica) Arm(f Fault, n int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.faults = append(r.faults, slices.Repeat([]Fault{f}, n)...)
-}
+func (r *Replica) Arm(f Fault, n int) { r.Pace.Arm(string(f), n) }
 
 // ArmEnding makes the next request get a response that ends in a certain way.
 func (r *Replica) ArmEnding(e medlarending.Ending) { r.endings.Load().Arm(e) }
@@ -180,12 +177,8 @@
 	r.idle = true
 }
 
-// Disarm removes the armed faults that have not been injected yet.
-func (r *Replica) Disarm() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.faults = nil
-}
+// Disarm removes the armed faults that have not been injected yet, and lets the replica keep its usual pace.
+func (r *Replica) Disarm() { r.Pace.Reset() }
 
 // Runs returns the requests that ran.
 func (r *Replica) Runs() []Run {
@@ -359,6 +352,7 @@
 			return
 		}
 		body, err := medlarhead.ReadBody(br, h, bodyLimit)
+		r.Pace.Wait()
 		if err != nil || !r.serveRequest(c, br, h, string(body)) || h.Close {
 			return
 		}
@@ -374,21 +368,10 @@
 		return r.serveReport(c)
 	}
 	r.recordArrival()
-	x := &exchange{replica: r, conn: c, br: br, head: h, body: body, fault: r.nextFault()}
+	x := &exchange{replica: r, conn: c, br: br, head: h, body: body, fault: Fault(r.Pace.Next())}
 	return x.serve()
 }
 
-func (r *Replica) nextFault() Fault {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if len(r.faults) == 0 {
-		return ""
-	}
-	f := r.faults[0]
-	r.faults = r.faults[1:]
-	return f
-}
-
 // loadTime is the time that it takes to load new weights.
 const loadTime = 20 * time.Millisecond
 
--- a/internal/stand/medlarschedule/medlarschedule.go
+++ b/internal/stand/medlarschedule/medlarschedule.go
@@ -20,7 +20,7 @@
 // Verb is what a step does.
 type Verb string
 
-// Verbs. The arguments of all but VerbPost, VerbFault and VerbCalm are numbers of instances, from 1 on.
+// Verbs. The arguments of VerbKill to VerbNew are numbers of instances, from 1 on.
 const (
 	VerbPost  Verb = "post"  // sends a command to the control address of the platform
 	VerbKill  Verb = "kill"  // SIGKILL
@@ -30,6 +30,8 @@
 	VerbStart Verb = "start" // starts the instances that do not run
 	VerbNew   Verb = "new"   // as VerbStart; from now on the instances are of the new build
 	VerbFault Verb = "fault" // names the fault that begins
+	VerbPress Verb = "press" // callers send several times as much from now on
+	VerbEase  Verb = "ease"  // callers send as usual
 	VerbCalm  Verb = "calm"  // all faults have ended
 )
 
@@ -93,6 +95,12 @@
 	{"weights", (*draw).weights},
 	// This one and those behind it are played by name only, so that seeds keep their schedules.
 	{kindReleaseOutOfStep, (*draw).releaseOutOfStep},
+	{"slow-replicas", (*draw).slowReplicas},
+	{"stalled-replicas", (*draw).stalledReplicas},
+	{"half-broken", (*draw).halfBroken},
+	{"half-broken-restarts", (*draw).halfBrokenRestarts},
+	{"refused-restarts", (*draw).refusedRestarts},
+	{"pressing-callers", (*draw).pressingCallers},
 }
 
 const (
--- a/internal/stand/medlarschedule/medlarschedule_test.go
+++ b/internal/stand/medlarschedule/medlarschedule_test.go
@@ -10,7 +10,10 @@
 
 // TestSchedule guards against a schedule that differs between two draws, leaves a fault in force or a kind out.
 func TestSchedule(t *testing.T) {
-	byName := map[string]bool{"release-out-of-step": true} // kinds that are not drawn
+	byName := map[string]bool{ // kinds that are not drawn
+		"release-out-of-step": true, "slow-replicas": true, "stalled-replicas": true, "half-broken": true,
+		"half-broken-restarts": true, "refused-restarts": true, "pressing-callers": true,
+	}
 	kinds := map[string]bool{}
 	all := []medlarschedule.Settings{}
 	for seed := range uint64(100) {
--- a/internal/stand/medlarsoak/faults.go
+++ b/internal/stand/medlarsoak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -83,7 +84,10 @@
 //	POST /copies?status=S&without=H&form=F&n=N      repeats the next N responses with a status, without a header field
 //	POST /arm?fault=F&n=N                           injects a fault into the next N requests at each replica
 //	POST /broken?with=I&n=N                         breaks N streams of each replica off; resumptions get response I
-//	POST /disarm                                    takes the faults of the last three back
+//	POST /every?fault=F&n=N                         injects a fault into each N-th request at each plain replica
+//	POST /slow?ms=MS                                sets the duration of plain requests; 0 for the usual one
+//	POST /stall?from=I&n=N&ms=MS                    lets N plain replicas stand still, the I-th and those behind it
+//	POST /disarm                                    takes the faults of the last six back
 //	POST /rewind?n=N                                lets the store come back without the last N records of each topic
 //	POST /odd?entry=I                               writes odd entry I of replicas; removes all for -1
 func (p *Platform) Handler() fasthttp.RequestHandler {
@@ -106,6 +110,19 @@
 			for _, r := range p.site.Replicas() {
 				r.Arm(medlarfakereplica.Fault(text("fault")), q.GetUintOrZero("n"))
 			}
+		case "/every":
+			for _, r := range p.plain() {
+				r.Pace.SetFault(text("fault"), q.GetUintOrZero("n"))
+			}
+		case "/slow":
+			for _, r := range p.plain() {
+				r.Pace.SetWork(millis(q, "ms"))
+			}
+		case "/stall":
+			replicas := p.plain()
+			for i := range min(q.GetUintOrZero("n"), len(replicas)) {
+				replicas[(q.GetUintOrZero("from")+i)%len(replicas)].Pace.Stall(millis(q, "ms"))
+			}
 		case "/broken":
 			p.breakStreams(q.GetUintOrZero("with"), q.GetUintOrZero("n"))
 		case "/disarm":
@@ -121,6 +138,15 @@
 	}
 }
 
+// plain returns the replicas of the plain service.
+func (p *Platform) plain() []*medlarfakereplica.Replica {
+	return slices.DeleteFunc(p.site.Replicas(), func(r *medlarfakereplica.Replica) bool { return r.Settings.Model != "" })
+}
+
+func millis(q *fasthttp.Args, name string) time.Duration {
+	return time.Duration(q.GetUintOrZero(name)) * time.Millisecond
+}
+
 // change changes the operator's configuration.
 func (p *Platform) change(ctx *fasthttp.RequestCtx, f func(*medlarsite.Config)) {
 	if err := p.site.Change(f); err != nil {
--- a/internal/stand/medlarsoak/load.go
+++ b/internal/stand/medlarsoak/load.go
@@ -23,6 +23,9 @@
 	resumePause    = 50 * time.Millisecond   // from the end of a stream that broke off until its caller takes it up
 )
 
+// pressFactor is how much more callers send while they press.
+const pressFactor = 4
+
 // maxResumes is how often a caller takes a stream up.
 const maxResumes = 3
 
@@ -35,6 +38,7 @@
 	Instances []medlaravailability.Instance
 	Rate      float64 // requests a second
 	CalmFile  string  // is written when all faults have ended
+	PressFile string  // exists while pressFactor times as much is sent
 	Seed      uint64
 	Same      bool // all requests of a route have the same path and body
 
@@ -53,10 +57,11 @@
 	}
 	r := rand.New(rand.NewPCG(l.Seed, 2))
 	begin := time.Now()
-	interval := time.Duration(float64(time.Second) / l.Rate)
+	next := begin
 	var wg sync.WaitGroup
 	for n := 0; !l.done(); n++ {
-		time.Sleep(time.Until(begin.Add(time.Duration(n) * interval)))
+		time.Sleep(time.Until(next))
+		next = next.Add(l.interval())
 		to := l.Instances[r.IntN(len(l.Instances))]
 		c := l.add(Call{ID: fmt.Sprintf("s%x-%d", begin.UnixMilli(), n), Path: l.path(n)}, to)
 		part := r.IntN(16)
@@ -65,6 +70,15 @@
 	wg.Wait()
 }
 
+// interval returns the time until the next request.
+func (l *Load) interval() time.Duration {
+	rate := l.Rate
+	if _, err := os.Stat(l.PressFile); err == nil {
+		rate *= pressFactor
+	}
+	return time.Duration(float64(time.Second) / rate)
+}
+
 // add adds a call to an instance that is about to be made.
 func (l *Load) add(c Call, to medlaravailability.Instance) *Call {
 	c.At, c.Instance = time.Now().UnixMilli(), string(to.Name)
--- a/internal/stand/medlarsoak/record.go
+++ b/internal/stand/medlarsoak/record.go
@@ -180,7 +180,8 @@
 	FileCalls     = "calls.log"
 	FileRuns      = "runs.log"
 	FileProcesses = "processes.log"
-	FileCalm      = "calm" // is written when all faults have ended
+	FileCalm      = "calm"  // is written when all faults have ended
+	FilePress     = "press" // exists while callers press
 )
 
 // Read reads the records in a directory.
--- a/internal/stand/medlarstandcmd/soak.go
+++ b/internal/stand/medlarstandcmd/soak.go
@@ -95,7 +95,7 @@
 		if l.Instances, err = readInstances(filepath.Join(args[0], soakSettings)); err != nil {
 			return err
 		}
-		l.CalmFile = filepath.Join(args[0], medlarsoak.FileCalm)
+		l.CalmFile, l.PressFile = filepath.Join(args[0], medlarsoak.FileCalm), filepath.Join(args[0], medlarsoak.FilePress)
 		calls, err := os.Create(filepath.Join(args[0], medlarsoak.FileCalls))
 		if err != nil {
 			return err
--- a/internal/stand/medlarverdict/budget.go
+++ b/internal/stand/medlarverdict/budget.go
@@ -37,16 +37,33 @@
 	repeats := repeatTimes(r.Arrivals, ofService)
 	res.Repeats += len(repeats)
 	const window = int64(BudgetWindow / time.Millisecond)
+	worst := Window{Prefixes: prefixes}
 	for i, end := range repeats {
-		n := i + 1 - countBefore(repeats, end-window)
-		requests := max(between(sent, end-window, end), between(sent, end-window*3/2, end-window/2), between(sent, end-2*window, end-window))
-		if float64(n) > BudgetRatio*float64(requests)+BudgetSlack {
-			res.broken(RuleBudget, "", "%v: %d arrivals beyond the first of each request in the %v before %d, for %d requests", prefixes, n, BudgetWindow, end, requests)
-			return
+		w := Window{Prefixes: prefixes, End: end, Repeats: i + 1 - countBefore(repeats, end-window)}
+		w.Requests = max(between(sent, end-window, end), between(sent, end-window*3/2, end-window/2), between(sent, end-2*window, end-window))
+		if worst.End == 0 || w.over() > worst.over() {
+			worst = w
 		}
 	}
+	res.Worst = append(res.Worst, worst)
+	if worst.over() > 0 {
+		res.broken(RuleBudget, "", "%v: %d arrivals beyond the first of each request in the %v before %d, for %d requests", prefixes, worst.Repeats, BudgetWindow, worst.End, worst.Requests)
+	}
+}
+
+// Window is the time before End of which most is used of what R9 allows a service.
+type Window struct {
+	Prefixes          []string // of the service's routes
+	End               int64    // Unix ms; 0 if no request arrived once more
+	Repeats, Requests int      // arrivals beyond the first of each request, and requests that they are measured by
 }
 
+// allowed returns the number of arrivals beyond the first that R9 allows.
+func (w *Window) allowed() float64 { return BudgetRatio*float64(w.Requests) + BudgetSlack }
+
+// over returns how many arrivals there are more than R9 allows; negative if there are fewer.
+func (w *Window) over() float64 { return float64(w.Repeats) - w.allowed() }
+
 // repeatTimes returns the times of the arrivals beyond the first of each request, the earliest first.
 func repeatTimes(arrivals []medlarsoak.Run, ofService func(path string) bool) []int64 {
 	arrived := map[string]bool{}
@@ -77,6 +94,7 @@
 			over = append(over, run.ID)
 		}
 	}
+	res.OverAttempts = len(over)
 	if len(over) > OverAttempts {
 		res.broken(RuleTries, over[0], "%d requests ran on more replicas than their routes have attempts", len(over))
 	}
@@ -108,6 +126,7 @@
 			counted++
 		}
 	}
+	res.LateAgain, res.TooLong = counted, tooLong
 	if tooLong > OverTime && float64(tooLong) > overTimeShare*float64(counted) {
 		res.broken(RuleTime, "", "%d arrivals were told more time than was left, %d were so or came again late", tooLong, counted)
 	}
--- a/internal/stand/medlarverdict/medlarverdict.go
+++ b/internal/stand/medlarverdict/medlarverdict.go
@@ -70,6 +70,9 @@
 	Repeats                int // arrivals beyond the first of each request
 	Resumed, WentOn        int // requests that take a stream up, and those of them that brought an event
 	Returns                []Return
+	Worst                  []Window // by service (R9)
+	OverAttempts           int      // requests that ran on more replicas than their routes have attempts (R10)
+	LateAgain, TooLong     int      // arrivals that R11 counts, and those of them that were told too much time
 }
 
 // Check judges records.
@@ -199,6 +202,10 @@
 func (res *Result) Print(w io.Writer) {
 	share := float64(res.Served) / float64(max(res.Calls, 1))
 	_, _ = fmt.Fprintf(w, "calls %d, served %.2f, refused as not run %d, runs %d, repeats %d, streams taken up %d, of these went on %d\n", res.Calls, share, res.Refused, res.Runs, res.Repeats, res.Resumed, res.WentOn)
+	for _, b := range res.Worst {
+		_, _ = fmt.Fprintf(w, "most in %v at %v: %d arrivals beyond the first for %d requests, %.0f allowed\n", BudgetWindow, b.Prefixes, b.Repeats, b.Requests, b.allowed())
+	}
+	_, _ = fmt.Fprintf(w, "more replicas than attempts: %d requests; again late or told too much time: %d arrivals, told too much: %d\n", res.OverAttempts, res.LateAgain, res.TooLong)
 	for _, r := range res.Returns {
 		_, _ = fmt.Fprintf(w, "%s: nine tenths served after %v\n", r.What, r.Took)
 	}
