Wait for a slow answer where no other replica would be faster

What callers saw: while all replicas of a service answer late, but within the route's timeout, requests that may be repeated fail, and replicas run some of them twice. Cause: the first attempt always ends after four target latencies, for the sake of a replica that hangs; where all are slow, or wait for the processor, the second one has less time left than any replica needs, and once the budget has no token left the first is abandoned for nothing. The replica reads and runs both all the same.

An attempt now ends early only if another replica is not known to need more time than is left then (medlarpatience): by its last answer, or by its silence while attempts wait for it. Nothing known counts as able, and a replica that hangs on one request and answers others is not silent, so that a single replica that hangs is abandoned as before.

--- a/internal/agree/medlarcatalog/medlarcatalog.go
+++ b/internal/agree/medlarcatalog/medlarcatalog.go
@@ -144,6 +144,14 @@
 	shared      medlarkey.CacheGroup // of the accounts that are not isolated (R3)
 }
 
+// CallerLimits returns the limits of callers' requests, which are DefaultLimits before the first catalog.
+func (c *Catalog) CallerLimits() Limits {
+	if c == nil {
+		return DefaultLimits
+	}
+	return c.Limits
+}
+
 // AccountKeys is a client account with its keys.
 type AccountKeys struct {
 	Account Account
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -124,10 +124,10 @@
 
 // deadline returns the deadline of the attempt. The first attempt of a request that can
 // be retried ends earlier, so that a replica that hangs is abandoned while another one
-// can still respond in time.
+// can still respond in time, if one can.
 func (a *attempt) deadline() time.Time {
 	if a.route.Kind == medlarcatalog.KindIdempotent && a.route.MaxAttempts > 1 && a.summary.Attempts == 1 {
-		return medlarrun.Patience(a.route, a.started, a.run.Deadline)
+		return a.proxy.patience.Until(a.route, a.run.Service, a.cmd.Upstream, a.started, a.run.Deadline)
 	}
 	return a.run.Deadline
 }
--- a/internal/edge/medlarproxy/exchange.go
+++ b/internal/edge/medlarproxy/exchange.go
@@ -12,6 +12,7 @@
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarcall"
+	"medlarfield/internal/edge/medlarpatience"
 	"medlarfield/internal/edge/medlarrefusal"
 	"medlarfield/internal/edge/medlarrun"
 	"medlarfield/internal/edge/medlarserver"
@@ -147,7 +148,9 @@
 	x.summary.Upstream, x.summary.Build = cmd.Upstream, cmd.Build
 	x.summary.Parts, x.summary.Decision = cmd.Parts, cmd.Decision
 	a := &attempt{exchange: x, cmd: cmd, started: time.Now()}
+	end := x.proxy.patience.Begin(x.route, x.run.Service, cmd.Upstream, a.started)
 	e := a.do()
+	end(time.Now(), medlarpatience.OutcomeOf(e))
 	x.summary.Body = a.bodyEnd
 	a.report(e)
 	x.proxy.deps.Post(e)
--- a/internal/edge/medlarproxy/medlarproxy.go
+++ b/internal/edge/medlarproxy/medlarproxy.go
@@ -33,6 +33,7 @@
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarcall"
 	"medlarfield/internal/edge/medlardeadline"
+	"medlarfield/internal/edge/medlarpatience"
 	"medlarfield/internal/edge/medlarpool"
 	"medlarfield/internal/edge/medlarrefusal"
 	"medlarfield/internal/edge/medlarserver"
@@ -84,16 +85,17 @@
 
 // Proxy serves the requests of clients.
 type Proxy struct {
-	deps   Deps
-	server *medlarserver.Server
-	serial atomic.Uint64
-	open   *medlardeadline.Group // connections of attempts in progress
+	deps     Deps
+	server   *medlarserver.Server
+	serial   atomic.Uint64
+	open     *medlardeadline.Group // connections of attempts in progress
+	patience *medlarpatience.Table
 }
 
 // New returns a proxy. The caller passes listeners to its Server.
 func New(deps Deps) *Proxy {
-	p := &Proxy{deps: deps, open: medlardeadline.New()}
-	p.server = medlarserver.New(medlarserver.Deps{Limits: p.limits, Serve: p.serve, Reject: p.reject})
+	p := &Proxy{deps: deps, open: medlardeadline.New(), patience: medlarpatience.New()}
+	p.server = medlarserver.New(medlarserver.Deps{Limits: func() medlarcatalog.Limits { return deps.Catalog().CallerLimits() }, Serve: p.serve, Reject: p.reject})
 	return p
 }
 
@@ -103,13 +105,6 @@
 // Server returns the server that accepts client connections.
 func (p *Proxy) Server() *medlarserver.Server { return p.server }
 
-func (p *Proxy) limits() medlarcatalog.Limits {
-	if cat := p.deps.Catalog(); cat != nil {
-		return cat.Limits
-	}
-	return medlarcatalog.DefaultLimits
-}
-
 // serve handles one request and reports whether its connection can be reused.
 func (p *Proxy) serve(r medlarserver.Request) bool {
 	x := newExchange(p, r)
