--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -84,7 +84,7 @@
 		_ = c.Close()
 		return a.failed(errPaused, medlarreason.Busy, false)
 	}
-	a.deadline = medlarrun.AttemptDeadline(a.route, a.summary.Attempts, a.started, a.run.Deadline)
+	a.deadline = a.proxy.patience.Deadline(a.route, a.summary.Attempts, a.run.Service, a.cmd.Upstream, a.started, a.run.Deadline)
 	_ = c.SetDeadline(a.deadline)
 	remove, ok := a.proxy.open.Add(c)
 	if !ok {
--- a/internal/stand/medlarschedule/medlarschedule.go
+++ b/internal/stand/medlarschedule/medlarschedule.go
@@ -20,7 +20,7 @@
 // Verb is what a step does.
 type Verb string
 
-// Verbs. The arguments of all but VerbPost, VerbFault and VerbCalm are numbers of instances, from 1 on.
+// Verbs. The arguments of VerbKill to VerbNew are numbers of instances, from 1 on.
 const (
 	VerbPost  Verb = "post"  // sends a command to the control address of the platform
 	VerbKill  Verb = "kill"  // SIGKILL
@@ -30,6 +30,8 @@
 	VerbStart Verb = "start" // starts the instances that do not run
 	VerbNew   Verb = "new"   // as VerbStart; from now on the instances are of the new build
 	VerbFault Verb = "fault" // names the fault that begins
+	VerbPress Verb = "press" // callers send several times as much from now on
+	VerbEase  Verb = "ease"  // callers send as usual
 	VerbCalm  Verb = "calm"  // all faults have ended
 )
 
@@ -99,6 +101,12 @@
 	{"pauses-beside-cuts", func(d *draw) []Step { return append(d.cut(d.nodes-1), d.pauses()...) }},
 	{"deadly-request", func(d *draw) []Step { return d.deadly("request") }},
 	{"deadly-part", func(d *draw) []Step { return d.deadly("part") }},
+	{"slow-replicas", (*draw).slowReplicas},
+	{"stalled-replicas", (*draw).stalledReplicas},
+	{"half-broken", (*draw).halfBroken},
+	{"half-broken-restarts", (*draw).halfBrokenRestarts},
+	{"refused-restarts", (*draw).refusedRestarts},
+	{"pressing-callers", (*draw).pressingCallers},
 }
 
 const (
--- a/internal/stand/medlarschedule/medlarschedule_test.go
+++ b/internal/stand/medlarschedule/medlarschedule_test.go
@@ -13,6 +13,8 @@
 	byName := map[string]bool{ // kinds that are not drawn
 		"release-out-of-step": true, "pauses": true, "pauses-beside-cuts": true, "deadly-request": true, "deadly-part": true,
 		"answer-begun-again": true, "answer-twice": true,
+		"slow-replicas": true, "stalled-replicas": true, "half-broken": true,
+		"half-broken-restarts": true, "refused-restarts": true, "pressing-callers": true,
 	}
 	kinds := map[string]bool{}
 	all := []medlarschedule.Settings{}
--- a/internal/stand/medlarsoak/faults.go
+++ b/internal/stand/medlarsoak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -125,7 +126,10 @@
 //	POST /broken?with=I&n=N                         breaks N streams of each replica off; resumptions get response I
 //	POST /again?with=I&n=N                          makes N responses of each plain replica like ending I of medlarending.Again
 //	POST /twice?with=I&n=N                          makes N responses of each replica like ending I of medlarending.Twice
-//	POST /disarm                                    takes the faults of the last five back
+//	POST /every?fault=F&n=N                         injects a fault into each N-th request at each plain replica
+//	POST /slow?ms=MS                                sets the duration of plain requests; 0 for the usual one
+//	POST /stall?from=I&n=N&ms=MS                    lets N plain replicas stand still, the I-th and those behind it
+//	POST /disarm                                    takes the faults of the last eight back
 //	POST /deadly?kind=K                             makes replicas crash under the requests of a kind; under none without one
 //	POST /rewind?n=N                                lets the store come back without the last N records of each topic
 //	POST /odd?entry=I                               writes odd entry I of replicas; removes all for -1
@@ -155,6 +159,19 @@
 			for _, r := range p.site.Replicas() {
 				r.Arm(medlarfakereplica.Fault(text("fault")), q.GetUintOrZero("n"))
 			}
+		case "/every":
+			for _, r := range p.plain() {
+				r.Pace.SetFault(text("fault"), q.GetUintOrZero("n"))
+			}
+		case "/slow":
+			for _, r := range p.plain() {
+				r.Pace.SetWork(millis(q, "ms"))
+			}
+		case "/stall":
+			replicas := p.plain()
+			for i := range min(q.GetUintOrZero("n"), len(replicas)) {
+				replicas[(q.GetUintOrZero("from")+i)%len(replicas)].Pace.Stall(millis(q, "ms"))
+			}
 		case "/broken":
 			p.breakStreams(q.GetUintOrZero("with"), q.GetUintOrZero("n"))
 		case "/again":
@@ -174,6 +191,15 @@
 	}
 }
 
+// plain returns the replicas of the plain service.
+func (p *Platform) plain() []*medlarfakereplica.Replica {
+	return slices.DeleteFunc(p.site.Replicas(), func(r *medlarfakereplica.Replica) bool { return r.Settings.Model != "" })
+}
+
+func millis(q *fasthttp.Args, name string) time.Duration {
+	return time.Duration(q.GetUintOrZero(name)) * time.Millisecond
+}
+
 // change changes the operator's configuration.
 func (p *Platform) change(ctx *fasthttp.RequestCtx, f func(*medlarsite.Config)) {
 	if err := p.site.Change(f); err != nil {
--- a/internal/stand/medlarverdict/medlarverdict.go
+++ b/internal/stand/medlarverdict/medlarverdict.go
@@ -79,9 +79,12 @@
 	Repeats                int // arrivals beyond the first of each request
 	Resumed, WentOn        int // requests that take a stream up, and those of them that brought an event
 	Returns                []Return
-	Pauses, Excused        int // pauses that replicas asked for, and those of them whose instance was disturbed
-	InPauses               int // arrivals that R13 counts
-	Crashes, LateDeadly    int // of replicas under requests, and arrivals that R14 and R15 count
+	Pauses, Excused        int      // pauses that replicas asked for, and those of them whose instance was disturbed
+	InPauses               int      // arrivals that R13 counts
+	Crashes, LateDeadly    int      // of replicas under requests, and arrivals that R14 and R15 count
+	Worst                  []Window // by service (R9)
+	OverAttempts           int      // requests that ran on more replicas than their routes have attempts (R10)
+	LateAgain, TooLong     int      // arrivals that R11 counts, and those of them that were told too much time
 }
 
 // Check judges records.
@@ -217,6 +220,10 @@
 	if res.Pauses > 0 || res.Crashes > 0 {
 		_, _ = fmt.Fprintf(w, "pauses %d, excused %d, arrivals in the others %d, crashes under requests %d, late arrivals of these %d\n", res.Pauses, res.Excused, res.InPauses, res.Crashes, res.LateDeadly)
 	}
+	for _, b := range res.Worst {
+		_, _ = fmt.Fprintf(w, "most in %v at %v: %d arrivals beyond the first for %d requests, %.0f allowed\n", BudgetWindow, b.Prefixes, b.Repeats, b.Requests, b.allowed())
+	}
+	_, _ = fmt.Fprintf(w, "more replicas than attempts: %d requests; again late or told too much time: %d arrivals, told too much: %d\n", res.OverAttempts, res.LateAgain, res.TooLong)
 	for _, r := range res.Returns {
 		_, _ = fmt.Fprintf(w, "%s: nine tenths served after %v\n", r.What, r.Took)
 	}
