Log the expected wait at a replica; hypotheses on requests that begin late on older weights

Whether the expectation of the wait was left out of the bound, or was wrong, the log could not tell: it names the lag, not the time to the first part that the choice expected.

--- a/internal/core/medlarchoice/medlarchoice.go
+++ b/internal/core/medlarchoice/medlarchoice.go
@@ -10,6 +10,7 @@
 	TotalPending, TotalWindow float64
 	Lag                       float64 // seconds by which the upstream answers later than expected
 	Others                    int     // attempts of other instances at the chosen upstream, as they told last
+	Wait                      float64 // seconds to the first part of the answer, as expected, without Lag; 0 if not estimated
 }
 
 // PartState is the assumed state of a part of a prompt.
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -174,7 +174,7 @@
 	if !slices.Contains(r.Tried, u) {
 		r.Tried = append(r.Tried, u)
 	}
-	decision := medlarchoice.Decision{Candidates: s.candidates, Lag: medlarlag.Estimate(w, u), Others: u.PeerOpen}
+	decision := medlarchoice.Decision{Candidates: s.candidates, Lag: medlarlag.Estimate(w, u), Others: u.PeerOpen, Wait: c.ttft}
 	medlarwindow.Explain(w, r, u, &decision)
 	medlarlimit.Take(u)
 	awaitRecord := medlarresume.Started(w, r, u)
--- a/internal/ops/medlarrequestlog/medlarrequestlog.go
+++ b/internal/ops/medlarrequestlog/medlarrequestlog.go
@@ -135,7 +135,8 @@
 func choiceFields(y medlarchoice.Decision) *zerolog.Event {
 	return zerolog.Dict().Int("choices", y.Candidates).Float64("pending", math.Round(y.Pending)).
 		Float64("window", math.Round(y.Window)).Float64("all", math.Round(y.TotalPending)).
-		Float64("bound", math.Round(y.TotalWindow)).Float64("lag", math.Round(1000*y.Lag)).Int("others", y.Others)
+		Float64("bound", math.Round(y.TotalWindow)).Float64("lag", math.Round(1000*y.Lag)).Int("others", y.Others).
+		Float64("expected", math.Round(1000*y.Wait))
 }
 
 // partText returns the states of a prompt's parts, one letter each.
