Bound when answers begin on older weights, not when requests are sent

Cause: the bound was one on sending, with a constant for the wait. No bound on sending bounds the beginning.

The router now counts when an answer is expected to begin. What waits when the time has passed is withdrawn, if it may be repeated and its answer has not begun, and goes elsewhere as a repeat; without an attempt or budget left it fails as possibly run. What may not be repeated gets a larger margin.

--- a/internal/core/medlarbacklog/medlarbacklog.go
+++ b/internal/core/medlarbacklog/medlarbacklog.go
@@ -53,6 +53,15 @@
 	b.attempts = slices.Delete(b.attempts, i, i+1)
 }
 
+// Runs returns the runs whose attempts are pending, in the order in which these started.
+func (b *Backlog) Runs() []medlarid.RequestID {
+	out := make([]medlarid.RequestID, len(b.attempts))
+	for i, a := range b.attempts {
+		out[i] = a.Run
+	}
+	return out
+}
+
 // Has reports whether an attempt of the run is pending.
 func (b *Backlog) Has(id medlarid.RequestID) bool { return b.index(id) >= 0 }
 
--- a/internal/core/medlarcore/medlarcore.go
+++ b/internal/core/medlarcore/medlarcore.go
@@ -19,6 +19,7 @@
 	"medlarfield/internal/core/medlarretry"
 	"medlarfield/internal/core/medlarroute"
 	"medlarfield/internal/core/medlarwindow"
+	"medlarfield/internal/core/medlarwithdraw"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -59,6 +60,7 @@
 			medlarcrash.New(),
 			medlarresume.New(),
 			medlarretry.New(),
+			medlarwithdraw.New(),
 			admit,
 			medlaroffload.New(),
 			medlarroute.New(admit.Started),
--- a/internal/core/medlarhistory/medlarhistory.go
+++ b/internal/core/medlarhistory/medlarhistory.go
@@ -43,6 +43,13 @@
 	return c.At, ok
 }
 
+// BeginBy returns the latest time at which an answer may begin under a version, a grace period after it was
+// replaced; ok is false if there is none, as it has not been replaced or the period is 0, for no bound.
+func (h History) BeginBy(v medlarid.WeightVersion, grace time.Duration) (at time.Time, ok bool) {
+	replaced, ok := h.ReplacedAt(v)
+	return replaced.Add(grace), ok && grace > 0
+}
+
 // Dated returns the history of increasing versions with a change whose time is known. It replaces an estimate and a
 // later time; a change to a version after the last one has no effect. The history itself is not modified.
 func (h History) Dated(c Change) History {
--- a/internal/core/medlarreason/medlarreason.go
+++ b/internal/core/medlarreason/medlarreason.go
@@ -44,6 +44,7 @@
 	Truncated   Reason = "truncated"
 	Misdirected Reason = "misdirected"
 	Failure     Reason = "failure"
+	Outdated    Reason = "outdated"
 )
 
 // Ran states whether a refused request ran on an upstream.
@@ -109,6 +110,7 @@
 	{Reason: Truncated, Text: "the upstream's answer was not whole", Advice: "look at the upstream instance"},
 	{Reason: Misdirected, Text: "another replica has the address now", Advice: "none while replicas are replaced"},
 	{Reason: Failure, Text: "the upstream answered that it failed", Advice: "look at the upstream instance"},
+	{Reason: Outdated, Text: "the answer had not begun when the time of older weights had passed", Advice: "look at who orders the weights, and at the upstream's load"},
 }
 
 // MeansNotRun reports whether an HTTP status states that the request did not run.
--- a/internal/core/medlarretry/medlarretry.go
+++ b/internal/core/medlarretry/medlarretry.go
@@ -15,7 +15,7 @@
 //	    to, or one that has crashed, as this instance finds or another one reports, is
 //	    ejected for a time that doubles, unless half of the upstreams of its target
 //	    are already ejected.
-//	R5  Lack of capacity is no failure of the upstream.
+//	R5  Lack of capacity is no failure of the upstream. Neither is an attempt that was withdrawn.
 //	R6  An upstream whose address belongs to another instance now is ejected however
 //	    many are left of its target: nothing sent to that address reaches it.
 //	R7  A run that may crash the next upstream, too, is not retried.
@@ -156,7 +156,7 @@
 // countsAsFailure reports whether the reason of a retry counts as a failure of the
 // upstream (R5).
 func countsAsFailure(r medlarreason.Reason) bool {
-	return r != medlarreason.Busy && r != medlarreason.Version && r != medlarreason.Misdirected
+	return r != medlarreason.Busy && r != medlarreason.Version && r != medlarreason.Misdirected && r != medlarreason.Outdated
 }
 
 // retry enqueues a run for its next attempt, or refuses it (R1, R2).
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -9,8 +9,8 @@
 //	    Where versions only increase, a later one than this instance knows to be
 //	    desired will do: the operators have published it, and the instance is cut off.
 //	    An answer that has begun continues under its own version only, and a stream at
-//	    upstreams of its software version. A weight version that is no longer desired
-//	    serves nothing once its grace period has passed.
+//	    upstreams of its software version. Under a weight version that is no longer desired
+//	    an attempt starts only if its answer is expected to begin within the grace period.
 //	R2  The cost of a candidate is the expected time to first token: its backlog,
 //	    the prefill of what it does not cache, and the zone cost. A deployment that
 //	    optimizes for the recomputed share adds a multiple of the prefill.
@@ -46,6 +46,7 @@
 	"medlarfield/internal/core/medlarplacement"
 	"medlarfield/internal/core/medlarresume"
 	"medlarfield/internal/core/medlarwindow"
+	"medlarfield/internal/core/medlarwithdraw"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -65,6 +66,10 @@
 	maxOpenWithoutSlots = 256  // maximum number of attempts in flight at an upstream that reports no slots
 	importTimeoutFactor = 2    // an import times out after this many times its expected duration
 	importSavedShare    = 0.5  // an import may take at least this share of the computation that it saves
+
+	// Time kept for waits at replicas that are longer than expected, before answers under replaced weights end.
+	waitMargin      = 400 * time.Millisecond  // of attempts that are withdrawn then
+	fixedWaitMargin = 1000 * time.Millisecond // of others, which begin whenever the replica comes to them
 )
 
 // System routes runs.
@@ -82,6 +87,8 @@
 	version medlarid.WeightVersion
 	build   medlarid.Build
 	fixed   bool // the build
+
+	withdrawable bool
 }
 
 // option is one way to serve a run.
@@ -126,7 +133,7 @@
 
 // dispatch starts or claims a run and reports whether it left the queue.
 func (s *System) dispatch(w *medlarworld.World, r *medlarworld.Run) bool {
-	need := requirements{model: r.Model, service: r.Service, version: r.Version, build: r.Build, fixed: r.BuildFixed}
+	need := requirements{model: r.Model, service: r.Service, version: r.Version, build: r.Build, fixed: r.BuildFixed, withdrawable: medlarwithdraw.Allowed(r)}
 	untried := len(r.Tried) == 0 && r.PinnedVersion == ""
 	if untried && slices.Contains(s.exhausted, need) {
 		return false
@@ -299,6 +306,7 @@
 	if home != nil {
 		r.HomeZone = home.Zone
 	}
+	desired := w.Models[r.Model].Version
 	for _, u := range upstreams {
 		inScope := u.InSubset || sc.wholeFleet || u == home || r.Service != ""
 		mayTry := (sc.includeTried || !slices.Contains(r.Tried, u)) && (sc.includeEjected || len(r.Tried) == 0 || u.Ejections == 0)
@@ -306,6 +314,9 @@
 			continue
 		}
 		c := evaluate(w, r, u)
+		if u.Kind == medlarkind.KindEngine && u.Version != desired && !beginsInTime(w, r, u.Version, c.idleTTFT+queueSeconds(w, u)+medlarlag.Estimate(w, u)) {
+			continue
+		}
 		if r.KeyTokens != nil && u.Kind == medlarkind.KindEngine && !medlarwindow.Fits(w, r, u, r.PrefixTokens(c.availableParts)) {
 			continue
 		}
@@ -358,13 +369,22 @@
 	if v == m.Version || w.IsLater(v, m.Version) {
 		return v != ""
 	}
-	return v != "" && v == r.Version && !outdated(w, &m, v)
+	return v != "" && v == r.Version && beginsInTime(w, r, v, 0)
 }
 
-// outdated reports whether the grace period of a replaced weight version has passed.
-func outdated(w *medlarworld.World, m *medlarworld.Model, v medlarid.WeightVersion) bool {
-	at, ok := m.Versions.ReplacedAt(v)
-	return ok && w.Config.OldVersionGrace > 0 && w.Now.Sub(at) > w.Config.OldVersionGrace
+// beginsInTime reports whether the answer of a run that is expected to wait at a replica for some seconds begins
+// while the weight version may serve (R1).
+func beginsInTime(w *medlarworld.World, r *medlarworld.Run, v medlarid.WeightVersion, seconds float64) bool {
+	m := w.Models[r.Model]
+	by, ok := m.Versions.BeginBy(v, w.Config.OldVersionGrace)
+	if !ok || r.PinnedVersion != "" {
+		return true
+	}
+	margin := waitMargin
+	if !medlarwithdraw.Allowed(r) {
+		margin = fixedWaitMargin
+	}
+	return !w.Now.Add(margin + time.Duration(seconds*float64(time.Second))).After(by)
 }
 
 // assumedVersion returns the weight version that a replica is assumed to have: the
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -50,8 +50,8 @@
 	MaxWait time.Duration
 	// OffloadKV enables the offload of context to stores.
 	OffloadKV bool
-	// OldVersionGrace is the time after which a replica with a weight version other
-	// than the desired one gets no more work; 0 for no bound.
+	// OldVersionGrace is the time from the change of a model's desired weight version to the last answer that may
+	// begin under an older one; 0 for no bound.
 	OldVersionGrace time.Duration
 	// SettlingTime is the time for which older weight versions serve at least after an instance has read, late
 	// or at its start, that they are replaced.
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -57,9 +57,7 @@
 }
 
 // ClaimGranted reports that the run's only attempt is granted to this instance.
-type ClaimGranted struct {
-	Run medlarid.RequestID
-}
+type ClaimGranted struct{ Run medlarid.RequestID }
 
 // ClaimDenied reports that the run's attempt was not granted.
 type ClaimDenied struct {
@@ -73,9 +71,7 @@
 }
 
 // CallerLeft reports that the caller of a run went away.
-type CallerLeft struct {
-	Run medlarid.RequestID
-}
+type CallerLeft struct{ Run medlarid.RequestID }
 
 // ListsApplied reports the lists in force.
 type ListsApplied struct {
@@ -405,8 +401,12 @@
 }
 
 // Claim asks for the grant of the run's only attempt.
-type Claim struct {
-	Run medlarid.RequestID
+type Claim struct{ Run medlarid.RequestID }
+
+// Withdraw asks to end an attempt whose answer has not begun. One whose answer has begun goes on.
+type Withdraw struct {
+	Run     medlarid.RequestID
+	Attempt int
 }
 
 // Export asks to copy the blocks of a finished run to stores.
@@ -523,6 +523,7 @@
 type BlockChanged struct{ Change medlarsuspect.Change }
 
 func (StartAttempt) command()   {}
+func (Withdraw) command()       {}
 func (LimitChanged) command()   {}
 func (BrittleChanged) command() {}
 func (RecordLimit) command()    {}
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -21,6 +21,7 @@
 	"medlarfield/internal/edge/medlarpool"
 	"medlarfield/internal/edge/medlarproof"
 	"medlarfield/internal/edge/medlarrun"
+	"medlarfield/internal/edge/medlarwithdrawal"
 )
 
 // Limits of requests and responses.
@@ -38,8 +39,9 @@
 	cmd         medlarworld.StartAttempt
 	started     time.Time
 	upstream    *medlarpool.Conn // nil before the attempt has a connection
-	stopClose   func() bool      // stops the close of upstream on a client disconnect; false if it was closed
-	bodyWritten chan error       // result of a body write in the background; nil for none
+	withdrawal  *medlarwithdrawal.Attempt
+	stopClose   func() bool // stops the close of upstream on a client disconnect, or when the attempt is withdrawn; false if it was closed
+	bodyWritten chan error  // result of a body write in the background; nil for none
 	status      int
 	bodyEnd     medlarcall.BodyEnd
 	reused      bool                // the connection had served a request before
@@ -48,9 +50,8 @@
 	rejected    bool                // the response says that the upstream did not run the request
 	via         medlarid.InstanceID // that relays the connection; empty for none
 	err         error
-	lost        bool      // the upstream ended the connection before its response was complete
-	headBegan   bool      // a byte of a response was received
-	began       time.Time // time of the first whole event, or of the first part of another body, of the response; zero for none
+	lost        bool // the upstream ended the connection before its response was complete
+	headBegan   bool // a byte of a response was received
 }
 
 // response is a complete response of an upstream.
@@ -70,23 +71,26 @@
 
 // do makes the attempt and returns its result.
 func (a *attempt) do() medlarworld.AttemptEnded {
-	ctx, cancel := context.WithDeadline(a.ctx, a.run.Deadline)
+	withdrawal, ctx, end := a.proxy.attempts.Start(a.ctx, a.run.ID, a.cmd.Attempt)
+	defer end()
+	a.withdrawal = withdrawal
+	timed, cancel := context.WithDeadline(ctx, a.run.Deadline)
 	defer cancel()
 	need := medlarpool.Need{ID: a.call.ID, Recent: a.run.AtMostOnce}
-	c, err := a.proxy.deps.Pool.Get(ctx, medlarpool.Target{ID: a.cmd.Upstream, Incarnation: a.cmd.Incarnation, Address: a.cmd.Address}, need)
+	c, err := a.proxy.deps.Pool.Get(timed, medlarpool.Target{ID: a.cmd.Upstream, Incarnation: a.cmd.Incarnation, Address: a.cmd.Address}, need)
 	if err != nil {
 		return a.failed(err, medlarreason.Unreachable, false)
 	}
 	a.upstream, a.reused, a.via = c, c.Reused, c.Via
 	a.summary.ConnectTime, a.summary.Reused, a.summary.Via = time.Since(a.started), c.Reused, c.Via
-	_ = c.SetDeadline(a.deadline())
+	_ = c.SetDeadline(medlarrun.AttemptEnd(a.route, a.summary.Attempts, a.started, a.run.Deadline))
 	remove, ok := a.proxy.open.Add(c)
 	if !ok {
 		_ = c.Close()
 		return a.failed(errEnded, medlarreason.Draining, false)
 	}
 	defer remove()
-	a.stopClose = context.AfterFunc(a.ctx, func() { _ = c.Close() }) // R3
+	a.stopClose = context.AfterFunc(ctx, func() { _ = c.Close() }) // R3, R6
 	defer a.stopClose()
 	if err := a.send(); err != nil {
 		_ = c.Close()
@@ -122,16 +126,6 @@
 	}
 }
 
-// deadline returns the deadline of the attempt. The first attempt of a request that can
-// be retried ends earlier, so that a replica that hangs is abandoned while another one
-// can still respond in time.
-func (a *attempt) deadline() time.Time {
-	if a.route.Kind == medlarcatalog.KindIdempotent && a.route.MaxAttempts > 1 && a.summary.Attempts == 1 {
-		return medlarrun.Patience(a.route, a.started, a.run.Deadline)
-	}
-	return a.run.Deadline
-}
-
 // send writes the request. A long body is written in the background while the response is
 // read, as the upstream may respond before it has read all of the body.
 func (a *attempt) send() error {
@@ -207,6 +201,7 @@
 
 // handleResponse classifies a response and relays it if it is valid (R2).
 func (a *attempt) handleResponse(h *medlarhead.Head, reply medlarcall.Reply) medlarworld.AttemptEnded {
+	contentType, _ := h.Get("Content-Type")
 	success := h.Status >= statusOK && h.Status < 300
 	switch {
 	case reply.Rejected() && reply.Proof == medlarcall.ProofNone: // the request may run, and may be repeated
@@ -228,7 +223,7 @@
 	case reply.ContentEncoded:
 		_ = a.upstream.Close()
 		return a.failed(errContentEncoded, medlarreason.Broken, true)
-	case success && a.route.Kind == medlarcatalog.KindStream && medlarevent.IsStream(contentType(h)):
+	case success && a.route.Kind == medlarcatalog.KindStream && medlarevent.IsStream(contentType):
 		return a.relayStream(h, reply)
 	}
 	return a.relayResponse(h, reply)
@@ -245,7 +240,7 @@
 	_ = a.upstream.Close()
 	ended := a.failed(errUnsigned, medlarreason.Broken, true)
 	cut := err == nil && h.Framing == medlarhead.FramingClose || medlarhead.ConnectionEnded(err)
-	a.lost = cut && a.ctx.Err() == nil
+	a.lost = cut && a.ctx.Err() == nil && !a.withdrawal.Withdrawn()
 	ended.Lost = a.lost
 	return ended
 }
@@ -253,10 +248,12 @@
 // failed returns the result of an attempt without a valid response.
 func (a *attempt) failed(err error, reason medlarreason.Reason, reached bool) medlarworld.AttemptEnded {
 	a.err = err
-	a.lost = reached && a.ctx.Err() == nil && (medlarhead.ConnectionEnded(err) || errors.Is(err, medlarevent.ErrConnectionEnded))
+	a.lost = reached && a.ctx.Err() == nil && !a.withdrawal.Withdrawn() && (medlarhead.ConnectionEnded(err) || errors.Is(err, medlarevent.ErrConnectionEnded))
 	switch {
 	case a.ctx.Err() != nil:
 		return a.ended(medlarkind.CauseCallerLeft, "", reached)
+	case a.withdrawal.Withdrawn():
+		reason = medlarreason.Outdated
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		reason = medlarreason.Timeout
 	}
@@ -267,7 +264,7 @@
 }
 
 func (a *attempt) ended(cause medlarkind.Cause, reason medlarreason.Reason, reached bool) medlarworld.AttemptEnded {
-	e := medlarworld.AttemptEnded{Run: a.run.ID, Attempt: a.cmd.Attempt, Cause: cause, Reason: reason, Reached: reached, Lost: a.lost, Head: a.headBegan, Began: a.sinceBegan()}
+	e := medlarworld.AttemptEnded{Run: a.run.ID, Attempt: a.cmd.Attempt, Cause: cause, Reason: reason, Reached: reached, Lost: a.lost, Head: a.headBegan, Began: a.withdrawal.SinceBegun()}
 	if a.upstream != nil {
 		e.Connected = a.upstream.Opened
 	}
@@ -296,16 +293,8 @@
 		Proof:    a.proof,
 		Rejected: a.rejected,
 		Unnamed:  a.unnamed,
-		Began:    a.sinceBegan(),
+		Began:    a.withdrawal.SinceBegun(),
 		Parts:    a.call.Parts,
 		Traits:   a.run.Traits, BodyBytes: len(a.body),
 	})
 }
-
-// sinceBegan returns the time since the answer began; 0 if it has not.
-func (a *attempt) sinceBegan() time.Duration {
-	if a.began.IsZero() {
-		return 0
-	}
-	return time.Since(a.began)
-}
--- a/internal/edge/medlarproxy/medlarproxy.go
+++ b/internal/edge/medlarproxy/medlarproxy.go
@@ -19,6 +19,8 @@
 //	    event, within the same response and only after the first upstream connection
 //	    is closed. A response that does not begin after that event is not relayed;
 //	    neither is one to a client that resumes its stream.
+//	R6  An attempt at a stream that may be resumed ends when the core withdraws it before its first event. It may have
+//	    run. What had arrived by then is relayed.
 package medlarproxy
 
 import (
@@ -36,6 +38,7 @@
 	"medlarfield/internal/edge/medlarpool"
 	"medlarfield/internal/edge/medlarrefusal"
 	"medlarfield/internal/edge/medlarserver"
+	"medlarfield/internal/edge/medlarwithdrawal"
 )
 
 // Deps are the functions of the instance that the proxy depends on.
@@ -88,11 +91,13 @@
 	server *medlarserver.Server
 	serial atomic.Uint64
 	open   *medlardeadline.Group // connections of attempts in progress
+
+	attempts *medlarwithdrawal.Attempts
 }
 
 // New returns a proxy. The caller passes listeners to its Server.
 func New(deps Deps) *Proxy {
-	p := &Proxy{deps: deps, open: medlardeadline.New()}
+	p := &Proxy{deps: deps, open: medlardeadline.New(), attempts: medlarwithdrawal.New()}
 	p.server = medlarserver.New(medlarserver.Deps{Limits: p.limits, Serve: p.serve, Reject: p.reject})
 	return p
 }
@@ -100,6 +105,9 @@
 // EndAttempts makes the attempts in progress, and those that begin later, fail as if their time were up.
 func (p *Proxy) EndAttempts() { p.open.End() }
 
+// Withdraw ends an attempt whose answer has not begun (R6).
+func (p *Proxy) Withdraw(c medlarworld.Withdraw) { p.attempts.Withdraw(c) }
+
 // Server returns the server that accepts client connections.
 func (p *Proxy) Server() *medlarserver.Server { return p.server }
 
--- a/internal/edge/medlarproxy/relay.go
+++ b/internal/edge/medlarproxy/relay.go
@@ -12,11 +12,6 @@
 	"medlarfield/internal/edge/medlarrun"
 )
 
-func contentType(h *medlarhead.Head) string {
-	value, _ := h.Get("Content-Type")
-	return value
-}
-
 // newBody returns a reader for the body of a response that is relayed.
 func (a *attempt) newBody(h *medlarhead.Head) *medlarhead.Body {
 	body := medlarhead.NewBody(a.upstream.Reader, h)
@@ -68,7 +63,8 @@
 // relayChunked relays a long response as it arrives.
 func (a *attempt) relayChunked(h *medlarhead.Head, first []byte, body *medlarhead.Body, reply medlarcall.Reply) medlarworld.AttemptEnded {
 	b := medlarhead.AppendChunkedEnd(a.responseHead(h))
-	a.responseStarted, a.began = true, time.Now()
+	a.withdrawal.Begin()
+	a.responseStarted = true
 	a.upstream.AnswerBegan()
 	if a.write(medlarhead.AppendChunk(b, first)) != nil {
 		_ = a.upstream.Close()
@@ -128,8 +124,8 @@
 		case a.bodyEnd.Complete:
 			events, err = a.events.Finish(events, h.Framing == medlarhead.FramingClose)
 		}
-		if len(events) > 0 && a.began.IsZero() {
-			a.began = time.Now()
+		if len(events) > 0 {
+			a.withdrawal.Begin()
 		}
 		if len(events) > 0 && a.sendEvents(h, events) != nil {
 			_ = a.upstream.Close()
--- a/internal/edge/medlarrun/medlarrun.go
+++ b/internal/edge/medlarrun/medlarrun.go
@@ -136,6 +136,15 @@
 	return Earlier(started.Add(patienceTargets*r.TargetLatency), deadline)
 }
 
+// AttemptEnd returns the deadline of an attempt with a number from 1 on. The first attempt of a request that can be
+// retried ends earlier, so that a replica that hangs is abandoned while another one can still respond in time.
+func AttemptEnd(r *medlarcatalog.Route, number int, started, deadline time.Time) time.Time {
+	if r.Kind == medlarcatalog.KindIdempotent && r.MaxAttempts > 1 && number == 1 {
+		return Patience(r, started, deadline)
+	}
+	return deadline
+}
+
 // Earlier returns the earlier of two times.
 func Earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -65,7 +65,7 @@
 	returnMargin       = 300 * time.Millisecond // added to bounds.return, the time for removed entries to return after an outage
 	controlIdleTimeout = 5 * time.Second        // of connections for control calls
 	maxHolders         = 64                     // maximum number of replicas recorded as caching one part
-	versionMargin      = 800 * time.Millisecond // subtracted from the bound on old weight versions, for requests in progress
+	versionMargin      = 400 * time.Millisecond // subtracted from the bound on old weight versions: the change is read, and requests arrive and are withdrawn, with a delay
 	queueLength        = 4096                   // requests that may wait for an upstream
 	outageShare        = 0.75                   // fraction of the heartbeat interval from which on a time without responses counts as an outage
 	retryShare         = 0.8                    // fraction used of the configured bound on retries
@@ -185,7 +185,7 @@
 
 func newProxy(log zerolog.Logger, m *medlarmetric.Metrics, loop *medlarloop.Loop, registry *medlarregistry.Registry, pool *medlarpool.Pool, clock *medlarplatform.Clock,
 ) *medlarproxy.Proxy {
-	return medlarproxy.New(medlarproxy.Deps{
+	proxy := medlarproxy.New(medlarproxy.Deps{
 		Catalog:           registry.Catalog,
 		UnreadyRetryAfter: registry.RetryAfter,
 		Versions: func(m medlarid.ModelID) (serving, desired medlarid.WeightVersion) {
@@ -206,6 +206,8 @@
 		Observer:          medlarrequestlog.New(log, m),
 		Rand:              rand.Float64,
 	})
+	loop.SetWithdraw(proxy.Withdraw)
+	return proxy
 }
 
 func newFeeds(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, loop *medlarloop.Loop,
--- a/internal/ops/medlarattachednode/weights_test.go
+++ b/internal/ops/medlarattachednode/weights_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"medlarfield/internal/stand/medlarfakereplica"
 	"medlarfield/internal/stand/medlarfaketopic"
 	"medlarfield/internal/stand/medlarsite"
 )
@@ -86,3 +89,54 @@
 		t.Error("no prompt was served on older weights in the time in which they may serve")
 	}
 }
+
+// TestRequestsThatWaitOnOlderWeightsGoOn guards against requests that wait at a replica when the time of older weights has passed,
+// and begin on them afterwards, or get no answer.
+func TestRequestsThatWaitOnOlderWeightsGoOn(t *testing.T) {
+	t.Parallel()
+	const (
+		before  = 20 // requests before; each adds to the retry budget
+		letters = 4  // no more than the budget holds then
+	)
+	var waiting atomic.Int32
+	release := make(chan struct{})
+	defer close(release)
+	f := startFleet(t, 1, func(s *medlarsite.Settings) {
+		s.Engines = 3
+		s.Arrived = func(r medlarfakereplica.Run) {
+			if strings.HasPrefix(r.ID, "late") && r.Version == "1" {
+				waiting.Add(1)
+				<-release
+			}
+		}
+	})
+	w := f.members[0]
+	for n := range before {
+		w.send(request{path: "/letter/a", id: fmt.Sprint("b", n), fields: prompt(fmt.Sprintf("aa:100,bb:400,c%d:500", n))})
+	}
+	replicas := f.site.EngineReplicas()
+	for _, r := range replicas[1:] {
+		r.IgnoreOrders()
+	}
+	f.site.SetWeightVersion(2)
+	replaced := time.Now()
+	w.eventually("a replica has loaded the weights", func() bool { return replicas[0].Version() == 2 })
+	time.Sleep(time.Until(replaced.Add(oldWeights - 1600*time.Millisecond)))
+	results := make(chan result, letters)
+	for n := range letters {
+		go func() {
+			results <- w.send(request{path: "/letter/a", id: fmt.Sprint("late", n), fields: prompt(fmt.Sprintf("a%d:100,b%d:400,c%d:500", n, n, n))})
+		}()
+	}
+	for range letters {
+		if got := <-results; got.status != 200 || !got.whole || got.get("Medlarfield-Weight-Versions") != "2" {
+			t.Errorf("status %d, whole %v, weights %q, want a whole answer on weights 2", got.status, got.whole, got.get("Medlarfield-Weight-Versions"))
+		}
+	}
+	if waiting.Load() == 0 {
+		t.Error("no request waited at a replica with older weights")
+	}
+	if w.logged(`"lost":true`) {
+		t.Error("an attempt that was withdrawn counts as lost with its replica")
+	}
+}
--- a/internal/ops/medlarloop/medlarloop.go
+++ b/internal/ops/medlarloop/medlarloop.go
@@ -90,8 +90,10 @@
 
 	mu        sync.Mutex
 	mailboxes map[medlarid.RequestID]chan medlarworld.Command
-	drained   chan struct{} // closed once draining and no mailbox is open
-	draining  bool
+
+	withdraw func(medlarworld.Withdraw)
+	drained  chan struct{} // closed once draining and no mailbox is open
+	draining bool
 }
 
 // New returns a loop that owns core. Run must be running.
@@ -111,6 +113,9 @@
 // Post queues an event for the next tick.
 func (l *Loop) Post(e medlarworld.Event) { l.events <- e }
 
+// SetWithdraw sets the function that executes Withdraw, where the core is set up to withdraw attempts. It is called before Run.
+func (l *Loop) SetWithdraw(f func(medlarworld.Withdraw)) { l.withdraw = f }
+
 // Submit passes a run to the core and returns the run's mailbox.
 func (l *Loop) Submit(r *medlarworld.Run, limits medlarworld.Limits) <-chan medlarworld.Command {
 	mailbox := make(chan medlarworld.Command, mailboxSize)
@@ -238,6 +243,8 @@
 		l.deliver(c.Run, c)
 	case medlarworld.Claim:
 		l.deliver(c.Run, c)
+	case medlarworld.Withdraw:
+		l.withdraw(c)
 	case medlarworld.LookUp:
 		go l.deps.LookUp(c)
 	case medlarworld.Export:
