Keep the order of the queue where no weights are replaced

Runs that may be withdrawn no longer count apart from others among those without a candidate, unless their weights are replaced: less urgent runs could overtake there.

--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -88,7 +88,7 @@
 	build   medlarid.Build
 	fixed   bool // the build
 
-	withdrawable bool
+	withdrawable bool // where the version is replaced
 }
 
 // option is one way to serve a run.
@@ -133,7 +133,10 @@
 
 // dispatch starts or claims a run and reports whether it left the queue.
 func (s *System) dispatch(w *medlarworld.World, r *medlarworld.Run) bool {
-	need := requirements{model: r.Model, service: r.Service, version: r.Version, build: r.Build, fixed: r.BuildFixed, withdrawable: medlarwithdraw.Allowed(r)}
+	need := requirements{model: r.Model, service: r.Service, version: r.Version, build: r.Build, fixed: r.BuildFixed}
+	if r.Version != w.Models[r.Model].Version {
+		need.withdrawable = medlarwithdraw.Allowed(r)
+	}
 	untried := len(r.Tried) == 0 && r.PinnedVersion == ""
 	if untried && slices.Contains(s.exhausted, need) {
 		return false
