--- a/internal/edge/medlarproxy/medlarproxy.go
+++ b/internal/edge/medlarproxy/medlarproxy.go
@@ -20,6 +20,8 @@
 //	    is closed. A response that does not begin after that event is not relayed;
 //	    neither is one to a client that resumes its stream.
 //	R6  A request is not sent to an upstream that has asked for a pause since it was selected.
+//	R7  An attempt at a stream that may be resumed ends when the core withdraws it before its first event. It may have
+//	    run. What had arrived by then is relayed.
 package medlarproxy
 
 import (
@@ -38,6 +40,7 @@
 	"medlarfield/internal/edge/medlarpool"
 	"medlarfield/internal/edge/medlarrefusal"
 	"medlarfield/internal/edge/medlarserver"
+	"medlarfield/internal/edge/medlarwithdrawal"
 )
 
 // Deps are the functions of the instance that the proxy depends on.
@@ -93,11 +96,12 @@
 	serial   atomic.Uint64
 	open     *medlardeadline.Group // connections of attempts in progress
 	patience *medlarpatience.Table
+	attempts *medlarwithdrawal.Attempts
 }
 
 // New returns a proxy. The caller passes listeners to its Server.
 func New(deps Deps) *Proxy {
-	p := &Proxy{deps: deps, open: medlardeadline.New(), patience: medlarpatience.New()}
+	p := &Proxy{deps: deps, open: medlardeadline.New(), patience: medlarpatience.New(), attempts: medlarwithdrawal.New()}
 	p.server = medlarserver.New(medlarserver.Deps{Limits: func() medlarcatalog.Limits { return deps.Catalog().CallerLimits() }, Serve: p.serve, Reject: p.reject})
 	return p
 }
@@ -105,6 +109,9 @@
 // EndAttempts makes the attempts in progress, and those that begin later, fail as if their time were up.
 func (p *Proxy) EndAttempts() { p.open.End() }
 
+// Withdraw ends an attempt whose answer has not begun (R7).
+func (p *Proxy) Withdraw(c medlarworld.Withdraw) { p.attempts.Withdraw(c) }
+
 // Server returns the server that accepts client connections.
 func (p *Proxy) Server() *medlarserver.Server { return p.server }
 
