Test that an attempt given up for a pause is no refusal of the replica (fails)

A brittle replica that had room for 6 requests has room for 2 after one attempt that was given up because the replica had asked for a pause while its connection was being opened, and gets nothing for another second or more: the attempt ends with the reason of a refusal for lack of room.

--- a/internal/edge/medlarproxy/pause_test.go
+++ b/internal/edge/medlarproxy/pause_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarbrittle"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
@@ -58,6 +59,9 @@
 		if e.Cause != medlarkind.CauseRetry || e.Reason != medlarreason.Busy || e.Reached {
 			t.Errorf("the attempt ended with %s, %s, reached %v; want another one, as this one reached nothing", e.Cause, e.Reason, e.Reached)
 		}
+		if room := roomAfter(e); room != 6 {
+			t.Errorf("a brittle upstream has room for %d at once afterwards, want 6: it has turned none away", room)
+		}
 	case <-time.After(2 * time.Second):
 		t.Error("the attempt has not ended")
 	}
@@ -65,3 +69,14 @@
 		t.Errorf("%d requests reached the replica, want none", n)
 	}
 }
+
+// roomAfter returns for how many requests at once a brittle upstream that had room for 6 still has it after an attempt.
+func roomAfter(e medlarworld.AttemptEnded) int {
+	w := medlarworld.New(medlarworld.Config{})
+	u := &medlarworld.Upstream{ID: "one", Open: 3}
+	u.Brittle.Most, u.Brittle.Room = 2, 6
+	w.Runs[e.Run] = &medlarworld.Run{ID: e.Run, Attempt: e.Attempt, Upstream: u}
+	w.Events = []medlarworld.Event{e}
+	medlarbrittle.New().Run(w)
+	return u.Brittle.Room
+}
