Call an attempt that is given up for a pause no refusal

A brittle replica got less, and nothing for 1 to 8 s, for each attempt that was given up because the replica had asked for a pause while the connection opened: the attempt ended with busy, the reason of a refusal for lack of room, by which medlarbrittle lowers the room by a third and medlarretry avoids engines for 0.3 s. With several attempts that wait for connections the room falls to one. The replica has turned none away. The reason is now paused, with a row of its own among the retries.

TestPauseWhileConnectionOpens failed with room for 2 before, and passes; what it asked for was busy, and is paused now.

--- a/internal/core/medlarreason/medlarreason.go
+++ b/internal/core/medlarreason/medlarreason.go
@@ -40,6 +40,7 @@
 	Broken      Reason = "broken"
 	Timeout     Reason = "timeout"
 	Busy        Reason = "busy"
+	Paused      Reason = "paused"
 	Version     Reason = "version"
 	Truncated   Reason = "truncated"
 	Misdirected Reason = "misdirected"
@@ -105,6 +106,7 @@
 	{Reason: Broken, Text: "the connection to the upstream broke", Advice: "look at the upstream instance"},
 	{Reason: Timeout, Text: "the upstream did not answer in time", Advice: "look at the upstream's load"},
 	{Reason: Busy, Text: "the upstream refused for lack of room", Advice: "add replicas"},
+	{Reason: Paused, Text: "the upstream asked for a pause before the request was sent", Advice: "add replicas"},
 	{Reason: Version, Text: "the upstream has another weight version than the lists want", Advice: "none while a version is being rolled out"},
 	{Reason: Truncated, Text: "the upstream's answer was not whole", Advice: "look at the upstream instance"},
 	{Reason: Misdirected, Text: "another replica has the address now", Advice: "none while replicas are replaced"},
--- a/internal/core/medlarretry/medlarretry.go
+++ b/internal/core/medlarretry/medlarretry.go
@@ -156,7 +156,7 @@
 // countsAsFailure reports whether the reason of a retry counts as a failure of the
 // upstream (R5).
 func countsAsFailure(r medlarreason.Reason) bool {
-	return r != medlarreason.Busy && r != medlarreason.Version && r != medlarreason.Misdirected
+	return r != medlarreason.Busy && r != medlarreason.Paused && r != medlarreason.Version && r != medlarreason.Misdirected
 }
 
 // retry enqueues a run for its next attempt, or refuses it (R1, R2).
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -82,7 +82,7 @@
 	a.summary.ConnectTime, a.summary.Reused, a.summary.Via = time.Since(a.started), c.Reused, c.Via
 	if a.proxy.deps.Paused(a.cmd.Upstream, a.cmd.Incarnation) { // R6
 		_ = c.Close()
-		return a.failed(errPaused, medlarreason.Busy, false)
+		return a.failed(errPaused, medlarreason.Paused, false)
 	}
 	a.deadline = medlarrun.AttemptDeadline(a.route, a.summary.Attempts, a.started, a.run.Deadline)
 	_ = c.SetDeadline(a.deadline)
