Look for heads without fields in bodies of a length

Callers would get 200 with the text of a failure in the body: a replica that answers with a length stops within the body and writes a failure whose head has no fields, or an interim response. Its head counted as text, as it does in bodies that end with their connection (R5), where nothing tells it from a quotation. In a body of a length what follows does (R6), so that it can count there: a quotation passes as before.

The rows 'head without fields' of TestBodyFilledUpByAnotherResponse failed before.

--- a/internal/base/medlarhead/further.go
+++ b/internal/base/medlarhead/further.go
@@ -44,7 +44,7 @@
 	n, err := source(block)
 	f.buf, f.err = append(f.buf, block[:n]...), err
 	found := false
-	if f.safe, found = findHead(f.buf, err == io.EOF); found {
+	if f.safe, found = findHead(f.buf, err == io.EOF, false); found {
 		f.err = malformed(OpBody, "head of a further response")
 	}
 }
@@ -53,15 +53,15 @@
 var statusStart = []byte("HTTP/1.")
 
 // findHead returns where the first head, or what may become one, begins in b, and whether it counts as a head. ended
-// reports that nothing follows b, so that what has begun counts.
-func findHead(b []byte, ended bool) (at int, found bool) {
+// reports that nothing follows b, so that what has begun counts, and bare that heads without fields count too.
+func findHead(b []byte, ended, bare bool) (at int, found bool) {
 	for {
 		i := bytes.Index(b[at:], statusStart)
 		if i < 0 {
 			break
 		}
 		at += i
-		if m := matchHead(b[at:]); m != headNone {
+		if m := matchHead(b[at:]); m != headNone && (bare || m != headBare) {
 			return at, ended || m == headWhole
 		}
 		at++
@@ -77,7 +77,7 @@
 // HeadField returns the name of the first field of the first head of a response within b. It returns false if b holds
 // none.
 func HeadField(b []byte) (string, bool) {
-	at, found := findHead(b, true)
+	at, found := findHead(b, true, false)
 	_, fields, _ := bytes.Cut(b[at:], []byte("\r\n"))
 	name, _, _ := bytes.Cut(fields, []byte(":"))
 	return string(name), found
@@ -90,6 +90,7 @@
 	headNone  headMatch = iota
 	headStart           // the beginning of a status line
 	headLine            // a status line and perhaps the beginning of a field
+	headBare            // a status line and the empty line, or the beginning of that
 	headWhole           // a status line and a field
 )
 
@@ -106,6 +107,8 @@
 	switch {
 	case len(rest) == 0:
 		return headLine
+	case rest[0] == '\r' && (len(rest) == 1 || rest[1] == '\n'):
+		return headBare
 	case len(name) > maxLineBytes || !isToken(string(name)):
 		return headNone
 	case isField:
--- a/internal/base/medlarhead/medlarhead.go
+++ b/internal/base/medlarhead/medlarhead.go
@@ -21,7 +21,7 @@
 //	    bodies quote heads, or end with the first letter of one, sends a length or chunks.
 //	R6  If asked, a body of a length or in chunks is not complete if it holds a head, or the
 //	    beginning of one, that names a request; nor is a body of a length that holds any other
-//	    head, or ends with the beginning of one, if what follows on the connection begins no
+//	    head, with or without fields, or ends with the beginning of one, if what follows begins no
 //	    response: the body stopped, and a further response took the rest of its length.
 package medlarhead
 
--- a/internal/base/medlarhead/within.go
+++ b/internal/base/medlarhead/within.go
@@ -16,7 +16,7 @@
 		b = append(s.tail, p...)
 	}
 	for {
-		at, _ := findHead(b, false)
+		at, _ := findHead(b, false, true)
 		b = b[at:]
 		if len(b) == 0 {
 			break
--- a/internal/base/medlarhead/within_test.go
+++ b/internal/base/medlarhead/within_test.go
@@ -20,6 +20,7 @@
 	const (
 		named   = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\nthe answer"
 		unnamed = "HTTP/1.1 200 OK\r\nAge: 1\r\n\r\nthe answer"
+		bare    = "HTTP/1.1 500 Failed\r\n\r\nit has failed"
 		quoted  = "a reply: HTTP/1.1 200 OK\r\nAge: 1\r\n\r\nthe end"
 	)
 	length := func(n int) Head { return Head{Framing: FramingLength, Length: int64(n)} }
@@ -38,6 +39,10 @@
 		{"head and part of the body", length(3 + len(unnamed) - 4), "the" + unnamed, false},
 		{"named head, nothing follows", length(3 + len(named)), "the" + named, false},
 		{"head in a chunk whose end takes its empty line", chunked, "23\r\nthe" + "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\na\r\nthe answer\r\n0\r\n\r\n", false},
+		{"head without fields", length(3 + len(bare) - 4), "the" + bare, false},
+		{"head without fields, up to its empty line", length(3 + len("HTTP/1.1 500 Failed\r\n\r\n")), "the" + bare, false},
+		{"quotation without fields", length(3 + len(bare)), "the" + bare, true},
+		{"quotation without fields before a further response", length(3 + len(bare)), "the" + bare + named, true},
 		{"quotation", length(len(quoted)), quoted, true},
 		{"quotation before a further response", length(len(quoted)), quoted + named, true},
 		{"quotation before the first bytes of a further response", length(len(quoted)), quoted + "HT", true},
