Let a pause end at one time, whenever its word is taken

By reading: the dialer takes each word of a replica in a goroutine of its own (medlarattachednode, OnAvoided), after waiting for the registry. Two words may be taken out of turn, and the shorter pause replaced the longer one: requests could reach the replica within its pause (BUDGET). A word that is taken late also made the dialer's pause end later than the core's, so that requests which the core sent at its end were given up, each at the price of a retry, and refused after three. The core, which only ever makes a pause longer, now states when it ends; the dialer keeps the latest end.

TestPausesOutOfTurn failed before; TestPauseEndsWithThatOfTheCore fails where the end is counted from when the word is taken.

--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -339,7 +339,7 @@
 		return
 	}
 	u.PausedUntil = until
-	w.Emit(medlarworld.Avoided{Upstream: u.ID, Incarnation: u.Incarnation, For: pause, From: e.From})
+	w.Emit(medlarworld.Avoided{Upstream: u.ID, Incarnation: u.Incarnation, For: pause, Until: until, From: e.From})
 }
 
 // applyCacheChange records an engine's cache events (R4).
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -438,6 +438,7 @@
 	Incarnation medlarid.Incarnation
 	Leaving     bool                // for good; otherwise for a pause
 	For         time.Duration       // the pause
+	Until       time.Time           // when it ends
 	From        medlarid.InstanceID // that passed it on; empty for a response to this instance
 }
 
--- a/internal/ops/medlardialer/peer.go
+++ b/internal/ops/medlardialer/peer.go
@@ -79,8 +79,8 @@
 		a = avoidance{incarnation: c.Incarnation}
 	}
 	a.leaving, a.at = a.leaving || c.Leaving, time.Now()
-	if c.For > 0 {
-		a.until = time.Now().Add(c.For)
+	if c.Until.After(a.until) { // words of a replica may be taken out of turn
+		a.until = c.Until
 	}
 	d.avoided[c.Upstream] = a
 	tell := d.concerned(c)
