--- a/internal/core/medlarfleet/hint_test.go
+++ b/internal/core/medlarfleet/hint_test.go
@@ -21,6 +21,9 @@
 	pause := func(d time.Duration) medlarworld.UpstreamPaused {
 		return medlarworld.UpstreamPaused{Upstream: "u", Incarnation: 1, For: d}
 	}
+	passed := func(d time.Duration) medlarworld.UpstreamPaused {
+		return medlarworld.UpstreamPaused{Upstream: "u", Incarnation: 1, For: d, From: "other"}
+	}
 	removed, draining := medlarworld.InstancesListed{}, listed(1)
 	draining.Members[0].Leaving = true
 	for _, tc := range []struct {
@@ -41,6 +44,9 @@
 		{"pause, then listed again", []medlarworld.Event{pause(2 * time.Second), listed(1)}, 2 * time.Second},
 		{"pause, then a shorter one", []medlarworld.Event{pause(2 * time.Second), pause(time.Second)}, 2 * time.Second},
 		{"pause, then a longer one", []medlarworld.Event{pause(2 * time.Second), pause(3 * time.Second)}, 3 * time.Second},
+		{"pause, then the same one, passed on by another instance", []medlarworld.Event{pause(2 * time.Second), passed(2*time.Second + 50*time.Millisecond)}, 2 * time.Second},
+		{"pause, then a longer one, passed on", []medlarworld.Event{pause(2 * time.Second), passed(3 * time.Second)}, 3 * time.Second},
+		{"pause, passed on", []medlarworld.Event{passed(2 * time.Second)}, 2 * time.Second},
 		{"pause, then started again", []medlarworld.Event{pause(2 * time.Second), listed(2)}, 0},
 		{"huge pause", []medlarworld.Event{pause(forGood)}, maxPause},
 		{"unknown upstream", []medlarworld.Event{medlarworld.UpstreamLeaving{Upstream: "other"}}, 0},
--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -50,7 +50,8 @@
 	loadBackoff = 500 * time.Millisecond  // a replica that loads weights is avoided for this time
 	swapBackoff = 1500 * time.Millisecond // a replica that is next to load weights is avoided for this time
 
-	maxPause = 5 * time.Minute // longest pause that an upstream can ask for (R9)
+	maxPause    = 5 * time.Minute        // longest pause that an upstream can ask for (R9)
+	passedDelay = 200 * time.Millisecond // by which a pause that another instance passes on may end later than it does
 
 	maxFullSet = 16 // up to this many replicas of a model, an instance uses all
 	subsetSize = 4  // replicas that an instance uses of a model with more
@@ -335,11 +336,15 @@
 	}
 	pause := min(e.For, maxPause)
 	until := w.Now.Add(pause)
-	if !until.After(u.PausedUntil) {
+	known := u.PausedUntil
+	if e.From != "" {
+		known = known.Add(passedDelay)
+	}
+	if !until.After(known) {
 		return
 	}
 	u.PausedUntil = until
-	w.Emit(medlarworld.Avoided{Upstream: u.ID, Incarnation: u.Incarnation, For: pause, From: e.From})
+	w.Emit(medlarworld.Avoided{Upstream: u.ID, Incarnation: u.Incarnation, For: pause, Until: until, From: e.From})
 }
 
 // applyCacheChange records an engine's cache events (R4).
--- a/internal/ops/medlaravoidance/medlaravoidance.go
+++ b/internal/ops/medlaravoidance/medlaravoidance.go
@@ -49,12 +49,15 @@
 		return now.Sub(s.at) > memory && !t.exists(id)
 	})
 	s := t.replicas[c.Upstream]
-	if s.incarnation != c.Incarnation {
+	switch {
+	case c.Incarnation < s.incarnation:
+		return // of an earlier start
+	case c.Incarnation > s.incarnation:
 		s = statement{incarnation: c.Incarnation}
 	}
 	s.leaving, s.at = s.leaving || c.Leaving, now
-	if c.For > 0 {
-		s.until = now.Add(c.For)
+	if c.Until.After(s.until) { // statements may arrive out of order
+		s.until = c.Until
 	}
 	t.replicas[c.Upstream] = s
 }
--- a/internal/ops/medlardialer/peer.go
+++ b/internal/ops/medlardialer/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"net"
+	"time"
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarreach"
@@ -65,7 +66,7 @@
 	maps.DeleteFunc(d.relayed, func(id medlarid.InstanceID, _ map[medlarid.InstanceID]bool) bool { return !d.exists(id) })
 	tell := d.concerned(c)
 	d.mu.Unlock()
-	h := medlartunnel.Hint{Replica: c.Upstream, Incarnation: c.Incarnation, Leaving: c.Leaving, Pause: c.For}
+	h := medlartunnel.Hint{Replica: c.Upstream, Incarnation: c.Incarnation, Leaving: c.Leaving, Pause: max(time.Until(c.Until), 0)}
 	for _, p := range tell {
 		if p.Address != "" {
 			go d.tell(p, h)
