Fetch by a share of the replicas that the freeing instance may still know

Related to the share of replicas that all lists have: the list of the instance that frees parts may be 1.5 s old and its call 0.4 s under way, while the one that fetches knows already that replicas have left, and asks for a fifth of fewer. 3 of 12 that leave at once, with 2 that run the older weights, were enough to free and to fetch (MIXED). Replicas that left count for 1.9 s more where parts are fetched, and new ones are counted after 1.9 s.

Found by reading, not seen in a run. TestFetchCountsReplicasThatHaveJustLeft failed in two of its rows before.

--- a/internal/core/medlarcore/parts_test.go
+++ b/internal/core/medlarcore/parts_test.go
@@ -564,7 +564,7 @@
 		{"known", time.Second, 5 * time.Second, "ffo"},
 		{"list is old", medlarplacement.ListTTL + time.Millisecond, time.Minute, "cco"},
 		{"list is not too old", medlarplacement.ListTTL, time.Minute, "ffo"},
-		{"replicas have just joined", 0, medlarplacement.MaxListAge, "cco"},
+		{"replicas have just joined", 0, medlarplacement.UnseenTime, "cco"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			p := newPartsHarness(t, replicas, func(cfg *medlarworld.Config) { cfg.MaxHolders = 0 })
@@ -609,3 +609,37 @@
 		})
 	}
 }
+
+// TestFetchCountsReplicasThatHaveJustLeft guards against a fetch of parts that are being freed, by an instance that knows
+// before the one that frees them that replicas have left, and asks for a share of those that stay (MIXED).
+func TestFetchCountsReplicasThatHaveJustLeft(t *testing.T) {
+	const replicas, older, left = 12, 2, 3
+	for _, tc := range []struct {
+		name string
+		ago  time.Duration
+		want string
+	}{
+		{"just now", 100 * time.Millisecond, "cco"},
+		{"as long ago as another instance may not know", medlarplacement.UnseenTime - time.Millisecond, "cco"},
+		{"longer ago", medlarplacement.UnseenTime, "ffo"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPartsHarness(t, replicas, func(cfg *medlarworld.Config) { cfg.MaxHolders = 0 })
+			p.setVersion("2")
+			p.now = p.now.Add(3 * time.Second)
+			members := []medlarworld.Member{{ID: "near", Kind: "store", Address: "at-near", Capacity: 100000, Rate: 1e9}}
+			for i := range replicas - left {
+				members = append(members, engineMember(i, "1"))
+			}
+			p.tick(medlarworld.InstancesListed{Members: members})
+			p.now = p.now.Add(tc.ago)
+			r := p.newRun(500, 8000, 300)
+			p.tick(medlarworld.RecordsCurrent{At: p.now}, medlarworld.ReplicasCurrent{At: p.now})
+			p.reportStock("near", 1, true, r.Keys[0], r.Keys[1])
+			for _, u := range p.core.World().Engines[partsModel][:older] {
+				u.ConfirmedAt = p.now
+			}
+			assertParts(t, p.submit(r), tc.want)
+		})
+	}
+}
--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -34,6 +34,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarorder"
+	"medlarfield/internal/core/medlarplacement"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -213,6 +214,7 @@
 			s.remember(w.Now, u)
 			w.Warm.RemoveUpstream(u.ID)
 			delete(w.Upstreams, id)
+			recordLeft(w, u)
 		}
 	}
 	for id, s := range w.Stores {
@@ -222,6 +224,18 @@
 	}
 }
 
+// recordLeft records when an engine was removed, and forgets what is long ago (R8 of medlarplacement).
+func recordLeft(w *medlarworld.World, u *medlarworld.Upstream) {
+	if u.Kind != medlarkind.KindEngine {
+		return
+	}
+	if w.Left == nil {
+		w.Left = map[medlarid.ModelID][]time.Time{}
+	}
+	old := func(at time.Time) bool { return w.Now.Sub(at) >= medlarplacement.UnseenTime }
+	w.Left[u.Model] = append(slices.DeleteFunc(w.Left[u.Model], old), w.Now)
+}
+
 // Subset returns the replicas of one model that an instance uses: all of them if they
 // are few, and otherwise those with the highest rank for the instance, so that each
 // instance receives reports from a bounded number and each replica is used by several
--- a/internal/core/medlarplacement/medlarplacement.go
+++ b/internal/core/medlarplacement/medlarplacement.go
@@ -35,11 +35,12 @@
 //	    answered would then have reported the later version.
 //	R8  The shares of R7 have a replica in common only if they are of the same replicas. An
 //	    instance counts answers only while it knows the replicas as of ListTTL ago, and only
-//	    those of replicas that are listed for longer than MaxListAge. So parts can be freed by
+//	    those of replicas that are listed for longer than UnseenTime. So parts can be freed by
 //	    an instance that knows the replicas as of MaxListAge ago, and all that were listed
 //	    within DepartedTTL: another one may still use a replica that is no longer listed, and
 //	    its list may lack one that has joined or left. So the share that may run an older
-//	    version is that of the replicas that were listed all the time.
+//	    version is that of the replicas that were listed all the time. Those that the fetching
+//	    instance knows to have left count for UnseenTime more, as the freeing one may not.
 package medlarplacement
 
 import (
@@ -70,6 +71,8 @@
 const (
 	ListTTL     = 10 * time.Second
 	MaxListAge  = 1500 * time.Millisecond
+	FreeTimeout = 400 * time.Millisecond   // from the decision to free until the store does
+	UnseenTime  = MaxListAge + FreeTimeout // for which an instance that frees may not know of a change
 	DepartedTTL = ListTTL + fetchTimeout + 500*time.Millisecond
 )
 
@@ -148,6 +151,17 @@
 	return !replaced || !c.Estimated && w.Now.Sub(c.At) < GracePeriod // an estimate may be long after the change
 }
 
+// replicasKnown returns the number of a model's replicas, with those that another instance may not know to have left (R8).
+func replicasKnown(w *medlarworld.World, m medlarid.ModelID) int {
+	n := len(w.Engines[m])
+	for _, at := range w.Left[m] {
+		if w.Now.Sub(at) < UnseenTime {
+			n++
+		}
+	}
+	return n
+}
+
 // confirmed reports whether enough of a model's replicas recently answered under a
 // weight version (R7, R8).
 func confirmed(w *medlarworld.World, m medlarid.ModelID, v medlarid.WeightVersion) bool {
@@ -156,11 +170,11 @@
 	}
 	n := 0
 	for _, u := range w.Engines[m] {
-		if u.Version == v && w.Now.Sub(u.ConfirmedAt) < ConfirmationTTL && w.Now.Sub(u.ListedAt) > MaxListAge {
+		if u.Version == v && w.Now.Sub(u.ConfirmedAt) < ConfirmationTTL && w.Now.Sub(u.ListedAt) > UnseenTime {
 			n++
 		}
 	}
-	return float64(n) > ConfirmationShare*float64(len(w.Engines[m]))
+	return float64(n) > ConfirmationShare*float64(replicasKnown(w, m))
 }
 
 // FindStore returns a store that a part can be fetched from, or nil (R1).
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -297,6 +297,7 @@
 	Models    map[medlarid.ModelID]Model
 	Upstreams map[medlarid.InstanceID]*Upstream
 	Engines   map[medlarid.ModelID][]*Upstream
+	Left      map[medlarid.ModelID][]time.Time // when engines were removed within medlarplacement.UnseenTime
 	Services  map[medlarid.ServiceID][]*Upstream
 	Stores    map[medlarid.InstanceID]*Store
 	StoreList []*Store // ordered by ID
--- a/internal/ops/medlarcachetracker/medlarcachetracker.go
+++ b/internal/ops/medlarcachetracker/medlarcachetracker.go
@@ -59,7 +59,6 @@
 	freeRankDelay     = 600 * time.Millisecond  // additional delay before freeing, for each rank (R3)
 	ranks             = 4                       // number of distinct ranks
 	freeBatch         = 256                     // maximum number of parts freed by one call
-	freeTimeout       = 400 * time.Millisecond  // from the begin of the decision to free until the store does; within the margins of medlarplacement R7 (R6)
 )
 
 // Part identifies a cached part of a prompt in a store.
@@ -294,7 +293,7 @@
 // free frees a batch of parts whose weight version has been replaced for long enough and
 // on most replicas (R2, R3, R6).
 func (t *Tracker) free(st *trackedStore) {
-	until := time.Now().Add(freeTimeout)
+	until := time.Now().Add(medlarplacement.FreeTimeout)
 	var old []Part
 	for _, p := range st.parts {
 		at, ok := t.deps.ReplacedAt(p.Model, p.Salt.Version())
