--- a/internal/stand/medlarschedule/repeats.go
+++ b/internal/stand/medlarschedule/repeats.go
@@ -11,9 +11,10 @@
 // that a window of repeats is full of them.
 const repeatsLast = aloneEvery
 
-// slowReplicas lets plain requests take about as long as a first attempt waits. They are served.
+// slowReplicas lets plain requests take about as long as a first attempt waits, or as its request has left then. All could
+// be served in time.
 func (d *draw) slowReplicas() []Step {
-	const least, spread = 900, 800 // ms
+	const least, spread = 900, 1700 // ms
 	return []Step{post(0, "slow?ms=%d", least+d.IntN(spread)), post(repeatsLast, "slow?ms=0")}
 }
 
