Decide whether to wait on when the time of the first attempt is up

TestSlowReplicasGetNoRequestTwice failed in one of two runs beside load (5 of 30 served): the decision fell as an attempt began, before the silence of replicas that get a burst of requests could show. It falls now when the attempt would be abandoned, and the deadline is moved then, unless the instance is about to end. Time in which no attempt waits no longer counts as silence.

--- a/internal/edge/medlardeadline/medlardeadline.go
+++ b/internal/edge/medlardeadline/medlardeadline.go
@@ -36,6 +36,15 @@
 	}, true
 }
 
+// Extend sets the deadline of a connection, unless the group has ended.
+func (g *Group) Extend(c net.Conn, until time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.ended {
+		_ = c.SetDeadline(until)
+	}
+}
+
 // End makes reads and writes of the connections fail with a timeout, and lets the group take no others.
 func (g *Group) End() {
 	g.mu.Lock()
--- a/internal/edge/medlarpatience/medlarpatience.go
+++ b/internal/edge/medlarpatience/medlarpatience.go
@@ -1,11 +1,11 @@
-// Package medlarpatience determines for how long an attempt waits for its answer if another attempt may follow.
+// Package medlarpatience determines whether an attempt is abandoned for another one that may follow.
 //
 // Rules:
 //
-//	R1  The attempt ends after a number of target latencies of its route, so that another replica can answer in time
-//	    where one hangs.
-//	R2  It waits until the deadline of its request if no other replica is expected to answer in the time that is left
-//	    after that: a further attempt would fail as well, and two replicas would work on the request.
+//	R1  An attempt is abandoned after a number of target latencies of its route, so that another replica can answer in
+//	    time where one hangs.
+//	R2  It goes on waiting if no other replica is expected to answer in the time that is left then: a further attempt
+//	    would fail as well, and two replicas would work on the request.
 //	R3  A replica is expected to take as long as its last answer took, or as it has been silent while attempts waited for
 //	    it, one after the other. One that hangs on a request and answers others is not silent. What is older than memory
 //	    does not count.
@@ -13,6 +13,9 @@
 package medlarpatience
 
 import (
+	"bufio"
+	"errors"
+	"os"
 	"sync"
 	"time"
 
@@ -21,7 +24,6 @@
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
-	"medlarfield/internal/edge/medlarrun"
 )
 
 const (
@@ -89,20 +91,25 @@
 // replica returns what is known of a replica, which may be nothing. The caller holds the lock.
 func (t *Table) replica(s medlarid.ServiceID, id medlarid.InstanceID) *replica {
 	replicas := t.services[s]
+	if r := replicas[id]; r != nil {
+		return r
+	}
 	if replicas == nil || len(replicas) >= maxReplicas {
 		replicas = map[medlarid.InstanceID]*replica{}
 		t.services[s] = replicas
 	}
-	if replicas[id] == nil {
-		replicas[id] = &replica{}
-	}
+	replicas[id] = &replica{}
 	return replicas[id]
 }
 
 // begin records the beginning of an attempt (R3).
 func (r *replica) begin(now time.Time) {
-	if r.waiting++; r.silent.IsZero() || r.waiting == 1 && now.Sub(r.lastWaited) > memory {
+	r.waiting++
+	switch idle := now.Sub(r.lastWaited); {
+	case r.silent.IsZero(), r.waiting == 1 && idle > memory:
 		r.silent = now
+	case r.waiting == 1:
+		r.silent = r.silent.Add(idle) // no attempt waited meanwhile
 	}
 }
 
@@ -137,24 +144,35 @@
 	return d, known
 }
 
-// Until returns when an attempt at a replica ends that began now and that another attempt may follow. deadline is that
-// of its request (R1, R2).
-func (t *Table) Until(route *medlarcatalog.Route, s medlarid.ServiceID, id medlarid.InstanceID, now, deadline time.Time) time.Time {
-	until := medlarrun.Patience(route, now, deadline)
+// Await waits for the first byte of the answer to an attempt at a replica that ends at until, unless that is the deadline
+// of its request. If no byte comes, and no other replica may answer by the deadline, it calls extend (R1, R2).
+func (t *Table) Await(answer *bufio.Reader, s medlarid.ServiceID, id medlarid.InstanceID, until, deadline time.Time, extend func()) {
+	if !until.Before(deadline) {
+		return
+	}
+	if _, err := answer.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
+		return
+	}
+	now := time.Now()
+	if !t.MayAnswer(s, id, now, deadline.Sub(now)) {
+		extend()
+	}
+}
+
+// MayAnswer reports whether another replica than this one may answer an attempt that begins now in the time that is left
+// (R2).
+func (t *Table) MayAnswer(s medlarid.ServiceID, than medlarid.InstanceID, now time.Time, left time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	others := 0
-	for other, r := range t.services[s] {
+	for id, r := range t.services[s] {
 		d, known := r.expected(now)
-		if other == id || !known {
+		if id == than || !known {
 			continue
 		}
-		if others++; d < deadline.Sub(until) {
-			return until
+		if others++; d < left {
+			return true
 		}
 	}
-	if others == 0 {
-		return until
-	}
-	return deadline
+	return others == 0
 }
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -92,6 +92,7 @@
 		_ = c.Close()
 		return a.failed(err, medlarreason.Broken, true)
 	}
+	a.proxy.patience.Await(c.Reader, a.run.Service, a.cmd.Upstream, a.deadline(), a.run.Deadline, func() { a.proxy.open.Extend(c, a.run.Deadline) })
 	h, reply, err := a.readResponse()
 	a.headBegan = err == nil || medlarhead.KindOf(err) == medlarhead.KindBroken
 	if err != nil {
@@ -124,10 +125,10 @@
 
 // deadline returns the deadline of the attempt. The first attempt of a request that can
 // be retried ends earlier, so that a replica that hangs is abandoned while another one
-// can still respond in time, if one can.
+// can still respond in time.
 func (a *attempt) deadline() time.Time {
 	if a.route.Kind == medlarcatalog.KindIdempotent && a.route.MaxAttempts > 1 && a.summary.Attempts == 1 {
-		return a.proxy.patience.Until(a.route, a.run.Service, a.cmd.Upstream, a.started, a.run.Deadline)
+		return medlarrun.Patience(a.route, a.started, a.run.Deadline)
 	}
 	return a.run.Deadline
 }
