--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -19,6 +19,7 @@
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarbody"
 	"medlarfield/internal/edge/medlarcall"
+	"medlarfield/internal/edge/medlarpatience"
 	"medlarfield/internal/edge/medlarpool"
 	"medlarfield/internal/edge/medlarproof"
 	"medlarfield/internal/edge/medlarrun"
@@ -88,7 +89,7 @@
 		_ = c.Close()
 		return a.failed(errPaused, medlarreason.Paused, false)
 	}
-	a.deadline = a.proxy.patience.Deadline(a.route, a.summary.Attempts, a.run.Service, a.cmd.Upstream, a.started, a.run.Deadline)
+	a.deadline = medlarpatience.Deadline(a.route, a.summary.Attempts, a.started, a.run.Deadline)
 	_ = c.SetDeadline(a.deadline)
 	remove, ok := a.proxy.open.Add(c)
 	if !ok {
@@ -102,6 +103,10 @@
 		_ = c.Close()
 		return a.failed(err, medlarreason.Broken, true)
 	}
+	a.proxy.patience.Await(c.Reader, a.run.Service, a.cmd.Upstream, a.deadline, a.run.Deadline, func() {
+		a.deadline = a.run.Deadline
+		a.proxy.open.Extend(c, a.deadline)
+	})
 	h, reply, err := a.readResponse()
 	a.headBegan = err == nil || medlarhead.KindOf(err) == medlarhead.KindBroken
 	if err != nil {
