Tell a relay of each pause, not of the first one only

Cause: whom to tell was noted when a relayed connection was opened, and forgotten as soon as something had been told. A connection that is kept and used again was not noted again.

The time of the last use is noted instead, also of a connection that is kept. TestLaterPauseReachesTheRelay failed before and passes now.

--- a/internal/ops/medlardialer/medlardialer.go
+++ b/internal/ops/medlardialer/medlardialer.go
@@ -39,6 +39,7 @@
 	forPeerTimeout   = 250 * time.Millisecond // to open a connection for another instance, which waits a little longer
 	retryTimeout     = 500 * time.Millisecond // to get an answer on a path that is broken
 	hintTimeout      = time.Second            // to pass on what a replica has said
+	relayMemory      = time.Minute            // longer than any answer is awaited on a connection that is relayed
 	ownProofTimeout  = time.Second            // of a call that examines a path
 	proofPatience    = 250 * time.Millisecond // after which other instances are asked meanwhile
 	proofGrace       = 150 * time.Millisecond // for the answer to this instance, once another one has got its own
@@ -88,19 +89,22 @@
 	mu      sync.Mutex
 	table   *medlarreach.Table
 	peers   map[medlarid.InstanceID]medlartunnel.Peer
-	relayed map[medlarid.InstanceID]map[medlarid.InstanceID]bool // instances that relay to each replica
-	wake    chan struct{}                                        // has an element if a path may be broken or suspected
-	polling bool                                                 // Run looks for such paths
-	keptAt  time.Time                                            // when the paths to replicas that are gone were forgotten last
+	relayed map[relay]time.Time // when a connection that is relayed was used last
+	wake    chan struct{}       // has an element if a path may be broken or suspected
+	polling bool                // Run looks for such paths
+	keptAt  time.Time           // when the paths to replicas that are gone were forgotten last
 }
 
+// relay is an instance that relays to a replica.
+type relay struct{ replica, by medlarid.InstanceID }
+
 // New returns a Dialer that knows no other instances. Connect is called before it is used.
 func New(deps Deps) *Dialer {
 	d := &Dialer{
 		deps:    deps,
 		table:   medlarreach.New(deps.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		peers:   map[medlarid.InstanceID]medlartunnel.Peer{},
-		relayed: map[medlarid.InstanceID]map[medlarid.InstanceID]bool{},
+		relayed: map[relay]time.Time{},
 		wake:    make(chan struct{}, 1),
 	}
 	d.avoided = medlaravoidance.New(d.exists)
@@ -172,8 +176,11 @@
 	if c.Via == "" {
 		return d.table.KeepsOpen(c.Target.ID)
 	}
-	_, known := d.peers[c.Via]
-	return known && !d.table.Works(c.Target.ID)
+	if _, known := d.peers[c.Via]; !known || d.table.Works(c.Target.ID) {
+		return false
+	}
+	d.relayed[relay{c.Target.ID, c.Via}] = time.Now()
+	return true
 }
 
 // Run examines suspected paths and tries broken ones again until ctx is done.
--- a/internal/ops/medlardialer/opening.go
+++ b/internal/ops/medlardialer/opening.go
@@ -236,13 +236,9 @@
 	d.mu.Lock()
 	defer d.unlock()
 	d.table.Asked(time.Now(), replica, by, direct, outcome)
-	if outcome != medlarreach.Opened {
-		return
+	if outcome == medlarreach.Opened {
+		d.relayed[relay{replica, by}] = time.Now()
 	}
-	if d.relayed[replica] == nil {
-		d.relayed[replica] = map[medlarid.InstanceID]bool{}
-	}
-	d.relayed[replica][by] = true
 }
 
 // unreached records how many other instances don't reach a replica.
--- a/internal/ops/medlardialer/peer.go
+++ b/internal/ops/medlardialer/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"net"
+	"time"
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarreach"
@@ -62,7 +63,7 @@
 func (d *Dialer) Avoid(c medlarworld.Avoided) {
 	d.avoided.Add(c)
 	d.mu.Lock()
-	maps.DeleteFunc(d.relayed, func(id medlarid.InstanceID, _ map[medlarid.InstanceID]bool) bool { return !d.exists(id) })
+	maps.DeleteFunc(d.relayed, func(_ relay, at time.Time) bool { return time.Since(at) > relayMemory })
 	tell := d.concerned(c)
 	d.mu.Unlock()
 	h := medlartunnel.Hint{Replica: c.Upstream, Incarnation: c.Incarnation, Leaving: c.Leaving, Pause: c.For}
@@ -81,13 +82,11 @@
 			out[id] = d.peers[id]
 		}
 	}
-	if c.From != "" {
-		return out
-	}
-	for id := range d.relayed[c.Upstream] {
-		out[id] = d.peers[id]
+	for r := range d.relayed {
+		if c.From == "" && r.replica == c.Upstream {
+			out[r.by] = d.peers[r.by]
+		}
 	}
-	delete(d.relayed, c.Upstream)
 	return out
 }
 
