A relay refuses, or tells, an instance for which it is opening a connection

Cause: the relay looked for pauses before it opened the connection, and noted for whom after. What the replica said in between was told to nobody.

The relay notes the other instance first and looks for a pause last. TestPauseWhileRelayConnects and TestUserIsKnownWhileConnecting failed before.

--- a/internal/ops/medlardialer/peer.go
+++ b/internal/ops/medlardialer/peer.go
@@ -43,6 +43,10 @@
 	d.ended(id, outcome)
 	switch outcome {
 	case medlarreach.Opened:
+		if d.avoided.Avoids(id, incarnation) { // since it was asked
+			_ = c.Close()
+			return nil, medlartunnel.ResultUnused
+		}
 		medlarpool.OutlastSilence(c) // the instance that asked decides how long to wait
 		return c, medlartunnel.ResultOpened
 	case medlarreach.Refused:
--- a/internal/ops/medlardialer/relay_test.go
+++ b/internal/ops/medlardialer/relay_test.go
@@ -1,12 +1,18 @@
 package medlardialer
 
 import (
+	"context"
+	"net"
 	"testing"
+	"time"
 
 	"medlarfield/internal/agree/medlarnotice"
+	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarreach"
 	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/edge/medlarpath"
 	"medlarfield/internal/edge/medlarpool"
+	"medlarfield/internal/peer/medlartunnel"
 )
 
 // TestLaterPauseReachesTheRelay guards against a relay that is told of the first pause only which a replica asks for on a
@@ -26,3 +32,23 @@
 		}
 	}
 }
+
+// TestPauseWhileRelayConnects guards against a connection for another instance to a replica that has asked for a pause while
+// the connection was being opened.
+func TestPauseWhileRelayConnects(t *testing.T) {
+	d := newDialer(nil)
+	open := d.deps.Dial
+	d.paths = medlarpath.New(medlarpath.Deps{
+		Dial: func(ctx context.Context, at medlarid.Address) (net.Conn, error) {
+			d.avoided.Add(medlarworld.Avoided{Upstream: "r", Incarnation: 1, For: time.Minute})
+			return open(ctx, at)
+		},
+		OnDial: d.deps.OnDial, Left: d.left,
+	})
+	at := time.Now()
+	d.table.Sent(at, "r")
+	d.table.Got(at, at, "r", true) // the path is proven
+	if c, got := d.dialForPeer(t.Context(), "r", 1); c != nil || got != medlartunnel.ResultUnused {
+		t.Errorf("result %d, connection %v; want %d and none", got, c, medlartunnel.ResultUnused)
+	}
+}
--- a/internal/peer/medlartunnel/medlartunnel_test.go
+++ b/internal/peer/medlartunnel/medlartunnel_test.go
@@ -292,3 +292,19 @@
 		}
 	})
 }
+
+// TestUserIsKnownWhileConnecting guards against an instance that is not told what a replica states while a connection to it is
+// being opened for that instance.
+func TestUserIsKnownWhileConnecting(t *testing.T) {
+	f := newFixture(t)
+	users := make(chan []medlarid.InstanceID, 1)
+	dial := f.server.deps.Dial
+	f.server.deps.Dial = func(ctx context.Context, id medlarid.InstanceID, i medlarid.Incarnation) (net.Conn, Result) {
+		users <- f.server.Users(id)
+		return dial(ctx, id, i)
+	}
+	f.open()
+	if got := <-users; len(got) != 1 || got[0] != "c" {
+		t.Errorf("users %v, want the client", got)
+	}
+}
--- a/internal/peer/medlartunnel/server.go
+++ b/internal/peer/medlartunnel/server.go
@@ -80,7 +80,7 @@
 	}
 }
 
-// Users returns the instances that have connections to a replica through this one (R6).
+// Users returns the instances that have connections to a replica through this one, or have asked for one (R6).
 func (s *Server) Users(replica medlarid.InstanceID) []medlarid.InstanceID {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -131,6 +131,8 @@
 		_, _ = c.Write([]byte{byte(s.deps.Prove(context.Background(), q.hint.Replica, q.hint.Incarnation))})
 		return
 	}
+	s.use(q.hint.Replica, q.sender, 1) // before the replica can state anything that the sender has to know (R6)
+	defer s.use(q.hint.Replica, q.sender, -1)
 	far, result := s.deps.Dial(context.Background(), q.hint.Replica, q.hint.Incarnation)
 	s.deps.OnRequest(q.sender, q.hint.Replica, result)
 	if far == nil {
@@ -138,8 +140,6 @@
 		return
 	}
 	defer func() { _ = far.Close() }()
-	s.use(q.hint.Replica, q.sender, 1)
-	defer s.use(q.hint.Replica, q.sender, -1)
 	_ = c.SetDeadline(time.Time{})
 	if _, err := c.Write([]byte{byte(ResultOpened)}); err == nil {
 		relay(c, far)
