--- a/internal/ops/medlardialer/peer.go
+++ b/internal/ops/medlardialer/peer.go
@@ -82,10 +82,9 @@
 func (d *Dialer) concerned(c medlarworld.Avoided) map[medlarid.InstanceID]medlartunnel.Peer {
 	out := map[medlarid.InstanceID]medlartunnel.Peer{}
 	for _, id := range d.server.Users(c.Upstream) {
-		if id != c.From {
-			out[id] = d.peers[id]
-		}
+		out[id] = d.peers[id]
 	}
+	delete(out, c.From)
 	for r := range d.relayed {
 		if c.From == "" && r.replica == c.Upstream {
 			out[r.by] = d.peers[r.by]
--- a/internal/ops/medlardialer/state.go
+++ b/internal/ops/medlardialer/state.go
@@ -44,8 +44,9 @@
 	switch {
 	case relayed.err == nil:
 		_ = relayed.conn.Close()
-		by, ends := d.answersPeer(ctx, t.ID, t.Incarnation)
-		return endsIf(by == "" && ends)
+		if by, ends := d.answersPeer(ctx, t.ID, t.Incarnation); by == "" && ends {
+			return StateEnds
+		}
 	case relayed.witnesses > 0 || !plan.RelayFirst:
 		return StateRefuses
 	}
@@ -57,14 +58,8 @@
 	if plan.RelayFirst || d.paths.Prove(ctx, t.ID, t.Address, proofPatience) != medlarreach.Ended {
 		return StateUp
 	}
-	by, _ := d.answersPeer(ctx, t.ID, t.Incarnation)
-	return endsIf(by == "")
-}
-
-// endsIf returns StateEnds if connections end, and else StateUp.
-func endsIf(ends bool) State {
-	if ends {
-		return StateEnds
+	if by, _ := d.answersPeer(ctx, t.ID, t.Incarnation); by != "" {
+		return StateUp
 	}
-	return StateUp
+	return StateEnds
 }
