--- a/internal/ops/medlardialer/proof_test.go
+++ b/internal/ops/medlardialer/proof_test.go
@@ -91,7 +91,7 @@
 		d.paths = medlarpath.New(medlarpath.Deps{
 			Dial: d.deps.Dial, Prove: d.deps.Prove, OnDial: d.deps.OnDial, OnProof: d.deps.OnProof, Sent: d.sent, Got: d.got, Left: d.left,
 		})
-		if got := d.Examine(medlarpool.Target{ID: "r"}); got != tc.want {
+		if got := d.Examine(medlarpool.Target{ID: "r"}, true); got != tc.want {
 			t.Errorf("%s: %s, want %s", tc.name, got, tc.want)
 		}
 	}
--- a/internal/ops/medlardialer/state.go
+++ b/internal/ops/medlardialer/state.go
@@ -20,8 +20,9 @@
 	StateEnds    State = "ends"    // connections open, and end without an answer, as behind a proxy or a balancer
 )
 
-// Examine finds out whether a replica that has ended connections is down.
-func (d *Dialer) Examine(t medlarpool.Target) State {
+// Examine finds out whether a replica that has ended connections is down. It makes a call where connections open if call is
+// set.
+func (d *Dialer) Examine(t medlarpool.Target, call bool) State {
 	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
 	defer cancel()
 	d.mu.Lock()
@@ -32,11 +33,11 @@
 	switch {
 	case direct.err == nil:
 		_ = direct.conn.Close()
-		return d.examineOpen(ctx, t, plan)
+		return d.examineOpen(ctx, t, plan, call)
 	case o.directOutcome() != medlarreach.Refused:
 		return StateUp
 	case errors.Is(direct.err, syscall.ECONNRESET): // the connection was opened, by a proxy or a balancer as it may be
-		return d.examineOpen(ctx, t, plan)
+		return d.examineOpen(ctx, t, plan, call)
 	case !plan.Relay:
 		return StateRefuses
 	}
@@ -54,8 +55,8 @@
 }
 
 // examineOpen finds out whether a replica is down to which connections open.
-func (d *Dialer) examineOpen(ctx context.Context, t medlarpool.Target, plan medlarreach.Plan) State {
-	if plan.RelayFirst || d.paths.Prove(ctx, t.ID, t.Address, proofPatience) != medlarreach.Ended {
+func (d *Dialer) examineOpen(ctx context.Context, t medlarpool.Target, plan medlarreach.Plan, call bool) State {
+	if plan.RelayFirst || !call || d.paths.Prove(ctx, t.ID, t.Address, proofPatience) != medlarreach.Ended {
 		return StateUp
 	}
 	if by, _ := d.answersPeer(ctx, t.ID, t.Incarnation); by != "" {
--- a/internal/ops/medlarnotifier/medlarnotifier.go
+++ b/internal/ops/medlarnotifier/medlarnotifier.go
@@ -3,6 +3,7 @@
 package medlarnotifier
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -27,6 +28,7 @@
 const (
 	crashSlots       = 16                    // records of crashes that an instance keeps in the store
 	crashRecordLife  = 15 * time.Minute      // after which the record of a crash is removed; it no longer counts then
+	callInterval     = time.Second           // between two calls to a replica that ends connections and is not down
 	probeRepeatDelay = 50 * time.Millisecond // until a probe that succeeded is repeated: a process that ends may still accept for a moment
 )
 
@@ -35,11 +37,12 @@
 	deps Deps
 	post func(medlarworld.Event)
 
-	mu    sync.Mutex
-	slots [crashSlots]medlarsuspect.CrashID // crashes that this instance has a record of in the store
-	next  int                               // slot of the next crash
-	own   announcement
-	start string // distinguishes the starts of this instance
+	mu     sync.Mutex
+	called map[medlarid.InstanceID]time.Time // when replicas were called to find out whether they are down
+	slots  [crashSlots]medlarsuspect.CrashID // crashes that this instance has a record of in the store
+	next   int                               // slot of the next crash
+	own    announcement
+	start  string // distinguishes the starts of this instance
 
 	applying  sync.Mutex
 	appliedTo medlarid.Offset // of the topic; all records before it have been applied
@@ -67,7 +70,7 @@
 
 // New returns a Notifier. SetPost is called before it is used.
 func New(deps Deps) *Notifier {
-	return &Notifier{deps: deps, start: strconv.FormatInt(time.Now().UnixMilli(), 36)}
+	return &Notifier{deps: deps, called: map[medlarid.InstanceID]time.Time{}, start: strconv.FormatInt(time.Now().UnixMilli(), 36)}
 }
 
 // SetPost sets the function that passes events to the core.
@@ -102,14 +105,28 @@
 // probe finds out whether a replica is down.
 func (n *Notifier) probe(c medlarworld.ProbeUpstream) {
 	t := medlarpool.Target{ID: c.Crash.Replica, Incarnation: c.Crash.Incarnation, Address: c.Address}
-	state := n.deps.Dialer.Examine(t)
+	call := n.mayCall(t.ID)
+	state := n.deps.Dialer.Examine(t, false)
 	if state == medlardialer.StateUp {
 		time.Sleep(probeRepeatDelay)
-		state = n.deps.Dialer.Examine(t)
+		state = n.deps.Dialer.Examine(t, call)
 	}
 	n.post(medlarworld.UpstreamProbed{Crash: c.Crash, Down: state != medlardialer.StateUp, Refused: state == medlardialer.StateRefuses})
 }
 
+// mayCall reports whether a replica may be called now to find out whether it is down, and takes note that it is.
+func (n *Notifier) mayCall(id medlarid.InstanceID) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	maps.DeleteFunc(n.called, func(_ medlarid.InstanceID, at time.Time) bool { return now.Sub(at) > callInterval })
+	if _, recently := n.called[id]; recently {
+		return false
+	}
+	n.called[id] = now
+	return true
+}
+
 func (n *Notifier) reportCrash(c medlarworld.ReportCrash) {
 	r := c.Report
 	n.deps.Metrics.CrashSeen()
