Soak: tell links apart by both ends of a connection

Connections of two links to different replicas may have the same address at the near end, so that an arrival was counted as of another instance.

--- a/internal/stand/medlarfakereplica/exchange.go
+++ b/internal/stand/medlarfakereplica/exchange.go
@@ -87,7 +87,7 @@
 		Account: x.header("Medlarfield-Tenant"), Model: x.header("Medlarfield-Model"), Salt: x.header("Medlarfield-Cache-Salt"),
 		Version: x.header(headerExpect), LastEventID: x.header("Last-Event-Id"),
 		KVSource: x.header("Medlarfield-Kv-Source"), KVTarget: x.header("Medlarfield-Kv-Target"),
-		Parts: x.parts(), Replica: x.replica.Settings.ID, Timeout: x.header("Medlarfield-Timeout-Ms"), Remote: x.conn.RemoteAddr().String(), Fault: string(x.fault),
+		Parts: x.parts(), Replica: x.replica.Settings.ID, Timeout: x.header("Medlarfield-Timeout-Ms"), Remote: x.conn.RemoteAddr().String(), Local: x.conn.LocalAddr().String(), Fault: string(x.fault),
 	}
 }
 
--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -111,12 +111,12 @@
 )
 
 // Run is the record of a request that ran (R2). Timeout is the time that it has left, as its header field states it, Remote the
-// address from which it came, and Fault the Fault of its response.
+// address from which it came, Local that to which, and Fault the Fault of its response.
 type Run struct {
-	ID, Method, Target, Body, Remote, Fault    string
-	Account, Model, Salt, Version, LastEventID string
-	KVSource, KVTarget, Replica, Timeout       string
-	Parts                                      []string // ids of the prompt's parts
+	ID, Method, Target, Body, Remote, Local, Fault string
+	Account, Model, Salt, Version, LastEventID     string
+	KVSource, KVTarget, Replica, Timeout           string
+	Parts                                          []string // ids of the prompt's parts
 }
 
 // Replica is a running fake replica.
--- a/internal/stand/medlarlink/medlarlink.go
+++ b/internal/stand/medlarlink/medlarlink.go
@@ -144,12 +144,13 @@
 	return err
 }
 
-// Carries reports whether a connection over the link comes to its replica from an address.
-func (l *Link) Carries(address string) bool {
+// Carries reports whether a connection over the link comes from an address to a replica: connections to several may have the
+// same one.
+func (l *Link) Carries(address, replica string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for p := range l.pairs {
-		if p.far.LocalAddr().String() == address {
+		if p.far.LocalAddr().String() == address && p.far.RemoteAddr().String() == replica {
 			return true
 		}
 	}
--- a/internal/stand/medlarsite/link.go
+++ b/internal/stand/medlarsite/link.go
@@ -22,12 +22,12 @@
 	return l
 }
 
-// LinkFrom returns the name of the instance over whose link a connection comes from an address; empty for none.
-func (s *Site) LinkFrom(address string) string {
+// LinkFrom returns the name of the instance over whose link a connection comes from an address to a replica; empty for none.
+func (s *Site) LinkFrom(address, replica string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for name, l := range s.links {
-		if l.Carries(address) {
+		if l.Carries(address, replica) {
 			return name
 		}
 	}
--- a/internal/stand/medlarsoak/faults.go
+++ b/internal/stand/medlarsoak/faults.go
@@ -74,7 +74,7 @@
 func (p *Platform) record(r medlarfakereplica.Run, out Run) Deadly {
 	out.Left, _ = strconv.ParseInt(r.Timeout, 10, 64) // 0 for one that is missing or no number
 	out.ID, out.Path, out.Resumed, out.Replica = r.ID, r.Target, r.LastEventID != "", r.Replica
-	out.Instance = p.site.LinkFrom(r.Remote)
+	out.Instance = p.site.LinkFrom(r.Remote, r.Local)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if kind := deadlyPaths[r.Target]; p.deadly[kind] {
