--- a/internal/ops/medlardialer/peer.go
+++ b/internal/ops/medlardialer/peer.go
@@ -43,6 +43,10 @@
 	d.ended(id, outcome)
 	switch outcome {
 	case medlarreach.Opened:
+		if d.avoided.Avoids(id, incarnation) { // since it was asked
+			_ = c.Close()
+			return nil, medlartunnel.ResultUnused
+		}
 		medlarpool.OutlastSilence(c) // the instance that asked decides how long to wait
 		return c, medlartunnel.ResultOpened
 	case medlarreach.Refused:
@@ -63,7 +67,7 @@
 func (d *Dialer) Avoid(c medlarworld.Avoided) {
 	d.avoided.Add(c)
 	d.mu.Lock()
-	maps.DeleteFunc(d.relayed, func(id medlarid.InstanceID, _ map[medlarid.InstanceID]bool) bool { return !d.exists(id) })
+	maps.DeleteFunc(d.relayed, func(_ relay, at time.Time) bool { return time.Since(at) > relayMemory })
 	tell := d.concerned(c)
 	d.mu.Unlock()
 	h := medlartunnel.Hint{Replica: c.Upstream, Incarnation: c.Incarnation, Leaving: c.Leaving, Pause: max(time.Until(c.Until), 0)}
@@ -78,17 +82,14 @@
 func (d *Dialer) concerned(c medlarworld.Avoided) map[medlarid.InstanceID]medlartunnel.Peer {
 	out := map[medlarid.InstanceID]medlartunnel.Peer{}
 	for _, id := range d.server.Users(c.Upstream) {
-		if id != c.From {
-			out[id] = d.peers[id]
-		}
-	}
-	if c.From != "" {
-		return out
-	}
-	for id := range d.relayed[c.Upstream] {
 		out[id] = d.peers[id]
 	}
-	delete(d.relayed, c.Upstream)
+	delete(out, c.From)
+	for r := range d.relayed {
+		if c.From == "" && r.replica == c.Upstream {
+			out[r.by] = d.peers[r.by]
+		}
+	}
 	return out
 }
 
