Refuse no quotation of another request's head, nor a chunk that ends where a head may

Review of the fix: a whole body of a length that quotes a head naming another request was refused, so that a service which returns logs of this system would never be answered; and where the end of a chunk stands at the empty line of a second head without an id, the body with both counted as whole. A head that names the body's own request is no quotation; for any other one what follows decides. A chunk that ends behind a field of a head that begins in it is none of this answer's (medlarhead R6).

--- a/internal/base/medlarhead/body.go
+++ b/internal/base/medlarhead/body.go
@@ -18,6 +18,7 @@
 	br        *bufio.Reader
 	framing   Framing
 	remaining int64 // bytes of the body, or of the current chunk
+	chunk     int64 // size of the current chunk
 	chunkRead bool  // at least one chunk header was read
 	done      bool
 	limited   bool
@@ -101,6 +102,9 @@
 
 // nextChunk reads the end of the current chunk and the size of the next one.
 func (b *Body) nextChunk() error {
+	if b.scan != nil && b.scan.endsBehindField(b.chunk) {
+		return malformed(OpBody, "head of a further response at the end of a chunk")
+	}
 	if b.chunkRead {
 		if line, err := b.line(); err != nil || line != "" {
 			return b.lineError(err, "chunk end")
@@ -117,7 +121,7 @@
 		return malformed(OpBody, "chunk size")
 	}
 	b.chunkRead = true
-	b.remaining = int64(n)
+	b.remaining, b.chunk = int64(n), int64(n)
 	if n > 0 {
 		return nil
 	}
--- a/internal/base/medlarhead/further.go
+++ b/internal/base/medlarhead/further.go
@@ -5,14 +5,14 @@
 	"io"
 )
 
-// RejectHeads makes Read fail with KindMalformed where the body holds the head of a further response (R5, R6). named
-// reports whether a head names a request.
-func (b *Body) RejectHeads(named func(*Head) bool) {
+// RejectHeads makes Read fail with KindMalformed where the body holds the head of a further response (R5, R6). own
+// reports whether a head names the request that the body answers.
+func (b *Body) RejectHeads(own func(*Head) bool) {
 	if b.framing == FramingClose {
 		b.heads = &headFilter{}
 		return
 	}
-	b.scan = &headScan{named: named}
+	b.scan = &headScan{own: own}
 }
 
 // headFilter withholds the bytes of a body that may be the head of a further response.
--- a/internal/base/medlarhead/medlarhead.go
+++ b/internal/base/medlarhead/medlarhead.go
@@ -20,9 +20,11 @@
 //	    Bytes that may be such a head are withheld until that is known. A service whose
 //	    bodies quote heads, or end with the first letter of one, sends a length or chunks.
 //	R6  If asked, a body of a length or in chunks is not complete if it holds a head, or the
-//	    beginning of one, that names a request; nor is a body of a length that holds any other
+//	    beginning of one, that names its own request; nor is a body of a length that holds any other
 //	    head, with or without fields, or ends with the beginning of one, if what follows begins no
-//	    response: the body stopped, and a further response took the rest of its length.
+//	    response: the body stopped, and a further response took the rest of its length. Nor is a
+//	    body in chunks one of which ends behind a field of a head that begins in it: the end of the
+//	    chunk may stand where that head has its empty line.
 package medlarhead
 
 import (
--- a/internal/base/medlarhead/within.go
+++ b/internal/base/medlarhead/within.go
@@ -4,12 +4,12 @@
 
 // headScan looks for heads of further responses in a body of a length or in chunks (R6). It withholds nothing.
 type headScan struct {
-	named func(*Head) bool
-	tail  []byte // of the body: what may be a head that has not ended
-	seen  bool   // the body holds a head that names no request
+	own  func(*Head) bool
+	tail []byte // of the body: what may be a head that has not ended
+	seen bool   // the body holds a head that does not name its request
 }
 
-// scan looks at the next bytes of the body. It fails once they hold a head that names a request.
+// scan looks at the next bytes of the body. It fails once they hold a head that names the request of the body.
 func (s *headScan) scan(p []byte) error {
 	b := p
 	if len(s.tail) > 0 {
@@ -22,7 +22,7 @@
 			break
 		}
 		h, length, ended := partOfHead(b)
-		if s.named(h) {
+		if s.own(h) {
 			return malformed(OpBody, "head of a further response")
 		}
 		if !ended {
@@ -34,6 +34,16 @@
 	return nil
 }
 
+// endsBehindField reports whether the last n bytes of the body, a chunk, end behind a field of a head that begins there.
+// The end of the chunk then stands where that head may have its empty line.
+func (s *headScan) endsBehindField(n int64) bool {
+	if int64(len(s.tail)) > n || !bytes.HasSuffix(s.tail, []byte("\r\n")) {
+		return false
+	}
+	h, _, _ := partOfHead(s.tail)
+	return len(h.Fields) > 0
+}
+
 // maxScannedHead is the length from which on a head is taken for ended, in bytes.
 const maxScannedHead = 16 << 10
 
@@ -55,8 +65,8 @@
 	}
 }
 
-// MayHoldHead reports whether a body of a length that has been read holds a head that names no request, or ends with
-// what may be the beginning of a head. It is then for CheckEnd to tell whether the body is whole.
+// MayHoldHead reports whether a body of a length that has been read holds a head that does not name its request, or ends
+// with what may be the beginning of a head. It is then for CheckEnd to tell whether the body is whole.
 func (b *Body) MayHoldHead() bool {
 	return b.framing == FramingLength && b.scan != nil && (b.scan.seen || len(b.scan.tail) > 0)
 }
--- a/internal/edge/medlarbody/medlarbody.go
+++ b/internal/edge/medlarbody/medlarbody.go
@@ -36,9 +36,9 @@
 	return &Reader{source: s, body: body}
 }
 
-// RejectHeads makes a body that holds a part of a further response count as broken off. named reports whether the
-// head of a response names a request.
-func (r *Reader) RejectHeads(named func(*medlarhead.Head) bool) { r.body.RejectHeads(named) }
+// RejectHeads makes a body that holds a part of a further response count as broken off. own reports whether the head of a
+// response names the request that the body answers.
+func (r *Reader) RejectHeads(own func(*medlarhead.Head) bool) { r.body.RejectHeads(own) }
 
 // Read implements io.Reader.
 func (r *Reader) Read(p []byte) (int, error) {
--- a/internal/edge/medlarproxy/relay.go
+++ b/internal/edge/medlarproxy/relay.go
@@ -18,8 +18,8 @@
 	return medlarbody.Source{Conn: a.upstream, Buffer: a.upstream.Reader, Deadline: a.deadline}
 }
 
-// namesRequest reports whether the head of a response names a request.
-func (a *attempt) namesRequest(h *medlarhead.Head) bool { return a.proxy.deps.Reply(h).ID != "" }
+// isOwn reports whether the head of a response names the request of the attempt.
+func (a *attempt) isOwn(h *medlarhead.Head) bool { return a.proxy.deps.Reply(h).ID == a.call.ID }
 
 // relayResponse relays a response that is not a stream.
 func (a *attempt) relayResponse(h *medlarhead.Head, reply medlarcall.Reply) medlarworld.AttemptEnded {
@@ -32,7 +32,7 @@
 		return a.failed(errPromise, medlarreason.Failure, true)
 	}
 	body := medlarbody.New(a.source(), h)
-	body.RejectHeads(a.namesRequest)
+	body.RejectHeads(a.isOwn)
 	buf, whole, err := body.ReadSome(maxBufferedBody)
 	if err != nil {
 		_ = a.upstream.Close()
--- a/internal/upstream/medlarhttp/transport.go
+++ b/internal/upstream/medlarhttp/transport.go
@@ -100,13 +100,13 @@
 
 func newAnswer(br *bufio.Reader, h *medlarhead.Head) *answer {
 	a := &answer{head: h, br: br, body: medlarhead.NewBody(br, h)}
-	a.body.RejectHeads(namesNone)
+	a.body.RejectHeads(ownNone)
 	a.whole.Store(h.Length == 0 && h.Framing != medlarhead.FramingChunked && br.Buffered() == 0)
 	return a
 }
 
-// namesNone states that no head names a request: most peers name none in their responses.
-func namesNone(*medlarhead.Head) bool { return false }
+// ownNone states that no head names the request of a body: most peers name none in their responses.
+func ownNone(*medlarhead.Head) bool { return false }
 
 // Read reads the body. It returns io.EOF only if the body is whole.
 func (a *answer) Read(p []byte) (int, error) {
