--- a/internal/base/medlarhead/within_test.go
+++ b/internal/base/medlarhead/within_test.go
@@ -44,7 +44,7 @@
 		{"head without fields, up to its empty line", length(3 + len("HTTP/1.1 500 Failed\r\n\r\n")), "the" + bare, false},
 		{"quotation without fields", length(3 + len(bare)), "the" + bare, true},
 		{"quotation without fields before a further response", length(3 + len(bare)), "the" + bare + named, true},
-		{"unnamed head in a chunk whose end takes its empty line", chunked, "1b\r\nthe" + "HTTP/1.1 200 OK\r\nAge: 1\r\n\r\na\r\nthe answer\r\n0\r\n\r\n", false},
+		{"unnamed head in a chunk whose end takes its empty line", chunked, "1c\r\nthe" + "HTTP/1.1 200 OK\r\nAge: 1\r\n\r\na\r\nthe answer\r\n0\r\n\r\n", false},
 		{"head that names another request", length(3 + len(other) - 4), "the" + other, false},
 		{"quotation", length(len(quoted)), quoted, true},
 		{"quotation that names another request", length(3 + len(other)), "the" + other, true},
