--- a/internal/ops/medlardialer/relay_test.go
+++ b/internal/ops/medlardialer/relay_test.go
@@ -40,7 +40,7 @@
 	open := d.deps.Dial
 	d.paths = medlarpath.New(medlarpath.Deps{
 		Dial: func(ctx context.Context, at medlarid.Address) (net.Conn, error) {
-			d.avoided.Add(medlarworld.Avoided{Upstream: "r", Incarnation: 1, For: time.Minute})
+			d.avoided.Add(medlarworld.Avoided{Upstream: "r", Incarnation: 1, For: time.Minute, Until: time.Now().Add(time.Minute)})
 			return open(ctx, at)
 		},
 		OnDial: d.deps.OnDial, Left: d.left,
