Clear no part by an answer that a crash may have cut off

Callers saw replicas go on crashing under one part of prompts long after five of them had ended under it, and with them the answers of all others on these replicas.

Cause: an answer may be delimited by the end of its connection. Where a replica crashes behind the first event of such an answer, what the instance has read looks complete: the attempt ended as done, and an answer in full clears the prompt's parts of all crashes so far and lifts their block, for all instances (medlarsuspect R3, R6). So each crash cleared the part that had caused it. Crashes behind the head of an answer, which all tests played, don't show that.

Why it works: such an answer, if it ended within 250 ms of its first event, clears its request only once the replica is known to have outlived it, by another answer or by one to a call; if the replica is down, it counts as lost with it (medlarcrash R5). Answers that end as their framing says are treated as before.

--- a/internal/core/medlarcore/medlarcore.go
+++ b/internal/core/medlarcore/medlarcore.go
@@ -25,7 +25,7 @@
 
 // Intervals between ticks when there are no events.
 const (
-	busyInterval = 10 * time.Millisecond  // while runs wait, or parts of prompts are about to be blocked
+	busyInterval = 10 * time.Millisecond  // while runs wait, or it is about to be decided whether parts of prompts crash replicas
 	openInterval = 100 * time.Millisecond // while attempts are in flight, if other instances are told of them
 	idleInterval = time.Second
 )
@@ -41,13 +41,15 @@
 type Core struct {
 	world   *medlarworld.World
 	systems []system
+	crashes *medlarcrash.System // one of systems
 }
 
 // New returns a core with empty tables.
 func New(cfg medlarworld.Config) *Core {
-	admit := medlaradmission.New()
+	admit, crashes := medlaradmission.New(), medlarcrash.New()
 	return &Core{
-		world: medlarworld.New(cfg),
+		world:   medlarworld.New(cfg),
+		crashes: crashes,
 		systems: []system{ // run in this order
 			medlardesired.New(),
 			medlarfleet.New(),
@@ -57,7 +59,7 @@
 			medlarplacement.New(),
 			medlarlag.New(),
 			medlarwindow.New(),
-			medlarcrash.New(),
+			crashes,
 			medlarresume.New(),
 			medlarretry.New(),
 			medlarwithdraw.New(),
@@ -86,7 +88,7 @@
 
 // Next returns the time until the next tick if no events arrive.
 func (c *Core) Next() time.Duration {
-	if len(c.world.Waiting) > 0 || len(c.world.LookingUp) > 0 || c.world.Suspects.Pending() || c.world.Builds.Pending() {
+	if len(c.world.Waiting) > 0 || len(c.world.LookingUp) > 0 || c.world.Suspects.Pending() || c.crashes.Pending() || c.world.Builds.Pending() {
 		return busyInterval
 	}
 	if c.world.Config.TellLoad && len(c.world.Runs) > 0 {
--- /dev/null
+++ b/internal/core/medlarcrash/delimited.go
@@ -0,0 +1,85 @@
+package medlarcrash
+
+import (
+	"slices"
+	"time"
+
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarsuspect"
+	"medlarfield/internal/core/medlarworld"
+)
+
+// Times of R5.
+const (
+	outlivedDelay = 100 * time.Millisecond // what is received so much later was sent by a replica that has outlived the answer
+	confirmWindow = time.Second            // a replica that is heard of later may have crashed and started again meanwhile
+)
+
+// delimited is an answer that the end of its connection delimited (R5).
+type delimited struct {
+	id        medlarsuspect.CrashID // of the crash that may have ended it
+	address   medlarid.Address
+	at, began time.Time
+	traits    []medlarsuspect.Trait
+	probed    bool
+}
+
+// delimitedAnswer remembers an answer until it is known whether its replica has outlived it (R5).
+func (s *System) delimitedAnswer(w *medlarworld.World, r *medlarworld.Run, e medlarworld.AttemptEnded) {
+	u := r.Upstream
+	if u.Leaving { // that it is down soon shows no crash
+		return
+	}
+	s.ends = append(s.ends, &delimited{
+		id: w.Suspects.Identify(u.ID, u.Incarnation, e.Connected), address: u.Address,
+		at: w.Now, began: w.Now.Add(-e.Began), traits: r.Traits,
+	})
+}
+
+// confirm decides on the answers whose replica has crashed, or is known to have outlived them, and asks whether
+// the others' replicas are down (R5).
+func (s *System) confirm(w *medlarworld.World) {
+	s.ends = slices.DeleteFunc(s.ends, func(d *delimited) bool {
+		l := s.find(d.id)
+		switch age := w.Now.Sub(d.at); {
+		case l != nil && l.crashed:
+			l.begun = append(l.begun, d.traits...)
+			s.report(w, l)
+			return true
+		case s.heardSince(d.id, d.at.Add(outlivedDelay)):
+			w.Suspects.Answered(w.Now, d.began, d.traits)
+			return true
+		case age > lossWindow:
+			return true
+		case age >= outlivedDelay && !d.probed:
+			d.probed = true
+			s.probeAfter(w, d)
+		}
+		return false
+	})
+}
+
+// Pending reports whether an answer has to be decided on soon.
+func (s *System) Pending() bool {
+	return slices.ContainsFunc(s.ends, func(d *delimited) bool { return !d.probed })
+}
+
+// heardSince reports whether something was received from a replica in the confirmWindow from a time on.
+func (s *System) heardSince(id medlarsuspect.CrashID, from time.Time) bool {
+	at := s.seenAt(id)
+	return !at.Before(from) && at.Sub(from) < confirmWindow
+}
+
+// probeAfter asks whether the replica of an answer is down, which was up when the answer began.
+func (s *System) probeAfter(w *medlarworld.World, d *delimited) {
+	l := s.lossOf(d.id, d.at)
+	l.proven = true
+	l.probe(w, d.address)
+}
+
+// outlived takes note that a replica has answered a call after an answer was delimited by the end of its connection.
+func (s *System) outlived(w *medlarworld.World, id medlarsuspect.CrashID) {
+	if u := w.Upstreams[id.Replica]; u != nil && u.Incarnation == id.Incarnation {
+		s.seen[id.Replica] = seen{id.Incarnation, w.Now}
+	}
+}
--- a/internal/core/medlarcrash/medlarcrash.go
+++ b/internal/core/medlarcrash/medlarcrash.go
@@ -16,6 +16,9 @@
 //	R4  A run that was lost with maxRunCrashes replicas starts no further attempt: it
 //	    may be the cause, even if the trait is not known yet. Neither does a trial that has
 //	    reached a replica.
+//	R5  An answer that the end of its connection delimits, soon after it began, clears its request only if the
+//	    replica is known to have outlived it: a crash may have cut it off between two events. If the replica has
+//	    crashed, the request is suspect like one whose attempt was lost.
 package medlarcrash
 
 import (
@@ -46,6 +49,7 @@
 // System finds crashes of replicas and refuses the runs that must not go on.
 type System struct {
 	losses    []*loss
+	ends      []*delimited // answers that are not confirmed yet (R5)
 	seen      map[medlarid.InstanceID]seen
 	starts    map[medlarid.InstanceID]seen // the latest start of each replica, and when it was listed last
 	currentAt time.Time                    // when the replicas' entries were known last
@@ -107,6 +111,7 @@
 		changed = true
 	}
 	returnTrials(w)
+	s.confirm(w)
 	w.Suspects.Update(w.Now)
 	s.forget(w)
 	for _, r := range w.Suspects.TakeRecords() {
@@ -158,6 +163,8 @@
 		return
 	}
 	switch {
+	case e.Cause == medlarkind.CauseDone && e.Delimited && e.Began < beginning:
+		s.delimitedAnswer(w, r, e)
 	case e.Cause == medlarkind.CauseDone:
 		w.Suspects.Answered(w.Now, w.Now.Add(-e.Began), r.Traits)
 	case e.Lost && !r.Upstream.Leaving && e.Began < beginning:
@@ -172,9 +179,9 @@
 	}
 }
 
-// seenAt returns when something was received from an upstream last; zero for never.
-func (s *System) seenAt(u *medlarworld.Upstream) time.Time {
-	if b := s.seen[u.ID]; b.incarnation == u.Incarnation {
+// seenAt returns when something was received last from a replica under the incarnation of a crash; zero for never.
+func (s *System) seenAt(id medlarsuspect.CrashID) time.Time {
+	if b := s.seen[id.Replica]; b.incarnation == id.Incarnation {
 		return b.at
 	}
 	return time.Time{}
@@ -195,12 +202,7 @@
 func (s *System) lost(w *medlarworld.World, r *medlarworld.Run, e medlarworld.AttemptEnded) {
 	r.Trial = false
 	u := r.Upstream
-	id := w.Suspects.Identify(u.ID, u.Incarnation, e.Connected)
-	l := s.find(id)
-	if l == nil {
-		l = &loss{id: id, firstAt: w.Now, seenAt: s.seenAt(u)}
-		s.losses = append(s.losses, l)
-	}
+	l := s.lossOf(w.Suspects.Identify(u.ID, u.Incarnation, e.Connected), w.Now)
 	l.at, l.proven = w.Now, l.proven || e.Head
 	l.runs = append(l.runs, r.ID)
 	if e.Head {
@@ -212,11 +214,27 @@
 		s.report(w, l)
 		return
 	}
+	l.probe(w, u.Address)
+}
+
+// lossOf returns what was lost with an end of a replica, which is remembered from now on; at is the time of the first loss
+// if there was none yet.
+func (s *System) lossOf(id medlarsuspect.CrashID, at time.Time) *loss {
+	l := s.find(id)
+	if l == nil {
+		l = &loss{id: id, at: at, firstAt: at, seenAt: s.seenAt(id)}
+		s.losses = append(s.losses, l)
+	}
+	return l
+}
+
+// probe asks whether the upstream is down, unless that was asked already.
+func (l *loss) probe(w *medlarworld.World, at medlarid.Address) {
 	if l.probing {
 		return
 	}
 	l.probing = true
-	w.Emit(medlarworld.ProbeUpstream{Crash: id, Address: u.Address})
+	w.Emit(medlarworld.ProbeUpstream{Crash: l.id, Address: at})
 }
 
 func (s *System) find(id medlarsuspect.CrashID) *loss {
@@ -232,6 +250,9 @@
 		return
 	}
 	l.probing = false
+	if e.Answered {
+		s.outlived(w, l.id)
+	}
 	if !e.Down || l.crashed {
 		return
 	}
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -48,6 +48,9 @@
 	// Began is the time since the first event of a stream, or since another answer was known to be
 	// too long to be kept; 0 if there was neither.
 	Began time.Duration
+	// Delimited is set if the end of the connection delimited a complete answer. One that a crash cut off between two
+	// events looks the same.
+	Delimited bool
 }
 
 // LookedUp reports which of a run's blocks are held in stores.
@@ -187,6 +190,8 @@
 	Crash   medlarsuspect.CrashID // that the upstream is suspected of
 	Down    bool
 	Refused bool // it refuses new connections, so that it was up when it accepted those that it ended
+	// Answered is set if it has answered a call. Without a call it is not known whether an upstream that is not down is up.
+	Answered bool
 }
 
 // CrashReported carries what another instance lost with a replica that crashed.
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -269,6 +269,7 @@
 
 func (a *attempt) ended(cause medlarkind.Cause, reason medlarreason.Reason, reached bool) medlarworld.AttemptEnded {
 	e := medlarworld.AttemptEnded{Run: a.run.ID, Attempt: a.cmd.Attempt, Cause: cause, Reason: reason, Reached: reached, Lost: a.lost, Head: a.headBegan, Began: a.withdrawal.SinceBegun()}
+	e.Delimited = a.bodyEnd.Complete && a.bodyEnd.Framing == medlarhead.FramingClose
 	if a.upstream != nil {
 		e.Connected = a.upstream.Opened
 	}
--- a/internal/ops/medlarattachednode/crash_test.go
+++ b/internal/ops/medlarattachednode/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -10,6 +11,7 @@
 	"testing"
 	"time"
 
+	"medlarfield/internal/stand/medlarfakereplica"
 	"medlarfield/internal/stand/medlarfaketopic"
 	"medlarfield/internal/stand/medlarsite"
 )
@@ -134,9 +136,12 @@
 		name      string
 		instances int
 		change    func(*medlarsite.Settings)
+		at        medlarfakereplica.CrashPoint
 		during    func(*fleet) // while requests come
 	}{
 		{name: "one instance", instances: 1},
+		{name: "an answer that the end of the connection delimits, one instance", instances: 1, at: medlarfakereplica.CrashUnframed},
+		{name: "an answer that the end of the connection delimits, five instances", instances: 5, at: medlarfakereplica.CrashUnframed},
 		{name: "five instances", instances: 5},
 		{name: "thirty-one instances", instances: 31},
 		{name: "replicas that start again under their id", instances: 5, change: func(s *medlarsite.Settings) { s.KeepID = true }},
@@ -160,7 +165,7 @@
 			stop := make(chan struct{})
 			sound := f.load("s", "/query/x", 10*time.Millisecond, stop, func(n int) string { return fmt.Sprintf("aa:100,%s,%d:500", soundPart(n), 1000+n) })
 			time.Sleep(500 * time.Millisecond)
-			f.site.CrashOn("bad")
+			f.site.CrashOnAt(cmp.Or(tc.at, medlarfakereplica.CrashBegun), "bad")
 			bad := f.load("b", "/query/x", 100*time.Millisecond, stop, func(n int) string {
 				return fmt.Sprintf("aa:100,%s,bad:300,%d:500", soundPart(n), 9000+n)
 			})
--- a/internal/ops/medlardialer/state.go
+++ b/internal/ops/medlardialer/state.go
@@ -15,11 +15,15 @@
 
 // States.
 const (
-	StateUp      State = "up"      // or it cannot be told
-	StateRefuses State = "refuses" // it refuses connections
-	StateEnds    State = "ends"    // connections open, and end without an answer, as behind a proxy or a balancer
+	StateUp       State = "up"       // or it cannot be told
+	StateAnswered State = "answered" // it has answered a call
+	StateRefuses  State = "refuses"  // it refuses connections
+	StateEnds     State = "ends"     // connections open, and end without an answer, as behind a proxy or a balancer
 )
 
+// Down reports whether a replica in this state is down.
+func (s State) Down() bool { return s == StateRefuses || s == StateEnds }
+
 // Examine finds out whether a replica that has ended connections is down. It makes a call where connections open if call is
 // set.
 func (d *Dialer) Examine(t medlarpool.Target, call bool) State {
@@ -56,7 +60,14 @@
 
 // examineOpen finds out whether a replica is down to which connections open.
 func (d *Dialer) examineOpen(ctx context.Context, t medlarpool.Target, plan medlarreach.Plan, call bool) State {
-	if plan.RelayFirst || !call || d.paths.Prove(ctx, t.ID, t.Address, proofPatience) != medlarreach.Ended {
+	if plan.RelayFirst || !call {
+		return StateUp
+	}
+	switch d.paths.Prove(ctx, t.ID, t.Address, proofPatience) {
+	case medlarreach.Answered:
+		return StateAnswered
+	case medlarreach.Ended:
+	default:
 		return StateUp
 	}
 	if by, _ := d.answersPeer(ctx, t.ID, t.Incarnation); by != "" {
--- a/internal/ops/medlarnotifier/medlarnotifier.go
+++ b/internal/ops/medlarnotifier/medlarnotifier.go
@@ -107,11 +107,11 @@
 	t := medlarpool.Target{ID: c.Crash.Replica, Incarnation: c.Crash.Incarnation, Address: c.Address}
 	call := n.mayCall(t.ID)
 	state := n.deps.Dialer.Examine(t, false)
-	if state == medlardialer.StateUp {
+	if !state.Down() {
 		time.Sleep(probeRepeatDelay)
 		state = n.deps.Dialer.Examine(t, call)
 	}
-	n.post(medlarworld.UpstreamProbed{Crash: c.Crash, Down: state != medlardialer.StateUp, Refused: state == medlardialer.StateRefuses})
+	n.post(medlarworld.UpstreamProbed{Crash: c.Crash, Down: state.Down(), Refused: state == medlardialer.StateRefuses, Answered: state == medlardialer.StateAnswered})
 }
 
 // mayCall reports whether a replica may be called now to find out whether it is down, and takes note that it is.
--- a/internal/stand/medlarfakereplica/exchange.go
+++ b/internal/stand/medlarfakereplica/exchange.go
@@ -240,6 +240,10 @@
 		b = medlarhead.AppendEnd(append(status, x.requestIDField()+"Transfer-Encoding: chunked\r\n"...))
 	case CrashBegun:
 		b = medlarhead.AppendEnd(x.streamHead(strconv.FormatUint(x.replica.Version(), 10)))
+	case CrashUnframed:
+		x.fault = FaultUnframed
+		b = medlarhead.AppendEnd(x.streamHead(strconv.FormatUint(x.replica.Version(), 10)))
+		b = append(b, x.eventText(1)...)
 	}
 	_, _ = x.conn.Write(b) // the caller may have left
 	x.replica.Crash()
--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -109,6 +109,7 @@
 	CrashInHead   CrashPoint = "head"     // within the head, before the signature
 	CrashUnsigned CrashPoint = "unsigned" // after a head without a signature
 	CrashBegun    CrashPoint = "begun"    // after the head, before the body
+	CrashUnframed CrashPoint = "unframed" // after the first event of a stream that the end of the connection delimits
 )
 
 // Run is the record of a request that ran (R2). Timeout is the time that it has left, as its header field states it, Remote the
--- a/internal/stand/medlarschedule/medlarschedule.go
+++ b/internal/stand/medlarschedule/medlarschedule.go
@@ -101,6 +101,7 @@
 	{"pauses-beside-cuts", func(d *draw) []Step { return append(d.cut(d.nodes-1), d.pauses()...) }},
 	{"deadly-request", func(d *draw) []Step { return d.deadly("request") }},
 	{"deadly-part", func(d *draw) []Step { return d.deadly("part") }},
+	{"deadly-part-unframed", func(d *draw) []Step { return d.deadly("part&at=unframed") }},
 	{"slow-replicas", (*draw).slowReplicas},
 	{"stalled-replicas", (*draw).stalledReplicas},
 	{"half-broken", (*draw).halfBroken},
--- a/internal/stand/medlarschedule/medlarschedule_test.go
+++ b/internal/stand/medlarschedule/medlarschedule_test.go
@@ -11,7 +11,7 @@
 // TestSchedule guards against a schedule that differs between two draws, leaves a fault in force or a kind out.
 func TestSchedule(t *testing.T) {
 	byName := map[string]bool{ // kinds that are not drawn
-		"release-out-of-step": true, "pauses": true, "pauses-beside-cuts": true, "deadly-request": true, "deadly-part": true,
+		"release-out-of-step": true, "pauses": true, "pauses-beside-cuts": true, "deadly-request": true, "deadly-part": true, "deadly-part-unframed": true,
 		"answer-begun-again": true, "answer-twice": true,
 		"slow-replicas": true, "stalled-replicas": true, "half-broken": true,
 		"half-broken-restarts": true, "refused-restarts": true, "pressing-callers": true,
--- a/internal/stand/medlarsite/crash.go
+++ b/internal/stand/medlarsite/crash.go
@@ -44,11 +44,15 @@
 
 // CrashOn makes the replicas of the engine crash as they begin to answer a prompt with one of
 // these parts, wherever it stands but at the end.
-func (s *Site) CrashOn(parts ...string) {
+func (s *Site) CrashOn(parts ...string) { s.CrashOnAt(medlarfakereplica.CrashBegun, parts...) }
+
+// CrashOnAt makes the replicas of the engine crash at a point of their answer to a prompt with one of these parts,
+// wherever it stands but at the end.
+func (s *Site) CrashOnAt(at medlarfakereplica.CrashPoint, parts ...string) {
 	s.CrashOnRequest(func(r medlarfakereplica.Run) medlarfakereplica.CrashPoint {
 		shared := r.Parts[:max(len(r.Parts)-1, 0)]
 		if slices.ContainsFunc(shared, func(p string) bool { return slices.Contains(parts, p) }) {
-			return medlarfakereplica.CrashBegun
+			return at
 		}
 		return medlarfakereplica.CrashNowhere
 	})
--- a/internal/stand/medlarsoak/faults.go
+++ b/internal/stand/medlarsoak/faults.go
@@ -31,14 +31,14 @@
 	stutter medlarstutter.Stutter
 
 	mu     sync.Mutex
-	w      io.Writer // for the records of arrivals and runs
-	most   int       // largest number of attempts of all routes; 0 while each has its own
-	deadly map[Deadly]bool
+	w      io.Writer                               // for the records of arrivals and runs
+	most   int                                     // largest number of attempts of all routes; 0 while each has its own
+	deadly map[Deadly]medlarfakereplica.CrashPoint // where replicas crash under requests of a kind
 }
 
 // NewPlatform starts a platform. The runs of its replicas are written to w.
 func NewPlatform(cfg medlarsite.Settings, w io.Writer) (*Platform, error) {
-	p := &Platform{w: w, deadly: map[Deadly]bool{}}
+	p := &Platform{w: w, deadly: map[Deadly]medlarfakereplica.CrashPoint{}}
 	cfg.NameRequests, cfg.Wrap, cfg.Builds = true, p.stutter.Wrap, []string{"r0"}
 	cfg.Arrived = p.arrived
 	site, err := medlarsite.New(cfg)
@@ -47,7 +47,7 @@
 	}
 	p.site = site
 	site.CrashOnRequest(func(r medlarfakereplica.Run) medlarfakereplica.CrashPoint { // is called for each run
-		return crashPoints[p.record(r, Run{Ran: true})]
+		return p.crashPoint(p.record(r, Run{Ran: true}))
 	})
 	return p, nil
 }
@@ -55,9 +55,8 @@
 // Site returns the emulated platform.
 func (p *Platform) Site() *medlarsite.Site { return p.site }
 
-// crashPoints are the points of an answer at which replicas crash.
-var crashPoints = map[Deadly]medlarfakereplica.CrashPoint{
-	DeadlyNone:    medlarfakereplica.CrashNowhere,
+// usualCrashPoints are the points of an answer at which replicas crash if the command names none.
+var usualCrashPoints = map[Deadly]medlarfakereplica.CrashPoint{
 	DeadlyRequest: medlarfakereplica.CrashRunning,
 	DeadlyPart:    medlarfakereplica.CrashBegun,
 }
@@ -78,7 +77,7 @@
 	out.Instance = p.site.LinkFrom(r.Remote, r.Local)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if kind := deadlyPaths[r.Target]; p.deadly[kind] {
+	if kind := deadlyPaths[r.Target]; p.deadly[kind] != medlarfakereplica.CrashNowhere {
 		out.Deadly = kind
 	}
 	out.At, out.Most = time.Now().UnixMilli(), p.most
@@ -93,15 +92,23 @@
 	_ = write(p.w, Run{At: time.Now().UnixMilli(), Instance: instance, State: cmp.Or(state, StateUp)})
 }
 
-// setDeadly makes replicas crash under the requests of a kind; none ends that.
-func (p *Platform) setDeadly(kind Deadly) {
+// crashPoint returns where replicas crash under a request of a kind.
+func (p *Platform) crashPoint(kind Deadly) medlarfakereplica.CrashPoint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.deadly[kind]
+}
+
+// setDeadly makes replicas crash under the requests of a kind, at a point of their answer or at the usual one; no kind ends
+// that.
+func (p *Platform) setDeadly(kind Deadly, at medlarfakereplica.CrashPoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if kind == DeadlyNone {
 		clear(p.deadly)
 		return
 	}
-	p.deadly[kind] = true
+	p.deadly[kind] = cmp.Or(at, usualCrashPoints[kind])
 }
 
 // setAttempts sets the largest number of attempts of all routes. Requests that are under way may have begun with
@@ -130,7 +137,7 @@
 //	POST /slow?ms=MS                                sets the duration of plain requests; 0 for the usual one
 //	POST /stall?from=I&n=N&ms=MS                    lets N plain replicas stand still, the I-th and those behind it
 //	POST /disarm                                    takes the faults of the last eight back
-//	POST /deadly?kind=K                             makes replicas crash under the requests of a kind; under none without one
+//	POST /deadly?kind=K&at=P                        makes replicas crash under the requests of a kind, at a point of their answer; under none without one
 //	POST /rewind?n=N                                lets the store come back without the last N records of each topic
 //	POST /odd?entry=I                               writes odd entry I of replicas; removes all for -1
 func (p *Platform) Handler() fasthttp.RequestHandler {
@@ -150,7 +157,7 @@
 			p.setState("", text("fault"))
 			other(ctx)
 		case "/deadly":
-			p.setDeadly(Deadly(text("kind")))
+			p.setDeadly(Deadly(text("kind")), medlarfakereplica.CrashPoint(text("at")))
 		case "/copies":
 			p.stutter.ArmTimes(medlarstutter.Copy{
 				Status: q.GetUintOrZero("status"), Without: text("without"), Form: medlarstutter.Form(text("form")),
