Let reads of topics wait longer in large fleets

Change: medlarreadwait lets waits grow with the number of announced instances above 16, up to bounds.stable less 0.6 s, and for the operators' records to 2.6 s, since an instance fetches kept context only while it knows the desired weight versions as of 3 s ago. Fleets up to 16 instances read as before. Records arrive as soon as before.

--- a/internal/agree/medlarfeed/medlarfeed.go
+++ b/internal/agree/medlarfeed/medlarfeed.go
@@ -96,8 +96,8 @@
 
 // Options configure a feed.
 type Options struct {
-	// MaxWait is the longest time for which a read waits for a record at the store.
-	MaxWait time.Duration
+	// MaxWait returns the longest time for which the next read waits for a record at the store; nil for no wait.
+	MaxWait func() time.Duration
 	// MinOutage is the shortest time without a response of the store after which records
 	// can have expired because their owners could not renew them.
 	MinOutage time.Duration
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -28,11 +28,13 @@
 
 	"medlarfield/internal/agree/medlarfeed"
 	"medlarfield/internal/agree/medlarnotice"
+	"medlarfield/internal/agree/medlarreadwait"
 	"medlarfield/internal/agree/medlarterm"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarbudget"
 	"medlarfield/internal/core/medlarcore"
 	"medlarfield/internal/core/medlarkind"
+	"medlarfield/internal/core/medlarplacement"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarmetric"
 	"medlarfield/internal/edge/medlarpool"
@@ -57,8 +59,6 @@
 const (
 	storeTimeout       = 800 * time.Millisecond // of a call to the store
 	replicaTimeout     = 500 * time.Millisecond // of a control call to a replica
-	readWait           = 750 * time.Millisecond // maximum wait of a read of a topic; a lost read is noticed soon after it
-	noticeWait         = 2 * time.Second        // maximum wait of a read of notices: they are rare, and a lost read is noticed soon enough
 	noticeInterval     = 150 * time.Millisecond // minimum between two reads of notices, so that many records come at once
 	restoreSpread      = 300 * time.Millisecond // over which instances write notices again after the store came back from a copy
 	replicaInterval    = 400 * time.Millisecond // minimum between two reads of replicas' entries
@@ -73,6 +73,13 @@
 	retryStart         = 2                      // initial retry budget, in attempts
 )
 
+// Waits of reads of topics; a lost read is noticed soon after its wait.
+var (
+	operatorWait = medlarreadwait.Topic{Usual: 750 * time.Millisecond, Longest: medlarplacement.DesiredVersionTTL - versionMargin}
+	replicaWait  = medlarreadwait.Topic{Usual: 750 * time.Millisecond}
+	noticeWait   = medlarreadwait.Topic{Usual: 2 * time.Second} // notices are rare
+)
+
 // Instance is an instance attached to the users' platform.
 type Instance struct {
 	cfg       medlarsettings.Attached
@@ -213,8 +220,11 @@
 }
 
 func newFeeds(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, loop *medlarloop.Loop,
-	s *medlarcalls.Store, registry *medlarregistry.Registry, n *medlarnotifier.Notifier, board *medlarnotice.Board,
+	s *medlarcalls.Store, registry *medlarregistry.Registry, n *medlarnotifier.Notifier, board *medlarnotice.Board, d *medlardialer.Dialer,
 ) []*medlarfeed.Feed {
+	wait := func(t medlarreadwait.Topic) func() time.Duration {
+		return func() time.Duration { return t.Wait(len(d.Peers())+1, cfg.Bounds.SettlingTime.Std()) }
+	}
 	feed := func(topic string, apply func([]medlarfeed.Record, bool), o medlarfeed.Options) *medlarfeed.Feed {
 		onUnavailable, onRecovered := feedOutageFuncs(log, topic, m.CallFailed)
 		if topic == medlarplatform.TopicOperator {
@@ -258,12 +268,12 @@
 		}
 	}
 	return []*medlarfeed.Feed{
-		feed(medlarplatform.TopicOperator, operator, medlarfeed.Options{MaxWait: readWait}),
+		feed(medlarplatform.TopicOperator, operator, medlarfeed.Options{MaxWait: wait(operatorWait)}),
 		feed(medlarplatform.TopicReplicas, registry.ApplyReplicaEntries, medlarfeed.Options{
-			MaxWait: readWait, PollInterval: replicaInterval, RemovalDelay: cfg.Bounds.RemovalDelay.Std() + returnMargin,
+			MaxWait: wait(replicaWait), PollInterval: replicaInterval, RemovalDelay: cfg.Bounds.RemovalDelay.Std() + returnMargin,
 			MinOutage: time.Duration(outageShare * float64(cfg.Bounds.HeartbeatInterval)),
 		}),
-		feed(medlarplatform.TopicNotices, n.Apply, medlarfeed.Options{MaxWait: noticeWait, PollInterval: noticeInterval}),
+		feed(medlarplatform.TopicNotices, n.Apply, medlarfeed.Options{MaxWait: wait(noticeWait), PollInterval: noticeInterval}),
 	}
 }
 
