Read busy topics less often in large fleets

Each record wakes a read of each instance.

Change: the interval between two reads of a topic grows with the fleet as the wait does, both from 8 instances on.

--- a/internal/agree/medlarfeed/call.go
+++ b/internal/agree/medlarfeed/call.go
@@ -38,10 +38,7 @@
 // readFrom reads the next records, without waiting for them after a failure (R5), or longer than removals are delayed
 // (R4). It returns a time as of which there are no others.
 func (f *Feed) readFrom(ctx context.Context) (Batch, time.Time, error) {
-	from, wait := f.nextOffset, time.Duration(0)
-	if f.options.MaxWait != nil {
-		wait = f.options.MaxWait()
-	}
+	from, wait := f.nextOffset, timeOf(f.options.MaxWait)
 	if len(f.delayed) > 0 {
 		wait = min(wait, max(time.Until(f.delayUntil), 0))
 	}
--- a/internal/agree/medlarfeed/history_test.go
+++ b/internal/agree/medlarfeed/history_test.go
@@ -231,7 +231,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		feed := New(Deps{
 			ReadLatest: h.newest, ReadFrom: h.read, Apply: h.apply, OnCurrent: func(Progress) {}, OnUnavailable: func(error) {}, OnRecovered: func(time.Duration) {}, OnEra: h.beginEra,
-		}, Options{PollInterval: 100 * time.Millisecond, RemovalDelay: o.removalDelay, MinOutage: historyExpiry})
+		}, Options{PollInterval: fixed(100 * time.Millisecond), RemovalDelay: o.removalDelay, MinOutage: historyExpiry})
 		ctx, cancel := context.WithCancel(t.Context())
 		go feed.Run(ctx)
 		for range historySteps {
--- a/internal/agree/medlarfeed/medlarfeed.go
+++ b/internal/agree/medlarfeed/medlarfeed.go
@@ -101,8 +101,8 @@
 	// MinOutage is the shortest time without a response of the store after which records
 	// can have expired because their owners could not renew them.
 	MinOutage time.Duration
-	// PollInterval is the minimum interval between two reads.
-	PollInterval time.Duration
+	// PollInterval returns the minimum interval between the last read and the next one; nil for none.
+	PollInterval func() time.Duration
 	// RemovalDelay is the time after an outage for which removals are delayed (R4);
 	// 0 delays none.
 	RemovalDelay time.Duration
@@ -165,10 +165,18 @@
 			medlarpause.For(ctx, f.backoff()-time.Since(begin))
 			continue
 		}
-		f.rest(ctx, begin.Add(f.options.PollInterval))
+		f.rest(ctx, begin.Add(timeOf(f.options.PollInterval)))
 	}
 }
 
+// timeOf returns the time that an option returns; 0 for one that is not set.
+func timeOf(option func() time.Duration) time.Duration {
+	if option == nil {
+		return 0
+	}
+	return option()
+}
+
 // rest waits for the time of the next read, and delivers the delayed removals when their delay ends.
 func (f *Feed) rest(ctx context.Context, until time.Time) {
 	if len(f.delayed) > 0 && f.delayUntil.Before(until) {
--- a/internal/agree/medlarfeed/medlarfeed_test.go
+++ b/internal/agree/medlarfeed/medlarfeed_test.go
@@ -87,7 +87,7 @@
 			OnUnavailable: func(error) {},
 			OnRecovered:   func(time.Duration) {},
 			OnEra:         func(medlarid.Era) {},
-		}, Options{PollInterval: 50 * time.Millisecond, RemovalDelay: 2 * time.Second})
+		}, Options{PollInterval: fixed(50 * time.Millisecond), RemovalDelay: 2 * time.Second})
 		ctx, cancel := context.WithCancel(t.Context())
 		go feed.Run(ctx)
 		for _, step := range steps {
@@ -214,7 +214,7 @@
 			OnUnavailable: func(error) {},
 			OnRecovered:   func(time.Duration) {},
 			OnEra:         func(medlarid.Era) {},
-		}, Options{PollInterval: 50 * time.Millisecond})
+		}, Options{PollInterval: fixed(50 * time.Millisecond)})
 		feed.Run(read)
 		want := []string{"a", "b", "current 3", "c", "current 4", "current 4"}
 		if !slices.Equal(got, want) {
@@ -239,7 +239,7 @@
 			},
 			Apply: func([]Record, bool) { applied++ }, OnCurrent: func(Progress) {}, OnUnavailable: func(error) {}, OnRecovered: func(time.Duration) {},
 			OnEra: func(medlarid.Era) {},
-		}, Options{PollInterval: time.Second})
+		}, Options{PollInterval: fixed(time.Second)})
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		feed.Run(ctx)
@@ -248,3 +248,6 @@
 		}
 	})
 }
+
+// fixed returns a function that returns a time.
+func fixed(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
--- a/internal/agree/medlarfeed/outage_test.go
+++ b/internal/agree/medlarfeed/outage_test.go
@@ -95,7 +95,7 @@
 			OnUnavailable: func(error) {},
 			OnRecovered:   func(time.Duration) {},
 			OnEra:         func(medlarid.Era) {},
-		}, Options{MaxWait: func() time.Duration { return maxWait }, PollInterval: 400 * time.Millisecond, RemovalDelay: removalDelay, MinOutage: 900 * time.Millisecond})
+		}, Options{MaxWait: fixed(maxWait), PollInterval: fixed(400 * time.Millisecond), RemovalDelay: removalDelay, MinOutage: 900 * time.Millisecond})
 		ctx, cancel := context.WithCancel(t.Context())
 		s.put("a", "1")
 		go feed.Run(ctx)
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -59,9 +59,7 @@
 const (
 	storeTimeout       = 800 * time.Millisecond // of a call to the store
 	replicaTimeout     = 500 * time.Millisecond // of a control call to a replica
-	noticeInterval     = 150 * time.Millisecond // minimum between two reads of notices, so that many records come at once
 	restoreSpread      = 300 * time.Millisecond // over which instances write notices again after the store came back from a copy
-	replicaInterval    = 400 * time.Millisecond // minimum between two reads of replicas' entries
 	returnMargin       = 300 * time.Millisecond // added to bounds.return, the time for removed entries to return after an outage
 	controlIdleTimeout = 5 * time.Second        // of connections for control calls
 	maxHolders         = 64                     // maximum number of replicas recorded as caching one part
@@ -73,11 +71,12 @@
 	retryStart         = 2                      // initial retry budget, in attempts
 )
 
-// Waits of reads of topics; a lost read is noticed soon after its wait.
+// Reads of topics; a lost read is noticed soon after its wait.
 var (
-	operatorWait = medlarreadwait.Topic{Usual: 750 * time.Millisecond, Longest: medlarplacement.DesiredVersionTTL - versionMargin}
-	replicaWait  = medlarreadwait.Topic{Usual: 750 * time.Millisecond}
-	noticeWait   = medlarreadwait.Topic{Usual: 2 * time.Second} // notices are rare
+	operatorReads = medlarreadwait.Topic{UsualWait: 750 * time.Millisecond, LongestWait: medlarplacement.DesiredVersionTTL - versionMargin}
+	replicaReads  = medlarreadwait.Topic{UsualWait: 750 * time.Millisecond, UsualInterval: 400 * time.Millisecond, LongestInterval: 800 * time.Millisecond}
+	// Notices are rare, and many come at once.
+	noticeReads = medlarreadwait.Topic{UsualWait: 2 * time.Second, UsualInterval: 150 * time.Millisecond, LongestInterval: 300 * time.Millisecond}
 )
 
 // Instance is an instance attached to the users' platform.
@@ -222,10 +221,9 @@
 func newFeeds(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, loop *medlarloop.Loop,
 	s *medlarcalls.Store, registry *medlarregistry.Registry, n *medlarnotifier.Notifier, board *medlarnotice.Board, d *medlardialer.Dialer,
 ) []*medlarfeed.Feed {
-	wait := func(t medlarreadwait.Topic) func() time.Duration {
-		return func() time.Duration { return t.Wait(len(d.Peers())+1, cfg.Bounds.SettlingTime.Std()) }
-	}
-	feed := func(topic string, apply func([]medlarfeed.Record, bool), o medlarfeed.Options) *medlarfeed.Feed {
+	feed := func(topic string, apply func([]medlarfeed.Record, bool), t medlarreadwait.Topic, o medlarfeed.Options) *medlarfeed.Feed {
+		o.MaxWait = func() time.Duration { return t.Wait(len(d.Peers())+1, cfg.Bounds.SettlingTime.Std()) }
+		o.PollInterval = func() time.Duration { return t.Interval(len(d.Peers()) + 1) }
 		onUnavailable, onRecovered := feedOutageFuncs(log, topic, m.CallFailed)
 		if topic == medlarplatform.TopicOperator {
 			onUnavailable, onRecovered = trackOperatorFeed(registry, onUnavailable, onRecovered)
@@ -268,12 +266,12 @@
 		}
 	}
 	return []*medlarfeed.Feed{
-		feed(medlarplatform.TopicOperator, operator, medlarfeed.Options{MaxWait: wait(operatorWait)}),
-		feed(medlarplatform.TopicReplicas, registry.ApplyReplicaEntries, medlarfeed.Options{
-			MaxWait: wait(replicaWait), PollInterval: replicaInterval, RemovalDelay: cfg.Bounds.RemovalDelay.Std() + returnMargin,
-			MinOutage: time.Duration(outageShare * float64(cfg.Bounds.HeartbeatInterval)),
+		feed(medlarplatform.TopicOperator, operator, operatorReads, medlarfeed.Options{}),
+		feed(medlarplatform.TopicReplicas, registry.ApplyReplicaEntries, replicaReads, medlarfeed.Options{
+			RemovalDelay: cfg.Bounds.RemovalDelay.Std() + returnMargin,
+			MinOutage:    time.Duration(outageShare * float64(cfg.Bounds.HeartbeatInterval)),
 		}),
-		feed(medlarplatform.TopicNotices, n.Apply, medlarfeed.Options{MaxWait: wait(noticeWait), PollInterval: noticeInterval}),
+		feed(medlarplatform.TopicNotices, n.Apply, noticeReads, medlarfeed.Options{}),
 	}
 }
 
