Charge no retry token for an attempt that sent nothing

Callers were refused (503, capacity) while most replicas could serve them. In a log of 13 of 36 instances after the loss of an availability zone, 251 of 269 such refusals came after one connection that could not be opened, with the retry budget used up.

Cause: the budget bounds the load that repeats add to replicas, and each failed connection took a token of it although no byte was sent, so that no repeat took place. Where replicas refuse connections, a few requests use up the budget of an instance.

--- a/internal/core/medlarcore/medlarcore_test.go
+++ b/internal/core/medlarcore/medlarcore_test.go
@@ -365,6 +365,31 @@
 	}
 }
 
+// TestUnsentAttemptsCostNoBudget guards against requests that are refused since connections to some upstreams cannot be opened,
+// as after the loss of an availability zone, while others would serve them: the budget was used up without a single repeat.
+func TestUnsentAttemptsCostNoBudget(t *testing.T) {
+	for _, reason := range []medlarreason.Reason{medlarreason.Unreachable, medlarreason.Paused} {
+		t.Run(string(reason), func(t *testing.T) {
+			h := newHarness(t, 4, 1<<20, nil)
+			served, requests := 0, 200
+			for range requests { // the first attempt of each fails, without a byte sent
+				r := h.newRun("a")
+				h.submit(r, medlarworld.Limits{})
+				h.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: 1, Cause: medlarkind.CauseRetry, Reason: reason})
+				h.advance(50 * time.Millisecond)
+				if h.core.World().Runs[r.ID] == nil {
+					continue
+				}
+				served++
+				h.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: 2, Cause: medlarkind.CauseDone, Reached: true})
+			}
+			if served != requests {
+				t.Errorf("%d of %d requests get a second attempt", served, requests)
+			}
+		})
+	}
+}
+
 func TestEjection(t *testing.T) {
 	h := newHarness(t, 4, 1000, nil)
 	failing := engineName(1)
--- a/internal/core/medlarretry/medlarretry.go
+++ b/internal/core/medlarretry/medlarretry.go
@@ -8,7 +8,8 @@
 //	R2  Retries are limited by the maximum number of attempts, by the deadline, and by
 //	    a retry budget that is a ratio of the requests for the same target. Where a run
 //	    has a limit of its own, attempts that certainly did not run are counted
-//	    separately.
+//	    separately. An attempt that sent nothing costs no part of the budget, which bounds
+//	    the load that repeats add to upstreams: the next attempt is the first that one gets.
 //	R3  An untried upstream is preferred; a random pause spreads the retries of many
 //	    runs.
 //	R4  An upstream with several consecutive failures, one that cannot be connected
@@ -149,7 +150,7 @@
 		if countsAsFailure(e.Reason) {
 			recordFailure(w, u)
 		}
-		retry(w, r, e.Reason)
+		retry(w, r, e.Reason, costOf(e.Reason, e.Reached))
 	}
 }
 
@@ -163,21 +164,21 @@
 	return true
 }
 
-// retry enqueues a run for its next attempt, or refuses it (R1, R2).
-func retry(w *medlarworld.World, r *medlarworld.Run, reason medlarreason.Reason) {
+// retry enqueues a run for its next attempt, which costs retry tokens, or refuses it (R1, R2).
+func retry(w *medlarworld.World, r *medlarworld.Run, reason medlarreason.Reason, cost float64) {
 	r.LastFailure = reason
-	if why := refusalReason(w, r); why != "" {
+	if why := refusalReason(w, r, cost); why != "" {
 		w.Refuse(r, why, retryAfter)
 		return
 	}
-	w.RetryTokens[r.Target()] = tokensLeft(w, r.Target()) - 1
+	w.RetryTokens[r.Target()] = tokensLeft(w, r.Target()) - cost
 	w.Emit(medlarworld.Retried{Reason: reason})
 	r.NotBefore = w.Now.Add(time.Duration(w.Rand.Int64N(int64(maxPause)))) // R3
 	medlaroffload.Enqueue(w, r)
 }
 
-// refusalReason returns why a run is not retried, or an empty reason.
-func refusalReason(w *medlarworld.World, r *medlarworld.Run) medlarreason.Reason {
+// refusalReason returns why a run is not retried by an attempt that costs retry tokens, or an empty reason.
+func refusalReason(w *medlarworld.World, r *medlarworld.Run, cost float64) medlarreason.Reason {
 	switch {
 	case r.AtMostOnce && r.Reached:
 		return medlarreason.Unknown // R1
@@ -187,12 +188,20 @@
 		return failedOr(r, medlarreason.Draining) // R8
 	case w.Now.After(r.Deadline):
 		return failedOr(r, medlarreason.Deadline)
-	case attemptsExhausted(w, r), tokensLeft(w, r.Target()) < 1:
+	case attemptsExhausted(w, r), cost > 0 && tokensLeft(w, r.Target()) < 1:
 		return failedOr(r, medlarreason.Capacity)
 	}
 	return ""
 }
 
+// costOf returns the retry tokens that the attempt after one that ended for a reason costs (R2).
+func costOf(reason medlarreason.Reason, reached bool) float64 {
+	if !reached && (reason == medlarreason.Unreachable || reason == medlarreason.Paused) {
+		return 0
+	}
+	return 1
+}
+
 // attemptsExhausted reports whether a run has used up its attempts.
 func attemptsExhausted(w *medlarworld.World, r *medlarworld.Run) bool {
 	if r.MaxAttempts == 0 {
