Decode how cold replicas are

Operators state a service's cold rate and time (ColdPerS, ColdStartS), replicas the time for which they stay cold (ColdRemainingMs), and deployments the bounds on requests at cold replicas. None of these was used. They are carried to the core, in Member and Upstream, where nothing decides by them yet. Each heartbeat of a cold replica states a shorter rest of the same time; it is posted only if the end differs.

Tests: platform, medlarregistry, medlarsettings and the core pass. The new rows of the configuration's odd numbers fail if the two fields are not checked.

--- a/internal/agree/medlarcatalog/medlarcatalog.go
+++ b/internal/agree/medlarcatalog/medlarcatalog.go
@@ -101,6 +101,10 @@
 	MaxConnections int      // per replica, from all callers; 0 if unknown
 	Engine         *Engine  // nil for a service without models
 	KVStore        *KVStore // nil for a service with replicas
+	// ColdRate is the number of requests per second that a cold replica gets from all instances together, and ColdTime
+	// the time from its start for which it is cold; 0 if the operators state none.
+	ColdRate float64
+	ColdTime time.Duration
 }
 
 // Account is a client account as configured by the operators.
--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -165,11 +165,12 @@
 	if m.Incarnation != u.Incarnation {
 		u.Incarnation, u.ReportedLeaving, u.PausedUntil, u.ListedAt = m.Incarnation, false, time.Time{}, w.Now
 		u.Limited, u.Limit, u.LimitShare, u.LimitTokens = false, 0, 0, 0
-		u.Brittle = medlarworld.Brittleness{}
+		u.Brittle, u.Pace = medlarworld.Brittleness{}, medlarworld.Pacing{}
 		readmit(w, u)
 	}
 	u.Zone, u.Address, u.Service, u.Build = m.Zone, m.Address, m.Service, m.Build
 	u.VersionDenied = m.VersionDenied
+	u.Pace.ColdRate, u.Pace.ColdTime, u.Pace.StatedUntil = m.ColdRate, m.ColdTime, m.ColdUntil
 	if m.Slots > 0 {
 		u.Load.Slots = m.Slots
 	}
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -60,6 +60,11 @@
 	TellLoad bool
 	// VersionsIncrease is set if the operators never return to an earlier weight version.
 	VersionsIncrease bool
+	// ColdOver and ColdSlack set how many requests a cold upstream gets in any second from all instances together:
+	// its cold rate times ColdOver, plus ColdSlack. ColdOver is 0 if cold upstreams are not protected.
+	ColdOver, ColdSlack float64
+	// Pace is set if upstreams start slowly also where their service configures no cold rate.
+	Pace bool
 	// MaxHolders is the maximum number of upstreams that are recorded as caching one
 	// block or part; 0 for a small default.
 	MaxHolders int
@@ -118,6 +123,18 @@
 	PausedUntil, GrowsAt time.Time
 }
 
+// Pacing is how an upstream that has just started, or is back after failures, is spared (see medlarpace).
+type Pacing struct {
+	ColdRate    float64       // requests per second while it is cold; 0 if its service configures none
+	ColdTime    time.Duration // from its start, for which it is cold
+	StatedUntil time.Time     // until when it is cold, as it has stated itself
+
+	ColdUntil time.Time // until when it is treated as cold
+	Rate      float64   // this instance's part of the cold rate, in requests per second
+	Tokens    float64   // attempts that this instance may start now, as of FilledAt
+	FilledAt  time.Time
+}
+
 // Upstream is a replica of a model engine or an instance of a plain service.
 type Upstream struct {
 	ID       medlarid.InstanceID
@@ -143,6 +160,7 @@
 	LimitSettled bool
 
 	Brittle Brittleness
+	Pace    Pacing
 
 	Model   medlarid.ModelID
 	Version medlarid.WeightVersion
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -107,6 +107,11 @@
 	Capacity medlarid.Tokens
 	Rate     float64 // bytes per second
 	Setup    time.Duration
+	// ColdRate, ColdTime and ColdUntil describe how long a replica is cold, and how many requests per second it gets
+	// then; zero where nothing is known.
+	ColdRate  float64
+	ColdTime  time.Duration // from its start
+	ColdUntil time.Time     // as the replica itself has stated
 }
 
 // InstancesListed reports the platform's instance list.
--- a/internal/ops/medlarregistry/medlarregistry.go
+++ b/internal/ops/medlarregistry/medlarregistry.go
@@ -260,10 +260,10 @@
 		return t.remove(id, old, rec.Offset, "replica removed: entry cannot be decoded")
 	}
 	delete(t.malformed, id)
-	if old != nil && old.StartedMs == next.StartedMs && old.Member == next.Member {
+	if old != nil && old.StartedMs == next.StartedMs && old.Member == next.Member && !old.coldChanged(next.ColdRemaining) {
 		return false // heartbeat without changes
 	}
-	r := &replica{Replica: next, listedAt: time.Now()}
+	r := &replica{Replica: next, listedAt: time.Now(), cold: coldUntil(next.ColdRemaining)}
 	if old != nil {
 		r.listedAt = old.listedAt
 		r.history = slices.Clone(old.history) // a replica keeps its version when it starts again
@@ -320,7 +320,8 @@
 		}
 		m := r.Member
 		m.Version, m.VersionDenied = r.requestVersion(), r.denied()
-		m.Incarnation = medlarid.Incarnation(r.StartedMs)
+		m.Incarnation, m.ColdUntil = medlarid.Incarnation(r.StartedMs), r.cold
+		m.ColdRate, m.ColdTime = t.cold(m.Service)
 		if m.Model != "" {
 			m.PrefillRate = prefill
 			m.TokenBytes, m.KVCapacity = t.memory(m.Service)
@@ -341,6 +342,16 @@
 	return e.BytesPerToken, e.CacheTokens
 }
 
+// cold returns how many requests per second a cold replica of a service gets from all instances, and how long after its
+// start it is cold. The caller holds t.mu.
+func (t *Registry) cold(id medlarid.ServiceID) (rate float64, lasting time.Duration) {
+	if t.catalog == nil {
+		return 0, 0
+	}
+	s := t.catalog.Services[id]
+	return s.ColdRate, s.ColdTime
+}
+
 // stores returns the managed stores of the catalog. The caller holds t.mu.
 func (t *Registry) stores() []medlarworld.Member {
 	if t.catalog == nil {
--- a/internal/ops/medlarregistry/versions.go
+++ b/internal/ops/medlarregistry/versions.go
@@ -18,6 +18,7 @@
 	assumed  medlarid.WeightVersion // assumed for requests after a version mismatch, or empty
 	history  medlarhistory.History  // successive values of version()
 	listedAt time.Time              // since when the replica has been listed, whichever start of it
+	cold     time.Time              // until when the replica is cold, as its entry states; zero if it is not
 	deniedAt time.Time              // when the replica denied to run any version that requests could name; zero if it did not
 }
 
@@ -53,6 +54,29 @@
 // maxReportLag is the longest time by which the version that a replica reports may be out of date.
 const maxReportLag = 500 * time.Millisecond
 
+// coldTolerance is the difference up to which two entries state the same end of a replica's cold time: each is read
+// some time after it was written.
+const coldTolerance = 300 * time.Millisecond
+
+// coldUntil returns until when a replica is cold whose entry states the remaining time. An entry is read after it was
+// written, so that the replica is not cold for longer.
+func coldUntil(remaining time.Duration) time.Time {
+	if remaining <= 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(remaining)
+}
+
+// coldChanged reports whether an entry with the remaining cold time states another end of it than is known. An earlier
+// end within coldTolerance is no change.
+func (r *replica) coldChanged(remaining time.Duration) bool {
+	next := coldUntil(remaining)
+	if next.IsZero() {
+		return !r.cold.IsZero()
+	}
+	return next.After(r.cold) || r.cold.Sub(next) > coldTolerance
+}
+
 // denied reports whether it is not known which version the replica runs.
 func (r *replica) denied() bool { return !r.deniedAt.IsZero() }
 
--- a/internal/ops/medlarsettings/attached.go
+++ b/internal/ops/medlarsettings/attached.go
@@ -23,9 +23,16 @@
 	Store    medlarid.Address `json:"store"`
 	MemoryMB int              `json:"memory"` // that the process may use
 	Bounds   Bounds           `json:"bounds"`
+	Pace     bool             `json:"pace"` // slow start of replicas, also of services that do not configure a cold rate
 	Log      Log              `json:"log"`
 }
 
+// Ranges of the bounds on requests at cold replicas.
+const (
+	maxColdOver  = 1e3
+	maxColdSlack = 1e6 // requests
+)
+
 // Bounds are the limits that the platform's operators set for an attached instance.
 type Bounds struct {
 	GracePeriod         medlarid.Duration `json:"grace"`     // from the stop signal to SIGKILL
@@ -36,6 +43,8 @@
 	SettlingTime        medlarid.Duration `json:"stable"`    // after a start or an outage, until bounds in time hold for the instance as for others
 	RemovalDelay        medlarid.Duration `json:"return"`    // in which removed replicas are listed again after an outage of the store
 	HeartbeatInterval   medlarid.Duration `json:"heartbeat"` // of the replicas' entries, which expire after several of them
+	ColdOver            float64           `json:"coldover"`  // factor on a service's cold rate, for the requests of one second at a cold replica; 0 if cold replicas are not protected
+	ColdSlack           float64           `json:"coldslack"` // requests added to that
 }
 
 // DefaultAttached returns the defaults that a settings file overrides.
@@ -94,6 +103,8 @@
 		durationRange("/bounds/heartbeat", s.Bounds.HeartbeatInterval, 50*time.Millisecond, time.Minute),
 		durationRange("/bounds/return", s.Bounds.RemovalDelay, 0, time.Minute),
 		{"/bounds/retries", s.Bounds.RetryRatio >= 0 && s.Bounds.RetryRatio <= 1, "0 to 1 attempts"},
+		{"/bounds/coldover", s.Bounds.ColdOver >= 0 && s.Bounds.ColdOver <= maxColdOver, "0 to 1000"},
+		{"/bounds/coldslack", s.Bounds.ColdSlack >= 0 && s.Bounds.ColdSlack <= maxColdSlack, "0 to 1000000 requests"},
 		{"/log/level", levels[s.Log.Level], "debug, info, warn or error"},
 	}
 }
--- a/internal/ops/medlarsettings/attached_test.go
+++ b/internal/ops/medlarsettings/attached_test.go
@@ -43,6 +43,9 @@
 		{`"memory": 1`, "settings.json:5:13: field \"memory\": want 32 to 1048576 MB"},
 		{`"bounds": {"settle": "ms"}`, `field "settle"`},
 		{`"bounds": {"retries": 2}`, `want 0 to 1 attempts`},
+		{`"bounds": {"coldover": -1}`, `want 0 to 1000`},
+		{`"bounds": {"coldslack": -1}`, `want 0 to 1000000 requests`},
+		{`"pace": 1`, `field "pace"`},
 		{`"odd": 1`, `unknown field "odd"`},
 	} {
 		t.Run(tc.extra, func(t *testing.T) {
@@ -77,3 +80,22 @@
 		t.Errorf("bounds %+v, error %v", s.Bounds, err)
 	}
 }
+
+// TestColdBounds guards against bounds on requests at cold replicas that a deployment sets and the instance does not use,
+// or that hold where it sets none.
+func TestColdBounds(t *testing.T) {
+	for _, tc := range []struct {
+		name, extra string
+		over, slack float64
+	}{
+		{"none", `"memory": 256`, 0, 0},
+		{"both", `"bounds": {"coldover": 1.5, "coldslack": 5}`, 1.5, 5},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s, err := readAttached(t, tc.extra)
+			if err != nil || s.Bounds.ColdOver != tc.over || s.Bounds.ColdSlack != tc.slack {
+				t.Errorf("bounds %+v, error %v; want %g and %g", s.Bounds, err, tc.over, tc.slack)
+			}
+		})
+	}
+}
