Bound the requests at cold replicas over all instances

Replicas that return together after a loss of 12 s each got 22 to 25 requests within one second, where 21.5 are allowed: each instance sends a new replica what it has room for, and knows of no other instance's attempts yet. medlarpace gives each cold replica a few sponsors, by rendezvous hashing over the instances, each with a token bucket of one request. All others send it nothing. An instance that has just started, or has not read for long which others there are, is no sponsor. A replica that could not be reached counts as cold until a heartbeat shows the same start, since its new entry is read late.

--- a/internal/core/medlaradmission/medlaradmission.go
+++ b/internal/core/medlaradmission/medlaradmission.go
@@ -14,7 +14,7 @@
 //	    share of the queue is refused to make room.
 //	R5  A request that would wait past its deadline, or past the longest wait,
 //	    is refused at once and told when to retry. So is one whose upstreams all pause
-//	    past its deadline, or are limited so that it would wait past it. Only runs of the
+//	    past its deadline, or are limited or cold so that it would wait past it. Only runs of the
 //	    same target count as ahead of it (medlarthroughput).
 //	R6  A request whose caller has left, or whose deadline has passed while it
 //	    waits, is removed from the queue.
@@ -37,6 +37,7 @@
 	"medlarfield/internal/core/medlarcrash"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarlimit"
+	"medlarfield/internal/core/medlarpace"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarresume"
 	"medlarfield/internal/core/medlarthroughput"
@@ -213,7 +214,7 @@
 	if after := takeToken(w, a); after > 0 {
 		return medlarreason.Rate, min(after, maxRetryAfter) // R2
 	}
-	if wait := max(s.queueWait(w, r), pause(w, r), medlarlimit.Wait(w, r, runsAhead(w, r))); w.Now.Add(wait).After(latestStart(r)) || w.Config.MaxWait > 0 && wait > w.Config.MaxWait {
+	if wait := max(s.queueWait(w, r), pause(w, r), medlarlimit.Wait(w, r, runsAhead(w, r)), medlarpace.Wait(w, r, runsAhead(w, r))); w.Now.Add(wait).After(latestStart(r)) || w.Config.MaxWait > 0 && wait > w.Config.MaxWait {
 		return medlarreason.Deadline, clampRetryAfter(wait) // R5
 	}
 	if len(w.Waiting) >= w.Config.MaxQueued && !evictForRoom(w, a) {
--- a/internal/core/medlarcore/medlarcore.go
+++ b/internal/core/medlarcore/medlarcore.go
@@ -13,6 +13,7 @@
 	"medlarfield/internal/core/medlarlag"
 	"medlarfield/internal/core/medlarlimit"
 	"medlarfield/internal/core/medlaroffload"
+	"medlarfield/internal/core/medlarpace"
 	"medlarfield/internal/core/medlarpeerload"
 	"medlarfield/internal/core/medlarplacement"
 	"medlarfield/internal/core/medlarresume"
@@ -56,6 +57,7 @@
 			medlarpeerload.New(),
 			medlarlimit.New(),
 			medlarbrittle.New(),
+			medlarpace.New(),
 			medlarplacement.New(),
 			medlarlag.New(),
 			medlarwindow.New(),
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -43,6 +43,7 @@
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarlag"
 	"medlarfield/internal/core/medlarlimit"
+	"medlarfield/internal/core/medlarpace"
 	"medlarfield/internal/core/medlarplacement"
 	"medlarfield/internal/core/medlarresume"
 	"medlarfield/internal/core/medlarwindow"
@@ -187,6 +188,7 @@
 	decision := medlarchoice.Decision{Candidates: s.candidates, Lag: medlarlag.Estimate(w, u), Others: u.PeerOpen, Wait: c.ttft}
 	medlarwindow.Explain(w, r, u, &decision)
 	medlarlimit.Take(u)
+	medlarpace.Take(w, u)
 	awaitRecord := medlarresume.Started(w, r, u)
 	u.Open++
 	u.InFlightTokens += r.PromptTokens
@@ -355,7 +357,7 @@
 }
 
 func eligible(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) bool {
-	if !u.Usable(w.Now) || !medlarlimit.HasToken(u) || !medlarbrittle.HasRoom(w, r, u) || !hasCapacity(w, u) {
+	if !u.Usable(w.Now) || !medlarlimit.HasToken(u) || !medlarbrittle.HasRoom(w, r, u) || !hasCapacity(w, u) || !medlarpace.Admits(w, r, u) {
 		return false
 	}
 	if u.Kind == medlarkind.KindService {
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -123,16 +123,27 @@
 	PausedUntil, GrowsAt time.Time
 }
 
-// Pacing is how an upstream that has just started, or is back after failures, is spared (see medlarpace).
+// Pacing is how an upstream that is cold, has just started, or is back after failures, is spared (see medlarpace).
 type Pacing struct {
 	ColdRate    float64       // requests per second while it is cold; 0 if its service configures none
 	ColdTime    time.Duration // from its start, for which it is cold
 	StatedUntil time.Time     // until when it is cold, as it has stated itself
+	FailedAt    time.Time     // when it could not be reached last; zero if it is known to be in the same start since
 
-	ColdUntil time.Time // until when it is treated as cold
+	ColdUntil time.Time // until when it counts as cold
+	SlowFrom  time.Time // when its slow start begins; zero for none
+	Instances int       // that are known, including this one
+	Known     bool      // the other instances are known well enough to share the upstream with them
+	Rank      int       // of this instance among them, from 0 on
 	Rate      float64   // this instance's part of the cold rate, in requests per second
-	Tokens    float64   // attempts that this instance may start now, as of FilledAt
-	FilledAt  time.Time
+	Bucket    *Bucket   // of tokens for attempts while it is cold; nil before that
+	Window    int       // own attempts that it may have in flight in the slow start
+}
+
+// Bucket holds tokens, one for each attempt that may start, as of FilledAt.
+type Bucket struct {
+	Tokens   float64
+	FilledAt time.Time
 }
 
 // Upstream is a replica of a model engine or an instance of a plain service.
@@ -278,6 +289,7 @@
 	StartBy     time.Time
 	AbandonAt   time.Time
 	Late        bool // StartBy has passed
+	HeldBack    bool // has been kept from an upstream that is spared (see medlarpace)
 	LastFailure medlarreason.Reason
 	// Stream identifies the stream that the run begins or resumes; 0 for one that cannot be resumed
 	// elsewhere, or that the caller does not name.
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -170,6 +170,15 @@
 // ReplicasCurrent reports the same of the replicas' entries.
 type ReplicasCurrent struct{ At time.Time }
 
+// Heartbeat is an upstream's word that it runs.
+type Heartbeat struct {
+	Upstream    medlarid.InstanceID
+	Incarnation medlarid.Incarnation
+}
+
+// HeartbeatsRead reports heartbeats of upstreams whose service configures a cold rate.
+type HeartbeatsRead struct{ Heartbeats []Heartbeat }
+
 // WeightsLoading reports that an upstream is loading other weights.
 type WeightsLoading struct{ Upstream medlarid.InstanceID }
 
@@ -347,6 +356,7 @@
 func (InventoryReported) event()  {}
 func (RecordsCurrent) event()     {}
 func (ReplicasCurrent) event()    {}
+func (HeartbeatsRead) event()     {}
 func (WeightsLoading) event()     {}
 func (AnswerBegan) event()        {}
 func (StopRequested) event()      {}
@@ -473,6 +483,30 @@
 	Most     int // requests that it can turn away in a second; 0 if it is not brittle
 }
 
+// PacePhase is how an upstream is spared (see medlarpace).
+type PacePhase string
+
+// Phases.
+const (
+	PaceNone PacePhase = ""     // not at all
+	PaceCold PacePhase = "cold" // it gets a limited number of requests per second
+	PaceSlow PacePhase = "slow" // it starts slowly
+)
+
+// PaceChanged reports that an upstream is spared in another way, for the log.
+type PaceChanged struct {
+	Upstream medlarid.InstanceID
+	Phase    PacePhase
+	For      time.Duration // for which the phase is expected to last
+	Rate     float64       // requests per second that this instance may send it while it is cold
+}
+
+// PaceCounted reports the number of upstreams that are spared, for the metrics.
+type PaceCounted struct{ Upstreams int }
+
+// HeldBack reports, once for each run, that it was kept from an upstream that is spared, for the metrics.
+type HeldBack struct{}
+
 // RecordLimit asks to share the limit of an upstream with all instances, or its end.
 type RecordLimit struct {
 	Upstream    medlarid.InstanceID
@@ -539,6 +573,9 @@
 func (Withdraw) command()       {}
 func (LimitChanged) command()   {}
 func (BrittleChanged) command() {}
+func (PaceChanged) command()    {}
+func (PaceCounted) command()    {}
+func (HeldBack) command()       {}
 func (RecordLimit) command()    {}
 func (RecordNeed) command()     {}
 func (ProbeUpstream) command()  {}
--- a/internal/edge/medlarmetric/medlarmetric.go
+++ b/internal/edge/medlarmetric/medlarmetric.go
@@ -67,6 +67,8 @@
 	relayed        *prometheus.CounterVec
 	cut            prometheus.Gauge
 	brokenPaths    prometheus.Gauge
+	paced          prometheus.Gauge
+	heldBack       prometheus.Counter
 	ejections      prometheus.Counter
 	hints          *prometheus.CounterVec
 	lost           *prometheus.CounterVec
@@ -119,6 +121,8 @@
 	}, []string{"kind", "stage"})
 	m.crashes = m.newCounter("crashes_total", "Reports of this instance on replicas that crashed while it waited for answers.")
 	m.blocked = m.newGauge("blocked_parts", "Parts of prompts, and requests as a whole, that are kept from replicas because they have crashed some.")
+	m.paced = m.newGauge("paced_replicas", "Replicas that get few requests, since they are cold, have just started or are back after failures.")
+	m.heldBack = m.newCounter("held_back_total", "Requests that were kept from a replica for that reason; they may have gone to another one.")
 	m.ejections = m.newCounter("ejections_total", "Upstreams ejected.")
 	m.exportsDropped = m.newCounter("exports_dropped_total", "Exports of context dropped because too many waited.")
 	m.replays = m.newCounter("replays_total", "Unrepeatable requests answered from their record.")
@@ -180,6 +184,12 @@
 // ResponseFollowed counts a response of a replica behind whose body further bytes came, by the framing of its body.
 func (m *Metrics) ResponseFollowed(framing string) { m.followed.WithLabelValues(framing).Inc() }
 
+// SetPaced sets the number of replicas that get few requests since they are cold or start slowly.
+func (m *Metrics) SetPaced(n int) { m.paced.Set(float64(n)) }
+
+// HeldBack counts a request that was kept from such a replica.
+func (m *Metrics) HeldBack() { m.heldBack.Inc() }
+
 // Replayed counts an answer from the record of an earlier attempt.
 func (m *Metrics) Replayed() { m.replays.Inc() }
 
--- a/internal/ops/medlarattachednode/logging.go
+++ b/internal/ops/medlarattachednode/logging.go
@@ -49,6 +49,16 @@
 	log.Info().Str("event", "brittle").Str("replica", string(c.Upstream)).Int("most", c.Most).Msg(text)
 }
 
+// logPace logs that a replica is spared in another way, since it is cold or has just started, or is no longer.
+func logPace(log zerolog.Logger, c medlarworld.PaceChanged) {
+	text := map[medlarworld.PacePhase]string{
+		medlarworld.PaceNone: "replica gets requests without a limit",
+		medlarworld.PaceCold: "replica may be cold; all instances together limit its requests",
+		medlarworld.PaceSlow: "replica has started or is back; increasing its requests",
+	}[c.Phase]
+	log.Info().Str("event", "pace").Str("replica", string(c.Upstream)).Str("phase", string(c.Phase)).Float64("for", ms(c.For)).Float64("rate", c.Rate).Msg(text)
+}
+
 // rankOf returns a number derived from the instance's name, by which instances stagger work
 // that only one of them needs to do.
 func rankOf(cfg medlarsettings.Attached) int { return int(xxh3.HashString(string(cfg.Name)) >> 1) }
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -164,7 +164,8 @@
 		SettlingTime: max(cfg.Bounds.SettlingTime.Std()-versionMargin, 0),
 		TellLoad:     cfg.HasPeers(),
 		RetryBudget:  medlarbudget.Retries{Ratio: retryShare * cfg.Bounds.RetryRatio, Max: retryBurst, Initial: retryStart},
-		Seed:         rand.Uint64(),
+		ColdOver:     cfg.Bounds.ColdOver, ColdSlack: cfg.Bounds.ColdSlack, Pace: cfg.Pace,
+		Seed: rand.Uint64(),
 	})
 	deps := medlarloop.Deps{
 		LookUp:  func(medlarworld.LookUp) {},
@@ -179,6 +180,9 @@
 			go d.Avoid(a) // the registry may wait for the loop
 		},
 		OnLimit:       func(c medlarworld.LimitChanged) { logLimit(log, m, c) },
+		OnPace:        func(c medlarworld.PaceChanged) { logPace(log, c) },
+		OnPaceCount:   func(c medlarworld.PaceCounted) { m.SetPaced(c.Upstreams) },
+		OnHeldBack:    m.HeldBack,
 		OnBrittle:     func(c medlarworld.BrittleChanged) { logBrittle(log, m, c) },
 		RequestShares: func(medlarworld.RequestShares) {},
 		OnTick:        m.Ticked,
--- a/internal/ops/medlarloop/medlarloop.go
+++ b/internal/ops/medlarloop/medlarloop.go
@@ -40,6 +40,10 @@
 	OnLimit       func(medlarworld.LimitChanged)
 	OnBrittle     func(medlarworld.BrittleChanged)
 	RequestShares func(medlarworld.RequestShares)
+	// OnPace, OnPaceCount and OnHeldBack are needed where upstreams start slowly or can be cold.
+	OnPace      func(medlarworld.PaceChanged)
+	OnPaceCount func(medlarworld.PaceCounted)
+	OnHeldBack  func()
 	// ProbeUpstream, ReportCrash, RecordBlock and OnBlock are needed where prompts are divided
 	// into parts.
 	ProbeUpstream func(medlarworld.ProbeUpstream)
@@ -259,6 +263,12 @@
 		l.deps.OnLimit(c)
 	case medlarworld.BrittleChanged:
 		l.deps.OnBrittle(c)
+	case medlarworld.PaceChanged:
+		l.deps.OnPace(c)
+	case medlarworld.PaceCounted:
+		l.deps.OnPaceCount(c)
+	case medlarworld.HeldBack:
+		l.deps.OnHeldBack()
 	case medlarworld.RecordLimit:
 		l.deps.RecordLimit(c)
 	case medlarworld.RecordNeed:
--- a/internal/ops/medlarregistry/medlarregistry.go
+++ b/internal/ops/medlarregistry/medlarregistry.go
@@ -238,6 +238,26 @@
 	if changed {
 		t.postReplicas()
 	}
+	t.postHeartbeats(records)
+}
+
+// postHeartbeats posts which replicas have written an entry, of services that configure a cold rate. The caller holds
+// t.mu.
+func (t *Registry) postHeartbeats(records []medlarfeed.Record) {
+	var e medlarworld.HeartbeatsRead
+	for _, rec := range records {
+		id := medlarid.InstanceID(rec.Key)
+		r := t.replicas[id]
+		if r == nil {
+			continue
+		}
+		if rate, _ := t.cold(r.Member.Service); rate > 0 {
+			e.Heartbeats = append(e.Heartbeats, medlarworld.Heartbeat{Upstream: id, Incarnation: medlarid.Incarnation(r.StartedMs)})
+		}
+	}
+	if len(e.Heartbeats) > 0 {
+		t.post(e)
+	}
 }
 
 // applyEntry applies one entry and reports whether anything changed.
