Send nothing to replicas in evacuated availability zones

The operators' record evacuate/ZONE was read by nothing: replicas of a zone that is evacuated went on getting requests. The registry now reads it from the topic of the configuration, the fleet table marks the zone's replicas, and neither first attempts nor retries go there; other instances get no relayed connection to them either. Streams in progress run on. If all replicas of a target are in such zones, requests are refused at once with the new reason evacuated, those that wait too. There is a log line evacuation and the gauge medlar_evacuated_zones.

--- a/internal/core/medlaradmission/medlaradmission.go
+++ b/internal/core/medlaradmission/medlaradmission.go
@@ -26,6 +26,7 @@
 //	R9  A request with a trait that crashes replicas is refused at once, unless it is a
 //	    trial of the trait.
 //	R10 A request that resumes a stream is refused at once if it can go on nowhere.
+//	R11 A request whose upstreams are all in evacuated availability zones is refused at once, also one that waits.
 package medlaradmission
 
 import (
@@ -203,6 +204,8 @@
 		return medlarreason.Unready, minRetryAfter // R1
 	case !hasUpstreams(w, r):
 		return medlarreason.Capacity, minRetryAfter
+	case w.AllEvacuated(r.Target()):
+		return medlarreason.Evacuated, minRetryAfter // R11
 	case !medlarresume.CanGoOn(w, r):
 		return medlarreason.Unresumable, medlarresume.RetryAfter // R10
 	case !admitTraits(w, r):
--- a/internal/core/medlaradmission/queue.go
+++ b/internal/core/medlaradmission/queue.go
@@ -157,13 +157,14 @@
 	return int(r.Priority)
 }
 
-// expire refuses the runs that have waited too long (R6), and all when the instance ends (R1).
+// expire refuses the runs that have waited too long (R6), those that can go nowhere for evacuations (R11), and all when the instance ends (R1).
 func expire(w *medlarworld.World) {
 	for i := 0; i < len(w.Waiting); i++ {
 		r := w.Waiting[i]
 		late := w.Now.After(latestStart(r))
 		waitedTooLong := w.Config.MaxWait > 0 && r.Attempt == 0 && w.Now.Sub(r.Arrived) > w.Config.MaxWait
-		if !late && !waitedTooLong && !w.Ending {
+		evacuated := len(w.Evacuated) > 0 && w.AllEvacuated(r.Target())
+		if !late && !waitedTooLong && !w.Ending && !evacuated {
 			continue
 		}
 		w.Waiting = slices.Delete(w.Waiting, i, i+1)
@@ -174,6 +175,8 @@
 			reason = medlarreason.Failed
 		case w.Ending:
 			reason = medlarreason.Draining
+		case evacuated:
+			reason = medlarreason.Evacuated
 		}
 		w.Refuse(r, reason, minRetryAfter)
 	}
--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -21,6 +21,8 @@
 //	R9  An upstream that asks for a pause gets no new work in it. The pause is bounded, so
 //	    that a wrong value does not keep an upstream out for good.
 //	R10 Failures and crashes of an upstream's earlier start do not keep a later one out.
+//	R11 An upstream in an availability zone that the operators evacuate gets no new work, be it a first attempt or a
+//	    retry. Attempts in flight go on.
 package medlarfleet
 
 import (
@@ -82,6 +84,8 @@
 			markSwaps(w)
 		case medlarworld.InstancesListed:
 			s.applyInstances(w, e)
+		case medlarworld.ZonesEvacuated:
+			evacuate(w, e)
 		case medlarworld.ReplicasCurrent:
 			if e.At.After(w.ReplicasAsOf) {
 				w.ReplicasAsOf = e.At
@@ -169,7 +173,7 @@
 		readmit(w, u)
 	}
 	u.Zone, u.Address, u.Service, u.Build = m.Zone, m.Address, m.Service, m.Build
-	u.VersionDenied = m.VersionDenied
+	u.VersionDenied, u.Evacuated = m.VersionDenied, w.Evacuated[m.Zone]
 	u.Pace.ColdRate, u.Pace.ColdTime, u.Pace.StatedUntil = m.ColdRate, m.ColdTime, m.ColdUntil
 	if m.Slots > 0 {
 		u.Load.Slots = m.Slots
@@ -188,6 +192,17 @@
 	u.Delisted = false
 }
 
+// evacuate marks the upstreams of the availability zones that are evacuated (R11).
+func evacuate(w *medlarworld.World, e medlarworld.ZonesEvacuated) {
+	w.Evacuated = map[medlarid.Zone]bool{}
+	for _, z := range e.Zones {
+		w.Evacuated[z] = true
+	}
+	for _, u := range w.Upstreams {
+		u.Evacuated = w.Evacuated[u.Zone]
+	}
+}
+
 // readmit ends the ejection of an upstream that has started anew (R10).
 func readmit(w *medlarworld.World, u *medlarworld.Upstream) {
 	if u.Ejections > 0 {
--- a/internal/core/medlarresume/medlarresume.go
+++ b/internal/core/medlarresume/medlarresume.go
@@ -265,7 +265,7 @@
 	}
 	if r.BuildFixed {
 		return slices.ContainsFunc(w.UpstreamsFor(r.Target()), func(u *medlarworld.Upstream) bool {
-			return u.Build == r.Build && !u.Leaving && !u.Delisted
+			return u.Build == r.Build && !u.Leaving && !u.Delisted && !u.Evacuated
 		})
 	}
 	return r.Build == "" || w.Builds.CanRecord(w.Now) || hasUsable(w, r)
--- a/internal/core/medlarretry/medlarretry.go
+++ b/internal/core/medlarretry/medlarretry.go
@@ -185,6 +185,8 @@
 		return failedOr(r, medlarreason.Crashing) // R7
 	case w.Ending:
 		return failedOr(r, medlarreason.Draining) // R8
+	case w.AllEvacuated(r.Target()):
+		return failedOr(r, medlarreason.Evacuated)
 	case w.Now.After(r.Deadline):
 		return failedOr(r, medlarreason.Deadline)
 	case attemptsExhausted(w, r), tokensLeft(w, r.Target()) < 1:
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -346,7 +346,7 @@
 	var best *medlarworld.Upstream
 	var highest uint64
 	for _, u := range upstreams {
-		if u.Leaving || u.Delisted || build != "" && u.Build != build {
+		if u.Leaving || u.Delisted || u.Evacuated || build != "" && u.Build != build {
 			continue
 		}
 		if rank := medlarkey.Rendezvous(k, u.ID); best == nil || rank > highest {
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -154,6 +154,8 @@
 	Address  medlarid.Address
 	Leaving  bool
 	Delisted bool // no longer in the instance list
+	// Evacuated is set if the operators evacuate the upstream's availability zone.
+	Evacuated bool
 	// ReportedLeaving is set once the upstream itself reported that it leaves.
 	ReportedLeaving bool
 	Incarnation     medlarid.Incarnation
@@ -318,6 +320,7 @@
 	RecordsAsOf  time.Time // time as of which the operators' records are known
 	ReplicasAsOf time.Time // time as of which the replicas' entries are known
 	Ready        bool
+	Evacuated    map[medlarid.Zone]bool // availability zones whose upstreams get no new attempts
 	Draining     bool
 	Ending       bool                  // no attempt begins any more
 	Peers        int                   // live entry instances, including this one
@@ -500,6 +503,22 @@
 	return w.Engines[t.Model]
 }
 
+// AllEvacuated reports whether a target has upstreams that could get work if their availability zones were not all
+// evacuated.
+func (w *World) AllEvacuated(t Target) bool {
+	found := false
+	for _, u := range w.UpstreamsFor(t) {
+		if u.Leaving || u.Delisted {
+			continue
+		}
+		if !u.Evacuated {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
 // PrefillTime returns the time that the upstream takes to compute n prompt tokens.
 func (u *Upstream) PrefillTime(n medlarid.Tokens) time.Duration {
 	return time.Duration(float64(n) / max(u.PrefillRate, 1) * float64(time.Second))
@@ -510,7 +529,7 @@
 
 // Usable reports whether an upstream may get new work now.
 func (u *Upstream) Usable(now time.Time) bool {
-	return !u.Leaving && !u.Delisted && !now.Before(u.EjectedUntil) && !now.Before(u.PausedUntil)
+	return !u.Leaving && !u.Delisted && !u.Evacuated && !now.Before(u.EjectedUntil) && !now.Before(u.PausedUntil)
 }
 
 // Usable reports whether a store may be sent requests now.
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -163,6 +163,9 @@
 	Removed []medlarkey.Key
 }
 
+// ZonesEvacuated carries the availability zones whose upstreams the operators want to get nothing more.
+type ZonesEvacuated struct{ Zones []medlarid.Zone }
+
 // RecordsCurrent reports that the operators' records are known as of a time. What was read until then was
 // reported before.
 type RecordsCurrent struct{ At time.Time }
@@ -354,6 +357,7 @@
 func (StreamsRecorded) event()    {}
 func (AssignmentsSeen) event()    {}
 func (InventoryReported) event()  {}
+func (ZonesEvacuated) event()     {}
 func (RecordsCurrent) event()     {}
 func (ReplicasCurrent) event()    {}
 func (HeartbeatsRead) event()     {}
--- a/internal/edge/medlarmetric/medlarmetric.go
+++ b/internal/edge/medlarmetric/medlarmetric.go
@@ -67,6 +67,7 @@
 	relayed        *prometheus.CounterVec
 	cut            prometheus.Gauge
 	brokenPaths    prometheus.Gauge
+	evacuated      prometheus.Gauge
 	paced          prometheus.Gauge
 	heldBack       prometheus.Counter
 	ejections      prometheus.Counter
@@ -121,6 +122,7 @@
 	}, []string{"kind", "stage"})
 	m.crashes = m.newCounter("crashes_total", "Reports of this instance on replicas that crashed while it waited for answers.")
 	m.blocked = m.newGauge("blocked_parts", "Parts of prompts, and requests as a whole, that are kept from replicas because they have crashed some.")
+	m.evacuated = m.newGauge("evacuated_zones", "Availability zones that the operators evacuate: their replicas get no new requests.")
 	m.paced = m.newGauge("paced_replicas", "Replicas that get few requests, since they are cold, have just started or are back after failures.")
 	m.heldBack = m.newCounter("held_back_total", "Requests that were kept from a replica for that reason; they may have gone to another one.")
 	m.ejections = m.newCounter("ejections_total", "Upstreams ejected.")
@@ -184,6 +186,9 @@
 // ResponseFollowed counts a response of a replica behind whose body further bytes came, by the framing of its body.
 func (m *Metrics) ResponseFollowed(framing string) { m.followed.WithLabelValues(framing).Inc() }
 
+// SetEvacuatedZones sets the number of availability zones that are evacuated.
+func (m *Metrics) SetEvacuatedZones(n int) { m.evacuated.Set(float64(n)) }
+
 // SetPaced sets the number of replicas that get few requests since they are cold or start slowly.
 func (m *Metrics) SetPaced(n int) { m.paced.Set(float64(n)) }
 
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -270,6 +270,7 @@
 		if c := registry.Catalog(); c != nil {
 			m.SetVersion(medlarid.Offset(c.Version))
 		}
+		m.SetEvacuatedZones(registry.EvacuatedZones())
 	}
 	return []*medlarfeed.Feed{
 		feed(medlarplatform.TopicOperator, operator, medlarfeed.Options{MaxWait: wait(operatorWait)}),
--- a/internal/ops/medlarregistry/medlarregistry.go
+++ b/internal/ops/medlarregistry/medlarregistry.go
@@ -17,6 +17,7 @@
 //	    it: for some time it counts among those that have to run a later weight version before
 //	    parts of an older one are freed. One that does run it, and has left or joined, makes up
 //	    for no other: lists of other instances may lack it.
+//	R6  An availability zone is evacuated while the operators' record of it exists, as far as it was read.
 package medlarregistry
 
 import (
@@ -58,6 +59,7 @@
 	mu                  sync.Mutex
 	catalog             *medlarcatalog.Catalog
 	desired             medlarrollout.DesiredVersions
+	evacuated           map[medlarid.Zone]bool // availability zones (R6)
 	replicas            map[medlarid.InstanceID]*replica
 	services            map[medlarid.ServiceID]bool                // services that a catalog has named, and whether they have an engine; empty before the first one
 	malformed           map[medlarid.InstanceID]bool               // ids whose latest entry cannot be decoded
@@ -75,7 +77,7 @@
 func New(log zerolog.Logger, pool *medlarpool.Pool, post func(medlarworld.Event), onMalformed func(medlarmetric.Source)) *Registry {
 	return &Registry{
 		log: log, pool: pool, post: post, onMalformed: onMalformed,
-		desired: medlarrollout.DesiredVersions{}, replicas: map[medlarid.InstanceID]*replica{}, services: map[medlarid.ServiceID]bool{}, malformed: map[medlarid.InstanceID]bool{},
+		desired: medlarrollout.DesiredVersions{}, evacuated: map[medlarid.Zone]bool{}, replicas: map[medlarid.InstanceID]*replica{}, services: map[medlarid.ServiceID]bool{}, malformed: map[medlarid.InstanceID]bool{},
 		versionHistory: map[medlarid.ModelID]medlarhistory.History{}, departed: map[medlarid.InstanceID]departure{},
 	}
 }
@@ -151,6 +153,10 @@
 	defer t.mu.Unlock()
 	changed := false
 	for _, rec := range records {
+		if zone, ok := medlarplatform.EvacuatedZone(rec.Key); ok {
+			t.applyEvacuation(zone, !rec.Removed, rec.Offset)
+			continue
+		}
 		if rec.Removed {
 			continue
 		}
@@ -175,6 +181,29 @@
 	}
 }
 
+// applyEvacuation applies the record of an availability zone, or its end (R6). The caller holds t.mu.
+func (t *Registry) applyEvacuation(zone medlarid.Zone, active bool, at medlarid.Offset) {
+	if t.evacuated[zone] == active {
+		return
+	}
+	text := "evacuation of the availability zone is withdrawn"
+	if active {
+		t.evacuated[zone] = true
+		text = "availability zone is evacuated; its replicas get no new requests"
+	} else {
+		delete(t.evacuated, zone)
+	}
+	t.log.Info().Str("event", "evacuation").Str("zone", string(zone)).Bool("active", active).Uint64("offset", uint64(at)).Msg(text)
+	t.post(medlarworld.ZonesEvacuated{Zones: slices.Sorted(maps.Keys(t.evacuated))})
+}
+
+// EvacuatedZones returns the number of availability zones that are evacuated.
+func (t *Registry) EvacuatedZones() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.evacuated)
+}
+
 func (t *Registry) applyCatalog(c *medlarcatalog.Catalog, at medlarid.Offset) bool {
 	if t.catalog != nil && c.Version <= t.catalog.Version {
 		return false
@@ -390,7 +419,8 @@
 	return out
 }
 
-// Replica returns what is known of a replica; ok is false if it is not listed.
+// Replica returns what is known of a replica; ok is false if it is not listed. One in an evacuated availability zone is
+// leaving: connections to it are no longer relayed either.
 func (t *Registry) Replica(id medlarid.InstanceID) (r medlardialer.Replica, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -398,7 +428,7 @@
 	if e == nil {
 		return r, false
 	}
-	return medlardialer.Replica{Incarnation: medlarid.Incarnation(e.StartedMs), Address: e.Member.Address, Leaving: e.Member.Leaving}, true
+	return medlardialer.Replica{Incarnation: medlarid.Incarnation(e.StartedMs), Address: e.Member.Address, Leaving: e.Member.Leaving || t.evacuated[e.Member.Zone]}, true
 }
 
 // Stores returns the managed stores of the catalog.
--- a/internal/stand/medlarsite/medlarsite.go
+++ b/internal/stand/medlarsite/medlarsite.go
@@ -48,6 +48,7 @@
 	KeepID            bool                        // a successor has the id of the replica that crashed
 	StaleEntries      bool                        // a successor also has its address, and the entry still names the earlier start
 	NextBuild         string                      // software version of the successors of replicas that crash; empty for the same
+	Zones             []string                    // availability zones of the engine's replicas in turn; empty for that of the instances
 	HideBuilds        int                         // replicas of the engine whose entries do not name their software version
 	NameRequests      bool                        // each event of a stream names its request
 	HideVersions      bool                        // a refusal for the weight version does not name the one that runs
@@ -167,8 +168,12 @@
 		if n := len(cfg.Builds); n > 0 {
 			build = cfg.Builds[i%n]
 		}
+		zone := "a"
+		if n := len(cfg.Zones); n > 0 {
+			zone = cfg.Zones[i%n]
+		}
 		if err := s.addReplica(&s.Engines, medlarfakereplica.Settings{
-			ID: fmt.Sprintf("engine-%d", i+1), Service: Engines, Zone: "a", Slots: cfg.Slots, WorkTime: cfg.ServiceTime,
+			ID: fmt.Sprintf("engine-%d", i+1), Service: Engines, Zone: zone, Slots: cfg.Slots, WorkTime: cfg.ServiceTime,
 			Events: cfg.Events, Model: Model, Version: 1, Build: build, HideBuild: i < cfg.HideBuilds, HideVersion: cfg.HideVersions, NameRequests: cfg.NameRequests, CrashPoint: s.crasher.point, OnCrash: s.replace,
 		}); err != nil {
 			return nil, err
@@ -284,6 +289,15 @@
 	s.Store.Put(topicOp, "version/"+Model, fmt.Appendf(nil, `{"Model":%q,"Version":%d}`, Model, version))
 }
 
+// Evacuate writes the operators' record that evacuates an availability zone, or removes it.
+func (s *Site) Evacuate(zone string, active bool) {
+	var value []byte
+	if active {
+		value = []byte("{}")
+	}
+	s.Store.Put(topicOp, "evacuate/"+zone, value)
+}
+
 // InstanceSettings returns the settings with which an instance attaches to the site,
 // and the endpoint through which it alone reaches the store: faults set on it affect
 // no other instance.
