--- a/internal/core/medlaradmission/medlaradmission.go
+++ b/internal/core/medlaradmission/medlaradmission.go
@@ -14,7 +14,7 @@
 //	    share of the queue is refused to make room.
 //	R5  A request that would wait past its deadline, or past the longest wait,
 //	    is refused at once and told when to retry. So is one whose upstreams all pause
-//	    past its deadline, or are limited so that it would wait past it. Only runs of the
+//	    past its deadline, or are limited or cold so that it would wait past it. Only runs of the
 //	    same target count as ahead of it (medlarthroughput).
 //	R6  A request whose caller has left, or whose deadline has passed while it
 //	    waits, is removed from the queue.
@@ -26,6 +26,7 @@
 //	R9  A request with a trait that crashes replicas is refused at once, unless it is a
 //	    trial of the trait.
 //	R10 A request that resumes a stream is refused at once if it can go on nowhere.
+//	R11 A request whose upstreams are all in evacuated availability zones is refused at once, also one that waits.
 package medlaradmission
 
 import (
@@ -37,6 +38,7 @@
 	"medlarfield/internal/core/medlarcrash"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarlimit"
+	"medlarfield/internal/core/medlarpace"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarresume"
 	"medlarfield/internal/core/medlarthroughput"
@@ -202,6 +204,8 @@
 		return medlarreason.Unready, minRetryAfter // R1
 	case !hasUpstreams(w, r):
 		return medlarreason.Capacity, minRetryAfter
+	case w.AllEvacuated(r.Target()):
+		return medlarreason.Evacuated, minRetryAfter // R11
 	case !medlarresume.CanGoOn(w, r):
 		return medlarreason.Unresumable, medlarresume.RetryAfter // R10
 	case !admitTraits(w, r):
@@ -213,7 +217,7 @@
 	if after := takeToken(w, a); after > 0 {
 		return medlarreason.Rate, min(after, maxRetryAfter) // R2
 	}
-	if wait := max(s.queueWait(w, r), pause(w, r), medlarlimit.Wait(w, r, runsAhead(w, r))); w.Now.Add(wait).After(latestStart(r)) || w.Config.MaxWait > 0 && wait > w.Config.MaxWait {
+	if wait := max(s.queueWait(w, r), pause(w, r), medlarlimit.Wait(w, r, runsAhead(w, r)), medlarpace.Wait(w, r, runsAhead(w, r))); w.Now.Add(wait).After(latestStart(r)) || w.Config.MaxWait > 0 && wait > w.Config.MaxWait {
 		return medlarreason.Deadline, clampRetryAfter(wait) // R5
 	}
 	if len(w.Waiting) >= w.Config.MaxQueued && !evictForRoom(w, a) {
--- a/internal/core/medlarretry/medlarretry.go
+++ b/internal/core/medlarretry/medlarretry.go
@@ -186,6 +186,8 @@
 		return failedOr(r, medlarreason.Crashing) // R7
 	case w.Ending:
 		return failedOr(r, medlarreason.Draining) // R8
+	case w.AllEvacuated(r.Target()):
+		return failedOr(r, medlarreason.Evacuated)
 	case w.Now.After(r.Deadline):
 		return failedOr(r, medlarreason.Deadline)
 	case attemptsExhausted(w, r), cost > 0 && tokensLeft(w, r.Target()) < 1:
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -60,6 +60,11 @@
 	TellLoad bool
 	// VersionsIncrease is set if the operators never return to an earlier weight version.
 	VersionsIncrease bool
+	// ColdOver and ColdSlack set how many requests a cold upstream gets in any second from all instances together:
+	// its cold rate times ColdOver, plus ColdSlack. ColdOver is 0 if cold upstreams are not protected.
+	ColdOver, ColdSlack float64
+	// Pace is set if upstreams start slowly also where their service configures no cold rate.
+	Pace bool
 	// MaxHolders is the maximum number of upstreams that are recorded as caching one
 	// block or part; 0 for a small default.
 	MaxHolders int
@@ -118,6 +123,29 @@
 	PausedUntil, GrowsAt time.Time
 }
 
+// Pacing is how an upstream that is cold, has just started, or is back after failures, is spared (see medlarpace).
+type Pacing struct {
+	ColdRate    float64       // requests per second while it is cold; 0 if its service configures none
+	ColdTime    time.Duration // from its start, for which it is cold
+	StatedUntil time.Time     // until when it is cold, as it has stated itself
+	FailedAt    time.Time     // when it could not be reached last; zero if it is known to be in the same start since
+
+	ColdUntil time.Time // until when it counts as cold
+	SlowFrom  time.Time // when its slow start begins; zero for none
+	Instances int       // that are known, including this one
+	Known     bool      // the other instances are known well enough to share the upstream with them
+	Rank      int       // of this instance among them, from 0 on
+	Rate      float64   // this instance's part of the cold rate, in requests per second
+	Bucket    *Bucket   // of tokens for attempts while it is cold; nil before that
+	Window    int       // own attempts that it may have in flight in the slow start
+}
+
+// Bucket holds tokens, one for each attempt that may start, as of FilledAt.
+type Bucket struct {
+	Tokens   float64
+	FilledAt time.Time
+}
+
 // Upstream is a replica of a model engine or an instance of a plain service.
 type Upstream struct {
 	ID       medlarid.InstanceID
@@ -126,6 +154,8 @@
 	Address  medlarid.Address
 	Leaving  bool
 	Delisted bool // no longer in the instance list
+	// Evacuated is set if the operators evacuate the upstream's availability zone.
+	Evacuated bool
 	// ReportedLeaving is set once the upstream itself reported that it leaves.
 	ReportedLeaving bool
 	Incarnation     medlarid.Incarnation
@@ -143,6 +173,7 @@
 	LimitSettled bool
 
 	Brittle Brittleness
+	Pace    Pacing
 
 	Model   medlarid.ModelID
 	Version medlarid.WeightVersion
@@ -260,6 +291,7 @@
 	StartBy     time.Time
 	AbandonAt   time.Time
 	Late        bool // StartBy has passed
+	HeldBack    bool // has been kept from an upstream that is spared (see medlarpace)
 	LastFailure medlarreason.Reason
 	// Stream identifies the stream that the run begins or resumes; 0 for one that cannot be resumed
 	// elsewhere, or that the caller does not name.
@@ -288,6 +320,7 @@
 	RecordsAsOf  time.Time // time as of which the operators' records are known
 	ReplicasAsOf time.Time // time as of which the replicas' entries are known
 	Ready        bool
+	Evacuated    map[medlarid.Zone]bool // availability zones whose upstreams get no new attempts
 	Draining     bool
 	Ending       bool                  // no attempt begins any more
 	Peers        int                   // live entry instances, including this one
@@ -470,6 +503,22 @@
 	return w.Engines[t.Model]
 }
 
+// AllEvacuated reports whether a target has upstreams that could get work if their availability zones were not all
+// evacuated.
+func (w *World) AllEvacuated(t Target) bool {
+	found := false
+	for _, u := range w.UpstreamsFor(t) {
+		if u.Leaving || u.Delisted {
+			continue
+		}
+		if !u.Evacuated {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
 // PrefillTime returns the time that the upstream takes to compute n prompt tokens.
 func (u *Upstream) PrefillTime(n medlarid.Tokens) time.Duration {
 	return time.Duration(float64(n) / max(u.PrefillRate, 1) * float64(time.Second))
@@ -480,7 +529,7 @@
 
 // Usable reports whether an upstream may get new work now.
 func (u *Upstream) Usable(now time.Time) bool {
-	return !u.Leaving && !u.Delisted && !now.Before(u.EjectedUntil) && !now.Before(u.PausedUntil)
+	return !u.Leaving && !u.Delisted && !u.Evacuated && !now.Before(u.EjectedUntil) && !now.Before(u.PausedUntil)
 }
 
 // Usable reports whether a store may be sent requests now.
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -163,7 +163,8 @@
 		SettlingTime: max(cfg.Bounds.SettlingTime.Std()-versionMargin, 0),
 		TellLoad:     cfg.HasPeers(),
 		RetryBudget:  medlarbudget.Retries{Ratio: retryShare * cfg.Bounds.RetryRatio, Max: retryBurst, Initial: retryStart},
-		Seed:         rand.Uint64(),
+		ColdOver:     cfg.Bounds.ColdOver, ColdSlack: cfg.Bounds.ColdSlack, Pace: cfg.Pace,
+		Seed: rand.Uint64(),
 	})
 	deps := medlarloop.Deps{
 		LookUp:  func(medlarworld.LookUp) {},
@@ -178,6 +179,9 @@
 			go d.Avoid(a) // the registry may wait for the loop
 		},
 		OnLimit:       func(c medlarworld.LimitChanged) { logLimit(log, m, c) },
+		OnPace:        func(c medlarworld.PaceChanged) { logPace(log, c) },
+		OnPaceCount:   func(c medlarworld.PaceCounted) { m.SetPaced(c.Upstreams) },
+		OnHeldBack:    m.HeldBack,
 		OnBrittle:     func(c medlarworld.BrittleChanged) { logBrittle(log, m, c) },
 		RequestShares: func(medlarworld.RequestShares) {},
 		OnTick:        m.Ticked,
@@ -264,6 +268,7 @@
 		if c := registry.Catalog(); c != nil {
 			m.SetVersion(medlarid.Offset(c.Version))
 		}
+		m.SetEvacuatedZones(registry.EvacuatedZones())
 	}
 	return []*medlarfeed.Feed{
 		feed(medlarplatform.TopicOperator, operator, operatorReads, medlarfeed.Options{}),
