Tell the load on replicas in fleets of more than 65 instances

Cause: with more than 65 instances each goes by its own attempts only (R4 of medlardatagram).

Change: above that, medlardatagram carries the messages of medlarsum in a new field of its datagrams, and medlarpeerload applies the totals to PeerOpen and PeerPending. Up to 65 instances the same datagrams are sent as before. An older build takes a datagram with the new field for a report without load, and is passed over as a collector after 300 ms. The empty reports to eight random peers a second stay, with the ages of changes of desired weight versions. New metrics: medlar_load_age_seconds, medlar_load_datagrams_total.

Changed tests: TestTold of medlarpeerload also expects the number of upstreams in what is told. FuzzDecode has one more seed.

--- a/internal/core/medlarpeerload/medlarpeerload.go
+++ b/internal/core/medlarpeerload/medlarpeerload.go
@@ -12,6 +12,9 @@
 //	    more when it has none left. It also carries the ages of changes of desired weight
 //	    versions (medlardesired R3), and is sent while there are such.
 //	R4  A report has a bounded size: beyond maxLoads it names the upstreams with most attempts.
+//	R5  In a large fleet reports are added up on the way (medlarsum), and sums of all other instances' load arrive, each
+//	    for a range of hashes. A sum replaces the earlier one of its range, and counts until its oldest report is
+//	    medlarsum.TotalTTL old. Sums for another number of ranges replace all earlier ones.
 package medlarpeerload
 
 import (
@@ -23,6 +26,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlardesired"
 	"medlarfield/internal/core/medlarload"
+	"medlarfield/internal/core/medlarsum"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -38,7 +42,7 @@
 	loadsPerChange = 6
 )
 
-// report is the latest report of a peer.
+// report is the latest report of a peer, or the latest sum of a range.
 type report struct {
 	at    time.Time
 	loads []medlarload.Load
@@ -47,6 +51,8 @@
 // System keeps the reports of peers.
 type System struct {
 	reports  map[medlarid.InstanceID]report
+	sums     map[int]report // by range (R5)
+	ranges   int            // number of ranges of sums
 	byHash   map[medlarid.Hash]*medlarworld.Upstream
 	tellAt   time.Time // next report of this instance
 	told     bool      // the last report named an upstream
@@ -55,7 +61,7 @@
 
 // New returns a System without reports.
 func New() *System {
-	return &System{reports: map[medlarid.InstanceID]report{}, byHash: map[medlarid.Hash]*medlarworld.Upstream{}}
+	return &System{reports: map[medlarid.InstanceID]report{}, sums: map[int]report{}, byHash: map[medlarid.Hash]*medlarworld.Upstream{}}
 }
 
 // Run handles the events of one tick.
@@ -66,6 +72,8 @@
 			s.index(w)
 		case medlarworld.PeerLoadReported:
 			s.apply(w, e)
+		case medlarworld.PeerSumReported:
+			s.applySum(w, e)
 		}
 	}
 	s.expire(w)
@@ -84,6 +92,9 @@
 	for _, r := range s.reports {
 		s.add(r, 1)
 	}
+	for _, r := range s.sums {
+		s.add(r, 1)
+	}
 }
 
 // add adds a report to its upstreams, or takes it away if sign is -1.
@@ -108,7 +119,22 @@
 	s.reports[e.Peer] = next
 }
 
-// expire removes the reports that are too old (R2).
+// applySum replaces the sum of a range (R5).
+func (s *System) applySum(w *medlarworld.World, e medlarworld.PeerSumReported) {
+	if e.Ranges != s.ranges {
+		for _, r := range s.sums {
+			s.add(r, -1)
+		}
+		clear(s.sums)
+		s.ranges = e.Ranges
+	}
+	s.add(s.sums[e.Range], -1)
+	next := report{at: w.Now.Add(-e.Age), loads: e.Loads}
+	s.add(next, 1)
+	s.sums[e.Range] = next
+}
+
+// expire removes the reports that are too old (R2, R5).
 func (s *System) expire(w *medlarworld.World) {
 	if w.Now.Before(s.expireAt) {
 		return
@@ -121,6 +147,13 @@
 		}
 		return expired
 	})
+	maps.DeleteFunc(s.sums, func(_ int, r report) bool {
+		expired := w.Now.Sub(r.at) > medlarsum.TotalTTL
+		if expired {
+			s.add(r, -1)
+		}
+		return expired
+	})
 }
 
 // tell sends this instance's report if it is due (R3).
@@ -136,7 +169,7 @@
 	}
 	loads = loads[:min(len(loads), maxLoads-loadsPerChange*len(changes))]
 	s.told = len(loads) > 0
-	w.Emit(medlarworld.TellLoad{Loads: loads, Changes: changes})
+	w.Emit(medlarworld.TellLoad{Loads: loads, Changes: changes, Upstreams: len(s.byHash)})
 }
 
 // ownLoads returns the load that this instance puts on upstreams, the largest first (R1, R4).
--- a/internal/core/medlarpeerload/medlarpeerload_test.go
+++ b/internal/core/medlarpeerload/medlarpeerload_test.go
@@ -105,6 +105,48 @@
 	})
 }
 
+// TestSums guards against sums that are counted twice, kept for too long, or lost when the upstreams are listed.
+func TestSums(t *testing.T) {
+	sum := func(h *harness, ranges, index int, age time.Duration, loads ...medlarload.Load) {
+		h.run(medlarworld.PeerSumReported{Ranges: ranges, Range: index, Age: age, Loads: loads})
+	}
+	t.Run("ranges add up, and a sum replaces the earlier one of its range", func(t *testing.T) {
+		h := newHarness(t, "a", "b")
+		sum(h, 2, 0, 0, load("a", 40, 1000))
+		sum(h, 2, 1, 0, load("b", 30, 64))
+		h.assert("a", 40, 1000)
+		sum(h, 2, 0, 0, load("a", 5, 10))
+		h.assert("a", 5, 10)
+		h.assert("b", 30, 64)
+		h.list("b")
+		h.assert("b", 30, 64)
+	})
+	t.Run("another number of ranges", func(t *testing.T) {
+		h := newHarness(t, "a", "b")
+		sum(h, 2, 0, 0, load("a", 40, 1000))
+		sum(h, 2, 1, 0, load("b", 30, 64))
+		sum(h, 1, 0, 0, load("a", 7, 0))
+		h.assert("a", 7, 0)
+		h.assert("b", 0, 0)
+	})
+	t.Run("a sum expires by the age of its oldest report", func(t *testing.T) {
+		h := newHarness(t, "a")
+		sum(h, 1, 0, 300*time.Millisecond, load("a", 3, 1000))
+		h.world.Now = h.world.Now.Add(300 * time.Millisecond)
+		h.run()
+		h.assert("a", 3, 1000)
+		h.world.Now = h.world.Now.Add(tellInterval + time.Millisecond)
+		h.run()
+		h.assert("a", 0, 0)
+	})
+	t.Run("reports of single peers count beside", func(t *testing.T) {
+		h := newHarness(t, "a")
+		sum(h, 1, 0, 0, load("a", 3, 1000))
+		h.report("p", load("a", 2, 10))
+		h.assert("a", 5, 1010)
+	})
+}
+
 // TestTold guards against reports without need, and against load of this instance that others go on to count.
 func TestTold(t *testing.T) {
 	told := func(cs []medlarworld.Command) (out []medlarworld.TellLoad) {
@@ -123,11 +165,11 @@
 	assertTold(t, h.run())
 	h.world.Now = h.world.Now.Add(tellInterval)
 	h.world.Upstreams["a"].Open = 2
-	assertTold(t, h.run(), medlarworld.TellLoad{Loads: []medlarload.Load{load("a", 2, 0)}})
+	assertTold(t, h.run(), medlarworld.TellLoad{Loads: []medlarload.Load{load("a", 2, 0)}, Upstreams: 2})
 	assertTold(t, h.run()) // not due yet
 	h.world.Now = h.world.Now.Add(tellInterval)
 	h.world.Upstreams["a"].Open = 0
-	assertTold(t, h.run(), medlarworld.TellLoad{})
+	assertTold(t, h.run(), medlarworld.TellLoad{Upstreams: 2})
 	h.world.Now = h.world.Now.Add(tellInterval)
 	assertTold(t, h.run())
 
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -244,6 +244,14 @@
 	Changes []medlarhistory.ChangeAge
 }
 
+// PeerSumReported carries the load that all other instances together put on upstreams whose hashes are in one of several
+// ranges.
+type PeerSumReported struct {
+	Ranges, Range int
+	Age           time.Duration // of the oldest report in the sum
+	Loads         []medlarload.Load
+}
+
 // LimitRecorded carries the shared limit of an upstream. Dropped is set if there is none any longer.
 type LimitRecorded struct {
 	Upstream    medlarid.InstanceID
@@ -334,6 +342,7 @@
 func (RecordsRestored) event()    {}
 func (NoticesRead) event()        {}
 func (PeerLoadReported) event()   {}
+func (PeerSumReported) event()    {}
 func (NoticesCurrent) event()     {}
 func (NoticesWritten) event()     {}
 func (BuildsAssigned) event()     {}
@@ -485,8 +494,9 @@
 // TellLoad asks to tell other instances of the load that this one puts on upstreams, and of the ages of changes of
 // desired weight versions.
 type TellLoad struct {
-	Loads   []medlarload.Load
-	Changes []medlarhistory.ChangeAge
+	Loads     []medlarload.Load
+	Changes   []medlarhistory.ChangeAge
+	Upstreams int // number of upstreams that are listed
 }
 
 // AssignBuilds asks to record the assignment of a service's streams to builds for all instances. With
--- a/internal/edge/medlarmetric/medlarmetric.go
+++ b/internal/edge/medlarmetric/medlarmetric.go
@@ -208,6 +208,33 @@
 	}))
 }
 
+// RegisterLoad registers what instances tell one another of the load on upstreams: the age of the sums of all others' load, and
+// the number of datagrams.
+func (m *Metrics) RegisterLoad(age func() (time.Duration, bool), datagrams func() (sent, received uint64)) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "load_age_seconds", Help: "Age of the oldest report in the sums of other instances' load that are in force; -1 without sums.",
+	}, func() float64 {
+		if a, ok := age(); ok {
+			return a.Seconds()
+		}
+		return -1
+	}))
+	counter := func(direction string, value func() uint64) {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: namespace, Name: "load_datagrams_total", Help: "Datagrams between instances, by direction: sent, received.",
+			ConstLabels: prometheus.Labels{"direction": direction},
+		}, func() float64 { return float64(value()) }))
+	}
+	counter("sent", func() uint64 {
+		sent, _ := datagrams()
+		return sent
+	})
+	counter("received", func() uint64 {
+		_, received := datagrams()
+		return received
+	})
+}
+
 // AddTokens adds the tokens of a run to the token counters.
 func (m *Metrics) AddTokens(prompt, cached, completion medlarid.Tokens) {
 	m.tokens.WithLabelValues("prompt").Add(float64(prompt))
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -187,6 +187,7 @@
 	loop := medlarloop.New(core, deps)
 	n.SetPost(loop.Post)
 	socket.SetOnLoad(func(e medlarworld.PeerLoadReported) { loop.Post(e) })
+	socket.SetOnSum(func(e medlarworld.PeerSumReported) { loop.Post(e) })
 	return loop
 }
 
--- a/internal/ops/medlarattachednode/notices.go
+++ b/internal/ops/medlarattachednode/notices.go
@@ -44,11 +44,13 @@
 const callPeers = "peers"
 
 func newSocket(cfg medlarsettings.Attached, m *medlarmetric.Metrics, board *medlarnotice.Board, key peerKey) *medlardatagram.Socket {
-	return medlardatagram.New(medlardatagram.Deps{
-		Self: cfg.Name, Key: key.socketKey(),
+	s := medlardatagram.New(medlardatagram.Deps{
+		Self: cfg.Name, Zone: cfg.Zone, Key: key.socketKey(),
 		OnForgotten: func(id medlarid.InstanceID) { board.Put(medlarnotice.RemovePeer(id)) },
 		OnIgnored:   func(error) { m.CallFailed(callPeers) },
 	})
+	m.RegisterLoad(s.SumAge, s.Datagrams)
+	return s
 }
 
 func newNotifier(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, s *medlarcalls.Store, board *medlarnotice.Board, socket *medlardatagram.Socket,
--- a/internal/ops/medlarnotifier/peer.go
+++ b/internal/ops/medlarnotifier/peer.go
@@ -96,7 +96,7 @@
 		n.deps.Log.Warn().Str("event", "notice").Str("key", r.Key).Err(err).Msg("address of an instance is ignored")
 		return
 	}
-	n.deps.Socket.SetPeer(id, medlardatagram.Peer{Address: p.Address, Key: medlardatagram.Key(p.Key)})
+	n.deps.Socket.SetPeer(id, medlardatagram.Peer{Address: p.Address, Key: medlardatagram.Key(p.Key), Zone: p.Zone})
 	n.deps.Dialer.SetPeer(id, p)
 	n.post(medlarworld.InstancesAnnounced{Others: n.deps.Dialer.Peers()})
 }
--- a/internal/peer/medlardatagram/medlardatagram.go
+++ b/internal/peer/medlardatagram/medlardatagram.go
@@ -8,10 +8,11 @@
 //	R2  A datagram carries its sender's id and key. A peer's address and key are read from
 //	    the platform's store, and datagrams with another key are ignored.
 //	R3  Peers from which no datagram arrived for silence are tried only now and then.
-//	R4  Beyond maxTargets peers no load is sent: to send it to all of them often enough would cost
-//	    each instance more than it gains, and sums of some of the reports mislead. Only
-//	    a few random ones get a report without load now and then, which keeps the count of peers
-//	    and tells of changes of desired weight versions.
+//	R4  Beyond maxTargets peers load is not sent to all of them: to do so often enough would cost
+//	    each instance more than it gains. It is added up on the way instead (medlarsum), whose messages this package
+//	    carries. A few random peers get a report without load now and then, which keeps the count of peers
+//	    and tells of changes of desired weight versions. An instance that has fewer peers itself
+//	    still adds up for others.
 //	R5  A peer from which no datagram arrived for forgetAfter is forgotten.
 package medlardatagram
 
@@ -22,9 +23,11 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarsum"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -78,6 +81,7 @@
 type Peer struct {
 	Address medlarid.Address
 	Key     Key
+	Zone    medlarid.Zone
 }
 
 // peer is a known peer.
@@ -93,6 +97,7 @@
 // Deps are what a Socket depends on.
 type Deps struct {
 	Self medlarid.InstanceID
+	Zone medlarid.Zone
 	Key  Key
 	// OnForgotten is called for each peer that is forgotten (R5).
 	OnForgotten func(medlarid.InstanceID)
@@ -104,17 +109,34 @@
 type Socket struct {
 	deps   Deps
 	onLoad func(medlarworld.PeerLoadReported)
+	onSum  func(medlarworld.PeerSumReported)
 	conn   *net.UDPConn
+	closed chan struct{}
+	close  sync.Once
+
+	sent, received atomic.Uint64 // datagrams
 
 	mu          sync.Mutex
 	peers       map[medlarid.InstanceID]*peer
 	serial      uint64
 	keptAliveAt time.Time // of the last empty report
+
+	sums    *medlarsum.Node
+	changed bool // the peers, since sums got to know them
+	totals  totals
+	// What sums have to send and to report, once the lock is released.
+	outgoing []datagram
+	reported []medlarworld.PeerSumReported
 }
 
 // New returns a Socket that knows no peers. Listen opens it.
 func New(deps Deps) *Socket {
-	return &Socket{deps: deps, onLoad: func(medlarworld.PeerLoadReported) {}, peers: map[medlarid.InstanceID]*peer{}, serial: uint64(time.Now().UnixNano())}
+	s := &Socket{
+		deps: deps, onLoad: func(medlarworld.PeerLoadReported) {}, onSum: func(medlarworld.PeerSumReported) {}, closed: make(chan struct{}),
+		peers: map[medlarid.InstanceID]*peer{}, serial: uint64(time.Now().UnixNano()), totals: totals{},
+	}
+	s.sums = medlarsum.New(medlarsum.Deps{Self: deps.Self, Zone: deps.Zone, FirstReport: rand.Uint64(), Send: s.queue, OnTotal: s.setTotal})
+	return s
 }
 
 // SetOnLoad sets the function that receives the load that a peer reports. It is called before Listen.
@@ -131,6 +153,7 @@
 		return &Error{Op: OpListen, Kind: KindNetwork, Err: err}
 	}
 	go s.receive()
+	go s.tick()
 	return nil
 }
 
@@ -143,6 +166,7 @@
 // Close closes the socket.
 func (s *Socket) Close() {
 	if s.conn != nil {
+		s.close.Do(func() { close(s.closed) })
 		_ = s.conn.Close()
 	}
 }
@@ -154,6 +178,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.changed = true
 	addr, err := netip.ParseAddrPort(string(p.Address))
 	if err != nil || len(s.peers) >= maxPeers && s.peers[id] == nil {
 		delete(s.peers, id)
@@ -174,13 +199,16 @@
 	m := message{Sender: s.deps.Self, Key: s.deps.Key, Serial: s.serial, Loads: c.Loads, Changes: c.Changes}
 	if few {
 		m.Loads = nil
+		s.updateMembers()
+		s.sums.Report(now, c.Loads, c.Upstreams)
 	}
 	b := encode(m)
 	forgotten := s.forget(now)
 	s.mu.Unlock()
 	for _, at := range targets {
-		_, _ = s.conn.WriteToUDPAddrPort(b, at)
+		s.write(b, at)
 	}
+	s.flush()
 	for _, id := range forgotten {
 		s.deps.OnForgotten(id)
 	}
@@ -192,6 +220,7 @@
 	for id, p := range s.peers {
 		if p.silentFor(now) > forgetAfter {
 			delete(s.peers, id)
+			s.changed = true
 			out = append(out, id)
 		}
 	}
@@ -245,7 +274,12 @@
 			s.deps.OnIgnored(err)
 			continue
 		}
-		if s.accept(m) {
+		s.received.Add(1)
+		switch {
+		case !s.accept(m):
+		case m.Sum != nil:
+			s.receiveSum(m)
+		default:
 			s.onLoad(medlarworld.PeerLoadReported{Peer: m.Sender, Loads: m.Loads, Changes: m.Changes})
 		}
 	}
--- a/internal/peer/medlardatagram/medlardatagram_test.go
+++ b/internal/peer/medlardatagram/medlardatagram_test.go
@@ -12,6 +12,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarhistory"
 	"medlarfield/internal/core/medlarload"
+	"medlarfield/internal/core/medlarsum"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -66,6 +67,7 @@
 func FuzzDecode(f *testing.F) {
 	f.Add(encode(message{Sender: "entry-1", Key: 5, Serial: 42, Loads: loads}))
 	f.Add(encode(message{Sender: "entry-1", Key: 5, Serial: 42, Loads: loads, Changes: changes}))
+	f.Add(encode(message{Sender: "entry-1", Key: 5, Serial: 42, Sum: &medlarsum.Message{Kind: medlarsum.KindTotal, Ranges: 2, Range: 1, Report: 9, Loads: loads}}))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		m, err := decode(b)
 		if err != nil {
--- a/internal/peer/medlardatagram/message.go
+++ b/internal/peer/medlardatagram/message.go
@@ -9,6 +9,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarhistory"
 	"medlarfield/internal/core/medlarload"
+	"medlarfield/internal/core/medlarsum"
 )
 
 // Fields of a datagram, which is a protobuf message. Each load is three varints: the hash of
@@ -19,6 +20,19 @@
 	fieldSerial protowire.Number = 3 // varint
 	fieldLoads  protowire.Number = 4 // bytes, of all loads
 	fieldChange protowire.Number = 5 // message, for each change of a desired weight version
+	fieldSum    protowire.Number = 6 // message of medlarsum; older builds skip it, and take the datagram for an empty report
+)
+
+// Fields of a message of medlarsum. Each load is three varints, as in a report, but for the hash: its difference to the hash
+// before it.
+const (
+	fieldKind      protowire.Number = 1 // varint
+	fieldRanges    protowire.Number = 2 // varint
+	fieldRange     protowire.Number = 3 // varint
+	fieldSumAge    protowire.Number = 4 // varint, in ms
+	fieldReport    protowire.Number = 5 // fixed64
+	fieldMembers   protowire.Number = 6 // varint
+	fieldSumsLoads protowire.Number = 7 // bytes, of all loads
 )
 
 // Fields of a change.
@@ -46,6 +60,7 @@
 	Loads  []medlarload.Load
 	// Changes are the ages of changes of desired weight versions, at the time of the datagram.
 	Changes []medlarhistory.ChangeAge
+	Sum     *medlarsum.Message // instead of loads and changes, if it is set
 }
 
 func encode(m message) []byte {
@@ -55,11 +70,14 @@
 	b = protowire.AppendFixed64(b, uint64(m.Key))
 	b = protowire.AppendTag(b, fieldSerial, protowire.VarintType)
 	b = protowire.AppendVarint(b, m.Serial)
+	if m.Sum != nil {
+		b = protowire.AppendTag(b, fieldSum, protowire.BytesType)
+		return protowire.AppendBytes(b, encodeSum(*m.Sum))
+	}
 	var loads []byte
 	for _, l := range m.Loads {
 		loads = protowire.AppendVarint(loads, uint64(l.Upstream))
-		loads = protowire.AppendVarint(loads, uint64(l.Open))
-		loads = protowire.AppendVarint(loads, uint64((l.Pending+tokenUnit/2)/tokenUnit))
+		loads = appendLoad(loads, l)
 	}
 	b = protowire.AppendTag(b, fieldLoads, protowire.BytesType)
 	b = protowire.AppendBytes(b, loads)
@@ -70,6 +88,37 @@
 	return b
 }
 
+// appendLoad appends what a load states of its upstream.
+func appendLoad(b []byte, l medlarload.Load) []byte {
+	b = protowire.AppendVarint(b, uint64(l.Open))
+	return protowire.AppendVarint(b, uint64((l.Pending+tokenUnit/2)/tokenUnit))
+}
+
+// encodeSum encodes a message of medlarsum, whose loads are ordered by hash.
+func encodeSum(m medlarsum.Message) []byte {
+	var b []byte
+	number := func(num protowire.Number, v int64) {
+		b = protowire.AppendTag(b, num, protowire.VarintType)
+		b = protowire.AppendVarint(b, uint64(max(v, 0)))
+	}
+	number(fieldKind, int64(m.Kind))
+	number(fieldRanges, int64(m.Ranges))
+	number(fieldRange, int64(m.Range))
+	number(fieldSumAge, m.Age.Milliseconds())
+	number(fieldMembers, int64(m.Members))
+	b = protowire.AppendTag(b, fieldReport, protowire.Fixed64Type)
+	b = protowire.AppendFixed64(b, m.Report)
+	var loads []byte
+	last := medlarid.Hash(0)
+	for _, l := range m.Loads {
+		loads = protowire.AppendVarint(loads, uint64(l.Upstream-last))
+		loads = appendLoad(loads, l)
+		last = l.Upstream
+	}
+	b = protowire.AppendTag(b, fieldSumsLoads, protowire.BytesType)
+	return protowire.AppendBytes(b, loads)
+}
+
 func encodeChange(c medlarhistory.ChangeAge) []byte {
 	b := protowire.AppendTag(nil, fieldModel, protowire.BytesType)
 	b = protowire.AppendString(b, string(c.Model))
@@ -118,7 +167,7 @@
 		var v []byte
 		v, n = protowire.ConsumeBytes(b)
 		if n >= 0 {
-			loads, err := decodeLoads(v)
+			loads, err := decodeLoads(v, false)
 			if err != nil {
 				return 0, err
 			}
@@ -134,6 +183,16 @@
 			}
 			m.Changes = append(m.Changes, c)
 		}
+	case num == fieldSum && typ == protowire.BytesType:
+		var v []byte
+		v, n = protowire.ConsumeBytes(b)
+		if n >= 0 {
+			sum, err := decodeSum(v)
+			if err != nil {
+				return 0, err
+			}
+			m.Sum = &sum
+		}
 	default:
 		n = protowire.ConsumeFieldValue(num, typ, b)
 	}
@@ -143,6 +202,59 @@
 	return n, nil
 }
 
+// decodeSum decodes a message of medlarsum. Unknown fields are skipped.
+func decodeSum(b []byte) (medlarsum.Message, error) {
+	var m medlarsum.Message
+	for len(b) > 0 {
+		num, typ, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			return m, malformed(n)
+		}
+		b = b[n:]
+		switch {
+		case num == fieldReport && typ == protowire.Fixed64Type:
+			m.Report, n = protowire.ConsumeFixed64(b)
+		case num == fieldSumsLoads && typ == protowire.BytesType:
+			var v []byte
+			v, n = protowire.ConsumeBytes(b)
+			if n >= 0 {
+				var err error
+				if m.Loads, err = decodeLoads(v, true); err != nil {
+					return m, err
+				}
+			}
+		case typ == protowire.VarintType:
+			var v uint64
+			v, n = protowire.ConsumeVarint(b)
+			setSumNumber(&m, num, v)
+		default:
+			n = protowire.ConsumeFieldValue(num, typ, b)
+		}
+		if n < 0 {
+			return m, malformed(n)
+		}
+		b = b[n:]
+	}
+	return m, nil
+}
+
+// setSumNumber sets the number of a field; unknown fields are skipped.
+func setSumNumber(m *medlarsum.Message, num protowire.Number, v uint64) {
+	n := int(min(v, maxOpen))
+	switch num {
+	case fieldKind:
+		m.Kind = medlarsum.Kind(n)
+	case fieldRanges:
+		m.Ranges = n
+	case fieldRange:
+		m.Range = n
+	case fieldSumAge:
+		m.Age = time.Duration(min(v, maxAge)) * time.Millisecond
+	case fieldMembers:
+		m.Members = n
+	}
+}
+
 func decodeChange(b []byte) (medlarhistory.ChangeAge, error) {
 	var c medlarhistory.ChangeAge
 	for len(b) > 0 {
@@ -175,8 +287,10 @@
 	return c, nil
 }
 
-func decodeLoads(b []byte) ([]medlarload.Load, error) {
+// decodeLoads decodes loads; with differences set, their hashes are given as the differences to the hashes before them.
+func decodeLoads(b []byte, differences bool) ([]medlarload.Load, error) {
 	var out []medlarload.Load
+	var last medlarid.Hash
 	for len(b) > 0 {
 		var v [3]uint64
 		for i := range v {
@@ -186,8 +300,13 @@
 			}
 			v[i], b = value, b[n:]
 		}
+		hash := medlarid.Hash(v[0])
+		if differences {
+			hash += last
+			last = hash
+		}
 		out = append(out, medlarload.Load{
-			Upstream: medlarid.Hash(v[0]), Open: int(min(v[1], maxOpen)), Pending: medlarid.Tokens(min(v[2], maxPending/tokenUnit) * tokenUnit),
+			Upstream: hash, Open: int(min(v[1], maxOpen)), Pending: medlarid.Tokens(min(v[2], maxPending/tokenUnit) * tokenUnit),
 		})
 	}
 	return out, nil
