Pass on no part of an answer whose connection was reset during the upload, and no status above 599

Cause: while the body of a request is written, a reset of the connection is reported once, to the write or to the read. If the write takes it, the read that follows finds an orderly end, so that a body which only the end of the connection delimits counted as whole. Statuses 600 to 999 were read as if HTTP knew them.

Change: a body that the end of its connection delimits is whole only if the request was written in full; the rest of the write gets 50 ms from that end. This also holds for a replica that ends its side first and resets the connection later: it has not read the request. medlarhead rejects statuses above 599.

--- a/internal/base/medlarhead/medlarhead.go
+++ b/internal/base/medlarhead/medlarhead.go
@@ -6,7 +6,7 @@
 //
 //	R1  Lines end with CR LF. Folded lines, whitespace before the colon, and control
 //	    characters are rejected. So is a response head with a status line within a line: another
-//	    response began before it ended.
+//	    response began before it ended. So is a status outside 100 to 599.
 //	R2  A message has at most one length: a second Content-Length, a Content-Length
 //	    together with a Transfer-Encoding, and any coding but chunked are rejected.
 //	R3  A body is complete only with the end of its framing. A body that is delimited by
@@ -189,6 +189,9 @@
 	return h, nil
 }
 
+// maxStatus is the highest status that HTTP knows a class of.
+const maxStatus = 599
+
 // versionPrefix begins each status line.
 const versionPrefix = "HTTP/1."
 
@@ -206,7 +209,7 @@
 	version, line, _ := strings.Cut(line, " ")
 	code, _, _ := strings.Cut(line, " ")
 	status, err := strconv.Atoi(code)
-	if err != nil || len(code) != 3 || status < 100 {
+	if err != nil || len(code) != 3 || status < 100 || status > maxStatus {
 		return nil, malformed(OpResponse, "status line")
 	}
 	h := &Head{Status: status}
--- a/internal/base/medlarhead/medlarhead_test.go
+++ b/internal/base/medlarhead/medlarhead_test.go
@@ -108,6 +108,9 @@
 		{"no reason", "HTTP/1.1 200\r\nContent-Length: 1\r\n\r\na", "a", false, ""},
 		{"garbage", "\x16\x03\x01 what\r\n\r\n", "", false, KindMalformed},
 		{"no line end", "what is this", "", false, KindBroken},
+		{"status 600", "HTTP/1.1 600 X\r\nContent-Length: 1\r\n\r\na", "", false, KindMalformed},
+		{"status 999", "HTTP/1.1 999 X\r\nContent-Length: 1\r\n\r\na", "", false, KindMalformed},
+		{"status 099", "HTTP/1.1 099 X\r\nContent-Length: 1\r\n\r\na", "", false, KindMalformed},
 		{"status line within a field", "HTTP/1.1 503 Busy\r\nId: oneHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", "", false, KindMalformed},
 		{"status line within a status line", "HTTP/1.1 503 BuHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", "", false, KindMalformed},
 	} {
--- a/internal/edge/medlarbody/medlarbody.go
+++ b/internal/edge/medlarbody/medlarbody.go
@@ -21,19 +21,23 @@
 	Conn     net.Conn
 	Buffer   *bufio.Reader // of Conn
 	Deadline time.Time     // of reads from Conn
+	// Written returns an error if the request could not be written in full; nil if it was before its response was read. It is
+	// called once the connection has ended.
+	Written func() error
 }
 
 // Reader reads a body. Read returns io.EOF only if the body is whole.
 type Reader struct {
-	source Source
-	body   *medlarhead.Body
+	source  Source
+	body    *medlarhead.Body
+	framing medlarhead.Framing
 }
 
 // New returns a reader for the body that follows a head.
 func New(s Source, h *medlarhead.Head) *Reader {
 	body := medlarhead.NewBody(s.Buffer, h)
 	body.Limit(maxBytes)
-	return &Reader{source: s, body: body}
+	return &Reader{source: s, body: body, framing: h.Framing}
 }
 
 // RejectHeads makes a body that holds a part of a further response count as broken off. own reports whether the head of a
@@ -61,8 +65,13 @@
 	return b, false, err
 }
 
-// checkEnd returns an error if a further response has taken the place of the end of the body.
+// checkEnd returns an error if a further response has taken the place of the end of the body, or if the connection has ended
+// before the request was written. A failed write takes the error of a connection that was reset, and the read that follows
+// finds an orderly end.
 func (r *Reader) checkEnd() error {
+	if r.framing == medlarhead.FramingClose && r.source.Written != nil {
+		return r.source.Written()
+	}
 	if !r.body.MayHoldHead() {
 		return nil
 	}
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -28,7 +28,8 @@
 
 // Limits of requests and responses.
 const (
-	maxInlineBody = 16 << 10 // bytes; a longer request body is written while the response is read
+	maxInlineBody = 16 << 10              // bytes; a longer request body is written while the response is read
+	writeWait     = 50 * time.Millisecond // for the end of that write once the upstream has ended the connection
 	statusOK      = 200
 	statusFailure = 500
 )
--- a/internal/edge/medlarproxy/medlarproxy.go
+++ b/internal/edge/medlarproxy/medlarproxy.go
@@ -11,7 +11,8 @@
 //	    incomplete if it ends within an event, whatever its framing says, if its
 //	    connection ends before the first event, or from the first block on that is
 //	    not an event. Any other body that the end of its connection delimits is
-//	    incomplete if it holds the head of a further response.
+//	    incomplete if it holds the head of a further response. Any that the end of its
+//	    connection delimits is incomplete if the request was not written in full before.
 //	R3  A client that disconnects cancels the work for its request.
 //	R4  A request is answered by its deadline, the earlier of the client's and the
 //	    route's.
--- a/internal/edge/medlarproxy/relay.go
+++ b/internal/edge/medlarproxy/relay.go
@@ -4,6 +4,8 @@
 	"io"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
@@ -15,7 +17,26 @@
 
 // source returns what the body of the response is read from.
 func (a *attempt) source() medlarbody.Source {
-	return medlarbody.Source{Conn: a.upstream, Buffer: a.upstream.Reader, Deadline: a.deadline}
+	s := medlarbody.Source{Conn: a.upstream, Buffer: a.upstream.Reader, Deadline: a.deadline}
+	if a.bodyWritten != nil {
+		s.Written = a.awaitWritten
+	}
+	return s
+}
+
+// errUnread reports a response that only the end of the connection delimits, to a request that was not written in full.
+var errUnread = &medlarhead.Error{Op: medlarhead.OpBody, Kind: medlarhead.KindBroken, Err: eris.Wrap(io.ErrUnexpectedEOF, "the connection ended before the request was written")}
+
+// awaitWritten returns an error if the body of the request was not written in full. It is called once the connection has
+// ended, so that the write does not have long to go.
+func (a *attempt) awaitWritten() error {
+	_ = a.upstream.SetWriteDeadline(time.Now().Add(writeWait))
+	err := <-a.bodyWritten
+	a.bodyWritten <- err // for requestWritten
+	if err != nil {
+		return errUnread
+	}
+	return nil
 }
 
 // isOwn reports whether the head of a response names the request of the attempt.
--- a/internal/stand/medlarending/medlarending.go
+++ b/internal/stand/medlarending/medlarending.go
@@ -18,10 +18,13 @@
 	ContentType string
 	Framing     medlarhead.Framing
 	Body        string
-	Unfinished  bool // the framing promises more than Body
-	Reset       bool // the connection is reset, not closed in an orderly way
-	Whole       bool // the response is complete
-	Keep        bool // the connection is left open
+	Unfinished  bool          // the framing promises more than Body
+	Reset       bool          // the connection is reset, not closed in an orderly way
+	Whole       bool          // the response is complete
+	Keep        bool          // the connection is left open
+	Early       bool          // the response does not await the body of the request
+	HalfClose   bool          // the replica ends its side of the connection before it ends the whole
+	Pause       time.Duration // before the connection ends
 	// Text returns all bytes of the response, in place of what the fields above state; nil for none.
 	Text func(Request) string
 	// Again returns what is written After the response on the same connection; nil for none.
@@ -127,9 +130,7 @@
 		time.Sleep(e.After)
 		_, _ = io.WriteString(c, e.Again(r))
 	}
-	if tcp, ok := c.(*net.TCPConn); ok && e.Reset {
-		_ = tcp.SetLinger(0)
-	}
+	e.end(c)
 }
 
 // text returns the response that the fields of the ending describe.
--- a/internal/stand/medlarfakereplica/exchange.go
+++ b/internal/stand/medlarfakereplica/exchange.go
@@ -286,3 +286,19 @@
 	}
 	return "id: " + strconv.Itoa(n) + "\ndata: " + data + "\n\n"
 }
+
+// respondEarly sends a response that does not await the body of the request, if one is armed.
+func (r *Replica) respondEarly(c net.Conn, br *bufio.Reader, h *medlarhead.Head) bool {
+	if strings.HasPrefix(h.Path(), "/-/") { // a control call
+		return false
+	}
+	e, ok := r.endings.Load().NextEarly()
+	if !ok {
+		return false
+	}
+	x := &exchange{replica: r, conn: c, br: br, head: h}
+	r.recordArrival()
+	r.recordRun(x.record())
+	e.Write(c, medlarending.Request{ID: x.header(headerID), LastEventID: x.header("Last-Event-Id"), Fields: x.responseFields()})
+	return true
+}
--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -353,6 +353,9 @@
 		if err != nil {
 			return
 		}
+		if r.respondEarly(c, br, h) {
+			return
+		}
 		body, err := medlarhead.ReadBody(br, h, bodyLimit)
 		r.Pace.Wait()
 		if err != nil || !r.serveRequest(c, br, h, string(body)) || h.Close {
