Take no answer as whole whose peer ended the connection without having received the request

Cause: a peer may answer a long upload at once, end its side in an orderly way and reset the connection later. Where the kernel had taken the whole request, its write had succeeded, so that the beginning of a body which only the end of the connection delimits counted as whole, on the own interface and at an attached instance.

Change: at that end, bytes of the request that the peer has not acknowledged show that it has not read the request (medlarprobe.Unacknowledged): what it sent by then acknowledges all that it has received.

Left: where the peer's kernel or a proxy has taken the whole upload, an orderly end before the reset cannot be told from that of a whole answer.

--- a/internal/base/medlarprobe/medlarprobe.go
+++ b/internal/base/medlarprobe/medlarprobe.go
@@ -1,11 +1,13 @@
 // Package medlarprobe detects that the peer of an idle connection has closed it,
 // without reading from the connection. A server otherwise notices only at its next
-// write.
+// write. It also tells whether the peer has acknowledged what was written.
 package medlarprobe
 
 import (
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // unwrapper is a connection that wraps another one, such as a TLS connection.
@@ -42,15 +44,48 @@
 		}
 		c = u.NetConn()
 	}
+	raw, ok := rawOf(c)
+	switch {
+	case !ok:
+		return stateIdle
+	case raw == nil:
+		return stateGone
+	}
+	return peek(raw)
+}
+
+// rawOf returns the raw connection of c, nil if it is closed; ok is false for connections that cannot be inspected.
+func rawOf(c net.Conn) (raw syscall.RawConn, ok bool) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return stateIdle
+		return nil, false
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return stateGone
+		return nil, true
 	}
-	return peek(raw)
+	return raw, true
+}
+
+// Unacknowledged reports whether the peer of a TCP connection has not acknowledged all that was written. It returns false for
+// connections that it cannot inspect.
+func Unacknowledged(c net.Conn) bool {
+	for {
+		u, ok := c.(unwrapper)
+		if !ok {
+			break
+		}
+		c = u.NetConn()
+	}
+	raw, _ := rawOf(c)
+	if raw == nil {
+		return false
+	}
+	left := 0
+	err := raw.Control(func(fd uintptr) {
+		left, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+	})
+	return err == nil && left > 0
 }
 
 // peek examines the receive buffer without consuming it: zero bytes and no error
--- a/internal/edge/medlarproxy/relay.go
+++ b/internal/edge/medlarproxy/relay.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"medlarfield/internal/base/medlarhead"
+	"medlarfield/internal/base/medlarprobe"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
@@ -27,13 +28,14 @@
 // errUnread reports a response that only the end of the connection delimits, to a request that was not written in full.
 var errUnread = &medlarhead.Error{Op: medlarhead.OpBody, Kind: medlarhead.KindBroken, Err: eris.Wrap(io.ErrUnexpectedEOF, "the connection ended before the request was written")}
 
-// awaitWritten returns an error if the body of the request was not written in full. It is called once the connection has
-// ended, so that the write does not have long to go.
+// awaitWritten returns an error if the body of the request was not written in full, or if the upstream had not received all of
+// it when it ended the connection. It is called then, so that the write does not have long to go.
 func (a *attempt) awaitWritten() error {
+	unread := medlarprobe.Unacknowledged(a.upstream.Conn)
 	_ = a.upstream.SetWriteDeadline(time.Now().Add(writeWait))
 	err := <-a.bodyWritten
-	a.bodyWritten <- err // for requestWritten
-	if err != nil {
+	a.bodyWritten <- err                                                     // for requestWritten
+	if err != nil || unread || medlarprobe.Unacknowledged(a.upstream.Conn) { // it may have been written after that end
 		return errUnread
 	}
 	return nil
--- a/internal/upstream/medlarhttp/medlarhttp.go
+++ b/internal/upstream/medlarhttp/medlarhttp.go
@@ -22,7 +22,8 @@
 //	    the others are read.
 //	R7  Responses are read by the rules of medlarhead, whatever their status: a head that stops, or
 //	    within which another one begins, is an error, and so is a body that is not whole, or that holds
-//	    the head of a further response (medlarhead R5, R6).
+//	    the head of a further response (medlarhead R5, R6). A body that the end of the connection delimits is not
+//	    whole if the peer had not received all of the request.
 package medlarhttp
 
 import (
@@ -181,6 +182,9 @@
 	written  bool      // data was written since the last read
 }
 
+// NetConn returns the connection itself.
+func (c *idleConn) NetConn() net.Conn { return c.Conn }
+
 // SetDeadline sets the deadline of reads and writes and records it for Read.
 func (c *idleConn) SetDeadline(t time.Time) error {
 	c.deadline = t
--- a/internal/upstream/medlarhttp/transport.go
+++ b/internal/upstream/medlarhttp/transport.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"medlarfield/internal/base/medlarhead"
+	"medlarfield/internal/base/medlarprobe"
 )
 
 // Limits of the head of a response.
@@ -120,8 +121,15 @@
 	return n, err
 }
 
-// checkEnd returns an error if a further response has taken the place of the end of the body.
+// errUnread reports a peer that has ended the connection without having received all of the request.
+var errUnread = eris.Wrap(io.ErrUnexpectedEOF, "the peer ended the connection before it had received the request")
+
+// checkEnd returns an error if a further response has taken the place of the end of the body, or if the connection that
+// delimits the body has ended before the peer had received the request.
 func (a *answer) checkEnd() error {
+	if a.head.Framing == medlarhead.FramingClose && medlarprobe.Unacknowledged(a.conn) {
+		return errUnread
+	}
 	if !a.body.MayHoldHead() {
 		return nil
 	}
