End no relayed connection in an orderly way whose replica was still being written to

Cause: an instance that relays a connection to a replica writes the upload and reads the answer at once. If the replica resets the connection, the failed write may take the error; the read finds an orderly end, and the instance that asked got the end frame that marks the answer as complete.

Change: the end frame is sent only if no write to the replica has failed or is stuck, and nothing that has arrived from the other instance is left to write. The stand-in of links lost resets in the same way and passes them on now.

--- a/internal/peer/medlartunnel/medlartunnel_test.go
+++ b/internal/peer/medlartunnel/medlartunnel_test.go
@@ -29,6 +29,8 @@
 	hints    chan Hint
 	result   Result // of opening a connection to the replica
 	proof    Result // of asking whether it answers
+	// writeBuffer is the size of the send buffer of connections to the replica, in bytes; 0 for the system's.
+	writeBuffer int
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -57,6 +59,9 @@
 			if err != nil {
 				return nil, ResultRefused
 			}
+			if f.writeBuffer > 0 {
+				_ = c.(*net.TCPConn).SetWriteBuffer(f.writeBuffer)
+			}
 			return c, ResultOpened
 		},
 		Prove:     func(context.Context, medlarid.InstanceID, medlarid.Incarnation) Result { return f.proof },
--- a/internal/peer/medlartunnel/message.go
+++ b/internal/peer/medlartunnel/message.go
@@ -168,8 +168,8 @@
 var endFrame = make([]byte, frameHead)
 
 // copyFrames copies what a replica sends to w, in frames, and an end frame once the replica has ended the
-// connection in an orderly way. It returns nil then.
-func copyFrames(w io.Writer, r io.Reader) error {
+// connection in an orderly way and has taken all that was written to it. It returns nil then.
+func copyFrames(w io.Writer, r io.Reader, written func() bool) error {
 	b := make([]byte, frameHead+frameBytes)
 	for {
 		n, err := r.Read(b[frameHead:])
@@ -180,6 +180,9 @@
 			}
 		}
 		if err == io.EOF {
+			if !written() {
+				return io.ErrUnexpectedEOF
+			}
 			_, err = w.Write(endFrame)
 			return err
 		}
--- a/internal/peer/medlartunnel/server.go
+++ b/internal/peer/medlartunnel/server.go
@@ -9,10 +9,14 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/base/medlarprobe"
 )
 
-// maxOpen is the number of connections that a server relays at once.
-const maxOpen = 1024
+// Limits of relayed connections.
+const (
+	maxOpen   = 1024                  // at once
+	writeWait = 50 * time.Millisecond // for the end of a write once the replica has ended the connection
+)
 
 // Deps are what a Server depends on.
 type Deps struct {
@@ -149,21 +153,45 @@
 // relay copies the bytes of both sides until one of them ends (R2 to R4).
 func relay(near, far net.Conn) {
 	done := make(chan struct{})
+	up := &upload{near: near, far: far}
 	go func() {
 		defer close(done)
-		_ = copyFrames(near, far)
+		_ = copyFrames(near, far, up.written)
 		_ = near.Close()
 	}()
-	_, _ = io.Copy(onlyWriter{far}, onlyReader{near}) // ends when the other instance closes the connection (R4)
+	_, _ = io.Copy(up, onlyReader{near}) // ends when the other instance closes the connection (R4)
 	_ = far.Close()
 	<-done
 }
 
-// onlyWriter and onlyReader hide how a connection copies in the kernel, which not every platform offers.
-type (
-	onlyWriter struct{ io.Writer }
-	onlyReader struct{ io.Reader }
-)
+// upload writes what the other instance sends to a replica.
+type upload struct {
+	near, far net.Conn
+	mu        sync.Mutex // held during a write
+	failed    bool
+}
+
+// Write writes to the replica.
+func (u *upload) Write(b []byte) (int, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	n, err := u.far.Write(b)
+	u.failed = u.failed || err != nil
+	return n, err
+}
+
+// written reports whether all that came from the other instance was written. It is called once the replica has ended the
+// connection, so that a write that has not ended does not have long to go. A failed write takes the error of a
+// connection that was reset, and the read that follows finds an orderly end.
+func (u *upload) written() bool {
+	_ = u.far.SetWriteDeadline(time.Now().Add(writeWait))
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return !u.failed && medlarprobe.Idle(u.near)
+}
+
+// onlyReader hides how a connection copies in the kernel, which not every platform offers.
+type onlyReader struct{ io.Reader }
 
 // add counts a connection, unless there are too many.
 func (s *Server) add(c net.Conn) bool {
--- a/internal/stand/medlarlink/medlarlink.go
+++ b/internal/stand/medlarlink/medlarlink.go
@@ -18,6 +18,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -49,6 +50,7 @@
 	copyBuffer  = 4096                  // bytes
 	fillers     = 3                     // connections that fill the queue of a silent link
 	fillTimeout = 20 * time.Millisecond // a filler that hangs shows that the queue is full
+	failedWrite = 2 * time.Millisecond  // for a write that has failed to return
 )
 
 // Link connects one instance with the replicas. It is safe for concurrent use.
@@ -73,7 +75,42 @@
 }
 
 // pair is an open connection over the link.
-type pair struct{ near, far net.Conn }
+type pair struct {
+	near, far         net.Conn
+	toNear, toFar     sync.Mutex // held during a write to that side
+	nearLost, farLost atomic.Bool
+}
+
+// write writes to one side.
+func (p *pair) write(to net.Conn, b []byte) error {
+	mu, lost := &p.toFar, &p.farLost
+	if to == p.near {
+		mu, lost = &p.toNear, &p.nearLost
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	_, err := to.Write(b)
+	if err != nil {
+		lost.Store(true)
+	}
+	return err
+}
+
+// resetBy reports whether a side that appears to have ended in an orderly way has reset the connection: a failed write takes the
+// error, and the read that follows finds an orderly end.
+func (p *pair) resetBy(side net.Conn) bool {
+	mu, lost := &p.toFar, &p.farLost
+	if side == p.near {
+		mu, lost = &p.toNear, &p.nearLost
+	}
+	for end := time.Now().Add(failedWrite); !mu.TryLock(); time.Sleep(failedWrite / 10) {
+		if time.Now().After(end) {
+			return lost.Load()
+		}
+	}
+	defer mu.Unlock()
+	return lost.Load()
+}
 
 // New returns a link that is up and knows no replicas.
 func New() *Link {
@@ -330,12 +367,12 @@
 		n, err := from.Read(b)
 		l.awaitNotSilent()
 		if n > 0 {
-			if _, err := to.Write(b[:n]); err != nil {
+			if err := p.write(to, b[:n]); err != nil {
 				p.reset()
 				return
 			}
 		}
-		if errors.Is(err, unix.ECONNRESET) {
+		if errors.Is(err, unix.ECONNRESET) || err != nil && p.resetBy(from) {
 			p.reset()
 			return
 		}
