Decide in the core where a request would go, without sending it

Cause: where a request goes, and why not elsewhere, shows only in the logs of requests that were sent.

Change: the event RouteAsked is answered with a verdict (medlarverdict): the replica that is chosen and the terms of its expected time, the other candidates, the replicas that are excluded and why, whether the request would wait or be refused, and the parts that are in no store. medlarexplain asks medlaradmission and medlarroute, in a shadow of the world: copies of what deciding on a run changes, and of the random numbers that come next. medlarroute returns why a replica is no candidate where it returned false; a further reason is a further case of `exclusion`.

--- a/internal/core/medlaradmission/medlaradmission.go
+++ b/internal/core/medlaradmission/medlaradmission.go
@@ -109,13 +109,37 @@
 		r.StartBy = time.Time{} // R8
 	}
 	r.VirtualStart = max(w.VirtualTime, a.VirtualFinish)
-	if reason, after := s.refusalReason(w, a, r); reason != "" {
+	if reason, after := s.refusalReason(w, a, r, admitTraits, evictForRoom); reason != "" {
 		w.Refuse(r, reason, after)
 		return
 	}
 	setVirtualFinish(a, r)
 }
 
+// Assessment is the decision on the admission of a run that is not submitted.
+type Assessment struct {
+	Reason medlarreason.Reason // why it would be refused; empty if it would be admitted
+	After  time.Duration       // after which its caller may retry
+	Place  int                 // in the queue
+	Ahead  int                 // runs before it that have the same target
+}
+
+// Assess decides as for a run that is submitted now, and changes only w, which is a shadow.
+func (s *System) Assess(w *medlarworld.World, r *medlarworld.Run, l medlarworld.Limits) (out Assessment) {
+	a := updateAccount(w, medlarworld.Submitted{Run: r, Limits: l})
+	a.Open++
+	a.Arrivals++
+	r.VirtualStart = max(w.VirtualTime, a.VirtualFinish)
+	mayStart := func(w *medlarworld.World, r *medlarworld.Run) bool {
+		_, blocked := w.Suspects.Blocked(r.Traits)
+		return !blocked || w.Suspects.TrialGranted(w.Now, r.Traits)
+	}
+	hasRoom := func(w *medlarworld.World, a *medlarworld.Account) bool { return lastOfHeaviest(w, a) >= 0 }
+	out.Reason, out.After = s.refusalReason(w, a, r, mayStart, hasRoom)
+	out.Place, out.Ahead = position(w, r), runsAhead(w, r)
+	return out
+}
+
 // updateAccount returns the account's entry with its current limits.
 func updateAccount(w *medlarworld.World, e medlarworld.Submitted) *medlarworld.Account {
 	a := w.Accounts[e.Run.Account]
@@ -193,8 +217,12 @@
 }
 
 // refusalReason returns why a run is refused, or an empty reason, and the delay after
-// which the caller may retry.
-func (s *System) refusalReason(w *medlarworld.World, a *medlarworld.Account, r *medlarworld.Run) (medlarreason.Reason, time.Duration) {
+// which the caller may retry. admit reports whether the traits of a run allow it to start (R9), and makeRoom whether
+// another run gives way to one of an account (R4).
+func (s *System) refusalReason(
+	w *medlarworld.World, a *medlarworld.Account, r *medlarworld.Run,
+	admit func(*medlarworld.World, *medlarworld.Run) bool, makeRoom func(*medlarworld.World, *medlarworld.Account) bool,
+) (medlarreason.Reason, time.Duration) {
 	switch {
 	case w.Draining:
 		return medlarreason.Draining, minRetryAfter // R1
@@ -204,7 +232,7 @@
 		return medlarreason.Capacity, minRetryAfter
 	case !medlarresume.CanGoOn(w, r):
 		return medlarreason.Unresumable, medlarresume.RetryAfter // R10
-	case !admitTraits(w, r):
+	case !admit(w, r):
 		return medlarreason.Crashing, medlarcrash.RetryAfter // R9
 	}
 	if runs := a.Limits.Runs; runs > 0 && float64(a.Open) > math.Ceil(float64(runs)*runShare(w, a)) {
@@ -216,7 +244,7 @@
 	if wait := max(s.queueWait(w, r), pause(w, r), medlarlimit.Wait(w, r, runsAhead(w, r))); w.Now.Add(wait).After(latestStart(r)) || w.Config.MaxWait > 0 && wait > w.Config.MaxWait {
 		return medlarreason.Deadline, clampRetryAfter(wait) // R5
 	}
-	if len(w.Waiting) >= w.Config.MaxQueued && !evictForRoom(w, a) {
+	if len(w.Waiting) >= w.Config.MaxQueued && !makeRoom(w, a) {
 		return medlarreason.Overload, clampRetryAfter(s.queueWait(w, r)) // R4
 	}
 	return "", 0
--- a/internal/core/medlaradmission/queue.go
+++ b/internal/core/medlaradmission/queue.go
@@ -35,9 +35,21 @@
 }
 
 // evictForRoom refuses the last run of the account with the largest weighted share
-// of the queue, unless that account is a itself (R4). A run that reached an upstream or
-// was claimed is never refused for this.
+// of the queue, unless that account is a itself (R4).
 func evictForRoom(w *medlarworld.World, a *medlarworld.Account) bool {
+	i := lastOfHeaviest(w, a)
+	if i < 0 {
+		return false
+	}
+	r := w.Waiting[i]
+	w.Waiting = slices.Delete(w.Waiting, i, i+1)
+	w.Refuse(r, medlarreason.Overload, minRetryAfter)
+	return true
+}
+
+// lastOfHeaviest returns the place of the run that evictForRoom refuses; -1 for none. A run that reached an upstream or was
+// claimed is never refused for this.
+func lastOfHeaviest(w *medlarworld.World, a *medlarworld.Account) int {
 	shares := map[*medlarworld.Account]float64{}
 	for _, r := range w.Waiting {
 		if b := w.Accounts[r.Account]; b != nil {
@@ -51,16 +63,14 @@
 		}
 	}
 	if heaviest == a {
-		return false
+		return -1
 	}
 	for i := len(w.Waiting) - 1; i >= 0; i-- {
 		if r := w.Waiting[i]; r.Account == heaviest.ID && !r.Reached && !r.Claimed {
-			w.Waiting = slices.Delete(w.Waiting, i, i+1)
-			w.Refuse(r, medlarreason.Overload, minRetryAfter)
-			return true
+			return i
 		}
 	}
-	return false
+	return -1
 }
 
 // Enqueue inserts a run at its position in the queue (R3).
--- a/internal/core/medlarcore/medlarcore.go
+++ b/internal/core/medlarcore/medlarcore.go
@@ -9,6 +9,7 @@
 	"medlarfield/internal/core/medlarbrittle"
 	"medlarfield/internal/core/medlarcrash"
 	"medlarfield/internal/core/medlardesired"
+	"medlarfield/internal/core/medlarexplain"
 	"medlarfield/internal/core/medlarfleet"
 	"medlarfield/internal/core/medlarlag"
 	"medlarfield/internal/core/medlarlimit"
@@ -66,6 +67,7 @@
 			admit,
 			medlaroffload.New(),
 			medlarroute.New(admit.Started),
+			medlarexplain.New(admit),
 		},
 	}
 }
--- a/internal/core/medlarresume/medlarresume.go
+++ b/internal/core/medlarresume/medlarresume.go
@@ -125,14 +125,22 @@
 		s.awaiting = append(s.awaiting, r)
 	case r.Resumes:
 		resume(w, r)
-	case r.Stream != 0:
-		r.Build = w.Builds.NewStreamBuild(w.Now, r.Service, r.Stream)
+	default:
+		r.Build = BeginAt(w, r)
 	}
 	if r.Stream != 0 {
 		w.Streams = append(w.Streams, r)
 	}
 }
 
+// BeginAt returns the build at which a new run's stream begins; empty for any (R1).
+func BeginAt(w *medlarworld.World, r *medlarworld.Run) medlarid.Build {
+	if r.Stream == 0 {
+		return ""
+	}
+	return w.Builds.NewStreamBuild(w.Now, r.Service, r.Stream)
+}
+
 // resume decides at which build a stream goes on.
 func resume(w *medlarworld.World, r *medlarworld.Run) {
 	build, ok := w.Builds.ResumeBuild(w.Now, r.Service, r.Stream)
--- a/internal/core/medlarroute/cost.go
+++ b/internal/core/medlarroute/cost.go
@@ -59,7 +59,7 @@
 // length of the cached or fetched prefix counts.
 func partsCost(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream, c *option) float64 {
 	best := prefillCost(w, u, r.PromptTokens)
-	fetchSeconds, bestFetchSeconds := 0.0, 0.0
+	fetchSeconds := 0.0
 	for i, k := range r.KeysUnder(u.Version) {
 		warm := w.Warm.Has(k, u.ID)
 		if !warm {
@@ -70,13 +70,13 @@
 			fetchSeconds += medlarplacement.TransferSeconds(s, u, r.KeyTokens[i])
 		}
 		if cost := fetchSeconds + prefillCost(w, u, r.PromptTokens-r.PrefixTokens(i+1)); cost <= best {
-			best, bestFetchSeconds, c.availableParts = cost, fetchSeconds, i+1
+			best, c.fetchSeconds, c.availableParts = cost, fetchSeconds, i+1
 			if warm {
 				c.cachedBlocks = i + 1
 			}
 		}
 	}
-	c.idleTTFT = bestFetchSeconds + u.PrefillTime(r.PromptTokens-r.PrefixTokens(c.availableParts)).Seconds()
+	c.idleTTFT = c.fetchSeconds + u.PrefillTime(r.PromptTokens-r.PrefixTokens(c.availableParts)).Seconds()
 	c.ttft = c.idleTTFT + pendingSeconds(w, u)
 	return best + medlarlag.Estimate(w, u)
 }
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -45,6 +45,7 @@
 	"medlarfield/internal/core/medlarlimit"
 	"medlarfield/internal/core/medlarplacement"
 	"medlarfield/internal/core/medlarresume"
+	"medlarfield/internal/core/medlarverdict"
 	"medlarfield/internal/core/medlarwindow"
 	"medlarfield/internal/core/medlarwithdraw"
 	"medlarfield/internal/core/medlarworld"
@@ -76,8 +77,9 @@
 type System struct {
 	onDequeue  func(*medlarworld.Run) // called for each run that leaves the queue
 	options    []option
-	candidates int            // number of options of the last run, before one was picked
-	exhausted  []requirements // requirements without a candidate in this tick
+	excluded   func(*medlarworld.Upstream, medlarverdict.Exclusion) // called for each upstream that is no candidate; nil for no call
+	candidates int                                                  // number of options of the last run, before one was picked
+	exhausted  []requirements                                       // requirements without a candidate in this tick
 }
 
 // requirements are what a run that has not been tried yet needs of an upstream.
@@ -97,6 +99,7 @@
 	cachedBlocks   int                      // leading blocks that the upstream caches
 	imports        []medlarinventory.Handle // blocks to import after those
 	availableParts int                      // leading parts that the upstream caches or that are fetched from stores
+	fetchSeconds   float64                  // until the parts among these that are not cached are fetched
 	ttft           float64                  // expected seconds to the first part of the answer
 	idleTTFT       float64                  // the same on an idle upstream
 	cost           float64                  // seconds
@@ -123,7 +126,7 @@
 	s.exhausted = s.exhausted[:0]
 	remaining := w.Waiting[:0]
 	for _, r := range w.Waiting {
-		if w.Now.Before(r.NotBefore) || w.Suspects.Undecided(r.Traits) || !s.dispatch(w, r) {
+		if held(w, r) || !s.dispatch(w, r) {
 			remaining = append(remaining, r)
 		}
 	}
@@ -131,13 +134,23 @@
 	w.Waiting = remaining
 }
 
-// dispatch starts or claims a run and reports whether it left the queue.
-func (s *System) dispatch(w *medlarworld.World, r *medlarworld.Run) bool {
-	need := requirements{model: r.Model, service: r.Service, version: r.Version, build: r.Build, fixed: r.BuildFixed}
+// held reports whether a run waits for something else than a candidate (R6).
+func held(w *medlarworld.World, r *medlarworld.Run) bool {
+	return w.Now.Before(r.NotBefore) || w.Suspects.Undecided(r.Traits)
+}
+
+// requirementsOf returns what a run needs of an upstream, and whether it has not been tried yet.
+func requirementsOf(w *medlarworld.World, r *medlarworld.Run) (need requirements, untried bool) {
+	need = requirements{model: r.Model, service: r.Service, version: r.Version, build: r.Build, fixed: r.BuildFixed}
 	if r.Version != w.Models[r.Model].Version {
 		need.withdrawable = medlarwithdraw.Allowed(r)
 	}
-	untried := len(r.Tried) == 0 && r.PinnedVersion == ""
+	return need, len(r.Tried) == 0 && r.PinnedVersion == ""
+}
+
+// dispatch starts or claims a run and reports whether it left the queue.
+func (s *System) dispatch(w *medlarworld.World, r *medlarworld.Run) bool {
+	need, untried := requirementsOf(w, r)
 	if untried && slices.Contains(s.exhausted, need) {
 		return false
 	}
@@ -244,20 +257,29 @@
 // choose returns the option to serve a run by now; ok is false when there is no
 // candidate.
 func (s *System) choose(w *medlarworld.World, r *medlarworld.Run) (best option, ok bool) {
+	if s.findOptions(w, r); len(s.options) == 0 {
+		return option{}, false
+	}
+	return s.pickCheapest(w), true
+}
+
+// findOptions fills s.options with the candidates of a run.
+func (s *System) findOptions(w *medlarworld.World, r *medlarworld.Run) {
 	s.collectAll(w, r, r.Build)
 	if len(s.options) == 0 && medlarresume.MayOverflow(w, r) {
 		s.collectAll(w, r, "")
 	}
-	if len(s.options) == 0 {
-		return option{}, false
-	}
+}
+
+// pickCheapest returns one of the options that cost nearly the least (R4).
+func (s *System) pickCheapest(w *medlarworld.World) option {
 	s.candidates = len(s.options)
 	lowest := s.options[0].cost
 	for i := range s.options {
 		lowest = min(lowest, s.options[i].cost)
 	}
 	// The discount of the home may make its cost negative.
-	return s.pick(w, lowest+tieRatio*math.Abs(lowest)+tieSeconds), true
+	return s.pick(w, lowest+tieRatio*math.Abs(lowest)+tieSeconds)
 }
 
 // collectAll fills s.options with the candidates of a run of a build, or of any if it is empty, in the
@@ -309,27 +331,53 @@
 	if home != nil {
 		r.HomeZone = home.Zone
 	}
-	desired := w.Models[r.Model].Version
 	for _, u := range upstreams {
-		inScope := u.InSubset || sc.wholeFleet || u == home || r.Service != ""
-		mayTry := (sc.includeTried || !slices.Contains(r.Tried, u)) && (sc.includeEjected || len(r.Tried) == 0 || u.Ejections == 0)
-		if !inScope || !mayTry || sc.build != "" && u.Build != sc.build || !eligible(w, r, u) {
-			continue
-		}
-		c := evaluate(w, r, u)
-		if u.Kind == medlarkind.KindEngine && u.Version != desired && !beginsInTime(w, r, u.Version, c.idleTTFT+queueSeconds(w, u)+medlarlag.Estimate(w, u)) {
-			continue
+		c, why := consider(w, r, u, sc, u == home)
+		if why == medlarverdict.None {
+			s.options = append(s.options, c)
+		} else if s.excluded != nil {
+			s.excluded(u, why)
 		}
-		if r.KeyTokens != nil && u.Kind == medlarkind.KindEngine && !medlarwindow.Fits(w, r, u, r.PrefixTokens(c.availableParts)) {
-			continue
-		}
-		if u == home {
-			c.cost -= homeDiscount * prefillCost(w, u, r.PromptTokens)
-		}
-		s.options = append(s.options, c)
 	}
 }
 
+// consider returns the option to serve a run by an upstream, or why that is none (R1).
+func consider(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream, sc scope, isHome bool) (option, medlarverdict.Exclusion) {
+	if why := sc.exclusion(r, u, isHome); why != medlarverdict.None {
+		return option{}, why
+	}
+	if why := exclusion(w, r, u); why != medlarverdict.None {
+		return option{}, why
+	}
+	c := evaluate(w, r, u)
+	if u.Kind == medlarkind.KindEngine && u.Version != w.Models[r.Model].Version &&
+		!beginsInTime(w, r, u.Version, c.idleTTFT+queueSeconds(w, u)+medlarlag.Estimate(w, u)) {
+		return option{}, medlarverdict.Weights
+	}
+	if r.KeyTokens != nil && u.Kind == medlarkind.KindEngine && !medlarwindow.Fits(w, r, u, r.PrefixTokens(c.availableParts)) {
+		return option{}, medlarverdict.Window
+	}
+	if isHome {
+		c.cost -= homeDiscount * prefillCost(w, u, r.PromptTokens)
+	}
+	return c, medlarverdict.None
+}
+
+// exclusion returns why an upstream is not in the scope.
+func (sc scope) exclusion(r *medlarworld.Run, u *medlarworld.Upstream, isHome bool) medlarverdict.Exclusion {
+	switch {
+	case !u.InSubset && !sc.wholeFleet && !isHome && r.Service == "":
+		return medlarverdict.Outside
+	case !sc.includeTried && slices.Contains(r.Tried, u):
+		return medlarverdict.Tried
+	case !sc.includeEjected && len(r.Tried) > 0 && u.Ejections > 0:
+		return medlarverdict.Unanswered
+	case sc.build != "" && u.Build != sc.build:
+		return medlarverdict.Build
+	}
+	return medlarverdict.None
+}
+
 // homeOf returns the replica of a build, or of any, with the highest rank for a run's home key or, without
 // one, for its conversation, which the first segment of blocks identifies. It returns
 // nil for a short prompt (R7).
@@ -354,14 +402,36 @@
 	return best
 }
 
-func eligible(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) bool {
-	if !u.Usable(w.Now) || !medlarlimit.HasToken(u) || !medlarbrittle.HasRoom(w, r, u) || !hasCapacity(w, u) {
-		return false
-	}
-	if u.Kind == medlarkind.KindService {
-		return true
-	}
-	if u.Model != r.Model || u.VersionDenied {
+// exclusion returns why an upstream may not get a run in any scope. A further reason is a further case here.
+func exclusion(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) medlarverdict.Exclusion {
+	switch {
+	case u.Leaving:
+		return medlarverdict.Leaving
+	case u.Delisted:
+		return medlarverdict.Delisted
+	case w.Now.Before(u.EjectedUntil):
+		return medlarverdict.Ejected
+	case !u.Usable(w.Now):
+		return medlarverdict.Paused
+	case !medlarlimit.HasToken(u):
+		return medlarverdict.Limited
+	case !medlarbrittle.HasRoom(w, r, u):
+		return medlarverdict.Brittle
+	case !hasCapacity(w, u):
+		return medlarverdict.Full
+	case u.Kind == medlarkind.KindService:
+		return medlarverdict.None
+	case u.Model != r.Model:
+		return medlarverdict.Model
+	case !servesWeights(w, r, u):
+		return medlarverdict.Weights
+	}
+	return medlarverdict.None
+}
+
+// servesWeights reports whether a replica has a weight version that may serve a run.
+func servesWeights(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) bool {
+	if u.VersionDenied {
 		return false
 	}
 	v := assumedVersion(w, u)
--- a/internal/core/medlarsuspect/shared.go
+++ b/internal/core/medlarsuspect/shared.go
@@ -104,7 +104,7 @@
 	}
 	b := t.blocks[p]
 	b.askedAt = now
-	if now.Before(b.grantUntil) && !t.othersBlocked(traits, p) {
+	if t.TrialGranted(now, traits) {
 		b.grantUntil = time.Time{}
 		return "", true
 	}
@@ -115,6 +115,12 @@
 	return p, false
 }
 
+// TrialGranted reports whether a request with these traits may go on as the trial of the one that is blocked.
+func (t *Table) TrialGranted(now time.Time, traits []Trait) bool {
+	p, blocked := t.Blocked(traits)
+	return blocked && now.Before(t.blocks[p].grantUntil) && !t.othersBlocked(traits, p)
+}
+
 func (t *Table) trialDue(now time.Time, b *block) bool {
 	if b.trials >= maxTrials {
 		return false
--- /dev/null
+++ b/internal/core/medlarverdict/medlarverdict.go
@@ -0,0 +1,76 @@
+// Package medlarverdict defines where a request would go now, and why: the reply of the core to a question about a request that
+// is not sent.
+package medlarverdict
+
+import (
+	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarreason"
+)
+
+// Outcome is what would happen to a request.
+type Outcome string
+
+// Outcomes.
+const (
+	Sent    Outcome = "sent"    // to the replica that is chosen
+	Waits   Outcome = "waits"   // for a replica
+	Refused Outcome = "refused" // for a reason
+)
+
+// Exclusion is why a replica is no candidate for a request.
+type Exclusion string
+
+// Exclusions. A replica has the first one that holds, in the order in which they are found.
+const (
+	None       Exclusion = ""
+	Outside    Exclusion = "subset"     // not in the subset of replicas that the instance uses
+	Tried      Exclusion = "tried"      // by the request
+	Unanswered Exclusion = "unanswered" // has not answered since it was ejected
+	Build      Exclusion = "build"      // the stream begins at another software version
+	Leaving    Exclusion = "leaving"
+	Delisted   Exclusion = "delisted"
+	Ejected    Exclusion = "ejected"
+	Paused     Exclusion = "paused"
+	Limited    Exclusion = "limited" // no token of its limit is left
+	Brittle    Exclusion = "brittle" // this instance's part of a brittle replica is in use
+	Full       Exclusion = "full"    // no capacity by its last report
+	Model      Exclusion = "model"
+	Weights    Exclusion = "weights" // another weight version, or one that may not answer in time
+	Window     Exclusion = "window"  // the work that waits there fills the window
+)
+
+// Candidate is a replica that the request could go to. Times are in seconds.
+type Candidate struct {
+	Replica  medlarid.InstanceID `json:"replica"`
+	Zone     medlarid.Zone       `json:"zone"`
+	Home     bool                `json:"home"`     // of the prompt
+	Cost     float64             `json:"cost"`     // by which replicas are compared: the sum of the terms, with a weight for compute
+	Expected float64             `json:"expected"` // until the first event: the sum of the terms
+	Waiting  float64             `json:"waiting"`
+	Fetch    float64             `json:"fetch"`
+	Compute  float64             `json:"compute"`
+	Distance float64             `json:"distance"` // of another availability zone
+	Loading  float64             `json:"loading"`  // of other weights, which is about to begin
+	Cached   int                 `json:"cached"`   // parts of the prompt
+	Held     int                 `json:"held"`     // parts that are cached or can be fetched
+	Because  string              `json:"because"`  // term that most exceeds that of the chosen replica; empty for none
+}
+
+// Excluded is a replica that is no candidate.
+type Excluded struct {
+	Replica medlarid.InstanceID `json:"replica"`
+	Home    bool                `json:"home"`
+	Reason  Exclusion           `json:"reason"`
+}
+
+// Verdict is the decision on a request that is not sent.
+type Verdict struct {
+	Outcome    Outcome             `json:"outcome"`
+	Reason     medlarreason.Reason `json:"reason"`     // of a refusal
+	Retry      float64             `json:"retry"`      // seconds after which a refused caller may come back
+	Ahead      int                 `json:"ahead"`      // waiting requests before this one
+	Replica    medlarid.InstanceID `json:"replica"`    // that is chosen
+	Candidates []Candidate         `json:"candidates"` // the chosen one first, then by cost
+	Excluded   []Excluded          `json:"excluded"`
+	Absent     []int               `json:"absent"` // parts of the prompt, from 0 on, that neither the chosen replica nor a store has
+}
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -283,6 +283,7 @@
 	Config Config
 	Now    time.Time
 	Rand   *rand.Rand
+	source *rand.PCG // of Rand
 
 	Version      medlarid.Offset
 	RecordsAsOf  time.Time // time as of which the operators' records are known
@@ -332,9 +333,11 @@
 
 // New returns a world with empty tables.
 func New(cfg Config) *World {
+	source := rand.NewPCG(cfg.Seed, cfg.Seed)
 	return &World{
 		Config:      cfg,
-		Rand:        rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+		Rand:        rand.New(source),
+		source:      source,
 		Peers:       1,
 		Accounts:    map[medlarid.AccountID]*Account{},
 		Models:      map[medlarid.ModelID]Model{},
