Add medlarctl route: where an instance would send a request now, and why

Cause: an operator who asks why a request would go to a replica, wait or be refused had to send one.

Change: GET /route at the status address of an attached instance answers from its tables. Bad input ends with exit code 1, an instance that does not answer with 5.

Evidence: TestRouteCommand compares the answer with where the same request goes afterwards, and checks that none ran before. TestRouteCommandRejects has 13 rows of bad input, and an instance that has ended.

--- a/internal/agree/medlarcatalog/medlarcatalog.go
+++ b/internal/agree/medlarcatalog/medlarcatalog.go
@@ -221,6 +221,16 @@
 	return a, ok || r.AllowAnonymous || !c.keyRequired
 }
 
+// AccountNamed returns the account with an id that has a key.
+func (c *Catalog) AccountNamed(id medlarid.AccountID) (Account, bool) {
+	for _, a := range c.accounts {
+		if a.ID == id {
+			return a, true
+		}
+	}
+	return Account{}, false
+}
+
 // hostOf returns a host in lower case without its port.
 func hostOf(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -46,6 +46,7 @@
 	"medlarfield/internal/ops/medlarloop"
 	"medlarfield/internal/ops/medlarnotifier"
 	"medlarfield/internal/ops/medlarregistry"
+	"medlarfield/internal/ops/medlarreport"
 	"medlarfield/internal/ops/medlarrequestlog"
 	"medlarfield/internal/ops/medlarrollout"
 	"medlarfield/internal/ops/medlarsettings"
@@ -346,6 +347,8 @@
 			}
 		case "/metrics":
 			metrics(ctx)
+		case medlarreport.RoutePath:
+			i.serveRoute(ctx)
 		default:
 			ctx.SetStatusCode(fasthttp.StatusNotFound)
 		}
--- a/internal/ops/medlarctlcmd/medlarctlcmd.go
+++ b/internal/ops/medlarctlcmd/medlarctlcmd.go
@@ -39,6 +39,7 @@
 	OpWatch   Op = "watch"
 	OpStatus  Op = "status"
 	OpWhen    Op = "when"
+	OpRoute   Op = "route"
 )
 
 // Kind classifies a failure.
@@ -120,7 +121,7 @@
 	flags.DurationVar(&o.timeout, "timeout", 10*time.Second, "time limit of the whole command")
 	root.AddCommand(
 		checkCommand(o), diffCommand(o), publishCommand(o), showCommand(o), historyCommand(o),
-		whenCommand(o), watchCommand(o), statusCommand(o), reasonsCommand(o), explainCommand(), timelineCommand(), keyCommand(), medlarversion.Command(),
+		whenCommand(o), watchCommand(o), statusCommand(o), reasonsCommand(o), explainCommand(), routeCommand(o), timelineCommand(), keyCommand(), medlarversion.Command(),
 	)
 	return root
 }
--- a/internal/ops/medlarloop/medlarloop.go
+++ b/internal/ops/medlarloop/medlarloop.go
@@ -20,6 +20,7 @@
 	"medlarfield/internal/core/medlarcore"
 	"medlarfield/internal/core/medlarfleet"
 	"medlarfield/internal/core/medlarkind"
+	"medlarfield/internal/core/medlarverdict"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -185,6 +186,22 @@
 	}
 }
 
+// Ask returns where a run would go now, without submitting it; ok is false if ctx ends first.
+func (l *Loop) Ask(ctx context.Context, r *medlarworld.Run, limits medlarworld.Limits) (v medlarverdict.Verdict, ok bool) {
+	reply := make(chan medlarverdict.Verdict, 1)
+	select {
+	case l.events <- medlarworld.RouteAsked{Run: r, Limits: limits, Reply: func(v medlarverdict.Verdict) { reply <- v }}:
+	case <-ctx.Done():
+		return v, false
+	}
+	select {
+	case v = <-reply:
+		return v, true
+	case <-ctx.Done():
+		return v, false
+	}
+}
+
 // Run runs ticks until ctx ends (R1, R2).
 func (l *Loop) Run(ctx context.Context) {
 	timer := time.NewTimer(0)
