--- a/internal/ops/medlarctlcmd/route.go
+++ b/internal/ops/medlarctlcmd/route.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/url"
+	"strings"
 
 	"github.com/go-json-experiment/json"
 	"github.com/rotisserie/eris"
@@ -61,6 +62,7 @@
 
 // askRoute asks an instance at its status address.
 func (o *options) askRoute(address string, query url.Values) (v medlarreport.RouteVerdict, err error) {
+	address = strings.TrimSuffix(strings.TrimPrefix(address, "http://"), "/")
 	call := medlarhttp.Request{Method: "GET", Address: medlarid.Address(address), Path: medlarreport.RoutePath + "?" + query.Encode(), Timeout: min(callTimeout, o.timeout)}
 	resp, err := medlarhttp.New(idleTimeout).Do(call)
 	var e *medlarhttp.Error
