--- a/internal/core/medlarheadroom/medlarheadroom.go
+++ b/internal/core/medlarheadroom/medlarheadroom.go
@@ -25,24 +25,21 @@
 	urgentShare = 0.95 // of the cache, for the most urgent class; answers take up the rest
 	otherShare  = 0.75 // for the others (R2)
 	maxWait     = 0.2  // seconds (R3)
-	meanWeight  = 1.0 / 32
+	meanWeight  = 1.0 / 32 // of a prompt in the mean size (R1)
 )
 
-// Sizes has the mean size of the prompts of each model that this instance has sent lately, in tokens.
-type Sizes map[medlarid.ModelID]float64
-
 // Add takes note of a prompt that is sent to a model.
-func (s Sizes) Add(m medlarid.ModelID, n medlarid.Tokens) {
-	mean, known := s[m]
+func Add(w *medlarworld.World, m medlarid.ModelID, n medlarid.Tokens) {
+	mean, known := w.MeanPrompt[m]
 	if !known {
 		mean = float64(n)
 	}
-	s[m] = mean + meanWeight*(float64(n)-mean)
+	w.MeanPrompt[m] = mean + meanWeight*(float64(n)-mean)
 }
 
 // Fits reports whether a run may start at a replica that needs some seconds for the prompts that it still has to
 // compute (R2 to R5).
-func (s Sizes) Fits(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream, pending float64) bool {
+func Fits(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream, pending float64) bool {
 	if u.KVCapacity <= 0 || len(w.Others) < smallFleet || u.TotalOpen() == 0 {
 		return true
 	}
@@ -53,10 +50,10 @@
 		}
 		share = otherShare
 	}
-	return s.held(u)+float64(r.PromptTokens) <= share*float64(u.KVCapacity)
+	return held(w, u)+float64(r.PromptTokens) <= share*float64(u.KVCapacity)
 }
 
 // held returns the tokens of prompts that a replica's cache is taken to hold (R1).
-func (s Sizes) held(u *medlarworld.Upstream) float64 {
-	return float64(u.InFlightTokens) + float64(u.PeerOpen)*s[u.Model]
+func held(w *medlarworld.World, u *medlarworld.Upstream) float64 {
+	return float64(u.InFlightTokens) + float64(u.PeerOpen)*w.MeanPrompt[u.Model]
 }
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -315,6 +315,7 @@
 	Config Config
 	Now    time.Time
 	Rand   *rand.Rand
+	source *rand.PCG // of Rand
 
 	Version      medlarid.Offset
 	RecordsAsOf  time.Time // time as of which the operators' records are known
@@ -346,8 +347,9 @@
 	Suspects *medlarsuspect.Table              // traits of requests that crash replicas
 	Trials   []*Run                            // runs that were admitted as trials of blocked traits
 
-	VirtualTime float64            // virtual time of the queue
-	RetryTokens map[Target]float64 // tokens left in the retry budgets
+	VirtualTime float64                      // virtual time of the queue
+	MeanPrompt  map[medlarid.ModelID]float64 // mean size of the prompts that were sent to a model lately, in tokens
+	RetryTokens map[Target]float64           // tokens left in the retry budgets
 
 	Events   []Event
 	Commands []Command
@@ -365,9 +367,11 @@
 
 // New returns a world with empty tables.
 func New(cfg Config) *World {
+	source := rand.NewPCG(cfg.Seed, cfg.Seed)
 	return &World{
 		Config:      cfg,
-		Rand:        rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+		Rand:        rand.New(source),
+		source:      source,
 		Peers:       1,
 		Accounts:    map[medlarid.AccountID]*Account{},
 		Models:      map[medlarid.ModelID]Model{},
@@ -380,6 +384,7 @@
 		Suspects:    medlarsuspect.New(),
 		Builds:      medlarbuild.New(cfg.Self, time.Duration(xxh3.HashString(string(cfg.Self))%uint64(maxJitter))),
 		RetryTokens: map[Target]float64{},
+		MeanPrompt:  map[medlarid.ModelID]float64{},
 		Warm:        medlarcacheindex.New(maxCachedKeys, cfg.MaxHolders),
 		Exported:    medlarkey.NewSet(maxExportedSegments),
 	}
