--- a/internal/ops/medlardialer/proof_test.go
+++ b/internal/ops/medlardialer/proof_test.go
@@ -73,7 +73,7 @@
 		open, prove error
 		want        State
 	}{
-		{"answers", nil, nil, StateUp},
+		{"answers", nil, nil, StateAnswered},
 		{"does not answer in time", nil, os.ErrDeadlineExceeded, StateUp},
 		{"opens, and ends", nil, io.EOF, StateEnds},
 		{"opens, and is reset", nil, syscall.ECONNRESET, StateEnds},
