Put clients that exhaust memory on an instance as a process

The clients and bounds are those of section A of docs/design/hard-load.md. The stand-in platform gains long answers and replicas that begin to read a long body late.

--- a/internal/stand/medlarfakereplica/exchange.go
+++ b/internal/stand/medlarfakereplica/exchange.go
@@ -114,6 +114,9 @@
 func (x *exchange) servePlain() bool {
 	x.replica.Pace.Work(x.replica.Settings.WorkTime)
 	body := "answer to " + x.header(headerID)
+	if n := x.replica.Settings.AnswerBytes - len(body); n > 0 {
+		body += strings.Repeat(".", n)
+	}
 	switch x.fault {
 	case FaultFail:
 		return writeResponse(x.conn, 500, x.responseFields(), "failed")
--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -75,6 +75,8 @@
 	Slots             int
 	WorkTime          time.Duration           // duration of a plain request, or interval between the events of a stream
 	Events            int                     // number of events in a stream
+	AnswerBytes       int                     // minimum length of the body of a plain response
+	ReadDelay         time.Duration           // before the replica reads a body of more than longBody bytes
 	Model             string                  // empty for a plain service
 	Version           uint64                  // initial weight version
 	Build             string                  // version of the software; each event of a stream names it unless it is empty
@@ -346,6 +348,10 @@
 	bodyLimit = 8 << 20
 )
 
+// longBody is the length above which a body is read after Settings.ReadDelay, in bytes. Buffers of sockets take shorter
+// ones in any case.
+const longBody = 64 << 10
+
 func (r *Replica) serve(c net.Conn) {
 	br := bufio.NewReader(c)
 	for {
@@ -353,6 +359,9 @@
 		if err != nil {
 			return
 		}
+		if h.Length > longBody {
+			time.Sleep(r.Settings.ReadDelay)
+		}
 		body, err := medlarhead.ReadBody(br, h, bodyLimit)
 		r.Pace.Wait()
 		if err != nil || !r.serveRequest(c, br, h, string(body)) || h.Close {
--- a/internal/stand/medlarsite/medlarsite.go
+++ b/internal/stand/medlarsite/medlarsite.go
@@ -40,6 +40,8 @@
 	Plain             int                         // replicas of the plain service
 	Slots             int                         // concurrent requests of each replica
 	Events            int                         // events in each stream
+	AnswerBytes       int                         // minimum length of the body of a plain response
+	ReadDelay         time.Duration               // before a replica of the plain service reads a long body
 	ServiceTime       time.Duration               // service time of a plain request, and the interval between two events of a stream
 	HeartbeatInterval time.Duration               // heartbeat interval of a replica
 	StopDelay         time.Duration               // time for which an instance keeps serving after the signal to stop
@@ -177,6 +179,7 @@
 	for i := range cfg.Plain {
 		if err := s.addReplica(&s.Plain, medlarfakereplica.Settings{
 			ID: fmt.Sprintf("ledger-%d", i+1), Service: Ledger, Zone: "a", Slots: cfg.Slots, WorkTime: cfg.ServiceTime,
+			AnswerBytes: cfg.AnswerBytes, ReadDelay: cfg.ReadDelay,
 			CrashPoint: s.crasher.point, OnCrash: s.replace,
 		}); err != nil {
 			return nil, err
--- a/internal/stand/medlarstandcmd/medlarstandcmd.go
+++ b/internal/stand/medlarstandcmd/medlarstandcmd.go
@@ -34,7 +34,7 @@
 		SilenceErrors: true,
 	}
 	root.SetOut(os.Stdout)
-	root.AddCommand(upCommand(), platformCommand(), trialCommand(), slopesCommand(), loadCommand(), availabilityCommand(), soakCommand(), faultsCommand(), medlarversion.Command())
+	root.AddCommand(upCommand(), platformCommand(), trialCommand(), slopesCommand(), loadCommand(), availabilityCommand(), soakCommand(), memoryCommand(), faultsCommand(), medlarversion.Command())
 	return root
 }
 
--- a/internal/stand/medlarstandcmd/platform.go
+++ b/internal/stand/medlarstandcmd/platform.go
@@ -47,6 +47,8 @@
 	flags.IntVar(&cfg.Engines, "engines", cfg.Engines, "number of replicas of the model engine")
 	flags.IntVar(&cfg.Plain, "plain", cfg.Plain, "number of replicas of the plain service")
 	flags.DurationVar(&cfg.ServiceTime, "work", cfg.ServiceTime, "service time of a plain request, and interval between two events of a stream")
+	flags.IntVar(&cfg.AnswerBytes, "answer", cfg.AnswerBytes, "minimum length of the body of a plain response")
+	flags.DurationVar(&cfg.ReadDelay, "read-delay", cfg.ReadDelay, "time until a replica of the plain service begins to read a long body")
 	flags.IntVar(&cfg.Slots, "slots", cfg.Slots, "concurrent requests of each replica")
 	flags.DurationVar(&cfg.RestartDelay, "restart", cfg.RestartDelay, "time from the crash of a replica until its successor starts; 0 for never")
 	flags.BoolVar(&cfg.KeepID, "keep-id", false, "a successor has the id of the replica that crashed")
