Account for the memory that clients and replicas make an instance hold

Change: medlarmemory accounts for heads, bodies, requests, answers, streams and connections between instances, with a bound for all of them together (a quarter of the settings' memory) and one for each kind. A body's buffer is reserved before it is allocated and doubles as bytes arrive; a length that is only announced reserves nothing. Where there is no memory, a request is refused before it runs (503, the new reason memory, with a Retry-After) and its connection closed. Answers without memory are relayed in small chunks and are not lost. medlar_memory_bytes{kind} shows what is reserved. Chunks of one byte leave no garbage any more.

The process's own interface (`medlard serve`) is not accounted for yet.

--- a/internal/base/medlarevent/medlarevent.go
+++ b/internal/base/medlarevent/medlarevent.go
@@ -76,6 +76,9 @@
 	return 0
 }
 
+// Buffered returns the number of bytes that are buffered behind the last complete event.
+func (c *Splitter) Buffered() int { return len(c.buf) }
+
 // Events returns the number of complete events since the last Resume.
 func (c *Splitter) Events() int { return c.events }
 
--- a/internal/base/medlarhead/body.go
+++ b/internal/base/medlarhead/body.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"strconv"
-	"strings"
 
 	"github.com/rotisserie/eris"
+
+	"medlarfield/internal/base/medlarmemory"
 )
 
 // maxLineBytes limits one line of a chunked body, such as a chunk size, and the
@@ -106,7 +108,7 @@
 		return malformed(OpBody, "head of a further response at the end of a chunk")
 	}
 	if b.chunkRead {
-		if line, err := b.line(); err != nil || line != "" {
+		if line, err := b.line(); err != nil || len(line) > 0 {
 			return b.lineError(err, "chunk end")
 		}
 	}
@@ -114,9 +116,9 @@
 	if err != nil {
 		return err
 	}
-	size, _, _ := strings.Cut(line, ";")
-	size = strings.TrimRight(size, " \t")
-	n, err := strconv.ParseUint(size, 16, 62)
+	size, _, _ := bytes.Cut(line, []byte(";"))
+	size = bytes.TrimRight(size, " \t")
+	n, err := strconv.ParseUint(string(size), 16, 62)
 	if err != nil || size[0] == '+' {
 		return malformed(OpBody, "chunk size")
 	}
@@ -135,7 +137,7 @@
 		if err != nil {
 			return err
 		}
-		if line == "" {
+		if len(line) == 0 {
 			b.done = true
 			return nil
 		}
@@ -151,47 +153,89 @@
 	return malformed(OpBody, reason)
 }
 
-// line reads a line and returns it without its CR LF.
-func (b *Body) line() (string, error) {
+// line reads a line and returns it without its CR LF. It is valid until the next read. A line is copied only if it does
+// not fit into the buffer, so that a body of many small chunks leaves no garbage.
+func (b *Body) line() ([]byte, error) {
 	var line []byte
 	for {
 		part, err := b.br.ReadSlice('\n')
-		line = append(line, part...)
+		if line == nil && err == nil {
+			line = part
+		} else {
+			line = append(line, part...)
+		}
 		if len(line) > maxLineBytes {
-			return "", &Error{Op: OpBody, Kind: KindOversized, Err: eris.New("line of a chunked body")}
+			return nil, &Error{Op: OpBody, Kind: KindOversized, Err: eris.New("line of a chunked body")}
 		}
 		if err == nil {
 			break
 		}
 		if err != bufio.ErrBufferFull {
-			return "", &Error{Op: OpBody, Kind: KindBroken, Err: err}
+			return nil, &Error{Op: OpBody, Kind: KindBroken, Err: err}
 		}
 	}
 	if len(line) < 2 || line[len(line)-2] != '\r' {
-		return "", malformed(OpBody, "line without CR LF")
+		return nil, malformed(OpBody, "line without CR LF")
 	}
-	return string(line[:len(line)-2]), nil
+	return line[:len(line)-2], nil
 }
 
+// firstBody is the length of the first buffer of a body, in bytes. It doubles as bytes arrive, so that a length that is
+// only announced reserves no memory.
+const firstBody = 4096
+
 // ReadBody reads a complete body of at most limit bytes.
 func ReadBody(br *bufio.Reader, h *Head, limit int64) ([]byte, error) {
+	return ReadReservedBody(br, h, limit, nil)
+}
+
+// ReadReservedBody is ReadBody with a buffer that is reserved in r before it is allocated, and stays reserved.
+func ReadReservedBody(br *bufio.Reader, h *Head, limit int64, r *medlarmemory.Reservation) ([]byte, error) {
 	if h.Framing == FramingNone {
 		return nil, nil
 	}
-	if h.Framing == FramingLength && h.Length > limit {
-		return nil, &Error{Op: OpBody, Kind: KindOversized, Err: eris.Errorf("body of more than %d bytes", limit)}
+	longest := limit
+	if h.Framing == FramingLength {
+		if h.Length > limit {
+			return nil, oversizedBody(limit)
+		}
+		longest = h.Length
 	}
 	b := NewBody(br, h)
-	if h.Framing == FramingLength {
-		out := make([]byte, h.Length)
-		_, err := io.ReadFull(b, out)
-		return out, err
+	var out []byte
+	for {
+		n, err := b.Read(out[len(out):cap(out)]) // of a full buffer: detects the end of the body
+		out = out[:len(out)+n]
+		r.Received(n)
+		switch {
+		case err == io.EOF:
+			return out, nil
+		case err != nil:
+			return out, err
+		case len(out) < cap(out) || n > 0:
+		case int64(len(out)) == longest:
+			return nil, oversizedBody(limit)
+		default:
+			if out, err = growBody(out, longest, r); err != nil {
+				return nil, err
+			}
+		}
 	}
-	out, err := io.ReadAll(io.LimitReader(b, limit+1))
-	if err == nil && int64(len(out)) > limit {
-		return nil, &Error{Op: OpBody, Kind: KindOversized, Err: eris.Errorf("body of more than %d bytes", limit)}
+}
+
+func oversizedBody(limit int64) error {
+	return &Error{Op: OpBody, Kind: KindOversized, Err: eris.Errorf("body of more than %d bytes", limit)}
+}
+
+// growBody returns a longer buffer with the bytes of b. Both are reserved while they are copied.
+func growBody(b []byte, longest int64, r *medlarmemory.Reservation) ([]byte, error) {
+	n := int(min(max(firstBody, 2*int64(cap(b))), longest))
+	if err := r.Grow(n); err != nil {
+		return nil, &Error{Op: OpBody, Kind: KindUnreserved, Err: err}
 	}
-	return out, err
+	out := append(make([]byte, 0, n), b...)
+	r.Shrink(cap(b))
+	return out, nil
 }
 
 // ReadSome reads at most limit bytes of a body; body.Done reports whether that was the
--- a/internal/base/medlarhead/medlarhead.go
+++ b/internal/base/medlarhead/medlarhead.go
@@ -58,6 +58,8 @@
 	KindBroken    Kind = "broken"    // the connection ended or failed within a message
 	KindMalformed Kind = "malformed" // not HTTP/1.1, or ambiguous
 	KindOversized Kind = "oversized" // larger than the limit
+	// KindUnreserved means that there is no memory for the message.
+	KindUnreserved Kind = "unreserved"
 )
 
 // Error reports a message that could not be read.
--- a/internal/core/medlarreason/medlarreason.go
+++ b/internal/core/medlarreason/medlarreason.go
@@ -32,6 +32,7 @@
 	Gone            Reason = "gone"
 	Crashing        Reason = "crashing"
 	Unresumable     Reason = "unresumable"
+	Memory          Reason = "memory"
 )
 
 // Reasons of retries.
@@ -98,6 +99,7 @@
 	{Recorded, 409, RanYes, false, "the one attempt was made; its answer is too large to be kept", "look up the request in the service's own records"},
 	{Crashing, 503, RanNo, false, "the request, or a part of its prompt, has crashed replicas", "look for lines with the event block: they name the part, or the hash of the request; fix or withdraw what has it"},
 	{Unresumable, 503, RanNo, true, "the software version that began the stream is not known here, or has no replica", "look for lines with the event builds, and for replicas of that software version; a caller names what it resumes by the id of the request that began it"},
+	{Memory, 503, RanNo, true, "the instance has no memory left for the request", "look at medlar_memory_bytes for what takes it; raise memory in the settings, or add instances"},
 	{Gone, 499, RanUnknown, true, "the caller went away", "none"},
 }
 
--- a/internal/edge/medlarmetric/medlarmetric.go
+++ b/internal/edge/medlarmetric/medlarmetric.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/base/medlarmemory"
 	"medlarfield/internal/core/medlarreason"
 )
 
@@ -208,6 +209,16 @@
 	}))
 }
 
+// RegisterMemory registers a gauge of the bytes that are reserved for each kind of use.
+func (m *Metrics) RegisterMemory(a *medlarmemory.Account) {
+	for _, k := range medlarmemory.Kinds() {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "memory_bytes", Help: "Bytes reserved for what peers make the instance hold, by kind: heads, bodies, requests, answers, streams, connections.",
+			ConstLabels: prometheus.Labels{"kind": k.String()},
+		}, func() float64 { return float64(a.Held(k)) }))
+	}
+}
+
 // AddTokens adds the tokens of a run to the token counters.
 func (m *Metrics) AddTokens(prompt, cached, completion medlarid.Tokens) {
 	m.tokens.WithLabelValues("prompt").Add(float64(prompt))
--- a/internal/edge/medlarproxy/medlarproxy.go
+++ b/internal/edge/medlarproxy/medlarproxy.go
@@ -32,6 +32,7 @@
 	"medlarfield/internal/agree/medlarcatalog"
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/base/medlarmemory"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarcall"
@@ -64,6 +65,7 @@
 	// Paused reports whether an upstream wants no requests at present, as it has said under its incarnation.
 	Paused func(medlarid.InstanceID, medlarid.Incarnation) bool
 	Pool   *medlarpool.Pool
+	Memory *medlarmemory.Account // nil for no bound
 	// Decode parses the metadata of a request.
 	Decode func(*medlarhead.Head) (medlarcall.Call, error)
 	// Forward appends the header fields of a request to an upstream.
@@ -87,8 +89,18 @@
 const (
 	readBuffer      = 4096     // bytes
 	maxBufferedBody = 64 << 10 // bytes; a longer response body is relayed in chunks as it arrives
+
+	// answerCopies is the number of buffers of the size of a response that relaying one takes: a response of an earlier
+	// attempt, the one that is read, and the bytes that are written.
+	answerCopies = 3
+	// eventCopies is the same for an event of a stream: its buffer, which doubles, and the bytes that are written.
+	eventCopies = 3
 )
 
+// memoryRetryAfter is the delay after which a client may retry a request that was refused for lack of memory. What
+// fills it is given up within 10 s, and mostly far earlier.
+const memoryRetryAfter = time.Second
+
 // Proxy serves the requests of clients.
 type Proxy struct {
 	deps     Deps
@@ -102,7 +114,7 @@
 // New returns a proxy. The caller passes listeners to its Server.
 func New(deps Deps) *Proxy {
 	p := &Proxy{deps: deps, open: medlardeadline.New(), patience: medlarpatience.New(), attempts: medlarwithdrawal.New()}
-	p.server = medlarserver.New(medlarserver.Deps{Limits: func() medlarcatalog.Limits { return deps.Catalog().CallerLimits() }, Serve: p.serve, Reject: p.reject})
+	p.server = medlarserver.New(medlarserver.Deps{Limits: func() medlarcatalog.Limits { return deps.Catalog().CallerLimits() }, Memory: deps.Memory, Serve: p.serve, Reject: p.reject})
 	return p
 }
 
@@ -125,6 +137,9 @@
 // reject responds to a request that cannot be read.
 func (p *Proxy) reject(c *medlarserver.Conn, method string, status int, reason medlarreason.Reason) {
 	summary := &medlarcall.Summary{Status: status, Reason: reason, Ran: medlarreason.RanNo}
+	if reason == medlarreason.Memory {
+		summary.RetryAfter = memoryRetryAfter
+	}
 	summary.Complete = c.Send(medlarrefusal.Format{Last: true, Head: method == "HEAD"}.Append(nil, summary, p.deps.Refusal)) == nil
 	p.deps.Observer.RequestEnded(summary)
 }
--- a/internal/edge/medlarproxy/relay.go
+++ b/internal/edge/medlarproxy/relay.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"medlarfield/internal/base/medlarhead"
+	"medlarfield/internal/base/medlarmemory"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
@@ -33,7 +34,7 @@
 	}
 	body := medlarbody.New(a.source(), h)
 	body.RejectHeads(a.isOwn)
-	buf, whole, err := body.ReadSome(maxBufferedBody)
+	buf, whole, err := body.ReadSome(a.reserveAnswer(h))
 	if err != nil {
 		_ = a.upstream.Close()
 		return a.failed(err, medlarreason.Truncated, true)
@@ -51,6 +52,30 @@
 	return a.complete(resp)
 }
 
+// reserveAnswer returns how much of a response is read before it is relayed. Without memory for more that is little: a
+// longer response is relayed in chunks then, and is not retried if it is truncated.
+func (a *attempt) reserveAnswer(h *medlarhead.Head) int {
+	limit := maxBufferedBody
+	if h.Framing == medlarhead.FramingLength {
+		limit = int(min(h.Length, maxBufferedBody))
+	}
+	if limit <= readBuffer || h.Framing == medlarhead.FramingNone { // within the memory of the request
+		return readBuffer
+	}
+	if a.answer != nil { // an earlier response is kept
+		if a.answer.Grow(answerCopies*limit) != nil {
+			return readBuffer
+		}
+		return limit
+	}
+	r, err := a.proxy.deps.Memory.Reserve(medlarmemory.KindAnswers, answerCopies*limit)
+	if err != nil {
+		return readBuffer
+	}
+	a.answer = r
+	return limit
+}
+
 // complete sends a complete response and returns the result of the attempt.
 func (a *attempt) complete(resp *response) medlarworld.AttemptEnded {
 	switch {
@@ -72,11 +97,13 @@
 		_ = a.upstream.Close()
 		return a.ended(medlarkind.CauseCallerLeft, "", true)
 	}
-	buf := make([]byte, maxBufferedBody)
+	buf := make([]byte, max(len(first), readBuffer))
+	var chunk []byte
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
-			if a.write(medlarhead.AppendChunk(nil, buf[:n])) != nil {
+			chunk = medlarhead.AppendChunk(chunk[:0], buf[:n])
+			if a.write(chunk) != nil {
 				_ = a.upstream.Close()
 				return a.ended(medlarkind.CauseCallerLeft, "", true)
 			}
@@ -107,6 +134,7 @@
 // relayStream relays an event stream. The head is sent with the first event, so that a stream
 // that fails before it is retried without the client noticing.
 func (a *attempt) relayStream(h *medlarhead.Head, reply medlarcall.Reply) medlarworld.AttemptEnded {
+	a.memory.SetKind(medlarmemory.KindStreams)
 	body := medlarbody.New(a.source(), h)
 	last := ""
 	if !a.run.AtMostOnce { // otherwise the stream begins anew, whatever event the client names
@@ -120,6 +148,9 @@
 		a.bodyEnd.Complete = err == io.EOF
 		var splitErr error
 		events, splitErr = a.events.Split(events[:0], buf[:n])
+		if splitErr == nil {
+			splitErr = a.reserveEvent()
+		}
 		switch {
 		case splitErr != nil:
 			err = splitErr
@@ -146,6 +177,19 @@
 	return a.finishChunked()
 }
 
+// reserveEvent reserves the memory of an event that has not ended, unless it is within the memory of the request.
+func (x *exchange) reserveEvent() error {
+	need := eventCopies * x.events.Buffered()
+	if need <= eventCopies*readBuffer || need <= x.eventBytes {
+		return nil
+	}
+	err := x.memory.Grow(need - x.eventBytes)
+	if err == nil {
+		x.eventBytes = need
+	}
+	return err
+}
+
 // sendEvents writes complete events, preceded by the response's head if it was not sent yet.
 func (a *attempt) sendEvents(h *medlarhead.Head, events []byte) error {
 	if a.responseStarted {
--- a/internal/edge/medlarserver/medlarserver.go
+++ b/internal/edge/medlarserver/medlarserver.go
@@ -8,6 +8,8 @@
 //	R2  A connection from which bytes were read is closed without a response only if
 //	    the request was truncated.
 //	R3  While the server drains, each response is the last one on its connection.
+//	R4  A request is read only into memory that is reserved for it, until its handler has returned. One for which
+//	    there is none, or that was dropped to make room for others, is refused and its connection closed.
 package medlarserver
 
 import (
@@ -22,6 +24,7 @@
 
 	"medlarfield/internal/agree/medlarcatalog"
 	"medlarfield/internal/base/medlarhead"
+	"medlarfield/internal/base/medlarmemory"
 	"medlarfield/internal/base/medlarprobe"
 	"medlarfield/internal/core/medlarreason"
 )
@@ -31,6 +34,13 @@
 	bodyTimeout  = 10 * time.Second // to read a request body
 	readBuffer   = 4096             // bytes
 	stallTimeout = 10 * time.Second // for a client that does not read
+
+	// requestBytes is what a request needs beside its body while it waits and runs: its head, the stacks of its
+	// goroutines, and the buffers of its connections and of a stream.
+	requestBytes = 32 << 10
+	// headCopies is the number of buffers of the size of a head that reading one takes, as the buffer doubles and is
+	// copied.
+	headCopies = 2
 )
 
 // Request is a request that was read in full.
@@ -38,12 +48,14 @@
 	Conn    *Conn
 	Head    *medlarhead.Head
 	Body    []byte
+	Memory  *medlarmemory.Reservation // of the request, released when Serve returns
 	Arrived time.Time
 }
 
 // Deps are the functions of the instance that the server depends on.
 type Deps struct {
 	Limits func() medlarcatalog.Limits
+	Memory *medlarmemory.Account // nil for no bound
 	// Serve responds to a request and reports whether its connection can be reused.
 	Serve func(Request) bool
 	// Reject responds to a request that cannot be read (R1); method is empty if that cannot be read either.
@@ -170,31 +182,65 @@
 // reused.
 func (s *Server) serveOne(c *Conn, limits medlarcatalog.Limits) bool {
 	arrived := time.Now()
+	r, err := s.deps.Memory.Reserve(medlarmemory.KindHeads, headCopies*limits.MaxHeaderBytes)
+	if err != nil {
+		s.reject(c, "", err)
+		return false
+	}
+	defer r.Release()
+	r.SetUnfinished(func() { _ = c.SetReadDeadline(time.Unix(1, 0)) })
 	_ = c.SetReadDeadline(arrived.Add(limits.HeaderTimeout))
 	h, err := medlarhead.ReadRequest(c.br, limits.MaxHeaderBytes)
-	if err != nil {
+	if err = memoryError(r, err); err != nil {
 		s.reject(c, "", err)
 		return false
 	}
+	if err := r.Move(medlarmemory.KindBodies, requestBytes); err != nil {
+		s.reject(c, h.Method, err)
+		return false
+	}
 	_ = c.SetReadDeadline(time.Now().Add(bodyTimeout))
 	if h.ExpectContinue {
 		if _, err := c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return false
 		}
 	}
-	body, err := medlarhead.ReadBody(c.br, h, int64(limits.MaxBodyBytes))
+	body, err := s.readBody(c, h, int64(limits.MaxBodyBytes), r)
 	if err != nil {
 		s.reject(c, h.Method, err)
 		return false
 	}
 	_ = c.SetReadDeadline(time.Time{})
-	return s.deps.Serve(Request{Conn: c, Head: h, Body: body, Arrived: arrived}) && !h.Close
+	return s.deps.Serve(Request{Conn: c, Head: h, Body: body, Memory: r, Arrived: arrived}) && !h.Close
+}
+
+// readBody reads the body of a request, after which its memory is that of a request that waits or runs (R4).
+func (s *Server) readBody(c *Conn, h *medlarhead.Head, limit int64, r *medlarmemory.Reservation) ([]byte, error) {
+	if r.Dropped() { // while the deadline of the body was set in place of the one that had ended the read
+		return nil, medlarmemory.ErrDropped
+	}
+	body, err := medlarhead.ReadReservedBody(c.br, h, limit, r)
+	if err = memoryError(r, err); err != nil {
+		return nil, err
+	}
+	return body, r.Finish(medlarmemory.KindRequests, requestBytes+cap(body))
+}
+
+// memoryError returns the error of a read, or that the read was ended because its reservation was dropped.
+func memoryError(r *medlarmemory.Reservation, err error) error {
+	if err != nil && r.Dropped() {
+		return medlarmemory.ErrDropped
+	}
+	return err
 }
 
 // reject responds to a request that cannot be read (R1).
 func (s *Server) reject(c *Conn, method string, err error) {
 	reason := medlarreason.Malformed
+	var noMemory *medlarmemory.Error
 	switch kind := medlarhead.KindOf(err); {
+	case errors.As(err, &noMemory):
+		reason = medlarreason.Memory
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		reason = medlarreason.Slow
 	case kind == medlarhead.KindOversized:
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -31,6 +31,7 @@
 	"medlarfield/internal/agree/medlarreadwait"
 	"medlarfield/internal/agree/medlarterm"
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/base/medlarmemory"
 	"medlarfield/internal/core/medlarbudget"
 	"medlarfield/internal/core/medlarcore"
 	"medlarfield/internal/core/medlarkind"
@@ -126,7 +127,7 @@
 		func(h *medlarhttp.Client, c *medlarplatform.Clock) *medlarcalls.KVStores {
 			return medlarcalls.NewKVStores(h, replicaTimeout, c)
 		},
-		medlarplatform.NewClock, medlarmetric.New, newPool,
+		medlarplatform.NewClock, medlarmetric.New, newAccount, newPool,
 		newPeerKey, newDialer, newSocket, newBoard, newNotifier, newLoop, newRegistry, newProxy, newFeeds, newTerm, newRollout, newTracker, newInstance,
 	}
 	for _, p := range providers {
@@ -150,6 +151,16 @@
 	}
 }
 
+// accountShare is the share of the instance's memory that its peers can make it hold. With it the live heap stays below
+// the share at which the collector runs more often, so that garbage takes the rest of that.
+const accountShare = 0.25
+
+func newAccount(cfg medlarsettings.Attached, m *medlarmetric.Metrics) *medlarmemory.Account {
+	account := medlarmemory.New(int64(accountShare * float64(cfg.MemoryMB) * (1 << 20)))
+	m.RegisterMemory(account)
+	return account
+}
+
 func newLoop(cfg medlarsettings.Attached, m *medlarmetric.Metrics, log zerolog.Logger, n *medlarnotifier.Notifier, socket *medlardatagram.Socket,
 	d *medlardialer.Dialer,
 ) *medlarloop.Loop {
@@ -191,7 +202,7 @@
 }
 
 func newProxy(log zerolog.Logger, m *medlarmetric.Metrics, loop *medlarloop.Loop, registry *medlarregistry.Registry, pool *medlarpool.Pool, clock *medlarplatform.Clock,
-	d *medlardialer.Dialer,
+	d *medlardialer.Dialer, memory *medlarmemory.Account,
 ) *medlarproxy.Proxy {
 	proxy := medlarproxy.New(medlarproxy.Deps{
 		Catalog:           registry.Catalog,
@@ -208,6 +219,7 @@
 		OnMalformedHint:   func(medlarid.InstanceID) { m.HintReceived(medlarmetric.HintMalformed) },
 		Paused:            d.Paused,
 		Pool:              pool,
+		Memory:            memory,
 		Decode:            medlarplatform.DecodeCall,
 		Forward:           clock.AppendForward,
 		Reply:             medlarplatform.DecodeReply,
--- a/internal/ops/medlarattachednode/reach.go
+++ b/internal/ops/medlarattachednode/reach.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"medlarfield/internal/agree/medlarnotice"
+	"medlarfield/internal/base/medlarmemory"
 	"medlarfield/internal/core/medlarreach"
 	"medlarfield/internal/edge/medlarmetric"
 	"medlarfield/internal/edge/medlarpool"
@@ -23,10 +24,11 @@
 
 func newPeerKey() peerKey { return peerKey(rand.Uint64()) }
 
-func newDialer(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, key peerKey) *medlardialer.Dialer {
+func newDialer(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, key peerKey, memory *medlarmemory.Account) *medlardialer.Dialer {
 	return medlardialer.New(medlardialer.Deps{
 		Self: cfg.Name, Zone: cfg.Zone, Key: medlartunnel.Key(key),
 		Client:    medlartunnel.NewClient(cfg.Name, medlarpool.SetUserTimeout),
+		Memory:    memory,
 		Dial:      medlarpool.Dial,
 		Prove:     medlarcalls.Prove,
 		OnDial:    func(o medlarreach.Outcome) { m.Connected(string(o)) },
--- a/internal/ops/medlardialer/medlardialer.go
+++ b/internal/ops/medlardialer/medlardialer.go
@@ -24,6 +24,7 @@
 
 	"medlarfield/internal/agree/medlarnotice"
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/base/medlarmemory"
 	"medlarfield/internal/core/medlarreach"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarpath"
@@ -60,6 +61,7 @@
 	Zone   medlarid.Zone
 	Key    medlartunnel.Key
 	Client *medlartunnel.Client
+	Memory *medlarmemory.Account // for connections that are relayed; nil for no bound
 	// Dial opens a direct connection.
 	Dial func(context.Context, medlarid.Address) (net.Conn, error)
 	// Prove makes a call to a replica on a new connection, and returns nil once a byte of the answer has arrived.
@@ -109,7 +111,7 @@
 	}
 	d.avoided = medlaravoidance.New(d.exists)
 	d.server = medlartunnel.NewServer(medlartunnel.Deps{
-		Key: deps.Key, Dial: d.dialForPeer, Prove: d.proveForPeer, OnHint: d.takeHint,
+		Key: deps.Key, Memory: deps.Memory, Dial: d.dialForPeer, Prove: d.proveForPeer, OnHint: d.takeHint,
 		OnRequest: func(_, _ medlarid.InstanceID, r medlartunnel.Result) { deps.OnRequest(r) },
 	})
 	d.paths = medlarpath.New(medlarpath.Deps{
--- a/internal/peer/medlartunnel/medlartunnel.go
+++ b/internal/peer/medlartunnel/medlartunnel.go
@@ -58,7 +58,7 @@
 	ResultSilent  Result = 3 // the replica does not answer
 	ResultCut     Result = 4 // the instance does not reach the replica itself, while others do
 	ResultUnused  Result = 5 // the instance does not know the replica, or sends it nothing at present
-	ResultDenied  Result = 6 // wrong key, or too many connections
+	ResultDenied  Result = 6 // wrong key, too many connections, or no memory for another one
 	ResultTaken   Result = 7 // a hint was taken
 	ResultAnswers Result = 8 // the replica has answered the instance just now
 )
--- a/internal/peer/medlartunnel/server.go
+++ b/internal/peer/medlartunnel/server.go
@@ -9,14 +9,21 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/base/medlarmemory"
 )
 
 // maxOpen is the number of connections that a server relays at once.
 const maxOpen = 1024
 
+// connBytes is the memory of a connection that is relayed: a frame, the buffer of the other direction, and the stacks of
+// two goroutines.
+const connBytes = 64 << 10
+
 // Deps are what a Server depends on.
 type Deps struct {
 	Key Key
+	// Memory is reserved for each connection that is relayed; nil for no bound.
+	Memory *medlarmemory.Account
 	// Dial opens a direct connection to a replica, or returns why it does not (R1).
 	Dial func(ctx context.Context, replica medlarid.InstanceID, incarnation medlarid.Incarnation) (net.Conn, Result)
 	// Prove returns ResultAnswers if a replica answers this instance now, or why it cannot state so (R5).
@@ -131,6 +138,12 @@
 		_, _ = c.Write([]byte{byte(s.deps.Prove(context.Background(), q.hint.Replica, q.hint.Incarnation))})
 		return
 	}
+	memory, err := s.deps.Memory.Reserve(medlarmemory.KindConnections, connBytes)
+	if err != nil {
+		_, _ = c.Write([]byte{byte(ResultDenied)})
+		return
+	}
+	defer memory.Release()
 	s.use(q.hint.Replica, q.sender, 1) // before the replica can state anything that the sender has to know (R6)
 	defer s.use(q.hint.Replica, q.sender, -1)
 	far, result := s.deps.Dial(context.Background(), q.hint.Replica, q.hint.Incarnation)
