--- a/internal/core/medlarheadroom/medlarheadroom.go
+++ b/internal/core/medlarheadroom/medlarheadroom.go
@@ -21,10 +21,10 @@
 )
 
 const (
-	smallFleet  = 16   // instances (R5)
-	urgentShare = 0.95 // of the cache, for the most urgent class; answers take up the rest
-	otherShare  = 0.75 // for the others (R2)
-	maxWait     = 0.2  // seconds (R3)
+	smallFleet  = 16       // instances (R5)
+	urgentShare = 0.95     // of the cache, for the most urgent class; answers take up the rest
+	otherShare  = 0.75     // for the others (R2)
+	maxWait     = 0.2      // seconds (R3)
 	meanWeight  = 1.0 / 32 // of a prompt in the mean size (R1)
 )
 
--- a/internal/core/medlarreason/medlarreason.go
+++ b/internal/core/medlarreason/medlarreason.go
@@ -33,6 +33,7 @@
 	Crashing        Reason = "crashing"
 	Unresumable     Reason = "unresumable"
 	Evacuated       Reason = "evacuated"
+	Memory          Reason = "memory"
 )
 
 // Reasons of retries.
@@ -100,6 +101,7 @@
 	{Crashing, 503, RanNo, false, "the request, or a part of its prompt, has crashed replicas", "look for lines with the event block: they name the part, or the hash of the request; fix or withdraw what has it"},
 	{Unresumable, 503, RanNo, true, "the software version that began the stream is not known here, or has no replica", "look for lines with the event builds, and for replicas of that software version; a caller names what it resumes by the id of the request that began it"},
 	{Evacuated, 503, RanNo, true, "all replicas are in availability zones that are evacuated", "withdraw the record evacuate/ZONE, or add replicas in another availability zone"},
+	{Memory, 503, RanNo, true, "the instance has no memory left for the request", "look at medlar_memory_bytes for what takes it; raise memory in the settings, or add instances"},
 	{Gone, 499, RanUnknown, true, "the caller went away", "none"},
 }
 
