Let new replicas use their room while they start slowly

TestSlowStart plays 1, 36, 143 and 400 instances without a network, with the others' load not told or told 600 ms late, a replica of 16 or 64 slots, and requests waiting at all of them. Without the slow start up to 32,000 requests are in flight at the replica (400 instances, 64 slots; 720 at 36 instances and 16 slots), with it no more than it has slots, and at least 36 of 64 and all of 16 slots run from 2 s on.

With the part of its slots alone, callers waited longer than without a slow start where instances have few requests each: at 143 instances and 12 replicas of 16 slots, 4 of them new, the new ones had at most 5 requests in flight. An instance with less than one request for each replica now lets more instances use the replica: as many as have room if all have as many requests.

--- a/internal/core/medlarpace/medlarpace.go
+++ b/internal/core/medlarpace/medlarpace.go
@@ -21,7 +21,8 @@
 //	R7  An upstream that has just started, is no longer cold, or is no longer ejected, starts slowly: for rampTime each
 //	    instance keeps its own attempts in flight there within a window, which starts from 1, doubles with each answer that
 //	    is on time and halves with each late or failed one. It also keeps within its part of the upstream's slots. The
-//	    number of instances that use the upstream grows with the time since then.
+//	    number of instances that use the upstream grows with the time since then, up to as many as have room in its slots
+//	    if all have as many requests as this one: callers are spread evenly over instances.
 //	R8  An upstream whose service configures no cold rate starts slowly only if the settings ask for it.
 package medlarpace
 
@@ -59,7 +60,8 @@
 const (
 	rampTime      = 3 * time.Second
 	firstSponsors = 4
-	growthTime    = 400 * time.Millisecond // in which the number of instances that use the upstream doubles
+	growthTime    = 50 * time.Millisecond  // in which the number of instances that use the upstream doubles
+	minDemand     = 1e-3                   // runs for each upstream, of an instance without any
 	defaultTarget = 300 * time.Millisecond // within which an answer is on time, for a run without a target
 )
 
@@ -321,7 +323,7 @@
 
 // Admits reports whether an upstream may get an attempt of a run from this instance now.
 func Admits(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) bool {
-	if hasToken(w.Now, u) && fits(w.Now, u) {
+	if hasToken(w.Now, u) && fits(w, u) {
 		return true
 	}
 	if !r.HeldBack {
@@ -345,19 +347,41 @@
 }
 
 // fits reports whether one more attempt fits in this instance's window at an upstream that starts slowly (R7).
-func fits(now time.Time, u *medlarworld.Upstream) bool {
+func fits(w *medlarworld.World, u *medlarworld.Upstream) bool {
 	p := &u.Pace
-	if !slow(now, u) {
+	if !slow(w.Now, u) {
 		return true
 	}
 	if !p.Known {
 		return u.Open < 1 // as one of many
 	}
-	last := min(p.Instances, u.Load.Slots)
-	if p.Rank >= min(last, firstSponsors<<min(now.Sub(p.SlowFrom)/growthTime, 16)) {
+	last := users(w, u)
+	if p.Rank >= min(last, firstSponsors<<min(w.Now.Sub(p.SlowFrom)/growthTime, 16)) {
 		return false
 	}
-	return u.Open < min(p.Window, u.Load.Slots/last)
+	return u.Open < min(p.Window, max(u.Load.Slots/last, 1))
+}
+
+// users returns how many instances may use an upstream at the end of its slow start (R7).
+func users(w *medlarworld.World, u *medlarworld.Upstream) int {
+	most := float64(u.Load.Slots)
+	if d := demand(w, u.Target()); d < 1 {
+		most /= max(d, minDemand)
+	}
+	return min(u.Pace.Instances, int(most))
+}
+
+// demand returns how many runs of this instance wait or are in flight, for each usable upstream of a target. Of the runs
+// that wait it counts those of all targets.
+func demand(w *medlarworld.World, t medlarworld.Target) float64 {
+	runs, usable := len(w.Waiting), 0
+	for _, u := range w.UpstreamsFor(t) {
+		runs += u.Open
+		if u.Usable(w.Now) {
+			usable++
+		}
+	}
+	return float64(runs) / float64(max(usable, 1))
 }
 
 // Take takes the token for an attempt.
