Test cold replicas with attached instances

The stand-in of the platform knows cold replicas: entries with the remaining cold time, the service's cold rate, the most requests in any second, and replicas that start cold or become cold again.

--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -78,6 +78,7 @@
 	Model             string                  // empty for a plain service
 	Version           uint64                  // initial weight version
 	Build             string                  // version of the software; each event of a stream names it unless it is empty
+	ColdTime          time.Duration           // from the start, for which the replica is cold
 	HideBuild         bool                    // the entry does not name Build
 	NameRequests      bool                    // each event of a stream names its request
 	HideVersion       bool                    // a refusal for the weight version does not name the one that runs
@@ -136,6 +137,7 @@
 	limits   []string // limits that responses name
 	arrivals []time.Time
 	crashed  atomic.Bool
+	coldEnd  time.Time // until when the replica is cold
 	brittle  brittleness
 	endings  atomic.Pointer[medlarending.Queue]
 	endless  atomic.Int64 // bytes that faults without end have sent
@@ -155,6 +157,9 @@
 	}
 	r := &Replica{Settings: s, ln: ln, conns: map[net.Conn]bool{}, version: s.Version, changed: changed}
 	r.Settings.Born = max(s.Born, 1)
+	if s.ColdTime > 0 {
+		r.coldEnd = time.Now().Add(s.ColdTime)
+	}
 	r.ShareEndings(&medlarending.Queue{})
 	go r.accept()
 	return r, nil
@@ -265,6 +270,38 @@
 	r.arrivals = append(r.arrivals, time.Now())
 }
 
+// MostArrivals returns the most requests that have reached the replica in any window of a length between two times.
+func (r *Replica) MostArrivals(window time.Duration, from, to time.Time) int {
+	most := 0
+	var in []time.Time
+	for _, at := range r.Arrivals() {
+		if at.Before(from) || at.After(to) {
+			continue
+		}
+		in = append(in, at)
+		for at.Sub(in[0]) > window {
+			in = in[1:]
+		}
+		most = max(most, len(in))
+	}
+	return most
+}
+
+// ColdUntil returns until when the replica is cold.
+func (r *Replica) ColdUntil() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.coldEnd
+}
+
+// BecomeCold makes the replica cold from now on for a time, and calls changed.
+func (r *Replica) BecomeCold(d time.Duration) {
+	r.mu.Lock()
+	r.coldEnd = time.Now().Add(d)
+	r.mu.Unlock()
+	r.changed()
+}
+
 // Kill closes the listener and all connections immediately.
 func (r *Replica) Kill() {
 	_ = r.ln.Close()
@@ -292,6 +329,7 @@
 	Models                 []model `json:",omitempty"`
 	Sequence               uint64
 	Born                   int64 `json:"born"`
+	ColdRemainingMs        int64 `json:",omitempty"`
 }
 
 type model struct {
@@ -311,6 +349,7 @@
 	if r.Settings.HideBuild {
 		e.Version = ""
 	}
+	e.ColdRemainingMs = max(time.Until(r.coldEnd), 0).Milliseconds()
 	if r.leaving {
 		e.Phase = "draining"
 	}
--- a/internal/stand/medlarsite/crash.go
+++ b/internal/stand/medlarsite/crash.go
@@ -120,6 +120,7 @@
 	s.after(s.settings.RestartDelay, func() {
 		next := r.Settings
 		next.Build = cmp.Or(s.settings.NextBuild, next.Build)
+		next.ColdTime = s.settings.ColdTime
 		switch {
 		case s.settings.StaleEntries:
 			next.Listen = r.Address()
--- a/internal/stand/medlarsite/medlarsite.go
+++ b/internal/stand/medlarsite/medlarsite.go
@@ -49,6 +49,8 @@
 	StaleEntries      bool                        // a successor also has its address, and the entry still names the earlier start
 	NextBuild         string                      // software version of the successors of replicas that crash; empty for the same
 	Zones             []string                    // availability zones of the engine's replicas in turn; empty for that of the instances
+	ColdRate          float64                     // requests per second of a cold replica of the engine, from all instances together; 0 for no bound
+	ColdTime          time.Duration               // from the start of a replica that is added, or starts again, for which it is cold
 	HideBuilds        int                         // replicas of the engine whose entries do not name their software version
 	NameRequests      bool                        // each event of a stream names its request
 	HideVersions      bool                        // a refusal for the weight version does not name the one that runs
@@ -108,6 +110,8 @@
 	HealthPath     string
 	MaxConnections int
 	Engine         *Engine `json:",omitempty"`
+	ColdPerS       float64 `json:",omitempty"`
+	ColdStartS     float64 `json:",omitempty"`
 }
 
 // Engine describes the replicas of a service that serves models.
@@ -187,7 +191,9 @@
 			return nil, err
 		}
 	}
-	if err := s.Configure(DefaultConfig()); err != nil {
+	config := DefaultConfig()
+	config.Services[0].ColdPerS, config.Services[0].ColdStartS = cfg.ColdRate, cfg.ColdTime.Seconds()
+	if err := s.Configure(config); err != nil {
 		return nil, err
 	}
 	s.wg.Go(s.runHeartbeat)
@@ -312,7 +318,7 @@
 		return medlarsettings.Attached{}, nil, err
 	}
 	s.servers = append(s.servers, server)
-	return medlarsettings.Attached{
+	out := medlarsettings.Attached{
 		Name: medlarid.InstanceID(name), Zone: "a", Listen: "127.0.0.1:0", Status: "127.0.0.1:0", Peers: "127.0.0.1:0", Store: server.Address,
 		MemoryMB: 256,
 		Bounds: medlarsettings.Bounds{
@@ -321,7 +327,32 @@
 			HeartbeatInterval: duration(s.settings.HeartbeatInterval),
 		},
 		Log: medlarsettings.Log{Level: "info"},
-	}, endpoint, nil
+	}
+	if s.settings.ColdRate > 0 {
+		out.Bounds.ColdOver, out.Bounds.ColdSlack = ColdOver, ColdSlack
+	}
+	return out, endpoint, nil
+}
+
+// The users' bounds on requests at a cold replica in one second: its cold rate times ColdOver, plus ColdSlack.
+const (
+	ColdOver  = 1.5
+	ColdSlack = 5.0
+)
+
+// AddCold starts more replicas of the engine, which are cold for Settings.ColdTime.
+func (s *Site) AddCold(n int) ([]*medlarfakereplica.Replica, error) {
+	var out []*medlarfakereplica.Replica
+	for i := range n {
+		next := s.EngineReplicas()[0].Settings
+		next.ID, next.ColdTime, next.Born = fmt.Sprintf("cold-%d", i+1), s.settings.ColdTime, time.Now().UnixMilli()
+		if err := s.addReplica(&s.Engines, next); err != nil {
+			return nil, err
+		}
+		all := s.EngineReplicas()
+		out = append(out, all[len(all)-1])
+	}
+	return out, nil
 }
 
 func duration(d time.Duration) medlarid.Duration { return medlarid.Duration(d) }
