Count a replica as new by its listing, whatever its clock says

A replica counted as cold by the start time in its entry alone, which is of the replica's clock: one that is a few seconds behind counted as warm at once. A start that shows after the instance has read the replicas first now counts from its listing; one that is listed again after an outage of the store, with the same start, does not. The new rows of TestPhases and TestFreshReplicas fail without that.

Requests whose replicas could all not be reached wait for the next heartbeat instead of being refused for up to 30 s.

--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -174,7 +174,7 @@
 	}
 	u.Zone, u.Address, u.Service, u.Build = m.Zone, m.Address, m.Service, m.Build
 	u.VersionDenied, u.Evacuated = m.VersionDenied, w.Evacuated[m.Zone]
-	u.Pace.ColdRate, u.Pace.ColdTime, u.Pace.StatedUntil = m.ColdRate, m.ColdTime, m.ColdUntil
+	u.Pace.ColdRate, u.Pace.ColdTime, u.Pace.StatedUntil, u.Pace.Fresh = m.ColdRate, m.ColdTime, m.ColdUntil, m.Fresh
 	if m.Slots > 0 {
 		u.Load.Slots = m.Slots
 	}
--- a/internal/core/medlarpace/medlarpace.go
+++ b/internal/core/medlarpace/medlarpace.go
@@ -6,9 +6,9 @@
 //	R1  In any one second, a cold upstream gets from all instances together at most its cold rate times ColdOver, plus
 //	    ColdSlack, requests. Each attempt counts at the instance that starts it: first ones, retries, and those whose
 //	    connection another instance relays.
-//	R2  An upstream is cold for ColdTime from its start, as its entry names it, and for as long as its entry states. One
-//	    that could not be connected to, or has crashed, may have started anew before this instance reads its new entry: it
-//	    counts as cold until a heartbeat shows that its start is still the same.
+//	R2  An upstream is cold for ColdTime from its start, by its listing or as its entry names it, and for as long as its
+//	    entry states. One that could not be connected to, or has crashed, may have started anew before this instance reads
+//	    its new entry: it counts as cold until a heartbeat shows that its start is still the same.
 //	R3  A cold upstream has a few sponsors, those with the highest rendezvous rank of all instances. Their number is such
 //	    that twice as many keep R1: instances that know only half of the others take themselves for sponsors twice as
 //	    often. All other instances send it nothing.
@@ -46,6 +46,7 @@
 	statedMargin  = 300 * time.Millisecond // for requests that take different times to an upstream that states how long it is cold
 	heartbeatLag  = time.Second            // between the writing of a heartbeat and its reading (R2)
 	suspectTime   = 30 * time.Second       // for which an upstream that could not be reached counts as cold at most (R2)
+	suspectWait   = 2 * time.Second        // until a heartbeat shows whether an upstream that could not be reached is the same
 	viewSpread    = 2.9                    // allowed requests in a second for each sponsor: 2 for views that differ (R3), the rest for chance and delays. With 2.6, 21 of 21.5 were reached.
 	sponsorRate   = 0.9                    // requests per second of a sponsor: two take more than a second (R4)
 	ratePart      = 0.95                   // of the cold rate that sponsors use at most
@@ -222,10 +223,11 @@
 	s.setRate(w, u)
 }
 
-// start returns when an upstream has started; by the listing where that is later, or is not known otherwise.
+// start returns when an upstream has started, or a later time. Where its start has shown while this instance read the list,
+// that is when it was listed, whatever the clocks.
 func start(u *medlarworld.Upstream) time.Time {
 	born := time.UnixMilli(int64(u.Incarnation))
-	if u.Incarnation == 0 || born.After(u.ListedAt) {
+	if u.Pace.Fresh || u.Incarnation == 0 || born.After(u.ListedAt) {
 		return u.ListedAt
 	}
 	return born
@@ -446,7 +448,11 @@
 		if !cold(w.Now, u) {
 			return 0
 		}
-		if left := u.Pace.ColdUntil.Sub(w.Now); warm == 0 || left < warm {
+		left := u.Pace.ColdUntil.Sub(w.Now)
+		if !u.Pace.FailedAt.IsZero() {
+			left = min(left, suspectWait)
+		}
+		if warm == 0 || left < warm {
 			warm = left
 		}
 		rate += u.Pace.Rate
--- a/internal/core/medlarpace/medlarpace_test.go
+++ b/internal/core/medlarpace/medlarpace_test.go
@@ -287,6 +287,7 @@
 		{"within the margin", coldTime + clockMargin/2, none, medlarworld.PaceCold},
 		{"warm since a while", coldTime + clockMargin + time.Second, none, medlarworld.PaceSlow},
 		{"warm", time.Minute, none, medlarworld.PaceNone},
+		{"listed just now, by a clock that is far behind", time.Minute, func(_ *medlarworld.Config, p *medlarworld.Pacing) { p.Fresh = true }, medlarworld.PaceCold},
 		{"born in the future", -time.Minute, none, medlarworld.PaceCold},
 		{"cold again", time.Minute, stated(time.Second), medlarworld.PaceCold},
 		{"cold again before", time.Minute, stated(-time.Minute), medlarworld.PaceNone},
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -127,6 +127,7 @@
 type Pacing struct {
 	ColdRate    float64       // requests per second while it is cold; 0 if its service configures none
 	ColdTime    time.Duration // from its start, for which it is cold
+	Fresh       bool          // its start has shown after this instance read the list of upstreams first
 	StatedUntil time.Time     // until when it is cold, as it has stated itself
 	FailedAt    time.Time     // when it could not be reached last; zero if it is known to be in the same start since
 
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -112,6 +112,7 @@
 	ColdRate  float64
 	ColdTime  time.Duration // from its start
 	ColdUntil time.Time     // as the replica itself has stated
+	Fresh     bool          // its start has shown after this instance read the list first
 }
 
 // InstancesListed reports the platform's instance list.
--- a/internal/ops/medlarregistry/cold_test.go
+++ b/internal/ops/medlarregistry/cold_test.go
@@ -82,3 +82,46 @@
 		t.Errorf("cold rate %g for %v, want 11 for 3s", last.ColdRate, last.ColdTime)
 	}
 }
+
+// TestFreshReplicas guards against replicas that count as having run for long although they have just started, as their
+// clocks differ, and against old ones that count as new to an instance that reads them first, or again after an outage.
+func TestFreshReplicas(t *testing.T) {
+	entry := func(born int, first bool) func(*Registry) {
+		return func(r *Registry) {
+			value := fmt.Appendf(nil, `{"Service":"s","Address":"10.0.0.1:1","MaxBatchSize":4,"Phase":"ready","born":%d,"Models":[{"Name":"m","Version":1}]}`, born)
+			r.ApplyReplicaEntries([]medlarfeed.Record{{Key: "r", Value: value}}, first)
+		}
+	}
+	remove := func(r *Registry) {
+		r.ApplyReplicaEntries([]medlarfeed.Record{{Key: "r", Removed: true}}, false)
+	}
+	reported := func(r *Registry) { r.ObserveVersion("r", "2") }
+	for _, tc := range []struct {
+		name  string
+		steps []func(*Registry)
+		want  bool
+	}{
+		{"first read", []func(*Registry){entry(7, true)}, false},
+		{"heartbeat after the first read", []func(*Registry){entry(7, true), entry(7, false)}, false},
+		{"listed later", []func(*Registry){entry(7, false)}, true},
+		{"with changes since", []func(*Registry){entry(7, false), reported, entry(7, false)}, true},
+		{"started again", []func(*Registry){entry(7, true), entry(8, false)}, true},
+		{"back after its entry was removed", []func(*Registry){entry(7, true), remove, entry(7, false)}, false},
+		{"started again after its entry was removed", []func(*Registry){entry(7, true), remove, entry(8, false)}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			got := false
+			r := New(zerolog.Nop(), medlarpool.NewDirect(), func(e medlarworld.Event) {
+				if e, ok := e.(medlarworld.InstancesListed); ok && len(e.Members) > 0 {
+					got = e.Members[0].Fresh
+				}
+			}, ignoreMalformed)
+			for _, step := range tc.steps {
+				step(r)
+			}
+			if got != tc.want {
+				t.Errorf("fresh %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/internal/ops/medlarregistry/medlarregistry.go
+++ b/internal/ops/medlarregistry/medlarregistry.go
@@ -262,7 +262,7 @@
 	}
 	changed := first
 	for _, rec := range records {
-		changed = t.applyEntry(medlarid.InstanceID(rec.Key), rec) || changed
+		changed = t.applyEntry(medlarid.InstanceID(rec.Key), rec, first) || changed
 	}
 	if changed {
 		t.postReplicas()
@@ -289,8 +289,8 @@
 	}
 }
 
-// applyEntry applies one entry and reports whether anything changed.
-func (t *Registry) applyEntry(id medlarid.InstanceID, rec medlarfeed.Record) bool {
+// applyEntry applies one entry and reports whether anything changed. first is set for an entry of the first read.
+func (t *Registry) applyEntry(id medlarid.InstanceID, rec medlarfeed.Record, first bool) bool {
 	old := t.replicas[id]
 	if rec.Removed {
 		delete(t.malformed, id)
@@ -312,7 +312,7 @@
 	if old != nil && old.StartedMs == next.StartedMs && old.Member == next.Member && !old.coldChanged(next.ColdRemaining) {
 		return false // heartbeat without changes
 	}
-	r := &replica{Replica: next, listedAt: time.Now(), cold: coldUntil(next.ColdRemaining)}
+	r := &replica{Replica: next, listedAt: time.Now(), cold: coldUntil(next.ColdRemaining), fresh: !first && t.isFresh(id, old, next.StartedMs)}
 	if old != nil {
 		r.listedAt = old.listedAt
 		r.history = slices.Clone(old.history) // a replica keeps its version when it starts again
@@ -369,7 +369,7 @@
 		}
 		m := r.Member
 		m.Version, m.VersionDenied = r.requestVersion(), r.denied()
-		m.Incarnation, m.ColdUntil = medlarid.Incarnation(r.StartedMs), r.cold
+		m.Incarnation, m.ColdUntil, m.Fresh = medlarid.Incarnation(r.StartedMs), r.cold, r.fresh
 		m.ColdRate, m.ColdTime = t.cold(m.Service)
 		if m.Model != "" {
 			m.PrefillRate = prefill
@@ -391,6 +391,15 @@
 	return e.BytesPerToken, e.CacheTokens
 }
 
+// isFresh reports whether an entry shows a start of a replica that was not listed before. The caller holds t.mu.
+func (t *Registry) isFresh(id medlarid.InstanceID, old *replica, startedMs int64) bool {
+	if old != nil && old.StartedMs == startedMs {
+		return old.fresh
+	}
+	d, ok := t.departed[id]
+	return !ok || d.StartedMs != startedMs
+}
+
 // cold returns how many requests per second a cold replica of a service gets from all instances, and how long after its
 // start it is cold. The caller holds t.mu.
 func (t *Registry) cold(id medlarid.ServiceID) (rate float64, lasting time.Duration) {
