--- a/internal/core/medlarpace/medlarpace.go
+++ b/internal/core/medlarpace/medlarpace.go
@@ -6,9 +6,10 @@
 //	R1  In any one second, a cold upstream gets from all instances together at most its cold rate times ColdOver, plus
 //	    ColdSlack, requests. Each attempt counts at the instance that starts it: first ones, retries, and those whose
 //	    connection another instance relays.
-//	R2  An upstream is cold for ColdTime from its start, as its entry names it, and for as long as its entry states. One
-//	    that could not be connected to, or has crashed, may have started anew before this instance reads its new entry: it
-//	    counts as cold until a heartbeat shows that its start is still the same.
+//	R2  An upstream is cold for ColdTime from its start, by its listing or as its entry names it, and for as long as its
+//	    entry states. One that could not be connected to, or has crashed, may have started anew before this instance reads
+//	    its new entry: it counts as cold until a heartbeat shows that its start is still the same. If most upstreams of a
+//	    target cannot be reached, this instance is cut off from them rather than they have started anew.
 //	R3  A cold upstream has a few sponsors, those with the highest rendezvous rank of all instances. Their number is such
 //	    that twice as many keep R1: instances that know only half of the others take themselves for sponsors twice as
 //	    often. All other instances send it nothing.
@@ -21,7 +22,8 @@
 //	R7  An upstream that has just started, is no longer cold, or is no longer ejected, starts slowly: for rampTime each
 //	    instance keeps its own attempts in flight there within a window, which starts from 1, doubles with each answer that
 //	    is on time and halves with each late or failed one. It also keeps within its part of the upstream's slots. The
-//	    number of instances that use the upstream grows with the time since then.
+//	    number of instances that use the upstream grows with the time since then, up to as many as have room in its slots
+//	    if all have as many requests as this one: callers are spread evenly over instances.
 //	R8  An upstream whose service configures no cold rate starts slowly only if the settings ask for it.
 package medlarpace
 
@@ -45,6 +47,8 @@
 	statedMargin  = 300 * time.Millisecond // for requests that take different times to an upstream that states how long it is cold
 	heartbeatLag  = time.Second            // between the writing of a heartbeat and its reading (R2)
 	suspectTime   = 30 * time.Second       // for which an upstream that could not be reached counts as cold at most (R2)
+	maxSuspects   = 0.5                    // of the upstreams of a target that count as cold since they could not be reached
+	suspectWait   = 2 * time.Second        // until a heartbeat shows whether an upstream that could not be reached is the same
 	viewSpread    = 2.9                    // allowed requests in a second for each sponsor: 2 for views that differ (R3), the rest for chance and delays. With 2.6, 21 of 21.5 were reached.
 	sponsorRate   = 0.9                    // requests per second of a sponsor: two take more than a second (R4)
 	ratePart      = 0.95                   // of the cold rate that sponsors use at most
@@ -59,7 +63,8 @@
 const (
 	rampTime      = 3 * time.Second
 	firstSponsors = 4
-	growthTime    = 400 * time.Millisecond // in which the number of instances that use the upstream doubles
+	growthTime    = 50 * time.Millisecond  // in which the number of instances that use the upstream doubles
+	minDemand     = 1e-3                   // runs for each upstream, of an instance without any
 	defaultTarget = 300 * time.Millisecond // within which an answer is on time, for a run without a target
 )
 
@@ -67,6 +72,7 @@
 type System struct {
 	buckets   map[medlarid.InstanceID]*medlarworld.Bucket
 	phases    map[medlarid.InstanceID]medlarworld.PacePhase // that were reported last
+	lists     int                                           // of the other instances that were read
 	firstRead time.Time                                     // of the others' records
 	lastRead  time.Time
 	knew      bool // the others, at the last update
@@ -91,7 +97,10 @@
 				s.firstRead = w.Now
 			}
 			s.lastRead = w.Now
-		case medlarworld.InstancesAnnounced, medlarworld.InstancesListed:
+		case medlarworld.InstancesAnnounced:
+			s.lists++
+			changed = true
+		case medlarworld.InstancesListed:
 			changed = true
 		case medlarworld.HeartbeatsRead:
 			changed = beat(w, e) || changed
@@ -212,7 +221,9 @@
 		return
 	}
 	p.Instances, p.Known = len(w.Others)+1, s.knew
-	p.Rank = rankAt(w, u)
+	if p.RankedBy != s.lists+1 {
+		p.Rank, p.RankedBy = rankAt(w, u), s.lists+1 // costs a hash for each instance
+	}
 	if !cold(w.Now, u) {
 		p.Rate = 0
 		return
@@ -220,10 +231,11 @@
 	s.setRate(w, u)
 }
 
-// start returns when an upstream has started; by the listing where that is later, or is not known otherwise.
+// start returns when an upstream has started, or a later time. Where its start has shown while this instance read the list,
+// that is when it was listed, whatever the clocks.
 func start(u *medlarworld.Upstream) time.Time {
 	born := time.UnixMilli(int64(u.Incarnation))
-	if u.Incarnation == 0 || born.After(u.ListedAt) {
+	if u.Pace.Fresh || u.Incarnation == 0 || born.After(u.ListedAt) {
 		return u.ListedAt
 	}
 	return born
@@ -321,7 +333,7 @@
 
 // Admits reports whether an upstream may get an attempt of a run from this instance now.
 func Admits(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) bool {
-	if hasToken(w.Now, u) && fits(w.Now, u) {
+	if hasToken(w.Now, u) && fits(w, u) {
 		return true
 	}
 	if !r.HeldBack {
@@ -345,19 +357,41 @@
 }
 
 // fits reports whether one more attempt fits in this instance's window at an upstream that starts slowly (R7).
-func fits(now time.Time, u *medlarworld.Upstream) bool {
+func fits(w *medlarworld.World, u *medlarworld.Upstream) bool {
 	p := &u.Pace
-	if !slow(now, u) {
+	if !slow(w.Now, u) {
 		return true
 	}
 	if !p.Known {
 		return u.Open < 1 // as one of many
 	}
-	last := min(p.Instances, u.Load.Slots)
-	if p.Rank >= min(last, firstSponsors<<min(now.Sub(p.SlowFrom)/growthTime, 16)) {
+	last := users(w, u)
+	if p.Rank >= min(last, firstSponsors<<min(w.Now.Sub(p.SlowFrom)/growthTime, 16)) {
 		return false
 	}
-	return u.Open < min(p.Window, u.Load.Slots/last)
+	return u.Open < min(p.Window, max(u.Load.Slots/last, 1))
+}
+
+// users returns how many instances may use an upstream at the end of its slow start (R7).
+func users(w *medlarworld.World, u *medlarworld.Upstream) int {
+	most := float64(u.Load.Slots)
+	if d := demand(w, u.Target()); d < 1 {
+		most /= max(d, minDemand)
+	}
+	return min(u.Pace.Instances, int(most))
+}
+
+// demand returns how many runs of this instance wait or are in flight, for each usable upstream of a target. Of the runs
+// that wait it counts those of all targets.
+func demand(w *medlarworld.World, t medlarworld.Target) float64 {
+	runs, usable := len(w.Waiting), 0
+	for _, u := range w.UpstreamsFor(t) {
+		runs += u.Open
+		if u.Usable(w.Now) {
+			usable++
+		}
+	}
+	return float64(runs) / float64(max(usable, 1))
 }
 
 // Take takes the token for an attempt.
@@ -388,7 +422,18 @@
 	case medlarkind.CauseRetry, medlarkind.CauseUnknown:
 		r.Upstream.Pace.Window = max(r.Upstream.Pace.Window/2, 1)
 	}
-	return e.Reason == medlarreason.Unreachable && fail(w, r.Upstream.ID, r.Upstream.Incarnation)
+	return e.Reason == medlarreason.Unreachable && maySuspect(w, r.Upstream) && fail(w, r.Upstream.ID, r.Upstream.Incarnation)
+}
+
+// maySuspect reports whether an upstream that could not be reached may count as cold for that (R2).
+func maySuspect(w *medlarworld.World, u *medlarworld.Upstream) bool {
+	suspects, all := 0, w.UpstreamsFor(u.Target())
+	for _, other := range all {
+		if other != u && !other.Pace.FailedAt.IsZero() && w.Now.Sub(other.Pace.FailedAt) < suspectTime {
+			suspects++
+		}
+	}
+	return float64(suspects+1) <= max(maxSuspects*float64(len(all)), 1)
 }
 
 func adjust(w *medlarworld.World, r *medlarworld.Run, after time.Duration) {
@@ -422,7 +467,11 @@
 		if !cold(w.Now, u) {
 			return 0
 		}
-		if left := u.Pace.ColdUntil.Sub(w.Now); warm == 0 || left < warm {
+		left := u.Pace.ColdUntil.Sub(w.Now)
+		if !u.Pace.FailedAt.IsZero() {
+			left = min(left, suspectWait)
+		}
+		if warm == 0 || left < warm {
 			warm = left
 		}
 		rate += u.Pace.Rate
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -127,6 +127,7 @@
 type Pacing struct {
 	ColdRate    float64       // requests per second while it is cold; 0 if its service configures none
 	ColdTime    time.Duration // from its start, for which it is cold
+	Fresh       bool          // its start has shown after this instance read the list of upstreams first
 	StatedUntil time.Time     // until when it is cold, as it has stated itself
 	FailedAt    time.Time     // when it could not be reached last; zero if it is known to be in the same start since
 
@@ -135,6 +136,7 @@
 	Instances int       // that are known, including this one
 	Known     bool      // the other instances are known well enough to share the upstream with them
 	Rank      int       // of this instance among them, from 0 on
+	RankedBy  int       // number of the list of instances that Rank is from; 0 for none
 	Rate      float64   // this instance's part of the cold rate, in requests per second
 	Bucket    *Bucket   // of tokens for attempts while it is cold; nil before that
 	Window    int       // own attempts that it may have in flight in the slow start
