--- a/internal/core/medlarpeerload/medlarpeerload.go
+++ b/internal/core/medlarpeerload/medlarpeerload.go
@@ -15,6 +15,8 @@
 //	R5  In a large fleet reports are added up on the way (medlarsum), and sums of all other instances' load arrive, each
 //	    for a range of hashes. A sum replaces the earlier one of its range, and counts until its oldest report is
 //	    medlarsum.TotalTTL old. Sums for another number of ranges replace all earlier ones.
+//	R6  Sums don't count at plain services. These answer faster than a sum arrives, and the instances of a large fleet
+//	    that know the same would all choose the same one of few.
 package medlarpeerload
 
 import (
@@ -25,6 +27,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlardesired"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarload"
 	"medlarfield/internal/core/medlarsum"
 	"medlarfield/internal/core/medlarworld"
@@ -46,6 +49,7 @@
 type report struct {
 	at    time.Time
 	loads []medlarload.Load
+	isSum bool // of all others in a large fleet
 }
 
 // System keeps the reports of peers.
@@ -97,10 +101,10 @@
 	}
 }
 
-// add adds a report to its upstreams, or takes it away if sign is -1.
+// add adds a report to its upstreams, or takes it away if sign is -1 (R1, R6).
 func (s *System) add(r report, sign int) {
 	for _, l := range r.loads {
-		if u := s.byHash[l.Upstream]; u != nil {
+		if u := s.byHash[l.Upstream]; u != nil && !(r.isSum && u.Kind == medlarkind.KindService) {
 			u.PeerOpen += sign * l.Open
 			u.PeerPending += medlarid.Tokens(sign) * l.Pending
 		}
@@ -129,7 +133,7 @@
 		s.ranges = e.Ranges
 	}
 	s.add(s.sums[e.Range], -1)
-	next := report{at: w.Now.Add(-e.Age), loads: e.Loads}
+	next := report{at: w.Now.Add(-e.Age), loads: e.Loads, isSum: true}
 	s.add(next, 1)
 	s.sums[e.Range] = next
 }
--- a/internal/core/medlarpeerload/medlarpeerload_test.go
+++ b/internal/core/medlarpeerload/medlarpeerload_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarload"
 	"medlarfield/internal/core/medlarworld"
 )
@@ -121,6 +122,14 @@
 		h.list("b")
 		h.assert("b", 30, 64)
 	})
+	t.Run("a plain service counts only its peers' reports", func(t *testing.T) {
+		h := newHarness(t, "a")
+		h.world.Upstreams["a"].Kind = medlarkind.KindService
+		sum(h, 1, 0, 0, load("a", 40, 0))
+		h.assert("a", 0, 0)
+		h.report("p", load("a", 3, 0))
+		h.assert("a", 3, 0)
+	})
 	t.Run("another number of ranges", func(t *testing.T) {
 		h := newHarness(t, "a", "b")
 		sum(h, 2, 0, 0, load("a", 40, 1000))
