Report no part as held that a store has removed in the same changes

Cause: a call for changes may return the addition and the removal of one part. The tracker reported both, and the core applies removals before additions, so that the part counted as held until the store was listed again, and could be fetched.

Change: an addition is reported only if the part is held at the end of the changes.

Evidence: TestPartAddedAndRemovedIsNotHeld failed before (two parts held instead of one) and passes.

--- a/internal/ops/medlarcachetracker/medlarcachetracker.go
+++ b/internal/ops/medlarcachetracker/medlarcachetracker.go
@@ -281,12 +281,17 @@
 		k := ch.Part.key()
 		if ch.Added {
 			st.parts[k] = ch.Part
-			e.Added = append(e.Added, medlarinventory.StoredPart{Key: k, Tokens: ch.Part.Tokens})
 			continue
 		}
 		delete(st.parts, k)
 		e.Removed = append(e.Removed, k)
 	}
+	for _, ch := range c.Changes {
+		k := ch.Part.key()
+		if _, held := st.parts[k]; ch.Added && held { // the core applies removals first
+			e.Added = append(e.Added, medlarinventory.StoredPart{Key: k, Tokens: ch.Part.Tokens})
+		}
+	}
 	t.deps.Post(e)
 }
 
--- a/internal/ops/medlarcachetracker/medlarcachetracker_test.go
+++ b/internal/ops/medlarcachetracker/medlarcachetracker_test.go
@@ -160,6 +160,35 @@
 	}
 }
 
+// TestPartAddedAndRemovedIsNotHeld guards against a part that is reported as held although the store removed it within
+// the same changes that added it: the core applies the removals of a report first.
+func TestPartAddedAndRemovedIsNotHeld(t *testing.T) {
+	f := &fakeStore{epoch: 1}
+	runTracker(t, f,
+		func(*fakeStore) time.Duration { return time.Second },
+		func(f *fakeStore) time.Duration {
+			f.add("1", "a")
+			f.events = append(f.events, Change{Part: part("1", "a")})
+			f.add("1", "b")
+			f.events = append(f.events, Change{Part: part("1", "b")})
+			f.add("1", "b")
+			return 3 * time.Second
+		},
+	)
+	held := map[string]bool{}
+	for _, e := range f.posted {
+		for _, k := range e.Removed {
+			delete(held, k.String())
+		}
+		for _, p := range e.Added {
+			held[p.Key.String()] = true
+		}
+	}
+	if len(held) != 1 || !held[part("1", "b").key().String()] {
+		t.Errorf("held parts are %v, want only the one that was added again", held)
+	}
+}
+
 func TestStoreRestartIsListedAgain(t *testing.T) {
 	f := &fakeStore{epoch: 1}
 	f.add("1", "a")
