Let few instances read each KV store and relay its contents to the rest

Cause: each instance reads the changes of each KV store, which lets 12 calls wait. With 143 instances nearly all calls are refused, each on a connection of its own, and contents are stale, so that parts are computed and saved again.

Change: with more than 12 live instances two of each availability zone (one with more than four zones) read a store, chosen by rendezvous hashing (medlarreader). The others keep a connection to a reader, on the server port that relays connections to replicas, and get complete contents first and changes after (medlarstorerelay). Each 200 ms a subscriber sends a numbered request; ages in answers count back from that request, by a clock that includes suspended time, so that no delay makes contents appear newer. A reader that is silent for 400 ms is replaced by the next in rank. The source of contents is replaced only by complete contents that are dated no earlier. Older builds and zones that don't answer are left to direct reading. Readers of stores in large fleets treat them as contended for 5 s after a refused call rather than 2 min. The tracker lists a store anew when it is to be read again, and only once the earlier calls have ended.

Fleets up to 12 instances read as before.

--- a/internal/edge/medlarmetric/medlarmetric.go
+++ b/internal/edge/medlarmetric/medlarmetric.go
@@ -79,6 +79,7 @@
 	malformed      *prometheus.CounterVec
 	listReads      *prometheus.CounterVec
 	orders         *prometheus.CounterVec
+	storeReads     *prometheus.CounterVec
 	version        prometheus.Gauge
 	era            prometheus.Gauge
 	waiting        prometheus.Gauge
@@ -109,6 +110,7 @@
 	m.callFailures = m.newCounterVec("platform_failures_total", "Failed calls to the platform, by part.", "part")
 	m.malformed = m.newCounterVec("malformed_total", "Records of others that are ignored since they cannot be decoded, by source: replicas, operators, stores.", "source")
 	m.listReads = m.newCounterVec("lists_reads_total", "Reads of the lists stream, by source: log, relay.", "source")
+	m.storeReads = m.newCounterVec("store_reads_total", "Reports on the contents of KV stores, by source: store for answered calls, peer for those of other instances.", "source")
 	m.orders = m.newCounterVec("orders_total", "Orders to engines, by result: given, failed.", "result")
 	m.ttft = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Namespace: namespace, Name: "first_token_seconds", Help: "Time to first token.", Buckets: ttftBuckets,
@@ -238,6 +240,15 @@
 	m.malformed.WithLabelValues(string(s)).Add(float64(n))
 }
 
+// StoreRead records a report on the contents of a KV store, which another instance has read or this one.
+func (m *Metrics) StoreRead(byPeer bool) {
+	source := "store"
+	if byPeer {
+		source = "peer"
+	}
+	m.storeReads.WithLabelValues(source).Inc()
+}
+
 // ExportDropped counts a dropped export.
 func (m *Metrics) ExportDropped() { m.exportsDropped.Inc() }
 
--- a/internal/ops/medlarattachednode/logging.go
+++ b/internal/ops/medlarattachednode/logging.go
@@ -53,18 +53,19 @@
 // that only one of them needs to do.
 func rankOf(cfg medlarsettings.Attached) int { return int(xxh3.HashString(string(cfg.Name)) >> 1) }
 
-func newTracker(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, loop *medlarloop.Loop,
-	registry *medlarregistry.Registry, kvStores *medlarcalls.KVStores,
+func newTracker(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics,
+	registry *medlarregistry.Registry, kvStores *medlarcalls.KVStores, stores *storeReads,
 ) *medlarcachetracker.Tracker {
 	event := func(r medlarcachetracker.StoreRef) *zerolog.Event {
 		return log.Info().Str("event", "stock").Str("store", string(r.ID)).Str("address", string(r.Address))
 	}
-	return medlarcachetracker.New(rankOf(cfg), medlarcachetracker.Deps{
-		Stores:      registry.Stores,
-		List:        kvStores.List,
-		Events:      kvStores.Events,
+	return stores.track(medlarcachetracker.New(rankOf(cfg), medlarcachetracker.Deps{
+		Stores:      stores.direct,
+		List:        stores.list(kvStores.List),
+		Events:      stores.events(kvStores.Events),
 		Free:        kvStores.Free,
-		Post:        loop.Post,
+		Post:        stores.report,
+		Few:         stores.relay.Few,
 		ReplacedAt:  registry.ReplacedAt,
 		PartsUnused: registry.PartsUnused,
 		OnUnavailable: func(r medlarcachetracker.StoreRef, err error) {
@@ -84,7 +85,7 @@
 				event(r).Int("rows", rows).Msg("KV cache store reports rows that describe no part; ignoring them")
 			}
 		},
-	})
+	}))
 }
 
 func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -93,6 +93,7 @@
 	feeds     []*medlarfeed.Feed
 	rollout   *medlarrollout.Rollout
 	tracker   *medlarcachetracker.Tracker
+	stores    *storeReads
 	board     *medlarnotice.Board
 	notifier  *medlarnotifier.Notifier
 	socket    *medlardatagram.Socket
@@ -127,7 +128,7 @@
 			return medlarcalls.NewKVStores(h, replicaTimeout, c)
 		},
 		medlarplatform.NewClock, medlarmetric.New, newPool,
-		newPeerKey, newDialer, newSocket, newBoard, newNotifier, newLoop, newRegistry, newProxy, newFeeds, newTerm, newRollout, newTracker, newInstance,
+		newPeerKey, newPublisher, newTunnelClient, newStoreReads, newDialer, newSocket, newBoard, newNotifier, newLoop, newRegistry, newProxy, newFeeds, newTerm, newRollout, newTracker, newInstance,
 	}
 	for _, p := range providers {
 		if err := c.Provide(p); err != nil {
@@ -141,11 +142,11 @@
 
 func newInstance(cfg medlarsettings.Attached, log zerolog.Logger, logWriter *medlarlogger.Writer, m *medlarmetric.Metrics,
 	loop *medlarloop.Loop, registry *medlarregistry.Registry, proxy *medlarproxy.Proxy, feeds []*medlarfeed.Feed, rollout *medlarrollout.Rollout,
-	tracker *medlarcachetracker.Tracker, board *medlarnotice.Board, notifier *medlarnotifier.Notifier, socket *medlardatagram.Socket,
+	tracker *medlarcachetracker.Tracker, stores *storeReads, board *medlarnotice.Board, notifier *medlarnotifier.Notifier, socket *medlardatagram.Socket,
 	dialer *medlardialer.Dialer,
 ) *Instance {
 	return &Instance{
-		cfg: cfg, log: log, logWriter: logWriter, metrics: m, loop: loop, registry: registry, proxy: proxy, server: proxy.Server(), feeds: feeds, rollout: rollout, tracker: tracker, board: board,
+		cfg: cfg, log: log, logWriter: logWriter, metrics: m, loop: loop, registry: registry, proxy: proxy, server: proxy.Server(), feeds: feeds, rollout: rollout, tracker: tracker, stores: stores, board: board,
 		notifier: notifier, socket: socket, dialer: dialer,
 	}
 }
@@ -308,6 +309,7 @@
 	go i.dialer.Run(ctx)
 	go i.rollout.Run(ctx)
 	go i.tracker.Run(ctx)
+	go i.stores.relay.Run(ctx)
 	go i.serve("callers", func() error { return i.server.Serve(i.listener) })
 	go i.serve("status", func() error { return i.statusServer().Serve(i.statusListener) })
 	i.log.Info().Str("event", "start").Str("listen", string(i.cfg.Listen)).Str("store", string(i.cfg.Store)).Msg("started")
--- a/internal/ops/medlarattachednode/reach.go
+++ b/internal/ops/medlarattachednode/reach.go
@@ -14,6 +14,7 @@
 	"medlarfield/internal/ops/medlarregistry"
 	"medlarfield/internal/ops/medlarsettings"
 	"medlarfield/internal/peer/medlardatagram"
+	"medlarfield/internal/peer/medlarstorerelay"
 	"medlarfield/internal/peer/medlartunnel"
 	"medlarfield/platform/medlarcalls"
 )
@@ -23,12 +24,19 @@
 
 func newPeerKey() peerKey { return peerKey(rand.Uint64()) }
 
-func newDialer(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, key peerKey) *medlardialer.Dialer {
+func newTunnelClient(cfg medlarsettings.Attached) *medlartunnel.Client {
+	return medlartunnel.NewClient(cfg.Name, medlarpool.SetUserTimeout)
+}
+
+func newDialer(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, key peerKey, client *medlartunnel.Client,
+	p *medlarstorerelay.Publisher,
+) *medlardialer.Dialer {
 	return medlardialer.New(medlardialer.Deps{
 		Self: cfg.Name, Zone: cfg.Zone, Key: medlartunnel.Key(key),
-		Client:    medlartunnel.NewClient(cfg.Name, medlarpool.SetUserTimeout),
+		Client:    client,
 		Dial:      medlarpool.Dial,
 		Prove:     medlarcalls.Prove,
+		Publish:   p.Serve,
 		OnDial:    func(o medlarreach.Outcome) { m.Connected(string(o)) },
 		OnProof:   func(o medlarreach.Outcome) { m.Proved(string(o)) },
 		OnAsked:   func(o medlarreach.Outcome) { m.Asked(string(o)) },
--- a/internal/ops/medlarcachetracker/medlarcachetracker.go
+++ b/internal/ops/medlarcachetracker/medlarcachetracker.go
@@ -18,7 +18,8 @@
 //	    refused for a while, the tracker polls at a low rate with a short wait, so that
 //	    many readers share the places. After that it uses long waits, and leaves its
 //	    place for a moment between two calls. A call that doesn't wait at all is as
-//	    expensive as a probe.
+//	    expensive as a probe. Where few instances read each store (medlarreader), a
+//	    refused call counts for a shorter time.
 //	R5  A failed call makes the contents stale, since the store may have lost them, and so does
 //	    one that is overdue: a store that is back soon may be written again before the call fails. The
 //	    next call waits only briefly for changes, as its answer makes them current.
@@ -92,6 +93,8 @@
 type StoreRef struct {
 	ID      medlarid.InstanceID
 	Address medlarid.Address
+	// Turn differs when the store was not to be tracked meanwhile: it is listed anew then.
+	Turn uint64
 }
 
 // Deps are the functions of the instance that the tracker depends on.
@@ -115,6 +118,8 @@
 	OnRecovered   func(StoreRef)
 	OnListed      func(r StoreRef, epoch uint64, parts int)
 	OnFreed       func(r StoreRef, parts int, err error)
+	// Few reports whether few instances read each store, so that it has a place for each of them; nil if it is not known.
+	Few func() bool
 	// OnMalformed is called when rows of a store's answer describe no part; first reports that they are
 	// the first ones of the store.
 	OnMalformed func(r StoreRef, rows int, first bool)
@@ -124,32 +129,93 @@
 type Tracker struct {
 	deps      Deps
 	freeDelay time.Duration // between the replacement of a version and freeing its parts (R3)
+	rescan    chan struct{}
 }
 
 // New returns a tracker for the instance with the given rank, which is 0 or more.
 func New(rank int, deps Deps) *Tracker {
-	return &Tracker{deps: deps, freeDelay: medlarplacement.FreeDelay + time.Duration(rank%ranks)*freeRankDelay}
+	return &Tracker{deps: deps, freeDelay: medlarplacement.FreeDelay + time.Duration(rank%ranks)*freeRankDelay, rescan: make(chan struct{}, 1)}
+}
+
+// Rescan makes the tracker look for new and removed stores at once.
+func (t *Tracker) Rescan() {
+	select {
+	case t.rescan <- struct{}{}:
+	default:
+	}
+}
+
+// tracking is a store that is tracked, or was until now.
+type tracking struct {
+	cancel context.CancelFunc
+	done   chan struct{} // closed when the last call has ended
+	ending bool
+}
+
+// start starts to track a store.
+func (t *Tracker) start(ctx context.Context, r StoreRef) *tracking {
+	one, cancel := context.WithCancel(ctx)
+	out := &tracking{cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer t.Rescan()
+		defer close(out.done)
+		t.track(one, r)
+	}()
+	return out
+}
+
+// tracks reports whether a store is tracked, or a call of an earlier turn has not ended.
+func tracks(running map[StoreRef]*tracking, id medlarid.InstanceID) bool {
+	for r := range running {
+		if r.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// ended reports whether the last call has ended.
+func (r *tracking) ended() bool {
+	select {
+	case <-r.done:
+		return true
+	default:
+		return false
+	}
 }
 
 // Run tracks the stores until ctx is done.
 func (t *Tracker) Run(ctx context.Context) {
-	running := map[StoreRef]context.CancelFunc{}
+	running := map[StoreRef]*tracking{}
 	for ctx.Err() == nil {
 		refs := t.deps.Stores()
-		for _, r := range refs {
-			if running[r] == nil {
-				one, cancel := context.WithCancel(ctx)
-				running[r] = cancel
-				go t.track(one, r)
-			}
-		}
-		for r, cancel := range running {
+		for r, one := range running {
 			if !slices.Contains(refs, r) {
-				cancel()
+				one.cancel()
+				one.ending = true
+			}
+			if one.ending && one.ended() {
 				delete(running, r)
 			}
 		}
-		medlarpause.For(ctx, scanInterval)
+		for _, r := range refs {
+			// A report of an earlier call must not come after the first one of the next turn.
+			if !tracks(running, r.ID) {
+				running[r] = t.start(ctx, r)
+			}
+		}
+		t.pauseScan(ctx)
+	}
+}
+
+// pauseScan waits for the next look for new and removed stores.
+func (t *Tracker) pauseScan(ctx context.Context) {
+	timer := time.NewTimer(scanInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-t.rescan:
 	}
 }
 
@@ -236,6 +302,9 @@
 	st.refused = c.Throttled
 	if c.Throttled {
 		st.contendedUntil = time.Now().Add(contendedTime)
+		if t.few() {
+			st.contendedUntil = time.Now().Add(contendedInitial)
+		}
 		return nil
 	}
 	t.reportMalformed(st, c)
@@ -249,6 +318,10 @@
 	return nil
 }
 
+// few reports whether the store has a place for each of its readers. A refused call is then due to readers that are
+// about to leave.
+func (t *Tracker) few() bool { return t.deps.Few != nil && t.deps.Few() }
+
 // void makes the contents posted for a store stale, in a start of the store (R1, R5).
 func (t *Tracker) void(st *trackedStore, epoch uint64) {
 	t.deps.Post(medlarworld.InventoryReported{Store: st.ref.ID, Epoch: epoch}) // without a time
--- a/internal/ops/medlardialer/medlardialer.go
+++ b/internal/ops/medlardialer/medlardialer.go
@@ -29,6 +29,7 @@
 	"medlarfield/internal/edge/medlarpath"
 	"medlarfield/internal/edge/medlarpool"
 	"medlarfield/internal/ops/medlaravoidance"
+	"medlarfield/internal/peer/medlarstorerelay"
 	"medlarfield/internal/peer/medlartunnel"
 )
 
@@ -64,6 +65,8 @@
 	Dial func(context.Context, medlarid.Address) (net.Conn, error)
 	// Prove makes a call to a replica on a new connection, and returns nil once a byte of the answer has arrived.
 	Prove func(net.Conn) error
+	// Publish passes the contents of KV stores to another instance until the connection ends; nil if this one does not.
+	Publish func(net.Conn)
 	// OnDial is called with how each attempt to open a direct connection ended, OnAsked with what each instance that
 	// was asked for one has stated, and OnRequest with what this one has stated to another.
 	OnDial    func(medlarreach.Outcome)
@@ -89,10 +92,11 @@
 	mu      sync.Mutex
 	table   *medlarreach.Table
 	peers   map[medlarid.InstanceID]medlartunnel.Peer
-	relayed map[relay]time.Time // when a connection that is relayed was used last
-	wake    chan struct{}       // has an element if a path may be broken or suspected
-	polling bool                // Run looks for such paths
-	keptAt  time.Time           // when the paths to replicas that are gone were forgotten last
+	zones   map[medlarid.InstanceID]medlarid.Zone // of peers
+	relayed map[relay]time.Time                   // when a connection that is relayed was used last
+	wake    chan struct{}                         // has an element if a path may be broken or suspected
+	polling bool                                  // Run looks for such paths
+	keptAt  time.Time                             // when the paths to replicas that are gone were forgotten last
 }
 
 // relay is an instance that relays to a replica.
@@ -104,12 +108,13 @@
 		deps:    deps,
 		table:   medlarreach.New(deps.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		peers:   map[medlarid.InstanceID]medlartunnel.Peer{},
+		zones:   map[medlarid.InstanceID]medlarid.Zone{},
 		relayed: map[relay]time.Time{},
 		wake:    make(chan struct{}, 1),
 	}
 	d.avoided = medlaravoidance.New(d.exists)
 	d.server = medlartunnel.NewServer(medlartunnel.Deps{
-		Key: deps.Key, Dial: d.dialForPeer, Prove: d.proveForPeer, OnHint: d.takeHint,
+		Key: deps.Key, Dial: d.dialForPeer, Prove: d.proveForPeer, OnHint: d.takeHint, Publish: deps.Publish,
 		OnRequest: func(_, _ medlarid.InstanceID, r medlartunnel.Result) { deps.OnRequest(r) },
 	})
 	d.paths = medlarpath.New(medlarpath.Deps{
@@ -136,9 +141,10 @@
 	next := medlartunnel.Peer{Address: p.Relay, Key: medlartunnel.Key(p.Key)}
 	if p.Relay == "" {
 		delete(d.peers, id)
+		delete(d.zones, id)
 		d.table.RemovePeer(id)
 	} else if old != next {
-		d.peers[id] = next
+		d.peers[id], d.zones[id] = next, p.Zone
 		d.table.SetPeer(medlarreach.Peer{ID: id, Zone: p.Zone})
 	}
 	d.mu.Unlock()
@@ -154,6 +160,17 @@
 	return slices.Sorted(maps.Keys(d.peers))
 }
 
+// Instances returns the other instances that may relay, with their zones, sorted by id.
+func (d *Dialer) Instances() []medlarstorerelay.Instance {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make([]medlarstorerelay.Instance, 0, len(d.peers))
+	for _, id := range slices.Sorted(maps.Keys(d.peers)) {
+		out = append(out, medlarstorerelay.Instance{ID: id, Zone: d.zones[id], Peer: d.peers[id]})
+	}
+	return out
+}
+
 // Cut reports whether the instance is cut off from the replicas.
 func (d *Dialer) Cut() bool {
 	d.mu.Lock()
--- a/internal/peer/medlartunnel/formats_test.go
+++ b/internal/peer/medlartunnel/formats_test.go
@@ -37,7 +37,7 @@
 
 // TestResultsKeepTheirNumbers guards against an answer that another build takes for another one.
 func TestResultsKeepTheirNumbers(t *testing.T) {
-	got := []Result{ResultOpened, ResultRefused, ResultSilent, ResultCut, ResultUnused, ResultDenied, ResultTaken, ResultAnswers}
+	got := []Result{ResultOpened, ResultRefused, ResultSilent, ResultCut, ResultUnused, ResultDenied, ResultTaken, ResultAnswers, ResultFollows}
 	for i, r := range got {
 		if r != Result(i+1) {
 			t.Errorf("result %d has number %d", i+1, r)
--- a/internal/peer/medlartunnel/medlartunnel.go
+++ b/internal/peer/medlartunnel/medlartunnel.go
@@ -16,6 +16,8 @@
 //	R6  What a replica has stated to one side about further requests is passed to the other one, and by the instance
 //	    between to all for which it relays, since the replica states it to the instance between and does not know who has
 //	    asked.
+//	R7  An instance can also be asked for the contents of KV stores (medlarstorerelay). An instance that does not pass them
+//	    on answers ResultUnused, as for a replica that it does not know. These connections don't delay a stop.
 package medlartunnel
 
 import (
@@ -61,6 +63,7 @@
 	ResultDenied  Result = 6 // wrong key, or too many connections
 	ResultTaken   Result = 7 // a hint was taken
 	ResultAnswers Result = 8 // the replica has answered the instance just now
+	ResultFollows Result = 9 // the contents of KV stores follow
 )
 
 // Op names the operation that failed.
@@ -72,6 +75,8 @@
 	OpOpen   Op = "open"
 	OpTell   Op = "tell"
 	OpProve  Op = "prove"
+
+	OpSubscribe Op = "subscribe"
 )
 
 // Kind classifies a failure.
@@ -138,6 +143,19 @@
 	return nil
 }
 
+// Subscribe opens a connection on which another instance passes on the contents of KV stores (R7).
+func (c *Client) Subscribe(ctx context.Context, p Peer) (net.Conn, error) {
+	conn, result, err := c.ask(ctx, OpSubscribe, p, &request{sender: c.self, key: p.Key, subscribe: true})
+	if err != nil {
+		return nil, err
+	}
+	if result != ResultFollows {
+		_ = conn.Close()
+		return nil, &Error{Op: OpSubscribe, Kind: KindAnswered, Result: result, Err: eris.New("contents of stores are not passed on")}
+	}
+	return conn, nil
+}
+
 // Tell passes on what a replica has stated to this instance (R6).
 func (c *Client) Tell(ctx context.Context, p Peer, h Hint) error {
 	conn, result, err := c.ask(ctx, OpTell, p, &request{sender: c.self, key: p.Key, hint: h})
--- a/internal/peer/medlartunnel/medlartunnel_test.go
+++ b/internal/peer/medlartunnel/medlartunnel_test.go
@@ -308,3 +308,46 @@
 		t.Errorf("users %v, want the client", got)
 	}
 }
+
+// TestSubscribe guards against contents of stores that go to an instance that does not know the key, against an older
+// build that is taken for one that passes them on, and against connections that delay a stop.
+func TestSubscribe(t *testing.T) {
+	f := newFixture(t)
+	f.result = ResultUnused // as for a replica without an id
+	wantResult := func(p Peer, want Result) {
+		t.Helper()
+		var e *Error
+		if _, err := f.client.Subscribe(t.Context(), p); !errors.As(err, &e) || e.Result != want {
+			t.Errorf("answer is %v, want result %d", err, want)
+		}
+	}
+	wantResult(f.peer, ResultUnused)
+	published := make(chan net.Conn, 1)
+	server := NewServer(Deps{Key: 7, Publish: func(c net.Conn) {
+		published <- c
+		_, _ = io.Copy(c, c)
+	}})
+	if err := server.Listen("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	wantResult(Peer{Address: server.Address(), Key: 8}, ResultDenied)
+	near, err := f.client.Subscribe(t.Context(), Peer{Address: server.Address(), Key: 7})
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-published
+	b := make([]byte, 4)
+	_, _ = near.Write([]byte("ping"))
+	if _, err := io.ReadFull(near, b); err != nil || string(b) != "ping" {
+		t.Errorf("%q passed on, %v", b, err)
+	}
+	if n := server.Open(); n != 0 {
+		t.Errorf("%d open connections delay a stop, want 0", n)
+	}
+	server.Stop()
+	_ = near.SetReadDeadline(time.Now().Add(soon))
+	if _, err := near.Read(b); err != io.EOF && !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("connection does not end with the stop: %v", err)
+	}
+}
--- a/internal/peer/medlartunnel/message.go
+++ b/internal/peer/medlartunnel/message.go
@@ -20,6 +20,7 @@
 	fieldLeaving     protowire.Number = 5 // varint, 1 if the replica leaves
 	fieldPause       protowire.Number = 6 // varint, milliseconds
 	fieldProve       protowire.Number = 7 // varint, 1 if the instance is asked whether the replica answers it
+	fieldSubscribe   protowire.Number = 8 // varint, 1 if the instance is asked for the contents of KV stores
 )
 
 // maxRequest bounds the length of a request, in bytes.
@@ -33,13 +34,14 @@
 	Pause       time.Duration // for which the replica asks for no requests; 0 for none
 }
 
-// request is the first message on a connection: it asks for a connection to a replica or whether that answers, or
-// passes on a hint.
+// request is the first message on a connection: it asks for a connection to a replica, whether that answers, or for the
+// contents of KV stores, or passes on a hint.
 type request struct {
-	sender medlarid.InstanceID
-	key    Key
-	prove  bool
-	hint   Hint
+	sender    medlarid.InstanceID
+	key       Key
+	prove     bool
+	subscribe bool
+	hint      Hint
 }
 
 // isHint reports whether the request passes on a hint.
@@ -62,6 +64,9 @@
 	if q.prove {
 		b = appendVarint(b, fieldProve, 1)
 	}
+	if q.subscribe {
+		b = appendVarint(b, fieldSubscribe, 1)
+	}
 	return append(protowire.AppendVarint(nil, uint64(len(b))), b...)
 }
 
@@ -150,6 +155,8 @@
 			q.hint.Leaving = v != 0
 		case fieldProve:
 			q.prove = v != 0
+		case fieldSubscribe:
+			q.subscribe = v != 0
 		case fieldPause:
 			q.hint.Pause = time.Duration(min(v, maxPauseMs)) * time.Millisecond
 		}
--- a/internal/peer/medlartunnel/server.go
+++ b/internal/peer/medlartunnel/server.go
@@ -23,6 +23,8 @@
 	Prove func(ctx context.Context, replica medlarid.InstanceID, incarnation medlarid.Incarnation) Result
 	// OnHint is called with what a replica has stated to another instance, which has passed it on (R6).
 	OnHint func(sender medlarid.InstanceID, h Hint)
+	// Publish passes on the contents of KV stores until the connection ends (R7); nil if this instance does not.
+	Publish func(net.Conn)
 	// OnRequest is called with the result of each request for a connection.
 	OnRequest func(sender, replica medlarid.InstanceID, r Result)
 }
@@ -33,13 +35,16 @@
 	ln   net.Listener
 
 	mu    sync.Mutex
-	conns map[net.Conn]bool                                   // all that are open
-	users map[medlarid.InstanceID]map[medlarid.InstanceID]int // senders with connections to each replica
+	conns map[net.Conn]bool // all that are open, but those in followers
+	// followers are the connections on which the contents of KV stores are passed on. They end with Stop.
+	followers map[net.Conn]bool
+	stopped   bool
+	users     map[medlarid.InstanceID]map[medlarid.InstanceID]int // senders with connections to each replica
 }
 
 // NewServer returns a Server that does not listen yet.
 func NewServer(deps Deps) *Server {
-	return &Server{deps: deps, conns: map[net.Conn]bool{}, users: map[medlarid.InstanceID]map[medlarid.InstanceID]int{}}
+	return &Server{deps: deps, conns: map[net.Conn]bool{}, followers: map[net.Conn]bool{}, users: map[medlarid.InstanceID]map[medlarid.InstanceID]int{}}
 }
 
 // Listen takes requests at an address until Close.
@@ -56,14 +61,20 @@
 // Address returns where the server takes requests. It is valid once Listen has returned.
 func (s *Server) Address() medlarid.Address { return medlarid.Address(s.ln.Addr().String()) }
 
-// Stop takes no more requests; open connections stay.
+// Stop takes no more requests; open connections to replicas stay.
 func (s *Server) Stop() {
 	if s.ln != nil {
 		_ = s.ln.Close()
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
+	for c := range s.followers {
+		_ = c.Close()
+	}
 }
 
-// Open returns the number of open connections.
+// Open returns the number of open connections that delay a stop.
 func (s *Server) Open() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -131,6 +142,10 @@
 		_, _ = c.Write([]byte{byte(s.deps.Prove(context.Background(), q.hint.Replica, q.hint.Incarnation))})
 		return
 	}
+	if q.subscribe {
+		s.publish(c)
+		return
+	}
 	s.use(q.hint.Replica, q.sender, 1) // before the replica can state anything that the sender has to know (R6)
 	defer s.use(q.hint.Replica, q.sender, -1)
 	far, result := s.deps.Dial(context.Background(), q.hint.Replica, q.hint.Incarnation)
@@ -146,6 +161,37 @@
 	}
 }
 
+// publish passes on the contents of KV stores (R7).
+func (s *Server) publish(c net.Conn) {
+	if s.deps.Publish == nil || !s.addFollower(c) {
+		_, _ = c.Write([]byte{byte(ResultUnused)})
+		return
+	}
+	defer s.removeFollower(c)
+	_ = c.SetDeadline(time.Time{})
+	if _, err := c.Write([]byte{byte(ResultFollows)}); err == nil {
+		s.deps.Publish(c)
+	}
+}
+
+// addFollower makes a connection one that does not delay a stop, unless the server has stopped.
+func (s *Server) addFollower(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped || len(s.followers) >= maxOpen {
+		return false
+	}
+	delete(s.conns, c)
+	s.followers[c] = true
+	return true
+}
+
+func (s *Server) removeFollower(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.followers, c)
+}
+
 // relay copies the bytes of both sides until one of them ends (R2 to R4).
 func relay(near, far net.Conn) {
 	done := make(chan struct{})
--- a/internal/stand/medlarsite/medlarsite.go
+++ b/internal/stand/medlarsite/medlarsite.go
@@ -107,6 +107,15 @@
 	HealthPath     string
 	MaxConnections int
 	Engine         *Engine `json:",omitempty"`
+	*KVStore
+}
+
+// KVStore describes a service that is a store of kept context.
+type KVStore struct {
+	KvStoreAddr, Zone       string
+	KvCapacity, MaxInflight int
+	Managed                 bool
+	LinkMbps                float64
 }
 
 // Engine describes the replicas of a service that serves models.
