Keep fewer changes of KV stores for subscribers that are behind

Cause: a reader kept the last 4,096 changes of each store and, once there were as many, copied them for each report. This holds for small fleets too, where nobody subscribes.

Change: it keeps 1,024 to 2,048 and drops the older half at once. A subscriber is behind by 0.2 s at most, so that it needs few.

--- a/internal/peer/medlarstorerelay/message.go
+++ b/internal/peer/medlarstorerelay/message.go
@@ -47,7 +47,8 @@
 	maxTokens    = 1 << 30   // tokens of a part
 	maxAge       = time.Hour // older contents have no date
 	listPiece    = 2048      // parts in a piece of a list
-	maxRecent    = 4096      // changes that a reader keeps for subscribers that are behind
+	maxRecent    = 2048      // changes that a reader keeps of a store for subscribers that are behind
+	minRecent    = 1024      // changes that it keeps when it drops older ones
 	keyBytes     = len(medlarkey.Key{})
 	statePerPart = keyBytes + 5 // bytes of a part in a message, at most
 )
--- a/internal/peer/medlarstorerelay/publisher.go
+++ b/internal/peer/medlarstorerelay/publisher.go
@@ -134,7 +134,8 @@
 	for _, a := range e.Added {
 		s.recent = append(s.recent, change{sequence: s.sequence, part: a})
 	}
-	if n := len(s.recent) - maxRecent; n > 0 {
+	if len(s.recent) > maxRecent {
+		n := len(s.recent) - minRecent
 		s.oldest = s.recent[n-1].sequence
 		for n < len(s.recent) && s.recent[n].sequence == s.oldest {
 			n++
