Take the lower of two readings of the time suspended for dates of contents

Cause: the time for which an instance was suspended is the difference of two clocks that are read one after the other. A process that is not run in between reads too much; as the begin of a call or request, this makes contents appear newer.

Change: the begin of a call to a store and of a request to a reader take the lower of two readings.

--- a/internal/peer/medlarstorerelay/medlarstorerelay.go
+++ b/internal/peer/medlarstorerelay/medlarstorerelay.go
@@ -323,7 +323,7 @@
 	for id, s := range c.stores {
 		q.wants = append(q.wants, want{store: id, generation: s.generation})
 	}
-	c.pings[c.nonce] = ping{at: time.Now(), suspended: r.deps.Suspended()} // before it is sent
+	c.pings[c.nonce] = ping{at: time.Now(), suspended: least(r.deps.Suspended)} // before it is sent
 	return q, true
 }
 
--- a/internal/peer/medlarstorerelay/publisher.go
+++ b/internal/peer/medlarstorerelay/publisher.go
@@ -84,12 +84,16 @@
 
 // Began records that a call to a store begins, whose answer is reported next.
 func (p *Publisher) Began(store medlarid.InstanceID) {
-	now := p.suspended()
+	now := least(p.suspended)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.began[store] = now
 }
 
+// least returns the lower of two readings of the time suspended. A reading is the difference of two clocks, and too high if
+// the process is not run between these; contents would appear newer by that.
+func least(suspended func() time.Duration) time.Duration { return min(suspended(), suspended()) }
+
 // Report records what this instance has read from a store.
 func (p *Publisher) Report(e medlarworld.InventoryReported) {
 	p.mu.Lock()
