--- a/internal/ops/medlarattachednode/reach.go
+++ b/internal/ops/medlarattachednode/reach.go
@@ -15,6 +15,7 @@
 	"medlarfield/internal/ops/medlarregistry"
 	"medlarfield/internal/ops/medlarsettings"
 	"medlarfield/internal/peer/medlardatagram"
+	"medlarfield/internal/peer/medlarstorerelay"
 	"medlarfield/internal/peer/medlartunnel"
 	"medlarfield/platform/medlarcalls"
 )
@@ -24,13 +25,20 @@
 
 func newPeerKey() peerKey { return peerKey(rand.Uint64()) }
 
-func newDialer(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, key peerKey, memory *medlarmemory.Account) *medlardialer.Dialer {
+func newTunnelClient(cfg medlarsettings.Attached) *medlartunnel.Client {
+	return medlartunnel.NewClient(cfg.Name, medlarpool.SetUserTimeout)
+}
+
+func newDialer(cfg medlarsettings.Attached, log zerolog.Logger, m *medlarmetric.Metrics, key peerKey, client *medlartunnel.Client,
+	p *medlarstorerelay.Publisher, memory *medlarmemory.Account,
+) *medlardialer.Dialer {
 	return medlardialer.New(medlardialer.Deps{
 		Self: cfg.Name, Zone: cfg.Zone, Key: medlartunnel.Key(key),
-		Client:    medlartunnel.NewClient(cfg.Name, medlarpool.SetUserTimeout),
+		Client:    client,
 		Memory:    memory,
 		Dial:      medlarpool.Dial,
 		Prove:     medlarcalls.Prove,
+		Publish:   p.Serve,
 		OnDial:    func(o medlarreach.Outcome) { m.Connected(string(o)) },
 		OnProof:   func(o medlarreach.Outcome) { m.Proved(string(o)) },
 		OnAsked:   func(o medlarreach.Outcome) { m.Asked(string(o)) },
--- a/internal/stand/medlarsite/medlarsite.go
+++ b/internal/stand/medlarsite/medlarsite.go
@@ -114,6 +114,15 @@
 	Engine         *Engine `json:",omitempty"`
 	ColdPerS       float64 `json:",omitempty"`
 	ColdStartS     float64 `json:",omitempty"`
+	*KVStore
+}
+
+// KVStore describes a service that is a store of kept context.
+type KVStore struct {
+	KvStoreAddr, Zone       string
+	KvCapacity, MaxInflight int
+	Managed                 bool
+	LinkMbps                float64
 }
 
 // Engine describes the replicas of a service that serves models.
