Prefer a subset of replicas in fleets of more than 64 instances

Cause: an instance of a large fleet sends its few requests to all replicas of a service, so that a connection there has mostly been idle for too long when the next request comes: at 10 requests a second and 90 replicas one each 9 s.

Change: with more than 64 announced instances, each prefers a subset of a service's replicas (medlarsubset): its size follows from its own rate, at least 4; chosen by rendezvous hashing, no replica in more than 1.1 times as many subsets as it is on average. medlarroute adds the cost of a new connection, 5 ms, to replicas outside, and uses them only where they are clearly cheaper. The home replica of a prompt counts as having its context with a probability of a half, so that prompts stay with their homes. Smaller fleets, services with few replicas and the subsets of four by model, which only deployments without services use, are as before.

Evidence: TestSubsetsOfLargeFleets fails before (90 replicas near). TestEven: a replica is in 10 to 21 subsets of 143 instances, 19.1 on average. TestFewChange: at most 2.7% of the choices change when an instance or replica joins or leaves.

--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -12,7 +12,8 @@
 //	R4  A cache event is a hint; a reset discards all that was known.
 //	R5  With a new version of the lists the replicas that are next to change their weights
 //	    are found anew.
-//	R6  With many replicas of a model, an instance uses a subset of them.
+//	R6  With many replicas of a model, an instance uses a subset of them. An instance that is one of more than maxFullFleet
+//	    that have announced themselves prefers a subset of each service's replicas (medlarsubset).
 //	R7  The replicas that are next in the fixed order of a weight change get no work
 //	    while others are available: their runs have to end before they change.
 //	R8  A store is avoided for a short time after a failed transfer, which may only
@@ -68,11 +69,12 @@
 
 // System updates the tables.
 type System struct {
-	former map[medlarid.InstanceID]former // upstreams that the list no longer names (R2)
+	former  map[medlarid.InstanceID]former // upstreams that the list no longer names (R2)
+	subsets subsets
 }
 
 // New returns a System.
-func New() *System { return &System{former: map[medlarid.InstanceID]former{}} }
+func New() *System { return &System{former: map[medlarid.InstanceID]former{}, subsets: newSubsets()} }
 
 // Run handles the events of one tick.
 func (s *System) Run(w *medlarworld.World) {
@@ -102,8 +104,11 @@
 			applyPause(w, e)
 		case medlarworld.StopRequested:
 			w.Draining, w.Ending = true, w.Ending || e.Near
+		case medlarworld.Submitted:
+			s.subsets.count(e.Run.Service)
 		}
 	}
+	s.subsets.update(w)
 }
 
 // markSwaps marks the replicas that are about to load other weights (R7).
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -28,6 +28,8 @@
 //	    for it, the same for all instances. It is a candidate in addition to the
 //	    subset, even before it has reported, and its cost is discounted, so that a
 //	    prompt which returns through any instance finds its context cached.
+//	R8  In a large fleet an instance prefers a subset of replicas, to which it has connections in use. Another one, the home
+//	    among them, gets a run only if that is clearly cheaper although a new connection is opened.
 package medlarroute
 
 import (
@@ -67,6 +69,14 @@
 	importTimeoutFactor = 2    // an import times out after this many times its expected duration
 	importSavedShare    = 0.5  // an import may take at least this share of the computation that it saves
 
+	// connectionCost is what a new connection to a replica outside the subset costs (R8): a round trip between availability
+	// zones and the replica's work to accept it. With 20 ms, prompts left their homes and were computed anew.
+	connectionCost = 5e-3 // seconds
+	// homeHitShare is the assumed probability that a home outside the subset has the context of a prompt from what other
+	// instances have sent there. With 0, instances went by what they have sent themselves, and each context was computed
+	// in many subsets.
+	homeHitShare = 0.5
+
 	// Time kept for waits at replicas that are longer than expected, before answers under replaced weights end.
 	waitMargin      = 400 * time.Millisecond  // of attempts that are withdrawn then
 	fixedWaitMargin = 1000 * time.Millisecond // of others, which begin whenever the replica comes to them
@@ -252,14 +262,25 @@
 		return option{}, false
 	}
 	s.candidates = len(s.options)
-	lowest := s.options[0].cost
+	lowest, lowestNear := math.Inf(1), math.Inf(1)
 	for i := range s.options {
 		lowest = min(lowest, s.options[i].cost)
+		if !s.options[i].upstream.Far {
+			lowestNear = min(lowestNear, s.options[i].cost)
+		}
 	}
 	// The discount of the home may make its cost negative.
-	return s.pick(w, lowest+tieRatio*math.Abs(lowest)+tieSeconds), true
+	bound := tieBound(lowest)
+	if lowestNear <= bound { // R8
+		s.options = slices.DeleteFunc(s.options, func(c option) bool { return c.upstream.Far })
+		bound = tieBound(lowestNear)
+	}
+	return s.pick(w, bound), true
 }
 
+// tieBound returns the highest cost that counts as equal to the lowest one.
+func tieBound(lowest float64) float64 { return lowest + tieRatio*math.Abs(lowest) + tieSeconds }
+
 // collectAll fills s.options with the candidates of a run of a build, or of any if it is empty, in the
 // narrowest scope that has some.
 func (s *System) collectAll(w *medlarworld.World, r *medlarworld.Run, build medlarid.Build) {
@@ -326,6 +347,12 @@
 		if u == home {
 			c.cost -= homeDiscount * prefillCost(w, u, r.PromptTokens)
 		}
+		if u.Far {
+			c.cost += connectionCost
+			if u == home && c.availableParts == 0 {
+				c.cost -= homeHitShare * prefillCost(w, u, r.PromptTokens)
+			}
+		}
 		s.options = append(s.options, c)
 	}
 }
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -150,6 +150,9 @@
 	VersionDenied bool
 	Service       medlarid.ServiceID
 	InSubset      bool // in the subset of replicas that this instance uses
+	// Far is set if the upstream is outside the subset of its service's replicas that this instance of a large fleet
+	// usually sends to (medlarsubset).
+	Far bool
 	// SwapUntil is the time until which the replica is assumed to be about to load
 	// another weight version.
 	SwapUntil time.Time
