--- a/internal/ops/medlarattachednode/metrics_test.go
+++ b/internal/ops/medlarattachednode/metrics_test.go
@@ -28,6 +28,8 @@
 		`medlar_stage_seconds_count{kind="once",stage="first"} 1`,
 		`medlar_stage_seconds_count{kind="once",stage="gap"} 1`,
 		`medlar_stage_seconds_count{kind="once",stage="total"} 1`,
+		`medlar_load_age_seconds -1`,
+		`medlar_load_datagrams_total{direction="sent"} 0`,
 		`medlar_refusals_total{reason="unauthenticated"} 1`,
 		`medlar_age_seconds{part="keyed.op"} 0`,
 		`medlar_version 1`,
