Test that requests leave the subset of replicas only where they should

Change: TestReplicasOutsideTheSubset wants requests without a context in the subset, prompts at their homes, and a request that only a replica outside can take sent there at once. No change of the product; it passes on it.

--- a/internal/core/medlarcore/subset_test.go
+++ b/internal/core/medlarcore/subset_test.go
@@ -300,3 +300,74 @@
 		})
 	}
 }
+
+// TestReplicasOutsideTheSubset guards against requests that are refused or wait while only replicas outside the subset are available,
+// prompts that leave their home outside the subset, and requests that go outside without need.
+func TestReplicasOutsideTheSubset(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(medlarworld.Config{Self: "i0", Zone: "a", Weighting: medlarkind.WeightingRecompute, MaxQueued: 4096, MaxAttempts: 1, MaxHolders: 64})
+	var members []medlarworld.Member
+	for i := range poolReplicas {
+		members = append(members, engineMember(i, "1"))
+	}
+	var others []medlarid.InstanceID
+	for i := range 142 {
+		others = append(others, medlarid.InstanceID(fmt.Sprint("i", i+1)))
+	}
+	c.Tick(now, []medlarworld.Event{
+		medlarworld.ListsApplied{Version: 1, Models: []medlarworld.Model{{ID: partsModel, Version: "1"}}},
+		medlarworld.InstancesListed{Members: members},
+		medlarworld.InstancesAnnounced{Others: others},
+	})
+	seq := 0
+	send := func(keys ...medlarkey.Key) *medlarworld.Upstream {
+		t.Helper()
+		seq++
+		r := &medlarworld.Run{
+			ID: medlarid.RequestID(fmt.Sprint("q", seq)), Service: partsService, Model: partsModel, Version: "1", Arrived: now, MaxAttempts: 1,
+			PromptTokens: 8000, Deadline: now.Add(10 * time.Second), Keys: keys,
+		}
+		if len(keys) > 0 {
+			r.HomeKey, r.KeyTokens = keys[0], []medlarid.Tokens{8000}
+		}
+		for _, cmd := range c.Tick(now, []medlarworld.Event{medlarworld.Submitted{Run: r}}) {
+			if cmd, ok := cmd.(medlarworld.StartAttempt); ok {
+				c.Tick(now, []medlarworld.Event{medlarworld.AttemptEnded{Run: r.ID, Attempt: cmd.Attempt, Cause: medlarkind.CauseDone, Reached: true}})
+				now = now.Add(time.Second)
+				return c.World().Upstreams[cmd.Upstream]
+			}
+		}
+		t.Fatal("the request is not sent")
+		return nil
+	}
+	send()
+	for range 20 {
+		if u := send(); u.Far {
+			t.Errorf("a request without a context is sent to %s, outside the subset", u.ID)
+		}
+	}
+	homes := 0
+	for i := range 40 {
+		k := poolContext(i)
+		var home medlarid.InstanceID
+		for _, m := range members {
+			if home == "" || medlarkey.Rendezvous(k, m.ID) > medlarkey.Rendezvous(k, home) {
+				home = m.ID
+			}
+		}
+		if u := send(k); u.ID == home {
+			homes++
+		}
+	}
+	if homes < 40 {
+		t.Errorf("%d of 40 prompts are sent to their homes", homes)
+	}
+	for _, u := range c.World().Upstreams {
+		if !u.Far {
+			u.PausedUntil = now.Add(time.Minute)
+		}
+	}
+	if u := send(); !u.Far {
+		t.Errorf("a request is sent to %s, which is paused", u.ID)
+	}
+}
