Test broken-off answers to uploads in each way of sending a request, and record what was found

TestBrokenOffDuringUpload (medlarhttp) plays the endings for each of the four ways of the client, with uploads of 600 KB.

--- a/internal/upstream/medlarhttp/cut_test.go
+++ b/internal/upstream/medlarhttp/cut_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -79,7 +80,29 @@
 	}
 }
 
+// TestBrokenOffDuringUpload guards against a body that counts as whole although its peer broke it off before it had received the
+// request.
+func TestBrokenOffDuringUpload(t *testing.T) {
+	const uploadBytes, rounds = 600_000, 5
+	for name, call := range calls {
+		for _, e := range medlarending.BrokenOffEarly {
+			t.Run(name+"/"+e.Name, func(t *testing.T) {
+				t.Parallel()
+				for range rounds {
+					assertNoReplyTo(t, call, e, bytes.Repeat([]byte{'u'}, uploadBytes))
+				}
+			})
+		}
+	}
+}
+
 func assertNoReply(t *testing.T, call func(*medlarhttp.Client, medlarhttp.Request) reply, e medlarending.Ending) {
+	t.Helper()
+	assertNoReplyTo(t, call, e, nil)
+}
+
+// assertNoReplyTo is assertNoReply for a request with a body.
+func assertNoReplyTo(t *testing.T, call func(*medlarhttp.Client, medlarhttp.Request) reply, e medlarending.Ending, body []byte) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -89,7 +112,11 @@
 	go serveOnce(ln, e)
 	client := medlarhttp.New(5 * time.Second)
 	defer client.CloseKept()
-	got := call(client, medlarhttp.Request{Method: "GET", Address: medlarid.Address(ln.Addr().String()), Path: "/", Timeout: 5 * time.Second})
+	r := medlarhttp.Request{Method: "GET", Address: medlarid.Address(ln.Addr().String()), Path: "/", Timeout: 5 * time.Second}
+	if body != nil {
+		r.Method, r.Body = "POST", body
+	}
+	got := call(client, r)
 	if got.err == nil {
 		t.Errorf("status %d, body %q for %q", got.status, got.body, e.Text(medlarending.Request{ID: "r", Fields: cutFields}))
 	}
