Take an instance that reaches no replica for cut off

A replica that could not be reached counts as cold until its next heartbeat, as it may have started anew. An instance that is cut off from all replicas took all of them for cold until then, and refused requests that it can send through others. Replicas that are known to have crashed count as before.

--- a/internal/core/medlarpace/medlarpace.go
+++ b/internal/core/medlarpace/medlarpace.go
@@ -8,7 +8,8 @@
 //	    connection another instance relays.
 //	R2  An upstream is cold for ColdTime from its start, by its listing or as its entry names it, and for as long as its
 //	    entry states. One that could not be connected to, or has crashed, may have started anew before this instance reads
-//	    its new entry: it counts as cold until a heartbeat shows that its start is still the same.
+//	    its new entry: it counts as cold until a heartbeat shows that its start is still the same. If most upstreams of a
+//	    target cannot be reached, this instance is cut off from them rather than they have started anew.
 //	R3  A cold upstream has a few sponsors, those with the highest rendezvous rank of all instances. Their number is such
 //	    that twice as many keep R1: instances that know only half of the others take themselves for sponsors twice as
 //	    often. All other instances send it nothing.
@@ -46,6 +47,7 @@
 	statedMargin  = 300 * time.Millisecond // for requests that take different times to an upstream that states how long it is cold
 	heartbeatLag  = time.Second            // between the writing of a heartbeat and its reading (R2)
 	suspectTime   = 30 * time.Second       // for which an upstream that could not be reached counts as cold at most (R2)
+	maxSuspects   = 0.5                    // of the upstreams of a target that count as cold since they could not be reached
 	suspectWait   = 2 * time.Second        // until a heartbeat shows whether an upstream that could not be reached is the same
 	viewSpread    = 2.9                    // allowed requests in a second for each sponsor: 2 for views that differ (R3), the rest for chance and delays. With 2.6, 21 of 21.5 were reached.
 	sponsorRate   = 0.9                    // requests per second of a sponsor: two take more than a second (R4)
@@ -420,7 +422,18 @@
 	case medlarkind.CauseRetry, medlarkind.CauseUnknown:
 		r.Upstream.Pace.Window = max(r.Upstream.Pace.Window/2, 1)
 	}
-	return e.Reason == medlarreason.Unreachable && fail(w, r.Upstream.ID, r.Upstream.Incarnation)
+	return e.Reason == medlarreason.Unreachable && maySuspect(w, r.Upstream) && fail(w, r.Upstream.ID, r.Upstream.Incarnation)
+}
+
+// maySuspect reports whether an upstream that could not be reached may count as cold for that (R2).
+func maySuspect(w *medlarworld.World, u *medlarworld.Upstream) bool {
+	suspects, all := 0, w.UpstreamsFor(u.Target())
+	for _, other := range all {
+		if other != u && !other.Pace.FailedAt.IsZero() && w.Now.Sub(other.Pace.FailedAt) < suspectTime {
+			suspects++
+		}
+	}
+	return float64(suspects+1) <= max(maxSuspects*float64(len(all)), 1)
 }
 
 func adjust(w *medlarworld.World, r *medlarworld.Run, after time.Duration) {
--- a/internal/core/medlarpace/medlarpace_test.go
+++ b/internal/core/medlarpace/medlarpace_test.go
@@ -342,6 +342,34 @@
 	}
 }
 
+// TestInstanceThatReachesNoUpstream guards against an instance that is cut off from the upstreams, takes all of them for
+// cold, and refuses its requests although it can reach them through others.
+func TestInstanceThatReachesNoUpstream(t *testing.T) {
+	const n = 6
+	f := newFleet(1, 7)
+	x := f.instances[0]
+	for i := range n {
+		id := medlarid.InstanceID(fmt.Sprint("u", i))
+		f.list(id, f.now.Add(-time.Minute))
+		x.w.Services["s"] = append(x.w.Services["s"], x.w.Upstreams[id])
+	}
+	for i, u := range x.w.Services["s"] {
+		run := medlarid.RequestID(fmt.Sprint("r", i))
+		x.w.Runs[run] = &medlarworld.Run{ID: run, Attempt: 1, Upstream: u}
+		x.events = append(x.events, medlarworld.AttemptEnded{Run: run, Attempt: 1, Cause: medlarkind.CauseRetry, Reason: medlarreason.Unreachable})
+	}
+	f.play(step)
+	suspects := 0
+	for _, u := range x.w.Services["s"] {
+		if PhaseOf(x.w, u) == medlarworld.PaceCold {
+			suspects++
+		}
+	}
+	if suspects != n/2 {
+		t.Errorf("%d of %d upstreams count as cold, want half", suspects, n)
+	}
+}
+
 // TestNoPartWithoutKnowledgeOfOthers guards against an instance that sends cold upstreams requests although it may be one
 // of many.
 func TestNoPartWithoutKnowledgeOfOthers(t *testing.T) {
