--- a/internal/ops/medlarregistry/medlarregistry.go
+++ b/internal/ops/medlarregistry/medlarregistry.go
@@ -41,6 +41,7 @@
 	"medlarfield/internal/ops/medlardialer"
 	"medlarfield/internal/ops/medlarrollout"
 	"medlarfield/platform"
+	"medlarfield/platform/medlarentries"
 )
 
 // initialVersion is the desired weight version of a model for which the operators have
@@ -296,7 +297,7 @@
 		delete(t.malformed, id)
 		return t.remove(id, old, rec.Offset, "replica removed: entry deleted")
 	}
-	next, err := medlarplatform.DecodeReplica(string(id), rec.Value)
+	next, err := medlarentries.DecodeReplica(string(id), rec.Value)
 	if err == nil && t.lacksModel(next.Member) {
 		err = errNoModel
 	}
--- a/internal/ops/medlarregistry/versions.go
+++ b/internal/ops/medlarregistry/versions.go
@@ -8,12 +8,12 @@
 	"medlarfield/internal/core/medlarhistory"
 	"medlarfield/internal/core/medlarplacement"
 	"medlarfield/internal/core/medlarworld"
-	"medlarfield/platform"
+	"medlarfield/platform/medlarentries"
 )
 
 // replica is a replica's entry together with what was learned from its answers since.
 type replica struct {
-	medlarplatform.Replica
+	medlarentries.Replica
 	reported medlarid.WeightVersion // reported by the replica and newer than the entry's, or empty
 	assumed  medlarid.WeightVersion // assumed for requests after a version mismatch, or empty
 	history  medlarhistory.History  // successive values of version()
