--- a/internal/base/medlarevent/block.go
+++ b/internal/base/medlarevent/block.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 
-	"medlarfield/internal/base/medlarhead"
+	"medlarfield/internal/base/medlarframing"
 )
 
 // byteOrderMark may stand before the first line of a stream.
@@ -18,7 +18,7 @@
 
 // parseBlock parses the lines up to an empty one.
 func parseBlock(text []byte) block {
-	if name, found := medlarhead.HeadField(text); found && !isKnown([]byte(name)) {
+	if name, found := medlarframing.HeadField(text); found && !isKnown([]byte(name)) {
 		return block{malformed: true} // an event that quotes a status line goes on with a field of its own
 	}
 	b := block{empty: true}
--- a/internal/base/medlarhead/further.go
+++ b/internal/base/medlarframing/further.go
@@ -1,14 +1,16 @@
-package medlarhead
+package medlarframing
 
 import (
 	"bytes"
 	"io"
+
+	"medlarfield/internal/base/medlarhead"
 )
 
-// RejectHeads makes Read fail with KindMalformed where the body holds the head of a further response (R5, R6). own
+// RejectHeads makes Read fail with KindMalformed where the body holds the head of a further response (R3, R4). own
 // reports whether a head names the request that the body answers.
-func (b *Body) RejectHeads(own func(*Head) bool) {
-	if b.framing == FramingClose {
+func (b *Body) RejectHeads(own func(*medlarhead.Head) bool) {
+	if b.framing == medlarhead.FramingClose {
 		b.heads = &headFilter{}
 		return
 	}
@@ -45,7 +47,7 @@
 	f.buf, f.err = append(f.buf, block[:n]...), err
 	found := false
 	if f.safe, found = findHead(f.buf, err == io.EOF, false); found {
-		f.err = malformed(OpBody, "head of a further response")
+		f.err = medlarhead.Malformed(medlarhead.OpBody, "head of a further response")
 	}
 }
 
@@ -109,7 +111,7 @@
 		return headLine
 	case rest[0] == '\r' && (len(rest) == 1 || rest[1] == '\n'):
 		return headBare
-	case len(name) > maxLineBytes || !isToken(string(name)):
+	case len(name) > maxLineBytes || !medlarhead.IsToken(string(name)):
 		return headNone
 	case isField:
 		return headWhole
@@ -126,7 +128,7 @@
 	if !ended {
 		line = bytes.TrimSuffix(line, []byte("\r"))
 	}
-	if len(line) > maxLineBytes || ended && len(line) < statusLineStart || !isValue(string(line)) {
+	if len(line) > maxLineBytes || ended && len(line) < statusLineStart || !medlarhead.IsValue(string(line)) {
 		return false
 	}
 	for i, c := range line[:min(len(line), statusLineStart+1)] {
--- a/internal/base/medlarhead/further_test.go
+++ b/internal/base/medlarframing/further_test.go
@@ -1,4 +1,4 @@
-package medlarhead
+package medlarframing
 
 import (
 	"bufio"
@@ -6,10 +6,12 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+
+	"medlarfield/internal/base/medlarhead"
 )
 
 // TestHeadWithinBody guards against the head of a further response that is returned as part of a body, however the
-// body arrives (R5).
+// body arrives (R3).
 func TestHeadWithinBody(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 5\r\n\r\nextra"
 	for _, tc := range []struct {
@@ -51,10 +53,10 @@
 				tc.want = tc.body
 			}
 			for _, r := range []io.Reader{strings.NewReader(tc.body), iotest.OneByteReader(strings.NewReader(tc.body)), iotest.DataErrReader(strings.NewReader(tc.body))} {
-				body := NewBody(bufio.NewReader(r), &Head{Framing: FramingClose})
-				body.RejectHeads(func(*Head) bool { return false })
+				body := NewBody(bufio.NewReader(r), &medlarhead.Head{Framing: medlarhead.FramingClose})
+				body.RejectHeads(func(*medlarhead.Head) bool { return false })
 				got, err := io.ReadAll(body)
-				if string(got) != tc.want || (err == nil) != tc.whole || err != nil && KindOf(err) != KindMalformed || body.Done() != tc.whole {
+				if string(got) != tc.want || (err == nil) != tc.whole || err != nil && medlarhead.KindOf(err) != medlarhead.KindMalformed || body.Done() != tc.whole {
 					t.Errorf("got %q, %v, done %v; want %q, whole: %v", got, err, body.Done(), tc.want, tc.whole)
 				}
 			}
@@ -63,19 +65,19 @@
 }
 
 // TestHeadWithinOtherBodies guards against a quotation that is taken for a further response where the length of the
-// body says otherwise (R5).
+// body says otherwise (R3).
 func TestHeadWithinOtherBodies(t *testing.T) {
 	const quoted = "HTTP/1.1 200 OK\r\nX: 1\r\n\r\n"
 	for _, tc := range []struct {
 		name, text string
-		head       Head
+		head       medlarhead.Head
 	}{
-		{"length", quoted, Head{Framing: FramingLength, Length: int64(len(quoted))}},
-		{"chunks", string(AppendChunk(nil, []byte(quoted))) + LastChunk, Head{Framing: FramingChunked}},
+		{"length", quoted, medlarhead.Head{Framing: medlarhead.FramingLength, Length: int64(len(quoted))}},
+		{"chunks", string(medlarhead.AppendChunk(nil, []byte(quoted))) + medlarhead.LastChunk, medlarhead.Head{Framing: medlarhead.FramingChunked}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			body := NewBody(bufio.NewReader(strings.NewReader(tc.text)), &tc.head)
-			body.RejectHeads(func(*Head) bool { return false })
+			body.RejectHeads(func(*medlarhead.Head) bool { return false })
 			if got, err := io.ReadAll(body); string(got) != quoted || err != nil {
 				t.Errorf("got %q, %v", got, err)
 			}
@@ -83,12 +85,12 @@
 	}
 }
 
-// TestResetBehindStatusLine guards against bytes of what may be a head in a body that is reset within it (R5).
+// TestResetBehindStatusLine guards against bytes of what may be a head in a body that is reset within it (R3).
 func TestResetBehindStatusLine(t *testing.T) {
 	r := io.MultiReader(strings.NewReader("aHTTP/1.1 200 OK\r\nReq"), iotest.ErrReader(io.ErrUnexpectedEOF))
-	body := NewBody(bufio.NewReader(r), &Head{Framing: FramingClose})
-	body.RejectHeads(func(*Head) bool { return false })
-	if got, err := io.ReadAll(body); string(got) != "a" || KindOf(err) != KindBroken {
+	body := NewBody(bufio.NewReader(r), &medlarhead.Head{Framing: medlarhead.FramingClose})
+	body.RejectHeads(func(*medlarhead.Head) bool { return false })
+	if got, err := io.ReadAll(body); string(got) != "a" || medlarhead.KindOf(err) != medlarhead.KindBroken {
 		t.Errorf("got %q, %v", got, err)
 	}
 }
--- a/internal/base/medlarhead/body.go
+++ b/internal/base/medlarframing/medlarframing.go
@@ -1,4 +1,25 @@
-package medlarhead
+// Package medlarframing reads the bodies of HTTP/1.1 messages as their framing delimits them, and tells which are
+// complete.
+//
+// Rules:
+//
+//	R1  A body is complete only with the end of its framing. A body that is delimited by
+//	    the end of its connection is complete only if the connection was closed
+//	    cleanly.
+//	R2  The size of a chunk size line and of the trailers is limited.
+//	R3  If asked, a body that is delimited by the end of its connection is not complete
+//	    if it holds the head of a further response anywhere, a status line that ends
+//	    with CR LF and the name of a field behind it, or ends with what may be the
+//	    beginning of one, from the first byte of a status line on.
+//	    Bytes that may be such a head are withheld until that is known. A service whose
+//	    bodies quote heads, or end with the first letter of one, sends a length or chunks.
+//	R4  If asked, a body of a length or in chunks is not complete if it holds a head, or the
+//	    beginning of one, that names its own request; nor is a body of a length that holds any other
+//	    head, with or without fields, or ends with the beginning of one, if what follows begins no
+//	    response: the body stopped, and a further response took the rest of its length. Nor is a
+//	    body in chunks one of which ends behind a field of a head that begins in it: the end of the
+//	    chunk may stand where that head has its empty line.
+package medlarframing
 
 import (
 	"bufio"
@@ -8,17 +29,18 @@
 
 	"github.com/rotisserie/eris"
 
+	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/base/medlarmemory"
 )
 
 // maxLineBytes limits one line of a chunked body, such as a chunk size, and the
-// trailers of a body in total, in bytes (R4).
+// trailers of a body in total, in bytes (R2).
 const maxLineBytes = 4096
 
-// Body reads a message body; Read returns io.EOF only if the body is complete (R3).
+// Body reads a message body; Read returns io.EOF only if the body is complete (R1).
 type Body struct {
 	br        *bufio.Reader
-	framing   Framing
+	framing   medlarhead.Framing
 	remaining int64 // bytes of the body, or of the current chunk
 	chunk     int64 // size of the current chunk
 	chunkRead bool  // at least one chunk header was read
@@ -33,8 +55,8 @@
 func (b *Body) Limit(n int64) { b.limited, b.left = true, n }
 
 // NewBody returns a reader for the body that follows h in br.
-func NewBody(br *bufio.Reader, h *Head) *Body {
-	return &Body{br: br, framing: h.Framing, remaining: max(h.Length, 0), done: h.Framing == FramingNone}
+func NewBody(br *bufio.Reader, h *medlarhead.Head) *Body {
+	return &Body{br: br, framing: h.Framing, remaining: max(h.Length, 0), done: h.Framing == medlarhead.FramingNone}
 }
 
 // Done reports whether the complete body has been read.
@@ -58,18 +80,18 @@
 
 // read reads the bytes that the framing assigns to the body.
 func (b *Body) read(p []byte) (int, error) {
-	if b.framing == FramingChunked && b.remaining == 0 && !b.done {
+	if b.framing == medlarhead.FramingChunked && b.remaining == 0 && !b.done {
 		if err := b.nextChunk(); err != nil {
 			return 0, err
 		}
 	}
-	if b.framing == FramingLength && b.remaining == 0 {
+	if b.framing == medlarhead.FramingLength && b.remaining == 0 {
 		b.done = true
 	}
 	if b.done {
 		return 0, io.EOF
 	}
-	if b.framing != FramingClose && int64(len(p)) > b.remaining {
+	if b.framing != medlarhead.FramingClose && int64(len(p)) > b.remaining {
 		p = p[:b.remaining]
 	}
 	if b.limited && int64(len(p)) > b.left {
@@ -80,32 +102,32 @@
 	}
 	n, err := b.br.Read(p)
 	b.left -= int64(n)
-	if b.framing == FramingClose {
+	if b.framing == medlarhead.FramingClose {
 		b.done = err == io.EOF
 	} else {
 		b.remaining -= int64(n)
 	}
 	if err != nil && !b.done {
-		return n, &Error{Op: OpBody, Kind: KindBroken, Err: err}
+		return n, &medlarhead.Error{Op: medlarhead.OpBody, Kind: medlarhead.KindBroken, Err: err}
 	}
 	return n, err
 }
 
 // atLimit returns why nothing more is read at the limit: the body continues, or it has ended.
 func (b *Body) atLimit() error {
-	if b.framing == FramingClose {
+	if b.framing == medlarhead.FramingClose {
 		if _, err := b.br.Peek(1); err == io.EOF {
 			b.done = true
 			return io.EOF
 		}
 	}
-	return &Error{Op: OpBody, Kind: KindOversized, Err: eris.New("body exceeds the limit")}
+	return &medlarhead.Error{Op: medlarhead.OpBody, Kind: medlarhead.KindOversized, Err: eris.New("body exceeds the limit")}
 }
 
 // nextChunk reads the end of the current chunk and the size of the next one.
 func (b *Body) nextChunk() error {
 	if b.scan != nil && b.scan.endsBehindField(b.chunk) {
-		return malformed(OpBody, "head of a further response at the end of a chunk")
+		return medlarhead.Malformed(medlarhead.OpBody, "head of a further response at the end of a chunk")
 	}
 	if b.chunkRead {
 		if line, err := b.line(); err != nil || len(line) > 0 {
@@ -120,7 +142,7 @@
 	size = bytes.TrimRight(size, " \t")
 	n, err := strconv.ParseUint(string(size), 16, 62)
 	if err != nil || size[0] == '+' {
-		return malformed(OpBody, "chunk size")
+		return medlarhead.Malformed(medlarhead.OpBody, "chunk size")
 	}
 	b.chunkRead = true
 	b.remaining, b.chunk = int64(n), int64(n)
@@ -143,14 +165,14 @@
 		}
 		total += len(line)
 	}
-	return &Error{Op: OpBody, Kind: KindOversized, Err: eris.New("trailers")}
+	return &medlarhead.Error{Op: medlarhead.OpBody, Kind: medlarhead.KindOversized, Err: eris.New("trailers")}
 }
 
 func (b *Body) lineError(err error, reason string) error {
 	if err != nil {
 		return err
 	}
-	return malformed(OpBody, reason)
+	return medlarhead.Malformed(medlarhead.OpBody, reason)
 }
 
 // line reads a line and returns it without its CR LF. It is valid until the next read. A line is copied only if it does
@@ -165,17 +187,17 @@
 			line = append(line, part...)
 		}
 		if len(line) > maxLineBytes {
-			return nil, &Error{Op: OpBody, Kind: KindOversized, Err: eris.New("line of a chunked body")}
+			return nil, &medlarhead.Error{Op: medlarhead.OpBody, Kind: medlarhead.KindOversized, Err: eris.New("line of a chunked body")}
 		}
 		if err == nil {
 			break
 		}
 		if err != bufio.ErrBufferFull {
-			return nil, &Error{Op: OpBody, Kind: KindBroken, Err: err}
+			return nil, &medlarhead.Error{Op: medlarhead.OpBody, Kind: medlarhead.KindBroken, Err: err}
 		}
 	}
 	if len(line) < 2 || line[len(line)-2] != '\r' {
-		return nil, malformed(OpBody, "line without CR LF")
+		return nil, medlarhead.Malformed(medlarhead.OpBody, "line without CR LF")
 	}
 	return line[:len(line)-2], nil
 }
@@ -185,17 +207,17 @@
 const firstBody = 4096
 
 // ReadBody reads a complete body of at most limit bytes.
-func ReadBody(br *bufio.Reader, h *Head, limit int64) ([]byte, error) {
+func ReadBody(br *bufio.Reader, h *medlarhead.Head, limit int64) ([]byte, error) {
 	return ReadReservedBody(br, h, limit, nil)
 }
 
 // ReadReservedBody is ReadBody with a buffer that is reserved in r before it is allocated, and stays reserved.
-func ReadReservedBody(br *bufio.Reader, h *Head, limit int64, r *medlarmemory.Reservation) ([]byte, error) {
-	if h.Framing == FramingNone {
+func ReadReservedBody(br *bufio.Reader, h *medlarhead.Head, limit int64, r *medlarmemory.Reservation) ([]byte, error) {
+	if h.Framing == medlarhead.FramingNone {
 		return nil, nil
 	}
 	longest := limit
-	if h.Framing == FramingLength {
+	if h.Framing == medlarhead.FramingLength {
 		if h.Length > limit {
 			return nil, oversizedBody(limit)
 		}
@@ -224,14 +246,14 @@
 }
 
 func oversizedBody(limit int64) error {
-	return &Error{Op: OpBody, Kind: KindOversized, Err: eris.Errorf("body of more than %d bytes", limit)}
+	return &medlarhead.Error{Op: medlarhead.OpBody, Kind: medlarhead.KindOversized, Err: eris.Errorf("body of more than %d bytes", limit)}
 }
 
 // growBody returns a longer buffer with the bytes of b. Both are reserved while they are copied.
 func growBody(b []byte, longest int64, r *medlarmemory.Reservation) ([]byte, error) {
 	n := int(min(max(firstBody, 2*int64(cap(b))), longest))
 	if err := r.Grow(n); err != nil {
-		return nil, &Error{Op: OpBody, Kind: KindUnreserved, Err: err}
+		return nil, &medlarhead.Error{Op: medlarhead.OpBody, Kind: medlarhead.KindUnreserved, Err: err}
 	}
 	out := append(make([]byte, 0, n), b...)
 	r.Shrink(cap(b))
--- a/internal/base/medlarhead/reserved_test.go
+++ b/internal/base/medlarframing/reserved_test.go
@@ -1,4 +1,4 @@
-package medlarhead
+package medlarframing
 
 import (
 	"bufio"
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/base/medlarmemory"
 )
 
@@ -16,21 +17,21 @@
 	const limit = 100_000
 	for _, tc := range []struct {
 		name    string
-		head    Head
+		head    medlarhead.Head
 		text    string
 		held    int64 // bytes for bodies afterwards
-		kind    Kind
+		kind    medlarhead.Kind
 		bound   int64
 		noSpace bool
 	}{
-		{name: "whole", head: Head{Framing: FramingLength, Length: 10_000}, text: strings.Repeat("x", 10_000), held: 10_000, bound: 1 << 20},
-		{name: "short", head: Head{Framing: FramingLength, Length: 3}, text: "abc", held: 3, bound: 1 << 20},
-		{name: "none arrives", head: Head{Framing: FramingLength, Length: limit}, held: firstBody, kind: KindBroken, bound: 1 << 20},
-		{name: "little arrives", head: Head{Framing: FramingLength, Length: limit}, text: strings.Repeat("x", 5000), held: 2 * firstBody, kind: KindBroken, bound: 1 << 20},
-		{name: "as long as allowed, in chunks", head: Head{Framing: FramingChunked}, text: chunks(limit, 64<<10), held: limit, bound: 1 << 20},
-		{name: "longer than allowed, in chunks", head: Head{Framing: FramingChunked}, text: chunks(limit+1, 64<<10), held: limit, kind: KindOversized, bound: 1 << 20},
-		{name: "chunks of one byte", head: Head{Framing: FramingChunked}, text: chunks(firstBody, 1), held: firstBody, bound: 1 << 20},
-		{name: "no memory", head: Head{Framing: FramingLength, Length: limit}, text: strings.Repeat("x", limit), held: 4 * firstBody, kind: KindUnreserved, bound: 40 << 10, noSpace: true},
+		{name: "whole", head: medlarhead.Head{Framing: medlarhead.FramingLength, Length: 10_000}, text: strings.Repeat("x", 10_000), held: 10_000, bound: 1 << 20},
+		{name: "short", head: medlarhead.Head{Framing: medlarhead.FramingLength, Length: 3}, text: "abc", held: 3, bound: 1 << 20},
+		{name: "none arrives", head: medlarhead.Head{Framing: medlarhead.FramingLength, Length: limit}, held: firstBody, kind: medlarhead.KindBroken, bound: 1 << 20},
+		{name: "little arrives", head: medlarhead.Head{Framing: medlarhead.FramingLength, Length: limit}, text: strings.Repeat("x", 5000), held: 2 * firstBody, kind: medlarhead.KindBroken, bound: 1 << 20},
+		{name: "as long as allowed, in chunks", head: medlarhead.Head{Framing: medlarhead.FramingChunked}, text: chunks(limit, 64<<10), held: limit, bound: 1 << 20},
+		{name: "longer than allowed, in chunks", head: medlarhead.Head{Framing: medlarhead.FramingChunked}, text: chunks(limit+1, 64<<10), held: limit, kind: medlarhead.KindOversized, bound: 1 << 20},
+		{name: "chunks of one byte", head: medlarhead.Head{Framing: medlarhead.FramingChunked}, text: chunks(firstBody, 1), held: firstBody, bound: 1 << 20},
+		{name: "no memory", head: medlarhead.Head{Framing: medlarhead.FramingLength, Length: limit}, text: strings.Repeat("x", limit), held: 4 * firstBody, kind: medlarhead.KindUnreserved, bound: 40 << 10, noSpace: true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			a := medlarmemory.New(tc.bound)
@@ -59,9 +60,9 @@
 func chunks(n, size int) string {
 	var b []byte
 	for ; n > 0; n -= min(n, size) {
-		b = AppendChunk(b, []byte(strings.Repeat("x", min(n, size))))
+		b = medlarhead.AppendChunk(b, []byte(strings.Repeat("x", min(n, size))))
 	}
-	return string(b) + LastChunk
+	return string(b) + medlarhead.LastChunk
 }
 
 // TestSmallChunksLeaveNoGarbage guards against bodies of many small chunks that fill the memory with garbage between two
@@ -69,7 +70,7 @@
 func TestSmallChunksLeaveNoGarbage(t *testing.T) {
 	text := chunks(1000, 1)
 	n := testing.AllocsPerRun(10, func() {
-		b := NewBody(bufio.NewReader(strings.NewReader(text)), &Head{Framing: FramingChunked})
+		b := NewBody(bufio.NewReader(strings.NewReader(text)), &medlarhead.Head{Framing: medlarhead.FramingChunked})
 		if _, err := io.Copy(io.Discard, b); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/base/medlarhead/within.go
+++ b/internal/base/medlarframing/within.go
@@ -1,10 +1,14 @@
-package medlarhead
+package medlarframing
 
-import "bytes"
+import (
+	"bytes"
 
-// headScan looks for heads of further responses in a body of a length or in chunks (R6). It withholds nothing.
+	"medlarfield/internal/base/medlarhead"
+)
+
+// headScan looks for heads of further responses in a body of a length or in chunks (R4). It withholds nothing.
 type headScan struct {
-	own  func(*Head) bool
+	own  func(*medlarhead.Head) bool
 	tail []byte // of the body: what may be a head that has not ended
 	seen bool   // the body holds a head that does not name its request
 }
@@ -23,7 +27,7 @@
 		}
 		h, length, ended := partOfHead(b)
 		if s.own(h) {
-			return malformed(OpBody, "head of a further response")
+			return medlarhead.Malformed(medlarhead.OpBody, "head of a further response")
 		}
 		if !ended {
 			break
@@ -48,8 +52,8 @@
 const maxScannedHead = 16 << 10
 
 // partOfHead returns the whole fields of the head that b begins with, the length of the head, and whether it ends within b.
-func partOfHead(b []byte) (h *Head, length int, ended bool) {
-	h = &Head{}
+func partOfHead(b []byte) (h *medlarhead.Head, length int, ended bool) {
+	h = &medlarhead.Head{}
 	_, rest, _ := bytes.Cut(b, []byte("\r\n"))
 	for {
 		line, after, whole := bytes.Cut(rest, []byte("\r\n"))
@@ -58,25 +62,25 @@
 		}
 		rest = after
 		name, value, isField := bytes.Cut(line, []byte(":"))
-		if !isField || !isToken(string(name)) {
+		if !isField || !medlarhead.IsToken(string(name)) {
 			return h, len(b) - len(rest), true
 		}
-		h.Fields = append(h.Fields, Field{Name: string(name), Value: string(bytes.Trim(value, " \t"))})
+		h.Fields = append(h.Fields, medlarhead.Field{Name: string(name), Value: string(bytes.Trim(value, " \t"))})
 	}
 }
 
 // MayHoldHead reports whether a body of a length that has been read holds a head that does not name its request, or ends
 // with what may be the beginning of a head. It is then for CheckEnd to tell whether the body is whole.
 func (b *Body) MayHoldHead() bool {
-	return b.framing == FramingLength && b.scan != nil && (b.scan.seen || len(b.scan.tail) > 0)
+	return b.framing == medlarhead.FramingLength && b.scan != nil && (b.scan.seen || len(b.scan.tail) > 0)
 }
 
 // CheckEnd reads ahead and returns an error of KindMalformed if the bytes behind the body begin no response: those
-// of the head that the body may hold go on there (R6). It waits for these bytes as long as the connection lets it.
+// of the head that the body may hold go on there (R4). It waits for these bytes as long as the connection lets it.
 func (b *Body) CheckEnd() error {
 	next, _ := b.br.Peek(len(statusStart)) // nothing may follow
 	if len(next) == 0 || bytes.HasPrefix(statusStart, next) {
 		return nil
 	}
-	return malformed(OpBody, "further response that begins within the body")
+	return medlarhead.Malformed(medlarhead.OpBody, "further response that begins within the body")
 }
--- a/internal/base/medlarhead/within_test.go
+++ b/internal/base/medlarframing/within_test.go
@@ -1,4 +1,4 @@
-package medlarhead
+package medlarframing
 
 import (
 	"bufio"
@@ -6,16 +6,18 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+
+	"medlarfield/internal/base/medlarhead"
 )
 
 // isOwn is how the tests tell a head that names the request of a body.
-func isOwn(h *Head) bool {
+func isOwn(h *medlarhead.Head) bool {
 	id, _ := h.Get("Request-Id")
 	return id == "1"
 }
 
 // TestBodyFilledUpByAnotherResponse guards against a body that stopped and counts as whole, since a further response
-// took the rest of its length or of a chunk (R6).
+// took the rest of its length or of a chunk (R4).
 func TestBodyFilledUpByAnotherResponse(t *testing.T) {
 	const (
 		named   = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\nthe answer"
@@ -24,11 +26,13 @@
 		other   = "HTTP/1.1 200 OK\r\nRequest-Id: 2\r\n\r\nthe answer"
 		quoted  = "a reply: HTTP/1.1 200 OK\r\nAge: 1\r\n\r\nthe end"
 	)
-	length := func(n int) Head { return Head{Framing: FramingLength, Length: int64(n)} }
-	chunked := Head{Framing: FramingChunked}
+	length := func(n int) medlarhead.Head {
+		return medlarhead.Head{Framing: medlarhead.FramingLength, Length: int64(n)}
+	}
+	chunked := medlarhead.Head{Framing: medlarhead.FramingChunked}
 	for _, tc := range []struct {
 		name  string
-		head  Head
+		head  medlarhead.Head
 		text  string // from the body on
 		whole bool
 	}{
@@ -48,11 +52,11 @@
 		{"head that names another request", length(3 + len(other) - 4), "the" + other, false},
 		{"quotation", length(len(quoted)), quoted, true},
 		{"quotation that names another request", length(3 + len(other)), "the" + other, true},
-		{"quotation of another request in chunks", chunked, string(AppendChunk(nil, []byte("the"+other))) + LastChunk, true},
-		{"quotation, each line in a chunk", chunked, string(AppendChunk(AppendChunk(AppendChunk(nil, []byte("HTTP/1.1 200 OK\r\n")), []byte("Age: 1\r\n")), []byte("\r\n"))) + LastChunk, true},
+		{"quotation of another request in chunks", chunked, string(medlarhead.AppendChunk(nil, []byte("the"+other))) + medlarhead.LastChunk, true},
+		{"quotation, each line in a chunk", chunked, string(medlarhead.AppendChunk(medlarhead.AppendChunk(medlarhead.AppendChunk(nil, []byte("HTTP/1.1 200 OK\r\n")), []byte("Age: 1\r\n")), []byte("\r\n"))) + medlarhead.LastChunk, true},
 		{"quotation before a further response", length(len(quoted)), quoted + named, true},
 		{"quotation before the first bytes of a further response", length(len(quoted)), quoted + "HT", true},
-		{"quotation in a chunk", chunked, string(AppendChunk(nil, []byte(quoted))) + LastChunk, true},
+		{"quotation in a chunk", chunked, string(medlarhead.AppendChunk(nil, []byte(quoted))) + medlarhead.LastChunk, true},
 		{"first letter", length(5), "the H", true},
 		{"first letter before a further response", length(5), "the H" + named, true},
 		{"other bytes behind a body", length(3), "the\x16\x03\x01", true},
@@ -65,7 +69,7 @@
 				if err == nil && body.MayHoldHead() {
 					err = body.CheckEnd()
 				}
-				if (err == nil) != tc.whole || err != nil && KindOf(err) != KindMalformed {
+				if (err == nil) != tc.whole || err != nil && medlarhead.KindOf(err) != medlarhead.KindMalformed {
 					t.Errorf("got %v, want whole: %v", err, tc.whole)
 				}
 			}
@@ -73,7 +77,7 @@
 	}
 }
 
-// TestLongBodyOfQuotations guards against a scan that keeps a long body or reads it again and again (R6).
+// TestLongBodyOfQuotations guards against a scan that keeps a long body or reads it again and again (R4).
 func TestLongBodyOfQuotations(t *testing.T) {
 	s := &headScan{own: isOwn}
 	part := []byte(strings.Repeat("HTTP/1.1 200 OK\r\nAge: 1\r\nAge: ", 100))
--- a/internal/base/medlarhead/medlarhead.go
+++ b/internal/base/medlarhead/medlarhead.go
@@ -1,4 +1,4 @@
-// Package medlarhead reads and writes HTTP/1.1 messages so that they can be forwarded
+// Package medlarhead reads and writes the heads of HTTP/1.1 messages, and writes chunks, so that messages can be forwarded
 // unchanged. It rejects messages that two implementations could parse differently,
 // which would allow request smuggling.
 //
@@ -9,22 +9,9 @@
 //	    response began before it ended. So is a status outside 100 to 599.
 //	R2  A message has at most one length: a second Content-Length, a Content-Length
 //	    together with a Transfer-Encoding, and any coding but chunked are rejected.
-//	R3  A body is complete only with the end of its framing. A body that is delimited by
-//	    the end of its connection is complete only if the connection was closed
-//	    cleanly.
-//	R4  The size of a head, of a chunk size line and of the trailers is limited.
-//	R5  If asked, a body that is delimited by the end of its connection is not complete
-//	    if it holds the head of a further response anywhere, a status line that ends
-//	    with CR LF and the name of a field behind it, or ends with what may be the
-//	    beginning of one, from the first byte of a status line on.
-//	    Bytes that may be such a head are withheld until that is known. A service whose
-//	    bodies quote heads, or end with the first letter of one, sends a length or chunks.
-//	R6  If asked, a body of a length or in chunks is not complete if it holds a head, or the
-//	    beginning of one, that names its own request; nor is a body of a length that holds any other
-//	    head, with or without fields, or ends with the beginning of one, if what follows begins no
-//	    response: the body stopped, and a further response took the rest of its length. Nor is a
-//	    body in chunks one of which ends behind a field of a head that begins in it: the end of the
-//	    chunk may stand where that head has its empty line.
+//	R3  The size of a head is limited.
+//
+// Package medlarframing reads bodies.
 package medlarhead
 
 import (
@@ -160,7 +147,7 @@
 func CheckFields(raw string) error {
 	raw = strings.TrimSuffix(raw, "\r\n")
 	if strings.Count(raw, "\n") != strings.Count(raw, "\r\n") {
-		return malformed(OpRequest, "line without CR LF")
+		return Malformed(OpRequest, "line without CR LF")
 	}
 	return (&Head{}).parse(raw, "HTTP/1.1", OpRequest)
 }
@@ -178,15 +165,15 @@
 	line, rest, _ := strings.Cut(text, "\r\n")
 	method, line, ok := strings.Cut(line, " ")
 	target, version, ok2 := strings.Cut(line, " ")
-	if !ok || !ok2 || !isToken(method) || !isTarget(target) {
-		return nil, malformed(OpRequest, "request line")
+	if !ok || !ok2 || !IsToken(method) || !isTarget(target) {
+		return nil, Malformed(OpRequest, "request line")
 	}
 	h := &Head{Method: method, Target: target}
 	if err := h.parse(rest, version, OpRequest); err != nil {
 		return nil, err
 	}
 	if _, n := h.Get("Host"); n != 1 {
-		return nil, malformed(OpRequest, "not exactly one Host field")
+		return nil, Malformed(OpRequest, "not exactly one Host field")
 	}
 	return h, nil
 }
@@ -205,14 +192,14 @@
 		return nil, err
 	}
 	if strings.LastIndex(text, versionPrefix) > 0 { // R1
-		return nil, malformed(OpResponse, "status line within a line")
+		return nil, Malformed(OpResponse, "status line within a line")
 	}
 	line, rest, _ := strings.Cut(text, "\r\n")
 	version, line, _ := strings.Cut(line, " ")
 	code, _, _ := strings.Cut(line, " ")
 	status, err := strconv.Atoi(code)
 	if err != nil || len(code) != 3 || status < 100 || status > maxStatus {
-		return nil, malformed(OpResponse, "status line")
+		return nil, Malformed(OpResponse, "status line")
 	}
 	h := &Head{Status: status}
 	if err := h.parse(rest, version, OpResponse); err != nil {
@@ -235,7 +222,7 @@
 }
 
 // readHead reads up to and including the empty line and returns the lines before it,
-// each with its CR LF (R1, R4).
+// each with its CR LF (R1, R3).
 func readHead(br *bufio.Reader, limit int, op Op) (string, error) {
 	var b []byte
 	for {
@@ -251,7 +238,7 @@
 		case err != nil:
 			return "", &Error{Op: op, Kind: KindBroken, Err: err}
 		case len(b) < 2 || b[len(b)-2] != '\r':
-			return "", malformed(op, "line without CR LF")
+			return "", Malformed(op, "line without CR LF")
 		}
 		if len(part) == 2 && part[0] == '\r' && (len(b) == 2 || b[len(b)-3] == '\n') {
 			return string(b[:len(b)-2]), nil
@@ -262,7 +249,7 @@
 // parse parses the fields of a head and determines the framing of its body (R1, R2).
 func (h *Head) parse(text, version string, op Op) error {
 	if version != "HTTP/1.1" && (version != "HTTP/1.0" || op == OpRequest) {
-		return malformed(op, "version")
+		return Malformed(op, "version")
 	}
 	h.Close = version == "HTTP/1.0"
 	h.Fields = make([]Field, 0, initialFieldCapacity)
@@ -271,8 +258,8 @@
 		line, text, _ = strings.Cut(text, "\r\n")
 		name, value, ok := strings.Cut(line, ":")
 		value = strings.Trim(value, " \t")
-		if !ok || !isToken(name) || !isValue(value) {
-			return malformed(op, "field")
+		if !ok || !IsToken(name) || !IsValue(value) {
+			return Malformed(op, "field")
 		}
 		h.Fields = append(h.Fields, Field{Name: name, Value: value})
 		if err := h.applyField(name, value, op); err != nil {
@@ -308,10 +295,10 @@
 func (h *Head) applyContentLength(value string, op Op) error {
 	n, err := strconv.ParseUint(value, 10, 62)
 	if err != nil || value[0] == '+' {
-		return malformed(op, "length")
+		return Malformed(op, "length")
 	}
 	if h.Framing != FramingNone || h.Length < 0 {
-		return malformed(op, "second length")
+		return Malformed(op, "second length")
 	}
 	h.Length = int64(n)
 	if n > 0 || op == OpResponse {
@@ -328,18 +315,19 @@
 
 func (h *Head) applyTransferEncoding(value string, op Op) error {
 	if h.Framing != FramingNone || h.Length < 0 || !strings.EqualFold(value, "chunked") {
-		return malformed(op, "transfer coding")
+		return Malformed(op, "transfer coding")
 	}
 	h.Framing = FramingChunked
 	return nil
 }
 
-func malformed(op Op, reason string) error {
+// Malformed returns an error of KindMalformed.
+func Malformed(op Op, reason string) error {
 	return &Error{Op: op, Kind: KindMalformed, Err: eris.New(reason)}
 }
 
-// isToken reports whether s is an HTTP token, the syntax of methods and field names.
-func isToken(s string) bool {
+// IsToken reports whether s is an HTTP token, the syntax of methods and field names.
+func IsToken(s string) bool {
 	for i := range len(s) {
 		c := s[i]
 		switch {
@@ -363,8 +351,8 @@
 	return strings.HasPrefix(s, "/")
 }
 
-// isValue reports whether s has no control characters other than tabs.
-func isValue(s string) bool {
+// IsValue reports whether s has no control characters other than tabs.
+func IsValue(s string) bool {
 	for i := range len(s) {
 		if s[i] < ' ' && s[i] != '\t' || s[i] == 0x7f {
 			return false
--- a/internal/edge/medlarbody/medlarbody.go
+++ b/internal/edge/medlarbody/medlarbody.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"medlarfield/internal/base/medlarframing"
 	"medlarfield/internal/base/medlarhead"
 )
 
@@ -29,13 +30,13 @@
 // Reader reads a body. Read returns io.EOF only if the body is whole.
 type Reader struct {
 	source  Source
-	body    *medlarhead.Body
+	body    *medlarframing.Body
 	framing medlarhead.Framing
 }
 
 // New returns a reader for the body that follows a head.
 func New(s Source, h *medlarhead.Head) *Reader {
-	body := medlarhead.NewBody(s.Buffer, h)
+	body := medlarframing.NewBody(s.Buffer, h)
 	body.Limit(maxBytes)
 	return &Reader{source: s, body: body, framing: h.Framing}
 }
@@ -58,7 +59,7 @@
 
 // ReadSome reads at most limit bytes. whole reports whether that was the whole body.
 func (r *Reader) ReadSome(limit int) (b []byte, whole bool, err error) {
-	b, err = medlarhead.ReadSome(r.body, limit)
+	b, err = medlarframing.ReadSome(r.body, limit)
 	if err == nil && r.body.Done() {
 		return b, true, r.checkEnd()
 	}
@@ -92,7 +93,7 @@
 // as one does whose response has no signature since it was cut off before that.
 func CutOff(s Source, h *medlarhead.Head, limit int64) bool {
 	_ = s.Conn.SetReadDeadline(s.soon())
-	body := medlarhead.NewBody(s.Buffer, h)
+	body := medlarframing.NewBody(s.Buffer, h)
 	body.Limit(limit)
 	_, err := io.Copy(io.Discard, body)
 	return err == nil && h.Framing == medlarhead.FramingClose || medlarhead.ConnectionEnded(err)
@@ -100,7 +101,7 @@
 
 // Discard reads a body of at most limit bytes and reports whether it was whole.
 func Discard(s Source, h *medlarhead.Head, limit int64) bool {
-	body := medlarhead.NewBody(s.Buffer, h)
+	body := medlarframing.NewBody(s.Buffer, h)
 	_, err := io.Copy(io.Discard, io.LimitReader(body, limit))
 	return err == nil && body.Done()
 }
--- a/internal/edge/medlarproof/medlarproof.go
+++ b/internal/edge/medlarproof/medlarproof.go
@@ -20,6 +20,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"medlarfield/internal/base/medlarframing"
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/edge/medlarcall"
@@ -88,7 +89,7 @@
 		if h.Framing == medlarhead.FramingClose {
 			break
 		}
-		body := medlarhead.NewBody(br, h)
+		body := medlarframing.NewBody(br, h)
 		body.Limit(maxForeignBody)
 		if _, err := io.Copy(io.Discard, body); err != nil {
 			return nil, medlarcall.Reply{}, err
--- a/internal/edge/medlarproxy/close_test.go
+++ b/internal/edge/medlarproxy/close_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"medlarfield/internal/agree/medlarcatalog"
+	"medlarfield/internal/base/medlarframing"
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarreason"
@@ -124,6 +125,6 @@
 	if err != nil {
 		return false
 	}
-	_, err = io.ReadAll(medlarhead.NewBody(br, h))
+	_, err = io.ReadAll(medlarframing.NewBody(br, h))
 	return err == nil && h.Status == 200
 }
--- a/internal/edge/medlarproxy/cut_test.go
+++ b/internal/edge/medlarproxy/cut_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"medlarfield/internal/base/medlarframing"
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/stand/medlarending"
 	"medlarfield/internal/stand/medlarfakereplica"
@@ -62,7 +63,7 @@
 	if err != nil {
 		t.Fatalf("%s: %v", id, err)
 	}
-	body, err := io.ReadAll(medlarhead.NewBody(br, h))
+	body, err := io.ReadAll(medlarframing.NewBody(br, h))
 	if err != nil || h.Status != 200 && h.Status < 500 || (h.Status == 200) != want {
 		t.Errorf("%s: status %d, body %q, error %v; want a success: %v", id, h.Status, body, err, want)
 	}
--- a/internal/edge/medlarproxy/early_test.go
+++ b/internal/edge/medlarproxy/early_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"medlarfield/internal/base/medlarframing"
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/stand/medlarfakereplica"
 )
@@ -65,7 +66,7 @@
 			return
 		}
 		time.Sleep(readLater)
-		body, err := medlarhead.ReadBody(br, h, maxBody)
+		body, err := medlarframing.ReadBody(br, h, maxBody)
 		if err != nil {
 			return
 		}
@@ -125,7 +126,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := io.ReadAll(medlarhead.NewBody(br, h)); err != nil {
+	if _, err := io.ReadAll(medlarframing.NewBody(br, h)); err != nil {
 		t.Error(err)
 	}
 }
@@ -197,7 +198,7 @@
 			t.Errorf("request %d: %v", n, err)
 			return
 		}
-		body, err := io.ReadAll(medlarhead.NewBody(br, h))
+		body, err := io.ReadAll(medlarframing.NewBody(br, h))
 		id, _ := h.Get("Medlarfield-Request-Id")
 		own := fmt.Sprintf("r%d", n)
 		if err != nil || id != own && (id != "" || h.Status < 500) || h.Status == 200 && method != "HEAD" && string(body) != "answer to "+own {
--- a/internal/edge/medlarproxy/memory_test.go
+++ b/internal/edge/medlarproxy/memory_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"medlarfield/internal/base/medlarframing"
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/base/medlarmemory"
 	"medlarfield/internal/edge/medlarproxy"
@@ -58,7 +59,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			body, err := io.ReadAll(medlarhead.NewBody(br, h))
+			body, err := io.ReadAll(medlarframing.NewBody(br, h))
 			if err != nil || h.Status != 200 || len(body) != tc.length || h.Framing != tc.framing {
 				t.Errorf("%d, %d bytes, framing %s, %v; want 200, %d bytes, framing %s", h.Status, len(body), h.Framing, err, tc.length, tc.framing)
 			}
--- a/internal/edge/medlarproxy/upload_test.go
+++ b/internal/edge/medlarproxy/upload_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"medlarfield/internal/agree/medlarcatalog"
+	"medlarfield/internal/base/medlarframing"
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/edge/medlarpool"
@@ -95,7 +96,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	body, err := io.ReadAll(medlarhead.NewBody(br, h))
+	body, err := io.ReadAll(medlarframing.NewBody(br, h))
 	return h, body, err
 }
 
--- a/internal/edge/medlarserver/medlarserver.go
+++ b/internal/edge/medlarserver/medlarserver.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"medlarfield/internal/agree/medlarcatalog"
+	"medlarfield/internal/base/medlarframing"
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/base/medlarmemory"
 	"medlarfield/internal/base/medlarprobe"
@@ -219,7 +220,7 @@
 	if r.Dropped() { // while the deadline of the body was set in place of the one that had ended the read
 		return nil, medlarmemory.ErrDropped
 	}
-	body, err := medlarhead.ReadReservedBody(c.br, h, limit, r)
+	body, err := medlarframing.ReadReservedBody(c.br, h, limit, r)
 	if err = memoryError(r, err); err != nil {
 		return nil, err
 	}
--- a/internal/ops/medlarattachednode/bench_test.go
+++ b/internal/ops/medlarattachednode/bench_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"medlarfield/internal/base/medlarframing"
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/ops/medlarattachednode"
 	"medlarfield/internal/stand/medlarsite"
@@ -65,7 +66,7 @@
 		if err != nil || h.Status != 200 {
 			b.Fatal(h, err)
 		}
-		if _, err := io.Copy(io.Discard, medlarhead.NewBody(br, h)); err != nil {
+		if _, err := io.Copy(io.Discard, medlarframing.NewBody(br, h)); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/internal/ops/medlarattachednode/builds_test.go
+++ b/internal/ops/medlarattachednode/builds_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"medlarfield/internal/base/medlarframing"
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/stand/medlarfaketopic"
 	"medlarfield/internal/stand/medlarsite"
@@ -195,7 +196,7 @@
 	if err != nil || h.Status != 200 {
 		return true
 	}
-	s := bufio.NewScanner(medlarhead.NewBody(br, h))
+	s := bufio.NewScanner(medlarframing.NewBody(br, h))
 	for s.Scan() {
 		name, value, _ := strings.Cut(s.Text(), ": ")
 		switch name {
--- a/internal/ops/medlarattachednode/follow_test.go
+++ b/internal/ops/medlarattachednode/follow_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"medlarfield/internal/base/medlarframing"
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/stand/medlarfakereplica"
 	"medlarfield/internal/stand/medlarfaketopic"
@@ -367,7 +368,7 @@
 	if err != nil {
 		return result{}
 	}
-	if _, err := io.ReadAll(medlarhead.NewBody(br, h)); err != nil {
+	if _, err := io.ReadAll(medlarframing.NewBody(br, h)); err != nil {
 		return result{}
 	}
 	return result{status: h.Status, head: h, whole: true}
--- a/internal/ops/medlarattachednode/path_test.go
+++ b/internal/ops/medlarattachednode/path_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"medlarfield/internal/base/medlarframing"
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/ops/medlarattachednode"
 	"medlarfield/internal/stand/medlarfakereplica"
@@ -179,7 +180,7 @@
 	if err != nil {
 		return result{}
 	}
-	body, err := io.ReadAll(medlarhead.NewBody(br, h))
+	body, err := io.ReadAll(medlarframing.NewBody(br, h))
 	return result{status: h.Status, head: h, body: string(body), whole: err == nil}
 }
 
--- a/internal/ops/medlarattachednode/upload_test.go
+++ b/internal/ops/medlarattachednode/upload_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"medlarfield/internal/base/medlarframing"
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/stand/medlarending"
 	"medlarfield/internal/stand/medlarsite"
@@ -137,6 +138,6 @@
 	if err != nil {
 		return result{}
 	}
-	body, err := io.ReadAll(medlarhead.NewBody(br, h))
+	body, err := io.ReadAll(medlarframing.NewBody(br, h))
 	return result{status: h.Status, head: h, body: string(body), whole: err == nil}
 }
--- a/internal/ops/medlarnode/upload_test.go
+++ b/internal/ops/medlarnode/upload_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"medlarfield/internal/base/medlarframing"
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/ops/medlarsettings"
 	"medlarfield/internal/stand/medlarending"
@@ -85,7 +86,7 @@
 			default:
 			}
 			if !e.Early {
-				_, _ = medlarhead.ReadBody(br, head, 1<<20)
+				_, _ = medlarframing.ReadBody(br, head, 1<<20)
 			}
 			e.Write(c, medlarending.Request{ID: "r"})
 		}()
--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -21,6 +21,7 @@
 
 	"github.com/go-json-experiment/json"
 
+	"medlarfield/internal/base/medlarframing"
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/stand/medlarending"
 	"medlarfield/internal/stand/medlarpace"
@@ -404,7 +405,7 @@
 		if h.Length > longBody {
 			time.Sleep(r.Settings.ReadDelay)
 		}
-		body, err := medlarhead.ReadBody(br, h, bodyLimit)
+		body, err := medlarframing.ReadBody(br, h, bodyLimit)
 		r.Pace.Wait()
 		if err != nil || !r.serveRequest(c, br, h, string(body)) || h.Close {
 			return
--- a/internal/stand/medlarrepeater/medlarrepeater.go
+++ b/internal/stand/medlarrepeater/medlarrepeater.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"medlarfield/internal/base/medlarframing"
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/base/medlarid"
 )
@@ -109,7 +110,7 @@
 		if err != nil {
 			return
 		}
-		if _, err := medlarhead.ReadBody(r, req, maxBody); err != nil {
+		if _, err := medlarframing.ReadBody(r, req, maxBody); err != nil {
 			return
 		}
 		next := s.encode(s.respond())
--- a/internal/upstream/medlarengine/foreign_test.go
+++ b/internal/upstream/medlarengine/foreign_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"medlarfield/internal/base/medlarframing"
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/upstream/medlarengine"
@@ -107,7 +108,7 @@
 	if err != nil {
 		return
 	}
-	if _, err := medlarhead.ReadBody(br, h, 1<<20); err == nil {
+	if _, err := medlarframing.ReadBody(br, h, 1<<20); err == nil {
 		_, _ = io.WriteString(c, response)
 	}
 }
--- a/internal/upstream/medlarengine/medlarengine_test.go
+++ b/internal/upstream/medlarengine/medlarengine_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"medlarfield/internal/base/medlarframing"
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
@@ -178,7 +179,7 @@
 	if err != nil {
 		return
 	}
-	if _, err := medlarhead.ReadBody(br, h, 1<<20); err == nil {
+	if _, err := medlarframing.ReadBody(br, h, 1<<20); err == nil {
 		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + stream))
 	}
 }
--- a/internal/upstream/medlarhttp/medlarhttp.go
+++ b/internal/upstream/medlarhttp/medlarhttp.go
@@ -22,7 +22,7 @@
 //	    the others are read.
 //	R7  Responses are read by the rules of medlarhead, whatever their status: a head that stops, or
 //	    within which another one begins, is an error, and so is a body that is not whole, or that holds
-//	    the head of a further response (medlarhead R5, R6). A body that the end of the connection delimits is not
+//	    the head of a further response (medlarframing R3, R4). A body that the end of the connection delimits is not
 //	    whole if the peer had not received all of the request.
 package medlarhttp
 
--- a/internal/upstream/medlarhttp/transport.go
+++ b/internal/upstream/medlarhttp/transport.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"medlarfield/internal/base/medlarframing"
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/base/medlarprobe"
 )
@@ -28,7 +29,7 @@
 // errInterim reports a peer that sends only interim responses.
 var errInterim = eris.New("received only interim responses")
 
-// transport writes requests as fasthttp does, and reads responses with medlarhead (R7).
+// transport writes requests as fasthttp does, and reads responses with medlarhead and medlarframing (R7).
 type transport struct{}
 
 // RoundTrip sends a request once. The body stream of the response is an *answer.
@@ -93,14 +94,14 @@
 	deadline time.Time // zero for none
 	head     *medlarhead.Head
 	br       *bufio.Reader
-	body     *medlarhead.Body
+	body     *medlarframing.Body
 	whole    atomic.Bool // the body was read to its end, and nothing follows
 	release  func(whole bool)
 	released sync.Once
 }
 
 func newAnswer(br *bufio.Reader, h *medlarhead.Head) *answer {
-	a := &answer{head: h, br: br, body: medlarhead.NewBody(br, h)}
+	a := &answer{head: h, br: br, body: medlarframing.NewBody(br, h)}
 	a.body.RejectHeads(ownNone)
 	a.whole.Store(h.Length == 0 && h.Framing != medlarhead.FramingChunked && br.Buffered() == 0)
 	return a
