Move floods and brittleness of the fake replica into packages of their own

What sends bytes without end moves to medlarflood, and what tells when a brittle replica crashes to medlarbrittleness.

--- a/internal/ops/medlarattachednode/endless_test.go
+++ b/internal/ops/medlarattachednode/endless_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"medlarfield/internal/stand/medlarfakereplica"
+	"medlarfield/internal/stand/medlarflood"
 	"medlarfield/internal/stand/medlarsite"
 )
 
@@ -25,18 +26,18 @@
 		path   string
 		status int // 0: any end without a complete response
 	}{
-		{medlarfakereplica.FaultEndlessLine, "/post/a", 502},
-		{medlarfakereplica.FaultEndlessHead, "/post/a", 502},
-		{medlarfakereplica.FaultEndlessHeads, "/post/a", 502},
-		{medlarfakereplica.FaultEndlessForeign, "/post/a", 502},
-		{medlarfakereplica.FaultEndlessBusy, "/post/a", 200}, // it has not run, so another attempt is made
-		{medlarfakereplica.FaultEndlessUnsigned, "/post/a", 502},
-		{medlarfakereplica.FaultEndlessChunk, "/post/a", 0},
-		{medlarfakereplica.FaultEndlessBody, "/post/a", 0},
-		{medlarfakereplica.FaultEndlessLine, "/query/a", 502},
-		{medlarfakereplica.FaultEndlessHead, "/query/a", 502},
-		{medlarfakereplica.FaultEndlessEvent, "/query/a", 502},
-		{medlarfakereplica.FaultEndlessComment, "/query/a", 0},
+		{medlarflood.Line, "/post/a", 502},
+		{medlarflood.Head, "/post/a", 502},
+		{medlarflood.Heads, "/post/a", 502},
+		{medlarflood.Foreign, "/post/a", 502},
+		{medlarflood.Busy, "/post/a", 200}, // it has not run, so another attempt is made
+		{medlarflood.Unsigned, "/post/a", 502},
+		{medlarflood.Chunk, "/post/a", 0},
+		{medlarflood.Body, "/post/a", 0},
+		{medlarflood.Line, "/query/a", 502},
+		{medlarflood.Head, "/query/a", 502},
+		{medlarflood.Event, "/query/a", 502},
+		{medlarflood.Comment, "/query/a", 0},
 	} {
 		t.Run(string(tc.fault)+tc.path, func(t *testing.T) {
 			w := start(t, func(s *medlarsite.Settings) { s.Engines, s.Plain = 1, 1 })
@@ -53,7 +54,7 @@
 				t.Errorf("status %d, whole %v; want %d", got.status, got.whole, tc.status)
 			}
 			limit := maxEndlessTime
-			if tc.fault == medlarfakereplica.FaultEndlessBody {
+			if tc.fault == medlarflood.Body {
 				limit = maxRelayTime
 			}
 			if took := time.Since(begin); took > limit {
--- a/internal/stand/medlarfakereplica/exchange.go
+++ b/internal/stand/medlarfakereplica/exchange.go
@@ -11,6 +11,7 @@
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/base/medlarprobe"
 	"medlarfield/internal/stand/medlarending"
+	"medlarfield/internal/stand/medlarflood"
 )
 
 // exchange is the handling of one request by a replica.
@@ -67,8 +68,9 @@
 			return false
 		}
 	}
-	if start, repeat, ok := x.endless(); ok {
-		return x.sendEndlessly(start, repeat)
+	if f, ok := medlarflood.New(string(x.fault), x.header(headerID)); ok {
+		f.Send(x.conn, &r.endless)
+		return false
 	}
 	if e, ok := r.endings.Load().Next(); ok {
 		e.Write(x.conn, medlarending.Request{ID: run.ID, LastEventID: run.LastEventID, Fields: x.responseFields()})
--- a/internal/stand/medlarfakereplica/medlarfakereplica.go
+++ b/internal/stand/medlarfakereplica/medlarfakereplica.go
@@ -23,6 +23,7 @@
 
 	"medlarfield/internal/base/medlarframing"
 	"medlarfield/internal/base/medlarhead"
+	"medlarfield/internal/stand/medlarbrittleness"
 	"medlarfield/internal/stand/medlarending"
 	"medlarfield/internal/stand/medlarpace"
 )
@@ -53,20 +54,6 @@
 	FaultMisdirected Fault = "misplaced" // responds with 421 as if it were another replica
 )
 
-// Faults of a replica that sends bytes without end, until the caller closes the connection.
-const (
-	FaultEndlessLine     Fault = "line"      // of a line that never ends
-	FaultEndlessHead     Fault = "fields"    // of the fields of a response
-	FaultEndlessHeads    Fault = "interim"   // of interim responses
-	FaultEndlessForeign  Fault = "foreigner" // of the body of a response to another request
-	FaultEndlessBusy     Fault = "reject"    // of the body of a rejection
-	FaultEndlessUnsigned Fault = "nameless"  // of the body of an unsigned response
-	FaultEndlessChunk    Fault = "chunk"     // of the size of a chunk of a response
-	FaultEndlessBody     Fault = "body"      // of the body of a response
-	FaultEndlessEvent    Fault = "event"     // of an event of a stream
-	FaultEndlessComment  Fault = "comment"   // of comments in a stream
-)
-
 // PauseSeconds is the pause that FaultPause asks for, in seconds.
 const PauseSeconds = "1.5"
 
@@ -141,7 +128,7 @@
 	arrivals []time.Time
 	crashed  atomic.Bool
 	coldEnd  time.Time // until when the replica is cold
-	brittle  brittleness
+	brittle  medlarbrittleness.State
 	endings  atomic.Pointer[medlarending.Queue]
 	endless  atomic.Int64 // bytes that faults without end have sent
 	orders   uint64
@@ -243,12 +230,31 @@
 	r.limits = values
 }
 
+// BeBrittle makes the replica state that it is brittle: medlarbrittleness.Delay later it serves slots requests at once and
+// crashes when it has to turn away more than most in a second. With most 0 it is no longer brittle.
+func (r *Replica) BeBrittle(most, slots int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.brittle = medlarbrittleness.New(most, slots)
+}
+
+// turnAway counts a request that is turned away for lack of room, and crashes the replica after too many.
+func (r *Replica) turnAway() {
+	now := time.Now()
+	r.mu.Lock()
+	crashes := r.brittle.TurnAway(now)
+	r.mu.Unlock()
+	if crashes {
+		r.Crash()
+	}
+}
+
 // hintFields returns the header fields by which a response states that the replica leaves, and
 // what limit it has.
 func (r *Replica) hintFields() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	f := r.brittleField()
+	f := r.brittle.Field()
 	if r.notice {
 		f = "Server-Leaving: 1\r\n"
 	}
@@ -492,7 +498,7 @@
 func (r *Replica) acquireSlot() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.active >= r.slots() || r.loading {
+	if r.active >= r.brittle.Slots(r.Settings.Slots) || r.loading {
 		return false
 	}
 	r.active++
--- a/internal/stand/medlarschedule/medlarschedule.go
+++ b/internal/stand/medlarschedule/medlarschedule.go
@@ -13,6 +13,7 @@
 	"medlarfield/internal/stand/medlarending"
 	"medlarfield/internal/stand/medlarfakereplica"
 	"medlarfield/internal/stand/medlarfaketopic"
+	"medlarfield/internal/stand/medlarflood"
 	"medlarfield/internal/stand/medlarlink"
 	"medlarfield/internal/stand/medlarstutter"
 )
@@ -267,7 +268,7 @@
 		medlarfakereplica.FaultLost, medlarfakereplica.FaultCut, medlarfakereplica.FaultFail, medlarfakereplica.FaultExtra,
 		medlarfakereplica.FaultForeign, medlarfakereplica.FaultGarbage, medlarfakereplica.FaultShort, medlarfakereplica.FaultWrongID,
 		medlarfakereplica.FaultHang, medlarfakereplica.FaultPause, medlarfakereplica.FaultMisdirected,
-		medlarfakereplica.FaultEndlessLine, medlarfakereplica.FaultEndlessHead, medlarfakereplica.FaultEndlessHeads,
+		medlarflood.Line, medlarflood.Head, medlarflood.Heads,
 	}
 	return repeat("arm?fault=%s&n=1", faults[d.IntN(len(faults))])
 }
