Move sending and buffering of the proxy into packages of their own

What sends requests and tells whether they were written in full moves to medlarupload, what reserves the memory of responses and events to medlarbuffer, and the metadata of a forwarded request to medlarcall. The tests of all three go through the proxy and stay there.

--- a/internal/edge/medlarcall/medlarcall.go
+++ b/internal/edge/medlarcall/medlarcall.go
@@ -90,6 +90,30 @@
 	FetchDeadline time.Time
 }
 
+// Sharing is with which accounts an account shares cached context: when its request arrived, and now.
+type Sharing struct {
+	Account      medlarid.AccountID
+	Arrived, Now medlarkey.CacheGroup
+}
+
+// Forward returns what is added to the request of an attempt. The salt is that of the accounts that share cached context
+// now, which may be others than when the request arrived: what was planned to be fetched and saved then has another salt.
+func (s Sharing) Forward(cmd *medlarworld.StartAttempt, timeout time.Duration, lastEventID string) Forward {
+	f := Forward{
+		Target:      cmd.Upstream,
+		Account:     s.Account,
+		Timeout:     timeout,
+		LastEventID: lastEventID,
+		Version:     cmd.Version,
+		Salt:        medlarkey.NewCacheSalt(cmd.Version, s.Now),
+		Priority:    cmd.Priority,
+	}
+	if s.Now == s.Arrived {
+		f.Fetch, f.Save, f.FetchDeadline = cmd.Fetch, cmd.Save, cmd.FetchDeadline
+	}
+	return f
+}
+
 // Proof is what shows that a response belongs to an attempt.
 type Proof string
 
--- a/internal/edge/medlarproxy/attempt.go
+++ b/internal/edge/medlarproxy/attempt.go
@@ -13,23 +13,22 @@
 	"medlarfield/internal/base/medlarevent"
 	"medlarfield/internal/base/medlarhead"
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarbody"
+	"medlarfield/internal/edge/medlarbuffer"
 	"medlarfield/internal/edge/medlarcall"
 	"medlarfield/internal/edge/medlarpatience"
 	"medlarfield/internal/edge/medlarpool"
 	"medlarfield/internal/edge/medlarproof"
 	"medlarfield/internal/edge/medlarrun"
+	"medlarfield/internal/edge/medlarupload"
 	"medlarfield/internal/edge/medlarwithdrawal"
 )
 
-// Limits of requests and responses.
+// Statuses of responses.
 const (
-	maxInlineBody = 16 << 10              // bytes; a longer request body is written while the response is read
-	writeWait     = 50 * time.Millisecond // for the end of that write once the upstream has ended the connection
 	statusOK      = 200
 	statusFailure = 500
 )
@@ -37,23 +36,23 @@
 // attempt is one attempt of a request at an upstream.
 type attempt struct {
 	*exchange
-	cmd         medlarworld.StartAttempt
-	started     time.Time
-	deadline    time.Time        // of its reads and writes
-	upstream    *medlarpool.Conn // nil before the attempt has a connection
-	withdrawal  *medlarwithdrawal.Attempt
-	stopClose   func() bool // stops the close of upstream on a client disconnect, or when the attempt is withdrawn; false if it was closed
-	bodyWritten chan error  // result of a body write in the background; nil for none
-	status      int
-	bodyEnd     medlarcall.BodyEnd
-	reused      bool                // the connection had served a request before
-	proof       medlarcall.Proof    // that the response belongs to the attempt
-	unnamed     bool                // a rejection that names no request was read over
-	rejected    bool                // the response says that the upstream did not run the request
-	via         medlarid.InstanceID // that relays the connection; empty for none
-	err         error
-	lost        bool // the upstream ended the connection before its response was complete
-	headBegan   bool // a byte of a response was received
+	cmd        medlarworld.StartAttempt
+	started    time.Time
+	deadline   time.Time        // of its reads and writes
+	upstream   *medlarpool.Conn // nil before the attempt has a connection
+	withdrawal *medlarwithdrawal.Attempt
+	stopClose  func() bool // stops the close of upstream on a client disconnect, or when the attempt is withdrawn; false if it was closed
+	upload     medlarupload.Upload
+	status     int
+	bodyEnd    medlarcall.BodyEnd
+	reused     bool                // the connection had served a request before
+	proof      medlarcall.Proof    // that the response belongs to the attempt
+	unnamed    bool                // a rejection that names no request was read over
+	rejected   bool                // the response says that the upstream did not run the request
+	via        medlarid.InstanceID // that relays the connection; empty for none
+	err        error
+	lost       bool // the upstream ended the connection before its response was complete
+	headBegan  bool // a byte of a response was received
 }
 
 // response is a complete response of an upstream.
@@ -138,48 +137,19 @@
 	}
 }
 
-// send writes the request. A long body is written in the background while the response is
-// read, as the upstream may respond before it has read all of the body.
+// send writes the request.
 func (a *attempt) send() error {
-	b := make([]byte, 0, 1024+min(len(a.body), maxInlineBody))
+	b := make([]byte, 0, 1024+min(len(a.body), medlarupload.MaxInlineBody))
 	b = medlarhead.AppendRequest(b, a.head.Method, a.head.Target)
-	b = a.proxy.deps.Forward(b, a.head, a.forward())
+	sharing := medlarcall.Sharing{Account: a.account.ID, Arrived: a.group, Now: a.proxy.deps.Catalog().CacheGroup(a.account)}
+	b = a.proxy.deps.Forward(b, a.head, sharing.Forward(&a.cmd, time.Until(a.run.Deadline), a.lastEventID()))
 	if a.head.Framing != medlarhead.FramingNone || len(a.body) > 0 {
 		b = medlarhead.AppendLength(b, len(a.body))
 	}
 	b = medlarhead.AppendEnd(b)
-	if len(a.body) <= maxInlineBody {
-		_, err := a.upstream.Write(append(b, a.body...))
-		return err
-	}
-	if _, err := a.upstream.Write(b); err != nil {
-		return err
-	}
-	a.bodyWritten = make(chan error, 1)
-	go func() {
-		_, err := a.upstream.Write(a.body)
-		a.bodyWritten <- err
-	}()
-	return nil
-}
-
-// forward returns what is added to the request. The salt is that of the accounts that share cached context now, which
-// may be others than when the request arrived: what was planned to be fetched and saved then has another salt.
-func (a *attempt) forward() medlarcall.Forward {
-	group := a.proxy.deps.Catalog().CacheGroup(a.account)
-	f := medlarcall.Forward{
-		Target:      a.cmd.Upstream,
-		Account:     a.account.ID,
-		Timeout:     time.Until(a.run.Deadline),
-		LastEventID: a.lastEventID(),
-		Version:     a.cmd.Version,
-		Salt:        medlarkey.NewCacheSalt(a.cmd.Version, group),
-		Priority:    a.cmd.Priority,
-	}
-	if group == a.group {
-		f.Fetch, f.Save, f.FetchDeadline = a.cmd.Fetch, a.cmd.Save, a.cmd.FetchDeadline
-	}
-	return f
+	var err error
+	a.upload, err = medlarupload.Start(a.upstream, b, a.body)
+	return err
 }
 
 // lastEventID returns the id of the last event that the client has received.
@@ -242,7 +212,7 @@
 // have been cut off before it: what follows is read for a moment, to see whether the upstream ends
 // the connection.
 func (a *attempt) failUnsigned(h *medlarhead.Head) medlarworld.AttemptEnded {
-	cut := medlarbody.CutOff(a.source(), h, maxBufferedBody)
+	cut := medlarbody.CutOff(a.source(), h, medlarbuffer.MaxBody)
 	_ = a.upstream.Close()
 	ended := a.failed(errUnsigned, medlarreason.Broken, true)
 	a.lost = cut && a.ctx.Err() == nil && !a.withdrawal.Withdrawn()
--- a/internal/edge/medlarproxy/exchange.go
+++ b/internal/edge/medlarproxy/exchange.go
@@ -7,11 +7,11 @@
 	"medlarfield/internal/agree/medlarcatalog"
 	"medlarfield/internal/base/medlarevent"
 	"medlarfield/internal/base/medlarhead"
-	"medlarfield/internal/base/medlarmemory"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/edge/medlarbuffer"
 	"medlarfield/internal/edge/medlarcall"
 	"medlarfield/internal/edge/medlarpatience"
 	"medlarfield/internal/edge/medlarrefusal"
@@ -21,14 +21,12 @@
 
 // exchange is a request and its response.
 type exchange struct {
-	proxy      *Proxy
-	conn       *medlarserver.Conn
-	head       *medlarhead.Head
-	body       []byte
-	memory     *medlarmemory.Reservation // of the request
-	eventBytes int                       // that are reserved in memory for events longer than readBuffer
-	answer     *medlarmemory.Reservation // of the responses that are relayed or kept; nil for none
-	call       medlarcall.Call
+	proxy   *Proxy
+	conn    *medlarserver.Conn
+	head    *medlarhead.Head
+	body    []byte
+	buffers medlarbuffer.Buffers
+	call    medlarcall.Call
 
 	route     *medlarcatalog.Route
 	account   medlarcatalog.Account
@@ -47,7 +45,7 @@
 }
 
 func newExchange(p *Proxy, r medlarserver.Request) *exchange {
-	x := &exchange{proxy: p, conn: r.Conn, head: r.Head, body: r.Body, memory: r.Memory, arrived: r.Arrived, summary: &medlarcall.Summary{}}
+	x := &exchange{proxy: p, conn: r.Conn, head: r.Head, body: r.Body, buffers: medlarbuffer.New(p.deps.Memory, r.Memory), arrived: r.Arrived, summary: &medlarcall.Summary{}}
 	x.ctx, x.cancel = context.WithCancel(context.Background())
 	return x
 }
@@ -58,7 +56,7 @@
 		x.stopWatch()
 	}
 	x.cancel()
-	x.answer.Release()
+	x.buffers.Release()
 	x.summary.Duration = time.Since(x.arrived)
 	x.proxy.deps.Observer.RequestEnded(x.summary)
 }
--- a/internal/edge/medlarproxy/medlarproxy.go
+++ b/internal/edge/medlarproxy/medlarproxy.go
@@ -86,18 +86,6 @@
 	RequestEnded func(*medlarcall.Summary)
 }
 
-// Sizes of buffers.
-const (
-	readBuffer      = 4096     // bytes
-	maxBufferedBody = 64 << 10 // bytes; a longer response body is relayed in chunks as it arrives
-
-	// answerCopies is the number of buffers of the size of a response that relaying one takes: a response of an earlier
-	// attempt, the one that is read, and the bytes that are written.
-	answerCopies = 3
-	// eventCopies is the same for an event of a stream: its buffer, which doubles, and the bytes that are written.
-	eventCopies = 3
-)
-
 // memoryRetryAfter is the delay after which a client may retry a request that was refused for lack of memory. What
 // fills it is given up within 10 s, and mostly far earlier.
 const memoryRetryAfter = time.Second
--- a/internal/edge/medlarproxy/relay.go
+++ b/internal/edge/medlarproxy/relay.go
@@ -4,42 +4,19 @@
 	"io"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"medlarfield/internal/base/medlarhead"
-	"medlarfield/internal/base/medlarmemory"
-	"medlarfield/internal/base/medlarprobe"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarbody"
+	"medlarfield/internal/edge/medlarbuffer"
 	"medlarfield/internal/edge/medlarcall"
 	"medlarfield/internal/edge/medlarrun"
 )
 
 // source returns what the body of the response is read from.
 func (a *attempt) source() medlarbody.Source {
-	s := medlarbody.Source{Conn: a.upstream, Buffer: a.upstream.Reader, Deadline: a.deadline}
-	if a.bodyWritten != nil {
-		s.Written = a.awaitWritten
-	}
-	return s
-}
-
-// errUnread reports a response that only the end of the connection delimits, to a request that was not written in full.
-var errUnread = &medlarhead.Error{Op: medlarhead.OpBody, Kind: medlarhead.KindBroken, Err: eris.Wrap(io.ErrUnexpectedEOF, "the connection ended before the request was written")}
-
-// awaitWritten returns an error if the body of the request was not written in full, or if the upstream had not received all of
-// it when it ended the connection. It is called then, so that the write does not have long to go.
-func (a *attempt) awaitWritten() error {
-	unread := medlarprobe.Unacknowledged(a.upstream.Conn)
-	_ = a.upstream.SetWriteDeadline(time.Now().Add(writeWait))
-	err := <-a.bodyWritten
-	a.bodyWritten <- err                                                     // for requestWritten
-	if err != nil || unread || medlarprobe.Unacknowledged(a.upstream.Conn) { // it may have been written after that end
-		return errUnread
-	}
-	return nil
+	return medlarbody.Source{Conn: a.upstream, Buffer: a.upstream.Reader, Deadline: a.deadline, Written: a.upload.Await()}
 }
 
 // isOwn reports whether the head of a response names the request of the attempt.
@@ -57,7 +34,7 @@
 	}
 	body := medlarbody.New(a.source(), h)
 	body.RejectHeads(a.isOwn)
-	buf, whole, err := body.ReadSome(a.reserveAnswer(h))
+	buf, whole, err := body.ReadSome(a.buffers.ReserveAnswer(h))
 	if err != nil {
 		_ = a.upstream.Close()
 		return a.failed(err, medlarreason.Truncated, true)
@@ -75,30 +52,6 @@
 	return a.complete(resp)
 }
 
-// reserveAnswer returns how much of a response is read before it is relayed. Without memory for more that is little: a
-// longer response is relayed in chunks then, and is not retried if it is truncated.
-func (a *attempt) reserveAnswer(h *medlarhead.Head) int {
-	limit := maxBufferedBody
-	if h.Framing == medlarhead.FramingLength {
-		limit = int(min(h.Length, maxBufferedBody))
-	}
-	if limit <= readBuffer || h.Framing == medlarhead.FramingNone { // within the memory of the request
-		return readBuffer
-	}
-	if a.answer != nil { // an earlier response is kept
-		if a.answer.Grow(answerCopies*limit) != nil {
-			return readBuffer
-		}
-		return limit
-	}
-	r, err := a.proxy.deps.Memory.Reserve(medlarmemory.KindAnswers, answerCopies*limit)
-	if err != nil {
-		return readBuffer
-	}
-	a.answer = r
-	return limit
-}
-
 // complete sends a complete response and returns the result of the attempt.
 func (a *attempt) complete(resp *response) medlarworld.AttemptEnded {
 	switch {
@@ -120,7 +73,7 @@
 		_ = a.upstream.Close()
 		return a.ended(medlarkind.CauseCallerLeft, "", true)
 	}
-	buf := make([]byte, max(len(first), readBuffer))
+	buf := make([]byte, max(len(first), medlarbuffer.Read))
 	var chunk []byte
 	for {
 		n, err := body.Read(buf)
@@ -157,14 +110,14 @@
 // relayStream relays an event stream. The head is sent with the first event, so that a stream
 // that fails before it is retried without the client noticing.
 func (a *attempt) relayStream(h *medlarhead.Head, reply medlarcall.Reply) medlarworld.AttemptEnded {
-	a.memory.SetKind(medlarmemory.KindStreams)
+	a.buffers.BeginStream()
 	body := medlarbody.New(a.source(), h)
 	last := ""
 	if !a.run.AtMostOnce { // otherwise the stream begins anew, whatever event the client names
 		last = a.lastEventID()
 	}
 	a.events.Resume(last)
-	buf := make([]byte, readBuffer)
+	buf := make([]byte, medlarbuffer.Read)
 	var events []byte
 	for !a.bodyEnd.Complete {
 		n, err := body.Read(buf)
@@ -172,7 +125,7 @@
 		var splitErr error
 		events, splitErr = a.events.Split(events[:0], buf[:n])
 		if splitErr == nil {
-			splitErr = a.reserveEvent()
+			splitErr = a.buffers.ReserveEvent(a.events.Buffered())
 		}
 		switch {
 		case splitErr != nil:
@@ -200,19 +153,6 @@
 	return a.finishChunked()
 }
 
-// reserveEvent reserves the memory of an event that has not ended, unless it is within the memory of the request.
-func (x *exchange) reserveEvent() error {
-	need := eventCopies * x.events.Buffered()
-	if need <= eventCopies*readBuffer || need <= x.eventBytes {
-		return nil
-	}
-	err := x.memory.Grow(need - x.eventBytes)
-	if err == nil {
-		x.eventBytes = need
-	}
-	return err
-}
-
 // sendEvents writes complete events, preceded by the response's head if it was not sent yet.
 func (a *attempt) sendEvents(h *medlarhead.Head, events []byte) error {
 	if a.responseStarted {
@@ -258,29 +198,16 @@
 // closed because the client disconnected.
 func (a *attempt) returnConn(h *medlarhead.Head, reply medlarcall.Reply) {
 	a.bodyEnd.Followed = a.upstream.Reader.Buffered() > 0
-	if !a.stopClose() || h.Close || !a.requestWritten() {
+	if !a.stopClose() || h.Close || !a.upload.Written() {
 		_ = a.upstream.Close()
 		return
 	}
 	a.proxy.deps.Pool.Put(a.upstream, reply.KeepAlive)
 }
 
-// requestWritten reports whether the request was written in full.
-func (a *attempt) requestWritten() bool {
-	if a.bodyWritten == nil {
-		return true
-	}
-	select {
-	case err := <-a.bodyWritten:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // discard reads a response that is not relayed, so that the connection can be reused.
 func (a *attempt) discard(h *medlarhead.Head, reply medlarcall.Reply) {
-	if !medlarbody.Discard(a.source(), h, maxBufferedBody) {
+	if !medlarbody.Discard(a.source(), h, medlarbuffer.MaxBody) {
 		_ = a.upstream.Close()
 		return
 	}
