--- a/internal/peer/medlarstorerelay/message.go
+++ b/internal/peer/medlarstoremessage/medlarstoremessage.go
@@ -1,4 +1,6 @@
-package medlarstorerelay
+// Package medlarstoremessage encodes the messages by which instances pass each other the contents of KV stores
+// (see medlarstorerelay). What another instance can make a decoder hold is bounded.
+package medlarstoremessage
 
 import (
 	"bufio"
@@ -39,60 +41,73 @@
 
 // Bounds of what another instance can make this one hold.
 const (
-	maxRequest   = 16 << 10  // bytes of a request
-	maxAnswer    = 512 << 10 // bytes of an answer
-	maxStores    = 128       // stores of a connection
+	MaxRequest   = 16 << 10  // bytes of a request
+	MaxAnswer    = 512 << 10 // bytes of an answer
+	MaxStores    = 128       // stores of a connection
 	maxName      = 128       // bytes of the name of a store
-	maxParts     = 1 << 17   // parts of a store
+	MaxParts     = 1 << 17   // parts of a store
 	maxTokens    = 1 << 30   // tokens of a part
 	maxAge       = time.Hour // older contents have no date
 	listPiece    = 2048      // parts in a piece of a list
-	maxRecent    = 2048      // changes that a reader keeps of a store for subscribers that are behind
-	minRecent    = 1024      // changes that it keeps when it drops older ones
 	keyBytes     = len(medlarkey.Key{})
 	statePerPart = keyBytes + 5 // bytes of a part in a message, at most
 )
 
-// status tells what a reader knows of a store.
-type status byte
+// Status tells what a reader knows of a store.
+type Status byte
 
+// Statuses.
 const (
-	statusUndated status = 0 // its contents are stale
-	statusDated   status = 1
-	statusAbsent  status = 2 // the instance does not read the store
+	StatusUndated Status = 0 // its contents are stale
+	StatusDated   Status = 1
+	StatusAbsent  Status = 2 // the instance does not read the store
 )
 
-// want is a store that a subscriber asks for. A new generation asks for all contents.
-type want struct {
-	store      medlarid.InstanceID
-	generation uint64
+// Want is a store that a subscriber asks for. A new generation asks for all contents.
+type Want struct {
+	Store      medlarid.InstanceID
+	Generation uint64
 }
 
-// request is a message of a subscriber, with all stores that it asks for.
-type request struct {
-	nonce uint64
-	wants []want
+// Request is a message of a subscriber, with all stores that it asks for.
+type Request struct {
+	Nonce uint64
+	Wants []Want
 }
 
-// report is a piece of a store's contents, or its state, with the changes since an earlier one.
-type report struct {
-	store      medlarid.InstanceID
-	generation uint64
-	epoch      uint64
-	sequence   uint64 // of the contents after the changes
-	base       uint64 // of the contents before them
-	status     status
-	age        time.Duration
-	first      bool // the piece is the first one of a list
-	added      []medlarinventory.StoredPart
-	removed    []medlarkey.Key
+// Report is a piece of a store's contents, or its state, with the changes since an earlier one.
+type Report struct {
+	Store      medlarid.InstanceID
+	Generation uint64
+	Epoch      uint64
+	Sequence   uint64 // of the contents after the changes
+	Base       uint64 // of the contents before them
+	Status     Status
+	Age        time.Duration
+	First      bool // the piece is the first one of a list
+	Added      []medlarinventory.StoredPart
+	Removed    []medlarkey.Key
 }
 
-// answer is a message of a reader.
-type answer struct {
-	nonce  uint64 // of the last request that had been read when the ages were taken
-	lists  []report
-	states []report
+// Answer is a message of a reader.
+type Answer struct {
+	Nonce  uint64 // of the last request that had been read when the ages were taken
+	Lists  []Report
+	States []Report
+}
+
+// Pieces returns a complete list of the contents of a store, in pieces.
+func Pieces(epoch, sequence uint64, parts map[medlarkey.Key]medlarid.Tokens) []Report {
+	list := []Report{{First: true, Epoch: epoch, Sequence: sequence}}
+	for k, n := range parts {
+		last := &list[len(list)-1]
+		if len(last.Added) == listPiece {
+			list = append(list, Report{Epoch: epoch, Sequence: sequence})
+			last = &list[len(list)-1]
+		}
+		last.Added = append(last.Added, medlarinventory.StoredPart{Key: k, Tokens: n})
+	}
+	return list
 }
 
 // Errors of decoding.
@@ -109,56 +124,58 @@
 	return protowire.AppendBytes(protowire.AppendTag(b, n, protowire.BytesType), v)
 }
 
-func (q request) encode() []byte {
-	b := appendVarint(nil, fieldNonce, q.nonce)
-	for _, w := range q.wants {
-		b = appendBytes(b, fieldWant, report{store: w.store, generation: w.generation}.encode())
+// Encode returns the encoded request.
+func (q Request) Encode() []byte {
+	b := appendVarint(nil, fieldNonce, q.Nonce)
+	for _, w := range q.Wants {
+		b = appendBytes(b, fieldWant, Report{Store: w.Store, Generation: w.Generation}.encode())
 	}
 	return b
 }
 
-func (a answer) encode() []byte {
-	b := appendVarint(nil, fieldNonce, a.nonce)
-	for _, r := range a.lists {
+// Encode returns the encoded answer.
+func (a Answer) Encode() []byte {
+	b := appendVarint(nil, fieldNonce, a.Nonce)
+	for _, r := range a.Lists {
 		b = appendBytes(b, fieldList, r.encode())
 	}
-	for _, r := range a.states {
+	for _, r := range a.States {
 		b = appendBytes(b, fieldState, r.encode())
 	}
 	return b
 }
 
-func (r report) encode() []byte {
-	b := make([]byte, 0, 64+len(r.store)+statePerPart*(len(r.added)+len(r.removed)))
-	b = appendBytes(b, fieldStore, []byte(r.store))
+func (r Report) encode() []byte {
+	b := make([]byte, 0, 64+len(r.Store)+statePerPart*(len(r.Added)+len(r.Removed)))
+	b = appendBytes(b, fieldStore, []byte(r.Store))
 	for _, f := range []struct {
 		number protowire.Number
 		value  uint64
 	}{
-		{fieldGeneration, r.generation},
-		{fieldEpoch, r.epoch},
-		{fieldSequence, r.sequence},
-		{fieldBase, r.base},
-		{fieldStatus, uint64(r.status)},
-		{fieldAge, uint64(max(r.age, 0).Microseconds())},
+		{fieldGeneration, r.Generation},
+		{fieldEpoch, r.Epoch},
+		{fieldSequence, r.Sequence},
+		{fieldBase, r.Base},
+		{fieldStatus, uint64(r.Status)},
+		{fieldAge, uint64(max(r.Age, 0).Microseconds())},
 	} {
 		if f.value != 0 {
 			b = appendVarint(b, f.number, f.value)
 		}
 	}
-	if r.first {
+	if r.First {
 		b = appendVarint(b, fieldFirst, 1)
 	}
-	if len(r.added) > 0 {
+	if len(r.Added) > 0 {
 		var parts []byte
-		for _, p := range r.added {
+		for _, p := range r.Added {
 			parts = protowire.AppendVarint(append(parts, p.Key[:]...), uint64(p.Tokens))
 		}
 		b = appendBytes(b, fieldAdded, parts)
 	}
-	if len(r.removed) > 0 {
+	if len(r.Removed) > 0 {
 		var parts []byte
-		for _, k := range r.removed {
+		for _, k := range r.Removed {
 			parts = append(parts, k[:]...)
 		}
 		b = appendBytes(b, fieldRemoved, parts)
@@ -199,37 +216,39 @@
 	return nil
 }
 
-func decodeRequest(b []byte) (request, error) {
-	var q request
+// DecodeRequest decodes a request.
+func DecodeRequest(b []byte) (Request, error) {
+	var q Request
 	err := eachField(b, func(n protowire.Number, v uint64, raw []byte) error {
 		switch n {
 		case fieldNonce:
-			q.nonce = v
+			q.Nonce = v
 		case fieldWant:
-			if len(q.wants) == maxStores {
+			if len(q.Wants) == MaxStores {
 				return errTooLong
 			}
 			r, err := decodeReport(raw)
 			if err != nil {
 				return err
 			}
-			q.wants = append(q.wants, want{store: r.store, generation: r.generation})
+			q.Wants = append(q.Wants, Want{Store: r.Store, Generation: r.Generation})
 		}
 		return nil
 	})
 	return q, err
 }
 
-func decodeAnswer(b []byte) (answer, error) {
-	var a answer
+// DecodeAnswer decodes an answer.
+func DecodeAnswer(b []byte) (Answer, error) {
+	var a Answer
 	err := eachField(b, func(n protowire.Number, v uint64, raw []byte) error {
 		if n == fieldNonce {
-			a.nonce = v
+			a.Nonce = v
 		}
 		if n != fieldList && n != fieldState {
 			return nil
 		}
-		if len(a.lists)+len(a.states) == 2*maxStores {
+		if len(a.Lists)+len(a.States) == 2*MaxStores {
 			return errTooLong
 		}
 		r, err := decodeReport(raw)
@@ -237,52 +256,52 @@
 			return err
 		}
 		if n == fieldList {
-			a.lists = append(a.lists, r)
+			a.Lists = append(a.Lists, r)
 		} else {
-			a.states = append(a.states, r)
+			a.States = append(a.States, r)
 		}
 		return nil
 	})
 	return a, err
 }
 
-func decodeReport(b []byte) (report, error) {
-	var r report
+func decodeReport(b []byte) (Report, error) {
+	var r Report
 	err := eachField(b, r.setField)
-	if err == nil && r.store == "" {
+	if err == nil && r.Store == "" {
 		err = errMalformed
 	}
 	return r, err
 }
 
 // setField sets a field that was decoded.
-func (r *report) setField(n protowire.Number, v uint64, raw []byte) error {
+func (r *Report) setField(n protowire.Number, v uint64, raw []byte) error {
 	switch n {
 	case fieldStore:
 		if len(raw) > maxName {
 			return errTooLong
 		}
-		r.store = medlarid.InstanceID(raw)
+		r.Store = medlarid.InstanceID(raw)
 	case fieldGeneration:
-		r.generation = v
+		r.Generation = v
 	case fieldEpoch:
-		r.epoch = v
+		r.Epoch = v
 	case fieldSequence:
-		r.sequence = v
+		r.Sequence = v
 	case fieldBase:
-		r.base = v
+		r.Base = v
 	case fieldStatus:
-		if v > uint64(statusAbsent) {
+		if v > uint64(StatusAbsent) {
 			return errMalformed
 		}
-		r.status = status(v)
+		r.Status = Status(v)
 	case fieldAge:
-		r.age = maxAge
+		r.Age = maxAge
 		if v < uint64(maxAge.Microseconds()) {
-			r.age = time.Duration(v) * time.Microsecond
+			r.Age = time.Duration(v) * time.Microsecond
 		}
 	case fieldFirst:
-		r.first = v != 0
+		r.First = v != 0
 	case fieldAdded:
 		return r.decodeAdded(raw)
 	case fieldRemoved:
@@ -291,7 +310,7 @@
 	return nil
 }
 
-func (r *report) decodeAdded(b []byte) error {
+func (r *Report) decodeAdded(b []byte) error {
 	for len(b) > 0 {
 		if len(b) < keyBytes {
 			return errMalformed
@@ -302,30 +321,30 @@
 			return errMalformed
 		}
 		p.Tokens = medlarid.Tokens(v)
-		r.added = append(r.added, p)
+		r.Added = append(r.Added, p)
 		b = b[keyBytes+n:]
 	}
 	return nil
 }
 
-func (r *report) decodeRemoved(b []byte) error {
+func (r *Report) decodeRemoved(b []byte) error {
 	if len(b)%keyBytes != 0 {
 		return errMalformed
 	}
 	for ; len(b) > 0; b = b[keyBytes:] {
-		r.removed = append(r.removed, medlarkey.Key(b[:keyBytes]))
+		r.Removed = append(r.Removed, medlarkey.Key(b[:keyBytes]))
 	}
 	return nil
 }
 
-// writeMessage writes a message with its length before it, in one call.
-func writeMessage(w io.Writer, b []byte) error {
+// Write writes a message with its length before it, in one call.
+func Write(w io.Writer, b []byte) error {
 	_, err := w.Write(append(protowire.AppendVarint(make([]byte, 0, len(b)+protowire.SizeVarint(uint64(len(b)))), uint64(len(b))), b...))
 	return err
 }
 
-// readMessage reads a message of limited length.
-func readMessage(r *bufio.Reader, limit int) ([]byte, error) {
+// Read reads a message of limited length.
+func Read(r *bufio.Reader, limit int) ([]byte, error) {
 	n, err := binary.ReadUvarint(r)
 	if err != nil {
 		return nil, err
--- a/internal/peer/medlarstorerelay/bench_test.go
+++ b/internal/peer/medlarstorerelay/bench_test.go
@@ -11,6 +11,7 @@
 	"medlarfield/internal/core/medlarinventory"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/peer/medlarstoremessage"
 )
 
 // publisherOf returns a publisher of stores with parts, and a subscriber that wants them all.
@@ -26,7 +27,7 @@
 			e.Added = append(e.Added, medlarinventory.StoredPart{Key: k, Tokens: 500})
 		}
 		p.Report(e)
-		c.wants = append(c.wants, want{store: e.Store, generation: uint64(i + 1)})
+		c.wants = append(c.wants, medlarstoremessage.Want{Store: e.Store, Generation: uint64(i + 1)})
 	}
 	return p, c
 }
@@ -38,14 +39,14 @@
 	var size int
 	for b.Loop() {
 		_, a := p.collect(c)
-		encoded := a.encode()
-		if _, err := decodeAnswer(encoded); err != nil {
+		encoded := a.Encode()
+		if _, err := medlarstoremessage.DecodeAnswer(encoded); err != nil {
 			b.Fatal(err)
 		}
 		size = len(encoded)
 	}
 	b.ReportMetric(float64(size), "B/answer")
-	b.ReportMetric(float64(len(request{nonce: c.nonce, wants: c.wants}.encode())), "B/request")
+	b.ReportMetric(float64(len(medlarstoremessage.Request{Nonce: c.nonce, Wants: c.wants}.Encode())), "B/request")
 }
 
 // BenchmarkList measures the complete contents of a store of 1,000 parts.
@@ -57,8 +58,8 @@
 		lists, _ := p.collect(c)
 		size = 0
 		for _, a := range lists {
-			encoded := a.encode()
-			if _, err := decodeAnswer(encoded); err != nil {
+			encoded := a.Encode()
+			if _, err := medlarstoremessage.DecodeAnswer(encoded); err != nil {
 				b.Fatal(err)
 			}
 			size += len(encoded)
--- a/internal/peer/medlarstorerelay/medlarstorerelay.go
+++ b/internal/peer/medlarstorerelay/medlarstorerelay.go
@@ -33,6 +33,7 @@
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/peer/medlarreader"
+	"medlarfield/internal/peer/medlarstoremessage"
 	"medlarfield/internal/peer/medlartunnel"
 )
 
@@ -236,7 +237,7 @@
 	n := len(c.stores)
 	maps.DeleteFunc(c.stores, func(id medlarid.InstanceID, _ *subscription) bool { return !slices.Contains(stores, id) })
 	changed := len(c.stores) != n
-	for _, id := range stores[:min(len(stores), maxStores)] {
+	for _, id := range stores[:min(len(stores), medlarstoremessage.MaxStores)] {
 		if c.stores[id] == nil {
 			r.generations++
 			c.stores[id] = &subscription{generation: r.generations}
@@ -266,11 +267,11 @@
 	}()
 	in := bufio.NewReader(nc)
 	for {
-		b, err := readMessage(in, maxAnswer)
+		b, err := medlarstoremessage.Read(in, medlarstoremessage.MaxAnswer)
 		if err != nil {
 			return
 		}
-		a, err := decodeAnswer(b)
+		a, err := medlarstoremessage.DecodeAnswer(b)
 		if err != nil || !r.take(c, a) {
 			return
 		}
@@ -300,7 +301,7 @@
 			return
 		}
 		_ = nc.SetWriteDeadline(time.Now().Add(requestsPeriod))
-		if writeMessage(nc, q.encode()) != nil {
+		if medlarstoremessage.Write(nc, q.Encode()) != nil {
 			return
 		}
 		select {
@@ -312,43 +313,43 @@
 }
 
 // nextRequest returns the next request on a connection; ok is false if too many are unanswered.
-func (r *Relay) nextRequest(c *conn) (q request, ok bool) {
+func (r *Relay) nextRequest(c *conn) (q medlarstoremessage.Request, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(c.pings) >= maxPings {
 		return q, false
 	}
 	c.nonce++
-	q.nonce = c.nonce
+	q.Nonce = c.nonce
 	for id, s := range c.stores {
-		q.wants = append(q.wants, want{store: id, generation: s.generation})
+		q.Wants = append(q.Wants, medlarstoremessage.Want{Store: id, Generation: s.generation})
 	}
 	c.pings[c.nonce] = ping{at: time.Now(), suspended: least(r.deps.Suspended)} // before it is sent
 	return q, true
 }
 
 // take applies an answer and reports whether the connection goes on.
-func (r *Relay) take(c *conn, a answer) bool {
+func (r *Relay) take(c *conn, a medlarstoremessage.Answer) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.conns[c.instance.ID] != c {
 		return false
 	}
-	sent, ok := c.pings[a.nonce]
+	sent, ok := c.pings[a.Nonce]
 	if !ok {
 		return false
 	}
-	maps.DeleteFunc(c.pings, func(n uint64, _ ping) bool { return n < a.nonce }) // those before are not answered any more
+	maps.DeleteFunc(c.pings, func(n uint64, _ ping) bool { return n < a.Nonce }) // those before are not answered any more
 	now := time.Now()
 	r.table.Heard(now, c.instance.ID)
-	for i := range a.lists {
-		if !c.list(&a.lists[i]) {
+	for i := range a.Lists {
+		if !c.list(&a.Lists[i]) {
 			return false
 		}
 	}
 	sent.at = sent.at.Add(sent.suspended - r.deps.Suspended()) // for the core, whose clock does not include suspended time
-	for i := range a.states {
-		if !r.state(now, c, &a.states[i], sent.at) {
+	for i := range a.States {
+		if !r.state(now, c, &a.States[i], sent.at) {
 			return false
 		}
 	}
@@ -356,56 +357,56 @@
 }
 
 // list takes a piece of a list and reports whether it follows on what was received. The caller holds the lock.
-func (c *conn) list(p *report) bool {
-	s := c.stores[p.store]
-	if s == nil || s.generation != p.generation {
+func (c *conn) list(p *medlarstoremessage.Report) bool {
+	s := c.stores[p.Store]
+	if s == nil || s.generation != p.Generation {
 		return true // not wanted any more
 	}
-	if p.first {
-		s.pending, s.listed, s.sequence = map[medlarkey.Key]medlarid.Tokens{}, true, p.sequence
+	if p.First {
+		s.pending, s.listed, s.sequence = map[medlarkey.Key]medlarid.Tokens{}, true, p.Sequence
 	}
-	if s.pending == nil || s.sequence != p.sequence {
+	if s.pending == nil || s.sequence != p.Sequence {
 		return false
 	}
-	for _, a := range p.added {
+	for _, a := range p.Added {
 		s.pending[a.Key] = a.Tokens
 	}
-	return len(s.pending) <= maxParts
+	return len(s.pending) <= medlarstoremessage.MaxParts
 }
 
 // state takes the state of a store, whose age counts back from a time, and reports whether it follows on what was
 // received. The caller holds the lock.
-func (r *Relay) state(now time.Time, c *conn, p *report, from time.Time) bool {
-	s := c.stores[p.store]
-	if s == nil || s.generation != p.generation {
+func (r *Relay) state(now time.Time, c *conn, p *medlarstoremessage.Report, from time.Time) bool {
+	s := c.stores[p.Store]
+	if s == nil || s.generation != p.Generation {
 		return true
 	}
-	held := r.contents[p.store]
+	held := r.contents[p.Store]
 	if held == nil {
 		held = &contents{}
-		r.contents[p.store] = held
+		r.contents[p.Store] = held
 	}
-	if p.status == statusAbsent {
+	if p.Status == medlarstoremessage.StatusAbsent {
 		s.pending, s.listed = nil, false
-		r.table.Absent(now, c.instance.ID, p.store)
+		r.table.Absent(now, c.instance.ID, p.Store)
 		if held.conn == c {
 			held.conn = nil // what it has sent is true, and expires
 		}
 		return true
 	}
-	if !s.listed || s.sequence != p.base {
+	if !s.listed || s.sequence != p.Base {
 		if held.conn == c {
-			r.pass(now, held, medlarworld.InventoryReported{Store: p.store, Epoch: p.epoch})
+			r.pass(now, held, medlarworld.InventoryReported{Store: p.Store, Epoch: p.Epoch})
 		}
 		return false
 	}
-	s.sequence = p.sequence
-	e := medlarworld.InventoryReported{Store: p.store, Epoch: p.epoch, Added: p.added, Removed: p.removed}
-	if p.status == statusDated {
-		e.At = from.Add(-p.age)
-		r.table.Dated(now, c.instance.ID, p.store)
+	s.sequence = p.Sequence
+	e := medlarworld.InventoryReported{Store: p.Store, Epoch: p.Epoch, Added: p.Added, Removed: p.Removed}
+	if p.Status == medlarstoremessage.StatusDated {
+		e.At = from.Add(-p.Age)
+		r.table.Dated(now, c.instance.ID, p.Store)
 	} else {
-		r.table.Unavailable(c.instance.ID, p.store)
+		r.table.Unavailable(c.instance.ID, p.Store)
 	}
 	if s.pending != nil {
 		r.deliver(now, c, s, held, e)
--- a/internal/peer/medlarstorerelay/publisher.go
+++ b/internal/peer/medlarstorerelay/publisher.go
@@ -14,6 +14,7 @@
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarplacement"
 	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/peer/medlarstoremessage"
 )
 
 // Times of a connection at a reader.
@@ -25,6 +26,12 @@
 // maxSubscribers is the number of connections that a reader serves.
 const maxSubscribers = 512
 
+// Changes that a reader keeps of a store.
+const (
+	maxRecent = 2048 // at most, for subscribers that are behind
+	minRecent = 1024 // when it drops older ones
+)
+
 // Publisher passes the contents of the stores that this instance reads to subscribers (R1 to R4). It is safe for
 // concurrent use.
 type Publisher struct {
@@ -46,8 +53,8 @@
 	parts     map[medlarkey.Key]medlarid.Tokens
 	recent    []change // later than oldest, in order
 	oldest    uint64
-	list      []report // pieces of a complete list, shared by subscribers; nil until it is needed
-	listed    uint64   // sequence number of the list
+	list      []medlarstoremessage.Report // pieces of a complete list, shared by subscribers; nil until it is needed
+	listed    uint64                      // sequence number of the list
 }
 
 // change is one change of a store's contents.
@@ -62,7 +69,7 @@
 	conn  net.Conn
 	wake  chan struct{}
 	nonce uint64 // of the last request
-	wants []want
+	wants []medlarstoremessage.Want
 	// sent has what the subscriber has been sent of each store.
 	sent map[medlarid.InstanceID]position
 }
@@ -113,7 +120,7 @@
 		s.sequence = p.sequence
 	}
 	s.apply(e)
-	if len(s.parts) > maxParts {
+	if len(s.parts) > medlarstoremessage.MaxParts {
 		delete(p.stores, e.Store) // subscribers would refuse it
 	}
 	for c := range p.subscribers {
@@ -196,16 +203,16 @@
 	r := bufio.NewReader(c.conn)
 	for {
 		_ = c.conn.SetReadDeadline(time.Now().Add(requestTimeout))
-		b, err := readMessage(r, maxRequest)
+		b, err := medlarstoremessage.Read(r, medlarstoremessage.MaxRequest)
 		if err != nil {
 			return
 		}
-		q, err := decodeRequest(b)
+		q, err := medlarstoremessage.DecodeRequest(b)
 		if err != nil {
 			return
 		}
 		p.mu.Lock()
-		c.nonce, c.wants = q.nonce, q.wants
+		c.nonce, c.wants = q.Nonce, q.Wants
 		c.signal()
 		p.mu.Unlock()
 	}
@@ -238,76 +245,68 @@
 }
 
 // send sends one answer.
-func (c *subscriber) send(a answer) bool {
+func (c *subscriber) send(a medlarstoremessage.Answer) bool {
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	return writeMessage(c.conn, a.encode()) == nil
+	return medlarstoremessage.Write(c.conn, a.Encode()) == nil
 }
 
 // collect returns the lists that a subscriber needs, and an answer with the state of each store. Stores that need a
 // list have no state in it: their ages would be old once the list is sent. Another collection follows then.
-func (p *Publisher) collect(c *subscriber) (lists []answer, states *answer) {
+func (p *Publisher) collect(c *subscriber) (lists []medlarstoremessage.Answer, states *medlarstoremessage.Answer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	states = &answer{nonce: c.nonce}
+	states = &medlarstoremessage.Answer{Nonce: c.nonce}
 	for id := range c.sent {
-		if !slices.ContainsFunc(c.wants, func(w want) bool { return w.store == id }) {
+		if !slices.ContainsFunc(c.wants, func(w medlarstoremessage.Want) bool { return w.Store == id }) {
 			delete(c.sent, id)
 		}
 	}
 	size := 0
 	for _, w := range c.wants {
-		s := p.stores[w.store]
+		s := p.stores[w.Store]
 		if s == nil {
-			delete(c.sent, w.store)
-			states.states = append(states.states, report{store: w.store, generation: w.generation, status: statusAbsent})
+			delete(c.sent, w.Store)
+			states.States = append(states.States, medlarstoremessage.Report{Store: w.Store, Generation: w.Generation, Status: medlarstoremessage.StatusAbsent})
 			continue
 		}
-		at, ok := c.sent[w.store]
-		if !ok || at.generation != w.generation || at.sequence < s.oldest {
+		at, ok := c.sent[w.Store]
+		if !ok || at.generation != w.Generation || at.sequence < s.oldest {
 			for _, r := range s.pieces() {
-				r.store, r.generation = w.store, w.generation
-				lists = append(lists, answer{nonce: c.nonce, lists: []report{r}})
+				r.Store, r.Generation = w.Store, w.Generation
+				lists = append(lists, medlarstoremessage.Answer{Nonce: c.nonce, Lists: []medlarstoremessage.Report{r}})
 			}
-			at = position{generation: w.generation, sequence: s.listed}
+			at = position{generation: w.Generation, sequence: s.listed}
 		}
 		r := s.state(at.sequence, p.suspended())
-		r.store, r.generation = w.store, w.generation
-		if size += len(r.added) + len(r.removed); size > maxRecent && len(states.states) > 0 {
+		r.Store, r.Generation = w.Store, w.Generation
+		if size += len(r.Added) + len(r.Removed); size > maxRecent && len(states.States) > 0 {
 			if p.subscribers[c] {
 				c.signal() // the rest follows
 			}
 			break
 		}
-		states.states = append(states.states, r)
-		c.sent[w.store] = position{generation: w.generation, sequence: s.sequence}
+		states.States = append(states.States, r)
+		c.sent[w.Store] = position{generation: w.Generation, sequence: s.sequence}
 	}
 	return lists, states
 }
 
 // pieces returns a complete list of the contents, which may be older than these as far as the changes since are kept.
-func (s *published) pieces() []report {
+func (s *published) pieces() []medlarstoremessage.Report {
 	if s.list != nil && s.listed >= s.oldest {
 		return s.list
 	}
-	s.list, s.listed = []report{{first: true, epoch: s.epoch, sequence: s.sequence}}, s.sequence
-	for k, n := range s.parts {
-		last := &s.list[len(s.list)-1]
-		if len(last.added) == listPiece {
-			s.list = append(s.list, report{epoch: s.epoch, sequence: s.sequence})
-			last = &s.list[len(s.list)-1]
-		}
-		last.added = append(last.added, medlarinventory.StoredPart{Key: k, Tokens: n})
-	}
+	s.list, s.listed = medlarstoremessage.Pieces(s.epoch, s.sequence, s.parts), s.sequence
 	return s.list
 }
 
 // state returns the state with the changes since a sequence number. suspended is the total time suspended until now.
-func (s *published) state(since uint64, suspended time.Duration) report {
-	r := report{epoch: s.epoch, base: since, sequence: s.sequence}
+func (s *published) state(since uint64, suspended time.Duration) medlarstoremessage.Report {
+	r := medlarstoremessage.Report{Epoch: s.epoch, Base: since, Sequence: s.sequence}
 	if !s.at.IsZero() {
-		r.age = time.Since(s.at) + suspended - s.suspended
-		if r.age < medlarplacement.ReportTTL {
-			r.status = statusDated
+		r.Age = time.Since(s.at) + suspended - s.suspended
+		if r.Age < medlarplacement.ReportTTL {
+			r.Status = medlarstoremessage.StatusDated
 		}
 	}
 	if since == s.sequence {
@@ -320,9 +319,9 @@
 	}
 	for k, c := range last {
 		if c.removed {
-			r.removed = append(r.removed, k)
+			r.Removed = append(r.Removed, k)
 		} else {
-			r.added = append(r.added, c.part)
+			r.Added = append(r.Added, c.part)
 		}
 	}
 	return r
--- a/internal/peer/medlarstorerelay/source_test.go
+++ b/internal/peer/medlarstorerelay/source_test.go
@@ -16,6 +16,7 @@
 	"medlarfield/internal/core/medlarinventory"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/peer/medlarstoremessage"
 	"medlarfield/internal/peer/medlartunnel"
 )
 
@@ -108,7 +109,7 @@
 // reader is a reader that the test plays.
 type reader struct {
 	conn net.Conn
-	last request // first one; later ones are discarded
+	last medlarstoremessage.Request // first one; later ones are discarded
 }
 
 // accept returns the next reader that the instance has chosen, with the first request.
@@ -119,11 +120,11 @@
 		_ = conn.Close()
 		time.Sleep(time.Second)
 	})
-	b, err := readMessage(bufio.NewReader(conn), maxRequest)
+	b, err := medlarstoremessage.Read(bufio.NewReader(conn), medlarstoremessage.MaxRequest)
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	q, err := decodeRequest(b)
+	q, err := medlarstoremessage.DecodeRequest(b)
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -133,21 +134,21 @@
 
 // list sends the contents of the store: one part.
 func (r *reader) list(sequence uint64, first bool) {
-	w := r.last.wants[0]
-	_ = writeMessage(r.conn, answer{nonce: r.last.nonce, lists: []report{{
-		store: w.store, generation: w.generation, epoch: 1, sequence: sequence, first: first, added: []medlarinventory.StoredPart{{Key: medlarkey.Key{1}, Tokens: 100}},
-	}}}.encode())
+	w := r.last.Wants[0]
+	_ = medlarstoremessage.Write(r.conn, medlarstoremessage.Answer{Nonce: r.last.Nonce, Lists: []medlarstoremessage.Report{{
+		Store: w.Store, Generation: w.Generation, Epoch: 1, Sequence: sequence, First: first, Added: []medlarinventory.StoredPart{{Key: medlarkey.Key{1}, Tokens: 100}},
+	}}}.Encode())
 }
 
 // state sends the state of the store.
-func (r *reader) state(p report) {
-	p.store, p.generation = r.last.wants[0].store, r.last.wants[0].generation
-	_ = writeMessage(r.conn, answer{nonce: r.last.nonce, states: []report{p}}.encode())
+func (r *reader) state(p medlarstoremessage.Report) {
+	p.Store, p.Generation = r.last.Wants[0].Store, r.last.Wants[0].Generation
+	_ = medlarstoremessage.Write(r.conn, medlarstoremessage.Answer{Nonce: r.last.Nonce, States: []medlarstoremessage.Report{p}}.Encode())
 }
 
 // dated sends that the contents are recent.
 func (r *reader) dated(base, sequence uint64, age time.Duration) {
-	r.state(report{epoch: 1, base: base, sequence: sequence, status: statusDated, age: age})
+	r.state(medlarstoremessage.Report{Epoch: 1, Base: base, Sequence: sequence, Status: medlarstoremessage.StatusDated, Age: age})
 }
 
 // TestReports checks what an instance makes of the messages of a reader, which come 100 ms after its request.
@@ -165,20 +166,20 @@
 		{"no state yet", 0, func(r *reader) { r.list(5, true) }, ""},
 		{"no recent contents", 0, func(r *reader) {
 			r.list(5, true)
-			r.state(report{epoch: 1, base: 5, sequence: 5})
+			r.state(medlarstoremessage.Report{Epoch: 1, Base: 5, Sequence: 5})
 		}, ""},
 		{"state without a list", 0, func(r *reader) { r.dated(5, 5, 0) }, ""},
 		{"contents become stale", 0, func(r *reader) {
 			r.list(5, true)
 			r.dated(5, 5, 0)
-			r.state(report{epoch: 1, base: 5, sequence: 5})
-			r.state(report{epoch: 1, base: 5, sequence: 5})
+			r.state(medlarstoremessage.Report{Epoch: 1, Base: 5, Sequence: 5})
+			r.state(medlarstoremessage.Report{Epoch: 1, Base: 5, Sequence: 5})
 		}, "all 0s, more stale"},
 		{"new start while contents are stale", 0, func(r *reader) {
 			r.list(5, true)
 			r.dated(5, 5, 0)
-			r.state(report{epoch: 1, base: 5, sequence: 5})
-			r.state(report{epoch: 2, base: 5, sequence: 5})
+			r.state(medlarstoremessage.Report{Epoch: 1, Base: 5, Sequence: 5})
+			r.state(medlarstoremessage.Report{Epoch: 2, Base: 5, Sequence: 5})
 		}, "all 0s, more stale, more stale start 2"},
 		{"gap", 0, func(r *reader) {
 			r.list(5, true)
@@ -192,12 +193,12 @@
 			r.dated(6, 6, 0)
 		}, ""},
 		{"answer to no request", 0, func(r *reader) {
-			r.last.nonce += 9
+			r.last.Nonce += 9
 			r.list(5, true)
 			r.dated(5, 5, 0)
 		}, ""},
 		{"earlier subscription", 0, func(r *reader) {
-			r.last.wants[0].generation += 9
+			r.last.Wants[0].Generation += 9
 			r.list(5, true)
 			r.dated(5, 5, 0)
 		}, ""},
@@ -238,7 +239,7 @@
 		next.list(9, true)
 		next.dated(9, 9, 150*time.Millisecond)
 		f.want("")
-		next.state(report{epoch: 1, base: 9, sequence: 10, status: statusDated, age: 40 * time.Millisecond, removed: []medlarkey.Key{{1}}})
+		next.state(medlarstoremessage.Report{Epoch: 1, Base: 9, Sequence: 10, Status: medlarstoremessage.StatusDated, Age: 40 * time.Millisecond, Removed: []medlarkey.Key{{1}}})
 		f.want("all 60ms")
 	})
 }
@@ -252,7 +253,7 @@
 		first.list(5, true)
 		first.dated(5, 5, 300*time.Millisecond)
 		time.Sleep(100 * time.Millisecond)
-		first.state(report{epoch: 2, base: 5, sequence: 5})
+		first.state(medlarstoremessage.Report{Epoch: 2, Base: 5, Sequence: 5})
 		f.want("all -300ms, more stale start 2")
 		_ = first.conn.Close()
 		synctest.Wait()
@@ -317,18 +318,18 @@
 func TestReaderThatWasSuspended(t *testing.T) {
 	var suspended time.Duration
 	p := NewPublisher(func() time.Duration { return suspended })
-	c := &subscriber{wake: make(chan struct{}, 1), sent: map[medlarid.InstanceID]position{}, wants: []want{{testStore, 1}}}
+	c := &subscriber{wake: make(chan struct{}, 1), sent: map[medlarid.InstanceID]position{}, wants: []medlarstoremessage.Want{{Store: testStore, Generation: 1}}}
 	p.Began(testStore)
 	suspended = 300 * time.Millisecond // in the call
 	p.Report(medlarworld.InventoryReported{Store: testStore, Epoch: 1, At: time.Now(), Reset: true})
 	for _, tc := range []struct {
 		suspended time.Duration
-		want      status
-	}{{300 * time.Millisecond, statusDated}, {800 * time.Millisecond, statusDated}, {2 * time.Second, statusUndated}} {
+		want      medlarstoremessage.Status
+	}{{300 * time.Millisecond, medlarstoremessage.StatusDated}, {800 * time.Millisecond, medlarstoremessage.StatusDated}, {2 * time.Second, medlarstoremessage.StatusUndated}} {
 		suspended = tc.suspended
 		_, a := p.collect(c)
-		if got := a.states[0]; got.status != tc.want || got.age < tc.suspended || got.age > tc.suspended+time.Second {
-			t.Errorf("suspended for %v: status %d, age %v", tc.suspended, got.status, got.age)
+		if got := a.States[0]; got.Status != tc.want || got.Age < tc.suspended || got.Age > tc.suspended+time.Second {
+			t.Errorf("suspended for %v: status %d, age %v", tc.suspended, got.Status, got.Age)
 		}
 	}
 }
