--- a/internal/core/medlaradmission/queue.go
+++ b/internal/core/medlaradmission/queue.go
@@ -7,6 +7,7 @@
 
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -145,7 +146,7 @@
 		return
 	}
 	s.lateAt = w.Now.Add(lateInterval)
-	ahead := map[medlarworld.Target]int{}
+	ahead := map[medlarupstream.Target]int{}
 	kept := w.Waiting[:0]
 	for _, r := range w.Waiting {
 		if r.Late && !r.Reached && s.refuseLate(w, r, ahead[r.Target()]) {
--- a/internal/core/medlarbrittle/medlarbrittle.go
+++ b/internal/core/medlarbrittle/medlarbrittle.go
@@ -23,6 +23,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -94,13 +95,13 @@
 }
 
 // pause returns the time for which nothing is sent to an upstream that turned a request away (R2).
-func pause(w *medlarworld.World, u *medlarworld.Upstream) time.Duration {
+func pause(w *medlarworld.World, u *medlarupstream.Upstream) time.Duration {
 	perSecond := float64(u.Brittle.Most) / float64(sharers(w, u)) // refusals of this instance that the upstream can bear
 	return min(max(time.Duration(margin/perSecond*float64(time.Second)), minPause), maxPause)
 }
 
 // sharers returns the number of instances that send an upstream requests while it is brittle (R1).
-func sharers(w *medlarworld.World, u *medlarworld.Upstream) int {
+func sharers(w *medlarworld.World, u *medlarupstream.Upstream) int {
 	n := min(len(w.Others)+1, max(sharersPart*u.Brittle.Most/100, 1))
 	if u.Load.Slots > 0 {
 		n = min(n, u.Load.Slots)
@@ -111,7 +112,7 @@
 // divide sets this instance's part of each brittle upstream (R1).
 func divide(w *medlarworld.World) {
 	for _, upstreams := range w.Services {
-		var first *medlarworld.Upstream // where this instance ranks highest
+		var first *medlarupstream.Upstream // where this instance ranks highest
 		firstRank, shares := 0, false
 		for _, u := range upstreams {
 			if u.Brittle.Most == 0 {
@@ -134,7 +135,7 @@
 }
 
 // part returns how many requests one of the instances that share an upstream may send it at once.
-func part(w *medlarworld.World, u *medlarworld.Upstream) int {
+func part(w *medlarworld.World, u *medlarupstream.Upstream) int {
 	if u.Load.Slots == 0 {
 		return 1
 	}
@@ -142,7 +143,7 @@
 }
 
 // rankAt returns this instance's rank for an upstream among all instances, from 0 on.
-func rankAt(w *medlarworld.World, u *medlarworld.Upstream) int {
+func rankAt(w *medlarworld.World, u *medlarupstream.Upstream) int {
 	weight := func(id medlarid.InstanceID) uint64 { return xxh3.HashString(string(id) + "\x00" + string(u.ID)) }
 	own, rank := weight(w.Config.Self), 0
 	for _, id := range w.Others {
@@ -154,7 +155,7 @@
 }
 
 // HasRoom reports whether an upstream may get one more run of this instance.
-func HasRoom(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) bool {
+func HasRoom(w *medlarworld.World, r *medlarworld.Run, u *medlarupstream.Upstream) bool {
 	b := &u.Brittle
 	if b.Most == 0 {
 		return true
@@ -170,7 +171,7 @@
 }
 
 // growthDelay returns the time without a refusal after which one more is tried (R3).
-func growthDelay(w *medlarworld.World, u *medlarworld.Upstream) time.Duration {
+func growthDelay(w *medlarworld.World, u *medlarupstream.Upstream) time.Duration {
 	if u.Brittle.PausedUntil.IsZero() {
 		return firstGrowth
 	}
@@ -178,7 +179,7 @@
 }
 
 // fits reports whether a prompt fits in this instance's part of an upstream's memory, or is the only one (R4).
-func fits(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) bool {
+func fits(w *medlarworld.World, r *medlarworld.Run, u *medlarupstream.Upstream) bool {
 	if u.KVCapacity == 0 || u.Open == 0 {
 		return true
 	}
--- a/internal/core/medlarbrittle/medlarbrittle_test.go
+++ b/internal/core/medlarbrittle/medlarbrittle_test.go
@@ -7,6 +7,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -21,7 +22,7 @@
 	}
 	for i := range upstreams {
 		id := medlarid.InstanceID(fmt.Sprint("u", i))
-		u := &medlarworld.Upstream{ID: id, Service: "s", Load: medlarworld.Load{Slots: slots}}
+		u := &medlarupstream.Upstream{ID: id, Service: "s", Load: medlarupstream.Load{Slots: slots}}
 		w.Upstreams[id] = u
 		w.Services["s"] = append(w.Services["s"], u)
 		w.Events = append(w.Events, medlarworld.UpstreamBrittle{Upstream: id, Most: most})
--- a/internal/core/medlarcore/admission_test.go
+++ b/internal/core/medlarcore/admission_test.go
@@ -8,6 +8,7 @@
 	"medlarfield/internal/core/medlarbuild"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -17,8 +18,8 @@
 	p := newPartsHarness(t, 1, func(cfg *medlarworld.Config) { cfg.MaxQueued = 1000 })
 	engine := engineMember(0, "1")
 	engine.Slots = 1
-	ledger := medlarworld.Member{ID: "l0", Kind: "service", Address: "at-l0", Service: "ledger", Zone: "a"}
-	p.tick(medlarworld.InstancesListed{Members: []medlarworld.Member{engine, ledger}})
+	ledger := medlarupstream.Member{ID: "l0", Kind: "service", Address: "at-l0", Service: "ledger", Zone: "a"}
+	p.tick(medlarworld.InstancesListed{Members: []medlarupstream.Member{engine, ledger}})
 	var running *medlarworld.StartAttempt
 	for i := range 400 { // the engine answers a prompt each 200 ms, and gets five times as many
 		r := p.newRun(100, 100)
@@ -51,7 +52,7 @@
 	p := newPartsHarness(t, 1, func(cfg *medlarworld.Config) { cfg.MaxQueued = 1000 })
 	engine := engineMember(0, "1")
 	engine.Slots = 1
-	p.tick(medlarworld.InstancesListed{Members: []medlarworld.Member{engine}})
+	p.tick(medlarworld.InstancesListed{Members: []medlarupstream.Member{engine}})
 	var running *medlarworld.StartAttempt
 	resumed, began := map[medlarid.RequestID]bool{}, 0
 	for i := range 400 { // the engine answers a prompt each 200 ms
--- a/internal/core/medlarcore/builds_test.go
+++ b/internal/core/medlarcore/builds_test.go
@@ -8,6 +8,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarbuild"
 	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -30,7 +31,7 @@
 			p := newPartsHarness(t, 0, nil)
 			first, second := engineMember(0, "1"), engineMember(1, "1")
 			first.Build, second.Build, first.Leaving = "old", "new", tc.leaving
-			p.tick(medlarworld.InstancesListed{Members: []medlarworld.Member{first, second}})
+			p.tick(medlarworld.InstancesListed{Members: []medlarupstream.Member{first, second}})
 			p.tick(medlarworld.NoticesRead{}, medlarworld.BuildsAssigned{Service: partsService, Assignment: allBuckets("old")})
 			p.now = p.now.Add(tc.away)
 			r := p.newRun(100, 100)
@@ -52,7 +53,7 @@
 			p := newPartsHarness(t, 0, nil)
 			first, second := engineMember(0, "1"), engineMember(1, "1")
 			first.Build, second.Build, first.Leaving = "old", "new", tc.leaving
-			p.tick(medlarworld.InstancesListed{Members: []medlarworld.Member{first, second}})
+			p.tick(medlarworld.InstancesListed{Members: []medlarupstream.Member{first, second}})
 			p.tick(medlarworld.NoticesRead{}, medlarworld.BuildsAssigned{Service: partsService, Assignment: allBuckets("old")})
 			r := p.newRun(100, 100)
 			r.Stream = medlarbuild.KeyOf("acme", r.ID)
@@ -142,7 +143,7 @@
 			p := newPartsHarness(t, 0, nil)
 			first, second := engineMember(0, "1"), engineMember(1, "1")
 			first.Build, second.Build = "old", "new"
-			p.tick(medlarworld.InstancesListed{Members: []medlarworld.Member{first, second}})
+			p.tick(medlarworld.InstancesListed{Members: []medlarupstream.Member{first, second}})
 			p.tick(medlarworld.NoticesRead{}, medlarworld.BuildsAssigned{Service: partsService, Assignment: allBuckets("old")})
 			p.tick(tc.before...)
 			r := p.newRun(100, 100)
@@ -163,7 +164,7 @@
 		p := newPartsHarness(t, 0, nil)
 		first, second := engineMember(0, "1"), engineMember(1, "1")
 		first.Build, second.Build = "old", "new"
-		p.tick(medlarworld.InstancesListed{Members: []medlarworld.Member{first, second}})
+		p.tick(medlarworld.InstancesListed{Members: []medlarupstream.Member{first, second}})
 		p.tick(medlarworld.NoticesRead{}, medlarworld.BuildsAssigned{Service: partsService, Assignment: allBuckets("old")})
 		resumed := func(id medlarid.RequestID) []medlarworld.Command {
 			r := p.newRun(100, 100)
--- a/internal/core/medlarcore/cold_test.go
+++ b/internal/core/medlarcore/cold_test.go
@@ -8,6 +8,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -21,7 +22,7 @@
 	h.now = h.now.Add(3 * time.Second)
 	l := medlarworld.InstancesListed{}
 	for i := range upstreams {
-		l.Members = append(l.Members, medlarworld.Member{
+		l.Members = append(l.Members, medlarupstream.Member{
 			ID: medlarid.InstanceID(fmt.Sprint("u", i)), Kind: "service", Zone: "z", Address: "1", Service: "s", Slots: 64,
 			Incarnation: medlarid.Incarnation(h.now.UnixMilli()), ColdRate: 11, ColdTime: 3 * time.Second,
 		})
--- a/internal/core/medlarcore/crash_test.go
+++ b/internal/core/medlarcore/crash_test.go
@@ -11,6 +11,7 @@
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarsuspect"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -90,7 +91,7 @@
 		p.lose(p.submit(p.runWith("x")), loss{head: true}, false)
 		m := engineMember(0, "1")
 		m.Incarnation = 2
-		if got := reportsOf(p.tick(medlarworld.InstancesListed{Members: []medlarworld.Member{m}})); len(got) != 1 {
+		if got := reportsOf(p.tick(medlarworld.InstancesListed{Members: []medlarupstream.Member{m}})); len(got) != 1 {
 			t.Errorf("reports %+v, want one", got)
 		}
 	})
@@ -135,7 +136,7 @@
 					r.Crash.Incarnation = p.core.World().Upstreams[r.Crash.Replica].Incarnation
 				}))
 				p.now = p.now.Add(5 * time.Second)
-				var members []medlarworld.Member
+				var members []medlarupstream.Member
 				for k := range engines {
 					m := engineMember(k, "1")
 					m.Incarnation = p.core.World().Upstreams[m.ID].Incarnation
@@ -322,7 +323,7 @@
 	t.Run("an upstream that is gone changes nothing", func(t *testing.T) {
 		p := newPartsHarness(t, 1, nil)
 		s := p.submit(p.runWith("x"))
-		p.tick(medlarworld.InstancesListed{Members: []medlarworld.Member{engineMember(7, "1")}})
+		p.tick(medlarworld.InstancesListed{Members: []medlarupstream.Member{engineMember(7, "1")}})
 		if got := reportsOf(p.lose(s, loss{head: true}, true)); len(got) != 1 || got[0].Crash.Replica != medlarid.InstanceID("e00") {
 			t.Errorf("reports %+v, want one of e00", got)
 		}
--- a/internal/core/medlarcore/experiment_test.go
+++ b/internal/core/medlarcore/experiment_test.go
@@ -12,6 +12,7 @@
 	"medlarfield/internal/core/medlarinventory"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarkind"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -163,11 +164,11 @@
 	for i := range expReplicas {
 		r := &simReplica{id: engineName(i), cache: map[medlarkey.Key]int{}, freeAt: epoch}
 		x.replicas = append(x.replicas, r)
-		l.Members = append(l.Members, medlarworld.Member{ID: r.id, Kind: "engine", Zone: "z", Address: "1", Model: "m"})
+		l.Members = append(l.Members, medlarupstream.Member{ID: r.id, Kind: "engine", Zone: "z", Address: "1", Model: "m"})
 	}
 	for i := range expStores {
 		x.stores = append(x.stores, &simStore{blocks: map[medlarkey.Key]bool{}, freeAt: epoch})
-		l.Members = append(l.Members, medlarworld.Member{ID: storeName(i), Kind: "store", Zone: "z", Address: "1"})
+		l.Members = append(l.Members, medlarupstream.Member{ID: storeName(i), Kind: "store", Zone: "z", Address: "1"})
 	}
 	x.tick(medlarworld.ListsApplied{Version: 1, Models: []medlarworld.Model{{ID: "m", Version: "v1"}}}, l)
 	return x
@@ -222,7 +223,7 @@
 	pending := max(r.freeAt.Sub(x.now).Seconds()*expPrefill, 0)
 	x.tick(medlarworld.StatusReported{
 		Upstream: r.id, Model: "m", Version: "v1", PrefillRate: expPrefill, BlockBytes: expBlockSize,
-		Load: medlarworld.Load{Running: r.active, Slots: expSlots, Pending: medlarid.Tokens(pending)},
+		Load: medlarupstream.Load{Running: r.active, Slots: expSlots, Pending: medlarid.Tokens(pending)},
 	})
 	x.at(x.now.Add(250*time.Millisecond), func() { x.report(i) })
 }
--- a/internal/core/medlarcore/explain_test.go
+++ b/internal/core/medlarcore/explain_test.go
@@ -17,6 +17,7 @@
 	"medlarfield/internal/core/medlarplacement"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarsuspect"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarverdict"
 	"medlarfield/internal/core/medlarworld"
 )
@@ -36,7 +37,7 @@
 		cfg.Seed, cfg.TellLoad, cfg.MaxQueued = seed, true, 1+r.IntN(30)
 	})
 	y := &tables{partsHarness: p, rand: r}
-	var members []medlarworld.Member
+	var members []medlarupstream.Member
 	for i := range 1 + r.IntN(10) {
 		m := engineMember(i, medlarid.WeightVersion(fmt.Sprint(1+r.IntN(8)/7)))
 		m.Slots, m.Zone, m.Leaving = 1+r.IntN(6), medlarid.Zone([]string{"a", "b"}[r.IntN(2)]), r.IntN(8) == 0
@@ -46,7 +47,7 @@
 		members = append(members, m)
 	}
 	for i := range 1 + r.IntN(4) {
-		members = append(members, medlarworld.Member{
+		members = append(members, medlarupstream.Member{
 			ID: medlarid.InstanceID(fmt.Sprint("l", i)), Kind: "service", Address: "at-l", Service: ledgerService, Zone: "a", Slots: 1 + r.IntN(3),
 		})
 	}
@@ -56,7 +57,7 @@
 }
 
 // upstream draws an upstream.
-func (y *tables) upstream() *medlarworld.Upstream {
+func (y *tables) upstream() *medlarupstream.Upstream {
 	all := y.core.World().Upstreams
 	ids := make([]medlarid.InstanceID, 0, len(all))
 	for id := range all {
--- a/internal/core/medlarcore/headroom_test.go
+++ b/internal/core/medlarcore/headroom_test.go
@@ -11,6 +11,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarkind"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -188,7 +189,7 @@
 		slotSim:  slotSim{now: time.Unix(1000, 0), start: time.Unix(1000, 0), rnd: rand.New(rand.NewPCG(seed, 5))},
 		replicas: map[medlarid.InstanceID]*cacheReplica{},
 	}
-	var members []medlarworld.Member
+	var members []medlarupstream.Member
 	for i := range cacheReplicas {
 		m := engineMember(i, "1")
 		m.Slots, m.KVCapacity, m.PrefillRate = 64, cacheTokens, cachePerSecond
--- a/internal/core/medlarcore/history_test.go
+++ b/internal/core/medlarcore/history_test.go
@@ -12,6 +12,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/stand/medlarseed"
 )
@@ -113,7 +114,7 @@
 	case "report":
 		i := rapid.IntRange(0, 2).Draw(y.t, "engine")
 		v := medlarid.WeightVersion(rapid.SampledFrom([]string{"v1", "v1", "v2", ""}).Draw(y.t, "version"))
-		y.apply(medlarworld.StatusReported{Upstream: engineName(i), Model: "m", Version: v, PrefillRate: 8000, Load: medlarworld.Load{Slots: 2}})
+		y.apply(medlarworld.StatusReported{Upstream: engineName(i), Model: "m", Version: v, PrefillRate: 8000, Load: medlarupstream.Load{Slots: 2}})
 	case "time":
 		y.h.now = y.h.now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(y.t, "millis")) * time.Millisecond)
 		y.apply(medlarworld.Tick{})
--- a/internal/core/medlarcore/limit_test.go
+++ b/internal/core/medlarcore/limit_test.go
@@ -11,6 +11,7 @@
 	"medlarfield/internal/core/medlarbudget"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -55,9 +56,9 @@
 		Self: id, Zone: "a", MaxQueued: 100, MaxAttempts: 1, Seed: uint64(len(f.order) + 1), Weighting: medlarkind.WeightingRecompute,
 		RetryBudget: medlarbudget.Retries{Ratio: 0.1, Max: 5, Initial: 2},
 	})
-	members := []medlarworld.Member{}
+	members := []medlarupstream.Member{}
 	for _, u := range []medlarid.InstanceID{"u0", "u1", "u2"} {
-		members = append(members, medlarworld.Member{ID: u, Kind: "service", Address: medlarid.Address(u), Service: "s", Zone: "a"})
+		members = append(members, medlarupstream.Member{ID: u, Kind: "service", Address: medlarid.Address(u), Service: "s", Zone: "a"})
 	}
 	c.Tick(f.now, []medlarworld.Event{medlarworld.ListsApplied{Version: 1}, medlarworld.InstancesListed{Members: members}})
 	if f.cores[id] == nil {
@@ -308,7 +309,7 @@
 		f.name(0)
 		f.play(5*time.Second, 200, even)
 		f.limit = ""
-		m := []medlarworld.Member{{ID: "u0", Incarnation: 2, Kind: "service", Address: "u0", Service: "s", Zone: "a"}}
+		m := []medlarupstream.Member{{ID: "u0", Incarnation: 2, Kind: "service", Address: "u0", Service: "s", Zone: "a"}}
 		f.tick("i00", []medlarworld.Event{medlarworld.InstancesListed{Members: m}})
 		if u := f.cores["i00"].World().Upstreams["u0"]; u.Limited {
 			t.Error("the new incarnation is limited")
--- a/internal/core/medlarcore/load_test.go
+++ b/internal/core/medlarcore/load_test.go
@@ -11,6 +11,7 @@
 	"medlarfield/internal/core/medlarinventory"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarkind"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -139,13 +140,13 @@
 }
 
 func (s *loadSim) list(from int) {
-	var members []medlarworld.Member
+	var members []medlarupstream.Member
 	for i := from; i < s.size.replicas; i++ {
 		m := engineMember(i, "1")
 		m.Slots, m.KVCapacity = 64, 0
 		members = append(members, m)
 	}
-	members = append(members, medlarworld.Member{ID: "store", Kind: "store", Address: "at-store", Capacity: 1 << 30, Rate: 1e12})
+	members = append(members, medlarupstream.Member{ID: "store", Kind: "store", Address: "at-store", Capacity: 1 << 30, Rate: 1e12})
 	for _, c := range s.cores {
 		s.tick(c, medlarworld.InstancesListed{Members: members})
 	}
--- a/internal/core/medlarcore/medlarcore_test.go
+++ b/internal/core/medlarcore/medlarcore_test.go
@@ -12,6 +12,7 @@
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -51,16 +52,16 @@
 	l := medlarworld.InstancesListed{}
 	for i := range engines {
 		id := engineName(i)
-		l.Members = append(l.Members, medlarworld.Member{ID: id, Kind: "engine", Zone: "z", Address: "1", Model: "m", Leaving: id == leaving})
+		l.Members = append(l.Members, medlarupstream.Member{ID: id, Kind: "engine", Zone: "z", Address: "1", Model: "m", Leaving: id == leaving})
 	}
 	for _, id := range []medlarid.InstanceID{"service-0", "service-1"} {
-		l.Members = append(l.Members, medlarworld.Member{ID: id, Kind: "service", Zone: "z", Address: "1", Service: "s", Leaving: id == leaving})
+		l.Members = append(l.Members, medlarupstream.Member{ID: id, Kind: "service", Zone: "z", Address: "1", Service: "s", Leaving: id == leaving})
 	}
 	return l
 }
 
 func (h *harness) report(i, slots int) {
-	h.tick(medlarworld.StatusReported{Upstream: engineName(i), Model: "m", Version: "v1", PrefillRate: 8000, Load: medlarworld.Load{Slots: slots}})
+	h.tick(medlarworld.StatusReported{Upstream: engineName(i), Model: "m", Version: "v1", PrefillRate: 8000, Load: medlarupstream.Load{Slots: slots}})
 }
 
 func (h *harness) tick(events ...medlarworld.Event) []medlarworld.Command {
@@ -262,7 +263,7 @@
 	h.submit(urgent, medlarworld.Limits{Priority: 10})
 	r := h.core.World().Runs[running[0]]
 	h.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: 1, Cause: medlarkind.CauseDone, Reached: true})
-	h.tick(medlarworld.StatusReported{Upstream: engineName(0), Model: "m", Version: "v1", PrefillRate: 8000, Load: medlarworld.Load{Slots: 4, Running: 4}})
+	h.tick(medlarworld.StatusReported{Upstream: engineName(0), Model: "m", Version: "v1", PrefillRate: 8000, Load: medlarupstream.Load{Slots: 4, Running: 4}})
 	h.assertStarted(urgent.ID)
 }
 
--- a/internal/core/medlarcore/older_weights_test.go
+++ b/internal/core/medlarcore/older_weights_test.go
@@ -8,6 +8,7 @@
 	"medlarfield/internal/core/medlarhistory"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -96,7 +97,7 @@
 		if s.Upstream == "e01" {
 			other = 0
 		}
-		members := []medlarworld.Member{engineMember(1-other, "1"), engineMember(other, "2")}
+		members := []medlarupstream.Member{engineMember(1-other, "1"), engineMember(other, "2")}
 		p.tick(medlarworld.InstancesListed{Members: members})
 		p.tick(medlarworld.AttemptEnded{Run: r.ID, Attempt: s.Attempt, Cause: medlarkind.CauseRetry, Reason: medlarreason.Outdated, Reached: true})
 		p.now = p.now.Add(50 * time.Millisecond)
@@ -129,7 +130,7 @@
 		start(p, true)
 		p.setVersion("2")
 		p.advance(oldGrace - time.Second)
-		p.tick(medlarworld.InstancesListed{Members: []medlarworld.Member{engineMember(0, "2"), engineMember(1, "2")}})
+		p.tick(medlarworld.InstancesListed{Members: []medlarupstream.Member{engineMember(0, "2"), engineMember(1, "2")}})
 		if ids := p.advance(3 * time.Second); len(ids) != 0 {
 			t.Errorf("withdrawn: %v", ids)
 		}
--- a/internal/core/medlarcore/parts_test.go
+++ b/internal/core/medlarcore/parts_test.go
@@ -14,6 +14,7 @@
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarplacement"
 	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -39,12 +40,12 @@
 	}
 	p := &partsHarness{t: t, core: New(cfg), now: time.Unix(1000, 0)}
 	p.setVersion("1")
-	var members []medlarworld.Member
+	var members []medlarupstream.Member
 	for i := range engines {
 		members = append(members, engineMember(i, "1"))
 	}
 	for _, id := range []medlarid.InstanceID{"near", "far"} {
-		members = append(members, medlarworld.Member{
+		members = append(members, medlarupstream.Member{
 			ID: id, Kind: "store", Address: medlarid.Address("at-" + id), Capacity: 100000, Rate: 1e9,
 		})
 	}
@@ -52,8 +53,8 @@
 	return p
 }
 
-func engineMember(i int, v medlarid.WeightVersion) medlarworld.Member {
-	return medlarworld.Member{
+func engineMember(i int, v medlarid.WeightVersion) medlarupstream.Member {
+	return medlarupstream.Member{
 		ID: medlarid.InstanceID(fmt.Sprintf("e%02d", i)), Kind: "engine", Address: medlarid.Address(fmt.Sprintf("at-e%02d", i)),
 		Model: partsModel, Service: partsService, Version: v, Slots: 8, PrefillRate: 80000, TokenBytes: 100, KVCapacity: 200000,
 	}
@@ -362,14 +363,14 @@
 	})
 	t.Run("a later version than this instance has read of is served", func(t *testing.T) {
 		p := newPartsHarness(t, 2, func(cfg *medlarworld.Config) { cfg.VersionsIncrease = true })
-		p.tick(medlarworld.InstancesListed{Members: []medlarworld.Member{engineMember(0, "3"), engineMember(1, "3")}})
+		p.tick(medlarworld.InstancesListed{Members: []medlarupstream.Member{engineMember(0, "3"), engineMember(1, "3")}})
 		if v := started(p); v != "3" {
 			t.Errorf("started under version %q, want 3", v)
 		}
 	})
 	t.Run("a later version is not served where operators may go back", func(t *testing.T) {
 		p := newPartsHarness(t, 2, nil)
-		p.tick(medlarworld.InstancesListed{Members: []medlarworld.Member{engineMember(0, "3"), engineMember(1, "3")}})
+		p.tick(medlarworld.InstancesListed{Members: []medlarupstream.Member{engineMember(0, "3"), engineMember(1, "3")}})
 		if v := started(p); v != "" {
 			t.Errorf("started under version %s, want no start", v)
 		}
@@ -378,7 +379,7 @@
 		p := newPartsHarness(t, 2, nil)
 		denied := engineMember(0, "1")
 		denied.VersionDenied = true
-		p.tick(medlarworld.InstancesListed{Members: []medlarworld.Member{denied, engineMember(1, "1")}})
+		p.tick(medlarworld.InstancesListed{Members: []medlarupstream.Member{denied, engineMember(1, "1")}})
 		for range 10 {
 			if s := p.submit(p.newRun(500, 300)); s == nil || s.Upstream != "e01" {
 				t.Fatalf("started %+v, want a start at e01", s)
@@ -401,7 +402,7 @@
 		if v := started(p); v != "" {
 			t.Errorf("started under version %s, want no start", v)
 		}
-		p.tick(medlarworld.InstancesListed{Members: []medlarworld.Member{engineMember(0, "2"), engineMember(1, "1")}})
+		p.tick(medlarworld.InstancesListed{Members: []medlarupstream.Member{engineMember(0, "2"), engineMember(1, "1")}})
 		if v := started(p); v != "2" {
 			t.Errorf("started under version %q, want 2", v)
 		}
@@ -450,12 +451,12 @@
 // are many fetches, transfers between zones and long setups slow them down.
 func TestSaveTarget(t *testing.T) {
 	const setup = 6 * time.Millisecond
-	store := func(id medlarid.InstanceID, zone medlarid.Zone, setup time.Duration) medlarworld.Member {
-		return medlarworld.Member{
+	store := func(id medlarid.InstanceID, zone medlarid.Zone, setup time.Duration) medlarupstream.Member {
+		return medlarupstream.Member{
 			ID: id, Kind: "store", Zone: zone, Address: medlarid.Address(id), Capacity: 100000, Rate: 1e8, Setup: setup,
 		}
 	}
-	all := []medlarworld.Member{
+	all := []medlarupstream.Member{
 		store("quick-a", "a", 0), store("quick-b", "b", 0), store("long-a", "a", setup), store("long-b", "b", setup),
 	}
 	full := func(keys int) (out []medlarkey.Key) {
@@ -508,13 +509,13 @@
 	for i, zone := range zones {
 		t.Run(string(zone), func(t *testing.T) {
 			p := newPartsHarness(t, 1, nil)
-			var members []medlarworld.Member
+			var members []medlarupstream.Member
 			for i, z := range zones {
 				m := engineMember(i, "1")
 				m.Zone = z
 				members = append(members, m)
 			}
-			members = append(members, medlarworld.Member{ID: "slow", Kind: "store", Zone: zone, Address: "at-slow", Capacity: 100000, Rate: 5e6})
+			members = append(members, medlarupstream.Member{ID: "slow", Kind: "store", Zone: zone, Address: "at-slow", Capacity: 100000, Rate: 5e6})
 			p.tick(medlarworld.InstancesListed{Members: members})
 			r := p.newRun(8000, 300)
 			p.reportStock("slow", 1, true, r.Keys[0])
@@ -627,7 +628,7 @@
 			p := newPartsHarness(t, replicas, func(cfg *medlarworld.Config) { cfg.MaxHolders, cfg.OldVersionGrace = 0, time.Minute })
 			p.setVersion("2")
 			p.now = p.now.Add(3 * time.Second)
-			members := []medlarworld.Member{{ID: "near", Kind: "store", Address: "at-near", Capacity: 100000, Rate: 1e9}}
+			members := []medlarupstream.Member{{ID: "near", Kind: "store", Address: "at-near", Capacity: 100000, Rate: 1e9}}
 			for i := range replicas - left {
 				members = append(members, engineMember(i, "1"))
 			}
--- a/internal/core/medlarcore/slots_test.go
+++ b/internal/core/medlarcore/slots_test.go
@@ -11,6 +11,7 @@
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarload"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -111,7 +112,7 @@
 }
 
 func (s *slotSim) list(from int) {
-	var members []medlarworld.Member
+	var members []medlarupstream.Member
 	for i := from; i < slotReplicas; i++ {
 		m := engineMember(i, "1")
 		m.Slots, m.KVCapacity = slotsOfReplica, 0
--- a/internal/core/medlarcore/slow_start_test.go
+++ b/internal/core/medlarcore/slow_start_test.go
@@ -10,6 +10,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkind"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -57,7 +58,7 @@
 	slots    int
 	cores    []*Core
 	replicas map[medlarid.InstanceID]*paceReplica
-	members  []medlarworld.Member
+	members  []medlarupstream.Member
 	pending  []paceEvent
 	arrived  map[medlarid.RequestID]time.Time
 	told     time.Duration // delay of the others' load; 0 if it is not told at all
@@ -86,7 +87,7 @@
 // add adds a replica that was born some time ago.
 func (s *paceSim) add(id medlarid.InstanceID, age time.Duration) {
 	s.replicas[id] = &paceReplica{}
-	s.members = append(s.members, medlarworld.Member{
+	s.members = append(s.members, medlarupstream.Member{
 		ID: id, Kind: "engine", Zone: "a", Address: "1", Model: "m", Version: "1", Slots: s.slots, PrefillRate: 80000, Incarnation: medlarid.Incarnation(s.now.Add(-age).UnixMilli()),
 	})
 }
--- a/internal/core/medlarcore/subset_test.go
+++ b/internal/core/medlarcore/subset_test.go
@@ -13,6 +13,7 @@
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarload"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -222,7 +223,7 @@
 		stores: stores, now: time.Unix(1000, 0), start: time.Unix(1000, 0), rnd: rand.New(rand.NewPCG(1, 3)), replicas: map[medlarid.InstanceID]*poolReplica{},
 		idle: map[poolPath][]time.Time{}, contexts: map[medlarid.RequestID]int{}, sentTo: map[medlarid.InstanceID]int{},
 	}
-	var members []medlarworld.Member
+	var members []medlarupstream.Member
 	for i := range poolReplicas {
 		m := engineMember(i, "1")
 		m.Slots = poolSlots
@@ -230,7 +231,7 @@
 		s.replicas[m.ID] = &poolReplica{}
 	}
 	if stores {
-		members = append(members, medlarworld.Member{ID: "store", Kind: "store", Address: "at-store", Capacity: 1 << 30, Setup: poolFetch, Rate: 1e9})
+		members = append(members, medlarupstream.Member{ID: "store", Kind: "store", Address: "at-store", Capacity: 1 << 30, Setup: poolFetch, Rate: 1e9})
 	}
 	var all []medlarid.InstanceID
 	for i := range instances {
@@ -306,7 +307,7 @@
 func TestReplicasOutsideTheSubset(t *testing.T) {
 	now := time.Unix(1000, 0)
 	c := New(medlarworld.Config{Self: "i0", Zone: "a", Weighting: medlarkind.WeightingRecompute, MaxQueued: 4096, MaxAttempts: 1, MaxHolders: 64})
-	var members []medlarworld.Member
+	var members []medlarupstream.Member
 	for i := range poolReplicas {
 		members = append(members, engineMember(i, "1"))
 	}
@@ -320,7 +321,7 @@
 		medlarworld.InstancesAnnounced{Others: others},
 	})
 	seq := 0
-	send := func(keys ...medlarkey.Key) *medlarworld.Upstream {
+	send := func(keys ...medlarkey.Key) *medlarupstream.Upstream {
 		t.Helper()
 		seq++
 		r := &medlarworld.Run{
--- a/internal/core/medlarcore/unseen_test.go
+++ b/internal/core/medlarcore/unseen_test.go
@@ -7,6 +7,7 @@
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarsuspect"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -36,7 +37,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			p := newPartsHarness(t, engines, nil)
-			var members []medlarworld.Member
+			var members []medlarupstream.Member
 			for i := range engines {
 				members = append(members, engineMember(i, "1"))
 			}
--- a/internal/core/medlardesired/medlardesired.go
+++ b/internal/core/medlardesired/medlardesired.go
@@ -18,6 +18,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarhistory"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -122,7 +123,7 @@
 }
 
 // replacements returns the changes of known time by which the versions of upstreams were replaced.
-func replacements(m medlarworld.Model, upstreams []*medlarworld.Upstream) []medlarhistory.Change {
+func replacements(m medlarworld.Model, upstreams []*medlarupstream.Upstream) []medlarhistory.Change {
 	var out []medlarhistory.Change
 	for _, u := range upstreams {
 		if u.Version == "" || u.Version == m.Version {
--- a/internal/core/medlardesired/medlardesired_test.go
+++ b/internal/core/medlardesired/medlardesired_test.go
@@ -9,6 +9,7 @@
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarhistory"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -146,7 +147,7 @@
 	list := func(h *harness, versions ...medlarid.WeightVersion) {
 		h.world.Engines[model] = nil
 		for _, v := range versions {
-			h.world.Engines[model] = append(h.world.Engines[model], &medlarworld.Upstream{Model: model, Version: v})
+			h.world.Engines[model] = append(h.world.Engines[model], &medlarupstream.Upstream{Model: model, Version: v})
 		}
 	}
 	assertAges := func(h *harness, want ...medlarhistory.ChangeAge) {
--- a/internal/core/medlarfleet/former.go
+++ b/internal/core/medlarfleet/former.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
-	"medlarfield/internal/core/medlarworld"
+	"medlarfield/internal/core/medlarupstream"
 )
 
 // formerTTL is how long an upstream is remembered that the list no longer names: much longer than a store that comes
@@ -16,13 +16,13 @@
 	incarnation     medlarid.Incarnation
 	reportedLeaving bool
 	pausedUntil     time.Time
-	brittle         medlarworld.Brittleness
+	brittle         medlarupstream.Brittleness
 	until           time.Time // remembered
 }
 
 // remember keeps what an upstream has said that is about to be removed, and forgets those removed long ago. Where starts
 // are not told apart, an upstream that is listed again may have started anew.
-func (s *System) remember(now time.Time, u *medlarworld.Upstream) {
+func (s *System) remember(now time.Time, u *medlarupstream.Upstream) {
 	for id, f := range s.former {
 		if now.After(f.until) {
 			delete(s.former, id)
@@ -37,7 +37,7 @@
 }
 
 // recall gives a new entry of an upstream what it said before it was removed. A later start resets that.
-func (s *System) recall(u *medlarworld.Upstream) {
+func (s *System) recall(u *medlarupstream.Upstream) {
 	if f, ok := s.former[u.ID]; ok {
 		u.Incarnation, u.ReportedLeaving, u.PausedUntil, u.Brittle = f.incarnation, f.reportedLeaving, f.pausedUntil, f.brittle
 		delete(s.former, u.ID)
--- a/internal/core/medlarfleet/hint_test.go
+++ b/internal/core/medlarfleet/hint_test.go
@@ -5,12 +5,13 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
 // listed returns the list of one upstream in an incarnation.
 func listed(n medlarid.Incarnation) medlarworld.InstancesListed {
-	return medlarworld.InstancesListed{Members: []medlarworld.Member{{ID: "u", Kind: memberService, Service: "s", Address: "at", Incarnation: n}}}
+	return medlarworld.InstancesListed{Members: []medlarupstream.Member{{ID: "u", Kind: memberService, Service: "s", Address: "at", Incarnation: n}}}
 }
 
 // TestUpstreamIsAvoidedAsItAsked asserts for how long an upstream gets no new work after what
--- a/internal/core/medlarfleet/medlarfleet.go
+++ b/internal/core/medlarfleet/medlarfleet.go
@@ -38,6 +38,7 @@
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarorder"
 	"medlarfield/internal/core/medlarplacement"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -163,10 +164,10 @@
 	rebuildIndex(w)
 }
 
-func (s *System) updateUpstream(w *medlarworld.World, m medlarworld.Member) {
+func (s *System) updateUpstream(w *medlarworld.World, m medlarupstream.Member) {
 	u := w.Upstreams[m.ID]
 	if u == nil {
-		u = &medlarworld.Upstream{ID: m.ID, Model: m.Model, PrefillRate: defaultPrefillRate, ListedAt: w.Now}
+		u = &medlarupstream.Upstream{ID: m.ID, Model: m.Model, PrefillRate: defaultPrefillRate, ListedAt: w.Now}
 		u.Kind = medlarkind.Kind(m.Kind)
 		w.Upstreams[m.ID] = u
 		s.recall(u)
@@ -174,7 +175,7 @@
 	if m.Incarnation != u.Incarnation {
 		u.Incarnation, u.ReportedLeaving, u.PausedUntil, u.ListedAt = m.Incarnation, false, time.Time{}, w.Now
 		u.Limited, u.Limit, u.LimitShare, u.LimitTokens = false, 0, 0, 0
-		u.Brittle, u.Pace = medlarworld.Brittleness{}, medlarworld.Pacing{}
+		u.Brittle, u.Pace = medlarupstream.Brittleness{}, medlarupstream.Pacing{}
 		readmit(w, u)
 	}
 	u.Zone, u.Address, u.Service, u.Build = m.Zone, m.Address, m.Service, m.Build
@@ -209,17 +210,17 @@
 }
 
 // readmit ends the ejection of an upstream that has started anew (R10).
-func readmit(w *medlarworld.World, u *medlarworld.Upstream) {
+func readmit(w *medlarworld.World, u *medlarupstream.Upstream) {
 	if u.Ejections > 0 {
 		w.Emit(medlarworld.Ejected{Upstream: u.ID, Readmitted: true})
 	}
 	u.Failures, u.Ejections, u.EjectedUntil = 0, 0, time.Time{}
 }
 
-func updateStore(w *medlarworld.World, m medlarworld.Member) {
+func updateStore(w *medlarworld.World, m medlarupstream.Member) {
 	s := w.Stores[m.ID]
 	if s == nil {
-		s = &medlarworld.Store{ID: m.ID, Rate: cmp.Or(m.Rate, defaultLinkRate)}
+		s = &medlarupstream.Store{ID: m.ID, Rate: cmp.Or(m.Rate, defaultLinkRate)}
 		w.Stores[m.ID] = s
 	}
 	s.Stock.Capacity, s.Stock.Setup = m.Capacity, m.Setup
@@ -247,7 +248,7 @@
 }
 
 // recordLeft records when an engine was removed, and forgets what is long ago (R8 of medlarplacement).
-func recordLeft(w *medlarworld.World, u *medlarworld.Upstream) {
+func recordLeft(w *medlarworld.World, u *medlarupstream.Upstream) {
 	if u.Kind != medlarkind.KindEngine {
 		return
 	}
@@ -275,7 +276,7 @@
 }
 
 // markSubset marks the replicas of a model that are in this instance's subset.
-func markSubset(w *medlarworld.World, upstreams []*medlarworld.Upstream) {
+func markSubset(w *medlarworld.World, upstreams []*medlarupstream.Upstream) {
 	ids := make([]medlarid.InstanceID, len(upstreams))
 	for i, u := range upstreams {
 		ids[i] = u.ID
@@ -310,13 +311,13 @@
 	for _, s := range w.Stores {
 		w.StoreList = append(w.StoreList, s)
 	}
-	slices.SortFunc(w.StoreList, func(a, b *medlarworld.Store) int {
+	slices.SortFunc(w.StoreList, func(a, b *medlarupstream.Store) int {
 		return strings.Compare(string(a.ID), string(b.ID))
 	})
 	markSwaps(w)
 }
 
-func compareUpstreams(a, b *medlarworld.Upstream) int {
+func compareUpstreams(a, b *medlarupstream.Upstream) int {
 	return strings.Compare(string(a.ID), string(b.ID))
 }
 
--- a/internal/core/medlarfleet/medlarfleet_test.go
+++ b/internal/core/medlarfleet/medlarfleet_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -22,7 +23,7 @@
 		{"a success between two failures", []medlarworld.TransferEnded{failed, failed, succeeded, failed}, minStoreBackoff},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			store := &medlarworld.Store{ID: "s"}
+			store := &medlarupstream.Store{ID: "s"}
 			w := medlarworld.New(medlarworld.Config{})
 			w.Now, w.Stores[store.ID] = time.Unix(1000, 0), store
 			for _, e := range tc.transfers {
--- a/internal/core/medlarfleet/subset_test.go
+++ b/internal/core/medlarfleet/subset_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -18,10 +19,10 @@
 	list := func(replicas int) medlarworld.InstancesListed {
 		var e medlarworld.InstancesListed
 		for i := range replicas {
-			e.Members = append(e.Members, medlarworld.Member{ID: medlarid.InstanceID(fmt.Sprint("e", i)), Kind: memberEngine, Model: "m", Service: "engines"})
+			e.Members = append(e.Members, medlarupstream.Member{ID: medlarid.InstanceID(fmt.Sprint("e", i)), Kind: memberEngine, Model: "m", Service: "engines"})
 		}
 		for i := range 3 {
-			e.Members = append(e.Members, medlarworld.Member{ID: medlarid.InstanceID(fmt.Sprint("p", i)), Kind: memberService, Service: "plain"})
+			e.Members = append(e.Members, medlarupstream.Member{ID: medlarid.InstanceID(fmt.Sprint("p", i)), Kind: memberService, Service: "plain"})
 		}
 		return e
 	}
--- a/internal/core/medlarheadroom/medlarheadroom.go
+++ b/internal/core/medlarheadroom/medlarheadroom.go
@@ -17,6 +17,7 @@
 
 import (
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -39,7 +40,7 @@
 
 // Fits reports whether a run may start at a replica that needs some seconds for the prompts that it still has to
 // compute (R2 to R5).
-func Fits(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream, pending float64) bool {
+func Fits(w *medlarworld.World, r *medlarworld.Run, u *medlarupstream.Upstream, pending float64) bool {
 	if u.KVCapacity <= 0 || len(w.Others) < smallFleet || u.TotalOpen() == 0 {
 		return true
 	}
@@ -54,6 +55,6 @@
 }
 
 // held returns the tokens of prompts that a replica's cache is taken to hold (R1).
-func held(w *medlarworld.World, u *medlarworld.Upstream) float64 {
+func held(w *medlarworld.World, u *medlarupstream.Upstream) float64 {
 	return float64(u.InFlightTokens) + float64(u.PeerOpen)*w.MeanPrompt[u.Model]
 }
--- a/internal/core/medlarlag/medlarlag.go
+++ b/internal/core/medlarlag/medlarlag.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -79,6 +80,6 @@
 
 // Estimate returns the seconds by which an upstream is estimated to answer later than
 // expected (R2).
-func Estimate(w *medlarworld.World, u *medlarworld.Upstream) float64 {
+func Estimate(w *medlarworld.World, u *medlarupstream.Upstream) float64 {
 	return max(u.Lag.At(w.Now), u.Backlog.Overdue(w.Now).Seconds())
 }
--- a/internal/core/medlarlag/medlarlag_test.go
+++ b/internal/core/medlarlag/medlarlag_test.go
@@ -8,6 +8,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarbacklog"
 	"medlarfield/internal/core/medlarkind"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -39,7 +40,7 @@
 			w := medlarworld.New(medlarworld.Config{})
 			begin := time.Unix(1000, 0)
 			w.Now = begin.Add(tc.after)
-			u := &medlarworld.Upstream{ID: "u"}
+			u := &medlarupstream.Upstream{ID: "u"}
 			if tc.before > 0 {
 				u.Lag.Observe(w.Now, 1, tc.before)
 			}
--- a/internal/core/medlarlimit/medlarlimit.go
+++ b/internal/core/medlarlimit/medlarlimit.go
@@ -34,6 +34,7 @@
 	"github.com/zeebo/xxh3"
 
 	"medlarfield/internal/base/medlarid"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -263,7 +264,7 @@
 }
 
 // refill sets the share of a limit, and adds the tokens since the last refill (R5, R6).
-func (s *System) refill(w *medlarworld.World, u *medlarworld.Upstream, l *limit) {
+func (s *System) refill(w *medlarworld.World, u *medlarupstream.Upstream, l *limit) {
 	leased := w.Now.Before(s.leaseUntil)
 	share := lapsedPart * l.lease
 	if leased {
@@ -280,7 +281,7 @@
 }
 
 // lease returns this instance's share of a limit (R4).
-func (s *System) lease(w *medlarworld.World, u *medlarworld.Upstream, l *limit) float64 {
+func (s *System) lease(w *medlarworld.World, u *medlarupstream.Upstream, l *limit) float64 {
 	rate := max(l.rate, minLimit)
 	members := s.sharers(u, rate)
 	sum := 0.0
@@ -296,7 +297,7 @@
 // sharers returns the instances that share a limit (R4), by weighted rendezvous hashing: an instance
 // with more requests is more likely to be among them, and a small change of the requests seldom
 // changes who is.
-func (s *System) sharers(u *medlarworld.Upstream, rate float64) []medlarid.InstanceID {
+func (s *System) sharers(u *medlarupstream.Upstream, rate float64) []medlarid.InstanceID {
 	var out []medlarid.InstanceID
 	for id, n := range s.needs {
 		if n.rates[u.Service] > 0 {
@@ -339,10 +340,10 @@
 }
 
 // HasToken reports whether an upstream may get an attempt of this instance (R6).
-func HasToken(u *medlarworld.Upstream) bool { return !u.Limited || u.LimitTokens >= 1 }
+func HasToken(u *medlarupstream.Upstream) bool { return !u.Limited || u.LimitTokens >= 1 }
 
 // Take takes the token for an attempt.
-func Take(u *medlarworld.Upstream) {
+func Take(u *medlarupstream.Upstream) {
 	if u.Limited {
 		u.LimitTokens--
 	}
--- a/internal/core/medlarlimit/odd_test.go
+++ b/internal/core/medlarlimit/odd_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -12,7 +13,7 @@
 	for _, limit := range []float64{1e9, 1e308} {
 		w := medlarworld.New(medlarworld.Config{Self: "i"})
 		w.Now = time.Unix(1000, 0)
-		w.Upstreams["u"] = &medlarworld.Upstream{ID: "u", Service: "s", Incarnation: 1}
+		w.Upstreams["u"] = &medlarupstream.Upstream{ID: "u", Service: "s", Incarnation: 1}
 		s := New()
 		s.rates["s"] = 5
 		w.Events = []medlarworld.Event{medlarworld.LimitRecorded{Upstream: "u", Incarnation: 1, Limit: limit}}
--- a/internal/core/medlaroffload/medlaroffload.go
+++ b/internal/core/medlaroffload/medlaroffload.go
@@ -22,6 +22,7 @@
 	"medlarfield/internal/core/medlarinventory"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarkind"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -106,8 +107,8 @@
 }
 
 // home returns the usable store with the highest rank for k, or nil.
-func home(w *medlarworld.World, k medlarkey.Key) *medlarworld.Store {
-	var best *medlarworld.Store
+func home(w *medlarworld.World, k medlarkey.Key) *medlarupstream.Store {
+	var best *medlarupstream.Store
 	var highest uint64
 	for _, s := range w.StoreList {
 		if !s.Usable(w.Now) {
@@ -170,7 +171,7 @@
 
 // Export records that u caches the context of a run that it has finished, and asks to
 // export it (R5).
-func Export(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) {
+func Export(w *medlarworld.World, r *medlarworld.Run, u *medlarupstream.Upstream) {
 	for _, k := range r.KeysUnder(u.Version) {
 		w.Warm.Add(k, u.ID)
 	}
--- a/internal/core/medlarpace/medlarpace.go
+++ b/internal/core/medlarpace/medlarpace.go
@@ -38,6 +38,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -70,10 +71,10 @@
 
 // System keeps the parts of this instance.
 type System struct {
-	buckets   map[medlarid.InstanceID]*medlarworld.Bucket
-	phases    map[medlarid.InstanceID]medlarworld.PacePhase // that were reported last
-	lists     int                                           // of the other instances that were read
-	firstRead time.Time                                     // of the others' records
+	buckets   map[medlarid.InstanceID]*medlarupstream.Bucket
+	phases    map[medlarid.InstanceID]medlarupstream.PacePhase // that were reported last
+	lists     int                                              // of the other instances that were read
+	firstRead time.Time                                        // of the others' records
 	lastRead  time.Time
 	knew      bool // the others, at the last update
 	sweepAt   time.Time
@@ -81,7 +82,7 @@
 
 // New returns a System.
 func New() *System {
-	return &System{buckets: map[medlarid.InstanceID]*medlarworld.Bucket{}, phases: map[medlarid.InstanceID]medlarworld.PacePhase{}}
+	return &System{buckets: map[medlarid.InstanceID]*medlarupstream.Bucket{}, phases: map[medlarid.InstanceID]medlarupstream.PacePhase{}}
 }
 
 // active reports whether any upstream may be spared.
@@ -168,12 +169,12 @@
 	for _, c := range changes {
 		w.Emit(c)
 	}
-	maps.DeleteFunc(s.phases, func(id medlarid.InstanceID, p medlarworld.PacePhase) bool {
+	maps.DeleteFunc(s.phases, func(id medlarid.InstanceID, p medlarupstream.PacePhase) bool {
 		gone := w.Upstreams[id] == nil
-		changed = changed || gone && p != medlarworld.PaceNone
-		return gone || p == medlarworld.PaceNone
+		changed = changed || gone && p != medlarupstream.PaceNone
+		return gone || p == medlarupstream.PaceNone
 	})
-	maps.DeleteFunc(s.buckets, func(id medlarid.InstanceID, b *medlarworld.Bucket) bool {
+	maps.DeleteFunc(s.buckets, func(id medlarid.InstanceID, b *medlarupstream.Bucket) bool {
 		return w.Upstreams[id] == nil && w.Now.Sub(b.FilledAt) > bucketMemory
 	})
 	if changed {
@@ -181,42 +182,42 @@
 	}
 }
 
-func change(w *medlarworld.World, u *medlarworld.Upstream, phase medlarworld.PacePhase) medlarworld.PaceChanged {
+func change(w *medlarworld.World, u *medlarupstream.Upstream, phase medlarupstream.PacePhase) medlarworld.PaceChanged {
 	c := medlarworld.PaceChanged{Upstream: u.ID, Phase: phase, Rate: u.Pace.Rate}
 	switch phase {
-	case medlarworld.PaceCold:
+	case medlarupstream.PaceCold:
 		c.For = u.Pace.ColdUntil.Sub(w.Now)
-	case medlarworld.PaceSlow:
+	case medlarupstream.PaceSlow:
 		c.For = u.Pace.SlowFrom.Add(rampTime).Sub(w.Now)
 	}
 	return c
 }
 
 // PhaseOf returns how an upstream is spared now.
-func PhaseOf(w *medlarworld.World, u *medlarworld.Upstream) medlarworld.PacePhase {
+func PhaseOf(w *medlarworld.World, u *medlarupstream.Upstream) medlarupstream.PacePhase {
 	switch {
 	case cold(w.Now, u):
-		return medlarworld.PaceCold
+		return medlarupstream.PaceCold
 	case slow(w.Now, u):
-		return medlarworld.PaceSlow
+		return medlarupstream.PaceSlow
 	}
-	return medlarworld.PaceNone
+	return medlarupstream.PaceNone
 }
 
-func cold(now time.Time, u *medlarworld.Upstream) bool { return now.Before(u.Pace.ColdUntil) }
+func cold(now time.Time, u *medlarupstream.Upstream) bool { return now.Before(u.Pace.ColdUntil) }
 
-func slow(now time.Time, u *medlarworld.Upstream) bool {
+func slow(now time.Time, u *medlarupstream.Upstream) bool {
 	return u.Load.Slots > 0 && !now.Before(u.Pace.SlowFrom) && now.Before(u.Pace.SlowFrom.Add(rampTime))
 }
 
 // updateUpstream sets this instance's part of an upstream (R3, R7).
-func (s *System) updateUpstream(w *medlarworld.World, u *medlarworld.Upstream) {
+func (s *System) updateUpstream(w *medlarworld.World, u *medlarupstream.Upstream) {
 	p := &u.Pace
 	p.ColdUntil = coldUntil(w, u)
 	if from := slowFrom(w, u); !from.Equal(p.SlowFrom) {
 		p.SlowFrom, p.Window = from, 1
 	}
-	if PhaseOf(w, u) == medlarworld.PaceNone {
+	if PhaseOf(w, u) == medlarupstream.PaceNone {
 		p.Rate = 0
 		return
 	}
@@ -233,7 +234,7 @@
 
 // start returns when an upstream has started, or a later time. Where its start has shown while this instance read the list,
 // that is when it was listed, whatever the clocks.
-func start(u *medlarworld.Upstream) time.Time {
+func start(u *medlarupstream.Upstream) time.Time {
 	born := time.UnixMilli(int64(u.Incarnation))
 	if u.Pace.Fresh || u.Incarnation == 0 || born.After(u.ListedAt) {
 		return u.ListedAt
@@ -242,7 +243,7 @@
 }
 
 // coldUntil returns until when an upstream counts as cold (R2); zero for one that is not protected.
-func coldUntil(w *medlarworld.World, u *medlarworld.Upstream) time.Time {
+func coldUntil(w *medlarworld.World, u *medlarupstream.Upstream) time.Time {
 	p := &u.Pace
 	if w.Config.ColdOver <= 0 || p.ColdRate <= 0 {
 		return time.Time{}
@@ -261,7 +262,7 @@
 }
 
 // slowFrom returns when the slow start of an upstream begins (R7, R8); zero for one that does not start slowly.
-func slowFrom(w *medlarworld.World, u *medlarworld.Upstream) time.Time {
+func slowFrom(w *medlarworld.World, u *medlarupstream.Upstream) time.Time {
 	if !w.Config.Pace && u.Pace.ColdRate <= 0 {
 		return time.Time{}
 	}
@@ -289,7 +290,7 @@
 }
 
 // setRate sets this instance's part of a cold upstream's rate (R4).
-func (s *System) setRate(w *medlarworld.World, u *medlarworld.Upstream) {
+func (s *System) setRate(w *medlarworld.World, u *medlarupstream.Upstream) {
 	p := &u.Pace
 	n, rate := Sponsors(w.Config, p.ColdRate, p.Instances)
 	if !p.Known || p.Rank >= n {
@@ -299,7 +300,7 @@
 	first := b == nil || w.Now.Sub(b.FilledAt) > bucketMemory
 	switch {
 	case first:
-		b = &medlarworld.Bucket{FilledAt: w.Now}
+		b = &medlarupstream.Bucket{FilledAt: w.Now}
 		s.buckets[u.ID] = b
 		if rate > 0 {
 			b.Tokens = 1 - float64(p.Rank)/float64(n)
@@ -312,13 +313,13 @@
 	p.Bucket, p.Rate = b, rate
 }
 
-func refill(now time.Time, b *medlarworld.Bucket, rate float64) {
+func refill(now time.Time, b *medlarupstream.Bucket, rate float64) {
 	b.Tokens = min(b.Tokens+rate*now.Sub(b.FilledAt).Seconds(), 1)
 	b.FilledAt = now
 }
 
 // rankAt returns this instance's rank for an upstream among all instances, from 0 on.
-func rankAt(w *medlarworld.World, u *medlarworld.Upstream) int {
+func rankAt(w *medlarworld.World, u *medlarupstream.Upstream) int {
 	weight := func(id medlarid.InstanceID) uint64 {
 		return xxh3.HashString("pace\x00" + string(id) + "\x00" + string(u.ID))
 	}
@@ -332,7 +333,7 @@
 }
 
 // Admits reports whether an upstream may get an attempt of a run from this instance now.
-func Admits(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) bool {
+func Admits(w *medlarworld.World, r *medlarworld.Run, u *medlarupstream.Upstream) bool {
 	if hasToken(w.Now, u) && fits(w, u) {
 		return true
 	}
@@ -344,7 +345,7 @@
 }
 
 // hasToken reports whether an upstream is not cold, or this instance has a token for it (R4).
-func hasToken(now time.Time, u *medlarworld.Upstream) bool {
+func hasToken(now time.Time, u *medlarupstream.Upstream) bool {
 	p := &u.Pace
 	if !cold(now, u) {
 		return true
@@ -357,7 +358,7 @@
 }
 
 // fits reports whether one more attempt fits in this instance's window at an upstream that starts slowly (R7).
-func fits(w *medlarworld.World, u *medlarworld.Upstream) bool {
+func fits(w *medlarworld.World, u *medlarupstream.Upstream) bool {
 	p := &u.Pace
 	if !slow(w.Now, u) {
 		return true
@@ -373,7 +374,7 @@
 }
 
 // users returns how many instances may use an upstream at the end of its slow start (R7).
-func users(w *medlarworld.World, u *medlarworld.Upstream) int {
+func users(w *medlarworld.World, u *medlarupstream.Upstream) int {
 	most := float64(u.Load.Slots)
 	if d := demand(w, u.Target()); d < 1 {
 		most /= max(d, minDemand)
@@ -383,7 +384,7 @@
 
 // demand returns how many runs of this instance wait or are in flight, for each usable upstream of a target. Of the runs
 // that wait it counts those of all targets.
-func demand(w *medlarworld.World, t medlarworld.Target) float64 {
+func demand(w *medlarworld.World, t medlarupstream.Target) float64 {
 	runs, usable := len(w.Waiting), 0
 	for _, u := range w.UpstreamsFor(t) {
 		runs += u.Open
@@ -395,7 +396,7 @@
 }
 
 // Take takes the token for an attempt.
-func Take(w *medlarworld.World, u *medlarworld.Upstream) {
+func Take(w *medlarworld.World, u *medlarupstream.Upstream) {
 	if cold(w.Now, u) && u.Pace.Bucket != nil {
 		u.Pace.Bucket.Tokens--
 	}
@@ -426,7 +427,7 @@
 }
 
 // maySuspect reports whether an upstream that could not be reached may count as cold for that (R2).
-func maySuspect(w *medlarworld.World, u *medlarworld.Upstream) bool {
+func maySuspect(w *medlarworld.World, u *medlarupstream.Upstream) bool {
 	suspects, all := 0, w.UpstreamsFor(u.Target())
 	for _, other := range all {
 		if other != u && !other.Pace.FailedAt.IsZero() && w.Now.Sub(other.Pace.FailedAt) < suspectTime {
--- a/internal/core/medlarpace/medlarpace_test.go
+++ b/internal/core/medlarpace/medlarpace_test.go
@@ -11,6 +11,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -42,14 +43,14 @@
 	now       time.Time
 	r         *rand.Rand
 	instances []*instance
-	upstreams map[medlarid.InstanceID]medlarworld.Upstream
+	upstreams map[medlarid.InstanceID]medlarupstream.Upstream
 	arrived   map[medlarid.InstanceID][]time.Time
 }
 
 func newFleet(n int, seed uint64) *fleet {
 	f := &fleet{
 		now: time.Unix(1_000_000, 0), r: rand.New(rand.NewPCG(seed, uint64(n))),
-		upstreams: map[medlarid.InstanceID]medlarworld.Upstream{}, arrived: map[medlarid.InstanceID][]time.Time{},
+		upstreams: map[medlarid.InstanceID]medlarupstream.Upstream{}, arrived: map[medlarid.InstanceID][]time.Time{},
 	}
 	for i := range n {
 		f.instances = append(f.instances, f.start(i))
@@ -91,7 +92,7 @@
 
 // list lists an upstream that has started at a time.
 func (f *fleet) list(id medlarid.InstanceID, born time.Time) {
-	u := medlarworld.Upstream{ID: id, Service: "s", Kind: medlarkind.KindEngine, ListedAt: f.now, Incarnation: medlarid.Incarnation(born.UnixMilli())}
+	u := medlarupstream.Upstream{ID: id, Service: "s", Kind: medlarkind.KindEngine, ListedAt: f.now, Incarnation: medlarid.Incarnation(born.UnixMilli())}
 	u.Pace.ColdRate, u.Pace.ColdTime, u.Load.Slots = coldRate, coldTime, 64
 	f.upstreams[id] = u
 	for _, x := range f.instances {
@@ -253,7 +254,7 @@
 }
 
 // single returns a fleet of one instance that has known for long that it is the only one, and what it knows of an upstream that was born some time ago.
-func single(t *testing.T, age time.Duration, change func(*medlarworld.Config, *medlarworld.Pacing)) (*fleet, *instance, *medlarworld.Upstream) {
+func single(t *testing.T, age time.Duration, change func(*medlarworld.Config, *medlarupstream.Pacing)) (*fleet, *instance, *medlarupstream.Upstream) {
 	t.Helper()
 	f := newFleet(1, 7)
 	x := f.instances[0]
@@ -269,30 +270,30 @@
 // TestPhases guards against an upstream that is cold and is not spared, and against one that is spared although it is
 // warm, or no setting asks for it.
 func TestPhases(t *testing.T) {
-	none := func(*medlarworld.Config, *medlarworld.Pacing) {}
-	stated := func(d time.Duration) func(*medlarworld.Config, *medlarworld.Pacing) {
-		return func(_ *medlarworld.Config, p *medlarworld.Pacing) {
+	none := func(*medlarworld.Config, *medlarupstream.Pacing) {}
+	stated := func(d time.Duration) func(*medlarworld.Config, *medlarupstream.Pacing) {
+		return func(_ *medlarworld.Config, p *medlarupstream.Pacing) {
 			p.StatedUntil = time.Unix(1_000_000, 0).Add(settleTime + sweepInterval + d)
 		}
 	}
-	unbound := func(c *medlarworld.Config, _ *medlarworld.Pacing) { c.ColdOver = 0 }
-	plain := func(_ *medlarworld.Config, p *medlarworld.Pacing) { p.ColdRate, p.ColdTime = 0, 0 }
+	unbound := func(c *medlarworld.Config, _ *medlarupstream.Pacing) { c.ColdOver = 0 }
+	plain := func(_ *medlarworld.Config, p *medlarupstream.Pacing) { p.ColdRate, p.ColdTime = 0, 0 }
 	for _, tc := range []struct {
 		name   string
 		age    time.Duration
-		change func(*medlarworld.Config, *medlarworld.Pacing)
-		want   medlarworld.PacePhase
+		change func(*medlarworld.Config, *medlarupstream.Pacing)
+		want   medlarupstream.PacePhase
 	}{
-		{"just started", 0, none, medlarworld.PaceCold},
-		{"within the margin", coldTime + clockMargin/2, none, medlarworld.PaceCold},
-		{"warm since a while", coldTime + clockMargin + time.Second, none, medlarworld.PaceSlow},
-		{"warm", time.Minute, none, medlarworld.PaceNone},
-		{"listed just now, by a clock that is far behind", time.Minute, func(_ *medlarworld.Config, p *medlarworld.Pacing) { p.Fresh = true }, medlarworld.PaceCold},
-		{"born in the future", -time.Minute, none, medlarworld.PaceCold},
-		{"cold again", time.Minute, stated(time.Second), medlarworld.PaceCold},
-		{"cold again before", time.Minute, stated(-time.Minute), medlarworld.PaceNone},
-		{"without bounds", 0, unbound, medlarworld.PaceNone},
-		{"without a cold rate", 0, plain, medlarworld.PaceNone},
+		{"just started", 0, none, medlarupstream.PaceCold},
+		{"within the margin", coldTime + clockMargin/2, none, medlarupstream.PaceCold},
+		{"warm since a while", coldTime + clockMargin + time.Second, none, medlarupstream.PaceSlow},
+		{"warm", time.Minute, none, medlarupstream.PaceNone},
+		{"listed just now, by a clock that is far behind", time.Minute, func(_ *medlarworld.Config, p *medlarupstream.Pacing) { p.Fresh = true }, medlarupstream.PaceCold},
+		{"born in the future", -time.Minute, none, medlarupstream.PaceCold},
+		{"cold again", time.Minute, stated(time.Second), medlarupstream.PaceCold},
+		{"cold again before", time.Minute, stated(-time.Minute), medlarupstream.PaceNone},
+		{"without bounds", 0, unbound, medlarupstream.PaceNone},
+		{"without a cold rate", 0, plain, medlarupstream.PaceNone},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			_, x, u := single(t, tc.age, tc.change)
@@ -310,12 +311,12 @@
 		name        string
 		after       time.Duration // of a heartbeat after the failure; 0 for none
 		incarnation medlarid.Incarnation
-		want        medlarworld.PacePhase
+		want        medlarupstream.PacePhase
 	}{
-		{"no heartbeat", 0, 0, medlarworld.PaceCold},
-		{"heartbeat that may have been written before", heartbeatLag / 2, 0, medlarworld.PaceCold},
-		{"heartbeat", heartbeatLag + step, 0, medlarworld.PaceNone},
-		{"heartbeat of another start", heartbeatLag + step, 9, medlarworld.PaceCold},
+		{"no heartbeat", 0, 0, medlarupstream.PaceCold},
+		{"heartbeat that may have been written before", heartbeatLag / 2, 0, medlarupstream.PaceCold},
+		{"heartbeat", heartbeatLag + step, 0, medlarupstream.PaceNone},
+		{"heartbeat of another start", heartbeatLag + step, 9, medlarupstream.PaceCold},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			f, x, u := single(t, time.Minute, nil)
@@ -323,19 +324,19 @@
 			x.w.Runs["r"] = r
 			x.events = append(x.events, medlarworld.AttemptEnded{Run: "r", Attempt: 1, Cause: medlarkind.CauseRetry, Reason: medlarreason.Unreachable})
 			f.play(step)
-			if got := PhaseOf(x.w, u); got != medlarworld.PaceCold {
+			if got := PhaseOf(x.w, u); got != medlarupstream.PaceCold {
 				t.Fatalf("phase %q after the failure, want cold", got)
 			}
 			if tc.after > 0 {
 				f.play(tc.after)
-				x.events = append(x.events, medlarworld.HeartbeatsRead{Heartbeats: []medlarworld.Heartbeat{{Upstream: "u", Incarnation: cmp.Or(tc.incarnation, u.Incarnation)}}})
+				x.events = append(x.events, medlarworld.HeartbeatsRead{Heartbeats: []medlarupstream.Heartbeat{{Upstream: "u", Incarnation: cmp.Or(tc.incarnation, u.Incarnation)}}})
 			}
 			f.play(2 * sweepInterval)
 			if got := PhaseOf(x.w, u); got != tc.want {
 				t.Errorf("phase %q, want %q", got, tc.want)
 			}
 			f.play(suspectTime)
-			if got := PhaseOf(x.w, u); got != medlarworld.PaceNone && got != medlarworld.PaceSlow {
+			if got := PhaseOf(x.w, u); got != medlarupstream.PaceNone && got != medlarupstream.PaceSlow {
 				t.Errorf("phase %q long after, want none or slow", got)
 			}
 		})
@@ -361,7 +362,7 @@
 	f.play(step)
 	suspects := 0
 	for _, u := range x.w.Services["s"] {
-		if PhaseOf(x.w, u) == medlarworld.PaceCold {
+		if PhaseOf(x.w, u) == medlarupstream.PaceCold {
 			suspects++
 		}
 	}
@@ -419,7 +420,7 @@
 			f.play(sweepInterval + step)
 			f.list("u", f.now)
 			u := x.w.Upstreams["u"]
-			x.w.Services["s"] = []*medlarworld.Upstream{u}
+			x.w.Services["s"] = []*medlarupstream.Upstream{u}
 			if tc.warm {
 				f.list("w", f.now.Add(-time.Minute))
 				x.w.Services["s"] = append(x.w.Services["s"], x.w.Upstreams["w"])
--- a/internal/core/medlarpeerload/medlarpeerload.go
+++ b/internal/core/medlarpeerload/medlarpeerload.go
@@ -30,6 +30,7 @@
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarload"
 	"medlarfield/internal/core/medlarsum"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -57,7 +58,7 @@
 	reports  map[medlarid.InstanceID]report
 	sums     map[int]report // by range (R5)
 	ranges   int            // number of ranges of sums
-	byHash   map[medlarid.Hash]*medlarworld.Upstream
+	byHash   map[medlarid.Hash]*medlarupstream.Upstream
 	tellAt   time.Time // next report of this instance
 	told     bool      // the last report named an upstream
 	expireAt time.Time // next check for expired reports
@@ -65,7 +66,7 @@
 
 // New returns a System without reports.
 func New() *System {
-	return &System{reports: map[medlarid.InstanceID]report{}, sums: map[int]report{}, byHash: map[medlarid.Hash]*medlarworld.Upstream{}}
+	return &System{reports: map[medlarid.InstanceID]report{}, sums: map[int]report{}, byHash: map[medlarid.Hash]*medlarupstream.Upstream{}}
 }
 
 // Run handles the events of one tick.
--- a/internal/core/medlarpeerload/medlarpeerload_test.go
+++ b/internal/core/medlarpeerload/medlarpeerload_test.go
@@ -10,6 +10,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarload"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -30,7 +31,7 @@
 func (h *harness) list(upstreams ...medlarid.InstanceID) {
 	clear(h.world.Upstreams)
 	for _, id := range upstreams {
-		h.world.Upstreams[id] = &medlarworld.Upstream{ID: id}
+		h.world.Upstreams[id] = &medlarupstream.Upstream{ID: id}
 	}
 	h.run(medlarworld.InstancesListed{})
 }
--- a/internal/core/medlarplacement/medlarplacement.go
+++ b/internal/core/medlarplacement/medlarplacement.go
@@ -51,6 +51,7 @@
 	"medlarfield/internal/core/medlarchoice"
 	"medlarfield/internal/core/medlarinventory"
 	"medlarfield/internal/core/medlarkey"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -178,7 +179,7 @@
 }
 
 // FindStore returns a store that a part can be fetched from, or nil (R1).
-func FindStore(w *medlarworld.World, k medlarkey.Key) *medlarworld.Store {
+func FindStore(w *medlarworld.World, k medlarkey.Key) *medlarupstream.Store {
 	for _, s := range w.StoreList {
 		if _, ok := s.Stock.Parts[k]; ok && usable(w, s) {
 			return s
@@ -188,13 +189,13 @@
 }
 
 // usable reports whether a store can be asked and its last report is recent (R1).
-func usable(w *medlarworld.World, s *medlarworld.Store) bool {
+func usable(w *medlarworld.World, s *medlarupstream.Store) bool {
 	return s.Usable(w.Now) && w.Now.Before(s.Stock.FreshUntil)
 }
 
 // TransferSeconds returns the time that the transfer of a part of n tokens from a store
 // to an upstream takes (R6).
-func TransferSeconds(s *medlarworld.Store, u *medlarworld.Upstream, n medlarid.Tokens) float64 {
+func TransferSeconds(s *medlarupstream.Store, u *medlarupstream.Upstream, n medlarid.Tokens) float64 {
 	transfer := linkSeconds(s, u, n)
 	if s.Zone != u.Zone {
 		transfer *= crossZoneFactor
@@ -203,13 +204,13 @@
 }
 
 // linkSeconds returns the time that a part of n tokens takes on a store's link.
-func linkSeconds(s *medlarworld.Store, u *medlarworld.Upstream, n medlarid.Tokens) float64 {
+func linkSeconds(s *medlarupstream.Store, u *medlarupstream.Upstream, n medlarid.Tokens) float64 {
 	return float64(n) * float64(u.TokenBytes) / max(s.Rate, 1)
 }
 
 // Plan sets, for each part of a run, the store that the upstream fetches it from and the
 // store that it saves it to. Only the first known parts are worth a fetch.
-func Plan(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream, known int, cmd *medlarworld.StartAttempt) {
+func Plan(w *medlarworld.World, r *medlarworld.Run, u *medlarupstream.Upstream, known int, cmd *medlarworld.StartAttempt) {
 	keys := r.KeysUnder(u.Version)
 	cmd.Fetch = make([]medlarid.Address, len(keys))
 	cmd.Save = make([]medlarid.Address, len(keys))
@@ -225,7 +226,7 @@
 
 // planPart plans one part and returns its believed state. For a part that the upstream
 // is believed to cache, a store is planned as well, in case it does not.
-func planPart(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream, cmd *medlarworld.StartAttempt, i int, k medlarkey.Key, known bool) medlarchoice.PartState {
+func planPart(w *medlarworld.World, r *medlarworld.Run, u *medlarupstream.Upstream, cmd *medlarworld.StartAttempt, i int, k medlarkey.Key, known bool) medlarchoice.PartState {
 	warm := w.Warm.Has(k, u.ID)
 	if i == len(cmd.Parts)-1 || r.KeyTokens[i] < minTokens { // R5
 		return partState(warm, medlarchoice.PartCold)
@@ -255,9 +256,9 @@
 
 // saveTarget returns the store that part i of a run is to be saved to, or nil (R2, R3,
 // R4).
-func saveTarget(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream, i int, k medlarkey.Key) *medlarworld.Store {
+func saveTarget(w *medlarworld.World, r *medlarworld.Run, u *medlarupstream.Upstream, i int, k medlarkey.Key) *medlarupstream.Store {
 	n := r.KeyTokens[i]
-	var best *medlarworld.Store
+	var best *medlarupstream.Store
 	var bestFit fit
 	for _, s := range w.StoreList {
 		st := &s.Stock
@@ -288,7 +289,7 @@
 	rank           float64
 }
 
-func fitOf(s *medlarworld.Store, r *medlarworld.Run, u *medlarworld.Upstream, n medlarid.Tokens, k medlarkey.Key) fit {
+func fitOf(s *medlarupstream.Store, r *medlarworld.Run, u *medlarupstream.Upstream, n medlarid.Tokens, k medlarkey.Key) fit {
 	return fit{
 		toleratesSetup: s.Stock.Setup.Seconds() <= maxSetupShare*linkSeconds(s, u, n),
 		inHomeZone:     s.Zone == r.HomeZone,
@@ -326,7 +327,7 @@
 
 // weightedRank returns a store's rank for a key by rendezvous hashing, weighted by
 // capacity.
-func weightedRank(k medlarkey.Key, s *medlarworld.Store) float64 {
+func weightedRank(k medlarkey.Key, s *medlarupstream.Store) float64 {
 	u := (float64(medlarkey.Rendezvous(k, s.ID)>>11) + 0.5) / (1 << 53)
 	return float64(s.Stock.Capacity) / -math.Log(u)
 }
--- a/internal/core/medlarresume/medlarresume.go
+++ b/internal/core/medlarresume/medlarresume.go
@@ -22,6 +22,7 @@
 	"medlarfield/internal/core/medlarbuild"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -189,7 +190,7 @@
 
 // Started reports that an attempt of a run starts at an upstream. It returns whether the caller must get no event before
 // the stream is recorded (R4).
-func Started(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) (awaitRecord bool) {
+func Started(w *medlarworld.World, r *medlarworld.Run, u *medlarupstream.Upstream) (awaitRecord bool) {
 	if r.Stream == 0 {
 		return false
 	}
@@ -209,7 +210,7 @@
 }
 
 // reportedBuild returns the build that an upstream reports, or medlarbuild.Unknown.
-func reportedBuild(u *medlarworld.Upstream) medlarid.Build {
+func reportedBuild(u *medlarupstream.Upstream) medlarid.Build {
 	return cmp.Or(u.Build, medlarbuild.Unknown)
 }
 
@@ -272,7 +273,7 @@
 		return true
 	}
 	if r.BuildFixed {
-		return slices.ContainsFunc(w.UpstreamsFor(r.Target()), func(u *medlarworld.Upstream) bool {
+		return slices.ContainsFunc(w.UpstreamsFor(r.Target()), func(u *medlarupstream.Upstream) bool {
 			return u.Build == r.Build && !u.Leaving && !u.Delisted && !u.Evacuated
 		})
 	}
@@ -289,7 +290,7 @@
 
 // hasUsable reports whether an upstream of a run's build is usable.
 func hasUsable(w *medlarworld.World, r *medlarworld.Run) bool {
-	return slices.ContainsFunc(w.UpstreamsFor(r.Target()), func(u *medlarworld.Upstream) bool {
+	return slices.ContainsFunc(w.UpstreamsFor(r.Target()), func(u *medlarupstream.Upstream) bool {
 		return u.Build == r.Build && u.Usable(w.Now)
 	})
 }
--- a/internal/core/medlarretry/medlarretry.go
+++ b/internal/core/medlarretry/medlarretry.go
@@ -33,6 +33,7 @@
 	"medlarfield/internal/core/medlaroffload"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarsuspect"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -101,7 +102,7 @@
 }
 
 // tokensLeft returns the retry tokens that are left for a target.
-func tokensLeft(w *medlarworld.World, t medlarworld.Target) float64 {
+func tokensLeft(w *medlarworld.World, t medlarupstream.Target) float64 {
 	if n, ok := w.RetryTokens[t]; ok {
 		return n
 	}
@@ -229,7 +230,7 @@
 	w.Refuse(r, e.Reason, retryAfter)
 }
 
-func recordSuccess(w *medlarworld.World, u *medlarworld.Upstream) {
+func recordSuccess(w *medlarworld.World, u *medlarupstream.Upstream) {
 	u.Failures = 0
 	if u.Ejections > 0 && !w.Now.Before(u.EjectedUntil) {
 		u.Ejections = 0
@@ -238,7 +239,7 @@
 }
 
 // recordFailure counts a failure and ejects the upstream after several (R4).
-func recordFailure(w *medlarworld.World, u *medlarworld.Upstream) {
+func recordFailure(w *medlarworld.World, u *medlarupstream.Upstream) {
 	u.Failures++
 	if u.Failures < failuresToEject && u.Ejections == 0 || w.Now.Before(u.EjectedUntil) || !mayEject(w, u) {
 		return
@@ -249,7 +250,7 @@
 	w.Emit(medlarworld.Ejected{Upstream: u.ID})
 }
 
-func mayEject(w *medlarworld.World, u *medlarworld.Upstream) bool {
+func mayEject(w *medlarworld.World, u *medlarupstream.Upstream) bool {
 	upstreams := w.UpstreamsFor(u.Target())
 	ejected := 0
 	for _, k := range upstreams {
--- a/internal/core/medlarroute/assess.go
+++ b/internal/core/medlarroute/assess.go
@@ -7,6 +7,7 @@
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarlag"
 	"medlarfield/internal/core/medlarplacement"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarverdict"
 	"medlarfield/internal/core/medlarworld"
 )
@@ -15,8 +16,8 @@
 // place is the run's place in the queue, whose runs have no candidate. It decides as for a run that leaves the queue, and changes
 // only w, which is a shadow.
 func Assess(w *medlarworld.World, r *medlarworld.Run, place int, v *medlarverdict.Verdict) {
-	why := map[*medlarworld.Upstream]medlarverdict.Exclusion{}
-	s := &System{excluded: func(u *medlarworld.Upstream, reason medlarverdict.Exclusion) { why[u] = reason }}
+	why := map[*medlarupstream.Upstream]medlarverdict.Exclusion{}
+	s := &System{excluded: func(u *medlarupstream.Upstream, reason medlarverdict.Exclusion) { why[u] = reason }}
 	s.findOptions(w, r)
 	options := slices.Clone(s.options)
 	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.cost, b.cost) })
@@ -113,7 +114,7 @@
 }
 
 // absent returns the parts of a run's prompt but the last, which is its own, that neither an upstream nor a store has.
-func absent(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) []int {
+func absent(w *medlarworld.World, r *medlarworld.Run, u *medlarupstream.Upstream) []int {
 	if r.KeyTokens == nil || u.Kind != medlarkind.KindEngine {
 		return nil
 	}
--- a/internal/core/medlarroute/cost.go
+++ b/internal/core/medlarroute/cost.go
@@ -6,12 +6,13 @@
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarlag"
 	"medlarfield/internal/core/medlarplacement"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
 // load returns how many runs an upstream is known to have, by its last report and what was sent since. A plain
 // service queues requests itself, so that those of other instances do not count there.
-func load(u *medlarworld.Upstream) int {
+func load(u *medlarupstream.Upstream) int {
 	reported := u.Load.Running + u.Load.Queued + u.SentSinceReport
 	if u.Kind == medlarkind.KindService {
 		return max(reported, u.Open)
@@ -21,7 +22,7 @@
 
 // evaluate returns the cheaper of computing and importing what u does not cache
 // (R2, R3).
-func evaluate(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) option {
+func evaluate(w *medlarworld.World, r *medlarworld.Run, u *medlarupstream.Upstream) option {
 	c := option{upstream: u, cost: zoneCost(w, u) + queueSeconds(w, u)}
 	if u.Kind == medlarkind.KindService {
 		c.cost += float64(u.TotalOpen()) * slotWaitSeconds
@@ -57,7 +58,7 @@
 // into parts. Parts that the upstream caches cost nothing, parts that stores hold can
 // be fetched, and everything after the last of these is computed. The cheapest
 // length of the cached or fetched prefix counts.
-func partsCost(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream, c *option) float64 {
+func partsCost(w *medlarworld.World, r *medlarworld.Run, u *medlarupstream.Upstream, c *option) float64 {
 	best := prefillCost(w, u, r.PromptTokens)
 	fetchSeconds := 0.0
 	for i, k := range r.KeysUnder(u.Version) {
@@ -88,7 +89,7 @@
 }
 
 // prefillCost returns the weighted seconds that computing n prompt tokens takes.
-func prefillCost(w *medlarworld.World, u *medlarworld.Upstream, n medlarid.Tokens) float64 {
+func prefillCost(w *medlarworld.World, u *medlarupstream.Upstream, n medlarid.Tokens) float64 {
 	seconds := float64(max(n, 0)) / max(u.PrefillRate, 1)
 	if w.Config.Weighting == medlarkind.WeightingRecompute {
 		return seconds * (1 + recomputeWeight)
@@ -115,12 +116,12 @@
 }
 
 // pendingSeconds returns the seconds that an engine needs for its pending prompts.
-func pendingSeconds(w *medlarworld.World, u *medlarworld.Upstream) float64 {
+func pendingSeconds(w *medlarworld.World, u *medlarupstream.Upstream) float64 {
 	return max(u.BusyUntil.Sub(w.Now).Seconds(), 0) + u.PrefillTime(u.PeerPending).Seconds()
 }
 
 // queueSeconds returns the seconds until an upstream begins with a new run.
-func queueSeconds(w *medlarworld.World, u *medlarworld.Upstream) float64 {
+func queueSeconds(w *medlarworld.World, u *medlarupstream.Upstream) float64 {
 	wait := pendingSeconds(w, u)
 	if excess := load(u) - u.Load.Slots; u.Load.Slots > 0 && excess >= 0 {
 		wait += slotWaitSeconds * float64(excess+1) / float64(u.Load.Slots)
@@ -128,7 +129,7 @@
 	return wait
 }
 
-func zoneCost(w *medlarworld.World, u *medlarworld.Upstream) float64 {
+func zoneCost(w *medlarworld.World, u *medlarupstream.Upstream) float64 {
 	if u.Zone == w.Config.Zone {
 		return 0
 	}
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -49,6 +49,7 @@
 	"medlarfield/internal/core/medlarpace"
 	"medlarfield/internal/core/medlarplacement"
 	"medlarfield/internal/core/medlarresume"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarverdict"
 	"medlarfield/internal/core/medlarwindow"
 	"medlarfield/internal/core/medlarwithdraw"
@@ -89,9 +90,9 @@
 type System struct {
 	onDequeue  func(*medlarworld.Run) // called for each run that leaves the queue
 	options    []option
-	excluded   func(*medlarworld.Upstream, medlarverdict.Exclusion) // called for each upstream that is no candidate; nil for no call
-	candidates int                                                  // number of options of the last run, before one was picked
-	exhausted  []requirements                                       // requirements without a candidate in this tick
+	excluded   func(*medlarupstream.Upstream, medlarverdict.Exclusion) // called for each upstream that is no candidate; nil for no call
+	candidates int                                                     // number of options of the last run, before one was picked
+	exhausted  []requirements                                          // requirements without a candidate in this tick
 }
 
 // requirements are what a run that has not been tried yet needs of an upstream.
@@ -108,7 +109,7 @@
 
 // option is one way to serve a run.
 type option struct {
-	upstream       *medlarworld.Upstream
+	upstream       *medlarupstream.Upstream
 	cachedBlocks   int                      // leading blocks that the upstream caches
 	imports        []medlarinventory.Handle // blocks to import after those
 	availableParts int                      // leading parts that the upstream caches or that are fetched from stores
@@ -370,7 +371,7 @@
 }
 
 // consider returns the option to serve a run by an upstream, or why that is none (R1).
-func consider(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream, sc scope, isHome bool) (option, medlarverdict.Exclusion) {
+func consider(w *medlarworld.World, r *medlarworld.Run, u *medlarupstream.Upstream, sc scope, isHome bool) (option, medlarverdict.Exclusion) {
 	if why := sc.exclusion(r, u, isHome); why != medlarverdict.None {
 		return option{}, why
 	}
@@ -403,7 +404,7 @@
 }
 
 // exclusion returns why an upstream is not in the scope.
-func (sc scope) exclusion(r *medlarworld.Run, u *medlarworld.Upstream, isHome bool) medlarverdict.Exclusion {
+func (sc scope) exclusion(r *medlarworld.Run, u *medlarupstream.Upstream, isHome bool) medlarverdict.Exclusion {
 	switch {
 	case !u.InSubset && !sc.wholeFleet && !isHome && r.Service == "":
 		return medlarverdict.Outside
@@ -420,7 +421,7 @@
 // homeOf returns the replica of a build, or of any, with the highest rank for a run's home key or, without
 // one, for its conversation, which the first segment of blocks identifies. It returns
 // nil for a short prompt (R7).
-func homeOf(r *medlarworld.Run, upstreams []*medlarworld.Upstream, build medlarid.Build) *medlarworld.Upstream {
+func homeOf(r *medlarworld.Run, upstreams []*medlarupstream.Upstream, build medlarid.Build) *medlarupstream.Upstream {
 	if len(r.Keys) == 0 {
 		return nil
 	}
@@ -428,7 +429,7 @@
 	if k == (medlarkey.Key{}) {
 		k = medlarkey.Conversation(r.Keys)
 	}
-	var best *medlarworld.Upstream
+	var best *medlarupstream.Upstream
 	var highest uint64
 	for _, u := range upstreams {
 		if u.Leaving || u.Delisted || u.Evacuated || build != "" && u.Build != build {
@@ -442,7 +443,7 @@
 }
 
 // exclusion returns why an upstream may not get a run in any scope. A further reason is a further case here.
-func exclusion(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) medlarverdict.Exclusion {
+func exclusion(w *medlarworld.World, r *medlarworld.Run, u *medlarupstream.Upstream) medlarverdict.Exclusion {
 	switch {
 	case u.Leaving:
 		return medlarverdict.Leaving
@@ -473,7 +474,7 @@
 }
 
 // servesWeights reports whether a replica has a weight version that may serve a run.
-func servesWeights(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream) bool {
+func servesWeights(w *medlarworld.World, r *medlarworld.Run, u *medlarupstream.Upstream) bool {
 	if u.VersionDenied {
 		return false
 	}
@@ -507,7 +508,7 @@
 // reported one, or the desired one for a replica outside the subset that has not
 // reported yet. A replica refuses a run under another version, so a wrong assumption
 // costs a retry.
-func assumedVersion(w *medlarworld.World, u *medlarworld.Upstream) medlarid.WeightVersion {
+func assumedVersion(w *medlarworld.World, u *medlarupstream.Upstream) medlarid.WeightVersion {
 	if u.Version == "" && u.ReportedAt.IsZero() && !u.InSubset {
 		return w.Models[u.Model].Version
 	}
@@ -516,7 +517,7 @@
 
 // hasCapacity reports whether an upstream can take one more run, by its last report
 // and what was sent since.
-func hasCapacity(w *medlarworld.World, u *medlarworld.Upstream) bool {
+func hasCapacity(w *medlarworld.World, u *medlarupstream.Upstream) bool {
 	if u.Load.Slots == 0 {
 		return u.Open < maxOpenWithoutSlots
 	}
--- a/internal/core/medlarthroughput/medlarthroughput.go
+++ b/internal/core/medlarthroughput/medlarthroughput.go
@@ -16,6 +16,7 @@
 	"math"
 	"time"
 
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -29,7 +30,7 @@
 
 // Estimator measures the rates of all targets. It is not safe for concurrent use.
 type Estimator struct {
-	targets    map[medlarworld.Target]*rates
+	targets    map[medlarupstream.Target]*rates
 	measuredAt time.Time
 }
 
@@ -44,7 +45,7 @@
 }
 
 // New returns an Estimator that knows no rates.
-func New() *Estimator { return &Estimator{targets: map[medlarworld.Target]*rates{}} }
+func New() *Estimator { return &Estimator{targets: map[medlarupstream.Target]*rates{}} }
 
 // Measure adds the time since the last call for the targets that runs were waiting for, and notes
 // those that runs wait for now.
@@ -71,7 +72,7 @@
 	r.starts, r.busy, r.active = r.starts*kept, r.busy*kept+seconds, false
 }
 
-func (e *Estimator) target(id medlarworld.Target) *rates {
+func (e *Estimator) target(id medlarupstream.Target) *rates {
 	t := e.targets[id]
 	if t == nil {
 		t = &rates{}
@@ -100,7 +101,7 @@
 }
 
 // Wait returns how long a run of a target waits behind others.
-func (e *Estimator) Wait(id medlarworld.Target, ahead int) time.Duration {
+func (e *Estimator) Wait(id medlarupstream.Target, ahead int) time.Duration {
 	t := e.targets[id]
 	if t == nil {
 		return 0
@@ -109,7 +110,7 @@
 }
 
 // LateWait returns how long a run that can no longer be in time waits behind others like it (R3).
-func (e *Estimator) LateWait(id medlarworld.Target, ahead int) time.Duration {
+func (e *Estimator) LateWait(id medlarupstream.Target, ahead int) time.Duration {
 	t := e.targets[id]
 	if t == nil {
 		return 0
--- a/internal/core/medlarwindow/medlarwindow.go
+++ b/internal/core/medlarwindow/medlarwindow.go
@@ -30,6 +30,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarbacklog"
 	"medlarfield/internal/core/medlarchoice"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -115,14 +116,14 @@
 
 // Fits reports whether an attempt of a run may start at a replica (R2, R4). known is the
 // number of prompt tokens that are cached or can be fetched.
-func Fits(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream, known medlarid.Tokens) bool {
+func Fits(w *medlarworld.World, r *medlarworld.Run, u *medlarupstream.Upstream, known medlarid.Tokens) bool {
 	n := work(r, known)
 	return replicaLimits.fits(&u.Backlog, r.Class(), n) && targetLimits.fits(w.Backlog(r.Target()), r.Class(), n)
 }
 
 // AddAttempt adds an attempt of a run that has just started to the backlogs (R1). idle
 // is the time to the first part of its answer on an idle replica.
-func AddAttempt(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream, known medlarid.Tokens, idle time.Duration) {
+func AddAttempt(w *medlarworld.World, r *medlarworld.Run, u *medlarupstream.Upstream, known medlarid.Tokens, idle time.Duration) {
 	r.ComputedTokens, r.IdleTTFT = r.PromptTokens-known, idle
 	a := medlarbacklog.Attempt{Run: r.ID, Class: r.Class(), Work: work(r, known), Due: r.AttemptStarted.Add(r.ExpectedTTFT)}
 	u.Backlog.Add(a)
@@ -136,7 +137,7 @@
 
 // Explain records in why the pending work and the windows that a run met at a replica,
 // and at all replicas of its target.
-func Explain(w *medlarworld.World, r *medlarworld.Run, u *medlarworld.Upstream, why *medlarchoice.Decision) {
+func Explain(w *medlarworld.World, r *medlarworld.Run, u *medlarupstream.Upstream, why *medlarchoice.Decision) {
 	c, all := r.Class(), w.Backlog(r.Target())
 	why.Pending, why.Window = u.Backlog.Pending(c), replicaLimits.window(&u.Backlog.Queues[c])
 	why.TotalPending, why.TotalWindow = all.Pending(c), targetLimits.window(&all.Queues[c])
--- a/internal/core/medlarwithdraw/medlarwithdraw.go
+++ b/internal/core/medlarwithdraw/medlarwithdraw.go
@@ -14,6 +14,7 @@
 	"slices"
 	"time"
 
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 )
 
@@ -51,7 +52,7 @@
 
 // withdraw withdraws the attempts that wait at a replica (R2). They do not count as waiting any more: either they end, or
 // their answers have just begun.
-func withdraw(w *medlarworld.World, u *medlarworld.Upstream) {
+func withdraw(w *medlarworld.World, u *medlarupstream.Upstream) {
 	for _, id := range u.Backlog.Runs() {
 		if r := w.Runs[id]; r != nil && Allowed(r) {
 			w.RemoveFromBacklogs(r)
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -22,13 +22,13 @@
 	"medlarfield/internal/core/medlarbudget"
 	"medlarfield/internal/core/medlarbuild"
 	"medlarfield/internal/core/medlarcacheindex"
-	"medlarfield/internal/core/medlardecay"
 	"medlarfield/internal/core/medlarhistory"
 	"medlarfield/internal/core/medlarinventory"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarsuspect"
+	"medlarfield/internal/core/medlarupstream"
 )
 
 // Config holds the settings of the core.
@@ -105,136 +105,6 @@
 	Versions medlarhistory.History
 }
 
-// Load is the load that an upstream last reported.
-type Load struct {
-	Running int // runs being computed
-	Queued  int // runs waiting
-	Slots   int // maximum number of runs computed concurrently; 0 for no limit
-	// Pending is the number of prompt tokens waiting for computation.
-	Pending medlarid.Tokens
-}
-
-// Brittleness is how an upstream is brittle: it crashes when it has to turn away too many requests for lack of room.
-type Brittleness struct {
-	Most int // requests that it can turn away in a second; 0 if it is not brittle
-	Part int // own attempts that it gets at most at once
-	Room int // own attempts that it takes at once, as far as is known
-	// It gets nothing before PausedUntil, and Room may be tried to be larger from GrowsAt on.
-	PausedUntil, GrowsAt time.Time
-}
-
-// Pacing is how an upstream that is cold, has just started, or is back after failures, is spared (see medlarpace).
-type Pacing struct {
-	ColdRate    float64       // requests per second while it is cold; 0 if its service configures none
-	ColdTime    time.Duration // from its start, for which it is cold
-	Fresh       bool          // its start has shown after this instance read the list of upstreams first
-	StatedUntil time.Time     // until when it is cold, as it has stated itself
-	FailedAt    time.Time     // when it could not be reached last; zero if it is known to be in the same start since
-
-	ColdUntil time.Time // until when it counts as cold
-	SlowFrom  time.Time // when its slow start begins; zero for none
-	Instances int       // that are known, including this one
-	Known     bool      // the other instances are known well enough to share the upstream with them
-	Rank      int       // of this instance among them, from 0 on
-	RankedBy  int       // number of the list of instances that Rank is from; 0 for none
-	Rate      float64   // this instance's part of the cold rate, in requests per second
-	Bucket    *Bucket   // of tokens for attempts while it is cold; nil before that
-	Window    int       // own attempts that it may have in flight in the slow start
-}
-
-// Bucket holds tokens, one for each attempt that may start, as of FilledAt.
-type Bucket struct {
-	Tokens   float64
-	FilledAt time.Time
-}
-
-// Upstream is a replica of a model engine or an instance of a plain service.
-type Upstream struct {
-	ID       medlarid.InstanceID
-	Kind     medlarkind.Kind
-	Zone     medlarid.Zone
-	Address  medlarid.Address
-	Leaving  bool
-	Delisted bool // no longer in the instance list
-	// Evacuated is set if the operators evacuate the upstream's availability zone.
-	Evacuated bool
-	// ReportedLeaving is set once the upstream itself reported that it leaves.
-	ReportedLeaving bool
-	Incarnation     medlarid.Incarnation
-	Build           medlarid.Build
-	// PausedUntil is the time until which the upstream asked for no requests.
-	PausedUntil time.Time
-	// Limit is how many requests a second the upstream takes from all instances together, if
-	// Limited is set.
-	Limit   float64
-	Limited bool
-	// LimitShare is this instance's share of the limit in requests per second, and LimitTokens
-	// how many attempts it may start now. LimitSettled is set if the share is agreed with the other instances.
-	LimitShare   float64
-	LimitTokens  float64
-	LimitSettled bool
-
-	Brittle Brittleness
-	Pace    Pacing
-
-	Model   medlarid.ModelID
-	Version medlarid.WeightVersion
-	// VersionDenied is set if the replica has denied that it runs Version.
-	VersionDenied bool
-	Service       medlarid.ServiceID
-	InSubset      bool // in the subset of replicas that this instance uses
-	// Far is set if the upstream is outside the subset of its service's replicas that this instance of a large fleet
-	// usually sends to (medlarsubset).
-	Far bool
-	// SwapUntil is the time until which the replica is assumed to be about to load
-	// another weight version.
-	SwapUntil time.Time
-	// SwapExpected is set once SwapUntil was set for the current change of weights, also
-	// after that time has passed.
-	SwapExpected bool
-	Lag          medlardecay.Value // lag of the first part of answers
-	// ConfirmedAt is the start of the latest attempt under Version that was answered. It
-	// started after Version became known.
-	ConfirmedAt    time.Time
-	ListedAt       time.Time             // when it was first listed in its present start
-	KVCapacity     medlarid.Tokens       // capacity of the KV cache; 0 if not known
-	InFlightTokens medlarid.Tokens       // prompt tokens of own attempts in flight
-	Backlog        medlarbacklog.Backlog // own attempts whose answer has not begun
-
-	Load       Load
-	ReportedAt time.Time
-	// PrefillRate is the number of prompt tokens computed per second.
-	PrefillRate float64
-	// BlockBytes is the size of one KV block.
-	BlockBytes medlarid.Bytes
-	// TokenBytes is the size of one token in the KV cache.
-	TokenBytes medlarid.Bytes
-
-	Open            int             // own attempts in flight
-	PeerOpen        int             // attempts of other instances in flight, as they told last
-	PeerPending     medlarid.Tokens // of these, still to be computed before answers begin
-	SentSinceReport int             // own attempts started since the last report
-	BusyUntil       time.Time       // estimated end of the pending prompts: those reported and those sent since
-	Failures        int             // consecutive failures
-	EjectedUntil    time.Time
-	Ejections       int
-}
-
-// Store is a store instance and the link to it.
-type Store struct {
-	ID       medlarid.InstanceID
-	Zone     medlarid.Zone
-	Address  medlarid.Address
-	Leaving  bool
-	Delisted bool // no longer in the instance list
-
-	Rate          float64        // bytes per second
-	InFlightBytes medlarid.Bytes // bytes of own imports in flight
-	DownUntil     time.Time
-	Failures      int                       // consecutive failed transfers
-	Stock         medlarinventory.Inventory // of a store that keeps parts of prompts
-}
-
 // Class returns the run's priority class.
 func (r *Run) Class() int { return min(max(int(-r.Priority), 0), medlarbacklog.NumClasses-1) }
 
@@ -276,8 +146,8 @@
 	Phase           medlarkind.Phase
 	Attempt         int // number of the current attempt
 	AttemptsReached int // attempts that may have run
-	Upstream        *Upstream
-	Tried           []*Upstream
+	Upstream        *medlarupstream.Upstream
+	Tried           []*medlarupstream.Upstream
 	NotBefore       time.Time // earliest time of the next attempt
 	VirtualStart    float64   // virtual start time, which orders the queue
 	// LookupDeadline ends the wait for the stores.
@@ -334,27 +204,27 @@
 
 	Accounts  map[medlarid.AccountID]*Account
 	Models    map[medlarid.ModelID]Model
-	Upstreams map[medlarid.InstanceID]*Upstream
-	Engines   map[medlarid.ModelID][]*Upstream
+	Upstreams map[medlarid.InstanceID]*medlarupstream.Upstream
+	Engines   map[medlarid.ModelID][]*medlarupstream.Upstream
 	Left      map[medlarid.ModelID][]time.Time // when engines were removed within medlarplacement.UnseenTime
-	Services  map[medlarid.ServiceID][]*Upstream
-	Stores    map[medlarid.InstanceID]*Store
-	StoreList []*Store // ordered by ID
+	Services  map[medlarid.ServiceID][]*medlarupstream.Upstream
+	Stores    map[medlarid.InstanceID]*medlarupstream.Store
+	StoreList []*medlarupstream.Store // ordered by ID
 	Runs      map[medlarid.RequestID]*Run
 	LookingUp []*Run // runs whose context is being looked up in stores
 	Waiting   []*Run // queue, in order
 	Warm      *medlarcacheindex.Index
 	Exported  *medlarkey.Set // last keys of exported segments
 
-	Backlogs map[Target]*medlarbacklog.Backlog // of all upstreams of a target together
-	Builds   *medlarbuild.Table                // at which builds streams begin and go on
-	Streams  []*Run                            // runs with a stream
-	Suspects *medlarsuspect.Table              // traits of requests that crash replicas
-	Trials   []*Run                            // runs that were admitted as trials of blocked traits
+	Backlogs map[medlarupstream.Target]*medlarbacklog.Backlog // of all upstreams of a target together
+	Builds   *medlarbuild.Table                               // at which builds streams begin and go on
+	Streams  []*Run                                           // runs with a stream
+	Suspects *medlarsuspect.Table                             // traits of requests that crash replicas
+	Trials   []*Run                                           // runs that were admitted as trials of blocked traits
 
-	VirtualTime float64                      // virtual time of the queue
-	MeanPrompt  map[medlarid.ModelID]float64 // mean size of the prompts that were sent to a model lately, in tokens
-	RetryTokens map[Target]float64           // tokens left in the retry budgets
+	VirtualTime float64                           // virtual time of the queue
+	MeanPrompt  map[medlarid.ModelID]float64      // mean size of the prompts that were sent to a model lately, in tokens
+	RetryTokens map[medlarupstream.Target]float64 // tokens left in the retry budgets
 
 	Events   []Event
 	Commands []Command
@@ -380,15 +250,15 @@
 		Peers:       1,
 		Accounts:    map[medlarid.AccountID]*Account{},
 		Models:      map[medlarid.ModelID]Model{},
-		Upstreams:   map[medlarid.InstanceID]*Upstream{},
-		Engines:     map[medlarid.ModelID][]*Upstream{},
-		Services:    map[medlarid.ServiceID][]*Upstream{},
-		Stores:      map[medlarid.InstanceID]*Store{},
+		Upstreams:   map[medlarid.InstanceID]*medlarupstream.Upstream{},
+		Engines:     map[medlarid.ModelID][]*medlarupstream.Upstream{},
+		Services:    map[medlarid.ServiceID][]*medlarupstream.Upstream{},
+		Stores:      map[medlarid.InstanceID]*medlarupstream.Store{},
 		Runs:        map[medlarid.RequestID]*Run{},
-		Backlogs:    map[Target]*medlarbacklog.Backlog{},
+		Backlogs:    map[medlarupstream.Target]*medlarbacklog.Backlog{},
 		Suspects:    medlarsuspect.New(),
 		Builds:      medlarbuild.New(cfg.Self, time.Duration(xxh3.HashString(string(cfg.Self))%uint64(maxJitter))),
-		RetryTokens: map[Target]float64{},
+		RetryTokens: map[medlarupstream.Target]float64{},
 		MeanPrompt:  map[medlarid.ModelID]float64{},
 		Warm:        medlarcacheindex.New(maxCachedKeys, cfg.MaxHolders),
 		Exported:    medlarkey.NewSet(maxExportedSegments),
@@ -438,7 +308,7 @@
 }
 
 // Backlog returns the backlog of own attempts at all upstreams of a target.
-func (w *World) Backlog(t Target) *medlarbacklog.Backlog {
+func (w *World) Backlog(t medlarupstream.Target) *medlarbacklog.Backlog {
 	b := w.Backlogs[t]
 	if b == nil {
 		b = &medlarbacklog.Backlog{}
@@ -473,22 +343,9 @@
 	r.Upstream = nil
 }
 
-// Target is what a run is addressed to: a model or a service.
-type Target struct {
-	Model   medlarid.ModelID
-	Service medlarid.ServiceID
-}
-
 // Target returns the run's target. A run that names a service is for the service,
 // whatever model it names.
-func (r *Run) Target() Target { return targetOf(r.Model, r.Service) }
-
-func targetOf(m medlarid.ModelID, s medlarid.ServiceID) Target {
-	if s != "" {
-		return Target{Service: s}
-	}
-	return Target{Model: m}
-}
+func (r *Run) Target() medlarupstream.Target { return medlarupstream.TargetOf(r.Model, r.Service) }
 
 // PrefixTokens returns the prompt tokens of the first n keys.
 func (r *Run) PrefixTokens(n int) medlarid.Tokens {
@@ -502,11 +359,8 @@
 	return sum
 }
 
-// Target returns the target that the upstream serves.
-func (u *Upstream) Target() Target { return targetOf(u.Model, u.Service) }
-
 // UpstreamsFor returns the upstreams that serve a target.
-func (w *World) UpstreamsFor(t Target) []*Upstream {
+func (w *World) UpstreamsFor(t medlarupstream.Target) []*medlarupstream.Upstream {
 	if t.Service != "" {
 		return w.Services[t.Service]
 	}
@@ -515,7 +369,7 @@
 
 // AllEvacuated reports whether a target has upstreams that could get work if their availability zones were not all
 // evacuated.
-func (w *World) AllEvacuated(t Target) bool {
+func (w *World) AllEvacuated(t medlarupstream.Target) bool {
 	found := false
 	for _, u := range w.UpstreamsFor(t) {
 		if u.Leaving || u.Delisted {
@@ -528,21 +382,3 @@
 	}
 	return found
 }
-
-// PrefillTime returns the time that the upstream takes to compute n prompt tokens.
-func (u *Upstream) PrefillTime(n medlarid.Tokens) time.Duration {
-	return time.Duration(float64(n) / max(u.PrefillRate, 1) * float64(time.Second))
-}
-
-// TotalOpen returns the number of attempts in flight, of all instances.
-func (u *Upstream) TotalOpen() int { return u.Open + u.PeerOpen }
-
-// Usable reports whether an upstream may get new work now.
-func (u *Upstream) Usable(now time.Time) bool {
-	return !u.Leaving && !u.Delisted && !u.Evacuated && !now.Before(u.EjectedUntil) && !now.Before(u.PausedUntil)
-}
-
-// Usable reports whether a store may be sent requests now.
-func (s *Store) Usable(now time.Time) bool {
-	return !s.Leaving && !s.Delisted && !now.Before(s.DownUntil)
-}
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -14,6 +14,7 @@
 	"medlarfield/internal/core/medlarload"
 	"medlarfield/internal/core/medlarreason"
 	"medlarfield/internal/core/medlarsuspect"
+	"medlarfield/internal/core/medlarupstream"
 )
 
 // Event is an input of the core: something that the I/O layers report.
@@ -82,42 +83,9 @@
 	Models  []Model
 }
 
-// Member is one instance of the platform's instance list.
-type Member struct {
-	ID medlarid.InstanceID
-	// Incarnation changes when the instance starts again.
-	Incarnation medlarid.Incarnation
-	Kind        string // "entry", "engine", "service" or "store"
-	Zone        medlarid.Zone
-	Address     medlarid.Address
-	Leaving     bool
-	Model       medlarid.ModelID
-	Service     medlarid.ServiceID
-	// Version, Slots and PrefillRate are what the list says about an engine; zero where
-	// it says nothing.
-	Version medlarid.WeightVersion
-	Slots   int
-	Build   medlarid.Build
-	// VersionDenied is set if the engine has denied that it runs Version, and which one it runs is not known.
-	VersionDenied bool
-	PrefillRate   float64         // prompt tokens per second
-	TokenBytes    medlarid.Bytes  // size of one token in the KV cache
-	KVCapacity    medlarid.Tokens // capacity of the KV cache
-	// Capacity, Rate and Setup describe a store that keeps parts of prompts.
-	Capacity medlarid.Tokens
-	Rate     float64 // bytes per second
-	Setup    time.Duration
-	// ColdRate, ColdTime and ColdUntil describe how long a replica is cold, and how many requests per second it gets
-	// then; zero where nothing is known.
-	ColdRate  float64
-	ColdTime  time.Duration // from its start
-	ColdUntil time.Time     // as the replica itself has stated
-	Fresh     bool          // its start has shown after this instance read the list first
-}
-
 // InstancesListed reports the platform's instance list.
 type InstancesListed struct {
-	Members []Member
+	Members []medlarupstream.Member
 	// Peers is the number of live entry instances where a better source than the list
 	// is available; 0 otherwise.
 	Peers int
@@ -128,7 +96,7 @@
 	Upstream    medlarid.InstanceID
 	Model       medlarid.ModelID
 	Version     medlarid.WeightVersion
-	Load        Load
+	Load        medlarupstream.Load
 	PrefillRate float64
 	BlockBytes  medlarid.Bytes
 	Leaving     bool
@@ -174,14 +142,8 @@
 // ReplicasCurrent reports the same of the replicas' entries.
 type ReplicasCurrent struct{ At time.Time }
 
-// Heartbeat is an upstream's word that it runs.
-type Heartbeat struct {
-	Upstream    medlarid.InstanceID
-	Incarnation medlarid.Incarnation
-}
-
 // HeartbeatsRead reports heartbeats of upstreams whose service configures a cold rate.
-type HeartbeatsRead struct{ Heartbeats []Heartbeat }
+type HeartbeatsRead struct{ Heartbeats []medlarupstream.Heartbeat }
 
 // WeightsLoading reports that an upstream is loading other weights.
 type WeightsLoading struct{ Upstream medlarid.InstanceID }
@@ -497,20 +459,10 @@
 	Most     int // requests that it can turn away in a second; 0 if it is not brittle
 }
 
-// PacePhase is how an upstream is spared (see medlarpace).
-type PacePhase string
-
-// Phases.
-const (
-	PaceNone PacePhase = ""     // not at all
-	PaceCold PacePhase = "cold" // it gets a limited number of requests per second
-	PaceSlow PacePhase = "slow" // it starts slowly
-)
-
 // PaceChanged reports that an upstream is spared in another way, for the log.
 type PaceChanged struct {
 	Upstream medlarid.InstanceID
-	Phase    PacePhase
+	Phase    medlarupstream.PacePhase
 	For      time.Duration // for which the phase is expected to last
 	Rate     float64       // requests per second that this instance may send it while it is cold
 }
--- a/internal/core/medlarworld/shadow.go
+++ b/internal/core/medlarworld/shadow.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarverdict"
 )
 
@@ -43,8 +44,8 @@
 	return &s
 }
 
-func cloneAll(upstreams []*Upstream) []*Upstream {
-	out := make([]*Upstream, len(upstreams))
+func cloneAll(upstreams []*medlarupstream.Upstream) []*medlarupstream.Upstream {
+	out := make([]*medlarupstream.Upstream, len(upstreams))
 	for i, u := range upstreams {
 		clone := *u
 		out[i] = &clone
--- a/internal/edge/medlarproxy/pause_test.go
+++ b/internal/edge/medlarproxy/pause_test.go
@@ -12,6 +12,7 @@
 	"medlarfield/internal/core/medlarbrittle"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarpool"
 	"medlarfield/internal/edge/medlarproxy"
@@ -73,7 +74,7 @@
 // roomAfter returns for how many requests at once a brittle upstream that had room for 6 still has it after an attempt.
 func roomAfter(e medlarworld.AttemptEnded) int {
 	w := medlarworld.New(medlarworld.Config{})
-	u := &medlarworld.Upstream{ID: "one", Open: 3}
+	u := &medlarupstream.Upstream{ID: "one", Open: 3}
 	u.Brittle.Most, u.Brittle.Room = 2, 6
 	w.Runs[e.Run] = &medlarworld.Run{ID: e.Run, Attempt: e.Attempt, Upstream: u}
 	w.Events = []medlarworld.Event{e}
--- a/internal/edge/medlarsession/medlarsession.go
+++ b/internal/edge/medlarsession/medlarsession.go
@@ -26,6 +26,7 @@
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarkind"
 	"medlarfield/internal/core/medlarreason"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/upstream/medlarengine"
 	"medlarfield/internal/upstream/medlarservice"
@@ -256,7 +257,7 @@
 		Upstream:    id,
 		Model:       l.Model,
 		Version:     l.Version,
-		Load:        medlarworld.Load{Running: l.Running, Queued: l.Queued, Slots: l.Slots, Pending: l.PendingTokens},
+		Load:        medlarupstream.Load{Running: l.Running, Queued: l.Queued, Slots: l.Slots, Pending: l.PendingTokens},
 		PrefillRate: l.PrefillRate,
 		BlockBytes:  l.BlockBytes,
 		Leaving:     l.Leaving,
--- a/internal/ops/medlarattachednode/logging.go
+++ b/internal/ops/medlarattachednode/logging.go
@@ -7,6 +7,7 @@
 	"github.com/zeebo/xxh3"
 
 	"medlarfield/internal/agree/medlarterm"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarmetric"
 	"medlarfield/internal/ops/medlarcachetracker"
@@ -51,10 +52,10 @@
 
 // logPace logs that a replica is spared in another way, since it is cold or has just started, or is no longer.
 func logPace(log zerolog.Logger, c medlarworld.PaceChanged) {
-	text := map[medlarworld.PacePhase]string{
-		medlarworld.PaceNone: "replica gets requests without a limit",
-		medlarworld.PaceCold: "replica may be cold; all instances together limit its requests",
-		medlarworld.PaceSlow: "replica has started or is back; increasing its requests",
+	text := map[medlarupstream.PacePhase]string{
+		medlarupstream.PaceNone: "replica gets requests without a limit",
+		medlarupstream.PaceCold: "replica may be cold; all instances together limit its requests",
+		medlarupstream.PaceSlow: "replica has started or is back; increasing its requests",
 	}[c.Phase]
 	log.Info().Str("event", "pace").Str("replica", string(c.Upstream)).Str("phase", string(c.Phase)).Float64("for", ms(c.For)).Float64("rate", c.Rate).Msg(text)
 }
--- a/internal/ops/medlarloop/medlarloop.go
+++ b/internal/ops/medlarloop/medlarloop.go
@@ -20,6 +20,7 @@
 	"medlarfield/internal/core/medlarcore"
 	"medlarfield/internal/core/medlarfleet"
 	"medlarfield/internal/core/medlarkind"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarverdict"
 	"medlarfield/internal/core/medlarworld"
 )
@@ -79,8 +80,8 @@
 type Summary struct {
 	Waiting   int
 	Open      int
-	Upstreams []medlarworld.Upstream
-	Stores    []medlarworld.Store
+	Upstreams []medlarupstream.Upstream
+	Stores    []medlarupstream.Store
 	Peers     int
 	Version   medlarid.Offset
 }
--- a/internal/ops/medlarpoller/medlarpoller.go
+++ b/internal/ops/medlarpoller/medlarpoller.go
@@ -20,6 +20,7 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/base/medlarpause"
 	"medlarfield/internal/core/medlarfleet"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarsession"
 	"medlarfield/internal/upstream/medlarengine"
@@ -171,15 +172,15 @@
 		return // nothing has changed since the last post
 	}
 	p.livePeers = peers
-	members := make([]medlarworld.Member, 0, len(l.Instances))
+	members := make([]medlarupstream.Member, 0, len(l.Instances))
 	for _, i := range l.Instances {
 		members = append(members, member(i))
 	}
 	p.deps.Post(medlarworld.InstancesListed{Members: members, Peers: peers})
 }
 
-func member(i medlarinstance.Instance) medlarworld.Member {
-	return medlarworld.Member{
+func member(i medlarinstance.Instance) medlarupstream.Member {
+	return medlarupstream.Member{
 		ID:      i.ID,
 		Kind:    string(i.Role),
 		Zone:    i.Zone,
--- a/internal/ops/medlarregistry/cold_test.go
+++ b/internal/ops/medlarregistry/cold_test.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"medlarfield/internal/agree/medlarfeed"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarpool"
 )
@@ -42,7 +43,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				begin, posts := time.Now(), 0
-				var last medlarworld.Member
+				var last medlarupstream.Member
 				r := New(zerolog.Nop(), medlarpool.NewDirect(), func(e medlarworld.Event) {
 					if e, ok := e.(medlarworld.InstancesListed); ok {
 						last = e.Members[0]
@@ -69,7 +70,7 @@
 
 // TestColdRateOfService guards against replicas whose cold rate the core does not know.
 func TestColdRateOfService(t *testing.T) {
-	var last medlarworld.Member
+	var last medlarupstream.Member
 	r := New(zerolog.Nop(), medlarpool.NewDirect(), func(e medlarworld.Event) {
 		if e, ok := e.(medlarworld.InstancesListed); ok {
 			last = e.Members[0]
--- a/internal/ops/medlarregistry/lapse_test.go
+++ b/internal/ops/medlarregistry/lapse_test.go
@@ -10,6 +10,7 @@
 
 	"medlarfield/internal/agree/medlarfeed"
 	"medlarfield/internal/core/medlarplacement"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarpool"
 )
@@ -34,7 +35,7 @@
 	l.freeing = New(zerolog.Nop(), medlarpool.NewDirect(), func(medlarworld.Event) {}, ignoreMalformed)
 	for i := range lapseReplicas {
 		l.entry(i, 1)
-		l.fetcher.Engines["m"] = append(l.fetcher.Engines["m"], &medlarworld.Upstream{Model: "m", Version: "1", ListedAt: time.Now()})
+		l.fetcher.Engines["m"] = append(l.fetcher.Engines["m"], &medlarupstream.Upstream{Model: "m", Version: "1", ListedAt: time.Now()})
 	}
 	l.fetcher.Models["m"] = medlarworld.Model{ID: "m", Version: "1"}
 	return l
--- a/internal/ops/medlarregistry/medlarregistry.go
+++ b/internal/ops/medlarregistry/medlarregistry.go
@@ -34,6 +34,7 @@
 	"medlarfield/internal/agree/medlarfeed"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarhistory"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarmetric"
 	"medlarfield/internal/edge/medlarpool"
@@ -281,7 +282,7 @@
 			continue
 		}
 		if rate, _ := t.cold(r.Member.Service); rate > 0 {
-			e.Heartbeats = append(e.Heartbeats, medlarworld.Heartbeat{Upstream: id, Incarnation: medlarid.Incarnation(r.StartedMs)})
+			e.Heartbeats = append(e.Heartbeats, medlarupstream.Heartbeat{Upstream: id, Incarnation: medlarid.Incarnation(r.StartedMs)})
 		}
 	}
 	if len(e.Heartbeats) > 0 {
@@ -349,7 +350,7 @@
 var errNoModel = eris.New("entry names no model, and its service has an engine")
 
 // lacksModel reports whether a replica names no model though its service has an engine (R4). The caller holds t.mu.
-func (t *Registry) lacksModel(m medlarworld.Member) bool {
+func (t *Registry) lacksModel(m medlarupstream.Member) bool {
 	return m.Model == "" && t.services[m.Service]
 }
 
@@ -362,7 +363,7 @@
 
 // postReplicas posts all replicas and stores to the core. The caller holds t.mu.
 func (t *Registry) postReplicas() {
-	e := medlarworld.InstancesListed{Members: make([]medlarworld.Member, 0, len(t.replicas))}
+	e := medlarworld.InstancesListed{Members: make([]medlarupstream.Member, 0, len(t.replicas))}
 	for _, r := range t.replicas {
 		if !t.serves(r) {
 			continue
@@ -411,16 +412,16 @@
 }
 
 // stores returns the managed stores of the catalog. The caller holds t.mu.
-func (t *Registry) stores() []medlarworld.Member {
+func (t *Registry) stores() []medlarupstream.Member {
 	if t.catalog == nil {
 		return nil
 	}
-	var out []medlarworld.Member
+	var out []medlarupstream.Member
 	for id, s := range t.catalog.Services {
 		if s.KVStore == nil || !s.KVStore.Managed {
 			continue
 		}
-		out = append(out, medlarworld.Member{
+		out = append(out, medlarupstream.Member{
 			ID: medlarid.InstanceID(id), Kind: "store", Zone: s.KVStore.Zone, Address: s.KVStore.Address,
 			Capacity: s.KVStore.Capacity, Rate: s.KVStore.BytesPerSecond, Setup: s.KVStore.TransferSetup,
 		})
--- a/internal/ops/medlarregistry/medlarregistry_test.go
+++ b/internal/ops/medlarregistry/medlarregistry_test.go
@@ -11,6 +11,7 @@
 	"medlarfield/internal/agree/medlarfeed"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarplacement"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarmetric"
 	"medlarfield/internal/edge/medlarpool"
@@ -205,7 +206,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				var last medlarworld.Member
+				var last medlarupstream.Member
 				registry := New(zerolog.Nop(), medlarpool.NewDirect(), func(e medlarworld.Event) {
 					if e, ok := e.(medlarworld.InstancesListed); ok {
 						last = e.Members[0]
--- a/internal/stand/medlarslope/core.go
+++ b/internal/stand/medlarslope/core.go
@@ -10,6 +10,7 @@
 	"medlarfield/internal/core/medlarcore"
 	"medlarfield/internal/core/medlarkey"
 	"medlarfield/internal/core/medlarkind"
+	"medlarfield/internal/core/medlarupstream"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/stand/medlarmeasure"
 	"medlarfield/internal/stand/medlarpeerslope"
@@ -65,7 +66,7 @@
 	for i := range n {
 		reports = append(reports, medlarworld.StatusReported{
 			Upstream: replicaName(i), Model: modelName(i % modelTotal), Version: "v1", PrefillRate: 8000, BlockBytes: 4 << 20,
-			Load: medlarworld.Load{Slots: 1 << 20},
+			Load: medlarupstream.Load{Slots: 1 << 20},
 		})
 	}
 	c.Tick(coreClock, reports)
@@ -86,13 +87,13 @@
 func instanceList(n int) medlarworld.InstancesListed {
 	l := medlarworld.InstancesListed{Peers: plannedMembers}
 	for i := range n {
-		l.Members = append(l.Members, medlarworld.Member{
+		l.Members = append(l.Members, medlarupstream.Member{
 			ID: replicaName(i), Kind: "engine", Zone: medlarid.Zone(fmt.Sprintf("z%d", i%7)),
 			Address: "127.0.0.1:1", Model: modelName(i % modelCount(n)),
 		})
 	}
 	for i := range max(n/replicasPerStore, 2) {
-		l.Members = append(l.Members, medlarworld.Member{
+		l.Members = append(l.Members, medlarupstream.Member{
 			ID: medlarid.InstanceID(fmt.Sprintf("store-%d", i)), Kind: "store", Zone: "z0", Address: "127.0.0.1:2",
 		})
 	}
