Move store reads, the route question and change logs out of medlarattachednode

The wiring of store reads is in medlarstoreread, the answer where a request would go in medlarroutequery, and the log lines of changes in medlarchangelog. The rank of an instance's name is a method of its settings.

--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -42,6 +42,7 @@
 	"medlarfield/internal/edge/medlarproxy"
 	"medlarfield/internal/edge/medlarserver"
 	"medlarfield/internal/ops/medlarcachetracker"
+	"medlarfield/internal/ops/medlarchangelog"
 	"medlarfield/internal/ops/medlardialer"
 	"medlarfield/internal/ops/medlarlogger"
 	"medlarfield/internal/ops/medlarloop"
@@ -50,7 +51,9 @@
 	"medlarfield/internal/ops/medlarreport"
 	"medlarfield/internal/ops/medlarrequestlog"
 	"medlarfield/internal/ops/medlarrollout"
+	"medlarfield/internal/ops/medlarroutequery"
 	"medlarfield/internal/ops/medlarsettings"
+	"medlarfield/internal/ops/medlarstoreread"
 	"medlarfield/internal/peer/medlardatagram"
 	"medlarfield/internal/upstream/medlarhttp"
 	"medlarfield/platform"
@@ -94,7 +97,7 @@
 	feeds     []*medlarfeed.Feed
 	rollout   *medlarrollout.Rollout
 	tracker   *medlarcachetracker.Tracker
-	stores    *storeReads
+	stores    *medlarstoreread.Reads
 	board     *medlarnotice.Board
 	notifier  *medlarnotifier.Notifier
 	socket    *medlardatagram.Socket
@@ -129,7 +132,7 @@
 			return medlarcalls.NewKVStores(h, replicaTimeout, c)
 		},
 		medlarplatform.NewClock, medlarmetric.New, newAccount, newPool,
-		newPeerKey, newPublisher, newTunnelClient, newStoreReads, newDialer, newSocket, newBoard, newNotifier, newLoop, newRegistry, newProxy, newFeeds, newTerm, newRollout, newTracker, newInstance,
+		newPeerKey, medlarstoreread.NewPublisher, newTunnelClient, medlarstoreread.New, newDialer, newSocket, newBoard, newNotifier, newLoop, newRegistry, newProxy, newFeeds, newTerm, newRollout, medlarstoreread.NewTracker, newInstance,
 	}
 	for _, p := range providers {
 		if err := c.Provide(p); err != nil {
@@ -143,7 +146,7 @@
 
 func newInstance(cfg medlarsettings.Attached, log zerolog.Logger, logWriter *medlarlogger.Writer, m *medlarmetric.Metrics,
 	loop *medlarloop.Loop, registry *medlarregistry.Registry, proxy *medlarproxy.Proxy, feeds []*medlarfeed.Feed, rollout *medlarrollout.Rollout,
-	tracker *medlarcachetracker.Tracker, stores *storeReads, board *medlarnotice.Board, notifier *medlarnotifier.Notifier, socket *medlardatagram.Socket,
+	tracker *medlarcachetracker.Tracker, stores *medlarstoreread.Reads, board *medlarnotice.Board, notifier *medlarnotifier.Notifier, socket *medlardatagram.Socket,
 	dialer *medlardialer.Dialer,
 ) *Instance {
 	return &Instance{
@@ -188,14 +191,14 @@
 			log.Info().Str("event", "ejection").Str("replica", string(e.Upstream)).Bool("back", e.Readmitted).Msg("upstream ejected or readmitted")
 		},
 		OnAvoided: func(a medlarworld.Avoided) {
-			logAvoided(log, m, a)
+			medlarchangelog.Avoided(log, m, a)
 			go d.Avoid(a) // the registry may wait for the loop
 		},
-		OnLimit:       func(c medlarworld.LimitChanged) { logLimit(log, m, c) },
-		OnPace:        func(c medlarworld.PaceChanged) { logPace(log, c) },
+		OnLimit:       func(c medlarworld.LimitChanged) { medlarchangelog.Limit(log, m, c) },
+		OnPace:        func(c medlarworld.PaceChanged) { medlarchangelog.Pace(log, c) },
 		OnPaceCount:   func(c medlarworld.PaceCounted) { m.SetPaced(c.Upstreams) },
 		OnHeldBack:    m.HeldBack,
-		OnBrittle:     func(c medlarworld.BrittleChanged) { logBrittle(log, m, c) },
+		OnBrittle:     func(c medlarworld.BrittleChanged) { medlarchangelog.Brittle(log, m, c) },
 		RequestShares: func(medlarworld.RequestShares) {},
 		OnTick:        m.Ticked,
 	}
@@ -243,7 +246,7 @@
 	feed := func(topic string, apply func([]medlarfeed.Record, bool), t medlarreadwait.Topic, o medlarfeed.Options) *medlarfeed.Feed {
 		o.MaxWait = func() time.Duration { return t.Wait(len(d.Peers())+1, cfg.Bounds.SettlingTime.Std()) }
 		o.PollInterval = func() time.Duration { return t.Interval(len(d.Peers()) + 1) }
-		onUnavailable, onRecovered := feedOutageFuncs(log, topic, m.CallFailed)
+		onUnavailable, onRecovered := medlarchangelog.FeedOutageFuncs(log, topic, m.CallFailed)
 		if topic == medlarplatform.TopicOperator {
 			onUnavailable, onRecovered = trackOperatorFeed(registry, onUnavailable, onRecovered)
 		}
@@ -326,7 +329,7 @@
 	go i.dialer.Run(ctx)
 	go i.rollout.Run(ctx)
 	go i.tracker.Run(ctx)
-	go i.stores.relay.Run(ctx)
+	go i.stores.Run(ctx)
 	go i.serve("callers", func() error { return i.server.Serve(i.listener) })
 	go i.serve("status", func() error { return i.statusServer().Serve(i.statusListener) })
 	i.log.Info().Str("event", "start").Str("listen", string(i.cfg.Listen)).Str("store", string(i.cfg.Store)).Msg("started")
@@ -356,7 +359,7 @@
 func (i *Instance) Ready() bool { return !i.stopping.Load() && i.registry.Ready() }
 
 func (i *Instance) statusServer() *fasthttp.Server {
-	metrics := i.metrics.Handler()
+	metrics, route := i.metrics.Handler(), medlarroutequery.New(i.registry, i.loop)
 	return &fasthttp.Server{Name: "medlarfield", NoDefaultServerHeader: true, Handler: func(ctx *fasthttp.RequestCtx) {
 		switch string(ctx.Path()) {
 		case medlarplatform.PathReady:
@@ -366,7 +369,7 @@
 		case "/metrics":
 			metrics(ctx)
 		case medlarreport.RoutePath:
-			i.serveRoute(ctx)
+			route.Serve(ctx)
 		default:
 			ctx.SetStatusCode(fasthttp.StatusNotFound)
 		}
--- a/internal/ops/medlarattachednode/notices.go
+++ b/internal/ops/medlarattachednode/notices.go
@@ -66,7 +66,7 @@
 			b, err := readNotices(s, end)
 			return b.Records, err
 		},
-		Spread:     time.Duration(rankOf(cfg) % int(restoreSpread)),
+		Spread:     time.Duration(cfg.Rank() % int(restoreSpread)),
 		CallFailed: func() { m.CallFailed(medlarplatform.TopicNotices) },
 	})
 }
--- a/internal/ops/medlarattachednode/reach.go
+++ b/internal/ops/medlarattachednode/reach.go
@@ -10,6 +10,7 @@
 	"medlarfield/internal/core/medlarreach"
 	"medlarfield/internal/edge/medlarmetric"
 	"medlarfield/internal/edge/medlarpool"
+	"medlarfield/internal/ops/medlarchangelog"
 	"medlarfield/internal/ops/medlardialer"
 	"medlarfield/internal/ops/medlarloop"
 	"medlarfield/internal/ops/medlarregistry"
@@ -43,7 +44,7 @@
 		OnProof:   func(o medlarreach.Outcome) { m.Proved(string(o)) },
 		OnAsked:   func(o medlarreach.Outcome) { m.Asked(string(o)) },
 		OnRequest: func(r medlartunnel.Result) { m.Relayed(r == medlartunnel.ResultOpened) },
-		OnChange:  func(c medlarreach.Change) { logReach(log, m, c) },
+		OnChange:  func(c medlarreach.Change) { medlarchangelog.Reach(log, m, c) },
 	})
 }
 
@@ -57,26 +58,6 @@
 	return registry
 }
 
-// logReach logs and counts that this instance no longer reaches a replica, or any, that others reach, or does again.
-func logReach(log zerolog.Logger, m *medlarmetric.Metrics, c medlarreach.Change) {
-	m.SetBrokenPaths(c.Paths)
-	if c.Replica != "" {
-		text := "replica is reached directly again"
-		if c.Broken {
-			text = "replica is not reached directly, while another instance reaches it; relaying its connections"
-		}
-		log.Info().Str("event", "reach").Str("replica", string(c.Replica)).Bool("broken", c.Broken).Bool("hangs", c.Hangs).Bool("opens", c.Opens).
-			Int("paths", c.Paths).Float64("for", ms(c.For)).Msg(text)
-		return
-	}
-	m.SetCut(c.Broken)
-	text := "replicas are reached directly again"
-	if c.Broken {
-		text = "no replica is reached directly, while other instances reach them; relaying all connections"
-	}
-	log.Warn().Str("event", "cut").Bool("cut", c.Broken).Bool("hangs", c.Hangs).Bool("opens", c.Opens).Int("paths", c.Paths).Float64("for", ms(c.For)).Msg(text)
-}
-
 // openPeers opens the listeners for other instances and announces them. Without them the instance goes by what it
 // sees itself, and reaches replicas by its direct path only.
 func (i *Instance) openPeers() {
--- a/internal/ops/medlarattachednode/route.go
+++ b/internal/ops/medlarroutequery/medlarroutequery.go
@@ -1,4 +1,5 @@
-package medlarattachednode
+// Package medlarroutequery answers where an attached instance would send a request now. Nothing is sent.
+package medlarroutequery
 
 import (
 	"context"
@@ -13,6 +14,8 @@
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarrun"
+	"medlarfield/internal/ops/medlarloop"
+	"medlarfield/internal/ops/medlarregistry"
 	"medlarfield/internal/ops/medlarreport"
 	"medlarfield/platform"
 )
@@ -23,9 +26,20 @@
 // questionTimeout is the time until the deadline of a request whose route states none.
 const questionTimeout = 30 * time.Second
 
-// serveRoute answers where a request would go now, by the instance's own tables.
-func (i *Instance) serveRoute(ctx *fasthttp.RequestCtx) {
-	out, status, err := i.route(ctx.QueryArgs())
+// Answerer answers by the instance's own tables.
+type Answerer struct {
+	registry *medlarregistry.Registry
+	loop     *medlarloop.Loop
+}
+
+// New returns an Answerer that goes by the registry and the core of an instance.
+func New(registry *medlarregistry.Registry, loop *medlarloop.Loop) *Answerer {
+	return &Answerer{registry: registry, loop: loop}
+}
+
+// Serve answers an HTTP request whose arguments describe the request in question.
+func (a *Answerer) Serve(ctx *fasthttp.RequestCtx) {
+	out, status, err := a.route(ctx.QueryArgs())
 	if err != nil {
 		ctx.Error(err.Error(), status)
 		return
@@ -40,7 +54,7 @@
 }
 
 // route asks the core about the request that args describe. An error comes with its status.
-func (i *Instance) route(args *fasthttp.Args) (out medlarreport.RouteVerdict, status int, err error) {
+func (a *Answerer) route(args *fasthttp.Args) (out medlarreport.RouteVerdict, status int, err error) {
 	arg := func(name string) string { return string(args.Peek(name)) }
 	q := medlarplatform.Question{Host: arg("host"), Path: arg("path"), Key: arg("key"), Model: arg("model"), Tokens: arg("tokens"), Prefix: arg("prefix")}
 	head, err := q.Head()
@@ -51,7 +65,7 @@
 	if err != nil {
 		return out, fasthttp.StatusBadRequest, err
 	}
-	cat := i.registry.Catalog()
+	cat := a.registry.Catalog()
 	if cat == nil {
 		return out, fasthttp.StatusServiceUnavailable, eris.Errorf("the instance has no configuration yet")
 	}
@@ -65,7 +79,7 @@
 	}
 	run := &medlarrun.Request{Head: head, Call: &call, Route: route, Account: account, Group: cat.CacheGroup(account), Arrived: time.Now()}
 	if call.Model != "" {
-		v := i.loop.Versions(call.Model)
+		v := a.loop.Versions(call.Model)
 		if run.Serving, run.Desired = v.Serving, v.Desired; run.Desired == "" {
 			return out, fasthttp.StatusNotFound, eris.Errorf("unknown model %q", call.Model)
 		}
@@ -80,7 +94,7 @@
 	r := medlarrun.New(run, call.ID, route.PickService(at))
 	timed, cancel := context.WithTimeout(context.Background(), routeTimeout)
 	defer cancel()
-	verdict, ok := i.loop.Ask(timed, r, medlarworld.Limits{})
+	verdict, ok := a.loop.Ask(timed, r, medlarworld.Limits{})
 	if !ok {
 		return out, fasthttp.StatusServiceUnavailable, eris.Errorf("no verdict within %v", routeTimeout)
 	}
--- a/internal/ops/medlarsettings/attached.go
+++ b/internal/ops/medlarsettings/attached.go
@@ -4,6 +4,8 @@
 	"strings"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/base/medlarjson"
 )
@@ -84,6 +86,10 @@
 // HasPeers reports whether the instance receives datagrams of other instances.
 func (s Attached) HasPeers() bool { return s.Peers != "" && !strings.HasSuffix(string(s.Peers), ":") }
 
+// Rank returns a number derived from the instance's name, by which instances stagger work
+// that only one of them needs to do.
+func (s Attached) Rank() int { return int(xxh3.HashString(string(s.Name)) >> 1) }
+
 func (s Attached) checks() []check {
 	peers := address("/peers", s.Peers)
 	peers.ok = peers.ok || !s.HasPeers()
