Move the commands that read logs out of medlarctlcmd

The commands explain and timeline, which share nothing with the others, are in medlarlogcommand now.

--- a/internal/ops/medlarctlcmd/medlarctlcmd.go
+++ b/internal/ops/medlarctlcmd/medlarctlcmd.go
@@ -14,6 +14,7 @@
 	"medlarfield/internal/agree/medlarlist"
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/base/medlarjson"
+	"medlarfield/internal/ops/medlarlogcommand"
 	"medlarfield/internal/ops/medlarreport"
 	"medlarfield/internal/ops/medlarversion"
 )
@@ -121,7 +122,7 @@
 	flags.DurationVar(&o.timeout, "timeout", 10*time.Second, "time limit of the whole command")
 	root.AddCommand(
 		checkCommand(o), diffCommand(o), publishCommand(o), showCommand(o), historyCommand(o),
-		whenCommand(o), watchCommand(o), statusCommand(o), reasonsCommand(o), explainCommand(), routeCommand(o), timelineCommand(), keyCommand(), medlarversion.Command(),
+		whenCommand(o), watchCommand(o), statusCommand(o), reasonsCommand(o), medlarlogcommand.Explain(), routeCommand(o), medlarlogcommand.Timeline(), keyCommand(), medlarversion.Command(),
 	)
 	return root
 }
--- a/internal/ops/medlarctlcmd/explain.go
+++ b/internal/ops/medlarlogcommand/medlarlogcommand.go
@@ -1,4 +1,5 @@
-package medlarctlcmd
+// Package medlarlogcommand has the commands of medlarctl that read logs of attached instances.
+package medlarlogcommand
 
 import (
 	"io"
@@ -9,20 +10,22 @@
 	"medlarfield/internal/ops/medlarlogquery"
 )
 
-func explainCommand() *cobra.Command {
-	return logCommand(medlarlogquery.Explain, "explain ID",
+// Explain returns the command that shows what happened to a request.
+func Explain() *cobra.Command {
+	return command(medlarlogquery.Explain, "explain ID",
 		"Show from the logs of attached instances what happened to a request, and on which state it was decided",
 		"Indented lines are changes of that instance's state in the ten seconds before the request ended.")
 }
 
-func timelineCommand() *cobra.Command {
-	return logCommand(medlarlogquery.Timeline, "timeline NAME",
+// Timeline returns the command that shows what happened at an instance, a replica or a store.
+func Timeline() *cobra.Command {
+	return command(medlarlogquery.Timeline, "timeline NAME",
 		"Show from the logs of attached instances what happened at an instance, a replica or a store",
 		"The output has the changes of its known state, failed attempts, and the number of requests in each second.")
 }
 
-// logCommand returns a command that runs query on log lines for its first argument.
-func logCommand(query func(w io.Writer, lines []medlarlogquery.Line, subject string) error, use, short, detail string) *cobra.Command {
+// command returns a command that runs query on log lines for its first argument.
+func command(query func(w io.Writer, lines []medlarlogquery.Line, subject string) error, use, short, detail string) *cobra.Command {
 	return &cobra.Command{
 		Use:   use + " [FILE...]",
 		Short: short,
