Move the states of paths and how instances state them out of medlardialer

The states of replicas, and the translation between outcomes on paths and what instances answer each other, are in medlarpathstate now.

--- a/internal/ops/medlardialer/opening.go
+++ b/internal/ops/medlardialer/opening.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"time"
@@ -11,6 +10,7 @@
 	"medlarfield/internal/core/medlarreach"
 	"medlarfield/internal/edge/medlarpath"
 	"medlarfield/internal/edge/medlarpool"
+	"medlarfield/internal/ops/medlarpathstate"
 	"medlarfield/internal/peer/medlartunnel"
 )
 
@@ -202,7 +202,7 @@
 // ask asks one other instance for a connection.
 func (d *Dialer) ask(ctx context.Context, p peer, t medlarpool.Target) answer {
 	c, err := d.deps.Client.Open(ctx, p.at, t.ID, t.Incarnation)
-	outcome := askedOutcome(err)
+	outcome := medlarpathstate.AskedOutcome(err)
 	d.deps.OnAsked(outcome)
 	if err != nil {
 		return answer{by: p.id, outcome: outcome}
@@ -210,20 +210,6 @@
 	return answer{conn: c, by: p.id, outcome: outcome}
 }
 
-// askedOutcome returns what another instance has stated.
-func askedOutcome(err error) medlarreach.Outcome {
-	var e *medlartunnel.Error
-	switch {
-	case err == nil:
-		return medlarreach.Opened
-	case errors.As(err, &e) && e.Result == medlartunnel.ResultRefused:
-		return medlarreach.Refused
-	case errors.As(err, &e) && e.Result == medlartunnel.ResultSilent:
-		return medlarreach.Silent
-	}
-	return medlarreach.Unhelpful
-}
-
 // ended records how an attempt to open a direct connection ended.
 func (d *Dialer) ended(id medlarid.InstanceID, outcome medlarreach.Outcome) {
 	d.mu.Lock()
--- a/internal/ops/medlardialer/peer.go
+++ b/internal/ops/medlardialer/peer.go
@@ -10,6 +10,7 @@
 	"medlarfield/internal/core/medlarreach"
 	"medlarfield/internal/core/medlarworld"
 	"medlarfield/internal/edge/medlarpool"
+	"medlarfield/internal/ops/medlarpathstate"
 	"medlarfield/internal/peer/medlartunnel"
 )
 
@@ -41,20 +42,15 @@
 	}
 	c, outcome, _ := d.paths.Dial(ctx, id, r.Address)
 	d.ended(id, outcome)
-	switch outcome {
-	case medlarreach.Opened:
-		if d.avoided.Avoids(id, incarnation) { // since it was asked
-			_ = c.Close()
-			return nil, medlartunnel.ResultUnused
-		}
-		medlarpool.OutlastSilence(c) // the instance that asked decides how long to wait
-		return c, medlartunnel.ResultOpened
-	case medlarreach.Refused:
-		return nil, medlartunnel.ResultRefused
-	case medlarreach.Silent:
-		return nil, medlartunnel.ResultSilent
+	if outcome != medlarreach.Opened {
+		return nil, medlarpathstate.DialResult(outcome)
+	}
+	if d.avoided.Avoids(id, incarnation) { // since it was asked
+		_ = c.Close()
+		return nil, medlartunnel.ResultUnused
 	}
-	return nil, medlartunnel.ResultDenied
+	medlarpool.OutlastSilence(c) // the instance that asked decides how long to wait
+	return c, medlartunnel.ResultOpened
 }
 
 // Paused reports whether a replica wants no requests from this instance at present, as it has stated under its incarnation.
--- a/internal/ops/medlardialer/proof.go
+++ b/internal/ops/medlardialer/proof.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"medlarfield/internal/base/medlarid"
 	"medlarfield/internal/core/medlarreach"
 	"medlarfield/internal/edge/medlarpath"
+	"medlarfield/internal/ops/medlarpathstate"
 	"medlarfield/internal/peer/medlartunnel"
 )
 
@@ -74,7 +74,7 @@
 		for _, p := range asked {
 			go func() {
 				err := d.deps.Client.Prove(ctx, p.at, id, incarnation)
-				answers <- answer{by: p.id, outcome: askedOutcome(err), older: isOlder(err)}
+				answers <- answer{by: p.id, outcome: medlarpathstate.AskedOutcome(err), older: medlarpathstate.IsOlder(err)}
 			}()
 		}
 		for range asked {
@@ -95,20 +95,13 @@
 	return "", ends
 }
 
-// isOlder reports whether another instance has opened a connection as it was asked whether a replica answers it: its build
-// does not know the question.
-func isOlder(err error) bool {
-	var e *medlartunnel.Error
-	return errors.As(err, &e) && e.Result == medlartunnel.ResultOpened
-}
-
 // proveForPeer informs another instance whether a replica answers this one now.
 func (d *Dialer) proveForPeer(ctx context.Context, id medlarid.InstanceID, incarnation medlarid.Incarnation) medlartunnel.Result {
 	r, refusal := d.forPeer(id, incarnation)
 	if refusal != 0 {
 		return refusal
 	}
-	return proofResult(d.paths.Prove(ctx, id, r.Address, peerProofTimeout))
+	return medlarpathstate.ProofResult(d.paths.Prove(ctx, id, r.Address, peerProofTimeout))
 }
 
 // provenFor returns ResultAnswers if a replica has answered this instance lately, or does now.
@@ -119,20 +112,7 @@
 	if proven {
 		return medlartunnel.ResultAnswers
 	}
-	return proofResult(d.paths.Prove(ctx, id, r.Address, forPeerTimeout))
-}
-
-// proofResult returns the answer to another instance for a call that has ended.
-func proofResult(o medlarreach.Outcome) medlartunnel.Result {
-	switch o {
-	case medlarreach.Answered:
-		return medlartunnel.ResultAnswers
-	case medlarreach.Refused, medlarreach.Ended:
-		return medlartunnel.ResultRefused
-	case medlarreach.Silent, medlarreach.Unanswered:
-		return medlartunnel.ResultSilent
-	}
-	return medlartunnel.ResultDenied
+	return medlarpathstate.ProofResult(d.paths.Prove(ctx, id, r.Address, forPeerTimeout))
 }
 
 // sent records that an answer is awaited on one more connection.
--- a/internal/ops/medlardialer/proof_test.go
+++ b/internal/ops/medlardialer/proof_test.go
@@ -14,6 +14,7 @@
 	"medlarfield/internal/core/medlarreach"
 	"medlarfield/internal/edge/medlarpath"
 	"medlarfield/internal/edge/medlarpool"
+	"medlarfield/internal/ops/medlarpathstate"
 	"medlarfield/internal/peer/medlartunnel"
 )
 
@@ -71,14 +72,14 @@
 	for _, tc := range []struct {
 		name        string
 		open, prove error
-		want        State
+		want        medlarpathstate.State
 	}{
-		{"answers", nil, nil, StateAnswered},
-		{"does not answer in time", nil, os.ErrDeadlineExceeded, StateUp},
-		{"opens, and ends", nil, io.EOF, StateEnds},
-		{"opens, and is reset", nil, syscall.ECONNRESET, StateEnds},
-		{"is reset", syscall.ECONNRESET, nil, StateUp},
-		{"is refused", syscall.ECONNREFUSED, nil, StateRefuses},
+		{"answers", nil, nil, medlarpathstate.StateAnswered},
+		{"does not answer in time", nil, os.ErrDeadlineExceeded, medlarpathstate.StateUp},
+		{"opens, and ends", nil, io.EOF, medlarpathstate.StateEnds},
+		{"opens, and is reset", nil, syscall.ECONNRESET, medlarpathstate.StateEnds},
+		{"is reset", syscall.ECONNRESET, nil, medlarpathstate.StateUp},
+		{"is refused", syscall.ECONNREFUSED, nil, medlarpathstate.StateRefuses},
 	} {
 		d := newDialer(func(net.Conn) error { return tc.prove })
 		open := d.deps.Dial
--- a/internal/ops/medlardialer/state.go
+++ b/internal/ops/medlardialer/state.go
@@ -8,25 +8,12 @@
 
 	"medlarfield/internal/core/medlarreach"
 	"medlarfield/internal/edge/medlarpool"
+	"medlarfield/internal/ops/medlarpathstate"
 )
 
-// State is whether a replica is down, as far as this instance and those that it asks can tell.
-type State string
-
-// States.
-const (
-	StateUp       State = "up"       // or it cannot be told
-	StateAnswered State = "answered" // it has answered a call
-	StateRefuses  State = "refuses"  // it refuses connections
-	StateEnds     State = "ends"     // connections open, and end without an answer, as behind a proxy or a balancer
-)
-
-// Down reports whether a replica in this state is down.
-func (s State) Down() bool { return s == StateRefuses || s == StateEnds }
-
 // Examine finds out whether a replica that has ended connections is down. It makes a call where connections open if call is
 // set.
-func (d *Dialer) Examine(t medlarpool.Target, call bool) State {
+func (d *Dialer) Examine(t medlarpool.Target, call bool) medlarpathstate.State {
 	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
 	defer cancel()
 	d.mu.Lock()
@@ -39,39 +26,39 @@
 		_ = direct.conn.Close()
 		return d.examineOpen(ctx, t, plan, call)
 	case o.directOutcome() != medlarreach.Refused:
-		return StateUp
+		return medlarpathstate.StateUp
 	case errors.Is(direct.err, syscall.ECONNRESET): // the connection was opened, by a proxy or a balancer as it may be
 		return d.examineOpen(ctx, t, plan, call)
 	case !plan.Relay:
-		return StateRefuses
+		return medlarpathstate.StateRefuses
 	}
 	relayed := o.askPeers(ctx)
 	switch {
 	case relayed.err == nil:
 		_ = relayed.conn.Close()
 		if by, ends := d.answersPeer(ctx, t.ID, t.Incarnation); by == "" && ends {
-			return StateEnds
+			return medlarpathstate.StateEnds
 		}
 	case relayed.witnesses > 0 || !plan.RelayFirst:
-		return StateRefuses
+		return medlarpathstate.StateRefuses
 	}
-	return StateUp
+	return medlarpathstate.StateUp
 }
 
 // examineOpen finds out whether a replica is down to which connections open.
-func (d *Dialer) examineOpen(ctx context.Context, t medlarpool.Target, plan medlarreach.Plan, call bool) State {
+func (d *Dialer) examineOpen(ctx context.Context, t medlarpool.Target, plan medlarreach.Plan, call bool) medlarpathstate.State {
 	if plan.RelayFirst || !call {
-		return StateUp
+		return medlarpathstate.StateUp
 	}
 	switch d.paths.Prove(ctx, t.ID, t.Address, proofPatience) {
 	case medlarreach.Answered:
-		return StateAnswered
+		return medlarpathstate.StateAnswered
 	case medlarreach.Ended:
 	default:
-		return StateUp
+		return medlarpathstate.StateUp
 	}
 	if by, _ := d.answersPeer(ctx, t.ID, t.Incarnation); by != "" {
-		return StateUp
+		return medlarpathstate.StateUp
 	}
-	return StateEnds
+	return medlarpathstate.StateEnds
 }
--- a/internal/ops/medlarnotifier/medlarnotifier.go
+++ b/internal/ops/medlarnotifier/medlarnotifier.go
@@ -21,6 +21,7 @@
 	"medlarfield/internal/edge/medlarpool"
 	"medlarfield/internal/ops/medlardialer"
 	"medlarfield/internal/ops/medlarloop"
+	"medlarfield/internal/ops/medlarpathstate"
 	"medlarfield/internal/peer/medlardatagram"
 )
 
@@ -111,7 +112,7 @@
 		time.Sleep(probeRepeatDelay)
 		state = n.deps.Dialer.Examine(t, call)
 	}
-	n.post(medlarworld.UpstreamProbed{Crash: c.Crash, Down: state.Down(), Refused: state == medlardialer.StateRefuses, Answered: state == medlardialer.StateAnswered})
+	n.post(medlarworld.UpstreamProbed{Crash: c.Crash, Down: state.Down(), Refused: state == medlarpathstate.StateRefuses, Answered: state == medlarpathstate.StateAnswered})
 }
 
 // mayCall reports whether a replica may be called now to find out whether it is down, and takes note that it is.
