--- a/internal/core/medlarheadroom/medlarheadroom.go
+++ b/internal/core/medlarheadroom/medlarheadroom.go
@@ -46,12 +46,17 @@
 	}
 	share := urgentShare
 	if r.Class() > 0 {
-		if pending >= maxWait {
-			return false
-		}
 		share = otherShare
 	}
-	return held(w, u)+float64(r.PromptTokens) <= share*float64(u.KVCapacity)
+	waits := r.Class() > 0 && pending >= maxWait
+	if !waits && held(w, u)+float64(r.PromptTokens) <= share*float64(u.KVCapacity) {
+		return true
+	}
+	if !r.Reserved {
+		r.Reserved = true
+		w.Emit(medlarworld.Reserved{})
+	}
+	return false
 }
 
 // held returns the tokens of prompts that a replica's cache is taken to hold (R1).
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -167,6 +167,7 @@
 	AbandonAt   time.Time
 	Late        bool // StartBy has passed
 	HeldBack    bool // has been kept from an upstream that is spared (see medlarpace)
+	Reserved    bool // has been kept from an upstream whose room is reserved (see medlarheadroom)
 	LastFailure medlarreason.Reason
 	// Stream identifies the stream that the run begins or resumes; 0 for one that cannot be resumed
 	// elsewhere, or that the caller does not name.
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -473,6 +473,10 @@
 // HeldBack reports, once for each run, that it was kept from an upstream that is spared, for the metrics.
 type HeldBack struct{}
 
+// Reserved reports, once for each run, that it was kept from an upstream whose room is reserved for more urgent runs
+// (see medlarheadroom), for the metrics.
+type Reserved struct{}
+
 // RecordLimit asks to share the limit of an upstream with all instances, or its end.
 type RecordLimit struct {
 	Upstream    medlarid.InstanceID
@@ -543,6 +547,7 @@
 func (PaceChanged) command()    {}
 func (PaceCounted) command()    {}
 func (HeldBack) command()       {}
+func (Reserved) command()       {}
 func (RecordLimit) command()    {}
 func (RecordNeed) command()     {}
 func (ProbeUpstream) command()  {}
--- a/internal/edge/medlarmetric/medlarmetric.go
+++ b/internal/edge/medlarmetric/medlarmetric.go
@@ -71,6 +71,7 @@
 	evacuated      prometheus.Gauge
 	paced          prometheus.Gauge
 	heldBack       prometheus.Counter
+	reserved       prometheus.Counter
 	ejections      prometheus.Counter
 	hints          *prometheus.CounterVec
 	lost           *prometheus.CounterVec
@@ -128,6 +129,7 @@
 	m.evacuated = m.newGauge("evacuated_zones", "Availability zones that the operators evacuate: their replicas get no new requests.")
 	m.paced = m.newGauge("paced_replicas", "Replicas that get few requests, since they are cold, have just started or are back after failures.")
 	m.heldBack = m.newCounter("held_back_total", "Requests that were kept from a replica for that reason; they may have gone to another one.")
+	m.reserved = m.newCounter("reserved_total", "Requests that were kept from a replica whose KV cache has room for more urgent ones only.")
 	m.ejections = m.newCounter("ejections_total", "Upstreams ejected.")
 	m.exportsDropped = m.newCounter("exports_dropped_total", "Exports of context dropped because too many waited.")
 	m.replays = m.newCounter("replays_total", "Unrepeatable requests answered from their record.")
@@ -195,6 +197,9 @@
 // SetPaced sets the number of replicas that get few requests since they are cold or start slowly.
 func (m *Metrics) SetPaced(n int) { m.paced.Set(float64(n)) }
 
+// Reserved counts a request that was kept from a replica whose room is reserved for more urgent ones.
+func (m *Metrics) Reserved() { m.reserved.Inc() }
+
 // HeldBack counts a request that was kept from such a replica.
 func (m *Metrics) HeldBack() { m.heldBack.Inc() }
 
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -198,6 +198,7 @@
 		OnPace:        func(c medlarworld.PaceChanged) { medlarchangelog.Pace(log, c) },
 		OnPaceCount:   func(c medlarworld.PaceCounted) { m.SetPaced(c.Upstreams) },
 		OnHeldBack:    m.HeldBack,
+		OnReserved:    m.Reserved,
 		OnBrittle:     func(c medlarworld.BrittleChanged) { medlarchangelog.Brittle(log, m, c) },
 		RequestShares: func(medlarworld.RequestShares) {},
 		OnTick:        m.Ticked,
--- a/internal/ops/medlarloop/medlarloop.go
+++ b/internal/ops/medlarloop/medlarloop.go
@@ -46,6 +46,7 @@
 	OnPace      func(medlarworld.PaceChanged)
 	OnPaceCount func(medlarworld.PaceCounted)
 	OnHeldBack  func()
+	OnReserved  func() // needed in fleets of attached instances
 	// ProbeUpstream, ReportCrash, RecordBlock and OnBlock are needed where prompts are divided
 	// into parts.
 	ProbeUpstream func(medlarworld.ProbeUpstream)
@@ -287,6 +288,8 @@
 		l.deps.OnPaceCount(c)
 	case medlarworld.HeldBack:
 		l.deps.OnHeldBack()
+	case medlarworld.Reserved:
+		l.deps.OnReserved()
 	case medlarworld.RecordLimit:
 		l.deps.RecordLimit(c)
 	case medlarworld.RecordNeed:
