--- a/internal/core/medlarheadroom/medlarheadroom.go
+++ b/internal/core/medlarheadroom/medlarheadroom.go
@@ -1,14 +1,14 @@
-// Package medlarheadroom bounds how far the prompts of all instances fill the KV cache of a replica. It answers long prompts
-// that arrive faster than replicas compute them, in fleets in which each instance sends few of them. A replica whose cache is
-// full preempts the newest of its least urgent prompts for each more urgent one, and computes them anew later. Under load the
-// replicas then spend their time on prompts that they had computed already, and urgent ones wait for them.
+// Package medlarheadroom bounds how far the prompts of all instances fill the KV cache of a replica. A replica whose cache is
+// full preempts the newest of its least urgent prompts for each more urgent one, and computes them anew later. If long prompts
+// arrive faster than replicas compute them, replicas spend their time on prompts that they had computed already, and urgent
+// ones wait. In a large fleet each instance sends few prompts, so that a bound on its own ones does not prevent that.
 //
 // Rules:
 //
-//	R1  A replica's cache is taken to hold the prompts that this instance has in flight there, and for each attempt that
-//	    others report one of the mean size of the prompts that this instance has sent to the model lately.
-//	R2  A prompt starts if the cache then remains filled to the share of its priority class at most. The most urgent class may
-//	    fill nearly all, the others leave room for it.
+//	R1  A replica's cache is assumed to hold the prompts that this instance has in flight there, and for each attempt that
+//	    others report a prompt of the mean size of the prompts that this instance has sent to the model lately.
+//	R2  A prompt starts only if the cache is then filled to the share of its priority class at most. The most urgent class
+//	    may fill nearly all, the others leave room for it.
 //	R3  A prompt of another class starts only if the prompts that the replica still has to compute take less than
 //	    maxWait: it computes prompts in the order in which it has admitted them, so that an urgent one waits as long.
 //	R4  A replica that has nothing in flight takes any prompt.
@@ -23,13 +23,13 @@
 
 const (
 	smallFleet  = 16       // instances (R5)
-	urgentShare = 0.95     // of the cache, for the most urgent class; answers take up the rest
+	urgentShare = 0.95     // of the cache, for the most urgent class (R2); answers take up the rest
 	otherShare  = 0.75     // for the others (R2)
-	maxWait     = 0.2      // seconds (R3)
-	meanWeight  = 1.0 / 32 // of a prompt in the mean size (R1)
+	maxWait     = 0.2      // seconds of computation (R3)
+	meanWeight  = 1.0 / 32 // of each prompt in the moving mean of sizes (R1)
 )
 
-// Add takes note of a prompt that is sent to a model.
+// Add adds a prompt that is sent to a model to the mean size (R1).
 func Add(w *medlarworld.World, m medlarid.ModelID, n medlarid.Tokens) {
 	mean, known := w.MeanPrompt[m]
 	if !known {
@@ -54,7 +54,7 @@
 	return held(w, u)+float64(r.PromptTokens) <= share*float64(u.KVCapacity)
 }
 
-// held returns the tokens of prompts that a replica's cache is taken to hold (R1).
+// held returns the tokens of prompts that a replica's cache is assumed to hold (R1).
 func held(w *medlarworld.World, u *medlarupstream.Upstream) float64 {
 	return float64(u.InFlightTokens) + float64(u.PeerOpen)*w.MeanPrompt[u.Model]
 }
--- a/internal/core/medlarpace/medlarpace.go
+++ b/internal/core/medlarpace/medlarpace.go
@@ -1,15 +1,16 @@
-// Package medlarpace spares upstreams that are cold, have just started, or are back after failures. All instances together
-// must not send them too much, and do not coordinate for that: each derives its part from what all of them know.
+// Package medlarpace limits what upstreams get that are cold, have just started, or are back after failures. The limit
+// holds for all instances together. They do not coordinate: each derives its part from its own list of instances.
 //
 // Rules:
 //
 //	R1  In any one second, a cold upstream gets from all instances together at most its cold rate times ColdOver, plus
-//	    ColdSlack, requests. Each attempt counts at the instance that starts it: first ones, retries, and those whose
-//	    connection another instance relays.
-//	R2  An upstream is cold for ColdTime from its start, by its listing or as its entry names it, and for as long as its
-//	    entry states. One that could not be connected to, or has crashed, may have started anew before this instance reads
-//	    its new entry: it counts as cold until a heartbeat shows that its start is still the same. If most upstreams of a
-//	    target cannot be reached, this instance is cut off from them rather than they have started anew.
+//	    ColdSlack, requests. Each attempt counts at the instance that starts it: a first one, a retry, or one
+//	    whose connection another instance relays.
+//	R2  An upstream is cold for ColdTime from its start, as its listing or its entry shows it, and for as long as its entry
+//	    states. One that could not be connected to, or has crashed, may have started anew before this instance reads its
+//	    new entry: it counts as cold until a heartbeat shows that its start is still the same, for suspectTime at most.
+//	    If most upstreams of a target cannot be reached, it is more likely that this instance is cut off: a further failed
+//	    connection makes none of them count as cold then.
 //	R3  A cold upstream has a few sponsors, those with the highest rendezvous rank of all instances. Their number is such
 //	    that twice as many keep R1: instances that know only half of the others take themselves for sponsors twice as
 //	    often. All other instances send it nothing.
@@ -17,13 +18,13 @@
 //	    second unless there are few instances. The buckets of sponsors fill one after another at first, and one that
 //	    becomes a sponsor later starts with an empty bucket, since the one that it replaces may have just sent a request.
 //	R5  An instance is no sponsor before it has known the others for settleTime, as it may be one of many that have just
-//	    started, nor while it has not read for staleTime which others there are.
-//	R6  A request whose upstreams are all cold past its deadline is refused at once.
+//	    started, nor while its list of the others is older than minStaleTime and than SettlingTime plus staleMargin.
+//	R6  A request that would wait past its deadline as all its upstreams are cold is refused at once.
 //	R7  An upstream that has just started, is no longer cold, or is no longer ejected, starts slowly: for rampTime each
 //	    instance keeps its own attempts in flight there within a window, which starts from 1, doubles with each answer that
 //	    is on time and halves with each late or failed one. It also keeps within its part of the upstream's slots. The
-//	    number of instances that use the upstream grows with the time since then, up to as many as have room in its slots
-//	    if all have as many requests as this one: callers are spread evenly over instances.
+//	    number of instances that use the upstream doubles each growthTime, up to as many as have room in its slots. For
+//	    that an instance assumes that the others have as many requests as itself: callers are spread evenly over them.
 //	R8  An upstream whose service configures no cold rate starts slowly only if the settings ask for it.
 package medlarpace
 
@@ -44,28 +45,30 @@
 
 // Parameters of cold upstreams.
 const (
-	clockMargin   = time.Second            // by which the clocks of instances and replicas may differ (R2)
-	statedMargin  = 300 * time.Millisecond // for requests that take different times to an upstream that states how long it is cold
-	heartbeatLag  = time.Second            // between the writing of a heartbeat and its reading (R2)
-	suspectTime   = 30 * time.Second       // for which an upstream that could not be reached counts as cold at most (R2)
-	maxSuspects   = 0.5                    // of the upstreams of a target that count as cold since they could not be reached
-	suspectWait   = 2 * time.Second        // until a heartbeat shows whether an upstream that could not be reached is the same
-	viewSpread    = 2.9                    // allowed requests in a second for each sponsor: 2 for views that differ (R3), the rest for chance and delays. With 2.6, 21 of 21.5 were reached.
-	sponsorRate   = 0.9                    // requests per second of a sponsor: two take more than a second (R4)
-	ratePart      = 0.95                   // of the cold rate that sponsors use at most
+	clockMargin  = time.Second            // by which the clocks of instances and replicas may differ (R2)
+	statedMargin = 300 * time.Millisecond // by which the times differ that requests take to reach an upstream which states how long it is cold
+	heartbeatLag = time.Second            // longest time between the writing of a heartbeat and its reading (R2)
+	suspectTime  = 30 * time.Second       // for which an upstream that could not be reached counts as cold at most (R2)
+	maxSuspects  = 0.5                    // share of a target's upstreams that may count as cold since they could not be reached (R2)
+	suspectWait  = 2 * time.Second        // until a heartbeat shows whether an upstream that could not be reached is the same
+	// viewSpread is the number of allowed requests in a second for each sponsor: 2 as there may be twice as many sponsors
+	// (R3), the rest for chance and delays. 2.6 leaves nearly no reserve: up to 21 of 21.5 allowed requests.
+	viewSpread    = 2.9
+	sponsorRate   = 0.9                    // highest rate of a sponsor per second unless instances are few: its requests are more than a second apart (R4)
+	ratePart      = 0.95                   // share of the cold rate that sponsors use at most
 	settleTime    = 2 * time.Second        // R5; instances that start together announce themselves within it
 	minStaleTime  = 5 * time.Second        // R5
 	staleMargin   = time.Second            // R5; reads of the others' records wait up to about SettlingTime in a large fleet
-	bucketMemory  = 2 * time.Second        // in which an upstream that is listed again has the same bucket
-	sweepInterval = 200 * time.Millisecond // between two updates without an event
+	bucketMemory  = 2 * time.Second        // for which the bucket of a removed upstream is kept, in case it is listed again
+	sweepInterval = 200 * time.Millisecond // longest time between two updates
 )
 
 // Parameters of the slow start (R7).
 const (
-	rampTime      = 3 * time.Second
-	firstSponsors = 4
+	rampTime      = 3 * time.Second        // length of the slow start
+	firstUsers    = 4                      // instances that use the upstream when its slow start begins
 	growthTime    = 50 * time.Millisecond  // in which the number of instances that use the upstream doubles
-	minDemand     = 1e-3                   // runs for each upstream, of an instance without any
+	minDemand     = 1e-3                   // least number of runs for each upstream that is assumed, in place of 0
 	defaultTarget = 300 * time.Millisecond // within which an answer is on time, for a run without a target
 )
 
@@ -73,11 +76,11 @@
 type System struct {
 	buckets   map[medlarid.InstanceID]*medlarupstream.Bucket
 	phases    map[medlarid.InstanceID]medlarupstream.PacePhase // that were reported last
-	lists     int                                              // of the other instances that were read
-	firstRead time.Time                                        // of the others' records
+	lists     int                                              // number of lists of the other instances that were read
+	firstRead time.Time                                        // first read of the others' records
 	lastRead  time.Time
-	knew      bool // the others, at the last update
-	sweepAt   time.Time
+	knew      bool      // this instance knew the others at the last update (R5)
+	sweepAt   time.Time // next update without an event
 }
 
 // New returns a System.
@@ -85,7 +88,7 @@
 	return &System{buckets: map[medlarid.InstanceID]*medlarupstream.Bucket{}, phases: map[medlarid.InstanceID]medlarupstream.PacePhase{}}
 }
 
-// active reports whether any upstream may be spared.
+// active reports whether this system limits what any upstream gets.
 func active(w *medlarworld.World) bool { return w.Config.ColdOver > 0 || w.Config.Pace }
 
 // Run handles the events of one tick.
@@ -104,15 +107,15 @@
 		case medlarworld.InstancesListed:
 			changed = true
 		case medlarworld.HeartbeatsRead:
-			changed = beat(w, e) || changed
+			changed = clearFailures(w, e) || changed
 		case medlarworld.AnswerBegan:
 			answered(w, e)
 		case medlarworld.AttemptEnded:
 			changed = ended(w, e) || changed
 		case medlarworld.UpstreamProbed:
-			changed = e.Down && fail(w, e.Crash.Replica, e.Crash.Incarnation) || changed
+			changed = e.Down && recordFailure(w, e.Crash.Replica, e.Crash.Incarnation) || changed
 		case medlarworld.CrashReported:
-			changed = !e.Report.Earlier && fail(w, e.Report.Crash.Replica, e.Report.Crash.Incarnation) || changed
+			changed = !e.Report.Earlier && recordFailure(w, e.Report.Crash.Replica, e.Report.Crash.Incarnation) || changed
 		}
 	}
 	if !active(w) {
@@ -131,8 +134,8 @@
 	return w.Config.TellLoad && !s.firstRead.IsZero() && w.Now.Sub(s.firstRead) >= settleTime && w.Now.Sub(s.lastRead) < staleTime
 }
 
-// fail records that an upstream could not be reached, or has crashed (R2).
-func fail(w *medlarworld.World, id medlarid.InstanceID, incarnation medlarid.Incarnation) bool {
+// recordFailure records that an upstream could not be reached, or has crashed (R2).
+func recordFailure(w *medlarworld.World, id medlarid.InstanceID, incarnation medlarid.Incarnation) bool {
 	u := w.Upstreams[id]
 	if u == nil || u.Incarnation != incarnation {
 		return false
@@ -141,8 +144,9 @@
 	return true
 }
 
-// beat clears the suspicion of upstreams whose heartbeats show that their start is still the same (R2).
-func beat(w *medlarworld.World, e medlarworld.HeartbeatsRead) bool {
+// clearFailures ends that upstreams count as cold after a failure whose heartbeats show that their start is still the same
+// (R2).
+func clearFailures(w *medlarworld.World, e medlarworld.HeartbeatsRead) bool {
 	cleared := false
 	for _, b := range e.Heartbeats {
 		u := w.Upstreams[b.Upstream]
@@ -193,7 +197,7 @@
 	return c
 }
 
-// PhaseOf returns how an upstream is spared now.
+// PhaseOf returns the phase that an upstream is in now.
 func PhaseOf(w *medlarworld.World, u *medlarupstream.Upstream) medlarupstream.PacePhase {
 	switch {
 	case cold(w.Now, u):
@@ -232,8 +236,8 @@
 	s.setRate(w, u)
 }
 
-// start returns when an upstream has started, or a later time. Where its start has shown while this instance read the list,
-// that is when it was listed, whatever the clocks.
+// start returns when an upstream has started, or a later time. If it started while this instance was reading the list, that
+// is the time at which it was listed, which does not depend on the upstream's clock.
 func start(u *medlarupstream.Upstream) time.Time {
 	born := time.UnixMilli(int64(u.Incarnation))
 	if u.Pace.Fresh || u.Incarnation == 0 || born.After(u.ListedAt) {
@@ -276,8 +280,8 @@
 	return b
 }
 
-// Sponsors returns the number of instances that send a cold upstream requests, and how many per second each of them
-// sends, as an instance derives them that knows of a number of instances, including itself (R3, R4).
+// Sponsors returns the number of sponsors of a cold upstream, and how many requests per second each of them sends, as
+// derived by an instance that knows of a number of instances, including itself (R3, R4).
 func Sponsors(cfg medlarworld.Config, coldRate float64, instances int) (n int, rate float64) {
 	most := max(int((coldRate*cfg.ColdOver+cfg.ColdSlack)/viewSpread), 1)
 	total := min(sponsorRate*float64(most), ratePart*coldRate)
@@ -364,10 +368,10 @@
 		return true
 	}
 	if !p.Known {
-		return u.Open < 1 // as one of many
+		return u.Open < 1 // there may be many instances
 	}
 	last := users(w, u)
-	if p.Rank >= min(last, firstSponsors<<min(w.Now.Sub(p.SlowFrom)/growthTime, 16)) {
+	if p.Rank >= min(last, firstUsers<<min(w.Now.Sub(p.SlowFrom)/growthTime, 16)) {
 		return false
 	}
 	return u.Open < min(p.Window, max(u.Load.Slots/last, 1))
@@ -409,7 +413,7 @@
 	}
 }
 
-// ended takes note of the end of an attempt (R2, R7), and reports whether the upstream could not be reached.
+// ended records the end of an attempt (R2, R7), and reports whether the upstream counts as cold for it.
 func ended(w *medlarworld.World, e medlarworld.AttemptEnded) bool {
 	r := w.Runs[e.Run]
 	if r == nil || r.Attempt != e.Attempt || r.Upstream == nil {
@@ -423,7 +427,7 @@
 	case medlarkind.CauseRetry, medlarkind.CauseUnknown:
 		r.Upstream.Pace.Window = max(r.Upstream.Pace.Window/2, 1)
 	}
-	return e.Reason == medlarreason.Unreachable && maySuspect(w, r.Upstream) && fail(w, r.Upstream.ID, r.Upstream.Incarnation)
+	return e.Reason == medlarreason.Unreachable && maySuspect(w, r.Upstream) && recordFailure(w, r.Upstream.ID, r.Upstream.Incarnation)
 }
 
 // maySuspect reports whether an upstream that could not be reached may count as cold for that (R2).
@@ -437,6 +441,7 @@
 	return float64(suspects+1) <= max(maxSuspects*float64(len(all)), 1)
 }
 
+// adjust adjusts the window of a run's upstream to an answer that took some time (R7).
 func adjust(w *medlarworld.World, r *medlarworld.Run, after time.Duration) {
 	u := r.Upstream
 	if !slow(w.Now, u) {
--- a/internal/core/medlarsubset/medlarsubset.go
+++ b/internal/core/medlarsubset/medlarsubset.go
@@ -5,13 +5,13 @@
 //
 //	R1  The size of a subset follows from the instance's own rate of requests: each replica gets about perIdle requests
 //	    within the time for which a connection stays idle. It is at least minSize, at most all replicas.
-//	R2  Sizes are rounded up to one of a few, and shrink only once the next smaller one is clearly enough: a change of size
-//	    changes connections.
+//	R2  Sizes are rounded up to one of a few, and shrink only once the next smaller one is enough by a margin: a change of
+//	    size opens and closes connections.
 //	R3  An instance's replicas are the first ones by rendezvous hashing that are not full. To know which are, an
 //	    instance chooses for all instances, in the order of their hashes, as if they had subsets of its size. A replica is full when
 //	    it is in overload times as many subsets as it is on average.
-//	R4  Instances of other sizes choose by other lists of full replicas. Those of one size are spread as R3 says, and so about
-//	    are all.
+//	R4  Instances whose subsets have different sizes find different replicas full. R3 spreads only the subsets of one size
+//	    evenly; the sum over all sizes is about even too.
 //	R5  When an instance or a replica joins or leaves, few replicas of an instance change: those that it loses, and those
 //	    that become full, or no longer are.
 package medlarsubset
@@ -33,8 +33,8 @@
 	connectionIdle = 2 * time.Second
 	perIdle        = 2.0 // R1
 	minSize        = 4   // R1: for retries, and while some replicas leave
-	overload       = 1.1 // R3: with 1.25 the most used replicas are in a seventh more subsets, with 1.05 more change
-	shrinkMargin   = 0.8 // R2: a smaller size has to be enough for a rate that is higher by a quarter
+	overload       = 1.1 // R3: 1.25 puts the most used replicas into a seventh more subsets, with 1.05 more of a subset changes (R5)
+	shrinkMargin   = 0.8 // R2: the next smaller size has to be enough for a rate that is higher by a quarter
 )
 
 // Size returns the size of the subset for a number of requests per second, where former is the present size or 0 (R1, R2).
@@ -47,7 +47,7 @@
 	return min(size, replicas)
 }
 
-// roundUp returns the least size that is enough: minSize, one and a half times that, twice that and so on.
+// roundUp returns the least size that is enough. Sizes are minSize, one and a half times that, twice that and so on.
 func roundUp(need float64) int {
 	size := minSize
 	for float64(size) < need {
--- a/internal/core/medlarsum/layout.go
+++ b/internal/core/medlarsum/layout.go
@@ -24,7 +24,7 @@
 	span  span
 }
 
-// layout is how a set of instances is divided into groups. The last member given is this instance.
+// layout is how a set of instances is divided into groups.
 type layout struct {
 	group  groupID         // of this instance
 	groups map[groupID]int // number of members
@@ -34,6 +34,7 @@
 	ranks  map[rankKey][]medlarid.InstanceID // computed when they are first needed
 }
 
+// newLayout returns the layout of members, of which the last one is this instance.
 func newLayout(members []Member) layout {
 	l := layout{groups: map[groupID]int{}, known: map[medlarid.InstanceID]bool{}, zones: map[medlarid.Zone][]medlarid.InstanceID{}, ranks: map[rankKey][]medlarid.InstanceID{}}
 	for _, m := range members {
@@ -55,7 +56,8 @@
 	return l
 }
 
-// groupOf returns the group of a member (R1). A group more or less moves only the members that it gains or loses.
+// groupOf returns the group of a member (R1). If a group is added or removed, only the members that it gains or
+// loses change their group.
 func (l *layout) groupOf(m Member) groupID {
 	best, highest := groupID{zone: m.Zone}, uint64(0)
 	for i := 0; ; i++ {
@@ -69,8 +71,8 @@
 	}
 }
 
-// rank returns the instances of a group's zone in the order in which they collect for the group (R5). Any instance of the
-// zone may, so that the loss of some members does not leave a group without one.
+// rank returns the instances of a group's zone, ranked as collectors of the group (R5). Instances outside the group are among
+// them, so that the loss of some members does not leave it without a collector.
 func (l *layout) rank(g groupID, s span) []medlarid.InstanceID {
 	k := rankKey{g, s}
 	if out, ok := l.ranks[k]; ok {
--- a/internal/core/medlarsum/medlarsum.go
+++ b/internal/core/medlarsum/medlarsum.go
@@ -1,20 +1,20 @@
-// Package medlarsum adds up the load that the instances of a large fleet put on upstreams, at a cost for each
-// instance that does not grow with the fleet. It decides what is sent to whom; it runs without a network.
+// Package medlarsum adds up the load that the instances of a large fleet put on upstreams, at an average cost for each
+// instance that does not grow with the fleet. It decides what is sent to whom, and does no I/O.
 //
 // Rules:
 //
 //	R1  The instances of an availability zone form groups by rendezvous hashing, about as many in all zones together as
-//	    the square root of the number of instances. So reports and sums for members stay within a zone.
+//	    the square root of the number of instances. So reports and totals stay within a zone.
 //	R2  The hashes of upstreams are divided into ranges of about maxUpstreams upstreams. Each range of each group has a
 //	    collector of its own, so that a large fleet of upstreams does not burden a few collectors.
 //	R3  An instance that has had attempts in flight within activeFor sends a report for each range to its collector: the
-//	    attempts that it has in flight, none if it has none. It also asks for sums that way.
+//	    attempts that it has in flight, or an empty one. Totals are sent only to instances that report.
 //	R4  A collector sends the sum of its members' reports, a partial sum, to the collectors of the same range in other
 //	    groups, and to those that have sent it one: they may know a different fleet. It sends the sum
 //	    of all partial sums, a total, to its members.
 //	R5  Collectors are ranked by rendezvous hashing. One that does not answer for silence is passed over for the next
 //	    one, and is asked again each probeInterval. This is local knowledge: instances that choose
-//	    different collectors for a group still get the same totals, as partial sums are kept by their sender.
+//	    different collectors for a group still get the same totals, as a collector keeps partial sums by their sender.
 //	R6  A report is counted by one collector only, which its sender chooses. A sender that changes to another collector
 //	    takes its report back from the former one, which may be alive.
 //	R7  A sum has the age of its oldest report. A report counts for reportTTL, a partial sum until it is partialTTL old,
@@ -51,7 +51,7 @@
 	partialTTL = 400 * time.Millisecond // R7: one partial sum that contains an old report may get lost
 	TotalTTL   = 600 * time.Millisecond // R7: one total that contains an old partial sum may get lost
 
-	maxUpstreams = 100 // upstreams in a range, on average (R2); 150 fit
+	maxUpstreams = 100 // upstreams in a range, on average (R2); about 150 fit into a message
 	maxRanges    = 64
 	maxBytes     = 1200 // of the loads of a message, which leaves 200 for ids (R9)
 	maxHistory   = 16   // own reports that are kept, more than can be counted (R8)
@@ -64,7 +64,7 @@
 const (
 	KindReport  Kind = 1 // the load of one instance, to its collector
 	KindPartial Kind = 2 // the sum of a collector's members, to other collectors
-	KindTotal   Kind = 3 // the sum of all, to a member
+	KindTotal   Kind = 3 // the sum of all instances' loads, to a member
 )
 
 // Message is one message between two instances.
@@ -104,7 +104,7 @@
 	OnTotal     func(Total)
 }
 
-// Node is the part of one instance. It is not safe for concurrent use.
+// Node is the state of one instance. It is not safe for concurrent use.
 type Node struct {
 	deps   Deps
 	layout layout
@@ -263,7 +263,7 @@
 	rank := n.layout.rank(n.layout.group, s)
 	next := n.first(rank)
 	if next != o.collector {
-		if o.collector != "" { // it may be alive, and its answers lost
+		if o.collector != "" { // it may be alive, and its answers lost: takes the report back (R6)
 			n.deliver(now, o.collector, Message{Kind: KindReport, Ranges: s.ranges, Range: s.index})
 		}
 		o.collector, o.since = next, now
@@ -347,7 +347,7 @@
 	return c
 }
 
-// applyTotal passes a total of the chosen collector on, without what this instance has reported itself (R8).
+// applyTotal passes on a total of the chosen collector, less what this instance has reported itself (R8).
 func (n *Node) applyTotal(now time.Time, from medlarid.InstanceID, s span, m Message) {
 	o := n.own[s]
 	if o == nil || from != o.collector {
