--- a/internal/core/medlarcrash/delimited.go
+++ b/internal/core/medlarcrash/delimited.go
@@ -11,13 +11,13 @@
 
 // Times of R5.
 const (
-	outlivedDelay = 100 * time.Millisecond // what is received so much later was sent by a replica that has outlived the answer
-	confirmWindow = time.Second            // a replica that is heard of later may have crashed and started again meanwhile
+	outlivedDelay = 100 * time.Millisecond // after the answer: what is received later shows that its replica has outlived it
+	confirmWindow = time.Second            // after outlivedDelay: a replica heard of later may have crashed and started again
 )
 
 // delimited is an answer that the end of its connection delimited (R5).
 type delimited struct {
-	id        medlarsuspect.CrashID // of the crash that may have ended it
+	id        medlarsuspect.CrashID // of the crash that may have cut it off
 	address   medlarid.Address
 	at, began time.Time
 	traits    []medlarsuspect.Trait
@@ -27,7 +27,7 @@
 // delimitedAnswer remembers an answer until it is known whether its replica has outlived it (R5).
 func (s *System) delimitedAnswer(w *medlarworld.World, r *medlarworld.Run, e medlarworld.AttemptEnded) {
 	u := r.Upstream
-	if u.Leaving { // that it is down soon shows no crash
+	if u.Leaving { // it stops soon in any case, which shows no crash
 		return
 	}
 	s.ends = append(s.ends, &delimited{
@@ -36,8 +36,8 @@
 	})
 }
 
-// confirm decides on the answers whose replica has crashed, or is known to have outlived them, and asks whether
-// the others' replicas are down (R5).
+// confirm decides on the answers whose replica has crashed, or is known to have outlived them, and probes the replicas of the
+// other answers (R5).
 func (s *System) confirm(w *medlarworld.World) {
 	s.ends = slices.DeleteFunc(s.ends, func(d *delimited) bool {
 		l := s.find(d.id)
@@ -59,7 +59,7 @@
 	})
 }
 
-// Pending reports whether an answer has to be decided on soon.
+// Pending reports whether the replica of an answer is to be probed soon.
 func (s *System) Pending() bool {
 	return slices.ContainsFunc(s.ends, func(d *delimited) bool { return !d.probed })
 }
@@ -70,14 +70,14 @@
 	return !at.Before(from) && at.Sub(from) < confirmWindow
 }
 
-// probeAfter asks whether the replica of an answer is down, which was up when the answer began.
+// probeAfter probes the replica of an answer, which is known to have been up when the answer began.
 func (s *System) probeAfter(w *medlarworld.World, d *delimited) {
 	l := s.lossOf(d.id, d.at)
 	l.proven = true
 	l.probe(w, d.address)
 }
 
-// outlived takes note that a replica has answered a call after an answer was delimited by the end of its connection.
+// outlived records that a replica has answered a call after an answer was delimited by the end of its connection.
 func (s *System) outlived(w *medlarworld.World, id medlarsuspect.CrashID) {
 	if u := w.Upstreams[id.Replica]; u != nil && u.Incarnation == id.Incarnation {
 		s.seen[id.Replica] = seen{id.Incarnation, w.Now}
--- a/internal/core/medlarexplain/medlarexplain.go
+++ b/internal/core/medlarexplain/medlarexplain.go
@@ -2,13 +2,14 @@
 //
 // Rules:
 //
-//	R1  The verdict is that on a request which is submitted at the same time and under the same state. It comes from the
-//	    code that decides on requests: medlaradmission and medlarroute.
+//	R1  The verdict is the one that a request would get which is submitted at the same time and in the same state. It
+//	    comes from the code that decides on requests: medlaradmission and medlarroute.
 //	R2  Nothing that another decision depends on changes: no token, random number, place in the queue or counter of requests. The
 //	    run is decided on in a shadow of the world.
 //	R3  Questions are answered at the end of their tick, once all its events have been applied.
-//	R4  A run that would be admitted goes to the replica that a run would be sent to which leaves the queue now, or it waits.
-//	    It waits with a run before it in the queue that needs the same. Runs that wait before it for the same target are counted.
+//	R4  A run that would be admitted is sent to the replica that it would get if it left the queue now. It waits if there is
+//	    none, or if a run before it in the queue waits for an upstream with the same properties. The verdict has the number
+//	    of runs that wait before it for the same target.
 package medlarexplain
 
 import (
@@ -22,7 +23,7 @@
 // System answers questions about requests that are not sent.
 type System struct{ admission *medlaradmission.System }
 
-// New returns a System that decides on admission as another one does.
+// New returns a System that decides on admission by a System of medlaradmission.
 func New(admission *medlaradmission.System) *System { return &System{admission: admission} }
 
 // Run answers the questions of one tick (R3).
--- a/internal/core/medlarupstream/medlarupstream.go
+++ b/internal/core/medlarupstream/medlarupstream.go
@@ -1,4 +1,4 @@
-// Package medlarupstream holds what the core knows of upstreams, and of the stores beside them, and how the platform lists them.
+// Package medlarupstream defines what the core knows of upstreams and stores, and what the platform lists of them.
 package medlarupstream
 
 import (
@@ -20,29 +20,29 @@
 	Pending medlarid.Tokens
 }
 
-// Brittleness is how an upstream is brittle: it crashes when it has to turn away too many requests for lack of room.
+// Brittleness is the state of a brittle upstream, which crashes when it has to turn away too many requests for lack of room.
 type Brittleness struct {
 	Most int // requests that it can turn away in a second; 0 if it is not brittle
 	Part int // own attempts that it gets at most at once
 	Room int // own attempts that it takes at once, as far as is known
-	// It gets nothing before PausedUntil, and Room may be tried to be larger from GrowsAt on.
+	// The upstream gets no attempts before PausedUntil. From GrowsAt on this instance may try a larger Room.
 	PausedUntil, GrowsAt time.Time
 }
 
-// Pacing is how an upstream that is cold, has just started, or is back after failures, is spared (see medlarpace).
+// Pacing is the limit on what an upstream gets that is cold, has just started, or is back after failures (see medlarpace).
 type Pacing struct {
 	ColdRate    float64       // requests per second while it is cold; 0 if its service configures none
 	ColdTime    time.Duration // from its start, for which it is cold
-	Fresh       bool          // its start has shown after this instance read the list of upstreams first
+	Fresh       bool          // it has started since this instance read the list of upstreams for the first time
 	StatedUntil time.Time     // until when it is cold, as it has stated itself
-	FailedAt    time.Time     // when it could not be reached last; zero if it is known to be in the same start since
+	FailedAt    time.Time     // when it last could not be reached, or crashed; zero if a later heartbeat shows the same start
 
 	ColdUntil time.Time // until when it counts as cold
 	SlowFrom  time.Time // when its slow start begins; zero for none
 	Instances int       // that are known, including this one
 	Known     bool      // the other instances are known well enough to share the upstream with them
 	Rank      int       // of this instance among them, from 0 on
-	RankedBy  int       // number of the list of instances that Rank is from; 0 for none
+	RankedBy  int       // number of the list of instances that Rank was computed from; 0 for none
 	Rate      float64   // this instance's part of the cold rate, in requests per second
 	Bucket    *Bucket   // of tokens for attempts while it is cold; nil before that
 	Window    int       // own attempts that it may have in flight in the slow start
@@ -54,12 +54,12 @@
 	FilledAt time.Time
 }
 
-// PacePhase is how an upstream is spared (see medlarpace).
+// PacePhase is the reason for which an upstream gets fewer requests (see medlarpace).
 type PacePhase string
 
 // Phases.
 const (
-	PaceNone PacePhase = ""     // not at all
+	PaceNone PacePhase = ""     // it gets requests without a limit
 	PaceCold PacePhase = "cold" // it gets a limited number of requests per second
 	PaceSlow PacePhase = "slow" // it starts slowly
 )
@@ -99,8 +99,8 @@
 	VersionDenied bool
 	Service       medlarid.ServiceID
 	InSubset      bool // in the subset of replicas that this instance uses
-	// Far is set if the upstream is outside the subset of its service's replicas that this instance of a large fleet
-	// usually sends to (medlarsubset).
+	// Far is set if the upstream is outside the subset of its service's replicas that this instance usually sends to, as one
+	// of a large fleet (medlarsubset).
 	Far bool
 	// SwapUntil is the time until which the replica is assumed to be about to load
 	// another weight version.
@@ -128,7 +128,7 @@
 
 	Open            int             // own attempts in flight
 	PeerOpen        int             // attempts of other instances in flight, as they told last
-	PeerPending     medlarid.Tokens // of these, still to be computed before answers begin
+	PeerPending     medlarid.Tokens // prompt tokens of these that are still to be computed before answers begin
 	SentSinceReport int             // own attempts started since the last report
 	BusyUntil       time.Time       // estimated end of the pending prompts: those reported and those sent since
 	Failures        int             // consecutive failures
@@ -157,8 +157,8 @@
 	Service medlarid.ServiceID
 }
 
-// TargetOf returns the target of a run or upstream of a model or a service. One that has a service is for the service,
-// whatever model it has.
+// TargetOf returns the target of a run or upstream of a model or a service. If there is a service, it is the target,
+// whatever the model.
 func TargetOf(m medlarid.ModelID, s medlarid.ServiceID) Target {
 	if s != "" {
 		return Target{Service: s}
@@ -217,10 +217,10 @@
 	ColdRate  float64
 	ColdTime  time.Duration // from its start
 	ColdUntil time.Time     // as the replica itself has stated
-	Fresh     bool          // its start has shown after this instance read the list first
+	Fresh     bool          // it has started since this instance read the list for the first time
 }
 
-// Heartbeat is an upstream's word that it runs.
+// Heartbeat reports that an upstream runs.
 type Heartbeat struct {
 	Upstream    medlarid.InstanceID
 	Incarnation medlarid.Incarnation
--- a/internal/core/medlarverdict/medlarverdict.go
+++ b/internal/core/medlarverdict/medlarverdict.go
@@ -1,5 +1,5 @@
-// Package medlarverdict defines where a request would go now, and why: the reply of the core to a question about a request that
-// is not sent.
+// Package medlarverdict defines the reply of the core to the question where a request would go now, and why. The request is
+// not sent.
 package medlarverdict
 
 import (
@@ -13,8 +13,8 @@
 // Outcomes.
 const (
 	Sent    Outcome = "sent"    // to the replica that is chosen
-	Waits   Outcome = "waits"   // for a replica
-	Refused Outcome = "refused" // for a reason
+	Waits   Outcome = "waits"   // until a replica can take it
+	Refused Outcome = "refused" // at once, for Verdict.Reason
 )
 
 // Exclusion is why a replica is no candidate for a request.
@@ -24,7 +24,7 @@
 const (
 	None       Exclusion = ""
 	Outside    Exclusion = "subset"     // not in the subset of replicas that the instance uses
-	Tried      Exclusion = "tried"      // by the request
+	Tried      Exclusion = "tried"      // an earlier attempt of the request went there
 	Unanswered Exclusion = "unanswered" // has not answered since it was ejected
 	Build      Exclusion = "build"      // the stream begins at another software version
 	Leaving    Exclusion = "leaving"
@@ -53,10 +53,10 @@
 	Fetch    float64             `json:"fetch"`
 	Compute  float64             `json:"compute"`
 	Distance float64             `json:"distance"` // of another availability zone
-	Loading  float64             `json:"loading"`  // of other weights, which is about to begin
+	Loading  float64             `json:"loading"`  // of other weights, which the replica is about to load
 	Cached   int                 `json:"cached"`   // parts of the prompt
 	Held     int                 `json:"held"`     // parts that are cached or can be fetched
-	Because  string              `json:"because"`  // term that most exceeds that of the chosen replica; empty for none
+	Because  string              `json:"because"`  // term that most exceeds the same of the chosen replica; empty for none
 }
 
 // Excluded is a replica that is no candidate.
