--- a/internal/base/medlarframing/further.go
+++ b/internal/base/medlarframing/further.go
@@ -54,8 +54,8 @@
 // statusStart begins each status line.
 var statusStart = []byte("HTTP/1.")
 
-// findHead returns where the first head, or what may become one, begins in b, and whether it counts as a head. ended
-// reports that nothing follows b, so that what has begun counts, and bare that heads without fields count too.
+// findHead returns where the first head, or what may become one, begins in b, and whether it counts as a head. With ended set
+// nothing follows b, so that the beginning of a head counts. With bare set heads without fields count too.
 func findHead(b []byte, ended, bare bool) (at int, found bool) {
 	for {
 		i := bytes.Index(b[at:], statusStart)
--- a/internal/base/medlarframing/medlarframing.go
+++ b/internal/base/medlarframing/medlarframing.go
@@ -3,22 +3,20 @@
 //
 // Rules:
 //
-//	R1  A body is complete only with the end of its framing. A body that is delimited by
-//	    the end of its connection is complete only if the connection was closed
-//	    cleanly.
+//	R1  A body is complete only with the end of its framing. A body that is delimited by the end of its connection is
+//	    complete only if the connection was closed in an orderly way.
 //	R2  The size of a chunk size line and of the trailers is limited.
-//	R3  If asked, a body that is delimited by the end of its connection is not complete
-//	    if it holds the head of a further response anywhere, a status line that ends
-//	    with CR LF and the name of a field behind it, or ends with what may be the
-//	    beginning of one, from the first byte of a status line on.
-//	    Bytes that may be such a head are withheld until that is known. A service whose
-//	    bodies quote heads, or end with the first letter of one, sends a length or chunks.
-//	R4  If asked, a body of a length or in chunks is not complete if it holds a head, or the
-//	    beginning of one, that names its own request; nor is a body of a length that holds any other
-//	    head, with or without fields, or ends with the beginning of one, if what follows begins no
-//	    response: the body stopped, and a further response took the rest of its length. Nor is a
-//	    body in chunks one of which ends behind a field of a head that begins in it: the end of the
-//	    chunk may stand where that head has its empty line.
+//	R3  After RejectHeads a body that is delimited by the end of its connection is not complete if it holds the head of a
+//	    further response anywhere: a status line that ends with CR LF, followed by the name of a field. Nor is it if it
+//	    ends with what may be the beginning of such a head, be it only the first byte of a status line. Bytes that may
+//	    be such a head are withheld until that is known. A service whose bodies quote heads, or end with the first
+//	    letter of one, has to send a length or chunks.
+//	R4  After RejectHeads a body of a length or in chunks is not complete if it holds a head, or the beginning of one,
+//	    that names the request of the body. There are two further cases, in which the body was cut off and a further
+//	    response took its place. A body of a length is not complete if it holds any other head, with or without fields,
+//	    or ends with the beginning of one, and what follows the body begins no response. A body in chunks is not
+//	    complete if a chunk ends after a field of a head that begins in this chunk: the end of the chunk may stand for
+//	    the empty line of that head.
 package medlarframing
 
 import (
@@ -113,7 +111,7 @@
 	return n, err
 }
 
-// atLimit returns why nothing more is read at the limit: the body continues, or it has ended.
+// atLimit returns the error of a read at the limit: io.EOF if the body has ended, otherwise one of KindOversized.
 func (b *Body) atLimit() error {
 	if b.framing == medlarhead.FramingClose {
 		if _, err := b.br.Peek(1); err == io.EOF {
@@ -211,7 +209,7 @@
 	return ReadReservedBody(br, h, limit, nil)
 }
 
-// ReadReservedBody is ReadBody with a buffer that is reserved in r before it is allocated, and stays reserved.
+// ReadReservedBody is ReadBody with a buffer whose bytes are reserved in r before it is allocated, and stay reserved.
 func ReadReservedBody(br *bufio.Reader, h *medlarhead.Head, limit int64, r *medlarmemory.Reservation) ([]byte, error) {
 	if h.Framing == medlarhead.FramingNone {
 		return nil, nil
@@ -226,7 +224,7 @@
 	b := NewBody(br, h)
 	var out []byte
 	for {
-		n, err := b.Read(out[len(out):cap(out)]) // of a full buffer: detects the end of the body
+		n, err := b.Read(out[len(out):cap(out)]) // with a full buffer, detects the end of the body
 		out = out[:len(out)+n]
 		r.Received(n)
 		switch {
--- a/internal/base/medlarframing/within.go
+++ b/internal/base/medlarframing/within.go
@@ -9,7 +9,7 @@
 // headScan looks for heads of further responses in a body of a length or in chunks (R4). It withholds nothing.
 type headScan struct {
 	own  func(*medlarhead.Head) bool
-	tail []byte // of the body: what may be a head that has not ended
+	tail []byte // end of what was read: what may be a head that has not ended
 	seen bool   // the body holds a head that does not name its request
 }
 
@@ -38,8 +38,8 @@
 	return nil
 }
 
-// endsBehindField reports whether the last n bytes of the body, a chunk, end behind a field of a head that begins there.
-// The end of the chunk then stands where that head may have its empty line.
+// endsBehindField reports whether the last n bytes of the body, a chunk, end after a field of a head that begins in them.
+// The end of the chunk may then stand for the empty line of that head.
 func (s *headScan) endsBehindField(n int64) bool {
 	if int64(len(s.tail)) > n || !bytes.HasSuffix(s.tail, []byte("\r\n")) {
 		return false
@@ -48,7 +48,7 @@
 	return len(h.Fields) > 0
 }
 
-// maxScannedHead is the length from which on a head is taken for ended, in bytes.
+// maxScannedHead bounds the bytes that are kept of a head. A longer one counts as ended.
 const maxScannedHead = 16 << 10
 
 // partOfHead returns the whole fields of the head that b begins with, the length of the head, and whether it ends within b.
@@ -70,13 +70,13 @@
 }
 
 // MayHoldHead reports whether a body of a length that has been read holds a head that does not name its request, or ends
-// with what may be the beginning of a head. It is then for CheckEnd to tell whether the body is whole.
+// with what may be the beginning of a head. CheckEnd then tells whether the body is complete.
 func (b *Body) MayHoldHead() bool {
 	return b.framing == medlarhead.FramingLength && b.scan != nil && (b.scan.seen || len(b.scan.tail) > 0)
 }
 
-// CheckEnd reads ahead and returns an error of KindMalformed if the bytes behind the body begin no response: those
-// of the head that the body may hold go on there (R4). It waits for these bytes as long as the connection lets it.
+// CheckEnd reads ahead and returns an error of KindMalformed if the bytes after the body begin no response: they are then the
+// rest of the response whose head the body may hold (R4). It waits for them until the deadline of the connection.
 func (b *Body) CheckEnd() error {
 	next, _ := b.br.Peek(len(statusStart)) // nothing may follow
 	if len(next) == 0 || bytes.HasPrefix(statusStart, next) {
--- a/internal/base/medlarmemory/medlarmemory.go
+++ b/internal/base/medlarmemory/medlarmemory.go
@@ -4,16 +4,16 @@
 // Rules:
 //
 //	R1  All reservations together never exceed the bound of the account, and those of one kind never exceed its share.
-//	R2  Bytes are reserved before the memory is allocated, and released when it is no longer used. Reserving succeeds or
-//	    fails at once.
-//	R3  A reservation of more than largeBytes grows only while largeReserve of the bound stays free, so that small
-//	    requests are served while large ones fill the account.
-//	R4  If the account is full, unfinished reservations that have made no progress for stallTime make room: the one that
-//	    has made none for the longest time is dropped first. Progress is progressBytes received.
-//	R5  The bytes of a dropped reservation are free at once. It fails to grow or to change its kind, and its owner is
-//	    told, who gives up the memory.
+//	R2  Bytes are reserved before the memory is allocated, and released when it is no longer used. A reservation succeeds
+//	    or fails without waiting.
+//	R3  A reservation grows to more than largeBytes only if largeReserve of the bound stays free, so that small requests
+//	    are served while large ones fill the account.
+//	R4  If there is no room for a reservation, unfinished ones that have made no progress for stallTime are dropped until
+//	    there is, the one that has made none for the longest time first. Progress is progressBytes received.
+//	R5  The bytes of a dropped reservation are free at once, before its owner frees the memory: the owner is notified by
+//	    the drop function. Grow, Move and Finish of a dropped reservation fail.
 //	R6  Release returns all bytes of a reservation. It has no effect on one that was released or dropped.
-//	R7  A nil Account has no bound, and a nil Reservation is one of it.
+//	R7  A nil Account has no bound. Its reservations are nil, and their methods have no effect.
 package medlarmemory
 
 import (
@@ -53,14 +53,14 @@
 	return out
 }
 
-// shares are the shares of the bound that each kind may take. A request that runs keeps its memory as it becomes a
-// stream, so that these two have the whole bound.
+// shares are the shares of the bound that each kind may take. KindRequests and KindStreams have the whole bound, since a
+// request keeps its memory when its answer becomes a stream (SetKind).
 var shares = [kinds]float64{KindHeads: 0.25, KindBodies: 0.75, KindRequests: 1, KindAnswers: 0.5, KindStreams: 1, KindConnections: 0.25}
 
 const (
 	largeBytes    = 128 << 10
 	largeReserve  = 0.25                   // of the bound
-	progressBytes = 16 << 10               // with stallTime: 0.65 Mbit/s
+	progressBytes = 16 << 10               // within stallTime, which is 0.65 Mbit/s
 	stallTime     = 200 * time.Millisecond // longer than a round trip between regions, and than a pause of a busy instance
 )
 
@@ -81,7 +81,7 @@
 // Causes of failures.
 const (
 	CauseFull    Cause = "full"    // the bound is reached
-	CauseDropped Cause = "dropped" // the reservation has made room for others
+	CauseDropped Cause = "dropped" // the reservation was dropped to make room for others (R4)
 )
 
 // Error reports memory that cannot be reserved.
@@ -107,7 +107,7 @@
 	mu         sync.Mutex
 	total      int64
 	held       [kinds]int64
-	unfinished map[*Reservation]struct{} // that may be dropped
+	unfinished map[*Reservation]struct{} // reservations that may be dropped
 }
 
 // New returns an empty account with a bound in bytes.
@@ -134,8 +134,8 @@
 	kind     Kind
 	bytes    int64
 	dropped  bool
-	drop     func()    // tells the owner that it was dropped; nil if it is finished
-	progress time.Time // when it has made progress last, if it is unfinished
+	drop     func()    // notifies the owner of the drop; nil if the reservation is finished
+	progress time.Time // when it last made progress, if it is unfinished
 }
 
 // Reserve reserves n bytes.
@@ -150,8 +150,8 @@
 	return r, nil
 }
 
-// SetUnfinished makes a reservation one that may be dropped until it is finished (R4); drop is called then, by another
-// goroutine, and must not block.
+// SetUnfinished allows that a reservation is dropped until it is finished (R4). If it is, drop is called by the goroutine that
+// needs the room, and must not block.
 func (r *Reservation) SetUnfinished(drop func()) {
 	if r == nil {
 		return
@@ -162,7 +162,7 @@
 	r.account.unfinished[r] = struct{}{}
 }
 
-// Finish makes the reservation one of a kind that is not dropped, with n bytes.
+// Finish changes the kind, and the number of bytes to n. The reservation is not dropped from then on.
 func (r *Reservation) Finish(k Kind, n int) error {
 	if r == nil {
 		return nil
@@ -178,7 +178,7 @@
 	return r.change(OpMove, k, int64(n))
 }
 
-// SetKind changes the kind to one that may take the whole bound, which cannot fail.
+// SetKind changes the kind to one that may take the whole bound, and so cannot fail.
 func (r *Reservation) SetKind(k Kind) {
 	if r == nil {
 		return
@@ -224,7 +224,7 @@
 	r.progress = time.Now()
 }
 
-// Dropped reports whether the reservation has made room for others.
+// Dropped reports whether the reservation was dropped to make room for others.
 func (r *Reservation) Dropped() bool {
 	if r == nil {
 		return false
@@ -258,8 +258,8 @@
 	r.account.held[r.kind] += n
 }
 
-// change changes the kind and the bytes, for which stalled reservations may be dropped. n is the number of bytes, or of
-// further ones with OpGrow.
+// change changes the kind and the bytes, and drops stalled reservations if there is no room (R4). n is the new number of
+// bytes; with OpGrow it is the number of further ones.
 func (r *Reservation) change(op Op, k Kind, n int64) error {
 	drops, err := r.account.change(r, op, k, n)
 	for _, drop := range drops {
@@ -303,7 +303,7 @@
 	return drops, nil
 }
 
-// fit is whether a reservation fits into the account.
+// fit tells whether a reservation fits into the account, and otherwise what is full.
 type fit int
 
 const (
@@ -330,8 +330,8 @@
 	return fits
 }
 
-// stalled returns the reservation that is to make room for another one next, or nil (R4). One of another kind is of no
-// use where the share of the kind is full.
+// stalled returns the reservation to be dropped next for another one, or nil (R4). If the share of a kind is full, only
+// reservations of that kind are considered, as others free none of it.
 func (a *Account) stalled(other *Reservation, k Kind, f fit) *Reservation {
 	var out *Reservation
 	for r := range a.unfinished {
