Comments of medlarreader, medlarstorerelay and medlarstoremessage say what the code does

The comment of collect said that a store that needs a list gets its state later, and the one of Plan that it is called more often than each ownPause in any fleet; neither is so. Unexported names only: applyAnswer, applyPiece, applyState, markSilent, checkTarget, setAside, requestTimeLimit, maxPartBytes.

--- a/internal/peer/medlarreader/medlarreader.go
+++ b/internal/peer/medlarreader/medlarreader.go
@@ -8,16 +8,17 @@
 //	    two, or one where there are more than four zones, read the store. All others get its contents from one of
 //	    these, since traffic between zones is expensive. An instance prefers the same readers for all stores, so that
 //	    it needs few connections.
-//	R3  A reader that is not heard of for SilentAfter, or whose connection fails, counts as silent. The next one in rank
-//	    takes its place. A silent instance is tried again after a time that doubles with each failure; it may be
-//	    listed for an hour after its end. One that has started again is tried at once.
-//	R4  An instance that was not run for a while itself does not take that for the silence of its readers.
-//	R5  A reader that does not have a store's contents, or does not have them as of a recent time, is left aside for
-//	    this store for a while. So the next one in rank starts to read.
-//	R6  If more than maxSilent readers are silent, or the first maxCandidates that are not don't read the store, the
-//	    instance reads it itself. It does not if one of them states that the store is unavailable.
+//	R3  A reader from which no message has come for SilentAfter, or whose connection fails, counts as silent. The next one
+//	    in rank takes its place. A silent instance is tried again after a time that doubles with each failure up to
+//	    retryMax, as it may be listed for an hour after its end. One that has started again is tried at once.
+//	R4  An instance that was not scheduled for ownPause or longer does not count that time as silence of its readers.
+//	R5  A reader that does not read a store, or has had no recent contents of it for undatedAfter, is set aside for this
+//	    store for a while. So the next one in rank starts to read.
+//	R6  If more than maxSilent silent instances rank before the first usable one, the instance reads the store itself. It
+//	    also does if all of the first maxCandidates that are not silent are set aside, unless the store is unavailable
+//	    to one of them: that one stays the source.
 //	R7  The source of a store's contents is replaced only when the next one has delivered them all. Until then an
-//	    instance that reads the store itself goes on to.
+//	    instance that reads the store itself continues to.
 package medlarreader
 
 import (
@@ -28,8 +29,8 @@
 	"medlarfield/internal/core/medlarkey"
 )
 
-// SmallFleet is the largest number of live instances with which each reads all stores itself (R1). A store lets as
-// many readers wait.
+// SmallFleet is the largest number of live instances with which each reads all stores itself (R1). A store lets as many
+// calls wait at once.
 const SmallFleet = 12
 
 // SilentAfter is the time without a message after which a reader counts as silent (R3).
@@ -47,10 +48,10 @@
 const (
 	retryFirst     = time.Second             // until a silent instance is tried again
 	retryMax       = 30 * time.Second        // maximum of that time
-	ownPause       = 200 * time.Millisecond  // between two calls of Plan, from which on the instance was not run itself (R4)
-	undatedAfter   = 1200 * time.Millisecond // without recent contents, after which a reader is left aside (R5); contents count as current for 1.5 s
-	absentFor      = time.Second             // for which a reader that does not read the store is left aside
-	unavailableFor = 3 * time.Second         // for which a reader to which the store is unavailable is left aside
+	ownPause       = 200 * time.Millisecond  // between two calls of Plan; a longer time shows that the instance was not scheduled (R4)
+	undatedAfter   = 1200 * time.Millisecond // without recent contents, after which a reader is set aside (R5); contents count as current for 1.5 s
+	absentFor      = time.Second             // for which a reader that does not read the store is set aside
+	unavailableFor = 3 * time.Second         // for which a reader to which the store is unavailable is set aside
 )
 
 // Instance is another live instance.
@@ -60,10 +61,10 @@
 	Start uint64 // differs with each start of the instance
 }
 
-// Plan is what an instance does at present.
+// Plan is what an instance reads, and from where, until the next plan.
 type Plan struct {
 	Direct map[medlarid.InstanceID]bool // stores that it reads itself
-	// Subscribe has the instances that it gets contents from, with the stores. One without a store is only tried.
+	// Subscribe has the instances that it gets contents from, with the stores. One without a store is only tried again (R3).
 	Subscribe map[medlarid.InstanceID][]medlarid.InstanceID
 }
 
@@ -81,13 +82,13 @@
 type store struct {
 	ranking []medlarid.InstanceID // of the zone's instances, without limit
 	source  medlarid.InstanceID   // of the contents at present; empty for none
-	target  medlarid.InstanceID   // that shall be the source
-	datedAt time.Time             // when the target was chosen or had recent contents last
+	target  medlarid.InstanceID   // the next source; equal to source if that is to stay
+	datedAt time.Time             // when the target was chosen, or last had recent contents
 	down    bool                  // the target states that the store is unavailable
 	aside   map[medlarid.InstanceID]aside
 }
 
-// aside is a reader that is left aside for a store (R5).
+// aside is a reader that is set aside for a store (R5).
 type aside struct {
 	until time.Time
 	down  bool // the store is unavailable to it
@@ -96,7 +97,7 @@
 // peer is the state of another instance of the zone.
 type peer struct {
 	start   uint64
-	heard   time.Time // when it was last heard of or first wanted; zero if it is not wanted
+	heard   time.Time // of its last message, or when it was first in a plan; zero if it is not in the plan
 	silent  bool
 	retryAt time.Time
 	backoff time.Duration
@@ -189,13 +190,14 @@
 	return zoneReaders
 }
 
-// Plan returns what the instance does from now on. It is called at least each ownPause.
+// Plan returns what the instance does from now on. Where few instances read each store it is called more often than each
+// ownPause.
 func (t *Table) Plan(now time.Time) Plan {
-	t.notice(now)
+	t.markSilent(now)
 	out := Plan{Direct: map[medlarid.InstanceID]bool{}, Subscribe: map[medlarid.InstanceID][]medlarid.InstanceID{}}
 	n := t.readers()
 	for id, s := range t.stores {
-		t.review(now, s)
+		t.checkTarget(now, s)
 		next := t.self
 		if t.Few() {
 			next = t.choose(now, s, n, out.Subscribe)
@@ -223,8 +225,8 @@
 	return out
 }
 
-// notice marks the peers that are silent (R3, R4).
-func (t *Table) notice(now time.Time) {
+// markSilent marks the peers that are silent (R3, R4).
+func (t *Table) markSilent(now time.Time) {
 	own := now.Sub(t.asOf)
 	if t.asOf.IsZero() || own < ownPause {
 		own = 0
@@ -244,17 +246,17 @@
 	}
 }
 
-// review leaves the target of a store aside if it has had no recent contents for too long (R5).
-func (t *Table) review(now time.Time, s *store) {
+// checkTarget sets the target of a store aside if it has had no recent contents for too long (R5).
+func (t *Table) checkTarget(now time.Time, s *store) {
 	if s.target == "" || s.target == t.self || now.Sub(s.datedAt) < undatedAfter {
 		return
 	}
-	s.leave(now, s.target, s.down)
+	s.setAside(now, s.target, s.down)
 	s.datedAt = now
 }
 
-// leave leaves a reader aside for a store (R5).
-func (s *store) leave(now time.Time, id medlarid.InstanceID, down bool) {
+// setAside sets a reader aside for a store (R5).
+func (s *store) setAside(now time.Time, id medlarid.InstanceID, down bool) {
 	d := absentFor
 	if down {
 		d = unavailableFor
@@ -262,7 +264,7 @@
 	s.aside[id] = aside{until: now.Add(d), down: down}
 }
 
-// choose returns the instance that shall be the source of a store's contents (R2, R3, R5, R6). It adds the silent
+// choose returns the instance that is to be the source of a store's contents (R2, R3, R5, R6). It adds the silent
 // instances that are due to be tried again to a plan.
 func (t *Table) choose(now time.Time, s *store, n int, try map[medlarid.InstanceID][]medlarid.InstanceID) medlarid.InstanceID {
 	var usable []medlarid.InstanceID
@@ -348,7 +350,7 @@
 // Absent records that an instance does not read a store (R5).
 func (t *Table) Absent(now time.Time, id, of medlarid.InstanceID) {
 	if s := t.stores[of]; s != nil {
-		s.leave(now, id, false)
+		s.setAside(now, id, false)
 	}
 }
 
--- a/internal/peer/medlarstoremessage/medlarstoremessage.go
+++ b/internal/peer/medlarstoremessage/medlarstoremessage.go
@@ -47,10 +47,10 @@
 	maxName      = 128       // bytes of the name of a store
 	MaxParts     = 1 << 17   // parts of a store
 	maxTokens    = 1 << 30   // tokens of a part
-	maxAge       = time.Hour // older contents have no date
+	maxAge       = time.Hour // a greater age is decoded as this one
 	listPiece    = 2048      // parts in a piece of a list
 	keyBytes     = len(medlarkey.Key{})
-	statePerPart = keyBytes + 5 // bytes of a part in a message, at most
+	maxPartBytes = keyBytes + 5 // bytes of a part in a message, at most: maxTokens takes 5
 )
 
 // Status tells what a reader knows of a store.
@@ -59,7 +59,7 @@
 // Statuses.
 const (
 	StatusUndated Status = 0 // its contents are stale
-	StatusDated   Status = 1
+	StatusDated   Status = 1 // its contents are recent, and Age states how much
 	StatusAbsent  Status = 2 // the instance does not read the store
 )
 
@@ -75,7 +75,7 @@
 	Wants []Want
 }
 
-// Report is a piece of a store's contents, or its state, with the changes since an earlier one.
+// Report is a piece of a store's contents, or the store's state with the changes since an earlier one.
 type Report struct {
 	Store      medlarid.InstanceID
 	Generation uint64
@@ -146,7 +146,7 @@
 }
 
 func (r Report) encode() []byte {
-	b := make([]byte, 0, 64+len(r.Store)+statePerPart*(len(r.Added)+len(r.Removed)))
+	b := make([]byte, 0, 64+len(r.Store)+maxPartBytes*(len(r.Added)+len(r.Removed)))
 	b = appendBytes(b, fieldStore, []byte(r.Store))
 	for _, f := range []struct {
 		number protowire.Number
--- a/internal/peer/medlarstorerelay/medlarstorerelay.go
+++ b/internal/peer/medlarstorerelay/medlarstorerelay.go
@@ -7,14 +7,14 @@
 //	    something.
 //	R2  A reader passes on only what it has read itself, so that nothing is relayed twice.
 //	R3  A subscriber gets the complete contents of a store first and changes after it. If the reader doesn't keep the
-//	    changes since, it sends the complete contents again. Contents that don't follow on what the subscriber has make
+//	    changes since, it sends the complete contents again. Changes that don't follow on what the subscriber has make
 //	    the store's contents stale, and end the connection.
 //	R4  The reader states how long before its answer the store can have answered at the earliest, by a clock that
-//	    includes suspended time. The subscriber counts this age back from the time at which it sent the request whose
+//	    includes suspended time. The subscriber subtracts this age from the time at which it sent the request whose
 //	    number is in the answer. So no delay at the reader or on the way makes contents appear newer.
 //	R5  Contents of a store are passed to the core from one source at a time (medlarreader, R7). Those of the next source
 //	    replace them once they are complete, and dated no earlier than what is known already: an earlier list may have
-//	    parts that were freed since. Contents that became stale do so at once.
+//	    parts that were freed since. That contents have become stale is passed on at once.
 //	R6  Everything that another instance can make this one hold is bounded. A connection that exceeds a bound ends.
 package medlarstorerelay
 
@@ -39,14 +39,14 @@
 
 // Times.
 const (
-	pingInterval   = 200 * time.Millisecond // between two requests on a connection
-	planInterval   = 50 * time.Millisecond  // between two looks at readers, in a large fleet
-	smallInterval  = 500 * time.Millisecond // the same in a small one
-	minAdvance     = 20 * time.Millisecond  // by which a date is later than the last one to be passed to the core
-	requestsPeriod = 400 * time.Millisecond // to write a request
+	pingInterval     = 200 * time.Millisecond // between two requests on a connection
+	planInterval     = 50 * time.Millisecond  // between two plans in a large fleet
+	smallInterval    = 500 * time.Millisecond // the same in a small one
+	minAdvance       = 20 * time.Millisecond  // a report whose date alone has advanced, by less, is not passed to the core
+	requestTimeLimit = 400 * time.Millisecond // to write a request
 )
 
-// maxPings is the number of requests that may be unanswered.
+// maxPings is the number of unanswered requests at which a connection ends.
 const maxPings = 64
 
 // Instance is another live instance that can be asked for the contents of stores.
@@ -90,18 +90,18 @@
 	generations uint64 // given to subscriptions
 }
 
-// turn numbers the times for which this instance reads a store itself.
+// turn is a period in which this instance reads a store itself.
 type turn struct {
-	number uint64
-	over   bool // it does not at present
+	number uint64 // increases when a turn ends
+	over   bool   // the instance does not read the store at present
 }
 
-// contents is what was passed to the core of a store.
+// contents is the state of a store's contents as passed to the core.
 type contents struct {
-	conn    *conn     // that they came from; nil for this instance, or none
+	conn    *conn     // that they came from; nil if from this instance, or from a reader that no longer reads the store
 	own     bool      // this instance has read them itself
 	dated   time.Time // latest date
-	staleAt time.Time // when they became stale last
+	staleAt time.Time // when they last became stale
 	stale   bool      // the last report had no date
 	epoch   uint64
 }
@@ -111,8 +111,8 @@
 	instance Instance
 	cancel   context.CancelFunc
 	wake     chan struct{}
-	nonce    uint64 // of the last request
-	pings    map[uint64]ping
+	nonce    uint64          // of the last request
+	pings    map[uint64]ping // unanswered requests, by number
 	stores   map[medlarid.InstanceID]*subscription
 }
 
@@ -127,7 +127,7 @@
 	generation uint64
 	listed     bool // a list has begun
 	sequence   uint64
-	// pending is the contents as long as they are not passed to the core; nil afterwards.
+	// pending are the contents until they are passed to the core; nil afterwards.
 	pending map[medlarkey.Key]medlarid.Tokens
 }
 
@@ -155,7 +155,7 @@
 	}
 }
 
-// Reads reports whether the instance reads a store itself. It lists the store when the turn differs from the one before.
+// Reads reports whether the instance reads a store itself. With another turn than before the store has to be listed anew.
 func (r *Relay) Reads(store medlarid.InstanceID) (turn uint64, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -272,7 +272,7 @@
 			return
 		}
 		a, err := medlarstoremessage.DecodeAnswer(b)
-		if err != nil || !r.take(c, a) {
+		if err != nil || !r.applyAnswer(c, a) {
 			return
 		}
 	}
@@ -300,7 +300,7 @@
 		if !ok {
 			return
 		}
-		_ = nc.SetWriteDeadline(time.Now().Add(requestsPeriod))
+		_ = nc.SetWriteDeadline(time.Now().Add(requestTimeLimit))
 		if medlarstoremessage.Write(nc, q.Encode()) != nil {
 			return
 		}
@@ -328,8 +328,8 @@
 	return q, true
 }
 
-// take applies an answer and reports whether the connection goes on.
-func (r *Relay) take(c *conn, a medlarstoremessage.Answer) bool {
+// applyAnswer applies an answer and reports whether the connection goes on.
+func (r *Relay) applyAnswer(c *conn, a medlarstoremessage.Answer) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.conns[c.instance.ID] != c {
@@ -339,25 +339,26 @@
 	if !ok {
 		return false
 	}
-	maps.DeleteFunc(c.pings, func(n uint64, _ ping) bool { return n < a.Nonce }) // those before are not answered any more
+	maps.DeleteFunc(c.pings, func(n uint64, _ ping) bool { return n < a.Nonce }) // earlier requests are not answered any more
 	now := time.Now()
 	r.table.Heard(now, c.instance.ID)
 	for i := range a.Lists {
-		if !c.list(&a.Lists[i]) {
+		if !c.applyPiece(&a.Lists[i]) {
 			return false
 		}
 	}
-	sent.at = sent.at.Add(sent.suspended - r.deps.Suspended()) // for the core, whose clock does not include suspended time
+	// The core's clock does not include suspended time.
+	sent.at = sent.at.Add(sent.suspended - r.deps.Suspended())
 	for i := range a.States {
-		if !r.state(now, c, &a.States[i], sent.at) {
+		if !r.applyState(now, c, &a.States[i], sent.at) {
 			return false
 		}
 	}
 	return true
 }
 
-// list takes a piece of a list and reports whether it follows on what was received. The caller holds the lock.
-func (c *conn) list(p *medlarstoremessage.Report) bool {
+// applyPiece applies a piece of a list and reports whether it follows on what was received. The caller holds the lock.
+func (c *conn) applyPiece(p *medlarstoremessage.Report) bool {
 	s := c.stores[p.Store]
 	if s == nil || s.generation != p.Generation {
 		return true // not wanted any more
@@ -374,9 +375,9 @@
 	return len(s.pending) <= medlarstoremessage.MaxParts
 }
 
-// state takes the state of a store, whose age counts back from a time, and reports whether it follows on what was
+// applyState applies the state of a store, whose age counts back from a time, and reports whether it follows on what was
 // received. The caller holds the lock.
-func (r *Relay) state(now time.Time, c *conn, p *medlarstoremessage.Report, from time.Time) bool {
+func (r *Relay) applyState(now time.Time, c *conn, p *medlarstoremessage.Report, from time.Time) bool {
 	s := c.stores[p.Store]
 	if s == nil || s.generation != p.Generation {
 		return true
@@ -390,7 +391,7 @@
 		s.pending, s.listed = nil, false
 		r.table.Absent(now, c.instance.ID, p.Store)
 		if held.conn == c {
-			held.conn = nil // what it has sent is true, and expires
+			held.conn = nil // what it has sent stays valid until it expires
 		}
 		return true
 	}
@@ -419,7 +420,7 @@
 	}
 	if len(e.Added)+len(e.Removed) > 0 || e.Epoch != held.epoch || e.At.IsZero() != held.stale || e.At.Sub(held.dated) >= minAdvance {
 		if !e.At.IsZero() && e.At.Before(held.dated) {
-			e.At = held.dated // the age was counted back from an earlier request before
+			e.At = held.dated // this answer came later after its request than the one before, so that its date is earlier
 		}
 		r.pass(now, held, e)
 	}
@@ -459,7 +460,7 @@
 	r.deps.Post(e)
 }
 
-// record takes note of a report that is passed to the core.
+// record records a report that is passed to the core.
 func (h *contents) record(now time.Time, e medlarworld.InventoryReported) {
 	h.epoch, h.stale = e.Epoch, e.At.IsZero()
 	if h.stale {
@@ -469,13 +470,13 @@
 	}
 }
 
-// Report takes what this instance has read from a store itself.
+// Report handles what this instance has read from a store itself: passes it to the core and to subscribers.
 func (r *Relay) Report(e medlarworld.InventoryReported) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	few := r.table.Few()
 	if few && !r.direct[e.Store] {
-		return // a call that was in progress when another instance became the source
+		return // of a call that was in progress when another instance became the source
 	}
 	r.deps.Publisher.Report(e)
 	held := r.contents[e.Store]
--- a/internal/peer/medlarstorerelay/publisher.go
+++ b/internal/peer/medlarstorerelay/publisher.go
@@ -20,16 +20,16 @@
 // Times of a connection at a reader.
 const (
 	requestTimeout = 5 * time.Second // without a request, after which the connection is closed
-	writeTimeout   = time.Second     // of an answer
+	writeTimeout   = time.Second     // to write an answer
 )
 
-// maxSubscribers is the number of connections that a reader serves.
+// maxSubscribers is the largest number of connections that a reader serves at once.
 const maxSubscribers = 512
 
-// Changes that a reader keeps of a store.
+// Numbers of changes of a store that a reader keeps for subscribers that lack them.
 const (
-	maxRecent = 2048 // at most, for subscribers that are behind
-	minRecent = 1024 // when it drops older ones
+	maxRecent = 2048 // above which it drops the oldest ones; also bounds the changes in an answer
+	minRecent = 1024 // that it keeps then
 )
 
 // Publisher passes the contents of the stores that this instance reads to subscribers (R1 to R4). It is safe for
@@ -41,7 +41,7 @@
 	stores      map[medlarid.InstanceID]*published
 	began       map[medlarid.InstanceID]time.Duration // time suspended when the last call to a store began
 	subscribers map[*subscriber]bool
-	sequence    uint64 // of the last report of any store
+	sequence    uint64 // number of the last report with a list or changes, of any store
 }
 
 // published is the contents of a store as the last report had them.
@@ -51,7 +51,7 @@
 	suspended time.Duration // total time suspended when the call began that at belongs to
 	sequence  uint64        // of the contents
 	parts     map[medlarkey.Key]medlarid.Tokens
-	recent    []change // later than oldest, in order
+	recent    []change // those with a sequence number above oldest, in order
 	oldest    uint64
 	list      []medlarstoremessage.Report // pieces of a complete list, shared by subscribers; nil until it is needed
 	listed    uint64                      // sequence number of the list
@@ -74,7 +74,7 @@
 	sent map[medlarid.InstanceID]position
 }
 
-// position is what a subscriber has of a store.
+// position tells which contents of a store a subscriber has been sent.
 type position struct {
 	generation uint64
 	sequence   uint64
@@ -98,7 +98,7 @@
 }
 
 // least returns the lower of two readings of the time suspended. A reading is the difference of two clocks, and too high if
-// the process is not run between these; contents would appear newer by that.
+// the process is not scheduled between reading them: contents would appear newer than they are.
 func least(suspended func() time.Duration) time.Duration { return min(suspended(), suspended()) }
 
 // Report records what this instance has read from a store.
@@ -112,7 +112,7 @@
 		p.stores[e.Store] = s
 	}
 	if s == nil {
-		return // not listed yet
+		return // the contents are not known: not listed yet, or too many
 	}
 	s.epoch, s.at, s.suspended = e.Epoch, e.At, p.began[e.Store]
 	if len(e.Added)+len(e.Removed) > 0 && !e.Reset {
@@ -218,7 +218,7 @@
 	}
 }
 
-// signal makes an answer be sent. The caller holds the publisher's lock and has found the subscriber registered.
+// signal causes an answer to be sent. The caller holds the publisher's lock and has found the subscriber registered.
 func (c *subscriber) signal() {
 	select {
 	case c.wake <- struct{}{}:
@@ -250,8 +250,8 @@
 	return medlarstoremessage.Write(c.conn, a.Encode()) == nil
 }
 
-// collect returns the lists that a subscriber needs, and an answer with the state of each store. Stores that need a
-// list have no state in it: their ages would be old once the list is sent. Another collection follows then.
+// collect returns the pieces of the lists that a subscriber needs, and an answer with the state of each store, which is sent
+// after them. If the changes exceed maxRecent, the states of the remaining stores are left to another collection.
 func (p *Publisher) collect(c *subscriber) (lists []medlarstoremessage.Answer, states *medlarstoremessage.Answer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -291,7 +291,7 @@
 	return lists, states
 }
 
-// pieces returns a complete list of the contents, which may be older than these as far as the changes since are kept.
+// pieces returns a complete list of the contents. It may be of an earlier sequence number if the changes since are kept.
 func (s *published) pieces() []medlarstoremessage.Report {
 	if s.list != nil && s.listed >= s.oldest {
 		return s.list
