--- a/internal/agree/medlarreadwait/medlarreadwait.go
+++ b/internal/agree/medlarreadwait/medlarreadwait.go
@@ -1,15 +1,17 @@
 // Package medlarreadwait decides how instances read the topics of the platform's store: for how long a read waits for records,
-// and how soon the next one follows. All instances share the store's rate of calls. An idle topic costs each of them one call
-// for each wait, and a busy one a call for each interval.
+// and how soon the next one follows. The store's rate of calls is limited for all instances together. Each of them makes one call
+// for each wait at an idle topic, and one call for each interval at a busy one.
 //
 // Rules:
 //
-//	R1  Up to smallFleet instances a read waits for the topic's usual time, and follows the one before after its usual interval.
-//	R2  In larger fleets both are longer in proportion, so that the fleet's calls stay as many. Records of an idle topic
-//	    still arrive at once: the store answers a waiting read when there is one.
-//	R3  A connection that has fallen silent is noticed only after the wait. It ends repeatMargin before the settling time has
-//	    passed, after which bounds in time hold again, and no later than the topic allows.
-//	R4  An interval is at most the topic's longest, by which what is read may be late.
+//	R1  In fleets of up to smallFleet instances a read waits for the topic's usual wait, and starts the topic's usual interval
+//	    after the one before.
+//	R2  In larger fleets both are longer in proportion, so that all instances together make no more calls. Records of an idle
+//	    topic still arrive at once: the store answers a waiting read as soon as there is a record.
+//	R3  The loss of a read is noticed only after its wait. So a wait that is longer than the usual one is shorter than the
+//	    settling time by repeatMargin, and at most the topic's longest wait.
+//	R4  An interval that is longer than the usual one is at most the topic's longest interval, which bounds how late records
+//	    are read.
 package medlarreadwait
 
 import "time"
@@ -21,10 +23,10 @@
 
 // Topic has the times of the reads of one topic.
 type Topic struct {
-	UsualWait time.Duration // of small fleets
-	// LongestWait is the longest wait that what is known of the topic may be old; 0 for no bound.
+	UsualWait time.Duration // in small fleets
+	// LongestWait bounds the wait, and so the age of what is known of an idle topic; 0 for no bound.
 	LongestWait time.Duration
-	// UsualInterval is the least time between the starts of two reads in small fleets, LongestInterval that in any.
+	// UsualInterval is the least time between the starts of two reads in small fleets, LongestInterval bounds it in large ones.
 	UsualInterval, LongestInterval time.Duration
 }
 
@@ -42,7 +44,7 @@
 	return max(min(inProportion(t.UsualInterval, instances), t.LongestInterval), t.UsualInterval)
 }
 
-// inProportion returns a time of small fleets in proportion to the size of a fleet (R2).
+// inProportion returns the usual time of small fleets, made longer in proportion to the number of instances (R2).
 func inProportion(usual time.Duration, instances int) time.Duration {
 	return usual * time.Duration(max(instances, smallFleet)) / smallFleet
 }
