--- a/internal/edge/medlarbuffer/medlarbuffer.go
+++ b/internal/edge/medlarbuffer/medlarbuffer.go
@@ -8,13 +8,13 @@
 
 // Sizes of buffers.
 const (
-	Read    = 4096     // bytes; within the memory of the request
+	Read    = 4096     // bytes; part of what is reserved for the request
 	MaxBody = 64 << 10 // bytes; a longer response body is relayed in chunks as it arrives
 
-	// answerCopies is the number of buffers of the size of a response that relaying one takes: a response of an earlier
-	// attempt, the one that is read, and the bytes that are written.
+	// answerCopies is the number of buffers of the size of a response that are held at once while it is relayed: a response
+	// of an earlier attempt, the one that is read, and the bytes that are written.
 	answerCopies = 3
-	// eventCopies is the same for an event of a stream: its buffer, which doubles, and the bytes that are written.
+	// eventCopies is the same for an event of a stream: its buffer, which is doubled, and the bytes that are written.
 	eventCopies = 3
 )
 
@@ -22,7 +22,7 @@
 type Buffers struct {
 	account    *medlarmemory.Account
 	request    *medlarmemory.Reservation // of the request
-	eventBytes int                       // that are reserved in request for events longer than Read
+	eventBytes int                       // bytes that are reserved in request for events longer than Read
 	answer     *medlarmemory.Reservation // of the responses that are relayed or kept; nil for none
 }
 
@@ -37,14 +37,14 @@
 // BeginStream makes the memory of the request count as that of a stream.
 func (b *Buffers) BeginStream() { b.request.SetKind(medlarmemory.KindStreams) }
 
-// ReserveAnswer returns how much of a response is read before it is relayed. Without memory for more that is little: a
-// longer response is relayed in chunks then, and is not retried if it is truncated.
+// ReserveAnswer returns how many bytes of a response are read before it is relayed, and reserves memory for them. If there
+// is none, these are Read bytes: a longer response is relayed in chunks then, and is not retried if it is truncated.
 func (b *Buffers) ReserveAnswer(h *medlarhead.Head) int {
 	limit := MaxBody
 	if h.Framing == medlarhead.FramingLength {
 		limit = int(min(h.Length, MaxBody))
 	}
-	if limit <= Read || h.Framing == medlarhead.FramingNone { // within the memory of the request
+	if limit <= Read || h.Framing == medlarhead.FramingNone { // part of what is reserved for the request
 		return Read
 	}
 	if b.answer != nil { // an earlier response is kept
@@ -61,8 +61,8 @@
 	return limit
 }
 
-// ReserveEvent reserves the memory of an event that has not ended and of which n bytes are buffered, unless it is within
-// the memory of the request.
+// ReserveEvent reserves the memory of an event that has not ended and of which n bytes are buffered. Up to Read bytes are part
+// of what is reserved for the request.
 func (b *Buffers) ReserveEvent(n int) error {
 	need := eventCopies * n
 	if need <= eventCopies*Read || need <= b.eventBytes {
--- a/internal/edge/medlarupload/medlarupload.go
+++ b/internal/edge/medlarupload/medlarupload.go
@@ -1,4 +1,4 @@
-// Package medlarupload sends requests to upstreams, and tells whether they were written in full.
+// Package medlarupload writes requests to upstreams, and reports whether they were written in full.
 //
 // Rules:
 //
@@ -20,13 +20,13 @@
 // MaxInlineBody is the size of a body in bytes up to which it is written together with the head of its request.
 const MaxInlineBody = 16 << 10
 
-// writeWait is the time for the end of a write in the background once the upstream has ended the connection.
+// writeWait bounds the rest of a write in the background after the upstream has ended the connection.
 const writeWait = 50 * time.Millisecond
 
 // errUnread reports a response that only the end of the connection delimits, to a request that was not written in full.
 var errUnread = &medlarhead.Error{Op: medlarhead.OpBody, Kind: medlarhead.KindBroken, Err: eris.Wrap(io.ErrUnexpectedEOF, "the connection ended before the request was written")}
 
-// Upload is a request that is sent.
+// Upload is a request that is being written.
 type Upload struct {
 	conn *medlarpool.Conn
 	body chan error // result of a body write in the background; nil for none
@@ -50,9 +50,9 @@
 	return u, nil
 }
 
-// Await returns the function to call once the upstream has ended the connection, nil if the request was written in full by
-// Start. The function returns an error if the body was not written in full, or if the upstream had not received all of it
-// when it ended the connection. The write does not have long to go then.
+// Await returns a function that is called once the upstream has ended the connection; nil if Start wrote the request in full.
+// The function waits for the end of the write, writeWait at most. It returns an error if the body was not written in full, or
+// if the upstream had not received all of it when it ended the connection.
 func (u Upload) Await() func() error {
 	if u.body == nil {
 		return nil
@@ -62,7 +62,7 @@
 		_ = u.conn.SetWriteDeadline(time.Now().Add(writeWait))
 		err := <-u.body
 		u.body <- err                                                        // for Written
-		if err != nil || unread || medlarprobe.Unacknowledged(u.conn.Conn) { // it may have been written after that end
+		if err != nil || unread || medlarprobe.Unacknowledged(u.conn.Conn) { // the write may have gone on after the first check
 			return errUnread
 		}
 		return nil
--- a/internal/ops/medlarchangelog/medlarchangelog.go
+++ b/internal/ops/medlarchangelog/medlarchangelog.go
@@ -1,5 +1,5 @@
-// Package medlarchangelog writes the log lines of what an attached instance learns of replicas, of its paths to them and of
-// its topics, and counts it in the metrics.
+// Package medlarchangelog logs, and counts in the metrics, changes that an attached instance learns of: those of replicas, of
+// its paths to them and of its topics.
 package medlarchangelog
 
 import (
@@ -13,7 +13,7 @@
 	"medlarfield/internal/edge/medlarmetric"
 )
 
-// Avoided logs and counts that a replica gets no new work because of what it said.
+// Avoided logs and counts that a replica gets no new work, since it leaves or has asked for a pause.
 func Avoided(log zerolog.Logger, m *medlarmetric.Metrics, a medlarworld.Avoided) {
 	hint, text := medlarmetric.HintPause, "replica asked for a pause"
 	if a.Leaving {
@@ -23,7 +23,7 @@
 	log.Info().Str("event", "avoid").Str("replica", string(a.Upstream)).Bool("leaving", a.Leaving).Float64("after", ms(a.For)).Msg(text)
 }
 
-// Limit logs and counts that a replica named another limit of requests, or none any longer.
+// Limit logs and counts that a replica names another limit of requests than before, or no longer names one.
 func Limit(log zerolog.Logger, m *medlarmetric.Metrics, c medlarworld.LimitChanged) {
 	text := "replica no longer names a limit of requests"
 	if c.Limited {
@@ -33,7 +33,7 @@
 	log.Info().Str("event", "limit").Str("replica", string(c.Upstream)).Bool("limited", c.Limited).Float64("limit", c.Limit).Msg(text)
 }
 
-// Brittle logs and counts that a replica says that it is brittle, or does no longer.
+// Brittle logs and counts that a replica states that it is brittle, or no longer does.
 func Brittle(log zerolog.Logger, m *medlarmetric.Metrics, c medlarworld.BrittleChanged) {
 	text := "replica no longer says that it is brittle"
 	if c.Most > 0 {
@@ -43,7 +43,7 @@
 	log.Info().Str("event", "brittle").Str("replica", string(c.Upstream)).Int("most", c.Most).Msg(text)
 }
 
-// Pace logs that a replica is spared in another way, since it is cold or has just started, or is no longer.
+// Pace logs that the limit on a replica's requests has changed, as it is cold, has just started, or neither any longer.
 func Pace(log zerolog.Logger, c medlarworld.PaceChanged) {
 	text := map[medlarupstream.PacePhase]string{
 		medlarupstream.PaceNone: "replica gets requests without a limit",
@@ -53,7 +53,8 @@
 	log.Info().Str("event", "pace").Str("replica", string(c.Upstream)).Str("phase", string(c.Phase)).Float64("for", ms(c.For)).Float64("rate", c.Rate).Msg(text)
 }
 
-// Reach logs and counts that this instance no longer reaches a replica, or any, that others reach, or does again.
+// Reach logs and counts that this instance does not reach a replica directly which another instance reaches, or reaches it
+// again. A change without a replica is about all of them.
 func Reach(log zerolog.Logger, m *medlarmetric.Metrics, c medlarreach.Change) {
 	m.SetBrokenPaths(c.Paths)
 	if c.Replica != "" {
--- a/internal/ops/medlarlogcommand/medlarlogcommand.go
+++ b/internal/ops/medlarlogcommand/medlarlogcommand.go
@@ -1,4 +1,4 @@
-// Package medlarlogcommand has the commands of medlarctl that read logs of attached instances.
+// Package medlarlogcommand defines the commands of medlarctl that read logs of attached instances.
 package medlarlogcommand
 
 import (
--- a/internal/ops/medlarpathstate/medlarpathstate.go
+++ b/internal/ops/medlarpathstate/medlarpathstate.go
@@ -1,5 +1,5 @@
-// Package medlarpathstate has what an instance finds out about a replica and its paths to it, and how instances state it to
-// each other.
+// Package medlarpathstate defines the states of a replica as an instance finds them out, and translates outcomes of calls and
+// connections to and from the results that instances send each other.
 package medlarpathstate
 
 import (
@@ -14,16 +14,16 @@
 
 // States.
 const (
-	StateUp       State = "up"       // or it cannot be told
+	StateUp       State = "up"       // it is up, or its state is not known
 	StateAnswered State = "answered" // it has answered a call
 	StateRefuses  State = "refuses"  // it refuses connections
-	StateEnds     State = "ends"     // connections open, and end without an answer, as behind a proxy or a balancer
+	StateEnds     State = "ends"     // connections open and end without an answer, as those through a proxy or a load balancer do
 )
 
 // Down reports whether a replica in this state is down.
 func (s State) Down() bool { return s == StateRefuses || s == StateEnds }
 
-// AskedOutcome returns what another instance has stated.
+// AskedOutcome returns the outcome that another instance has stated, from the error of the call to it.
 func AskedOutcome(err error) medlarreach.Outcome {
 	var e *medlartunnel.Error
 	switch {
@@ -37,14 +37,14 @@
 	return medlarreach.Unhelpful
 }
 
-// IsOlder reports whether another instance has opened a connection as it was asked whether a replica answers it: its build
-// does not know the question.
+// IsOlder reports whether another instance has an older build, which opens a connection to a replica when it is asked whether
+// the replica answers.
 func IsOlder(err error) bool {
 	var e *medlartunnel.Error
 	return errors.As(err, &e) && e.Result == medlartunnel.ResultOpened
 }
 
-// ProofResult returns the answer to another instance for a call that has ended.
+// ProofResult returns the result that is sent to another instance for the outcome of a call to a replica.
 func ProofResult(o medlarreach.Outcome) medlartunnel.Result {
 	switch o {
 	case medlarreach.Answered:
@@ -57,7 +57,7 @@
 	return medlartunnel.ResultDenied
 }
 
-// DialResult returns the answer to another instance for a connection that could not be opened.
+// DialResult returns the result that is sent to another instance for a connection to a replica that could not be opened.
 func DialResult(o medlarreach.Outcome) medlartunnel.Result {
 	switch o {
 	case medlarreach.Refused:
--- a/internal/ops/medlarroutequery/medlarroutequery.go
+++ b/internal/ops/medlarroutequery/medlarroutequery.go
@@ -1,4 +1,4 @@
-// Package medlarroutequery answers where an attached instance would send a request now. Nothing is sent.
+// Package medlarroutequery answers to which replica an attached instance would send a request now. Nothing is sent.
 package medlarroutequery
 
 import (
@@ -26,13 +26,13 @@
 // questionTimeout is the time until the deadline of a request whose route states none.
 const questionTimeout = 30 * time.Second
 
-// Answerer answers by the instance's own tables.
+// Answerer answers from the state of its own instance.
 type Answerer struct {
 	registry *medlarregistry.Registry
 	loop     *medlarloop.Loop
 }
 
-// New returns an Answerer that goes by the registry and the core of an instance.
+// New returns an Answerer that uses the registry and the core of an instance.
 func New(registry *medlarregistry.Registry, loop *medlarloop.Loop) *Answerer {
 	return &Answerer{registry: registry, loop: loop}
 }
@@ -110,7 +110,7 @@
 	return out, fasthttp.StatusOK, nil
 }
 
-// accountOf returns the account of a key, or with a name.
+// accountOf returns the account with a name, or that of a key if name is empty.
 func accountOf(cat *medlarcatalog.Catalog, route *medlarcatalog.Route, key string, name medlarid.AccountID) (medlarcatalog.Account, error) {
 	if name != "" {
 		if a, ok := cat.AccountNamed(name); ok {
--- a/internal/ops/medlarstoreread/medlarstoreread.go
+++ b/internal/ops/medlarstoreread/medlarstoreread.go
@@ -1,5 +1,5 @@
-// Package medlarstoreread connects the tracker of KV stores, which reads some of them, with the relay, which gets the
-// contents of the others from other instances.
+// Package medlarstoreread connects the tracker, which reads some KV stores, with the relay, which gets the contents of the
+// other stores from other instances.
 package medlarstoreread
 
 import (
@@ -23,7 +23,7 @@
 	"medlarfield/platform/medlarcalls"
 )
 
-// NewPublisher returns the publisher of what this instance reads.
+// NewPublisher returns the publisher, which passes what this instance reads to other instances.
 func NewPublisher() *medlarstorerelay.Publisher {
 	return medlarstorerelay.NewPublisher(medlarclock.Suspended)
 }
@@ -37,7 +37,7 @@
 	tracker   *medlarcachetracker.Tracker
 
 	mu  sync.Mutex
-	ids map[medlarid.Address]medlarid.InstanceID // of the stores that are read
+	ids map[medlarid.Address]medlarid.InstanceID // ids of the stores that are read, by address
 }
 
 // New returns Reads without a tracker; see NewTracker.
@@ -89,7 +89,7 @@
 	s.publisher.Began(id)
 }
 
-// list returns the function that lists a store, with the calls recorded.
+// list wraps the function that lists a store, and records the calls.
 func (s *Reads) list(f func(medlarid.Address) (medlarcachetracker.ChangeBatch, error)) func(medlarid.Address) (medlarcachetracker.ChangeBatch, error) {
 	return func(at medlarid.Address) (medlarcachetracker.ChangeBatch, error) {
 		s.began(at)
@@ -102,7 +102,7 @@
 // readChanges is a function that reads a store's changes.
 type readChanges = func(medlarid.Address, uint64, time.Duration) (medlarcachetracker.ChangeBatch, error)
 
-// events returns the function that reads a store's changes, with the calls recorded.
+// events wraps the function that reads a store's changes, and records the calls.
 func (s *Reads) events(f readChanges) readChanges {
 	return func(at medlarid.Address, since uint64, wait time.Duration) (medlarcachetracker.ChangeBatch, error) {
 		s.began(at)
@@ -119,7 +119,7 @@
 	}
 }
 
-// report takes what the tracker has read.
+// report passes what the tracker has read to the relay.
 func (s *Reads) report(e medlarworld.Event) {
 	if e, ok := e.(medlarworld.InventoryReported); ok {
 		s.relay.Report(e)
