--- a/internal/core/medlaradmission/medlaradmission.go
+++ b/internal/core/medlaradmission/medlaradmission.go
@@ -220,7 +220,7 @@
 
 // refusalReason returns why a run is refused, or an empty reason, and the delay after
 // which the caller may retry. admit reports whether the traits of a run allow it to start (R9), and makeRoom whether
-// another run gives way to one of an account (R4).
+// another run is refused to make room for one of an account (R4).
 func (s *System) refusalReason(
 	w *medlarworld.World, a *medlarworld.Account, r *medlarworld.Run,
 	admit func(*medlarworld.World, *medlarworld.Run) bool, makeRoom func(*medlarworld.World, *medlarworld.Account) bool,
--- a/internal/core/medlaradmission/queue.go
+++ b/internal/core/medlaradmission/queue.go
@@ -168,7 +168,8 @@
 	return int(r.Priority)
 }
 
-// expire refuses the runs that have waited too long (R6), those that can go nowhere for evacuations (R11), and all when the instance ends (R1).
+// expire refuses the runs that have waited too long (R6), those whose upstreams are all evacuated (R11), and all when the
+// instance ends (R1).
 func expire(w *medlarworld.World) {
 	for i := 0; i < len(w.Waiting); i++ {
 		r := w.Waiting[i]
--- a/internal/core/medlarfleet/subset.go
+++ b/internal/core/medlarfleet/subset.go
@@ -11,13 +11,13 @@
 
 // Parameters of the subsets of services' replicas (R6).
 const (
-	// Up to this many instances use all replicas: each has enough requests to keep its connections in use, and knows
-	// the load that each other one puts on replicas.
+	// maxFullFleet is the largest number of instances that use all replicas: each has enough requests to keep its
+	// connections in use, and knows the load that each other one puts on replicas.
 	maxFullFleet = 64
-	// subsetInterval is the time between two looks at what subsets depend on. The instances of a fleet that starts
-	// become known one by one, and to choose takes milliseconds.
+	// subsetInterval is the time between two updates of the subsets. An update takes milliseconds, and the instances of
+	// a fleet that starts become known one by one.
 	subsetInterval = time.Second
-	rateGain1s     = 0.1 // weight of the rate of the last second
+	rateGain1s     = 0.1 // weight of the last second in the moving mean of the rate
 )
 
 // subsets are the subsets of services' replicas that this instance usually sends to.
@@ -32,12 +32,12 @@
 	arrivals int     // requests since the last update
 	rate     float64 // requests per second
 	size     int
-	replicas []medlarid.InstanceID // that it was chosen among
+	replicas []medlarid.InstanceID // those that it was chosen from
 }
 
 func newSubsets() subsets { return subsets{services: map[medlarid.ServiceID]*subset{}} }
 
-// count counts a request.
+// count counts a request to a service.
 func (s *subsets) count(service medlarid.ServiceID) {
 	if service == "" {
 		return
@@ -73,14 +73,15 @@
 	}
 }
 
-// observe updates the rate at the end of a time.
+// observe updates the rate by the requests since the last update.
 func (s *subset) observe(passed time.Duration) {
-	// A tick may come late; a longer time weighs more.
+	// An update may come late; a longer time weighs more.
 	gain := min(rateGain1s*passed.Seconds(), 1)
 	s.rate += gain * (float64(s.arrivals)/passed.Seconds() - s.rate)
 	s.arrivals = 0
 }
 
+// update chooses a service's subset anew if what it depends on has changed, and marks the replicas outside it.
 func (s *subset) update(w *medlarworld.World, service medlarid.ServiceID, instances []medlarid.InstanceID, large, moved bool) {
 	upstreams := w.Services[service]
 	if !large {
--- a/internal/core/medlarroute/assess.go
+++ b/internal/core/medlarroute/assess.go
@@ -12,9 +12,9 @@
 	"medlarfield/internal/core/medlarworld"
 )
 
-// Assess fills a verdict with the replica that a run would be sent to now, the other candidates and the replicas that are none.
-// place is the run's place in the queue, whose runs have no candidate. It decides as for a run that leaves the queue, and changes
-// only w, which is a shadow.
+// Assess fills a verdict with the replica that a run would be sent to now, the other candidates and the excluded replicas.
+// place is the run's place in the queue; the runs that wait there have no candidate. It decides as for a run that leaves the
+// queue, and changes only w, which is a shadow.
 func Assess(w *medlarworld.World, r *medlarworld.Run, place int, v *medlarverdict.Verdict) {
 	why := map[*medlarupstream.Upstream]medlarverdict.Exclusion{}
 	s := &System{excluded: func(u *medlarupstream.Upstream, reason medlarverdict.Exclusion) { why[u] = reason }}
@@ -47,7 +47,7 @@
 	}
 }
 
-// mustWait reports whether a run waits with one before it in the queue that needs the same of an upstream: that one has no
+// mustWait reports whether a run waits because one before it in the queue has the same requirements: that one has no
 // candidate.
 func mustWait(w *medlarworld.World, r *medlarworld.Run, before []*medlarworld.Run) bool {
 	need, _ := requirementsOf(w, r)
@@ -90,7 +90,8 @@
 	return out
 }
 
-// dearest returns the term by which a candidate most exceeds the chosen one; empty if it exceeds it by none.
+// dearest returns the term in which a candidate most exceeds the chosen one, or "home" if there is none and
+// the chosen one costs less as the home; empty for neither.
 func dearest(chosen, c *medlarverdict.Candidate) string {
 	name, most := "", 0.0
 	for _, t := range []struct {
@@ -113,7 +114,8 @@
 	return name
 }
 
-// absent returns the parts of a run's prompt but the last, which is its own, that neither an upstream nor a store has.
+// absent returns the parts of a run's prompt that neither an upstream nor a store has. The last part is left out, as it
+// is the prompt's own.
 func absent(w *medlarworld.World, r *medlarworld.Run, u *medlarupstream.Upstream) []int {
 	if r.KeyTokens == nil || u.Kind != medlarkind.KindEngine {
 		return nil
--- a/internal/core/medlarroute/medlarroute.go
+++ b/internal/core/medlarroute/medlarroute.go
@@ -28,8 +28,8 @@
 //	    for it, the same for all instances. It is a candidate in addition to the
 //	    subset, even before it has reported, and its cost is discounted, so that a
 //	    prompt which returns through any instance finds its context cached.
-//	R8  In a large fleet an instance prefers a subset of replicas, to which it has connections in use. Another one, the home
-//	    among them, gets a run only if that is clearly cheaper although a new connection is opened.
+//	R8  In a large fleet an instance prefers a subset of a service's replicas, to which it has connections in use. Another
+//	    replica, also if it is the home, gets a run only if its cost with that of a new connection is clearly lower.
 package medlarroute
 
 import (
@@ -74,11 +74,11 @@
 	importSavedShare    = 0.5  // an import may take at least this share of the computation that it saves
 
 	// connectionCost is what a new connection to a replica outside the subset costs (R8): a round trip between availability
-	// zones and the replica's work to accept it. With 20 ms, prompts left their homes and were computed anew.
+	// zones and the replica's work to accept it. With 20 ms prompts leave their homes and are computed anew.
 	connectionCost = 5e-3 // seconds
-	// homeHitShare is the assumed probability that a home outside the subset has the context of a prompt from what other
-	// instances have sent there. With 0, instances went by what they have sent themselves, and each context was computed
-	// in many subsets.
+	// homeHitShare is the assumed probability that a home outside the subset has cached the context of a prompt because of
+	// prompts that other instances have sent there. With 0 only an instance's own prompts count, and each context is
+	// computed in many subsets.
 	homeHitShare = 0.5
 
 	// Time kept for waits at replicas that are longer than expected, before answers under replaced weights end.
@@ -90,7 +90,7 @@
 type System struct {
 	onDequeue  func(*medlarworld.Run) // called for each run that leaves the queue
 	options    []option
-	excluded   func(*medlarupstream.Upstream, medlarverdict.Exclusion) // called for each upstream that is no candidate; nil for no call
+	excluded   func(*medlarupstream.Upstream, medlarverdict.Exclusion) // called for each upstream that is no candidate; may be nil
 	candidates int                                                     // number of options of the last run, before one was picked
 	exhausted  []requirements                                          // requirements without a candidate in this tick
 }
@@ -150,7 +150,7 @@
 	w.Waiting = remaining
 }
 
-// held reports whether a run waits for something else than a candidate (R6).
+// held reports whether a run waits for something other than a candidate (R6).
 func held(w *medlarworld.World, r *medlarworld.Run) bool {
 	return w.Now.Before(r.NotBefore) || w.Suspects.Undecided(r.Traits)
 }
@@ -442,7 +442,7 @@
 	return best
 }
 
-// exclusion returns why an upstream may not get a run in any scope. A further reason is a further case here.
+// exclusion returns why an upstream may not get a run in any scope.
 func exclusion(w *medlarworld.World, r *medlarworld.Run, u *medlarupstream.Upstream) medlarverdict.Exclusion {
 	switch {
 	case u.Leaving:
--- a/internal/core/medlarverdict/medlarverdict.go
+++ b/internal/core/medlarverdict/medlarverdict.go
@@ -20,7 +20,7 @@
 // Exclusion is why a replica is no candidate for a request.
 type Exclusion string
 
-// Exclusions. A replica has the first one that holds, in the order in which they are found.
+// Exclusions. A replica has the first one that holds, in this order.
 const (
 	None       Exclusion = ""
 	Outside    Exclusion = "subset"     // not in the subset of replicas that the instance uses
@@ -29,8 +29,8 @@
 	Build      Exclusion = "build"      // the stream begins at another software version
 	Leaving    Exclusion = "leaving"
 	Delisted   Exclusion = "delisted"
-	Evacuated  Exclusion = "evacuated" // its availability zone is evacuated
 	Ejected    Exclusion = "ejected"
+	Evacuated  Exclusion = "evacuated" // its availability zone is evacuated
 	Paused     Exclusion = "paused"
 	Limited    Exclusion = "limited" // no token of its limit is left
 	Brittle    Exclusion = "brittle" // this instance's part of a brittle replica is in use
@@ -47,7 +47,7 @@
 	Replica  medlarid.InstanceID `json:"replica"`
 	Zone     medlarid.Zone       `json:"zone"`
 	Home     bool                `json:"home"`     // of the prompt
-	Cost     float64             `json:"cost"`     // by which replicas are compared: the sum of the terms, with a weight for compute
+	Cost     float64             `json:"cost"`     // by which replicas are compared: the terms, weighted, with the home's discount and the cost of a new connection
 	Expected float64             `json:"expected"` // until the first event: the sum of the terms
 	Waiting  float64             `json:"waiting"`
 	Fetch    float64             `json:"fetch"`
--- a/internal/core/medlarworld/medlarworld.go
+++ b/internal/core/medlarworld/medlarworld.go
@@ -166,7 +166,7 @@
 	StartBy     time.Time
 	AbandonAt   time.Time
 	Late        bool // StartBy has passed
-	HeldBack    bool // has been kept from an upstream that is spared (see medlarpace)
+	HeldBack    bool // has been kept from an upstream that is cold or starts slowly (see medlarpace)
 	LastFailure medlarreason.Reason
 	// Stream identifies the stream that the run begins or resumes; 0 for one that cannot be resumed
 	// elsewhere, or that the caller does not name.
--- a/internal/core/medlarworld/message.go
+++ b/internal/core/medlarworld/message.go
@@ -132,7 +132,7 @@
 	Removed []medlarkey.Key
 }
 
-// ZonesEvacuated carries the availability zones whose upstreams the operators want to get nothing more.
+// ZonesEvacuated carries the availability zones that the operators evacuate: their upstreams get no new attempts.
 type ZonesEvacuated struct{ Zones []medlarid.Zone }
 
 // RecordsCurrent reports that the operators' records are known as of a time. What was read until then was
@@ -170,7 +170,7 @@
 	Crash   medlarsuspect.CrashID // that the upstream is suspected of
 	Down    bool
 	Refused bool // it refuses new connections, so that it was up when it accepted those that it ended
-	// Answered is set if it has answered a call. Without a call it is not known whether an upstream that is not down is up.
+	// Answered is set if it has answered a call. Without that an upstream that is not down is not known to be up either.
 	Answered bool
 }
 
@@ -459,7 +459,7 @@
 	Most     int // requests that it can turn away in a second; 0 if it is not brittle
 }
 
-// PaceChanged reports that an upstream is spared in another way, for the log.
+// PaceChanged reports that an upstream has entered another phase of medlarpace, for the log.
 type PaceChanged struct {
 	Upstream medlarid.InstanceID
 	Phase    medlarupstream.PacePhase
@@ -467,10 +467,10 @@
 	Rate     float64       // requests per second that this instance may send it while it is cold
 }
 
-// PaceCounted reports the number of upstreams that are spared, for the metrics.
+// PaceCounted reports the number of upstreams that are cold or start slowly, for the metrics.
 type PaceCounted struct{ Upstreams int }
 
-// HeldBack reports, once for each run, that it was kept from an upstream that is spared, for the metrics.
+// HeldBack reports, once for each run, that it was kept from an upstream that is cold or starts slowly, for the metrics.
 type HeldBack struct{}
 
 // RecordLimit asks to share the limit of an upstream with all instances, or its end.
--- a/internal/core/medlarworld/shadow.go
+++ b/internal/core/medlarworld/shadow.go
@@ -18,9 +18,9 @@
 
 func (RouteAsked) event() {}
 
-// Shadow returns a world that states the same as w about a run, and in which the run can be decided on as in w: with copies of
-// its account, of the upstreams of its target, of the queue and of the backlogs, and with the random numbers that w draws
-// next. What else it holds is shared and must not be changed.
+// Shadow returns a world in which a run can be decided on as in w, without a change of w. It has copies of the run's account, of
+// the upstreams of its target and of the queue, and draws the random numbers that w draws next. Everything else is shared with w
+// and must not be changed, also what the copies and the map of backlogs point to.
 func (w *World) Shadow(r *Run) *World {
 	s := *w
 	if w.source != nil {
--- a/internal/edge/medlarbody/medlarbody.go
+++ b/internal/edge/medlarbody/medlarbody.go
@@ -22,8 +22,8 @@
 	Conn     net.Conn
 	Buffer   *bufio.Reader // of Conn
 	Deadline time.Time     // of reads from Conn
-	// Written returns an error if the request could not be written in full; nil if it was before its response was read. It is
-	// called once the connection has ended.
+	// Written returns an error if the request could not be written in full. It is called once the connection has ended, and is
+	// nil if the request was written in full before its response was read.
 	Written func() error
 }
 
@@ -67,8 +67,8 @@
 }
 
 // checkEnd returns an error if a further response has taken the place of the end of the body, or if the connection has ended
-// before the request was written. A failed write takes the error of a connection that was reset, and the read that follows
-// finds an orderly end.
+// before the request was written. If a write fails because the connection was reset, the read that follows returns
+// io.EOF, so that the end appears to be orderly.
 func (r *Reader) checkEnd() error {
 	if r.framing == medlarhead.FramingClose && r.source.Written != nil {
 		return r.source.Written()
--- a/internal/edge/medlarmetric/medlarmetric.go
+++ b/internal/edge/medlarmetric/medlarmetric.go
@@ -195,7 +195,7 @@
 // SetPaced sets the number of replicas that get few requests since they are cold or start slowly.
 func (m *Metrics) SetPaced(n int) { m.paced.Set(float64(n)) }
 
-// HeldBack counts a request that was kept from such a replica.
+// HeldBack counts a request that was kept from a replica that is cold or starts slowly.
 func (m *Metrics) HeldBack() { m.heldBack.Inc() }
 
 // Replayed counts an answer from the record of an earlier attempt.
--- a/internal/edge/medlarproxy/medlarproxy.go
+++ b/internal/edge/medlarproxy/medlarproxy.go
@@ -86,8 +86,8 @@
 	RequestEnded func(*medlarcall.Summary)
 }
 
-// memoryRetryAfter is the delay after which a client may retry a request that was refused for lack of memory. What
-// fills it is given up within 10 s, and mostly far earlier.
+// memoryRetryAfter is the delay after which a client may retry a request that was refused for lack of memory. Requests
+// and answers that stall are given up within 10 s, and most release their memory far earlier.
 const memoryRetryAfter = time.Second
 
 // Proxy serves the requests of clients.
--- a/internal/ops/medlarattachednode/medlarattachednode.go
+++ b/internal/ops/medlarattachednode/medlarattachednode.go
@@ -76,11 +76,11 @@
 	retryStart         = 2                      // initial retry budget, in attempts
 )
 
-// Reads of topics; a lost read is noticed soon after its wait.
+// Times of reads of topics. A lost read is noticed soon after its wait.
 var (
 	operatorReads = medlarreadwait.Topic{UsualWait: 750 * time.Millisecond, LongestWait: medlarplacement.DesiredVersionTTL - versionMargin}
 	replicaReads  = medlarreadwait.Topic{UsualWait: 750 * time.Millisecond, UsualInterval: 400 * time.Millisecond, LongestInterval: 800 * time.Millisecond}
-	// Notices are rare, and many come at once.
+	// Notices are rare, but many come at once.
 	noticeReads = medlarreadwait.Topic{UsualWait: 2 * time.Second, UsualInterval: 150 * time.Millisecond, LongestInterval: 300 * time.Millisecond}
 )
 
@@ -155,8 +155,8 @@
 	}
 }
 
-// accountShare is the share of the instance's memory that its peers can make it hold. With it the live heap stays below
-// the share at which the collector runs more often, so that garbage takes the rest of that.
+// accountShare is the share of the instance's memory that its peers can make it hold. It keeps the live heap below the
+// share at which the garbage collector runs more often (memoryShare in medlardaemon): the difference is left for garbage.
 const accountShare = 0.25
 
 func newAccount(cfg medlarsettings.Attached, m *medlarmetric.Metrics) *medlarmemory.Account {
--- a/internal/ops/medlarcachetracker/medlarcachetracker.go
+++ b/internal/ops/medlarcachetracker/medlarcachetracker.go
@@ -93,7 +93,7 @@
 type StoreRef struct {
 	ID      medlarid.InstanceID
 	Address medlarid.Address
-	// Turn differs when the store was not to be tracked meanwhile: it is listed anew then.
+	// Turn changes if the store was not tracked for a time. It is listed anew then.
 	Turn uint64
 }
 
@@ -208,7 +208,7 @@
 	}
 }
 
-// pauseScan waits for the next look for new and removed stores.
+// pauseScan waits until the stores are to be compared with those that are tracked again.
 func (t *Tracker) pauseScan(ctx context.Context) {
 	timer := time.NewTimer(scanInterval)
 	defer timer.Stop()
@@ -318,8 +318,8 @@
 	return nil
 }
 
-// few reports whether the store has a place for each of its readers. A refused call is then due to readers that are
-// about to leave.
+// few reports whether few instances read each store, so that it has a place for each of them. A call is then refused only while
+// former readers still hold a place.
 func (t *Tracker) few() bool { return t.deps.Few != nil && t.deps.Few() }
 
 // void makes the contents posted for a store stale, in a start of the store (R1, R5).
--- a/internal/ops/medlarregistry/medlarregistry.go
+++ b/internal/ops/medlarregistry/medlarregistry.go
@@ -17,7 +17,7 @@
 //	    it: for some time it counts among those that have to run a later weight version before
 //	    parts of an older one are freed. One that does run it, and has left or joined, makes up
 //	    for no other: lists of other instances may lack it.
-//	R6  An availability zone is evacuated while the operators' record of it exists, as far as it was read.
+//	R6  An availability zone is evacuated as long as the operators' record of it exists, as of the last read.
 package medlarregistry
 
 import (
@@ -272,8 +272,7 @@
 	t.postHeartbeats(records)
 }
 
-// postHeartbeats posts which replicas have written an entry, of services that configure a cold rate. The caller holds
-// t.mu.
+// postHeartbeats posts which replicas have written an entry, for services that configure a cold rate. The caller holds t.mu.
 func (t *Registry) postHeartbeats(records []medlarfeed.Record) {
 	var e medlarworld.HeartbeatsRead
 	for _, rec := range records {
@@ -431,7 +430,7 @@
 }
 
 // Replica returns what is known of a replica; ok is false if it is not listed. One in an evacuated availability zone is
-// leaving: connections to it are no longer relayed either.
+// returned as leaving, so that connections to it are not relayed either.
 func (t *Registry) Replica(id medlarid.InstanceID) (r medlardialer.Replica, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/ops/medlarregistry/versions.go
+++ b/internal/ops/medlarregistry/versions.go
@@ -18,7 +18,7 @@
 	assumed  medlarid.WeightVersion // assumed for requests after a version mismatch, or empty
 	history  medlarhistory.History  // successive values of version()
 	listedAt time.Time              // since when the replica has been listed, whichever start of it
-	fresh    bool                   // its start has shown after the first read of the replicas
+	fresh    bool                   // it has started since the first read of the replicas
 	cold     time.Time              // until when the replica is cold, as its entry states; zero if it is not
 	deniedAt time.Time              // when the replica denied to run any version that requests could name; zero if it did not
 }
--- a/internal/peer/medlardatagram/medlardatagram.go
+++ b/internal/peer/medlardatagram/medlardatagram.go
@@ -122,9 +122,9 @@
 	keptAliveAt time.Time // of the last empty report
 
 	sums    *medlarsum.Node
-	changed bool // the peers, since sums got to know them
+	changed bool // the peers have changed since they were passed to sums
 	totals  totals
-	// What sums have to send and to report, once the lock is released.
+	// outgoing and reported are what sums send and report, queued until the lock is released.
 	outgoing []datagram
 	reported []medlarworld.PeerSumReported
 }
--- a/internal/peer/medlardatagram/sum.go
+++ b/internal/peer/medlardatagram/sum.go
@@ -9,13 +9,13 @@
 	"medlarfield/internal/core/medlarworld"
 )
 
-// datagram is one that is to be sent.
+// datagram is a datagram to be sent.
 type datagram struct {
 	at      netip.AddrPort
 	content []byte
 }
 
-// totals holds the time of the oldest report in each sum that arrived last, by range.
+// totals holds the time of the oldest report in the latest sum of each range.
 type totals map[int]time.Time
 
 // SetOnSum sets the function that receives the sums of all peers' load. It is called before Listen.
@@ -37,7 +37,7 @@
 // Datagrams returns the number of datagrams that were sent and received.
 func (s *Socket) Datagrams() (sent, received uint64) { return s.sent.Load(), s.received.Load() }
 
-// tick lets sums go on until the socket is closed.
+// tick renews reports and sends sums each medlarsum.Interval until the socket is closed.
 func (s *Socket) tick() {
 	t := time.NewTicker(medlarsum.Interval)
 	defer t.Stop()
@@ -87,7 +87,7 @@
 	s.outgoing = append(s.outgoing, datagram{p.address, encode(message{Sender: s.deps.Self, Key: s.deps.Key, Serial: s.serial, Sum: &m})})
 }
 
-// setTotal takes note of a total and queues it for the core. The caller holds the lock.
+// setTotal records a total and queues it for the core. The caller holds the lock.
 func (s *Socket) setTotal(t medlarsum.Total) {
 	for i := range s.totals {
 		if i >= t.Ranges {
@@ -98,7 +98,7 @@
 	s.reported = append(s.reported, medlarworld.PeerSumReported(t))
 }
 
-// flush sends and reports what is queued.
+// flush sends the queued datagrams and passes the queued totals to the core.
 func (s *Socket) flush() {
 	s.mu.Lock()
 	outgoing, reported := s.outgoing, s.reported
@@ -112,7 +112,7 @@
 	}
 }
 
-// write sends a datagram. Failures are of no interest: the next one follows soon.
+// write sends a datagram. Errors are ignored, since the next one follows soon.
 func (s *Socket) write(b []byte, at netip.AddrPort) {
 	s.sent.Add(1)
 	_, _ = s.conn.WriteToUDPAddrPort(b, at)
--- a/internal/peer/medlartunnel/medlartunnel.go
+++ b/internal/peer/medlartunnel/medlartunnel.go
@@ -9,8 +9,8 @@
 //	R2  The answer is one byte. After ResultOpened the bytes of both sides are copied, unread and
 //	    unchanged: the instance that asked decides, counts and retries as on any connection.
 //	R3  The bytes of the replica come in frames, and an end frame follows when the replica has ended the connection
-//	    in an orderly way, and not while the instance between was writing to it. Without it they are broken off, be it by
-//	    the replica or by the instance between.
+//	    in an orderly way and has received all that was written to it. Without an end frame the bytes were broken off, by the
+//	    replica or by the instance between.
 //	R4  When the instance that asked closes the connection, the one to the replica is closed too.
 //	R5  An instance can also be asked whether a replica answers it now. A connection that opens does not prove that.
 //	R6  What a replica has stated to one side about further requests is passed to the other one, and by the instance
--- a/internal/peer/medlartunnel/message.go
+++ b/internal/peer/medlartunnel/message.go
@@ -34,8 +34,8 @@
 	Pause       time.Duration // for which the replica asks for no requests; 0 for none
 }
 
-// request is the first message on a connection: it asks for a connection to a replica, whether that answers, or for the
-// contents of KV stores, or passes on a hint.
+// request is the first message on a connection. It asks for a connection to a replica, whether a replica answers, or for the
+// contents of KV stores, or it passes on a hint.
 type request struct {
 	sender    medlarid.InstanceID
 	key       Key
--- a/internal/peer/medlartunnel/server.go
+++ b/internal/peer/medlartunnel/server.go
@@ -16,7 +16,7 @@
 // Limits of relayed connections.
 const (
 	maxOpen   = 1024                  // at once
-	writeWait = 50 * time.Millisecond // for the end of a write once the replica has ended the connection
+	writeWait = 50 * time.Millisecond // for the rest of a write after the replica has ended the connection
 )
 
 // connBytes is the memory of a connection that is relayed: a frame, the buffer of the other direction, and the stacks of
@@ -46,7 +46,7 @@
 	ln   net.Listener
 
 	mu    sync.Mutex
-	conns map[net.Conn]bool // all that are open, but those in followers
+	conns map[net.Conn]bool // all open connections other than followers
 	// followers are the connections on which the contents of KV stores are passed on. They end with Stop.
 	followers map[net.Conn]bool
 	stopped   bool
@@ -191,7 +191,8 @@
 	}
 }
 
-// addFollower makes a connection one that does not delay a stop, unless the server has stopped.
+// addFollower makes a connection a follower, which does not delay a stop. It returns false if the server has stopped or has
+// maxOpen of them.
 func (s *Server) addFollower(c net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -240,8 +241,8 @@
 }
 
 // written reports whether all that came from the other instance was written. It is called once the replica has ended the
-// connection, so that a write that has not ended does not have long to go. A failed write takes the error of a
-// connection that was reset, and the read that follows finds an orderly end.
+// connection, and waits for a write that has not ended, writeWait at most. If a write fails because the connection was
+// reset, the read that follows returns io.EOF, so that the end appears to be orderly.
 func (u *upload) written() bool {
 	_ = u.far.SetWriteDeadline(time.Now().Add(writeWait))
 	u.mu.Lock()
@@ -249,7 +250,7 @@
 	return !u.failed && medlarprobe.Idle(u.near)
 }
 
-// onlyReader hides how a connection copies in the kernel, which not every platform offers.
+// onlyReader hides the methods by which a connection copies in the kernel, which not every platform offers.
 type onlyReader struct{ io.Reader }
 
 // add counts a connection, unless there are too many.
