--- a/internal/stand/medlarbrittleness/medlarbrittleness.go
+++ b/internal/stand/medlarbrittleness/medlarbrittleness.go
@@ -1,4 +1,4 @@
-// Package medlarbrittleness tells when a brittle replica crashes.
+// Package medlarbrittleness emulates when a brittle replica crashes.
 package medlarbrittleness
 
 import (
@@ -13,12 +13,12 @@
 // window is the time in which the requests that are turned away for lack of room are counted.
 const window = time.Second
 
-// State is how a replica is brittle; that of the zero value is not. It is not safe for concurrent use.
+// State is the state of a replica that may be brittle. In the zero value it is not. It is not safe for concurrent use.
 type State struct {
-	// It can turn most requests away in window, 0 if it is not brittle, and serves slots at once from from on.
-	most, slots int
-	from        time.Time
-	rejected    []time.Time
+	most     int         // requests that it can turn away within window; 0 if it is not brittle
+	slots    int         // requests that it serves at once after from
+	from     time.Time   // when it begins to serve fewer requests
+	rejected []time.Time // times of the requests that were turned away within window
 }
 
 // New returns the state of a replica that states that it is brittle: Delay later it serves slots requests at once and
--- a/internal/stand/medlarflood/medlarflood.go
+++ b/internal/stand/medlarflood/medlarflood.go
@@ -1,4 +1,4 @@
-// Package medlarflood sends bytes without end, as a replica in trouble does.
+// Package medlarflood sends responses that never end, as a faulty replica may.
 package medlarflood
 
 import (
@@ -24,7 +24,7 @@
 // blockSize is the least size of one write.
 const blockSize = 32 << 10
 
-// Flood is what a fault sends first, and then again and again.
+// Flood is what a fault sends first, and what it then repeats.
 type Flood struct{ start, repeat string }
 
 // New returns what a fault sends in response to the request with an id; ok is false for a fault that is none of this package.
--- a/internal/stand/medlarlink/medlarlink.go
+++ b/internal/stand/medlarlink/medlarlink.go
@@ -96,8 +96,8 @@
 	return err
 }
 
-// resetBy reports whether a side that appears to have ended in an orderly way has reset the connection: a failed write takes the
-// error, and the read that follows finds an orderly end.
+// resetBy reports whether a side that appears to have ended in an orderly way has reset the connection: if a write fails
+// because of the reset, the read that follows returns io.EOF.
 func (p *pair) resetBy(side net.Conn) bool {
 	mu, lost := &p.toFar, &p.farLost
 	if side == p.near {
--- a/internal/stand/medlarmemoryload/medlarmemoryload.go
+++ b/internal/stand/medlarmemoryload/medlarmemoryload.go
@@ -7,7 +7,7 @@
 //	R2  A row fails if the process has ended, if its peak resident memory is above the memory of its settings, if it
 //	    had more open descriptors than descriptorBound, if an ordinary request is not answered with 200 within
 //	    recoveryTime after the clients have left, or if the gauges of its memory account are not back at zero by then.
-//	R3  Times, and the number of requests that are served during the load, do not matter.
+//	R3  How long requests take and how many are served during the load is no part of the verdict.
 package medlarmemoryload
 
 import (
@@ -60,7 +60,7 @@
 	Descriptors int            // the largest number that was open
 	Outcomes    map[string]int // what the clients got: a status, or closed, or open for none
 	Probes      int            // ordinary requests during the load
-	Served      int            // of these
+	Served      int            // ordinary requests that were answered with 200
 	Faults      []string       // rules that do not hold (R2)
 }
 
