--- a/internal/agree/medlarreadwait/medlarreadwait.go
+++ b/internal/agree/medlarreadwait/medlarreadwait.go
@@ -8,8 +8,9 @@
 //	    after the one before.
 //	R2  In larger fleets both are longer in proportion, so that all instances together make no more calls. Records of an idle
 //	    topic still arrive at once: the store answers a waiting read as soon as there is a record.
-//	R3  The loss of a read is noticed only after its wait. So a wait that is longer than the usual one is shorter than the
-//	    settling time by repeatMargin, and at most the topic's longest wait.
+//	R3  The loss of a read is noticed only after its wait, and the read is then repeated. A wait that is longer than the
+//	    usual one leaves repeatMargin for that before the settling time has passed, after which bounds in time hold
+//	    again. It is at most the topic's longest wait.
 //	R4  An interval that is longer than the usual one is at most the topic's longest interval, which bounds how late records
 //	    are read.
 package medlarreadwait
--- a/internal/core/medlarpace/medlarpace.go
+++ b/internal/core/medlarpace/medlarpace.go
@@ -46,7 +46,7 @@
 // Parameters of cold upstreams.
 const (
 	clockMargin  = time.Second            // by which the clocks of instances and replicas may differ (R2)
-	statedMargin = 300 * time.Millisecond // by which the times differ that requests take to reach an upstream which states how long it is cold
+	statedMargin = 300 * time.Millisecond // for requests that take different times to reach an upstream which states when it is warm
 	heartbeatLag = time.Second            // longest time between the writing of a heartbeat and its reading (R2)
 	suspectTime  = 30 * time.Second       // for which an upstream that could not be reached counts as cold at most (R2)
 	maxSuspects  = 0.5                    // share of a target's upstreams that may count as cold since they could not be reached (R2)
@@ -54,7 +54,7 @@
 	// viewSpread is the number of allowed requests in a second for each sponsor: 2 as there may be twice as many sponsors
 	// (R3), the rest for chance and delays. 2.6 leaves nearly no reserve: up to 21 of 21.5 allowed requests.
 	viewSpread    = 2.9
-	sponsorRate   = 0.9                    // highest rate of a sponsor per second unless instances are few: its requests are more than a second apart (R4)
+	sponsorRate   = 0.9                    // highest rate of a sponsor unless instances are few: its requests are more than a second apart (R4)
 	ratePart      = 0.95                   // share of the cold rate that sponsors use at most
 	settleTime    = 2 * time.Second        // R5; instances that start together announce themselves within it
 	minStaleTime  = 5 * time.Second        // R5
--- a/internal/core/medlarpeerload/medlarpeerload.go
+++ b/internal/core/medlarpeerload/medlarpeerload.go
@@ -15,8 +15,8 @@
 //	R5  In a large fleet reports are added up on the way (medlarsum), and sums of all other instances' load arrive, each
 //	    for a range of hashes. A sum replaces the earlier one of its range, and counts until its oldest report is
 //	    medlarsum.TotalTTL old. Sums for another number of ranges replace all earlier ones.
-//	R6  Sums don't count at plain services. These answer faster than a sum arrives, and the instances of a large fleet
-//	    that know the same would all choose the same one of few.
+//	R6  Sums don't count at plain services. These answer faster than a sum arrives, and all instances of a
+//	    large fleet would choose the same upstream by the same sum.
 package medlarpeerload
 
 import (
--- a/internal/core/medlarretry/medlarretry.go
+++ b/internal/core/medlarretry/medlarretry.go
@@ -9,7 +9,7 @@
 //	    a retry budget that is a ratio of the requests for the same target. Where a run
 //	    has a limit of its own, attempts that certainly did not run are counted
 //	    separately. An attempt that sent nothing costs no part of the budget, which bounds
-//	    the load that repeats add to upstreams: the next attempt is the first that one gets.
+//	    the load that repeats add to upstreams: the next attempt is the first that reaches an upstream.
 //	R3  An untried upstream is preferred; a random pause spreads the retries of many
 //	    runs.
 //	R4  An upstream with several consecutive failures, one that cannot be connected
@@ -165,7 +165,7 @@
 	return true
 }
 
-// retry enqueues a run for its next attempt, which costs retry tokens, or refuses it (R1, R2).
+// retry enqueues a run for its next attempt, which costs some retry tokens, or refuses it (R1, R2).
 func retry(w *medlarworld.World, r *medlarworld.Run, reason medlarreason.Reason, cost float64) {
 	r.LastFailure = reason
 	if why := refusalReason(w, r, cost); why != "" {
@@ -178,7 +178,7 @@
 	medlaroffload.Enqueue(w, r)
 }
 
-// refusalReason returns why a run is not retried by an attempt that costs retry tokens, or an empty reason.
+// refusalReason returns why a run gets no further attempt, which would cost some retry tokens, or an empty reason.
 func refusalReason(w *medlarworld.World, r *medlarworld.Run, cost float64) medlarreason.Reason {
 	switch {
 	case r.AtMostOnce && r.Reached:
--- a/internal/ops/medlarctlcmd/route.go
+++ b/internal/ops/medlarctlcmd/route.go
@@ -14,7 +14,7 @@
 	"medlarfield/internal/upstream/medlarhttp"
 )
 
-// routeFlags are the flags of the command route that go to the instance under their names.
+// routeFlags are the flags of the command route that are sent to the instance as arguments of the same names.
 var routeFlags = []struct{ name, usage string }{
 	{"host", "host of the request"},
 	{"path", "path of the request"},
@@ -60,7 +60,7 @@
 	return cmd
 }
 
-// askRoute asks an instance at its status address.
+// askRoute asks an instance at its status address where a request would go.
 func (o *options) askRoute(address string, query url.Values) (v medlarreport.RouteVerdict, err error) {
 	address = strings.TrimSuffix(strings.TrimPrefix(address, "http://"), "/")
 	call := medlarhttp.Request{Method: "GET", Address: medlarid.Address(address), Path: medlarreport.RoutePath + "?" + query.Encode(), Timeout: min(callTimeout, o.timeout)}
--- a/internal/ops/medlarreport/route.go
+++ b/internal/ops/medlarreport/route.go
@@ -10,17 +10,17 @@
 	"medlarfield/internal/core/medlarverdict"
 )
 
-// RoutePath is the path at an instance's status address that answers where a request would go.
+// RoutePath is the path at an instance's status address at which it answers where a request would go.
 const RoutePath = "/route"
 
-// RouteVerdict is where a request would go now, by the tables of one instance.
+// RouteVerdict is one instance's verdict on where a request would go now.
 type RouteVerdict struct {
 	Route   string             `json:"route"`
 	Service medlarid.ServiceID `json:"service"`
 	Account medlarid.AccountID `json:"account"`
 	Version uint64             `json:"version"` // of the configuration
 	medlarverdict.Verdict
-	Needed []string `json:"needed"` // for a better choice
+	Needed []string `json:"needed"` // what is missing for a better choice
 }
 
 // Text writes v as text.
@@ -64,7 +64,7 @@
 	return fmt.Sprintf("waits; requests ahead: %d", v.Ahead)
 }
 
-// notes returns what is said of a candidate besides its terms.
+// notes returns the remarks on a candidate.
 func (v *RouteVerdict) notes(c medlarverdict.Candidate) string {
 	var notes []string
 	if c.Replica == v.Replica {
