--- a/internal/core/medlarverdict/medlarverdict.go
+++ b/internal/core/medlarverdict/medlarverdict.go
@@ -1,5 +1,5 @@
-// Package medlarverdict defines where a request would go now, and why: the reply of the core to a question about a request that
-// is not sent.
+// Package medlarverdict defines the reply of the core to the question where a request would go now, and why. The request is
+// not sent.
 package medlarverdict
 
 import (
@@ -13,24 +13,24 @@
 // Outcomes.
 const (
 	Sent    Outcome = "sent"    // to the replica that is chosen
-	Waits   Outcome = "waits"   // for a replica
-	Refused Outcome = "refused" // for a reason
+	Waits   Outcome = "waits"   // until a replica can take it
+	Refused Outcome = "refused" // at once, for Verdict.Reason
 )
 
 // Exclusion is why a replica is no candidate for a request.
 type Exclusion string
 
-// Exclusions. A replica has the first one that holds, in the order in which they are found.
+// Exclusions. A replica has the first one that holds, in this order.
 const (
 	None       Exclusion = ""
 	Outside    Exclusion = "subset"     // not in the subset of replicas that the instance uses
-	Tried      Exclusion = "tried"      // by the request
+	Tried      Exclusion = "tried"      // an earlier attempt of the request went there
 	Unanswered Exclusion = "unanswered" // has not answered since it was ejected
 	Build      Exclusion = "build"      // the stream begins at another software version
 	Leaving    Exclusion = "leaving"
 	Delisted   Exclusion = "delisted"
-	Evacuated  Exclusion = "evacuated" // its availability zone is evacuated
 	Ejected    Exclusion = "ejected"
+	Evacuated  Exclusion = "evacuated" // its availability zone is evacuated
 	Paused     Exclusion = "paused"
 	Limited    Exclusion = "limited" // no token of its limit is left
 	Brittle    Exclusion = "brittle" // this instance's part of a brittle replica is in use
@@ -47,16 +47,16 @@
 	Replica  medlarid.InstanceID `json:"replica"`
 	Zone     medlarid.Zone       `json:"zone"`
 	Home     bool                `json:"home"`     // of the prompt
-	Cost     float64             `json:"cost"`     // by which replicas are compared: the sum of the terms, with a weight for compute
+	Cost     float64             `json:"cost"`     // by which replicas are compared: the terms, weighted, with the home's discount and the cost of a new connection
 	Expected float64             `json:"expected"` // until the first event: the sum of the terms
 	Waiting  float64             `json:"waiting"`
 	Fetch    float64             `json:"fetch"`
 	Compute  float64             `json:"compute"`
 	Distance float64             `json:"distance"` // of another availability zone
-	Loading  float64             `json:"loading"`  // of other weights, which is about to begin
+	Loading  float64             `json:"loading"`  // of other weights, which the replica is about to load
 	Cached   int                 `json:"cached"`   // parts of the prompt
 	Held     int                 `json:"held"`     // parts that are cached or can be fetched
-	Because  string              `json:"because"`  // term that most exceeds that of the chosen replica; empty for none
+	Because  string              `json:"because"`  // term that most exceeds the same of the chosen replica; empty for none
 }
 
 // Excluded is a replica that is no candidate.
--- a/internal/edge/medlarmetric/medlarmetric.go
+++ b/internal/edge/medlarmetric/medlarmetric.go
@@ -200,7 +200,7 @@
 // Reserved counts a request that was kept from a replica whose room is reserved for more urgent ones.
 func (m *Metrics) Reserved() { m.reserved.Inc() }
 
-// HeldBack counts a request that was kept from such a replica.
+// HeldBack counts a request that was kept from a replica that is cold or starts slowly.
 func (m *Metrics) HeldBack() { m.heldBack.Inc() }
 
 // Replayed counts an answer from the record of an earlier attempt.
