--- a/internal/core/medlarfleet/subset.go
+++ b/internal/core/medlarfleet/subset.go
@@ -33,6 +33,7 @@
 	rate     float64 // requests per second
 	size     int
 	replicas []medlarid.InstanceID // those that it was chosen from
+	chosen   []medlarid.InstanceID
 }
 
 func newSubsets() subsets { return subsets{services: map[medlarid.ServiceID]*subset{}} }
@@ -85,7 +86,7 @@
 func (s *subset) update(w *medlarworld.World, service medlarid.ServiceID, instances []medlarid.InstanceID, large, moved bool) {
 	upstreams := w.Services[service]
 	if !large {
-		s.size, s.replicas = 0, nil
+		s.size, s.replicas, s.chosen = 0, nil, nil
 		for _, u := range upstreams {
 			u.Far = false
 		}
@@ -98,12 +99,11 @@
 		}
 	}
 	size := medlarsubset.Size(s.rate, len(replicas), s.size)
-	if size == s.size && !moved && slices.Equal(replicas, s.replicas) {
-		return
+	if size != s.size || moved || !slices.Equal(replicas, s.replicas) {
+		s.size, s.replicas = size, replicas
+		s.chosen = medlarsubset.Choose(w.Config.Self, instances, replicas, size)
 	}
-	s.size, s.replicas = size, replicas
-	chosen := medlarsubset.Choose(w.Config.Self, instances, replicas, size)
-	for _, u := range upstreams {
-		u.Far = !slices.Contains(chosen, u.ID)
+	for _, u := range upstreams { // one that was listed anew has lost its mark
+		u.Far = !slices.Contains(s.chosen, u.ID)
 	}
 }
--- a/internal/core/medlarfleet/subset_test.go
+++ b/internal/core/medlarfleet/subset_test.go
@@ -68,6 +68,11 @@
 		run()
 	}
 	assertNear("the rate is known", 12, 12)
+	for _, u := range w.Upstreams {
+		u.Far = false // as of one that is removed and listed anew between two updates
+	}
+	run()
+	assertNear("replicas that are listed anew", 12, 12)
 	run(list(5))
 	assertNear("few replicas", 5, 5)
 	run(list(90))
--- a/internal/core/medlarheadroom/medlarheadroom.go
+++ b/internal/core/medlarheadroom/medlarheadroom.go
@@ -25,7 +25,7 @@
 	smallFleet  = 16       // instances (R5)
 	urgentShare = 0.95     // of the cache, for the most urgent class (R2); answers take up the rest
 	otherShare  = 0.75     // for the others (R2)
-	maxWait     = 0.2      // seconds of computation (R3)
+	maxWait     = 0.2      // seconds of computation (R3), less than the time within which short answers are to begin
 	meanWeight  = 1.0 / 32 // of each prompt in the moving mean of sizes (R1)
 )
 
--- a/internal/core/medlarworld/shadow.go
+++ b/internal/core/medlarworld/shadow.go
@@ -48,6 +48,10 @@
 	out := make([]*medlarupstream.Upstream, len(upstreams))
 	for i, u := range upstreams {
 		clone := *u
+		if b := u.Pace.Bucket; b != nil {
+			bucket := *b
+			clone.Pace.Bucket = &bucket
+		}
 		out[i] = &clone
 	}
 	return out
