--- a/review/standin-2/platform_2.py
+++ b/review/standin-2/platform_2.py
@@ -283,6 +283,7 @@
 
     def __init__(self, store, record, name, service, work=0.03, slots=6, beat=1.2, phase=0.0, version="v1", model=None, events=0):
         self.store, self.record, self.name, self.service, self.work, self.slots = store, record, name, service, work, slots
+        self.dark, self.back = False, threading.Event()
         self.model, self.events = model, events  # of a model replica: it answers with that many events, one each work seconds
         self.beat, self.version, self.draining, self.gone, self.sequence = beat, version, False, False, 0
         self.born, self.active, self.lock = int(time.time() * 1000), 0, threading.Lock()
@@ -352,10 +353,10 @@
         if full:
             sock.sendall(response(503, common + [("Medlarfield-Not-Executed", 1)]))
             return True
-        self.record.write(f"{self.name} runs {rid}" + (", while it leaves" if self.draining else ""))
+        self.record.write(f"{self.name} (version {self.version}) runs {rid}" + (f" from event {int(fields['last-event-id']) + 1} on" if "last-event-id" in fields else "") + (", while it leaves" if self.draining else ""))
         try:
             if self.model:
-                return self.stream(sock, common, rid)
+                return self.stream(sock, common, rid, int(fields.get("last-event-id", 0)) + 1)
             time.sleep(self.work)
             sock.sendall(response(200, common + [("Medlarfield-Server-Signature", f"sig-{self.name}-{rid}")], f"answer to {rid}".encode()))
         finally:
@@ -363,13 +364,27 @@
                 self.active -= 1
         return True
 
-    def stream(self, sock, common, rid):
+    def power_off(self):
+        """The machine is without power: it sends nothing any more, not even a reset, and takes no requests."""
+        self.gone = self.dark = True
+        self.record.write(f"{self.name} (version {self.version}) loses power; {self.active} streams are in progress there")
+
+    def reset_old(self):
+        """The machine is back, and answers the next keep-alive probe of each old channel by a reset."""
+        self.server.reset_all()
+        self.back.set()
+        self.record.write(f"old channels to {self.name} are reset")
+
+    def stream(self, sock, common, rid, first):
         head = common + [("Medlarfield-Server-Signature", f"sig-{self.name}-{rid}"), ("Content-Type", "text/event-stream"), ("Medlarfield-Weight-Versions", 1),
                          ("Transfer-Encoding", "chunked")]
-        for n in range(1, self.events + 1):
+        for n in range(first, self.events + 1):
             time.sleep(self.work)
-            event = f"id: {n}\ndata: {rid}\n\n".encode()
-            text = "".join(f"{k}: {v}\r\n" for k, v in head) if n == 1 else None
+            if self.dark:  # its machine is without power: nothing is sent, and the channel stays as it is
+                self.back.wait()
+                return False
+            event = f"id: {n}\ndata: {self.version} {self.name}\n\n".encode()
+            text = "".join(f"{k}: {v}\r\n" for k, v in head) if n == first else None
             start = f"HTTP/1.1 200 X\r\n{text}\r\n".encode() if text else b""
             sock.sendall(start + b"%x\r\n%s\r\n" % (len(event), event))
         sock.sendall(b"0\r\n\r\n")
@@ -465,6 +480,29 @@
         return None, {}, str(e).encode()
 
 
+def take_stream(machine, path, rid, fields, timeout, events):
+    """One client attempt at a stream. Appends (id, data) of its events to events; returns whether it ended as complete, and its status."""
+    status = None
+    try:
+        with socket.create_connection((HOST, machine.front), 1) as s:
+            s.settimeout(2.4)  # a client gives a stream up after such a gap
+            lines = [f"POST {path} HTTP/1.1", "Host: desk.example", f"Medlarfield-Request-Id: {rid}", f"Medlarfield-Timeout-Ms: {int(timeout * 1000)}",
+                     "Api-Key: key-one"] + [f"{k}: {v}" for k, v in fields] + ["Content-Length: 2", "", ""]
+            s.sendall("\r\n".join(lines).encode() + b"{}")
+            r = Reader(s)
+            first, got = r.head()
+            status = int(first.split(" ")[1])
+            if status != 200:
+                return False, status
+            while part := r.chunk():
+                for event in part.decode().split("\n\n")[:-1]:
+                    n, data = event.split("\n")[:2]
+                    events.append((int(n.split(": ")[1]), data.split(": ", 1)[1]))
+            return True, status
+    except (OSError, Ended, ValueError):
+        return False, status
+
+
 # ---- the frame of a case
 
 def play(case, scenario):
