--- a/review/standin-2/platform_2.py
+++ b/review/standin-2/platform_2.py
@@ -1,11 +1,13 @@
 """Stand-ins of the users' platform for the cases from 6 on: the metadata store, replicas, clients, and the start of the
 project's own processes. They follow the pages PROTOCOL.md, DEPLOY.md and the news on them; only the standard library is used.
 """
-import base64, collections, copy, json, os, pathlib, shutil, signal, socket, struct, subprocess, sys, tempfile, threading, time, traceback
+import base64, collections, copy, json, os, pathlib, resource, shutil, signal, socket, struct, subprocess, sys, tempfile, threading, time, traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
 BEGIN = time.monotonic()
+_, HARD = resource.getrlimit(resource.RLIMIT_NOFILE)
+resource.setrlimit(resource.RLIMIT_NOFILE, (HARD, HARD))
 
 
 def now():
@@ -393,7 +395,7 @@
 
 # ---- the project's own processes
 
-SETTINGS = {"GraceS": 8, "LeaseMs": 3000, "RetryBudgetRatio": 0.2, "VersionMs": 6000, "StableWindowMs": 3000, "HeartbeatMs": 1200, "MemoryMb": 284}
+SETTINGS = {"GraceS": 8, "LeaseMs": 3000, "RetryBudgetRatio": 0.2, "VersionMs": 6000, "StableWindowMs": 3000, "HeartbeatMs": 1200, "MemoryMb": 284, "MaxFds": 4100}
 
 
 def free_port():
@@ -418,9 +420,15 @@
         self.log = open(folder / f"{name}.log", "ab")
         self.start()
 
+    def limit(self):
+        """MaxFds and CpuCores of the machine."""
+        resource.setrlimit(resource.RLIMIT_NOFILE, (SETTINGS["MaxFds"],) * 2)
+        if cores := SETTINGS.get("CpuCores"):
+            os.sched_setaffinity(0, sorted(os.sched_getaffinity(0))[:cores])
+
     def start(self):
         env = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ} | {"MEDLARFIELD_BOOT": str(self.settings)}
-        self.process = subprocess.Popen([str(ROOT / "target/medlard"), "attach"], cwd=ROOT, env=env, stdout=self.log, stderr=self.log)
+        self.process = subprocess.Popen([str(ROOT / "target/medlard"), "attach"], cwd=ROOT, env=env, stdout=self.log, stderr=self.log, preexec_fn=self.limit)
 
     def is_ready(self):
         try:
